--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -1,6 +1,7 @@
 # Sources are collected by pattern so that a new module needs no edit here.
 file(GLOB_RECURSE core_sources CONFIGURE_DEPENDS
-  ${PROJECT_SOURCE_DIR}/src/*.cpp)
+  ${PROJECT_SOURCE_DIR}/src/*.cpp
+  ${PROJECT_SOURCE_DIR}/platform/*.cpp)
 set(test_sources ${core_sources})
 set(testing_sources ${core_sources})
 list(FILTER test_sources INCLUDE REGEX "_test\\.cpp$")
@@ -16,7 +17,7 @@
 
 add_library(skylarkhill_core STATIC ${core_sources})
 target_include_directories(skylarkhill_core PUBLIC
-  ${PROJECT_SOURCE_DIR}/include)
+  ${PROJECT_SOURCE_DIR}/include ${PROJECT_SOURCE_DIR})
 target_link_libraries(skylarkhill_core PUBLIC
   skylarkhill_dependencies easyloggingpp)
 
--- a/include/skylarkhill/cli/command.hpp
+++ b/include/skylarkhill/cli/command.hpp
@@ -41,6 +41,8 @@
 std::unique_ptr<Command>
 CreateEntryCommand();
 std::unique_ptr<Command>
+CreateNodeCommand();
+std::unique_ptr<Command>
 CreateCheckCommand();
 std::unique_ptr<Command>
 CreatePublishCommand();
--- /dev/null
+++ b/include/skylarkhill/dispatch/worker.hpp
@@ -0,0 +1,197 @@
+#ifndef SKYLARKHILL_DISPATCH_WORKER_HPP
+#define SKYLARKHILL_DISPATCH_WORKER_HPP
+
+#include "skylarkhill/base/resources.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+namespace skylarkhill::dispatch {
+
+/// One task of one occurrence of a job.
+struct TaskId
+{
+  std::string mJobId;
+  int mOccurrence = 0;
+  int mStep = 0;
+  int mIndex = 0;
+
+  friend bool operator==(const TaskId& aLeft, const TaskId& aRight)
+  {
+    return std::tie(
+             aLeft.mJobId, aLeft.mOccurrence, aLeft.mStep, aLeft.mIndex) ==
+           std::tie(
+             aRight.mJobId, aRight.mOccurrence, aRight.mStep, aRight.mIndex);
+  }
+};
+
+/// "JOB.OCCURRENCE.STEP.INDEX", for logs.
+std::string
+ToText(const TaskId& aTask);
+
+/// A worker as the registry lists it.
+struct WorkerEntry
+{
+  std::string mId;
+  std::string mService;
+  /// "IP:PORT".
+  std::string mAddress;
+  std::string mDomain;
+  std::vector<std::string> mLabels;
+  base::Resources mCapacity;
+  bool mIsDraining = false;
+  /// Least time until a draining worker leaves, when the entry was written.
+  std::int64_t mRemainingMs = 0;
+  /// Unix time of the start of this incarnation.
+  std::int64_t mBornMs = 0;
+};
+
+/// A run in the list of a worker.
+struct RunningRun
+{
+  TaskId mTask;
+  int mRun = 0;
+  /// Newest checkpoint; empty: none.
+  std::string mCheckpoint;
+  int mPercent = 0;
+  /// Tail latency in ms of a service task; thousandths of a processor in use
+  /// of any other task. Negative: not reported.
+  std::int64_t mUsage = -1;
+};
+
+/// How a run ended.
+enum class RunEnd
+{
+  Done,
+  Failed,
+  Stopped,
+  /// The lease of the worker expired.
+  LeaseExpired,
+  /// Another member of the gang ended.
+  GangBroken,
+  /// The other members of the gang did not start in time.
+  GangIncomplete,
+};
+
+/// The stable name of `aEnd`.
+std::string_view
+NameOf(RunEnd aEnd);
+
+/// An end that a worker lists until it is acknowledged.
+struct EndedRun
+{
+  /// Position in the list of ends of this incarnation, from 1.
+  std::int64_t mNumber = 0;
+  TaskId mTask;
+  int mRun = 0;
+  RunEnd mEnd = RunEnd::Failed;
+  std::string mCheckpoint;
+};
+
+/// The answer to a poll.
+struct WorkerReport
+{
+  /// The worker's own clock.
+  std::int64_t mClockMs = 0;
+  /// Unix time of the start of the incarnation that answered.
+  std::int64_t mBornMs = 0;
+  std::vector<RunningRun> mRunning;
+  std::vector<EndedRun> mEnds;
+};
+
+/// What a worker answered to a start.
+enum class StartOutcome
+{
+  Started,
+  NoRoom,
+  /// A run with this or a higher number ended or was stopped there.
+  OldRun,
+  /// The deadline of the order had passed.
+  TooLate,
+  /// The worker has seen a higher fencing token.
+  Fenced,
+  /// The permission of the advice service is missing or has expired.
+  TicketInvalid,
+  /// Not started; the worker is unhealthy.
+  Unhealthy,
+  /// Not started; the order is malformed.
+  Rejected,
+  /// Not started; another incarnation runs at the address.
+  OtherIncarnation,
+  /// No answer: may start at any time until its deadline.
+  Unknown,
+};
+
+/// The stable name of `aOutcome`.
+std::string_view
+NameOf(StartOutcome aOutcome);
+
+/// What a worker answered to a stop or to a change of pace.
+enum class OrderOutcome
+{
+  Accepted,
+  Fenced,
+  /// Refused for another reason.
+  Refused,
+  /// No answer.
+  Unknown,
+};
+
+/// Asks a worker for its lists and extends its lease.
+struct PollOrder
+{
+  std::string mWorkerId;
+  std::string mAddress;
+  /// Lease on the worker's clock; 0: not extended.
+  std::int64_t mLeaseUntilMs = 0;
+  /// Ends up to this number are forgotten.
+  std::int64_t mAcknowledged = 0;
+  /// How long the worker waits for an end before it answers.
+  int mWaitMs = 0;
+};
+
+struct StartOrder
+{
+  std::string mWorkerId;
+  std::string mAddress;
+  TaskId mTask;
+  int mRun = 0;
+  std::string mPayload;
+  std::string mCheckpoint;
+  std::int64_t mLeaseUntilMs = 0;
+};
+
+struct StopOrder
+{
+  std::string mWorkerId;
+  std::string mAddress;
+  TaskId mTask;
+  int mRun = 0;
+};
+
+struct PaceOrder
+{
+  std::string mWorkerId;
+  std::string mAddress;
+  TaskId mTask;
+  int mRun = 0;
+  int mPercent = 100;
+};
+
+/// Carries orders to workers. Outcomes come back through the Dispatcher.
+class OrderSink
+{
+public:
+  virtual ~OrderSink() = default;
+  virtual void Poll(const PollOrder& aOrder) = 0;
+  virtual void Start(const StartOrder& aOrder) = 0;
+  virtual void Stop(const StopOrder& aOrder) = 0;
+  virtual void Pace(const PaceOrder& aOrder) = 0;
+};
+
+} // namespace skylarkhill::dispatch
+
+#endif // SKYLARKHILL_DISPATCH_WORKER_HPP
--- /dev/null
+++ b/include/skylarkhill/node/stream_tail.hpp
@@ -0,0 +1,72 @@
+#ifndef SKYLARKHILL_NODE_STREAM_TAIL_HPP
+#define SKYLARKHILL_NODE_STREAM_TAIL_HPP
+
+#include "skylarkhill/base/clock.hpp"
+#include "skylarkhill/node/shared_log.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+namespace skylarkhill::node {
+
+/// What a tail delivers.
+struct TailHandlers
+{
+  /// All current records, at the start and after older records have expired.
+  std::function<void(const std::vector<LogRecord>&)> mOnSnapshot;
+  std::function<void(const LogRecord&)> mOnRecord;
+};
+
+/// Follows one stream. Belongs to the thread of the call loop.
+class StreamTail
+{
+public:
+  StreamTail(SharedLog& aLog,
+             const base::Clock& aClock,
+             LogStream aStream,
+             TailHandlers aHandlers);
+
+  /// Reads if the last read has ended and the pause has passed.
+  void Poll();
+  /// Pause between the end of a read that delivered records and the next one.
+  void SetPause(base::Duration aPause) { mPause = aPause; }
+  /// Ends the current pause.
+  void Hurry();
+
+  bool IsLoaded() const { return mIsLoaded; }
+  /// When the last answered read was sent; the records that were acknowledged
+  /// before that time have been delivered.
+  base::TimePoint FreshAt() const { return mFreshAt; }
+  /// When the answered reads began that no failed read has interrupted.
+  base::TimePoint SteadySince() const { return mSteadySince; }
+  /// Offset of the first record that has not been delivered.
+  std::int64_t Next() const { return mNext; }
+  base::TimePoint NextPollAt() const { return mNextPollAt; }
+  int Failures() const { return mFailures; }
+
+private:
+  void OnNewest(ReadResult aResult, base::TimePoint aSentAt);
+  void OnRead(ReadResult aResult, base::TimePoint aSentAt);
+  void OnFailure();
+  void OnSuccess(base::TimePoint aSentAt);
+
+  SharedLog& mLog;
+  const base::Clock& mClock;
+  const LogStream mStream;
+  const TailHandlers mHandlers;
+  base::Duration mPause{ 0 };
+  bool mIsLoaded = false;
+  bool mIsReading = false;
+  bool mIsSteady = false;
+  int mFailures = 0;
+  std::atomic<std::int64_t> mNext{ 0 };
+  base::TimePoint mFreshAt;
+  base::TimePoint mSteadySince;
+  base::TimePoint mNextPollAt;
+};
+
+} // namespace skylarkhill::node
+
+#endif // SKYLARKHILL_NODE_STREAM_TAIL_HPP
--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -75,6 +75,7 @@
 {
   std::vector<std::unique_ptr<Command>> commands;
   commands.push_back(CreateEntryCommand());
+  commands.push_back(CreateNodeCommand());
   commands.push_back(CreateCheckCommand());
   commands.push_back(CreatePublishCommand());
   commands.push_back(CreateSubmitCommand());
--- /dev/null
+++ b/src/cli/node_command.cpp
@@ -0,0 +1,98 @@
+#include "skylarkhill/cli/command.hpp"
+
+#include "platform/instance.hpp"
+#include "platform/settings.hpp"
+
+#include "skylarkhill/logging/logging.hpp"
+
+#include <csignal>
+#include <iostream>
+
+namespace skylarkhill::cli {
+
+namespace {
+
+namespace po = boost::program_options;
+
+class NodeCommand : public Command
+{
+public:
+  std::string_view Name() const override { return "node"; }
+  std::string_view Summary() const override
+  {
+    return "run an entry instance on the platform until SIGTERM or SIGINT";
+  }
+  void Describe(po::options_description& aOptions,
+                po::positional_options_description&) const override
+  {
+    aOptions.add_options()("metrics-port",
+                           po::value<std::uint16_t>()->default_value(0),
+                           "port that serves metrics; 0: none")(
+      "log-level",
+      po::value<std::string>()->default_value("info"),
+      "debug, info, warning or error")("check-settings",
+                                       "check the settings and exit");
+  }
+
+  ExitCode Run(const po::variables_map& aOptions) const override
+  {
+    const auto level =
+      logging::ParseLevel(aOptions["log-level"].as<std::string>());
+    if (!level) {
+      std::cerr << "unknown log level\n";
+      return ExitCode::Usage;
+    }
+    const auto settings = adapter::LoadInstanceSettings();
+    if (!settings) {
+      std::cerr << settings.error().mDetail << "\n";
+      return ExitCode::Refused;
+    }
+    if (aOptions.count("check-settings") != 0) {
+      std::cout << "settings are valid\n";
+      return ExitCode::Done;
+    }
+    logging::ConfigureLogging(*level);
+    return Serve(settings.value(), aOptions["metrics-port"].as<std::uint16_t>());
+  }
+
+private:
+  static ExitCode Serve(const adapter::InstanceSettings& aSettings,
+                        std::uint16_t aMetricsPort)
+  {
+    // Blocked before the first thread starts, so that every thread inherits
+    // it and only sigwait receives the signals.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto instance = adapter::CreateInstance(aSettings, aMetricsPort);
+    const auto started = instance->Start();
+    if (!started) {
+      std::cerr << base::NameOf(started.error().mKind) << ": "
+                << started.error().mDetail << "\n";
+      return ExitCode::Refused;
+    }
+    int number = SIGHUP;
+    while (number == SIGHUP) {
+      sigwait(&signals, &number);
+      if (number == SIGHUP) {
+        logging::Write(logging::Level::Info, "settings_reload_requested", {});
+      }
+    }
+    instance->Drain();
+    return ExitCode::Done;
+  }
+};
+
+} // namespace
+
+std::unique_ptr<Command>
+CreateNodeCommand()
+{
+  return std::make_unique<NodeCommand>();
+}
+
+} // namespace skylarkhill::cli
--- /dev/null
+++ b/src/dispatch/dispatcher.cpp
@@ -0,0 +1,1405 @@
+#include "skylarkhill/dispatch/dispatcher.hpp"
+
+#include "pacing.hpp"
+#include "placement.hpp"
+#include "state.hpp"
+
+#include "skylarkhill/logging/logging.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <unordered_map>
+
+namespace skylarkhill::dispatch {
+
+using base::Duration;
+using base::TimePoint;
+using jobs::IsFinal;
+
+namespace {
+
+/// Lease clocks of workers may run 2% slow.
+constexpr double kSlowestClock = 0.98;
+/// Covers the time between reading a worker's clock and its answer.
+constexpr Duration kLeaseMargin = std::chrono::milliseconds(400);
+/// Leases are at most this long: a leader that dies is replaced within about
+/// three seconds, and a worker that is lost blocks its tasks for this long.
+constexpr Duration kLease = std::chrono::seconds(6);
+
+/// How long a poll waits at the worker for an end. Below the half second that
+/// a reported tail covers where service and backfill tasks share a worker.
+constexpr int kPollWaitSharedMs = 500;
+constexpr int kPollWaitMs = 1500;
+/// Pause before the next poll if ends wait to become durable.
+constexpr Duration kUnacknowledgedPause = std::chrono::milliseconds(250);
+constexpr Duration kPollPause = std::chrono::milliseconds(15);
+constexpr Duration kPollRetryPause = std::chrono::milliseconds(300);
+
+/// Pause before a start or stop that was not answered is sent again.
+constexpr Duration kResendPause = std::chrono::milliseconds(250);
+/// Starts without an answer after which the run is stopped instead.
+constexpr int kMaxStartCalls = 4;
+constexpr Duration kNoRoomPause = std::chrono::milliseconds(300);
+constexpr Duration kUnhealthyPause = std::chrono::milliseconds(1500);
+
+/// A registry entry that is missing for longer means that the worker has left;
+/// entries lost in an outage of the store are back within two seconds.
+constexpr Duration kUnlistedGrace = std::chrono::milliseconds(2500);
+
+/// A run whose progress stands still for longer is taken for stuck.
+constexpr Duration kMinStall = std::chrono::milliseconds(2000);
+/// Progress may stand still for this many times the average time of one
+/// percent.
+constexpr double kStallPercents = 8.0;
+
+/// A copy of a task is started once its run takes this many times its estimate.
+constexpr double kDuplicateAfter = 1.6;
+
+/// Objectives up to this many times the original still earn something.
+constexpr double kWorthlessFactor = 3.0;
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+
+/// Run numbers that an earlier leader may have used without a trace.
+constexpr int kUnseenRuns = 8;
+
+std::int64_t
+ToMs(Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
+std::string
+RackOf(const WorkerEntry& aEntry)
+{
+  return aEntry.mLabels.empty() ? std::string() : aEntry.mLabels.back();
+}
+
+/// Time of the longest chain of steps, by the declared estimates.
+std::int64_t
+EstimateChainMs(const jobs::JobRequest& aRequest)
+{
+  std::vector<std::int64_t> ends;
+  std::int64_t longest = 0;
+  for (const auto& step : aRequest.mSteps) {
+    std::int64_t start = 0;
+    for (const int it : step.mDependsOn) {
+      start = std::max(start, ends[static_cast<std::size_t>(it)]);
+    }
+    ends.push_back(start + step.mEstimateMs);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+bool
+HasLiveRun(const TaskState& aTask)
+{
+  return std::any_of(aTask.mRuns.begin(),
+                     aTask.mRuns.end(),
+                     [](const RunState& it) { return !it.mIsStopping; });
+}
+
+class DefaultDispatcher : public Dispatcher
+{
+public:
+  DefaultDispatcher(const DispatchLimits& aLimits,
+                    const Term& aTerm,
+                    OrderSink& aSink,
+                    metrics::Registry& aMetrics)
+    : mLimits(aLimits)
+    , mTerm(aTerm)
+    , mSink(aSink)
+    , mStarts(aMetrics.GetCounter("skylarkhill_starts_total",
+                                  "Starts ordered, repeats included."))
+    , mStops(aMetrics.GetCounter("skylarkhill_stops_total", "Stops ordered."))
+    , mLostRuns(aMetrics.GetCounter("skylarkhill_runs_lost_total",
+                                    "Runs that disappeared with a worker."))
+    , mStalledRuns(
+        aMetrics.GetCounter("skylarkhill_runs_stalled_total",
+                            "Runs taken for stuck and started elsewhere."))
+  {
+  }
+
+  void SetWorker(const WorkerEntry& aEntry, TimePoint aNow) override
+  {
+    auto& worker = mWorkers[aEntry.mId];
+    if (worker == nullptr) {
+      worker = std::make_unique<WorkerState>();
+      worker->mNextPollAt = aNow;
+    }
+    const bool wasDraining = worker->mEntry.mIsDraining;
+    const bool hasMoved = worker->mEntry.mAddress != aEntry.mAddress;
+    worker->mEntry = aEntry;
+    worker->mRack = RackOf(aEntry);
+    worker->mIsListed = true;
+    if (hasMoved) {
+      worker->mNextPollAt = std::min(worker->mNextPollAt, aNow);
+    }
+    if (aEntry.mIsDraining && !wasDraining) {
+      worker->mLeavesAt =
+        aNow + std::chrono::milliseconds(aEntry.mRemainingMs);
+      logging::Write(logging::Level::Info,
+                     "worker_draining",
+                     { { "worker", aEntry.mId },
+                       { "runs",
+                         static_cast<std::int64_t>(worker->mRuns.size()) },
+                       { "remaining_ms", aEntry.mRemainingMs } });
+    }
+    RequestTick(aNow);
+  }
+
+  void RemoveWorker(const std::string& aWorkerId, TimePoint aNow) override
+  {
+    const auto found = mWorkers.find(aWorkerId);
+    if (found != mWorkers.end() && found->second->mIsListed) {
+      found->second->mIsListed = false;
+      found->second->mUnlistedAt = aNow;
+    }
+  }
+
+  void AddJob(const jobs::JobRecord& aJob,
+              bool aIsInherited,
+              TimePoint aNow) override
+  {
+    if (!aJob.mSubmission || IsFinal(aJob.State()) ||
+        mJobs.count(aJob.mSubmission->mId) != 0) {
+      return;
+    }
+    auto job = std::make_unique<JobState>();
+    job->mSubmission = *aJob.mSubmission;
+    job->mState = aJob.mProgress.mState;
+    const auto& policy = job->mSubmission.mPolicy;
+    const auto objective =
+      static_cast<std::int64_t>(
+        policy.mSlackFactor *
+        static_cast<double>(EstimateChainMs(job->mSubmission.mRequest))) +
+      policy.mTargetLatencyMs;
+    job->mObjectiveMs = job->mSubmission.mAcceptedMs + objective;
+    job->mWorthlessMs =
+      job->mSubmission.mAcceptedMs +
+      static_cast<std::int64_t>(kWorthlessFactor *
+                                static_cast<double>(objective));
+    job->mIsReleased = aJob.mProgress.mIsReleased;
+    job->mIsReleaseRequested = job->mIsReleased;
+    CreateOccurrences(*job, aIsInherited && job->mIsReleased);
+    Restore(*job, aJob.mProgress);
+    JobState& added = *job;
+    mJobs[added.mSubmission.mId] = std::move(job);
+    AdvanceJob(added);
+    RequestTick(aNow);
+  }
+
+  void CancelJob(const std::string& aJobId, TimePoint aNow) override
+  {
+    const auto found = mJobs.find(aJobId);
+    if (found == mJobs.end()) {
+      return;
+    }
+    EndJob(*found->second, jobs::JobState::Cancelled);
+    RequestTick(aNow);
+  }
+
+  void OnReport(const std::string& aWorkerId,
+                const WorkerReport& aReport,
+                TimePoint aSentAt,
+                TimePoint aNow) override
+  {
+    const auto found = mWorkers.find(aWorkerId);
+    if (found == mWorkers.end()) {
+      return;
+    }
+    WorkerState& worker = *found->second;
+    worker.mIsPollInFlight = false;
+    worker.mFailedPolls = 0;
+    if (worker.mIsKnown && worker.mBornMs != aReport.mBornMs) {
+      ForgetIncarnation(worker, aNow);
+    }
+    worker.mIsKnown = true;
+    worker.mBornMs = aReport.mBornMs;
+    worker.mClockMs = aReport.mClockMs;
+    worker.mClockReadAt = aNow;
+    worker.mLastReportAt = aNow;
+    const bool mustWait = HandleEnds(worker, aReport, aNow);
+    HandleRunning(worker, aReport, aSentAt, aNow);
+    AdjustPace(worker, mLimits.mHarmBound, aNow);
+    worker.mNextPollAt =
+      aNow + (mustWait ? kUnacknowledgedPause : kPollPause);
+    RequestTick(aNow);
+  }
+
+  void OnPollFailed(const std::string& aWorkerId, TimePoint aNow) override
+  {
+    const auto found = mWorkers.find(aWorkerId);
+    if (found == mWorkers.end()) {
+      return;
+    }
+    WorkerState& worker = *found->second;
+    worker.mIsPollInFlight = false;
+    if (++worker.mFailedPolls == 1) {
+      logging::Write(logging::Level::Warning,
+                     "worker_silent",
+                     { { "worker", aWorkerId },
+                       { "runs",
+                         static_cast<std::int64_t>(worker.mRuns.size()) },
+                       { "listed", worker.mIsListed ? "yes" : "no" } });
+    }
+    worker.mNextPollAt = aNow + kPollRetryPause;
+  }
+
+  void OnStart(const StartOrder& aOrder,
+               StartOutcome aOutcome,
+               TimePoint aNow) override
+  {
+    RunState* run = FindRun(aOrder.mTask, aOrder.mRun, aOrder.mWorkerId);
+    if (aOutcome == StartOutcome::Fenced) {
+      SetFenced(aOrder.mWorkerId);
+    }
+    if (run == nullptr) {
+      return;
+    }
+    run->mIsCallInFlight = false;
+    run->mNextCallAt = aNow + kResendPause;
+    if (aOutcome != StartOutcome::Started) {
+      logging::Write(logging::Level::Info,
+                     "start_not_accepted",
+                     { { "task", ToText(aOrder.mTask) },
+                       { "run", aOrder.mRun },
+                       { "worker", aOrder.mWorkerId },
+                       { "outcome", NameOf(aOutcome) } });
+    }
+    WorkerState& worker = *run->mWorker;
+    switch (aOutcome) {
+      case StartOutcome::Started:
+        Confirm(*run, aNow);
+        if (run->mTask->mStep->mSpec->mIsBackfill && worker.mPace < 100) {
+          run->mPace = 100;
+        }
+        break;
+      case StartOutcome::OldRun:
+        // Its end is in the list of the worker, or it never runs.
+        Confirm(*run, aNow);
+        run->mTask->mLastRun =
+          std::max(run->mTask->mLastRun, run->mNumber + kUnseenRuns);
+        break;
+      case StartOutcome::NoRoom:
+        worker.mAvoidUntil = aNow + kNoRoomPause;
+        DropUnstarted(*run);
+        break;
+      case StartOutcome::TooLate:
+      case StartOutcome::TicketInvalid:
+      case StartOutcome::OtherIncarnation:
+        DropUnstarted(*run);
+        break;
+      case StartOutcome::Unhealthy:
+      case StartOutcome::Rejected:
+        worker.mAvoidUntil = aNow + kUnhealthyPause;
+        AddFailure(worker, 0.5, aNow);
+        DropUnstarted(*run);
+        break;
+      case StartOutcome::Fenced:
+      case StartOutcome::Unknown:
+        break;
+    }
+    RequestTick(aNow);
+  }
+
+  void OnStop(const StopOrder& aOrder,
+              OrderOutcome aOutcome,
+              TimePoint aNow) override
+  {
+    if (aOutcome == OrderOutcome::Fenced) {
+      SetFenced(aOrder.mWorkerId);
+    }
+    RunState* run = FindRun(aOrder.mTask, aOrder.mRun, aOrder.mWorkerId);
+    if (run == nullptr) {
+      return;
+    }
+    run->mIsCallInFlight = false;
+    run->mNextCallAt = aNow + kResendPause;
+    if (aOutcome == OrderOutcome::Accepted) {
+      // From now on the worker rejects a start of this run that is still on
+      // its way, and the next report tells whether it runs.
+      Confirm(*run, aNow);
+      run->mNextCallAt = aNow + std::chrono::seconds(1);
+      run->mWorker->mNextPollAt = std::min(run->mWorker->mNextPollAt, aNow);
+    }
+    RequestTick(aNow);
+  }
+
+  void OnPace(const PaceOrder& aOrder,
+              OrderOutcome aOutcome,
+              TimePoint aNow) override
+  {
+    if (aOutcome == OrderOutcome::Fenced) {
+      SetFenced(aOrder.mWorkerId);
+    }
+    RunState* run = FindRun(aOrder.mTask, aOrder.mRun, aOrder.mWorkerId);
+    if (run == nullptr) {
+      return;
+    }
+    run->mIsPaceInFlight = false;
+    if (aOutcome == OrderOutcome::Accepted) {
+      run->mPace = aOrder.mPercent;
+      run->mProgressAt = aNow;
+    }
+    RequestTick(aNow);
+  }
+
+  void SetAuthority(TimePoint aUntil) override { mAuthorityUntil = aUntil; }
+
+  void Tick(TimePoint aNow, std::int64_t aUnixMs) override
+  {
+    mNextTick = aNow + kTickInterval;
+    if (mIsFenced) {
+      return;
+    }
+    mUnixMs = aUnixMs;
+    BeginOccurrences(aNow);
+    CheckWorkers(aNow);
+    if (aNow >= mAuthorityUntil) {
+      return;
+    }
+    CheckRuns(aNow);
+    PlaceAll(aNow);
+    SendCalls(aNow);
+    RemoveEndedJobs();
+  }
+
+  TimePoint NextTick() const override { return mNextTick; }
+
+  std::pair<std::uint64_t, std::vector<DirtyJob>> TakeDirty() override
+  {
+    std::vector<DirtyJob> dirty;
+    for (const auto& id : mDirty) {
+      const auto found = mJobs.find(id);
+      if (found != mJobs.end()) {
+        found->second->mIsDirty = false;
+        dirty.emplace_back(id, ProgressOf(*found->second));
+      }
+    }
+    mDirty.clear();
+    for (auto& it : mRequestedReleases) {
+      mPendingReleases.emplace_back(mBatch, std::move(it));
+    }
+    mRequestedReleases.clear();
+    return { mBatch++, std::move(dirty) };
+  }
+
+  void OnDurable(std::uint64_t aBatch, TimePoint aNow) override
+  {
+    mDurableBatch = std::max(mDurableBatch, aBatch + 1);
+    while (!mPendingReleases.empty() &&
+           mPendingReleases.front().first < mDurableBatch) {
+      const auto found = mJobs.find(mPendingReleases.front().second);
+      if (found != mJobs.end()) {
+        found->second->mIsReleased = true;
+        RequestTick(aNow);
+      }
+      mPendingReleases.pop_front();
+    }
+    for (auto& [id, worker] : mWorkers) {
+      auto& pending = worker->mPendingAcknowledgements;
+      bool hasChanged = false;
+      while (!pending.empty() && pending.front().mBatch < mDurableBatch) {
+        worker->mAcknowledged = pending.front().mNumber;
+        pending.pop_front();
+        hasChanged = true;
+      }
+      if (hasChanged && pending.empty()) {
+        worker->mNextPollAt = std::min(worker->mNextPollAt, aNow);
+        RequestTick(aNow);
+      }
+    }
+  }
+
+  bool IsFenced() const override { return mIsFenced; }
+
+private:
+  // --- Jobs ---------------------------------------------------------------
+
+  static void CreateOccurrences(JobState& aJob, bool aIsInherited)
+  {
+    const auto& request = aJob.mSubmission.mRequest;
+    const int count = std::max(1, request.mOccurrences);
+    for (int n = 0; n < count; ++n) {
+      auto occurrence = std::make_unique<OccurrenceState>();
+      occurrence->mNumber = n;
+      occurrence->mDueMs = request.mOccurrences > 0
+                             ? request.mFirstStartMs + n * request.mIntervalMs
+                             : 0;
+      occurrence->mSteps.resize(request.mSteps.size());
+      for (std::size_t index = 0; index < request.mSteps.size(); ++index) {
+        StepState& step = occurrence->mSteps[index];
+        step.mJob = &aJob;
+        step.mSpec = &request.mSteps[index];
+        step.mOccurrence = n;
+        step.mIndex = static_cast<int>(index);
+        step.mTasks.resize(static_cast<std::size_t>(step.mSpec->mCount));
+        int position = 0;
+        for (TaskState& task : step.mTasks) {
+          task.mStep = &step;
+          task.mIndex = position++;
+          task.mMayRunUnseen = aIsInherited;
+          task.mLastRun = 0;
+        }
+      }
+      aJob.mOccurrences.push_back(std::move(occurrence));
+    }
+  }
+
+  static void Restore(JobState& aJob, const jobs::JobProgress& aProgress)
+  {
+    for (const auto& entry : aProgress.mSteps) {
+      StepState* step = FindStep(aJob, entry.mOccurrence, entry.mStep);
+      if (step == nullptr) {
+        continue;
+      }
+      for (const auto& it : entry.mTasks) {
+        if (it.mIndex < 0 ||
+            it.mIndex >= static_cast<int>(step->mTasks.size())) {
+          continue;
+        }
+        TaskState& task = step->mTasks[static_cast<std::size_t>(it.mIndex)];
+        task.mIsDone = it.mIsDone;
+        task.mFailures = it.mFailures;
+        task.mLastRun = it.mLastRun;
+        task.mLastEndedRun = it.mLastRun;
+        task.mCheckpoint = it.mCheckpoint;
+        step->mDone += it.mIsDone ? 1 : 0;
+      }
+    }
+  }
+
+  static jobs::JobProgress ProgressOf(const JobState& aJob)
+  {
+    jobs::JobProgress progress;
+    progress.mState = aJob.mState;
+    progress.mIsReleased = aJob.mIsReleaseRequested;
+    if (IsFinal(aJob.mState)) {
+      return progress;
+    }
+    for (const auto& occurrence : aJob.mOccurrences) {
+      for (const StepState& step : occurrence->mSteps) {
+        jobs::StepProgress entry;
+        entry.mOccurrence = step.mOccurrence;
+        entry.mStep = step.mIndex;
+        for (const TaskState& it : step.mTasks) {
+          if (it.mIsDone || it.mLastEndedRun > 0) {
+            entry.mTasks.push_back({ it.mIndex,
+                                     it.mIsDone,
+                                     it.mFailures,
+                                     it.mLastEndedRun,
+                                     it.mIsDone ? "" : it.mCheckpoint });
+          }
+        }
+        if (!entry.mTasks.empty()) {
+          progress.mSteps.push_back(std::move(entry));
+        }
+      }
+    }
+    return progress;
+  }
+
+  static StepState* FindStep(JobState& aJob, int aOccurrence, int aStep)
+  {
+    if (aOccurrence < 0 ||
+        aOccurrence >= static_cast<int>(aJob.mOccurrences.size())) {
+      return nullptr;
+    }
+    auto& steps =
+      aJob.mOccurrences[static_cast<std::size_t>(aOccurrence)]->mSteps;
+    if (aStep < 0 || aStep >= static_cast<int>(steps.size())) {
+      return nullptr;
+    }
+    return &steps[static_cast<std::size_t>(aStep)];
+  }
+
+  TaskState* FindTask(const TaskId& aTask)
+  {
+    const auto found = mJobs.find(aTask.mJobId);
+    if (found == mJobs.end()) {
+      return nullptr;
+    }
+    StepState* step =
+      FindStep(*found->second, aTask.mOccurrence, aTask.mStep);
+    if (step == nullptr || aTask.mIndex < 0 ||
+        aTask.mIndex >= static_cast<int>(step->mTasks.size())) {
+      return nullptr;
+    }
+    return &step->mTasks[static_cast<std::size_t>(aTask.mIndex)];
+  }
+
+  RunState* FindRun(const TaskId& aTask,
+                    int aRun,
+                    const std::string& aWorkerId)
+  {
+    TaskState* task = FindTask(aTask);
+    if (task == nullptr) {
+      return nullptr;
+    }
+    for (RunState& it : task->mRuns) {
+      if (it.mNumber == aRun && it.mWorker->mEntry.mId == aWorkerId) {
+        return &it;
+      }
+    }
+    return nullptr;
+  }
+
+  static TaskId IdOf(const TaskState& aTask)
+  {
+    return { aTask.mStep->mJob->mSubmission.mId,
+             aTask.mStep->mOccurrence,
+             aTask.mStep->mIndex,
+             aTask.mIndex };
+  }
+
+  void MarkDirty(JobState& aJob)
+  {
+    if (!aJob.mIsDirty) {
+      aJob.mIsDirty = true;
+      mDirty.push_back(aJob.mSubmission.mId);
+    }
+  }
+
+  /// Makes the steps ready whose dependencies are complete, and ends the job
+  /// if all are.
+  void AdvanceJob(JobState& aJob)
+  {
+    if (IsFinal(aJob.mState)) {
+      return;
+    }
+    bool isComplete = true;
+    for (auto& occurrence : aJob.mOccurrences) {
+      for (StepState& step : occurrence->mSteps) {
+        const bool isStepDone =
+          step.mDone == static_cast<int>(step.mTasks.size()) &&
+          !step.mSpec->mIsService;
+        isComplete = isComplete && isStepDone;
+        if (isStepDone || step.mIsReady || !occurrence->mIsBegun) {
+          continue;
+        }
+        const auto& needs = step.mSpec->mDependsOn;
+        step.mIsReady =
+          std::all_of(needs.begin(), needs.end(), [&](int aNeed) {
+            const auto& other =
+              occurrence->mSteps[static_cast<std::size_t>(aNeed)];
+            return other.mDone == static_cast<int>(other.mTasks.size());
+          });
+        if (step.mIsReady) {
+          mReadySteps.push_back(&step);
+        }
+      }
+    }
+    if (isComplete) {
+      EndJob(aJob, jobs::JobState::Completed);
+    }
+  }
+
+  void BeginOccurrences(TimePoint)
+  {
+    for (auto& [id, job] : mJobs) {
+      bool hasChanged = false;
+      for (auto& it : job->mOccurrences) {
+        if (!it->mIsBegun && it->mDueMs <= mUnixMs) {
+          it->mIsBegun = true;
+          hasChanged = true;
+        }
+      }
+      if (hasChanged) {
+        AdvanceJob(*job);
+      }
+    }
+  }
+
+  void EndJob(JobState& aJob, jobs::JobState aState)
+  {
+    if (IsFinal(aJob.mState)) {
+      return;
+    }
+    aJob.mState = aState;
+    logging::Write(logging::Level::Info,
+                   "job_ended",
+                   { { "job", aJob.mSubmission.mId },
+                     { "state", jobs::NameOf(aState) },
+                     { "late_ms", mUnixMs - aJob.mObjectiveMs } });
+    // A cancellation is durable already.
+    if (aState != jobs::JobState::Cancelled) {
+      MarkDirty(aJob);
+    }
+    for (auto& occurrence : aJob.mOccurrences) {
+      for (StepState& step : occurrence->mSteps) {
+        for (TaskState& task : step.mTasks) {
+          for (RunState& it : task.mRuns) {
+            StopRun(it);
+          }
+        }
+      }
+    }
+    mReadySteps.erase(
+      std::remove_if(mReadySteps.begin(),
+                     mReadySteps.end(),
+                     [&](StepState* it) { return it->mJob == &aJob; }),
+      mReadySteps.end());
+  }
+
+  void RemoveEndedJobs()
+  {
+    for (auto it = mJobs.begin(); it != mJobs.end();) {
+      JobState& job = *it->second;
+      if (IsFinal(job.mState) && !job.mIsDirty && !HasRuns(job)) {
+        it = mJobs.erase(it);
+      } else {
+        ++it;
+      }
+    }
+  }
+
+  static bool HasRuns(const JobState& aJob)
+  {
+    for (const auto& occurrence : aJob.mOccurrences) {
+      for (const StepState& step : occurrence->mSteps) {
+        for (const TaskState& task : step.mTasks) {
+          if (!task.mRuns.empty()) {
+            return true;
+          }
+        }
+      }
+    }
+    return false;
+  }
+
+  // --- Runs ---------------------------------------------------------------
+
+  static base::Resources CountedNeed(const jobs::Step& aStep)
+  {
+    base::Resources need = aStep.mNeed;
+    if (aStep.mIsBackfill) {
+      need.mMilliProcessors = 0;
+    }
+    return need;
+  }
+
+  RunState& AddRun(TaskState& aTask,
+                   WorkerState& aWorker,
+                   int aNumber,
+                   TimePoint aNow)
+  {
+    aTask.mRuns.emplace_back();
+    RunState& run = aTask.mRuns.back();
+    run.mTask = &aTask;
+    run.mWorker = &aWorker;
+    run.mNumber = aNumber;
+    run.mOrderedAt = aNow;
+    run.mProgressAt = aNow;
+    run.mNextCallAt = aNow;
+    aTask.mLastRun = std::max(aTask.mLastRun, aNumber);
+    const jobs::Step& step = *aTask.mStep->mSpec;
+    aWorker.mRuns.insert(&run);
+    aWorker.mUsed += CountedNeed(step);
+    if (step.mIsBackfill) {
+      aWorker.mBackfillDemand += step.mNeed.mMilliProcessors;
+    }
+    ++aTask.mStep->mPerWorker[&aWorker];
+    return run;
+  }
+
+  void RemoveRun(RunState& aRun)
+  {
+    TaskState& task = *aRun.mTask;
+    WorkerState& worker = *aRun.mWorker;
+    const jobs::Step& step = *task.mStep->mSpec;
+    worker.mRuns.erase(&aRun);
+    worker.mUsed -= CountedNeed(step);
+    if (step.mIsBackfill) {
+      worker.mBackfillDemand -= step.mNeed.mMilliProcessors;
+    }
+    --task.mStep->mPerWorker[&worker];
+    task.mRuns.remove_if([&](const RunState& it) { return &it == &aRun; });
+  }
+
+  void Confirm(RunState& aRun, TimePoint aNow)
+  {
+    if (!aRun.mIsConfirmed) {
+      aRun.mIsConfirmed = true;
+      aRun.mConfirmedAt = aNow;
+      aRun.mProgressAt = aNow;
+    }
+    JobState& job = *aRun.mTask->mStep->mJob;
+    if (job.mState == jobs::JobState::Pending) {
+      job.mState = jobs::JobState::Running;
+      MarkDirty(job);
+    }
+  }
+
+  /// Removes a run that the worker has refused to start.
+  void DropUnstarted(RunState& aRun)
+  {
+    aRun.mTask->mAvoidWorker = aRun.mWorker->mEntry.mId;
+    // An earlier call for the same run may not have been answered.
+    if (aRun.mCallsSent > 1 && !aRun.mIsConfirmed) {
+      StopRun(aRun);
+      return;
+    }
+    RemoveRun(aRun);
+  }
+
+  void StopRun(RunState& aRun)
+  {
+    if (!aRun.mIsStopping) {
+      aRun.mIsStopping = true;
+      aRun.mCallsSent = 0;
+      aRun.mNextCallAt = TimePoint{};
+    }
+  }
+
+  void LoseRun(RunState& aRun, std::string_view aCause)
+  {
+    mLostRuns.Add();
+    TaskState& task = *aRun.mTask;
+    logging::Write(logging::Level::Info,
+                   "run_lost",
+                   { { "task", ToText(IdOf(task)) },
+                     { "run", aRun.mNumber },
+                     { "worker", aRun.mWorker->mEntry.mId },
+                     { "cause", aCause } });
+    if (!aRun.mIsStopping) {
+      task.mAvoidWorker = aRun.mWorker->mEntry.mId;
+    }
+    RemoveRun(aRun);
+  }
+
+  void LoseAllRuns(WorkerState& aWorker, std::string_view aCause)
+  {
+    while (!aWorker.mRuns.empty()) {
+      LoseRun(**aWorker.mRuns.begin(), aCause);
+    }
+  }
+
+  void ForgetIncarnation(WorkerState& aWorker, TimePoint aNow)
+  {
+    logging::Write(logging::Level::Warning,
+                   "worker_restarted",
+                   { { "worker", aWorker.mEntry.mId },
+                     { "runs",
+                       static_cast<std::int64_t>(aWorker.mRuns.size()) } });
+    LoseAllRuns(aWorker, "worker restarted");
+    aWorker.mProcessed = 0;
+    aWorker.mAcknowledged = 0;
+    aWorker.mPendingAcknowledgements.clear();
+    aWorker.mLeaseEndsAt = aNow;
+    aWorker.mPace = 100;
+  }
+
+  // --- Reports ------------------------------------------------------------
+
+  /// Handles the ends that are new. True if some of them have to become
+  /// durable before they may be acknowledged.
+  bool HandleEnds(WorkerState& aWorker,
+                  const WorkerReport& aReport,
+                  TimePoint aNow)
+  {
+    bool mustPersist = false;
+    std::int64_t highest = aWorker.mProcessed;
+    for (const auto& it : aReport.mEnds) {
+      if (it.mNumber > aWorker.mProcessed) {
+        mustPersist = HandleEnd(aWorker, it, aNow) || mustPersist;
+        highest = std::max(highest, it.mNumber);
+      }
+    }
+    if (highest > aWorker.mProcessed) {
+      aWorker.mProcessed = highest;
+      auto& pending = aWorker.mPendingAcknowledgements;
+      if (mustPersist || !pending.empty()) {
+        pending.push_back({ mBatch, highest });
+      } else {
+        aWorker.mAcknowledged = highest;
+      }
+    }
+    return !aWorker.mPendingAcknowledgements.empty();
+  }
+
+  /// True if the end changed what has to be durable.
+  bool HandleEnd(WorkerState& aWorker, const EndedRun& aEnd, TimePoint aNow)
+  {
+    TaskState* task = FindTask(aEnd.mTask);
+    if (task == nullptr) {
+      return false;
+    }
+    RunState* run = FindRun(aEnd.mTask, aEnd.mRun, aWorker.mEntry.mId);
+    const bool wasStopping = run != nullptr && run->mIsStopping;
+    if (run != nullptr) {
+      RemoveRun(*run);
+    }
+    task->mLastRun = std::max(task->mLastRun, aEnd.mRun);
+    const bool isCounted = run != nullptr || aEnd.mRun > task->mLastEndedRun;
+    task->mLastEndedRun = std::max(task->mLastEndedRun, aEnd.mRun);
+    JobState& job = *task->mStep->mJob;
+    if (IsFinal(job.mState) || task->mIsDone) {
+      return false;
+    }
+    if (!aEnd.mCheckpoint.empty()) {
+      task->mCheckpoint = aEnd.mCheckpoint;
+    }
+    switch (aEnd.mEnd) {
+      case RunEnd::Done:
+        AddFailure(aWorker, -0.5, aNow);
+        CompleteTask(*task);
+        return true;
+      case RunEnd::Failed:
+        if (isCounted) {
+          FailTask(*task, aWorker, aNow);
+        }
+        MarkDirty(job);
+        return true;
+      case RunEnd::Stopped:
+      case RunEnd::LeaseExpired:
+      case RunEnd::GangBroken:
+      case RunEnd::GangIncomplete:
+        if (!wasStopping) {
+          logging::Write(logging::Level::Info,
+                         "run_ended_early",
+                         { { "task", ToText(aEnd.mTask) },
+                           { "run", aEnd.mRun },
+                           { "worker", aWorker.mEntry.mId },
+                           { "end", NameOf(aEnd.mEnd) } });
+        }
+        return false;
+    }
+    return false;
+  }
+
+  void CompleteTask(TaskState& aTask)
+  {
+    StepState& step = *aTask.mStep;
+    if (step.mSpec->mIsService) {
+      // A service task is started again however it ends.
+      MarkDirty(*step.mJob);
+      return;
+    }
+    const auto complete = [&](TaskState& aMember) {
+      if (!aMember.mIsDone) {
+        aMember.mIsDone = true;
+        ++step.mDone;
+      }
+      for (RunState& it : aMember.mRuns) {
+        StopRun(it);
+      }
+    };
+    complete(aTask);
+    if (step.mSpec->mIsGang) {
+      std::for_each(step.mTasks.begin(), step.mTasks.end(), complete);
+    }
+    MarkDirty(*step.mJob);
+    if (step.mDone == static_cast<int>(step.mTasks.size())) {
+      mReadySteps.erase(
+        std::remove(mReadySteps.begin(), mReadySteps.end(), &step),
+        mReadySteps.end());
+      AdvanceJob(*step.mJob);
+    }
+  }
+
+  void FailTask(TaskState& aTask, WorkerState& aWorker, TimePoint aNow)
+  {
+    AddFailure(aWorker, 1.0, aNow);
+    aTask.mAvoidWorker = aWorker.mEntry.mId;
+    ++aTask.mFailures;
+    JobState& job = *aTask.mStep->mJob;
+    logging::Write(logging::Level::Info,
+                   "run_failed",
+                   { { "task", ToText(IdOf(aTask)) },
+                     { "worker", aWorker.mEntry.mId },
+                     { "failures", aTask.mFailures },
+                     { "limit", job.mSubmission.mPolicy.mMaxAttempts } });
+    if (!aTask.mStep->mSpec->mIsService &&
+        aTask.mFailures >= job.mSubmission.mPolicy.mMaxAttempts) {
+      EndJob(job, jobs::JobState::Failed);
+    }
+  }
+
+  void HandleRunning(WorkerState& aWorker,
+                     const WorkerReport& aReport,
+                     TimePoint aSentAt,
+                     TimePoint aNow)
+  {
+    std::set<const RunState*> listed;
+    for (const auto& it : aReport.mRunning) {
+      TaskState* task = FindTask(it.mTask);
+      RunState* run = FindRun(it.mTask, it.mRun, aWorker.mEntry.mId);
+      if (run == nullptr) {
+        run = Adopt(aWorker, task, it, aNow);
+      }
+      if (run == nullptr) {
+        continue;
+      }
+      listed.insert(run);
+      Confirm(*run, aNow);
+      if (it.mPercent != run->mPercent) {
+        run->mPercent = it.mPercent;
+        run->mProgressAt = aNow;
+      }
+      run->mUsage = it.mUsage;
+      if (!it.mCheckpoint.empty()) {
+        run->mTask->mCheckpoint = it.mCheckpoint;
+      }
+    }
+    std::vector<RunState*> missing;
+    for (RunState* it : aWorker.mRuns) {
+      if (listed.count(it) == 0 && it->mIsConfirmed &&
+          it->mConfirmedAt <= aSentAt) {
+        missing.push_back(it);
+      }
+    }
+    for (RunState* it : missing) {
+      LoseRun(*it, "not in the list of the worker");
+    }
+  }
+
+  /// Takes over a run that this leader has not ordered, or orders its stop.
+  RunState* Adopt(WorkerState& aWorker,
+                  TaskState* aTask,
+                  const RunningRun& aRun,
+                  TimePoint aNow)
+  {
+    const bool isWanted = aTask != nullptr && !aTask->mIsDone &&
+                          !IsFinal(aTask->mStep->mJob->mState);
+    if (!isWanted) {
+      logging::Write(logging::Level::Info,
+                     "unwanted_run",
+                     { { "task", ToText(aRun.mTask) },
+                       { "run", aRun.mRun },
+                       { "worker", aWorker.mEntry.mId } });
+      if (aNow < mAuthorityUntil) {
+        SendStop(aWorker, aRun.mTask, aRun.mRun);
+      }
+      return nullptr;
+    }
+    const bool isSecond = HasLiveRun(*aTask);
+    RunState& run = AddRun(*aTask, aWorker, aRun.mRun, aNow);
+    run.mCallsSent = 1;
+    aTask->mMayRunUnseen = false;
+    if (isSecond && !aTask->mStep->mSpec->mMayDuplicate) {
+      StopRun(run);
+    }
+    return &run;
+  }
+
+  // --- Periodic checks ----------------------------------------------------
+
+  void CheckWorkers(TimePoint aNow)
+  {
+    bool areAllKnown = true;
+    for (auto it = mWorkers.begin(); it != mWorkers.end();) {
+      WorkerState& worker = *it->second;
+      areAllKnown = areAllKnown && worker.mIsKnown;
+      const bool isSilent = worker.mLastReportAt + kPollRetryPause < aNow &&
+                            worker.mFailedPolls > 0;
+      if (isSilent && worker.mLeaseEndsAt < aNow && !worker.mRuns.empty()) {
+        LoseAllRuns(worker, "worker silent beyond its lease");
+      }
+      if (!worker.mIsListed && worker.mUnlistedAt + kUnlistedGrace < aNow &&
+          isSilent && worker.mRuns.empty() && worker.mLeaseEndsAt < aNow &&
+          !worker.mIsPollInFlight) {
+        it = mWorkers.erase(it);
+        continue;
+      }
+      ++it;
+    }
+    if (mMayRunUnseen && ((areAllKnown && !mWorkers.empty()) ||
+                          aNow >= mTerm.mEarlierLeasesEnd)) {
+      mMayRunUnseen = false;
+      mIsPlacementDue = true;
+    }
+  }
+
+  void CheckRuns(TimePoint aNow)
+  {
+    for (auto& [id, worker] : mWorkers) {
+      for (RunState* it : worker->mRuns) {
+        if (it->mIsStopping) {
+          continue;
+        }
+        if (worker->mEntry.mIsDraining) {
+          CheckDrainingRun(*it, aNow);
+        } else if (it->mIsConfirmed && worker->mFailedPolls == 0) {
+          CheckStall(*it, aNow);
+        }
+      }
+    }
+  }
+
+  /// Moves work off a worker that is about to leave.
+  void CheckDrainingRun(RunState& aRun, TimePoint aNow)
+  {
+    const StepState& step = *aRun.mTask->mStep;
+    if (step.mSpec->mIsService) {
+      const int away =
+        static_cast<int>(std::count_if(step.mTasks.begin(),
+                                       step.mTasks.end(),
+                                       [](const TaskState& it) {
+                                         return !HasLiveRun(it) ||
+                                                it.mRuns.front().mPercent < 100;
+                                       }));
+      const bool isUrgent =
+        aRun.mWorker->mLeavesAt < aNow + std::chrono::milliseconds(1500);
+      if (away < std::max(1, step.mSpec->mMaxUnavailable) || isUrgent) {
+        StopRun(aRun);
+      }
+      return;
+    }
+    const auto elapsed = std::chrono::duration<double>(
+                           aNow - aRun.mOrderedAt)
+                           .count();
+    const double total =
+      aRun.mPercent > 0
+        ? elapsed * 100.0 / aRun.mPercent
+        : static_cast<double>(step.mSpec->mEstimateMs) / 1000.0;
+    const double left =
+      std::chrono::duration<double>(aRun.mWorker->mLeavesAt - aNow).count();
+    if (total - elapsed > left && step.mSpec->mSavesProgress && left < 1.0) {
+      StopRun(aRun);
+    }
+  }
+
+  /// Finds runs that make no progress.
+  void CheckStall(RunState& aRun, TimePoint aNow)
+  {
+    TaskState& task = *aRun.mTask;
+    const jobs::Step& step = *task.mStep->mSpec;
+    if (aRun.mPace < 100 || aRun.mWorker->mPace < 100) {
+      return;
+    }
+    if (step.mIsService) {
+      return;
+    }
+    const Duration elapsed = aNow - aRun.mConfirmedAt;
+    Duration limit = kMinStall;
+    if (aRun.mPercent > 0) {
+      const auto perPercent = (aRun.mProgressAt - aRun.mConfirmedAt) /
+                              std::max(1, aRun.mPercent);
+      limit = std::max(limit,
+                       Duration(static_cast<Duration::rep>(
+                         kStallPercents *
+                         static_cast<double>(perPercent.count()))));
+    } else {
+      limit = std::max(
+        limit, Duration(std::chrono::milliseconds(step.mEstimateMs / 4)));
+    }
+    const bool isStuck = aNow - aRun.mProgressAt > limit;
+    if (step.mMayDuplicate && task.mRuns.size() == 1) {
+      const Duration estimate = std::chrono::milliseconds(step.mEstimateMs);
+      const bool isLate =
+        std::chrono::duration<double>(elapsed).count() >
+        kDuplicateAfter * std::chrono::duration<double>(estimate).count();
+      if (isStuck || (isLate && aRun.mPercent < 60)) {
+        PlaceRun(task, aNow);
+      }
+      return;
+    }
+    if (isStuck && task.mRuns.size() == 1) {
+      mStalledRuns.Add();
+      AddFailure(*aRun.mWorker, 1.0, aNow);
+      task.mAvoidWorker = aRun.mWorker->mEntry.mId;
+      logging::Write(logging::Level::Info,
+                     "run_stalled",
+                     { { "task", ToText(IdOf(task)) },
+                       { "run", aRun.mNumber },
+                       { "worker", aRun.mWorker->mEntry.mId },
+                       { "percent", aRun.mPercent },
+                       { "still_ms", ToMs(aNow - aRun.mProgressAt) } });
+      StopRun(aRun);
+    }
+  }
+
+  // --- Placement ----------------------------------------------------------
+
+  /// Order in which waiting steps get workers.
+  static auto RankOf(const StepState& aStep, std::int64_t aUnixMs)
+  {
+    const JobState& job = *aStep.mJob;
+    return std::tuple(!aStep.mSpec->mIsService,
+                      job.mWorthlessMs < aUnixMs,
+                      job.mSubmission.mPolicy.mPriority,
+                      job.mObjectiveMs,
+                      job.mSubmission.mId,
+                      aStep.mIndex);
+  }
+
+  void PlaceAll(TimePoint aNow)
+  {
+    if (!mIsPlacementDue) {
+      return;
+    }
+    mIsPlacementDue = false;
+    std::sort(mReadySteps.begin(),
+              mReadySteps.end(),
+              [&](const StepState* aLeft, const StepState* aRight) {
+                return RankOf(*aLeft, mUnixMs) < RankOf(*aRight, mUnixMs);
+              });
+    for (StepState* step : mReadySteps) {
+      if (!IsReleased(*step, aNow)) {
+        continue;
+      }
+      if (step->mSpec->mIsGang) {
+        PlaceGang(*step, aNow);
+        continue;
+      }
+      for (TaskState& task : step->mTasks) {
+        if (task.mIsDone || !task.mRuns.empty() || IsHeldBack(task)) {
+          continue;
+        }
+        if (!PlaceRun(task, aNow)) {
+          break;
+        }
+      }
+    }
+  }
+
+  /// Requests the release of the step's job as soon as one of its tasks can
+  /// be placed.
+  bool IsReleased(StepState& aStep, TimePoint aNow)
+  {
+    JobState& job = *aStep.mJob;
+    if (!job.mIsReleaseRequested &&
+        ChooseWorker(aStep.mTasks.front(), mWorkers, aNow) != nullptr) {
+      job.mIsReleaseRequested = true;
+      mRequestedReleases.push_back(job.mSubmission.mId);
+      MarkDirty(job);
+    }
+    return job.mIsReleased;
+  }
+
+  /// True while a run that an earlier leader ordered may be alive unseen.
+  bool IsHeldBack(const TaskState& aTask) const
+  {
+    return aTask.mMayRunUnseen && mMayRunUnseen;
+  }
+
+  bool PlaceRun(TaskState& aTask, TimePoint aNow)
+  {
+    WorkerState* worker = ChooseWorker(aTask, mWorkers, aNow);
+    if (worker == nullptr) {
+      return false;
+    }
+    AddRun(aTask, *worker, NextRunNumber(aTask), aNow);
+    return true;
+  }
+
+  static int NextRunNumber(const TaskState& aTask)
+  {
+    return aTask.mLastRun + 1 + (aTask.mMayRunUnseen ? kUnseenRuns : 0);
+  }
+
+  /// Places all tasks of a gang or none.
+  void PlaceGang(StepState& aStep, TimePoint aNow)
+  {
+    int number = 0;
+    for (const TaskState& it : aStep.mTasks) {
+      if (it.mIsDone || IsHeldBack(it)) {
+        return;
+      }
+      number = std::max(number, NextRunNumber(it));
+    }
+    const bool isWhole =
+      std::all_of(aStep.mTasks.begin(), aStep.mTasks.end(), HasLiveRun);
+    if (isWhole) {
+      return;
+    }
+    const bool isAway = std::all_of(
+      aStep.mTasks.begin(), aStep.mTasks.end(), [](const TaskState& it) {
+        return it.mRuns.empty();
+      });
+    if (!isAway) {
+      // The members share one run number, so the rest of a broken gang ends
+      // before it starts again.
+      for (TaskState& task : aStep.mTasks) {
+        for (RunState& it : task.mRuns) {
+          StopRun(it);
+        }
+      }
+      return;
+    }
+    std::string checkpoint;
+    for (const TaskState& it : aStep.mTasks) {
+      checkpoint = std::max(checkpoint, it.mCheckpoint);
+    }
+    std::vector<RunState*> placed;
+    for (TaskState& it : aStep.mTasks) {
+      it.mCheckpoint = checkpoint;
+      WorkerState* worker = ChooseWorker(it, mWorkers, aNow);
+      if (worker == nullptr) {
+        for (RunState* run : placed) {
+          RemoveRun(*run);
+        }
+        return;
+      }
+      placed.push_back(&AddRun(it, *worker, number, aNow));
+    }
+  }
+
+  // --- Calls --------------------------------------------------------------
+
+  /// The lease that an order sent at `aNow` asks for, on the worker's clock;
+  /// 0 if the clock is not known.
+  std::int64_t ExtendLease(WorkerState& aWorker, TimePoint aNow)
+  {
+    if (!aWorker.mIsKnown) {
+      return 0;
+    }
+    const TimePoint until = std::min(
+      aNow + std::min(kLease, mLimits.mMaxLease), mAuthorityUntil);
+    if (until <= aNow) {
+      return 0;
+    }
+    const Duration length = until - aNow;
+    const auto slowest = Duration(static_cast<Duration::rep>(
+      static_cast<double>(length.count()) / kSlowestClock));
+    aWorker.mLeaseEndsAt =
+      std::max(aWorker.mLeaseEndsAt, aNow + slowest + kLeaseMargin);
+    return aWorker.mClockMs + ToMs(aNow - aWorker.mClockReadAt) + ToMs(length);
+  }
+
+  void SendCalls(TimePoint aNow)
+  {
+    for (auto& [id, worker] : mWorkers) {
+      SendPoll(*worker, aNow);
+      for (RunState* it : worker->mRuns) {
+        SendRunCall(*it, aNow);
+      }
+    }
+  }
+
+  void SendPoll(WorkerState& aWorker, TimePoint aNow)
+  {
+    if (aWorker.mIsPollInFlight || aWorker.mNextPollAt > aNow) {
+      return;
+    }
+    aWorker.mIsPollInFlight = true;
+    PollOrder order;
+    order.mWorkerId = aWorker.mEntry.mId;
+    order.mAddress = aWorker.mEntry.mAddress;
+    order.mLeaseUntilMs = ExtendLease(aWorker, aNow);
+    order.mAcknowledged = aWorker.mAcknowledged;
+    const bool isShared = aWorker.mBackfillDemand > 0;
+    order.mWaitMs = !aWorker.mIsKnown ? 0
+                    : isShared        ? kPollWaitSharedMs
+                                      : kPollWaitMs;
+    mSink.Poll(order);
+  }
+
+  void SendRunCall(RunState& aRun, TimePoint aNow)
+  {
+    WorkerState& worker = *aRun.mWorker;
+    if (aRun.mIsStopping) {
+      if (!aRun.mIsCallInFlight && aRun.mNextCallAt <= aNow) {
+        aRun.mIsCallInFlight = true;
+        ++aRun.mCallsSent;
+        SendStop(worker, IdOf(*aRun.mTask), aRun.mNumber);
+      }
+      return;
+    }
+    if (!aRun.mIsConfirmed) {
+      if (!aRun.mIsCallInFlight && aRun.mNextCallAt <= aNow) {
+        SendStart(aRun, aNow);
+      }
+      return;
+    }
+    const bool isBackfill = aRun.mTask->mStep->mSpec->mIsBackfill;
+    if (isBackfill && aRun.mPace != worker.mPace && !aRun.mIsPaceInFlight) {
+      aRun.mIsPaceInFlight = true;
+      mSink.Pace({ worker.mEntry.mId,
+                   worker.mEntry.mAddress,
+                   IdOf(*aRun.mTask),
+                   aRun.mNumber,
+                   worker.mPace });
+    }
+  }
+
+  void SendStart(RunState& aRun, TimePoint aNow)
+  {
+    if (aRun.mCallsSent >= kMaxStartCalls) {
+      AddFailure(*aRun.mWorker, 0.5, aNow);
+      aRun.mTask->mAvoidWorker = aRun.mWorker->mEntry.mId;
+      StopRun(aRun);
+      return;
+    }
+    const std::int64_t lease = ExtendLease(*aRun.mWorker, aNow);
+    if (lease == 0) {
+      return;
+    }
+    aRun.mIsCallInFlight = true;
+    ++aRun.mCallsSent;
+    mStarts.Add();
+    const TaskState& task = *aRun.mTask;
+    StartOrder order;
+    order.mWorkerId = aRun.mWorker->mEntry.mId;
+    order.mAddress = aRun.mWorker->mEntry.mAddress;
+    order.mTask = IdOf(task);
+    order.mRun = aRun.mNumber;
+    order.mPayload = task.mStep->mJob->mSubmission.mRequest.mPayload;
+    order.mCheckpoint = task.mCheckpoint;
+    order.mLeaseUntilMs = lease;
+    mSink.Start(order);
+  }
+
+  void SendStop(const WorkerState& aWorker, const TaskId& aTask, int aRun)
+  {
+    mStops.Add();
+    mSink.Stop({ aWorker.mEntry.mId, aWorker.mEntry.mAddress, aTask, aRun });
+  }
+
+  void SetFenced(const std::string& aWorkerId)
+  {
+    if (!mIsFenced) {
+      logging::Write(logging::Level::Warning,
+                     "leader_fenced",
+                     { { "worker", aWorkerId }, { "epoch", mTerm.mEpoch } });
+    }
+    mIsFenced = true;
+  }
+
+  void RequestTick(TimePoint aNow)
+  {
+    mNextTick = std::min(mNextTick, aNow);
+    mIsPlacementDue = true;
+  }
+
+  const DispatchLimits mLimits;
+  const Term mTerm;
+  OrderSink& mSink;
+  metrics::Counter& mStarts;
+  metrics::Counter& mStops;
+  metrics::Counter& mLostRuns;
+  metrics::Counter& mStalledRuns;
+
+  WorkerMap mWorkers;
+  std::unordered_map<std::string, std::unique_ptr<JobState>> mJobs;
+  std::vector<StepState*> mReadySteps;
+  std::vector<std::string> mDirty;
+  std::vector<std::string> mRequestedReleases;
+  /// Releases by the batch that makes them durable.
+  std::deque<std::pair<std::uint64_t, std::string>> mPendingReleases;
+  std::uint64_t mBatch = 0;
+  std::uint64_t mDurableBatch = 0;
+  std::int64_t mUnixMs = 0;
+  TimePoint mAuthorityUntil;
+  TimePoint mNextTick;
+  bool mIsPlacementDue = true;
+  bool mMayRunUnseen = true;
+  bool mIsFenced = false;
+};
+
+} // namespace
+
+std::unique_ptr<Dispatcher>
+CreateDispatcher(const DispatchLimits& aLimits,
+                 const Term& aTerm,
+                 OrderSink& aSink,
+                 metrics::Registry& aMetrics)
+{
+  return std::make_unique<DefaultDispatcher>(
+    aLimits, aTerm, aSink, aMetrics);
+}
+
+} // namespace skylarkhill::dispatch
--- /dev/null
+++ b/src/dispatch/placement.cpp
@@ -0,0 +1,199 @@
+#include "placement.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace skylarkhill::dispatch {
+
+namespace {
+
+/// A worker that has not answered for this time gets no starts; several polls
+/// of 500 ms fit in.
+constexpr base::Duration kMaxReportAge = std::chrono::milliseconds(1800);
+
+/// Share of its declared processors that a service task uses on average; the
+/// site files state 0.45 with a swing of one half around it.
+constexpr double kServiceUse = 0.6;
+
+/// A backfill task starts where it gets at least this share of what it asks.
+constexpr double kMinBackfillShare = 0.6;
+
+/// Workers above this failure score are used only if no other fits.
+constexpr double kSuspectScore = 0.7;
+
+/// Cost, in thousandths of a processor, of what a placement should avoid.
+constexpr double kSuspectCost = 40000.0;
+constexpr double kAvoidedWorkerCost = 20000.0;
+constexpr double kRemoteRackCost = 8000.0;
+constexpr double kServiceNeighbourCost = 1500.0;
+
+bool
+HasLabel(const WorkerState& aWorker, const std::string& aLabel)
+{
+  const auto& labels = aWorker.mEntry.mLabels;
+  return std::find(labels.begin(), labels.end(), aLabel) != labels.end();
+}
+
+int
+CountServiceTasks(const WorkerState& aWorker)
+{
+  return static_cast<int>(
+    std::count_if(aWorker.mRuns.begin(), aWorker.mRuns.end(), [](RunState* it) {
+      return it->mTask->mStep->mSpec->mIsService;
+    }));
+}
+
+base::Resources
+CountedNeed(const jobs::Step& aStep)
+{
+  base::Resources need = aStep.mNeed;
+  if (aStep.mIsBackfill) {
+    need.mMilliProcessors = 0;
+  }
+  return need;
+}
+
+/// Lower is better.
+double
+PlacementCost(const TaskState& aTask,
+              const WorkerState& aWorker,
+              base::TimePoint aNow)
+{
+  const jobs::Step& step = *aTask.mStep->mSpec;
+  double cost = 0.0;
+  if (FailureScore(aWorker, aNow) > kSuspectScore) {
+    cost += kSuspectCost;
+  }
+  if (aWorker.mEntry.mId == aTask.mAvoidWorker) {
+    cost += kAvoidedWorkerCost;
+  }
+  if (!step.mPreferredRack.empty() && !HasLabel(aWorker, step.mPreferredRack)) {
+    cost += kRemoteRackCost;
+  }
+  const double leftover = static_cast<double>(EstimateLeftover(aWorker) -
+                                              aWorker.mBackfillDemand);
+  if (step.mIsBackfill) {
+    // Backfill goes where it gets the most and disturbs the fewest.
+    return cost - leftover + kServiceNeighbourCost * CountServiceTasks(aWorker);
+  }
+  // Best fit keeps room for large tasks and whole workers for backfill.
+  const auto free = aWorker.mEntry.mCapacity.mMilliProcessors -
+                    aWorker.mUsed.mMilliProcessors - step.mNeed.mMilliProcessors;
+  cost += static_cast<double>(free);
+  if (step.mIsService) {
+    cost += static_cast<double>(aWorker.mBackfillDemand);
+  }
+  return cost;
+}
+
+} // namespace
+
+double
+FailureScore(const WorkerState& aWorker, base::TimePoint aNow)
+{
+  const double age = std::chrono::duration<double>(
+                       aNow - aWorker.mFailureScoreAt)
+                       .count();
+  const double halfLife =
+    std::chrono::duration<double>(kFailureHalfLife).count();
+  return aWorker.mFailureScore * std::exp2(-age / halfLife);
+}
+
+void
+AddFailure(WorkerState& aWorker, double aWeight, base::TimePoint aNow)
+{
+  aWorker.mFailureScore =
+    std::max(0.0, FailureScore(aWorker, aNow) + aWeight);
+  aWorker.mFailureScoreAt = aNow;
+}
+
+std::int64_t
+EstimateLeftover(const WorkerState& aWorker)
+{
+  double used = 0.0;
+  for (const RunState* it : aWorker.mRuns) {
+    const jobs::Step& step = *it->mTask->mStep->mSpec;
+    if (!step.mIsBackfill) {
+      const auto need = static_cast<double>(step.mNeed.mMilliProcessors);
+      used += step.mIsService ? kServiceUse * need : need;
+    }
+  }
+  return aWorker.mEntry.mCapacity.mMilliProcessors -
+         static_cast<std::int64_t>(used);
+}
+
+bool
+AcceptsStarts(const WorkerState& aWorker, base::TimePoint aNow)
+{
+  return aWorker.mIsKnown && aWorker.mIsListed && !aWorker.mEntry.mIsDraining &&
+         aWorker.mAvoidUntil <= aNow &&
+         aWorker.mLastReportAt + kMaxReportAge > aNow;
+}
+
+bool
+IsEligible(const StepState& aStep,
+           const WorkerState& aWorker,
+           base::TimePoint aNow)
+{
+  const jobs::Step& step = *aStep.mSpec;
+  if (aWorker.mEntry.mService != aStep.mJob->mSubmission.mPolicy.mService ||
+      !AcceptsStarts(aWorker, aNow)) {
+    return false;
+  }
+  if (!base::Fits(aWorker.mUsed + CountedNeed(step),
+                  aWorker.mEntry.mCapacity)) {
+    return false;
+  }
+  if (!step.mRequiredLabel.empty() && !HasLabel(aWorker, step.mRequiredLabel)) {
+    return false;
+  }
+  if (step.mMaxPerWorker > 0) {
+    const auto found = aStep.mPerWorker.find(&aWorker);
+    if (found != aStep.mPerWorker.end() &&
+        found->second >= step.mMaxPerWorker) {
+      return false;
+    }
+  }
+  if (step.mIsBackfill) {
+    if (aWorker.mPace < 100) {
+      return false;
+    }
+    const auto left = static_cast<double>(EstimateLeftover(aWorker) -
+                                          aWorker.mBackfillDemand);
+    const auto need = static_cast<double>(
+      std::min(step.mNeed.mMilliProcessors,
+               aWorker.mEntry.mCapacity.mMilliProcessors));
+    return left >= kMinBackfillShare * need;
+  }
+  return true;
+}
+
+WorkerState*
+ChooseWorker(const TaskState& aTask,
+             const WorkerMap& aWorkers,
+             base::TimePoint aNow)
+{
+  WorkerState* best = nullptr;
+  double bestCost = std::numeric_limits<double>::max();
+  for (const auto& [id, worker] : aWorkers) {
+    if (!IsEligible(*aTask.mStep, *worker, aNow)) {
+      continue;
+    }
+    const bool runsThere =
+      std::any_of(aTask.mRuns.begin(), aTask.mRuns.end(), [&](const auto& it) {
+        return it.mWorker == worker.get();
+      });
+    if (runsThere) {
+      continue;
+    }
+    const double cost = PlacementCost(aTask, *worker, aNow);
+    if (cost < bestCost) {
+      bestCost = cost;
+      best = worker.get();
+    }
+  }
+  return best;
+}
+
+} // namespace skylarkhill::dispatch
--- /dev/null
+++ b/src/dispatch/state.hpp
@@ -0,0 +1,156 @@
+#ifndef SKYLARKHILL_DISPATCH_STATE_HPP
+#define SKYLARKHILL_DISPATCH_STATE_HPP
+
+#include "skylarkhill/base/clock.hpp"
+#include "skylarkhill/dispatch/worker.hpp"
+#include "skylarkhill/jobs/job.hpp"
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace skylarkhill::dispatch {
+
+struct JobState;
+struct StepState;
+struct TaskState;
+struct WorkerState;
+
+/// One run of a task on a worker, from its order to its end.
+struct RunState
+{
+  TaskState* mTask = nullptr;
+  WorkerState* mWorker = nullptr;
+  int mNumber = 0;
+  base::TimePoint mOrderedAt;
+  /// The worker has accepted or listed the run, or accepted its stop.
+  bool mIsConfirmed = false;
+  base::TimePoint mConfirmedAt;
+  bool mIsStopping = false;
+  bool mIsCallInFlight = false;
+  int mCallsSent = 0;
+  base::TimePoint mNextCallAt;
+  int mPercent = 0;
+  base::TimePoint mProgressAt;
+  /// Share of its speed that the worker was told to give it.
+  int mPace = 100;
+  bool mIsPaceInFlight = false;
+  std::int64_t mUsage = -1;
+};
+
+struct TaskState
+{
+  StepState* mStep = nullptr;
+  int mIndex = 0;
+  bool mIsDone = false;
+  int mFailures = 0;
+  int mLastRun = 0;
+  /// Highest run whose end has been counted.
+  int mLastEndedRun = 0;
+  std::string mCheckpoint;
+  std::list<RunState> mRuns;
+  /// Worker of the last run that went wrong.
+  std::string mAvoidWorker;
+  /// An earlier leader may have started it on a worker that has not answered.
+  bool mMayRunUnseen = false;
+};
+
+struct StepState
+{
+  JobState* mJob = nullptr;
+  const jobs::Step* mSpec = nullptr;
+  int mOccurrence = 0;
+  int mIndex = 0;
+  std::vector<TaskState> mTasks;
+  int mDone = 0;
+  /// Its dependencies are complete and its time has come.
+  bool mIsReady = false;
+  /// Tasks on each worker, for the limit per worker.
+  std::map<const WorkerState*, int> mPerWorker;
+};
+
+struct OccurrenceState
+{
+  int mNumber = 0;
+  std::int64_t mDueMs = 0;
+  bool mIsBegun = false;
+  int mStepsDone = 0;
+  std::vector<StepState> mSteps;
+};
+
+struct JobState
+{
+  jobs::Submission mSubmission;
+  jobs::JobState mState = jobs::JobState::Pending;
+  /// Unix time by which the job should be complete.
+  std::int64_t mObjectiveMs = 0;
+  /// Unix time after which completion is worth nothing.
+  std::int64_t mWorthlessMs = 0;
+  /// Starts are allowed once the release is durable: a leader that takes over
+  /// can then tell which jobs may have runs that it does not see.
+  bool mIsReleaseRequested = false;
+  bool mIsReleased = false;
+  std::vector<std::unique_ptr<OccurrenceState>> mOccurrences;
+  bool mIsDirty = false;
+};
+
+/// Ends that may be acknowledged once a batch is durable.
+struct PendingAcknowledgement
+{
+  std::uint64_t mBatch = 0;
+  std::int64_t mNumber = 0;
+};
+
+struct WorkerState
+{
+  WorkerEntry mEntry;
+  std::string mRack;
+  bool mIsListed = true;
+  base::TimePoint mUnlistedAt;
+  base::TimePoint mLeavesAt = base::kNoDeadline;
+
+  /// Has answered a poll in this term.
+  bool mIsKnown = false;
+  std::int64_t mBornMs = 0;
+  std::int64_t mClockMs = 0;
+  base::TimePoint mClockReadAt;
+  base::TimePoint mLastReportAt;
+  /// Nothing that this leader ordered there runs after this time without a
+  /// further order.
+  base::TimePoint mLeaseEndsAt;
+
+  bool mIsPollInFlight = false;
+  base::TimePoint mNextPollAt;
+  int mFailedPolls = 0;
+
+  std::int64_t mProcessed = 0;
+  std::int64_t mAcknowledged = 0;
+  std::deque<PendingAcknowledgement> mPendingAcknowledgements;
+
+  std::set<RunState*> mRuns;
+  base::Resources mUsed;
+  /// Processors that backfill tasks ask for.
+  std::int64_t mBackfillDemand = 0;
+
+  /// No new start before this time.
+  base::TimePoint mAvoidUntil;
+  /// Recent failures and stalls; halves every kFailureHalfLife.
+  double mFailureScore = 0.0;
+  base::TimePoint mFailureScoreAt;
+
+  /// Pace of the backfill tasks, in percent.
+  int mPace = 100;
+  base::TimePoint mPaceChangedAt;
+  /// Since when a service task has been above its target.
+  std::optional<base::TimePoint> mHarmedSince;
+};
+
+} // namespace skylarkhill::dispatch
+
+#endif // SKYLARKHILL_DISPATCH_STATE_HPP
--- /dev/null
+++ b/src/http/call_loop.cpp
@@ -0,0 +1,252 @@
+#include "skylarkhill/http/call_loop.hpp"
+
+#include "library_request.hpp"
+
+#include <cxxtools/eventloop.h>
+#include <cxxtools/http/client.h>
+#include <cxxtools/http/reply.h>
+#include <cxxtools/http/request.h>
+
+#include <algorithm>
+#include <chrono>
+#include <exception>
+#include <list>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace skylarkhill::http {
+
+using base::ErrorKind;
+using base::MakeError;
+using base::TimePoint;
+
+namespace {
+
+/// An idle connection is not used again after this time; below the idle
+/// timeout of 15 s that servers of the platform apply.
+constexpr base::Duration kMaxIdleAge = std::chrono::seconds(8);
+
+/// Bounds one wait, so that overdue calls are found.
+constexpr base::Duration kMaxWait = std::chrono::milliseconds(500);
+
+/// One connection with at most one call on it.
+class Connection : public cxxtools::Connectable
+{
+public:
+  Connection(cxxtools::SelectorBase& aSelector, std::string aAddress)
+    : mAddress(std::move(aAddress))
+    , mClient(aSelector)
+  {
+    const auto colon = mAddress.rfind(':');
+    const auto port = std::strtoul(
+      mAddress.c_str() + (colon == std::string::npos ? 0 : colon + 1),
+      nullptr,
+      10);
+    mClient.prepareConnect(mAddress.substr(0, colon),
+                           static_cast<unsigned short>(port));
+    cxxtools::connect(
+      mClient.bodyAvailable, *this, &Connection::ReadAvailableBody);
+    cxxtools::connect(mClient.replyFinished, *this, &Connection::OnFinished);
+  }
+
+  void Begin(const ClientRequest& aRequest,
+             TimePoint aDeadline,
+             CallHandler aHandler)
+  {
+    mRequest = ToLibraryRequest(aRequest);
+    mBody.clear();
+    mDeadline = aDeadline;
+    mHandler = std::move(aHandler);
+    mIsFinished = false;
+    mProblem.reset();
+    try {
+      mClient.beginExecute(mRequest);
+    } catch (const std::exception& e) {
+      mProblem = MakeError(ErrorKind::WorkerUnavailable, e.what());
+      mIsFinished = true;
+    }
+  }
+
+  const std::string& Address() const { return mAddress; }
+  bool IsFinished() const { return mIsFinished; }
+  bool IsBroken() const { return mProblem.has_value() || mMustClose; }
+  TimePoint Deadline() const { return mDeadline; }
+  TimePoint UsableUntil() const { return mUsableUntil; }
+  void SetUsableUntil(TimePoint aTime) { mUsableUntil = aTime; }
+
+  void Expire()
+  {
+    mProblem = MakeError(ErrorKind::DeadlineExceeded, "no response in time");
+    mIsFinished = true;
+  }
+
+  void Deliver()
+  {
+    const CallHandler handler = std::move(mHandler);
+    mHandler = nullptr;
+    if (mProblem) {
+      handler(*mProblem);
+      return;
+    }
+    handler(std::move(mResponse));
+  }
+
+private:
+  std::size_t ReadAvailableBody(cxxtools::http::Client& aClient)
+  {
+    std::size_t total = 0;
+    auto* source = aClient.in().rdbuf();
+    for (auto n = source->in_avail(); n > 0; n = source->in_avail()) {
+      const std::size_t old = mBody.size();
+      mBody.resize(old + static_cast<std::size_t>(n));
+      source->sgetn(&mBody[old], n);
+      total += static_cast<std::size_t>(n);
+    }
+    return total;
+  }
+
+  void OnFinished(cxxtools::http::Client& aClient)
+  {
+    mIsFinished = true;
+    try {
+      aClient.endExecute();
+      const auto& header = aClient.header();
+      mResponse = Response{};
+      mResponse.mStatus = static_cast<int>(header.httpReturnCode());
+      mResponse.mBody = std::move(mBody);
+      mBody.clear();
+      const char* connection = header.getHeader("Connection");
+      mMustClose = connection != nullptr &&
+                   std::string_view(connection).find("lose") !=
+                     std::string_view::npos;
+      for (auto it = header.begin(); it != header.end(); ++it) {
+        mResponse.mHeaders.push_back({ it->first, it->second });
+      }
+    } catch (const std::exception& e) {
+      mProblem = MakeError(ErrorKind::ConnectionLost, e.what());
+    }
+  }
+
+  const std::string mAddress;
+  cxxtools::http::Client mClient;
+  cxxtools::http::Request mRequest;
+  std::string mBody;
+  Response mResponse;
+  CallHandler mHandler;
+  TimePoint mDeadline;
+  TimePoint mUsableUntil;
+  std::optional<base::Error> mProblem;
+  bool mIsFinished = false;
+  bool mMustClose = false;
+};
+
+class CxxtoolsCallLoop : public CallLoop
+{
+public:
+  explicit CxxtoolsCallLoop(const base::Clock& aClock)
+    : mClock(aClock)
+  {
+  }
+
+  void Call(const std::string& aAddress,
+            const ClientRequest& aRequest,
+            TimePoint aDeadline,
+            CallHandler aHandler) override
+  {
+    auto connection = TakeIdle(aAddress);
+    if (connection == nullptr) {
+      connection = std::make_unique<Connection>(mSelector, aAddress);
+    }
+    connection->Begin(aRequest, aDeadline, std::move(aHandler));
+    mActive.push_back(std::move(connection));
+  }
+
+  void Forget(const std::string& aAddress) override { mIdle.erase(aAddress); }
+
+  void Wait(TimePoint aDeadline) override
+  {
+    const TimePoint now = mClock.Now();
+    TimePoint until = std::min(aDeadline, now + kMaxWait);
+    for (const auto& it : mActive) {
+      until = std::min(until, it->IsFinished() ? now : it->Deadline());
+    }
+    const auto left = base::Remaining(now, until);
+    try {
+      mSelector.wait(cxxtools::Milliseconds(
+        std::chrono::duration<double, std::milli>(left).count()));
+    } catch (const std::exception&) {
+      // A socket that fails inside the selector is found by its deadline.
+      mFailedWaits += 1;
+    }
+    Finish();
+  }
+
+  void Wake() override { mSelector.wake(); }
+
+  std::size_t InFlight() const override { return mActive.size(); }
+
+private:
+  using ConnectionPtr = std::unique_ptr<Connection>;
+
+  ConnectionPtr TakeIdle(const std::string& aAddress)
+  {
+    const auto found = mIdle.find(aAddress);
+    if (found == mIdle.end()) {
+      return nullptr;
+    }
+    auto& idle = found->second;
+    const TimePoint now = mClock.Now();
+    while (!idle.empty() && idle.front()->UsableUntil() <= now) {
+      idle.erase(idle.begin());
+    }
+    if (idle.empty()) {
+      return nullptr;
+    }
+    ConnectionPtr connection = std::move(idle.back());
+    idle.pop_back();
+    return connection;
+  }
+
+  void Finish()
+  {
+    const TimePoint now = mClock.Now();
+    std::vector<ConnectionPtr> finished;
+    for (auto it = mActive.begin(); it != mActive.end();) {
+      if (!(*it)->IsFinished() && (*it)->Deadline() <= now) {
+        (*it)->Expire();
+      }
+      if ((*it)->IsFinished()) {
+        finished.push_back(std::move(*it));
+        it = mActive.erase(it);
+      } else {
+        ++it;
+      }
+    }
+    // A handler may start calls, which changes the list of active ones.
+    for (auto& it : finished) {
+      it->Deliver();
+      if (!it->IsBroken()) {
+        it->SetUsableUntil(now + kMaxIdleAge);
+        mIdle[it->Address()].push_back(std::move(it));
+      }
+    }
+  }
+
+  const base::Clock& mClock;
+  cxxtools::Selector mSelector;
+  std::list<ConnectionPtr> mActive;
+  std::map<std::string, std::vector<ConnectionPtr>> mIdle;
+  std::uint64_t mFailedWaits = 0;
+};
+
+} // namespace
+
+std::unique_ptr<CallLoop>
+CreateCallLoop(const base::Clock& aClock)
+{
+  return std::make_unique<CxxtoolsCallLoop>(aClock);
+}
+
+} // namespace skylarkhill::http
--- /dev/null
+++ b/src/http/call_loop_test.cpp
@@ -0,0 +1,128 @@
+#include "skylarkhill/http/call_loop.hpp"
+
+#include "skylarkhill/http/server.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <thread>
+
+namespace skylarkhill::http {
+
+namespace {
+
+class EchoHandler : public Handler
+{
+public:
+  Response Handle(const Request& aRequest) override
+  {
+    ++mCalls;
+    if (aRequest.mPath == "/slow") {
+      std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    }
+    Response response;
+    response.mBody = aRequest.mMethod + aRequest.mPath + aRequest.mBody;
+    return response;
+  }
+  std::atomic<int> mCalls{ 0 };
+};
+
+ClientRequest
+Post(std::string aTarget, std::string aBody)
+{
+  ClientRequest request;
+  request.mMethod = "POST";
+  request.mTarget = std::move(aTarget);
+  request.mBody = std::move(aBody);
+  return request;
+}
+
+} // namespace
+
+class CallLoopTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(CallLoopTest);
+  CPPUNIT_TEST(answers_many_calls_at_once);
+  CPPUNIT_TEST(ends_a_silent_call_at_its_deadline);
+  CPPUNIT_TEST(reports_a_refused_connection);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    auto server = CreateServer({}, mHandler);
+    CPPUNIT_ASSERT(server);
+    mServer = std::move(server.value());
+    mAddress = "127.0.0.1:" + std::to_string(mServer->Port());
+  }
+
+  void answers_many_calls_at_once()
+  {
+    const auto loop = CreateCallLoop(base::GetBootClock());
+    std::vector<std::string> bodies;
+    // The second round uses the connections of the first one.
+    for (int round = 0; round < 2; ++round) {
+      for (int n = 0; n < 8; ++n) {
+        loop->Call(mAddress,
+                   Post("/echo", std::string(20000, 'a' + n)),
+                   base::GetBootClock().Now() + std::chrono::seconds(5),
+                   [&](base::Result<Response> aResult) {
+                     CPPUNIT_ASSERT(aResult);
+                     bodies.push_back(aResult.value().mBody);
+                   });
+      }
+      Run(*loop);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 16 }, bodies.size());
+    for (const auto& it : bodies) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 20009 }, it.size());
+    }
+  }
+
+  void ends_a_silent_call_at_its_deadline()
+  {
+    const auto loop = CreateCallLoop(base::GetBootClock());
+    const auto start = base::GetBootClock().Now();
+    std::optional<base::ErrorKind> kind;
+    loop->Call(mAddress,
+               Post("/slow", ""),
+               start + std::chrono::milliseconds(60),
+               [&](base::Result<Response> aResult) {
+                 CPPUNIT_ASSERT(!aResult);
+                 kind = aResult.error().mKind;
+               });
+    Run(*loop);
+    CPPUNIT_ASSERT(kind == base::ErrorKind::DeadlineExceeded);
+    CPPUNIT_ASSERT(base::GetBootClock().Now() - start <
+                   std::chrono::milliseconds(300));
+  }
+
+  void reports_a_refused_connection()
+  {
+    const auto loop = CreateCallLoop(base::GetBootClock());
+    mServer->Stop();
+    bool isRefused = false;
+    loop->Call(mAddress,
+               Post("/echo", ""),
+               base::GetBootClock().Now() + std::chrono::seconds(2),
+               [&](base::Result<Response> aResult) { isRefused = !aResult; });
+    Run(*loop);
+    CPPUNIT_ASSERT(isRefused);
+  }
+
+private:
+  static void Run(CallLoop& aLoop)
+  {
+    while (aLoop.InFlight() > 0) {
+      aLoop.Wait(base::GetBootClock().Now() + std::chrono::milliseconds(100));
+    }
+  }
+
+  EchoHandler mHandler;
+  std::unique_ptr<Server> mServer;
+  std::string mAddress;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CallLoopTest);
+
+} // namespace skylarkhill::http
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,7 @@
 #include "skylarkhill/http/client.hpp"
 
+#include "library_request.hpp"
+
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/reply.h>
 #include <cxxtools/http/request.h>
@@ -56,26 +58,6 @@
                      });
 }
 
-cxxtools::http::Request
-ToLibraryRequest(const ClientRequest& aRequest)
-{
-  // The library sends the query parameters of a GET only; for other methods
-  // the query is part of the path.
-  const std::size_t end = aRequest.mTarget.size();
-  const std::size_t mark =
-    aRequest.mMethod == "GET" ? std::min(aRequest.mTarget.find('?'), end) : end;
-  cxxtools::http::Request request(aRequest.mTarget.substr(0, mark));
-  if (mark < aRequest.mTarget.size()) {
-    request.qparams(aRequest.mTarget.substr(mark + 1));
-  }
-  request.method(aRequest.mMethod);
-  for (const auto& it : aRequest.mHeaders) {
-    request.setHeader(it.mName.c_str(), it.mValue.c_str());
-  }
-  request.body() << aRequest.mBody;
-  return request;
-}
-
 class CxxtoolsClient : public Client
 {
 public:
--- /dev/null
+++ b/src/http/library_request.cpp
@@ -0,0 +1,27 @@
+#include "library_request.hpp"
+
+#include <algorithm>
+
+namespace skylarkhill::http {
+
+cxxtools::http::Request
+ToLibraryRequest(const ClientRequest& aRequest)
+{
+  // The library sends the query parameters of a GET only; for other methods
+  // the query is part of the path.
+  const std::size_t end = aRequest.mTarget.size();
+  const std::size_t mark =
+    aRequest.mMethod == "GET" ? std::min(aRequest.mTarget.find('?'), end) : end;
+  cxxtools::http::Request request(aRequest.mTarget.substr(0, mark));
+  if (mark < aRequest.mTarget.size()) {
+    request.qparams(aRequest.mTarget.substr(mark + 1));
+  }
+  request.method(aRequest.mMethod);
+  for (const auto& it : aRequest.mHeaders) {
+    request.setHeader(it.mName.c_str(), it.mValue.c_str());
+  }
+  request.body() << aRequest.mBody;
+  return request;
+}
+
+} // namespace skylarkhill::http
--- /dev/null
+++ b/src/jobs/job_codec.cpp
@@ -0,0 +1,260 @@
+#include "skylarkhill/jobs/job_codec.hpp"
+
+#include <msgpack.hpp>
+
+#include <exception>
+#include <tuple>
+
+namespace skylarkhill::jobs {
+
+using base::ErrorKind;
+using base::MakeError;
+
+namespace {
+
+constexpr char kSubmissionPrefix = 's';
+constexpr char kCancellationPrefix = 'c';
+constexpr char kProgressPrefix = 'p';
+
+using ResourceFields = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
+using StepFields = std::tuple<int,
+                              ResourceFields,
+                              std::int64_t,
+                              std::vector<int>,
+                              bool,
+                              bool,
+                              bool,
+                              std::string,
+                              std::string,
+                              int,
+                              bool,
+                              bool,
+                              std::string,
+                              std::int64_t,
+                              bool,
+                              int>;
+using PolicyFields = std::
+  tuple<std::string, std::string, int, int, double, std::int64_t, bool>;
+using SubmissionFields = std::tuple<std::string,
+                                    PolicyFields,
+                                    std::int64_t,
+                                    std::string,
+                                    std::vector<StepFields>,
+                                    int,
+                                    std::int64_t,
+                                    std::int64_t>;
+using TaskFields = std::tuple<int, bool, int, int, std::string>;
+using StepProgressFields = std::tuple<int, int, std::vector<TaskFields>>;
+using ProgressFields = std::tuple<int, bool, std::vector<StepProgressFields>>;
+
+template<typename T>
+std::string
+Pack(const T& aFields)
+{
+  msgpack::sbuffer buf;
+  msgpack::pack(buf, aFields);
+  return { buf.data(), buf.size() };
+}
+
+template<typename T>
+base::Result<T>
+Unpack(std::string_view aBytes)
+{
+  try {
+    const auto handle = msgpack::unpack(aBytes.data(), aBytes.size());
+    return handle.get().as<T>();
+  } catch (const std::exception& e) {
+    return MakeError(ErrorKind::InvalidArgument, e.what());
+  }
+}
+
+StepFields
+ToFields(const Step& aStep)
+{
+  return { aStep.mCount,
+           { aStep.mNeed.mMilliProcessors,
+             aStep.mNeed.mMemoryBytes,
+             aStep.mNeed.mAccelerators },
+           aStep.mEstimateMs,
+           aStep.mDependsOn,
+           aStep.mSavesProgress,
+           aStep.mIsGang,
+           aStep.mIsRackSensitive,
+           aStep.mRequiredLabel,
+           aStep.mPreferredRack,
+           aStep.mMaxPerWorker,
+           aStep.mMayDuplicate,
+           aStep.mIsService,
+           aStep.mImage,
+           aStep.mTailTargetMs,
+           aStep.mIsBackfill,
+           aStep.mMaxUnavailable };
+}
+
+Step
+ToStep(StepFields aFields)
+{
+  Step step;
+  ResourceFields need;
+  std::tie(step.mCount,
+           need,
+           step.mEstimateMs,
+           step.mDependsOn,
+           step.mSavesProgress,
+           step.mIsGang,
+           step.mIsRackSensitive,
+           step.mRequiredLabel,
+           step.mPreferredRack,
+           step.mMaxPerWorker,
+           step.mMayDuplicate,
+           step.mIsService,
+           step.mImage,
+           step.mTailTargetMs,
+           step.mIsBackfill,
+           step.mMaxUnavailable) = std::move(aFields);
+  step.mNeed = { std::get<0>(need), std::get<1>(need), std::get<2>(need) };
+  return step;
+}
+
+} // namespace
+
+std::string
+FormatRecordKey(RecordKind aKind, std::string_view aJobId)
+{
+  char prefix = kSubmissionPrefix;
+  switch (aKind) {
+    case RecordKind::Submission:
+      break;
+    case RecordKind::Cancellation:
+      prefix = kCancellationPrefix;
+      break;
+    case RecordKind::Progress:
+      prefix = kProgressPrefix;
+      break;
+  }
+  std::string key{ prefix, '/' };
+  key.append(aJobId);
+  return key;
+}
+
+std::optional<RecordKey>
+ParseRecordKey(std::string_view aKey)
+{
+  if (aKey.size() < 3 || aKey[1] != '/') {
+    return std::nullopt;
+  }
+  RecordKey key;
+  key.mJobId = aKey.substr(2);
+  switch (aKey.front()) {
+    case kSubmissionPrefix:
+      key.mKind = RecordKind::Submission;
+      return key;
+    case kCancellationPrefix:
+      key.mKind = RecordKind::Cancellation;
+      return key;
+    case kProgressPrefix:
+      key.mKind = RecordKind::Progress;
+      return key;
+    default:
+      return std::nullopt;
+  }
+}
+
+std::string
+EncodeSubmission(const Submission& aSubmission)
+{
+  std::vector<StepFields> steps;
+  for (const auto& it : aSubmission.mRequest.mSteps) {
+    steps.push_back(ToFields(it));
+  }
+  const auto& policy = aSubmission.mPolicy;
+  return Pack(SubmissionFields{ aSubmission.mId,
+                                { policy.mQueue,
+                                  policy.mService,
+                                  policy.mPriority,
+                                  policy.mMaxAttempts,
+                                  policy.mSlackFactor,
+                                  policy.mTargetLatencyMs,
+                                  policy.mNeedsAdvice },
+                                aSubmission.mAcceptedMs,
+                                aSubmission.mRequest.mPayload,
+                                std::move(steps),
+                                aSubmission.mRequest.mOccurrences,
+                                aSubmission.mRequest.mFirstStartMs,
+                                aSubmission.mRequest.mIntervalMs });
+}
+
+base::Result<Submission>
+DecodeSubmission(std::string_view aBytes)
+{
+  BOOST_OUTCOME_TRY(fields, Unpack<SubmissionFields>(aBytes));
+  Submission submission;
+  PolicyFields policy;
+  std::vector<StepFields> steps;
+  auto& request = submission.mRequest;
+  std::tie(submission.mId,
+           policy,
+           submission.mAcceptedMs,
+           request.mPayload,
+           steps,
+           request.mOccurrences,
+           request.mFirstStartMs,
+           request.mIntervalMs) = std::move(fields);
+  std::tie(submission.mPolicy.mQueue,
+           submission.mPolicy.mService,
+           submission.mPolicy.mPriority,
+           submission.mPolicy.mMaxAttempts,
+           submission.mPolicy.mSlackFactor,
+           submission.mPolicy.mTargetLatencyMs,
+           submission.mPolicy.mNeedsAdvice) = std::move(policy);
+  for (auto& it : steps) {
+    request.mSteps.push_back(ToStep(std::move(it)));
+  }
+  return submission;
+}
+
+std::string
+EncodeProgress(const JobProgress& aProgress)
+{
+  std::vector<StepProgressFields> steps;
+  for (const auto& step : aProgress.mSteps) {
+    std::vector<TaskFields> tasks;
+    for (const auto& it : step.mTasks) {
+      tasks.emplace_back(
+        it.mIndex, it.mIsDone, it.mFailures, it.mLastRun, it.mCheckpoint);
+    }
+    steps.emplace_back(step.mOccurrence, step.mStep, std::move(tasks));
+  }
+  return Pack(ProgressFields{ static_cast<int>(aProgress.mState),
+                              aProgress.mIsReleased,
+                              std::move(steps) });
+}
+
+base::Result<JobProgress>
+DecodeProgress(std::string_view aBytes)
+{
+  BOOST_OUTCOME_TRY(fields, Unpack<ProgressFields>(aBytes));
+  const int state = std::get<0>(fields);
+  if (state < 0 || state > static_cast<int>(JobState::Cancelled)) {
+    return MakeError(ErrorKind::InvalidArgument, "unknown job state");
+  }
+  JobProgress progress;
+  progress.mState = static_cast<JobState>(state);
+  progress.mIsReleased = std::get<1>(fields);
+  for (auto& step : std::get<2>(fields)) {
+    StepProgress entry;
+    entry.mOccurrence = std::get<0>(step);
+    entry.mStep = std::get<1>(step);
+    for (auto& it : std::get<2>(step)) {
+      entry.mTasks.push_back({ std::get<0>(it),
+                               std::get<1>(it),
+                               std::get<2>(it),
+                               std::get<3>(it),
+                               std::move(std::get<4>(it)) });
+    }
+    progress.mSteps.push_back(std::move(entry));
+  }
+  return progress;
+}
+
+} // namespace skylarkhill::jobs
--- /dev/null
+++ b/src/jobs/job_table.cpp
@@ -0,0 +1,193 @@
+#include "skylarkhill/jobs/job_table.hpp"
+
+#include "skylarkhill/base/hash.hpp"
+#include "skylarkhill/jobs/job_codec.hpp"
+#include "skylarkhill/logging/logging.hpp"
+
+namespace skylarkhill::jobs {
+
+namespace {
+
+void
+LogMalformed(std::string_view aKey, const base::Error& aError)
+{
+  logging::Write(logging::Level::Warning,
+                 "journal_record_skipped",
+                 { { "key", aKey }, { "problem", aError.mDetail } });
+}
+
+} // namespace
+
+JobState
+JobRecord::State() const
+{
+  if (IsFinal(mProgress.mState)) {
+    return mProgress.mState;
+  }
+  return mIsCancelled ? JobState::Cancelled : mProgress.mState;
+}
+
+std::optional<JobChange>
+JobTable::Apply(std::string_view aKey, std::string_view aValue)
+{
+  const auto key = ParseRecordKey(aKey);
+  if (!key) {
+    LogMalformed(aKey, base::MakeError(base::ErrorKind::InvalidArgument, "key"));
+    return std::nullopt;
+  }
+  if (aValue.empty()) {
+    if (key->mKind == RecordKind::Submission) {
+      Erase(key->mJobId);
+    }
+    return std::nullopt;
+  }
+  JobChange change;
+  change.mJobId = key->mJobId;
+  Shard& shard = ShardOf(key->mJobId);
+  switch (key->mKind) {
+    case RecordKind::Submission: {
+      auto submission = DecodeSubmission(aValue);
+      if (!submission) {
+        LogMalformed(aKey, submission.error());
+        return std::nullopt;
+      }
+      const std::lock_guard lock(shard.mLock);
+      JobRecord& job = shard.mJobs[key->mJobId];
+      // A submission that was sent twice stays one job.
+      if (job.mSubmission) {
+        return std::nullopt;
+      }
+      job.mSubmission = std::move(submission.value());
+      change.mIsNew = true;
+      return change;
+    }
+    case RecordKind::Cancellation: {
+      const std::lock_guard lock(shard.mLock);
+      JobRecord& job = shard.mJobs[key->mJobId];
+      change.mIsCancelledNow = !job.mIsCancelled;
+      job.mIsCancelled = true;
+      return change;
+    }
+    case RecordKind::Progress: {
+      auto progress = DecodeProgress(aValue);
+      if (!progress) {
+        LogMalformed(aKey, progress.error());
+        return std::nullopt;
+      }
+      const std::lock_guard lock(shard.mLock);
+      shard.mJobs[key->mJobId].mProgress = std::move(progress.value());
+      return change;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+JobTable::Erase(const std::string& aJobId)
+{
+  Shard& shard = ShardOf(aJobId);
+  const std::lock_guard lock(shard.mLock);
+  shard.mJobs.erase(aJobId);
+}
+
+std::optional<JobState>
+JobTable::StateOf(const std::string& aJobId) const
+{
+  const Shard& shard = ShardOf(aJobId);
+  const std::lock_guard lock(shard.mLock);
+  const auto found = shard.mJobs.find(aJobId);
+  if (found == shard.mJobs.end() || !found->second.mSubmission) {
+    return std::nullopt;
+  }
+  return found->second.State();
+}
+
+bool
+JobTable::Contains(const std::string& aJobId) const
+{
+  return StateOf(aJobId).has_value();
+}
+
+std::optional<JobRecord>
+JobTable::Find(const std::string& aJobId) const
+{
+  const Shard& shard = ShardOf(aJobId);
+  const std::lock_guard lock(shard.mLock);
+  const auto found = shard.mJobs.find(aJobId);
+  if (found == shard.mJobs.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+std::size_t
+JobTable::CountPending(std::string_view aQueue) const
+{
+  std::size_t n = 0;
+  for (const Shard& shard : mShards) {
+    const std::lock_guard lock(shard.mLock);
+    for (const auto& [id, job] : shard.mJobs) {
+      if (job.mSubmission && job.mSubmission->mPolicy.mQueue == aQueue &&
+          job.State() == JobState::Pending) {
+        ++n;
+      }
+    }
+  }
+  return n;
+}
+
+std::vector<JobRecord>
+JobTable::List() const
+{
+  std::vector<JobRecord> jobs;
+  for (const Shard& shard : mShards) {
+    const std::lock_guard lock(shard.mLock);
+    for (const auto& [id, job] : shard.mJobs) {
+      if (job.mSubmission) {
+        jobs.push_back(job);
+      }
+    }
+  }
+  return jobs;
+}
+
+std::vector<std::string>
+JobTable::ListFinal(std::int64_t aAcceptedBeforeMs) const
+{
+  std::vector<std::string> ids;
+  for (const Shard& shard : mShards) {
+    const std::lock_guard lock(shard.mLock);
+    for (const auto& [id, job] : shard.mJobs) {
+      if (job.mSubmission && IsFinal(job.State()) &&
+          job.mSubmission->mAcceptedMs < aAcceptedBeforeMs) {
+        ids.push_back(id);
+      }
+    }
+  }
+  return ids;
+}
+
+std::size_t
+JobTable::Size() const
+{
+  std::size_t n = 0;
+  for (const Shard& shard : mShards) {
+    const std::lock_guard lock(shard.mLock);
+    n += shard.mJobs.size();
+  }
+  return n;
+}
+
+JobTable::Shard&
+JobTable::ShardOf(const std::string& aJobId)
+{
+  return mShards[base::StableHash(aJobId) % kShards];
+}
+
+const JobTable::Shard&
+JobTable::ShardOf(const std::string& aJobId) const
+{
+  return mShards[base::StableHash(aJobId) % kShards];
+}
+
+} // namespace skylarkhill::jobs
--- /dev/null
+++ b/src/node/job_service.cpp
@@ -0,0 +1,225 @@
+#include "skylarkhill/node/job_service.hpp"
+
+#include "skylarkhill/jobs/job_codec.hpp"
+#include "skylarkhill/logging/logging.hpp"
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+namespace skylarkhill::node {
+
+using base::ErrorKind;
+using base::MakeError;
+using base::TimePoint;
+
+namespace {
+
+/// An unanswered append is sent again after this time; it has the same key and
+/// value, so a repeat changes nothing.
+constexpr base::Duration kAppendTry = std::chrono::milliseconds(900);
+/// Time kept back for the answer to the caller.
+constexpr base::Duration kAnswerReserve = std::chrono::milliseconds(150);
+constexpr base::Duration kReadTimeout = std::chrono::milliseconds(800);
+/// After a failed call the log is tried again by the node's own reads, and by
+/// callers after this time.
+constexpr base::Duration kSuspectTime = std::chrono::milliseconds(700);
+
+} // namespace
+
+void
+LogHealth::SetReachable(TimePoint aNow)
+{
+  mReachableAt = base::ToMicros(aNow);
+}
+
+void
+LogHealth::SetUnreachable(TimePoint aNow)
+{
+  mUnreachableAt = base::ToMicros(aNow);
+}
+
+bool
+LogHealth::IsSuspect(TimePoint aNow) const
+{
+  return mUnreachableAt > mReachableAt &&
+         base::FromMicros(mUnreachableAt) + kSuspectTime > aNow;
+}
+
+JobService::JobService(jobs::JobTable& aJobs,
+                       BlockingLog& aLog,
+                       LogStream aJournal,
+                       const std::atomic<std::int64_t>& aJournalNext,
+                       const base::Clock& aClock,
+                       const journal::WallClock& aWallClock,
+                       metrics::Registry& aMetrics)
+  : mJobs(aJobs)
+  , mLog(aLog)
+  , mJournal(std::move(aJournal))
+  , mJournalNext(aJournalNext)
+  , mClock(aClock)
+  , mWallClock(aWallClock)
+  , mAccepted(aMetrics.GetCounter("skylarkhill_jobs_accepted_total",
+                                  "Jobs stored by this node."))
+  , mRefused(aMetrics.GetCounter("skylarkhill_jobs_refused_total",
+                                 "Jobs that were not accepted."))
+  , mUnknown(aMetrics.GetCounter("skylarkhill_jobs_unknown_total",
+                                 "Jobs whose acceptance is not known."))
+  , mCancelled(aMetrics.GetCounter("skylarkhill_jobs_cancelled_total",
+                                   "Cancellations stored by this node."))
+  , mAppendSeconds(
+      aMetrics.GetDistribution("skylarkhill_append_seconds",
+                               "Time until a caller's record is stored."))
+{
+}
+
+void
+JobService::SetRoutes(std::shared_ptr<const RouteTable> aRoutes)
+{
+  const std::lock_guard lock(mRoutesLock);
+  mRoutes = std::move(aRoutes);
+}
+
+std::shared_ptr<const RouteTable>
+JobService::Routes() const
+{
+  const std::lock_guard lock(mRoutesLock);
+  return mRoutes;
+}
+
+base::Result<void>
+JobService::Submit(const jobs::QueuePolicy& aPolicy,
+                   const std::string& aJobId,
+                   jobs::JobRequest aRequest,
+                   TimePoint aDeadline)
+{
+  if (mJobs.Contains(aJobId)) {
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+  jobs::Submission submission;
+  submission.mId = aJobId;
+  submission.mPolicy = aPolicy;
+  submission.mAcceptedMs = mWallClock.NowMs();
+  submission.mRequest = std::move(aRequest);
+  auto stored =
+    Append(jobs::FormatRecordKey(jobs::RecordKind::Submission, aJobId),
+           jobs::EncodeSubmission(submission),
+           aDeadline);
+  if (stored) {
+    mAccepted.Add();
+  } else if (stored.error().mKind == ErrorKind::OutcomeUnknown) {
+    mUnknown.Add();
+  } else {
+    mRefused.Add();
+  }
+  logging::Write(logging::Level::Info,
+                 "job_submitted",
+                 { { "job", aJobId },
+                   { "queue", aPolicy.mQueue },
+                   { "outcome",
+                     stored ? std::string_view("accepted")
+                            : base::NameOf(stored.error().mKind) } });
+  return stored;
+}
+
+base::Result<void>
+JobService::Cancel(const std::string& aJobId, TimePoint aDeadline)
+{
+  if (!mJobs.Contains(aJobId)) {
+    BOOST_OUTCOME_TRYV(CatchUp(aDeadline));
+    if (!mJobs.Contains(aJobId)) {
+      return MakeError(ErrorKind::NotFound, "no such job");
+    }
+  }
+  auto stored =
+    Append(jobs::FormatRecordKey(jobs::RecordKind::Cancellation, aJobId),
+           "1",
+           aDeadline);
+  if (stored) {
+    mCancelled.Add();
+  }
+  logging::Write(logging::Level::Info,
+                 "job_cancelled",
+                 { { "job", aJobId },
+                   { "outcome",
+                     stored ? std::string_view("stored")
+                            : base::NameOf(stored.error().mKind) } });
+  return stored;
+}
+
+base::Result<jobs::JobState>
+JobService::StateOf(const std::string& aJobId, TimePoint aDeadline)
+{
+  auto state = mJobs.StateOf(aJobId);
+  if (!state) {
+    BOOST_OUTCOME_TRYV(CatchUp(aDeadline));
+    state = mJobs.StateOf(aJobId);
+  }
+  if (!state) {
+    return MakeError(ErrorKind::NotFound, "no such job");
+  }
+  return *state;
+}
+
+std::size_t
+JobService::CountPending(std::string_view aQueue) const
+{
+  return mJobs.CountPending(aQueue);
+}
+
+base::Result<void>
+JobService::Append(std::string aKey, std::string aValue, TimePoint aDeadline)
+{
+  const TimePoint start = mClock.Now();
+  if (mHealth.IsSuspect(start)) {
+    return MakeError(ErrorKind::LogUnavailable, "the log does not answer");
+  }
+  AppendRequest request;
+  request.mStream = mJournal;
+  request.mRecords.push_back({ std::move(aKey), std::move(aValue), 0 });
+  const TimePoint until = aDeadline - kAnswerReserve;
+  bool mayBeStored = false;
+  do {
+    const TimePoint now = mClock.Now();
+    const AppendResult result =
+      mLog.Append(request, std::min(until, now + kAppendTry));
+    if (result.mOutcome == LogOutcome::Done) {
+      mHealth.SetReachable(mClock.Now());
+      mAppendSeconds.Record(
+        std::chrono::duration<double>(mClock.Now() - start).count());
+      mJobs.Apply(request.mRecords.front().mKey,
+                  request.mRecords.front().mValue);
+      return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+    mHealth.SetUnreachable(mClock.Now());
+    mayBeStored = mayBeStored || result.mOutcome == LogOutcome::Unknown;
+    // Without an unanswered try the caller may be told at once that nothing
+    // was stored.
+  } while (mayBeStored && mClock.Now() + kAppendTry < until);
+  return mayBeStored ? MakeError(ErrorKind::OutcomeUnknown,
+                                 "the log has not answered")
+                     : MakeError(ErrorKind::LogUnavailable,
+                                 "the log refuses calls");
+}
+
+base::Result<void>
+JobService::CatchUp(TimePoint aDeadline)
+{
+  const TimePoint now = mClock.Now();
+  if (mHealth.IsSuspect(now)) {
+    return MakeError(ErrorKind::LogUnavailable, "the log does not answer");
+  }
+  const ReadResult result = mLog.Read(
+    mJournal, mJournalNext, std::min(aDeadline, now + kReadTimeout));
+  if (result.mOutcome != LogOutcome::Done) {
+    mHealth.SetUnreachable(mClock.Now());
+    return MakeError(ErrorKind::LogUnavailable, "the log does not answer");
+  }
+  mHealth.SetReachable(mClock.Now());
+  for (const auto& it : result.mRecords) {
+    mJobs.Apply(it.mKey, it.mValue);
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+} // namespace skylarkhill::node
--- /dev/null
+++ b/src/node/stream_tail.cpp
@@ -0,0 +1,124 @@
+#include "skylarkhill/node/stream_tail.hpp"
+
+#include "skylarkhill/logging/logging.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace skylarkhill::node {
+
+namespace {
+
+/// How long a read waits for a record. An answer that is overdue shows a
+/// silent connection, so this bounds how long one goes unnoticed.
+constexpr base::Duration kReadWait = std::chrono::milliseconds(1500);
+constexpr base::Duration kRetryPause = std::chrono::milliseconds(200);
+
+} // namespace
+
+StreamTail::StreamTail(SharedLog& aLog,
+                       const base::Clock& aClock,
+                       LogStream aStream,
+                       TailHandlers aHandlers)
+  : mLog(aLog)
+  , mClock(aClock)
+  , mStream(std::move(aStream))
+  , mHandlers(std::move(aHandlers))
+{
+}
+
+void
+StreamTail::Poll()
+{
+  const base::TimePoint now = mClock.Now();
+  if (mIsReading || now < mNextPollAt) {
+    return;
+  }
+  mIsReading = true;
+  if (!mIsLoaded) {
+    mLog.ReadNewest(mStream, [this, now](ReadResult aResult) {
+      OnNewest(std::move(aResult), now);
+    });
+    return;
+  }
+  mLog.Read(mStream, mNext, kReadWait, [this, now](ReadResult aResult) {
+    OnRead(std::move(aResult), now);
+  });
+}
+
+void
+StreamTail::Hurry()
+{
+  mNextPollAt = base::TimePoint{};
+}
+
+void
+StreamTail::OnNewest(ReadResult aResult, base::TimePoint aSentAt)
+{
+  mIsReading = false;
+  if (aResult.mOutcome != LogOutcome::Done) {
+    OnFailure();
+    return;
+  }
+  mIsLoaded = true;
+  mNext = aResult.mNext;
+  mHandlers.mOnSnapshot(aResult.mRecords);
+  OnSuccess(aSentAt);
+}
+
+void
+StreamTail::OnRead(ReadResult aResult, base::TimePoint aSentAt)
+{
+  mIsReading = false;
+  if (aResult.mOutcome == LogOutcome::Expired) {
+    logging::Write(logging::Level::Info,
+                   "stream_expired",
+                   { { "stream", mStream.mTopic }, { "from", mNext.load() } });
+    mIsLoaded = false;
+    return;
+  }
+  if (aResult.mOutcome != LogOutcome::Done) {
+    OnFailure();
+    return;
+  }
+  const bool hasRecords = !aResult.mRecords.empty();
+  for (const auto& it : aResult.mRecords) {
+    mHandlers.mOnRecord(it);
+  }
+  mNext = std::max(mNext.load(), aResult.mNext);
+  OnSuccess(aSentAt);
+  if (hasRecords) {
+    mNextPollAt = mClock.Now() + mPause;
+  }
+}
+
+void
+StreamTail::OnFailure()
+{
+  if (++mFailures == 1) {
+    logging::Write(logging::Level::Warning,
+                   "stream_unreachable",
+                   { { "stream", mStream.mTopic } });
+  }
+  mIsSteady = false;
+  mNextPollAt = mClock.Now() + kRetryPause;
+}
+
+void
+StreamTail::OnSuccess(base::TimePoint aSentAt)
+{
+  if (mFailures > 0) {
+    logging::Write(logging::Level::Info,
+                   "stream_reachable",
+                   { { "stream", mStream.mTopic },
+                     { "failed_reads", mFailures } });
+  }
+  mFailures = 0;
+  mFreshAt = aSentAt;
+  if (!mIsSteady) {
+    mIsSteady = true;
+    mSteadySince = aSentAt;
+  }
+}
+
+} // namespace skylarkhill::node
