--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -78,6 +78,8 @@
   /// The time of the next Tick without an event before it.
   virtual base::TimePoint NextTick() const = 0;
 
+  /// True if TakeDirty has jobs to return.
+  virtual bool IsDirty() const = 0;
   /// Jobs whose progress changed since the last call, and the number of this
   /// batch. Empty: nothing has changed.
   virtual std::pair<std::uint64_t, std::vector<DirtyJob>> TakeDirty() = 0;
--- a/include/skylarkhill/node/stream_tail.hpp
+++ b/include/skylarkhill/node/stream_tail.hpp
@@ -43,7 +43,11 @@
   base::TimePoint SteadySince() const { return mSteadySince; }
   /// Offset of the first record that has not been delivered.
   std::int64_t Next() const { return mNext; }
-  base::TimePoint NextPollAt() const { return mNextPollAt; }
+  /// When Poll is due; never while a read is in progress.
+  base::TimePoint NextPollAt() const
+  {
+    return mIsReading ? base::kNoDeadline : mNextPollAt;
+  }
   int Failures() const { return mFailures; }
 
 private:
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -59,6 +59,9 @@
 /// Objectives up to this many times the original still earn something.
 constexpr double kWorthlessFactor = 3.0;
 
+/// Pause between two summary lines in the log.
+constexpr Duration kSummaryInterval = std::chrono::seconds(2);
+
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 
 /// Run numbers that an earlier leader may have used without a trace.
@@ -365,10 +368,13 @@
     PlaceAll(aNow);
     SendCalls(aNow);
     RemoveEndedJobs();
+    LogSummary(aNow);
   }
 
   TimePoint NextTick() const override { return mNextTick; }
 
+  bool IsDirty() const override { return !mDirty.empty(); }
+
   std::pair<std::uint64_t, std::vector<DirtyJob>> TakeDirty() override
   {
     std::vector<DirtyJob> dirty;
@@ -622,7 +628,11 @@
     logging::Write(logging::Level::Info,
                    "job_ended",
                    { { "job", aJob.mSubmission.mId },
+                     { "queue", aJob.mSubmission.mPolicy.mQueue },
                      { "state", jobs::NameOf(aState) },
+                     { "age_ms", mUnixMs - aJob.mSubmission.mAcceptedMs },
+                     { "objective_ms",
+                       aJob.mObjectiveMs - aJob.mSubmission.mAcceptedMs },
                      { "late_ms", mUnixMs - aJob.mObjectiveMs } });
     // A cancellation is durable already.
     if (aState != jobs::JobState::Cancelled) {
@@ -1349,6 +1359,56 @@
     mSink.Stop({ aWorker.mEntry.mId, aWorker.mEntry.mAddress, aTask, aRun });
   }
 
+  void LogSummary(TimePoint aNow)
+  {
+    if (aNow < mNextSummaryAt) {
+      return;
+    }
+    mNextSummaryAt = aNow + kSummaryInterval;
+    std::int64_t waiting = 0;
+    std::int64_t waitingBackfill = 0;
+    for (const StepState* step : mReadySteps) {
+      for (const TaskState& it : step->mTasks) {
+        if (!it.mIsDone && it.mRuns.empty()) {
+          ++(step->mSpec->mIsBackfill ? waitingBackfill : waiting);
+        }
+      }
+    }
+    std::int64_t running = 0;
+    std::int64_t backfill = 0;
+    std::int64_t demand = 0;
+    std::int64_t used = 0;
+    std::int64_t leftover = 0;
+    std::int64_t paced = 0;
+    std::int64_t reserved = 0;
+    std::int64_t capacity = 0;
+    for (const auto& [id, worker] : mWorkers) {
+      demand += worker->mBackfillDemand;
+      leftover += EstimateLeftover(*worker);
+      paced += worker->mPace < 100 ? 1 : 0;
+      reserved += worker->mUsed.mMilliProcessors;
+      capacity += worker->mEntry.mCapacity.mMilliProcessors;
+      for (const RunState* it : worker->mRuns) {
+        const bool isBackfill = it->mTask->mStep->mSpec->mIsBackfill;
+        ++(isBackfill ? backfill : running);
+        used += isBackfill ? std::max<std::int64_t>(0, it->mUsage) : 0;
+      }
+    }
+    logging::Write(logging::Level::Info,
+                   "dispatch_summary",
+                   { { "jobs", static_cast<std::int64_t>(mJobs.size()) },
+                     { "waiting", waiting },
+                     { "waiting_backfill", waitingBackfill },
+                     { "running", running },
+                     { "running_backfill", backfill },
+                     { "backfill_demand", demand },
+                     { "backfill_used", used },
+                     { "leftover", leftover },
+                     { "reserved", reserved },
+                     { "capacity", capacity },
+                     { "paced_workers", paced } });
+  }
+
   void SetFenced(const std::string& aWorkerId)
   {
     if (!mIsFenced) {
@@ -1385,6 +1445,7 @@
   std::int64_t mUnixMs = 0;
   TimePoint mAuthorityUntil;
   TimePoint mNextTick;
+  TimePoint mNextSummaryAt;
   bool mIsPlacementDue = true;
   bool mMayRunUnseen = true;
   bool mIsFenced = false;
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -130,8 +130,11 @@
 base::TimePoint
 Leadership::NextPollAt() const
 {
-  const TimePoint soon = mClock.Now() + std::chrono::milliseconds(100);
-  return mIsAppending ? soon : std::min(soon, mNextAppendAt);
+  TimePoint next = mTail.NextPollAt();
+  if (mLedEpoch && !mIsAppending) {
+    next = std::min(next, mNextAppendAt);
+  }
+  return next;
 }
 
 void
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -42,6 +42,9 @@
 /// States are answered for 120 s after the end of a job at least; the longest
 /// jobs of the sites take about as long again.
 constexpr std::int64_t kKeepFinalMs = 400'000;
+/// Longest time between two polls.
+constexpr Duration kIdlePause = std::chrono::milliseconds(100);
+
 constexpr Duration kCleanupInterval = std::chrono::seconds(20);
 constexpr std::size_t kMaxCleanup = 500;
 
@@ -150,9 +153,21 @@
 TimePoint
 Node::NextPollAt() const
 {
-  TimePoint next = mLeadership.NextPollAt();
+  // Claims are due by the passing of time, without an event.
+  TimePoint next = mClock.Now() + kIdlePause;
+  for (const TimePoint it : { mConfigurationTail.NextPollAt(),
+                              mWorkerTail.NextPollAt(),
+                              mJournalTail.NextPollAt(),
+                              mLeadership.NextPollAt() }) {
+    next = std::min(next, it);
+  }
   if (mDispatcher != nullptr) {
     next = std::min(next, mDispatcher->NextTick());
+    if (!mIsFlushInFlight && (mIsBatchUnsaved || mDispatcher->IsDirty())) {
+      next = std::min(next, mNextFlushAt);
+    }
+  } else if (mEpoch != 0 && !mIsFlushInFlight) {
+    next = std::min(next, mNextFlushAt);
   }
   return next;
 }
