--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -53,6 +53,11 @@
 /// percent.
 constexpr double kStallPercents = 8.0;
 
+/// A backfill run that has been slowed down for longer moves to another worker
+/// if it saves its progress or has done less than this part of its work.
+constexpr Duration kSlowedGrace = std::chrono::milliseconds(700);
+constexpr int kMovablePercent = 15;
+
 /// A copy of a task is started once its run takes this many times its estimate.
 constexpr double kDuplicateAfter = 1.6;
 
@@ -226,7 +231,8 @@
     worker.mLastReportAt = aNow;
     const bool mustWait = HandleEnds(worker, aReport, aNow);
     HandleRunning(worker, aReport, aSentAt, aNow);
-    AdjustPace(worker, mLimits.mHarmBound, aNow);
+    mSharing.Record(worker, aNow);
+    AdjustPace(worker, mSharing, mLimits.mHarmBound, aNow);
     worker.mNextPollAt =
       aNow + (mustWait ? kUnacknowledgedPause : kPollPause);
     RequestTick(aNow);
@@ -276,9 +282,6 @@
     switch (aOutcome) {
       case StartOutcome::Started:
         Confirm(*run, aNow);
-        if (run->mTask->mStep->mSpec->mIsBackfill && worker.mPace < 100) {
-          run->mPace = 100;
-        }
         break;
       case StartOutcome::OldRun:
         // Its end is in the list of the worker, or it never runs.
@@ -355,6 +358,10 @@
   void Tick(TimePoint aNow, std::int64_t aUnixMs) override
   {
     mNextTick = aNow + kTickInterval;
+    if (aNow >= mNextPlacementAt) {
+      mNextPlacementAt = aNow + kTickInterval;
+      mIsPlacementDue = true;
+    }
     if (mIsFenced) {
       return;
     }
@@ -401,6 +408,7 @@
       const auto found = mJobs.find(mPendingReleases.front().second);
       if (found != mJobs.end()) {
         found->second->mIsReleased = true;
+        mIsPlacementDue = true;
         RequestTick(aNow);
       }
       mPendingReleases.pop_front();
@@ -425,7 +433,7 @@
 private:
   // --- Jobs ---------------------------------------------------------------
 
-  static void CreateOccurrences(JobState& aJob, bool aIsInherited)
+  void CreateOccurrences(JobState& aJob, bool aIsInherited)
   {
     const auto& request = aJob.mSubmission.mRequest;
     const int count = std::max(1, request.mOccurrences);
@@ -442,6 +450,7 @@
         step.mSpec = &request.mSteps[index];
         step.mOccurrence = n;
         step.mIndex = static_cast<int>(index);
+        step.mImage = mSharing.Intern(step.mSpec->mImage);
         step.mTasks.resize(static_cast<std::size_t>(step.mSpec->mCount));
         int position = 0;
         for (TaskState& task : step.mTasks) {
@@ -595,6 +604,7 @@
           });
         if (step.mIsReady) {
           mReadySteps.push_back(&step);
+          mIsPlacementDue = true;
         }
       }
     }
@@ -726,6 +736,7 @@
       worker.mBackfillDemand -= step.mNeed.mMilliProcessors;
     }
     --task.mStep->mPerWorker[&worker];
+    mIsPlacementDue = true;
     task.mRuns.remove_if([&](const RunState& it) { return &it == &aRun; });
   }
 
@@ -799,7 +810,6 @@
     aWorker.mAcknowledged = 0;
     aWorker.mPendingAcknowledgements.clear();
     aWorker.mLeaseEndsAt = aNow;
-    aWorker.mPace = 100;
   }
 
   // --- Reports ------------------------------------------------------------
@@ -1030,7 +1040,10 @@
         if (it->mIsStopping) {
           continue;
         }
-        if (worker->mEntry.mIsDraining) {
+        if (it->mSlowedSince && IsWorthMoving(*it, aNow)) {
+          it->mTask->mAvoidWorker = id;
+          StopRun(*it);
+        } else if (worker->mEntry.mIsDraining) {
           CheckDrainingRun(*it, aNow);
         } else if (it->mIsConfirmed && worker->mFailedPolls == 0) {
           CheckStall(*it, aNow);
@@ -1039,6 +1052,15 @@
     }
   }
 
+  /// True for a slowed backfill run that loses little by a stop.
+  static bool IsWorthMoving(const RunState& aRun, TimePoint aNow)
+  {
+    const bool isCheap = aRun.mTask->mStep->mSpec->mSavesProgress ||
+                         aRun.mPercent < kMovablePercent;
+    return isCheap && aRun.mIsConfirmed &&
+           aNow - *aRun.mSlowedSince > kSlowedGrace;
+  }
+
   /// Moves work off a worker that is about to leave.
   void CheckDrainingRun(RunState& aRun, TimePoint aNow)
   {
@@ -1077,7 +1099,7 @@
   {
     TaskState& task = *aRun.mTask;
     const jobs::Step& step = *task.mStep->mSpec;
-    if (aRun.mPace < 100 || aRun.mWorker->mPace < 100) {
+    if (aRun.mPace < 100 || aRun.mWantedPace < 100) {
       return;
     }
     if (step.mIsService) {
@@ -1128,8 +1150,11 @@
   static auto RankOf(const StepState& aStep, std::int64_t aUnixMs)
   {
     const JobState& job = *aStep.mJob;
+    // Jobs that are late already stand back for those that can be in time.
+    const int lateness = (job.mObjectiveMs < aUnixMs ? 1 : 0) +
+                         (job.mWorthlessMs < aUnixMs ? 1 : 0);
     return std::tuple(!aStep.mSpec->mIsService,
-                      job.mWorthlessMs < aUnixMs,
+                      lateness,
                       job.mSubmission.mPolicy.mPriority,
                       job.mObjectiveMs,
                       job.mSubmission.mId,
@@ -1172,7 +1197,7 @@
   {
     JobState& job = *aStep.mJob;
     if (!job.mIsReleaseRequested &&
-        ChooseWorker(aStep.mTasks.front(), mWorkers, aNow) != nullptr) {
+        ChooseWorker(aStep.mTasks.front(), mWorkers, mSharing, aNow) != nullptr) {
       job.mIsReleaseRequested = true;
       mRequestedReleases.push_back(job.mSubmission.mId);
       MarkDirty(job);
@@ -1188,7 +1213,7 @@
 
   bool PlaceRun(TaskState& aTask, TimePoint aNow)
   {
-    WorkerState* worker = ChooseWorker(aTask, mWorkers, aNow);
+    WorkerState* worker = ChooseWorker(aTask, mWorkers, mSharing, aNow);
     if (worker == nullptr) {
       return false;
     }
@@ -1237,7 +1262,7 @@
     std::vector<RunState*> placed;
     for (TaskState& it : aStep.mTasks) {
       it.mCheckpoint = checkpoint;
-      WorkerState* worker = ChooseWorker(it, mWorkers, aNow);
+      WorkerState* worker = ChooseWorker(it, mWorkers, mSharing, aNow);
       if (worker == nullptr) {
         for (RunState* run : placed) {
           RemoveRun(*run);
@@ -1316,13 +1341,13 @@
       return;
     }
     const bool isBackfill = aRun.mTask->mStep->mSpec->mIsBackfill;
-    if (isBackfill && aRun.mPace != worker.mPace && !aRun.mIsPaceInFlight) {
+    if (isBackfill && aRun.mPace != aRun.mWantedPace && !aRun.mIsPaceInFlight) {
       aRun.mIsPaceInFlight = true;
       mSink.Pace({ worker.mEntry.mId,
                    worker.mEntry.mAddress,
                    IdOf(*aRun.mTask),
                    aRun.mNumber,
-                   worker.mPace });
+                   aRun.mWantedPace });
     }
   }
 
@@ -1385,12 +1410,13 @@
     for (const auto& [id, worker] : mWorkers) {
       demand += worker->mBackfillDemand;
       leftover += EstimateLeftover(*worker);
-      paced += worker->mPace < 100 ? 1 : 0;
+      
       reserved += worker->mUsed.mMilliProcessors;
       capacity += worker->mEntry.mCapacity.mMilliProcessors;
       for (const RunState* it : worker->mRuns) {
         const bool isBackfill = it->mTask->mStep->mSpec->mIsBackfill;
         ++(isBackfill ? backfill : running);
+        paced += it->mWantedPace < 100 ? 1 : 0;
         used += isBackfill ? std::max<std::int64_t>(0, it->mUsage) : 0;
       }
     }
@@ -1406,7 +1432,7 @@
                      { "leftover", leftover },
                      { "reserved", reserved },
                      { "capacity", capacity },
-                     { "paced_workers", paced } });
+                     { "paced", paced } });
   }
 
   void SetFenced(const std::string& aWorkerId)
@@ -1422,7 +1448,6 @@
   void RequestTick(TimePoint aNow)
   {
     mNextTick = std::min(mNextTick, aNow);
-    mIsPlacementDue = true;
   }
 
   const DispatchLimits mLimits;
@@ -1434,6 +1459,7 @@
   metrics::Counter& mStalledRuns;
 
   WorkerMap mWorkers;
+  SharingModel mSharing;
   std::unordered_map<std::string, std::unique_ptr<JobState>> mJobs;
   std::vector<StepState*> mReadySteps;
   std::vector<std::string> mDirty;
@@ -1446,6 +1472,7 @@
   TimePoint mAuthorityUntil;
   TimePoint mNextTick;
   TimePoint mNextSummaryAt;
+  TimePoint mNextPlacementAt;
   bool mIsPlacementDue = true;
   bool mMayRunUnseen = true;
   bool mIsFenced = false;
--- a/src/dispatch/pacing.cpp
+++ b/src/dispatch/pacing.cpp
@@ -1,15 +1,18 @@
 #include "pacing.hpp"
 
 #include <algorithm>
+#include <vector>
 
 namespace skylarkhill::dispatch {
 
 namespace {
 
-/// Tails are compared with this share of their target, because the reported
+/// Tails are kept below this share of their target, because the reported
 /// figure is rough.
-constexpr double kSlowDownRatio = 0.85;
-constexpr double kSpeedUpRatio = 0.6;
+constexpr TailRatio kTailLimit = 0.85;
+
+/// Rise of a tail ratio that counts as noise.
+constexpr TailRatio kInsignificantRise = 0.06;
 
 /// Reports cover the last half second, so that an earlier change would act on
 /// the same figures again.
@@ -17,56 +20,89 @@
 
 constexpr int kFullPace = 100;
 constexpr int kRaisePerChange = 25;
-/// Below this pace the tasks stand still.
-constexpr int kMinPace = 15;
 
-/// The highest tail of a service task relative to its target; negative if none
-/// has reported one.
-double
-WorstTailRatio(const WorkerState& aWorker)
+bool
+IsService(const RunState& aRun)
+{
+  const jobs::Step& step = *aRun.mTask->mStep->mSpec;
+  return step.mIsService && step.mTailTargetMs > 0;
+}
+
+/// The rise that `aBackfill` causes to `aService` at full pace.
+TailRatio
+RiseBetween(const SharingModel& aModel,
+            const RunState& aService,
+            const RunState& aBackfill)
+{
+  return aModel.Rise(aService.mTask->mStep->mImage,
+                     aBackfill.mTask->mStep->mImage,
+                     BackfillShareOf(aBackfill));
+}
+
+/// The highest pace of `aRun` at which no service task exceeds its limit.
+int
+AllowedPace(const SharingModel& aModel,
+            const std::vector<const RunState*>& aServices,
+            const RunState& aRun)
 {
-  double worst = -1.0;
-  for (const RunState* it : aWorker.mRuns) {
-    const jobs::Step& step = *it->mTask->mStep->mSpec;
-    if (step.mIsService && step.mTailTargetMs > 0 && it->mUsage >= 0) {
-      worst = std::max(worst,
-                       static_cast<double>(it->mUsage) /
-                         static_cast<double>(step.mTailTargetMs));
+  double allowed = kFullPace;
+  for (const RunState* it : aServices) {
+    const TailRatio rise = RiseBetween(aModel, *it, aRun);
+    if (rise < kInsignificantRise) {
+      continue;
     }
+    const TailRatio room = kTailLimit - TailRatioOf(*it);
+    allowed = std::min(allowed, aRun.mPace + kFullPace * room / rise);
   }
-  return worst;
+  return static_cast<int>(std::clamp(allowed, 0.0, double{ kFullPace }));
 }
 
 } // namespace
 
 void
 AdjustPace(WorkerState& aWorker,
+           const SharingModel& aModel,
            base::Duration aHarmBound,
            base::TimePoint aNow)
 {
-  const double ratio = WorstTailRatio(aWorker);
-  if (ratio <= 1.0) {
+  std::vector<const RunState*> services;
+  std::vector<RunState*> backfill;
+  TailRatio worst = 0.0;
+  for (RunState* it : aWorker.mRuns) {
+    if (IsService(*it)) {
+      services.push_back(it);
+      worst = std::max(worst, TailRatioOf(*it));
+    } else if (it->mTask->mStep->mSpec->mIsBackfill) {
+      backfill.push_back(it);
+    }
+  }
+  if (worst <= 1.0) {
     aWorker.mHarmedSince.reset();
   } else if (!aWorker.mHarmedSince) {
     aWorker.mHarmedSince = aNow;
   }
-  if (aNow < aWorker.mPaceChangedAt + kMinChangeInterval) {
+  if (backfill.empty() || aNow < aWorker.mPaceChangedAt + kMinChangeInterval) {
     return;
   }
-  int pace = aWorker.mPace;
-  if (ratio > kSlowDownRatio) {
-    pace = ratio > 1.0 ? pace / 3 : pace * 2 / 3;
-    // Half of the bound is left for the change to take effect.
-    const bool isUrgent = aWorker.mHarmedSince &&
-                          aNow - *aWorker.mHarmedSince > aHarmBound / 3;
-    if (pace < kMinPace || isUrgent) {
-      pace = 0;
+  // Whatever the model says, nothing that may be the cause works on for long.
+  const bool isUrgent = aWorker.mHarmedSince &&
+                        aNow - *aWorker.mHarmedSince > aHarmBound / 4;
+  bool hasChanged = false;
+  for (RunState* it : backfill) {
+    int pace = isUrgent ? 0 : AllowedPace(aModel, services, *it);
+    pace = std::min(pace, it->mWantedPace + kRaisePerChange);
+    if (pace < it->mWantedPace || pace == kFullPace ||
+        pace > it->mWantedPace + kRaisePerChange / 2) {
+      hasChanged = hasChanged || pace != it->mWantedPace;
+      it->mWantedPace = pace;
+    }
+    if (it->mWantedPace >= kFullPace / 2) {
+      it->mSlowedSince.reset();
+    } else if (!it->mSlowedSince) {
+      it->mSlowedSince = aNow;
     }
-  } else if (ratio < kSpeedUpRatio) {
-    pace = std::min(kFullPace, pace + kRaisePerChange);
   }
-  if (pace != aWorker.mPace) {
-    aWorker.mPace = pace;
+  if (hasChanged) {
     aWorker.mPaceChangedAt = aNow;
   }
 }
--- a/src/dispatch/pacing.hpp
+++ b/src/dispatch/pacing.hpp
@@ -1,16 +1,19 @@
 #ifndef SKYLARKHILL_DISPATCH_PACING_HPP
 #define SKYLARKHILL_DISPATCH_PACING_HPP
 
+#include "sharing.hpp"
 #include "state.hpp"
 
 #include "skylarkhill/base/clock.hpp"
 
 namespace skylarkhill::dispatch {
 
-/// Adjusts the pace of the backfill tasks on `aWorker` to the tail latencies
-/// that its service tasks have just reported.
+/// Sets the wanted pace of the backfill runs on `aWorker` by the tail latencies
+/// that its service tasks have just reported. Runs that raise no tail keep
+/// their pace.
 void
 AdjustPace(WorkerState& aWorker,
+           const SharingModel& aModel,
            base::Duration aHarmBound,
            base::TimePoint aNow);
 
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -26,7 +26,13 @@
 constexpr double kSuspectCost = 40000.0;
 constexpr double kAvoidedWorkerCost = 20000.0;
 constexpr double kRemoteRackCost = 8000.0;
-constexpr double kServiceNeighbourCost = 1500.0;
+/// Per unit of the rise of a tail ratio.
+constexpr double kRiseCost = 20000.0;
+
+/// No backfill task is placed where it would raise a tail ratio by more than
+/// the first figure to above the second one.
+constexpr TailRatio kMinHarmfulRise = 0.08;
+constexpr TailRatio kMaxTailRatio = 0.75;
 
 bool
 HasLabel(const WorkerState& aWorker, const std::string& aLabel)
@@ -35,13 +41,51 @@
   return std::find(labels.begin(), labels.end(), aLabel) != labels.end();
 }
 
-int
-CountServiceTasks(const WorkerState& aWorker)
+double
+ShareOf(const jobs::Step& aStep, const WorkerState& aWorker)
+{
+  return static_cast<double>(aStep.mNeed.mMilliProcessors) /
+         static_cast<double>(std::max<std::int64_t>(
+           1, aWorker.mEntry.mCapacity.mMilliProcessors));
+}
+
+/// The highest rise of a tail ratio that one more task of `aStep` causes on
+/// `aWorker`.
+TailRatio
+HighestRise(const StepState& aStep,
+            const WorkerState& aWorker,
+            const SharingModel& aModel)
 {
-  return static_cast<int>(
-    std::count_if(aWorker.mRuns.begin(), aWorker.mRuns.end(), [](RunState* it) {
-      return it->mTask->mStep->mSpec->mIsService;
-    }));
+  const double share = ShareOf(*aStep.mSpec, aWorker);
+  TailRatio highest = 0.0;
+  for (const RunState* it : aWorker.mRuns) {
+    if (it->mTask->mStep->mSpec->mIsService) {
+      highest = std::max(
+        highest,
+        aModel.Rise(it->mTask->mStep->mImage, aStep.mImage, share));
+    }
+  }
+  return highest;
+}
+
+/// True if one more task of `aStep` would bring a service task on `aWorker`
+/// close to its target.
+bool
+WouldHarm(const StepState& aStep,
+          const WorkerState& aWorker,
+          const SharingModel& aModel)
+{
+  const double share = ShareOf(*aStep.mSpec, aWorker);
+  return std::any_of(
+    aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const RunState* it) {
+      if (!it->mTask->mStep->mSpec->mIsService) {
+        return false;
+      }
+      const TailRatio rise =
+        aModel.Rise(it->mTask->mStep->mImage, aStep.mImage, share);
+      return rise > kMinHarmfulRise &&
+             TailRatioOf(*it) + rise > kMaxTailRatio;
+    });
 }
 
 base::Resources
@@ -58,6 +102,7 @@
 double
 PlacementCost(const TaskState& aTask,
               const WorkerState& aWorker,
+              const SharingModel& aModel,
               base::TimePoint aNow)
 {
   const jobs::Step& step = *aTask.mStep->mSpec;
@@ -75,14 +120,21 @@
                                               aWorker.mBackfillDemand);
   if (step.mIsBackfill) {
     // Backfill goes where it gets the most and disturbs the fewest.
-    return cost - leftover + kServiceNeighbourCost * CountServiceTasks(aWorker);
+    return cost - leftover +
+           kRiseCost * HighestRise(*aTask.mStep, aWorker, aModel);
   }
   // Best fit keeps room for large tasks and whole workers for backfill.
   const auto free = aWorker.mEntry.mCapacity.mMilliProcessors -
                     aWorker.mUsed.mMilliProcessors - step.mNeed.mMilliProcessors;
   cost += static_cast<double>(free);
   if (step.mIsService) {
-    cost += static_cast<double>(aWorker.mBackfillDemand);
+    for (const RunState* it : aWorker.mRuns) {
+      if (it->mTask->mStep->mSpec->mIsBackfill) {
+        cost += kRiseCost * aModel.Rise(aTask.mStep->mImage,
+                                        it->mTask->mStep->mImage,
+                                        BackfillShareOf(*it));
+      }
+    }
   }
   return cost;
 }
@@ -134,6 +186,7 @@
 bool
 IsEligible(const StepState& aStep,
            const WorkerState& aWorker,
+           const SharingModel& aModel,
            base::TimePoint aNow)
 {
   const jobs::Step& step = *aStep.mSpec;
@@ -156,15 +209,13 @@
     }
   }
   if (step.mIsBackfill) {
-    if (aWorker.mPace < 100) {
-      return false;
-    }
     const auto left = static_cast<double>(EstimateLeftover(aWorker) -
                                           aWorker.mBackfillDemand);
     const auto need = static_cast<double>(
       std::min(step.mNeed.mMilliProcessors,
                aWorker.mEntry.mCapacity.mMilliProcessors));
-    return left >= kMinBackfillShare * need;
+    return left >= kMinBackfillShare * need &&
+           !WouldHarm(aStep, aWorker, aModel);
   }
   return true;
 }
@@ -172,12 +223,13 @@
 WorkerState*
 ChooseWorker(const TaskState& aTask,
              const WorkerMap& aWorkers,
+             const SharingModel& aModel,
              base::TimePoint aNow)
 {
   WorkerState* best = nullptr;
   double bestCost = std::numeric_limits<double>::max();
   for (const auto& [id, worker] : aWorkers) {
-    if (!IsEligible(*aTask.mStep, *worker, aNow)) {
+    if (!IsEligible(*aTask.mStep, *worker, aModel, aNow)) {
       continue;
     }
     const bool runsThere =
@@ -187,7 +239,7 @@
     if (runsThere) {
       continue;
     }
-    const double cost = PlacementCost(aTask, *worker, aNow);
+    const double cost = PlacementCost(aTask, *worker, aModel, aNow);
     if (cost < bestCost) {
       bestCost = cost;
       best = worker.get();
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKHILL_DISPATCH_PLACEMENT_HPP
 #define SKYLARKHILL_DISPATCH_PLACEMENT_HPP
 
+#include "sharing.hpp"
 #include "state.hpp"
 
 #include "skylarkhill/base/clock.hpp"
@@ -36,12 +37,14 @@
 bool
 IsEligible(const StepState& aStep,
            const WorkerState& aWorker,
+           const SharingModel& aModel,
            base::TimePoint aNow);
 
 /// The best worker for `aTask`, or null if none can take it now.
 WorkerState*
 ChooseWorker(const TaskState& aTask,
              const WorkerMap& aWorkers,
+             const SharingModel& aModel,
              base::TimePoint aNow);
 
 } // namespace skylarkhill::dispatch
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -40,7 +40,10 @@
   base::TimePoint mProgressAt;
   /// Share of its speed that the worker was told to give it.
   int mPace = 100;
+  int mWantedPace = 100;
   bool mIsPaceInFlight = false;
+  /// Since when the wanted pace has been below one half.
+  std::optional<base::TimePoint> mSlowedSince;
   std::int64_t mUsage = -1;
 };
 
@@ -67,6 +70,8 @@
   const jobs::Step* mSpec = nullptr;
   int mOccurrence = 0;
   int mIndex = 0;
+  /// Number of the image in the sharing model.
+  int mImage = 0;
   std::vector<TaskState> mTasks;
   int mDone = 0;
   /// Its dependencies are complete and its time has come.
@@ -144,8 +149,6 @@
   double mFailureScore = 0.0;
   base::TimePoint mFailureScoreAt;
 
-  /// Pace of the backfill tasks, in percent.
-  int mPace = 100;
   base::TimePoint mPaceChangedAt;
   /// Since when a service task has been above its target.
   std::optional<base::TimePoint> mHarmedSince;
