Keep workers that have not answered until earlier leases have ended

Cause: after a zone cut the registry drops the workers behind the cut. Ruled out: loss of progress records (all batches of the earlier term were read).

--- a/include/skylarkhill/jobs/job_table.hpp
+++ b/include/skylarkhill/jobs/job_table.hpp
@@ -22,6 +22,8 @@
   std::optional<Submission> mSubmission;
   bool mIsCancelled = false;
   JobProgress mProgress;
+  /// Offset of the progress record; older ones are ignored.
+  std::int64_t mProgressOffset = -1;
 
   /// The state that a caller sees.
   JobState State() const;
@@ -43,7 +45,8 @@
   /// Applies one record; records of a job may come in any order and more than
   /// once. Nothing if the record is malformed or changes nothing.
   std::optional<JobChange> Apply(std::string_view aKey,
-                                 std::string_view aValue);
+                                 std::string_view aValue,
+                                 std::int64_t aOffset);
   /// Removes a job.
   void Erase(const std::string& aJobId);
 
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -111,6 +111,8 @@
   void StartDispatcher();
   void Flush();
   void SendBatch();
+  /// Shows the batch that has become durable to callers of this node.
+  void ApplyBatch(std::int64_t aFirstOffset);
   void RemoveOldJobs();
   void UpdateReadiness();
 
--- a/include/skylarkhill/node/shared_log.hpp
+++ b/include/skylarkhill/node/shared_log.hpp
@@ -70,6 +70,8 @@
 struct AppendResult
 {
   LogOutcome mOutcome = LogOutcome::Unknown;
+  /// Offset of the first record that was appended.
+  std::int64_t mOffset = 0;
   /// End of the stream, where the answer told it.
   std::int64_t mEnd = 0;
 };
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1020,7 +1020,8 @@
       }
       if (!worker.mIsListed && worker.mUnlistedAt + kUnlistedGrace < aNow &&
           isSilent && worker.mRuns.empty() && worker.mLeaseEndsAt < aNow &&
-          !worker.mIsPollInFlight) {
+          !worker.mIsPollInFlight &&
+          (worker.mIsKnown || aNow >= mTerm.mEarlierLeasesEnd)) {
         it = mWorkers.erase(it);
         continue;
       }
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -28,7 +28,9 @@
 }
 
 std::optional<JobChange>
-JobTable::Apply(std::string_view aKey, std::string_view aValue)
+JobTable::Apply(std::string_view aKey,
+                std::string_view aValue,
+                std::int64_t aOffset)
 {
   const auto key = ParseRecordKey(aKey);
   if (!key) {
@@ -75,7 +77,12 @@
         return std::nullopt;
       }
       const std::lock_guard lock(shard.mLock);
-      shard.mJobs[key->mJobId].mProgress = std::move(progress.value());
+      JobRecord& job = shard.mJobs[key->mJobId];
+      if (aOffset <= job.mProgressOffset) {
+        return std::nullopt;
+      }
+      job.mProgress = std::move(progress.value());
+      job.mProgressOffset = aOffset;
       return change;
     }
   }
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -188,7 +188,8 @@
       mAppendSeconds.Record(
         std::chrono::duration<double>(mClock.Now() - start).count());
       mJobs.Apply(request.mRecords.front().mKey,
-                  request.mRecords.front().mValue);
+                  request.mRecords.front().mValue,
+                  result.mOffset);
       return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
     mHealth.SetUnreachable(mClock.Now());
@@ -217,7 +218,7 @@
   }
   mHealth.SetReachable(mClock.Now());
   for (const auto& it : result.mRecords) {
-    mJobs.Apply(it.mKey, it.mValue);
+    mJobs.Apply(it.mKey, it.mValue, it.mOffset);
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -250,7 +250,7 @@
 void
 Node::OnJournal(const LogRecord& aRecord)
 {
-  mJobs.Apply(aRecord.mKey, aRecord.mValue);
+  mJobs.Apply(aRecord.mKey, aRecord.mValue, aRecord.mOffset);
   if (mDispatcher == nullptr) {
     return;
   }
@@ -461,9 +461,7 @@
           mNextFlushAt = std::max(now, mBatchSentAt + kFlushInterval);
           mFlushSeconds.Record(
             std::chrono::duration<double>(now - mBatchSentAt).count());
-          for (const auto& it : mBatchRequest.mRecords) {
-            mJobs.Apply(it.mKey, it.mValue);
-          }
+          ApplyBatch(aResult.mOffset);
           mDispatcher->OnDurable(mBatch, now);
           break;
         case LogOutcome::Fenced:
@@ -486,6 +484,15 @@
     });
 }
 
+void
+Node::ApplyBatch(std::int64_t aFirstOffset)
+{
+  std::int64_t offset = aFirstOffset;
+  for (const auto& it : mBatchRequest.mRecords) {
+    mJobs.Apply(it.mKey, it.mValue, offset++);
+  }
+}
+
 void
 Node::RemoveOldJobs()
 {
