--- a/include/skylarkhill/jobs/job.hpp
+++ b/include/skylarkhill/jobs/job.hpp
@@ -107,7 +107,9 @@
 {
   int mIndex = 0;
   bool mIsDone = false;
-  int mFailures = 0;
+  /// Runs that have failed. Ends may be reported again after a change of the
+  /// leader and in any order, so that a count would not do.
+  std::vector<int> mFailedRuns;
   /// Highest run number known; later runs get higher ones.
   int mLastRun = 0;
   /// Newest checkpoint; empty: none.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -478,9 +478,9 @@
         }
         TaskState& task = step->mTasks[static_cast<std::size_t>(it.mIndex)];
         task.mIsDone = it.mIsDone;
-        task.mFailures = it.mFailures;
+        task.mFailedRuns = it.mFailedRuns;
         task.mLastRun = it.mLastRun;
-        task.mLastEndedRun = it.mLastRun;
+        task.mHasEndedRun = true;
         task.mCheckpoint = it.mCheckpoint;
         step->mDone += it.mIsDone ? 1 : 0;
       }
@@ -501,11 +501,11 @@
         entry.mOccurrence = step.mOccurrence;
         entry.mStep = step.mIndex;
         for (const TaskState& it : step.mTasks) {
-          if (it.mIsDone || it.mLastEndedRun > 0) {
+          if (it.mIsDone || it.mHasEndedRun) {
             entry.mTasks.push_back({ it.mIndex,
                                      it.mIsDone,
-                                     it.mFailures,
-                                     it.mLastEndedRun,
+                                     it.mFailedRuns,
+                                     it.mLastRun,
                                      it.mIsDone ? "" : it.mCheckpoint });
           }
         }
@@ -853,8 +853,7 @@
       RemoveRun(*run);
     }
     task->mLastRun = std::max(task->mLastRun, aEnd.mRun);
-    const bool isCounted = run != nullptr || aEnd.mRun > task->mLastEndedRun;
-    task->mLastEndedRun = std::max(task->mLastEndedRun, aEnd.mRun);
+    task->mHasEndedRun = true;
     JobState& job = *task->mStep->mJob;
     if (IsFinal(job.mState) || task->mIsDone) {
       return false;
@@ -868,9 +867,7 @@
         CompleteTask(*task);
         return true;
       case RunEnd::Failed:
-        if (isCounted) {
-          FailTask(*task, aWorker, aNow);
-        }
+        FailTask(*task, aEnd.mRun, aWorker, aNow);
         MarkDirty(job);
         return true;
       case RunEnd::Stopped:
@@ -920,20 +917,30 @@
     }
   }
 
-  void FailTask(TaskState& aTask, WorkerState& aWorker, TimePoint aNow)
+  void FailTask(TaskState& aTask,
+                int aRun,
+                WorkerState& aWorker,
+                TimePoint aNow)
   {
     AddFailure(aWorker, 1.0, aNow);
     aTask.mAvoidWorker = aWorker.mEntry.mId;
-    ++aTask.mFailures;
+    if (aTask.mStep->mSpec->mIsService) {
+      return;
+    }
+    auto& failed = aTask.mFailedRuns;
+    if (std::find(failed.begin(), failed.end(), aRun) != failed.end()) {
+      return;
+    }
+    failed.push_back(aRun);
+    const auto failures = static_cast<int>(failed.size());
     JobState& job = *aTask.mStep->mJob;
     logging::Write(logging::Level::Info,
                    "run_failed",
                    { { "task", ToText(IdOf(aTask)) },
                      { "worker", aWorker.mEntry.mId },
-                     { "failures", aTask.mFailures },
+                     { "failures", failures },
                      { "limit", job.mSubmission.mPolicy.mMaxAttempts } });
-    if (!aTask.mStep->mSpec->mIsService &&
-        aTask.mFailures >= job.mSubmission.mPolicy.mMaxAttempts) {
+    if (failures >= job.mSubmission.mPolicy.mMaxAttempts) {
       EndJob(job, jobs::JobState::Failed);
     }
   }
@@ -1315,7 +1322,10 @@
     PollOrder order;
     order.mWorkerId = aWorker.mEntry.mId;
     order.mAddress = aWorker.mEntry.mAddress;
-    order.mLeaseUntilMs = ExtendLease(aWorker, aNow);
+    // A lease on a silent worker would put off the time at which its runs may
+    // start elsewhere.
+    order.mLeaseUntilMs =
+      aWorker.mFailedPolls == 0 ? ExtendLease(aWorker, aNow) : 0;
     order.mAcknowledged = aWorker.mAcknowledged;
     const bool isShared = aWorker.mBackfillDemand > 0;
     order.mWaitMs = !aWorker.mIsKnown ? 0
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -52,10 +52,10 @@
   StepState* mStep = nullptr;
   int mIndex = 0;
   bool mIsDone = false;
-  int mFailures = 0;
+  std::vector<int> mFailedRuns;
   int mLastRun = 0;
-  /// Highest run whose end has been counted.
-  int mLastEndedRun = 0;
+  /// One of its runs has ended.
+  bool mHasEndedRun = false;
   std::string mCheckpoint;
   std::list<RunState> mRuns;
   /// Worker of the last run that went wrong.
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -43,7 +43,7 @@
                                     int,
                                     std::int64_t,
                                     std::int64_t>;
-using TaskFields = std::tuple<int, bool, int, int, std::string>;
+using TaskFields = std::tuple<int, bool, std::vector<int>, int, std::string>;
 using StepProgressFields = std::tuple<int, int, std::vector<TaskFields>>;
 using ProgressFields = std::tuple<int, bool, std::vector<StepProgressFields>>;
 
@@ -221,7 +221,7 @@
     std::vector<TaskFields> tasks;
     for (const auto& it : step.mTasks) {
       tasks.emplace_back(
-        it.mIndex, it.mIsDone, it.mFailures, it.mLastRun, it.mCheckpoint);
+        it.mIndex, it.mIsDone, it.mFailedRuns, it.mLastRun, it.mCheckpoint);
     }
     steps.emplace_back(step.mOccurrence, step.mStep, std::move(tasks));
   }
@@ -248,7 +248,7 @@
     for (auto& it : std::get<2>(step)) {
       entry.mTasks.push_back({ std::get<0>(it),
                                std::get<1>(it),
-                               std::get<2>(it),
+                               std::move(std::get<2>(it)),
                                std::get<3>(it),
                                std::move(std::get<4>(it)) });
     }
