--- a/include/skylarkhill/node/job_service.hpp
+++ b/include/skylarkhill/node/job_service.hpp
@@ -34,6 +34,9 @@
   std::atomic<std::int64_t> mUnreachableAt{ 0 };
 };
 
+/// The offset of a journal that has not been read yet.
+inline constexpr std::int64_t kNotLoaded = -1;
+
 /// Serves the callers of this node. Thread-safe.
 class JobService
 {
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -131,7 +131,7 @@
   StreamTail mConfigurationTail;
   StreamTail mWorkerTail;
   StreamTail mJournalTail;
-  std::atomic<std::int64_t> mJournalNext{ 0 };
+  std::atomic<std::int64_t> mJournalNext{ kNotLoaded };
   JobService mService;
   Leadership mLeadership;
   std::map<std::string, KnownWorker> mWorkers;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -224,6 +224,11 @@
     if (worker.mIsKnown && worker.mBornMs != aReport.mBornMs) {
       ForgetIncarnation(worker, aNow);
     }
+    if (!worker.mIsKnown) {
+      // The leader before this one may just have extended the lease.
+      worker.mLeaseEndsAt =
+        std::max(worker.mLeaseEndsAt, aNow + LongestLease());
+    }
     worker.mIsKnown = true;
     worker.mBornMs = aReport.mBornMs;
     worker.mClockMs = aReport.mClockMs;
@@ -1283,6 +1288,18 @@
 
   // --- Calls --------------------------------------------------------------
 
+  /// How long a lease of the full length may last by this node's clock.
+  Duration LongestLease() const
+  {
+    return OnSlowestClock(std::min(kLease, mLimits.mMaxLease)) + kLeaseMargin;
+  }
+
+  static Duration OnSlowestClock(Duration aTime)
+  {
+    return Duration(static_cast<Duration::rep>(
+      static_cast<double>(aTime.count()) / kSlowestClock));
+  }
+
   /// The lease that an order sent at `aNow` asks for, on the worker's clock;
   /// 0 if the clock is not known.
   std::int64_t ExtendLease(WorkerState& aWorker, TimePoint aNow)
@@ -1296,10 +1313,8 @@
       return 0;
     }
     const Duration length = until - aNow;
-    const auto slowest = Duration(static_cast<Duration::rep>(
-      static_cast<double>(length.count()) / kSlowestClock));
-    aWorker.mLeaseEndsAt =
-      std::max(aWorker.mLeaseEndsAt, aNow + slowest + kLeaseMargin);
+    aWorker.mLeaseEndsAt = std::max(
+      aWorker.mLeaseEndsAt, aNow + OnSlowestClock(length) + kLeaseMargin);
     return aWorker.mClockMs + ToMs(aNow - aWorker.mClockReadAt) + ToMs(length);
   }
 
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -210,8 +210,12 @@
   if (mHealth.IsSuspect(now)) {
     return MakeError(ErrorKind::LogUnavailable, "the log does not answer");
   }
-  const ReadResult result = mLog.Read(
-    mJournal, mJournalNext, std::min(aDeadline, now + kReadTimeout));
+  const std::int64_t next = mJournalNext;
+  if (next == kNotLoaded) {
+    return MakeError(ErrorKind::LogUnavailable, "the journal is not loaded");
+  }
+  const ReadResult result =
+    mLog.Read(mJournal, next, std::min(aDeadline, now + kReadTimeout));
   if (result.mOutcome != LogOutcome::Done) {
     mHealth.SetUnreachable(mClock.Now());
     return MakeError(ErrorKind::LogUnavailable, "the log does not answer");
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -134,7 +134,7 @@
   mConfigurationTail.Poll();
   mWorkerTail.Poll();
   mJournalTail.Poll();
-  mJournalNext = mJournalTail.Next();
+  mJournalNext = mJournalTail.IsLoaded() ? mJournalTail.Next() : kNotLoaded;
   mLeadership.Poll();
   FollowLeadership();
   if (mDispatcher != nullptr) {
