Give up the runs of a silent worker only as a confirmed leader

Cause: a leader that was cut off with its failure domain took the runs of the workers on the other side for ended when its own lease on them had run out. Ruled out: a lease that lasted longer than asked for (the run went on past the end of every lease of the old leader). Change: such runs are given up only after a renewal of the leadership that was sent after the end of the lease.

--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -71,8 +71,10 @@
                       OrderOutcome aOutcome,
                       base::TimePoint aNow) = 0;
 
-  /// Orders may be given and leases extended until `aUntil`.
-  virtual void SetAuthority(base::TimePoint aUntil) = 0;
+  /// No other node has led before `aConfirmedAt`; orders may be given and
+  /// leases extended until `aUntil`.
+  virtual void SetAuthority(base::TimePoint aConfirmedAt,
+                            base::TimePoint aUntil) = 0;
   /// Gives all orders that are due. `aUnixMs` is the time of day.
   virtual void Tick(base::TimePoint aNow, std::int64_t aUnixMs) = 0;
   /// The time of the next Tick without an event before it.
--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -56,7 +56,9 @@
   bool IsLeader() const { return mLedEpoch.has_value(); }
   /// Of the term that this node leads; 0 if it does not lead.
   std::int64_t Epoch() const { return mLedEpoch.value_or(0); }
-  base::TimePoint AuthorityUntil() const { return mAuthorityUntil; }
+  /// When the last record of this leader that was stored was sent; no other
+  /// node has led before that time.
+  base::TimePoint ConfirmedAt() const { return mConfirmedAt; }
   /// When the last earlier leader loses its authority at the latest.
   base::TimePoint EarlierAuthorityEnd() const { return mEarlierAuthorityEnd; }
   base::TimePoint NextPollAt() const;
@@ -70,7 +72,7 @@
   void OnAppended(const LeaderRecord& aRecord,
                   const AppendResult& aResult,
                   base::TimePoint aSentAt);
-  void BecomeLeader(std::int64_t aEpoch, base::TimePoint aAuthorityFrom);
+  void BecomeLeader(std::int64_t aEpoch, base::TimePoint aClaimedAt);
 
   SharedLog& mLog;
   const base::Clock& mClock;
@@ -86,7 +88,7 @@
   bool mIsAppending = false;
   bool mIsRetired = false;
   base::TimePoint mNextAppendAt;
-  base::TimePoint mAuthorityUntil;
+  base::TimePoint mConfirmedAt;
   base::TimePoint mEarlierAuthorityEnd;
 };
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -358,7 +358,11 @@
     RequestTick(aNow);
   }
 
-  void SetAuthority(TimePoint aUntil) override { mAuthorityUntil = aUntil; }
+  void SetAuthority(TimePoint aConfirmedAt, TimePoint aUntil) override
+  {
+    mConfirmedAt = aConfirmedAt;
+    mAuthorityUntil = aUntil;
+  }
 
   void Tick(TimePoint aNow, std::int64_t aUnixMs) override
   {
@@ -780,7 +784,7 @@
     }
   }
 
-  void LoseRun(RunState& aRun, std::string_view aCause)
+  void LoseRun(RunState& aRun, std::string_view aCause, TimePoint aNow)
   {
     mLostRuns.Add();
     TaskState& task = *aRun.mTask;
@@ -789,17 +793,23 @@
                    { { "task", ToText(IdOf(task)) },
                      { "run", aRun.mNumber },
                      { "worker", aRun.mWorker->mEntry.mId },
-                     { "cause", aCause } });
+                     { "cause", aCause },
+                     { "report_age_ms",
+                       ToMs(aNow - aRun.mWorker->mLastReportAt) },
+                     { "lease_ended_ms",
+                       ToMs(aNow - aRun.mWorker->mLeaseEndsAt) } });
     if (!aRun.mIsStopping) {
       task.mAvoidWorker = aRun.mWorker->mEntry.mId;
     }
     RemoveRun(aRun);
   }
 
-  void LoseAllRuns(WorkerState& aWorker, std::string_view aCause)
+  void LoseAllRuns(WorkerState& aWorker,
+                   std::string_view aCause,
+                   TimePoint aNow)
   {
     while (!aWorker.mRuns.empty()) {
-      LoseRun(**aWorker.mRuns.begin(), aCause);
+      LoseRun(**aWorker.mRuns.begin(), aCause, aNow);
     }
   }
 
@@ -810,7 +820,7 @@
                    { { "worker", aWorker.mEntry.mId },
                      { "runs",
                        static_cast<std::int64_t>(aWorker.mRuns.size()) } });
-    LoseAllRuns(aWorker, "worker restarted");
+    LoseAllRuns(aWorker, "worker restarted", aNow);
     aWorker.mProcessed = 0;
     aWorker.mAcknowledged = 0;
     aWorker.mPendingAcknowledgements.clear();
@@ -984,7 +994,7 @@
       }
     }
     for (RunState* it : missing) {
-      LoseRun(*it, "not in the list of the worker");
+      LoseRun(*it, "not in the list of the worker", aNow);
     }
   }
 
@@ -1027,8 +1037,11 @@
       areAllKnown = areAllKnown && worker.mIsKnown;
       const bool isSilent = worker.mLastReportAt + kPollRetryPause < aNow &&
                             worker.mFailedPolls > 0;
-      if (isSilent && worker.mLeaseEndsAt < aNow && !worker.mRuns.empty()) {
-        LoseAllRuns(worker, "worker silent beyond its lease");
+      // A successor that this node cannot see may have extended the lease, so
+      // that the leadership must be confirmed after its end.
+      if (isSilent && worker.mLeaseEndsAt < mConfirmedAt &&
+          !worker.mRuns.empty()) {
+        LoseAllRuns(worker, "worker silent beyond its lease", aNow);
       }
       if (!worker.mIsListed && worker.mUnlistedAt + kUnlistedGrace < aNow &&
           isSilent && worker.mRuns.empty() && worker.mLeaseEndsAt < aNow &&
@@ -1495,6 +1508,7 @@
   std::uint64_t mBatch = 0;
   std::uint64_t mDurableBatch = 0;
   std::int64_t mUnixMs = 0;
+  TimePoint mConfirmedAt;
   TimePoint mAuthorityUntil;
   TimePoint mNextTick;
   TimePoint mNextSummaryAt;
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -236,7 +236,7 @@
     return;
   }
   if (mLedEpoch) {
-    mAuthorityUntil = aSentAt + kAuthority;
+    mConfirmedAt = aSentAt;
     return;
   }
   if (!mIsRetired) {
@@ -245,10 +245,10 @@
 }
 
 void
-Leadership::BecomeLeader(std::int64_t aEpoch, TimePoint aAuthorityFrom)
+Leadership::BecomeLeader(std::int64_t aEpoch, TimePoint aClaimedAt)
 {
   mLedEpoch = aEpoch;
-  mAuthorityUntil = aAuthorityFrom + kAuthority;
+  mConfirmedAt = aClaimedAt;
   mNewest = LeaderRecord{ aEpoch, mHolder, false };
   mNewestAt = mClock.Now();
   mNextAppendAt = mNewestAt + kRenewInterval;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -138,9 +138,9 @@
   mLeadership.Poll();
   FollowLeadership();
   if (mDispatcher != nullptr) {
-    const bool isConfirmed =
-      mLeadership.AuthorityUntil() - kAuthority >= mResumedAt;
-    mDispatcher->SetAuthority(isConfirmed ? mLeadership.AuthorityUntil() : now);
+    const TimePoint confirmedAt = mLeadership.ConfirmedAt();
+    mDispatcher->SetAuthority(
+      confirmedAt, confirmedAt >= mResumedAt ? confirmedAt + kAuthority : now);
     if (now >= mDispatcher->NextTick()) {
       mDispatcher->Tick(now, mWallClock.NowMs());
     }
@@ -381,7 +381,8 @@
   mDispatcher = dispatch::CreateDispatcher(
     mOptions.mLimits, term, mCalls, mMetrics);
   mCalls.Attach(mEpoch, *mDispatcher);
-  mDispatcher->SetAuthority(mLeadership.AuthorityUntil());
+  mDispatcher->SetAuthority(mLeadership.ConfirmedAt(),
+                            mLeadership.ConfirmedAt() + kAuthority);
   for (auto it = mWorkers.begin(); it != mWorkers.end();) {
     const KnownWorker& worker = it->second;
     if (!worker.mIsListed && worker.mUnlistedAt + kUnlistedMemory < now) {
