--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -26,6 +26,10 @@
 constexpr double kSuspectCost = 40000.0;
 constexpr double kAvoidedWorkerCost = 20000.0;
 constexpr double kRemoteRackCost = 8000.0;
+/// A worker whose service tasks all run one image is open to every backfill
+/// image that does not disturb this one.
+constexpr double kMixedImagesCost = 40000.0;
+constexpr double kServiceFreeCost = 4000.0;
 /// Per unit of the rise of a tail ratio.
 constexpr double kRiseCost = 20000.0;
 
@@ -68,6 +72,32 @@
   return highest;
 }
 
+bool
+HasServiceTask(const WorkerState& aWorker)
+{
+  return std::any_of(
+    aWorker.mRuns.begin(), aWorker.mRuns.end(), [](const RunState* it) {
+      return it->mTask->mStep->mSpec->mIsService;
+    });
+}
+
+/// The part of the service tasks on `aWorker` that run another image than
+/// `aStep`; one half for a worker without service tasks.
+double
+ShareOfOtherImages(const StepState& aStep, const WorkerState& aWorker)
+{
+  int all = 0;
+  int others = 0;
+  for (const RunState* it : aWorker.mRuns) {
+    const StepState& step = *it->mTask->mStep;
+    if (step.mSpec->mIsService) {
+      ++all;
+      others += step.mImage != aStep.mImage ? 1 : 0;
+    }
+  }
+  return all == 0 ? 0.5 : static_cast<double>(others) / all;
+}
+
 /// True if one more task of `aStep` would bring a service task on `aWorker`
 /// close to its target.
 bool
@@ -119,8 +149,10 @@
   const double leftover = static_cast<double>(EstimateLeftover(aWorker) -
                                               aWorker.mBackfillDemand);
   if (step.mIsBackfill) {
-    // Backfill goes where it gets the most and disturbs the fewest.
+    // Backfill goes where it gets the most and disturbs the fewest. Workers
+    // without service tasks are left to images that disturb everywhere else.
     return cost - leftover +
+           (HasServiceTask(aWorker) ? 0.0 : kServiceFreeCost) +
            kRiseCost * HighestRise(*aTask.mStep, aWorker, aModel);
   }
   // Best fit keeps room for large tasks and whole workers for backfill.
@@ -128,6 +160,7 @@
                     aWorker.mUsed.mMilliProcessors - step.mNeed.mMilliProcessors;
   cost += static_cast<double>(free);
   if (step.mIsService) {
+    cost += kMixedImagesCost * ShareOfOtherImages(*aTask.mStep, aWorker);
     for (const RunState* it : aWorker.mRuns) {
       if (it->mTask->mStep->mSpec->mIsBackfill) {
         cost += kRiseCost * aModel.Rise(aTask.mStep->mImage,
