Expect the effect of all backfill beside a service task; share pace corrections

Cause: several tasks that disturb the same service were placed at once, each judged alone by the last report.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1444,6 +1444,9 @@
     std::int64_t used = 0;
     std::int64_t leftover = 0;
     std::int64_t paced = 0;
+    std::int64_t services = 0;
+    std::int64_t harmed = 0;
+    std::int64_t starting = 0;
     std::int64_t reserved = 0;
     std::int64_t capacity = 0;
     for (const auto& [id, worker] : mWorkers) {
@@ -1455,6 +1458,11 @@
       for (const RunState* it : worker->mRuns) {
         const bool isBackfill = it->mTask->mStep->mSpec->mIsBackfill;
         ++(isBackfill ? backfill : running);
+        if (it->mTask->mStep->mSpec->mIsService) {
+          ++services;
+          harmed += TailRatioOf(*it) > 1.0 ? 1 : 0;
+          starting += it->mPercent < 100 ? 1 : 0;
+        }
         paced += it->mWantedPace < 100 ? 1 : 0;
         used += isBackfill ? std::max<std::int64_t>(0, it->mUsage) : 0;
       }
@@ -1471,7 +1479,10 @@
                      { "leftover", leftover },
                      { "reserved", reserved },
                      { "capacity", capacity },
-                     { "paced", paced } });
+                     { "paced", paced },
+                     { "services", services },
+                     { "harmed", harmed },
+                     { "starting", starting } });
   }
 
   void SetFenced(const std::string& aWorkerId)
--- a/src/dispatch/pacing.cpp
+++ b/src/dispatch/pacing.cpp
@@ -1,6 +1,7 @@
 #include "pacing.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace skylarkhill::dispatch {
@@ -11,8 +12,8 @@
 /// figure is rough.
 constexpr TailRatio kTailLimit = 0.85;
 
-/// Rise of a tail ratio that counts as noise.
-constexpr TailRatio kInsignificantRise = 0.06;
+/// Rise that counts as noise.
+constexpr LogRise kInsignificantRise = 0.08;
 
 /// Reports cover the last half second, so that an earlier change would act on
 /// the same figures again.
@@ -28,31 +29,34 @@
   return step.mIsService && step.mTailTargetMs > 0;
 }
 
-/// The rise that `aBackfill` causes to `aService` at full pace.
-TailRatio
-RiseBetween(const SharingModel& aModel,
-            const RunState& aService,
-            const RunState& aBackfill)
+/// By how many percent points all backfill that raises the tail of `aService`
+/// has to change its pace to bring the tail to its limit.
+double
+PaceCorrection(const SharingModel& aModel,
+               const RunState& aService,
+               const std::vector<RunState*>& aBackfill)
 {
-  return aModel.Rise(aService.mTask->mStep->mImage,
-                     aBackfill.mTask->mStep->mImage,
-                     BackfillShareOf(aBackfill));
+  LogRise total = 0.0;
+  for (const RunState* it : aBackfill) {
+    const LogRise rise = aModel.RiseBetween(aService, *it);
+    total += rise > kInsignificantRise ? rise : 0.0;
+  }
+  const LogRise room = std::log(kTailLimit / TailRatioOf(aService));
+  return total > 0.0 ? kFullPace * room / total : kFullPace;
 }
 
-/// The highest pace of `aRun` at which no service task exceeds its limit.
+/// The pace of `aRun` that brings no service task above its limit.
 int
 AllowedPace(const SharingModel& aModel,
             const std::vector<const RunState*>& aServices,
+            const std::vector<double>& aCorrections,
             const RunState& aRun)
 {
   double allowed = kFullPace;
-  for (const RunState* it : aServices) {
-    const TailRatio rise = RiseBetween(aModel, *it, aRun);
-    if (rise < kInsignificantRise) {
-      continue;
+  for (std::size_t n = 0; n < aServices.size(); ++n) {
+    if (aModel.RiseBetween(*aServices[n], aRun) > kInsignificantRise) {
+      allowed = std::min(allowed, aRun.mPace + aCorrections[n]);
     }
-    const TailRatio room = kTailLimit - TailRatioOf(*it);
-    allowed = std::min(allowed, aRun.mPace + kFullPace * room / rise);
   }
   return static_cast<int>(std::clamp(allowed, 0.0, double{ kFullPace }));
 }
@@ -87,9 +91,14 @@
   // Whatever the model says, nothing that may be the cause works on for long.
   const bool isUrgent = aWorker.mHarmedSince &&
                         aNow - *aWorker.mHarmedSince > aHarmBound / 4;
+  std::vector<double> corrections;
+  for (const RunState* it : services) {
+    corrections.push_back(PaceCorrection(aModel, *it, backfill));
+  }
   bool hasChanged = false;
   for (RunState* it : backfill) {
-    int pace = isUrgent ? 0 : AllowedPace(aModel, services, *it);
+    int pace =
+      isUrgent ? 0 : AllowedPace(aModel, services, corrections, *it);
     pace = std::min(pace, it->mWantedPace + kRaisePerChange);
     if (pace < it->mWantedPace || pace == kFullPace ||
         pace > it->mWantedPace + kRaisePerChange / 2) {
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -30,13 +30,13 @@
 /// image that does not disturb this one.
 constexpr double kMixedImagesCost = 40000.0;
 constexpr double kServiceFreeCost = 4000.0;
-/// Per unit of the rise of a tail ratio.
+/// Per unit of the rise of a tail.
 constexpr double kRiseCost = 20000.0;
 
-/// No backfill task is placed where it would raise a tail ratio by more than
-/// the first figure to above the second one.
-constexpr TailRatio kMinHarmfulRise = 0.08;
-constexpr TailRatio kMaxTailRatio = 0.75;
+/// No backfill task is placed where it would raise a tail by more than the
+/// first figure to above the second one.
+constexpr LogRise kMinHarmfulRise = 0.12;
+constexpr TailRatio kMaxTailRatio = 0.8;
 
 bool
 HasLabel(const WorkerState& aWorker, const std::string& aLabel)
@@ -53,15 +53,15 @@
            1, aWorker.mEntry.mCapacity.mMilliProcessors));
 }
 
-/// The highest rise of a tail ratio that one more task of `aStep` causes on
+/// The highest rise of a tail that one more task of `aStep` causes on
 /// `aWorker`.
-TailRatio
+LogRise
 HighestRise(const StepState& aStep,
             const WorkerState& aWorker,
             const SharingModel& aModel)
 {
   const double share = ShareOf(*aStep.mSpec, aWorker);
-  TailRatio highest = 0.0;
+  LogRise highest = 0.0;
   for (const RunState* it : aWorker.mRuns) {
     if (it->mTask->mStep->mSpec->mIsService) {
       highest = std::max(
@@ -111,10 +111,11 @@
       if (!it->mTask->mStep->mSpec->mIsService) {
         return false;
       }
-      const TailRatio rise =
+      const LogRise rise =
         aModel.Rise(it->mTask->mStep->mImage, aStep.mImage, share);
       return rise > kMinHarmfulRise &&
-             TailRatioOf(*it) + rise > kMaxTailRatio;
+             UndisturbedLogOf(*it) + aModel.ExpectedRise(*it) + rise >
+               std::log(kMaxTailRatio);
     });
 }
 
--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/sharing.cpp
@@ -13,6 +13,14 @@
 /// five times the usual tail, which doubles at the height of the load.
 constexpr TailRatio kUndisturbedRatio = 0.45;
 
+/// Bounds of what counts as undisturbed: a higher tail is taken for the effect
+/// of something that the model does not know yet.
+constexpr TailRatio kLowestUndisturbedRatio = 0.2;
+constexpr TailRatio kHighestUndisturbedRatio = 0.9;
+
+/// Weight of one report.
+constexpr double kSmoothing = 0.4;
+
 /// A run that has worked for less is not yet part of a reported tail.
 constexpr base::Duration kReportWindow = std::chrono::milliseconds(600);
 
@@ -32,8 +40,13 @@
 }
 
 void
-SharingModel::Record(const WorkerState& aWorker, base::TimePoint aNow)
+SharingModel::Record(WorkerState& aWorker, base::TimePoint aNow)
 {
+  for (RunState* it : aWorker.mRuns) {
+    if (it->mTask->mStep->mSpec->mIsService && it->mUsage > 0) {
+      RecordUndisturbed(*it);
+    }
+  }
   std::map<int, double> shares;
   for (const RunState* it : aWorker.mRuns) {
     const StepState& step = *it->mTask->mStep;
@@ -61,7 +74,8 @@
     }
     report.mService = mNames[static_cast<std::size_t>(step.mImage)];
     report.mSlowdownPercent =
-      kPercent + kPercent * (TailRatioOf(*it) - kUndisturbedRatio);
+      std::lround(kPercent +
+                  kPercent * std::log(TailRatioOf(*it) / kUndisturbedRatio));
     mModel.Record(report);
     for (const auto& [image, share] : shares) {
       Cell(step.mImage, image) =
@@ -72,7 +86,7 @@
   }
 }
 
-TailRatio
+LogRise
 SharingModel::Rise(int aServiceImage, int aBackfillImage, double aShare) const
 {
   const auto service = static_cast<std::size_t>(aServiceImage);
@@ -84,6 +98,50 @@
   return mEstimates[service][backfill] * aShare;
 }
 
+LogRise
+SharingModel::RiseBetween(const RunState& aService,
+                          const RunState& aBackfill) const
+{
+  return Rise(aService.mTask->mStep->mImage,
+              aBackfill.mTask->mStep->mImage,
+              BackfillShareOf(aBackfill));
+}
+
+LogRise
+SharingModel::ExpectedRise(const RunState& aService) const
+{
+  LogRise rise = 0.0;
+  for (const RunState* it : aService.mWorker->mRuns) {
+    if (it->mTask->mStep->mSpec->mIsBackfill && !it->mIsStopping) {
+      rise += RiseBetween(aService, *it) * it->mWantedPace / kPercent;
+    }
+  }
+  return rise;
+}
+
+void
+SharingModel::RecordUndisturbed(RunState& aService) const
+{
+  LogRise rise = 0.0;
+  for (const RunState* it : aService.mWorker->mRuns) {
+    const jobs::Step& step = *it->mTask->mStep->mSpec;
+    if (step.mIsBackfill && it->mUsage > 0) {
+      const double used = static_cast<double>(it->mUsage) /
+                          static_cast<double>(step.mNeed.mMilliProcessors);
+      rise += RiseBetween(aService, *it) * std::min(1.0, used);
+    }
+  }
+  const double observed =
+    std::clamp(std::log(TailRatioOf(aService)) - rise,
+               std::log(kLowestUndisturbedRatio),
+               std::log(kHighestUndisturbedRatio));
+  aService.mUndisturbedLog =
+    aService.mUndisturbedLog
+      ? *aService.mUndisturbedLog +
+          kSmoothing * (observed - *aService.mUndisturbedLog)
+      : observed;
+}
+
 double&
 SharingModel::Cell(int aServiceImage, int aBackfillImage)
 {
@@ -108,6 +166,12 @@
            : kUndisturbedRatio;
 }
 
+double
+UndisturbedLogOf(const RunState& aService)
+{
+  return aService.mUndisturbedLog.value_or(std::log(kUndisturbedRatio));
+}
+
 double
 BackfillShareOf(const RunState& aRun)
 {
--- a/src/dispatch/sharing.hpp
+++ b/src/dispatch/sharing.hpp
@@ -16,6 +16,10 @@
 /// Tail latency of a service task relative to its target.
 using TailRatio = double;
 
+/// Natural logarithm of the factor by which a tail grows. Effects of several
+/// tasks multiply, so that their logarithms add up.
+using LogRise = double;
+
 /// Learns by how much backfill tasks raise the tail latency of service tasks
 /// beside them, per pair of images.
 class SharingModel
@@ -26,13 +30,22 @@
 
   /// Learns from the tails that the service tasks on `aWorker` have just
   /// reported.
-  void Record(const WorkerState& aWorker, base::TimePoint aNow);
+  void Record(WorkerState& aWorker, base::TimePoint aNow);
+
+  /// The rise of the tail of a service task by a backfill task that uses the
+  /// share `aShare` (0 to 1) of the worker's processors.
+  LogRise Rise(int aServiceImage, int aBackfillImage, double aShare) const;
+
+  /// The rise of the tail of `aService` by `aBackfill` at full pace on the
+  /// worker of both.
+  LogRise RiseBetween(const RunState& aService, const RunState& aBackfill) const;
 
-  /// The rise of the tail ratio of a service task by a backfill task that
-  /// uses the share `aShare` (0 to 1) of the worker's processors.
-  TailRatio Rise(int aServiceImage, int aBackfillImage, double aShare) const;
+  /// The rise of the tail of `aService` by all backfill beside it at the paces
+  /// that are wanted, also of runs that no report covers yet.
+  LogRise ExpectedRise(const RunState& aService) const;
 
 private:
+  void RecordUndisturbed(RunState& aService) const;
   double& Cell(int aServiceImage, int aBackfillImage);
 
   policy::InterferenceModel mModel;
@@ -48,6 +61,10 @@
 TailRatio
 TailRatioOf(const RunState& aRun);
 
+/// The expected logarithm of the tail ratio of a service run without backfill.
+double
+UndisturbedLogOf(const RunState& aService);
+
 /// The share of its worker's processors that a backfill run uses at full
 /// pace.
 double
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -45,6 +45,9 @@
   /// Since when the wanted pace has been below one half.
   std::optional<base::TimePoint> mSlowedSince;
   std::int64_t mUsage = -1;
+  /// Logarithm of the tail ratio of a service run without the backfill beside
+  /// it, smoothed; nothing before the first report.
+  std::optional<double> mUndisturbedLog;
 };
 
 struct TaskState
