Judge backfill by pressure; wait for the leases of a leader that resigned

Cause: (1) tails explode when several disturbing tasks meet (45 ms to 1,400 ms for three tasks of one image), so that averages of linear or logarithmic effects are too low exactly there. Effects are learned as pressures that add up, faster upwards than downwards; backfill stands still, and then moves, before the bound of harm.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1066,7 +1066,8 @@
         if (it->mIsStopping) {
           continue;
         }
-        if (it->mSlowedSince && IsWorthMoving(*it, aNow)) {
+        if (it->mMustMove ||
+            (it->mSlowedSince && IsWorthMoving(*it, aNow))) {
           it->mTask->mAvoidWorker = id;
           StopRun(*it);
         } else if (worker->mEntry.mIsDraining) {
--- a/src/dispatch/pacing.cpp
+++ b/src/dispatch/pacing.cpp
@@ -1,7 +1,6 @@
 #include "pacing.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <vector>
 
 namespace skylarkhill::dispatch {
@@ -12,8 +11,17 @@
 /// figure is rough.
 constexpr TailRatio kTailLimit = 0.85;
 
+/// Reported tails are rough, so that a task may be above its target from this
+/// share of it on.
+constexpr TailRatio kHarmWarning = 0.9;
+
+/// Parts of the bound after which backfill stands still, and after which it is
+/// moved away, whatever the model says.
+constexpr double kStandStillPart = 0.35;
+constexpr double kMovePart = 0.6;
+
 /// Rise that counts as noise.
-constexpr LogRise kInsignificantRise = 0.08;
+constexpr Pressure kInsignificantRise = 0.04;
 
 /// Reports cover the last half second, so that an earlier change would act on
 /// the same figures again.
@@ -36,12 +44,12 @@
                const RunState& aService,
                const std::vector<RunState*>& aBackfill)
 {
-  LogRise total = 0.0;
+  Pressure total = 0.0;
   for (const RunState* it : aBackfill) {
-    const LogRise rise = aModel.RiseBetween(aService, *it);
+    const Pressure rise = aModel.RiseBetween(aService, *it);
     total += rise > kInsignificantRise ? rise : 0.0;
   }
-  const LogRise room = std::log(kTailLimit / TailRatioOf(aService));
+  const Pressure room = PressureOf(kTailLimit) - PressureOf(TailRatioOf(aService));
   return total > 0.0 ? kFullPace * room / total : kFullPace;
 }
 
@@ -80,17 +88,23 @@
       backfill.push_back(it);
     }
   }
-  if (worst <= 1.0) {
+  if (worst <= kHarmWarning) {
     aWorker.mHarmedSince.reset();
   } else if (!aWorker.mHarmedSince) {
     aWorker.mHarmedSince = aNow;
   }
-  if (backfill.empty() || aNow < aWorker.mPaceChangedAt + kMinChangeInterval) {
+  if (backfill.empty()) {
+    return;
+  }
+  const double harmed =
+    aWorker.mHarmedSince
+      ? std::chrono::duration<double>(aNow - *aWorker.mHarmedSince) /
+          std::chrono::duration<double>(aHarmBound)
+      : 0.0;
+  const bool isUrgent = harmed > kStandStillPart;
+  if (!isUrgent && aNow < aWorker.mPaceChangedAt + kMinChangeInterval) {
     return;
   }
-  // Whatever the model says, nothing that may be the cause works on for long.
-  const bool isUrgent = aWorker.mHarmedSince &&
-                        aNow - *aWorker.mHarmedSince > aHarmBound / 4;
   std::vector<double> corrections;
   for (const RunState* it : services) {
     corrections.push_back(PaceCorrection(aModel, *it, backfill));
@@ -105,6 +119,7 @@
       hasChanged = hasChanged || pace != it->mWantedPace;
       it->mWantedPace = pace;
     }
+    it->mMustMove = it->mMustMove || harmed > kMovePart;
     if (it->mWantedPace >= kFullPace / 2) {
       it->mSlowedSince.reset();
     } else if (!it->mSlowedSince) {
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -33,9 +33,9 @@
 /// Per unit of the rise of a tail.
 constexpr double kRiseCost = 20000.0;
 
-/// No backfill task is placed where it would raise a tail by more than the
-/// first figure to above the second one.
-constexpr LogRise kMinHarmfulRise = 0.12;
+/// No backfill task is placed where it would add more than the first figure
+/// and bring a tail above the second one.
+constexpr Pressure kMinHarmfulRise = 0.05;
 constexpr TailRatio kMaxTailRatio = 0.8;
 
 bool
@@ -55,13 +55,13 @@
 
 /// The highest rise of a tail that one more task of `aStep` causes on
 /// `aWorker`.
-LogRise
+Pressure
 HighestRise(const StepState& aStep,
             const WorkerState& aWorker,
             const SharingModel& aModel)
 {
   const double share = ShareOf(*aStep.mSpec, aWorker);
-  LogRise highest = 0.0;
+  Pressure highest = 0.0;
   for (const RunState* it : aWorker.mRuns) {
     if (it->mTask->mStep->mSpec->mIsService) {
       highest = std::max(
@@ -111,11 +111,11 @@
       if (!it->mTask->mStep->mSpec->mIsService) {
         return false;
       }
-      const LogRise rise =
+      const Pressure rise =
         aModel.Rise(it->mTask->mStep->mImage, aStep.mImage, share);
       return rise > kMinHarmfulRise &&
-             UndisturbedLogOf(*it) + aModel.ExpectedRise(*it) + rise >
-               std::log(kMaxTailRatio);
+             UndisturbedPressureOf(*it) + aModel.ExpectedRise(*it) + rise >
+               PressureOf(kMaxTailRatio);
     });
 }
 
--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/sharing.cpp
@@ -24,10 +24,19 @@
 /// A run that has worked for less is not yet part of a reported tail.
 constexpr base::Duration kReportWindow = std::chrono::milliseconds(600);
 
+/// Tail ratio of an idle service task, far below any that is reported.
+constexpr TailRatio kIdleRatio = 0.25;
+
 constexpr double kPercent = 100.0;
 
 } // namespace
 
+Pressure
+PressureOf(TailRatio aRatio)
+{
+  return 1.0 - kIdleRatio / std::max(aRatio, kIdleRatio / 2);
+}
+
 int
 SharingModel::Intern(const std::string& aImage)
 {
@@ -74,8 +83,8 @@
     }
     report.mService = mNames[static_cast<std::size_t>(step.mImage)];
     report.mSlowdownPercent =
-      std::lround(kPercent +
-                  kPercent * std::log(TailRatioOf(*it) / kUndisturbedRatio));
+      std::lround(kPercent + kPercent * (PressureOf(TailRatioOf(*it)) -
+                                         PressureOf(kUndisturbedRatio)));
     mModel.Record(report);
     for (const auto& [image, share] : shares) {
       Cell(step.mImage, image) =
@@ -86,7 +95,7 @@
   }
 }
 
-LogRise
+Pressure
 SharingModel::Rise(int aServiceImage, int aBackfillImage, double aShare) const
 {
   const auto service = static_cast<std::size_t>(aServiceImage);
@@ -98,7 +107,7 @@
   return mEstimates[service][backfill] * aShare;
 }
 
-LogRise
+Pressure
 SharingModel::RiseBetween(const RunState& aService,
                           const RunState& aBackfill) const
 {
@@ -107,10 +116,10 @@
               BackfillShareOf(aBackfill));
 }
 
-LogRise
+Pressure
 SharingModel::ExpectedRise(const RunState& aService) const
 {
-  LogRise rise = 0.0;
+  Pressure rise = 0.0;
   for (const RunState* it : aService.mWorker->mRuns) {
     if (it->mTask->mStep->mSpec->mIsBackfill && !it->mIsStopping) {
       rise += RiseBetween(aService, *it) * it->mWantedPace / kPercent;
@@ -122,7 +131,7 @@
 void
 SharingModel::RecordUndisturbed(RunState& aService) const
 {
-  LogRise rise = 0.0;
+  Pressure rise = 0.0;
   for (const RunState* it : aService.mWorker->mRuns) {
     const jobs::Step& step = *it->mTask->mStep->mSpec;
     if (step.mIsBackfill && it->mUsage > 0) {
@@ -132,13 +141,13 @@
     }
   }
   const double observed =
-    std::clamp(std::log(TailRatioOf(aService)) - rise,
-               std::log(kLowestUndisturbedRatio),
-               std::log(kHighestUndisturbedRatio));
-  aService.mUndisturbedLog =
-    aService.mUndisturbedLog
-      ? *aService.mUndisturbedLog +
-          kSmoothing * (observed - *aService.mUndisturbedLog)
+    std::clamp(PressureOf(TailRatioOf(aService)) - rise,
+               PressureOf(kLowestUndisturbedRatio),
+               PressureOf(kHighestUndisturbedRatio));
+  aService.mUndisturbed =
+    aService.mUndisturbed
+      ? *aService.mUndisturbed +
+          kSmoothing * (observed - *aService.mUndisturbed)
       : observed;
 }
 
@@ -166,10 +175,10 @@
            : kUndisturbedRatio;
 }
 
-double
-UndisturbedLogOf(const RunState& aService)
+Pressure
+UndisturbedPressureOf(const RunState& aService)
 {
-  return aService.mUndisturbedLog.value_or(std::log(kUndisturbedRatio));
+  return aService.mUndisturbed.value_or(PressureOf(kUndisturbedRatio));
 }
 
 double
--- a/src/dispatch/sharing.hpp
+++ b/src/dispatch/sharing.hpp
@@ -16,9 +16,14 @@
 /// Tail latency of a service task relative to its target.
 using TailRatio = double;
 
-/// Natural logarithm of the factor by which a tail grows. Effects of several
-/// tasks multiply, so that their logarithms add up.
-using LogRise = double;
+/// How close a service task is to saturation: 0 at its lowest tail, towards 1
+/// as the tail grows without bound. Like utilisation in a queue, the pressures
+/// of several tasks add up.
+using Pressure = double;
+
+/// The pressure that shows as `aRatio`.
+Pressure
+PressureOf(TailRatio aRatio);
 
 /// Learns by how much backfill tasks raise the tail latency of service tasks
 /// beside them, per pair of images.
@@ -32,23 +37,25 @@
   /// reported.
   void Record(WorkerState& aWorker, base::TimePoint aNow);
 
-  /// The rise of the tail of a service task by a backfill task that uses the
-  /// share `aShare` (0 to 1) of the worker's processors.
-  LogRise Rise(int aServiceImage, int aBackfillImage, double aShare) const;
+  /// The pressure on a service task by a backfill task that uses the share
+  /// `aShare` (0 to 1) of the worker's processors.
+  Pressure Rise(int aServiceImage, int aBackfillImage, double aShare) const;
 
-  /// The rise of the tail of `aService` by `aBackfill` at full pace on the
-  /// worker of both.
-  LogRise RiseBetween(const RunState& aService, const RunState& aBackfill) const;
+  /// The pressure of `aBackfill` at full pace on `aService`, both on one
+  /// worker.
+  Pressure RiseBetween(const RunState& aService, const RunState& aBackfill) const;
 
-  /// The rise of the tail of `aService` by all backfill beside it at the paces
-  /// that are wanted, also of runs that no report covers yet.
-  LogRise ExpectedRise(const RunState& aService) const;
+  /// The pressure of all backfill beside `aService` at the paces that are
+  /// wanted, also of runs that no report covers yet.
+  Pressure ExpectedRise(const RunState& aService) const;
 
 private:
   void RecordUndisturbed(RunState& aService) const;
   double& Cell(int aServiceImage, int aBackfillImage);
 
-  policy::InterferenceModel mModel;
+  // An estimate that is too low costs the callers of a service, one that is
+  // too high only the choice among workers.
+  policy::InterferenceModel mModel{ { 0.5, 0.06 } };
   std::unordered_map<std::string, int> mNumbers;
   std::vector<std::string> mNames;
   /// Estimates of mModel by service and backfill image, in percent points per
@@ -61,9 +68,9 @@
 TailRatio
 TailRatioOf(const RunState& aRun);
 
-/// The expected logarithm of the tail ratio of a service run without backfill.
-double
-UndisturbedLogOf(const RunState& aService);
+/// The expected pressure on a service run without backfill.
+Pressure
+UndisturbedPressureOf(const RunState& aService);
 
 /// The share of its worker's processors that a backfill run uses at full
 /// pace.
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -44,10 +44,12 @@
   bool mIsPaceInFlight = false;
   /// Since when the wanted pace has been below one half.
   std::optional<base::TimePoint> mSlowedSince;
+  /// Disturbs a service task even at the lowest pace, as far as is known.
+  bool mMustMove = false;
   std::int64_t mUsage = -1;
-  /// Logarithm of the tail ratio of a service run without the backfill beside
-  /// it, smoothed; nothing before the first report.
-  std::optional<double> mUndisturbedLog;
+  /// Pressure on a service run without the backfill beside it, smoothed;
+  /// nothing before the first report.
+  std::optional<double> mUndisturbed;
 };
 
 struct TaskState
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -169,7 +169,8 @@
   if (mLedEpoch && (!isOurs || newest.mEpoch != *mLedEpoch)) {
     StepDown();
   }
-  if (!isOurs && !newest.mIsResigned) {
+  // What a leader has started goes on after its resignation.
+  if (!isOurs) {
     mEarlierAuthorityEnd = mNewestAt + kAuthority;
   }
   // A claim without an answer may have taken effect late.
--- a/src/policy/interference.cpp
+++ b/src/policy/interference.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-// Reports are noisy: one report moves an estimate by a fifth of its error.
-constexpr double kLearningRate = 0.2;
 constexpr std::chrono::minutes kHalfLife{ 10 };
 // Every class is assumed to disturb a little until a report says otherwise,
 // so that unknown classes are not all put beside the same service.
@@ -57,13 +55,14 @@
   }
   const double observed = static_cast<double>(aReport.mSlowdownPercent) - 100.0;
   const double error = observed - predicted;
+  const double rate = error > 0.0 ? mRates.mUp : mRates.mDown;
   for (const auto& it : aReport.mBatchTasks) {
     const auto count = static_cast<double>(it.second);
     const double previous =
       Estimate(aReport.mService, it.first, aReport.mMeasuredAt);
     Pair& pair = mPairs[{ aReport.mService, it.first }];
     pair.mPercentPerTask = std::clamp(
-      previous + kLearningRate * error * count / norm, 0.0, kMaxPercentPerTask);
+      previous + rate * error * count / norm, 0.0, kMaxPercentPerTask);
     pair.mUpdatedAt = std::max(pair.mUpdatedAt, aReport.mMeasuredAt);
   }
 }
