--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -1,13 +1,12 @@
 #include "skylarkhill/cli/command.hpp"
-
-#include "platform/instance.hpp"
-#include "platform/settings.hpp"
-
 #include "skylarkhill/logging/logging.hpp"
 
 #include <csignal>
 #include <iostream>
 
+#include "platform/instance.hpp"
+#include "platform/settings.hpp"
+
 namespace skylarkhill::cli {
 
 namespace {
@@ -52,7 +51,8 @@
       return ExitCode::Done;
     }
     logging::ConfigureLogging(*level);
-    return Serve(settings.value(), aOptions["metrics-port"].as<std::uint16_t>());
+    return Serve(settings.value(),
+                 aOptions["metrics-port"].as<std::uint16_t>());
   }
 
 private:
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1,9 +1,5 @@
 #include "skylarkhill/dispatch/dispatcher.hpp"
 
-#include "pacing.hpp"
-#include "placement.hpp"
-#include "state.hpp"
-
 #include "skylarkhill/logging/logging.hpp"
 
 #include <algorithm>
@@ -11,6 +7,10 @@
 #include <iterator>
 #include <unordered_map>
 
+#include "pacing.hpp"
+#include "placement.hpp"
+#include "state.hpp"
+
 namespace skylarkhill::dispatch {
 
 using base::Duration;
@@ -146,14 +146,13 @@
       worker->mNextPollAt = std::min(worker->mNextPollAt, aNow);
     }
     if (aEntry.mIsDraining && !wasDraining) {
-      worker->mLeavesAt =
-        aNow + std::chrono::milliseconds(aEntry.mRemainingMs);
-      logging::Write(logging::Level::Info,
-                     "worker_draining",
-                     { { "worker", aEntry.mId },
-                       { "runs",
-                         static_cast<std::int64_t>(worker->mRuns.size()) },
-                       { "remaining_ms", aEntry.mRemainingMs } });
+      worker->mLeavesAt = aNow + std::chrono::milliseconds(aEntry.mRemainingMs);
+      logging::Write(
+        logging::Level::Info,
+        "worker_draining",
+        { { "worker", aEntry.mId },
+          { "runs", static_cast<std::int64_t>(worker->mRuns.size()) },
+          { "remaining_ms", aEntry.mRemainingMs } });
     }
     RequestTick(aNow);
   }
@@ -185,10 +184,9 @@
         static_cast<double>(EstimateChainMs(job->mSubmission.mRequest))) +
       policy.mTargetLatencyMs;
     job->mObjectiveMs = job->mSubmission.mAcceptedMs + objective;
-    job->mWorthlessMs =
-      job->mSubmission.mAcceptedMs +
-      static_cast<std::int64_t>(kWorthlessFactor *
-                                static_cast<double>(objective));
+    job->mWorthlessMs = job->mSubmission.mAcceptedMs +
+                        static_cast<std::int64_t>(
+                          kWorthlessFactor * static_cast<double>(objective));
     job->mIsReleased = aJob.mProgress.mIsReleased;
     job->mIsReleaseRequested = job->mIsReleased;
     CreateOccurrences(*job, aIsInherited && job->mIsReleased);
@@ -228,6 +226,7 @@
       // The leader before this one may just have extended the lease.
       worker.mLeaseEndsAt =
         std::max(worker.mLeaseEndsAt, aNow + LongestLease());
+      mIsPlacementDue = true;
     }
     worker.mIsKnown = true;
     worker.mBornMs = aReport.mBornMs;
@@ -238,8 +237,7 @@
     HandleRunning(worker, aReport, aSentAt, aNow);
     mSharing.Record(worker, aNow);
     AdjustPace(worker, mSharing, mLimits.mHarmBound, aNow);
-    worker.mNextPollAt =
-      aNow + (mustWait ? kUnacknowledgedPause : kPollPause);
+    worker.mNextPollAt = aNow + (mustWait ? kUnacknowledgedPause : kPollPause);
     RequestTick(aNow);
   }
 
@@ -252,12 +250,12 @@
     WorkerState& worker = *found->second;
     worker.mIsPollInFlight = false;
     if (++worker.mFailedPolls == 1) {
-      logging::Write(logging::Level::Warning,
-                     "worker_silent",
-                     { { "worker", aWorkerId },
-                       { "runs",
-                         static_cast<std::int64_t>(worker.mRuns.size()) },
-                       { "listed", worker.mIsListed ? "yes" : "no" } });
+      logging::Write(
+        logging::Level::Warning,
+        "worker_silent",
+        { { "worker", aWorkerId },
+          { "runs", static_cast<std::int64_t>(worker.mRuns.size()) },
+          { "listed", worker.mIsListed ? "yes" : "no" } });
     }
     worker.mNextPollAt = aNow + kPollRetryPause;
   }
@@ -546,8 +544,7 @@
     if (found == mJobs.end()) {
       return nullptr;
     }
-    StepState* step =
-      FindStep(*found->second, aTask.mOccurrence, aTask.mStep);
+    StepState* step = FindStep(*found->second, aTask.mOccurrence, aTask.mStep);
     if (step == nullptr || aTask.mIndex < 0 ||
         aTask.mIndex >= static_cast<int>(step->mTasks.size())) {
       return nullptr;
@@ -555,9 +552,7 @@
     return &step->mTasks[static_cast<std::size_t>(aTask.mIndex)];
   }
 
-  RunState* FindRun(const TaskId& aTask,
-                    int aRun,
-                    const std::string& aWorkerId)
+  RunState* FindRun(const TaskId& aTask, int aRun, const std::string& aWorkerId)
   {
     TaskState* task = FindTask(aTask);
     if (task == nullptr) {
@@ -605,12 +600,11 @@
           continue;
         }
         const auto& needs = step.mSpec->mDependsOn;
-        step.mIsReady =
-          std::all_of(needs.begin(), needs.end(), [&](int aNeed) {
-            const auto& other =
-              occurrence->mSteps[static_cast<std::size_t>(aNeed)];
-            return other.mDone == static_cast<int>(other.mTasks.size());
-          });
+        step.mIsReady = std::all_of(needs.begin(), needs.end(), [&](int aNeed) {
+          const auto& other =
+            occurrence->mSteps[static_cast<std::size_t>(aNeed)];
+          return other.mDone == static_cast<int>(other.mTasks.size());
+        });
         if (step.mIsReady) {
           mReadySteps.push_back(&step);
           mIsPlacementDue = true;
@@ -644,15 +638,15 @@
       return;
     }
     aJob.mState = aState;
-    logging::Write(logging::Level::Info,
-                   "job_ended",
-                   { { "job", aJob.mSubmission.mId },
-                     { "queue", aJob.mSubmission.mPolicy.mQueue },
-                     { "state", jobs::NameOf(aState) },
-                     { "age_ms", mUnixMs - aJob.mSubmission.mAcceptedMs },
-                     { "objective_ms",
-                       aJob.mObjectiveMs - aJob.mSubmission.mAcceptedMs },
-                     { "late_ms", mUnixMs - aJob.mObjectiveMs } });
+    logging::Write(
+      logging::Level::Info,
+      "job_ended",
+      { { "job", aJob.mSubmission.mId },
+        { "queue", aJob.mSubmission.mPolicy.mQueue },
+        { "state", jobs::NameOf(aState) },
+        { "age_ms", mUnixMs - aJob.mSubmission.mAcceptedMs },
+        { "objective_ms", aJob.mObjectiveMs - aJob.mSubmission.mAcceptedMs },
+        { "late_ms", mUnixMs - aJob.mObjectiveMs } });
     // A cancellation is durable already.
     if (aState != jobs::JobState::Cancelled) {
       MarkDirty(aJob);
@@ -788,16 +782,15 @@
   {
     mLostRuns.Add();
     TaskState& task = *aRun.mTask;
-    logging::Write(logging::Level::Info,
-                   "run_lost",
-                   { { "task", ToText(IdOf(task)) },
-                     { "run", aRun.mNumber },
-                     { "worker", aRun.mWorker->mEntry.mId },
-                     { "cause", aCause },
-                     { "report_age_ms",
-                       ToMs(aNow - aRun.mWorker->mLastReportAt) },
-                     { "lease_ended_ms",
-                       ToMs(aNow - aRun.mWorker->mLeaseEndsAt) } });
+    logging::Write(
+      logging::Level::Info,
+      "run_lost",
+      { { "task", ToText(IdOf(task)) },
+        { "run", aRun.mNumber },
+        { "worker", aRun.mWorker->mEntry.mId },
+        { "cause", aCause },
+        { "report_age_ms", ToMs(aNow - aRun.mWorker->mLastReportAt) },
+        { "lease_ended_ms", ToMs(aNow - aRun.mWorker->mLeaseEndsAt) } });
     if (!aRun.mIsStopping) {
       task.mAvoidWorker = aRun.mWorker->mEntry.mId;
     }
@@ -815,11 +808,11 @@
 
   void ForgetIncarnation(WorkerState& aWorker, TimePoint aNow)
   {
-    logging::Write(logging::Level::Warning,
-                   "worker_restarted",
-                   { { "worker", aWorker.mEntry.mId },
-                     { "runs",
-                       static_cast<std::int64_t>(aWorker.mRuns.size()) } });
+    logging::Write(
+      logging::Level::Warning,
+      "worker_restarted",
+      { { "worker", aWorker.mEntry.mId },
+        { "runs", static_cast<std::int64_t>(aWorker.mRuns.size()) } });
     LoseAllRuns(aWorker, "worker restarted", aNow);
     aWorker.mProcessed = 0;
     aWorker.mAcknowledged = 0;
@@ -1066,8 +1059,7 @@
         if (it->mIsStopping) {
           continue;
         }
-        if (it->mMustMove ||
-            (it->mSlowedSince && IsWorthMoving(*it, aNow))) {
+        if (it->mMustMove || (it->mSlowedSince && IsWorthMoving(*it, aNow))) {
           it->mTask->mAvoidWorker = id;
           StopRun(*it);
         } else if (worker->mEntry.mIsDraining) {
@@ -1093,13 +1085,10 @@
   {
     const StepState& step = *aRun.mTask->mStep;
     if (step.mSpec->mIsService) {
-      const int away =
-        static_cast<int>(std::count_if(step.mTasks.begin(),
-                                       step.mTasks.end(),
-                                       [](const TaskState& it) {
-                                         return !HasLiveRun(it) ||
-                                                it.mRuns.front().mPercent < 100;
-                                       }));
+      const int away = static_cast<int>(std::count_if(
+        step.mTasks.begin(), step.mTasks.end(), [](const TaskState& it) {
+          return !HasLiveRun(it) || it.mRuns.front().mPercent < 100;
+        }));
       const bool isUrgent =
         aRun.mWorker->mLeavesAt < aNow + std::chrono::milliseconds(1500);
       if (away < std::max(1, step.mSpec->mMaxUnavailable) || isUrgent) {
@@ -1107,13 +1096,11 @@
       }
       return;
     }
-    const auto elapsed = std::chrono::duration<double>(
-                           aNow - aRun.mOrderedAt)
-                           .count();
+    const auto elapsed =
+      std::chrono::duration<double>(aNow - aRun.mOrderedAt).count();
     const double total =
-      aRun.mPercent > 0
-        ? elapsed * 100.0 / aRun.mPercent
-        : static_cast<double>(step.mSpec->mEstimateMs) / 1000.0;
+      aRun.mPercent > 0 ? elapsed * 100.0 / aRun.mPercent
+                        : static_cast<double>(step.mSpec->mEstimateMs) / 1000.0;
     const double left =
       std::chrono::duration<double>(aRun.mWorker->mLeavesAt - aNow).count();
     if (total - elapsed > left && step.mSpec->mSavesProgress && left < 1.0) {
@@ -1135,12 +1122,12 @@
     const Duration elapsed = aNow - aRun.mConfirmedAt;
     Duration limit = kMinStall;
     if (aRun.mPercent > 0) {
-      const auto perPercent = (aRun.mProgressAt - aRun.mConfirmedAt) /
-                              std::max(1, aRun.mPercent);
-      limit = std::max(limit,
-                       Duration(static_cast<Duration::rep>(
-                         kStallPercents *
-                         static_cast<double>(perPercent.count()))));
+      const auto perPercent =
+        (aRun.mProgressAt - aRun.mConfirmedAt) / std::max(1, aRun.mPercent);
+      limit =
+        std::max(limit,
+                 Duration(static_cast<Duration::rep>(
+                   kStallPercents * static_cast<double>(perPercent.count()))));
     } else {
       limit = std::max(
         limit, Duration(std::chrono::milliseconds(step.mEstimateMs / 4)));
@@ -1224,7 +1211,8 @@
   {
     JobState& job = *aStep.mJob;
     if (!job.mIsReleaseRequested &&
-        ChooseWorker(aStep.mTasks.front(), mWorkers, mSharing, aNow) != nullptr) {
+        ChooseWorker(aStep.mTasks.front(), mWorkers, mSharing, aNow) !=
+          nullptr) {
       job.mIsReleaseRequested = true;
       mRequestedReleases.push_back(job.mSubmission.mId);
       MarkDirty(job);
@@ -1268,10 +1256,10 @@
     if (isWhole) {
       return;
     }
-    const bool isAway = std::all_of(
-      aStep.mTasks.begin(), aStep.mTasks.end(), [](const TaskState& it) {
-        return it.mRuns.empty();
-      });
+    const bool isAway =
+      std::all_of(aStep.mTasks.begin(),
+                  aStep.mTasks.end(),
+                  [](const TaskState& it) { return it.mRuns.empty(); });
     if (!isAway) {
       // The members share one run number, so the rest of a broken gang ends
       // before it starts again.
@@ -1321,8 +1309,8 @@
     if (!aWorker.mIsKnown) {
       return 0;
     }
-    const TimePoint until = std::min(
-      aNow + std::min(kLease, mLimits.mMaxLease), mAuthorityUntil);
+    const TimePoint until =
+      std::min(aNow + std::min(kLease, mLimits.mMaxLease), mAuthorityUntil);
     if (until <= aNow) {
       return 0;
     }
@@ -1453,7 +1441,7 @@
     for (const auto& [id, worker] : mWorkers) {
       demand += worker->mBackfillDemand;
       leftover += EstimateLeftover(*worker);
-      
+
       reserved += worker->mUsed.mMilliProcessors;
       capacity += worker->mEntry.mCapacity.mMilliProcessors;
       for (const RunState* it : worker->mRuns) {
@@ -1496,10 +1484,7 @@
     mIsFenced = true;
   }
 
-  void RequestTick(TimePoint aNow)
-  {
-    mNextTick = std::min(mNextTick, aNow);
-  }
+  void RequestTick(TimePoint aNow) { mNextTick = std::min(mNextTick, aNow); }
 
   const DispatchLimits mLimits;
   const Term mTerm;
@@ -1538,8 +1523,7 @@
                  OrderSink& aSink,
                  metrics::Registry& aMetrics)
 {
-  return std::make_unique<DefaultDispatcher>(
-    aLimits, aTerm, aSink, aMetrics);
+  return std::make_unique<DefaultDispatcher>(aLimits, aTerm, aSink, aMetrics);
 }
 
 } // namespace skylarkhill::dispatch
--- a/src/dispatch/pacing.cpp
+++ b/src/dispatch/pacing.cpp
@@ -49,7 +49,8 @@
     const Pressure rise = aModel.RiseBetween(aService, *it);
     total += rise > kInsignificantRise ? rise : 0.0;
   }
-  const Pressure room = PressureOf(kTailLimit) - PressureOf(TailRatioOf(aService));
+  const Pressure room =
+    PressureOf(kTailLimit) - PressureOf(TailRatioOf(aService));
   return total > 0.0 ? kFullPace * room / total : kFullPace;
 }
 
@@ -111,8 +112,7 @@
   }
   bool hasChanged = false;
   for (RunState* it : backfill) {
-    int pace =
-      isUrgent ? 0 : AllowedPace(aModel, services, corrections, *it);
+    int pace = isUrgent ? 0 : AllowedPace(aModel, services, corrections, *it);
     pace = std::min(pace, it->mWantedPace + kRaisePerChange);
     if (pace < it->mWantedPace || pace == kFullPace ||
         pace > it->mWantedPace + kRaisePerChange / 2) {
--- a/src/dispatch/pacing.hpp
+++ b/src/dispatch/pacing.hpp
@@ -1,11 +1,11 @@
 #ifndef SKYLARKHILL_DISPATCH_PACING_HPP
 #define SKYLARKHILL_DISPATCH_PACING_HPP
 
+#include "skylarkhill/base/clock.hpp"
+
 #include "sharing.hpp"
 #include "state.hpp"
 
-#include "skylarkhill/base/clock.hpp"
-
 namespace skylarkhill::dispatch {
 
 /// Sets the wanted pace of the backfill runs on `aWorker` by the tail latencies
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -65,8 +65,7 @@
   for (const RunState* it : aWorker.mRuns) {
     if (it->mTask->mStep->mSpec->mIsService) {
       highest = std::max(
-        highest,
-        aModel.Rise(it->mTask->mStep->mImage, aStep.mImage, share));
+        highest, aModel.Rise(it->mTask->mStep->mImage, aStep.mImage, share));
     }
   }
   return highest;
@@ -147,8 +146,8 @@
   if (!step.mPreferredRack.empty() && !HasLabel(aWorker, step.mPreferredRack)) {
     cost += kRemoteRackCost;
   }
-  const double leftover = static_cast<double>(EstimateLeftover(aWorker) -
-                                              aWorker.mBackfillDemand);
+  const double leftover =
+    static_cast<double>(EstimateLeftover(aWorker) - aWorker.mBackfillDemand);
   if (step.mIsBackfill) {
     // Backfill goes where it gets the most and disturbs the fewest. Workers
     // without service tasks are left to images that disturb everywhere else.
@@ -158,7 +157,8 @@
   }
   // Best fit keeps room for large tasks and whole workers for backfill.
   const auto free = aWorker.mEntry.mCapacity.mMilliProcessors -
-                    aWorker.mUsed.mMilliProcessors - step.mNeed.mMilliProcessors;
+                    aWorker.mUsed.mMilliProcessors -
+                    step.mNeed.mMilliProcessors;
   cost += static_cast<double>(free);
   if (step.mIsService) {
     cost += kMixedImagesCost * ShareOfOtherImages(*aTask.mStep, aWorker);
@@ -178,9 +178,8 @@
 double
 FailureScore(const WorkerState& aWorker, base::TimePoint aNow)
 {
-  const double age = std::chrono::duration<double>(
-                       aNow - aWorker.mFailureScoreAt)
-                       .count();
+  const double age =
+    std::chrono::duration<double>(aNow - aWorker.mFailureScoreAt).count();
   const double halfLife =
     std::chrono::duration<double>(kFailureHalfLife).count();
   return aWorker.mFailureScore * std::exp2(-age / halfLife);
@@ -189,8 +188,7 @@
 void
 AddFailure(WorkerState& aWorker, double aWeight, base::TimePoint aNow)
 {
-  aWorker.mFailureScore =
-    std::max(0.0, FailureScore(aWorker, aNow) + aWeight);
+  aWorker.mFailureScore = std::max(0.0, FailureScore(aWorker, aNow) + aWeight);
   aWorker.mFailureScoreAt = aNow;
 }
 
@@ -243,11 +241,10 @@
     }
   }
   if (step.mIsBackfill) {
-    const auto left = static_cast<double>(EstimateLeftover(aWorker) -
-                                          aWorker.mBackfillDemand);
-    const auto need = static_cast<double>(
-      std::min(step.mNeed.mMilliProcessors,
-               aWorker.mEntry.mCapacity.mMilliProcessors));
+    const auto left =
+      static_cast<double>(EstimateLeftover(aWorker) - aWorker.mBackfillDemand);
+    const auto need = static_cast<double>(std::min(
+      step.mNeed.mMilliProcessors, aWorker.mEntry.mCapacity.mMilliProcessors));
     return left >= kMinBackfillShare * need &&
            !WouldHarm(aStep, aWorker, aModel);
   }
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -1,17 +1,16 @@
 #ifndef SKYLARKHILL_DISPATCH_PLACEMENT_HPP
 #define SKYLARKHILL_DISPATCH_PLACEMENT_HPP
 
-#include "sharing.hpp"
-#include "state.hpp"
-
 #include "skylarkhill/base/clock.hpp"
 
 #include <unordered_map>
 
+#include "sharing.hpp"
+#include "state.hpp"
+
 namespace skylarkhill::dispatch {
 
-using WorkerMap =
-  std::unordered_map<std::string, std::unique_ptr<WorkerState>>;
+using WorkerMap = std::unordered_map<std::string, std::unique_ptr<WorkerState>>;
 
 /// Failures of a worker count half after this time.
 inline constexpr base::Duration kFailureHalfLife = std::chrono::seconds(3);
--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/sharing.cpp
@@ -1,10 +1,10 @@
 #include "sharing.hpp"
 
-#include "state.hpp"
-
 #include <algorithm>
 #include <cmath>
 
+#include "state.hpp"
+
 namespace skylarkhill::dispatch {
 
 namespace {
@@ -87,10 +87,8 @@
                                          PressureOf(kUndisturbedRatio)));
     mModel.Record(report);
     for (const auto& [image, share] : shares) {
-      Cell(step.mImage, image) =
-        mModel.Estimate(report.mService,
-                        mNames[static_cast<std::size_t>(image)],
-                        aNow);
+      Cell(step.mImage, image) = mModel.Estimate(
+        report.mService, mNames[static_cast<std::size_t>(image)], aNow);
     }
   }
 }
@@ -100,8 +98,7 @@
 {
   const auto service = static_cast<std::size_t>(aServiceImage);
   const auto backfill = static_cast<std::size_t>(aBackfillImage);
-  if (service >= mEstimates.size() ||
-      backfill >= mEstimates[service].size()) {
+  if (service >= mEstimates.size() || backfill >= mEstimates[service].size()) {
     return 0.0;
   }
   return mEstimates[service][backfill] * aShare;
@@ -140,15 +137,13 @@
       rise += RiseBetween(aService, *it) * std::min(1.0, used);
     }
   }
-  const double observed =
-    std::clamp(PressureOf(TailRatioOf(aService)) - rise,
-               PressureOf(kLowestUndisturbedRatio),
-               PressureOf(kHighestUndisturbedRatio));
-  aService.mUndisturbed =
-    aService.mUndisturbed
-      ? *aService.mUndisturbed +
-          kSmoothing * (observed - *aService.mUndisturbed)
-      : observed;
+  const double observed = std::clamp(PressureOf(TailRatioOf(aService)) - rise,
+                                     PressureOf(kLowestUndisturbedRatio),
+                                     PressureOf(kHighestUndisturbedRatio));
+  aService.mUndisturbed = aService.mUndisturbed
+                            ? *aService.mUndisturbed +
+                                kSmoothing * (observed - *aService.mUndisturbed)
+                            : observed;
 }
 
 double&
@@ -184,11 +179,9 @@
 double
 BackfillShareOf(const RunState& aRun)
 {
-  return static_cast<double>(
-           aRun.mTask->mStep->mSpec->mNeed.mMilliProcessors) /
-         static_cast<double>(
-           std::max<std::int64_t>(
-             1, aRun.mWorker->mEntry.mCapacity.mMilliProcessors));
+  return static_cast<double>(aRun.mTask->mStep->mSpec->mNeed.mMilliProcessors) /
+         static_cast<double>(std::max<std::int64_t>(
+           1, aRun.mWorker->mEntry.mCapacity.mMilliProcessors));
 }
 
 } // namespace skylarkhill::dispatch
--- a/src/dispatch/sharing.hpp
+++ b/src/dispatch/sharing.hpp
@@ -43,7 +43,8 @@
 
   /// The pressure of `aBackfill` at full pace on `aService`, both on one
   /// worker.
-  Pressure RiseBetween(const RunState& aService, const RunState& aBackfill) const;
+  Pressure RiseBetween(const RunState& aService,
+                       const RunState& aBackfill) const;
 
   /// The pressure of all backfill beside `aService` at the paces that are
   /// wanted, also of runs that no report covers yet.
--- /dev/null
+++ b/src/dispatch/sharing_test.cpp
@@ -0,0 +1,263 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <list>
+
+#include "pacing.hpp"
+#include "placement.hpp"
+#include "sharing.hpp"
+#include "state.hpp"
+
+namespace skylarkhill::dispatch {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Steps and workers without a dispatcher around them.
+class Stage
+{
+public:
+  TaskState& AddTask(const jobs::Step& aSpec, int aImage)
+  {
+    mSpecs.push_back(aSpec);
+    mJobs.emplace_back();
+    mJobs.back().mSubmission.mPolicy.mService = "pool";
+    mSteps.emplace_back();
+    StepState& step = mSteps.back();
+    step.mJob = &mJobs.back();
+    step.mSpec = &mSpecs.back();
+    step.mImage = aImage;
+    mTasks.emplace_back();
+    mTasks.back().mStep = &step;
+    return mTasks.back();
+  }
+
+  WorkerState& AddWorker(const std::string& aId)
+  {
+    auto& worker = mWorkers[aId];
+    worker = std::make_unique<WorkerState>();
+    worker->mEntry.mId = aId;
+    worker->mEntry.mService = "pool";
+    worker->mEntry.mCapacity = { 16000, std::int64_t{ 1 } << 36, 0 };
+    worker->mIsKnown = true;
+    worker->mLastReportAt = mNow;
+    return *worker;
+  }
+
+  RunState& Run(TaskState& aTask, WorkerState& aWorker, std::int64_t aUsage)
+  {
+    mRuns.emplace_back();
+    RunState& run = mRuns.back();
+    run.mTask = &aTask;
+    run.mWorker = &aWorker;
+    run.mIsConfirmed = true;
+    run.mConfirmedAt = mNow - std::chrono::seconds(5);
+    run.mUsage = aUsage;
+    aWorker.mRuns.insert(&run);
+    const jobs::Step& step = *aTask.mStep->mSpec;
+    if (step.mIsBackfill) {
+      aWorker.mBackfillDemand += step.mNeed.mMilliProcessors;
+    } else {
+      aWorker.mUsed += step.mNeed;
+    }
+    return run;
+  }
+
+  WorkerState* Choose(const TaskState& aTask) const
+  {
+    return ChooseWorker(aTask, mWorkers, mModel, mNow);
+  }
+
+  base::TimePoint mNow = base::FromMicros(100'000'000);
+  SharingModel mModel;
+  WorkerMap mWorkers;
+
+private:
+  std::list<jobs::Step> mSpecs;
+  std::list<JobState> mJobs;
+  std::list<StepState> mSteps;
+  std::list<TaskState> mTasks;
+  std::list<RunState> mRuns;
+};
+
+jobs::Step
+ServiceStep()
+{
+  jobs::Step step;
+  step.mIsService = true;
+  step.mTailTargetMs = 100;
+  step.mNeed = { 3000, 1 << 20, 0 };
+  return step;
+}
+
+jobs::Step
+BackfillStep()
+{
+  jobs::Step step;
+  step.mIsBackfill = true;
+  step.mNeed = { 1600, 1 << 20, 0 };
+  return step;
+}
+
+} // namespace
+
+class SharingTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(SharingTest);
+  CPPUNIT_TEST(learns_which_images_disturb_each_other);
+  CPPUNIT_TEST(slows_down_only_the_backfill_that_disturbs);
+  CPPUNIT_TEST(places_disturbing_backfill_elsewhere);
+  CPPUNIT_TEST(counts_backfill_that_no_report_covers_yet);
+  CPPUNIT_TEST(groups_service_tasks_of_one_image);
+  CPPUNIT_TEST(avoids_a_worker_that_fails_what_it_starts);
+  CPPUNIT_TEST(moves_backfill_after_half_of_the_bound);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    mStage = std::make_unique<Stage>();
+    mSensitive = mStage->mModel.Intern("sensitive");
+    mTolerant = mStage->mModel.Intern("tolerant");
+    mLoud = mStage->mModel.Intern("loud");
+    mQuiet = mStage->mModel.Intern("quiet");
+  }
+
+  void learns_which_images_disturb_each_other()
+  {
+    Learn();
+    CPPUNIT_ASSERT(mStage->mModel.Rise(mSensitive, mLoud, 0.1) > 0.15);
+    CPPUNIT_ASSERT(mStage->mModel.Rise(mSensitive, mQuiet, 0.1) < 0.08);
+    CPPUNIT_ASSERT(mStage->mModel.Rise(mTolerant, mLoud, 0.1) < 0.08);
+  }
+
+  // Load pattern: batch tasks of many images beside one sensitive service.
+  // Guards against all of them paying for the one that disturbs.
+  void slows_down_only_the_backfill_that_disturbs()
+  {
+    Learn();
+    WorkerState& worker = mStage->AddWorker("w");
+    mStage->Run(mStage->AddTask(ServiceStep(), mSensitive), worker, 95);
+    RunState& loud =
+      mStage->Run(mStage->AddTask(BackfillStep(), mLoud), worker, 1600);
+    RunState& quiet =
+      mStage->Run(mStage->AddTask(BackfillStep(), mQuiet), worker, 1600);
+    AdjustPace(worker, mStage->mModel, std::chrono::seconds(4), mStage->mNow);
+    CPPUNIT_ASSERT(loud.mWantedPace < 100);
+    CPPUNIT_ASSERT_EQUAL(100, quiet.mWantedPace);
+  }
+
+  void places_disturbing_backfill_elsewhere()
+  {
+    Learn();
+    WorkerState& sensitive = mStage->AddWorker("a");
+    WorkerState& tolerant = mStage->AddWorker("b");
+    mStage->Run(mStage->AddTask(ServiceStep(), mSensitive), sensitive, 60);
+    mStage->Run(mStage->AddTask(ServiceStep(), mTolerant), tolerant, 60);
+    for (int n = 0; n < 3; ++n) {
+      mStage->Run(mStage->AddTask(BackfillStep(), mQuiet), tolerant, 1600);
+    }
+    CPPUNIT_ASSERT_EQUAL(
+      &tolerant, mStage->Choose(mStage->AddTask(BackfillStep(), mLoud)));
+  }
+
+  // Load pattern: a wide batch step that arrives at once. Guards against all
+  // its tasks being placed by the same outdated tail.
+  void counts_backfill_that_no_report_covers_yet()
+  {
+    Learn();
+    WorkerState& worker = mStage->AddWorker("w");
+    mStage->Run(mStage->AddTask(ServiceStep(), mSensitive), worker, 45);
+    int placed = 0;
+    while (placed < 6) {
+      TaskState& task = mStage->AddTask(BackfillStep(), mLoud);
+      if (mStage->Choose(task) == nullptr) {
+        break;
+      }
+      mStage->Run(task, worker, -1);
+      ++placed;
+    }
+    CPPUNIT_ASSERT(placed <= 2);
+  }
+
+  // Load pattern: standing services of several images that fill the pool.
+  void groups_service_tasks_of_one_image()
+  {
+    WorkerState& first = mStage->AddWorker("a");
+    WorkerState& second = mStage->AddWorker("b");
+    mStage->Run(mStage->AddTask(ServiceStep(), mSensitive), first, 50);
+    mStage->Run(mStage->AddTask(ServiceStep(), mSensitive), first, 50);
+    mStage->Run(mStage->AddTask(ServiceStep(), mTolerant), second, 50);
+    CPPUNIT_ASSERT_EQUAL(
+      &second, mStage->Choose(mStage->AddTask(ServiceStep(), mTolerant)));
+    CPPUNIT_ASSERT_EQUAL(
+      &first, mStage->Choose(mStage->AddTask(ServiceStep(), mSensitive)));
+  }
+
+  // Load pattern: a worker that fails all that it starts, and so is always
+  // the emptiest one.
+  void avoids_a_worker_that_fails_what_it_starts()
+  {
+    WorkerState& failing = mStage->AddWorker("a");
+    WorkerState& sound = mStage->AddWorker("b");
+    AddFailure(failing, 1.0, mStage->mNow);
+    for (int n = 0; n < 5; ++n) {
+      mStage->Run(mStage->AddTask(BackfillStep(), mQuiet), sound, 1600);
+    }
+    const TaskState& task = mStage->AddTask(BackfillStep(), mQuiet);
+    CPPUNIT_ASSERT_EQUAL(&sound, mStage->Choose(task));
+    mStage->mNow += std::chrono::seconds(10);
+    failing.mLastReportAt = mStage->mNow;
+    sound.mLastReportAt = mStage->mNow;
+    CPPUNIT_ASSERT_EQUAL(&failing, mStage->Choose(task));
+  }
+
+  // Guards against backfill that works on beside a service above its target
+  // because the model does not know that it is the cause.
+  void moves_backfill_after_half_of_the_bound()
+  {
+    WorkerState& worker = mStage->AddWorker("w");
+    mStage->Run(mStage->AddTask(ServiceStep(), mTolerant), worker, 120);
+    RunState& backfill =
+      mStage->Run(mStage->AddTask(BackfillStep(), mQuiet), worker, 1600);
+    const auto bound = std::chrono::seconds(4);
+    for (int n = 0; n < 6; ++n) {
+      AdjustPace(worker, mStage->mModel, bound, mStage->mNow);
+      mStage->mNow += milliseconds(300);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, backfill.mWantedPace);
+    mStage->mNow += milliseconds(1000);
+    AdjustPace(worker, mStage->mModel, bound, mStage->mNow);
+    CPPUNIT_ASSERT(backfill.mMustMove);
+  }
+
+private:
+  /// Shows the model a few seconds of reports: only one pair disturbs.
+  void Learn()
+  {
+    for (int n = 0; n < 40; ++n) {
+      for (const int service : { mSensitive, mTolerant }) {
+        for (const int image : { mLoud, mQuiet }) {
+          WorkerState& worker = mStage->AddWorker("teacher");
+          const bool isDisturbed = service == mSensitive && image == mLoud;
+          mStage->Run(mStage->AddTask(ServiceStep(), service),
+                      worker,
+                      isDisturbed ? 160 : 42);
+          mStage->Run(mStage->AddTask(BackfillStep(), image), worker, 1600);
+          mStage->mModel.Record(worker, mStage->mNow);
+        }
+      }
+    }
+    mStage->mWorkers.clear();
+  }
+
+  std::unique_ptr<Stage> mStage;
+  int mSensitive = 0;
+  int mTolerant = 0;
+  int mLoud = 0;
+  int mQuiet = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SharingTest);
+
+} // namespace skylarkhill::dispatch
--- a/src/http/call_loop.cpp
+++ b/src/http/call_loop.cpp
@@ -1,7 +1,5 @@
 #include "skylarkhill/http/call_loop.hpp"
 
-#include "library_request.hpp"
-
 #include <cxxtools/eventloop.h>
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/reply.h>
@@ -16,6 +14,8 @@
 #include <utility>
 #include <vector>
 
+#include "library_request.hpp"
+
 namespace skylarkhill::http {
 
 using base::ErrorKind;
@@ -118,9 +118,9 @@
       mResponse.mBody = std::move(mBody);
       mBody.clear();
       const char* connection = header.getHeader("Connection");
-      mMustClose = connection != nullptr &&
-                   std::string_view(connection).find("lose") !=
-                     std::string_view::npos;
+      mMustClose =
+        connection != nullptr &&
+        std::string_view(connection).find("lose") != std::string_view::npos;
       for (auto it = header.begin(); it != header.end(); ++it) {
         mResponse.mHeaders.push_back({ it->first, it->second });
       }
--- a/src/http/call_loop_test.cpp
+++ b/src/http/call_loop_test.cpp
@@ -1,5 +1,4 @@
 #include "skylarkhill/http/call_loop.hpp"
-
 #include "skylarkhill/http/server.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,7 +1,5 @@
 #include "skylarkhill/http/client.hpp"
 
-#include "library_request.hpp"
-
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/reply.h>
 #include <cxxtools/http/request.h>
@@ -13,6 +11,8 @@
 #include <string_view>
 #include <utility>
 
+#include "library_request.hpp"
+
 namespace skylarkhill::http {
 
 using base::ErrorKind;
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -33,8 +33,8 @@
                               std::int64_t,
                               bool,
                               int>;
-using PolicyFields = std::
-  tuple<std::string, std::string, int, int, double, std::int64_t, bool>;
+using PolicyFields =
+  std::tuple<std::string, std::string, int, int, double, std::int64_t, bool>;
 using SubmissionFields = std::tuple<std::string,
                                     PolicyFields,
                                     std::int64_t,
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -34,7 +34,8 @@
 {
   const auto key = ParseRecordKey(aKey);
   if (!key) {
-    LogMalformed(aKey, base::MakeError(base::ErrorKind::InvalidArgument, "key"));
+    LogMalformed(aKey,
+                 base::MakeError(base::ErrorKind::InvalidArgument, "key"));
     return std::nullopt;
   }
   if (aValue.empty()) {
--- /dev/null
+++ b/src/jobs/jobs_test.cpp
@@ -0,0 +1,164 @@
+#include "skylarkhill/jobs/job_codec.hpp"
+#include "skylarkhill/jobs/job_table.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace skylarkhill::jobs {
+
+namespace {
+
+Submission
+MakeSubmission(const std::string& aId)
+{
+  Submission submission;
+  submission.mId = aId;
+  submission.mPolicy.mQueue = "queue";
+  submission.mPolicy.mService = "pool";
+  submission.mPolicy.mSlackFactor = 1.5;
+  submission.mAcceptedMs = 1234;
+  submission.mRequest.mPayload = std::string("\0\xff text", 7);
+  Step step;
+  step.mCount = 4;
+  step.mNeed = { 1500, 1 << 20, 2 };
+  step.mDependsOn = {};
+  step.mImage = "image";
+  step.mIsBackfill = true;
+  step.mMaxUnavailable = 2;
+  submission.mRequest.mSteps.push_back(step);
+  step.mDependsOn = { 0 };
+  submission.mRequest.mSteps.push_back(step);
+  return submission;
+}
+
+std::string
+SubmissionKey(const std::string& aId)
+{
+  return FormatRecordKey(RecordKind::Submission, aId);
+}
+
+std::string
+ProgressValue(JobState aState)
+{
+  JobProgress progress;
+  progress.mState = aState;
+  return EncodeProgress(progress);
+}
+
+} // namespace
+
+class JobsTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(JobsTest);
+  CPPUNIT_TEST(keeps_a_submission_through_the_codec);
+  CPPUNIT_TEST(keeps_progress_through_the_codec);
+  CPPUNIT_TEST(refuses_bytes_that_are_no_record);
+  CPPUNIT_TEST(stays_one_job_when_submitted_twice);
+  CPPUNIT_TEST(ignores_progress_that_is_older);
+  CPPUNIT_TEST(cancels_a_job_whose_submission_arrives_later);
+  CPPUNIT_TEST(counts_pending_jobs_of_a_queue);
+  CPPUNIT_TEST(keeps_the_final_state_against_a_late_cancellation);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void keeps_a_submission_through_the_codec()
+  {
+    const Submission before = MakeSubmission("a");
+    const auto after = DecodeSubmission(EncodeSubmission(before));
+    CPPUNIT_ASSERT(after);
+    CPPUNIT_ASSERT_EQUAL(before.mRequest.mPayload,
+                         after.value().mRequest.mPayload);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 },
+                         after.value().mRequest.mSteps.size());
+    const Step& step = after.value().mRequest.mSteps[1];
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, step.mDependsOn.size());
+    CPPUNIT_ASSERT(step.mNeed == before.mRequest.mSteps[1].mNeed);
+    CPPUNIT_ASSERT(step.mIsBackfill);
+    CPPUNIT_ASSERT_EQUAL(2, step.mMaxUnavailable);
+    CPPUNIT_ASSERT_EQUAL(1.5, after.value().mPolicy.mSlackFactor);
+  }
+
+  void keeps_progress_through_the_codec()
+  {
+    JobProgress before;
+    before.mState = JobState::Running;
+    before.mIsReleased = true;
+    before.mSteps.push_back({ 2, 1, { { 3, false, { 1, 4 }, 5, "point" } } });
+    const auto after = DecodeProgress(EncodeProgress(before));
+    CPPUNIT_ASSERT(after);
+    CPPUNIT_ASSERT(after.value().mIsReleased);
+    const TaskProgress& task = after.value().mSteps.front().mTasks.front();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, task.mFailedRuns.size());
+    CPPUNIT_ASSERT_EQUAL(5, task.mLastRun);
+    CPPUNIT_ASSERT_EQUAL(std::string("point"), task.mCheckpoint);
+  }
+
+  void refuses_bytes_that_are_no_record()
+  {
+    CPPUNIT_ASSERT(!DecodeSubmission("garbage"));
+    CPPUNIT_ASSERT(!DecodeProgress(""));
+    CPPUNIT_ASSERT(!DecodeProgress(EncodeSubmission(MakeSubmission("a"))));
+    CPPUNIT_ASSERT(!ParseRecordKey("x/a"));
+    CPPUNIT_ASSERT(!ParseRecordKey("s"));
+  }
+
+  void stays_one_job_when_submitted_twice()
+  {
+    JobTable table;
+    Submission second = MakeSubmission("a");
+    second.mAcceptedMs = 9999;
+    table.Apply(SubmissionKey("a"), EncodeSubmission(MakeSubmission("a")), 1);
+    table.Apply(SubmissionKey("a"), EncodeSubmission(second), 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, table.Size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1234 },
+                         table.Find("a")->mSubmission->mAcceptedMs);
+  }
+
+  // Guards against a completed job that is shown as running again when the
+  // leader reads its own older records.
+  void ignores_progress_that_is_older()
+  {
+    JobTable table;
+    table.Apply(SubmissionKey("a"), EncodeSubmission(MakeSubmission("a")), 1);
+    const std::string key = FormatRecordKey(RecordKind::Progress, "a");
+    table.Apply(key, ProgressValue(JobState::Completed), 7);
+    table.Apply(key, ProgressValue(JobState::Running), 5);
+    CPPUNIT_ASSERT(table.StateOf("a") == JobState::Completed);
+  }
+
+  void cancels_a_job_whose_submission_arrives_later()
+  {
+    JobTable table;
+    table.Apply(FormatRecordKey(RecordKind::Cancellation, "a"), "1", 1);
+    CPPUNIT_ASSERT(!table.StateOf("a"));
+    table.Apply(SubmissionKey("a"), EncodeSubmission(MakeSubmission("a")), 2);
+    CPPUNIT_ASSERT(table.StateOf("a") == JobState::Cancelled);
+  }
+
+  void counts_pending_jobs_of_a_queue()
+  {
+    JobTable table;
+    for (const char* id : { "a", "b", "c" }) {
+      table.Apply(SubmissionKey(id), EncodeSubmission(MakeSubmission(id)), 1);
+    }
+    table.Apply(FormatRecordKey(RecordKind::Progress, "b"),
+                ProgressValue(JobState::Running),
+                2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, table.CountPending("queue"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, table.CountPending("other"));
+  }
+
+  void keeps_the_final_state_against_a_late_cancellation()
+  {
+    JobTable table;
+    table.Apply(SubmissionKey("a"), EncodeSubmission(MakeSubmission("a")), 1);
+    table.Apply(FormatRecordKey(RecordKind::Progress, "a"),
+                ProgressValue(JobState::Completed),
+                2);
+    table.Apply(FormatRecordKey(RecordKind::Cancellation, "a"), "1", 3);
+    CPPUNIT_ASSERT(table.StateOf("a") == JobState::Completed);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JobsTest);
+
+} // namespace skylarkhill::jobs
--- /dev/null
+++ b/src/node/fake_shared_log_test.hpp
@@ -0,0 +1,137 @@
+#ifndef SKYLARKHILL_NODE_FAKE_SHARED_LOG_TEST_HPP
+#define SKYLARKHILL_NODE_FAKE_SHARED_LOG_TEST_HPP
+
+#include "skylarkhill/node/shared_log.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace skylarkhill::node {
+
+/// The streams of a log in memory.
+struct FakeLogState
+{
+  std::map<std::string, std::vector<LogRecord>> mStreams;
+  std::map<std::string, std::int64_t> mEpochs;
+};
+
+/// One node's access to the log. Answers are delivered by Deliver.
+class FakeSharedLog
+  : public SharedLog
+  , public BlockingLog
+{
+public:
+  explicit FakeSharedLog(FakeLogState& aState)
+    : mState(aState)
+  {
+  }
+
+  AppendResult Append(const AppendRequest& aRequest, base::TimePoint) override
+  {
+    if (mIsCutOff) {
+      return {};
+    }
+    const AppendResult result = Apply(aRequest);
+    return mLosesAnswers ? AppendResult{} : result;
+  }
+
+  ReadResult Read(const LogStream& aStream,
+                  std::int64_t aFrom,
+                  base::TimePoint) override
+  {
+    ReadResult result;
+    if (mIsCutOff) {
+      return result;
+    }
+    const auto& records = mState.mStreams[aStream.mTopic];
+    result.mOutcome = LogOutcome::Done;
+    result.mNext = aFrom;
+    for (auto n = static_cast<std::size_t>(aFrom); n < records.size(); ++n) {
+      result.mRecords.push_back(records[n]);
+      ++result.mNext;
+    }
+    return result;
+  }
+
+  void Append(const AppendRequest& aRequest,
+              base::TimePoint aDeadline,
+              std::function<void(AppendResult)> aHandler) override
+  {
+    const AppendResult result = Append(aRequest, aDeadline);
+    mAnswers.emplace_back([aHandler, result] { aHandler(result); });
+  }
+
+  void Read(const LogStream& aStream,
+            std::int64_t aFrom,
+            base::Duration,
+            std::function<void(ReadResult)> aHandler) override
+  {
+    const ReadResult result = Read(aStream, aFrom, base::TimePoint{});
+    mAnswers.emplace_back([aHandler, result] { aHandler(result); });
+  }
+
+  void ReadNewest(const LogStream& aStream,
+                  std::function<void(ReadResult)> aHandler) override
+  {
+    ReadResult result = Read(aStream, 0, base::TimePoint{});
+    std::map<std::string, LogRecord> newest;
+    for (const auto& it : result.mRecords) {
+      newest[it.mKey] = it;
+    }
+    result.mRecords.clear();
+    for (const auto& [key, record] : newest) {
+      result.mRecords.push_back(record);
+    }
+    mAnswers.emplace_back([aHandler, result] { aHandler(result); });
+  }
+
+  void Deliver()
+  {
+    auto answers = std::move(mAnswers);
+    mAnswers.clear();
+    for (const auto& it : answers) {
+      it();
+    }
+  }
+
+  bool mIsCutOff = false;
+  /// Appends take effect, but nobody hears of it.
+  bool mLosesAnswers = false;
+
+private:
+  AppendResult Apply(const AppendRequest& aRequest)
+  {
+    auto& records = mState.mStreams[aRequest.mStream.mTopic];
+    AppendResult result;
+    result.mEnd = static_cast<std::int64_t>(records.size());
+    if (aRequest.mExpectedEnd && *aRequest.mExpectedEnd != result.mEnd) {
+      result.mOutcome = LogOutcome::EndMoved;
+      return result;
+    }
+    if (aRequest.mStamp) {
+      auto& epoch = mState.mEpochs[aRequest.mStream.mTopic];
+      if (aRequest.mStamp->mEpoch < epoch) {
+        result.mOutcome = LogOutcome::Fenced;
+        return result;
+      }
+      epoch = aRequest.mStamp->mEpoch;
+    }
+    result.mOutcome = LogOutcome::Done;
+    result.mOffset = result.mEnd;
+    for (auto it : aRequest.mRecords) {
+      it.mOffset = result.mEnd++;
+      records.push_back(it);
+    }
+    return result;
+  }
+
+  FakeLogState& mState;
+  std::deque<std::function<void()>> mAnswers;
+};
+
+} // namespace skylarkhill::node
+
+#endif // SKYLARKHILL_NODE_FAKE_SHARED_LOG_TEST_HPP
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -197,10 +197,9 @@
     // Without an unanswered try the caller may be told at once that nothing
     // was stored.
   } while (mayBeStored && mClock.Now() + kAppendTry < until);
-  return mayBeStored ? MakeError(ErrorKind::OutcomeUnknown,
-                                 "the log has not answered")
-                     : MakeError(ErrorKind::LogUnavailable,
-                                 "the log refuses calls");
+  return mayBeStored
+           ? MakeError(ErrorKind::OutcomeUnknown, "the log has not answered")
+           : MakeError(ErrorKind::LogUnavailable, "the log refuses calls");
 }
 
 base::Result<void>
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -145,10 +145,10 @@
   }
   auto record = DecodeLeaderRecord(aRecord.mValue);
   if (!record) {
-    logging::Write(logging::Level::Warning,
-                   "leader_record_skipped",
-                   { { "offset", aRecord.mOffset },
-                     { "problem", record.error().mDetail } });
+    logging::Write(
+      logging::Level::Warning,
+      "leader_record_skipped",
+      { { "offset", aRecord.mOffset }, { "problem", record.error().mDetail } });
     return;
   }
   const LeaderRecord& newest = record.value();
@@ -174,8 +174,7 @@
     mEarlierAuthorityEnd = mNewestAt + kAuthority;
   }
   // A claim without an answer may have taken effect late.
-  if (isOurs && isNewTerm && !mLedEpoch && !newest.mIsResigned &&
-      !mIsRetired) {
+  if (isOurs && isNewTerm && !mLedEpoch && !newest.mIsResigned && !mIsRetired) {
     BecomeLeader(newest.mEpoch, mClaimSentAt);
   }
 }
@@ -192,8 +191,7 @@
     return aNow >= std::max(mNewestAt, mTail.SteadySince()) + delay;
   }
   // Silence counts only while the stream could be read.
-  return aNow >=
-         std::max(mNewestAt, mTail.SteadySince()) + kSilence + delay;
+  return aNow >= std::max(mNewestAt, mTail.SteadySince()) + kSilence + delay;
 }
 
 void
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -81,23 +81,22 @@
                        [this](const LogRecord& it) { OnConfiguration(it); });
        },
         [this](const LogRecord& aRecord) { OnConfiguration(aRecord); } })
-  , mWorkerTail(aLog,
-                aClock,
-                mOptions.mStreams.mWorkers,
-                { [this](const std::vector<LogRecord>& aRecords) {
-                   OnWorkers(aRecords);
-                 },
-                  [this](const LogRecord& aRecord) { OnWorker(aRecord); } })
-  , mJournalTail(
+  , mWorkerTail(
       aLog,
       aClock,
-      mOptions.mStreams.mJournal,
-      { [this](const std::vector<LogRecord>& aRecords) {
-         std::for_each(aRecords.begin(),
-                       aRecords.end(),
-                       [this](const LogRecord& it) { OnJournal(it); });
-       },
-        [this](const LogRecord& aRecord) { OnJournal(aRecord); } })
+      mOptions.mStreams.mWorkers,
+      { [this](const std::vector<LogRecord>& aRecords) { OnWorkers(aRecords); },
+        [this](const LogRecord& aRecord) { OnWorker(aRecord); } })
+  , mJournalTail(aLog,
+                 aClock,
+                 mOptions.mStreams.mJournal,
+                 { [this](const std::vector<LogRecord>& aRecords) {
+                    std::for_each(
+                      aRecords.begin(),
+                      aRecords.end(),
+                      [this](const LogRecord& it) { OnJournal(it); });
+                  },
+                   [this](const LogRecord& aRecord) { OnJournal(aRecord); } })
   , mService(mJobs,
              aBlockingLog,
              mOptions.mStreams.mJournal,
@@ -349,25 +348,24 @@
   AppendRequest request;
   request.mStream = mOptions.mStreams.mJournal;
   request.mStamp = WriterStamp{ std::string(kWriter), mEpoch, 0 };
-  mLog.Append(
-    request,
-    now + kFlushTimeout,
-    [this, epoch = mEpoch](const AppendResult& aResult) {
-      if (epoch != mEpoch) {
-        return;
-      }
-      mIsFlushInFlight = false;
-      mNextFlushAt = mClock.Now() + kFlushRetryPause;
-      if (aResult.mOutcome == LogOutcome::Done) {
-        mIsJournalFenced = true;
-        mJournalFencedAt = mClock.Now();
-        mNextFlushAt = mJournalFencedAt;
-        mJournalTail.Hurry();
-      } else if (aResult.mOutcome == LogOutcome::Fenced) {
-        EndTerm();
-        mLeadership.StepDown();
-      }
-    });
+  mLog.Append(request,
+              now + kFlushTimeout,
+              [this, epoch = mEpoch](const AppendResult& aResult) {
+                if (epoch != mEpoch) {
+                  return;
+                }
+                mIsFlushInFlight = false;
+                mNextFlushAt = mClock.Now() + kFlushRetryPause;
+                if (aResult.mOutcome == LogOutcome::Done) {
+                  mIsJournalFenced = true;
+                  mJournalFencedAt = mClock.Now();
+                  mNextFlushAt = mJournalFencedAt;
+                  mJournalTail.Hurry();
+                } else if (aResult.mOutcome == LogOutcome::Fenced) {
+                  EndTerm();
+                  mLeadership.StepDown();
+                }
+              });
 }
 
 void
@@ -378,8 +376,8 @@
   term.mEpoch = mEpoch;
   term.mEarlierLeasesEnd =
     mLeadership.EarlierAuthorityEnd() + std::chrono::milliseconds(700);
-  mDispatcher = dispatch::CreateDispatcher(
-    mOptions.mLimits, term, mCalls, mMetrics);
+  mDispatcher =
+    dispatch::CreateDispatcher(mOptions.mLimits, term, mCalls, mMetrics);
   mCalls.Attach(mEpoch, *mDispatcher);
   mDispatcher->SetAuthority(mLeadership.ConfirmedAt(),
                             mLeadership.ConfirmedAt() + kAuthority);
@@ -467,10 +465,10 @@
           break;
         case LogOutcome::Fenced:
         case LogOutcome::OutOfSequence:
-          logging::Write(logging::Level::Warning,
-                         "journal_append_refused",
-                         { { "epoch", mEpoch },
-                           { "outcome", NameOf(aResult.mOutcome) } });
+          logging::Write(
+            logging::Level::Warning,
+            "journal_append_refused",
+            { { "epoch", mEpoch }, { "outcome", NameOf(aResult.mOutcome) } });
           EndTerm();
           mLeadership.StepDown();
           break;
--- a/src/node/route_table.cpp
+++ b/src/node/route_table.cpp
@@ -33,7 +33,8 @@
   }
   for (const Route& it : found->second) {
     if (aPath.substr(0, it.mPathPrefix.size()) == it.mPathPrefix) {
-      return RouteMatch{ &it, std::string(aPath.substr(it.mPathPrefix.size())) };
+      return RouteMatch{ &it,
+                         std::string(aPath.substr(it.mPathPrefix.size())) };
     }
   }
   return std::nullopt;
--- a/src/node/stream_tail.cpp
+++ b/src/node/stream_tail.cpp
@@ -108,10 +108,10 @@
 StreamTail::OnSuccess(base::TimePoint aSentAt)
 {
   if (mFailures > 0) {
-    logging::Write(logging::Level::Info,
-                   "stream_reachable",
-                   { { "stream", mStream.mTopic },
-                     { "failed_reads", mFailures } });
+    logging::Write(
+      logging::Level::Info,
+      "stream_reachable",
+      { { "stream", mStream.mTopic }, { "failed_reads", mFailures } });
   }
   mFailures = 0;
   mFreshAt = aSentAt;
