Hand what was learned about images to the next leader; set the pace of adopted runs

Cause: each change of the leader (seven on a rolling restart) began with a round of harm, because the successor learned the same pairs of images again; backfill that the predecessor had slowed down stayed slow.

--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -88,6 +89,12 @@
   /// The batch is durable, so that the ends in it may be acknowledged.
   virtual void OnDurable(std::uint64_t aBatch, base::TimePoint aNow) = 0;
 
+  /// What has been learned about images that share workers, for a successor.
+  virtual std::string ExportModel() const = 0;
+  /// Takes over what ExportModel of an earlier leader has returned. Other
+  /// bytes are skipped with a log line.
+  virtual void ImportModel(std::string_view aBytes, base::TimePoint aNow) = 0;
+
   /// True once a worker has refused an order of this term.
   virtual bool IsFenced() const = 0;
 };
--- a/include/skylarkhill/jobs/job_codec.hpp
+++ b/include/skylarkhill/jobs/job_codec.hpp
@@ -16,6 +16,8 @@
   Submission,
   Cancellation,
   Progress,
+  /// What a leader has learned about images; not about one job.
+  Model,
 };
 
 /// The key of a journal record.
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -154,6 +154,9 @@
   base::TimePoint mBatchSentAt;
   std::unique_ptr<dispatch::Dispatcher> mDispatcher;
   base::TimePoint mNextCleanupAt;
+  /// The newest model record of the journal.
+  std::string mModelRecord;
+  base::TimePoint mNextModelAt;
 };
 
 } // namespace skylarkhill::node
--- a/include/skylarkhill/policy/interference.hpp
+++ b/include/skylarkhill/policy/interference.hpp
@@ -34,6 +34,12 @@
   /// Learns from one report.
   void Record(const InterferenceReport& aReport);
 
+  /// Starts from an estimate that was made elsewhere.
+  void SetEstimate(const std::string& aService,
+                   const std::string& aBatchClass,
+                   double aPercentPerTask,
+                   base::TimePoint aNow);
+
   /// Expected slowdown, in percent points above an undisturbed worker, that
   /// one task of `aBatchClass` adds to `aService` at `aNow`.
   double Estimate(const std::string& aService,
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -57,6 +57,7 @@
 /// if it saves its progress or has done less than this part of its work.
 constexpr Duration kSlowedGrace = std::chrono::milliseconds(700);
 constexpr int kMovablePercent = 15;
+constexpr int kUnknownPace = -1;
 
 /// A copy of a task is started once its run takes this many times its estimate.
 constexpr double kDuplicateAfter = 1.6;
@@ -435,6 +436,18 @@
     }
   }
 
+  std::string ExportModel() const override { return mSharing.Export(); }
+
+  void ImportModel(std::string_view aBytes, TimePoint aNow) override
+  {
+    const auto imported = mSharing.Import(aBytes, aNow);
+    if (!imported) {
+      logging::Write(logging::Level::Warning,
+                     "model_record_skipped",
+                     { { "problem", imported.error().mDetail } });
+    }
+  }
+
   bool IsFenced() const override { return mIsFenced; }
 
 private:
@@ -1013,6 +1026,8 @@
     const bool isSecond = HasLiveRun(*aTask);
     RunState& run = AddRun(*aTask, aWorker, aRun.mRun, aNow);
     run.mCallsSent = 1;
+    // The earlier leader may have slowed it down.
+    run.mPace = kUnknownPace;
     aTask->mMayRunUnseen = false;
     if (isSecond && !aTask->mStep->mSpec->mMayDuplicate) {
       StopRun(run);
--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/sharing.cpp
@@ -1,7 +1,11 @@
 #include "sharing.hpp"
 
+#include <msgpack.hpp>
+
 #include <algorithm>
 #include <cmath>
+#include <exception>
+#include <tuple>
 
 #include "state.hpp"
 
@@ -29,6 +33,9 @@
 
 constexpr double kPercent = 100.0;
 
+/// Service image, backfill image, estimate.
+using EstimateFields = std::tuple<std::string, std::string, double>;
+
 } // namespace
 
 Pressure
@@ -125,6 +132,40 @@
   return rise;
 }
 
+std::string
+SharingModel::Export() const
+{
+  std::vector<EstimateFields> rows;
+  for (std::size_t service = 0; service < mEstimates.size(); ++service) {
+    for (std::size_t image = 0; image < mEstimates[service].size(); ++image) {
+      if (mEstimates[service][image] > 0.0) {
+        rows.emplace_back(
+          mNames[service], mNames[image], mEstimates[service][image]);
+      }
+    }
+  }
+  msgpack::sbuffer buf;
+  msgpack::pack(buf, rows);
+  return { buf.data(), buf.size() };
+}
+
+base::Result<void>
+SharingModel::Import(std::string_view aBytes, base::TimePoint aNow)
+{
+  std::vector<EstimateFields> rows;
+  try {
+    const auto handle = msgpack::unpack(aBytes.data(), aBytes.size());
+    rows = handle.get().as<std::vector<EstimateFields>>();
+  } catch (const std::exception& e) {
+    return base::MakeError(base::ErrorKind::InvalidArgument, e.what());
+  }
+  for (const auto& [service, image, estimate] : rows) {
+    mModel.SetEstimate(service, image, estimate, aNow);
+    Cell(Intern(service), Intern(image)) = estimate;
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 void
 SharingModel::RecordUndisturbed(RunState& aService) const
 {
--- a/src/dispatch/sharing.hpp
+++ b/src/dispatch/sharing.hpp
@@ -2,9 +2,11 @@
 #define SKYLARKHILL_DISPATCH_SHARING_HPP
 
 #include "skylarkhill/base/clock.hpp"
+#include "skylarkhill/base/error.hpp"
 #include "skylarkhill/policy/interference.hpp"
 
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -50,6 +52,12 @@
   /// wanted, also of runs that no report covers yet.
   Pressure ExpectedRise(const RunState& aService) const;
 
+  /// The estimates, for another process.
+  std::string Export() const;
+  /// Starts from the estimates of Export. InvalidArgument if the bytes are not
+  /// those of Export.
+  base::Result<void> Import(std::string_view aBytes, base::TimePoint aNow);
+
 private:
   void RecordUndisturbed(RunState& aService) const;
   double& Cell(int aServiceImage, int aBackfillImage);
--- a/src/dispatch/sharing_test.cpp
+++ b/src/dispatch/sharing_test.cpp
@@ -111,6 +111,7 @@
   CPPUNIT_TEST(groups_service_tasks_of_one_image);
   CPPUNIT_TEST(avoids_a_worker_that_fails_what_it_starts);
   CPPUNIT_TEST(moves_backfill_after_half_of_the_bound);
+  CPPUNIT_TEST(HandsItsEstimatesOver);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -231,6 +232,22 @@
     CPPUNIT_ASSERT(backfill.mMustMove);
   }
 
+  // Load pattern: a change of the leader under full load. Guards against a
+  // second round of harm while the successor learns the same pairs again.
+  void HandsItsEstimatesOver()
+  {
+    Learn();
+    SharingModel successor;
+    // The numbers of the images differ between processes.
+    const int loud = successor.Intern("loud");
+    const int sensitive = successor.Intern("sensitive");
+    CPPUNIT_ASSERT(successor.Import(mStage->mModel.Export(), mStage->mNow));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(mStage->mModel.Rise(mSensitive, mLoud, 0.1),
+                                 successor.Rise(sensitive, loud, 0.1),
+                                 1e-9);
+    CPPUNIT_ASSERT(!successor.Import("garbage", mStage->mNow));
+  }
+
 private:
   /// Shows the model a few seconds of reports: only one pair disturbs.
   void Learn()
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -15,6 +15,7 @@
 constexpr char kSubmissionPrefix = 's';
 constexpr char kCancellationPrefix = 'c';
 constexpr char kProgressPrefix = 'p';
+constexpr char kModelPrefix = 'm';
 
 using ResourceFields = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
 using StepFields = std::tuple<int,
@@ -131,6 +132,9 @@
     case RecordKind::Progress:
       prefix = kProgressPrefix;
       break;
+    case RecordKind::Model:
+      prefix = kModelPrefix;
+      break;
   }
   std::string key{ prefix, '/' };
   key.append(aJobId);
@@ -155,6 +159,9 @@
     case kProgressPrefix:
       key.mKind = RecordKind::Progress;
       return key;
+    case kModelPrefix:
+      key.mKind = RecordKind::Model;
+      return key;
     default:
       return std::nullopt;
   }
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -38,6 +38,9 @@
                  base::MakeError(base::ErrorKind::InvalidArgument, "key"));
     return std::nullopt;
   }
+  if (key->mKind == RecordKind::Model) {
+    return std::nullopt;
+  }
   if (aValue.empty()) {
     if (key->mKind == RecordKind::Submission) {
       Erase(key->mJobId);
@@ -86,6 +89,8 @@
       job.mProgressOffset = aOffset;
       return change;
     }
+    case RecordKind::Model:
+      break;
   }
   return std::nullopt;
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -25,6 +25,9 @@
 
 /// Least time between two batches of progress records.
 constexpr Duration kFlushInterval = std::chrono::milliseconds(20);
+/// Pause between two records of what has been learned about images.
+constexpr Duration kModelInterval = std::chrono::seconds(2);
+constexpr std::string_view kModelId = "images";
 constexpr Duration kFlushTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kFlushRetryPause = std::chrono::milliseconds(150);
 
@@ -250,10 +253,13 @@
 Node::OnJournal(const LogRecord& aRecord)
 {
   mJobs.Apply(aRecord.mKey, aRecord.mValue, aRecord.mOffset);
+  const auto key = jobs::ParseRecordKey(aRecord.mKey);
+  if (key && key->mKind == jobs::RecordKind::Model) {
+    mModelRecord = aRecord.mValue;
+  }
   if (mDispatcher == nullptr) {
     return;
   }
-  const auto key = jobs::ParseRecordKey(aRecord.mKey);
   if (!key || aRecord.mValue.empty()) {
     return;
   }
@@ -270,6 +276,7 @@
       mDispatcher->CancelJob(key->mJobId, now);
       break;
     case jobs::RecordKind::Progress:
+    case jobs::RecordKind::Model:
       break;
   }
 }
@@ -381,6 +388,9 @@
   mCalls.Attach(mEpoch, *mDispatcher);
   mDispatcher->SetAuthority(mLeadership.ConfirmedAt(),
                             mLeadership.ConfirmedAt() + kAuthority);
+  if (!mModelRecord.empty()) {
+    mDispatcher->ImportModel(mModelRecord, now);
+  }
   for (auto it = mWorkers.begin(); it != mWorkers.end();) {
     const KnownWorker& worker = it->second;
     if (!worker.mIsListed && worker.mUnlistedAt + kUnlistedMemory < now) {
@@ -434,6 +444,13 @@
         jobs::EncodeProgress(progress),
         0 });
   }
+  if (now >= mNextModelAt) {
+    mNextModelAt = now + kModelInterval;
+    mBatchRequest.mRecords.push_back(
+      { jobs::FormatRecordKey(jobs::RecordKind::Model, kModelId),
+        mDispatcher->ExportModel(),
+        0 });
+  }
   mBatchRequest.mStamp =
     WriterStamp{ std::string(kWriter), mEpoch, ++mSequence };
   mBatchSentAt = now;
--- a/src/policy/interference.cpp
+++ b/src/policy/interference.cpp
@@ -36,6 +36,17 @@
   return it == mPairs.end() ? kPriorPercentPerTask : Decayed(it->second, aNow);
 }
 
+void
+InterferenceModel::SetEstimate(const std::string& aService,
+                               const std::string& aBatchClass,
+                               double aPercentPerTask,
+                               base::TimePoint aNow)
+{
+  mPairs[{ aService, aBatchClass }] = {
+    std::clamp(aPercentPerTask, 0.0, kMaxPercentPerTask), aNow
+  };
+}
+
 // Normalised least mean squares: the error of the prediction is divided among
 // the classes present in proportion to their task counts, because a report
 // shows only the sum of their effects.
