--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -50,29 +50,30 @@
 class DispatcherTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(DispatcherTest);
-  CPPUNIT_TEST(runs_the_steps_of_a_job_in_order);
-  CPPUNIT_TEST(releases_a_job_durably_before_its_first_start);
-  CPPUNIT_TEST(acknowledges_success_only_when_it_is_durable);
-  CPPUNIT_TEST(fails_a_job_at_its_limit_of_attempts);
-  CPPUNIT_TEST(counts_failures_that_are_reported_out_of_order);
-  CPPUNIT_TEST(starts_a_service_task_again_however_it_ends);
-  CPPUNIT_TEST(stops_the_runs_of_a_cancelled_job);
-  CPPUNIT_TEST(never_exceeds_the_capacity_of_a_worker);
-  CPPUNIT_TEST(starts_elsewhere_when_the_lease_of_a_silent_worker_has_ended);
-  CPPUNIT_TEST(starts_again_at_once_when_a_worker_was_restarted);
-  CPPUNIT_TEST(waits_for_workers_that_have_not_answered_a_new_leader);
-  CPPUNIT_TEST(keeps_an_adopted_run_for_a_whole_lease);
-  CPPUNIT_TEST(gives_up_no_run_while_its_leadership_is_not_confirmed);
-  CPPUNIT_TEST(stops_when_a_worker_has_seen_a_successor);
-  CPPUNIT_TEST(starts_new_jobs_of_a_successor_without_waiting);
-  CPPUNIT_TEST(puts_jobs_that_are_late_behind_those_that_can_be_in_time);
-  CPPUNIT_TEST(leaves_a_draining_worker);
-  CPPUNIT_TEST(stops_backfill_before_the_bound_of_harm);
-  CPPUNIT_TEST(runs_no_task_twice_under_random_cuts_and_takeovers);
+  CPPUNIT_TEST(RunsTheStepsOfAJobInOrder);
+  CPPUNIT_TEST(ReleasesAJobDurablyBeforeItsFirstStart);
+  CPPUNIT_TEST(AcknowledgesSuccessOnlyWhenItIsDurable);
+  CPPUNIT_TEST(FailsAJobAtItsLimitOfAttempts);
+  CPPUNIT_TEST(CountsFailuresThatAreReportedOutOfOrder);
+  CPPUNIT_TEST(StartsAServiceTaskAgainHoweverItEnds);
+  CPPUNIT_TEST(StopsTheRunsOfACancelledJob);
+  CPPUNIT_TEST(NeverExceedsTheCapacityOfAWorker);
+  CPPUNIT_TEST(StartsElsewhereWhenTheLeaseOfASilentWorkerHasEnded);
+  CPPUNIT_TEST(StartsAgainAtOnceWhenAWorkerWasRestarted);
+  CPPUNIT_TEST(WaitsForWorkersThatHaveNotAnsweredANewLeader);
+  CPPUNIT_TEST(KeepsAnAdoptedRunForAWholeLease);
+  CPPUNIT_TEST(GivesUpNoRunWhileItsLeadershipIsNotConfirmed);
+  CPPUNIT_TEST(StopsWhenAWorkerHasSeenASuccessor);
+  CPPUNIT_TEST(StartsNewJobsOfASuccessorWithoutWaiting);
+  CPPUNIT_TEST(PutsJobsThatAreLateBehindThoseThatCanBeInTime);
+  CPPUNIT_TEST(LeavesADrainingWorker);
+  CPPUNIT_TEST(StopsBackfillBeforeTheBoundOfHarm);
+  CPPUNIT_TEST(SetsThePaceOfAdoptedBackfill);
+  CPPUNIT_TEST(RunsNoTaskTwiceUnderRandomCutsAndTakeovers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void runs_the_steps_of_a_job_in_order()
+  void RunsTheStepsOfAJobInOrder()
   {
     FakeSite site;
     site.AddWorker("w1");
@@ -88,7 +89,7 @@
   }
 
   // Guards against starts that a successor does not know to look for.
-  void releases_a_job_durably_before_its_first_start()
+  void ReleasesAJobDurablyBeforeItsFirstStart()
   {
     FakeSite site;
     site.AddWorker("w1");
@@ -105,7 +106,7 @@
 
   // Guards against a success that is forgotten by the worker and lost with the
   // leader.
-  void acknowledges_success_only_when_it_is_durable()
+  void AcknowledgesSuccessOnlyWhenItIsDurable()
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
@@ -121,7 +122,7 @@
     CPPUNIT_ASSERT(worker.mEnds.empty());
   }
 
-  void fails_a_job_at_its_limit_of_attempts()
+  void FailsAJobAtItsLimitOfAttempts()
   {
     FakeSite site;
     site.AddWorker("w1");
@@ -136,7 +137,7 @@
 
   // Guards against a start beyond the limit: a new leader hears of the third
   // failure before the first two.
-  void counts_failures_that_are_reported_out_of_order()
+  void CountsFailuresThatAreReportedOutOfOrder()
   {
     FakeSite site;
     const TaskId task{ "a", 0, 0, 0 };
@@ -155,7 +156,7 @@
     CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Failed);
   }
 
-  void starts_a_service_task_again_however_it_ends()
+  void StartsAServiceTaskAgainHoweverItEnds()
   {
     FakeSite site;
     site.AddWorker("w1");
@@ -167,7 +168,7 @@
     CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Running);
   }
 
-  void stops_the_runs_of_a_cancelled_job()
+  void StopsTheRunsOfACancelledJob()
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
@@ -182,7 +183,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, leader.mStarts.size());
   }
 
-  void never_exceeds_the_capacity_of_a_worker()
+  void NeverExceedsTheCapacityOfAWorker()
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1", 4000);
@@ -197,7 +198,7 @@
 
   // Guards against polls that keep extending the lease of a worker that does
   // not answer, so that its tasks never run again.
-  void starts_elsewhere_when_the_lease_of_a_silent_worker_has_ended()
+  void StartsElsewhereWhenTheLeaseOfASilentWorkerHasEnded()
   {
     FakeSite site;
     FakeWorker& silent = site.AddWorker("w1", 4000);
@@ -215,7 +216,7 @@
     CPPUNIT_ASSERT(site.mViolations.empty());
   }
 
-  void starts_again_at_once_when_a_worker_was_restarted()
+  void StartsAgainAtOnceWhenAWorkerWasRestarted()
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
@@ -231,7 +232,7 @@
 
   // Guards against a second run of a task whose worker has not answered the
   // new leader, also when the registry lists that worker no longer.
-  void waits_for_workers_that_have_not_answered_a_new_leader()
+  void WaitsForWorkersThatHaveNotAnsweredANewLeader()
   {
     FakeSite site;
     site.AddWorker("w1", 4000);
@@ -256,7 +257,7 @@
 
   // Guards against a run that is given up because its worker falls silent
   // after its first report, while the lease of the earlier leader goes on.
-  void keeps_an_adopted_run_for_a_whole_lease()
+  void KeepsAnAdoptedRunForAWholeLease()
   {
     FakeSite site;
     site.AddWorker("w1", 4000);
@@ -279,7 +280,7 @@
 
   // Guards against a leader that is cut off and starts tasks of workers that
   // its successor has taken over.
-  void gives_up_no_run_while_its_leadership_is_not_confirmed()
+  void GivesUpNoRunWhileItsLeadershipIsNotConfirmed()
   {
     FakeSite site;
     site.AddWorker("w1", 4000);
@@ -301,7 +302,7 @@
     CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
   }
 
-  void stops_when_a_worker_has_seen_a_successor()
+  void StopsWhenAWorkerHasSeenASuccessor()
   {
     FakeSite site;
     site.AddWorker("w1");
@@ -316,7 +317,7 @@
   }
 
   // Guards against jobs that wait for a silent worker which cannot have them.
-  void starts_new_jobs_of_a_successor_without_waiting()
+  void StartsNewJobsOfASuccessorWithoutWaiting()
   {
     FakeSite site;
     site.AddWorker("w1");
@@ -330,7 +331,7 @@
 
   // Load pattern: a burst that cannot be served whole. Guards against all jobs
   // becoming late because the oldest come first.
-  void puts_jobs_that_are_late_behind_those_that_can_be_in_time()
+  void PutsJobsThatAreLateBehindThoseThatCanBeInTime()
   {
     FakeSite site;
     site.AddWorker("w1", 1000);
@@ -349,7 +350,7 @@
                    jobs::JobState::Completed);
   }
 
-  void leaves_a_draining_worker()
+  void LeavesADrainingWorker()
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
@@ -372,7 +373,7 @@
   }
 
   // Load pattern: backfill beside services whose tails exceed their target.
-  void stops_backfill_before_the_bound_of_harm()
+  void StopsBackfillBeforeTheBoundOfHarm()
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
@@ -391,7 +392,27 @@
       }));
   }
 
-  void runs_no_task_twice_under_random_cuts_and_takeovers()
+  // Guards against backfill that stands still for ever because the earlier
+  // leader had slowed it down.
+  void SetsThePaceOfAdoptedBackfill()
+  {
+    FakeSite site;
+    site.AddWorker("w1");
+    site.mRunTime = [](const TaskId&) { return milliseconds(60000); };
+    auto& first = site.AddLeader(1);
+    const jobs::JobRecord job = MakeBackfill("b", 1, "y");
+    first.Get().AddJob(job, false, site.Now());
+    site.Advance(milliseconds(500));
+    const jobs::JobRecord stored = Stored(first, job);
+    site.Kill(first);
+    auto& second = site.AddLeader(2, site.Now() + std::chrono::seconds(12));
+    second.Get().AddJob(stored, true, site.Now());
+    site.Advance(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, second.mPaces.size());
+    CPPUNIT_ASSERT_EQUAL(100, second.mPaces.front().mPercent);
+  }
+
+  void RunsNoTaskTwiceUnderRandomCutsAndTakeovers()
   {
     for (std::uint64_t seed = 1; seed <= 30; ++seed) {
       PlayRandomDay(seed);
--- a/src/dispatch/sharing_test.cpp
+++ b/src/dispatch/sharing_test.cpp
@@ -104,13 +104,13 @@
 class SharingTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(SharingTest);
-  CPPUNIT_TEST(learns_which_images_disturb_each_other);
-  CPPUNIT_TEST(slows_down_only_the_backfill_that_disturbs);
-  CPPUNIT_TEST(places_disturbing_backfill_elsewhere);
-  CPPUNIT_TEST(counts_backfill_that_no_report_covers_yet);
-  CPPUNIT_TEST(groups_service_tasks_of_one_image);
-  CPPUNIT_TEST(avoids_a_worker_that_fails_what_it_starts);
-  CPPUNIT_TEST(moves_backfill_after_half_of_the_bound);
+  CPPUNIT_TEST(LearnsWhichImagesDisturbEachOther);
+  CPPUNIT_TEST(SlowsDownOnlyTheBackfillThatDisturbs);
+  CPPUNIT_TEST(PlacesDisturbingBackfillElsewhere);
+  CPPUNIT_TEST(CountsBackfillThatNoReportCoversYet);
+  CPPUNIT_TEST(GroupsServiceTasksOfOneImage);
+  CPPUNIT_TEST(AvoidsAWorkerThatFailsWhatItStarts);
+  CPPUNIT_TEST(MovesBackfillAfterHalfOfTheBound);
   CPPUNIT_TEST(HandsItsEstimatesOver);
   CPPUNIT_TEST_SUITE_END();
 
@@ -124,7 +124,7 @@
     mQuiet = mStage->mModel.Intern("quiet");
   }
 
-  void learns_which_images_disturb_each_other()
+  void LearnsWhichImagesDisturbEachOther()
   {
     Learn();
     CPPUNIT_ASSERT(mStage->mModel.Rise(mSensitive, mLoud, 0.1) > 0.15);
@@ -134,7 +134,7 @@
 
   // Load pattern: batch tasks of many images beside one sensitive service.
   // Guards against all of them paying for the one that disturbs.
-  void slows_down_only_the_backfill_that_disturbs()
+  void SlowsDownOnlyTheBackfillThatDisturbs()
   {
     Learn();
     WorkerState& worker = mStage->AddWorker("w");
@@ -148,7 +148,7 @@
     CPPUNIT_ASSERT_EQUAL(100, quiet.mWantedPace);
   }
 
-  void places_disturbing_backfill_elsewhere()
+  void PlacesDisturbingBackfillElsewhere()
   {
     Learn();
     WorkerState& sensitive = mStage->AddWorker("a");
@@ -164,7 +164,7 @@
 
   // Load pattern: a wide batch step that arrives at once. Guards against all
   // its tasks being placed by the same outdated tail.
-  void counts_backfill_that_no_report_covers_yet()
+  void CountsBackfillThatNoReportCoversYet()
   {
     Learn();
     WorkerState& worker = mStage->AddWorker("w");
@@ -182,7 +182,7 @@
   }
 
   // Load pattern: standing services of several images that fill the pool.
-  void groups_service_tasks_of_one_image()
+  void GroupsServiceTasksOfOneImage()
   {
     WorkerState& first = mStage->AddWorker("a");
     WorkerState& second = mStage->AddWorker("b");
@@ -197,7 +197,7 @@
 
   // Load pattern: a worker that fails all that it starts, and so is always
   // the emptiest one.
-  void avoids_a_worker_that_fails_what_it_starts()
+  void AvoidsAWorkerThatFailsWhatItStarts()
   {
     WorkerState& failing = mStage->AddWorker("a");
     WorkerState& sound = mStage->AddWorker("b");
@@ -215,7 +215,7 @@
 
   // Guards against backfill that works on beside a service above its target
   // because the model does not know that it is the cause.
-  void moves_backfill_after_half_of_the_bound()
+  void MovesBackfillAfterHalfOfTheBound()
   {
     WorkerState& worker = mStage->AddWorker("w");
     mStage->Run(mStage->AddTask(ServiceStep(), mTolerant), worker, 120);
--- a/src/http/call_loop_test.cpp
+++ b/src/http/call_loop_test.cpp
@@ -41,9 +41,9 @@
 class CallLoopTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(CallLoopTest);
-  CPPUNIT_TEST(answers_many_calls_at_once);
-  CPPUNIT_TEST(ends_a_silent_call_at_its_deadline);
-  CPPUNIT_TEST(reports_a_refused_connection);
+  CPPUNIT_TEST(AnswersManyCallsAtOnce);
+  CPPUNIT_TEST(EndsASilentCallAtItsDeadline);
+  CPPUNIT_TEST(ReportsARefusedConnection);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -55,7 +55,7 @@
     mAddress = "127.0.0.1:" + std::to_string(mServer->Port());
   }
 
-  void answers_many_calls_at_once()
+  void AnswersManyCallsAtOnce()
   {
     const auto loop = CreateCallLoop(base::GetBootClock());
     std::vector<std::string> bodies;
@@ -78,7 +78,7 @@
     }
   }
 
-  void ends_a_silent_call_at_its_deadline()
+  void EndsASilentCallAtItsDeadline()
   {
     const auto loop = CreateCallLoop(base::GetBootClock());
     const auto start = base::GetBootClock().Now();
@@ -96,7 +96,7 @@
                    std::chrono::milliseconds(300));
   }
 
-  void reports_a_refused_connection()
+  void ReportsARefusedConnection()
   {
     const auto loop = CreateCallLoop(base::GetBootClock());
     mServer->Stop();
--- a/src/jobs/jobs_test.cpp
+++ b/src/jobs/jobs_test.cpp
@@ -49,18 +49,18 @@
 class JobsTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(JobsTest);
-  CPPUNIT_TEST(keeps_a_submission_through_the_codec);
-  CPPUNIT_TEST(keeps_progress_through_the_codec);
-  CPPUNIT_TEST(refuses_bytes_that_are_no_record);
-  CPPUNIT_TEST(stays_one_job_when_submitted_twice);
-  CPPUNIT_TEST(ignores_progress_that_is_older);
-  CPPUNIT_TEST(cancels_a_job_whose_submission_arrives_later);
-  CPPUNIT_TEST(counts_pending_jobs_of_a_queue);
-  CPPUNIT_TEST(keeps_the_final_state_against_a_late_cancellation);
+  CPPUNIT_TEST(KeepsASubmissionThroughTheCodec);
+  CPPUNIT_TEST(KeepsProgressThroughTheCodec);
+  CPPUNIT_TEST(RefusesBytesThatAreNoRecord);
+  CPPUNIT_TEST(StaysOneJobWhenSubmittedTwice);
+  CPPUNIT_TEST(IgnoresProgressThatIsOlder);
+  CPPUNIT_TEST(CancelsAJobWhoseSubmissionArrivesLater);
+  CPPUNIT_TEST(CountsPendingJobsOfAQueue);
+  CPPUNIT_TEST(KeepsTheFinalStateAgainstALateCancellation);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void keeps_a_submission_through_the_codec()
+  void KeepsASubmissionThroughTheCodec()
   {
     const Submission before = MakeSubmission("a");
     const auto after = DecodeSubmission(EncodeSubmission(before));
@@ -77,7 +77,7 @@
     CPPUNIT_ASSERT_EQUAL(1.5, after.value().mPolicy.mSlackFactor);
   }
 
-  void keeps_progress_through_the_codec()
+  void KeepsProgressThroughTheCodec()
   {
     JobProgress before;
     before.mState = JobState::Running;
@@ -92,7 +92,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("point"), task.mCheckpoint);
   }
 
-  void refuses_bytes_that_are_no_record()
+  void RefusesBytesThatAreNoRecord()
   {
     CPPUNIT_ASSERT(!DecodeSubmission("garbage"));
     CPPUNIT_ASSERT(!DecodeProgress(""));
@@ -101,7 +101,7 @@
     CPPUNIT_ASSERT(!ParseRecordKey("s"));
   }
 
-  void stays_one_job_when_submitted_twice()
+  void StaysOneJobWhenSubmittedTwice()
   {
     JobTable table;
     Submission second = MakeSubmission("a");
@@ -115,7 +115,7 @@
 
   // Guards against a completed job that is shown as running again when the
   // leader reads its own older records.
-  void ignores_progress_that_is_older()
+  void IgnoresProgressThatIsOlder()
   {
     JobTable table;
     table.Apply(SubmissionKey("a"), EncodeSubmission(MakeSubmission("a")), 1);
@@ -125,7 +125,7 @@
     CPPUNIT_ASSERT(table.StateOf("a") == JobState::Completed);
   }
 
-  void cancels_a_job_whose_submission_arrives_later()
+  void CancelsAJobWhoseSubmissionArrivesLater()
   {
     JobTable table;
     table.Apply(FormatRecordKey(RecordKind::Cancellation, "a"), "1", 1);
@@ -134,7 +134,7 @@
     CPPUNIT_ASSERT(table.StateOf("a") == JobState::Cancelled);
   }
 
-  void counts_pending_jobs_of_a_queue()
+  void CountsPendingJobsOfAQueue()
   {
     JobTable table;
     for (const char* id : { "a", "b", "c" }) {
@@ -147,7 +147,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, table.CountPending("other"));
   }
 
-  void keeps_the_final_state_against_a_late_cancellation()
+  void KeepsTheFinalStateAgainstALateCancellation()
   {
     JobTable table;
     table.Apply(SubmissionKey("a"), EncodeSubmission(MakeSubmission("a")), 1);
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -48,29 +48,29 @@
 class NodeTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(NodeTest);
-  CPPUNIT_TEST(elects_one_leader);
-  CPPUNIT_TEST(replaces_a_silent_leader);
-  CPPUNIT_TEST(replaces_nobody_while_the_log_is_away);
-  CPPUNIT_TEST(keeps_the_leader_whose_renewals_are_not_answered);
-  CPPUNIT_TEST(replaces_a_leader_that_resigned_at_once);
-  CPPUNIT_TEST(waits_for_the_leases_of_a_leader_that_resigned);
-  CPPUNIT_TEST(takes_the_longest_prefix);
-  CPPUNIT_TEST(accepts_a_job_once_it_is_stored);
-  CPPUNIT_TEST(refuses_a_job_while_the_log_refuses_calls);
-  CPPUNIT_TEST(tells_that_the_outcome_is_unknown);
-  CPPUNIT_TEST(knows_no_job_before_the_journal_is_loaded);
-  CPPUNIT_TEST(finds_a_job_that_another_node_has_just_accepted);
+  CPPUNIT_TEST(ElectsOneLeader);
+  CPPUNIT_TEST(ReplacesASilentLeader);
+  CPPUNIT_TEST(ReplacesNobodyWhileTheLogIsAway);
+  CPPUNIT_TEST(KeepsTheLeaderWhoseRenewalsAreNotAnswered);
+  CPPUNIT_TEST(ReplacesALeaderThatResignedAtOnce);
+  CPPUNIT_TEST(WaitsForTheLeasesOfALeaderThatResigned);
+  CPPUNIT_TEST(TakesTheLongestPrefix);
+  CPPUNIT_TEST(AcceptsAJobOnceItIsStored);
+  CPPUNIT_TEST(RefusesAJobWhileTheLogRefusesCalls);
+  CPPUNIT_TEST(TellsThatTheOutcomeIsUnknown);
+  CPPUNIT_TEST(KnowsNoJobBeforeTheJournalIsLoaded);
+  CPPUNIT_TEST(FindsAJobThatAnotherNodeHasJustAccepted);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void elects_one_leader()
+  void ElectsOneLeader()
   {
     AddCandidates(3);
     Advance(milliseconds(2000));
     CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
   }
 
-  void replaces_a_silent_leader()
+  void ReplacesASilentLeader()
   {
     AddCandidates(3);
     Advance(milliseconds(2000));
@@ -87,7 +87,7 @@
   }
 
   // Guards against a change of the leader after each outage of the log.
-  void replaces_nobody_while_the_log_is_away()
+  void ReplacesNobodyWhileTheLogIsAway()
   {
     AddCandidates(3);
     Advance(milliseconds(2000));
@@ -105,7 +105,7 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, first.mLeadership.Epoch());
   }
 
-  void keeps_the_leader_whose_renewals_are_not_answered()
+  void KeepsTheLeaderWhoseRenewalsAreNotAnswered()
   {
     AddCandidates(2);
     Advance(milliseconds(2000));
@@ -118,7 +118,7 @@
     CPPUNIT_ASSERT(first.mLeadership.IsLeader());
   }
 
-  void replaces_a_leader_that_resigned_at_once()
+  void ReplacesALeaderThatResignedAtOnce()
   {
     AddCandidates(3);
     Advance(milliseconds(2000));
@@ -131,7 +131,7 @@
 
   // Guards against tasks that are started again while they still run under the
   // lease of a leader of which only the resignation has been read.
-  void waits_for_the_leases_of_a_leader_that_resigned()
+  void WaitsForTheLeasesOfALeaderThatResigned()
   {
     AddCandidates(1);
     Advance(milliseconds(2000));
@@ -145,7 +145,7 @@
                    restartedAt + kAuthority);
   }
 
-  void takes_the_longest_prefix()
+  void TakesTheLongestPrefix()
   {
     const RouteTable table(3,
                            { MakeRoute("h", "/a/", "short"),
@@ -159,7 +159,7 @@
     CPPUNIT_ASSERT(!table.Find("none", "/a/"));
   }
 
-  void accepts_a_job_once_it_is_stored()
+  void AcceptsAJobOnceItIsStored()
   {
     CPPUNIT_ASSERT(Submit("a"));
     CPPUNIT_ASSERT(Submit("a"));
@@ -172,7 +172,7 @@
                    jobs::JobState::Cancelled);
   }
 
-  void refuses_a_job_while_the_log_refuses_calls()
+  void RefusesAJobWhileTheLogRefusesCalls()
   {
     mService.Health().SetUnreachable(mClock.Now());
     const auto result = Submit("a");
@@ -183,7 +183,7 @@
   }
 
   // Guards against "not run" for a job that is stored.
-  void tells_that_the_outcome_is_unknown()
+  void TellsThatTheOutcomeIsUnknown()
   {
     mLog.mLosesAnswers = true;
     const auto result =
@@ -193,7 +193,7 @@
 
   // Guards against 410 for the cancellation of an accepted job at a node that
   // has just started.
-  void knows_no_job_before_the_journal_is_loaded()
+  void KnowsNoJobBeforeTheJournalIsLoaded()
   {
     mNext = kNotLoaded;
     CPPUNIT_ASSERT(mService.Cancel("a", Soon()).error().mKind ==
@@ -205,7 +205,7 @@
                    base::ErrorKind::NotFound);
   }
 
-  void finds_a_job_that_another_node_has_just_accepted()
+  void FindsAJobThatAnotherNodeHasJustAccepted()
   {
     jobs::Submission submission;
     submission.mId = "b";
