--- a/include/skylarkhill/jobs/job_codec.hpp
+++ b/include/skylarkhill/jobs/job_codec.hpp
@@ -18,6 +18,8 @@
   Progress,
   /// What a leader has learned about images; not about one job.
   Model,
+  /// A worker that a leader has used; its key names the worker, not a job.
+  Worker,
 };
 
 /// The key of a journal record.
--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -33,7 +33,7 @@
 
 /// A leader's authority to extend leases ends this long after its last
 /// confirmed record; a successor waits for it where it cannot ask a worker.
-inline constexpr base::Duration kAuthority = std::chrono::seconds(12);
+inline constexpr base::Duration kAuthority = std::chrono::seconds(9);
 
 /// Elects one node by conditional appends to a stream that only leaders and
 /// candidates write to. Belongs to the thread of the call loop.
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -95,6 +96,8 @@
   struct KnownWorker
   {
     dispatch::WorkerEntry mEntry;
+    /// The registry record of the entry.
+    std::string mRecord;
     bool mIsListed = true;
     base::TimePoint mUnlistedAt;
   };
@@ -104,6 +107,11 @@
   void OnWorker(const LogRecord& aRecord);
   void UnlistWorker(const std::string& aWorkerId);
   void OnJournal(const LogRecord& aRecord);
+  void OnJournaledWorker(const std::string& aWorkerId,
+                         const std::string& aRecord);
+  /// Adds the workers that the journal does not list, or should no longer
+  /// list, to the batch.
+  void AddWorkerRecords();
   void FollowLeadership();
   void BeginTerm();
   void EndTerm();
@@ -135,6 +143,9 @@
   JobService mService;
   Leadership mLeadership;
   std::map<std::string, KnownWorker> mWorkers;
+  /// Workers that the journal lists: a leader that starts while the registry
+  /// is incomplete has to ask these as well.
+  std::set<std::string> mJournaledWorkers;
   std::atomic<bool> mIsReady{ false };
   base::TimePoint mPolledAt;
   /// When this process last continued after a pause.
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -16,6 +16,7 @@
 constexpr char kCancellationPrefix = 'c';
 constexpr char kProgressPrefix = 'p';
 constexpr char kModelPrefix = 'm';
+constexpr char kWorkerPrefix = 'w';
 
 using ResourceFields = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
 using StepFields = std::tuple<int,
@@ -135,6 +136,9 @@
     case RecordKind::Model:
       prefix = kModelPrefix;
       break;
+    case RecordKind::Worker:
+      prefix = kWorkerPrefix;
+      break;
   }
   std::string key{ prefix, '/' };
   key.append(aJobId);
@@ -162,6 +166,9 @@
     case kModelPrefix:
       key.mKind = RecordKind::Model;
       return key;
+    case kWorkerPrefix:
+      key.mKind = RecordKind::Worker;
+      return key;
     default:
       return std::nullopt;
   }
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -38,7 +38,7 @@
                  base::MakeError(base::ErrorKind::InvalidArgument, "key"));
     return std::nullopt;
   }
-  if (key->mKind == RecordKind::Model) {
+  if (key->mKind == RecordKind::Model || key->mKind == RecordKind::Worker) {
     return std::nullopt;
   }
   if (aValue.empty()) {
@@ -90,6 +90,7 @@
       return change;
     }
     case RecordKind::Model:
+    case RecordKind::Worker:
       break;
   }
   return std::nullopt;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -229,6 +229,7 @@
   }
   KnownWorker& worker = mWorkers[entry->mId];
   worker.mEntry = std::move(*entry);
+  worker.mRecord = aRecord.mValue;
   worker.mIsListed = true;
   if (mDispatcher != nullptr) {
     mDispatcher->SetWorker(worker.mEntry, mClock.Now());
@@ -257,6 +258,9 @@
   if (key && key->mKind == jobs::RecordKind::Model) {
     mModelRecord = aRecord.mValue;
   }
+  if (key && key->mKind == jobs::RecordKind::Worker) {
+    OnJournaledWorker(key->mJobId, aRecord.mValue);
+  }
   if (mDispatcher == nullptr) {
     return;
   }
@@ -277,10 +281,63 @@
       break;
     case jobs::RecordKind::Progress:
     case jobs::RecordKind::Model:
+    case jobs::RecordKind::Worker:
       break;
   }
 }
 
+void
+Node::OnJournaledWorker(const std::string& aWorkerId,
+                        const std::string& aRecord)
+{
+  if (aRecord.empty()) {
+    mJournaledWorkers.erase(aWorkerId);
+    return;
+  }
+  mJournaledWorkers.insert(aWorkerId);
+  if (mWorkers.count(aWorkerId) != 0) {
+    return;
+  }
+  auto entry = mDecoder.DecodeWorker({ aWorkerId, aRecord, 0 });
+  if (!entry) {
+    return;
+  }
+  KnownWorker& worker = mWorkers[aWorkerId];
+  worker.mEntry = std::move(*entry);
+  worker.mRecord = aRecord;
+  worker.mIsListed = false;
+  worker.mUnlistedAt = mClock.Now();
+}
+
+void
+Node::AddWorkerRecords()
+{
+  const TimePoint now = mClock.Now();
+  const auto add = [this](const std::string& aWorkerId, std::string aRecord) {
+    mBatchRequest.mRecords.push_back(
+      { jobs::FormatRecordKey(jobs::RecordKind::Worker, aWorkerId),
+        std::move(aRecord),
+        0 });
+  };
+  for (auto it = mWorkers.begin(); it != mWorkers.end();) {
+    const KnownWorker& worker = it->second;
+    const bool isJournaled = mJournaledWorkers.count(it->first) != 0;
+    if (worker.mIsListed && !isJournaled) {
+      add(it->first, worker.mRecord);
+      mJournaledWorkers.insert(it->first);
+    }
+    if (!worker.mIsListed && worker.mUnlistedAt + kUnlistedMemory < now) {
+      if (isJournaled) {
+        add(it->first, "");
+        mJournaledWorkers.erase(it->first);
+      }
+      it = mWorkers.erase(it);
+      continue;
+    }
+    ++it;
+  }
+}
+
 void
 Node::FollowLeadership()
 {
@@ -391,17 +448,11 @@
   if (!mModelRecord.empty()) {
     mDispatcher->ImportModel(mModelRecord, now);
   }
-  for (auto it = mWorkers.begin(); it != mWorkers.end();) {
-    const KnownWorker& worker = it->second;
-    if (!worker.mIsListed && worker.mUnlistedAt + kUnlistedMemory < now) {
-      it = mWorkers.erase(it);
-      continue;
-    }
+  for (const auto& [id, worker] : mWorkers) {
     mDispatcher->SetWorker(worker.mEntry, now);
     if (!worker.mIsListed) {
-      mDispatcher->RemoveWorker(it->first, worker.mUnlistedAt);
+      mDispatcher->RemoveWorker(id, worker.mUnlistedAt);
     }
-    ++it;
   }
   std::int64_t open = 0;
   for (const auto& it : mJobs.List()) {
@@ -444,6 +495,7 @@
         jobs::EncodeProgress(progress),
         0 });
   }
+  AddWorkerRecords();
   if (now >= mNextModelAt) {
     mNextModelAt = now + kModelInterval;
     mBatchRequest.mRecords.push_back(
