--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -72,6 +73,11 @@
                       OrderOutcome aOutcome,
                       base::TimePoint aNow) = 0;
 
+  /// Nothing: the advice service has not answered.
+  virtual void OnAdvice(const AdviceOrder& aOrder,
+                        const std::optional<Advice>& aAdvice,
+                        base::TimePoint aNow) = 0;
+
   /// No other node has led before `aConfirmedAt`; orders may be given and
   /// leases extended until `aUntil`.
   virtual void SetAuthority(base::TimePoint aConfirmedAt,
--- a/include/skylarkhill/dispatch/worker.hpp
+++ b/include/skylarkhill/dispatch/worker.hpp
@@ -162,6 +162,32 @@
   std::string mPayload;
   std::string mCheckpoint;
   std::int64_t mLeaseUntilMs = 0;
+  /// Permission of the advice service; empty: none is needed.
+  std::string mTicket;
+};
+
+/// Asks the advice service which workers may run a step.
+struct AdviceOrder
+{
+  std::string mJobId;
+  int mOccurrence = 0;
+  int mStep = 0;
+  std::vector<std::string> mWorkerIds;
+};
+
+/// A worker that may run the step.
+struct Permission
+{
+  std::string mWorkerId;
+  std::string mTicket;
+};
+
+/// What the advice service answered.
+struct Advice
+{
+  std::vector<Permission> mPermissions;
+  /// How long the tickets are valid.
+  std::int64_t mValidMs = 0;
 };
 
 struct StopOrder
@@ -190,6 +216,7 @@
   virtual void Start(const StartOrder& aOrder) = 0;
   virtual void Stop(const StopOrder& aOrder) = 0;
   virtual void Pace(const PaceOrder& aOrder) = 0;
+  virtual void Advise(const AdviceOrder& aOrder) = 0;
 };
 
 } // namespace skylarkhill::dispatch
--- a/include/skylarkhill/node/stream_tail.hpp
+++ b/include/skylarkhill/node/stream_tail.hpp
@@ -51,8 +51,8 @@
   int Failures() const { return mFailures; }
 
 private:
-  void OnNewest(ReadResult aResult, base::TimePoint aSentAt);
-  void OnRead(ReadResult aResult, base::TimePoint aSentAt);
+  void OnNewest(const ReadResult& aResult, base::TimePoint aSentAt);
+  void OnRead(const ReadResult& aResult, base::TimePoint aSentAt);
   void OnFailure();
   void OnSuccess(base::TimePoint aSentAt);
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -70,6 +70,13 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 
+/// Workers that one call to the advice service names: as many as the objective
+/// of a job counts for a step.
+constexpr std::size_t kAdvisedWorkers = 30;
+constexpr Duration kAdvicePause = std::chrono::milliseconds(100);
+/// A ticket is not used in its last moments, because the start takes time.
+constexpr Duration kTicketMargin = std::chrono::milliseconds(200);
+
 /// Run numbers that an earlier leader may have used without a trace.
 constexpr int kUnseenRuns = 8;
 
@@ -107,7 +114,7 @@
 {
   return std::any_of(aTask.mRuns.begin(),
                      aTask.mRuns.end(),
-                     [](const RunState& it) { return !it.mIsStopping; });
+                     [](const RunState& aRun) { return !aRun.mIsStopping; });
 }
 
 class DefaultDispatcher : public Dispatcher
@@ -297,8 +304,11 @@
         worker.mAvoidUntil = aNow + kNoRoomPause;
         DropUnstarted(*run);
         break;
-      case StartOutcome::TooLate:
       case StartOutcome::TicketInvalid:
+        run->mTask->mStep->mTickets.erase(aOrder.mWorkerId);
+        DropUnstarted(*run);
+        break;
+      case StartOutcome::TooLate:
       case StartOutcome::OtherIncarnation:
         DropUnstarted(*run);
         break;
@@ -357,6 +367,34 @@
     RequestTick(aNow);
   }
 
+  void OnAdvice(const AdviceOrder& aOrder,
+                const std::optional<Advice>& aAdvice,
+                TimePoint aNow) override
+  {
+    const auto found = mJobs.find(aOrder.mJobId);
+    StepState* step =
+      found == mJobs.end()
+        ? nullptr
+        : FindStep(*found->second, aOrder.mOccurrence, aOrder.mStep);
+    if (step == nullptr) {
+      return;
+    }
+    step->mIsAdviceInFlight = false;
+    step->mNextAdviceAt = aNow + kAdvicePause;
+    if (!aAdvice) {
+      return;
+    }
+    step->mAdvisedWorkers.insert(aOrder.mWorkerIds.begin(),
+                                 aOrder.mWorkerIds.end());
+    const TimePoint validUntil =
+      aNow + std::chrono::milliseconds(aAdvice->mValidMs) - kTicketMargin;
+    for (const auto& it : aAdvice->mPermissions) {
+      step->mTickets[it.mWorkerId] = { it.mTicket, validUntil };
+    }
+    mIsPlacementDue = true;
+    RequestTick(aNow);
+  }
+
   void SetAuthority(TimePoint aConfirmedAt, TimePoint aUntil) override
   {
     mConfirmedAt = aConfirmedAt;
@@ -676,7 +714,7 @@
     mReadySteps.erase(
       std::remove_if(mReadySteps.begin(),
                      mReadySteps.end(),
-                     [&](StepState* it) { return it->mJob == &aJob; }),
+                     [&](StepState* aStep) { return aStep->mJob == &aJob; }),
       mReadySteps.end());
   }
 
@@ -753,7 +791,8 @@
     }
     --task.mStep->mPerWorker[&worker];
     mIsPlacementDue = true;
-    task.mRuns.remove_if([&](const RunState& it) { return &it == &aRun; });
+    task.mRuns.remove_if(
+      [&](const RunState& aEntry) { return &aEntry == &aRun; });
   }
 
   void Confirm(RunState& aRun, TimePoint aNow)
@@ -1101,8 +1140,8 @@
     const StepState& step = *aRun.mTask->mStep;
     if (step.mSpec->mIsService) {
       const int away = static_cast<int>(std::count_if(
-        step.mTasks.begin(), step.mTasks.end(), [](const TaskState& it) {
-          return !HasLiveRun(it) || it.mRuns.front().mPercent < 100;
+        step.mTasks.begin(), step.mTasks.end(), [](const TaskState& aTask) {
+          return !HasLiveRun(aTask) || aTask.mRuns.front().mPercent < 100;
         }));
       const bool isUrgent =
         aRun.mWorker->mLeavesAt < aNow + std::chrono::milliseconds(1500);
@@ -1202,6 +1241,7 @@
                 return RankOf(*aLeft, mUnixMs) < RankOf(*aRight, mUnixMs);
               });
     for (StepState* step : mReadySteps) {
+      AskForAdvice(*step, aNow);
       if (!IsReleased(*step, aNow)) {
         continue;
       }
@@ -1220,6 +1260,50 @@
     }
   }
 
+  /// Asks which workers may run the step, those that fit it first. Known
+  /// answers are asked for again only when their tickets have expired.
+  void AskForAdvice(StepState& aStep, TimePoint aNow)
+  {
+    if (!aStep.mJob->mSubmission.mPolicy.mNeedsAdvice ||
+        aStep.mIsAdviceInFlight || aStep.mNextAdviceAt > aNow) {
+      return;
+    }
+    const auto waiting = std::count_if(
+      aStep.mTasks.begin(), aStep.mTasks.end(), [](const TaskState& aTask) {
+        return !aTask.mIsDone && aTask.mRuns.empty();
+      });
+    if (waiting == 0) {
+      return;
+    }
+    AdviceOrder order;
+    order.mJobId = aStep.mJob->mSubmission.mId;
+    order.mOccurrence = aStep.mOccurrence;
+    order.mStep = aStep.mIndex;
+    std::size_t usable = 0;
+    for (const auto& [id, worker] : mWorkers) {
+      if (worker->mEntry.mService != aStep.mJob->mSubmission.mPolicy.mService ||
+          !AcceptsStarts(*worker, aNow) ||
+          !base::Fits(worker->mUsed + CountedNeed(*aStep.mSpec),
+                      worker->mEntry.mCapacity)) {
+        continue;
+      }
+      const bool isKnown = aStep.mAdvisedWorkers.count(id) != 0;
+      const bool hasExpired =
+        aStep.mTickets.count(id) != 0 && !HasTicket(aStep, *worker, aNow);
+      usable += HasTicket(aStep, *worker, aNow) ? 1 : 0;
+      if ((!isKnown || hasExpired) &&
+          order.mWorkerIds.size() < kAdvisedWorkers) {
+        order.mWorkerIds.push_back(id);
+      }
+    }
+    if (usable >= static_cast<std::size_t>(waiting) ||
+        order.mWorkerIds.empty()) {
+      return;
+    }
+    aStep.mIsAdviceInFlight = true;
+    mSink.Advise(order);
+  }
+
   /// Requests the release of the step's job as soon as one of its tasks can
   /// be placed.
   bool IsReleased(StepState& aStep, TimePoint aNow)
@@ -1274,7 +1358,7 @@
     const bool isAway =
       std::all_of(aStep.mTasks.begin(),
                   aStep.mTasks.end(),
-                  [](const TaskState& it) { return it.mRuns.empty(); });
+                  [](const TaskState& aTask) { return aTask.mRuns.empty(); });
     if (!isAway) {
       // The members share one run number, so the rest of a broken gang ends
       // before it starts again.
@@ -1418,6 +1502,10 @@
     order.mPayload = task.mStep->mJob->mSubmission.mRequest.mPayload;
     order.mCheckpoint = task.mCheckpoint;
     order.mLeaseUntilMs = lease;
+    const auto ticket = task.mStep->mTickets.find(order.mWorkerId);
+    if (ticket != task.mStep->mTickets.end()) {
+      order.mTicket = ticket->second.mText;
+    }
     mSink.Start(order);
   }
 
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -69,6 +69,7 @@
   CPPUNIT_TEST(LeavesADrainingWorker);
   CPPUNIT_TEST(StopsBackfillBeforeTheBoundOfHarm);
   CPPUNIT_TEST(SetsThePaceOfAdoptedBackfill);
+  CPPUNIT_TEST(StartsOnlyWhereTheAdviceServicePermits);
   CPPUNIT_TEST(RunsNoTaskTwiceUnderRandomCutsAndTakeovers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -387,8 +388,8 @@
     site.Advance(milliseconds(2500));
     CPPUNIT_ASSERT(!leader.mPaces.empty());
     CPPUNIT_ASSERT(std::any_of(
-      leader.mPaces.begin(), leader.mPaces.end(), [](const auto& it) {
-        return it.mPercent == 0;
+      leader.mPaces.begin(), leader.mPaces.end(), [](const auto& aEntry) {
+        return aEntry.mPercent == 0;
       }));
   }
 
@@ -412,6 +413,25 @@
     CPPUNIT_ASSERT_EQUAL(100, second.mPaces.front().mPercent);
   }
 
+  void StartsOnlyWhereTheAdviceServicePermits()
+  {
+    FakeSite site;
+    site.AddWorker("w1");
+    site.AddWorker("w2");
+    auto& leader = site.AddLeader(1);
+    leader.mPermitted = { "w2" };
+    jobs::JobRecord job = MakeJob("a", { 3 });
+    job.mSubmission->mPolicy.mNeedsAdvice = true;
+    leader.Get().AddJob(job, false, site.Now());
+    site.Advance(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, leader.mStarts.size());
+    for (const auto& it : leader.mStarts) {
+      CPPUNIT_ASSERT_EQUAL(std::string("ticket-w2"), it.mTicket);
+    }
+    CPPUNIT_ASSERT(leader.mAdviceCalls <= 2);
+    CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Completed);
+  }
+
   void RunsNoTaskTwiceUnderRandomCutsAndTakeovers()
   {
     for (std::uint64_t seed = 1; seed <= 30; ++seed) {
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -85,8 +85,9 @@
   }
   worker.mEnds.erase(std::remove_if(worker.mEnds.begin(),
                                     worker.mEnds.end(),
-                                    [&](const EndedRun& it) {
-                                      return it.mNumber <= aOrder.mAcknowledged;
+                                    [&](const EndedRun& aEnd) {
+                                      return aEnd.mNumber <=
+                                             aOrder.mAcknowledged;
                                     }),
                      worker.mEnds.end());
   WorkerReport report;
@@ -113,8 +114,8 @@
   } else {
     FakeWorker& worker = mSite.Worker(aOrder.mWorkerId);
     const bool isThere = std::any_of(
-      worker.mRuns.begin(), worker.mRuns.end(), [&](const auto& it) {
-        return it.mTask == aOrder.mTask && it.mNumber == aOrder.mRun;
+      worker.mRuns.begin(), worker.mRuns.end(), [&](const auto& aEntry) {
+        return aEntry.mTask == aOrder.mTask && aEntry.mNumber == aOrder.mRun;
       });
     const auto ended = worker.mHighestEnded.find(ToText(aOrder.mTask));
     if (mEpoch < worker.mToken) {
@@ -186,6 +187,22 @@
   });
 }
 
+void
+FakeSite::Leader::Advise(const AdviceOrder& aOrder)
+{
+  ++mAdviceCalls;
+  Advice advice;
+  advice.mValidMs = 3000;
+  for (const auto& id : aOrder.mWorkerIds) {
+    if (mPermitted.count(id) != 0) {
+      advice.mPermissions.push_back({ id, "ticket-" + id });
+    }
+  }
+  mAnswers.emplace_back(mSite.Now() + kLatency, [this, aOrder, advice] {
+    mDispatcher->OnAdvice(aOrder, advice, mSite.Now());
+  });
+}
+
 void
 FakeSite::Leader::Step()
 {
@@ -236,11 +253,12 @@
 void
 FakeSite::Kill(Leader& aLeader)
 {
-  mLeaders.erase(
-    std::remove_if(mLeaders.begin(),
-                   mLeaders.end(),
-                   [&](const auto& it) { return it.get() == &aLeader; }),
-    mLeaders.end());
+  mLeaders.erase(std::remove_if(mLeaders.begin(),
+                                mLeaders.end(),
+                                [&](const auto& aEntry) {
+                                  return aEntry.get() == &aLeader;
+                                }),
+                 mLeaders.end());
 }
 
 void
--- a/src/dispatch/fake_site_test.hpp
+++ b/src/dispatch/fake_site_test.hpp
@@ -67,6 +67,7 @@
     void Start(const StartOrder& aOrder) override;
     void Stop(const StopOrder& aOrder) override;
     void Pace(const PaceOrder& aOrder) override;
+    void Advise(const AdviceOrder& aOrder) override;
 
     /// Workers that this leader cannot reach.
     std::set<std::string> mCutOff;
@@ -76,6 +77,9 @@
     bool mCanStore = true;
     std::vector<StartOrder> mStarts;
     std::vector<PaceOrder> mPaces;
+    /// Workers that the advice service permits.
+    std::set<std::string> mPermitted;
+    int mAdviceCalls = 0;
     std::map<std::string, jobs::JobProgress> mStored;
 
   private:
--- a/src/dispatch/pacing.cpp
+++ b/src/dispatch/pacing.cpp
@@ -107,6 +107,7 @@
     return;
   }
   std::vector<double> corrections;
+  corrections.reserve(services.size());
   for (const RunState* it : services) {
     corrections.push_back(PaceCorrection(aModel, *it, backfill));
   }
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -75,8 +75,8 @@
 HasServiceTask(const WorkerState& aWorker)
 {
   return std::any_of(
-    aWorker.mRuns.begin(), aWorker.mRuns.end(), [](const RunState* it) {
-      return it->mTask->mStep->mSpec->mIsService;
+    aWorker.mRuns.begin(), aWorker.mRuns.end(), [](const RunState* aRun) {
+      return aRun->mTask->mStep->mSpec->mIsService;
     });
 }
 
@@ -106,14 +106,14 @@
 {
   const double share = ShareOf(*aStep.mSpec, aWorker);
   return std::any_of(
-    aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const RunState* it) {
-      if (!it->mTask->mStep->mSpec->mIsService) {
+    aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const RunState* aRun) {
+      if (!aRun->mTask->mStep->mSpec->mIsService) {
         return false;
       }
       const Pressure rise =
-        aModel.Rise(it->mTask->mStep->mImage, aStep.mImage, share);
+        aModel.Rise(aRun->mTask->mStep->mImage, aStep.mImage, share);
       return rise > kMinHarmfulRise &&
-             UndisturbedPressureOf(*it) + aModel.ExpectedRise(*it) + rise >
+             UndisturbedPressureOf(*aRun) + aModel.ExpectedRise(*aRun) + rise >
                PressureOf(kMaxTailRatio);
     });
 }
@@ -215,6 +215,15 @@
          aWorker.mLastReportAt + kMaxReportAge > aNow;
 }
 
+bool
+HasTicket(const StepState& aStep,
+          const WorkerState& aWorker,
+          base::TimePoint aNow)
+{
+  const auto found = aStep.mTickets.find(aWorker.mEntry.mId);
+  return found != aStep.mTickets.end() && found->second.mValidUntil > aNow;
+}
+
 bool
 IsEligible(const StepState& aStep,
            const WorkerState& aWorker,
@@ -230,6 +239,10 @@
                   aWorker.mEntry.mCapacity)) {
     return false;
   }
+  if (aStep.mJob->mSubmission.mPolicy.mNeedsAdvice &&
+      !HasTicket(aStep, aWorker, aNow)) {
+    return false;
+  }
   if (!step.mRequiredLabel.empty() && !HasLabel(aWorker, step.mRequiredLabel)) {
     return false;
   }
@@ -259,21 +272,22 @@
 {
   WorkerState* best = nullptr;
   double bestCost = std::numeric_limits<double>::max();
-  for (const auto& [id, worker] : aWorkers) {
+  for (const auto& entry : aWorkers) {
+    WorkerState* worker = entry.second.get();
     if (!IsEligible(*aTask.mStep, *worker, aModel, aNow)) {
       continue;
     }
     const bool runsThere =
-      std::any_of(aTask.mRuns.begin(), aTask.mRuns.end(), [&](const auto& it) {
-        return it.mWorker == worker.get();
-      });
+      std::any_of(aTask.mRuns.begin(),
+                  aTask.mRuns.end(),
+                  [&](const auto& aEntry) { return aEntry.mWorker == worker; });
     if (runsThere) {
       continue;
     }
     const double cost = PlacementCost(aTask, *worker, aModel, aNow);
     if (cost < bestCost) {
       bestCost = cost;
-      best = worker.get();
+      best = worker;
     }
   }
   return best;
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -32,6 +32,12 @@
 bool
 AcceptsStarts(const WorkerState& aWorker, base::TimePoint aNow);
 
+/// True if the advice service permits the step on `aWorker` at `aNow`.
+bool
+HasTicket(const StepState& aStep,
+          const WorkerState& aWorker,
+          base::TimePoint aNow);
+
 /// True if one task of `aStep` may run on `aWorker` beside what runs there.
 bool
 IsEligible(const StepState& aStep,
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -69,6 +69,13 @@
   bool mMayRunUnseen = false;
 };
 
+/// A permission to run a step on a worker.
+struct Ticket
+{
+  std::string mText;
+  base::TimePoint mValidUntil;
+};
+
 struct StepState
 {
   JobState* mJob = nullptr;
@@ -83,6 +90,12 @@
   bool mIsReady = false;
   /// Tasks on each worker, for the limit per worker.
   std::map<const WorkerState*, int> mPerWorker;
+  /// By worker id; only for queues that need permissions.
+  std::map<std::string, Ticket> mTickets;
+  /// Workers that have been asked about, whatever the answer.
+  std::set<std::string> mAdvisedWorkers;
+  bool mIsAdviceInFlight = false;
+  base::TimePoint mNextAdviceAt;
 };
 
 struct OccurrenceState
--- a/src/http/call_loop_test.cpp
+++ b/src/http/call_loop_test.cpp
@@ -62,13 +62,14 @@
     // The second round uses the connections of the first one.
     for (int round = 0; round < 2; ++round) {
       for (int n = 0; n < 8; ++n) {
-        loop->Call(mAddress,
-                   Post("/echo", std::string(20000, 'a' + n)),
-                   base::GetBootClock().Now() + std::chrono::seconds(5),
-                   [&](base::Result<Response> aResult) {
-                     CPPUNIT_ASSERT(aResult);
-                     bodies.push_back(aResult.value().mBody);
-                   });
+        loop->Call(
+          mAddress,
+          Post("/echo", std::string(20000, static_cast<char>('a' + n))),
+          base::GetBootClock().Now() + std::chrono::seconds(5),
+          [&](const base::Result<Response>& aResult) {
+            CPPUNIT_ASSERT(aResult);
+            bodies.push_back(aResult.value().mBody);
+          });
       }
       Run(*loop);
     }
@@ -86,7 +87,7 @@
     loop->Call(mAddress,
                Post("/slow", ""),
                start + std::chrono::milliseconds(60),
-               [&](base::Result<Response> aResult) {
+               [&](const base::Result<Response>& aResult) {
                  CPPUNIT_ASSERT(!aResult);
                  kind = aResult.error().mKind;
                });
@@ -101,10 +102,11 @@
     const auto loop = CreateCallLoop(base::GetBootClock());
     mServer->Stop();
     bool isRefused = false;
-    loop->Call(mAddress,
-               Post("/echo", ""),
-               base::GetBootClock().Now() + std::chrono::seconds(2),
-               [&](base::Result<Response> aResult) { isRefused = !aResult; });
+    loop->Call(
+      mAddress,
+      Post("/echo", ""),
+      base::GetBootClock().Now() + std::chrono::seconds(2),
+      [&](const base::Result<Response>& aResult) { isRefused = !aResult; });
     Run(*loop);
     CPPUNIT_ASSERT(isRefused);
   }
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -94,7 +94,7 @@
 }
 
 Step
-ToStep(StepFields aFields)
+ToStep(const StepFields& aFields)
 {
   Step step;
   ResourceFields need;
@@ -113,7 +113,7 @@
            step.mImage,
            step.mTailTargetMs,
            step.mIsBackfill,
-           step.mMaxUnavailable) = std::move(aFields);
+           step.mMaxUnavailable) = aFields;
   step.mNeed = { std::get<0>(need), std::get<1>(need), std::get<2>(need) };
   return step;
 }
@@ -221,8 +221,8 @@
            submission.mPolicy.mSlackFactor,
            submission.mPolicy.mTargetLatencyMs,
            submission.mPolicy.mNeedsAdvice) = std::move(policy);
-  for (auto& it : steps) {
-    request.mSteps.push_back(ToStep(std::move(it)));
+  for (const auto& it : steps) {
+    request.mSteps.push_back(ToStep(it));
   }
   return submission;
 }
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -77,9 +77,10 @@
           aClock,
           mStream,
           { [this](const std::vector<LogRecord>& aRecords) {
-             std::for_each(aRecords.begin(),
-                           aRecords.end(),
-                           [this](const LogRecord& it) { OnRecord(it); });
+             std::for_each(
+               aRecords.begin(),
+               aRecords.end(),
+               [this](const LogRecord& aRecord) { OnRecord(aRecord); });
            },
             [this](const LogRecord& aRecord) { OnRecord(aRecord); } })
 {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -79,9 +79,10 @@
       aClock,
       mOptions.mStreams.mConfiguration,
       { [this](const std::vector<LogRecord>& aRecords) {
-         std::for_each(aRecords.begin(),
-                       aRecords.end(),
-                       [this](const LogRecord& it) { OnConfiguration(it); });
+         std::for_each(
+           aRecords.begin(), aRecords.end(), [this](const LogRecord& aRecord) {
+             OnConfiguration(aRecord);
+           });
        },
         [this](const LogRecord& aRecord) { OnConfiguration(aRecord); } })
   , mWorkerTail(
@@ -97,7 +98,7 @@
                     std::for_each(
                       aRecords.begin(),
                       aRecords.end(),
-                      [this](const LogRecord& it) { OnJournal(it); });
+                      [this](const LogRecord& aRecord) { OnJournal(aRecord); });
                   },
                    [this](const LogRecord& aRecord) { OnJournal(aRecord); } })
   , mService(mJobs,
--- a/src/node/stream_tail.cpp
+++ b/src/node/stream_tail.cpp
@@ -36,13 +36,13 @@
   }
   mIsReading = true;
   if (!mIsLoaded) {
-    mLog.ReadNewest(mStream, [this, now](ReadResult aResult) {
-      OnNewest(std::move(aResult), now);
+    mLog.ReadNewest(mStream, [this, now](const ReadResult& aResult) {
+      OnNewest(aResult, now);
     });
     return;
   }
-  mLog.Read(mStream, mNext, kReadWait, [this, now](ReadResult aResult) {
-    OnRead(std::move(aResult), now);
+  mLog.Read(mStream, mNext, kReadWait, [this, now](const ReadResult& aResult) {
+    OnRead(aResult, now);
   });
 }
 
@@ -53,7 +53,7 @@
 }
 
 void
-StreamTail::OnNewest(ReadResult aResult, base::TimePoint aSentAt)
+StreamTail::OnNewest(const ReadResult& aResult, base::TimePoint aSentAt)
 {
   mIsReading = false;
   if (aResult.mOutcome != LogOutcome::Done) {
@@ -67,7 +67,7 @@
 }
 
 void
-StreamTail::OnRead(ReadResult aResult, base::TimePoint aSentAt)
+StreamTail::OnRead(const ReadResult& aResult, base::TimePoint aSentAt)
 {
   mIsReading = false;
   if (aResult.mOutcome == LogOutcome::Expired) {
