--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -58,6 +58,11 @@
 constexpr Duration kSlowedGrace = std::chrono::milliseconds(700);
 constexpr int kMovablePercent = 15;
 constexpr int kUnknownPace = -1;
+constexpr int kFullPace = 100;
+/// Reported use of processors varies by about this much at full pace.
+constexpr int kNearlyFullPace = 70;
+/// A run with less progress may not have a half second of use behind it.
+constexpr int kJustStartedPercent = 3;
 
 /// A copy of a task is started once its run takes this many times its estimate.
 constexpr double kDuplicateAfter = 1.6;
@@ -1065,8 +1070,10 @@
     const bool isSecond = HasLiveRun(*aTask);
     RunState& run = AddRun(*aTask, aWorker, aRun.mRun, aNow);
     run.mCallsSent = 1;
-    // The earlier leader may have slowed it down.
-    run.mPace = kUnknownPace;
+    if (run.mTask->mStep->mSpec->mIsBackfill) {
+      run.mWantedPace = EstimatePace(run, aRun);
+      run.mPace = run.mWantedPace == kFullPace ? kUnknownPace : run.mWantedPace;
+    }
     aTask->mMayRunUnseen = false;
     if (isSecond && !aTask->mStep->mSpec->mMayDuplicate) {
       StopRun(run);
@@ -1074,6 +1081,19 @@
     return &run;
   }
 
+  /// The pace that an earlier leader has set, by the use of processors. To run
+  /// all at full pace again would disturb the services beside them.
+  static int EstimatePace(const RunState& aRun, const RunningRun& aReport)
+  {
+    const auto need = aRun.mTask->mStep->mSpec->mNeed.mMilliProcessors;
+    const bool hasJustStarted = aReport.mPercent < kJustStartedPercent;
+    if (need <= 0 || aReport.mUsage < 0 || hasJustStarted) {
+      return kFullPace;
+    }
+    const auto pace = static_cast<int>(kFullPace * aReport.mUsage / need);
+    return pace > kNearlyFullPace ? kFullPace : pace;
+  }
+
   // --- Periodic checks ----------------------------------------------------
 
   void CheckWorkers(TimePoint aNow)
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -69,6 +69,7 @@
   CPPUNIT_TEST(LeavesADrainingWorker);
   CPPUNIT_TEST(StopsBackfillBeforeTheBoundOfHarm);
   CPPUNIT_TEST(SetsThePaceOfAdoptedBackfill);
+  CPPUNIT_TEST(RaisesThePaceOfAdoptedBackfillInSteps);
   CPPUNIT_TEST(StartsOnlyWhereTheAdviceServicePermits);
   CPPUNIT_TEST(RunsNoTaskTwiceUnderRandomCutsAndTakeovers);
   CPPUNIT_TEST_SUITE_END();
@@ -393,12 +394,36 @@
       }));
   }
 
-  // Guards against backfill that stands still for ever because the earlier
-  // leader had slowed it down.
+  // Load pattern: a change of the leader while backfill stands still beside
+  // services. Guards against all of it working again at once, and against
+  // standing still for ever.
+  void RaisesThePaceOfAdoptedBackfillInSteps()
+  {
+    FakeSite site;
+    FakeWorker& worker = site.AddWorker("w1");
+    site.mRunTime = [](const TaskId&) { return milliseconds(60000); };
+    auto& first = site.AddLeader(1);
+    const jobs::JobRecord job = MakeBackfill("b", 1, "y");
+    first.Get().AddJob(job, false, site.Now());
+    site.Advance(milliseconds(500));
+    const jobs::JobRecord stored = Stored(first, job);
+    site.Kill(first);
+    // In the reports of this worker it is the use of processors.
+    worker.mTailMs = 0;
+    auto& second = site.AddLeader(2, site.Now() + std::chrono::seconds(12));
+    second.Get().AddJob(stored, true, site.Now());
+    site.Advance(milliseconds(400));
+    CPPUNIT_ASSERT(second.mPaces.empty() ||
+                   second.mPaces.front().mPercent <= 25);
+    site.Advance(milliseconds(5000));
+    CPPUNIT_ASSERT_EQUAL(100, second.mPaces.back().mPercent);
+  }
+
+  // Guards against backfill whose pace the new leader takes for granted.
   void SetsThePaceOfAdoptedBackfill()
   {
     FakeSite site;
-    site.AddWorker("w1");
+    FakeWorker& worker = site.AddWorker("w1");
     site.mRunTime = [](const TaskId&) { return milliseconds(60000); };
     auto& first = site.AddLeader(1);
     const jobs::JobRecord job = MakeBackfill("b", 1, "y");
@@ -406,6 +431,7 @@
     site.Advance(milliseconds(500));
     const jobs::JobRecord stored = Stored(first, job);
     site.Kill(first);
+    worker.mTailMs = 1990;
     auto& second = site.AddLeader(2, site.Now() + std::chrono::seconds(12));
     second.Get().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(500));
