Keep backfill with time to spare further from service targets

Load pattern: batch work with slack beside sensitive services at the crest. Cause: most windows that services lose are lost to backfill that was placed close to their target although its job had seconds to spare.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -75,6 +75,10 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 
+/// A job is urgent this long before it would miss its objective: placement,
+/// start and report take about half of it.
+constexpr std::int64_t kUrgentSlackMs = 400;
+
 /// Workers that one call to the advice service names: as many as the objective
 /// of a job counts for a step.
 constexpr std::size_t kAdvisedWorkers = 30;
@@ -523,6 +527,15 @@
           task.mLastRun = 0;
         }
       }
+      // Steps depend on earlier ones only.
+      for (std::size_t index = occurrence->mSteps.size(); index-- > 0;) {
+        StepState& step = occurrence->mSteps[index];
+        step.mChainMs += step.mSpec->mEstimateMs;
+        for (const int it : step.mSpec->mDependsOn) {
+          auto& need = occurrence->mSteps[static_cast<std::size_t>(it)];
+          need.mChainMs = std::max(need.mChainMs, step.mChainMs);
+        }
+      }
       aJob.mOccurrences.push_back(std::move(occurrence));
     }
   }
@@ -1261,6 +1274,9 @@
                 return RankOf(*aLeft, mUnixMs) < RankOf(*aRight, mUnixMs);
               });
     for (StepState* step : mReadySteps) {
+      step->mIsUrgent = step->mJob->mObjectiveMs > mUnixMs &&
+                        step->mJob->mObjectiveMs <
+                          mUnixMs + step->mChainMs * 3 / 2 + kUrgentSlackMs;
       AskForAdvice(*step, aNow);
       if (!IsReleased(*step, aNow)) {
         continue;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -36,7 +36,8 @@
 /// No backfill task is placed where it would add more than the first figure
 /// and bring a tail above the second one.
 constexpr Pressure kMinHarmfulRise = 0.05;
-constexpr TailRatio kMaxTailRatio = 0.8;
+constexpr TailRatio kMaxTailRatio = 0.7;
+constexpr TailRatio kMaxTailRatioUrgent = 0.8;
 
 bool
 HasLabel(const WorkerState& aWorker, const std::string& aLabel)
@@ -105,6 +106,7 @@
           const SharingModel& aModel)
 {
   const double share = ShareOf(*aStep.mSpec, aWorker);
+  const TailRatio limit = aStep.mIsUrgent ? kMaxTailRatioUrgent : kMaxTailRatio;
   return std::any_of(
     aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const RunState* aRun) {
       if (!aRun->mTask->mStep->mSpec->mIsService) {
@@ -114,7 +116,7 @@
         aModel.Rise(aRun->mTask->mStep->mImage, aStep.mImage, share);
       return rise > kMinHarmfulRise &&
              UndisturbedPressureOf(*aRun) + aModel.ExpectedRise(*aRun) + rise >
-               PressureOf(kMaxTailRatio);
+               PressureOf(limit);
     });
 }
 
--- a/src/dispatch/sharing_test.cpp
+++ b/src/dispatch/sharing_test.cpp
@@ -112,6 +112,7 @@
   CPPUNIT_TEST(AvoidsAWorkerThatFailsWhatItStarts);
   CPPUNIT_TEST(MovesBackfillAfterHalfOfTheBound);
   CPPUNIT_TEST(HandsItsEstimatesOver);
+  CPPUNIT_TEST(KeepsMoreDistanceWhileThereIsTime);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -248,6 +249,28 @@
     CPPUNIT_ASSERT(!successor.Import("garbage", mStage->mNow));
   }
 
+  // Load pattern: batch work with time to spare beside sensitive services.
+  // Guards against harm that a short wait would have avoided.
+  void KeepsMoreDistanceWhileThereIsTime()
+  {
+    Learn();
+    int placedWithTime = 0;
+    int placedUrgently = 0;
+    for (int tail = 30; tail < 80; ++tail) {
+      mStage->mWorkers.clear();
+      WorkerState& worker = mStage->AddWorker("w");
+      RunState& service =
+        mStage->Run(mStage->AddTask(ServiceStep(), mSensitive), worker, tail);
+      service.mUndisturbed = PressureOf(tail / 100.0);
+      TaskState& task = mStage->AddTask(BackfillStep(), mLoud);
+      placedWithTime += mStage->Choose(task) != nullptr ? 1 : 0;
+      task.mStep->mIsUrgent = true;
+      placedUrgently += mStage->Choose(task) != nullptr ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(placedWithTime > 0);
+    CPPUNIT_ASSERT(placedWithTime < placedUrgently);
+  }
+
 private:
   /// Shows the model a few seconds of reports: only one pair disturbs.
   void Learn()
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -88,6 +88,11 @@
   int mDone = 0;
   /// Its dependencies are complete and its time has come.
   bool mIsReady = false;
+  /// Time of the longest chain of steps that begins with this one, by the
+  /// declared estimates.
+  std::int64_t mChainMs = 0;
+  /// The job misses its objective unless the step starts now.
+  bool mIsUrgent = false;
   /// Tasks on each worker, for the limit per worker.
   std::map<const WorkerState*, int> mPerWorker;
   /// By worker id; only for queues that need permissions.
