--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -36,14 +36,16 @@
 inline constexpr base::Duration kAuthority = std::chrono::seconds(9);
 
 /// Elects one node by conditional appends to a stream that only leaders and
-/// candidates write to. Belongs to the thread of the call loop.
+/// candidates write to. Nodes with more of a processor claim first. Belongs to
+/// the thread of the call loop.
 class Leadership
 {
 public:
   Leadership(SharedLog& aLog,
              const base::Clock& aClock,
              LogStream aStream,
-             std::string aHolder);
+             std::string aHolder,
+             double aProcessorShare);
 
   /// Reads, claims and renews as far as due.
   void Poll();
@@ -78,6 +80,7 @@
   const base::Clock& mClock;
   const LogStream mStream;
   const std::string mHolder;
+  const double mProcessorShare;
   StreamTail mTail;
   std::optional<LeaderRecord> mNewest;
   base::TimePoint mNewestAt;
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -60,6 +60,8 @@
 struct NodeOptions
 {
   std::string mHolder;
+  /// Share of a processor that this process may use.
+  double mProcessorShare = 1.0;
   NodeStreams mStreams;
   dispatch::DispatchLimits mLimits;
 };
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -23,7 +23,11 @@
 /// Two renewals may be late or lost before others take over.
 constexpr base::Duration kSilence = std::chrono::milliseconds(2200);
 /// Candidates spread their claims over this time.
-constexpr base::Duration kMaxClaimDelay = std::chrono::milliseconds(300);
+constexpr base::Duration kMaxClaimDelay = std::chrono::milliseconds(200);
+/// Share of a processor from which on a node claims without a handicap; the
+/// strongest instances of the sites have one half.
+constexpr double kStrongShare = 0.5;
+constexpr base::Duration kMaxHandicap = std::chrono::milliseconds(500);
 /// Pause of a node that lost a claim or was fenced off.
 constexpr base::Duration kRetryPause = std::chrono::milliseconds(250);
 constexpr base::Duration kFollowerPause = std::chrono::milliseconds(300);
@@ -31,13 +35,22 @@
 
 using Fields = std::tuple<std::int64_t, std::string, bool>;
 
+/// How long a candidate lets others go first. Nodes of different strength do
+/// not meet, because a leader on a weak node is slow for all callers.
 base::Duration
-ClaimDelay(const std::string& aHolder, std::int64_t aEpoch)
+ClaimDelay(const std::string& aHolder,
+           std::int64_t aEpoch,
+           double aProcessorShare)
 {
   const auto hash =
     base::StableHash(aHolder, static_cast<std::uint64_t>(aEpoch));
-  return base::Duration(static_cast<base::Duration::rep>(
-    hash % static_cast<std::uint64_t>(kMaxClaimDelay.count())));
+  const double weakness =
+    std::clamp(1.0 - aProcessorShare / kStrongShare, 0.0, 1.0);
+  const auto handicap = base::Duration(static_cast<base::Duration::rep>(
+    weakness * static_cast<double>(kMaxHandicap.count())));
+  return handicap +
+         base::Duration(static_cast<base::Duration::rep>(
+           hash % static_cast<std::uint64_t>(kMaxClaimDelay.count())));
 }
 
 } // namespace
@@ -68,11 +81,13 @@
 Leadership::Leadership(SharedLog& aLog,
                        const base::Clock& aClock,
                        LogStream aStream,
-                       std::string aHolder)
+                       std::string aHolder,
+                       double aProcessorShare)
   : mLog(aLog)
   , mClock(aClock)
   , mStream(std::move(aStream))
   , mHolder(std::move(aHolder))
+  , mProcessorShare(aProcessorShare)
   , mTail(aLog,
           aClock,
           mStream,
@@ -187,7 +202,7 @@
     return false;
   }
   const base::Duration delay =
-    ClaimDelay(mHolder, mNewest ? mNewest->mEpoch : 0);
+    ClaimDelay(mHolder, mNewest ? mNewest->mEpoch : 0, mProcessorShare);
   if (!mNewest || mNewest->mIsResigned) {
     return aNow >= std::max(mNewestAt, mTail.SteadySince()) + delay;
   }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -108,7 +108,11 @@
              aClock,
              aWallClock,
              aMetrics)
-  , mLeadership(aLog, aClock, mOptions.mStreams.mLeader, mOptions.mHolder)
+  , mLeadership(aLog,
+                aClock,
+                mOptions.mStreams.mLeader,
+                mOptions.mHolder,
+                mOptions.mProcessorShare)
 {
   mWorkerTail.SetPause(kFollowerWorkerPause);
   mJournalTail.SetPause(kFollowerJournalPause);
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -21,9 +21,10 @@
 {
   Candidate(FakeLogState& aState,
             const base::Clock& aClock,
-            const std::string& aName)
+            const std::string& aName,
+            double aProcessorShare = 0.25)
     : mLog(aState)
-    , mLeadership(mLog, aClock, kLeaders, aName)
+    , mLeadership(mLog, aClock, kLeaders, aName, aProcessorShare)
   {
   }
 
@@ -54,6 +55,7 @@
   CPPUNIT_TEST(KeepsTheLeaderWhoseRenewalsAreNotAnswered);
   CPPUNIT_TEST(ReplacesALeaderThatResignedAtOnce);
   CPPUNIT_TEST(WaitsForTheLeasesOfALeaderThatResigned);
+  CPPUNIT_TEST(PrefersAStrongNode);
   CPPUNIT_TEST(TakesTheLongestPrefix);
   CPPUNIT_TEST(AcceptsAJobOnceItIsStored);
   CPPUNIT_TEST(RefusesAJobWhileTheLogRefusesCalls);
@@ -145,6 +147,17 @@
                    restartedAt + kAuthority);
   }
 
+  // Load pattern: a large site whose smallest instances are too slow to lead.
+  void PrefersAStrongNode()
+  {
+    AddCandidates(4);
+    mCandidates.push_back(
+      std::make_unique<Candidate>(mState, mClock, "strong", 0.5));
+    Advance(milliseconds(2000));
+    CPPUNIT_ASSERT(mCandidates.back()->mLeadership.IsLeader());
+    CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
+  }
+
   void TakesTheLongestPrefix()
   {
     const RouteTable table(3,
