--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -210,6 +210,7 @@
     Restore(*job, aJob.mProgress);
     JobState& added = *job;
     mJobs[added.mSubmission.mId] = std::move(job);
+    BeginDueOccurrences(added);
     AdvanceJob(added);
     RequestTick(aNow);
   }
@@ -254,6 +255,11 @@
     HandleRunning(worker, aReport, aSentAt, aNow);
     mSharing.Record(worker, aNow);
     AdjustPace(worker, mSharing, mLimits.mHarmBound, aNow);
+    for (RunState* it : worker.mRuns) {
+      if (it->mPace != it->mWantedPace) {
+        mRunsToCall.insert(it);
+      }
+    }
     worker.mNextPollAt = aNow + (mustWait ? kUnacknowledgedPause : kPollPause);
     RequestTick(aNow);
   }
@@ -302,6 +308,7 @@
     switch (aOutcome) {
       case StartOutcome::Started:
         Confirm(*run, aNow);
+        run->mNextCallAt = aNow;
         break;
       case StartOutcome::OldRun:
         // Its end is in the list of the worker, or it never runs.
@@ -372,6 +379,8 @@
     if (aOutcome == OrderOutcome::Accepted) {
       run->mPace = aOrder.mPercent;
       run->mProgressAt = aNow;
+    } else {
+      run->mNextCallAt = aNow + kResendPause;
     }
     RequestTick(aNow);
   }
@@ -413,24 +422,31 @@
   void Tick(TimePoint aNow, std::int64_t aUnixMs) override
   {
     mNextTick = aNow + kTickInterval;
-    if (aNow >= mNextPlacementAt) {
-      mNextPlacementAt = aNow + kTickInterval;
-      mIsPlacementDue = true;
-    }
     if (mIsFenced) {
       return;
     }
     mUnixMs = aUnixMs;
-    BeginOccurrences(aNow);
-    CheckWorkers(aNow);
+    // Events come many times as often as what passes with time has to be
+    // looked at.
+    const bool isFullTick = aNow >= mNextFullTickAt;
+    if (isFullTick) {
+      mNextFullTickAt = aNow + kTickInterval;
+      mIsPlacementDue = true;
+      BeginOccurrences();
+      RemoveEndedJobs();
+      LogSummary(aNow);
+    }
+    if (isFullTick || mMayRunUnseen) {
+      CheckWorkers(aNow);
+    }
     if (aNow >= mAuthorityUntil) {
       return;
     }
-    CheckRuns(aNow);
+    if (isFullTick) {
+      CheckRuns(aNow);
+    }
     PlaceAll(aNow);
     SendCalls(aNow);
-    RemoveEndedJobs();
-    LogSummary(aNow);
   }
 
   TimePoint NextTick() const override { return mNextTick; }
@@ -519,6 +535,7 @@
         step.mIndex = static_cast<int>(index);
         step.mImage = mSharing.Intern(step.mSpec->mImage);
         step.mTasks.resize(static_cast<std::size_t>(step.mSpec->mCount));
+        step.mWaiting = step.mSpec->mCount;
         int position = 0;
         for (TaskState& task : step.mTasks) {
           task.mStep = &step;
@@ -559,6 +576,7 @@
         task.mHasEndedRun = true;
         task.mCheckpoint = it.mCheckpoint;
         step->mDone += it.mIsDone ? 1 : 0;
+        step->mWaiting -= it.mIsDone ? 1 : 0;
       }
     }
   }
@@ -685,22 +703,28 @@
     }
   }
 
-  void BeginOccurrences(TimePoint)
+  void BeginOccurrences()
   {
     for (auto& [id, job] : mJobs) {
-      bool hasChanged = false;
-      for (auto& it : job->mOccurrences) {
-        if (!it->mIsBegun && it->mDueMs <= mUnixMs) {
-          it->mIsBegun = true;
-          hasChanged = true;
-        }
-      }
-      if (hasChanged) {
+      if (BeginDueOccurrences(*job)) {
         AdvanceJob(*job);
       }
     }
   }
 
+  /// True if the time of an occurrence has come.
+  bool BeginDueOccurrences(JobState& aJob) const
+  {
+    bool hasChanged = false;
+    for (auto& it : aJob.mOccurrences) {
+      if (!it->mIsBegun && it->mDueMs <= mUnixMs) {
+        it->mIsBegun = true;
+        hasChanged = true;
+      }
+    }
+    return hasChanged;
+  }
+
   void EndJob(JobState& aJob, jobs::JobState aState)
   {
     if (IsFinal(aJob.mState)) {
@@ -778,6 +802,9 @@
                    int aNumber,
                    TimePoint aNow)
   {
+    if (aTask.mRuns.empty()) {
+      --aTask.mStep->mWaiting;
+    }
     aTask.mRuns.emplace_back();
     RunState& run = aTask.mRuns.back();
     run.mTask = &aTask;
@@ -789,6 +816,7 @@
     aTask.mLastRun = std::max(aTask.mLastRun, aNumber);
     const jobs::Step& step = *aTask.mStep->mSpec;
     aWorker.mRuns.insert(&run);
+    mRunsToCall.insert(&run);
     aWorker.mUsed += CountedNeed(step);
     if (step.mIsBackfill) {
       aWorker.mBackfillDemand += step.mNeed.mMilliProcessors;
@@ -803,6 +831,7 @@
     WorkerState& worker = *aRun.mWorker;
     const jobs::Step& step = *task.mStep->mSpec;
     worker.mRuns.erase(&aRun);
+    mRunsToCall.erase(&aRun);
     worker.mUsed -= CountedNeed(step);
     if (step.mIsBackfill) {
       worker.mBackfillDemand -= step.mNeed.mMilliProcessors;
@@ -811,6 +840,9 @@
     mIsPlacementDue = true;
     task.mRuns.remove_if(
       [&](const RunState& aEntry) { return &aEntry == &aRun; });
+    if (task.mRuns.empty() && !task.mIsDone) {
+      ++task.mStep->mWaiting;
+    }
   }
 
   void Confirm(RunState& aRun, TimePoint aNow)
@@ -843,6 +875,7 @@
   {
     if (!aRun.mIsStopping) {
       aRun.mIsStopping = true;
+      mRunsToCall.insert(&aRun);
       aRun.mCallsSent = 0;
       aRun.mNextCallAt = TimePoint{};
     }
@@ -977,6 +1010,7 @@
       if (!aMember.mIsDone) {
         aMember.mIsDone = true;
         ++step.mDone;
+        step.mWaiting -= aMember.mRuns.empty() ? 1 : 0;
       }
       for (RunState& it : aMember.mRuns) {
         StopRun(it);
@@ -1247,19 +1281,33 @@
 
   // --- Placement ----------------------------------------------------------
 
-  /// Order in which waiting steps get workers.
-  static auto RankOf(const StepState& aStep, std::int64_t aUnixMs)
+  /// Jobs that are late already stand back for those that can be in time.
+  int LatenessOf(const JobState& aJob) const
   {
-    const JobState& job = *aStep.mJob;
-    // Jobs that are late already stand back for those that can be in time.
-    const int lateness = (job.mObjectiveMs < aUnixMs ? 1 : 0) +
-                         (job.mWorthlessMs < aUnixMs ? 1 : 0);
-    return std::tuple(!aStep.mSpec->mIsService,
-                      lateness,
-                      job.mSubmission.mPolicy.mPriority,
-                      job.mObjectiveMs,
-                      job.mSubmission.mId,
-                      aStep.mIndex);
+    return (aJob.mObjectiveMs < mUnixMs ? 1 : 0) +
+           (aJob.mWorthlessMs < mUnixMs ? 1 : 0);
+  }
+
+  /// True if the tasks of `aLeft` get workers before those of `aRight`.
+  bool ComesFirst(const StepState& aLeft, const StepState& aRight) const
+  {
+    if (aLeft.mSpec->mIsService != aRight.mSpec->mIsService) {
+      return aLeft.mSpec->mIsService;
+    }
+    const JobState& left = *aLeft.mJob;
+    const JobState& right = *aRight.mJob;
+    const int leftLateness = LatenessOf(left);
+    const int rightLateness = LatenessOf(right);
+    return std::tie(leftLateness,
+                    left.mSubmission.mPolicy.mPriority,
+                    left.mObjectiveMs,
+                    left.mSubmission.mId,
+                    aLeft.mIndex) <
+           std::tie(rightLateness,
+                    right.mSubmission.mPolicy.mPriority,
+                    right.mObjectiveMs,
+                    right.mSubmission.mId,
+                    aRight.mIndex);
   }
 
   void PlaceAll(TimePoint aNow)
@@ -1268,12 +1316,17 @@
       return;
     }
     mIsPlacementDue = false;
-    std::sort(mReadySteps.begin(),
-              mReadySteps.end(),
-              [&](const StepState* aLeft, const StepState* aRight) {
-                return RankOf(*aLeft, mUnixMs) < RankOf(*aRight, mUnixMs);
+    std::vector<StepState*> waiting;
+    std::copy_if(mReadySteps.begin(),
+                 mReadySteps.end(),
+                 std::back_inserter(waiting),
+                 [](const StepState* aStep) { return aStep->mWaiting > 0; });
+    std::sort(waiting.begin(),
+              waiting.end(),
+              [this](const StepState* aLeft, const StepState* aRight) {
+                return ComesFirst(*aLeft, *aRight);
               });
-    for (StepState* step : mReadySteps) {
+    for (StepState* step : waiting) {
       step->mIsUrgent = step->mJob->mObjectiveMs > mUnixMs &&
                         step->mJob->mObjectiveMs <
                           mUnixMs + step->mChainMs * 3 / 2 + kUrgentSlackMs;
@@ -1459,9 +1512,13 @@
   {
     for (auto& [id, worker] : mWorkers) {
       SendPoll(*worker, aNow);
-      for (RunState* it : worker->mRuns) {
-        SendRunCall(*it, aNow);
-      }
+    }
+    for (auto it = mRunsToCall.begin(); it != mRunsToCall.end();) {
+      RunState& run = **it;
+      SendRunCall(run, aNow);
+      const bool isSettled =
+        run.mIsConfirmed && !run.mIsStopping && run.mPace == run.mWantedPace;
+      it = isSettled ? mRunsToCall.erase(it) : std::next(it);
     }
   }
 
@@ -1504,7 +1561,8 @@
       return;
     }
     const bool isBackfill = aRun.mTask->mStep->mSpec->mIsBackfill;
-    if (isBackfill && aRun.mPace != aRun.mWantedPace && !aRun.mIsPaceInFlight) {
+    if (isBackfill && aRun.mPace != aRun.mWantedPace && !aRun.mIsPaceInFlight &&
+        aRun.mNextCallAt <= aNow) {
       aRun.mIsPaceInFlight = true;
       mSink.Pace({ worker.mEntry.mId,
                    worker.mEntry.mAddress,
@@ -1637,6 +1695,8 @@
   SharingModel mSharing;
   std::unordered_map<std::string, std::unique_ptr<JobState>> mJobs;
   std::vector<StepState*> mReadySteps;
+  /// Runs that are not confirmed, or have to be stopped or paced.
+  std::set<RunState*> mRunsToCall;
   std::vector<std::string> mDirty;
   std::vector<std::string> mRequestedReleases;
   /// Releases by the batch that makes them durable.
@@ -1648,7 +1708,7 @@
   TimePoint mAuthorityUntil;
   TimePoint mNextTick;
   TimePoint mNextSummaryAt;
-  TimePoint mNextPlacementAt;
+  TimePoint mNextFullTickAt;
   bool mIsPlacementDue = true;
   bool mMayRunUnseen = true;
   bool mIsFenced = false;
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -86,6 +86,8 @@
   int mImage = 0;
   std::vector<TaskState> mTasks;
   int mDone = 0;
+  /// Tasks that are neither done nor on a worker.
+  int mWaiting = 0;
   /// Its dependencies are complete and its time has come.
   bool mIsReady = false;
   /// Time of the longest chain of steps that begins with this one, by the
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -192,7 +192,7 @@
                                   policy.mNeedsAdvice },
                                 aSubmission.mAcceptedMs,
                                 aSubmission.mRequest.mPayload,
-                                std::move(steps),
+                                steps,
                                 aSubmission.mRequest.mOccurrences,
                                 aSubmission.mRequest.mFirstStartMs,
                                 aSubmission.mRequest.mIntervalMs });
