--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -7,9 +7,11 @@
 #include <iterator>
 #include <unordered_map>
 
+#include "job_state.hpp"
 #include "pacing.hpp"
 #include "placement.hpp"
 #include "state.hpp"
+#include "summary.hpp"
 
 namespace skylarkhill::dispatch {
 
@@ -101,31 +103,6 @@
   return aEntry.mLabels.empty() ? std::string() : aEntry.mLabels.back();
 }
 
-/// Time of the longest chain of steps, by the declared estimates.
-std::int64_t
-EstimateChainMs(const jobs::JobRequest& aRequest)
-{
-  std::vector<std::int64_t> ends;
-  std::int64_t longest = 0;
-  for (const auto& step : aRequest.mSteps) {
-    std::int64_t start = 0;
-    for (const int it : step.mDependsOn) {
-      start = std::max(start, ends[static_cast<std::size_t>(it)]);
-    }
-    ends.push_back(start + step.mEstimateMs);
-    longest = std::max(longest, ends.back());
-  }
-  return longest;
-}
-
-bool
-HasLiveRun(const TaskState& aTask)
-{
-  return std::any_of(aTask.mRuns.begin(),
-                     aTask.mRuns.end(),
-                     [](const RunState& aRun) { return !aRun.mIsStopping; });
-}
-
 class DefaultDispatcher : public Dispatcher
 {
 public:
@@ -206,11 +183,11 @@
                           kWorthlessFactor * static_cast<double>(objective));
     job->mIsReleased = aJob.mProgress.mIsReleased;
     job->mIsReleaseRequested = job->mIsReleased;
-    CreateOccurrences(*job, aIsInherited && job->mIsReleased);
-    Restore(*job, aJob.mProgress);
+    CreateOccurrences(*job, mSharing, aIsInherited && job->mIsReleased);
+    RestoreProgress(*job, aJob.mProgress);
     JobState& added = *job;
     mJobs[added.mSubmission.mId] = std::move(job);
-    BeginDueOccurrences(added);
+    BeginDueOccurrences(added, mUnixMs);
     AdvanceJob(added);
     RequestTick(aNow);
   }
@@ -434,7 +411,10 @@
       mIsPlacementDue = true;
       BeginOccurrences();
       RemoveEndedJobs();
-      LogSummary(aNow);
+      if (aNow >= mNextSummaryAt) {
+        mNextSummaryAt = aNow + kSummaryInterval;
+        LogDispatchSummary(mJobs.size(), mReadySteps, mWorkers);
+      }
     }
     if (isFullTick || mMayRunUnseen) {
       CheckWorkers(aNow);
@@ -516,115 +496,6 @@
 private:
   // --- Jobs ---------------------------------------------------------------
 
-  void CreateOccurrences(JobState& aJob, bool aIsInherited)
-  {
-    const auto& request = aJob.mSubmission.mRequest;
-    const int count = std::max(1, request.mOccurrences);
-    for (int n = 0; n < count; ++n) {
-      auto occurrence = std::make_unique<OccurrenceState>();
-      occurrence->mNumber = n;
-      occurrence->mDueMs = request.mOccurrences > 0
-                             ? request.mFirstStartMs + n * request.mIntervalMs
-                             : 0;
-      occurrence->mSteps.resize(request.mSteps.size());
-      for (std::size_t index = 0; index < request.mSteps.size(); ++index) {
-        StepState& step = occurrence->mSteps[index];
-        step.mJob = &aJob;
-        step.mSpec = &request.mSteps[index];
-        step.mOccurrence = n;
-        step.mIndex = static_cast<int>(index);
-        step.mImage = mSharing.Intern(step.mSpec->mImage);
-        step.mTasks.resize(static_cast<std::size_t>(step.mSpec->mCount));
-        step.mWaiting = step.mSpec->mCount;
-        int position = 0;
-        for (TaskState& task : step.mTasks) {
-          task.mStep = &step;
-          task.mIndex = position++;
-          task.mMayRunUnseen = aIsInherited;
-          task.mLastRun = 0;
-        }
-      }
-      // Steps depend on earlier ones only.
-      for (std::size_t index = occurrence->mSteps.size(); index-- > 0;) {
-        StepState& step = occurrence->mSteps[index];
-        step.mChainMs += step.mSpec->mEstimateMs;
-        for (const int it : step.mSpec->mDependsOn) {
-          auto& need = occurrence->mSteps[static_cast<std::size_t>(it)];
-          need.mChainMs = std::max(need.mChainMs, step.mChainMs);
-        }
-      }
-      aJob.mOccurrences.push_back(std::move(occurrence));
-    }
-  }
-
-  static void Restore(JobState& aJob, const jobs::JobProgress& aProgress)
-  {
-    for (const auto& entry : aProgress.mSteps) {
-      StepState* step = FindStep(aJob, entry.mOccurrence, entry.mStep);
-      if (step == nullptr) {
-        continue;
-      }
-      for (const auto& it : entry.mTasks) {
-        if (it.mIndex < 0 ||
-            it.mIndex >= static_cast<int>(step->mTasks.size())) {
-          continue;
-        }
-        TaskState& task = step->mTasks[static_cast<std::size_t>(it.mIndex)];
-        task.mIsDone = it.mIsDone;
-        task.mFailedRuns = it.mFailedRuns;
-        task.mLastRun = it.mLastRun;
-        task.mHasEndedRun = true;
-        task.mCheckpoint = it.mCheckpoint;
-        step->mDone += it.mIsDone ? 1 : 0;
-        step->mWaiting -= it.mIsDone ? 1 : 0;
-      }
-    }
-  }
-
-  static jobs::JobProgress ProgressOf(const JobState& aJob)
-  {
-    jobs::JobProgress progress;
-    progress.mState = aJob.mState;
-    progress.mIsReleased = aJob.mIsReleaseRequested;
-    if (IsFinal(aJob.mState)) {
-      return progress;
-    }
-    for (const auto& occurrence : aJob.mOccurrences) {
-      for (const StepState& step : occurrence->mSteps) {
-        jobs::StepProgress entry;
-        entry.mOccurrence = step.mOccurrence;
-        entry.mStep = step.mIndex;
-        for (const TaskState& it : step.mTasks) {
-          if (it.mIsDone || it.mHasEndedRun) {
-            entry.mTasks.push_back({ it.mIndex,
-                                     it.mIsDone,
-                                     it.mFailedRuns,
-                                     it.mLastRun,
-                                     it.mIsDone ? "" : it.mCheckpoint });
-          }
-        }
-        if (!entry.mTasks.empty()) {
-          progress.mSteps.push_back(std::move(entry));
-        }
-      }
-    }
-    return progress;
-  }
-
-  static StepState* FindStep(JobState& aJob, int aOccurrence, int aStep)
-  {
-    if (aOccurrence < 0 ||
-        aOccurrence >= static_cast<int>(aJob.mOccurrences.size())) {
-      return nullptr;
-    }
-    auto& steps =
-      aJob.mOccurrences[static_cast<std::size_t>(aOccurrence)]->mSteps;
-    if (aStep < 0 || aStep >= static_cast<int>(steps.size())) {
-      return nullptr;
-    }
-    return &steps[static_cast<std::size_t>(aStep)];
-  }
-
   TaskState* FindTask(const TaskId& aTask)
   {
     const auto found = mJobs.find(aTask.mJobId);
@@ -653,14 +524,6 @@
     return nullptr;
   }
 
-  static TaskId IdOf(const TaskState& aTask)
-  {
-    return { aTask.mStep->mJob->mSubmission.mId,
-             aTask.mStep->mOccurrence,
-             aTask.mStep->mIndex,
-             aTask.mIndex };
-  }
-
   void MarkDirty(JobState& aJob)
   {
     if (!aJob.mIsDirty) {
@@ -706,25 +569,12 @@
   void BeginOccurrences()
   {
     for (auto& [id, job] : mJobs) {
-      if (BeginDueOccurrences(*job)) {
+      if (BeginDueOccurrences(*job, mUnixMs)) {
         AdvanceJob(*job);
       }
     }
   }
 
-  /// True if the time of an occurrence has come.
-  bool BeginDueOccurrences(JobState& aJob) const
-  {
-    bool hasChanged = false;
-    for (auto& it : aJob.mOccurrences) {
-      if (!it->mIsBegun && it->mDueMs <= mUnixMs) {
-        it->mIsBegun = true;
-        hasChanged = true;
-      }
-    }
-    return hasChanged;
-  }
-
   void EndJob(JobState& aJob, jobs::JobState aState)
   {
     if (IsFinal(aJob.mState)) {
@@ -772,31 +622,8 @@
     }
   }
 
-  static bool HasRuns(const JobState& aJob)
-  {
-    for (const auto& occurrence : aJob.mOccurrences) {
-      for (const StepState& step : occurrence->mSteps) {
-        for (const TaskState& task : step.mTasks) {
-          if (!task.mRuns.empty()) {
-            return true;
-          }
-        }
-      }
-    }
-    return false;
-  }
-
   // --- Runs ---------------------------------------------------------------
 
-  static base::Resources CountedNeed(const jobs::Step& aStep)
-  {
-    base::Resources need = aStep.mNeed;
-    if (aStep.mIsBackfill) {
-      need.mMilliProcessors = 0;
-    }
-    return need;
-  }
-
   RunState& AddRun(TaskState& aTask,
                    WorkerState& aWorker,
                    int aNumber,
@@ -1609,68 +1436,6 @@
     mSink.Stop({ aWorker.mEntry.mId, aWorker.mEntry.mAddress, aTask, aRun });
   }
 
-  void LogSummary(TimePoint aNow)
-  {
-    if (aNow < mNextSummaryAt) {
-      return;
-    }
-    mNextSummaryAt = aNow + kSummaryInterval;
-    std::int64_t waiting = 0;
-    std::int64_t waitingBackfill = 0;
-    for (const StepState* step : mReadySteps) {
-      for (const TaskState& it : step->mTasks) {
-        if (!it.mIsDone && it.mRuns.empty()) {
-          ++(step->mSpec->mIsBackfill ? waitingBackfill : waiting);
-        }
-      }
-    }
-    std::int64_t running = 0;
-    std::int64_t backfill = 0;
-    std::int64_t demand = 0;
-    std::int64_t used = 0;
-    std::int64_t leftover = 0;
-    std::int64_t paced = 0;
-    std::int64_t services = 0;
-    std::int64_t harmed = 0;
-    std::int64_t starting = 0;
-    std::int64_t reserved = 0;
-    std::int64_t capacity = 0;
-    for (const auto& [id, worker] : mWorkers) {
-      demand += worker->mBackfillDemand;
-      leftover += EstimateLeftover(*worker);
-
-      reserved += worker->mUsed.mMilliProcessors;
-      capacity += worker->mEntry.mCapacity.mMilliProcessors;
-      for (const RunState* it : worker->mRuns) {
-        const bool isBackfill = it->mTask->mStep->mSpec->mIsBackfill;
-        ++(isBackfill ? backfill : running);
-        if (it->mTask->mStep->mSpec->mIsService) {
-          ++services;
-          harmed += TailRatioOf(*it) > 1.0 ? 1 : 0;
-          starting += it->mPercent < 100 ? 1 : 0;
-        }
-        paced += it->mWantedPace < 100 ? 1 : 0;
-        used += isBackfill ? std::max<std::int64_t>(0, it->mUsage) : 0;
-      }
-    }
-    logging::Write(logging::Level::Info,
-                   "dispatch_summary",
-                   { { "jobs", static_cast<std::int64_t>(mJobs.size()) },
-                     { "waiting", waiting },
-                     { "waiting_backfill", waitingBackfill },
-                     { "running", running },
-                     { "running_backfill", backfill },
-                     { "backfill_demand", demand },
-                     { "backfill_used", used },
-                     { "leftover", leftover },
-                     { "reserved", reserved },
-                     { "capacity", capacity },
-                     { "paced", paced },
-                     { "services", services },
-                     { "harmed", harmed },
-                     { "starting", starting } });
-  }
-
   void SetFenced(const std::string& aWorkerId)
   {
     if (!mIsFenced) {
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <limits>
 
+#include "job_state.hpp"
+
 namespace skylarkhill::dispatch {
 
 namespace {
@@ -120,16 +122,6 @@
     });
 }
 
-base::Resources
-CountedNeed(const jobs::Step& aStep)
-{
-  base::Resources need = aStep.mNeed;
-  if (aStep.mIsBackfill) {
-    need.mMilliProcessors = 0;
-  }
-  return need;
-}
-
 /// Lower is better.
 double
 PlacementCost(const TaskState& aTask,
--- /dev/null
+++ b/src/dispatch/summary.cpp
@@ -0,0 +1,73 @@
+#include "summary.hpp"
+
+#include "skylarkhill/logging/logging.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+#include "sharing.hpp"
+
+namespace skylarkhill::dispatch {
+
+void
+LogDispatchSummary(std::size_t aJobCount,
+                   const std::vector<StepState*>& aReadySteps,
+                   const WorkerMap& aWorkers)
+{
+  std::int64_t waiting = 0;
+  std::int64_t waitingBackfill = 0;
+  for (const StepState* step : aReadySteps) {
+    for (const TaskState& it : step->mTasks) {
+      if (!it.mIsDone && it.mRuns.empty()) {
+        ++(step->mSpec->mIsBackfill ? waitingBackfill : waiting);
+      }
+    }
+  }
+  std::int64_t running = 0;
+  std::int64_t backfill = 0;
+  std::int64_t demand = 0;
+  std::int64_t used = 0;
+  std::int64_t leftover = 0;
+  std::int64_t paced = 0;
+  std::int64_t services = 0;
+  std::int64_t harmed = 0;
+  std::int64_t starting = 0;
+  std::int64_t reserved = 0;
+  std::int64_t capacity = 0;
+  for (const auto& [id, worker] : aWorkers) {
+    demand += worker->mBackfillDemand;
+    leftover += EstimateLeftover(*worker);
+
+    reserved += worker->mUsed.mMilliProcessors;
+    capacity += worker->mEntry.mCapacity.mMilliProcessors;
+    for (const RunState* it : worker->mRuns) {
+      const bool isBackfill = it->mTask->mStep->mSpec->mIsBackfill;
+      ++(isBackfill ? backfill : running);
+      if (it->mTask->mStep->mSpec->mIsService) {
+        ++services;
+        harmed += TailRatioOf(*it) > 1.0 ? 1 : 0;
+        starting += it->mPercent < 100 ? 1 : 0;
+      }
+      paced += it->mWantedPace < 100 ? 1 : 0;
+      used += isBackfill ? std::max<std::int64_t>(0, it->mUsage) : 0;
+    }
+  }
+  logging::Write(logging::Level::Info,
+                 "dispatch_summary",
+                 { { "jobs", static_cast<std::int64_t>(aJobCount) },
+                   { "waiting", waiting },
+                   { "waiting_backfill", waitingBackfill },
+                   { "running", running },
+                   { "running_backfill", backfill },
+                   { "backfill_demand", demand },
+                   { "backfill_used", used },
+                   { "leftover", leftover },
+                   { "reserved", reserved },
+                   { "capacity", capacity },
+                   { "paced", paced },
+                   { "services", services },
+                   { "harmed", harmed },
+                   { "starting", starting } });
+}
+
+} // namespace skylarkhill::dispatch
