Count harm from the last report without it; poll twice as often

By reading the code: a poll of 1,500 ms can be under way when backfill is placed, and the bound was counted from its late report. Ruled out: a change of the leader (services and backfill were started by the same one).

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -32,7 +32,8 @@
 /// How long a poll waits at the worker for an end. Below the half second that
 /// a reported tail covers where service and backfill tasks share a worker.
 constexpr int kPollWaitSharedMs = 500;
-constexpr int kPollWaitMs = 1500;
+/// Elsewhere: backfill that is placed during a poll is watched from its end on.
+constexpr int kPollWaitMs = 700;
 /// Pause before the next poll if ends wait to become durable.
 constexpr Duration kUnacknowledgedPause = std::chrono::milliseconds(250);
 constexpr Duration kPollPause = std::chrono::milliseconds(15);
--- a/src/dispatch/pacing.cpp
+++ b/src/dispatch/pacing.cpp
@@ -91,8 +91,10 @@
   }
   if (worst <= kHarmWarning) {
     aWorker.mHarmedSince.reset();
+    aWorker.mCalmAt = aNow;
   } else if (!aWorker.mHarmedSince) {
-    aWorker.mHarmedSince = aNow;
+    // The harm may have begun right after the last report without it.
+    aWorker.mHarmedSince = aWorker.mCalmAt.value_or(aNow);
   }
   if (backfill.empty()) {
     return;
--- a/src/dispatch/sharing_test.cpp
+++ b/src/dispatch/sharing_test.cpp
@@ -111,6 +111,7 @@
   CPPUNIT_TEST(GroupsServiceTasksOfOneImage);
   CPPUNIT_TEST(AvoidsAWorkerThatFailsWhatItStarts);
   CPPUNIT_TEST(MovesBackfillAfterHalfOfTheBound);
+  CPPUNIT_TEST(CountsHarmFromTheLastCalmReport);
   CPPUNIT_TEST(HandsItsEstimatesOver);
   CPPUNIT_TEST(KeepsMoreDistanceWhileThereIsTime);
   CPPUNIT_TEST_SUITE_END();
@@ -233,6 +234,24 @@
     CPPUNIT_ASSERT(backfill.mMustMove);
   }
 
+  // Load pattern: a burst of backfill on a worker that had none, while a long
+  // poll is under way. Guards against a reaction that starts to count only
+  // with the late report.
+  void CountsHarmFromTheLastCalmReport()
+  {
+    WorkerState& worker = mStage->AddWorker("w");
+    RunState& service =
+      mStage->Run(mStage->AddTask(ServiceStep(), mTolerant), worker, 45);
+    const auto bound = std::chrono::seconds(4);
+    AdjustPace(worker, mStage->mModel, bound, mStage->mNow);
+    RunState& backfill =
+      mStage->Run(mStage->AddTask(BackfillStep(), mQuiet), worker, 1600);
+    service.mUsage = 150;
+    mStage->mNow += milliseconds(1600);
+    AdjustPace(worker, mStage->mModel, bound, mStage->mNow);
+    CPPUNIT_ASSERT_EQUAL(0, backfill.mWantedPace);
+  }
+
   // Load pattern: a change of the leader under full load. Guards against a
   // second round of harm while the successor learns the same pairs again.
   void HandsItsEstimatesOver()
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -175,7 +175,9 @@
   base::TimePoint mFailureScoreAt;
 
   base::TimePoint mPaceChangedAt;
-  /// Since when a service task has been above its target.
+  /// Last report without a service task near or above its target.
+  std::optional<base::TimePoint> mCalmAt;
+  /// Since when a service task may have been above its target.
   std::optional<base::TimePoint> mHarmedSince;
 };
 
