Know an ended job until its end is durable

Cause: a job was forgotten as soon as the record of its end had been handed to the log. Ruled out: a change of the leader (one leader gave both starts). The new test fails without the change.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -441,6 +441,7 @@
       const auto found = mJobs.find(id);
       if (found != mJobs.end()) {
         found->second->mIsDirty = false;
+        found->second->mLastBatch = mBatch;
         dirty.emplace_back(id, ProgressOf(*found->second));
       }
     }
@@ -615,7 +616,11 @@
   {
     for (auto it = mJobs.begin(); it != mJobs.end();) {
       JobState& job = *it->second;
-      if (IsFinal(job.mState) && !job.mIsDirty && !HasRuns(job)) {
+      // A job that is forgotten before its end is durable would be taken for a
+      // new one when its submission arrives again.
+      const bool isDurable =
+        !job.mIsDirty && (!job.mLastBatch || *job.mLastBatch < mDurableBatch);
+      if (IsFinal(job.mState) && isDurable && !HasRuns(job)) {
         it = mJobs.erase(it);
       } else {
         ++it;
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(RunsTheStepsOfAJobInOrder);
   CPPUNIT_TEST(ReleasesAJobDurablyBeforeItsFirstStart);
   CPPUNIT_TEST(AcknowledgesSuccessOnlyWhenItIsDurable);
+  CPPUNIT_TEST(KnowsAnEndedJobUntilItsEndIsDurable);
   CPPUNIT_TEST(FailsAJobAtItsLimitOfAttempts);
   CPPUNIT_TEST(CountsFailuresThatAreReportedOutOfOrder);
   CPPUNIT_TEST(StartsAServiceTaskAgainHoweverItEnds);
@@ -124,6 +125,25 @@
     CPPUNIT_ASSERT(worker.mEnds.empty());
   }
 
+  // Guards against a second run of a job whose submission arrives again while
+  // the record of its end has not been answered.
+  void KnowsAnEndedJobUntilItsEndIsDurable()
+  {
+    FakeSite site;
+    site.AddWorker("w1");
+    auto& leader = site.AddLeader(1);
+    const jobs::JobRecord job = MakeJob("a", { 1 });
+    leader.Get().AddJob(job, false, site.Now());
+    site.Advance(milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
+    leader.mHasNoAnswer = true;
+    site.Advance(milliseconds(1000));
+    leader.Get().AddJob(Stored(leader, job), false, site.Now());
+    leader.mHasNoAnswer = false;
+    site.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
+  }
+
   void FailsAJobAtItsLimitOfAttempts()
   {
     FakeSite site;
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -222,6 +222,10 @@
     }
   }
   mDispatcher->Tick(now, ToMs(now));
+  if (mHasNoAnswer) {
+    mDispatcher->TakeDirty();
+    return;
+  }
   if (mCanStore) {
     auto [batch, dirty] = mDispatcher->TakeDirty();
     for (auto& [id, progress] : dirty) {
--- a/src/dispatch/fake_site_test.hpp
+++ b/src/dispatch/fake_site_test.hpp
@@ -75,6 +75,8 @@
     bool mIsConfirmed = true;
     /// Its progress records become durable.
     bool mCanStore = true;
+    /// Progress records are on their way and not answered.
+    bool mHasNoAnswer = false;
     std::vector<StartOrder> mStarts;
     std::vector<PaceOrder> mPaces;
     /// Workers that the advice service permits.
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -128,6 +128,8 @@
   bool mIsReleased = false;
   std::vector<std::unique_ptr<OccurrenceState>> mOccurrences;
   bool mIsDirty = false;
+  /// The batch with the newest progress of the job.
+  std::optional<std::uint64_t> mLastBatch;
 };
 
 /// Ends that may be acknowledged once a batch is durable.
