Remove what is dead or stands twice in the platform path

Gone: the result of JobTable::Apply, which no caller read, an unused member of the call loop, unused fields of the dispatcher's state.

--- a/include/skylarkhill/http/call_loop.hpp
+++ b/include/skylarkhill/http/call_loop.hpp
@@ -31,8 +31,6 @@
                     const ClientRequest& aRequest,
                     base::TimePoint aDeadline,
                     CallHandler aHandler) = 0;
-  /// Closes the idle connections to `aAddress`.
-  virtual void Forget(const std::string& aAddress) = 0;
   /// Handles what arrives until `aDeadline`, Wake or the first outcome.
   virtual void Wait(base::TimePoint aDeadline) = 0;
   /// Ends a Wait early. Thread-safe.
--- /dev/null
+++ b/include/skylarkhill/http/endpoint.hpp
@@ -0,0 +1,24 @@
+#ifndef SKYLARKHILL_HTTP_ENDPOINT_HPP
+#define SKYLARKHILL_HTTP_ENDPOINT_HPP
+
+#include "skylarkhill/base/error.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace skylarkhill::http {
+
+/// Where a server listens.
+struct Endpoint
+{
+  std::string mIp;
+  std::uint16_t mPort = 0;
+};
+
+/// InvalidArgument unless `aText` is "IP:PORT" with a port above 0.
+base::Result<Endpoint>
+ParseEndpoint(const std::string& aText);
+
+} // namespace skylarkhill::http
+
+#endif // SKYLARKHILL_HTTP_ENDPOINT_HPP
--- a/include/skylarkhill/jobs/job_table.hpp
+++ b/include/skylarkhill/jobs/job_table.hpp
@@ -29,24 +29,16 @@
   JobState State() const;
 };
 
-/// What one journal record changed.
-struct JobChange
-{
-  std::string mJobId;
-  bool mIsNew = false;
-  bool mIsCancelledNow = false;
-};
-
 /// Every job of the journal. Thread-safe: sharded by job, each shard under its
 /// own lock.
 class JobTable
 {
 public:
   /// Applies one record; records of a job may come in any order and more than
-  /// once. Nothing if the record is malformed or changes nothing.
-  std::optional<JobChange> Apply(std::string_view aKey,
-                                 std::string_view aValue,
-                                 std::int64_t aOffset);
+  /// once. Malformed records are skipped with a log line.
+  void Apply(std::string_view aKey,
+             std::string_view aValue,
+             std::int64_t aOffset);
   /// Removes a job.
   void Erase(const std::string& aJobId);
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -98,12 +98,6 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
 }
 
-std::string
-RackOf(const WorkerEntry& aEntry)
-{
-  return aEntry.mLabels.empty() ? std::string() : aEntry.mLabels.back();
-}
-
 class DefaultDispatcher : public Dispatcher
 {
 public:
@@ -135,7 +129,6 @@
     const bool wasDraining = worker->mEntry.mIsDraining;
     const bool hasMoved = worker->mEntry.mAddress != aEntry.mAddress;
     worker->mEntry = aEntry;
-    worker->mRack = RackOf(aEntry);
     worker->mIsListed = true;
     if (hasMoved) {
       worker->mNextPollAt = std::min(worker->mNextPollAt, aNow);
@@ -1190,13 +1183,6 @@
         aStep.mIsAdviceInFlight || aStep.mNextAdviceAt > aNow) {
       return;
     }
-    const auto waiting = std::count_if(
-      aStep.mTasks.begin(), aStep.mTasks.end(), [](const TaskState& aTask) {
-        return !aTask.mIsDone && aTask.mRuns.empty();
-      });
-    if (waiting == 0) {
-      return;
-    }
     AdviceOrder order;
     order.mJobId = aStep.mJob->mSubmission.mId;
     order.mOccurrence = aStep.mOccurrence;
@@ -1218,7 +1204,7 @@
         order.mWorkerIds.push_back(id);
       }
     }
-    if (usable >= static_cast<std::size_t>(waiting) ||
+    if (usable >= static_cast<std::size_t>(aStep.mWaiting) ||
         order.mWorkerIds.empty()) {
       return;
     }
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -110,7 +110,6 @@
   int mNumber = 0;
   std::int64_t mDueMs = 0;
   bool mIsBegun = false;
-  int mStepsDone = 0;
   std::vector<StepState> mSteps;
 };
 
@@ -142,7 +141,6 @@
 struct WorkerState
 {
   WorkerEntry mEntry;
-  std::string mRack;
   bool mIsListed = true;
   base::TimePoint mUnlistedAt;
   base::TimePoint mLeavesAt = base::kNoDeadline;
--- a/src/dispatch/summary.cpp
+++ b/src/dispatch/summary.cpp
@@ -17,11 +17,7 @@
   std::int64_t waiting = 0;
   std::int64_t waitingBackfill = 0;
   for (const StepState* step : aReadySteps) {
-    for (const TaskState& it : step->mTasks) {
-      if (!it.mIsDone && it.mRuns.empty()) {
-        ++(step->mSpec->mIsBackfill ? waitingBackfill : waiting);
-      }
-    }
+    (step->mSpec->mIsBackfill ? waitingBackfill : waiting) += step->mWaiting;
   }
   std::int64_t running = 0;
   std::int64_t backfill = 0;
@@ -37,7 +33,6 @@
   for (const auto& [id, worker] : aWorkers) {
     demand += worker->mBackfillDemand;
     leftover += EstimateLeftover(*worker);
-
     reserved += worker->mUsed.mMilliProcessors;
     capacity += worker->mEntry.mCapacity.mMilliProcessors;
     for (const RunState* it : worker->mRuns) {
--- a/src/http/call_loop.cpp
+++ b/src/http/call_loop.cpp
@@ -1,5 +1,8 @@
 #include "skylarkhill/http/call_loop.hpp"
 
+#include "skylarkhill/http/endpoint.hpp"
+#include "skylarkhill/logging/logging.hpp"
+
 #include <cxxtools/eventloop.h>
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/reply.h>
@@ -39,13 +42,10 @@
     : mAddress(std::move(aAddress))
     , mClient(aSelector)
   {
-    const auto colon = mAddress.rfind(':');
-    const auto port = std::strtoul(
-      mAddress.c_str() + (colon == std::string::npos ? 0 : colon + 1),
-      nullptr,
-      10);
-    mClient.prepareConnect(mAddress.substr(0, colon),
-                           static_cast<unsigned short>(port));
+    const auto endpoint = ParseEndpoint(mAddress);
+    if (endpoint) {
+      mClient.prepareConnect(endpoint.value().mIp, endpoint.value().mPort);
+    }
     cxxtools::connect(
       mClient.bodyAvailable, *this, &Connection::ReadAvailableBody);
     cxxtools::connect(mClient.replyFinished, *this, &Connection::OnFinished);
@@ -163,8 +163,6 @@
     mActive.push_back(std::move(connection));
   }
 
-  void Forget(const std::string& aAddress) override { mIdle.erase(aAddress); }
-
   void Wait(TimePoint aDeadline) override
   {
     const TimePoint now = mClock.Now();
@@ -176,9 +174,11 @@
     try {
       mSelector.wait(cxxtools::Milliseconds(
         std::chrono::duration<double, std::milli>(left).count()));
-    } catch (const std::exception&) {
-      // A socket that fails inside the selector is found by its deadline.
-      mFailedWaits += 1;
+    } catch (const std::exception& e) {
+      // The call on the socket that failed ends at its deadline.
+      logging::Write(logging::Level::Warning,
+                     "call_loop_wait_failed",
+                     { { "problem", e.what() } });
     }
     Finish();
   }
@@ -238,7 +238,6 @@
   cxxtools::Selector mSelector;
   std::list<ConnectionPtr> mActive;
   std::map<std::string, std::vector<ConnectionPtr>> mIdle;
-  std::uint64_t mFailedWaits = 0;
 };
 
 } // namespace
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -27,7 +27,7 @@
   return mIsCancelled ? JobState::Cancelled : mProgress.mState;
 }
 
-std::optional<JobChange>
+void
 JobTable::Apply(std::string_view aKey,
                 std::string_view aValue,
                 std::int64_t aOffset)
@@ -36,64 +36,59 @@
   if (!key) {
     LogMalformed(aKey,
                  base::MakeError(base::ErrorKind::InvalidArgument, "key"));
-    return std::nullopt;
+    return;
   }
   if (key->mKind == RecordKind::Model || key->mKind == RecordKind::Worker) {
-    return std::nullopt;
+    return;
   }
   if (aValue.empty()) {
     if (key->mKind == RecordKind::Submission) {
       Erase(key->mJobId);
     }
-    return std::nullopt;
+    return;
   }
-  JobChange change;
-  change.mJobId = key->mJobId;
   Shard& shard = ShardOf(key->mJobId);
   switch (key->mKind) {
     case RecordKind::Submission: {
       auto submission = DecodeSubmission(aValue);
       if (!submission) {
         LogMalformed(aKey, submission.error());
-        return std::nullopt;
+        return;
       }
       const std::lock_guard lock(shard.mLock);
       JobRecord& job = shard.mJobs[key->mJobId];
       // A submission that was sent twice stays one job.
       if (job.mSubmission) {
-        return std::nullopt;
+        return;
       }
       job.mSubmission = std::move(submission.value());
-      change.mIsNew = true;
-      return change;
+      break;
     }
     case RecordKind::Cancellation: {
       const std::lock_guard lock(shard.mLock);
       JobRecord& job = shard.mJobs[key->mJobId];
-      change.mIsCancelledNow = !job.mIsCancelled;
       job.mIsCancelled = true;
-      return change;
+      break;
     }
     case RecordKind::Progress: {
       auto progress = DecodeProgress(aValue);
       if (!progress) {
         LogMalformed(aKey, progress.error());
-        return std::nullopt;
+        return;
       }
       const std::lock_guard lock(shard.mLock);
       JobRecord& job = shard.mJobs[key->mJobId];
       if (aOffset <= job.mProgressOffset) {
-        return std::nullopt;
+        return;
       }
       job.mProgress = std::move(progress.value());
       job.mProgressOffset = aOffset;
-      return change;
+      break;
     }
     case RecordKind::Model:
     case RecordKind::Worker:
       break;
   }
-  return std::nullopt;
 }
 
 void
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -4,7 +4,6 @@
 #include "skylarkhill/logging/logging.hpp"
 
 #include <algorithm>
-#include <thread>
 #include <utility>
 
 namespace skylarkhill::node {
