Learn pressures against the load that the other tasks of a service show

Added log lines showed which workers are closed to them: half of the pairs of a waiting step and a worker fail on harm, and half of these by estimates that are wrong. The load of a service swings by half of itself, which is several units per share of a small task, and the estimator moved up ten times as fast as down.

The processors that services leave: reports of saturated workers give a use of 0.68 to 0.72 of what services declare, near the 0.6 that is assumed.

All tasks of a service share its load: reports without backfill differ by 0.05 within a service (quartiles). The load is now read from the tasks beside no backfill, and a Kalman filter per service image learns the pairs from the rest. Unknown pairs have a prior and are judged one standard deviation above it. Paces are lowered for the image that disturbs most for what it works, not for all by the same amount.

--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -99,7 +99,7 @@
   virtual std::string ExportModel() const = 0;
   /// Takes over what ExportModel of an earlier leader has returned. Other
   /// bytes are skipped with a log line.
-  virtual void ImportModel(std::string_view aBytes, base::TimePoint aNow) = 0;
+  virtual void ImportModel(std::string_view aBytes) = 0;
 
   /// True once a worker has refused an order of this term.
   virtual bool IsFenced() const = 0;
--- a/include/skylarkhill/policy/interference.hpp
+++ b/include/skylarkhill/policy/interference.hpp
@@ -10,36 +10,15 @@
 
 namespace skylarkhill::policy {
 
-/// Share of the error of a prediction by which one report moves the estimates.
-struct LearningRates
-{
-  /// For reports above the prediction.
-  double mUp = 0.2;
-  /// For reports below it.
-  double mDown = 0.2;
-};
-
 /// Estimates, per pair of service and batch class, how much one task of the
 /// class slows the service down. Learns from lagging, noisy reports and
 /// forgets. Not thread-safe.
 class InterferenceModel
 {
 public:
-  InterferenceModel() = default;
-  explicit InterferenceModel(LearningRates aRates)
-    : mRates(aRates)
-  {
-  }
-
   /// Learns from one report.
   void Record(const InterferenceReport& aReport);
 
-  /// Starts from an estimate that was made elsewhere.
-  void SetEstimate(const std::string& aService,
-                   const std::string& aBatchClass,
-                   double aPercentPerTask,
-                   base::TimePoint aNow);
-
   /// Expected slowdown, in percent points above an undisturbed worker, that
   /// one task of `aBatchClass` adds to `aService` at `aNow`.
   double Estimate(const std::string& aService,
@@ -55,7 +34,6 @@
 
   double Decayed(const Pair& aPair, base::TimePoint aNow) const;
 
-  LearningRates mRates;
   std::map<std::pair<std::string, std::string>, Pair> mPairs;
 };
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -476,9 +476,9 @@
 
   std::string ExportModel() const override { return mSharing.Export(); }
 
-  void ImportModel(std::string_view aBytes, TimePoint aNow) override
+  void ImportModel(std::string_view aBytes) override
   {
-    const auto imported = mSharing.Import(aBytes, aNow);
+    const auto imported = mSharing.Import(aBytes);
     if (!imported) {
       logging::Write(logging::Level::Warning,
                      "model_record_skipped",
--- a/src/dispatch/pacing.cpp
+++ b/src/dispatch/pacing.cpp
@@ -1,6 +1,7 @@
 #include "pacing.hpp"
 
 #include <algorithm>
+#include <map>
 #include <vector>
 
 namespace skylarkhill::dispatch {
@@ -21,7 +22,7 @@
 constexpr double kMovePart = 0.6;
 
 /// Rise that counts as noise.
-constexpr Pressure kInsignificantRise = 0.04;
+constexpr Pressure kInsignificantRise = 0.01;
 
 /// Reports cover the last half second, so that an earlier change would act on
 /// the same figures again.
@@ -37,37 +38,44 @@
   return step.mIsService && step.mTailTargetMs > 0;
 }
 
-/// By how many percent points all backfill that raises the tail of `aService`
-/// has to change its pace to bring the tail to its limit.
-double
-PaceCorrection(const SharingModel& aModel,
-               const RunState& aService,
-               const std::vector<RunState*>& aBackfill)
+/// Lowers the paces of `aBackfill` until `aService` stays below its limit.
+/// Starts with the image that disturbs most for what it works, so that the
+/// others go on.
+void
+LimitPaces(const SharingModel& aModel,
+           const RunState& aService,
+           const std::vector<RunState*>& aBackfill,
+           std::map<const RunState*, double>& aPaces)
 {
-  Pressure total = 0.0;
+  struct Entry
+  {
+    const RunState* mRun = nullptr;
+    Pressure mRise = 0.0;
+    Pressure mRisePerShare = 0.0;
+  };
+  std::vector<Entry> entries;
+  Pressure excess = LoadOf(aService) - PressureOf(kTailLimit);
   for (const RunState* it : aBackfill) {
     const Pressure rise = aModel.RiseBetween(aService, *it);
-    total += rise > kInsignificantRise ? rise : 0.0;
+    excess += rise * aPaces[it] / kFullPace;
+    if (rise > kInsignificantRise) {
+      entries.push_back({ it, rise, rise / BackfillShareOf(*it) });
+    }
   }
-  const Pressure room =
-    PressureOf(kTailLimit) - PressureOf(TailRatioOf(aService));
-  return total > 0.0 ? kFullPace * room / total : kFullPace;
-}
-
-/// The pace of `aRun` that brings no service task above its limit.
-int
-AllowedPace(const SharingModel& aModel,
-            const std::vector<const RunState*>& aServices,
-            const std::vector<double>& aCorrections,
-            const RunState& aRun)
-{
-  double allowed = kFullPace;
-  for (std::size_t n = 0; n < aServices.size(); ++n) {
-    if (aModel.RiseBetween(*aServices[n], aRun) > kInsignificantRise) {
-      allowed = std::min(allowed, aRun.mPace + aCorrections[n]);
+  std::sort(entries.begin(),
+            entries.end(),
+            [](const Entry& aLeft, const Entry& aRight) {
+              return aLeft.mRisePerShare > aRight.mRisePerShare;
+            });
+  for (const Entry& it : entries) {
+    if (excess <= 0.0) {
+      break;
     }
+    double& pace = aPaces[it.mRun];
+    const double lowered = std::max(0.0, pace - kFullPace * excess / it.mRise);
+    excess -= it.mRise * (pace - lowered) / kFullPace;
+    pace = lowered;
   }
-  return static_cast<int>(std::clamp(allowed, 0.0, double{ kFullPace }));
 }
 
 } // namespace
@@ -108,14 +116,16 @@
   if (!isUrgent && aNow < aWorker.mPaceChangedAt + kMinChangeInterval) {
     return;
   }
-  std::vector<double> corrections;
-  corrections.reserve(services.size());
+  std::map<const RunState*, double> paces;
+  for (const RunState* it : backfill) {
+    paces[it] = isUrgent ? 0.0 : kFullPace;
+  }
   for (const RunState* it : services) {
-    corrections.push_back(PaceCorrection(aModel, *it, backfill));
+    LimitPaces(aModel, *it, backfill, paces);
   }
   bool hasChanged = false;
   for (RunState* it : backfill) {
-    int pace = isUrgent ? 0 : AllowedPace(aModel, services, corrections, *it);
+    int pace = static_cast<int>(paces[it]);
     pace = std::min(pace, it->mWantedPace + kRaisePerChange);
     if (pace < it->mWantedPace || pace == kFullPace ||
         pace > it->mWantedPace + kRaisePerChange / 2) {
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -37,7 +37,7 @@
 
 /// No backfill task is placed where it would add more than the first figure
 /// and bring a tail above the second one.
-constexpr Pressure kMinHarmfulRise = 0.05;
+constexpr Pressure kMinHarmfulRise = 0.03;
 constexpr TailRatio kMaxTailRatio = 0.7;
 constexpr TailRatio kMaxTailRatioUrgent = 0.8;
 
@@ -68,7 +68,8 @@
   for (const RunState* it : aWorker.mRuns) {
     if (it->mTask->mStep->mSpec->mIsService) {
       highest = std::max(
-        highest, aModel.Rise(it->mTask->mStep->mImage, aStep.mImage, share));
+        highest,
+        aModel.RiseAtMost(it->mTask->mStep->mImage, aStep.mImage, share));
     }
   }
   return highest;
@@ -115,9 +116,9 @@
         return false;
       }
       const Pressure rise =
-        aModel.Rise(aRun->mTask->mStep->mImage, aStep.mImage, share);
+        aModel.RiseAtMost(aRun->mTask->mStep->mImage, aStep.mImage, share);
       return rise > kMinHarmfulRise &&
-             UndisturbedPressureOf(*aRun) + aModel.ExpectedRise(*aRun) + rise >
+             LoadOf(*aRun) + aModel.ExpectedRise(*aRun) + rise >
                PressureOf(limit);
     });
 }
--- /dev/null
+++ b/src/dispatch/pressure_model.cpp
@@ -0,0 +1,82 @@
+#include "pressure_model.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace skylarkhill::dispatch {
+
+namespace {
+
+/// What is assumed of an unknown pair: between pairs that hardly disturb each
+/// other, measured at 0 to 0.3, and the others, measured at 1 to 2.5.
+constexpr PairEstimate kUnknownPair{ 0.6, 1.0 };
+
+/// Pairs change within seconds, so that an estimate never counts as exact.
+constexpr double kLowestVariance = 0.06;
+/// Far above any pair that was measured.
+constexpr double kHighestMean = 12.0;
+
+} // namespace
+
+void
+PressureModel::Record(int aServiceImage,
+                      const std::vector<Presence>& aBackfill,
+                      Pressure aExcess,
+                      double aNoise)
+{
+  Pressure expected = 0.0;
+  double variance = aNoise;
+  for (const auto& it : aBackfill) {
+    const PairEstimate estimate = Estimate(aServiceImage, it.mImage);
+    expected += estimate.mMean * it.mShare;
+    variance += estimate.mVariance * it.mShare * it.mShare;
+  }
+  const double error = aExcess - expected;
+  for (const auto& it : aBackfill) {
+    PairEstimate estimate = Estimate(aServiceImage, it.mImage);
+    const double gain = estimate.mVariance * it.mShare / variance;
+    estimate.mMean =
+      std::clamp(estimate.mMean + gain * error, 0.0, kHighestMean);
+    estimate.mVariance =
+      std::max(kLowestVariance, estimate.mVariance * (1.0 - gain * it.mShare));
+    Set(aServiceImage, it.mImage, estimate);
+  }
+}
+
+PairEstimate
+PressureModel::Estimate(int aServiceImage, int aBackfillImage) const
+{
+  return Knows(aServiceImage, aBackfillImage)
+           ? mPairs[static_cast<std::size_t>(aServiceImage)]
+                   [static_cast<std::size_t>(aBackfillImage)]
+                     .mEstimate
+           : kUnknownPair;
+}
+
+bool
+PressureModel::Knows(int aServiceImage, int aBackfillImage) const
+{
+  const auto service = static_cast<std::size_t>(aServiceImage);
+  const auto backfill = static_cast<std::size_t>(aBackfillImage);
+  return service < mPairs.size() && backfill < mPairs[service].size() &&
+         mPairs[service][backfill].mIsKnown;
+}
+
+void
+PressureModel::Set(int aServiceImage,
+                   int aBackfillImage,
+                   const PairEstimate& aValue)
+{
+  const auto service = static_cast<std::size_t>(aServiceImage);
+  const auto backfill = static_cast<std::size_t>(aBackfillImage);
+  if (service >= mPairs.size()) {
+    mPairs.resize(service + 1);
+  }
+  auto& row = mPairs[service];
+  if (backfill >= row.size()) {
+    row.resize(backfill + 1);
+  }
+  row[backfill] = { aValue, true };
+}
+
+} // namespace skylarkhill::dispatch
--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/sharing.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <exception>
 #include <tuple>
+#include <vector>
 
 #include "state.hpp"
 
@@ -13,28 +14,69 @@
 
 namespace {
 
-/// Tail ratio of a service task that nothing disturbs; sites set the target to
-/// five times the usual tail, which doubles at the height of the load.
-constexpr TailRatio kUndisturbedRatio = 0.45;
+/// Pressure of a service whose load is not known: the load of the sites' usual
+/// services, with a part of its swing.
+constexpr Pressure kUsualLoad = 0.55;
 
-/// Bounds of what counts as undisturbed: a higher tail is taken for the effect
-/// of something that the model does not know yet.
-constexpr TailRatio kLowestUndisturbedRatio = 0.2;
-constexpr TailRatio kHighestUndisturbedRatio = 0.9;
+/// Bounds of a load: a higher pressure is taken for the effect of something
+/// that the model does not know yet.
+constexpr Pressure kLowestLoad = 0.1;
+constexpr Pressure kHighestLoad = 0.8;
 
-/// Weight of one report.
-constexpr double kSmoothing = 0.4;
+/// Reports of other tasks of a service tell its load for this long; the load
+/// swings by half of itself within ten seconds.
+constexpr base::Duration kLoadAge = std::chrono::milliseconds(1200);
 
-/// A run that has worked for less is not yet part of a reported tail.
-constexpr base::Duration kReportWindow = std::chrono::milliseconds(600);
+/// A task is taken to have a higher load than the others of its service from
+/// this difference on, for example on a worker that has become slow.
+constexpr Pressure kLoadTolerance = 0.15;
 
-/// Tail ratio of an idle service task, far below any that is reported.
-constexpr TailRatio kIdleRatio = 0.25;
+/// Variance of the difference between the pressures of two tasks of a service,
+/// neither beside backfill.
+constexpr double kLoadNoise = 0.01;
+/// The same if only tasks beside backfill tell the load.
+constexpr double kDisturbedLoadNoise = 0.03;
+/// The same if no other task tells the load.
+constexpr double kUnknownLoadNoise = 0.06;
+
+/// Tail ratio of an idle service task: sites set the target to five times the
+/// tail at rest.
+constexpr TailRatio kIdleRatio = 0.2;
 
 constexpr double kPercent = 100.0;
 
-/// Service image, backfill image, estimate.
-using EstimateFields = std::tuple<std::string, std::string, double>;
+/// Service image, backfill image, mean, variance.
+using EstimateFields = std::tuple<std::string, std::string, double, double>;
+
+/// What the tasks of a service except `aExcept` tell about its load.
+struct LoadReport
+{
+  Pressure mLoad = kUsualLoad;
+  double mNoise = kUnknownLoadNoise;
+};
+
+LoadReport
+ReadLoad(const StepState& aService,
+         const RunState* aExcept,
+         base::TimePoint aNow)
+{
+  std::vector<double> free;
+  std::vector<double> beside;
+  for (const TaskState& task : aService.mTasks) {
+    for (const RunState& it : task.mRuns) {
+      if (&it != aExcept && it.mUsage > 0 && it.mLoadAt + kLoadAge > aNow) {
+        (it.mIsBesideBackfill ? beside : free).push_back(it.mLoad);
+      }
+    }
+  }
+  std::vector<double>& loads = free.empty() ? beside : free;
+  if (loads.empty()) {
+    return {};
+  }
+  const auto middle = loads.begin() + (loads.size() - 1) / 2;
+  std::nth_element(loads.begin(), middle, loads.end());
+  return { *middle, free.empty() ? kDisturbedLoadNoise : kLoadNoise };
+}
 
 } // namespace
 
@@ -58,44 +100,35 @@
 void
 SharingModel::Record(WorkerState& aWorker, base::TimePoint aNow)
 {
+  std::vector<RunState*> services;
+  std::vector<Presence> backfill;
   for (RunState* it : aWorker.mRuns) {
-    if (it->mTask->mStep->mSpec->mIsService && it->mUsage > 0) {
-      RecordUndisturbed(*it);
-    }
-  }
-  std::map<int, double> shares;
-  for (const RunState* it : aWorker.mRuns) {
     const StepState& step = *it->mTask->mStep;
-    if (step.mSpec->mIsBackfill && it->mUsage > 0 &&
-        it->mConfirmedAt + kReportWindow < aNow) {
-      shares[step.mImage] +=
-        kPercent * static_cast<double>(it->mUsage) /
-        static_cast<double>(aWorker.mEntry.mCapacity.mMilliProcessors);
+    if (it->mUsage <= 0) {
+      continue;
+    }
+    if (step.mSpec->mIsBackfill) {
+      backfill.push_back({ step.mImage, UsedShareOf(*it) });
+    } else if (step.mSpec->mIsService && step.mSpec->mTailTargetMs > 0) {
+      services.push_back(it);
     }
   }
-  if (shares.empty()) {
-    return;
-  }
-  policy::InterferenceReport report;
-  report.mMeasuredAt = aNow;
-  for (const auto& [image, share] : shares) {
-    report.mBatchTasks[mNames[static_cast<std::size_t>(image)]] =
-      std::max(1, static_cast<int>(std::lround(share)));
+  for (RunState* it : services) {
+    it->mLoad = std::clamp(PressureOf(TailRatioOf(*it)) - RiseReported(*it),
+                           kLowestLoad,
+                           kHighestLoad);
+    it->mLoadAt = aNow;
+    it->mIsBesideBackfill = !backfill.empty();
   }
-  for (const RunState* it : aWorker.mRuns) {
-    const StepState& step = *it->mTask->mStep;
-    if (!step.mSpec->mIsService || it->mUsage <= 0 ||
-        step.mSpec->mTailTargetMs <= 0) {
-      continue;
-    }
-    report.mService = mNames[static_cast<std::size_t>(step.mImage)];
-    report.mSlowdownPercent =
-      std::lround(kPercent + kPercent * (PressureOf(TailRatioOf(*it)) -
-                                         PressureOf(kUndisturbedRatio)));
-    mModel.Record(report);
-    for (const auto& [image, share] : shares) {
-      Cell(step.mImage, image) = mModel.Estimate(
-        report.mService, mNames[static_cast<std::size_t>(image)], aNow);
+  for (RunState* it : services) {
+    StepState& step = *it->mTask->mStep;
+    step.mLoad = ReadLoad(step, nullptr, aNow).mLoad;
+    if (!backfill.empty()) {
+      const LoadReport others = ReadLoad(step, it, aNow);
+      mModel.Record(step.mImage,
+                    backfill,
+                    PressureOf(TailRatioOf(*it)) - others.mLoad,
+                    others.mNoise);
     }
   }
 }
@@ -103,12 +136,16 @@
 Pressure
 SharingModel::Rise(int aServiceImage, int aBackfillImage, double aShare) const
 {
-  const auto service = static_cast<std::size_t>(aServiceImage);
-  const auto backfill = static_cast<std::size_t>(aBackfillImage);
-  if (service >= mEstimates.size() || backfill >= mEstimates[service].size()) {
-    return 0.0;
-  }
-  return mEstimates[service][backfill] * aShare;
+  return mModel.Estimate(aServiceImage, aBackfillImage).mMean * aShare;
+}
+
+Pressure
+SharingModel::RiseAtMost(int aServiceImage,
+                         int aBackfillImage,
+                         double aShare) const
+{
+  const PairEstimate estimate = mModel.Estimate(aServiceImage, aBackfillImage);
+  return (estimate.mMean + std::sqrt(estimate.mVariance)) * aShare;
 }
 
 Pressure
@@ -136,11 +173,15 @@
 SharingModel::Export() const
 {
   std::vector<EstimateFields> rows;
-  for (std::size_t service = 0; service < mEstimates.size(); ++service) {
-    for (std::size_t image = 0; image < mEstimates[service].size(); ++image) {
-      if (mEstimates[service][image] > 0.0) {
-        rows.emplace_back(
-          mNames[service], mNames[image], mEstimates[service][image]);
+  const int count = static_cast<int>(mNames.size());
+  for (int service = 0; service < count; ++service) {
+    for (int image = 0; image < count; ++image) {
+      if (mModel.Knows(service, image)) {
+        const PairEstimate estimate = mModel.Estimate(service, image);
+        rows.emplace_back(mNames[static_cast<std::size_t>(service)],
+                          mNames[static_cast<std::size_t>(image)],
+                          estimate.mMean,
+                          estimate.mVariance);
       }
     }
   }
@@ -150,7 +191,7 @@
 }
 
 base::Result<void>
-SharingModel::Import(std::string_view aBytes, base::TimePoint aNow)
+SharingModel::Import(std::string_view aBytes)
 {
   std::vector<EstimateFields> rows;
   try {
@@ -159,47 +200,25 @@
   } catch (const std::exception& e) {
     return base::MakeError(base::ErrorKind::InvalidArgument, e.what());
   }
-  for (const auto& [service, image, estimate] : rows) {
-    mModel.SetEstimate(service, image, estimate, aNow);
-    Cell(Intern(service), Intern(image)) = estimate;
+  for (const auto& [service, image, mean, variance] : rows) {
+    mModel.Set(Intern(service), Intern(image), { mean, variance });
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-void
-SharingModel::RecordUndisturbed(RunState& aService) const
+/// What the backfill beside `aService` was expected to add to its last report.
+Pressure
+SharingModel::RiseReported(const RunState& aService) const
 {
   Pressure rise = 0.0;
   for (const RunState* it : aService.mWorker->mRuns) {
-    const jobs::Step& step = *it->mTask->mStep->mSpec;
-    if (step.mIsBackfill && it->mUsage > 0) {
-      const double used = static_cast<double>(it->mUsage) /
-                          static_cast<double>(step.mNeed.mMilliProcessors);
-      rise += RiseBetween(aService, *it) * std::min(1.0, used);
+    if (it->mTask->mStep->mSpec->mIsBackfill && it->mUsage > 0) {
+      rise += Rise(aService.mTask->mStep->mImage,
+                   it->mTask->mStep->mImage,
+                   UsedShareOf(*it));
     }
   }
-  const double observed = std::clamp(PressureOf(TailRatioOf(aService)) - rise,
-                                     PressureOf(kLowestUndisturbedRatio),
-                                     PressureOf(kHighestUndisturbedRatio));
-  aService.mUndisturbed = aService.mUndisturbed
-                            ? *aService.mUndisturbed +
-                                kSmoothing * (observed - *aService.mUndisturbed)
-                            : observed;
-}
-
-double&
-SharingModel::Cell(int aServiceImage, int aBackfillImage)
-{
-  const auto service = static_cast<std::size_t>(aServiceImage);
-  const auto backfill = static_cast<std::size_t>(aBackfillImage);
-  if (service >= mEstimates.size()) {
-    mEstimates.resize(service + 1);
-  }
-  auto& row = mEstimates[service];
-  if (backfill >= row.size()) {
-    row.resize(backfill + 1, 0.0);
-  }
-  return row[backfill];
+  return rise;
 }
 
 TailRatio
@@ -208,13 +227,22 @@
   const auto target = aRun.mTask->mStep->mSpec->mTailTargetMs;
   return aRun.mUsage > 0 && target > 0
            ? static_cast<double>(aRun.mUsage) / static_cast<double>(target)
-           : kUndisturbedRatio;
+           : kIdleRatio / (1.0 - kUsualLoad);
 }
 
 Pressure
-UndisturbedPressureOf(const RunState& aService)
+LoadOf(const RunState& aService)
 {
-  return aService.mUndisturbed.value_or(PressureOf(kUndisturbedRatio));
+  return std::max(aService.mTask->mStep->mLoad.value_or(kUsualLoad),
+                  aService.mLoad - kLoadTolerance);
+}
+
+double
+UsedShareOf(const RunState& aRun)
+{
+  return static_cast<double>(aRun.mUsage) /
+         static_cast<double>(std::max<std::int64_t>(
+           1, aRun.mWorker->mEntry.mCapacity.mMilliProcessors));
 }
 
 double
--- a/src/dispatch/sharing.hpp
+++ b/src/dispatch/sharing.hpp
@@ -3,26 +3,23 @@
 
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/base/error.hpp"
-#include "skylarkhill/policy/interference.hpp"
 
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "pressure_model.hpp"
+
 namespace skylarkhill::dispatch {
 
 struct RunState;
+struct StepState;
 struct WorkerState;
 
 /// Tail latency of a service task relative to its target.
 using TailRatio = double;
 
-/// How close a service task is to saturation: 0 at its lowest tail, towards 1
-/// as the tail grows without bound. Like utilisation in a queue, the pressures
-/// of several tasks add up.
-using Pressure = double;
-
 /// The pressure that shows as `aRatio`.
 Pressure
 PressureOf(TailRatio aRatio);
@@ -39,12 +36,17 @@
   /// reported.
   void Record(WorkerState& aWorker, base::TimePoint aNow);
 
-  /// The pressure on a service task by a backfill task that uses the share
-  /// `aShare` (0 to 1) of the worker's processors.
+  /// The expected pressure on a service task by a backfill task that uses the
+  /// share `aShare` (0 to 1) of the worker's processors.
   Pressure Rise(int aServiceImage, int aBackfillImage, double aShare) const;
 
-  /// The pressure of `aBackfill` at full pace on `aService`, both on one
-  /// worker.
+  /// The same, one standard deviation above what is expected.
+  Pressure RiseAtMost(int aServiceImage,
+                      int aBackfillImage,
+                      double aShare) const;
+
+  /// The expected pressure of `aBackfill` at full pace on `aService`, both on
+  /// one worker.
   Pressure RiseBetween(const RunState& aService,
                        const RunState& aBackfill) const;
 
@@ -56,20 +58,14 @@
   std::string Export() const;
   /// Starts from the estimates of Export. InvalidArgument if the bytes are not
   /// those of Export.
-  base::Result<void> Import(std::string_view aBytes, base::TimePoint aNow);
+  base::Result<void> Import(std::string_view aBytes);
 
 private:
-  void RecordUndisturbed(RunState& aService) const;
-  double& Cell(int aServiceImage, int aBackfillImage);
+  Pressure RiseReported(const RunState& aService) const;
 
-  // An estimate that is too low costs the callers of a service, one that is
-  // too high only the choice among workers.
-  policy::InterferenceModel mModel{ { 0.5, 0.06 } };
+  PressureModel mModel;
   std::unordered_map<std::string, int> mNumbers;
   std::vector<std::string> mNames;
-  /// Estimates of mModel by service and backfill image, in percent points per
-  /// percent of the worker's processors.
-  std::vector<std::vector<double>> mEstimates;
 };
 
 /// The last reported tail of a service run relative to its target; a typical
@@ -77,9 +73,16 @@
 TailRatio
 TailRatioOf(const RunState& aRun);
 
-/// The expected pressure on a service run without backfill.
+/// The pressure of a service's own load, on the task that `aService` runs. All
+/// tasks of a service share the load, so that those without backfill beside
+/// them tell it for the others.
 Pressure
-UndisturbedPressureOf(const RunState& aService);
+LoadOf(const RunState& aService);
+
+/// The share of its worker's processors that a backfill run has reported to
+/// use.
+double
+UsedShareOf(const RunState& aRun);
 
 /// The share of its worker's processors that a backfill run uses at full
 /// pace.
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -47,9 +47,12 @@
   /// Disturbs a service task even at the lowest pace, as far as is known.
   bool mMustMove = false;
   std::int64_t mUsage = -1;
-  /// Pressure on a service run without the backfill beside it, smoothed;
-  /// nothing before the first report.
-  std::optional<double> mUndisturbed;
+  /// Of a service run: the pressure of its last report, less what the backfill
+  /// beside it was expected to add.
+  double mLoad = 0.0;
+  base::TimePoint mLoadAt;
+  /// Backfill worked beside it during that report.
+  bool mIsBesideBackfill = false;
 };
 
 struct TaskState
@@ -88,6 +91,9 @@
   int mDone = 0;
   /// Tasks that are neither done nor on a worker.
   int mWaiting = 0;
+  /// Of a service: the pressure of its own load; nothing before the first
+  /// report.
+  std::optional<double> mLoad;
   /// Its dependencies are complete and its time has come.
   bool mIsReady = false;
   /// Time of the longest chain of steps that begins with this one, by the
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -451,7 +451,7 @@
   mDispatcher->SetAuthority(mLeadership.ConfirmedAt(),
                             mLeadership.ConfirmedAt() + kAuthority);
   if (!mModelRecord.empty()) {
-    mDispatcher->ImportModel(mModelRecord, now);
+    mDispatcher->ImportModel(mModelRecord);
   }
   for (const auto& [id, worker] : mWorkers) {
     mDispatcher->SetWorker(worker.mEntry, now);
--- a/src/policy/interference.cpp
+++ b/src/policy/interference.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+// Reports are noisy: one report moves an estimate by a fifth of its error.
+constexpr double kLearningRate = 0.2;
 constexpr std::chrono::minutes kHalfLife{ 10 };
 // Every class is assumed to disturb a little until a report says otherwise,
 // so that unknown classes are not all put beside the same service.
@@ -36,17 +38,6 @@
   return it == mPairs.end() ? kPriorPercentPerTask : Decayed(it->second, aNow);
 }
 
-void
-InterferenceModel::SetEstimate(const std::string& aService,
-                               const std::string& aBatchClass,
-                               double aPercentPerTask,
-                               base::TimePoint aNow)
-{
-  mPairs[{ aService, aBatchClass }] = {
-    std::clamp(aPercentPerTask, 0.0, kMaxPercentPerTask), aNow
-  };
-}
-
 // Normalised least mean squares: the error of the prediction is divided among
 // the classes present in proportion to their task counts, because a report
 // shows only the sum of their effects.
@@ -66,14 +57,13 @@
   }
   const double observed = static_cast<double>(aReport.mSlowdownPercent) - 100.0;
   const double error = observed - predicted;
-  const double rate = error > 0.0 ? mRates.mUp : mRates.mDown;
   for (const auto& it : aReport.mBatchTasks) {
     const auto count = static_cast<double>(it.second);
     const double previous =
       Estimate(aReport.mService, it.first, aReport.mMeasuredAt);
     Pair& pair = mPairs[{ aReport.mService, it.first }];
     pair.mPercentPerTask = std::clamp(
-      previous + rate * error * count / norm, 0.0, kMaxPercentPerTask);
+      previous + kLearningRate * error * count / norm, 0.0, kMaxPercentPerTask);
     pair.mUpdatedAt = std::max(pair.mUpdatedAt, aReport.mMeasuredAt);
   }
 }
