Average the use of backfill over two reports: tails lag behind it

Pairs that disturb were learned at 1 to 1.3 where steady reports give 1.5 to 3: a task that has just started uses processors before its neighbours' tails rise, and a task that has left still shows in them.

--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/sharing.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <cmath>
 #include <exception>
+#include <map>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "state.hpp"
@@ -78,6 +80,30 @@
   return { *middle, free.empty() ? kDisturbedLoadNoise : kLoadNoise };
 }
 
+/// The backfill that shows in the tails of the newest report of `aWorker`. They
+/// lag behind the use of processors, which is why the report before counts as
+/// much.
+std::vector<Presence>
+ReadBackfill(WorkerState& aWorker)
+{
+  std::map<int, double> shares;
+  for (const RunState* it : aWorker.mRuns) {
+    const StepState& step = *it->mTask->mStep;
+    if (step.mSpec->mIsBackfill && it->mUsage > 0) {
+      shares[step.mImage] += UsedShareOf(*it);
+    }
+  }
+  std::map<int, double> both = std::exchange(aWorker.mBackfillShares, shares);
+  for (const auto& [image, share] : shares) {
+    both[image] += share;
+  }
+  std::vector<Presence> backfill;
+  for (const auto& [image, share] : both) {
+    backfill.push_back({ image, share / 2 });
+  }
+  return backfill;
+}
+
 } // namespace
 
 Pressure
@@ -101,22 +127,20 @@
 SharingModel::Record(WorkerState& aWorker, base::TimePoint aNow)
 {
   std::vector<RunState*> services;
-  std::vector<Presence> backfill;
   for (RunState* it : aWorker.mRuns) {
-    const StepState& step = *it->mTask->mStep;
-    if (it->mUsage <= 0) {
-      continue;
-    }
-    if (step.mSpec->mIsBackfill) {
-      backfill.push_back({ step.mImage, UsedShareOf(*it) });
-    } else if (step.mSpec->mIsService && step.mSpec->mTailTargetMs > 0) {
+    const jobs::Step& step = *it->mTask->mStep->mSpec;
+    if (step.mIsService && step.mTailTargetMs > 0 && it->mUsage > 0) {
       services.push_back(it);
     }
   }
+  const std::vector<Presence> backfill = ReadBackfill(aWorker);
   for (RunState* it : services) {
-    it->mLoad = std::clamp(PressureOf(TailRatioOf(*it)) - RiseReported(*it),
-                           kLowestLoad,
-                           kHighestLoad);
+    Pressure rise = 0.0;
+    for (const Presence& other : backfill) {
+      rise += Rise(it->mTask->mStep->mImage, other.mImage, other.mShare);
+    }
+    it->mLoad = std::clamp(
+      PressureOf(TailRatioOf(*it)) - rise, kLowestLoad, kHighestLoad);
     it->mLoadAt = aNow;
     it->mIsBesideBackfill = !backfill.empty();
   }
@@ -206,21 +230,6 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-/// What the backfill beside `aService` was expected to add to its last report.
-Pressure
-SharingModel::RiseReported(const RunState& aService) const
-{
-  Pressure rise = 0.0;
-  for (const RunState* it : aService.mWorker->mRuns) {
-    if (it->mTask->mStep->mSpec->mIsBackfill && it->mUsage > 0) {
-      rise += Rise(aService.mTask->mStep->mImage,
-                   it->mTask->mStep->mImage,
-                   UsedShareOf(*it));
-    }
-  }
-  return rise;
-}
-
 TailRatio
 TailRatioOf(const RunState& aRun)
 {
--- a/src/dispatch/sharing.hpp
+++ b/src/dispatch/sharing.hpp
@@ -61,8 +61,6 @@
   base::Result<void> Import(std::string_view aBytes);
 
 private:
-  Pressure RiseReported(const RunState& aService) const;
-
   PressureModel mModel;
   std::unordered_map<std::string, int> mNumbers;
   std::vector<std::string> mNames;
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -173,6 +173,8 @@
   base::Resources mUsed;
   /// Processors that backfill tasks ask for.
   std::int64_t mBackfillDemand = 0;
+  /// Share of the processors that each backfill image used by the last report.
+  std::map<int, double> mBackfillShares;
 
   /// No new start before this time.
   base::TimePoint mAvoidUntil;
