--- a/src/dispatch/sharing_test.cpp
+++ b/src/dispatch/sharing_test.cpp
@@ -1,6 +1,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cmath>
 #include <list>
+#include <utility>
+#include <vector>
 
 #include "pacing.hpp"
 #include "placement.hpp"
@@ -32,6 +35,17 @@
     return mTasks.back();
   }
 
+  /// A step whose tasks share their load.
+  StepState& AddStep(const jobs::Step& aSpec, int aImage, std::size_t aCount)
+  {
+    StepState& step = *AddTask(aSpec, aImage).mStep;
+    step.mTasks.resize(aCount);
+    for (TaskState& it : step.mTasks) {
+      it.mStep = &step;
+    }
+    return step;
+  }
+
   WorkerState& AddWorker(const std::string& aId)
   {
     auto& worker = mWorkers[aId];
@@ -46,8 +60,7 @@
 
   RunState& Run(TaskState& aTask, WorkerState& aWorker, std::int64_t aUsage)
   {
-    mRuns.emplace_back();
-    RunState& run = mRuns.back();
+    RunState& run = aTask.mRuns.emplace_back();
     run.mTask = &aTask;
     run.mWorker = &aWorker;
     run.mIsConfirmed = true;
@@ -77,7 +90,6 @@
   std::list<JobState> mJobs;
   std::list<StepState> mSteps;
   std::list<TaskState> mTasks;
-  std::list<RunState> mRuns;
 };
 
 jobs::Step
@@ -105,7 +117,10 @@
 {
   CPPUNIT_TEST_SUITE(SharingTest);
   CPPUNIT_TEST(LearnsWhichImagesDisturbEachOther);
+  CPPUNIT_TEST(LearnsPairsWhileTheLoadOfTheServiceSwings);
+  CPPUNIT_TEST(KnowsTheLoadOfAServiceAmidBackfillThatHasLeft);
   CPPUNIT_TEST(SlowsDownOnlyTheBackfillThatDisturbs);
+  CPPUNIT_TEST(SlowsDownFirstWhatDisturbsMost);
   CPPUNIT_TEST(PlacesDisturbingBackfillElsewhere);
   CPPUNIT_TEST(CountsBackfillThatNoReportCoversYet);
   CPPUNIT_TEST(GroupsServiceTasksOfOneImage);
@@ -123,6 +138,7 @@
     mSensitive = mStage->mModel.Intern("sensitive");
     mTolerant = mStage->mModel.Intern("tolerant");
     mLoud = mStage->mModel.Intern("loud");
+    mLouder = mStage->mModel.Intern("louder");
     mQuiet = mStage->mModel.Intern("quiet");
   }
 
@@ -134,6 +150,58 @@
     CPPUNIT_ASSERT(mStage->mModel.Rise(mTolerant, mLoud, 0.1) < 0.08);
   }
 
+  // Load pattern: services whose load swings by half of itself, with small
+  // backfill tasks beside some of their tasks. Guards against the swing being
+  // taken for an effect of the backfill, which closes most workers to it.
+  void LearnsPairsWhileTheLoadOfTheServiceSwings()
+  {
+    StepState& service = mStage->AddStep(ServiceStep(), mSensitive, 3);
+    WorkerState& alone = mStage->AddWorker("a");
+    WorkerState& besideLoud = mStage->AddWorker("b");
+    WorkerState& besideQuiet = mStage->AddWorker("c");
+    const std::vector<std::pair<WorkerState*, Pressure>> sites = {
+      { &alone, 0.0 }, { &besideLoud, 0.2 }, { &besideQuiet, 0.01 }
+    };
+    for (std::size_t n = 0; n < sites.size(); ++n) {
+      mStage->Run(service.mTasks[n], *sites[n].first, 50);
+    }
+    mStage->Run(mStage->AddTask(BackfillStep(), mLoud), besideLoud, 1600);
+    mStage->Run(mStage->AddTask(BackfillStep(), mQuiet), besideQuiet, 1600);
+    for (int n = 0; n < 120; ++n) {
+      const Pressure load = 0.45 + 0.22 * std::sin(n * 0.157);
+      for (std::size_t index = 0; index < sites.size(); ++index) {
+        service.mTasks[index].mRuns.front().mUsage =
+          TailAt(load + sites[index].second);
+        mStage->mModel.Record(*sites[index].first, mStage->mNow);
+      }
+      mStage->mNow += milliseconds(500);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+      0.2, mStage->mModel.Rise(mSensitive, mLoud, 0.1), 0.04);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+      0.01, mStage->mModel.Rise(mSensitive, mQuiet, 0.1), 0.02);
+  }
+
+  // Guards against backfill that has just left being counted as load of the
+  // service, because tails lag behind the use of processors.
+  void KnowsTheLoadOfAServiceAmidBackfillThatHasLeft()
+  {
+    Learn();
+    StepState& service = mStage->AddStep(ServiceStep(), mSensitive, 1);
+    WorkerState& worker = mStage->AddWorker("w");
+    const Pressure rise = mStage->mModel.Rise(mSensitive, mLoud, 0.1);
+    RunState& run =
+      mStage->Run(service.mTasks.front(), worker, TailAt(0.3 + rise));
+    RunState& loud =
+      mStage->Run(mStage->AddTask(BackfillStep(), mLoud), worker, 1600);
+    mStage->mModel.Record(worker, mStage->mNow);
+    mStage->mModel.Record(worker, mStage->mNow);
+    worker.mRuns.erase(&loud);
+    run.mUsage = TailAt(0.3 + rise / 2);
+    mStage->mModel.Record(worker, mStage->mNow);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.3, LoadOf(run), 0.05);
+  }
+
   // Load pattern: batch tasks of many images beside one sensitive service.
   // Guards against all of them paying for the one that disturbs.
   void SlowsDownOnlyTheBackfillThatDisturbs()
@@ -150,6 +218,26 @@
     CPPUNIT_ASSERT_EQUAL(100, quiet.mWantedPace);
   }
 
+  // Load pattern: the same, with two images that disturb. Guards against work
+  // that waits although a lower pace of the other image is enough.
+  void SlowsDownFirstWhatDisturbsMost()
+  {
+    WorkerState& worker = mStage->AddWorker("w");
+    StepState& service = mStage->AddStep(ServiceStep(), mSensitive, 1);
+    mStage->Run(service.mTasks.front(), worker, TailAt(0.7));
+    RunState& loud =
+      mStage->Run(mStage->AddTask(BackfillStep(), mLoud), worker, 1600);
+    RunState& louder =
+      mStage->Run(mStage->AddTask(BackfillStep(), mLouder), worker, 1600);
+    Teach(mLoud, 1.0);
+    Teach(mLouder, 2.0);
+    service.mLoad = 0.6;
+    AdjustPace(worker, mStage->mModel, std::chrono::seconds(4), mStage->mNow);
+    CPPUNIT_ASSERT_EQUAL(100, loud.mWantedPace);
+    CPPUNIT_ASSERT(louder.mWantedPace < 100);
+    CPPUNIT_ASSERT(louder.mWantedPace > 0);
+  }
+
   void PlacesDisturbingBackfillElsewhere()
   {
     Learn();
@@ -291,6 +379,31 @@
   }
 
 private:
+  /// The tail, in milliseconds, of a service task under `aPressure`.
+  static std::int64_t TailAt(Pressure aPressure)
+  {
+    return std::lround(ServiceStep().mTailTargetMs * 0.2 / (1.0 - aPressure));
+  }
+
+  /// Shows the model reports by which `aImage` disturbs the sensitive service
+  /// by `aPerShare`.
+  void Teach(int aImage, double aPerShare)
+  {
+    for (int n = 0; n < 60; ++n) {
+      StepState& service = mStage->AddStep(ServiceStep(), mSensitive, 2);
+      WorkerState& alone = mStage->AddWorker("alone");
+      WorkerState& beside = mStage->AddWorker("beside");
+      mStage->Run(service.mTasks[0], alone, TailAt(0.3));
+      mStage->Run(service.mTasks[1], beside, TailAt(0.3 + 0.1 * aPerShare));
+      mStage->Run(mStage->AddTask(BackfillStep(), aImage), beside, 1600);
+      mStage->mModel.Record(alone, mStage->mNow);
+      beside.mBackfillShares = { { aImage, 0.1 } };
+      mStage->mModel.Record(beside, mStage->mNow);
+      mStage->mWorkers.erase("alone");
+      mStage->mWorkers.erase("beside");
+    }
+  }
+
   /// Shows the model a few seconds of reports: only one pair disturbs.
   void Learn()
   {
@@ -303,6 +416,7 @@
                       worker,
                       isDisturbed ? 160 : 42);
           mStage->Run(mStage->AddTask(BackfillStep(), image), worker, 1600);
+          worker.mBackfillShares = { { image, 0.1 } };
           mStage->mModel.Record(worker, mStage->mNow);
         }
       }
@@ -314,6 +428,7 @@
   int mSensitive = 0;
   int mTolerant = 0;
   int mLoud = 0;
+  int mLouder = 0;
   int mQuiet = 0;
 };
 
