--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/sharing.cpp
@@ -75,7 +75,8 @@
   if (loads.empty()) {
     return {};
   }
-  const auto middle = loads.begin() + (loads.size() - 1) / 2;
+  const auto middle =
+    loads.begin() + static_cast<std::ptrdiff_t>((loads.size() - 1) / 2);
   std::nth_element(loads.begin(), middle, loads.end());
   return { *middle, free.empty() ? kDisturbedLoadNoise : kLoadNoise };
 }
@@ -98,6 +99,7 @@
     both[image] += share;
   }
   std::vector<Presence> backfill;
+  backfill.reserve(both.size());
   for (const auto& [image, share] : both) {
     backfill.push_back({ image, share / 2 });
   }
--- a/src/dispatch/sharing_test.cpp
+++ b/src/dispatch/sharing_test.cpp
@@ -382,7 +382,8 @@
   /// The tail, in milliseconds, of a service task under `aPressure`.
   static std::int64_t TailAt(Pressure aPressure)
   {
-    return std::lround(ServiceStep().mTailTargetMs * 0.2 / (1.0 - aPressure));
+    return std::lround(static_cast<double>(ServiceStep().mTailTargetMs) * 0.2 /
+                       (1.0 - aPressure));
   }
 
   /// Shows the model reports by which `aImage` disturbs the sensitive service
