Hear of the ends of runs before inherited tasks start

A new leader that came when all leases of its predecessor had ended waited for no worker and started tasks 0.16 s into its term. A worker that answered its first poll a moment later reported one of them as done.

A lost progress record: the end had never been acknowledged.

Inherited tasks wait until every worker has answered or failed to answer a first poll, at most the time-out of a poll.

HearsOfEndsBeforeItStartsInheritedTasks fails without the change.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -972,9 +972,11 @@
   void CheckWorkers(TimePoint aNow)
   {
     bool areAllKnown = true;
+    bool areAllAsked = true;
     for (auto it = mWorkers.begin(); it != mWorkers.end();) {
       WorkerState& worker = *it->second;
       areAllKnown = areAllKnown && worker.mIsKnown;
+      areAllAsked = areAllAsked && (worker.mIsKnown || worker.mFailedPolls > 0);
       const bool isSilent = worker.mLastReportAt + kPollRetryPause < aNow &&
                             worker.mFailedPolls > 0;
       // A successor that this node cannot see may have extended the lease, so
@@ -992,8 +994,10 @@
       }
       ++it;
     }
+    // Without a lease nothing runs, but a worker that can be reached may have
+    // the end of a run to tell.
     if (mMayRunUnseen && ((areAllKnown && !mWorkers.empty()) ||
-                          aNow >= mTerm.mEarlierLeasesEnd)) {
+                          (areAllAsked && aNow >= mTerm.mEarlierLeasesEnd))) {
       mMayRunUnseen = false;
       mIsPlacementDue = true;
     }
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -65,6 +65,7 @@
   CPPUNIT_TEST(KeepsAnAdoptedRunForAWholeLease);
   CPPUNIT_TEST(GivesUpNoRunWhileItsLeadershipIsNotConfirmed);
   CPPUNIT_TEST(StopsWhenAWorkerHasSeenASuccessor);
+  CPPUNIT_TEST(HearsOfEndsBeforeItStartsInheritedTasks);
   CPPUNIT_TEST(StartsNewJobsOfASuccessorWithoutWaiting);
   CPPUNIT_TEST(PutsJobsThatAreLateBehindThoseThatCanBeInTime);
   CPPUNIT_TEST(LeavesADrainingWorker);
@@ -254,6 +255,32 @@
 
   // Guards against a second run of a task whose worker has not answered the
   // new leader, also when the registry lists that worker no longer.
+  // Load pattern: a long outage of the log, after which a new leader takes over
+  // when all leases of its predecessor have ended. Guards against a second run
+  // of a task whose success a worker is about to report.
+  void HearsOfEndsBeforeItStartsInheritedTasks()
+  {
+    FakeSite site;
+    site.AddWorker("w1");
+    site.AddWorker("w2");
+    site.mRunTime = [](const TaskId&) { return milliseconds(800); };
+    auto& first = site.AddLeader(1);
+    const jobs::JobRecord job = MakeJob("a", { 1 });
+    first.Get().AddJob(job, false, site.Now());
+    site.Advance(milliseconds(300));
+    const std::string user = site.Worker("w1").mRuns.empty() ? "w2" : "w1";
+    const jobs::JobRecord stored = Stored(first, job);
+    site.Kill(first);
+    site.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.Worker(user).mEnds.size());
+    auto& second = site.AddLeader(2, site.Now());
+    second.mDelays[user] = milliseconds(200);
+    second.Get().AddJob(stored, true, site.Now());
+    site.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT(second.mStarts.empty());
+    CPPUNIT_ASSERT(second.mStored.at("a").mState == jobs::JobState::Completed);
+  }
+
   void WaitsForWorkersThatHaveNotAnsweredANewLeader()
   {
     FakeSite site;
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -97,7 +97,9 @@
   for (const auto& it : worker.mRuns) {
     report.mRunning.push_back({ it.mTask, it.mNumber, "", 50, worker.mTailMs });
   }
-  mAnswers.emplace_back(sentAt + kLatency, [this, aOrder, report, sentAt] {
+  const base::TimePoint answeredAt =
+    sentAt + kLatency + mDelays[aOrder.mWorkerId];
+  mAnswers.emplace_back(answeredAt, [this, aOrder, report, sentAt] {
     mDispatcher->OnReport(aOrder.mWorkerId, report, sentAt, mSite.Now());
   });
 }
--- a/src/dispatch/fake_site_test.hpp
+++ b/src/dispatch/fake_site_test.hpp
@@ -71,6 +71,8 @@
 
     /// Workers that this leader cannot reach.
     std::set<std::string> mCutOff;
+    /// By worker, how much later than usual its answers to polls come.
+    std::map<std::string, base::Duration> mDelays;
     /// Its leadership is confirmed all the time.
     bool mIsConfirmed = true;
     /// Its progress records become durable.
