Read the change through: one copy of what stood twice, fenced polls told as such

- A poll that a later leader's worker refuses was reported as a refused stop of an empty task.
Dispatcher::OnFenced says it.
- The share of a worker's processors was computed in three functions; ShareOf in dispatch/sharing serves all.
- Record keys map kinds and prefixes by one name table instead of two switches.
- The takeover tests share their set-up; the comment of WaitsForWorkersThatHaveNotAnsweredANewLeader stands at its test again.
- Two numbers have names; the comment on runs that must move says why.

--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -63,6 +63,8 @@
   /// A poll got no usable answer.
   virtual void OnPollFailed(const std::string& aWorkerId,
                             base::TimePoint aNow) = 0;
+  /// The worker has seen a later term and refused a call for that reason.
+  virtual void OnFenced(const std::string& aWorkerId) = 0;
   virtual void OnStart(const StartOrder& aOrder,
                        StartOutcome aOutcome,
                        base::TimePoint aNow) = 0;
--- a/include/skylarkhill/node/stream_tail.hpp
+++ b/include/skylarkhill/node/stream_tail.hpp
@@ -14,9 +14,10 @@
 /// What a tail delivers.
 struct TailHandlers
 {
-  /// All current records, at the start and after older records have expired.
-  std::function<void(const std::vector<LogRecord>&)> mOnSnapshot;
   std::function<void(const LogRecord&)> mOnRecord;
+  /// All current records, at the start and after older records have expired;
+  /// without it each of them goes to mOnRecord.
+  std::function<void(const std::vector<LogRecord>&)> mOnSnapshot;
 };
 
 /// Follows one stream. Belongs to the thread of the call loop.
@@ -53,6 +54,7 @@
 private:
   void OnNewest(const ReadResult& aResult, base::TimePoint aSentAt);
   void OnRead(const ReadResult& aResult, base::TimePoint aSentAt);
+  void Deliver(const std::vector<LogRecord>& aRecords);
   void OnFailure();
   void OnSuccess(base::TimePoint aSentAt);
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -254,13 +254,23 @@
     worker.mNextPollAt = aNow + kPollRetryPause;
   }
 
+  void OnFenced(const std::string& aWorkerId) override
+  {
+    if (!mIsFenced) {
+      logging::Write(logging::Level::Warning,
+                     "leader_fenced",
+                     { { "worker", aWorkerId }, { "epoch", mTerm.mEpoch } });
+    }
+    mIsFenced = true;
+  }
+
   void OnStart(const StartOrder& aOrder,
                StartOutcome aOutcome,
                TimePoint aNow) override
   {
     RunState* run = FindRun(aOrder.mTask, aOrder.mRun, aOrder.mWorkerId);
     if (aOutcome == StartOutcome::Fenced) {
-      SetFenced(aOrder.mWorkerId);
+      OnFenced(aOrder.mWorkerId);
     }
     if (run == nullptr) {
       return;
@@ -317,7 +327,7 @@
               TimePoint aNow) override
   {
     if (aOutcome == OrderOutcome::Fenced) {
-      SetFenced(aOrder.mWorkerId);
+      OnFenced(aOrder.mWorkerId);
     }
     RunState* run = FindRun(aOrder.mTask, aOrder.mRun, aOrder.mWorkerId);
     if (run == nullptr) {
@@ -340,7 +350,7 @@
               TimePoint aNow) override
   {
     if (aOutcome == OrderOutcome::Fenced) {
-      SetFenced(aOrder.mWorkerId);
+      OnFenced(aOrder.mWorkerId);
     }
     RunState* run = FindRun(aOrder.mTask, aOrder.mRun, aOrder.mWorkerId);
     if (run == nullptr) {
@@ -1432,16 +1442,6 @@
     mSink.Stop({ aWorker.mEntry.mId, aWorker.mEntry.mAddress, aTask, aRun });
   }
 
-  void SetFenced(const std::string& aWorkerId)
-  {
-    if (!mIsFenced) {
-      logging::Write(logging::Level::Warning,
-                     "leader_fenced",
-                     { { "worker", aWorkerId }, { "epoch", mTerm.mEpoch } });
-    }
-    mIsFenced = true;
-  }
-
   void RequestTick(TimePoint aNow) { mNextTick = std::min(mNextTick, aNow); }
 
   const DispatchLimits mLimits;
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -45,6 +45,32 @@
   return aJob;
 }
 
+base::Duration
+LastsAMinute(const TaskId&)
+{
+  return std::chrono::minutes(1);
+}
+
+/// Lets a first leader run `aJob` for `aTime` and kills it. Returns the job as
+/// a successor reads it.
+jobs::JobRecord
+RunUntilKilled(FakeSite& aSite, const jobs::JobRecord& aJob, milliseconds aTime)
+{
+  auto& leader = aSite.AddLeader(1);
+  leader.Get().AddJob(aJob, false, aSite.Now());
+  aSite.Advance(aTime);
+  jobs::JobRecord stored = Stored(leader, aJob);
+  aSite.Kill(leader);
+  return stored;
+}
+
+/// A leader whose predecessor may have extended leases a moment ago.
+FakeSite::Leader&
+AddSuccessor(FakeSite& aSite, std::int64_t aEpoch)
+{
+  return aSite.AddLeader(aEpoch, aSite.Now() + std::chrono::seconds(12));
+}
+
 } // namespace
 
 class DispatcherTest : public CppUnit::TestFixture
@@ -170,7 +196,7 @@
       worker.mEnds.push_back({ 1, task, number, RunEnd::Failed, "" });
       worker.mHighestEnded[ToText(task)] = number--;
     }
-    auto& leader = site.AddLeader(2, site.Now() + std::chrono::seconds(12));
+    auto& leader = AddSuccessor(site, 2);
     jobs::JobRecord job = MakeJob("a", { 1 });
     job.mProgress.mIsReleased = true;
     leader.Get().AddJob(job, true, site.Now());
@@ -195,7 +221,7 @@
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = [](const TaskId&) { return milliseconds(60000); };
+    site.mRunTime = LastsAMinute;
     auto& leader = site.AddLeader(1);
     leader.Get().AddJob(MakeJob("a", { 3 }), false, site.Now());
     site.Advance(milliseconds(300));
@@ -225,7 +251,7 @@
   {
     FakeSite site;
     FakeWorker& silent = site.AddWorker("w1", 4000);
-    site.mRunTime = [](const TaskId&) { return milliseconds(60000); };
+    site.mRunTime = LastsAMinute;
     auto& leader = site.AddLeader(1);
     leader.Get().AddJob(MakeService("a", 1, "x"), false, site.Now());
     site.Advance(milliseconds(300));
@@ -243,7 +269,7 @@
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = [](const TaskId&) { return milliseconds(60000); };
+    site.mRunTime = LastsAMinute;
     auto& leader = site.AddLeader(1);
     leader.Get().AddJob(MakeService("a", 1, "x"), false, site.Now());
     site.Advance(milliseconds(300));
@@ -253,8 +279,6 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, worker.mRuns.size());
   }
 
-  // Guards against a second run of a task whose worker has not answered the
-  // new leader, also when the registry lists that worker no longer.
   // Load pattern: a long outage of the log, after which a new leader takes over
   // when all leases of its predecessor have ended. Guards against a second run
   // of a task whose success a worker is about to report.
@@ -264,13 +288,9 @@
     site.AddWorker("w1");
     site.AddWorker("w2");
     site.mRunTime = [](const TaskId&) { return milliseconds(800); };
-    auto& first = site.AddLeader(1);
-    const jobs::JobRecord job = MakeJob("a", { 1 });
-    first.Get().AddJob(job, false, site.Now());
-    site.Advance(milliseconds(300));
+    const jobs::JobRecord stored =
+      RunUntilKilled(site, MakeJob("a", { 1 }), milliseconds(300));
     const std::string user = site.Worker("w1").mRuns.empty() ? "w2" : "w1";
-    const jobs::JobRecord stored = Stored(first, job);
-    site.Kill(first);
     site.Advance(milliseconds(1000));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.Worker(user).mEnds.size());
     auto& second = site.AddLeader(2, site.Now());
@@ -281,19 +301,17 @@
     CPPUNIT_ASSERT(second.mStored.at("a").mState == jobs::JobState::Completed);
   }
 
+  // Guards against a second run of a task whose worker has not answered the
+  // new leader, also when the registry lists that worker no longer.
   void WaitsForWorkersThatHaveNotAnsweredANewLeader()
   {
     FakeSite site;
     site.AddWorker("w1", 4000);
-    site.mRunTime = [](const TaskId&) { return milliseconds(60000); };
-    auto& first = site.AddLeader(1);
-    const jobs::JobRecord job = MakeService("a", 1, "x");
-    first.Get().AddJob(job, false, site.Now());
-    site.Advance(milliseconds(300));
-    const jobs::JobRecord stored = Stored(first, job);
-    site.Kill(first);
+    site.mRunTime = LastsAMinute;
+    const jobs::JobRecord stored =
+      RunUntilKilled(site, MakeService("a", 1, "x"), milliseconds(300));
     site.AddWorker("w2", 4000);
-    auto& second = site.AddLeader(2, site.Now() + std::chrono::seconds(12));
+    auto& second = AddSuccessor(site, 2);
     second.mCutOff.insert("w1");
     second.Get().RemoveWorker("w1", site.Now());
     second.Get().AddJob(stored, true, site.Now());
@@ -310,15 +328,11 @@
   {
     FakeSite site;
     site.AddWorker("w1", 4000);
-    site.mRunTime = [](const TaskId&) { return milliseconds(60000); };
-    auto& first = site.AddLeader(1);
-    const jobs::JobRecord job = MakeService("a", 1, "x");
-    first.Get().AddJob(job, false, site.Now());
-    site.Advance(milliseconds(300));
-    const jobs::JobRecord stored = Stored(first, job);
-    site.Kill(first);
+    site.mRunTime = LastsAMinute;
+    const jobs::JobRecord stored =
+      RunUntilKilled(site, MakeService("a", 1, "x"), milliseconds(300));
     site.AddWorker("w2", 4000);
-    auto& second = site.AddLeader(2, site.Now() + std::chrono::seconds(12));
+    auto& second = AddSuccessor(site, 2);
     second.Get().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(5));
     second.mCutOff.insert("w1");
@@ -333,7 +347,7 @@
   {
     FakeSite site;
     site.AddWorker("w1", 4000);
-    site.mRunTime = [](const TaskId&) { return milliseconds(60000); };
+    site.mRunTime = LastsAMinute;
     auto& first = site.AddLeader(1);
     const jobs::JobRecord job = MakeService("a", 1, "x");
     first.Get().AddJob(job, false, site.Now());
@@ -343,7 +357,7 @@
     site.Advance(milliseconds(100));
     first.mCutOff.insert("w1");
     first.mIsConfirmed = false;
-    auto& second = site.AddLeader(2, site.Now() + std::chrono::seconds(12));
+    auto& second = AddSuccessor(site, 2);
     second.mCutOff.insert("w2");
     second.Get().AddJob(Stored(first, job), true, site.Now());
     site.Advance(milliseconds(11000));
@@ -371,7 +385,7 @@
     FakeSite site;
     site.AddWorker("w1");
     site.AddWorker("w2");
-    auto& leader = site.AddLeader(2, site.Now() + std::chrono::seconds(12));
+    auto& leader = AddSuccessor(site, 2);
     leader.mCutOff.insert("w1");
     leader.Get().AddJob(MakeJob("a", { 1 }), true, site.Now());
     site.Advance(milliseconds(200));
@@ -403,7 +417,7 @@
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = [](const TaskId&) { return milliseconds(60000); };
+    site.mRunTime = LastsAMinute;
     auto& leader = site.AddLeader(1);
     jobs::JobRecord job = MakeService("a", 3, "x");
     job.mSubmission->mRequest.mSteps.front().mMaxUnavailable = 1;
@@ -426,7 +440,7 @@
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = [](const TaskId&) { return milliseconds(60000); };
+    site.mRunTime = LastsAMinute;
     auto& leader = site.AddLeader(1);
     leader.Get().AddJob(MakeService("s", 1, "x"), false, site.Now());
     leader.Get().AddJob(MakeBackfill("b", 1, "y"), false, site.Now());
@@ -448,16 +462,12 @@
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = [](const TaskId&) { return milliseconds(60000); };
-    auto& first = site.AddLeader(1);
-    const jobs::JobRecord job = MakeBackfill("b", 1, "y");
-    first.Get().AddJob(job, false, site.Now());
-    site.Advance(milliseconds(500));
-    const jobs::JobRecord stored = Stored(first, job);
-    site.Kill(first);
+    site.mRunTime = LastsAMinute;
+    const jobs::JobRecord stored =
+      RunUntilKilled(site, MakeBackfill("b", 1, "y"), milliseconds(500));
     // In the reports of this worker it is the use of processors.
     worker.mTailMs = 0;
-    auto& second = site.AddLeader(2, site.Now() + std::chrono::seconds(12));
+    auto& second = AddSuccessor(site, 2);
     second.Get().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(400));
     CPPUNIT_ASSERT(second.mPaces.empty() ||
@@ -471,15 +481,11 @@
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = [](const TaskId&) { return milliseconds(60000); };
-    auto& first = site.AddLeader(1);
-    const jobs::JobRecord job = MakeBackfill("b", 1, "y");
-    first.Get().AddJob(job, false, site.Now());
-    site.Advance(milliseconds(500));
-    const jobs::JobRecord stored = Stored(first, job);
-    site.Kill(first);
+    site.mRunTime = LastsAMinute;
+    const jobs::JobRecord stored =
+      RunUntilKilled(site, MakeBackfill("b", 1, "y"), milliseconds(500));
     worker.mTailMs = 1990;
-    auto& second = site.AddLeader(2, site.Now() + std::chrono::seconds(12));
+    auto& second = AddSuccessor(site, 2);
     second.Get().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(500));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, second.mPaces.size());
@@ -549,7 +555,7 @@
           old->mCutOff.insert(id);
         }
       }
-      leader = &site.AddLeader(++epoch, site.Now() + std::chrono::seconds(12));
+      leader = &AddSuccessor(site, ++epoch);
       leader->mCutOff = cutOff;
       leader->mStored = stored;
       for (auto job : submitted) {
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -69,8 +69,7 @@
   }
   FakeWorker& worker = mSite.Worker(aOrder.mWorkerId);
   if (mEpoch < worker.mToken) {
-    mDispatcher->OnStop(
-      { aOrder.mWorkerId, "", {}, 0 }, OrderOutcome::Fenced, sentAt);
+    mDispatcher->OnFenced(aOrder.mWorkerId);
     return;
   }
   worker.mToken = mEpoch;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -48,14 +48,6 @@
   return std::find(labels.begin(), labels.end(), aLabel) != labels.end();
 }
 
-double
-ShareOf(const jobs::Step& aStep, const WorkerState& aWorker)
-{
-  return static_cast<double>(aStep.mNeed.mMilliProcessors) /
-         static_cast<double>(std::max<std::int64_t>(
-           1, aWorker.mEntry.mCapacity.mMilliProcessors));
-}
-
 /// The highest rise of a tail that one more task of `aStep` causes on
 /// `aWorker`.
 Pressure
@@ -63,7 +55,7 @@
             const WorkerState& aWorker,
             const SharingModel& aModel)
 {
-  const double share = ShareOf(*aStep.mSpec, aWorker);
+  const double share = ShareOf(aStep.mSpec->mNeed.mMilliProcessors, aWorker);
   Pressure highest = 0.0;
   for (const RunState* it : aWorker.mRuns) {
     if (it->mTask->mStep->mSpec->mIsService) {
@@ -108,7 +100,7 @@
           const WorkerState& aWorker,
           const SharingModel& aModel)
 {
-  const double share = ShareOf(*aStep.mSpec, aWorker);
+  const double share = ShareOf(aStep.mSpec->mNeed.mMilliProcessors, aWorker);
   const TailRatio limit = aStep.mIsUrgent ? kMaxTailRatioUrgent : kMaxTailRatio;
   return std::any_of(
     aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const RunState* aRun) {
--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/sharing.cpp
@@ -89,7 +89,7 @@
   for (const RunState* it : aWorker.mRuns) {
     const StepState& step = *it->mTask->mStep;
     if (step.mSpec->mIsBackfill && it->mUsage > 0) {
-      shares[step.mImage] += UsedShareOf(*it);
+      shares[step.mImage] += ShareOf(it->mUsage, aWorker);
     }
   }
   return shares;
@@ -259,19 +259,18 @@
 }
 
 double
-UsedShareOf(const RunState& aRun)
+ShareOf(std::int64_t aMilliProcessors, const WorkerState& aWorker)
 {
-  return static_cast<double>(aRun.mUsage) /
+  return static_cast<double>(aMilliProcessors) /
          static_cast<double>(std::max<std::int64_t>(
-           1, aRun.mWorker->mEntry.mCapacity.mMilliProcessors));
+           1, aWorker.mEntry.mCapacity.mMilliProcessors));
 }
 
 double
 BackfillShareOf(const RunState& aRun)
 {
-  return static_cast<double>(aRun.mTask->mStep->mSpec->mNeed.mMilliProcessors) /
-         static_cast<double>(std::max<std::int64_t>(
-           1, aRun.mWorker->mEntry.mCapacity.mMilliProcessors));
+  return ShareOf(aRun.mTask->mStep->mSpec->mNeed.mMilliProcessors,
+                 *aRun.mWorker);
 }
 
 } // namespace skylarkhill::dispatch
--- a/src/dispatch/sharing.hpp
+++ b/src/dispatch/sharing.hpp
@@ -4,6 +4,7 @@
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/base/error.hpp"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -77,10 +78,9 @@
 Pressure
 LoadOf(const RunState& aService);
 
-/// The share of its worker's processors that a backfill run has reported to
-/// use.
+/// The share, 0 to 1, that `aMilliProcessors` are of the worker's processors.
 double
-UsedShareOf(const RunState& aRun);
+ShareOf(std::int64_t aMilliProcessors, const WorkerState& aWorker);
 
 /// The share of its worker's processors that a backfill run uses at full
 /// pace.
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -44,7 +44,7 @@
   bool mIsPaceInFlight = false;
   /// Since when the wanted pace has been below one half.
   std::optional<base::TimePoint> mSlowedSince;
-  /// Disturbs a service task even at the lowest pace, as far as is known.
+  /// A service task beside it has been above its target for too long.
   bool mMustMove = false;
   std::int64_t mUsage = -1;
   /// Of a service run: the pressure of its last report, less what the backfill
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -1,5 +1,7 @@
 #include "skylarkhill/jobs/job_codec.hpp"
 
+#include "skylarkhill/base/name_table.hpp"
+
 #include <msgpack.hpp>
 
 #include <exception>
@@ -12,11 +14,14 @@
 
 namespace {
 
-constexpr char kSubmissionPrefix = 's';
-constexpr char kCancellationPrefix = 'c';
-constexpr char kProgressPrefix = 'p';
-constexpr char kModelPrefix = 'm';
-constexpr char kWorkerPrefix = 'w';
+/// The first character of the keys of each kind.
+constexpr base::NameTable<RecordKind, 5> kKeyPrefixes{ {
+  { RecordKind::Submission, "s" },
+  { RecordKind::Cancellation, "c" },
+  { RecordKind::Progress, "p" },
+  { RecordKind::Model, "m" },
+  { RecordKind::Worker, "w" },
+} };
 
 using ResourceFields = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
 using StepFields = std::tuple<int,
@@ -123,24 +128,8 @@
 std::string
 FormatRecordKey(RecordKind aKind, std::string_view aJobId)
 {
-  char prefix = kSubmissionPrefix;
-  switch (aKind) {
-    case RecordKind::Submission:
-      break;
-    case RecordKind::Cancellation:
-      prefix = kCancellationPrefix;
-      break;
-    case RecordKind::Progress:
-      prefix = kProgressPrefix;
-      break;
-    case RecordKind::Model:
-      prefix = kModelPrefix;
-      break;
-    case RecordKind::Worker:
-      prefix = kWorkerPrefix;
-      break;
-  }
-  std::string key{ prefix, '/' };
+  std::string key(base::FindName(kKeyPrefixes, aKind));
+  key.push_back('/');
   key.append(aJobId);
   return key;
 }
@@ -151,27 +140,11 @@
   if (aKey.size() < 3 || aKey[1] != '/') {
     return std::nullopt;
   }
-  RecordKey key;
-  key.mJobId = aKey.substr(2);
-  switch (aKey.front()) {
-    case kSubmissionPrefix:
-      key.mKind = RecordKind::Submission;
-      return key;
-    case kCancellationPrefix:
-      key.mKind = RecordKind::Cancellation;
-      return key;
-    case kProgressPrefix:
-      key.mKind = RecordKind::Progress;
-      return key;
-    case kModelPrefix:
-      key.mKind = RecordKind::Model;
-      return key;
-    case kWorkerPrefix:
-      key.mKind = RecordKind::Worker;
-      return key;
-    default:
-      return std::nullopt;
+  const auto kind = base::FindValue(kKeyPrefixes, aKey.substr(0, 1));
+  if (!kind) {
+    return std::nullopt;
   }
+  return RecordKey{ *kind, std::string(aKey.substr(2)) };
 }
 
 std::string
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -91,13 +91,7 @@
   , mTail(aLog,
           aClock,
           mStream,
-          { [this](const std::vector<LogRecord>& aRecords) {
-             std::for_each(
-               aRecords.begin(),
-               aRecords.end(),
-               [this](const LogRecord& aRecord) { OnRecord(aRecord); });
-           },
-            [this](const LogRecord& aRecord) { OnRecord(aRecord); } })
+          { [this](const LogRecord& aRecord) { OnRecord(aRecord); }, {} })
 {
   mTail.SetPause(kFollowerPause);
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -78,29 +78,19 @@
       aLog,
       aClock,
       mOptions.mStreams.mConfiguration,
-      { [this](const std::vector<LogRecord>& aRecords) {
-         std::for_each(
-           aRecords.begin(), aRecords.end(), [this](const LogRecord& aRecord) {
-             OnConfiguration(aRecord);
-           });
-       },
-        [this](const LogRecord& aRecord) { OnConfiguration(aRecord); } })
-  , mWorkerTail(
+      { [this](const LogRecord& aRecord) { OnConfiguration(aRecord); }, {} })
+  , mWorkerTail(aLog,
+                aClock,
+                mOptions.mStreams.mWorkers,
+                { [this](const LogRecord& aRecord) { OnWorker(aRecord); },
+                  [this](const std::vector<LogRecord>& aRecords) {
+                    OnWorkers(aRecords);
+                  } })
+  , mJournalTail(
       aLog,
       aClock,
-      mOptions.mStreams.mWorkers,
-      { [this](const std::vector<LogRecord>& aRecords) { OnWorkers(aRecords); },
-        [this](const LogRecord& aRecord) { OnWorker(aRecord); } })
-  , mJournalTail(aLog,
-                 aClock,
-                 mOptions.mStreams.mJournal,
-                 { [this](const std::vector<LogRecord>& aRecords) {
-                    std::for_each(
-                      aRecords.begin(),
-                      aRecords.end(),
-                      [this](const LogRecord& aRecord) { OnJournal(aRecord); });
-                  },
-                   [this](const LogRecord& aRecord) { OnJournal(aRecord); } })
+      mOptions.mStreams.mJournal,
+      { [this](const LogRecord& aRecord) { OnJournal(aRecord); }, {} })
   , mService(mJobs,
              aBlockingLog,
              mOptions.mStreams.mJournal,
--- a/src/node/stream_tail.cpp
+++ b/src/node/stream_tail.cpp
@@ -62,7 +62,11 @@
   }
   mIsLoaded = true;
   mNext = aResult.mNext;
-  mHandlers.mOnSnapshot(aResult.mRecords);
+  if (mHandlers.mOnSnapshot) {
+    mHandlers.mOnSnapshot(aResult.mRecords);
+  } else {
+    Deliver(aResult.mRecords);
+  }
   OnSuccess(aSentAt);
 }
 
@@ -82,9 +86,7 @@
     return;
   }
   const bool hasRecords = !aResult.mRecords.empty();
-  for (const auto& it : aResult.mRecords) {
-    mHandlers.mOnRecord(it);
-  }
+  Deliver(aResult.mRecords);
   mNext = std::max(mNext.load(), aResult.mNext);
   OnSuccess(aSentAt);
   if (hasRecords) {
@@ -92,6 +94,12 @@
   }
 }
 
+void
+StreamTail::Deliver(const std::vector<LogRecord>& aRecords)
+{
+  std::for_each(aRecords.begin(), aRecords.end(), mHandlers.mOnRecord);
+}
+
 void
 StreamTail::OnFailure()
 {
