--- a/include/skylarkhill/node/job_service.hpp
+++ b/include/skylarkhill/node/job_service.hpp
@@ -28,7 +28,7 @@
   /// A call was refused or not answered.
   void SetUnreachable(base::TimePoint aNow);
   /// True while calls are expected to fail.
-  bool IsSuspect(base::TimePoint aNow) const;
+  bool IsUnreachable(base::TimePoint aNow) const;
 
 private:
   std::atomic<std::int64_t> mReachableAt{ 0 };
@@ -36,7 +36,7 @@
 };
 
 /// The offset of a journal that has not been read yet.
-inline constexpr std::int64_t kNotLoaded = -1;
+inline constexpr std::int64_t kJournalNotLoaded = -1;
 
 /// Serves the callers of this node. Thread-safe.
 class JobService
@@ -45,7 +45,7 @@
   JobService(jobs::JobTable& aJobs,
              BlockingLog& aLog,
              LogStream aJournal,
-             const std::atomic<std::int64_t>& aJournalNext,
+             const std::atomic<std::int64_t>& aNextJournalOffset,
              const base::Clock& aClock,
              const journal::WallClock& aWallClock,
              metrics::Registry& aMetrics);
@@ -84,7 +84,7 @@
   jobs::JobTable& mJobs;
   BlockingLog& mLog;
   const LogStream mJournal;
-  const std::atomic<std::int64_t>& mJournalNext;
+  const std::atomic<std::int64_t>& mNextJournalOffset;
   const base::Clock& mClock;
   const journal::WallClock& mWallClock;
   metrics::Counter& mAccepted;
--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -19,7 +19,7 @@
   /// Rises with every claim; the fencing token of the leader's orders.
   std::int64_t mEpoch = 0;
   /// Node name and a number that differs between processes.
-  std::string mHolder;
+  std::string mLeaderId;
   /// The holder gives up the leadership.
   bool mIsResigned = false;
 };
@@ -33,7 +33,7 @@
 
 /// A leader's authority to extend leases ends this long after its last
 /// confirmed record; a successor waits for it where it cannot ask a worker.
-inline constexpr base::Duration kAuthority = std::chrono::seconds(9);
+inline constexpr base::Duration kLeaderLease = std::chrono::seconds(9);
 
 /// Elects one node by conditional appends to a stream that only leaders and
 /// candidates write to. Nodes with more of a processor claim first. Belongs to
@@ -44,7 +44,7 @@
   Leadership(SharedLog& aLog,
              const base::Clock& aClock,
              LogStream aStream,
-             std::string aHolder,
+             std::string aNodeId,
              double aProcessorShare);
 
   /// Reads, claims and renews as far as due.
@@ -55,17 +55,23 @@
   /// Gives the leadership up because a worker has refused an order.
   void StepDown();
 
-  bool IsLeader() const { return mLedEpoch.has_value(); }
+  bool IsLeader() const { return mOwnEpoch.has_value(); }
   /// Of the term that this node leads; 0 if it does not lead.
-  std::int64_t Epoch() const { return mLedEpoch.value_or(0); }
+  std::int64_t Epoch() const { return mOwnEpoch.value_or(0); }
   /// When the last record of this leader that was stored was sent; no other
   /// node has led before that time.
   base::TimePoint ConfirmedAt() const { return mConfirmedAt; }
   /// When the last earlier leader loses its authority at the latest.
-  base::TimePoint EarlierAuthorityEnd() const { return mEarlierAuthorityEnd; }
+  base::TimePoint PreviousLeaderLeaseEnd() const
+  {
+    return mPreviousLeaderLeaseEnd;
+  }
   base::TimePoint NextPollAt() const;
   /// The newest record, or nothing.
-  const std::optional<LeaderRecord>& Newest() const { return mNewest; }
+  const std::optional<LeaderRecord>& NewestRecord() const
+  {
+    return mNewestRecord;
+  }
 
 private:
   void OnRecord(const LogRecord& aRecord);
@@ -79,20 +85,20 @@
   SharedLog& mLog;
   const base::Clock& mClock;
   const LogStream mStream;
-  const std::string mHolder;
+  const std::string mNodeId;
   const double mProcessorShare;
   StreamTail mTail;
-  std::optional<LeaderRecord> mNewest;
-  base::TimePoint mNewestAt;
+  std::optional<LeaderRecord> mNewestRecord;
+  base::TimePoint mNewestReadAt;
   /// When the claim with the highest epoch of this node was sent.
   base::TimePoint mClaimSentAt;
-  std::optional<std::int64_t> mLedEpoch;
-  std::int64_t mEnd = 0;
+  std::optional<std::int64_t> mOwnEpoch;
+  std::int64_t mStreamEnd = 0;
   bool mIsAppending = false;
-  bool mIsRetired = false;
+  bool mHasResigned = false;
   base::TimePoint mNextAppendAt;
   base::TimePoint mConfirmedAt;
-  base::TimePoint mEarlierAuthorityEnd;
+  base::TimePoint mPreviousLeaderLeaseEnd;
 };
 
 } // namespace skylarkhill::node
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -48,7 +48,7 @@
 
 /// Orders to workers under the fencing token of a term; outcomes go to
 /// `aDispatcher`. Belongs to the thread of the call loop.
-class WorkerCalls : public dispatch::OrderSink
+class WorkerClient : public dispatch::OrderSink
 {
 public:
   /// Ends a term: outcomes that are still to come are dropped.
@@ -59,7 +59,7 @@
 
 struct NodeOptions
 {
-  std::string mHolder;
+  std::string mNodeId;
   /// Share of a processor that this process may use.
   double mProcessorShare = 1.0;
   NodeStreams mStreams;
@@ -75,7 +75,7 @@
   Node(NodeOptions aOptions,
        SharedLog& aLog,
        BlockingLog& aBlockingLog,
-       WorkerCalls& aCalls,
+       WorkerClient& aWorkerClient,
        const RecordDecoder& aDecoder,
        const base::Clock& aClock,
        const journal::WallClock& aWallClock,
@@ -100,21 +100,21 @@
     dispatch::WorkerEntry mEntry;
     /// The registry record of the entry.
     std::string mRecord;
-    bool mIsListed = true;
-    base::TimePoint mUnlistedAt;
+    bool mIsRegistered = true;
+    base::TimePoint mUnregisteredAt;
   };
 
   void OnConfiguration(const LogRecord& aRecord);
-  void OnWorkers(const std::vector<LogRecord>& aRecords);
-  void OnWorker(const LogRecord& aRecord);
-  void UnlistWorker(const std::string& aWorkerId);
-  void OnJournal(const LogRecord& aRecord);
+  void OnWorkerSnapshot(const std::vector<LogRecord>& aRecords);
+  void OnWorkerRecord(const LogRecord& aRecord);
+  void UnregisterWorker(const std::string& aWorkerId);
+  void OnJournalRecord(const LogRecord& aRecord);
   void OnJournaledWorker(const std::string& aWorkerId,
                          const std::string& aRecord);
   /// Adds the workers that the journal does not list, or should no longer
   /// list, to the batch.
   void AddWorkerRecords();
-  void FollowLeadership();
+  void UpdateTerm();
   void BeginTerm();
   void EndTerm();
   void FenceJournal();
@@ -128,7 +128,7 @@
 
   const NodeOptions mOptions;
   SharedLog& mLog;
-  WorkerCalls& mCalls;
+  WorkerClient& mWorkerClient;
   const RecordDecoder& mDecoder;
   const base::Clock& mClock;
   const journal::WallClock& mWallClock;
@@ -141,7 +141,7 @@
   StreamTail mConfigurationTail;
   StreamTail mWorkerTail;
   StreamTail mJournalTail;
-  std::atomic<std::int64_t> mJournalNext{ kNotLoaded };
+  std::atomic<std::int64_t> mNextJournalOffset{ kJournalNotLoaded };
   JobService mService;
   Leadership mLeadership;
   std::map<std::string, KnownWorker> mWorkers;
@@ -149,7 +149,7 @@
   /// is incomplete has to ask these as well.
   std::set<std::string> mJournaledWorkers;
   std::atomic<bool> mIsReady{ false };
-  base::TimePoint mPolledAt;
+  base::TimePoint mLastPollAt;
   /// When this process last continued after a pause.
   base::TimePoint mResumedAt;
 
@@ -163,7 +163,7 @@
   /// Records of the batch that is on its way, for repeats.
   AppendRequest mBatchRequest;
   bool mIsBatchUnsaved = false;
-  std::uint64_t mBatch = 0;
+  std::uint64_t mBatchNumber = 0;
   base::TimePoint mBatchSentAt;
   std::unique_ptr<dispatch::Dispatcher> mDispatcher;
   base::TimePoint mNextCleanupAt;
--- a/include/skylarkhill/node/route_table.hpp
+++ b/include/skylarkhill/node/route_table.hpp
@@ -26,7 +26,7 @@
 {
   const Route* mRoute = nullptr;
   /// What follows the prefix in the path.
-  std::string mRest;
+  std::string mPathSuffix;
 };
 
 /// The routes of one version of the configuration. Immutable.
--- a/include/skylarkhill/node/shared_log.hpp
+++ b/include/skylarkhill/node/shared_log.hpp
@@ -81,7 +81,7 @@
   LogOutcome mOutcome = LogOutcome::Unknown;
   std::vector<LogRecord> mRecords;
   /// Where the next read continues.
-  std::int64_t mNext = 0;
+  std::int64_t mNextOffset = 0;
 };
 
 /// Access to the log from the thread of a call loop.
@@ -97,7 +97,7 @@
                     std::int64_t aFrom,
                     base::Duration aWait,
                     std::function<void(ReadResult)> aHandler) = 0;
-  /// The newest record of every key. mNext is the offset from which later
+  /// The newest record of every key. mNextOffset is the offset from which later
   /// records have to be read.
   virtual void ReadNewest(const LogStream& aStream,
                           std::function<void(ReadResult)> aHandler) = 0;
--- a/include/skylarkhill/node/stream_tail.hpp
+++ b/include/skylarkhill/node/stream_tail.hpp
@@ -34,22 +34,22 @@
   /// Pause between the end of a read that delivered records and the next one.
   void SetPause(base::Duration aPause) { mPause = aPause; }
   /// Ends the current pause.
-  void Hurry();
+  void SkipPause();
 
   bool IsLoaded() const { return mIsLoaded; }
   /// When the last answered read was sent; the records that were acknowledged
   /// before that time have been delivered.
-  base::TimePoint FreshAt() const { return mFreshAt; }
+  base::TimePoint UpToDateAt() const { return mUpToDateAt; }
   /// When the answered reads began that no failed read has interrupted.
-  base::TimePoint SteadySince() const { return mSteadySince; }
+  base::TimePoint ReachableSince() const { return mReachableSince; }
   /// Offset of the first record that has not been delivered.
-  std::int64_t Next() const { return mNext; }
+  std::int64_t NextOffset() const { return mNextOffset; }
   /// When Poll is due; never while a read is in progress.
   base::TimePoint NextPollAt() const
   {
     return mIsReading ? base::kNoDeadline : mNextPollAt;
   }
-  int Failures() const { return mFailures; }
+  int ConsecutiveFailures() const { return mConsecutiveFailures; }
 
 private:
   void OnNewest(const ReadResult& aResult, base::TimePoint aSentAt);
@@ -65,11 +65,11 @@
   base::Duration mPause{ 0 };
   bool mIsLoaded = false;
   bool mIsReading = false;
-  bool mIsSteady = false;
-  int mFailures = 0;
-  std::atomic<std::int64_t> mNext{ 0 };
-  base::TimePoint mFreshAt;
-  base::TimePoint mSteadySince;
+  bool mIsReachable = false;
+  int mConsecutiveFailures = 0;
+  std::atomic<std::int64_t> mNextOffset{ 0 };
+  base::TimePoint mUpToDateAt;
+  base::TimePoint mReachableSince;
   base::TimePoint mNextPollAt;
 };
 
--- a/src/node/fake_shared_log_test.hpp
+++ b/src/node/fake_shared_log_test.hpp
@@ -32,12 +32,13 @@
   AppendResult Append(const AppendRequest& aRequest,
                       base::TimePoint aDeadline) override
   {
-    const AppendResult result = mIsCutOff ? AppendResult{} : Apply(aRequest);
-    if (!mIsCutOff && !mLosesAnswers) {
+    const AppendResult result =
+      mIsUnreachable ? AppendResult{} : Apply(aRequest);
+    if (!mIsUnreachable && !mDropsResponses) {
       return result;
     }
-    if (mOnNoAnswer) {
-      mOnNoAnswer(aDeadline);
+    if (mOnNoResponse) {
+      mOnNoResponse(aDeadline);
     }
     return {};
   }
@@ -47,15 +48,15 @@
                   base::TimePoint) override
   {
     ReadResult result;
-    if (mIsCutOff) {
+    if (mIsUnreachable) {
       return result;
     }
     const auto& records = mState.mStreams[aStream.mTopic];
     result.mOutcome = LogOutcome::Done;
-    result.mNext = aFrom;
+    result.mNextOffset = aFrom;
     for (auto n = static_cast<std::size_t>(aFrom); n < records.size(); ++n) {
       result.mRecords.push_back(records[n]);
-      ++result.mNext;
+      ++result.mNextOffset;
     }
     return result;
   }
@@ -65,7 +66,7 @@
               std::function<void(AppendResult)> aHandler) override
   {
     const AppendResult result = Append(aRequest, aDeadline);
-    mAnswers.emplace_back([aHandler, result] { aHandler(result); });
+    mResponses.emplace_back([aHandler, result] { aHandler(result); });
   }
 
   void Read(const LogStream& aStream,
@@ -74,7 +75,7 @@
             std::function<void(ReadResult)> aHandler) override
   {
     const ReadResult result = Read(aStream, aFrom, base::TimePoint{});
-    mAnswers.emplace_back([aHandler, result] { aHandler(result); });
+    mResponses.emplace_back([aHandler, result] { aHandler(result); });
   }
 
   void ReadNewest(const LogStream& aStream,
@@ -89,23 +90,23 @@
     for (const auto& [key, record] : newest) {
       result.mRecords.push_back(record);
     }
-    mAnswers.emplace_back([aHandler, result] { aHandler(result); });
+    mResponses.emplace_back([aHandler, result] { aHandler(result); });
   }
 
   void Deliver()
   {
-    auto answers = std::move(mAnswers);
-    mAnswers.clear();
-    for (const auto& it : answers) {
+    auto responses = std::move(mResponses);
+    mResponses.clear();
+    for (const auto& it : responses) {
       it();
     }
   }
 
   /// Called instead of waiting for an answer until the deadline.
-  std::function<void(base::TimePoint)> mOnNoAnswer;
-  bool mIsCutOff = false;
+  std::function<void(base::TimePoint)> mOnNoResponse;
+  bool mIsUnreachable = false;
   /// Appends take effect, but nobody hears of it.
-  bool mLosesAnswers = false;
+  bool mDropsResponses = false;
 
 private:
   AppendResult Apply(const AppendRequest& aRequest)
@@ -135,7 +136,7 @@
   }
 
   FakeLogState& mState;
-  std::deque<std::function<void()>> mAnswers;
+  std::deque<std::function<void()>> mResponses;
 };
 
 } // namespace skylarkhill::node
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -16,18 +16,18 @@
 
 /// An unanswered append is sent again after this time, twice the answer time of
 /// a slow log; it has the same key and value, so a repeat changes nothing.
-constexpr base::Duration kAppendTry = std::chrono::milliseconds(500);
+constexpr base::Duration kAppendAttemptTimeout = std::chrono::milliseconds(500);
 /// A shorter try is not worth a call: several times the usual answer time.
-constexpr base::Duration kShortestAppendTry = std::chrono::milliseconds(100);
+constexpr base::Duration kMinAppendAttemptTime = std::chrono::milliseconds(100);
 /// Pause before an append is sent again, so that a log that refuses at once is
 /// not called in a loop.
-constexpr base::Duration kAppendPause = std::chrono::milliseconds(100);
+constexpr base::Duration kAppendRetryPause = std::chrono::milliseconds(100);
 /// Time kept back for the answer to the caller.
-constexpr base::Duration kAnswerReserve = std::chrono::milliseconds(150);
+constexpr base::Duration kResponseReserve = std::chrono::milliseconds(150);
 constexpr base::Duration kReadTimeout = std::chrono::milliseconds(800);
 /// After a failed call the log is tried again by the node's own reads, and by
 /// callers after this time.
-constexpr base::Duration kSuspectTime = std::chrono::milliseconds(700);
+constexpr base::Duration kUnreachablePeriod = std::chrono::milliseconds(700);
 
 } // namespace
 
@@ -44,23 +44,23 @@
 }
 
 bool
-LogHealth::IsSuspect(TimePoint aNow) const
+LogHealth::IsUnreachable(TimePoint aNow) const
 {
   return mUnreachableAt > mReachableAt &&
-         base::FromMicros(mUnreachableAt) + kSuspectTime > aNow;
+         base::FromMicros(mUnreachableAt) + kUnreachablePeriod > aNow;
 }
 
 JobService::JobService(jobs::JobTable& aJobs,
                        BlockingLog& aLog,
                        LogStream aJournal,
-                       const std::atomic<std::int64_t>& aJournalNext,
+                       const std::atomic<std::int64_t>& aNextJournalOffset,
                        const base::Clock& aClock,
                        const journal::WallClock& aWallClock,
                        metrics::Registry& aMetrics)
   : mJobs(aJobs)
   , mLog(aLog)
   , mJournal(std::move(aJournal))
-  , mJournalNext(aJournalNext)
+  , mNextJournalOffset(aNextJournalOffset)
   , mClock(aClock)
   , mWallClock(aWallClock)
   , mAccepted(aMetrics.GetCounter("skylarkhill_jobs_accepted_total",
@@ -180,17 +180,17 @@
                    const std::function<bool()>& aIsStored)
 {
   const TimePoint start = mClock.Now();
-  if (mHealth.IsSuspect(start)) {
+  if (mHealth.IsUnreachable(start)) {
     return MakeError(ErrorKind::LogUnavailable, "the log does not answer");
   }
   AppendRequest request;
   request.mStream = mJournal;
   request.mRecords.push_back({ std::move(aKey), std::move(aValue), 0 });
-  const TimePoint until = aDeadline - kAnswerReserve;
+  const TimePoint until = aDeadline - kResponseReserve;
   bool mayBeStored = false;
   for (;;) {
-    const AppendResult result =
-      mLog.Append(request, std::min(until, mClock.Now() + kAppendTry));
+    const AppendResult result = mLog.Append(
+      request, std::min(until, mClock.Now() + kAppendAttemptTimeout));
     const TimePoint now = mClock.Now();
     if (result.mOutcome == LogOutcome::Done) {
       mHealth.SetReachable(now);
@@ -206,10 +206,10 @@
       // The caller may be told at once that nothing was stored.
       return MakeError(ErrorKind::LogUnavailable, "the log refuses calls");
     }
-    if (now + kAppendPause + kShortestAppendTry > until) {
+    if (now + kAppendRetryPause + kMinAppendAttemptTime > until) {
       return MakeError(ErrorKind::OutcomeUnknown, "the log has not answered");
     }
-    mClock.SleepUntil(now + kAppendPause);
+    mClock.SleepUntil(now + kAppendRetryPause);
     // The answer of an earlier try may be lost and its record read already.
     if (aIsStored()) {
       return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -221,11 +221,11 @@
 JobService::CatchUp(TimePoint aDeadline)
 {
   const TimePoint now = mClock.Now();
-  if (mHealth.IsSuspect(now)) {
+  if (mHealth.IsUnreachable(now)) {
     return MakeError(ErrorKind::LogUnavailable, "the log does not answer");
   }
-  const std::int64_t next = mJournalNext;
-  if (next == kNotLoaded) {
+  const std::int64_t next = mNextJournalOffset;
+  if (next == kJournalNotLoaded) {
     return MakeError(ErrorKind::LogUnavailable, "the journal is not loaded");
   }
   const ReadResult result =
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -21,13 +21,13 @@
 /// Pause between two records of a leader.
 constexpr base::Duration kRenewInterval = std::chrono::milliseconds(800);
 /// Two renewals may be late or lost before others take over.
-constexpr base::Duration kSilence = std::chrono::milliseconds(2200);
+constexpr base::Duration kTakeoverTimeout = std::chrono::milliseconds(2200);
 /// Candidates spread their claims over this time.
-constexpr base::Duration kMaxClaimDelay = std::chrono::milliseconds(200);
+constexpr base::Duration kMaxClaimJitter = std::chrono::milliseconds(200);
 /// Share of a processor from which on a node claims without a handicap; the
 /// strongest instances of the sites have one half.
-constexpr double kStrongShare = 0.5;
-constexpr base::Duration kMaxHandicap = std::chrono::milliseconds(500);
+constexpr double kMinShareWithoutDelay = 0.5;
+constexpr base::Duration kMaxShareDelay = std::chrono::milliseconds(500);
 /// Pause of a node that lost a claim or was fenced off.
 constexpr base::Duration kRetryPause = std::chrono::milliseconds(250);
 constexpr base::Duration kFollowerPause = std::chrono::milliseconds(300);
@@ -38,19 +38,19 @@
 /// How long a candidate lets others go first. Nodes of different strength do
 /// not meet, because a leader on a weak node is slow for all callers.
 base::Duration
-ClaimDelay(const std::string& aHolder,
+ClaimDelay(const std::string& aNodeId,
            std::int64_t aEpoch,
            double aProcessorShare)
 {
   const auto hash =
-    base::StableHash(aHolder, static_cast<std::uint64_t>(aEpoch));
-  const double weakness =
-    std::clamp(1.0 - aProcessorShare / kStrongShare, 0.0, 1.0);
-  const auto handicap = base::Duration(static_cast<base::Duration::rep>(
-    weakness * static_cast<double>(kMaxHandicap.count())));
-  return handicap +
+    base::StableHash(aNodeId, static_cast<std::uint64_t>(aEpoch));
+  const double shortfall =
+    std::clamp(1.0 - aProcessorShare / kMinShareWithoutDelay, 0.0, 1.0);
+  const auto shareDelay = base::Duration(static_cast<base::Duration::rep>(
+    shortfall * static_cast<double>(kMaxShareDelay.count())));
+  return shareDelay +
          base::Duration(static_cast<base::Duration::rep>(
-           hash % static_cast<std::uint64_t>(kMaxClaimDelay.count())));
+           hash % static_cast<std::uint64_t>(kMaxClaimJitter.count())));
 }
 
 } // namespace
@@ -59,8 +59,8 @@
 EncodeLeaderRecord(const LeaderRecord& aRecord)
 {
   msgpack::sbuffer buf;
-  msgpack::pack(buf,
-                Fields{ aRecord.mEpoch, aRecord.mHolder, aRecord.mIsResigned });
+  msgpack::pack(
+    buf, Fields{ aRecord.mEpoch, aRecord.mLeaderId, aRecord.mIsResigned });
   return { buf.data(), buf.size() };
 }
 
@@ -81,12 +81,12 @@
 Leadership::Leadership(SharedLog& aLog,
                        const base::Clock& aClock,
                        LogStream aStream,
-                       std::string aHolder,
+                       std::string aNodeId,
                        double aProcessorShare)
   : mLog(aLog)
   , mClock(aClock)
   , mStream(std::move(aStream))
-  , mHolder(std::move(aHolder))
+  , mNodeId(std::move(aNodeId))
   , mProcessorShare(aProcessorShare)
   , mTail(aLog,
           aClock,
@@ -104,44 +104,44 @@
   if (mIsAppending || now < mNextAppendAt) {
     return;
   }
-  if (mLedEpoch) {
-    Append({ *mLedEpoch, mHolder, false });
-  } else if (!mIsRetired && IsClaimDue(now)) {
-    Append({ (mNewest ? mNewest->mEpoch : 0) + 1, mHolder, false });
+  if (mOwnEpoch) {
+    Append({ *mOwnEpoch, mNodeId, false });
+  } else if (!mHasResigned && IsClaimDue(now)) {
+    Append({ (mNewestRecord ? mNewestRecord->mEpoch : 0) + 1, mNodeId, false });
   }
 }
 
 void
 Leadership::Resign()
 {
-  mIsRetired = true;
-  if (!mLedEpoch) {
+  mHasResigned = true;
+  if (!mOwnEpoch) {
     return;
   }
-  const std::int64_t epoch = *mLedEpoch;
-  mLedEpoch.reset();
+  const std::int64_t epoch = *mOwnEpoch;
+  mOwnEpoch.reset();
   logging::Write(
     logging::Level::Info, "leadership_resigned", { { "epoch", epoch } });
-  Append({ epoch, mHolder, true });
+  Append({ epoch, mNodeId, true });
 }
 
 void
 Leadership::StepDown()
 {
-  if (mLedEpoch) {
+  if (mOwnEpoch) {
     logging::Write(
-      logging::Level::Warning, "leadership_lost", { { "epoch", *mLedEpoch } });
+      logging::Level::Warning, "leadership_lost", { { "epoch", *mOwnEpoch } });
   }
-  mLedEpoch.reset();
+  mOwnEpoch.reset();
   mNextAppendAt = mClock.Now() + kRetryPause;
-  mTail.Hurry();
+  mTail.SkipPause();
 }
 
 base::TimePoint
 Leadership::NextPollAt() const
 {
   TimePoint next = mTail.NextPollAt();
-  if (mLedEpoch && !mIsAppending) {
+  if (mOwnEpoch && !mIsAppending) {
     next = std::min(next, mNextAppendAt);
   }
   return next;
@@ -162,29 +162,31 @@
     return;
   }
   const LeaderRecord& newest = record.value();
-  const bool isOurs = newest.mHolder == mHolder;
-  if (mNewest && newest.mEpoch < mNewest->mEpoch) {
+  const bool isOwn = newest.mLeaderId == mNodeId;
+  if (mNewestRecord && newest.mEpoch < mNewestRecord->mEpoch) {
     return;
   }
-  const bool isNewTerm = !mNewest || newest.mEpoch > mNewest->mEpoch;
+  const bool isNewTerm =
+    !mNewestRecord || newest.mEpoch > mNewestRecord->mEpoch;
   if (isNewTerm) {
     logging::Write(logging::Level::Info,
                    "leader_seen",
                    { { "epoch", newest.mEpoch },
-                     { "holder", newest.mHolder },
+                     { "holder", newest.mLeaderId },
                      { "offset", aRecord.mOffset } });
   }
-  mNewest = newest;
-  mNewestAt = mClock.Now();
-  if (mLedEpoch && (!isOurs || newest.mEpoch != *mLedEpoch)) {
+  mNewestRecord = newest;
+  mNewestReadAt = mClock.Now();
+  if (mOwnEpoch && (!isOwn || newest.mEpoch != *mOwnEpoch)) {
     StepDown();
   }
   // What a leader has started goes on after its resignation.
-  if (!isOurs) {
-    mEarlierAuthorityEnd = mNewestAt + kAuthority;
+  if (!isOwn) {
+    mPreviousLeaderLeaseEnd = mNewestReadAt + kLeaderLease;
   }
   // A claim without an answer may have taken effect late.
-  if (isOurs && isNewTerm && !mLedEpoch && !newest.mIsResigned && !mIsRetired) {
+  if (isOwn && isNewTerm && !mOwnEpoch && !newest.mIsResigned &&
+      !mHasResigned) {
     BecomeLeader(newest.mEpoch, mClaimSentAt);
   }
 }
@@ -192,16 +194,17 @@
 bool
 Leadership::IsClaimDue(TimePoint aNow) const
 {
-  if (!mTail.IsLoaded() || mTail.Failures() > 0) {
+  if (!mTail.IsLoaded() || mTail.ConsecutiveFailures() > 0) {
     return false;
   }
-  const base::Duration delay =
-    ClaimDelay(mHolder, mNewest ? mNewest->mEpoch : 0, mProcessorShare);
-  if (!mNewest || mNewest->mIsResigned) {
-    return aNow >= std::max(mNewestAt, mTail.SteadySince()) + delay;
+  const base::Duration delay = ClaimDelay(
+    mNodeId, mNewestRecord ? mNewestRecord->mEpoch : 0, mProcessorShare);
+  if (!mNewestRecord || mNewestRecord->mIsResigned) {
+    return aNow >= std::max(mNewestReadAt, mTail.ReachableSince()) + delay;
   }
   // Silence counts only while the stream could be read.
-  return aNow >= std::max(mNewestAt, mTail.SteadySince()) + kSilence + delay;
+  return aNow >= std::max(mNewestReadAt, mTail.ReachableSince()) +
+                   kTakeoverTimeout + delay;
 }
 
 void
@@ -209,15 +212,15 @@
 {
   mIsAppending = true;
   const TimePoint now = mClock.Now();
-  if (!mLedEpoch) {
+  if (!mOwnEpoch) {
     mClaimSentAt = now;
   }
-  mEnd = std::max(mEnd, mTail.Next());
+  mStreamEnd = std::max(mStreamEnd, mTail.NextOffset());
   AppendRequest request;
   request.mStream = mStream;
   request.mRecords.push_back(
     { std::string(kLeaderKey), EncodeLeaderRecord(aRecord), 0 });
-  request.mExpectedEnd = mEnd;
+  request.mExpectedEnd = mStreamEnd;
   mLog.Append(request,
               now + kAppendTimeout,
               [this, record = std::move(aRecord), now](AppendResult aResult) {
@@ -236,19 +239,19 @@
     // The tail tells whether another node leads or an append without an
     // answer took effect.
     mNextAppendAt = now + kRetryPause;
-    mTail.Hurry();
+    mTail.SkipPause();
     return;
   }
-  mEnd = aResult.mEnd;
+  mStreamEnd = aResult.mEnd;
   mNextAppendAt = now + kRenewInterval;
   if (aRecord.mIsResigned) {
     return;
   }
-  if (mLedEpoch) {
+  if (mOwnEpoch) {
     mConfirmedAt = aSentAt;
     return;
   }
-  if (!mIsRetired) {
+  if (!mHasResigned) {
     BecomeLeader(aRecord.mEpoch, aSentAt);
   }
 }
@@ -256,11 +259,11 @@
 void
 Leadership::BecomeLeader(std::int64_t aEpoch, TimePoint aClaimedAt)
 {
-  mLedEpoch = aEpoch;
+  mOwnEpoch = aEpoch;
   mConfirmedAt = aClaimedAt;
-  mNewest = LeaderRecord{ aEpoch, mHolder, false };
-  mNewestAt = mClock.Now();
-  mNextAppendAt = mNewestAt + kRenewInterval;
+  mNewestRecord = LeaderRecord{ aEpoch, mNodeId, false };
+  mNewestReadAt = mClock.Now();
+  mNextAppendAt = mNewestReadAt + kRenewInterval;
   logging::Write(
     logging::Level::Info, "leadership_claimed", { { "epoch", aEpoch } });
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::string_view kWriter = "leader";
+constexpr std::string_view kWriterName = "leader";
 
 /// Pauses between reads that delivered records. They bound the calls to the
 /// log; a caller sees the end of a job at most this late at another node.
@@ -32,38 +32,39 @@
 constexpr Duration kFlushRetryPause = std::chrono::milliseconds(150);
 
 /// A node whose last complete read is older sends callers elsewhere.
-constexpr Duration kReadyAge = std::chrono::milliseconds(4000);
+constexpr Duration kMaxReadAge = std::chrono::milliseconds(4000);
 
 /// After a pause of the process its view may be outdated; orders wait until
 /// the leadership is confirmed again.
-constexpr Duration kMaxPause = std::chrono::milliseconds(900);
+constexpr Duration kMaxPollGap = std::chrono::milliseconds(900);
 
 /// Workers that left the registry are remembered while an earlier leader could
 /// have extended their leases.
-constexpr Duration kUnlistedMemory = kAuthority + std::chrono::seconds(1);
+constexpr Duration kUnregisteredRetention =
+  kLeaderLease + std::chrono::seconds(1);
 
 /// States are answered for 120 s after the end of a job at least; the longest
 /// jobs of the sites take about as long again.
-constexpr std::int64_t kKeepFinalMs = 400'000;
+constexpr std::int64_t kFinalJobRetentionMs = 400'000;
 /// Longest time between two polls.
-constexpr Duration kIdlePause = std::chrono::milliseconds(100);
+constexpr Duration kMaxPollInterval = std::chrono::milliseconds(100);
 
 constexpr Duration kCleanupInterval = std::chrono::seconds(20);
-constexpr std::size_t kMaxCleanup = 500;
+constexpr std::size_t kMaxJobsPerCleanup = 500;
 
 } // namespace
 
 Node::Node(NodeOptions aOptions,
            SharedLog& aLog,
            BlockingLog& aBlockingLog,
-           WorkerCalls& aCalls,
+           WorkerClient& aWorkerClient,
            const RecordDecoder& aDecoder,
            const base::Clock& aClock,
            const journal::WallClock& aWallClock,
            metrics::Registry& aMetrics)
   : mOptions(std::move(aOptions))
   , mLog(aLog)
-  , mCalls(aCalls)
+  , mWorkerClient(aWorkerClient)
   , mDecoder(aDecoder)
   , mClock(aClock)
   , mWallClock(aWallClock)
@@ -82,62 +83,64 @@
   , mWorkerTail(aLog,
                 aClock,
                 mOptions.mStreams.mWorkers,
-                { [this](const LogRecord& aRecord) { OnWorker(aRecord); },
+                { [this](const LogRecord& aRecord) { OnWorkerRecord(aRecord); },
                   [this](const std::vector<LogRecord>& aRecords) {
-                    OnWorkers(aRecords);
+                    OnWorkerSnapshot(aRecords);
                   } })
   , mJournalTail(
       aLog,
       aClock,
       mOptions.mStreams.mJournal,
-      { [this](const LogRecord& aRecord) { OnJournal(aRecord); }, {} })
+      { [this](const LogRecord& aRecord) { OnJournalRecord(aRecord); }, {} })
   , mService(mJobs,
              aBlockingLog,
              mOptions.mStreams.mJournal,
-             mJournalNext,
+             mNextJournalOffset,
              aClock,
              aWallClock,
              aMetrics)
   , mLeadership(aLog,
                 aClock,
                 mOptions.mStreams.mLeader,
-                mOptions.mHolder,
+                mOptions.mNodeId,
                 mOptions.mProcessorShare)
 {
   mWorkerTail.SetPause(kFollowerWorkerPause);
   mJournalTail.SetPause(kFollowerJournalPause);
-  mPolledAt = aClock.Now();
+  mLastPollAt = aClock.Now();
 }
 
 Node::~Node()
 {
-  mCalls.Detach();
+  mWorkerClient.Detach();
 }
 
 void
 Node::Poll()
 {
   const TimePoint now = mClock.Now();
-  if (now - mPolledAt > kMaxPause) {
-    logging::Write(
-      logging::Level::Warning,
-      "process_was_paused",
-      { { "ms",
-          std::chrono::duration_cast<std::chrono::milliseconds>(now - mPolledAt)
-            .count() } });
+  if (now - mLastPollAt > kMaxPollGap) {
+    logging::Write(logging::Level::Warning,
+                   "process_was_paused",
+                   { { "ms",
+                       std::chrono::duration_cast<std::chrono::milliseconds>(
+                         now - mLastPollAt)
+                         .count() } });
     mResumedAt = now;
   }
-  mPolledAt = now;
+  mLastPollAt = now;
   mConfigurationTail.Poll();
   mWorkerTail.Poll();
   mJournalTail.Poll();
-  mJournalNext = mJournalTail.IsLoaded() ? mJournalTail.Next() : kNotLoaded;
+  mNextJournalOffset =
+    mJournalTail.IsLoaded() ? mJournalTail.NextOffset() : kJournalNotLoaded;
   mLeadership.Poll();
-  FollowLeadership();
+  UpdateTerm();
   if (mDispatcher != nullptr) {
     const TimePoint confirmedAt = mLeadership.ConfirmedAt();
     mDispatcher->SetAuthority(
-      confirmedAt, confirmedAt >= mResumedAt ? confirmedAt + kAuthority : now);
+      confirmedAt,
+      confirmedAt >= mResumedAt ? confirmedAt + kLeaderLease : now);
     if (now >= mDispatcher->NextTick()) {
       mDispatcher->Tick(now, mWallClock.NowMs());
     }
@@ -151,7 +154,7 @@
 Node::NextPollAt() const
 {
   // Claims are due by the passing of time, without an event.
-  TimePoint next = mClock.Now() + kIdlePause;
+  TimePoint next = mClock.Now() + kMaxPollInterval;
   for (const TimePoint it : { mConfigurationTail.NextPollAt(),
                               mWorkerTail.NextPollAt(),
                               mJournalTail.NextPollAt(),
@@ -196,57 +199,57 @@
 }
 
 void
-Node::OnWorkers(const std::vector<LogRecord>& aRecords)
+Node::OnWorkerSnapshot(const std::vector<LogRecord>& aRecords)
 {
-  std::set<std::string> listed;
+  std::set<std::string> registered;
   for (const auto& it : aRecords) {
-    OnWorker(it);
-    listed.insert(it.mKey);
+    OnWorkerRecord(it);
+    registered.insert(it.mKey);
   }
   for (const auto& [id, worker] : mWorkers) {
-    if (listed.count(id) == 0 && worker.mIsListed) {
-      UnlistWorker(id);
+    if (registered.count(id) == 0 && worker.mIsRegistered) {
+      UnregisterWorker(id);
     }
   }
 }
 
 void
-Node::OnWorker(const LogRecord& aRecord)
+Node::OnWorkerRecord(const LogRecord& aRecord)
 {
   if (aRecord.mValue.empty()) {
-    UnlistWorker(aRecord.mKey);
+    UnregisterWorker(aRecord.mKey);
     return;
   }
   auto entry = mDecoder.DecodeWorker(aRecord);
   if (!entry) {
-    UnlistWorker(aRecord.mKey);
+    UnregisterWorker(aRecord.mKey);
     return;
   }
   KnownWorker& worker = mWorkers[entry->mId];
   worker.mEntry = std::move(*entry);
   worker.mRecord = aRecord.mValue;
-  worker.mIsListed = true;
+  worker.mIsRegistered = true;
   if (mDispatcher != nullptr) {
     mDispatcher->SetWorker(worker.mEntry, mClock.Now());
   }
 }
 
 void
-Node::UnlistWorker(const std::string& aWorkerId)
+Node::UnregisterWorker(const std::string& aWorkerId)
 {
   const auto found = mWorkers.find(aWorkerId);
-  if (found == mWorkers.end() || !found->second.mIsListed) {
+  if (found == mWorkers.end() || !found->second.mIsRegistered) {
     return;
   }
-  found->second.mIsListed = false;
-  found->second.mUnlistedAt = mClock.Now();
+  found->second.mIsRegistered = false;
+  found->second.mUnregisteredAt = mClock.Now();
   if (mDispatcher != nullptr) {
     mDispatcher->RemoveWorker(aWorkerId, mClock.Now());
   }
 }
 
 void
-Node::OnJournal(const LogRecord& aRecord)
+Node::OnJournalRecord(const LogRecord& aRecord)
 {
   mJobs.Apply(aRecord.mKey, aRecord.mValue, aRecord.mOffset);
   const auto key = jobs::ParseRecordKey(aRecord.mKey);
@@ -300,8 +303,8 @@
   KnownWorker& worker = mWorkers[aWorkerId];
   worker.mEntry = std::move(*entry);
   worker.mRecord = aRecord;
-  worker.mIsListed = false;
-  worker.mUnlistedAt = mClock.Now();
+  worker.mIsRegistered = false;
+  worker.mUnregisteredAt = mClock.Now();
 }
 
 void
@@ -317,11 +320,12 @@
   for (auto it = mWorkers.begin(); it != mWorkers.end();) {
     const KnownWorker& worker = it->second;
     const bool isJournaled = mJournaledWorkers.count(it->first) != 0;
-    if (worker.mIsListed && !isJournaled) {
+    if (worker.mIsRegistered && !isJournaled) {
       add(it->first, worker.mRecord);
       mJournaledWorkers.insert(it->first);
     }
-    if (!worker.mIsListed && worker.mUnlistedAt + kUnlistedMemory < now) {
+    if (!worker.mIsRegistered &&
+        worker.mUnregisteredAt + kUnregisteredRetention < now) {
       if (isJournaled) {
         add(it->first, "");
         mJournaledWorkers.erase(it->first);
@@ -334,7 +338,7 @@
 }
 
 void
-Node::FollowLeadership()
+Node::UpdateTerm()
 {
   if (mDispatcher != nullptr && mDispatcher->IsFenced()) {
     EndTerm();
@@ -360,13 +364,13 @@
   }
   // Everything that an earlier leader stored was stored before the fence.
   const bool isCurrent = mJournalTail.IsLoaded() &&
-                         mJournalTail.FreshAt() > mJournalFencedAt &&
+                         mJournalTail.UpToDateAt() > mJournalFencedAt &&
                          mWorkerTail.IsLoaded();
   if (isCurrent) {
     StartDispatcher();
   } else {
-    mJournalTail.Hurry();
-    mWorkerTail.Hurry();
+    mJournalTail.SkipPause();
+    mWorkerTail.SkipPause();
   }
 }
 
@@ -388,7 +392,7 @@
 Node::EndTerm()
 {
   logging::Write(logging::Level::Info, "term_ended", { { "epoch", mEpoch } });
-  mCalls.Detach();
+  mWorkerClient.Detach();
   mDispatcher.reset();
   mEpoch = 0;
   mLeading.Set(0);
@@ -406,7 +410,7 @@
   mIsFlushInFlight = true;
   AppendRequest request;
   request.mStream = mOptions.mStreams.mJournal;
-  request.mStamp = WriterStamp{ std::string(kWriter), mEpoch, 0 };
+  request.mStamp = WriterStamp{ std::string(kWriterName), mEpoch, 0 };
   mLog.Append(request,
               now + kFlushTimeout,
               [this, epoch = mEpoch](const AppendResult& aResult) {
@@ -419,7 +423,7 @@
                   mIsJournalFenced = true;
                   mJournalFencedAt = mClock.Now();
                   mNextFlushAt = mJournalFencedAt;
-                  mJournalTail.Hurry();
+                  mJournalTail.SkipPause();
                 } else if (aResult.mOutcome == LogOutcome::Fenced) {
                   EndTerm();
                   mLeadership.StepDown();
@@ -434,19 +438,19 @@
   dispatch::Term term;
   term.mEpoch = mEpoch;
   term.mEarlierLeasesEnd =
-    mLeadership.EarlierAuthorityEnd() + std::chrono::milliseconds(700);
+    mLeadership.PreviousLeaderLeaseEnd() + std::chrono::milliseconds(700);
   mDispatcher =
-    dispatch::CreateDispatcher(mOptions.mLimits, term, mCalls, mMetrics);
-  mCalls.Attach(mEpoch, *mDispatcher);
+    dispatch::CreateDispatcher(mOptions.mLimits, term, mWorkerClient, mMetrics);
+  mWorkerClient.Attach(mEpoch, *mDispatcher);
   mDispatcher->SetAuthority(mLeadership.ConfirmedAt(),
-                            mLeadership.ConfirmedAt() + kAuthority);
+                            mLeadership.ConfirmedAt() + kLeaderLease);
   if (!mModelRecord.empty()) {
     mDispatcher->ImportModel(mModelRecord);
   }
   for (const auto& [id, worker] : mWorkers) {
     mDispatcher->SetWorker(worker.mEntry, now);
-    if (!worker.mIsListed) {
-      mDispatcher->RemoveWorker(id, worker.mUnlistedAt);
+    if (!worker.mIsRegistered) {
+      mDispatcher->RemoveWorker(id, worker.mUnregisteredAt);
     }
   }
   std::int64_t open = 0;
@@ -462,7 +466,7 @@
                  { { "epoch", mEpoch },
                    { "open_jobs", open },
                    { "workers", static_cast<std::int64_t>(mWorkers.size()) },
-                   { "journal", mJournalTail.Next() } });
+                   { "journal", mJournalTail.NextOffset() } });
 }
 
 void
@@ -481,7 +485,7 @@
     mDispatcher->OnDurable(batch, now);
     return;
   }
-  mBatch = batch;
+  mBatchNumber = batch;
   mBatchRequest = AppendRequest{};
   mBatchRequest.mStream = mOptions.mStreams.mJournal;
   for (const auto& [id, progress] : dirty) {
@@ -499,7 +503,7 @@
         0 });
   }
   mBatchRequest.mStamp =
-    WriterStamp{ std::string(kWriter), mEpoch, ++mSequence };
+    WriterStamp{ std::string(kWriterName), mEpoch, ++mSequence };
   mBatchSentAt = now;
   mIsBatchUnsaved = true;
   SendBatch();
@@ -525,7 +529,7 @@
           mFlushSeconds.Record(
             std::chrono::duration<double>(now - mBatchSentAt).count());
           ApplyBatch(aResult.mOffset);
-          mDispatcher->OnDurable(mBatch, now);
+          mDispatcher->OnDurable(mBatchNumber, now);
           break;
         case LogOutcome::Fenced:
         case LogOutcome::OutOfSequence:
@@ -565,11 +569,11 @@
   }
   mNextCleanupAt = now + kCleanupInterval;
   mJobCount.Set(static_cast<std::int64_t>(mJobs.Size()));
-  auto old = mJobs.ListFinal(mWallClock.NowMs() - kKeepFinalMs);
+  auto old = mJobs.ListFinal(mWallClock.NowMs() - kFinalJobRetentionMs);
   if (old.empty()) {
     return;
   }
-  old.resize(std::min(old.size(), kMaxCleanup));
+  old.resize(std::min(old.size(), kMaxJobsPerCleanup));
   AppendRequest request;
   request.mStream = mOptions.mStreams.mJournal;
   for (const auto& id : old) {
@@ -592,13 +596,13 @@
 Node::UpdateReadiness()
 {
   const TimePoint now = mClock.Now();
-  const bool isFresh = mJournalTail.IsLoaded() &&
-                       mJournalTail.FreshAt() + kReadyAge > now &&
-                       mJournalTail.Failures() < 2;
-  if (mJournalTail.Failures() > 0) {
+  const bool isUpToDate = mJournalTail.IsLoaded() &&
+                          mJournalTail.UpToDateAt() + kMaxReadAge > now &&
+                          mJournalTail.ConsecutiveFailures() < 2;
+  if (mJournalTail.ConsecutiveFailures() > 0) {
     mService.Health().SetUnreachable(now);
   }
-  const bool isReady = isFresh && mService.Routes() != nullptr;
+  const bool isReady = isUpToDate && mService.Routes() != nullptr;
   if (isReady != mIsReady) {
     logging::Write(logging::Level::Info,
                    "readiness_changed",
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-const LogStream kLeaders{ "leaders", 0 };
-const LogStream kJournal{ "journal", 0 };
+const LogStream kLeaderStream{ "leaders", 0 };
+const LogStream kJournalStream{ "journal", 0 };
 
 /// One candidate with its own access to the log.
 struct Candidate
@@ -24,7 +24,7 @@
             const std::string& aName,
             double aProcessorShare = 0.25)
     : mLog(aState)
-    , mLeadership(mLog, aClock, kLeaders, aName, aProcessorShare)
+    , mLeadership(mLog, aClock, kLeaderStream, aName, aProcessorShare)
   {
   }
 
@@ -51,18 +51,18 @@
   CPPUNIT_TEST_SUITE(NodeTest);
   CPPUNIT_TEST(ElectsOneLeader);
   CPPUNIT_TEST(ReplacesASilentLeader);
-  CPPUNIT_TEST(ReplacesNobodyWhileTheLogIsAway);
-  CPPUNIT_TEST(KeepsTheLeaderWhoseRenewalsAreNotAnswered);
-  CPPUNIT_TEST(ReplacesALeaderThatResignedAtOnce);
-  CPPUNIT_TEST(WaitsForTheLeasesOfALeaderThatResigned);
-  CPPUNIT_TEST(PrefersAStrongNode);
-  CPPUNIT_TEST(TakesTheLongestPrefix);
+  CPPUNIT_TEST(KeepsTheLeaderDuringALogOutage);
+  CPPUNIT_TEST(KeepsTheLeaderWhenResponsesAreLost);
+  CPPUNIT_TEST(ReplacesAResignedLeaderAtOnce);
+  CPPUNIT_TEST(WaitsForTheLeaseOfAResignedLeader);
+  CPPUNIT_TEST(PrefersTheNodeWithTheLargestProcessorShare);
+  CPPUNIT_TEST(MatchesTheLongestPrefix);
   CPPUNIT_TEST(AcceptsAJobOnceItIsStored);
-  CPPUNIT_TEST(RefusesAJobWhileTheLogRefusesCalls);
-  CPPUNIT_TEST(TellsThatTheOutcomeIsUnknown);
-  CPPUNIT_TEST(AcceptsAJobWhenTheLogIsBackInTime);
-  CPPUNIT_TEST(AcceptsAJobThatItReadsBack);
-  CPPUNIT_TEST(KnowsNoJobBeforeTheJournalIsLoaded);
+  CPPUNIT_TEST(RefusesAJobWhileTheLogIsUnreachable);
+  CPPUNIT_TEST(ReportsAnUnknownOutcome);
+  CPPUNIT_TEST(AcceptsAJobIfTheLogRecoversBeforeTheDeadline);
+  CPPUNIT_TEST(AcceptsAJobWhoseRecordIsReadBack);
+  CPPUNIT_TEST(ReportsLogUnavailableBeforeTheJournalIsLoaded);
   CPPUNIT_TEST(FindsAJobThatAnotherNodeHasJustAccepted);
   CPPUNIT_TEST_SUITE_END();
 
@@ -79,29 +79,29 @@
     AddCandidates(3);
     Advance(milliseconds(2000));
     Candidate& first = Leader();
-    first.mLog.mIsCutOff = true;
+    first.mLog.mIsUnreachable = true;
     Advance(milliseconds(1500));
     CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
     Advance(milliseconds(2500));
     CPPUNIT_ASSERT_EQUAL(2, CountLeaders());
-    first.mLog.mIsCutOff = false;
+    first.mLog.mIsUnreachable = false;
     Advance(milliseconds(1000));
     CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
     CPPUNIT_ASSERT(!first.mLeadership.IsLeader());
   }
 
   // Guards against a change of the leader after each outage of the log.
-  void ReplacesNobodyWhileTheLogIsAway()
+  void KeepsTheLeaderDuringALogOutage()
   {
     AddCandidates(3);
     Advance(milliseconds(2000));
     Candidate& first = Leader();
     for (auto& it : mCandidates) {
-      it->mLog.mIsCutOff = true;
+      it->mLog.mIsUnreachable = true;
     }
     Advance(milliseconds(8000));
     for (auto& it : mCandidates) {
-      it->mLog.mIsCutOff = false;
+      it->mLog.mIsUnreachable = false;
     }
     Advance(milliseconds(6000));
     CPPUNIT_ASSERT(first.mLeadership.IsLeader());
@@ -109,20 +109,20 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, first.mLeadership.Epoch());
   }
 
-  void KeepsTheLeaderWhoseRenewalsAreNotAnswered()
+  void KeepsTheLeaderWhenResponsesAreLost()
   {
     AddCandidates(2);
     Advance(milliseconds(2000));
     Candidate& first = Leader();
-    first.mLog.mLosesAnswers = true;
+    first.mLog.mDropsResponses = true;
     Advance(milliseconds(6000));
-    first.mLog.mLosesAnswers = false;
+    first.mLog.mDropsResponses = false;
     Advance(milliseconds(2000));
     CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
     CPPUNIT_ASSERT(first.mLeadership.IsLeader());
   }
 
-  void ReplacesALeaderThatResignedAtOnce()
+  void ReplacesAResignedLeaderAtOnce()
   {
     AddCandidates(3);
     Advance(milliseconds(2000));
@@ -135,7 +135,7 @@
 
   // Guards against tasks that are started again while they still run under the
   // lease of a leader of which only the resignation has been read.
-  void WaitsForTheLeasesOfALeaderThatResigned()
+  void WaitsForTheLeaseOfAResignedLeader()
   {
     AddCandidates(1);
     Advance(milliseconds(2000));
@@ -145,12 +145,12 @@
     AddCandidates(1, "new");
     const base::TimePoint restartedAt = mClock.Now();
     Advance(milliseconds(2000));
-    CPPUNIT_ASSERT(Leader().mLeadership.EarlierAuthorityEnd() >=
-                   restartedAt + kAuthority);
+    CPPUNIT_ASSERT(Leader().mLeadership.PreviousLeaderLeaseEnd() >=
+                   restartedAt + kLeaderLease);
   }
 
   // Load pattern: a large site whose smallest instances are too slow to lead.
-  void PrefersAStrongNode()
+  void PrefersTheNodeWithTheLargestProcessorShare()
   {
     AddCandidates(4);
     mCandidates.push_back(
@@ -160,7 +160,7 @@
     CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
   }
 
-  void TakesTheLongestPrefix()
+  void MatchesTheLongestPrefix()
   {
     const RouteTable table(3,
                            { MakeRoute("h", "/a/", "short"),
@@ -169,7 +169,7 @@
     const auto match = table.Find("h:8080", "/a/b/0123");
     CPPUNIT_ASSERT(match);
     CPPUNIT_ASSERT_EQUAL(std::string("long"), match->mRoute->mPolicy.mQueue);
-    CPPUNIT_ASSERT_EQUAL(std::string("0123"), match->mRest);
+    CPPUNIT_ASSERT_EQUAL(std::string("0123"), match->mPathSuffix);
     CPPUNIT_ASSERT(!table.Find("h", "/b"));
     CPPUNIT_ASSERT(!table.Find("none", "/a/"));
   }
@@ -179,15 +179,15 @@
     CPPUNIT_ASSERT(Submit("a"));
     CPPUNIT_ASSERT(Submit("a"));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mState.mStreams["journal"].size());
-    CPPUNIT_ASSERT(mService.StateOf("a", Soon()).value() ==
+    CPPUNIT_ASSERT(mService.StateOf("a", DefaultDeadline()).value() ==
                    jobs::JobState::Pending);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mService.CountPending("queue"));
-    CPPUNIT_ASSERT(mService.Cancel("a", Soon()));
-    CPPUNIT_ASSERT(mService.StateOf("a", Soon()).value() ==
+    CPPUNIT_ASSERT(mService.Cancel("a", DefaultDeadline()));
+    CPPUNIT_ASSERT(mService.StateOf("a", DefaultDeadline()).value() ==
                    jobs::JobState::Cancelled);
   }
 
-  void RefusesAJobWhileTheLogRefusesCalls()
+  void RefusesAJobWhileTheLogIsUnreachable()
   {
     mService.Health().SetUnreachable(mClock.Now());
     const auto result = Submit("a");
@@ -198,9 +198,9 @@
   }
 
   // Guards against "not run" for a job that is stored.
-  void TellsThatTheOutcomeIsUnknown()
+  void ReportsAnUnknownOutcome()
   {
-    mLog.mLosesAnswers = true;
+    mLog.mDropsResponses = true;
     const auto result = Submit("a");
     CPPUNIT_ASSERT(result.error().mKind == base::ErrorKind::OutcomeUnknown);
   }
@@ -208,32 +208,32 @@
   // Load pattern: an outage of the log that ends shortly before the callers'
   // deadlines. Guards against giving up a job with time left for a short try,
   // and against calling a log that refuses at once in a loop.
-  void AcceptsAJobWhenTheLogIsBackInTime()
+  void AcceptsAJobIfTheLogRecoversBeforeTheDeadline()
   {
-    int tries = 0;
-    const base::TimePoint back = mClock.Now() + milliseconds(1050);
-    mLog.mIsCutOff = true;
-    mLog.mOnNoAnswer = [&](base::TimePoint aDeadline) {
-      ++tries;
+    int attempts = 0;
+    const base::TimePoint recoveredAt = mClock.Now() + milliseconds(1050);
+    mLog.mIsUnreachable = true;
+    mLog.mOnNoResponse = [&](base::TimePoint aDeadline) {
+      ++attempts;
       mClock.SleepUntil(aDeadline);
-      mLog.mIsCutOff = mClock.Now() < back;
+      mLog.mIsUnreachable = mClock.Now() < recoveredAt;
     };
     CPPUNIT_ASSERT(Submit("a"));
-    CPPUNIT_ASSERT(tries <= 4);
-    tries = 0;
-    mLog.mIsCutOff = true;
-    mLog.mOnNoAnswer = [&](base::TimePoint) { ++tries; };
+    CPPUNIT_ASSERT(attempts <= 4);
+    attempts = 0;
+    mLog.mIsUnreachable = true;
+    mLog.mOnNoResponse = [&](base::TimePoint) { ++attempts; };
     CPPUNIT_ASSERT(Submit("b").error().mKind ==
                    base::ErrorKind::OutcomeUnknown);
-    CPPUNIT_ASSERT(tries <= 20);
+    CPPUNIT_ASSERT(attempts <= 20);
   }
 
   // Guards against a second wait for an answer although the node's own reads
   // show the record.
-  void AcceptsAJobThatItReadsBack()
+  void AcceptsAJobWhoseRecordIsReadBack()
   {
-    mLog.mLosesAnswers = true;
-    mLog.mOnNoAnswer = [&](base::TimePoint aDeadline) {
+    mLog.mDropsResponses = true;
+    mLog.mOnNoResponse = [&](base::TimePoint aDeadline) {
       mClock.SleepUntil(aDeadline);
       const LogRecord& record = mState.mStreams["journal"].back();
       mJobs.Apply(record.mKey, record.mValue, 0);
@@ -244,15 +244,15 @@
 
   // Guards against 410 for the cancellation of an accepted job at a node that
   // has just started.
-  void KnowsNoJobBeforeTheJournalIsLoaded()
+  void ReportsLogUnavailableBeforeTheJournalIsLoaded()
   {
-    mNext = kNotLoaded;
-    CPPUNIT_ASSERT(mService.Cancel("a", Soon()).error().mKind ==
+    mNextOffset = kJournalNotLoaded;
+    CPPUNIT_ASSERT(mService.Cancel("a", DefaultDeadline()).error().mKind ==
                    base::ErrorKind::LogUnavailable);
-    CPPUNIT_ASSERT(mService.StateOf("a", Soon()).error().mKind ==
+    CPPUNIT_ASSERT(mService.StateOf("a", DefaultDeadline()).error().mKind ==
                    base::ErrorKind::LogUnavailable);
-    mNext = 0;
-    CPPUNIT_ASSERT(mService.Cancel("a", Soon()).error().mKind ==
+    mNextOffset = 0;
+    CPPUNIT_ASSERT(mService.Cancel("a", DefaultDeadline()).error().mKind ==
                    base::ErrorKind::NotFound);
   }
 
@@ -261,13 +261,13 @@
     jobs::Submission submission;
     submission.mId = "b";
     AppendRequest request;
-    request.mStream = kJournal;
+    request.mStream = kJournalStream;
     request.mRecords.push_back(
       { jobs::FormatRecordKey(jobs::RecordKind::Submission, "b"),
         jobs::EncodeSubmission(submission),
         0 });
-    mLog.Append(request, Soon());
-    CPPUNIT_ASSERT(mService.StateOf("b", Soon()));
+    mLog.Append(request, DefaultDeadline());
+    CPPUNIT_ASSERT(mService.StateOf("b", DefaultDeadline()));
   }
 
 private:
@@ -315,20 +315,23 @@
   {
     jobs::QueuePolicy policy;
     policy.mQueue = "queue";
-    return mService.Submit(policy, aId, {}, Soon());
+    return mService.Submit(policy, aId, {}, DefaultDeadline());
   }
 
-  base::TimePoint Soon() const { return mClock.Now() + milliseconds(2000); }
+  base::TimePoint DefaultDeadline() const
+  {
+    return mClock.Now() + milliseconds(2000);
+  }
 
   base::ManualClock mClock;
   FakeLogState mState;
   std::vector<std::unique_ptr<Candidate>> mCandidates;
   FakeSharedLog mLog{ mState };
   jobs::JobTable mJobs;
-  std::atomic<std::int64_t> mNext{ 0 };
+  std::atomic<std::int64_t> mNextOffset{ 0 };
   metrics::Registry mMetrics;
-  JobService mService{ mJobs,   mLog,   kJournal,
-                       mNext,   mClock, journal::GetSystemWallClock(),
+  JobService mService{ mJobs,       mLog,   kJournalStream,
+                       mNextOffset, mClock, journal::GetSystemWallClock(),
                        mMetrics };
 };
 
--- a/src/node/stream_tail.cpp
+++ b/src/node/stream_tail.cpp
@@ -41,13 +41,14 @@
     });
     return;
   }
-  mLog.Read(mStream, mNext, kReadWait, [this, now](const ReadResult& aResult) {
-    OnRead(aResult, now);
-  });
+  mLog.Read(mStream,
+            mNextOffset,
+            kReadWait,
+            [this, now](const ReadResult& aResult) { OnRead(aResult, now); });
 }
 
 void
-StreamTail::Hurry()
+StreamTail::SkipPause()
 {
   mNextPollAt = base::TimePoint{};
 }
@@ -61,7 +62,7 @@
     return;
   }
   mIsLoaded = true;
-  mNext = aResult.mNext;
+  mNextOffset = aResult.mNextOffset;
   if (mHandlers.mOnSnapshot) {
     mHandlers.mOnSnapshot(aResult.mRecords);
   } else {
@@ -75,9 +76,10 @@
 {
   mIsReading = false;
   if (aResult.mOutcome == LogOutcome::Expired) {
-    logging::Write(logging::Level::Info,
-                   "stream_expired",
-                   { { "stream", mStream.mTopic }, { "from", mNext.load() } });
+    logging::Write(
+      logging::Level::Info,
+      "stream_expired",
+      { { "stream", mStream.mTopic }, { "from", mNextOffset.load() } });
     mIsLoaded = false;
     return;
   }
@@ -87,7 +89,7 @@
   }
   const bool hasRecords = !aResult.mRecords.empty();
   Deliver(aResult.mRecords);
-  mNext = std::max(mNext.load(), aResult.mNext);
+  mNextOffset = std::max(mNextOffset.load(), aResult.mNextOffset);
   OnSuccess(aSentAt);
   if (hasRecords) {
     mNextPollAt = mClock.Now() + mPause;
@@ -103,29 +105,29 @@
 void
 StreamTail::OnFailure()
 {
-  if (++mFailures == 1) {
+  if (++mConsecutiveFailures == 1) {
     logging::Write(logging::Level::Warning,
                    "stream_unreachable",
                    { { "stream", mStream.mTopic } });
   }
-  mIsSteady = false;
+  mIsReachable = false;
   mNextPollAt = mClock.Now() + kRetryPause;
 }
 
 void
 StreamTail::OnSuccess(base::TimePoint aSentAt)
 {
-  if (mFailures > 0) {
-    logging::Write(
-      logging::Level::Info,
-      "stream_reachable",
-      { { "stream", mStream.mTopic }, { "failed_reads", mFailures } });
+  if (mConsecutiveFailures > 0) {
+    logging::Write(logging::Level::Info,
+                   "stream_reachable",
+                   { { "stream", mStream.mTopic },
+                     { "failed_reads", mConsecutiveFailures } });
   }
-  mFailures = 0;
-  mFreshAt = aSentAt;
-  if (!mIsSteady) {
-    mIsSteady = true;
-    mSteadySince = aSentAt;
+  mConsecutiveFailures = 0;
+  mUpToDateAt = aSentAt;
+  if (!mIsReachable) {
+    mIsReachable = true;
+    mReachableSince = aSentAt;
   }
 }
 
