Reword comments and messages of the node and the platform adapter

Doc comments of the node headers state units, errors and thread use in the terms of the field. JobService::Submit no longer claims to return NotFound.

--- a/include/skylarkhill/node/job_service.hpp
+++ b/include/skylarkhill/node/job_service.hpp
@@ -19,15 +19,15 @@
 
 namespace skylarkhill::node {
 
-/// What the front knows about its access to the log. Thread-safe.
+/// Tracks whether the log is reachable from this node. Thread-safe.
 class LogHealth
 {
 public:
-  /// A call was answered.
+  /// Records that a call succeeded.
   void SetReachable(base::TimePoint aNow);
-  /// A call was refused or not answered.
+  /// Records that a call was refused or timed out.
   void SetUnreachable(base::TimePoint aNow);
-  /// True while calls are expected to fail.
+  /// True for a short time after a failed call unless one has succeeded since.
   bool IsUnreachable(base::TimePoint aNow) const;
 
 private:
@@ -35,10 +35,10 @@
   std::atomic<std::int64_t> mUnreachableAt{ 0 };
 };
 
-/// The offset of a journal that has not been read yet.
+/// Next offset of a journal that has not been loaded yet.
 inline constexpr std::int64_t kJournalNotLoaded = -1;
 
-/// Serves the callers of this node. Thread-safe.
+/// Submits, cancels and queries jobs for the callers of this node. Thread-safe.
 class JobService
 {
 public:
@@ -54,31 +54,32 @@
   std::shared_ptr<const RouteTable> Routes() const;
   LogHealth& Health() { return mHealth; }
 
-  /// Stores a job. NotFound: no such queue. LogUnavailable: not accepted.
-  /// OutcomeUnknown: the job may be accepted later.
+  /// Appends a job to the journal; succeeds if it is already there.
+  /// LogUnavailable: not accepted. OutcomeUnknown: the job may still be
+  /// accepted.
   base::Result<void> Submit(const jobs::QueuePolicy& aPolicy,
                             const std::string& aJobId,
                             jobs::JobRequest aRequest,
                             base::TimePoint aDeadline);
-  /// Cancels a job. NotFound: no such job; otherwise as Submit.
+  /// Cancels a job. NotFound: no such job; other errors as for Submit.
   base::Result<void> Cancel(const std::string& aJobId,
                             base::TimePoint aDeadline);
-  /// NotFound: no such job. LogUnavailable: not known here and the log cannot
-  /// be asked.
+  /// State of a job; reads the journal if this node does not know it yet.
+  /// NotFound: no such job. LogUnavailable: the journal could not be read.
   base::Result<jobs::JobState> StateOf(const std::string& aJobId,
                                        base::TimePoint aDeadline);
-  /// Jobs of the queue that wait for their first task.
+  /// Number of jobs of `aQueue` none of whose tasks has started.
   std::size_t CountPending(std::string_view aQueue) const;
 
 private:
-  /// Repeats an append that is not answered. `aIsStored` tells whether its
-  /// record was read back. LogUnavailable: nothing was stored.
-  /// OutcomeUnknown: it may have been.
+  /// Appends one record and retries on timeouts. `aIsStored` returns true if
+  /// the record has been read from the journal. LogUnavailable: not stored.
+  /// OutcomeUnknown: the record may have been or may still be stored.
   base::Result<void> Append(std::string aKey,
                             std::string aValue,
                             base::TimePoint aDeadline,
                             const std::function<bool()>& aIsStored);
-  /// Applies the journal up to its current end.
+  /// Reads and applies the journal records up to the current end.
   base::Result<void> CatchUp(base::TimePoint aDeadline);
 
   jobs::JobTable& mJobs;
--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -13,14 +13,14 @@
 
 namespace skylarkhill::node {
 
-/// What a record of the leader stream says.
+/// A record of the leader stream.
 struct LeaderRecord
 {
-  /// Rises with every claim; the fencing token of the leader's orders.
+  /// Term number, higher with each claim; the fencing token of the leader.
   std::int64_t mEpoch = 0;
-  /// Node name and a number that differs between processes.
+  /// NodeOptions::mNodeId of the leader.
   std::string mLeaderId;
-  /// The holder gives up the leadership.
+  /// The leader gives up the leadership.
   bool mIsResigned = false;
 };
 
@@ -31,13 +31,14 @@
 base::Result<LeaderRecord>
 DecodeLeaderRecord(std::string_view aBytes);
 
-/// A leader's authority to extend leases ends this long after its last
-/// confirmed record; a successor waits for it where it cannot ask a worker.
+/// A leader may extend task leases until this long after it sent its last
+/// confirmed record. A successor waits for that time to pass for the workers
+/// that it cannot reach.
 inline constexpr base::Duration kLeaderLease = std::chrono::seconds(9);
 
-/// Elects one node by conditional appends to a stream that only leaders and
-/// candidates write to. Nodes with more of a processor claim first. Belongs to
-/// the thread of the call loop.
+/// Leader election by conditional appends to a stream that only leaders and
+/// candidates write to. Nodes with a larger processor share claim earlier.
+/// Not thread-safe: used on the call loop's thread only.
 class Leadership
 {
 public:
@@ -47,27 +48,26 @@
              std::string aNodeId,
              double aProcessorShare);
 
-  /// Reads, claims and renews as far as due.
+  /// Starts the reads, claims and renewals that are due.
   void Poll();
-  /// Gives the leadership up for the benefit of another node and never claims
-  /// it again.
+  /// Gives up the leadership, if held, and never claims it again.
   void Resign();
-  /// Gives the leadership up because a worker has refused an order.
+  /// Stops leading because another node may have taken over; stays a candidate.
   void StepDown();
 
   bool IsLeader() const { return mOwnEpoch.has_value(); }
-  /// Of the term that this node leads; 0 if it does not lead.
+  /// Epoch of the term that this node leads; 0 if it does not lead.
   std::int64_t Epoch() const { return mOwnEpoch.value_or(0); }
-  /// When the last record of this leader that was stored was sent; no other
-  /// node has led before that time.
+  /// When this leader sent its last confirmed record; no other node took over
+  /// before that time.
   base::TimePoint ConfirmedAt() const { return mConfirmedAt; }
-  /// When the last earlier leader loses its authority at the latest.
+  /// Latest time at which the lease of any previous leader ends.
   base::TimePoint PreviousLeaderLeaseEnd() const
   {
     return mPreviousLeaderLeaseEnd;
   }
   base::TimePoint NextPollAt() const;
-  /// The newest record, or nothing.
+  /// The newest record of the stream; empty if there is none.
   const std::optional<LeaderRecord>& NewestRecord() const
   {
     return mNewestRecord;
@@ -90,7 +90,7 @@
   StreamTail mTail;
   std::optional<LeaderRecord> mNewestRecord;
   base::TimePoint mNewestReadAt;
-  /// When the claim with the highest epoch of this node was sent.
+  /// When the last claim of this node was sent.
   base::TimePoint mClaimSentAt;
   std::optional<std::int64_t> mOwnEpoch;
   std::int64_t mStreamEnd = 0;
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -24,7 +24,7 @@
 
 namespace skylarkhill::node {
 
-/// Streams that a node follows. The first two are written by others.
+/// Streams that a node follows. The platform writes the first two.
 struct NodeStreams
 {
   LogStream mConfiguration;
@@ -33,42 +33,44 @@
   LogStream mLeader;
 };
 
-/// Decodes the records that others write.
+/// Decodes the records that the platform writes.
 class RecordDecoder
 {
 public:
   virtual ~RecordDecoder() = default;
-  /// The routes, or nothing if the record is not a configuration or malformed.
+  /// nullptr if the record is not a configuration or is malformed.
   virtual std::shared_ptr<const RouteTable> DecodeRoutes(
     const LogRecord& aRecord) const = 0;
-  /// The worker, or nothing if the record names none that may be used.
+  /// Empty if the record is malformed or the worker is in an unknown state.
   virtual std::optional<dispatch::WorkerEntry> DecodeWorker(
     const LogRecord& aRecord) const = 0;
 };
 
-/// Orders to workers under the fencing token of a term; outcomes go to
-/// `aDispatcher`. Belongs to the thread of the call loop.
+/// Sends commands to workers with the epoch of the current term as the fencing
+/// token. Not thread-safe: used on the call loop's thread only.
 class WorkerClient : public dispatch::OrderSink
 {
 public:
-  /// Ends a term: outcomes that are still to come are dropped.
+  /// Ends a term; the outcomes of calls in flight are dropped.
   virtual void Detach() = 0;
+  /// Begins a term; outcomes are passed to `aDispatcher`.
   virtual void Attach(std::int64_t aEpoch,
                       dispatch::Dispatcher& aDispatcher) = 0;
 };
 
 struct NodeOptions
 {
+  /// Differs between nodes and between processes of one node.
   std::string mNodeId;
-  /// Share of a processor that this process may use.
+  /// Processors that this process may use; may be a fraction.
   double mProcessorShare = 1.0;
   NodeStreams mStreams;
   dispatch::DispatchLimits mLimits;
 };
 
-/// The part of an entry instance that follows the log and, while it leads,
-/// dispatches tasks. Belongs to the thread of the call loop but for the
-/// functions marked otherwise.
+/// The part of an entry instance that follows the log and, while it is the
+/// leader, dispatches tasks. Not thread-safe: used on the call loop's thread
+/// only, except for the functions marked as thread-safe.
 class Node
 {
 public:
@@ -82,15 +84,15 @@
        metrics::Registry& aMetrics);
   ~Node();
 
-  /// Does everything that is due.
+  /// Runs all work that is due.
   void Poll();
-  /// When Poll is due without an event before it.
+  /// When to call Poll next if no event arrives before.
   base::TimePoint NextPollAt() const;
-  /// Hands the leadership over before a stop.
+  /// Gives up the leadership before the process stops.
   void Resign();
 
   JobService& Service() { return mService; }
-  /// True if callers are served. Thread-safe.
+  /// True if this node can serve callers. Thread-safe.
   bool IsReady() const { return mIsReady; }
   bool IsLeader() const { return mDispatcher != nullptr; }
 
@@ -98,7 +100,7 @@
   struct KnownWorker
   {
     dispatch::WorkerEntry mEntry;
-    /// The registry record of the entry.
+    /// Encoded registry record of the worker.
     std::string mRecord;
     bool mIsRegistered = true;
     base::TimePoint mUnregisteredAt;
@@ -111,8 +113,8 @@
   void OnJournalRecord(const LogRecord& aRecord);
   void OnJournaledWorker(const std::string& aWorkerId,
                          const std::string& aRecord);
-  /// Adds the workers that the journal does not list, or should no longer
-  /// list, to the batch.
+  /// Adds records to the batch for workers that are new to the journal, and
+  /// deletions for workers that left the registry long enough ago.
   void AddWorkerRecords();
   void UpdateTerm();
   void BeginTerm();
@@ -121,7 +123,7 @@
   void StartDispatcher();
   void Flush();
   void SendBatch();
-  /// Shows the batch that has become durable to callers of this node.
+  /// Applies the stored batch to the job table, so that callers see it.
   void ApplyBatch(std::int64_t aFirstOffset);
   void RemoveOldJobs();
   void UpdateReadiness();
@@ -145,29 +147,29 @@
   JobService mService;
   Leadership mLeadership;
   std::map<std::string, KnownWorker> mWorkers;
-  /// Workers that the journal lists: a leader that starts while the registry
-  /// is incomplete has to ask these as well.
+  /// Ids of the workers that are recorded in the journal. A leader that starts
+  /// while the registry is incomplete polls these workers as well.
   std::set<std::string> mJournaledWorkers;
   std::atomic<bool> mIsReady{ false };
   base::TimePoint mLastPollAt;
-  /// When this process last continued after a pause.
+  /// When this process last resumed after a pause.
   base::TimePoint mResumedAt;
 
-  /// The term that is being prepared or led.
+  /// Epoch of the term that this node leads or prepares; 0: none.
   std::int64_t mEpoch = 0;
   bool mIsJournalFenced = false;
   base::TimePoint mJournalFencedAt;
   bool mIsFlushInFlight = false;
   base::TimePoint mNextFlushAt;
   std::int64_t mSequence = 0;
-  /// Records of the batch that is on its way, for repeats.
+  /// The batch that is being stored, kept for retries.
   AppendRequest mBatchRequest;
   bool mIsBatchUnsaved = false;
   std::uint64_t mBatchNumber = 0;
   base::TimePoint mBatchSentAt;
   std::unique_ptr<dispatch::Dispatcher> mDispatcher;
   base::TimePoint mNextCleanupAt;
-  /// The newest model record of the journal.
+  /// Newest record of the sharing model in the journal.
   std::string mModelRecord;
   base::TimePoint mNextModelAt;
 };
--- a/include/skylarkhill/node/route_table.hpp
+++ b/include/skylarkhill/node/route_table.hpp
@@ -13,7 +13,7 @@
 
 namespace skylarkhill::node {
 
-/// Leads requests to a queue.
+/// Maps the requests for a host and a path prefix to a queue.
 struct Route
 {
   std::string mHost;
@@ -21,11 +21,11 @@
   jobs::QueuePolicy mPolicy;
 };
 
-/// Where a request goes.
+/// The route of a request.
 struct RouteMatch
 {
   const Route* mRoute = nullptr;
-  /// What follows the prefix in the path.
+  /// The path after the prefix.
   std::string mPathSuffix;
 };
 
@@ -37,14 +37,14 @@
 
   std::int64_t Version() const { return mVersion; }
   std::size_t Size() const { return mCount; }
-  /// The route with the longest prefix of `aPath`, or nothing.
+  /// The route of `aHost` with the longest prefix that matches `aPath`.
   std::optional<RouteMatch> Find(std::string_view aHost,
                                  std::string_view aPath) const;
 
 private:
   const std::int64_t mVersion;
   const std::size_t mCount;
-  /// By host, the longest prefix first.
+  /// Routes by host, sorted by descending prefix length.
   std::map<std::string, std::vector<Route>, std::less<>> mByHost;
 };
 
--- a/include/skylarkhill/node/shared_log.hpp
+++ b/include/skylarkhill/node/shared_log.hpp
@@ -11,15 +11,15 @@
 
 namespace skylarkhill::node {
 
-/// One ordered sequence of keyed records in the platform's log. The newest
-/// record of a key is kept for ever, older ones for a limited time.
+/// A partition of a topic in the platform's log. The newest record of each key
+/// is kept forever, older ones for a limited time.
 struct LogStream
 {
   std::string mTopic;
   int mPartition = 0;
 };
 
-/// A record without a value removes its key.
+/// A keyed record; an empty value deletes the key.
 struct LogRecord
 {
   std::string mKey;
@@ -27,8 +27,8 @@
   std::int64_t mOffset = 0;
 };
 
-/// Identifies one append of a writer, so that a repeat has no effect and a
-/// writer with a lower epoch is refused.
+/// Identifies an append. The log ignores an append that it has already stored
+/// and refuses writers with an outdated epoch.
 struct WriterStamp
 {
   std::string mWriter;
@@ -39,9 +39,9 @@
 struct AppendRequest
 {
   LogStream mStream;
-  /// Empty: only the epoch of the stamp takes effect.
+  /// May be empty: the log then only records the epoch of the stamp.
   std::vector<LogRecord> mRecords;
-  /// The append is refused unless the stream ends here.
+  /// The append fails unless the stream ends at this offset.
   std::optional<std::int64_t> mExpectedEnd;
   std::optional<WriterStamp> mStamp;
 };
@@ -49,17 +49,17 @@
 enum class LogOutcome
 {
   Done,
-  /// The stream does not end where the append expected.
+  /// The stream does not end at AppendRequest::mExpectedEnd.
   EndMoved,
   /// Another writer has used a higher epoch.
   Fenced,
   /// The sequence number does not follow the last one.
   OutOfSequence,
-  /// The records asked for have been deleted.
+  /// The requested records have been deleted.
   Expired,
-  /// Nothing was done; the log refuses calls at the moment.
+  /// The log refused the call; it had no effect.
   Refused,
-  /// No answer: the call may take effect later.
+  /// No response: the call may have taken effect or may still do so.
   Unknown,
 };
 
@@ -70,9 +70,9 @@
 struct AppendResult
 {
   LogOutcome mOutcome = LogOutcome::Unknown;
-  /// Offset of the first record that was appended.
+  /// Offset of the first appended record.
   std::int64_t mOffset = 0;
-  /// End of the stream, where the answer told it.
+  /// End of the stream; 0 if the response does not contain it.
   std::int64_t mEnd = 0;
 };
 
@@ -80,11 +80,11 @@
 {
   LogOutcome mOutcome = LogOutcome::Unknown;
   std::vector<LogRecord> mRecords;
-  /// Where the next read continues.
+  /// Offset at which the next read continues.
   std::int64_t mNextOffset = 0;
 };
 
-/// Access to the log from the thread of a call loop.
+/// Asynchronous access to the log; handlers run on the call loop's thread.
 class SharedLog
 {
 public:
@@ -92,18 +92,19 @@
   virtual void Append(const AppendRequest& aRequest,
                       base::TimePoint aDeadline,
                       std::function<void(AppendResult)> aHandler) = 0;
-  /// Records from offset `aFrom` on; waits up to `aWait` for the first one.
+  /// Reads records from offset `aFrom` on; waits up to `aWait` for the first.
   virtual void Read(const LogStream& aStream,
                     std::int64_t aFrom,
                     base::Duration aWait,
                     std::function<void(ReadResult)> aHandler) = 0;
-  /// The newest record of every key. mNextOffset is the offset from which later
-  /// records have to be read.
+  /// Reads the newest record of every key. Changes after this snapshot start
+  /// at ReadResult::mNextOffset.
   virtual void ReadNewest(const LogStream& aStream,
                           std::function<void(ReadResult)> aHandler) = 0;
 };
 
-/// Access to the log from any thread; blocks until the answer or the deadline.
+/// Synchronous access to the log. Thread-safe; blocks until the response or the
+/// deadline.
 class BlockingLog
 {
 public:
--- a/include/skylarkhill/node/stream_tail.hpp
+++ b/include/skylarkhill/node/stream_tail.hpp
@@ -11,16 +11,18 @@
 
 namespace skylarkhill::node {
 
-/// What a tail delivers.
+/// Callbacks of a StreamTail.
 struct TailHandlers
 {
   std::function<void(const LogRecord&)> mOnRecord;
-  /// All current records, at the start and after older records have expired;
-  /// without it each of them goes to mOnRecord.
+  /// Receives the newest record of every key, after the start and whenever
+  /// records expired before they were read. If empty, each of these records is
+  /// passed to mOnRecord.
   std::function<void(const std::vector<LogRecord>&)> mOnSnapshot;
 };
 
-/// Follows one stream. Belongs to the thread of the call loop.
+/// Reads a stream continuously. Not thread-safe: used on the call loop's thread
+/// only.
 class StreamTail
 {
 public:
@@ -29,26 +31,28 @@
              LogStream aStream,
              TailHandlers aHandlers);
 
-  /// Reads if the last read has ended and the pause has passed.
+  /// Starts a read unless one is in progress or the pause has not passed.
   void Poll();
   /// Pause between the end of a read that delivered records and the next one.
   void SetPause(base::Duration aPause) { mPause = aPause; }
-  /// Ends the current pause.
+  /// Makes the next Poll read without waiting for the end of the pause.
   void SkipPause();
 
+  /// True once the newest record of every key has been delivered.
   bool IsLoaded() const { return mIsLoaded; }
-  /// When the last answered read was sent; the records that were acknowledged
-  /// before that time have been delivered.
+  /// When the last successful read was sent: all records stored before that
+  /// time have been delivered.
   base::TimePoint UpToDateAt() const { return mUpToDateAt; }
-  /// When the answered reads began that no failed read has interrupted.
+  /// When the first successful read since the last failed one was sent.
   base::TimePoint ReachableSince() const { return mReachableSince; }
-  /// Offset of the first record that has not been delivered.
+  /// Offset of the next record to deliver.
   std::int64_t NextOffset() const { return mNextOffset; }
   /// When Poll is due; never while a read is in progress.
   base::TimePoint NextPollAt() const
   {
     return mIsReading ? base::kNoDeadline : mNextPollAt;
   }
+  /// Failed reads since the last successful one.
   int ConsecutiveFailures() const { return mConsecutiveFailures; }
 
 private:
--- a/src/node/fake_shared_log_test.hpp
+++ b/src/node/fake_shared_log_test.hpp
@@ -11,14 +11,15 @@
 
 namespace skylarkhill::node {
 
-/// The streams of a log in memory.
+/// The contents of an in-memory log.
 struct FakeLogState
 {
   std::map<std::string, std::vector<LogRecord>> mStreams;
   std::map<std::string, std::int64_t> mEpochs;
 };
 
-/// One node's access to the log. Answers are delivered by Deliver.
+/// One node's access to the in-memory log. Handlers of asynchronous calls run
+/// in Deliver.
 class FakeSharedLog
   : public SharedLog
   , public BlockingLog
@@ -102,10 +103,11 @@
     }
   }
 
-  /// Called instead of waiting for an answer until the deadline.
+  /// Called with the deadline of each append without a response, instead of
+  /// waiting until then.
   std::function<void(base::TimePoint)> mOnNoResponse;
   bool mIsUnreachable = false;
-  /// Appends take effect, but nobody hears of it.
+  /// Appends take effect, but their responses are lost.
   bool mDropsResponses = false;
 
 private:
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -14,19 +14,19 @@
 
 namespace {
 
-/// An unanswered append is sent again after this time, twice the answer time of
-/// a slow log; it has the same key and value, so a repeat changes nothing.
+/// Timeout of one append attempt, twice the response time of a slow log. A
+/// retry has the same key and value, so a duplicate has no effect.
 constexpr base::Duration kAppendAttemptTimeout = std::chrono::milliseconds(500);
-/// A shorter try is not worth a call: several times the usual answer time.
+/// An attempt needs at least this time: several times the usual response time.
 constexpr base::Duration kMinAppendAttemptTime = std::chrono::milliseconds(100);
-/// Pause before an append is sent again, so that a log that refuses at once is
-/// not called in a loop.
+/// Pause before a retry. Without it, a log that refuses calls immediately would
+/// be called in a tight loop.
 constexpr base::Duration kAppendRetryPause = std::chrono::milliseconds(100);
-/// Time kept back for the answer to the caller.
+/// Time reserved for the response to the caller.
 constexpr base::Duration kResponseReserve = std::chrono::milliseconds(150);
 constexpr base::Duration kReadTimeout = std::chrono::milliseconds(800);
-/// After a failed call the log is tried again by the node's own reads, and by
-/// callers after this time.
+/// Callers' requests fail fast for this time after a failed call, unless a read
+/// of the node itself succeeds earlier.
 constexpr base::Duration kUnreachablePeriod = std::chrono::milliseconds(700);
 
 } // namespace
@@ -181,7 +181,7 @@
 {
   const TimePoint start = mClock.Now();
   if (mHealth.IsUnreachable(start)) {
-    return MakeError(ErrorKind::LogUnavailable, "the log does not answer");
+    return MakeError(ErrorKind::LogUnavailable, "the log is unreachable");
   }
   AppendRequest request;
   request.mStream = mJournal;
@@ -203,14 +203,15 @@
     mHealth.SetUnreachable(now);
     mayBeStored = mayBeStored || result.mOutcome == LogOutcome::Unknown;
     if (!mayBeStored) {
-      // The caller may be told at once that nothing was stored.
-      return MakeError(ErrorKind::LogUnavailable, "the log refuses calls");
+      // No attempt can have been stored, so fail without further retries.
+      return MakeError(ErrorKind::LogUnavailable, "the log refused the append");
     }
     if (now + kAppendRetryPause + kMinAppendAttemptTime > until) {
-      return MakeError(ErrorKind::OutcomeUnknown, "the log has not answered");
+      return MakeError(ErrorKind::OutcomeUnknown, "the append has timed out");
     }
     mClock.SleepUntil(now + kAppendRetryPause);
-    // The answer of an earlier try may be lost and its record read already.
+    // An earlier attempt may have stored the record although its response was
+    // lost.
     if (aIsStored()) {
       return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
@@ -222,7 +223,7 @@
 {
   const TimePoint now = mClock.Now();
   if (mHealth.IsUnreachable(now)) {
-    return MakeError(ErrorKind::LogUnavailable, "the log does not answer");
+    return MakeError(ErrorKind::LogUnavailable, "the log is unreachable");
   }
   const std::int64_t next = mNextJournalOffset;
   if (next == kJournalNotLoaded) {
@@ -232,7 +233,8 @@
     mLog.Read(mJournal, next, std::min(aDeadline, now + kReadTimeout));
   if (result.mOutcome != LogOutcome::Done) {
     mHealth.SetUnreachable(mClock.Now());
-    return MakeError(ErrorKind::LogUnavailable, "the log does not answer");
+    return MakeError(ErrorKind::LogUnavailable,
+                     "the journal could not be read");
   }
   mHealth.SetReachable(mClock.Now());
   for (const auto& it : result.mRecords) {
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -18,25 +18,27 @@
 
 constexpr std::string_view kLeaderKey = "leader";
 
-/// Pause between two records of a leader.
+/// Interval between two records of a leader.
 constexpr base::Duration kRenewInterval = std::chrono::milliseconds(800);
-/// Two renewals may be late or lost before others take over.
+/// Time without a renewal after which candidates claim: allows for two late or
+/// lost renewals.
 constexpr base::Duration kTakeoverTimeout = std::chrono::milliseconds(2200);
-/// Candidates spread their claims over this time.
+/// Random part of the claim delay, so that candidates rarely collide.
 constexpr base::Duration kMaxClaimJitter = std::chrono::milliseconds(200);
-/// Share of a processor from which on a node claims without a handicap; the
-/// strongest instances of the sites have one half.
+/// Nodes with at least this many processors claim without a share delay; the
+/// largest instances of the sites have 0.5.
 constexpr double kMinShareWithoutDelay = 0.5;
+/// Claim delay of a node whose processor share is close to 0.
 constexpr base::Duration kMaxShareDelay = std::chrono::milliseconds(500);
-/// Pause of a node that lost a claim or was fenced off.
+/// Pause after a lost claim, a failed append or a loss of the leadership.
 constexpr base::Duration kRetryPause = std::chrono::milliseconds(250);
 constexpr base::Duration kFollowerPause = std::chrono::milliseconds(300);
 constexpr base::Duration kAppendTimeout = std::chrono::milliseconds(1500);
 
 using Fields = std::tuple<std::int64_t, std::string, bool>;
 
-/// How long a candidate lets others go first. Nodes of different strength do
-/// not meet, because a leader on a weak node is slow for all callers.
+/// Time that a candidate waits before it claims. Nodes with a smaller processor
+/// share wait longer, because a slow leader slows down all callers.
 base::Duration
 ClaimDelay(const std::string& aNodeId,
            std::int64_t aEpoch,
@@ -180,11 +182,12 @@
   if (mOwnEpoch && (!isOwn || newest.mEpoch != *mOwnEpoch)) {
     StepDown();
   }
-  // What a leader has started goes on after its resignation.
+  // Tasks that a leader started go on after its resignation, so its lease
+  // counts in full.
   if (!isOwn) {
     mPreviousLeaderLeaseEnd = mNewestReadAt + kLeaderLease;
   }
-  // A claim without an answer may have taken effect late.
+  // A claim whose response was lost may have been stored.
   if (isOwn && isNewTerm && !mOwnEpoch && !newest.mIsResigned &&
       !mHasResigned) {
     BecomeLeader(newest.mEpoch, mClaimSentAt);
@@ -202,7 +205,7 @@
   if (!mNewestRecord || mNewestRecord->mIsResigned) {
     return aNow >= std::max(mNewestReadAt, mTail.ReachableSince()) + delay;
   }
-  // Silence counts only while the stream could be read.
+  // Time in which the stream could not be read does not count as silence.
   return aNow >= std::max(mNewestReadAt, mTail.ReachableSince()) +
                    kTakeoverTimeout + delay;
 }
@@ -236,8 +239,8 @@
   mIsAppending = false;
   const TimePoint now = mClock.Now();
   if (aResult.mOutcome != LogOutcome::Done) {
-    // The tail tells whether another node leads or an append without an
-    // answer took effect.
+    // The next read shows whether another node leads or whether an append
+    // without a response was stored.
     mNextAppendAt = now + kRetryPause;
     mTail.SkipPause();
     return;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -16,37 +16,39 @@
 
 constexpr std::string_view kWriterName = "leader";
 
-/// Pauses between reads that delivered records. They bound the calls to the
-/// log; a caller sees the end of a job at most this late at another node.
+/// Pauses after reads that delivered records, to limit the calls to the log. A
+/// follower shows a new job state to its callers up to this much later.
 constexpr Duration kFollowerJournalPause = std::chrono::milliseconds(200);
 constexpr Duration kLeaderJournalPause = std::chrono::milliseconds(5);
 constexpr Duration kFollowerWorkerPause = std::chrono::milliseconds(1200);
 constexpr Duration kLeaderWorkerPause = std::chrono::milliseconds(250);
 
-/// Least time between two batches of progress records.
+/// Minimum time between two batches of progress records.
 constexpr Duration kFlushInterval = std::chrono::milliseconds(20);
-/// Pause between two records of what has been learned about images.
+/// Interval between two records of the sharing model.
 constexpr Duration kModelInterval = std::chrono::seconds(2);
 constexpr std::string_view kModelId = "images";
 constexpr Duration kFlushTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kFlushRetryPause = std::chrono::milliseconds(150);
 
-/// A node whose last complete read is older sends callers elsewhere.
+/// Maximum age of the last journal read of a node that reports ready.
 constexpr Duration kMaxReadAge = std::chrono::milliseconds(4000);
 
-/// After a pause of the process its view may be outdated; orders wait until
-/// the leadership is confirmed again.
+/// A longer gap between two polls means that the process was paused. Its state
+/// may then be outdated, so it sends no commands until its leadership is
+/// confirmed again.
 constexpr Duration kMaxPollGap = std::chrono::milliseconds(900);
 
-/// Workers that left the registry are remembered while an earlier leader could
-/// have extended their leases.
+/// Workers that left the registry are kept while a previous leader may have
+/// extended their leases.
 constexpr Duration kUnregisteredRetention =
   kLeaderLease + std::chrono::seconds(1);
 
-/// States are answered for 120 s after the end of a job at least; the longest
-/// jobs of the sites take about as long again.
+/// Measured from the acceptance of a job. The state of a job must be available
+/// for at least 120 s after its end; the longest jobs of the sites run for
+/// about as long.
 constexpr std::int64_t kFinalJobRetentionMs = 400'000;
-/// Longest time between two polls.
+/// Maximum time between two polls.
 constexpr Duration kMaxPollInterval = std::chrono::milliseconds(100);
 
 constexpr Duration kCleanupInterval = std::chrono::seconds(20);
@@ -153,7 +155,7 @@
 TimePoint
 Node::NextPollAt() const
 {
-  // Claims are due by the passing of time, without an event.
+  // Bounded, because the values below leave out when a claim becomes due.
   TimePoint next = mClock.Now() + kMaxPollInterval;
   for (const TimePoint it : { mConfigurationTail.NextPollAt(),
                               mWorkerTail.NextPollAt(),
@@ -362,7 +364,8 @@
     FenceJournal();
     return;
   }
-  // Everything that an earlier leader stored was stored before the fence.
+  // No previous leader can append after the fence, so a read that was sent
+  // later returns everything that it has stored.
   const bool isCurrent = mJournalTail.IsLoaded() &&
                          mJournalTail.UpToDateAt() > mJournalFencedAt &&
                          mWorkerTail.IsLoaded();
@@ -544,7 +547,8 @@
         case LogOutcome::Expired:
         case LogOutcome::Refused:
         case LogOutcome::Unknown:
-          // The same sequence number again has no effect if it was stored.
+          // The retry has the same sequence number, so the log ignores it if
+          // the batch has been stored.
           mNextFlushAt = now + kFlushRetryPause;
           break;
       }
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -90,7 +90,7 @@
     CPPUNIT_ASSERT(!first.mLeadership.IsLeader());
   }
 
-  // Guards against a change of the leader after each outage of the log.
+  // Guards against a change of leader after every log outage.
   void KeepsTheLeaderDuringALogOutage()
   {
     AddCandidates(3);
@@ -133,8 +133,8 @@
     CPPUNIT_ASSERT(!first.mLeadership.IsLeader());
   }
 
-  // Guards against tasks that are started again while they still run under the
-  // lease of a leader of which only the resignation has been read.
+  // Guards against double runs: a new leader must wait for the lease of the
+  // previous one even if it has only read its resignation.
   void WaitsForTheLeaseOfAResignedLeader()
   {
     AddCandidates(1);
@@ -149,7 +149,7 @@
                    restartedAt + kLeaderLease);
   }
 
-  // Load pattern: a large site whose smallest instances are too slow to lead.
+  // At large sites the smallest instances are too slow to lead.
   void PrefersTheNodeWithTheLargestProcessorShare()
   {
     AddCandidates(4);
@@ -197,7 +197,7 @@
     CPPUNIT_ASSERT(Submit("a"));
   }
 
-  // Guards against "not run" for a job that is stored.
+  // Guards against reporting a stored job as not accepted.
   void ReportsAnUnknownOutcome()
   {
     mLog.mDropsResponses = true;
@@ -205,9 +205,9 @@
     CPPUNIT_ASSERT(result.error().mKind == base::ErrorKind::OutcomeUnknown);
   }
 
-  // Load pattern: an outage of the log that ends shortly before the callers'
-  // deadlines. Guards against giving up a job with time left for a short try,
-  // and against calling a log that refuses at once in a loop.
+  // The log recovers shortly before the callers' deadlines. Guards against
+  // giving up with time left for a short attempt, and against calling a log
+  // that refuses immediately in a tight loop.
   void AcceptsAJobIfTheLogRecoversBeforeTheDeadline()
   {
     int attempts = 0;
@@ -228,8 +228,8 @@
     CPPUNIT_ASSERT(attempts <= 20);
   }
 
-  // Guards against a second wait for an answer although the node's own reads
-  // show the record.
+  // Guards against a retry of an append whose record the node has already read
+  // from the journal.
   void AcceptsAJobWhoseRecordIsReadBack()
   {
     mLog.mDropsResponses = true;
@@ -242,8 +242,8 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mState.mStreams["journal"].size());
   }
 
-  // Guards against 410 for the cancellation of an accepted job at a node that
-  // has just started.
+  // Guards against "no such job" (status 410) for an accepted job at a node
+  // that has just started.
   void ReportsLogUnavailableBeforeTheJournalIsLoaded()
   {
     mNextOffset = kJournalNotLoaded;
--- a/src/node/route_table.cpp
+++ b/src/node/route_table.cpp
@@ -26,7 +26,7 @@
 std::optional<RouteMatch>
 RouteTable::Find(std::string_view aHost, std::string_view aPath) const
 {
-  // The port is not part of the name.
+  // The Host field may contain a port.
   const auto found = mByHost.find(aHost.substr(0, aHost.find(':')));
   if (found == mByHost.end()) {
     return std::nullopt;
--- a/src/node/stream_tail.cpp
+++ b/src/node/stream_tail.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// How long a read waits for a record. An answer that is overdue shows a
-/// silent connection, so this bounds how long one goes unnoticed.
+/// How long a read waits for a record. An overdue response reveals a dead
+/// connection, so this also bounds the time until one is noticed.
 constexpr base::Duration kReadWait = std::chrono::milliseconds(1500);
 constexpr base::Duration kRetryPause = std::chrono::milliseconds(200);
 
