--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -186,11 +186,11 @@
   AppendRequest request;
   request.mStream = mJournal;
   request.mRecords.push_back({ std::move(aKey), std::move(aValue), 0 });
-  const TimePoint until = aDeadline - kResponseReserve;
+  const TimePoint appendDeadline = aDeadline - kResponseReserve;
   bool mayBeStored = false;
   for (;;) {
     const AppendResult result = mLog.Append(
-      request, std::min(until, mClock.Now() + kAppendAttemptTimeout));
+      request, std::min(appendDeadline, mClock.Now() + kAppendAttemptTimeout));
     const TimePoint now = mClock.Now();
     if (result.mOutcome == LogOutcome::Done) {
       mHealth.SetReachable(now);
@@ -206,7 +206,7 @@
       // No attempt can have been stored, so fail without further retries.
       return MakeError(ErrorKind::LogUnavailable, "the log refused the append");
     }
-    if (now + kAppendRetryPause + kMinAppendAttemptTime > until) {
+    if (now + kAppendRetryPause + kMinAppendAttemptTime > appendDeadline) {
       return MakeError(ErrorKind::OutcomeUnknown, "the append has timed out");
     }
     mClock.SleepUntil(now + kAppendRetryPause);
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -163,23 +163,23 @@
       { { "offset", aRecord.mOffset }, { "problem", record.error().mDetail } });
     return;
   }
-  const LeaderRecord& newest = record.value();
-  const bool isOwn = newest.mLeaderId == mNodeId;
-  if (mNewestRecord && newest.mEpoch < mNewestRecord->mEpoch) {
+  const LeaderRecord& leaderRecord = record.value();
+  const bool isOwn = leaderRecord.mLeaderId == mNodeId;
+  if (mNewestRecord && leaderRecord.mEpoch < mNewestRecord->mEpoch) {
     return;
   }
   const bool isNewTerm =
-    !mNewestRecord || newest.mEpoch > mNewestRecord->mEpoch;
+    !mNewestRecord || leaderRecord.mEpoch > mNewestRecord->mEpoch;
   if (isNewTerm) {
     logging::Write(logging::Level::Info,
                    "leader_seen",
-                   { { "epoch", newest.mEpoch },
-                     { "holder", newest.mLeaderId },
+                   { { "epoch", leaderRecord.mEpoch },
+                     { "holder", leaderRecord.mLeaderId },
                      { "offset", aRecord.mOffset } });
   }
-  mNewestRecord = newest;
+  mNewestRecord = leaderRecord;
   mNewestReadAt = mClock.Now();
-  if (mOwnEpoch && (!isOwn || newest.mEpoch != *mOwnEpoch)) {
+  if (mOwnEpoch && (!isOwn || leaderRecord.mEpoch != *mOwnEpoch)) {
     StepDown();
   }
   // Tasks that a leader started go on after its resignation, so its lease
@@ -188,9 +188,9 @@
     mPreviousLeaderLeaseEnd = mNewestReadAt + kLeaderLease;
   }
   // A claim whose response was lost may have been stored.
-  if (isOwn && isNewTerm && !mOwnEpoch && !newest.mIsResigned &&
+  if (isOwn && isNewTerm && !mOwnEpoch && !leaderRecord.mIsResigned &&
       !mHasResigned) {
-    BecomeLeader(newest.mEpoch, mClaimSentAt);
+    BecomeLeader(leaderRecord.mEpoch, mClaimSentAt);
   }
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -456,18 +456,18 @@
       mDispatcher->RemoveWorker(id, worker.mUnregisteredAt);
     }
   }
-  std::int64_t open = 0;
+  std::int64_t openJobs = 0;
   for (const auto& it : mJobs.List()) {
     if (!jobs::IsFinal(it.State())) {
       mDispatcher->AddJob(it, true, now);
-      ++open;
+      ++openJobs;
     }
   }
   mLeading.Set(1);
   logging::Write(logging::Level::Info,
                  "term_begun",
                  { { "epoch", mEpoch },
-                   { "open_jobs", open },
+                   { "open_jobs", openJobs },
                    { "workers", static_cast<std::int64_t>(mWorkers.size()) },
                    { "journal", mJournalTail.NextOffset() } });
 }
@@ -573,14 +573,14 @@
   }
   mNextCleanupAt = now + kCleanupInterval;
   mJobCount.Set(static_cast<std::int64_t>(mJobs.Size()));
-  auto old = mJobs.ListFinal(mWallClock.NowMs() - kFinalJobRetentionMs);
-  if (old.empty()) {
+  auto oldJobs = mJobs.ListFinal(mWallClock.NowMs() - kFinalJobRetentionMs);
+  if (oldJobs.empty()) {
     return;
   }
-  old.resize(std::min(old.size(), kMaxJobsPerCleanup));
+  oldJobs.resize(std::min(oldJobs.size(), kMaxJobsPerCleanup));
   AppendRequest request;
   request.mStream = mOptions.mStreams.mJournal;
-  for (const auto& id : old) {
+  for (const auto& id : oldJobs) {
     for (const auto kind : { jobs::RecordKind::Progress,
                              jobs::RecordKind::Cancellation,
                              jobs::RecordKind::Submission }) {
