--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -207,7 +207,8 @@
       return MakeError(ErrorKind::LogUnavailable, "the log refused the append");
     }
     if (now + kAppendRetryPause + kMinAppendAttemptTime > appendDeadline) {
-      return MakeError(ErrorKind::OutcomeUnknown, "the append has timed out");
+      return MakeError(ErrorKind::OutcomeUnknown,
+                       "an append attempt got no response");
     }
     mClock.SleepUntil(now + kAppendRetryPause);
     // An earlier attempt may have stored the record although its response was
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -23,12 +23,13 @@
 /// Time without a renewal after which candidates claim: allows for two late or
 /// lost renewals.
 constexpr base::Duration kTakeoverTimeout = std::chrono::milliseconds(2200);
-/// Random part of the claim delay, so that candidates rarely collide.
+/// Upper bound of the pseudo-random part of a claim delay, which keeps
+/// candidates from claiming at the same time.
 constexpr base::Duration kMaxClaimJitter = std::chrono::milliseconds(200);
 /// Nodes with at least this many processors claim without a share delay; the
 /// largest instances of the sites have 0.5.
 constexpr double kMinShareWithoutDelay = 0.5;
-/// Claim delay of a node whose processor share is close to 0.
+/// Additional claim delay of a node whose processor share is close to 0.
 constexpr base::Duration kMaxShareDelay = std::chrono::milliseconds(500);
 /// Pause after a lost claim, a failed append or a loss of the leadership.
 constexpr base::Duration kRetryPause = std::chrono::milliseconds(250);
