--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -31,9 +31,9 @@
 base::Result<LeaderRecord>
 DecodeLeaderRecord(std::string_view aBytes);
 
-/// A leader may extend task leases until this long after it sent its last
-/// confirmed record. A successor waits for that time to pass for the workers
-/// that it cannot reach.
+/// A leader may extend the leases of tasks until this long after it sent its
+/// last confirmed record. For workers that a successor cannot reach, it waits
+/// until then.
 inline constexpr base::Duration kLeaderLease = std::chrono::seconds(9);
 
 /// Leader election by conditional appends to a stream that only leaders and
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -46,8 +46,8 @@
     const LogRecord& aRecord) const = 0;
 };
 
-/// Sends commands to workers with the epoch of the current term as the fencing
-/// token. Not thread-safe: used on the call loop's thread only.
+/// Makes the dispatcher's calls to workers, with the epoch of the current term
+/// as the fencing token. Not thread-safe: used on the call loop's thread only.
 class WorkerClient : public dispatch::OrderSink
 {
 public:
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -35,8 +35,8 @@
 constexpr Duration kMaxReadAge = std::chrono::milliseconds(4000);
 
 /// A longer gap between two polls means that the process was paused. Its state
-/// may then be outdated, so it sends no commands until its leadership is
-/// confirmed again.
+/// may then be outdated, so it starts and stops no tasks until its leadership
+/// is confirmed again.
 constexpr Duration kMaxPollGap = std::chrono::milliseconds(900);
 
 /// Workers that left the registry are kept while a previous leader may have
