--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -50,7 +50,7 @@
 {
   CPPUNIT_TEST_SUITE(NodeTest);
   CPPUNIT_TEST(ElectsOneLeader);
-  CPPUNIT_TEST(ReplacesASilentLeader);
+  CPPUNIT_TEST(ReplacesAnUnreachableLeader);
   CPPUNIT_TEST(KeepsTheLeaderDuringALogOutage);
   CPPUNIT_TEST(KeepsTheLeaderWhenResponsesAreLost);
   CPPUNIT_TEST(ReplacesAResignedLeaderAtOnce);
@@ -74,20 +74,20 @@
     CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
   }
 
-  void ReplacesASilentLeader()
+  void ReplacesAnUnreachableLeader()
   {
     AddCandidates(3);
     Advance(milliseconds(2000));
-    Candidate& first = Leader();
-    first.mLog.mIsUnreachable = true;
+    Candidate& firstLeader = Leader();
+    firstLeader.mLog.mIsUnreachable = true;
     Advance(milliseconds(1500));
     CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
     Advance(milliseconds(2500));
     CPPUNIT_ASSERT_EQUAL(2, CountLeaders());
-    first.mLog.mIsUnreachable = false;
+    firstLeader.mLog.mIsUnreachable = false;
     Advance(milliseconds(1000));
     CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
-    CPPUNIT_ASSERT(!first.mLeadership.IsLeader());
+    CPPUNIT_ASSERT(!firstLeader.mLeadership.IsLeader());
   }
 
   // Guards against a change of leader after every log outage.
@@ -95,7 +95,7 @@
   {
     AddCandidates(3);
     Advance(milliseconds(2000));
-    Candidate& first = Leader();
+    Candidate& firstLeader = Leader();
     for (auto& it : mCandidates) {
       it->mLog.mIsUnreachable = true;
     }
@@ -104,33 +104,33 @@
       it->mLog.mIsUnreachable = false;
     }
     Advance(milliseconds(6000));
-    CPPUNIT_ASSERT(first.mLeadership.IsLeader());
+    CPPUNIT_ASSERT(firstLeader.mLeadership.IsLeader());
     CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
-    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, first.mLeadership.Epoch());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, firstLeader.mLeadership.Epoch());
   }
 
   void KeepsTheLeaderWhenResponsesAreLost()
   {
     AddCandidates(2);
     Advance(milliseconds(2000));
-    Candidate& first = Leader();
-    first.mLog.mDropsResponses = true;
+    Candidate& firstLeader = Leader();
+    firstLeader.mLog.mDropsResponses = true;
     Advance(milliseconds(6000));
-    first.mLog.mDropsResponses = false;
+    firstLeader.mLog.mDropsResponses = false;
     Advance(milliseconds(2000));
     CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
-    CPPUNIT_ASSERT(first.mLeadership.IsLeader());
+    CPPUNIT_ASSERT(firstLeader.mLeadership.IsLeader());
   }
 
   void ReplacesAResignedLeaderAtOnce()
   {
     AddCandidates(3);
     Advance(milliseconds(2000));
-    Candidate& first = Leader();
-    first.mLeadership.Resign();
+    Candidate& firstLeader = Leader();
+    firstLeader.mLeadership.Resign();
     Advance(milliseconds(900));
     CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
-    CPPUNIT_ASSERT(!first.mLeadership.IsLeader());
+    CPPUNIT_ASSERT(!firstLeader.mLeadership.IsLeader());
   }
 
   // Guards against double runs: a new leader must wait for the lease of the
