--- a/include/skylarkhill/entry/worker_agent.hpp
+++ b/include/skylarkhill/entry/worker_agent.hpp
@@ -9,7 +9,7 @@
 #include "skylarkhill/holder/ledger.hpp"
 #include "skylarkhill/holder/task_runner.hpp"
 #include "skylarkhill/policy/breaker.hpp"
-#include "skylarkhill/worker/worker_port.hpp"
+#include "skylarkhill/worker/remote_worker.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -80,7 +80,7 @@
   /// `aClock` and `aEvents` outlive the agent.
   WorkerAgent(WorkerPlace aPlace,
               WorkerAgentOptions aOptions,
-              std::unique_ptr<worker::WorkerPort> aPort,
+              std::unique_ptr<worker::RemoteWorker> aPort,
               const base::Clock& aClock,
               std::uint64_t aSeed,
               WorkerEvents& aEvents);
@@ -112,7 +112,7 @@
   void TakeBackFailures(const base::TaskId& aTask);
 
   /// Sends one service request. NotHolder and NoCapacity: nothing was sent;
-  /// otherwise as `worker::WorkerPort::Call`.
+  /// otherwise as `worker::RemoteWorker::Call`.
   base::Result<std::string> Call(const worker::ServiceCall& aCall,
                                  base::TimePoint aDeadline);
 
@@ -148,7 +148,7 @@
 
   const WorkerPlace mPlace;
   const WorkerAgentOptions mOptions;
-  const std::unique_ptr<worker::WorkerPort> mPort;
+  const std::unique_ptr<worker::RemoteWorker> mPort;
   const base::Clock& mClock;
   WorkerEvents& mEvents;
   const std::unique_ptr<base::Random> mRandom;
--- a/include/skylarkhill/holder/lease_machine.hpp
+++ b/include/skylarkhill/holder/lease_machine.hpp
@@ -5,7 +5,7 @@
 #include "skylarkhill/base/error.hpp"
 #include "skylarkhill/base/random.hpp"
 #include "skylarkhill/holder/worker_clock.hpp"
-#include "skylarkhill/worker/worker_port.hpp"
+#include "skylarkhill/worker/remote_worker.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -54,7 +54,7 @@
   base::Duration mBackoffHigh = std::chrono::milliseconds(500);
 };
 
-/// Asks for `WorkerPort::PlaceHolderLease`; answered by `OnReport`.
+/// Asks for `RemoteWorker::SetHolderLease`; answered by `OnReport`.
 struct PlaceLease
 {
   std::uint64_t mRequest = 0;
@@ -63,14 +63,14 @@
   base::TimePoint mDeadline;
 };
 
-/// Asks for `WorkerPort::Poll`; answered by `OnReport`.
+/// Asks for `RemoteWorker::Poll`; answered by `OnReport`.
 struct ReadList
 {
   std::uint64_t mRequest = 0;
   base::TimePoint mDeadline;
 };
 
-/// Asks for `WorkerPort::RemoveHolderLease`; answered by `OnRemoved`.
+/// Asks for `RemoteWorker::RemoveHolderLease`; answered by `OnRemoved`.
 struct RemoveLease
 {
   std::uint64_t mRequest = 0;
--- a/include/skylarkhill/holder/ledger.hpp
+++ b/include/skylarkhill/holder/ledger.hpp
@@ -4,7 +4,7 @@
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/base/error.hpp"
 #include "skylarkhill/base/resources.hpp"
-#include "skylarkhill/worker/worker_port.hpp"
+#include "skylarkhill/worker/remote_worker.hpp"
 
 #include <cstdint>
 #include <map>
--- a/include/skylarkhill/holder/task_command.hpp
+++ b/include/skylarkhill/holder/task_command.hpp
@@ -3,7 +3,7 @@
 
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/base/error.hpp"
-#include "skylarkhill/worker/worker_port.hpp"
+#include "skylarkhill/worker/remote_worker.hpp"
 
 #include <cstdint>
 #include <variant>
--- a/include/skylarkhill/holder/worker_clock.hpp
+++ b/include/skylarkhill/holder/worker_clock.hpp
@@ -2,7 +2,7 @@
 #define SKYLARKHILL_HOLDER_WORKER_CLOCK_HPP
 
 #include "skylarkhill/base/clock.hpp"
-#include "skylarkhill/worker/worker_port.hpp"
+#include "skylarkhill/worker/remote_worker.hpp"
 
 #include <cstdint>
 
--- a/include/skylarkhill/journal/age_index.hpp
+++ b/include/skylarkhill/journal/age_index.hpp
@@ -14,7 +14,7 @@
 class AgeIndex
 {
 public:
-  struct Mark
+  struct Sample
   {
     platform::Offset mOffset = 0;
     std::int64_t mWrittenAtMs = 0;
@@ -23,10 +23,10 @@
   explicit AgeIndex(std::int64_t aStepMs);
 
   /// A record at `aOffset` was written at `aWrittenAtMs` and read at `aNowMs`.
-  void Note(platform::Offset aOffset,
-            std::int64_t aWrittenAtMs,
-            std::int64_t aNowMs);
-  void Forget(platform::Offset aFirstRetained);
+  void AddSample(platform::Offset aOffset,
+                 std::int64_t aWrittenAtMs,
+                 std::int64_t aNowMs);
+  void DiscardBefore(platform::Offset aFirstRetained);
   void Clear();
 
   /// Milliseconds since `aOffset` was written; 0 if nothing is known.
@@ -36,12 +36,12 @@
                                     std::int64_t aNowMs) const;
 
   /// In order of offset and of time.
-  const std::deque<Mark>& Marks() const { return mMarks; }
-  void Restore(std::deque<Mark> aMarks) { mMarks = std::move(aMarks); }
+  const std::deque<Sample>& Samples() const { return mSamples; }
+  void Restore(std::deque<Sample> aSamples) { mSamples = std::move(aSamples); }
 
 private:
   std::int64_t mStepMs;
-  std::deque<Mark> mMarks;
+  std::deque<Sample> mSamples;
 };
 
 } // namespace skylarkhill::journal
--- a/include/skylarkhill/journal/batch_writer.hpp
+++ b/include/skylarkhill/journal/batch_writer.hpp
@@ -25,8 +25,8 @@
   std::int64_t mAppendBudgetPerSecond = 300;
   std::size_t mMaxQueuedRecords = 20'000;
   std::size_t mMaxBatchBytes = std::size_t{ 256 } * 1024;
-  base::Duration mRetryPause = std::chrono::milliseconds(50);
-  base::Duration mMaxRetryPause = std::chrono::seconds(1);
+  base::Duration mRetryDelay = std::chrono::milliseconds(50);
+  base::Duration mMaxRetryDelay = std::chrono::seconds(1);
 };
 
 /// One append for the caller to perform.
@@ -63,14 +63,14 @@
                          const WriterPosition& aPosition,
                          base::TimePoint aDeadline);
 
-  /// When Start can next return an append, or the next deadline passes;
+  /// When StartAppend can next return an append, or the next deadline passes;
   /// kNoDeadline if nothing is queued.
   base::TimePoint NextWakeUp() const;
 
   /// Begins the append that is due, if any. The caller performs it and calls
   /// one of the On... functions.
-  std::optional<AppendAction> Start(base::TimePoint aNow,
-                                    std::int64_t aWallClockMs);
+  std::optional<AppendAction> StartAppend(base::TimePoint aNow,
+                                          std::int64_t aWallClockMs);
 
   void OnAppended(Offset aOffset);
   /// Nothing was written.
@@ -114,15 +114,16 @@
     base::TimePoint mDeadline;
   };
 
-  base::Duration Linger() const;
+  base::Duration AppendInterval() const;
   void FillBatch();
-  void EncodeBatchText(std::int64_t aWallClockMs);
+  void EncodePayload(std::int64_t aWallClockMs);
   void FinishBatch(Offset aOffset);
-  void DropBatch();
+  void ResetBatch();
   void ExpireBatch(base::TimePoint aNow);
   void ExpireQueue(base::TimePoint aNow);
-  bool FinishIfRead();
-  void End(const Submission& aSubmission, base::Result<Offset> aResult);
+  bool FinishBatchIfRead();
+  void EndSubmission(const Submission& aSubmission,
+                     base::Result<Offset> aResult);
 
   BatchWriterSettings mSettings;
   std::int64_t mLiveInstances = 1;
@@ -142,8 +143,8 @@
   Offset mReadOffset = 0;
   base::TimePoint mNextAppendAt = base::TimePoint::min();
   base::TimePoint mRetryAt = base::TimePoint::min();
-  base::Duration mRetryPause{ 0 };
-  base::TimePoint mLostAt = base::TimePoint::min();
+  base::Duration mRetryDelay{ 0 };
+  base::TimePoint mAnswerLostAt = base::TimePoint::min();
   std::vector<TicketResult> mResults;
 };
 
--- a/include/skylarkhill/journal/journal_service.hpp
+++ b/include/skylarkhill/journal/journal_service.hpp
@@ -29,7 +29,7 @@
   /// Pause between reads at the end of the stream.
   base::Duration mPollInterval = std::chrono::milliseconds(50);
   /// Longest pause between reads while the log is down.
-  base::Duration mMaxReadPause = std::chrono::seconds(1);
+  base::Duration mMaxReadRetryDelay = std::chrono::seconds(1);
   base::Duration mReadTimeout = std::chrono::seconds(2);
   base::Duration mAppendTimeout = std::chrono::seconds(2);
 };
--- a/include/skylarkhill/journal/site_state.hpp
+++ b/include/skylarkhill/journal/site_state.hpp
@@ -53,7 +53,7 @@
   Offset mHorizon = 0;
   Offset mFirstRetained = 0;
   ReaderState mReader;
-  std::deque<AgeIndex::Mark> mAges;
+  std::deque<AgeIndex::Sample> mAgeSamples;
 };
 
 /// Counters of SiteState.
@@ -158,20 +158,20 @@
     Offset mAppliedThrough = -1;
   };
 
-  std::size_t IndexOf(std::string_view aId) const;
+  std::size_t ShardIndexFor(std::string_view aId) const;
   const Shard& ShardOf(std::string_view aId) const;
   void Clear(Offset aHorizon);
   void RaiseHorizon(Offset aHorizon);
   void ApplyBatch(const ReadBatch& aBatch);
-  void ApplyTo(Shard& aShard,
-               const ReadBatch& aBatch,
-               const std::vector<SiteRecord>& aRecords);
+  void ApplyToShard(Shard& aShard,
+                    const ReadBatch& aBatch,
+                    const std::vector<SiteRecord>& aRecords);
   void ApplyRecord(Tables& aTables,
                    const ReadBatch& aBatch,
                    const SiteRecord& aRecord) const;
-  static void ApplyStale(Tables& aTables,
-                         Offset aOffset,
-                         const SiteRecord& aRecord);
+  static void ApplyStaleRecord(Tables& aTables,
+                               Offset aOffset,
+                               const SiteRecord& aRecord);
   bool IsStale(const Batch& aBatch,
                Offset aOffset,
                const SiteRecord& aRecord) const;
@@ -198,7 +198,7 @@
   Offset mFirstRetained = 0;
   base::TimePoint mCaughtUpAsOf = base::TimePoint::min();
   bool mIsReady = false;
-  AgeIndex mAges;
+  AgeIndex mAgeIndex;
 
   std::atomic<std::int64_t> mAppliedRecords{ 0 };
   std::atomic<std::int64_t> mUndecodableRecords{ 0 };
--- a/include/skylarkhill/journal/snapshot_planner.hpp
+++ b/include/skylarkhill/journal/snapshot_planner.hpp
@@ -49,10 +49,10 @@
                                std::int64_t aNowMs);
 
 private:
-  bool Claim(const std::string& aId,
-             std::int64_t aAgeMs,
-             const std::vector<base::InstanceId>& aLive,
-             std::int64_t aNowMs);
+  bool MarkIfDue(const std::string& aId,
+                 std::int64_t aAgeMs,
+                 const std::vector<base::InstanceId>& aLive,
+                 std::int64_t aNowMs);
 
   SnapshotPlannerSettings mSettings;
   /// When a snapshot was planned, per id.
--- a/include/skylarkhill/journal/stream_reader.hpp
+++ b/include/skylarkhill/journal/stream_reader.hpp
@@ -74,9 +74,9 @@
 
 private:
   void Restart(Offset aFirstRetained);
-  void TakeRecord(const platform::LogRecord& aRecord, PageResult& aResult);
-  void ForgetWriters(Offset aFirstRetained);
-  void NoteEnd(Offset aEnd, base::TimePoint aIssuedAt);
+  void ProcessRecord(const platform::LogRecord& aRecord, PageResult& aResult);
+  void DiscardExpiredWriters(Offset aFirstRetained);
+  void UpdateCaughtUp(Offset aEnd, base::TimePoint aIssuedAt);
 
   ReaderState mState;
   bool mHasStarted = false;
--- a/include/skylarkhill/membership/heartbeat.hpp
+++ b/include/skylarkhill/membership/heartbeat.hpp
@@ -12,7 +12,7 @@
 namespace skylarkhill::membership {
 
 /// Announces that one incarnation of an instance or worker is leaving.
-struct LeavingMark
+struct LeavingNotice
 {
   /// Name in the platform's list.
   std::string mName;
@@ -34,7 +34,7 @@
   std::string mAddress;
   std::uint16_t mPeerPort = 0;
   std::int64_t mConfigVersion = 0;
-  std::vector<LeavingMark> mLeaving;
+  std::vector<LeavingNotice> mLeaving;
   /// Free slots on the sender's workers, per service.
   std::map<std::string, std::int64_t> mFreeSlots;
   /// Workers that the sender holds.
--- a/include/skylarkhill/membership/view.hpp
+++ b/include/skylarkhill/membership/view.hpp
@@ -21,8 +21,8 @@
   base::Duration mHeartbeatInterval = std::chrono::milliseconds(500);
   /// A peer or worker without evidence for this many intervals is suspected.
   int mSuspicionIntervals = 3;
-  /// How long a leaving mark is kept. Longer than the platform's list lags.
-  base::Duration mMarkLifetime = std::chrono::hours(1);
+  /// How long a isLeaving mark is kept. Longer than the platform's list lags.
+  base::Duration mLeavingNoticeLifetime = std::chrono::hours(1);
   /// How far the platform's lists of two instances may be apart.
   base::Duration mListLag = std::chrono::seconds(30);
 };
@@ -37,7 +37,7 @@
   std::uint16_t mPeerPort = 0;
 };
 
-/// Which instances and workers are live, leaving or suspected, from the
+/// Which instances and workers are live, isLeaving or suspected, from the
 /// platform's list, heartbeats and direct evidence. Not thread-safe.
 class View
 {
@@ -48,16 +48,16 @@
               base::TimePoint aNow);
   void OnHeartbeat(const Heartbeat& aHeartbeat, base::TimePoint aNow);
   /// An answered poll of a worker.
-  void OnWorkerEvidence(const base::WorkerId& aWorker,
-                        const base::DomainId& aDomain,
-                        bool aLeaving,
-                        base::TimePoint aNow);
-  /// A notice that a peer is leaving.
+  void OnWorkerPolled(const base::WorkerId& aWorker,
+                      const base::DomainId& aDomain,
+                      bool aLeaving,
+                      base::TimePoint aNow);
+  /// A notice that a peer is isLeaving.
   void OnLeavingNotice(const base::InstanceId& aInstance,
                        std::uint64_t aIncarnation,
                        base::TimePoint aNow);
   /// This instance begins a planned stop.
-  void LeaveSelf(base::TimePoint aNow);
+  void MarkSelfLeaving(base::TimePoint aNow);
   /// Forgets marks past their lifetime and entries without any evidence.
   void Prune(base::TimePoint aNow);
 
@@ -67,8 +67,9 @@
   bool IsEligible(const base::WorkerId& aWorker, base::TimePoint aNow) const;
 
   /// Entry instances of the domain that can hold workers, sorted.
-  std::vector<base::InstanceId> LiveEntries(const base::DomainId& aDomain,
-                                            base::TimePoint aNow) const;
+  std::vector<base::InstanceId> LiveEntryInstances(
+    const base::DomainId& aDomain,
+    base::TimePoint aNow) const;
   bool IsLive(const base::InstanceId& aInstance, base::TimePoint aNow) const;
 
   /// The instance that should hold the worker, if its domain has a live one.
@@ -86,11 +87,10 @@
     const base::WorkerId& aWorker) const;
   /// When the worker was last reached by this instance or named in a
   /// heartbeat.
-  std::optional<base::TimePoint> LastEvidence(
-    const base::WorkerId& aWorker) const;
+  std::optional<base::TimePoint> LastSeen(const base::WorkerId& aWorker) const;
 
   /// The marks to be sent in the next heartbeat.
-  std::vector<LeavingMark> LeavingMarks(base::TimePoint aNow) const;
+  std::vector<LeavingNotice> LeavingNotices(base::TimePoint aNow) const;
 
 private:
   struct Peer
@@ -99,7 +99,7 @@
     bool mListed = false;
     bool mListedLeaving = false;
     base::TimePoint mListedSince;
-    std::optional<base::TimePoint> mHeardAt;
+    std::optional<base::TimePoint> mLastHeartbeatAt;
     Heartbeat mHeartbeat;
   };
   struct Worker
@@ -110,20 +110,22 @@
     bool mListedBefore = false;
     std::optional<base::TimePoint> mAbsentSince;
     std::optional<base::TimePoint> mReturnedAt;
-    std::optional<base::TimePoint> mEvidenceAt;
+    std::optional<base::TimePoint> mLastSeenAt;
   };
   /// Name and incarnation.
-  using MarkKey = std::pair<std::string, std::uint64_t>;
+  using NoticeKey = std::pair<std::string, std::uint64_t>;
 
-  bool IsFresh(base::TimePoint aEvidence, base::TimePoint aNow) const;
-  bool IsMarked(const std::string& aName, std::uint64_t aIncarnation) const;
+  bool IsFresh(base::TimePoint aSeenAt, base::TimePoint aNow) const;
+  bool IsLeaving(const std::string& aName, std::uint64_t aIncarnation) const;
   bool IsUsable(const Worker& aWorker, base::TimePoint aNow) const;
-  bool IsOutdated(const LeavingMark& aMark, base::TimePoint aNow) const;
-  void Mark(const std::string& aName,
-            std::uint64_t aIncarnation,
-            base::TimePoint aExpiry);
-  void ListEntry(const platform::InstanceEntry& aEntry, base::TimePoint aNow);
-  void ListWorker(const platform::InstanceEntry& aEntry, base::TimePoint aNow);
+  bool IsOutdated(const LeavingNotice& aNotice, base::TimePoint aNow) const;
+  void AddLeavingNotice(const std::string& aName,
+                        std::uint64_t aIncarnation,
+                        base::TimePoint aExpiry);
+  void UpdateListedEntry(const platform::InstanceEntry& aEntry,
+                         base::TimePoint aNow);
+  void UpdateListedWorker(const platform::InstanceEntry& aEntry,
+                          base::TimePoint aNow);
 
   Self mSelf;
   ViewOptions mOptions;
@@ -131,7 +133,7 @@
   std::map<base::InstanceId, Peer> mPeers;
   std::map<base::WorkerId, Worker> mWorkers;
   /// Value: when the mark is forgotten.
-  std::map<MarkKey, base::TimePoint> mMarks;
+  std::map<NoticeKey, base::TimePoint> mLeavingNotices;
 };
 
 } // namespace skylarkhill::membership
--- a/include/skylarkhill/testing/capacity_samples.hpp
+++ b/include/skylarkhill/testing/capacity_samples.hpp
@@ -6,7 +6,7 @@
 #include "skylarkhill/peer/message.hpp"
 #include "skylarkhill/requests/key_record.hpp"
 #include "skylarkhill/tasks/task_record.hpp"
-#include "skylarkhill/worker/worker_port.hpp"
+#include "skylarkhill/worker/remote_worker.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -58,7 +58,7 @@
 SampleGrants(std::int64_t aTasks);
 
 /// A worker that runs `aTasks` tasks and accepts every command.
-std::unique_ptr<worker::WorkerPort>
+std::unique_ptr<worker::RemoteWorker>
 CreateSampleWorker(std::int64_t aTasks, const base::Clock& aClock);
 
 } // namespace skylarkhill::testing
--- a/include/skylarkhill/testing/fake_worker.hpp
+++ b/include/skylarkhill/testing/fake_worker.hpp
@@ -2,7 +2,7 @@
 #define SKYLARKHILL_TESTING_FAKE_WORKER_HPP
 
 #include "skylarkhill/base/clock.hpp"
-#include "skylarkhill/worker/worker_port.hpp"
+#include "skylarkhill/worker/remote_worker.hpp"
 
 #include <cstdint>
 #include <map>
@@ -63,13 +63,13 @@
 /// "use_accelerators" (default: what was reserved). The body of a service
 /// request has "work_ms" (default 0). A task with any other payload fails at
 /// once.
-class FakeWorker : public worker::WorkerPort
+class FakeWorker : public worker::RemoteWorker
 {
 public:
   FakeWorker(const base::Clock& aClock, FakeWorkerConfig aConfig);
 
   base::Result<worker::WorkerReport> Poll(base::TimePoint aDeadline) override;
-  base::Result<worker::WorkerReport> PlaceHolderLease(
+  base::Result<worker::WorkerReport> SetHolderLease(
     const worker::HolderToken& aToken,
     base::Duration aLength,
     base::TimePoint aDeadline) override;
--- a/include/skylarkhill/worker/worker_port.hpp
+++ b/include/skylarkhill/worker/remote_worker.hpp
@@ -1,5 +1,5 @@
-#ifndef SKYLARKHILL_WORKER_WORKER_PORT_HPP
-#define SKYLARKHILL_WORKER_WORKER_PORT_HPP
+#ifndef SKYLARKHILL_WORKER_REMOTE_WORKER_HPP
+#define SKYLARKHILL_WORKER_REMOTE_WORKER_HPP
 
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/base/error.hpp"
@@ -163,18 +163,18 @@
 /// WorkerUnavailable: nothing was sent. ConnectionLost or DeadlineExceeded:
 /// the command may have taken effect. WorkerRefused and StaleCommand: the
 /// worker answered that it did nothing.
-class WorkerPort
+class RemoteWorker
 {
 public:
-  virtual ~WorkerPort() = default;
+  virtual ~RemoteWorker() = default;
 
   virtual base::Result<WorkerReport> Poll(base::TimePoint aDeadline) = 0;
 
-  /// Adds or renews `aToken`'s holder lease for `aLength`, counted from the
+  /// Adds or renews `aToken`'s holder lease for `aDuration`, counted from the
   /// moment the worker receives the command.
-  virtual base::Result<WorkerReport> PlaceHolderLease(
+  virtual base::Result<WorkerReport> SetHolderLease(
     const HolderToken& aToken,
-    base::Duration aLength,
+    base::Duration aDuration,
     base::TimePoint aDeadline) = 0;
 
   virtual base::Result<void> RemoveHolderLease(const HolderToken& aToken,
@@ -218,4 +218,4 @@
 
 } // namespace skylarkhill::worker
 
-#endif // SKYLARKHILL_WORKER_WORKER_PORT_HPP
+#endif // SKYLARKHILL_WORKER_REMOTE_WORKER_HPP
--- a/include/skylarkhill/worker/worker_codec.hpp
+++ b/include/skylarkhill/worker/worker_codec.hpp
@@ -3,7 +3,7 @@
 
 #include "skylarkhill/base/error.hpp"
 #include "skylarkhill/base/json.hpp"
-#include "skylarkhill/worker/worker_port.hpp"
+#include "skylarkhill/worker/remote_worker.hpp"
 
 #include <string>
 #include <string_view>
@@ -18,7 +18,7 @@
 struct HolderCommand
 {
   HolderToken mToken;
-  base::Duration mLength{ 0 };
+  base::Duration mLeaseDuration{ 0 };
 };
 
 /// Body of /tasks/start.
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -12,7 +12,7 @@
 #include "skylarkhill/journal/snapshot_planner.hpp"
 #include "skylarkhill/logging/logging.hpp"
 #include "skylarkhill/platform/http_platform.hpp"
-#include "skylarkhill/worker/http_worker_port.hpp"
+#include "skylarkhill/worker/http_remote_worker.hpp"
 
 #include <algorithm>
 #include <atomic>
@@ -423,7 +423,7 @@
   void AddWorker(const platform::InstanceEntry& aEntry)
   {
     auto port =
-      worker::CreateHttpWorkerPort(aEntry.mAddress, aEntry.mPort, mClock);
+      worker::CreateHttpRemoteWorker(aEntry.mAddress, aEntry.mPort, mClock);
     const std::uint64_t seed = base::CreateSystemRandom()->Next();
     mWorkers.Add(std::make_shared<WorkerAgent>(
       WorkerPlace{ { aEntry.mName }, aEntry.mDomain, aEntry.mRack },
--- a/src/entry/peer_network.cpp
+++ b/src/entry/peer_network.cpp
@@ -210,7 +210,7 @@
   std::set<peer::PeerAddress> peers = mOptions.mConfiguredPeers;
   {
     const std::lock_guard lock(mMutex);
-    heartbeat.mLeaving = mView.LeavingMarks(mClock.Now());
+    heartbeat.mLeaving = mView.LeavingNotices(mClock.Now());
     for (const auto& it : mListed) {
       if (it.mRole == platform::InstanceRole::Entry) {
         peers.insert({ it.mAddress, it.mPeerPort });
@@ -501,7 +501,7 @@
 {
   {
     const std::lock_guard lock(mMutex);
-    mView.LeaveSelf(mClock.Now());
+    mView.MarkSelfLeaving(mClock.Now());
   }
   SendHeartbeats();
 }
@@ -510,8 +510,7 @@
 PeerNetwork::OnWorkerEvidence(const base::WorkerId& aWorker, bool aLeaving)
 {
   const std::lock_guard lock(mMutex);
-  mView.OnWorkerEvidence(
-    aWorker, mOptions.mSelf.mDomain, aLeaving, mClock.Now());
+  mView.OnWorkerPolled(aWorker, mOptions.mSelf.mDomain, aLeaving, mClock.Now());
 }
 
 std::vector<platform::InstanceEntry>
@@ -561,7 +560,7 @@
 PeerNetwork::LastEvidence(const base::WorkerId& aWorker) const
 {
   const std::lock_guard lock(mMutex);
-  return mView.LastEvidence(aWorker);
+  return mView.LastSeen(aWorker);
 }
 
 } // namespace skylarkhill::entry
--- a/src/entry/worker_agent.cpp
+++ b/src/entry/worker_agent.cpp
@@ -28,7 +28,7 @@
 
 WorkerAgent::WorkerAgent(WorkerPlace aPlace,
                          WorkerAgentOptions aOptions,
-                         std::unique_ptr<worker::WorkerPort> aPort,
+                         std::unique_ptr<worker::RemoteWorker> aPort,
                          const base::Clock& aClock,
                          std::uint64_t aSeed,
                          WorkerEvents& aEvents)
@@ -105,7 +105,7 @@
 {
   const base::TimePoint sentAt = mClock.Now();
   const auto report =
-    mPort->PlaceHolderLease(aAction.mToken, aAction.mLength, aAction.mDeadline);
+    mPort->SetHolderLease(aAction.mToken, aAction.mLength, aAction.mDeadline);
   TakeReport(aAction.mRequest, report, sentAt);
 }
 
--- a/src/journal/age_index.cpp
+++ b/src/journal/age_index.cpp
@@ -10,45 +10,45 @@
 }
 
 void
-AgeIndex::Note(platform::Offset aOffset,
-               std::int64_t aWrittenAtMs,
-               std::int64_t aNowMs)
+AgeIndex::AddSample(platform::Offset aOffset,
+                    std::int64_t aWrittenAtMs,
+                    std::int64_t aNowMs)
 {
   // A writer whose clock is ahead must not make later records look young, and
   // one whose clock is behind must not make them look old.
   const std::int64_t writtenAt = std::min(aWrittenAtMs, aNowMs);
-  if (mMarks.empty() || writtenAt >= mMarks.back().mWrittenAtMs + mStepMs) {
-    mMarks.push_back({ aOffset, writtenAt });
+  if (mSamples.empty() || writtenAt >= mSamples.back().mWrittenAtMs + mStepMs) {
+    mSamples.push_back({ aOffset, writtenAt });
   }
 }
 
 void
-AgeIndex::Forget(platform::Offset aFirstRetained)
+AgeIndex::DiscardBefore(platform::Offset aFirstRetained)
 {
   // The newest mark before the first retained offset still dates that offset.
-  while (mMarks.size() > 1 && mMarks[1].mOffset <= aFirstRetained) {
-    mMarks.pop_front();
+  while (mSamples.size() > 1 && mSamples[1].mOffset <= aFirstRetained) {
+    mSamples.pop_front();
   }
 }
 
 void
 AgeIndex::Clear()
 {
-  mMarks.clear();
+  mSamples.clear();
 }
 
 std::int64_t
 AgeIndex::AgeOf(platform::Offset aOffset, std::int64_t aNowMs) const
 {
   const auto next =
-    std::upper_bound(mMarks.begin(),
-                     mMarks.end(),
+    std::upper_bound(mSamples.begin(),
+                     mSamples.end(),
                      aOffset,
-                     [](platform::Offset aLeft, const Mark& aRight) {
+                     [](platform::Offset aLeft, const Sample& aRight) {
                        return aLeft < aRight.mOffset;
                      });
-  if (next == mMarks.begin()) {
-    return mMarks.empty() ? 0 : aNowMs - mMarks.front().mWrittenAtMs;
+  if (next == mSamples.begin()) {
+    return mSamples.empty() ? 0 : aNowMs - mSamples.front().mWrittenAtMs;
   }
   return aNowMs - std::prev(next)->mWrittenAtMs;
 }
@@ -57,17 +57,18 @@
 AgeIndex::FirstYoungerThan(std::int64_t aAgeMs, std::int64_t aNowMs) const
 {
   const auto young =
-    std::upper_bound(mMarks.begin(),
-                     mMarks.end(),
+    std::upper_bound(mSamples.begin(),
+                     mSamples.end(),
                      aNowMs - aAgeMs,
-                     [](std::int64_t aLeft, const Mark& aRight) {
+                     [](std::int64_t aLeft, const Sample& aRight) {
                        return aLeft < aRight.mWrittenAtMs;
                      });
-  if (young == mMarks.begin()) {
+  if (young == mSamples.begin()) {
     return 0;
   }
   // All offsets from the newest old mark to the next mark count as that old.
-  return young == mMarks.end() ? std::prev(young)->mOffset + 1 : young->mOffset;
+  return young == mSamples.end() ? std::prev(young)->mOffset + 1
+                                 : young->mOffset;
 }
 
 } // namespace skylarkhill::journal
--- a/src/journal/batch_writer.cpp
+++ b/src/journal/batch_writer.cpp
@@ -35,7 +35,7 @@
 // With one append per linger time, all instances together stay within the
 // append budget.
 base::Duration
-BatchWriter::Linger() const
+BatchWriter::AppendInterval() const
 {
   constexpr std::int64_t kMicrosPerSecond = 1'000'000;
   const std::int64_t budget =
@@ -98,7 +98,7 @@
 }
 
 void
-BatchWriter::EncodeBatchText(std::int64_t aWallClockMs)
+BatchWriter::EncodePayload(std::int64_t aWallClockMs)
 {
   Batch batch;
   batch.mWriter = mSettings.mWriter;
@@ -117,7 +117,7 @@
 }
 
 std::optional<AppendAction>
-BatchWriter::Start(base::TimePoint aNow, std::int64_t aWallClockMs)
+BatchWriter::StartAppend(base::TimePoint aNow, std::int64_t aWallClockMs)
 {
   Expire(aNow);
   const bool isNew =
@@ -131,10 +131,10 @@
     ++mSequence;
   }
   if (mPayload.empty()) {
-    EncodeBatchText(aWallClockMs);
+    EncodePayload(aWallClockMs);
   }
   mPhase = Phase::Appending;
-  mNextAppendAt = aNow + Linger();
+  mNextAppendAt = aNow + AppendInterval();
   AppendAction action;
   action.mSequence = mSequence;
   action.mPayload = mPayload;
@@ -146,19 +146,20 @@
 }
 
 void
-BatchWriter::End(const Submission& aSubmission, base::Result<Offset> aResult)
+BatchWriter::EndSubmission(const Submission& aSubmission,
+                           base::Result<Offset> aResult)
 {
   mQueuedRecords -= aSubmission.mRecords.size();
   mResults.push_back({ aSubmission.mTicket, std::move(aResult) });
 }
 
 void
-BatchWriter::DropBatch()
+BatchWriter::ResetBatch()
 {
   mBatch.clear();
   mPayload.clear();
   mMayBeWritten = false;
-  mRetryPause = base::Duration(0);
+  mRetryDelay = base::Duration(0);
   mPhase = Phase::Idle;
 }
 
@@ -166,9 +167,9 @@
 BatchWriter::FinishBatch(Offset aOffset)
 {
   for (const auto& it : mBatch) {
-    End(it, aOffset);
+    EndSubmission(it, aOffset);
   }
-  DropBatch();
+  ResetBatch();
 }
 
 void
@@ -182,7 +183,7 @@
 // An earlier copy of the batch may have been read while this append was in
 // progress.
 bool
-BatchWriter::FinishIfRead()
+BatchWriter::FinishBatchIfRead()
 {
   if (mReadSequence != mSequence) {
     return false;
@@ -194,25 +195,25 @@
 void
 BatchWriter::OnUnavailable(base::TimePoint aNow)
 {
-  if (mPhase != Phase::Appending || FinishIfRead()) {
+  if (mPhase != Phase::Appending || FinishBatchIfRead()) {
     return;
   }
   mPhase = Phase::Retrying;
-  mRetryPause = std::min(std::max(mSettings.mRetryPause, mRetryPause * 2),
-                         mSettings.mMaxRetryPause);
-  mRetryAt = std::max(aNow + mRetryPause, mNextAppendAt);
+  mRetryDelay = std::min(std::max(mSettings.mRetryDelay, mRetryDelay * 2),
+                         mSettings.mMaxRetryDelay);
+  mRetryAt = std::max(aNow + mRetryDelay, mNextAppendAt);
   Expire(aNow);
 }
 
 void
 BatchWriter::OnAnswerLost(base::TimePoint aNow)
 {
-  if (mPhase != Phase::Appending || FinishIfRead()) {
+  if (mPhase != Phase::Appending || FinishBatchIfRead()) {
     return;
   }
   mPhase = Phase::Resolving;
   mMayBeWritten = true;
-  mLostAt = aNow;
+  mAnswerLostAt = aNow;
   Expire(aNow);
 }
 
@@ -222,7 +223,7 @@
   mReadSequence = aSequence;
   mReadOffset = aOffset;
   if (mPhase == Phase::Resolving || mPhase == Phase::Retrying) {
-    FinishIfRead();
+    FinishBatchIfRead();
   }
 }
 
@@ -230,11 +231,11 @@
 BatchWriter::OnCaughtUp(base::TimePoint aIssuedAt)
 {
   // A read issued before the answer was lost may have missed the batch.
-  if (mPhase != Phase::Resolving || aIssuedAt <= mLostAt) {
+  if (mPhase != Phase::Resolving || aIssuedAt <= mAnswerLostAt) {
     return;
   }
   if (mBatch.empty()) {
-    DropBatch();
+    ResetBatch();
     return;
   }
   mPhase = Phase::Retrying;
@@ -251,7 +252,8 @@
   std::vector<Submission> rest;
   for (auto& it : mBatch) {
     if (it.mDeadline <= aNow) {
-      End(it, base::MakeError(kind, "deadline passed before the append"));
+      EndSubmission(it,
+                    base::MakeError(kind, "deadline passed before the append"));
     } else {
       rest.push_back(std::move(it));
     }
@@ -266,7 +268,7 @@
     mPayload.clear();
   }
   if (mBatch.empty() && mPhase == Phase::Retrying) {
-    DropBatch();
+    ResetBatch();
   }
 }
 
@@ -291,9 +293,9 @@
   std::deque<Submission> rest;
   for (auto& it : mQueue) {
     if (isExpired(it)) {
-      End(it,
-          base::MakeError(base::ErrorKind::LogUnavailable,
-                          "deadline passed before the append"));
+      EndSubmission(it,
+                    base::MakeError(base::ErrorKind::LogUnavailable,
+                                    "deadline passed before the append"));
     } else {
       rest.push_back(std::move(it));
     }
--- a/src/journal/batch_writer_test.cpp
+++ b/src/journal/batch_writer_test.cpp
@@ -12,13 +12,13 @@
 class BatchWriterTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(BatchWriterTest);
-  CPPUNIT_TEST(LingersInProportionToTheInstances);
+  CPPUNIT_TEST(AppendIntervalGrowsWithTheInstances);
   CPPUNIT_TEST(RetriesTheSameBatchUntilItsDeadlines);
-  CPPUNIT_TEST(ReadsBeforeAppendingAgain);
-  CPPUNIT_TEST(NeverReportsALostBatchAsNotWritten);
-  CPPUNIT_TEST(NoticesACopyReadDuringTheNextAttempt);
-  CPPUNIT_TEST(BoundsTheQueueAndTheBatch);
-  CPPUNIT_TEST(ClaimsTheLeastKnowledgeOfItsSubmitters);
+  CPPUNIT_TEST(ReadsBeforeRetryingALostAppend);
+  CPPUNIT_TEST(ReportsALostAppendAsAnswerLost);
+  CPPUNIT_TEST(FinishesWhenACopyIsReadDuringARetry);
+  CPPUNIT_TEST(LimitsTheQueueAndTheBatch);
+  CPPUNIT_TEST(BatchPositionIsTheMinimumOfItsSubmissions);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -30,7 +30,7 @@
 
   std::optional<AppendAction> Start(milliseconds aNow)
   {
-    return mWriter.Start(At(aNow), 0);
+    return mWriter.StartAppend(At(aNow), 0);
   }
 
   static base::TimePoint At(milliseconds aTime)
@@ -38,7 +38,7 @@
     return base::TimePoint(aTime);
   }
 
-  base::ErrorKind OnlyFailure()
+  base::ErrorKind TakeOnlyFailure()
   {
     const auto results = mWriter.TakeResults();
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), results.size());
@@ -48,7 +48,7 @@
 
   // Guards against an append rate that grows with the number of instances,
   // and against a delay for an instance that has been idle.
-  void LingersInProportionToTheInstances()
+  void AppendIntervalGrowsWithTheInstances()
   {
     mWriter.SetLiveInstances(30);
     Add(1);
@@ -83,18 +83,18 @@
     const auto second = Start(milliseconds(60));
     CPPUNIT_ASSERT(second->mPayload == first->mPayload);
     mWriter.OnUnavailable(At(milliseconds(400)));
-    CPPUNIT_ASSERT(OnlyFailure() == base::ErrorKind::LogUnavailable);
+    CPPUNIT_ASSERT(TakeOnlyFailure() == base::ErrorKind::LogUnavailable);
     const auto third = Start(milliseconds(600));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1),
                          DecodeBatch(third->mPayload).value().mRecords.size());
     mWriter.OnUnavailable(At(milliseconds(900)));
-    CPPUNIT_ASSERT(OnlyFailure() == base::ErrorKind::LogUnavailable);
+    CPPUNIT_ASSERT(TakeOnlyFailure() == base::ErrorKind::LogUnavailable);
     CPPUNIT_ASSERT(mWriter.IsIdle());
   }
 
   // Guards against a batch that is in the stream twice, or that is missing
   // because an old read did not show it.
-  void ReadsBeforeAppendingAgain()
+  void ReadsBeforeRetryingALostAppend()
   {
     Add(1);
     const auto first = Start(milliseconds(0));
@@ -114,7 +114,7 @@
 
   // Guards against a caller that is told "not run" while a delayed copy of the
   // record can still reach the stream.
-  void NeverReportsALostBatchAsNotWritten()
+  void ReportsALostAppendAsAnswerLost()
   {
     Add(1, milliseconds(500));
     Start(milliseconds(0));
@@ -122,11 +122,11 @@
     mWriter.OnCaughtUp(At(milliseconds(200)));
     Start(milliseconds(300));
     mWriter.OnUnavailable(At(milliseconds(600)));
-    CPPUNIT_ASSERT(OnlyFailure() == base::ErrorKind::AnswerLost);
+    CPPUNIT_ASSERT(TakeOnlyFailure() == base::ErrorKind::AnswerLost);
     Add(2, milliseconds(900));
     Start(milliseconds(700));
     mWriter.OnAnswerLost(At(milliseconds(950)));
-    CPPUNIT_ASSERT(OnlyFailure() == base::ErrorKind::AnswerLost);
+    CPPUNIT_ASSERT(TakeOnlyFailure() == base::ErrorKind::AnswerLost);
     Add(3, milliseconds(2000));
     CPPUNIT_ASSERT_MESSAGE("not resolved yet",
                            !Start(milliseconds(1000)).has_value());
@@ -134,7 +134,7 @@
     CPPUNIT_ASSERT(Start(milliseconds(1002)).has_value());
   }
 
-  void NoticesACopyReadDuringTheNextAttempt()
+  void FinishesWhenACopyIsReadDuringARetry()
   {
     Add(1);
     const auto first = Start(milliseconds(0));
@@ -148,7 +148,7 @@
     CPPUNIT_ASSERT(mWriter.IsIdle());
   }
 
-  void BoundsTheQueueAndTheBatch()
+  void LimitsTheQueueAndTheBatch()
   {
     const auto deadline = At(milliseconds(1000));
     CPPUNIT_ASSERT(
@@ -167,7 +167,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), mWriter.QueuedRecords());
   }
 
-  void ClaimsTheLeastKnowledgeOfItsSubmitters()
+  void BatchPositionIsTheMinimumOfItsSubmissions()
   {
     const auto deadline = At(milliseconds(1000));
     CPPUNIT_ASSERT(mWriter.Add(1, { "a" }, { 9, 2 }, deadline).has_value());
--- a/src/journal/journal_random_test.cpp
+++ b/src/journal/journal_random_test.cpp
@@ -47,10 +47,10 @@
 
 /// Runs instances against one log with outages, lost answers, delayed copies,
 /// pauses, restarts and expiry, and checks the state after every write.
-class World
+class Simulation
 {
 public:
-  explicit World(std::uint64_t aSeed)
+  explicit Simulation(std::uint64_t aSeed)
     : mRandom(base::CreateSeededRandom(aSeed))
     , mOracle("oracle")
   {
@@ -116,7 +116,7 @@
     }
     if (OneIn(500)) {
       ++mCoverage.mRestarts;
-      CountNode(*mNodes.front());
+      AddCoverage(*mNodes.front());
       mNodes.pop_front();
       AddNode();
     }
@@ -146,7 +146,7 @@
       SubmitSnapshots(aNode);
     }
     if (!aNode.mInFlight) {
-      aNode.mInFlight = aNode.mWriter.Start(Now(), mNowMs);
+      aNode.mInFlight = aNode.mWriter.StartAppend(Now(), mNowMs);
     }
     TakeResults(aNode);
   }
@@ -244,7 +244,7 @@
   {
     const WriterPosition position = aNode.mState.GetWriterPosition();
     mNextTask += OneIn(25) ? 1 : 0;
-    const std::string task = "t" + std::to_string(mNextTask - Recent(12));
+    const std::string task = "t" + std::to_string(mNextTask - RandomBelow(12));
     const auto known = aNode.mState.FindTask({ task });
     if (!known && aNode.mState.IsTaskKnown({ task })) {
       return;
@@ -257,14 +257,15 @@
       Submit(aNode, { tasks::TaskRecord(accept) }, position);
       return;
     }
-    Submit(aNode, { ChangeTo(*known, aNode) }, position);
+    Submit(aNode, { MakeChange(*known, aNode) }, position);
   }
 
   // Mostly what the node's view permits; sometimes anything.
-  SiteRecord ChangeTo(const tasks::TaskSnapshot& aTask, const Node& aNode)
+  SiteRecord MakeChange(const tasks::TaskSnapshot& aTask, const Node& aNode)
   {
     const auto& id = aTask.mSpec.mTask;
-    const std::int64_t attempt = OneIn(10) ? Recent(4) : aTask.mLastAttempt;
+    const std::int64_t attempt =
+      OneIn(10) ? RandomBelow(4) : aTask.mLastAttempt;
     if (OneIn(40)) {
       return tasks::TaskRecord(tasks::CancelRecord{ id, "caller" });
     }
@@ -279,7 +280,7 @@
       tasks::GrantRecord{ id, attempt + 1, { "w-" + aNode.mName } });
   }
 
-  std::int64_t Recent(std::uint64_t aCount)
+  std::int64_t RandomBelow(std::uint64_t aCount)
   {
     return static_cast<std::int64_t>(mRandom->Below(aCount));
   }
@@ -385,13 +386,13 @@
                                mOracle.mState.FindTask({ it }).has_value());
     }
     for (auto& it : mNodes) {
-      CheckSame(*it);
+      CheckMatchesOracle(*it);
     }
-    Node late("late");
-    CheckSame(late);
+    Node lateNode("late");
+    CheckMatchesOracle(lateNode);
   }
 
-  void CheckSame(Node& aNode)
+  void CheckMatchesOracle(Node& aNode)
   {
     while (aNode.mReader.Position() < mLog.End() || !aNode.mState.IsReady()) {
       ReadPage(aNode, 50);
@@ -401,7 +402,7 @@
                                  aNode.mState.LiveDigest());
   }
 
-  void CountNode(const Node& aNode)
+  void AddCoverage(const Node& aNode)
   {
     mCoverage.mDuplicates += aNode.mReader.Duplicates();
     mCoverage.mStale += aNode.mState.Counts().mStaleRecords;
@@ -439,21 +440,21 @@
   // attempts that are granted twice and ended attempts that come back.
   void ReadersAgreeUnderRandomFaults()
   {
-    World::Coverage sum;
+    Simulation::Coverage sum;
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-      World world(seed);
+      Simulation simulation(seed);
       try {
-        world.Run();
+        simulation.Run();
       } catch (const CppUnit::Exception& e) {
         CPPUNIT_FAIL("seed " + std::to_string(seed) + ": " +
                      e.message().shortDescription() + " " +
                      e.message().details());
       }
-      sum.mDuplicates += world.mCoverage.mDuplicates;
-      sum.mStale += world.mCoverage.mStale;
-      sum.mGaps += world.mCoverage.mGaps;
-      sum.mRestarts += world.mCoverage.mRestarts;
-      sum.mSnapshots += world.mCoverage.mSnapshots;
+      sum.mDuplicates += simulation.mCoverage.mDuplicates;
+      sum.mStale += simulation.mCoverage.mStale;
+      sum.mGaps += simulation.mCoverage.mGaps;
+      sum.mRestarts += simulation.mCoverage.mRestarts;
+      sum.mSnapshots += simulation.mCoverage.mSnapshots;
     }
     CPPUNIT_ASSERT(sum.mDuplicates > 0);
     CPPUNIT_ASSERT(sum.mStale > 0);
--- a/src/journal/journal_service.cpp
+++ b/src/journal/journal_service.cpp
@@ -221,7 +221,7 @@
 {
   std::unique_lock<std::mutex> lock(mMutex);
   while (!mIsStopping) {
-    const auto action = mWriter.Start(mClock.Now(), mWallClock.NowMs());
+    const auto action = mWriter.StartAppend(mClock.Now(), mWallClock.NowMs());
     TakeResults();
     if (action) {
       lock.unlock();
@@ -247,7 +247,7 @@
     ++mCounts.mReads;
     ++mCounts.mReadsFailed;
     mReadPause = std::min(std::max(mSettings.mPollInterval, mReadPause * 2),
-                          mSettings.mMaxReadPause);
+                          mSettings.mMaxReadRetryDelay);
     return mReadPause;
   }
   mReadPause = base::Duration(0);
--- a/src/journal/journal_service_test.cpp
+++ b/src/journal/journal_service_test.cpp
@@ -29,7 +29,7 @@
   {
     JournalServiceSettings settings;
     settings.mWriter.mWriter = aWriter;
-    settings.mWriter.mRetryPause = milliseconds(5);
+    settings.mWriter.mRetryDelay = milliseconds(5);
     settings.mPollInterval = milliseconds(2);
     return settings;
   }
@@ -56,8 +56,8 @@
 {
   CPPUNIT_TEST_SUITE(JournalServiceTest);
   CPPUNIT_TEST(SubmitsConcurrentlyFromTwoInstances);
-  CPPUNIT_TEST(SurvivesLostAnswers);
-  CPPUNIT_TEST(TellsAClaimedKeyFromAnOwnClaim);
+  CPPUNIT_TEST(AppendsOnceDespiteLostAnswers);
+  CPPUNIT_TEST(DoesNotAppendAnIntentForAClaimedKey);
   CPPUNIT_TEST(RefusesWhileTheLogIsDown);
   CPPUNIT_TEST(StartsFromAPeerWhileTheLogIsDown);
   CPPUNIT_TEST_SUITE_END();
@@ -106,7 +106,7 @@
 
   // Guards against a submission that is repeated in the stream or forgotten
   // when the answer to the append is lost.
-  void SurvivesLostAnswers()
+  void AppendsOnceDespiteLostAnswers()
   {
     Instance instance(mLog, "a/1");
     instance.mService.Start();
@@ -123,7 +123,7 @@
   // Guards against a second request with a key that takes the claim of an
   // earlier one for its own and runs the work again, while the claim is the
   // newest record (explorer, site world, seed 11).
-  void TellsAClaimedKeyFromAnOwnClaim()
+  void DoesNotAppendAnIntentForAClaimedKey()
   {
     Instance instance(mLog, "a/1");
     instance.mService.Start();
@@ -162,7 +162,7 @@
     peer.mService.Start();
     CPPUNIT_ASSERT(peer.Submit(Accept("a")).has_value());
     mLog.mIsDown = true;
-    Instance late(mLog, "b/1");
+    Instance joined(mLog, "b/1");
     const StateHeader header = peer.mService.ExportHeader();
     std::vector<StatePage> pages;
     for (std::size_t i = 0; i < peer.mState.CountShards(); ++i) {
@@ -170,16 +170,16 @@
         pages.push_back(std::move(it));
       }
     }
-    CPPUNIT_ASSERT(late.mService.Import(header, pages).has_value());
-    late.mService.Start();
-    CPPUNIT_ASSERT(late.mState.IsReady());
-    CPPUNIT_ASSERT(late.mState.FindTask({ "a" }).has_value());
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), late.mState.Queued(10).size());
+    CPPUNIT_ASSERT(joined.mService.Import(header, pages).has_value());
+    joined.mService.Start();
+    CPPUNIT_ASSERT(joined.mState.IsReady());
+    CPPUNIT_ASSERT(joined.mState.FindTask({ "a" }).has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), joined.mState.Queued(10).size());
     mLog.mIsDown = false;
     CPPUNIT_ASSERT(peer.Submit(Accept("b")).has_value());
-    CPPUNIT_ASSERT(late.Submit(Accept("c")).has_value());
-    CPPUNIT_ASSERT(late.mState.FindTask({ "b" }).has_value());
-    CPPUNIT_ASSERT_EQUAL(std::int64_t(0), late.mService.Counts().mGaps);
+    CPPUNIT_ASSERT(joined.Submit(Accept("c")).has_value());
+    CPPUNIT_ASSERT(joined.mState.FindTask({ "b" }).has_value());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(0), joined.mService.Counts().mGaps);
   }
 
 private:
--- a/src/journal/record_codec.cpp
+++ b/src/journal/record_codec.cpp
@@ -19,10 +19,10 @@
 constexpr std::size_t kMaxBatchBytes = std::size_t{ 64 } * 1024 * 1024;
 
 /// Base64 without the line breaks that cxxtools inserts by default.
-class LineCodec : public cxxtools::Base64Codec
+class SingleLineCodec : public cxxtools::Base64Codec
 {
 public:
-  LineCodec() { maxcol(std::numeric_limits<unsigned>::max()); }
+  SingleLineCodec() { maxcol(std::numeric_limits<unsigned>::max()); }
 };
 
 /// Identifies the type of a record in the log; never reused.
@@ -104,7 +104,7 @@
     }
   }
 
-  bool IsSound() const { return mIsSound; }
+  bool IsValid() const { return mIsValid; }
 
   void Get(std::string& aValue)
   {
@@ -131,7 +131,7 @@
   void Get(std::int64_t& aValue)
   {
     if (mNext >= mCount) {
-      mIsSound = false;
+      mIsValid = false;
       return;
     }
     const msgpack::object& object = mBegin[mNext++];
@@ -143,7 +143,7 @@
                object.via.u64 <= kMax) {
       aValue = static_cast<std::int64_t>(object.via.u64);
     } else {
-      mIsSound = false;
+      mIsValid = false;
     }
   }
 
@@ -154,7 +154,7 @@
     std::int64_t n = -1;
     Get(n);
     if (n < 0 || n > static_cast<std::int64_t>(aLast)) {
-      mIsSound = false;
+      mIsValid = false;
       return;
     }
     aValue = static_cast<Enum>(n);
@@ -170,7 +170,7 @@
     reader.Get(aResources.mMilliProcessors);
     reader.Get(aResources.mMemoryBytes);
     reader.Get(aResources.mAccelerators);
-    mIsSound = mIsSound && reader.IsSound();
+    mIsValid = mIsValid && reader.IsValid();
   }
 
   void Get(std::vector<base::WorkerId>& aWorkers)
@@ -184,14 +184,14 @@
     for (auto& it : aWorkers) {
       reader.Get(it);
     }
-    mIsSound = mIsSound && reader.IsSound();
+    mIsValid = mIsValid && reader.IsValid();
   }
 
 private:
   const msgpack::object* Next(msgpack::type::object_type aType)
   {
     if (mNext >= mCount || mBegin[mNext].type != aType) {
-      mIsSound = false;
+      mIsValid = false;
       return nullptr;
     }
     return &mBegin[mNext++];
@@ -200,7 +200,7 @@
   const msgpack::object* mBegin = nullptr;
   std::uint32_t mCount = 0;
   std::uint32_t mNext = 0;
-  bool mIsSound = true;
+  bool mIsValid = true;
 };
 
 constexpr std::uint32_t kSpecFields = 10;
@@ -448,7 +448,9 @@
 
 template<typename Record, typename First, typename Second>
 Record
-GetPair(RecordReader& aReader, First Record::*aFirst, Second Record::*aSecond)
+GetTwoFields(RecordReader& aReader,
+             First Record::*aFirst,
+             Second Record::*aSecond)
 {
   Record record;
   aReader.Get(record.*aFirst);
@@ -457,7 +459,7 @@
 }
 
 SiteRecord
-GetTyped(RecordReader& aReader, RecordType aType)
+GetRecordOfType(RecordReader& aReader, RecordType aType)
 {
   switch (aType) {
     case RecordType::Accept: {
@@ -468,22 +470,23 @@
     case RecordType::Grant:
       return tasks::TaskRecord(GetGrant(aReader));
     case RecordType::Started:
-      return tasks::TaskRecord(GetPair(aReader,
-                                       &tasks::StartedRecord::mTask,
-                                       &tasks::StartedRecord::mAttempt));
+      return tasks::TaskRecord(GetTwoFields(aReader,
+                                            &tasks::StartedRecord::mTask,
+                                            &tasks::StartedRecord::mAttempt));
     case RecordType::End:
       return tasks::TaskRecord(GetEnd(aReader));
     case RecordType::Cancel:
-      return tasks::TaskRecord(GetPair(
+      return tasks::TaskRecord(GetTwoFields(
         aReader, &tasks::CancelRecord::mTask, &tasks::CancelRecord::mCaller));
     case RecordType::Quarantine:
-      return tasks::TaskRecord(GetPair(aReader,
-                                       &tasks::QuarantineRecord::mTask,
-                                       &tasks::QuarantineRecord::mReason));
+      return tasks::TaskRecord(GetTwoFields(aReader,
+                                            &tasks::QuarantineRecord::mTask,
+                                            &tasks::QuarantineRecord::mReason));
     case RecordType::Intent:
-      return requests::KeyRecord(GetPair(aReader,
-                                         &requests::IntentRecord::mKey,
-                                         &requests::IntentRecord::mInstance));
+      return requests::KeyRecord(
+        GetTwoFields(aReader,
+                     &requests::IntentRecord::mKey,
+                     &requests::IntentRecord::mInstance));
     case RecordType::Outcome: {
       requests::OutcomeRecord record;
       GetOutcome(aReader, record);
@@ -511,9 +514,9 @@
 }
 
 bool
-ReferToInput(msgpack::type::object_type /*aType*/,
-             std::size_t /*aBytes*/,
-             void* /*aContext*/)
+ReferenceInput(msgpack::type::object_type /*aType*/,
+               std::size_t /*aBytes*/,
+               void* /*aContext*/)
 {
   return true;
 }
@@ -525,7 +528,7 @@
   try {
     return msgpack::unpack(aBytes.data(),
                            aBytes.size(),
-                           ReferToInput,
+                           ReferenceInput,
                            nullptr,
                            GetLimits(aBytes.size()));
   } catch (const std::exception&) {
@@ -551,11 +554,11 @@
   RecordReader reader(handle.value().get());
   auto type = RecordType::Accept;
   reader.GetEnum(type, RecordType::KeySnapshot);
-  if (!reader.IsSound() || type < RecordType::Accept) {
+  if (!reader.IsValid() || type < RecordType::Accept) {
     return MakeCodecError("unknown record type");
   }
-  SiteRecord record = GetTyped(reader, type);
-  if (!reader.IsSound()) {
+  SiteRecord record = GetRecordOfType(reader, type);
+  if (!reader.IsValid()) {
     return MakeCodecError("malformed record");
   }
   return record;
@@ -574,8 +577,8 @@
   packer.pack(aBatch.mWrittenAtMs);
   packer.pack(aBatch.mRecords);
   std::string payload(kBatchPrefix);
-  payload += cxxtools::encode<LineCodec>(buffer.data(),
-                                         static_cast<unsigned>(buffer.size()));
+  payload += cxxtools::encode<SingleLineCodec>(
+    buffer.data(), static_cast<unsigned>(buffer.size()));
   return payload;
 }
 
@@ -606,7 +609,7 @@
   reader.Get(batch.mPosition.mAsOf);
   reader.Get(batch.mPosition.mFirstRetained);
   reader.Get(batch.mWrittenAtMs);
-  if (!reader.IsSound() || object.via.array.size < 6) {
+  if (!reader.IsValid() || object.via.array.size < 6) {
     return MakeCodecError("malformed batch header");
   }
   try {
--- a/src/journal/record_codec_test.cpp
+++ b/src/journal/record_codec_test.cpp
@@ -66,8 +66,8 @@
 {
   CPPUNIT_TEST_SUITE(RecordCodecTest);
   CPPUNIT_TEST(RoundTripsEveryRecordType);
-  CPPUNIT_TEST(RefusesEveryTruncation);
-  CPPUNIT_TEST(SurvivesRandomDamage);
+  CPPUNIT_TEST(RejectsEveryTruncation);
+  CPPUNIT_TEST(ToleratesRandomCorruption);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -109,7 +109,7 @@
   }
 
   // Guards against a cut record that is applied with default values.
-  void RefusesEveryTruncation()
+  void RejectsEveryTruncation()
   {
     for (const auto& it : MakeRecords()) {
       const std::string bytes = EncodeRecord(it);
@@ -124,7 +124,7 @@
 
   // Guards against a damaged record that ends the process. A damaged record
   // may decode to another one; it must not throw or read out of bounds.
-  void SurvivesRandomDamage()
+  void ToleratesRandomCorruption()
   {
     const auto random = base::CreateSeededRandom(11);
     for (int i = 0; i < 5'000; ++i) {
--- a/src/journal/site_state.cpp
+++ b/src/journal/site_state.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::int64_t kAgeMarksPerRetention = 128;
+constexpr std::int64_t kAgeSamplesPerRetention = 128;
 
 // Bounds one wait, so that a change of an injected clock is noticed.
 constexpr std::chrono::milliseconds kMaxWait{ 20 };
@@ -45,7 +45,7 @@
 }
 
 bool
-IsCreation(const SiteRecord& aRecord)
+IsCreationRecord(const SiteRecord& aRecord)
 {
   const auto* task = std::get_if<tasks::TaskRecord>(&aRecord);
   const auto* key = std::get_if<requests::KeyRecord>(&aRecord);
@@ -95,7 +95,7 @@
 
 SiteState::SiteState(SiteStateSettings aSettings)
   : mSettings(aSettings)
-  , mAges(aSettings.mRetentionMs / kAgeMarksPerRetention)
+  , mAgeIndex(aSettings.mRetentionMs / kAgeSamplesPerRetention)
 {
   const std::size_t n = std::max<std::size_t>(1, mSettings.mShards);
   for (std::size_t i = 0; i < n; ++i) {
@@ -104,7 +104,7 @@
 }
 
 std::size_t
-SiteState::IndexOf(std::string_view aId) const
+SiteState::ShardIndexFor(std::string_view aId) const
 {
   return base::StableHash(aId) % mShards.size();
 }
@@ -112,7 +112,7 @@
 const SiteState::Shard&
 SiteState::ShardOf(std::string_view aId) const
 {
-  return *mShards[IndexOf(aId)];
+  return *mShards[ShardIndexFor(aId)];
 }
 
 template<typename Function>
@@ -139,7 +139,7 @@
   mFirstRetained = aHorizon;
   mCaughtUpAsOf = base::TimePoint::min();
   mIsReady = false;
-  mAges.Clear();
+  mAgeIndex.Clear();
 }
 
 // A record that creates or restores an entry counts only if the part of the
@@ -155,7 +155,7 @@
     asOf = task->mAsOf;
   } else if (const auto* key = std::get_if<KeySnapshotRecord>(&aRecord)) {
     asOf = key->mAsOf;
-  } else if (!IsCreation(aRecord)) {
+  } else if (!IsCreationRecord(aRecord)) {
     return false;
   }
 
@@ -163,9 +163,9 @@
 }
 
 void
-SiteState::ApplyTo(Shard& aShard,
-                   const ReadBatch& aBatch,
-                   const std::vector<SiteRecord>& aRecords)
+SiteState::ApplyToShard(Shard& aShard,
+                        const ReadBatch& aBatch,
+                        const std::vector<SiteRecord>& aRecords)
 {
   const std::lock_guard<std::mutex> lock(aShard.mMutex);
   if (aBatch.mOffset <= aShard.mAppliedThrough) {
@@ -175,7 +175,7 @@
   for (const auto& it : aRecords) {
     if (IsStale(aBatch.mBatch, aBatch.mOffset, it)) {
       ++mStaleRecords;
-      ApplyStale(*aShard.mTables, aBatch.mOffset, it);
+      ApplyStaleRecord(*aShard.mTables, aBatch.mOffset, it);
     } else {
       ++mAppliedRecords;
       ApplyRecord(*aShard.mTables, aBatch, it);
@@ -191,13 +191,13 @@
   const Offset basedAt = aBatch.mBatch.mPosition.mAsOf + 1;
   std::visit(
     Overloaded{ [&](const tasks::TaskRecord& aEach) {
-                 if (IsCreation(aRecord)) {
+                 if (IsCreationRecord(aRecord)) {
                    aTables.mTasks.ForgetEnded(tasks::TaskOf(aEach), mHorizon);
                  }
                  aTables.mTasks.Apply(aBatch.mOffset, aEach, basedAt);
                },
                 [&](const requests::KeyRecord& aEach) {
-                  if (IsCreation(aRecord)) {
+                  if (IsCreationRecord(aRecord)) {
                     aTables.mKeys.ForgetFinished(requests::KeyOf(aEach),
                                                  mHorizon);
                   }
@@ -215,9 +215,9 @@
 // A stale accept or intent still shows that its id was in use, so that a
 // later one is recognized as a repeat.
 void
-SiteState::ApplyStale(Tables& aTables,
-                      Offset aOffset,
-                      const SiteRecord& aRecord)
+SiteState::ApplyStaleRecord(Tables& aTables,
+                            Offset aOffset,
+                            const SiteRecord& aRecord)
 {
   if (const auto* task = std::get_if<tasks::TaskRecord>(&aRecord)) {
     aTables.mTasks.ApplyStale(aOffset, *task);
@@ -248,11 +248,11 @@
       continue;
     }
 
-    const std::size_t shard = IndexOf(IdOf(record.value()));
+    const std::size_t shard = ShardIndexFor(IdOf(record.value()));
     perShard[shard].push_back(std::move(record.value()));
   }
   for (const auto& [shard, records] : perShard) {
-    ApplyTo(*mShards[shard], aBatch, records);
+    ApplyToShard(*mShards[shard], aBatch, records);
   }
 }
 
@@ -277,9 +277,9 @@
   }
   const std::lock_guard<std::mutex> lock(mMutex);
   for (const auto& it : aPage.mBatches) {
-    mAges.Note(it.mOffset, it.mBatch.mWrittenAtMs, aNowMs);
+    mAgeIndex.AddSample(it.mOffset, it.mBatch.mWrittenAtMs, aNowMs);
   }
-  mAges.Forget(aPage.mFirstRetained);
+  mAgeIndex.DiscardBefore(aPage.mFirstRetained);
   mFirstRetained = std::max(mFirstRetained, aPage.mFirstRetained);
   mPosition = aPage.mPosition;
   mChanged.notify_all();
@@ -497,7 +497,7 @@
   Offset before = 0;
   {
     const std::lock_guard<std::mutex> lock(mMutex);
-    before = mAges.FirstYoungerThan(aAgeMs, aNowMs);
+    before = mAgeIndex.FirstYoungerThan(aAgeMs, aNowMs);
   }
   std::vector<tasks::BasedTask> result;
   ForEachShard([&](const Tables& aTables) {
@@ -516,7 +516,7 @@
   Offset before = 0;
   {
     const std::lock_guard<std::mutex> lock(mMutex);
-    before = mAges.FirstYoungerThan(aAgeMs, aNowMs);
+    before = mAgeIndex.FirstYoungerThan(aAgeMs, aNowMs);
   }
   std::vector<requests::BasedKey> result;
   ForEachShard([&](const Tables& aTables) {
@@ -531,7 +531,7 @@
 SiteState::AgeOf(Offset aOffset, std::int64_t aNowMs) const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  return mAges.AgeOf(aOffset, aNowMs);
+  return mAgeIndex.AgeOf(aOffset, aNowMs);
 }
 
 // The position is read before the shard is locked: the shard then reflects
@@ -572,7 +572,7 @@
            mHorizon,
            mFirstRetained,
            std::move(aReader),
-           mAges.Marks() };
+           mAgeIndex.Samples() };
 }
 
 std::vector<StatePage>
@@ -668,7 +668,7 @@
   const std::lock_guard<std::mutex> lock(mMutex);
   mPosition = aHeader.mReader.mPosition;
   mFirstRetained = aHeader.mFirstRetained;
-  mAges.Restore(aHeader.mAges);
+  mAgeIndex.Restore(aHeader.mAgeSamples);
   mIsReady = true;
   mChanged.notify_all();
   return result;
--- a/src/journal/site_state_test.cpp
+++ b/src/journal/site_state_test.cpp
@@ -49,7 +49,7 @@
   CPPUNIT_TEST(CountsUndecodableRecords);
   CPPUNIT_TEST(RebuildsAfterAGap);
   CPPUNIT_TEST(ImportsAPeersState);
-  CPPUNIT_TEST(RefusesAnIncompleteImport);
+  CPPUNIT_TEST(RejectsAnIncompleteImport);
   CPPUNIT_TEST(WaitsForOffsets);
   CPPUNIT_TEST(SpreadsSnapshotsOverTimeAndInstances);
   CPPUNIT_TEST(PlansSnapshotsOfOldTasksOnly);
@@ -115,20 +115,21 @@
   {
     Write({ Accept("a") });
     Write({ Grant("a", 1) });
-    mOld.ReadAll(mLog);
-    const auto stale = *mOld.mState.SnapshotTask({ "a" });
+    mReplica.ReadAll(mLog);
+    const auto stale = *mReplica.mState.SnapshotTask({ "a" });
     Write({ End("a", 1, tasks::AttemptOutcome::Completed) });
     Write({ Accept("other") });
-    mOld.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
     mLog.Expire(3);
-    mOld.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
     Write({ stale });
-    Replica late;
-    late.ReadAll(mLog);
-    mOld.ReadAll(mLog);
-    CPPUNIT_ASSERT(!late.mState.FindTask({ "a" }).has_value());
-    CPPUNIT_ASSERT(!mOld.mState.FindTask({ "a" }).has_value());
-    CPPUNIT_ASSERT_EQUAL(std::int64_t(1), late.mState.Counts().mStaleRecords);
+    Replica lateReplica;
+    lateReplica.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
+    CPPUNIT_ASSERT(!lateReplica.mState.FindTask({ "a" }).has_value());
+    CPPUNIT_ASSERT(!mReplica.mState.FindTask({ "a" }).has_value());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(1),
+                         lateReplica.mState.Counts().mStaleRecords);
     // The reducer alone, without the rule, brings the task back.
     tasks::TaskTable table;
     table.ApplySnapshot(stale.mAsOf, stale.mTask);
@@ -139,21 +140,22 @@
   void RestoresALiveTaskFromASnapshot()
   {
     Write({ Accept("a"), Intent("k") });
-    mOld.ReadAll(mLog);
-    const auto task = *mOld.mState.SnapshotTask({ "a" });
-    const auto key = *mOld.mState.SnapshotKey({ "k" });
+    mReplica.ReadAll(mLog);
+    const auto task = *mReplica.mState.SnapshotTask({ "a" });
+    const auto key = *mReplica.mState.SnapshotKey({ "k" });
     Write({ Grant("a", 1) });
     Write({ End("a", 1, tasks::AttemptOutcome::Evicted) });
     Write({ task, key });
     Write({ Grant("a", 2) });
     mLog.Expire(1);
-    Replica late;
-    late.ReadAll(mLog);
-    mOld.ReadAll(mLog);
-    CPPUNIT_ASSERT_EQUAL(mOld.mState.LiveDigest(), late.mState.LiveDigest());
+    Replica lateReplica;
+    lateReplica.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.LiveDigest(),
+                         lateReplica.mState.LiveDigest());
     CPPUNIT_ASSERT_EQUAL(std::int64_t(2),
-                         late.mState.FindTask({ "a" })->mLastAttempt);
-    CPPUNIT_ASSERT(late.mState.FindKey({ "k" }).mState ==
+                         lateReplica.mState.FindTask({ "a" })->mLastAttempt);
+    CPPUNIT_ASSERT(lateReplica.mState.FindKey({ "k" }).mState ==
                    requests::KeyState::Claimed);
   }
 
@@ -165,40 +167,42 @@
     Write({ Accept("a"), Intent("k") });
     Write({ Grant("a", 1) });
     Write({ End("a", 1, tasks::AttemptOutcome::Completed), Outcome("k") });
-    mOld.ReadAll(mLog);
-    Replica keeper;
-    keeper.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
+    Replica laggingReplica;
+    laggingReplica.ReadAll(mLog);
     mLog.Expire(3);
-    mOld.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
     Write({ Accept("a"), Intent("k") }, before);
-    Replica late;
-    late.ReadAll(mLog);
-    mOld.ReadAll(mLog);
-    CPPUNIT_ASSERT(!late.mState.FindTask({ "a" }).has_value());
-    CPPUNIT_ASSERT(mOld.mState.FindTask({ "a" })->mState ==
+    Replica lateReplica;
+    lateReplica.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
+    CPPUNIT_ASSERT(!lateReplica.mState.FindTask({ "a" }).has_value());
+    CPPUNIT_ASSERT(mReplica.mState.FindTask({ "a" })->mState ==
                    tasks::TaskState::Completed);
-    CPPUNIT_ASSERT(late.mState.FindKey({ "k" }).mState ==
+    CPPUNIT_ASSERT(lateReplica.mState.FindKey({ "k" }).mState ==
                    requests::KeyState::Claimed);
-    CPPUNIT_ASSERT(late.mState.FindKey({ "k" }).mWinner.mValue.empty());
-    CPPUNIT_ASSERT(late.mState.IsTaskKnown({ "a" }));
+    CPPUNIT_ASSERT(lateReplica.mState.FindKey({ "k" }).mWinner.mValue.empty());
+    CPPUNIT_ASSERT(lateReplica.mState.IsTaskKnown({ "a" }));
     // A repeat is ignored while any record about the id is retained.
     Write({ Accept("a") }, { 3, 3 });
-    keeper.ReadAll(mLog);
-    mOld.ReadAll(mLog);
-    late.ReadAll(mLog);
-    CPPUNIT_ASSERT(mOld.mState.FindTask({ "a" })->mState ==
+    laggingReplica.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
+    lateReplica.ReadAll(mLog);
+    CPPUNIT_ASSERT(mReplica.mState.FindTask({ "a" })->mState ==
                    tasks::TaskState::Completed);
-    CPPUNIT_ASSERT(!late.mState.FindTask({ "a" }).has_value());
+    CPPUNIT_ASSERT(!lateReplica.mState.FindTask({ "a" }).has_value());
     // Then the id may be used again, also at a reader that still keeps the
     // tombstone.
     mLog.Expire(5);
     Write({ Accept("a") }, { 4, 5 });
-    mOld.ReadAll(mLog);
-    late.ReadAll(mLog);
-    keeper.ReadAll(mLog);
-    CPPUNIT_ASSERT(mOld.mState.FindTask({ "a" }).has_value());
-    CPPUNIT_ASSERT_EQUAL(mOld.mState.LiveDigest(), keeper.mState.LiveDigest());
-    CPPUNIT_ASSERT_EQUAL(mOld.mState.LiveDigest(), late.mState.LiveDigest());
+    mReplica.ReadAll(mLog);
+    lateReplica.ReadAll(mLog);
+    laggingReplica.ReadAll(mLog);
+    CPPUNIT_ASSERT(mReplica.mState.FindTask({ "a" }).has_value());
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.LiveDigest(),
+                         laggingReplica.mState.LiveDigest());
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.LiveDigest(),
+                         lateReplica.mState.LiveDigest());
   }
 
   // Guards against a record of a newer release that stops an older one.
@@ -211,8 +215,8 @@
                        "\x92\x7f\x01",
                        EncodeRecord(Accept("b")) };
     mLog.Write(EncodeBatch(batch));
-    mOld.ReadAll(mLog);
-    const auto counts = mOld.mState.Counts();
+    mReplica.ReadAll(mLog);
+    const auto counts = mReplica.mState.Counts();
     CPPUNIT_ASSERT_EQUAL(std::int64_t(1), counts.mUndecodableRecords);
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), counts.mLiveTasks);
   }
@@ -222,16 +226,16 @@
   void RebuildsAfterAGap()
   {
     Write({ Accept("a") });
-    mOld.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
     Write({ Grant("a", 1) });
     Write({ End("a", 1, tasks::AttemptOutcome::Completed) });
     Write({ Accept("b") });
     mLog.Expire(3);
-    CPPUNIT_ASSERT(mOld.mState.IsReady());
-    mOld.ReadAll(mLog);
-    CPPUNIT_ASSERT(!mOld.mState.FindTask({ "a" }).has_value());
-    CPPUNIT_ASSERT(mOld.mState.FindTask({ "b" }).has_value());
-    CPPUNIT_ASSERT(mOld.mState.IsReady());
+    CPPUNIT_ASSERT(mReplica.mState.IsReady());
+    mReplica.ReadAll(mLog);
+    CPPUNIT_ASSERT(!mReplica.mState.FindTask({ "a" }).has_value());
+    CPPUNIT_ASSERT(mReplica.mState.FindTask({ "b" }).has_value());
+    CPPUNIT_ASSERT(mReplica.mState.IsReady());
   }
 
   // Guards against records that an importing instance applies twice or skips,
@@ -246,44 +250,49 @@
       Write({ Grant(task, 1), Grant("unknown", 1) });
       Write({ End(task, 1, tasks::AttemptOutcome::Evicted) });
     }
-    mOld.ReadAll(mLog);
-    const StateHeader header = mOld.mState.ExportHeader(mOld.mReader.Export());
+    mReplica.ReadAll(mLog);
+    const StateHeader header =
+      mReplica.mState.ExportHeader(mReplica.mReader.Export());
     std::vector<StatePage> pages;
-    for (std::size_t i = 0; i < mOld.mState.CountShards(); ++i) {
-      for (auto& it : mOld.mState.ExportShard(i)) {
+    for (std::size_t i = 0; i < mReplica.mState.CountShards(); ++i) {
+      for (auto& it : mReplica.mState.ExportShard(i)) {
         pages.push_back(std::move(it));
       }
       Write({ Grant("t0", 2) });
       Write({ Grant("t1", 1) });
       Write({ End("t1", 1, tasks::AttemptOutcome::Evicted) });
-      mOld.ReadAll(mLog);
+      mReplica.ReadAll(mLog);
     }
-    Replica late;
-    CPPUNIT_ASSERT(late.mState.Import(header, pages).has_value());
-    late.mReader.Import(header.mReader);
-    CPPUNIT_ASSERT(late.mState.IsReady());
-    late.ReadAll(mLog);
-    CPPUNIT_ASSERT_EQUAL(mOld.mState.LiveDigest(), late.mState.LiveDigest());
-    CPPUNIT_ASSERT_EQUAL(mOld.mState.Counts().mLiveTasks,
-                         late.mState.Counts().mLiveTasks);
-    CPPUNIT_ASSERT_EQUAL(mOld.mState.Position(), late.mState.Position());
+    Replica lateReplica;
+    CPPUNIT_ASSERT(lateReplica.mState.Import(header, pages).has_value());
+    lateReplica.mReader.Import(header.mReader);
+    CPPUNIT_ASSERT(lateReplica.mState.IsReady());
+    lateReplica.ReadAll(mLog);
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.LiveDigest(),
+                         lateReplica.mState.LiveDigest());
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.Counts().mLiveTasks,
+                         lateReplica.mState.Counts().mLiveTasks);
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.Position(),
+                         lateReplica.mState.Position());
   }
 
-  void RefusesAnIncompleteImport()
+  void RejectsAnIncompleteImport()
   {
     Write({ Accept("a") });
-    mOld.ReadAll(mLog);
-    const StateHeader header = mOld.mState.ExportHeader(mOld.mReader.Export());
-    Replica late;
+    mReplica.ReadAll(mLog);
+    const StateHeader header =
+      mReplica.mState.ExportHeader(mReplica.mReader.Export());
+    Replica lateReplica;
     CPPUNIT_ASSERT(
-      late.mState.Import(header, mOld.mState.ExportShard(0)).has_error());
+      lateReplica.mState.Import(header, mReplica.mState.ExportShard(0))
+        .has_error());
     StatePage page;
     page.mShard = 9;
-    CPPUNIT_ASSERT(late.mState.Import(header, { page }).has_error());
+    CPPUNIT_ASSERT(lateReplica.mState.Import(header, { page }).has_error());
     page.mShard = 0;
     page.mRecords = { "junk" };
-    CPPUNIT_ASSERT(late.mState.Import(header, { page }).has_error());
-    CPPUNIT_ASSERT(!late.mState.IsReady());
+    CPPUNIT_ASSERT(lateReplica.mState.Import(header, { page }).has_error());
+    CPPUNIT_ASSERT(!lateReplica.mState.IsReady());
   }
 
   void WaitsForOffsets()
@@ -294,17 +303,18 @@
     bool applied = false;
     bool caughtUp = false;
     std::thread waiter([&] {
-      applied = mOld.mState.WaitApplied(0, clock, deadline);
-      caughtUp = mOld.mState.WaitCaughtUp(base::FromMicros(1), clock, deadline);
+      applied = mReplica.mState.WaitApplied(0, clock, deadline);
+      caughtUp =
+        mReplica.mState.WaitCaughtUp(base::FromMicros(1), clock, deadline);
     });
-    mOld.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
     waiter.join();
     CPPUNIT_ASSERT(applied);
     CPPUNIT_ASSERT(caughtUp);
     clock.Set(deadline);
-    CPPUNIT_ASSERT(!mOld.mState.WaitApplied(1, clock, deadline));
+    CPPUNIT_ASSERT(!mReplica.mState.WaitApplied(1, clock, deadline));
     CPPUNIT_ASSERT(
-      !mOld.mState.WaitCaughtUp(base::FromMicros(2), clock, deadline));
+      !mReplica.mState.WaitCaughtUp(base::FromMicros(2), clock, deadline));
   }
 
   // Guards against all instances writing the same snapshots at the same time,
@@ -341,20 +351,20 @@
     Write(
       { End("ended", 1, tasks::AttemptOutcome::Completed) }, { 1, 0 }, 1'200);
     Write({ Accept("young") }, { 2, 0 }, 3'000);
-    mOld.ReadAll(mLog, 3'000);
+    mReplica.ReadAll(mLog, 3'000);
     SnapshotPlanner planner({ { "i" }, kRetentionMs, 10, 100 });
-    CPPUNIT_ASSERT(planner.Plan(mOld.mState, { { "i" } }, 4'900).empty());
-    const auto plan = planner.Plan(mOld.mState, { { "i" } }, 6'100);
+    CPPUNIT_ASSERT(planner.Plan(mReplica.mState, { { "i" } }, 4'900).empty());
+    const auto plan = planner.Plan(mReplica.mState, { { "i" } }, 6'100);
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), plan.size());
     CPPUNIT_ASSERT_EQUAL(
       std::string("old"),
       std::get<TaskSnapshotRecord>(plan[0]).mTask.mSpec.mTask.mValue);
     CPPUNIT_ASSERT_EQUAL(Offset(3), std::get<KeySnapshotRecord>(plan[1]).mAsOf);
     CPPUNIT_ASSERT_MESSAGE("planned already",
-                           planner.Plan(mOld.mState, {}, 6'200).empty());
+                           planner.Plan(mReplica.mState, {}, 6'200).empty());
     Write(plan, { 3, 0 }, 6'300);
-    mOld.ReadAll(mLog, 6'300);
-    const auto next = planner.Plan(mOld.mState, {}, 8'300);
+    mReplica.ReadAll(mLog, 6'300);
+    const auto next = planner.Plan(mReplica.mState, {}, 8'300);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), next.size());
     CPPUNIT_ASSERT_EQUAL(
       std::string("young"),
@@ -363,7 +373,7 @@
 
 private:
   MemoryLog mLog;
-  Replica mOld;
+  Replica mReplica;
   std::int64_t mNextSequence = 1;
 };
 
--- a/src/journal/snapshot_planner.cpp
+++ b/src/journal/snapshot_planner.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-constexpr std::int64_t kEighths = 8;
-constexpr std::int64_t kFirstEighth = 4;
-constexpr std::int64_t kLastRank = 2;
+constexpr std::int64_t kIntervalsPerRetention = 8;
+constexpr std::int64_t kFirstSnapshotInterval = 4;
+constexpr std::int64_t kMaxRank = 2;
 
 // Separates ids of tasks from equal ids of keys.
 constexpr std::string_view kTaskPrefix = "t:";
@@ -31,19 +31,19 @@
 }
 
 std::int64_t
-EighthOf(std::int64_t aRetentionMs)
+SnapshotIntervalMs(std::int64_t aRetentionMs)
 {
-  return std::max<std::int64_t>(1, aRetentionMs / kEighths);
+  return std::max<std::int64_t>(1, aRetentionMs / kIntervalsPerRetention);
 }
 
-// Spreads tasks that were accepted together over an eighth of the retention.
+// Spreads tasks that were accepted together over one snapshot interval.
 std::int64_t
 EarliestAgeMs(std::string_view aId, std::int64_t aRetentionMs)
 {
-  const std::int64_t eighth = EighthOf(aRetentionMs);
+  const std::int64_t interval = SnapshotIntervalMs(aRetentionMs);
   const auto spread = static_cast<std::int64_t>(
-    base::StableHash(aId, 1) % static_cast<std::uint64_t>(eighth));
-  return eighth * kFirstEighth + spread;
+    base::StableHash(aId, 1) % static_cast<std::uint64_t>(interval));
+  return interval * kFirstSnapshotInterval + spread;
 }
 
 } // namespace
@@ -54,8 +54,9 @@
               const std::vector<base::InstanceId>& aLive,
               std::int64_t aRetentionMs)
 {
-  const std::int64_t rank = std::min(RankOf(aId, aSelf, aLive), kLastRank);
-  return EarliestAgeMs(aId, aRetentionMs) + rank * EighthOf(aRetentionMs);
+  const std::int64_t rank = std::min(RankOf(aId, aSelf, aLive), kMaxRank);
+  return EarliestAgeMs(aId, aRetentionMs) +
+         rank * SnapshotIntervalMs(aRetentionMs);
 }
 
 SnapshotPlanner::SnapshotPlanner(SnapshotPlannerSettings aSettings)
@@ -64,10 +65,10 @@
 }
 
 bool
-SnapshotPlanner::Claim(const std::string& aId,
-                       std::int64_t aAgeMs,
-                       const std::vector<base::InstanceId>& aLive,
-                       std::int64_t aNowMs)
+SnapshotPlanner::MarkIfDue(const std::string& aId,
+                           std::int64_t aAgeMs,
+                           const std::vector<base::InstanceId>& aLive,
+                           std::int64_t aNowMs)
 {
   // The rank costs a hash per instance, so the cheaper bound is checked first.
   const std::int64_t retention = mSettings.mRetentionMs;
@@ -83,12 +84,12 @@
                       const std::vector<base::InstanceId>& aLive,
                       std::int64_t aNowMs)
 {
-  const std::int64_t eighth = EighthOf(mSettings.mRetentionMs);
+  const std::int64_t interval = SnapshotIntervalMs(mSettings.mRetentionMs);
   for (auto it = mPlannedAtMs.begin(); it != mPlannedAtMs.end();) {
-    const bool isOver = it->second + eighth <= aNowMs;
-    it = isOver ? mPlannedAtMs.erase(it) : std::next(it);
+    const bool isExpired = it->second + interval <= aNowMs;
+    it = isExpired ? mPlannedAtMs.erase(it) : std::next(it);
   }
-  const std::int64_t minAge = eighth * kFirstEighth;
+  const std::int64_t minAge = interval * kFirstSnapshotInterval;
   std::vector<SiteRecord> result;
   for (const auto& it :
        aState.TasksOlderThan(minAge, aNowMs, mSettings.mMaxCandidates)) {
@@ -97,7 +98,7 @@
     }
     const std::int64_t age = aState.AgeOf(it.mBasedAt, aNowMs);
     const std::string id = std::string(kTaskPrefix) + it.mTask.mValue;
-    if (!Claim(id, age, aLive, aNowMs)) {
+    if (!MarkIfDue(id, age, aLive, aNowMs)) {
       continue;
     }
     if (auto record = aState.SnapshotTask(it.mTask)) {
@@ -111,7 +112,7 @@
     }
     const std::int64_t age = aState.AgeOf(it.mBasedAt, aNowMs);
     const std::string id = std::string(kKeyPrefix) + it.mKey.mValue;
-    if (!Claim(id, age, aLive, aNowMs)) {
+    if (!MarkIfDue(id, age, aLive, aNowMs)) {
       continue;
     }
     if (auto record = aState.SnapshotKey(it.mKey)) {
--- a/src/journal/stream_reader.cpp
+++ b/src/journal/stream_reader.cpp
@@ -27,8 +27,8 @@
 }
 
 void
-StreamReader::TakeRecord(const platform::LogRecord& aRecord,
-                         PageResult& aResult)
+StreamReader::ProcessRecord(const platform::LogRecord& aRecord,
+                            PageResult& aResult)
 {
   mState.mPosition = aRecord.mOffset + 1;
   auto batch = DecodeBatch(aRecord.mPayload);
@@ -51,7 +51,7 @@
 // A writer is known for as long as one of its records is retained, so that
 // readers that started at different times forget it at the same offset.
 void
-StreamReader::ForgetWriters(Offset aFirstRetained)
+StreamReader::DiscardExpiredWriters(Offset aFirstRetained)
 {
   for (auto it = mState.mSequences.begin(); it != mState.mSequences.end();) {
     const bool isExpired = it->second.second < aFirstRetained;
@@ -60,7 +60,7 @@
 }
 
 void
-StreamReader::NoteEnd(Offset aEnd, base::TimePoint aIssuedAt)
+StreamReader::UpdateCaughtUp(Offset aEnd, base::TimePoint aIssuedAt)
 {
   if (!mPendingEnd) {
     mPendingEnd.emplace(aEnd, aIssuedAt);
@@ -92,11 +92,11 @@
   for (const auto& it : aPage.mRecords) {
     // The page may begin before the position.
     if (it.mOffset >= mState.mPosition) {
-      TakeRecord(it, result);
+      ProcessRecord(it, result);
     }
   }
-  ForgetWriters(aPage.mFirstRetained);
-  NoteEnd(aPage.mEnd, aIssuedAt);
+  DiscardExpiredWriters(aPage.mFirstRetained);
+  UpdateCaughtUp(aPage.mEnd, aIssuedAt);
   result.mPosition = mState.mPosition;
   return result;
 }
--- a/src/journal/stream_reader_test.cpp
+++ b/src/journal/stream_reader_test.cpp
@@ -14,7 +14,7 @@
   CPPUNIT_TEST_SUITE(StreamReaderTest);
   CPPUNIT_TEST(DropsDuplicatesAndUndecodableRecords);
   CPPUNIT_TEST(RebuildsAfterAGap);
-  CPPUNIT_TEST(IsCaughtUpOnlyAsOfAReadThatSawTheEnd);
+  CPPUNIT_TEST(CaughtUpTimeIsThatOfAReadThatSawTheEnd);
   CPPUNIT_TEST(ContinuesFromTheStateOfAPeer);
   CPPUNIT_TEST_SUITE_END();
 
@@ -76,7 +76,7 @@
 
   // Guards against a new holder that starts a grant although the previous
   // holder's end record was appended before the acquisition.
-  void IsCaughtUpOnlyAsOfAReadThatSawTheEnd()
+  void CaughtUpTimeIsThatOfAReadThatSawTheEnd()
   {
     CPPUNIT_ASSERT(mReader.CaughtUpAsOf() == base::TimePoint::min());
     for (std::int64_t i = 1; i <= 4; ++i) {
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -25,9 +25,9 @@
   }
   for (const auto& it : aList) {
     if (it.mRole == platform::InstanceRole::Entry) {
-      ListEntry(it, aNow);
+      UpdateListedEntry(it, aNow);
     } else {
-      ListWorker(it, aNow);
+      UpdateListedWorker(it, aNow);
     }
   }
   for (auto& it : mWorkers) {
@@ -38,7 +38,8 @@
 }
 
 void
-View::ListEntry(const platform::InstanceEntry& aEntry, base::TimePoint aNow)
+View::UpdateListedEntry(const platform::InstanceEntry& aEntry,
+                        base::TimePoint aNow)
 {
   const base::InstanceId id{ aEntry.mName };
   const auto inserted = mPeers.emplace(id, Peer{});
@@ -50,31 +51,33 @@
   peer.mListed = true;
   // Before the first heartbeat there is no incarnation to mark, so the list's
   // own statement is kept.
-  const bool leaving = aEntry.mState == platform::InstanceState::Leaving;
-  peer.mListedLeaving = leaving || (peer.mListedLeaving && !peer.mHeardAt);
-  if (peer.mListedLeaving && peer.mHeardAt) {
-    Mark(aEntry.mName,
-         peer.mHeartbeat.mIncarnation,
-         aNow + mOptions.mMarkLifetime);
+  const bool isLeaving = aEntry.mState == platform::InstanceState::Leaving;
+  peer.mListedLeaving =
+    isLeaving || (peer.mListedLeaving && !peer.mLastHeartbeatAt);
+  if (peer.mListedLeaving && peer.mLastHeartbeatAt) {
+    AddLeavingNotice(aEntry.mName,
+                     peer.mHeartbeat.mIncarnation,
+                     aNow + mOptions.mLeavingNoticeLifetime);
   }
 }
 
 void
-View::ListWorker(const platform::InstanceEntry& aEntry, base::TimePoint aNow)
+View::UpdateListedWorker(const platform::InstanceEntry& aEntry,
+                         base::TimePoint aNow)
 {
   const base::WorkerId id{ aEntry.mName };
   Worker& worker = mWorkers[id];
   // A worker that returns to the list after an absence is a new incarnation.
   if (worker.mAbsentSince && worker.mListedBefore) {
     worker.mReturnedAt = aNow;
-    mMarks.erase({ aEntry.mName, 0 });
+    mLeavingNotices.erase({ aEntry.mName, 0 });
   }
   worker.mAbsentSince.reset();
   worker.mListedBefore = true;
   worker.mDomain = aEntry.mDomain;
   worker.mListed = true;
   if (aEntry.mState == platform::InstanceState::Leaving) {
-    Mark(aEntry.mName, 0, aNow + mOptions.mMarkLifetime);
+    AddLeavingNotice(aEntry.mName, 0, aNow + mOptions.mLeavingNoticeLifetime);
   }
 }
 
@@ -85,41 +88,42 @@
     if (IsOutdated(it, aNow)) {
       continue;
     }
-    Mark(it.mName,
-         it.mIncarnation,
-         aNow + std::min(it.mRemaining, mOptions.mMarkLifetime));
+    AddLeavingNotice(
+      it.mName,
+      it.mIncarnation,
+      aNow + std::min(it.mRemaining, mOptions.mLeavingNoticeLifetime));
   }
   if (aHeartbeat.mInstance == mSelf.mInstance) {
     return;
   }
   Peer& peer = mPeers[aHeartbeat.mInstance];
   // Delayed messages of an earlier incarnation say nothing about this one.
-  const bool stale =
-    peer.mHeardAt && aHeartbeat.mIncarnation < peer.mHeartbeat.mIncarnation;
-  if (stale) {
+  const bool isStale = peer.mLastHeartbeatAt &&
+                       aHeartbeat.mIncarnation < peer.mHeartbeat.mIncarnation;
+  if (isStale) {
     return;
   }
   peer.mDomain = aHeartbeat.mDomain;
-  peer.mHeardAt = aNow;
+  peer.mLastHeartbeatAt = aNow;
   peer.mHeartbeat = aHeartbeat;
   for (const auto& it : aHeartbeat.mHeldWorkers) {
     Worker& worker = mWorkers[it];
     worker.mDomain = aHeartbeat.mDomain;
-    worker.mEvidenceAt = aNow;
+    worker.mLastSeenAt = aNow;
   }
 }
 
 void
-View::OnWorkerEvidence(const base::WorkerId& aWorker,
-                       const base::DomainId& aDomain,
-                       bool aLeaving,
-                       base::TimePoint aNow)
+View::OnWorkerPolled(const base::WorkerId& aWorker,
+                     const base::DomainId& aDomain,
+                     bool aLeaving,
+                     base::TimePoint aNow)
 {
   Worker& worker = mWorkers[aWorker];
   worker.mDomain = aDomain;
-  worker.mEvidenceAt = aNow;
+  worker.mLastSeenAt = aNow;
   if (aLeaving) {
-    Mark(aWorker.mValue, 0, aNow + mOptions.mMarkLifetime);
+    AddLeavingNotice(aWorker.mValue, 0, aNow + mOptions.mLeavingNoticeLifetime);
   }
 }
 
@@ -128,33 +132,38 @@
                       std::uint64_t aIncarnation,
                       base::TimePoint aNow)
 {
-  Mark(aInstance.mValue, aIncarnation, aNow + mOptions.mMarkLifetime);
+  AddLeavingNotice(
+    aInstance.mValue, aIncarnation, aNow + mOptions.mLeavingNoticeLifetime);
 }
 
 void
-View::LeaveSelf(base::TimePoint aNow)
+View::MarkSelfLeaving(base::TimePoint aNow)
 {
-  Mark(
-    mSelf.mInstance.mValue, mSelf.mIncarnation, aNow + mOptions.mMarkLifetime);
+  AddLeavingNotice(mSelf.mInstance.mValue,
+                   mSelf.mIncarnation,
+                   aNow + mOptions.mLeavingNoticeLifetime);
 }
 
 void
 View::Prune(base::TimePoint aNow)
 {
-  for (auto it = mMarks.begin(); it != mMarks.end();) {
-    it = aNow >= it->second ? mMarks.erase(it) : std::next(it);
+  for (auto it = mLeavingNotices.begin(); it != mLeavingNotices.end();) {
+    it = aNow >= it->second ? mLeavingNotices.erase(it) : std::next(it);
   }
-  const auto isOld = [&](const std::optional<base::TimePoint>& aEvidence) {
-    return !aEvidence || aNow >= *aEvidence + mOptions.mMarkLifetime;
-  };
+  const auto isPastLifetime =
+    [&](const std::optional<base::TimePoint>& aSeenAt) {
+      return !aSeenAt || aNow >= *aSeenAt + mOptions.mLeavingNoticeLifetime;
+    };
   for (auto it = mPeers.begin(); it != mPeers.end();) {
-    const bool over = !it->second.mListed && isOld(it->second.mHeardAt);
-    it = over ? mPeers.erase(it) : std::next(it);
+    const bool isExpired =
+      !it->second.mListed && isPastLifetime(it->second.mLastHeartbeatAt);
+    it = isExpired ? mPeers.erase(it) : std::next(it);
   }
   for (auto it = mWorkers.begin(); it != mWorkers.end();) {
-    const bool over = !it->second.mListed && isOld(it->second.mEvidenceAt) &&
-                      isOld(it->second.mAbsentSince);
-    it = over ? mWorkers.erase(it) : std::next(it);
+    const bool isExpired = !it->second.mListed &&
+                           isPastLifetime(it->second.mLastSeenAt) &&
+                           isPastLifetime(it->second.mAbsentSince);
+    it = isExpired ? mWorkers.erase(it) : std::next(it);
   }
 }
 
@@ -175,19 +184,20 @@
 {
   const auto it = mWorkers.find(aWorker);
   return it != mWorkers.end() && IsUsable(it->second, aNow) &&
-         !IsMarked(aWorker.mValue, 0);
+         !IsLeaving(aWorker.mValue, 0);
 }
 
 std::vector<base::InstanceId>
-View::LiveEntries(const base::DomainId& aDomain, base::TimePoint aNow) const
+View::LiveEntryInstances(const base::DomainId& aDomain,
+                         base::TimePoint aNow) const
 {
   std::vector<base::InstanceId> result;
   if (mSelf.mDomain == aDomain && IsLive(mSelf.mInstance, aNow)) {
     result.push_back(mSelf.mInstance);
   }
   for (const auto& it : mPeers) {
-    const bool self = it.first == mSelf.mInstance;
-    if (!self && it.second.mDomain == aDomain && IsLive(it.first, aNow)) {
+    const bool isSelf = it.first == mSelf.mInstance;
+    if (!isSelf && it.second.mDomain == aDomain && IsLive(it.first, aNow)) {
       result.push_back(it.first);
     }
   }
@@ -199,16 +209,16 @@
 View::IsLive(const base::InstanceId& aInstance, base::TimePoint aNow) const
 {
   if (aInstance == mSelf.mInstance) {
-    return !IsMarked(aInstance.mValue, mSelf.mIncarnation);
+    return !IsLeaving(aInstance.mValue, mSelf.mIncarnation);
   }
   const auto it = mPeers.find(aInstance);
   if (it == mPeers.end() || it->second.mListedLeaving) {
     return false;
   }
   const Peer& peer = it->second;
-  if (peer.mHeardAt) {
-    return IsFresh(*peer.mHeardAt, aNow) &&
-           !IsMarked(aInstance.mValue, peer.mHeartbeat.mIncarnation);
+  if (peer.mLastHeartbeatAt) {
+    return IsFresh(*peer.mLastHeartbeatAt, aNow) &&
+           !IsLeaving(aInstance.mValue, peer.mHeartbeat.mIncarnation);
   }
   // A listed peer gets the usual time to send its first heartbeat.
   return peer.mListed && IsFresh(peer.mListedSince, aNow);
@@ -222,7 +232,7 @@
     return std::nullopt;
   }
   std::vector<std::string> names;
-  for (const auto& it : LiveEntries(found->second.mDomain, aNow)) {
+  for (const auto& it : LiveEntryInstances(found->second.mDomain, aNow)) {
     names.push_back(it.mValue);
   }
   const auto ranked = base::RendezvousRank(aWorker.mValue, std::move(names));
@@ -237,9 +247,9 @@
 {
   for (const auto& it : mPeers) {
     const auto& held = it.second.mHeartbeat.mHeldWorkers;
-    const bool holds =
+    const bool isHeld =
       std::find(held.begin(), held.end(), aWorker) != held.end();
-    if (holds && IsLive(it.first, aNow)) {
+    if (isHeld && IsLive(it.first, aNow)) {
       return it.first;
     }
   }
@@ -250,8 +260,8 @@
 View::FindPeer(const base::InstanceId& aInstance) const
 {
   const auto it = mPeers.find(aInstance);
-  const bool heard = it != mPeers.end() && it->second.mHeardAt;
-  return heard ? &it->second.mHeartbeat : nullptr;
+  const bool hasHeartbeat = it != mPeers.end() && it->second.mLastHeartbeatAt;
+  return hasHeartbeat ? &it->second.mHeartbeat : nullptr;
 }
 
 std::optional<base::TimePoint>
@@ -262,17 +272,17 @@
 }
 
 std::optional<base::TimePoint>
-View::LastEvidence(const base::WorkerId& aWorker) const
+View::LastSeen(const base::WorkerId& aWorker) const
 {
   const auto it = mWorkers.find(aWorker);
-  return it == mWorkers.end() ? std::nullopt : it->second.mEvidenceAt;
+  return it == mWorkers.end() ? std::nullopt : it->second.mLastSeenAt;
 }
 
-std::vector<LeavingMark>
-View::LeavingMarks(base::TimePoint aNow) const
+std::vector<LeavingNotice>
+View::LeavingNotices(base::TimePoint aNow) const
 {
-  std::vector<LeavingMark> result;
-  for (const auto& it : mMarks) {
+  std::vector<LeavingNotice> result;
+  for (const auto& it : mLeavingNotices) {
     if (aNow < it.second) {
       result.push_back({ it.first.first, it.first.second, it.second - aNow });
     }
@@ -281,47 +291,48 @@
 }
 
 bool
-View::IsFresh(base::TimePoint aEvidence, base::TimePoint aNow) const
+View::IsFresh(base::TimePoint aSeenAt, base::TimePoint aNow) const
 {
   const auto limit = mOptions.mHeartbeatInterval * mOptions.mSuspicionIntervals;
-  return aNow < aEvidence + limit;
+  return aNow < aSeenAt + limit;
 }
 
 bool
-View::IsMarked(const std::string& aName, std::uint64_t aIncarnation) const
+View::IsLeaving(const std::string& aName, std::uint64_t aIncarnation) const
 {
-  return mMarks.count({ aName, aIncarnation }) != 0;
+  return mLeavingNotices.count({ aName, aIncarnation }) != 0;
 }
 
 bool
 View::IsUsable(const Worker& aWorker, base::TimePoint aNow) const
 {
-  const bool evident =
-    aWorker.mEvidenceAt && IsFresh(*aWorker.mEvidenceAt, aNow);
-  return aWorker.mListed || evident;
+  const bool isRecentlySeen =
+    aWorker.mLastSeenAt && IsFresh(*aWorker.mLastSeenAt, aNow);
+  return aWorker.mListed || isRecentlySeen;
 }
 
 // Peers whose list lags still pass on the mark of a worker's earlier
 // incarnation after the worker has returned.
 bool
-View::IsOutdated(const LeavingMark& aMark, base::TimePoint aNow) const
+View::IsOutdated(const LeavingNotice& aNotice, base::TimePoint aNow) const
 {
-  const auto it = mWorkers.find(base::WorkerId{ aMark.mName });
+  const auto it = mWorkers.find(base::WorkerId{ aNotice.mName });
   if (it == mWorkers.end() || !it->second.mReturnedAt) {
     return false;
   }
-  const base::TimePoint made = aNow + aMark.mRemaining - mOptions.mMarkLifetime;
-  return made < *it->second.mReturnedAt + mOptions.mListLag;
+  const base::TimePoint createdAt =
+    aNow + aNotice.mRemaining - mOptions.mLeavingNoticeLifetime;
+  return createdAt < *it->second.mReturnedAt + mOptions.mListLag;
 }
 
 void
-View::Mark(const std::string& aName,
-           std::uint64_t aIncarnation,
-           base::TimePoint aExpiry)
+View::AddLeavingNotice(const std::string& aName,
+                       std::uint64_t aIncarnation,
+                       base::TimePoint aExpiry)
 {
   // The first expiry stays: a mark that peers extended for one another would
   // never be forgotten.
-  mMarks.emplace(MarkKey{ aName, aIncarnation }, aExpiry);
+  mLeavingNotices.emplace(NoticeKey{ aName, aIncarnation }, aExpiry);
 }
 
 } // namespace skylarkhill::membership
--- a/src/membership/view_test.cpp
+++ b/src/membership/view_test.cpp
@@ -19,41 +19,41 @@
 class ViewTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(ViewTest);
-  CPPUNIT_TEST(SuspectsASilentPeerUntilItReturns);
-  CPPUNIT_TEST(PeerAbsentFromTheListStaysUsable);
-  CPPUNIT_TEST(LeavingIsStickyPerIncarnation);
-  CPPUNIT_TEST(OneAnnouncementReachesOtherViews);
-  CPPUNIT_TEST(MarksDieOutAmongPeers);
-  CPPUNIT_TEST(ReturnedWorkerIsNotMarkedByALaggingPeer);
+  CPPUNIT_TEST(SuspectsASilentPeerUntilItsNextHeartbeat);
+  CPPUNIT_TEST(UnlistedPeerStaysLiveThroughHeartbeats);
+  CPPUNIT_TEST(LeavingLastsUntilTheNextIncarnation);
+  CPPUNIT_TEST(HeartbeatsSpreadLeavingNotices);
+  CPPUNIT_TEST(LeavingNoticesExpireAmongPeers);
+  CPPUNIT_TEST(ReturnedWorkerIgnoresOutdatedLeavingNotices);
   CPPUNIT_TEST(ReportsAbsenceOfAWorker);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   // Guards against requests forwarded to a dead peer, and against a live one
   // that is lost for good after a few lost heartbeats.
-  void SuspectsASilentPeerUntilItReturns()
+  void SuspectsASilentPeerUntilItsNextHeartbeat()
   {
     View view = MakeView(kSelf);
-    view.OnList({ Entry(kPeer, InstanceState::Live) }, At(0));
+    view.OnList({ MakeEntry(kPeer, InstanceState::Live) }, At(0));
     CPPUNIT_ASSERT(view.IsLive(kPeer, At(0)));
-    view.OnHeartbeat(Beat(1), At(100));
+    view.OnHeartbeat(MakeHeartbeat(1), At(100));
     CPPUNIT_ASSERT(view.IsLive(kPeer, At(1599)));
     CPPUNIT_ASSERT(!view.IsLive(kPeer, At(1600)));
     CPPUNIT_ASSERT(view.PreferredHolder(kWorker, At(1600)) == std::nullopt);
-    view.OnHeartbeat(Beat(1), At(1700));
+    view.OnHeartbeat(MakeHeartbeat(1), At(1700));
     CPPUNIT_ASSERT(view.IsLive(kPeer, At(1700)));
   }
 
   // Guards against a domain that stops because the platform forgot it.
-  void PeerAbsentFromTheListStaysUsable()
+  void UnlistedPeerStaysLiveThroughHeartbeats()
   {
     View view = MakeView(kSelf);
     view.OnList({}, At(0));
-    Heartbeat beat = Beat(1);
-    beat.mHeldWorkers = { kWorker };
-    view.OnHeartbeat(beat, At(0));
+    Heartbeat heartbeat = MakeHeartbeat(1);
+    heartbeat.mHeldWorkers = { kWorker };
+    view.OnHeartbeat(heartbeat, At(0));
     CPPUNIT_ASSERT_EQUAL(std::size_t(2),
-                         view.LiveEntries(kDomain, At(1)).size());
+                         view.LiveEntryInstances(kDomain, At(1)).size());
     CPPUNIT_ASSERT(view.ReportedHolder(kWorker, At(1)) == kPeer);
     CPPUNIT_ASSERT(view.IsEligible(kWorker, At(1)));
     CPPUNIT_ASSERT(view.PreferredHolder(kWorker, At(1)).has_value());
@@ -62,74 +62,74 @@
 
   // Guards against a stale list or heartbeat that makes a leaving instance
   // eligible again, and against a restarted one that stays excluded.
-  void LeavingIsStickyPerIncarnation()
+  void LeavingLastsUntilTheNextIncarnation()
   {
     View view = MakeView(kSelf);
-    view.OnHeartbeat(Beat(1), At(0));
-    view.OnList({ Entry(kPeer, InstanceState::Leaving) }, At(1));
-    view.OnList({ Entry(kPeer, InstanceState::Live) }, At(2));
-    view.OnHeartbeat(Beat(1), At(3));
+    view.OnHeartbeat(MakeHeartbeat(1), At(0));
+    view.OnList({ MakeEntry(kPeer, InstanceState::Leaving) }, At(1));
+    view.OnList({ MakeEntry(kPeer, InstanceState::Live) }, At(2));
+    view.OnHeartbeat(MakeHeartbeat(1), At(3));
     CPPUNIT_ASSERT(!view.IsLive(kPeer, At(3)));
-    view.OnHeartbeat(Beat(2), At(4));
+    view.OnHeartbeat(MakeHeartbeat(2), At(4));
     CPPUNIT_ASSERT(view.IsLive(kPeer, At(4)));
-    view.OnHeartbeat(Beat(1), At(5));
+    view.OnHeartbeat(MakeHeartbeat(1), At(5));
     CPPUNIT_ASSERT(view.IsLive(kPeer, At(5)));
   }
 
   // Guards against an endpoint that still gets work from instances to which
   // it did not announce its leave (P7).
-  void OneAnnouncementReachesOtherViews()
+  void HeartbeatsSpreadLeavingNotices()
   {
-    View told = MakeView(kPeer);
-    told.OnWorkerEvidence(kWorker, kDomain, true, At(0));
-    told.LeaveSelf(At(0));
+    View notified = MakeView(kPeer);
+    notified.OnWorkerPolled(kWorker, kDomain, true, At(0));
+    notified.MarkSelfLeaving(At(0));
     View view = MakeView(kSelf);
-    view.OnList({ Worker() }, At(0));
+    view.OnList({ MakeWorkerEntry() }, At(0));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1),
                          view.EligibleWorkers(kDomain, At(0)).size());
-    Heartbeat beat = Beat(1);
-    beat.mLeaving = told.LeavingMarks(At(1));
-    view.OnHeartbeat(beat, At(1));
+    Heartbeat heartbeat = MakeHeartbeat(1);
+    heartbeat.mLeaving = notified.LeavingNotices(At(1));
+    view.OnHeartbeat(heartbeat, At(1));
     CPPUNIT_ASSERT(!view.IsEligible(kWorker, At(1)));
     CPPUNIT_ASSERT(!view.IsLive(kPeer, At(1)));
-    view.OnWorkerEvidence(kWorker, kDomain, false, At(2));
+    view.OnWorkerPolled(kWorker, kDomain, false, At(2));
     CPPUNIT_ASSERT(!view.IsEligible(kWorker, At(2)));
   }
 
   // Guards against marks that peers renew for one another forever.
-  void MarksDieOutAmongPeers()
+  void LeavingNoticesExpireAmongPeers()
   {
-    View one = MakeView(kSelf);
-    View two = MakeView(kPeer);
-    one.OnLeavingNotice({ "entry-9" }, 1, At(0));
-    for (int n = 1; n <= 70; ++n) {
-      const base::TimePoint now = At(n * 60'000);
-      Heartbeat beat = Beat(1);
-      beat.mLeaving = one.LeavingMarks(now);
-      two.OnHeartbeat(beat, now);
-      beat.mLeaving = two.LeavingMarks(now);
-      one.OnHeartbeat(beat, now);
-      one.Prune(now);
-      two.Prune(now);
+    View first = MakeView(kSelf);
+    View second = MakeView(kPeer);
+    first.OnLeavingNotice({ "entry-9" }, 1, At(0));
+    for (int minute = 1; minute <= 70; ++minute) {
+      const base::TimePoint now = At(minute * 60'000);
+      Heartbeat heartbeat = MakeHeartbeat(1);
+      heartbeat.mLeaving = first.LeavingNotices(now);
+      second.OnHeartbeat(heartbeat, now);
+      heartbeat.mLeaving = second.LeavingNotices(now);
+      first.OnHeartbeat(heartbeat, now);
+      first.Prune(now);
+      second.Prune(now);
     }
-    CPPUNIT_ASSERT(one.LeavingMarks(At(70 * 60'000)).empty());
-    CPPUNIT_ASSERT(two.LeavingMarks(At(70 * 60'000)).empty());
+    CPPUNIT_ASSERT(first.LeavingNotices(At(70 * 60'000)).empty());
+    CPPUNIT_ASSERT(second.LeavingNotices(At(70 * 60'000)).empty());
   }
 
   // Guards against a replaced worker that stays idle for an hour.
-  void ReturnedWorkerIsNotMarkedByALaggingPeer()
+  void ReturnedWorkerIgnoresOutdatedLeavingNotices()
   {
     View view = MakeView(kSelf);
     View lagging = MakeView(kPeer);
-    view.OnList({ Worker() }, At(0));
-    view.OnWorkerEvidence(kWorker, kDomain, true, At(0));
-    lagging.OnWorkerEvidence(kWorker, kDomain, true, At(0));
+    view.OnList({ MakeWorkerEntry() }, At(0));
+    view.OnWorkerPolled(kWorker, kDomain, true, At(0));
+    lagging.OnWorkerPolled(kWorker, kDomain, true, At(0));
     view.OnList({}, At(1000));
-    view.OnList({ Worker() }, At(2000));
+    view.OnList({ MakeWorkerEntry() }, At(2000));
     CPPUNIT_ASSERT(view.IsEligible(kWorker, At(2000)));
-    Heartbeat beat = Beat(1);
-    beat.mLeaving = lagging.LeavingMarks(At(2100));
-    view.OnHeartbeat(beat, At(2100));
+    Heartbeat heartbeat = MakeHeartbeat(1);
+    heartbeat.mLeaving = lagging.LeavingNotices(At(2100));
+    view.OnHeartbeat(heartbeat, At(2100));
     CPPUNIT_ASSERT(view.IsEligible(kWorker, At(2100)));
   }
 
@@ -139,13 +139,13 @@
   {
     View view = MakeView(kSelf);
     CPPUNIT_ASSERT(!view.AbsentSince(kWorker));
-    view.OnList({ Worker() }, At(0));
+    view.OnList({ MakeWorkerEntry() }, At(0));
     CPPUNIT_ASSERT(!view.AbsentSince(kWorker));
     view.OnList({}, At(10));
     view.OnList({}, At(20));
     CPPUNIT_ASSERT(view.AbsentSince(kWorker) == At(10));
     CPPUNIT_ASSERT(view.AbsentSince({ "worker-9" }) == At(0));
-    view.OnList({ Worker() }, At(30));
+    view.OnList({ MakeWorkerEntry() }, At(30));
     CPPUNIT_ASSERT(!view.AbsentSince(kWorker));
   }
 
@@ -160,7 +160,8 @@
     return View({ aSelf, 1, kDomain, "127.0.0.1", 1 }, {});
   }
 
-  static InstanceEntry Entry(const base::InstanceId& aId, InstanceState aState)
+  static InstanceEntry MakeEntry(const base::InstanceId& aId,
+                                 InstanceState aState)
   {
     InstanceEntry entry;
     entry.mName = aId.mValue;
@@ -170,7 +171,7 @@
     return entry;
   }
 
-  static InstanceEntry Worker()
+  static InstanceEntry MakeWorkerEntry()
   {
     InstanceEntry entry;
     entry.mName = kWorker.mValue;
@@ -178,13 +179,13 @@
     return entry;
   }
 
-  static Heartbeat Beat(std::uint64_t aIncarnation)
+  static Heartbeat MakeHeartbeat(std::uint64_t aIncarnation)
   {
-    Heartbeat beat;
-    beat.mInstance = kPeer;
-    beat.mIncarnation = aIncarnation;
-    beat.mDomain = kDomain;
-    return beat;
+    Heartbeat heartbeat;
+    heartbeat.mInstance = kPeer;
+    heartbeat.mIncarnation = aIncarnation;
+    heartbeat.mDomain = kDomain;
+    return heartbeat;
   }
 };
 
--- a/src/testing/bench_run.cpp
+++ b/src/testing/bench_run.cpp
@@ -827,7 +827,8 @@
     aWorker.mReports.push_back({ mNow + kReportLag, std::move(report) });
   }
 
-  // A worker reports one slowdown for all of its services, as WorkerPort does.
+  // A worker reports one slowdown for all of its services, as RemoteWorker
+  // does.
   void ReceiveReport(Worker& aWorker, policy::InterferenceReport aReport)
   {
     aWorker.mSeenPercent = aReport.mSlowdownPercent;
--- a/src/testing/capacity_samples.cpp
+++ b/src/testing/capacity_samples.cpp
@@ -13,7 +13,7 @@
 constexpr worker::WorkerTime kLongLease = 3'600'000'000;
 const base::Resources kTaskNeed{ 1000, 2 * kGiB, 0 };
 
-class SampleWorker : public worker::WorkerPort
+class SampleWorker : public worker::RemoteWorker
 {
 public:
   SampleWorker(std::int64_t aTasks, const base::Clock& aClock)
@@ -35,7 +35,7 @@
     return report;
   }
 
-  base::Result<worker::WorkerReport> PlaceHolderLease(
+  base::Result<worker::WorkerReport> SetHolderLease(
     const worker::HolderToken& aToken,
     base::Duration aLength,
     base::TimePoint aDeadline) override
@@ -274,7 +274,7 @@
   return grants;
 }
 
-std::unique_ptr<worker::WorkerPort>
+std::unique_ptr<worker::RemoteWorker>
 CreateSampleWorker(std::int64_t aTasks, const base::Clock& aClock)
 {
   return std::make_unique<SampleWorker>(aTasks, aClock);
--- a/src/testing/fake_worker.cpp
+++ b/src/testing/fake_worker.cpp
@@ -96,9 +96,9 @@
 }
 
 base::Result<WorkerReport>
-FakeWorker::PlaceHolderLease(const HolderToken& aToken,
-                             base::Duration aLength,
-                             base::TimePoint aDeadline)
+FakeWorker::SetHolderLease(const HolderToken& aToken,
+                           base::Duration aLength,
+                           base::TimePoint aDeadline)
 {
   const std::lock_guard lock(mMutex);
   BOOST_OUTCOME_TRYV(CheckReachable(aDeadline));
--- a/src/testing/fake_worker_test.cpp
+++ b/src/testing/fake_worker_test.cpp
@@ -46,7 +46,7 @@
 
   void Hold(FakeWorker& aWorker)
   {
-    CPPUNIT_ASSERT(aWorker.PlaceHolderLease(mHolder, seconds(60), Deadline()));
+    CPPUNIT_ASSERT(aWorker.SetHolderLease(mHolder, seconds(60), Deadline()));
   }
 
   template<typename R>
--- a/src/testing/site_world.cpp
+++ b/src/testing/site_world.cpp
@@ -336,7 +336,7 @@
     node.mWriter.Expire(node.Now());
     if (!node.mIsAppending) {
       const auto wallMs = kRetentionMs + mTime / kMillisecond;
-      if (const auto action = node.mWriter.Start(node.Now(), wallMs)) {
+      if (const auto action = node.mWriter.StartAppend(node.Now(), wallMs)) {
         SendAppend(aRef, *action);
       }
     }
@@ -714,7 +714,7 @@
         Report(aRef,
                aSite,
                place.mRequest,
-               worker.PlaceHolderLease(place.mToken, place.mLength, far));
+               worker.SetHolderLease(place.mToken, place.mLength, far));
       });
     } else if (const auto* it = std::get_if<holder::ReadList>(&aAction)) {
       site.mSentAt[it->mRequest] = node.Now();
@@ -1111,7 +1111,7 @@
                                              aRequest.mBody,
                                              aRequest.mIdempotent });
     if (!admitted) {
-      // As HttpWorkerPort: the refused copy of a call that may be repeated
+      // As HttpRemoteWorker: the refused copy of a call that may be repeated
       // proves nothing about the other one.
       const base::Error error =
         aRequest.mIdempotent ? base::MakeError(base::ErrorKind::ConnectionLost)
--- a/src/testing/worker_handler.cpp
+++ b/src/testing/worker_handler.cpp
@@ -185,8 +185,8 @@
   if (command.has_error()) {
     return MakeErrorResponse(command.error());
   }
-  return RespondTo(mWorker.PlaceHolderLease(
-    command.value().mToken, command.value().mLength, kNoDeadline));
+  return RespondTo(mWorker.SetHolderLease(
+    command.value().mToken, command.value().mLeaseDuration, kNoDeadline));
 }
 
 Response
--- a/src/worker/http_worker_port.cpp
+++ b/src/worker/http_remote_worker.cpp
@@ -1,4 +1,4 @@
-#include "skylarkhill/worker/http_worker_port.hpp"
+#include "skylarkhill/worker/http_remote_worker.hpp"
 
 #include "skylarkhill/http/client.hpp"
 #include "skylarkhill/http/error_body.hpp"
@@ -16,10 +16,10 @@
 
 constexpr int kStatusOk = 200;
 
-/// The error of WorkerPort that a worker's error answer stands for. A refusal
+/// The error of RemoteWorker that a worker's error answer stands for. A refusal
 /// counts as one only if its body says that nothing ran.
 base::Error
-ToPortError(const http::Response& aResponse)
+ToWorkerError(const http::Response& aResponse)
 {
   base::Error error = http::ErrorOf(aResponse);
   switch (error.mKind) {
@@ -40,10 +40,10 @@
                    std::move(detail));
 }
 
-class HttpWorkerPort : public WorkerPort
+class HttpRemoteWorker : public RemoteWorker
 {
 public:
-  explicit HttpWorkerPort(std::unique_ptr<http::Client> aClient)
+  explicit HttpRemoteWorker(std::unique_ptr<http::Client> aClient)
     : mClient(std::move(aClient))
   {
   }
@@ -53,32 +53,31 @@
     return FetchReport("/poll", "{}", aDeadline);
   }
 
-  base::Result<WorkerReport> PlaceHolderLease(
-    const HolderToken& aToken,
-    base::Duration aLength,
-    base::TimePoint aDeadline) override
+  base::Result<WorkerReport> SetHolderLease(const HolderToken& aToken,
+                                            base::Duration aDuration,
+                                            base::TimePoint aDeadline) override
   {
     return FetchReport(
-      "/holder", FormatHolderCommand({ aToken, aLength }), aDeadline);
+      "/holder", FormatHolderCommand({ aToken, aDuration }), aDeadline);
   }
 
   base::Result<void> RemoveHolderLease(const HolderToken& aToken,
                                        base::TimePoint aDeadline) override
   {
-    return Command("/holder/remove",
-                   FormatHolderCommand({ aToken, base::Duration(0) }),
-                   Delivery::AtMostOnce,
-                   aDeadline);
+    return SendCommand("/holder/remove",
+                       FormatHolderCommand({ aToken, base::Duration(0) }),
+                       Delivery::AtMostOnce,
+                       aDeadline);
   }
 
   base::Result<void> Start(const CommandHeader& aHeader,
                            const StartTask& aStart,
                            base::TimePoint aDeadline) override
   {
-    return Command("/tasks/start",
-                   FormatStartCommand({ aHeader, aStart }),
-                   Delivery::AtMostOnce,
-                   aDeadline);
+    return SendCommand("/tasks/start",
+                       FormatStartCommand({ aHeader, aStart }),
+                       Delivery::AtMostOnce,
+                       aDeadline);
   }
 
   base::Result<void> Renew(const CommandHeader& aHeader,
@@ -86,10 +85,10 @@
                            WorkerTime aLeaseExpiresAt,
                            base::TimePoint aDeadline) override
   {
-    return Command("/tasks/renew",
-                   FormatRenewCommand({ aHeader, aTasks, aLeaseExpiresAt }),
-                   Delivery::Idempotent,
-                   aDeadline);
+    return SendCommand("/tasks/renew",
+                       FormatRenewCommand({ aHeader, aTasks, aLeaseExpiresAt }),
+                       Delivery::Idempotent,
+                       aDeadline);
   }
 
   base::Result<void> Checkpoint(const CommandHeader& aHeader,
@@ -135,14 +134,15 @@
                                          : Delivery::AtMostOnce };
     BOOST_OUTCOME_TRY(response, mClient->Call(request, aDeadline));
     if (response.mStatus != kStatusOk) {
-      base::Error error = ToPortError(response);
+      base::Error error = ToWorkerError(response);
       // The refused copy may be the second one; the first may have run
       // (explorer, site world, seed 83).
       return response.mMayBeRepeated
                ? MakeError(ErrorKind::ConnectionLost, std::move(error.mDetail))
                : error;
     }
-    BOOST_OUTCOME_TRY(answer, Interpret(ParseServiceAnswer(response.mBody)));
+    BOOST_OUTCOME_TRY(answer,
+                      MapParseError(ParseServiceAnswer(response.mBody)));
     if (answer.mRequest != aCall.mRequest ||
         answer.mAttempt != aCall.mAttempt) {
       return MakeError(ErrorKind::ConnectionLost, "answer to another request");
@@ -162,14 +162,14 @@
     };
     BOOST_OUTCOME_TRY(response, mClient->Call(request, aDeadline));
     if (response.mStatus != kStatusOk) {
-      return ToPortError(response);
+      return ToWorkerError(response);
     }
     return std::move(response.mBody);
   }
 
   /// An answer that cannot be parsed proves nothing about the command.
   template<typename T>
-  static base::Result<T> Interpret(base::Result<T> aParsed)
+  static base::Result<T> MapParseError(base::Result<T> aParsed)
   {
     if (aParsed.has_error()) {
       return MakeError(ErrorKind::ConnectionLost,
@@ -178,10 +178,10 @@
     return aParsed;
   }
 
-  base::Result<void> Command(std::string aTarget,
-                             std::string aBody,
-                             Delivery aDelivery,
-                             base::TimePoint aDeadline)
+  base::Result<void> SendCommand(std::string aTarget,
+                                 std::string aBody,
+                                 Delivery aDelivery,
+                                 base::TimePoint aDeadline)
   {
     BOOST_OUTCOME_TRYV(
       Post(std::move(aTarget), std::move(aBody), aDelivery, aDeadline));
@@ -192,10 +192,10 @@
                                      const TaskCommand& aCommand,
                                      base::TimePoint aDeadline)
   {
-    return Command(std::move(aTarget),
-                   FormatTaskCommand(aCommand),
-                   Delivery::AtMostOnce,
-                   aDeadline);
+    return SendCommand(std::move(aTarget),
+                       FormatTaskCommand(aCommand),
+                       Delivery::AtMostOnce,
+                       aDeadline);
   }
 
   // Polls and lease renewals may reach the worker twice: a lease is counted
@@ -208,7 +208,7 @@
       body,
       Post(
         std::move(aTarget), std::move(aBody), Delivery::Idempotent, aDeadline));
-    return Interpret(ParseReport(body));
+    return MapParseError(ParseReport(body));
   }
 
   const std::unique_ptr<http::Client> mClient;
@@ -216,15 +216,15 @@
 
 } // namespace
 
-std::unique_ptr<WorkerPort>
-CreateHttpWorkerPort(std::string aAddress,
-                     std::uint16_t aPort,
-                     const base::Clock& aClock)
+std::unique_ptr<RemoteWorker>
+CreateHttpRemoteWorker(std::string aAddress,
+                       std::uint16_t aPort,
+                       const base::Clock& aClock)
 {
   http::ClientOptions options;
   options.mAddress = std::move(aAddress);
   options.mPort = aPort;
-  return std::make_unique<HttpWorkerPort>(
+  return std::make_unique<HttpRemoteWorker>(
     http::CreateClient(std::move(options), aClock));
 }
 
--- a/src/worker/worker_port.cpp
+++ b/src/worker/remote_worker.cpp
@@ -1,4 +1,4 @@
-#include "skylarkhill/worker/worker_port.hpp"
+#include "skylarkhill/worker/remote_worker.hpp"
 
 #include "skylarkhill/base/name_table.hpp"
 
--- a/src/worker/worker_codec.cpp
+++ b/src/worker/worker_codec.cpp
@@ -247,7 +247,7 @@
 {
   JsonValue body = base::MakeJsonObject();
   AddToken(body, aCommand.mToken);
-  Add(body, "length_us", aCommand.mLength.count());
+  Add(body, "length_us", aCommand.mLeaseDuration.count());
   return base::FormatJson(body);
 }
 
@@ -257,7 +257,7 @@
   return ParseWith<HolderCommand>(
     aBody, [](JsonReader& aReader, HolderCommand& aCommand) {
       aCommand.mToken = ReadToken(aReader);
-      aCommand.mLength = base::Duration(aReader.GetInt("length_us"));
+      aCommand.mLeaseDuration = base::Duration(aReader.GetInt("length_us"));
     });
 }
 
