--- a/include/skylarkhill/journal/age_index.hpp
+++ b/include/skylarkhill/journal/age_index.hpp
@@ -9,8 +9,9 @@
 
 namespace skylarkhill::journal {
 
-/// Estimates the age of offsets from the wall clocks of the writers. Holds at
-/// most one mark per step of time. Not thread-safe.
+/// Estimates the age of log offsets from the wall clock times that the writers
+/// put into their batches. Holds at most one sample per time step. Not
+/// thread-safe.
 class AgeIndex
 {
 public:
@@ -22,20 +23,21 @@
 
   explicit AgeIndex(std::int64_t aStepMs);
 
-  /// A record at `aOffset` was written at `aWrittenAtMs` and read at `aNowMs`.
+  /// Adds a record at `aOffset` that was written at `aWrittenAtMs` by its
+  /// writer's clock and read at `aNowMs`.
   void AddSample(platform::Offset aOffset,
                  std::int64_t aWrittenAtMs,
                  std::int64_t aNowMs);
   void DiscardBefore(platform::Offset aFirstRetained);
   void Clear();
 
-  /// Milliseconds since `aOffset` was written; 0 if nothing is known.
+  /// Milliseconds since `aOffset` was written; 0 if there are no samples.
   std::int64_t AgeOf(platform::Offset aOffset, std::int64_t aNowMs) const;
   /// All offsets before the result are at least `aAgeMs` old.
   platform::Offset FirstYoungerThan(std::int64_t aAgeMs,
                                     std::int64_t aNowMs) const;
 
-  /// In order of offset and of time.
+  /// Sorted by offset and by time.
   const std::deque<Sample>& Samples() const { return mSamples; }
   void Restore(std::deque<Sample> aSamples) { mSamples = std::move(aSamples); }
 
--- a/include/skylarkhill/journal/batch_writer.hpp
+++ b/include/skylarkhill/journal/batch_writer.hpp
@@ -19,7 +19,7 @@
 
 struct BatchWriterSettings
 {
-  /// Instance and incarnation; never used by another process.
+  /// Instance and incarnation; unique to this process.
   std::string mWriter;
   /// Appends per second of all live instances together.
   std::int64_t mAppendBudgetPerSecond = 300;
@@ -46,8 +46,8 @@
   base::Result<Offset> mOffset = Offset{ 0 };
 };
 
-/// Decides when to append which records. At most one append is in progress.
-/// Not thread-safe.
+/// Groups submitted records into batches and decides when to append them. At
+/// most one append is in progress. Not thread-safe.
 class BatchWriter
 {
 public:
@@ -55,32 +55,34 @@
 
   void SetLiveInstances(std::int64_t aCount);
 
-  /// Queues encoded records that are appended together. Overloaded if the
-  /// queue is full, PayloadTooLarge if they cannot fit into one batch.
-  /// `aPosition` is what the submitter knew when it chose the records.
+  /// Queues encoded records that are appended together. Overloaded if the queue
+  /// is full, PayloadTooLarge if they cannot fit into one batch. `aPosition` is
+  /// the position of the submitter's state when it created the records.
   base::Result<void> Add(Ticket aTicket,
                          std::vector<std::string> aRecords,
                          const WriterPosition& aPosition,
                          base::TimePoint aDeadline);
 
-  /// When StartAppend can next return an append, or the next deadline passes;
+  /// When StartAppend can next return an append or the next deadline passes;
   /// kNoDeadline if nothing is queued.
   base::TimePoint NextWakeUp() const;
 
-  /// Begins the append that is due, if any. The caller performs it and calls
-  /// one of the On... functions.
+  /// Returns the append that is due, if any. The caller performs it and reports
+  /// its result to OnAppended, OnUnavailable or OnAnswerLost.
   std::optional<AppendAction> StartAppend(base::TimePoint aNow,
                                           std::int64_t aWallClockMs);
 
   void OnAppended(Offset aOffset);
-  /// Nothing was written.
+  /// The append failed and nothing was written.
   void OnUnavailable(base::TimePoint aNow);
-  /// The batch may have been written, or may yet be.
+  /// The answer to the append was lost: the batch may have been written, or may
+  /// still be written later.
   void OnAnswerLost(base::TimePoint aNow);
 
   /// A batch of this writer was read from the stream.
   void OnRead(std::int64_t aSequence, Offset aOffset);
-  /// The stream was read up to an end that a read issued at `aIssuedAt` saw.
+  /// The stream was read up to the end that a read issued at `aIssuedAt`
+  /// reported.
   void OnCaughtUp(base::TimePoint aIssuedAt);
 
   /// Ends the submissions whose deadline has passed.
@@ -90,7 +92,8 @@
   std::vector<TicketResult> TakeResults();
 
   std::size_t QueuedRecords() const { return mQueuedRecords; }
-  /// True while a lost answer has not been resolved by reading.
+  /// True until reading shows whether a batch whose answer was lost is in the
+  /// stream.
   bool IsResolving() const { return mPhase == Phase::Resolving; }
   bool IsIdle() const { return mPhase == Phase::Idle && mQueue.empty(); }
 
@@ -99,9 +102,9 @@
   {
     Idle,
     Appending,
-    /// Nothing was written; the same batch is due again.
+    /// Nothing was written; the batch will be appended again.
     Retrying,
-    /// The batch may be in the stream; only reading can tell.
+    /// The batch may be in the stream; waits until reading shows whether it is.
     Resolving,
   };
 
@@ -132,13 +135,13 @@
   std::size_t mQueuedRecords = 0;
   /// Submissions of the current batch.
   std::vector<Submission> mBatch;
-  /// Text of the current batch; equal in every attempt to append it.
+  /// Encoded current batch, reused by retries.
   std::string mPayload;
   std::int64_t mSequence = 0;
   /// True if an earlier answer for the current batch was lost, so that a
   /// delayed copy of it may still reach the stream.
   bool mMayBeWritten = false;
-  /// Newest own batch that was read, with its offset.
+  /// Newest batch of this writer that was read, with its offset.
   std::int64_t mReadSequence = 0;
   Offset mReadOffset = 0;
   base::TimePoint mNextAppendAt = base::TimePoint::min();
--- a/include/skylarkhill/journal/journal_service.hpp
+++ b/include/skylarkhill/journal/journal_service.hpp
@@ -28,7 +28,7 @@
   std::int64_t mMaxRecordsPerRead = 256;
   /// Pause between reads at the end of the stream.
   base::Duration mPollInterval = std::chrono::milliseconds(50);
-  /// Longest pause between reads while the log is down.
+  /// Longest delay before a failed read is retried.
   base::Duration mMaxReadRetryDelay = std::chrono::seconds(1);
   base::Duration mReadTimeout = std::chrono::seconds(2);
   base::Duration mAppendTimeout = std::chrono::seconds(2);
@@ -47,10 +47,10 @@
   std::int64_t mGaps = 0;
 };
 
-/// Result of a submission whose records were all known already. Never the
-/// offset of a record: a request that compares it with the offset of a claim
-/// must not take an earlier claim of its own instance for its own (explorer,
-/// site world, seed 11).
+/// Result of a submission that appended nothing, as all its records were
+/// already known. Not a valid offset: a request that compares the result with
+/// the offset of a claim must not match the claim of an earlier request at the
+/// same instance (explore, world site, seed 11).
 inline constexpr Offset kNotAppended = -1;
 
 /// Runs the writer and the reader of one stream, each in its own thread.
@@ -73,29 +73,28 @@
                             const std::vector<StatePage>& aPages);
 
   void Start();
-  /// Ends both threads; waiting submissions end as AnswerLost.
+  /// Ends both threads; pending submissions end with AnswerLost.
   void Stop();
 
-  /// Appends the records together and waits until they were read back and
+  /// Appends the records in one batch and waits until they are read back and
   /// applied. Returns their offset. An accept or intent for an id that is
-  /// already known is not appended, as it could have no effect; kNotAppended
-  /// if nothing was appended.
+  /// already known is not appended, as it would have no effect; returns
+  /// kNotAppended if nothing was appended.
   ///
-  /// LogUnavailable: not written; also for a task of which only records after
-  /// its accept are retained and no snapshot has been read yet. AnswerLost: may
-  /// take effect, or an accept or intent was read back but had no effect.
-  /// Overloaded, PayloadTooLarge and ShuttingDown: not written.
+  /// LogUnavailable: not written; also returned for a task whose accept record
+  /// has expired and of which no snapshot has been read yet. AnswerLost: the
+  /// records may take effect, or an accept or intent was read back but had no
+  /// effect. Overloaded, PayloadTooLarge and ShuttingDown: not written.
   base::Result<Offset> Submit(const std::vector<SiteRecord>& aRecords,
                               base::TimePoint aDeadline);
 
-  /// Waits until the queue is empty and nothing is in progress; false if
+  /// Waits until the queue is empty and no append is in progress; false if
   /// `aDeadline` passed first.
   bool Drain(base::TimePoint aDeadline);
 
   void SetLiveInstances(std::int64_t aCount);
 
-  /// What a peer needs to continue from this state. Call before exporting the
-  /// shards.
+  /// The header of an exported state. Must be exported before the shards.
   StateHeader ExportHeader() const;
 
   JournalCounts Counts() const;
@@ -118,7 +117,7 @@
   const base::Clock& mClock;
   const WallClock& mWallClock;
 
-  /// Guards the reader, and holds it and the state at the same position.
+  /// Guards the reader and keeps it and the state at the same position.
   mutable std::mutex mReaderMutex;
   StreamReader mReader;
   /// Used by the reader thread only.
@@ -130,7 +129,7 @@
   BatchWriter mWriter;
   Ticket mNextTicket = 1;
   std::map<Ticket, base::Result<Offset>> mResults;
-  /// Submissions that still wait for their result.
+  /// Submissions without a result, with their deadlines.
   std::map<Ticket, base::TimePoint> mWaiting;
   JournalCounts mCounts;
   bool mIsStopping = false;
--- a/include/skylarkhill/journal/record_codec.hpp
+++ b/include/skylarkhill/journal/record_codec.hpp
@@ -17,7 +17,7 @@
 base::Result<SiteRecord>
 DecodeRecord(std::string_view aBytes);
 
-/// The text of a log record.
+/// Payload of a log record, as ASCII text.
 std::string
 EncodeBatch(const Batch& aBatch);
 
--- a/include/skylarkhill/journal/site_record.hpp
+++ b/include/skylarkhill/journal/site_record.hpp
@@ -16,42 +16,44 @@
 
 using platform::Offset;
 
-/// State of a live task after all records up to `mAsOf`, and no later one.
+/// State of a live task after exactly the records up to offset `mAsOf`.
 struct TaskSnapshotRecord
 {
   Offset mAsOf = -1;
   tasks::TaskSnapshot mTask;
 };
 
-/// State of a claimed key after all records up to `mAsOf`, and no later one.
+/// State of a claimed key after exactly the records up to offset `mAsOf`.
 struct KeySnapshotRecord
 {
   Offset mAsOf = -1;
   requests::KeySnapshot mKey;
 };
 
-/// Everything that the `site` stream carries.
+/// Any record of the `site` stream.
 using SiteRecord = std::variant<tasks::TaskRecord,
                                 requests::KeyRecord,
                                 TaskSnapshotRecord,
                                 KeySnapshotRecord>;
 
-/// What a writer knew when it decided to write the records of a batch.
+/// The part of the stream that a writer had applied when it created the records
+/// of a batch.
 struct WriterPosition
 {
-  /// Newest offset that the writer had applied; -1 before the first one.
+  /// Newest offset that the writer had applied; -1 if none.
   Offset mAsOf = -1;
-  /// Oldest offset that the service still kept. Readers forget tombstones
-  /// without a record from here on, all at the offset of the same batch.
+  /// Oldest offset that the log service still retained. Readers remove
+  /// tombstones whose records are all older; since they take this from the
+  /// batch, all of them do so at the same offset.
   Offset mFirstRetained = 0;
 };
 
-/// One append: the records of one writer that were committed together.
+/// Records of one writer that were appended together.
 struct Batch
 {
   /// Instance and incarnation.
   std::string mWriter;
-  /// Grows with every batch of a writer.
+  /// Increases with every batch of a writer.
   std::int64_t mSequence = 0;
   WriterPosition mPosition;
   /// The writer's wall clock, in milliseconds since the Unix epoch. Only used
--- a/include/skylarkhill/journal/site_state.hpp
+++ b/include/skylarkhill/journal/site_state.hpp
@@ -27,14 +27,14 @@
 struct SiteStateSettings
 {
   std::size_t mShards = 16;
-  /// How long the platform keeps records, in milliseconds.
+  /// How long the platform retains records, in milliseconds.
   std::int64_t mRetentionMs = 24LL * 3600 * 1000;
-  /// Most tasks and keys in one exported page.
+  /// Maximum number of tasks and keys in one exported page.
   std::size_t mRecordsPerPage = 500;
 };
 
-/// A part of the state for a peer. All pages of a shard are taken at the same
-/// offset.
+/// Part of the state of a shard, exported for a peer. All pages of a shard are
+/// exported at the same offset.
 struct StatePage
 {
   std::int64_t mShard = 0;
@@ -42,11 +42,11 @@
   Offset mAppliedThrough = -1;
   /// Encoded TaskSnapshotRecords and KeySnapshotRecords, tombstones included.
   std::vector<std::string> mRecords;
-  /// Encoded records about tasks and keys that are not known, with offsets.
+  /// Encoded records of unknown tasks and keys, with their offsets.
   std::vector<std::pair<Offset, std::string>> mUnmatched;
 };
 
-/// What a peer needs besides the pages. Taken before them.
+/// State that a peer needs in addition to the pages. Exported before them.
 struct StateHeader
 {
   std::int64_t mShards = 0;
@@ -61,7 +61,8 @@
 {
   std::int64_t mAppliedRecords = 0;
   std::int64_t mUndecodableRecords = 0;
-  /// Snapshots, accepts and intents whose writer had not read enough.
+  /// Ignored snapshots, accepts and intents: the position of their writer was
+  /// too old.
   std::int64_t mStaleRecords = 0;
   std::size_t mLiveTasks = 0;
   std::size_t mQueuedTasks = 0;
@@ -70,8 +71,9 @@
   std::size_t mFinishedKeys = 0;
 };
 
-/// State of the `site` stream: tasks and keys, in shards by the hash of the
-/// id. One thread applies pages; all other functions are thread-safe.
+/// The tasks and keys that result from the records of the `site` stream,
+/// sharded by the hash of the id. Only one thread may apply pages; all other
+/// functions are thread-safe.
 class SiteState
 {
 public:
@@ -84,11 +86,11 @@
 
   /// Offset of the next record to apply.
   Offset Position() const;
-  /// What this instance knows now, for the records that it writes.
+  /// Current position of this state, for the batches that the instance writes.
   WriterPosition GetWriterPosition() const;
   base::TimePoint CaughtUpAsOf() const;
-  /// True once the end of the stream was reached or a peer's state imported,
-  /// and no gap was found since.
+  /// True once the end of the stream was reached or a peer's state was
+  /// imported, until a gap is found.
   bool IsReady() const;
 
   /// Waits until the record at `aOffset` was applied; false if `aDeadline`
@@ -102,11 +104,11 @@
                     const base::Clock& aClock,
                     base::TimePoint aDeadline) const;
 
-  /// False if an accept record may create the task.
+  /// False if an accept record would create the task.
   bool IsTaskKnown(const base::TaskId& aTask) const;
   std::optional<tasks::TaskSnapshot> FindTask(const base::TaskId& aTask) const;
-  /// Up to `aLimit` tasks: urgent ones first, then in order of acceptance and
-  /// of id.
+  /// Up to `aLimit` queued tasks: urgent ones first, then in order of
+  /// acceptance and of id.
   std::vector<tasks::QueuedTask> Queued(std::size_t aLimit) const;
   std::vector<tasks::LiveAttempt> GrantsOn(const base::WorkerId& aWorker) const;
   /// Workers with at least one live attempt, in order of id.
@@ -118,7 +120,8 @@
   SiteStateCounts Counts() const;
   std::uint64_t LiveDigest() const;
 
-  /// Up to `aLimit` live tasks per shard that need a snapshot first.
+  /// Up to `aLimit` live tasks per shard whose state depends on records that
+  /// are at least `aAgeMs` old; in each shard the oldest first.
   std::vector<tasks::BasedTask> TasksOlderThan(std::int64_t aAgeMs,
                                                std::int64_t aNowMs,
                                                std::size_t aLimit) const;
@@ -126,21 +129,21 @@
                                                 std::int64_t aNowMs,
                                                 std::size_t aLimit) const;
   std::int64_t AgeOf(Offset aOffset, std::int64_t aNowMs) const;
-  /// Snapshot for the log; nothing for a task that is not live.
+  /// Snapshot to append to the log; nullopt if the task is not live.
   std::optional<TaskSnapshotRecord> SnapshotTask(
     const base::TaskId& aTask) const;
-  /// Snapshot for the log; nothing for a key that is not claimed.
+  /// Snapshot to append to the log; nullopt if the key is not claimed.
   std::optional<KeySnapshotRecord> SnapshotKey(
     const base::RequestId& aKey) const;
 
-  /// `aReader` is taken before the pages are exported.
+  /// `aReader` must be exported before the pages.
   StateHeader ExportHeader(ReaderState aReader) const;
   /// All pages of one shard.
   std::vector<StatePage> ExportShard(std::size_t aShard) const;
   std::size_t CountShards() const { return mShards.size(); }
 
-  /// Replaces the state by a peer's. InvalidArgument if a page is malformed or
-  /// a shard is missing; the state is empty then.
+  /// Replaces the state with that of a peer. InvalidArgument if a page is
+  /// malformed or a shard is missing; the state is then empty.
   base::Result<void> Import(const StateHeader& aHeader,
                             const std::vector<StatePage>& aPages);
 
@@ -186,14 +189,14 @@
   SiteStateSettings mSettings;
   std::vector<std::unique_ptr<Shard>> mShards;
 
-  /// Guards the members below; never held while a shard is locked.
+  /// Guards the members below; never locked together with the mutex of a shard.
   mutable std::mutex mMutex;
   mutable std::condition_variable mChanged;
   Offset mPosition = 0;
-  /// The state may lack what records before this offset said: they expired
-  /// before the start, or their tombstones were forgotten. Follows from the
-  /// start and from the batches, so that all readers with the same start
-  /// agree. Written by the applying thread only.
+  /// Records before this offset may be missing from the state: they expired
+  /// before the reader started, or their tombstones were removed. Depends only
+  /// on the start offset and the batches, so that all readers with the same
+  /// start agree. Written by the applying thread only.
   Offset mHorizon = 0;
   Offset mFirstRetained = 0;
   base::TimePoint mCaughtUpAsOf = base::TimePoint::min();
--- a/include/skylarkhill/journal/snapshot_planner.hpp
+++ b/include/skylarkhill/journal/snapshot_planner.hpp
@@ -17,33 +17,35 @@
 struct SnapshotPlannerSettings
 {
   base::InstanceId mSelf;
-  /// How long the platform keeps records, in milliseconds.
+  /// How long the platform retains records, in milliseconds.
   std::int64_t mRetentionMs = 24LL * 3600 * 1000;
-  /// Most snapshots in one plan.
+  /// Maximum number of snapshots in one plan.
   std::size_t mMaxPerPlan = 200;
-  /// Most live tasks and keys looked at per shard and plan.
+  /// Maximum number of live tasks, and of claimed keys, examined per shard and
+  /// plan.
   std::size_t mMaxCandidates = 10'000;
 };
 
 /// Age at which `aSelf` appends a snapshot of `aId`, in milliseconds. Between
-/// a half and seven eighths of the retention; the preferred instance by
-/// rendezvous hash comes first, the others only if it does not.
+/// 1/2 and 7/8 of the retention: lowest for the instance that rendezvous
+/// hashing ranks first, so that the others write the snapshot only if it does
+/// not.
 std::int64_t
 SnapshotAgeMs(std::string_view aId,
               const base::InstanceId& aSelf,
               const std::vector<base::InstanceId>& aLive,
               std::int64_t aRetentionMs);
 
-/// Decides which live tasks and claimed keys this instance appends again. Not
-/// thread-safe.
+/// Decides for which live tasks and claimed keys this instance appends
+/// snapshots before their records expire. Not thread-safe.
 class SnapshotPlanner
 {
 public:
   explicit SnapshotPlanner(SnapshotPlannerSettings aSettings);
 
-  /// Snapshots to append now; to be called at least every 128th of the
-  /// retention, e.g. every 11 minutes for a day. A snapshot that was planned is
-  /// not planned again until an eighth of the retention has passed.
+  /// Returns the snapshots to append now. Call it at least every 1/128 of the
+  /// retention, e.g. every 11 minutes for a day. A planned snapshot is not
+  /// planned again for 1/8 of the retention.
   std::vector<SiteRecord> Plan(const SiteState& aState,
                                const std::vector<base::InstanceId>& aLive,
                                std::int64_t aNowMs);
@@ -55,7 +57,7 @@
                  std::int64_t aNowMs);
 
   SnapshotPlannerSettings mSettings;
-  /// When a snapshot was planned, per id.
+  /// When the last snapshot was planned, per id.
   std::unordered_map<std::string, std::int64_t> mPlannedAtMs;
 };
 
--- a/include/skylarkhill/journal/stream_reader.hpp
+++ b/include/skylarkhill/journal/stream_reader.hpp
@@ -21,15 +21,15 @@
   Batch mBatch;
 };
 
-/// What one page of the stream means to the state.
+/// Result of processing one page of the stream.
 struct PageResult
 {
-  /// Records expired before they were read; the state has to be cleared
-  /// before the batches are applied.
+  /// Records expired before they were read; the state must be cleared before
+  /// the batches are applied.
   bool mIsGap = false;
-  /// The reader starts with this page, at the first retained offset.
+  /// The first page of this reader, from the first retained offset.
   bool mIsFirst = false;
-  /// Oldest offset that the service still keeps.
+  /// Oldest offset that the log service still retains.
   Offset mFirstRetained = 0;
   /// Offset of the next record to read, after the batches.
   Offset mPosition = 0;
@@ -37,7 +37,7 @@
   std::vector<ReadBatch> mBatches;
 };
 
-/// Where a reader is, for an instance that continues from a peer's state.
+/// Position of a reader, from which another instance can continue.
 struct ReaderState
 {
   Offset mPosition = 0;
@@ -46,22 +46,22 @@
   std::map<std::string, std::pair<std::int64_t, Offset>> mSequences;
 };
 
-/// Follows one stream in order. Not thread-safe.
+/// Reads one stream in order and drops duplicate batches. Not thread-safe.
 class StreamReader
 {
 public:
   /// Offset of the next record to read.
   Offset Position() const { return mState.mPosition; }
-  /// First offset of the contiguous part that was read; nothing before the
+  /// First offset of the contiguous part that was read; nullopt before the
   /// first page.
   std::optional<Offset> Start() const;
 
-  /// Takes the answer to a read from Position() that was issued at
+  /// Processes the answer to a read from Position() that was issued at
   /// `aIssuedAt`.
   PageResult OnPage(const platform::LogPage& aPage, base::TimePoint aIssuedAt);
 
   /// The newest time such that everything appended before it has been read;
-  /// TimePoint::min() before the first end was reached or after a gap.
+  /// TimePoint::min() until the end is first reached, also after a gap.
   base::TimePoint CaughtUpAsOf() const { return mCaughtUpAsOf; }
 
   /// Continues from the state of a peer.
@@ -81,7 +81,8 @@
   ReaderState mState;
   bool mHasStarted = false;
   base::TimePoint mCaughtUpAsOf = base::TimePoint::min();
-  /// End that has to be reached to be caught up as of a time.
+  /// An end of the stream and the time when the read that reported it was
+  /// issued; the reader is caught up as of that time once it reaches the end.
   std::optional<std::pair<Offset, base::TimePoint>> mPendingEnd;
   std::int64_t mDuplicates = 0;
   std::int64_t mUndecodable = 0;
--- a/include/skylarkhill/journal/wall_clock.hpp
+++ b/include/skylarkhill/journal/wall_clock.hpp
@@ -5,8 +5,8 @@
 
 namespace skylarkhill::journal {
 
-/// Source of wall clock time, which is comparable between instances only
-/// roughly. Thread-safe.
+/// Source of wall clock time. The clocks of different instances agree only
+/// approximately. Thread-safe.
 class WallClock
 {
 public:
--- a/include/skylarkhill/membership/heartbeat.hpp
+++ b/include/skylarkhill/membership/heartbeat.hpp
@@ -18,16 +18,16 @@
   std::string mName;
   /// 0 for workers, which report none.
   std::uint64_t mIncarnation = 0;
-  /// How much longer the mark is passed on, counted from the send time of the
-  /// message. Receivers never extend it, so that marks die out.
+  /// Remaining lifetime, counted from the send time of the message. Receivers
+  /// never extend it, so that notices that are passed on expire.
   base::Duration mRemaining{};
 };
 
-/// Sent by every entry instance to all its peers at every interval.
+/// Sent by every entry instance to all its peers once per heartbeat interval.
 struct Heartbeat
 {
   base::InstanceId mInstance;
-  /// Larger after every restart of the process.
+  /// Increases with every restart of the process.
   std::uint64_t mIncarnation = 0;
   base::DomainId mDomain;
   /// IP address and port for messages between entry instances.
--- a/include/skylarkhill/membership/view.hpp
+++ b/include/skylarkhill/membership/view.hpp
@@ -19,11 +19,13 @@
 struct ViewOptions
 {
   base::Duration mHeartbeatInterval = std::chrono::milliseconds(500);
-  /// A peer or worker without evidence for this many intervals is suspected.
+  /// A peer or worker that was not seen for this many intervals is suspected to
+  /// have failed.
   int mSuspicionIntervals = 3;
-  /// How long a isLeaving mark is kept. Longer than the platform's list lags.
+  /// How long a leaving notice is kept. Must exceed the lag of the platform's
+  /// list.
   base::Duration mLeavingNoticeLifetime = std::chrono::hours(1);
-  /// How far the platform's lists of two instances may be apart.
+  /// Maximum lag between the platform's lists that two instances hold.
   base::Duration mListLag = std::chrono::seconds(30);
 };
 
@@ -37,8 +39,8 @@
   std::uint16_t mPeerPort = 0;
 };
 
-/// Which instances and workers are live, isLeaving or suspected, from the
-/// platform's list, heartbeats and direct evidence. Not thread-safe.
+/// Which instances and workers are live, leaving or suspected, according to
+/// the platform's list, heartbeats and polls. Not thread-safe.
 class View
 {
 public:
@@ -47,18 +49,19 @@
   void OnList(const std::vector<platform::InstanceEntry>& aList,
               base::TimePoint aNow);
   void OnHeartbeat(const Heartbeat& aHeartbeat, base::TimePoint aNow);
-  /// An answered poll of a worker.
+  /// The worker answered a poll.
   void OnWorkerPolled(const base::WorkerId& aWorker,
                       const base::DomainId& aDomain,
                       bool aLeaving,
                       base::TimePoint aNow);
-  /// A notice that a peer is isLeaving.
+  /// A peer announced that it is leaving.
   void OnLeavingNotice(const base::InstanceId& aInstance,
                        std::uint64_t aIncarnation,
                        base::TimePoint aNow);
   /// This instance begins a planned stop.
   void MarkSelfLeaving(base::TimePoint aNow);
-  /// Forgets marks past their lifetime and entries without any evidence.
+  /// Removes expired leaving notices, and unlisted peers and workers that were
+  /// not seen for the lifetime of a notice.
   void Prune(base::TimePoint aNow);
 
   /// Workers of the domain that may receive new work, sorted.
@@ -81,15 +84,16 @@
   /// The last heartbeat of a peer, or null.
   const Heartbeat* FindPeer(const base::InstanceId& aInstance) const;
 
-  /// Since when the platform's list has not shown the worker; nothing while it
-  /// is listed, or before the first list. At most as old as this process.
+  /// When the worker was first missing from the platform's list; nullopt while
+  /// it is listed or before the first list. Never earlier than the first list
+  /// that this process received.
   std::optional<base::TimePoint> AbsentSince(
     const base::WorkerId& aWorker) const;
-  /// When the worker was last reached by this instance or named in a
+  /// When the worker last answered a poll of this instance or was named in a
   /// heartbeat.
   std::optional<base::TimePoint> LastSeen(const base::WorkerId& aWorker) const;
 
-  /// The marks to be sent in the next heartbeat.
+  /// The leaving notices to send in the next heartbeat.
   std::vector<LeavingNotice> LeavingNotices(base::TimePoint aNow) const;
 
 private:
@@ -132,7 +136,7 @@
   std::optional<base::TimePoint> mFirstListAt;
   std::map<base::InstanceId, Peer> mPeers;
   std::map<base::WorkerId, Worker> mWorkers;
-  /// Value: when the mark is forgotten.
+  /// Value: when the notice expires.
   std::map<NoticeKey, base::TimePoint> mLeavingNotices;
 };
 
--- a/include/skylarkhill/worker/http_remote_worker.hpp
+++ b/include/skylarkhill/worker/http_remote_worker.hpp
@@ -10,9 +10,10 @@
 
 namespace skylarkhill::worker {
 
-/// The worker that listens at the IP address `aAddress`. Besides the errors of
-/// RemoteWorker, Stop may return NotFound: the worker does not know the attempt
-/// and will not start it any more. `aClock` must outlive the port.
+/// Creates a client of the worker that listens at the IP address `aAddress`.
+/// Besides the errors of RemoteWorker, Stop may return NotFound: the worker
+/// does not know the attempt and will not start it any more. `aClock` must
+/// outlive the result.
 std::unique_ptr<RemoteWorker>
 CreateHttpRemoteWorker(std::string aAddress,
                        std::uint16_t aPort,
--- a/include/skylarkhill/worker/remote_worker.hpp
+++ b/include/skylarkhill/worker/remote_worker.hpp
@@ -46,15 +46,16 @@
 {
   Running,
   Checkpointing,
-  /// Finished by itself; the result is kept until acknowledged.
+  /// Ran to completion; the result is kept until acknowledged.
   Completed,
-  /// Failed by itself; kept until acknowledged.
+  /// The task failed; kept until acknowledged.
   Failed,
-  /// Stopped on command or by a lapsed lease; kept until acknowledged.
+  /// Stopped by a command or because its lease expired; kept until
+  /// acknowledged.
   Stopped,
 };
 
-/// The stable name of `aPhase`.
+/// The name of `aPhase` in messages.
 std::string_view
 NameOf(TaskPhase aPhase);
 
@@ -68,14 +69,14 @@
   base::TaskId mTask;
   std::int64_t mAttempt = 0;
   TaskPhase mPhase = TaskPhase::Running;
-  /// What the task was started with.
+  /// Resources that were reserved when the task was started.
   base::Resources mReserved;
-  /// Measured usage; lags.
+  /// Measured usage; may be out of date.
   base::Resources mUsed;
   WorkerTime mLeaseExpiresAt = 0;
   /// Name of the last complete checkpoint; empty if there is none.
   std::string mCheckpoint;
-  /// Progress since the start of the task, in percent; lags.
+  /// Progress since the start of the task, in percent; may be out of date.
   std::int64_t mProgressPercent = 0;
   /// Share of its processors the task may use, in percent.
   std::int64_t mThrottlePercent = 100;
@@ -96,8 +97,8 @@
   /// All holder leases that have not expired.
   std::vector<HolderLease> mHolders;
   std::vector<TaskReport> mTasks;
-  /// Slowdown of service requests, in percent of an idle worker's speed;
-  /// 100 is undisturbed; lags.
+  /// Slowdown of service requests compared with an idle worker, in percent; 100
+  /// means none. May be out of date.
   std::int64_t mServiceSlowdownPercent = 100;
 };
 
@@ -115,7 +116,7 @@
   std::int64_t mAttempt = 0;
   std::string mBatchClass;
   base::Resources mReserve;
-  /// Lease, in the worker's time.
+  /// End of the task's lease.
   WorkerTime mLeaseExpiresAt = 0;
   /// Checkpoint to resume from; empty for a fresh start.
   std::string mCheckpoint;
@@ -149,7 +150,7 @@
   bool mIdempotent = false;
 };
 
-/// The endpoint's whole answer to one service request.
+/// The endpoint's complete answer to one service request.
 struct ServiceAnswer
 {
   base::RequestId mRequest;
@@ -157,8 +158,8 @@
   std::string mBody;
 };
 
-/// One worker, seen from its holder. Thread-safe; calls block until
-/// `aDeadline` at the latest.
+/// Interface to one worker for its holder. Thread-safe; calls return by
+/// `aDeadline`.
 ///
 /// WorkerUnavailable: nothing was sent. ConnectionLost or DeadlineExceeded:
 /// the command may have taken effect. WorkerRefused and StaleCommand: the
@@ -170,8 +171,8 @@
 
   virtual base::Result<WorkerReport> Poll(base::TimePoint aDeadline) = 0;
 
-  /// Adds or renews `aToken`'s holder lease for `aDuration`, counted from the
-  /// moment the worker receives the command.
+  /// Adds or renews `aToken`'s holder lease for `aDuration`, counted from when
+  /// the worker receives the command.
   virtual base::Result<WorkerReport> SetHolderLease(
     const HolderToken& aToken,
     base::Duration aDuration,
@@ -199,12 +200,12 @@
                                       std::int64_t aPercent,
                                       base::TimePoint aDeadline) = 0;
 
-  /// Stops the attempt; success is a confirmed stop.
+  /// Stops the attempt; success means that the worker confirmed the stop.
   virtual base::Result<void> Stop(const CommandHeader& aHeader,
                                   const TaskKey& aTask,
                                   base::TimePoint aDeadline) = 0;
 
-  /// Lets the worker forget an ended attempt.
+  /// Lets the worker discard an ended attempt.
   virtual base::Result<void> Acknowledge(const CommandHeader& aHeader,
                                          const TaskKey& aTask,
                                          base::TimePoint aDeadline) = 0;
--- a/include/skylarkhill/worker/worker_codec.hpp
+++ b/include/skylarkhill/worker/worker_codec.hpp
@@ -11,8 +11,8 @@
 
 namespace skylarkhill::worker {
 
-/// JSON bodies of the worker's HTTP interface. Every Parse function fails with
-/// InvalidJson or InvalidArgument and reports all findings.
+/// JSON bodies of the worker's HTTP interface. Parse functions fail with
+/// InvalidJson or InvalidArgument; the error lists all problems found.
 
 /// Body of /holder and /holder/remove.
 struct HolderCommand
