--- a/src/journal/age_index.cpp
+++ b/src/journal/age_index.cpp
@@ -56,19 +56,19 @@
 platform::Offset
 AgeIndex::FirstYoungerThan(std::int64_t aAgeMs, std::int64_t aNowMs) const
 {
-  const auto young =
+  const auto firstYounger =
     std::upper_bound(mSamples.begin(),
                      mSamples.end(),
                      aNowMs - aAgeMs,
                      [](std::int64_t aLeft, const Sample& aRight) {
                        return aLeft < aRight.mWrittenAtMs;
                      });
-  if (young == mSamples.begin()) {
+  if (firstYounger == mSamples.begin()) {
     return 0;
   }
   // All offsets from the newest old mark to the next mark count as that old.
-  return young == mSamples.end() ? std::prev(young)->mOffset + 1
-                                 : young->mOffset;
+  return firstYounger == mSamples.end() ? std::prev(firstYounger)->mOffset + 1
+                                        : firstYounger->mOffset;
 }
 
 } // namespace skylarkhill::journal
--- a/src/journal/batch_writer.cpp
+++ b/src/journal/batch_writer.cpp
@@ -249,20 +249,20 @@
   // stream, so its records cannot be reported as not written.
   const auto kind = mMayBeWritten ? base::ErrorKind::AnswerLost
                                   : base::ErrorKind::LogUnavailable;
-  std::vector<Submission> rest;
+  std::vector<Submission> remaining;
   for (auto& it : mBatch) {
     if (it.mDeadline <= aNow) {
       EndSubmission(it,
                     base::MakeError(kind, "deadline passed before the append"));
     } else {
-      rest.push_back(std::move(it));
+      remaining.push_back(std::move(it));
     }
   }
-  if (rest.size() == mBatch.size()) {
-    mBatch = std::move(rest);
+  if (remaining.size() == mBatch.size()) {
+    mBatch = std::move(remaining);
     return;
   }
-  mBatch = std::move(rest);
+  mBatch = std::move(remaining);
   if (!mMayBeWritten) {
     // Nothing of this batch was ever written, so its text may change.
     mPayload.clear();
@@ -290,17 +290,17 @@
   if (std::none_of(mQueue.begin(), mQueue.end(), isExpired)) {
     return;
   }
-  std::deque<Submission> rest;
+  std::deque<Submission> remaining;
   for (auto& it : mQueue) {
     if (isExpired(it)) {
       EndSubmission(it,
                     base::MakeError(base::ErrorKind::LogUnavailable,
                                     "deadline passed before the append"));
     } else {
-      rest.push_back(std::move(it));
+      remaining.push_back(std::move(it));
     }
   }
-  mQueue = std::move(rest);
+  mQueue = std::move(remaining);
 }
 
 std::vector<TicketResult>
--- a/src/journal/journal_service.cpp
+++ b/src/journal/journal_service.cpp
@@ -142,13 +142,13 @@
 {
   std::unique_lock<std::mutex> lock(mMutex);
   while (mResults.count(aTicket) == 0) {
-    const auto rest = base::Remaining(mClock.Now(), aDeadline);
-    if (mIsStopping || rest == base::Duration(0)) {
+    const auto remaining = base::Remaining(mClock.Now(), aDeadline);
+    if (mIsStopping || remaining == base::Duration(0)) {
       mWriter.Expire(mClock.Now());
       TakeResults();
       break;
     }
-    mChanged.wait_for(lock, std::min(rest, kMaxWait));
+    mChanged.wait_for(lock, std::min(remaining, kMaxWait));
   }
   mWaiting.erase(aTicket);
   const auto node = mResults.extract(aTicket);
@@ -229,8 +229,8 @@
       lock.lock();
       continue;
     }
-    const auto rest = base::Remaining(mClock.Now(), mWriter.NextWakeUp());
-    mChanged.wait_for(lock, std::min(rest, kMaxWait));
+    const auto remaining = base::Remaining(mClock.Now(), mWriter.NextWakeUp());
+    mChanged.wait_for(lock, std::min(remaining, kMaxWait));
   }
 }
 
@@ -283,8 +283,8 @@
     const base::TimePoint until = mClock.Now() + pause;
     std::unique_lock<std::mutex> lock(mMutex);
     while (!mIsStopping && !mIsReadDue && mClock.Now() < until) {
-      const auto rest = base::Remaining(mClock.Now(), until);
-      mChanged.wait_for(lock, std::min(rest, kMaxWait));
+      const auto remaining = base::Remaining(mClock.Now(), until);
+      mChanged.wait_for(lock, std::min(remaining, kMaxWait));
     }
     if (mIsStopping) {
       return;
@@ -297,11 +297,11 @@
 {
   std::unique_lock<std::mutex> lock(mMutex);
   while (!mWriter.IsIdle()) {
-    const auto rest = base::Remaining(mClock.Now(), aDeadline);
-    if (mIsStopping || rest == base::Duration(0)) {
+    const auto remaining = base::Remaining(mClock.Now(), aDeadline);
+    if (mIsStopping || remaining == base::Duration(0)) {
       return false;
     }
-    mChanged.wait_for(lock, std::min(rest, kMaxWait));
+    mChanged.wait_for(lock, std::min(remaining, kMaxWait));
   }
   return true;
 }
--- a/src/journal/site_state.cpp
+++ b/src/journal/site_state.cpp
@@ -330,11 +330,11 @@
 {
   std::unique_lock<std::mutex> lock(mMutex);
   while (!aReady()) {
-    const base::Duration rest = base::Remaining(aClock.Now(), aDeadline);
-    if (rest == base::Duration(0)) {
+    const base::Duration remaining = base::Remaining(aClock.Now(), aDeadline);
+    if (remaining == base::Duration(0)) {
       return false;
     }
-    mChanged.wait_for(lock, std::min<base::Duration>(rest, kMaxWait));
+    mChanged.wait_for(lock, std::min<base::Duration>(remaining, kMaxWait));
   }
   return true;
 }
