--- a/src/journal/age_index.cpp
+++ b/src/journal/age_index.cpp
@@ -14,8 +14,8 @@
                     std::int64_t aWrittenAtMs,
                     std::int64_t aNowMs)
 {
-  // A writer whose clock is ahead must not make later records look young, and
-  // one whose clock is behind must not make them look old.
+  // A writer whose clock is ahead must not make later records look younger, and
+  // one whose clock is behind must not make them look older.
   const std::int64_t writtenAt = std::min(aWrittenAtMs, aNowMs);
   if (mSamples.empty() || writtenAt >= mSamples.back().mWrittenAtMs + mStepMs) {
     mSamples.push_back({ aOffset, writtenAt });
@@ -25,7 +25,8 @@
 void
 AgeIndex::DiscardBefore(platform::Offset aFirstRetained)
 {
-  // The newest mark before the first retained offset still dates that offset.
+  // The newest sample at or before the first retained offset still gives that
+  // offset's age.
   while (mSamples.size() > 1 && mSamples[1].mOffset <= aFirstRetained) {
     mSamples.pop_front();
   }
@@ -66,7 +67,7 @@
   if (firstYounger == mSamples.begin()) {
     return 0;
   }
-  // All offsets from the newest old mark to the next mark count as that old.
+  // Offsets between two samples count as being as old as the earlier sample.
   return firstYounger == mSamples.end() ? std::prev(firstYounger)->mOffset + 1
                                         : firstYounger->mOffset;
 }
--- a/src/journal/batch_writer.cpp
+++ b/src/journal/batch_writer.cpp
@@ -32,8 +32,8 @@
   mLiveInstances = std::max<std::int64_t>(1, aCount);
 }
 
-// With one append per linger time, all instances together stay within the
-// append budget.
+// With at most one append per interval and instance, all instances together
+// stay within the append budget.
 base::Duration
 BatchWriter::AppendInterval() const
 {
@@ -52,11 +52,11 @@
   const std::size_t bytes = TotalBytes(aRecords);
   if (bytes > mSettings.mMaxBatchBytes) {
     return base::MakeError(base::ErrorKind::PayloadTooLarge,
-                           "records exceed the batch size");
+                           "records exceed the maximum batch size");
   }
   if (mQueuedRecords + aRecords.size() > mSettings.mMaxQueuedRecords) {
     return base::MakeError(base::ErrorKind::Overloaded,
-                           "journal queue is full");
+                           "queue of the log writer is full");
   }
   mQueuedRecords += aRecords.size();
   mQueue.push_back(
@@ -104,7 +104,8 @@
   batch.mWriter = mSettings.mWriter;
   batch.mSequence = mSequence;
   batch.mWrittenAtMs = aWallClockMs;
-  // The batch claims no more knowledge than each of its submitters had.
+  // The position of the batch must hold for each of its submissions, so it is
+  // the minimum of their positions.
   batch.mPosition = mBatch.front().mPosition;
   for (const auto& it : mBatch) {
     batch.mPosition.mAsOf = std::min(batch.mPosition.mAsOf, it.mPosition.mAsOf);
@@ -245,8 +246,8 @@
 void
 BatchWriter::ExpireBatch(base::TimePoint aNow)
 {
-  // A delayed copy of a batch whose answer was lost may still reach the
-  // stream, so its records cannot be reported as not written.
+  // A delayed copy of a batch whose answer was lost may still reach the stream,
+  // so its records must not be reported as not written.
   const auto kind = mMayBeWritten ? base::ErrorKind::AnswerLost
                                   : base::ErrorKind::LogUnavailable;
   std::vector<Submission> remaining;
@@ -264,7 +265,7 @@
   }
   mBatch = std::move(remaining);
   if (!mMayBeWritten) {
-    // Nothing of this batch was ever written, so its text may change.
+    // This batch was never written, so its payload may change.
     mPayload.clear();
   }
   if (mBatch.empty() && mPhase == Phase::Retrying) {
--- a/src/journal/batch_writer_test.cpp
+++ b/src/journal/batch_writer_test.cpp
@@ -46,8 +46,8 @@
     return results[0].mOffset.error().mKind;
   }
 
-  // Guards against an append rate that grows with the number of instances,
-  // and against a delay for an instance that has been idle.
+  // Guards against a total append rate that grows with the number of instances,
+  // and against delaying the first append after an idle time.
   void AppendIntervalGrowsWithTheInstances()
   {
     mWriter.SetLiveInstances(30);
@@ -71,8 +71,8 @@
     CPPUNIT_ASSERT(mWriter.IsIdle());
   }
 
-  // Guards against records that are given up too early or reported as lost
-  // although nothing was written.
+  // Guards against records that are abandoned before their deadline, or
+  // reported as AnswerLost although nothing was written.
   void RetriesTheSameBatchUntilItsDeadlines()
   {
     Add(1, milliseconds(300));
@@ -92,8 +92,8 @@
     CPPUNIT_ASSERT(mWriter.IsIdle());
   }
 
-  // Guards against a batch that is in the stream twice, or that is missing
-  // because an old read did not show it.
+  // Guards against a batch that is appended twice, or never, because a read
+  // issued before the answer was lost is taken as proof.
   void ReadsBeforeRetryingALostAppend()
   {
     Add(1);
@@ -112,8 +112,8 @@
     CPPUNIT_ASSERT(!Start(milliseconds(500)).has_value());
   }
 
-  // Guards against a caller that is told "not run" while a delayed copy of the
-  // record can still reach the stream.
+  // Guards against reporting a record as not written while a delayed copy of it
+  // can still reach the stream.
   void ReportsALostAppendAsAnswerLost()
   {
     Add(1, milliseconds(500));
--- a/src/journal/journal_random_test.cpp
+++ b/src/journal/journal_random_test.cpp
@@ -38,14 +38,14 @@
   StreamReader mReader;
   SiteState mState;
   SnapshotPlanner mPlanner;
-  /// An append whose answer is awaited.
+  /// The append in progress.
   std::optional<AppendAction> mInFlight;
   std::int64_t mPausedUntilMs = 0;
   std::map<Ticket, std::string> mAccepts;
   Ticket mNextTicket = 1;
 };
 
-/// Runs instances against one log with outages, lost answers, delayed copies,
+/// Runs instances on one log with outages, lost answers, delayed appends,
 /// pauses, restarts and expiry, and checks the state after every write.
 class Simulation
 {
@@ -72,7 +72,7 @@
     CPPUNIT_ASSERT(mEnded.size() > 5);
   }
 
-  /// Sums over all seeds, to show that the faults took place.
+  /// Counts of the faults that occurred.
   struct Coverage
   {
     std::int64_t mDuplicates = 0;
@@ -107,7 +107,7 @@
         continue;
       }
       StepNode(*it);
-      // Snapshots need at least one instance that runs.
+      // At least one instance must run to write the snapshots.
       if (CountPaused() == 0 && OneIn(1'500)) {
         it->mPausedUntilMs =
           mNowMs + static_cast<std::int64_t>(mRandom->Below(
@@ -153,7 +153,7 @@
 
   bool IsDown() const { return mDownUntilMs > mNowMs; }
 
-  // A node can be paused between Start and this call, so that old batches
+  // A node can be paused between StartAppend and this call, so that old batches
   // reach the log.
   void FinishAppend(Node& aNode)
   {
@@ -260,7 +260,8 @@
     Submit(aNode, { MakeChange(*known, aNode) }, position);
   }
 
-  // Mostly what the node's view permits; sometimes anything.
+  // Returns a record that is usually valid in the node's state and sometimes is
+  // not.
   SiteRecord MakeChange(const tasks::TaskSnapshot& aTask, const Node& aNode)
   {
     const auto& id = aTask.mSpec.mTask;
@@ -307,7 +308,8 @@
       if (accept == aNode.mAccepts.end()) {
         continue;
       }
-      // As in JournalService: success needs the task in the state.
+      // As in JournalService, an accept succeeds only if the task is in the
+      // state.
       if (it.mOffset && mOracle.mState.FindTask({ accept->second })) {
         mAccepted.insert(accept->second);
       }
@@ -341,8 +343,8 @@
     if (tasks::IsEnded(task->mState)) {
       mEnded[aTask.mValue] = task->mLastRecordAt;
     } else if (mEnded.count(aTask.mValue) != 0) {
-      // The id may be used again once nothing about it is retained.
-      CPPUNIT_ASSERT_MESSAGE("ended task came back",
+      // An id may be reused when none of its records is retained.
+      CPPUNIT_ASSERT_MESSAGE("ended task became live again",
                              mEnded[aTask.mValue] < mFirstRetained &&
                                task->mAcceptedAt >= mFirstRetained);
       Forget(aTask.mValue);
@@ -350,13 +352,14 @@
     const std::pair<std::string, std::int64_t> attempt{ aTask.mValue,
                                                         task->mLastAttempt };
     std::int64_t& newest = mNewestAttempt[aTask.mValue];
-    CPPUNIT_ASSERT_MESSAGE("attempt came back", task->mLastAttempt >= newest);
+    CPPUNIT_ASSERT_MESSAGE("attempt number decreased",
+                           task->mLastAttempt >= newest);
     newest = task->mLastAttempt;
     if (tasks::HasLiveAttempt(task->mState)) {
       const auto grant = mGrants.emplace(attempt, task->mWorker.mValue);
       CPPUNIT_ASSERT_MESSAGE("attempt granted twice",
                              grant.first->second == task->mWorker.mValue);
-      CPPUNIT_ASSERT_MESSAGE("ended attempt came back",
+      CPPUNIT_ASSERT_MESSAGE("ended attempt became live again",
                              mEndedAttempts.count(attempt) == 0);
     } else if (task->mLastAttempt > 0) {
       mEndedAttempts.insert(attempt);
@@ -419,10 +422,10 @@
   std::deque<std::unique_ptr<Node>> mNodes;
   int mIncarnations = 0;
   std::int64_t mNextTask = 20;
-  /// Reads every record at once.
+  /// Reads every record as soon as it is written.
   Node mOracle;
   std::set<std::string> mAccepted;
-  /// Newest record of an ended task.
+  /// Offset of the newest record, per ended task.
   std::map<std::string, Offset> mEnded;
   std::map<std::string, std::int64_t> mNewestAttempt;
   std::map<std::pair<std::string, std::int64_t>, std::string> mGrants;
@@ -436,8 +439,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against readers that disagree, accepted tasks that are lost,
-  // attempts that are granted twice and ended attempts that come back.
+  // Guards against readers with different states, accepted tasks that are lost,
+  // attempts that are granted twice and ended attempts that become live again.
   void ReadersAgreeUnderRandomFaults()
   {
     Simulation::Coverage sum;
--- a/src/journal/journal_service.cpp
+++ b/src/journal/journal_service.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-// Bounds one wait, so that a change of an injected clock is noticed.
+// Limits one wait, as an injected clock can change without a notification.
 constexpr base::Duration kMaxWait = std::chrono::milliseconds(20);
 
 const tasks::AcceptRecord*
@@ -98,8 +98,8 @@
 JournalService::Submit(const std::vector<SiteRecord>& aRecords,
                        base::TimePoint aDeadline)
 {
-  // The position is taken before the state is looked at, so that the batch
-  // never claims to know more than the checks below did.
+  // The position is read before the state, so that it is not newer than the
+  // state that the checks below use.
   const WriterPosition position = mState.GetWriterPosition();
   std::vector<std::string> encoded;
   for (const auto& it : aRecords) {
@@ -109,7 +109,7 @@
     const auto* accept = FindAccept(it);
     if (accept != nullptr && mState.IsTaskKnown(accept->mSpec.mTask)) {
       return base::MakeError(base::ErrorKind::LogUnavailable,
-                             "task was accepted before the retained log");
+                             "accept record of the task is no longer retained");
     }
     encoded.push_back(EncodeRecord(it));
   }
@@ -153,8 +153,9 @@
   mWaiting.erase(aTicket);
   const auto node = mResults.extract(aTicket);
   if (node.empty()) {
-    return base::MakeError(base::ErrorKind::AnswerLost,
-                           "append was still in progress");
+    return base::MakeError(
+      base::ErrorKind::AnswerLost,
+      "append was still in progress at the deadline or shutdown");
   }
   return node.mapped();
 }
@@ -176,12 +177,12 @@
     });
   if (!isEffective) {
     return base::MakeError(base::ErrorKind::AnswerLost,
-                           "record was too old when it was read back");
+                           "record was stale when it was read back");
   }
   return aOffset;
 }
 
-// Called with mMutex held.
+// mMutex must be locked.
 void
 JournalService::TakeResults()
 {
--- a/src/journal/journal_service_test.cpp
+++ b/src/journal/journal_service_test.cpp
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// One instance with its own state.
+/// A journal service with its own state.
 struct Instance
 {
   Instance(MemoryLog& aLog, const std::string& aWriter)
@@ -63,7 +63,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against lost wake-ups between the threads, and against one append
+  // Guards against missed wake-ups between the threads, and against one append
   // per record.
   void SubmitsConcurrentlyFromTwoInstances()
   {
@@ -104,8 +104,8 @@
     CPPUNIT_ASSERT(mLog.End() < 160);
   }
 
-  // Guards against a submission that is repeated in the stream or forgotten
-  // when the answer to the append is lost.
+  // Guards against a submission that is appended twice or never when the answer
+  // to an append is lost.
   void AppendsOnceDespiteLostAnswers()
   {
     Instance instance(mLog, "a/1");
@@ -120,9 +120,9 @@
                          instance.mService.Counts().mAnswersLost);
   }
 
-  // Guards against a second request with a key that takes the claim of an
-  // earlier one for its own and runs the work again, while the claim is the
-  // newest record (explorer, site world, seed 11).
+  // Guards against a second request that takes an earlier request's claim of
+  // the key for its own and runs the work again. It happened while the claim
+  // was the newest record (explore, world site, seed 11).
   void DoesNotAppendAnIntentForAClaimedKey()
   {
     Instance instance(mLog, "a/1");
@@ -136,8 +136,8 @@
     CPPUNIT_ASSERT_EQUAL(kNotAppended, instance.Submit(intent).value());
   }
 
-  // Guards against a submission that is reported as refused but runs once the
-  // log is back.
+  // Guards against a submission that is reported as not written but is appended
+  // when the log is available again.
   void RefusesWhileTheLogIsDown()
   {
     Instance instance(mLog, "a/1");
@@ -154,8 +154,8 @@
                    base::ErrorKind::ShuttingDown);
   }
 
-  // Guards against an instance that stays unready through an outage although a
-  // peer has the state.
+  // Guards against an instance that cannot become ready during a log outage
+  // although a peer has the state.
   void StartsFromAPeerWhileTheLogIsDown()
   {
     Instance peer(mLog, "a/1");
--- a/src/journal/memory_log.hpp
+++ b/src/journal/memory_log.hpp
@@ -13,7 +13,7 @@
 
 namespace skylarkhill::journal {
 
-/// One stream in memory, with faults. Only for tests.
+/// Log service with one stream in memory and injected faults, for tests.
 class MemoryLog : public platform::LogService
 {
 public:
@@ -85,9 +85,9 @@
   }
 
   std::atomic<bool> mIsDown{ false };
-  /// Appends that are lost before the write takes effect.
+  /// Number of appends to drop before the write, with AnswerLost.
   std::atomic<int> mDropAppends{ 0 };
-  /// Appends whose answer is lost after the write took effect.
+  /// Number of appends to write but answer with AnswerLost.
   std::atomic<int> mLoseAnswers{ 0 };
 
 private:
@@ -96,7 +96,7 @@
   platform::Offset mEnd = 0;
 };
 
-/// A wall clock that tests set. Thread-safe.
+/// Wall clock that tests set. Thread-safe.
 class ManualWallClock : public WallClock
 {
 public:
--- a/src/journal/record_codec.cpp
+++ b/src/journal/record_codec.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-// JSON took 29 to 46 microseconds per record to decode in a trial; this form
-// is decoded without building a tree of named members.
+// Batches are msgpack, since decoding JSON took 29 to 46 microseconds per
+// record. The prefix identifies the format.
 constexpr std::string_view kBatchPrefix = "sh1:";
 constexpr std::size_t kMaxDepth = 8;
 constexpr std::size_t kMaxBatchBytes = std::size_t{ 64 } * 1024 * 1024;
@@ -40,8 +40,8 @@
   KeySnapshot = 10,
 };
 
-/// Appends values to one flat msgpack array. Enumerations are written as their
-/// numbers, so enumerators are only ever added at the end.
+/// Writes the fields of a record to one flat msgpack array. Enumerations are
+/// written as numbers, so new enumerators must be added at the end.
 class RecordWriter
 {
 public:
@@ -91,8 +91,8 @@
   msgpack::packer<msgpack::sbuffer> mPacker;
 };
 
-/// Reads the values of one flat msgpack array in order. Remembers the first
-/// value that is missing or has the wrong type; later reads give defaults.
+/// Reads the fields of one flat msgpack array in order. A missing field or one
+/// of the wrong type makes the reader invalid; later reads leave defaults.
 class RecordReader
 {
 public:
@@ -147,7 +147,7 @@
     }
   }
 
-  /// Refuses numbers beyond `aLast`, e.g. of a newer release.
+  /// Rejects numbers above `aLast`, e.g. from a newer release.
   template<typename Enum>
   void GetEnum(Enum& aValue, Enum aLast)
   {
@@ -242,7 +242,8 @@
   aWriter.Put(aOutcome.mKey);
   aWriter.Put(aOutcome.mInstance);
   aWriter.Put(aOutcome.mOutcome);
-  // Error kinds are written by name: their list is not ordered by age.
+  // Error kinds are written by name, as new ones are not always added at the
+  // end.
   aWriter.Put(std::string(base::NameOf(aOutcome.mErrorKind)));
   aWriter.Put(aOutcome.mBody);
   aWriter.Put(aOutcome.mBodyOmitted);
@@ -509,7 +510,7 @@
 msgpack::unpack_limit
 GetLimits(std::size_t aBytes)
 {
-  // No value can have more elements or bytes than the text that holds it.
+  // No value can have more elements or bytes than the input.
   return { aBytes, aBytes, aBytes, aBytes, aBytes, kMaxDepth };
 }
 
@@ -521,7 +522,7 @@
   return true;
 }
 
-/// Strings in the result refer to `aBytes`.
+/// Strings in the result point into `aBytes`.
 base::Result<msgpack::object_handle>
 Unpack(std::string_view aBytes)
 {
--- a/src/journal/record_codec_test.cpp
+++ b/src/journal/record_codec_test.cpp
@@ -71,8 +71,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against a field that is lost between instances. The encoded form
-  // holds all fields, so equal bytes mean equal records.
+  // Guards against a field that is not encoded or decoded. The encoded form has
+  // all fields, so equal bytes mean equal records.
   void RoundTripsEveryRecordType()
   {
     Batch batch;
@@ -108,7 +108,7 @@
     CPPUNIT_ASSERT(MakeSpec().mDeclared == spec.mDeclared);
   }
 
-  // Guards against a cut record that is applied with default values.
+  // Guards against a truncated record that is applied with default values.
   void RejectsEveryTruncation()
   {
     for (const auto& it : MakeRecords()) {
@@ -122,8 +122,8 @@
     }
   }
 
-  // Guards against a damaged record that ends the process. A damaged record
-  // may decode to another one; it must not throw or read out of bounds.
+  // Guards against a corrupt record that crashes the process. It may decode to
+  // a different record, but must not throw or read out of bounds.
   void ToleratesRandomCorruption()
   {
     const auto random = base::CreateSeededRandom(11);
--- a/src/journal/site_state.cpp
+++ b/src/journal/site_state.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::int64_t kAgeSamplesPerRetention = 128;
 
-// Bounds one wait, so that a change of an injected clock is noticed.
+// Limits one wait, as an injected clock can change without a notification.
 constexpr std::chrono::milliseconds kMaxWait{ 20 };
 
 template<typename... Functions>
@@ -55,7 +55,7 @@
           std::holds_alternative<requests::IntentRecord>(*key));
 }
 
-/// Fills pages up to a number of records each.
+/// Distributes records over pages with a limited number of records each.
 class PageBuilder
 {
 public:
@@ -142,9 +142,10 @@
   mAgeIndex.Clear();
 }
 
-// A record that creates or restores an entry counts only if the part of the
-// stream that its writer had not read is known here completely. Otherwise an
-// end record may have expired unseen, and the entry would come back.
+// A record that creates or restores a task or key is applied only if this
+// reader has every record that follows its writer's position. Otherwise the end
+// record may have expired unread, and an ended task or finished key would
+// become live again.
 bool
 SiteState::IsStale(const Batch& aBatch,
                    Offset aOffset,
@@ -212,8 +213,8 @@
     aRecord);
 }
 
-// A stale accept or intent still shows that its id was in use, so that a
-// later one is recognized as a repeat.
+// A stale accept or intent still shows that its id was used, so that later ones
+// are recognized as duplicates.
 void
 SiteState::ApplyStaleRecord(Tables& aTables,
                             Offset aOffset,
@@ -236,8 +237,8 @@
 void
 SiteState::ApplyBatch(const ReadBatch& aBatch)
 {
-  // Taken from the batch and not from the page, so that all readers drop the
-  // same stale records and forget the same tombstones at this offset.
+  // Taken from the batch and not from the page, so that all readers ignore the
+  // same stale records and remove the same tombstones at this offset.
   RaiseHorizon(
     std::min(aBatch.mBatch.mPosition.mFirstRetained, aBatch.mOffset));
   std::map<std::size_t, std::vector<SiteRecord>> perShard;
@@ -650,7 +651,7 @@
   base::Result<void> result = BOOST_OUTCOME_V2_NAMESPACE::success();
   if (aHeader.mShards != static_cast<std::int64_t>(mShards.size())) {
     return base::MakeError(base::ErrorKind::InvalidArgument,
-                           "peer has another number of shards");
+                           "peer has a different number of shards");
   }
   for (const auto& it : aPages) {
     result = ImportPage(it);
--- a/src/journal/site_state_test.cpp
+++ b/src/journal/site_state_test.cpp
@@ -26,7 +26,7 @@
   return settings;
 }
 
-/// A reader with its state.
+/// A stream reader and its state.
 struct Replica
 {
   StreamReader mReader;
@@ -71,7 +71,7 @@
     mLog.Write(EncodeBatch(batch));
   }
 
-  /// Written by a writer that has read everything.
+  /// Writes as a writer that has read the whole stream.
   void Write(const std::vector<SiteRecord>& aRecords)
   {
     Write(aRecords, { mLog.End() - 1, mLog.Page(0, 0).mFirstRetained });
@@ -109,8 +109,8 @@
     return requests::KeyRecord(record);
   }
 
-  // Guards against a writer that is paused between taking a snapshot and
-  // appending it, for so long that the task's end record expires.
+  // Guards against a snapshot that revives an ended task: its writer was paused
+  // before the append until the task's end record had expired.
   void IgnoresAStaleSnapshotOfAnEndedTask()
   {
     Write({ Accept("a") });
@@ -130,7 +130,7 @@
     CPPUNIT_ASSERT(!mReplica.mState.FindTask({ "a" }).has_value());
     CPPUNIT_ASSERT_EQUAL(std::int64_t(1),
                          lateReplica.mState.Counts().mStaleRecords);
-    // The reducer alone, without the rule, brings the task back.
+    // Without the check for stale records, the snapshot revives the task.
     tasks::TaskTable table;
     table.ApplySnapshot(stale.mAsOf, stale.mTask);
     CPPUNIT_ASSERT(table.Find({ "a" })->mState == tasks::TaskState::Granted);
@@ -159,8 +159,8 @@
                    requests::KeyState::Claimed);
   }
 
-  // Guards against a delayed repeat of a submission that runs an ended task
-  // again at instances whose records of it have expired.
+  // Guards against a delayed duplicate of an accept that runs an ended task
+  // again at instances that no longer have its records.
   void IgnoresAStaleRepeatOfAnExpiredAccept()
   {
     const WriterPosition before{ -1, 0 };
@@ -183,7 +183,7 @@
                    requests::KeyState::Claimed);
     CPPUNIT_ASSERT(lateReplica.mState.FindKey({ "k" }).mWinner.mValue.empty());
     CPPUNIT_ASSERT(lateReplica.mState.IsTaskKnown({ "a" }));
-    // A repeat is ignored while any record about the id is retained.
+    // A duplicate is ignored while any record with the id is retained.
     Write({ Accept("a") }, { 3, 3 });
     laggingReplica.ReadAll(mLog);
     mReplica.ReadAll(mLog);
@@ -191,7 +191,7 @@
     CPPUNIT_ASSERT(mReplica.mState.FindTask({ "a" })->mState ==
                    tasks::TaskState::Completed);
     CPPUNIT_ASSERT(!lateReplica.mState.FindTask({ "a" }).has_value());
-    // Then the id may be used again, also at a reader that still keeps the
+    // Afterwards the id may be reused, also at a replica that still has the
     // tombstone.
     mLog.Expire(5);
     Write({ Accept("a") }, { 4, 5 });
@@ -205,7 +205,8 @@
                          lateReplica.mState.LiveDigest());
   }
 
-  // Guards against a record of a newer release that stops an older one.
+  // Guards against a record of a newer release that stops the reader of an
+  // older one.
   void CountsUndecodableRecords()
   {
     Batch batch;
@@ -221,8 +222,8 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), counts.mLiveTasks);
   }
 
-  // Guards against tasks that stay in the state because their end records
-  // expired while the instance was paused.
+  // Guards against tasks that stay live because their end records expired while
+  // the instance was paused.
   void RebuildsAfterAGap()
   {
     Write({ Accept("a") });
@@ -238,8 +239,8 @@
     CPPUNIT_ASSERT(mReplica.mState.IsReady());
   }
 
-  // Guards against records that an importing instance applies twice or skips,
-  // because the shards were exported at different offsets.
+  // Guards against records that are applied twice or skipped after an import,
+  // as the shards are exported at different offsets.
   void ImportsAPeersState()
   {
     for (int i = 0; i < 20; ++i) {
@@ -318,7 +319,8 @@
   }
 
   // Guards against all instances writing the same snapshots at the same time,
-  // and against a task that is left out because its instance is gone.
+  // and against a task that gets no snapshot because the preferred instance has
+  // failed.
   void SpreadsSnapshotsOverTimeAndInstances()
   {
     const std::vector<base::InstanceId> live{ { "a" }, { "b" }, { "c" } };
@@ -360,7 +362,7 @@
       std::string("old"),
       std::get<TaskSnapshotRecord>(plan[0]).mTask.mSpec.mTask.mValue);
     CPPUNIT_ASSERT_EQUAL(Offset(3), std::get<KeySnapshotRecord>(plan[1]).mAsOf);
-    CPPUNIT_ASSERT_MESSAGE("planned already",
+    CPPUNIT_ASSERT_MESSAGE("already planned",
                            planner.Plan(mReplica.mState, {}, 6'200).empty());
     Write(plan, { 3, 0 }, 6'300);
     mReplica.ReadAll(mLog, 6'300);
--- a/src/journal/snapshot_planner.cpp
+++ b/src/journal/snapshot_planner.cpp
@@ -14,7 +14,7 @@
 constexpr std::int64_t kFirstSnapshotInterval = 4;
 constexpr std::int64_t kMaxRank = 2;
 
-// Separates ids of tasks from equal ids of keys.
+// Distinguish the ids of tasks from those of keys.
 constexpr std::string_view kTaskPrefix = "t:";
 constexpr std::string_view kKeyPrefix = "k:";
 
@@ -70,7 +70,8 @@
                            const std::vector<base::InstanceId>& aLive,
                            std::int64_t aNowMs)
 {
-  // The rank costs a hash per instance, so the cheaper bound is checked first.
+  // Ranking computes a hash per instance, so the cheap lower bound is checked
+  // first.
   const std::int64_t retention = mSettings.mRetentionMs;
   if (aAgeMs < EarliestAgeMs(aId, retention) ||
       aAgeMs < SnapshotAgeMs(aId, mSettings.mSelf, aLive, retention)) {
--- a/src/journal/stream_reader.cpp
+++ b/src/journal/stream_reader.cpp
@@ -36,8 +36,8 @@
     ++mUndecodable;
     return;
   }
-  // A writer appends in the order of its sequence numbers, so that the newest
-  // one identifies all duplicates.
+  // Writers append in the order of their sequence numbers, so every batch that
+  // is not newer than the last one is a duplicate.
   auto& [sequence, offset] = mState.mSequences[batch.value().mWriter];
   offset = aRecord.mOffset;
   if (batch.value().mSequence <= sequence) {
@@ -48,8 +48,8 @@
   aResult.mBatches.push_back({ aRecord.mOffset, std::move(batch.value()) });
 }
 
-// A writer is known for as long as one of its records is retained, so that
-// readers that started at different times forget it at the same offset.
+// A writer is kept as long as one of its records is retained, so that readers
+// that started at different times discard it at the same offset.
 void
 StreamReader::DiscardExpiredWriters(Offset aFirstRetained)
 {
@@ -90,7 +90,7 @@
     mHasStarted = true;
   }
   for (const auto& it : aPage.mRecords) {
-    // The page may begin before the position.
+    // The page may begin before the requested position.
     if (it.mOffset >= mState.mPosition) {
       ProcessRecord(it, result);
     }
--- a/src/journal/stream_reader_test.cpp
+++ b/src/journal/stream_reader_test.cpp
@@ -33,8 +33,8 @@
                           base::FromMicros(aIssuedAt));
   }
 
-  // Guards against a record that is applied twice after its answer was lost,
-  // and against a foreign record that stops the reader.
+  // Guards against a batch that is applied twice after its append was retried,
+  // and against an undecodable record that stops the reader.
   void DropsDuplicatesAndUndecodableRecords()
   {
     Write("a", 1);
@@ -51,8 +51,8 @@
     CPPUNIT_ASSERT_EQUAL(Offset(6), mReader.Position());
   }
 
-  // Guards against a reader that continues with a state in which expired
-  // records are missing. Starting behind the first retained offset is no gap.
+  // Guards against a reader that continues after records expired unread. The
+  // first page is no gap, even if older records have expired.
   void RebuildsAfterAGap()
   {
     for (std::int64_t i = 1; i <= 10; ++i) {
@@ -74,8 +74,9 @@
                            !Read().mIsGap);
   }
 
-  // Guards against a new holder that starts a grant although the previous
-  // holder's end record was appended before the acquisition.
+  // Guards against a new holder that starts a granted attempt although the
+  // previous holder had appended its end record before the new holder acquired
+  // the worker.
   void CaughtUpTimeIsThatOfAReadThatSawTheEnd()
   {
     CPPUNIT_ASSERT(mReader.CaughtUpAsOf() == base::TimePoint::min());
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -49,8 +49,8 @@
   }
   peer.mDomain = aEntry.mDomain;
   peer.mListed = true;
-  // Before the first heartbeat there is no incarnation to mark, so the list's
-  // own statement is kept.
+  // A leaving notice needs an incarnation, which is unknown before the first
+  // heartbeat; until then the flag keeps the Leaving state of the list.
   const bool isLeaving = aEntry.mState == platform::InstanceState::Leaving;
   peer.mListedLeaving =
     isLeaving || (peer.mListedLeaving && !peer.mLastHeartbeatAt);
@@ -97,7 +97,7 @@
     return;
   }
   Peer& peer = mPeers[aHeartbeat.mInstance];
-  // Delayed messages of an earlier incarnation say nothing about this one.
+  // Ignores delayed heartbeats of an earlier incarnation.
   const bool isStale = peer.mLastHeartbeatAt &&
                        aHeartbeat.mIncarnation < peer.mHeartbeat.mIncarnation;
   if (isStale) {
@@ -220,7 +220,8 @@
     return IsFresh(*peer.mLastHeartbeatAt, aNow) &&
            !IsLeaving(aInstance.mValue, peer.mHeartbeat.mIncarnation);
   }
-  // A listed peer gets the usual time to send its first heartbeat.
+  // A newly listed peer has the usual suspicion time to send its first
+  // heartbeat.
   return peer.mListed && IsFresh(peer.mListedSince, aNow);
 }
 
@@ -311,8 +312,8 @@
   return aWorker.mListed || isRecentlySeen;
 }
 
-// Peers whose list lags still pass on the mark of a worker's earlier
-// incarnation after the worker has returned.
+// Peers whose list lags may still send a notice about the earlier incarnation
+// of a worker that has returned.
 bool
 View::IsOutdated(const LeavingNotice& aNotice, base::TimePoint aNow) const
 {
@@ -330,8 +331,8 @@
                        std::uint64_t aIncarnation,
                        base::TimePoint aExpiry)
 {
-  // The first expiry stays: a mark that peers extended for one another would
-  // never be forgotten.
+  // Keeps the first expiry: if peers could extend a notice for one another, it
+  // would never expire.
   mLeavingNotices.emplace(NoticeKey{ aName, aIncarnation }, aExpiry);
 }
 
--- a/src/membership/view_test.cpp
+++ b/src/membership/view_test.cpp
@@ -29,8 +29,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against requests forwarded to a dead peer, and against a live one
-  // that is lost for good after a few lost heartbeats.
+  // Guards against requests that are forwarded to a failed peer, and against a
+  // live peer that stays excluded after a few lost heartbeats.
   void SuspectsASilentPeerUntilItsNextHeartbeat()
   {
     View view = MakeView(kSelf);
@@ -44,7 +44,8 @@
     CPPUNIT_ASSERT(view.IsLive(kPeer, At(1700)));
   }
 
-  // Guards against a domain that stops because the platform forgot it.
+  // Guards against a domain that stops because its instances are missing from
+  // the platform's list.
   void UnlistedPeerStaysLiveThroughHeartbeats()
   {
     View view = MakeView(kSelf);
@@ -61,7 +62,7 @@
   }
 
   // Guards against a stale list or heartbeat that makes a leaving instance
-  // eligible again, and against a restarted one that stays excluded.
+  // eligible again, and against a restarted instance that stays excluded.
   void LeavingLastsUntilTheNextIncarnation()
   {
     View view = MakeView(kSelf);
@@ -76,8 +77,8 @@
     CPPUNIT_ASSERT(view.IsLive(kPeer, At(5)));
   }
 
-  // Guards against an endpoint that still gets work from instances to which
-  // it did not announce its leave (P7).
+  // Guards against an endpoint that still gets work from instances that it did
+  // not tell that it is leaving (property P7).
   void HeartbeatsSpreadLeavingNotices()
   {
     View notified = MakeView(kPeer);
@@ -96,7 +97,7 @@
     CPPUNIT_ASSERT(!view.IsEligible(kWorker, At(2)));
   }
 
-  // Guards against marks that peers renew for one another forever.
+  // Guards against leaving notices that peers extend for one another forever.
   void LeavingNoticesExpireAmongPeers()
   {
     View first = MakeView(kSelf);
@@ -116,7 +117,8 @@
     CPPUNIT_ASSERT(second.LeavingNotices(At(70 * 60'000)).empty());
   }
 
-  // Guards against a replaced worker that stays idle for an hour.
+  // Guards against a returned worker that gets no work for an hour, as a
+  // lagging peer still sends its leaving notice.
   void ReturnedWorkerIgnoresOutdatedLeavingNotices()
   {
     View view = MakeView(kSelf);
@@ -133,8 +135,8 @@
     CPPUNIT_ASSERT(view.IsEligible(kWorker, At(2100)));
   }
 
-  // Guards against attempts that are ended as lost too early, or never after
-  // a restart of this instance.
+  // Guards against attempts that are ended as lost too early, or never if this
+  // instance was restarted.
   void ReportsAbsenceOfAWorker()
   {
     View view = MakeView(kSelf);
--- a/src/worker/http_remote_worker.cpp
+++ b/src/worker/http_remote_worker.cpp
@@ -16,8 +16,9 @@
 
 constexpr int kStatusOk = 200;
 
-/// The error of RemoteWorker that a worker's error answer stands for. A refusal
-/// counts as one only if its body says that nothing ran.
+/// Maps an error response of the worker to an error of RemoteWorker. Other
+/// kinds become WorkerRefused if they say that nothing ran, else
+/// ConnectionLost.
 base::Error
 ToWorkerError(const http::Response& aResponse)
 {
@@ -135,8 +136,8 @@
     BOOST_OUTCOME_TRY(response, mClient->Call(request, aDeadline));
     if (response.mStatus != kStatusOk) {
       base::Error error = ToWorkerError(response);
-      // The refused copy may be the second one; the first may have run
-      // (explorer, site world, seed 83).
+      // The request may have been sent twice: the second copy was refused, but
+      // the first may have run (explore, world site, seed 83).
       return response.mMayBeRepeated
                ? MakeError(ErrorKind::ConnectionLost, std::move(error.mDetail))
                : error;
@@ -151,7 +152,7 @@
   }
 
 private:
-  /// The body of a successful answer.
+  /// Sends a POST request and returns the body of a successful response.
   base::Result<std::string> Post(std::string aTarget,
                                  std::string aBody,
                                  Delivery aDelivery,
@@ -167,7 +168,7 @@
     return std::move(response.mBody);
   }
 
-  /// An answer that cannot be parsed proves nothing about the command.
+  /// After an answer that cannot be parsed, the command may have run.
   template<typename T>
   static base::Result<T> MapParseError(base::Result<T> aParsed)
   {
@@ -198,8 +199,8 @@
                        aDeadline);
   }
 
-  // Polls and lease renewals may reach the worker twice: a lease is counted
-  // from a receipt, and its holder counts from the first send.
+  // Polls and holder lease commands may be sent twice: the worker counts the
+  // lease from the receipt, its holder from the earlier first send.
   base::Result<WorkerReport> FetchReport(std::string aTarget,
                                          std::string aBody,
                                          base::TimePoint aDeadline)
--- a/src/worker/http_remote_worker_test.cpp
+++ b/src/worker/http_remote_worker_test.cpp
@@ -153,8 +153,8 @@
     }
   }
 
-  // Guards against not_run for a request whose first copy ran: the client may
-  // have sent a call again on a pooled connection that broke.
+  // Guards against the outcome not_run for a request that ran: after a pooled
+  // connection broke, the client may have sent the call a second time.
   void RefusalOfAnIdempotentCallIsConnectionLost()
   {
     const CommandHeader stale{ mToken, 1 };
@@ -167,7 +167,7 @@
                mRemoteWorker->Call(stale, call, Deadline()));
   }
 
-  // Guards against a repeated start or call when only the answer was lost.
+  // Guards against sending a start or call again when only the answer was lost.
   void DoesNotResendAfterALostAnswer()
   {
     const ServiceCall call{ { "r" }, 1, "s", "{}", false };
--- a/src/worker/worker_codec.cpp
+++ b/src/worker/worker_codec.cpp
@@ -45,7 +45,7 @@
   return element;
 }
 
-// JSON integers are signed here; the cast keeps all 64 bits of the epoch.
+// JSON integers are signed; the cast keeps all 64 bits of the epoch.
 void
 AddToken(JsonValue& aObject, const HolderToken& aToken)
 {
