--- a/include/skylarkhill/journal/site_state.hpp
+++ b/include/skylarkhill/journal/site_state.hpp
@@ -88,21 +88,21 @@
   Offset Position() const;
   /// Current position of this state, for the batches that the instance writes.
   WriterPosition GetWriterPosition() const;
-  base::TimePoint CaughtUpAsOf() const;
+  base::TimePoint CaughtUpTime() const;
   /// True once the end of the stream was reached or a peer's state was
   /// imported, until a gap is found.
   bool IsReady() const;
 
   /// Waits until the record at `aOffset` was applied; false if `aDeadline`
   /// passed first.
-  bool WaitApplied(Offset aOffset,
-                   const base::Clock& aClock,
-                   base::TimePoint aDeadline) const;
+  bool WaitUntilApplied(Offset aOffset,
+                        const base::Clock& aClock,
+                        base::TimePoint aDeadline) const;
   /// Waits until everything appended before `aAsOf` was applied; false if
   /// `aDeadline` passed first.
-  bool WaitCaughtUp(base::TimePoint aAsOf,
-                    const base::Clock& aClock,
-                    base::TimePoint aDeadline) const;
+  bool WaitUntilCaughtUp(base::TimePoint aAsOf,
+                         const base::Clock& aClock,
+                         base::TimePoint aDeadline) const;
 
   /// False if an accept record would create the task.
   bool IsTaskKnown(const base::TaskId& aTask) const;
@@ -122,12 +122,12 @@
 
   /// Up to `aLimit` live tasks per shard whose state depends on records that
   /// are at least `aAgeMs` old; in each shard the oldest first.
-  std::vector<tasks::BasedTask> TasksOlderThan(std::int64_t aAgeMs,
-                                               std::int64_t aNowMs,
-                                               std::size_t aLimit) const;
-  std::vector<requests::BasedKey> KeysOlderThan(std::int64_t aAgeMs,
+  std::vector<tasks::BasedTask> TasksToSnapshot(std::int64_t aAgeMs,
                                                 std::int64_t aNowMs,
                                                 std::size_t aLimit) const;
+  std::vector<requests::BasedKey> KeysToSnapshot(std::int64_t aAgeMs,
+                                                 std::int64_t aNowMs,
+                                                 std::size_t aLimit) const;
   std::int64_t AgeOf(Offset aOffset, std::int64_t aNowMs) const;
   /// Snapshot to append to the log; nullopt if the task is not live.
   std::optional<TaskSnapshotRecord> SnapshotTask(
@@ -199,7 +199,7 @@
   /// start agree. Written by the applying thread only.
   Offset mHorizon = 0;
   Offset mFirstRetained = 0;
-  base::TimePoint mCaughtUpAsOf = base::TimePoint::min();
+  base::TimePoint mCaughtUpTime = base::TimePoint::min();
   bool mIsReady = false;
   AgeIndex mAgeIndex;
 
--- a/include/skylarkhill/journal/stream_reader.hpp
+++ b/include/skylarkhill/journal/stream_reader.hpp
@@ -62,7 +62,7 @@
 
   /// The newest time such that everything appended before it has been read;
   /// TimePoint::min() until the end is first reached, also after a gap.
-  base::TimePoint CaughtUpAsOf() const { return mCaughtUpAsOf; }
+  base::TimePoint CaughtUpTime() const { return mCaughtUpTime; }
 
   /// Continues from the state of a peer.
   void Import(ReaderState aState);
@@ -80,7 +80,7 @@
 
   ReaderState mState;
   bool mHasStarted = false;
-  base::TimePoint mCaughtUpAsOf = base::TimePoint::min();
+  base::TimePoint mCaughtUpTime = base::TimePoint::min();
   /// An end of the stream and the time when the read that reported it was
   /// issued; the reader is caught up as of that time once it reaches the end.
   std::optional<std::pair<Offset, base::TimePoint>> mPendingEnd;
--- a/include/skylarkhill/membership/view.hpp
+++ b/include/skylarkhill/membership/view.hpp
@@ -111,7 +111,7 @@
     base::DomainId mDomain;
     bool mListed = false;
     bool mListedLeaving = false;
-    bool mListedBefore = false;
+    bool mWasListed = false;
     std::optional<base::TimePoint> mAbsentSince;
     std::optional<base::TimePoint> mReturnedAt;
     std::optional<base::TimePoint> mLastSeenAt;
@@ -119,9 +119,9 @@
   /// Name and incarnation.
   using NoticeKey = std::pair<std::string, std::uint64_t>;
 
-  bool IsFresh(base::TimePoint aSeenAt, base::TimePoint aNow) const;
+  bool IsRecent(base::TimePoint aSeenAt, base::TimePoint aNow) const;
   bool IsLeaving(const std::string& aName, std::uint64_t aIncarnation) const;
-  bool IsUsable(const Worker& aWorker, base::TimePoint aNow) const;
+  bool IsPresent(const Worker& aWorker, base::TimePoint aNow) const;
   bool IsOutdated(const LeavingNotice& aNotice, base::TimePoint aNow) const;
   void AddLeavingNotice(const std::string& aName,
                         std::uint64_t aIncarnation,
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -439,7 +439,7 @@
     const base::TimePoint now = mClock.Now();
     // Read before the grants, so that these are at least as new.
     const platform::Offset position = mState.Position();
-    const base::TimePoint caughtUpAsOf = mState.CaughtUpAsOf();
+    const base::TimePoint caughtUpAsOf = mState.CaughtUpTime();
     {
       const std::lock_guard lock(mRefreshMutex);
       Refresh& last = mRefreshes[aAgent.Place().mWorker];
--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -328,7 +328,7 @@
   }
   const bool isOwn = key.mWinner == mOptions.mInstance;
   const bool isOpen = key.mState == requests::KeyState::Unknown || isOwn;
-  return isOpen && mState.WaitCaughtUp(
+  return isOpen && mState.WaitUntilCaughtUp(
                      aArrivedAt, mClock, mClock.Now() + kCatchUpTimeout);
 }
 
--- a/src/journal/journal_random_test.cpp
+++ b/src/journal/journal_random_test.cpp
@@ -207,13 +207,13 @@
     const auto page = mLog.Page(aNode.mReader.Position(), aMax);
     const auto result = aNode.mReader.OnPage(page, Now());
     aNode.mState.ApplyPage(result, mNowMs);
-    aNode.mState.SetCaughtUp(aNode.mReader.CaughtUpAsOf());
+    aNode.mState.SetCaughtUp(aNode.mReader.CaughtUpTime());
     for (const auto& it : result.mBatches) {
       if (it.mBatch.mWriter == aNode.mName) {
         aNode.mWriter.OnRead(it.mBatch.mSequence, it.mOffset);
       }
     }
-    aNode.mWriter.OnCaughtUp(aNode.mReader.CaughtUpAsOf());
+    aNode.mWriter.OnCaughtUp(aNode.mReader.CaughtUpTime());
   }
 
   void Read(Node& aNode)
--- a/src/journal/journal_service.cpp
+++ b/src/journal/journal_service.cpp
@@ -165,7 +165,7 @@
                               Offset aOffset,
                               base::TimePoint aDeadline) const
 {
-  if (!mState.WaitApplied(aOffset, mClock, aDeadline)) {
+  if (!mState.WaitUntilApplied(aOffset, mClock, aDeadline)) {
     return base::MakeError(base::ErrorKind::AnswerLost,
                            "record was not read back in time");
   }
@@ -255,7 +255,7 @@
   const std::lock_guard<std::mutex> readerLock(mReaderMutex);
   const PageResult result = mReader.OnPage(page.value(), issuedAt);
   mState.ApplyPage(result, mWallClock.NowMs());
-  mState.SetCaughtUp(mReader.CaughtUpAsOf());
+  mState.SetCaughtUp(mReader.CaughtUpTime());
   const std::lock_guard<std::mutex> lock(mMutex);
   ++mCounts.mReads;
   mCounts.mDuplicates = mReader.Duplicates();
@@ -266,7 +266,7 @@
       mWriter.OnRead(it.mBatch.mSequence, it.mOffset);
     }
   }
-  mWriter.OnCaughtUp(mReader.CaughtUpAsOf());
+  mWriter.OnCaughtUp(mReader.CaughtUpTime());
   TakeResults();
   const bool isAtEnd = mReader.Position() >= page.value().mEnd;
   return isAtEnd ? mSettings.mPollInterval : base::Duration(0);
--- a/src/journal/journal_service_test.cpp
+++ b/src/journal/journal_service_test.cpp
@@ -97,7 +97,7 @@
     const auto now = base::GetBootClock().Now();
     for (Instance* it : { &first, &second }) {
       CPPUNIT_ASSERT(
-        it->mState.WaitCaughtUp(now, base::GetBootClock(), deadline));
+        it->mState.WaitUntilCaughtUp(now, base::GetBootClock(), deadline));
       CPPUNIT_ASSERT_EQUAL(std::size_t(80), it->mState.Counts().mLiveTasks);
     }
     CPPUNIT_ASSERT_EQUAL(first.mState.LiveDigest(), second.mState.LiveDigest());
--- a/src/journal/site_state.cpp
+++ b/src/journal/site_state.cpp
@@ -137,7 +137,7 @@
   mHorizon = aHorizon;
   mPosition = aHorizon;
   mFirstRetained = aHorizon;
-  mCaughtUpAsOf = base::TimePoint::min();
+  mCaughtUpTime = base::TimePoint::min();
   mIsReady = false;
   mAgeIndex.Clear();
 }
@@ -290,7 +290,7 @@
 SiteState::SetCaughtUp(base::TimePoint aAsOf)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  mCaughtUpAsOf = aAsOf;
+  mCaughtUpTime = aAsOf;
   mIsReady = mIsReady || aAsOf != base::TimePoint::min();
   mChanged.notify_all();
 }
@@ -310,10 +310,10 @@
 }
 
 base::TimePoint
-SiteState::CaughtUpAsOf() const
+SiteState::CaughtUpTime() const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  return mCaughtUpAsOf;
+  return mCaughtUpTime;
 }
 
 bool
@@ -341,19 +341,19 @@
 }
 
 bool
-SiteState::WaitApplied(Offset aOffset,
-                       const base::Clock& aClock,
-                       base::TimePoint aDeadline) const
+SiteState::WaitUntilApplied(Offset aOffset,
+                            const base::Clock& aClock,
+                            base::TimePoint aDeadline) const
 {
   return WaitUntil([&] { return mPosition > aOffset; }, aClock, aDeadline);
 }
 
 bool
-SiteState::WaitCaughtUp(base::TimePoint aAsOf,
-                        const base::Clock& aClock,
-                        base::TimePoint aDeadline) const
+SiteState::WaitUntilCaughtUp(base::TimePoint aAsOf,
+                             const base::Clock& aClock,
+                             base::TimePoint aDeadline) const
 {
-  return WaitUntil([&] { return mCaughtUpAsOf >= aAsOf; }, aClock, aDeadline);
+  return WaitUntil([&] { return mCaughtUpTime >= aAsOf; }, aClock, aDeadline);
 }
 
 bool
@@ -491,9 +491,9 @@
 }
 
 std::vector<tasks::BasedTask>
-SiteState::TasksOlderThan(std::int64_t aAgeMs,
-                          std::int64_t aNowMs,
-                          std::size_t aLimit) const
+SiteState::TasksToSnapshot(std::int64_t aAgeMs,
+                           std::int64_t aNowMs,
+                           std::size_t aLimit) const
 {
   Offset before = 0;
   {
@@ -510,9 +510,9 @@
 }
 
 std::vector<requests::BasedKey>
-SiteState::KeysOlderThan(std::int64_t aAgeMs,
-                         std::int64_t aNowMs,
-                         std::size_t aLimit) const
+SiteState::KeysToSnapshot(std::int64_t aAgeMs,
+                          std::int64_t aNowMs,
+                          std::size_t aLimit) const
 {
   Offset before = 0;
   {
--- a/src/journal/site_state_test.cpp
+++ b/src/journal/site_state_test.cpp
@@ -36,7 +36,7 @@
   {
     const auto page = aLog.Page(mReader.Position(), 1'000);
     mState.ApplyPage(mReader.OnPage(page, base::FromMicros(1)), aNowMs);
-    mState.SetCaughtUp(mReader.CaughtUpAsOf());
+    mState.SetCaughtUp(mReader.CaughtUpTime());
   }
 };
 
@@ -304,18 +304,18 @@
     bool applied = false;
     bool caughtUp = false;
     std::thread waiter([&] {
-      applied = mReplica.mState.WaitApplied(0, clock, deadline);
+      applied = mReplica.mState.WaitUntilApplied(0, clock, deadline);
       caughtUp =
-        mReplica.mState.WaitCaughtUp(base::FromMicros(1), clock, deadline);
+        mReplica.mState.WaitUntilCaughtUp(base::FromMicros(1), clock, deadline);
     });
     mReplica.ReadAll(mLog);
     waiter.join();
     CPPUNIT_ASSERT(applied);
     CPPUNIT_ASSERT(caughtUp);
     clock.Set(deadline);
-    CPPUNIT_ASSERT(!mReplica.mState.WaitApplied(1, clock, deadline));
+    CPPUNIT_ASSERT(!mReplica.mState.WaitUntilApplied(1, clock, deadline));
     CPPUNIT_ASSERT(
-      !mReplica.mState.WaitCaughtUp(base::FromMicros(2), clock, deadline));
+      !mReplica.mState.WaitUntilCaughtUp(base::FromMicros(2), clock, deadline));
   }
 
   // Guards against all instances writing the same snapshots at the same time,
--- a/src/journal/snapshot_planner.cpp
+++ b/src/journal/snapshot_planner.cpp
@@ -93,7 +93,7 @@
   const std::int64_t minAge = interval * kFirstSnapshotInterval;
   std::vector<SiteRecord> result;
   for (const auto& it :
-       aState.TasksOlderThan(minAge, aNowMs, mSettings.mMaxCandidates)) {
+       aState.TasksToSnapshot(minAge, aNowMs, mSettings.mMaxCandidates)) {
     if (result.size() >= mSettings.mMaxPerPlan) {
       return result;
     }
@@ -107,7 +107,7 @@
     }
   }
   for (const auto& it :
-       aState.KeysOlderThan(minAge, aNowMs, mSettings.mMaxCandidates)) {
+       aState.KeysToSnapshot(minAge, aNowMs, mSettings.mMaxCandidates)) {
     if (result.size() >= mSettings.mMaxPerPlan) {
       return result;
     }
--- a/src/journal/stream_reader.cpp
+++ b/src/journal/stream_reader.cpp
@@ -22,7 +22,7 @@
   mState.mPosition = aFirstRetained;
   mState.mStart = aFirstRetained;
   mState.mSequences.clear();
-  mCaughtUpAsOf = base::TimePoint::min();
+  mCaughtUpTime = base::TimePoint::min();
   mPendingEnd.reset();
 }
 
@@ -66,11 +66,11 @@
     mPendingEnd.emplace(aEnd, aIssuedAt);
   }
   if (mState.mPosition >= mPendingEnd->first) {
-    mCaughtUpAsOf = std::max(mCaughtUpAsOf, mPendingEnd->second);
+    mCaughtUpTime = std::max(mCaughtUpTime, mPendingEnd->second);
     mPendingEnd.reset();
   }
   if (mState.mPosition >= aEnd) {
-    mCaughtUpAsOf = std::max(mCaughtUpAsOf, aIssuedAt);
+    mCaughtUpTime = std::max(mCaughtUpTime, aIssuedAt);
   }
 }
 
@@ -106,7 +106,7 @@
 {
   mState = std::move(aState);
   mHasStarted = true;
-  mCaughtUpAsOf = base::TimePoint::min();
+  mCaughtUpTime = base::TimePoint::min();
   mPendingEnd.reset();
 }
 
--- a/src/journal/stream_reader_test.cpp
+++ b/src/journal/stream_reader_test.cpp
@@ -79,21 +79,21 @@
   // the worker.
   void CaughtUpTimeIsThatOfAReadThatSawTheEnd()
   {
-    CPPUNIT_ASSERT(mReader.CaughtUpAsOf() == base::TimePoint::min());
+    CPPUNIT_ASSERT(mReader.CaughtUpTime() == base::TimePoint::min());
     for (std::int64_t i = 1; i <= 4; ++i) {
       Write("a", i);
     }
     Read(2, 10);
-    CPPUNIT_ASSERT(mReader.CaughtUpAsOf() == base::TimePoint::min());
+    CPPUNIT_ASSERT(mReader.CaughtUpTime() == base::TimePoint::min());
     Write("a", 5);
     Read(2, 20);
-    CPPUNIT_ASSERT(mReader.CaughtUpAsOf() == base::FromMicros(10));
+    CPPUNIT_ASSERT(mReader.CaughtUpTime() == base::FromMicros(10));
     Read(2, 30);
-    CPPUNIT_ASSERT(mReader.CaughtUpAsOf() == base::FromMicros(30));
+    CPPUNIT_ASSERT(mReader.CaughtUpTime() == base::FromMicros(30));
     Write("a", 6);
     mLog.Expire(6);
     CPPUNIT_ASSERT(Read(0, 40).mIsGap);
-    CPPUNIT_ASSERT(mReader.CaughtUpAsOf() == base::FromMicros(40));
+    CPPUNIT_ASSERT(mReader.CaughtUpTime() == base::FromMicros(40));
   }
 
   void ContinuesFromTheStateOfAPeer()
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -68,12 +68,12 @@
   const base::WorkerId id{ aEntry.mName };
   Worker& worker = mWorkers[id];
   // A worker that returns to the list after an absence is a new incarnation.
-  if (worker.mAbsentSince && worker.mListedBefore) {
+  if (worker.mAbsentSince && worker.mWasListed) {
     worker.mReturnedAt = aNow;
     mLeavingNotices.erase({ aEntry.mName, 0 });
   }
   worker.mAbsentSince.reset();
-  worker.mListedBefore = true;
+  worker.mWasListed = true;
   worker.mDomain = aEntry.mDomain;
   worker.mListed = true;
   if (aEntry.mState == platform::InstanceState::Leaving) {
@@ -183,7 +183,7 @@
 View::IsEligible(const base::WorkerId& aWorker, base::TimePoint aNow) const
 {
   const auto it = mWorkers.find(aWorker);
-  return it != mWorkers.end() && IsUsable(it->second, aNow) &&
+  return it != mWorkers.end() && IsPresent(it->second, aNow) &&
          !IsLeaving(aWorker.mValue, 0);
 }
 
@@ -217,12 +217,12 @@
   }
   const Peer& peer = it->second;
   if (peer.mLastHeartbeatAt) {
-    return IsFresh(*peer.mLastHeartbeatAt, aNow) &&
+    return IsRecent(*peer.mLastHeartbeatAt, aNow) &&
            !IsLeaving(aInstance.mValue, peer.mHeartbeat.mIncarnation);
   }
   // A newly listed peer has the usual suspicion time to send its first
   // heartbeat.
-  return peer.mListed && IsFresh(peer.mListedSince, aNow);
+  return peer.mListed && IsRecent(peer.mListedSince, aNow);
 }
 
 std::optional<base::InstanceId>
@@ -292,7 +292,7 @@
 }
 
 bool
-View::IsFresh(base::TimePoint aSeenAt, base::TimePoint aNow) const
+View::IsRecent(base::TimePoint aSeenAt, base::TimePoint aNow) const
 {
   const auto limit = mOptions.mHeartbeatInterval * mOptions.mSuspicionIntervals;
   return aNow < aSeenAt + limit;
@@ -305,10 +305,10 @@
 }
 
 bool
-View::IsUsable(const Worker& aWorker, base::TimePoint aNow) const
+View::IsPresent(const Worker& aWorker, base::TimePoint aNow) const
 {
   const bool isRecentlySeen =
-    aWorker.mLastSeenAt && IsFresh(*aWorker.mLastSeenAt, aNow);
+    aWorker.mLastSeenAt && IsRecent(*aWorker.mLastSeenAt, aNow);
   return aWorker.mListed || isRecentlySeen;
 }
 
--- a/src/testing/site_world.cpp
+++ b/src/testing/site_world.cpp
@@ -423,13 +423,13 @@
   {
     const auto result = aNode.mReader.OnPage(aPage, aIssuedAt);
     aNode.mState.ApplyPage(result, kRetentionMs + mTime / kMillisecond);
-    aNode.mState.SetCaughtUp(aNode.mReader.CaughtUpAsOf());
+    aNode.mState.SetCaughtUp(aNode.mReader.CaughtUpTime());
     for (const auto& it : result.mBatches) {
       if (it.mBatch.mWriter == aNode.mId.mValue) {
         aNode.mWriter.OnRead(it.mBatch.mSequence, it.mOffset);
       }
     }
-    aNode.mWriter.OnCaughtUp(aNode.mReader.CaughtUpAsOf());
+    aNode.mWriter.OnCaughtUp(aNode.mReader.CaughtUpTime());
     TakeResults(aNode);
   }
 
@@ -538,7 +538,7 @@
         "site", mOracleReader.Position(), 100, mClock.Now() + seconds(1));
       const auto result = mOracleReader.OnPage(page.value(), mClock.Now());
       mOracle.ApplyPage(result, kRetentionMs + mTime / kMillisecond);
-      mOracle.SetCaughtUp(mOracleReader.CaughtUpAsOf());
+      mOracle.SetCaughtUp(mOracleReader.CaughtUpTime());
       isAtEnd = mOracleReader.Position() >= page.value().mEnd;
     }
     for (const auto& bytes : batch.value().mRecords) {
@@ -644,7 +644,7 @@
     }
     if (node.mState.IsReady()) {
       std::optional<std::int64_t> inheritedBefore;
-      if (node.mState.CaughtUpAsOf() >= site.mAcquiredAt) {
+      if (node.mState.CaughtUpTime() >= site.mAcquiredAt) {
         inheritedBefore =
           mVariant.mReleaseInherited ? node.mState.Position() : 0;
       }
