--- a/src/journal/snapshot_planner.cpp
+++ b/src/journal/snapshot_planner.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+// A snapshot is due in one of the intervals 4 to 6 of the retention, one
+// interval later per rank of the instance.
 constexpr std::int64_t kIntervalsPerRetention = 8;
 constexpr std::int64_t kFirstSnapshotInterval = 4;
 constexpr std::int64_t kMaxRank = 2;
