--- a/src/journal/journal_service_test.cpp
+++ b/src/journal/journal_service_test.cpp
@@ -110,10 +110,10 @@
   {
     Instance instance(mLog, "a/1");
     instance.mService.Start();
-    mLog.mLoseAnswers = 1;
+    mLog.mAnswersToLose = 1;
     CPPUNIT_ASSERT(instance.Submit(Accept("written")).has_value());
     CPPUNIT_ASSERT_EQUAL(Offset(1), mLog.End());
-    mLog.mDropAppends = 2;
+    mLog.mAppendsToDrop = 2;
     CPPUNIT_ASSERT(instance.Submit(Accept("dropped")).has_value());
     CPPUNIT_ASSERT_EQUAL(Offset(2), mLog.End());
     CPPUNIT_ASSERT_EQUAL(std::int64_t(3),
--- a/src/journal/memory_log.hpp
+++ b/src/journal/memory_log.hpp
@@ -24,13 +24,13 @@
     if (mIsDown) {
       return base::MakeError(base::ErrorKind::LogUnavailable);
     }
-    if (mDropAppends > 0) {
-      --mDropAppends;
+    if (mAppendsToDrop > 0) {
+      --mAppendsToDrop;
       return base::MakeError(base::ErrorKind::AnswerLost);
     }
     const platform::Offset offset = Write(aPayload);
-    if (mLoseAnswers > 0) {
-      --mLoseAnswers;
+    if (mAnswersToLose > 0) {
+      --mAnswersToLose;
       return base::MakeError(base::ErrorKind::AnswerLost);
     }
     return offset;
@@ -86,9 +86,9 @@
 
   std::atomic<bool> mIsDown{ false };
   /// Number of appends to drop before the write, with AnswerLost.
-  std::atomic<int> mDropAppends{ 0 };
+  std::atomic<int> mAppendsToDrop{ 0 };
   /// Number of appends to write but answer with AnswerLost.
-  std::atomic<int> mLoseAnswers{ 0 };
+  std::atomic<int> mAnswersToLose{ 0 };
 
 private:
   mutable std::mutex mMutex;
