--- a/include/skylarkhill/worker/remote_worker.hpp
+++ b/include/skylarkhill/worker/remote_worker.hpp
@@ -21,7 +21,7 @@
 struct HolderToken
 {
   base::InstanceId mInstance;
-  /// Larger for every later acquisition that saw the earlier one.
+  /// Larger than the epochs of all earlier acquisitions that this one knew of.
   std::uint64_t mEpoch = 0;
 
   friend bool operator==(const HolderToken& aLeft, const HolderToken& aRight)
