--- a/src/journal/batch_writer_test.cpp
+++ b/src/journal/batch_writer_test.cpp
@@ -92,8 +92,8 @@
     CPPUNIT_ASSERT(mWriter.IsIdle());
   }
 
-  // Guards against a batch that is appended twice, or never, because a read
-  // issued before the answer was lost is taken as proof.
+  // Guards against appending a batch twice, or dropping it, because of a read
+  // that was issued before the answer was lost.
   void ReadsBeforeRetryingALostAppend()
   {
     Add(1);
