--- a/src/journal/record_codec.cpp
+++ b/src/journal/record_codec.cpp
@@ -92,7 +92,8 @@
 };
 
 /// Reads the fields of one flat msgpack array in order. A missing field or one
-/// of the wrong type makes the reader invalid; later reads leave defaults.
+/// of the wrong type makes the reader invalid and leaves the target at its
+/// default.
 class RecordReader
 {
 public:
