--- a/src/worker/http_remote_worker.cpp
+++ b/src/worker/http_remote_worker.cpp
@@ -16,9 +16,9 @@
 
 constexpr int kStatusOk = 200;
 
-/// Maps an error response of the worker to an error of RemoteWorker. Other
-/// kinds become WorkerRefused if they say that nothing ran, else
-/// ConnectionLost.
+/// Maps an error response of the worker to an error of RemoteWorker. Kinds that
+/// RemoteWorker does not have become WorkerRefused if they say that nothing
+/// ran, else ConnectionLost.
 base::Error
 ToWorkerError(const http::Response& aResponse)
 {
