--- a/include/skylarkhill/membership/view.hpp
+++ b/include/skylarkhill/membership/view.hpp
@@ -19,11 +19,13 @@
 struct ViewOptions
 {
   base::Duration mHeartbeatInterval = std::chrono::milliseconds(500);
-  /// A peer or worker without evidence for this many intervals is suspected.
+  /// A peer or worker that was not seen for this many intervals is suspected to
+  /// have failed.
   int mSuspicionIntervals = 3;
-  /// How long a leaving mark is kept. Longer than the platform's list lags.
-  base::Duration mMarkLifetime = std::chrono::hours(1);
-  /// How far the platform's lists of two instances may be apart.
+  /// How long a leaving notice is kept. Must exceed the lag of the platform's
+  /// list.
+  base::Duration mLeavingNoticeLifetime = std::chrono::hours(1);
+  /// Maximum lag between the platform's lists that two instances hold.
   base::Duration mListLag = std::chrono::seconds(30);
 };
 
@@ -37,8 +39,8 @@
   std::uint16_t mPeerPort = 0;
 };
 
-/// Which instances and workers are live, leaving or suspected, from the
-/// platform's list, heartbeats and direct evidence. Not thread-safe.
+/// Which instances and workers are live, leaving or suspected, according to
+/// the platform's list, heartbeats and polls. Not thread-safe.
 class View
 {
 public:
@@ -47,18 +49,19 @@
   void OnList(const std::vector<platform::InstanceEntry>& aList,
               base::TimePoint aNow);
   void OnHeartbeat(const Heartbeat& aHeartbeat, base::TimePoint aNow);
-  /// An answered poll of a worker.
-  void OnWorkerEvidence(const base::WorkerId& aWorker,
-                        const base::DomainId& aDomain,
-                        bool aLeaving,
-                        base::TimePoint aNow);
-  /// A notice that a peer is leaving.
+  /// The worker answered a poll.
+  void OnWorkerPolled(const base::WorkerId& aWorker,
+                      const base::DomainId& aDomain,
+                      bool aLeaving,
+                      base::TimePoint aNow);
+  /// A peer announced that it is leaving.
   void OnLeavingNotice(const base::InstanceId& aInstance,
                        std::uint64_t aIncarnation,
                        base::TimePoint aNow);
   /// This instance begins a planned stop.
-  void LeaveSelf(base::TimePoint aNow);
-  /// Forgets marks past their lifetime and entries without any evidence.
+  void MarkSelfLeaving(base::TimePoint aNow);
+  /// Removes expired leaving notices, and unlisted peers and workers that were
+  /// not seen for the lifetime of a notice.
   void Prune(base::TimePoint aNow);
 
   /// Workers of the domain that may receive new work, sorted.
@@ -67,8 +70,9 @@
   bool IsEligible(const base::WorkerId& aWorker, base::TimePoint aNow) const;
 
   /// Entry instances of the domain that can hold workers, sorted.
-  std::vector<base::InstanceId> LiveEntries(const base::DomainId& aDomain,
-                                            base::TimePoint aNow) const;
+  std::vector<base::InstanceId> LiveEntryInstances(
+    const base::DomainId& aDomain,
+    base::TimePoint aNow) const;
   bool IsLive(const base::InstanceId& aInstance, base::TimePoint aNow) const;
 
   /// The instance that should hold the worker, if its domain has a live one.
@@ -80,17 +84,17 @@
   /// The last heartbeat of a peer, or null.
   const Heartbeat* FindPeer(const base::InstanceId& aInstance) const;
 
-  /// Since when the platform's list has not shown the worker; nothing while it
-  /// is listed, or before the first list. At most as old as this process.
+  /// When the worker was first missing from the platform's list; nullopt while
+  /// it is listed or before the first list. Never earlier than the first list
+  /// that this process received.
   std::optional<base::TimePoint> AbsentSince(
     const base::WorkerId& aWorker) const;
-  /// When the worker was last reached by this instance or named in a
+  /// When the worker last answered a poll of this instance or was named in a
   /// heartbeat.
-  std::optional<base::TimePoint> LastEvidence(
-    const base::WorkerId& aWorker) const;
+  std::optional<base::TimePoint> LastSeen(const base::WorkerId& aWorker) const;
 
-  /// The marks to be sent in the next heartbeat.
-  std::vector<LeavingMark> LeavingMarks(base::TimePoint aNow) const;
+  /// The leaving notices to send in the next heartbeat.
+  std::vector<LeavingNotice> LeavingNotices(base::TimePoint aNow) const;
 
 private:
   struct Peer
@@ -99,7 +103,7 @@
     bool mListed = false;
     bool mListedLeaving = false;
     base::TimePoint mListedSince;
-    std::optional<base::TimePoint> mHeardAt;
+    std::optional<base::TimePoint> mLastHeartbeatAt;
     Heartbeat mHeartbeat;
   };
   struct Worker
@@ -107,31 +111,33 @@
     base::DomainId mDomain;
     bool mListed = false;
     bool mListedLeaving = false;
-    bool mListedBefore = false;
+    bool mWasListed = false;
     std::optional<base::TimePoint> mAbsentSince;
     std::optional<base::TimePoint> mReturnedAt;
-    std::optional<base::TimePoint> mEvidenceAt;
+    std::optional<base::TimePoint> mLastSeenAt;
   };
   /// Name and incarnation.
-  using MarkKey = std::pair<std::string, std::uint64_t>;
-
-  bool IsFresh(base::TimePoint aEvidence, base::TimePoint aNow) const;
-  bool IsMarked(const std::string& aName, std::uint64_t aIncarnation) const;
-  bool IsUsable(const Worker& aWorker, base::TimePoint aNow) const;
-  bool IsOutdated(const LeavingMark& aMark, base::TimePoint aNow) const;
-  void Mark(const std::string& aName,
-            std::uint64_t aIncarnation,
-            base::TimePoint aExpiry);
-  void ListEntry(const platform::InstanceEntry& aEntry, base::TimePoint aNow);
-  void ListWorker(const platform::InstanceEntry& aEntry, base::TimePoint aNow);
+  using NoticeKey = std::pair<std::string, std::uint64_t>;
+
+  bool IsRecent(base::TimePoint aSeenAt, base::TimePoint aNow) const;
+  bool IsLeaving(const std::string& aName, std::uint64_t aIncarnation) const;
+  bool IsPresent(const Worker& aWorker, base::TimePoint aNow) const;
+  bool IsOutdated(const LeavingNotice& aNotice, base::TimePoint aNow) const;
+  void AddLeavingNotice(const std::string& aName,
+                        std::uint64_t aIncarnation,
+                        base::TimePoint aExpiry);
+  void UpdateListedEntry(const platform::InstanceEntry& aEntry,
+                         base::TimePoint aNow);
+  void UpdateListedWorker(const platform::InstanceEntry& aEntry,
+                          base::TimePoint aNow);
 
   Self mSelf;
   ViewOptions mOptions;
   std::optional<base::TimePoint> mFirstListAt;
   std::map<base::InstanceId, Peer> mPeers;
   std::map<base::WorkerId, Worker> mWorkers;
-  /// Value: when the mark is forgotten.
-  std::map<MarkKey, base::TimePoint> mMarks;
+  /// Value: when the notice expires.
+  std::map<NoticeKey, base::TimePoint> mLeavingNotices;
 };
 
 } // namespace skylarkhill::membership
--- a/src/journal/age_index.cpp
+++ b/src/journal/age_index.cpp
@@ -10,45 +10,46 @@
 }
 
 void
-AgeIndex::Note(platform::Offset aOffset,
-               std::int64_t aWrittenAtMs,
-               std::int64_t aNowMs)
+AgeIndex::AddSample(platform::Offset aOffset,
+                    std::int64_t aWrittenAtMs,
+                    std::int64_t aNowMs)
 {
-  // A writer whose clock is ahead must not make later records look young, and
-  // one whose clock is behind must not make them look old.
+  // A writer whose clock is ahead must not make later records look younger, and
+  // one whose clock is behind must not make them look older.
   const std::int64_t writtenAt = std::min(aWrittenAtMs, aNowMs);
-  if (mMarks.empty() || writtenAt >= mMarks.back().mWrittenAtMs + mStepMs) {
-    mMarks.push_back({ aOffset, writtenAt });
+  if (mSamples.empty() || writtenAt >= mSamples.back().mWrittenAtMs + mStepMs) {
+    mSamples.push_back({ aOffset, writtenAt });
   }
 }
 
 void
-AgeIndex::Forget(platform::Offset aFirstRetained)
+AgeIndex::DiscardBefore(platform::Offset aFirstRetained)
 {
-  // The newest mark before the first retained offset still dates that offset.
-  while (mMarks.size() > 1 && mMarks[1].mOffset <= aFirstRetained) {
-    mMarks.pop_front();
+  // The newest sample at or before the first retained offset still gives that
+  // offset's age.
+  while (mSamples.size() > 1 && mSamples[1].mOffset <= aFirstRetained) {
+    mSamples.pop_front();
   }
 }
 
 void
 AgeIndex::Clear()
 {
-  mMarks.clear();
+  mSamples.clear();
 }
 
 std::int64_t
 AgeIndex::AgeOf(platform::Offset aOffset, std::int64_t aNowMs) const
 {
   const auto next =
-    std::upper_bound(mMarks.begin(),
-                     mMarks.end(),
+    std::upper_bound(mSamples.begin(),
+                     mSamples.end(),
                      aOffset,
-                     [](platform::Offset aLeft, const Mark& aRight) {
+                     [](platform::Offset aLeft, const Sample& aRight) {
                        return aLeft < aRight.mOffset;
                      });
-  if (next == mMarks.begin()) {
-    return mMarks.empty() ? 0 : aNowMs - mMarks.front().mWrittenAtMs;
+  if (next == mSamples.begin()) {
+    return mSamples.empty() ? 0 : aNowMs - mSamples.front().mWrittenAtMs;
   }
   return aNowMs - std::prev(next)->mWrittenAtMs;
 }
@@ -56,18 +57,19 @@
 platform::Offset
 AgeIndex::FirstYoungerThan(std::int64_t aAgeMs, std::int64_t aNowMs) const
 {
-  const auto young =
-    std::upper_bound(mMarks.begin(),
-                     mMarks.end(),
+  const auto firstYounger =
+    std::upper_bound(mSamples.begin(),
+                     mSamples.end(),
                      aNowMs - aAgeMs,
-                     [](std::int64_t aLeft, const Mark& aRight) {
+                     [](std::int64_t aLeft, const Sample& aRight) {
                        return aLeft < aRight.mWrittenAtMs;
                      });
-  if (young == mMarks.begin()) {
+  if (firstYounger == mSamples.begin()) {
     return 0;
   }
-  // All offsets from the newest old mark to the next mark count as that old.
-  return young == mMarks.end() ? std::prev(young)->mOffset + 1 : young->mOffset;
+  // Offsets between two samples count as being as old as the earlier sample.
+  return firstYounger == mSamples.end() ? std::prev(firstYounger)->mOffset + 1
+                                        : firstYounger->mOffset;
 }
 
 } // namespace skylarkhill::journal
--- a/src/journal/journal_random_test.cpp
+++ b/src/journal/journal_random_test.cpp
@@ -38,19 +38,19 @@
   StreamReader mReader;
   SiteState mState;
   SnapshotPlanner mPlanner;
-  /// An append whose answer is awaited.
+  /// The append in progress.
   std::optional<AppendAction> mInFlight;
   std::int64_t mPausedUntilMs = 0;
   std::map<Ticket, std::string> mAccepts;
   Ticket mNextTicket = 1;
 };
 
-/// Runs instances against one log with outages, lost answers, delayed copies,
+/// Runs instances on one log with outages, lost answers, delayed appends,
 /// pauses, restarts and expiry, and checks the state after every write.
-class World
+class Simulation
 {
 public:
-  explicit World(std::uint64_t aSeed)
+  explicit Simulation(std::uint64_t aSeed)
     : mRandom(base::CreateSeededRandom(aSeed))
     , mOracle("oracle")
   {
@@ -72,7 +72,7 @@
     CPPUNIT_ASSERT(mEnded.size() > 5);
   }
 
-  /// Sums over all seeds, to show that the faults took place.
+  /// Counts of the faults that occurred.
   struct Coverage
   {
     std::int64_t mDuplicates = 0;
@@ -107,7 +107,7 @@
         continue;
       }
       StepNode(*it);
-      // Snapshots need at least one instance that runs.
+      // At least one instance must run to write the snapshots.
       if (CountPaused() == 0 && OneIn(1'500)) {
         it->mPausedUntilMs =
           mNowMs + static_cast<std::int64_t>(mRandom->Below(
@@ -116,7 +116,7 @@
     }
     if (OneIn(500)) {
       ++mCoverage.mRestarts;
-      CountNode(*mNodes.front());
+      AddCoverage(*mNodes.front());
       mNodes.pop_front();
       AddNode();
     }
@@ -146,14 +146,14 @@
       SubmitSnapshots(aNode);
     }
     if (!aNode.mInFlight) {
-      aNode.mInFlight = aNode.mWriter.Start(Now(), mNowMs);
+      aNode.mInFlight = aNode.mWriter.StartAppend(Now(), mNowMs);
     }
     TakeResults(aNode);
   }
 
   bool IsDown() const { return mDownUntilMs > mNowMs; }
 
-  // A node can be paused between Start and this call, so that old batches
+  // A node can be paused between StartAppend and this call, so that old batches
   // reach the log.
   void FinishAppend(Node& aNode)
   {
@@ -207,13 +207,13 @@
     const auto page = mLog.Page(aNode.mReader.Position(), aMax);
     const auto result = aNode.mReader.OnPage(page, Now());
     aNode.mState.ApplyPage(result, mNowMs);
-    aNode.mState.SetCaughtUp(aNode.mReader.CaughtUpAsOf());
+    aNode.mState.SetCaughtUp(aNode.mReader.CaughtUpTime());
     for (const auto& it : result.mBatches) {
       if (it.mBatch.mWriter == aNode.mName) {
         aNode.mWriter.OnRead(it.mBatch.mSequence, it.mOffset);
       }
     }
-    aNode.mWriter.OnCaughtUp(aNode.mReader.CaughtUpAsOf());
+    aNode.mWriter.OnCaughtUp(aNode.mReader.CaughtUpTime());
   }
 
   void Read(Node& aNode)
@@ -244,7 +244,7 @@
   {
     const WriterPosition position = aNode.mState.GetWriterPosition();
     mNextTask += OneIn(25) ? 1 : 0;
-    const std::string task = "t" + std::to_string(mNextTask - Recent(12));
+    const std::string task = "t" + std::to_string(mNextTask - RandomBelow(12));
     const auto known = aNode.mState.FindTask({ task });
     if (!known && aNode.mState.IsTaskKnown({ task })) {
       return;
@@ -257,14 +257,16 @@
       Submit(aNode, { tasks::TaskRecord(accept) }, position);
       return;
     }
-    Submit(aNode, { ChangeTo(*known, aNode) }, position);
+    Submit(aNode, { MakeChange(*known, aNode) }, position);
   }
 
-  // Mostly what the node's view permits; sometimes anything.
-  SiteRecord ChangeTo(const tasks::TaskSnapshot& aTask, const Node& aNode)
+  // Returns a record that is usually valid in the node's state and sometimes is
+  // not.
+  SiteRecord MakeChange(const tasks::TaskSnapshot& aTask, const Node& aNode)
   {
     const auto& id = aTask.mSpec.mTask;
-    const std::int64_t attempt = OneIn(10) ? Recent(4) : aTask.mLastAttempt;
+    const std::int64_t attempt =
+      OneIn(10) ? RandomBelow(4) : aTask.mLastAttempt;
     if (OneIn(40)) {
       return tasks::TaskRecord(tasks::CancelRecord{ id, "caller" });
     }
@@ -279,7 +281,7 @@
       tasks::GrantRecord{ id, attempt + 1, { "w-" + aNode.mName } });
   }
 
-  std::int64_t Recent(std::uint64_t aCount)
+  std::int64_t RandomBelow(std::uint64_t aCount)
   {
     return static_cast<std::int64_t>(mRandom->Below(aCount));
   }
@@ -306,7 +308,8 @@
       if (accept == aNode.mAccepts.end()) {
         continue;
       }
-      // As in JournalService: success needs the task in the state.
+      // As in JournalService, an accept succeeds only if the task is in the
+      // state.
       if (it.mOffset && mOracle.mState.FindTask({ accept->second })) {
         mAccepted.insert(accept->second);
       }
@@ -340,8 +343,8 @@
     if (tasks::IsEnded(task->mState)) {
       mEnded[aTask.mValue] = task->mLastRecordAt;
     } else if (mEnded.count(aTask.mValue) != 0) {
-      // The id may be used again once nothing about it is retained.
-      CPPUNIT_ASSERT_MESSAGE("ended task came back",
+      // An id may be reused when none of its records is retained.
+      CPPUNIT_ASSERT_MESSAGE("ended task became live again",
                              mEnded[aTask.mValue] < mFirstRetained &&
                                task->mAcceptedAt >= mFirstRetained);
       Forget(aTask.mValue);
@@ -349,13 +352,14 @@
     const std::pair<std::string, std::int64_t> attempt{ aTask.mValue,
                                                         task->mLastAttempt };
     std::int64_t& newest = mNewestAttempt[aTask.mValue];
-    CPPUNIT_ASSERT_MESSAGE("attempt came back", task->mLastAttempt >= newest);
+    CPPUNIT_ASSERT_MESSAGE("attempt number decreased",
+                           task->mLastAttempt >= newest);
     newest = task->mLastAttempt;
     if (tasks::HasLiveAttempt(task->mState)) {
       const auto grant = mGrants.emplace(attempt, task->mWorker.mValue);
       CPPUNIT_ASSERT_MESSAGE("attempt granted twice",
                              grant.first->second == task->mWorker.mValue);
-      CPPUNIT_ASSERT_MESSAGE("ended attempt came back",
+      CPPUNIT_ASSERT_MESSAGE("ended attempt became live again",
                              mEndedAttempts.count(attempt) == 0);
     } else if (task->mLastAttempt > 0) {
       mEndedAttempts.insert(attempt);
@@ -385,13 +389,13 @@
                                mOracle.mState.FindTask({ it }).has_value());
     }
     for (auto& it : mNodes) {
-      CheckSame(*it);
+      CheckMatchesOracle(*it);
     }
-    Node late("late");
-    CheckSame(late);
+    Node lateNode("late");
+    CheckMatchesOracle(lateNode);
   }
 
-  void CheckSame(Node& aNode)
+  void CheckMatchesOracle(Node& aNode)
   {
     while (aNode.mReader.Position() < mLog.End() || !aNode.mState.IsReady()) {
       ReadPage(aNode, 50);
@@ -401,7 +405,7 @@
                                  aNode.mState.LiveDigest());
   }
 
-  void CountNode(const Node& aNode)
+  void AddCoverage(const Node& aNode)
   {
     mCoverage.mDuplicates += aNode.mReader.Duplicates();
     mCoverage.mStale += aNode.mState.Counts().mStaleRecords;
@@ -418,10 +422,10 @@
   std::deque<std::unique_ptr<Node>> mNodes;
   int mIncarnations = 0;
   std::int64_t mNextTask = 20;
-  /// Reads every record at once.
+  /// Reads every record as soon as it is written.
   Node mOracle;
   std::set<std::string> mAccepted;
-  /// Newest record of an ended task.
+  /// Offset of the newest record, per ended task.
   std::map<std::string, Offset> mEnded;
   std::map<std::string, std::int64_t> mNewestAttempt;
   std::map<std::pair<std::string, std::int64_t>, std::string> mGrants;
@@ -435,25 +439,25 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against readers that disagree, accepted tasks that are lost,
-  // attempts that are granted twice and ended attempts that come back.
+  // Guards against readers with different states, accepted tasks that are lost,
+  // attempts that are granted twice and ended attempts that become live again.
   void ReadersAgreeUnderRandomFaults()
   {
-    World::Coverage sum;
+    Simulation::Coverage sum;
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-      World world(seed);
+      Simulation simulation(seed);
       try {
-        world.Run();
+        simulation.Run();
       } catch (const CppUnit::Exception& e) {
         CPPUNIT_FAIL("seed " + std::to_string(seed) + ": " +
                      e.message().shortDescription() + " " +
                      e.message().details());
       }
-      sum.mDuplicates += world.mCoverage.mDuplicates;
-      sum.mStale += world.mCoverage.mStale;
-      sum.mGaps += world.mCoverage.mGaps;
-      sum.mRestarts += world.mCoverage.mRestarts;
-      sum.mSnapshots += world.mCoverage.mSnapshots;
+      sum.mDuplicates += simulation.mCoverage.mDuplicates;
+      sum.mStale += simulation.mCoverage.mStale;
+      sum.mGaps += simulation.mCoverage.mGaps;
+      sum.mRestarts += simulation.mCoverage.mRestarts;
+      sum.mSnapshots += simulation.mCoverage.mSnapshots;
     }
     CPPUNIT_ASSERT(sum.mDuplicates > 0);
     CPPUNIT_ASSERT(sum.mStale > 0);
--- a/src/journal/memory_log.hpp
+++ b/src/journal/memory_log.hpp
@@ -13,7 +13,7 @@
 
 namespace skylarkhill::journal {
 
-/// One stream in memory, with faults. Only for tests.
+/// Log service with one stream in memory and injected faults, for tests.
 class MemoryLog : public platform::LogService
 {
 public:
@@ -24,13 +24,13 @@
     if (mIsDown) {
       return base::MakeError(base::ErrorKind::LogUnavailable);
     }
-    if (mDropAppends > 0) {
-      --mDropAppends;
+    if (mAppendsToDrop > 0) {
+      --mAppendsToDrop;
       return base::MakeError(base::ErrorKind::AnswerLost);
     }
     const platform::Offset offset = Write(aPayload);
-    if (mLoseAnswers > 0) {
-      --mLoseAnswers;
+    if (mAnswersToLose > 0) {
+      --mAnswersToLose;
       return base::MakeError(base::ErrorKind::AnswerLost);
     }
     return offset;
@@ -85,10 +85,10 @@
   }
 
   std::atomic<bool> mIsDown{ false };
-  /// Appends that are lost before the write takes effect.
-  std::atomic<int> mDropAppends{ 0 };
-  /// Appends whose answer is lost after the write took effect.
-  std::atomic<int> mLoseAnswers{ 0 };
+  /// Number of appends to drop before the write, with AnswerLost.
+  std::atomic<int> mAppendsToDrop{ 0 };
+  /// Number of appends to write but answer with AnswerLost.
+  std::atomic<int> mAnswersToLose{ 0 };
 
 private:
   mutable std::mutex mMutex;
@@ -96,7 +96,7 @@
   platform::Offset mEnd = 0;
 };
 
-/// A wall clock that tests set. Thread-safe.
+/// Wall clock that tests set. Thread-safe.
 class ManualWallClock : public WallClock
 {
 public:
--- a/src/journal/site_state_test.cpp
+++ b/src/journal/site_state_test.cpp
@@ -26,7 +26,7 @@
   return settings;
 }
 
-/// A reader with its state.
+/// A stream reader and its state.
 struct Replica
 {
   StreamReader mReader;
@@ -36,7 +36,7 @@
   {
     const auto page = aLog.Page(mReader.Position(), 1'000);
     mState.ApplyPage(mReader.OnPage(page, base::FromMicros(1)), aNowMs);
-    mState.SetCaughtUp(mReader.CaughtUpAsOf());
+    mState.SetCaughtUp(mReader.CaughtUpTime());
   }
 };
 
@@ -49,7 +49,7 @@
   CPPUNIT_TEST(CountsUndecodableRecords);
   CPPUNIT_TEST(RebuildsAfterAGap);
   CPPUNIT_TEST(ImportsAPeersState);
-  CPPUNIT_TEST(RefusesAnIncompleteImport);
+  CPPUNIT_TEST(RejectsAnIncompleteImport);
   CPPUNIT_TEST(WaitsForOffsets);
   CPPUNIT_TEST(SpreadsSnapshotsOverTimeAndInstances);
   CPPUNIT_TEST(PlansSnapshotsOfOldTasksOnly);
@@ -71,7 +71,7 @@
     mLog.Write(EncodeBatch(batch));
   }
 
-  /// Written by a writer that has read everything.
+  /// Writes as a writer that has read the whole stream.
   void Write(const std::vector<SiteRecord>& aRecords)
   {
     Write(aRecords, { mLog.End() - 1, mLog.Page(0, 0).mFirstRetained });
@@ -109,27 +109,28 @@
     return requests::KeyRecord(record);
   }
 
-  // Guards against a writer that is paused between taking a snapshot and
-  // appending it, for so long that the task's end record expires.
+  // Guards against a snapshot that revives an ended task: its writer was paused
+  // before the append until the task's end record had expired.
   void IgnoresAStaleSnapshotOfAnEndedTask()
   {
     Write({ Accept("a") });
     Write({ Grant("a", 1) });
-    mOld.ReadAll(mLog);
-    const auto stale = *mOld.mState.SnapshotTask({ "a" });
+    mReplica.ReadAll(mLog);
+    const auto stale = *mReplica.mState.SnapshotTask({ "a" });
     Write({ End("a", 1, tasks::AttemptOutcome::Completed) });
     Write({ Accept("other") });
-    mOld.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
     mLog.Expire(3);
-    mOld.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
     Write({ stale });
-    Replica late;
-    late.ReadAll(mLog);
-    mOld.ReadAll(mLog);
-    CPPUNIT_ASSERT(!late.mState.FindTask({ "a" }).has_value());
-    CPPUNIT_ASSERT(!mOld.mState.FindTask({ "a" }).has_value());
-    CPPUNIT_ASSERT_EQUAL(std::int64_t(1), late.mState.Counts().mStaleRecords);
-    // The reducer alone, without the rule, brings the task back.
+    Replica lateReplica;
+    lateReplica.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
+    CPPUNIT_ASSERT(!lateReplica.mState.FindTask({ "a" }).has_value());
+    CPPUNIT_ASSERT(!mReplica.mState.FindTask({ "a" }).has_value());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(1),
+                         lateReplica.mState.Counts().mStaleRecords);
+    // Without the check for stale records, the snapshot revives the task.
     tasks::TaskTable table;
     table.ApplySnapshot(stale.mAsOf, stale.mTask);
     CPPUNIT_ASSERT(table.Find({ "a" })->mState == tasks::TaskState::Granted);
@@ -139,69 +140,73 @@
   void RestoresALiveTaskFromASnapshot()
   {
     Write({ Accept("a"), Intent("k") });
-    mOld.ReadAll(mLog);
-    const auto task = *mOld.mState.SnapshotTask({ "a" });
-    const auto key = *mOld.mState.SnapshotKey({ "k" });
+    mReplica.ReadAll(mLog);
+    const auto task = *mReplica.mState.SnapshotTask({ "a" });
+    const auto key = *mReplica.mState.SnapshotKey({ "k" });
     Write({ Grant("a", 1) });
     Write({ End("a", 1, tasks::AttemptOutcome::Evicted) });
     Write({ task, key });
     Write({ Grant("a", 2) });
     mLog.Expire(1);
-    Replica late;
-    late.ReadAll(mLog);
-    mOld.ReadAll(mLog);
-    CPPUNIT_ASSERT_EQUAL(mOld.mState.LiveDigest(), late.mState.LiveDigest());
+    Replica lateReplica;
+    lateReplica.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.LiveDigest(),
+                         lateReplica.mState.LiveDigest());
     CPPUNIT_ASSERT_EQUAL(std::int64_t(2),
-                         late.mState.FindTask({ "a" })->mLastAttempt);
-    CPPUNIT_ASSERT(late.mState.FindKey({ "k" }).mState ==
+                         lateReplica.mState.FindTask({ "a" })->mLastAttempt);
+    CPPUNIT_ASSERT(lateReplica.mState.FindKey({ "k" }).mState ==
                    requests::KeyState::Claimed);
   }
 
-  // Guards against a delayed repeat of a submission that runs an ended task
-  // again at instances whose records of it have expired.
+  // Guards against a delayed duplicate of an accept that runs an ended task
+  // again at instances that no longer have its records.
   void IgnoresAStaleRepeatOfAnExpiredAccept()
   {
     const WriterPosition before{ -1, 0 };
     Write({ Accept("a"), Intent("k") });
     Write({ Grant("a", 1) });
     Write({ End("a", 1, tasks::AttemptOutcome::Completed), Outcome("k") });
-    mOld.ReadAll(mLog);
-    Replica keeper;
-    keeper.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
+    Replica laggingReplica;
+    laggingReplica.ReadAll(mLog);
     mLog.Expire(3);
-    mOld.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
     Write({ Accept("a"), Intent("k") }, before);
-    Replica late;
-    late.ReadAll(mLog);
-    mOld.ReadAll(mLog);
-    CPPUNIT_ASSERT(!late.mState.FindTask({ "a" }).has_value());
-    CPPUNIT_ASSERT(mOld.mState.FindTask({ "a" })->mState ==
+    Replica lateReplica;
+    lateReplica.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
+    CPPUNIT_ASSERT(!lateReplica.mState.FindTask({ "a" }).has_value());
+    CPPUNIT_ASSERT(mReplica.mState.FindTask({ "a" })->mState ==
                    tasks::TaskState::Completed);
-    CPPUNIT_ASSERT(late.mState.FindKey({ "k" }).mState ==
+    CPPUNIT_ASSERT(lateReplica.mState.FindKey({ "k" }).mState ==
                    requests::KeyState::Claimed);
-    CPPUNIT_ASSERT(late.mState.FindKey({ "k" }).mWinner.mValue.empty());
-    CPPUNIT_ASSERT(late.mState.IsTaskKnown({ "a" }));
-    // A repeat is ignored while any record about the id is retained.
+    CPPUNIT_ASSERT(lateReplica.mState.FindKey({ "k" }).mWinner.mValue.empty());
+    CPPUNIT_ASSERT(lateReplica.mState.IsTaskKnown({ "a" }));
+    // A duplicate is ignored while any record with the id is retained.
     Write({ Accept("a") }, { 3, 3 });
-    keeper.ReadAll(mLog);
-    mOld.ReadAll(mLog);
-    late.ReadAll(mLog);
-    CPPUNIT_ASSERT(mOld.mState.FindTask({ "a" })->mState ==
+    laggingReplica.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
+    lateReplica.ReadAll(mLog);
+    CPPUNIT_ASSERT(mReplica.mState.FindTask({ "a" })->mState ==
                    tasks::TaskState::Completed);
-    CPPUNIT_ASSERT(!late.mState.FindTask({ "a" }).has_value());
-    // Then the id may be used again, also at a reader that still keeps the
+    CPPUNIT_ASSERT(!lateReplica.mState.FindTask({ "a" }).has_value());
+    // Afterwards the id may be reused, also at a replica that still has the
     // tombstone.
     mLog.Expire(5);
     Write({ Accept("a") }, { 4, 5 });
-    mOld.ReadAll(mLog);
-    late.ReadAll(mLog);
-    keeper.ReadAll(mLog);
-    CPPUNIT_ASSERT(mOld.mState.FindTask({ "a" }).has_value());
-    CPPUNIT_ASSERT_EQUAL(mOld.mState.LiveDigest(), keeper.mState.LiveDigest());
-    CPPUNIT_ASSERT_EQUAL(mOld.mState.LiveDigest(), late.mState.LiveDigest());
+    mReplica.ReadAll(mLog);
+    lateReplica.ReadAll(mLog);
+    laggingReplica.ReadAll(mLog);
+    CPPUNIT_ASSERT(mReplica.mState.FindTask({ "a" }).has_value());
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.LiveDigest(),
+                         laggingReplica.mState.LiveDigest());
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.LiveDigest(),
+                         lateReplica.mState.LiveDigest());
   }
 
-  // Guards against a record of a newer release that stops an older one.
+  // Guards against a record of a newer release that stops the reader of an
+  // older one.
   void CountsUndecodableRecords()
   {
     Batch batch;
@@ -211,31 +216,31 @@
                        "\x92\x7f\x01",
                        EncodeRecord(Accept("b")) };
     mLog.Write(EncodeBatch(batch));
-    mOld.ReadAll(mLog);
-    const auto counts = mOld.mState.Counts();
+    mReplica.ReadAll(mLog);
+    const auto counts = mReplica.mState.Counts();
     CPPUNIT_ASSERT_EQUAL(std::int64_t(1), counts.mUndecodableRecords);
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), counts.mLiveTasks);
   }
 
-  // Guards against tasks that stay in the state because their end records
-  // expired while the instance was paused.
+  // Guards against tasks that stay live because their end records expired while
+  // the instance was paused.
   void RebuildsAfterAGap()
   {
     Write({ Accept("a") });
-    mOld.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
     Write({ Grant("a", 1) });
     Write({ End("a", 1, tasks::AttemptOutcome::Completed) });
     Write({ Accept("b") });
     mLog.Expire(3);
-    CPPUNIT_ASSERT(mOld.mState.IsReady());
-    mOld.ReadAll(mLog);
-    CPPUNIT_ASSERT(!mOld.mState.FindTask({ "a" }).has_value());
-    CPPUNIT_ASSERT(mOld.mState.FindTask({ "b" }).has_value());
-    CPPUNIT_ASSERT(mOld.mState.IsReady());
+    CPPUNIT_ASSERT(mReplica.mState.IsReady());
+    mReplica.ReadAll(mLog);
+    CPPUNIT_ASSERT(!mReplica.mState.FindTask({ "a" }).has_value());
+    CPPUNIT_ASSERT(mReplica.mState.FindTask({ "b" }).has_value());
+    CPPUNIT_ASSERT(mReplica.mState.IsReady());
   }
 
-  // Guards against records that an importing instance applies twice or skips,
-  // because the shards were exported at different offsets.
+  // Guards against records that are applied twice or skipped after an import,
+  // as the shards are exported at different offsets.
   void ImportsAPeersState()
   {
     for (int i = 0; i < 20; ++i) {
@@ -246,44 +251,49 @@
       Write({ Grant(task, 1), Grant("unknown", 1) });
       Write({ End(task, 1, tasks::AttemptOutcome::Evicted) });
     }
-    mOld.ReadAll(mLog);
-    const StateHeader header = mOld.mState.ExportHeader(mOld.mReader.Export());
+    mReplica.ReadAll(mLog);
+    const StateHeader header =
+      mReplica.mState.ExportHeader(mReplica.mReader.Export());
     std::vector<StatePage> pages;
-    for (std::size_t i = 0; i < mOld.mState.CountShards(); ++i) {
-      for (auto& it : mOld.mState.ExportShard(i)) {
+    for (std::size_t i = 0; i < mReplica.mState.CountShards(); ++i) {
+      for (auto& it : mReplica.mState.ExportShard(i)) {
         pages.push_back(std::move(it));
       }
       Write({ Grant("t0", 2) });
       Write({ Grant("t1", 1) });
       Write({ End("t1", 1, tasks::AttemptOutcome::Evicted) });
-      mOld.ReadAll(mLog);
+      mReplica.ReadAll(mLog);
     }
-    Replica late;
-    CPPUNIT_ASSERT(late.mState.Import(header, pages).has_value());
-    late.mReader.Import(header.mReader);
-    CPPUNIT_ASSERT(late.mState.IsReady());
-    late.ReadAll(mLog);
-    CPPUNIT_ASSERT_EQUAL(mOld.mState.LiveDigest(), late.mState.LiveDigest());
-    CPPUNIT_ASSERT_EQUAL(mOld.mState.Counts().mLiveTasks,
-                         late.mState.Counts().mLiveTasks);
-    CPPUNIT_ASSERT_EQUAL(mOld.mState.Position(), late.mState.Position());
+    Replica lateReplica;
+    CPPUNIT_ASSERT(lateReplica.mState.Import(header, pages).has_value());
+    lateReplica.mReader.Import(header.mReader);
+    CPPUNIT_ASSERT(lateReplica.mState.IsReady());
+    lateReplica.ReadAll(mLog);
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.LiveDigest(),
+                         lateReplica.mState.LiveDigest());
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.Counts().mLiveTasks,
+                         lateReplica.mState.Counts().mLiveTasks);
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.Position(),
+                         lateReplica.mState.Position());
   }
 
-  void RefusesAnIncompleteImport()
+  void RejectsAnIncompleteImport()
   {
     Write({ Accept("a") });
-    mOld.ReadAll(mLog);
-    const StateHeader header = mOld.mState.ExportHeader(mOld.mReader.Export());
-    Replica late;
+    mReplica.ReadAll(mLog);
+    const StateHeader header =
+      mReplica.mState.ExportHeader(mReplica.mReader.Export());
+    Replica lateReplica;
     CPPUNIT_ASSERT(
-      late.mState.Import(header, mOld.mState.ExportShard(0)).has_error());
+      lateReplica.mState.Import(header, mReplica.mState.ExportShard(0))
+        .has_error());
     StatePage page;
     page.mShard = 9;
-    CPPUNIT_ASSERT(late.mState.Import(header, { page }).has_error());
+    CPPUNIT_ASSERT(lateReplica.mState.Import(header, { page }).has_error());
     page.mShard = 0;
     page.mRecords = { "junk" };
-    CPPUNIT_ASSERT(late.mState.Import(header, { page }).has_error());
-    CPPUNIT_ASSERT(!late.mState.IsReady());
+    CPPUNIT_ASSERT(lateReplica.mState.Import(header, { page }).has_error());
+    CPPUNIT_ASSERT(!lateReplica.mState.IsReady());
   }
 
   void WaitsForOffsets()
@@ -294,21 +304,23 @@
     bool applied = false;
     bool caughtUp = false;
     std::thread waiter([&] {
-      applied = mOld.mState.WaitApplied(0, clock, deadline);
-      caughtUp = mOld.mState.WaitCaughtUp(base::FromMicros(1), clock, deadline);
+      applied = mReplica.mState.WaitUntilApplied(0, clock, deadline);
+      caughtUp =
+        mReplica.mState.WaitUntilCaughtUp(base::FromMicros(1), clock, deadline);
     });
-    mOld.ReadAll(mLog);
+    mReplica.ReadAll(mLog);
     waiter.join();
     CPPUNIT_ASSERT(applied);
     CPPUNIT_ASSERT(caughtUp);
     clock.Set(deadline);
-    CPPUNIT_ASSERT(!mOld.mState.WaitApplied(1, clock, deadline));
+    CPPUNIT_ASSERT(!mReplica.mState.WaitUntilApplied(1, clock, deadline));
     CPPUNIT_ASSERT(
-      !mOld.mState.WaitCaughtUp(base::FromMicros(2), clock, deadline));
+      !mReplica.mState.WaitUntilCaughtUp(base::FromMicros(2), clock, deadline));
   }
 
   // Guards against all instances writing the same snapshots at the same time,
-  // and against a task that is left out because its instance is gone.
+  // and against a task that gets no snapshot because the preferred instance has
+  // failed.
   void SpreadsSnapshotsOverTimeAndInstances()
   {
     const std::vector<base::InstanceId> live{ { "a" }, { "b" }, { "c" } };
@@ -341,20 +353,20 @@
     Write(
       { End("ended", 1, tasks::AttemptOutcome::Completed) }, { 1, 0 }, 1'200);
     Write({ Accept("young") }, { 2, 0 }, 3'000);
-    mOld.ReadAll(mLog, 3'000);
+    mReplica.ReadAll(mLog, 3'000);
     SnapshotPlanner planner({ { "i" }, kRetentionMs, 10, 100 });
-    CPPUNIT_ASSERT(planner.Plan(mOld.mState, { { "i" } }, 4'900).empty());
-    const auto plan = planner.Plan(mOld.mState, { { "i" } }, 6'100);
+    CPPUNIT_ASSERT(planner.Plan(mReplica.mState, { { "i" } }, 4'900).empty());
+    const auto plan = planner.Plan(mReplica.mState, { { "i" } }, 6'100);
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), plan.size());
     CPPUNIT_ASSERT_EQUAL(
       std::string("old"),
       std::get<TaskSnapshotRecord>(plan[0]).mTask.mSpec.mTask.mValue);
     CPPUNIT_ASSERT_EQUAL(Offset(3), std::get<KeySnapshotRecord>(plan[1]).mAsOf);
-    CPPUNIT_ASSERT_MESSAGE("planned already",
-                           planner.Plan(mOld.mState, {}, 6'200).empty());
+    CPPUNIT_ASSERT_MESSAGE("already planned",
+                           planner.Plan(mReplica.mState, {}, 6'200).empty());
     Write(plan, { 3, 0 }, 6'300);
-    mOld.ReadAll(mLog, 6'300);
-    const auto next = planner.Plan(mOld.mState, {}, 8'300);
+    mReplica.ReadAll(mLog, 6'300);
+    const auto next = planner.Plan(mReplica.mState, {}, 8'300);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), next.size());
     CPPUNIT_ASSERT_EQUAL(
       std::string("young"),
@@ -363,7 +375,7 @@
 
 private:
   MemoryLog mLog;
-  Replica mOld;
+  Replica mReplica;
   std::int64_t mNextSequence = 1;
 };
 
--- a/src/journal/stream_reader_test.cpp
+++ b/src/journal/stream_reader_test.cpp
@@ -14,7 +14,7 @@
   CPPUNIT_TEST_SUITE(StreamReaderTest);
   CPPUNIT_TEST(DropsDuplicatesAndUndecodableRecords);
   CPPUNIT_TEST(RebuildsAfterAGap);
-  CPPUNIT_TEST(IsCaughtUpOnlyAsOfAReadThatSawTheEnd);
+  CPPUNIT_TEST(CaughtUpTimeIsThatOfAReadThatSawTheEnd);
   CPPUNIT_TEST(ContinuesFromTheStateOfAPeer);
   CPPUNIT_TEST_SUITE_END();
 
@@ -33,8 +33,8 @@
                           base::FromMicros(aIssuedAt));
   }
 
-  // Guards against a record that is applied twice after its answer was lost,
-  // and against a foreign record that stops the reader.
+  // Guards against a batch that is applied twice after its append was retried,
+  // and against an undecodable record that stops the reader.
   void DropsDuplicatesAndUndecodableRecords()
   {
     Write("a", 1);
@@ -51,8 +51,8 @@
     CPPUNIT_ASSERT_EQUAL(Offset(6), mReader.Position());
   }
 
-  // Guards against a reader that continues with a state in which expired
-  // records are missing. Starting behind the first retained offset is no gap.
+  // Guards against a reader that continues after records expired unread. The
+  // first page is no gap, even if older records have expired.
   void RebuildsAfterAGap()
   {
     for (std::int64_t i = 1; i <= 10; ++i) {
@@ -74,25 +74,26 @@
                            !Read().mIsGap);
   }
 
-  // Guards against a new holder that starts a grant although the previous
-  // holder's end record was appended before the acquisition.
-  void IsCaughtUpOnlyAsOfAReadThatSawTheEnd()
+  // Guards against a new holder that starts a granted attempt although the
+  // previous holder had appended its end record before the new holder acquired
+  // the worker.
+  void CaughtUpTimeIsThatOfAReadThatSawTheEnd()
   {
-    CPPUNIT_ASSERT(mReader.CaughtUpAsOf() == base::TimePoint::min());
+    CPPUNIT_ASSERT(mReader.CaughtUpTime() == base::TimePoint::min());
     for (std::int64_t i = 1; i <= 4; ++i) {
       Write("a", i);
     }
     Read(2, 10);
-    CPPUNIT_ASSERT(mReader.CaughtUpAsOf() == base::TimePoint::min());
+    CPPUNIT_ASSERT(mReader.CaughtUpTime() == base::TimePoint::min());
     Write("a", 5);
     Read(2, 20);
-    CPPUNIT_ASSERT(mReader.CaughtUpAsOf() == base::FromMicros(10));
+    CPPUNIT_ASSERT(mReader.CaughtUpTime() == base::FromMicros(10));
     Read(2, 30);
-    CPPUNIT_ASSERT(mReader.CaughtUpAsOf() == base::FromMicros(30));
+    CPPUNIT_ASSERT(mReader.CaughtUpTime() == base::FromMicros(30));
     Write("a", 6);
     mLog.Expire(6);
     CPPUNIT_ASSERT(Read(0, 40).mIsGap);
-    CPPUNIT_ASSERT(mReader.CaughtUpAsOf() == base::FromMicros(40));
+    CPPUNIT_ASSERT(mReader.CaughtUpTime() == base::FromMicros(40));
   }
 
   void ContinuesFromTheStateOfAPeer()
--- a/src/testing/site_world.cpp
+++ b/src/testing/site_world.cpp
@@ -336,7 +336,7 @@
     node.mWriter.Expire(node.Now());
     if (!node.mIsAppending) {
       const auto wallMs = kRetentionMs + mTime / kMillisecond;
-      if (const auto action = node.mWriter.Start(node.Now(), wallMs)) {
+      if (const auto action = node.mWriter.StartAppend(node.Now(), wallMs)) {
         SendAppend(aRef, *action);
       }
     }
@@ -423,13 +423,13 @@
   {
     const auto result = aNode.mReader.OnPage(aPage, aIssuedAt);
     aNode.mState.ApplyPage(result, kRetentionMs + mTime / kMillisecond);
-    aNode.mState.SetCaughtUp(aNode.mReader.CaughtUpAsOf());
+    aNode.mState.SetCaughtUp(aNode.mReader.CaughtUpTime());
     for (const auto& it : result.mBatches) {
       if (it.mBatch.mWriter == aNode.mId.mValue) {
         aNode.mWriter.OnRead(it.mBatch.mSequence, it.mOffset);
       }
     }
-    aNode.mWriter.OnCaughtUp(aNode.mReader.CaughtUpAsOf());
+    aNode.mWriter.OnCaughtUp(aNode.mReader.CaughtUpTime());
     TakeResults(aNode);
   }
 
@@ -538,7 +538,7 @@
         "site", mOracleReader.Position(), 100, mClock.Now() + seconds(1));
       const auto result = mOracleReader.OnPage(page.value(), mClock.Now());
       mOracle.ApplyPage(result, kRetentionMs + mTime / kMillisecond);
-      mOracle.SetCaughtUp(mOracleReader.CaughtUpAsOf());
+      mOracle.SetCaughtUp(mOracleReader.CaughtUpTime());
       isAtEnd = mOracleReader.Position() >= page.value().mEnd;
     }
     for (const auto& bytes : batch.value().mRecords) {
@@ -644,7 +644,7 @@
     }
     if (node.mState.IsReady()) {
       std::optional<std::int64_t> inheritedBefore;
-      if (node.mState.CaughtUpAsOf() >= site.mAcquiredAt) {
+      if (node.mState.CaughtUpTime() >= site.mAcquiredAt) {
         inheritedBefore =
           mVariant.mReleaseInherited ? node.mState.Position() : 0;
       }
@@ -714,7 +714,7 @@
         Report(aRef,
                aSite,
                place.mRequest,
-               worker.PlaceHolderLease(place.mToken, place.mLength, far));
+               worker.SetHolderLease(place.mToken, place.mLength, far));
       });
     } else if (const auto* it = std::get_if<holder::ReadList>(&aAction)) {
       site.mSentAt[it->mRequest] = node.Now();
@@ -1111,7 +1111,7 @@
                                              aRequest.mBody,
                                              aRequest.mIdempotent });
     if (!admitted) {
-      // As HttpWorkerPort: the refused copy of a call that may be repeated
+      // As HttpRemoteWorker: the refused copy of a call that may be repeated
       // proves nothing about the other one.
       const base::Error error =
         aRequest.mIdempotent ? base::MakeError(base::ErrorKind::ConnectionLost)
