--- a/include/skylarkhill/journal/site_state.hpp
+++ b/include/skylarkhill/journal/site_state.hpp
@@ -122,9 +122,10 @@
   std::vector<tasks::BasedTask> TasksOlderThan(std::int64_t aAgeMs,
                                                std::int64_t aNowMs,
                                                std::size_t aLimit) const;
-  std::vector<requests::BasedKey> KeysOlderThan(std::int64_t aAgeMs,
-                                                std::int64_t aNowMs,
-                                                std::size_t aLimit) const;
+  std::vector<requests::KeyReplayOffset> KeysOlderThan(
+    std::int64_t aAgeMs,
+    std::int64_t aNowMs,
+    std::size_t aLimit) const;
   std::int64_t AgeOf(Offset aOffset, std::int64_t aNowMs) const;
   /// Snapshot for the log; nothing for a task that is not live.
   std::optional<TaskSnapshotRecord> SnapshotTask(
--- a/include/skylarkhill/policy/breaker.hpp
+++ b/include/skylarkhill/policy/breaker.hpp
@@ -32,7 +32,7 @@
   /// Consecutive failures that open the breaker.
   std::size_t mFailureThreshold = 3;
   base::Duration mCooldown = std::chrono::seconds(10);
-  base::Duration mCooldownCap = std::chrono::minutes(10);
+  base::Duration mMaxCooldown = std::chrono::minutes(10);
 };
 
 /// Circuit breaker of one worker. Not thread-safe.
@@ -48,12 +48,12 @@
   /// A task was placed; it is the probe if the cooldown is over.
   void OnPlaced(const base::TaskId& aTask, base::TimePoint aNow);
   /// The placement came to nothing: neither success nor failure.
-  void OnWithdrawn(const base::TaskId& aTask);
+  void OnCancelled(const base::TaskId& aTask);
   void OnSuccess(const base::TaskId& aTask);
   void OnFailure(const base::TaskId& aTask, base::TimePoint aNow);
   /// Takes the failures of a quarantined task back; closes the breaker if too
   /// few others remain.
-  void TakeBack(const base::TaskId& aTask);
+  void RemoveFailures(const base::TaskId& aTask);
 
 private:
   void Close();
--- a/include/skylarkhill/policy/interference.hpp
+++ b/include/skylarkhill/policy/interference.hpp
@@ -26,15 +26,15 @@
                   base::TimePoint aNow) const;
 
 private:
-  struct Pair
+  struct PairEstimate
   {
     double mPercentPerTask = 0.0;
     base::TimePoint mUpdatedAt;
   };
 
-  double Decayed(const Pair& aPair, base::TimePoint aNow) const;
+  double Decayed(const PairEstimate& aPair, base::TimePoint aNow) const;
 
-  std::map<std::pair<std::string, std::string>, Pair> mPairs;
+  std::map<std::pair<std::string, std::string>, PairEstimate> mPairs;
 };
 
 } // namespace skylarkhill::policy
--- a/include/skylarkhill/policy/placement.hpp
+++ b/include/skylarkhill/policy/placement.hpp
@@ -72,8 +72,8 @@
 
   /// Expected slowdown, in percent points, that one task of `aBatchClass` adds
   /// to `aService`; 0 if the policy does not learn it.
-  virtual double ExpectedDisturbance(const std::string& aService,
-                                     const std::string& aBatchClass) const;
+  virtual double ExpectedInterference(const std::string& aService,
+                                      const std::string& aBatchClass) const;
 };
 
 } // namespace skylarkhill::policy
--- a/include/skylarkhill/policy/protection.hpp
+++ b/include/skylarkhill/policy/protection.hpp
@@ -25,7 +25,7 @@
   bool mCheckpointing = false;
   /// Expected slowdown, in percent points, that the unthrottled task adds to
   /// the worst-hit service; 0 if unknown.
-  double mDisturbancePercent = 0.0;
+  double mInterferencePercent = 0.0;
 };
 
 /// What the protection policy sees of one worker.
--- a/include/skylarkhill/policy/quarantine.hpp
+++ b/include/skylarkhill/policy/quarantine.hpp
@@ -25,8 +25,8 @@
 class Quarantine
 {
 public:
-  /// `aWorkers`: distinct workers on which a task has to fail.
-  explicit Quarantine(std::size_t aWorkers = 3);
+  /// `aMinWorkers`: distinct workers on which a task has to fail.
+  explicit Quarantine(std::size_t aMinWorkers = 3);
 
   /// The task failed on a worker. `aBreakerClosed`: the worker's breaker was
   /// closed before this failure; other failures say nothing about the task.
@@ -47,7 +47,7 @@
     std::string mReason;
   };
 
-  std::size_t mNeeded;
+  std::size_t mMinWorkers;
   std::map<base::TaskId, std::vector<Failure>> mFailures;
 };
 
--- a/include/skylarkhill/policy/size_estimator.hpp
+++ b/include/skylarkhill/policy/size_estimator.hpp
@@ -44,7 +44,7 @@
   struct Sample
   {
     base::Resources mUsed;
-    base::TimePoint mSeenAt;
+    base::TimePoint mObservedAt;
   };
 
   std::int64_t Quantile(const std::deque<Sample>& aSamples,
--- a/include/skylarkhill/requests/forwarder.hpp
+++ b/include/skylarkhill/requests/forwarder.hpp
@@ -93,7 +93,7 @@
     bool mAnswered = false;
   };
 
-  RequestResult Refuse(const std::vector<Candidate>& aWorkers) const;
+  RequestResult MakeRefusal(const std::vector<Candidate>& aWorkers) const;
 
   const TargetPicker& mPicker;
   const InFlightTable& mInFlight;
--- a/include/skylarkhill/requests/key_table.hpp
+++ b/include/skylarkhill/requests/key_table.hpp
@@ -34,7 +34,7 @@
   KeyState mState = KeyState::Unknown;
   /// The instance whose intent won; empty if it is not known, e.g. because
   /// that record has expired.
-  base::InstanceId mWinner;
+  base::InstanceId mClaimant;
   Offset mClaimedAt = 0;
   /// Newest offset of a record about the key.
   Offset mLastRecordAt = 0;
@@ -55,10 +55,10 @@
 NameOf(KeyState aState);
 
 /// A claimed key and the offset from which the log alone restores it.
-struct BasedKey
+struct KeyReplayOffset
 {
   base::RequestId mKey;
-  Offset mBasedAt = 0;
+  Offset mReplayFrom = 0;
 };
 
 /// Deterministic reducer of key records. Not thread-safe.
@@ -67,9 +67,9 @@
 public:
   /// Applies one record; a record that its rule rejects is counted only.
   void Apply(Offset aOffset, const KeyRecord& aRecord);
-  /// The same for a record whose writer had read everything before `aBasedAt`;
-  /// a claimed key needs the log from there on.
-  void Apply(Offset aOffset, const KeyRecord& aRecord, Offset aBasedAt);
+  /// The same for a record whose writer had read everything before
+  /// `aReplayFrom`; a claimed key needs the log from there on.
+  void Apply(Offset aOffset, const KeyRecord& aRecord, Offset aReplayFrom);
 
   /// Remembers a record that must not take effect itself. Its key stays
   /// without a winner until a snapshot is applied, if it is unknown now.
@@ -80,7 +80,7 @@
   void ApplySnapshot(Offset aAsOf, const KeySnapshot& aSnapshot);
 
   /// Adds a key that was exported by another table.
-  void Restore(const KeySnapshot& aSnapshot, Offset aBasedAt);
+  void Restore(const KeySnapshot& aSnapshot, Offset aReplayFrom);
 
   /// Forgets the finished `aKey` if it has no record at or after
   /// `aFirstRetained`.
@@ -92,19 +92,20 @@
   /// The state is Unknown for a key that is not in the table.
   KeySnapshot Find(const base::RequestId& aKey) const;
   /// Offset from which the log alone is enough to restore the claimed key.
-  std::optional<Offset> FindBase(const base::RequestId& aKey) const;
+  std::optional<Offset> FindReplayOffset(const base::RequestId& aKey) const;
   /// Keys that `aInstance` claimed and has not finished, in order of id.
   std::vector<base::RequestId> ClaimedBy(
     const base::InstanceId& aInstance) const;
   /// Up to `aLimit` claimed keys with a base before `aBefore`, the oldest base
   /// first.
-  std::vector<BasedKey> BasedBefore(Offset aBefore, std::size_t aLimit) const;
+  std::vector<KeyReplayOffset> OldestReplayOffsets(Offset aBefore,
+                                                   std::size_t aLimit) const;
   /// Records about keys whose first intent is not known, in order per key.
   std::vector<std::pair<Offset, KeyRecord>> UnmatchedRecords() const;
   /// All keys, in order of id.
   std::vector<base::RequestId> All() const;
 
-  std::size_t CountClaimed() const { return mByBase.size(); }
+  std::size_t CountClaimed() const { return mByReplayOffset.size(); }
   std::size_t CountFinished() const { return mFinished.size(); }
   std::int64_t IgnoredRecords() const { return mIgnoredRecords; }
 
@@ -117,14 +118,14 @@
   struct Entry
   {
     KeySnapshot mSnapshot;
-    Offset mBasedAt = 0;
+    Offset mReplayFrom = 0;
   };
   using OffsetSet = std::set<std::pair<Offset, base::RequestId>>;
   /// Records about a key whose first intent is not known, e.g. because it
   /// expired before this reader started.
   using Unmatched = std::vector<std::pair<Offset, KeyRecord>>;
 
-  void Claim(Offset aOffset, const IntentRecord& aRecord, Offset aBasedAt);
+  void Claim(Offset aOffset, const IntentRecord& aRecord, Offset aReplayFrom);
   void Finish(Offset aOffset, const OutcomeRecord& aRecord);
   void AddToIndexes(const Entry& aEntry);
   void RemoveFromIndexes(const Entry& aEntry);
@@ -133,7 +134,7 @@
   std::unordered_map<base::RequestId, Entry> mEntries;
   std::unordered_map<base::RequestId, Unmatched> mUnmatched;
   std::unordered_map<base::InstanceId, std::set<base::RequestId>> mByInstance;
-  OffsetSet mByBase;
+  OffsetSet mByReplayOffset;
   OffsetSet mFinished;
   std::int64_t mIgnoredRecords = 0;
 };
--- a/include/skylarkhill/requests/request.hpp
+++ b/include/skylarkhill/requests/request.hpp
@@ -27,7 +27,7 @@
 enum class TargetKind
 {
   /// A worker that this instance holds.
-  OwnWorker,
+  HeldWorker,
   /// Another entry instance that holds workers.
   Peer,
 };
@@ -35,7 +35,7 @@
 /// Where an attempt is sent; `mName` is a worker id or an instance id.
 struct Target
 {
-  TargetKind mKind = TargetKind::OwnWorker;
+  TargetKind mKind = TargetKind::HeldWorker;
   std::string mName;
 
   friend bool operator==(const Target& aLeft, const Target& aRight)
--- a/include/skylarkhill/requests/request_machine.hpp
+++ b/include/skylarkhill/requests/request_machine.hpp
@@ -222,11 +222,11 @@
                   RequestActions& aActions);
   void ExpireAttempts(RequestActions& aActions);
   /// After an attempt ended without an answer: try again, wait, or finish.
-  void Proceed(RequestActions& aActions);
+  void RetryOrFinish(RequestActions& aActions);
   void AskForTarget(RequestActions& aActions);
   void Send(const Target& aTarget, RequestActions& aActions);
   /// No further attempt: wait for those that are open, or finish.
-  void GiveUp(RequestActions& aActions);
+  void StopRetrying(RequestActions& aActions);
   void FinishWithoutAnswer(RequestActions& aActions);
   void FinishAtDeadline(RequestActions& aActions);
   void FinishWith(RequestResult aResult, RequestActions& aActions);
--- a/include/skylarkhill/requests/retry_budget.hpp
+++ b/include/skylarkhill/requests/retry_budget.hpp
@@ -11,9 +11,9 @@
 struct RetryBudgetOptions
 {
   /// Retries and hedges allowed per 100 first attempts.
-  std::int64_t mSharePercent = 10;
+  std::int64_t mRetryPercent = 10;
   /// Tokens added per second whatever the load is.
-  double mFloorPerSecond = 1.0;
+  double mRefillPerSecond = 1.0;
   /// Tokens that can be saved up.
   double mCapacity = 20.0;
 };
--- a/src/entry/batch_scheduler.cpp
+++ b/src/entry/batch_scheduler.cpp
@@ -441,7 +441,7 @@
     [&](const catalog::Service& aService) {
       if (Serves(*aConfig.mSet, aService, aPlace)) {
         worst = std::max(
-          worst, mPlacement->ExpectedDisturbance(aService.mName, aBatchClass));
+          worst, mPlacement->ExpectedInterference(aService.mName, aBatchClass));
       }
     });
   return worst;
@@ -489,7 +489,7 @@
     running.mMaxEvictions = batchClass->mMaxEvictions;
     running.mThrottlePercent = it.mThrottlePercent;
     running.mCheckpointing = it.mPhase == worker::TaskPhase::Checkpointing;
-    running.mDisturbancePercent =
+    running.mInterferencePercent =
       WorstDisturbance(aConfig, status.mPlace, running.mBatchClass);
     pressure.mTasks.push_back(std::move(running));
     attempts[it.mTask] = it.mAttempt;
--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -140,7 +140,7 @@
       options.mQueue.mMaxEntries =
         static_cast<std::size_t>(service->mQueueLimit);
     }
-    options.mRetryBudget.mSharePercent = mOptions.mRetryBudgetPercent;
+    options.mRetryBudget.mRetryPercent = mOptions.mRetryBudgetPercent;
     lane = std::make_unique<ServiceLane>(options, mClock);
   }
   return *lane;
@@ -161,7 +161,8 @@
       continue;
     }
     Candidate candidate;
-    candidate.mTarget = { TargetKind::OwnWorker, status.mPlace.mWorker.mValue };
+    candidate.mTarget = { TargetKind::HeldWorker,
+                          status.mPlace.mWorker.mValue };
     candidate.mFreeSlots =
       std::min(status.mFreeCalls.mSlots, status.mFreeCalls.mConnections);
     // The ledger counts the calls in flight itself.
@@ -326,7 +327,7 @@
   if (key.mState == requests::KeyState::Finished) {
     return key.mOutcome->mOutcome == Outcome::NotRun;
   }
-  const bool isOwn = key.mWinner == mOptions.mInstance;
+  const bool isOwn = key.mClaimant == mOptions.mInstance;
   const bool isOpen = key.mState == requests::KeyState::Unknown || isOwn;
   return isOpen && mState.WaitCaughtUp(
                      aArrivedAt, mClock, mClock.Now() + kCatchUpTimeout);
@@ -579,7 +580,8 @@
   const requests::KeySnapshot key = mState.FindKey(request.mId);
   if (key.mState != requests::KeyState::Unknown) {
     if (offset && key.mState == requests::KeyState::Claimed &&
-        key.mWinner == mOptions.mInstance && key.mClaimedAt == offset.value()) {
+        key.mClaimant == mOptions.mInstance &&
+        key.mClaimedAt == offset.value()) {
       if (!aSession->Post(requests::IntentWon{})) {
         // The caller was told Unknown at its deadline. Nothing was sent, so a
         // later lookup of the key gets the definite outcome.
@@ -610,7 +612,7 @@
         requests::ClaimState::Finished, *key.mOutcome });
       return;
     }
-    if (!mPeers.IsAlive(key.mWinner)) {
+    if (!mPeers.IsAlive(key.mClaimant)) {
       aSession->Post(
         requests::IntentClaimedByOther{ requests::ClaimState::Abandoned, {} });
       return;
@@ -655,7 +657,7 @@
     case requests::KeyState::Finished:
       return std::optional<RequestResult>(ToResult(*key.mOutcome));
     case requests::KeyState::Claimed:
-      if (!mPeers.IsAlive(key.mWinner)) {
+      if (!mPeers.IsAlive(key.mClaimant)) {
         return std::optional<RequestResult>(requests::MakeUnknown(
           MakeError(ErrorKind::OutcomeUnknown, "the claimant is gone")));
       }
--- a/src/entry/worker_agent.cpp
+++ b/src/entry/worker_agent.cpp
@@ -211,7 +211,7 @@
         mTaskBreaker.OnFailure(end->mTask, mClock.Now());
         break;
       default:
-        mTaskBreaker.OnWithdrawn(end->mTask);
+        mTaskBreaker.OnCancelled(end->mTask);
         break;
     }
   }
@@ -281,7 +281,7 @@
 WorkerAgent::CancelPlan(const worker::TaskKey& aKey)
 {
   const std::lock_guard lock(mMutex);
-  mTaskBreaker.OnWithdrawn(aKey.mTask);
+  mTaskBreaker.OnCancelled(aKey.mTask);
   if (mLedger) {
     mLedger->CancelPlan(aKey);
   }
@@ -318,7 +318,7 @@
 WorkerAgent::TakeBackFailures(const base::TaskId& aTask)
 {
   const std::lock_guard lock(mMutex);
-  mTaskBreaker.TakeBack(aTask);
+  mTaskBreaker.RemoveFailures(aTask);
 }
 
 base::Result<std::string>
@@ -374,7 +374,7 @@
   } else if (IsWorkerFault(aAnswer.error().mKind, aSentAt)) {
     mCallBreaker.OnFailure(BreakerKey(aCall), mClock.Now());
   } else {
-    mCallBreaker.OnWithdrawn(BreakerKey(aCall));
+    mCallBreaker.OnCancelled(BreakerKey(aCall));
   }
 }
 
--- a/src/journal/record_codec.cpp
+++ b/src/journal/record_codec.cpp
@@ -371,7 +371,7 @@
     writer.Put(aRecord.mAsOf);
     writer.Put(key.mKey);
     writer.Put(key.mState);
-    writer.Put(key.mWinner);
+    writer.Put(key.mClaimant);
     writer.Put(key.mClaimedAt);
     writer.Put(key.mLastRecordAt);
     writer.Put(hasOutcome);
@@ -414,7 +414,7 @@
   aReader.Get(record.mAsOf);
   aReader.Get(key.mKey);
   aReader.GetEnum(key.mState, requests::KeyState::Finished);
-  aReader.Get(key.mWinner);
+  aReader.Get(key.mClaimant);
   aReader.Get(key.mClaimedAt);
   aReader.Get(key.mLastRecordAt);
   aReader.Get(hasOutcome);
--- a/src/journal/site_state.cpp
+++ b/src/journal/site_state.cpp
@@ -508,7 +508,7 @@
   return result;
 }
 
-std::vector<requests::BasedKey>
+std::vector<requests::KeyReplayOffset>
 SiteState::KeysOlderThan(std::int64_t aAgeMs,
                          std::int64_t aNowMs,
                          std::size_t aLimit) const
@@ -518,9 +518,9 @@
     const std::lock_guard<std::mutex> lock(mMutex);
     before = mAges.FirstYoungerThan(aAgeMs, aNowMs);
   }
-  std::vector<requests::BasedKey> result;
+  std::vector<requests::KeyReplayOffset> result;
   ForEachShard([&](const Tables& aTables) {
-    for (auto& it : aTables.mKeys.BasedBefore(before, aLimit)) {
+    for (auto& it : aTables.mKeys.OldestReplayOffsets(before, aLimit)) {
       result.push_back(std::move(it));
     }
   });
@@ -591,7 +591,8 @@
     builder.Add(TaskSnapshotRecord{ *tasks.FindBase(it) - 1, *tasks.Find(it) });
   }
   for (const auto& it : keys.All()) {
-    builder.Add(KeySnapshotRecord{ *keys.FindBase(it) - 1, keys.Find(it) });
+    builder.Add(
+      KeySnapshotRecord{ *keys.FindReplayOffset(it) - 1, keys.Find(it) });
   }
   for (const auto& [offset, record] : tasks.UnmatchedRecords()) {
     builder.AddUnmatched(offset, record);
--- a/src/journal/site_state_test.cpp
+++ b/src/journal/site_state_test.cpp
@@ -179,7 +179,7 @@
                    tasks::TaskState::Completed);
     CPPUNIT_ASSERT(late.mState.FindKey({ "k" }).mState ==
                    requests::KeyState::Claimed);
-    CPPUNIT_ASSERT(late.mState.FindKey({ "k" }).mWinner.mValue.empty());
+    CPPUNIT_ASSERT(late.mState.FindKey({ "k" }).mClaimant.mValue.empty());
     CPPUNIT_ASSERT(late.mState.IsTaskKnown({ "a" }));
     // A repeat is ignored while any record about the id is retained.
     Write({ Accept("a") }, { 3, 3 });
--- a/src/policy/breaker.cpp
+++ b/src/policy/breaker.cpp
@@ -57,7 +57,7 @@
 }
 
 void
-Breaker::OnWithdrawn(const base::TaskId& aTask)
+Breaker::OnCancelled(const base::TaskId& aTask)
 {
   if (mProbe == aTask) {
     mProbe.reset();
@@ -80,7 +80,7 @@
   mFailures.push_back(aTask);
   if (mProbe == aTask) {
     mProbe.reset();
-    mCooldown = std::min(mCooldown * 2, mOptions.mCooldownCap);
+    mCooldown = std::min(mCooldown * 2, mOptions.mMaxCooldown);
     mOpenUntil = aNow + mCooldown;
     return;
   }
@@ -91,12 +91,12 @@
 }
 
 void
-Breaker::TakeBack(const base::TaskId& aTask)
+Breaker::RemoveFailures(const base::TaskId& aTask)
 {
   mFailures.erase(std::remove(mFailures.begin(), mFailures.end(), aTask),
                   mFailures.end());
-  const bool reopens = mFailures.size() >= mOptions.mFailureThreshold;
-  if (!mOpen || reopens) {
+  const bool staysOpen = mFailures.size() >= mOptions.mFailureThreshold;
+  if (!mOpen || staysOpen) {
     return;
   }
   mOpen = false;
--- a/src/policy/breaker_test.cpp
+++ b/src/policy/breaker_test.cpp
@@ -17,7 +17,7 @@
   CPPUNIT_TEST_SUITE(BreakerTest);
   CPPUNIT_TEST(AdmitsOneProbeAfterTheCooldown);
   CPPUNIT_TEST(FailedProbeDoublesTheCooldownUpToTheCap);
-  CPPUNIT_TEST(QuarantineTakesFailuresBack);
+  CPPUNIT_TEST(QuarantineRemovesFailuresFromTheBreaker);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -31,7 +31,7 @@
     CPPUNIT_ASSERT(!breaker.Admits(At(11)));
     breaker.OnSuccess(kTaskB);
     CPPUNIT_ASSERT(!breaker.Admits(At(11)));
-    breaker.OnWithdrawn(kTaskA);
+    breaker.OnCancelled(kTaskA);
     CPPUNIT_ASSERT(breaker.Admits(At(11)));
     breaker.OnPlaced(kTaskB, At(11));
     breaker.OnSuccess(kTaskB);
@@ -54,7 +54,7 @@
   }
 
   // Guards against good workers that stay closed off because of a bad task.
-  void QuarantineTakesFailuresBack()
+  void QuarantineRemovesFailuresFromTheBreaker()
   {
     Quarantine quarantine;
     Breaker breaker = MakeOpen();
@@ -69,7 +69,7 @@
     CPPUNIT_ASSERT(fail("w4", true));
     const auto decision = quarantine.Find(kTaskA);
     CPPUNIT_ASSERT_EQUAL(std::size_t(3), decision->mWorkers.size());
-    breaker.TakeBack(kTaskA);
+    breaker.RemoveFailures(kTaskA);
     CPPUNIT_ASSERT(breaker.State(At(1)) == BreakerState::Closed);
     breaker.OnFailure(kTaskB, At(1));
     CPPUNIT_ASSERT(breaker.State(At(1)) == BreakerState::Closed);
--- a/src/policy/interference.cpp
+++ b/src/policy/interference.cpp
@@ -18,13 +18,15 @@
 } // namespace
 
 double
-InterferenceModel::Decayed(const Pair& aPair, base::TimePoint aNow) const
+InterferenceModel::Decayed(const PairEstimate& aPair,
+                           base::TimePoint aNow) const
 {
   const auto age =
     std::max(base::Duration::zero(), base::Duration(aNow - aPair.mUpdatedAt));
-  const double halves = static_cast<double>(age.count()) /
-                        static_cast<double>(base::Duration(kHalfLife).count());
-  const double kept = std::exp2(-halves);
+  const double halfLives =
+    static_cast<double>(age.count()) /
+    static_cast<double>(base::Duration(kHalfLife).count());
+  const double kept = std::exp2(-halfLives);
   return kPriorPercentPerTask +
          (aPair.mPercentPerTask - kPriorPercentPerTask) * kept;
 }
@@ -61,7 +63,7 @@
     const auto count = static_cast<double>(it.second);
     const double previous =
       Estimate(aReport.mService, it.first, aReport.mMeasuredAt);
-    Pair& pair = mPairs[{ aReport.mService, it.first }];
+    PairEstimate& pair = mPairs[{ aReport.mService, it.first }];
     pair.mPercentPerTask = std::clamp(
       previous + kLearningRate * error * count / norm, 0.0, kMaxPercentPerTask);
     pair.mUpdatedAt = std::max(pair.mUpdatedAt, aReport.mMeasuredAt);
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -139,8 +139,8 @@
     mModel.Record(aReport);
   }
 
-  double ExpectedDisturbance(const std::string& aService,
-                             const std::string& aBatchClass) const override
+  double ExpectedInterference(const std::string& aService,
+                              const std::string& aBatchClass) const override
   {
     return mModel.Estimate(aService, aBatchClass, mNow);
   }
@@ -187,8 +187,8 @@
 } // namespace
 
 double
-PlacementPolicy::ExpectedDisturbance(const std::string&,
-                                     const std::string&) const
+PlacementPolicy::ExpectedInterference(const std::string&,
+                                      const std::string&) const
 {
   return 0.0;
 }
--- a/src/policy/policy_test.cpp
+++ b/src/policy/policy_test.cpp
@@ -13,21 +13,21 @@
 class PolicyTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(PolicyTest);
-  CPPUNIT_TEST(ModelTellsPairsApartAndForgets);
+  CPPUNIT_TEST(ModelSeparatesPairsAndDecays);
   CPPUNIT_TEST(PlacementNeverOvercommits);
-  CPPUNIT_TEST(PlacementAvoidsADisturbedService);
-  CPPUNIT_TEST(ShortTasksGoBeforeStragglers);
-  CPPUNIT_TEST(TasksBeyondTheQuotaAreLeftOut);
-  CPPUNIT_TEST(ProtectionThrottlesTheDisturberOnly);
+  CPPUNIT_TEST(PlacementAvoidsAnAffectedService);
+  CPPUNIT_TEST(ShortTasksGoBeforeLongOnes);
+  CPPUNIT_TEST(TasksOverQuotaAreOmitted);
+  CPPUNIT_TEST(ProtectionThrottlesTheInterferingTaskOnly);
   CPPUNIT_TEST(ProtectionThrottlesAllWithoutEstimates);
   CPPUNIT_TEST(ProtectionWaitsForTheReports);
-  CPPUNIT_TEST(TaskAtItsEvictionLimitStays);
+  CPPUNIT_TEST(TaskAtItsEvictionLimitIsNotEvicted);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   // Guards against blame on a class that was only present, and against an
   // estimate that outlives its evidence.
-  void ModelTellsPairsApartAndForgets()
+  void ModelSeparatesPairsAndDecays()
   {
     InterferenceModel model;
     for (int n = 0; n < 200; ++n) {
@@ -55,7 +55,7 @@
   }
 
   // Guards against a noisy class beside the service that it disturbs.
-  void PlacementAvoidsADisturbedService()
+  void PlacementAvoidsAnAffectedService()
   {
     for (const auto profile : { Profile::Throughput, Profile::Tail }) {
       const auto policy = CreatePlacementPolicy(profile);
@@ -72,7 +72,7 @@
 
   // Guards against short work that waits behind stragglers with a wrong
   // declaration.
-  void ShortTasksGoBeforeStragglers()
+  void ShortTasksGoBeforeLongOnes()
   {
     const auto queue = CreateQueuePolicy(Profile::Throughput);
     queue->RecordRun("short", 5, true);
@@ -88,7 +88,7 @@
   }
 
   // Guards against a team that takes more than its quota in one round.
-  void TasksBeyondTheQuotaAreLeftOut()
+  void TasksOverQuotaAreOmitted()
   {
     const auto queue = CreateQueuePolicy(Profile::Tail);
     const base::Resources need{ 1000, 1, 0 };
@@ -101,10 +101,10 @@
   }
 
   // Guards against throttled tasks that disturb nobody.
-  void ProtectionThrottlesTheDisturberOnly()
+  void ProtectionThrottlesTheInterferingTaskOnly()
   {
     WorkerPressure pressure = MakePressure(230);
-    pressure.mTasks[1].mDisturbancePercent = 170.0;
+    pressure.mTasks[1].mInterferencePercent = 170.0;
     const auto policy = CreateProtectionPolicy(Profile::Tail);
     const auto actions = policy->Decide(pressure, At(0));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, actions.size());
@@ -130,7 +130,7 @@
 
   // Guards against a job that is evicted for ever, and against an eviction
   // that loses more than needed.
-  void TaskAtItsEvictionLimitStays()
+  void TaskAtItsEvictionLimitIsNotEvicted()
   {
     WorkerPressure pressure = MakePressure(300);
     for (auto& it : pressure.mTasks) {
--- a/src/policy/protection.cpp
+++ b/src/policy/protection.cpp
@@ -27,7 +27,7 @@
   /// Slowdown below the tolerated one, in percent points, at which throttled
   /// tasks get their share back; negative for one above it.
   std::int64_t mRecoveryPercent;
-  std::int64_t mLowestThrottlePercent;
+  std::int64_t mMinThrottlePercent;
   /// Time to wait for a measure to show in the lagging reports.
   base::Duration mReactionTime;
   /// Decisions above the limit, after throttling, before a task is evicted.
@@ -68,7 +68,7 @@
     if (aWorker.mSlowdownPercent > upper) {
       return Restrict(aWorker, state, aNow);
     }
-    state.mDecisionsAbove = 0;
+    state.mDecisionsOverLimit = 0;
     if (aWorker.mSlowdownPercent < lower) {
       return Relax(aWorker, state, aNow);
     }
@@ -79,7 +79,7 @@
   struct State
   {
     base::TimePoint mNextDecisionAt;
-    std::int64_t mDecisionsAbove = 0;
+    std::int64_t mDecisionsOverLimit = 0;
   };
 
   std::vector<ProtectionAction> Restrict(const WorkerPressure& aWorker,
@@ -87,32 +87,32 @@
                                          base::TimePoint aNow) const
   {
     aState.mNextDecisionAt = aNow + mLimits.mReactionTime;
-    std::vector<ProtectionAction> actions = ThrottleWorst(aWorker);
+    std::vector<ProtectionAction> actions = ThrottleMostInterfering(aWorker);
     if (!actions.empty()) {
       return actions;
     }
-    ++aState.mDecisionsAbove;
-    if (aState.mDecisionsAbove < mLimits.mDecisionsBeforeEviction) {
+    ++aState.mDecisionsOverLimit;
+    if (aState.mDecisionsOverLimit < mLimits.mDecisionsBeforeEviction) {
       return {};
     }
-    aState.mDecisionsAbove = 0;
+    aState.mDecisionsOverLimit = 0;
     return EvictCheapest(aWorker);
   }
 
   // The tasks that are expected to disturb most go first, and only as many as
   // are expected to remove the excess: a throttled task that disturbs nobody
   // loses throughput for nothing. Without estimates all are throttled.
-  std::vector<ProtectionAction> ThrottleWorst(
+  std::vector<ProtectionAction> ThrottleMostInterfering(
     const WorkerPressure& aWorker) const
   {
     std::vector<const RunningTask*> tasks;
     for (const auto& it : aWorker.mTasks) {
-      if (it.mThrottlePercent > mLimits.mLowestThrottlePercent) {
+      if (it.mThrottlePercent > mLimits.mMinThrottlePercent) {
         tasks.push_back(&it);
       }
     }
     std::stable_sort(tasks.begin(), tasks.end(), [](auto* aLeft, auto* aRight) {
-      return aLeft->mDisturbancePercent > aRight->mDisturbancePercent;
+      return aLeft->mInterferencePercent > aRight->mInterferencePercent;
     });
     auto excess =
       static_cast<double>(aWorker.mSlowdownPercent - aWorker.mToleratedPercent);
@@ -122,9 +122,9 @@
         break;
       }
       const std::int64_t percent =
-        std::max(mLimits.mLowestThrottlePercent, it->mThrottlePercent / 2);
+        std::max(mLimits.mMinThrottlePercent, it->mThrottlePercent / 2);
       actions.push_back({ ProtectionKind::Throttle, it->mTask, percent });
-      excess -= it->mDisturbancePercent *
+      excess -= it->mInterferencePercent *
                 static_cast<double>(it->mThrottlePercent - percent) / 100.0;
     }
     return actions;
@@ -149,7 +149,7 @@
     return actions;
   }
 
-  static std::int64_t LossSeconds(const RunningTask& aTask)
+  static std::int64_t EvictionCostSeconds(const RunningTask& aTask)
   {
     return aTask.mSecondsSinceCheckpoint +
            aTask.mRestartCostSeconds * (1 + aTask.mEvictions);
@@ -164,7 +164,8 @@
       if (it.mCheckpointing || it.mEvictions >= it.mMaxEvictions) {
         continue;
       }
-      if (cheapest == nullptr || LossSeconds(it) < LossSeconds(*cheapest)) {
+      if (cheapest == nullptr ||
+          EvictionCostSeconds(it) < EvictionCostSeconds(*cheapest)) {
         cheapest = &it;
       }
     }
--- a/src/policy/quarantine.cpp
+++ b/src/policy/quarantine.cpp
@@ -4,8 +4,8 @@
 
 namespace skylarkhill::policy {
 
-Quarantine::Quarantine(std::size_t aWorkers)
-  : mNeeded(aWorkers)
+Quarantine::Quarantine(std::size_t aMinWorkers)
+  : mMinWorkers(aMinWorkers)
 {
 }
 
@@ -38,7 +38,7 @@
 Quarantine::Find(const base::TaskId& aTask) const
 {
   const auto found = mFailures.find(aTask);
-  if (found == mFailures.end() || found->second.size() < mNeeded) {
+  if (found == mFailures.end() || found->second.size() < mMinWorkers) {
     return std::nullopt;
   }
   QuarantineDecision decision;
--- a/src/policy/queue.cpp
+++ b/src/policy/queue.cpp
@@ -93,8 +93,8 @@
     }
     const auto seconds = static_cast<double>(aRunSeconds);
     if (aCompleted || seconds > it->second) {
-      constexpr double kStep = 0.1;
-      it->second += kStep * (seconds - it->second);
+      constexpr double kSampleWeight = 0.1;
+      it->second += kSampleWeight * (seconds - it->second);
     }
   }
 
--- a/src/policy/size_estimator.cpp
+++ b/src/policy/size_estimator.cpp
@@ -49,11 +49,11 @@
 {
   // Ages are relative to the newest sample: weights of a class that has not
   // run for long would all round to zero.
-  const base::TimePoint newest = std::min(aNow, aSamples.back().mSeenAt);
+  const base::TimePoint newest = std::min(aNow, aSamples.back().mObservedAt);
   std::vector<std::pair<std::int64_t, double>> weighted;
   double total = 0.0;
   for (const auto& it : aSamples) {
-    const auto age = static_cast<double>((newest - it.mSeenAt).count());
+    const auto age = static_cast<double>((newest - it.mObservedAt).count());
     const double weight = std::exp2(
       -std::max(age, 0.0) / static_cast<double>(mOptions.mHalfLife.count()));
     weighted.emplace_back(it.mUsed.*aDimension, weight);
--- a/src/requests/admission_queue.cpp
+++ b/src/requests/admission_queue.cpp
@@ -54,9 +54,9 @@
 class OrderedQueue : public AdmissionQueue
 {
 public:
-  OrderedQueue(const AdmissionQueueOptions& aOptions, bool aProtects)
+  OrderedQueue(const AdmissionQueueOptions& aOptions, bool aShedsLoad)
     : mOptions(aOptions)
-    , mProtects(aProtects)
+    , mShedsLoad(aShedsLoad)
   {
   }
 
@@ -71,8 +71,8 @@
     }
     Expire(aNow);
     const QueuedEntry queued{ aEntry, mNextSequence };
-    if (mProtects && ExpectedWait(CountAhead(queued)) >
-                       base::Remaining(aNow, aEntry.mDeadline)) {
+    if (mShedsLoad && ExpectedWait(CountAhead(queued)) >
+                        base::Remaining(aNow, aEntry.mDeadline)) {
       return MakeError(ErrorKind::Overloaded, "expected wait is too long");
     }
     if (mEntries.size() >= mOptions.mMaxEntries && !CanShedFor(aEntry)) {
@@ -169,7 +169,7 @@
   /// one refusal for another.
   bool CanShedFor(const QueueEntry& aEntry) const
   {
-    return mProtects && !mEntries.empty() &&
+    return mShedsLoad && !mEntries.empty() &&
            mEntries.rbegin()->mEntry.mImportance < aEntry.mImportance;
   }
 
@@ -181,7 +181,7 @@
   }
 
   AdmissionQueueOptions mOptions;
-  bool mProtects;
+  bool mShedsLoad;
   Entries mEntries;
   std::vector<DroppedEntry> mDropped;
   std::uint64_t mNextSequence = 0;
--- a/src/requests/concurrency_limit.cpp
+++ b/src/requests/concurrency_limit.cpp
@@ -6,15 +6,15 @@
 
 namespace {
 
-constexpr double kDecrease = 0.9;
+constexpr double kDecreaseFactor = 0.9;
 // Service times vary several times over between requests of one service, so the
 // mean of about the last 30 is compared, never a single one.
-constexpr double kMeanWeight = 0.03;
+constexpr double kSampleWeight = 0.03;
 // The undisturbed latency rises by this share per sample, so that a service
 // that has become slower for good is not limited for ever.
-constexpr double kBaselineRise = 0.001;
+constexpr double kBaselineRisePerSample = 0.001;
 // Below this share of the limit, latency says nothing about a higher limit.
-constexpr double kBusyShare = 0.8;
+constexpr double kMinUtilization = 0.8;
 
 class FixedLimit : public ConcurrencyLimit
 {
@@ -48,8 +48,8 @@
   {
     const auto latency = static_cast<double>(aSample.mLatency.count());
     if (!aSample.mOverloaded) {
-      LearnMean(latency);
-      LearnBaseline();
+      UpdateMean(latency);
+      UpdateBaseline();
     }
     if (aSample.mOverloaded || mMean > mTolerance * mBaseline) {
       Decrease(aSample.mLatency, aNow);
@@ -57,7 +57,7 @@
     }
     // Only whole requests run: 1 in flight is all that a limit of 1.9 allows.
     const auto usable = static_cast<double>(Limit());
-    if (static_cast<double>(aSample.mInFlight) >= kBusyShare * usable) {
+    if (static_cast<double>(aSample.mInFlight) >= kMinUtilization * usable) {
       mLimit = std::min(mCapacity, mLimit + 1.0 / std::max(mLimit, 1.0));
     }
   }
@@ -71,16 +71,16 @@
   }
 
 private:
-  void LearnMean(double aLatency)
+  void UpdateMean(double aLatency)
   {
     ++mSamples;
-    const double weight = std::max(kMeanWeight, 1.0 / mSamples);
+    const double weight = std::max(kSampleWeight, 1.0 / mSamples);
     mMean += weight * (aLatency - mMean);
   }
 
-  void LearnBaseline()
+  void UpdateBaseline()
   {
-    const double risen = mBaseline * (1.0 + kBaselineRise);
+    const double risen = mBaseline * (1.0 + kBaselineRisePerSample);
     mBaseline = mBaseline <= 0 ? mMean : std::min(mMean, risen);
   }
 
@@ -91,7 +91,7 @@
     if (aNow < mDecreaseAllowedAt) {
       return;
     }
-    mLimit = std::max(1.0, mLimit * kDecrease);
+    mLimit = std::max(1.0, mLimit * kDecreaseFactor);
     mDecreaseAllowedAt = aNow + aLatency;
   }
 
--- a/src/requests/forwarder.cpp
+++ b/src/requests/forwarder.cpp
@@ -13,14 +13,14 @@
 namespace {
 
 std::vector<Candidate>
-SelectOwnWorkers(const std::vector<Candidate>& aCandidates)
+SelectHeldWorkers(const std::vector<Candidate>& aCandidates)
 {
   std::vector<Candidate> workers;
   std::copy_if(aCandidates.begin(),
                aCandidates.end(),
                std::back_inserter(workers),
                [](const Candidate& aCandidate) {
-                 return aCandidate.mTarget.mKind == TargetKind::OwnWorker;
+                 return aCandidate.mTarget.mKind == TargetKind::HeldWorker;
                });
   return workers;
 }
@@ -67,7 +67,7 @@
     ++mDuplicates;
     return {};
   }
-  const std::vector<Candidate> workers = SelectOwnWorkers(aCandidates);
+  const std::vector<Candidate> workers = SelectHeldWorkers(aCandidates);
   std::optional<Target> target;
   if (!mStopping) {
     target = mPicker.Pick(workers, {}, mInFlight, mRandom);
@@ -76,7 +76,7 @@
   // origin was told that the attempt did not run.
   mEntries[key] = Entry{ request.mDeadline, !target.has_value() };
   if (!target) {
-    const RequestResult refusal = Refuse(workers);
+    const RequestResult refusal = MakeRefusal(workers);
     return { AnswerOrigin{
       aAttempt.mOrigin, request.mId, aAttempt.mAttempt, refusal } };
   }
@@ -139,7 +139,7 @@
 }
 
 RequestResult
-Forwarder::Refuse(const std::vector<Candidate>& aWorkers) const
+Forwarder::MakeRefusal(const std::vector<Candidate>& aWorkers) const
 {
   if (mStopping) {
     return MakeNotRun(MakeError(ErrorKind::ShuttingDown));
--- a/src/requests/forwarder_test.cpp
+++ b/src/requests/forwarder_test.cpp
@@ -15,22 +15,22 @@
 class ForwarderTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(ForwarderTest);
-  CPPUNIT_TEST(RunsOnOwnWorkersOnly);
+  CPPUNIT_TEST(RunsOnHeldWorkersOnly);
   CPPUNIT_TEST(AnswerTellsWhetherItRan);
-  CPPUNIT_TEST(CopyOfAnAttemptDoesNotRun);
+  CPPUNIT_TEST(DuplicateAttemptDoesNotRun);
   CPPUNIT_TEST(DeadlineEndsARunningAttemptAsUnknown);
   CPPUNIT_TEST(RefusesWhileStopping);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   // Guards against requests that are passed on from peer to peer.
-  void RunsOnOwnWorkersOnly()
+  void RunsOnHeldWorkersOnly()
   {
     const Candidate peer = MakeCandidate(TargetKind::Peer, 9);
     CPPUNIT_ASSERT(Refusal(Offer(1, { peer })) == ErrorKind::NotHolder);
-    const Candidate full = MakeCandidate(TargetKind::OwnWorker, 0);
+    const Candidate full = MakeCandidate(TargetKind::HeldWorker, 0);
     CPPUNIT_ASSERT(Refusal(Offer(2, { peer, full })) == ErrorKind::NoCapacity);
-    const Candidate free = MakeCandidate(TargetKind::OwnWorker, 1);
+    const Candidate free = MakeCandidate(TargetKind::HeldWorker, 1);
     const ForwardActions actions = Offer(3, { peer, free });
     CPPUNIT_ASSERT_EQUAL(std::string("w"),
                          std::get<RunOnWorker>(actions.at(0)).mWorker.mValue);
@@ -52,9 +52,9 @@
 
   // Guards P6 against a message that arrives twice, also after the attempt has
   // been refused, answered or forgotten.
-  void CopyOfAnAttemptDoesNotRun()
+  void DuplicateAttemptDoesNotRun()
   {
-    const Candidate free = MakeCandidate(TargetKind::OwnWorker, 1);
+    const Candidate free = MakeCandidate(TargetKind::HeldWorker, 1);
     CPPUNIT_ASSERT(Refusal(Offer(1, {})) == ErrorKind::NotHolder);
     CPPUNIT_ASSERT(Offer(1, { free }).empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, Offer(2, { free }).size());
@@ -70,7 +70,7 @@
 
   void DeadlineEndsARunningAttemptAsUnknown()
   {
-    Offer(1, { MakeCandidate(TargetKind::OwnWorker, 1) });
+    Offer(1, { MakeCandidate(TargetKind::HeldWorker, 1) });
     CPPUNIT_ASSERT(mForwarder.NextWakeup() == mDeadline);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, mForwarder.CountRunning());
     mClock.Advance(milliseconds(100));
@@ -85,7 +85,7 @@
   void RefusesWhileStopping()
   {
     mForwarder.StopAccepting();
-    const Candidate free = MakeCandidate(TargetKind::OwnWorker, 1);
+    const Candidate free = MakeCandidate(TargetKind::HeldWorker, 1);
     CPPUNIT_ASSERT(Refusal(Offer(1, { free })) == ErrorKind::ShuttingDown);
   }
 
@@ -117,7 +117,7 @@
   }
   Outcome Finish(std::int64_t aAttempt, base::Result<std::string> aBody)
   {
-    Offer(aAttempt, { MakeCandidate(TargetKind::OwnWorker, 1) });
+    Offer(aAttempt, { MakeCandidate(TargetKind::HeldWorker, 1) });
     const ForwardActions actions = mForwarder.OnWorkerFinished(
       { { "origin" }, 1, { "key" }, aAttempt, std::move(aBody) });
     return std::get<AnswerOrigin>(actions.at(0)).mResult.mOutcome;
--- a/src/requests/key_table.cpp
+++ b/src/requests/key_table.cpp
@@ -27,7 +27,7 @@
 {
   std::uint64_t digest = base::StableHash(aKey.mKey.mValue);
   digest = base::StableHash(NameOf(aKey.mState), digest);
-  digest = base::StableHash(aKey.mWinner.mValue, digest);
+  digest = base::StableHash(aKey.mClaimant.mValue, digest);
   if (aKey.mOutcome) {
     digest = base::StableHash(NameOf(aKey.mOutcome->mOutcome), digest);
     digest = base::StableHash(base::NameOf(aKey.mOutcome->mErrorKind), digest);
@@ -80,8 +80,8 @@
     mFinished.emplace(key.mLastRecordAt, key.mKey);
     return;
   }
-  mByBase.emplace(aEntry.mBasedAt, key.mKey);
-  mByInstance[key.mWinner].insert(key.mKey);
+  mByReplayOffset.emplace(aEntry.mReplayFrom, key.mKey);
+  mByInstance[key.mClaimant].insert(key.mKey);
 }
 
 void
@@ -92,8 +92,8 @@
     mFinished.erase({ key.mLastRecordAt, key.mKey });
     return;
   }
-  mByBase.erase({ aEntry.mBasedAt, key.mKey });
-  const auto keys = mByInstance.find(key.mWinner);
+  mByReplayOffset.erase({ aEntry.mReplayFrom, key.mKey });
+  const auto keys = mByInstance.find(key.mClaimant);
   keys->second.erase(key.mKey);
   if (keys->second.empty()) {
     mByInstance.erase(keys);
@@ -109,7 +109,7 @@
 }
 
 void
-KeyTable::Claim(Offset aOffset, const IntentRecord& aRecord, Offset aBasedAt)
+KeyTable::Claim(Offset aOffset, const IntentRecord& aRecord, Offset aReplayFrom)
 {
   // A key with unmatched records was claimed before this reader's first
   // record.
@@ -121,10 +121,10 @@
   Entry& entry = mEntries[aRecord.mKey];
   entry.mSnapshot.mKey = aRecord.mKey;
   entry.mSnapshot.mState = KeyState::Claimed;
-  entry.mSnapshot.mWinner = aRecord.mInstance;
+  entry.mSnapshot.mClaimant = aRecord.mInstance;
   entry.mSnapshot.mClaimedAt = aOffset;
   entry.mSnapshot.mLastRecordAt = aOffset;
-  entry.mBasedAt = aBasedAt;
+  entry.mReplayFrom = aReplayFrom;
   AddToIndexes(entry);
 }
 
@@ -156,7 +156,7 @@
   RemoveFromIndexes(entry);
   KeySnapshot& key = entry.mSnapshot;
   key.mLastRecordAt = std::max(key.mLastRecordAt, aOffset);
-  if (key.mState == KeyState::Claimed && MayFinish(key.mWinner, aRecord)) {
+  if (key.mState == KeyState::Claimed && MayFinish(key.mClaimant, aRecord)) {
     key.mState = KeyState::Finished;
     key.mOutcome = aRecord;
   } else {
@@ -172,10 +172,10 @@
 }
 
 void
-KeyTable::Apply(Offset aOffset, const KeyRecord& aRecord, Offset aBasedAt)
+KeyTable::Apply(Offset aOffset, const KeyRecord& aRecord, Offset aReplayFrom)
 {
   if (const auto* intent = std::get_if<IntentRecord>(&aRecord)) {
-    Claim(aOffset, *intent, aBasedAt);
+    Claim(aOffset, *intent, aReplayFrom);
   } else {
     Finish(aOffset, std::get<OutcomeRecord>(aRecord));
   }
@@ -187,7 +187,7 @@
   const auto found = mEntries.find(aSnapshot.mKey);
   if (found != mEntries.end()) {
     RemoveFromIndexes(found->second);
-    Offset& base = found->second.mBasedAt;
+    Offset& base = found->second.mReplayFrom;
     base = std::max(base, aAsOf + 1);
     AddToIndexes(found->second);
     return;
@@ -205,17 +205,17 @@
 }
 
 void
-KeyTable::Restore(const KeySnapshot& aSnapshot, Offset aBasedAt)
+KeyTable::Restore(const KeySnapshot& aSnapshot, Offset aReplayFrom)
 {
-  const bool isSound =
+  const bool isValid =
     aSnapshot.mState == KeyState::Claimed ||
     (aSnapshot.mState == KeyState::Finished && aSnapshot.mOutcome);
-  if (!isSound || mEntries.count(aSnapshot.mKey) != 0) {
+  if (!isValid || mEntries.count(aSnapshot.mKey) != 0) {
     return;
   }
   Entry& entry = mEntries[aSnapshot.mKey];
   entry.mSnapshot = aSnapshot;
-  entry.mBasedAt = aBasedAt;
+  entry.mReplayFrom = aReplayFrom;
   AddToIndexes(entry);
 }
 
@@ -275,13 +275,13 @@
 }
 
 std::optional<Offset>
-KeyTable::FindBase(const base::RequestId& aKey) const
+KeyTable::FindReplayOffset(const base::RequestId& aKey) const
 {
   const auto found = mEntries.find(aKey);
   if (found == mEntries.end()) {
     return std::nullopt;
   }
-  return found->second.mBasedAt;
+  return found->second.mReplayFrom;
 }
 
 std::vector<base::RequestId>
@@ -304,11 +304,11 @@
   return result;
 }
 
-std::vector<BasedKey>
-KeyTable::BasedBefore(Offset aBefore, std::size_t aLimit) const
+std::vector<KeyReplayOffset>
+KeyTable::OldestReplayOffsets(Offset aBefore, std::size_t aLimit) const
 {
-  std::vector<BasedKey> result;
-  for (const auto& [offset, key] : mByBase) {
+  std::vector<KeyReplayOffset> result;
+  for (const auto& [offset, key] : mByReplayOffset) {
     if (offset >= aBefore || result.size() >= aLimit) {
       break;
     }
@@ -333,7 +333,7 @@
 KeyTable::LiveDigest() const
 {
   std::uint64_t digest = 0;
-  for (const auto& it : mByBase) {
+  for (const auto& it : mByReplayOffset) {
     digest += DigestOf(mEntries.at(it.second).mSnapshot);
   }
   return digest;
--- a/src/requests/key_table_test.cpp
+++ b/src/requests/key_table_test.cpp
@@ -17,7 +17,7 @@
 {
   CPPUNIT_TEST_SUITE(KeyTableTest);
   CPPUNIT_TEST(TheFirstIntentWins);
-  CPPUNIT_TEST(OnlyTheWinnerReportsTheOutcome);
+  CPPUNIT_TEST(OnlyTheClaimantReportsTheOutcome);
   CPPUNIT_TEST(AnotherInstanceMayReportUnknown);
   CPPUNIT_TEST(KeepsFinishedKeysWhileARecordIsRetained);
   CPPUNIT_TEST(AppliesAnOutcomeReadBeforeTheSnapshot);
@@ -30,14 +30,15 @@
     CPPUNIT_ASSERT(mTable.Find({ "k" }).mState == KeyState::Unknown);
     mTable.Apply(1, IntentRecord{ { "k" }, { "a" } });
     mTable.Apply(2, IntentRecord{ { "k" }, { "b" } });
-    CPPUNIT_ASSERT_EQUAL(std::string("a"), mTable.Find({ "k" }).mWinner.mValue);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                         mTable.Find({ "k" }).mClaimant.mValue);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), mTable.ClaimedBy({ "a" }).size());
     CPPUNIT_ASSERT(mTable.ClaimedBy({ "b" }).empty());
   }
 
   // Guards against a caller that is told the result of a request that the
   // winner did not send.
-  void OnlyTheWinnerReportsTheOutcome()
+  void OnlyTheClaimantReportsTheOutcome()
   {
     mTable.Apply(1, IntentRecord{ { "k" }, { "a" } });
     mTable.Apply(2, MakeOutcome("b", Outcome::NotRun));
--- a/src/requests/request_machine.cpp
+++ b/src/requests/request_machine.cpp
@@ -92,15 +92,15 @@
   const bool allowed = CanSendAgain() && !repeated;
   // The budget bounds the extra load on endpoints. Attempts that were all
   // refused before they ran have caused none.
-  const bool isFree = !MayHaveRun();
-  if (allowed && (isFree || mBudget.TryTake(mClock.Now()))) {
+  const bool isExempt = !MayHaveRun();
+  if (allowed && (isExempt || mBudget.TryTake(mClock.Now()))) {
     Send(aEvent.mTarget, aActions);
     return;
   }
   if (allowed && HasState(AttemptState::InFlight)) {
     mHedgeAt = mClock.Now() + kHedgeRetryDelay;
   }
-  GiveUp(aActions);
+  StopRetrying(aActions);
 }
 
 void
@@ -113,7 +113,7 @@
   if (mAttempts.empty()) {
     mLastError = MakeError(ErrorKind::NoCapacity, "no eligible target");
   }
-  GiveUp(aActions);
+  StopRetrying(aActions);
 }
 
 void
@@ -229,8 +229,8 @@
   mHedgeAt = base::kNoDeadline;
   // While the claim is open, another instance may be running the same key, and
   // an attempt in flight cannot be recalled: both decide the outcome.
-  const bool open = mClaim == Claim::Pending || mClaim == Claim::Lost;
-  if (!open && !HasState(AttemptState::InFlight)) {
+  const bool isUndecided = mClaim == Claim::Pending || mClaim == Claim::Lost;
+  if (!isUndecided && !HasState(AttemptState::InFlight)) {
     FinishWithoutAnswer(aActions);
   }
 }
@@ -321,7 +321,7 @@
   if (expected) {
     mLastError = aError;
   }
-  Proceed(aActions);
+  RetryOrFinish(aActions);
 }
 
 void
@@ -336,12 +336,12 @@
   }
   if (expired) {
     mLastError = MakeError(ErrorKind::OutcomeUnknown, "attempt timed out");
-    Proceed(aActions);
+    RetryOrFinish(aActions);
   }
 }
 
 void
-RequestMachine::Proceed(RequestActions& aActions)
+RequestMachine::RetryOrFinish(RequestActions& aActions)
 {
   if (HasState(AttemptState::InFlight) || mTargetPending) {
     return;
@@ -354,11 +354,11 @@
     AskForTarget(aActions);
     return;
   }
-  GiveUp(aActions);
+  StopRetrying(aActions);
 }
 
 void
-RequestMachine::GiveUp(RequestActions& aActions)
+RequestMachine::StopRetrying(RequestActions& aActions)
 {
   // An idempotent attempt that only timed out may still be answered.
   const bool mayAnswer =
@@ -413,8 +413,8 @@
 RequestMachine::FinishAtDeadline(RequestActions& aActions)
 {
   // With an open claim, another request with this key may have run it.
-  const bool open = mClaim == Claim::Pending || mClaim == Claim::Lost;
-  if (open || MayHaveRun()) {
+  const bool isUndecided = mClaim == Claim::Pending || mClaim == Claim::Lost;
+  if (isUndecided || MayHaveRun()) {
     FinishWith(MakeUnknown(MakeError(ErrorKind::OutcomeUnknown,
                                      "deadline passed without an answer")),
                aActions);
--- a/src/requests/request_machine_test.cpp
+++ b/src/requests/request_machine_test.cpp
@@ -28,9 +28,9 @@
 }
 
 /// One machine with what it needs, and what it has emitted so far.
-struct Rig
+struct Harness
 {
-  explicit Rig(bool aIdempotent, std::uint64_t aSeed = 1)
+  explicit Harness(bool aIdempotent, std::uint64_t aSeed = 1)
     : mRandom(base::CreateSeededRandom(aSeed))
     , mBudget({ 100, 100.0, 100.0 }, mClock.Now())
   {
@@ -41,9 +41,9 @@
     request.mDeadline = mClock.Now() + milliseconds(1000);
     mMachine = std::make_unique<RequestMachine>(
       request, MakeOptions(3), mBudget, mClock, *mRandom);
-    Take(mMachine->Start());
+    Collect(mMachine->Start());
   }
-  void Take(const RequestActions& aActions)
+  void Collect(const RequestActions& aActions)
   {
     for (const RequestAction& it : aActions) {
       if (const auto* send = std::get_if<SendAttempt>(&it)) {
@@ -60,16 +60,16 @@
       }
     }
   }
-  void Handle(const RequestEvent& aEvent) { Take(mMachine->Handle(aEvent)); }
+  void Handle(const RequestEvent& aEvent) { Collect(mMachine->Handle(aEvent)); }
   void Offer(const char* aName)
   {
-    Handle(TargetOffered{ { TargetKind::OwnWorker, aName } });
+    Handle(TargetOffered{ { TargetKind::HeldWorker, aName } });
   }
   void Fail(std::int64_t aAttempt, ErrorKind aKind)
   {
     Handle(AttemptFailed{ kId, aAttempt, MakeError(aKind) });
   }
-  void Pass(milliseconds aTime)
+  void AdvanceClock(milliseconds aTime)
   {
     mClock.Advance(aTime);
     Handle(TimerFired{});
@@ -97,7 +97,7 @@
 public:
   RandomRun(bool aIdempotent, std::uint64_t aSeed)
     : mIdempotent(aIdempotent)
-    , mRig(aIdempotent, aSeed)
+    , mHarness(aIdempotent, aSeed)
     , mChoice(base::CreateSeededRandom(aSeed + 1000000))
     , mTrace("seed " + std::to_string(aSeed) + ":")
   {
@@ -106,13 +106,13 @@
 
   void Run()
   {
-    for (int n = 0; n < 60 && !mRig.mMachine->IsSettled(); ++n) {
+    for (int n = 0; n < 60 && !mHarness.mMachine->IsSettled(); ++n) {
       Step();
       Check();
     }
-    mRig.mClock.Advance(milliseconds(2000));
-    mRig.Handle(TimerFired{});
-    Require(mRig.mResult.has_value(), "ended at its deadline");
+    mHarness.mClock.Advance(milliseconds(2000));
+    mHarness.Handle(TimerFired{});
+    Require(mHarness.mResult.has_value(), "ended at its deadline");
   }
 
 private:
@@ -122,12 +122,12 @@
     mTrace += " " + std::to_string(choice);
     if (choice < 4) {
       const auto name = "w" + std::to_string(mChoice->Below(6));
-      mRig.Offer(name.c_str());
+      mHarness.Offer(name.c_str());
     } else if (choice == 4) {
-      mRig.Handle(TargetUnavailable{});
+      mHarness.Handle(TargetUnavailable{});
     } else if (choice == 5) {
       mWon = mWon || !mLost;
-      mRig.Handle(IntentWon{});
+      mHarness.Handle(IntentWon{});
     } else if (choice == 6) {
       ClaimByOther();
     } else if (choice < 9) {
@@ -135,7 +135,7 @@
     } else if (choice < 11) {
       FailAttempt();
     } else if (choice == 11 && mChoice->Below(4) == 0) {
-      mRig.Handle(CancelRequested{});
+      mHarness.Handle(CancelRequested{});
     } else {
       Advance();
     }
@@ -143,13 +143,13 @@
   /// Also moves to the exact time of the next timer, where races are likely.
   void Advance()
   {
-    const base::TimePoint due = mRig.mMachine->NextWakeup();
+    const base::TimePoint due = mHarness.mMachine->NextWakeup();
     if (mChoice->Below(2) == 0 && due != base::kNoDeadline) {
-      mRig.mClock.Set(std::max(due, mRig.mClock.Now()));
+      mHarness.mClock.Set(std::max(due, mHarness.mClock.Now()));
     } else {
-      mRig.mClock.Advance(milliseconds(mChoice->Below(60)));
+      mHarness.mClock.Advance(milliseconds(mChoice->Below(60)));
     }
-    mRig.Handle(TimerFired{});
+    mHarness.Handle(TimerFired{});
   }
   void ClaimByOther()
   {
@@ -158,10 +158,10 @@
     }
     mLost = true;
     if (mChoice->Below(2) == 0) {
-      mRig.Handle(LogUnavailable{});
+      mHarness.Handle(LogUnavailable{});
       return;
     }
-    mRig.Handle(IntentClaimedByOther{
+    mHarness.Handle(IntentClaimedByOther{
       mChoice->Below(2) == 0 ? ClaimState::InProgress : ClaimState::Abandoned,
       {} });
   }
@@ -170,26 +170,27 @@
     const auto attempt = static_cast<std::int64_t>(mChoice->Below(4));
     const bool own = mChoice->Below(4) != 0;
     const base::RequestId id = own ? kId : base::RequestId{ "other" };
-    mRig.Handle(AttemptAnswered{
+    mHarness.Handle(AttemptAnswered{
       id, attempt, id.mValue + "#" + std::to_string(attempt) });
   }
   void FailAttempt()
   {
     const auto attempt = 1 + static_cast<std::int64_t>(mChoice->Below(3));
-    const bool sent = attempt <= static_cast<std::int64_t>(mRig.mSends.size());
+    const bool sent =
+      attempt <= static_cast<std::int64_t>(mHarness.mSends.size());
     const bool notRun = mChoice->Below(2) == 0;
-    if (sent && !mRig.mResult) {
+    if (sent && !mHarness.mResult) {
       mNotRun.emplace(attempt, notRun);
     }
     if (mChoice->Below(2) == 0) {
       const ErrorKind unknown = mChoice->Below(2) == 0
                                   ? ErrorKind::ConnectionLost
                                   : ErrorKind::DeadlineExceeded;
-      mRig.Fail(attempt, notRun ? ErrorKind::WorkerRefused : unknown);
+      mHarness.Fail(attempt, notRun ? ErrorKind::WorkerRefused : unknown);
       return;
     }
     const base::Error error = MakeError(ErrorKind::NoCapacity);
-    mRig.Handle(PeerAnswered{
+    mHarness.Handle(PeerAnswered{
       kId, attempt, notRun ? MakeNotRun(error) : MakeUnknown(error) });
   }
 
@@ -200,19 +201,19 @@
   }
   void Check()
   {
-    const std::size_t sends = mRig.mSends.size();
+    const std::size_t sends = mHarness.mSends.size();
     for (std::size_t n = 1; !mIdempotent && n < sends; ++n) {
       Require(IsNotRun(n), "a non-idempotent request was sent again");
     }
     Require(mIdempotent || sends == 0 || mWon, "sent without a won intent");
     Require(sends <= 3, "more attempts than allowed");
-    if (!mRig.mResult) {
-      Require(mRig.mMachine->NextWakeup() <=
-                mRig.mMachine->GetRequest().mDeadline,
+    if (!mHarness.mResult) {
+      Require(mHarness.mMachine->NextWakeup() <=
+                mHarness.mMachine->GetRequest().mDeadline,
               "no timer at the deadline");
       return;
     }
-    const RequestResult& result = *mRig.mResult;
+    const RequestResult& result = *mHarness.mResult;
     for (std::size_t n = 1; n <= sends; ++n) {
       Require(result.mOutcome != Outcome::NotRun || IsNotRun(n),
               "NotRun although an attempt may have run");
@@ -224,12 +225,12 @@
               "an answer that is not the request's own");
       return;
     }
-    const bool kindSaysNotRun =
+    const bool kindImpliesNotRun =
       base::GetErrorInfo(result.mError.mKind).mExecution ==
       base::Execution::NotRun;
-    Require(kindSaysNotRun == (result.mOutcome == Outcome::NotRun),
+    Require(kindImpliesNotRun == (result.mOutcome == Outcome::NotRun),
             "error kind contradicts the outcome");
-    Require(mRig.mRecorded.size() <= 1, "two outcomes for one key");
+    Require(mHarness.mRecorded.size() <= 1, "two outcomes for one key");
   }
   void Require(bool aCondition, const char* aRule) const
   {
@@ -237,7 +238,7 @@
   }
 
   bool mIdempotent;
-  Rig mRig;
+  Harness mHarness;
   std::unique_ptr<base::Random> mChoice;
   std::string mTrace;
   bool mWon = false;
@@ -255,10 +256,10 @@
   CPPUNIT_TEST(RefusedAttemptGoesToAnotherTarget);
   CPPUNIT_TEST(ClaimedKeyGetsTheRecordedOutcome);
   CPPUNIT_TEST(CancelDuringOpenClaimWaitsForTheClaim);
-  CPPUNIT_TEST(LateClaimIsClosedAsNotRun);
+  CPPUNIT_TEST(LateClaimIsRecordedAsNotRun);
   CPPUNIT_TEST(HedgeRespectsBudgetAndFirstAnswerWins);
   CPPUNIT_TEST(TimedOutAttemptMayStillAnswer);
-  CPPUNIT_TEST(StrayAnswersAreDroppedAndCounted);
+  CPPUNIT_TEST(UnmatchedAnswersAreDroppedAndCounted);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -274,137 +275,138 @@
   // Guards against a second instance that runs the same key.
   void NonIdempotentIsSentAfterItsIntentHasWon()
   {
-    Rig rig(false);
-    CPPUNIT_ASSERT_EQUAL(1, rig.mIntents);
-    rig.Offer("w1");
-    CPPUNIT_ASSERT(rig.mSends.empty());
-    rig.Handle(IntentWon{});
-    rig.Offer("w1");
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, rig.mSends.size());
-    rig.Pass(milliseconds(500));
-    CPPUNIT_ASSERT_EQUAL(1, rig.mPicks);
-    rig.Handle(AttemptAnswered{ kId, 1, "done" });
-    CPPUNIT_ASSERT_EQUAL(std::string("done"), rig.mResult->mBody);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, rig.mRecorded.size());
+    Harness harness(false);
+    CPPUNIT_ASSERT_EQUAL(1, harness.mIntents);
+    harness.Offer("w1");
+    CPPUNIT_ASSERT(harness.mSends.empty());
+    harness.Handle(IntentWon{});
+    harness.Offer("w1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, harness.mSends.size());
+    harness.AdvanceClock(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(1, harness.mPicks);
+    harness.Handle(AttemptAnswered{ kId, 1, "done" });
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), harness.mResult->mBody);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, harness.mRecorded.size());
   }
 
   void NonIdempotentIsNotSentAgainAfterAnUnknownResult()
   {
-    Rig rig(false);
-    rig.Handle(IntentWon{});
-    rig.Offer("w1");
+    Harness harness(false);
+    harness.Handle(IntentWon{});
+    harness.Offer("w1");
     // From a worker, a passed deadline says nothing about execution.
-    rig.Fail(1, ErrorKind::DeadlineExceeded);
-    CPPUNIT_ASSERT(rig.Ended(Outcome::Unknown, ErrorKind::OutcomeUnknown));
-    CPPUNIT_ASSERT_EQUAL(1, rig.mPicks);
-    CPPUNIT_ASSERT(rig.mRecorded.at(0).mOutcome == Outcome::Unknown);
+    harness.Fail(1, ErrorKind::DeadlineExceeded);
+    CPPUNIT_ASSERT(harness.Ended(Outcome::Unknown, ErrorKind::OutcomeUnknown));
+    CPPUNIT_ASSERT_EQUAL(1, harness.mPicks);
+    CPPUNIT_ASSERT(harness.mRecorded.at(0).mOutcome == Outcome::Unknown);
   }
 
   // Guards against giving up although the work certainly did not run.
   void RefusedAttemptGoesToAnotherTarget()
   {
-    Rig rig(false);
-    rig.Handle(IntentWon{});
-    rig.Offer("w1");
-    rig.Fail(1, ErrorKind::WorkerRefused);
-    rig.Offer("w2");
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, rig.mSends.size());
-    rig.Fail(2, ErrorKind::StaleCommand);
-    rig.Handle(TargetUnavailable{});
-    CPPUNIT_ASSERT(rig.Ended(Outcome::NotRun, ErrorKind::StaleCommand));
+    Harness harness(false);
+    harness.Handle(IntentWon{});
+    harness.Offer("w1");
+    harness.Fail(1, ErrorKind::WorkerRefused);
+    harness.Offer("w2");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, harness.mSends.size());
+    harness.Fail(2, ErrorKind::StaleCommand);
+    harness.Handle(TargetUnavailable{});
+    CPPUNIT_ASSERT(harness.Ended(Outcome::NotRun, ErrorKind::StaleCommand));
   }
 
   // Guards against a repeat of a key that is told something else than the
   // first request was.
   void ClaimedKeyGetsTheRecordedOutcome()
   {
-    Rig rig(false);
-    rig.Handle(IntentClaimedByOther{ ClaimState::InProgress, {} });
-    CPPUNIT_ASSERT(!rig.mResult);
+    Harness harness(false);
+    harness.Handle(IntentClaimedByOther{ ClaimState::InProgress, {} });
+    CPPUNIT_ASSERT(!harness.mResult);
     OutcomeRecord record;
     record.mOutcome = Outcome::Completed;
     record.mBody = "kept";
-    rig.Handle(IntentClaimedByOther{ ClaimState::Finished, record });
-    CPPUNIT_ASSERT_EQUAL(std::string("kept"), rig.mResult->mBody);
-    CPPUNIT_ASSERT(rig.mRecorded.empty());
-    Rig waiting(false);
+    harness.Handle(IntentClaimedByOther{ ClaimState::Finished, record });
+    CPPUNIT_ASSERT_EQUAL(std::string("kept"), harness.mResult->mBody);
+    CPPUNIT_ASSERT(harness.mRecorded.empty());
+    Harness waiting(false);
     waiting.Handle(IntentClaimedByOther{ ClaimState::InProgress, {} });
-    waiting.Pass(milliseconds(1000));
+    waiting.AdvanceClock(milliseconds(1000));
     CPPUNIT_ASSERT(waiting.Ended(Outcome::Unknown, ErrorKind::OutcomeUnknown));
   }
 
   // Guards against NotRun for a key that another instance is running.
   void CancelDuringOpenClaimWaitsForTheClaim()
   {
-    Rig rig(false);
-    rig.Handle(CancelRequested{});
-    CPPUNIT_ASSERT(!rig.mResult);
-    rig.Handle(IntentWon{});
-    CPPUNIT_ASSERT(rig.Ended(Outcome::NotRun, ErrorKind::Cancelled));
-    CPPUNIT_ASSERT(rig.mRecorded.at(0).mOutcome == Outcome::NotRun);
+    Harness harness(false);
+    harness.Handle(CancelRequested{});
+    CPPUNIT_ASSERT(!harness.mResult);
+    harness.Handle(IntentWon{});
+    CPPUNIT_ASSERT(harness.Ended(Outcome::NotRun, ErrorKind::Cancelled));
+    CPPUNIT_ASSERT(harness.mRecorded.at(0).mOutcome == Outcome::NotRun);
   }
 
   // Guards against a claimed key without an outcome.
-  void LateClaimIsClosedAsNotRun()
+  void LateClaimIsRecordedAsNotRun()
   {
-    Rig rig(false);
-    rig.Pass(milliseconds(1000));
-    CPPUNIT_ASSERT(rig.Ended(Outcome::Unknown, ErrorKind::OutcomeUnknown));
-    CPPUNIT_ASSERT(!rig.mMachine->IsSettled());
-    rig.Handle(IntentWon{});
-    CPPUNIT_ASSERT(rig.mRecorded.at(0).mOutcome == Outcome::NotRun);
-    CPPUNIT_ASSERT(rig.mSends.empty() && rig.mMachine->IsSettled());
+    Harness harness(false);
+    harness.AdvanceClock(milliseconds(1000));
+    CPPUNIT_ASSERT(harness.Ended(Outcome::Unknown, ErrorKind::OutcomeUnknown));
+    CPPUNIT_ASSERT(!harness.mMachine->IsSettled());
+    harness.Handle(IntentWon{});
+    CPPUNIT_ASSERT(harness.mRecorded.at(0).mOutcome == Outcome::NotRun);
+    CPPUNIT_ASSERT(harness.mSends.empty() && harness.mMachine->IsSettled());
   }
 
   // Guards against hedges that multiply the load of a slow service.
   void HedgeRespectsBudgetAndFirstAnswerWins()
   {
-    Rig rig(true);
-    rig.Offer("w1");
-    rig.Pass(milliseconds(30));
-    rig.Offer("w2");
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, rig.mSends.size());
-    rig.Handle(AttemptAnswered{ kId, 2, "second" });
-    rig.Handle(AttemptAnswered{ kId, 1, "first" });
-    CPPUNIT_ASSERT_EQUAL(std::string("second"), rig.mResult->mBody);
-    Rig poor(true);
-    poor.Offer("w1");
-    while (poor.mBudget.TryTake(poor.mClock.Now())) {
+    Harness harness(true);
+    harness.Offer("w1");
+    harness.AdvanceClock(milliseconds(30));
+    harness.Offer("w2");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, harness.mSends.size());
+    harness.Handle(AttemptAnswered{ kId, 2, "second" });
+    harness.Handle(AttemptAnswered{ kId, 1, "first" });
+    CPPUNIT_ASSERT_EQUAL(std::string("second"), harness.mResult->mBody);
+    Harness exhausted(true);
+    exhausted.Offer("w1");
+    while (exhausted.mBudget.TryTake(exhausted.mClock.Now())) {
     }
-    poor.mClock.Advance(milliseconds(1));
-    poor.Handle(TimerFired{});
-    poor.Fail(1, ErrorKind::ConnectionLost);
-    poor.Offer("w2");
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, poor.mSends.size());
-    CPPUNIT_ASSERT(poor.Ended(Outcome::Unknown, ErrorKind::ConnectionLost));
+    exhausted.mClock.Advance(milliseconds(1));
+    exhausted.Handle(TimerFired{});
+    exhausted.Fail(1, ErrorKind::ConnectionLost);
+    exhausted.Offer("w2");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, exhausted.mSends.size());
+    CPPUNIT_ASSERT(
+      exhausted.Ended(Outcome::Unknown, ErrorKind::ConnectionLost));
   }
 
   // Guards against Unknown for a request whose answer is only late.
   void TimedOutAttemptMayStillAnswer()
   {
-    Rig rig(true);
-    rig.Offer("w1");
-    rig.Pass(milliseconds(250));
-    rig.Handle(TargetUnavailable{});
-    CPPUNIT_ASSERT(!rig.mResult);
-    rig.Handle(AttemptAnswered{ kId, 1, "late" });
-    CPPUNIT_ASSERT_EQUAL(std::string("late"), rig.mResult->mBody);
+    Harness harness(true);
+    harness.Offer("w1");
+    harness.AdvanceClock(milliseconds(250));
+    harness.Handle(TargetUnavailable{});
+    CPPUNIT_ASSERT(!harness.mResult);
+    harness.Handle(AttemptAnswered{ kId, 1, "late" });
+    CPPUNIT_ASSERT_EQUAL(std::string("late"), harness.mResult->mBody);
   }
 
-  void StrayAnswersAreDroppedAndCounted()
+  void UnmatchedAnswersAreDroppedAndCounted()
   {
-    Rig rig(true);
-    rig.Offer("w1");
-    rig.Handle(AttemptAnswered{ { "other" }, 1, "x" });
-    rig.Handle(AttemptAnswered{ kId, 2, "x" });
-    rig.Pass(milliseconds(30));
-    rig.Offer("w2");
-    rig.Fail(1, ErrorKind::ConnectionLost);
-    rig.Handle(AttemptAnswered{ kId, 1, "x" });
-    CPPUNIT_ASSERT(!rig.mResult);
-    rig.Pass(milliseconds(1000));
-    rig.Handle(AttemptAnswered{ kId, 2, "x" });
-    const DroppedAnswers& dropped = rig.mMachine->GetDroppedAnswers();
+    Harness harness(true);
+    harness.Offer("w1");
+    harness.Handle(AttemptAnswered{ { "other" }, 1, "x" });
+    harness.Handle(AttemptAnswered{ kId, 2, "x" });
+    harness.AdvanceClock(milliseconds(30));
+    harness.Offer("w2");
+    harness.Fail(1, ErrorKind::ConnectionLost);
+    harness.Handle(AttemptAnswered{ kId, 1, "x" });
+    CPPUNIT_ASSERT(!harness.mResult);
+    harness.AdvanceClock(milliseconds(1000));
+    harness.Handle(AttemptAnswered{ kId, 2, "x" });
+    const DroppedAnswers& dropped = harness.mMachine->GetDroppedAnswers();
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 2 }, dropped.mMismatched);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, dropped.mDuplicate);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, dropped.mLate);
--- a/src/requests/retry_budget.cpp
+++ b/src/requests/retry_budget.cpp
@@ -8,7 +8,7 @@
 RetryBudget::RetryBudget(const RetryBudgetOptions& aOptions,
                          base::TimePoint aNow)
   : mOptions(aOptions)
-  , mTokens(std::min(aOptions.mFloorPerSecond, aOptions.mCapacity))
+  , mTokens(std::min(aOptions.mRefillPerSecond, aOptions.mCapacity))
   , mUpdatedAt(aNow)
 {
 }
@@ -17,7 +17,7 @@
 RetryBudget::RecordFirstAttempt()
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  const double share = static_cast<double>(mOptions.mSharePercent) / 100.0;
+  const double share = static_cast<double>(mOptions.mRetryPercent) / 100.0;
   mTokens = std::min(mOptions.mCapacity, mTokens + share);
 }
 
@@ -47,7 +47,7 @@
   const base::Duration elapsed = base::Remaining(mUpdatedAt, aNow);
   const double seconds = std::chrono::duration<double>(elapsed).count();
   return std::min(mOptions.mCapacity,
-                  mTokens + seconds * mOptions.mFloorPerSecond);
+                  mTokens + seconds * mOptions.mRefillPerSecond);
 }
 
 } // namespace skylarkhill::requests
--- a/src/requests/target_picker.cpp
+++ b/src/requests/target_picker.cpp
@@ -25,7 +25,7 @@
 }
 
 Eligible
-SelectKind(const Eligible& aEligible, TargetKind aKind)
+FilterByKind(const Eligible& aEligible, TargetKind aKind)
 {
   Eligible selected;
   std::copy_if(aEligible.begin(),
@@ -72,21 +72,21 @@
                              base::Random& aRandom) const override
   {
     const Eligible all = SelectEligible(aCandidates, aTried, aInFlight);
-    const Eligible workers = SelectKind(all, TargetKind::OwnWorker);
+    const Eligible workers = FilterByKind(all, TargetKind::HeldWorker);
     if (!workers.empty()) {
-      return PickOfTwo(workers, aInFlight, aRandom);
+      return PickBetterOfTwo(workers, aInFlight, aRandom);
     }
-    const Eligible peers = SelectKind(all, TargetKind::Peer);
+    const Eligible peers = FilterByKind(all, TargetKind::Peer);
     if (!peers.empty()) {
-      return PickOfTwo(peers, aInFlight, aRandom);
+      return PickBetterOfTwo(peers, aInFlight, aRandom);
     }
     return std::nullopt;
   }
 
 private:
-  static Target PickOfTwo(const Eligible& aEligible,
-                          const InFlightTable& aInFlight,
-                          base::Random& aRandom)
+  static Target PickBetterOfTwo(const Eligible& aEligible,
+                                const InFlightTable& aInFlight,
+                                base::Random& aRandom)
   {
     const std::size_t first = aRandom.Below(aEligible.size());
     if (aEligible.size() == 1) {
@@ -106,9 +106,9 @@
 std::int64_t
 FreeSlotsNow(const Candidate& aCandidate, const InFlightTable& aInFlight)
 {
-  const std::int64_t unseen =
+  const std::int64_t unreported =
     aInFlight.CountSince(aCandidate.mTarget, aCandidate.mReportedAt);
-  return aCandidate.mFreeSlots - unseen;
+  return aCandidate.mFreeSlots - unreported;
 }
 
 bool
--- a/src/requests/target_picker_test.cpp
+++ b/src/requests/target_picker_test.cpp
@@ -28,20 +28,20 @@
 Candidate
 Worker(const char* aName, std::int64_t aFreeSlots)
 {
-  return MakeCandidate(TargetKind::OwnWorker, aName, aFreeSlots);
+  return MakeCandidate(TargetKind::HeldWorker, aName, aFreeSlots);
 }
 
 class TargetPickerTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(TargetPickerTest);
   CPPUNIT_TEST(PicksOnlyEligibleTargets);
-  CPPUNIT_TEST(PrefersOwnWorkers);
-  CPPUNIT_TEST(CountsAttemptsThatNoReportShows);
+  CPPUNIT_TEST(PrefersHeldWorkers);
+  CPPUNIT_TEST(CountsAttemptsMissingFromTheReport);
   CPPUNIT_TEST(PrefersFreeAndFastTargets);
   CPPUNIT_TEST(SpreadsABurstBetweenReports);
-  CPPUNIT_TEST(BudgetAllowsAShareAndAFloor);
+  CPPUNIT_TEST(RetryBudgetRefillsByShareAndTime);
   CPPUNIT_TEST(LimitFollowsCapacityAndLatency);
-  CPPUNIT_TEST(LimitRecoversFromTheLowestValues);
+  CPPUNIT_TEST(LimitRecoversFromItsMinimum);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -55,7 +55,7 @@
     const std::vector<Candidate> all{
       leaving, broken, Worker("full", 0), Worker("tried", 9), Worker("good", 1)
     };
-    const std::set<Target> tried{ { TargetKind::OwnWorker, "tried" } };
+    const std::set<Target> tried{ { TargetKind::HeldWorker, "tried" } };
     for (const auto* it : { mRandomPicker.get(), mTwoChoices.get() }) {
       for (int n = 0; n < 100; ++n) {
         const auto picked = it->Pick(all, tried, mInFlight, *mRandom);
@@ -65,7 +65,7 @@
     }
   }
 
-  void PrefersOwnWorkers()
+  void PrefersHeldWorkers()
   {
     const Candidate peer = MakeCandidate(TargetKind::Peer, "peer", 100);
     const auto own =
@@ -77,7 +77,7 @@
   }
 
   // Guards against sending more to a target than its last report allows.
-  void CountsAttemptsThatNoReportShows()
+  void CountsAttemptsMissingFromTheReport()
   {
     const Candidate worker = Worker("w", 2);
     mInFlight.Begin(worker.mTarget, { "old" }, 1, base::FromMicros(99));
@@ -129,7 +129,7 @@
   }
 
   // Guards against retry storms: 100 first attempts earn 10 retries.
-  void BudgetAllowsAShareAndAFloor()
+  void RetryBudgetRefillsByShareAndTime()
   {
     RetryBudget budget({ 10, 1.0, 20.0 }, base::FromMicros(0));
     CPPUNIT_ASSERT(budget.TryTake(base::FromMicros(0)));
@@ -148,7 +148,7 @@
 
   // Guards against a limit that stays at 1 or 2 of 48 slots after one disturbed
   // period, because no whole number of requests fills its fraction.
-  void LimitRecoversFromTheLowestValues()
+  void LimitRecoversFromItsMinimum()
   {
     const auto limit = CreateAdaptiveConcurrencyLimit({ 200 });
     limit->SetCapacity(48);
--- a/src/testing/bench_run.cpp
+++ b/src/testing/bench_run.cpp
@@ -469,7 +469,7 @@
     --mLanes[request.mDomain][request.mService].mInFlight;
     --mWorkers[request.mWorker].mBusy;
     mInFlight[request.mDomain].End(
-      { requests::TargetKind::OwnWorker,
+      { requests::TargetKind::HeldWorker,
         mWorkers[request.mWorker].mView.mWorker.mValue },
       { std::to_string(aRequest) },
       request.mAttempt);
@@ -850,7 +850,7 @@
     std::unordered_map<base::TaskId, std::size_t> indexes;
     for (const std::size_t it : worker.mTasks) {
       pressure.mTasks.push_back(Describe(mTasks[it]));
-      pressure.mTasks.back().mDisturbancePercent =
+      pressure.mTasks.back().mInterferencePercent =
         Disturbance(worker, pressure.mTasks.back().mBatchClass);
       indexes[mTasks[it].mId] = it;
     }
@@ -869,7 +869,7 @@
   {
     double worst = 0.0;
     for (const auto& it : aWorker.mView.mServices) {
-      worst = std::max(worst, mPlacement->ExpectedDisturbance(it, aClass));
+      worst = std::max(worst, mPlacement->ExpectedInterference(it, aClass));
     }
     return worst;
   }
--- a/src/testing/site_world.cpp
+++ b/src/testing/site_world.cpp
@@ -1035,7 +1035,7 @@
     for (std::size_t n = 0; n < kWorkers; ++n) {
       const std::size_t index = (first + n) % kWorkers;
       const Site& site = aNode.mSites[index];
-      const requests::Target target{ requests::TargetKind::OwnWorker,
+      const requests::Target target{ requests::TargetKind::HeldWorker,
                                      mWorkers[index]->Name().mValue };
       if (site.mRunner && site.mRunner->MayCall(aNode.Now()) &&
           aPick.mTried.count(target) == 0 &&
@@ -1216,7 +1216,7 @@
             (aOffset ? "offset " + std::to_string(aOffset.value())
                      : std::string(base::NameOf(aOffset.error().mKind))) +
             ", claimed at " + std::to_string(known.mClaimedAt) + " by " +
-            known.mWinner.mValue);
+            known.mClaimant.mValue);
       if (!mVariant.mReadIntentBack && aOffset) {
         PostLater(aRef, 0, aSession, requests::IntentWon{});
         return;
@@ -1228,7 +1228,7 @@
         return;
       }
       if (aOffset && known.mState == requests::KeyState::Claimed &&
-          known.mWinner == self.mId && known.mClaimedAt == aOffset.value()) {
+          known.mClaimant == self.mId && known.mClaimedAt == aOffset.value()) {
         PostLater(aRef, 0, aSession, requests::IntentWon{});
         return;
       }
@@ -1266,7 +1266,7 @@
         events.emplace_back(it->first,
                             requests::IntentClaimedByOther{
                               requests::ClaimState::Finished, *key.mOutcome });
-      } else if (session.mIsWatching && !IsAlive(key.mWinner)) {
+      } else if (session.mIsWatching && !IsAlive(key.mClaimant)) {
         session.mIsWatching = false;
         events.emplace_back(it->first,
                             requests::IntentClaimedByOther{
