--- a/src/requests/request_machine.cpp
+++ b/src/requests/request_machine.cpp
@@ -229,8 +229,9 @@
   mHedgeAt = base::kNoDeadline;
   // While the claim is open, another instance may be running the same key, and
   // an attempt in flight cannot be recalled: both decide the outcome.
-  const bool isUndecided = mClaim == Claim::Pending || mClaim == Claim::Lost;
-  if (!isUndecided && !HasState(AttemptState::InFlight)) {
+  const bool mayRunElsewhere =
+    mClaim == Claim::Pending || mClaim == Claim::Lost;
+  if (!mayRunElsewhere && !HasState(AttemptState::InFlight)) {
     FinishWithoutAnswer(aActions);
   }
 }
@@ -413,8 +414,9 @@
 RequestMachine::FinishAtDeadline(RequestActions& aActions)
 {
   // With an open claim, another request with this key may have run it.
-  const bool isUndecided = mClaim == Claim::Pending || mClaim == Claim::Lost;
-  if (isUndecided || MayHaveRun()) {
+  const bool mayRunElsewhere =
+    mClaim == Claim::Pending || mClaim == Claim::Lost;
+  if (mayRunElsewhere || MayHaveRun()) {
     FinishWith(MakeUnknown(MakeError(ErrorKind::OutcomeUnknown,
                                      "deadline passed without an answer")),
                aActions);
--- a/src/requests/target_picker_test.cpp
+++ b/src/requests/target_picker_test.cpp
@@ -153,16 +153,16 @@
     const auto limit = CreateAdaptiveConcurrencyLimit({ 200 });
     limit->SetCapacity(48);
     base::TimePoint now;
-    const base::Duration usual = std::chrono::milliseconds(5);
-    limit->Observe({ usual, 1, false }, now);
+    const base::Duration baseline = std::chrono::milliseconds(5);
+    limit->Observe({ baseline, 1, false }, now);
     for (int n = 0; n < 100; ++n) {
-      now += 4 * usual;
-      limit->Observe({ 3 * usual, limit->Limit(), false }, now);
+      now += 4 * baseline;
+      limit->Observe({ 3 * baseline, limit->Limit(), false }, now);
     }
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, limit->Limit());
     for (int n = 0; n < 2000; ++n) {
-      now += usual;
-      limit->Observe({ usual, limit->Limit(), false }, now);
+      now += baseline;
+      limit->Observe({ baseline, limit->Limit(), false }, now);
     }
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 48 }, limit->Limit());
   }
