--- a/include/skylarkhill/policy/queue.hpp
+++ b/include/skylarkhill/policy/queue.hpp
@@ -24,7 +24,7 @@
   /// Order of acceptance; smaller is earlier.
   std::int64_t mAcceptedOrder = 0;
   /// Run time that earlier attempts of the task received.
-  std::int64_t mReceivedSeconds = 0;
+  std::int64_t mPriorRunSeconds = 0;
   /// Declared run time; can be far off.
   std::int64_t mDeclaredRunSeconds = 0;
 };
--- a/src/policy/queue.cpp
+++ b/src/policy/queue.cpp
@@ -107,7 +107,7 @@
     const std::int64_t typical = it == mTypicalSeconds.end()
                                    ? aTask.mDeclaredRunSeconds
                                    : static_cast<std::int64_t>(it->second);
-    return std::max(typical, aTask.mReceivedSeconds);
+    return std::max(typical, aTask.mPriorRunSeconds);
   }
 
   std::vector<std::size_t> SortedByKey(const std::vector<QueuedTask>& aTasks,
