--- a/include/skylarkhill/policy/breaker.hpp
+++ b/include/skylarkhill/policy/breaker.hpp
@@ -15,9 +15,9 @@
 enum class BreakerState
 {
   Closed,
-  /// No start is admitted until the cooldown is over.
+  /// Nothing is admitted until the cooldown is over.
   Open,
-  /// The cooldown is over; one probe is admitted.
+  /// The cooldown is over; one task is admitted as the probe.
   HalfOpen,
   /// The probe is running.
   Probing,
@@ -35,24 +35,26 @@
   base::Duration mMaxCooldown = std::chrono::minutes(10);
 };
 
-/// Circuit breaker of one worker. Not thread-safe.
+/// Circuit breaker of one worker, for tasks or for service calls; a call is
+/// identified by a task id of its own. Not thread-safe.
 class Breaker
 {
 public:
   explicit Breaker(BreakerOptions aOptions);
 
   BreakerState State(base::TimePoint aNow) const;
-  /// True if a task may be placed on the worker.
+  /// True if a task may be sent to the worker.
   bool Admits(base::TimePoint aNow) const;
 
-  /// A task was placed; it is the probe if the cooldown is over.
+  /// A task was placed on the worker; it becomes the probe if the cooldown is
+  /// over.
   void OnPlaced(const base::TaskId& aTask, base::TimePoint aNow);
-  /// The placement came to nothing: neither success nor failure.
+  /// The task ended or was cancelled without showing whether the worker works.
   void OnCancelled(const base::TaskId& aTask);
   void OnSuccess(const base::TaskId& aTask);
   void OnFailure(const base::TaskId& aTask, base::TimePoint aNow);
-  /// Takes the failures of a quarantined task back; closes the breaker if too
-  /// few others remain.
+  /// Discards the failures of a quarantined task; closes the breaker if fewer
+  /// than the threshold remain.
   void RemoveFailures(const base::TaskId& aTask);
 
 private:
--- a/include/skylarkhill/policy/interference.hpp
+++ b/include/skylarkhill/policy/interference.hpp
@@ -10,17 +10,17 @@
 
 namespace skylarkhill::policy {
 
-/// Estimates, per pair of service and batch class, how much one task of the
-/// class slows the service down. Learns from lagging, noisy reports and
-/// forgets. Not thread-safe.
+/// Estimates, per pair of service and batch class, by how much one task of the
+/// class slows the service down on the same worker. Learns from delayed, noisy
+/// reports; estimates decay to a prior. Not thread-safe.
 class InterferenceModel
 {
 public:
-  /// Learns from one report.
+  /// Updates the estimates with one report.
   void Record(const InterferenceReport& aReport);
 
-  /// Expected slowdown, in percent points above an undisturbed worker, that
-  /// one task of `aBatchClass` adds to `aService` at `aNow`.
+  /// Expected slowdown that one task of `aBatchClass` adds to `aService` at
+  /// `aNow`, in percent of the service time without batch tasks.
   double Estimate(const std::string& aService,
                   const std::string& aBatchClass,
                   base::TimePoint aNow) const;
--- a/include/skylarkhill/policy/placement.hpp
+++ b/include/skylarkhill/policy/placement.hpp
@@ -14,22 +14,22 @@
 
 namespace skylarkhill::policy {
 
-/// What the placement policy sees of one worker.
+/// State of one worker, as input of the placement policy.
 struct WorkerView
 {
   base::WorkerId mWorker;
   base::DomainId mDomain;
   std::string mRack;
   base::Resources mCapacity;
-  /// Uncommitted resources.
+  /// Resources that are not committed.
   base::Resources mFree;
-  /// Services that are served on this worker.
+  /// Services that run on this worker.
   std::vector<std::string> mServices;
-  /// Batch class -> number of its tasks that run or are granted here.
+  /// Batch class -> number of its tasks that run here or are granted.
   std::map<std::string, std::int64_t> mBatchTasks;
 };
 
-/// What the placement policy sees of one task.
+/// Demand of one task, as input of the placement policy.
 struct TaskDemand
 {
   base::TaskId mTask;
@@ -38,14 +38,15 @@
   bool mUrgent = false;
 };
 
-/// A lagging measurement of how batch tasks disturb a service on a worker.
+/// A delayed measurement of the interference of batch tasks with a service on
+/// one worker.
 struct InterferenceReport
 {
   base::WorkerId mWorker;
   std::string mService;
   /// Batch class -> number of its tasks at the time of the measurement.
   std::map<std::string, std::int64_t> mBatchTasks;
-  /// Service time in percent of an undisturbed worker's.
+  /// Service time in percent of that without batch tasks.
   std::int64_t mSlowdownPercent = 100;
   base::TimePoint mMeasuredAt;
 };
@@ -56,22 +57,22 @@
 public:
   virtual ~PlacementPolicy() = default;
 
-  /// The index of the chosen worker, or nothing if none should take the task
-  /// now. Never an index whose free resources do not hold the task.
+  /// The index of the chosen worker, or nothing if none should run the task
+  /// now. The task always fits into the free resources of the chosen worker.
   virtual std::optional<std::size_t> Choose(
     const TaskDemand& aTask,
     const std::vector<WorkerView>& aWorkers) const = 0;
 
-  /// Takes a placement into account before reports show it.
+  /// Records a placement before reports include it.
   virtual void RecordPlacement(const TaskDemand& aTask,
                                const base::WorkerId& aWorker,
                                base::TimePoint aNow) = 0;
 
-  /// Learns from one report.
+  /// Updates the interference estimates with one report.
   virtual void RecordReport(const InterferenceReport& aReport) = 0;
 
-  /// Expected slowdown, in percent points, that one task of `aBatchClass` adds
-  /// to `aService`; 0 if the policy does not learn it.
+  /// Expected slowdown, in percentage points, that one task of `aBatchClass`
+  /// adds to `aService`; 0 if the policy does not estimate it.
   virtual double ExpectedInterference(const std::string& aService,
                                       const std::string& aBatchClass) const;
 };
--- a/include/skylarkhill/policy/profiles.hpp
+++ b/include/skylarkhill/policy/profiles.hpp
@@ -11,14 +11,14 @@
 
 namespace skylarkhill::policy {
 
-/// What a site weighs most.
+/// Preset of the scheduling policies, named after what a site optimizes for.
 enum class Profile
 {
-  /// First fit, first in first out, no protection.
+  /// First-fit placement, FIFO queue, no protection of services.
   Baseline,
-  /// Batch throughput and few evictions.
+  /// High batch throughput and few evictions.
   Throughput,
-  /// Tail latency and the peak of a demand swing.
+  /// Low tail latency, also at demand peaks.
   Tail,
 };
 
--- a/include/skylarkhill/policy/protection.hpp
+++ b/include/skylarkhill/policy/protection.hpp
@@ -10,44 +10,46 @@
 
 namespace skylarkhill::policy {
 
-/// What the protection policy sees of one running batch task.
+/// State of one running batch task, as input of the protection policy.
 struct RunningTask
 {
   base::TaskId mTask;
   std::string mBatchClass;
   std::int64_t mMilliProcessors = 0;
-  /// Work that an eviction would lose: run time since the last checkpoint.
+  /// Run time since the last checkpoint, which an eviction would lose.
   std::int64_t mSecondsSinceCheckpoint = 0;
   std::int64_t mRestartCostSeconds = 0;
   std::int64_t mEvictions = 0;
   std::int64_t mMaxEvictions = 0;
   std::int64_t mThrottlePercent = 100;
   bool mCheckpointing = false;
-  /// Expected slowdown, in percent points, that the unthrottled task adds to
-  /// the worst-hit service; 0 if unknown.
+  /// Expected slowdown, in percentage points, that the unthrottled task adds to
+  /// the most affected service; 0 if unknown.
   double mInterferencePercent = 0.0;
 };
 
-/// What the protection policy sees of one worker.
+/// State of one worker, as input of the protection policy.
 struct WorkerPressure
 {
   base::WorkerId mWorker;
-  /// Service time in percent of an undisturbed worker's; lags.
+  /// Service time in percent of that without batch tasks; a delayed
+  /// measurement.
   std::int64_t mSlowdownPercent = 100;
-  /// Slowdown that the worst-hit service tolerates.
+  /// Service time that the most affected service tolerates, in percent of that
+  /// without batch tasks.
   std::int64_t mToleratedPercent = 100;
   std::vector<RunningTask> mTasks;
 };
 
 enum class ProtectionKind
 {
-  /// Set the task's processor share to mThrottlePercent.
+  /// Set the task's processor share to `mThrottlePercent`.
   Throttle,
-  /// Checkpoint, then stop.
+  /// Checkpoint the task, then stop it.
   Evict,
 };
 
-/// One measure against interference.
+/// One action against interference.
 struct ProtectionAction
 {
   ProtectionKind mKind = ProtectionKind::Throttle;
@@ -55,12 +57,13 @@
   std::int64_t mThrottlePercent = 100;
 };
 
-/// Protects services from batch tasks on the same worker. Not thread-safe.
+/// Protects services from interference by batch tasks on the same worker. Not
+/// thread-safe.
 class ProtectionPolicy
 {
 public:
   virtual ~ProtectionPolicy() = default;
-  /// Measures to take now for one worker. Keeps what hysteresis needs.
+  /// Actions to take now on one worker. Keeps state per worker for hysteresis.
   virtual std::vector<ProtectionAction> Decide(const WorkerPressure& aWorker,
                                                base::TimePoint aNow) = 0;
 };
--- a/include/skylarkhill/policy/quarantine.hpp
+++ b/include/skylarkhill/policy/quarantine.hpp
@@ -11,33 +11,36 @@
 
 namespace skylarkhill::policy {
 
-/// A task that is to be quarantined.
+/// A task to quarantine.
 struct QuarantineDecision
 {
   base::TaskId mTask;
   std::string mReason;
-  /// Workers whose breakers take the failures of the task back.
+  /// Workers whose breakers must discard the failures of the task.
   std::vector<base::WorkerId> mWorkers;
 };
 
-/// Finds tasks that fail because of themselves and not of their workers. Not
-/// thread-safe.
+/// Finds tasks whose failures are caused by the task and not by its workers.
+/// Not thread-safe.
 class Quarantine
 {
 public:
-  /// `aMinWorkers`: distinct workers on which a task has to fail.
+  /// `aMinWorkers`: number of distinct workers on which a task must have failed
+  /// to be quarantined.
   explicit Quarantine(std::size_t aMinWorkers = 3);
 
   /// The task failed on a worker. `aBreakerClosed`: the worker's breaker was
-  /// closed before this failure; other failures say nothing about the task.
+  /// closed before this failure; otherwise the worker may be at fault and the
+  /// failure is ignored.
   void OnFailure(const base::TaskId& aTask,
                  const base::WorkerId& aWorker,
                  bool aBreakerClosed,
                  const std::string& aReason);
-  /// The task ended in another way, or was quarantined.
+  /// Must be called when the task ended otherwise or was quarantined.
   void Forget(const base::TaskId& aTask);
 
-  /// The decision about the task, if it has failed on enough workers.
+  /// The decision to quarantine the task; nothing if it has not failed on
+  /// enough workers.
   std::optional<QuarantineDecision> Find(const base::TaskId& aTask) const;
 
 private:
--- a/include/skylarkhill/policy/queue.hpp
+++ b/include/skylarkhill/policy/queue.hpp
@@ -13,7 +13,7 @@
 
 namespace skylarkhill::policy {
 
-/// What the queue policy sees of one queued task.
+/// One queued task, as input of the queue policy.
 struct QueuedTask
 {
   base::TaskId mTask;
@@ -21,15 +21,15 @@
   std::string mBatchClass;
   base::Resources mNeed;
   bool mUrgent = false;
-  /// Order of acceptance; smaller is earlier.
+  /// Position in the order of acceptance; smaller is earlier.
   std::int64_t mAcceptedOrder = 0;
-  /// Run time that earlier attempts of the task received.
+  /// Total run time of earlier attempts of the task.
   std::int64_t mPriorRunSeconds = 0;
-  /// Declared run time; can be far off.
+  /// Run time declared by the submitter; can be far from the actual one.
   std::int64_t mDeclaredRunSeconds = 0;
 };
 
-/// A team's quota and what it uses now.
+/// Quota and current usage of one team.
 struct TeamUsage
 {
   base::Resources mQuota;
@@ -39,18 +39,18 @@
 
 using TeamUsageMap = std::unordered_map<std::string, TeamUsage>;
 
-/// Orders the queued tasks. Not thread-safe.
+/// Determines the order in which queued tasks start. Not thread-safe.
 class QueuePolicy
 {
 public:
   virtual ~QueuePolicy() = default;
 
-  /// Indexes into `aTasks` in the order in which they should start; tasks
-  /// whose team is at its quota are left out.
+  /// Indexes into `aTasks` in the order in which the tasks should start; tasks
+  /// that exceed the quota of their team are omitted.
   virtual std::vector<std::size_t> Order(const std::vector<QueuedTask>& aTasks,
                                          const TeamUsageMap& aTeams) const = 0;
 
-  /// Learns how long an attempt of a class really ran.
+  /// Records the actual run time of an attempt of a task of `aBatchClass`.
   virtual void RecordRun(const std::string& aBatchClass,
                          std::int64_t aRunSeconds,
                          bool aCompleted) = 0;
--- a/include/skylarkhill/policy/size_estimator.hpp
+++ b/include/skylarkhill/policy/size_estimator.hpp
@@ -16,26 +16,26 @@
 {
   double mQuantile = 0.9;
   base::Duration mHalfLife = std::chrono::minutes(10);
-  /// Newest observations kept per class.
+  /// Number of observations kept per class; older ones are discarded.
   std::size_t mMaxSamples = 64;
-  /// Below this number the declared size stands.
+  /// With fewer observations the declared size is used.
   std::size_t mMinSamples = 5;
 };
 
-/// Corrects declared sizes by a decayed quantile of the usage observed per
-/// batch class. Not thread-safe.
+/// Corrects the declared resources of tasks by a quantile of the usage observed
+/// for their batch class, weighted by age. Not thread-safe.
 class SizeEstimator
 {
 public:
   explicit SizeEstimator(const SizeEstimatorOptions& aOptions = {});
 
-  /// One task of the class was seen to use `aUsed`.
+  /// Records that a task of the class uses `aUsed`.
   void Observe(const std::string& aBatchClass,
                const base::Resources& aUsed,
                base::TimePoint aNow);
 
-  /// The larger of declared and observed size in every dimension, so that a
-  /// low observation never commits a worker beyond what was declared (P1).
+  /// The larger of declared and observed size for each resource, so that a low
+  /// observation never leads to overcommitment of a worker.
   base::Resources Estimate(const std::string& aBatchClass,
                            const base::Resources& aDeclared,
                            base::TimePoint aNow) const;
--- a/include/skylarkhill/requests/concurrency_limit.hpp
+++ b/include/skylarkhill/requests/concurrency_limit.hpp
@@ -14,22 +14,23 @@
   base::Duration mLatency{ 0 };
   /// Requests of the service in flight when this one ended.
   std::int64_t mInFlight = 0;
-  /// The worker refused it or its attempt timed out.
+  /// The worker refused the request, or its attempt timed out.
   bool mOverloaded = false;
 };
 
 struct ConcurrencyLimitOptions
 {
-  /// A latency above this many percent of the undisturbed one lowers the limit.
+  /// A mean latency above this percentage of the baseline lowers the limit.
   std::int64_t mTolerancePercent = 400;
 };
 
-/// How many requests of one service may run at the same time. Not thread-safe.
+/// Limits how many requests of one service run at the same time. Not
+/// thread-safe.
 class ConcurrencyLimit
 {
 public:
   virtual ~ConcurrencyLimit() = default;
-  /// Slots that the ledger knows; an upper bound of the limit.
+  /// Sets the number of slots, the upper bound of the limit.
   virtual void SetCapacity(std::int64_t aSlots) = 0;
   virtual void Observe(const LatencySample& aSample, base::TimePoint aNow) = 0;
   /// Between 1 and the capacity; 0 if there is no capacity.
--- a/include/skylarkhill/requests/forwarder.hpp
+++ b/include/skylarkhill/requests/forwarder.hpp
@@ -15,18 +15,18 @@
 
 namespace skylarkhill::requests {
 
-/// One attempt that another entry instance asks this one to run.
+/// An attempt that another entry instance, the origin, asks this one to run.
 struct ForwardedAttempt
 {
   base::InstanceId mOrigin;
-  /// Tells apart the lives of an origin.
+  /// Changes with every restart of the origin.
   std::uint64_t mOriginIncarnation = 0;
   /// The attempt number at the origin.
   std::int64_t mAttempt = 0;
   Request mRequest;
 };
 
-/// An own worker finished the attempt.
+/// A worker of this instance has answered or failed the attempt.
 struct WorkerFinished
 {
   base::InstanceId mOrigin;
@@ -36,7 +36,7 @@
   base::Result<std::string> mBody = std::string();
 };
 
-/// Send the attempt once to the own worker `mWorker`.
+/// Send the attempt once to `mWorker`, which this instance holds.
 struct RunOnWorker
 {
   base::WorkerId mWorker;
@@ -55,8 +55,8 @@
 using ForwardAction = std::variant<RunOnWorker, AnswerOrigin>;
 using ForwardActions = std::vector<ForwardAction>;
 
-/// Runs forwarded attempts on own workers and never forwards them again. Not
-/// thread-safe.
+/// Runs forwarded attempts on the workers that this instance holds; never
+/// forwards them again. Not thread-safe.
 class Forwarder
 {
 public:
@@ -66,22 +66,23 @@
             const base::Clock& aClock,
             base::Random& aRandom);
 
-  /// `aCandidates` are the own workers that serve the service.
+  /// `aCandidates`: targets that serve the service; peers are ignored.
   ForwardActions OnAttempt(const ForwardedAttempt& aAttempt,
                            const std::vector<Candidate>& aCandidates);
   ForwardActions OnWorkerFinished(const WorkerFinished& aEvent);
-  /// Answers attempts whose deadline has passed and forgets old ones.
+  /// Answers the running attempts whose deadline has passed with Unknown, and
+  /// removes all attempts past their deadline.
   ForwardActions OnTimer();
-  /// From now on every new attempt is refused.
+  /// Refuses all new attempts from now on.
   void StopAccepting() { mStopping = true; }
 
-  /// When OnTimer is due next; kNoDeadline if nothing is remembered.
+  /// Time of the next OnTimer call; kNoDeadline if there are no attempts.
   base::TimePoint NextWakeup() const;
-  /// Attempts that run and have not been answered.
+  /// Attempts that are running and unanswered.
   std::int64_t CountRunning() const;
-  /// Copies of attempts that were already received; not answered.
+  /// Received duplicates of known attempts; these are not answered.
   std::int64_t CountDuplicates() const { return mDuplicates; }
-  /// Attempts that arrived after their deadline; not answered.
+  /// Attempts received after their deadline; these are not answered.
   std::int64_t CountExpired() const { return mExpired; }
 
 private:
--- a/include/skylarkhill/requests/in_flight_table.hpp
+++ b/include/skylarkhill/requests/in_flight_table.hpp
@@ -24,8 +24,8 @@
            std::int64_t aAttempt);
 
   std::int64_t Count(const Target& aTarget) const;
-  /// Attempts in flight that began at `aReportedAt` or later, so that a report
-  /// made then does not include them.
+  /// Attempts in flight that began at `aReportedAt` or later; a report made at
+  /// that time does not include them.
   std::int64_t CountSince(const Target& aTarget,
                           base::TimePoint aReportedAt) const;
 
--- a/include/skylarkhill/requests/key_record.hpp
+++ b/include/skylarkhill/requests/key_record.hpp
@@ -9,7 +9,7 @@
 
 namespace skylarkhill::requests {
 
-/// The three outcomes a caller can be told.
+/// Outcome of a request, as reported to its caller.
 enum class Outcome
 {
   Completed,
@@ -17,23 +17,24 @@
   Unknown,
 };
 
-/// Claims an idempotency key for one entry instance. The first one in the log
-/// wins.
+/// Claims an idempotency key for one entry instance. Only the first intent of
+/// a key in the log takes effect.
 struct IntentRecord
 {
   base::RequestId mKey;
   base::InstanceId mInstance;
 };
 
-/// The outcome of a claimed key. The first one in the log wins.
+/// The outcome of a claimed key. Only the first valid one in the log takes
+/// effect.
 struct OutcomeRecord
 {
   base::RequestId mKey;
   base::InstanceId mInstance;
   Outcome mOutcome = Outcome::Unknown;
-  /// Meaningful unless the outcome is Completed.
+  /// Unused if the outcome is Completed.
   base::ErrorKind mErrorKind = base::ErrorKind::OutcomeUnknown;
-  /// The response, if it is small enough to be kept inline.
+  /// The response; empty if it is too large to be recorded.
   std::string mBody;
   bool mBodyOmitted = false;
 };
--- a/include/skylarkhill/requests/key_table.hpp
+++ b/include/skylarkhill/requests/key_table.hpp
@@ -17,7 +17,7 @@
 
 using platform::Offset;
 
-/// What the log says about an idempotency key.
+/// State of an idempotency key according to the log.
 enum class KeyState
 {
   /// No instance has claimed the key.
@@ -27,16 +27,16 @@
   Finished,
 };
 
-/// The whole state of one key at one offset.
+/// State of one key at one offset of the log.
 struct KeySnapshot
 {
   base::RequestId mKey;
   KeyState mState = KeyState::Unknown;
-  /// The instance whose intent won; empty if it is not known, e.g. because
-  /// that record has expired.
+  /// The instance whose intent took effect; empty if it is not known, e.g.
+  /// because that record has expired.
   base::InstanceId mClaimant;
   Offset mClaimedAt = 0;
-  /// Newest offset of a record about the key.
+  /// Offset of the newest record about the key.
   Offset mLastRecordAt = 0;
   /// Set if the state is Finished.
   std::optional<OutcomeRecord> mOutcome;
@@ -54,35 +54,36 @@
 std::string_view
 NameOf(KeyState aState);
 
-/// A claimed key and the offset from which the log alone restores it.
+/// A claimed key and the offset from which replaying the log restores it.
 struct KeyReplayOffset
 {
   base::RequestId mKey;
   Offset mReplayFrom = 0;
 };
 
-/// Deterministic reducer of key records. Not thread-safe.
+/// State of all idempotency keys, reduced deterministically from the records
+/// of the log. Not thread-safe.
 class KeyTable
 {
 public:
-  /// Applies one record; a record that its rule rejects is counted only.
+  /// Applies one record; a record that does not take effect is only counted.
   void Apply(Offset aOffset, const KeyRecord& aRecord);
-  /// The same for a record whose writer had read everything before
-  /// `aReplayFrom`; a claimed key needs the log from there on.
+  /// Applies a record whose writer had read all records before `aReplayFrom`;
+  /// a key that it claims is restored by replaying the log from there.
   void Apply(Offset aOffset, const KeyRecord& aRecord, Offset aReplayFrom);
 
-  /// Remembers a record that must not take effect itself. Its key stays
-  /// without a winner until a snapshot is applied, if it is unknown now.
+  /// Applies a record that must not take effect but proves that its key is in
+  /// use. A key that is unknown has no claimant until a snapshot is applied.
   void ApplyStale(Offset aOffset, const KeyRecord& aRecord);
 
-  /// Adds the key in the state it had after `aAsOf`, and applies the records
-  /// about it that were read since. The state of a known key is kept.
+  /// Adds the key in its state after offset `aAsOf` and applies the records
+  /// about it read since then. The state of a known key does not change.
   void ApplySnapshot(Offset aAsOf, const KeySnapshot& aSnapshot);
 
-  /// Adds a key that was exported by another table.
+  /// Adds a key exported from another table.
   void Restore(const KeySnapshot& aSnapshot, Offset aReplayFrom);
 
-  /// Forgets the finished `aKey` if it has no record at or after
+  /// Removes `aKey` if it is finished and has no record at or after
   /// `aFirstRetained`.
   void ForgetFinished(const base::RequestId& aKey, Offset aFirstRetained);
 
@@ -91,16 +92,17 @@
 
   /// The state is Unknown for a key that is not in the table.
   KeySnapshot Find(const base::RequestId& aKey) const;
-  /// Offset from which the log alone is enough to restore the claimed key.
+  /// Offset from which replaying the log restores the key; nothing if the key
+  /// is not in the table.
   std::optional<Offset> FindReplayOffset(const base::RequestId& aKey) const;
-  /// Keys that `aInstance` claimed and has not finished, in order of id.
+  /// Unfinished keys claimed by `aInstance`, in order of id.
   std::vector<base::RequestId> ClaimedBy(
     const base::InstanceId& aInstance) const;
-  /// Up to `aLimit` claimed keys with a base before `aBefore`, the oldest base
-  /// first.
+  /// Up to `aLimit` claimed keys with a replay offset below `aBefore`, the
+  /// smallest offset first.
   std::vector<KeyReplayOffset> OldestReplayOffsets(Offset aBefore,
                                                    std::size_t aLimit) const;
-  /// Records about keys whose first intent is not known, in order per key.
+  /// Records about keys whose first intent is not known, in log order per key.
   std::vector<std::pair<Offset, KeyRecord>> UnmatchedRecords() const;
   /// All keys, in order of id.
   std::vector<base::RequestId> All() const;
@@ -109,9 +111,10 @@
   std::size_t CountFinished() const { return mFinished.size(); }
   std::int64_t IgnoredRecords() const { return mIgnoredRecords; }
 
-  /// Equal for two tables with the same claimed keys.
+  /// Digest of the claimed keys; equal for tables with the same ones.
   std::uint64_t LiveDigest() const;
-  /// Equal for two tables with the same claimed and finished keys.
+  /// Digest of the claimed and finished keys; equal for tables with the same
+  /// ones.
   std::uint64_t Digest() const;
 
 private:
--- a/include/skylarkhill/requests/request.hpp
+++ b/include/skylarkhill/requests/request.hpp
@@ -11,7 +11,7 @@
 
 namespace skylarkhill::requests {
 
-/// One request of a caller.
+/// A caller's request.
 struct Request
 {
   base::RequestId mId;
@@ -23,12 +23,12 @@
   std::string mBody;
 };
 
-/// Who runs an attempt.
+/// Kind of receiver of an attempt.
 enum class TargetKind
 {
-  /// A worker that this instance holds.
+  /// A worker whose lease this instance holds.
   HeldWorker,
-  /// Another entry instance that holds workers.
+  /// Another entry instance, which runs the attempt on a worker it holds.
   Peer,
 };
 
@@ -49,23 +49,25 @@
   }
 };
 
-/// What the caller is told.
+/// Result of a request, as reported to its caller.
 struct RequestResult
 {
   Outcome mOutcome = Outcome::Unknown;
-  /// Meaningful unless the outcome is Completed. Its kind agrees with the
-  /// outcome: kinds that exclude execution only with NotRun.
+  /// Unused if the outcome is Completed. Error kinds that rule out execution
+  /// occur only with NotRun, all others only with Unknown.
   base::Error mError;
   std::string mBody;
-  /// Completed earlier, but the response was too large to be recorded.
+  /// The request completed earlier and its response was too large to record.
   bool mBodyOmitted = false;
 };
 
-/// A NotRun result; a kind that admits execution becomes NoCapacity.
+/// A NotRun result; an error kind that does not rule out execution is replaced
+/// by NoCapacity.
 RequestResult
 MakeNotRun(base::Error aError);
 
-/// An Unknown result; a kind that excludes execution becomes OutcomeUnknown.
+/// An Unknown result; an error kind that rules out execution is replaced by
+/// OutcomeUnknown.
 RequestResult
 MakeUnknown(base::Error aError);
 
@@ -73,9 +75,9 @@
 RequestResult
 MakeCompleted(std::string aBody);
 
-/// True if a failure that a worker attempt ended with proves that the attempt
-/// did not run. The table of error kinds describes what callers are told and
-/// is not used here: DeadlineExceeded from a worker may have run.
+/// True if an attempt that failed on a worker with `aKind` certainly did not
+/// run. Differs from base::GetErrorInfo, which describes errors reported to
+/// callers: an attempt that a worker ends with DeadlineExceeded may have run.
 bool
 ProvesNotRun(base::ErrorKind aKind);
 
--- a/include/skylarkhill/requests/request_machine.hpp
+++ b/include/skylarkhill/requests/request_machine.hpp
@@ -17,12 +17,13 @@
 
 struct RequestMachineOptions
 {
-  /// Attempts in all, hedges included.
+  /// Maximum number of attempts, hedges included.
   std::int64_t mMaxAttempts = 3;
-  /// Latency quantile of the service after which an idempotent request is
-  /// hedged; zero disables hedging.
+  /// Time after which an unanswered idempotent request is hedged, a high
+  /// latency quantile of the service; zero disables hedging.
   base::Duration mHedgeDelay{ 0 };
-  /// Limit for one attempt of an idempotent request; zero means the deadline.
+  /// Timeout of one attempt of an idempotent request; zero means that only the
+  /// deadline applies.
   base::Duration mAttemptTimeout{ 0 };
 };
 
@@ -36,30 +37,31 @@
 struct TargetUnavailable
 {};
 
-/// This instance's intent was read back and is the first one of its key.
+/// The intent of this request was read back as the first one of its key.
 struct IntentWon
 {};
 
 /// State of a key that another request has claimed.
 enum class ClaimState
 {
-  /// The winner is alive; another event follows when it is done.
+  /// The claiming instance is alive; another event follows when the request
+  /// has finished.
   InProgress,
   /// The outcome is recorded.
   Finished,
-  /// The winner is gone and has recorded no outcome.
+  /// The claiming instance is gone and has recorded no outcome.
   Abandoned,
 };
 
-/// The key belongs to another request with the same key.
+/// Another request has claimed the key first.
 struct IntentClaimedByOther
 {
   ClaimState mState = ClaimState::InProgress;
-  /// Meaningful if the state is Finished.
+  /// Valid if the state is Finished.
   OutcomeRecord mRecord;
 };
 
-/// The log took no intent; the key is not known to be claimed.
+/// The intent could not be appended, and no claim of the key is known.
 struct LogUnavailable
 {};
 
@@ -71,7 +73,7 @@
   std::string mBody;
 };
 
-/// An attempt on an own worker failed.
+/// An attempt on a held worker failed.
 struct AttemptFailed
 {
   base::RequestId mRequest;
@@ -87,11 +89,11 @@
   RequestResult mResult;
 };
 
-/// The caller gives up its request.
+/// The caller cancels its request.
 struct CancelRequested
 {};
 
-/// The time named by NextWakeup has come.
+/// The time returned by NextWakeup has come.
 struct TimerFired
 {};
 
@@ -123,7 +125,7 @@
   RequestResult mResult;
 };
 
-/// Send the attempt once, not after its deadline.
+/// Send the attempt once, and only before its deadline.
 struct SendAttempt
 {
   Target mTarget;
@@ -131,7 +133,7 @@
   base::TimePoint mDeadline;
 };
 
-/// Tell the caller; emitted exactly once.
+/// Report the result to the caller; emitted exactly once.
 struct Finish
 {
   RequestResult mResult;
@@ -141,19 +143,19 @@
   std::variant<PickTarget, AppendIntent, AppendOutcome, SendAttempt, Finish>;
 using RequestActions = std::vector<RequestAction>;
 
-/// Results of attempts that were not used.
+/// Counts of attempt results that were ignored.
 struct DroppedAnswers
 {
-  /// Arrived after the request had ended.
+  /// Received after the request had ended.
   std::int64_t mLate = 0;
-  /// Second result of the same attempt.
+  /// Further results of an attempt that has ended.
   std::int64_t mDuplicate = 0;
-  /// Another request's id, or an attempt that was never sent.
+  /// Results of another request or of an attempt that was never sent.
   std::int64_t mMismatched = 0;
 };
 
-/// Decides what happens to one request. Not thread-safe. The same object must
-/// receive events until IsSettled, which may be later than Finish.
+/// State machine of one request: events in, actions out. Not thread-safe. It
+/// must receive events until IsSettled, which may be later than Finish.
 class RequestMachine
 {
 public:
@@ -164,12 +166,12 @@
                  const base::Clock& aClock,
                  base::Random& aRandom);
 
-  /// Must be called once, before any event.
+  /// Must be called once, before any event is handled.
   RequestActions Start();
   RequestActions Handle(const RequestEvent& aEvent);
 
   const Request& GetRequest() const { return mRequest; }
-  /// When TimerFired is due next; kNoDeadline once the request has ended.
+  /// Time at which TimerFired is due; kNoDeadline once the request has ended.
   base::TimePoint NextWakeup() const;
   bool IsFinished() const { return mFinished; }
   /// True if no further event can cause an action.
@@ -179,7 +181,7 @@
 private:
   enum class Claim
   {
-    /// Idempotent requests claim nothing.
+    /// Idempotent requests claim no key.
     NotNeeded,
     Pending,
     Won,
@@ -188,7 +190,7 @@
   enum class AttemptState
   {
     InFlight,
-    /// Its deadline has passed; only an answer is still of use.
+    /// Past its deadline; an answer is still accepted.
     TimedOut,
     Ended,
   };
@@ -214,18 +216,20 @@
   bool HasState(AttemptState aState) const;
   bool MayHaveRun() const;
   bool CanSendAgain() const;
-  /// The live attempt that a result belongs to; null and counted if none.
+  /// The attempt that awaits this result; null if there is none, in which case
+  /// the result is counted as dropped.
   Attempt* MatchResult(const base::RequestId& aRequest, std::int64_t aAttempt);
   void EndAttempt(Attempt& aAttempt,
                   bool aMayHaveRun,
                   const base::Error& aError,
                   RequestActions& aActions);
   void ExpireAttempts(RequestActions& aActions);
-  /// After an attempt ended without an answer: try again, wait, or finish.
+  /// Called when an attempt ended without an answer: sends another attempt,
+  /// waits for the open ones or finishes.
   void RetryOrFinish(RequestActions& aActions);
   void AskForTarget(RequestActions& aActions);
   void Send(const Target& aTarget, RequestActions& aActions);
-  /// No further attempt: wait for those that are open, or finish.
+  /// Sends no further attempt now: waits for the open ones or finishes.
   void StopRetrying(RequestActions& aActions);
   void FinishWithoutAnswer(RequestActions& aActions);
   void FinishAtDeadline(RequestActions& aActions);
--- a/include/skylarkhill/requests/retry_budget.hpp
+++ b/include/skylarkhill/requests/retry_budget.hpp
@@ -10,26 +10,26 @@
 
 struct RetryBudgetOptions
 {
-  /// Retries and hedges allowed per 100 first attempts.
+  /// Retries and hedges earned per 100 first attempts.
   std::int64_t mRetryPercent = 10;
-  /// Tokens added per second whatever the load is.
+  /// Tokens added per second regardless of load.
   double mRefillPerSecond = 1.0;
-  /// Tokens that can be saved up.
+  /// Maximum number of tokens.
   double mCapacity = 20.0;
 };
 
-/// Token bucket for the extra attempts of one service. Thread-safe.
+/// Token bucket for the retries and hedges of one service. Thread-safe.
 class RetryBudget
 {
 public:
   RetryBudget(const RetryBudgetOptions& aOptions, base::TimePoint aNow);
 
-  /// Adds the share that a first attempt earns.
+  /// Adds the fraction of a token that a first attempt earns.
   void RecordFirstAttempt();
-  /// Takes one token; false if there is none. Test and withdrawal are one step
+  /// Takes one token; false if there is none. Checks and takes atomically,
   /// because requests of a service run on several threads.
   bool TryTake(base::TimePoint aNow);
-  /// Tokens left at `aNow`.
+  /// Tokens available at `aNow`.
   double Tokens(base::TimePoint aNow) const;
 
 private:
--- a/include/skylarkhill/requests/target_picker.hpp
+++ b/include/skylarkhill/requests/target_picker.hpp
@@ -14,21 +14,21 @@
 
 namespace skylarkhill::requests {
 
-/// A target as its latest report shows it.
+/// A possible target with the data of its latest report.
 struct Candidate
 {
   Target mTarget;
   std::int64_t mFreeSlots = 0;
-  /// When the report was made, at the latest; the epoch for a ledger that
-  /// counts every attempt of this instance itself.
+  /// Upper bound of the time at which the report was made; kNoDeadline if
+  /// `mFreeSlots` already includes all attempts of this instance.
   base::TimePoint mReportedAt;
-  /// Recent latency of the service there; zero if unknown.
+  /// Recent latency of the service on this target; zero if unknown.
   base::Duration mLatency{ 0 };
   bool mLeaving = false;
   bool mBreakerOpen = false;
 };
 
-/// Where the next attempt of a request goes.
+/// Chooses the target of the next attempt of a request.
 class TargetPicker
 {
 public:
@@ -40,22 +40,23 @@
                                      base::Random& aRandom) const = 0;
 };
 
-/// Free slots of `aCandidate` less the attempts that its report omits.
+/// Free slots of `aCandidate` minus the attempts in flight that its report does
+/// not include.
 std::int64_t
 FreeSlotsNow(const Candidate& aCandidate, const InFlightTable& aInFlight);
 
-/// True if new work may be sent to `aCandidate` at all.
+/// True if new attempts may be sent to `aCandidate`.
 bool
 IsEligible(const Candidate& aCandidate,
            const std::set<Target>& aTried,
            const InFlightTable& aInFlight);
 
-/// Baseline: uniform over all eligible targets.
+/// Baseline: uniformly random among all eligible targets.
 std::unique_ptr<TargetPicker>
 CreateRandomTargetPicker();
 
-/// The better of two random own workers by free slots and latency; a peer only
-/// if no own worker is eligible.
+/// Power of two choices: the better of two random held workers by free slots
+/// and latency. Picks among peers only if no held worker is eligible.
 std::unique_ptr<TargetPicker>
 CreateTwoChoicesTargetPicker();
 
--- a/src/policy/breaker.cpp
+++ b/src/policy/breaker.cpp
@@ -67,8 +67,8 @@
 void
 Breaker::OnSuccess(const base::TaskId& aTask)
 {
-  // While the breaker is open, only the probe counts: other tasks were placed
-  // before the failures.
+  // While the breaker is open, only the probe closes it: all other tasks were
+  // placed before the failures.
   if (!mOpen || mProbe == aTask) {
     Close();
   }
--- a/src/policy/breaker_test.cpp
+++ b/src/policy/breaker_test.cpp
@@ -21,7 +21,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against a faulty worker that consumes task after task.
+  // Guards against a faulty worker on which task after task fails.
   void AdmitsOneProbeAfterTheCooldown()
   {
     Breaker breaker = MakeOpen();
@@ -38,7 +38,7 @@
     CPPUNIT_ASSERT(breaker.State(At(11)) == BreakerState::Closed);
   }
 
-  // Guards against a cooldown that never grows or grows without bound.
+  // Guards against a cooldown that does not grow or grows without limit.
   void FailedProbeDoublesTheCooldownUpToTheCap()
   {
     Breaker breaker = MakeOpen();
@@ -53,7 +53,7 @@
     CPPUNIT_ASSERT(breaker.Admits(now));
   }
 
-  // Guards against good workers that stay closed off because of a bad task.
+  // Guards against healthy workers that get no tasks because of a faulty task.
   void QuarantineRemovesFailuresFromTheBreaker()
   {
     Quarantine quarantine;
--- a/src/policy/interference.cpp
+++ b/src/policy/interference.cpp
@@ -7,11 +7,11 @@
 
 namespace {
 
-// Reports are noisy: one report moves an estimate by a fifth of its error.
+// Reports are noisy, so one report corrects a fifth of the prediction error.
 constexpr double kLearningRate = 0.2;
 constexpr std::chrono::minutes kHalfLife{ 10 };
-// Every class is assumed to disturb a little until a report says otherwise,
-// so that unknown classes are not all put beside the same service.
+// Prior, assumed for pairs without recent reports. It is not zero, so that
+// tasks of unknown classes are not all placed beside the same service.
 constexpr double kPriorPercentPerTask = 1.0;
 constexpr double kMaxPercentPerTask = 400.0;
 
@@ -40,9 +40,9 @@
   return it == mPairs.end() ? kPriorPercentPerTask : Decayed(it->second, aNow);
 }
 
-// Normalised least mean squares: the error of the prediction is divided among
-// the classes present in proportion to their task counts, because a report
-// shows only the sum of their effects.
+// Normalized least mean squares: a report shows only the sum of the effects of
+// all classes, so the prediction error is divided among them in proportion to
+// their task counts.
 void
 InterferenceModel::Record(const InterferenceReport& aReport)
 {
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// Takes the first worker that has room.
+/// Chooses the first worker with enough free resources.
 class FirstFitPlacement : public PlacementPolicy
 {
 public:
@@ -37,18 +37,19 @@
 
 struct PlacementWeights
 {
-  /// Cost of one percent point of expected slowdown.
+  /// Cost of one percentage point of expected slowdown.
   double mInterference;
-  /// Cost of one percent point of capacity left unused.
+  /// Cost of one percentage point of unused capacity.
   double mUnused;
-  /// Expected slowdown above which a task that is not urgent waits.
+  /// Expected slowdown, in percentage points, above which a worker is not
+  /// chosen for a task that is not urgent.
   double mMaxSlowdownPercent;
 };
 
 constexpr PlacementWeights kThroughputWeights{ 0.5, 1.0, 150.0 };
 constexpr PlacementWeights kTailWeights{ 2.0, 0.5, 70.0 };
 
-/// Share of the scarcest resource that stays free, in percent.
+/// Free fraction of the scarcest resource, in percent.
 double
 UnusedPercent(const base::Resources& aFree, const base::Resources& aCapacity)
 {
@@ -61,8 +62,8 @@
                   share(aFree.mMemoryBytes, aCapacity.mMemoryBytes));
 }
 
-/// Estimates that one decision has looked up; most workers share the same few
-/// pairs, and decay makes an estimate expensive.
+/// Caches the estimates of one decision: computing the decay is expensive, and
+/// most workers need the same few pairs.
 class EstimateCache
 {
 public:
@@ -74,7 +75,7 @@
 
   using Row = std::unordered_map<std::string_view, double>;
 
-  /// Valid as long as the cache.
+  /// The estimates for one service; valid as long as the cache.
   Row& RowOf(const std::string& aService) { return mRows[aService]; }
 
   double Find(Row& aRow, const std::string& aService, const std::string& aClass)
@@ -92,7 +93,7 @@
   std::unordered_map<std::string_view, Row> mRows;
 };
 
-/// Weighs learned interference against packing.
+/// Minimizes a weighted sum of estimated interference and unused capacity.
 class InterferenceAwarePlacement : public PlacementPolicy
 {
 public:
@@ -146,8 +147,9 @@
   }
 
 private:
-  // The view's task counts include grants that no report shows yet, so a
-  // worker that was just chosen looks as loaded as it is about to be.
+  // Slowdown of the most affected service, in percentage points. The task
+  // counts include grants that no report includes yet, so a worker that was
+  // just chosen counts as loaded.
   static double ExpectedSlowdown(const TaskDemand& aTask,
                                  const WorkerView& aWorker,
                                  EstimateCache& aCache)
@@ -171,8 +173,8 @@
   {
     const double unused =
       UnusedPercent(aWorker.mFree - aTask.mNeed, aWorker.mCapacity);
-    // Ties are broken by task and worker, so that instances with equal views
-    // do not all choose the same worker.
+    // Ties are broken by a hash of task and worker, so that instances with
+    // equal views do not all choose the same worker.
     const std::uint64_t tie = base::StableHash(
       aWorker.mWorker.mValue, base::StableHash(aTask.mTask.mValue));
     return mWeights.mInterference * aSlowdown + mWeights.mUnused * unused +
--- a/src/policy/policy_test.cpp
+++ b/src/policy/policy_test.cpp
@@ -25,8 +25,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against blame on a class that was only present, and against an
-  // estimate that outlives its evidence.
+  // Guards against attributing a slowdown to a class that was merely present,
+  // and against estimates that do not decay without reports.
   void ModelSeparatesPairsAndDecays()
   {
     InterferenceModel model;
@@ -40,7 +40,7 @@
     CPPUNIT_ASSERT(model.Estimate("s", "loud", At(0) + minutes(60)) < 5.0);
   }
 
-  // Guards against a choice that commits a worker beyond its resources (P1).
+  // Guards against a choice that overcommits a worker.
   void PlacementNeverOvercommits()
   {
     for (const auto profile :
@@ -54,7 +54,7 @@
     }
   }
 
-  // Guards against a noisy class beside the service that it disturbs.
+  // Guards against placing a class beside a service that it slows down.
   void PlacementAvoidsAnAffectedService()
   {
     for (const auto profile : { Profile::Throughput, Profile::Tail }) {
@@ -70,8 +70,8 @@
     }
   }
 
-  // Guards against short work that waits behind stragglers with a wrong
-  // declaration.
+  // Guards against short tasks that wait behind long ones with a declared run
+  // time that is too short.
   void ShortTasksGoBeforeLongOnes()
   {
     const auto queue = CreateQueuePolicy(Profile::Throughput);
@@ -87,7 +87,7 @@
     CPPUNIT_ASSERT(queue->Order(tasks, {}) == expected);
   }
 
-  // Guards against a team that takes more than its quota in one round.
+  // Guards against a team that exceeds its quota in one scheduling round.
   void TasksOverQuotaAreOmitted()
   {
     const auto queue = CreateQueuePolicy(Profile::Tail);
@@ -100,7 +100,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, queue->Order(tasks, teams).size());
   }
 
-  // Guards against throttled tasks that disturb nobody.
+  // Guards against throttling tasks that do not interfere.
   void ProtectionThrottlesTheInterferingTaskOnly()
   {
     WorkerPressure pressure = MakePressure(230);
@@ -111,7 +111,7 @@
     CPPUNIT_ASSERT(actions[0].mTask == pressure.mTasks[1].mTask);
   }
 
-  // Guards against a service left without protection before anything is known.
+  // Guards against an unprotected service while there are no estimates.
   void ProtectionThrottlesAllWithoutEstimates()
   {
     const auto policy = CreateProtectionPolicy(Profile::Tail);
@@ -119,7 +119,8 @@
                          policy->Decide(MakePressure(230), At(0)).size());
   }
 
-  // Guards against measures piled up before the lagging reports show the first.
+  // Guards against further actions before the delayed reports show the effect
+  // of the first one.
   void ProtectionWaitsForTheReports()
   {
     const auto policy = CreateProtectionPolicy(Profile::Tail);
@@ -128,8 +129,8 @@
     CPPUNIT_ASSERT(!policy->Decide(MakePressure(230), At(3)).empty());
   }
 
-  // Guards against a job that is evicted for ever, and against an eviction
-  // that loses more than needed.
+  // Guards against a task that is evicted forever, and against evicting more
+  // tasks than needed.
   void TaskAtItsEvictionLimitIsNotEvicted()
   {
     WorkerPressure pressure = MakePressure(300);
--- a/src/policy/protection.cpp
+++ b/src/policy/protection.cpp
@@ -21,16 +21,17 @@
 
 struct ProtectionLimits
 {
-  /// Excess over the tolerated slowdown, in percent points, that triggers a
-  /// measure.
+  /// Excess over the tolerated service time, in percentage points, above which
+  /// tasks are throttled or evicted.
   std::int64_t mExcessPercent;
-  /// Slowdown below the tolerated one, in percent points, at which throttled
-  /// tasks get their share back; negative for one above it.
+  /// Distance below the tolerated service time, in percentage points, from
+  /// which throttling is relaxed; negative for a limit above the tolerated one.
   std::int64_t mRecoveryPercent;
   std::int64_t mMinThrottlePercent;
-  /// Time to wait for a measure to show in the lagging reports.
+  /// Time until the delayed reports show the effect of an action.
   base::Duration mReactionTime;
-  /// Decisions above the limit, after throttling, before a task is evicted.
+  /// Decisions over the limit with no task left to throttle before a task is
+  /// evicted.
   std::int64_t mDecisionsBeforeEviction;
 };
 
@@ -45,7 +46,8 @@
                                         std::chrono::seconds(2),
                                         2 };
 
-/// Throttles first; evicts the task that loses least when that is not enough.
+/// Throttles tasks first; if that is not enough, evicts the task with the
+/// lowest eviction cost.
 class ThrottleThenEvict : public ProtectionPolicy
 {
 public:
@@ -99,9 +101,10 @@
     return EvictCheapest(aWorker);
   }
 
-  // The tasks that are expected to disturb most go first, and only as many as
-  // are expected to remove the excess: a throttled task that disturbs nobody
-  // loses throughput for nothing. Without estimates all are throttled.
+  // Throttles the tasks with the highest expected interference first, and only
+  // as many as are expected to remove the excess: throttling a task that does
+  // not interfere costs throughput without benefit. Without estimates all
+  // tasks are throttled.
   std::vector<ProtectionAction> ThrottleMostInterfering(
     const WorkerPressure& aWorker) const
   {
@@ -160,7 +163,7 @@
   {
     const RunningTask* cheapest = nullptr;
     for (const auto& it : aWorker.mTasks) {
-      // A task at its eviction limit stays, so that it finishes.
+      // A task at its eviction limit is not evicted, so that it can finish.
       if (it.mCheckpointing || it.mEvictions >= it.mMaxEvictions) {
         continue;
       }
--- a/src/policy/queue.cpp
+++ b/src/policy/queue.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// Order of acceptance; quotas are not looked at.
+/// In order of acceptance; ignores quotas.
 class FifoQueue : public QueuePolicy
 {
 public:
@@ -31,7 +31,7 @@
 };
 
 // Level n holds tasks expected to run at most kLevelSeconds[n]; one more level
-// holds the stragglers.
+// holds all longer tasks.
 constexpr std::array<std::int64_t, 3> kLevelSeconds{ 60, 600, 3600 };
 
 std::size_t
@@ -44,8 +44,8 @@
   return level;
 }
 
-/// The largest share that the team uses of any resource of its quota, per
-/// unit of weight.
+/// Weighted dominant share: the largest fraction of its quota that the team
+/// uses of any resource, divided by its weight.
 double
 DominantShare(const TeamUsage& aTeam)
 {
@@ -62,8 +62,8 @@
          static_cast<double>(std::max<std::int64_t>(1, aTeam.mWeight));
 }
 
-/// Urgent first, then short before long, then the team that uses least of its
-/// quota.
+/// Urgent tasks first, then by level of expected run time, then by dominant
+/// share of the team, then in order of acceptance.
 class FairQueue : public QueuePolicy
 {
 public:
@@ -85,7 +85,7 @@
                  std::int64_t aRunSeconds,
                  bool aCompleted) override
   {
-    // An attempt that did not complete only bounds the run time from below.
+    // An attempt that did not complete is only a lower bound of the run time.
     const auto it = mTypicalSeconds.find(aBatchClass);
     if (it == mTypicalSeconds.end()) {
       mTypicalSeconds[aBatchClass] = static_cast<double>(aRunSeconds);
@@ -99,8 +99,8 @@
   }
 
 private:
-  // Declared run times are far off; what the class really took, and what the
-  // task has already received, are better guides.
+  // Declared run times are unreliable; the actual run times of the class and
+  // the time for which the task has already run are better estimates.
   std::int64_t ExpectedSeconds(const QueuedTask& aTask) const
   {
     const auto it = mTypicalSeconds.find(aTask.mBatchClass);
--- a/src/policy/size_estimator.cpp
+++ b/src/policy/size_estimator.cpp
@@ -47,8 +47,8 @@
                         std::int64_t base::Resources::*aDimension,
                         base::TimePoint aNow) const
 {
-  // Ages are relative to the newest sample: weights of a class that has not
-  // run for long would all round to zero.
+  // Ages are relative to the newest sample; otherwise all weights of a class
+  // without recent samples would round to zero.
   const base::TimePoint newest = std::min(aNow, aSamples.back().mObservedAt);
   std::vector<std::pair<std::int64_t, double>> weighted;
   double total = 0.0;
--- a/src/policy/size_estimator_test.cpp
+++ b/src/policy/size_estimator_test.cpp
@@ -17,15 +17,15 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against a class that was idle when observed and then overcommits
-  // its worker.
+  // Guards against overcommitment by a class that was idle when observed.
   void NeverBelowTheDeclaredSize()
   {
     Observe(20, 100, 0);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1000 }, Processors(20));
   }
 
-  // Guards against one faulty report that makes a class unplaceable.
+  // Guards against a single wrong report that makes a class too large for any
+  // worker.
   void IgnoresASingleOutlier()
   {
     Observe(4, 3000, 0);
@@ -36,7 +36,7 @@
     CPPUNIT_ASSERT(Processors(31) <= 3000);
   }
 
-  // Guards against a correction that outlives the usage that caused it.
+  // Guards against a correction that remains after usage has fallen.
   void ForgetsOldUsage()
   {
     Observe(20, 5000, 0);
--- a/src/requests/admission_queue.cpp
+++ b/src/requests/admission_queue.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-// Weight of the newest service time. Demand and interference change within
-// seconds, so about the last 20 requests count.
+// Weight of the newest sample in the moving average of service times. About the
+// last 20 requests count, since demand and interference change within seconds.
 constexpr double kServiceTimeWeight = 0.05;
 
 struct QueuedEntry
@@ -49,7 +49,7 @@
   }
 };
 
-/// What both queues have in common.
+/// Queue with the entries in `Order`; sheds load only if asked to.
 template<typename Order>
 class OrderedQueue : public AdmissionQueue
 {
@@ -79,8 +79,9 @@
       return MakeError(ErrorKind::Overloaded, "queue is full");
     }
     if (mEntries.size() >= mOptions.mMaxEntries) {
-      Drop(std::prev(mEntries.end()),
-           MakeError(ErrorKind::Overloaded, "shed for a more important one"));
+      Drop(
+        std::prev(mEntries.end()),
+        MakeError(ErrorKind::Overloaded, "shed for a more important request"));
     }
     ++mNextSequence;
     mStanding += aEntry.mStanding ? 1 : 0;
@@ -118,7 +119,9 @@
     for (auto it = mEntries.begin(); it != mEntries.end();) {
       const auto next = std::next(it);
       if (it->mEntry.mDeadline <= aNow) {
-        Drop(it, MakeError(ErrorKind::DeadlineExceeded, "expired in queue"));
+        Drop(it,
+             MakeError(ErrorKind::DeadlineExceeded,
+                       "deadline passed in the queue"));
       }
       it = next;
     }
@@ -148,8 +151,8 @@
 
   std::size_t Size() const override { return mEntries.size(); }
 
-  // The rate is slots per mean service time. Counting completions instead would
-  // underestimate it whenever demand, not capacity, limits the service.
+  // The service rate is the number of slots per mean service time. The
+  // completion rate would be too low whenever demand, not capacity, limits it.
   base::Duration ExpectedWait(std::size_t aAhead) const override
   {
     const double micros = static_cast<double>(aAhead) * mServiceMicros / mSlots;
@@ -165,8 +168,8 @@
     return static_cast<std::size_t>(std::distance(mEntries.begin(), position));
   }
 
-  /// Entries of equal importance are not shed, since that would only exchange
-  /// one refusal for another.
+  /// Entries of equal importance are not shed, since that would only refuse
+  /// one request instead of another.
   bool CanShedFor(const QueueEntry& aEntry) const
   {
     return mShedsLoad && !mEntries.empty() &&
--- a/src/requests/admission_queue_test.cpp
+++ b/src/requests/admission_queue_test.cpp
@@ -23,7 +23,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against urgent requests that wait behind others.
+  // Guards against important requests that wait behind less important ones.
   void OrdersByImportanceThenDeadline()
   {
     const auto queue = CreateDeadlineAdmissionQueue({});
@@ -36,8 +36,9 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), Take(*queue));
   }
 
-  // Guards against requests that wait in vain until their deadline. With two
-  // slots and 100 ms each, the third of a queue waits 100 ms.
+  // Guards against requests that wait although they cannot start before their
+  // deadline. With two slots and a service time of 100 ms, the third entry
+  // waits 100 ms.
   void RefusesWhatCannotStartInTime()
   {
     const auto queue = CreateDeadlineAdmissionQueue({});
@@ -48,7 +49,7 @@
     CPPUNIT_ASSERT(queue->ExpectedWait(2) == milliseconds(100));
     CPPUNIT_ASSERT(!Offer(*queue, "c", 0, 99));
     CPPUNIT_ASSERT(Offer(*queue, "d", 0, 101));
-    // Those behind it do not count.
+    // Entries behind the new one do not count.
     CPPUNIT_ASSERT(Offer(*queue, "e", 2, 99));
   }
 
@@ -66,8 +67,8 @@
     CPPUNIT_ASSERT(queue->TakeDropped().empty());
   }
 
-  // Guards against a worker slot that is spent on a request whose caller has
-  // gone, and against entries that vanish without an answer.
+  // Guards against running requests whose caller no longer waits, and against
+  // expired entries that are removed without being reported.
   void DropsExpiredEntries()
   {
     const auto queue = CreateDeadlineAdmissionQueue({});
@@ -80,7 +81,7 @@
     CPPUNIT_ASSERT(!Offer(*queue, "past", 1, 0));
   }
 
-  // Guards against standing requests that use up all threads and connections.
+  // Guards against standing requests that occupy all threads and connections.
   void BoundsStandingRequests()
   {
     const auto queue = CreateDeadlineAdmissionQueue({ 10, 2 });
--- a/src/requests/concurrency_limit.cpp
+++ b/src/requests/concurrency_limit.cpp
@@ -7,13 +7,14 @@
 namespace {
 
 constexpr double kDecreaseFactor = 0.9;
-// Service times vary several times over between requests of one service, so the
-// mean of about the last 30 is compared, never a single one.
+// Service times vary widely between requests of one service, so the mean of
+// about the last 30, not a single latency, is compared with the baseline.
 constexpr double kSampleWeight = 0.03;
-// The undisturbed latency rises by this share per sample, so that a service
-// that has become slower for good is not limited for ever.
+// Relative growth of the baseline latency per sample. Without it, a service
+// that has become slower permanently would stay limited.
 constexpr double kBaselineRisePerSample = 0.001;
-// Below this share of the limit, latency says nothing about a higher limit.
+// With fewer requests in flight than this fraction of the limit, the latency
+// does not show whether a higher limit is safe.
 constexpr double kMinUtilization = 0.8;
 
 class FixedLimit : public ConcurrencyLimit
@@ -35,8 +36,8 @@
   {
   }
 
-  // The limit scales with the capacity: new workers are used at once, and lost
-  // ones are not overcommitted until latency shows it.
+  // The limit scales with the capacity: new workers are used at once, and after
+  // a loss the remaining ones are not overloaded until the latency rises.
   void SetCapacity(std::int64_t aSlots) override
   {
     const auto slots = static_cast<double>(std::max<std::int64_t>(aSlots, 0));
@@ -55,7 +56,8 @@
       Decrease(aSample.mLatency, aNow);
       return;
     }
-    // Only whole requests run: 1 in flight is all that a limit of 1.9 allows.
+    // The integer limit is compared: with mLimit = 1.9, 1 request is the most
+    // that can be in flight.
     const auto usable = static_cast<double>(Limit());
     if (static_cast<double>(aSample.mInFlight) >= kMinUtilization * usable) {
       mLimit = std::min(mCapacity, mLimit + 1.0 / std::max(mLimit, 1.0));
@@ -84,8 +86,8 @@
     mBaseline = mBaseline <= 0 ? mMean : std::min(mMean, risen);
   }
 
-  // Requests in flight at a decrease still show the old load, so the next
-  // decrease waits for one latency.
+  // Requests in flight at a decrease still reflect the old load, so the next
+  // decrease is allowed only after the latency of the sample.
   void Decrease(base::Duration aLatency, base::TimePoint aNow)
   {
     if (aNow < mDecreaseAllowedAt) {
--- a/src/requests/forwarder.cpp
+++ b/src/requests/forwarder.cpp
@@ -57,8 +57,8 @@
                        aAttempt.mOriginIncarnation,
                        request.mId,
                        aAttempt.mAttempt);
-  // No answer here: once an entry is forgotten, a late copy of an attempt that
-  // ran would otherwise be answered with NotRun.
+  // Not answered: after its deadline an attempt's entry is removed, so this may
+  // be a duplicate of an attempt that ran, and NotRun would be wrong.
   if (mClock.Now() >= request.mDeadline) {
     ++mExpired;
     return {};
@@ -72,8 +72,8 @@
   if (!mStopping) {
     target = mPicker.Pick(workers, {}, mInFlight, mRandom);
   }
-  // A refused attempt is remembered too: its copy must not run after the
-  // origin was told that the attempt did not run.
+  // Refused attempts are stored too: a duplicate must not run after the origin
+  // was told that the attempt did not run.
   mEntries[key] = Entry{ request.mDeadline, !target.has_value() };
   if (!target) {
     const RequestResult refusal = MakeRefusal(workers);
--- a/src/requests/forwarder_test.cpp
+++ b/src/requests/forwarder_test.cpp
@@ -23,7 +23,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against requests that are passed on from peer to peer.
+  // Guards against requests that are forwarded more than once.
   void RunsOnHeldWorkersOnly()
   {
     const Candidate peer = MakeCandidate(TargetKind::Peer, 9);
@@ -36,7 +36,7 @@
                          std::get<RunOnWorker>(actions.at(0)).mWorker.mValue);
   }
 
-  // Guards against an origin that sends again what may have run.
+  // Guards against an origin that resends a request that may have run.
   void AnswerTellsWhetherItRan()
   {
     CPPUNIT_ASSERT(Finish(1, std::string("done")) == Outcome::Completed);
@@ -50,8 +50,8 @@
                    Outcome::Unknown);
   }
 
-  // Guards P6 against a message that arrives twice, also after the attempt has
-  // been refused, answered or forgotten.
+  // Guards against running an attempt twice because its message arrives twice,
+  // also after the attempt was refused, answered or removed.
   void DuplicateAttemptDoesNotRun()
   {
     const Candidate free = MakeCandidate(TargetKind::HeldWorker, 1);
--- a/src/requests/key_table.cpp
+++ b/src/requests/key_table.cpp
@@ -36,8 +36,8 @@
   return digest;
 }
 
-// Only the winner knows the outcome. Another instance may record that it is
-// unknown once the winner is gone.
+// Only the claimant knows the outcome. Other instances may record Unknown once
+// the claimant is gone.
 bool
 MayFinish(const base::InstanceId& aWinner, const OutcomeRecord& aRecord)
 {
@@ -111,8 +111,8 @@
 void
 KeyTable::Claim(Offset aOffset, const IntentRecord& aRecord, Offset aReplayFrom)
 {
-  // A key with unmatched records was claimed before this reader's first
-  // record.
+  // A key with unmatched records was claimed before the first record that this
+  // reader has read.
   if (mEntries.count(aRecord.mKey) != 0 ||
       mUnmatched.count(aRecord.mKey) != 0) {
     ApplyStale(aOffset, aRecord);
@@ -263,8 +263,9 @@
   result.mState = KeyState::Claimed;
   result.mLastRecordAt = unmatched->second.back().first;
   for (const auto& it : unmatched->second) {
-    // Only the winner or a reporter of a lost winner appends outcomes, so the
-    // first one is the one that older readers have applied.
+    // Outcomes are appended only by the claimant, or by another instance once
+    // the claimant is gone, so readers that know the claim have applied the
+    // first one.
     if (const auto* outcome = std::get_if<OutcomeRecord>(&it.second)) {
       result.mState = KeyState::Finished;
       result.mOutcome = *outcome;
--- a/src/requests/key_table_test.cpp
+++ b/src/requests/key_table_test.cpp
@@ -36,8 +36,8 @@
     CPPUNIT_ASSERT(mTable.ClaimedBy({ "b" }).empty());
   }
 
-  // Guards against a caller that is told the result of a request that the
-  // winner did not send.
+  // Guards against reporting an outcome recorded by an instance that did not
+  // claim the key.
   void OnlyTheClaimantReportsTheOutcome()
   {
     mTable.Apply(1, IntentRecord{ { "k" }, { "a" } });
@@ -52,8 +52,8 @@
     CPPUNIT_ASSERT(mTable.ClaimedBy({ "a" }).empty());
   }
 
-  // Guards against callers that wait for ever for a winner that is gone, and
-  // against its late result replacing what a caller was told.
+  // Guards against callers that wait forever for a claimant that is gone, and
+  // against a late outcome that replaces the one reported to a caller.
   void AnotherInstanceMayReportUnknown()
   {
     mTable.Apply(1, IntentRecord{ { "k" }, { "a" } });
@@ -62,8 +62,8 @@
     CPPUNIT_ASSERT(mTable.Find({ "k" }).mOutcome->mOutcome == Outcome::Unknown);
   }
 
-  // Guards against a repeat of a key that runs again while an instance still
-  // remembers the first run.
+  // Guards against running a repeated request while the log still has a record
+  // of the first run.
   void KeepsFinishedKeysWhileARecordIsRetained()
   {
     mTable.Apply(1, IntentRecord{ { "k" }, { "a" } });
@@ -75,8 +75,8 @@
     CPPUNIT_ASSERT(mTable.Find({ "k" }).mState == KeyState::Unknown);
   }
 
-  // Guards against a standing request that is claimed for ever by a reader
-  // that met the outcome before the snapshot of the claim.
+  // Guards against a key that stays claimed forever on a reader that read the
+  // outcome before the snapshot of the claim.
   void AppliesAnOutcomeReadBeforeTheSnapshot()
   {
     mTable.Apply(1, IntentRecord{ { "k" }, { "a" } });
--- a/src/requests/request_machine.cpp
+++ b/src/requests/request_machine.cpp
@@ -11,11 +11,11 @@
 
 namespace {
 
-// Hedges of requests that arrived together would otherwise be sent together
-// and load the same workers at once.
+// Hedge delay divided by its maximum jitter. Without jitter, the hedges of
+// requests that arrived together would load the same workers at once.
 constexpr std::int64_t kHedgeJitterDivisor = 10;
-// The budget always refills, so a hedge that it refused is tried again while
-// the first attempt is unanswered.
+// A hedge refused by the retry budget is tried again after this time while an
+// attempt is in flight, since the budget refills.
 constexpr base::Duration kHedgeRetryDelay = std::chrono::milliseconds(200);
 
 } // namespace
@@ -90,8 +90,8 @@
   }
   const bool repeated = mTried.count(aEvent.mTarget) != 0;
   const bool allowed = CanSendAgain() && !repeated;
-  // The budget bounds the extra load on endpoints. Attempts that were all
-  // refused before they ran have caused none.
+  // The budget limits the extra load on workers. While no attempt may have run,
+  // there is none, so another attempt takes no token.
   const bool isExempt = !MayHaveRun();
   if (allowed && (isExempt || mBudget.TryTake(mClock.Now()))) {
     Send(aEvent.mTarget, aActions);
@@ -124,8 +124,9 @@
   }
   mClaim = Claim::Won;
   if (mFinished) {
-    // The caller was told Unknown while the log was slow. Nothing was sent, so
-    // a later lookup of the key can be given the definite outcome.
+    // The deadline passed before the intent was read back, so the caller was
+    // told Unknown. No attempt was sent: NotRun is recorded for later requests
+    // with this key.
     const Error error = MakeError(ErrorKind::DeadlineExceeded);
     aActions.push_back(AppendOutcome{ MakeNotRun(error) });
     return;
@@ -152,9 +153,10 @@
     return;
   }
   if (aEvent.mState == ClaimState::Abandoned) {
-    FinishWith(MakeUnknown(MakeError(ErrorKind::OutcomeUnknown,
-                                     "the claimant of the key is gone")),
-               aActions);
+    FinishWith(
+      MakeUnknown(MakeError(ErrorKind::OutcomeUnknown,
+                            "the instance that claimed the key is gone")),
+      aActions);
     return;
   }
   const OutcomeRecord& record = aEvent.mRecord;
@@ -227,8 +229,8 @@
   }
   mCancelled = true;
   mHedgeAt = base::kNoDeadline;
-  // While the claim is open, another instance may be running the same key, and
-  // an attempt in flight cannot be recalled: both decide the outcome.
+  // Without a won claim another instance may be running the request, and an
+  // attempt in flight cannot be revoked; the outcome depends on them.
   const bool mayRunElsewhere =
     mClaim == Claim::Pending || mClaim == Claim::Lost;
   if (!mayRunElsewhere && !HasState(AttemptState::InFlight)) {
@@ -361,7 +363,7 @@
 void
 RequestMachine::StopRetrying(RequestActions& aActions)
 {
-  // An idempotent attempt that only timed out may still be answered.
+  // An attempt of an idempotent request that timed out may still be answered.
   const bool mayAnswer =
     mRequest.mIdempotent && !mCancelled && HasState(AttemptState::TimedOut);
   if (!HasState(AttemptState::InFlight) && !mayAnswer) {
@@ -413,7 +415,7 @@
 void
 RequestMachine::FinishAtDeadline(RequestActions& aActions)
 {
-  // With an open claim, another request with this key may have run it.
+  // Without a won claim, another request with this key may have run.
   const bool mayRunElsewhere =
     mClaim == Claim::Pending || mClaim == Claim::Lost;
   if (mayRunElsewhere || MayHaveRun()) {
--- a/src/requests/request_machine_test.cpp
+++ b/src/requests/request_machine_test.cpp
@@ -27,7 +27,7 @@
   return options;
 }
 
-/// One machine with what it needs, and what it has emitted so far.
+/// A RequestMachine with its dependencies and the actions emitted so far.
 struct Harness
 {
   explicit Harness(bool aIdempotent, std::uint64_t aSeed = 1)
@@ -91,7 +91,8 @@
   int mIntents = 0;
 };
 
-/// Drives one machine with random events and checks the invariants after each.
+/// Sends random events to a RequestMachine and checks the invariants after
+/// each.
 class RandomRun
 {
 public:
@@ -112,7 +113,7 @@
     }
     mHarness.mClock.Advance(milliseconds(2000));
     mHarness.Handle(TimerFired{});
-    Require(mHarness.mResult.has_value(), "ended at its deadline");
+    Require(mHarness.mResult.has_value(), "no result after the deadline");
   }
 
 private:
@@ -140,7 +141,7 @@
       Advance();
     }
   }
-  /// Also moves to the exact time of the next timer, where races are likely.
+  /// Often advances exactly to the next timer, where races are likely.
   void Advance()
   {
     const base::TimePoint due = mHarness.mMachine->NextWakeup();
@@ -203,34 +204,37 @@
   {
     const std::size_t sends = mHarness.mSends.size();
     for (std::size_t n = 1; !mIdempotent && n < sends; ++n) {
-      Require(IsNotRun(n), "a non-idempotent request was sent again");
+      Require(IsNotRun(n),
+              "non-idempotent request was sent again although it may have run");
     }
-    Require(mIdempotent || sends == 0 || mWon, "sent without a won intent");
-    Require(sends <= 3, "more attempts than allowed");
+    Require(mIdempotent || sends == 0 || mWon,
+            "non-idempotent request was sent without a won claim");
+    Require(sends <= 3, "more attempts than mMaxAttempts");
     if (!mHarness.mResult) {
       Require(mHarness.mMachine->NextWakeup() <=
                 mHarness.mMachine->GetRequest().mDeadline,
-              "no timer at the deadline");
+              "no timer is set for the deadline");
       return;
     }
     const RequestResult& result = *mHarness.mResult;
     for (std::size_t n = 1; n <= sends; ++n) {
       Require(result.mOutcome != Outcome::NotRun || IsNotRun(n),
-              "NotRun although an attempt may have run");
+              "result is NotRun although an attempt may have run");
     }
     if (result.mOutcome == Outcome::Completed) {
       const std::string attempt = result.mBody.substr(result.mBody.size() - 1);
       Require(result.mBody.rfind(kId.mValue + "#", 0) == 0 &&
                 std::stoul(attempt) >= 1 && std::stoul(attempt) <= sends,
-              "an answer that is not the request's own");
+              "answer does not belong to the request");
       return;
     }
     const bool kindImpliesNotRun =
       base::GetErrorInfo(result.mError.mKind).mExecution ==
       base::Execution::NotRun;
     Require(kindImpliesNotRun == (result.mOutcome == Outcome::NotRun),
-            "error kind contradicts the outcome");
-    Require(mHarness.mRecorded.size() <= 1, "two outcomes for one key");
+            "error kind does not match the outcome");
+    Require(mHarness.mRecorded.size() <= 1,
+            "more than one outcome recorded for the key");
   }
   void Require(bool aCondition, const char* aRule) const
   {
@@ -243,7 +247,8 @@
   std::string mTrace;
   bool mWon = false;
   bool mLost = false;
-  /// First result of each failed attempt: whether it proves not run.
+  /// For each failed attempt, whether its first result proves that it did not
+  /// run.
   std::map<std::int64_t, bool> mNotRun;
 };
 
@@ -263,8 +268,9 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards P4, P5 and P6 against any order of answers, failures, timers,
-  // cancellation and claims.
+  // Guards against wrong or repeated results, NotRun for a request that may
+  // have run, and double execution of a non-idempotent request, for random
+  // orders of answers, failures, timers, cancellations and claims.
   void RandomEventOrdersKeepTheInvariants()
   {
     for (std::uint64_t seed = 1; seed <= 20000; ++seed) {
@@ -272,7 +278,7 @@
     }
   }
 
-  // Guards against a second instance that runs the same key.
+  // Guards against running a key that another instance has claimed.
   void NonIdempotentIsSentAfterItsIntentHasWon()
   {
     Harness harness(false);
@@ -294,14 +300,15 @@
     Harness harness(false);
     harness.Handle(IntentWon{});
     harness.Offer("w1");
-    // From a worker, a passed deadline says nothing about execution.
+    // DeadlineExceeded from a worker does not rule out execution.
     harness.Fail(1, ErrorKind::DeadlineExceeded);
     CPPUNIT_ASSERT(harness.Ended(Outcome::Unknown, ErrorKind::OutcomeUnknown));
     CPPUNIT_ASSERT_EQUAL(1, harness.mPicks);
     CPPUNIT_ASSERT(harness.mRecorded.at(0).mOutcome == Outcome::Unknown);
   }
 
-  // Guards against giving up although the work certainly did not run.
+  // Guards against a failed request although a retry is safe, since the attempt
+  // certainly did not run.
   void RefusedAttemptGoesToAnotherTarget()
   {
     Harness harness(false);
@@ -315,8 +322,8 @@
     CPPUNIT_ASSERT(harness.Ended(Outcome::NotRun, ErrorKind::StaleCommand));
   }
 
-  // Guards against a repeat of a key that is told something else than the
-  // first request was.
+  // Guards against a repeated request that gets another result than the first
+  // one.
   void ClaimedKeyGetsTheRecordedOutcome()
   {
     Harness harness(false);
@@ -334,7 +341,7 @@
     CPPUNIT_ASSERT(waiting.Ended(Outcome::Unknown, ErrorKind::OutcomeUnknown));
   }
 
-  // Guards against NotRun for a key that another instance is running.
+  // Guards against reporting NotRun while another instance may run the key.
   void CancelDuringOpenClaimWaitsForTheClaim()
   {
     Harness harness(false);
@@ -345,7 +352,8 @@
     CPPUNIT_ASSERT(harness.mRecorded.at(0).mOutcome == Outcome::NotRun);
   }
 
-  // Guards against a claimed key without an outcome.
+  // Guards against a claim without an outcome when the intent is read back
+  // after the deadline.
   void LateClaimIsRecordedAsNotRun()
   {
     Harness harness(false);
@@ -381,7 +389,8 @@
       exhausted.Ended(Outcome::Unknown, ErrorKind::ConnectionLost));
   }
 
-  // Guards against Unknown for a request whose answer is only late.
+  // Guards against reporting Unknown before the deadline while an answer may
+  // still arrive.
   void TimedOutAttemptMayStillAnswer()
   {
     Harness harness(true);
--- a/src/requests/target_picker.cpp
+++ b/src/requests/target_picker.cpp
@@ -37,8 +37,8 @@
   return selected;
 }
 
-/// Microseconds of latency per free slot; the lower the better. A target
-/// without a known latency is taken for a fast one, so that it gets measured.
+/// Microseconds of latency per free slot; lower is better. A target of unknown
+/// latency counts as fast, so that its latency gets measured.
 double
 Cost(const Candidate& aCandidate, const InFlightTable& aInFlight)
 {
--- a/src/requests/target_picker_test.cpp
+++ b/src/requests/target_picker_test.cpp
@@ -45,7 +45,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards P7, and against retries that return to a target that failed.
+  // Guards against new work for leaving workers, and against retries on a
+  // target that was already tried.
   void PicksOnlyEligibleTargets()
   {
     Candidate leaving = Worker("leaving", 9);
@@ -76,7 +77,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("peer"), other->mName);
   }
 
-  // Guards against sending more to a target than its last report allows.
+  // Guards against sending more attempts to a target than it has free slots.
   void CountsAttemptsMissingFromTheReport()
   {
     const Candidate worker = Worker("w", 2);
@@ -107,8 +108,8 @@
     CPPUNIT_ASSERT_EQUAL(0, picks["slow"]);
   }
 
-  // Guards against a herd: without the attempts in flight, all of a burst goes
-  // to the targets that looked best in the last report.
+  // Guards against herding: if attempts in flight were not counted, a burst
+  // would all go to the targets that were best in the last report.
   void SpreadsABurstBetweenReports()
   {
     std::vector<Candidate> all;
@@ -146,8 +147,9 @@
     CPPUNIT_ASSERT(budget.Tokens(base::FromMicros(3'600'000'000)) <= 20.0);
   }
 
-  // Guards against a limit that stays at 1 or 2 of 48 slots after one disturbed
-  // period, because no whole number of requests fills its fraction.
+  // Guards against a limit that stays at 1 or 2 of 48 slots after a period of
+  // high latency, because the requests in flight never reach its fractional
+  // value.
   void LimitRecoversFromItsMinimum()
   {
     const auto limit = CreateAdaptiveConcurrencyLimit({ 200 });
@@ -167,7 +169,7 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 48 }, limit->Limit());
   }
 
-  // Guards against a limit that ignores lost workers or growing latency.
+  // Guards against a limit that ignores lost workers or rising latency.
   void LimitFollowsCapacityAndLatency()
   {
     const auto limit = CreateAdaptiveConcurrencyLimit({ 200 });
