--- a/src/requests/key_table.cpp
+++ b/src/requests/key_table.cpp
@@ -10,13 +10,13 @@
 
 namespace {
 
-constexpr base::NameTable<Outcome, 3> kOutcomes{ {
+constexpr base::NameTable<Outcome, 3> kOutcomeNames{ {
   { Outcome::Completed, "completed" },
   { Outcome::NotRun, "not_run" },
   { Outcome::Unknown, "unknown" },
 } };
 
-constexpr base::NameTable<KeyState, 3> kKeyStates{ {
+constexpr base::NameTable<KeyState, 3> kKeyStateNames{ {
   { KeyState::Unknown, "unknown" },
   { KeyState::Claimed, "claimed" },
   { KeyState::Finished, "finished" },
@@ -49,19 +49,19 @@
 std::string_view
 NameOf(Outcome aOutcome)
 {
-  return base::FindName(kOutcomes, aOutcome);
+  return base::FindName(kOutcomeNames, aOutcome);
 }
 
 std::optional<Outcome>
 ParseOutcome(std::string_view aName)
 {
-  return base::FindValue(kOutcomes, aName);
+  return base::FindValue(kOutcomeNames, aName);
 }
 
 std::string_view
 NameOf(KeyState aState)
 {
-  return base::FindName(kKeyStates, aState);
+  return base::FindName(kKeyStateNames, aState);
 }
 
 const base::RequestId&
--- a/src/requests/request_machine.cpp
+++ b/src/requests/request_machine.cpp
@@ -58,7 +58,8 @@
   if (!mStarted) {
     return actions;
   }
-  std::visit([&](const auto& aTyped) { On(aTyped, actions); }, aEvent);
+  std::visit([&](const auto& aConcreteEvent) { On(aConcreteEvent, actions); },
+             aEvent);
   return actions;
 }
 
