--- a/include/skylarkhill/requests/in_flight_table.hpp
+++ b/include/skylarkhill/requests/in_flight_table.hpp
@@ -24,10 +24,9 @@
            std::int64_t aAttempt);
 
   std::int64_t Count(const Target& aTarget) const;
-  /// Attempts in flight that began at `aReportedAt` or later; a report made at
+  /// Attempts in flight that began at `aSince` or later; a report made at
   /// that time does not include them.
-  std::int64_t CountSince(const Target& aTarget,
-                          base::TimePoint aReportedAt) const;
+  std::int64_t CountSince(const Target& aTarget, base::TimePoint aSince) const;
 
 private:
   using AttemptKey = std::pair<base::RequestId, std::int64_t>;
--- a/include/skylarkhill/requests/request_machine.hpp
+++ b/include/skylarkhill/requests/request_machine.hpp
@@ -54,7 +54,7 @@
 };
 
 /// Another request has claimed the key first.
-struct IntentClaimedByOther
+struct KeyClaimedByOther
 {
   ClaimState mState = ClaimState::InProgress;
   /// Valid if the state is Finished.
@@ -100,7 +100,7 @@
 using RequestEvent = std::variant<TargetOffered,
                                   TargetUnavailable,
                                   IntentWon,
-                                  IntentClaimedByOther,
+                                  KeyClaimedByOther,
                                   LogUnavailable,
                                   AttemptAnswered,
                                   AttemptFailed,
@@ -205,7 +205,7 @@
   void On(const TargetOffered& aEvent, RequestActions& aActions);
   void On(const TargetUnavailable& aEvent, RequestActions& aActions);
   void On(const IntentWon& aEvent, RequestActions& aActions);
-  void On(const IntentClaimedByOther& aEvent, RequestActions& aActions);
+  void On(const KeyClaimedByOther& aEvent, RequestActions& aActions);
   void On(const LogUnavailable& aEvent, RequestActions& aActions);
   void On(const AttemptAnswered& aEvent, RequestActions& aActions);
   void On(const AttemptFailed& aEvent, RequestActions& aActions);
--- a/include/skylarkhill/requests/target_picker.hpp
+++ b/include/skylarkhill/requests/target_picker.hpp
@@ -43,7 +43,7 @@
 /// Free slots of `aCandidate` minus the attempts in flight that its report does
 /// not include.
 std::int64_t
-FreeSlotsNow(const Candidate& aCandidate, const InFlightTable& aInFlight);
+EstimateFreeSlots(const Candidate& aCandidate, const InFlightTable& aInFlight);
 
 /// True if new attempts may be sent to `aCandidate`.
 bool
--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -608,13 +608,13 @@
   while (mClock.Now() < request.mDeadline) {
     const requests::KeySnapshot key = mState.FindKey(request.mId);
     if (key.mState == requests::KeyState::Finished) {
-      aSession->Post(requests::IntentClaimedByOther{
+      aSession->Post(requests::KeyClaimedByOther{
         requests::ClaimState::Finished, *key.mOutcome });
       return;
     }
     if (!mPeers.IsAlive(key.mClaimant)) {
       aSession->Post(
-        requests::IntentClaimedByOther{ requests::ClaimState::Abandoned, {} });
+        requests::KeyClaimedByOther{ requests::ClaimState::Abandoned, {} });
       return;
     }
     std::this_thread::sleep_for(kClaimCheckInterval);
--- a/src/requests/in_flight_table.cpp
+++ b/src/requests/in_flight_table.cpp
@@ -35,8 +35,7 @@
 }
 
 std::int64_t
-InFlightTable::CountSince(const Target& aTarget,
-                          base::TimePoint aReportedAt) const
+InFlightTable::CountSince(const Target& aTarget, base::TimePoint aSince) const
 {
   const auto found = mTargets.find(aTarget);
   if (found == mTargets.end()) {
@@ -44,7 +43,7 @@
   }
   return std::count_if(
     found->second.begin(), found->second.end(), [&](const auto& aAttempt) {
-      return aAttempt.second >= aReportedAt;
+      return aAttempt.second >= aSince;
     });
 }
 
--- a/src/requests/request_machine.cpp
+++ b/src/requests/request_machine.cpp
@@ -144,7 +144,7 @@
 }
 
 void
-RequestMachine::On(const IntentClaimedByOther& aEvent, RequestActions& aActions)
+RequestMachine::On(const KeyClaimedByOther& aEvent, RequestActions& aActions)
 {
   if (mClaim != Claim::Pending && mClaim != Claim::Lost) {
     return;
--- a/src/requests/request_machine_test.cpp
+++ b/src/requests/request_machine_test.cpp
@@ -162,7 +162,7 @@
       mHarness.Handle(LogUnavailable{});
       return;
     }
-    mHarness.Handle(IntentClaimedByOther{
+    mHarness.Handle(KeyClaimedByOther{
       mChoice->Below(2) == 0 ? ClaimState::InProgress : ClaimState::Abandoned,
       {} });
   }
@@ -327,16 +327,16 @@
   void ClaimedKeyGetsTheRecordedOutcome()
   {
     Harness harness(false);
-    harness.Handle(IntentClaimedByOther{ ClaimState::InProgress, {} });
+    harness.Handle(KeyClaimedByOther{ ClaimState::InProgress, {} });
     CPPUNIT_ASSERT(!harness.mResult);
     OutcomeRecord record;
     record.mOutcome = Outcome::Completed;
     record.mBody = "kept";
-    harness.Handle(IntentClaimedByOther{ ClaimState::Finished, record });
+    harness.Handle(KeyClaimedByOther{ ClaimState::Finished, record });
     CPPUNIT_ASSERT_EQUAL(std::string("kept"), harness.mResult->mBody);
     CPPUNIT_ASSERT(harness.mRecorded.empty());
     Harness waiting(false);
-    waiting.Handle(IntentClaimedByOther{ ClaimState::InProgress, {} });
+    waiting.Handle(KeyClaimedByOther{ ClaimState::InProgress, {} });
     waiting.AdvanceClock(milliseconds(1000));
     CPPUNIT_ASSERT(waiting.Ended(Outcome::Unknown, ErrorKind::OutcomeUnknown));
   }
--- a/src/requests/target_picker.cpp
+++ b/src/requests/target_picker.cpp
@@ -42,7 +42,8 @@
 double
 Cost(const Candidate& aCandidate, const InFlightTable& aInFlight)
 {
-  const auto free = static_cast<double>(FreeSlotsNow(aCandidate, aInFlight));
+  const auto free =
+    static_cast<double>(EstimateFreeSlots(aCandidate, aInFlight));
   const auto micros = static_cast<double>(aCandidate.mLatency.count());
   return std::max(micros, 1.0) / free;
 }
@@ -104,7 +105,7 @@
 } // namespace
 
 std::int64_t
-FreeSlotsNow(const Candidate& aCandidate, const InFlightTable& aInFlight)
+EstimateFreeSlots(const Candidate& aCandidate, const InFlightTable& aInFlight)
 {
   const std::int64_t unreported =
     aInFlight.CountSince(aCandidate.mTarget, aCandidate.mReportedAt);
@@ -122,7 +123,7 @@
   if (aTried.count(aCandidate.mTarget) != 0) {
     return false;
   }
-  return FreeSlotsNow(aCandidate, aInFlight) > 0;
+  return EstimateFreeSlots(aCandidate, aInFlight) > 0;
 }
 
 std::unique_ptr<TargetPicker>
--- a/src/requests/target_picker_test.cpp
+++ b/src/requests/target_picker_test.cpp
@@ -82,7 +82,8 @@
   {
     const Candidate worker = Worker("w", 2);
     mInFlight.Begin(worker.mTarget, { "old" }, 1, base::FromMicros(99));
-    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 2 }, FreeSlotsNow(worker, mInFlight));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 2 },
+                         EstimateFreeSlots(worker, mInFlight));
     mInFlight.Begin(worker.mTarget, { "a" }, 1, base::FromMicros(100));
     mInFlight.Begin(worker.mTarget, { "b" }, 1, base::FromMicros(101));
     CPPUNIT_ASSERT(!IsEligible(worker, {}, mInFlight));
--- a/src/testing/site_world.cpp
+++ b/src/testing/site_world.cpp
@@ -1264,13 +1264,13 @@
       if (session.mIsWatching && key.mState == requests::KeyState::Finished) {
         session.mIsWatching = false;
         events.emplace_back(it->first,
-                            requests::IntentClaimedByOther{
+                            requests::KeyClaimedByOther{
                               requests::ClaimState::Finished, *key.mOutcome });
       } else if (session.mIsWatching && !IsAlive(key.mClaimant)) {
         session.mIsWatching = false;
-        events.emplace_back(it->first,
-                            requests::IntentClaimedByOther{
-                              requests::ClaimState::Abandoned, {} });
+        events.emplace_back(
+          it->first,
+          requests::KeyClaimedByOther{ requests::ClaimState::Abandoned, {} });
       } else if (node.Now() >= session.mMachine->NextWakeup()) {
         events.emplace_back(it->first, requests::TimerFired{});
       } else if (Fault(1) && Chance(30)) {
