--- a/include/skylarkhill/journal/site_state.hpp
+++ b/include/skylarkhill/journal/site_state.hpp
@@ -125,7 +125,7 @@
   std::vector<tasks::BasedTask> TasksToSnapshot(std::int64_t aAgeMs,
                                                 std::int64_t aNowMs,
                                                 std::size_t aLimit) const;
-  std::vector<requests::BasedKey> KeysToSnapshot(std::int64_t aAgeMs,
+  std::vector<requests::KeyReplayOffset> KeysToSnapshot(std::int64_t aAgeMs,
                                                  std::int64_t aNowMs,
                                                  std::size_t aLimit) const;
   std::int64_t AgeOf(Offset aOffset, std::int64_t aNowMs) const;
--- a/src/policy/interference.cpp
+++ b/src/policy/interference.cpp
@@ -7,24 +7,26 @@
 
 namespace {
 
-// Reports are noisy: one report moves an estimate by a fifth of its error.
+// Reports are noisy, so one report corrects a fifth of the prediction error.
 constexpr double kLearningRate = 0.2;
 constexpr std::chrono::minutes kHalfLife{ 10 };
-// Every class is assumed to disturb a little until a report says otherwise,
-// so that unknown classes are not all put beside the same service.
+// Prior, assumed for pairs without recent reports. It is not zero, so that
+// tasks of unknown classes are not all placed beside the same service.
 constexpr double kPriorPercentPerTask = 1.0;
 constexpr double kMaxPercentPerTask = 400.0;
 
 } // namespace
 
 double
-InterferenceModel::Decayed(const Pair& aPair, base::TimePoint aNow) const
+InterferenceModel::Decayed(const PairEstimate& aPair,
+                           base::TimePoint aNow) const
 {
   const auto age =
     std::max(base::Duration::zero(), base::Duration(aNow - aPair.mUpdatedAt));
-  const double halves = static_cast<double>(age.count()) /
-                        static_cast<double>(base::Duration(kHalfLife).count());
-  const double kept = std::exp2(-halves);
+  const double halfLives =
+    static_cast<double>(age.count()) /
+    static_cast<double>(base::Duration(kHalfLife).count());
+  const double kept = std::exp2(-halfLives);
   return kPriorPercentPerTask +
          (aPair.mPercentPerTask - kPriorPercentPerTask) * kept;
 }
@@ -38,9 +40,9 @@
   return it == mPairs.end() ? kPriorPercentPerTask : Decayed(it->second, aNow);
 }
 
-// Normalised least mean squares: the error of the prediction is divided among
-// the classes present in proportion to their task counts, because a report
-// shows only the sum of their effects.
+// Normalized least mean squares: a report shows only the sum of the effects of
+// all classes, so the prediction error is divided among them in proportion to
+// their task counts.
 void
 InterferenceModel::Record(const InterferenceReport& aReport)
 {
@@ -61,7 +63,7 @@
     const auto count = static_cast<double>(it.second);
     const double previous =
       Estimate(aReport.mService, it.first, aReport.mMeasuredAt);
-    Pair& pair = mPairs[{ aReport.mService, it.first }];
+    PairEstimate& pair = mPairs[{ aReport.mService, it.first }];
     pair.mPercentPerTask = std::clamp(
       previous + kLearningRate * error * count / norm, 0.0, kMaxPercentPerTask);
     pair.mUpdatedAt = std::max(pair.mUpdatedAt, aReport.mMeasuredAt);
--- a/src/policy/policy_test.cpp
+++ b/src/policy/policy_test.cpp
@@ -13,21 +13,21 @@
 class PolicyTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(PolicyTest);
-  CPPUNIT_TEST(ModelTellsPairsApartAndForgets);
+  CPPUNIT_TEST(ModelSeparatesPairsAndDecays);
   CPPUNIT_TEST(PlacementNeverOvercommits);
-  CPPUNIT_TEST(PlacementAvoidsADisturbedService);
-  CPPUNIT_TEST(ShortTasksGoBeforeStragglers);
-  CPPUNIT_TEST(TasksBeyondTheQuotaAreLeftOut);
-  CPPUNIT_TEST(ProtectionThrottlesTheDisturberOnly);
+  CPPUNIT_TEST(PlacementAvoidsAnAffectedService);
+  CPPUNIT_TEST(ShortTasksGoBeforeLongOnes);
+  CPPUNIT_TEST(TasksOverQuotaAreOmitted);
+  CPPUNIT_TEST(ProtectionThrottlesTheInterferingTaskOnly);
   CPPUNIT_TEST(ProtectionThrottlesAllWithoutEstimates);
   CPPUNIT_TEST(ProtectionWaitsForTheReports);
-  CPPUNIT_TEST(TaskAtItsEvictionLimitStays);
+  CPPUNIT_TEST(TaskAtItsEvictionLimitIsNotEvicted);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against blame on a class that was only present, and against an
-  // estimate that outlives its evidence.
-  void ModelTellsPairsApartAndForgets()
+  // Guards against attributing a slowdown to a class that was merely present,
+  // and against estimates that do not decay without reports.
+  void ModelSeparatesPairsAndDecays()
   {
     InterferenceModel model;
     for (int n = 0; n < 200; ++n) {
@@ -40,7 +40,7 @@
     CPPUNIT_ASSERT(model.Estimate("s", "loud", At(0) + minutes(60)) < 5.0);
   }
 
-  // Guards against a choice that commits a worker beyond its resources (P1).
+  // Guards against a choice that overcommits a worker.
   void PlacementNeverOvercommits()
   {
     for (const auto profile :
@@ -54,8 +54,8 @@
     }
   }
 
-  // Guards against a noisy class beside the service that it disturbs.
-  void PlacementAvoidsADisturbedService()
+  // Guards against placing a class beside a service that it slows down.
+  void PlacementAvoidsAnAffectedService()
   {
     for (const auto profile : { Profile::Throughput, Profile::Tail }) {
       const auto policy = CreatePlacementPolicy(profile);
@@ -70,9 +70,9 @@
     }
   }
 
-  // Guards against short work that waits behind stragglers with a wrong
-  // declaration.
-  void ShortTasksGoBeforeStragglers()
+  // Guards against short tasks that wait behind long ones with a declared run
+  // time that is too short.
+  void ShortTasksGoBeforeLongOnes()
   {
     const auto queue = CreateQueuePolicy(Profile::Throughput);
     queue->RecordRun("short", 5, true);
@@ -87,8 +87,8 @@
     CPPUNIT_ASSERT(queue->Order(tasks, {}) == expected);
   }
 
-  // Guards against a team that takes more than its quota in one round.
-  void TasksBeyondTheQuotaAreLeftOut()
+  // Guards against a team that exceeds its quota in one scheduling round.
+  void TasksOverQuotaAreOmitted()
   {
     const auto queue = CreateQueuePolicy(Profile::Tail);
     const base::Resources need{ 1000, 1, 0 };
@@ -100,18 +100,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, queue->Order(tasks, teams).size());
   }
 
-  // Guards against throttled tasks that disturb nobody.
-  void ProtectionThrottlesTheDisturberOnly()
+  // Guards against throttling tasks that do not interfere.
+  void ProtectionThrottlesTheInterferingTaskOnly()
   {
     WorkerPressure pressure = MakePressure(230);
-    pressure.mTasks[1].mDisturbancePercent = 170.0;
+    pressure.mTasks[1].mInterferencePercent = 170.0;
     const auto policy = CreateProtectionPolicy(Profile::Tail);
     const auto actions = policy->Decide(pressure, At(0));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, actions.size());
     CPPUNIT_ASSERT(actions[0].mTask == pressure.mTasks[1].mTask);
   }
 
-  // Guards against a service left without protection before anything is known.
+  // Guards against an unprotected service while there are no estimates.
   void ProtectionThrottlesAllWithoutEstimates()
   {
     const auto policy = CreateProtectionPolicy(Profile::Tail);
@@ -119,7 +119,8 @@
                          policy->Decide(MakePressure(230), At(0)).size());
   }
 
-  // Guards against measures piled up before the lagging reports show the first.
+  // Guards against further actions before the delayed reports show the effect
+  // of the first one.
   void ProtectionWaitsForTheReports()
   {
     const auto policy = CreateProtectionPolicy(Profile::Tail);
@@ -128,9 +129,9 @@
     CPPUNIT_ASSERT(!policy->Decide(MakePressure(230), At(3)).empty());
   }
 
-  // Guards against a job that is evicted for ever, and against an eviction
-  // that loses more than needed.
-  void TaskAtItsEvictionLimitStays()
+  // Guards against a task that is evicted forever, and against evicting more
+  // tasks than needed.
+  void TaskAtItsEvictionLimitIsNotEvicted()
   {
     WorkerPressure pressure = MakePressure(300);
     for (auto& it : pressure.mTasks) {
--- a/src/requests/concurrency_limit.cpp
+++ b/src/requests/concurrency_limit.cpp
@@ -6,15 +6,16 @@
 
 namespace {
 
-constexpr double kDecrease = 0.9;
-// Service times vary several times over between requests of one service, so the
-// mean of about the last 30 is compared, never a single one.
-constexpr double kMeanWeight = 0.03;
-// The undisturbed latency rises by this share per sample, so that a service
-// that has become slower for good is not limited for ever.
-constexpr double kBaselineRise = 0.001;
-// Below this share of the limit, latency says nothing about a higher limit.
-constexpr double kBusyShare = 0.8;
+constexpr double kDecreaseFactor = 0.9;
+// Service times vary widely between requests of one service, so the mean of
+// about the last 30, not a single latency, is compared with the baseline.
+constexpr double kSampleWeight = 0.03;
+// Relative growth of the baseline latency per sample. Without it, a service
+// that has become slower permanently would stay limited.
+constexpr double kBaselineRisePerSample = 0.001;
+// With fewer requests in flight than this fraction of the limit, the latency
+// does not show whether a higher limit is safe.
+constexpr double kMinUtilization = 0.8;
 
 class FixedLimit : public ConcurrencyLimit
 {
@@ -35,8 +36,8 @@
   {
   }
 
-  // The limit scales with the capacity: new workers are used at once, and lost
-  // ones are not overcommitted until latency shows it.
+  // The limit scales with the capacity: new workers are used at once, and after
+  // a loss the remaining ones are not overloaded until the latency rises.
   void SetCapacity(std::int64_t aSlots) override
   {
     const auto slots = static_cast<double>(std::max<std::int64_t>(aSlots, 0));
@@ -48,16 +49,17 @@
   {
     const auto latency = static_cast<double>(aSample.mLatency.count());
     if (!aSample.mOverloaded) {
-      LearnMean(latency);
-      LearnBaseline();
+      UpdateMean(latency);
+      UpdateBaseline();
     }
     if (aSample.mOverloaded || mMean > mTolerance * mBaseline) {
       Decrease(aSample.mLatency, aNow);
       return;
     }
-    // Only whole requests run: 1 in flight is all that a limit of 1.9 allows.
+    // The integer limit is compared: with mLimit = 1.9, 1 request is the most
+    // that can be in flight.
     const auto usable = static_cast<double>(Limit());
-    if (static_cast<double>(aSample.mInFlight) >= kBusyShare * usable) {
+    if (static_cast<double>(aSample.mInFlight) >= kMinUtilization * usable) {
       mLimit = std::min(mCapacity, mLimit + 1.0 / std::max(mLimit, 1.0));
     }
   }
@@ -71,27 +73,27 @@
   }
 
 private:
-  void LearnMean(double aLatency)
+  void UpdateMean(double aLatency)
   {
     ++mSamples;
-    const double weight = std::max(kMeanWeight, 1.0 / mSamples);
+    const double weight = std::max(kSampleWeight, 1.0 / mSamples);
     mMean += weight * (aLatency - mMean);
   }
 
-  void LearnBaseline()
+  void UpdateBaseline()
   {
-    const double risen = mBaseline * (1.0 + kBaselineRise);
+    const double risen = mBaseline * (1.0 + kBaselineRisePerSample);
     mBaseline = mBaseline <= 0 ? mMean : std::min(mMean, risen);
   }
 
-  // Requests in flight at a decrease still show the old load, so the next
-  // decrease waits for one latency.
+  // Requests in flight at a decrease still reflect the old load, so the next
+  // decrease is allowed only after the latency of the sample.
   void Decrease(base::Duration aLatency, base::TimePoint aNow)
   {
     if (aNow < mDecreaseAllowedAt) {
       return;
     }
-    mLimit = std::max(1.0, mLimit * kDecrease);
+    mLimit = std::max(1.0, mLimit * kDecreaseFactor);
     mDecreaseAllowedAt = aNow + aLatency;
   }
 
--- a/src/requests/key_table.cpp
+++ b/src/requests/key_table.cpp
@@ -10,13 +10,13 @@
 
 namespace {
 
-constexpr base::NameTable<Outcome, 3> kOutcomes{ {
+constexpr base::NameTable<Outcome, 3> kOutcomeNames{ {
   { Outcome::Completed, "completed" },
   { Outcome::NotRun, "not_run" },
   { Outcome::Unknown, "unknown" },
 } };
 
-constexpr base::NameTable<KeyState, 3> kKeyStates{ {
+constexpr base::NameTable<KeyState, 3> kKeyStateNames{ {
   { KeyState::Unknown, "unknown" },
   { KeyState::Claimed, "claimed" },
   { KeyState::Finished, "finished" },
@@ -27,7 +27,7 @@
 {
   std::uint64_t digest = base::StableHash(aKey.mKey.mValue);
   digest = base::StableHash(NameOf(aKey.mState), digest);
-  digest = base::StableHash(aKey.mWinner.mValue, digest);
+  digest = base::StableHash(aKey.mClaimant.mValue, digest);
   if (aKey.mOutcome) {
     digest = base::StableHash(NameOf(aKey.mOutcome->mOutcome), digest);
     digest = base::StableHash(base::NameOf(aKey.mOutcome->mErrorKind), digest);
@@ -36,8 +36,8 @@
   return digest;
 }
 
-// Only the winner knows the outcome. Another instance may record that it is
-// unknown once the winner is gone.
+// Only the claimant knows the outcome. Other instances may record Unknown once
+// the claimant is gone.
 bool
 MayFinish(const base::InstanceId& aWinner, const OutcomeRecord& aRecord)
 {
@@ -49,19 +49,19 @@
 std::string_view
 NameOf(Outcome aOutcome)
 {
-  return base::FindName(kOutcomes, aOutcome);
+  return base::FindName(kOutcomeNames, aOutcome);
 }
 
 std::optional<Outcome>
 ParseOutcome(std::string_view aName)
 {
-  return base::FindValue(kOutcomes, aName);
+  return base::FindValue(kOutcomeNames, aName);
 }
 
 std::string_view
 NameOf(KeyState aState)
 {
-  return base::FindName(kKeyStates, aState);
+  return base::FindName(kKeyStateNames, aState);
 }
 
 const base::RequestId&
@@ -80,8 +80,8 @@
     mFinished.emplace(key.mLastRecordAt, key.mKey);
     return;
   }
-  mByBase.emplace(aEntry.mBasedAt, key.mKey);
-  mByInstance[key.mWinner].insert(key.mKey);
+  mByReplayOffset.emplace(aEntry.mReplayFrom, key.mKey);
+  mByInstance[key.mClaimant].insert(key.mKey);
 }
 
 void
@@ -92,8 +92,8 @@
     mFinished.erase({ key.mLastRecordAt, key.mKey });
     return;
   }
-  mByBase.erase({ aEntry.mBasedAt, key.mKey });
-  const auto keys = mByInstance.find(key.mWinner);
+  mByReplayOffset.erase({ aEntry.mReplayFrom, key.mKey });
+  const auto keys = mByInstance.find(key.mClaimant);
   keys->second.erase(key.mKey);
   if (keys->second.empty()) {
     mByInstance.erase(keys);
@@ -109,10 +109,10 @@
 }
 
 void
-KeyTable::Claim(Offset aOffset, const IntentRecord& aRecord, Offset aBasedAt)
+KeyTable::Claim(Offset aOffset, const IntentRecord& aRecord, Offset aReplayFrom)
 {
-  // A key with unmatched records was claimed before this reader's first
-  // record.
+  // A key with unmatched records was claimed before the first record that this
+  // reader has read.
   if (mEntries.count(aRecord.mKey) != 0 ||
       mUnmatched.count(aRecord.mKey) != 0) {
     ApplyStale(aOffset, aRecord);
@@ -121,10 +121,10 @@
   Entry& entry = mEntries[aRecord.mKey];
   entry.mSnapshot.mKey = aRecord.mKey;
   entry.mSnapshot.mState = KeyState::Claimed;
-  entry.mSnapshot.mWinner = aRecord.mInstance;
+  entry.mSnapshot.mClaimant = aRecord.mInstance;
   entry.mSnapshot.mClaimedAt = aOffset;
   entry.mSnapshot.mLastRecordAt = aOffset;
-  entry.mBasedAt = aBasedAt;
+  entry.mReplayFrom = aReplayFrom;
   AddToIndexes(entry);
 }
 
@@ -156,7 +156,7 @@
   RemoveFromIndexes(entry);
   KeySnapshot& key = entry.mSnapshot;
   key.mLastRecordAt = std::max(key.mLastRecordAt, aOffset);
-  if (key.mState == KeyState::Claimed && MayFinish(key.mWinner, aRecord)) {
+  if (key.mState == KeyState::Claimed && MayFinish(key.mClaimant, aRecord)) {
     key.mState = KeyState::Finished;
     key.mOutcome = aRecord;
   } else {
@@ -172,10 +172,10 @@
 }
 
 void
-KeyTable::Apply(Offset aOffset, const KeyRecord& aRecord, Offset aBasedAt)
+KeyTable::Apply(Offset aOffset, const KeyRecord& aRecord, Offset aReplayFrom)
 {
   if (const auto* intent = std::get_if<IntentRecord>(&aRecord)) {
-    Claim(aOffset, *intent, aBasedAt);
+    Claim(aOffset, *intent, aReplayFrom);
   } else {
     Finish(aOffset, std::get<OutcomeRecord>(aRecord));
   }
@@ -187,7 +187,7 @@
   const auto found = mEntries.find(aSnapshot.mKey);
   if (found != mEntries.end()) {
     RemoveFromIndexes(found->second);
-    Offset& base = found->second.mBasedAt;
+    Offset& base = found->second.mReplayFrom;
     base = std::max(base, aAsOf + 1);
     AddToIndexes(found->second);
     return;
@@ -205,17 +205,17 @@
 }
 
 void
-KeyTable::Restore(const KeySnapshot& aSnapshot, Offset aBasedAt)
+KeyTable::Restore(const KeySnapshot& aSnapshot, Offset aReplayFrom)
 {
-  const bool isSound =
+  const bool isValid =
     aSnapshot.mState == KeyState::Claimed ||
     (aSnapshot.mState == KeyState::Finished && aSnapshot.mOutcome);
-  if (!isSound || mEntries.count(aSnapshot.mKey) != 0) {
+  if (!isValid || mEntries.count(aSnapshot.mKey) != 0) {
     return;
   }
   Entry& entry = mEntries[aSnapshot.mKey];
   entry.mSnapshot = aSnapshot;
-  entry.mBasedAt = aBasedAt;
+  entry.mReplayFrom = aReplayFrom;
   AddToIndexes(entry);
 }
 
@@ -263,8 +263,9 @@
   result.mState = KeyState::Claimed;
   result.mLastRecordAt = unmatched->second.back().first;
   for (const auto& it : unmatched->second) {
-    // Only the winner or a reporter of a lost winner appends outcomes, so the
-    // first one is the one that older readers have applied.
+    // Outcomes are appended only by the claimant, or by another instance once
+    // the claimant is gone, so readers that know the claim have applied the
+    // first one.
     if (const auto* outcome = std::get_if<OutcomeRecord>(&it.second)) {
       result.mState = KeyState::Finished;
       result.mOutcome = *outcome;
@@ -275,13 +276,13 @@
 }
 
 std::optional<Offset>
-KeyTable::FindBase(const base::RequestId& aKey) const
+KeyTable::FindReplayOffset(const base::RequestId& aKey) const
 {
   const auto found = mEntries.find(aKey);
   if (found == mEntries.end()) {
     return std::nullopt;
   }
-  return found->second.mBasedAt;
+  return found->second.mReplayFrom;
 }
 
 std::vector<base::RequestId>
@@ -304,11 +305,11 @@
   return result;
 }
 
-std::vector<BasedKey>
-KeyTable::BasedBefore(Offset aBefore, std::size_t aLimit) const
+std::vector<KeyReplayOffset>
+KeyTable::OldestReplayOffsets(Offset aBefore, std::size_t aLimit) const
 {
-  std::vector<BasedKey> result;
-  for (const auto& [offset, key] : mByBase) {
+  std::vector<KeyReplayOffset> result;
+  for (const auto& [offset, key] : mByReplayOffset) {
     if (offset >= aBefore || result.size() >= aLimit) {
       break;
     }
@@ -333,7 +334,7 @@
 KeyTable::LiveDigest() const
 {
   std::uint64_t digest = 0;
-  for (const auto& it : mByBase) {
+  for (const auto& it : mByReplayOffset) {
     digest += DigestOf(mEntries.at(it.second).mSnapshot);
   }
   return digest;
--- a/src/requests/key_table_test.cpp
+++ b/src/requests/key_table_test.cpp
@@ -17,7 +17,7 @@
 {
   CPPUNIT_TEST_SUITE(KeyTableTest);
   CPPUNIT_TEST(TheFirstIntentWins);
-  CPPUNIT_TEST(OnlyTheWinnerReportsTheOutcome);
+  CPPUNIT_TEST(OnlyTheClaimantReportsTheOutcome);
   CPPUNIT_TEST(AnotherInstanceMayReportUnknown);
   CPPUNIT_TEST(KeepsFinishedKeysWhileARecordIsRetained);
   CPPUNIT_TEST(AppliesAnOutcomeReadBeforeTheSnapshot);
@@ -30,14 +30,15 @@
     CPPUNIT_ASSERT(mTable.Find({ "k" }).mState == KeyState::Unknown);
     mTable.Apply(1, IntentRecord{ { "k" }, { "a" } });
     mTable.Apply(2, IntentRecord{ { "k" }, { "b" } });
-    CPPUNIT_ASSERT_EQUAL(std::string("a"), mTable.Find({ "k" }).mWinner.mValue);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                         mTable.Find({ "k" }).mClaimant.mValue);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), mTable.ClaimedBy({ "a" }).size());
     CPPUNIT_ASSERT(mTable.ClaimedBy({ "b" }).empty());
   }
 
-  // Guards against a caller that is told the result of a request that the
-  // winner did not send.
-  void OnlyTheWinnerReportsTheOutcome()
+  // Guards against reporting an outcome recorded by an instance that did not
+  // claim the key.
+  void OnlyTheClaimantReportsTheOutcome()
   {
     mTable.Apply(1, IntentRecord{ { "k" }, { "a" } });
     mTable.Apply(2, MakeOutcome("b", Outcome::NotRun));
@@ -51,8 +52,8 @@
     CPPUNIT_ASSERT(mTable.ClaimedBy({ "a" }).empty());
   }
 
-  // Guards against callers that wait for ever for a winner that is gone, and
-  // against its late result replacing what a caller was told.
+  // Guards against callers that wait forever for a claimant that is gone, and
+  // against a late outcome that replaces the one reported to a caller.
   void AnotherInstanceMayReportUnknown()
   {
     mTable.Apply(1, IntentRecord{ { "k" }, { "a" } });
@@ -61,8 +62,8 @@
     CPPUNIT_ASSERT(mTable.Find({ "k" }).mOutcome->mOutcome == Outcome::Unknown);
   }
 
-  // Guards against a repeat of a key that runs again while an instance still
-  // remembers the first run.
+  // Guards against running a repeated request while the log still has a record
+  // of the first run.
   void KeepsFinishedKeysWhileARecordIsRetained()
   {
     mTable.Apply(1, IntentRecord{ { "k" }, { "a" } });
@@ -74,8 +75,8 @@
     CPPUNIT_ASSERT(mTable.Find({ "k" }).mState == KeyState::Unknown);
   }
 
-  // Guards against a standing request that is claimed for ever by a reader
-  // that met the outcome before the snapshot of the claim.
+  // Guards against a key that stays claimed forever on a reader that read the
+  // outcome before the snapshot of the claim.
   void AppliesAnOutcomeReadBeforeTheSnapshot()
   {
     mTable.Apply(1, IntentRecord{ { "k" }, { "a" } });
--- a/src/requests/request_machine.cpp
+++ b/src/requests/request_machine.cpp
@@ -11,11 +11,11 @@
 
 namespace {
 
-// Hedges of requests that arrived together would otherwise be sent together
-// and load the same workers at once.
+// Hedge delay divided by its maximum jitter. Without jitter, the hedges of
+// requests that arrived together would load the same workers at once.
 constexpr std::int64_t kHedgeJitterDivisor = 10;
-// The budget always refills, so a hedge that it refused is tried again while
-// the first attempt is unanswered.
+// A hedge refused by the retry budget is tried again after this time while an
+// attempt is in flight, since the budget refills.
 constexpr base::Duration kHedgeRetryDelay = std::chrono::milliseconds(200);
 
 } // namespace
@@ -58,7 +58,8 @@
   if (!mStarted) {
     return actions;
   }
-  std::visit([&](const auto& aTyped) { On(aTyped, actions); }, aEvent);
+  std::visit([&](const auto& aConcreteEvent) { On(aConcreteEvent, actions); },
+             aEvent);
   return actions;
 }
 
@@ -90,17 +91,17 @@
   }
   const bool repeated = mTried.count(aEvent.mTarget) != 0;
   const bool allowed = CanSendAgain() && !repeated;
-  // The budget bounds the extra load on endpoints. Attempts that were all
-  // refused before they ran have caused none.
-  const bool isFree = !MayHaveRun();
-  if (allowed && (isFree || mBudget.TryTake(mClock.Now()))) {
+  // The budget limits the extra load on workers. While no attempt may have run,
+  // there is none, so another attempt takes no token.
+  const bool isExempt = !MayHaveRun();
+  if (allowed && (isExempt || mBudget.TryTake(mClock.Now()))) {
     Send(aEvent.mTarget, aActions);
     return;
   }
   if (allowed && HasState(AttemptState::InFlight)) {
     mHedgeAt = mClock.Now() + kHedgeRetryDelay;
   }
-  GiveUp(aActions);
+  StopRetrying(aActions);
 }
 
 void
@@ -113,7 +114,7 @@
   if (mAttempts.empty()) {
     mLastError = MakeError(ErrorKind::NoCapacity, "no eligible target");
   }
-  GiveUp(aActions);
+  StopRetrying(aActions);
 }
 
 void
@@ -124,8 +125,9 @@
   }
   mClaim = Claim::Won;
   if (mFinished) {
-    // The caller was told Unknown while the log was slow. Nothing was sent, so
-    // a later lookup of the key can be given the definite outcome.
+    // The deadline passed before the intent was read back, so the caller was
+    // told Unknown. No attempt was sent: NotRun is recorded for later requests
+    // with this key.
     const Error error = MakeError(ErrorKind::DeadlineExceeded);
     aActions.push_back(AppendOutcome{ MakeNotRun(error) });
     return;
@@ -142,7 +144,7 @@
 }
 
 void
-RequestMachine::On(const IntentClaimedByOther& aEvent, RequestActions& aActions)
+RequestMachine::On(const KeyClaimedByOther& aEvent, RequestActions& aActions)
 {
   if (mClaim != Claim::Pending && mClaim != Claim::Lost) {
     return;
@@ -152,9 +154,10 @@
     return;
   }
   if (aEvent.mState == ClaimState::Abandoned) {
-    FinishWith(MakeUnknown(MakeError(ErrorKind::OutcomeUnknown,
-                                     "the claimant of the key is gone")),
-               aActions);
+    FinishWith(
+      MakeUnknown(MakeError(ErrorKind::OutcomeUnknown,
+                            "the instance that claimed the key is gone")),
+      aActions);
     return;
   }
   const OutcomeRecord& record = aEvent.mRecord;
@@ -227,10 +230,11 @@
   }
   mCancelled = true;
   mHedgeAt = base::kNoDeadline;
-  // While the claim is open, another instance may be running the same key, and
-  // an attempt in flight cannot be recalled: both decide the outcome.
-  const bool open = mClaim == Claim::Pending || mClaim == Claim::Lost;
-  if (!open && !HasState(AttemptState::InFlight)) {
+  // Without a won claim another instance may be running the request, and an
+  // attempt in flight cannot be revoked; the outcome depends on them.
+  const bool mayRunElsewhere =
+    mClaim == Claim::Pending || mClaim == Claim::Lost;
+  if (!mayRunElsewhere && !HasState(AttemptState::InFlight)) {
     FinishWithoutAnswer(aActions);
   }
 }
@@ -321,7 +325,7 @@
   if (expected) {
     mLastError = aError;
   }
-  Proceed(aActions);
+  RetryOrFinish(aActions);
 }
 
 void
@@ -336,12 +340,12 @@
   }
   if (expired) {
     mLastError = MakeError(ErrorKind::OutcomeUnknown, "attempt timed out");
-    Proceed(aActions);
+    RetryOrFinish(aActions);
   }
 }
 
 void
-RequestMachine::Proceed(RequestActions& aActions)
+RequestMachine::RetryOrFinish(RequestActions& aActions)
 {
   if (HasState(AttemptState::InFlight) || mTargetPending) {
     return;
@@ -354,13 +358,13 @@
     AskForTarget(aActions);
     return;
   }
-  GiveUp(aActions);
+  StopRetrying(aActions);
 }
 
 void
-RequestMachine::GiveUp(RequestActions& aActions)
+RequestMachine::StopRetrying(RequestActions& aActions)
 {
-  // An idempotent attempt that only timed out may still be answered.
+  // An attempt of an idempotent request that timed out may still be answered.
   const bool mayAnswer =
     mRequest.mIdempotent && !mCancelled && HasState(AttemptState::TimedOut);
   if (!HasState(AttemptState::InFlight) && !mayAnswer) {
@@ -412,9 +416,10 @@
 void
 RequestMachine::FinishAtDeadline(RequestActions& aActions)
 {
-  // With an open claim, another request with this key may have run it.
-  const bool open = mClaim == Claim::Pending || mClaim == Claim::Lost;
-  if (open || MayHaveRun()) {
+  // Without a won claim, another request with this key may have run.
+  const bool mayRunElsewhere =
+    mClaim == Claim::Pending || mClaim == Claim::Lost;
+  if (mayRunElsewhere || MayHaveRun()) {
     FinishWith(MakeUnknown(MakeError(ErrorKind::OutcomeUnknown,
                                      "deadline passed without an answer")),
                aActions);
--- a/src/requests/target_picker.cpp
+++ b/src/requests/target_picker.cpp
@@ -25,7 +25,7 @@
 }
 
 Eligible
-SelectKind(const Eligible& aEligible, TargetKind aKind)
+FilterByKind(const Eligible& aEligible, TargetKind aKind)
 {
   Eligible selected;
   std::copy_if(aEligible.begin(),
@@ -37,12 +37,13 @@
   return selected;
 }
 
-/// Microseconds of latency per free slot; the lower the better. A target
-/// without a known latency is taken for a fast one, so that it gets measured.
+/// Microseconds of latency per free slot; lower is better. A target of unknown
+/// latency counts as fast, so that its latency gets measured.
 double
 Cost(const Candidate& aCandidate, const InFlightTable& aInFlight)
 {
-  const auto free = static_cast<double>(FreeSlotsNow(aCandidate, aInFlight));
+  const auto free =
+    static_cast<double>(EstimateFreeSlots(aCandidate, aInFlight));
   const auto micros = static_cast<double>(aCandidate.mLatency.count());
   return std::max(micros, 1.0) / free;
 }
@@ -72,21 +73,21 @@
                              base::Random& aRandom) const override
   {
     const Eligible all = SelectEligible(aCandidates, aTried, aInFlight);
-    const Eligible workers = SelectKind(all, TargetKind::OwnWorker);
+    const Eligible workers = FilterByKind(all, TargetKind::HeldWorker);
     if (!workers.empty()) {
-      return PickOfTwo(workers, aInFlight, aRandom);
+      return PickBetterOfTwo(workers, aInFlight, aRandom);
     }
-    const Eligible peers = SelectKind(all, TargetKind::Peer);
+    const Eligible peers = FilterByKind(all, TargetKind::Peer);
     if (!peers.empty()) {
-      return PickOfTwo(peers, aInFlight, aRandom);
+      return PickBetterOfTwo(peers, aInFlight, aRandom);
     }
     return std::nullopt;
   }
 
 private:
-  static Target PickOfTwo(const Eligible& aEligible,
-                          const InFlightTable& aInFlight,
-                          base::Random& aRandom)
+  static Target PickBetterOfTwo(const Eligible& aEligible,
+                                const InFlightTable& aInFlight,
+                                base::Random& aRandom)
   {
     const std::size_t first = aRandom.Below(aEligible.size());
     if (aEligible.size() == 1) {
@@ -104,11 +105,11 @@
 } // namespace
 
 std::int64_t
-FreeSlotsNow(const Candidate& aCandidate, const InFlightTable& aInFlight)
+EstimateFreeSlots(const Candidate& aCandidate, const InFlightTable& aInFlight)
 {
-  const std::int64_t unseen =
+  const std::int64_t unreported =
     aInFlight.CountSince(aCandidate.mTarget, aCandidate.mReportedAt);
-  return aCandidate.mFreeSlots - unseen;
+  return aCandidate.mFreeSlots - unreported;
 }
 
 bool
@@ -122,7 +123,7 @@
   if (aTried.count(aCandidate.mTarget) != 0) {
     return false;
   }
-  return FreeSlotsNow(aCandidate, aInFlight) > 0;
+  return EstimateFreeSlots(aCandidate, aInFlight) > 0;
 }
 
 std::unique_ptr<TargetPicker>
--- a/src/requests/target_picker_test.cpp
+++ b/src/requests/target_picker_test.cpp
@@ -28,24 +28,25 @@
 Candidate
 Worker(const char* aName, std::int64_t aFreeSlots)
 {
-  return MakeCandidate(TargetKind::OwnWorker, aName, aFreeSlots);
+  return MakeCandidate(TargetKind::HeldWorker, aName, aFreeSlots);
 }
 
 class TargetPickerTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(TargetPickerTest);
   CPPUNIT_TEST(PicksOnlyEligibleTargets);
-  CPPUNIT_TEST(PrefersOwnWorkers);
-  CPPUNIT_TEST(CountsAttemptsThatNoReportShows);
+  CPPUNIT_TEST(PrefersHeldWorkers);
+  CPPUNIT_TEST(CountsAttemptsMissingFromTheReport);
   CPPUNIT_TEST(PrefersFreeAndFastTargets);
   CPPUNIT_TEST(SpreadsABurstBetweenReports);
-  CPPUNIT_TEST(BudgetAllowsAShareAndAFloor);
+  CPPUNIT_TEST(RetryBudgetRefillsByShareAndTime);
   CPPUNIT_TEST(LimitFollowsCapacityAndLatency);
-  CPPUNIT_TEST(LimitRecoversFromTheLowestValues);
+  CPPUNIT_TEST(LimitRecoversFromItsMinimum);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards P7, and against retries that return to a target that failed.
+  // Guards against new work for leaving workers, and against retries on a
+  // target that was already tried.
   void PicksOnlyEligibleTargets()
   {
     Candidate leaving = Worker("leaving", 9);
@@ -55,7 +56,7 @@
     const std::vector<Candidate> all{
       leaving, broken, Worker("full", 0), Worker("tried", 9), Worker("good", 1)
     };
-    const std::set<Target> tried{ { TargetKind::OwnWorker, "tried" } };
+    const std::set<Target> tried{ { TargetKind::HeldWorker, "tried" } };
     for (const auto* it : { mRandomPicker.get(), mTwoChoices.get() }) {
       for (int n = 0; n < 100; ++n) {
         const auto picked = it->Pick(all, tried, mInFlight, *mRandom);
@@ -65,7 +66,7 @@
     }
   }
 
-  void PrefersOwnWorkers()
+  void PrefersHeldWorkers()
   {
     const Candidate peer = MakeCandidate(TargetKind::Peer, "peer", 100);
     const auto own =
@@ -76,12 +77,13 @@
     CPPUNIT_ASSERT_EQUAL(std::string("peer"), other->mName);
   }
 
-  // Guards against sending more to a target than its last report allows.
-  void CountsAttemptsThatNoReportShows()
+  // Guards against sending more attempts to a target than it has free slots.
+  void CountsAttemptsMissingFromTheReport()
   {
     const Candidate worker = Worker("w", 2);
     mInFlight.Begin(worker.mTarget, { "old" }, 1, base::FromMicros(99));
-    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 2 }, FreeSlotsNow(worker, mInFlight));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 2 },
+                         EstimateFreeSlots(worker, mInFlight));
     mInFlight.Begin(worker.mTarget, { "a" }, 1, base::FromMicros(100));
     mInFlight.Begin(worker.mTarget, { "b" }, 1, base::FromMicros(101));
     CPPUNIT_ASSERT(!IsEligible(worker, {}, mInFlight));
@@ -107,8 +109,8 @@
     CPPUNIT_ASSERT_EQUAL(0, picks["slow"]);
   }
 
-  // Guards against a herd: without the attempts in flight, all of a burst goes
-  // to the targets that looked best in the last report.
+  // Guards against herding: if attempts in flight were not counted, a burst
+  // would all go to the targets that were best in the last report.
   void SpreadsABurstBetweenReports()
   {
     std::vector<Candidate> all;
@@ -129,7 +131,7 @@
   }
 
   // Guards against retry storms: 100 first attempts earn 10 retries.
-  void BudgetAllowsAShareAndAFloor()
+  void RetryBudgetRefillsByShareAndTime()
   {
     RetryBudget budget({ 10, 1.0, 20.0 }, base::FromMicros(0));
     CPPUNIT_ASSERT(budget.TryTake(base::FromMicros(0)));
@@ -146,28 +148,29 @@
     CPPUNIT_ASSERT(budget.Tokens(base::FromMicros(3'600'000'000)) <= 20.0);
   }
 
-  // Guards against a limit that stays at 1 or 2 of 48 slots after one disturbed
-  // period, because no whole number of requests fills its fraction.
-  void LimitRecoversFromTheLowestValues()
+  // Guards against a limit that stays at 1 or 2 of 48 slots after a period of
+  // high latency, because the requests in flight never reach its fractional
+  // value.
+  void LimitRecoversFromItsMinimum()
   {
     const auto limit = CreateAdaptiveConcurrencyLimit({ 200 });
     limit->SetCapacity(48);
     base::TimePoint now;
-    const base::Duration usual = std::chrono::milliseconds(5);
-    limit->Observe({ usual, 1, false }, now);
+    const base::Duration baseline = std::chrono::milliseconds(5);
+    limit->Observe({ baseline, 1, false }, now);
     for (int n = 0; n < 100; ++n) {
-      now += 4 * usual;
-      limit->Observe({ 3 * usual, limit->Limit(), false }, now);
+      now += 4 * baseline;
+      limit->Observe({ 3 * baseline, limit->Limit(), false }, now);
     }
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, limit->Limit());
     for (int n = 0; n < 2000; ++n) {
-      now += usual;
-      limit->Observe({ usual, limit->Limit(), false }, now);
+      now += baseline;
+      limit->Observe({ baseline, limit->Limit(), false }, now);
     }
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 48 }, limit->Limit());
   }
 
-  // Guards against a limit that ignores lost workers or growing latency.
+  // Guards against a limit that ignores lost workers or rising latency.
   void LimitFollowsCapacityAndLatency()
   {
     const auto limit = CreateAdaptiveConcurrencyLimit({ 200 });
