--- a/include/skylarkhill/journal/site_state.hpp
+++ b/include/skylarkhill/journal/site_state.hpp
@@ -125,9 +125,10 @@
   std::vector<tasks::BasedTask> TasksToSnapshot(std::int64_t aAgeMs,
                                                 std::int64_t aNowMs,
                                                 std::size_t aLimit) const;
-  std::vector<requests::KeyReplayOffset> KeysToSnapshot(std::int64_t aAgeMs,
-                                                 std::int64_t aNowMs,
-                                                 std::size_t aLimit) const;
+  std::vector<requests::KeyReplayOffset> KeysToSnapshot(
+    std::int64_t aAgeMs,
+    std::int64_t aNowMs,
+    std::size_t aLimit) const;
   std::int64_t AgeOf(Offset aOffset, std::int64_t aNowMs) const;
   /// Snapshot to append to the log; nullopt if the task is not live.
   std::optional<TaskSnapshotRecord> SnapshotTask(
--- a/src/journal/site_state_test.cpp
+++ b/src/journal/site_state_test.cpp
@@ -181,7 +181,8 @@
                    tasks::TaskState::Completed);
     CPPUNIT_ASSERT(lateReplica.mState.FindKey({ "k" }).mState ==
                    requests::KeyState::Claimed);
-    CPPUNIT_ASSERT(lateReplica.mState.FindKey({ "k" }).mClaimant.mValue.empty());
+    CPPUNIT_ASSERT(
+      lateReplica.mState.FindKey({ "k" }).mClaimant.mValue.empty());
     CPPUNIT_ASSERT(lateReplica.mState.IsTaskKnown({ "a" }));
     // A duplicate is ignored while any record with the id is retained.
     Write({ Accept("a") }, { 3, 3 });
