--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -23,7 +23,7 @@
   /// Longest lease that a worker grants.
   base::Duration mMaxLease = std::chrono::milliseconds(6000);
   /// How long a service task may exceed its tail target beside backfill.
-  base::Duration mHarmBound = std::chrono::milliseconds(4000);
+  base::Duration mMaxTailViolation = std::chrono::milliseconds(4000);
 };
 
 /// How a dispatcher begins its term as the leader.
@@ -32,7 +32,7 @@
   /// Highest fencing token that any leader has used before is one less.
   std::int64_t mEpoch = 1;
   /// No earlier leader extends the lease of any worker beyond this time.
-  base::TimePoint mEarlierLeasesEnd;
+  base::TimePoint mPreviousLeasesEndAt;
 };
 
 /// Progress of one job that has to become durable.
@@ -65,25 +65,25 @@
                             base::TimePoint aNow) = 0;
   /// The worker has seen a later term and refused a call for that reason.
   virtual void OnFenced(const std::string& aWorkerId) = 0;
-  virtual void OnStart(const StartOrder& aOrder,
-                       StartOutcome aOutcome,
-                       base::TimePoint aNow) = 0;
-  virtual void OnStop(const StopOrder& aOrder,
-                      OrderOutcome aOutcome,
-                      base::TimePoint aNow) = 0;
-  virtual void OnPace(const PaceOrder& aOrder,
-                      OrderOutcome aOutcome,
-                      base::TimePoint aNow) = 0;
+  virtual void OnStartResult(const StartCall& aCall,
+                             StartOutcome aOutcome,
+                             base::TimePoint aNow) = 0;
+  virtual void OnStopResult(const StopCall& aCall,
+                            CallOutcome aOutcome,
+                            base::TimePoint aNow) = 0;
+  virtual void OnPaceResult(const PaceCall& aCall,
+                            CallOutcome aOutcome,
+                            base::TimePoint aNow) = 0;
 
   /// Nothing: the advice service has not answered.
-  virtual void OnAdvice(const AdviceOrder& aOrder,
-                        const std::optional<Advice>& aAdvice,
-                        base::TimePoint aNow) = 0;
+  virtual void OnAdviceResult(const AdviceCall& aCall,
+                              const std::optional<Advice>& aAdvice,
+                              base::TimePoint aNow) = 0;
 
   /// No other node has led before `aConfirmedAt`; orders may be given and
   /// leases extended until `aUntil`.
-  virtual void SetAuthority(base::TimePoint aConfirmedAt,
-                            base::TimePoint aUntil) = 0;
+  virtual void SetLeadershipLease(base::TimePoint aConfirmedAt,
+                                  base::TimePoint aUntil) = 0;
   /// Gives all orders that are due. `aUnixMs` is the time of day.
   virtual void Tick(base::TimePoint aNow, std::int64_t aUnixMs) = 0;
   /// The time of the next Tick without an event before it.
@@ -103,7 +103,7 @@
   /// bytes are skipped with a log line.
   virtual void ImportModel(std::string_view aBytes) = 0;
 
-  /// True once a worker has refused an order of this term.
+  /// True once a worker has refused an call of this term.
   virtual bool IsFenced() const = 0;
 };
 
@@ -111,7 +111,7 @@
 std::unique_ptr<Dispatcher>
 CreateDispatcher(const DispatchLimits& aLimits,
                  const Term& aTerm,
-                 OrderSink& aSink,
+                 CallSink& aSink,
                  metrics::Registry& aMetrics);
 
 } // namespace skylarkhill::dispatch
--- a/include/skylarkhill/dispatch/worker.hpp
+++ b/include/skylarkhill/dispatch/worker.hpp
@@ -46,11 +46,11 @@
   /// Least time until a draining worker leaves, when the entry was written.
   std::int64_t mRemainingMs = 0;
   /// Unix time of the start of this incarnation.
-  std::int64_t mBornMs = 0;
+  std::int64_t mIncarnationStartMs = 0;
 };
 
 /// A run in the list of a worker.
-struct RunningRun
+struct ActiveRun
 {
   TaskId mTask;
   int mRun = 0;
@@ -59,11 +59,11 @@
   int mPercent = 0;
   /// Tail latency in ms of a service task; thousandths of a processor in use
   /// of any other task. Negative: not reported.
-  std::int64_t mUsage = -1;
+  std::int64_t mMeasurement = -1;
 };
 
 /// How a run ended.
-enum class RunEnd
+enum class RunOutcome
 {
   Done,
   Failed,
@@ -78,16 +78,16 @@
 
 /// The stable name of `aEnd`.
 std::string_view
-NameOf(RunEnd aEnd);
+NameOf(RunOutcome aEnd);
 
 /// An end that a worker lists until it is acknowledged.
 struct EndedRun
 {
   /// Position in the list of ends of this incarnation, from 1.
-  std::int64_t mNumber = 0;
+  std::int64_t mSequence = 0;
   TaskId mTask;
   int mRun = 0;
-  RunEnd mEnd = RunEnd::Failed;
+  RunOutcome mOutcome = RunOutcome::Failed;
   std::string mCheckpoint;
 };
 
@@ -97,9 +97,9 @@
   /// The worker's own clock.
   std::int64_t mClockMs = 0;
   /// Unix time of the start of the incarnation that answered.
-  std::int64_t mBornMs = 0;
-  std::vector<RunningRun> mRunning;
-  std::vector<EndedRun> mEnds;
+  std::int64_t mIncarnationStartMs = 0;
+  std::vector<ActiveRun> mActiveRuns;
+  std::vector<EndedRun> mEndedRuns;
 };
 
 /// What a worker answered to a start.
@@ -109,7 +109,7 @@
   NoRoom,
   /// A run with this or a higher number ended or was stopped there.
   OldRun,
-  /// The deadline of the order had passed.
+  /// The deadline of the call had passed.
   TooLate,
   /// The worker has seen a higher fencing token.
   Fenced,
@@ -117,7 +117,7 @@
   TicketInvalid,
   /// Not started; the worker is unhealthy.
   Unhealthy,
-  /// Not started; the order is malformed.
+  /// Not started; the call is malformed.
   Rejected,
   /// Not started; another incarnation runs at the address.
   OtherIncarnation,
@@ -130,7 +130,7 @@
 NameOf(StartOutcome aOutcome);
 
 /// What a worker answered to a stop or to a change of pace.
-enum class OrderOutcome
+enum class CallOutcome
 {
   Accepted,
   Fenced,
@@ -141,19 +141,19 @@
 };
 
 /// Asks a worker for its lists and extends its lease.
-struct PollOrder
+struct PollCall
 {
   std::string mWorkerId;
   std::string mAddress;
   /// Lease on the worker's clock; 0: not extended.
   std::int64_t mLeaseUntilMs = 0;
   /// Ends up to this number are forgotten.
-  std::int64_t mAcknowledged = 0;
+  std::int64_t mAcknowledgedSequence = 0;
   /// How long the worker waits for an end before it answers.
   int mWaitMs = 0;
 };
 
-struct StartOrder
+struct StartCall
 {
   std::string mWorkerId;
   std::string mAddress;
@@ -162,12 +162,12 @@
   std::string mPayload;
   std::string mCheckpoint;
   std::int64_t mLeaseUntilMs = 0;
-  /// Permission of the advice service; empty: none is needed.
+  /// WorkerPermission of the advice service; empty: none is needed.
   std::string mTicket;
 };
 
 /// Asks the advice service which workers may run a step.
-struct AdviceOrder
+struct AdviceCall
 {
   std::string mJobId;
   int mOccurrence = 0;
@@ -176,7 +176,7 @@
 };
 
 /// A worker that may run the step.
-struct Permission
+struct WorkerPermission
 {
   std::string mWorkerId;
   std::string mTicket;
@@ -185,12 +185,12 @@
 /// What the advice service answered.
 struct Advice
 {
-  std::vector<Permission> mPermissions;
+  std::vector<WorkerPermission> mPermissions;
   /// How long the tickets are valid.
   std::int64_t mValidMs = 0;
 };
 
-struct StopOrder
+struct StopCall
 {
   std::string mWorkerId;
   std::string mAddress;
@@ -198,7 +198,7 @@
   int mRun = 0;
 };
 
-struct PaceOrder
+struct PaceCall
 {
   std::string mWorkerId;
   std::string mAddress;
@@ -208,15 +208,15 @@
 };
 
 /// Carries orders to workers. Outcomes come back through the Dispatcher.
-class OrderSink
+class CallSink
 {
 public:
-  virtual ~OrderSink() = default;
-  virtual void Poll(const PollOrder& aOrder) = 0;
-  virtual void Start(const StartOrder& aOrder) = 0;
-  virtual void Stop(const StopOrder& aOrder) = 0;
-  virtual void Pace(const PaceOrder& aOrder) = 0;
-  virtual void Advise(const AdviceOrder& aOrder) = 0;
+  virtual ~CallSink() = default;
+  virtual void Poll(const PollCall& aCall) = 0;
+  virtual void Start(const StartCall& aCall) = 0;
+  virtual void Stop(const StopCall& aCall) = 0;
+  virtual void Pace(const PaceCall& aCall) = 0;
+  virtual void Advise(const AdviceCall& aCall) = 0;
 };
 
 } // namespace skylarkhill::dispatch
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -48,7 +48,7 @@
 
 /// Orders to workers under the fencing token of a term; outcomes go to
 /// `aDispatcher`. Belongs to the thread of the call loop.
-class WorkerCalls : public dispatch::OrderSink
+class WorkerCalls : public dispatch::CallSink
 {
 public:
   /// Ends a term: outcomes that are still to come are dropped.
--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/colocation_model.cpp
@@ -1,4 +1,4 @@
-#include "sharing.hpp"
+#include "colocation_model.hpp"
 
 #include <msgpack.hpp>
 
@@ -16,30 +16,30 @@
 
 namespace {
 
-/// Pressure of a service whose load is not known: the load of the sites' usual
-/// services, with a part of its swing.
-constexpr Pressure kUsualLoad = 0.55;
+/// Saturation of a service whose load is not known: the load of the sites'
+/// usual services, with a part of its swing.
+constexpr Saturation kDefaultBaseline = 0.55;
 
 /// Bounds of a load: a higher pressure is taken for the effect of something
 /// that the model does not know yet.
-constexpr Pressure kLowestLoad = 0.1;
-constexpr Pressure kHighestLoad = 0.8;
+constexpr Saturation kMinBaseline = 0.1;
+constexpr Saturation kMaxBaseline = 0.8;
 
 /// Reports of other tasks of a service tell its load for this long; the load
 /// swings by half of itself within ten seconds.
-constexpr base::Duration kLoadAge = std::chrono::milliseconds(1200);
+constexpr base::Duration kMaxBaselineAge = std::chrono::milliseconds(1200);
 
 /// A task is taken to have a higher load than the others of its service from
 /// this difference on, for example on a worker that has become slow.
-constexpr Pressure kLoadTolerance = 0.15;
+constexpr Saturation kBaselineTolerance = 0.15;
 
 /// Variance of the difference between the pressures of two tasks of a service,
-/// neither beside backfill; deviations of 0.05 to 0.1 were measured.
-constexpr double kLoadNoise = 0.01;
-/// The same if only tasks beside backfill tell the load.
-constexpr double kDisturbedLoadNoise = 0.03;
+/// neither colocated backfill; deviations of 0.05 to 0.1 were measured.
+constexpr double kBaselineNoise = 0.01;
+/// The same if only tasks colocated backfill tell the load.
+constexpr double kColocatedBaselineNoise = 0.03;
 /// The same if no other task tells the load.
-constexpr double kUnknownLoadNoise = 0.06;
+constexpr double kDefaultBaselineNoise = 0.06;
 
 /// Tail ratio of an idle service task: sites set the target to five times the
 /// tail at rest.
@@ -51,45 +51,47 @@
 using EstimateFields = std::tuple<std::string, std::string, double, double>;
 
 /// What the tasks of a service except `aExcept` tell about its load.
-struct LoadReport
+struct BaselineEstimate
 {
-  Pressure mLoad = kUsualLoad;
-  double mNoise = kUnknownLoadNoise;
+  Saturation mBaseline = kDefaultBaseline;
+  double mNoise = kDefaultBaselineNoise;
 };
 
-LoadReport
-ReadLoad(const StepState& aService,
-         const RunState* aExcept,
-         base::TimePoint aNow)
+BaselineEstimate
+EstimateBaseline(const StepState& aService,
+                 const RunState* aExcept,
+                 base::TimePoint aNow)
 {
-  std::vector<double> free;
-  std::vector<double> beside;
+  std::vector<double> isolated;
+  std::vector<double> colocated;
   for (const TaskState& task : aService.mTasks) {
     for (const RunState& it : task.mRuns) {
-      if (&it != aExcept && it.mUsage > 0 && it.mLoadAt + kLoadAge > aNow) {
-        (it.mIsBesideBackfill ? beside : free).push_back(it.mLoad);
+      if (&it != aExcept && it.mMeasurement > 0 &&
+          it.mBaselineAt + kMaxBaselineAge > aNow) {
+        (it.mIsColocated ? colocated : isolated).push_back(it.mBaseline);
       }
     }
   }
-  std::vector<double>& loads = free.empty() ? beside : free;
+  std::vector<double>& loads = isolated.empty() ? colocated : isolated;
   if (loads.empty()) {
     return {};
   }
   const auto middle =
     loads.begin() + static_cast<std::ptrdiff_t>((loads.size() - 1) / 2);
   std::nth_element(loads.begin(), middle, loads.end());
-  return { *middle, free.empty() ? kDisturbedLoadNoise : kLoadNoise };
+  return { *middle,
+           isolated.empty() ? kColocatedBaselineNoise : kBaselineNoise };
 }
 
 /// Share of the processors that each backfill image used by the last report.
 std::map<int, double>
-ReadBackfillShares(const WorkerState& aWorker)
+SumBackfillShares(const WorkerState& aWorker)
 {
   std::map<int, double> shares;
   for (const RunState* it : aWorker.mRuns) {
     const StepState& step = *it->mTask->mStep;
-    if (step.mSpec->mIsBackfill && it->mUsage > 0) {
-      shares[step.mImage] += ShareOf(it->mUsage, aWorker);
+    if (step.mSpec->mIsBackfill && it->mMeasurement > 0) {
+      shares[step.mImage] += ShareOf(it->mMeasurement, aWorker);
     }
   }
   return shares;
@@ -97,15 +99,15 @@
 
 /// The backfill that shows in the tails of the newest report. They lag behind
 /// the use of processors, which is why the report before counts as much.
-std::vector<Presence>
-Average(const std::map<int, double>& aPrevious,
-        const std::map<int, double>& aNewest)
+std::vector<BackfillUsage>
+AverageBackfillShares(const std::map<int, double>& aPrevious,
+                      const std::map<int, double>& aNewest)
 {
   std::map<int, double> sums = aPrevious;
   for (const auto& [image, share] : aNewest) {
     sums[image] += share;
   }
-  std::vector<Presence> backfill;
+  std::vector<BackfillUsage> backfill;
   backfill.reserve(sums.size());
   for (const auto& [image, share] : sums) {
     backfill.push_back({ image, share / 2 });
@@ -115,107 +117,112 @@
 
 } // namespace
 
-Pressure
-PressureOf(TailRatio aRatio)
+Saturation
+SaturationOf(TailRatio aRatio)
 {
   return 1.0 - kIdleRatio / std::max(aRatio, kIdleRatio / 2);
 }
 
 int
-SharingModel::Intern(const std::string& aImage)
+ColocationModel::Intern(const std::string& aImage)
 {
   const auto [it, isNew] =
-    mNumbers.emplace(aImage, static_cast<int>(mNames.size()));
+    mImageIndexes.emplace(aImage, static_cast<int>(mImageNames.size()));
   if (isNew) {
-    mNames.push_back(aImage);
+    mImageNames.push_back(aImage);
   }
   return it->second;
 }
 
 void
-SharingModel::Record(WorkerState& aWorker, base::TimePoint aNow)
+ColocationModel::Record(WorkerState& aWorker, base::TimePoint aNow)
 {
   std::vector<RunState*> services;
   for (RunState* it : aWorker.mRuns) {
     const jobs::Step& step = *it->mTask->mStep->mSpec;
-    if (step.mIsService && step.mTailTargetMs > 0 && it->mUsage > 0) {
+    if (step.mIsService && step.mTailTargetMs > 0 && it->mMeasurement > 0) {
       services.push_back(it);
     }
   }
-  std::map<int, double> shares = ReadBackfillShares(aWorker);
-  const std::vector<Presence> backfill =
-    Average(aWorker.mBackfillShares, shares);
+  std::map<int, double> shares = SumBackfillShares(aWorker);
+  const std::vector<BackfillUsage> backfill =
+    AverageBackfillShares(aWorker.mBackfillShares, shares);
   aWorker.mBackfillShares = std::move(shares);
   for (RunState* it : services) {
-    Pressure rise = 0.0;
-    for (const Presence& other : backfill) {
-      rise += Rise(it->mTask->mStep->mImage, other.mImage, other.mShare);
+    Saturation interference = 0.0;
+    for (const BackfillUsage& other : backfill) {
+      interference += ExpectedInterference(
+        it->mTask->mStep->mImage, other.mImage, other.mShare);
     }
-    it->mLoad = std::clamp(
-      PressureOf(TailRatioOf(*it)) - rise, kLowestLoad, kHighestLoad);
-    it->mLoadAt = aNow;
-    it->mIsBesideBackfill = !backfill.empty();
+    it->mBaseline = std::clamp(SaturationOf(TailRatioOf(*it)) - interference,
+                               kMinBaseline,
+                               kMaxBaseline);
+    it->mBaselineAt = aNow;
+    it->mIsColocated = !backfill.empty();
   }
   for (RunState* it : services) {
     StepState& step = *it->mTask->mStep;
-    step.mLoad = ReadLoad(step, nullptr, aNow).mLoad;
+    step.mBaseline = EstimateBaseline(step, nullptr, aNow).mBaseline;
     if (!backfill.empty()) {
-      const LoadReport others = ReadLoad(step, it, aNow);
+      const BaselineEstimate others = EstimateBaseline(step, it, aNow);
       mModel.Record(step.mImage,
                     backfill,
-                    PressureOf(TailRatioOf(*it)) - others.mLoad,
+                    SaturationOf(TailRatioOf(*it)) - others.mBaseline,
                     others.mNoise);
     }
   }
 }
 
-Pressure
-SharingModel::Rise(int aServiceImage, int aBackfillImage, double aShare) const
+Saturation
+ColocationModel::ExpectedInterference(int aServiceImage,
+                                      int aBackfillImage,
+                                      double aShare) const
 {
   return mModel.Estimate(aServiceImage, aBackfillImage).mMean * aShare;
 }
 
-Pressure
-SharingModel::RiseAtMost(int aServiceImage,
-                         int aBackfillImage,
-                         double aShare) const
+Saturation
+ColocationModel::InterferenceUpperBound(int aServiceImage,
+                                        int aBackfillImage,
+                                        double aShare) const
 {
   const PairEstimate estimate = mModel.Estimate(aServiceImage, aBackfillImage);
   return (estimate.mMean + std::sqrt(estimate.mVariance)) * aShare;
 }
 
-Pressure
-SharingModel::RiseBetween(const RunState& aService,
-                          const RunState& aBackfill) const
+Saturation
+ColocationModel::InterferenceBetween(const RunState& aService,
+                                     const RunState& aBackfill) const
 {
-  return Rise(aService.mTask->mStep->mImage,
-              aBackfill.mTask->mStep->mImage,
-              BackfillShareOf(aBackfill));
+  return ExpectedInterference(aService.mTask->mStep->mImage,
+                              aBackfill.mTask->mStep->mImage,
+                              BackfillShareOf(aBackfill));
 }
 
-Pressure
-SharingModel::ExpectedRise(const RunState& aService) const
+Saturation
+ColocationModel::TotalInterference(const RunState& aService) const
 {
-  Pressure rise = 0.0;
+  Saturation interference = 0.0;
   for (const RunState* it : aService.mWorker->mRuns) {
     if (it->mTask->mStep->mSpec->mIsBackfill && !it->mIsStopping) {
-      rise += RiseBetween(aService, *it) * it->mWantedPace / kPercent;
+      interference +=
+        InterferenceBetween(aService, *it) * it->mTargetPace / kPercent;
     }
   }
-  return rise;
+  return interference;
 }
 
 std::string
-SharingModel::Export() const
+ColocationModel::Export() const
 {
   std::vector<EstimateFields> rows;
-  const int count = static_cast<int>(mNames.size());
+  const int count = static_cast<int>(mImageNames.size());
   for (int service = 0; service < count; ++service) {
     for (int image = 0; image < count; ++image) {
-      if (mModel.Knows(service, image)) {
+      if (mModel.HasEstimate(service, image)) {
         const PairEstimate estimate = mModel.Estimate(service, image);
-        rows.emplace_back(mNames[static_cast<std::size_t>(service)],
-                          mNames[static_cast<std::size_t>(image)],
+        rows.emplace_back(mImageNames[static_cast<std::size_t>(service)],
+                          mImageNames[static_cast<std::size_t>(image)],
                           estimate.mMean,
                           estimate.mVariance);
       }
@@ -227,7 +234,7 @@
 }
 
 base::Result<void>
-SharingModel::Import(std::string_view aBytes)
+ColocationModel::Import(std::string_view aBytes)
 {
   std::vector<EstimateFields> rows;
   try {
@@ -246,16 +253,17 @@
 TailRatioOf(const RunState& aRun)
 {
   const auto target = aRun.mTask->mStep->mSpec->mTailTargetMs;
-  return aRun.mUsage > 0 && target > 0
-           ? static_cast<double>(aRun.mUsage) / static_cast<double>(target)
-           : kIdleRatio / (1.0 - kUsualLoad);
+  return aRun.mMeasurement > 0 && target > 0
+           ? static_cast<double>(aRun.mMeasurement) /
+               static_cast<double>(target)
+           : kIdleRatio / (1.0 - kDefaultBaseline);
 }
 
-Pressure
-LoadOf(const RunState& aService)
+Saturation
+BaselineOf(const RunState& aService)
 {
-  return std::max(aService.mTask->mStep->mLoad.value_or(kUsualLoad),
-                  aService.mLoad - kLoadTolerance);
+  return std::max(aService.mTask->mStep->mBaseline.value_or(kDefaultBaseline),
+                  aService.mBaseline - kBaselineTolerance);
 }
 
 double
--- a/src/dispatch/sharing.hpp
+++ b/src/dispatch/colocation_model.hpp
@@ -1,5 +1,5 @@
-#ifndef SKYLARKHILL_DISPATCH_SHARING_HPP
-#define SKYLARKHILL_DISPATCH_SHARING_HPP
+#ifndef SKYLARKHILL_DISPATCH_COLOCATION_MODEL_HPP
+#define SKYLARKHILL_DISPATCH_COLOCATION_MODEL_HPP
 
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/base/error.hpp"
@@ -10,7 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "pressure_model.hpp"
+#include "interference_estimator.hpp"
 
 namespace skylarkhill::dispatch {
 
@@ -22,12 +22,12 @@
 using TailRatio = double;
 
 /// The pressure that shows as `aRatio`.
-Pressure
-PressureOf(TailRatio aRatio);
+Saturation
+SaturationOf(TailRatio aRatio);
 
 /// Learns by how much backfill tasks raise the tail latency of service tasks
 /// beside them, per pair of images.
-class SharingModel
+class ColocationModel
 {
 public:
   /// A small number for `aImage`, the same for equal names.
@@ -39,21 +39,23 @@
 
   /// The expected pressure on a service task by a backfill task that uses the
   /// share `aShare` (0 to 1) of the worker's processors.
-  Pressure Rise(int aServiceImage, int aBackfillImage, double aShare) const;
+  Saturation ExpectedInterference(int aServiceImage,
+                                  int aBackfillImage,
+                                  double aShare) const;
 
   /// The same, one standard deviation above what is expected.
-  Pressure RiseAtMost(int aServiceImage,
-                      int aBackfillImage,
-                      double aShare) const;
+  Saturation InterferenceUpperBound(int aServiceImage,
+                                    int aBackfillImage,
+                                    double aShare) const;
 
   /// The expected pressure of `aBackfill` at full pace on `aService`, both on
   /// one worker.
-  Pressure RiseBetween(const RunState& aService,
-                       const RunState& aBackfill) const;
+  Saturation InterferenceBetween(const RunState& aService,
+                                 const RunState& aBackfill) const;
 
   /// The pressure of all backfill beside `aService` at the paces that are
   /// wanted, also of runs that no report covers yet.
-  Pressure ExpectedRise(const RunState& aService) const;
+  Saturation TotalInterference(const RunState& aService) const;
 
   /// The estimates, for another process.
   std::string Export() const;
@@ -62,9 +64,9 @@
   base::Result<void> Import(std::string_view aBytes);
 
 private:
-  PressureModel mModel;
-  std::unordered_map<std::string, int> mNumbers;
-  std::vector<std::string> mNames;
+  InterferenceEstimator mModel;
+  std::unordered_map<std::string, int> mImageIndexes;
+  std::vector<std::string> mImageNames;
 };
 
 /// The last reported tail of a service run relative to its target; a typical
@@ -75,8 +77,8 @@
 /// The pressure of a service's own load, on the task that `aService` runs. All
 /// tasks of a service share the load, so that those without backfill beside
 /// them tell it for the others.
-Pressure
-LoadOf(const RunState& aService);
+Saturation
+BaselineOf(const RunState& aService);
 
 /// The share, 0 to 1, that `aMilliProcessors` are of the worker's processors.
 double
@@ -89,4 +91,4 @@
 
 } // namespace skylarkhill::dispatch
 
-#endif // SKYLARKHILL_DISPATCH_SHARING_HPP
+#endif // SKYLARKHILL_DISPATCH_COLOCATION_MODEL_HPP
--- /dev/null
+++ b/src/dispatch/colocation_test.cpp
@@ -0,0 +1,447 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cmath>
+#include <list>
+#include <utility>
+#include <vector>
+
+#include "colocation_model.hpp"
+#include "pacing.hpp"
+#include "placement.hpp"
+#include "state.hpp"
+
+namespace skylarkhill::dispatch {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Steps and workers without a dispatcher around them.
+class PlacementFixture
+{
+public:
+  TaskState& AddTask(const jobs::Step& aSpec, int aImage)
+  {
+    mSpecs.push_back(aSpec);
+    mJobs.emplace_back();
+    mJobs.back().mSubmission.mPolicy.mService = "pool";
+    mSteps.emplace_back();
+    StepState& step = mSteps.back();
+    step.mJob = &mJobs.back();
+    step.mSpec = &mSpecs.back();
+    step.mImage = aImage;
+    mTasks.emplace_back();
+    mTasks.back().mStep = &step;
+    return mTasks.back();
+  }
+
+  /// A step whose tasks share their load.
+  StepState& AddStep(const jobs::Step& aSpec, int aImage, std::size_t aCount)
+  {
+    StepState& step = *AddTask(aSpec, aImage).mStep;
+    step.mTasks.resize(aCount);
+    for (TaskState& it : step.mTasks) {
+      it.mStep = &step;
+    }
+    return step;
+  }
+
+  WorkerState& AddWorker(const std::string& aId)
+  {
+    auto& worker = mWorkers[aId];
+    worker = std::make_unique<WorkerState>();
+    worker->mEntry.mId = aId;
+    worker->mEntry.mService = "pool";
+    worker->mEntry.mCapacity = { 16000, std::int64_t{ 1 } << 36, 0 };
+    worker->mIsKnown = true;
+    worker->mLastReportAt = mNow;
+    return *worker;
+  }
+
+  RunState& Run(TaskState& aTask, WorkerState& aWorker, std::int64_t aUsage)
+  {
+    RunState& run = aTask.mRuns.emplace_back();
+    run.mTask = &aTask;
+    run.mWorker = &aWorker;
+    run.mIsConfirmed = true;
+    run.mConfirmedAt = mNow - std::chrono::seconds(5);
+    run.mMeasurement = aUsage;
+    aWorker.mRuns.insert(&run);
+    const jobs::Step& step = *aTask.mStep->mSpec;
+    if (step.mIsBackfill) {
+      aWorker.mBackfillDemand += step.mNeed.mMilliProcessors;
+    } else {
+      aWorker.mUsed += step.mNeed;
+    }
+    return run;
+  }
+
+  WorkerState* Choose(const TaskState& aTask) const
+  {
+    return ChooseWorker(aTask, mWorkers, mModel, mNow);
+  }
+
+  base::TimePoint mNow = base::FromMicros(100'000'000);
+  ColocationModel mModel;
+  WorkerMap mWorkers;
+
+private:
+  std::list<jobs::Step> mSpecs;
+  std::list<JobState> mJobs;
+  std::list<StepState> mSteps;
+  std::list<TaskState> mTasks;
+};
+
+jobs::Step
+ServiceStep()
+{
+  jobs::Step step;
+  step.mIsService = true;
+  step.mTailTargetMs = 100;
+  step.mNeed = { 3000, 1 << 20, 0 };
+  return step;
+}
+
+jobs::Step
+BackfillStep()
+{
+  jobs::Step step;
+  step.mIsBackfill = true;
+  step.mNeed = { 1600, 1 << 20, 0 };
+  return step;
+}
+
+} // namespace
+
+class ColocationTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ColocationTest);
+  CPPUNIT_TEST(LearnsWhichImagesInterfere);
+  CPPUNIT_TEST(LearnsPairsUnderVaryingServiceLoad);
+  CPPUNIT_TEST(EstimatesTheBaselineAfterBackfillHasEnded);
+  CPPUNIT_TEST(SlowsDownOnlyInterferingBackfill);
+  CPPUNIT_TEST(SlowsDownTheMostInterferingImageFirst);
+  CPPUNIT_TEST(PlacesInterferingBackfillBesideTolerantServices);
+  CPPUNIT_TEST(CountsBackfillThatIsNotReportedYet);
+  CPPUNIT_TEST(GroupsServiceTasksOfOneImage);
+  CPPUNIT_TEST(AvoidsAWorkerWithRecentFailures);
+  CPPUNIT_TEST(MovesBackfillBeforeTheTailViolationLimit);
+  CPPUNIT_TEST(MeasuresAViolationFromTheLastHealthyReport);
+  CPPUNIT_TEST(ExportsAndImportsEstimates);
+  CPPUNIT_TEST(AppliesAStricterTailLimitToNonUrgentTasks);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    mFixture = std::make_unique<PlacementFixture>();
+    mSensitive = mFixture->mModel.Intern("sensitive");
+    mTolerant = mFixture->mModel.Intern("tolerant");
+    mLoud = mFixture->mModel.Intern("loud");
+    mLouder = mFixture->mModel.Intern("louder");
+    mQuiet = mFixture->mModel.Intern("quiet");
+  }
+
+  void LearnsWhichImagesInterfere()
+  {
+    TrainModel();
+    CPPUNIT_ASSERT(
+      mFixture->mModel.ExpectedInterference(mSensitive, mLoud, 0.1) > 0.15);
+    CPPUNIT_ASSERT(
+      mFixture->mModel.ExpectedInterference(mSensitive, mQuiet, 0.1) < 0.08);
+    CPPUNIT_ASSERT(
+      mFixture->mModel.ExpectedInterference(mTolerant, mLoud, 0.1) < 0.08);
+  }
+
+  // Load pattern: services whose load swings by half of itself, with small
+  // backfill tasks beside some of their tasks. Guards against the swing being
+  // taken for an effect of the backfill, which closes most workers to it.
+  void LearnsPairsUnderVaryingServiceLoad()
+  {
+    StepState& service = mFixture->AddStep(ServiceStep(), mSensitive, 3);
+    WorkerState& alone = mFixture->AddWorker("a");
+    WorkerState& besideLoud = mFixture->AddWorker("b");
+    WorkerState& besideQuiet = mFixture->AddWorker("c");
+    const std::vector<std::pair<WorkerState*, Saturation>> sites = {
+      { &alone, 0.0 }, { &besideLoud, 0.2 }, { &besideQuiet, 0.01 }
+    };
+    for (std::size_t n = 0; n < sites.size(); ++n) {
+      mFixture->Run(service.mTasks[n], *sites[n].first, 50);
+    }
+    mFixture->Run(mFixture->AddTask(BackfillStep(), mLoud), besideLoud, 1600);
+    mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), besideQuiet, 1600);
+    for (int n = 0; n < 120; ++n) {
+      const Saturation load = 0.45 + 0.22 * std::sin(n * 0.157);
+      for (std::size_t index = 0; index < sites.size(); ++index) {
+        service.mTasks[index].mRuns.front().mMeasurement =
+          TailAt(load + sites[index].second);
+        mFixture->mModel.Record(*sites[index].first, mFixture->mNow);
+      }
+      mFixture->mNow += milliseconds(500);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+      0.2, mFixture->mModel.ExpectedInterference(mSensitive, mLoud, 0.1), 0.04);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+      0.01,
+      mFixture->mModel.ExpectedInterference(mSensitive, mQuiet, 0.1),
+      0.02);
+  }
+
+  // Guards against backfill that has just left being counted as load of the
+  // service, because tails lag behind the use of processors.
+  void EstimatesTheBaselineAfterBackfillHasEnded()
+  {
+    TrainModel();
+    StepState& service = mFixture->AddStep(ServiceStep(), mSensitive, 1);
+    WorkerState& worker = mFixture->AddWorker("w");
+    const Saturation interference =
+      mFixture->mModel.ExpectedInterference(mSensitive, mLoud, 0.1);
+    RunState& run =
+      mFixture->Run(service.mTasks.front(), worker, TailAt(0.3 + interference));
+    RunState& loud =
+      mFixture->Run(mFixture->AddTask(BackfillStep(), mLoud), worker, 1600);
+    mFixture->mModel.Record(worker, mFixture->mNow);
+    mFixture->mModel.Record(worker, mFixture->mNow);
+    worker.mRuns.erase(&loud);
+    run.mMeasurement = TailAt(0.3 + interference / 2);
+    mFixture->mModel.Record(worker, mFixture->mNow);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.3, BaselineOf(run), 0.05);
+  }
+
+  // Load pattern: batch tasks of many images beside one sensitive service.
+  // Guards against all of them paying for the one that disturbs.
+  void SlowsDownOnlyInterferingBackfill()
+  {
+    TrainModel();
+    WorkerState& worker = mFixture->AddWorker("w");
+    mFixture->Run(mFixture->AddTask(ServiceStep(), mSensitive), worker, 95);
+    RunState& loud =
+      mFixture->Run(mFixture->AddTask(BackfillStep(), mLoud), worker, 1600);
+    RunState& quiet =
+      mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), worker, 1600);
+    AdjustPace(
+      worker, mFixture->mModel, std::chrono::seconds(4), mFixture->mNow);
+    CPPUNIT_ASSERT(loud.mTargetPace < 100);
+    CPPUNIT_ASSERT_EQUAL(100, quiet.mTargetPace);
+  }
+
+  // Load pattern: the same, with two images that disturb. Guards against work
+  // that waits although a lower pace of the other image is enough.
+  void SlowsDownTheMostInterferingImageFirst()
+  {
+    WorkerState& worker = mFixture->AddWorker("w");
+    StepState& service = mFixture->AddStep(ServiceStep(), mSensitive, 1);
+    mFixture->Run(service.mTasks.front(), worker, TailAt(0.7));
+    RunState& loud =
+      mFixture->Run(mFixture->AddTask(BackfillStep(), mLoud), worker, 1600);
+    RunState& louder =
+      mFixture->Run(mFixture->AddTask(BackfillStep(), mLouder), worker, 1600);
+    TrainPair(mLoud, 1.0);
+    TrainPair(mLouder, 2.0);
+    service.mBaseline = 0.6;
+    AdjustPace(
+      worker, mFixture->mModel, std::chrono::seconds(4), mFixture->mNow);
+    CPPUNIT_ASSERT_EQUAL(100, loud.mTargetPace);
+    CPPUNIT_ASSERT(louder.mTargetPace < 100);
+    CPPUNIT_ASSERT(louder.mTargetPace > 0);
+  }
+
+  void PlacesInterferingBackfillBesideTolerantServices()
+  {
+    TrainModel();
+    WorkerState& sensitive = mFixture->AddWorker("a");
+    WorkerState& tolerant = mFixture->AddWorker("b");
+    mFixture->Run(mFixture->AddTask(ServiceStep(), mSensitive), sensitive, 60);
+    mFixture->Run(mFixture->AddTask(ServiceStep(), mTolerant), tolerant, 60);
+    for (int n = 0; n < 3; ++n) {
+      mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), tolerant, 1600);
+    }
+    CPPUNIT_ASSERT_EQUAL(
+      &tolerant, mFixture->Choose(mFixture->AddTask(BackfillStep(), mLoud)));
+  }
+
+  // Load pattern: a wide batch step that arrives at once. Guards against all
+  // its tasks being placed by the same outdated tail.
+  void CountsBackfillThatIsNotReportedYet()
+  {
+    TrainModel();
+    WorkerState& worker = mFixture->AddWorker("w");
+    mFixture->Run(mFixture->AddTask(ServiceStep(), mSensitive), worker, 45);
+    int placed = 0;
+    while (placed < 6) {
+      TaskState& task = mFixture->AddTask(BackfillStep(), mLoud);
+      if (mFixture->Choose(task) == nullptr) {
+        break;
+      }
+      mFixture->Run(task, worker, -1);
+      ++placed;
+    }
+    CPPUNIT_ASSERT(placed <= 2);
+  }
+
+  // Load pattern: standing services of several images that fill the pool.
+  void GroupsServiceTasksOfOneImage()
+  {
+    WorkerState& first = mFixture->AddWorker("a");
+    WorkerState& second = mFixture->AddWorker("b");
+    mFixture->Run(mFixture->AddTask(ServiceStep(), mSensitive), first, 50);
+    mFixture->Run(mFixture->AddTask(ServiceStep(), mSensitive), first, 50);
+    mFixture->Run(mFixture->AddTask(ServiceStep(), mTolerant), second, 50);
+    CPPUNIT_ASSERT_EQUAL(
+      &second, mFixture->Choose(mFixture->AddTask(ServiceStep(), mTolerant)));
+    CPPUNIT_ASSERT_EQUAL(
+      &first, mFixture->Choose(mFixture->AddTask(ServiceStep(), mSensitive)));
+  }
+
+  // Load pattern: a worker that fails all that it starts, and so is always
+  // the emptiest one.
+  void AvoidsAWorkerWithRecentFailures()
+  {
+    WorkerState& failing = mFixture->AddWorker("a");
+    WorkerState& sound = mFixture->AddWorker("b");
+    AddFailure(failing, 1.0, mFixture->mNow);
+    for (int n = 0; n < 5; ++n) {
+      mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), sound, 1600);
+    }
+    const TaskState& task = mFixture->AddTask(BackfillStep(), mQuiet);
+    CPPUNIT_ASSERT_EQUAL(&sound, mFixture->Choose(task));
+    mFixture->mNow += std::chrono::seconds(10);
+    failing.mLastReportAt = mFixture->mNow;
+    sound.mLastReportAt = mFixture->mNow;
+    CPPUNIT_ASSERT_EQUAL(&failing, mFixture->Choose(task));
+  }
+
+  // Guards against backfill that works on beside a service above its target
+  // because the model does not know that it is the cause.
+  void MovesBackfillBeforeTheTailViolationLimit()
+  {
+    WorkerState& worker = mFixture->AddWorker("w");
+    mFixture->Run(mFixture->AddTask(ServiceStep(), mTolerant), worker, 120);
+    RunState& backfill =
+      mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), worker, 1600);
+    const auto bound = std::chrono::seconds(4);
+    for (int n = 0; n < 6; ++n) {
+      AdjustPace(worker, mFixture->mModel, bound, mFixture->mNow);
+      mFixture->mNow += milliseconds(300);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, backfill.mTargetPace);
+    mFixture->mNow += milliseconds(1000);
+    AdjustPace(worker, mFixture->mModel, bound, mFixture->mNow);
+    CPPUNIT_ASSERT(backfill.mMustMove);
+  }
+
+  // Load pattern: a burst of backfill on a worker that had none, while a long
+  // poll is under way. Guards against a reaction that starts to count only
+  // with the late report.
+  void MeasuresAViolationFromTheLastHealthyReport()
+  {
+    WorkerState& worker = mFixture->AddWorker("w");
+    RunState& service =
+      mFixture->Run(mFixture->AddTask(ServiceStep(), mTolerant), worker, 45);
+    const auto bound = std::chrono::seconds(4);
+    AdjustPace(worker, mFixture->mModel, bound, mFixture->mNow);
+    RunState& backfill =
+      mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), worker, 1600);
+    service.mMeasurement = 150;
+    mFixture->mNow += milliseconds(1600);
+    AdjustPace(worker, mFixture->mModel, bound, mFixture->mNow);
+    CPPUNIT_ASSERT_EQUAL(0, backfill.mTargetPace);
+  }
+
+  // Load pattern: a change of the leader under full load. Guards against a
+  // second round of harm while the successor learns the same pairs again.
+  void ExportsAndImportsEstimates()
+  {
+    TrainModel();
+    ColocationModel successor;
+    // The numbers of the images differ between processes.
+    const int loud = successor.Intern("loud");
+    const int sensitive = successor.Intern("sensitive");
+    CPPUNIT_ASSERT(successor.Import(mFixture->mModel.Export()));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+      mFixture->mModel.ExpectedInterference(mSensitive, mLoud, 0.1),
+      successor.ExpectedInterference(sensitive, loud, 0.1),
+      1e-9);
+    CPPUNIT_ASSERT(!successor.Import("garbage"));
+  }
+
+  // Load pattern: batch work with time to spare beside sensitive services.
+  // Guards against harm that a short wait would have avoided.
+  void AppliesAStricterTailLimitToNonUrgentTasks()
+  {
+    TrainModel();
+    int placedWithTime = 0;
+    int placedUrgently = 0;
+    for (int tail = 30; tail < 80; ++tail) {
+      mFixture->mWorkers.clear();
+      WorkerState& worker = mFixture->AddWorker("w");
+      RunState& service = mFixture->Run(
+        mFixture->AddTask(ServiceStep(), mSensitive), worker, tail);
+      service.mTask->mStep->mBaseline = SaturationOf(tail / 100.0);
+      TaskState& task = mFixture->AddTask(BackfillStep(), mLoud);
+      placedWithTime += mFixture->Choose(task) != nullptr ? 1 : 0;
+      task.mStep->mIsUrgent = true;
+      placedUrgently += mFixture->Choose(task) != nullptr ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(placedWithTime > 0);
+    CPPUNIT_ASSERT(placedWithTime < placedUrgently);
+  }
+
+private:
+  /// The tail, in milliseconds, of a service task under `aSaturation`.
+  static std::int64_t TailAt(Saturation aSaturation)
+  {
+    return std::lround(static_cast<double>(ServiceStep().mTailTargetMs) * 0.2 /
+                       (1.0 - aSaturation));
+  }
+
+  /// Shows the model reports by which `aImage` disturbs the sensitive service
+  /// by `aPerShare`.
+  void TrainPair(int aImage, double aPerShare)
+  {
+    for (int n = 0; n < 60; ++n) {
+      StepState& service = mFixture->AddStep(ServiceStep(), mSensitive, 2);
+      WorkerState& alone = mFixture->AddWorker("alone");
+      WorkerState& beside = mFixture->AddWorker("beside");
+      mFixture->Run(service.mTasks[0], alone, TailAt(0.3));
+      mFixture->Run(service.mTasks[1], beside, TailAt(0.3 + 0.1 * aPerShare));
+      mFixture->Run(mFixture->AddTask(BackfillStep(), aImage), beside, 1600);
+      mFixture->mModel.Record(alone, mFixture->mNow);
+      beside.mBackfillShares = { { aImage, 0.1 } };
+      mFixture->mModel.Record(beside, mFixture->mNow);
+      mFixture->mWorkers.erase("alone");
+      mFixture->mWorkers.erase("beside");
+    }
+  }
+
+  /// Shows the model a few seconds of reports: only one pair disturbs.
+  void TrainModel()
+  {
+    for (int n = 0; n < 40; ++n) {
+      for (const int service : { mSensitive, mTolerant }) {
+        for (const int image : { mLoud, mQuiet }) {
+          WorkerState& worker = mFixture->AddWorker("teacher");
+          const bool isDisturbed = service == mSensitive && image == mLoud;
+          mFixture->Run(mFixture->AddTask(ServiceStep(), service),
+                        worker,
+                        isDisturbed ? 160 : 42);
+          mFixture->Run(mFixture->AddTask(BackfillStep(), image), worker, 1600);
+          worker.mBackfillShares = { { image, 0.1 } };
+          mFixture->mModel.Record(worker, mFixture->mNow);
+        }
+      }
+    }
+    mFixture->mWorkers.clear();
+  }
+
+  std::unique_ptr<PlacementFixture> mFixture;
+  int mSensitive = 0;
+  int mTolerant = 0;
+  int mLoud = 0;
+  int mLouder = 0;
+  int mQuiet = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ColocationTest);
+
+} // namespace skylarkhill::dispatch
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 /// Lease clocks of workers may run 2% slow.
-constexpr double kSlowestClock = 0.98;
+constexpr double kMinClockRate = 0.98;
 /// Covers the time between reading a worker's clock and its answer.
 constexpr Duration kLeaseMargin = std::chrono::milliseconds(400);
 /// Leases are at most this long: a leader that dies is replaced within about
@@ -35,7 +35,7 @@
 /// Elsewhere: backfill that is placed during a poll is watched from its end on.
 constexpr int kPollWaitMs = 700;
 /// Pause before the next poll if ends wait to become durable.
-constexpr Duration kUnacknowledgedPause = std::chrono::milliseconds(250);
+constexpr Duration kPersistPollPause = std::chrono::milliseconds(250);
 constexpr Duration kPollPause = std::chrono::milliseconds(15);
 constexpr Duration kPollRetryPause = std::chrono::milliseconds(300);
 
@@ -54,24 +54,24 @@
 constexpr Duration kMinStall = std::chrono::milliseconds(2000);
 /// Progress may stand still for this many times the average time of one
 /// percent.
-constexpr double kStallPercents = 8.0;
+constexpr double kStallFactor = 8.0;
 
 /// A backfill run that has been slowed down for longer moves to another worker
 /// if it saves its progress or has done less than this part of its work.
-constexpr Duration kSlowedGrace = std::chrono::milliseconds(700);
-constexpr int kMovablePercent = 15;
+constexpr Duration kThrottledGrace = std::chrono::milliseconds(700);
+constexpr int kMaxRestartPercent = 15;
 constexpr int kUnknownPace = -1;
 constexpr int kFullPace = 100;
 /// Reported use of processors varies by about this much at full pace.
-constexpr int kNearlyFullPace = 70;
+constexpr int kMinFullPaceUsage = 70;
 /// A run with less progress may not have a half second of use behind it.
-constexpr int kJustStartedPercent = 3;
+constexpr int kMinMeasuredPercent = 3;
 
 /// A copy of a task is started once its run takes this many times its estimate.
-constexpr double kDuplicateAfter = 1.6;
+constexpr double kDuplicateFactor = 1.6;
 
 /// Objectives up to this many times the original still earn something.
-constexpr double kWorthlessFactor = 3.0;
+constexpr double kZeroValueFactor = 3.0;
 
 /// Pause between two summary lines in the log.
 constexpr Duration kSummaryInterval = std::chrono::seconds(2);
@@ -84,13 +84,13 @@
 
 /// Workers that one call to the advice service names: as many as the objective
 /// of a job counts for a step.
-constexpr std::size_t kAdvisedWorkers = 30;
+constexpr std::size_t kMaxAdvisedWorkers = 30;
 constexpr Duration kAdvicePause = std::chrono::milliseconds(100);
 /// A ticket is not used in its last moments, because the start takes time.
 constexpr Duration kTicketMargin = std::chrono::milliseconds(200);
 
 /// Run numbers that an earlier leader may have used without a trace.
-constexpr int kUnseenRuns = 8;
+constexpr int kRunNumberGap = 8;
 
 std::int64_t
 ToMs(Duration aTime)
@@ -103,7 +103,7 @@
 public:
   DefaultDispatcher(const DispatchLimits& aLimits,
                     const Term& aTerm,
-                    OrderSink& aSink,
+                    CallSink& aSink,
                     metrics::Registry& aMetrics)
     : mLimits(aLimits)
     , mTerm(aTerm)
@@ -167,22 +167,22 @@
     job->mState = aJob.mProgress.mState;
     const auto& policy = job->mSubmission.mPolicy;
     const auto objective =
-      static_cast<std::int64_t>(
-        policy.mSlackFactor *
-        static_cast<double>(EstimateChainMs(job->mSubmission.mRequest))) +
+      static_cast<std::int64_t>(policy.mSlackFactor *
+                                static_cast<double>(EstimateCriticalPathMs(
+                                  job->mSubmission.mRequest))) +
       policy.mTargetLatencyMs;
     job->mObjectiveMs = job->mSubmission.mAcceptedMs + objective;
-    job->mWorthlessMs = job->mSubmission.mAcceptedMs +
+    job->mZeroValueMs = job->mSubmission.mAcceptedMs +
                         static_cast<std::int64_t>(
-                          kWorthlessFactor * static_cast<double>(objective));
+                          kZeroValueFactor * static_cast<double>(objective));
     job->mIsReleased = aJob.mProgress.mIsReleased;
     job->mIsReleaseRequested = job->mIsReleased;
-    CreateOccurrences(*job, mSharing, aIsInherited && job->mIsReleased);
+    CreateOccurrences(*job, mColocationModel, aIsInherited && job->mIsReleased);
     RestoreProgress(*job, aJob.mProgress);
     JobState& added = *job;
     mJobs[added.mSubmission.mId] = std::move(job);
     BeginDueOccurrences(added, mUnixMs);
-    AdvanceJob(added);
+    UpdateReadySteps(added);
     RequestTick(aNow);
   }
 
@@ -208,30 +208,31 @@
     WorkerState& worker = *found->second;
     worker.mIsPollInFlight = false;
     worker.mFailedPolls = 0;
-    if (worker.mIsKnown && worker.mBornMs != aReport.mBornMs) {
-      ForgetIncarnation(worker, aNow);
+    if (worker.mIsKnown &&
+        worker.mIncarnationStartMs != aReport.mIncarnationStartMs) {
+      ResetIncarnation(worker, aNow);
     }
     if (!worker.mIsKnown) {
       // The leader before this one may just have extended the lease.
       worker.mLeaseEndsAt =
-        std::max(worker.mLeaseEndsAt, aNow + LongestLease());
+        std::max(worker.mLeaseEndsAt, aNow + MaxLeaseDuration());
       mIsPlacementDue = true;
     }
     worker.mIsKnown = true;
-    worker.mBornMs = aReport.mBornMs;
+    worker.mIncarnationStartMs = aReport.mIncarnationStartMs;
     worker.mClockMs = aReport.mClockMs;
     worker.mClockReadAt = aNow;
     worker.mLastReportAt = aNow;
-    const bool mustWait = HandleEnds(worker, aReport, aNow);
-    HandleRunning(worker, aReport, aSentAt, aNow);
-    mSharing.Record(worker, aNow);
-    AdjustPace(worker, mSharing, mLimits.mHarmBound, aNow);
+    const bool mustWait = HandleEndedRuns(worker, aReport, aNow);
+    HandleActiveRuns(worker, aReport, aSentAt, aNow);
+    mColocationModel.Record(worker, aNow);
+    AdjustPace(worker, mColocationModel, mLimits.mMaxTailViolation, aNow);
     for (RunState* it : worker.mRuns) {
-      if (it->mPace != it->mWantedPace) {
+      if (it->mPace != it->mTargetPace) {
         mRunsToCall.insert(it);
       }
     }
-    worker.mNextPollAt = aNow + (mustWait ? kUnacknowledgedPause : kPollPause);
+    worker.mNextPollAt = aNow + (mustWait ? kPersistPollPause : kPollPause);
     RequestTick(aNow);
   }
 
@@ -264,13 +265,13 @@
     mIsFenced = true;
   }
 
-  void OnStart(const StartOrder& aOrder,
-               StartOutcome aOutcome,
-               TimePoint aNow) override
+  void OnStartResult(const StartCall& aCall,
+                     StartOutcome aOutcome,
+                     TimePoint aNow) override
   {
-    RunState* run = FindRun(aOrder.mTask, aOrder.mRun, aOrder.mWorkerId);
+    RunState* run = FindRun(aCall.mTask, aCall.mRun, aCall.mWorkerId);
     if (aOutcome == StartOutcome::Fenced) {
-      OnFenced(aOrder.mWorkerId);
+      OnFenced(aCall.mWorkerId);
     }
     if (run == nullptr) {
       return;
@@ -280,40 +281,40 @@
     if (aOutcome != StartOutcome::Started) {
       logging::Write(logging::Level::Info,
                      "start_not_accepted",
-                     { { "task", ToText(aOrder.mTask) },
-                       { "run", aOrder.mRun },
-                       { "worker", aOrder.mWorkerId },
+                     { { "task", ToText(aCall.mTask) },
+                       { "run", aCall.mRun },
+                       { "worker", aCall.mWorkerId },
                        { "outcome", NameOf(aOutcome) } });
     }
     WorkerState& worker = *run->mWorker;
     switch (aOutcome) {
       case StartOutcome::Started:
-        Confirm(*run, aNow);
+        ConfirmRun(*run, aNow);
         run->mNextCallAt = aNow;
         break;
       case StartOutcome::OldRun:
         // Its end is in the list of the worker, or it never runs.
-        Confirm(*run, aNow);
+        ConfirmRun(*run, aNow);
         run->mTask->mLastRun =
-          std::max(run->mTask->mLastRun, run->mNumber + kUnseenRuns);
+          std::max(run->mTask->mLastRun, run->mNumber + kRunNumberGap);
         break;
       case StartOutcome::NoRoom:
         worker.mAvoidUntil = aNow + kNoRoomPause;
-        DropUnstarted(*run);
+        DropRefusedRun(*run);
         break;
       case StartOutcome::TicketInvalid:
-        run->mTask->mStep->mTickets.erase(aOrder.mWorkerId);
-        DropUnstarted(*run);
+        run->mTask->mStep->mTickets.erase(aCall.mWorkerId);
+        DropRefusedRun(*run);
         break;
       case StartOutcome::TooLate:
       case StartOutcome::OtherIncarnation:
-        DropUnstarted(*run);
+        DropRefusedRun(*run);
         break;
       case StartOutcome::Unhealthy:
       case StartOutcome::Rejected:
         worker.mAvoidUntil = aNow + kUnhealthyPause;
         AddFailure(worker, 0.5, aNow);
-        DropUnstarted(*run);
+        DropRefusedRun(*run);
         break;
       case StartOutcome::Fenced:
       case StartOutcome::Unknown:
@@ -322,43 +323,43 @@
     RequestTick(aNow);
   }
 
-  void OnStop(const StopOrder& aOrder,
-              OrderOutcome aOutcome,
-              TimePoint aNow) override
+  void OnStopResult(const StopCall& aCall,
+                    CallOutcome aOutcome,
+                    TimePoint aNow) override
   {
-    if (aOutcome == OrderOutcome::Fenced) {
-      OnFenced(aOrder.mWorkerId);
+    if (aOutcome == CallOutcome::Fenced) {
+      OnFenced(aCall.mWorkerId);
     }
-    RunState* run = FindRun(aOrder.mTask, aOrder.mRun, aOrder.mWorkerId);
+    RunState* run = FindRun(aCall.mTask, aCall.mRun, aCall.mWorkerId);
     if (run == nullptr) {
       return;
     }
     run->mIsCallInFlight = false;
     run->mNextCallAt = aNow + kResendPause;
-    if (aOutcome == OrderOutcome::Accepted) {
+    if (aOutcome == CallOutcome::Accepted) {
       // From now on the worker rejects a start of this run that is still on
       // its way, and the next report tells whether it runs.
-      Confirm(*run, aNow);
+      ConfirmRun(*run, aNow);
       run->mNextCallAt = aNow + std::chrono::seconds(1);
       run->mWorker->mNextPollAt = std::min(run->mWorker->mNextPollAt, aNow);
     }
     RequestTick(aNow);
   }
 
-  void OnPace(const PaceOrder& aOrder,
-              OrderOutcome aOutcome,
-              TimePoint aNow) override
+  void OnPaceResult(const PaceCall& aCall,
+                    CallOutcome aOutcome,
+                    TimePoint aNow) override
   {
-    if (aOutcome == OrderOutcome::Fenced) {
-      OnFenced(aOrder.mWorkerId);
+    if (aOutcome == CallOutcome::Fenced) {
+      OnFenced(aCall.mWorkerId);
     }
-    RunState* run = FindRun(aOrder.mTask, aOrder.mRun, aOrder.mWorkerId);
+    RunState* run = FindRun(aCall.mTask, aCall.mRun, aCall.mWorkerId);
     if (run == nullptr) {
       return;
     }
     run->mIsPaceInFlight = false;
-    if (aOutcome == OrderOutcome::Accepted) {
-      run->mPace = aOrder.mPercent;
+    if (aOutcome == CallOutcome::Accepted) {
+      run->mPace = aCall.mPercent;
       run->mProgressAt = aNow;
     } else {
       run->mNextCallAt = aNow + kResendPause;
@@ -366,15 +367,15 @@
     RequestTick(aNow);
   }
 
-  void OnAdvice(const AdviceOrder& aOrder,
-                const std::optional<Advice>& aAdvice,
-                TimePoint aNow) override
+  void OnAdviceResult(const AdviceCall& aCall,
+                      const std::optional<Advice>& aAdvice,
+                      TimePoint aNow) override
   {
-    const auto found = mJobs.find(aOrder.mJobId);
+    const auto found = mJobs.find(aCall.mJobId);
     StepState* step =
       found == mJobs.end()
         ? nullptr
-        : FindStep(*found->second, aOrder.mOccurrence, aOrder.mStep);
+        : FindStep(*found->second, aCall.mOccurrence, aCall.mStep);
     if (step == nullptr) {
       return;
     }
@@ -383,8 +384,8 @@
     if (!aAdvice) {
       return;
     }
-    step->mAdvisedWorkers.insert(aOrder.mWorkerIds.begin(),
-                                 aOrder.mWorkerIds.end());
+    step->mAdvisedWorkers.insert(aCall.mWorkerIds.begin(),
+                                 aCall.mWorkerIds.end());
     const TimePoint validUntil =
       aNow + std::chrono::milliseconds(aAdvice->mValidMs) - kTicketMargin;
     for (const auto& it : aAdvice->mPermissions) {
@@ -394,7 +395,7 @@
     RequestTick(aNow);
   }
 
-  void SetAuthority(TimePoint aConfirmedAt, TimePoint aUntil) override
+  void SetLeadershipLease(TimePoint aConfirmedAt, TimePoint aUntil) override
   {
     mConfirmedAt = aConfirmedAt;
     mAuthorityUntil = aUntil;
@@ -420,7 +421,7 @@
         LogDispatchSummary(mJobs.size(), mReadySteps, mWorkers);
       }
     }
-    if (isFullTick || mMayRunUnseen) {
+    if (isFullTick || mMayHaveUnknownRun) {
       CheckWorkers(aNow);
     }
     if (aNow >= mAuthorityUntil) {
@@ -473,7 +474,7 @@
       auto& pending = worker->mPendingAcknowledgements;
       bool hasChanged = false;
       while (!pending.empty() && pending.front().mBatch < mDurableBatch) {
-        worker->mAcknowledged = pending.front().mNumber;
+        worker->mAcknowledgedSequence = pending.front().mSequence;
         pending.pop_front();
         hasChanged = true;
       }
@@ -484,11 +485,11 @@
     }
   }
 
-  std::string ExportModel() const override { return mSharing.Export(); }
+  std::string ExportModel() const override { return mColocationModel.Export(); }
 
   void ImportModel(std::string_view aBytes) override
   {
-    const auto imported = mSharing.Import(aBytes);
+    const auto imported = mColocationModel.Import(aBytes);
     if (!imported) {
       logging::Write(logging::Level::Warning,
                      "model_record_skipped",
@@ -539,7 +540,7 @@
 
   /// Makes the steps ready whose dependencies are complete, and ends the job
   /// if all are.
-  void AdvanceJob(JobState& aJob)
+  void UpdateReadySteps(JobState& aJob)
   {
     if (IsFinal(aJob.mState)) {
       return;
@@ -548,7 +549,7 @@
     for (auto& occurrence : aJob.mOccurrences) {
       for (StepState& step : occurrence->mSteps) {
         const bool isStepDone =
-          step.mDone == static_cast<int>(step.mTasks.size()) &&
+          step.mDoneCount == static_cast<int>(step.mTasks.size()) &&
           !step.mSpec->mIsService;
         isComplete = isComplete && isStepDone;
         if (isStepDone || step.mIsReady || !occurrence->mIsBegun) {
@@ -558,7 +559,7 @@
         step.mIsReady = std::all_of(needs.begin(), needs.end(), [&](int aNeed) {
           const auto& other =
             occurrence->mSteps[static_cast<std::size_t>(aNeed)];
-          return other.mDone == static_cast<int>(other.mTasks.size());
+          return other.mDoneCount == static_cast<int>(other.mTasks.size());
         });
         if (step.mIsReady) {
           mReadySteps.push_back(&step);
@@ -575,7 +576,7 @@
   {
     for (auto& [id, job] : mJobs) {
       if (BeginDueOccurrences(*job, mUnixMs)) {
-        AdvanceJob(*job);
+        UpdateReadySteps(*job);
       }
     }
   }
@@ -639,7 +640,7 @@
                    TimePoint aNow)
   {
     if (aTask.mRuns.empty()) {
-      --aTask.mStep->mWaiting;
+      --aTask.mStep->mWaitingCount;
     }
     aTask.mRuns.emplace_back();
     RunState& run = aTask.mRuns.back();
@@ -653,11 +654,11 @@
     const jobs::Step& step = *aTask.mStep->mSpec;
     aWorker.mRuns.insert(&run);
     mRunsToCall.insert(&run);
-    aWorker.mUsed += CountedNeed(step);
+    aWorker.mUsed += ReservedResources(step);
     if (step.mIsBackfill) {
       aWorker.mBackfillDemand += step.mNeed.mMilliProcessors;
     }
-    ++aTask.mStep->mPerWorker[&aWorker];
+    ++aTask.mStep->mTasksPerWorker[&aWorker];
     return run;
   }
 
@@ -668,20 +669,20 @@
     const jobs::Step& step = *task.mStep->mSpec;
     worker.mRuns.erase(&aRun);
     mRunsToCall.erase(&aRun);
-    worker.mUsed -= CountedNeed(step);
+    worker.mUsed -= ReservedResources(step);
     if (step.mIsBackfill) {
       worker.mBackfillDemand -= step.mNeed.mMilliProcessors;
     }
-    --task.mStep->mPerWorker[&worker];
+    --task.mStep->mTasksPerWorker[&worker];
     mIsPlacementDue = true;
     task.mRuns.remove_if(
       [&](const RunState& aEntry) { return &aEntry == &aRun; });
     if (task.mRuns.empty() && !task.mIsDone) {
-      ++task.mStep->mWaiting;
+      ++task.mStep->mWaitingCount;
     }
   }
 
-  void Confirm(RunState& aRun, TimePoint aNow)
+  void ConfirmRun(RunState& aRun, TimePoint aNow)
   {
     if (!aRun.mIsConfirmed) {
       aRun.mIsConfirmed = true;
@@ -696,9 +697,9 @@
   }
 
   /// Removes a run that the worker has refused to start.
-  void DropUnstarted(RunState& aRun)
+  void DropRefusedRun(RunState& aRun)
   {
-    aRun.mTask->mAvoidWorker = aRun.mWorker->mEntry.mId;
+    aRun.mTask->mAvoidedWorkerId = aRun.mWorker->mEntry.mId;
     // An earlier call for the same run may not have been answered.
     if (aRun.mCallsSent > 1 && !aRun.mIsConfirmed) {
       StopRun(aRun);
@@ -717,7 +718,7 @@
     }
   }
 
-  void LoseRun(RunState& aRun, std::string_view aCause, TimePoint aNow)
+  void DropLostRun(RunState& aRun, std::string_view aCause, TimePoint aNow)
   {
     mLostRuns.Add();
     TaskState& task = *aRun.mTask;
@@ -731,30 +732,30 @@
         { "report_age_ms", ToMs(aNow - aRun.mWorker->mLastReportAt) },
         { "lease_ended_ms", ToMs(aNow - aRun.mWorker->mLeaseEndsAt) } });
     if (!aRun.mIsStopping) {
-      task.mAvoidWorker = aRun.mWorker->mEntry.mId;
+      task.mAvoidedWorkerId = aRun.mWorker->mEntry.mId;
     }
     RemoveRun(aRun);
   }
 
-  void LoseAllRuns(WorkerState& aWorker,
-                   std::string_view aCause,
-                   TimePoint aNow)
+  void DropAllLostRuns(WorkerState& aWorker,
+                       std::string_view aCause,
+                       TimePoint aNow)
   {
     while (!aWorker.mRuns.empty()) {
-      LoseRun(**aWorker.mRuns.begin(), aCause, aNow);
+      DropLostRun(**aWorker.mRuns.begin(), aCause, aNow);
     }
   }
 
-  void ForgetIncarnation(WorkerState& aWorker, TimePoint aNow)
+  void ResetIncarnation(WorkerState& aWorker, TimePoint aNow)
   {
     logging::Write(
       logging::Level::Warning,
       "worker_restarted",
       { { "worker", aWorker.mEntry.mId },
         { "runs", static_cast<std::int64_t>(aWorker.mRuns.size()) } });
-    LoseAllRuns(aWorker, "worker restarted", aNow);
-    aWorker.mProcessed = 0;
-    aWorker.mAcknowledged = 0;
+    DropAllLostRuns(aWorker, "worker restarted", aNow);
+    aWorker.mProcessedSequence = 0;
+    aWorker.mAcknowledgedSequence = 0;
     aWorker.mPendingAcknowledgements.clear();
     aWorker.mLeaseEndsAt = aNow;
   }
@@ -763,32 +764,34 @@
 
   /// Handles the ends that are new. True if some of them have to become
   /// durable before they may be acknowledged.
-  bool HandleEnds(WorkerState& aWorker,
-                  const WorkerReport& aReport,
-                  TimePoint aNow)
+  bool HandleEndedRuns(WorkerState& aWorker,
+                       const WorkerReport& aReport,
+                       TimePoint aNow)
   {
     bool mustPersist = false;
-    std::int64_t highest = aWorker.mProcessed;
-    for (const auto& it : aReport.mEnds) {
-      if (it.mNumber > aWorker.mProcessed) {
-        mustPersist = HandleEnd(aWorker, it, aNow) || mustPersist;
-        highest = std::max(highest, it.mNumber);
+    std::int64_t highest = aWorker.mProcessedSequence;
+    for (const auto& it : aReport.mEndedRuns) {
+      if (it.mSequence > aWorker.mProcessedSequence) {
+        mustPersist = HandleEndedRun(aWorker, it, aNow) || mustPersist;
+        highest = std::max(highest, it.mSequence);
       }
     }
-    if (highest > aWorker.mProcessed) {
-      aWorker.mProcessed = highest;
+    if (highest > aWorker.mProcessedSequence) {
+      aWorker.mProcessedSequence = highest;
       auto& pending = aWorker.mPendingAcknowledgements;
       if (mustPersist || !pending.empty()) {
         pending.push_back({ mBatch, highest });
       } else {
-        aWorker.mAcknowledged = highest;
+        aWorker.mAcknowledgedSequence = highest;
       }
     }
     return !aWorker.mPendingAcknowledgements.empty();
   }
 
   /// True if the end changed what has to be durable.
-  bool HandleEnd(WorkerState& aWorker, const EndedRun& aEnd, TimePoint aNow)
+  bool HandleEndedRun(WorkerState& aWorker,
+                      const EndedRun& aEnd,
+                      TimePoint aNow)
   {
     TaskState* task = FindTask(aEnd.mTask);
     if (task == nullptr) {
@@ -808,26 +811,26 @@
     if (!aEnd.mCheckpoint.empty()) {
       task->mCheckpoint = aEnd.mCheckpoint;
     }
-    switch (aEnd.mEnd) {
-      case RunEnd::Done:
+    switch (aEnd.mOutcome) {
+      case RunOutcome::Done:
         AddFailure(aWorker, -0.5, aNow);
         CompleteTask(*task);
         return true;
-      case RunEnd::Failed:
+      case RunOutcome::Failed:
         FailTask(*task, aEnd.mRun, aWorker, aNow);
         MarkDirty(job);
         return true;
-      case RunEnd::Stopped:
-      case RunEnd::LeaseExpired:
-      case RunEnd::GangBroken:
-      case RunEnd::GangIncomplete:
+      case RunOutcome::Stopped:
+      case RunOutcome::LeaseExpired:
+      case RunOutcome::GangBroken:
+      case RunOutcome::GangIncomplete:
         if (!wasStopping) {
           logging::Write(logging::Level::Info,
                          "run_ended_early",
                          { { "task", ToText(aEnd.mTask) },
                            { "run", aEnd.mRun },
                            { "worker", aWorker.mEntry.mId },
-                           { "end", NameOf(aEnd.mEnd) } });
+                           { "end", NameOf(aEnd.mOutcome) } });
         }
         return false;
     }
@@ -845,8 +848,8 @@
     const auto complete = [&](TaskState& aMember) {
       if (!aMember.mIsDone) {
         aMember.mIsDone = true;
-        ++step.mDone;
-        step.mWaiting -= aMember.mRuns.empty() ? 1 : 0;
+        ++step.mDoneCount;
+        step.mWaitingCount -= aMember.mRuns.empty() ? 1 : 0;
       }
       for (RunState& it : aMember.mRuns) {
         StopRun(it);
@@ -857,11 +860,11 @@
       std::for_each(step.mTasks.begin(), step.mTasks.end(), complete);
     }
     MarkDirty(*step.mJob);
-    if (step.mDone == static_cast<int>(step.mTasks.size())) {
+    if (step.mDoneCount == static_cast<int>(step.mTasks.size())) {
       mReadySteps.erase(
         std::remove(mReadySteps.begin(), mReadySteps.end(), &step),
         mReadySteps.end());
-      AdvanceJob(*step.mJob);
+      UpdateReadySteps(*step.mJob);
     }
   }
 
@@ -871,7 +874,7 @@
                 TimePoint aNow)
   {
     AddFailure(aWorker, 1.0, aNow);
-    aTask.mAvoidWorker = aWorker.mEntry.mId;
+    aTask.mAvoidedWorkerId = aWorker.mEntry.mId;
     if (aTask.mStep->mSpec->mIsService) {
       return;
     }
@@ -893,28 +896,28 @@
     }
   }
 
-  void HandleRunning(WorkerState& aWorker,
-                     const WorkerReport& aReport,
-                     TimePoint aSentAt,
-                     TimePoint aNow)
+  void HandleActiveRuns(WorkerState& aWorker,
+                        const WorkerReport& aReport,
+                        TimePoint aSentAt,
+                        TimePoint aNow)
   {
     std::set<const RunState*> listed;
-    for (const auto& it : aReport.mRunning) {
+    for (const auto& it : aReport.mActiveRuns) {
       TaskState* task = FindTask(it.mTask);
       RunState* run = FindRun(it.mTask, it.mRun, aWorker.mEntry.mId);
       if (run == nullptr) {
-        run = Adopt(aWorker, task, it, aNow);
+        run = AdoptRun(aWorker, task, it, aNow);
       }
       if (run == nullptr) {
         continue;
       }
       listed.insert(run);
-      Confirm(*run, aNow);
+      ConfirmRun(*run, aNow);
       if (it.mPercent != run->mPercent) {
         run->mPercent = it.mPercent;
         run->mProgressAt = aNow;
       }
-      run->mUsage = it.mUsage;
+      run->mMeasurement = it.mMeasurement;
       if (!it.mCheckpoint.empty()) {
         run->mTask->mCheckpoint = it.mCheckpoint;
       }
@@ -927,15 +930,15 @@
       }
     }
     for (RunState* it : missing) {
-      LoseRun(*it, "not in the list of the worker", aNow);
+      DropLostRun(*it, "not in the list of the worker", aNow);
     }
   }
 
   /// Takes over a run that this leader has not ordered, or orders its stop.
-  RunState* Adopt(WorkerState& aWorker,
-                  TaskState* aTask,
-                  const RunningRun& aRun,
-                  TimePoint aNow)
+  RunState* AdoptRun(WorkerState& aWorker,
+                     TaskState* aTask,
+                     const ActiveRun& aRun,
+                     TimePoint aNow)
   {
     const bool isWanted = aTask != nullptr && !aTask->mIsDone &&
                           !IsFinal(aTask->mStep->mJob->mState);
@@ -954,10 +957,10 @@
     RunState& run = AddRun(*aTask, aWorker, aRun.mRun, aNow);
     run.mCallsSent = 1;
     if (run.mTask->mStep->mSpec->mIsBackfill) {
-      run.mWantedPace = EstimatePace(run, aRun);
-      run.mPace = run.mWantedPace == kFullPace ? kUnknownPace : run.mWantedPace;
+      run.mTargetPace = EstimatePace(run, aRun);
+      run.mPace = run.mTargetPace == kFullPace ? kUnknownPace : run.mTargetPace;
     }
-    aTask->mMayRunUnseen = false;
+    aTask->mMayHaveUnknownRun = false;
     if (isSecond && !aTask->mStep->mSpec->mMayDuplicate) {
       StopRun(run);
     }
@@ -966,15 +969,15 @@
 
   /// The pace that an earlier leader has set, by the use of processors. To run
   /// all at full pace again would disturb the services beside them.
-  static int EstimatePace(const RunState& aRun, const RunningRun& aReport)
+  static int EstimatePace(const RunState& aRun, const ActiveRun& aReport)
   {
     const auto need = aRun.mTask->mStep->mSpec->mNeed.mMilliProcessors;
-    const bool hasJustStarted = aReport.mPercent < kJustStartedPercent;
-    if (need <= 0 || aReport.mUsage < 0 || hasJustStarted) {
+    const bool hasJustStarted = aReport.mPercent < kMinMeasuredPercent;
+    if (need <= 0 || aReport.mMeasurement < 0 || hasJustStarted) {
       return kFullPace;
     }
-    const auto pace = static_cast<int>(kFullPace * aReport.mUsage / need);
-    return pace > kNearlyFullPace ? kFullPace : pace;
+    const auto pace = static_cast<int>(kFullPace * aReport.mMeasurement / need);
+    return pace > kMinFullPaceUsage ? kFullPace : pace;
   }
 
   // --- Periodic checks ----------------------------------------------------
@@ -982,23 +985,24 @@
   void CheckWorkers(TimePoint aNow)
   {
     bool areAllKnown = true;
-    bool areAllAsked = true;
+    bool areAllPolled = true;
     for (auto it = mWorkers.begin(); it != mWorkers.end();) {
       WorkerState& worker = *it->second;
       areAllKnown = areAllKnown && worker.mIsKnown;
-      areAllAsked = areAllAsked && (worker.mIsKnown || worker.mFailedPolls > 0);
+      areAllPolled =
+        areAllPolled && (worker.mIsKnown || worker.mFailedPolls > 0);
       const bool isSilent = worker.mLastReportAt + kPollRetryPause < aNow &&
                             worker.mFailedPolls > 0;
       // A successor that this node cannot see may have extended the lease, so
       // that the leadership must be confirmed after its end.
       if (isSilent && worker.mLeaseEndsAt < mConfirmedAt &&
           !worker.mRuns.empty()) {
-        LoseAllRuns(worker, "worker silent beyond its lease", aNow);
+        DropAllLostRuns(worker, "worker silent beyond its lease", aNow);
       }
       if (!worker.mIsListed && worker.mUnlistedAt + kUnlistedGrace < aNow &&
           isSilent && worker.mRuns.empty() && worker.mLeaseEndsAt < aNow &&
           !worker.mIsPollInFlight &&
-          (worker.mIsKnown || aNow >= mTerm.mEarlierLeasesEnd)) {
+          (worker.mIsKnown || aNow >= mTerm.mPreviousLeasesEndAt)) {
         it = mWorkers.erase(it);
         continue;
       }
@@ -1006,9 +1010,10 @@
     }
     // Without a lease nothing runs, but a worker that can be reached may have
     // the end of a run to tell.
-    if (mMayRunUnseen && ((areAllKnown && !mWorkers.empty()) ||
-                          (areAllAsked && aNow >= mTerm.mEarlierLeasesEnd))) {
-      mMayRunUnseen = false;
+    if (mMayHaveUnknownRun &&
+        ((areAllKnown && !mWorkers.empty()) ||
+         (areAllPolled && aNow >= mTerm.mPreviousLeasesEndAt))) {
+      mMayHaveUnknownRun = false;
       mIsPlacementDue = true;
     }
   }
@@ -1020,8 +1025,9 @@
         if (it->mIsStopping) {
           continue;
         }
-        if (it->mMustMove || (it->mSlowedSince && IsWorthMoving(*it, aNow))) {
-          it->mTask->mAvoidWorker = id;
+        if (it->mMustMove ||
+            (it->mThrottledSince && IsWorthMoving(*it, aNow))) {
+          it->mTask->mAvoidedWorkerId = id;
           StopRun(*it);
         } else if (worker->mEntry.mIsDraining) {
           CheckDrainingRun(*it, aNow);
@@ -1036,9 +1042,9 @@
   static bool IsWorthMoving(const RunState& aRun, TimePoint aNow)
   {
     const bool isCheap = aRun.mTask->mStep->mSpec->mSavesProgress ||
-                         aRun.mPercent < kMovablePercent;
+                         aRun.mPercent < kMaxRestartPercent;
     return isCheap && aRun.mIsConfirmed &&
-           aNow - *aRun.mSlowedSince > kSlowedGrace;
+           aNow - *aRun.mThrottledSince > kThrottledGrace;
   }
 
   /// Moves work off a worker that is about to leave.
@@ -1046,13 +1052,13 @@
   {
     const StepState& step = *aRun.mTask->mStep;
     if (step.mSpec->mIsService) {
-      const int away = static_cast<int>(std::count_if(
+      const int unavailable = static_cast<int>(std::count_if(
         step.mTasks.begin(), step.mTasks.end(), [](const TaskState& aTask) {
           return !HasLiveRun(aTask) || aTask.mRuns.front().mPercent < 100;
         }));
       const bool isUrgent =
         aRun.mWorker->mLeavesAt < aNow + std::chrono::milliseconds(1500);
-      if (away < std::max(1, step.mSpec->mMaxUnavailable) || isUrgent) {
+      if (unavailable < std::max(1, step.mSpec->mMaxUnavailable) || isUrgent) {
         StopRun(aRun);
       }
       return;
@@ -1074,7 +1080,7 @@
   {
     TaskState& task = *aRun.mTask;
     const jobs::Step& step = *task.mStep->mSpec;
-    if (aRun.mPace < 100 || aRun.mWantedPace < 100) {
+    if (aRun.mPace < 100 || aRun.mTargetPace < 100) {
       return;
     }
     if (step.mIsService) {
@@ -1088,7 +1094,7 @@
       limit =
         std::max(limit,
                  Duration(static_cast<Duration::rep>(
-                   kStallPercents * static_cast<double>(perPercent.count()))));
+                   kStallFactor * static_cast<double>(perPercent.count()))));
     } else {
       limit = std::max(
         limit, Duration(std::chrono::milliseconds(step.mEstimateMs / 4)));
@@ -1098,7 +1104,7 @@
       const Duration estimate = std::chrono::milliseconds(step.mEstimateMs);
       const bool isLate =
         std::chrono::duration<double>(elapsed).count() >
-        kDuplicateAfter * std::chrono::duration<double>(estimate).count();
+        kDuplicateFactor * std::chrono::duration<double>(estimate).count();
       if (isStuck || (isLate && aRun.mPercent < 60)) {
         PlaceRun(task, aNow);
       }
@@ -1107,7 +1113,7 @@
     if (isStuck && task.mRuns.size() == 1) {
       mStalledRuns.Add();
       AddFailure(*aRun.mWorker, 1.0, aNow);
-      task.mAvoidWorker = aRun.mWorker->mEntry.mId;
+      task.mAvoidedWorkerId = aRun.mWorker->mEntry.mId;
       logging::Write(logging::Level::Info,
                      "run_stalled",
                      { { "task", ToText(IdOf(task)) },
@@ -1125,11 +1131,11 @@
   int LatenessOf(const JobState& aJob) const
   {
     return (aJob.mObjectiveMs < mUnixMs ? 1 : 0) +
-           (aJob.mWorthlessMs < mUnixMs ? 1 : 0);
+           (aJob.mZeroValueMs < mUnixMs ? 1 : 0);
   }
 
   /// True if the tasks of `aLeft` get workers before those of `aRight`.
-  bool ComesFirst(const StepState& aLeft, const StepState& aRight) const
+  bool HasPrecedence(const StepState& aLeft, const StepState& aRight) const
   {
     if (aLeft.mSpec->mIsService != aRight.mSpec->mIsService) {
       return aLeft.mSpec->mIsService;
@@ -1157,21 +1163,23 @@
     }
     mIsPlacementDue = false;
     std::vector<StepState*> waiting;
-    std::copy_if(mReadySteps.begin(),
-                 mReadySteps.end(),
-                 std::back_inserter(waiting),
-                 [](const StepState* aStep) { return aStep->mWaiting > 0; });
+    std::copy_if(
+      mReadySteps.begin(),
+      mReadySteps.end(),
+      std::back_inserter(waiting),
+      [](const StepState* aStep) { return aStep->mWaitingCount > 0; });
     std::sort(waiting.begin(),
               waiting.end(),
               [this](const StepState* aLeft, const StepState* aRight) {
-                return ComesFirst(*aLeft, *aRight);
+                return HasPrecedence(*aLeft, *aRight);
               });
     for (StepState* step : waiting) {
-      step->mIsUrgent = step->mJob->mObjectiveMs > mUnixMs &&
-                        step->mJob->mObjectiveMs <
-                          mUnixMs + step->mChainMs * 3 / 2 + kUrgentSlackMs;
-      AskForAdvice(*step, aNow);
-      if (!IsReleased(*step, aNow)) {
+      step->mIsUrgent =
+        step->mJob->mObjectiveMs > mUnixMs &&
+        step->mJob->mObjectiveMs <
+          mUnixMs + step->mCriticalPathMs * 3 / 2 + kUrgentSlackMs;
+      RequestAdvice(*step, aNow);
+      if (!EnsureReleased(*step, aNow)) {
         continue;
       }
       if (step->mSpec->mIsGang) {
@@ -1179,7 +1187,7 @@
         continue;
       }
       for (TaskState& task : step->mTasks) {
-        if (task.mIsDone || !task.mRuns.empty() || IsHeldBack(task)) {
+        if (task.mIsDone || !task.mRuns.empty() || IsStartDeferred(task)) {
           continue;
         }
         if (!PlaceRun(task, aNow)) {
@@ -1191,21 +1199,21 @@
 
   /// Asks which workers may run the step, those that fit it first. Known
   /// answers are asked for again only when their tickets have expired.
-  void AskForAdvice(StepState& aStep, TimePoint aNow)
+  void RequestAdvice(StepState& aStep, TimePoint aNow)
   {
     if (!aStep.mJob->mSubmission.mPolicy.mNeedsAdvice ||
         aStep.mIsAdviceInFlight || aStep.mNextAdviceAt > aNow) {
       return;
     }
-    AdviceOrder order;
-    order.mJobId = aStep.mJob->mSubmission.mId;
-    order.mOccurrence = aStep.mOccurrence;
-    order.mStep = aStep.mIndex;
+    AdviceCall call;
+    call.mJobId = aStep.mJob->mSubmission.mId;
+    call.mOccurrence = aStep.mOccurrence;
+    call.mStep = aStep.mIndex;
     std::size_t usable = 0;
     for (const auto& [id, worker] : mWorkers) {
       if (worker->mEntry.mService != aStep.mJob->mSubmission.mPolicy.mService ||
           !AcceptsStarts(*worker, aNow) ||
-          !base::Fits(worker->mUsed + CountedNeed(*aStep.mSpec),
+          !base::Fits(worker->mUsed + ReservedResources(*aStep.mSpec),
                       worker->mEntry.mCapacity)) {
         continue;
       }
@@ -1214,25 +1222,25 @@
         aStep.mTickets.count(id) != 0 && !HasTicket(aStep, *worker, aNow);
       usable += HasTicket(aStep, *worker, aNow) ? 1 : 0;
       if ((!isKnown || hasExpired) &&
-          order.mWorkerIds.size() < kAdvisedWorkers) {
-        order.mWorkerIds.push_back(id);
+          call.mWorkerIds.size() < kMaxAdvisedWorkers) {
+        call.mWorkerIds.push_back(id);
       }
     }
-    if (usable >= static_cast<std::size_t>(aStep.mWaiting) ||
-        order.mWorkerIds.empty()) {
+    if (usable >= static_cast<std::size_t>(aStep.mWaitingCount) ||
+        call.mWorkerIds.empty()) {
       return;
     }
     aStep.mIsAdviceInFlight = true;
-    mSink.Advise(order);
+    mSink.Advise(call);
   }
 
   /// Requests the release of the step's job as soon as one of its tasks can
   /// be placed.
-  bool IsReleased(StepState& aStep, TimePoint aNow)
+  bool EnsureReleased(StepState& aStep, TimePoint aNow)
   {
     JobState& job = *aStep.mJob;
     if (!job.mIsReleaseRequested &&
-        ChooseWorker(aStep.mTasks.front(), mWorkers, mSharing, aNow) !=
+        ChooseWorker(aStep.mTasks.front(), mWorkers, mColocationModel, aNow) !=
           nullptr) {
       job.mIsReleaseRequested = true;
       mRequestedReleases.push_back(job.mSubmission.mId);
@@ -1242,14 +1250,14 @@
   }
 
   /// True while a run that an earlier leader ordered may be alive unseen.
-  bool IsHeldBack(const TaskState& aTask) const
+  bool IsStartDeferred(const TaskState& aTask) const
   {
-    return aTask.mMayRunUnseen && mMayRunUnseen;
+    return aTask.mMayHaveUnknownRun && mMayHaveUnknownRun;
   }
 
   bool PlaceRun(TaskState& aTask, TimePoint aNow)
   {
-    WorkerState* worker = ChooseWorker(aTask, mWorkers, mSharing, aNow);
+    WorkerState* worker = ChooseWorker(aTask, mWorkers, mColocationModel, aNow);
     if (worker == nullptr) {
       return false;
     }
@@ -1259,7 +1267,7 @@
 
   static int NextRunNumber(const TaskState& aTask)
   {
-    return aTask.mLastRun + 1 + (aTask.mMayRunUnseen ? kUnseenRuns : 0);
+    return aTask.mLastRun + 1 + (aTask.mMayHaveUnknownRun ? kRunNumberGap : 0);
   }
 
   /// Places all tasks of a gang or none.
@@ -1267,21 +1275,21 @@
   {
     int number = 0;
     for (const TaskState& it : aStep.mTasks) {
-      if (it.mIsDone || IsHeldBack(it)) {
+      if (it.mIsDone || IsStartDeferred(it)) {
         return;
       }
       number = std::max(number, NextRunNumber(it));
     }
-    const bool isWhole =
+    const bool isRunning =
       std::all_of(aStep.mTasks.begin(), aStep.mTasks.end(), HasLiveRun);
-    if (isWhole) {
+    if (isRunning) {
       return;
     }
-    const bool isAway =
+    const bool hasNoRuns =
       std::all_of(aStep.mTasks.begin(),
                   aStep.mTasks.end(),
                   [](const TaskState& aTask) { return aTask.mRuns.empty(); });
-    if (!isAway) {
+    if (!hasNoRuns) {
       // The members share one run number, so the rest of a broken gang ends
       // before it starts again.
       for (TaskState& task : aStep.mTasks) {
@@ -1298,7 +1306,7 @@
     std::vector<RunState*> placed;
     for (TaskState& it : aStep.mTasks) {
       it.mCheckpoint = checkpoint;
-      WorkerState* worker = ChooseWorker(it, mWorkers, mSharing, aNow);
+      WorkerState* worker = ChooseWorker(it, mWorkers, mColocationModel, aNow);
       if (worker == nullptr) {
         for (RunState* run : placed) {
           RemoveRun(*run);
@@ -1312,18 +1320,19 @@
   // --- Calls --------------------------------------------------------------
 
   /// How long a lease of the full length may last by this node's clock.
-  Duration LongestLease() const
+  Duration MaxLeaseDuration() const
   {
-    return OnSlowestClock(std::min(kLease, mLimits.mMaxLease)) + kLeaseMargin;
+    return ScaleToSlowestClock(std::min(kLease, mLimits.mMaxLease)) +
+           kLeaseMargin;
   }
 
-  static Duration OnSlowestClock(Duration aTime)
+  static Duration ScaleToSlowestClock(Duration aTime)
   {
     return Duration(static_cast<Duration::rep>(
-      static_cast<double>(aTime.count()) / kSlowestClock));
+      static_cast<double>(aTime.count()) / kMinClockRate));
   }
 
-  /// The lease that an order sent at `aNow` asks for, on the worker's clock;
+  /// The lease that an call sent at `aNow` asks for, on the worker's clock;
   /// 0 if the clock is not known.
   std::int64_t ExtendLease(WorkerState& aWorker, TimePoint aNow)
   {
@@ -1337,7 +1346,7 @@
     }
     const Duration length = until - aNow;
     aWorker.mLeaseEndsAt = std::max(
-      aWorker.mLeaseEndsAt, aNow + OnSlowestClock(length) + kLeaseMargin);
+      aWorker.mLeaseEndsAt, aNow + ScaleToSlowestClock(length) + kLeaseMargin);
     return aWorker.mClockMs + ToMs(aNow - aWorker.mClockReadAt) + ToMs(length);
   }
 
@@ -1349,9 +1358,9 @@
     for (auto it = mRunsToCall.begin(); it != mRunsToCall.end();) {
       RunState& run = **it;
       SendRunCall(run, aNow);
-      const bool isSettled =
-        run.mIsConfirmed && !run.mIsStopping && run.mPace == run.mWantedPace;
-      it = isSettled ? mRunsToCall.erase(it) : std::next(it);
+      const bool needsNoCall =
+        run.mIsConfirmed && !run.mIsStopping && run.mPace == run.mTargetPace;
+      it = needsNoCall ? mRunsToCall.erase(it) : std::next(it);
     }
   }
 
@@ -1361,19 +1370,19 @@
       return;
     }
     aWorker.mIsPollInFlight = true;
-    PollOrder order;
-    order.mWorkerId = aWorker.mEntry.mId;
-    order.mAddress = aWorker.mEntry.mAddress;
+    PollCall call;
+    call.mWorkerId = aWorker.mEntry.mId;
+    call.mAddress = aWorker.mEntry.mAddress;
     // A lease on a silent worker would put off the time at which its runs may
     // start elsewhere.
-    order.mLeaseUntilMs =
+    call.mLeaseUntilMs =
       aWorker.mFailedPolls == 0 ? ExtendLease(aWorker, aNow) : 0;
-    order.mAcknowledged = aWorker.mAcknowledged;
+    call.mAcknowledgedSequence = aWorker.mAcknowledgedSequence;
     const bool isShared = aWorker.mBackfillDemand > 0;
-    order.mWaitMs = !aWorker.mIsKnown ? 0
-                    : isShared        ? kPollWaitSharedMs
-                                      : kPollWaitMs;
-    mSink.Poll(order);
+    call.mWaitMs = !aWorker.mIsKnown ? 0
+                   : isShared        ? kPollWaitSharedMs
+                                     : kPollWaitMs;
+    mSink.Poll(call);
   }
 
   void SendRunCall(RunState& aRun, TimePoint aNow)
@@ -1394,14 +1403,14 @@
       return;
     }
     const bool isBackfill = aRun.mTask->mStep->mSpec->mIsBackfill;
-    if (isBackfill && aRun.mPace != aRun.mWantedPace && !aRun.mIsPaceInFlight &&
+    if (isBackfill && aRun.mPace != aRun.mTargetPace && !aRun.mIsPaceInFlight &&
         aRun.mNextCallAt <= aNow) {
       aRun.mIsPaceInFlight = true;
       mSink.Pace({ worker.mEntry.mId,
                    worker.mEntry.mAddress,
                    IdOf(*aRun.mTask),
                    aRun.mNumber,
-                   aRun.mWantedPace });
+                   aRun.mTargetPace });
     }
   }
 
@@ -1409,7 +1418,7 @@
   {
     if (aRun.mCallsSent >= kMaxStartCalls) {
       AddFailure(*aRun.mWorker, 0.5, aNow);
-      aRun.mTask->mAvoidWorker = aRun.mWorker->mEntry.mId;
+      aRun.mTask->mAvoidedWorkerId = aRun.mWorker->mEntry.mId;
       StopRun(aRun);
       return;
     }
@@ -1421,19 +1430,19 @@
     ++aRun.mCallsSent;
     mStarts.Add();
     const TaskState& task = *aRun.mTask;
-    StartOrder order;
-    order.mWorkerId = aRun.mWorker->mEntry.mId;
-    order.mAddress = aRun.mWorker->mEntry.mAddress;
-    order.mTask = IdOf(task);
-    order.mRun = aRun.mNumber;
-    order.mPayload = task.mStep->mJob->mSubmission.mRequest.mPayload;
-    order.mCheckpoint = task.mCheckpoint;
-    order.mLeaseUntilMs = lease;
-    const auto ticket = task.mStep->mTickets.find(order.mWorkerId);
+    StartCall call;
+    call.mWorkerId = aRun.mWorker->mEntry.mId;
+    call.mAddress = aRun.mWorker->mEntry.mAddress;
+    call.mTask = IdOf(task);
+    call.mRun = aRun.mNumber;
+    call.mPayload = task.mStep->mJob->mSubmission.mRequest.mPayload;
+    call.mCheckpoint = task.mCheckpoint;
+    call.mLeaseUntilMs = lease;
+    const auto ticket = task.mStep->mTickets.find(call.mWorkerId);
     if (ticket != task.mStep->mTickets.end()) {
-      order.mTicket = ticket->second.mText;
+      call.mTicket = ticket->second.mText;
     }
-    mSink.Start(order);
+    mSink.Start(call);
   }
 
   void SendStop(const WorkerState& aWorker, const TaskId& aTask, int aRun)
@@ -1446,14 +1455,14 @@
 
   const DispatchLimits mLimits;
   const Term mTerm;
-  OrderSink& mSink;
+  CallSink& mSink;
   metrics::Counter& mStarts;
   metrics::Counter& mStops;
   metrics::Counter& mLostRuns;
   metrics::Counter& mStalledRuns;
 
   WorkerMap mWorkers;
-  SharingModel mSharing;
+  ColocationModel mColocationModel;
   std::unordered_map<std::string, std::unique_ptr<JobState>> mJobs;
   std::vector<StepState*> mReadySteps;
   /// Runs that are not confirmed, or have to be stopped or paced.
@@ -1471,7 +1480,7 @@
   TimePoint mNextSummaryAt;
   TimePoint mNextFullTickAt;
   bool mIsPlacementDue = true;
-  bool mMayRunUnseen = true;
+  bool mMayHaveUnknownRun = true;
   bool mIsFenced = false;
 };
 
@@ -1480,7 +1489,7 @@
 std::unique_ptr<Dispatcher>
 CreateDispatcher(const DispatchLimits& aLimits,
                  const Term& aTerm,
-                 OrderSink& aSink,
+                 CallSink& aSink,
                  metrics::Registry& aMetrics)
 {
   return std::make_unique<DefaultDispatcher>(aLimits, aTerm, aSink, aMetrics);
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -46,7 +46,7 @@
 }
 
 base::Duration
-LastsAMinute(const TaskId&)
+OneMinuteRunTime(const TaskId&)
 {
   return std::chrono::minutes(1);
 }
@@ -79,27 +79,27 @@
   CPPUNIT_TEST(RunsTheStepsOfAJobInOrder);
   CPPUNIT_TEST(ReleasesAJobDurablyBeforeItsFirstStart);
   CPPUNIT_TEST(AcknowledgesSuccessOnlyWhenItIsDurable);
-  CPPUNIT_TEST(KnowsAnEndedJobUntilItsEndIsDurable);
-  CPPUNIT_TEST(FailsAJobAtItsLimitOfAttempts);
-  CPPUNIT_TEST(CountsFailuresThatAreReportedOutOfOrder);
-  CPPUNIT_TEST(StartsAServiceTaskAgainHoweverItEnds);
+  CPPUNIT_TEST(KeepsAnEndedJobUntilItsEndIsDurable);
+  CPPUNIT_TEST(FailsAJobAtItsAttemptLimit);
+  CPPUNIT_TEST(CountsFailuresReportedOutOfOrder);
+  CPPUNIT_TEST(RestartsAServiceTaskAfterAnyOutcome);
   CPPUNIT_TEST(StopsTheRunsOfACancelledJob);
   CPPUNIT_TEST(NeverExceedsTheCapacityOfAWorker);
-  CPPUNIT_TEST(StartsElsewhereWhenTheLeaseOfASilentWorkerHasEnded);
-  CPPUNIT_TEST(StartsAgainAtOnceWhenAWorkerWasRestarted);
+  CPPUNIT_TEST(RestartsTasksOfASilentWorkerAfterItsLease);
+  CPPUNIT_TEST(RestartsTasksAtOnceAfterAWorkerRestart);
   CPPUNIT_TEST(WaitsForWorkersThatHaveNotAnsweredANewLeader);
-  CPPUNIT_TEST(KeepsAnAdoptedRunForAWholeLease);
-  CPPUNIT_TEST(GivesUpNoRunWhileItsLeadershipIsNotConfirmed);
-  CPPUNIT_TEST(StopsWhenAWorkerHasSeenASuccessor);
-  CPPUNIT_TEST(HearsOfEndsBeforeItStartsInheritedTasks);
-  CPPUNIT_TEST(StartsNewJobsOfASuccessorWithoutWaiting);
-  CPPUNIT_TEST(PutsJobsThatAreLateBehindThoseThatCanBeInTime);
-  CPPUNIT_TEST(LeavesADrainingWorker);
-  CPPUNIT_TEST(StopsBackfillBeforeTheBoundOfHarm);
-  CPPUNIT_TEST(SetsThePaceOfAdoptedBackfill);
+  CPPUNIT_TEST(KeepsAnAdoptedRunForAFullLease);
+  CPPUNIT_TEST(KeepsRunsWhileLeadershipIsUnconfirmed);
+  CPPUNIT_TEST(StopsSchedulingOnceFenced);
+  CPPUNIT_TEST(WaitsForReportsBeforeStartingInheritedTasks);
+  CPPUNIT_TEST(StartsNewJobsAfterATakeoverWithoutWaiting);
+  CPPUNIT_TEST(PlacesOnTimeJobsBeforeLateJobs);
+  CPPUNIT_TEST(MovesServiceTasksOffADrainingWorker);
+  CPPUNIT_TEST(PausesBackfillBeforeTheTailViolationLimit);
+  CPPUNIT_TEST(SendsThePaceOfAdoptedBackfill);
   CPPUNIT_TEST(RaisesThePaceOfAdoptedBackfillInSteps);
   CPPUNIT_TEST(StartsOnlyWhereTheAdviceServicePermits);
-  CPPUNIT_TEST(RunsNoTaskTwiceUnderRandomCutsAndTakeovers);
+  CPPUNIT_TEST(RunsNoTaskTwiceUnderRandomPartitionsAndFailovers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -146,15 +146,15 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, worker.mRuns.size());
     leader.mCanStore = false;
     site.Advance(milliseconds(2000));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, worker.mEnds.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, worker.mEndedRuns.size());
     leader.mCanStore = true;
     site.Advance(milliseconds(500));
-    CPPUNIT_ASSERT(worker.mEnds.empty());
+    CPPUNIT_ASSERT(worker.mEndedRuns.empty());
   }
 
   // Guards against a second run of a job whose submission arrives again while
   // the record of its end has not been answered.
-  void KnowsAnEndedJobUntilItsEndIsDurable()
+  void KeepsAnEndedJobUntilItsEndIsDurable()
   {
     FakeSite site;
     site.AddWorker("w1");
@@ -163,15 +163,15 @@
     leader.Get().AddJob(job, false, site.Now());
     site.Advance(milliseconds(200));
     CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
-    leader.mHasNoAnswer = true;
+    leader.mIsStoreSilent = true;
     site.Advance(milliseconds(1000));
     leader.Get().AddJob(Stored(leader, job), false, site.Now());
-    leader.mHasNoAnswer = false;
+    leader.mIsStoreSilent = false;
     site.Advance(milliseconds(1000));
     CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
   }
 
-  void FailsAJobAtItsLimitOfAttempts()
+  void FailsAJobAtItsAttemptLimit()
   {
     FakeSite site;
     site.AddWorker("w1");
@@ -186,14 +186,14 @@
 
   // Guards against a start beyond the limit: a new leader hears of the third
   // failure before the first two.
-  void CountsFailuresThatAreReportedOutOfOrder()
+  void CountsFailuresReportedOutOfOrder()
   {
     FakeSite site;
     const TaskId task{ "a", 0, 0, 0 };
     int number = 3;
     for (const char* id : { "w1", "w2", "w3" }) {
       FakeWorker& worker = site.AddWorker(id);
-      worker.mEnds.push_back({ 1, task, number, RunEnd::Failed, "" });
+      worker.mEndedRuns.push_back({ 1, task, number, RunOutcome::Failed, "" });
       worker.mHighestEnded[ToText(task)] = number--;
     }
     auto& leader = AddSuccessor(site, 2);
@@ -205,7 +205,7 @@
     CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Failed);
   }
 
-  void StartsAServiceTaskAgainHoweverItEnds()
+  void RestartsAServiceTaskAfterAnyOutcome()
   {
     FakeSite site;
     site.AddWorker("w1");
@@ -221,7 +221,7 @@
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     auto& leader = site.AddLeader(1);
     leader.Get().AddJob(MakeJob("a", { 3 }), false, site.Now());
     site.Advance(milliseconds(300));
@@ -247,17 +247,17 @@
 
   // Guards against polls that keep extending the lease of a worker that does
   // not answer, so that its tasks never run again.
-  void StartsElsewhereWhenTheLeaseOfASilentWorkerHasEnded()
+  void RestartsTasksOfASilentWorkerAfterItsLease()
   {
     FakeSite site;
     FakeWorker& silent = site.AddWorker("w1", 4000);
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     auto& leader = site.AddLeader(1);
     leader.Get().AddJob(MakeService("a", 1, "x"), false, site.Now());
     site.Advance(milliseconds(300));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, silent.mRuns.size());
     leader.Get().SetWorker(site.AddWorker("w2", 4000).Entry(), site.Now());
-    leader.mCutOff.insert("w1");
+    leader.mUnreachableWorkers.insert("w1");
     site.Advance(milliseconds(4000));
     CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
     site.Advance(milliseconds(5000));
@@ -265,11 +265,11 @@
     CPPUNIT_ASSERT(site.mViolations.empty());
   }
 
-  void StartsAgainAtOnceWhenAWorkerWasRestarted()
+  void RestartsTasksAtOnceAfterAWorkerRestart()
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     auto& leader = site.AddLeader(1);
     leader.Get().AddJob(MakeService("a", 1, "x"), false, site.Now());
     site.Advance(milliseconds(300));
@@ -282,7 +282,7 @@
   // Load pattern: a long outage of the log, after which a new leader takes over
   // when all leases of its predecessor have ended. Guards against a second run
   // of a task whose success a worker is about to report.
-  void HearsOfEndsBeforeItStartsInheritedTasks()
+  void WaitsForReportsBeforeStartingInheritedTasks()
   {
     FakeSite site;
     site.AddWorker("w1");
@@ -292,7 +292,7 @@
       RunUntilKilled(site, MakeJob("a", { 1 }), milliseconds(300));
     const std::string user = site.Worker("w1").mRuns.empty() ? "w2" : "w1";
     site.Advance(milliseconds(1000));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.Worker(user).mEnds.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.Worker(user).mEndedRuns.size());
     auto& second = site.AddLeader(2, site.Now());
     second.mDelays[user] = milliseconds(200);
     second.Get().AddJob(stored, true, site.Now());
@@ -307,12 +307,12 @@
   {
     FakeSite site;
     site.AddWorker("w1", 4000);
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     const jobs::JobRecord stored =
       RunUntilKilled(site, MakeService("a", 1, "x"), milliseconds(300));
     site.AddWorker("w2", 4000);
     auto& second = AddSuccessor(site, 2);
-    second.mCutOff.insert("w1");
+    second.mUnreachableWorkers.insert("w1");
     second.Get().RemoveWorker("w1", site.Now());
     second.Get().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(5500));
@@ -324,18 +324,18 @@
 
   // Guards against a run that is given up because its worker falls silent
   // after its first report, while the lease of the earlier leader goes on.
-  void KeepsAnAdoptedRunForAWholeLease()
+  void KeepsAnAdoptedRunForAFullLease()
   {
     FakeSite site;
     site.AddWorker("w1", 4000);
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     const jobs::JobRecord stored =
       RunUntilKilled(site, MakeService("a", 1, "x"), milliseconds(300));
     site.AddWorker("w2", 4000);
     auto& second = AddSuccessor(site, 2);
     second.Get().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(5));
-    second.mCutOff.insert("w1");
+    second.mUnreachableWorkers.insert("w1");
     site.Advance(milliseconds(10000));
     CPPUNIT_ASSERT(site.mViolations.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, second.mStarts.size());
@@ -343,11 +343,11 @@
 
   // Guards against a leader that is cut off and starts tasks of workers that
   // its successor has taken over.
-  void GivesUpNoRunWhileItsLeadershipIsNotConfirmed()
+  void KeepsRunsWhileLeadershipIsUnconfirmed()
   {
     FakeSite site;
     site.AddWorker("w1", 4000);
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     auto& first = site.AddLeader(1);
     const jobs::JobRecord job = MakeService("a", 1, "x");
     first.Get().AddJob(job, false, site.Now());
@@ -355,17 +355,17 @@
     site.AddWorker("w2", 4000);
     first.Get().SetWorker(site.Worker("w2").Entry(), site.Now());
     site.Advance(milliseconds(100));
-    first.mCutOff.insert("w1");
+    first.mUnreachableWorkers.insert("w1");
     first.mIsConfirmed = false;
     auto& second = AddSuccessor(site, 2);
-    second.mCutOff.insert("w2");
+    second.mUnreachableWorkers.insert("w2");
     second.Get().AddJob(Stored(first, job), true, site.Now());
     site.Advance(milliseconds(11000));
     CPPUNIT_ASSERT(site.mViolations.empty());
     CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
   }
 
-  void StopsWhenAWorkerHasSeenASuccessor()
+  void StopsSchedulingOnceFenced()
   {
     FakeSite site;
     site.AddWorker("w1");
@@ -380,13 +380,13 @@
   }
 
   // Guards against jobs that wait for a silent worker which cannot have them.
-  void StartsNewJobsOfASuccessorWithoutWaiting()
+  void StartsNewJobsAfterATakeoverWithoutWaiting()
   {
     FakeSite site;
     site.AddWorker("w1");
     site.AddWorker("w2");
     auto& leader = AddSuccessor(site, 2);
-    leader.mCutOff.insert("w1");
+    leader.mUnreachableWorkers.insert("w1");
     leader.Get().AddJob(MakeJob("a", { 1 }), true, site.Now());
     site.Advance(milliseconds(200));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, leader.mStarts.size());
@@ -394,7 +394,7 @@
 
   // Load pattern: a burst that cannot be served whole. Guards against all jobs
   // becoming late because the oldest come first.
-  void PutsJobsThatAreLateBehindThoseThatCanBeInTime()
+  void PlacesOnTimeJobsBeforeLateJobs()
   {
     FakeSite site;
     site.AddWorker("w1", 1000);
@@ -413,11 +413,11 @@
                    jobs::JobState::Completed);
   }
 
-  void LeavesADrainingWorker()
+  void MovesServiceTasksOffADrainingWorker()
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     auto& leader = site.AddLeader(1);
     jobs::JobRecord job = MakeService("a", 3, "x");
     job.mSubmission->mRequest.mSteps.front().mMaxUnavailable = 1;
@@ -436,17 +436,17 @@
   }
 
   // Load pattern: backfill beside services whose tails exceed their target.
-  void StopsBackfillBeforeTheBoundOfHarm()
+  void PausesBackfillBeforeTheTailViolationLimit()
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     auto& leader = site.AddLeader(1);
     leader.Get().AddJob(MakeService("s", 1, "x"), false, site.Now());
     leader.Get().AddJob(MakeBackfill("b", 1, "y"), false, site.Now());
     site.Advance(milliseconds(1000));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, worker.mRuns.size());
-    worker.mTailMs = 80;
+    worker.mReportedMeasurement = 80;
     site.Advance(milliseconds(2500));
     CPPUNIT_ASSERT(!leader.mPaces.empty());
     CPPUNIT_ASSERT(std::any_of(
@@ -462,11 +462,11 @@
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     const jobs::JobRecord stored =
       RunUntilKilled(site, MakeBackfill("b", 1, "y"), milliseconds(500));
     // In the reports of this worker it is the use of processors.
-    worker.mTailMs = 0;
+    worker.mReportedMeasurement = 0;
     auto& second = AddSuccessor(site, 2);
     second.Get().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(400));
@@ -477,14 +477,14 @@
   }
 
   // Guards against backfill whose pace the new leader takes for granted.
-  void SetsThePaceOfAdoptedBackfill()
+  void SendsThePaceOfAdoptedBackfill()
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     const jobs::JobRecord stored =
       RunUntilKilled(site, MakeBackfill("b", 1, "y"), milliseconds(500));
-    worker.mTailMs = 1990;
+    worker.mReportedMeasurement = 1990;
     auto& second = AddSuccessor(site, 2);
     second.Get().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(500));
@@ -498,7 +498,7 @@
     site.AddWorker("w1");
     site.AddWorker("w2");
     auto& leader = site.AddLeader(1);
-    leader.mPermitted = { "w2" };
+    leader.mPermittedWorkerIds = { "w2" };
     jobs::JobRecord job = MakeJob("a", { 3 });
     job.mSubmission->mPolicy.mNeedsAdvice = true;
     leader.Get().AddJob(job, false, site.Now());
@@ -511,15 +511,15 @@
     CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Completed);
   }
 
-  void RunsNoTaskTwiceUnderRandomCutsAndTakeovers()
+  void RunsNoTaskTwiceUnderRandomPartitionsAndFailovers()
   {
     for (std::uint64_t seed = 1; seed <= 30; ++seed) {
-      PlayRandomDay(seed);
+      RunRandomScenario(seed);
     }
   }
 
 private:
-  static void PlayRandomDay(std::uint64_t aSeed)
+  static void RunRandomScenario(std::uint64_t aSeed)
   {
     FakeSite site;
     const auto random = base::CreateSeededRandom(aSeed);
@@ -546,17 +546,17 @@
         old->mIsConfirmed = false;
         old->mCanStore = false;
       }
-      std::set<std::string> cutOff;
+      std::set<std::string> unreachable;
       for (int w = 0; w < 6; ++w) {
         const std::string id = "w" + std::to_string(w);
         if (random->Below(3) == 0) {
-          cutOff.insert(id);
+          unreachable.insert(id);
         } else if (old != nullptr && random->Below(2) == 0) {
-          old->mCutOff.insert(id);
+          old->mUnreachableWorkers.insert(id);
         }
       }
       leader = &AddSuccessor(site, ++epoch);
-      leader->mCutOff = cutOff;
+      leader->mUnreachableWorkers = unreachable;
       leader->mStored = stored;
       for (auto job : submitted) {
         const auto found = stored.find(job.mSubmission->mId);
@@ -571,7 +571,7 @@
         leader->Get().AddJob(submitted.back(), false, site.Now());
       }
       site.Advance(milliseconds(500 + random->Below(4000)));
-      leader->mCutOff.clear();
+      leader->mUnreachableWorkers.clear();
       site.Advance(milliseconds(random->Below(4000)));
     }
     CPPUNIT_ASSERT_MESSAGE(
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -34,19 +34,19 @@
   entry.mCapacity = { mMilliProcessors, std::int64_t{ 1 } << 36, 0 };
   entry.mLabels = { "a", "rack-1" };
   entry.mIsDraining = mIsDraining;
-  entry.mBornMs = mBornMs;
+  entry.mIncarnationStartMs = mIncarnationStartMs;
   return entry;
 }
 
 void
 FakeWorker::Restart()
 {
-  ++mBornMs;
-  mToken = 0;
+  ++mIncarnationStartMs;
+  mFencingToken = 0;
   mRuns.clear();
-  mEnds.clear();
+  mEndedRuns.clear();
   mNextEnd = 1;
-  mAcknowledged = 0;
+  mAcknowledgedSequence = 0;
   mHighestEnded.clear();
 }
 
@@ -58,149 +58,151 @@
 }
 
 void
-FakeSite::Leader::Poll(const PollOrder& aOrder)
+FakeSite::Leader::Poll(const PollCall& aCall)
 {
   const base::TimePoint sentAt = mSite.Now();
-  if (mCutOff.count(aOrder.mWorkerId) != 0) {
-    mAnswers.emplace_back(sentAt + kCallTimeout, [this, aOrder] {
-      mDispatcher->OnPollFailed(aOrder.mWorkerId, mSite.Now());
+  if (mUnreachableWorkers.count(aCall.mWorkerId) != 0) {
+    mAnswers.emplace_back(sentAt + kCallTimeout, [this, aCall] {
+      mDispatcher->OnPollFailed(aCall.mWorkerId, mSite.Now());
     });
     return;
   }
-  FakeWorker& worker = mSite.Worker(aOrder.mWorkerId);
-  if (mEpoch < worker.mToken) {
-    mDispatcher->OnFenced(aOrder.mWorkerId);
+  FakeWorker& worker = mSite.Worker(aCall.mWorkerId);
+  if (mEpoch < worker.mFencingToken) {
+    mDispatcher->OnFenced(aCall.mWorkerId);
     return;
   }
-  worker.mToken = mEpoch;
-  if (aOrder.mLeaseUntilMs > 0) {
-    worker.mLeaseUntil = std::max(
-      worker.mLeaseUntil, base::FromMicros(aOrder.mLeaseUntilMs * 1000));
+  worker.mFencingToken = mEpoch;
+  if (aCall.mLeaseUntilMs > 0) {
+    worker.mLeaseUntil = std::max(worker.mLeaseUntil,
+                                  base::FromMicros(aCall.mLeaseUntilMs * 1000));
   }
-  for (const auto& it : worker.mEnds) {
-    if (it.mNumber <= aOrder.mAcknowledged && it.mEnd == RunEnd::Done) {
-      mSite.mNoted.insert(ToText(it.mTask));
+  for (const auto& it : worker.mEndedRuns) {
+    if (it.mSequence <= aCall.mAcknowledgedSequence &&
+        it.mOutcome == RunOutcome::Done) {
+      mSite.mAcknowledgedTasks.insert(ToText(it.mTask));
     }
   }
-  worker.mEnds.erase(std::remove_if(worker.mEnds.begin(),
-                                    worker.mEnds.end(),
-                                    [&](const EndedRun& aEnd) {
-                                      return aEnd.mNumber <=
-                                             aOrder.mAcknowledged;
-                                    }),
-                     worker.mEnds.end());
+  worker.mEndedRuns.erase(std::remove_if(worker.mEndedRuns.begin(),
+                                         worker.mEndedRuns.end(),
+                                         [&](const EndedRun& aEnd) {
+                                           return aEnd.mSequence <=
+                                                  aCall.mAcknowledgedSequence;
+                                         }),
+                          worker.mEndedRuns.end());
   WorkerReport report;
   report.mClockMs = ToMs(sentAt);
-  report.mBornMs = worker.mBornMs;
-  report.mEnds = worker.mEnds;
+  report.mIncarnationStartMs = worker.mIncarnationStartMs;
+  report.mEndedRuns = worker.mEndedRuns;
   for (const auto& it : worker.mRuns) {
-    report.mRunning.push_back({ it.mTask, it.mNumber, "", 50, worker.mTailMs });
+    report.mActiveRuns.push_back(
+      { it.mTask, it.mNumber, "", 50, worker.mReportedMeasurement });
   }
   const base::TimePoint answeredAt =
-    sentAt + kLatency + mDelays[aOrder.mWorkerId];
-  mAnswers.emplace_back(answeredAt, [this, aOrder, report, sentAt] {
-    mDispatcher->OnReport(aOrder.mWorkerId, report, sentAt, mSite.Now());
+    sentAt + kLatency + mDelays[aCall.mWorkerId];
+  mAnswers.emplace_back(answeredAt, [this, aCall, report, sentAt] {
+    mDispatcher->OnReport(aCall.mWorkerId, report, sentAt, mSite.Now());
   });
 }
 
 void
-FakeSite::Leader::Start(const StartOrder& aOrder)
+FakeSite::Leader::Start(const StartCall& aCall)
 {
-  mStarts.push_back(aOrder);
+  mStarts.push_back(aCall);
   StartOutcome outcome = StartOutcome::Started;
   base::TimePoint answeredAt = mSite.Now() + kLatency;
-  if (mCutOff.count(aOrder.mWorkerId) != 0) {
+  if (mUnreachableWorkers.count(aCall.mWorkerId) != 0) {
     outcome = StartOutcome::Unknown;
     answeredAt = mSite.Now() + kCallTimeout;
   } else {
-    FakeWorker& worker = mSite.Worker(aOrder.mWorkerId);
-    const bool isThere = std::any_of(
+    FakeWorker& worker = mSite.Worker(aCall.mWorkerId);
+    const bool isRunning = std::any_of(
       worker.mRuns.begin(), worker.mRuns.end(), [&](const auto& aEntry) {
-        return aEntry.mTask == aOrder.mTask && aEntry.mNumber == aOrder.mRun;
+        return aEntry.mTask == aCall.mTask && aEntry.mNumber == aCall.mRun;
       });
-    const auto ended = worker.mHighestEnded.find(ToText(aOrder.mTask));
-    if (mEpoch < worker.mToken) {
+    const auto ended = worker.mHighestEnded.find(ToText(aCall.mTask));
+    if (mEpoch < worker.mFencingToken) {
       outcome = StartOutcome::Fenced;
-    } else if (isThere) {
+    } else if (isRunning) {
       outcome = StartOutcome::Started;
     } else if (ended != worker.mHighestEnded.end() &&
-               aOrder.mRun <= ended->second) {
+               aCall.mRun <= ended->second) {
       outcome = StartOutcome::OldRun;
     } else {
-      worker.mToken = mEpoch;
+      worker.mFencingToken = mEpoch;
       worker.mLeaseUntil = std::max(
-        worker.mLeaseUntil, base::FromMicros(aOrder.mLeaseUntilMs * 1000));
-      mSite.NoteStart(worker, aOrder.mTask);
+        worker.mLeaseUntil, base::FromMicros(aCall.mLeaseUntilMs * 1000));
+      mSite.RecordStart(worker, aCall.mTask);
       const base::Duration time = mSite.mRunTime
-                                    ? mSite.mRunTime(aOrder.mTask)
+                                    ? mSite.mRunTime(aCall.mTask)
                                     : std::chrono::milliseconds(300);
       worker.mRuns.push_back(
-        { aOrder.mTask,
-          aOrder.mRun,
+        { aCall.mTask,
+          aCall.mRun,
           mSite.Now() + time,
-          mSite.mFails && mSite.mFails(aOrder.mTask, aOrder.mRun) });
+          mSite.mFails && mSite.mFails(aCall.mTask, aCall.mRun) });
     }
   }
-  mAnswers.emplace_back(answeredAt, [this, aOrder, outcome] {
-    mDispatcher->OnStart(aOrder, outcome, mSite.Now());
+  mAnswers.emplace_back(answeredAt, [this, aCall, outcome] {
+    mDispatcher->OnStartResult(aCall, outcome, mSite.Now());
   });
 }
 
 void
-FakeSite::Leader::Stop(const StopOrder& aOrder)
+FakeSite::Leader::Stop(const StopCall& aCall)
 {
-  OrderOutcome outcome = OrderOutcome::Accepted;
+  CallOutcome outcome = CallOutcome::Accepted;
   base::TimePoint answeredAt = mSite.Now() + kLatency;
-  if (mCutOff.count(aOrder.mWorkerId) != 0) {
-    outcome = OrderOutcome::Unknown;
+  if (mUnreachableWorkers.count(aCall.mWorkerId) != 0) {
+    outcome = CallOutcome::Unknown;
     answeredAt = mSite.Now() + kCallTimeout;
   } else {
-    FakeWorker& worker = mSite.Worker(aOrder.mWorkerId);
-    if (mEpoch < worker.mToken) {
-      outcome = OrderOutcome::Fenced;
+    FakeWorker& worker = mSite.Worker(aCall.mWorkerId);
+    if (mEpoch < worker.mFencingToken) {
+      outcome = CallOutcome::Fenced;
     } else {
-      auto& highest = worker.mHighestEnded[ToText(aOrder.mTask)];
-      highest = std::max(highest, aOrder.mRun);
+      auto& highest = worker.mHighestEnded[ToText(aCall.mTask)];
+      highest = std::max(highest, aCall.mRun);
       for (auto it = worker.mRuns.begin(); it != worker.mRuns.end(); ++it) {
-        if (it->mTask == aOrder.mTask && it->mNumber == aOrder.mRun) {
-          worker.mEnds.push_back({ worker.mNextEnd++,
-                                   aOrder.mTask,
-                                   aOrder.mRun,
-                                   RunEnd::Stopped,
-                                   "" });
+        if (it->mTask == aCall.mTask && it->mNumber == aCall.mRun) {
+          worker.mEndedRuns.push_back({ worker.mNextEnd++,
+                                        aCall.mTask,
+                                        aCall.mRun,
+                                        RunOutcome::Stopped,
+                                        "" });
           worker.mRuns.erase(it);
           break;
         }
       }
     }
   }
-  mAnswers.emplace_back(answeredAt, [this, aOrder, outcome] {
-    mDispatcher->OnStop(aOrder, outcome, mSite.Now());
+  mAnswers.emplace_back(answeredAt, [this, aCall, outcome] {
+    mDispatcher->OnStopResult(aCall, outcome, mSite.Now());
   });
 }
 
 void
-FakeSite::Leader::Pace(const PaceOrder& aOrder)
+FakeSite::Leader::Pace(const PaceCall& aCall)
 {
-  mPaces.push_back(aOrder);
-  mAnswers.emplace_back(mSite.Now() + kLatency, [this, aOrder] {
-    mDispatcher->OnPace(aOrder, OrderOutcome::Accepted, mSite.Now());
+  mPaces.push_back(aCall);
+  mAnswers.emplace_back(mSite.Now() + kLatency, [this, aCall] {
+    mDispatcher->OnPaceResult(aCall, CallOutcome::Accepted, mSite.Now());
   });
 }
 
 void
-FakeSite::Leader::Advise(const AdviceOrder& aOrder)
+FakeSite::Leader::Advise(const AdviceCall& aCall)
 {
   ++mAdviceCalls;
   Advice advice;
   advice.mValidMs = 3000;
-  for (const auto& id : aOrder.mWorkerIds) {
-    if (mPermitted.count(id) != 0) {
+  for (const auto& id : aCall.mWorkerIds) {
+    if (mPermittedWorkerIds.count(id) != 0) {
       advice.mPermissions.push_back({ id, "ticket-" + id });
     }
   }
-  mAnswers.emplace_back(mSite.Now() + kLatency, [this, aOrder, advice] {
-    mDispatcher->OnAdvice(aOrder, advice, mSite.Now());
+  mAnswers.emplace_back(mSite.Now() + kLatency, [this, aCall, advice] {
+    mDispatcher->OnAdviceResult(aCall, advice, mSite.Now());
   });
 }
 
@@ -211,8 +213,8 @@
   if (mIsConfirmed) {
     mConfirmedAt = now;
   }
-  mDispatcher->SetAuthority(mConfirmedAt,
-                            mConfirmedAt + std::chrono::seconds(12));
+  mDispatcher->SetLeadershipLease(mConfirmedAt,
+                                  mConfirmedAt + std::chrono::seconds(12));
   auto answers = std::move(mAnswers);
   mAnswers.clear();
   for (auto& it : answers) {
@@ -223,7 +225,7 @@
     }
   }
   mDispatcher->Tick(now, ToMs(now));
-  if (mHasNoAnswer) {
+  if (mIsStoreSilent) {
     mDispatcher->TakeDirty();
     return;
   }
@@ -245,10 +247,10 @@
 }
 
 FakeSite::Leader&
-FakeSite::AddLeader(std::int64_t aEpoch, base::TimePoint aEarlierLeasesEnd)
+FakeSite::AddLeader(std::int64_t aEpoch, base::TimePoint aPreviousLeasesEndAt)
 {
   mLeaders.push_back(
-    std::make_unique<Leader>(*this, Term{ aEpoch, aEarlierLeasesEnd }));
+    std::make_unique<Leader>(*this, Term{ aEpoch, aPreviousLeasesEndAt }));
   for (const auto& [id, worker] : mWorkers) {
     mLeaders.back()->Get().SetWorker(worker->Entry(), Now());
   }
@@ -284,16 +286,16 @@
 void
 FakeSite::StepWorker(FakeWorker& aWorker)
 {
-  const bool hasLapsed = aWorker.mLeaseUntil < Now();
+  const bool isLeaseExpired = aWorker.mLeaseUntil < Now();
   for (auto it = aWorker.mRuns.begin(); it != aWorker.mRuns.end();) {
-    if (it->mEndsAt > Now() && !hasLapsed) {
+    if (it->mEndsAt > Now() && !isLeaseExpired) {
       ++it;
       continue;
     }
-    const RunEnd end = hasLapsed    ? RunEnd::LeaseExpired
-                       : it->mFails ? RunEnd::Failed
-                                    : RunEnd::Done;
-    aWorker.mEnds.push_back(
+    const RunOutcome end = isLeaseExpired ? RunOutcome::LeaseExpired
+                           : it->mFails   ? RunOutcome::Failed
+                                          : RunOutcome::Done;
+    aWorker.mEndedRuns.push_back(
       { aWorker.mNextEnd++, it->mTask, it->mNumber, end, "" });
     auto& highest = aWorker.mHighestEnded[ToText(it->mTask)];
     highest = std::max(highest, it->mNumber);
@@ -302,11 +304,11 @@
 }
 
 void
-FakeSite::NoteStart(const FakeWorker&, const TaskId& aTask)
+FakeSite::RecordStart(const FakeWorker&, const TaskId& aTask)
 {
   const std::string task = ToText(aTask);
   ++mStartCounts[task];
-  if (mNoted.count(task) != 0) {
+  if (mAcknowledgedTasks.count(task) != 0) {
     mViolations.push_back(task + " started after a noted success");
   }
   for (const auto& [id, worker] : mWorkers) {
--- a/src/dispatch/fake_site_test.hpp
+++ b/src/dispatch/fake_site_test.hpp
@@ -38,17 +38,17 @@
 
   std::string mId;
   std::int64_t mMilliProcessors = 0;
-  std::int64_t mBornMs = 1;
-  std::int64_t mToken = 0;
+  std::int64_t mIncarnationStartMs = 1;
+  std::int64_t mFencingToken = 0;
   base::TimePoint mLeaseUntil;
   std::vector<Run> mRuns;
-  std::vector<EndedRun> mEnds;
+  std::vector<EndedRun> mEndedRuns;
   std::int64_t mNextEnd = 1;
-  std::int64_t mAcknowledged = 0;
+  std::int64_t mAcknowledgedSequence = 0;
   /// Highest run of a task that was stopped or has ended.
   std::map<std::string, int> mHighestEnded;
   /// Reported for every service run.
-  std::int64_t mTailMs = 20;
+  std::int64_t mReportedMeasurement = 20;
   bool mIsDraining = false;
 };
 
@@ -57,20 +57,20 @@
 {
 public:
   /// One dispatcher and its links.
-  class Leader : public OrderSink
+  class Leader : public CallSink
   {
   public:
     Leader(FakeSite& aSite, const Term& aTerm);
 
     Dispatcher& Get() { return *mDispatcher; }
-    void Poll(const PollOrder& aOrder) override;
-    void Start(const StartOrder& aOrder) override;
-    void Stop(const StopOrder& aOrder) override;
-    void Pace(const PaceOrder& aOrder) override;
-    void Advise(const AdviceOrder& aOrder) override;
+    void Poll(const PollCall& aCall) override;
+    void Start(const StartCall& aCall) override;
+    void Stop(const StopCall& aCall) override;
+    void Pace(const PaceCall& aCall) override;
+    void Advise(const AdviceCall& aCall) override;
 
     /// Workers that this leader cannot reach.
-    std::set<std::string> mCutOff;
+    std::set<std::string> mUnreachableWorkers;
     /// By worker, how much later than usual its answers to polls come.
     std::map<std::string, base::Duration> mDelays;
     /// Its leadership is confirmed all the time.
@@ -78,11 +78,11 @@
     /// Its progress records become durable.
     bool mCanStore = true;
     /// Progress records are on their way and not answered.
-    bool mHasNoAnswer = false;
-    std::vector<StartOrder> mStarts;
-    std::vector<PaceOrder> mPaces;
+    bool mIsStoreSilent = false;
+    std::vector<StartCall> mStarts;
+    std::vector<PaceCall> mPaces;
     /// Workers that the advice service permits.
-    std::set<std::string> mPermitted;
+    std::set<std::string> mPermittedWorkerIds;
     int mAdviceCalls = 0;
     std::map<std::string, jobs::JobProgress> mStored;
 
@@ -102,7 +102,7 @@
                         std::int64_t aMilliProcessors = 16000);
   FakeWorker& Worker(const std::string& aId) { return *mWorkers.at(aId); }
   Leader& AddLeader(std::int64_t aEpoch,
-                    base::TimePoint aEarlierLeasesEnd = {});
+                    base::TimePoint aPreviousLeasesEndAt = {});
   /// Stops `aLeader` as a crash does.
   void Kill(Leader& aLeader);
   void Advance(std::chrono::milliseconds aTime);
@@ -118,13 +118,13 @@
 
 private:
   void StepWorker(FakeWorker& aWorker);
-  void NoteStart(const FakeWorker& aWorker, const TaskId& aTask);
+  void RecordStart(const FakeWorker& aWorker, const TaskId& aTask);
 
   base::ManualClock mClock;
   std::map<std::string, std::unique_ptr<FakeWorker>> mWorkers;
   std::vector<std::unique_ptr<Leader>> mLeaders;
   /// Tasks whose success has been acknowledged.
-  std::set<std::string> mNoted;
+  std::set<std::string> mAcknowledgedTasks;
 };
 
 /// A job with one step per entry of `aCounts`, each after the one before.
--- a/src/dispatch/pressure_model.cpp
+++ b/src/dispatch/interference_estimator.cpp
@@ -1,4 +1,4 @@
-#include "pressure_model.hpp"
+#include "interference_estimator.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -9,22 +9,22 @@
 
 /// What is assumed of an unknown pair: between pairs that hardly disturb each
 /// other, measured at 0 to 0.3, and the others, measured at 1 to 2.5.
-constexpr PairEstimate kUnknownPair{ 0.6, 1.0 };
+constexpr PairEstimate kPriorEstimate{ 0.6, 1.0 };
 
 /// Pairs change within seconds, so that an estimate never counts as exact.
-constexpr double kLowestVariance = 0.06;
+constexpr double kMinVariance = 0.06;
 /// Far above any pair that was measured.
-constexpr double kHighestMean = 12.0;
+constexpr double kMaxMean = 12.0;
 
 } // namespace
 
 void
-PressureModel::Record(int aServiceImage,
-                      const std::vector<Presence>& aBackfill,
-                      Pressure aExcess,
-                      double aNoise)
+InterferenceEstimator::Record(int aServiceImage,
+                              const std::vector<BackfillUsage>& aBackfill,
+                              Saturation aExcess,
+                              double aNoise)
 {
-  Pressure expected = 0.0;
+  Saturation expected = 0.0;
   double variance = aNoise;
   for (const auto& it : aBackfill) {
     const PairEstimate estimate = Estimate(aServiceImage, it.mImage);
@@ -35,26 +35,25 @@
   for (const auto& it : aBackfill) {
     PairEstimate estimate = Estimate(aServiceImage, it.mImage);
     const double gain = estimate.mVariance * it.mShare / variance;
-    estimate.mMean =
-      std::clamp(estimate.mMean + gain * error, 0.0, kHighestMean);
+    estimate.mMean = std::clamp(estimate.mMean + gain * error, 0.0, kMaxMean);
     estimate.mVariance =
-      std::max(kLowestVariance, estimate.mVariance * (1.0 - gain * it.mShare));
+      std::max(kMinVariance, estimate.mVariance * (1.0 - gain * it.mShare));
     Set(aServiceImage, it.mImage, estimate);
   }
 }
 
 PairEstimate
-PressureModel::Estimate(int aServiceImage, int aBackfillImage) const
+InterferenceEstimator::Estimate(int aServiceImage, int aBackfillImage) const
 {
-  return Knows(aServiceImage, aBackfillImage)
+  return HasEstimate(aServiceImage, aBackfillImage)
            ? mPairs[static_cast<std::size_t>(aServiceImage)]
                    [static_cast<std::size_t>(aBackfillImage)]
                      .mEstimate
-           : kUnknownPair;
+           : kPriorEstimate;
 }
 
 bool
-PressureModel::Knows(int aServiceImage, int aBackfillImage) const
+InterferenceEstimator::HasEstimate(int aServiceImage, int aBackfillImage) const
 {
   const auto service = static_cast<std::size_t>(aServiceImage);
   const auto backfill = static_cast<std::size_t>(aBackfillImage);
@@ -63,9 +62,9 @@
 }
 
 void
-PressureModel::Set(int aServiceImage,
-                   int aBackfillImage,
-                   const PairEstimate& aValue)
+InterferenceEstimator::Set(int aServiceImage,
+                           int aBackfillImage,
+                           const PairEstimate& aValue)
 {
   const auto service = static_cast<std::size_t>(aServiceImage);
   const auto backfill = static_cast<std::size_t>(aBackfillImage);
--- a/src/dispatch/pressure_model.hpp
+++ b/src/dispatch/interference_estimator.hpp
@@ -1,5 +1,5 @@
-#ifndef SKYLARKHILL_DISPATCH_PRESSURE_MODEL_HPP
-#define SKYLARKHILL_DISPATCH_PRESSURE_MODEL_HPP
+#ifndef SKYLARKHILL_DISPATCH_INTERFERENCE_ESTIMATOR_HPP
+#define SKYLARKHILL_DISPATCH_INTERFERENCE_ESTIMATOR_HPP
 
 #include <vector>
 
@@ -8,9 +8,9 @@
 /// How close a service task is to saturation: 0 at its lowest tail, towards 1
 /// as the tail grows without bound. Like utilisation in a queue, the pressures
 /// of several tasks add up.
-using Pressure = double;
+using Saturation = double;
 
-/// Pressure of a backfill image that uses all processors of a worker on a
+/// Saturation of a backfill image that uses all processors of a worker on a
 /// service image.
 struct PairEstimate
 {
@@ -19,7 +19,7 @@
 };
 
 /// Backfill beside a service task during a report.
-struct Presence
+struct BackfillUsage
 {
   int mImage = 0;
   /// Used share of the worker's processors, 0 to 1.
@@ -28,21 +28,21 @@
 
 /// Estimates the pressure per pair of a service image and a backfill image: a
 /// Kalman filter per service image that leaves out the covariances.
-class PressureModel
+class InterferenceEstimator
 {
 public:
   /// Learns from one report: `aExcess` is the pressure beyond that of the
   /// service's own load, with the variance `aNoise`.
   void Record(int aServiceImage,
-              const std::vector<Presence>& aBackfill,
-              Pressure aExcess,
+              const std::vector<BackfillUsage>& aBackfill,
+              Saturation aExcess,
               double aNoise);
 
   /// The estimate for a pair, or what is assumed of an unknown one.
   PairEstimate Estimate(int aServiceImage, int aBackfillImage) const;
 
   /// True if reports, or another process, have told about the pair.
-  bool Knows(int aServiceImage, int aBackfillImage) const;
+  bool HasEstimate(int aServiceImage, int aBackfillImage) const;
 
   /// Starts from an estimate that was made elsewhere.
   void Set(int aServiceImage, int aBackfillImage, const PairEstimate& aValue);
@@ -59,4 +59,4 @@
 
 } // namespace skylarkhill::dispatch
 
-#endif // SKYLARKHILL_DISPATCH_PRESSURE_MODEL_HPP
+#endif // SKYLARKHILL_DISPATCH_INTERFERENCE_ESTIMATOR_HPP
--- a/src/dispatch/pressure_model_test.cpp
+++ b/src/dispatch/interference_estimator_test.cpp
@@ -1,31 +1,31 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "pressure_model.hpp"
+#include "interference_estimator.hpp"
 
 namespace skylarkhill::dispatch {
 
-class PressureModelTest : public CppUnit::TestFixture
+class InterferenceEstimatorTest : public CppUnit::TestFixture
 {
-  CPPUNIT_TEST_SUITE(PressureModelTest);
-  CPPUNIT_TEST(AssumesSomePressureOfUnknownPairs);
-  CPPUNIT_TEST(TellsTwoImagesOfOneReportApart);
-  CPPUNIT_TEST(FollowsAPairThatChanges);
+  CPPUNIT_TEST_SUITE(InterferenceEstimatorTest);
+  CPPUNIT_TEST(AssumesSomeInterferenceForUnknownPairs);
+  CPPUNIT_TEST(SeparatesTwoImagesOfOneReport);
+  CPPUNIT_TEST(AdaptsToAChangingPair);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   // Guards against many unknown tasks being put beside one service at once.
-  void AssumesSomePressureOfUnknownPairs()
+  void AssumesSomeInterferenceForUnknownPairs()
   {
-    const PressureModel model;
-    CPPUNIT_ASSERT(!model.Knows(0, 1));
+    const InterferenceEstimator model;
+    CPPUNIT_ASSERT(!model.HasEstimate(0, 1));
     CPPUNIT_ASSERT(model.Estimate(0, 1).mMean > 0.3);
     CPPUNIT_ASSERT(model.Estimate(0, 1).mVariance > 0.5);
   }
 
   // Guards against an image that is hardly ever alone paying for another one.
-  void TellsTwoImagesOfOneReportApart()
+  void SeparatesTwoImagesOfOneReport()
   {
-    PressureModel model;
+    InterferenceEstimator model;
     for (int n = 0; n < 100; ++n) {
       model.Record(0, { { 1, 0.1 }, { 2, 0.1 } }, 0.2, 0.01);
       model.Record(0, { { 2, 0.1 } }, 0.0, 0.01);
@@ -33,13 +33,13 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, model.Estimate(0, 1).mMean, 0.2);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, model.Estimate(0, 2).mMean, 0.2);
     CPPUNIT_ASSERT(model.Estimate(0, 1).mVariance < 0.5);
-    CPPUNIT_ASSERT(!model.Knows(1, 2));
+    CPPUNIT_ASSERT(!model.HasEstimate(1, 2));
   }
 
   // Guards against an estimate that many reports have made immovable.
-  void FollowsAPairThatChanges()
+  void AdaptsToAChangingPair()
   {
-    PressureModel model;
+    InterferenceEstimator model;
     for (int n = 0; n < 200; ++n) {
       model.Record(0, { { 1, 0.1 } }, 0.0, 0.01);
     }
@@ -50,6 +50,6 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(PressureModelTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(InterferenceEstimatorTest);
 
 } // namespace skylarkhill::dispatch
--- a/src/dispatch/job_state.cpp
+++ b/src/dispatch/job_state.cpp
@@ -5,7 +5,9 @@
 namespace skylarkhill::dispatch {
 
 void
-CreateOccurrences(JobState& aJob, SharingModel& aModel, bool aMayRunUnseen)
+CreateOccurrences(JobState& aJob,
+                  ColocationModel& aModel,
+                  bool aMayHaveUnknownRuns)
 {
   const auto& request = aJob.mSubmission.mRequest;
   const int count = std::max(1, request.mOccurrences);
@@ -24,22 +26,23 @@
       step.mIndex = static_cast<int>(index);
       step.mImage = aModel.Intern(step.mSpec->mImage);
       step.mTasks.resize(static_cast<std::size_t>(step.mSpec->mCount));
-      step.mWaiting = step.mSpec->mCount;
+      step.mWaitingCount = step.mSpec->mCount;
       int position = 0;
       for (TaskState& task : step.mTasks) {
         task.mStep = &step;
         task.mIndex = position++;
-        task.mMayRunUnseen = aMayRunUnseen;
+        task.mMayHaveUnknownRun = aMayHaveUnknownRuns;
         task.mLastRun = 0;
       }
     }
     // Steps depend on earlier ones only.
     for (std::size_t index = occurrence->mSteps.size(); index-- > 0;) {
       StepState& step = occurrence->mSteps[index];
-      step.mChainMs += step.mSpec->mEstimateMs;
+      step.mCriticalPathMs += step.mSpec->mEstimateMs;
       for (const int it : step.mSpec->mDependsOn) {
         auto& need = occurrence->mSteps[static_cast<std::size_t>(it)];
-        need.mChainMs = std::max(need.mChainMs, step.mChainMs);
+        need.mCriticalPathMs =
+          std::max(need.mCriticalPathMs, step.mCriticalPathMs);
       }
     }
     aJob.mOccurrences.push_back(std::move(occurrence));
@@ -64,8 +67,8 @@
       task.mLastRun = it.mLastRun;
       task.mHasEndedRun = true;
       task.mCheckpoint = it.mCheckpoint;
-      step->mDone += it.mIsDone ? 1 : 0;
-      step->mWaiting -= it.mIsDone ? 1 : 0;
+      step->mDoneCount += it.mIsDone ? 1 : 0;
+      step->mWaitingCount -= it.mIsDone ? 1 : 0;
     }
   }
 }
@@ -162,7 +165,7 @@
 }
 
 base::Resources
-CountedNeed(const jobs::Step& aStep)
+ReservedResources(const jobs::Step& aStep)
 {
   base::Resources need = aStep.mNeed;
   if (aStep.mIsBackfill) {
@@ -172,7 +175,7 @@
 }
 
 std::int64_t
-EstimateChainMs(const jobs::JobRequest& aRequest)
+EstimateCriticalPathMs(const jobs::JobRequest& aRequest)
 {
   std::vector<std::int64_t> ends;
   std::int64_t longest = 0;
--- a/src/dispatch/job_state.hpp
+++ b/src/dispatch/job_state.hpp
@@ -3,15 +3,17 @@
 
 #include <cstdint>
 
-#include "sharing.hpp"
+#include "colocation_model.hpp"
 #include "state.hpp"
 
 namespace skylarkhill::dispatch {
 
-/// Creates the occurrences, steps and tasks of `aJob`. `aMayRunUnseen`: an
-/// earlier leader may have started them.
+/// Creates the occurrences, steps and tasks of `aJob`. `aMayHaveUnknownRuns`:
+/// an earlier leader may have started them.
 void
-CreateOccurrences(JobState& aJob, SharingModel& aModel, bool aMayRunUnseen);
+CreateOccurrences(JobState& aJob,
+                  ColocationModel& aModel,
+                  bool aMayHaveUnknownRuns);
 
 /// Applies what is durable about the tasks of `aJob`.
 void
@@ -42,11 +44,11 @@
 
 /// What a task of the step takes from the capacity of a worker.
 base::Resources
-CountedNeed(const jobs::Step& aStep);
+ReservedResources(const jobs::Step& aStep);
 
 /// Time of the longest chain of steps, by the declared estimates.
 std::int64_t
-EstimateChainMs(const jobs::JobRequest& aRequest);
+EstimateCriticalPathMs(const jobs::JobRequest& aRequest);
 
 } // namespace skylarkhill::dispatch
 
--- a/src/dispatch/pacing.cpp
+++ b/src/dispatch/pacing.cpp
@@ -14,15 +14,15 @@
 
 /// Reported tails are rough, so that a task may be above its target from this
 /// share of it on.
-constexpr TailRatio kHarmWarning = 0.9;
+constexpr TailRatio kTailWarning = 0.9;
 
 /// Parts of the bound after which backfill stands still, and after which it is
-/// moved away, whatever the model says.
-constexpr double kStandStillPart = 0.35;
-constexpr double kMovePart = 0.6;
+/// moved unavailable, whatever the model says.
+constexpr double kPauseFraction = 0.35;
+constexpr double kMoveFraction = 0.6;
 
-/// Rise that counts as noise.
-constexpr Pressure kInsignificantRise = 0.01;
+/// ExpectedInterference that counts as noise.
+constexpr Saturation kNegligibleInterference = 0.01;
 
 /// Reports cover the last half second, so that an earlier change would act on
 /// the same figures again.
@@ -42,7 +42,7 @@
 /// Starts with the image that disturbs most for what it works, so that the
 /// others go on.
 void
-LimitPaces(const SharingModel& aModel,
+LimitPaces(const ColocationModel& aModel,
            const RunState& aService,
            const std::vector<RunState*>& aBackfill,
            std::map<const RunState*, double>& aPaces)
@@ -50,30 +50,32 @@
   struct Entry
   {
     const RunState* mRun = nullptr;
-    Pressure mRise = 0.0;
-    Pressure mRisePerShare = 0.0;
+    Saturation mInterference = 0.0;
+    Saturation mInterferencePerShare = 0.0;
   };
   std::vector<Entry> entries;
-  Pressure excess = LoadOf(aService) - PressureOf(kTailLimit);
+  Saturation excess = BaselineOf(aService) - SaturationOf(kTailLimit);
   for (const RunState* it : aBackfill) {
-    const Pressure rise = aModel.RiseBetween(aService, *it);
-    excess += rise * aPaces[it] / kFullPace;
-    if (rise > kInsignificantRise) {
-      entries.push_back({ it, rise, rise / BackfillShareOf(*it) });
+    const Saturation interference = aModel.InterferenceBetween(aService, *it);
+    excess += interference * aPaces[it] / kFullPace;
+    if (interference > kNegligibleInterference) {
+      entries.push_back(
+        { it, interference, interference / BackfillShareOf(*it) });
     }
   }
   std::sort(entries.begin(),
             entries.end(),
             [](const Entry& aLeft, const Entry& aRight) {
-              return aLeft.mRisePerShare > aRight.mRisePerShare;
+              return aLeft.mInterferencePerShare > aRight.mInterferencePerShare;
             });
   for (const Entry& it : entries) {
     if (excess <= 0.0) {
       break;
     }
     double& pace = aPaces[it.mRun];
-    const double lowered = std::max(0.0, pace - kFullPace * excess / it.mRise);
-    excess -= it.mRise * (pace - lowered) / kFullPace;
+    const double lowered =
+      std::max(0.0, pace - kFullPace * excess / it.mInterference);
+    excess -= it.mInterference * (pace - lowered) / kFullPace;
     pace = lowered;
   }
 }
@@ -82,8 +84,8 @@
 
 void
 AdjustPace(WorkerState& aWorker,
-           const SharingModel& aModel,
-           base::Duration aHarmBound,
+           const ColocationModel& aModel,
+           base::Duration aMaxTailViolation,
            base::TimePoint aNow)
 {
   std::vector<const RunState*> services;
@@ -97,22 +99,22 @@
       backfill.push_back(it);
     }
   }
-  if (worst <= kHarmWarning) {
-    aWorker.mHarmedSince.reset();
-    aWorker.mCalmAt = aNow;
-  } else if (!aWorker.mHarmedSince) {
+  if (worst <= kTailWarning) {
+    aWorker.mTailViolatedSince.reset();
+    aWorker.mLastHealthyReportAt = aNow;
+  } else if (!aWorker.mTailViolatedSince) {
     // The harm may have begun right after the last report without it.
-    aWorker.mHarmedSince = aWorker.mCalmAt.value_or(aNow);
+    aWorker.mTailViolatedSince = aWorker.mLastHealthyReportAt.value_or(aNow);
   }
   if (backfill.empty()) {
     return;
   }
-  const double harmed =
-    aWorker.mHarmedSince
-      ? std::chrono::duration<double>(aNow - *aWorker.mHarmedSince) /
-          std::chrono::duration<double>(aHarmBound)
+  const double violation =
+    aWorker.mTailViolatedSince
+      ? std::chrono::duration<double>(aNow - *aWorker.mTailViolatedSince) /
+          std::chrono::duration<double>(aMaxTailViolation)
       : 0.0;
-  const bool isUrgent = harmed > kStandStillPart;
+  const bool isUrgent = violation > kPauseFraction;
   if (!isUrgent && aNow < aWorker.mPaceChangedAt + kMinChangeInterval) {
     return;
   }
@@ -126,17 +128,17 @@
   bool hasChanged = false;
   for (RunState* it : backfill) {
     int pace = static_cast<int>(paces[it]);
-    pace = std::min(pace, it->mWantedPace + kRaisePerChange);
-    if (pace < it->mWantedPace || pace == kFullPace ||
-        pace > it->mWantedPace + kRaisePerChange / 2) {
-      hasChanged = hasChanged || pace != it->mWantedPace;
-      it->mWantedPace = pace;
+    pace = std::min(pace, it->mTargetPace + kRaisePerChange);
+    if (pace < it->mTargetPace || pace == kFullPace ||
+        pace > it->mTargetPace + kRaisePerChange / 2) {
+      hasChanged = hasChanged || pace != it->mTargetPace;
+      it->mTargetPace = pace;
     }
-    it->mMustMove = it->mMustMove || harmed > kMovePart;
-    if (it->mWantedPace >= kFullPace / 2) {
-      it->mSlowedSince.reset();
-    } else if (!it->mSlowedSince) {
-      it->mSlowedSince = aNow;
+    it->mMustMove = it->mMustMove || violation > kMoveFraction;
+    if (it->mTargetPace >= kFullPace / 2) {
+      it->mThrottledSince.reset();
+    } else if (!it->mThrottledSince) {
+      it->mThrottledSince = aNow;
     }
   }
   if (hasChanged) {
--- a/src/dispatch/pacing.hpp
+++ b/src/dispatch/pacing.hpp
@@ -3,7 +3,7 @@
 
 #include "skylarkhill/base/clock.hpp"
 
-#include "sharing.hpp"
+#include "colocation_model.hpp"
 #include "state.hpp"
 
 namespace skylarkhill::dispatch {
@@ -13,8 +13,8 @@
 /// their pace.
 void
 AdjustPace(WorkerState& aWorker,
-           const SharingModel& aModel,
-           base::Duration aHarmBound,
+           const ColocationModel& aModel,
+           base::Duration aMaxTailViolation,
            base::TimePoint aNow);
 
 } // namespace skylarkhill::dispatch
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -22,22 +22,22 @@
 constexpr double kMinBackfillShare = 0.6;
 
 /// Workers above this failure score are used only if no other fits.
-constexpr double kSuspectScore = 0.7;
+constexpr double kMaxFailureScore = 0.7;
 
 /// Cost, in thousandths of a processor, of what a placement should avoid.
-constexpr double kSuspectCost = 40000.0;
+constexpr double kHighFailureScoreCost = 40000.0;
 constexpr double kAvoidedWorkerCost = 20000.0;
 constexpr double kRemoteRackCost = 8000.0;
 /// A worker whose service tasks all run one image is open to every backfill
 /// image that does not disturb this one.
 constexpr double kMixedImagesCost = 40000.0;
-constexpr double kServiceFreeCost = 4000.0;
-/// Per unit of the rise of a tail.
-constexpr double kRiseCost = 20000.0;
+constexpr double kNoServiceCost = 4000.0;
+/// Per unit of the interference of a tail.
+constexpr double kInterferenceCost = 20000.0;
 
 /// No backfill task is placed where it would add more than the first figure
 /// and bring a tail above the second one.
-constexpr Pressure kMinHarmfulRise = 0.03;
+constexpr Saturation kMinSignificantInterference = 0.03;
 constexpr TailRatio kMaxTailRatio = 0.7;
 constexpr TailRatio kMaxTailRatioUrgent = 0.8;
 
@@ -48,20 +48,20 @@
   return std::find(labels.begin(), labels.end(), aLabel) != labels.end();
 }
 
-/// The highest rise of a tail that one more task of `aStep` causes on
+/// The highest interference of a tail that one more task of `aStep` causes on
 /// `aWorker`.
-Pressure
-HighestRise(const StepState& aStep,
-            const WorkerState& aWorker,
-            const SharingModel& aModel)
+Saturation
+MaxInterference(const StepState& aStep,
+                const WorkerState& aWorker,
+                const ColocationModel& aModel)
 {
   const double share = ShareOf(aStep.mSpec->mNeed.mMilliProcessors, aWorker);
-  Pressure highest = 0.0;
+  Saturation highest = 0.0;
   for (const RunState* it : aWorker.mRuns) {
     if (it->mTask->mStep->mSpec->mIsService) {
-      highest = std::max(
-        highest,
-        aModel.RiseAtMost(it->mTask->mStep->mImage, aStep.mImage, share));
+      highest = std::max(highest,
+                         aModel.InterferenceUpperBound(
+                           it->mTask->mStep->mImage, aStep.mImage, share));
     }
   }
   return highest;
@@ -96,9 +96,9 @@
 /// True if one more task of `aStep` would bring a service task on `aWorker`
 /// close to its target.
 bool
-WouldHarm(const StepState& aStep,
-          const WorkerState& aWorker,
-          const SharingModel& aModel)
+WouldExceedTailLimit(const StepState& aStep,
+                     const WorkerState& aWorker,
+                     const ColocationModel& aModel)
 {
   const double share = ShareOf(aStep.mSpec->mNeed.mMilliProcessors, aWorker);
   const TailRatio limit = aStep.mIsUrgent ? kMaxTailRatioUrgent : kMaxTailRatio;
@@ -107,11 +107,12 @@
       if (!aRun->mTask->mStep->mSpec->mIsService) {
         return false;
       }
-      const Pressure rise =
-        aModel.RiseAtMost(aRun->mTask->mStep->mImage, aStep.mImage, share);
-      return rise > kMinHarmfulRise &&
-             LoadOf(*aRun) + aModel.ExpectedRise(*aRun) + rise >
-               PressureOf(limit);
+      const Saturation interference = aModel.InterferenceUpperBound(
+        aRun->mTask->mStep->mImage, aStep.mImage, share);
+      return interference > kMinSignificantInterference &&
+             BaselineOf(*aRun) + aModel.TotalInterference(*aRun) +
+                 interference >
+               SaturationOf(limit);
     });
 }
 
@@ -119,15 +120,15 @@
 double
 PlacementCost(const TaskState& aTask,
               const WorkerState& aWorker,
-              const SharingModel& aModel,
+              const ColocationModel& aModel,
               base::TimePoint aNow)
 {
   const jobs::Step& step = *aTask.mStep->mSpec;
   double cost = 0.0;
-  if (FailureScore(aWorker, aNow) > kSuspectScore) {
-    cost += kSuspectCost;
+  if (FailureScore(aWorker, aNow) > kMaxFailureScore) {
+    cost += kHighFailureScoreCost;
   }
-  if (aWorker.mEntry.mId == aTask.mAvoidWorker) {
+  if (aWorker.mEntry.mId == aTask.mAvoidedWorkerId) {
     cost += kAvoidedWorkerCost;
   }
   if (!step.mPreferredRack.empty() && !HasLabel(aWorker, step.mPreferredRack)) {
@@ -138,9 +139,8 @@
   if (step.mIsBackfill) {
     // Backfill goes where it gets the most and disturbs the fewest. Workers
     // without service tasks are left to images that disturb everywhere else.
-    return cost - leftover +
-           (HasServiceTask(aWorker) ? 0.0 : kServiceFreeCost) +
-           kRiseCost * HighestRise(*aTask.mStep, aWorker, aModel);
+    return cost - leftover + (HasServiceTask(aWorker) ? 0.0 : kNoServiceCost) +
+           kInterferenceCost * MaxInterference(*aTask.mStep, aWorker, aModel);
   }
   // Best fit keeps room for large tasks and whole workers for backfill.
   const auto free = aWorker.mEntry.mCapacity.mMilliProcessors -
@@ -151,9 +151,10 @@
     cost += kMixedImagesCost * ShareOfOtherImages(*aTask.mStep, aWorker);
     for (const RunState* it : aWorker.mRuns) {
       if (it->mTask->mStep->mSpec->mIsBackfill) {
-        cost += kRiseCost * aModel.Rise(aTask.mStep->mImage,
-                                        it->mTask->mStep->mImage,
-                                        BackfillShareOf(*it));
+        cost += kInterferenceCost *
+                aModel.ExpectedInterference(aTask.mStep->mImage,
+                                            it->mTask->mStep->mImage,
+                                            BackfillShareOf(*it));
       }
     }
   }
@@ -214,7 +215,7 @@
 bool
 IsEligible(const StepState& aStep,
            const WorkerState& aWorker,
-           const SharingModel& aModel,
+           const ColocationModel& aModel,
            base::TimePoint aNow)
 {
   const jobs::Step& step = *aStep.mSpec;
@@ -222,7 +223,7 @@
       !AcceptsStarts(aWorker, aNow)) {
     return false;
   }
-  if (!base::Fits(aWorker.mUsed + CountedNeed(step),
+  if (!base::Fits(aWorker.mUsed + ReservedResources(step),
                   aWorker.mEntry.mCapacity)) {
     return false;
   }
@@ -234,8 +235,8 @@
     return false;
   }
   if (step.mMaxPerWorker > 0) {
-    const auto found = aStep.mPerWorker.find(&aWorker);
-    if (found != aStep.mPerWorker.end() &&
+    const auto found = aStep.mTasksPerWorker.find(&aWorker);
+    if (found != aStep.mTasksPerWorker.end() &&
         found->second >= step.mMaxPerWorker) {
       return false;
     }
@@ -246,7 +247,7 @@
     const auto need = static_cast<double>(std::min(
       step.mNeed.mMilliProcessors, aWorker.mEntry.mCapacity.mMilliProcessors));
     return left >= kMinBackfillShare * need &&
-           !WouldHarm(aStep, aWorker, aModel);
+           !WouldExceedTailLimit(aStep, aWorker, aModel);
   }
   return true;
 }
@@ -254,7 +255,7 @@
 WorkerState*
 ChooseWorker(const TaskState& aTask,
              const WorkerMap& aWorkers,
-             const SharingModel& aModel,
+             const ColocationModel& aModel,
              base::TimePoint aNow)
 {
   WorkerState* best = nullptr;
@@ -264,11 +265,11 @@
     if (!IsEligible(*aTask.mStep, *worker, aModel, aNow)) {
       continue;
     }
-    const bool runsThere =
+    const bool alreadyRuns =
       std::any_of(aTask.mRuns.begin(),
                   aTask.mRuns.end(),
                   [&](const auto& aEntry) { return aEntry.mWorker == worker; });
-    if (runsThere) {
+    if (alreadyRuns) {
       continue;
     }
     const double cost = PlacementCost(aTask, *worker, aModel, aNow);
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -5,7 +5,7 @@
 
 #include <unordered_map>
 
-#include "sharing.hpp"
+#include "colocation_model.hpp"
 #include "state.hpp"
 
 namespace skylarkhill::dispatch {
@@ -42,14 +42,14 @@
 bool
 IsEligible(const StepState& aStep,
            const WorkerState& aWorker,
-           const SharingModel& aModel,
+           const ColocationModel& aModel,
            base::TimePoint aNow);
 
 /// The best worker for `aTask`, or null if none can take it now.
 WorkerState*
 ChooseWorker(const TaskState& aTask,
              const WorkerMap& aWorkers,
-             const SharingModel& aModel,
+             const ColocationModel& aModel,
              base::TimePoint aNow);
 
 } // namespace skylarkhill::dispatch
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -22,7 +22,7 @@
 struct TaskState;
 struct WorkerState;
 
-/// One run of a task on a worker, from its order to its end.
+/// One run of a task on a worker, from its call to its end.
 struct RunState
 {
   TaskState* mTask = nullptr;
@@ -40,19 +40,19 @@
   base::TimePoint mProgressAt;
   /// Share of its speed that the worker was told to give it.
   int mPace = 100;
-  int mWantedPace = 100;
+  int mTargetPace = 100;
   bool mIsPaceInFlight = false;
   /// Since when the wanted pace has been below one half.
-  std::optional<base::TimePoint> mSlowedSince;
+  std::optional<base::TimePoint> mThrottledSince;
   /// A service task beside it has been above its target for too long.
   bool mMustMove = false;
-  std::int64_t mUsage = -1;
+  std::int64_t mMeasurement = -1;
   /// Of a service run: the pressure of its last report, less what the backfill
   /// beside it was expected to add.
-  double mLoad = 0.0;
-  base::TimePoint mLoadAt;
+  double mBaseline = 0.0;
+  base::TimePoint mBaselineAt;
   /// Backfill worked beside it during that report.
-  bool mIsBesideBackfill = false;
+  bool mIsColocated = false;
 };
 
 struct TaskState
@@ -67,9 +67,9 @@
   std::string mCheckpoint;
   std::list<RunState> mRuns;
   /// Worker of the last run that went wrong.
-  std::string mAvoidWorker;
+  std::string mAvoidedWorkerId;
   /// An earlier leader may have started it on a worker that has not answered.
-  bool mMayRunUnseen = false;
+  bool mMayHaveUnknownRun = false;
 };
 
 /// A permission to run a step on a worker.
@@ -88,21 +88,21 @@
   /// Number of the image in the sharing model.
   int mImage = 0;
   std::vector<TaskState> mTasks;
-  int mDone = 0;
+  int mDoneCount = 0;
   /// Tasks that are neither done nor on a worker.
-  int mWaiting = 0;
+  int mWaitingCount = 0;
   /// Of a service: the pressure of its own load; nothing before the first
   /// report.
-  std::optional<double> mLoad;
+  std::optional<double> mBaseline;
   /// Its dependencies are complete and its time has come.
   bool mIsReady = false;
   /// Time of the longest chain of steps that begins with this one, by the
   /// declared estimates.
-  std::int64_t mChainMs = 0;
+  std::int64_t mCriticalPathMs = 0;
   /// The job misses its objective unless the step starts now.
   bool mIsUrgent = false;
   /// Tasks on each worker, for the limit per worker.
-  std::map<const WorkerState*, int> mPerWorker;
+  std::map<const WorkerState*, int> mTasksPerWorker;
   /// By worker id; only for queues that need permissions.
   std::map<std::string, Ticket> mTickets;
   /// Workers that have been asked about, whatever the answer.
@@ -126,7 +126,7 @@
   /// Unix time by which the job should be complete.
   std::int64_t mObjectiveMs = 0;
   /// Unix time after which completion is worth nothing.
-  std::int64_t mWorthlessMs = 0;
+  std::int64_t mZeroValueMs = 0;
   /// Starts are allowed once the release is durable: a leader that takes over
   /// can then tell which jobs may have runs that it does not see.
   bool mIsReleaseRequested = false;
@@ -141,7 +141,7 @@
 struct PendingAcknowledgement
 {
   std::uint64_t mBatch = 0;
-  std::int64_t mNumber = 0;
+  std::int64_t mSequence = 0;
 };
 
 struct WorkerState
@@ -153,20 +153,20 @@
 
   /// Has answered a poll in this term.
   bool mIsKnown = false;
-  std::int64_t mBornMs = 0;
+  std::int64_t mIncarnationStartMs = 0;
   std::int64_t mClockMs = 0;
   base::TimePoint mClockReadAt;
   base::TimePoint mLastReportAt;
   /// Nothing that this leader ordered there runs after this time without a
-  /// further order.
+  /// further call.
   base::TimePoint mLeaseEndsAt;
 
   bool mIsPollInFlight = false;
   base::TimePoint mNextPollAt;
   int mFailedPolls = 0;
 
-  std::int64_t mProcessed = 0;
-  std::int64_t mAcknowledged = 0;
+  std::int64_t mProcessedSequence = 0;
+  std::int64_t mAcknowledgedSequence = 0;
   std::deque<PendingAcknowledgement> mPendingAcknowledgements;
 
   std::set<RunState*> mRuns;
@@ -184,9 +184,9 @@
 
   base::TimePoint mPaceChangedAt;
   /// Last report without a service task near or above its target.
-  std::optional<base::TimePoint> mCalmAt;
+  std::optional<base::TimePoint> mLastHealthyReportAt;
   /// Since when a service task may have been above its target.
-  std::optional<base::TimePoint> mHarmedSince;
+  std::optional<base::TimePoint> mTailViolatedSince;
 };
 
 } // namespace skylarkhill::dispatch
--- a/src/dispatch/summary.cpp
+++ b/src/dispatch/summary.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <cstdint>
 
-#include "sharing.hpp"
+#include "colocation_model.hpp"
 
 namespace skylarkhill::dispatch {
 
@@ -17,7 +17,8 @@
   std::int64_t waiting = 0;
   std::int64_t waitingBackfill = 0;
   for (const StepState* step : aReadySteps) {
-    (step->mSpec->mIsBackfill ? waitingBackfill : waiting) += step->mWaiting;
+    (step->mSpec->mIsBackfill ? waitingBackfill : waiting) +=
+      step->mWaitingCount;
   }
   std::int64_t running = 0;
   std::int64_t backfill = 0;
@@ -43,8 +44,8 @@
         harmed += TailRatioOf(*it) > 1.0 ? 1 : 0;
         starting += it->mPercent < 100 ? 1 : 0;
       }
-      paced += it->mWantedPace < 100 ? 1 : 0;
-      used += isBackfill ? std::max<std::int64_t>(0, it->mUsage) : 0;
+      paced += it->mTargetPace < 100 ? 1 : 0;
+      used += isBackfill ? std::max<std::int64_t>(0, it->mMeasurement) : 0;
     }
   }
   logging::Write(logging::Level::Info,
--- a/src/dispatch/worker.cpp
+++ b/src/dispatch/worker.cpp
@@ -6,16 +6,16 @@
 
 namespace {
 
-constexpr base::NameTable<RunEnd, 6> kEndNames{ {
-  { RunEnd::Done, "done" },
-  { RunEnd::Failed, "failed" },
-  { RunEnd::Stopped, "stopped" },
-  { RunEnd::LeaseExpired, "lease_expired" },
-  { RunEnd::GangBroken, "gang_broken" },
-  { RunEnd::GangIncomplete, "gang_incomplete" },
+constexpr base::NameTable<RunOutcome, 6> kRunOutcomeNames{ {
+  { RunOutcome::Done, "done" },
+  { RunOutcome::Failed, "failed" },
+  { RunOutcome::Stopped, "stopped" },
+  { RunOutcome::LeaseExpired, "lease_expired" },
+  { RunOutcome::GangBroken, "gang_broken" },
+  { RunOutcome::GangIncomplete, "gang_incomplete" },
 } };
 
-constexpr base::NameTable<StartOutcome, 10> kOutcomeNames{ {
+constexpr base::NameTable<StartOutcome, 10> kStartOutcomeNames{ {
   { StartOutcome::Started, "started" },
   { StartOutcome::NoRoom, "no_room" },
   { StartOutcome::OldRun, "old_run" },
@@ -38,15 +38,15 @@
 }
 
 std::string_view
-NameOf(RunEnd aEnd)
+NameOf(RunOutcome aEnd)
 {
-  return base::FindName(kEndNames, aEnd);
+  return base::FindName(kRunOutcomeNames, aEnd);
 }
 
 std::string_view
 NameOf(StartOutcome aOutcome)
 {
-  return base::FindName(kOutcomeNames, aOutcome);
+  return base::FindName(kStartOutcomeNames, aOutcome);
 }
 
 } // namespace skylarkhill::dispatch
--- a/src/jobs/jobs_test.cpp
+++ b/src/jobs/jobs_test.cpp
@@ -49,18 +49,18 @@
 class JobsTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(JobsTest);
-  CPPUNIT_TEST(KeepsASubmissionThroughTheCodec);
-  CPPUNIT_TEST(KeepsProgressThroughTheCodec);
-  CPPUNIT_TEST(RefusesBytesThatAreNoRecord);
-  CPPUNIT_TEST(StaysOneJobWhenSubmittedTwice);
-  CPPUNIT_TEST(IgnoresProgressThatIsOlder);
-  CPPUNIT_TEST(CancelsAJobWhoseSubmissionArrivesLater);
+  CPPUNIT_TEST(RoundTripsASubmission);
+  CPPUNIT_TEST(RoundTripsProgress);
+  CPPUNIT_TEST(RejectsMalformedRecords);
+  CPPUNIT_TEST(IgnoresARepeatedSubmission);
+  CPPUNIT_TEST(IgnoresOlderProgress);
+  CPPUNIT_TEST(CancelsAJobSubmittedAfterItsCancellation);
   CPPUNIT_TEST(CountsPendingJobsOfAQueue);
-  CPPUNIT_TEST(KeepsTheFinalStateAgainstALateCancellation);
+  CPPUNIT_TEST(KeepsTheFinalStateDespiteALateCancellation);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void KeepsASubmissionThroughTheCodec()
+  void RoundTripsASubmission()
   {
     const Submission before = MakeSubmission("a");
     const auto after = DecodeSubmission(EncodeSubmission(before));
@@ -77,7 +77,7 @@
     CPPUNIT_ASSERT_EQUAL(1.5, after.value().mPolicy.mSlackFactor);
   }
 
-  void KeepsProgressThroughTheCodec()
+  void RoundTripsProgress()
   {
     JobProgress before;
     before.mState = JobState::Running;
@@ -92,7 +92,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("point"), task.mCheckpoint);
   }
 
-  void RefusesBytesThatAreNoRecord()
+  void RejectsMalformedRecords()
   {
     CPPUNIT_ASSERT(!DecodeSubmission("garbage"));
     CPPUNIT_ASSERT(!DecodeProgress(""));
@@ -101,7 +101,7 @@
     CPPUNIT_ASSERT(!ParseRecordKey("s"));
   }
 
-  void StaysOneJobWhenSubmittedTwice()
+  void IgnoresARepeatedSubmission()
   {
     JobTable table;
     Submission second = MakeSubmission("a");
@@ -115,7 +115,7 @@
 
   // Guards against a completed job that is shown as running again when the
   // leader reads its own older records.
-  void IgnoresProgressThatIsOlder()
+  void IgnoresOlderProgress()
   {
     JobTable table;
     table.Apply(SubmissionKey("a"), EncodeSubmission(MakeSubmission("a")), 1);
@@ -125,7 +125,7 @@
     CPPUNIT_ASSERT(table.StateOf("a") == JobState::Completed);
   }
 
-  void CancelsAJobWhoseSubmissionArrivesLater()
+  void CancelsAJobSubmittedAfterItsCancellation()
   {
     JobTable table;
     table.Apply(FormatRecordKey(RecordKind::Cancellation, "a"), "1", 1);
@@ -147,7 +147,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, table.CountPending("other"));
   }
 
-  void KeepsTheFinalStateAgainstALateCancellation()
+  void KeepsTheFinalStateDespiteALateCancellation()
   {
     JobTable table;
     table.Apply(SubmissionKey("a"), EncodeSubmission(MakeSubmission("a")), 1);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -136,7 +136,7 @@
   FollowLeadership();
   if (mDispatcher != nullptr) {
     const TimePoint confirmedAt = mLeadership.ConfirmedAt();
-    mDispatcher->SetAuthority(
+    mDispatcher->SetLeadershipLease(
       confirmedAt, confirmedAt >= mResumedAt ? confirmedAt + kAuthority : now);
     if (now >= mDispatcher->NextTick()) {
       mDispatcher->Tick(now, mWallClock.NowMs());
@@ -433,13 +433,13 @@
   const TimePoint now = mClock.Now();
   dispatch::Term term;
   term.mEpoch = mEpoch;
-  term.mEarlierLeasesEnd =
+  term.mPreviousLeasesEndAt =
     mLeadership.EarlierAuthorityEnd() + std::chrono::milliseconds(700);
   mDispatcher =
     dispatch::CreateDispatcher(mOptions.mLimits, term, mCalls, mMetrics);
   mCalls.Attach(mEpoch, *mDispatcher);
-  mDispatcher->SetAuthority(mLeadership.ConfirmedAt(),
-                            mLeadership.ConfirmedAt() + kAuthority);
+  mDispatcher->SetLeadershipLease(mLeadership.ConfirmedAt(),
+                                  mLeadership.ConfirmedAt() + kAuthority);
   if (!mModelRecord.empty()) {
     mDispatcher->ImportModel(mModelRecord);
   }
