--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -17,29 +17,30 @@
 
 namespace skylarkhill::dispatch {
 
-/// Bounds that the site sets.
+/// Limits set by the site configuration.
 struct DispatchLimits
 {
-  /// Longest lease that a worker grants.
+  /// Longest lease that a worker accepts.
   base::Duration mMaxLease = std::chrono::milliseconds(6000);
-  /// How long a service task may exceed its tail target beside backfill.
+  /// How long a service task colocated with backfill may exceed its tail
+  /// latency target.
   base::Duration mMaxTailViolation = std::chrono::milliseconds(4000);
 };
 
-/// How a dispatcher begins its term as the leader.
+/// Initial state of a leader's term.
 struct Term
 {
-  /// Highest fencing token that any leader has used before is one less.
+  /// Fencing token of this term, one above that of the previous leader.
   std::int64_t mEpoch = 1;
-  /// No earlier leader extends the lease of any worker beyond this time.
+  /// Earlier leaders have extended no lease beyond this time.
   base::TimePoint mPreviousLeasesEndAt;
 };
 
-/// Progress of one job that has to become durable.
+/// Id of a job and its progress that must be persisted.
 using DirtyJob = std::pair<std::string, jobs::JobProgress>;
 
-/// Decides which worker runs which task. Belongs to one thread; has no socket
-/// and no clock of its own.
+/// Assigns tasks to workers. Not thread-safe; all I/O goes through the CallSink
+/// and all times are passed in.
 class Dispatcher
 {
 public:
@@ -47,23 +48,25 @@
 
   /// Adds a worker or replaces its entry.
   virtual void SetWorker(const WorkerEntry& aEntry, base::TimePoint aNow) = 0;
-  /// The registry lists this worker no longer.
+  /// The worker is no longer in the registry.
   virtual void RemoveWorker(const std::string& aWorkerId,
                             base::TimePoint aNow) = 0;
-  /// Adds a job. `aIsInherited`: an earlier leader may have started its tasks.
+  /// Adds a job. `aIsInherited` is true if an earlier leader may have started
+  /// tasks of the job.
   virtual void AddJob(const jobs::JobRecord& aJob,
                       bool aIsInherited,
                       base::TimePoint aNow) = 0;
   virtual void CancelJob(const std::string& aJobId, base::TimePoint aNow) = 0;
 
+  /// A poll sent at `aSentAt` was answered.
   virtual void OnReport(const std::string& aWorkerId,
                         const WorkerReport& aReport,
                         base::TimePoint aSentAt,
                         base::TimePoint aNow) = 0;
-  /// A poll got no usable answer.
+  /// A poll failed or its answer was unusable.
   virtual void OnPollFailed(const std::string& aWorkerId,
                             base::TimePoint aNow) = 0;
-  /// The worker has seen a later term and refused a call for that reason.
+  /// The worker rejected a call because it has seen a higher fencing token.
   virtual void OnFenced(const std::string& aWorkerId) = 0;
   virtual void OnStartResult(const StartCall& aCall,
                              StartOutcome aOutcome,
@@ -75,35 +78,36 @@
                             CallOutcome aOutcome,
                             base::TimePoint aNow) = 0;
 
-  /// Nothing: the advice service has not answered.
+  /// `aAdvice` is empty if the advice service gave no usable answer.
   virtual void OnAdviceResult(const AdviceCall& aCall,
                               const std::optional<Advice>& aAdvice,
                               base::TimePoint aNow) = 0;
 
-  /// No other node has led before `aConfirmedAt`; orders may be given and
-  /// leases extended until `aUntil`.
+  /// Leadership was confirmed at `aConfirmedAt`: no other node led before that
+  /// time. Calls may be sent and leases extended until `aUntil`.
   virtual void SetLeadershipLease(base::TimePoint aConfirmedAt,
                                   base::TimePoint aUntil) = 0;
-  /// Gives all orders that are due. `aUnixMs` is the time of day.
+  /// Sends all calls that are due. `aUnixMs` is the Unix time.
   virtual void Tick(base::TimePoint aNow, std::int64_t aUnixMs) = 0;
-  /// The time of the next Tick without an event before it.
+  /// Time at which Tick must be called next.
   virtual base::TimePoint NextTick() const = 0;
 
-  /// True if TakeDirty has jobs to return.
+  /// True if TakeDirty would return jobs.
   virtual bool IsDirty() const = 0;
-  /// Jobs whose progress changed since the last call, and the number of this
-  /// batch. Empty: nothing has changed.
+  /// Returns a batch number and the jobs whose progress has changed since the
+  /// last call.
   virtual std::pair<std::uint64_t, std::vector<DirtyJob>> TakeDirty() = 0;
-  /// The batch is durable, so that the ends in it may be acknowledged.
+  /// The batch is durable: ended runs that it covers may be acknowledged to
+  /// their workers.
   virtual void OnDurable(std::uint64_t aBatch, base::TimePoint aNow) = 0;
 
-  /// What has been learned about images that share workers, for a successor.
+  /// Serialises the interference estimates for the next leader.
   virtual std::string ExportModel() const = 0;
-  /// Takes over what ExportModel of an earlier leader has returned. Other
-  /// bytes are skipped with a log line.
+  /// Loads estimates that ExportModel of an earlier leader returned. Malformed
+  /// bytes are logged and ignored.
   virtual void ImportModel(std::string_view aBytes) = 0;
 
-  /// True once a worker has refused an call of this term.
+  /// True once a worker has rejected the fencing token of this term.
   virtual bool IsFenced() const = 0;
 };
 
--- a/include/skylarkhill/dispatch/worker.hpp
+++ b/include/skylarkhill/dispatch/worker.hpp
@@ -28,11 +28,11 @@
   }
 };
 
-/// "JOB.OCCURRENCE.STEP.INDEX", for logs.
+/// The task in the form "JOB.OCCURRENCE.STEP.INDEX".
 std::string
 ToText(const TaskId& aTask);
 
-/// A worker as the registry lists it.
+/// Registry entry of a worker.
 struct WorkerEntry
 {
   std::string mId;
@@ -43,22 +43,22 @@
   std::vector<std::string> mLabels;
   base::Resources mCapacity;
   bool mIsDraining = false;
-  /// Least time until a draining worker leaves, when the entry was written.
+  /// Minimum time until a draining worker leaves, as of the write of the entry.
   std::int64_t mRemainingMs = 0;
-  /// Unix time of the start of this incarnation.
+  /// Unix time at which this incarnation of the worker started.
   std::int64_t mIncarnationStartMs = 0;
 };
 
-/// A run in the list of a worker.
+/// A run that a worker reports as active.
 struct ActiveRun
 {
   TaskId mTask;
   int mRun = 0;
-  /// Newest checkpoint; empty: none.
+  /// Latest checkpoint; empty if there is none.
   std::string mCheckpoint;
   int mPercent = 0;
-  /// Tail latency in ms of a service task; thousandths of a processor in use
-  /// of any other task. Negative: not reported.
+  /// Tail latency in ms for a service task, processors in use in thousandths
+  /// for any other task. Negative if not reported.
   std::int64_t mMeasurement = -1;
 };
 
@@ -68,7 +68,7 @@
   Done,
   Failed,
   Stopped,
-  /// The lease of the worker expired.
+  /// The lease on the worker expired.
   LeaseExpired,
   /// Another member of the gang ended.
   GangBroken,
@@ -80,10 +80,10 @@
 std::string_view
 NameOf(RunOutcome aEnd);
 
-/// An end that a worker lists until it is acknowledged.
+/// A run that has ended. The worker reports it until it is acknowledged.
 struct EndedRun
 {
-  /// Position in the list of ends of this incarnation, from 1.
+  /// Sequence number among the ended runs of this incarnation, from 1.
   std::int64_t mSequence = 0;
   TaskId mTask;
   int mRun = 0;
@@ -91,37 +91,37 @@
   std::string mCheckpoint;
 };
 
-/// The answer to a poll.
+/// A worker's answer to a poll.
 struct WorkerReport
 {
   /// The worker's own clock.
   std::int64_t mClockMs = 0;
-  /// Unix time of the start of the incarnation that answered.
+  /// Unix time at which the answering incarnation started.
   std::int64_t mIncarnationStartMs = 0;
   std::vector<ActiveRun> mActiveRuns;
   std::vector<EndedRun> mEndedRuns;
 };
 
-/// What a worker answered to a start.
+/// Result of a start call.
 enum class StartOutcome
 {
   Started,
   NoRoom,
-  /// A run with this or a higher number ended or was stopped there.
+  /// The worker has ended or stopped a run with this number or a higher one.
   OldRun,
-  /// The deadline of the call had passed.
+  /// The call arrived after its deadline.
   TooLate,
   /// The worker has seen a higher fencing token.
   Fenced,
-  /// The permission of the advice service is missing or has expired.
+  /// The ticket of the advice service is missing or has expired.
   TicketInvalid,
-  /// Not started; the worker is unhealthy.
+  /// The worker is unhealthy and did not start the run.
   Unhealthy,
-  /// Not started; the call is malformed.
+  /// The worker rejected the call as malformed.
   Rejected,
-  /// Not started; another incarnation runs at the address.
+  /// The address belongs to another incarnation, which did not start the run.
   OtherIncarnation,
-  /// No answer: may start at any time until its deadline.
+  /// No answer; the run may still start until the deadline of the call.
   Unknown,
 };
 
@@ -129,7 +129,7 @@
 std::string_view
 NameOf(StartOutcome aOutcome);
 
-/// What a worker answered to a stop or to a change of pace.
+/// Result of a stop or pace call.
 enum class CallOutcome
 {
   Accepted,
@@ -140,19 +140,20 @@
   Unknown,
 };
 
-/// Asks a worker for its lists and extends its lease.
+/// Asks a worker for its active and ended runs and extends its lease.
 struct PollCall
 {
   std::string mWorkerId;
   std::string mAddress;
-  /// Lease on the worker's clock; 0: not extended.
+  /// End of the lease on the worker's clock; 0 leaves the lease unchanged.
   std::int64_t mLeaseUntilMs = 0;
-  /// Ends up to this number are forgotten.
+  /// The worker drops ended runs up to this sequence number.
   std::int64_t mAcknowledgedSequence = 0;
-  /// How long the worker waits for an end before it answers.
+  /// Long poll: how long the worker waits for a run to end before it answers.
   int mWaitMs = 0;
 };
 
+/// Starts a run.
 struct StartCall
 {
   std::string mWorkerId;
@@ -162,7 +163,7 @@
   std::string mPayload;
   std::string mCheckpoint;
   std::int64_t mLeaseUntilMs = 0;
-  /// WorkerPermission of the advice service; empty: none is needed.
+  /// Ticket of the advice service; empty if none is needed.
   std::string mTicket;
 };
 
@@ -175,21 +176,22 @@
   std::vector<std::string> mWorkerIds;
 };
 
-/// A worker that may run the step.
+/// Permission of the advice service to run the step on a worker.
 struct WorkerPermission
 {
   std::string mWorkerId;
   std::string mTicket;
 };
 
-/// What the advice service answered.
+/// Answer of the advice service.
 struct Advice
 {
   std::vector<WorkerPermission> mPermissions;
-  /// How long the tickets are valid.
+  /// Validity of the tickets.
   std::int64_t mValidMs = 0;
 };
 
+/// Stops a run.
 struct StopCall
 {
   std::string mWorkerId;
@@ -198,16 +200,19 @@
   int mRun = 0;
 };
 
+/// Sets the speed of a run.
 struct PaceCall
 {
   std::string mWorkerId;
   std::string mAddress;
   TaskId mTask;
   int mRun = 0;
+  /// Percent of full speed; 0 pauses the run.
   int mPercent = 100;
 };
 
-/// Carries orders to workers. Outcomes come back through the Dispatcher.
+/// Sends calls to workers and to the advice service. Results are passed to the
+/// Dispatcher.
 class CallSink
 {
 public:
--- a/src/dispatch/colocation_model.cpp
+++ b/src/dispatch/colocation_model.cpp
@@ -72,13 +72,13 @@
       }
     }
   }
-  std::vector<double>& loads = isolated.empty() ? colocated : isolated;
-  if (loads.empty()) {
+  std::vector<double>& baselines = isolated.empty() ? colocated : isolated;
+  if (baselines.empty()) {
     return {};
   }
   const auto middle =
-    loads.begin() + static_cast<std::ptrdiff_t>((loads.size() - 1) / 2);
-  std::nth_element(loads.begin(), middle, loads.end());
+    baselines.begin() + static_cast<std::ptrdiff_t>((baselines.size() - 1) / 2);
+  std::nth_element(baselines.begin(), middle, baselines.end());
   return { *middle,
            isolated.empty() ? kColocatedBaselineNoise : kBaselineNoise };
 }
@@ -165,7 +165,7 @@
     step.mBaseline = EstimateBaseline(step, nullptr, aNow).mBaseline;
     if (!backfill.empty()) {
       const BaselineEstimate others = EstimateBaseline(step, it, aNow);
-      mModel.Record(step.mImage,
+      mEstimator.Record(step.mImage,
                     backfill,
                     SaturationOf(TailRatioOf(*it)) - others.mBaseline,
                     others.mNoise);
@@ -178,7 +178,7 @@
                                       int aBackfillImage,
                                       double aShare) const
 {
-  return mModel.Estimate(aServiceImage, aBackfillImage).mMean * aShare;
+  return mEstimator.Estimate(aServiceImage, aBackfillImage).mMean * aShare;
 }
 
 Saturation
@@ -186,7 +186,7 @@
                                         int aBackfillImage,
                                         double aShare) const
 {
-  const PairEstimate estimate = mModel.Estimate(aServiceImage, aBackfillImage);
+  const PairEstimate estimate = mEstimator.Estimate(aServiceImage, aBackfillImage);
   return (estimate.mMean + std::sqrt(estimate.mVariance)) * aShare;
 }
 
@@ -219,8 +219,8 @@
   const int count = static_cast<int>(mImageNames.size());
   for (int service = 0; service < count; ++service) {
     for (int image = 0; image < count; ++image) {
-      if (mModel.HasEstimate(service, image)) {
-        const PairEstimate estimate = mModel.Estimate(service, image);
+      if (mEstimator.HasEstimate(service, image)) {
+        const PairEstimate estimate = mEstimator.Estimate(service, image);
         rows.emplace_back(mImageNames[static_cast<std::size_t>(service)],
                           mImageNames[static_cast<std::size_t>(image)],
                           estimate.mMean,
@@ -244,7 +244,7 @@
     return base::MakeError(base::ErrorKind::InvalidArgument, e.what());
   }
   for (const auto& [service, image, mean, variance] : rows) {
-    mModel.Set(Intern(service), Intern(image), { mean, variance });
+    mEstimator.Set(Intern(service), Intern(image), { mean, variance });
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/src/dispatch/colocation_model.hpp
+++ b/src/dispatch/colocation_model.hpp
@@ -64,7 +64,7 @@
   base::Result<void> Import(std::string_view aBytes);
 
 private:
-  InterferenceEstimator mModel;
+  InterferenceEstimator mEstimator;
   std::unordered_map<std::string, int> mImageIndexes;
   std::vector<std::string> mImageNames;
 };
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -22,14 +22,14 @@
 struct TaskState;
 struct WorkerState;
 
-/// One run of a task on a worker, from its call to its end.
+/// One run of a task on a worker, from the decision to start it to its end.
 struct RunState
 {
   TaskState* mTask = nullptr;
   WorkerState* mWorker = nullptr;
   int mNumber = 0;
   base::TimePoint mOrderedAt;
-  /// The worker has accepted or listed the run, or accepted its stop.
+  /// The worker has accepted the start or the stop of the run, or reported it.
   bool mIsConfirmed = false;
   base::TimePoint mConfirmedAt;
   bool mIsStopping = false;
@@ -38,20 +38,23 @@
   base::TimePoint mNextCallAt;
   int mPercent = 0;
   base::TimePoint mProgressAt;
-  /// Share of its speed that the worker was told to give it.
+  /// Pace that the worker has accepted, in percent of full speed; -1 if unknown.
   int mPace = 100;
+  /// Pace that the worker should apply, in percent of full speed.
   int mTargetPace = 100;
   bool mIsPaceInFlight = false;
-  /// Since when the wanted pace has been below one half.
+  /// Since when the target pace has been below one half.
   std::optional<base::TimePoint> mThrottledSince;
-  /// A service task beside it has been above its target for too long.
+  /// A service task on the same worker has exceeded its tail target for too
+  /// long.
   bool mMustMove = false;
+  /// The last reported value, see ActiveRun::mMeasurement.
   std::int64_t mMeasurement = -1;
-  /// Of a service run: the pressure of its last report, less what the backfill
-  /// beside it was expected to add.
+  /// Service runs only: saturation at the last report, less the expected
+  /// interference by backfill.
   double mBaseline = 0.0;
   base::TimePoint mBaselineAt;
-  /// Backfill worked beside it during that report.
+  /// Backfill ran on the same worker during that report.
   bool mIsColocated = false;
 };
 
@@ -62,17 +65,18 @@
   bool mIsDone = false;
   std::vector<int> mFailedRuns;
   int mLastRun = 0;
-  /// One of its runs has ended.
+  /// At least one run has ended.
   bool mHasEndedRun = false;
   std::string mCheckpoint;
   std::list<RunState> mRuns;
-  /// Worker of the last run that went wrong.
+  /// Worker of the last unsuccessful run; other workers are preferred.
   std::string mAvoidedWorkerId;
-  /// An earlier leader may have started it on a worker that has not answered.
+  /// An earlier leader may have started the task on a worker that has not
+  /// reported yet.
   bool mMayHaveUnknownRun = false;
 };
 
-/// A permission to run a step on a worker.
+/// Ticket of the advice service to run a step on a worker.
 struct Ticket
 {
   std::string mText;
@@ -85,27 +89,27 @@
   const jobs::Step* mSpec = nullptr;
   int mOccurrence = 0;
   int mIndex = 0;
-  /// Number of the image in the sharing model.
+  /// Index of the image in the ColocationModel.
   int mImage = 0;
   std::vector<TaskState> mTasks;
   int mDoneCount = 0;
-  /// Tasks that are neither done nor on a worker.
+  /// Tasks that are neither done nor assigned to a worker.
   int mWaitingCount = 0;
-  /// Of a service: the pressure of its own load; nothing before the first
+  /// Services only: saturation without interference; empty before the first
   /// report.
   std::optional<double> mBaseline;
-  /// Its dependencies are complete and its time has come.
+  /// The dependencies are complete and the occurrence is due.
   bool mIsReady = false;
-  /// Time of the longest chain of steps that begins with this one, by the
-  /// declared estimates.
+  /// Length of the critical path that begins with this step, by the declared
+  /// estimates.
   std::int64_t mCriticalPathMs = 0;
-  /// The job misses its objective unless the step starts now.
+  /// The job will miss its objective unless the step starts now.
   bool mIsUrgent = false;
-  /// Tasks on each worker, for the limit per worker.
+  /// Number of tasks on each worker, for jobs::Step::mMaxPerWorker.
   std::map<const WorkerState*, int> mTasksPerWorker;
-  /// By worker id; only for queues that need permissions.
+  /// By worker id; used only if the queue requires advice.
   std::map<std::string, Ticket> mTickets;
-  /// Workers that have been asked about, whatever the answer.
+  /// Workers that the advice service has been asked about, permitted or not.
   std::set<std::string> mAdvisedWorkers;
   bool mIsAdviceInFlight = false;
   base::TimePoint mNextAdviceAt;
@@ -125,19 +129,19 @@
   jobs::JobState mState = jobs::JobState::Pending;
   /// Unix time by which the job should be complete.
   std::int64_t mObjectiveMs = 0;
-  /// Unix time after which completion is worth nothing.
+  /// Unix time after which completion has no value.
   std::int64_t mZeroValueMs = 0;
-  /// Starts are allowed once the release is durable: a leader that takes over
-  /// can then tell which jobs may have runs that it does not see.
+  /// Tasks are started only once the release is durable, so that the next
+  /// leader knows which jobs may have runs that no worker has reported to it.
   bool mIsReleaseRequested = false;
   bool mIsReleased = false;
   std::vector<std::unique_ptr<OccurrenceState>> mOccurrences;
   bool mIsDirty = false;
-  /// The batch with the newest progress of the job.
+  /// The batch that holds the latest progress of the job.
   std::optional<std::uint64_t> mLastBatch;
 };
 
-/// Ends that may be acknowledged once a batch is durable.
+/// Ended runs up to mSequence may be acknowledged once the batch is durable.
 struct PendingAcknowledgement
 {
   std::uint64_t mBatch = 0;
@@ -151,14 +155,14 @@
   base::TimePoint mUnlistedAt;
   base::TimePoint mLeavesAt = base::kNoDeadline;
 
-  /// Has answered a poll in this term.
+  /// The worker has answered a poll in this term.
   bool mIsKnown = false;
   std::int64_t mIncarnationStartMs = 0;
   std::int64_t mClockMs = 0;
   base::TimePoint mClockReadAt;
   base::TimePoint mLastReportAt;
-  /// Nothing that this leader ordered there runs after this time without a
-  /// further call.
+  /// Runs started by this leader stop by this time unless a call extends the
+  /// lease.
   base::TimePoint mLeaseEndsAt;
 
   bool mIsPollInFlight = false;
@@ -171,21 +175,21 @@
 
   std::set<RunState*> mRuns;
   base::Resources mUsed;
-  /// Processors that backfill tasks ask for.
+  /// Processors, in thousandths, that the backfill tasks request.
   std::int64_t mBackfillDemand = 0;
-  /// Share of the processors that each backfill image used by the last report.
+  /// By backfill image: share of the processors in use at the last report.
   std::map<int, double> mBackfillShares;
 
-  /// No new start before this time.
+  /// No tasks are placed on the worker before this time.
   base::TimePoint mAvoidUntil;
-  /// Recent failures and stalls; halves every kFailureHalfLife.
+  /// Score of recent failures and stalls; decays with kFailureHalfLife.
   double mFailureScore = 0.0;
   base::TimePoint mFailureScoreAt;
 
   base::TimePoint mPaceChangedAt;
-  /// Last report without a service task near or above its target.
+  /// Last report in which no service task was near or above its tail target.
   std::optional<base::TimePoint> mLastHealthyReportAt;
-  /// Since when a service task may have been above its target.
+  /// Since when a service task may have exceeded its tail target.
   std::optional<base::TimePoint> mTailViolatedSince;
 };
 
