Rename internal identifiers of the dispatcher

WorkerState::mIsKnown -> WorkerState::mHasReported RunState::mOrderedAt -> RunState::mPlacedAt DefaultDispatcher::mConfirmedAt -> DefaultDispatcher::mLeadershipConfirmedAt mAuthorityUntil -> mLeadershipEndsAt DefaultDispatcher::mMayHaveUnknownRun -> DefaultDispatcher::mMayHaveUnknownRuns kMinFullPaceUsage -> kMinFullPaceEstimate kRaisePerChange -> kMaxRaisePerChange FakeWorker::mNextEnd -> FakeWorker::mNextSequence FakeWorker::mHighestEnded -> FakeWorker::mHighestEndedRuns Leader::mAnswers -> Leader::mPendingAnswers isUrgent -> mustPause (AdjustPace) isSecond -> isDuplicate isStuck -> isStalled areAllKnown -> haveAllReported isKnown -> wasAsked (RequestAdvice) left -> remaining (CheckDrainingRun) jobs::Step::mNeed -> jobs::Step::mResources aEnd -> aOutcome (NameOf), aEndedRun (dispatcher.cpp, fake_site_test.cpp) end -> outcome (FakeSite::StepWorker)

--- a/include/skylarkhill/dispatch/worker.hpp
+++ b/include/skylarkhill/dispatch/worker.hpp
@@ -76,9 +76,9 @@
   GangIncomplete,
 };
 
-/// The stable name of `aEnd`.
+/// The stable name of `aOutcome`.
 std::string_view
-NameOf(RunOutcome aEnd);
+NameOf(RunOutcome aOutcome);
 
 /// A run that has ended. The worker reports it until it is acknowledged.
 struct EndedRun
--- a/include/skylarkhill/jobs/job.hpp
+++ b/include/skylarkhill/jobs/job.hpp
@@ -14,7 +14,7 @@
 struct Step
 {
   int mCount = 1;
-  base::Resources mNeed;
+  base::Resources mResources;
   /// Declared run time of one task, often far off.
   std::int64_t mEstimateMs = 0;
   /// Indexes of earlier steps that must be complete first.
--- a/src/dispatch/colocation_model.cpp
+++ b/src/dispatch/colocation_model.cpp
@@ -166,9 +166,9 @@
     if (!backfill.empty()) {
       const BaselineEstimate others = EstimateBaseline(step, it, aNow);
       mEstimator.Record(step.mImage,
-                    backfill,
-                    SaturationOf(TailRatioOf(*it)) - others.mBaseline,
-                    others.mNoise);
+                        backfill,
+                        SaturationOf(TailRatioOf(*it)) - others.mBaseline,
+                        others.mNoise);
     }
   }
 }
@@ -186,7 +186,8 @@
                                         int aBackfillImage,
                                         double aShare) const
 {
-  const PairEstimate estimate = mEstimator.Estimate(aServiceImage, aBackfillImage);
+  const PairEstimate estimate =
+    mEstimator.Estimate(aServiceImage, aBackfillImage);
   return (estimate.mMean + std::sqrt(estimate.mVariance)) * aShare;
 }
 
@@ -277,7 +278,7 @@
 double
 BackfillShareOf(const RunState& aRun)
 {
-  return ShareOf(aRun.mTask->mStep->mSpec->mNeed.mMilliProcessors,
+  return ShareOf(aRun.mTask->mStep->mSpec->mResources.mMilliProcessors,
                  *aRun.mWorker);
 }
 
--- a/src/dispatch/colocation_test.cpp
+++ b/src/dispatch/colocation_test.cpp
@@ -53,7 +53,7 @@
     worker->mEntry.mId = aId;
     worker->mEntry.mService = "pool";
     worker->mEntry.mCapacity = { 16000, std::int64_t{ 1 } << 36, 0 };
-    worker->mIsKnown = true;
+    worker->mHasReported = true;
     worker->mLastReportAt = mNow;
     return *worker;
   }
@@ -69,9 +69,9 @@
     aWorker.mRuns.insert(&run);
     const jobs::Step& step = *aTask.mStep->mSpec;
     if (step.mIsBackfill) {
-      aWorker.mBackfillDemand += step.mNeed.mMilliProcessors;
+      aWorker.mBackfillDemand += step.mResources.mMilliProcessors;
     } else {
-      aWorker.mUsed += step.mNeed;
+      aWorker.mUsed += step.mResources;
     }
     return run;
   }
@@ -98,7 +98,7 @@
   jobs::Step step;
   step.mIsService = true;
   step.mTailTargetMs = 100;
-  step.mNeed = { 3000, 1 << 20, 0 };
+  step.mResources = { 3000, 1 << 20, 0 };
   return step;
 }
 
@@ -107,7 +107,7 @@
 {
   jobs::Step step;
   step.mIsBackfill = true;
-  step.mNeed = { 1600, 1 << 20, 0 };
+  step.mResources = { 1600, 1 << 20, 0 };
   return step;
 }
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -63,7 +63,7 @@
 constexpr int kUnknownPace = -1;
 constexpr int kFullPace = 100;
 /// Reported use of processors varies by about this much at full pace.
-constexpr int kMinFullPaceUsage = 70;
+constexpr int kMinFullPaceEstimate = 70;
 /// A run with less progress may not have a half second of use behind it.
 constexpr int kMinMeasuredPercent = 3;
 
@@ -208,17 +208,17 @@
     WorkerState& worker = *found->second;
     worker.mIsPollInFlight = false;
     worker.mFailedPolls = 0;
-    if (worker.mIsKnown &&
+    if (worker.mHasReported &&
         worker.mIncarnationStartMs != aReport.mIncarnationStartMs) {
       ResetIncarnation(worker, aNow);
     }
-    if (!worker.mIsKnown) {
+    if (!worker.mHasReported) {
       // The leader before this one may just have extended the lease.
       worker.mLeaseEndsAt =
         std::max(worker.mLeaseEndsAt, aNow + MaxLeaseDuration());
       mIsPlacementDue = true;
     }
-    worker.mIsKnown = true;
+    worker.mHasReported = true;
     worker.mIncarnationStartMs = aReport.mIncarnationStartMs;
     worker.mClockMs = aReport.mClockMs;
     worker.mClockReadAt = aNow;
@@ -397,8 +397,8 @@
 
   void SetLeadershipLease(TimePoint aConfirmedAt, TimePoint aUntil) override
   {
-    mConfirmedAt = aConfirmedAt;
-    mAuthorityUntil = aUntil;
+    mLeadershipConfirmedAt = aConfirmedAt;
+    mLeadershipEndsAt = aUntil;
   }
 
   void Tick(TimePoint aNow, std::int64_t aUnixMs) override
@@ -421,10 +421,10 @@
         LogDispatchSummary(mJobs.size(), mReadySteps, mWorkers);
       }
     }
-    if (isFullTick || mMayHaveUnknownRun) {
+    if (isFullTick || mMayHaveUnknownRuns) {
       CheckWorkers(aNow);
     }
-    if (aNow >= mAuthorityUntil) {
+    if (aNow >= mLeadershipEndsAt) {
       return;
     }
     if (isFullTick) {
@@ -647,7 +647,7 @@
     run.mTask = &aTask;
     run.mWorker = &aWorker;
     run.mNumber = aNumber;
-    run.mOrderedAt = aNow;
+    run.mPlacedAt = aNow;
     run.mProgressAt = aNow;
     run.mNextCallAt = aNow;
     aTask.mLastRun = std::max(aTask.mLastRun, aNumber);
@@ -656,7 +656,7 @@
     mRunsToCall.insert(&run);
     aWorker.mUsed += ReservedResources(step);
     if (step.mIsBackfill) {
-      aWorker.mBackfillDemand += step.mNeed.mMilliProcessors;
+      aWorker.mBackfillDemand += step.mResources.mMilliProcessors;
     }
     ++aTask.mStep->mTasksPerWorker[&aWorker];
     return run;
@@ -671,7 +671,7 @@
     mRunsToCall.erase(&aRun);
     worker.mUsed -= ReservedResources(step);
     if (step.mIsBackfill) {
-      worker.mBackfillDemand -= step.mNeed.mMilliProcessors;
+      worker.mBackfillDemand -= step.mResources.mMilliProcessors;
     }
     --task.mStep->mTasksPerWorker[&worker];
     mIsPlacementDue = true;
@@ -790,34 +790,35 @@
 
   /// True if the end changed what has to be durable.
   bool HandleEndedRun(WorkerState& aWorker,
-                      const EndedRun& aEnd,
+                      const EndedRun& aEndedRun,
                       TimePoint aNow)
   {
-    TaskState* task = FindTask(aEnd.mTask);
+    TaskState* task = FindTask(aEndedRun.mTask);
     if (task == nullptr) {
       return false;
     }
-    RunState* run = FindRun(aEnd.mTask, aEnd.mRun, aWorker.mEntry.mId);
+    RunState* run =
+      FindRun(aEndedRun.mTask, aEndedRun.mRun, aWorker.mEntry.mId);
     const bool wasStopping = run != nullptr && run->mIsStopping;
     if (run != nullptr) {
       RemoveRun(*run);
     }
-    task->mLastRun = std::max(task->mLastRun, aEnd.mRun);
+    task->mLastRun = std::max(task->mLastRun, aEndedRun.mRun);
     task->mHasEndedRun = true;
     JobState& job = *task->mStep->mJob;
     if (IsFinal(job.mState) || task->mIsDone) {
       return false;
     }
-    if (!aEnd.mCheckpoint.empty()) {
-      task->mCheckpoint = aEnd.mCheckpoint;
+    if (!aEndedRun.mCheckpoint.empty()) {
+      task->mCheckpoint = aEndedRun.mCheckpoint;
     }
-    switch (aEnd.mOutcome) {
+    switch (aEndedRun.mOutcome) {
       case RunOutcome::Done:
         AddFailure(aWorker, -0.5, aNow);
         CompleteTask(*task);
         return true;
       case RunOutcome::Failed:
-        FailTask(*task, aEnd.mRun, aWorker, aNow);
+        FailTask(*task, aEndedRun.mRun, aWorker, aNow);
         MarkDirty(job);
         return true;
       case RunOutcome::Stopped:
@@ -827,10 +828,10 @@
         if (!wasStopping) {
           logging::Write(logging::Level::Info,
                          "run_ended_early",
-                         { { "task", ToText(aEnd.mTask) },
-                           { "run", aEnd.mRun },
+                         { { "task", ToText(aEndedRun.mTask) },
+                           { "run", aEndedRun.mRun },
                            { "worker", aWorker.mEntry.mId },
-                           { "end", NameOf(aEnd.mOutcome) } });
+                           { "end", NameOf(aEndedRun.mOutcome) } });
         }
         return false;
     }
@@ -948,12 +949,12 @@
                      { { "task", ToText(aRun.mTask) },
                        { "run", aRun.mRun },
                        { "worker", aWorker.mEntry.mId } });
-      if (aNow < mAuthorityUntil) {
+      if (aNow < mLeadershipEndsAt) {
         SendStop(aWorker, aRun.mTask, aRun.mRun);
       }
       return nullptr;
     }
-    const bool isSecond = HasLiveRun(*aTask);
+    const bool isDuplicate = HasLiveRun(*aTask);
     RunState& run = AddRun(*aTask, aWorker, aRun.mRun, aNow);
     run.mCallsSent = 1;
     if (run.mTask->mStep->mSpec->mIsBackfill) {
@@ -961,7 +962,7 @@
       run.mPace = run.mTargetPace == kFullPace ? kUnknownPace : run.mTargetPace;
     }
     aTask->mMayHaveUnknownRun = false;
-    if (isSecond && !aTask->mStep->mSpec->mMayDuplicate) {
+    if (isDuplicate && !aTask->mStep->mSpec->mMayDuplicate) {
       StopRun(run);
     }
     return &run;
@@ -971,38 +972,38 @@
   /// all at full pace again would disturb the services beside them.
   static int EstimatePace(const RunState& aRun, const ActiveRun& aReport)
   {
-    const auto need = aRun.mTask->mStep->mSpec->mNeed.mMilliProcessors;
+    const auto need = aRun.mTask->mStep->mSpec->mResources.mMilliProcessors;
     const bool hasJustStarted = aReport.mPercent < kMinMeasuredPercent;
     if (need <= 0 || aReport.mMeasurement < 0 || hasJustStarted) {
       return kFullPace;
     }
     const auto pace = static_cast<int>(kFullPace * aReport.mMeasurement / need);
-    return pace > kMinFullPaceUsage ? kFullPace : pace;
+    return pace > kMinFullPaceEstimate ? kFullPace : pace;
   }
 
   // --- Periodic checks ----------------------------------------------------
 
   void CheckWorkers(TimePoint aNow)
   {
-    bool areAllKnown = true;
+    bool haveAllReported = true;
     bool areAllPolled = true;
     for (auto it = mWorkers.begin(); it != mWorkers.end();) {
       WorkerState& worker = *it->second;
-      areAllKnown = areAllKnown && worker.mIsKnown;
+      haveAllReported = haveAllReported && worker.mHasReported;
       areAllPolled =
-        areAllPolled && (worker.mIsKnown || worker.mFailedPolls > 0);
+        areAllPolled && (worker.mHasReported || worker.mFailedPolls > 0);
       const bool isSilent = worker.mLastReportAt + kPollRetryPause < aNow &&
                             worker.mFailedPolls > 0;
       // A successor that this node cannot see may have extended the lease, so
       // that the leadership must be confirmed after its end.
-      if (isSilent && worker.mLeaseEndsAt < mConfirmedAt &&
+      if (isSilent && worker.mLeaseEndsAt < mLeadershipConfirmedAt &&
           !worker.mRuns.empty()) {
         DropAllLostRuns(worker, "worker silent beyond its lease", aNow);
       }
       if (!worker.mIsListed && worker.mUnlistedAt + kUnlistedGrace < aNow &&
           isSilent && worker.mRuns.empty() && worker.mLeaseEndsAt < aNow &&
           !worker.mIsPollInFlight &&
-          (worker.mIsKnown || aNow >= mTerm.mPreviousLeasesEndAt)) {
+          (worker.mHasReported || aNow >= mTerm.mPreviousLeasesEndAt)) {
         it = mWorkers.erase(it);
         continue;
       }
@@ -1010,10 +1011,10 @@
     }
     // Without a lease nothing runs, but a worker that can be reached may have
     // the end of a run to tell.
-    if (mMayHaveUnknownRun &&
-        ((areAllKnown && !mWorkers.empty()) ||
+    if (mMayHaveUnknownRuns &&
+        ((haveAllReported && !mWorkers.empty()) ||
          (areAllPolled && aNow >= mTerm.mPreviousLeasesEndAt))) {
-      mMayHaveUnknownRun = false;
+      mMayHaveUnknownRuns = false;
       mIsPlacementDue = true;
     }
   }
@@ -1064,13 +1065,14 @@
       return;
     }
     const auto elapsed =
-      std::chrono::duration<double>(aNow - aRun.mOrderedAt).count();
+      std::chrono::duration<double>(aNow - aRun.mPlacedAt).count();
     const double total =
       aRun.mPercent > 0 ? elapsed * 100.0 / aRun.mPercent
                         : static_cast<double>(step.mSpec->mEstimateMs) / 1000.0;
-    const double left =
+    const double remaining =
       std::chrono::duration<double>(aRun.mWorker->mLeavesAt - aNow).count();
-    if (total - elapsed > left && step.mSpec->mSavesProgress && left < 1.0) {
+    if (total - elapsed > remaining && step.mSpec->mSavesProgress &&
+        remaining < 1.0) {
       StopRun(aRun);
     }
   }
@@ -1099,18 +1101,18 @@
       limit = std::max(
         limit, Duration(std::chrono::milliseconds(step.mEstimateMs / 4)));
     }
-    const bool isStuck = aNow - aRun.mProgressAt > limit;
+    const bool isStalled = aNow - aRun.mProgressAt > limit;
     if (step.mMayDuplicate && task.mRuns.size() == 1) {
       const Duration estimate = std::chrono::milliseconds(step.mEstimateMs);
       const bool isLate =
         std::chrono::duration<double>(elapsed).count() >
         kDuplicateFactor * std::chrono::duration<double>(estimate).count();
-      if (isStuck || (isLate && aRun.mPercent < 60)) {
+      if (isStalled || (isLate && aRun.mPercent < 60)) {
         PlaceRun(task, aNow);
       }
       return;
     }
-    if (isStuck && task.mRuns.size() == 1) {
+    if (isStalled && task.mRuns.size() == 1) {
       mStalledRuns.Add();
       AddFailure(*aRun.mWorker, 1.0, aNow);
       task.mAvoidedWorkerId = aRun.mWorker->mEntry.mId;
@@ -1217,11 +1219,11 @@
                       worker->mEntry.mCapacity)) {
         continue;
       }
-      const bool isKnown = aStep.mAdvisedWorkers.count(id) != 0;
+      const bool wasAsked = aStep.mAdvisedWorkers.count(id) != 0;
       const bool hasExpired =
         aStep.mTickets.count(id) != 0 && !HasTicket(aStep, *worker, aNow);
       usable += HasTicket(aStep, *worker, aNow) ? 1 : 0;
-      if ((!isKnown || hasExpired) &&
+      if ((!wasAsked || hasExpired) &&
           call.mWorkerIds.size() < kMaxAdvisedWorkers) {
         call.mWorkerIds.push_back(id);
       }
@@ -1252,7 +1254,7 @@
   /// True while a run that an earlier leader ordered may be alive unseen.
   bool IsStartDeferred(const TaskState& aTask) const
   {
-    return aTask.mMayHaveUnknownRun && mMayHaveUnknownRun;
+    return aTask.mMayHaveUnknownRun && mMayHaveUnknownRuns;
   }
 
   bool PlaceRun(TaskState& aTask, TimePoint aNow)
@@ -1336,11 +1338,11 @@
   /// 0 if the clock is not known.
   std::int64_t ExtendLease(WorkerState& aWorker, TimePoint aNow)
   {
-    if (!aWorker.mIsKnown) {
+    if (!aWorker.mHasReported) {
       return 0;
     }
     const TimePoint until =
-      std::min(aNow + std::min(kLease, mLimits.mMaxLease), mAuthorityUntil);
+      std::min(aNow + std::min(kLease, mLimits.mMaxLease), mLeadershipEndsAt);
     if (until <= aNow) {
       return 0;
     }
@@ -1379,9 +1381,9 @@
       aWorker.mFailedPolls == 0 ? ExtendLease(aWorker, aNow) : 0;
     call.mAcknowledgedSequence = aWorker.mAcknowledgedSequence;
     const bool isShared = aWorker.mBackfillDemand > 0;
-    call.mWaitMs = !aWorker.mIsKnown ? 0
-                   : isShared        ? kPollWaitSharedMs
-                                     : kPollWaitMs;
+    call.mWaitMs = !aWorker.mHasReported ? 0
+                   : isShared            ? kPollWaitSharedMs
+                                         : kPollWaitMs;
     mSink.Poll(call);
   }
 
@@ -1474,13 +1476,13 @@
   std::uint64_t mBatch = 0;
   std::uint64_t mDurableBatch = 0;
   std::int64_t mUnixMs = 0;
-  TimePoint mConfirmedAt;
-  TimePoint mAuthorityUntil;
+  TimePoint mLeadershipConfirmedAt;
+  TimePoint mLeadershipEndsAt;
   TimePoint mNextTick;
   TimePoint mNextSummaryAt;
   TimePoint mNextFullTickAt;
   bool mIsPlacementDue = true;
-  bool mMayHaveUnknownRun = true;
+  bool mMayHaveUnknownRuns = true;
   bool mIsFenced = false;
 };
 
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -194,7 +194,7 @@
     for (const char* id : { "w1", "w2", "w3" }) {
       FakeWorker& worker = site.AddWorker(id);
       worker.mEndedRuns.push_back({ 1, task, number, RunOutcome::Failed, "" });
-      worker.mHighestEnded[ToText(task)] = number--;
+      worker.mHighestEndedRuns[ToText(task)] = number--;
     }
     auto& leader = AddSuccessor(site, 2);
     jobs::JobRecord job = MakeJob("a", { 1 });
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -45,9 +45,9 @@
   mFencingToken = 0;
   mRuns.clear();
   mEndedRuns.clear();
-  mNextEnd = 1;
+  mNextSequence = 1;
   mAcknowledgedSequence = 0;
-  mHighestEnded.clear();
+  mHighestEndedRuns.clear();
 }
 
 FakeSite::Leader::Leader(FakeSite& aSite, const Term& aTerm)
@@ -62,7 +62,7 @@
 {
   const base::TimePoint sentAt = mSite.Now();
   if (mUnreachableWorkers.count(aCall.mWorkerId) != 0) {
-    mAnswers.emplace_back(sentAt + kCallTimeout, [this, aCall] {
+    mPendingAnswers.emplace_back(sentAt + kCallTimeout, [this, aCall] {
       mDispatcher->OnPollFailed(aCall.mWorkerId, mSite.Now());
     });
     return;
@@ -85,8 +85,8 @@
   }
   worker.mEndedRuns.erase(std::remove_if(worker.mEndedRuns.begin(),
                                          worker.mEndedRuns.end(),
-                                         [&](const EndedRun& aEnd) {
-                                           return aEnd.mSequence <=
+                                         [&](const EndedRun& aEndedRun) {
+                                           return aEndedRun.mSequence <=
                                                   aCall.mAcknowledgedSequence;
                                          }),
                           worker.mEndedRuns.end());
@@ -100,7 +100,7 @@
   }
   const base::TimePoint answeredAt =
     sentAt + kLatency + mDelays[aCall.mWorkerId];
-  mAnswers.emplace_back(answeredAt, [this, aCall, report, sentAt] {
+  mPendingAnswers.emplace_back(answeredAt, [this, aCall, report, sentAt] {
     mDispatcher->OnReport(aCall.mWorkerId, report, sentAt, mSite.Now());
   });
 }
@@ -120,12 +120,12 @@
       worker.mRuns.begin(), worker.mRuns.end(), [&](const auto& aEntry) {
         return aEntry.mTask == aCall.mTask && aEntry.mNumber == aCall.mRun;
       });
-    const auto ended = worker.mHighestEnded.find(ToText(aCall.mTask));
+    const auto ended = worker.mHighestEndedRuns.find(ToText(aCall.mTask));
     if (mEpoch < worker.mFencingToken) {
       outcome = StartOutcome::Fenced;
     } else if (isRunning) {
       outcome = StartOutcome::Started;
-    } else if (ended != worker.mHighestEnded.end() &&
+    } else if (ended != worker.mHighestEndedRuns.end() &&
                aCall.mRun <= ended->second) {
       outcome = StartOutcome::OldRun;
     } else {
@@ -143,7 +143,7 @@
           mSite.mFails && mSite.mFails(aCall.mTask, aCall.mRun) });
     }
   }
-  mAnswers.emplace_back(answeredAt, [this, aCall, outcome] {
+  mPendingAnswers.emplace_back(answeredAt, [this, aCall, outcome] {
     mDispatcher->OnStartResult(aCall, outcome, mSite.Now());
   });
 }
@@ -161,11 +161,11 @@
     if (mEpoch < worker.mFencingToken) {
       outcome = CallOutcome::Fenced;
     } else {
-      auto& highest = worker.mHighestEnded[ToText(aCall.mTask)];
+      auto& highest = worker.mHighestEndedRuns[ToText(aCall.mTask)];
       highest = std::max(highest, aCall.mRun);
       for (auto it = worker.mRuns.begin(); it != worker.mRuns.end(); ++it) {
         if (it->mTask == aCall.mTask && it->mNumber == aCall.mRun) {
-          worker.mEndedRuns.push_back({ worker.mNextEnd++,
+          worker.mEndedRuns.push_back({ worker.mNextSequence++,
                                         aCall.mTask,
                                         aCall.mRun,
                                         RunOutcome::Stopped,
@@ -176,7 +176,7 @@
       }
     }
   }
-  mAnswers.emplace_back(answeredAt, [this, aCall, outcome] {
+  mPendingAnswers.emplace_back(answeredAt, [this, aCall, outcome] {
     mDispatcher->OnStopResult(aCall, outcome, mSite.Now());
   });
 }
@@ -185,7 +185,7 @@
 FakeSite::Leader::Pace(const PaceCall& aCall)
 {
   mPaces.push_back(aCall);
-  mAnswers.emplace_back(mSite.Now() + kLatency, [this, aCall] {
+  mPendingAnswers.emplace_back(mSite.Now() + kLatency, [this, aCall] {
     mDispatcher->OnPaceResult(aCall, CallOutcome::Accepted, mSite.Now());
   });
 }
@@ -201,7 +201,7 @@
       advice.mPermissions.push_back({ id, "ticket-" + id });
     }
   }
-  mAnswers.emplace_back(mSite.Now() + kLatency, [this, aCall, advice] {
+  mPendingAnswers.emplace_back(mSite.Now() + kLatency, [this, aCall, advice] {
     mDispatcher->OnAdviceResult(aCall, advice, mSite.Now());
   });
 }
@@ -215,13 +215,13 @@
   }
   mDispatcher->SetLeadershipLease(mConfirmedAt,
                                   mConfirmedAt + std::chrono::seconds(12));
-  auto answers = std::move(mAnswers);
-  mAnswers.clear();
+  auto answers = std::move(mPendingAnswers);
+  mPendingAnswers.clear();
   for (auto& it : answers) {
     if (it.first <= now) {
       it.second();
     } else {
-      mAnswers.push_back(std::move(it));
+      mPendingAnswers.push_back(std::move(it));
     }
   }
   mDispatcher->Tick(now, ToMs(now));
@@ -292,12 +292,12 @@
       ++it;
       continue;
     }
-    const RunOutcome end = isLeaseExpired ? RunOutcome::LeaseExpired
-                           : it->mFails   ? RunOutcome::Failed
-                                          : RunOutcome::Done;
+    const RunOutcome outcome = isLeaseExpired ? RunOutcome::LeaseExpired
+                               : it->mFails   ? RunOutcome::Failed
+                                              : RunOutcome::Done;
     aWorker.mEndedRuns.push_back(
-      { aWorker.mNextEnd++, it->mTask, it->mNumber, end, "" });
-    auto& highest = aWorker.mHighestEnded[ToText(it->mTask)];
+      { aWorker.mNextSequence++, it->mTask, it->mNumber, outcome, "" });
+    auto& highest = aWorker.mHighestEndedRuns[ToText(it->mTask)];
     highest = std::max(highest, it->mNumber);
     it = aWorker.mRuns.erase(it);
   }
@@ -335,7 +335,7 @@
   for (const int count : aCounts) {
     jobs::Step step;
     step.mCount = count;
-    step.mNeed = { aMilliProcessors, 1 << 20, 0 };
+    step.mResources = { aMilliProcessors, 1 << 20, 0 };
     step.mEstimateMs = 300;
     if (!job.mSubmission->mRequest.mSteps.empty()) {
       step.mDependsOn = {
--- a/src/dispatch/fake_site_test.hpp
+++ b/src/dispatch/fake_site_test.hpp
@@ -43,10 +43,10 @@
   base::TimePoint mLeaseUntil;
   std::vector<Run> mRuns;
   std::vector<EndedRun> mEndedRuns;
-  std::int64_t mNextEnd = 1;
+  std::int64_t mNextSequence = 1;
   std::int64_t mAcknowledgedSequence = 0;
   /// Highest run of a task that was stopped or has ended.
-  std::map<std::string, int> mHighestEnded;
+  std::map<std::string, int> mHighestEndedRuns;
   /// Reported for every service run.
   std::int64_t mReportedMeasurement = 20;
   bool mIsDraining = false;
@@ -94,7 +94,8 @@
     const std::int64_t mEpoch;
     metrics::Registry mMetrics;
     std::unique_ptr<Dispatcher> mDispatcher;
-    std::deque<std::pair<base::TimePoint, std::function<void()>>> mAnswers;
+    std::deque<std::pair<base::TimePoint, std::function<void()>>>
+      mPendingAnswers;
     base::TimePoint mConfirmedAt;
   };
 
--- a/src/dispatch/job_state.cpp
+++ b/src/dispatch/job_state.cpp
@@ -167,7 +167,7 @@
 base::Resources
 ReservedResources(const jobs::Step& aStep)
 {
-  base::Resources need = aStep.mNeed;
+  base::Resources need = aStep.mResources;
   if (aStep.mIsBackfill) {
     need.mMilliProcessors = 0;
   }
--- a/src/dispatch/pacing.cpp
+++ b/src/dispatch/pacing.cpp
@@ -29,7 +29,7 @@
 constexpr base::Duration kMinChangeInterval = std::chrono::milliseconds(550);
 
 constexpr int kFullPace = 100;
-constexpr int kRaisePerChange = 25;
+constexpr int kMaxRaisePerChange = 25;
 
 bool
 IsService(const RunState& aRun)
@@ -114,13 +114,13 @@
       ? std::chrono::duration<double>(aNow - *aWorker.mTailViolatedSince) /
           std::chrono::duration<double>(aMaxTailViolation)
       : 0.0;
-  const bool isUrgent = violation > kPauseFraction;
-  if (!isUrgent && aNow < aWorker.mPaceChangedAt + kMinChangeInterval) {
+  const bool mustPause = violation > kPauseFraction;
+  if (!mustPause && aNow < aWorker.mPaceChangedAt + kMinChangeInterval) {
     return;
   }
   std::map<const RunState*, double> paces;
   for (const RunState* it : backfill) {
-    paces[it] = isUrgent ? 0.0 : kFullPace;
+    paces[it] = mustPause ? 0.0 : kFullPace;
   }
   for (const RunState* it : services) {
     LimitPaces(aModel, *it, backfill, paces);
@@ -128,9 +128,9 @@
   bool hasChanged = false;
   for (RunState* it : backfill) {
     int pace = static_cast<int>(paces[it]);
-    pace = std::min(pace, it->mTargetPace + kRaisePerChange);
+    pace = std::min(pace, it->mTargetPace + kMaxRaisePerChange);
     if (pace < it->mTargetPace || pace == kFullPace ||
-        pace > it->mTargetPace + kRaisePerChange / 2) {
+        pace > it->mTargetPace + kMaxRaisePerChange / 2) {
       hasChanged = hasChanged || pace != it->mTargetPace;
       it->mTargetPace = pace;
     }
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -55,7 +55,8 @@
                 const WorkerState& aWorker,
                 const ColocationModel& aModel)
 {
-  const double share = ShareOf(aStep.mSpec->mNeed.mMilliProcessors, aWorker);
+  const double share =
+    ShareOf(aStep.mSpec->mResources.mMilliProcessors, aWorker);
   Saturation highest = 0.0;
   for (const RunState* it : aWorker.mRuns) {
     if (it->mTask->mStep->mSpec->mIsService) {
@@ -100,7 +101,8 @@
                      const WorkerState& aWorker,
                      const ColocationModel& aModel)
 {
-  const double share = ShareOf(aStep.mSpec->mNeed.mMilliProcessors, aWorker);
+  const double share =
+    ShareOf(aStep.mSpec->mResources.mMilliProcessors, aWorker);
   const TailRatio limit = aStep.mIsUrgent ? kMaxTailRatioUrgent : kMaxTailRatio;
   return std::any_of(
     aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const RunState* aRun) {
@@ -145,7 +147,7 @@
   // Best fit keeps room for large tasks and whole workers for backfill.
   const auto free = aWorker.mEntry.mCapacity.mMilliProcessors -
                     aWorker.mUsed.mMilliProcessors -
-                    step.mNeed.mMilliProcessors;
+                    step.mResources.mMilliProcessors;
   cost += static_cast<double>(free);
   if (step.mIsService) {
     cost += kMixedImagesCost * ShareOfOtherImages(*aTask.mStep, aWorker);
@@ -187,7 +189,7 @@
   for (const RunState* it : aWorker.mRuns) {
     const jobs::Step& step = *it->mTask->mStep->mSpec;
     if (!step.mIsBackfill) {
-      const auto need = static_cast<double>(step.mNeed.mMilliProcessors);
+      const auto need = static_cast<double>(step.mResources.mMilliProcessors);
       used += step.mIsService ? kServiceUse * need : need;
     }
   }
@@ -198,8 +200,8 @@
 bool
 AcceptsStarts(const WorkerState& aWorker, base::TimePoint aNow)
 {
-  return aWorker.mIsKnown && aWorker.mIsListed && !aWorker.mEntry.mIsDraining &&
-         aWorker.mAvoidUntil <= aNow &&
+  return aWorker.mHasReported && aWorker.mIsListed &&
+         !aWorker.mEntry.mIsDraining && aWorker.mAvoidUntil <= aNow &&
          aWorker.mLastReportAt + kMaxReportAge > aNow;
 }
 
@@ -244,8 +246,9 @@
   if (step.mIsBackfill) {
     const auto left =
       static_cast<double>(EstimateLeftover(aWorker) - aWorker.mBackfillDemand);
-    const auto need = static_cast<double>(std::min(
-      step.mNeed.mMilliProcessors, aWorker.mEntry.mCapacity.mMilliProcessors));
+    const auto need =
+      static_cast<double>(std::min(step.mResources.mMilliProcessors,
+                                   aWorker.mEntry.mCapacity.mMilliProcessors));
     return left >= kMinBackfillShare * need &&
            !WouldExceedTailLimit(aStep, aWorker, aModel);
   }
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -28,7 +28,7 @@
   TaskState* mTask = nullptr;
   WorkerState* mWorker = nullptr;
   int mNumber = 0;
-  base::TimePoint mOrderedAt;
+  base::TimePoint mPlacedAt;
   /// The worker has accepted the start or the stop of the run, or reported it.
   bool mIsConfirmed = false;
   base::TimePoint mConfirmedAt;
@@ -38,7 +38,8 @@
   base::TimePoint mNextCallAt;
   int mPercent = 0;
   base::TimePoint mProgressAt;
-  /// Pace that the worker has accepted, in percent of full speed; -1 if unknown.
+  /// Pace that the worker has accepted, in percent of full speed; -1 if
+  /// unknown.
   int mPace = 100;
   /// Pace that the worker should apply, in percent of full speed.
   int mTargetPace = 100;
@@ -156,7 +157,7 @@
   base::TimePoint mLeavesAt = base::kNoDeadline;
 
   /// The worker has answered a poll in this term.
-  bool mIsKnown = false;
+  bool mHasReported = false;
   std::int64_t mIncarnationStartMs = 0;
   std::int64_t mClockMs = 0;
   base::TimePoint mClockReadAt;
--- a/src/dispatch/worker.cpp
+++ b/src/dispatch/worker.cpp
@@ -38,9 +38,9 @@
 }
 
 std::string_view
-NameOf(RunOutcome aEnd)
+NameOf(RunOutcome aOutcome)
 {
-  return base::FindName(kRunOutcomeNames, aEnd);
+  return base::FindName(kRunOutcomeNames, aOutcome);
 }
 
 std::string_view
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -79,9 +79,9 @@
 ToFields(const Step& aStep)
 {
   return { aStep.mCount,
-           { aStep.mNeed.mMilliProcessors,
-             aStep.mNeed.mMemoryBytes,
-             aStep.mNeed.mAccelerators },
+           { aStep.mResources.mMilliProcessors,
+             aStep.mResources.mMemoryBytes,
+             aStep.mResources.mAccelerators },
            aStep.mEstimateMs,
            aStep.mDependsOn,
            aStep.mSavesProgress,
@@ -119,7 +119,7 @@
            step.mTailTargetMs,
            step.mIsBackfill,
            step.mMaxUnavailable) = aFields;
-  step.mNeed = { std::get<0>(need), std::get<1>(need), std::get<2>(need) };
+  step.mResources = { std::get<0>(need), std::get<1>(need), std::get<2>(need) };
   return step;
 }
 
--- a/src/jobs/jobs_test.cpp
+++ b/src/jobs/jobs_test.cpp
@@ -19,7 +19,7 @@
   submission.mRequest.mPayload = std::string("\0\xff text", 7);
   Step step;
   step.mCount = 4;
-  step.mNeed = { 1500, 1 << 20, 2 };
+  step.mResources = { 1500, 1 << 20, 2 };
   step.mDependsOn = {};
   step.mImage = "image";
   step.mIsBackfill = true;
@@ -71,7 +71,7 @@
                          after.value().mRequest.mSteps.size());
     const Step& step = after.value().mRequest.mSteps[1];
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, step.mDependsOn.size());
-    CPPUNIT_ASSERT(step.mNeed == before.mRequest.mSteps[1].mNeed);
+    CPPUNIT_ASSERT(step.mResources == before.mRequest.mSteps[1].mResources);
     CPPUNIT_ASSERT(step.mIsBackfill);
     CPPUNIT_ASSERT_EQUAL(2, step.mMaxUnavailable);
     CPPUNIT_ASSERT_EQUAL(1.5, after.value().mPolicy.mSlackFactor);
