--- a/include/skylarkhill/jobs/job.hpp
+++ b/include/skylarkhill/jobs/job.hpp
@@ -10,68 +10,74 @@
 
 namespace skylarkhill::jobs {
 
-/// A number of identical tasks that run in parallel.
+/// A stage of a job: a number of identical tasks that may run in parallel.
 struct Step
 {
+  /// Number of tasks.
   int mCount = 1;
+  /// Resources that one task requires.
   base::Resources mResources;
-  /// Declared run time of one task, often far off.
+  /// Declared run time of one task; often inaccurate.
   std::int64_t mEstimateMs = 0;
-  /// Indexes of earlier steps that must be complete first.
+  /// Indexes of earlier steps that must complete before this step starts.
   std::vector<int> mDependsOn;
+  /// Tasks write checkpoints from which a later run continues.
   bool mSavesProgress = false;
-  /// All tasks run at the same time or not at all.
+  /// All tasks must run at the same time (gang scheduling).
   bool mIsGang = false;
-  /// A gang that slows down when it spans racks.
+  /// The gang runs slower if it spans several racks.
   bool mIsRackSensitive = false;
-  /// A label that the worker must have; empty: any worker.
+  /// Label that a worker must have; empty for any worker.
   std::string mRequiredLabel;
-  /// The rack that holds the input data; empty: any rack.
+  /// Rack that holds the input data; empty for any rack.
   std::string mPreferredRack;
-  /// Tasks of this step on one worker at most; 0: no limit.
+  /// Maximum number of tasks of this step on one worker; 0 for no limit.
   int mMaxPerWorker = 0;
-  /// Copies of a task may run at the same time.
+  /// Several runs of a task may be active at the same time.
   bool mMayDuplicate = false;
   /// Runs until the job is cancelled.
   bool mIsService = false;
-  /// Tasks of one image behave alike.
+  /// Name of the image. Tasks of the same image are expected to interfere
+  /// alike.
   std::string mImage;
-  /// Bound of the tail latency of a service task; 0: none.
+  /// Tail latency target of a service task; 0 for none.
   std::int64_t mTailTargetMs = 0;
-  /// Uses only processor time that other tasks leave; its processors do not
-  /// count against the capacity of a worker.
+  /// Uses only processor time that other tasks leave idle; its processors do
+  /// not count against the capacity of a worker.
   bool mIsBackfill = false;
-  /// Service tasks that the system may take away at the same time.
+  /// Maximum number of service tasks that may be unavailable while a worker
+  /// drains.
   int mMaxUnavailable = 0;
 };
 
-/// What a caller asked for.
+/// A job as specified by the caller.
 struct JobRequest
 {
-  /// Opaque text that workers interpret.
+  /// Opaque to the scheduler; interpreted by workers.
   std::string mPayload;
   std::vector<Step> mSteps;
-  /// Number of occurrences; 0: the job runs once, at once.
+  /// Number of periodic occurrences; 0 if the job runs once, immediately.
   int mOccurrences = 0;
   /// Unix time of the first occurrence.
   std::int64_t mFirstStartMs = 0;
   std::int64_t mIntervalMs = 0;
 };
 
-/// The settings of the queue that a job was submitted to.
+/// Settings of a queue, as of the submission of the job.
 struct QueuePolicy
 {
   std::string mQueue;
   /// The pool of workers that runs the tasks.
   std::string mService;
-  /// 0 comes first.
+  /// 0 is the highest priority.
   int mPriority = 0;
-  /// Failed runs of one task after which the job has failed.
+  /// Number of failed runs of one task after which the job fails.
   int mMaxAttempts = 1;
-  /// The objective of a job is this times its work plus the target latency.
+  /// The objective of a job is the length of its critical path times this
+  /// factor, plus the target latency.
   double mSlackFactor = 1.0;
   std::int64_t mTargetLatencyMs = 0;
-  /// Starts need a permission of the advice service.
+  /// Starts need a ticket of the advice service.
   bool mNeedsAdvice = false;
 };
 
@@ -102,22 +108,22 @@
 bool
 IsFinal(JobState aState);
 
-/// What is durable about one task.
+/// Durable state of one task.
 struct TaskProgress
 {
   int mIndex = 0;
   bool mIsDone = false;
-  /// Runs that have failed. Ends may be reported again after a change of the
-  /// leader and in any order, so that a count would not do.
+  /// Numbers of the failed runs. A count would not be enough, because ends may
+  /// be reported again after a failover, and in any order.
   std::vector<int> mFailedRuns;
-  /// Highest run number known; later runs get higher ones.
+  /// Highest known run number; later runs get higher numbers.
   int mLastRun = 0;
-  /// Newest checkpoint; empty: none.
+  /// Latest checkpoint; empty if there is none.
   std::string mCheckpoint;
 };
 
-/// What is durable about one step of one occurrence. Tasks without an entry
-/// have not ended.
+/// Durable state of one step of one occurrence. No run of a task without an
+/// entry has ended.
 struct StepProgress
 {
   int mOccurrence = 0;
@@ -125,11 +131,12 @@
   std::vector<TaskProgress> mTasks;
 };
 
-/// What is durable about a job beyond its submission.
+/// Durable state of a job, apart from its submission.
 struct JobProgress
 {
   JobState mState = JobState::Pending;
-  /// Tasks of the job may have been started. Durable before the first start.
+  /// Tasks of the job may have been started. Becomes durable before the first
+  /// start.
   bool mIsReleased = false;
   std::vector<StepProgress> mSteps;
 };
--- a/include/skylarkhill/jobs/job_codec.hpp
+++ b/include/skylarkhill/jobs/job_codec.hpp
@@ -10,15 +10,16 @@
 
 namespace skylarkhill::jobs {
 
-/// What a record of the job journal tells.
+/// Kind of a record in the job journal.
 enum class RecordKind
 {
   Submission,
   Cancellation,
   Progress,
-  /// What a leader has learned about images; not about one job.
+  /// Interference estimates of a leader; does not belong to a job.
   Model,
-  /// A worker that a leader has used; its key names the worker, not a job.
+  /// A worker that a leader has used. The key holds the worker id instead of a
+  /// job id.
   Worker,
 };
 
@@ -26,27 +27,28 @@
 struct RecordKey
 {
   RecordKind mKind = RecordKind::Submission;
+  /// Worker id for RecordKind::Worker.
   std::string mJobId;
 };
 
 std::string
 FormatRecordKey(RecordKind aKind, std::string_view aJobId);
 
-/// Nothing if the key has another form.
+/// Returns nothing if the key is malformed.
 std::optional<RecordKey>
 ParseRecordKey(std::string_view aKey);
 
 std::string
 EncodeSubmission(const Submission& aSubmission);
 
-/// InvalidArgument if the bytes are not those of EncodeSubmission.
+/// InvalidArgument if the bytes are malformed.
 base::Result<Submission>
 DecodeSubmission(std::string_view aBytes);
 
 std::string
 EncodeProgress(const JobProgress& aProgress);
 
-/// InvalidArgument if the bytes are not those of EncodeProgress.
+/// InvalidArgument if the bytes are malformed.
 base::Result<JobProgress>
 DecodeProgress(std::string_view aBytes);
 
--- a/include/skylarkhill/jobs/job_table.hpp
+++ b/include/skylarkhill/jobs/job_table.hpp
@@ -15,42 +15,42 @@
 
 namespace skylarkhill::jobs {
 
-/// All that the journal tells about one job.
+/// Contents of the journal for one job.
 struct JobRecord
 {
-  /// Nothing while only a cancellation or a progress record has been read.
+  /// Empty until the submission record has been read.
   std::optional<Submission> mSubmission;
   bool mIsCancelled = false;
   JobProgress mProgress;
-  /// Offset of the progress record; older ones are ignored.
+  /// Journal offset of the applied progress record; older records are ignored.
   std::int64_t mProgressOffset = -1;
 
-  /// The state that a caller sees.
+  /// The state shown to callers.
   JobState State() const;
 };
 
-/// Every job of the journal. Thread-safe: sharded by job, each shard under its
-/// own lock.
+/// All jobs in the journal. Thread-safe; sharded by job id with one lock per
+/// shard.
 class JobTable
 {
 public:
-  /// Applies one record; records of a job may come in any order and more than
-  /// once. Malformed records are skipped with a log line.
+  /// Applies one record. Records of a job may arrive in any order and more than
+  /// once. Malformed records are logged and skipped.
   void Apply(std::string_view aKey,
              std::string_view aValue,
              std::int64_t aOffset);
-  /// Removes a job.
   void Erase(const std::string& aJobId);
 
   std::optional<JobState> StateOf(const std::string& aJobId) const;
-  /// True if the submission itself is known.
+  /// True if the submission of the job has been read.
   bool Contains(const std::string& aJobId) const;
   std::optional<JobRecord> Find(const std::string& aJobId) const;
-  /// Jobs of `aQueue` that are pending.
+  /// Number of pending jobs of `aQueue`.
   std::size_t CountPending(std::string_view aQueue) const;
-  /// Copies of all jobs whose submission is known.
+  /// Copies of all jobs whose submission has been read.
   std::vector<JobRecord> List() const;
-  /// Ids of jobs in a final state that were accepted before `aAcceptedMs`.
+  /// Ids of jobs in a final state that were accepted before
+  /// `aAcceptedBeforeMs`.
   std::vector<std::string> ListFinal(std::int64_t aAcceptedBeforeMs) const;
   std::size_t Size() const;
 
--- a/src/dispatch/colocation_model.cpp
+++ b/src/dispatch/colocation_model.cpp
@@ -16,47 +16,48 @@
 
 namespace {
 
-/// Saturation of a service whose load is not known: the load of the sites'
-/// usual services, with a part of its swing.
+/// Baseline of a service without reports: typical load at the sites, with a
+/// margin for its variation.
 constexpr Saturation kDefaultBaseline = 0.55;
 
-/// Bounds of a load: a higher pressure is taken for the effect of something
-/// that the model does not know yet.
+/// Bounds of a baseline. A higher saturation is attributed to interference that
+/// the model does not know yet.
 constexpr Saturation kMinBaseline = 0.1;
 constexpr Saturation kMaxBaseline = 0.8;
 
-/// Reports of other tasks of a service tell its load for this long; the load
-/// swings by half of itself within ten seconds.
+/// Older reports are not used to estimate a baseline: the load of a service
+/// varies by half within ten seconds.
 constexpr base::Duration kMaxBaselineAge = std::chrono::milliseconds(1200);
 
-/// A task is taken to have a higher load than the others of its service from
-/// this difference on, for example on a worker that has become slow.
+/// A task may exceed the baseline of its service by this much before its own
+/// baseline is used, for example on a worker that has become slow.
 constexpr Saturation kBaselineTolerance = 0.15;
 
-/// Variance of the difference between the pressures of two tasks of a service,
-/// neither colocated backfill; deviations of 0.05 to 0.1 were measured.
+/// Variance of the difference in saturation between two tasks of a service,
+/// both without colocated backfill. Measured deviations were 0.05 to 0.1.
 constexpr double kBaselineNoise = 0.01;
-/// The same if only tasks colocated backfill tell the load.
+/// Variance if all other reporting tasks have colocated backfill.
 constexpr double kColocatedBaselineNoise = 0.03;
-/// The same if no other task tells the load.
+/// Variance if no other task has reported.
 constexpr double kDefaultBaselineNoise = 0.06;
 
 /// Tail ratio of an idle service task: sites set the target to five times the
-/// tail at rest.
+/// idle tail latency.
 constexpr TailRatio kIdleRatio = 0.2;
 
 constexpr double kPercent = 100.0;
 
-/// Service image, backfill image, mean, variance.
+/// Serialised estimate: service image, backfill image, mean, variance.
 using EstimateFields = std::tuple<std::string, std::string, double, double>;
 
-/// What the tasks of a service except `aExcept` tell about its load.
+/// Baseline of a service and the variance of the estimate.
 struct BaselineEstimate
 {
   Saturation mBaseline = kDefaultBaseline;
   double mNoise = kDefaultBaselineNoise;
 };
 
+/// Median baseline of the tasks of a service, without the run `aExcept`.
 BaselineEstimate
 EstimateBaseline(const StepState& aService,
                  const RunState* aExcept,
@@ -83,7 +84,7 @@
            isolated.empty() ? kColocatedBaselineNoise : kBaselineNoise };
 }
 
-/// Share of the processors that each backfill image used by the last report.
+/// By backfill image: share of the worker's processors at the last report.
 std::map<int, double>
 SumBackfillShares(const WorkerState& aWorker)
 {
@@ -97,8 +98,8 @@
   return shares;
 }
 
-/// The backfill that shows in the tails of the newest report. They lag behind
-/// the use of processors, which is why the report before counts as much.
+/// Averages the processor shares of two reports: tail latencies lag behind
+/// processor use, so the previous report counts as much as the newest one.
 std::vector<BackfillUsage>
 AverageBackfillShares(const std::map<int, double>& aPrevious,
                       const std::map<int, double>& aNewest)
--- a/src/dispatch/colocation_model.hpp
+++ b/src/dispatch/colocation_model.hpp
@@ -18,49 +18,48 @@
 struct StepState;
 struct WorkerState;
 
-/// Tail latency of a service task relative to its target.
+/// Ratio of the tail latency of a service task to its target.
 using TailRatio = double;
 
-/// The pressure that shows as `aRatio`.
+/// Returns the saturation that corresponds to a tail latency of `aRatio`.
 Saturation
 SaturationOf(TailRatio aRatio);
 
-/// Learns by how much backfill tasks raise the tail latency of service tasks
-/// beside them, per pair of images.
+/// Learns how much backfill raises the tail latency of service tasks on the
+/// same worker, for each pair of images.
 class ColocationModel
 {
 public:
-  /// A small number for `aImage`, the same for equal names.
+  /// Returns a dense index for `aImage`, the same for equal names.
   int Intern(const std::string& aImage);
 
-  /// Learns from the tails that the service tasks on `aWorker` have just
-  /// reported.
+  /// Updates the estimates with the latest report of `aWorker`.
   void Record(WorkerState& aWorker, base::TimePoint aNow);
 
-  /// The expected pressure on a service task by a backfill task that uses the
-  /// share `aShare` (0 to 1) of the worker's processors.
+  /// Returns the expected interference of a backfill task that uses `aShare`
+  /// (0 to 1) of the worker's processors.
   Saturation ExpectedInterference(int aServiceImage,
                                   int aBackfillImage,
                                   double aShare) const;
 
-  /// The same, one standard deviation above what is expected.
+  /// Returns the expected interference plus one standard deviation.
   Saturation InterferenceUpperBound(int aServiceImage,
                                     int aBackfillImage,
                                     double aShare) const;
 
-  /// The expected pressure of `aBackfill` at full pace on `aService`, both on
-  /// one worker.
+  /// Returns the expected interference of `aBackfill` at full pace with
+  /// `aService` on the same worker.
   Saturation InterferenceBetween(const RunState& aService,
                                  const RunState& aBackfill) const;
 
-  /// The pressure of all backfill beside `aService` at the paces that are
-  /// wanted, also of runs that no report covers yet.
+  /// Returns the expected interference of all backfill on the worker of
+  /// `aService` at the target paces, including runs not reported yet.
   Saturation TotalInterference(const RunState& aService) const;
 
-  /// The estimates, for another process.
+  /// Serialises the estimates.
   std::string Export() const;
-  /// Starts from the estimates of Export. InvalidArgument if the bytes are not
-  /// those of Export.
+  /// Loads estimates written by Export. InvalidArgument if the bytes are
+  /// malformed.
   base::Result<void> Import(std::string_view aBytes);
 
 private:
@@ -69,23 +68,23 @@
   std::vector<std::string> mImageNames;
 };
 
-/// The last reported tail of a service run relative to its target; a typical
-/// value while none has been reported.
+/// Returns the tail ratio of a service run at its last report, or a typical
+/// value before the first report.
 TailRatio
 TailRatioOf(const RunState& aRun);
 
-/// The pressure of a service's own load, on the task that `aService` runs. All
-/// tasks of a service share the load, so that those without backfill beside
-/// them tell it for the others.
+/// Returns the saturation of a service run without interference. The tasks of a
+/// service share its load, so the estimate is taken from tasks without
+/// colocated backfill if there are any.
 Saturation
 BaselineOf(const RunState& aService);
 
-/// The share, 0 to 1, that `aMilliProcessors` are of the worker's processors.
+/// Returns `aMilliProcessors` as a share, 0 to 1, of the worker's processors.
 double
 ShareOf(std::int64_t aMilliProcessors, const WorkerState& aWorker);
 
-/// The share of its worker's processors that a backfill run uses at full
-/// pace.
+/// Returns the share of its worker's processors that a backfill run uses at
+/// full pace.
 double
 BackfillShareOf(const RunState& aRun);
 
--- a/src/dispatch/colocation_test.cpp
+++ b/src/dispatch/colocation_test.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-/// Steps and workers without a dispatcher around them.
+/// Steps, runs and workers for tests without a dispatcher.
 class PlacementFixture
 {
 public:
@@ -35,7 +35,7 @@
     return mTasks.back();
   }
 
-  /// A step whose tasks share their load.
+  /// Adds a step with `aCount` tasks that share its load.
   StepState& AddStep(const jobs::Step& aSpec, int aImage, std::size_t aCount)
   {
     StepState& step = *AddTask(aSpec, aImage).mStep;
@@ -153,9 +153,9 @@
       mFixture->mModel.ExpectedInterference(mTolerant, mLoud, 0.1) < 0.08);
   }
 
-  // Load pattern: services whose load swings by half of itself, with small
-  // backfill tasks beside some of their tasks. Guards against the swing being
-  // taken for an effect of the backfill, which closes most workers to it.
+  // The load of a service varies by half while some of its tasks have colocated
+  // backfill. The variation must not be attributed to the backfill, or most
+  // workers would be closed to it.
   void LearnsPairsUnderVaryingServiceLoad()
   {
     StepState& service = mFixture->AddStep(ServiceStep(), mSensitive, 3);
@@ -187,8 +187,8 @@
       0.02);
   }
 
-  // Guards against backfill that has just left being counted as load of the
-  // service, because tails lag behind the use of processors.
+  // Tails lag behind processor use: interference by backfill that has just
+  // ended must not be counted as load of the service.
   void EstimatesTheBaselineAfterBackfillHasEnded()
   {
     TrainModel();
@@ -208,8 +208,8 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.3, BaselineOf(run), 0.05);
   }
 
-  // Load pattern: batch tasks of many images beside one sensitive service.
-  // Guards against all of them paying for the one that disturbs.
+  // Backfill of several images runs with one sensitive service. Only the
+  // interfering image may be slowed down.
   void SlowsDownOnlyInterferingBackfill()
   {
     TrainModel();
@@ -225,8 +225,8 @@
     CPPUNIT_ASSERT_EQUAL(100, quiet.mTargetPace);
   }
 
-  // Load pattern: the same, with two images that disturb. Guards against work
-  // that waits although a lower pace of the other image is enough.
+  // Two images interfere. If slowing down the worse one is sufficient, the
+  // other one must keep its pace.
   void SlowsDownTheMostInterferingImageFirst()
   {
     WorkerState& worker = mFixture->AddWorker("w");
@@ -260,8 +260,8 @@
       &tolerant, mFixture->Choose(mFixture->AddTask(BackfillStep(), mLoud)));
   }
 
-  // Load pattern: a wide batch step that arrives at once. Guards against all
-  // its tasks being placed by the same outdated tail.
+  // The tasks of a wide step arrive together and must not all be placed by the
+  // same outdated tail.
   void CountsBackfillThatIsNotReportedYet()
   {
     TrainModel();
@@ -279,7 +279,7 @@
     CPPUNIT_ASSERT(placed <= 2);
   }
 
-  // Load pattern: standing services of several images that fill the pool.
+  // Long-running services of several images fill the pool.
   void GroupsServiceTasksOfOneImage()
   {
     WorkerState& first = mFixture->AddWorker("a");
@@ -293,8 +293,8 @@
       &first, mFixture->Choose(mFixture->AddTask(ServiceStep(), mSensitive)));
   }
 
-  // Load pattern: a worker that fails all that it starts, and so is always
-  // the emptiest one.
+  // A worker on which every run fails would otherwise attract tasks, because it
+  // always has the most unused capacity.
   void AvoidsAWorkerWithRecentFailures()
   {
     WorkerState& failing = mFixture->AddWorker("a");
@@ -311,8 +311,8 @@
     CPPUNIT_ASSERT_EQUAL(&failing, mFixture->Choose(task));
   }
 
-  // Guards against backfill that works on beside a service above its target
-  // because the model does not know that it is the cause.
+  // Backfill must be paused and moved even if the model does not expect it to
+  // interfere with the service above its target.
   void MovesBackfillBeforeTheTailViolationLimit()
   {
     WorkerState& worker = mFixture->AddWorker("w");
@@ -330,9 +330,8 @@
     CPPUNIT_ASSERT(backfill.mMustMove);
   }
 
-  // Load pattern: a burst of backfill on a worker that had none, while a long
-  // poll is under way. Guards against a reaction that starts to count only
-  // with the late report.
+  // Backfill is placed on a worker while a long poll is pending. The violation
+  // must be timed from the previous report, not from the delayed one.
   void MeasuresAViolationFromTheLastHealthyReport()
   {
     WorkerState& worker = mFixture->AddWorker("w");
@@ -348,13 +347,13 @@
     CPPUNIT_ASSERT_EQUAL(0, backfill.mTargetPace);
   }
 
-  // Load pattern: a change of the leader under full load. Guards against a
-  // second round of harm while the successor learns the same pairs again.
+  // Otherwise services would suffer interference again after each failover,
+  // while the new leader learns the same pairs.
   void ExportsAndImportsEstimates()
   {
     TrainModel();
     ColocationModel successor;
-    // The numbers of the images differ between processes.
+    // Image indexes differ between processes.
     const int loud = successor.Intern("loud");
     const int sensitive = successor.Intern("sensitive");
     CPPUNIT_ASSERT(successor.Import(mFixture->mModel.Export()));
@@ -365,8 +364,8 @@
     CPPUNIT_ASSERT(!successor.Import("garbage"));
   }
 
-  // Load pattern: batch work with time to spare beside sensitive services.
-  // Guards against harm that a short wait would have avoided.
+  // Batch work with time to spare should wait rather than interfere with a
+  // service near its target.
   void AppliesAStricterTailLimitToNonUrgentTasks()
   {
     TrainModel();
@@ -388,15 +387,15 @@
   }
 
 private:
-  /// The tail, in milliseconds, of a service task under `aSaturation`.
+  /// Returns the tail latency in ms of a service task at `aSaturation`.
   static std::int64_t TailAt(Saturation aSaturation)
   {
     return std::lround(static_cast<double>(ServiceStep().mTailTargetMs) * 0.2 /
                        (1.0 - aSaturation));
   }
 
-  /// Shows the model reports by which `aImage` disturbs the sensitive service
-  /// by `aPerShare`.
+  /// Trains the model with reports in which `aImage` interferes with the
+  /// sensitive service by `aPerShare` per processor share.
   void TrainPair(int aImage, double aPerShare)
   {
     for (int n = 0; n < 60; ++n) {
@@ -414,7 +413,8 @@
     }
   }
 
-  /// Shows the model a few seconds of reports: only one pair disturbs.
+  /// Trains the model with a few seconds of reports in which only one pair
+  /// interferes.
   void TrainModel()
   {
     for (int n = 0; n < 40; ++n) {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -21,56 +21,60 @@
 
 namespace {
 
-/// Lease clocks of workers may run 2% slow.
+/// Lowest rate of a worker's lease clock: clocks may run 2% slow.
 constexpr double kMinClockRate = 0.98;
-/// Covers the time between reading a worker's clock and its answer.
+/// Covers the time between the worker's reading of its clock and the arrival of
+/// its answer.
 constexpr Duration kLeaseMargin = std::chrono::milliseconds(400);
-/// Leases are at most this long: a leader that dies is replaced within about
-/// three seconds, and a worker that is lost blocks its tasks for this long.
+/// Upper bound of a lease. Must outlast a failover, which takes about three
+/// seconds; a lost worker blocks its tasks for this long.
 constexpr Duration kLease = std::chrono::seconds(6);
 
-/// How long a poll waits at the worker for an end. Below the half second that
-/// a reported tail covers where service and backfill tasks share a worker.
+/// Long-poll wait of workers with backfill: at most the half second that a
+/// reported tail covers.
 constexpr int kPollWaitSharedMs = 500;
-/// Elsewhere: backfill that is placed during a poll is watched from its end on.
+/// Long-poll wait of other workers. Backfill placed during such a poll is
+/// monitored from the next poll on.
 constexpr int kPollWaitMs = 700;
-/// Pause before the next poll if ends wait to become durable.
+/// Pause before the next poll while reported ends are not durable yet.
 constexpr Duration kPersistPollPause = std::chrono::milliseconds(250);
 constexpr Duration kPollPause = std::chrono::milliseconds(15);
 constexpr Duration kPollRetryPause = std::chrono::milliseconds(300);
 
-/// Pause before a start or stop that was not answered is sent again.
+/// Pause before an unanswered start or stop is sent again.
 constexpr Duration kResendPause = std::chrono::milliseconds(250);
-/// Starts without an answer after which the run is stopped instead.
+/// Number of unanswered starts after which the run is stopped.
 constexpr int kMaxStartCalls = 4;
 constexpr Duration kNoRoomPause = std::chrono::milliseconds(300);
 constexpr Duration kUnhealthyPause = std::chrono::milliseconds(1500);
 
-/// A registry entry that is missing for longer means that the worker has left;
-/// entries lost in an outage of the store are back within two seconds.
+/// A worker whose registry entry is missing for longer is taken to have left.
+/// Entries lost in an outage of the store reappear within two seconds.
 constexpr Duration kUnlistedGrace = std::chrono::milliseconds(2500);
 
-/// A run whose progress stands still for longer is taken for stuck.
+/// Minimum time without progress after which a run counts as stalled.
 constexpr Duration kMinStall = std::chrono::milliseconds(2000);
-/// Progress may stand still for this many times the average time of one
-/// percent.
+/// The time without progress must also exceed this multiple of the run's
+/// average time per percent.
 constexpr double kStallFactor = 8.0;
 
-/// A backfill run that has been slowed down for longer moves to another worker
-/// if it saves its progress or has done less than this part of its work.
+/// A backfill run that has been throttled for longer is moved to another worker
+/// if it saves its progress or has completed less than kMaxRestartPercent.
 constexpr Duration kThrottledGrace = std::chrono::milliseconds(700);
 constexpr int kMaxRestartPercent = 15;
 constexpr int kUnknownPace = -1;
 constexpr int kFullPace = 100;
-/// Reported use of processors varies by about this much at full pace.
+/// Above this estimate a run is taken to be at full pace, because the reported
+/// processor use varies down to about this percentage.
 constexpr int kMinFullPaceEstimate = 70;
-/// A run with less progress may not have a half second of use behind it.
+/// Below this progress the reported use may cover less than half a second.
 constexpr int kMinMeasuredPercent = 3;
 
-/// A copy of a task is started once its run takes this many times its estimate.
+/// A duplicate of a task is started once its run has taken this multiple of the
+/// estimate.
 constexpr double kDuplicateFactor = 1.6;
 
-/// Objectives up to this many times the original still earn something.
+/// Completion has no value after this multiple of the objective.
 constexpr double kZeroValueFactor = 3.0;
 
 /// Pause between two summary lines in the log.
@@ -78,18 +82,19 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 
-/// A job is urgent this long before it would miss its objective: placement,
-/// start and report take about half of it.
+/// A job becomes urgent this long before it would miss its objective.
+/// Placement, start and report take about half of this time.
 constexpr std::int64_t kUrgentSlackMs = 400;
 
-/// Workers that one call to the advice service names: as many as the objective
-/// of a job counts for a step.
+/// Maximum number of workers per call to the advice service; the objective of a
+/// job accounts for this many per step.
 constexpr std::size_t kMaxAdvisedWorkers = 30;
 constexpr Duration kAdvicePause = std::chrono::milliseconds(100);
-/// A ticket is not used in its last moments, because the start takes time.
+/// Tickets are treated as expired this early, because a start takes time.
 constexpr Duration kTicketMargin = std::chrono::milliseconds(200);
 
-/// Run numbers that an earlier leader may have used without a trace.
+/// Run numbers skipped after a failover: an earlier leader may have used up to
+/// this many that are not recorded.
 constexpr int kRunNumberGap = 8;
 
 std::int64_t
@@ -213,7 +218,7 @@
       ResetIncarnation(worker, aNow);
     }
     if (!worker.mHasReported) {
-      // The leader before this one may just have extended the lease.
+      // The previous leader may just have extended the lease.
       worker.mLeaseEndsAt =
         std::max(worker.mLeaseEndsAt, aNow + MaxLeaseDuration());
       mIsPlacementDue = true;
@@ -293,7 +298,7 @@
         run->mNextCallAt = aNow;
         break;
       case StartOutcome::OldRun:
-        // Its end is in the list of the worker, or it never runs.
+        // The worker reports the end of the run, or the run never starts.
         ConfirmRun(*run, aNow);
         run->mTask->mLastRun =
           std::max(run->mTask->mLastRun, run->mNumber + kRunNumberGap);
@@ -337,8 +342,8 @@
     run->mIsCallInFlight = false;
     run->mNextCallAt = aNow + kResendPause;
     if (aOutcome == CallOutcome::Accepted) {
-      // From now on the worker rejects a start of this run that is still on
-      // its way, and the next report tells whether it runs.
+      // The worker now rejects a delayed start of this run, and its next report
+      // shows whether the run is active.
       ConfirmRun(*run, aNow);
       run->mNextCallAt = aNow + std::chrono::seconds(1);
       run->mWorker->mNextPollAt = std::min(run->mWorker->mNextPollAt, aNow);
@@ -408,8 +413,7 @@
       return;
     }
     mUnixMs = aUnixMs;
-    // Events come many times as often as what passes with time has to be
-    // looked at.
+    // Events trigger many more ticks than the time-dependent checks need.
     const bool isFullTick = aNow >= mNextFullTickAt;
     if (isFullTick) {
       mNextFullTickAt = aNow + kTickInterval;
@@ -538,8 +542,8 @@
     }
   }
 
-  /// Makes the steps ready whose dependencies are complete, and ends the job
-  /// if all are.
+  /// Marks steps whose dependencies are complete as ready. Ends the job if all
+  /// steps are complete.
   void UpdateReadySteps(JobState& aJob)
   {
     if (IsFinal(aJob.mState)) {
@@ -596,7 +600,7 @@
         { "age_ms", mUnixMs - aJob.mSubmission.mAcceptedMs },
         { "objective_ms", aJob.mObjectiveMs - aJob.mSubmission.mAcceptedMs },
         { "late_ms", mUnixMs - aJob.mObjectiveMs } });
-    // A cancellation is durable already.
+    // A cancellation is already durable.
     if (aState != jobs::JobState::Cancelled) {
       MarkDirty(aJob);
     }
@@ -620,8 +624,8 @@
   {
     for (auto it = mJobs.begin(); it != mJobs.end();) {
       JobState& job = *it->second;
-      // A job that is forgotten before its end is durable would be taken for a
-      // new one when its submission arrives again.
+      // If a job were removed before its end is durable, a repeated submission
+      // would be treated as a new job.
       const bool isDurable =
         !job.mIsDirty && (!job.mLastBatch || *job.mLastBatch < mDurableBatch);
       if (IsFinal(job.mState) && isDurable && !HasRuns(job)) {
@@ -696,11 +700,12 @@
     }
   }
 
-  /// Removes a run that the worker has refused to start.
+  /// Removes a run that the worker has refused to start, or stops it if an
+  /// earlier start may still take effect.
   void DropRefusedRun(RunState& aRun)
   {
     aRun.mTask->mAvoidedWorkerId = aRun.mWorker->mEntry.mId;
-    // An earlier call for the same run may not have been answered.
+    // An earlier start of the same run may be unanswered and still arrive.
     if (aRun.mCallsSent > 1 && !aRun.mIsConfirmed) {
       StopRun(aRun);
       return;
@@ -762,8 +767,8 @@
 
   // --- Reports ------------------------------------------------------------
 
-  /// Handles the ends that are new. True if some of them have to become
-  /// durable before they may be acknowledged.
+  /// Handles newly reported ends. Returns true if ends must become durable
+  /// before they may be acknowledged.
   bool HandleEndedRuns(WorkerState& aWorker,
                        const WorkerReport& aReport,
                        TimePoint aNow)
@@ -788,7 +793,7 @@
     return !aWorker.mPendingAcknowledgements.empty();
   }
 
-  /// True if the end changed what has to be durable.
+  /// Returns true if the end changed progress that must be persisted.
   bool HandleEndedRun(WorkerState& aWorker,
                       const EndedRun& aEndedRun,
                       TimePoint aNow)
@@ -842,7 +847,7 @@
   {
     StepState& step = *aTask.mStep;
     if (step.mSpec->mIsService) {
-      // A service task is started again however it ends.
+      // Service tasks are restarted after any outcome.
       MarkDirty(*step.mJob);
       return;
     }
@@ -931,11 +936,12 @@
       }
     }
     for (RunState* it : missing) {
-      DropLostRun(*it, "not in the list of the worker", aNow);
+      DropLostRun(*it, "not reported by the worker", aNow);
     }
   }
 
-  /// Takes over a run that this leader has not ordered, or orders its stop.
+  /// Takes over a reported run that this leader has not started. Stops it and
+  /// returns null if it is not wanted.
   RunState* AdoptRun(WorkerState& aWorker,
                      TaskState* aTask,
                      const ActiveRun& aRun,
@@ -968,8 +974,9 @@
     return &run;
   }
 
-  /// The pace that an earlier leader has set, by the use of processors. To run
-  /// all at full pace again would disturb the services beside them.
+  /// Estimates the pace that an earlier leader has set from the processor use.
+  /// Resetting all runs to full pace would violate the targets of colocated
+  /// services.
   static int EstimatePace(const RunState& aRun, const ActiveRun& aReport)
   {
     const auto need = aRun.mTask->mStep->mSpec->mResources.mMilliProcessors;
@@ -994,8 +1001,8 @@
         areAllPolled && (worker.mHasReported || worker.mFailedPolls > 0);
       const bool isSilent = worker.mLastReportAt + kPollRetryPause < aNow &&
                             worker.mFailedPolls > 0;
-      // A successor that this node cannot see may have extended the lease, so
-      // that the leadership must be confirmed after its end.
+      // A successor unknown to this node may have extended the lease, so the
+      // leadership must have been confirmed after the end of the lease.
       if (isSilent && worker.mLeaseEndsAt < mLeadershipConfirmedAt &&
           !worker.mRuns.empty()) {
         DropAllLostRuns(worker, "worker silent beyond its lease", aNow);
@@ -1009,8 +1016,8 @@
       }
       ++it;
     }
-    // Without a lease nothing runs, but a worker that can be reached may have
-    // the end of a run to tell.
+    // No run outlives the leases of earlier leaders, but a reachable worker may
+    // still have the end of a run to report.
     if (mMayHaveUnknownRuns &&
         ((haveAllReported && !mWorkers.empty()) ||
          (areAllPolled && aNow >= mTerm.mPreviousLeasesEndAt))) {
@@ -1039,7 +1046,7 @@
     }
   }
 
-  /// True for a slowed backfill run that loses little by a stop.
+  /// True if a throttled backfill run would lose little work by a move.
   static bool IsWorthMoving(const RunState& aRun, TimePoint aNow)
   {
     const bool isCheap = aRun.mTask->mStep->mSpec->mSavesProgress ||
@@ -1048,7 +1055,8 @@
            aNow - *aRun.mThrottledSince > kThrottledGrace;
   }
 
-  /// Moves work off a worker that is about to leave.
+  /// Moves work off a draining worker: service runs within mMaxUnavailable, and
+  /// in the last second checkpointed runs that cannot finish in time.
   void CheckDrainingRun(RunState& aRun, TimePoint aNow)
   {
     const StepState& step = *aRun.mTask->mStep;
@@ -1077,7 +1085,7 @@
     }
   }
 
-  /// Finds runs that make no progress.
+  /// Stops a stalled run, or starts a duplicate if the step allows it.
   void CheckStall(RunState& aRun, TimePoint aNow)
   {
     TaskState& task = *aRun.mTask;
@@ -1129,14 +1137,15 @@
 
   // --- Placement ----------------------------------------------------------
 
-  /// Jobs that are late already stand back for those that can be in time.
+  /// 0 for jobs that can still meet their objective, 1 for late jobs, 2 for
+  /// jobs whose completion has no value. Lower values are placed first.
   int LatenessOf(const JobState& aJob) const
   {
     return (aJob.mObjectiveMs < mUnixMs ? 1 : 0) +
            (aJob.mZeroValueMs < mUnixMs ? 1 : 0);
   }
 
-  /// True if the tasks of `aLeft` get workers before those of `aRight`.
+  /// True if the tasks of `aLeft` are placed before those of `aRight`.
   bool HasPrecedence(const StepState& aLeft, const StepState& aRight) const
   {
     if (aLeft.mSpec->mIsService != aRight.mSpec->mIsService) {
@@ -1199,8 +1208,8 @@
     }
   }
 
-  /// Asks which workers may run the step, those that fit it first. Known
-  /// answers are asked for again only when their tickets have expired.
+  /// Asks the advice service which of the fitting workers may run the step.
+  /// Workers are asked about again only after their tickets have expired.
   void RequestAdvice(StepState& aStep, TimePoint aNow)
   {
     if (!aStep.mJob->mSubmission.mPolicy.mNeedsAdvice ||
@@ -1236,8 +1245,8 @@
     mSink.Advise(call);
   }
 
-  /// Requests the release of the step's job as soon as one of its tasks can
-  /// be placed.
+  /// Returns true if the job of the step is released. Requests the release once
+  /// a task of the step can be placed.
   bool EnsureReleased(StepState& aStep, TimePoint aNow)
   {
     JobState& job = *aStep.mJob;
@@ -1251,7 +1260,8 @@
     return job.mIsReleased;
   }
 
-  /// True while a run that an earlier leader ordered may be alive unseen.
+  /// True while a run started by an earlier leader may be active on a worker
+  /// that has not reported yet.
   bool IsStartDeferred(const TaskState& aTask) const
   {
     return aTask.mMayHaveUnknownRun && mMayHaveUnknownRuns;
@@ -1272,7 +1282,7 @@
     return aTask.mLastRun + 1 + (aTask.mMayHaveUnknownRun ? kRunNumberGap : 0);
   }
 
-  /// Places all tasks of a gang or none.
+  /// Places all tasks of a gang, or none of them.
   void PlaceGang(StepState& aStep, TimePoint aNow)
   {
     int number = 0;
@@ -1292,8 +1302,8 @@
                   aStep.mTasks.end(),
                   [](const TaskState& aTask) { return aTask.mRuns.empty(); });
     if (!hasNoRuns) {
-      // The members share one run number, so the rest of a broken gang ends
-      // before it starts again.
+      // All members use the same run number, so the remaining runs of a broken
+      // gang must end before it is started again.
       for (TaskState& task : aStep.mTasks) {
         for (RunState& it : task.mRuns) {
           StopRun(it);
@@ -1321,7 +1331,7 @@
 
   // --- Calls --------------------------------------------------------------
 
-  /// How long a lease of the full length may last by this node's clock.
+  /// Upper bound of the duration of a full lease on this node's clock.
   Duration MaxLeaseDuration() const
   {
     return ScaleToSlowestClock(std::min(kLease, mLimits.mMaxLease)) +
@@ -1334,8 +1344,8 @@
       static_cast<double>(aTime.count()) / kMinClockRate));
   }
 
-  /// The lease that an call sent at `aNow` asks for, on the worker's clock;
-  /// 0 if the clock is not known.
+  /// Records and returns the end of the lease, on the worker's clock, for a
+  /// call sent at `aNow`; 0 if the lease cannot be extended.
   std::int64_t ExtendLease(WorkerState& aWorker, TimePoint aNow)
   {
     if (!aWorker.mHasReported) {
@@ -1375,8 +1385,8 @@
     PollCall call;
     call.mWorkerId = aWorker.mEntry.mId;
     call.mAddress = aWorker.mEntry.mAddress;
-    // A lease on a silent worker would put off the time at which its runs may
-    // start elsewhere.
+    // Extending the lease on a silent worker would delay the restart of its
+    // tasks elsewhere.
     call.mLeaseUntilMs =
       aWorker.mFailedPolls == 0 ? ExtendLease(aWorker, aNow) : 0;
     call.mAcknowledgedSequence = aWorker.mAcknowledgedSequence;
@@ -1467,13 +1477,15 @@
   ColocationModel mColocationModel;
   std::unordered_map<std::string, std::unique_ptr<JobState>> mJobs;
   std::vector<StepState*> mReadySteps;
-  /// Runs that are not confirmed, or have to be stopped or paced.
+  /// Runs that are unconfirmed, or that need a stop or pace call.
   std::set<RunState*> mRunsToCall;
   std::vector<std::string> mDirty;
   std::vector<std::string> mRequestedReleases;
-  /// Releases by the batch that makes them durable.
+  /// Requested releases with the batch that makes them durable.
   std::deque<std::pair<std::uint64_t, std::string>> mPendingReleases;
+  /// Number of the batch that the next TakeDirty returns.
   std::uint64_t mBatch = 0;
+  /// All batches with lower numbers are durable.
   std::uint64_t mDurableBatch = 0;
   std::int64_t mUnixMs = 0;
   TimePoint mLeadershipConfirmedAt;
@@ -1482,6 +1494,7 @@
   TimePoint mNextSummaryAt;
   TimePoint mNextFullTickAt;
   bool mIsPlacementDue = true;
+  /// Workers that have not reported yet may have runs of earlier leaders.
   bool mMayHaveUnknownRuns = true;
   bool mIsFenced = false;
 };
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -34,7 +34,7 @@
   return job;
 }
 
-/// The job as a successor reads it from the journal.
+/// Returns the job as the next leader reads it from the journal.
 jobs::JobRecord
 Stored(const FakeSite::Leader& aLeader, jobs::JobRecord aJob)
 {
@@ -51,8 +51,8 @@
   return std::chrono::minutes(1);
 }
 
-/// Lets a first leader run `aJob` for `aTime` and kills it. Returns the job as
-/// a successor reads it.
+/// Runs `aJob` under a first leader for `aTime` and kills the leader. Returns
+/// the job as the next leader reads it.
 jobs::JobRecord
 RunUntilKilled(FakeSite& aSite, const jobs::JobRecord& aJob, milliseconds aTime)
 {
@@ -64,7 +64,7 @@
   return stored;
 }
 
-/// A leader whose predecessor may have extended leases a moment ago.
+/// Adds a leader whose predecessor may just have extended leases.
 FakeSite::Leader&
 AddSuccessor(FakeSite& aSite, std::int64_t aEpoch)
 {
@@ -118,7 +118,7 @@
     CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Completed);
   }
 
-  // Guards against starts that a successor does not know to look for.
+  // Otherwise the next leader would not know that the job may have runs.
   void ReleasesAJobDurablyBeforeItsFirstStart()
   {
     FakeSite site;
@@ -134,7 +134,7 @@
     CPPUNIT_ASSERT(leader.mStored.at("a").mIsReleased);
   }
 
-  // Guards against a success that is forgotten by the worker and lost with the
+  // Otherwise a success could be dropped by the worker and lost with the
   // leader.
   void AcknowledgesSuccessOnlyWhenItIsDurable()
   {
@@ -152,8 +152,8 @@
     CPPUNIT_ASSERT(worker.mEndedRuns.empty());
   }
 
-  // Guards against a second run of a job whose submission arrives again while
-  // the record of its end has not been answered.
+  // A submission that is repeated while the write of the job's end is pending
+  // must not run the job again.
   void KeepsAnEndedJobUntilItsEndIsDurable()
   {
     FakeSite site;
@@ -184,8 +184,8 @@
     CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Failed);
   }
 
-  // Guards against a start beyond the limit: a new leader hears of the third
-  // failure before the first two.
+  // A new leader may learn of the third failure before the first two. It must
+  // not start a fourth run.
   void CountsFailuresReportedOutOfOrder()
   {
     FakeSite site;
@@ -245,8 +245,8 @@
     CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Completed);
   }
 
-  // Guards against polls that keep extending the lease of a worker that does
-  // not answer, so that its tasks never run again.
+  // Polls must not extend the lease of a worker that does not answer, or its
+  // tasks would never run again.
   void RestartsTasksOfASilentWorkerAfterItsLease()
   {
     FakeSite site;
@@ -279,9 +279,9 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, worker.mRuns.size());
   }
 
-  // Load pattern: a long outage of the log, after which a new leader takes over
-  // when all leases of its predecessor have ended. Guards against a second run
-  // of a task whose success a worker is about to report.
+  // After a long outage of the log, a new leader takes over when all earlier
+  // leases have ended. A task whose success a worker has yet to report must not
+  // run again.
   void WaitsForReportsBeforeStartingInheritedTasks()
   {
     FakeSite site;
@@ -301,8 +301,8 @@
     CPPUNIT_ASSERT(second.mStored.at("a").mState == jobs::JobState::Completed);
   }
 
-  // Guards against a second run of a task whose worker has not answered the
-  // new leader, also when the registry lists that worker no longer.
+  // A task must not run again while its worker has not answered the new leader,
+  // even if the worker is no longer in the registry.
   void WaitsForWorkersThatHaveNotAnsweredANewLeader()
   {
     FakeSite site;
@@ -322,8 +322,8 @@
     CPPUNIT_ASSERT(site.mViolations.empty());
   }
 
-  // Guards against a run that is given up because its worker falls silent
-  // after its first report, while the lease of the earlier leader goes on.
+  // If a worker stops answering after its first report, its runs must be kept
+  // until the lease of the earlier leader has ended.
   void KeepsAnAdoptedRunForAFullLease()
   {
     FakeSite site;
@@ -341,8 +341,8 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, second.mStarts.size());
   }
 
-  // Guards against a leader that is cut off and starts tasks of workers that
-  // its successor has taken over.
+  // A partitioned leader must not restart tasks of workers that its successor
+  // has taken over.
   void KeepsRunsWhileLeadershipIsUnconfirmed()
   {
     FakeSite site;
@@ -379,7 +379,8 @@
     CPPUNIT_ASSERT(first.mStarts.empty());
   }
 
-  // Guards against jobs that wait for a silent worker which cannot have them.
+  // Jobs without earlier starts need not wait for a worker that does not
+  // answer.
   void StartsNewJobsAfterATakeoverWithoutWaiting()
   {
     FakeSite site;
@@ -392,8 +393,8 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, leader.mStarts.size());
   }
 
-  // Load pattern: a burst that cannot be served whole. Guards against all jobs
-  // becoming late because the oldest come first.
+  // In a burst beyond the capacity, placing the oldest jobs first would make
+  // every job late.
   void PlacesOnTimeJobsBeforeLateJobs()
   {
     FakeSite site;
@@ -435,7 +436,7 @@
     CPPUNIT_ASSERT(site.mViolations.empty());
   }
 
-  // Load pattern: backfill beside services whose tails exceed their target.
+  // Backfill colocated with a service whose tail exceeds its target.
   void PausesBackfillBeforeTheTailViolationLimit()
   {
     FakeSite site;
@@ -455,9 +456,8 @@
       }));
   }
 
-  // Load pattern: a change of the leader while backfill stands still beside
-  // services. Guards against all of it working again at once, and against
-  // standing still for ever.
+  // After a failover, paused backfill must not resume at full pace at once, and
+  // must not stay paused for ever.
   void RaisesThePaceOfAdoptedBackfillInSteps()
   {
     FakeSite site;
@@ -465,7 +465,7 @@
     site.mRunTime = OneMinuteRunTime;
     const jobs::JobRecord stored =
       RunUntilKilled(site, MakeBackfill("b", 1, "y"), milliseconds(500));
-    // In the reports of this worker it is the use of processors.
+    // For a backfill run, this is the reported processor use.
     worker.mReportedMeasurement = 0;
     auto& second = AddSuccessor(site, 2);
     second.Get().AddJob(stored, true, site.Now());
@@ -476,7 +476,7 @@
     CPPUNIT_ASSERT_EQUAL(100, second.mPaces.back().mPercent);
   }
 
-  // Guards against backfill whose pace the new leader takes for granted.
+  // The new leader does not know the pace that its predecessor has set.
   void SendsThePaceOfAdoptedBackfill()
   {
     FakeSite site;
@@ -536,7 +536,8 @@
     FakeSite::Leader* old = nullptr;
     FakeSite::Leader* leader = nullptr;
     for (int n = 0; n < 12; ++n) {
-      // The earlier leader goes on, cut off from the log, or is gone.
+      // The previous leader continues without access to the log; the one before
+      // it is removed.
       if (leader != nullptr) {
         stored = leader->mStored;
         if (old != nullptr) {
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -309,7 +309,7 @@
   const std::string task = ToText(aTask);
   ++mStartCounts[task];
   if (mAcknowledgedTasks.count(task) != 0) {
-    mViolations.push_back(task + " started after a noted success");
+    mViolations.push_back(task + " started after an acknowledged success");
   }
   for (const auto& [id, worker] : mWorkers) {
     for (const auto& it : worker->mRuns) {
--- a/src/dispatch/fake_site_test.hpp
+++ b/src/dispatch/fake_site_test.hpp
@@ -17,8 +17,8 @@
 
 namespace skylarkhill::dispatch {
 
-/// A worker that keeps fencing tokens, leases and lists of ends as the
-/// platform's workers do.
+/// Simulates a worker of the platform with its fencing token, lease and list of
+/// ended runs.
 class FakeWorker
 {
 public:
@@ -33,7 +33,7 @@
   FakeWorker(std::string aId, std::int64_t aMilliProcessors);
 
   WorkerEntry Entry() const;
-  /// Everything that runs is lost; the same id, another birth.
+  /// Begins a new incarnation under the same id. All runs are lost.
   void Restart();
 
   std::string mId;
@@ -45,18 +45,19 @@
   std::vector<EndedRun> mEndedRuns;
   std::int64_t mNextSequence = 1;
   std::int64_t mAcknowledgedSequence = 0;
-  /// Highest run of a task that was stopped or has ended.
+  /// By task: highest run number that was stopped or has ended.
   std::map<std::string, int> mHighestEndedRuns;
-  /// Reported for every service run.
+  /// Value of ActiveRun::mMeasurement in the reports.
   std::int64_t mReportedMeasurement = 20;
   bool mIsDraining = false;
 };
 
-/// Workers, and any number of leaders that see some of them.
+/// Simulates workers and any number of concurrent leaders, each of which may be
+/// partitioned from some workers.
 class FakeSite
 {
 public:
-  /// One dispatcher and its links.
+  /// A leader: a dispatcher and its connections to workers.
   class Leader : public CallSink
   {
   public:
@@ -69,15 +70,15 @@
     void Pace(const PaceCall& aCall) override;
     void Advise(const AdviceCall& aCall) override;
 
-    /// Workers that this leader cannot reach.
+    /// Ids of workers that this leader cannot reach.
     std::set<std::string> mUnreachableWorkers;
-    /// By worker, how much later than usual its answers to polls come.
+    /// By worker id: additional delay of its poll answers.
     std::map<std::string, base::Duration> mDelays;
-    /// Its leadership is confirmed all the time.
+    /// If true, the leadership is confirmed in every step.
     bool mIsConfirmed = true;
-    /// Its progress records become durable.
+    /// If true, progress records become durable at once.
     bool mCanStore = true;
-    /// Progress records are on their way and not answered.
+    /// If true, writes of progress records are never answered.
     bool mIsStoreSilent = false;
     std::vector<StartCall> mStarts;
     std::vector<PaceCall> mPaces;
@@ -104,17 +105,18 @@
   FakeWorker& Worker(const std::string& aId) { return *mWorkers.at(aId); }
   Leader& AddLeader(std::int64_t aEpoch,
                     base::TimePoint aPreviousLeasesEndAt = {});
-  /// Stops `aLeader` as a crash does.
+  /// Removes `aLeader` as a crash would.
   void Kill(Leader& aLeader);
   void Advance(std::chrono::milliseconds aTime);
   base::TimePoint Now() const { return mClock.Now(); }
 
-  /// Run time of a task; the default is 300 ms. Tasks of services run on.
+  /// Run time of a task; 300 ms if unset.
   std::function<base::Duration(const TaskId&)> mRunTime;
   std::function<bool(const TaskId&, int aRun)> mFails;
-  /// Tasks that ran twice at once or again after a noted success.
+  /// Tasks that had two concurrent runs, or a run after an acknowledged
+  /// success.
   std::vector<std::string> mViolations;
-  /// Starts by task.
+  /// Number of starts by task.
   std::map<std::string, int> mStartCounts;
 
 private:
@@ -128,7 +130,8 @@
   std::set<std::string> mAcknowledgedTasks;
 };
 
-/// A job with one step per entry of `aCounts`, each after the one before.
+/// Creates a job with one step per entry of `aCounts`, each depending on the
+/// previous one.
 jobs::JobRecord
 MakeJob(const std::string& aId,
         const std::vector<int>& aCounts,
--- a/src/dispatch/interference_estimator.cpp
+++ b/src/dispatch/interference_estimator.cpp
@@ -7,13 +7,13 @@
 
 namespace {
 
-/// What is assumed of an unknown pair: between pairs that hardly disturb each
-/// other, measured at 0 to 0.3, and the others, measured at 1 to 2.5.
+/// Prior for an unknown pair. Measured means were 0 to 0.3 for pairs with
+/// little interference and 1 to 2.5 for the others.
 constexpr PairEstimate kPriorEstimate{ 0.6, 1.0 };
 
-/// Pairs change within seconds, so that an estimate never counts as exact.
+/// Lower bound, because the interference of a pair changes within seconds.
 constexpr double kMinVariance = 0.06;
-/// Far above any pair that was measured.
+/// Far above the mean of any measured pair.
 constexpr double kMaxMean = 12.0;
 
 } // namespace
--- a/src/dispatch/interference_estimator.hpp
+++ b/src/dispatch/interference_estimator.hpp
@@ -5,46 +5,46 @@
 
 namespace skylarkhill::dispatch {
 
-/// How close a service task is to saturation: 0 at its lowest tail, towards 1
-/// as the tail grows without bound. Like utilisation in a queue, the pressures
-/// of several tasks add up.
+/// Saturation of a service task, derived from its tail latency: 0 when idle,
+/// approaching 1 as the tail grows without bound. Like the utilisation of a
+/// queue, contributions of several sources add up.
 using Saturation = double;
 
-/// Saturation of a backfill image that uses all processors of a worker on a
-/// service image.
+/// Saturation that a backfill image using all processors of a worker adds to a
+/// task of a service image.
 struct PairEstimate
 {
   double mMean = 0.0;
   double mVariance = 0.0;
 };
 
-/// Backfill beside a service task during a report.
+/// Processor use of one backfill image on a worker during a report.
 struct BackfillUsage
 {
   int mImage = 0;
-  /// Used share of the worker's processors, 0 to 1.
+  /// Share of the worker's processors in use, 0 to 1.
   double mShare = 0.0;
 };
 
-/// Estimates the pressure per pair of a service image and a backfill image: a
-/// Kalman filter per service image that leaves out the covariances.
+/// Estimates the interference for each pair of a service image and a backfill
+/// image, with one Kalman filter per service image. Covariances are ignored.
 class InterferenceEstimator
 {
 public:
-  /// Learns from one report: `aExcess` is the pressure beyond that of the
-  /// service's own load, with the variance `aNoise`.
+  /// Updates the estimates with one report. `aExcess` is the saturation above
+  /// the baseline of the service, with the variance `aNoise`.
   void Record(int aServiceImage,
               const std::vector<BackfillUsage>& aBackfill,
               Saturation aExcess,
               double aNoise);
 
-  /// The estimate for a pair, or what is assumed of an unknown one.
+  /// Returns the estimate for a pair, or the prior if there is none.
   PairEstimate Estimate(int aServiceImage, int aBackfillImage) const;
 
-  /// True if reports, or another process, have told about the pair.
+  /// True if Record or Set has stored an estimate for the pair.
   bool HasEstimate(int aServiceImage, int aBackfillImage) const;
 
-  /// Starts from an estimate that was made elsewhere.
+  /// Replaces the estimate for a pair.
   void Set(int aServiceImage, int aBackfillImage, const PairEstimate& aValue);
 
 private:
--- a/src/dispatch/interference_estimator_test.cpp
+++ b/src/dispatch/interference_estimator_test.cpp
@@ -13,7 +13,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against many unknown tasks being put beside one service at once.
+  // Otherwise many backfill tasks of unknown images would be colocated with one
+  // service at once.
   void AssumesSomeInterferenceForUnknownPairs()
   {
     const InterferenceEstimator model;
@@ -22,7 +23,8 @@
     CPPUNIT_ASSERT(model.Estimate(0, 1).mVariance > 0.5);
   }
 
-  // Guards against an image that is hardly ever alone paying for another one.
+  // An image that is reported almost only together with another one must not be
+  // charged with the other's interference.
   void SeparatesTwoImagesOfOneReport()
   {
     InterferenceEstimator model;
@@ -36,7 +38,7 @@
     CPPUNIT_ASSERT(!model.HasEstimate(1, 2));
   }
 
-  // Guards against an estimate that many reports have made immovable.
+  // Many consistent reports must not make the estimate too rigid to adapt.
   void AdaptsToAChangingPair()
   {
     InterferenceEstimator model;
--- a/src/dispatch/job_state.cpp
+++ b/src/dispatch/job_state.cpp
@@ -35,7 +35,7 @@
         task.mLastRun = 0;
       }
     }
-    // Steps depend on earlier ones only.
+    // Steps depend only on steps with lower indexes.
     for (std::size_t index = occurrence->mSteps.size(); index-- > 0;) {
       StepState& step = occurrence->mSteps[index];
       step.mCriticalPathMs += step.mSpec->mEstimateMs;
--- a/src/dispatch/job_state.hpp
+++ b/src/dispatch/job_state.hpp
@@ -8,45 +8,45 @@
 
 namespace skylarkhill::dispatch {
 
-/// Creates the occurrences, steps and tasks of `aJob`. `aMayHaveUnknownRuns`:
-/// an earlier leader may have started them.
+/// Creates the occurrences, steps and tasks of `aJob`. `aMayHaveUnknownRuns` is
+/// true if an earlier leader may have started tasks.
 void
 CreateOccurrences(JobState& aJob,
                   ColocationModel& aModel,
                   bool aMayHaveUnknownRuns);
 
-/// Applies what is durable about the tasks of `aJob`.
+/// Restores the tasks of `aJob` from its durable progress.
 void
 RestoreProgress(JobState& aJob, const jobs::JobProgress& aProgress);
 
-/// What has to be durable about `aJob`.
+/// Returns the progress of `aJob` that must be persisted.
 jobs::JobProgress
 ProgressOf(const JobState& aJob);
 
-/// Begins the occurrences that are due. True if there were any.
+/// Begins the occurrences that are due and returns true if there were any.
 bool
 BeginDueOccurrences(JobState& aJob, std::int64_t aUnixMs);
 
-/// The step, or null if the job has no such one.
+/// Returns the step, or null if the job has none at this position.
 StepState*
 FindStep(JobState& aJob, int aOccurrence, int aStep);
 
 TaskId
 IdOf(const TaskState& aTask);
 
-/// True if a task of the job is on a worker.
+/// True if any task of the job has a run.
 bool
 HasRuns(const JobState& aJob);
 
-/// True if a run of the task is not being stopped.
+/// True if the task has a run that is not being stopped.
 bool
 HasLiveRun(const TaskState& aTask);
 
-/// What a task of the step takes from the capacity of a worker.
+/// Resources that a task of the step reserves on a worker.
 base::Resources
 ReservedResources(const jobs::Step& aStep);
 
-/// Time of the longest chain of steps, by the declared estimates.
+/// Length of the critical path of the job, by the declared estimates.
 std::int64_t
 EstimateCriticalPathMs(const jobs::JobRequest& aRequest);
 
--- a/src/dispatch/pacing.cpp
+++ b/src/dispatch/pacing.cpp
@@ -8,27 +8,27 @@
 
 namespace {
 
-/// Tails are kept below this share of their target, because the reported
-/// figure is rough.
+/// Tails are kept below this share of their target, because reported values are
+/// imprecise.
 constexpr TailRatio kTailLimit = 0.85;
 
-/// Reported tails are rough, so that a task may be above its target from this
-/// share of it on.
+/// From this share of its target on, a tail is treated as a possible violation,
+/// because reported values are imprecise.
 constexpr TailRatio kTailWarning = 0.9;
 
-/// Parts of the bound after which backfill stands still, and after which it is
-/// moved unavailable, whatever the model says.
+/// Fractions of the permitted violation time after which backfill is paused and
+/// after which it is moved, whatever the model expects.
 constexpr double kPauseFraction = 0.35;
 constexpr double kMoveFraction = 0.6;
 
-/// ExpectedInterference that counts as noise.
+/// Interference up to this value is treated as noise.
 constexpr Saturation kNegligibleInterference = 0.01;
 
-/// Reports cover the last half second, so that an earlier change would act on
-/// the same figures again.
+/// Longer than the half second that a report covers, so that two changes are
+/// not based on the same measurements.
 constexpr base::Duration kMinChangeInterval = std::chrono::milliseconds(550);
 
-constexpr int kFullPace = 100;
+constexpr int kFullPace = 100; // percent
 constexpr int kMaxRaisePerChange = 25;
 
 bool
@@ -38,9 +38,9 @@
   return step.mIsService && step.mTailTargetMs > 0;
 }
 
-/// Lowers the paces of `aBackfill` until `aService` stays below its limit.
-/// Starts with the image that disturbs most for what it works, so that the
-/// others go on.
+/// Lowers the paces of `aBackfill` until `aService` is expected to stay below
+/// kTailLimit, starting with the run that has the highest interference per
+/// processor share.
 void
 LimitPaces(const ColocationModel& aModel,
            const RunState& aService,
@@ -103,7 +103,7 @@
     aWorker.mTailViolatedSince.reset();
     aWorker.mLastHealthyReportAt = aNow;
   } else if (!aWorker.mTailViolatedSince) {
-    // The harm may have begun right after the last report without it.
+    // The violation may have begun right after the last healthy report.
     aWorker.mTailViolatedSince = aWorker.mLastHealthyReportAt.value_or(aNow);
   }
   if (backfill.empty()) {
--- a/src/dispatch/pacing.hpp
+++ b/src/dispatch/pacing.hpp
@@ -8,9 +8,9 @@
 
 namespace skylarkhill::dispatch {
 
-/// Sets the wanted pace of the backfill runs on `aWorker` by the tail latencies
-/// that its service tasks have just reported. Runs that raise no tail keep
-/// their pace.
+/// Sets the target paces of the backfill runs on `aWorker` according to the
+/// tail latencies in its latest report. Only runs with significant interference
+/// are slowed down, unless a tail violation persists.
 void
 AdjustPace(WorkerState& aWorker,
            const ColocationModel& aModel,
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -10,33 +10,35 @@
 
 namespace {
 
-/// A worker that has not answered for this time gets no starts; several polls
-/// of 500 ms fit in.
+/// A worker whose last report is older gets no starts. Allows for several polls
+/// of 500 ms.
 constexpr base::Duration kMaxReportAge = std::chrono::milliseconds(1800);
 
-/// Share of its declared processors that a service task uses on average; the
-/// site files state 0.45 with a swing of one half around it.
+/// Assumed share of its declared processors that a service task uses. Site
+/// files state a mean of 0.45, varying by one half.
 constexpr double kServiceUse = 0.6;
 
-/// A backfill task starts where it gets at least this share of what it asks.
+/// A backfill task is placed only where at least this share of its requested
+/// processors is unused.
 constexpr double kMinBackfillShare = 0.6;
 
-/// Workers above this failure score are used only if no other fits.
+/// Workers with a higher failure score are used only if no other fits.
 constexpr double kMaxFailureScore = 0.7;
 
-/// Cost, in thousandths of a processor, of what a placement should avoid.
+/// Placement costs, in thousandths of a processor.
 constexpr double kHighFailureScoreCost = 40000.0;
 constexpr double kAvoidedWorkerCost = 20000.0;
 constexpr double kRemoteRackCost = 8000.0;
-/// A worker whose service tasks all run one image is open to every backfill
-/// image that does not disturb this one.
+/// Grouping service tasks by image leaves a worker usable for every backfill
+/// image that does not interfere with that one image.
 constexpr double kMixedImagesCost = 40000.0;
 constexpr double kNoServiceCost = 4000.0;
-/// Per unit of the interference of a tail.
+/// Per unit of interference.
 constexpr double kInterferenceCost = 20000.0;
 
-/// No backfill task is placed where it would add more than the first figure
-/// and bring a tail above the second one.
+/// No backfill task is placed where its interference would exceed
+/// kMinSignificantInterference and bring a tail above kMaxTailRatio, or
+/// kMaxTailRatioUrgent if the step is urgent.
 constexpr Saturation kMinSignificantInterference = 0.03;
 constexpr TailRatio kMaxTailRatio = 0.7;
 constexpr TailRatio kMaxTailRatioUrgent = 0.8;
@@ -48,8 +50,8 @@
   return std::find(labels.begin(), labels.end(), aLabel) != labels.end();
 }
 
-/// The highest interference of a tail that one more task of `aStep` causes on
-/// `aWorker`.
+/// Highest interference that one more task of `aStep` would cause with a
+/// service task on `aWorker`.
 Saturation
 MaxInterference(const StepState& aStep,
                 const WorkerState& aWorker,
@@ -77,8 +79,8 @@
     });
 }
 
-/// The part of the service tasks on `aWorker` that run another image than
-/// `aStep`; one half for a worker without service tasks.
+/// Share of the service tasks on `aWorker` that run another image than `aStep`;
+/// 0.5 if there are none.
 double
 ShareOfOtherImages(const StepState& aStep, const WorkerState& aWorker)
 {
@@ -95,7 +97,7 @@
 }
 
 /// True if one more task of `aStep` would bring a service task on `aWorker`
-/// close to its target.
+/// above its tail limit.
 bool
 WouldExceedTailLimit(const StepState& aStep,
                      const WorkerState& aWorker,
@@ -118,7 +120,7 @@
     });
 }
 
-/// Lower is better.
+/// Cost of placing `aTask` on `aWorker`; lower is better.
 double
 PlacementCost(const TaskState& aTask,
               const WorkerState& aWorker,
@@ -139,12 +141,13 @@
   const double leftover =
     static_cast<double>(EstimateLeftover(aWorker) - aWorker.mBackfillDemand);
   if (step.mIsBackfill) {
-    // Backfill goes where it gets the most and disturbs the fewest. Workers
-    // without service tasks are left to images that disturb everywhere else.
+    // Prefers workers with the most unused processors and the least
+    // interference. Workers without service tasks are kept for images that
+    // interfere with every service.
     return cost - leftover + (HasServiceTask(aWorker) ? 0.0 : kNoServiceCost) +
            kInterferenceCost * MaxInterference(*aTask.mStep, aWorker, aModel);
   }
-  // Best fit keeps room for large tasks and whole workers for backfill.
+  // Best fit leaves capacity for large tasks and whole workers for backfill.
   const auto free = aWorker.mEntry.mCapacity.mMilliProcessors -
                     aWorker.mUsed.mMilliProcessors -
                     step.mResources.mMilliProcessors;
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -12,40 +12,40 @@
 
 using WorkerMap = std::unordered_map<std::string, std::unique_ptr<WorkerState>>;
 
-/// Failures of a worker count half after this time.
+/// Half-life of a worker's failure score.
 inline constexpr base::Duration kFailureHalfLife = std::chrono::seconds(3);
 
-/// `aWorker`'s failure score at `aNow`.
+/// Returns the decayed failure score of `aWorker` at `aNow`.
 double
 FailureScore(const WorkerState& aWorker, base::TimePoint aNow);
 
-/// Adds `aWeight` to the failure score of `aWorker`.
+/// Adds `aWeight`, which may be negative, to the failure score of `aWorker`.
 void
 AddFailure(WorkerState& aWorker, double aWeight, base::TimePoint aNow);
 
-/// Processors, in thousandths, that tasks other than backfill leave unused on
-/// `aWorker`.
+/// Estimates the processors of `aWorker`, in thousandths, that tasks other than
+/// backfill leave unused.
 std::int64_t
 EstimateLeftover(const WorkerState& aWorker);
 
-/// True if a start may be sent to `aWorker` at all.
+/// True if `aWorker` is in a state in which it may be sent starts.
 bool
 AcceptsStarts(const WorkerState& aWorker, base::TimePoint aNow);
 
-/// True if the advice service permits the step on `aWorker` at `aNow`.
+/// True if there is a ticket for the step on `aWorker` that is valid at `aNow`.
 bool
 HasTicket(const StepState& aStep,
           const WorkerState& aWorker,
           base::TimePoint aNow);
 
-/// True if one task of `aStep` may run on `aWorker` beside what runs there.
+/// True if one more task of `aStep` may be placed on `aWorker`.
 bool
 IsEligible(const StepState& aStep,
            const WorkerState& aWorker,
            const ColocationModel& aModel,
            base::TimePoint aNow);
 
-/// The best worker for `aTask`, or null if none can take it now.
+/// Returns the eligible worker with the lowest cost for `aTask`, or null.
 WorkerState*
 ChooseWorker(const TaskState& aTask,
              const WorkerMap& aWorkers,
--- a/src/dispatch/summary.hpp
+++ b/src/dispatch/summary.hpp
@@ -9,7 +9,8 @@
 
 namespace skylarkhill::dispatch {
 
-/// Writes one line on what waits, runs, is slowed down and is disturbed.
+/// Logs the numbers of waiting, running and throttled tasks and of service
+/// tasks above their tail target.
 void
 LogDispatchSummary(std::size_t aJobCount,
                    const std::vector<StepState*>& aReadySteps,
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-/// The first character of the keys of each kind.
+/// First character of the record keys, by kind.
 constexpr base::NameTable<RecordKind, 5> kKeyPrefixes{ {
   { RecordKind::Submission, "s" },
   { RecordKind::Cancellation, "c" },
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -57,7 +57,7 @@
       }
       const std::lock_guard lock(shard.mLock);
       JobRecord& job = shard.mJobs[key->mJobId];
-      // A submission that was sent twice stays one job.
+      // A repeated submission is ignored.
       if (job.mSubmission) {
         return;
       }
--- a/src/jobs/jobs_test.cpp
+++ b/src/jobs/jobs_test.cpp
@@ -113,8 +113,8 @@
                          table.Find("a")->mSubmission->mAcceptedMs);
   }
 
-  // Guards against a completed job that is shown as running again when the
-  // leader reads its own older records.
+  // A completed job must not be shown as running when the leader reads its own
+  // older records.
   void IgnoresOlderProgress()
   {
     JobTable table;
