Rename local names in dispatch and jobs

kMinStall -> kMinStallTime mIsStoreSilent -> mIsStoreUnresponsive need, needs, aNeed -> requested, resources, dependency, dependencies, aDependency worst -> highestRatio (AdjustPace) user -> busy (dispatcher_test.cpp) sites -> placements, sound -> healthy, bound -> limit, isDisturbed -> isInterfering (colocation_test.cpp)

--- a/src/dispatch/colocation_test.cpp
+++ b/src/dispatch/colocation_test.cpp
@@ -162,20 +162,20 @@
     WorkerState& alone = mFixture->AddWorker("a");
     WorkerState& besideLoud = mFixture->AddWorker("b");
     WorkerState& besideQuiet = mFixture->AddWorker("c");
-    const std::vector<std::pair<WorkerState*, Saturation>> sites = {
+    const std::vector<std::pair<WorkerState*, Saturation>> placements = {
       { &alone, 0.0 }, { &besideLoud, 0.2 }, { &besideQuiet, 0.01 }
     };
-    for (std::size_t n = 0; n < sites.size(); ++n) {
-      mFixture->Run(service.mTasks[n], *sites[n].first, 50);
+    for (std::size_t n = 0; n < placements.size(); ++n) {
+      mFixture->Run(service.mTasks[n], *placements[n].first, 50);
     }
     mFixture->Run(mFixture->AddTask(BackfillStep(), mLoud), besideLoud, 1600);
     mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), besideQuiet, 1600);
     for (int n = 0; n < 120; ++n) {
       const Saturation load = 0.45 + 0.22 * std::sin(n * 0.157);
-      for (std::size_t index = 0; index < sites.size(); ++index) {
+      for (std::size_t index = 0; index < placements.size(); ++index) {
         service.mTasks[index].mRuns.front().mMeasurement =
-          TailAt(load + sites[index].second);
-        mFixture->mModel.Record(*sites[index].first, mFixture->mNow);
+          TailAt(load + placements[index].second);
+        mFixture->mModel.Record(*placements[index].first, mFixture->mNow);
       }
       mFixture->mNow += milliseconds(500);
     }
@@ -298,16 +298,16 @@
   void AvoidsAWorkerWithRecentFailures()
   {
     WorkerState& failing = mFixture->AddWorker("a");
-    WorkerState& sound = mFixture->AddWorker("b");
+    WorkerState& healthy = mFixture->AddWorker("b");
     AddFailure(failing, 1.0, mFixture->mNow);
     for (int n = 0; n < 5; ++n) {
-      mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), sound, 1600);
+      mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), healthy, 1600);
     }
     const TaskState& task = mFixture->AddTask(BackfillStep(), mQuiet);
-    CPPUNIT_ASSERT_EQUAL(&sound, mFixture->Choose(task));
+    CPPUNIT_ASSERT_EQUAL(&healthy, mFixture->Choose(task));
     mFixture->mNow += std::chrono::seconds(10);
     failing.mLastReportAt = mFixture->mNow;
-    sound.mLastReportAt = mFixture->mNow;
+    healthy.mLastReportAt = mFixture->mNow;
     CPPUNIT_ASSERT_EQUAL(&failing, mFixture->Choose(task));
   }
 
@@ -319,14 +319,14 @@
     mFixture->Run(mFixture->AddTask(ServiceStep(), mTolerant), worker, 120);
     RunState& backfill =
       mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), worker, 1600);
-    const auto bound = std::chrono::seconds(4);
+    const auto limit = std::chrono::seconds(4);
     for (int n = 0; n < 6; ++n) {
-      AdjustPace(worker, mFixture->mModel, bound, mFixture->mNow);
+      AdjustPace(worker, mFixture->mModel, limit, mFixture->mNow);
       mFixture->mNow += milliseconds(300);
     }
     CPPUNIT_ASSERT_EQUAL(0, backfill.mTargetPace);
     mFixture->mNow += milliseconds(1000);
-    AdjustPace(worker, mFixture->mModel, bound, mFixture->mNow);
+    AdjustPace(worker, mFixture->mModel, limit, mFixture->mNow);
     CPPUNIT_ASSERT(backfill.mMustMove);
   }
 
@@ -337,13 +337,13 @@
     WorkerState& worker = mFixture->AddWorker("w");
     RunState& service =
       mFixture->Run(mFixture->AddTask(ServiceStep(), mTolerant), worker, 45);
-    const auto bound = std::chrono::seconds(4);
-    AdjustPace(worker, mFixture->mModel, bound, mFixture->mNow);
+    const auto limit = std::chrono::seconds(4);
+    AdjustPace(worker, mFixture->mModel, limit, mFixture->mNow);
     RunState& backfill =
       mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), worker, 1600);
     service.mMeasurement = 150;
     mFixture->mNow += milliseconds(1600);
-    AdjustPace(worker, mFixture->mModel, bound, mFixture->mNow);
+    AdjustPace(worker, mFixture->mModel, limit, mFixture->mNow);
     CPPUNIT_ASSERT_EQUAL(0, backfill.mTargetPace);
   }
 
@@ -421,10 +421,10 @@
       for (const int service : { mSensitive, mTolerant }) {
         for (const int image : { mLoud, mQuiet }) {
           WorkerState& worker = mFixture->AddWorker("teacher");
-          const bool isDisturbed = service == mSensitive && image == mLoud;
+          const bool isInterfering = service == mSensitive && image == mLoud;
           mFixture->Run(mFixture->AddTask(ServiceStep(), service),
                         worker,
-                        isDisturbed ? 160 : 42);
+                        isInterfering ? 160 : 42);
           mFixture->Run(mFixture->AddTask(BackfillStep(), image), worker, 1600);
           worker.mBackfillShares = { { image, 0.1 } };
           mFixture->mModel.Record(worker, mFixture->mNow);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -53,7 +53,7 @@
 constexpr Duration kUnlistedGrace = std::chrono::milliseconds(2500);
 
 /// Minimum time without progress after which a run counts as stalled.
-constexpr Duration kMinStall = std::chrono::milliseconds(2000);
+constexpr Duration kMinStallTime = std::chrono::milliseconds(2000);
 /// The time without progress must also exceed this multiple of the run's
 /// average time per percent.
 constexpr double kStallFactor = 8.0;
@@ -559,12 +559,13 @@
         if (isStepDone || step.mIsReady || !occurrence->mIsBegun) {
           continue;
         }
-        const auto& needs = step.mSpec->mDependsOn;
-        step.mIsReady = std::all_of(needs.begin(), needs.end(), [&](int aNeed) {
-          const auto& other =
-            occurrence->mSteps[static_cast<std::size_t>(aNeed)];
-          return other.mDoneCount == static_cast<int>(other.mTasks.size());
-        });
+        const auto& dependencies = step.mSpec->mDependsOn;
+        step.mIsReady = std::all_of(
+          dependencies.begin(), dependencies.end(), [&](int aDependency) {
+            const auto& other =
+              occurrence->mSteps[static_cast<std::size_t>(aDependency)];
+            return other.mDoneCount == static_cast<int>(other.mTasks.size());
+          });
         if (step.mIsReady) {
           mReadySteps.push_back(&step);
           mIsPlacementDue = true;
@@ -979,12 +980,14 @@
   /// services.
   static int EstimatePace(const RunState& aRun, const ActiveRun& aReport)
   {
-    const auto need = aRun.mTask->mStep->mSpec->mResources.mMilliProcessors;
+    const auto requested =
+      aRun.mTask->mStep->mSpec->mResources.mMilliProcessors;
     const bool hasJustStarted = aReport.mPercent < kMinMeasuredPercent;
-    if (need <= 0 || aReport.mMeasurement < 0 || hasJustStarted) {
+    if (requested <= 0 || aReport.mMeasurement < 0 || hasJustStarted) {
       return kFullPace;
     }
-    const auto pace = static_cast<int>(kFullPace * aReport.mMeasurement / need);
+    const auto pace =
+      static_cast<int>(kFullPace * aReport.mMeasurement / requested);
     return pace > kMinFullPaceEstimate ? kFullPace : pace;
   }
 
@@ -1097,7 +1100,7 @@
       return;
     }
     const Duration elapsed = aNow - aRun.mConfirmedAt;
-    Duration limit = kMinStall;
+    Duration limit = kMinStallTime;
     if (aRun.mPercent > 0) {
       const auto perPercent =
         (aRun.mProgressAt - aRun.mConfirmedAt) / std::max(1, aRun.mPercent);
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -163,10 +163,10 @@
     leader.Get().AddJob(job, false, site.Now());
     site.Advance(milliseconds(200));
     CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
-    leader.mIsStoreSilent = true;
+    leader.mIsStoreUnresponsive = true;
     site.Advance(milliseconds(1000));
     leader.Get().AddJob(Stored(leader, job), false, site.Now());
-    leader.mIsStoreSilent = false;
+    leader.mIsStoreUnresponsive = false;
     site.Advance(milliseconds(1000));
     CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
   }
@@ -290,11 +290,11 @@
     site.mRunTime = [](const TaskId&) { return milliseconds(800); };
     const jobs::JobRecord stored =
       RunUntilKilled(site, MakeJob("a", { 1 }), milliseconds(300));
-    const std::string user = site.Worker("w1").mRuns.empty() ? "w2" : "w1";
+    const std::string busy = site.Worker("w1").mRuns.empty() ? "w2" : "w1";
     site.Advance(milliseconds(1000));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.Worker(user).mEndedRuns.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.Worker(busy).mEndedRuns.size());
     auto& second = site.AddLeader(2, site.Now());
-    second.mDelays[user] = milliseconds(200);
+    second.mDelays[busy] = milliseconds(200);
     second.Get().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(1000));
     CPPUNIT_ASSERT(second.mStarts.empty());
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -225,7 +225,7 @@
     }
   }
   mDispatcher->Tick(now, ToMs(now));
-  if (mIsStoreSilent) {
+  if (mIsStoreUnresponsive) {
     mDispatcher->TakeDirty();
     return;
   }
--- a/src/dispatch/fake_site_test.hpp
+++ b/src/dispatch/fake_site_test.hpp
@@ -79,7 +79,7 @@
     /// If true, progress records become durable at once.
     bool mCanStore = true;
     /// If true, writes of progress records are never answered.
-    bool mIsStoreSilent = false;
+    bool mIsStoreUnresponsive = false;
     std::vector<StartCall> mStarts;
     std::vector<PaceCall> mPaces;
     /// Workers that the advice service permits.
--- a/src/dispatch/job_state.cpp
+++ b/src/dispatch/job_state.cpp
@@ -40,9 +40,9 @@
       StepState& step = occurrence->mSteps[index];
       step.mCriticalPathMs += step.mSpec->mEstimateMs;
       for (const int it : step.mSpec->mDependsOn) {
-        auto& need = occurrence->mSteps[static_cast<std::size_t>(it)];
-        need.mCriticalPathMs =
-          std::max(need.mCriticalPathMs, step.mCriticalPathMs);
+        auto& dependency = occurrence->mSteps[static_cast<std::size_t>(it)];
+        dependency.mCriticalPathMs =
+          std::max(dependency.mCriticalPathMs, step.mCriticalPathMs);
       }
     }
     aJob.mOccurrences.push_back(std::move(occurrence));
@@ -167,11 +167,11 @@
 base::Resources
 ReservedResources(const jobs::Step& aStep)
 {
-  base::Resources need = aStep.mResources;
+  base::Resources resources = aStep.mResources;
   if (aStep.mIsBackfill) {
-    need.mMilliProcessors = 0;
+    resources.mMilliProcessors = 0;
   }
-  return need;
+  return resources;
 }
 
 std::int64_t
--- a/src/dispatch/pacing.cpp
+++ b/src/dispatch/pacing.cpp
@@ -90,16 +90,16 @@
 {
   std::vector<const RunState*> services;
   std::vector<RunState*> backfill;
-  TailRatio worst = 0.0;
+  TailRatio highestRatio = 0.0;
   for (RunState* it : aWorker.mRuns) {
     if (IsService(*it)) {
       services.push_back(it);
-      worst = std::max(worst, TailRatioOf(*it));
+      highestRatio = std::max(highestRatio, TailRatioOf(*it));
     } else if (it->mTask->mStep->mSpec->mIsBackfill) {
       backfill.push_back(it);
     }
   }
-  if (worst <= kTailWarning) {
+  if (highestRatio <= kTailWarning) {
     aWorker.mTailViolatedSince.reset();
     aWorker.mLastHealthyReportAt = aNow;
   } else if (!aWorker.mTailViolatedSince) {
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -192,8 +192,9 @@
   for (const RunState* it : aWorker.mRuns) {
     const jobs::Step& step = *it->mTask->mStep->mSpec;
     if (!step.mIsBackfill) {
-      const auto need = static_cast<double>(step.mResources.mMilliProcessors);
-      used += step.mIsService ? kServiceUse * need : need;
+      const auto requested =
+        static_cast<double>(step.mResources.mMilliProcessors);
+      used += step.mIsService ? kServiceUse * requested : requested;
     }
   }
   return aWorker.mEntry.mCapacity.mMilliProcessors -
@@ -249,10 +250,10 @@
   if (step.mIsBackfill) {
     const auto left =
       static_cast<double>(EstimateLeftover(aWorker) - aWorker.mBackfillDemand);
-    const auto need =
+    const auto requested =
       static_cast<double>(std::min(step.mResources.mMilliProcessors,
                                    aWorker.mEntry.mCapacity.mMilliProcessors));
-    return left >= kMinBackfillShare * need &&
+    return left >= kMinBackfillShare * requested &&
            !WouldExceedTailLimit(aStep, aWorker, aModel);
   }
   return true;
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -102,9 +102,9 @@
 ToStep(const StepFields& aFields)
 {
   Step step;
-  ResourceFields need;
+  ResourceFields resources;
   std::tie(step.mCount,
-           need,
+           resources,
            step.mEstimateMs,
            step.mDependsOn,
            step.mSavesProgress,
@@ -119,7 +119,9 @@
            step.mTailTargetMs,
            step.mIsBackfill,
            step.mMaxUnavailable) = aFields;
-  step.mResources = { std::get<0>(need), std::get<1>(need), std::get<2>(need) };
+  step.mResources = { std::get<0>(resources),
+                      std::get<1>(resources),
+                      std::get<2>(resources) };
   return step;
 }
 
