--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -83,8 +83,8 @@
                               const std::optional<Advice>& aAdvice,
                               base::TimePoint aNow) = 0;
 
-  /// Leadership was confirmed at `aConfirmedAt`: no other node led before that
-  /// time. Calls may be sent and leases extended until `aUntil`.
+  /// No other node took over the leadership before `aConfirmedAt`. Calls may be
+  /// sent and leases extended until `aUntil`.
   virtual void SetLeadershipLease(base::TimePoint aConfirmedAt,
                                   base::TimePoint aUntil) = 0;
   /// Sends all calls that are due. `aUnixMs` is the Unix time.
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -27,6 +27,7 @@
 {
   TaskState* mTask = nullptr;
   WorkerState* mWorker = nullptr;
+  /// Run number within the task.
   int mNumber = 0;
   base::TimePoint mPlacedAt;
   /// The worker has accepted the start or the stop of the run, or reported it.
