--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -138,13 +138,13 @@
   if (!step.mPreferredRack.empty() && !HasLabel(aWorker, step.mPreferredRack)) {
     cost += kRemoteRackCost;
   }
-  const double leftover =
-    static_cast<double>(EstimateLeftover(aWorker) - aWorker.mBackfillDemand);
+  const double unused = static_cast<double>(EstimateUnusedProcessors(aWorker) -
+                                            aWorker.mBackfillDemand);
   if (step.mIsBackfill) {
     // Prefers workers with the most unused processors and the least
     // interference. Workers without service tasks are kept for images that
     // interfere with every service.
-    return cost - leftover + (HasServiceTask(aWorker) ? 0.0 : kNoServiceCost) +
+    return cost - unused + (HasServiceTask(aWorker) ? 0.0 : kNoServiceCost) +
            kInterferenceCost * MaxInterference(*aTask.mStep, aWorker, aModel);
   }
   // Best fit leaves capacity for large tasks and whole workers for backfill.
@@ -186,7 +186,7 @@
 }
 
 std::int64_t
-EstimateLeftover(const WorkerState& aWorker)
+EstimateUnusedProcessors(const WorkerState& aWorker)
 {
   double used = 0.0;
   for (const RunState* it : aWorker.mRuns) {
@@ -248,8 +248,8 @@
     }
   }
   if (step.mIsBackfill) {
-    const auto left =
-      static_cast<double>(EstimateLeftover(aWorker) - aWorker.mBackfillDemand);
+    const auto left = static_cast<double>(EstimateUnusedProcessors(aWorker) -
+                                          aWorker.mBackfillDemand);
     const auto requested =
       static_cast<double>(std::min(step.mResources.mMilliProcessors,
                                    aWorker.mEntry.mCapacity.mMilliProcessors));
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -26,7 +26,7 @@
 /// Estimates the processors of `aWorker`, in thousandths, that tasks other than
 /// backfill leave unused.
 std::int64_t
-EstimateLeftover(const WorkerState& aWorker);
+EstimateUnusedProcessors(const WorkerState& aWorker);
 
 /// True if `aWorker` is in a state in which it may be sent starts.
 bool
--- a/src/dispatch/summary.cpp
+++ b/src/dispatch/summary.cpp
@@ -33,7 +33,7 @@
   std::int64_t capacity = 0;
   for (const auto& [id, worker] : aWorkers) {
     demand += worker->mBackfillDemand;
-    leftover += EstimateLeftover(*worker);
+    leftover += EstimateUnusedProcessors(*worker);
     reserved += worker->mUsed.mMilliProcessors;
     capacity += worker->mEntry.mCapacity.mMilliProcessors;
     for (const RunState* it : worker->mRuns) {
