--- a/include/skylarkhill/jobs/job.hpp
+++ b/include/skylarkhill/jobs/job.hpp
@@ -37,8 +37,7 @@
   bool mMayDuplicate = false;
   /// Runs until the job is cancelled.
   bool mIsService = false;
-  /// Name of the image. Tasks of the same image are expected to interfere
-  /// alike.
+  /// Name of the image. Tasks of the same image are assumed to behave alike.
   std::string mImage;
   /// Tail latency target of a service task; 0 for none.
   std::int64_t mTailTargetMs = 0;
