Rename local names of the colocation test and the summary

PlacesInterferingBackfillBesideTolerantServices -> PlacesInterferingBackfillWithTolerantServices besideLoud -> withLoud, besideQuiet -> withQuiet, beside -> colocated (colocation_test.cpp) harmed -> aboveTarget (summary.cpp)

--- a/src/dispatch/colocation_test.cpp
+++ b/src/dispatch/colocation_test.cpp
@@ -121,7 +121,7 @@
   CPPUNIT_TEST(EstimatesTheBaselineAfterBackfillHasEnded);
   CPPUNIT_TEST(SlowsDownOnlyInterferingBackfill);
   CPPUNIT_TEST(SlowsDownTheMostInterferingImageFirst);
-  CPPUNIT_TEST(PlacesInterferingBackfillBesideTolerantServices);
+  CPPUNIT_TEST(PlacesInterferingBackfillWithTolerantServices);
   CPPUNIT_TEST(CountsBackfillThatIsNotReportedYet);
   CPPUNIT_TEST(GroupsServiceTasksOfOneImage);
   CPPUNIT_TEST(AvoidsAWorkerWithRecentFailures);
@@ -160,16 +160,16 @@
   {
     StepState& service = mFixture->AddStep(ServiceStep(), mSensitive, 3);
     WorkerState& alone = mFixture->AddWorker("a");
-    WorkerState& besideLoud = mFixture->AddWorker("b");
-    WorkerState& besideQuiet = mFixture->AddWorker("c");
+    WorkerState& withLoud = mFixture->AddWorker("b");
+    WorkerState& withQuiet = mFixture->AddWorker("c");
     const std::vector<std::pair<WorkerState*, Saturation>> placements = {
-      { &alone, 0.0 }, { &besideLoud, 0.2 }, { &besideQuiet, 0.01 }
+      { &alone, 0.0 }, { &withLoud, 0.2 }, { &withQuiet, 0.01 }
     };
     for (std::size_t n = 0; n < placements.size(); ++n) {
       mFixture->Run(service.mTasks[n], *placements[n].first, 50);
     }
-    mFixture->Run(mFixture->AddTask(BackfillStep(), mLoud), besideLoud, 1600);
-    mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), besideQuiet, 1600);
+    mFixture->Run(mFixture->AddTask(BackfillStep(), mLoud), withLoud, 1600);
+    mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), withQuiet, 1600);
     for (int n = 0; n < 120; ++n) {
       const Saturation load = 0.45 + 0.22 * std::sin(n * 0.157);
       for (std::size_t index = 0; index < placements.size(); ++index) {
@@ -246,7 +246,7 @@
     CPPUNIT_ASSERT(louder.mTargetPace > 0);
   }
 
-  void PlacesInterferingBackfillBesideTolerantServices()
+  void PlacesInterferingBackfillWithTolerantServices()
   {
     TrainModel();
     WorkerState& sensitive = mFixture->AddWorker("a");
@@ -401,13 +401,14 @@
     for (int n = 0; n < 60; ++n) {
       StepState& service = mFixture->AddStep(ServiceStep(), mSensitive, 2);
       WorkerState& alone = mFixture->AddWorker("alone");
-      WorkerState& beside = mFixture->AddWorker("beside");
+      WorkerState& colocated = mFixture->AddWorker("beside");
       mFixture->Run(service.mTasks[0], alone, TailAt(0.3));
-      mFixture->Run(service.mTasks[1], beside, TailAt(0.3 + 0.1 * aPerShare));
-      mFixture->Run(mFixture->AddTask(BackfillStep(), aImage), beside, 1600);
+      mFixture->Run(
+        service.mTasks[1], colocated, TailAt(0.3 + 0.1 * aPerShare));
+      mFixture->Run(mFixture->AddTask(BackfillStep(), aImage), colocated, 1600);
       mFixture->mModel.Record(alone, mFixture->mNow);
-      beside.mBackfillShares = { { aImage, 0.1 } };
-      mFixture->mModel.Record(beside, mFixture->mNow);
+      colocated.mBackfillShares = { { aImage, 0.1 } };
+      mFixture->mModel.Record(colocated, mFixture->mNow);
       mFixture->mWorkers.erase("alone");
       mFixture->mWorkers.erase("beside");
     }
--- a/src/dispatch/summary.cpp
+++ b/src/dispatch/summary.cpp
@@ -27,7 +27,7 @@
   std::int64_t leftover = 0;
   std::int64_t paced = 0;
   std::int64_t services = 0;
-  std::int64_t harmed = 0;
+  std::int64_t aboveTarget = 0;
   std::int64_t starting = 0;
   std::int64_t reserved = 0;
   std::int64_t capacity = 0;
@@ -41,7 +41,7 @@
       ++(isBackfill ? backfill : running);
       if (it->mTask->mStep->mSpec->mIsService) {
         ++services;
-        harmed += TailRatioOf(*it) > 1.0 ? 1 : 0;
+        aboveTarget += TailRatioOf(*it) > 1.0 ? 1 : 0;
         starting += it->mPercent < 100 ? 1 : 0;
       }
       paced += it->mTargetPace < 100 ? 1 : 0;
@@ -62,7 +62,7 @@
                    { "capacity", capacity },
                    { "paced", paced },
                    { "services", services },
-                   { "harmed", harmed },
+                   { "harmed", aboveTarget },
                    { "starting", starting } });
 }
 
