--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -48,7 +48,7 @@
 
 /// Makes the dispatcher's calls to workers, with the epoch of the current term
 /// as the fencing token. Not thread-safe: used on the call loop's thread only.
-class WorkerClient : public dispatch::OrderSink
+class WorkerClient : public dispatch::CallSink
 {
 public:
   /// Ends a term; the outcomes of calls in flight are dropped.
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -34,7 +34,7 @@
   return job;
 }
 
-/// The job as a successor reads it from the journal.
+/// Returns the job as the next leader reads it from the journal.
 jobs::JobRecord
 Stored(const FakeSite::Leader& aLeader, jobs::JobRecord aJob)
 {
@@ -46,13 +46,13 @@
 }
 
 base::Duration
-LastsAMinute(const TaskId&)
+OneMinuteRunTime(const TaskId&)
 {
   return std::chrono::minutes(1);
 }
 
-/// Lets a first leader run `aJob` for `aTime` and kills it. Returns the job as
-/// a successor reads it.
+/// Runs `aJob` under a first leader for `aTime` and kills the leader. Returns
+/// the job as the next leader reads it.
 jobs::JobRecord
 RunUntilKilled(FakeSite& aSite, const jobs::JobRecord& aJob, milliseconds aTime)
 {
@@ -64,7 +64,7 @@
   return stored;
 }
 
-/// A leader whose predecessor may have extended leases a moment ago.
+/// Adds a leader whose predecessor may just have extended leases.
 FakeSite::Leader&
 AddSuccessor(FakeSite& aSite, std::int64_t aEpoch)
 {
@@ -79,27 +79,27 @@
   CPPUNIT_TEST(RunsTheStepsOfAJobInOrder);
   CPPUNIT_TEST(ReleasesAJobDurablyBeforeItsFirstStart);
   CPPUNIT_TEST(AcknowledgesSuccessOnlyWhenItIsDurable);
-  CPPUNIT_TEST(KnowsAnEndedJobUntilItsEndIsDurable);
-  CPPUNIT_TEST(FailsAJobAtItsLimitOfAttempts);
-  CPPUNIT_TEST(CountsFailuresThatAreReportedOutOfOrder);
-  CPPUNIT_TEST(StartsAServiceTaskAgainHoweverItEnds);
+  CPPUNIT_TEST(KeepsAnEndedJobUntilItsEndIsDurable);
+  CPPUNIT_TEST(FailsAJobAtItsAttemptLimit);
+  CPPUNIT_TEST(CountsFailuresReportedOutOfOrder);
+  CPPUNIT_TEST(RestartsAServiceTaskAfterAnyOutcome);
   CPPUNIT_TEST(StopsTheRunsOfACancelledJob);
   CPPUNIT_TEST(NeverExceedsTheCapacityOfAWorker);
-  CPPUNIT_TEST(StartsElsewhereWhenTheLeaseOfASilentWorkerHasEnded);
-  CPPUNIT_TEST(StartsAgainAtOnceWhenAWorkerWasRestarted);
+  CPPUNIT_TEST(RestartsTasksOfASilentWorkerAfterItsLease);
+  CPPUNIT_TEST(RestartsTasksAtOnceAfterAWorkerRestart);
   CPPUNIT_TEST(WaitsForWorkersThatHaveNotAnsweredANewLeader);
-  CPPUNIT_TEST(KeepsAnAdoptedRunForAWholeLease);
-  CPPUNIT_TEST(GivesUpNoRunWhileItsLeadershipIsNotConfirmed);
-  CPPUNIT_TEST(StopsWhenAWorkerHasSeenASuccessor);
-  CPPUNIT_TEST(HearsOfEndsBeforeItStartsInheritedTasks);
-  CPPUNIT_TEST(StartsNewJobsOfASuccessorWithoutWaiting);
-  CPPUNIT_TEST(PutsJobsThatAreLateBehindThoseThatCanBeInTime);
-  CPPUNIT_TEST(LeavesADrainingWorker);
-  CPPUNIT_TEST(StopsBackfillBeforeTheBoundOfHarm);
-  CPPUNIT_TEST(SetsThePaceOfAdoptedBackfill);
+  CPPUNIT_TEST(KeepsAnAdoptedRunForAFullLease);
+  CPPUNIT_TEST(KeepsRunsWhileLeadershipIsUnconfirmed);
+  CPPUNIT_TEST(StopsSchedulingOnceFenced);
+  CPPUNIT_TEST(WaitsForReportsBeforeStartingInheritedTasks);
+  CPPUNIT_TEST(StartsNewJobsAfterATakeoverWithoutWaiting);
+  CPPUNIT_TEST(PlacesOnTimeJobsBeforeLateJobs);
+  CPPUNIT_TEST(MovesServiceTasksOffADrainingWorker);
+  CPPUNIT_TEST(PausesBackfillBeforeTheTailViolationLimit);
+  CPPUNIT_TEST(SendsThePaceOfAdoptedBackfill);
   CPPUNIT_TEST(RaisesThePaceOfAdoptedBackfillInSteps);
   CPPUNIT_TEST(StartsOnlyWhereTheAdviceServicePermits);
-  CPPUNIT_TEST(RunsNoTaskTwiceUnderRandomCutsAndTakeovers);
+  CPPUNIT_TEST(RunsNoTaskTwiceUnderRandomPartitionsAndFailovers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -118,7 +118,7 @@
     CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Completed);
   }
 
-  // Guards against starts that a successor does not know to look for.
+  // Otherwise the next leader would not know that the job may have runs.
   void ReleasesAJobDurablyBeforeItsFirstStart()
   {
     FakeSite site;
@@ -134,7 +134,7 @@
     CPPUNIT_ASSERT(leader.mStored.at("a").mIsReleased);
   }
 
-  // Guards against a success that is forgotten by the worker and lost with the
+  // Otherwise a success could be dropped by the worker and lost with the
   // leader.
   void AcknowledgesSuccessOnlyWhenItIsDurable()
   {
@@ -146,15 +146,15 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, worker.mRuns.size());
     leader.mCanStore = false;
     site.Advance(milliseconds(2000));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, worker.mEnds.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, worker.mEndedRuns.size());
     leader.mCanStore = true;
     site.Advance(milliseconds(500));
-    CPPUNIT_ASSERT(worker.mEnds.empty());
+    CPPUNIT_ASSERT(worker.mEndedRuns.empty());
   }
 
-  // Guards against a second run of a job whose submission arrives again while
-  // the record of its end has not been answered.
-  void KnowsAnEndedJobUntilItsEndIsDurable()
+  // A submission that is repeated while the write of the job's end is pending
+  // must not run the job again.
+  void KeepsAnEndedJobUntilItsEndIsDurable()
   {
     FakeSite site;
     site.AddWorker("w1");
@@ -163,15 +163,15 @@
     leader.Get().AddJob(job, false, site.Now());
     site.Advance(milliseconds(200));
     CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
-    leader.mHasNoAnswer = true;
+    leader.mIsStoreUnresponsive = true;
     site.Advance(milliseconds(1000));
     leader.Get().AddJob(Stored(leader, job), false, site.Now());
-    leader.mHasNoAnswer = false;
+    leader.mIsStoreUnresponsive = false;
     site.Advance(milliseconds(1000));
     CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
   }
 
-  void FailsAJobAtItsLimitOfAttempts()
+  void FailsAJobAtItsAttemptLimit()
   {
     FakeSite site;
     site.AddWorker("w1");
@@ -184,17 +184,17 @@
     CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Failed);
   }
 
-  // Guards against a start beyond the limit: a new leader hears of the third
-  // failure before the first two.
-  void CountsFailuresThatAreReportedOutOfOrder()
+  // A new leader may learn of the third failure before the first two. It must
+  // not start a fourth run.
+  void CountsFailuresReportedOutOfOrder()
   {
     FakeSite site;
     const TaskId task{ "a", 0, 0, 0 };
     int number = 3;
     for (const char* id : { "w1", "w2", "w3" }) {
       FakeWorker& worker = site.AddWorker(id);
-      worker.mEnds.push_back({ 1, task, number, RunEnd::Failed, "" });
-      worker.mHighestEnded[ToText(task)] = number--;
+      worker.mEndedRuns.push_back({ 1, task, number, RunOutcome::Failed, "" });
+      worker.mHighestEndedRuns[ToText(task)] = number--;
     }
     auto& leader = AddSuccessor(site, 2);
     jobs::JobRecord job = MakeJob("a", { 1 });
@@ -205,7 +205,7 @@
     CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Failed);
   }
 
-  void StartsAServiceTaskAgainHoweverItEnds()
+  void RestartsAServiceTaskAfterAnyOutcome()
   {
     FakeSite site;
     site.AddWorker("w1");
@@ -221,7 +221,7 @@
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     auto& leader = site.AddLeader(1);
     leader.Get().AddJob(MakeJob("a", { 3 }), false, site.Now());
     site.Advance(milliseconds(300));
@@ -245,19 +245,19 @@
     CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Completed);
   }
 
-  // Guards against polls that keep extending the lease of a worker that does
-  // not answer, so that its tasks never run again.
-  void StartsElsewhereWhenTheLeaseOfASilentWorkerHasEnded()
+  // Polls must not extend the lease of a worker that does not answer, or its
+  // tasks would never run again.
+  void RestartsTasksOfASilentWorkerAfterItsLease()
   {
     FakeSite site;
     FakeWorker& silent = site.AddWorker("w1", 4000);
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     auto& leader = site.AddLeader(1);
     leader.Get().AddJob(MakeService("a", 1, "x"), false, site.Now());
     site.Advance(milliseconds(300));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, silent.mRuns.size());
     leader.Get().SetWorker(site.AddWorker("w2", 4000).Entry(), site.Now());
-    leader.mCutOff.insert("w1");
+    leader.mUnreachableWorkers.insert("w1");
     site.Advance(milliseconds(4000));
     CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
     site.Advance(milliseconds(5000));
@@ -265,11 +265,11 @@
     CPPUNIT_ASSERT(site.mViolations.empty());
   }
 
-  void StartsAgainAtOnceWhenAWorkerWasRestarted()
+  void RestartsTasksAtOnceAfterAWorkerRestart()
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     auto& leader = site.AddLeader(1);
     leader.Get().AddJob(MakeService("a", 1, "x"), false, site.Now());
     site.Advance(milliseconds(300));
@@ -279,10 +279,10 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, worker.mRuns.size());
   }
 
-  // Load pattern: a long outage of the log, after which a new leader takes over
-  // when all leases of its predecessor have ended. Guards against a second run
-  // of a task whose success a worker is about to report.
-  void HearsOfEndsBeforeItStartsInheritedTasks()
+  // After a long outage of the log, a new leader takes over when all earlier
+  // leases have ended. A task whose success a worker has yet to report must not
+  // run again.
+  void WaitsForReportsBeforeStartingInheritedTasks()
   {
     FakeSite site;
     site.AddWorker("w1");
@@ -290,29 +290,29 @@
     site.mRunTime = [](const TaskId&) { return milliseconds(800); };
     const jobs::JobRecord stored =
       RunUntilKilled(site, MakeJob("a", { 1 }), milliseconds(300));
-    const std::string user = site.Worker("w1").mRuns.empty() ? "w2" : "w1";
+    const std::string busy = site.Worker("w1").mRuns.empty() ? "w2" : "w1";
     site.Advance(milliseconds(1000));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.Worker(user).mEnds.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.Worker(busy).mEndedRuns.size());
     auto& second = site.AddLeader(2, site.Now());
-    second.mDelays[user] = milliseconds(200);
+    second.mDelays[busy] = milliseconds(200);
     second.Get().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(1000));
     CPPUNIT_ASSERT(second.mStarts.empty());
     CPPUNIT_ASSERT(second.mStored.at("a").mState == jobs::JobState::Completed);
   }
 
-  // Guards against a second run of a task whose worker has not answered the
-  // new leader, also when the registry lists that worker no longer.
+  // A task must not run again while its worker has not answered the new leader,
+  // even if the worker is no longer in the registry.
   void WaitsForWorkersThatHaveNotAnsweredANewLeader()
   {
     FakeSite site;
     site.AddWorker("w1", 4000);
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     const jobs::JobRecord stored =
       RunUntilKilled(site, MakeService("a", 1, "x"), milliseconds(300));
     site.AddWorker("w2", 4000);
     auto& second = AddSuccessor(site, 2);
-    second.mCutOff.insert("w1");
+    second.mUnreachableWorkers.insert("w1");
     second.Get().RemoveWorker("w1", site.Now());
     second.Get().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(5500));
@@ -322,32 +322,32 @@
     CPPUNIT_ASSERT(site.mViolations.empty());
   }
 
-  // Guards against a run that is given up because its worker falls silent
-  // after its first report, while the lease of the earlier leader goes on.
-  void KeepsAnAdoptedRunForAWholeLease()
+  // If a worker stops answering after its first report, its runs must be kept
+  // until the lease of the earlier leader has ended.
+  void KeepsAnAdoptedRunForAFullLease()
   {
     FakeSite site;
     site.AddWorker("w1", 4000);
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     const jobs::JobRecord stored =
       RunUntilKilled(site, MakeService("a", 1, "x"), milliseconds(300));
     site.AddWorker("w2", 4000);
     auto& second = AddSuccessor(site, 2);
     second.Get().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(5));
-    second.mCutOff.insert("w1");
+    second.mUnreachableWorkers.insert("w1");
     site.Advance(milliseconds(10000));
     CPPUNIT_ASSERT(site.mViolations.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, second.mStarts.size());
   }
 
-  // Guards against a leader that is cut off and starts tasks of workers that
-  // its successor has taken over.
-  void GivesUpNoRunWhileItsLeadershipIsNotConfirmed()
+  // A partitioned leader must not restart tasks of workers that its successor
+  // has taken over.
+  void KeepsRunsWhileLeadershipIsUnconfirmed()
   {
     FakeSite site;
     site.AddWorker("w1", 4000);
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     auto& first = site.AddLeader(1);
     const jobs::JobRecord job = MakeService("a", 1, "x");
     first.Get().AddJob(job, false, site.Now());
@@ -355,17 +355,17 @@
     site.AddWorker("w2", 4000);
     first.Get().SetWorker(site.Worker("w2").Entry(), site.Now());
     site.Advance(milliseconds(100));
-    first.mCutOff.insert("w1");
+    first.mUnreachableWorkers.insert("w1");
     first.mIsConfirmed = false;
     auto& second = AddSuccessor(site, 2);
-    second.mCutOff.insert("w2");
+    second.mUnreachableWorkers.insert("w2");
     second.Get().AddJob(Stored(first, job), true, site.Now());
     site.Advance(milliseconds(11000));
     CPPUNIT_ASSERT(site.mViolations.empty());
     CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
   }
 
-  void StopsWhenAWorkerHasSeenASuccessor()
+  void StopsSchedulingOnceFenced()
   {
     FakeSite site;
     site.AddWorker("w1");
@@ -379,22 +379,23 @@
     CPPUNIT_ASSERT(first.mStarts.empty());
   }
 
-  // Guards against jobs that wait for a silent worker which cannot have them.
-  void StartsNewJobsOfASuccessorWithoutWaiting()
+  // Jobs without earlier starts need not wait for a worker that does not
+  // answer.
+  void StartsNewJobsAfterATakeoverWithoutWaiting()
   {
     FakeSite site;
     site.AddWorker("w1");
     site.AddWorker("w2");
     auto& leader = AddSuccessor(site, 2);
-    leader.mCutOff.insert("w1");
+    leader.mUnreachableWorkers.insert("w1");
     leader.Get().AddJob(MakeJob("a", { 1 }), true, site.Now());
     site.Advance(milliseconds(200));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, leader.mStarts.size());
   }
 
-  // Load pattern: a burst that cannot be served whole. Guards against all jobs
-  // becoming late because the oldest come first.
-  void PutsJobsThatAreLateBehindThoseThatCanBeInTime()
+  // In a burst beyond the capacity, placing the oldest jobs first would make
+  // every job late.
+  void PlacesOnTimeJobsBeforeLateJobs()
   {
     FakeSite site;
     site.AddWorker("w1", 1000);
@@ -413,11 +414,11 @@
                    jobs::JobState::Completed);
   }
 
-  void LeavesADrainingWorker()
+  void MovesServiceTasksOffADrainingWorker()
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     auto& leader = site.AddLeader(1);
     jobs::JobRecord job = MakeService("a", 3, "x");
     job.mSubmission->mRequest.mSteps.front().mMaxUnavailable = 1;
@@ -435,18 +436,18 @@
     CPPUNIT_ASSERT(site.mViolations.empty());
   }
 
-  // Load pattern: backfill beside services whose tails exceed their target.
-  void StopsBackfillBeforeTheBoundOfHarm()
+  // Backfill colocated with a service whose tail exceeds its target.
+  void PausesBackfillBeforeTheTailViolationLimit()
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     auto& leader = site.AddLeader(1);
     leader.Get().AddJob(MakeService("s", 1, "x"), false, site.Now());
     leader.Get().AddJob(MakeBackfill("b", 1, "y"), false, site.Now());
     site.Advance(milliseconds(1000));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, worker.mRuns.size());
-    worker.mTailMs = 80;
+    worker.mReportedMeasurement = 80;
     site.Advance(milliseconds(2500));
     CPPUNIT_ASSERT(!leader.mPaces.empty());
     CPPUNIT_ASSERT(std::any_of(
@@ -455,18 +456,17 @@
       }));
   }
 
-  // Load pattern: a change of the leader while backfill stands still beside
-  // services. Guards against all of it working again at once, and against
-  // standing still for ever.
+  // After a failover, paused backfill must not resume at full pace at once, and
+  // must not stay paused for ever.
   void RaisesThePaceOfAdoptedBackfillInSteps()
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     const jobs::JobRecord stored =
       RunUntilKilled(site, MakeBackfill("b", 1, "y"), milliseconds(500));
-    // In the reports of this worker it is the use of processors.
-    worker.mTailMs = 0;
+    // For a backfill run, this is the reported processor use.
+    worker.mReportedMeasurement = 0;
     auto& second = AddSuccessor(site, 2);
     second.Get().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(400));
@@ -476,15 +476,15 @@
     CPPUNIT_ASSERT_EQUAL(100, second.mPaces.back().mPercent);
   }
 
-  // Guards against backfill whose pace the new leader takes for granted.
-  void SetsThePaceOfAdoptedBackfill()
+  // The new leader does not know the pace that its predecessor has set.
+  void SendsThePaceOfAdoptedBackfill()
   {
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
-    site.mRunTime = LastsAMinute;
+    site.mRunTime = OneMinuteRunTime;
     const jobs::JobRecord stored =
       RunUntilKilled(site, MakeBackfill("b", 1, "y"), milliseconds(500));
-    worker.mTailMs = 1990;
+    worker.mReportedMeasurement = 1990;
     auto& second = AddSuccessor(site, 2);
     second.Get().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(500));
@@ -498,7 +498,7 @@
     site.AddWorker("w1");
     site.AddWorker("w2");
     auto& leader = site.AddLeader(1);
-    leader.mPermitted = { "w2" };
+    leader.mPermittedWorkerIds = { "w2" };
     jobs::JobRecord job = MakeJob("a", { 3 });
     job.mSubmission->mPolicy.mNeedsAdvice = true;
     leader.Get().AddJob(job, false, site.Now());
@@ -511,15 +511,15 @@
     CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Completed);
   }
 
-  void RunsNoTaskTwiceUnderRandomCutsAndTakeovers()
+  void RunsNoTaskTwiceUnderRandomPartitionsAndFailovers()
   {
     for (std::uint64_t seed = 1; seed <= 30; ++seed) {
-      PlayRandomDay(seed);
+      RunRandomScenario(seed);
     }
   }
 
 private:
-  static void PlayRandomDay(std::uint64_t aSeed)
+  static void RunRandomScenario(std::uint64_t aSeed)
   {
     FakeSite site;
     const auto random = base::CreateSeededRandom(aSeed);
@@ -536,7 +536,8 @@
     FakeSite::Leader* old = nullptr;
     FakeSite::Leader* leader = nullptr;
     for (int n = 0; n < 12; ++n) {
-      // The earlier leader goes on, cut off from the log, or is gone.
+      // The previous leader continues without access to the log; the one before
+      // it is removed.
       if (leader != nullptr) {
         stored = leader->mStored;
         if (old != nullptr) {
@@ -546,17 +547,17 @@
         old->mIsConfirmed = false;
         old->mCanStore = false;
       }
-      std::set<std::string> cutOff;
+      std::set<std::string> unreachable;
       for (int w = 0; w < 6; ++w) {
         const std::string id = "w" + std::to_string(w);
         if (random->Below(3) == 0) {
-          cutOff.insert(id);
+          unreachable.insert(id);
         } else if (old != nullptr && random->Below(2) == 0) {
-          old->mCutOff.insert(id);
+          old->mUnreachableWorkers.insert(id);
         }
       }
       leader = &AddSuccessor(site, ++epoch);
-      leader->mCutOff = cutOff;
+      leader->mUnreachableWorkers = unreachable;
       leader->mStored = stored;
       for (auto job : submitted) {
         const auto found = stored.find(job.mSubmission->mId);
@@ -571,7 +572,7 @@
         leader->Get().AddJob(submitted.back(), false, site.Now());
       }
       site.Advance(milliseconds(500 + random->Below(4000)));
-      leader->mCutOff.clear();
+      leader->mUnreachableWorkers.clear();
       site.Advance(milliseconds(random->Below(4000)));
     }
     CPPUNIT_ASSERT_MESSAGE(
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -140,7 +140,7 @@
   UpdateTerm();
   if (mDispatcher != nullptr) {
     const TimePoint confirmedAt = mLeadership.ConfirmedAt();
-    mDispatcher->SetAuthority(
+    mDispatcher->SetLeadershipLease(
       confirmedAt,
       confirmedAt >= mResumedAt ? confirmedAt + kLeaderLease : now);
     if (now >= mDispatcher->NextTick()) {
@@ -440,12 +440,12 @@
   const TimePoint now = mClock.Now();
   dispatch::Term term;
   term.mEpoch = mEpoch;
-  term.mEarlierLeasesEnd =
+  term.mPreviousLeasesEndAt =
     mLeadership.PreviousLeaderLeaseEnd() + std::chrono::milliseconds(700);
   mDispatcher =
     dispatch::CreateDispatcher(mOptions.mLimits, term, mWorkerClient, mMetrics);
   mWorkerClient.Attach(mEpoch, *mDispatcher);
-  mDispatcher->SetAuthority(mLeadership.ConfirmedAt(),
+  mDispatcher->SetLeadershipLease(mLeadership.ConfirmedAt(),
                             mLeadership.ConfirmedAt() + kLeaderLease);
   if (!mModelRecord.empty()) {
     mDispatcher->ImportModel(mModelRecord);
