--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -446,7 +446,7 @@
     dispatch::CreateDispatcher(mOptions.mLimits, term, mWorkerClient, mMetrics);
   mWorkerClient.Attach(mEpoch, *mDispatcher);
   mDispatcher->SetLeadershipLease(mLeadership.ConfirmedAt(),
-                            mLeadership.ConfirmedAt() + kLeaderLease);
+                                  mLeadership.ConfirmedAt() + kLeaderLease);
   if (!mModelRecord.empty()) {
     mDispatcher->ImportModel(mModelRecord);
   }
