--- a/include/skylarkhill/entry/worker_agent.hpp
+++ b/include/skylarkhill/entry/worker_agent.hpp
@@ -126,7 +126,7 @@
 
 private:
   void Perform(const holder::PlaceLease& aAction);
-  void Perform(const holder::ReadList& aAction);
+  void Perform(const holder::ReadHolders& aAction);
   void Perform(const holder::RemoveLease& aAction);
   void Perform(const holder::LeaseAcquired& aAction);
   void Perform(const holder::LeaseEnded& aAction);
--- a/include/skylarkhill/holder/lease_machine.hpp
+++ b/include/skylarkhill/holder/lease_machine.hpp
@@ -64,7 +64,7 @@
 };
 
 /// Asks for `WorkerPort::Poll`; answered by `OnReport`.
-struct ReadList
+struct ReadHolders
 {
   std::uint64_t mRequest = 0;
   base::TimePoint mDeadline;
@@ -92,7 +92,7 @@
 };
 
 using LeaseAction =
-  std::variant<PlaceLease, ReadList, RemoveLease, LeaseAcquired, LeaseEnded>;
+  std::variant<PlaceLease, ReadHolders, RemoveLease, LeaseAcquired, LeaseEnded>;
 
 /// Acquires, renews and releases the holder lease on one worker for one entry
 /// instance. Not thread-safe: used under the lock of the worker's shard.
@@ -110,7 +110,7 @@
   /// Whether this instance should hold the worker. It is a preference only.
   void SetPreferred(bool aPreferred);
 
-  /// The answer to the PlaceLease or ReadList with this number.
+  /// The answer to the PlaceLease or ReadHolders with this number.
   void OnReport(std::uint64_t aRequest,
                 const base::Result<worker::WorkerReport>& aReport,
                 base::TimePoint aNow);
@@ -127,7 +127,7 @@
 
   /// True while commands may be sent to the worker. Checked with a fresh time
   /// immediately before each send.
-  bool MayCommit(base::TimePoint aNow) const;
+  bool MaySendCommands(base::TimePoint aNow) const;
 
   LeaseState State() const { return mState; }
   /// The token of the current or last acquisition.
@@ -135,7 +135,7 @@
   /// The holder must not commit at or after this time.
   base::TimePoint Deadline() const { return mDeadline; }
   /// Commands of earlier holders may arrive until this time.
-  base::TimePoint QuietUntil() const { return mQuietUntil; }
+  base::TimePoint QuietPeriodEnd() const { return mQuietPeriodEnd; }
   const WorkerClock& Clock() const { return mClock; }
   const LeaseOptions& Options() const { return mOptions; }
 
@@ -147,12 +147,12 @@
     base::TimePoint mDeadline;
   };
 
-  bool HasLapsed(base::TimePoint aNow) const;
+  bool IsLeaseExpired(base::TimePoint aNow) const;
   bool IsOwnLeaseIn(const worker::WorkerReport& aReport) const;
   bool IsOtherLeaseIn(const worker::WorkerReport& aReport) const;
-  void Learn(const worker::WorkerReport& aReport,
-             const Request& aRequest,
-             base::TimePoint aNow);
+  void UpdateFromReport(const worker::WorkerReport& aReport,
+                        const Request& aRequest,
+                        base::TimePoint aNow);
   void HandleReport(const worker::WorkerReport& aReport,
                     const Request& aRequest,
                     base::TimePoint aNow);
@@ -165,7 +165,7 @@
                      base::TimePoint aNow);
   void SendRead(base::TimePoint aNow);
   void SendPlace(base::TimePoint aNow);
-  void GiveUp(LeaseState aState, base::TimePoint aNow);
+  void EndLease(LeaseState aState, base::TimePoint aNow);
   void StartRequest(base::TimePoint aNow);
 
   base::InstanceId mInstance;
@@ -177,7 +177,7 @@
   worker::HolderToken mToken;
   std::uint64_t mLargestEpoch = 0;
   base::TimePoint mDeadline;
-  base::TimePoint mQuietUntil;
+  base::TimePoint mQuietPeriodEnd;
   /// A list read after the quiet period showed no other lease.
   bool mConfirmed = false;
   /// When the next scan or renewal is due.
--- a/include/skylarkhill/holder/ledger.hpp
+++ b/include/skylarkhill/holder/ledger.hpp
@@ -13,26 +13,26 @@
 namespace skylarkhill::holder {
 
 /// A worker's report with the time at which its poll was sent.
-struct PollEvidence
+struct PollResult
 {
   worker::WorkerReport mReport;
   base::TimePoint mSentAt;
 };
 
 /// When a command of unknown outcome can no longer take effect.
-struct SettleTime
+struct CommandExpiry
 {
   /// The worker refuses the command after this time.
   worker::WorkerTime mNotAfter = 0;
   /// No message sent with the command arrives after this time.
-  base::TimePoint mArrivesBefore;
+  base::TimePoint mLatestArrival;
 };
 
 /// True if a command that is absent from this report will never take effect.
 /// Requires both bounds, so that a worker that does not check not_after, or
 /// one message that is delayed beyond the bound, is not enough to fail it.
 bool
-IsSettled(const SettleTime& aSettle, const PollEvidence& aEvidence);
+IsPastExpiry(const CommandExpiry& aExpiry, const PollResult& aPoll);
 
 /// Slots and connections of service requests.
 struct CallCapacity
@@ -52,7 +52,7 @@
   /// Replaces what is known to run, settles starts and calls of unknown
   /// outcome, and takes over the capacity that the worker reports. Reports
   /// that are older than the last one are ignored.
-  void ApplyReport(const PollEvidence& aEvidence);
+  void ApplyReport(const PollResult& aPoll);
 
   /// True if `aNeed` fits beside everything that is committed.
   bool Fits(const base::Resources& aNeed) const;
@@ -71,7 +71,7 @@
   /// plan for it. NoCapacity if it does not fit.
   base::Result<void> CommitStart(const worker::TaskKey& aKey,
                                  const base::Resources& aNeed,
-                                 const SettleTime& aSettle);
+                                 const CommandExpiry& aExpiry);
 
   /// Sets the usage estimate of a task, if the estimate is trusted. The task
   /// is counted with the larger of reservation and estimate, as far as there
@@ -83,45 +83,45 @@
   void SetServiceReserve(const base::Resources& aReserve);
 
   /// Commits one slot and one connection. NoCapacity if there is none. Called
-  /// only while `TaskRunner::MayCall` is true.
-  base::Result<void> BeginCall(CallNumber aCall, const SettleTime& aSettle);
+  /// only while `TaskRunner::MaySendCalls` is true.
+  base::Result<void> BeginCall(CallNumber aCall, const CommandExpiry& aExpiry);
   /// Frees them: the call was answered or certainly did not run.
   void EndCall(CallNumber aCall);
   /// Keeps them until a report shows that the call is over.
-  void LoseCall(CallNumber aCall);
+  void MarkCallLost(CallNumber aCall);
 
   base::Resources Capacity() const { return mCapacity; }
   /// What running tasks, starts in flight and plans take.
   base::Resources Committed() const;
-  CallCapacity FreeCalls() const;
-  bool IsBuilt() const { return mBuilt; }
+  CallCapacity FreeCallCapacity() const;
+  bool HasReport() const { return mHasReport; }
   bool IsStartInFlight(const worker::TaskKey& aKey) const;
 
 private:
   struct Start
   {
     base::Resources mNeed;
-    SettleTime mSettle;
+    CommandExpiry mExpiry;
   };
   struct Call
   {
-    SettleTime mSettle;
+    CommandExpiry mExpiry;
     bool mLost = false;
   };
 
   base::Resources Reserved() const;
   base::Resources Free() const;
-  void ApplyTasks(const PollEvidence& aEvidence);
-  void ApplyCalls(const PollEvidence& aEvidence);
+  void ApplyTasks(const PollResult& aPoll);
+  void ApplyCalls(const PollResult& aPoll);
 
-  bool mBuilt = false;
-  base::TimePoint mPolledAt;
+  bool mHasReport = false;
+  base::TimePoint mLastPollSentAt;
   base::Resources mCapacity;
   base::Resources mServiceReserve;
   CallCapacity mCallCapacity;
   bool mHasCalled = false;
   /// Slots that calls of earlier holders still occupy.
-  std::int64_t mInheritedBusy = 0;
+  std::int64_t mInheritedBusySlots = 0;
   std::map<worker::TaskKey, base::Resources> mRunning;
   std::map<worker::TaskKey, base::Resources> mTrustedUsage;
   std::map<worker::TaskKey, Start> mStarts;
--- a/include/skylarkhill/holder/lost_worker.hpp
+++ b/include/skylarkhill/holder/lost_worker.hpp
@@ -17,7 +17,7 @@
   base::TimePoint mAbsentSince;
   /// Last direct evidence of the worker: an answered poll of this instance,
   /// or a peer's heartbeat that names it as held.
-  base::TimePoint mLastEvidence;
+  base::TimePoint mLastContact;
   /// The attempts that the log grants to the worker.
   std::vector<GrantedAttempt> mGrants;
 };
--- a/include/skylarkhill/holder/task_command.hpp
+++ b/include/skylarkhill/holder/task_command.hpp
@@ -45,8 +45,8 @@
                                  StopTask,
                                  AcknowledgeTask>;
 
-/// One command to a worker. It is sent only if `LeaseMachine::MayCommit` is
-/// true immediately before the send.
+/// One command to a worker. It is sent only if `LeaseMachine::MaySendCommands`
+/// is true immediately before the send.
 struct Command
 {
   /// Names the command in its result.
--- a/include/skylarkhill/holder/task_runner.hpp
+++ b/include/skylarkhill/holder/task_runner.hpp
@@ -49,7 +49,7 @@
              TaskRunnerOptions aOptions);
 
   /// A report of the worker; also updates the ledger.
-  void OnReport(const PollEvidence& aEvidence);
+  void OnReport(const PollResult& aPoll);
 
   /// The result of the command with this number.
   void OnResult(std::uint64_t aNumber, CommandOutcome aOutcome);
@@ -79,7 +79,7 @@
 
   /// True while service calls may be sent: held, past the quiet period with a
   /// report made after it, and neither draining nor leaving.
-  bool MayCall(base::TimePoint aNow) const;
+  bool MaySendCalls(base::TimePoint aNow) const;
 
   /// The commands and records that are due. Called after every event and at
   /// least every 50 ms.
@@ -90,7 +90,7 @@
   {
     std::uint64_t mNumber = 0;
     base::TimePoint mDeadline;
-    SettleTime mSettle;
+    CommandExpiry mExpiry;
     std::optional<CommandOutcome> mOutcome;
   };
   /// The last command for an attempt, other than its start.
@@ -116,11 +116,11 @@
     /// Latest lease end that the worker may know.
     worker::WorkerTime mLeaseExpiresAt = 0;
     std::optional<StartState> mStart;
-    std::optional<SentCommand> mSent;
+    std::optional<SentCommand> mLastCommand;
     std::optional<Eviction> mEviction;
     std::optional<std::int64_t> mThrottlePercent;
-    std::optional<base::TimePoint> mMisfitSince;
-    bool mSeen = false;
+    std::optional<base::TimePoint> mNoCapacitySince;
+    bool mWasReported = false;
     bool mStartedSent = false;
     bool mEndSent = false;
   };
@@ -128,10 +128,10 @@
 
   bool IsQuietPeriodOver() const;
   bool IsReady() const;
-  bool IsKept(const Attempt& aAttempt) const;
+  bool ShouldRenew(const Attempt& aAttempt) const;
   bool MaySend(const Attempt& aAttempt, base::TimePoint aNow) const;
   bool IsInFlight(const Attempt& aAttempt, base::TimePoint aNow) const;
-  bool HasLeaseLapsed(const Attempt& aAttempt, base::TimePoint aNow) const;
+  bool IsTaskLeaseExpired(const Attempt& aAttempt, base::TimePoint aNow) const;
   Command MakeCommand(CommandBody aBody, base::TimePoint aNow);
   void Renew(base::TimePoint aNow);
   void StepAttempt(Entry& aEntry, base::TimePoint aNow);
@@ -144,8 +144,8 @@
   void Send(Attempt& aAttempt, CommandBody aBody, base::TimePoint aNow);
   void AppendStarted(Entry& aEntry);
   void AppendEnd(Entry& aEntry, tasks::AttemptOutcome aOutcome);
-  void AppendAbsentEnd(Entry& aEntry, tasks::AttemptOutcome aOutcome);
-  void ForgetFinished();
+  void AppendEndWithoutReport(Entry& aEntry, tasks::AttemptOutcome aOutcome);
+  void RemoveFinished();
 
   const LeaseMachine& mLease;
   Ledger& mLedger;
@@ -154,7 +154,7 @@
   bool mDraining = false;
   bool mRenewDue = false;
   std::uint64_t mLastNumber = 0;
-  std::optional<PollEvidence> mEvidence;
+  std::optional<PollResult> mLastPoll;
   std::optional<SentCommand> mRenewal;
   std::map<worker::TaskKey, Attempt> mAttempts;
   RunnerOutput mOutput;
--- a/include/skylarkhill/holder/worker_clock.hpp
+++ b/include/skylarkhill/holder/worker_clock.hpp
@@ -27,10 +27,10 @@
 
   /// A worker time that the worker's clock shows at `aDeadline` at the latest
   /// possible difference; never later than `aDeadline`.
-  worker::WorkerTime ToWorker(base::TimePoint aDeadline) const;
+  worker::WorkerTime ToEarliestWorkerTime(base::TimePoint aDeadline) const;
 
   /// A boot time at which the worker's clock has certainly reached `aTime`.
-  base::TimePoint ToBootLatest(worker::WorkerTime aTime) const;
+  base::TimePoint ToLatestBootTime(worker::WorkerTime aTime) const;
 
 private:
   std::int64_t Drift(base::TimePoint aUntil) const;
--- a/include/skylarkhill/journal/site_state.hpp
+++ b/include/skylarkhill/journal/site_state.hpp
@@ -119,9 +119,9 @@
   std::uint64_t LiveDigest() const;
 
   /// Up to `aLimit` live tasks per shard that need a snapshot first.
-  std::vector<tasks::BasedTask> TasksOlderThan(std::int64_t aAgeMs,
-                                               std::int64_t aNowMs,
-                                               std::size_t aLimit) const;
+  std::vector<tasks::TaskReplayOffset> TasksOlderThan(std::int64_t aAgeMs,
+                                                      std::int64_t aNowMs,
+                                                      std::size_t aLimit) const;
   std::vector<requests::BasedKey> KeysOlderThan(std::int64_t aAgeMs,
                                                 std::int64_t aNowMs,
                                                 std::size_t aLimit) const;
--- a/include/skylarkhill/tasks/task_table.hpp
+++ b/include/skylarkhill/tasks/task_table.hpp
@@ -53,10 +53,10 @@
 };
 
 /// A live task and the offset from which the log alone restores it.
-struct BasedTask
+struct TaskReplayOffset
 {
   base::TaskId mTask;
-  Offset mBasedAt = 0;
+  Offset mReplayFrom = 0;
 };
 
 /// Deterministic reducer of task records. Not thread-safe.
@@ -70,9 +70,9 @@
 
   /// Applies one record; a record that its rule rejects is counted only.
   void Apply(Offset aOffset, const TaskRecord& aRecord);
-  /// The same for a record whose writer had read everything before `aBasedAt`;
-  /// an accepted task needs the log from there on.
-  void Apply(Offset aOffset, const TaskRecord& aRecord, Offset aBasedAt);
+  /// The same for a record whose writer had read everything before
+  /// `aReplayFrom`; an accepted task needs the log from there on.
+  void Apply(Offset aOffset, const TaskRecord& aRecord, Offset aReplayFrom);
 
   /// Remembers a record that must not take effect itself. Its task stays
   /// unknown until a snapshot is applied, if it is unknown now.
@@ -83,11 +83,11 @@
   void ApplySnapshot(Offset aAsOf, const TaskSnapshot& aSnapshot);
 
   /// Adds a task or tombstone that was exported by another table.
-  void Restore(const TaskSnapshot& aSnapshot, Offset aBasedAt);
+  void Restore(const TaskSnapshot& aSnapshot, Offset aReplayFrom);
 
   /// Forgets the tombstone of `aTask` if it has no record at or after
   /// `aFirstRetained`.
-  void ForgetEnded(const base::TaskId& aTask, Offset aFirstRetained);
+  void RemoveTombstone(const base::TaskId& aTask, Offset aFirstRetained);
 
   /// Removes tombstones without a record at or after `aFirstRetained`.
   void Purge(Offset aFirstRetained);
@@ -97,7 +97,7 @@
   bool IsKnown(const base::TaskId& aTask) const;
   std::optional<TaskSnapshot> Find(const base::TaskId& aTask) const;
   /// Offset from which the log alone is enough to restore the live task.
-  std::optional<Offset> FindBase(const base::TaskId& aTask) const;
+  std::optional<Offset> FindReplayOffset(const base::TaskId& aTask) const;
   /// Up to `aLimit` tasks: urgent ones first, then in order of acceptance and
   /// of id.
   std::vector<QueuedTask> Queued(std::size_t aLimit) const;
@@ -108,13 +108,14 @@
   std::vector<base::WorkerId> WorkersWithGrants() const;
   /// Up to `aLimit` live tasks with a base before `aBefore`, the oldest base
   /// first.
-  std::vector<BasedTask> BasedBefore(Offset aBefore, std::size_t aLimit) const;
+  std::vector<TaskReplayOffset> OldestReplayOffsets(Offset aBefore,
+                                                    std::size_t aLimit) const;
   /// Records about tasks that are not known, in order per task.
   std::vector<std::pair<Offset, TaskRecord>> UnmatchedRecords() const;
   /// All tasks and tombstones, in order of acceptance, then of id.
   std::vector<base::TaskId> All() const;
 
-  std::size_t CountLive() const { return mByBase.size(); }
+  std::size_t CountLive() const { return mByReplayOffset.size(); }
   std::size_t CountQueued() const { return mQueued.size(); }
   std::size_t CountEnded() const { return mEnded.size(); }
   std::int64_t IgnoredRecords() const { return mIgnoredRecords; }
@@ -135,7 +136,7 @@
   {
     bool operator()(const Entry* aLeft, const Entry* aRight) const;
   };
-  struct ByBase
+  struct ByReplayOffset
   {
     bool operator()(const Entry* aLeft, const Entry* aRight) const;
   };
@@ -150,12 +151,12 @@
 
   Entry* FindEntry(const base::TaskId& aTask) const;
   Entry& AddEntry(const TaskSpec& aSpec);
-  Entry& AddEntry(const TaskSnapshot& aSnapshot, Offset aBasedAt);
+  Entry& AddEntry(const TaskSnapshot& aSnapshot, Offset aReplayFrom);
   void RemoveEntry(Entry& aEntry);
   void AddToIndexes(Entry& aEntry);
   void RemoveFromIndexes(Entry& aEntry);
   void ApplyKnown(Offset aOffset, const TaskRecord& aRecord);
-  void Accept(Offset aOffset, const AcceptRecord& aRecord, Offset aBasedAt);
+  void Accept(Offset aOffset, const AcceptRecord& aRecord, Offset aReplayFrom);
   static bool Update(StringPool& aPool,
                      Entry& aEntry,
                      const TaskRecord& aRecord);
@@ -168,7 +169,7 @@
   std::set<Entry*, ByQueueOrder> mQueued;
   std::unordered_map<StringPool::Handle, EntrySet> mByWorker;
   std::unordered_map<StringPool::Handle, TeamUse> mTeamUses;
-  std::set<Entry*, ByBase> mByBase;
+  std::set<Entry*, ByReplayOffset> mByReplayOffset;
   std::set<Entry*, ByLastRecord> mEnded;
   std::int64_t mIgnoredRecords = 0;
 };
--- a/src/entry/batch_scheduler.cpp
+++ b/src/entry/batch_scheduler.cpp
@@ -522,7 +522,7 @@
     }
     holder::LostWorker lost;
     lost.mAbsentSince = *absentSince;
-    lost.mLastEvidence = mPeers.LastEvidence(worker).value_or(*absentSince);
+    lost.mLastContact = mPeers.LastEvidence(worker).value_or(*absentSince);
     lost.mGrants = GrantsOn(worker);
     const auto ends = holder::EndLostAttempts(
       lost, mOptions.mTaskLease, mOptions.mLossMargin, mClock.Now());
--- a/src/entry/worker_agent.cpp
+++ b/src/entry/worker_agent.cpp
@@ -110,7 +110,7 @@
 }
 
 void
-WorkerAgent::Perform(const holder::ReadList& aAction)
+WorkerAgent::Perform(const holder::ReadHolders& aAction)
 {
   const base::TimePoint sentAt = mClock.Now();
   TakeReport(aAction.mRequest, mPort->Poll(aAction.mDeadline), sentAt);
@@ -225,7 +225,7 @@
     // The deadline is checked right before the send: the thread may have been
     // paused since the command was decided.
     const std::lock_guard lock(mMutex);
-    if (!mLease.MayCommit(mClock.Now()) ||
+    if (!mLease.MaySendCommands(mClock.Now()) ||
         mLease.Token() != aCommand.mHeader.mToken) {
       return;
     }
@@ -266,7 +266,7 @@
 {
   const std::lock_guard lock(mMutex);
   const base::TimePoint now = mClock.Now();
-  if (!mLedger || mReleasing || !mLease.MayCommit(now)) {
+  if (!mLedger || mReleasing || !mLease.MaySendCommands(now)) {
     return MakeError(ErrorKind::NotHolder);
   }
   if (!mTaskBreaker.Admits(now)) {
@@ -329,14 +329,14 @@
   {
     const std::lock_guard lock(mMutex);
     const base::TimePoint now = mClock.Now();
-    if (!mRunner || mReleasing || !mRunner->MayCall(now)) {
+    if (!mRunner || mReleasing || !mRunner->MaySendCalls(now)) {
       return MakeError(ErrorKind::NotHolder);
     }
     // A call that has started may outlive the holder lease; only its start is
     // bound to it.
     header.mToken = mLease.Token();
-    header.mNotAfter =
-      mLease.Clock().ToWorker(std::min(aDeadline, mLease.Deadline()));
+    header.mNotAfter = mLease.Clock().ToEarliestWorkerTime(
+      std::min(aDeadline, mLease.Deadline()));
     number = ++mLastCall;
     const base::TimePoint arrivesBefore =
       now + mOptions.mRunner.mMaxMessageDelay;
@@ -366,7 +366,7 @@
     if (isOver) {
       mLedger->EndCall(aNumber);
     } else {
-      mLedger->LoseCall(aNumber);
+      mLedger->MarkCallLost(aNumber);
     }
   }
   if (aAnswer) {
@@ -427,7 +427,7 @@
 WorkerAgent::MayCommit() const
 {
   const std::lock_guard lock(mMutex);
-  return mLease.MayCommit(mClock.Now());
+  return mLease.MaySendCommands(mClock.Now());
 }
 
 WorkerStatus
@@ -437,14 +437,14 @@
   const base::TimePoint now = mClock.Now();
   WorkerStatus status;
   status.mPlace = mPlace;
-  status.mHeld = mRunner != nullptr && mLedger->IsBuilt() && !mReleasing &&
-                 mRunner->MayCall(now);
+  status.mHeld = mRunner != nullptr && mLedger->HasReport() && !mReleasing &&
+                 mRunner->MaySendCalls(now);
   status.mAdmitsTasks = status.mHeld && mTaskBreaker.Admits(now);
   status.mAdmitsCalls = status.mHeld && mCallBreaker.Admits(now);
   if (mLedger) {
     status.mCapacity = mLedger->Capacity();
     status.mFree = mLedger->Capacity() - mLedger->Committed() - mServiceReserve;
-    status.mFreeCalls = mLedger->FreeCalls();
+    status.mFreeCalls = mLedger->FreeCallCapacity();
   }
   if (mReport) {
     status.mLeaving = mReport->mLeaving;
--- a/src/holder/holder_random_test.cpp
+++ b/src/holder/holder_random_test.cpp
@@ -15,16 +15,16 @@
 
 constexpr std::uint64_t kSeeds = 30;
 // The quiet period is missed by all but about one seed in 55.
-constexpr std::size_t kDonePerSeed = 25;
-constexpr std::uint64_t kSearchedSeeds = 400;
+constexpr std::size_t kMinTasksDonePerSeed = 25;
+constexpr std::uint64_t kMaxSearchedSeeds = 400;
 
 class HolderRandomTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(HolderRandomTest);
-  CPPUNIT_TEST(HoldsWithBoundedDelaysAndNoGuards);
-  CPPUNIT_TEST(HoldsWithLateMessagesAndNotAfter);
-  CPPUNIT_TEST(HoldsWithASlowLog);
-  CPPUNIT_TEST(HoldsWhenWorkersForgetTheirLeases);
+  CPPUNIT_TEST(NoViolationWithBoundedDelays);
+  CPPUNIT_TEST(NoViolationWithLateMessages);
+  CPPUNIT_TEST(NoViolationWithSlowLog);
+  CPPUNIT_TEST(NoViolationAfterWorkerRestarts);
   CPPUNIT_TEST(FindsMissingVerification);
   CPPUNIT_TEST(FindsMissingMargin);
   CPPUNIT_TEST(FindsMissingQuietPeriod);
@@ -38,38 +38,38 @@
 public:
   // Guards against every violation that needs no late message; the workers
   // check nothing at all.
-  void HoldsWithBoundedDelaysAndNoGuards()
+  void NoViolationWithBoundedDelays()
   {
     Variant variant;
     variant.mWorkerChecksNotAfter = false;
-    ExpectNone(variant);
+    ExpectNoViolation(variant);
   }
 
   // Guards against stale commands that outlive the quiet period.
-  void HoldsWithLateMessagesAndNotAfter()
+  void NoViolationWithLateMessages()
   {
     Variant variant;
     variant.mLateMessages = true;
-    ExpectNone(variant);
+    ExpectNoViolation(variant);
   }
 
   // Guards against records that were true when they were sent only.
-  void HoldsWithASlowLog()
+  void NoViolationWithSlowLog()
   {
     Variant variant;
     variant.mWorkerChecksNotAfter = false;
     variant.mSlowLog = true;
-    ExpectNone(variant);
+    ExpectNoViolation(variant);
   }
 
   // Guards against a holder that a restarted worker has forgotten.
-  void HoldsWhenWorkersForgetTheirLeases()
+  void NoViolationAfterWorkerRestarts()
   {
     Variant variant;
     variant.mWorkerChecksNotAfter = false;
     variant.mWorkersForget = true;
     // The long quiet periods leave less time.
-    ExpectNone(variant, 15);
+    ExpectNoViolation(variant, 15);
   }
 
   // The following show that the runs above depend on each mechanism.
@@ -77,14 +77,14 @@
   {
     Variant variant;
     variant.mVerify = false;
-    ExpectFound(variant);
+    ExpectViolation(variant);
   }
 
   void FindsMissingMargin()
   {
     Variant variant;
     variant.mMargin = false;
-    ExpectFound(variant);
+    ExpectViolation(variant);
   }
 
   void FindsMissingQuietPeriod()
@@ -93,7 +93,7 @@
     variant.mWorkerChecksNotAfter = false;
     variant.mQuietPeriod = false;
     variant.mSlowCommandPercent = 60;
-    ExpectFound(variant);
+    ExpectViolation(variant);
   }
 
   void FindsMissingNotAfterCheck()
@@ -101,14 +101,14 @@
     Variant variant;
     variant.mLateMessages = true;
     variant.mWorkerChecksNotAfter = false;
-    ExpectFound(variant);
+    ExpectViolation(variant);
   }
 
   void FindsRepeatedStart()
   {
     Variant variant;
     variant.mStartOnce = false;
-    ExpectFound(variant);
+    ExpectViolation(variant);
   }
 
   // A process that is paused between the decision and the send.
@@ -117,7 +117,7 @@
     Variant variant;
     variant.mWorkerChecksNotAfter = false;
     variant.mCheckBeforeSend = false;
-    ExpectFound(variant);
+    ExpectViolation(variant);
   }
 
   // A release or cancellation by the previous holder that the log appends
@@ -127,7 +127,7 @@
     Variant variant;
     variant.mSlowLog = true;
     variant.mReleaseInherited = false;
-    ExpectFound(variant);
+    ExpectViolation(variant);
   }
 
   // A forgotten holder that acts until its deadline.
@@ -136,12 +136,13 @@
     Variant variant;
     variant.mWorkersForget = true;
     variant.mLongQuietPeriod = false;
-    ExpectFound(variant);
+    ExpectViolation(variant);
   }
 
 private:
-  static void ExpectNone(const Variant& aVariant,
-                         std::size_t aDonePerSeed = kDonePerSeed)
+  static void ExpectNoViolation(
+    const Variant& aVariant,
+    std::size_t aMinTasksDonePerSeed = kMinTasksDonePerSeed)
   {
     std::size_t done = 0;
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
@@ -155,12 +156,12 @@
     }
     // A holder that never starts anything violates nothing.
     CPPUNIT_ASSERT_MESSAGE("tasks done: " + std::to_string(done),
-                           done > kSeeds * aDonePerSeed);
+                           done > kSeeds * aMinTasksDonePerSeed);
   }
 
-  static void ExpectFound(const Variant& aVariant)
+  static void ExpectViolation(const Variant& aVariant)
   {
-    for (std::uint64_t seed = 1; seed <= kSearchedSeeds; ++seed) {
+    for (std::uint64_t seed = 1; seed <= kMaxSearchedSeeds; ++seed) {
       const HolderRun run = RunHolderWorld(seed, aVariant);
       if (!run.mViolation.empty()) {
         std::cout << " [seed " << seed << ": " << run.mViolation << "]";
--- a/src/holder/lease_machine.cpp
+++ b/src/holder/lease_machine.cpp
@@ -57,13 +57,13 @@
 }
 
 bool
-LeaseMachine::MayCommit(base::TimePoint aNow) const
+LeaseMachine::MaySendCommands(base::TimePoint aNow) const
 {
   return mState == LeaseState::Held && aNow < mDeadline;
 }
 
 bool
-LeaseMachine::HasLapsed(base::TimePoint aNow) const
+LeaseMachine::IsLeaseExpired(base::TimePoint aNow) const
 {
   return mState == LeaseState::Held && aNow >= mDeadline;
 }
@@ -75,8 +75,8 @@
 {
   // An answer that is handled after the deadline must not extend the lease:
   // another instance may have held the worker in between.
-  if (HasLapsed(aNow)) {
-    GiveUp(LeaseState::Lost, aNow);
+  if (IsLeaseExpired(aNow)) {
+    EndLease(LeaseState::Lost, aNow);
     return;
   }
   if (!mOutstanding || mOutstanding->mNumber != aRequest) {
@@ -88,7 +88,7 @@
     HandleFailure(aNow);
     return;
   }
-  Learn(aReport.value(), request, aNow);
+  UpdateFromReport(aReport.value(), request, aNow);
   HandleReport(aReport.value(), request, aNow);
 }
 
@@ -109,15 +109,15 @@
                       mState == LeaseState::Verifying ||
                       mState == LeaseState::Held;
   if (placed) {
-    GiveUp(LeaseState::Releasing, aNow);
+    EndLease(LeaseState::Releasing, aNow);
   }
 }
 
 std::vector<LeaseAction>
 LeaseMachine::Step(base::TimePoint aNow)
 {
-  if (HasLapsed(aNow)) {
-    GiveUp(LeaseState::Lost, aNow);
+  if (IsLeaseExpired(aNow)) {
+    EndLease(LeaseState::Lost, aNow);
   }
   if (mOutstanding && aNow >= mOutstanding->mDeadline) {
     mOutstanding.reset();
@@ -155,9 +155,9 @@
 }
 
 void
-LeaseMachine::Learn(const worker::WorkerReport& aReport,
-                    const Request& aRequest,
-                    base::TimePoint aNow)
+LeaseMachine::UpdateFromReport(const worker::WorkerReport& aReport,
+                               const Request& aRequest,
+                               base::TimePoint aNow)
 {
   mClock.Observe(aReport.mNow, aRequest.mSentAt, aNow);
   for (const auto& it : aReport.mHolders) {
@@ -200,7 +200,7 @@
       break;
     case LeaseState::Placing:
     case LeaseState::Verifying:
-      GiveUp(LeaseState::Releasing, aNow);
+      EndLease(LeaseState::Releasing, aNow);
       break;
     case LeaseState::Held:
       mNextSend = aNow + mOptions.mRenewInterval / kRetriesPerRenewInterval;
@@ -242,13 +242,13 @@
 {
   const bool exclusive = IsOwnLeaseIn(aReport) && !IsOtherLeaseIn(aReport);
   if (!exclusive || aNow >= mDeadline) {
-    GiveUp(LeaseState::Releasing, aNow);
+    EndLease(LeaseState::Releasing, aNow);
     return;
   }
   mState = LeaseState::Held;
   // Earlier holders' leases had expired when the worker made this list, so
   // they sent nothing after that. What they had sent may still arrive.
-  mQuietUntil = aNow + mOptions.mQuietPeriod;
+  mQuietPeriodEnd = aNow + mOptions.mQuietPeriod;
   mConfirmed = false;
   mNextSend = aNow;
   mActions.emplace_back(LeaseAcquired{ mToken });
@@ -260,17 +260,17 @@
                             base::TimePoint aNow)
 {
   if (!IsOwnLeaseIn(aReport)) {
-    GiveUp(LeaseState::Lost, aNow);
+    EndLease(LeaseState::Lost, aNow);
     return;
   }
   // A worker that restarted has forgotten the lease of its holder, whose next
   // renewal puts it back. The newer of the two holders is in its quiet period
   // and yields, because it has started nothing.
   if (!mConfirmed && IsOtherLeaseIn(aReport)) {
-    GiveUp(LeaseState::Releasing, aNow);
+    EndLease(LeaseState::Releasing, aNow);
     return;
   }
-  mConfirmed = mConfirmed || aRequest.mSentAt >= mQuietUntil;
+  mConfirmed = mConfirmed || aRequest.mSentAt >= mQuietPeriodEnd;
   mDeadline = aRequest.mSentAt + mOptions.mLeaseLength - mOptions.mClockMargin;
   mNextSend = aRequest.mSentAt + mOptions.mRenewInterval;
 }
@@ -280,7 +280,7 @@
 {
   StartRequest(aNow);
   mActions.emplace_back(
-    ReadList{ mOutstanding->mNumber, mOutstanding->mDeadline });
+    ReadHolders{ mOutstanding->mNumber, mOutstanding->mDeadline });
 }
 
 void
@@ -294,7 +294,7 @@
 }
 
 void
-LeaseMachine::GiveUp(LeaseState aState, base::TimePoint aNow)
+LeaseMachine::EndLease(LeaseState aState, base::TimePoint aNow)
 {
   if (mState == LeaseState::Held) {
     mActions.emplace_back(LeaseEnded{ mToken });
--- a/src/holder/lease_machine_test.cpp
+++ b/src/holder/lease_machine_test.cpp
@@ -15,15 +15,15 @@
 class LeaseMachineTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(LeaseMachineTest);
-  CPPUNIT_TEST(HoldsOnlyAfterTheSecondRead);
-  CPPUNIT_TEST(BacksOffFromAnotherHolder);
+  CPPUNIT_TEST(HoldsOnlyAfterVerification);
+  CPPUNIT_TEST(BacksOffAfterCollision);
   CPPUNIT_TEST(WaitsForTheTakeoverDelay);
-  CPPUNIT_TEST(DeadlineCountsFromTheAnsweredSend);
-  CPPUNIT_TEST(LateWakeUpLosesTheLease);
+  CPPUNIT_TEST(DeadlineCountsFromSendTime);
+  CPPUNIT_TEST(PauseBeyondTheDeadlineLosesTheLease);
   CPPUNIT_TEST(NewHolderYieldsInItsQuietPeriod);
-  CPPUNIT_TEST(ForgottenLeaseIsLost);
+  CPPUNIT_TEST(UnlistedLeaseIsLost);
   CPPUNIT_TEST(ReleaseIsFinal);
-  CPPUNIT_TEST(ConversionIsNeverTooLate);
+  CPPUNIT_TEST(ConvertedTimeIsNeverTooLate);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -34,56 +34,56 @@
     mMachine = std::make_unique<LeaseMachine>(kSelf, mOptions, *mRandom);
   }
 
-  void HoldsOnlyAfterTheSecondRead()
+  void HoldsOnlyAfterVerification()
   {
     mMachine->SetPreferred(true);
-    Answer(Next<ReadList>(), {});
-    const auto place = Next<PlaceLease>();
+    Answer(NextAction<ReadHolders>(), {});
+    const auto place = NextAction<PlaceLease>();
     Answer(place, { place.mToken });
-    CPPUNIT_ASSERT(!mMachine->MayCommit(mNow));
-    Answer(Next<ReadList>(), { place.mToken });
-    CPPUNIT_ASSERT(mMachine->MayCommit(mNow));
-    CPPUNIT_ASSERT(mMachine->QuietUntil() == mNow + mOptions.mQuietPeriod);
+    CPPUNIT_ASSERT(!mMachine->MaySendCommands(mNow));
+    Answer(NextAction<ReadHolders>(), { place.mToken });
+    CPPUNIT_ASSERT(mMachine->MaySendCommands(mNow));
+    CPPUNIT_ASSERT(mMachine->QuietPeriodEnd() == mNow + mOptions.mQuietPeriod);
   }
 
   // Guards against two holders that both keep a lease after a collision.
-  void BacksOffFromAnotherHolder()
+  void BacksOffAfterCollision()
   {
     mMachine->SetPreferred(true);
-    Answer(Next<ReadList>(), {});
-    const auto place = Next<PlaceLease>();
+    Answer(NextAction<ReadHolders>(), {});
+    const auto place = NextAction<PlaceLease>();
     Answer(place, { place.mToken, kOther });
-    Answer(Next<ReadList>(), { place.mToken, kOther });
-    const auto remove = Next<RemoveLease>();
+    Answer(NextAction<ReadHolders>(), { place.mToken, kOther });
+    const auto remove = NextAction<RemoveLease>();
     CPPUNIT_ASSERT(remove.mToken == place.mToken);
     mMachine->OnRemoved(remove.mRequest, mNow);
     CPPUNIT_ASSERT(mMachine->Step(mNow).empty());
     mNow += mOptions.mBackoffHigh;
-    Answer(Next<ReadList>(), {});
-    CPPUNIT_ASSERT(Next<PlaceLease>().mToken.mEpoch > kOther.mEpoch);
+    Answer(NextAction<ReadHolders>(), {});
+    CPPUNIT_ASSERT(NextAction<PlaceLease>().mToken.mEpoch > kOther.mEpoch);
   }
 
   // Guards against instances that compete for a worker whose preferred holder
   // is about to acquire it.
   void WaitsForTheTakeoverDelay()
   {
-    Answer(Next<ReadList>(), { kOther });
+    Answer(NextAction<ReadHolders>(), { kOther });
     mNow += mOptions.mScanInterval;
-    Answer(Next<ReadList>(), {});
+    Answer(NextAction<ReadHolders>(), {});
     mNow += mOptions.mScanInterval;
-    Answer(Next<ReadList>(), {});
+    Answer(NextAction<ReadHolders>(), {});
     CPPUNIT_ASSERT(mMachine->State() == LeaseState::NotHeld);
     mNow += mOptions.mScanInterval;
-    Answer(Next<ReadList>(), {});
+    Answer(NextAction<ReadHolders>(), {});
     CPPUNIT_ASSERT(mMachine->State() == LeaseState::Placing);
   }
 
   // Guards against a lease that is counted from the receipt of the answer,
   // and against one that is extended by unanswered renewals.
-  void DeadlineCountsFromTheAnsweredSend()
+  void DeadlineCountsFromSendTime()
   {
-    Hold();
-    const auto renewal = Next<PlaceLease>();
+    AcquireLease();
+    const auto renewal = NextAction<PlaceLease>();
     const base::TimePoint sent = mNow;
     mNow += milliseconds(900);
     Answer(renewal, { renewal.mToken });
@@ -94,61 +94,62 @@
       mNow += milliseconds(50);
       mMachine->Step(mNow);
     }
-    CPPUNIT_ASSERT(mMachine->MayCommit(end - milliseconds(1)));
-    CPPUNIT_ASSERT(!mMachine->MayCommit(end));
+    CPPUNIT_ASSERT(mMachine->MaySendCommands(end - milliseconds(1)));
+    CPPUNIT_ASSERT(!mMachine->MaySendCommands(end));
   }
 
   // Guards against a paused process that continues with an expired lease
   // because an old answer is handled first.
-  void LateWakeUpLosesTheLease()
+  void PauseBeyondTheDeadlineLosesTheLease()
   {
-    Hold();
-    const auto renewal = Next<PlaceLease>();
+    AcquireLease();
+    const auto renewal = NextAction<PlaceLease>();
     mNow += seconds(20);
-    CPPUNIT_ASSERT(!mMachine->MayCommit(mNow));
+    CPPUNIT_ASSERT(!mMachine->MaySendCommands(mNow));
     Answer(renewal, { renewal.mToken });
     CPPUNIT_ASSERT(mMachine->State() == LeaseState::Lost);
     const auto actions = mMachine->Step(mNow);
     CPPUNIT_ASSERT(std::holds_alternative<LeaseEnded>(actions.at(0)));
     CPPUNIT_ASSERT(std::holds_alternative<RemoveLease>(actions.at(1)));
     mNow += seconds(2);
-    Answer(Next<ReadList>(), {});
-    CPPUNIT_ASSERT(Next<PlaceLease>().mToken.mEpoch > renewal.mToken.mEpoch);
+    Answer(NextAction<ReadHolders>(), {});
+    CPPUNIT_ASSERT(NextAction<PlaceLease>().mToken.mEpoch >
+                   renewal.mToken.mEpoch);
   }
 
   // Guards against two holders of a worker that restarted and forgot the first.
   void NewHolderYieldsInItsQuietPeriod()
   {
-    Hold();
-    const auto first = Next<PlaceLease>();
+    AcquireLease();
+    const auto first = NextAction<PlaceLease>();
     mNow += mOptions.mQuietPeriod;
     Answer(first, { first.mToken, kOther });
     CPPUNIT_ASSERT(mMachine->State() == LeaseState::Releasing);
     mNow += seconds(2);
-    Hold();
-    Answer(Next<PlaceLease>(), { mMachine->Token() });
+    AcquireLease();
+    Answer(NextAction<PlaceLease>(), { mMachine->Token() });
     mNow += mOptions.mQuietPeriod;
-    Answer(Next<PlaceLease>(), { mMachine->Token() });
+    Answer(NextAction<PlaceLease>(), { mMachine->Token() });
     mNow += mOptions.mRenewInterval;
-    Answer(Next<PlaceLease>(), { mMachine->Token(), kOther });
-    CPPUNIT_ASSERT(mMachine->MayCommit(mNow));
+    Answer(NextAction<PlaceLease>(), { mMachine->Token(), kOther });
+    CPPUNIT_ASSERT(mMachine->MaySendCommands(mNow));
   }
 
   // Guards against a holder that goes on although the worker refused its lease.
-  void ForgottenLeaseIsLost()
+  void UnlistedLeaseIsLost()
   {
-    Hold();
-    Answer(Next<PlaceLease>(), { kOther });
+    AcquireLease();
+    Answer(NextAction<PlaceLease>(), { kOther });
     CPPUNIT_ASSERT(mMachine->State() == LeaseState::Lost);
-    CPPUNIT_ASSERT(!mMachine->MayCommit(mNow));
+    CPPUNIT_ASSERT(!mMachine->MaySendCommands(mNow));
   }
 
   void ReleaseIsFinal()
   {
-    Hold();
-    Next<PlaceLease>();
+    AcquireLease();
+    NextAction<PlaceLease>();
     mMachine->Release(mNow);
-    CPPUNIT_ASSERT(!mMachine->MayCommit(mNow));
+    CPPUNIT_ASSERT(!mMachine->MaySendCommands(mNow));
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), mMachine->Step(mNow).size());
     for (int n = 0; n < 100; ++n) {
       mNow += milliseconds(200);
@@ -158,7 +159,7 @@
 
   // Guards against a not_after that the worker reaches after the deadline.
   // The worker's clock is 500 s ahead and 1% fast.
-  void ConversionIsNeverTooLate()
+  void ConvertedTimeIsNeverTooLate()
   {
     const auto workerTime = [](base::TimePoint aTime) {
       return 500'000'000 + base::ToMicros(aTime) * 101 / 100;
@@ -170,16 +171,17 @@
       mNow = made + milliseconds(n * 11 % 60);
       clock.Observe(workerTime(made), sent, mNow);
       const base::TimePoint end = mNow + seconds(1);
-      CPPUNIT_ASSERT(clock.ToWorker(end) <= workerTime(end));
-      CPPUNIT_ASSERT(clock.ToWorker(end) + 300'000 > workerTime(end));
-      CPPUNIT_ASSERT(clock.ToBootLatest(workerTime(end)) >= end);
+      CPPUNIT_ASSERT(clock.ToEarliestWorkerTime(end) <= workerTime(end));
+      CPPUNIT_ASSERT(clock.ToEarliestWorkerTime(end) + 300'000 >
+                     workerTime(end));
+      CPPUNIT_ASSERT(clock.ToLatestBootTime(workerTime(end)) >= end);
       mNow += seconds(1);
     }
   }
 
 private:
   template<typename Action>
-  Action Next()
+  Action NextAction()
   {
     const auto actions = mMachine->Step(mNow);
     CPPUNIT_ASSERT(!actions.empty());
@@ -200,13 +202,13 @@
     mMachine->OnReport(aAction.mRequest, report, mNow);
   }
 
-  void Hold()
+  void AcquireLease()
   {
     mMachine->SetPreferred(true);
-    Answer(Next<ReadList>(), {});
-    const auto place = Next<PlaceLease>();
+    Answer(NextAction<ReadHolders>(), {});
+    const auto place = NextAction<PlaceLease>();
     Answer(place, { place.mToken });
-    Answer(Next<ReadList>(), { place.mToken });
+    Answer(NextAction<ReadHolders>(), { place.mToken });
     CPPUNIT_ASSERT(mMachine->State() == LeaseState::Held);
   }
 
--- a/src/holder/ledger.cpp
+++ b/src/holder/ledger.cpp
@@ -25,36 +25,37 @@
 } // namespace
 
 bool
-IsSettled(const SettleTime& aSettle, const PollEvidence& aEvidence)
+IsPastExpiry(const CommandExpiry& aExpiry, const PollResult& aPoll)
 {
-  return aEvidence.mReport.mNow > aSettle.mNotAfter &&
-         aEvidence.mSentAt >= aSettle.mArrivesBefore;
+  return aPoll.mReport.mNow > aExpiry.mNotAfter &&
+         aPoll.mSentAt >= aExpiry.mLatestArrival;
 }
 
 void
-Ledger::ApplyReport(const PollEvidence& aEvidence)
+Ledger::ApplyReport(const PollResult& aPoll)
 {
-  const worker::WorkerReport& report = aEvidence.mReport;
-  if (mBuilt && aEvidence.mSentAt <= mPolledAt) {
+  const worker::WorkerReport& report = aPoll.mReport;
+  if (mHasReport && aPoll.mSentAt <= mLastPollSentAt) {
     return;
   }
-  mBuilt = true;
-  mPolledAt = aEvidence.mSentAt;
+  mHasReport = true;
+  mLastPollSentAt = aPoll.mSentAt;
   mCapacity = report.mCapacity;
   mCallCapacity = { report.mSlots, report.mConnections };
   // Before the first own call, every busy slot is inherited; afterwards the
   // inherited ones only become fewer, because only the holder starts calls.
-  mInheritedBusy = mHasCalled ? std::min(mInheritedBusy, report.mSlotsBusy)
-                              : report.mSlotsBusy;
-  ApplyTasks(aEvidence);
-  ApplyCalls(aEvidence);
+  mInheritedBusySlots = mHasCalled
+                          ? std::min(mInheritedBusySlots, report.mSlotsBusy)
+                          : report.mSlotsBusy;
+  ApplyTasks(aPoll);
+  ApplyCalls(aPoll);
 }
 
 void
-Ledger::ApplyTasks(const PollEvidence& aEvidence)
+Ledger::ApplyTasks(const PollResult& aPoll)
 {
   mRunning.clear();
-  for (const auto& it : aEvidence.mReport.mTasks) {
+  for (const auto& it : aPoll.mReport.mTasks) {
     const worker::TaskKey key{ it.mTask, it.mAttempt };
     mStarts.erase(key);
     mPlans.erase(key);
@@ -63,7 +64,7 @@
     }
   }
   for (auto it = mStarts.begin(); it != mStarts.end();) {
-    const bool over = IsSettled(it->second.mSettle, aEvidence);
+    const bool over = IsPastExpiry(it->second.mExpiry, aPoll);
     it = over ? mStarts.erase(it) : std::next(it);
   }
   for (auto it = mTrustedUsage.begin(); it != mTrustedUsage.end();) {
@@ -73,18 +74,18 @@
 }
 
 void
-Ledger::ApplyCalls(const PollEvidence& aEvidence)
+Ledger::ApplyCalls(const PollResult& aPoll)
 {
   std::vector<CallNumber> over;
   for (const auto& it : mCalls) {
-    if (it.second.mLost && IsSettled(it.second.mSettle, aEvidence)) {
+    if (it.second.mLost && IsPastExpiry(it.second.mExpiry, aPoll)) {
       over.push_back(it.first);
     }
   }
   // The report counts busy slots without naming calls. Any of them may be a
   // lost call, so as many lost calls keep their slot.
   const auto busy = static_cast<std::size_t>(
-    std::max<std::int64_t>(0, aEvidence.mReport.mSlotsBusy));
+    std::max<std::int64_t>(0, aPoll.mReport.mSlotsBusy));
   for (std::size_t n = busy; n < over.size(); ++n) {
     mCalls.erase(over[n]);
   }
@@ -93,7 +94,7 @@
 bool
 Ledger::Fits(const base::Resources& aNeed) const
 {
-  return mBuilt && base::Fits(aNeed, Free());
+  return mHasReport && base::Fits(aNeed, Free());
 }
 
 bool
@@ -103,7 +104,7 @@
   const auto plan = mPlans.find(aKey);
   const base::Resources own =
     plan == mPlans.end() ? base::Resources{} : plan->second;
-  return mBuilt && base::Fits(aNeed, Free() + own);
+  return mHasReport && base::Fits(aNeed, Free() + own);
 }
 
 base::Result<void>
@@ -125,13 +126,13 @@
 base::Result<void>
 Ledger::CommitStart(const worker::TaskKey& aKey,
                     const base::Resources& aNeed,
-                    const SettleTime& aSettle)
+                    const CommandExpiry& aExpiry)
 {
   if (!FitsStart(aKey, aNeed)) {
     return base::MakeError(base::ErrorKind::NoCapacity);
   }
   mPlans.erase(aKey);
-  mStarts[aKey] = Start{ aNeed, aSettle };
+  mStarts[aKey] = Start{ aNeed, aExpiry };
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -152,14 +153,14 @@
 }
 
 base::Result<void>
-Ledger::BeginCall(CallNumber aCall, const SettleTime& aSettle)
+Ledger::BeginCall(CallNumber aCall, const CommandExpiry& aExpiry)
 {
-  const CallCapacity free = FreeCalls();
+  const CallCapacity free = FreeCallCapacity();
   if (free.mSlots < 1 || free.mConnections < 1) {
     return base::MakeError(base::ErrorKind::NoCapacity);
   }
   mHasCalled = true;
-  mCalls[aCall] = Call{ aSettle, false };
+  mCalls[aCall] = Call{ aExpiry, false };
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -170,7 +171,7 @@
 }
 
 void
-Ledger::LoseCall(CallNumber aCall)
+Ledger::MarkCallLost(CallNumber aCall)
 {
   const auto it = mCalls.find(aCall);
   if (it != mCalls.end()) {
@@ -192,10 +193,10 @@
 }
 
 CallCapacity
-Ledger::FreeCalls() const
+Ledger::FreeCallCapacity() const
 {
   const auto calls = static_cast<std::int64_t>(mCalls.size());
-  const std::int64_t taken = calls + mInheritedBusy;
+  const std::int64_t taken = calls + mInheritedBusySlots;
   return { std::max<std::int64_t>(0, mCallCapacity.mSlots - taken),
            std::max<std::int64_t>(0, mCallCapacity.mConnections - taken) };
 }
--- a/src/holder/lost_worker.cpp
+++ b/src/holder/lost_worker.cpp
@@ -11,7 +11,7 @@
                 base::TimePoint aNow)
 {
   const base::TimePoint since =
-    std::max(aWorker.mAbsentSince, aWorker.mLastEvidence);
+    std::max(aWorker.mAbsentSince, aWorker.mLastContact);
   if (aNow < since + aLongestTaskLease + aMargin) {
     return {};
   }
--- a/src/holder/task_runner.cpp
+++ b/src/holder/task_runner.cpp
@@ -33,21 +33,21 @@
 }
 
 void
-TaskRunner::OnReport(const PollEvidence& aEvidence)
+TaskRunner::OnReport(const PollResult& aPoll)
 {
-  if (mEvidence && aEvidence.mSentAt <= mEvidence->mSentAt) {
+  if (mLastPoll && aPoll.mSentAt <= mLastPoll->mSentAt) {
     return;
   }
-  mEvidence = aEvidence;
-  mLedger.ApplyReport(aEvidence);
+  mLastPoll = aPoll;
+  mLedger.ApplyReport(aPoll);
   mRenewDue = true;
   for (auto& it : mAttempts) {
     it.second.mReport.reset();
   }
-  for (const auto& it : aEvidence.mReport.mTasks) {
+  for (const auto& it : aPoll.mReport.mTasks) {
     Attempt& attempt = mAttempts[{ it.mTask, it.mAttempt }];
     attempt.mReport = it;
-    attempt.mSeen = true;
+    attempt.mWasReported = true;
     attempt.mLeaseExpiresAt =
       std::max(attempt.mLeaseExpiresAt, it.mLeaseExpiresAt);
   }
@@ -64,8 +64,8 @@
     if (attempt.mStart && attempt.mStart->mNumber == aNumber) {
       attempt.mStart->mOutcome = aOutcome;
     }
-    if (attempt.mSent && attempt.mSent->mNumber == aNumber) {
-      attempt.mSent->mAnswered = true;
+    if (attempt.mLastCommand && attempt.mLastCommand->mNumber == aNumber) {
+      attempt.mLastCommand->mAnswered = true;
     }
   }
 }
@@ -129,23 +129,23 @@
 }
 
 bool
-TaskRunner::MayCall(base::TimePoint aNow) const
+TaskRunner::MaySendCalls(base::TimePoint aNow) const
 {
-  return mLease.MayCommit(aNow) && IsQuietPeriodOver() && !mDraining &&
-         !mEvidence->mReport.mLeaving;
+  return mLease.MaySendCommands(aNow) && IsQuietPeriodOver() && !mDraining &&
+         !mLastPoll->mReport.mLeaving;
 }
 
 RunnerOutput
 TaskRunner::Step(base::TimePoint aNow)
 {
-  if (!mLease.MayCommit(aNow) || !mEvidence) {
+  if (!mLease.MaySendCommands(aNow) || !mLastPoll) {
     return {};
   }
   Renew(aNow);
   for (auto& it : mAttempts) {
     StepAttempt(it, aNow);
   }
-  ForgetFinished();
+  RemoveFinished();
   return std::exchange(mOutput, {});
 }
 
@@ -154,7 +154,7 @@
 bool
 TaskRunner::IsQuietPeriodOver() const
 {
-  return mEvidence && mEvidence->mSentAt >= mLease.QuietUntil();
+  return mLastPoll && mLastPoll->mSentAt >= mLease.QuietPeriodEnd();
 }
 
 bool
@@ -164,7 +164,7 @@
 }
 
 bool
-TaskRunner::IsKept(const Attempt& aAttempt) const
+TaskRunner::ShouldRenew(const Attempt& aAttempt) const
 {
   const bool wanted = aAttempt.mGrant || !mInheritedBefore;
   return wanted && aAttempt.mReport && IsRunning(*aAttempt.mReport);
@@ -175,12 +175,12 @@
 bool
 TaskRunner::MaySend(const Attempt& aAttempt, base::TimePoint aNow) const
 {
-  if (!aAttempt.mSent) {
+  if (!aAttempt.mLastCommand) {
     return true;
   }
-  const SentCommand& sent = *aAttempt.mSent;
+  const SentCommand& sent = *aAttempt.mLastCommand;
   const bool over = sent.mAnswered || aNow >= sent.mDeadline;
-  return over && mEvidence->mSentAt > sent.mSentAt;
+  return over && mLastPoll->mSentAt > sent.mSentAt;
 }
 
 bool
@@ -188,8 +188,9 @@
 {
   const bool starting = aAttempt.mStart && !aAttempt.mStart->mOutcome &&
                         aNow < aAttempt.mStart->mDeadline;
-  const bool sending = aAttempt.mSent && !aAttempt.mSent->mAnswered &&
-                       aNow < aAttempt.mSent->mDeadline;
+  const bool sending = aAttempt.mLastCommand &&
+                       !aAttempt.mLastCommand->mAnswered &&
+                       aNow < aAttempt.mLastCommand->mDeadline;
   return starting || sending;
 }
 
@@ -197,10 +198,11 @@
 // but this holder could have renewed the task, and the worker stops a task
 // whose lease has lapsed.
 bool
-TaskRunner::HasLeaseLapsed(const Attempt& aAttempt, base::TimePoint aNow) const
+TaskRunner::IsTaskLeaseExpired(const Attempt& aAttempt,
+                               base::TimePoint aNow) const
 {
   const base::TimePoint end =
-    mLease.Clock().ToBootLatest(aAttempt.mLeaseExpiresAt);
+    mLease.Clock().ToLatestBootTime(aAttempt.mLeaseExpiresAt);
   return IsQuietPeriodOver() && aNow >= end + mLease.Options().mClockMargin;
 }
 
@@ -210,7 +212,8 @@
   ++mLastNumber;
   const base::TimePoint deadline =
     std::min(mLease.Deadline(), aNow + mOptions.mCommandTimeout);
-  const worker::WorkerTime notAfter = mLease.Clock().ToWorker(deadline);
+  const worker::WorkerTime notAfter =
+    mLease.Clock().ToEarliestWorkerTime(deadline);
   return Command{
     mLastNumber, { mLease.Token(), notAfter }, std::move(aBody), deadline
   };
@@ -226,9 +229,10 @@
   }
   mRenewDue = false;
   RenewTasks renew;
-  renew.mLeaseExpiresAt = mLease.Clock().ToWorker(aNow + mOptions.mTaskLease);
+  renew.mLeaseExpiresAt =
+    mLease.Clock().ToEarliestWorkerTime(aNow + mOptions.mTaskLease);
   for (auto& it : mAttempts) {
-    if (IsKept(it.second)) {
+    if (ShouldRenew(it.second)) {
       renew.mTasks.push_back(it.first);
       it.second.mLeaseExpiresAt =
         std::max(it.second.mLeaseExpiresAt, renew.mLeaseExpiresAt);
@@ -259,7 +263,7 @@
 TaskRunner::StepRunning(Entry& aEntry, base::TimePoint aNow)
 {
   Attempt& attempt = aEntry.second;
-  if (attempt.mGrant && HasLeaseLapsed(attempt, aNow)) {
+  if (attempt.mGrant && IsTaskLeaseExpired(attempt, aNow)) {
     AppendEnd(aEntry, tasks::AttemptOutcome::Lost);
     return;
   }
@@ -314,9 +318,9 @@
   if (!attempt.mGrant) {
     // The end record was read back. While a copy of the start may still
     // arrive, the worker has to remember the attempt.
-    const bool settled =
-      !attempt.mStart || IsSettled(attempt.mStart->mSettle, *mEvidence);
-    if (IsReady() && settled && MaySend(attempt, aNow)) {
+    const bool expired =
+      !attempt.mStart || IsPastExpiry(attempt.mStart->mExpiry, *mLastPoll);
+    if (IsReady() && expired && MaySend(attempt, aNow)) {
       Send(attempt, AcknowledgeTask{ aEntry.first }, aNow);
     }
     return;
@@ -352,20 +356,20 @@
   }
   // A worker keeps ended attempts until they are acknowledged, so an attempt
   // that ran and is not listed was lost in a restart of the worker.
-  if (attempt.mSeen || attempt.mGrant->mStarted) {
-    AppendAbsentEnd(aEntry, tasks::AttemptOutcome::Lost);
+  if (attempt.mWasReported || attempt.mGrant->mStarted) {
+    AppendEndWithoutReport(aEntry, tasks::AttemptOutcome::Lost);
     return;
   }
   if (attempt.mGrant->mCancelRequested) {
-    AppendAbsentEnd(aEntry, tasks::AttemptOutcome::Cancelled);
+    AppendEndWithoutReport(aEntry, tasks::AttemptOutcome::Cancelled);
     return;
   }
   // The previous holder may have sent an End record for a grant that it did
   // not start, and the log may still take any time to append it. Nobody starts
   // such a grant, so that the record stays true.
   const bool inherited = attempt.mGrant->mGrantedOffset < *mInheritedBefore;
-  if (inherited || attempt.mEviction || mEvidence->mReport.mLeaving) {
-    AppendAbsentEnd(aEntry, tasks::AttemptOutcome::Released);
+  if (inherited || attempt.mEviction || mLastPoll->mReport.mLeaving) {
+    AppendEndWithoutReport(aEntry, tasks::AttemptOutcome::Released);
     return;
   }
   if (!mDraining) {
@@ -383,17 +387,17 @@
   }
   const StartState& start = *attempt.mStart;
   const bool answered = start.mOutcome || aNow >= start.mDeadline;
-  if (!answered || !IsSettled(start.mSettle, *mEvidence)) {
+  if (!answered || !IsPastExpiry(start.mExpiry, *mLastPoll)) {
     return false;
   }
   const CommandOutcome outcome =
     start.mOutcome.value_or(CommandOutcome::Unknown);
-  if (outcome == CommandOutcome::Refused && !attempt.mSeen) {
-    AppendAbsentEnd(aEntry, tasks::AttemptOutcome::Released);
+  if (outcome == CommandOutcome::Refused && !attempt.mWasReported) {
+    AppendEndWithoutReport(aEntry, tasks::AttemptOutcome::Released);
     return false;
   }
   if (outcome == CommandOutcome::Ok) {
-    AppendAbsentEnd(aEntry, tasks::AttemptOutcome::Lost);
+    AppendEndWithoutReport(aEntry, tasks::AttemptOutcome::Lost);
     return false;
   }
   attempt.mStart.reset();
@@ -406,30 +410,31 @@
   Attempt& attempt = aEntry.second;
   const GrantedAttempt& grant = *attempt.mGrant;
   if (!mLedger.FitsStart(aEntry.first, grant.mReserve)) {
-    attempt.mMisfitSince = attempt.mMisfitSince.value_or(aNow);
-    if (aNow >= *attempt.mMisfitSince + mOptions.mReleaseAfter) {
-      AppendAbsentEnd(aEntry, tasks::AttemptOutcome::Released);
+    attempt.mNoCapacitySince = attempt.mNoCapacitySince.value_or(aNow);
+    if (aNow >= *attempt.mNoCapacitySince + mOptions.mReleaseAfter) {
+      AppendEndWithoutReport(aEntry, tasks::AttemptOutcome::Released);
     }
     return;
   }
-  attempt.mMisfitSince.reset();
+  attempt.mNoCapacitySince.reset();
   worker::StartTask start;
   start.mTask = grant.mTask;
   start.mAttempt = grant.mAttempt;
   start.mBatchClass = grant.mBatchClass;
   start.mReserve = grant.mReserve;
-  start.mLeaseExpiresAt = mLease.Clock().ToWorker(aNow + mOptions.mTaskLease);
+  start.mLeaseExpiresAt =
+    mLease.Clock().ToEarliestWorkerTime(aNow + mOptions.mTaskLease);
   start.mCheckpoint = grant.mCheckpoint;
   start.mPayload = grant.mPayload;
   attempt.mLeaseExpiresAt = start.mLeaseExpiresAt;
   const Command command = MakeCommand(std::move(start), aNow);
-  const SettleTime settle{ command.mHeader.mNotAfter,
-                           command.mDeadline + mOptions.mMaxMessageDelay };
-  if (!mLedger.CommitStart(aEntry.first, grant.mReserve, settle)) {
+  const CommandExpiry expiry{ command.mHeader.mNotAfter,
+                              command.mDeadline + mOptions.mMaxMessageDelay };
+  if (!mLedger.CommitStart(aEntry.first, grant.mReserve, expiry)) {
     return;
   }
   attempt.mStart =
-    StartState{ command.mNumber, command.mDeadline, settle, std::nullopt };
+    StartState{ command.mNumber, command.mDeadline, expiry, std::nullopt };
   mOutput.mCommands.push_back(command);
 }
 
@@ -437,7 +442,7 @@
 TaskRunner::Send(Attempt& aAttempt, CommandBody aBody, base::TimePoint aNow)
 {
   const Command command = MakeCommand(std::move(aBody), aNow);
-  aAttempt.mSent =
+  aAttempt.mLastCommand =
     SentCommand{ command.mNumber, aNow, command.mDeadline, false };
   mOutput.mCommands.push_back(command);
 }
@@ -476,7 +481,8 @@
 }
 
 void
-TaskRunner::AppendAbsentEnd(Entry& aEntry, tasks::AttemptOutcome aOutcome)
+TaskRunner::AppendEndWithoutReport(Entry& aEntry,
+                                   tasks::AttemptOutcome aOutcome)
 {
   Attempt& attempt = aEntry.second;
   if (attempt.mEndSent) {
@@ -495,13 +501,13 @@
 }
 
 void
-TaskRunner::ForgetFinished()
+TaskRunner::RemoveFinished()
 {
   for (auto it = mAttempts.begin(); it != mAttempts.end();) {
     const Attempt& attempt = it->second;
     const bool known = attempt.mGrant || attempt.mReport;
     const bool starting =
-      attempt.mStart && !IsSettled(attempt.mStart->mSettle, *mEvidence);
+      attempt.mStart && !IsPastExpiry(attempt.mStart->mExpiry, *mLastPoll);
     it = known || starting ? std::next(it) : mAttempts.erase(it);
   }
 }
--- a/src/holder/task_runner_test.cpp
+++ b/src/holder/task_runner_test.cpp
@@ -14,28 +14,28 @@
 
 const worker::TaskKey kTask{ { "a" }, 1 };
 // End of the log that was observed after the acquisition.
-constexpr std::int64_t kReadEnd = 100;
+constexpr std::int64_t kLogEnd = 100;
 
 class TaskRunnerTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(TaskRunnerTest);
   CPPUNIT_TEST(StartsNothingInTheQuietPeriod);
   CPPUNIT_TEST(AdoptsButStartsNothingBeforeTheLogIsRead);
-  CPPUNIT_TEST(GivesInheritedGrantsBack);
-  CPPUNIT_TEST(UnknownStartIsRepeatedOnlyWhenSettled);
-  CPPUNIT_TEST(RefusedStartGivesTheGrantBack);
-  CPPUNIT_TEST(StopsWhatTheLogDoesNotGrant);
+  CPPUNIT_TEST(ReleasesInheritedGrants);
+  CPPUNIT_TEST(UnknownStartIsRepeatedOnlyAfterItExpires);
+  CPPUNIT_TEST(RefusedStartReleasesTheGrant);
+  CPPUNIT_TEST(StopsTasksWithoutAGrant);
   CPPUNIT_TEST(EvictsAfterACompleteCheckpoint);
   CPPUNIT_TEST(EvictionStopsAtItsDeadline);
   CPPUNIT_TEST(RepeatsAThrottleUntilItIsReported);
   CPPUNIT_TEST(CompletionWinsOverCancellation);
-  CPPUNIT_TEST(CancelsWhatWasNeverStarted);
-  CPPUNIT_TEST(AcknowledgesOnlyEndsThatWereReadBack);
+  CPPUNIT_TEST(CancelsUnstartedAttempts);
+  CPPUNIT_TEST(AcknowledgesOnlyLoggedEnds);
   CPPUNIT_TEST(RestartedWorkerLosesItsTasks);
-  CPPUNIT_TEST(LeavingWorkerAndMisfitGiveGrantsBack);
+  CPPUNIT_TEST(ReleasesGrantsOnLeavingOrFullWorkers);
   CPPUNIT_TEST(DrainKeepsTasksRunning);
-  CPPUNIT_TEST(LapsedLeaseProvesTheLoss);
-  CPPUNIT_TEST(LostWorkerNeedsAbsenceAndTime);
+  CPPUNIT_TEST(ExpiredTaskLeaseEndsTheAttempt);
+  CPPUNIT_TEST(LostWorkerIsDeclaredAfterTheTaskLease);
   CPPUNIT_TEST(ExpiredHolderSendsNothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -47,12 +47,12 @@
     mReport = {};
     mReport.mCapacity = { 1000, 1000, 0 };
     mLease = std::make_unique<LeaseMachine>(
-      base::InstanceId{ "e" }, mLimits, *mRandom);
+      base::InstanceId{ "e" }, mLeaseOptions, *mRandom);
     mLease->SetPreferred(true);
     for (int n = 0; n < 4; ++n) {
       StepLease();
     }
-    CPPUNIT_ASSERT(mLease->MayCommit(mNow));
+    CPPUNIT_ASSERT(mLease->MaySendCommands(mNow));
     mLedger = std::make_unique<Ledger>();
     mRunner = std::make_unique<TaskRunner>(*mLease, *mLedger, mOptions);
   }
@@ -60,17 +60,17 @@
   // Guards against a start beside a late start of the previous holder (P2).
   void StartsNothingInTheQuietPeriod()
   {
-    mRunner->SetGrants({ Grant() }, kReadEnd);
+    mRunner->SetGrants({ Grant() }, kLogEnd);
     CPPUNIT_ASSERT(Poll().mCommands.empty());
     mNow += milliseconds(900);
     CPPUNIT_ASSERT(Poll().mCommands.empty());
     mNow += milliseconds(200);
     CPPUNIT_ASSERT(mRunner->Step(mNow).mCommands.empty());
-    CPPUNIT_ASSERT(!mRunner->MayCall(mNow));
+    CPPUNIT_ASSERT(!mRunner->MaySendCalls(mNow));
     const RunnerOutput output = Poll();
-    const auto& start = Body<worker::StartTask>(output);
+    const auto& start = FirstCommand<worker::StartTask>(output);
     CPPUNIT_ASSERT_EQUAL(std::string("c0"), start.mCheckpoint);
-    CPPUNIT_ASSERT(mRunner->MayCall(mNow));
+    CPPUNIT_ASSERT(mRunner->MaySendCalls(mNow));
     CPPUNIT_ASSERT(output.mCommands.front().mHeader.mToken == mLease->Token());
     CPPUNIT_ASSERT(Poll().mCommands.empty());
   }
@@ -78,30 +78,30 @@
   // Guards against a start of an attempt whose end the previous holder wrote.
   void AdoptsButStartsNothingBeforeTheLogIsRead()
   {
-    BeReady();
+    EndQuietPeriod();
     GrantedAttempt other = Grant();
     other.mTask = { "b" };
-    Show(kTask, TaskPhase::Running);
+    ReportTask(kTask, TaskPhase::Running);
     mRunner->SetGrants({ other }, std::nullopt);
     const RunnerOutput output = Poll();
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), output.mCommands.size());
-    CPPUNIT_ASSERT(Body<RenewTasks>(output).mTasks.front() == kTask);
+    CPPUNIT_ASSERT(FirstCommand<RenewTasks>(output).mTasks.front() == kTask);
   }
 
   // Guards against a start beside an End record of the previous holder that
   // the log appends later (P2).
-  void GivesInheritedGrantsBack()
+  void ReleasesInheritedGrants()
   {
-    BeReady();
+    EndQuietPeriod();
     GrantedAttempt grant = Grant();
-    grant.mGrantedOffset = kReadEnd - 1;
-    mRunner->SetGrants({ grant }, kReadEnd);
+    grant.mGrantedOffset = kLogEnd - 1;
+    mRunner->SetGrants({ grant }, kLogEnd);
     const RunnerOutput output = Poll();
     CPPUNIT_ASSERT(output.mCommands.empty());
     ExpectEnd(output, AttemptOutcome::Released);
   }
 
-  void UnknownStartIsRepeatedOnlyWhenSettled()
+  void UnknownStartIsRepeatedOnlyAfterItExpires()
   {
     const std::uint64_t start = Start();
     mRunner->OnResult(start, CommandOutcome::Unknown);
@@ -110,10 +110,11 @@
       CPPUNIT_ASSERT(Poll().mCommands.empty());
     }
     mNow += milliseconds(200);
-    CPPUNIT_ASSERT(!Body<worker::StartTask>(Poll()).mTask.mValue.empty());
+    CPPUNIT_ASSERT(
+      !FirstCommand<worker::StartTask>(Poll()).mTask.mValue.empty());
   }
 
-  void RefusedStartGivesTheGrantBack()
+  void RefusedStartReleasesTheGrant()
   {
     mRunner->OnResult(Start(), CommandOutcome::Refused);
     CPPUNIT_ASSERT(Poll().mRecords.empty());
@@ -125,19 +126,19 @@
   }
 
   // Guards against an ended or never granted attempt that runs on (P2, P3).
-  void StopsWhatTheLogDoesNotGrant()
+  void StopsTasksWithoutAGrant()
   {
-    BeReady();
-    mRunner->SetGrants({}, kReadEnd);
-    Show(kTask, TaskPhase::Running);
+    EndQuietPeriod();
+    mRunner->SetGrants({}, kLogEnd);
+    ReportTask(kTask, TaskPhase::Running);
     RunnerOutput output = Poll();
-    CPPUNIT_ASSERT(Body<StopTask>(output).mTask == kTask);
+    CPPUNIT_ASSERT(FirstCommand<StopTask>(output).mTask == kTask);
     CPPUNIT_ASSERT(output.mRecords.empty());
     CPPUNIT_ASSERT(Poll().mCommands.empty());
     mRunner->OnResult(output.mCommands.front().mNumber, CommandOutcome::Ok);
-    Show(kTask, TaskPhase::Stopped);
+    ReportTask(kTask, TaskPhase::Stopped);
     output = Poll();
-    CPPUNIT_ASSERT(Body<AcknowledgeTask>(output).mTask == kTask);
+    CPPUNIT_ASSERT(FirstCommand<AcknowledgeTask>(output).mTask == kTask);
   }
 
   // Guards against a stop before the checkpoint is complete (P3).
@@ -145,13 +146,13 @@
   {
     Run();
     mRunner->Evict(kTask, mNow + seconds(3));
-    Done(Find<CheckpointTask>(Poll()));
-    Show(kTask, TaskPhase::Checkpointing);
-    CPPUNIT_ASSERT(!Find<StopTask>(Poll()));
-    Show(kTask, TaskPhase::Running, "c1");
-    Done(Find<StopTask>(Poll()));
+    AnswerOk(FindCommand<CheckpointTask>(Poll()));
+    ReportTask(kTask, TaskPhase::Checkpointing);
+    CPPUNIT_ASSERT(!FindCommand<StopTask>(Poll()));
+    ReportTask(kTask, TaskPhase::Running, "c1");
+    AnswerOk(FindCommand<StopTask>(Poll()));
     CPPUNIT_ASSERT(Poll().mRecords.empty());
-    Show(kTask, TaskPhase::Stopped, "c1");
+    ReportTask(kTask, TaskPhase::Stopped, "c1");
     const auto end = ExpectEnd(Poll(), AttemptOutcome::Evicted);
     CPPUNIT_ASSERT_EQUAL(std::string("c1"), end.mCheckpoint);
   }
@@ -160,10 +161,10 @@
   {
     Run();
     mRunner->Evict(kTask, mNow + seconds(1));
-    Done(Find<CheckpointTask>(Poll()));
+    AnswerOk(FindCommand<CheckpointTask>(Poll()));
     mNow += seconds(1);
-    Done(Find<StopTask>(Poll()));
-    Show(kTask, TaskPhase::Stopped);
+    AnswerOk(FindCommand<StopTask>(Poll()));
+    ReportTask(kTask, TaskPhase::Stopped);
     const auto end = ExpectEnd(Poll(), AttemptOutcome::Evicted);
     CPPUNIT_ASSERT_EQUAL(std::string("c0"), end.mCheckpoint);
   }
@@ -172,10 +173,10 @@
   {
     Run();
     mRunner->Throttle(kTask, 40);
-    Done(Find<ThrottleTask>(Poll()));
-    Done(Find<ThrottleTask>(Poll()));
+    AnswerOk(FindCommand<ThrottleTask>(Poll()));
+    AnswerOk(FindCommand<ThrottleTask>(Poll()));
     mReport.mTasks.front().mThrottlePercent = 40;
-    CPPUNIT_ASSERT(!Find<ThrottleTask>(Poll()));
+    CPPUNIT_ASSERT(!FindCommand<ThrottleTask>(Poll()));
   }
 
   void CompletionWinsOverCancellation()
@@ -183,34 +184,34 @@
     Run();
     GrantedAttempt grant = Grant();
     grant.mCancelRequested = true;
-    mRunner->SetGrants({ grant }, kReadEnd);
-    Done(Find<StopTask>(Poll()));
-    Show(kTask, TaskPhase::Completed);
+    mRunner->SetGrants({ grant }, kLogEnd);
+    AnswerOk(FindCommand<StopTask>(Poll()));
+    ReportTask(kTask, TaskPhase::Completed);
     ExpectEnd(Poll(), AttemptOutcome::Completed);
   }
 
-  void CancelsWhatWasNeverStarted()
+  void CancelsUnstartedAttempts()
   {
     GrantedAttempt grant = Grant();
     grant.mCancelRequested = true;
-    mRunner->SetGrants({ grant }, kReadEnd);
+    mRunner->SetGrants({ grant }, kLogEnd);
     CPPUNIT_ASSERT(Poll().mRecords.empty());
-    BeReady();
+    EndQuietPeriod();
     ExpectEnd(Poll(), AttemptOutcome::Cancelled);
   }
 
   // Guards against a result that is lost because the worker forgot it before
   // the log had it.
-  void AcknowledgesOnlyEndsThatWereReadBack()
+  void AcknowledgesOnlyLoggedEnds()
   {
     Run();
-    Show(kTask, TaskPhase::Completed);
+    ReportTask(kTask, TaskPhase::Completed);
     const RunnerOutput output = Poll();
     ExpectEnd(output, AttemptOutcome::Completed);
     CPPUNIT_ASSERT(output.mCommands.empty());
-    mRunner->SetGrants({}, kReadEnd);
+    mRunner->SetGrants({}, kLogEnd);
     mNow += seconds(3);
-    CPPUNIT_ASSERT(Find<AcknowledgeTask>(Poll()));
+    CPPUNIT_ASSERT(FindCommand<AcknowledgeTask>(Poll()));
   }
 
   void RestartedWorkerLosesItsTasks()
@@ -222,18 +223,18 @@
     CPPUNIT_ASSERT_EQUAL(std::string("c0"), end.mCheckpoint);
   }
 
-  void LeavingWorkerAndMisfitGiveGrantsBack()
+  void ReleasesGrantsOnLeavingOrFullWorkers()
   {
-    BeReady();
+    EndQuietPeriod();
     GrantedAttempt grant = Grant();
     grant.mReserve = { 2000, 0, 0 };
-    mRunner->SetGrants({ grant }, kReadEnd);
+    mRunner->SetGrants({ grant }, kLogEnd);
     CPPUNIT_ASSERT(Poll().mRecords.empty());
     mNow += mOptions.mReleaseAfter;
     ExpectEnd(Poll(), AttemptOutcome::Released);
     mReport.mLeaving = true;
     grant.mTask = { "b" };
-    mRunner->SetGrants({ grant }, kReadEnd);
+    mRunner->SetGrants({ grant }, kLogEnd);
     ExpectEnd(Poll(), AttemptOutcome::Released);
   }
 
@@ -243,30 +244,30 @@
     Run();
     GrantedAttempt other = Grant();
     other.mTask = { "b" };
-    mRunner->SetGrants({ Grant(), other }, kReadEnd);
+    mRunner->SetGrants({ Grant(), other }, kLogEnd);
     mRunner->BeginDrain();
     const RunnerOutput output = Poll();
-    CPPUNIT_ASSERT(!Find<worker::StartTask>(output));
+    CPPUNIT_ASSERT(!FindCommand<worker::StartTask>(output));
     CPPUNIT_ASSERT(!mRunner->IsDrained(mNow));
-    Done(Find<RenewTasks>(output));
+    AnswerOk(FindCommand<RenewTasks>(output));
     CPPUNIT_ASSERT(mRunner->IsDrained(mNow));
   }
 
   // Only while the holder lease outlives the task's lease.
-  void LapsedLeaseProvesTheLoss()
+  void ExpiredTaskLeaseEndsTheAttempt()
   {
     Run();
     mReport.mTasks.front().mLeaseExpiresAt = base::ToMicros(mNow);
     mOptions.mTaskLease = milliseconds(100);
     mRunner = std::make_unique<TaskRunner>(*mLease, *mLedger, mOptions);
-    mRunner->SetGrants({ Grant() }, kReadEnd);
+    mRunner->SetGrants({ Grant() }, kLogEnd);
     Poll();
     CPPUNIT_ASSERT(mRunner->Step(mNow + milliseconds(300)).mRecords.empty());
     ExpectEnd(mRunner->Step(mNow + milliseconds(500)), AttemptOutcome::Lost);
   }
 
   // Guards against a second run of tasks on a worker that is only cut off.
-  void LostWorkerNeedsAbsenceAndTime()
+  void LostWorkerIsDeclaredAfterTheTaskLease()
   {
     LostWorker lost{ mNow, mNow + seconds(5), { Grant() } };
     const auto count = [&](int aSeconds) {
@@ -281,7 +282,7 @@
   void ExpiredHolderSendsNothing()
   {
     Run();
-    mRunner->SetGrants({}, kReadEnd);
+    mRunner->SetGrants({}, kLogEnd);
     mNow = mLease->Deadline();
     CPPUNIT_ASSERT(mRunner->Step(mNow).mCommands.empty());
   }
@@ -294,13 +295,13 @@
     grant.mAttempt = kTask.mAttempt;
     grant.mReserve = { 500, 500, 0 };
     grant.mCheckpoint = "c0";
-    grant.mGrantedOffset = kReadEnd;
+    grant.mGrantedOffset = kLogEnd;
     return grant;
   }
 
-  void Show(const worker::TaskKey& aKey,
-            TaskPhase aPhase,
-            const std::string& aCheckpoint = {})
+  void ReportTask(const worker::TaskKey& aKey,
+                  TaskPhase aPhase,
+                  const std::string& aCheckpoint = {})
   {
     worker::TaskReport task;
     task.mTask = aKey.mTask;
@@ -320,7 +321,7 @@
       if (const auto* place = std::get_if<PlaceLease>(&it)) {
         mReport.mHolders = { { place->mToken, 0 } };
         request = place->mRequest;
-      } else if (const auto* read = std::get_if<ReadList>(&it)) {
+      } else if (const auto* read = std::get_if<ReadHolders>(&it)) {
         request = read->mRequest;
       }
       mReport.mNow = base::ToMicros(mNow);
@@ -338,32 +339,32 @@
     return mRunner->Step(mNow);
   }
 
-  void BeReady()
+  void EndQuietPeriod()
   {
-    mNow += mLimits.mQuietPeriod;
+    mNow += mLeaseOptions.mQuietPeriod;
     StepLease();
   }
 
   std::uint64_t Start()
   {
-    BeReady();
-    mRunner->SetGrants({ Grant() }, kReadEnd);
+    EndQuietPeriod();
+    mRunner->SetGrants({ Grant() }, kLogEnd);
     const RunnerOutput output = Poll();
-    Body<worker::StartTask>(output);
+    FirstCommand<worker::StartTask>(output);
     return output.mCommands.front().mNumber;
   }
 
   void Run()
   {
     mRunner->OnResult(Start(), CommandOutcome::Ok);
-    Show(kTask, TaskPhase::Running);
+    ReportTask(kTask, TaskPhase::Running);
     const RunnerOutput output = Poll();
     CPPUNIT_ASSERT(
       std::holds_alternative<tasks::StartedRecord>(output.mRecords.at(0)));
-    Done(Find<RenewTasks>(output));
+    AnswerOk(FindCommand<RenewTasks>(output));
   }
 
-  void Done(const std::optional<std::uint64_t>& aNumber)
+  void AnswerOk(const std::optional<std::uint64_t>& aNumber)
   {
     CPPUNIT_ASSERT(aNumber.has_value());
     mRunner->OnResult(*aNumber, CommandOutcome::Ok);
@@ -371,7 +372,7 @@
 
   /// The number of the first command of this type.
   template<typename T>
-  static std::optional<std::uint64_t> Find(const RunnerOutput& aOutput)
+  static std::optional<std::uint64_t> FindCommand(const RunnerOutput& aOutput)
   {
     for (const auto& it : aOutput.mCommands) {
       if (std::holds_alternative<T>(it.mBody)) {
@@ -382,7 +383,7 @@
   }
 
   template<typename T>
-  static T Body(const RunnerOutput& aOutput)
+  static T FirstCommand(const RunnerOutput& aOutput)
   {
     CPPUNIT_ASSERT(!aOutput.mCommands.empty());
     const auto* body = std::get_if<T>(&aOutput.mCommands.front().mBody);
@@ -399,7 +400,7 @@
     return *end;
   }
 
-  LeaseOptions mLimits;
+  LeaseOptions mLeaseOptions;
   TaskRunnerOptions mOptions;
   base::TimePoint mNow;
   worker::WorkerReport mReport;
--- a/src/holder/worker_clock.cpp
+++ b/src/holder/worker_clock.cpp
@@ -35,13 +35,13 @@
 }
 
 worker::WorkerTime
-WorkerClock::ToWorker(base::TimePoint aDeadline) const
+WorkerClock::ToEarliestWorkerTime(base::TimePoint aDeadline) const
 {
   return base::ToMicros(aDeadline) + mLow - Drift(aDeadline);
 }
 
 base::TimePoint
-WorkerClock::ToBootLatest(worker::WorkerTime aTime) const
+WorkerClock::ToLatestBootTime(worker::WorkerTime aTime) const
 {
   const base::TimePoint estimate = base::FromMicros(aTime - mLow);
   return base::FromMicros(aTime - mLow + Drift(estimate));
--- a/src/journal/site_state.cpp
+++ b/src/journal/site_state.cpp
@@ -190,25 +190,25 @@
 {
   const Offset basedAt = aBatch.mBatch.mPosition.mAsOf + 1;
   std::visit(
-    Overloaded{ [&](const tasks::TaskRecord& aEach) {
-                 if (IsCreation(aRecord)) {
-                   aTables.mTasks.ForgetEnded(tasks::TaskOf(aEach), mHorizon);
-                 }
-                 aTables.mTasks.Apply(aBatch.mOffset, aEach, basedAt);
-               },
-                [&](const requests::KeyRecord& aEach) {
-                  if (IsCreation(aRecord)) {
-                    aTables.mKeys.ForgetFinished(requests::KeyOf(aEach),
-                                                 mHorizon);
-                  }
-                  aTables.mKeys.Apply(aBatch.mOffset, aEach, basedAt);
-                },
-                [&](const TaskSnapshotRecord& aEach) {
-                  aTables.mTasks.ApplySnapshot(aEach.mAsOf, aEach.mTask);
-                },
-                [&](const KeySnapshotRecord& aEach) {
-                  aTables.mKeys.ApplySnapshot(aEach.mAsOf, aEach.mKey);
-                } },
+    Overloaded{
+      [&](const tasks::TaskRecord& aEach) {
+        if (IsCreation(aRecord)) {
+          aTables.mTasks.RemoveTombstone(tasks::TaskOf(aEach), mHorizon);
+        }
+        aTables.mTasks.Apply(aBatch.mOffset, aEach, basedAt);
+      },
+      [&](const requests::KeyRecord& aEach) {
+        if (IsCreation(aRecord)) {
+          aTables.mKeys.ForgetFinished(requests::KeyOf(aEach), mHorizon);
+        }
+        aTables.mKeys.Apply(aBatch.mOffset, aEach, basedAt);
+      },
+      [&](const TaskSnapshotRecord& aEach) {
+        aTables.mTasks.ApplySnapshot(aEach.mAsOf, aEach.mTask);
+      },
+      [&](const KeySnapshotRecord& aEach) {
+        aTables.mKeys.ApplySnapshot(aEach.mAsOf, aEach.mKey);
+      } },
     aRecord);
 }
 
@@ -489,7 +489,7 @@
   return digest;
 }
 
-std::vector<tasks::BasedTask>
+std::vector<tasks::TaskReplayOffset>
 SiteState::TasksOlderThan(std::int64_t aAgeMs,
                           std::int64_t aNowMs,
                           std::size_t aLimit) const
@@ -499,9 +499,9 @@
     const std::lock_guard<std::mutex> lock(mMutex);
     before = mAges.FirstYoungerThan(aAgeMs, aNowMs);
   }
-  std::vector<tasks::BasedTask> result;
+  std::vector<tasks::TaskReplayOffset> result;
   ForEachShard([&](const Tables& aTables) {
-    for (auto& it : aTables.mTasks.BasedBefore(before, aLimit)) {
+    for (auto& it : aTables.mTasks.OldestReplayOffsets(before, aLimit)) {
       result.push_back(std::move(it));
     }
   });
@@ -588,7 +588,8 @@
   const tasks::TaskTable& tasks = shard.mTables->mTasks;
   const requests::KeyTable& keys = shard.mTables->mKeys;
   for (const auto& it : tasks.All()) {
-    builder.Add(TaskSnapshotRecord{ *tasks.FindBase(it) - 1, *tasks.Find(it) });
+    builder.Add(
+      TaskSnapshotRecord{ *tasks.FindReplayOffset(it) - 1, *tasks.Find(it) });
   }
   for (const auto& it : keys.All()) {
     builder.Add(KeySnapshotRecord{ *keys.FindBase(it) - 1, keys.Find(it) });
--- a/src/journal/snapshot_planner.cpp
+++ b/src/journal/snapshot_planner.cpp
@@ -95,7 +95,7 @@
     if (result.size() >= mSettings.mMaxPerPlan) {
       return result;
     }
-    const std::int64_t age = aState.AgeOf(it.mBasedAt, aNowMs);
+    const std::int64_t age = aState.AgeOf(it.mReplayFrom, aNowMs);
     const std::string id = std::string(kTaskPrefix) + it.mTask.mValue;
     if (!Claim(id, age, aLive, aNowMs)) {
       continue;
--- a/src/tasks/task_table.cpp
+++ b/src/tasks/task_table.cpp
@@ -39,7 +39,7 @@
   std::int64_t mDeclaredRunSeconds = 0;
   Offset mAcceptedAt = 0;
   Offset mLastRecordAt = 0;
-  Offset mBasedAt = 0;
+  Offset mReplayFrom = 0;
   std::int64_t mLastAttempt = 0;
   Offset mGrantedAt = 0;
   StringPool::Handle mTeam = StringPool::kEmpty;
@@ -194,10 +194,11 @@
 }
 
 bool
-TaskTable::ByBase::operator()(const Entry* aLeft, const Entry* aRight) const
+TaskTable::ByReplayOffset::operator()(const Entry* aLeft,
+                                      const Entry* aRight) const
 {
-  if (aLeft->mBasedAt != aRight->mBasedAt) {
-    return aLeft->mBasedAt < aRight->mBasedAt;
+  if (aLeft->mReplayFrom != aRight->mReplayFrom) {
+    return aLeft->mReplayFrom < aRight->mReplayFrom;
   }
   return aLeft->mTask < aRight->mTask;
 }
@@ -275,13 +276,13 @@
 }
 
 TaskTable::Entry&
-TaskTable::AddEntry(const TaskSnapshot& aSnapshot, Offset aBasedAt)
+TaskTable::AddEntry(const TaskSnapshot& aSnapshot, Offset aReplayFrom)
 {
   Entry& entry = AddEntry(aSnapshot.mSpec);
   entry.mState = aSnapshot.mState;
   entry.mAcceptedAt = aSnapshot.mAcceptedAt;
   entry.mLastRecordAt = aSnapshot.mLastRecordAt;
-  entry.mBasedAt = aBasedAt;
+  entry.mReplayFrom = aReplayFrom;
   entry.mLastAttempt = aSnapshot.mLastAttempt;
   entry.mGrantedAt = aSnapshot.mGrantedAt;
   entry.mWorker = mPool.Intern(aSnapshot.mWorker.mValue);
@@ -312,7 +313,7 @@
     mEnded.insert(&aEntry);
     return;
   }
-  mByBase.insert(&aEntry);
+  mByReplayOffset.insert(&aEntry);
   if (!HasLiveAttempt(aEntry.mState)) {
     mQueued.insert(&aEntry);
     return;
@@ -330,7 +331,7 @@
     mEnded.erase(&aEntry);
     return;
   }
-  mByBase.erase(&aEntry);
+  mByReplayOffset.erase(&aEntry);
   if (!HasLiveAttempt(aEntry.mState)) {
     mQueued.erase(&aEntry);
     return;
@@ -346,7 +347,9 @@
 }
 
 void
-TaskTable::Accept(Offset aOffset, const AcceptRecord& aRecord, Offset aBasedAt)
+TaskTable::Accept(Offset aOffset,
+                  const AcceptRecord& aRecord,
+                  Offset aReplayFrom)
 {
   // A task with unmatched records existed before this reader's first record,
   // so this is a repeat of an accept record that has expired.
@@ -357,7 +360,7 @@
   Entry& entry = AddEntry(aRecord.mSpec);
   entry.mAcceptedAt = aOffset;
   entry.mLastRecordAt = aOffset;
-  entry.mBasedAt = aBasedAt;
+  entry.mReplayFrom = aReplayFrom;
   AddToIndexes(entry);
 }
 
@@ -429,10 +432,10 @@
 }
 
 void
-TaskTable::Apply(Offset aOffset, const TaskRecord& aRecord, Offset aBasedAt)
+TaskTable::Apply(Offset aOffset, const TaskRecord& aRecord, Offset aReplayFrom)
 {
   if (const auto* accept = std::get_if<AcceptRecord>(&aRecord)) {
-    Accept(aOffset, *accept, aBasedAt);
+    Accept(aOffset, *accept, aReplayFrom);
   } else if (FindEntry(TaskOf(aRecord)) == nullptr) {
     ApplyStale(aOffset, aRecord);
   } else {
@@ -446,7 +449,7 @@
   Entry* known = FindEntry(aSnapshot.mSpec.mTask);
   if (known != nullptr) {
     RemoveFromIndexes(*known);
-    known->mBasedAt = std::max(known->mBasedAt, aAsOf + 1);
+    known->mReplayFrom = std::max(known->mReplayFrom, aAsOf + 1);
     AddToIndexes(*known);
     return;
   }
@@ -463,15 +466,15 @@
 }
 
 void
-TaskTable::Restore(const TaskSnapshot& aSnapshot, Offset aBasedAt)
+TaskTable::Restore(const TaskSnapshot& aSnapshot, Offset aReplayFrom)
 {
   if (FindEntry(aSnapshot.mSpec.mTask) == nullptr) {
-    AddEntry(aSnapshot, aBasedAt);
+    AddEntry(aSnapshot, aReplayFrom);
   }
 }
 
 void
-TaskTable::ForgetEnded(const base::TaskId& aTask, Offset aFirstRetained)
+TaskTable::RemoveTombstone(const base::TaskId& aTask, Offset aFirstRetained)
 {
   Entry* entry = FindEntry(aTask);
   if (entry != nullptr && IsEnded(entry->mState) &&
@@ -546,13 +549,13 @@
 }
 
 std::optional<Offset>
-TaskTable::FindBase(const base::TaskId& aTask) const
+TaskTable::FindReplayOffset(const base::TaskId& aTask) const
 {
   const Entry* entry = FindEntry(aTask);
   if (entry == nullptr) {
     return std::nullopt;
   }
-  return entry->mBasedAt;
+  return entry->mReplayFrom;
 }
 
 std::vector<QueuedTask>
@@ -635,15 +638,15 @@
   return result;
 }
 
-std::vector<BasedTask>
-TaskTable::BasedBefore(Offset aBefore, std::size_t aLimit) const
+std::vector<TaskReplayOffset>
+TaskTable::OldestReplayOffsets(Offset aBefore, std::size_t aLimit) const
 {
-  std::vector<BasedTask> result;
-  for (const Entry* entry : mByBase) {
-    if (entry->mBasedAt >= aBefore || result.size() >= aLimit) {
+  std::vector<TaskReplayOffset> result;
+  for (const Entry* entry : mByReplayOffset) {
+    if (entry->mReplayFrom >= aBefore || result.size() >= aLimit) {
       break;
     }
-    result.push_back({ { entry->mTask }, entry->mBasedAt });
+    result.push_back({ { entry->mTask }, entry->mReplayFrom });
   }
   return result;
 }
@@ -692,7 +695,7 @@
 TaskTable::LiveDigest() const
 {
   std::uint64_t digest = 0;
-  for (const Entry* it : mByBase) {
+  for (const Entry* it : mByReplayOffset) {
     digest += DigestOf(*it);
   }
   return digest;
--- a/src/tasks/task_table_test.cpp
+++ b/src/tasks/task_table_test.cpp
@@ -48,7 +48,7 @@
   CPPUNIT_TEST(KeepsTombstonesWhileARecordIsRetained);
   CPPUNIT_TEST(AppliesRecordsReadBeforeASnapshot);
   CPPUNIT_TEST(KeepsIndexesConsistentUnderRandomRecords);
-  CPPUNIT_TEST(FitsTheTargetNumberOfTasks);
+  CPPUNIT_TEST(MemoryPerTaskIsBounded);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -64,7 +64,10 @@
   {
     Apply(GrantRecord{ { aTask }, aAttempt, { aWorker } });
   }
-  void Apply(const TaskRecord& aRecord) { mTable.Apply(mNext++, aRecord); }
+  void Apply(const TaskRecord& aRecord)
+  {
+    mTable.Apply(mNextOffset++, aRecord);
+  }
 
   // Guards against an urgent task that a long queue hides from the scheduler,
   // which looks at the first tasks only.
@@ -214,7 +217,7 @@
     CPPUNIT_ASSERT(mTable.WorkersWithGrants().empty());
     CPPUNIT_ASSERT(mTable.TeamUses().empty());
     CPPUNIT_ASSERT_EQUAL(std::string("z"),
-                         mTable.BasedBefore(7, 9).front().mTask.mValue);
+                         mTable.OldestReplayOffsets(7, 9).front().mTask.mValue);
   }
 
   // Guards against readers that started at different times and disagree on
@@ -225,7 +228,7 @@
     mTable.Apply(2, CancelRecord{ { "a" }, "caller" });
     mTable.Apply(9, MakeEnd("a", 1, AttemptOutcome::Completed));
     mTable.Purge(9);
-    mTable.ForgetEnded({ "a" }, 9);
+    mTable.RemoveTombstone({ "a" }, 9);
     CPPUNIT_ASSERT(StateOf("a") == TaskState::Cancelled);
     mTable.Purge(10);
     CPPUNIT_ASSERT(!mTable.Find({ "a" }).has_value());
@@ -314,7 +317,7 @@
   }
 
   // Guards against a table that exceeds the memory of an entry instance.
-  void FitsTheTargetNumberOfTasks()
+  void MemoryPerTaskIsBounded()
   {
     constexpr std::int64_t kTasks = 111'000;
     constexpr std::int64_t kMaxBytesPerTask = 1'000;
@@ -332,7 +335,7 @@
 
 private:
   TaskTable mTable;
-  Offset mNext = 100;
+  Offset mNextOffset = 100;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TaskTableTest);
--- a/src/testing/holder_world.cpp
+++ b/src/testing/holder_world.cpp
@@ -444,7 +444,7 @@
         worker.mHolders.push_back({ place.mToken, end });
         Report(aRef, aSite, place.mRequest);
       });
-    } else if (const auto* it = std::get_if<ReadList>(&aAction)) {
+    } else if (const auto* it = std::get_if<ReadHolders>(&aAction)) {
       site.mSentAt[it->mRequest] = now;
       ToWorker(!stuck, true, [this, aRef, aSite, request = it->mRequest] {
         Advance(aSite);
@@ -532,7 +532,7 @@
     if (!mVariant.mStartOnce) {
       aReport.mNow += 60 * kSecond;
     }
-    if (site.mRunner && site.mLease->MayCommit(Now(aInstance))) {
+    if (site.mRunner && site.mLease->MaySendCommands(Now(aInstance))) {
       site.mRunner->OnReport({ aReport, site.mSentAt[aRequest] });
     }
   }
@@ -546,7 +546,7 @@
     const bool current = site.mLease->Token() == aCommand.mHeader.mToken;
     const base::TimePoint now = Now(instance);
     const bool allowed =
-      current && site.mLease->MayCommit(now) && now < aCommand.mDeadline;
+      current && site.mLease->MaySendCommands(now) && now < aCommand.mDeadline;
     if (mVariant.mCheckBeforeSend && !allowed) {
       return;
     }
@@ -819,9 +819,9 @@
   {
     const base::TimePoint now = Now(aInstance);
     if (mVariant.mWorkersForget) {
-      return aSite.mRunner && aSite.mRunner->MayCall(now);
+      return aSite.mRunner && aSite.mRunner->MaySendCalls(now);
     }
-    return aSite.mLease->MayCommit(now);
+    return aSite.mLease->MaySendCommands(now);
   }
 
   void CheckHolders()
--- a/src/testing/site_world.cpp
+++ b/src/testing/site_world.cpp
@@ -716,7 +716,7 @@
                place.mRequest,
                worker.PlaceHolderLease(place.mToken, place.mLength, far));
       });
-    } else if (const auto* it = std::get_if<holder::ReadList>(&aAction)) {
+    } else if (const auto* it = std::get_if<holder::ReadHolders>(&aAction)) {
       site.mSentAt[it->mRequest] = node.Now();
       ToWorker(
         site, true, [this, aRef, aSite, far, &worker, number = it->mRequest] {
@@ -781,7 +781,7 @@
         seen.mHolders = { { site.mLease->Token(), 0 } };
       }
       site.mLease->OnReport(aRequest, seen, aNode.Now());
-      if (site.mRunner && site.mLease->MayCommit(aNode.Now())) {
+      if (site.mRunner && site.mLease->MaySendCommands(aNode.Now())) {
         site.mRunner->OnReport({ report, site.mSentAt[aRequest] });
       }
       StepSite(aRef, aSite);
@@ -796,7 +796,7 @@
     const Site& site = node.mSites[aSite];
     const base::TimePoint now = node.Now();
     const bool allowed = site.mLease->Token() == aCommand.mHeader.mToken &&
-                         site.mLease->MayCommit(now) &&
+                         site.mLease->MaySendCommands(now) &&
                          now < aCommand.mDeadline;
     if (mVariant.mCheckBeforeSend && !allowed) {
       return;
@@ -1037,9 +1037,9 @@
       const Site& site = aNode.mSites[index];
       const requests::Target target{ requests::TargetKind::OwnWorker,
                                      mWorkers[index]->Name().mValue };
-      if (site.mRunner && site.mRunner->MayCall(aNode.Now()) &&
+      if (site.mRunner && site.mRunner->MaySendCalls(aNode.Now()) &&
           aPick.mTried.count(target) == 0 &&
-          site.mLedger->FreeCalls().mSlots > 0) {
+          site.mLedger->FreeCallCapacity().mSlots > 0) {
         return requests::TargetOffered{ target };
       }
     }
@@ -1065,11 +1065,11 @@
     const base::TimePoint now = node.Now();
     const std::uint64_t call = ++mNextCall;
     if (now >= aSend.mDeadline || !site.mRunner ||
-        !site.mRunner->MayCall(now)) {
+        !site.mRunner->MaySendCalls(now)) {
       fail(base::ErrorKind::WorkerUnavailable);
       return;
     }
-    const auto notAfter = site.mLease->Clock().ToWorker(
+    const auto notAfter = site.mLease->Clock().ToEarliestWorkerTime(
       std::min(aSend.mDeadline, site.mLease->Deadline()));
     if (!site.mLedger->BeginCall(call, { notAfter, now + milliseconds(300) })) {
       fail(base::ErrorKind::NoCapacity);
@@ -1080,7 +1080,7 @@
     AtNode(aRef, 700'000, [=](Node& aNode) {
       Site& own = aNode.mSites[index];
       if (own.mLedger && own.mLease->Token() == token) {
-        own.mLedger->LoseCall(call);
+        own.mLedger->MarkCallLost(call);
       }
     });
     ToWorker(site, aRequest.mIdempotent, [=] {
@@ -1655,7 +1655,7 @@
       const auto holders =
         std::count_if(mNodes.begin(), mNodes.end(), [&](const auto& aItem) {
           const Site& site = aItem->mSites[n];
-          return site.mRunner && site.mRunner->MayCall(aItem->Now());
+          return site.mRunner && site.mRunner->MaySendCalls(aItem->Now());
         });
       if (holders > 1) {
         Fail("P1: two instances may commit " + mWorkers[n]->Name().mValue);
