--- a/include/skylarkhill/holder/granted_attempt.hpp
+++ b/include/skylarkhill/holder/granted_attempt.hpp
@@ -9,21 +9,21 @@
 
 namespace skylarkhill::holder {
 
-/// An attempt that the log grants to a worker and does not show as ended.
+/// A task attempt that the log grants to a worker and that has no end record.
 struct GrantedAttempt
 {
   base::TaskId mTask;
   std::int64_t mAttempt = 0;
   std::string mBatchClass;
   std::string mPayload;
-  /// What the attempt is started with.
+  /// Resources to reserve on the worker.
   base::Resources mReserve;
   /// Checkpoint to resume from; empty for a fresh start.
   std::string mCheckpoint;
   bool mCancelRequested = false;
-  /// The log holds a `started` record of this attempt.
+  /// The log contains a StartedRecord for this attempt.
   bool mStarted = false;
-  /// Offset of the grant record itself, also if the task table took the grant
+  /// Log offset of the grant record, even if the task table restored the grant
   /// from a later snapshot record.
   std::int64_t mGrantedOffset = 0;
 };
--- a/include/skylarkhill/holder/lease_machine.hpp
+++ b/include/skylarkhill/holder/lease_machine.hpp
@@ -16,18 +16,20 @@
 
 namespace skylarkhill::holder {
 
-/// Where an instance stands with one worker.
+/// State of an instance's holder lease on one worker.
 enum class LeaseState
 {
   NotHeld,
-  /// The holder lease was sent and is not answered yet.
+  /// The request to place the lease was sent; its answer is pending.
   Placing,
-  /// The lease is placed; the list is being read again.
+  /// The lease is placed; the worker's holder list is read again to check that
+  /// there is no other holder.
   Verifying,
   Held,
-  /// The lease lapsed; it is being removed and is never continued.
+  /// The lease expired or the worker no longer lists it; it is being removed
+  /// and never renewed.
   Lost,
-  /// The lease is given up on purpose.
+  /// This instance is removing the lease before it expires.
   Releasing,
 };
 
@@ -39,22 +41,24 @@
 {
   base::Duration mLeaseLength = std::chrono::seconds(6);
   base::Duration mRenewInterval = std::chrono::seconds(1);
-  /// Bound on how far the two clocks drift apart during one lease.
+  /// Upper bound on the drift between the instance's and the worker's clock
+  /// during one lease.
   base::Duration mClockMargin = std::chrono::milliseconds(250);
-  /// How long a new holder starts nothing. At least the longest time a sent
-  /// message may take to arrive; where workers restart with an empty lease
-  /// list, at least the lease length and that time together.
+  /// How long a new holder starts no tasks or calls. At least the maximum
+  /// message delay; if workers restart with an empty holder list, at least the
+  /// lease length plus the maximum message delay.
   base::Duration mQuietPeriod = std::chrono::seconds(1);
   base::Duration mRequestTimeout = std::chrono::seconds(1);
-  /// How long a worker must be without a holder before an instance that is
-  /// not preferred tries to acquire it.
+  /// How long a worker must be without a holder before a non-preferred
+  /// instance tries to acquire it.
   base::Duration mTakeoverDelay = std::chrono::seconds(2);
   base::Duration mScanInterval = std::chrono::seconds(1);
   base::Duration mBackoffLow = std::chrono::milliseconds(50);
   base::Duration mBackoffHigh = std::chrono::milliseconds(500);
 };
 
-/// Asks for `WorkerPort::PlaceHolderLease`; answered by `OnReport`.
+/// Request to call `WorkerPort::PlaceHolderLease`; the result is passed to
+/// `OnReport`.
 struct PlaceLease
 {
   std::uint64_t mRequest = 0;
@@ -63,14 +67,15 @@
   base::TimePoint mDeadline;
 };
 
-/// Asks for `WorkerPort::Poll`; answered by `OnReport`.
+/// Request to call `WorkerPort::Poll`; the result is passed to `OnReport`.
 struct ReadHolders
 {
   std::uint64_t mRequest = 0;
   base::TimePoint mDeadline;
 };
 
-/// Asks for `WorkerPort::RemoveHolderLease`; answered by `OnRemoved`.
+/// Request to call `WorkerPort::RemoveHolderLease`; the completion is passed to
+/// `OnRemoved`.
 struct RemoveLease
 {
   std::uint64_t mRequest = 0;
@@ -78,14 +83,14 @@
   base::TimePoint mDeadline;
 };
 
-/// The worker is held from now on. A ledger and a task runner are created
-/// for this token.
+/// The lease was acquired. The caller creates a ledger and a task runner for
+/// this token.
 struct LeaseAcquired
 {
   worker::HolderToken mToken;
 };
 
-/// The worker is not held any more. Its ledger and task runner are dropped.
+/// The lease ended. The caller destroys the worker's ledger and task runner.
 struct LeaseEnded
 {
   worker::HolderToken mToken;
@@ -94,47 +99,50 @@
 using LeaseAction =
   std::variant<PlaceLease, ReadHolders, RemoveLease, LeaseAcquired, LeaseEnded>;
 
-/// Acquires, renews and releases the holder lease on one worker for one entry
-/// instance. Not thread-safe: used under the lock of the worker's shard.
+/// State machine that acquires, renews and releases the holder lease on one
+/// worker for one entry instance. Not thread-safe: used under the lock of the
+/// worker's shard.
 ///
-/// Events are reported by the `On...` functions; `Step` is called after every
-/// event and at least every 50 ms, and returns what is to be done.
+/// The `On...` functions report events. `Step` is called after every event and
+/// at least every 50 ms, and returns the actions to carry out.
 class LeaseMachine
 {
 public:
-  /// `aRandom` outlives the machine.
+  /// `aRandom` must outlive this object.
   LeaseMachine(base::InstanceId aInstance,
                LeaseOptions aOptions,
                base::Random& aRandom);
 
-  /// Whether this instance should hold the worker. It is a preference only.
+  /// Whether this instance is the preferred holder. A preferred instance does
+  /// not wait for the takeover delay.
   void SetPreferred(bool aPreferred);
 
-  /// The answer to the PlaceLease or ReadHolders with this number.
+  /// Handles the result of the PlaceLease or ReadHolders request `aRequest`.
   void OnReport(std::uint64_t aRequest,
                 const base::Result<worker::WorkerReport>& aReport,
                 base::TimePoint aNow);
 
-  /// The answer, whatever it is, to the RemoveLease with this number.
+  /// Handles the completion of the RemoveLease request `aRequest`, whether it
+  /// succeeded or not.
   void OnRemoved(std::uint64_t aRequest, base::TimePoint aNow);
 
-  /// Gives the worker up and acquires it no more.
+  /// Releases the lease, if any, and never acquires it again.
   void Release(base::TimePoint aNow);
 
-  /// Handles timeouts and due renewals, and returns the pending actions in
-  /// the order in which they are to be carried out.
+  /// Handles timeouts and due renewals. Returns the pending actions, to be
+  /// carried out in this order.
   std::vector<LeaseAction> Step(base::TimePoint aNow);
 
-  /// True while commands may be sent to the worker. Checked with a fresh time
-  /// immediately before each send.
+  /// True while the lease is held, so that commands may be sent to the worker.
+  /// Must be checked with the current time immediately before each send.
   bool MaySendCommands(base::TimePoint aNow) const;
 
   LeaseState State() const { return mState; }
   /// The token of the current or last acquisition.
   const worker::HolderToken& Token() const { return mToken; }
-  /// The holder must not commit at or after this time.
+  /// The holder must not send commands at or after this time.
   base::TimePoint Deadline() const { return mDeadline; }
-  /// Commands of earlier holders may arrive until this time.
+  /// Commands of previous holders may arrive until this time.
   base::TimePoint QuietPeriodEnd() const { return mQuietPeriodEnd; }
   const WorkerClock& Clock() const { return mClock; }
   const LeaseOptions& Options() const { return mOptions; }
@@ -178,7 +186,7 @@
   std::uint64_t mLargestEpoch = 0;
   base::TimePoint mDeadline;
   base::TimePoint mQuietPeriodEnd;
-  /// A list read after the quiet period showed no other lease.
+  /// A holder list read after the quiet period contained no other lease.
   bool mConfirmed = false;
   /// When the next scan or renewal is due.
   base::TimePoint mNextSend;
--- a/include/skylarkhill/holder/ledger.hpp
+++ b/include/skylarkhill/holder/ledger.hpp
@@ -12,86 +12,89 @@
 
 namespace skylarkhill::holder {
 
-/// A worker's report with the time at which its poll was sent.
+/// A worker's report and the time at which the poll for it was sent.
 struct PollResult
 {
   worker::WorkerReport mReport;
   base::TimePoint mSentAt;
 };
 
-/// When a command of unknown outcome can no longer take effect.
+/// Bounds after which a command of unknown outcome can no longer take effect.
 struct CommandExpiry
 {
-  /// The worker refuses the command after this time.
+  /// The worker rejects the command after this time.
   worker::WorkerTime mNotAfter = 0;
-  /// No message sent with the command arrives after this time.
+  /// All copies of the command have arrived or were lost by this time.
   base::TimePoint mLatestArrival;
 };
 
-/// True if a command that is absent from this report will never take effect.
-/// Requires both bounds, so that a worker that does not check not_after, or
-/// one message that is delayed beyond the bound, is not enough to fail it.
+/// True if a command whose effect is not in this report will never take effect.
+/// Both bounds must have passed, so that the result stays correct if the worker
+/// does not check not_after, or if a message exceeds the maximum delay, but not
+/// if both happen.
 bool
 IsPastExpiry(const CommandExpiry& aExpiry, const PollResult& aPoll);
 
-/// Slots and connections of service requests.
+/// Request slots and connections that a worker has for service calls.
 struct CallCapacity
 {
   std::int64_t mSlots = 0;
   std::int64_t mConnections = 0;
 };
 
-/// Committed capacity of one worker, kept by its holder only. Built from the
-/// worker's own reports; nothing fits before the first one. Not thread-safe:
-/// used under the lock of the worker's shard.
+/// Tracks the committed capacity of one worker; only its holder keeps one.
+/// Derived from the worker's reports; nothing fits before the first report. Not
+/// thread-safe: used under the lock of the worker's shard.
 class Ledger
 {
 public:
   using CallNumber = std::uint64_t;
 
-  /// Replaces what is known to run, settles starts and calls of unknown
-  /// outcome, and takes over the capacity that the worker reports. Reports
-  /// that are older than the last one are ignored.
+  /// Updates the running tasks and the capacity from a report, and removes the
+  /// starts and lost calls that can no longer take effect. Ignores a report
+  /// whose poll was not sent after that of the last one.
   void ApplyReport(const PollResult& aPoll);
 
-  /// True if `aNeed` fits beside everything that is committed.
+  /// True if `aNeed` fits into the capacity that is not committed.
   bool Fits(const base::Resources& aNeed) const;
-  /// Like Fits, not counting what is planned for `aKey` itself.
+  /// Like Fits, but ignores the plan for `aKey` itself.
   bool FitsStart(const worker::TaskKey& aKey,
                  const base::Resources& aNeed) const;
 
-  /// Commits capacity for an attempt whose grant is being recorded.
-  /// NoCapacity if it does not fit.
+  /// Commits capacity for an attempt whose grant record is being appended.
+  /// Fails with NoCapacity if it does not fit.
   base::Result<void> Plan(const worker::TaskKey& aKey,
                           const base::Resources& aNeed);
-  /// Takes a plan back; has no effect on an attempt that was started.
+  /// Removes a plan. Has no effect if the start was already committed.
   void CancelPlan(const worker::TaskKey& aKey);
 
-  /// Commits capacity for a start that is about to be sent, and replaces the
-  /// plan for it. NoCapacity if it does not fit.
+  /// Commits capacity for a start command that is about to be sent, in place of
+  /// the plan for it. Fails with NoCapacity if it does not fit.
   base::Result<void> CommitStart(const worker::TaskKey& aKey,
                                  const base::Resources& aNeed,
                                  const CommandExpiry& aExpiry);
 
-  /// Sets the usage estimate of a task, if the estimate is trusted. The task
-  /// is counted with the larger of reservation and estimate, as far as there
-  /// is capacity: an estimate never displaces what already runs.
+  /// Sets the usage estimate of a running task; nothing if there is no reliable
+  /// one. The task counts with the maximum of its reservation and the estimate.
+  /// Estimates never raise the committed capacity above the worker's capacity.
   void SetTrustedUsage(const worker::TaskKey& aKey,
                        const std::optional<base::Resources>& aUsage);
 
-  /// Keeps capacity free for services; batch tasks do not get it.
+  /// Sets the capacity that is reserved for services and not used for tasks.
   void SetServiceReserve(const base::Resources& aReserve);
 
-  /// Commits one slot and one connection. NoCapacity if there is none. Called
-  /// only while `TaskRunner::MaySendCalls` is true.
+  /// Commits one slot and one connection. Fails with NoCapacity if either is
+  /// missing. Called only while `TaskRunner::MaySendCalls` is true.
   base::Result<void> BeginCall(CallNumber aCall, const CommandExpiry& aExpiry);
-  /// Frees them: the call was answered or certainly did not run.
+  /// Frees the slot and the connection of a call that was answered or certainly
+  /// did not run.
   void EndCall(CallNumber aCall);
-  /// Keeps them until a report shows that the call is over.
+  /// Marks a call whose answer was lost. Its slot and connection stay committed
+  /// until a report shows that the call has ended.
   void MarkCallLost(CallNumber aCall);
 
   base::Resources Capacity() const { return mCapacity; }
-  /// What running tasks, starts in flight and plans take.
+  /// The capacity of running tasks, starts in flight and plans.
   base::Resources Committed() const;
   CallCapacity FreeCallCapacity() const;
   bool HasReport() const { return mHasReport; }
@@ -120,7 +123,7 @@
   base::Resources mServiceReserve;
   CallCapacity mCallCapacity;
   bool mHasCalled = false;
-  /// Slots that calls of earlier holders still occupy.
+  /// Slots still occupied by calls of previous holders.
   std::int64_t mInheritedBusySlots = 0;
   std::map<worker::TaskKey, base::Resources> mRunning;
   std::map<worker::TaskKey, base::Resources> mTrustedUsage;
--- a/include/skylarkhill/holder/lost_worker.hpp
+++ b/include/skylarkhill/holder/lost_worker.hpp
@@ -9,23 +9,23 @@
 
 namespace skylarkhill::holder {
 
-/// What is known of a worker that nobody can reach.
+/// A worker that no instance can reach.
 struct LostWorker
 {
-  /// Since when the platform's list has not shown the worker, without
-  /// interruption.
+  /// Start of the uninterrupted absence of the worker from the platform's list.
   base::TimePoint mAbsentSince;
-  /// Last direct evidence of the worker: an answered poll of this instance,
-  /// or a peer's heartbeat that names it as held.
+  /// Last sign that the worker was running: an answered poll of this instance,
+  /// or a peer's heartbeat that lists the worker as held.
   base::TimePoint mLastContact;
   /// The attempts that the log grants to the worker.
   std::vector<GrantedAttempt> mGrants;
 };
 
-/// The End records that are proved by the loss of the worker: empty until the
-/// longest task lease and the margin have passed since both the absence and
-/// the last evidence. Applied only by instances of the worker's own failure
-/// domain: from outside, a domain that is cut off looks lost while it runs.
+/// Returns Lost end records for all attempts granted to the worker, or nothing
+/// before `aLongestTaskLease` and `aMargin` have passed since both the start of
+/// the absence and the last contact. Called only by instances in the worker's
+/// failure domain: to instances outside, workers of a partitioned domain look
+/// lost although they run.
 std::vector<tasks::EndRecord>
 EndLostAttempts(const LostWorker& aWorker,
                 base::Duration aLongestTaskLease,
--- a/include/skylarkhill/holder/task_command.hpp
+++ b/include/skylarkhill/holder/task_command.hpp
@@ -45,28 +45,28 @@
                                  StopTask,
                                  AcknowledgeTask>;
 
-/// One command to a worker. It is sent only if `LeaseMachine::MaySendCommands`
-/// is true immediately before the send.
+/// A command to a worker. Sent only if `LeaseMachine::MaySendCommands` is true
+/// immediately before the send.
 struct Command
 {
-  /// Names the command in its result.
+  /// Identifies the command in `TaskRunner::OnResult`.
   std::uint64_t mNumber = 0;
   worker::CommandHeader mHeader;
   CommandBody mBody;
   base::TimePoint mDeadline;
 };
 
-/// What is known of a command after its deadline.
+/// Outcome of a command, as far as the sender knows it.
 enum class CommandOutcome
 {
   Ok,
-  /// The worker answered that it does not carry out this command.
+  /// The worker rejected the command.
   Refused,
   /// The command may have taken effect, or may still do so.
   Unknown,
 };
 
-/// The outcome that the result of a command shows.
+/// Converts the result of sending a command to its outcome.
 CommandOutcome
 ToCommandOutcome(const base::Result<void>& aResult);
 
--- a/include/skylarkhill/holder/task_runner.hpp
+++ b/include/skylarkhill/holder/task_runner.hpp
@@ -18,71 +18,72 @@
 
 struct TaskRunnerOptions
 {
-  /// Longer than the holder lease and the takeover of a dead holder together,
-  /// so that tasks outlive their holder.
+  /// Longer than the holder lease plus the time to take over from a failed
+  /// holder, so that tasks survive the failure of their holder.
   base::Duration mTaskLease = std::chrono::seconds(30);
   base::Duration mCommandTimeout = std::chrono::seconds(1);
-  /// Longest time a sent command may take to arrive.
+  /// Maximum time until a sent command arrives.
   base::Duration mMaxMessageDelay = std::chrono::seconds(1);
   /// How long a granted attempt may wait for capacity before its grant is
-  /// given back.
+  /// released.
   base::Duration mReleaseAfter = std::chrono::seconds(5);
 };
 
 struct RunnerOutput
 {
   std::vector<Command> mCommands;
-  /// Task records to append. They stay true however late the append takes
-  /// effect.
+  /// Task records to append. They stay valid however late they are appended.
   std::vector<tasks::TaskRecord> mRecords;
 };
 
-/// Runs the granted attempts on one held worker. Created when the lease is
-/// acquired, dropped when it ends. Not thread-safe: used under the lock of the
-/// worker's shard.
+/// Starts, renews and stops the granted attempts on one held worker. Created
+/// when the lease is acquired, destroyed when it ends. Not thread-safe: used
+/// under the lock of the worker's shard.
 class TaskRunner
 {
 public:
-  /// `aLease` and `aLedger` outlive the runner.
+  /// `aLease` and `aLedger` must outlive this object.
   TaskRunner(const LeaseMachine& aLease,
              Ledger& aLedger,
              TaskRunnerOptions aOptions);
 
-  /// A report of the worker; also updates the ledger.
+  /// Handles a report of the worker; also updates the ledger.
   void OnReport(const PollResult& aPoll);
 
-  /// The result of the command with this number.
+  /// Handles the outcome of the command `aNumber`.
   void OnResult(std::uint64_t aNumber, CommandOutcome aOutcome);
 
-  /// The attempts that the log grants to this worker. `aInheritedBefore`: an
-  /// end offset that was observed at or after the acquisition, once the log has
-  /// been read up to it; the first one counts. Grants below it are inherited
-  /// from earlier holders. They are adopted if they run and given back if not.
+  /// Sets the attempts that the log grants to this worker. `aInheritedBefore`
+  /// is an end offset of the log observed at or after the lease was acquired;
+  /// empty until the log has been read up to it. Only the first value is used.
+  /// Grants below it are inherited from previous holders: running attempts are
+  /// adopted, the others are released.
   void SetGrants(const std::vector<GrantedAttempt>& aGrants,
                  std::optional<std::int64_t> aInheritedBefore);
 
-  /// The End record of this attempt was certainly not appended; it is issued
-  /// again.
+  /// The end record of this attempt was certainly not appended; the next Step
+  /// may return it again.
   void OnRecordDropped(const worker::TaskKey& aKey);
 
-  /// Checkpoints the attempt, and stops it when the checkpoint is complete or
-  /// at `aDeadline`.
+  /// Checkpoints the attempt and stops it as soon as the checkpoint is
+  /// complete, at the latest at `aDeadline`.
   void Evict(const worker::TaskKey& aKey, base::TimePoint aDeadline);
 
   /// Limits the attempt to `aPercent` of its processors.
   void Throttle(const worker::TaskKey& aKey, std::int64_t aPercent);
 
-  /// Starts nothing more; what runs is kept running.
+  /// Starts no further attempts; running attempts continue.
   void BeginDrain();
-  /// True if no command is in flight.
+  /// True if draining and no command is in flight.
   bool IsDrained(base::TimePoint aNow) const;
 
-  /// True while service calls may be sent: held, past the quiet period with a
-  /// report made after it, and neither draining nor leaving.
+  /// True while service calls may be sent: the lease is held, a poll sent after
+  /// the quiet period was answered, the runner is not draining and the worker
+  /// is not leaving.
   bool MaySendCalls(base::TimePoint aNow) const;
 
-  /// The commands and records that are due. Called after every event and at
-  /// least every 50 ms.
+  /// Returns the commands and records that are due. Called after every event
+  /// and at least every 50 ms.
   RunnerOutput Step(base::TimePoint aNow);
 
 private:
@@ -93,7 +94,7 @@
     CommandExpiry mExpiry;
     std::optional<CommandOutcome> mOutcome;
   };
-  /// The last command for an attempt, other than its start.
+  /// The last command for an attempt other than its start, or the last renewal.
   struct SentCommand
   {
     std::uint64_t mNumber = 0;
@@ -104,16 +105,16 @@
   struct Eviction
   {
     base::TimePoint mDeadline;
-    /// Newest checkpoint when the eviction began.
+    /// Newest checkpoint before the eviction requested one.
     std::optional<std::string> mBaseline;
     bool mStopping = false;
   };
   struct Attempt
   {
     std::optional<GrantedAttempt> mGrant;
-    /// From the last report, if the attempt is in it.
+    /// Empty if the last report does not contain the attempt.
     std::optional<worker::TaskReport> mReport;
-    /// Latest lease end that the worker may know.
+    /// Latest expiry of the task lease that the worker may have received.
     worker::WorkerTime mLeaseExpiresAt = 0;
     std::optional<StartState> mStart;
     std::optional<SentCommand> mLastCommand;
--- a/include/skylarkhill/holder/worker_clock.hpp
+++ b/include/skylarkhill/holder/worker_clock.hpp
@@ -8,28 +8,28 @@
 
 namespace skylarkhill::holder {
 
-/// Bounds on the difference between a worker's clock and the boot clock,
-/// learned from the send and receive times of answered polls.
+/// Bounds on the offset between a worker's clock and the local boot clock,
+/// derived from the send and receive times of answered polls.
 class WorkerClock
 {
 public:
-  /// `aMaxDriftPpm`: bound on the drift between the two clocks, in parts per
-  /// million.
+  /// `aMaxDriftPpm`: upper bound on the drift between the two clocks, in parts
+  /// per million.
   explicit WorkerClock(std::int64_t aMaxDriftPpm);
 
-  /// Narrows the bounds with a report that the worker made at `aWorkerNow`.
+  /// Narrows the bounds by a report that the worker created at `aWorkerNow`.
   void Observe(worker::WorkerTime aWorkerNow,
                base::TimePoint aSentAt,
                base::TimePoint aReceivedAt);
 
-  /// True after the first observation; the conversions need one.
+  /// True after the first observation. The conversions require it.
   bool IsKnown() const { return mKnown; }
 
-  /// A worker time that the worker's clock shows at `aDeadline` at the latest
-  /// possible difference; never later than `aDeadline`.
+  /// Lower bound of the worker's clock at `aDeadline`. The worker's clock
+  /// reaches it no later than `aDeadline`.
   worker::WorkerTime ToEarliestWorkerTime(base::TimePoint aDeadline) const;
 
-  /// A boot time at which the worker's clock has certainly reached `aTime`.
+  /// Upper bound of the boot time at which the worker's clock reaches `aTime`.
   base::TimePoint ToLatestBootTime(worker::WorkerTime aTime) const;
 
 private:
--- a/include/skylarkhill/tasks/string_pool.hpp
+++ b/include/skylarkhill/tasks/string_pool.hpp
@@ -9,7 +9,8 @@
 
 namespace skylarkhill::tasks {
 
-/// Stores strings that repeat often once. Strings are never removed.
+/// Interns strings: stores each distinct string once and refers to it by a
+/// handle. Strings are never removed.
 class StringPool
 {
 public:
@@ -22,9 +23,9 @@
   StringPool(const StringPool&) = delete;
   StringPool& operator=(const StringPool&) = delete;
 
-  /// The handle of `aText`, which is added if it is new.
+  /// Returns the handle of `aText`, which is added if it is new.
   Handle Intern(std::string_view aText);
-  /// The handle of `aText`, or kEmpty if it was never added.
+  /// Returns the handle of `aText`, or kEmpty if it was never added.
   Handle Find(std::string_view aText) const;
   const std::string& Get(Handle aHandle) const { return mTexts[aHandle]; }
 
--- a/include/skylarkhill/tasks/task_names.hpp
+++ b/include/skylarkhill/tasks/task_names.hpp
@@ -28,7 +28,7 @@
 bool
 IsEnded(TaskState aState);
 
-/// True for a state in which an attempt is bound to a worker.
+/// True for a state in which an attempt is assigned to a worker.
 bool
 HasLiveAttempt(TaskState aState);
 
--- a/include/skylarkhill/tasks/task_record.hpp
+++ b/include/skylarkhill/tasks/task_record.hpp
@@ -10,16 +10,16 @@
 
 namespace skylarkhill::tasks {
 
-/// Where a task is in its life.
+/// Lifecycle state of a task.
 enum class TaskState
 {
   /// No live attempt; may be granted.
   Queued,
-  /// An attempt is bound to a worker and not known to have started.
+  /// An attempt is assigned to a worker and not known to have started.
   Granted,
   Running,
   Checkpointing,
-  /// Like Queued, after an eviction.
+  /// Evicted and waiting for the next grant, like Queued.
   Evicted,
   Completed,
   Cancelled,
@@ -33,14 +33,15 @@
   Completed,
   Failed,
   Evicted,
-  /// The worker or its holder was lost; the lease has expired.
+  /// The worker was lost or restarted, or the task lease expired because no
+  /// holder renewed it.
   Lost,
   Cancelled,
-  /// Never started; the grant was given back.
+  /// The attempt never started and its grant was released.
   Released,
 };
 
-/// What a caller asked for; never changes after acceptance.
+/// A task as submitted; never changes after acceptance.
 struct TaskSpec
 {
   base::TaskId mTask;
@@ -48,7 +49,8 @@
   std::string mTeam;
   std::string mBatchClass;
   std::string mPool;
-  /// Identity of the submitting caller; only it or an operator may cancel.
+  /// The submitting caller. Only this caller or an operator may cancel the
+  /// task.
   std::string mCaller;
   base::Resources mDeclared;
   std::int64_t mDeclaredRunSeconds = 0;
@@ -81,7 +83,7 @@
   AttemptOutcome mOutcome = AttemptOutcome::Completed;
   /// Checkpoint that the next attempt resumes from; empty if there is none.
   std::string mCheckpoint;
-  /// Result of a completed attempt, or the reason of a failure.
+  /// Result of a completed attempt, or the reason for a failure.
   std::string mDetail;
 };
 
--- a/include/skylarkhill/tasks/task_snapshot.hpp
+++ b/include/skylarkhill/tasks/task_snapshot.hpp
@@ -12,13 +12,13 @@
 
 using platform::Offset;
 
-/// The whole state of one task at one offset.
+/// The complete state of one task at a log offset.
 struct TaskSnapshot
 {
   TaskSpec mSpec;
   TaskState mState = TaskState::Queued;
   Offset mAcceptedAt = 0;
-  /// Newest offset of a record about the task.
+  /// Offset of the newest record about the task.
   Offset mLastRecordAt = 0;
   /// Number of the newest attempt; 0 before the first grant.
   std::int64_t mLastAttempt = 0;
@@ -28,14 +28,15 @@
   base::WorkerId mWorker;
   /// Checkpoint that the next attempt resumes from.
   std::string mCheckpoint;
-  /// Result, or the reason of the last failure or quarantine.
+  /// Result, or the reason for the last failure or quarantine.
   std::string mDetail;
   std::int64_t mEvictions = 0;
   std::int64_t mFailures = 0;
-  /// Distinct workers on which an attempt failed, the oldest first.
+  /// Distinct workers on which an attempt failed, oldest failure first.
   std::vector<base::WorkerId> mFailedWorkers;
   bool mCancelRequested = false;
-  /// Quarantined while an attempt was live; takes effect when it ends.
+  /// Quarantine requested while an attempt is live; takes effect when the
+  /// attempt ends.
   bool mQuarantineRequested = false;
 };
 
--- a/include/skylarkhill/tasks/task_table.hpp
+++ b/include/skylarkhill/tasks/task_table.hpp
@@ -18,7 +18,7 @@
 
 namespace skylarkhill::tasks {
 
-/// A task that waits for a grant.
+/// A task that is waiting for a grant.
 struct QueuedTask
 {
   base::TaskId mTask;
@@ -45,21 +45,24 @@
   Offset mGrantedAt = 0;
 };
 
-/// What the live attempts of one team hold.
+/// Resources and number of the live attempts of one team.
 struct TeamUse
 {
   base::Resources mCommitted;
   std::int64_t mLiveAttempts = 0;
 };
 
-/// A live task and the offset from which the log alone restores it.
+/// A task that has not ended, and the log offset from which replay alone
+/// restores it.
 struct TaskReplayOffset
 {
   base::TaskId mTask;
   Offset mReplayFrom = 0;
 };
 
-/// Deterministic reducer of task records. Not thread-safe.
+/// State of all tasks, computed from the task records of the log: the same
+/// records in the same order give the same state. Ended tasks are kept as
+/// tombstones until their records expire. Not thread-safe.
 class TaskTable
 {
 public:
@@ -68,51 +71,54 @@
   TaskTable(const TaskTable&) = delete;
   TaskTable& operator=(const TaskTable&) = delete;
 
-  /// Applies one record; a record that its rule rejects is counted only.
+  /// Applies a record. An invalid state transition is only counted in
+  /// IgnoredRecords.
   void Apply(Offset aOffset, const TaskRecord& aRecord);
-  /// The same for a record whose writer had read everything before
-  /// `aReplayFrom`; an accepted task needs the log from there on.
+  /// The same for a record whose writer had read every record before
+  /// `aReplayFrom`, which becomes the replay offset of an accepted task.
   void Apply(Offset aOffset, const TaskRecord& aRecord, Offset aReplayFrom);
 
-  /// Remembers a record that must not take effect itself. Its task stays
-  /// unknown until a snapshot is applied, if it is unknown now.
+  /// Registers a record without applying it to its task. The record of an
+  /// unknown task is kept until a snapshot of the task is applied.
   void ApplyStale(Offset aOffset, const TaskRecord& aRecord);
 
-  /// Adds the task in the state it had after `aAsOf`, and applies the records
-  /// about it that were read since. The state of a known task is kept.
+  /// Adds the task in its state after the record at `aAsOf`, and applies the
+  /// kept records with later offsets. Of a known task, only the replay offset
+  /// changes.
   void ApplySnapshot(Offset aAsOf, const TaskSnapshot& aSnapshot);
 
   /// Adds a task or tombstone that was exported by another table.
   void Restore(const TaskSnapshot& aSnapshot, Offset aReplayFrom);
 
-  /// Forgets the tombstone of `aTask` if it has no record at or after
-  /// `aFirstRetained`.
+  /// Removes the tombstone or the kept records of `aTask` if no record about
+  /// the task is at or after `aFirstRetained`.
   void RemoveTombstone(const base::TaskId& aTask, Offset aFirstRetained);
 
-  /// Removes tombstones without a record at or after `aFirstRetained`.
+  /// Removes all tombstones and kept records of tasks that have no record at or
+  /// after `aFirstRetained`.
   void Purge(Offset aFirstRetained);
 
-  /// False if no retained record is about the task, so that an accept record
-  /// may create it.
+  /// True if a retained record refers to the task. An accept record creates
+  /// only unknown tasks.
   bool IsKnown(const base::TaskId& aTask) const;
   std::optional<TaskSnapshot> Find(const base::TaskId& aTask) const;
-  /// Offset from which the log alone is enough to restore the live task.
+  /// Log offset from which replay alone restores the task.
   std::optional<Offset> FindReplayOffset(const base::TaskId& aTask) const;
-  /// Up to `aLimit` tasks: urgent ones first, then in order of acceptance and
-  /// of id.
+  /// Up to `aLimit` queued tasks: urgent tasks first, then by acceptance offset
+  /// and id.
   std::vector<QueuedTask> Queued(std::size_t aLimit) const;
-  /// In order of acceptance, then of id.
+  /// Live attempts on `aWorker`, by acceptance offset and id.
   std::vector<LiveAttempt> GrantsOn(const base::WorkerId& aWorker) const;
   std::map<std::string, TeamUse> TeamUses() const;
-  /// Workers with at least one live attempt, in order of id.
+  /// Workers with at least one live attempt, by id.
   std::vector<base::WorkerId> WorkersWithGrants() const;
-  /// Up to `aLimit` live tasks with a base before `aBefore`, the oldest base
-  /// first.
+  /// Up to `aLimit` tasks that have not ended and whose replay offset is before
+  /// `aBefore`, lowest offset first.
   std::vector<TaskReplayOffset> OldestReplayOffsets(Offset aBefore,
                                                     std::size_t aLimit) const;
-  /// Records about tasks that are not known, in order per task.
+  /// Kept records of unknown tasks, in log order for each task.
   std::vector<std::pair<Offset, TaskRecord>> UnmatchedRecords() const;
-  /// All tasks and tombstones, in order of acceptance, then of id.
+  /// All tasks and tombstones, by acceptance offset and id.
   std::vector<base::TaskId> All() const;
 
   std::size_t CountLive() const { return mByReplayOffset.size(); }
@@ -120,9 +126,9 @@
   std::size_t CountEnded() const { return mEnded.size(); }
   std::int64_t IgnoredRecords() const { return mIgnoredRecords; }
 
-  /// Equal for two tables with the same live tasks.
+  /// Hash of all tasks that have not ended; equal for equal tasks.
   std::uint64_t LiveDigest() const;
-  /// Equal for two tables with the same live tasks and tombstones.
+  /// Hash of all tasks and tombstones; equal for equal tables.
   std::uint64_t Digest() const;
 
 private:
@@ -131,7 +137,7 @@
   {
     bool operator()(const Entry* aLeft, const Entry* aRight) const;
   };
-  /// Urgent tasks first, then in order of acceptance.
+  /// Urgent tasks first, then by acceptance offset.
   struct ByQueueOrder
   {
     bool operator()(const Entry* aLeft, const Entry* aRight) const;
@@ -145,8 +151,8 @@
     bool operator()(const Entry* aLeft, const Entry* aRight) const;
   };
   using EntrySet = std::set<Entry*, ByAcceptance>;
-  /// Records about a task that is not known, e.g. because its accept record
-  /// expired before this reader started.
+  /// Records of an unknown task, e.g. one whose accept record expired before
+  /// this reader started.
   using Unmatched = std::vector<std::pair<Offset, TaskRecord>>;
 
   Entry* FindEntry(const base::TaskId& aTask) const;
@@ -174,7 +180,7 @@
   std::int64_t mIgnoredRecords = 0;
 };
 
-/// The task that `aRecord` is about.
+/// The task that `aRecord` refers to.
 const base::TaskId&
 TaskOf(const TaskRecord& aRecord);
 
