Rename locals and StepAbsent in the ledger and the task runner

over -> expired (Ledger, expiry of starts and calls) over -> ended (Ledger, trusted usage) over -> finished (TaskRunner::MaySend) TaskRunner::StepAbsent -> StepUnreported

--- a/include/skylarkhill/holder/task_runner.hpp
+++ b/include/skylarkhill/holder/task_runner.hpp
@@ -138,7 +138,7 @@
   void StepAttempt(Entry& aEntry, base::TimePoint aNow);
   void StepRunning(Entry& aEntry, base::TimePoint aNow);
   void StepEnded(Entry& aEntry, base::TimePoint aNow);
-  void StepAbsent(Entry& aEntry, base::TimePoint aNow);
+  void StepUnreported(Entry& aEntry, base::TimePoint aNow);
   void StepEviction(Entry& aEntry, base::TimePoint aNow);
   bool ResolveStart(Entry& aEntry, base::TimePoint aNow);
   void TryStart(Entry& aEntry, base::TimePoint aNow);
--- a/src/holder/ledger.cpp
+++ b/src/holder/ledger.cpp
@@ -64,30 +64,30 @@
     }
   }
   for (auto it = mStarts.begin(); it != mStarts.end();) {
-    const bool over = IsPastExpiry(it->second.mExpiry, aPoll);
-    it = over ? mStarts.erase(it) : std::next(it);
+    const bool expired = IsPastExpiry(it->second.mExpiry, aPoll);
+    it = expired ? mStarts.erase(it) : std::next(it);
   }
   for (auto it = mTrustedUsage.begin(); it != mTrustedUsage.end();) {
-    const bool over = mRunning.count(it->first) == 0;
-    it = over ? mTrustedUsage.erase(it) : std::next(it);
+    const bool ended = mRunning.count(it->first) == 0;
+    it = ended ? mTrustedUsage.erase(it) : std::next(it);
   }
 }
 
 void
 Ledger::ApplyCalls(const PollResult& aPoll)
 {
-  std::vector<CallNumber> over;
+  std::vector<CallNumber> expired;
   for (const auto& it : mCalls) {
     if (it.second.mLost && IsPastExpiry(it.second.mExpiry, aPoll)) {
-      over.push_back(it.first);
+      expired.push_back(it.first);
     }
   }
   // The report counts busy slots without naming calls. Any of them may be a
   // lost call, so as many lost calls keep their slot.
   const auto busy = static_cast<std::size_t>(
     std::max<std::int64_t>(0, aPoll.mReport.mSlotsBusy));
-  for (std::size_t n = busy; n < over.size(); ++n) {
-    mCalls.erase(over[n]);
+  for (std::size_t n = busy; n < expired.size(); ++n) {
+    mCalls.erase(expired[n]);
   }
 }
 
--- a/src/holder/task_runner.cpp
+++ b/src/holder/task_runner.cpp
@@ -179,8 +179,8 @@
     return true;
   }
   const SentCommand& sent = *aAttempt.mLastCommand;
-  const bool over = sent.mAnswered || aNow >= sent.mDeadline;
-  return over && mLastPoll->mSentAt > sent.mSentAt;
+  const bool finished = sent.mAnswered || aNow >= sent.mDeadline;
+  return finished && mLastPoll->mSentAt > sent.mSentAt;
 }
 
 bool
@@ -251,7 +251,7 @@
 {
   const Attempt& attempt = aEntry.second;
   if (!attempt.mReport) {
-    StepAbsent(aEntry, aNow);
+    StepUnreported(aEntry, aNow);
   } else if (IsRunning(*attempt.mReport)) {
     StepRunning(aEntry, aNow);
   } else {
@@ -345,7 +345,7 @@
 }
 
 void
-TaskRunner::StepAbsent(Entry& aEntry, base::TimePoint aNow)
+TaskRunner::StepUnreported(Entry& aEntry, base::TimePoint aNow)
 {
   Attempt& attempt = aEntry.second;
   if (!attempt.mGrant || attempt.mEndSent || !IsReady()) {
