--- a/src/holder/holder_random_test.cpp
+++ b/src/holder/holder_random_test.cpp
@@ -14,8 +14,8 @@
 using Variant = testing::HolderVariant;
 
 constexpr std::uint64_t kSeeds = 30;
-// The quiet period is missed by all but about one seed in 55.
 constexpr std::size_t kMinTasksDonePerSeed = 25;
+// About one seed in 55 detects the missing quiet period.
 constexpr std::uint64_t kMaxSearchedSeeds = 400;
 
 class HolderRandomTest : public CppUnit::TestFixture
@@ -36,8 +36,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against every violation that needs no late message; the workers
-  // check nothing at all.
+  // Guards against violations that occur although no message exceeds the
+  // maximum delay. The workers do not check not_after.
   void NoViolationWithBoundedDelays()
   {
     Variant variant;
@@ -45,7 +45,7 @@
     ExpectNoViolation(variant);
   }
 
-  // Guards against stale commands that outlive the quiet period.
+  // Guards against stale commands that arrive after the quiet period.
   void NoViolationWithLateMessages()
   {
     Variant variant;
@@ -53,7 +53,7 @@
     ExpectNoViolation(variant);
   }
 
-  // Guards against records that were true when they were sent only.
+  // Guards against records that are no longer valid when the log appends them.
   void NoViolationWithSlowLog()
   {
     Variant variant;
@@ -62,17 +62,18 @@
     ExpectNoViolation(variant);
   }
 
-  // Guards against a holder that a restarted worker has forgotten.
+  // Guards against a holder whose lease was lost in a restart of the worker.
   void NoViolationAfterWorkerRestarts()
   {
     Variant variant;
     variant.mWorkerChecksNotAfter = false;
     variant.mWorkersForget = true;
-    // The long quiet periods leave less time.
+    // Long quiet periods leave less time to complete tasks.
     ExpectNoViolation(variant, 15);
   }
 
-  // The following show that the runs above depend on each mechanism.
+  // The following tests show that each mechanism is necessary: without it, the
+  // random runs find a violation.
   void FindsMissingVerification()
   {
     Variant variant;
@@ -111,7 +112,7 @@
     ExpectViolation(variant);
   }
 
-  // A process that is paused between the decision and the send.
+  // The process is paused between the decision to send a command and the send.
   void FindsMissingCheckBeforeSend()
   {
     Variant variant;
@@ -120,8 +121,8 @@
     ExpectViolation(variant);
   }
 
-  // A release or cancellation by the previous holder that the log appends
-  // after the new holder started the attempt.
+  // The log appends a release or cancellation by the previous holder after the
+  // new holder started the attempt.
   void FindsStartOfInheritedGrants()
   {
     Variant variant;
@@ -130,7 +131,8 @@
     ExpectViolation(variant);
   }
 
-  // A forgotten holder that acts until its deadline.
+  // A holder whose lease a restarted worker has lost sends commands until its
+  // deadline.
   void FindsShortQuietPeriodAfterRestarts()
   {
     Variant variant;
@@ -154,7 +156,7 @@
       CPPUNIT_ASSERT_MESSAGE(text, run.mViolation.empty());
       done += run.mTasksDone;
     }
-    // A holder that never starts anything violates nothing.
+    // A holder that starts no task causes no violation either.
     CPPUNIT_ASSERT_MESSAGE("tasks done: " + std::to_string(done),
                            done > kSeeds * aMinTasksDonePerSeed);
   }
@@ -168,7 +170,7 @@
         return;
       }
     }
-    CPPUNIT_FAIL("no seed finds the missing mechanism");
+    CPPUNIT_FAIL("no seed detects the missing mechanism");
   }
 };
 
--- a/src/holder/lease_machine.cpp
+++ b/src/holder/lease_machine.cpp
@@ -18,11 +18,11 @@
   { LeaseState::Releasing, "releasing" },
 } };
 
-// A failed renewal is repeated well before the next regular one, so that one
-// lost message does not consume most of the lease.
+// A failed renewal is retried after a fraction of the renew interval, so that
+// one lost message does not use up most of the lease.
 constexpr int kRetriesPerRenewInterval = 4;
 
-// The margin bounds the drift during one lease, which gives the rate.
+// The clock margin is the maximum drift during one lease length.
 std::int64_t
 MaxDriftPpm(const LeaseOptions& aOptions)
 {
@@ -73,8 +73,8 @@
                        const base::Result<worker::WorkerReport>& aReport,
                        base::TimePoint aNow)
 {
-  // An answer that is handled after the deadline must not extend the lease:
-  // another instance may have held the worker in between.
+  // An answer handled after the deadline must not extend the lease, because
+  // another instance may have held the worker in the meantime.
   if (IsLeaseExpired(aNow)) {
     EndLease(LeaseState::Lost, aNow);
     return;
@@ -145,8 +145,8 @@
 bool
 LeaseMachine::IsOtherLeaseIn(const worker::WorkerReport& aReport) const
 {
-  // An older lease of this instance is no competitor: its epoch is never used
-  // again, and the quiet period covers the commands sent under it.
+  // Older leases of this instance do not count: their epochs are never reused,
+  // and commands sent under them arrive before the quiet period ends.
   return std::any_of(aReport.mHolders.begin(),
                      aReport.mHolders.end(),
                      [this](const auto& aLease) {
@@ -231,7 +231,8 @@
   ++mLargestEpoch;
   mToken.mEpoch = mLargestEpoch;
   mState = LeaseState::Placing;
-  // Counted from the send time: the worker counts from the later receipt.
+  // Counted from the send time, which is before the worker's receive time, so
+  // that the lease ends here before it ends on the worker.
   mDeadline = aNow + mOptions.mLeaseLength - mOptions.mClockMargin;
   SendPlace(aNow);
 }
@@ -246,8 +247,8 @@
     return;
   }
   mState = LeaseState::Held;
-  // Earlier holders' leases had expired when the worker made this list, so
-  // they sent nothing after that. What they had sent may still arrive.
+  // The leases of previous holders had expired when the worker created this
+  // list, so they send nothing more. Commands sent earlier may still arrive.
   mQuietPeriodEnd = aNow + mOptions.mQuietPeriod;
   mConfirmed = false;
   mNextSend = aNow;
@@ -263,9 +264,10 @@
     EndLease(LeaseState::Lost, aNow);
     return;
   }
-  // A worker that restarted has forgotten the lease of its holder, whose next
-  // renewal puts it back. The newer of the two holders is in its quiet period
-  // and yields, because it has started nothing.
+  // A restarted worker has lost the lease of its holder until that holder's
+  // next renewal restores it. If a second holder acquired the worker in
+  // between, it is still in its quiet period and has started nothing, so it
+  // releases.
   if (!mConfirmed && IsOtherLeaseIn(aReport)) {
     EndLease(LeaseState::Releasing, aNow);
     return;
@@ -301,7 +303,7 @@
   }
   mState = aState;
   mFreeSince.reset();
-  // The random part keeps instances that collided from colliding again.
+  // Random backoff, so that instances that collided do not collide again.
   mNextSend =
     aNow + mRandom.Between(mOptions.mBackoffLow, mOptions.mBackoffHigh);
   StartRequest(aNow);
--- a/src/holder/lease_machine_test.cpp
+++ b/src/holder/lease_machine_test.cpp
@@ -46,7 +46,8 @@
     CPPUNIT_ASSERT(mMachine->QuietPeriodEnd() == mNow + mOptions.mQuietPeriod);
   }
 
-  // Guards against two holders that both keep a lease after a collision.
+  // Guards against two instances that both hold the worker after they placed
+  // their leases at the same time.
   void BacksOffAfterCollision()
   {
     mMachine->SetPreferred(true);
@@ -63,8 +64,8 @@
     CPPUNIT_ASSERT(NextAction<PlaceLease>().mToken.mEpoch > kOther.mEpoch);
   }
 
-  // Guards against instances that compete for a worker whose preferred holder
-  // is about to acquire it.
+  // Guards against non-preferred instances that place a lease before the
+  // preferred holder can.
   void WaitsForTheTakeoverDelay()
   {
     Answer(NextAction<ReadHolders>(), { kOther });
@@ -78,8 +79,8 @@
     CPPUNIT_ASSERT(mMachine->State() == LeaseState::Placing);
   }
 
-  // Guards against a lease that is counted from the receipt of the answer,
-  // and against one that is extended by unanswered renewals.
+  // Guards against a deadline that counts from the receipt of the answer, and
+  // against one that unanswered renewals extend.
   void DeadlineCountsFromSendTime()
   {
     AcquireLease();
@@ -98,8 +99,8 @@
     CPPUNIT_ASSERT(!mMachine->MaySendCommands(end));
   }
 
-  // Guards against a paused process that continues with an expired lease
-  // because an old answer is handled first.
+  // Guards against a paused process that extends its expired lease when it
+  // handles an old answer after the pause.
   void PauseBeyondTheDeadlineLosesTheLease()
   {
     AcquireLease();
@@ -117,7 +118,8 @@
                    renewal.mToken.mEpoch);
   }
 
-  // Guards against two holders of a worker that restarted and forgot the first.
+  // Guards against two holders of a worker that lost the first lease in a
+  // restart.
   void NewHolderYieldsInItsQuietPeriod()
   {
     AcquireLease();
@@ -135,7 +137,8 @@
     CPPUNIT_ASSERT(mMachine->MaySendCommands(mNow));
   }
 
-  // Guards against a holder that goes on although the worker refused its lease.
+  // Guards against a holder that continues although the worker's holder list no
+  // longer contains its lease.
   void UnlistedLeaseIsLost()
   {
     AcquireLease();
@@ -157,8 +160,8 @@
     }
   }
 
-  // Guards against a not_after that the worker reaches after the deadline.
-  // The worker's clock is 500 s ahead and 1% fast.
+  // Guards against a not_after that the worker's clock reaches after the
+  // deadline. Here, this clock is 500 s ahead and 1% fast.
   void ConvertedTimeIsNeverTooLate()
   {
     const auto workerTime = [](base::TimePoint aTime) {
--- a/src/holder/ledger.cpp
+++ b/src/holder/ledger.cpp
@@ -42,8 +42,8 @@
   mLastPollSentAt = aPoll.mSentAt;
   mCapacity = report.mCapacity;
   mCallCapacity = { report.mSlots, report.mConnections };
-  // Before the first own call, every busy slot is inherited; afterwards the
-  // inherited ones only become fewer, because only the holder starts calls.
+  // Before this holder's first call, all busy slots are inherited. After it,
+  // their number can only decrease, because only the holder starts calls.
   mInheritedBusySlots = mHasCalled
                           ? std::min(mInheritedBusySlots, report.mSlotsBusy)
                           : report.mSlotsBusy;
@@ -82,8 +82,8 @@
       expired.push_back(it.first);
     }
   }
-  // The report counts busy slots without naming calls. Any of them may be a
-  // lost call, so as many lost calls keep their slot.
+  // The report contains only the number of busy slots. Each of them may belong
+  // to a lost call, so one expired call per busy slot is kept.
   const auto busy = static_cast<std::size_t>(
     std::max<std::int64_t>(0, aPoll.mReport.mSlotsBusy));
   for (std::size_t n = busy; n < expired.size(); ++n) {
--- a/src/holder/ledger_test.cpp
+++ b/src/holder/ledger_test.cpp
@@ -29,7 +29,7 @@
     CPPUNIT_ASSERT(!ledger.BeginCall(1, {}));
   }
 
-  // Guards against overcommitment by a start whose answer was lost (P1).
+  // Guards against overcommitment after the answer to a start was lost.
   void UnknownStartIsCountedUntilItExpires()
   {
     Ledger ledger;
@@ -60,8 +60,8 @@
     CPPUNIT_ASSERT(ledger.Committed() == (base::Resources{ 600, 0, 0 }));
   }
 
-  // Guards against estimates above the capacity, which would make the
-  // committed capacity exceed the worker.
+  // Guards against a committed capacity above the worker's capacity because of
+  // an estimate that is too high.
   void UsageEstimateIsCappedByCapacity()
   {
     Ledger ledger;
@@ -88,7 +88,7 @@
     CPPUNIT_ASSERT(!ledger.Fits({ 1, 0, 0 }));
   }
 
-  // Guards against a second request on a slot that a lost one still uses.
+  // Guards against a second call in a slot that a lost call still occupies.
   void LostCallKeepsItsSlot()
   {
     Ledger ledger;
@@ -108,12 +108,12 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t(2), ledger.FreeCallCapacity().mSlots);
   }
 
-  // Guards against slots given twice after a change of holder.
+  // Guards against double use of slots after a change of holder.
   void InheritedCallsKeepTheirSlots()
   {
     Ledger ledger;
     ledger.ApplyReport(MakePoll(9, {}));
-    // Sent by the previous holder, arrived after the first report.
+    // Calls sent by the previous holder that arrived after the first report.
     PollResult busy = MakePoll(10, {});
     busy.mReport.mSlotsBusy = 2;
     ledger.ApplyReport(busy);
--- a/src/holder/task_command.cpp
+++ b/src/holder/task_command.cpp
@@ -8,8 +8,8 @@
   if (aResult) {
     return CommandOutcome::Ok;
   }
-  // A command that was not sent or came too late is treated like one of
-  // unknown outcome: both are repeated once a report shows that it is safe.
+  // A command that was not sent or arrived too late counts as Unknown as well:
+  // it is repeated as soon as a report shows that this is safe.
   return aResult.error().mKind == base::ErrorKind::WorkerRefused
            ? CommandOutcome::Refused
            : CommandOutcome::Unknown;
--- a/src/holder/task_runner.cpp
+++ b/src/holder/task_runner.cpp
@@ -149,8 +149,8 @@
   return std::exchange(mOutput, {});
 }
 
-// Commands of earlier holders may take effect until the quiet period is over,
-// so only a poll sent after it shows what really runs.
+// Commands of previous holders may take effect until the quiet period ends, so
+// only a poll sent after it shows which tasks run.
 bool
 TaskRunner::IsQuietPeriodOver() const
 {
@@ -170,8 +170,8 @@
   return wanted && aAttempt.mReport && IsRunning(*aAttempt.mReport);
 }
 
-// A command is repeated only if a poll sent after it shows that it is still
-// needed.
+// A command is repeated only after a later poll has shown that it is still
+// necessary.
 bool
 TaskRunner::MaySend(const Attempt& aAttempt, base::TimePoint aNow) const
 {
@@ -194,9 +194,9 @@
   return starting || sending;
 }
 
-// Proof of loss while the worker does not answer: since the quiet period nobody
-// but this holder could have renewed the task, and the worker stops a task
-// whose lease has lapsed.
+// True if the attempt has certainly stopped, even if the worker does not
+// answer: the worker stops a task whose lease has expired, and since the quiet
+// period only this holder could have renewed it.
 bool
 TaskRunner::IsTaskLeaseExpired(const Attempt& aAttempt,
                                base::TimePoint aNow) const
@@ -316,8 +316,8 @@
 {
   Attempt& attempt = aEntry.second;
   if (!attempt.mGrant) {
-    // The end record was read back. While a copy of the start may still
-    // arrive, the worker has to remember the attempt.
+    // The log contains the end record. The worker must keep the attempt while
+    // a copy of the start command may still arrive.
     const bool expired =
       !attempt.mStart || IsPastExpiry(attempt.mStart->mExpiry, *mLastPoll);
     if (IsReady() && expired && MaySend(attempt, aNow)) {
@@ -354,8 +354,8 @@
   if (!ResolveStart(aEntry, aNow)) {
     return;
   }
-  // A worker keeps ended attempts until they are acknowledged, so an attempt
-  // that ran and is not listed was lost in a restart of the worker.
+  // A worker reports ended attempts until they are acknowledged, so an attempt
+  // that ran and is not reported was lost in a restart of the worker.
   if (attempt.mWasReported || attempt.mGrant->mStarted) {
     AppendEndWithoutReport(aEntry, tasks::AttemptOutcome::Lost);
     return;
@@ -364,9 +364,9 @@
     AppendEndWithoutReport(aEntry, tasks::AttemptOutcome::Cancelled);
     return;
   }
-  // The previous holder may have sent an End record for a grant that it did
-  // not start, and the log may still take any time to append it. Nobody starts
-  // such a grant, so that the record stays true.
+  // The previous holder may have sent an end record for a grant that it did not
+  // start, and the log may append it at any later time. Inherited grants are
+  // never started, so that this record stays valid.
   const bool inherited = attempt.mGrant->mGrantedOffset < *mInheritedBefore;
   if (inherited || attempt.mEviction || mLastPoll->mReport.mLeaving) {
     AppendEndWithoutReport(aEntry, tasks::AttemptOutcome::Released);
@@ -377,7 +377,7 @@
   }
 }
 
-// True if no start is in flight and the attempt is still open.
+// True if no start command is in flight and the attempt has not ended.
 bool
 TaskRunner::ResolveStart(Entry& aEntry, base::TimePoint aNow)
 {
--- a/src/holder/task_runner_test.cpp
+++ b/src/holder/task_runner_test.cpp
@@ -13,7 +13,7 @@
 using worker::TaskPhase;
 
 const worker::TaskKey kTask{ { "a" }, 1 };
-// End of the log that was observed after the acquisition.
+// End offset of the log, observed after the lease was acquired.
 constexpr std::int64_t kLogEnd = 100;
 
 class TaskRunnerTest : public CppUnit::TestFixture
@@ -57,7 +57,8 @@
     mRunner = std::make_unique<TaskRunner>(*mLease, *mLedger, mOptions);
   }
 
-  // Guards against a start beside a late start of the previous holder (P2).
+  // Guards against two runs of a task because a start command of the previous
+  // holder arrives late.
   void StartsNothingInTheQuietPeriod()
   {
     mRunner->SetGrants({ Grant() }, kLogEnd);
@@ -75,7 +76,8 @@
     CPPUNIT_ASSERT(Poll().mCommands.empty());
   }
 
-  // Guards against a start of an attempt whose end the previous holder wrote.
+  // Guards against a start of an attempt for which the previous holder has
+  // appended an end record.
   void AdoptsButStartsNothingBeforeTheLogIsRead()
   {
     EndQuietPeriod();
@@ -88,8 +90,8 @@
     CPPUNIT_ASSERT(FirstCommand<RenewTasks>(output).mTasks.front() == kTask);
   }
 
-  // Guards against a start beside an End record of the previous holder that
-  // the log appends later (P2).
+  // Guards against a start of an attempt for which the log later appends an end
+  // record of the previous holder.
   void ReleasesInheritedGrants()
   {
     EndQuietPeriod();
@@ -125,7 +127,8 @@
     ExpectEnd(Poll(), AttemptOutcome::Released);
   }
 
-  // Guards against an ended or never granted attempt that runs on (P2, P3).
+  // Guards against an attempt that continues to run although it has ended in
+  // the log or was never granted.
   void StopsTasksWithoutAGrant()
   {
     EndQuietPeriod();
@@ -141,7 +144,7 @@
     CPPUNIT_ASSERT(FirstCommand<AcknowledgeTask>(output).mTask == kTask);
   }
 
-  // Guards against a stop before the checkpoint is complete (P3).
+  // Guards against a stop before the checkpoint is complete.
   void EvictsAfterACompleteCheckpoint()
   {
     Run();
@@ -200,8 +203,8 @@
     ExpectEnd(Poll(), AttemptOutcome::Cancelled);
   }
 
-  // Guards against a result that is lost because the worker forgot it before
-  // the log had it.
+  // Guards against the loss of a result that the worker discards before the log
+  // contains it.
   void AcknowledgesOnlyLoggedEnds()
   {
     Run();
@@ -238,7 +241,7 @@
     ExpectEnd(Poll(), AttemptOutcome::Released);
   }
 
-  // Guards against a planned stop that interrupts batch work (P8).
+  // Guards against a planned stop of an instance that interrupts batch work.
   void DrainKeepsTasksRunning()
   {
     Run();
@@ -253,7 +256,7 @@
     CPPUNIT_ASSERT(mRunner->IsDrained(mNow));
   }
 
-  // Only while the holder lease outlives the task's lease.
+  // Possible only if the task lease expires before the holder lease.
   void ExpiredTaskLeaseEndsTheAttempt()
   {
     Run();
@@ -266,7 +269,8 @@
     ExpectEnd(mRunner->Step(mNow + milliseconds(500)), AttemptOutcome::Lost);
   }
 
-  // Guards against a second run of tasks on a worker that is only cut off.
+  // Guards against a second run of tasks while their worker is only
+  // unreachable.
   void LostWorkerIsDeclaredAfterTheTaskLease()
   {
     LostWorker lost{ mNow, mNow + seconds(5), { Grant() } };
@@ -313,7 +317,7 @@
     mReport.mTasks = { task };
   }
 
-  /// Carries the machine's requests out at a worker without delay.
+  /// Executes the lease machine's requests on a simulated worker without delay.
   void StepLease()
   {
     for (const auto& it : mLease->Step(mNow)) {
@@ -329,7 +333,7 @@
     }
   }
 
-  /// Renews the lease, delivers a new report and returns what follows.
+  /// Renews the lease, delivers a new report and returns the runner's output.
   RunnerOutput Poll()
   {
     mNow += milliseconds(1);
--- a/src/holder/worker_clock.cpp
+++ b/src/holder/worker_clock.cpp
@@ -25,7 +25,7 @@
   const std::int64_t drift = Drift(aReceivedAt);
   const std::int64_t oldLow = mLow - drift;
   const std::int64_t oldHigh = mHigh + drift;
-  // Bounds that do not overlap mean that the worker's clock was set.
+  // If the bounds do not overlap, the worker's clock was adjusted.
   const bool disjoint = low > oldHigh || high < oldLow;
   const bool replace = !mKnown || disjoint;
   mLow = replace ? low : std::max(low, oldLow);
--- a/src/tasks/task_table.cpp
+++ b/src/tasks/task_table.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-// Bounds the size of a task that fails everywhere; the quarantine rule needs
-// three workers.
+// Bounds the memory of a task that fails on every worker; quarantine needs only
+// three.
 constexpr std::size_t kMaxFailedWorkers = 16;
 
 std::uint64_t
@@ -85,8 +85,8 @@
     return true;
   }
 
-  // The end record decides the outcome of a task that was to be cancelled or
-  // quarantined while the attempt was live.
+  // If a cancellation or quarantine was requested while the attempt was live,
+  // the outcome in the end record determines the final state.
   TaskState StateAfter(AttemptOutcome aOutcome) const
   {
     if (aOutcome == AttemptOutcome::Completed) {
@@ -128,8 +128,8 @@
     if (aRecord.mOutcome == AttemptOutcome::Evicted) {
       ++mEvictions;
     }
-    // An attempt that ended without a checkpoint of its own, e.g. because its
-    // worker was lost, leaves the checkpoint it was started from.
+    // If the attempt ended without a new checkpoint, e.g. because its worker
+    // was lost, the checkpoint from which it started is kept.
     if (!aRecord.mCheckpoint.empty()) {
       mCheckpoint = aRecord.mCheckpoint;
     }
@@ -351,8 +351,8 @@
                   const AcceptRecord& aRecord,
                   Offset aReplayFrom)
 {
-  // A task with unmatched records existed before this reader's first record,
-  // so this is a repeat of an accept record that has expired.
+  // A task with unmatched records was accepted before this reader's first
+  // record, so this record is a duplicate of an expired accept record.
   if (IsKnown(aRecord.mSpec.mTask)) {
     ApplyStale(aOffset, aRecord);
     return;
@@ -414,8 +414,8 @@
 {
   Entry& entry = *FindEntry(TaskOf(aRecord));
   RemoveFromIndexes(entry);
-  // An ignored record counts as well: a reader that starts later and sees only
-  // that record must keep the id reserved for as long as this one does.
+  // Ignored records count as well: a reader that starts later and reads only
+  // that record must keep the task id reserved for the same time.
   entry.mLastRecordAt = std::max(entry.mLastRecordAt, aOffset);
   if (!Update(mPool, entry, aRecord)) {
     ++mIgnoredRecords;
--- a/src/tasks/task_table_test.cpp
+++ b/src/tasks/task_table_test.cpp
@@ -69,8 +69,8 @@
     mTable.Apply(mNextOffset++, aRecord);
   }
 
-  // Guards against an urgent task that a long queue hides from the scheduler,
-  // which looks at the first tasks only.
+  // Guards against urgent tasks that the scheduler does not see because it
+  // reads only the first tasks of a long queue.
   void QueuesUrgentTasksFirst()
   {
     Accept("a");
@@ -98,13 +98,13 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t(2), mTable.IgnoredRecords());
   }
 
-  // Guards against two live attempts and against an attempt number that is
-  // granted twice.
+  // Guards against two live attempts of a task and against an attempt number
+  // that is granted twice.
   void GrantsOnlyTheNextAttemptOfAnOpenTask()
   {
     Grant("a", 1);
     Accept("a");
-    CPPUNIT_ASSERT_MESSAGE("repeat of an expired accept",
+    CPPUNIT_ASSERT_MESSAGE("duplicate of an expired accept record",
                            !mTable.Find({ "a" }).has_value());
     Accept("b");
     Grant("b", 2);
@@ -124,7 +124,7 @@
     CPPUNIT_ASSERT(StateOf("b") == TaskState::Granted);
   }
 
-  // Guards against a resume that loses the checkpoint or happens twice.
+  // Guards against a task that loses its checkpoint or is resumed twice.
   void ResumesOnceFromTheLastCheckpoint()
   {
     Accept("a");
@@ -143,8 +143,8 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t(2), task.mLastAttempt);
   }
 
-  // Guards against a cancellation that overrides the attempt's own outcome, or
-  // that leaves the task open after the attempt.
+  // Guards against a cancellation that replaces the outcome of a completed or
+  // failed attempt, or that leaves the task open after its attempt has ended.
   void CancelsAtOnceOrAtTheEndOfTheAttempt()
   {
     const std::vector<std::pair<AttemptOutcome, TaskState>> outcomes{
@@ -172,7 +172,7 @@
     }
   }
 
-  // Guards against an impossible job that is granted for ever.
+  // Guards against endless grants of a task that fails on every worker.
   void QuarantineStopsFurtherGrants()
   {
     Accept("a");
@@ -220,8 +220,8 @@
                          mTable.OldestReplayOffsets(7, 9).front().mTask.mValue);
   }
 
-  // Guards against readers that started at different times and disagree on
-  // whether a repeated accept begins a new task.
+  // Guards against readers that, because they started at different times,
+  // disagree on whether a duplicate accept record creates a new task.
   void KeepsTombstonesWhileARecordIsRetained()
   {
     mTable.Apply(1, MakeAccept("a"));
@@ -234,8 +234,8 @@
     CPPUNIT_ASSERT(!mTable.Find({ "a" }).has_value());
   }
 
-  // Guards against the loss of records that a reader met before the snapshot
-  // of their task, because the accept record had expired.
+  // Guards against the loss of records that a reader reads before the snapshot
+  // of their task, because it started after the accept record had expired.
   void AppliesRecordsReadBeforeASnapshot()
   {
     mTable.Apply(1, MakeAccept("a"));
@@ -283,8 +283,9 @@
     }
   }
 
-  // Guards against an index that keeps or misses a task after some order of
-  // records, and against a result that depends on more than the records.
+  // Guards against indexes that contain wrong tasks or miss tasks after some
+  // sequence of records, and against a state that depends on anything else than
+  // the records.
   void KeepsIndexesConsistentUnderRandomRecords()
   {
     for (std::uint64_t seed = 1; seed <= 200; ++seed) {
@@ -316,7 +317,7 @@
     }
   }
 
-  // Guards against a table that exceeds the memory of an entry instance.
+  // Guards against a table that needs more memory than an entry instance has.
   void MemoryPerTaskIsBounded()
   {
     constexpr std::int64_t kTasks = 111'000;
