--- a/include/skylarkhill/holder/lease_machine.hpp
+++ b/include/skylarkhill/holder/lease_machine.hpp
@@ -171,8 +171,8 @@
   void HandleRenewal(const worker::WorkerReport& aReport,
                      const Request& aRequest,
                      base::TimePoint aNow);
-  void SendRead(base::TimePoint aNow);
-  void SendPlace(base::TimePoint aNow);
+  void SendReadHolders(base::TimePoint aNow);
+  void SendPlaceLease(base::TimePoint aNow);
   void EndLease(LeaseState aState, base::TimePoint aNow);
   void StartRequest(base::TimePoint aNow);
 
@@ -190,7 +190,7 @@
   bool mConfirmed = false;
   /// When the next scan or renewal is due.
   base::TimePoint mNextSend;
-  std::optional<base::TimePoint> mFreeSince;
+  std::optional<base::TimePoint> mUnheldSince;
   std::uint64_t mLastRequest = 0;
   std::optional<Request> mOutstanding;
   WorkerClock mClock;
--- a/src/holder/lease_machine.cpp
+++ b/src/holder/lease_machine.cpp
@@ -125,10 +125,10 @@
   }
   const bool due = !mOutstanding && aNow >= mNextSend;
   if (due && mState == LeaseState::NotHeld && !mReleased) {
-    SendRead(aNow);
+    SendReadHolders(aNow);
   }
   if (due && mState == LeaseState::Held) {
-    SendPlace(aNow);
+    SendPlaceLease(aNow);
   }
   return std::exchange(mActions, {});
 }
@@ -176,7 +176,7 @@
       break;
     case LeaseState::Placing:
       mState = LeaseState::Verifying;
-      SendRead(aNow);
+      SendReadHolders(aNow);
       break;
     case LeaseState::Verifying:
       HandleVerification(aReport, aNow);
@@ -195,7 +195,7 @@
 {
   switch (mState) {
     case LeaseState::NotHeld:
-      mFreeSince.reset();
+      mUnheldSince.reset();
       mNextSend = aNow + mOptions.mScanInterval;
       break;
     case LeaseState::Placing:
@@ -217,24 +217,24 @@
                          base::TimePoint aNow)
 {
   if (IsOtherLeaseIn(aReport)) {
-    mFreeSince.reset();
+    mUnheldSince.reset();
     mNextSend = aNow + mOptions.mScanInterval;
     return;
   }
-  mFreeSince = mFreeSince.value_or(aNow);
-  const base::TimePoint takeoverAt = *mFreeSince + mOptions.mTakeoverDelay;
+  mUnheldSince = mUnheldSince.value_or(aNow);
+  const base::TimePoint takeoverAt = *mUnheldSince + mOptions.mTakeoverDelay;
   if (!mPreferred && aNow < takeoverAt) {
     mNextSend = std::min(aNow + mOptions.mScanInterval, takeoverAt);
     return;
   }
-  mFreeSince.reset();
+  mUnheldSince.reset();
   ++mLargestEpoch;
   mToken.mEpoch = mLargestEpoch;
   mState = LeaseState::Placing;
   // Counted from the send time, which is before the worker's receive time, so
   // that the lease ends here before it ends on the worker.
   mDeadline = aNow + mOptions.mLeaseLength - mOptions.mClockMargin;
-  SendPlace(aNow);
+  SendPlaceLease(aNow);
 }
 
 void
@@ -278,7 +278,7 @@
 }
 
 void
-LeaseMachine::SendRead(base::TimePoint aNow)
+LeaseMachine::SendReadHolders(base::TimePoint aNow)
 {
   StartRequest(aNow);
   mActions.emplace_back(
@@ -286,7 +286,7 @@
 }
 
 void
-LeaseMachine::SendPlace(base::TimePoint aNow)
+LeaseMachine::SendPlaceLease(base::TimePoint aNow)
 {
   StartRequest(aNow);
   mActions.emplace_back(PlaceLease{ mOutstanding->mNumber,
@@ -302,7 +302,7 @@
     mActions.emplace_back(LeaseEnded{ mToken });
   }
   mState = aState;
-  mFreeSince.reset();
+  mUnheldSince.reset();
   // Random backoff, so that instances that collided do not collide again.
   mNextSend =
     aNow + mRandom.Between(mOptions.mBackoffLow, mOptions.mBackoffHigh);
