--- a/include/skylarkhill/holder/lease_machine.hpp
+++ b/include/skylarkhill/holder/lease_machine.hpp
@@ -190,6 +190,7 @@
   bool mConfirmed = false;
   /// When the next scan or renewal is due.
   base::TimePoint mNextSend;
+  /// When a scan first found no other holder; empty while there is one.
   std::optional<base::TimePoint> mUnheldSince;
   std::uint64_t mLastRequest = 0;
   std::optional<Request> mOutstanding;
--- a/include/skylarkhill/holder/ledger.hpp
+++ b/include/skylarkhill/holder/ledger.hpp
@@ -94,7 +94,8 @@
   void MarkCallLost(CallNumber aCall);
 
   base::Resources Capacity() const { return mCapacity; }
-  /// The capacity of running tasks, starts in flight and plans.
+  /// The capacity of running tasks, starts in flight and plans, including the
+  /// usage estimates.
   base::Resources Committed() const;
   CallCapacity FreeCallCapacity() const;
   bool HasReport() const { return mHasReport; }
--- a/include/skylarkhill/holder/task_runner.hpp
+++ b/include/skylarkhill/holder/task_runner.hpp
@@ -18,11 +18,12 @@
 
 struct TaskRunnerOptions
 {
-  /// Longer than the holder lease plus the time to take over from a failed
-  /// holder, so that tasks survive the failure of their holder.
+  /// Length of a task lease. Longer than the holder lease plus the time to take
+  /// over from a failed holder, so that tasks survive the failure of their
+  /// holder.
   base::Duration mTaskLease = std::chrono::seconds(30);
   base::Duration mCommandTimeout = std::chrono::seconds(1);
-  /// Maximum time until a sent command arrives.
+  /// Maximum time between the send and the arrival of a command.
   base::Duration mMaxMessageDelay = std::chrono::seconds(1);
   /// How long a granted attempt may wait for capacity before its grant is
   /// released.
--- a/src/holder/lease_machine.cpp
+++ b/src/holder/lease_machine.cpp
@@ -22,7 +22,8 @@
 // one lost message does not use up most of the lease.
 constexpr int kRetriesPerRenewInterval = 4;
 
-// The clock margin is the maximum drift during one lease length.
+// The clock margin is the maximum drift during one lease, which gives the
+// maximum drift rate.
 std::int64_t
 MaxDriftPpm(const LeaseOptions& aOptions)
 {
@@ -231,8 +232,8 @@
   ++mLargestEpoch;
   mToken.mEpoch = mLargestEpoch;
   mState = LeaseState::Placing;
-  // Counted from the send time, which is before the worker's receive time, so
-  // that the lease ends here before it ends on the worker.
+  // Counted from the send time. The worker counts from the later receive time,
+  // so that the lease ends here before it expires on the worker.
   mDeadline = aNow + mOptions.mLeaseLength - mOptions.mClockMargin;
   SendPlaceLease(aNow);
 }
@@ -267,7 +268,7 @@
   // A restarted worker has lost the lease of its holder until that holder's
   // next renewal restores it. If a second holder acquired the worker in
   // between, it is still in its quiet period and has started nothing, so it
-  // releases.
+  // releases its lease.
   if (!mConfirmed && IsOtherLeaseIn(aReport)) {
     EndLease(LeaseState::Releasing, aNow);
     return;
--- a/src/tasks/task_table.cpp
+++ b/src/tasks/task_table.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-// Bounds the memory of a task that fails on every worker; quarantine needs only
-// three.
+// Bounds the memory of a task that fails on every worker; the quarantine rule
+// needs only three.
 constexpr std::size_t kMaxFailedWorkers = 16;
 
 std::uint64_t
