--- a/src/holder/lease_machine_test.cpp
+++ b/src/holder/lease_machine_test.cpp
@@ -20,7 +20,7 @@
   CPPUNIT_TEST(WaitsForTheTakeoverDelay);
   CPPUNIT_TEST(DeadlineCountsFromSendTime);
   CPPUNIT_TEST(PauseBeyondTheDeadlineLosesTheLease);
-  CPPUNIT_TEST(NewHolderYieldsInItsQuietPeriod);
+  CPPUNIT_TEST(NewHolderReleasesDuringItsQuietPeriod);
   CPPUNIT_TEST(UnlistedLeaseIsLost);
   CPPUNIT_TEST(ReleaseIsFinal);
   CPPUNIT_TEST(ConvertedTimeIsNeverTooLate);
@@ -120,7 +120,7 @@
 
   // Guards against two holders of a worker that lost the first lease in a
   // restart.
-  void NewHolderYieldsInItsQuietPeriod()
+  void NewHolderReleasesDuringItsQuietPeriod()
   {
     AcquireLease();
     const auto first = NextAction<PlaceLease>();
