--- a/include/skylarkhill/tasks/task_table.hpp
+++ b/include/skylarkhill/tasks/task_table.hpp
@@ -71,31 +71,32 @@
   TaskTable(const TaskTable&) = delete;
   TaskTable& operator=(const TaskTable&) = delete;
 
-  /// Applies a record. An invalid state transition is only counted in
-  /// IgnoredRecords.
+  /// Applies a record. A record that is not valid in the state of its task is
+  /// only counted in IgnoredRecords; so is one of an unknown task, which is
+  /// also kept as unmatched.
   void Apply(Offset aOffset, const TaskRecord& aRecord);
   /// The same for a record whose writer had read every record before
   /// `aReplayFrom`, which becomes the replay offset of an accepted task.
   void Apply(Offset aOffset, const TaskRecord& aRecord, Offset aReplayFrom);
 
   /// Registers a record without applying it to its task. The record of an
-  /// unknown task is kept until a snapshot of the task is applied.
+  /// unknown task is kept as unmatched until a snapshot of the task is applied.
   void ApplyStale(Offset aOffset, const TaskRecord& aRecord);
 
-  /// Adds the task in its state after the record at `aAsOf`, and applies the
-  /// kept records with later offsets. Of a known task, only the replay offset
-  /// changes.
+  /// Adds the task in its state after the record at `aAsOf`, and applies its
+  /// unmatched records with later offsets. Of a known task, only the replay
+  /// offset changes.
   void ApplySnapshot(Offset aAsOf, const TaskSnapshot& aSnapshot);
 
   /// Adds a task or tombstone that was exported by another table.
   void Restore(const TaskSnapshot& aSnapshot, Offset aReplayFrom);
 
-  /// Removes the tombstone or the kept records of `aTask` if no record about
-  /// the task is at or after `aFirstRetained`.
+  /// Removes the tombstone or the unmatched records of `aTask` if no record
+  /// about the task is at or after `aFirstRetained`.
   void RemoveTombstone(const base::TaskId& aTask, Offset aFirstRetained);
 
-  /// Removes all tombstones and kept records of tasks that have no record at or
-  /// after `aFirstRetained`.
+  /// Removes all tombstones and unmatched records of tasks that have no record
+  /// at or after `aFirstRetained`.
   void Purge(Offset aFirstRetained);
 
   /// True if a retained record refers to the task. An accept record creates
@@ -116,7 +117,7 @@
   /// `aBefore`, lowest offset first.
   std::vector<TaskReplayOffset> OldestReplayOffsets(Offset aBefore,
                                                     std::size_t aLimit) const;
-  /// Kept records of unknown tasks, in log order for each task.
+  /// Records of unknown tasks, in log order for each task.
   std::vector<std::pair<Offset, TaskRecord>> UnmatchedRecords() const;
   /// All tasks and tombstones, by acceptance offset and id.
   std::vector<base::TaskId> All() const;
