--- a/src/holder/holder_random_test.cpp
+++ b/src/holder/holder_random_test.cpp
@@ -14,17 +14,17 @@
 using Variant = testing::HolderVariant;
 
 constexpr std::uint64_t kSeeds = 30;
-// The quiet period is missed by all but about one seed in 55.
-constexpr std::size_t kDonePerSeed = 25;
-constexpr std::uint64_t kSearchedSeeds = 400;
+constexpr std::size_t kMinTasksDonePerSeed = 25;
+// About one seed in 55 detects the missing quiet period.
+constexpr std::uint64_t kMaxSearchedSeeds = 400;
 
 class HolderRandomTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(HolderRandomTest);
-  CPPUNIT_TEST(HoldsWithBoundedDelaysAndNoGuards);
-  CPPUNIT_TEST(HoldsWithLateMessagesAndNotAfter);
-  CPPUNIT_TEST(HoldsWithASlowLog);
-  CPPUNIT_TEST(HoldsWhenWorkersForgetTheirLeases);
+  CPPUNIT_TEST(NoViolationWithBoundedDelays);
+  CPPUNIT_TEST(NoViolationWithLateMessages);
+  CPPUNIT_TEST(NoViolationWithSlowLog);
+  CPPUNIT_TEST(NoViolationAfterWorkerRestarts);
   CPPUNIT_TEST(FindsMissingVerification);
   CPPUNIT_TEST(FindsMissingMargin);
   CPPUNIT_TEST(FindsMissingQuietPeriod);
@@ -36,55 +36,56 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against every violation that needs no late message; the workers
-  // check nothing at all.
-  void HoldsWithBoundedDelaysAndNoGuards()
+  // Guards against violations that occur although no message exceeds the
+  // maximum delay. The workers do not check not_after.
+  void NoViolationWithBoundedDelays()
   {
     Variant variant;
     variant.mWorkerChecksNotAfter = false;
-    ExpectNone(variant);
+    ExpectNoViolation(variant);
   }
 
-  // Guards against stale commands that outlive the quiet period.
-  void HoldsWithLateMessagesAndNotAfter()
+  // Guards against stale commands that arrive after the quiet period.
+  void NoViolationWithLateMessages()
   {
     Variant variant;
     variant.mLateMessages = true;
-    ExpectNone(variant);
+    ExpectNoViolation(variant);
   }
 
-  // Guards against records that were true when they were sent only.
-  void HoldsWithASlowLog()
+  // Guards against records that are no longer valid when the log appends them.
+  void NoViolationWithSlowLog()
   {
     Variant variant;
     variant.mWorkerChecksNotAfter = false;
     variant.mSlowLog = true;
-    ExpectNone(variant);
+    ExpectNoViolation(variant);
   }
 
-  // Guards against a holder that a restarted worker has forgotten.
-  void HoldsWhenWorkersForgetTheirLeases()
+  // Guards against a holder whose lease was lost in a restart of the worker.
+  void NoViolationAfterWorkerRestarts()
   {
     Variant variant;
     variant.mWorkerChecksNotAfter = false;
     variant.mWorkersForget = true;
-    // The long quiet periods leave less time.
-    ExpectNone(variant, 15);
+    // Long quiet periods leave less time to complete tasks.
+    ExpectNoViolation(variant, 15);
   }
 
-  // The following show that the runs above depend on each mechanism.
+  // The following tests show that each mechanism is necessary: without it, the
+  // random runs find a violation.
   void FindsMissingVerification()
   {
     Variant variant;
     variant.mVerify = false;
-    ExpectFound(variant);
+    ExpectViolation(variant);
   }
 
   void FindsMissingMargin()
   {
     Variant variant;
     variant.mMargin = false;
-    ExpectFound(variant);
+    ExpectViolation(variant);
   }
 
   void FindsMissingQuietPeriod()
@@ -93,7 +94,7 @@
     variant.mWorkerChecksNotAfter = false;
     variant.mQuietPeriod = false;
     variant.mSlowCommandPercent = 60;
-    ExpectFound(variant);
+    ExpectViolation(variant);
   }
 
   void FindsMissingNotAfterCheck()
@@ -101,47 +102,49 @@
     Variant variant;
     variant.mLateMessages = true;
     variant.mWorkerChecksNotAfter = false;
-    ExpectFound(variant);
+    ExpectViolation(variant);
   }
 
   void FindsRepeatedStart()
   {
     Variant variant;
     variant.mStartOnce = false;
-    ExpectFound(variant);
+    ExpectViolation(variant);
   }
 
-  // A process that is paused between the decision and the send.
+  // The process is paused between the decision to send a command and the send.
   void FindsMissingCheckBeforeSend()
   {
     Variant variant;
     variant.mWorkerChecksNotAfter = false;
     variant.mCheckBeforeSend = false;
-    ExpectFound(variant);
+    ExpectViolation(variant);
   }
 
-  // A release or cancellation by the previous holder that the log appends
-  // after the new holder started the attempt.
+  // The log appends a release or cancellation by the previous holder after the
+  // new holder started the attempt.
   void FindsStartOfInheritedGrants()
   {
     Variant variant;
     variant.mSlowLog = true;
     variant.mReleaseInherited = false;
-    ExpectFound(variant);
+    ExpectViolation(variant);
   }
 
-  // A forgotten holder that acts until its deadline.
+  // A holder whose lease a restarted worker has lost sends commands until its
+  // deadline.
   void FindsShortQuietPeriodAfterRestarts()
   {
     Variant variant;
     variant.mWorkersForget = true;
     variant.mLongQuietPeriod = false;
-    ExpectFound(variant);
+    ExpectViolation(variant);
   }
 
 private:
-  static void ExpectNone(const Variant& aVariant,
-                         std::size_t aDonePerSeed = kDonePerSeed)
+  static void ExpectNoViolation(
+    const Variant& aVariant,
+    std::size_t aMinTasksDonePerSeed = kMinTasksDonePerSeed)
   {
     std::size_t done = 0;
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
@@ -153,21 +156,21 @@
       CPPUNIT_ASSERT_MESSAGE(text, run.mViolation.empty());
       done += run.mTasksDone;
     }
-    // A holder that never starts anything violates nothing.
+    // A holder that starts no task causes no violation either.
     CPPUNIT_ASSERT_MESSAGE("tasks done: " + std::to_string(done),
-                           done > kSeeds * aDonePerSeed);
+                           done > kSeeds * aMinTasksDonePerSeed);
   }
 
-  static void ExpectFound(const Variant& aVariant)
+  static void ExpectViolation(const Variant& aVariant)
   {
-    for (std::uint64_t seed = 1; seed <= kSearchedSeeds; ++seed) {
+    for (std::uint64_t seed = 1; seed <= kMaxSearchedSeeds; ++seed) {
       const HolderRun run = RunHolderWorld(seed, aVariant);
       if (!run.mViolation.empty()) {
         std::cout << " [seed " << seed << ": " << run.mViolation << "]";
         return;
       }
     }
-    CPPUNIT_FAIL("no seed finds the missing mechanism");
+    CPPUNIT_FAIL("no seed detects the missing mechanism");
   }
 };
 
--- a/src/journal/site_state.cpp
+++ b/src/journal/site_state.cpp
@@ -193,7 +193,7 @@
   std::visit(
     Overloaded{ [&](const tasks::TaskRecord& aEach) {
                  if (IsCreationRecord(aRecord)) {
-                   aTables.mTasks.ForgetEnded(tasks::TaskOf(aEach), mHorizon);
+                   aTables.mTasks.RemoveTombstone(tasks::TaskOf(aEach), mHorizon);
                  }
                  aTables.mTasks.Apply(aBatch.mOffset, aEach, basedAt);
                },
@@ -490,7 +490,7 @@
   return digest;
 }
 
-std::vector<tasks::BasedTask>
+std::vector<tasks::TaskReplayOffset>
 SiteState::TasksToSnapshot(std::int64_t aAgeMs,
                            std::int64_t aNowMs,
                            std::size_t aLimit) const
@@ -500,9 +500,9 @@
     const std::lock_guard<std::mutex> lock(mMutex);
     before = mAgeIndex.FirstYoungerThan(aAgeMs, aNowMs);
   }
-  std::vector<tasks::BasedTask> result;
+  std::vector<tasks::TaskReplayOffset> result;
   ForEachShard([&](const Tables& aTables) {
-    for (auto& it : aTables.mTasks.BasedBefore(before, aLimit)) {
+    for (auto& it : aTables.mTasks.OldestReplayOffsets(before, aLimit)) {
       result.push_back(std::move(it));
     }
   });
@@ -589,7 +589,8 @@
   const tasks::TaskTable& tasks = shard.mTables->mTasks;
   const requests::KeyTable& keys = shard.mTables->mKeys;
   for (const auto& it : tasks.All()) {
-    builder.Add(TaskSnapshotRecord{ *tasks.FindBase(it) - 1, *tasks.Find(it) });
+    builder.Add(
+      TaskSnapshotRecord{ *tasks.FindReplayOffset(it) - 1, *tasks.Find(it) });
   }
   for (const auto& it : keys.All()) {
     builder.Add(
