--- a/include/skylarkhill/holder/lease_machine.hpp
+++ b/include/skylarkhill/holder/lease_machine.hpp
@@ -74,8 +74,8 @@
   base::TimePoint mDeadline;
 };
 
-/// Request to call `RemoteWorker::RemoveHolderLease`; the completion is passed to
-/// `OnRemoved`.
+/// Request to call `RemoteWorker::RemoveHolderLease`; the completion is passed
+/// to `OnRemoved`.
 struct RemoveLease
 {
   std::uint64_t mRequest = 0;
--- a/include/skylarkhill/journal/site_state.hpp
+++ b/include/skylarkhill/journal/site_state.hpp
@@ -122,9 +122,10 @@
 
   /// Up to `aLimit` live tasks per shard whose state depends on records that
   /// are at least `aAgeMs` old; in each shard the oldest first.
-  std::vector<tasks::TaskReplayOffset> TasksToSnapshot(std::int64_t aAgeMs,
-                                                std::int64_t aNowMs,
-                                                std::size_t aLimit) const;
+  std::vector<tasks::TaskReplayOffset> TasksToSnapshot(
+    std::int64_t aAgeMs,
+    std::int64_t aNowMs,
+    std::size_t aLimit) const;
   std::vector<requests::KeyReplayOffset> KeysToSnapshot(
     std::int64_t aAgeMs,
     std::int64_t aNowMs,
--- a/src/journal/site_state.cpp
+++ b/src/journal/site_state.cpp
@@ -191,25 +191,25 @@
 {
   const Offset basedAt = aBatch.mBatch.mPosition.mAsOf + 1;
   std::visit(
-    Overloaded{ [&](const tasks::TaskRecord& aEach) {
-                 if (IsCreationRecord(aRecord)) {
-                   aTables.mTasks.RemoveTombstone(tasks::TaskOf(aEach), mHorizon);
-                 }
-                 aTables.mTasks.Apply(aBatch.mOffset, aEach, basedAt);
-               },
-                [&](const requests::KeyRecord& aEach) {
-                  if (IsCreationRecord(aRecord)) {
-                    aTables.mKeys.ForgetFinished(requests::KeyOf(aEach),
-                                                 mHorizon);
-                  }
-                  aTables.mKeys.Apply(aBatch.mOffset, aEach, basedAt);
-                },
-                [&](const TaskSnapshotRecord& aEach) {
-                  aTables.mTasks.ApplySnapshot(aEach.mAsOf, aEach.mTask);
-                },
-                [&](const KeySnapshotRecord& aEach) {
-                  aTables.mKeys.ApplySnapshot(aEach.mAsOf, aEach.mKey);
-                } },
+    Overloaded{
+      [&](const tasks::TaskRecord& aEach) {
+        if (IsCreationRecord(aRecord)) {
+          aTables.mTasks.RemoveTombstone(tasks::TaskOf(aEach), mHorizon);
+        }
+        aTables.mTasks.Apply(aBatch.mOffset, aEach, basedAt);
+      },
+      [&](const requests::KeyRecord& aEach) {
+        if (IsCreationRecord(aRecord)) {
+          aTables.mKeys.ForgetFinished(requests::KeyOf(aEach), mHorizon);
+        }
+        aTables.mKeys.Apply(aBatch.mOffset, aEach, basedAt);
+      },
+      [&](const TaskSnapshotRecord& aEach) {
+        aTables.mTasks.ApplySnapshot(aEach.mAsOf, aEach.mTask);
+      },
+      [&](const KeySnapshotRecord& aEach) {
+        aTables.mKeys.ApplySnapshot(aEach.mAsOf, aEach.mKey);
+      } },
     aRecord);
 }
 
