--- a/include/skylarkhill/worker/worker_codec.hpp
+++ b/include/skylarkhill/worker/worker_codec.hpp
@@ -3,7 +3,7 @@
 
 #include "skylarkhill/base/error.hpp"
 #include "skylarkhill/base/json.hpp"
-#include "skylarkhill/worker/worker_port.hpp"
+#include "skylarkhill/worker/remote_worker.hpp"
 
 #include <string>
 #include <string_view>
@@ -11,14 +11,14 @@
 
 namespace skylarkhill::worker {
 
-/// JSON bodies of the worker's HTTP interface. Every Parse function fails with
-/// InvalidJson or InvalidArgument and reports all findings.
+/// JSON bodies of the worker's HTTP interface. Parse functions fail with
+/// InvalidJson or InvalidArgument; the error lists all problems found.
 
 /// Body of /holder and /holder/remove.
 struct HolderCommand
 {
   HolderToken mToken;
-  base::Duration mLength{ 0 };
+  base::Duration mLeaseDuration{ 0 };
 };
 
 /// Body of /tasks/start.
--- a/src/dispatch/fake_site_test.hpp
+++ b/src/dispatch/fake_site_test.hpp
@@ -17,8 +17,8 @@
 
 namespace skylarkhill::dispatch {
 
-/// A worker that keeps fencing tokens, leases and lists of ends as the
-/// platform's workers do.
+/// Simulates a worker of the platform with its fencing token, lease and list of
+/// ended runs.
 class FakeWorker
 {
 public:
@@ -33,56 +33,57 @@
   FakeWorker(std::string aId, std::int64_t aMilliProcessors);
 
   WorkerEntry Entry() const;
-  /// Everything that runs is lost; the same id, another birth.
+  /// Begins a new incarnation under the same id. All runs are lost.
   void Restart();
 
   std::string mId;
   std::int64_t mMilliProcessors = 0;
-  std::int64_t mBornMs = 1;
-  std::int64_t mToken = 0;
+  std::int64_t mIncarnationStartMs = 1;
+  std::int64_t mFencingToken = 0;
   base::TimePoint mLeaseUntil;
   std::vector<Run> mRuns;
-  std::vector<EndedRun> mEnds;
-  std::int64_t mNextEnd = 1;
-  std::int64_t mAcknowledged = 0;
-  /// Highest run of a task that was stopped or has ended.
-  std::map<std::string, int> mHighestEnded;
-  /// Reported for every service run.
-  std::int64_t mTailMs = 20;
+  std::vector<EndedRun> mEndedRuns;
+  std::int64_t mNextSequence = 1;
+  std::int64_t mAcknowledgedSequence = 0;
+  /// By task: highest run number that was stopped or has ended.
+  std::map<std::string, int> mHighestEndedRuns;
+  /// Value of ActiveRun::mMeasurement in the reports.
+  std::int64_t mReportedMeasurement = 20;
   bool mIsDraining = false;
 };
 
-/// Workers, and any number of leaders that see some of them.
+/// Simulates workers and any number of concurrent leaders, each of which may be
+/// partitioned from some workers.
 class FakeSite
 {
 public:
-  /// One dispatcher and its links.
-  class Leader : public OrderSink
+  /// A leader: a dispatcher and its connections to workers.
+  class Leader : public CallSink
   {
   public:
     Leader(FakeSite& aSite, const Term& aTerm);
 
     Dispatcher& Get() { return *mDispatcher; }
-    void Poll(const PollOrder& aOrder) override;
-    void Start(const StartOrder& aOrder) override;
-    void Stop(const StopOrder& aOrder) override;
-    void Pace(const PaceOrder& aOrder) override;
-    void Advise(const AdviceOrder& aOrder) override;
-
-    /// Workers that this leader cannot reach.
-    std::set<std::string> mCutOff;
-    /// By worker, how much later than usual its answers to polls come.
+    void Poll(const PollCall& aCall) override;
+    void Start(const StartCall& aCall) override;
+    void Stop(const StopCall& aCall) override;
+    void Pace(const PaceCall& aCall) override;
+    void Advise(const AdviceCall& aCall) override;
+
+    /// Ids of workers that this leader cannot reach.
+    std::set<std::string> mUnreachableWorkers;
+    /// By worker id: additional delay of its poll answers.
     std::map<std::string, base::Duration> mDelays;
-    /// Its leadership is confirmed all the time.
+    /// If true, the leadership is confirmed in every step.
     bool mIsConfirmed = true;
-    /// Its progress records become durable.
+    /// If true, progress records become durable at once.
     bool mCanStore = true;
-    /// Progress records are on their way and not answered.
-    bool mHasNoAnswer = false;
-    std::vector<StartOrder> mStarts;
-    std::vector<PaceOrder> mPaces;
+    /// If true, writes of progress records are never answered.
+    bool mIsStoreUnresponsive = false;
+    std::vector<StartCall> mStarts;
+    std::vector<PaceCall> mPaces;
     /// Workers that the advice service permits.
-    std::set<std::string> mPermitted;
+    std::set<std::string> mPermittedWorkerIds;
     int mAdviceCalls = 0;
     std::map<std::string, jobs::JobProgress> mStored;
 
@@ -94,7 +95,8 @@
     const std::int64_t mEpoch;
     metrics::Registry mMetrics;
     std::unique_ptr<Dispatcher> mDispatcher;
-    std::deque<std::pair<base::TimePoint, std::function<void()>>> mAnswers;
+    std::deque<std::pair<base::TimePoint, std::function<void()>>>
+      mPendingAnswers;
     base::TimePoint mConfirmedAt;
   };
 
@@ -102,32 +104,34 @@
                         std::int64_t aMilliProcessors = 16000);
   FakeWorker& Worker(const std::string& aId) { return *mWorkers.at(aId); }
   Leader& AddLeader(std::int64_t aEpoch,
-                    base::TimePoint aEarlierLeasesEnd = {});
-  /// Stops `aLeader` as a crash does.
+                    base::TimePoint aPreviousLeasesEndAt = {});
+  /// Removes `aLeader` as a crash would.
   void Kill(Leader& aLeader);
   void Advance(std::chrono::milliseconds aTime);
   base::TimePoint Now() const { return mClock.Now(); }
 
-  /// Run time of a task; the default is 300 ms. Tasks of services run on.
+  /// Run time of a task; 300 ms if unset.
   std::function<base::Duration(const TaskId&)> mRunTime;
   std::function<bool(const TaskId&, int aRun)> mFails;
-  /// Tasks that ran twice at once or again after a noted success.
+  /// Tasks that had two concurrent runs, or a run after an acknowledged
+  /// success.
   std::vector<std::string> mViolations;
-  /// Starts by task.
+  /// Number of starts by task.
   std::map<std::string, int> mStartCounts;
 
 private:
   void StepWorker(FakeWorker& aWorker);
-  void NoteStart(const FakeWorker& aWorker, const TaskId& aTask);
+  void RecordStart(const FakeWorker& aWorker, const TaskId& aTask);
 
   base::ManualClock mClock;
   std::map<std::string, std::unique_ptr<FakeWorker>> mWorkers;
   std::vector<std::unique_ptr<Leader>> mLeaders;
   /// Tasks whose success has been acknowledged.
-  std::set<std::string> mNoted;
+  std::set<std::string> mAcknowledgedTasks;
 };
 
-/// A job with one step per entry of `aCounts`, each after the one before.
+/// Creates a job with one step per entry of `aCounts`, each depending on the
+/// previous one.
 jobs::JobRecord
 MakeJob(const std::string& aId,
         const std::vector<int>& aCounts,
--- /dev/null
+++ b/src/dispatch/interference_estimator.hpp
@@ -0,0 +1,62 @@
+#ifndef SKYLARKHILL_DISPATCH_INTERFERENCE_ESTIMATOR_HPP
+#define SKYLARKHILL_DISPATCH_INTERFERENCE_ESTIMATOR_HPP
+
+#include <vector>
+
+namespace skylarkhill::dispatch {
+
+/// Saturation of a service task, derived from its tail latency: 0 when idle,
+/// approaching 1 as the tail grows without bound. Like the utilisation of a
+/// queue, contributions of several sources add up.
+using Saturation = double;
+
+/// Saturation that a backfill image using all processors of a worker adds to a
+/// task of a service image.
+struct PairEstimate
+{
+  double mMean = 0.0;
+  double mVariance = 0.0;
+};
+
+/// Processor use of one backfill image on a worker during a report.
+struct BackfillUsage
+{
+  int mImage = 0;
+  /// Share of the worker's processors in use, 0 to 1.
+  double mShare = 0.0;
+};
+
+/// Estimates the interference for each pair of a service image and a backfill
+/// image, with one Kalman filter per service image. Covariances are ignored.
+class InterferenceEstimator
+{
+public:
+  /// Updates the estimates with one report. `aExcess` is the saturation above
+  /// the baseline of the service, with the variance `aNoise`.
+  void Record(int aServiceImage,
+              const std::vector<BackfillUsage>& aBackfill,
+              Saturation aExcess,
+              double aNoise);
+
+  /// Returns the estimate for a pair, or the prior if there is none.
+  PairEstimate Estimate(int aServiceImage, int aBackfillImage) const;
+
+  /// True if Record or Set has stored an estimate for the pair.
+  bool HasEstimate(int aServiceImage, int aBackfillImage) const;
+
+  /// Replaces the estimate for a pair.
+  void Set(int aServiceImage, int aBackfillImage, const PairEstimate& aValue);
+
+private:
+  struct Pair
+  {
+    PairEstimate mEstimate;
+    bool mIsKnown = false;
+  };
+
+  std::vector<std::vector<Pair>> mPairs;
+};
+
+} // namespace skylarkhill::dispatch
+
+#endif // SKYLARKHILL_DISPATCH_INTERFERENCE_ESTIMATOR_HPP
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -10,34 +10,36 @@
 
 namespace {
 
-/// A worker that has not answered for this time gets no starts; several polls
-/// of 500 ms fit in.
+/// A worker whose last report is older gets no starts. Allows for several polls
+/// of 500 ms.
 constexpr base::Duration kMaxReportAge = std::chrono::milliseconds(1800);
 
-/// Share of its declared processors that a service task uses on average; the
-/// site files state 0.45 with a swing of one half around it.
+/// Assumed share of its declared processors that a service task uses. Site
+/// files state a mean of 0.45, varying by one half.
 constexpr double kServiceUse = 0.6;
 
-/// A backfill task starts where it gets at least this share of what it asks.
+/// A backfill task is placed only where at least this share of its requested
+/// processors is unused.
 constexpr double kMinBackfillShare = 0.6;
 
-/// Workers above this failure score are used only if no other fits.
-constexpr double kSuspectScore = 0.7;
+/// Workers with a higher failure score are used only if no other fits.
+constexpr double kMaxFailureScore = 0.7;
 
-/// Cost, in thousandths of a processor, of what a placement should avoid.
-constexpr double kSuspectCost = 40000.0;
+/// Placement costs, in thousandths of a processor.
+constexpr double kHighFailureScoreCost = 40000.0;
 constexpr double kAvoidedWorkerCost = 20000.0;
 constexpr double kRemoteRackCost = 8000.0;
-/// A worker whose service tasks all run one image is open to every backfill
-/// image that does not disturb this one.
+/// Grouping service tasks by image leaves a worker usable for every backfill
+/// image that does not interfere with that one image.
 constexpr double kMixedImagesCost = 40000.0;
-constexpr double kServiceFreeCost = 4000.0;
-/// Per unit of the rise of a tail.
-constexpr double kRiseCost = 20000.0;
+constexpr double kNoServiceCost = 4000.0;
+/// Per unit of interference.
+constexpr double kInterferenceCost = 20000.0;
 
-/// No backfill task is placed where it would add more than the first figure
-/// and bring a tail above the second one.
-constexpr Pressure kMinHarmfulRise = 0.03;
+/// No backfill task is placed where its interference would exceed
+/// kMinSignificantInterference and bring a tail above kMaxTailRatio, or
+/// kMaxTailRatioUrgent if the step is urgent.
+constexpr Saturation kMinSignificantInterference = 0.03;
 constexpr TailRatio kMaxTailRatio = 0.7;
 constexpr TailRatio kMaxTailRatioUrgent = 0.8;
 
@@ -48,20 +50,21 @@
   return std::find(labels.begin(), labels.end(), aLabel) != labels.end();
 }
 
-/// The highest rise of a tail that one more task of `aStep` causes on
-/// `aWorker`.
-Pressure
-HighestRise(const StepState& aStep,
-            const WorkerState& aWorker,
-            const SharingModel& aModel)
+/// Highest interference that one more task of `aStep` would cause with a
+/// service task on `aWorker`.
+Saturation
+MaxInterference(const StepState& aStep,
+                const WorkerState& aWorker,
+                const ColocationModel& aModel)
 {
-  const double share = ShareOf(aStep.mSpec->mNeed.mMilliProcessors, aWorker);
-  Pressure highest = 0.0;
+  const double share =
+    ShareOf(aStep.mSpec->mResources.mMilliProcessors, aWorker);
+  Saturation highest = 0.0;
   for (const RunState* it : aWorker.mRuns) {
     if (it->mTask->mStep->mSpec->mIsService) {
-      highest = std::max(
-        highest,
-        aModel.RiseAtMost(it->mTask->mStep->mImage, aStep.mImage, share));
+      highest = std::max(highest,
+                         aModel.InterferenceUpperBound(
+                           it->mTask->mStep->mImage, aStep.mImage, share));
     }
   }
   return highest;
@@ -76,8 +79,8 @@
     });
 }
 
-/// The part of the service tasks on `aWorker` that run another image than
-/// `aStep`; one half for a worker without service tasks.
+/// Share of the service tasks on `aWorker` that run another image than `aStep`;
+/// 0.5 if there are none.
 double
 ShareOfOtherImages(const StepState& aStep, const WorkerState& aWorker)
 {
@@ -94,66 +97,69 @@
 }
 
 /// True if one more task of `aStep` would bring a service task on `aWorker`
-/// close to its target.
+/// above its tail limit.
 bool
-WouldHarm(const StepState& aStep,
-          const WorkerState& aWorker,
-          const SharingModel& aModel)
+WouldExceedTailLimit(const StepState& aStep,
+                     const WorkerState& aWorker,
+                     const ColocationModel& aModel)
 {
-  const double share = ShareOf(aStep.mSpec->mNeed.mMilliProcessors, aWorker);
+  const double share =
+    ShareOf(aStep.mSpec->mResources.mMilliProcessors, aWorker);
   const TailRatio limit = aStep.mIsUrgent ? kMaxTailRatioUrgent : kMaxTailRatio;
   return std::any_of(
     aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const RunState* aRun) {
       if (!aRun->mTask->mStep->mSpec->mIsService) {
         return false;
       }
-      const Pressure rise =
-        aModel.RiseAtMost(aRun->mTask->mStep->mImage, aStep.mImage, share);
-      return rise > kMinHarmfulRise &&
-             LoadOf(*aRun) + aModel.ExpectedRise(*aRun) + rise >
-               PressureOf(limit);
+      const Saturation interference = aModel.InterferenceUpperBound(
+        aRun->mTask->mStep->mImage, aStep.mImage, share);
+      return interference > kMinSignificantInterference &&
+             BaselineOf(*aRun) + aModel.TotalInterference(*aRun) +
+                 interference >
+               SaturationOf(limit);
     });
 }
 
-/// Lower is better.
+/// Cost of placing `aTask` on `aWorker`; lower is better.
 double
 PlacementCost(const TaskState& aTask,
               const WorkerState& aWorker,
-              const SharingModel& aModel,
+              const ColocationModel& aModel,
               base::TimePoint aNow)
 {
   const jobs::Step& step = *aTask.mStep->mSpec;
   double cost = 0.0;
-  if (FailureScore(aWorker, aNow) > kSuspectScore) {
-    cost += kSuspectCost;
+  if (FailureScore(aWorker, aNow) > kMaxFailureScore) {
+    cost += kHighFailureScoreCost;
   }
-  if (aWorker.mEntry.mId == aTask.mAvoidWorker) {
+  if (aWorker.mEntry.mId == aTask.mAvoidedWorkerId) {
     cost += kAvoidedWorkerCost;
   }
   if (!step.mPreferredRack.empty() && !HasLabel(aWorker, step.mPreferredRack)) {
     cost += kRemoteRackCost;
   }
-  const double leftover =
-    static_cast<double>(EstimateLeftover(aWorker) - aWorker.mBackfillDemand);
+  const double unused = static_cast<double>(EstimateUnusedProcessors(aWorker) -
+                                            aWorker.mBackfillDemand);
   if (step.mIsBackfill) {
-    // Backfill goes where it gets the most and disturbs the fewest. Workers
-    // without service tasks are left to images that disturb everywhere else.
-    return cost - leftover +
-           (HasServiceTask(aWorker) ? 0.0 : kServiceFreeCost) +
-           kRiseCost * HighestRise(*aTask.mStep, aWorker, aModel);
+    // Prefers workers with the most unused processors and the least
+    // interference. Workers without service tasks are kept for images that
+    // interfere with every service.
+    return cost - unused + (HasServiceTask(aWorker) ? 0.0 : kNoServiceCost) +
+           kInterferenceCost * MaxInterference(*aTask.mStep, aWorker, aModel);
   }
-  // Best fit keeps room for large tasks and whole workers for backfill.
+  // Best fit leaves capacity for large tasks and whole workers for backfill.
   const auto free = aWorker.mEntry.mCapacity.mMilliProcessors -
                     aWorker.mUsed.mMilliProcessors -
-                    step.mNeed.mMilliProcessors;
+                    step.mResources.mMilliProcessors;
   cost += static_cast<double>(free);
   if (step.mIsService) {
     cost += kMixedImagesCost * ShareOfOtherImages(*aTask.mStep, aWorker);
     for (const RunState* it : aWorker.mRuns) {
       if (it->mTask->mStep->mSpec->mIsBackfill) {
-        cost += kRiseCost * aModel.Rise(aTask.mStep->mImage,
-                                        it->mTask->mStep->mImage,
-                                        BackfillShareOf(*it));
+        cost += kInterferenceCost *
+                aModel.ExpectedInterference(aTask.mStep->mImage,
+                                            it->mTask->mStep->mImage,
+                                            BackfillShareOf(*it));
       }
     }
   }
@@ -180,14 +186,15 @@
 }
 
 std::int64_t
-EstimateLeftover(const WorkerState& aWorker)
+EstimateUnusedProcessors(const WorkerState& aWorker)
 {
   double used = 0.0;
   for (const RunState* it : aWorker.mRuns) {
     const jobs::Step& step = *it->mTask->mStep->mSpec;
     if (!step.mIsBackfill) {
-      const auto need = static_cast<double>(step.mNeed.mMilliProcessors);
-      used += step.mIsService ? kServiceUse * need : need;
+      const auto requested =
+        static_cast<double>(step.mResources.mMilliProcessors);
+      used += step.mIsService ? kServiceUse * requested : requested;
     }
   }
   return aWorker.mEntry.mCapacity.mMilliProcessors -
@@ -197,8 +204,8 @@
 bool
 AcceptsStarts(const WorkerState& aWorker, base::TimePoint aNow)
 {
-  return aWorker.mIsKnown && aWorker.mIsListed && !aWorker.mEntry.mIsDraining &&
-         aWorker.mAvoidUntil <= aNow &&
+  return aWorker.mHasReported && aWorker.mIsListed &&
+         !aWorker.mEntry.mIsDraining && aWorker.mAvoidUntil <= aNow &&
          aWorker.mLastReportAt + kMaxReportAge > aNow;
 }
 
@@ -214,7 +221,7 @@
 bool
 IsEligible(const StepState& aStep,
            const WorkerState& aWorker,
-           const SharingModel& aModel,
+           const ColocationModel& aModel,
            base::TimePoint aNow)
 {
   const jobs::Step& step = *aStep.mSpec;
@@ -222,7 +229,7 @@
       !AcceptsStarts(aWorker, aNow)) {
     return false;
   }
-  if (!base::Fits(aWorker.mUsed + CountedNeed(step),
+  if (!base::Fits(aWorker.mUsed + ReservedResources(step),
                   aWorker.mEntry.mCapacity)) {
     return false;
   }
@@ -234,19 +241,20 @@
     return false;
   }
   if (step.mMaxPerWorker > 0) {
-    const auto found = aStep.mPerWorker.find(&aWorker);
-    if (found != aStep.mPerWorker.end() &&
+    const auto found = aStep.mTasksPerWorker.find(&aWorker);
+    if (found != aStep.mTasksPerWorker.end() &&
         found->second >= step.mMaxPerWorker) {
       return false;
     }
   }
   if (step.mIsBackfill) {
-    const auto left =
-      static_cast<double>(EstimateLeftover(aWorker) - aWorker.mBackfillDemand);
-    const auto need = static_cast<double>(std::min(
-      step.mNeed.mMilliProcessors, aWorker.mEntry.mCapacity.mMilliProcessors));
-    return left >= kMinBackfillShare * need &&
-           !WouldHarm(aStep, aWorker, aModel);
+    const auto left = static_cast<double>(EstimateUnusedProcessors(aWorker) -
+                                          aWorker.mBackfillDemand);
+    const auto requested =
+      static_cast<double>(std::min(step.mResources.mMilliProcessors,
+                                   aWorker.mEntry.mCapacity.mMilliProcessors));
+    return left >= kMinBackfillShare * requested &&
+           !WouldExceedTailLimit(aStep, aWorker, aModel);
   }
   return true;
 }
@@ -254,7 +262,7 @@
 WorkerState*
 ChooseWorker(const TaskState& aTask,
              const WorkerMap& aWorkers,
-             const SharingModel& aModel,
+             const ColocationModel& aModel,
              base::TimePoint aNow)
 {
   WorkerState* best = nullptr;
@@ -264,11 +272,11 @@
     if (!IsEligible(*aTask.mStep, *worker, aModel, aNow)) {
       continue;
     }
-    const bool runsThere =
+    const bool alreadyRuns =
       std::any_of(aTask.mRuns.begin(),
                   aTask.mRuns.end(),
                   [&](const auto& aEntry) { return aEntry.mWorker == worker; });
-    if (runsThere) {
+    if (alreadyRuns) {
       continue;
     }
     const double cost = PlacementCost(aTask, *worker, aModel, aNow);
--- a/src/dispatch/summary.cpp
+++ b/src/dispatch/summary.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <cstdint>
 
-#include "sharing.hpp"
+#include "colocation_model.hpp"
 
 namespace skylarkhill::dispatch {
 
@@ -17,7 +17,8 @@
   std::int64_t waiting = 0;
   std::int64_t waitingBackfill = 0;
   for (const StepState* step : aReadySteps) {
-    (step->mSpec->mIsBackfill ? waitingBackfill : waiting) += step->mWaiting;
+    (step->mSpec->mIsBackfill ? waitingBackfill : waiting) +=
+      step->mWaitingCount;
   }
   std::int64_t running = 0;
   std::int64_t backfill = 0;
@@ -26,13 +27,13 @@
   std::int64_t leftover = 0;
   std::int64_t paced = 0;
   std::int64_t services = 0;
-  std::int64_t harmed = 0;
+  std::int64_t aboveTarget = 0;
   std::int64_t starting = 0;
   std::int64_t reserved = 0;
   std::int64_t capacity = 0;
   for (const auto& [id, worker] : aWorkers) {
     demand += worker->mBackfillDemand;
-    leftover += EstimateLeftover(*worker);
+    leftover += EstimateUnusedProcessors(*worker);
     reserved += worker->mUsed.mMilliProcessors;
     capacity += worker->mEntry.mCapacity.mMilliProcessors;
     for (const RunState* it : worker->mRuns) {
@@ -40,11 +41,11 @@
       ++(isBackfill ? backfill : running);
       if (it->mTask->mStep->mSpec->mIsService) {
         ++services;
-        harmed += TailRatioOf(*it) > 1.0 ? 1 : 0;
+        aboveTarget += TailRatioOf(*it) > 1.0 ? 1 : 0;
         starting += it->mPercent < 100 ? 1 : 0;
       }
-      paced += it->mWantedPace < 100 ? 1 : 0;
-      used += isBackfill ? std::max<std::int64_t>(0, it->mUsage) : 0;
+      paced += it->mTargetPace < 100 ? 1 : 0;
+      used += isBackfill ? std::max<std::int64_t>(0, it->mMeasurement) : 0;
     }
   }
   logging::Write(logging::Level::Info,
@@ -61,7 +62,7 @@
                    { "capacity", capacity },
                    { "paced", paced },
                    { "services", services },
-                   { "harmed", harmed },
+                   { "harmed", aboveTarget },
                    { "starting", starting } });
 }
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -12,7 +12,7 @@
 #include "skylarkhill/journal/snapshot_planner.hpp"
 #include "skylarkhill/logging/logging.hpp"
 #include "skylarkhill/platform/http_platform.hpp"
-#include "skylarkhill/worker/http_worker_port.hpp"
+#include "skylarkhill/worker/http_remote_worker.hpp"
 
 #include <algorithm>
 #include <atomic>
@@ -423,7 +423,7 @@
   void AddWorker(const platform::InstanceEntry& aEntry)
   {
     auto port =
-      worker::CreateHttpWorkerPort(aEntry.mAddress, aEntry.mPort, mClock);
+      worker::CreateHttpRemoteWorker(aEntry.mAddress, aEntry.mPort, mClock);
     const std::uint64_t seed = base::CreateSystemRandom()->Next();
     mWorkers.Add(std::make_shared<WorkerAgent>(
       WorkerPlace{ { aEntry.mName }, aEntry.mDomain, aEntry.mRack },
@@ -439,7 +439,7 @@
     const base::TimePoint now = mClock.Now();
     // Read before the grants, so that these are at least as new.
     const platform::Offset position = mState.Position();
-    const base::TimePoint caughtUpAsOf = mState.CaughtUpAsOf();
+    const base::TimePoint caughtUpAsOf = mState.CaughtUpTime();
     {
       const std::lock_guard lock(mRefreshMutex);
       Refresh& last = mRefreshes[aAgent.Place().mWorker];
--- a/src/entry/worker_agent.cpp
+++ b/src/entry/worker_agent.cpp
@@ -28,7 +28,7 @@
 
 WorkerAgent::WorkerAgent(WorkerPlace aPlace,
                          WorkerAgentOptions aOptions,
-                         std::unique_ptr<worker::WorkerPort> aPort,
+                         std::unique_ptr<worker::RemoteWorker> aPort,
                          const base::Clock& aClock,
                          std::uint64_t aSeed,
                          WorkerEvents& aEvents)
@@ -105,12 +105,12 @@
 {
   const base::TimePoint sentAt = mClock.Now();
   const auto report =
-    mPort->PlaceHolderLease(aAction.mToken, aAction.mLength, aAction.mDeadline);
+    mPort->SetHolderLease(aAction.mToken, aAction.mLength, aAction.mDeadline);
   TakeReport(aAction.mRequest, report, sentAt);
 }
 
 void
-WorkerAgent::Perform(const holder::ReadList& aAction)
+WorkerAgent::Perform(const holder::ReadHolders& aAction)
 {
   const base::TimePoint sentAt = mClock.Now();
   TakeReport(aAction.mRequest, mPort->Poll(aAction.mDeadline), sentAt);
@@ -211,7 +211,7 @@
         mTaskBreaker.OnFailure(end->mTask, mClock.Now());
         break;
       default:
-        mTaskBreaker.OnWithdrawn(end->mTask);
+        mTaskBreaker.OnCancelled(end->mTask);
         break;
     }
   }
@@ -225,7 +225,7 @@
     // The deadline is checked right before the send: the thread may have been
     // paused since the command was decided.
     const std::lock_guard lock(mMutex);
-    if (!mLease.MayCommit(mClock.Now()) ||
+    if (!mLease.MaySendCommands(mClock.Now()) ||
         mLease.Token() != aCommand.mHeader.mToken) {
       return;
     }
@@ -266,7 +266,7 @@
 {
   const std::lock_guard lock(mMutex);
   const base::TimePoint now = mClock.Now();
-  if (!mLedger || mReleasing || !mLease.MayCommit(now)) {
+  if (!mLedger || mReleasing || !mLease.MaySendCommands(now)) {
     return MakeError(ErrorKind::NotHolder);
   }
   if (!mTaskBreaker.Admits(now)) {
@@ -281,7 +281,7 @@
 WorkerAgent::CancelPlan(const worker::TaskKey& aKey)
 {
   const std::lock_guard lock(mMutex);
-  mTaskBreaker.OnWithdrawn(aKey.mTask);
+  mTaskBreaker.OnCancelled(aKey.mTask);
   if (mLedger) {
     mLedger->CancelPlan(aKey);
   }
@@ -318,7 +318,7 @@
 WorkerAgent::TakeBackFailures(const base::TaskId& aTask)
 {
   const std::lock_guard lock(mMutex);
-  mTaskBreaker.TakeBack(aTask);
+  mTaskBreaker.RemoveFailures(aTask);
 }
 
 base::Result<std::string>
@@ -329,14 +329,14 @@
   {
     const std::lock_guard lock(mMutex);
     const base::TimePoint now = mClock.Now();
-    if (!mRunner || mReleasing || !mRunner->MayCall(now)) {
+    if (!mRunner || mReleasing || !mRunner->MaySendCalls(now)) {
       return MakeError(ErrorKind::NotHolder);
     }
     // A call that has started may outlive the holder lease; only its start is
     // bound to it.
     header.mToken = mLease.Token();
-    header.mNotAfter =
-      mLease.Clock().ToWorker(std::min(aDeadline, mLease.Deadline()));
+    header.mNotAfter = mLease.Clock().ToEarliestWorkerTime(
+      std::min(aDeadline, mLease.Deadline()));
     number = ++mLastCall;
     const base::TimePoint arrivesBefore =
       now + mOptions.mRunner.mMaxMessageDelay;
@@ -366,7 +366,7 @@
     if (isOver) {
       mLedger->EndCall(aNumber);
     } else {
-      mLedger->LoseCall(aNumber);
+      mLedger->MarkCallLost(aNumber);
     }
   }
   if (aAnswer) {
@@ -374,7 +374,7 @@
   } else if (IsWorkerFault(aAnswer.error().mKind, aSentAt)) {
     mCallBreaker.OnFailure(BreakerKey(aCall), mClock.Now());
   } else {
-    mCallBreaker.OnWithdrawn(BreakerKey(aCall));
+    mCallBreaker.OnCancelled(BreakerKey(aCall));
   }
 }
 
@@ -427,7 +427,7 @@
 WorkerAgent::MayCommit() const
 {
   const std::lock_guard lock(mMutex);
-  return mLease.MayCommit(mClock.Now());
+  return mLease.MaySendCommands(mClock.Now());
 }
 
 WorkerStatus
@@ -437,14 +437,14 @@
   const base::TimePoint now = mClock.Now();
   WorkerStatus status;
   status.mPlace = mPlace;
-  status.mHeld = mRunner != nullptr && mLedger->IsBuilt() && !mReleasing &&
-                 mRunner->MayCall(now);
+  status.mHeld = mRunner != nullptr && mLedger->HasReport() && !mReleasing &&
+                 mRunner->MaySendCalls(now);
   status.mAdmitsTasks = status.mHeld && mTaskBreaker.Admits(now);
   status.mAdmitsCalls = status.mHeld && mCallBreaker.Admits(now);
   if (mLedger) {
     status.mCapacity = mLedger->Capacity();
     status.mFree = mLedger->Capacity() - mLedger->Committed() - mServiceReserve;
-    status.mFreeCalls = mLedger->FreeCalls();
+    status.mFreeCalls = mLedger->FreeCallCapacity();
   }
   if (mReport) {
     status.mLeaving = mReport->mLeaving;
--- a/src/holder/lease_machine.cpp
+++ b/src/holder/lease_machine.cpp
@@ -18,11 +18,12 @@
   { LeaseState::Releasing, "releasing" },
 } };
 
-// A failed renewal is repeated well before the next regular one, so that one
-// lost message does not consume most of the lease.
+// A failed renewal is retried after a fraction of the renew interval, so that
+// one lost message does not use up most of the lease.
 constexpr int kRetriesPerRenewInterval = 4;
 
-// The margin bounds the drift during one lease, which gives the rate.
+// The clock margin is the maximum drift during one lease, which gives the
+// maximum drift rate.
 std::int64_t
 MaxDriftPpm(const LeaseOptions& aOptions)
 {
@@ -57,13 +58,13 @@
 }
 
 bool
-LeaseMachine::MayCommit(base::TimePoint aNow) const
+LeaseMachine::MaySendCommands(base::TimePoint aNow) const
 {
   return mState == LeaseState::Held && aNow < mDeadline;
 }
 
 bool
-LeaseMachine::HasLapsed(base::TimePoint aNow) const
+LeaseMachine::IsLeaseExpired(base::TimePoint aNow) const
 {
   return mState == LeaseState::Held && aNow >= mDeadline;
 }
@@ -73,10 +74,10 @@
                        const base::Result<worker::WorkerReport>& aReport,
                        base::TimePoint aNow)
 {
-  // An answer that is handled after the deadline must not extend the lease:
-  // another instance may have held the worker in between.
-  if (HasLapsed(aNow)) {
-    GiveUp(LeaseState::Lost, aNow);
+  // An answer handled after the deadline must not extend the lease, because
+  // another instance may have held the worker in the meantime.
+  if (IsLeaseExpired(aNow)) {
+    EndLease(LeaseState::Lost, aNow);
     return;
   }
   if (!mOutstanding || mOutstanding->mNumber != aRequest) {
@@ -88,7 +89,7 @@
     HandleFailure(aNow);
     return;
   }
-  Learn(aReport.value(), request, aNow);
+  UpdateFromReport(aReport.value(), request, aNow);
   HandleReport(aReport.value(), request, aNow);
 }
 
@@ -109,15 +110,15 @@
                       mState == LeaseState::Verifying ||
                       mState == LeaseState::Held;
   if (placed) {
-    GiveUp(LeaseState::Releasing, aNow);
+    EndLease(LeaseState::Releasing, aNow);
   }
 }
 
 std::vector<LeaseAction>
 LeaseMachine::Step(base::TimePoint aNow)
 {
-  if (HasLapsed(aNow)) {
-    GiveUp(LeaseState::Lost, aNow);
+  if (IsLeaseExpired(aNow)) {
+    EndLease(LeaseState::Lost, aNow);
   }
   if (mOutstanding && aNow >= mOutstanding->mDeadline) {
     mOutstanding.reset();
@@ -125,10 +126,10 @@
   }
   const bool due = !mOutstanding && aNow >= mNextSend;
   if (due && mState == LeaseState::NotHeld && !mReleased) {
-    SendRead(aNow);
+    SendReadHolders(aNow);
   }
   if (due && mState == LeaseState::Held) {
-    SendPlace(aNow);
+    SendPlaceLease(aNow);
   }
   return std::exchange(mActions, {});
 }
@@ -145,8 +146,8 @@
 bool
 LeaseMachine::IsOtherLeaseIn(const worker::WorkerReport& aReport) const
 {
-  // An older lease of this instance is no competitor: its epoch is never used
-  // again, and the quiet period covers the commands sent under it.
+  // Older leases of this instance do not count: their epochs are never reused,
+  // and commands sent under them arrive before the quiet period ends.
   return std::any_of(aReport.mHolders.begin(),
                      aReport.mHolders.end(),
                      [this](const auto& aLease) {
@@ -155,9 +156,9 @@
 }
 
 void
-LeaseMachine::Learn(const worker::WorkerReport& aReport,
-                    const Request& aRequest,
-                    base::TimePoint aNow)
+LeaseMachine::UpdateFromReport(const worker::WorkerReport& aReport,
+                               const Request& aRequest,
+                               base::TimePoint aNow)
 {
   mClock.Observe(aReport.mNow, aRequest.mSentAt, aNow);
   for (const auto& it : aReport.mHolders) {
@@ -176,7 +177,7 @@
       break;
     case LeaseState::Placing:
       mState = LeaseState::Verifying;
-      SendRead(aNow);
+      SendReadHolders(aNow);
       break;
     case LeaseState::Verifying:
       HandleVerification(aReport, aNow);
@@ -195,12 +196,12 @@
 {
   switch (mState) {
     case LeaseState::NotHeld:
-      mFreeSince.reset();
+      mUnheldSince.reset();
       mNextSend = aNow + mOptions.mScanInterval;
       break;
     case LeaseState::Placing:
     case LeaseState::Verifying:
-      GiveUp(LeaseState::Releasing, aNow);
+      EndLease(LeaseState::Releasing, aNow);
       break;
     case LeaseState::Held:
       mNextSend = aNow + mOptions.mRenewInterval / kRetriesPerRenewInterval;
@@ -217,23 +218,24 @@
                          base::TimePoint aNow)
 {
   if (IsOtherLeaseIn(aReport)) {
-    mFreeSince.reset();
+    mUnheldSince.reset();
     mNextSend = aNow + mOptions.mScanInterval;
     return;
   }
-  mFreeSince = mFreeSince.value_or(aNow);
-  const base::TimePoint takeoverAt = *mFreeSince + mOptions.mTakeoverDelay;
+  mUnheldSince = mUnheldSince.value_or(aNow);
+  const base::TimePoint takeoverAt = *mUnheldSince + mOptions.mTakeoverDelay;
   if (!mPreferred && aNow < takeoverAt) {
     mNextSend = std::min(aNow + mOptions.mScanInterval, takeoverAt);
     return;
   }
-  mFreeSince.reset();
+  mUnheldSince.reset();
   ++mLargestEpoch;
   mToken.mEpoch = mLargestEpoch;
   mState = LeaseState::Placing;
-  // Counted from the send time: the worker counts from the later receipt.
+  // Counted from the send time. The worker counts from the later receive time,
+  // so that the lease ends here before it expires on the worker.
   mDeadline = aNow + mOptions.mLeaseLength - mOptions.mClockMargin;
-  SendPlace(aNow);
+  SendPlaceLease(aNow);
 }
 
 void
@@ -242,13 +244,13 @@
 {
   const bool exclusive = IsOwnLeaseIn(aReport) && !IsOtherLeaseIn(aReport);
   if (!exclusive || aNow >= mDeadline) {
-    GiveUp(LeaseState::Releasing, aNow);
+    EndLease(LeaseState::Releasing, aNow);
     return;
   }
   mState = LeaseState::Held;
-  // Earlier holders' leases had expired when the worker made this list, so
-  // they sent nothing after that. What they had sent may still arrive.
-  mQuietUntil = aNow + mOptions.mQuietPeriod;
+  // The leases of previous holders had expired when the worker created this
+  // list, so they send nothing more. Commands sent earlier may still arrive.
+  mQuietPeriodEnd = aNow + mOptions.mQuietPeriod;
   mConfirmed = false;
   mNextSend = aNow;
   mActions.emplace_back(LeaseAcquired{ mToken });
@@ -260,31 +262,32 @@
                             base::TimePoint aNow)
 {
   if (!IsOwnLeaseIn(aReport)) {
-    GiveUp(LeaseState::Lost, aNow);
+    EndLease(LeaseState::Lost, aNow);
     return;
   }
-  // A worker that restarted has forgotten the lease of its holder, whose next
-  // renewal puts it back. The newer of the two holders is in its quiet period
-  // and yields, because it has started nothing.
+  // A restarted worker has lost the lease of its holder until that holder's
+  // next renewal restores it. If a second holder acquired the worker in
+  // between, it is still in its quiet period and has started nothing, so it
+  // releases its lease.
   if (!mConfirmed && IsOtherLeaseIn(aReport)) {
-    GiveUp(LeaseState::Releasing, aNow);
+    EndLease(LeaseState::Releasing, aNow);
     return;
   }
-  mConfirmed = mConfirmed || aRequest.mSentAt >= mQuietUntil;
+  mConfirmed = mConfirmed || aRequest.mSentAt >= mQuietPeriodEnd;
   mDeadline = aRequest.mSentAt + mOptions.mLeaseLength - mOptions.mClockMargin;
   mNextSend = aRequest.mSentAt + mOptions.mRenewInterval;
 }
 
 void
-LeaseMachine::SendRead(base::TimePoint aNow)
+LeaseMachine::SendReadHolders(base::TimePoint aNow)
 {
   StartRequest(aNow);
   mActions.emplace_back(
-    ReadList{ mOutstanding->mNumber, mOutstanding->mDeadline });
+    ReadHolders{ mOutstanding->mNumber, mOutstanding->mDeadline });
 }
 
 void
-LeaseMachine::SendPlace(base::TimePoint aNow)
+LeaseMachine::SendPlaceLease(base::TimePoint aNow)
 {
   StartRequest(aNow);
   mActions.emplace_back(PlaceLease{ mOutstanding->mNumber,
@@ -294,14 +297,14 @@
 }
 
 void
-LeaseMachine::GiveUp(LeaseState aState, base::TimePoint aNow)
+LeaseMachine::EndLease(LeaseState aState, base::TimePoint aNow)
 {
   if (mState == LeaseState::Held) {
     mActions.emplace_back(LeaseEnded{ mToken });
   }
   mState = aState;
-  mFreeSince.reset();
-  // The random part keeps instances that collided from colliding again.
+  mUnheldSince.reset();
+  // Random backoff, so that instances that collided do not collide again.
   mNextSend =
     aNow + mRandom.Between(mOptions.mBackoffLow, mOptions.mBackoffHigh);
   StartRequest(aNow);
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-/// The first character of the keys of each kind.
+/// First character of the record keys, by kind.
 constexpr base::NameTable<RecordKind, 5> kKeyPrefixes{ {
   { RecordKind::Submission, "s" },
   { RecordKind::Cancellation, "c" },
@@ -79,9 +79,9 @@
 ToFields(const Step& aStep)
 {
   return { aStep.mCount,
-           { aStep.mNeed.mMilliProcessors,
-             aStep.mNeed.mMemoryBytes,
-             aStep.mNeed.mAccelerators },
+           { aStep.mResources.mMilliProcessors,
+             aStep.mResources.mMemoryBytes,
+             aStep.mResources.mAccelerators },
            aStep.mEstimateMs,
            aStep.mDependsOn,
            aStep.mSavesProgress,
@@ -102,9 +102,9 @@
 ToStep(const StepFields& aFields)
 {
   Step step;
-  ResourceFields need;
+  ResourceFields resources;
   std::tie(step.mCount,
-           need,
+           resources,
            step.mEstimateMs,
            step.mDependsOn,
            step.mSavesProgress,
@@ -119,7 +119,9 @@
            step.mTailTargetMs,
            step.mIsBackfill,
            step.mMaxUnavailable) = aFields;
-  step.mNeed = { std::get<0>(need), std::get<1>(need), std::get<2>(need) };
+  step.mResources = { std::get<0>(resources),
+                      std::get<1>(resources),
+                      std::get<2>(resources) };
   return step;
 }
 
--- a/src/jobs/jobs_test.cpp
+++ b/src/jobs/jobs_test.cpp
@@ -19,7 +19,7 @@
   submission.mRequest.mPayload = std::string("\0\xff text", 7);
   Step step;
   step.mCount = 4;
-  step.mNeed = { 1500, 1 << 20, 2 };
+  step.mResources = { 1500, 1 << 20, 2 };
   step.mDependsOn = {};
   step.mImage = "image";
   step.mIsBackfill = true;
@@ -49,18 +49,18 @@
 class JobsTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(JobsTest);
-  CPPUNIT_TEST(KeepsASubmissionThroughTheCodec);
-  CPPUNIT_TEST(KeepsProgressThroughTheCodec);
-  CPPUNIT_TEST(RefusesBytesThatAreNoRecord);
-  CPPUNIT_TEST(StaysOneJobWhenSubmittedTwice);
-  CPPUNIT_TEST(IgnoresProgressThatIsOlder);
-  CPPUNIT_TEST(CancelsAJobWhoseSubmissionArrivesLater);
+  CPPUNIT_TEST(RoundTripsASubmission);
+  CPPUNIT_TEST(RoundTripsProgress);
+  CPPUNIT_TEST(RejectsMalformedRecords);
+  CPPUNIT_TEST(IgnoresARepeatedSubmission);
+  CPPUNIT_TEST(IgnoresOlderProgress);
+  CPPUNIT_TEST(CancelsAJobSubmittedAfterItsCancellation);
   CPPUNIT_TEST(CountsPendingJobsOfAQueue);
-  CPPUNIT_TEST(KeepsTheFinalStateAgainstALateCancellation);
+  CPPUNIT_TEST(KeepsTheFinalStateDespiteALateCancellation);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void KeepsASubmissionThroughTheCodec()
+  void RoundTripsASubmission()
   {
     const Submission before = MakeSubmission("a");
     const auto after = DecodeSubmission(EncodeSubmission(before));
@@ -71,13 +71,13 @@
                          after.value().mRequest.mSteps.size());
     const Step& step = after.value().mRequest.mSteps[1];
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, step.mDependsOn.size());
-    CPPUNIT_ASSERT(step.mNeed == before.mRequest.mSteps[1].mNeed);
+    CPPUNIT_ASSERT(step.mResources == before.mRequest.mSteps[1].mResources);
     CPPUNIT_ASSERT(step.mIsBackfill);
     CPPUNIT_ASSERT_EQUAL(2, step.mMaxUnavailable);
     CPPUNIT_ASSERT_EQUAL(1.5, after.value().mPolicy.mSlackFactor);
   }
 
-  void KeepsProgressThroughTheCodec()
+  void RoundTripsProgress()
   {
     JobProgress before;
     before.mState = JobState::Running;
@@ -92,7 +92,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("point"), task.mCheckpoint);
   }
 
-  void RefusesBytesThatAreNoRecord()
+  void RejectsMalformedRecords()
   {
     CPPUNIT_ASSERT(!DecodeSubmission("garbage"));
     CPPUNIT_ASSERT(!DecodeProgress(""));
@@ -101,7 +101,7 @@
     CPPUNIT_ASSERT(!ParseRecordKey("s"));
   }
 
-  void StaysOneJobWhenSubmittedTwice()
+  void IgnoresARepeatedSubmission()
   {
     JobTable table;
     Submission second = MakeSubmission("a");
@@ -113,9 +113,9 @@
                          table.Find("a")->mSubmission->mAcceptedMs);
   }
 
-  // Guards against a completed job that is shown as running again when the
-  // leader reads its own older records.
-  void IgnoresProgressThatIsOlder()
+  // A completed job must not be shown as running when the leader reads its own
+  // older records.
+  void IgnoresOlderProgress()
   {
     JobTable table;
     table.Apply(SubmissionKey("a"), EncodeSubmission(MakeSubmission("a")), 1);
@@ -125,7 +125,7 @@
     CPPUNIT_ASSERT(table.StateOf("a") == JobState::Completed);
   }
 
-  void CancelsAJobWhoseSubmissionArrivesLater()
+  void CancelsAJobSubmittedAfterItsCancellation()
   {
     JobTable table;
     table.Apply(FormatRecordKey(RecordKind::Cancellation, "a"), "1", 1);
@@ -147,7 +147,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, table.CountPending("other"));
   }
 
-  void KeepsTheFinalStateAgainstALateCancellation()
+  void KeepsTheFinalStateDespiteALateCancellation()
   {
     JobTable table;
     table.Apply(SubmissionKey("a"), EncodeSubmission(MakeSubmission("a")), 1);
--- a/src/journal/batch_writer.cpp
+++ b/src/journal/batch_writer.cpp
@@ -32,10 +32,10 @@
   mLiveInstances = std::max<std::int64_t>(1, aCount);
 }
 
-// With one append per linger time, all instances together stay within the
-// append budget.
+// With at most one append per interval and instance, all instances together
+// stay within the append budget.
 base::Duration
-BatchWriter::Linger() const
+BatchWriter::AppendInterval() const
 {
   constexpr std::int64_t kMicrosPerSecond = 1'000'000;
   const std::int64_t budget =
@@ -52,11 +52,11 @@
   const std::size_t bytes = TotalBytes(aRecords);
   if (bytes > mSettings.mMaxBatchBytes) {
     return base::MakeError(base::ErrorKind::PayloadTooLarge,
-                           "records exceed the batch size");
+                           "records exceed the maximum batch size");
   }
   if (mQueuedRecords + aRecords.size() > mSettings.mMaxQueuedRecords) {
     return base::MakeError(base::ErrorKind::Overloaded,
-                           "journal queue is full");
+                           "queue of the log writer is full");
   }
   mQueuedRecords += aRecords.size();
   mQueue.push_back(
@@ -98,13 +98,14 @@
 }
 
 void
-BatchWriter::EncodeBatchText(std::int64_t aWallClockMs)
+BatchWriter::EncodePayload(std::int64_t aWallClockMs)
 {
   Batch batch;
   batch.mWriter = mSettings.mWriter;
   batch.mSequence = mSequence;
   batch.mWrittenAtMs = aWallClockMs;
-  // The batch claims no more knowledge than each of its submitters had.
+  // The position of the batch must hold for each of its submissions, so it is
+  // the minimum of their positions.
   batch.mPosition = mBatch.front().mPosition;
   for (const auto& it : mBatch) {
     batch.mPosition.mAsOf = std::min(batch.mPosition.mAsOf, it.mPosition.mAsOf);
@@ -117,7 +118,7 @@
 }
 
 std::optional<AppendAction>
-BatchWriter::Start(base::TimePoint aNow, std::int64_t aWallClockMs)
+BatchWriter::StartAppend(base::TimePoint aNow, std::int64_t aWallClockMs)
 {
   Expire(aNow);
   const bool isNew =
@@ -131,10 +132,10 @@
     ++mSequence;
   }
   if (mPayload.empty()) {
-    EncodeBatchText(aWallClockMs);
+    EncodePayload(aWallClockMs);
   }
   mPhase = Phase::Appending;
-  mNextAppendAt = aNow + Linger();
+  mNextAppendAt = aNow + AppendInterval();
   AppendAction action;
   action.mSequence = mSequence;
   action.mPayload = mPayload;
@@ -146,19 +147,20 @@
 }
 
 void
-BatchWriter::End(const Submission& aSubmission, base::Result<Offset> aResult)
+BatchWriter::EndSubmission(const Submission& aSubmission,
+                           base::Result<Offset> aResult)
 {
   mQueuedRecords -= aSubmission.mRecords.size();
   mResults.push_back({ aSubmission.mTicket, std::move(aResult) });
 }
 
 void
-BatchWriter::DropBatch()
+BatchWriter::ResetBatch()
 {
   mBatch.clear();
   mPayload.clear();
   mMayBeWritten = false;
-  mRetryPause = base::Duration(0);
+  mRetryDelay = base::Duration(0);
   mPhase = Phase::Idle;
 }
 
@@ -166,9 +168,9 @@
 BatchWriter::FinishBatch(Offset aOffset)
 {
   for (const auto& it : mBatch) {
-    End(it, aOffset);
+    EndSubmission(it, aOffset);
   }
-  DropBatch();
+  ResetBatch();
 }
 
 void
@@ -182,7 +184,7 @@
 // An earlier copy of the batch may have been read while this append was in
 // progress.
 bool
-BatchWriter::FinishIfRead()
+BatchWriter::FinishBatchIfRead()
 {
   if (mReadSequence != mSequence) {
     return false;
@@ -194,25 +196,25 @@
 void
 BatchWriter::OnUnavailable(base::TimePoint aNow)
 {
-  if (mPhase != Phase::Appending || FinishIfRead()) {
+  if (mPhase != Phase::Appending || FinishBatchIfRead()) {
     return;
   }
   mPhase = Phase::Retrying;
-  mRetryPause = std::min(std::max(mSettings.mRetryPause, mRetryPause * 2),
-                         mSettings.mMaxRetryPause);
-  mRetryAt = std::max(aNow + mRetryPause, mNextAppendAt);
+  mRetryDelay = std::min(std::max(mSettings.mRetryDelay, mRetryDelay * 2),
+                         mSettings.mMaxRetryDelay);
+  mRetryAt = std::max(aNow + mRetryDelay, mNextAppendAt);
   Expire(aNow);
 }
 
 void
 BatchWriter::OnAnswerLost(base::TimePoint aNow)
 {
-  if (mPhase != Phase::Appending || FinishIfRead()) {
+  if (mPhase != Phase::Appending || FinishBatchIfRead()) {
     return;
   }
   mPhase = Phase::Resolving;
   mMayBeWritten = true;
-  mLostAt = aNow;
+  mAnswerLostAt = aNow;
   Expire(aNow);
 }
 
@@ -222,7 +224,7 @@
   mReadSequence = aSequence;
   mReadOffset = aOffset;
   if (mPhase == Phase::Resolving || mPhase == Phase::Retrying) {
-    FinishIfRead();
+    FinishBatchIfRead();
   }
 }
 
@@ -230,11 +232,11 @@
 BatchWriter::OnCaughtUp(base::TimePoint aIssuedAt)
 {
   // A read issued before the answer was lost may have missed the batch.
-  if (mPhase != Phase::Resolving || aIssuedAt <= mLostAt) {
+  if (mPhase != Phase::Resolving || aIssuedAt <= mAnswerLostAt) {
     return;
   }
   if (mBatch.empty()) {
-    DropBatch();
+    ResetBatch();
     return;
   }
   mPhase = Phase::Retrying;
@@ -244,29 +246,30 @@
 void
 BatchWriter::ExpireBatch(base::TimePoint aNow)
 {
-  // A delayed copy of a batch whose answer was lost may still reach the
-  // stream, so its records cannot be reported as not written.
+  // A delayed copy of a batch whose answer was lost may still reach the stream,
+  // so its records must not be reported as not written.
   const auto kind = mMayBeWritten ? base::ErrorKind::AnswerLost
                                   : base::ErrorKind::LogUnavailable;
-  std::vector<Submission> rest;
+  std::vector<Submission> remaining;
   for (auto& it : mBatch) {
     if (it.mDeadline <= aNow) {
-      End(it, base::MakeError(kind, "deadline passed before the append"));
+      EndSubmission(it,
+                    base::MakeError(kind, "deadline passed before the append"));
     } else {
-      rest.push_back(std::move(it));
+      remaining.push_back(std::move(it));
     }
   }
-  if (rest.size() == mBatch.size()) {
-    mBatch = std::move(rest);
+  if (remaining.size() == mBatch.size()) {
+    mBatch = std::move(remaining);
     return;
   }
-  mBatch = std::move(rest);
+  mBatch = std::move(remaining);
   if (!mMayBeWritten) {
-    // Nothing of this batch was ever written, so its text may change.
+    // This batch was never written, so its payload may change.
     mPayload.clear();
   }
   if (mBatch.empty() && mPhase == Phase::Retrying) {
-    DropBatch();
+    ResetBatch();
   }
 }
 
@@ -288,17 +291,17 @@
   if (std::none_of(mQueue.begin(), mQueue.end(), isExpired)) {
     return;
   }
-  std::deque<Submission> rest;
+  std::deque<Submission> remaining;
   for (auto& it : mQueue) {
     if (isExpired(it)) {
-      End(it,
-          base::MakeError(base::ErrorKind::LogUnavailable,
-                          "deadline passed before the append"));
+      EndSubmission(it,
+                    base::MakeError(base::ErrorKind::LogUnavailable,
+                                    "deadline passed before the append"));
     } else {
-      rest.push_back(std::move(it));
+      remaining.push_back(std::move(it));
     }
   }
-  mQueue = std::move(rest);
+  mQueue = std::move(remaining);
 }
 
 std::vector<TicketResult>
--- a/src/journal/journal_service.cpp
+++ b/src/journal/journal_service.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-// Bounds one wait, so that a change of an injected clock is noticed.
+// Limits one wait, as an injected clock can change without a notification.
 constexpr base::Duration kMaxWait = std::chrono::milliseconds(20);
 
 const tasks::AcceptRecord*
@@ -98,8 +98,8 @@
 JournalService::Submit(const std::vector<SiteRecord>& aRecords,
                        base::TimePoint aDeadline)
 {
-  // The position is taken before the state is looked at, so that the batch
-  // never claims to know more than the checks below did.
+  // The position is read before the state, so that it is not newer than the
+  // state that the checks below use.
   const WriterPosition position = mState.GetWriterPosition();
   std::vector<std::string> encoded;
   for (const auto& it : aRecords) {
@@ -109,7 +109,7 @@
     const auto* accept = FindAccept(it);
     if (accept != nullptr && mState.IsTaskKnown(accept->mSpec.mTask)) {
       return base::MakeError(base::ErrorKind::LogUnavailable,
-                             "task was accepted before the retained log");
+                             "accept record of the task is no longer retained");
     }
     encoded.push_back(EncodeRecord(it));
   }
@@ -142,19 +142,20 @@
 {
   std::unique_lock<std::mutex> lock(mMutex);
   while (mResults.count(aTicket) == 0) {
-    const auto rest = base::Remaining(mClock.Now(), aDeadline);
-    if (mIsStopping || rest == base::Duration(0)) {
+    const auto remaining = base::Remaining(mClock.Now(), aDeadline);
+    if (mIsStopping || remaining == base::Duration(0)) {
       mWriter.Expire(mClock.Now());
       TakeResults();
       break;
     }
-    mChanged.wait_for(lock, std::min(rest, kMaxWait));
+    mChanged.wait_for(lock, std::min(remaining, kMaxWait));
   }
   mWaiting.erase(aTicket);
   const auto node = mResults.extract(aTicket);
   if (node.empty()) {
-    return base::MakeError(base::ErrorKind::AnswerLost,
-                           "append was still in progress");
+    return base::MakeError(
+      base::ErrorKind::AnswerLost,
+      "append was still in progress at the deadline or shutdown");
   }
   return node.mapped();
 }
@@ -164,7 +165,7 @@
                               Offset aOffset,
                               base::TimePoint aDeadline) const
 {
-  if (!mState.WaitApplied(aOffset, mClock, aDeadline)) {
+  if (!mState.WaitUntilApplied(aOffset, mClock, aDeadline)) {
     return base::MakeError(base::ErrorKind::AnswerLost,
                            "record was not read back in time");
   }
@@ -176,12 +177,12 @@
     });
   if (!isEffective) {
     return base::MakeError(base::ErrorKind::AnswerLost,
-                           "record was too old when it was read back");
+                           "record was stale when it was read back");
   }
   return aOffset;
 }
 
-// Called with mMutex held.
+// mMutex must be locked.
 void
 JournalService::TakeResults()
 {
@@ -221,7 +222,7 @@
 {
   std::unique_lock<std::mutex> lock(mMutex);
   while (!mIsStopping) {
-    const auto action = mWriter.Start(mClock.Now(), mWallClock.NowMs());
+    const auto action = mWriter.StartAppend(mClock.Now(), mWallClock.NowMs());
     TakeResults();
     if (action) {
       lock.unlock();
@@ -229,8 +230,8 @@
       lock.lock();
       continue;
     }
-    const auto rest = base::Remaining(mClock.Now(), mWriter.NextWakeUp());
-    mChanged.wait_for(lock, std::min(rest, kMaxWait));
+    const auto remaining = base::Remaining(mClock.Now(), mWriter.NextWakeUp());
+    mChanged.wait_for(lock, std::min(remaining, kMaxWait));
   }
 }
 
@@ -247,14 +248,14 @@
     ++mCounts.mReads;
     ++mCounts.mReadsFailed;
     mReadPause = std::min(std::max(mSettings.mPollInterval, mReadPause * 2),
-                          mSettings.mMaxReadPause);
+                          mSettings.mMaxReadRetryDelay);
     return mReadPause;
   }
   mReadPause = base::Duration(0);
   const std::lock_guard<std::mutex> readerLock(mReaderMutex);
   const PageResult result = mReader.OnPage(page.value(), issuedAt);
   mState.ApplyPage(result, mWallClock.NowMs());
-  mState.SetCaughtUp(mReader.CaughtUpAsOf());
+  mState.SetCaughtUp(mReader.CaughtUpTime());
   const std::lock_guard<std::mutex> lock(mMutex);
   ++mCounts.mReads;
   mCounts.mDuplicates = mReader.Duplicates();
@@ -265,7 +266,7 @@
       mWriter.OnRead(it.mBatch.mSequence, it.mOffset);
     }
   }
-  mWriter.OnCaughtUp(mReader.CaughtUpAsOf());
+  mWriter.OnCaughtUp(mReader.CaughtUpTime());
   TakeResults();
   const bool isAtEnd = mReader.Position() >= page.value().mEnd;
   return isAtEnd ? mSettings.mPollInterval : base::Duration(0);
@@ -283,8 +284,8 @@
     const base::TimePoint until = mClock.Now() + pause;
     std::unique_lock<std::mutex> lock(mMutex);
     while (!mIsStopping && !mIsReadDue && mClock.Now() < until) {
-      const auto rest = base::Remaining(mClock.Now(), until);
-      mChanged.wait_for(lock, std::min(rest, kMaxWait));
+      const auto remaining = base::Remaining(mClock.Now(), until);
+      mChanged.wait_for(lock, std::min(remaining, kMaxWait));
     }
     if (mIsStopping) {
       return;
@@ -297,11 +298,11 @@
 {
   std::unique_lock<std::mutex> lock(mMutex);
   while (!mWriter.IsIdle()) {
-    const auto rest = base::Remaining(mClock.Now(), aDeadline);
-    if (mIsStopping || rest == base::Duration(0)) {
+    const auto remaining = base::Remaining(mClock.Now(), aDeadline);
+    if (mIsStopping || remaining == base::Duration(0)) {
       return false;
     }
-    mChanged.wait_for(lock, std::min(rest, kMaxWait));
+    mChanged.wait_for(lock, std::min(remaining, kMaxWait));
   }
   return true;
 }
--- a/src/journal/journal_service_test.cpp
+++ b/src/journal/journal_service_test.cpp
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// One instance with its own state.
+/// A journal service with its own state.
 struct Instance
 {
   Instance(MemoryLog& aLog, const std::string& aWriter)
@@ -29,7 +29,7 @@
   {
     JournalServiceSettings settings;
     settings.mWriter.mWriter = aWriter;
-    settings.mWriter.mRetryPause = milliseconds(5);
+    settings.mWriter.mRetryDelay = milliseconds(5);
     settings.mPollInterval = milliseconds(2);
     return settings;
   }
@@ -56,14 +56,14 @@
 {
   CPPUNIT_TEST_SUITE(JournalServiceTest);
   CPPUNIT_TEST(SubmitsConcurrentlyFromTwoInstances);
-  CPPUNIT_TEST(SurvivesLostAnswers);
-  CPPUNIT_TEST(TellsAClaimedKeyFromAnOwnClaim);
+  CPPUNIT_TEST(AppendsOnceDespiteLostAnswers);
+  CPPUNIT_TEST(DoesNotAppendAnIntentForAClaimedKey);
   CPPUNIT_TEST(RefusesWhileTheLogIsDown);
   CPPUNIT_TEST(StartsFromAPeerWhileTheLogIsDown);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against lost wake-ups between the threads, and against one append
+  // Guards against missed wake-ups between the threads, and against one append
   // per record.
   void SubmitsConcurrentlyFromTwoInstances()
   {
@@ -97,33 +97,33 @@
     const auto now = base::GetBootClock().Now();
     for (Instance* it : { &first, &second }) {
       CPPUNIT_ASSERT(
-        it->mState.WaitCaughtUp(now, base::GetBootClock(), deadline));
+        it->mState.WaitUntilCaughtUp(now, base::GetBootClock(), deadline));
       CPPUNIT_ASSERT_EQUAL(std::size_t(80), it->mState.Counts().mLiveTasks);
     }
     CPPUNIT_ASSERT_EQUAL(first.mState.LiveDigest(), second.mState.LiveDigest());
     CPPUNIT_ASSERT(mLog.End() < 160);
   }
 
-  // Guards against a submission that is repeated in the stream or forgotten
-  // when the answer to the append is lost.
-  void SurvivesLostAnswers()
+  // Guards against a submission that is appended twice or never when the answer
+  // to an append is lost.
+  void AppendsOnceDespiteLostAnswers()
   {
     Instance instance(mLog, "a/1");
     instance.mService.Start();
-    mLog.mLoseAnswers = 1;
+    mLog.mAnswersToLose = 1;
     CPPUNIT_ASSERT(instance.Submit(Accept("written")).has_value());
     CPPUNIT_ASSERT_EQUAL(Offset(1), mLog.End());
-    mLog.mDropAppends = 2;
+    mLog.mAppendsToDrop = 2;
     CPPUNIT_ASSERT(instance.Submit(Accept("dropped")).has_value());
     CPPUNIT_ASSERT_EQUAL(Offset(2), mLog.End());
     CPPUNIT_ASSERT_EQUAL(std::int64_t(3),
                          instance.mService.Counts().mAnswersLost);
   }
 
-  // Guards against a second request with a key that takes the claim of an
-  // earlier one for its own and runs the work again, while the claim is the
-  // newest record (explorer, site world, seed 11).
-  void TellsAClaimedKeyFromAnOwnClaim()
+  // Guards against a second request that takes an earlier request's claim of
+  // the key for its own and runs the work again. It happened while the claim
+  // was the newest record (explore, world site, seed 11).
+  void DoesNotAppendAnIntentForAClaimedKey()
   {
     Instance instance(mLog, "a/1");
     instance.mService.Start();
@@ -136,8 +136,8 @@
     CPPUNIT_ASSERT_EQUAL(kNotAppended, instance.Submit(intent).value());
   }
 
-  // Guards against a submission that is reported as refused but runs once the
-  // log is back.
+  // Guards against a submission that is reported as not written but is appended
+  // when the log is available again.
   void RefusesWhileTheLogIsDown()
   {
     Instance instance(mLog, "a/1");
@@ -154,15 +154,15 @@
                    base::ErrorKind::ShuttingDown);
   }
 
-  // Guards against an instance that stays unready through an outage although a
-  // peer has the state.
+  // Guards against an instance that cannot become ready during a log outage
+  // although a peer has the state.
   void StartsFromAPeerWhileTheLogIsDown()
   {
     Instance peer(mLog, "a/1");
     peer.mService.Start();
     CPPUNIT_ASSERT(peer.Submit(Accept("a")).has_value());
     mLog.mIsDown = true;
-    Instance late(mLog, "b/1");
+    Instance joined(mLog, "b/1");
     const StateHeader header = peer.mService.ExportHeader();
     std::vector<StatePage> pages;
     for (std::size_t i = 0; i < peer.mState.CountShards(); ++i) {
@@ -170,16 +170,16 @@
         pages.push_back(std::move(it));
       }
     }
-    CPPUNIT_ASSERT(late.mService.Import(header, pages).has_value());
-    late.mService.Start();
-    CPPUNIT_ASSERT(late.mState.IsReady());
-    CPPUNIT_ASSERT(late.mState.FindTask({ "a" }).has_value());
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), late.mState.Queued(10).size());
+    CPPUNIT_ASSERT(joined.mService.Import(header, pages).has_value());
+    joined.mService.Start();
+    CPPUNIT_ASSERT(joined.mState.IsReady());
+    CPPUNIT_ASSERT(joined.mState.FindTask({ "a" }).has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), joined.mState.Queued(10).size());
     mLog.mIsDown = false;
     CPPUNIT_ASSERT(peer.Submit(Accept("b")).has_value());
-    CPPUNIT_ASSERT(late.Submit(Accept("c")).has_value());
-    CPPUNIT_ASSERT(late.mState.FindTask({ "b" }).has_value());
-    CPPUNIT_ASSERT_EQUAL(std::int64_t(0), late.mService.Counts().mGaps);
+    CPPUNIT_ASSERT(joined.Submit(Accept("c")).has_value());
+    CPPUNIT_ASSERT(joined.mState.FindTask({ "b" }).has_value());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(0), joined.mService.Counts().mGaps);
   }
 
 private:
--- a/src/journal/site_state.cpp
+++ b/src/journal/site_state.cpp
@@ -12,9 +12,9 @@
 
 namespace {
 
-constexpr std::int64_t kAgeMarksPerRetention = 128;
+constexpr std::int64_t kAgeSamplesPerRetention = 128;
 
-// Bounds one wait, so that a change of an injected clock is noticed.
+// Limits one wait, as an injected clock can change without a notification.
 constexpr std::chrono::milliseconds kMaxWait{ 20 };
 
 template<typename... Functions>
@@ -45,7 +45,7 @@
 }
 
 bool
-IsCreation(const SiteRecord& aRecord)
+IsCreationRecord(const SiteRecord& aRecord)
 {
   const auto* task = std::get_if<tasks::TaskRecord>(&aRecord);
   const auto* key = std::get_if<requests::KeyRecord>(&aRecord);
@@ -55,7 +55,7 @@
           std::holds_alternative<requests::IntentRecord>(*key));
 }
 
-/// Fills pages up to a number of records each.
+/// Distributes records over pages with a limited number of records each.
 class PageBuilder
 {
 public:
@@ -95,7 +95,7 @@
 
 SiteState::SiteState(SiteStateSettings aSettings)
   : mSettings(aSettings)
-  , mAges(aSettings.mRetentionMs / kAgeMarksPerRetention)
+  , mAgeIndex(aSettings.mRetentionMs / kAgeSamplesPerRetention)
 {
   const std::size_t n = std::max<std::size_t>(1, mSettings.mShards);
   for (std::size_t i = 0; i < n; ++i) {
@@ -104,7 +104,7 @@
 }
 
 std::size_t
-SiteState::IndexOf(std::string_view aId) const
+SiteState::ShardIndexFor(std::string_view aId) const
 {
   return base::StableHash(aId) % mShards.size();
 }
@@ -112,7 +112,7 @@
 const SiteState::Shard&
 SiteState::ShardOf(std::string_view aId) const
 {
-  return *mShards[IndexOf(aId)];
+  return *mShards[ShardIndexFor(aId)];
 }
 
 template<typename Function>
@@ -137,14 +137,15 @@
   mHorizon = aHorizon;
   mPosition = aHorizon;
   mFirstRetained = aHorizon;
-  mCaughtUpAsOf = base::TimePoint::min();
+  mCaughtUpTime = base::TimePoint::min();
   mIsReady = false;
-  mAges.Clear();
+  mAgeIndex.Clear();
 }
 
-// A record that creates or restores an entry counts only if the part of the
-// stream that its writer had not read is known here completely. Otherwise an
-// end record may have expired unseen, and the entry would come back.
+// A record that creates or restores a task or key is applied only if this
+// reader has every record that follows its writer's position. Otherwise the end
+// record may have expired unread, and an ended task or finished key would
+// become live again.
 bool
 SiteState::IsStale(const Batch& aBatch,
                    Offset aOffset,
@@ -155,7 +156,7 @@
     asOf = task->mAsOf;
   } else if (const auto* key = std::get_if<KeySnapshotRecord>(&aRecord)) {
     asOf = key->mAsOf;
-  } else if (!IsCreation(aRecord)) {
+  } else if (!IsCreationRecord(aRecord)) {
     return false;
   }
 
@@ -163,9 +164,9 @@
 }
 
 void
-SiteState::ApplyTo(Shard& aShard,
-                   const ReadBatch& aBatch,
-                   const std::vector<SiteRecord>& aRecords)
+SiteState::ApplyToShard(Shard& aShard,
+                        const ReadBatch& aBatch,
+                        const std::vector<SiteRecord>& aRecords)
 {
   const std::lock_guard<std::mutex> lock(aShard.mMutex);
   if (aBatch.mOffset <= aShard.mAppliedThrough) {
@@ -175,7 +176,7 @@
   for (const auto& it : aRecords) {
     if (IsStale(aBatch.mBatch, aBatch.mOffset, it)) {
       ++mStaleRecords;
-      ApplyStale(*aShard.mTables, aBatch.mOffset, it);
+      ApplyStaleRecord(*aShard.mTables, aBatch.mOffset, it);
     } else {
       ++mAppliedRecords;
       ApplyRecord(*aShard.mTables, aBatch, it);
@@ -190,34 +191,34 @@
 {
   const Offset basedAt = aBatch.mBatch.mPosition.mAsOf + 1;
   std::visit(
-    Overloaded{ [&](const tasks::TaskRecord& aEach) {
-                 if (IsCreation(aRecord)) {
-                   aTables.mTasks.ForgetEnded(tasks::TaskOf(aEach), mHorizon);
-                 }
-                 aTables.mTasks.Apply(aBatch.mOffset, aEach, basedAt);
-               },
-                [&](const requests::KeyRecord& aEach) {
-                  if (IsCreation(aRecord)) {
-                    aTables.mKeys.ForgetFinished(requests::KeyOf(aEach),
-                                                 mHorizon);
-                  }
-                  aTables.mKeys.Apply(aBatch.mOffset, aEach, basedAt);
-                },
-                [&](const TaskSnapshotRecord& aEach) {
-                  aTables.mTasks.ApplySnapshot(aEach.mAsOf, aEach.mTask);
-                },
-                [&](const KeySnapshotRecord& aEach) {
-                  aTables.mKeys.ApplySnapshot(aEach.mAsOf, aEach.mKey);
-                } },
+    Overloaded{
+      [&](const tasks::TaskRecord& aEach) {
+        if (IsCreationRecord(aRecord)) {
+          aTables.mTasks.RemoveTombstone(tasks::TaskOf(aEach), mHorizon);
+        }
+        aTables.mTasks.Apply(aBatch.mOffset, aEach, basedAt);
+      },
+      [&](const requests::KeyRecord& aEach) {
+        if (IsCreationRecord(aRecord)) {
+          aTables.mKeys.ForgetFinished(requests::KeyOf(aEach), mHorizon);
+        }
+        aTables.mKeys.Apply(aBatch.mOffset, aEach, basedAt);
+      },
+      [&](const TaskSnapshotRecord& aEach) {
+        aTables.mTasks.ApplySnapshot(aEach.mAsOf, aEach.mTask);
+      },
+      [&](const KeySnapshotRecord& aEach) {
+        aTables.mKeys.ApplySnapshot(aEach.mAsOf, aEach.mKey);
+      } },
     aRecord);
 }
 
-// A stale accept or intent still shows that its id was in use, so that a
-// later one is recognized as a repeat.
+// A stale accept or intent still shows that its id was used, so that later ones
+// are recognized as duplicates.
 void
-SiteState::ApplyStale(Tables& aTables,
-                      Offset aOffset,
-                      const SiteRecord& aRecord)
+SiteState::ApplyStaleRecord(Tables& aTables,
+                            Offset aOffset,
+                            const SiteRecord& aRecord)
 {
   if (const auto* task = std::get_if<tasks::TaskRecord>(&aRecord)) {
     aTables.mTasks.ApplyStale(aOffset, *task);
@@ -236,8 +237,8 @@
 void
 SiteState::ApplyBatch(const ReadBatch& aBatch)
 {
-  // Taken from the batch and not from the page, so that all readers drop the
-  // same stale records and forget the same tombstones at this offset.
+  // Taken from the batch and not from the page, so that all readers ignore the
+  // same stale records and remove the same tombstones at this offset.
   RaiseHorizon(
     std::min(aBatch.mBatch.mPosition.mFirstRetained, aBatch.mOffset));
   std::map<std::size_t, std::vector<SiteRecord>> perShard;
@@ -248,11 +249,11 @@
       continue;
     }
 
-    const std::size_t shard = IndexOf(IdOf(record.value()));
+    const std::size_t shard = ShardIndexFor(IdOf(record.value()));
     perShard[shard].push_back(std::move(record.value()));
   }
   for (const auto& [shard, records] : perShard) {
-    ApplyTo(*mShards[shard], aBatch, records);
+    ApplyToShard(*mShards[shard], aBatch, records);
   }
 }
 
@@ -277,9 +278,9 @@
   }
   const std::lock_guard<std::mutex> lock(mMutex);
   for (const auto& it : aPage.mBatches) {
-    mAges.Note(it.mOffset, it.mBatch.mWrittenAtMs, aNowMs);
+    mAgeIndex.AddSample(it.mOffset, it.mBatch.mWrittenAtMs, aNowMs);
   }
-  mAges.Forget(aPage.mFirstRetained);
+  mAgeIndex.DiscardBefore(aPage.mFirstRetained);
   mFirstRetained = std::max(mFirstRetained, aPage.mFirstRetained);
   mPosition = aPage.mPosition;
   mChanged.notify_all();
@@ -289,7 +290,7 @@
 SiteState::SetCaughtUp(base::TimePoint aAsOf)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  mCaughtUpAsOf = aAsOf;
+  mCaughtUpTime = aAsOf;
   mIsReady = mIsReady || aAsOf != base::TimePoint::min();
   mChanged.notify_all();
 }
@@ -309,10 +310,10 @@
 }
 
 base::TimePoint
-SiteState::CaughtUpAsOf() const
+SiteState::CaughtUpTime() const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  return mCaughtUpAsOf;
+  return mCaughtUpTime;
 }
 
 bool
@@ -330,29 +331,29 @@
 {
   std::unique_lock<std::mutex> lock(mMutex);
   while (!aReady()) {
-    const base::Duration rest = base::Remaining(aClock.Now(), aDeadline);
-    if (rest == base::Duration(0)) {
+    const base::Duration remaining = base::Remaining(aClock.Now(), aDeadline);
+    if (remaining == base::Duration(0)) {
       return false;
     }
-    mChanged.wait_for(lock, std::min<base::Duration>(rest, kMaxWait));
+    mChanged.wait_for(lock, std::min<base::Duration>(remaining, kMaxWait));
   }
   return true;
 }
 
 bool
-SiteState::WaitApplied(Offset aOffset,
-                       const base::Clock& aClock,
-                       base::TimePoint aDeadline) const
+SiteState::WaitUntilApplied(Offset aOffset,
+                            const base::Clock& aClock,
+                            base::TimePoint aDeadline) const
 {
   return WaitUntil([&] { return mPosition > aOffset; }, aClock, aDeadline);
 }
 
 bool
-SiteState::WaitCaughtUp(base::TimePoint aAsOf,
-                        const base::Clock& aClock,
-                        base::TimePoint aDeadline) const
+SiteState::WaitUntilCaughtUp(base::TimePoint aAsOf,
+                             const base::Clock& aClock,
+                             base::TimePoint aDeadline) const
 {
-  return WaitUntil([&] { return mCaughtUpAsOf >= aAsOf; }, aClock, aDeadline);
+  return WaitUntil([&] { return mCaughtUpTime >= aAsOf; }, aClock, aDeadline);
 }
 
 bool
@@ -489,38 +490,38 @@
   return digest;
 }
 
-std::vector<tasks::BasedTask>
-SiteState::TasksOlderThan(std::int64_t aAgeMs,
-                          std::int64_t aNowMs,
-                          std::size_t aLimit) const
+std::vector<tasks::TaskReplayOffset>
+SiteState::TasksToSnapshot(std::int64_t aAgeMs,
+                           std::int64_t aNowMs,
+                           std::size_t aLimit) const
 {
   Offset before = 0;
   {
     const std::lock_guard<std::mutex> lock(mMutex);
-    before = mAges.FirstYoungerThan(aAgeMs, aNowMs);
+    before = mAgeIndex.FirstYoungerThan(aAgeMs, aNowMs);
   }
-  std::vector<tasks::BasedTask> result;
+  std::vector<tasks::TaskReplayOffset> result;
   ForEachShard([&](const Tables& aTables) {
-    for (auto& it : aTables.mTasks.BasedBefore(before, aLimit)) {
+    for (auto& it : aTables.mTasks.OldestReplayOffsets(before, aLimit)) {
       result.push_back(std::move(it));
     }
   });
   return result;
 }
 
-std::vector<requests::BasedKey>
-SiteState::KeysOlderThan(std::int64_t aAgeMs,
-                         std::int64_t aNowMs,
-                         std::size_t aLimit) const
+std::vector<requests::KeyReplayOffset>
+SiteState::KeysToSnapshot(std::int64_t aAgeMs,
+                          std::int64_t aNowMs,
+                          std::size_t aLimit) const
 {
   Offset before = 0;
   {
     const std::lock_guard<std::mutex> lock(mMutex);
-    before = mAges.FirstYoungerThan(aAgeMs, aNowMs);
+    before = mAgeIndex.FirstYoungerThan(aAgeMs, aNowMs);
   }
-  std::vector<requests::BasedKey> result;
+  std::vector<requests::KeyReplayOffset> result;
   ForEachShard([&](const Tables& aTables) {
-    for (auto& it : aTables.mKeys.BasedBefore(before, aLimit)) {
+    for (auto& it : aTables.mKeys.OldestReplayOffsets(before, aLimit)) {
       result.push_back(std::move(it));
     }
   });
@@ -531,7 +532,7 @@
 SiteState::AgeOf(Offset aOffset, std::int64_t aNowMs) const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  return mAges.AgeOf(aOffset, aNowMs);
+  return mAgeIndex.AgeOf(aOffset, aNowMs);
 }
 
 // The position is read before the shard is locked: the shard then reflects
@@ -572,7 +573,7 @@
            mHorizon,
            mFirstRetained,
            std::move(aReader),
-           mAges.Marks() };
+           mAgeIndex.Samples() };
 }
 
 std::vector<StatePage>
@@ -588,10 +589,12 @@
   const tasks::TaskTable& tasks = shard.mTables->mTasks;
   const requests::KeyTable& keys = shard.mTables->mKeys;
   for (const auto& it : tasks.All()) {
-    builder.Add(TaskSnapshotRecord{ *tasks.FindBase(it) - 1, *tasks.Find(it) });
+    builder.Add(
+      TaskSnapshotRecord{ *tasks.FindReplayOffset(it) - 1, *tasks.Find(it) });
   }
   for (const auto& it : keys.All()) {
-    builder.Add(KeySnapshotRecord{ *keys.FindBase(it) - 1, keys.Find(it) });
+    builder.Add(
+      KeySnapshotRecord{ *keys.FindReplayOffset(it) - 1, keys.Find(it) });
   }
   for (const auto& [offset, record] : tasks.UnmatchedRecords()) {
     builder.AddUnmatched(offset, record);
@@ -650,7 +653,7 @@
   base::Result<void> result = BOOST_OUTCOME_V2_NAMESPACE::success();
   if (aHeader.mShards != static_cast<std::int64_t>(mShards.size())) {
     return base::MakeError(base::ErrorKind::InvalidArgument,
-                           "peer has another number of shards");
+                           "peer has a different number of shards");
   }
   for (const auto& it : aPages) {
     result = ImportPage(it);
@@ -668,7 +671,7 @@
   const std::lock_guard<std::mutex> lock(mMutex);
   mPosition = aHeader.mReader.mPosition;
   mFirstRetained = aHeader.mFirstRetained;
-  mAges.Restore(aHeader.mAges);
+  mAgeIndex.Restore(aHeader.mAgeSamples);
   mIsReady = true;
   mChanged.notify_all();
   return result;
--- a/src/journal/stream_reader.cpp
+++ b/src/journal/stream_reader.cpp
@@ -22,13 +22,13 @@
   mState.mPosition = aFirstRetained;
   mState.mStart = aFirstRetained;
   mState.mSequences.clear();
-  mCaughtUpAsOf = base::TimePoint::min();
+  mCaughtUpTime = base::TimePoint::min();
   mPendingEnd.reset();
 }
 
 void
-StreamReader::TakeRecord(const platform::LogRecord& aRecord,
-                         PageResult& aResult)
+StreamReader::ProcessRecord(const platform::LogRecord& aRecord,
+                            PageResult& aResult)
 {
   mState.mPosition = aRecord.mOffset + 1;
   auto batch = DecodeBatch(aRecord.mPayload);
@@ -36,8 +36,8 @@
     ++mUndecodable;
     return;
   }
-  // A writer appends in the order of its sequence numbers, so that the newest
-  // one identifies all duplicates.
+  // Writers append in the order of their sequence numbers, so every batch that
+  // is not newer than the last one is a duplicate.
   auto& [sequence, offset] = mState.mSequences[batch.value().mWriter];
   offset = aRecord.mOffset;
   if (batch.value().mSequence <= sequence) {
@@ -48,10 +48,10 @@
   aResult.mBatches.push_back({ aRecord.mOffset, std::move(batch.value()) });
 }
 
-// A writer is known for as long as one of its records is retained, so that
-// readers that started at different times forget it at the same offset.
+// A writer is kept as long as one of its records is retained, so that readers
+// that started at different times discard it at the same offset.
 void
-StreamReader::ForgetWriters(Offset aFirstRetained)
+StreamReader::DiscardExpiredWriters(Offset aFirstRetained)
 {
   for (auto it = mState.mSequences.begin(); it != mState.mSequences.end();) {
     const bool isExpired = it->second.second < aFirstRetained;
@@ -60,17 +60,17 @@
 }
 
 void
-StreamReader::NoteEnd(Offset aEnd, base::TimePoint aIssuedAt)
+StreamReader::UpdateCaughtUp(Offset aEnd, base::TimePoint aIssuedAt)
 {
   if (!mPendingEnd) {
     mPendingEnd.emplace(aEnd, aIssuedAt);
   }
   if (mState.mPosition >= mPendingEnd->first) {
-    mCaughtUpAsOf = std::max(mCaughtUpAsOf, mPendingEnd->second);
+    mCaughtUpTime = std::max(mCaughtUpTime, mPendingEnd->second);
     mPendingEnd.reset();
   }
   if (mState.mPosition >= aEnd) {
-    mCaughtUpAsOf = std::max(mCaughtUpAsOf, aIssuedAt);
+    mCaughtUpTime = std::max(mCaughtUpTime, aIssuedAt);
   }
 }
 
@@ -90,13 +90,13 @@
     mHasStarted = true;
   }
   for (const auto& it : aPage.mRecords) {
-    // The page may begin before the position.
+    // The page may begin before the requested position.
     if (it.mOffset >= mState.mPosition) {
-      TakeRecord(it, result);
+      ProcessRecord(it, result);
     }
   }
-  ForgetWriters(aPage.mFirstRetained);
-  NoteEnd(aPage.mEnd, aIssuedAt);
+  DiscardExpiredWriters(aPage.mFirstRetained);
+  UpdateCaughtUp(aPage.mEnd, aIssuedAt);
   result.mPosition = mState.mPosition;
   return result;
 }
@@ -106,7 +106,7 @@
 {
   mState = std::move(aState);
   mHasStarted = true;
-  mCaughtUpAsOf = base::TimePoint::min();
+  mCaughtUpTime = base::TimePoint::min();
   mPendingEnd.reset();
 }
 
--- a/src/policy/breaker_test.cpp
+++ b/src/policy/breaker_test.cpp
@@ -17,11 +17,11 @@
   CPPUNIT_TEST_SUITE(BreakerTest);
   CPPUNIT_TEST(AdmitsOneProbeAfterTheCooldown);
   CPPUNIT_TEST(FailedProbeDoublesTheCooldownUpToTheCap);
-  CPPUNIT_TEST(QuarantineTakesFailuresBack);
+  CPPUNIT_TEST(QuarantineRemovesFailuresFromTheBreaker);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against a faulty worker that consumes task after task.
+  // Guards against a faulty worker on which task after task fails.
   void AdmitsOneProbeAfterTheCooldown()
   {
     Breaker breaker = MakeOpen();
@@ -31,14 +31,14 @@
     CPPUNIT_ASSERT(!breaker.Admits(At(11)));
     breaker.OnSuccess(kTaskB);
     CPPUNIT_ASSERT(!breaker.Admits(At(11)));
-    breaker.OnWithdrawn(kTaskA);
+    breaker.OnCancelled(kTaskA);
     CPPUNIT_ASSERT(breaker.Admits(At(11)));
     breaker.OnPlaced(kTaskB, At(11));
     breaker.OnSuccess(kTaskB);
     CPPUNIT_ASSERT(breaker.State(At(11)) == BreakerState::Closed);
   }
 
-  // Guards against a cooldown that never grows or grows without bound.
+  // Guards against a cooldown that does not grow or grows without limit.
   void FailedProbeDoublesTheCooldownUpToTheCap()
   {
     Breaker breaker = MakeOpen();
@@ -53,8 +53,8 @@
     CPPUNIT_ASSERT(breaker.Admits(now));
   }
 
-  // Guards against good workers that stay closed off because of a bad task.
-  void QuarantineTakesFailuresBack()
+  // Guards against healthy workers that get no tasks because of a faulty task.
+  void QuarantineRemovesFailuresFromTheBreaker()
   {
     Quarantine quarantine;
     Breaker breaker = MakeOpen();
@@ -69,7 +69,7 @@
     CPPUNIT_ASSERT(fail("w4", true));
     const auto decision = quarantine.Find(kTaskA);
     CPPUNIT_ASSERT_EQUAL(std::size_t(3), decision->mWorkers.size());
-    breaker.TakeBack(kTaskA);
+    breaker.RemoveFailures(kTaskA);
     CPPUNIT_ASSERT(breaker.State(At(1)) == BreakerState::Closed);
     breaker.OnFailure(kTaskB, At(1));
     CPPUNIT_ASSERT(breaker.State(At(1)) == BreakerState::Closed);
--- a/src/requests/forwarder.cpp
+++ b/src/requests/forwarder.cpp
@@ -13,14 +13,14 @@
 namespace {
 
 std::vector<Candidate>
-SelectOwnWorkers(const std::vector<Candidate>& aCandidates)
+SelectHeldWorkers(const std::vector<Candidate>& aCandidates)
 {
   std::vector<Candidate> workers;
   std::copy_if(aCandidates.begin(),
                aCandidates.end(),
                std::back_inserter(workers),
                [](const Candidate& aCandidate) {
-                 return aCandidate.mTarget.mKind == TargetKind::OwnWorker;
+                 return aCandidate.mTarget.mKind == TargetKind::HeldWorker;
                });
   return workers;
 }
@@ -57,8 +57,8 @@
                        aAttempt.mOriginIncarnation,
                        request.mId,
                        aAttempt.mAttempt);
-  // No answer here: once an entry is forgotten, a late copy of an attempt that
-  // ran would otherwise be answered with NotRun.
+  // Not answered: after its deadline an attempt's entry is removed, so this may
+  // be a duplicate of an attempt that ran, and NotRun would be wrong.
   if (mClock.Now() >= request.mDeadline) {
     ++mExpired;
     return {};
@@ -67,16 +67,16 @@
     ++mDuplicates;
     return {};
   }
-  const std::vector<Candidate> workers = SelectOwnWorkers(aCandidates);
+  const std::vector<Candidate> workers = SelectHeldWorkers(aCandidates);
   std::optional<Target> target;
   if (!mStopping) {
     target = mPicker.Pick(workers, {}, mInFlight, mRandom);
   }
-  // A refused attempt is remembered too: its copy must not run after the
-  // origin was told that the attempt did not run.
+  // Refused attempts are stored too: a duplicate must not run after the origin
+  // was told that the attempt did not run.
   mEntries[key] = Entry{ request.mDeadline, !target.has_value() };
   if (!target) {
-    const RequestResult refusal = Refuse(workers);
+    const RequestResult refusal = MakeRefusal(workers);
     return { AnswerOrigin{
       aAttempt.mOrigin, request.mId, aAttempt.mAttempt, refusal } };
   }
@@ -139,7 +139,7 @@
 }
 
 RequestResult
-Forwarder::Refuse(const std::vector<Candidate>& aWorkers) const
+Forwarder::MakeRefusal(const std::vector<Candidate>& aWorkers) const
 {
   if (mStopping) {
     return MakeNotRun(MakeError(ErrorKind::ShuttingDown));
--- a/src/requests/forwarder_test.cpp
+++ b/src/requests/forwarder_test.cpp
@@ -15,28 +15,28 @@
 class ForwarderTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(ForwarderTest);
-  CPPUNIT_TEST(RunsOnOwnWorkersOnly);
+  CPPUNIT_TEST(RunsOnHeldWorkersOnly);
   CPPUNIT_TEST(AnswerTellsWhetherItRan);
-  CPPUNIT_TEST(CopyOfAnAttemptDoesNotRun);
+  CPPUNIT_TEST(DuplicateAttemptDoesNotRun);
   CPPUNIT_TEST(DeadlineEndsARunningAttemptAsUnknown);
   CPPUNIT_TEST(RefusesWhileStopping);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against requests that are passed on from peer to peer.
-  void RunsOnOwnWorkersOnly()
+  // Guards against requests that are forwarded more than once.
+  void RunsOnHeldWorkersOnly()
   {
     const Candidate peer = MakeCandidate(TargetKind::Peer, 9);
     CPPUNIT_ASSERT(Refusal(Offer(1, { peer })) == ErrorKind::NotHolder);
-    const Candidate full = MakeCandidate(TargetKind::OwnWorker, 0);
+    const Candidate full = MakeCandidate(TargetKind::HeldWorker, 0);
     CPPUNIT_ASSERT(Refusal(Offer(2, { peer, full })) == ErrorKind::NoCapacity);
-    const Candidate free = MakeCandidate(TargetKind::OwnWorker, 1);
+    const Candidate free = MakeCandidate(TargetKind::HeldWorker, 1);
     const ForwardActions actions = Offer(3, { peer, free });
     CPPUNIT_ASSERT_EQUAL(std::string("w"),
                          std::get<RunOnWorker>(actions.at(0)).mWorker.mValue);
   }
 
-  // Guards against an origin that sends again what may have run.
+  // Guards against an origin that resends a request that may have run.
   void AnswerTellsWhetherItRan()
   {
     CPPUNIT_ASSERT(Finish(1, std::string("done")) == Outcome::Completed);
@@ -50,11 +50,11 @@
                    Outcome::Unknown);
   }
 
-  // Guards P6 against a message that arrives twice, also after the attempt has
-  // been refused, answered or forgotten.
-  void CopyOfAnAttemptDoesNotRun()
+  // Guards against running an attempt twice because its message arrives twice,
+  // also after the attempt was refused, answered or removed.
+  void DuplicateAttemptDoesNotRun()
   {
-    const Candidate free = MakeCandidate(TargetKind::OwnWorker, 1);
+    const Candidate free = MakeCandidate(TargetKind::HeldWorker, 1);
     CPPUNIT_ASSERT(Refusal(Offer(1, {})) == ErrorKind::NotHolder);
     CPPUNIT_ASSERT(Offer(1, { free }).empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, Offer(2, { free }).size());
@@ -70,7 +70,7 @@
 
   void DeadlineEndsARunningAttemptAsUnknown()
   {
-    Offer(1, { MakeCandidate(TargetKind::OwnWorker, 1) });
+    Offer(1, { MakeCandidate(TargetKind::HeldWorker, 1) });
     CPPUNIT_ASSERT(mForwarder.NextWakeup() == mDeadline);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, mForwarder.CountRunning());
     mClock.Advance(milliseconds(100));
@@ -85,7 +85,7 @@
   void RefusesWhileStopping()
   {
     mForwarder.StopAccepting();
-    const Candidate free = MakeCandidate(TargetKind::OwnWorker, 1);
+    const Candidate free = MakeCandidate(TargetKind::HeldWorker, 1);
     CPPUNIT_ASSERT(Refusal(Offer(1, { free })) == ErrorKind::ShuttingDown);
   }
 
@@ -117,7 +117,7 @@
   }
   Outcome Finish(std::int64_t aAttempt, base::Result<std::string> aBody)
   {
-    Offer(aAttempt, { MakeCandidate(TargetKind::OwnWorker, 1) });
+    Offer(aAttempt, { MakeCandidate(TargetKind::HeldWorker, 1) });
     const ForwardActions actions = mForwarder.OnWorkerFinished(
       { { "origin" }, 1, { "key" }, aAttempt, std::move(aBody) });
     return std::get<AnswerOrigin>(actions.at(0)).mResult.mOutcome;
--- a/src/tasks/task_table.cpp
+++ b/src/tasks/task_table.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-// Bounds the size of a task that fails everywhere; the quarantine rule needs
-// three workers.
+// Bounds the memory of a task that fails on every worker; the quarantine rule
+// needs only three.
 constexpr std::size_t kMaxFailedWorkers = 16;
 
 std::uint64_t
@@ -39,7 +39,7 @@
   std::int64_t mDeclaredRunSeconds = 0;
   Offset mAcceptedAt = 0;
   Offset mLastRecordAt = 0;
-  Offset mBasedAt = 0;
+  Offset mReplayFrom = 0;
   std::int64_t mLastAttempt = 0;
   Offset mGrantedAt = 0;
   StringPool::Handle mTeam = StringPool::kEmpty;
@@ -85,8 +85,8 @@
     return true;
   }
 
-  // The end record decides the outcome of a task that was to be cancelled or
-  // quarantined while the attempt was live.
+  // If a cancellation or quarantine was requested while the attempt was live,
+  // the outcome in the end record determines the final state.
   TaskState StateAfter(AttemptOutcome aOutcome) const
   {
     if (aOutcome == AttemptOutcome::Completed) {
@@ -128,8 +128,8 @@
     if (aRecord.mOutcome == AttemptOutcome::Evicted) {
       ++mEvictions;
     }
-    // An attempt that ended without a checkpoint of its own, e.g. because its
-    // worker was lost, leaves the checkpoint it was started from.
+    // If the attempt ended without a new checkpoint, e.g. because its worker
+    // was lost, the checkpoint from which it started is kept.
     if (!aRecord.mCheckpoint.empty()) {
       mCheckpoint = aRecord.mCheckpoint;
     }
@@ -194,10 +194,11 @@
 }
 
 bool
-TaskTable::ByBase::operator()(const Entry* aLeft, const Entry* aRight) const
+TaskTable::ByReplayOffset::operator()(const Entry* aLeft,
+                                      const Entry* aRight) const
 {
-  if (aLeft->mBasedAt != aRight->mBasedAt) {
-    return aLeft->mBasedAt < aRight->mBasedAt;
+  if (aLeft->mReplayFrom != aRight->mReplayFrom) {
+    return aLeft->mReplayFrom < aRight->mReplayFrom;
   }
   return aLeft->mTask < aRight->mTask;
 }
@@ -275,13 +276,13 @@
 }
 
 TaskTable::Entry&
-TaskTable::AddEntry(const TaskSnapshot& aSnapshot, Offset aBasedAt)
+TaskTable::AddEntry(const TaskSnapshot& aSnapshot, Offset aReplayFrom)
 {
   Entry& entry = AddEntry(aSnapshot.mSpec);
   entry.mState = aSnapshot.mState;
   entry.mAcceptedAt = aSnapshot.mAcceptedAt;
   entry.mLastRecordAt = aSnapshot.mLastRecordAt;
-  entry.mBasedAt = aBasedAt;
+  entry.mReplayFrom = aReplayFrom;
   entry.mLastAttempt = aSnapshot.mLastAttempt;
   entry.mGrantedAt = aSnapshot.mGrantedAt;
   entry.mWorker = mPool.Intern(aSnapshot.mWorker.mValue);
@@ -312,7 +313,7 @@
     mEnded.insert(&aEntry);
     return;
   }
-  mByBase.insert(&aEntry);
+  mByReplayOffset.insert(&aEntry);
   if (!HasLiveAttempt(aEntry.mState)) {
     mQueued.insert(&aEntry);
     return;
@@ -330,7 +331,7 @@
     mEnded.erase(&aEntry);
     return;
   }
-  mByBase.erase(&aEntry);
+  mByReplayOffset.erase(&aEntry);
   if (!HasLiveAttempt(aEntry.mState)) {
     mQueued.erase(&aEntry);
     return;
@@ -346,10 +347,12 @@
 }
 
 void
-TaskTable::Accept(Offset aOffset, const AcceptRecord& aRecord, Offset aBasedAt)
+TaskTable::Accept(Offset aOffset,
+                  const AcceptRecord& aRecord,
+                  Offset aReplayFrom)
 {
-  // A task with unmatched records existed before this reader's first record,
-  // so this is a repeat of an accept record that has expired.
+  // A task with unmatched records was accepted before this reader's first
+  // record, so this record is a duplicate of an expired accept record.
   if (IsKnown(aRecord.mSpec.mTask)) {
     ApplyStale(aOffset, aRecord);
     return;
@@ -357,7 +360,7 @@
   Entry& entry = AddEntry(aRecord.mSpec);
   entry.mAcceptedAt = aOffset;
   entry.mLastRecordAt = aOffset;
-  entry.mBasedAt = aBasedAt;
+  entry.mReplayFrom = aReplayFrom;
   AddToIndexes(entry);
 }
 
@@ -411,8 +414,8 @@
 {
   Entry& entry = *FindEntry(TaskOf(aRecord));
   RemoveFromIndexes(entry);
-  // An ignored record counts as well: a reader that starts later and sees only
-  // that record must keep the id reserved for as long as this one does.
+  // Ignored records count as well: a reader that starts later and reads only
+  // that record must keep the task id reserved for the same time.
   entry.mLastRecordAt = std::max(entry.mLastRecordAt, aOffset);
   if (!Update(mPool, entry, aRecord)) {
     ++mIgnoredRecords;
@@ -429,10 +432,10 @@
 }
 
 void
-TaskTable::Apply(Offset aOffset, const TaskRecord& aRecord, Offset aBasedAt)
+TaskTable::Apply(Offset aOffset, const TaskRecord& aRecord, Offset aReplayFrom)
 {
   if (const auto* accept = std::get_if<AcceptRecord>(&aRecord)) {
-    Accept(aOffset, *accept, aBasedAt);
+    Accept(aOffset, *accept, aReplayFrom);
   } else if (FindEntry(TaskOf(aRecord)) == nullptr) {
     ApplyStale(aOffset, aRecord);
   } else {
@@ -446,7 +449,7 @@
   Entry* known = FindEntry(aSnapshot.mSpec.mTask);
   if (known != nullptr) {
     RemoveFromIndexes(*known);
-    known->mBasedAt = std::max(known->mBasedAt, aAsOf + 1);
+    known->mReplayFrom = std::max(known->mReplayFrom, aAsOf + 1);
     AddToIndexes(*known);
     return;
   }
@@ -463,15 +466,15 @@
 }
 
 void
-TaskTable::Restore(const TaskSnapshot& aSnapshot, Offset aBasedAt)
+TaskTable::Restore(const TaskSnapshot& aSnapshot, Offset aReplayFrom)
 {
   if (FindEntry(aSnapshot.mSpec.mTask) == nullptr) {
-    AddEntry(aSnapshot, aBasedAt);
+    AddEntry(aSnapshot, aReplayFrom);
   }
 }
 
 void
-TaskTable::ForgetEnded(const base::TaskId& aTask, Offset aFirstRetained)
+TaskTable::RemoveTombstone(const base::TaskId& aTask, Offset aFirstRetained)
 {
   Entry* entry = FindEntry(aTask);
   if (entry != nullptr && IsEnded(entry->mState) &&
@@ -546,13 +549,13 @@
 }
 
 std::optional<Offset>
-TaskTable::FindBase(const base::TaskId& aTask) const
+TaskTable::FindReplayOffset(const base::TaskId& aTask) const
 {
   const Entry* entry = FindEntry(aTask);
   if (entry == nullptr) {
     return std::nullopt;
   }
-  return entry->mBasedAt;
+  return entry->mReplayFrom;
 }
 
 std::vector<QueuedTask>
@@ -635,15 +638,15 @@
   return result;
 }
 
-std::vector<BasedTask>
-TaskTable::BasedBefore(Offset aBefore, std::size_t aLimit) const
+std::vector<TaskReplayOffset>
+TaskTable::OldestReplayOffsets(Offset aBefore, std::size_t aLimit) const
 {
-  std::vector<BasedTask> result;
-  for (const Entry* entry : mByBase) {
-    if (entry->mBasedAt >= aBefore || result.size() >= aLimit) {
+  std::vector<TaskReplayOffset> result;
+  for (const Entry* entry : mByReplayOffset) {
+    if (entry->mReplayFrom >= aBefore || result.size() >= aLimit) {
       break;
     }
-    result.push_back({ { entry->mTask }, entry->mBasedAt });
+    result.push_back({ { entry->mTask }, entry->mReplayFrom });
   }
   return result;
 }
@@ -692,7 +695,7 @@
 TaskTable::LiveDigest() const
 {
   std::uint64_t digest = 0;
-  for (const Entry* it : mByBase) {
+  for (const Entry* it : mByReplayOffset) {
     digest += DigestOf(*it);
   }
   return digest;
--- a/src/testing/site_world.cpp
+++ b/src/testing/site_world.cpp
@@ -336,7 +336,7 @@
     node.mWriter.Expire(node.Now());
     if (!node.mIsAppending) {
       const auto wallMs = kRetentionMs + mTime / kMillisecond;
-      if (const auto action = node.mWriter.Start(node.Now(), wallMs)) {
+      if (const auto action = node.mWriter.StartAppend(node.Now(), wallMs)) {
         SendAppend(aRef, *action);
       }
     }
@@ -423,13 +423,13 @@
   {
     const auto result = aNode.mReader.OnPage(aPage, aIssuedAt);
     aNode.mState.ApplyPage(result, kRetentionMs + mTime / kMillisecond);
-    aNode.mState.SetCaughtUp(aNode.mReader.CaughtUpAsOf());
+    aNode.mState.SetCaughtUp(aNode.mReader.CaughtUpTime());
     for (const auto& it : result.mBatches) {
       if (it.mBatch.mWriter == aNode.mId.mValue) {
         aNode.mWriter.OnRead(it.mBatch.mSequence, it.mOffset);
       }
     }
-    aNode.mWriter.OnCaughtUp(aNode.mReader.CaughtUpAsOf());
+    aNode.mWriter.OnCaughtUp(aNode.mReader.CaughtUpTime());
     TakeResults(aNode);
   }
 
@@ -538,7 +538,7 @@
         "site", mOracleReader.Position(), 100, mClock.Now() + seconds(1));
       const auto result = mOracleReader.OnPage(page.value(), mClock.Now());
       mOracle.ApplyPage(result, kRetentionMs + mTime / kMillisecond);
-      mOracle.SetCaughtUp(mOracleReader.CaughtUpAsOf());
+      mOracle.SetCaughtUp(mOracleReader.CaughtUpTime());
       isAtEnd = mOracleReader.Position() >= page.value().mEnd;
     }
     for (const auto& bytes : batch.value().mRecords) {
@@ -644,7 +644,7 @@
     }
     if (node.mState.IsReady()) {
       std::optional<std::int64_t> inheritedBefore;
-      if (node.mState.CaughtUpAsOf() >= site.mAcquiredAt) {
+      if (node.mState.CaughtUpTime() >= site.mAcquiredAt) {
         inheritedBefore =
           mVariant.mReleaseInherited ? node.mState.Position() : 0;
       }
@@ -714,9 +714,9 @@
         Report(aRef,
                aSite,
                place.mRequest,
-               worker.PlaceHolderLease(place.mToken, place.mLength, far));
+               worker.SetHolderLease(place.mToken, place.mLength, far));
       });
-    } else if (const auto* it = std::get_if<holder::ReadList>(&aAction)) {
+    } else if (const auto* it = std::get_if<holder::ReadHolders>(&aAction)) {
       site.mSentAt[it->mRequest] = node.Now();
       ToWorker(
         site, true, [this, aRef, aSite, far, &worker, number = it->mRequest] {
@@ -781,7 +781,7 @@
         seen.mHolders = { { site.mLease->Token(), 0 } };
       }
       site.mLease->OnReport(aRequest, seen, aNode.Now());
-      if (site.mRunner && site.mLease->MayCommit(aNode.Now())) {
+      if (site.mRunner && site.mLease->MaySendCommands(aNode.Now())) {
         site.mRunner->OnReport({ report, site.mSentAt[aRequest] });
       }
       StepSite(aRef, aSite);
@@ -796,7 +796,7 @@
     const Site& site = node.mSites[aSite];
     const base::TimePoint now = node.Now();
     const bool allowed = site.mLease->Token() == aCommand.mHeader.mToken &&
-                         site.mLease->MayCommit(now) &&
+                         site.mLease->MaySendCommands(now) &&
                          now < aCommand.mDeadline;
     if (mVariant.mCheckBeforeSend && !allowed) {
       return;
@@ -1035,11 +1035,11 @@
     for (std::size_t n = 0; n < kWorkers; ++n) {
       const std::size_t index = (first + n) % kWorkers;
       const Site& site = aNode.mSites[index];
-      const requests::Target target{ requests::TargetKind::OwnWorker,
+      const requests::Target target{ requests::TargetKind::HeldWorker,
                                      mWorkers[index]->Name().mValue };
-      if (site.mRunner && site.mRunner->MayCall(aNode.Now()) &&
+      if (site.mRunner && site.mRunner->MaySendCalls(aNode.Now()) &&
           aPick.mTried.count(target) == 0 &&
-          site.mLedger->FreeCalls().mSlots > 0) {
+          site.mLedger->FreeCallCapacity().mSlots > 0) {
         return requests::TargetOffered{ target };
       }
     }
@@ -1065,11 +1065,11 @@
     const base::TimePoint now = node.Now();
     const std::uint64_t call = ++mNextCall;
     if (now >= aSend.mDeadline || !site.mRunner ||
-        !site.mRunner->MayCall(now)) {
+        !site.mRunner->MaySendCalls(now)) {
       fail(base::ErrorKind::WorkerUnavailable);
       return;
     }
-    const auto notAfter = site.mLease->Clock().ToWorker(
+    const auto notAfter = site.mLease->Clock().ToEarliestWorkerTime(
       std::min(aSend.mDeadline, site.mLease->Deadline()));
     if (!site.mLedger->BeginCall(call, { notAfter, now + milliseconds(300) })) {
       fail(base::ErrorKind::NoCapacity);
@@ -1080,7 +1080,7 @@
     AtNode(aRef, 700'000, [=](Node& aNode) {
       Site& own = aNode.mSites[index];
       if (own.mLedger && own.mLease->Token() == token) {
-        own.mLedger->LoseCall(call);
+        own.mLedger->MarkCallLost(call);
       }
     });
     ToWorker(site, aRequest.mIdempotent, [=] {
@@ -1111,7 +1111,7 @@
                                              aRequest.mBody,
                                              aRequest.mIdempotent });
     if (!admitted) {
-      // As HttpWorkerPort: the refused copy of a call that may be repeated
+      // As HttpRemoteWorker: the refused copy of a call that may be repeated
       // proves nothing about the other one.
       const base::Error error =
         aRequest.mIdempotent ? base::MakeError(base::ErrorKind::ConnectionLost)
@@ -1216,7 +1216,7 @@
             (aOffset ? "offset " + std::to_string(aOffset.value())
                      : std::string(base::NameOf(aOffset.error().mKind))) +
             ", claimed at " + std::to_string(known.mClaimedAt) + " by " +
-            known.mWinner.mValue);
+            known.mClaimant.mValue);
       if (!mVariant.mReadIntentBack && aOffset) {
         PostLater(aRef, 0, aSession, requests::IntentWon{});
         return;
@@ -1228,7 +1228,7 @@
         return;
       }
       if (aOffset && known.mState == requests::KeyState::Claimed &&
-          known.mWinner == self.mId && known.mClaimedAt == aOffset.value()) {
+          known.mClaimant == self.mId && known.mClaimedAt == aOffset.value()) {
         PostLater(aRef, 0, aSession, requests::IntentWon{});
         return;
       }
@@ -1264,13 +1264,13 @@
       if (session.mIsWatching && key.mState == requests::KeyState::Finished) {
         session.mIsWatching = false;
         events.emplace_back(it->first,
-                            requests::IntentClaimedByOther{
+                            requests::KeyClaimedByOther{
                               requests::ClaimState::Finished, *key.mOutcome });
-      } else if (session.mIsWatching && !IsAlive(key.mWinner)) {
+      } else if (session.mIsWatching && !IsAlive(key.mClaimant)) {
         session.mIsWatching = false;
-        events.emplace_back(it->first,
-                            requests::IntentClaimedByOther{
-                              requests::ClaimState::Abandoned, {} });
+        events.emplace_back(
+          it->first,
+          requests::KeyClaimedByOther{ requests::ClaimState::Abandoned, {} });
       } else if (node.Now() >= session.mMachine->NextWakeup()) {
         events.emplace_back(it->first, requests::TimerFired{});
       } else if (Fault(1) && Chance(30)) {
@@ -1655,7 +1655,7 @@
       const auto holders =
         std::count_if(mNodes.begin(), mNodes.end(), [&](const auto& aItem) {
           const Site& site = aItem->mSites[n];
-          return site.mRunner && site.mRunner->MayCall(aItem->Now());
+          return site.mRunner && site.mRunner->MaySendCalls(aItem->Now());
         });
       if (holders > 1) {
         Fail("P1: two instances may commit " + mWorkers[n]->Name().mValue);
--- a/src/worker/http_worker_port.cpp
+++ b/src/worker/http_remote_worker.cpp
@@ -1,4 +1,4 @@
-#include "skylarkhill/worker/http_worker_port.hpp"
+#include "skylarkhill/worker/http_remote_worker.hpp"
 
 #include "skylarkhill/http/client.hpp"
 #include "skylarkhill/http/error_body.hpp"
@@ -16,10 +16,11 @@
 
 constexpr int kStatusOk = 200;
 
-/// The error of WorkerPort that a worker's error answer stands for. A refusal
-/// counts as one only if its body says that nothing ran.
+/// Maps an error response of the worker to an error of RemoteWorker. Kinds that
+/// RemoteWorker does not have become WorkerRefused if they say that nothing
+/// ran, else ConnectionLost.
 base::Error
-ToPortError(const http::Response& aResponse)
+ToWorkerError(const http::Response& aResponse)
 {
   base::Error error = http::ErrorOf(aResponse);
   switch (error.mKind) {
@@ -40,10 +41,10 @@
                    std::move(detail));
 }
 
-class HttpWorkerPort : public WorkerPort
+class HttpRemoteWorker : public RemoteWorker
 {
 public:
-  explicit HttpWorkerPort(std::unique_ptr<http::Client> aClient)
+  explicit HttpRemoteWorker(std::unique_ptr<http::Client> aClient)
     : mClient(std::move(aClient))
   {
   }
@@ -53,32 +54,31 @@
     return FetchReport("/poll", "{}", aDeadline);
   }
 
-  base::Result<WorkerReport> PlaceHolderLease(
-    const HolderToken& aToken,
-    base::Duration aLength,
-    base::TimePoint aDeadline) override
+  base::Result<WorkerReport> SetHolderLease(const HolderToken& aToken,
+                                            base::Duration aDuration,
+                                            base::TimePoint aDeadline) override
   {
     return FetchReport(
-      "/holder", FormatHolderCommand({ aToken, aLength }), aDeadline);
+      "/holder", FormatHolderCommand({ aToken, aDuration }), aDeadline);
   }
 
   base::Result<void> RemoveHolderLease(const HolderToken& aToken,
                                        base::TimePoint aDeadline) override
   {
-    return Command("/holder/remove",
-                   FormatHolderCommand({ aToken, base::Duration(0) }),
-                   Delivery::AtMostOnce,
-                   aDeadline);
+    return SendCommand("/holder/remove",
+                       FormatHolderCommand({ aToken, base::Duration(0) }),
+                       Delivery::AtMostOnce,
+                       aDeadline);
   }
 
   base::Result<void> Start(const CommandHeader& aHeader,
                            const StartTask& aStart,
                            base::TimePoint aDeadline) override
   {
-    return Command("/tasks/start",
-                   FormatStartCommand({ aHeader, aStart }),
-                   Delivery::AtMostOnce,
-                   aDeadline);
+    return SendCommand("/tasks/start",
+                       FormatStartCommand({ aHeader, aStart }),
+                       Delivery::AtMostOnce,
+                       aDeadline);
   }
 
   base::Result<void> Renew(const CommandHeader& aHeader,
@@ -86,10 +86,10 @@
                            WorkerTime aLeaseExpiresAt,
                            base::TimePoint aDeadline) override
   {
-    return Command("/tasks/renew",
-                   FormatRenewCommand({ aHeader, aTasks, aLeaseExpiresAt }),
-                   Delivery::Idempotent,
-                   aDeadline);
+    return SendCommand("/tasks/renew",
+                       FormatRenewCommand({ aHeader, aTasks, aLeaseExpiresAt }),
+                       Delivery::Idempotent,
+                       aDeadline);
   }
 
   base::Result<void> Checkpoint(const CommandHeader& aHeader,
@@ -135,14 +135,15 @@
                                          : Delivery::AtMostOnce };
     BOOST_OUTCOME_TRY(response, mClient->Call(request, aDeadline));
     if (response.mStatus != kStatusOk) {
-      base::Error error = ToPortError(response);
-      // The refused copy may be the second one; the first may have run
-      // (explorer, site world, seed 83).
+      base::Error error = ToWorkerError(response);
+      // The request may have been sent twice: the second copy was refused, but
+      // the first may have run (explore, world site, seed 83).
       return response.mMayBeRepeated
                ? MakeError(ErrorKind::ConnectionLost, std::move(error.mDetail))
                : error;
     }
-    BOOST_OUTCOME_TRY(answer, Interpret(ParseServiceAnswer(response.mBody)));
+    BOOST_OUTCOME_TRY(answer,
+                      MapParseError(ParseServiceAnswer(response.mBody)));
     if (answer.mRequest != aCall.mRequest ||
         answer.mAttempt != aCall.mAttempt) {
       return MakeError(ErrorKind::ConnectionLost, "answer to another request");
@@ -151,7 +152,7 @@
   }
 
 private:
-  /// The body of a successful answer.
+  /// Sends a POST request and returns the body of a successful response.
   base::Result<std::string> Post(std::string aTarget,
                                  std::string aBody,
                                  Delivery aDelivery,
@@ -162,14 +163,14 @@
     };
     BOOST_OUTCOME_TRY(response, mClient->Call(request, aDeadline));
     if (response.mStatus != kStatusOk) {
-      return ToPortError(response);
+      return ToWorkerError(response);
     }
     return std::move(response.mBody);
   }
 
-  /// An answer that cannot be parsed proves nothing about the command.
+  /// After an answer that cannot be parsed, the command may have run.
   template<typename T>
-  static base::Result<T> Interpret(base::Result<T> aParsed)
+  static base::Result<T> MapParseError(base::Result<T> aParsed)
   {
     if (aParsed.has_error()) {
       return MakeError(ErrorKind::ConnectionLost,
@@ -178,10 +179,10 @@
     return aParsed;
   }
 
-  base::Result<void> Command(std::string aTarget,
-                             std::string aBody,
-                             Delivery aDelivery,
-                             base::TimePoint aDeadline)
+  base::Result<void> SendCommand(std::string aTarget,
+                                 std::string aBody,
+                                 Delivery aDelivery,
+                                 base::TimePoint aDeadline)
   {
     BOOST_OUTCOME_TRYV(
       Post(std::move(aTarget), std::move(aBody), aDelivery, aDeadline));
@@ -192,14 +193,14 @@
                                      const TaskCommand& aCommand,
                                      base::TimePoint aDeadline)
   {
-    return Command(std::move(aTarget),
-                   FormatTaskCommand(aCommand),
-                   Delivery::AtMostOnce,
-                   aDeadline);
+    return SendCommand(std::move(aTarget),
+                       FormatTaskCommand(aCommand),
+                       Delivery::AtMostOnce,
+                       aDeadline);
   }
 
-  // Polls and lease renewals may reach the worker twice: a lease is counted
-  // from a receipt, and its holder counts from the first send.
+  // Polls and holder lease commands may be sent twice: the worker counts the
+  // lease from the receipt, its holder from the earlier first send.
   base::Result<WorkerReport> FetchReport(std::string aTarget,
                                          std::string aBody,
                                          base::TimePoint aDeadline)
@@ -208,7 +209,7 @@
       body,
       Post(
         std::move(aTarget), std::move(aBody), Delivery::Idempotent, aDeadline));
-    return Interpret(ParseReport(body));
+    return MapParseError(ParseReport(body));
   }
 
   const std::unique_ptr<http::Client> mClient;
@@ -216,15 +217,15 @@
 
 } // namespace
 
-std::unique_ptr<WorkerPort>
-CreateHttpWorkerPort(std::string aAddress,
-                     std::uint16_t aPort,
-                     const base::Clock& aClock)
+std::unique_ptr<RemoteWorker>
+CreateHttpRemoteWorker(std::string aAddress,
+                       std::uint16_t aPort,
+                       const base::Clock& aClock)
 {
   http::ClientOptions options;
   options.mAddress = std::move(aAddress);
   options.mPort = aPort;
-  return std::make_unique<HttpWorkerPort>(
+  return std::make_unique<HttpRemoteWorker>(
     http::CreateClient(std::move(options), aClock));
 }
 
