--- a/include/skylarkhill/base/random.hpp
+++ b/include/skylarkhill/base/random.hpp
@@ -19,7 +19,7 @@
   /// Uniform over [0, aBound); 0 if `aBound` is 0.
   std::uint64_t Below(std::uint64_t aBound);
   /// Uniform over [0, 1).
-  double Unit();
+  double UniformReal();
   /// Uniform over [aLow, aHigh).
   Duration Between(Duration aLow, Duration aHigh);
 };
--- a/include/skylarkhill/entry/peer_network.hpp
+++ b/include/skylarkhill/entry/peer_network.hpp
@@ -79,7 +79,7 @@
   void OnWorkerEvidence(const base::WorkerId& aWorker, bool aLeaving);
 
   /// The last list of the platform.
-  std::vector<platform::InstanceEntry> ListedInstances() const;
+  std::vector<platform::InstanceInfo> ListedInstances() const;
   bool IsEligible(const base::WorkerId& aWorker) const override;
   bool IsPreferredHolder(const base::WorkerId& aWorker) const;
   /// Entry instances that are live, of all known domains, this one included.
@@ -95,7 +95,7 @@
               const peer::ReceivedMessage& aReceived);
   void Handle(const peer::ForwardRequest& aMessage,
               const peer::ReceivedMessage& aReceived);
-  void Handle(const peer::ForwardAnswer& aMessage,
+  void Handle(const peer::ForwardResponse& aMessage,
               const peer::ReceivedMessage& aReceived);
   void Handle(const peer::StateFetch& aMessage,
               const peer::ReceivedMessage& aReceived);
@@ -128,7 +128,7 @@
   mutable std::mutex mMutex;
   std::condition_variable mChanged;
   membership::View mView;
-  std::vector<platform::InstanceEntry> mListed;
+  std::vector<platform::InstanceInfo> mListed;
   /// When the last heartbeat of each peer arrived.
   std::map<base::InstanceId, base::TimePoint> mHeardAt;
   std::set<base::InstanceId> mLiveBefore;
--- a/include/skylarkhill/http/error_body.hpp
+++ b/include/skylarkhill/http/error_body.hpp
@@ -25,7 +25,7 @@
 /// The error that a response with another status than 200 carries; Internal if
 /// its body is not one of FormatErrorBody.
 base::Error
-ErrorOf(const Response& aResponse);
+ParseErrorResponse(const Response& aResponse);
 
 } // namespace skylarkhill::http
 
--- a/include/skylarkhill/membership/view.hpp
+++ b/include/skylarkhill/membership/view.hpp
@@ -44,7 +44,7 @@
 public:
   View(Self aSelf, ViewOptions aOptions);
 
-  void OnList(const std::vector<platform::InstanceEntry>& aList,
+  void OnList(const std::vector<platform::InstanceInfo>& aList,
               base::TimePoint aNow);
   void OnHeartbeat(const Heartbeat& aHeartbeat, base::TimePoint aNow);
   /// An answered poll of a worker.
@@ -122,8 +122,8 @@
   void Mark(const std::string& aName,
             std::uint64_t aIncarnation,
             base::TimePoint aExpiry);
-  void ListEntry(const platform::InstanceEntry& aEntry, base::TimePoint aNow);
-  void ListWorker(const platform::InstanceEntry& aEntry, base::TimePoint aNow);
+  void ListEntry(const platform::InstanceInfo& aEntry, base::TimePoint aNow);
+  void ListWorker(const platform::InstanceInfo& aEntry, base::TimePoint aNow);
 
   Self mSelf;
   ViewOptions mOptions;
--- a/include/skylarkhill/peer/clock_bound.hpp
+++ b/include/skylarkhill/peer/clock_bound.hpp
@@ -35,8 +35,9 @@
   std::optional<std::int64_t> MinDifference(base::TimePoint aNow) const;
   /// The latest own time that is certainly not after `aPeerMicros` on the
   /// peer's clock; nothing before an echo has arrived.
-  std::optional<base::TimePoint> ToOwnTime(std::int64_t aPeerMicros,
-                                           base::TimePoint aNow) const;
+  std::optional<base::TimePoint> ToEarliestLocalTime(
+    std::int64_t aPeerMicros,
+    base::TimePoint aNow) const;
 
 private:
   WindowedMinimum mArrivals;
--- a/include/skylarkhill/peer/frame.hpp
+++ b/include/skylarkhill/peer/frame.hpp
@@ -18,7 +18,7 @@
 struct FrameEcho
 {
   /// The receiver's life that the other fields are about; 0 is none.
-  std::uint64_t mLife = 0;
+  std::uint64_t mSessionId = 0;
   /// Send time of the receiver's newest frame, on the receiver's clock.
   std::int64_t mNewestSentMicros = 0;
   /// Smallest difference between arrival on the sender's clock and sending on
@@ -31,13 +31,13 @@
 {
   PeerAddress mSender;
   /// Random number of the sending transport; not zero.
-  std::uint64_t mLife = 0;
+  std::uint64_t mSessionId = 0;
   /// Send time on the sender's clock.
   std::int64_t mSentMicros = 0;
   /// Time that remained until the deadline at the send time.
   std::int64_t mRemainingMicros = 0;
   /// The message is still of use if its age cannot be determined.
-  bool mAnyAge = false;
+  bool mAcceptsUnknownAge = false;
   FrameEcho mEcho;
   std::string mPayload;
 };
--- a/include/skylarkhill/peer/message.hpp
+++ b/include/skylarkhill/peer/message.hpp
@@ -20,7 +20,7 @@
 };
 
 /// A worker or entry instance that is leaving in its incarnation.
-struct LeavingMark
+struct LeavingNotice
 {
   std::string mName;
   std::uint64_t mIncarnation = 0;
@@ -37,7 +37,7 @@
   std::string mAddress;
   std::uint16_t mPeerPort = 0;
   std::int64_t mConfigVersion = 0;
-  std::vector<LeavingMark> mLeaving;
+  std::vector<LeavingNotice> mLeaving;
   std::vector<ServiceSlots> mFreeSlots;
   std::vector<base::WorkerId> mHeldWorkers;
   std::uint64_t mCausalClock = 0;
@@ -58,7 +58,7 @@
 };
 
 /// How a forwarded attempt ended.
-struct ForwardAnswer
+struct ForwardResponse
 {
   base::RequestId mRequest;
   std::int64_t mAttempt = 0;
@@ -73,19 +73,19 @@
 /// Asks for the state derived from one stream.
 struct StateFetch
 {
-  std::uint64_t mFetch = 0;
+  std::uint64_t mFetchId = 0;
   std::string mStream;
   /// Page to start with; 0 for the first one.
-  std::int64_t mPage = 0;
+  std::int64_t mPageIndex = 0;
   std::uint64_t mCausalClock = 0;
 };
 
 /// A part of the state derived from one stream.
 struct StatePage
 {
-  std::uint64_t mFetch = 0;
+  std::uint64_t mFetchId = 0;
   std::string mStream;
-  std::int64_t mPage = 0;
+  std::int64_t mPageIndex = 0;
   bool mIsLast = false;
   /// Offset up to which the sender has read the stream.
   std::int64_t mAsOf = 0;
@@ -93,8 +93,8 @@
   std::uint64_t mCausalClock = 0;
 };
 
-using Message =
-  std::variant<Heartbeat, ForwardRequest, ForwardAnswer, StateFetch, StatePage>;
+using Message = std::
+  variant<Heartbeat, ForwardRequest, ForwardResponse, StateFetch, StatePage>;
 
 } // namespace skylarkhill::peer
 
--- a/include/skylarkhill/peer/transport.hpp
+++ b/include/skylarkhill/peer/transport.hpp
@@ -35,9 +35,9 @@
 enum class AgePolicy
 {
   /// Refused by the sender until the two clocks are compared.
-  MustBeKnown,
+  RequireKnown,
   /// For heartbeats, which compare the clocks in the first place.
-  MayBeUnknown,
+  AllowUnknown,
 };
 
 struct TransportCounters
@@ -46,7 +46,7 @@
   std::int64_t mDelivered = 0;
   /// Left the sending queue unsent: its deadline passed or the peer was
   /// dropped.
-  std::int64_t mExpiredUnsent = 0;
+  std::int64_t mDiscardedUnsent = 0;
   std::int64_t mQueueFull = 0;
   /// Arrived after the deadline.
   std::int64_t mArrivedLate = 0;
@@ -54,9 +54,9 @@
   std::int64_t mAgeUnknown = 0;
   std::int64_t mMalformed = 0;
   /// From an address that is not allowed.
-  std::int64_t mForbidden = 0;
+  std::int64_t mUnauthorized = 0;
   /// Connections replaced because nothing was answered.
-  std::int64_t mReplaced = 0;
+  std::int64_t mReplacedConnections = 0;
 };
 
 struct TransportOptions
@@ -67,10 +67,10 @@
   std::uint16_t mPort = 0;
   std::size_t mReceiveThreads = 2;
   /// Messages that wait for one peer.
-  std::size_t mMaxQueued = 64;
+  std::size_t mMaxQueuedMessages = 64;
   /// A connection is replaced if nothing sent on it is acknowledged for this
   /// long; some heartbeat intervals.
-  base::Duration mSilenceLimit{ 3'000'000 };
+  base::Duration mAckTimeout{ 3'000'000 };
 };
 
 /// Messages to and from other entry instances. Thread-safe.
--- a/include/skylarkhill/platform/instance_list.hpp
+++ b/include/skylarkhill/platform/instance_list.hpp
@@ -28,7 +28,7 @@
 };
 
 /// One row of the platform's list.
-struct InstanceEntry
+struct InstanceInfo
 {
   std::string mName;
   InstanceRole mRole = InstanceRole::Worker;
@@ -61,7 +61,7 @@
   virtual ~InstanceList() = default;
   /// The list as the platform has it now. LogUnavailable if the platform does
   /// not answer by `aDeadline`.
-  virtual base::Result<std::vector<InstanceEntry>> Fetch(
+  virtual base::Result<std::vector<InstanceInfo>> Fetch(
     base::TimePoint aDeadline) = 0;
 };
 
--- a/include/skylarkhill/platform/platform_codec.hpp
+++ b/include/skylarkhill/platform/platform_codec.hpp
@@ -33,13 +33,13 @@
 ParsePage(std::string_view aBody);
 
 /// One instance; absent members have their defaults.
-base::Result<InstanceEntry>
+base::Result<InstanceInfo>
 ReadInstance(const base::JsonValue& aObject);
 
 std::string
-FormatInstances(const std::vector<InstanceEntry>& aInstances);
+FormatInstances(const std::vector<InstanceInfo>& aInstances);
 /// Takes {"instances": [...]} or the array alone.
-base::Result<std::vector<InstanceEntry>>
+base::Result<std::vector<InstanceInfo>>
 ParseInstances(std::string_view aBody);
 
 } // namespace skylarkhill::platform
--- a/include/skylarkhill/testing/fake_instance_list.hpp
+++ b/include/skylarkhill/testing/fake_instance_list.hpp
@@ -20,14 +20,14 @@
 public:
   explicit FakeInstanceList(const base::Clock& aClock);
 
-  base::Result<std::vector<platform::InstanceEntry>> Fetch(
+  base::Result<std::vector<platform::InstanceInfo>> Fetch(
     base::TimePoint aDeadline) override;
 
   void SetLag(base::Duration aLag);
   /// While down, Fetch fails with LogUnavailable.
   void SetDown(bool aDown);
   /// Adds the instance, or replaces the one with the same name.
-  void Put(platform::InstanceEntry aEntry);
+  void Put(platform::InstanceInfo aEntry);
   void MarkLeaving(const std::string& aName);
   void Remove(const std::string& aName);
 
@@ -43,18 +43,18 @@
     base::TimePoint mVisibleAt;
     ChangeKind mKind = ChangeKind::Put;
     std::string mName;
-    platform::InstanceEntry mEntry;
+    platform::InstanceInfo mEntry;
   };
 
   void AddChange(ChangeKind aKind,
                  std::string aName,
-                 platform::InstanceEntry aEntry);
+                 platform::InstanceInfo aEntry);
   void ApplyVisibleChanges();
   void Apply(Change& aChange);
 
   const base::Clock& mClock;
   std::mutex mMutex;
-  std::map<std::string, platform::InstanceEntry> mEntries;
+  std::map<std::string, platform::InstanceInfo> mEntries;
   std::deque<Change> mChanges;
   base::Duration mLag{ 0 };
   bool mDown = false;
--- a/src/base/random.cpp
+++ b/src/base/random.cpp
@@ -29,7 +29,7 @@
 }
 
 double
-Random::Unit()
+Random::UniformReal()
 {
   constexpr double kScale = 1.0 / 9007199254740992.0; // 2^-53
   return static_cast<double>(Next() >> 11U) * kScale;
--- a/src/cli/timeline_command.cpp
+++ b/src/cli/timeline_command.cpp
@@ -82,7 +82,7 @@
     request.mDelivery = http::Delivery::Idempotent;
     BOOST_OUTCOME_TRY(response, CallEntry(address, request, aTimeoutMs));
     if (response.mStatus != 200) {
-      return http::ErrorOf(response);
+      return http::ParseErrorResponse(response);
     }
     return timeline::ParseExport(response.mBody);
   }
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -420,7 +420,7 @@
     return reserve;
   }
 
-  void AddWorker(const platform::InstanceEntry& aEntry)
+  void AddWorker(const platform::InstanceInfo& aEntry)
   {
     auto port =
       worker::CreateHttpWorkerPort(aEntry.mAddress, aEntry.mPort, mClock);
--- a/src/entry/peer_network.cpp
+++ b/src/entry/peer_network.cpp
@@ -224,7 +224,7 @@
     mClock.Now() + 2 * mOptions.mView.mHeartbeatInterval;
   for (const auto& it : peers) {
     const auto sent =
-      Send(it, message, deadline, peer::AgePolicy::MayBeUnknown);
+      Send(it, message, deadline, peer::AgePolicy::AllowUnknown);
     static_cast<void>(sent);
   }
 }
@@ -290,14 +290,14 @@
   peer::StateFetch fetch;
   {
     const std::lock_guard lock(mMutex);
-    fetch.mFetch = ++mConfigFetch;
+    fetch.mFetchId = ++mConfigFetch;
     mConfigPages.clear();
     mNextConfigPage = 0;
   }
   fetch.mStream = kConfigStream;
   fetch.mCausalClock = Pack(mInstruments.mCausalClock.Tick());
   const auto sent = Send(
-    aPeer, fetch, mClock.Now() + kFetchTimeout, peer::AgePolicy::MustBeKnown);
+    aPeer, fetch, mClock.Now() + kFetchTimeout, peer::AgePolicy::RequireKnown);
   static_cast<void>(sent);
 }
 
@@ -315,16 +315,16 @@
   const std::size_t size = text.value().size();
   for (std::size_t begin = 0; begin < size; begin += kPageBytes) {
     peer::StatePage page;
-    page.mFetch = aMessage.mFetch;
+    page.mFetchId = aMessage.mFetchId;
     page.mStream = kConfigStream;
-    page.mPage = static_cast<std::int64_t>(begin / kPageBytes);
+    page.mPageIndex = static_cast<std::int64_t>(begin / kPageBytes);
     page.mIsLast = begin + kPageBytes >= size;
     page.mPayload = text.value().substr(begin, kPageBytes);
     page.mCausalClock = Pack(mInstruments.mCausalClock.Tick());
     const auto sent = Send(aReceived.mFrom,
                            page,
                            mClock.Now() + kFetchTimeout,
-                           peer::AgePolicy::MustBeKnown);
+                           peer::AgePolicy::RequireKnown);
     if (!sent) {
       return;
     }
@@ -338,7 +338,8 @@
   std::string text;
   {
     const std::lock_guard lock(mMutex);
-    if (aMessage.mFetch != mConfigFetch || aMessage.mPage != mNextConfigPage) {
+    if (aMessage.mFetchId != mConfigFetch ||
+        aMessage.mPageIndex != mNextConfigPage) {
       return;
     }
     mConfigPages += aMessage.mPayload;
@@ -375,7 +376,7 @@
 }
 
 void
-PeerNetwork::Handle(const peer::ForwardAnswer& aMessage,
+PeerNetwork::Handle(const peer::ForwardResponse& aMessage,
                     const peer::ReceivedMessage&)
 {
   requests::PeerAnswered answer;
@@ -451,7 +452,7 @@
   message.mImportance = aRequest.mImportance;
   message.mBody = aRequest.mBody;
   message.mCausalClock = Pack(mInstruments.mCausalClock.Tick());
-  return Send(*address, message, aDeadline, peer::AgePolicy::MustBeKnown);
+  return Send(*address, message, aDeadline, peer::AgePolicy::RequireKnown);
 }
 
 void
@@ -464,7 +465,7 @@
   if (!address) {
     return;
   }
-  peer::ForwardAnswer message;
+  peer::ForwardResponse message;
   message.mRequest = aRequest;
   message.mAttempt = aAttempt;
   message.mOutcome = aResult.mOutcome;
@@ -475,7 +476,7 @@
   const auto sent = Send(*address,
                          message,
                          mClock.Now() + kFetchTimeout,
-                         peer::AgePolicy::MustBeKnown);
+                         peer::AgePolicy::RequireKnown);
   static_cast<void>(sent);
 }
 
@@ -514,7 +515,7 @@
     aWorker, mOptions.mSelf.mDomain, aLeaving, mClock.Now());
 }
 
-std::vector<platform::InstanceEntry>
+std::vector<platform::InstanceInfo>
 PeerNetwork::ListedInstances() const
 {
   const std::lock_guard lock(mMutex);
--- a/src/http/error_body.cpp
+++ b/src/http/error_body.cpp
@@ -45,7 +45,7 @@
 }
 
 base::Error
-ErrorOf(const Response& aResponse)
+ParseErrorResponse(const Response& aResponse)
 {
   auto error = ParseErrorBody(aResponse.mBody);
   if (error) {
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -176,7 +176,7 @@
       { "POST", "/", std::string(5'000'000, 'x'), {}, Delivery::AtMostOnce },
       Deadline());
     CPPUNIT_ASSERT(response.has_value());
-    CPPUNIT_ASSERT(ErrorOf(response.value()).mKind ==
+    CPPUNIT_ASSERT(ParseErrorResponse(response.value()).mKind ==
                    ErrorKind::PayloadTooLarge);
   }
 
@@ -192,7 +192,8 @@
     });
     mHandler.mHasArrived.get_future().wait();
     const auto refused = client->Call(kGet, Deadline());
-    CPPUNIT_ASSERT(ErrorOf(refused.value()).mKind == ErrorKind::Overloaded);
+    CPPUNIT_ASSERT(ParseErrorResponse(refused.value()).mKind ==
+                   ErrorKind::Overloaded);
     mHandler.mMayFinish.set_value();
     CPPUNIT_ASSERT_EQUAL(200, waiting.get().value().mStatus);
   }
@@ -291,8 +292,9 @@
     CPPUNIT_ASSERT_EQUAL(504, response.mStatus);
     AssertContains(response.mBody, R"("retry":"check_first")");
     AssertContains(response.mBody, R"("may_have_run":true)");
-    CPPUNIT_ASSERT(ErrorOf(response).mKind == ErrorKind::AnswerLost);
-    CPPUNIT_ASSERT_EQUAL(std::string("late"), ErrorOf(response).mDetail);
+    CPPUNIT_ASSERT(ParseErrorResponse(response).mKind == ErrorKind::AnswerLost);
+    CPPUNIT_ASSERT_EQUAL(std::string("late"),
+                         ParseErrorResponse(response).mDetail);
     CPPUNIT_ASSERT(!ParseErrorBody(R"({"error":"no such kind"})"));
   }
 };
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -13,7 +13,7 @@
 }
 
 void
-View::OnList(const std::vector<platform::InstanceEntry>& aList,
+View::OnList(const std::vector<platform::InstanceInfo>& aList,
              base::TimePoint aNow)
 {
   mFirstListAt = mFirstListAt.value_or(aNow);
@@ -38,7 +38,7 @@
 }
 
 void
-View::ListEntry(const platform::InstanceEntry& aEntry, base::TimePoint aNow)
+View::ListEntry(const platform::InstanceInfo& aEntry, base::TimePoint aNow)
 {
   const base::InstanceId id{ aEntry.mName };
   const auto inserted = mPeers.emplace(id, Peer{});
@@ -60,7 +60,7 @@
 }
 
 void
-View::ListWorker(const platform::InstanceEntry& aEntry, base::TimePoint aNow)
+View::ListWorker(const platform::InstanceInfo& aEntry, base::TimePoint aNow)
 {
   const base::WorkerId id{ aEntry.mName };
   Worker& worker = mWorkers[id];
--- a/src/membership/view_test.cpp
+++ b/src/membership/view_test.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-using platform::InstanceEntry;
+using platform::InstanceInfo;
 using platform::InstanceRole;
 using platform::InstanceState;
 using std::chrono::milliseconds;
@@ -160,9 +160,9 @@
     return View({ aSelf, 1, kDomain, "127.0.0.1", 1 }, {});
   }
 
-  static InstanceEntry Entry(const base::InstanceId& aId, InstanceState aState)
+  static InstanceInfo Entry(const base::InstanceId& aId, InstanceState aState)
   {
-    InstanceEntry entry;
+    InstanceInfo entry;
     entry.mName = aId.mValue;
     entry.mRole = InstanceRole::Entry;
     entry.mState = aState;
@@ -170,9 +170,9 @@
     return entry;
   }
 
-  static InstanceEntry Worker()
+  static InstanceInfo Worker()
   {
-    InstanceEntry entry;
+    InstanceInfo entry;
     entry.mName = kWorker.mValue;
     entry.mDomain = kDomain;
     return entry;
--- a/src/metrics/metrics_test.cpp
+++ b/src/metrics/metrics_test.cpp
@@ -72,7 +72,7 @@
     const auto random = base::CreateSeededRandom(7);
     Distribution distribution;
     for (int i = 0; i < kSamples; ++i) {
-      distribution.Record(-std::log(1.0 - random->Unit()));
+      distribution.Record(-std::log(1.0 - random->UniformReal()));
     }
     const Summary summary = distribution.Read();
     CPPUNIT_ASSERT_EQUAL(std::int64_t(kSamples), summary.mCount);
--- a/src/peer/clock_bound.cpp
+++ b/src/peer/clock_bound.cpp
@@ -66,7 +66,8 @@
 // that is not negative. Subtracting it yields an own time that is too early by
 // that delay, never too late, however long the frame itself was under way.
 std::optional<base::TimePoint>
-ClockBound::ToOwnTime(std::int64_t aPeerMicros, base::TimePoint aNow) const
+ClockBound::ToEarliestLocalTime(std::int64_t aPeerMicros,
+                                base::TimePoint aNow) const
 {
   const std::optional<std::int64_t> difference = mEchoes.Get(aNow);
   if (!difference) {
--- a/src/peer/clock_bound_test.cpp
+++ b/src/peer/clock_bound_test.cpp
@@ -37,8 +37,8 @@
         const std::int64_t arrived = own + delay;
         bound.RecordEcho(peerTime(arrived) - sent, base::FromMicros(arrived));
         const std::int64_t moment = arrived + 100'000;
-        const auto converted =
-          bound.ToOwnTime(peerTime(moment), base::FromMicros(arrived));
+        const auto converted = bound.ToEarliestLocalTime(
+          peerTime(moment), base::FromMicros(arrived));
         CPPUNIT_ASSERT(converted.has_value());
         const std::int64_t loss = moment - base::ToMicros(*converted);
         CPPUNIT_ASSERT(loss >= 0);
@@ -53,8 +53,8 @@
   {
     ClockBound bound;
     bound.RecordEcho(5, base::FromMicros(1'000'000));
-    CPPUNIT_ASSERT(bound.ToOwnTime(0, base::FromMicros(19'000'000)));
-    CPPUNIT_ASSERT(!bound.ToOwnTime(0, base::FromMicros(30'000'000)));
+    CPPUNIT_ASSERT(bound.ToEarliestLocalTime(0, base::FromMicros(19'000'000)));
+    CPPUNIT_ASSERT(!bound.ToEarliestLocalTime(0, base::FromMicros(30'000'000)));
     bound.RecordArrival(7, base::FromMicros(1'000'007));
     CPPUNIT_ASSERT(*bound.MinDifference(base::FromMicros(2'000'000)) ==
                    1'000'000);
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -73,7 +73,7 @@
   {
     (*this)(aSlots.mService, aSlots.mFreeSlots);
   }
-  void Put(const LeavingMark& aMark)
+  void Put(const LeavingNotice& aMark)
   {
     (*this)(aMark.mName, aMark.mIncarnation, aMark.mRemainingMicros);
   }
@@ -147,7 +147,7 @@
     Reader reader(aObject);
     reader(aSlots.mService, aSlots.mFreeSlots);
   }
-  static void Get(const msgpack::object& aObject, LeavingMark& aMark)
+  static void Get(const msgpack::object& aObject, LeavingNotice& aMark)
   {
     Reader reader(aObject);
     reader(aMark.mName, aMark.mIncarnation, aMark.mRemainingMicros);
@@ -205,7 +205,7 @@
              m.mImportance,
              m.mBody,
              m.mCausalClock);
-  } else if constexpr (std::is_same_v<Plain, ForwardAnswer>) {
+  } else if constexpr (std::is_same_v<Plain, ForwardResponse>) {
     aVisitor(m.mRequest,
              m.mAttempt,
              m.mOutcome,
@@ -214,11 +214,11 @@
              m.mBody,
              m.mCausalClock);
   } else if constexpr (std::is_same_v<Plain, StateFetch>) {
-    aVisitor(m.mFetch, m.mStream, m.mPage, m.mCausalClock);
+    aVisitor(m.mFetchId, m.mStream, m.mPageIndex, m.mCausalClock);
   } else if constexpr (std::is_same_v<Plain, StatePage>) {
-    aVisitor(m.mFetch,
+    aVisitor(m.mFetchId,
              m.mStream,
-             m.mPage,
+             m.mPageIndex,
              m.mIsLast,
              m.mAsOf,
              m.mPayload,
@@ -226,11 +226,11 @@
   } else {
     aVisitor(m.mSender.mHost,
              m.mSender.mPort,
-             m.mLife,
+             m.mSessionId,
              m.mSentMicros,
              m.mRemainingMicros,
-             m.mAnyAge,
-             m.mEcho.mLife,
+             m.mAcceptsUnknownAge,
+             m.mEcho.mSessionId,
              m.mEcho.mNewestSentMicros,
              m.mEcho.mMinDifferenceMicros,
              m.mPayload);
@@ -308,7 +308,7 @@
                      IsTime(aFrame.mRemainingMicros) &&
                      IsTime(aFrame.mEcho.mNewestSentMicros) &&
                      IsTime(aFrame.mEcho.mMinDifferenceMicros);
-  if (!valid || aFrame.mLife == 0) {
+  if (!valid || aFrame.mSessionId == 0) {
     return MakeError(ErrorKind::InvalidArgument, "frame field out of range");
   }
   return aFrame;
@@ -323,7 +323,7 @@
     case 1:
       return Message(Read<ForwardRequest>(aFields));
     case 2:
-      return Message(Read<ForwardAnswer>(aFields));
+      return Message(Read<ForwardResponse>(aFields));
     case 3:
       return Message(Read<StateFetch>(aFields));
     case 4:
--- a/src/peer/codec_test.cpp
+++ b/src/peer/codec_test.cpp
@@ -37,7 +37,7 @@
   request.mRequest = { "key" };
   request.mIdempotent = true;
   request.mBody = std::string("\0\xff", 2);
-  ForwardAnswer answer;
+  ForwardResponse answer;
   answer.mOutcome = requests::Outcome::NotRun;
   answer.mErrorKind = ErrorKind::NotHolder;
   StateFetch fetch;
@@ -110,7 +110,7 @@
     CPPUNIT_ASSERT(DecodeMessage(four) && !DecodeMessage(five));
     Frame frame;
     CPPUNIT_ASSERT(!DecodeFrame(EncodeFrame(frame).value()));
-    frame.mLife = 1;
+    frame.mSessionId = 1;
     CPPUNIT_ASSERT(DecodeFrame(EncodeFrame(frame).value()).has_value());
     frame.mRemainingMicros = std::numeric_limits<std::int64_t>::max();
     CPPUNIT_ASSERT(!DecodeFrame(EncodeFrame(frame).value()));
--- a/src/peer/nng_transport.cpp
+++ b/src/peer/nng_transport.cpp
@@ -51,7 +51,7 @@
     mContext.mCounters = &mCounters;
     mContext.mSignal = &mSignal;
     const auto random = base::CreateSystemRandom();
-    mContext.mLife = random->Next() | 1U;
+    mContext.mSessionId = random->Next() | 1U;
   }
 
   ~NngTransport() override { Stop(); }
@@ -114,13 +114,13 @@
     TransportCounters counters;
     counters.mSent = mCounters.mSent;
     counters.mDelivered = mCounters.mDelivered;
-    counters.mExpiredUnsent = mCounters.mExpiredUnsent;
+    counters.mDiscardedUnsent = mCounters.mDiscardedUnsent;
     counters.mQueueFull = mCounters.mQueueFull;
     counters.mArrivedLate = mCounters.mArrivedLate;
     counters.mAgeUnknown = mCounters.mAgeUnknown;
     counters.mMalformed = mCounters.mMalformed;
-    counters.mForbidden = mCounters.mForbidden;
-    counters.mReplaced = mCounters.mReplaced;
+    counters.mUnauthorized = mCounters.mUnauthorized;
+    counters.mReplacedConnections = mCounters.mReplacedConnections;
     return counters;
   }
 
@@ -180,7 +180,7 @@
     Frame& frame = decoded.value();
     const std::shared_ptr<PeerLink> link = FindLink(frame.mSender);
     if (!link || frame.mSender.mHost != GetRemoteHost(aPipe)) {
-      ++mCounters.mForbidden;
+      ++mCounters.mUnauthorized;
       return;
     }
     link->RecordArrival(frame, aPipe);
@@ -190,7 +190,7 @@
   void Deliver(const PeerLink& aLink, Frame& aFrame)
   {
     const std::optional<base::TimePoint> deadline = aLink.DeadlineOf(aFrame);
-    if (!deadline && !aFrame.mAnyAge) {
+    if (!deadline && !aFrame.mAcceptsUnknownAge) {
       ++mCounters.mAgeUnknown;
       return;
     }
@@ -214,7 +214,7 @@
   void PumpAll()
   {
     const base::Duration idle =
-      mContext.mOptions.mSilenceLimit / kChecksPerSilenceLimit;
+      mContext.mOptions.mAckTimeout / kChecksPerSilenceLimit;
     base::Duration retry = kFirstRetryStep;
     base::Duration step = idle;
     while (mSignal.Wait(step)) {
--- a/src/peer/nng_transport_test.cpp
+++ b/src/peer/nng_transport_test.cpp
@@ -98,8 +98,8 @@
     TransportOptions options;
     options.mAddress = mHost;
     options.mPort = aPort;
-    options.mMaxQueued = 8;
-    options.mSilenceLimit = milliseconds(400);
+    options.mMaxQueuedMessages = 8;
+    options.mAckTimeout = milliseconds(400);
     auto created = CreateNngTransport(options, mInbox, base::GetBootClock());
     CPPUNIT_ASSERT(created.has_value());
     mTransport = std::move(created.value());
@@ -107,13 +107,13 @@
   PeerAddress Address() const { return { mHost, mTransport->Port() }; }
   bool Send(const PeerAddress& aTo, const char* aText, milliseconds aLimit)
   {
-    return mTransport->Send(aTo, aText, In(aLimit), AgePolicy::MustBeKnown)
+    return mTransport->Send(aTo, aText, In(aLimit), AgePolicy::RequireKnown)
       .has_value();
   }
   void Beat(const PeerAddress& aTo)
   {
     const auto sent = mTransport->Send(
-      aTo, "beat", In(milliseconds(300)), AgePolicy::MayBeUnknown);
+      aTo, "beat", In(milliseconds(300)), AgePolicy::AllowUnknown);
     CPPUNIT_ASSERT(sent.has_value() ||
                    sent.error().mKind == ErrorKind::Overloaded);
   }
@@ -155,7 +155,7 @@
     int port = 0;
     nng_listener_get_int(listener, NNG_OPT_TCP_BOUND_PORT, &port);
     mFrame.mSender = { kHostA, static_cast<std::uint16_t>(port) };
-    mFrame.mLife = 77;
+    mFrame.mSessionId = 77;
     mFrame.mRemainingMicros = 1'000'000;
   }
   ~RawPeer()
@@ -247,7 +247,7 @@
     }
     std::this_thread::sleep_for(milliseconds(150));
     const TransportCounters away = a.mTransport->GetCounters();
-    CPPUNIT_ASSERT(away.mExpiredUnsent > 0);
+    CPPUNIT_ASSERT(away.mDiscardedUnsent > 0);
     b.Start(address.mPort);
     Meet(a, b);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, b.mInbox.Count("stale"));
@@ -292,8 +292,8 @@
       Eventually([&] { return b.mTransport->GetCounters().mAgeUnknown == 1; }));
     b.Beat(raw.mFrame.mSender);
     const Frame beat = raw.Receive();
-    CPPUNIT_ASSERT_EQUAL(raw.mFrame.mLife, beat.mEcho.mLife);
-    raw.mFrame.mEcho = { beat.mLife,
+    CPPUNIT_ASSERT_EQUAL(raw.mFrame.mSessionId, beat.mEcho.mSessionId);
+    raw.mFrame.mEcho = { beat.mSessionId,
                          beat.mSentMicros,
                          now() + offset - beat.mSentMicros };
     raw.mFrame.mPayload = "old";
@@ -320,24 +320,26 @@
     raw.Dial(a.Address());
     CPPUNIT_ASSERT(Eventually([&] {
       raw.mFrame.mSentMicros += 1000;
-      raw.mFrame.mAnyAge = true;
+      raw.mFrame.mAcceptsUnknownAge = true;
       raw.Send(raw.mFrame);
       a.Beat(raw.mFrame.mSender);
       return raw.CountConnections() >= 2;
     }));
-    CPPUNIT_ASSERT(a.mTransport->GetCounters().mReplaced >= 1);
+    CPPUNIT_ASSERT(a.mTransport->GetCounters().mReplacedConnections >= 1);
     // A connection that is acknowledged stays.
-    const std::int64_t before = a.mTransport->GetCounters().mReplaced;
+    const std::int64_t before =
+      a.mTransport->GetCounters().mReplacedConnections;
     const base::TimePoint end = In(milliseconds(900));
     while (base::GetBootClock().Now() < end) {
       a.Beat(raw.mFrame.mSender);
       const Frame beat = raw.Receive();
       raw.mFrame.mSentMicros += 1000;
-      raw.mFrame.mEcho = { beat.mLife, beat.mSentMicros, 0 };
+      raw.mFrame.mEcho = { beat.mSessionId, beat.mSentMicros, 0 };
       raw.Send(raw.mFrame);
       std::this_thread::sleep_for(milliseconds(5));
     }
-    CPPUNIT_ASSERT(a.mTransport->GetCounters().mReplaced <= before + 1);
+    CPPUNIT_ASSERT(a.mTransport->GetCounters().mReplacedConnections <=
+                   before + 1);
   }
 
   // Guards against work from hosts that are not entry instances of the site.
@@ -348,23 +350,23 @@
     Meet(a, b);
     b.mTransport->SetAllowedPeers({ { kHostA, 1 } });
     a.Send(b.Address(), "forbidden", milliseconds(300));
-    CPPUNIT_ASSERT(
-      Eventually([&] { return b.mTransport->GetCounters().mForbidden > 0; }));
+    CPPUNIT_ASSERT(Eventually(
+      [&] { return b.mTransport->GetCounters().mUnauthorized > 0; }));
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, b.mInbox.Count("forbidden"));
     const auto sent = b.mTransport->Send(
-      a.Address(), "x", In(milliseconds(300)), AgePolicy::MayBeUnknown);
+      a.Address(), "x", In(milliseconds(300)), AgePolicy::AllowUnknown);
     CPPUNIT_ASSERT(sent.error().mKind == ErrorKind::Unauthorized);
     Meet(a, b);
     // A sender that claims the address of an allowed peer on another host.
     RawPeer raw;
     raw.mFrame.mSender = b.Address();
-    raw.mFrame.mAnyAge = true;
+    raw.mFrame.mAcceptsUnknownAge = true;
     raw.mFrame.mPayload = "forged";
-    const std::int64_t before = a.mTransport->GetCounters().mForbidden;
+    const std::int64_t before = a.mTransport->GetCounters().mUnauthorized;
     raw.Dial(a.Address());
     raw.Send(raw.mFrame);
     CPPUNIT_ASSERT(Eventually(
-      [&] { return a.mTransport->GetCounters().mForbidden > before; }));
+      [&] { return a.mTransport->GetCounters().mUnauthorized > before; }));
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, a.mInbox.Count("forged"));
   }
 
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -46,7 +46,7 @@
 
 PeerLink::~PeerLink()
 {
-  mContext.mCounters->mExpiredUnsent +=
+  mContext.mCounters->mDiscardedUnsent +=
     static_cast<std::int64_t>(mQueue.size());
   if (mConnected) {
     nng_close(mSocket);
@@ -64,11 +64,11 @@
     return MakeError(ErrorKind::DeadlineExceeded);
   }
   const bool known = mClockBound.MinDifference(now).has_value();
-  if (aAgePolicy == AgePolicy::MustBeKnown && !known) {
+  if (aAgePolicy == AgePolicy::RequireKnown && !known) {
     return MakeError(ErrorKind::WorkerUnavailable, "peer has not been heard");
   }
   DropExpired(now);
-  if (mQueue.size() >= mContext.mOptions.mMaxQueued) {
+  if (mQueue.size() >= mContext.mOptions.mMaxQueuedMessages) {
     ++mContext.mCounters->mQueueFull;
     return MakeError(ErrorKind::Overloaded, "queue to the peer is full");
   }
@@ -92,8 +92,8 @@
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     const base::TimePoint now = mContext.mClock->Now();
-    if (aFrame.mLife != mPeerLife) {
-      mPeerLife = aFrame.mLife;
+    if (aFrame.mSessionId != mPeerSessionId) {
+      mPeerSessionId = aFrame.mSessionId;
       mClockBound = ClockBound();
       mNewestPeerSentMicros = aFrame.mSentMicros - 1;
     }
@@ -107,7 +107,7 @@
       }
       mArrivalPipe = aPipe;
     }
-    if (aFrame.mEcho.mLife == mContext.mLife) {
+    if (aFrame.mEcho.mSessionId == mContext.mSessionId) {
       mClockBound.RecordEcho(aFrame.mEcho.mMinDifferenceMicros, now);
       const base::TimePoint seen =
         base::FromMicros(aFrame.mEcho.mNewestSentMicros);
@@ -128,8 +128,8 @@
 PeerLink::DeadlineOf(const Frame& aFrame) const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  return mClockBound.ToOwnTime(aFrame.mSentMicros + aFrame.mRemainingMicros,
-                               mContext.mClock->Now());
+  return mClockBound.ToEarliestLocalTime(
+    aFrame.mSentMicros + aFrame.mRemainingMicros, mContext.mClock->Now());
 }
 
 void
@@ -140,13 +140,13 @@
     const std::lock_guard<std::mutex> lock(mMutex);
     const base::TimePoint now = mContext.mClock->Now();
     if (!mConnected || !mUnansweredSince ||
-        now - *mUnansweredSince < mContext.mOptions.mSilenceLimit) {
+        now - *mUnansweredSince < mContext.mOptions.mAckTimeout) {
       return;
     }
     old = mSocket;
     mConnected = false;
     mUnansweredSince.reset();
-    ++mContext.mCounters->mReplaced;
+    ++mContext.mCounters->mReplacedConnections;
   }
   nng_close(old);
 }
@@ -181,7 +181,7 @@
     return aNow >= aPending.mDeadline;
   };
   const auto rest = std::remove_if(mQueue.begin(), mQueue.end(), expired);
-  mContext.mCounters->mExpiredUnsent += std::distance(rest, mQueue.end());
+  mContext.mCounters->mDiscardedUnsent += std::distance(rest, mQueue.end());
   mQueue.erase(rest, mQueue.end());
 }
 
@@ -191,7 +191,7 @@
   while (!mQueue.empty() && mPipes > 0) {
     const base::TimePoint now = mContext.mClock->Now();
     if (now >= mQueue.front().mDeadline) {
-      ++mContext.mCounters->mExpiredUnsent;
+      ++mContext.mCounters->mDiscardedUnsent;
     } else if (!SendFront(now)) {
       return;
     }
@@ -227,14 +227,15 @@
 {
   Frame frame;
   frame.mSender = mContext.mSelf;
-  frame.mLife = mContext.mLife;
+  frame.mSessionId = mContext.mSessionId;
   frame.mSentMicros = base::ToMicros(aNow);
   frame.mRemainingMicros =
     std::min(base::Remaining(aNow, aPending.mDeadline), kMaxRemaining).count();
-  frame.mAnyAge = aPending.mAgePolicy == AgePolicy::MayBeUnknown;
+  frame.mAcceptsUnknownAge = aPending.mAgePolicy == AgePolicy::AllowUnknown;
   const auto difference = mClockBound.MinDifference(aNow);
   if (difference) {
-    frame.mEcho = FrameEcho{ mPeerLife, mNewestPeerSentMicros, *difference };
+    frame.mEcho =
+      FrameEcho{ mPeerSessionId, mNewestPeerSentMicros, *difference };
   }
   frame.mPayload = aPending.mPayload;
   return frame;
--- a/src/peer/peer_link.hpp
+++ b/src/peer/peer_link.hpp
@@ -23,13 +23,13 @@
 {
   std::atomic<std::int64_t> mSent{ 0 };
   std::atomic<std::int64_t> mDelivered{ 0 };
-  std::atomic<std::int64_t> mExpiredUnsent{ 0 };
+  std::atomic<std::int64_t> mDiscardedUnsent{ 0 };
   std::atomic<std::int64_t> mQueueFull{ 0 };
   std::atomic<std::int64_t> mArrivedLate{ 0 };
   std::atomic<std::int64_t> mAgeUnknown{ 0 };
   std::atomic<std::int64_t> mMalformed{ 0 };
-  std::atomic<std::int64_t> mForbidden{ 0 };
-  std::atomic<std::int64_t> mReplaced{ 0 };
+  std::atomic<std::int64_t> mUnauthorized{ 0 };
+  std::atomic<std::int64_t> mReplacedConnections{ 0 };
 };
 
 /// Wakes the thread that sends queued messages. Thread-safe.
@@ -54,7 +54,7 @@
   /// Address of the own listener.
   PeerAddress mSelf;
   /// Random number of this transport.
-  std::uint64_t mLife = 0;
+  std::uint64_t mSessionId = 0;
   const base::Clock* mClock = nullptr;
   SharedCounters* mCounters = nullptr;
   PumpSignal* mSignal = nullptr;
@@ -89,7 +89,7 @@
   {
     std::string mPayload;
     base::TimePoint mDeadline;
-    AgePolicy mAgePolicy = AgePolicy::MustBeKnown;
+    AgePolicy mAgePolicy = AgePolicy::RequireKnown;
   };
 
   static void OnPipe(nng_pipe aPipe, nng_pipe_ev aEvent, void* aSelf);
@@ -110,7 +110,7 @@
   /// Start of the current silence: first send that is not acknowledged.
   std::optional<base::TimePoint> mUnansweredSince;
   base::TimePoint mLastQueuedAt;
-  std::uint64_t mPeerLife = 0;
+  std::uint64_t mPeerSessionId = 0;
   std::int64_t mNewestPeerSentMicros = 0;
   std::optional<nng_pipe> mArrivalPipe;
   ClockBound mClockBound;
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -52,7 +52,7 @@
   }
   if (response.value().mStatus != kStatusOk) {
     return MakeError(ErrorKind::LogUnavailable,
-                     http::ErrorOf(response.value()).mDetail);
+                     http::ParseErrorResponse(response.value()).mDetail);
   }
   return std::move(response.value().mBody);
 }
@@ -89,7 +89,7 @@
       return ToAppendError(response.error());
     }
     if (response.value().mStatus != kStatusOk) {
-      return ToAppendError(http::ErrorOf(response.value()));
+      return ToAppendError(http::ParseErrorResponse(response.value()));
     }
     return Interpret(ParseOffset(response.value().mBody),
                      ErrorKind::AnswerLost);
@@ -121,7 +121,7 @@
   {
   }
 
-  base::Result<std::vector<InstanceEntry>> Fetch(
+  base::Result<std::vector<InstanceInfo>> Fetch(
     base::TimePoint aDeadline) override
   {
     BOOST_OUTCOME_TRY(body, Get(*mClient, "/instances", aDeadline));
--- a/src/platform/platform_codec.cpp
+++ b/src/platform/platform_codec.cpp
@@ -46,7 +46,7 @@
 }
 
 void
-AddInstance(JsonValue& aObject, const InstanceEntry& aEntry)
+AddInstance(JsonValue& aObject, const InstanceInfo& aEntry)
 {
   aObject.addMember("name") <<= aEntry.mName;
   aObject.addMember("role") <<= std::string(NameOf(aEntry.mRole));
@@ -147,11 +147,11 @@
   return page;
 }
 
-base::Result<InstanceEntry>
+base::Result<InstanceInfo>
 ReadInstance(const JsonValue& aObject)
 {
   JsonReader reader(aObject, "instance");
-  InstanceEntry entry;
+  InstanceInfo entry;
   entry.mName = reader.GetString("name");
   BOOST_OUTCOME_TRY(role,
                     FindByName({ InstanceRole::Entry, InstanceRole::Worker },
@@ -178,7 +178,7 @@
 }
 
 std::string
-FormatInstances(const std::vector<InstanceEntry>& aInstances)
+FormatInstances(const std::vector<InstanceInfo>& aInstances)
 {
   JsonValue body = base::MakeJsonObject();
   JsonValue& instances = body.addMember("instances");
@@ -189,7 +189,7 @@
   return base::FormatJson(body);
 }
 
-base::Result<std::vector<InstanceEntry>>
+base::Result<std::vector<InstanceInfo>>
 ParseInstances(std::string_view aBody)
 {
   BOOST_OUTCOME_TRY(json, base::ParseJson(aBody));
@@ -201,7 +201,7 @@
     return MakeError(ErrorKind::InvalidArgument,
                      "'instances' must be an array");
   }
-  std::vector<InstanceEntry> entries;
+  std::vector<InstanceInfo> entries;
   for (const auto& it : *array) {
     BOOST_OUTCOME_TRY(entry, ReadInstance(it));
     entries.push_back(std::move(entry));
--- a/src/testing/bench_run.cpp
+++ b/src/testing/bench_run.cpp
@@ -371,7 +371,7 @@
       static_cast<double>(mSite.mWorkers) * static_cast<double>(mSite.mSlots);
     const double mean =
       micros / static_cast<double>(mSite.mServices.size()) / (slots * load);
-    const double gap = -mean * std::log(1.0 - mRequestRandom->Unit());
+    const double gap = -mean * std::log(1.0 - mRequestRandom->UniformReal());
     const TimePoint at = aFrom + Duration(1 + static_cast<std::int64_t>(gap));
     Request request;
     request.mService = mRequestRandom->Below(mSite.mServices.size());
@@ -623,7 +623,7 @@
 
   std::size_t DrawClass()
   {
-    double left = mTaskRandom->Unit();
+    double left = mTaskRandom->UniformReal();
     for (std::size_t n = 0; n + 1 < mSite.mClasses.size(); ++n) {
       left -= mSite.mClasses[n].mShare;
       if (left < 0.0) {
@@ -655,7 +655,7 @@
     task.mNeed = type.mDeclared;
     task.mProcessors = static_cast<double>(type.mDeclared.mMilliProcessors) /
                        1000.0 * type.mActualShare *
-                       (0.8 + 0.4 * mTaskRandom->Unit());
+                       (0.8 + 0.4 * mTaskRandom->UniformReal());
     task.mAccepted = mNow;
     mTasks.push_back(std::move(task));
     mQueued.push_back(mTasks.size() - 1);
@@ -816,8 +816,8 @@
     for (const std::size_t it : aWorker.mServices) {
       factor = std::max(factor, Slowdown(aWorker, it));
     }
-    const double noise = 0.8 + 0.4 * mNoiseRandom->Unit();
-    const double offset = 10.0 * (mNoiseRandom->Unit() - 0.5);
+    const double noise = 0.8 + 0.4 * mNoiseRandom->UniformReal();
+    const double offset = 10.0 * (mNoiseRandom->UniformReal() - 0.5);
     policy::InterferenceReport report;
     report.mWorker = aWorker.mView.mWorker;
     report.mMeasuredAt = mNow;
--- a/src/testing/bench_site.cpp
+++ b/src/testing/bench_site.cpp
@@ -94,8 +94,8 @@
 DrawLognormal(base::Random& aRandom, double aSigma)
 {
   constexpr double kTwoPi = 6.283185307179586;
-  const double radius = std::sqrt(-2.0 * std::log(1.0 - aRandom.Unit()));
-  const double normal = radius * std::cos(kTwoPi * aRandom.Unit());
+  const double radius = std::sqrt(-2.0 * std::log(1.0 - aRandom.UniformReal()));
+  const double normal = radius * std::cos(kTwoPi * aRandom.UniformReal());
   return std::exp(aSigma * normal - aSigma * aSigma / 2.0);
 }
 
@@ -111,8 +111,8 @@
     service.mInterference = percents;
   }
   for (auto& it : aSite.mClasses) {
-    it.mActualShare = 0.5 + 1.2 * aRandom.Unit();
-    const double error = 0.3 * std::pow(10.0, aRandom.Unit());
+    it.mActualShare = 0.5 + 1.2 * aRandom.UniformReal();
+    const double error = 0.3 * std::pow(10.0, aRandom.UniformReal());
     it.mDeclaredRunSeconds = std::max<std::int64_t>(
       1, static_cast<std::int64_t>(it.mMeanSeconds * error));
   }
--- a/src/testing/capacity_wire.cpp
+++ b/src/testing/capacity_wire.cpp
@@ -48,7 +48,7 @@
 {
   peer::Frame frame;
   frame.mSender = { "127.4.0.1", 18471 };
-  frame.mLife = 1;
+  frame.mSessionId = 1;
   frame.mPayload =
     peer::EncodeMessage(SampleHeartbeat(aWorkers, aServices)).value();
   return peer::EncodeFrame(frame).value().size();
--- a/src/testing/fake_instance_list.cpp
+++ b/src/testing/fake_instance_list.cpp
@@ -4,14 +4,14 @@
 
 namespace skylarkhill::testing {
 
-using platform::InstanceEntry;
+using platform::InstanceInfo;
 
 FakeInstanceList::FakeInstanceList(const base::Clock& aClock)
   : mClock(aClock)
 {
 }
 
-base::Result<std::vector<InstanceEntry>>
+base::Result<std::vector<InstanceInfo>>
 FakeInstanceList::Fetch(base::TimePoint aDeadline)
 {
   const std::lock_guard lock(mMutex);
@@ -24,7 +24,7 @@
                            "the deadline has passed");
   }
   ApplyVisibleChanges();
-  std::vector<InstanceEntry> entries;
+  std::vector<InstanceInfo> entries;
   for (const auto& it : mEntries) {
     entries.push_back(it.second);
   }
@@ -46,7 +46,7 @@
 }
 
 void
-FakeInstanceList::Put(InstanceEntry aEntry)
+FakeInstanceList::Put(InstanceInfo aEntry)
 {
   std::string name = aEntry.mName;
   AddChange(ChangeKind::Put, std::move(name), std::move(aEntry));
@@ -67,7 +67,7 @@
 void
 FakeInstanceList::AddChange(ChangeKind aKind,
                             std::string aName,
-                            InstanceEntry aEntry)
+                            InstanceInfo aEntry)
 {
   const std::lock_guard lock(mMutex);
   base::TimePoint visibleAt = mClock.Now() + mLag;
--- a/src/testing/fake_log_test.cpp
+++ b/src/testing/fake_log_test.cpp
@@ -66,7 +66,7 @@
   void InstanceChangesBecomeVisibleAfterTheLag()
   {
     FakeInstanceList list(mClock);
-    platform::InstanceEntry entry;
+    platform::InstanceInfo entry;
     entry.mName = "w1";
     list.Put(entry);
     list.SetLag(seconds(5));
--- a/src/worker/http_worker_port.cpp
+++ b/src/worker/http_worker_port.cpp
@@ -21,7 +21,7 @@
 base::Error
 ToPortError(const http::Response& aResponse)
 {
-  base::Error error = http::ErrorOf(aResponse);
+  base::Error error = http::ParseErrorResponse(aResponse);
   switch (error.mKind) {
     case ErrorKind::WorkerRefused:
     case ErrorKind::StaleCommand:
