Rename internals of the peer transport and its tests

Beat -> SendHeartbeat CheckTimes -> CheckFrame CountArrivals -> CountDeliveries DamagedBytesNeverThrow -> NeverThrowsOnCorruptedBytes DeliversToSuccessor -> DeliversStaleMessage DropsFramesOfUnknownOrOldAge -> DropsExpiredFramesAndFramesOfUnknownAge DropsWhatASuspendedPeerReceivesLate -> DropsLateMessagesOfASuspendedReceiver Eventually -> WaitUntil EveryFieldSurvives -> RoundTripsEveryField ForgetsOldComparisons -> DiscardsOldComparisons In -> After IsTime -> IsValidTime KeepsNothingForAnAbsentPeer -> DiscardsMessagesForAnAbsentPeer Known -> RequireKnownName Meet -> ExchangeClocks OpenPush -> OpenPushSocket Pending -> QueuedMessage Pump -> SendQueued PumpAll -> SendLoop PumpSignal -> SenderSignal Raise -> Notify ReceiveAll -> ReceiveLoop ReplaceIfSilent -> ReplaceIfUnacknowledged ReplacesASilentConnection -> ReplacesAnUnacknowledgedConnection aPending -> aMessage aWhat -> aOperation arrivals -> deliveries beat -> heartbeat cut -> truncated idle -> idleDelay kChecksPerSilenceLimit -> kChecksPerAckTimeout kDrainTime -> kCloseDelay kFirstRetryStep -> kMinRetryDelay kLastRetryStep -> kMaxRetryDelay kReceiveWaitMs -> kReceiveTimeoutMs kWaitMs -> kReceiveTimeoutMs largestLoss -> maxError loss -> error mArrivalPipe -> mReceivePipe mArrivals -> mArrivalDifferences mEchoes -> mEchoedDifferences mIsDraining -> mStopReceiving mPipes -> mOpenPipes mRaised -> mNotified mUnansweredSince -> mUnacknowledgedSince mWasBlocked -> mHasBeenBlocked retry -> retryDelay step -> delay

--- a/src/peer/clock_bound.cpp
+++ b/src/peer/clock_bound.cpp
@@ -47,19 +47,19 @@
 void
 ClockBound::RecordArrival(std::int64_t aSentMicros, base::TimePoint aNow)
 {
-  mArrivals.Add(base::ToMicros(aNow) - aSentMicros, aNow);
+  mArrivalDifferences.Add(base::ToMicros(aNow) - aSentMicros, aNow);
 }
 
 void
 ClockBound::RecordEcho(std::int64_t aDifferenceMicros, base::TimePoint aNow)
 {
-  mEchoes.Add(aDifferenceMicros, aNow);
+  mEchoedDifferences.Add(aDifferenceMicros, aNow);
 }
 
 std::optional<std::int64_t>
 ClockBound::MinDifference(base::TimePoint aNow) const
 {
-  return mArrivals.Get(aNow);
+  return mArrivalDifferences.Get(aNow);
 }
 
 // The echoed difference is the peer's clock minus the own clock plus a delay
@@ -69,7 +69,7 @@
 ClockBound::ToEarliestLocalTime(std::int64_t aPeerMicros,
                                 base::TimePoint aNow) const
 {
-  const std::optional<std::int64_t> difference = mEchoes.Get(aNow);
+  const std::optional<std::int64_t> difference = mEchoedDifferences.Get(aNow);
   if (!difference) {
     return std::nullopt;
   }
--- a/src/peer/clock_bound_test.cpp
+++ b/src/peer/clock_bound_test.cpp
@@ -13,7 +13,7 @@
 {
   CPPUNIT_TEST_SUITE(ClockBoundTest);
   CPPUNIT_TEST(NeverConvertsToALaterTime);
-  CPPUNIT_TEST(ForgetsOldComparisons);
+  CPPUNIT_TEST(DiscardsOldComparisons);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -29,7 +29,7 @@
                static_cast<std::int64_t>(static_cast<double>(aOwn) * rate);
       };
       ClockBound bound;
-      std::int64_t largestLoss = 0;
+      std::int64_t maxError = 0;
       for (std::int64_t own = 0; own < 120'000'000; own += 500'000) {
         const std::int64_t sent = own;
         const auto delay = static_cast<std::int64_t>(
@@ -40,16 +40,16 @@
         const auto converted = bound.ToEarliestLocalTime(
           peerTime(moment), base::FromMicros(arrived));
         CPPUNIT_ASSERT(converted.has_value());
-        const std::int64_t loss = moment - base::ToMicros(*converted);
-        CPPUNIT_ASSERT(loss >= 0);
-        largestLoss = own > 5'000'000 ? std::max(largestLoss, loss) : 0;
+        const std::int64_t error = moment - base::ToMicros(*converted);
+        CPPUNIT_ASSERT(error >= 0);
+        maxError = own > 5'000'000 ? std::max(maxError, error) : 0;
       }
-      CPPUNIT_ASSERT(largestLoss < 6'000);
+      CPPUNIT_ASSERT(maxError < 6'000);
     }
   }
 
   // Guards against a comparison with a clock that has drifted since.
-  void ForgetsOldComparisons()
+  void DiscardsOldComparisons()
   {
     ClockBound bound;
     bound.RecordEcho(5, base::FromMicros(1'000'000));
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -156,17 +156,17 @@
   {
     std::string name;
     Get(aObject, name);
-    aOutcome = Known(base::FindValue(kOutcomeNames, name));
+    aOutcome = RequireKnownName(base::FindValue(kOutcomeNames, name));
   }
   static void Get(const msgpack::object& aObject, ErrorKind& aKind)
   {
     std::string name;
     Get(aObject, name);
-    aKind = Known(base::ParseErrorKind(name));
+    aKind = RequireKnownName(base::ParseErrorKind(name));
   }
 
   template<typename Enum>
-  static Enum Known(const std::optional<Enum>& aValue)
+  static Enum RequireKnownName(const std::optional<Enum>& aValue)
   {
     if (!aValue) {
       throw std::invalid_argument("unknown name");
@@ -296,18 +296,18 @@
 }
 
 bool
-IsTime(std::int64_t aMicros)
+IsValidTime(std::int64_t aMicros)
 {
   return aMicros >= -kMaxTimeMicros && aMicros <= kMaxTimeMicros;
 }
 
 base::Result<Frame>
-CheckTimes(Frame aFrame)
+CheckFrame(Frame aFrame)
 {
-  const bool valid = IsTime(aFrame.mSentMicros) &&
-                     IsTime(aFrame.mRemainingMicros) &&
-                     IsTime(aFrame.mEcho.mNewestSentMicros) &&
-                     IsTime(aFrame.mEcho.mMinDifferenceMicros);
+  const bool valid = IsValidTime(aFrame.mSentMicros) &&
+                     IsValidTime(aFrame.mRemainingMicros) &&
+                     IsValidTime(aFrame.mEcho.mNewestSentMicros) &&
+                     IsValidTime(aFrame.mEcho.mMinDifferenceMicros);
   if (!valid || aFrame.mSessionId == 0) {
     return MakeError(ErrorKind::InvalidArgument, "frame field out of range");
   }
@@ -377,7 +377,7 @@
                     return MakeError(ErrorKind::InvalidArgument,
                                      "unknown frame version");
                   }
-                  return CheckTimes(Read<Frame>(aRoot.ptr[2]));
+                  return CheckFrame(Read<Frame>(aRoot.ptr[2]));
                 });
 }
 
--- a/src/peer/codec_test.cpp
+++ b/src/peer/codec_test.cpp
@@ -16,18 +16,18 @@
 Heartbeat
 MakeHeartbeat()
 {
-  Heartbeat beat;
-  beat.mInstance = { "entry-1" };
-  beat.mIncarnation = ~std::uint64_t{ 0 };
-  beat.mDomain = { "kochi" };
-  beat.mAddress = "127.0.0.1";
-  beat.mPeerPort = 65535;
-  beat.mConfigVersion = -1;
-  beat.mLeaving = { { "worker-3", 7, 1000 } };
-  beat.mFreeSlots = { { "lookup", 12 }, { "match", 0 } };
-  beat.mHeldWorkers = { { "worker-1" }, { "worker-2" } };
-  beat.mCausalClock = 99;
-  return beat;
+  Heartbeat heartbeat;
+  heartbeat.mInstance = { "entry-1" };
+  heartbeat.mIncarnation = ~std::uint64_t{ 0 };
+  heartbeat.mDomain = { "kochi" };
+  heartbeat.mAddress = "127.0.0.1";
+  heartbeat.mPeerPort = 65535;
+  heartbeat.mConfigVersion = -1;
+  heartbeat.mLeaving = { { "worker-3", 7, 1000 } };
+  heartbeat.mFreeSlots = { { "lookup", 12 }, { "match", 0 } };
+  heartbeat.mHeldWorkers = { { "worker-1" }, { "worker-2" } };
+  heartbeat.mCausalClock = 99;
+  return heartbeat;
 }
 
 std::vector<Message>
@@ -51,17 +51,17 @@
 class CodecTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(CodecTest);
-  CPPUNIT_TEST(EveryFieldSurvives);
+  CPPUNIT_TEST(RoundTripsEveryField);
   CPPUNIT_TEST(RefusesTruncatedAndTrailingBytes);
   CPPUNIT_TEST(RefusesWrongVersionTypeAndRange);
   CPPUNIT_TEST(RefusesOversizedMessages);
-  CPPUNIT_TEST(DamagedBytesNeverThrow);
+  CPPUNIT_TEST(NeverThrowsOnCorruptedBytes);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   // Guards against a field that is missing in the codec: both encodings would
   // agree, so some fields are compared one by one.
-  void EveryFieldSurvives()
+  void RoundTripsEveryField()
   {
     for (const Message& it : MakeMessages()) {
       const std::string bytes = EncodeMessage(it).value();
@@ -71,14 +71,17 @@
     }
     const std::string bytes = EncodeMessage(MakeHeartbeat()).value();
     const Message copy = DecodeMessage(bytes).value();
-    const auto& beat = std::get<Heartbeat>(copy);
-    CPPUNIT_ASSERT(beat.mIncarnation == ~std::uint64_t{ 0 });
-    CPPUNIT_ASSERT(beat.mPeerPort == 65535 && beat.mConfigVersion == -1);
-    CPPUNIT_ASSERT_EQUAL(std::string("worker-3"), beat.mLeaving.at(0).mName);
-    CPPUNIT_ASSERT(beat.mFreeSlots.at(0).mFreeSlots == 12);
+    const auto& heartbeat = std::get<Heartbeat>(copy);
+    CPPUNIT_ASSERT(heartbeat.mIncarnation == ~std::uint64_t{ 0 });
+    CPPUNIT_ASSERT(heartbeat.mPeerPort == 65535 &&
+                   heartbeat.mConfigVersion == -1);
+    CPPUNIT_ASSERT_EQUAL(std::string("worker-3"),
+                         heartbeat.mLeaving.at(0).mName);
+    CPPUNIT_ASSERT(heartbeat.mFreeSlots.at(0).mFreeSlots == 12);
     CPPUNIT_ASSERT_EQUAL(std::string("worker-2"),
-                         beat.mHeldWorkers.at(1).mValue);
-    CPPUNIT_ASSERT(beat.mCausalClock == 99 && beat.mDomain.mValue == "kochi");
+                         heartbeat.mHeldWorkers.at(1).mValue);
+    CPPUNIT_ASSERT(heartbeat.mCausalClock == 99 &&
+                   heartbeat.mDomain.mValue == "kochi");
   }
 
   // Guards against half a message that is taken for a whole one.
@@ -86,8 +89,8 @@
   {
     const std::string bytes = EncodeMessage(MakeHeartbeat()).value();
     for (std::size_t n = 0; n < bytes.size(); ++n) {
-      const auto cut = DecodeMessage(bytes.substr(0, n));
-      CPPUNIT_ASSERT(cut.error().mKind == ErrorKind::InvalidArgument);
+      const auto truncated = DecodeMessage(bytes.substr(0, n));
+      CPPUNIT_ASSERT(truncated.error().mKind == ErrorKind::InvalidArgument);
     }
     CPPUNIT_ASSERT(!DecodeMessage(bytes + "x"));
   }
@@ -129,7 +132,7 @@
   }
 
   // Guards against exceptions that leave the codec and end a receiving thread.
-  void DamagedBytesNeverThrow()
+  void NeverThrowsOnCorruptedBytes()
   {
     const auto random = base::CreateSeededRandom(11);
     const std::string bytes = EncodeMessage(MakeHeartbeat()).value();
--- a/src/peer/nng_properties_test.cpp
+++ b/src/peer/nng_properties_test.cpp
@@ -16,7 +16,7 @@
 
 using Open = int (*)(nng_socket*);
 
-constexpr nng_duration kWaitMs = 700;
+constexpr nng_duration kReceiveTimeoutMs = 700;
 
 /// A socket that is closed at the end of its scope.
 class Socket
@@ -25,7 +25,7 @@
   explicit Socket(Open aOpen)
   {
     CPPUNIT_ASSERT_EQUAL(0, aOpen(&mSocket));
-    nng_socket_set_ms(mSocket, NNG_OPT_RECVTIMEO, kWaitMs);
+    nng_socket_set_ms(mSocket, NNG_OPT_RECVTIMEO, kReceiveTimeoutMs);
     nng_socket_set_ms(mSocket, NNG_OPT_RECONNMINT, 20);
     nng_socket_set_ms(mSocket, NNG_OPT_RECONNMAXT, 20);
   }
@@ -54,7 +54,7 @@
     return nng_send(
       mSocket, aText.data(), aText.size(), static_cast<int>(aFlags));
   }
-  /// The next message, or nothing within kWaitMs.
+  /// The next message, or nothing within kReceiveTimeoutMs.
   std::string Receive()
   {
     nng_msg* message = nullptr;
@@ -75,30 +75,30 @@
 /// How often a message arrives whose receiver closes without an answer and is
 /// replaced on the same port.
 int
-CountArrivals(Open aOpenSender, Open aOpenReceiver, const char* aResendOption)
+CountDeliveries(Open aOpenSender, Open aOpenReceiver, const char* aResendOption)
 {
   Socket sender(aOpenSender);
   if (aResendOption != nullptr) {
     nng_socket_set_ms(sender.Get(), aResendOption, NNG_DURATION_INFINITE);
   }
   int port = 0;
-  int arrivals = 0;
+  int deliveries = 0;
   {
     Socket first(aOpenReceiver);
     port = first.Listen(0);
     sender.Dial(port);
     CPPUNIT_ASSERT_EQUAL(0, sender.Send("once"));
-    arrivals += first.Receive().empty() ? 0 : 1;
+    deliveries += first.Receive().empty() ? 0 : 1;
   }
   Socket second(aOpenReceiver);
   second.Listen(port);
-  arrivals += second.Receive().empty() ? 0 : 1;
-  return arrivals;
+  deliveries += second.Receive().empty() ? 0 : 1;
+  return deliveries;
 }
 
 /// True if a message sent while the receiver was away reaches its successor.
 bool
-DeliversToSuccessor(Open aOpenSender, Open aOpenReceiver, int aSendBuffer)
+DeliversStaleMessage(Open aOpenSender, Open aOpenReceiver, int aSendBuffer)
 {
   Socket sender(aOpenSender);
   nng_socket_set_int(sender.Get(), NNG_OPT_SENDBUF, aSendBuffer);
@@ -132,26 +132,26 @@
   // A request would run twice. Only an infinite resend time prevents it.
   void ReqResendsWhenThePeerDisconnects()
   {
-    CPPUNIT_ASSERT_EQUAL(2,
-                         CountArrivals(nng_req0_open, nng_rep0_open, nullptr));
     CPPUNIT_ASSERT_EQUAL(
-      1, CountArrivals(nng_req0_open, nng_rep0_open, NNG_OPT_REQ_RESENDTIME));
+      2, CountDeliveries(nng_req0_open, nng_rep0_open, nullptr));
+    CPPUNIT_ASSERT_EQUAL(
+      1, CountDeliveries(nng_req0_open, nng_rep0_open, NNG_OPT_REQ_RESENDTIME));
   }
 
   void PushAndPairSendOnce()
   {
     CPPUNIT_ASSERT_EQUAL(
-      1, CountArrivals(nng_push0_open, nng_pull0_open, nullptr));
+      1, CountDeliveries(nng_push0_open, nng_pull0_open, nullptr));
     CPPUNIT_ASSERT_EQUAL(
-      1, CountArrivals(nng_pair0_open, nng_pair0_open, nullptr));
+      1, CountDeliveries(nng_pair0_open, nng_pair0_open, nullptr));
   }
 
   void BuffersKeepStaleMessages()
   {
-    CPPUNIT_ASSERT(DeliversToSuccessor(nng_push0_open, nng_pull0_open, 8));
-    CPPUNIT_ASSERT(!DeliversToSuccessor(nng_push0_open, nng_pull0_open, 0));
-    CPPUNIT_ASSERT(DeliversToSuccessor(nng_pair0_open, nng_pair0_open, 8));
-    CPPUNIT_ASSERT(!DeliversToSuccessor(nng_pair0_open, nng_pair0_open, 0));
+    CPPUNIT_ASSERT(DeliversStaleMessage(nng_push0_open, nng_pull0_open, 8));
+    CPPUNIT_ASSERT(!DeliversStaleMessage(nng_push0_open, nng_pull0_open, 0));
+    CPPUNIT_ASSERT(DeliversStaleMessage(nng_pair0_open, nng_pair0_open, 8));
+    CPPUNIT_ASSERT(!DeliversStaleMessage(nng_pair0_open, nng_pair0_open, 0));
   }
 
   // The sender could not tell a lost message from one that was sent.
--- a/src/peer/nng_socket.cpp
+++ b/src/peer/nng_socket.cpp
@@ -23,13 +23,13 @@
 } // namespace
 
 base::Result<void>
-CheckNng(int aCode, const char* aWhat)
+CheckNng(int aCode, const char* aOperation)
 {
   if (aCode == 0) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
   return MakeError(ErrorKind::ConnectionLost,
-                   std::string(aWhat) + ": " + nng_strerror(aCode));
+                   std::string(aOperation) + ": " + nng_strerror(aCode));
 }
 
 std::string
@@ -70,7 +70,7 @@
 }
 
 base::Result<nng_socket>
-OpenPush()
+OpenPushSocket()
 {
   nng_socket socket = NNG_SOCKET_INITIALIZER;
   BOOST_OUTCOME_TRYV(CheckNng(nng_push0_open(&socket), "open"));
--- a/src/peer/nng_socket.hpp
+++ b/src/peer/nng_socket.hpp
@@ -13,7 +13,7 @@
 
 /// ConnectionLost with nng's text if `aCode` is an error.
 base::Result<void>
-CheckNng(int aCode, const char* aWhat);
+CheckNng(int aCode, const char* aOperation);
 
 /// URL of `aAddress` for nng.
 std::string
@@ -29,7 +29,7 @@
 
 /// Opens a push socket that keeps no messages.
 base::Result<nng_socket>
-OpenPush();
+OpenPushSocket();
 
 /// Connects `aSocket` to `aPeer` from `aSourceHost` in the background, again
 /// and again.
--- a/src/peer/nng_transport.cpp
+++ b/src/peer/nng_transport.cpp
@@ -24,16 +24,16 @@
 namespace {
 
 // Silence is noticed at most this share of the limit too late.
-constexpr int kChecksPerSilenceLimit = 4;
+constexpr int kChecksPerAckTimeout = 4;
 // Pauses before a busy connection is tried again. The first one is about the
 // time that nng needs for one message; a peer that has stopped reading gets the
 // last one, because polling it faster costs processor time.
-constexpr base::Duration kFirstRetryStep{ 50 };
-constexpr base::Duration kLastRetryStep{ 5'000 };
+constexpr base::Duration kMinRetryDelay{ 50 };
+constexpr base::Duration kMaxRetryDelay{ 5'000 };
 // How long Stop may take to be noticed by a receiving thread.
-constexpr nng_duration kReceiveWaitMs = 100;
+constexpr nng_duration kReceiveTimeoutMs = 100;
 // Within this time the connections of a stopped receiver fill up.
-constexpr base::Duration kDrainTime{ 20'000 };
+constexpr base::Duration kCloseDelay{ 20'000 };
 
 /// One pull socket that listens, and one push socket per peer. With pair
 /// sockets both ends would have to agree on who connects, and bus sockets drop
@@ -60,7 +60,7 @@
   {
     BOOST_OUTCOME_TRYV(CheckNng(nng_pull0_open(&mPull), "open"));
     mIsOpen = true;
-    nng_socket_set_ms(mPull, NNG_OPT_RECVTIMEO, kReceiveWaitMs);
+    nng_socket_set_ms(mPull, NNG_OPT_RECVTIMEO, kReceiveTimeoutMs);
     nng_socket_set_size(mPull, NNG_OPT_RECVMAXSZ, kMaxFrameBytes);
 
     const TransportOptions& options = mContext.mOptions;
@@ -68,9 +68,9 @@
       port, ListenOn(mPull, PeerAddress{ options.mAddress, options.mPort }));
     mContext.mSelf = PeerAddress{ options.mAddress, port };
     for (std::size_t n = 0; n < options.mReceiveThreads; ++n) {
-      mThreads.emplace_back([this] { ReceiveAll(); });
+      mThreads.emplace_back([this] { ReceiveLoop(); });
     }
-    mThreads.emplace_back([this] { PumpAll(); });
+    mThreads.emplace_back([this] { SendLoop(); });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
 
@@ -135,14 +135,14 @@
       mStopping = true;
       links.swap(mLinks);
     }
-    mSignal.Raise(true);
-    mIsDraining = true;
+    mSignal.Notify(true);
+    mStopReceiving = true;
     for (std::thread& it : mThreads) {
       it.join();
     }
     // Closing a pull socket of nng 1.5.2 that is just receiving was seen to
     // block for ever. Once nobody takes messages, flow control stops the peers.
-    std::this_thread::sleep_for(kDrainTime);
+    std::this_thread::sleep_for(kCloseDelay);
     if (mIsOpen) {
       nng_close(mPull);
     }
@@ -156,9 +156,9 @@
     return found == mLinks.end() ? nullptr : found->second;
   }
 
-  void ReceiveAll()
+  void ReceiveLoop()
   {
-    while (!mIsDraining) {
+    while (!mStopReceiving) {
       nng_msg* message = nullptr;
       if (nng_recvmsg(mPull, &message, 0) != 0) {
         continue;
@@ -211,34 +211,34 @@
   }
 
   /// Until Stop: sends what could not be sent at once.
-  void PumpAll()
+  void SendLoop()
   {
-    const base::Duration idle =
-      mContext.mOptions.mAckTimeout / kChecksPerSilenceLimit;
-    base::Duration retry = kFirstRetryStep;
-    base::Duration step = idle;
-    while (mSignal.Wait(step)) {
+    const base::Duration idleDelay =
+      mContext.mOptions.mAckTimeout / kChecksPerAckTimeout;
+    base::Duration retryDelay = kMinRetryDelay;
+    base::Duration delay = idleDelay;
+    while (mSignal.Wait(delay)) {
       const std::int64_t sent = mCounters.mSent;
       bool congested = false;
       for (const auto& it : GetLinks()) {
-        it.second->Pump();
-        it.second->ReplaceIfSilent();
+        it.second->SendQueued();
+        it.second->ReplaceIfUnacknowledged();
         congested = congested || it.second->IsCongested();
       }
       const bool progressed = mCounters.mSent != sent;
-      retry =
-        progressed ? kFirstRetryStep : std::min(retry * 2, kLastRetryStep);
-      step = congested ? retry : idle;
+      retryDelay =
+        progressed ? kMinRetryDelay : std::min(retryDelay * 2, kMaxRetryDelay);
+      delay = congested ? retryDelay : idleDelay;
     }
   }
 
   MessageSink& mSink;
   LinkContext mContext;
   SharedCounters mCounters;
-  PumpSignal mSignal;
+  SenderSignal mSignal;
   nng_socket mPull = NNG_SOCKET_INITIALIZER;
   bool mIsOpen = false;
-  std::atomic<bool> mIsDraining{ false };
+  std::atomic<bool> mStopReceiving{ false };
   mutable std::mutex mMutex;
   bool mStopping = false;
   std::map<PeerAddress, std::shared_ptr<PeerLink>> mLinks;
--- a/src/peer/nng_transport_test.cpp
+++ b/src/peer/nng_transport_test.cpp
@@ -26,17 +26,17 @@
 const char* const kHostB = "127.0.0.2";
 
 base::TimePoint
-In(milliseconds aDelay)
+After(milliseconds aDelay)
 {
   return base::GetBootClock().Now() + aDelay;
 }
 
 /// Polls, because real sockets and threads are under test.
 bool
-Eventually(const std::function<bool()>& aCondition,
-           milliseconds aLimit = milliseconds(5000))
+WaitUntil(const std::function<bool()>& aCondition,
+          milliseconds aLimit = milliseconds(5000))
 {
-  const base::TimePoint end = In(aLimit);
+  const base::TimePoint end = After(aLimit);
   while (base::GetBootClock().Now() < end) {
     if (aCondition()) {
       return true;
@@ -54,7 +54,7 @@
   {
     std::unique_lock<std::mutex> lock(mMutex);
     mWakeup.wait(lock, [this] { return !mBlocked; });
-    if (base::GetBootClock().Now() >= aMessage.mDeadline && !mWasBlocked) {
+    if (base::GetBootClock().Now() >= aMessage.mDeadline && !mHasBeenBlocked) {
       ++mLate;
     }
     mPayloads.push_back(std::move(aMessage.mPayload));
@@ -63,7 +63,7 @@
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     mBlocked = aBlocked;
-    mWasBlocked = mWasBlocked || aBlocked;
+    mHasBeenBlocked = mHasBeenBlocked || aBlocked;
     mWakeup.notify_all();
   }
   std::int64_t Count(const std::string& aPayload) const
@@ -81,7 +81,7 @@
   mutable std::mutex mMutex;
   std::condition_variable mWakeup;
   bool mBlocked = false;
-  bool mWasBlocked = false;
+  bool mHasBeenBlocked = false;
   std::int64_t mLate = 0;
   std::vector<std::string> mPayloads;
 };
@@ -107,13 +107,13 @@
   PeerAddress Address() const { return { mHost, mTransport->Port() }; }
   bool Send(const PeerAddress& aTo, const char* aText, milliseconds aLimit)
   {
-    return mTransport->Send(aTo, aText, In(aLimit), AgePolicy::RequireKnown)
+    return mTransport->Send(aTo, aText, After(aLimit), AgePolicy::RequireKnown)
       .has_value();
   }
-  void Beat(const PeerAddress& aTo)
+  void SendHeartbeat(const PeerAddress& aTo)
   {
     const auto sent = mTransport->Send(
-      aTo, "beat", In(milliseconds(300)), AgePolicy::AllowUnknown);
+      aTo, "beat", After(milliseconds(300)), AgePolicy::AllowUnknown);
     CPPUNIT_ASSERT(sent.has_value() ||
                    sent.error().mKind == ErrorKind::Overloaded);
   }
@@ -125,13 +125,13 @@
 
 /// Lets both sides learn the other's clock.
 void
-Meet(Node& aLeft, Node& aRight)
+ExchangeClocks(Node& aLeft, Node& aRight)
 {
   aLeft.mTransport->SetAllowedPeers({ aRight.Address() });
   aRight.mTransport->SetAllowedPeers({ aLeft.Address() });
-  CPPUNIT_ASSERT(Eventually([&] {
-    aLeft.Beat(aRight.Address());
-    aRight.Beat(aLeft.Address());
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    aLeft.SendHeartbeat(aRight.Address());
+    aRight.SendHeartbeat(aLeft.Address());
     const bool sent =
       aLeft.Send(aRight.Address(), "hello", milliseconds(300)) &&
       aRight.Send(aLeft.Address(), "hello", milliseconds(300));
@@ -204,10 +204,10 @@
 {
   CPPUNIT_TEST_SUITE(NngTransportTest);
   CPPUNIT_TEST(DeliversBothWays);
-  CPPUNIT_TEST(KeepsNothingForAnAbsentPeer);
-  CPPUNIT_TEST(DropsWhatASuspendedPeerReceivesLate);
-  CPPUNIT_TEST(DropsFramesOfUnknownOrOldAge);
-  CPPUNIT_TEST(ReplacesASilentConnection);
+  CPPUNIT_TEST(DiscardsMessagesForAnAbsentPeer);
+  CPPUNIT_TEST(DropsLateMessagesOfASuspendedReceiver);
+  CPPUNIT_TEST(DropsExpiredFramesAndFramesOfUnknownAge);
+  CPPUNIT_TEST(ReplacesAnUnacknowledgedConnection);
   CPPUNIT_TEST(AcceptsOnlyAllowedPeers);
   CPPUNIT_TEST(SurvivesMalformedBytes);
   CPPUNIT_TEST(StopsWhileTrafficIsFlowing);
@@ -222,23 +222,23 @@
     Node b(kHostB);
     a.mTransport->SetAllowedPeers({ b.Address() });
     CPPUNIT_ASSERT(!a.Send(b.Address(), "early", milliseconds(300)));
-    Meet(a, b);
+    ExchangeClocks(a, b);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, b.mInbox.Count("early"));
     for (int n = 0; n < 200; ++n) {
-      b.Beat(a.Address());
-      CPPUNIT_ASSERT(Eventually(
+      b.SendHeartbeat(a.Address());
+      CPPUNIT_ASSERT(WaitUntil(
         [&] { return a.Send(b.Address(), "many", milliseconds(2000)); }));
     }
-    CPPUNIT_ASSERT(Eventually([&] { return b.mInbox.Count("many") == 200; }));
+    CPPUNIT_ASSERT(WaitUntil([&] { return b.mInbox.Count("many") == 200; }));
   }
 
   // Guards against messages that are kept for a peer while it is away and are
   // run by its successor.
-  void KeepsNothingForAnAbsentPeer()
+  void DiscardsMessagesForAnAbsentPeer()
   {
     Node a(kHostA);
     Node b(kHostB);
-    Meet(a, b);
+    ExchangeClocks(a, b);
     const PeerAddress address = b.Address();
     b.mTransport.reset();
     for (int n = 0; n < 20; ++n) {
@@ -249,16 +249,16 @@
     const TransportCounters away = a.mTransport->GetCounters();
     CPPUNIT_ASSERT(away.mDiscardedUnsent > 0);
     b.Start(address.mPort);
-    Meet(a, b);
+    ExchangeClocks(a, b);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, b.mInbox.Count("stale"));
   }
 
   // Guards against messages that wait in the buffers of a suspended process.
-  void DropsWhatASuspendedPeerReceivesLate()
+  void DropsLateMessagesOfASuspendedReceiver()
   {
     Node a(kHostA);
     Node b(kHostB);
-    Meet(a, b);
+    ExchangeClocks(a, b);
     b.mInbox.Block(true);
     // Both receiving threads are blocked by these two.
     a.Send(b.Address(), "blocked", milliseconds(2000));
@@ -270,13 +270,13 @@
     std::this_thread::sleep_for(milliseconds(200));
     b.mInbox.Block(false);
     CPPUNIT_ASSERT(
-      Eventually([&] { return b.mTransport->GetCounters().mArrivedLate > 0; }));
+      WaitUntil([&] { return b.mTransport->GetCounters().mArrivedLate > 0; }));
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, b.mInbox.Count("stale"));
   }
 
   // Guards against a deadline that is taken from the arrival time: a frame that
   // was held back on its way would get a new one.
-  void DropsFramesOfUnknownOrOldAge()
+  void DropsExpiredFramesAndFramesOfUnknownAge()
   {
     Node b(kHostB);
     RawPeer raw;
@@ -289,52 +289,52 @@
     raw.mFrame.mSentMicros = now() + offset;
     raw.Send(raw.mFrame);
     CPPUNIT_ASSERT(
-      Eventually([&] { return b.mTransport->GetCounters().mAgeUnknown == 1; }));
-    b.Beat(raw.mFrame.mSender);
-    const Frame beat = raw.Receive();
-    CPPUNIT_ASSERT_EQUAL(raw.mFrame.mSessionId, beat.mEcho.mSessionId);
-    raw.mFrame.mEcho = { beat.mSessionId,
-                         beat.mSentMicros,
-                         now() + offset - beat.mSentMicros };
+      WaitUntil([&] { return b.mTransport->GetCounters().mAgeUnknown == 1; }));
+    b.SendHeartbeat(raw.mFrame.mSender);
+    const Frame heartbeat = raw.Receive();
+    CPPUNIT_ASSERT_EQUAL(raw.mFrame.mSessionId, heartbeat.mEcho.mSessionId);
+    raw.mFrame.mEcho = { heartbeat.mSessionId,
+                         heartbeat.mSentMicros,
+                         now() + offset - heartbeat.mSentMicros };
     raw.mFrame.mPayload = "old";
     raw.mFrame.mSentMicros = now() + offset - 1'100'000;
     raw.Send(raw.mFrame);
     raw.mFrame.mPayload = "fresh";
     raw.mFrame.mSentMicros = now() + offset;
     raw.Send(raw.mFrame);
-    CPPUNIT_ASSERT(Eventually([&] { return b.mInbox.Count("fresh") == 1; }));
+    CPPUNIT_ASSERT(WaitUntil([&] { return b.mInbox.Count("fresh") == 1; }));
     // The other receiving thread may still be busy with the old frame.
-    CPPUNIT_ASSERT(Eventually(
-      [&] { return b.mTransport->GetCounters().mArrivedLate == 1; }));
+    CPPUNIT_ASSERT(
+      WaitUntil([&] { return b.mTransport->GetCounters().mArrivedLate == 1; }));
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, b.mInbox.Count("old"));
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, b.mInbox.Count("unknown"));
   }
 
   // Guards against a connection that a middlebox has forgotten: the peer's own
   // frames keep arriving, but it acknowledges nothing.
-  void ReplacesASilentConnection()
+  void ReplacesAnUnacknowledgedConnection()
   {
     Node a(kHostA);
     RawPeer raw;
     a.mTransport->SetAllowedPeers({ raw.mFrame.mSender });
     raw.Dial(a.Address());
-    CPPUNIT_ASSERT(Eventually([&] {
+    CPPUNIT_ASSERT(WaitUntil([&] {
       raw.mFrame.mSentMicros += 1000;
       raw.mFrame.mAcceptsUnknownAge = true;
       raw.Send(raw.mFrame);
-      a.Beat(raw.mFrame.mSender);
+      a.SendHeartbeat(raw.mFrame.mSender);
       return raw.CountConnections() >= 2;
     }));
     CPPUNIT_ASSERT(a.mTransport->GetCounters().mReplacedConnections >= 1);
     // A connection that is acknowledged stays.
     const std::int64_t before =
       a.mTransport->GetCounters().mReplacedConnections;
-    const base::TimePoint end = In(milliseconds(900));
+    const base::TimePoint end = After(milliseconds(900));
     while (base::GetBootClock().Now() < end) {
-      a.Beat(raw.mFrame.mSender);
-      const Frame beat = raw.Receive();
+      a.SendHeartbeat(raw.mFrame.mSender);
+      const Frame heartbeat = raw.Receive();
       raw.mFrame.mSentMicros += 1000;
-      raw.mFrame.mEcho = { beat.mSessionId, beat.mSentMicros, 0 };
+      raw.mFrame.mEcho = { heartbeat.mSessionId, heartbeat.mSentMicros, 0 };
       raw.Send(raw.mFrame);
       std::this_thread::sleep_for(milliseconds(5));
     }
@@ -347,16 +347,16 @@
   {
     Node a(kHostA);
     Node b(kHostB);
-    Meet(a, b);
+    ExchangeClocks(a, b);
     b.mTransport->SetAllowedPeers({ { kHostA, 1 } });
     a.Send(b.Address(), "forbidden", milliseconds(300));
-    CPPUNIT_ASSERT(Eventually(
-      [&] { return b.mTransport->GetCounters().mUnauthorized > 0; }));
+    CPPUNIT_ASSERT(
+      WaitUntil([&] { return b.mTransport->GetCounters().mUnauthorized > 0; }));
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, b.mInbox.Count("forbidden"));
     const auto sent = b.mTransport->Send(
-      a.Address(), "x", In(milliseconds(300)), AgePolicy::AllowUnknown);
+      a.Address(), "x", After(milliseconds(300)), AgePolicy::AllowUnknown);
     CPPUNIT_ASSERT(sent.error().mKind == ErrorKind::Unauthorized);
-    Meet(a, b);
+    ExchangeClocks(a, b);
     // A sender that claims the address of an allowed peer on another host.
     RawPeer raw;
     raw.mFrame.mSender = b.Address();
@@ -365,7 +365,7 @@
     const std::int64_t before = a.mTransport->GetCounters().mUnauthorized;
     raw.Dial(a.Address());
     raw.Send(raw.mFrame);
-    CPPUNIT_ASSERT(Eventually(
+    CPPUNIT_ASSERT(WaitUntil(
       [&] { return a.mTransport->GetCounters().mUnauthorized > before; }));
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, a.mInbox.Count("forged"));
   }
@@ -375,13 +375,13 @@
   {
     Node a(kHostA);
     Node b(kHostB);
-    Meet(a, b);
+    ExchangeClocks(a, b);
     RawPeer raw;
     raw.Dial(b.Address());
     raw.SendBytes("not a frame");
     CPPUNIT_ASSERT(
-      Eventually([&] { return b.mTransport->GetCounters().mMalformed == 1; }));
-    CPPUNIT_ASSERT(Eventually([&] {
+      WaitUntil([&] { return b.mTransport->GetCounters().mMalformed == 1; }));
+    CPPUNIT_ASSERT(WaitUntil([&] {
       a.Send(b.Address(), "after", milliseconds(300));
       return b.mInbox.Count("after") > 0;
     }));
@@ -393,7 +393,7 @@
     for (int round = 0; round < 10; ++round) {
       Node a(kHostA);
       Node b(kHostB);
-      Meet(a, b);
+      ExchangeClocks(a, b);
       std::atomic<bool> done{ false };
       std::thread sender([&] {
         while (!done) {
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -21,20 +21,20 @@
 } // namespace
 
 void
-PumpSignal::Raise(bool aStop)
+SenderSignal::Notify(bool aStop)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  mRaised = true;
+  mNotified = true;
   mStopped = mStopped || aStop;
   mWakeup.notify_all();
 }
 
 bool
-PumpSignal::Wait(base::Duration aLimit)
+SenderSignal::Wait(base::Duration aLimit)
 {
   std::unique_lock<std::mutex> lock(mMutex);
-  mWakeup.wait_for(lock, aLimit, [this] { return mRaised; });
-  mRaised = mStopped;
+  mWakeup.wait_for(lock, aLimit, [this] { return mNotified; });
+  mNotified = mStopped;
   return !mStopped;
 }
 
@@ -73,14 +73,14 @@
     return MakeError(ErrorKind::Overloaded, "queue to the peer is full");
   }
   BOOST_OUTCOME_TRYV(Connect());
-  mQueue.push_back(Pending{ std::move(aPayload), aDeadline, aAgePolicy });
+  mQueue.push_back(QueuedMessage{ std::move(aPayload), aDeadline, aAgePolicy });
   mLastQueuedAt = now;
-  if (!mUnansweredSince) {
-    mUnansweredSince = now;
+  if (!mUnacknowledgedSince) {
+    mUnacknowledgedSince = now;
   }
   Flush();
-  if (!mQueue.empty() && mPipes > 0) {
-    mContext.mSignal->Raise();
+  if (!mQueue.empty() && mOpenPipes > 0) {
+    mContext.mSignal->Notify();
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -102,19 +102,19 @@
       mNewestPeerSentMicros = aFrame.mSentMicros;
       // The end of a connection that a peer has replaced because a middlebox
       // forgot it never reaches this side, so it is closed here.
-      if (mArrivalPipe && mArrivalPipe->id != aPipe.id) {
-        superseded = mArrivalPipe;
+      if (mReceivePipe && mReceivePipe->id != aPipe.id) {
+        superseded = mReceivePipe;
       }
-      mArrivalPipe = aPipe;
+      mReceivePipe = aPipe;
     }
     if (aFrame.mEcho.mSessionId == mContext.mSessionId) {
       mClockBound.RecordEcho(aFrame.mEcho.mMinDifferenceMicros, now);
       const base::TimePoint seen =
         base::FromMicros(aFrame.mEcho.mNewestSentMicros);
-      if (mUnansweredSince && seen >= *mUnansweredSince) {
-        mUnansweredSince = std::nullopt;
+      if (mUnacknowledgedSince && seen >= *mUnacknowledgedSince) {
+        mUnacknowledgedSince = std::nullopt;
         if (mLastQueuedAt > seen) {
-          mUnansweredSince = mLastQueuedAt;
+          mUnacknowledgedSince = mLastQueuedAt;
         }
       }
     }
@@ -133,26 +133,26 @@
 }
 
 void
-PeerLink::ReplaceIfSilent()
+PeerLink::ReplaceIfUnacknowledged()
 {
   nng_socket old = NNG_SOCKET_INITIALIZER;
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     const base::TimePoint now = mContext.mClock->Now();
-    if (!mConnected || !mUnansweredSince ||
-        now - *mUnansweredSince < mContext.mOptions.mAckTimeout) {
+    if (!mConnected || !mUnacknowledgedSince ||
+        now - *mUnacknowledgedSince < mContext.mOptions.mAckTimeout) {
       return;
     }
     old = mSocket;
     mConnected = false;
-    mUnansweredSince.reset();
+    mUnacknowledgedSince.reset();
     ++mContext.mCounters->mReplacedConnections;
   }
   nng_close(old);
 }
 
 void
-PeerLink::Pump()
+PeerLink::SendQueued()
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   DropExpired(mContext.mClock->Now());
@@ -163,22 +163,22 @@
 PeerLink::IsCongested() const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  return !mQueue.empty() && mPipes > 0;
+  return !mQueue.empty() && mOpenPipes > 0;
 }
 
 void
 PeerLink::OnPipe(nng_pipe, nng_pipe_ev aEvent, void* aSelf)
 {
   auto* self = static_cast<PeerLink*>(aSelf);
-  self->mPipes += aEvent == NNG_PIPE_EV_ADD_POST ? 1 : -1;
-  self->mContext.mSignal->Raise();
+  self->mOpenPipes += aEvent == NNG_PIPE_EV_ADD_POST ? 1 : -1;
+  self->mContext.mSignal->Notify();
 }
 
 void
 PeerLink::DropExpired(base::TimePoint aNow)
 {
-  const auto expired = [&](const Pending& aPending) {
-    return aNow >= aPending.mDeadline;
+  const auto expired = [&](const QueuedMessage& aMessage) {
+    return aNow >= aMessage.mDeadline;
   };
   const auto rest = std::remove_if(mQueue.begin(), mQueue.end(), expired);
   mContext.mCounters->mDiscardedUnsent += std::distance(rest, mQueue.end());
@@ -188,7 +188,7 @@
 void
 PeerLink::Flush()
 {
-  while (!mQueue.empty() && mPipes > 0) {
+  while (!mQueue.empty() && mOpenPipes > 0) {
     const base::TimePoint now = mContext.mClock->Now();
     if (now >= mQueue.front().mDeadline) {
       ++mContext.mCounters->mDiscardedUnsent;
@@ -223,21 +223,21 @@
 }
 
 Frame
-PeerLink::MakeFrame(const Pending& aPending, base::TimePoint aNow) const
+PeerLink::MakeFrame(const QueuedMessage& aMessage, base::TimePoint aNow) const
 {
   Frame frame;
   frame.mSender = mContext.mSelf;
   frame.mSessionId = mContext.mSessionId;
   frame.mSentMicros = base::ToMicros(aNow);
   frame.mRemainingMicros =
-    std::min(base::Remaining(aNow, aPending.mDeadline), kMaxRemaining).count();
-  frame.mAcceptsUnknownAge = aPending.mAgePolicy == AgePolicy::AllowUnknown;
+    std::min(base::Remaining(aNow, aMessage.mDeadline), kMaxRemaining).count();
+  frame.mAcceptsUnknownAge = aMessage.mAgePolicy == AgePolicy::AllowUnknown;
   const auto difference = mClockBound.MinDifference(aNow);
   if (difference) {
     frame.mEcho =
       FrameEcho{ mPeerSessionId, mNewestPeerSentMicros, *difference };
   }
-  frame.mPayload = aPending.mPayload;
+  frame.mPayload = aMessage.mPayload;
   return frame;
 }
 
@@ -247,7 +247,7 @@
   if (mConnected) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
-  BOOST_OUTCOME_TRY(socket, OpenPush());
+  BOOST_OUTCOME_TRY(socket, OpenPushSocket());
   mSocket = socket;
   mConnected = true;
   nng_pipe_notify(mSocket, NNG_PIPE_EV_ADD_POST, &PeerLink::OnPipe, this);
--- a/src/peer/peer_link.hpp
+++ b/src/peer/peer_link.hpp
@@ -33,17 +33,17 @@
 };
 
 /// Wakes the thread that sends queued messages. Thread-safe.
-class PumpSignal
+class SenderSignal
 {
 public:
-  void Raise(bool aStop = false);
-  /// Waits for Raise, `aLimit` at most; false once stopped.
+  void Notify(bool aStop = false);
+  /// Waits for Notify, `aLimit` at most; false once stopped.
   bool Wait(base::Duration aLimit);
 
 private:
   std::mutex mMutex;
   std::condition_variable mWakeup;
-  bool mRaised = false;
+  bool mNotified = false;
   bool mStopped = false;
 };
 
@@ -57,7 +57,7 @@
   std::uint64_t mSessionId = 0;
   const base::Clock* mClock = nullptr;
   SharedCounters* mCounters = nullptr;
-  PumpSignal* mSignal = nullptr;
+  SenderSignal* mSignal = nullptr;
 };
 
 /// The sending connection to one peer and what is known of the peer's clock.
@@ -78,14 +78,14 @@
   /// Deadline of a frame on the own clock; nothing if its age is unknown.
   std::optional<base::TimePoint> DeadlineOf(const Frame& aFrame) const;
   /// Sends what the connection takes now and drops what has expired.
-  void Pump();
+  void SendQueued();
   /// True if messages wait for an established connection.
   bool IsCongested() const;
   /// Replaces the connection if the peer has been silent for too long.
-  void ReplaceIfSilent();
+  void ReplaceIfUnacknowledged();
 
 private:
-  struct Pending
+  struct QueuedMessage
   {
     std::string mPayload;
     base::TimePoint mDeadline;
@@ -97,7 +97,7 @@
   bool SendFront(base::TimePoint aNow);
   void DropExpired(base::TimePoint aNow);
   void Flush();
-  Frame MakeFrame(const Pending& aPending, base::TimePoint aNow) const;
+  Frame MakeFrame(const QueuedMessage& aMessage, base::TimePoint aNow) const;
   base::Result<void> Connect();
 
   const LinkContext& mContext;
@@ -105,14 +105,14 @@
   mutable std::mutex mMutex;
   nng_socket mSocket = NNG_SOCKET_INITIALIZER;
   bool mConnected = false;
-  std::atomic<int> mPipes{ 0 };
-  std::deque<Pending> mQueue;
+  std::atomic<int> mOpenPipes{ 0 };
+  std::deque<QueuedMessage> mQueue;
   /// Start of the current silence: first send that is not acknowledged.
-  std::optional<base::TimePoint> mUnansweredSince;
+  std::optional<base::TimePoint> mUnacknowledgedSince;
   base::TimePoint mLastQueuedAt;
   std::uint64_t mPeerSessionId = 0;
   std::int64_t mNewestPeerSentMicros = 0;
-  std::optional<nng_pipe> mArrivalPipe;
+  std::optional<nng_pipe> mReceivePipe;
   ClockBound mClockBound;
 };
 
