--- a/src/peer/codec_test.cpp
+++ b/src/peer/codec_test.cpp
@@ -37,15 +37,15 @@
   request.mRequest = { "key" };
   request.mIdempotent = true;
   request.mBody = std::string("\0\xff", 2);
-  ForwardResponse answer;
-  answer.mOutcome = requests::Outcome::NotRun;
-  answer.mErrorKind = ErrorKind::NotHolder;
+  ForwardResponse response;
+  response.mOutcome = requests::Outcome::NotRun;
+  response.mErrorKind = ErrorKind::NotHolder;
   StateFetch fetch;
   fetch.mStream = "site";
   StatePage page;
   page.mPayload = std::string(70000, 'x');
   page.mIsLast = true;
-  return { MakeHeartbeat(), request, answer, fetch, page };
+  return { MakeHeartbeat(), request, response, fetch, page };
 }
 
 class CodecTest : public CppUnit::TestFixture
@@ -104,7 +104,7 @@
     bytes[1] = 1;
     bytes[2] = 9;
     CPPUNIT_ASSERT(!DecodeMessage(bytes));
-    // A state fetch has four fields, a forward answer seven.
+    // A state fetch has four fields, a forward response seven.
     bytes[2] = 2;
     CPPUNIT_ASSERT(!DecodeMessage(bytes));
     // A state fetch with four fields, then with a fifth one.
