--- a/include/skylarkhill/peer/address.hpp
+++ b/include/skylarkhill/peer/address.hpp
@@ -7,7 +7,7 @@
 
 namespace skylarkhill::peer {
 
-/// Where an entry instance listens for its peers.
+/// Address at which an entry instance accepts messages from its peers.
 struct PeerAddress
 {
   /// IP address in its canonical text form.
--- a/include/skylarkhill/peer/clock_bound.hpp
+++ b/include/skylarkhill/peer/clock_bound.hpp
@@ -8,7 +8,7 @@
 
 namespace skylarkhill::peer {
 
-/// Minimum over a sliding window of 10 to 20 s.
+/// Minimum over a sliding window of 10 to 20 s, kept in two buckets.
 class WindowedMinimum
 {
 public:
@@ -21,20 +21,23 @@
   std::optional<std::int64_t> mPrevious;
 };
 
-/// Bounds of a peer's clock relative to the own one. Not thread-safe.
+/// Bounds the offset between a peer's clock and the local clock. Not
+/// thread-safe.
 class ClockBound
 {
 public:
-  /// A frame that was sent at `aSentMicros` on the peer's clock arrived.
+  /// Records the arrival of a frame that the peer sent at `aSentMicros` on its
+  /// clock.
   void RecordArrival(std::int64_t aSentMicros, base::TimePoint aNow);
-  /// The peer saw this smallest difference between arrival on its clock and
-  /// sending on the own clock.
+  /// Records the smallest difference, as measured by the peer, between the
+  /// arrival of a frame on its clock and the send time on the local clock.
   void RecordEcho(std::int64_t aDifferenceMicros, base::TimePoint aNow);
 
-  /// Smallest difference between arrival here and sending at the peer.
+  /// Smallest difference between the arrival of a frame on the local clock and
+  /// the send time on the peer's clock.
   std::optional<std::int64_t> MinDifference(base::TimePoint aNow) const;
-  /// The latest own time that is certainly not after `aPeerMicros` on the
-  /// peer's clock; nothing before an echo has arrived.
+  /// Lower bound of the local time at which the peer's clock shows
+  /// `aPeerMicros`; nothing without an echo within the window.
   std::optional<base::TimePoint> ToEarliestLocalTime(
     std::int64_t aPeerMicros,
     base::TimePoint aNow) const;
--- a/include/skylarkhill/peer/codec.hpp
+++ b/include/skylarkhill/peer/codec.hpp
@@ -11,18 +11,18 @@
 
 namespace skylarkhill::peer {
 
-/// Version of the messages; another one is refused.
+/// Version of the message encoding; other versions are rejected.
 inline constexpr std::uint8_t kMessageVersion = 1;
 /// Longest encoded message in bytes.
 inline constexpr std::size_t kMaxMessageBytes = std::size_t{ 1 } << 20U;
 
-/// The wire form of `aMessage`. PayloadTooLarge.
+/// Encodes `aMessage`. PayloadTooLarge.
 base::Result<std::string>
 EncodeMessage(const Message& aMessage);
 
-/// Parses a whole message. InvalidArgument if it is truncated, has trailing
-/// bytes, another version, an unknown type, or a field of a wrong type or out
-/// of range; PayloadTooLarge.
+/// Decodes one complete message. InvalidArgument if it is truncated, has
+/// trailing bytes, an unsupported version, an unknown type, or a field of the
+/// wrong type or out of range; PayloadTooLarge.
 base::Result<Message>
 DecodeMessage(std::string_view aBytes);
 
--- a/include/skylarkhill/peer/frame.hpp
+++ b/include/skylarkhill/peer/frame.hpp
@@ -11,42 +11,43 @@
 
 namespace skylarkhill::peer {
 
-/// Longest encoded frame in bytes: a message and its envelope.
+/// Longest encoded frame in bytes: a message and its header fields.
 inline constexpr std::size_t kMaxFrameBytes = (std::size_t{ 1 } << 20U) + 1024;
 
-/// What a sender last saw of the receiver. All zero if it saw nothing.
+/// Timestamps of the receiver's frames, echoed by the sender to bound the clock
+/// offset. All zero if the sender has received no frame.
 struct FrameEcho
 {
-  /// The receiver's life that the other fields are about; 0 is none.
+  /// Session of the receiver that the other fields refer to; 0 means none.
   std::uint64_t mSessionId = 0;
-  /// Send time of the receiver's newest frame, on the receiver's clock.
+  /// Latest send time among the receiver's frames, on the receiver's clock.
   std::int64_t mNewestSentMicros = 0;
-  /// Smallest difference between arrival on the sender's clock and sending on
-  /// the receiver's clock.
+  /// Smallest difference between the arrival of a frame on the sender's clock
+  /// and its send time on the receiver's clock.
   std::int64_t mMinDifferenceMicros = 0;
 };
 
-/// Envelope of one message between transports.
+/// One message with the header fields that transports exchange.
 struct Frame
 {
   PeerAddress mSender;
-  /// Random number of the sending transport; not zero.
+  /// Random identifier of the sending transport object; not zero.
   std::uint64_t mSessionId = 0;
   /// Send time on the sender's clock.
   std::int64_t mSentMicros = 0;
-  /// Time that remained until the deadline at the send time.
+  /// Time from the send time to the deadline.
   std::int64_t mRemainingMicros = 0;
-  /// The message is still of use if its age cannot be determined.
+  /// The receiver delivers the message even if its age cannot be determined.
   bool mAcceptsUnknownAge = false;
   FrameEcho mEcho;
   std::string mPayload;
 };
 
-/// The wire form of `aFrame`. PayloadTooLarge.
+/// Encodes `aFrame`. PayloadTooLarge.
 base::Result<std::string>
 EncodeFrame(const Frame& aFrame);
 
-/// Parses a whole frame. InvalidArgument, PayloadTooLarge.
+/// Decodes one complete frame. InvalidArgument, PayloadTooLarge.
 base::Result<Frame>
 DecodeFrame(std::string_view aBytes);
 
--- a/include/skylarkhill/peer/message.hpp
+++ b/include/skylarkhill/peer/message.hpp
@@ -12,19 +12,19 @@
 
 namespace skylarkhill::peer {
 
-/// Free slots for one service on the sender's workers.
+/// Free slots for one service on the workers that the sender holds.
 struct ServiceSlots
 {
   std::string mService;
   std::int64_t mFreeSlots = 0;
 };
 
-/// A worker or entry instance that is leaving in its incarnation.
+/// States that one incarnation of a worker or entry instance is leaving.
 struct LeavingNotice
 {
   std::string mName;
   std::uint64_t mIncarnation = 0;
-  /// How much longer the mark is passed on.
+  /// How much longer instances propagate the notice.
   std::int64_t mRemainingMicros = 0;
 };
 
@@ -43,7 +43,8 @@
   std::uint64_t mCausalClock = 0;
 };
 
-/// Asks the receiver to run one attempt; the deadline is the message's own.
+/// Asks the receiver to run one attempt of a request. The deadline of the
+/// attempt is the deadline of the message.
 struct ForwardRequest
 {
   base::InstanceId mOrigin;
@@ -57,7 +58,7 @@
   std::uint64_t mCausalClock = 0;
 };
 
-/// How a forwarded attempt ended.
+/// Outcome of a forwarded attempt.
 struct ForwardResponse
 {
   base::RequestId mRequest;
@@ -70,17 +71,17 @@
   std::uint64_t mCausalClock = 0;
 };
 
-/// Asks for the state derived from one stream.
+/// Asks for the state that the receiver has derived from one stream.
 struct StateFetch
 {
   std::uint64_t mFetchId = 0;
   std::string mStream;
-  /// Page to start with; 0 for the first one.
+  /// First page to send; 0 is the start.
   std::int64_t mPageIndex = 0;
   std::uint64_t mCausalClock = 0;
 };
 
-/// A part of the state derived from one stream.
+/// One page of the state that the sender has derived from one stream.
 struct StatePage
 {
   std::uint64_t mFetchId = 0;
--- a/include/skylarkhill/peer/transport.hpp
+++ b/include/skylarkhill/peer/transport.hpp
@@ -13,17 +13,17 @@
 
 namespace skylarkhill::peer {
 
-/// A message that has arrived before its deadline.
+/// A message that arrived before its deadline.
 struct ReceivedMessage
 {
   PeerAddress mFrom;
-  /// On the own clock; not later than the sender's deadline. kNoDeadline if
+  /// On the local clock; not later than the sender's deadline. kNoDeadline if
   /// the age of the message is unknown.
   base::TimePoint mDeadline;
   std::string mPayload;
 };
 
-/// Receives messages; called from several threads at once.
+/// Receives messages; called concurrently from several threads.
 class MessageSink
 {
 public:
@@ -31,12 +31,12 @@
   virtual void OnMessage(ReceivedMessage aMessage) = 0;
 };
 
-/// Whether a message is of use if the receiver cannot determine its age.
+/// Whether a message may be delivered if the receiver cannot determine its age.
 enum class AgePolicy
 {
-  /// Refused by the sender until the two clocks are compared.
+  /// Send fails until the clock offset of the two instances is bounded.
   RequireKnown,
-  /// For heartbeats, which compare the clocks in the first place.
+  /// For heartbeats, which establish the bound of the clock offset.
   AllowUnknown,
 };
 
@@ -44,51 +44,53 @@
 {
   std::int64_t mSent = 0;
   std::int64_t mDelivered = 0;
-  /// Left the sending queue unsent: its deadline passed or the peer was
-  /// dropped.
+  /// Removed from the send queue unsent: the deadline passed or the peer was
+  /// removed.
   std::int64_t mDiscardedUnsent = 0;
+  /// Not accepted for sending because the queue was full.
   std::int64_t mQueueFull = 0;
   /// Arrived after the deadline.
   std::int64_t mArrivedLate = 0;
-  /// Arrived without a known age although it matters.
+  /// Dropped because their age was unknown and AgePolicy::RequireKnown applied.
   std::int64_t mAgeUnknown = 0;
   std::int64_t mMalformed = 0;
-  /// From an address that is not allowed.
+  /// Received from an address that is not in the list of allowed peers.
   std::int64_t mUnauthorized = 0;
-  /// Connections replaced because nothing was answered.
+  /// Connections replaced because the peer acknowledged nothing in time.
   std::int64_t mReplacedConnections = 0;
 };
 
 struct TransportOptions
 {
-  /// IP address that peers reach this instance at; also the source address.
+  /// IP address to listen on; also the source address of connections.
   std::string mAddress;
   /// 0 selects a free port.
   std::uint16_t mPort = 0;
   std::size_t mReceiveThreads = 2;
-  /// Messages that wait for one peer.
+  /// Longest send queue per peer.
   std::size_t mMaxQueuedMessages = 64;
   /// A connection is replaced if nothing sent on it is acknowledged for this
-  /// long; some heartbeat intervals.
+  /// long. Should span several heartbeat intervals.
   base::Duration mAckTimeout{ 3'000'000 };
 };
 
-/// Messages to and from other entry instances. Thread-safe.
+/// Exchanges messages with other entry instances. Thread-safe.
 ///
-/// A message is sent at most once and is never delivered after its deadline.
+/// A message is delivered at most once and never after its deadline.
 class Transport
 {
 public:
   virtual ~Transport() = default;
 
-  /// Queues one message. WorkerUnavailable if the peer's clock is not known
-  /// yet, Overloaded if its queue is full, Unauthorized if it is not allowed,
-  /// DeadlineExceeded, PayloadTooLarge, ShuttingDown: nothing is sent.
+  /// Queues one message. WorkerUnavailable if the offset of the peer's clock is
+  /// not bounded yet, Overloaded if the send queue is full, Unauthorized if the
+  /// peer is not allowed, DeadlineExceeded, PayloadTooLarge, ShuttingDown. On
+  /// an error nothing is sent.
   virtual base::Result<void> Send(const PeerAddress& aPeer,
                                   std::string aPayload,
                                   base::TimePoint aDeadline,
                                   AgePolicy aAgePolicy) = 0;
-  /// Replaces the list of peers; connections to others are closed.
+  /// Replaces the list of allowed peers and closes connections to all others.
   virtual void SetAllowedPeers(const std::set<PeerAddress>& aPeers) = 0;
   virtual std::uint16_t Port() const = 0;
   virtual TransportCounters GetCounters() const = 0;
@@ -96,8 +98,8 @@
   virtual void Stop() = 0;
 };
 
-/// A transport that listens at once. `aSink` and `aClock` must outlive it.
-/// ConnectionLost if it cannot listen.
+/// Creates a transport and starts listening. `aSink` and `aClock` must outlive
+/// it. ConnectionLost if it cannot listen.
 base::Result<std::unique_ptr<Transport>>
 CreateNngTransport(const TransportOptions& aOptions,
                    MessageSink& aSink,
--- a/src/peer/clock_bound.cpp
+++ b/src/peer/clock_bound.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr std::int64_t kBucketMicros = 10'000'000;
-// Two clocks that differ by 100 ppm move apart by 2 ms within the 20 s that a
-// minimum is kept.
+// Two clocks whose rates differ by 100 ppm drift apart by 2 ms within the 20 s
+// for which a minimum is kept.
 constexpr std::int64_t kDriftMarginMicros = 2'000;
 
 std::int64_t
@@ -62,9 +62,10 @@
   return mArrivalDifferences.Get(aNow);
 }
 
-// The echoed difference is the peer's clock minus the own clock plus a delay
-// that is not negative. Subtracting it yields an own time that is too early by
-// that delay, never too late, however long the frame itself was under way.
+// The echoed difference is the offset of the peer's clock from the local clock
+// plus a transit delay, which is not negative. The result is therefore early by
+// that delay and never late, no matter how long the current frame was in
+// transit.
 std::optional<base::TimePoint>
 ClockBound::ToEarliestLocalTime(std::int64_t aPeerMicros,
                                 base::TimePoint aNow) const
--- a/src/peer/clock_bound_test.cpp
+++ b/src/peer/clock_bound_test.cpp
@@ -17,9 +17,9 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against a deadline that is extended by delays or clock drift: the
-  // peer's clock is offset, runs 100 ppm faster or slower, and delays vary up
-  // to a second.
+  // Guards against a deadline that transit delays or clock drift extend. The
+  // peer's clock has an offset and runs 100 ppm fast or slow; delays vary up to
+  // one second.
   void NeverConvertsToALaterTime()
   {
     const auto random = base::CreateSeededRandom(5);
@@ -48,7 +48,7 @@
     }
   }
 
-  // Guards against a comparison with a clock that has drifted since.
+  // Guards against the use of an offset measured before the clocks drifted.
   void DiscardsOldComparisons()
   {
     ClockBound bound;
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -3,7 +3,7 @@
 #include "skylarkhill/base/name_table.hpp"
 #include "skylarkhill/peer/frame.hpp"
 
-// msgpack-cxx needs Boost.Predef otherwise.
+// Without this macro msgpack-cxx requires Boost.Predef.
 #define MSGPACK_NO_BOOST
 #include <msgpack.hpp>
 
@@ -22,10 +22,10 @@
 namespace {
 
 constexpr std::uint8_t kFrameVersion = 1;
-// Bounds what a hostile length field can make the parser allocate.
+// Bounds the allocation that a malicious length field can cause.
 constexpr std::size_t kMaxElements = 65536;
 constexpr std::size_t kMaxDepth = 8;
-// About 3,000 years; sums of a few such times cannot overflow.
+// About 3,000 years; sums of a few such values cannot overflow.
 constexpr std::int64_t kMaxTimeMicros = 100'000'000'000'000'000;
 
 constexpr base::NameTable<Outcome, 3> kOutcomeNames{ {
@@ -34,7 +34,7 @@
   { Outcome::Unknown, "unknown" },
 } };
 
-/// Writes the fields that it is called with as one array.
+/// Encodes its arguments as the elements of one array.
 class Writer
 {
 public:
@@ -86,8 +86,8 @@
   msgpack::packer<msgpack::sbuffer>& mPacker;
 };
 
-/// Reads an array into the fields that it is called with; throws if the number
-/// or the type of the elements differs.
+/// Decodes the elements of an array into its arguments. Throws if the number or
+/// the types of the elements differ.
 class Reader
 {
 public:
@@ -177,7 +177,7 @@
   const msgpack::object& mObject;
 };
 
-// One list of fields per message serves both directions.
+// Encoding and decoding share one list of fields per message type.
 template<typename Visitor, typename T>
 void
 Visit(Visitor& aVisitor, T& aMessage)
@@ -237,15 +237,16 @@
   }
 }
 
-/// Calls `aRead` with the three elements that every encoding consists of:
-/// version, type and fields.
+/// Calls `aRead` with the three elements of every encoding: version, type and
+/// fields.
 template<typename Read>
 auto
 Decode(std::string_view aBytes, std::size_t aMaxBytes, Read aRead)
   -> decltype(aRead(std::declval<msgpack::object_array&>()))
 {
   if (aBytes.size() > aMaxBytes) {
-    return MakeError(ErrorKind::PayloadTooLarge, "message between peers");
+    return MakeError(ErrorKind::PayloadTooLarge,
+                     "peer message exceeds the size limit");
   }
   try {
     const msgpack::unpack_limit limit(
@@ -280,7 +281,8 @@
   Writer writer(packer);
   Visit(writer, aValue);
   if (buf.size() > aMaxBytes) {
-    return MakeError(ErrorKind::PayloadTooLarge, "message between peers");
+    return MakeError(ErrorKind::PayloadTooLarge,
+                     "peer message exceeds the size limit");
   }
   return std::string(buf.data(), buf.size());
 }
--- a/src/peer/codec_test.cpp
+++ b/src/peer/codec_test.cpp
@@ -59,8 +59,9 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against a field that is missing in the codec: both encodings would
-  // agree, so some fields are compared one by one.
+  // Guards against a field that the codec omits. Re-encoding the decoded
+  // message does not reveal it, so the fields of a heartbeat are also compared
+  // directly.
   void RoundTripsEveryField()
   {
     for (const Message& it : MakeMessages()) {
@@ -84,7 +85,7 @@
                    heartbeat.mDomain.mValue == "kochi");
   }
 
-  // Guards against half a message that is taken for a whole one.
+  // Guards against a truncated message that is accepted as complete.
   void RefusesTruncatedAndTrailingBytes()
   {
     const std::string bytes = EncodeMessage(MakeHeartbeat()).value();
@@ -95,7 +96,7 @@
     CPPUNIT_ASSERT(!DecodeMessage(bytes + "x"));
   }
 
-  // Guards against a message of another release that is misread.
+  // Guards against misinterpreting a message from another release.
   void RefusesWrongVersionTypeAndRange()
   {
     std::string bytes = EncodeMessage(StateFetch{}).value();
@@ -131,7 +132,7 @@
     CPPUNIT_ASSERT(!DecodeMessage("\xdd\xff\xff\xff\xff"));
   }
 
-  // Guards against exceptions that leave the codec and end a receiving thread.
+  // Guards against an exception from the codec that ends a receiving thread.
   void NeverThrowsOnCorruptedBytes()
   {
     const auto random = base::CreateSeededRandom(11);
--- a/src/peer/nng_properties_test.cpp
+++ b/src/peer/nng_properties_test.cpp
@@ -72,8 +72,8 @@
   nng_socket mSocket = NNG_SOCKET_INITIALIZER;
 };
 
-/// How often a message arrives whose receiver closes without an answer and is
-/// replaced on the same port.
+/// How often a message is delivered if its receiver closes without a reply and
+/// another one listens on the same port.
 int
 CountDeliveries(Open aOpenSender, Open aOpenReceiver, const char* aResendOption)
 {
@@ -96,7 +96,8 @@
   return deliveries;
 }
 
-/// True if a message sent while the receiver was away reaches its successor.
+/// True if a message sent while no receiver listened is delivered to the next
+/// receiver on the same port.
 bool
 DeliversStaleMessage(Open aOpenSender, Open aOpenReceiver, int aSendBuffer)
 {
@@ -117,8 +118,8 @@
   return second.Receive() == "stale";
 }
 
-/// Guards the choice of sockets in nng_transport.cpp: each case states a
-/// property of Debian's nng that the transport relies on or avoids.
+/// Guards the choice of sockets in nng_transport.cpp: each test checks a
+/// property of Debian's nng that the transport relies on or has to avoid.
 class NngPropertiesTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(NngPropertiesTest);
@@ -129,7 +130,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // A request would run twice. Only an infinite resend time prevents it.
+  // A resent request would run twice. Only an infinite resend time prevents it.
   void ReqResendsWhenThePeerDisconnects()
   {
     CPPUNIT_ASSERT_EQUAL(
@@ -154,7 +155,7 @@
     CPPUNIT_ASSERT(!DeliversStaleMessage(nng_pair0_open, nng_pair0_open, 0));
   }
 
-  // The sender could not tell a lost message from one that was sent.
+  // The sender could not distinguish a lost message from a sent one.
   void BusReportsSuccessWithoutAPeer()
   {
     Socket bus(nng_bus0_open);
--- a/src/peer/nng_socket.cpp
+++ b/src/peer/nng_socket.cpp
@@ -15,8 +15,8 @@
 
 namespace {
 
-// A restarted peer is reached within one heartbeat interval; a dead one costs
-// two connection attempts a second at most.
+// The connection to a restarted peer is restored within one heartbeat interval;
+// an unreachable peer causes at most two connection attempts per second.
 constexpr nng_duration kReconnectMinMs = 50;
 constexpr nng_duration kReconnectMaxMs = 500;
 
@@ -74,8 +74,8 @@
 {
   nng_socket socket = NNG_SOCKET_INITIALIZER;
   BOOST_OUTCOME_TRYV(CheckNng(nng_push0_open(&socket), "open"));
-  // With a buffer, messages for an absent peer are kept and delivered to its
-  // successor after their deadline.
+  // With a send buffer, nng would keep messages for a disconnected peer and
+  // deliver them after their deadline to the process that replaces it.
   nng_socket_set_int(socket, NNG_OPT_SENDBUF, 0);
   return socket;
 }
--- a/src/peer/nng_socket.hpp
+++ b/src/peer/nng_socket.hpp
@@ -11,15 +11,16 @@
 
 namespace skylarkhill::peer {
 
-/// ConnectionLost with nng's text if `aCode` is an error.
+/// ConnectionLost with nng's error message if the nng call `aOperation`
+/// returned an error.
 base::Result<void>
 CheckNng(int aCode, const char* aOperation);
 
-/// URL of `aAddress` for nng.
+/// The nng URL of `aAddress`.
 std::string
 FormatUrl(const PeerAddress& aAddress);
 
-/// IP address of the other end of `aPipe`; empty if it is unknown.
+/// IP address of the remote end of `aPipe`; empty if unknown.
 std::string
 GetRemoteHost(nng_pipe aPipe);
 
@@ -27,12 +28,12 @@
 base::Result<std::uint16_t>
 ListenOn(nng_socket aSocket, const PeerAddress& aAddress);
 
-/// Opens a push socket that keeps no messages.
+/// Opens a push socket without a send buffer.
 base::Result<nng_socket>
 OpenPushSocket();
 
-/// Connects `aSocket` to `aPeer` from `aSourceHost` in the background, again
-/// and again.
+/// Connects `aSocket` from `aSourceHost` to `aPeer` in the background and
+/// reconnects after every failure.
 base::Result<void>
 StartDialer(nng_socket aSocket,
             const PeerAddress& aPeer,
--- a/src/peer/nng_transport.cpp
+++ b/src/peer/nng_transport.cpp
@@ -23,21 +23,21 @@
 
 namespace {
 
-// Silence is noticed at most this share of the limit too late.
+// Number of checks for unacknowledged messages per acknowledgement timeout.
 constexpr int kChecksPerAckTimeout = 4;
-// Pauses before a busy connection is tried again. The first one is about the
-// time that nng needs for one message; a peer that has stopped reading gets the
-// last one, because polling it faster costs processor time.
+// Delays before sending on a congested connection is retried. The minimum is
+// about the time that nng needs for one message. The maximum applies to a peer
+// that has stopped reading; retrying faster would waste processor time.
 constexpr base::Duration kMinRetryDelay{ 50 };
 constexpr base::Duration kMaxRetryDelay{ 5'000 };
-// How long Stop may take to be noticed by a receiving thread.
+// Bounds the time until a receiving thread notices Stop.
 constexpr nng_duration kReceiveTimeoutMs = 100;
-// Within this time the connections of a stopped receiver fill up.
+// Within this time the connections to a receiver that has stopped fill up.
 constexpr base::Duration kCloseDelay{ 20'000 };
 
-/// One pull socket that listens, and one push socket per peer. With pair
-/// sockets both ends would have to agree on who connects, and bus sockets drop
-/// messages without a sign when a buffer is full.
+/// One listening pull socket and one push socket per peer. Pair sockets would
+/// require both ends to agree on which one connects, and bus sockets silently
+/// drop messages when a buffer is full.
 class NngTransport : public Transport
 {
 public:
@@ -80,7 +80,8 @@
                           AgePolicy aAgePolicy) override
   {
     if (aPayload.size() > kMaxMessageBytes) {
-      return MakeError(ErrorKind::PayloadTooLarge, "message between peers");
+      return MakeError(ErrorKind::PayloadTooLarge,
+                       "peer message exceeds the size limit");
     }
     const std::shared_ptr<PeerLink> link = FindLink(aPeer);
     if (!link) {
@@ -93,7 +94,8 @@
 
   void SetAllowedPeers(const std::set<PeerAddress>& aPeers) override
   {
-    // Links are destroyed after the lock is released: that waits for callbacks.
+    // Declared before the lock, so that links are destroyed after its release:
+    // their destructor waits for callbacks.
     std::map<PeerAddress, std::shared_ptr<PeerLink>> removed;
     const std::lock_guard<std::mutex> lock(mMutex);
     if (mStopping) {
@@ -140,8 +142,8 @@
     for (std::thread& it : mThreads) {
       it.join();
     }
-    // Closing a pull socket of nng 1.5.2 that is just receiving was seen to
-    // block for ever. Once nobody takes messages, flow control stops the peers.
+    // Closing a pull socket of nng 1.5.2 while it receives can block forever.
+    // Once no thread reads from it, flow control stops the peers.
     std::this_thread::sleep_for(kCloseDelay);
     if (mIsOpen) {
       nng_close(mPull);
@@ -210,7 +212,7 @@
     return mLinks;
   }
 
-  /// Until Stop: sends what could not be sent at once.
+  /// Sends queued messages and replaces unacknowledged connections until Stop.
   void SendLoop()
   {
     const base::Duration idleDelay =
--- a/src/peer/nng_transport_test.cpp
+++ b/src/peer/nng_transport_test.cpp
@@ -31,7 +31,7 @@
   return base::GetBootClock().Now() + aDelay;
 }
 
-/// Polls, because real sockets and threads are under test.
+/// Polls `aCondition`, since the tests use real sockets and threads.
 bool
 WaitUntil(const std::function<bool()>& aCondition,
           milliseconds aLimit = milliseconds(5000))
@@ -46,7 +46,7 @@
   return aCondition();
 }
 
-/// Collects messages; can be made to block like a suspended process.
+/// Collects messages; can block to simulate a suspended process.
 class Inbox : public MessageSink
 {
 public:
@@ -123,7 +123,7 @@
   std::unique_ptr<Transport> mTransport;
 };
 
-/// Lets both sides learn the other's clock.
+/// Exchanges heartbeats until both sides have bounded the clock offset.
 void
 ExchangeClocks(Node& aLeft, Node& aRight)
 {
@@ -140,7 +140,8 @@
   }));
 }
 
-/// A peer without a transport: it counts connections and writes its own frames.
+/// A peer on bare nng sockets that counts connections and sends the frames that
+/// the test specifies.
 class RawPeer
 {
 public:
@@ -214,8 +215,9 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against a transport that needs an established clock comparison to
-  // establish one, and against source addresses other than the own one.
+  // Guards against a transport that cannot establish the bound of the clock
+  // offset without already having one, and against connections from another
+  // source address than the configured one.
   void DeliversBothWays()
   {
     Node a(kHostA);
@@ -232,8 +234,8 @@
     CPPUNIT_ASSERT(WaitUntil([&] { return b.mInbox.Count("many") == 200; }));
   }
 
-  // Guards against messages that are kept for a peer while it is away and are
-  // run by its successor.
+  // Guards against messages that are kept for a disconnected peer and delivered
+  // to the process that replaces it.
   void DiscardsMessagesForAnAbsentPeer()
   {
     Node a(kHostA);
@@ -253,14 +255,15 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, b.mInbox.Count("stale"));
   }
 
-  // Guards against messages that wait in the buffers of a suspended process.
+  // Guards against the late delivery of messages that waited in the buffers of
+  // a suspended process.
   void DropsLateMessagesOfASuspendedReceiver()
   {
     Node a(kHostA);
     Node b(kHostB);
     ExchangeClocks(a, b);
     b.mInbox.Block(true);
-    // Both receiving threads are blocked by these two.
+    // These two messages block both receiving threads.
     a.Send(b.Address(), "blocked", milliseconds(2000));
     a.Send(b.Address(), "blocked", milliseconds(2000));
     std::this_thread::sleep_for(milliseconds(50));
@@ -274,15 +277,15 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, b.mInbox.Count("stale"));
   }
 
-  // Guards against a deadline that is taken from the arrival time: a frame that
-  // was held back on its way would get a new one.
+  // Guards against a deadline derived from the arrival time, which would extend
+  // the deadline of a frame that was delayed in transit.
   void DropsExpiredFramesAndFramesOfUnknownAge()
   {
     Node b(kHostB);
     RawPeer raw;
     b.mTransport->SetAllowedPeers({ raw.mFrame.mSender });
     raw.Dial(b.Address());
-    // Another clock: ten seconds ahead of the receiver's.
+    // The clock of the sender is ten seconds ahead of the receiver's.
     const std::int64_t offset = 10'000'000;
     const auto now = [] { return base::ToMicros(base::GetBootClock().Now()); };
     raw.mFrame.mPayload = "unknown";
@@ -310,8 +313,8 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, b.mInbox.Count("unknown"));
   }
 
-  // Guards against a connection that a middlebox has forgotten: the peer's own
-  // frames keep arriving, but it acknowledges nothing.
+  // Guards against keeping a connection whose state a middlebox has dropped:
+  // the peer's frames still arrive, but it acknowledges nothing.
   void ReplacesAnUnacknowledgedConnection()
   {
     Node a(kHostA);
@@ -326,7 +329,7 @@
       return raw.CountConnections() >= 2;
     }));
     CPPUNIT_ASSERT(a.mTransport->GetCounters().mReplacedConnections >= 1);
-    // A connection that is acknowledged stays.
+    // A connection on which messages are acknowledged is kept.
     const std::int64_t before =
       a.mTransport->GetCounters().mReplacedConnections;
     const base::TimePoint end = After(milliseconds(900));
@@ -342,7 +345,7 @@
                    before + 1);
   }
 
-  // Guards against work from hosts that are not entry instances of the site.
+  // Guards against accepting requests from hosts that are not entry instances.
   void AcceptsOnlyAllowedPeers()
   {
     Node a(kHostA);
@@ -357,7 +360,7 @@
       a.Address(), "x", After(milliseconds(300)), AgePolicy::AllowUnknown);
     CPPUNIT_ASSERT(sent.error().mKind == ErrorKind::Unauthorized);
     ExchangeClocks(a, b);
-    // A sender that claims the address of an allowed peer on another host.
+    // The sender claims the address of an allowed peer on another host.
     RawPeer raw;
     raw.mFrame.mSender = b.Address();
     raw.mFrame.mAcceptsUnknownAge = true;
@@ -370,7 +373,7 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, a.mInbox.Count("forged"));
   }
 
-  // Guards against a receiver that stops serving after bytes it cannot parse.
+  // Guards against a receiver that stops working after malformed bytes.
   void SurvivesMalformedBytes()
   {
     Node a(kHostA);
@@ -387,7 +390,7 @@
     }));
   }
 
-  // Guards against callbacks after Stop and against a Stop that hangs.
+  // Guards against callbacks after Stop and against a Stop that blocks forever.
   void StopsWhileTrafficIsFlowing()
   {
     for (int round = 0; round < 10; ++round) {
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -15,7 +15,8 @@
 
 namespace {
 
-// Keeps a frame's times within the range that the receiver accepts.
+// Keeps the remaining time of a frame within the range that the receiver
+// accepts.
 constexpr base::Duration kMaxRemaining = std::chrono::hours(24);
 
 } // namespace
@@ -65,12 +66,13 @@
   }
   const bool known = mClockBound.MinDifference(now).has_value();
   if (aAgePolicy == AgePolicy::RequireKnown && !known) {
-    return MakeError(ErrorKind::WorkerUnavailable, "peer has not been heard");
+    return MakeError(ErrorKind::WorkerUnavailable,
+                     "offset of the peer's clock is not known yet");
   }
   DropExpired(now);
   if (mQueue.size() >= mContext.mOptions.mMaxQueuedMessages) {
     ++mContext.mCounters->mQueueFull;
-    return MakeError(ErrorKind::Overloaded, "queue to the peer is full");
+    return MakeError(ErrorKind::Overloaded, "send queue of the peer is full");
   }
   BOOST_OUTCOME_TRYV(Connect());
   mQueue.push_back(QueuedMessage{ std::move(aPayload), aDeadline, aAgePolicy });
@@ -100,8 +102,8 @@
     mClockBound.RecordArrival(aFrame.mSentMicros, now);
     if (aFrame.mSentMicros > mNewestPeerSentMicros) {
       mNewestPeerSentMicros = aFrame.mSentMicros;
-      // The end of a connection that a peer has replaced because a middlebox
-      // forgot it never reaches this side, so it is closed here.
+      // If a middlebox has dropped its state of the old connection, the peer's
+      // close never arrives here, so the old connection is closed explicitly.
       if (mReceivePipe && mReceivePipe->id != aPipe.id) {
         superseded = mReceivePipe;
       }
--- a/src/peer/peer_link.hpp
+++ b/src/peer/peer_link.hpp
@@ -18,7 +18,7 @@
 
 namespace skylarkhill::peer {
 
-/// The counters of a transport, shared by its links.
+/// Counters of a transport that all its links update.
 struct SharedCounters
 {
   std::atomic<std::int64_t> mSent{ 0 };
@@ -32,12 +32,13 @@
   std::atomic<std::int64_t> mReplacedConnections{ 0 };
 };
 
-/// Wakes the thread that sends queued messages. Thread-safe.
+/// Wakes the thread that sends queued messages and tells it to stop.
+/// Thread-safe.
 class SenderSignal
 {
 public:
   void Notify(bool aStop = false);
-  /// Waits for Notify, `aLimit` at most; false once stopped.
+  /// Waits for Notify, at most for `aLimit`; false once stopped.
   bool Wait(base::Duration aLimit);
 
 private:
@@ -47,21 +48,21 @@
   bool mStopped = false;
 };
 
-/// What all links of a transport have in common.
+/// State shared by all links of a transport.
 struct LinkContext
 {
   TransportOptions mOptions;
-  /// Address of the own listener.
+  /// Address of this transport's listener.
   PeerAddress mSelf;
-  /// Random number of this transport.
+  /// Random identifier of this transport object; not zero.
   std::uint64_t mSessionId = 0;
   const base::Clock* mClock = nullptr;
   SharedCounters* mCounters = nullptr;
   SenderSignal* mSignal = nullptr;
 };
 
-/// The sending connection to one peer and what is known of the peer's clock.
-/// Thread-safe.
+/// The outgoing connection to one peer, its send queue and the bounds of the
+/// peer's clock. Thread-safe.
 class PeerLink
 {
 public:
@@ -73,15 +74,17 @@
   base::Result<void> Enqueue(std::string aPayload,
                              base::TimePoint aDeadline,
                              AgePolicy aAgePolicy);
-  /// Takes in the envelope of a frame that arrived on `aPipe`.
+  /// Records the header fields of a frame that arrived on `aPipe`.
   void RecordArrival(const Frame& aFrame, nng_pipe aPipe);
-  /// Deadline of a frame on the own clock; nothing if its age is unknown.
+  /// Deadline of a frame on the local clock; nothing if its age is unknown.
   std::optional<base::TimePoint> DeadlineOf(const Frame& aFrame) const;
-  /// Sends what the connection takes now and drops what has expired.
+  /// Discards expired messages and sends as many others as the connection
+  /// accepts without blocking.
   void SendQueued();
-  /// True if messages wait for an established connection.
+  /// True if messages are queued although the connection is established.
   bool IsCongested() const;
-  /// Replaces the connection if the peer has been silent for too long.
+  /// Replaces the connection if the peer has acknowledged nothing for the
+  /// acknowledgement timeout.
   void ReplaceIfUnacknowledged();
 
 private:
@@ -93,7 +96,7 @@
   };
 
   static void OnPipe(nng_pipe aPipe, nng_pipe_ev aEvent, void* aSelf);
-  /// Sends the first message; false if the connection takes none now.
+  /// Sends the first queued message; false if the connection would block.
   bool SendFront(base::TimePoint aNow);
   void DropExpired(base::TimePoint aNow);
   void Flush();
@@ -107,7 +110,7 @@
   bool mConnected = false;
   std::atomic<int> mOpenPipes{ 0 };
   std::deque<QueuedMessage> mQueue;
-  /// Start of the current silence: first send that is not acknowledged.
+  /// When the oldest unacknowledged message was queued.
   std::optional<base::TimePoint> mUnacknowledgedSince;
   base::TimePoint mLastQueuedAt;
   std::uint64_t mPeerSessionId = 0;
