Rename internals of the HTTP client and server and their tests

Answer -> HandleRequest AnswersManyCallsAtOnce -> CompletesConcurrentCalls Begin -> StartCall Converse -> SendAndReadAll CountingPeer -> CountingServer Deliver -> InvokeHandler EndsASilentCallAtItsDeadline -> FailsAnUnansweredCallAtItsDeadline Finish -> CompleteCalls HasPlainName -> HasValidName IdempotentCallsReplaceADeadPooledConnection -> IdempotentCallsReplaceAClosedPooledConnection Idle -> IdleConnection IsOneLine -> HasNoControlCharacters Library -> LibraryState LibraryClient -> ClientPtr Open -> CreateUnconnectedClient PooledConnectionsAreDroppedAfterAShortAge -> PooledConnectionsExpire PutIdle -> ReturnIdle RefusesWhatItCannotFrame -> RefusesRequestsOfUnclearLength Reply -> SendResponse Run -> AcceptAll Run -> CompleteAllCalls Script -> RequestCallback SendsOnceAlthoughAPooledConnectionIsBroken -> SendsOnceDespiteABrokenPooledConnection SendsOnceWhenTheConnectionGoesSilent -> SendsOnceIfTheServerDoesNotRespond SendsOnceWhenThePeerDiesAfterReceiving -> SendsOnceIfTheServerClosesAfterReceiving SetUsableUntil -> SetReusableUntil TellsUnsentFromSent -> DistinguishesUnsentFromSentRequests UsableUntil -> ReusableUntil WaitForEnd -> WaitForLoopExit aPeer -> aServer aScript -> aCallback answer -> pending generic -> socketAddress kDiscardPauseMs -> kDiscardTimeoutMs kEndCheckPause -> kLoopExitPollInterval kEndTimeout -> kLoopExitTimeout kPortAttempts -> kMaxPortAttempts kSlack -> kTimeoutTolerance mHasArrived -> mArrived mHasEnded -> mLoopHasExited mIsAbandoned -> mIsLibraryLeaked mMayFinish -> mFinish mProblem -> mError mScript -> mCallback mServers -> mConnectionThreads mUsableUntil -> mReusableUntil peer -> server problem -> error

--- a/src/http/call_loop.cpp
+++ b/src/http/call_loop.cpp
@@ -51,43 +51,43 @@
     cxxtools::connect(mClient.replyFinished, *this, &Connection::OnFinished);
   }
 
-  void Begin(const ClientRequest& aRequest,
-             TimePoint aDeadline,
-             CallHandler aHandler)
+  void StartCall(const ClientRequest& aRequest,
+                 TimePoint aDeadline,
+                 CallHandler aHandler)
   {
     mRequest = ToLibraryRequest(aRequest);
     mBody.clear();
     mDeadline = aDeadline;
     mHandler = std::move(aHandler);
     mIsFinished = false;
-    mProblem.reset();
+    mError.reset();
     try {
       mClient.beginExecute(mRequest);
     } catch (const std::exception& e) {
-      mProblem = MakeError(ErrorKind::WorkerUnavailable, e.what());
+      mError = MakeError(ErrorKind::WorkerUnavailable, e.what());
       mIsFinished = true;
     }
   }
 
   const std::string& Address() const { return mAddress; }
   bool IsFinished() const { return mIsFinished; }
-  bool IsBroken() const { return mProblem.has_value() || mMustClose; }
+  bool IsBroken() const { return mError.has_value() || mMustClose; }
   TimePoint Deadline() const { return mDeadline; }
-  TimePoint UsableUntil() const { return mUsableUntil; }
-  void SetUsableUntil(TimePoint aTime) { mUsableUntil = aTime; }
+  TimePoint ReusableUntil() const { return mReusableUntil; }
+  void SetReusableUntil(TimePoint aTime) { mReusableUntil = aTime; }
 
   void Expire()
   {
-    mProblem = MakeError(ErrorKind::DeadlineExceeded, "no response in time");
+    mError = MakeError(ErrorKind::DeadlineExceeded, "no response in time");
     mIsFinished = true;
   }
 
-  void Deliver()
+  void InvokeHandler()
   {
     const CallHandler handler = std::move(mHandler);
     mHandler = nullptr;
-    if (mProblem) {
-      handler(*mProblem);
+    if (mError) {
+      handler(*mError);
       return;
     }
     handler(std::move(mResponse));
@@ -125,7 +125,7 @@
         mResponse.mHeaders.push_back({ it->first, it->second });
       }
     } catch (const std::exception& e) {
-      mProblem = MakeError(ErrorKind::ConnectionLost, e.what());
+      mError = MakeError(ErrorKind::ConnectionLost, e.what());
     }
   }
 
@@ -136,8 +136,8 @@
   Response mResponse;
   CallHandler mHandler;
   TimePoint mDeadline;
-  TimePoint mUsableUntil;
-  std::optional<base::Error> mProblem;
+  TimePoint mReusableUntil;
+  std::optional<base::Error> mError;
   bool mIsFinished = false;
   bool mMustClose = false;
 };
@@ -159,7 +159,7 @@
     if (connection == nullptr) {
       connection = std::make_unique<Connection>(mSelector, aAddress);
     }
-    connection->Begin(aRequest, aDeadline, std::move(aHandler));
+    connection->StartCall(aRequest, aDeadline, std::move(aHandler));
     mActive.push_back(std::move(connection));
   }
 
@@ -180,7 +180,7 @@
                      "call_loop_wait_failed",
                      { { "problem", e.what() } });
     }
-    Finish();
+    CompleteCalls();
   }
 
   void Wake() override { mSelector.wake(); }
@@ -198,7 +198,7 @@
     }
     auto& idle = found->second;
     const TimePoint now = mClock.Now();
-    while (!idle.empty() && idle.front()->UsableUntil() <= now) {
+    while (!idle.empty() && idle.front()->ReusableUntil() <= now) {
       idle.erase(idle.begin());
     }
     if (idle.empty()) {
@@ -209,7 +209,7 @@
     return connection;
   }
 
-  void Finish()
+  void CompleteCalls()
   {
     const TimePoint now = mClock.Now();
     std::vector<ConnectionPtr> finished;
@@ -226,9 +226,9 @@
     }
     // A handler may start calls, which changes the list of active ones.
     for (auto& it : finished) {
-      it->Deliver();
+      it->InvokeHandler();
       if (!it->IsBroken()) {
-        it->SetUsableUntil(now + kMaxIdleAge);
+        it->SetReusableUntil(now + kMaxIdleAge);
         mIdle[it->Address()].push_back(std::move(it));
       }
     }
--- a/src/http/call_loop_test.cpp
+++ b/src/http/call_loop_test.cpp
@@ -41,8 +41,8 @@
 class CallLoopTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(CallLoopTest);
-  CPPUNIT_TEST(AnswersManyCallsAtOnce);
-  CPPUNIT_TEST(EndsASilentCallAtItsDeadline);
+  CPPUNIT_TEST(CompletesConcurrentCalls);
+  CPPUNIT_TEST(FailsAnUnansweredCallAtItsDeadline);
   CPPUNIT_TEST(ReportsARefusedConnection);
   CPPUNIT_TEST_SUITE_END();
 
@@ -55,7 +55,7 @@
     mAddress = "127.0.0.1:" + std::to_string(mServer->Port());
   }
 
-  void AnswersManyCallsAtOnce()
+  void CompletesConcurrentCalls()
   {
     const auto loop = CreateCallLoop(base::GetBootClock());
     std::vector<std::string> bodies;
@@ -71,7 +71,7 @@
             bodies.push_back(aResult.value().mBody);
           });
       }
-      Run(*loop);
+      CompleteAllCalls(*loop);
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 16 }, bodies.size());
     for (const auto& it : bodies) {
@@ -79,7 +79,7 @@
     }
   }
 
-  void EndsASilentCallAtItsDeadline()
+  void FailsAnUnansweredCallAtItsDeadline()
   {
     const auto loop = CreateCallLoop(base::GetBootClock());
     const auto start = base::GetBootClock().Now();
@@ -91,7 +91,7 @@
                  CPPUNIT_ASSERT(!aResult);
                  kind = aResult.error().mKind;
                });
-    Run(*loop);
+    CompleteAllCalls(*loop);
     CPPUNIT_ASSERT(kind == base::ErrorKind::DeadlineExceeded);
     CPPUNIT_ASSERT(base::GetBootClock().Now() - start <
                    std::chrono::milliseconds(300));
@@ -107,12 +107,12 @@
       Post("/echo", ""),
       base::GetBootClock().Now() + std::chrono::seconds(2),
       [&](const base::Result<Response>& aResult) { isRefused = !aResult; });
-    Run(*loop);
+    CompleteAllCalls(*loop);
     CPPUNIT_ASSERT(isRefused);
   }
 
 private:
-  static void Run(CallLoop& aLoop)
+  static void CompleteAllCalls(CallLoop& aLoop)
   {
     while (aLoop.InFlight() > 0) {
       aLoop.Wait(base::GetBootClock().Now() + std::chrono::milliseconds(100));
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -38,7 +38,7 @@
 
 /// True if `aText` can stand in a request line or header without ending it.
 bool
-IsOneLine(std::string_view aText)
+HasNoControlCharacters(std::string_view aText)
 {
   return std::none_of(aText.begin(), aText.end(), [](char aByte) {
     return static_cast<unsigned char>(aByte) < 0x20;
@@ -48,13 +48,14 @@
 bool
 IsWellFormed(const ClientRequest& aRequest)
 {
-  return IsOneLine(aRequest.mMethod) && IsOneLine(aRequest.mTarget) &&
+  return HasNoControlCharacters(aRequest.mMethod) &&
+         HasNoControlCharacters(aRequest.mTarget) &&
          aRequest.mTarget.find(' ') == std::string::npos &&
          std::all_of(aRequest.mHeaders.begin(),
                      aRequest.mHeaders.end(),
                      [](const Field& aField) {
-                       return IsOneLine(aField.mName) &&
-                              IsOneLine(aField.mValue);
+                       return HasNoControlCharacters(aField.mName) &&
+                              HasNoControlCharacters(aField.mValue);
                      });
 }
 
@@ -77,10 +78,10 @@
       return MakeError(ErrorKind::InvalidArgument, "malformed request");
     }
     const bool isPooled = aRequest.mDelivery == Delivery::Idempotent;
-    LibraryClient client = isPooled ? TakeIdle() : nullptr;
+    ClientPtr client = isPooled ? TakeIdle() : nullptr;
     const bool isReused = client != nullptr;
     if (client == nullptr) {
-      client = Open();
+      client = CreateUnconnectedClient();
     }
     auto response = Execute(*client, aRequest, aDeadline);
     if (isReused && response) {
@@ -93,17 +94,17 @@
                            std::move(response.error().mDetail));
     }
     if (response && isPooled) {
-      PutIdle(std::move(client));
+      ReturnIdle(std::move(client));
     }
     return response;
   }
 
 private:
-  using LibraryClient = std::unique_ptr<cxxtools::http::Client>;
-  struct Idle
+  using ClientPtr = std::unique_ptr<cxxtools::http::Client>;
+  struct IdleConnection
   {
-    LibraryClient mClient;
-    TimePoint mUsableUntil;
+    ClientPtr mClient;
+    TimePoint mReusableUntil;
   };
 
   // cxxtools::http::Client sends a request again if its connection turns out
@@ -111,29 +112,29 @@
   // on a kept connection and after connect(), and not if execute() itself
   // opens the connection. A request that must not arrive twice therefore gets
   // a client of its own that is not connected yet.
-  LibraryClient Open() const
+  ClientPtr CreateUnconnectedClient() const
   {
     auto client = std::make_unique<cxxtools::http::Client>();
     client->prepareConnect(mOptions.mAddress, mOptions.mPort);
     return client;
   }
 
-  LibraryClient TakeIdle()
+  ClientPtr TakeIdle()
   {
     const std::lock_guard lock(mMutex);
     const TimePoint now = mClock.Now();
-    while (!mIdle.empty() && mIdle.front().mUsableUntil <= now) {
+    while (!mIdle.empty() && mIdle.front().mReusableUntil <= now) {
       mIdle.pop_front();
     }
     if (mIdle.empty()) {
       return nullptr;
     }
-    LibraryClient client = std::move(mIdle.back().mClient);
+    ClientPtr client = std::move(mIdle.back().mClient);
     mIdle.pop_back();
     return client;
   }
 
-  void PutIdle(LibraryClient aClient)
+  void ReturnIdle(ClientPtr aClient)
   {
     const std::lock_guard lock(mMutex);
     mIdle.push_back(
@@ -201,8 +202,8 @@
       return MakeError(ErrorKind::WorkerUnavailable, aException.what());
     }
     // The library's clock may end its wait slightly early.
-    constexpr base::Duration kSlack = std::chrono::milliseconds(5);
-    const bool isTimeout = mClock.Now() + kSlack >= aDeadline;
+    constexpr base::Duration kTimeoutTolerance = std::chrono::milliseconds(5);
+    const bool isTimeout = mClock.Now() + kTimeoutTolerance >= aDeadline;
     return MakeError(isTimeout ? ErrorKind::DeadlineExceeded
                                : ErrorKind::ConnectionLost,
                      aException.what());
@@ -211,7 +212,7 @@
   const ClientOptions mOptions;
   const base::Clock& mClock;
   std::mutex mMutex;
-  std::deque<Idle> mIdle;
+  std::deque<IdleConnection> mIdle;
 };
 
 } // namespace
--- a/src/http/client_test.cpp
+++ b/src/http/client_test.cpp
@@ -21,14 +21,14 @@
 
 /// A server that counts what reaches it and does with each request what the
 /// test says.
-class CountingPeer
+class CountingServer
 {
 public:
   /// Called with every complete request; false closes the connection.
-  using Script = std::function<bool(Connection&, int aRequest)>;
+  using RequestCallback = std::function<bool(Connection&, int aRequest)>;
 
-  explicit CountingPeer(Script aScript)
-    : mScript(std::move(aScript))
+  explicit CountingServer(RequestCallback aCallback)
+    : mCallback(std::move(aCallback))
   {
     for (mPort = kFirstPort;; ++mPort) {
       try {
@@ -38,13 +38,13 @@
         CPPUNIT_ASSERT(mPort < kFirstPort + 100);
       }
     }
-    mThread = std::thread([this] { Run(); });
+    mThread = std::thread([this] { AcceptAll(); });
   }
-  ~CountingPeer()
+  ~CountingServer()
   {
     mListener.terminateAccept();
     mThread.join();
-    for (auto& it : mServers) {
+    for (auto& it : mConnectionThreads) {
       it.join();
     }
   }
@@ -54,14 +54,14 @@
   int Connections() const { return mConnections; }
 
 private:
-  void Run()
+  void AcceptAll()
   {
     try {
       while (true) {
         auto connection = std::make_unique<Connection>(base::GetBootClock());
         connection->Accept(mListener);
         ++mConnections;
-        mServers.emplace_back(
+        mConnectionThreads.emplace_back(
           [this, it = std::move(connection)] { Serve(*it); });
       }
     } catch (const std::exception&) {
@@ -89,23 +89,23 @@
       if (!aConnection.ReadBody(BodyLength(text.value()), deadline)) {
         return;
       }
-      if (!mScript(aConnection, ++mRequests)) {
+      if (!mCallback(aConnection, ++mRequests)) {
         return;
       }
     }
   }
 
-  const Script mScript;
+  const RequestCallback mCallback;
   std::uint16_t mPort = 0;
   cxxtools::net::TcpServer mListener;
   std::atomic<int> mRequests{ 0 };
   std::atomic<int> mConnections{ 0 };
   std::thread mThread;
-  std::vector<std::thread> mServers;
+  std::vector<std::thread> mConnectionThreads;
 };
 
 bool
-Reply(Connection& aConnection, const std::string& aText)
+SendResponse(Connection& aConnection, const std::string& aText)
 {
   const auto deadline = base::GetBootClock().Now() + seconds(5);
   return aConnection.Write(aText, deadline).has_value();
@@ -114,22 +114,22 @@
 class ClientTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(ClientTest);
-  CPPUNIT_TEST(SendsOnceWhenThePeerDiesAfterReceiving);
-  CPPUNIT_TEST(SendsOnceAlthoughAPooledConnectionIsBroken);
-  CPPUNIT_TEST(SendsOnceWhenTheConnectionGoesSilent);
-  CPPUNIT_TEST(IdempotentCallsReplaceADeadPooledConnection);
-  CPPUNIT_TEST(PooledConnectionsAreDroppedAfterAShortAge);
-  CPPUNIT_TEST(TellsUnsentFromSent);
+  CPPUNIT_TEST(SendsOnceIfTheServerClosesAfterReceiving);
+  CPPUNIT_TEST(SendsOnceDespiteABrokenPooledConnection);
+  CPPUNIT_TEST(SendsOnceIfTheServerDoesNotRespond);
+  CPPUNIT_TEST(IdempotentCallsReplaceAClosedPooledConnection);
+  CPPUNIT_TEST(PooledConnectionsExpire);
+  CPPUNIT_TEST(DistinguishesUnsentFromSentRequests);
   CPPUNIT_TEST(IncompleteResponsesAreErrors);
   CPPUNIT_TEST_SUITE_END();
 
   static std::unique_ptr<Client> MakeClient(
-    const CountingPeer& aPeer,
+    const CountingServer& aServer,
     const base::Clock& aClock = base::GetBootClock())
   {
     ClientOptions options;
     options.mAddress = "127.0.0.1";
-    options.mPort = aPeer.Port();
+    options.mPort = aServer.Port();
     return CreateClient(options, aClock);
   }
 
@@ -152,58 +152,58 @@
 
 public:
   // Guards against a transparent resend, which runs the request twice.
-  void SendsOnceWhenThePeerDiesAfterReceiving()
+  void SendsOnceIfTheServerClosesAfterReceiving()
   {
-    CountingPeer peer([](Connection&, int) { return false; });
-    const auto client = MakeClient(peer);
+    CountingServer server([](Connection&, int) { return false; });
+    const auto client = MakeClient(server);
     AssertKind(ErrorKind::ConnectionLost, Send(*client, Delivery::AtMostOnce));
-    CPPUNIT_ASSERT_EQUAL(1, peer.Requests());
-    CPPUNIT_ASSERT_EQUAL(1, peer.Connections());
+    CPPUNIT_ASSERT_EQUAL(1, server.Requests());
+    CPPUNIT_ASSERT_EQUAL(1, server.Connections());
   }
 
   // Guards against the use of a pooled connection, on which the client cannot
-  // know whether the peer will still answer. One that is half-closed is seen
+  // know whether the server will still answer. One that is half-closed is seen
   // before the call, one that dies on the request is not.
-  void SendsOnceAlthoughAPooledConnectionIsBroken()
+  void SendsOnceDespiteABrokenPooledConnection()
   {
     for (const bool isHalfClosed : { true, false }) {
-      CountingPeer peer([&](Connection& aConnection, int aRequest) {
+      CountingServer server([&](Connection& aConnection, int aRequest) {
         if (aRequest != 1) {
           return false;
         }
-        const bool isWritten = Reply(aConnection, kOk);
+        const bool isWritten = SendResponse(aConnection, kOk);
         if (isHalfClosed) {
           aConnection.EndWriting();
         }
         return isWritten;
       });
-      const auto client = MakeClient(peer);
+      const auto client = MakeClient(server);
       CPPUNIT_ASSERT(Send(*client, Delivery::Idempotent));
       AssertKind(ErrorKind::ConnectionLost,
                  Send(*client, Delivery::AtMostOnce));
-      CPPUNIT_ASSERT_EQUAL(2, peer.Requests());
-      CPPUNIT_ASSERT_EQUAL(2, peer.Connections());
+      CPPUNIT_ASSERT_EQUAL(2, server.Requests());
+      CPPUNIT_ASSERT_EQUAL(2, server.Connections());
     }
   }
 
   // Guards against a resend after a timeout, as behind a middlebox that has
   // lost the connection.
-  void SendsOnceWhenTheConnectionGoesSilent()
+  void SendsOnceIfTheServerDoesNotRespond()
   {
-    CountingPeer peer([](Connection&, int) { return true; });
-    const auto client = MakeClient(peer);
+    CountingServer server([](Connection&, int) { return true; });
+    const auto client = MakeClient(server);
     AssertKind(ErrorKind::DeadlineExceeded,
                Send(*client, Delivery::AtMostOnce, milliseconds(100)));
-    CPPUNIT_ASSERT_EQUAL(1, peer.Requests());
-    CPPUNIT_ASSERT_EQUAL(1, peer.Connections());
+    CPPUNIT_ASSERT_EQUAL(1, server.Requests());
+    CPPUNIT_ASSERT_EQUAL(1, server.Connections());
   }
 
-  void IdempotentCallsReplaceADeadPooledConnection()
+  void IdempotentCallsReplaceAClosedPooledConnection()
   {
-    CountingPeer peer([](Connection& aConnection, int aRequest) {
-      return aRequest != 2 && Reply(aConnection, kOk);
+    CountingServer server([](Connection& aConnection, int aRequest) {
+      return aRequest != 2 && SendResponse(aConnection, kOk);
     });
-    const auto client = MakeClient(peer);
+    const auto client = MakeClient(server);
     // Guards against a refusal of a repeated request that is taken as proof
     // that the request did not run.
     const auto first = Send(*client, Delivery::Idempotent);
@@ -211,29 +211,30 @@
     const auto second = Send(*client, Delivery::Idempotent);
     CPPUNIT_ASSERT(second && second.value().mMayBeRepeated);
     CPPUNIT_ASSERT(Send(*client, Delivery::Idempotent));
-    CPPUNIT_ASSERT_EQUAL(4, peer.Requests());
-    CPPUNIT_ASSERT_EQUAL(2, peer.Connections());
+    CPPUNIT_ASSERT_EQUAL(4, server.Requests());
+    CPPUNIT_ASSERT_EQUAL(2, server.Connections());
   }
 
-  void PooledConnectionsAreDroppedAfterAShortAge()
+  void PooledConnectionsExpire()
   {
-    CountingPeer peer(
-      [](Connection& aConnection, int) { return Reply(aConnection, kOk); });
+    CountingServer server([](Connection& aConnection, int) {
+      return SendResponse(aConnection, kOk);
+    });
     base::ManualClock clock;
-    const auto client = MakeClient(peer, clock);
+    const auto client = MakeClient(server, clock);
     const ClientRequest request{ "GET", "/", "", {}, Delivery::Idempotent };
     CPPUNIT_ASSERT(client->Call(request, clock.Now() + seconds(5)));
     clock.Advance(seconds(5));
     CPPUNIT_ASSERT(client->Call(request, clock.Now() + seconds(5)));
-    CPPUNIT_ASSERT_EQUAL(2, peer.Connections());
+    CPPUNIT_ASSERT_EQUAL(2, server.Connections());
   }
 
-  void TellsUnsentFromSent()
+  void DistinguishesUnsentFromSentRequests()
   {
     std::unique_ptr<Client> client;
     {
-      const CountingPeer peer([](Connection&, int) { return false; });
-      client = MakeClient(peer);
+      const CountingServer server([](Connection&, int) { return false; });
+      client = MakeClient(server);
       AssertKind(ErrorKind::WorkerUnavailable,
                  Send(*client, Delivery::AtMostOnce, milliseconds(-1)));
       AssertKind(
@@ -241,7 +242,7 @@
         client->Call(
           { "GET", "/ HTTP/1.1\r\nX: y", "", {}, Delivery::AtMostOnce },
           base::GetBootClock().Now() + seconds(5)));
-      CPPUNIT_ASSERT_EQUAL(0, peer.Connections());
+      CPPUNIT_ASSERT_EQUAL(0, server.Connections());
     }
     AssertKind(ErrorKind::WorkerUnavailable,
                Send(*client, Delivery::AtMostOnce));
@@ -255,11 +256,11 @@
                             "HTTP/1.1 200 OK\r\nContent-Le",
                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
                             "\r\n0\r\n\r\n" }) {
-      CountingPeer peer([it](Connection& aConnection, int) {
-        Reply(aConnection, it);
+      CountingServer server([it](Connection& aConnection, int) {
+        SendResponse(aConnection, it);
         return false;
       });
-      const auto client = MakeClient(peer);
+      const auto client = MakeClient(server);
       AssertKind(ErrorKind::ConnectionLost,
                  Send(*client, Delivery::AtMostOnce));
     }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -33,12 +33,12 @@
 
 namespace {
 
-constexpr int kPortAttempts = 16;
+constexpr int kMaxPortAttempts = 16;
 constexpr std::size_t kMaxTargetBytes = 8192;
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 16 } << 20;
-constexpr int kDiscardPauseMs = 200;
-constexpr auto kEndTimeout = std::chrono::seconds(2);
-constexpr auto kEndCheckPause = std::chrono::milliseconds(5);
+constexpr int kDiscardTimeoutMs = 200;
+constexpr auto kLoopExitTimeout = std::chrono::seconds(2);
+constexpr auto kLoopExitPollInterval = std::chrono::milliseconds(5);
 
 /// An error that is answered instead of the request.
 class RefusedRequest : public std::exception
@@ -96,7 +96,7 @@
 }
 
 bool
-HasPlainName(const Field& aField)
+HasValidName(const Field& aField)
 {
   return !aField.mName.empty() &&
          std::all_of(aField.mName.begin(), aField.mName.end(), [](char aByte) {
@@ -109,7 +109,7 @@
 base::Result<std::size_t>
 CheckFraming(const std::vector<Field>& aFields)
 {
-  if (!std::all_of(aFields.begin(), aFields.end(), HasPlainName)) {
+  if (!std::all_of(aFields.begin(), aFields.end(), HasValidName)) {
     return MakeError(ErrorKind::UnsupportedFraming, "malformed header name");
   }
   if (CountFields(aFields, "Transfer-Encoding") != 0) {
@@ -138,7 +138,7 @@
   std::size_t left = std::min(aLength, kMaxDiscardedBytes);
   std::array<char, 16384> buf{};
   pollfd poller{ aDescriptor, POLLIN, 0 };
-  while (left > 0 && poll(&poller, 1, kDiscardPauseMs) > 0) {
+  while (left > 0 && poll(&poller, 1, kDiscardTimeoutMs) > 0) {
     const ssize_t n =
       recv(aDescriptor, buf.data(), std::min(left, buf.size()), MSG_DONTWAIT);
     if (n <= 0) {
@@ -188,7 +188,7 @@
              cxxtools::http::Request& aRequest,
              cxxtools::http::Reply& aReply) override
   {
-    Write(Answer(aRequest), aOut, aReply);
+    Write(HandleRequest(aRequest), aOut, aReply);
   }
 
   void replyError(std::ostream& aOut,
@@ -208,7 +208,7 @@
   }
 
 private:
-  Response Answer(cxxtools::http::Request& aRequest)
+  Response HandleRequest(cxxtools::http::Request& aRequest)
   {
     if (mState.mStopping) {
       return MakeErrorResponse(MakeError(ErrorKind::ShuttingDown));
@@ -287,9 +287,9 @@
   }
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   socklen_t length = sizeof(address);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  const bool isBound = bind(descriptor, generic, length) == 0 &&
-                       getsockname(descriptor, generic, &length) == 0;
+  auto* socketAddress = reinterpret_cast<sockaddr*>(&address);
+  const bool isBound = bind(descriptor, socketAddress, length) == 0 &&
+                       getsockname(descriptor, socketAddress, &length) == 0;
   close(descriptor);
   return isBound ? ntohs(address.sin_port) : 0;
 }
@@ -304,9 +304,9 @@
 }
 
 /// Everything that threads of cxxtools use.
-struct Library
+struct LibraryState
 {
-  Library(ServerOptions aOptions, Handler& aHandler)
+  LibraryState(ServerOptions aOptions, Handler& aHandler)
     : mState{ std::move(aOptions), aHandler }
     , mService(mState)
     , mServer(mLoop)
@@ -317,14 +317,14 @@
   HandlerService mService;
   cxxtools::EventLoop mLoop;
   cxxtools::http::Server mServer;
-  std::atomic<bool> mHasEnded{ false };
+  std::atomic<bool> mLoopHasExited{ false };
 };
 
 class CxxtoolsServer : public Server
 {
 public:
   CxxtoolsServer(ServerOptions aOptions, Handler& aHandler)
-    : mLibrary(new Library(std::move(aOptions), aHandler))
+    : mLibrary(new LibraryState(std::move(aOptions), aHandler))
     , mState(mLibrary->mState)
     , mServer(mLibrary->mServer)
   {
@@ -342,7 +342,7 @@
   ~CxxtoolsServer() override
   {
     CxxtoolsServer::Stop();
-    if (!mIsAbandoned) {
+    if (!mIsLibraryLeaked) {
       delete mLibrary;
     }
   }
@@ -358,7 +358,7 @@
     BOOST_OUTCOME_TRYV(Listen());
     mThread = std::thread([library = mLibrary] {
       library->mLoop.run();
-      library->mHasEnded = true;
+      library->mLoopHasExited = true;
     });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
@@ -381,7 +381,7 @@
     std::this_thread::sleep_for(mState.mOptions.mStopGrace);
     mLibrary->mService.waitIdle();
     mLibrary->mLoop.exit();
-    if (WaitForEnd()) {
+    if (WaitForLoopExit()) {
       mThread.join();
       return;
     }
@@ -391,25 +391,25 @@
     // objects are left to the end of the process; they call no handler any
     // more.
     mThread.detach();
-    mIsAbandoned = true;
+    mIsLibraryLeaked = true;
   }
 
 private:
   base::Result<void> Listen()
   {
-    std::string problem;
+    std::string error;
     const bool isAnyPort = mState.mOptions.mPort == 0;
-    for (int n = 0; n < (isAnyPort ? kPortAttempts : 1); ++n) {
+    for (int n = 0; n < (isAnyPort ? kMaxPortAttempts : 1); ++n) {
       mPort = isAnyPort ? FindFreePort(mState.mOptions.mAddress)
                         : mState.mOptions.mPort;
       try {
         ListenOn(mPort);
         return BOOST_OUTCOME_V2_NAMESPACE::success();
       } catch (const std::exception& e) {
-        problem = e.what();
+        error = e.what();
       }
     }
-    return MakeError(ErrorKind::InvalidSettings, problem);
+    return MakeError(ErrorKind::InvalidSettings, error);
   }
 
   void ListenOn(std::uint16_t aPort)
@@ -430,22 +430,22 @@
                    tls.mCaFile);
   }
 
-  bool WaitForEnd() const
+  bool WaitForLoopExit() const
   {
-    const auto deadline = std::chrono::steady_clock::now() + kEndTimeout;
-    while (!mLibrary->mHasEnded &&
+    const auto deadline = std::chrono::steady_clock::now() + kLoopExitTimeout;
+    while (!mLibrary->mLoopHasExited &&
            std::chrono::steady_clock::now() < deadline) {
-      std::this_thread::sleep_for(kEndCheckPause);
+      std::this_thread::sleep_for(kLoopExitPollInterval);
     }
-    return mLibrary->mHasEnded;
+    return mLibrary->mLoopHasExited;
   }
 
-  Library* const mLibrary;
+  LibraryState* const mLibrary;
   ServerState& mState;
   cxxtools::http::Server& mServer;
   std::uint16_t mPort = 0;
   std::thread mThread;
-  bool mIsAbandoned = false;
+  bool mIsLibraryLeaked = false;
 };
 
 } // namespace
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -28,8 +28,8 @@
   {
     ++mCalls;
     if (aRequest.mPath == "/wait") {
-      mHasArrived.set_value();
-      mMayFinish.get_future().wait();
+      mArrived.set_value();
+      mFinish.get_future().wait();
     }
     Response response;
     response.mBody =
@@ -41,15 +41,15 @@
   }
 
   std::atomic<int> mCalls{ 0 };
-  std::promise<void> mHasArrived;
-  std::promise<void> mMayFinish;
+  std::promise<void> mArrived;
+  std::promise<void> mFinish;
 };
 
 class ServerTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(ServerTest);
   CPPUNIT_TEST(ServesSeveralRequestsOnOneConnection);
-  CPPUNIT_TEST(RefusesWhatItCannotFrame);
+  CPPUNIT_TEST(RefusesRequestsOfUnclearLength);
   CPPUNIT_TEST(RefusesALargeBodyBeforeReadingIt);
   CPPUNIT_TEST(RefusesRequestsBeyondTheLimit);
   CPPUNIT_TEST(IdleConnectionsUseNoThread);
@@ -78,7 +78,7 @@
   }
 
   /// Sends `aText` and returns everything until the server closes.
-  std::string Converse(const Server& aServer, const std::string& aText)
+  std::string SendAndReadAll(const Server& aServer, const std::string& aText)
   {
     Connection connection(mClock);
     ConnectTo(aServer, connection);
@@ -131,7 +131,7 @@
 
   // Guards against request smuggling: what follows a message of unclear length
   // must never be read as the next request.
-  void RefusesWhatItCannotFrame()
+  void RefusesRequestsOfUnclearLength()
   {
     const auto server = Serve();
     const std::string next = "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -146,7 +146,7 @@
            post + "Content-Length: 99999999999999999999\r\n\r\n",
            post + "Content-Length: 0\r\nContent-Length: 0\r\n\r\n",
            post + "Content-Length: 0, 0\r\n\r\n" }) {
-      const std::string text = Converse(*server, it + next);
+      const std::string text = SendAndReadAll(*server, it + next);
       AssertContains(text, "HTTP/1.1 400 ");
       AssertContains(text, R"("error":"unsupported_framing")");
       AssertContains(text, R"("may_have_run":false)");
@@ -154,7 +154,7 @@
     // cxxtools answers these itself and closes the connection.
     for (const char* it :
          { "POST / HTTP/2.0\r\nHost: h\r\n\r\n", "garbage\r\n\r\n" }) {
-      AssertContains(Converse(*server, it + next), "HTTP/1.1 500 ");
+      AssertContains(SendAndReadAll(*server, it + next), "HTTP/1.1 500 ");
     }
     for (const std::string& it :
          { std::string("/%ff"), "/" + std::string(20'000, 'u') }) {
@@ -170,8 +170,8 @@
     const auto server = Serve();
     const std::string head =
       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000000\r\n\r\n";
-    AssertContains(Converse(*server, head), "payload_too_large");
-    // Guards against a reset that destroys the answer while the peer writes.
+    AssertContains(SendAndReadAll(*server, head), "payload_too_large");
+    // Guards against a reset that destroys the pending while the peer writes.
     const auto response = MakeClient(*server)->Call(
       { "POST", "/", std::string(5'000'000, 'x'), {}, Delivery::AtMostOnce },
       Deadline());
@@ -190,11 +190,11 @@
       return client->Call({ "GET", "/wait", "", {}, Delivery::AtMostOnce },
                           Deadline());
     });
-    mHandler.mHasArrived.get_future().wait();
+    mHandler.mArrived.get_future().wait();
     const auto refused = client->Call(kGet, Deadline());
     CPPUNIT_ASSERT(ParseErrorResponse(refused.value()).mKind ==
                    ErrorKind::Overloaded);
-    mHandler.mMayFinish.set_value();
+    mHandler.mFinish.set_value();
     CPPUNIT_ASSERT_EQUAL(200, waiting.get().value().mStatus);
   }
 
@@ -224,11 +224,11 @@
     options.mStopGrace = seconds(1);
     const auto server = Serve(options);
     const auto client = MakeClient(*server);
-    auto answer = std::async(std::launch::async, [&] {
+    auto pending = std::async(std::launch::async, [&] {
       return client->Call({ "GET", "/wait", "", {}, Delivery::AtMostOnce },
                           Deadline());
     });
-    mHandler.mHasArrived.get_future().wait();
+    mHandler.mArrived.get_future().wait();
     Connection open(mClock);
     ConnectTo(*server, open);
     auto stopped = std::async(std::launch::async, [&] { server->Stop(); });
@@ -238,8 +238,8 @@
     AssertContains(open.ReadHead(10'000, Deadline()).value(), "503");
     CPPUNIT_ASSERT(stopped.wait_for(milliseconds(1)) ==
                    std::future_status::timeout);
-    mHandler.mMayFinish.set_value();
-    const auto response = answer.get();
+    mHandler.mFinish.set_value();
+    const auto response = pending.get();
     CPPUNIT_ASSERT(response.has_value());
     CPPUNIT_ASSERT_EQUAL(std::string("GET /wait "), response.value().mBody);
     stopped.wait();
