--- a/include/skylarkhill/http/call_loop.hpp
+++ b/include/skylarkhill/http/call_loop.hpp
@@ -13,29 +13,30 @@
 
 namespace skylarkhill::http {
 
-/// Receives the outcome of one call: a complete response, DeadlineExceeded or
-/// ConnectionLost (the server may have received the request in both cases) or
-/// WorkerUnavailable (no connection could be made).
+/// Receives the result of one call: a complete response, DeadlineExceeded or
+/// ConnectionLost (in both cases the server may have received the request), or
+/// WorkerUnavailable (no connection was established).
 using CallHandler = std::function<void(base::Result<Response>)>;
 
-/// Many HTTP calls at once on one thread. Every member function except Wake
-/// belongs to the thread that calls Wait.
+/// Event loop for concurrent HTTP calls on one thread. Only Wake may be called
+/// from other threads than the one that calls Wait.
 class CallLoop
 {
 public:
   virtual ~CallLoop() = default;
-  /// Sends `aRequest` to `aAddress` ("IP:PORT") on a pooled connection. May
-  /// arrive twice, so requests must be idempotent. `aHandler` is called from
-  /// Wait.
+  /// Sends `aRequest` to `aAddress` ("IP:PORT") on a pooled connection. The
+  /// request may arrive twice, so it must be idempotent. `aHandler` is called
+  /// from Wait.
   virtual void Call(const std::string& aAddress,
                     const ClientRequest& aRequest,
                     base::TimePoint aDeadline,
                     CallHandler aHandler) = 0;
-  /// Handles what arrives until `aDeadline`, Wake or the first outcome.
+  /// Handles input until `aDeadline`, a call of Wake, or the first completed
+  /// call, whichever comes first. May return earlier.
   virtual void Wait(base::TimePoint aDeadline) = 0;
   /// Ends a Wait early. Thread-safe.
   virtual void Wake() = 0;
-  /// Calls without an outcome yet.
+  /// Number of calls that have not completed.
   virtual std::size_t InFlight() const = 0;
 };
 
--- a/include/skylarkhill/http/client.hpp
+++ b/include/skylarkhill/http/client.hpp
@@ -16,10 +16,10 @@
 /// How often a request may reach the server.
 enum class Delivery
 {
-  /// Only for requests that may run twice: uses pooled connections, and
-  /// sends again if a pooled connection turns out to be closed.
+  /// For requests that may run twice: uses pooled connections and sends the
+  /// request again if a pooled connection turns out to be closed.
   Idempotent,
-  /// Uses a new connection that carries nothing else, and sends once.
+  /// Sends the request once, on a new connection that is not reused.
   AtMostOnce,
 };
 
@@ -47,8 +47,8 @@
                                       base::TimePoint aDeadline) = 0;
 };
 
-/// The server to call and the limits of a client. There is no TLS: the HTTP
-/// client of cxxtools 3.0.0 fails every handshake on a missing key file.
+/// Server address and limits of a client. TLS is not supported: the HTTP client
+/// of cxxtools 3.0.0 fails every handshake because of a missing key file.
 struct ClientOptions
 {
   /// IP address.
@@ -56,10 +56,10 @@
   std::uint16_t mPort = 0;
   std::size_t mMaxHeadBytes = std::size_t{ 16 } << 10;
   std::size_t mMaxBodyBytes = std::size_t{ 64 } << 20;
-  /// Pooled connections that are idle; further ones are closed.
+  /// Idle connections kept in the pool; further ones are closed.
   std::size_t mMaxIdleConnections = 8;
-  /// A pooled connection is not used again after this time. Must be well below
-  /// the idle timeout of the server.
+  /// A pooled connection that was idle for this long is not reused. Must be
+  /// well below the idle timeout of the server.
   base::Duration mMaxIdleAge = std::chrono::seconds(5);
 };
 
--- a/include/skylarkhill/http/endpoint.hpp
+++ b/include/skylarkhill/http/endpoint.hpp
@@ -8,14 +8,14 @@
 
 namespace skylarkhill::http {
 
-/// Where a server listens.
+/// Address of a server.
 struct Endpoint
 {
   std::string mIp;
   std::uint16_t mPort = 0;
 };
 
-/// InvalidArgument unless `aText` is "IP:PORT" with a port above 0.
+/// Parses "IP:PORT". InvalidArgument unless the port is above 0.
 base::Result<Endpoint>
 ParseEndpoint(const std::string& aText);
 
--- a/include/skylarkhill/http/error_body.hpp
+++ b/include/skylarkhill/http/error_body.hpp
@@ -18,12 +18,12 @@
 std::optional<base::Error>
 ParseErrorBody(std::string_view aBody);
 
-/// An answer with the HTTP status of `aError` and its JSON body.
+/// A response with the HTTP status of `aError` and its JSON body.
 Response
 MakeErrorResponse(const base::Error& aError);
 
-/// The error that a response with another status than 200 carries; Internal if
-/// its body is not one of FormatErrorBody.
+/// The error in a response whose status is not 200; Internal if the body was
+/// not made by FormatErrorBody.
 base::Error
 ParseErrorResponse(const Response& aResponse);
 
--- a/include/skylarkhill/http/message.hpp
+++ b/include/skylarkhill/http/message.hpp
@@ -14,7 +14,7 @@
   std::string mValue;
 };
 
-/// One request as a handler sees it.
+/// A request as passed to a handler.
 struct Request
 {
   std::string mMethod;
@@ -28,27 +28,27 @@
   std::string mPeerAddress;
 };
 
-/// One answer.
+/// A response to a request.
 struct Response
 {
   int mStatus = 200;
   std::string mContentType = "application/json";
   std::string mBody;
-  /// Additional headers; never the ones that frame the message.
+  /// Additional headers, without those that determine the message length.
   std::vector<Field> mHeaders;
-  /// The server closes the connection without an answer. Stand-ins inject lost
-  /// answers with it.
+  /// The server closes the connection without a response. Stand-ins use it to
+  /// simulate lost responses.
   bool mDropConnection = false;
-  /// Set by the client: the server may have received the request before, so
-  /// that a refusal does not prove that it did nothing.
+  /// Set by the client if it may have sent the request twice. An error response
+  /// then does not prove that the request had no effect.
   bool mMayBeRepeated = false;
 };
 
-/// The value of the first field named `aName`, compared without case, or null.
+/// The value of the first field named `aName`, ignoring case, or null.
 const std::string*
 FindField(const std::vector<Field>& aFields, std::string_view aName);
 
-/// `aText` with every byte escaped that is not unreserved in a URL.
+/// Percent-encodes every byte of `aText` that is not unreserved in a URL.
 std::string
 EncodePercent(std::string_view aText);
 
--- a/include/skylarkhill/http/server.hpp
+++ b/include/skylarkhill/http/server.hpp
@@ -13,7 +13,7 @@
 
 namespace skylarkhill::http {
 
-/// Answers requests. Called by several threads at once.
+/// Handles requests. Called concurrently from several threads.
 class Handler
 {
 public:
@@ -21,33 +21,34 @@
   virtual Response Handle(const Request& aRequest) = 0;
 };
 
-/// Where a server listens and what it accepts.
+/// Listening address and limits of a server.
 struct ServerOptions
 {
   std::string mAddress = "127.0.0.1";
-  /// 0 lets the system choose.
+  /// 0 selects a free port.
   std::uint16_t mPort = 0;
   TlsOptions mTls;
-  /// Requests that are handled at once; further ones wait.
+  /// Requests handled concurrently; further ones wait for a thread.
   std::size_t mMaxThreads = 64;
-  /// Requests that are handled or wait for a thread; further ones are answered
-  /// with Overloaded.
+  /// Requests being handled or waiting for a thread; further ones fail with
+  /// Overloaded.
   std::size_t mMaxRequests = 1024;
   std::size_t mMaxBodyBytes = std::size_t{ 1 } << 20;
-  /// From the first byte of a request to its last one.
+  /// Time from the first to the last byte of a request.
   base::Duration mReadTimeout = std::chrono::seconds(10);
   base::Duration mWriteTimeout = std::chrono::seconds(10);
-  /// A connection without a request is closed after this time.
+  /// A connection on which no request arrives is closed after this time.
   base::Duration mIdleTimeout = std::chrono::seconds(60);
-  /// How long a stopping server still refuses requests on open connections.
+  /// How long a stopping server keeps answering requests on open connections
+  /// with ShuttingDown.
   base::Duration mStopGrace = std::chrono::milliseconds(200);
 };
 
-/// What a server has done so far.
+/// Requests since the start of a server.
 struct ServerCounters
 {
   std::uint64_t mRequests = 0;
-  /// Requests that could not be framed or were too large.
+  /// Requests that were malformed, of unclear length or too large.
   std::uint64_t mRefusedRequests = 0;
 };
 
@@ -55,17 +56,17 @@
 class Server
 {
 public:
-  /// Stops.
+  /// Calls Stop.
   virtual ~Server() = default;
   virtual std::uint16_t Port() const = 0;
   virtual ServerCounters Counters() const = 0;
-  /// Refuses new requests with ShuttingDown and returns when all requests in
-  /// flight are answered.
+  /// Refuses new requests with ShuttingDown and blocks until all requests in
+  /// progress are answered.
   virtual void Stop() = 0;
 };
 
-/// Listens and serves. InvalidSettings if the address or a TLS file cannot be
-/// used. `aHandler` must outlive the server.
+/// Creates a server and starts listening. InvalidSettings if the address or a
+/// TLS file cannot be used. `aHandler` must outlive the server.
 base::Result<std::unique_ptr<Server>>
 CreateServer(ServerOptions aOptions, Handler& aHandler);
 
--- a/include/skylarkhill/http/target.hpp
+++ b/include/skylarkhill/http/target.hpp
@@ -8,9 +8,9 @@
 
 namespace skylarkhill::http {
 
-/// Sets the path of `aRequest` from `aPath`, which cxxtools has decoded, and
-/// its query from `aQuery` as received. InvalidArgument if one is malformed, is
-/// not UTF-8 or repeats a parameter.
+/// Sets the path and the query of `aRequest`. `aPath` is already decoded by
+/// cxxtools, `aQuery` is as received. InvalidArgument if either is malformed or
+/// not UTF-8, or if a query parameter is repeated.
 base::Result<void>
 ParseTarget(std::string_view aPath, std::string_view aQuery, Request& aRequest);
 
--- a/include/skylarkhill/http/tls_options.hpp
+++ b/include/skylarkhill/http/tls_options.hpp
@@ -5,16 +5,16 @@
 
 namespace skylarkhill::http {
 
-/// Files in PEM format.
+/// TLS configuration; all files are in PEM format.
 struct TlsOptions
 {
-  /// A listener uses TLS if this is set; a connecting side presents it.
+  /// A server uses TLS if this is set; a client presents it to the server.
   std::string mCertificateFile;
   /// Empty if the key is in the certificate file.
   std::string mKeyFile;
-  /// If set, the peer must present a certificate of this authority.
+  /// If set, the peer must present a certificate issued by this authority.
   std::string mCaFile;
-  /// A connecting side uses TLS.
+  /// Whether a client uses TLS.
   bool mUseTls = false;
 };
 
--- a/src/http/call_loop.cpp
+++ b/src/http/call_loop.cpp
@@ -27,14 +27,14 @@
 
 namespace {
 
-/// An idle connection is not used again after this time; below the idle
-/// timeout of 15 s that servers of the platform apply.
+/// An idle connection is not reused after this time. Below the idle timeout of
+/// the platform's servers, which is 15 s.
 constexpr base::Duration kMaxIdleAge = std::chrono::seconds(8);
 
-/// Bounds one wait, so that overdue calls are found.
+/// Bounds one wait, so that calls past their deadline are noticed.
 constexpr base::Duration kMaxWait = std::chrono::milliseconds(500);
 
-/// One connection with at most one call on it.
+/// One connection; carries at most one call at a time.
 class Connection : public cxxtools::Connectable
 {
 public:
@@ -78,7 +78,8 @@
 
   void Expire()
   {
-    mError = MakeError(ErrorKind::DeadlineExceeded, "no response in time");
+    mError =
+      MakeError(ErrorKind::DeadlineExceeded, "no response before the deadline");
     mIsFinished = true;
   }
 
@@ -117,6 +118,7 @@
       mResponse.mStatus = static_cast<int>(header.httpReturnCode());
       mResponse.mBody = std::move(mBody);
       mBody.clear();
+      // Matches "close" and "Close".
       const char* connection = header.getHeader("Connection");
       mMustClose =
         connection != nullptr &&
@@ -175,7 +177,7 @@
       mSelector.wait(cxxtools::Milliseconds(
         std::chrono::duration<double, std::milli>(left).count()));
     } catch (const std::exception& e) {
-      // The call on the socket that failed ends at its deadline.
+      // The call on the failed socket ends at its deadline.
       logging::Write(logging::Level::Warning,
                      "call_loop_wait_failed",
                      { { "problem", e.what() } });
@@ -224,7 +226,7 @@
         ++it;
       }
     }
-    // A handler may start calls, which changes the list of active ones.
+    // A handler may start calls and thereby change the list of active ones.
     for (auto& it : finished) {
       it->InvokeHandler();
       if (!it->IsBroken()) {
--- a/src/http/call_loop_test.cpp
+++ b/src/http/call_loop_test.cpp
@@ -59,7 +59,7 @@
   {
     const auto loop = CreateCallLoop(base::GetBootClock());
     std::vector<std::string> bodies;
-    // The second round uses the connections of the first one.
+    // The second round reuses the connections of the first one.
     for (int round = 0; round < 2; ++round) {
       for (int n = 0; n < 8; ++n) {
         loop->Call(
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -27,8 +27,8 @@
   return { std::chrono::duration<double, std::milli>(aTime).count() };
 }
 
-/// True if the exception tells that no connection was made. cxxtools has no
-/// type of its own for it.
+/// True if `aException` means that no connection was established. cxxtools has
+/// no exception type for this case.
 bool
 IsConnectFailure(const std::exception& aException)
 {
@@ -36,7 +36,7 @@
   return text.find("failed to connect") != std::string_view::npos;
 }
 
-/// True if `aText` can stand in a request line or header without ending it.
+/// True if `aText` cannot terminate a request line or header.
 bool
 HasNoControlCharacters(std::string_view aText)
 {
@@ -87,7 +87,8 @@
     if (isReused && response) {
       response.value().mMayBeRepeated = true;
     }
-    // The failed connect may have been the library's second try.
+    // The library may have sent the request on the pooled connection before the
+    // connection attempt that failed.
     if (isReused && !response &&
         response.error().mKind == ErrorKind::WorkerUnavailable) {
       response = MakeError(ErrorKind::ConnectionLost,
@@ -107,11 +108,11 @@
     TimePoint mReusableUntil;
   };
 
-  // cxxtools::http::Client sends a request again if its connection turns out
-  // to be closed, also a POST that the peer has received. It was seen to do so
-  // on a kept connection and after connect(), and not if execute() itself
-  // opens the connection. A request that must not arrive twice therefore gets
-  // a client of its own that is not connected yet.
+  // cxxtools::http::Client resends a request if its connection turns out to be
+  // closed, even a POST that the server has received. It does so on a reused
+  // connection and after connect(), but not if execute() itself opens the
+  // connection. A request that must not arrive twice therefore gets a new
+  // client that is not connected yet.
   ClientPtr CreateUnconnectedClient() const
   {
     auto client = std::make_unique<cxxtools::http::Client>();
@@ -177,10 +178,11 @@
   base::Result<Response> ToResponse(const cxxtools::http::Client& aClient,
                                     TimePoint aDeadline) const
   {
-    // The library's timeout is per read, so that a response that trickles in
-    // can end after the deadline.
+    // The library applies the timeout to each read, so a response that arrives
+    // in small parts can end after the deadline.
     if (mClock.Now() > aDeadline) {
-      return MakeError(ErrorKind::DeadlineExceeded, "late response");
+      return MakeError(ErrorKind::DeadlineExceeded,
+                       "response after the deadline");
     }
     const auto& header = aClient.header();
     Response response;
@@ -201,7 +203,7 @@
     if (IsConnectFailure(aException)) {
       return MakeError(ErrorKind::WorkerUnavailable, aException.what());
     }
-    // The library's clock may end its wait slightly early.
+    // The library's timeout may expire slightly early.
     constexpr base::Duration kTimeoutTolerance = std::chrono::milliseconds(5);
     const bool isTimeout = mClock.Now() + kTimeoutTolerance >= aDeadline;
     return MakeError(isTimeout ? ErrorKind::DeadlineExceeded
--- a/src/http/client_test.cpp
+++ b/src/http/client_test.cpp
@@ -19,8 +19,8 @@
 constexpr std::uint16_t kFirstPort = 28'100;
 const std::string kOk = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
-/// A server that counts what reaches it and does with each request what the
-/// test says.
+/// A server that counts connections and requests and passes each request to a
+/// callback.
 class CountingServer
 {
 public:
@@ -161,9 +161,9 @@
     CPPUNIT_ASSERT_EQUAL(1, server.Connections());
   }
 
-  // Guards against the use of a pooled connection, on which the client cannot
-  // know whether the server will still answer. One that is half-closed is seen
-  // before the call, one that dies on the request is not.
+  // Guards against sending on a pooled connection, which the server may be
+  // about to close. The client can detect a half-closed connection before the
+  // call, but not one that the server closes on receiving the request.
   void SendsOnceDespiteABrokenPooledConnection()
   {
     for (const bool isHalfClosed : { true, false }) {
@@ -186,8 +186,8 @@
     }
   }
 
-  // Guards against a resend after a timeout, as behind a middlebox that has
-  // lost the connection.
+  // Guards against a resend after a timeout, for example behind a middlebox
+  // that has dropped its state of the connection.
   void SendsOnceIfTheServerDoesNotRespond()
   {
     CountingServer server([](Connection&, int) { return true; });
@@ -204,7 +204,7 @@
       return aRequest != 2 && SendResponse(aConnection, kOk);
     });
     const auto client = MakeClient(server);
-    // Guards against a refusal of a repeated request that is taken as proof
+    // Guards against treating an error response to a resent request as proof
     // that the request did not run.
     const auto first = Send(*client, Delivery::Idempotent);
     CPPUNIT_ASSERT(first && !first.value().mMayBeRepeated);
@@ -248,7 +248,7 @@
                Send(*client, Delivery::AtMostOnce));
   }
 
-  // Guards against a partial body that is passed on as the answer.
+  // Guards against returning a partial body as a complete response.
   void IncompleteResponsesAreErrors()
   {
     for (const char* it : { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
--- a/src/http/library_request.cpp
+++ b/src/http/library_request.cpp
@@ -7,8 +7,8 @@
 cxxtools::http::Request
 ToLibraryRequest(const ClientRequest& aRequest)
 {
-  // The library sends the query parameters of a GET only; for other methods
-  // the query is part of the path.
+  // cxxtools sends query parameters only with GET; for other methods the query
+  // stays part of the path.
   const std::size_t end = aRequest.mTarget.size();
   const std::size_t mark =
     aRequest.mMethod == "GET" ? std::min(aRequest.mTarget.find('?'), end) : end;
--- a/src/http/library_request.hpp
+++ b/src/http/library_request.hpp
@@ -7,7 +7,7 @@
 
 namespace skylarkhill::http {
 
-/// `aRequest` as cxxtools sends it.
+/// Converts `aRequest` to a request of cxxtools.
 cxxtools::http::Request
 ToLibraryRequest(const ClientRequest& aRequest);
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -40,7 +40,7 @@
 constexpr auto kLoopExitTimeout = std::chrono::seconds(2);
 constexpr auto kLoopExitPollInterval = std::chrono::milliseconds(5);
 
-/// An error that is answered instead of the request.
+/// Thrown to answer a request with an error before its body is read.
 class RefusedRequest : public std::exception
 {
 public:
@@ -104,8 +104,9 @@
          });
 }
 
-/// The length of the body. cxxtools reads a chunked body as the next request
-/// and a negative length as none, so what it cannot frame is refused here.
+/// Returns the length of the body. cxxtools would parse a chunked body as the
+/// next request and ignore a negative length, so such requests are refused
+/// here.
 base::Result<std::size_t>
 CheckFraming(const std::vector<Field>& aFields)
 {
@@ -130,8 +131,8 @@
   return std::stoull(text);
 }
 
-/// Discards what the peer still sends. Closing a connection with unread input
-/// resets it, and the peer would lose the answer.
+/// Reads and discards further input. Closing a connection with unread input
+/// resets it, and the client would lose the response.
 void
 DiscardInput(int aDescriptor, std::size_t aLength)
 {
@@ -202,7 +203,7 @@
       refused != nullptr
         ? refused->GetError()
         : MakeError(ErrorKind::UnsupportedFraming, aException.what());
-    // Where the next request begins is not known.
+    // The start of the next request is unknown.
     aReply.setHeader("Connection", "close");
     Write(MakeErrorResponse(error), aOut, aReply);
   }
@@ -221,7 +222,7 @@
     mRequest.mBody = aRequest.bodyStr();
     if (aRequest.url().size() + aRequest.qparams().size() > kMaxTargetBytes) {
       return MakeErrorResponse(
-        MakeError(ErrorKind::PayloadTooLarge, "target is too long"));
+        MakeError(ErrorKind::PayloadTooLarge, "request target is too long"));
     }
     const auto parsed =
       ParseTarget(aRequest.url(), aRequest.qparams(), mRequest);
@@ -276,7 +277,7 @@
   ServerState& mState;
 };
 
-/// A port of `aAddress` that was free a moment ago; 0 if there is none.
+/// A port of `aAddress` that was free at the time of the call; 0 on failure.
 std::uint16_t
 FindFreePort(const std::string& aAddress)
 {
@@ -303,7 +304,7 @@
   return MakeError(ErrorKind::InvalidSettings, "cannot read " + aFile);
 }
 
-/// Everything that threads of cxxtools use.
+/// All objects that threads of cxxtools use.
 struct LibraryState
 {
   LibraryState(ServerOptions aOptions, Handler& aHandler)
@@ -377,7 +378,7 @@
     }
     mState.mStopping = true;
     mLibrary->mService.waitIdle();
-    // Connections that are open get an answer instead of a reset meanwhile.
+    // Until then, requests on open connections get a response, not a reset.
     std::this_thread::sleep_for(mState.mOptions.mStopGrace);
     mLibrary->mService.waitIdle();
     mLibrary->mLoop.exit();
@@ -385,11 +386,10 @@
       mThread.join();
       return;
     }
-    // cxxtools waits for all its threads, but one of two threads that wait in
-    // accept can miss the wake-up and then blocks for ever, most often after a
-    // failed TLS handshake. Everything is answered by now, so the library's
-    // objects are left to the end of the process; they call no handler any
-    // more.
+    // cxxtools joins all its threads, but if two of them wait in accept, one
+    // can miss the wake-up and block forever, most often after a failed TLS
+    // handshake. All requests are answered by now and no handler is called any
+    // more, so the library's objects are deliberately leaked.
     mThread.detach();
     mIsLibraryLeaked = true;
   }
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -20,7 +20,8 @@
 
 const ClientRequest kGet{ "GET", "/", "", {}, Delivery::AtMostOnce };
 
-/// Answers with what it received; "/wait" waits for the test.
+/// Responds with the content of the request; "/wait" blocks until the test
+/// releases it.
 class EchoHandler : public Handler
 {
 public:
@@ -77,7 +78,8 @@
       aConnection.Connect("127.0.0.1", aServer.Port(), {}, Deadline()));
   }
 
-  /// Sends `aText` and returns everything until the server closes.
+  /// Sends `aText` and returns all bytes until the server closes the
+  /// connection.
   std::string SendAndReadAll(const Server& aServer, const std::string& aText)
   {
     Connection connection(mClock);
@@ -129,8 +131,8 @@
     }
   }
 
-  // Guards against request smuggling: what follows a message of unclear length
-  // must never be read as the next request.
+  // Guards against request smuggling: bytes after a message of unclear length
+  // must not be parsed as the next request.
   void RefusesRequestsOfUnclearLength()
   {
     const auto server = Serve();
@@ -151,7 +153,7 @@
       AssertContains(text, R"("error":"unsupported_framing")");
       AssertContains(text, R"("may_have_run":false)");
     }
-    // cxxtools answers these itself and closes the connection.
+    // cxxtools itself responds to these and closes the connection.
     for (const char* it :
          { "POST / HTTP/2.0\r\nHost: h\r\n\r\n", "garbage\r\n\r\n" }) {
       AssertContains(SendAndReadAll(*server, it + next), "HTTP/1.1 500 ");
@@ -171,7 +173,8 @@
     const std::string head =
       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000000\r\n\r\n";
     AssertContains(SendAndReadAll(*server, head), "payload_too_large");
-    // Guards against a reset that destroys the pending while the peer writes.
+    // Guards against a connection reset that discards the response while the
+    // client is still sending.
     const auto response = MakeClient(*server)->Call(
       { "POST", "/", std::string(5'000'000, 'x'), {}, Delivery::AtMostOnce },
       Deadline());
@@ -198,7 +201,7 @@
     CPPUNIT_ASSERT_EQUAL(200, waiting.get().value().mStatus);
   }
 
-  // Guards against kept-alive connections that occupy the bounded threads.
+  // Guards against keep-alive connections that occupy the limited threads.
   void IdleConnectionsUseNoThread()
   {
     ServerOptions options;
