--- a/include/skylarkhill/peer/clock_bound.hpp
+++ b/include/skylarkhill/peer/clock_bound.hpp
@@ -43,8 +43,8 @@
     base::TimePoint aNow) const;
 
 private:
-  WindowedMinimum mArrivals;
-  WindowedMinimum mEchoes;
+  WindowedMinimum mArrivalDifferences;
+  WindowedMinimum mEchoedDifferences;
 };
 
 } // namespace skylarkhill::peer
