Rename internals of base, metrics and the platform client and their tests

Admin -> ChangePlatform ErrorTableMatchesTheEnumerators -> ErrorTableMatchesEnumerators FetchesInstancesAsTheAdministratorChangesThem -> FetchesChangedInstances FitComparesEveryDimension -> FitsComparesEveryDimension Get -> GetBody Interpret -> ReplaceErrorKind IsText -> IsString KeepsEveryCharacterOfText -> PreservesNonAsciiText RefusedRecordsAreNotRetriedForEver -> OversizedRecordsArePermanentErrors RendezvousMovesOnlyTheKeysOfALostMember -> RendezvousMovesOnlyKeysOfARemovedMember StructureScanner -> StructureValidator TellsLostAnswersFromUnsentAppends -> DistinguishesLostResponsesFromUnsentAppends aEntry -> aInstance aFree -> aAvailable aNeed -> aRequired aWhere -> aContext entries -> instances entry -> instance first -> initialSamples kDigits -> kPrecision kMarkers -> kMarkerCount kMaxDepth -> kMaxNestingDepth kTolerance -> kRelativeTolerance load -> keysPerMember mAsked -> mRequestedKeys mFirst -> mInitialSamples mProblem -> mError mWhere -> mContext rest -> remaining set -> accumulators

--- a/include/skylarkhill/base/json.hpp
+++ b/include/skylarkhill/base/json.hpp
@@ -38,8 +38,8 @@
 class JsonReader
 {
 public:
-  /// `aWhere` prefixes every finding, e.g. "service counter".
-  explicit JsonReader(const JsonValue& aObject, std::string aWhere = {});
+  /// `aContext` prefixes every finding, e.g. "service counter".
+  explicit JsonReader(const JsonValue& aObject, std::string aContext = {});
 
   std::string GetString(std::string_view aKey);
   std::string GetString(std::string_view aKey, std::string aDefault);
@@ -61,8 +61,8 @@
   void AddFinding(std::string_view aKey, std::string_view aProblem);
 
   const JsonValue& mObject;
-  std::string mWhere;
-  std::vector<std::string> mAsked;
+  std::string mContext;
+  std::vector<std::string> mRequestedKeys;
   std::vector<std::string> mFindings;
 };
 
--- a/include/skylarkhill/base/resources.hpp
+++ b/include/skylarkhill/base/resources.hpp
@@ -26,9 +26,9 @@
 Resources
 operator-(Resources aLeft, const Resources& aRight);
 
-/// True if `aNeed` is at most `aFree` in every dimension.
+/// True if `aRequired` is at most `aAvailable` in every dimension.
 bool
-Fits(const Resources& aNeed, const Resources& aFree);
+Fits(const Resources& aRequired, const Resources& aAvailable);
 
 /// The larger value in every dimension.
 Resources
--- a/src/base/base_test.cpp
+++ b/src/base/base_test.cpp
@@ -14,14 +14,14 @@
 class BaseTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(BaseTest);
-  CPPUNIT_TEST(ErrorTableMatchesTheEnumerators);
-  CPPUNIT_TEST(RendezvousMovesOnlyTheKeysOfALostMember);
-  CPPUNIT_TEST(FitComparesEveryDimension);
+  CPPUNIT_TEST(ErrorTableMatchesEnumerators);
+  CPPUNIT_TEST(RendezvousMovesOnlyKeysOfARemovedMember);
+  CPPUNIT_TEST(FitsComparesEveryDimension);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   // Guards against a row that was added in another order than its enumerator.
-  void ErrorTableMatchesTheEnumerators()
+  void ErrorTableMatchesEnumerators()
   {
     for (int n = 0; n <= static_cast<int>(ErrorKind::Internal); ++n) {
       const auto kind = static_cast<ErrorKind>(n);
@@ -30,24 +30,24 @@
     }
   }
 
-  void RendezvousMovesOnlyTheKeysOfALostMember()
+  void RendezvousMovesOnlyKeysOfARemovedMember()
   {
     const std::vector<std::string> all{ "a", "b", "c", "d" };
-    const std::vector<std::string> rest{ "a", "b", "c" };
-    std::map<std::string, int> load;
+    const std::vector<std::string> remaining{ "a", "b", "c" };
+    std::map<std::string, int> keysPerMember;
     for (int n = 0; n < 400; ++n) {
       const std::string key = "worker-" + std::to_string(n);
       const std::string before = RendezvousRank(key, all).front();
-      const std::string after = RendezvousRank(key, rest).front();
-      ++load[before];
+      const std::string after = RendezvousRank(key, remaining).front();
+      ++keysPerMember[before];
       CPPUNIT_ASSERT(before == "d" || before == after);
     }
-    for (const auto& it : load) {
+    for (const auto& it : keysPerMember) {
       CPPUNIT_ASSERT(it.second > 60 && it.second < 140);
     }
   }
 
-  void FitComparesEveryDimension()
+  void FitsComparesEveryDimension()
   {
     const Resources free{ 1000, 100, 1 };
     CPPUNIT_ASSERT(Fits({ 1000, 100, 1 }, free));
--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -17,14 +17,14 @@
 
 namespace {
 
-constexpr int kMaxDepth = 64;
+constexpr int kMaxNestingDepth = 64;
 
 /// Walks JSON text once to reject what cxxtools' parser accepts: duplicate
 /// keys, deep nesting, and text after the document.
-class StructureScanner
+class StructureValidator
 {
 public:
-  explicit StructureScanner(std::string_view aText)
+  explicit StructureValidator(std::string_view aText)
     : mText(aText)
   {
   }
@@ -33,7 +33,7 @@
   std::string Scan()
   {
     if (!ScanValue(0)) {
-      return mProblem.empty() ? "truncated or malformed" : mProblem;
+      return mError.empty() ? "truncated or malformed" : mError;
     }
     SkipSpace();
     return mPosition == mText.size() ? "" : "text after the document";
@@ -42,8 +42,8 @@
 private:
   bool Fail(std::string aProblem)
   {
-    if (mProblem.empty()) {
-      mProblem = std::move(aProblem);
+    if (mError.empty()) {
+      mError = std::move(aProblem);
     }
     return false;
   }
@@ -139,11 +139,11 @@
     return isNumber || Fail("malformed value");
   }
 
-  // Recursion is bounded by kMaxDepth.
+  // Recursion is bounded by kMaxNestingDepth.
   // NOLINTNEXTLINE(misc-no-recursion)
   bool ScanValue(int aDepth)
   {
-    if (aDepth >= kMaxDepth) {
+    if (aDepth >= kMaxNestingDepth) {
       return Fail("nested too deeply");
     }
     SkipSpace();
@@ -168,7 +168,7 @@
 
   std::string_view mText;
   std::size_t mPosition = 0;
-  std::string mProblem;
+  std::string mError;
 };
 
 std::size_t
@@ -222,7 +222,7 @@
 }
 
 bool
-IsText(const JsonValue& aValue)
+IsString(const JsonValue& aValue)
 {
   return HasTypeName(aValue, { "string" });
 }
@@ -254,14 +254,14 @@
 // cxxtools narrows parsed text to one byte per character when it is read as a
 // std::string, which turns most characters into '?'. All text is therefore kept
 // as UTF-8 bytes from here on.
-// NOLINTNEXTLINE(misc-no-recursion): the depth is bounded by kMaxDepth.
+// NOLINTNEXTLINE(misc-no-recursion): the depth is bounded by kMaxNestingDepth.
 void
 StoreTextAsUtf8(JsonValue& aValue)
 {
   for (auto& it : aValue) {
     StoreTextAsUtf8(it);
   }
-  if (IsText(aValue) && aValue.isString()) {
+  if (IsString(aValue) && aValue.isString()) {
     cxxtools::String text;
     aValue.getValue(text);
     aValue <<= cxxtools::Utf8Codec::encode(text);
@@ -341,7 +341,7 @@
   if (!IsUtf8(aText)) {
     return MakeError(ErrorKind::InvalidJson, "text is not UTF-8");
   }
-  const std::string problem = StructureScanner(aText).Scan();
+  const std::string problem = StructureValidator(aText).Scan();
   if (!problem.empty()) {
     return MakeError(ErrorKind::InvalidJson, problem);
   }
@@ -375,12 +375,12 @@
   return value;
 }
 
-JsonReader::JsonReader(const JsonValue& aObject, std::string aWhere)
+JsonReader::JsonReader(const JsonValue& aObject, std::string aContext)
   : mObject(aObject)
-  , mWhere(std::move(aWhere))
+  , mContext(std::move(aContext))
 {
   if (aObject.category() != JsonValue::Object) {
-    mFindings.push_back((mWhere.empty() ? "document" : mWhere) +
+    mFindings.push_back((mContext.empty() ? "document" : mContext) +
                         " is not an object");
   }
 }
@@ -388,7 +388,7 @@
 void
 JsonReader::AddFinding(std::string_view aKey, std::string_view aProblem)
 {
-  std::string finding = mWhere.empty() ? "" : mWhere + ": ";
+  std::string finding = mContext.empty() ? "" : mContext + ": ";
   finding.append("'").append(aKey).append("' ").append(aProblem);
   mFindings.push_back(std::move(finding));
 }
@@ -396,7 +396,7 @@
 const JsonValue*
 JsonReader::GetMember(std::string_view aKey)
 {
-  mAsked.emplace_back(aKey);
+  mRequestedKeys.emplace_back(aKey);
   if (mObject.category() != JsonValue::Object) {
     return nullptr;
   }
@@ -412,7 +412,7 @@
     AddFinding(aKey, "is missing");
     return {};
   }
-  if (!IsText(*member)) {
+  if (!IsString(*member)) {
     AddFinding(aKey, "must be a string");
     return {};
   }
@@ -500,7 +500,7 @@
     return values;
   }
   for (const auto& it : *member) {
-    if (!IsText(it)) {
+    if (!IsString(it)) {
       AddFinding(aKey, "must be an array of strings");
       return {};
     }
@@ -517,7 +517,8 @@
     return;
   }
   for (const auto& it : mObject) {
-    if (std::find(mAsked.begin(), mAsked.end(), it.name()) == mAsked.end()) {
+    if (std::find(mRequestedKeys.begin(), mRequestedKeys.end(), it.name()) ==
+        mRequestedKeys.end()) {
       AddFinding(it.name(), "is unknown");
     }
   }
--- a/src/base/json_test.cpp
+++ b/src/base/json_test.cpp
@@ -11,7 +11,7 @@
   CPPUNIT_TEST_SUITE(JsonTest);
   CPPUNIT_TEST(RefusesMalformedText);
   CPPUNIT_TEST(RoundTripsTypedValues);
-  CPPUNIT_TEST(KeepsEveryCharacterOfText);
+  CPPUNIT_TEST(PreservesNonAsciiText);
   CPPUNIT_TEST(ReportsAllFindings);
   CPPUNIT_TEST_SUITE_END();
 
@@ -58,7 +58,7 @@
 
   // Guards against cxxtools' conversion of text to one byte per character,
   // which turns most characters into '?'.
-  void KeepsEveryCharacterOfText()
+  void PreservesNonAsciiText()
   {
     const std::string text =
       "Direcci\u00f3n \u20ac \U0001F600 \\u00e9 \x01\n\"";
--- a/src/base/resources.cpp
+++ b/src/base/resources.cpp
@@ -43,11 +43,11 @@
 }
 
 bool
-Fits(const Resources& aNeed, const Resources& aFree)
+Fits(const Resources& aRequired, const Resources& aAvailable)
 {
-  return aNeed.mMilliProcessors <= aFree.mMilliProcessors &&
-         aNeed.mMemoryBytes <= aFree.mMemoryBytes &&
-         aNeed.mAccelerators <= aFree.mAccelerators;
+  return aRequired.mMilliProcessors <= aAvailable.mMilliProcessors &&
+         aRequired.mMemoryBytes <= aAvailable.mMemoryBytes &&
+         aRequired.mAccelerators <= aAvailable.mAccelerators;
 }
 
 Resources
--- a/src/metrics/distribution.cpp
+++ b/src/metrics/distribution.cpp
@@ -28,7 +28,7 @@
 constexpr std::array<double, 4> kQuantiles{ 0.5, 0.9, 0.99, 0.999 };
 // extended_p_square estimates its quantiles from 2 * quantiles + 3 markers,
 // and has no estimate before it has a sample for each of them.
-constexpr std::int64_t kMarkers = 2 * kQuantiles.size() + 3;
+constexpr std::int64_t kMarkerCount = 2 * kQuantiles.size() + 3;
 
 // The nearest-rank quantile of a few sorted samples.
 double
@@ -45,7 +45,7 @@
   QuantileAccumulators mSet{ acc::extended_p_square_probabilities =
                                kQuantiles };
   /// The first samples, as long as there are no estimates.
-  std::vector<double> mFirst;
+  std::vector<double> mInitialSamples;
 };
 
 Distribution::Distribution()
@@ -60,10 +60,11 @@
 {
   const std::lock_guard<std::mutex> guard(mLock);
   mAccumulators->mSet(aSample);
-  auto& first = mAccumulators->mFirst;
-  if (static_cast<std::int64_t>(first.size()) < kMarkers) {
-    first.insert(std::upper_bound(first.begin(), first.end(), aSample),
-                 aSample);
+  auto& initialSamples = mAccumulators->mInitialSamples;
+  if (static_cast<std::int64_t>(initialSamples.size()) < kMarkerCount) {
+    initialSamples.insert(
+      std::upper_bound(initialSamples.begin(), initialSamples.end(), aSample),
+      aSample);
   }
 }
 
@@ -71,22 +72,22 @@
 Distribution::Read() const
 {
   const std::lock_guard<std::mutex> guard(mLock);
-  const auto& set = mAccumulators->mSet;
+  const auto& accumulators = mAccumulators->mSet;
   Summary summary;
-  summary.mCount = static_cast<std::int64_t>(acc::count(set));
+  summary.mCount = static_cast<std::int64_t>(acc::count(accumulators));
   if (summary.mCount == 0) {
     return summary;
   }
-  const bool isEstimated = summary.mCount > kMarkers;
+  const bool isEstimated = summary.mCount > kMarkerCount;
   std::array<double, kQuantiles.size()> values{};
-  auto estimate = acc::extended_p_square(set).begin();
+  auto estimate = acc::extended_p_square(accumulators).begin();
   for (std::size_t i = 0; i < values.size(); ++i, ++estimate) {
-    values[i] = isEstimated
-                  ? *estimate
-                  : ExactQuantile(mAccumulators->mFirst, kQuantiles[i]);
+    values[i] = isEstimated ? *estimate
+                            : ExactQuantile(mAccumulators->mInitialSamples,
+                                            kQuantiles[i]);
   }
-  summary.mSum = acc::sum(set);
-  summary.mMax = (acc::max)(set);
+  summary.mSum = acc::sum(accumulators);
+  summary.mMax = (acc::max)(accumulators);
   summary.mMedian = values[0];
   summary.mP90 = values[1];
   summary.mP99 = values[2];
--- a/src/metrics/metrics_test.cpp
+++ b/src/metrics/metrics_test.cpp
@@ -68,7 +68,7 @@
   void EstimatesQuantiles()
   {
     constexpr int kSamples = 200'000;
-    constexpr double kTolerance = 0.1;
+    constexpr double kRelativeTolerance = 0.1;
     const auto random = base::CreateSeededRandom(7);
     Distribution distribution;
     for (int i = 0; i < kSamples; ++i) {
@@ -83,7 +83,7 @@
                                                  { 0.99, summary.mP99 },
                                                  { 0.999, summary.mP999 } }) {
       const double exact = -std::log(1.0 - quantile);
-      CPPUNIT_ASSERT_DOUBLES_EQUAL(exact, estimate, kTolerance * exact);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(exact, estimate, kRelativeTolerance * exact);
     }
   }
 
--- a/src/metrics/registry.cpp
+++ b/src/metrics/registry.cpp
@@ -158,13 +158,13 @@
 std::string
 Registry::FormatPrometheus() const
 {
-  constexpr int kDigits = 12;
+  constexpr int kPrecision = 12;
   std::map<std::string, std::string> families;
   for (const Shard& shard : mShards) {
     const std::lock_guard<std::mutex> guard(shard.mLock);
     for (const auto& [name, family] : shard.mFamilies) {
       std::ostringstream out;
-      out.precision(kDigits);
+      out.precision(kPrecision);
       const Series& first = family.mSeries.begin()->second;
       out << "# HELP " << name << ' ' << family.mHelp << '\n';
       out << "# TYPE " << name << ' ';
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -41,7 +41,7 @@
 
 /// The body of a successful answer; whatever failed, nothing was changed.
 base::Result<std::string>
-Get(http::Client& aClient, std::string aTarget, base::TimePoint aDeadline)
+GetBody(http::Client& aClient, std::string aTarget, base::TimePoint aDeadline)
 {
   const http::ClientRequest request{
     "GET", std::move(aTarget), "", {}, Delivery::Idempotent
@@ -59,7 +59,7 @@
 
 template<typename T>
 base::Result<T>
-Interpret(base::Result<T> aParsed, ErrorKind aKind)
+ReplaceErrorKind(base::Result<T> aParsed, ErrorKind aKind)
 {
   if (aParsed.has_error()) {
     return MakeError(aKind, "invalid answer: " + aParsed.error().mDetail);
@@ -91,8 +91,8 @@
     if (response.value().mStatus != kStatusOk) {
       return ToAppendError(http::ParseErrorResponse(response.value()));
     }
-    return Interpret(ParseOffset(response.value().mBody),
-                     ErrorKind::AnswerLost);
+    return ReplaceErrorKind(ParseOffset(response.value().mBody),
+                            ErrorKind::AnswerLost);
   }
 
   base::Result<LogPage> Read(std::string_view aStream,
@@ -101,12 +101,12 @@
                              base::TimePoint aDeadline) override
   {
     BOOST_OUTCOME_TRY(body,
-                      Get(*mClient,
-                          "/log/" + http::EncodePercent(aStream) +
-                            "?from=" + std::to_string(aFrom) +
-                            "&max=" + std::to_string(aMaxRecords),
-                          aDeadline));
-    return Interpret(ParsePage(body), ErrorKind::LogUnavailable);
+                      GetBody(*mClient,
+                              "/log/" + http::EncodePercent(aStream) +
+                                "?from=" + std::to_string(aFrom) +
+                                "&max=" + std::to_string(aMaxRecords),
+                              aDeadline));
+    return ReplaceErrorKind(ParsePage(body), ErrorKind::LogUnavailable);
   }
 
 private:
@@ -124,8 +124,8 @@
   base::Result<std::vector<InstanceInfo>> Fetch(
     base::TimePoint aDeadline) override
   {
-    BOOST_OUTCOME_TRY(body, Get(*mClient, "/instances", aDeadline));
-    return Interpret(ParseInstances(body), ErrorKind::LogUnavailable);
+    BOOST_OUTCOME_TRY(body, GetBody(*mClient, "/instances", aDeadline));
+    return ReplaceErrorKind(ParseInstances(body), ErrorKind::LogUnavailable);
   }
 
 private:
--- a/src/platform/http_platform_test.cpp
+++ b/src/platform/http_platform_test.cpp
@@ -17,9 +17,9 @@
 {
   CPPUNIT_TEST_SUITE(HttpPlatformTest);
   CPPUNIT_TEST(AppendedRecordsAreReadBackUnchanged);
-  CPPUNIT_TEST(TellsLostAnswersFromUnsentAppends);
-  CPPUNIT_TEST(RefusedRecordsAreNotRetriedForEver);
-  CPPUNIT_TEST(FetchesInstancesAsTheAdministratorChangesThem);
+  CPPUNIT_TEST(DistinguishesLostResponsesFromUnsentAppends);
+  CPPUNIT_TEST(OversizedRecordsArePermanentErrors);
+  CPPUNIT_TEST(FetchesChangedInstances);
   CPPUNIT_TEST(RefusesPagesWithGaps);
   CPPUNIT_TEST_SUITE_END();
 
@@ -32,7 +32,7 @@
 
   base::TimePoint Deadline() const { return mClock.Now() + seconds(5); }
 
-  void Admin(const std::string& aBody)
+  void ChangePlatform(const std::string& aBody)
   {
     http::ClientOptions options{ "127.0.0.1", mServer->Port(), {} };
     const http::ClientRequest request{
@@ -78,20 +78,20 @@
   }
 
   // Guards against a writer that repeats a record that is already in the log.
-  void TellsLostAnswersFromUnsentAppends()
+  void DistinguishesLostResponsesFromUnsentAppends()
   {
-    Admin(R"({"lose_answers":1})");
+    ChangePlatform(R"({"lose_answers":1})");
     AssertKind(ErrorKind::AnswerLost, mLog->Append("s", "a", Deadline()));
     CPPUNIT_ASSERT_EQUAL(Offset{ 1 }, mFakeLog.EndOf("s"));
-    Admin(R"({"slow_ms":200})");
+    ChangePlatform(R"({"slow_ms":200})");
     AssertKind(ErrorKind::AnswerLost,
                mLog->Append("s", "b", mClock.Now() + milliseconds(50)));
     AssertKind(ErrorKind::LogUnavailable,
                mLog->Read("s", 0, 9, mClock.Now() + milliseconds(50)));
-    Admin(R"({"slow_ms":0,"down":true})");
+    ChangePlatform(R"({"slow_ms":0,"down":true})");
     AssertKind(ErrorKind::LogUnavailable, mLog->Append("s", "c", Deadline()));
     AssertKind(ErrorKind::LogUnavailable, mLog->Read("s", 0, 9, Deadline()));
-    Admin(R"({"down":false,"silent":true})");
+    ChangePlatform(R"({"down":false,"silent":true})");
     AssertKind(ErrorKind::AnswerLost,
                mLog->Append("s", "c", mClock.Now() + milliseconds(50)));
     mHandler.Release();
@@ -100,20 +100,21 @@
     CPPUNIT_ASSERT_EQUAL(Offset{ 2 }, mFakeLog.EndOf("s"));
   }
 
-  void RefusedRecordsAreNotRetriedForEver()
+  void OversizedRecordsArePermanentErrors()
   {
     AssertKind(ErrorKind::PayloadTooLarge,
                mLog->Append("s", std::string(2'000'000, 'x'), Deadline()));
   }
 
-  void FetchesInstancesAsTheAdministratorChangesThem()
+  void FetchesChangedInstances()
   {
     const auto list =
       CreateHttpInstanceList("127.0.0.1", mServer->Port(), mClock);
-    Admin(R"({"put":{"name":"w1","role":"worker","domain":"kochi","rack":"r",
+    ChangePlatform(
+      R"({"put":{"name":"w1","role":"worker","domain":"kochi","rack":"r",
              "address":"127.0.0.1","port":4000,"milli_processors":16000,
              "memory_bytes":7,"accelerators":1,"slots":8,"connections":64}})");
-    Admin(R"({"put":{"name":"e1","role":"entry","peer_port":5000}})");
+    ChangePlatform(R"({"put":{"name":"e1","role":"entry","peer_port":5000}})");
     const auto before = list->Fetch(Deadline()).value();
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, before.size());
     CPPUNIT_ASSERT(before[0].mRole == InstanceRole::Entry);
@@ -121,11 +122,11 @@
     CPPUNIT_ASSERT_EQUAL(std::string("kochi"), before[1].mDomain.mValue);
     CPPUNIT_ASSERT(before[1].mCapacity == (base::Resources{ 16'000, 7, 1 }));
     CPPUNIT_ASSERT_EQUAL(std::uint16_t{ 4000 }, before[1].mPort);
-    Admin(R"({"leaving":"w1","remove":"e1"})");
+    ChangePlatform(R"({"leaving":"w1","remove":"e1"})");
     const auto after = list->Fetch(Deadline()).value();
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, after.size());
     CPPUNIT_ASSERT(after[0].mState == InstanceState::Leaving);
-    Admin(R"({"down":true})");
+    ChangePlatform(R"({"down":true})");
     AssertKind(ErrorKind::LogUnavailable, list->Fetch(Deadline()));
   }
 
--- a/src/platform/platform_codec.cpp
+++ b/src/platform/platform_codec.cpp
@@ -46,21 +46,22 @@
 }
 
 void
-AddInstance(JsonValue& aObject, const InstanceInfo& aEntry)
+AddInstance(JsonValue& aObject, const InstanceInfo& aInstance)
 {
-  aObject.addMember("name") <<= aEntry.mName;
-  aObject.addMember("role") <<= std::string(NameOf(aEntry.mRole));
-  aObject.addMember("state") <<= std::string(NameOf(aEntry.mState));
-  aObject.addMember("domain") <<= aEntry.mDomain.mValue;
-  aObject.addMember("rack") <<= aEntry.mRack;
-  aObject.addMember("address") <<= aEntry.mAddress;
-  aObject.addMember("port") <<= std::int64_t{ aEntry.mPort };
-  aObject.addMember("peer_port") <<= std::int64_t{ aEntry.mPeerPort };
-  aObject.addMember("milli_processors") <<= aEntry.mCapacity.mMilliProcessors;
-  aObject.addMember("memory_bytes") <<= aEntry.mCapacity.mMemoryBytes;
-  aObject.addMember("accelerators") <<= aEntry.mCapacity.mAccelerators;
-  aObject.addMember("slots") <<= aEntry.mSlots;
-  aObject.addMember("connections") <<= aEntry.mConnections;
+  aObject.addMember("name") <<= aInstance.mName;
+  aObject.addMember("role") <<= std::string(NameOf(aInstance.mRole));
+  aObject.addMember("state") <<= std::string(NameOf(aInstance.mState));
+  aObject.addMember("domain") <<= aInstance.mDomain.mValue;
+  aObject.addMember("rack") <<= aInstance.mRack;
+  aObject.addMember("address") <<= aInstance.mAddress;
+  aObject.addMember("port") <<= std::int64_t{ aInstance.mPort };
+  aObject.addMember("peer_port") <<= std::int64_t{ aInstance.mPeerPort };
+  aObject.addMember("milli_processors") <<=
+    aInstance.mCapacity.mMilliProcessors;
+  aObject.addMember("memory_bytes") <<= aInstance.mCapacity.mMemoryBytes;
+  aObject.addMember("accelerators") <<= aInstance.mCapacity.mAccelerators;
+  aObject.addMember("slots") <<= aInstance.mSlots;
+  aObject.addMember("connections") <<= aInstance.mConnections;
 }
 
 } // namespace
@@ -151,8 +152,8 @@
 ReadInstance(const JsonValue& aObject)
 {
   JsonReader reader(aObject, "instance");
-  InstanceInfo entry;
-  entry.mName = reader.GetString("name");
+  InstanceInfo instance;
+  instance.mName = reader.GetString("name");
   BOOST_OUTCOME_TRY(role,
                     FindByName({ InstanceRole::Entry, InstanceRole::Worker },
                                reader.GetString("role", "worker")));
@@ -161,20 +162,20 @@
                                reader.GetString("state", "live")));
   BOOST_OUTCOME_TRY(port, ReadPort(reader, "port"));
   BOOST_OUTCOME_TRY(peerPort, ReadPort(reader, "peer_port"));
-  entry.mRole = role;
-  entry.mState = state;
-  entry.mPort = port;
-  entry.mPeerPort = peerPort;
-  entry.mDomain.mValue = reader.GetString("domain", "");
-  entry.mRack = reader.GetString("rack", "");
-  entry.mAddress = reader.GetString("address", "");
-  entry.mCapacity.mMilliProcessors = reader.GetInt("milli_processors", 0);
-  entry.mCapacity.mMemoryBytes = reader.GetInt("memory_bytes", 0);
-  entry.mCapacity.mAccelerators = reader.GetInt("accelerators", 0);
-  entry.mSlots = reader.GetInt("slots", 0);
-  entry.mConnections = reader.GetInt("connections", 0);
+  instance.mRole = role;
+  instance.mState = state;
+  instance.mPort = port;
+  instance.mPeerPort = peerPort;
+  instance.mDomain.mValue = reader.GetString("domain", "");
+  instance.mRack = reader.GetString("rack", "");
+  instance.mAddress = reader.GetString("address", "");
+  instance.mCapacity.mMilliProcessors = reader.GetInt("milli_processors", 0);
+  instance.mCapacity.mMemoryBytes = reader.GetInt("memory_bytes", 0);
+  instance.mCapacity.mAccelerators = reader.GetInt("accelerators", 0);
+  instance.mSlots = reader.GetInt("slots", 0);
+  instance.mConnections = reader.GetInt("connections", 0);
   BOOST_OUTCOME_TRYV(reader.Check());
-  return entry;
+  return instance;
 }
 
 std::string
@@ -201,12 +202,12 @@
     return MakeError(ErrorKind::InvalidArgument,
                      "'instances' must be an array");
   }
-  std::vector<InstanceInfo> entries;
+  std::vector<InstanceInfo> instances;
   for (const auto& it : *array) {
-    BOOST_OUTCOME_TRY(entry, ReadInstance(it));
-    entries.push_back(std::move(entry));
+    BOOST_OUTCOME_TRY(instance, ReadInstance(it));
+    instances.push_back(std::move(instance));
   }
-  return entries;
+  return instances;
 }
 
 } // namespace skylarkhill::platform
