--- a/include/skylarkhill/base/clock.hpp
+++ b/include/skylarkhill/base/clock.hpp
@@ -9,7 +9,8 @@
 
 using Duration = std::chrono::microseconds;
 
-/// Time since boot, including suspended time. Never steps backwards.
+/// Time since boot, including time during which the machine was suspended.
+/// Monotonic.
 struct BootClock
 {
   using duration = Duration;
@@ -26,14 +27,15 @@
 /// A deadline that never passes.
 inline constexpr TimePoint kNoDeadline = TimePoint::max();
 
-/// Source of the current time; injected everywhere.
+/// Source of the current time; an interface, so that tests can control the
+/// time.
 class Clock
 {
 public:
   virtual ~Clock() = default;
   /// The current boot time. Thread-safe.
   virtual TimePoint Now() const = 0;
-  /// Blocks the caller until `aTime`.
+  /// Blocks the calling thread until `aTime`.
   virtual void SleepUntil(TimePoint aTime) const;
 };
 
@@ -41,12 +43,12 @@
 const Clock&
 GetBootClock();
 
-/// A clock that tests set and advance. Thread-safe.
+/// A clock that changes only when it is set or advanced. Thread-safe.
 class ManualClock : public Clock
 {
 public:
   TimePoint Now() const override;
-  /// Sets the time to `aTime` unless it has passed.
+  /// Advances the time to `aTime` unless it is later already; never blocks.
   void SleepUntil(TimePoint aTime) const override;
   void Advance(Duration aStep);
   void Set(TimePoint aNow);
@@ -55,15 +57,15 @@
   mutable std::atomic<std::int64_t> mMicros{ 1'000'000'000 };
 };
 
-/// Microseconds since the epoch of the boot clock.
+/// `aTime` in microseconds since the epoch of the boot clock.
 std::int64_t
 ToMicros(TimePoint aTime);
 
-/// The point `aMicros` microseconds after the epoch of the boot clock.
+/// The time `aMicros` microseconds after the epoch of the boot clock.
 TimePoint
 FromMicros(std::int64_t aMicros);
 
-/// Time left until `aDeadline`, never negative.
+/// Time from `aNow` until `aDeadline`; never negative.
 Duration
 Remaining(TimePoint aNow, TimePoint aDeadline);
 
--- a/include/skylarkhill/base/error.hpp
+++ b/include/skylarkhill/base/error.hpp
@@ -9,8 +9,7 @@
 
 namespace skylarkhill::base {
 
-/// The closed list of error kinds. Every failure that leaves a module is one
-/// of these.
+/// The error kinds of all modules and HTTP interfaces.
 enum class ErrorKind
 {
   InvalidArgument,
@@ -44,24 +43,24 @@
 /// What a caller should do after an error.
 enum class RetryAdvice
 {
-  /// The same request can never succeed.
+  /// Repeating the same request cannot succeed.
   Never,
-  /// Retry after a pause.
+  /// Retry after a delay.
   Later,
   /// Retry at once, through another entry instance.
   Elsewhere,
-  /// Look up the outcome before any retry.
+  /// Query the outcome before a retry.
   CheckFirst,
 };
 
-/// Whether work may have run when a request ends with an error.
+/// Whether the work of a failed request may have run.
 enum class Execution
 {
   NotRun,
   MayHaveRun,
 };
 
-/// One row of the table from error kind to answer.
+/// Properties of one error kind.
 struct ErrorInfo
 {
   ErrorKind mKind;
@@ -71,7 +70,8 @@
   Execution mExecution;
 };
 
-/// An error kind with a human-readable detail. The detail holds no secrets.
+/// An error kind with a human-readable detail. The detail is sent to callers
+/// and must not contain secrets.
 struct Error
 {
   ErrorKind mKind = ErrorKind::Internal;
@@ -83,23 +83,23 @@
 using Result = BOOST_OUTCOME_V2_NAMESPACE::
   result<T, Error, BOOST_OUTCOME_V2_NAMESPACE::policy::terminate>;
 
-/// The row for `aKind`.
+/// The properties of `aKind`.
 const ErrorInfo&
 GetErrorInfo(ErrorKind aKind);
 
-/// The stable name of `aKind`, e.g. "log_unavailable".
+/// The name of `aKind` on the wire and in logs, e.g. "log_unavailable".
 std::string_view
 NameOf(ErrorKind aKind);
 
-/// The stable name of `aAdvice`, e.g. "later".
+/// The name of `aAdvice` on the wire, e.g. "later".
 std::string_view
 NameOf(RetryAdvice aAdvice);
 
-/// The kind with the name `aName`, or nothing.
+/// The kind named `aName`, or nothing.
 std::optional<ErrorKind>
 ParseErrorKind(std::string_view aName);
 
-/// An Error ready to be returned from a function that returns Result.
+/// Makes an Error, which converts implicitly to a failed Result.
 Error
 MakeError(ErrorKind aKind, std::string aDetail = {});
 
--- a/include/skylarkhill/base/hash.hpp
+++ b/include/skylarkhill/base/hash.hpp
@@ -8,12 +8,12 @@
 
 namespace skylarkhill::base {
 
-/// A 64-bit hash that is the same in every process and release.
+/// A 64-bit hash with the same value in every process and release.
 std::uint64_t
 StableHash(std::string_view aText, std::uint64_t aSeed = 0);
 
-/// The members in rendezvous order for `aKey`, the preferred one first.
-/// Removing a member changes the order of no other two.
+/// Sorts `aMembers` by their rendezvous hash for `aKey`, the preferred one
+/// first. Removing a member does not change the relative order of the others.
 std::vector<std::string>
 RendezvousRank(std::string_view aKey, std::vector<std::string> aMembers);
 
--- a/include/skylarkhill/base/id.hpp
+++ b/include/skylarkhill/base/id.hpp
@@ -8,7 +8,7 @@
 
 namespace skylarkhill::base {
 
-/// A string identifier that does not mix with identifiers of another kind.
+/// A string identifier whose type depends on what it identifies.
 template<typename Tag>
 struct Id
 {
@@ -32,17 +32,17 @@
   }
 };
 
-/// Names a worker in the platform's list.
+/// Identifies a worker in the platform's instance list.
 using WorkerId = Id<struct WorkerTag>;
-/// Names an entry instance; a replacement has another id.
+/// Identifies an entry instance; a replacement has another id.
 using InstanceId = Id<struct InstanceTag>;
-/// Names a failure domain.
+/// Identifies a failure domain.
 using DomainId = Id<struct DomainTag>;
-/// Names a batch task; derived from the caller's idempotency key.
+/// Identifies a batch task; derived from the caller's idempotency key.
 using TaskId = Id<struct TaskTag>;
-/// Names one caller request; the caller's idempotency key where it has one.
+/// Identifies a request of a caller; the idempotency key if there is one.
 using RequestId = Id<struct RequestTag>;
-/// Names a job: the set of tasks of one submission.
+/// Identifies a job: the set of tasks of one submission.
 using JobId = Id<struct JobTag>;
 
 } // namespace skylarkhill::base
--- a/include/skylarkhill/base/json.hpp
+++ b/include/skylarkhill/base/json.hpp
@@ -15,13 +15,12 @@
 /// A parsed JSON value.
 using JsonValue = cxxtools::SerializationInfo;
 
-/// Parses one JSON document. Refuses text that is truncated, is not UTF-8, has
-/// duplicate keys, is nested deeper than 64 levels or has trailing text
-/// (InvalidJson).
+/// Parses one JSON document. InvalidJson if the text is malformed or not UTF-8,
+/// has duplicate keys or trailing text, or is nested deeper than 64 levels.
 Result<JsonValue>
 ParseJson(std::string_view aText);
 
-/// Compact JSON text of `aValue`.
+/// Formats `aValue` as compact JSON text.
 std::string
 FormatJson(const JsonValue& aValue);
 
@@ -33,8 +32,8 @@
 JsonValue
 MakeJsonObject();
 
-/// Typed access to the members of one JSON object. Findings are collected so
-/// that all of them can be reported at once.
+/// Typed access to the members of one JSON object. Errors are collected as
+/// findings, so that all of them can be reported at once.
 class JsonReader
 {
 public:
@@ -51,7 +50,7 @@
   /// The member, or null if it is absent.
   const JsonValue* GetMember(std::string_view aKey);
 
-  /// Adds a finding for every member that no getter asked for.
+  /// Adds a finding for every member that no getter has been called for.
   void RejectUnknown();
   const std::vector<std::string>& Findings() const { return mFindings; }
   /// InvalidArgument with all findings joined, if there are any.
--- a/include/skylarkhill/base/name_table.hpp
+++ b/include/skylarkhill/base/name_table.hpp
@@ -8,7 +8,7 @@
 
 namespace skylarkhill::base {
 
-/// One enumerator and its stable name.
+/// An enumerator and its name on the wire, in logs or in settings.
 template<typename Enum>
 struct NamedValue
 {
@@ -16,7 +16,7 @@
   std::string_view mName;
 };
 
-/// The stable names of an `enum class`.
+/// The names of the enumerators of an `enum class`.
 template<typename Enum, std::size_t N>
 using NameTable = std::array<NamedValue<Enum>, N>;
 
--- a/include/skylarkhill/base/random.hpp
+++ b/include/skylarkhill/base/random.hpp
@@ -8,7 +8,7 @@
 
 namespace skylarkhill::base {
 
-/// Source of randomness; injected everywhere. Not thread-safe: one per shard.
+/// Random number generator. Not thread-safe; use one per thread.
 class Random
 {
 public:
--- a/include/skylarkhill/base/resources.hpp
+++ b/include/skylarkhill/base/resources.hpp
@@ -5,7 +5,7 @@
 
 namespace skylarkhill::base {
 
-/// What a worker has or a task needs.
+/// Resources that a worker provides or a task requires.
 struct Resources
 {
   /// Thousandths of a processor.
@@ -30,7 +30,7 @@
 bool
 Fits(const Resources& aRequired, const Resources& aAvailable);
 
-/// The larger value in every dimension.
+/// The larger of both values in every dimension.
 Resources
 Max(const Resources& aLeft, const Resources& aRight);
 
--- a/include/skylarkhill/logging/logging.hpp
+++ b/include/skylarkhill/logging/logging.hpp
@@ -18,7 +18,7 @@
   Error,
 };
 
-/// The stable name of `aLevel`.
+/// The name of `aLevel` in settings.
 std::string_view
 NameOf(Level aLevel);
 
@@ -36,17 +36,18 @@
   Field(std::string_view aKey, std::int64_t aValue);
 };
 
-/// Sets up the process-wide logger: key=value lines on standard error.
+/// Configures the process-wide logger, which writes key=value lines to standard
+/// output.
 void
 ConfigureLogging(Level aLevel);
 
-/// Writes one line for a change of state. Values are quoted where needed.
+/// Writes one log line for the event `aEvent`. Values are quoted if necessary.
 void
 Write(Level aLevel,
       std::string_view aEvent,
       std::initializer_list<Field> aFields);
 
-/// The text of one line, without time and level.
+/// Formats one log line without time and level.
 std::string
 FormatLine(std::string_view aEvent, std::initializer_list<Field> aFields);
 
--- a/include/skylarkhill/metrics/label.hpp
+++ b/include/skylarkhill/metrics/label.hpp
@@ -7,9 +7,9 @@
 
 namespace skylarkhill::metrics {
 
-/// What a label tells about a time series. A closed list: values come from the
-/// published set, the settings and enumerations, never from callers, so that
-/// the number of series is bounded.
+/// Keys of labels. Label values come from the published configuration, the
+/// settings and enumerations, never from callers, so that the number of time
+/// series is bounded.
 enum class LabelKey
 {
   Service,
@@ -32,7 +32,7 @@
 
 using Labels = std::vector<Label>;
 
-/// The name of `aKey` in the output, e.g. "batch_class".
+/// The name of `aKey` in the Prometheus text, e.g. "batch_class".
 std::string_view
 NameOf(LabelKey aKey);
 
--- a/include/skylarkhill/metrics/registry.hpp
+++ b/include/skylarkhill/metrics/registry.hpp
@@ -15,7 +15,7 @@
 
 namespace skylarkhill::metrics {
 
-/// A number that only grows. Thread-safe.
+/// A monotonically increasing value. Thread-safe.
 class Counter
 {
 public:
@@ -26,7 +26,7 @@
   std::atomic<std::int64_t> mValue{ 0 };
 };
 
-/// A number that goes up and down. Thread-safe.
+/// A value that can increase and decrease. Thread-safe.
 class Gauge
 {
 public:
@@ -38,7 +38,7 @@
   std::atomic<std::int64_t> mValue{ 0 };
 };
 
-/// Estimates of a distribution since the start of the process.
+/// Count, sum and quantile estimates of all samples of a distribution.
 struct Summary
 {
   std::int64_t mCount = 0;
@@ -51,7 +51,7 @@
   double mP999 = 0.0;
 };
 
-/// Samples reduced to quantile estimates in constant memory. Thread-safe.
+/// Estimates quantiles of samples in constant memory. Thread-safe.
 class Distribution
 {
 public:
@@ -70,14 +70,14 @@
   std::unique_ptr<Accumulators> mAccumulators;
 };
 
-/// All time series of a process. Thread-safe; the returned references are
-/// valid as long as the registry, so that callers on busy paths keep them.
+/// All time series of a process. Thread-safe. Returned references are valid for
+/// the lifetime of the registry; callers on hot paths should keep them.
 class Registry
 {
 public:
-  /// The series with that name and these labels in any order, created on first
-  /// use. Names and one-line help texts are constants in the code; a name
-  /// always has the same kind.
+  /// Returns the series with this name and these labels, in any order; creates
+  /// it on first use. Names and one-line help texts must be constants, and a
+  /// name must always be used with the same type of series.
   Counter& GetCounter(std::string_view aName,
                       std::string_view aHelp,
                       Labels aLabels = {});
@@ -88,7 +88,7 @@
                                 std::string_view aHelp,
                                 Labels aLabels = {});
 
-  /// All series as Prometheus text, in the order of names and labels.
+  /// All series in the Prometheus text format, sorted by name and labels.
   std::string FormatPrometheus() const;
 
 private:
--- a/include/skylarkhill/platform/http_platform.hpp
+++ b/include/skylarkhill/platform/http_platform.hpp
@@ -11,15 +11,16 @@
 
 namespace skylarkhill::platform {
 
-/// The log at the IP address `aAddress`. Besides the errors of LogService,
-/// Append may return InvalidArgument or PayloadTooLarge: the log never accepts
-/// this record. `aClock` must outlive the service.
+/// Client of the log service at the IP address `aAddress`. Besides the errors
+/// of LogService, Append may return InvalidArgument or PayloadTooLarge if the
+/// log rejects the record permanently. `aClock` must outlive the service.
 std::unique_ptr<LogService>
 CreateHttpLogService(std::string aAddress,
                      std::uint16_t aPort,
                      const base::Clock& aClock);
 
-/// The instance list at the IP address `aAddress`.
+/// Client of the instance list at the IP address `aAddress`. `aClock` must
+/// outlive it.
 std::unique_ptr<InstanceList>
 CreateHttpInstanceList(std::string aAddress,
                        std::uint16_t aPort,
--- a/include/skylarkhill/platform/instance_list.hpp
+++ b/include/skylarkhill/platform/instance_list.hpp
@@ -13,21 +13,21 @@
 
 namespace skylarkhill::platform {
 
-/// What an instance is for.
+/// Role of an instance.
 enum class InstanceRole
 {
   Entry,
   Worker,
 };
 
-/// What the platform believes of an instance; it lags.
+/// State of an instance according to the platform; may be out of date.
 enum class InstanceState
 {
   Live,
   Leaving,
 };
 
-/// One row of the platform's list.
+/// One instance in the platform's list.
 struct InstanceInfo
 {
   std::string mName;
@@ -40,27 +40,27 @@
   std::uint16_t mPort = 0;
   /// Port for messages between entry instances; 0 for workers.
   std::uint16_t mPeerPort = 0;
-  /// What a worker has in total; zero for entry instances.
+  /// Total resources of a worker; zero for entry instances.
   base::Resources mCapacity;
   std::int64_t mSlots = 0;
   std::int64_t mConnections = 0;
 };
 
-/// The stable name of `aRole`.
+/// The name of `aRole` in the platform's HTTP interface.
 std::string_view
 NameOf(InstanceRole aRole);
 
-/// The stable name of `aState`.
+/// The name of `aState` in the platform's HTTP interface.
 std::string_view
 NameOf(InstanceState aState);
 
-/// The platform's lagging list of instances. Thread-safe.
+/// The platform's list of instances, which may be out of date. Thread-safe.
 class InstanceList
 {
 public:
   virtual ~InstanceList() = default;
-  /// The list as the platform has it now. LogUnavailable if the platform does
-  /// not answer by `aDeadline`.
+  /// Fetches the current list. LogUnavailable if the platform does not return
+  /// it by `aDeadline`.
   virtual base::Result<std::vector<InstanceInfo>> Fetch(
     base::TimePoint aDeadline) = 0;
 };
--- a/include/skylarkhill/platform/log_service.hpp
+++ b/include/skylarkhill/platform/log_service.hpp
@@ -14,7 +14,7 @@
 /// Position of a record in a stream; grows by one per record.
 using Offset = std::int64_t;
 
-/// One record of a stream. The payload may hold any bytes that are UTF-8.
+/// One record of a stream. The payload may be any UTF-8 text.
 struct LogRecord
 {
   Offset mOffset = 0;
@@ -24,28 +24,28 @@
 /// A contiguous part of a stream.
 struct LogPage
 {
-  /// The oldest offset that the service still keeps.
+  /// The oldest offset that the service still retains.
   Offset mFirstRetained = 0;
   /// One past the newest offset.
   Offset mEnd = 0;
   std::vector<LogRecord> mRecords;
 };
 
-/// The platform's append-only log. Thread-safe; calls block until
-/// `aDeadline` at the latest.
+/// The platform's append-only log. Thread-safe. Calls block, at most until
+/// `aDeadline`.
 class LogService
 {
 public:
   virtual ~LogService() = default;
 
-  /// Appends one record and returns its offset. LogUnavailable: nothing was
-  /// written. AnswerLost: the write may have taken effect.
+  /// Appends one record and returns its offset. LogUnavailable if nothing was
+  /// written, AnswerLost if the record may have been written.
   virtual base::Result<Offset> Append(std::string_view aStream,
                                       std::string_view aPayload,
                                       base::TimePoint aDeadline) = 0;
 
-  /// Reads up to `aMaxRecords` records from `aFrom` on. Starts at the first
-  /// retained record if `aFrom` has expired. LogUnavailable.
+  /// Reads up to `aMaxRecords` records starting at `aFrom`, or at the first
+  /// retained record if `aFrom` is no longer retained. LogUnavailable.
   virtual base::Result<LogPage> Read(std::string_view aStream,
                                      Offset aFrom,
                                      std::int64_t aMaxRecords,
--- a/include/skylarkhill/platform/platform_codec.hpp
+++ b/include/skylarkhill/platform/platform_codec.hpp
@@ -21,7 +21,7 @@
 base::Result<std::string>
 ParseAppend(std::string_view aBody);
 
-/// Answer to an append.
+/// Response body of an append.
 std::string
 FormatOffset(Offset aOffset);
 base::Result<Offset>
@@ -32,13 +32,13 @@
 base::Result<LogPage>
 ParsePage(std::string_view aBody);
 
-/// One instance; absent members have their defaults.
+/// Parses one instance; absent members keep their defaults.
 base::Result<InstanceInfo>
 ReadInstance(const base::JsonValue& aObject);
 
 std::string
 FormatInstances(const std::vector<InstanceInfo>& aInstances);
-/// Takes {"instances": [...]} or the array alone.
+/// Accepts {"instances": [...]} or the array alone.
 base::Result<std::vector<InstanceInfo>>
 ParseInstances(std::string_view aBody);
 
--- a/src/base/base_test.cpp
+++ b/src/base/base_test.cpp
@@ -20,7 +20,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against a row that was added in another order than its enumerator.
+  // Guards against rows that are not in the order of the enumerators.
   void ErrorTableMatchesEnumerators()
   {
     for (int n = 0; n <= static_cast<int>(ErrorKind::Internal); ++n) {
--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -11,8 +11,8 @@
 class SystemBootClock : public Clock
 {
 public:
-  // CLOCK_BOOTTIME counts suspended time, so that a lease that lapsed while
-  // the machine slept is seen as lapsed.
+  // CLOCK_BOOTTIME includes suspended time, so that a lease that expired while
+  // the machine was suspended counts as expired.
   TimePoint Now() const override
   {
     timespec buf{};
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -16,7 +16,8 @@
 constexpr auto kNotRun = Execution::NotRun;
 constexpr auto kMayHaveRun = Execution::MayHaveRun;
 
-// One row per kind, in the order of the enumerators: GetErrorInfo indexes it.
+// One row per kind, in the order of the enumerators, since GetErrorInfo uses
+// the enumerator as index.
 constexpr std::array<ErrorInfo, 26> kErrorTable{ {
   { ErrorKind::InvalidArgument, "invalid_argument", 400, kNever, kNotRun },
   { ErrorKind::InvalidJson, "invalid_json", 400, kNever, kNotRun },
--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-// Finalizer of SplitMix64: FNV-1a alone leaves the high bits of short keys
-// poorly mixed, which would skew the rendezvous order.
+// Finalizer of SplitMix64. FNV-1a alone mixes the high bits of short keys
+// poorly, which would skew the rendezvous order.
 std::uint64_t
 Mix(std::uint64_t aValue)
 {
--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -19,8 +19,8 @@
 
 constexpr int kMaxNestingDepth = 64;
 
-/// Walks JSON text once to reject what cxxtools' parser accepts: duplicate
-/// keys, deep nesting, and text after the document.
+/// Rejects JSON text that the parser of cxxtools accepts although it has
+/// duplicate keys, is nested too deeply or has text after the document.
 class StructureValidator
 {
 public:
@@ -29,7 +29,7 @@
   {
   }
 
-  /// Empty, or the reason for a refusal.
+  /// Returns an error message, or an empty string if the text is accepted.
   std::string Scan()
   {
     if (!ScanValue(0)) {
@@ -192,8 +192,8 @@
   return (aByte & 0xC0U) == 0x80U;
 }
 
-// cxxtools keeps parsed numbers and truth values as text and tells their type
-// only by the type name.
+// cxxtools keeps parsed numbers and booleans as text; only the type name shows
+// their type.
 bool
 HasTypeName(const JsonValue& aValue,
             std::initializer_list<std::string_view> aNames)
@@ -251,9 +251,9 @@
   }
 }
 
-// cxxtools narrows parsed text to one byte per character when it is read as a
-// std::string, which turns most characters into '?'. All text is therefore kept
-// as UTF-8 bytes from here on.
+// cxxtools narrows parsed strings to one byte per character when they are read
+// as std::string, which turns most characters into '?'. All strings are
+// therefore converted to UTF-8 after parsing.
 // NOLINTNEXTLINE(misc-no-recursion): the depth is bounded by kMaxNestingDepth.
 void
 StoreTextAsUtf8(JsonValue& aValue)
@@ -275,8 +275,8 @@
   return value == std::string_view::npos ? -1 : static_cast<int>(value);
 }
 
-/// The byte that `aText` begins with in the form \u00XX, or nothing. Only bytes
-/// from 0x80 on are recognized.
+/// The byte at the start of `aText` if it is escaped as \u00XX and not ASCII,
+/// or nothing.
 std::optional<char>
 ParseEscapedByte(std::string_view aText)
 {
@@ -292,8 +292,9 @@
   return static_cast<char>(high * 16 + low);
 }
 
-// cxxtools' formatter writes every byte of a std::string as if it were a
-// character of its own, so a UTF-8 sequence comes out as several escapes.
+// The formatter of cxxtools escapes every byte of a UTF-8 sequence as a
+// separate character. This function replaces these escapes by the original
+// bytes.
 std::string
 RestoreUtf8(std::string_view aText)
 {
--- a/src/base/json_test.cpp
+++ b/src/base/json_test.cpp
@@ -16,7 +16,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against cxxtools' parser accepting text that other readers refuse.
+  // Guards against malformed text that the parser of cxxtools accepts.
   void RefusesMalformedText()
   {
     for (const char* it : { "",
@@ -56,8 +56,8 @@
     CPPUNIT_ASSERT(reader.Check().has_value());
   }
 
-  // Guards against cxxtools' conversion of text to one byte per character,
-  // which turns most characters into '?'.
+  // Guards against the conversion to one byte per character in cxxtools, which
+  // turns most characters into '?'.
   void PreservesNonAsciiText()
   {
     const std::string text =
--- a/src/metrics/distribution.cpp
+++ b/src/metrics/distribution.cpp
@@ -26,11 +26,11 @@
                                   acc::tag::extended_p_square>>;
 
 constexpr std::array<double, 4> kQuantiles{ 0.5, 0.9, 0.99, 0.999 };
-// extended_p_square estimates its quantiles from 2 * quantiles + 3 markers,
-// and has no estimate before it has a sample for each of them.
+// extended_p_square estimates n quantiles from 2 * n + 3 markers. Its estimates
+// are valid only after it has received a sample for each marker.
 constexpr std::int64_t kMarkerCount = 2 * kQuantiles.size() + 3;
 
-// The nearest-rank quantile of a few sorted samples.
+// Returns the nearest-rank quantile of sorted samples.
 double
 ExactQuantile(const std::vector<double>& aSorted, double aQuantile)
 {
@@ -44,7 +44,7 @@
 {
   QuantileAccumulators mSet{ acc::extended_p_square_probabilities =
                                kQuantiles };
-  /// The first samples, as long as there are no estimates.
+  /// The first samples, used until the estimates are valid.
   std::vector<double> mInitialSamples;
 };
 
--- a/src/metrics/metrics_test.cpp
+++ b/src/metrics/metrics_test.cpp
@@ -22,7 +22,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against text that a Prometheus server refuses.
+  // Guards against output that is not valid Prometheus text.
   void PrintsPrometheusText()
   {
     Registry registry;
@@ -52,7 +52,7 @@
                          registry.FormatPrometheus());
   }
 
-  // Guards against one series being split by the order of its labels.
+  // Guards against separate series for the same labels in a different order.
   void FindsSeriesByLabels()
   {
     Registry registry;
@@ -64,7 +64,7 @@
     CPPUNIT_ASSERT(&one != &registry.GetCounter("n", "N.", { kind }));
   }
 
-  // Guards against estimates that are far off at the tail.
+  // Guards against inaccurate estimates of high quantiles.
   void EstimatesQuantiles()
   {
     constexpr int kSamples = 200'000;
@@ -87,8 +87,8 @@
     }
   }
 
-  // Guards against the estimator's markers, which are not filled yet by the
-  // first samples, being reported as quantiles.
+  // Guards against reporting estimates before the estimator has a sample for
+  // each of its markers.
   void SummarizesFewSamples()
   {
     Distribution distribution;
@@ -102,7 +102,8 @@
     CPPUNIT_ASSERT_EQUAL(3.0, summary.mMax);
   }
 
-  // Guards against lost updates and against output during updates.
+  // Guards against lost updates and against data races between updates and
+  // FormatPrometheus.
   void CountsFromManyThreads()
   {
     constexpr int kThreads = 8;
--- a/src/metrics/registry.cpp
+++ b/src/metrics/registry.cpp
@@ -32,7 +32,8 @@
   return escaped;
 }
 
-// "{key="value",...}" or nothing; `aQuantile` is added unless it is empty.
+// Formats labels as {key="value",...}; empty if there are none. Adds a quantile
+// label unless `aQuantile` is empty.
 std::string
 FormatLabels(const Labels& aLabels, std::string_view aQuantile = {})
 {
@@ -48,7 +49,7 @@
   return text.empty() ? text : text.append("}");
 }
 
-/// Prints the series of one family.
+/// Prints all series of one metric.
 class SeriesPrinter
 {
 public:
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -16,7 +16,7 @@
 
 constexpr int kStatusOk = 200;
 
-/// The error of an append whose call failed with `aError`.
+/// Converts the error of an HTTP call to the error of the append.
 base::Error
 ToAppendError(base::Error aError)
 {
@@ -26,7 +26,7 @@
       return MakeError(ErrorKind::InvalidArgument, std::move(aError.mDetail));
     case ErrorKind::PayloadTooLarge:
       return aError;
-    // The client uses this kind after it has sent the request.
+    // The client returns this kind only after it has sent the request.
     case ErrorKind::DeadlineExceeded:
       return MakeError(ErrorKind::AnswerLost, std::move(aError.mDetail));
     default:
@@ -39,7 +39,8 @@
                    std::move(aError.mDetail));
 }
 
-/// The body of a successful answer; whatever failed, nothing was changed.
+/// Returns the body of a successful GET response. Every failure is
+/// LogUnavailable, since a GET has no side effects.
 base::Result<std::string>
 GetBody(http::Client& aClient, std::string aTarget, base::TimePoint aDeadline)
 {
@@ -62,7 +63,7 @@
 ReplaceErrorKind(base::Result<T> aParsed, ErrorKind aKind)
 {
   if (aParsed.has_error()) {
-    return MakeError(aKind, "invalid answer: " + aParsed.error().mDetail);
+    return MakeError(aKind, "invalid response: " + aParsed.error().mDetail);
   }
   return aParsed;
 }
--- a/src/platform/http_platform_test.cpp
+++ b/src/platform/http_platform_test.cpp
@@ -77,7 +77,7 @@
     CPPUNIT_ASSERT_EQUAL(payload, page.mRecords[1].mPayload);
   }
 
-  // Guards against a writer that repeats a record that is already in the log.
+  // Guards against a writer that appends a record a second time.
   void DistinguishesLostResponsesFromUnsentAppends()
   {
     ChangePlatform(R"({"lose_answers":1})");
--- a/src/platform/platform_codec.cpp
+++ b/src/platform/platform_codec.cpp
@@ -21,7 +21,7 @@
   return element;
 }
 
-/// The enumerator named `aName`, or a finding-like error.
+/// The enumerator named `aName`. InvalidArgument.
 template<typename Enum>
 base::Result<Enum>
 FindByName(std::initializer_list<Enum> aValues, const std::string& aName)
@@ -137,7 +137,7 @@
     record.mOffset = element.GetInt("offset");
     record.mPayload = element.GetString("payload");
     BOOST_OUTCOME_TRYV(element.Check());
-    // A gap would let a reader miss a record without noticing it.
+    // A reader would not notice a record that is missing in a gap.
     if (!page.mRecords.empty() &&
         record.mOffset != page.mRecords.back().mOffset + 1) {
       return MakeError(ErrorKind::InvalidArgument,
