Rename the functions of the platform codec and fields of the HTTP client

FormatAppend -> FormatAppendRequest ParseAppend -> ParseAppendRequest FormatOffset -> FormatAppendResponse ParseOffset -> ParseAppendResponse FormatPage -> FormatLogPage ParsePage -> ParseLogPage ReadInstance -> ParseInstance mMayBeRepeated -> mIsPossiblyResent mMaxIdleAge -> mMaxIdleTime EncodePercent -> PercentEncode DecodePercent -> PercentDecode kMaxIdleAge -> kMaxIdleTime

--- a/include/skylarkhill/http/client.hpp
+++ b/include/skylarkhill/http/client.hpp
@@ -42,7 +42,7 @@
   /// The complete response, whatever its status. WorkerUnavailable or
   /// InvalidArgument: nothing was sent. ConnectionLost or DeadlineExceeded: the
   /// server may have received the request.
-  /// A response on a pooled connection has mMayBeRepeated set.
+  /// A response on a pooled connection has mIsPossiblyResent set.
   virtual base::Result<Response> Call(const ClientRequest& aRequest,
                                       base::TimePoint aDeadline) = 0;
 };
@@ -60,7 +60,7 @@
   std::size_t mMaxIdleConnections = 8;
   /// A pooled connection that was idle for this long is not reused. Must be
   /// well below the idle timeout of the server.
-  base::Duration mMaxIdleAge = std::chrono::seconds(5);
+  base::Duration mMaxIdleTime = std::chrono::seconds(5);
 };
 
 /// Connects on the first call. `aClock` must outlive the client.
--- a/include/skylarkhill/http/message.hpp
+++ b/include/skylarkhill/http/message.hpp
@@ -41,7 +41,7 @@
   bool mDropConnection = false;
   /// Set by the client if it may have sent the request twice. An error response
   /// then does not prove that the request had no effect.
-  bool mMayBeRepeated = false;
+  bool mIsPossiblyResent = false;
 };
 
 /// The value of the first field named `aName`, ignoring case, or null.
@@ -50,7 +50,7 @@
 
 /// Percent-encodes every byte of `aText` that is not unreserved in a URL.
 std::string
-EncodePercent(std::string_view aText);
+PercentEncode(std::string_view aText);
 
 } // namespace skylarkhill::http
 
--- a/include/skylarkhill/platform/platform_codec.hpp
+++ b/include/skylarkhill/platform/platform_codec.hpp
@@ -17,24 +17,24 @@
 
 /// Request body of an append.
 std::string
-FormatAppend(std::string_view aPayload);
+FormatAppendRequest(std::string_view aPayload);
 base::Result<std::string>
-ParseAppend(std::string_view aBody);
+ParseAppendRequest(std::string_view aBody);
 
 /// Response body of an append.
 std::string
-FormatOffset(Offset aOffset);
+FormatAppendResponse(Offset aOffset);
 base::Result<Offset>
-ParseOffset(std::string_view aBody);
+ParseAppendResponse(std::string_view aBody);
 
 std::string
-FormatPage(const LogPage& aPage);
+FormatLogPage(const LogPage& aPage);
 base::Result<LogPage>
-ParsePage(std::string_view aBody);
+ParseLogPage(std::string_view aBody);
 
 /// Parses one instance; absent members keep their defaults.
 base::Result<InstanceInfo>
-ReadInstance(const base::JsonValue& aObject);
+ParseInstance(const base::JsonValue& aObject);
 
 std::string
 FormatInstances(const std::vector<InstanceInfo>& aInstances);
--- a/src/cli/task_commands.cpp
+++ b/src/cli/task_commands.cpp
@@ -37,8 +37,8 @@
     http::ClientRequest request;
     request.mMethod = "DELETE";
     request.mTarget =
-      "/v1/tasks/" + http::EncodePercent(aOptions["task"].as<std::string>()) +
-      "?caller=" + http::EncodePercent(aOptions["caller"].as<std::string>());
+      "/v1/tasks/" + http::PercentEncode(aOptions["task"].as<std::string>()) +
+      "?caller=" + http::PercentEncode(aOptions["caller"].as<std::string>());
     const auto credential = AddCredential(aOptions, request);
     if (!credential) {
       return PrintError(aOptions, credential.error());
@@ -74,11 +74,11 @@
     request.mTarget = "/v1/config";
     if (aOptions.count("task") != 0) {
       request.mTarget =
-        "/v1/tasks/" + http::EncodePercent(aOptions["task"].as<std::string>());
+        "/v1/tasks/" + http::PercentEncode(aOptions["task"].as<std::string>());
     } else if (aOptions.count("request") != 0) {
       request.mTarget =
         "/v1/requests/" +
-        http::EncodePercent(aOptions["request"].as<std::string>());
+        http::PercentEncode(aOptions["request"].as<std::string>());
     }
     return PrintResponse(aOptions, CallEntry(aOptions, request));
   }
--- a/src/http/call_loop.cpp
+++ b/src/http/call_loop.cpp
@@ -29,7 +29,7 @@
 
 /// An idle connection is not reused after this time. Below the idle timeout of
 /// the platform's servers, which is 15 s.
-constexpr base::Duration kMaxIdleAge = std::chrono::seconds(8);
+constexpr base::Duration kMaxIdleTime = std::chrono::seconds(8);
 
 /// Bounds one wait, so that calls past their deadline are noticed.
 constexpr base::Duration kMaxWait = std::chrono::milliseconds(500);
@@ -230,7 +230,7 @@
     for (auto& it : finished) {
       it->InvokeHandler();
       if (!it->IsBroken()) {
-        it->SetReusableUntil(now + kMaxIdleAge);
+        it->SetReusableUntil(now + kMaxIdleTime);
         mIdle[it->Address()].push_back(std::move(it));
       }
     }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -85,7 +85,7 @@
     }
     auto response = Execute(*client, aRequest, aDeadline);
     if (isReused && response) {
-      response.value().mMayBeRepeated = true;
+      response.value().mIsPossiblyResent = true;
     }
     // The library may have sent the request on the pooled connection before the
     // connection attempt that failed.
@@ -139,7 +139,7 @@
   {
     const std::lock_guard lock(mMutex);
     mIdle.push_back(
-      { std::move(aClient), mClock.Now() + mOptions.mMaxIdleAge });
+      { std::move(aClient), mClock.Now() + mOptions.mMaxIdleTime });
     if (mIdle.size() > mOptions.mMaxIdleConnections) {
       mIdle.pop_front();
     }
--- a/src/http/client_test.cpp
+++ b/src/http/client_test.cpp
@@ -207,9 +207,9 @@
     // Guards against treating an error response to a resent request as proof
     // that the request did not run.
     const auto first = Send(*client, Delivery::Idempotent);
-    CPPUNIT_ASSERT(first && !first.value().mMayBeRepeated);
+    CPPUNIT_ASSERT(first && !first.value().mIsPossiblyResent);
     const auto second = Send(*client, Delivery::Idempotent);
-    CPPUNIT_ASSERT(second && second.value().mMayBeRepeated);
+    CPPUNIT_ASSERT(second && second.value().mIsPossiblyResent);
     CPPUNIT_ASSERT(Send(*client, Delivery::Idempotent));
     CPPUNIT_ASSERT_EQUAL(4, server.Requests());
     CPPUNIT_ASSERT_EQUAL(2, server.Connections());
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -45,7 +45,7 @@
 }
 
 std::string
-EncodePercent(std::string_view aText)
+PercentEncode(std::string_view aText)
 {
   constexpr std::string_view kDigits = "0123456789ABCDEF";
   std::string encoded;
--- a/src/http/target.cpp
+++ b/src/http/target.cpp
@@ -26,7 +26,7 @@
 }
 
 std::optional<std::string>
-DecodePercent(std::string_view aText)
+PercentDecode(std::string_view aText)
 {
   std::string decoded;
   for (std::size_t n = 0; n < aText.size(); ++n) {
@@ -60,8 +60,8 @@
     const std::string_view pair = aText.substr(0, end);
     aText.remove_prefix(std::min(end + 1, aText.size()));
     const std::size_t equals = std::min(pair.find('='), pair.size());
-    auto name = DecodePercent(pair.substr(0, equals));
-    auto value = DecodePercent(pair.substr(std::min(equals + 1, pair.size())));
+    auto name = PercentDecode(pair.substr(0, equals));
+    auto value = PercentDecode(pair.substr(std::min(equals + 1, pair.size())));
     if (!name || !value || name->empty()) {
       return MakeError(ErrorKind::InvalidArgument, "malformed query");
     }
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -81,8 +81,8 @@
                               base::TimePoint aDeadline) override
   {
     const http::ClientRequest request{ "POST",
-                                       "/log/" + http::EncodePercent(aStream),
-                                       FormatAppend(aPayload),
+                                       "/log/" + http::PercentEncode(aStream),
+                                       FormatAppendRequest(aPayload),
                                        {},
                                        Delivery::AtMostOnce };
     auto response = mClient->Call(request, aDeadline);
@@ -92,7 +92,7 @@
     if (response.value().mStatus != kStatusOk) {
       return ToAppendError(http::ParseErrorResponse(response.value()));
     }
-    return ReplaceErrorKind(ParseOffset(response.value().mBody),
+    return ReplaceErrorKind(ParseAppendResponse(response.value().mBody),
                             ErrorKind::AnswerLost);
   }
 
@@ -103,11 +103,11 @@
   {
     BOOST_OUTCOME_TRY(body,
                       GetBody(*mClient,
-                              "/log/" + http::EncodePercent(aStream) +
+                              "/log/" + http::PercentEncode(aStream) +
                                 "?from=" + std::to_string(aFrom) +
                                 "&max=" + std::to_string(aMaxRecords),
                               aDeadline));
-    return ReplaceErrorKind(ParsePage(body), ErrorKind::LogUnavailable);
+    return ReplaceErrorKind(ParseLogPage(body), ErrorKind::LogUnavailable);
   }
 
 private:
--- a/src/platform/http_platform_test.cpp
+++ b/src/platform/http_platform_test.cpp
@@ -132,7 +132,7 @@
 
   void RefusesPagesWithGaps()
   {
-    CPPUNIT_ASSERT(ParsePage(R"({"first_retained":0,"end":3,"records":[
+    CPPUNIT_ASSERT(ParseLogPage(R"({"first_retained":0,"end":3,"records":[
         {"offset":0,"payload":"a"},{"offset":2,"payload":"c"}]})")
                      .has_error());
     CPPUNIT_ASSERT(
--- a/src/platform/platform_codec.cpp
+++ b/src/platform/platform_codec.cpp
@@ -67,7 +67,7 @@
 } // namespace
 
 std::string
-FormatAppend(std::string_view aPayload)
+FormatAppendRequest(std::string_view aPayload)
 {
   JsonValue body = base::MakeJsonObject();
   body.addMember("payload") <<= std::string(aPayload);
@@ -75,7 +75,7 @@
 }
 
 base::Result<std::string>
-ParseAppend(std::string_view aBody)
+ParseAppendRequest(std::string_view aBody)
 {
   BOOST_OUTCOME_TRY(json, base::ParseJson(aBody));
   JsonReader reader(json);
@@ -85,7 +85,7 @@
 }
 
 std::string
-FormatOffset(Offset aOffset)
+FormatAppendResponse(Offset aOffset)
 {
   JsonValue body = base::MakeJsonObject();
   body.addMember("offset") <<= aOffset;
@@ -93,7 +93,7 @@
 }
 
 base::Result<Offset>
-ParseOffset(std::string_view aBody)
+ParseAppendResponse(std::string_view aBody)
 {
   BOOST_OUTCOME_TRY(json, base::ParseJson(aBody));
   JsonReader reader(json);
@@ -103,7 +103,7 @@
 }
 
 std::string
-FormatPage(const LogPage& aPage)
+FormatLogPage(const LogPage& aPage)
 {
   JsonValue body = base::MakeJsonObject();
   body.addMember("first_retained") <<= aPage.mFirstRetained;
@@ -119,7 +119,7 @@
 }
 
 base::Result<LogPage>
-ParsePage(std::string_view aBody)
+ParseLogPage(std::string_view aBody)
 {
   BOOST_OUTCOME_TRY(json, base::ParseJson(aBody));
   JsonReader reader(json);
@@ -149,7 +149,7 @@
 }
 
 base::Result<InstanceInfo>
-ReadInstance(const JsonValue& aObject)
+ParseInstance(const JsonValue& aObject)
 {
   JsonReader reader(aObject, "instance");
   InstanceInfo instance;
@@ -204,7 +204,7 @@
   }
   std::vector<InstanceInfo> instances;
   for (const auto& it : *array) {
-    BOOST_OUTCOME_TRY(instance, ReadInstance(it));
+    BOOST_OUTCOME_TRY(instance, ParseInstance(it));
     instances.push_back(std::move(instance));
   }
   return instances;
--- a/src/testing/platform_handler.cpp
+++ b/src/testing/platform_handler.cpp
@@ -110,12 +110,12 @@
 PlatformHandler::Append(const std::string& aStream, const std::string& aBody)
 {
   ++mAppends;
-  const auto payload = platform::ParseAppend(aBody);
+  const auto payload = platform::ParseAppendRequest(aBody);
   if (payload.has_error()) {
     return MakeErrorResponse(payload.error());
   }
   const auto offset = mLog.Append(aStream, payload.value(), base::kNoDeadline);
-  return offset ? MakeResponse(platform::FormatOffset(offset.value()))
+  return offset ? MakeResponse(platform::FormatAppendResponse(offset.value()))
                 : FailedResponse(offset.error());
 }
 
@@ -127,7 +127,7 @@
                               GetNumber(aRequest, "from", 0),
                               GetNumber(aRequest, "max", kDefaultMaxRecords),
                               base::kNoDeadline);
-  return page ? MakeResponse(platform::FormatPage(page.value()))
+  return page ? MakeResponse(platform::FormatLogPage(page.value()))
               : FailedResponse(page.error());
 }
 
@@ -183,7 +183,7 @@
     mInstances.SetLag(milliseconds(reader.GetInt("lag_ms")));
   }
   if (has("put")) {
-    BOOST_OUTCOME_TRY(entry, platform::ReadInstance(*reader.GetMember("put")));
+    BOOST_OUTCOME_TRY(entry, platform::ParseInstance(*reader.GetMember("put")));
     mInstances.Put(std::move(entry));
   }
   if (has("leaving")) {
--- a/src/worker/http_worker_port.cpp
+++ b/src/worker/http_worker_port.cpp
@@ -138,7 +138,7 @@
       base::Error error = ToPortError(response);
       // The refused copy may be the second one; the first may have run
       // (explorer, site world, seed 83).
-      return response.mMayBeRepeated
+      return response.mIsPossiblyResent
                ? MakeError(ErrorKind::ConnectionLost, std::move(error.mDetail))
                : error;
     }
