--- a/include/skylarkhill/base/id.hpp
+++ b/include/skylarkhill/base/id.hpp
@@ -8,7 +8,8 @@
 
 namespace skylarkhill::base {
 
-/// A string identifier whose type depends on what it identifies.
+/// A string identifier. Identifiers with different tags have different types,
+/// so that they cannot be mixed up.
 template<typename Tag>
 struct Id
 {
--- a/include/skylarkhill/http/client.hpp
+++ b/include/skylarkhill/http/client.hpp
@@ -42,7 +42,7 @@
   /// The complete response, whatever its status. WorkerUnavailable or
   /// InvalidArgument: nothing was sent. ConnectionLost or DeadlineExceeded: the
   /// server may have received the request.
-  /// A response on a pooled connection has mIsPossiblyResent set.
+  /// A response on a reused connection has mIsPossiblyResent set.
   virtual base::Result<Response> Call(const ClientRequest& aRequest,
                                       base::TimePoint aDeadline) = 0;
 };
--- a/include/skylarkhill/http/message.hpp
+++ b/include/skylarkhill/http/message.hpp
@@ -36,8 +36,8 @@
   std::string mBody;
   /// Additional headers, without those that determine the message length.
   std::vector<Field> mHeaders;
-  /// The server closes the connection without a response. Stand-ins use it to
-  /// simulate lost responses.
+  /// The server closes the connection without a response. Used by test
+  /// stand-ins to simulate lost responses.
   bool mDropConnection = false;
   /// Set by the client if it may have sent the request twice. An error response
   /// then does not prove that the request had no effect.
--- a/include/skylarkhill/logging/logging.hpp
+++ b/include/skylarkhill/logging/logging.hpp
@@ -18,7 +18,7 @@
   Error,
 };
 
-/// The name of `aLevel` in settings.
+/// The name of `aLevel` in settings and options.
 std::string_view
 NameOf(Level aLevel);
 
--- a/include/skylarkhill/peer/transport.hpp
+++ b/include/skylarkhill/peer/transport.hpp
@@ -76,7 +76,7 @@
 
 /// Exchanges messages with other entry instances. Thread-safe.
 ///
-/// A message is delivered at most once and never after its deadline.
+/// A message is sent at most once and never delivered after its deadline.
 class Transport
 {
 public:
--- a/src/peer/peer_link.hpp
+++ b/src/peer/peer_link.hpp
@@ -110,7 +110,8 @@
   bool mConnected = false;
   std::atomic<int> mOpenPipes{ 0 };
   std::deque<QueuedMessage> mQueue;
-  /// When the oldest unacknowledged message was queued.
+  /// Since when queued messages have not been acknowledged; nothing if none is
+  /// unacknowledged.
   std::optional<base::TimePoint> mUnacknowledgedSince;
   base::TimePoint mLastQueuedAt;
   std::uint64_t mPeerSessionId = 0;
