--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -378,7 +378,8 @@
     }
     mState.mStopping = true;
     mLibrary->mService.waitIdle();
-    // Until then, requests on open connections get a response, not a reset.
+    // During this time, requests on open connections get a response, not a
+    // reset.
     std::this_thread::sleep_for(mState.mOptions.mStopGrace);
     mLibrary->mService.waitIdle();
     mLibrary->mLoop.exit();
