--- a/include/skylarkhill/membership/view.hpp
+++ b/include/skylarkhill/membership/view.hpp
@@ -46,7 +46,7 @@
 public:
   View(Self aSelf, ViewOptions aOptions);
 
-  void OnList(const std::vector<platform::InstanceEntry>& aList,
+  void OnList(const std::vector<platform::InstanceInfo>& aList,
               base::TimePoint aNow);
   void OnHeartbeat(const Heartbeat& aHeartbeat, base::TimePoint aNow);
   /// The worker answered a poll.
@@ -126,9 +126,9 @@
   void AddLeavingNotice(const std::string& aName,
                         std::uint64_t aIncarnation,
                         base::TimePoint aExpiry);
-  void UpdateListedEntry(const platform::InstanceEntry& aEntry,
+  void UpdateListedEntry(const platform::InstanceInfo& aEntry,
                          base::TimePoint aNow);
-  void UpdateListedWorker(const platform::InstanceEntry& aEntry,
+  void UpdateListedWorker(const platform::InstanceInfo& aEntry,
                           base::TimePoint aNow);
 
   Self mSelf;
--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -17,23 +17,23 @@
 
 namespace {
 
-constexpr int kMaxDepth = 64;
+constexpr int kMaxNestingDepth = 64;
 
-/// Walks JSON text once to reject what cxxtools' parser accepts: duplicate
-/// keys, deep nesting, and text after the document.
-class StructureScanner
+/// Rejects JSON text that the parser of cxxtools accepts although it has
+/// duplicate keys, is nested too deeply or has text after the document.
+class StructureValidator
 {
 public:
-  explicit StructureScanner(std::string_view aText)
+  explicit StructureValidator(std::string_view aText)
     : mText(aText)
   {
   }
 
-  /// Empty, or the reason for a refusal.
+  /// Returns an error message, or an empty string if the text is accepted.
   std::string Scan()
   {
     if (!ScanValue(0)) {
-      return mProblem.empty() ? "truncated or malformed" : mProblem;
+      return mError.empty() ? "truncated or malformed" : mError;
     }
     SkipSpace();
     return mPosition == mText.size() ? "" : "text after the document";
@@ -42,8 +42,8 @@
 private:
   bool Fail(std::string aProblem)
   {
-    if (mProblem.empty()) {
-      mProblem = std::move(aProblem);
+    if (mError.empty()) {
+      mError = std::move(aProblem);
     }
     return false;
   }
@@ -139,11 +139,11 @@
     return isNumber || Fail("malformed value");
   }
 
-  // Recursion is bounded by kMaxDepth.
+  // Recursion is bounded by kMaxNestingDepth.
   // NOLINTNEXTLINE(misc-no-recursion)
   bool ScanValue(int aDepth)
   {
-    if (aDepth >= kMaxDepth) {
+    if (aDepth >= kMaxNestingDepth) {
       return Fail("nested too deeply");
     }
     SkipSpace();
@@ -168,7 +168,7 @@
 
   std::string_view mText;
   std::size_t mPosition = 0;
-  std::string mProblem;
+  std::string mError;
 };
 
 std::size_t
@@ -192,8 +192,8 @@
   return (aByte & 0xC0U) == 0x80U;
 }
 
-// cxxtools keeps parsed numbers and truth values as text and tells their type
-// only by the type name.
+// cxxtools keeps parsed numbers and booleans as text; only the type name shows
+// their type.
 bool
 HasTypeName(const JsonValue& aValue,
             std::initializer_list<std::string_view> aNames)
@@ -222,7 +222,7 @@
 }
 
 bool
-IsText(const JsonValue& aValue)
+IsString(const JsonValue& aValue)
 {
   return HasTypeName(aValue, { "string" });
 }
@@ -251,17 +251,17 @@
   }
 }
 
-// cxxtools narrows parsed text to one byte per character when it is read as a
-// std::string, which turns most characters into '?'. All text is therefore kept
-// as UTF-8 bytes from here on.
-// NOLINTNEXTLINE(misc-no-recursion): the depth is bounded by kMaxDepth.
+// cxxtools narrows parsed strings to one byte per character when they are read
+// as std::string, which turns most characters into '?'. All strings are
+// therefore converted to UTF-8 after parsing.
+// NOLINTNEXTLINE(misc-no-recursion): the depth is bounded by kMaxNestingDepth.
 void
 StoreTextAsUtf8(JsonValue& aValue)
 {
   for (auto& it : aValue) {
     StoreTextAsUtf8(it);
   }
-  if (IsText(aValue) && aValue.isString()) {
+  if (IsString(aValue) && aValue.isString()) {
     cxxtools::String text;
     aValue.getValue(text);
     aValue <<= cxxtools::Utf8Codec::encode(text);
@@ -275,8 +275,8 @@
   return value == std::string_view::npos ? -1 : static_cast<int>(value);
 }
 
-/// The byte that `aText` begins with in the form \u00XX, or nothing. Only bytes
-/// from 0x80 on are recognized.
+/// The byte at the start of `aText` if it is escaped as \u00XX and not ASCII,
+/// or nothing.
 std::optional<char>
 ParseEscapedByte(std::string_view aText)
 {
@@ -292,8 +292,9 @@
   return static_cast<char>(high * 16 + low);
 }
 
-// cxxtools' formatter writes every byte of a std::string as if it were a
-// character of its own, so a UTF-8 sequence comes out as several escapes.
+// The formatter of cxxtools escapes every byte of a UTF-8 sequence as a
+// separate character. This function replaces these escapes by the original
+// bytes.
 std::string
 RestoreUtf8(std::string_view aText)
 {
@@ -341,7 +342,7 @@
   if (!IsUtf8(aText)) {
     return MakeError(ErrorKind::InvalidJson, "text is not UTF-8");
   }
-  const std::string problem = StructureScanner(aText).Scan();
+  const std::string problem = StructureValidator(aText).Scan();
   if (!problem.empty()) {
     return MakeError(ErrorKind::InvalidJson, problem);
   }
@@ -375,12 +376,12 @@
   return value;
 }
 
-JsonReader::JsonReader(const JsonValue& aObject, std::string aWhere)
+JsonReader::JsonReader(const JsonValue& aObject, std::string aContext)
   : mObject(aObject)
-  , mWhere(std::move(aWhere))
+  , mContext(std::move(aContext))
 {
   if (aObject.category() != JsonValue::Object) {
-    mFindings.push_back((mWhere.empty() ? "document" : mWhere) +
+    mFindings.push_back((mContext.empty() ? "document" : mContext) +
                         " is not an object");
   }
 }
@@ -388,7 +389,7 @@
 void
 JsonReader::AddFinding(std::string_view aKey, std::string_view aProblem)
 {
-  std::string finding = mWhere.empty() ? "" : mWhere + ": ";
+  std::string finding = mContext.empty() ? "" : mContext + ": ";
   finding.append("'").append(aKey).append("' ").append(aProblem);
   mFindings.push_back(std::move(finding));
 }
@@ -396,7 +397,7 @@
 const JsonValue*
 JsonReader::GetMember(std::string_view aKey)
 {
-  mAsked.emplace_back(aKey);
+  mRequestedKeys.emplace_back(aKey);
   if (mObject.category() != JsonValue::Object) {
     return nullptr;
   }
@@ -412,7 +413,7 @@
     AddFinding(aKey, "is missing");
     return {};
   }
-  if (!IsText(*member)) {
+  if (!IsString(*member)) {
     AddFinding(aKey, "must be a string");
     return {};
   }
@@ -500,7 +501,7 @@
     return values;
   }
   for (const auto& it : *member) {
-    if (!IsText(it)) {
+    if (!IsString(it)) {
       AddFinding(aKey, "must be an array of strings");
       return {};
     }
@@ -517,7 +518,8 @@
     return;
   }
   for (const auto& it : mObject) {
-    if (std::find(mAsked.begin(), mAsked.end(), it.name()) == mAsked.end()) {
+    if (std::find(mRequestedKeys.begin(), mRequestedKeys.end(), it.name()) ==
+        mRequestedKeys.end()) {
       AddFinding(it.name(), "is unknown");
     }
   }
--- a/src/base/json_test.cpp
+++ b/src/base/json_test.cpp
@@ -11,12 +11,12 @@
   CPPUNIT_TEST_SUITE(JsonTest);
   CPPUNIT_TEST(RefusesMalformedText);
   CPPUNIT_TEST(RoundTripsTypedValues);
-  CPPUNIT_TEST(KeepsEveryCharacterOfText);
+  CPPUNIT_TEST(PreservesNonAsciiText);
   CPPUNIT_TEST(ReportsAllFindings);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against cxxtools' parser accepting text that other readers refuse.
+  // Guards against malformed text that the parser of cxxtools accepts.
   void RefusesMalformedText()
   {
     for (const char* it : { "",
@@ -56,9 +56,9 @@
     CPPUNIT_ASSERT(reader.Check().has_value());
   }
 
-  // Guards against cxxtools' conversion of text to one byte per character,
-  // which turns most characters into '?'.
-  void KeepsEveryCharacterOfText()
+  // Guards against the conversion to one byte per character in cxxtools, which
+  // turns most characters into '?'.
+  void PreservesNonAsciiText()
   {
     const std::string text =
       "Direcci\u00f3n \u20ac \U0001F600 \\u00e9 \x01\n\"";
--- a/src/http/call_loop.cpp
+++ b/src/http/call_loop.cpp
@@ -27,14 +27,14 @@
 
 namespace {
 
-/// An idle connection is not used again after this time; below the idle
-/// timeout of 15 s that servers of the platform apply.
-constexpr base::Duration kMaxIdleAge = std::chrono::seconds(8);
+/// An idle connection is not reused after this time. Below the idle timeout of
+/// the platform's servers, which is 15 s.
+constexpr base::Duration kMaxIdleTime = std::chrono::seconds(8);
 
-/// Bounds one wait, so that overdue calls are found.
+/// Bounds one wait, so that calls past their deadline are noticed.
 constexpr base::Duration kMaxWait = std::chrono::milliseconds(500);
 
-/// One connection with at most one call on it.
+/// One connection; carries at most one call at a time.
 class Connection : public cxxtools::Connectable
 {
 public:
@@ -51,43 +51,44 @@
     cxxtools::connect(mClient.replyFinished, *this, &Connection::OnFinished);
   }
 
-  void Begin(const ClientRequest& aRequest,
-             TimePoint aDeadline,
-             CallHandler aHandler)
+  void StartCall(const ClientRequest& aRequest,
+                 TimePoint aDeadline,
+                 CallHandler aHandler)
   {
     mRequest = ToLibraryRequest(aRequest);
     mBody.clear();
     mDeadline = aDeadline;
     mHandler = std::move(aHandler);
     mIsFinished = false;
-    mProblem.reset();
+    mError.reset();
     try {
       mClient.beginExecute(mRequest);
     } catch (const std::exception& e) {
-      mProblem = MakeError(ErrorKind::WorkerUnavailable, e.what());
+      mError = MakeError(ErrorKind::WorkerUnavailable, e.what());
       mIsFinished = true;
     }
   }
 
   const std::string& Address() const { return mAddress; }
   bool IsFinished() const { return mIsFinished; }
-  bool IsBroken() const { return mProblem.has_value() || mMustClose; }
+  bool IsBroken() const { return mError.has_value() || mMustClose; }
   TimePoint Deadline() const { return mDeadline; }
-  TimePoint UsableUntil() const { return mUsableUntil; }
-  void SetUsableUntil(TimePoint aTime) { mUsableUntil = aTime; }
+  TimePoint ReusableUntil() const { return mReusableUntil; }
+  void SetReusableUntil(TimePoint aTime) { mReusableUntil = aTime; }
 
   void Expire()
   {
-    mProblem = MakeError(ErrorKind::DeadlineExceeded, "no response in time");
+    mError =
+      MakeError(ErrorKind::DeadlineExceeded, "no response before the deadline");
     mIsFinished = true;
   }
 
-  void Deliver()
+  void InvokeHandler()
   {
     const CallHandler handler = std::move(mHandler);
     mHandler = nullptr;
-    if (mProblem) {
-      handler(*mProblem);
+    if (mError) {
+      handler(*mError);
       return;
     }
     handler(std::move(mResponse));
@@ -117,6 +118,7 @@
       mResponse.mStatus = static_cast<int>(header.httpReturnCode());
       mResponse.mBody = std::move(mBody);
       mBody.clear();
+      // Matches "close" and "Close".
       const char* connection = header.getHeader("Connection");
       mMustClose =
         connection != nullptr &&
@@ -125,7 +127,7 @@
         mResponse.mHeaders.push_back({ it->first, it->second });
       }
     } catch (const std::exception& e) {
-      mProblem = MakeError(ErrorKind::ConnectionLost, e.what());
+      mError = MakeError(ErrorKind::ConnectionLost, e.what());
     }
   }
 
@@ -136,8 +138,8 @@
   Response mResponse;
   CallHandler mHandler;
   TimePoint mDeadline;
-  TimePoint mUsableUntil;
-  std::optional<base::Error> mProblem;
+  TimePoint mReusableUntil;
+  std::optional<base::Error> mError;
   bool mIsFinished = false;
   bool mMustClose = false;
 };
@@ -159,7 +161,7 @@
     if (connection == nullptr) {
       connection = std::make_unique<Connection>(mSelector, aAddress);
     }
-    connection->Begin(aRequest, aDeadline, std::move(aHandler));
+    connection->StartCall(aRequest, aDeadline, std::move(aHandler));
     mActive.push_back(std::move(connection));
   }
 
@@ -175,12 +177,12 @@
       mSelector.wait(cxxtools::Milliseconds(
         std::chrono::duration<double, std::milli>(left).count()));
     } catch (const std::exception& e) {
-      // The call on the socket that failed ends at its deadline.
+      // The call on the failed socket ends at its deadline.
       logging::Write(logging::Level::Warning,
                      "call_loop_wait_failed",
                      { { "problem", e.what() } });
     }
-    Finish();
+    CompleteCalls();
   }
 
   void Wake() override { mSelector.wake(); }
@@ -198,7 +200,7 @@
     }
     auto& idle = found->second;
     const TimePoint now = mClock.Now();
-    while (!idle.empty() && idle.front()->UsableUntil() <= now) {
+    while (!idle.empty() && idle.front()->ReusableUntil() <= now) {
       idle.erase(idle.begin());
     }
     if (idle.empty()) {
@@ -209,7 +211,7 @@
     return connection;
   }
 
-  void Finish()
+  void CompleteCalls()
   {
     const TimePoint now = mClock.Now();
     std::vector<ConnectionPtr> finished;
@@ -224,11 +226,11 @@
         ++it;
       }
     }
-    // A handler may start calls, which changes the list of active ones.
+    // A handler may start calls and thereby change the list of active ones.
     for (auto& it : finished) {
-      it->Deliver();
+      it->InvokeHandler();
       if (!it->IsBroken()) {
-        it->SetUsableUntil(now + kMaxIdleAge);
+        it->SetReusableUntil(now + kMaxIdleTime);
         mIdle[it->Address()].push_back(std::move(it));
       }
     }
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -13,7 +13,7 @@
 }
 
 void
-View::OnList(const std::vector<platform::InstanceEntry>& aList,
+View::OnList(const std::vector<platform::InstanceInfo>& aList,
              base::TimePoint aNow)
 {
   mFirstListAt = mFirstListAt.value_or(aNow);
@@ -38,7 +38,7 @@
 }
 
 void
-View::UpdateListedEntry(const platform::InstanceEntry& aEntry,
+View::UpdateListedEntry(const platform::InstanceInfo& aEntry,
                         base::TimePoint aNow)
 {
   const base::InstanceId id{ aEntry.mName };
@@ -62,7 +62,7 @@
 }
 
 void
-View::UpdateListedWorker(const platform::InstanceEntry& aEntry,
+View::UpdateListedWorker(const platform::InstanceInfo& aEntry,
                          base::TimePoint aNow)
 {
   const base::WorkerId id{ aEntry.mName };
--- a/src/membership/view_test.cpp
+++ b/src/membership/view_test.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-using platform::InstanceEntry;
+using platform::InstanceInfo;
 using platform::InstanceRole;
 using platform::InstanceState;
 using std::chrono::milliseconds;
@@ -162,10 +162,10 @@
     return View({ aSelf, 1, kDomain, "127.0.0.1", 1 }, {});
   }
 
-  static InstanceEntry MakeEntry(const base::InstanceId& aId,
+  static InstanceInfo MakeEntry(const base::InstanceId& aId,
                                  InstanceState aState)
   {
-    InstanceEntry entry;
+    InstanceInfo entry;
     entry.mName = aId.mValue;
     entry.mRole = InstanceRole::Entry;
     entry.mState = aState;
@@ -173,9 +173,9 @@
     return entry;
   }
 
-  static InstanceEntry MakeWorkerEntry()
+  static InstanceInfo MakeWorkerEntry()
   {
-    InstanceEntry entry;
+    InstanceInfo entry;
     entry.mName = kWorker.mValue;
     entry.mDomain = kDomain;
     return entry;
--- a/src/metrics/metrics_test.cpp
+++ b/src/metrics/metrics_test.cpp
@@ -22,7 +22,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against text that a Prometheus server refuses.
+  // Guards against output that is not valid Prometheus text.
   void PrintsPrometheusText()
   {
     Registry registry;
@@ -52,7 +52,7 @@
                          registry.FormatPrometheus());
   }
 
-  // Guards against one series being split by the order of its labels.
+  // Guards against separate series for the same labels in a different order.
   void FindsSeriesByLabels()
   {
     Registry registry;
@@ -64,15 +64,15 @@
     CPPUNIT_ASSERT(&one != &registry.GetCounter("n", "N.", { kind }));
   }
 
-  // Guards against estimates that are far off at the tail.
+  // Guards against inaccurate estimates of high quantiles.
   void EstimatesQuantiles()
   {
     constexpr int kSamples = 200'000;
-    constexpr double kTolerance = 0.1;
+    constexpr double kRelativeTolerance = 0.1;
     const auto random = base::CreateSeededRandom(7);
     Distribution distribution;
     for (int i = 0; i < kSamples; ++i) {
-      distribution.Record(-std::log(1.0 - random->Unit()));
+      distribution.Record(-std::log(1.0 - random->UniformReal()));
     }
     const Summary summary = distribution.Read();
     CPPUNIT_ASSERT_EQUAL(std::int64_t(kSamples), summary.mCount);
@@ -83,12 +83,12 @@
                                                  { 0.99, summary.mP99 },
                                                  { 0.999, summary.mP999 } }) {
       const double exact = -std::log(1.0 - quantile);
-      CPPUNIT_ASSERT_DOUBLES_EQUAL(exact, estimate, kTolerance * exact);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(exact, estimate, kRelativeTolerance * exact);
     }
   }
 
-  // Guards against the estimator's markers, which are not filled yet by the
-  // first samples, being reported as quantiles.
+  // Guards against reporting estimates before the estimator has a sample for
+  // each of its markers.
   void SummarizesFewSamples()
   {
     Distribution distribution;
@@ -102,7 +102,8 @@
     CPPUNIT_ASSERT_EQUAL(3.0, summary.mMax);
   }
 
-  // Guards against lost updates and against output during updates.
+  // Guards against lost updates and against data races between updates and
+  // FormatPrometheus.
   void CountsFromManyThreads()
   {
     constexpr int kThreads = 8;
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -3,7 +3,7 @@
 #include "skylarkhill/base/name_table.hpp"
 #include "skylarkhill/peer/frame.hpp"
 
-// msgpack-cxx needs Boost.Predef otherwise.
+// Without this macro msgpack-cxx requires Boost.Predef.
 #define MSGPACK_NO_BOOST
 #include <msgpack.hpp>
 
@@ -22,10 +22,10 @@
 namespace {
 
 constexpr std::uint8_t kFrameVersion = 1;
-// Bounds what a hostile length field can make the parser allocate.
+// Bounds the allocation that a malicious length field can cause.
 constexpr std::size_t kMaxElements = 65536;
 constexpr std::size_t kMaxDepth = 8;
-// About 3,000 years; sums of a few such times cannot overflow.
+// About 3,000 years; sums of a few such values cannot overflow.
 constexpr std::int64_t kMaxTimeMicros = 100'000'000'000'000'000;
 
 constexpr base::NameTable<Outcome, 3> kOutcomeNames{ {
@@ -34,7 +34,7 @@
   { Outcome::Unknown, "unknown" },
 } };
 
-/// Writes the fields that it is called with as one array.
+/// Encodes its arguments as the elements of one array.
 class Writer
 {
 public:
@@ -73,7 +73,7 @@
   {
     (*this)(aSlots.mService, aSlots.mFreeSlots);
   }
-  void Put(const LeavingMark& aMark)
+  void Put(const LeavingNotice& aMark)
   {
     (*this)(aMark.mName, aMark.mIncarnation, aMark.mRemainingMicros);
   }
@@ -86,8 +86,8 @@
   msgpack::packer<msgpack::sbuffer>& mPacker;
 };
 
-/// Reads an array into the fields that it is called with; throws if the number
-/// or the type of the elements differs.
+/// Decodes the elements of an array into its arguments. Throws if the number or
+/// the types of the elements differ.
 class Reader
 {
 public:
@@ -147,7 +147,7 @@
     Reader reader(aObject);
     reader(aSlots.mService, aSlots.mFreeSlots);
   }
-  static void Get(const msgpack::object& aObject, LeavingMark& aMark)
+  static void Get(const msgpack::object& aObject, LeavingNotice& aMark)
   {
     Reader reader(aObject);
     reader(aMark.mName, aMark.mIncarnation, aMark.mRemainingMicros);
@@ -156,17 +156,17 @@
   {
     std::string name;
     Get(aObject, name);
-    aOutcome = Known(base::FindValue(kOutcomeNames, name));
+    aOutcome = RequireKnownName(base::FindValue(kOutcomeNames, name));
   }
   static void Get(const msgpack::object& aObject, ErrorKind& aKind)
   {
     std::string name;
     Get(aObject, name);
-    aKind = Known(base::ParseErrorKind(name));
+    aKind = RequireKnownName(base::ParseErrorKind(name));
   }
 
   template<typename Enum>
-  static Enum Known(const std::optional<Enum>& aValue)
+  static Enum RequireKnownName(const std::optional<Enum>& aValue)
   {
     if (!aValue) {
       throw std::invalid_argument("unknown name");
@@ -177,7 +177,7 @@
   const msgpack::object& mObject;
 };
 
-// One list of fields per message serves both directions.
+// Encoding and decoding share one list of fields per message type.
 template<typename Visitor, typename T>
 void
 Visit(Visitor& aVisitor, T& aMessage)
@@ -205,7 +205,7 @@
              m.mImportance,
              m.mBody,
              m.mCausalClock);
-  } else if constexpr (std::is_same_v<Plain, ForwardAnswer>) {
+  } else if constexpr (std::is_same_v<Plain, ForwardResponse>) {
     aVisitor(m.mRequest,
              m.mAttempt,
              m.mOutcome,
@@ -214,11 +214,11 @@
              m.mBody,
              m.mCausalClock);
   } else if constexpr (std::is_same_v<Plain, StateFetch>) {
-    aVisitor(m.mFetch, m.mStream, m.mPage, m.mCausalClock);
+    aVisitor(m.mFetchId, m.mStream, m.mPageIndex, m.mCausalClock);
   } else if constexpr (std::is_same_v<Plain, StatePage>) {
-    aVisitor(m.mFetch,
+    aVisitor(m.mFetchId,
              m.mStream,
-             m.mPage,
+             m.mPageIndex,
              m.mIsLast,
              m.mAsOf,
              m.mPayload,
@@ -226,26 +226,27 @@
   } else {
     aVisitor(m.mSender.mHost,
              m.mSender.mPort,
-             m.mLife,
+             m.mSessionId,
              m.mSentMicros,
              m.mRemainingMicros,
-             m.mAnyAge,
-             m.mEcho.mLife,
+             m.mAcceptsUnknownAge,
+             m.mEcho.mSessionId,
              m.mEcho.mNewestSentMicros,
              m.mEcho.mMinDifferenceMicros,
              m.mPayload);
   }
 }
 
-/// Calls `aRead` with the three elements that every encoding consists of:
-/// version, type and fields.
+/// Calls `aRead` with the three elements of every encoding: version, type and
+/// fields.
 template<typename Read>
 auto
 Decode(std::string_view aBytes, std::size_t aMaxBytes, Read aRead)
   -> decltype(aRead(std::declval<msgpack::object_array&>()))
 {
   if (aBytes.size() > aMaxBytes) {
-    return MakeError(ErrorKind::PayloadTooLarge, "message between peers");
+    return MakeError(ErrorKind::PayloadTooLarge,
+                     "peer message exceeds the size limit");
   }
   try {
     const msgpack::unpack_limit limit(
@@ -280,7 +281,8 @@
   Writer writer(packer);
   Visit(writer, aValue);
   if (buf.size() > aMaxBytes) {
-    return MakeError(ErrorKind::PayloadTooLarge, "message between peers");
+    return MakeError(ErrorKind::PayloadTooLarge,
+                     "peer message exceeds the size limit");
   }
   return std::string(buf.data(), buf.size());
 }
@@ -296,19 +298,19 @@
 }
 
 bool
-IsTime(std::int64_t aMicros)
+IsValidTime(std::int64_t aMicros)
 {
   return aMicros >= -kMaxTimeMicros && aMicros <= kMaxTimeMicros;
 }
 
 base::Result<Frame>
-CheckTimes(Frame aFrame)
+CheckFrame(Frame aFrame)
 {
-  const bool valid = IsTime(aFrame.mSentMicros) &&
-                     IsTime(aFrame.mRemainingMicros) &&
-                     IsTime(aFrame.mEcho.mNewestSentMicros) &&
-                     IsTime(aFrame.mEcho.mMinDifferenceMicros);
-  if (!valid || aFrame.mLife == 0) {
+  const bool valid = IsValidTime(aFrame.mSentMicros) &&
+                     IsValidTime(aFrame.mRemainingMicros) &&
+                     IsValidTime(aFrame.mEcho.mNewestSentMicros) &&
+                     IsValidTime(aFrame.mEcho.mMinDifferenceMicros);
+  if (!valid || aFrame.mSessionId == 0) {
     return MakeError(ErrorKind::InvalidArgument, "frame field out of range");
   }
   return aFrame;
@@ -323,7 +325,7 @@
     case 1:
       return Message(Read<ForwardRequest>(aFields));
     case 2:
-      return Message(Read<ForwardAnswer>(aFields));
+      return Message(Read<ForwardResponse>(aFields));
     case 3:
       return Message(Read<StateFetch>(aFields));
     case 4:
@@ -377,7 +379,7 @@
                     return MakeError(ErrorKind::InvalidArgument,
                                      "unknown frame version");
                   }
-                  return CheckTimes(Read<Frame>(aRoot.ptr[2]));
+                  return CheckFrame(Read<Frame>(aRoot.ptr[2]));
                 });
 }
 
--- a/src/peer/codec_test.cpp
+++ b/src/peer/codec_test.cpp
@@ -16,18 +16,18 @@
 Heartbeat
 MakeHeartbeat()
 {
-  Heartbeat beat;
-  beat.mInstance = { "entry-1" };
-  beat.mIncarnation = ~std::uint64_t{ 0 };
-  beat.mDomain = { "kochi" };
-  beat.mAddress = "127.0.0.1";
-  beat.mPeerPort = 65535;
-  beat.mConfigVersion = -1;
-  beat.mLeaving = { { "worker-3", 7, 1000 } };
-  beat.mFreeSlots = { { "lookup", 12 }, { "match", 0 } };
-  beat.mHeldWorkers = { { "worker-1" }, { "worker-2" } };
-  beat.mCausalClock = 99;
-  return beat;
+  Heartbeat heartbeat;
+  heartbeat.mInstance = { "entry-1" };
+  heartbeat.mIncarnation = ~std::uint64_t{ 0 };
+  heartbeat.mDomain = { "kochi" };
+  heartbeat.mAddress = "127.0.0.1";
+  heartbeat.mPeerPort = 65535;
+  heartbeat.mConfigVersion = -1;
+  heartbeat.mLeaving = { { "worker-3", 7, 1000 } };
+  heartbeat.mFreeSlots = { { "lookup", 12 }, { "match", 0 } };
+  heartbeat.mHeldWorkers = { { "worker-1" }, { "worker-2" } };
+  heartbeat.mCausalClock = 99;
+  return heartbeat;
 }
 
 std::vector<Message>
@@ -37,31 +37,32 @@
   request.mRequest = { "key" };
   request.mIdempotent = true;
   request.mBody = std::string("\0\xff", 2);
-  ForwardAnswer answer;
-  answer.mOutcome = requests::Outcome::NotRun;
-  answer.mErrorKind = ErrorKind::NotHolder;
+  ForwardResponse response;
+  response.mOutcome = requests::Outcome::NotRun;
+  response.mErrorKind = ErrorKind::NotHolder;
   StateFetch fetch;
   fetch.mStream = "site";
   StatePage page;
   page.mPayload = std::string(70000, 'x');
   page.mIsLast = true;
-  return { MakeHeartbeat(), request, answer, fetch, page };
+  return { MakeHeartbeat(), request, response, fetch, page };
 }
 
 class CodecTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(CodecTest);
-  CPPUNIT_TEST(EveryFieldSurvives);
+  CPPUNIT_TEST(RoundTripsEveryField);
   CPPUNIT_TEST(RefusesTruncatedAndTrailingBytes);
   CPPUNIT_TEST(RefusesWrongVersionTypeAndRange);
   CPPUNIT_TEST(RefusesOversizedMessages);
-  CPPUNIT_TEST(DamagedBytesNeverThrow);
+  CPPUNIT_TEST(NeverThrowsOnCorruptedBytes);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against a field that is missing in the codec: both encodings would
-  // agree, so some fields are compared one by one.
-  void EveryFieldSurvives()
+  // Guards against a field that the codec omits. Re-encoding the decoded
+  // message does not reveal it, so the fields of a heartbeat are also compared
+  // directly.
+  void RoundTripsEveryField()
   {
     for (const Message& it : MakeMessages()) {
       const std::string bytes = EncodeMessage(it).value();
@@ -71,28 +72,31 @@
     }
     const std::string bytes = EncodeMessage(MakeHeartbeat()).value();
     const Message copy = DecodeMessage(bytes).value();
-    const auto& beat = std::get<Heartbeat>(copy);
-    CPPUNIT_ASSERT(beat.mIncarnation == ~std::uint64_t{ 0 });
-    CPPUNIT_ASSERT(beat.mPeerPort == 65535 && beat.mConfigVersion == -1);
-    CPPUNIT_ASSERT_EQUAL(std::string("worker-3"), beat.mLeaving.at(0).mName);
-    CPPUNIT_ASSERT(beat.mFreeSlots.at(0).mFreeSlots == 12);
+    const auto& heartbeat = std::get<Heartbeat>(copy);
+    CPPUNIT_ASSERT(heartbeat.mIncarnation == ~std::uint64_t{ 0 });
+    CPPUNIT_ASSERT(heartbeat.mPeerPort == 65535 &&
+                   heartbeat.mConfigVersion == -1);
+    CPPUNIT_ASSERT_EQUAL(std::string("worker-3"),
+                         heartbeat.mLeaving.at(0).mName);
+    CPPUNIT_ASSERT(heartbeat.mFreeSlots.at(0).mFreeSlots == 12);
     CPPUNIT_ASSERT_EQUAL(std::string("worker-2"),
-                         beat.mHeldWorkers.at(1).mValue);
-    CPPUNIT_ASSERT(beat.mCausalClock == 99 && beat.mDomain.mValue == "kochi");
+                         heartbeat.mHeldWorkers.at(1).mValue);
+    CPPUNIT_ASSERT(heartbeat.mCausalClock == 99 &&
+                   heartbeat.mDomain.mValue == "kochi");
   }
 
-  // Guards against half a message that is taken for a whole one.
+  // Guards against a truncated message that is accepted as complete.
   void RefusesTruncatedAndTrailingBytes()
   {
     const std::string bytes = EncodeMessage(MakeHeartbeat()).value();
     for (std::size_t n = 0; n < bytes.size(); ++n) {
-      const auto cut = DecodeMessage(bytes.substr(0, n));
-      CPPUNIT_ASSERT(cut.error().mKind == ErrorKind::InvalidArgument);
+      const auto truncated = DecodeMessage(bytes.substr(0, n));
+      CPPUNIT_ASSERT(truncated.error().mKind == ErrorKind::InvalidArgument);
     }
     CPPUNIT_ASSERT(!DecodeMessage(bytes + "x"));
   }
 
-  // Guards against a message of another release that is misread.
+  // Guards against misinterpreting a message from another release.
   void RefusesWrongVersionTypeAndRange()
   {
     std::string bytes = EncodeMessage(StateFetch{}).value();
@@ -101,7 +105,7 @@
     bytes[1] = 1;
     bytes[2] = 9;
     CPPUNIT_ASSERT(!DecodeMessage(bytes));
-    // A state fetch has four fields, a forward answer seven.
+    // A state fetch has four fields, a forward response seven.
     bytes[2] = 2;
     CPPUNIT_ASSERT(!DecodeMessage(bytes));
     // A state fetch with four fields, then with a fifth one.
@@ -110,7 +114,7 @@
     CPPUNIT_ASSERT(DecodeMessage(four) && !DecodeMessage(five));
     Frame frame;
     CPPUNIT_ASSERT(!DecodeFrame(EncodeFrame(frame).value()));
-    frame.mLife = 1;
+    frame.mSessionId = 1;
     CPPUNIT_ASSERT(DecodeFrame(EncodeFrame(frame).value()).has_value());
     frame.mRemainingMicros = std::numeric_limits<std::int64_t>::max();
     CPPUNIT_ASSERT(!DecodeFrame(EncodeFrame(frame).value()));
@@ -128,8 +132,8 @@
     CPPUNIT_ASSERT(!DecodeMessage("\xdd\xff\xff\xff\xff"));
   }
 
-  // Guards against exceptions that leave the codec and end a receiving thread.
-  void DamagedBytesNeverThrow()
+  // Guards against an exception from the codec that ends a receiving thread.
+  void NeverThrowsOnCorruptedBytes()
   {
     const auto random = base::CreateSeededRandom(11);
     const std::string bytes = EncodeMessage(MakeHeartbeat()).value();
--- a/src/peer/nng_socket.cpp
+++ b/src/peer/nng_socket.cpp
@@ -15,21 +15,21 @@
 
 namespace {
 
-// A restarted peer is reached within one heartbeat interval; a dead one costs
-// two connection attempts a second at most.
+// The connection to a restarted peer is restored within one heartbeat interval;
+// an unreachable peer causes at most two connection attempts per second.
 constexpr nng_duration kReconnectMinMs = 50;
 constexpr nng_duration kReconnectMaxMs = 500;
 
 } // namespace
 
 base::Result<void>
-CheckNng(int aCode, const char* aWhat)
+CheckNng(int aCode, const char* aOperation)
 {
   if (aCode == 0) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
   return MakeError(ErrorKind::ConnectionLost,
-                   std::string(aWhat) + ": " + nng_strerror(aCode));
+                   std::string(aOperation) + ": " + nng_strerror(aCode));
 }
 
 std::string
@@ -70,12 +70,12 @@
 }
 
 base::Result<nng_socket>
-OpenPush()
+OpenPushSocket()
 {
   nng_socket socket = NNG_SOCKET_INITIALIZER;
   BOOST_OUTCOME_TRYV(CheckNng(nng_push0_open(&socket), "open"));
-  // With a buffer, messages for an absent peer are kept and delivered to its
-  // successor after their deadline.
+  // With a send buffer, nng would keep messages for a disconnected peer and
+  // deliver them after their deadline to the process that replaces it.
   nng_socket_set_int(socket, NNG_OPT_SENDBUF, 0);
   return socket;
 }
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -16,7 +16,7 @@
 
 constexpr int kStatusOk = 200;
 
-/// The error of an append whose call failed with `aError`.
+/// Converts the error of an HTTP call to the error of the append.
 base::Error
 ToAppendError(base::Error aError)
 {
@@ -26,7 +26,7 @@
       return MakeError(ErrorKind::InvalidArgument, std::move(aError.mDetail));
     case ErrorKind::PayloadTooLarge:
       return aError;
-    // The client uses this kind after it has sent the request.
+    // The client returns this kind only after it has sent the request.
     case ErrorKind::DeadlineExceeded:
       return MakeError(ErrorKind::AnswerLost, std::move(aError.mDetail));
     default:
@@ -39,9 +39,10 @@
                    std::move(aError.mDetail));
 }
 
-/// The body of a successful answer; whatever failed, nothing was changed.
+/// Returns the body of a successful GET response. Every failure is
+/// LogUnavailable, since a GET has no side effects.
 base::Result<std::string>
-Get(http::Client& aClient, std::string aTarget, base::TimePoint aDeadline)
+GetBody(http::Client& aClient, std::string aTarget, base::TimePoint aDeadline)
 {
   const http::ClientRequest request{
     "GET", std::move(aTarget), "", {}, Delivery::Idempotent
@@ -52,17 +53,17 @@
   }
   if (response.value().mStatus != kStatusOk) {
     return MakeError(ErrorKind::LogUnavailable,
-                     http::ErrorOf(response.value()).mDetail);
+                     http::ParseErrorResponse(response.value()).mDetail);
   }
   return std::move(response.value().mBody);
 }
 
 template<typename T>
 base::Result<T>
-Interpret(base::Result<T> aParsed, ErrorKind aKind)
+ReplaceErrorKind(base::Result<T> aParsed, ErrorKind aKind)
 {
   if (aParsed.has_error()) {
-    return MakeError(aKind, "invalid answer: " + aParsed.error().mDetail);
+    return MakeError(aKind, "invalid response: " + aParsed.error().mDetail);
   }
   return aParsed;
 }
@@ -80,8 +81,8 @@
                               base::TimePoint aDeadline) override
   {
     const http::ClientRequest request{ "POST",
-                                       "/log/" + http::EncodePercent(aStream),
-                                       FormatAppend(aPayload),
+                                       "/log/" + http::PercentEncode(aStream),
+                                       FormatAppendRequest(aPayload),
                                        {},
                                        Delivery::AtMostOnce };
     auto response = mClient->Call(request, aDeadline);
@@ -89,10 +90,10 @@
       return ToAppendError(response.error());
     }
     if (response.value().mStatus != kStatusOk) {
-      return ToAppendError(http::ErrorOf(response.value()));
+      return ToAppendError(http::ParseErrorResponse(response.value()));
     }
-    return Interpret(ParseOffset(response.value().mBody),
-                     ErrorKind::AnswerLost);
+    return ReplaceErrorKind(ParseAppendResponse(response.value().mBody),
+                            ErrorKind::AnswerLost);
   }
 
   base::Result<LogPage> Read(std::string_view aStream,
@@ -101,12 +102,12 @@
                              base::TimePoint aDeadline) override
   {
     BOOST_OUTCOME_TRY(body,
-                      Get(*mClient,
-                          "/log/" + http::EncodePercent(aStream) +
-                            "?from=" + std::to_string(aFrom) +
-                            "&max=" + std::to_string(aMaxRecords),
-                          aDeadline));
-    return Interpret(ParsePage(body), ErrorKind::LogUnavailable);
+                      GetBody(*mClient,
+                              "/log/" + http::PercentEncode(aStream) +
+                                "?from=" + std::to_string(aFrom) +
+                                "&max=" + std::to_string(aMaxRecords),
+                              aDeadline));
+    return ReplaceErrorKind(ParseLogPage(body), ErrorKind::LogUnavailable);
   }
 
 private:
@@ -121,11 +122,11 @@
   {
   }
 
-  base::Result<std::vector<InstanceEntry>> Fetch(
+  base::Result<std::vector<InstanceInfo>> Fetch(
     base::TimePoint aDeadline) override
   {
-    BOOST_OUTCOME_TRY(body, Get(*mClient, "/instances", aDeadline));
-    return Interpret(ParseInstances(body), ErrorKind::LogUnavailable);
+    BOOST_OUTCOME_TRY(body, GetBody(*mClient, "/instances", aDeadline));
+    return ReplaceErrorKind(ParseInstances(body), ErrorKind::LogUnavailable);
   }
 
 private:
--- a/src/platform/platform_codec.cpp
+++ b/src/platform/platform_codec.cpp
@@ -21,7 +21,7 @@
   return element;
 }
 
-/// The enumerator named `aName`, or a finding-like error.
+/// The enumerator named `aName`. InvalidArgument.
 template<typename Enum>
 base::Result<Enum>
 FindByName(std::initializer_list<Enum> aValues, const std::string& aName)
@@ -46,27 +46,28 @@
 }
 
 void
-AddInstance(JsonValue& aObject, const InstanceEntry& aEntry)
+AddInstance(JsonValue& aObject, const InstanceInfo& aInstance)
 {
-  aObject.addMember("name") <<= aEntry.mName;
-  aObject.addMember("role") <<= std::string(NameOf(aEntry.mRole));
-  aObject.addMember("state") <<= std::string(NameOf(aEntry.mState));
-  aObject.addMember("domain") <<= aEntry.mDomain.mValue;
-  aObject.addMember("rack") <<= aEntry.mRack;
-  aObject.addMember("address") <<= aEntry.mAddress;
-  aObject.addMember("port") <<= std::int64_t{ aEntry.mPort };
-  aObject.addMember("peer_port") <<= std::int64_t{ aEntry.mPeerPort };
-  aObject.addMember("milli_processors") <<= aEntry.mCapacity.mMilliProcessors;
-  aObject.addMember("memory_bytes") <<= aEntry.mCapacity.mMemoryBytes;
-  aObject.addMember("accelerators") <<= aEntry.mCapacity.mAccelerators;
-  aObject.addMember("slots") <<= aEntry.mSlots;
-  aObject.addMember("connections") <<= aEntry.mConnections;
+  aObject.addMember("name") <<= aInstance.mName;
+  aObject.addMember("role") <<= std::string(NameOf(aInstance.mRole));
+  aObject.addMember("state") <<= std::string(NameOf(aInstance.mState));
+  aObject.addMember("domain") <<= aInstance.mDomain.mValue;
+  aObject.addMember("rack") <<= aInstance.mRack;
+  aObject.addMember("address") <<= aInstance.mAddress;
+  aObject.addMember("port") <<= std::int64_t{ aInstance.mPort };
+  aObject.addMember("peer_port") <<= std::int64_t{ aInstance.mPeerPort };
+  aObject.addMember("milli_processors") <<=
+    aInstance.mCapacity.mMilliProcessors;
+  aObject.addMember("memory_bytes") <<= aInstance.mCapacity.mMemoryBytes;
+  aObject.addMember("accelerators") <<= aInstance.mCapacity.mAccelerators;
+  aObject.addMember("slots") <<= aInstance.mSlots;
+  aObject.addMember("connections") <<= aInstance.mConnections;
 }
 
 } // namespace
 
 std::string
-FormatAppend(std::string_view aPayload)
+FormatAppendRequest(std::string_view aPayload)
 {
   JsonValue body = base::MakeJsonObject();
   body.addMember("payload") <<= std::string(aPayload);
@@ -74,7 +75,7 @@
 }
 
 base::Result<std::string>
-ParseAppend(std::string_view aBody)
+ParseAppendRequest(std::string_view aBody)
 {
   BOOST_OUTCOME_TRY(json, base::ParseJson(aBody));
   JsonReader reader(json);
@@ -84,7 +85,7 @@
 }
 
 std::string
-FormatOffset(Offset aOffset)
+FormatAppendResponse(Offset aOffset)
 {
   JsonValue body = base::MakeJsonObject();
   body.addMember("offset") <<= aOffset;
@@ -92,7 +93,7 @@
 }
 
 base::Result<Offset>
-ParseOffset(std::string_view aBody)
+ParseAppendResponse(std::string_view aBody)
 {
   BOOST_OUTCOME_TRY(json, base::ParseJson(aBody));
   JsonReader reader(json);
@@ -102,7 +103,7 @@
 }
 
 std::string
-FormatPage(const LogPage& aPage)
+FormatLogPage(const LogPage& aPage)
 {
   JsonValue body = base::MakeJsonObject();
   body.addMember("first_retained") <<= aPage.mFirstRetained;
@@ -118,7 +119,7 @@
 }
 
 base::Result<LogPage>
-ParsePage(std::string_view aBody)
+ParseLogPage(std::string_view aBody)
 {
   BOOST_OUTCOME_TRY(json, base::ParseJson(aBody));
   JsonReader reader(json);
@@ -136,7 +137,7 @@
     record.mOffset = element.GetInt("offset");
     record.mPayload = element.GetString("payload");
     BOOST_OUTCOME_TRYV(element.Check());
-    // A gap would let a reader miss a record without noticing it.
+    // A reader would not notice a record that is missing in a gap.
     if (!page.mRecords.empty() &&
         record.mOffset != page.mRecords.back().mOffset + 1) {
       return MakeError(ErrorKind::InvalidArgument,
@@ -147,12 +148,12 @@
   return page;
 }
 
-base::Result<InstanceEntry>
-ReadInstance(const JsonValue& aObject)
+base::Result<InstanceInfo>
+ParseInstance(const JsonValue& aObject)
 {
   JsonReader reader(aObject, "instance");
-  InstanceEntry entry;
-  entry.mName = reader.GetString("name");
+  InstanceInfo instance;
+  instance.mName = reader.GetString("name");
   BOOST_OUTCOME_TRY(role,
                     FindByName({ InstanceRole::Entry, InstanceRole::Worker },
                                reader.GetString("role", "worker")));
@@ -161,24 +162,24 @@
                                reader.GetString("state", "live")));
   BOOST_OUTCOME_TRY(port, ReadPort(reader, "port"));
   BOOST_OUTCOME_TRY(peerPort, ReadPort(reader, "peer_port"));
-  entry.mRole = role;
-  entry.mState = state;
-  entry.mPort = port;
-  entry.mPeerPort = peerPort;
-  entry.mDomain.mValue = reader.GetString("domain", "");
-  entry.mRack = reader.GetString("rack", "");
-  entry.mAddress = reader.GetString("address", "");
-  entry.mCapacity.mMilliProcessors = reader.GetInt("milli_processors", 0);
-  entry.mCapacity.mMemoryBytes = reader.GetInt("memory_bytes", 0);
-  entry.mCapacity.mAccelerators = reader.GetInt("accelerators", 0);
-  entry.mSlots = reader.GetInt("slots", 0);
-  entry.mConnections = reader.GetInt("connections", 0);
+  instance.mRole = role;
+  instance.mState = state;
+  instance.mPort = port;
+  instance.mPeerPort = peerPort;
+  instance.mDomain.mValue = reader.GetString("domain", "");
+  instance.mRack = reader.GetString("rack", "");
+  instance.mAddress = reader.GetString("address", "");
+  instance.mCapacity.mMilliProcessors = reader.GetInt("milli_processors", 0);
+  instance.mCapacity.mMemoryBytes = reader.GetInt("memory_bytes", 0);
+  instance.mCapacity.mAccelerators = reader.GetInt("accelerators", 0);
+  instance.mSlots = reader.GetInt("slots", 0);
+  instance.mConnections = reader.GetInt("connections", 0);
   BOOST_OUTCOME_TRYV(reader.Check());
-  return entry;
+  return instance;
 }
 
 std::string
-FormatInstances(const std::vector<InstanceEntry>& aInstances)
+FormatInstances(const std::vector<InstanceInfo>& aInstances)
 {
   JsonValue body = base::MakeJsonObject();
   JsonValue& instances = body.addMember("instances");
@@ -189,7 +190,7 @@
   return base::FormatJson(body);
 }
 
-base::Result<std::vector<InstanceEntry>>
+base::Result<std::vector<InstanceInfo>>
 ParseInstances(std::string_view aBody)
 {
   BOOST_OUTCOME_TRY(json, base::ParseJson(aBody));
@@ -201,12 +202,12 @@
     return MakeError(ErrorKind::InvalidArgument,
                      "'instances' must be an array");
   }
-  std::vector<InstanceEntry> entries;
+  std::vector<InstanceInfo> instances;
   for (const auto& it : *array) {
-    BOOST_OUTCOME_TRY(entry, ReadInstance(it));
-    entries.push_back(std::move(entry));
+    BOOST_OUTCOME_TRY(instance, ParseInstance(it));
+    instances.push_back(std::move(instance));
   }
-  return entries;
+  return instances;
 }
 
 } // namespace skylarkhill::platform
--- a/src/worker/http_remote_worker.cpp
+++ b/src/worker/http_remote_worker.cpp
@@ -22,7 +22,7 @@
 base::Error
 ToWorkerError(const http::Response& aResponse)
 {
-  base::Error error = http::ErrorOf(aResponse);
+  base::Error error = http::ParseErrorResponse(aResponse);
   switch (error.mKind) {
     case ErrorKind::WorkerRefused:
     case ErrorKind::StaleCommand:
@@ -138,7 +138,7 @@
       base::Error error = ToWorkerError(response);
       // The request may have been sent twice: the second copy was refused, but
       // the first may have run (explore, world site, seed 83).
-      return response.mMayBeRepeated
+      return response.mIsPossiblyResent
                ? MakeError(ErrorKind::ConnectionLost, std::move(error.mDetail))
                : error;
     }
