--- a/src/membership/view_test.cpp
+++ b/src/membership/view_test.cpp
@@ -163,7 +163,7 @@
   }
 
   static InstanceInfo MakeEntry(const base::InstanceId& aId,
-                                 InstanceState aState)
+                                InstanceState aState)
   {
     InstanceInfo entry;
     entry.mName = aId.mValue;
