--- a/include/skylarkhill/catalog/check.hpp
+++ b/include/skylarkhill/catalog/check.hpp
@@ -10,7 +10,7 @@
 namespace skylarkhill::catalog {
 
 /// A set read from a document together with all its problems.
-struct SetReading
+struct SetReadResult
 {
   CatalogSet mSet;
   std::vector<Finding> mFindings;
@@ -31,11 +31,11 @@
 CheckSet(const CatalogSet& aSet);
 
 /// Reads and checks a whole document. InvalidJson if it is no JSON object.
-base::Result<SetReading>
+base::Result<SetReadResult>
 ReadSet(std::string_view aText);
 
 /// Like ReadSet, on parsed JSON. Never fails: problems become findings.
-SetReading
+SetReadResult
 ReadSet(const base::JsonValue& aDocument);
 
 /// The set of a document without problems. InvalidJson, InvalidSet with all
@@ -60,7 +60,7 @@
 /// What batch tasks can use at most of one worker of the pool: its capacity
 /// less the reserves of the pool's services. Zero if there is no such pool.
 base::Resources
-BatchRoomPerWorker(const CatalogSet& aSet, std::string_view aPool);
+BatchCapacityPerWorker(const CatalogSet& aSet, std::string_view aPool);
 
 } // namespace skylarkhill::catalog
 
--- a/include/skylarkhill/catalog/config_state.hpp
+++ b/include/skylarkhill/catalog/config_state.hpp
@@ -18,7 +18,7 @@
   /// A publish took effect.
   Published,
   /// A publish whose base was not current.
-  Beaten,
+  Conflict,
   /// A publish whose difference or digest does not fit its base.
   Invalid,
   /// Read before, or a repeat of an earlier record.
@@ -37,10 +37,10 @@
 NameOf(ApplyResult aResult);
 
 /// How a publish ended.
-struct PublishVerdict
+struct PublishOutcome
 {
-  /// Published, Beaten or Invalid.
-  ApplyResult mResult = ApplyResult::Beaten;
+  /// Published, Conflict or Invalid.
+  ApplyResult mResult = ApplyResult::Conflict;
   /// The version that is the publish if it won, else the version that was
   /// current at its offset.
   Version mVersion = kNoVersion;
@@ -64,24 +64,25 @@
 
   /// Tells what the log still keeps. To be called for every page, because a
   /// page without records may follow expired ones.
-  void NoteFirstRetained(platform::Offset aFirstRetained);
+  void UpdateFirstRetained(platform::Offset aFirstRetained);
 
   /// The set in force; never null.
   const std::shared_ptr<const CatalogSet>& CurrentSet() const { return mSet; }
   Version CurrentVersion() const { return mVersion; }
   /// The offset to read next.
-  platform::Offset NextOffset() const { return mNext; }
+  platform::Offset NextOffset() const { return mNextOffset; }
   /// False if records that decide about the state have expired unread. The
   /// set in force may then be outdated.
   bool IsComplete() const { return mComplete; }
   /// The oldest record that a new reader needs. It has to be retained, or a
   /// newer snapshot to be written before it expires.
-  platform::Offset RecoveryOffset() const { return mRecovery; }
+  platform::Offset RecoveryOffset() const { return mRecoveryOffset; }
 
   /// The end of that publish, or nothing if it is not known: not read yet,
   /// deferred, or expired.
-  std::optional<PublishVerdict> FindVerdict(const std::string& aWriter,
-                                            std::int64_t aSequence) const;
+  std::optional<PublishOutcome> FindPublishOutcome(
+    const std::string& aWriter,
+    std::int64_t aSequence) const;
 
   /// A snapshot of the current state to be appended. NotFound if the state is
   /// not complete.
@@ -102,28 +103,30 @@
     PublishRecord mRecord;
   };
 
-  void BeginAt(platform::Offset aOffset);
+  void SkipTo(platform::Offset aOffset);
   ApplyResult ApplyPublish(platform::Offset aOffset, PublishRecord aRecord);
-  ApplyResult Decide(platform::Offset aOffset, const PublishRecord& aRecord);
+  ApplyResult ResolvePublish(platform::Offset aOffset,
+                             const PublishRecord& aRecord);
   ApplyResult ApplySnapshot(platform::Offset aOffset,
                             const SnapshotRecord& aRecord);
   bool Restore(Version aVersion,
                const CatalogSet& aSet,
                platform::Offset aNextOffset);
-  void RecordEarlierVerdict(Version aVersion, const DeferredPublish& aPublish);
-  bool AdoptSet(Version aVersion, CatalogSet aSet);
-  void ForgetBefore(platform::Offset aFirstRetained);
+  void RecordOutcomeBeforeRestore(Version aVersion,
+                                  const DeferredPublish& aPublish);
+  bool ReplaceIfNewer(Version aVersion, CatalogSet aSet);
+  void EraseOutcomesBefore(platform::Offset aFirstRetained);
 
   std::shared_ptr<const CatalogSet> mSet;
   Version mVersion = kNoVersion;
-  platform::Offset mNext;
-  /// Everything from this offset to mNext has been read.
+  platform::Offset mNextOffset;
+  /// Everything from this offset to mNextOffset has been read.
   platform::Offset mReadFrom;
-  platform::Offset mRecovery;
-  platform::Offset mForgottenBefore = 0;
+  platform::Offset mRecoveryOffset;
+  platform::Offset mFirstRetained = 0;
   bool mComplete = true;
   std::vector<DeferredPublish> mDeferred;
-  std::map<RecordIdentity, PublishVerdict> mVerdicts;
+  std::map<RecordIdentity, PublishOutcome> mOutcomes;
 };
 
 } // namespace skylarkhill::catalog
--- a/include/skylarkhill/catalog/object.hpp
+++ b/include/skylarkhill/catalog/object.hpp
@@ -97,7 +97,7 @@
 /// Part of a pool promised to a service or a batch class.
 struct Share
 {
-  std::string mFor;
+  std::string mOwner;
   base::Resources mResources;
 };
 
@@ -158,7 +158,7 @@
 };
 
 /// An object read from JSON together with its problems.
-struct ObjectReading
+struct ObjectReadResult
 {
   /// Set if the kind and the name are known, even if there are findings.
   std::optional<Object> mObject;
@@ -187,7 +187,7 @@
 Describe(const Object& aObject);
 
 /// Reads one object; `aWhere` names it in findings until its name is known.
-ObjectReading
+ObjectReadResult
 ReadObject(const base::JsonValue& aValue, const std::string& aWhere);
 
 /// InvalidSet with all findings if there are any.
--- a/include/skylarkhill/settings/secret.hpp
+++ b/include/skylarkhill/settings/secret.hpp
@@ -15,9 +15,9 @@
   explicit Secret(std::string aText);
 
   bool IsEmpty() const { return mText.empty(); }
-  /// True if `aOffered` is the secret. An empty secret matches nothing. The
-  /// time depends on the length of `aOffered` only.
-  bool Matches(std::string_view aOffered) const;
+  /// True if `aCandidate` is the secret. An empty secret matches nothing. The
+  /// time depends on the length of `aCandidate` only.
+  bool Matches(std::string_view aCandidate) const;
   /// The text itself, for sending it to its verifier.
   const std::string& Reveal() const { return mText; }
 
--- a/include/skylarkhill/settings/settings.hpp
+++ b/include/skylarkhill/settings/settings.hpp
@@ -136,7 +136,7 @@
 };
 
 /// Settings together with all problems of the text.
-struct SettingsReading
+struct SettingsReadResult
 {
   Settings mSettings;
   std::vector<SettingsFinding> mFindings;
@@ -147,7 +147,7 @@
 
 /// Reads TOML text without opening any file that it names. `aFile` names the
 /// text in findings.
-SettingsReading
+SettingsReadResult
 ReadSettings(std::string_view aText, const std::string& aFile);
 
 /// Like ReadSettings. InvalidSettings with all findings, one per line.
--- a/src/catalog/catalog_test.cpp
+++ b/src/catalog/catalog_test.cpp
@@ -23,7 +23,7 @@
 }
 
 std::string
-Wrap(const std::string& aObjects)
+MakeDocument(const std::string& aObjects)
 {
   return "{\"objects\":[" + aObjects + "]}";
 }
@@ -33,25 +33,25 @@
   R"({"milli_processors":16000,"memory_bytes":1000}})";
 
 std::string
-Service(const std::string& aName, const std::string& aMembers)
+MakeService(const std::string& aName, const std::string& aMembers)
 {
   return R"({"kind":"service","name":")" + aName + R"(",)" + aMembers + "}";
 }
 
 std::string
-BatchClass(const std::string& aName, const std::string& aMembers)
+MakeBatchClass(const std::string& aName, const std::string& aMembers)
 {
   return R"({"kind":"batch_class","name":")" + aName + R"(",)" + aMembers +
          R"(,"default_resources":{"milli_processors":4000,"memory_bytes":10}})";
 }
 
 bool
-HasFinding(const SetReading& aReading,
+HasFinding(const SetReadResult& aResult,
            const std::string& aObject,
            const std::string& aPart)
 {
-  return std::any_of(aReading.mFindings.begin(),
-                     aReading.mFindings.end(),
+  return std::any_of(aResult.mFindings.begin(),
+                     aResult.mFindings.end(),
                      [&](const Finding& aFinding) {
                        return aFinding.mObject == aObject &&
                               aFinding.mProblem.find(aPart) !=
@@ -67,7 +67,7 @@
   CPPUNIT_TEST(ReportsCapacityFindings);
   CPPUNIT_TEST(ReportsCycles);
   CPPUNIT_TEST(InheritsEvictionRules);
-  CPPUNIT_TEST(RefusesMalformedDocuments);
+  CPPUNIT_TEST(RejectsMalformedDocuments);
   CPPUNIT_TEST(DigestDependsOnContentOnly);
   CPPUNIT_TEST(AppliesDifferences);
   CPPUNIT_TEST(ChecksLargeSetInTime);
@@ -92,17 +92,18 @@
   // Guards against a check that stops at the first problem.
   void ReportsAllFindings()
   {
-    const auto reading = ReadSet(Wrap(
+    const auto result = ReadSet(MakeDocument(
       kPool + "," +
-      Service("a", R"("pool":"none","importance":101,"colour":1)") + "," +
-      Service("b", R"("pool":"a","reserve":{"cpus":1},"queue_limit":"x")") +
-      "," + Service("b", R"("pool":"p")") + R"(,{"kind":"thing","name":"c"},)" +
+      MakeService("a", R"("pool":"none","importance":101,"colour":1)") + "," +
+      MakeService("b", R"("pool":"a","reserve":{"cpus":1},"queue_limit":"x")") +
+      "," + MakeService("b", R"("pool":"p")") +
+      R"(,{"kind":"thing","name":"c"},)" +
       R"({"kind":"team","name":"t","batch_classes":["a","zz"],)" +
       R"("quota":{"milli_processors":1,"memory_bytes":1}},7,)" +
       R"({"kind":"profile","name":"x","preset":"tail"},)" +
       R"({"kind":"profile","name":"y","preset":"slow"})"));
-    CPPUNIT_ASSERT(reading.has_value());
-    const SetReading& it = reading.value();
+    CPPUNIT_ASSERT(result.has_value());
+    const SetReadResult& it = result.value();
     CPPUNIT_ASSERT(HasFinding(it, "service 'a'", "unknown pool 'none'"));
     CPPUNIT_ASSERT(HasFinding(it, "service 'a'", "between 0 and 100"));
     CPPUNIT_ASSERT(HasFinding(it, "service 'a'", "'colour' is unknown"));
@@ -123,64 +124,66 @@
   {
     const std::string reserve =
       R"("pool":"p","reserve":{"milli_processors":13000})";
-    const auto reading = ReadSet(Wrap(kPool + "," + Service("s", reserve) +
-                                      "," + BatchClass("b", R"("pool":"p")")));
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), reading.value().mFindings.size());
+    const auto result =
+      ReadSet(MakeDocument(kPool + "," + MakeService("s", reserve) + "," +
+                           MakeBatchClass("b", R"("pool":"p")")));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), result.value().mFindings.size());
     CPPUNIT_ASSERT(
-      HasFinding(reading.value(), "batch_class 'b'", "can ever hold"));
+      HasFinding(result.value(), "batch_class 'b'", "can ever hold"));
     CPPUNIT_ASSERT_EQUAL(
       std::int64_t(3000),
-      BatchRoomPerWorker(reading.value().mSet, "p").mMilliProcessors);
+      BatchCapacityPerWorker(result.value().mSet, "p").mMilliProcessors);
 
     std::string pool = kPool;
     pool.insert(pool.size() - 1,
                 R"(,"shares":[{"for":"b","resources":{"milli_processors":)"
                 R"(31000}},{"for":"q","resources":{}}])");
-    const auto over = ReadSet(Wrap(pool + "," + Service("s", reserve) + "," +
-                                   Service("t", R"("pool":"p")")));
+    const auto over =
+      ReadSet(MakeDocument(pool + "," + MakeService("s", reserve) + "," +
+                           MakeService("t", R"("pool":"p")")));
     CPPUNIT_ASSERT(
       HasFinding(over.value(), "pool 'p'", "promised beyond its size"));
     CPPUNIT_ASSERT(HasFinding(over.value(), "pool 'p'", "batch_class 'q'"));
-    const auto twice = ReadSet(
-      Wrap(kPool + "," + Service("s", reserve) + "," + Service("t", reserve)));
+    const auto twice =
+      ReadSet(MakeDocument(kPool + "," + MakeService("s", reserve) + "," +
+                           MakeService("t", reserve)));
     CPPUNIT_ASSERT(HasFinding(twice.value(), "pool 'p'", "reserves"));
   }
 
   // Guards against endless inheritance, and one cycle hiding another.
   void ReportsCycles()
   {
-    const auto reading =
-      ReadSet(Wrap(R"({"kind":"eviction_policy","name":"a","parent":"b"},)"
+    const auto result = ReadSet(
+      MakeDocument(R"({"kind":"eviction_policy","name":"a","parent":"b"},)"
                    R"({"kind":"eviction_policy","name":"b","parent":"c"},)"
                    R"({"kind":"eviction_policy","name":"c","parent":"b"},)"
                    R"({"kind":"eviction_policy","name":"d","parent":"d"},)"
                    R"({"kind":"eviction_policy","name":"e","parent":"a"})"));
-    const auto& findings = reading.value().mFindings;
+    const auto& findings = result.value().mFindings;
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), findings.size());
     CPPUNIT_ASSERT(
-      HasFinding(reading.value(), "eviction_policy 'b'", "b -> c -> b"));
-    CPPUNIT_ASSERT(
-      HasFinding(reading.value(), "eviction_policy 'd'", "d -> d"));
-    ResolveEvictionRules(reading.value().mSet, "a");
+      HasFinding(result.value(), "eviction_policy 'b'", "b -> c -> b"));
+    CPPUNIT_ASSERT(HasFinding(result.value(), "eviction_policy 'd'", "d -> d"));
+    ResolveEvictionRules(result.value().mSet, "a");
   }
 
   void InheritsEvictionRules()
   {
-    const auto reading =
-      ReadSet(Wrap(R"({"kind":"eviction_policy","name":"a","policy":)"
+    const auto result = ReadSet(
+      MakeDocument(R"({"kind":"eviction_policy","name":"a","policy":)"
                    R"("throttle_then_evict","throttle_percent":110},)"
                    R"({"kind":"eviction_policy","name":"b","parent":"a",)"
                    R"("evict_percent":105})"));
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), reading.value().mFindings.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), result.value().mFindings.size());
     CPPUNIT_ASSERT(
-      HasFinding(reading.value(), "eviction_policy 'b'", "110 exceeds"));
-    const auto rules = ResolveEvictionRules(reading.value().mSet, "b");
+      HasFinding(result.value(), "eviction_policy 'b'", "110 exceeds"));
+    const auto rules = ResolveEvictionRules(result.value().mSet, "b");
     CPPUNIT_ASSERT(rules.mKind == EvictionKind::ThrottleThenEvict);
     CPPUNIT_ASSERT_EQUAL(std::int64_t(110), rules.mThrottlePercent);
   }
 
   // Guards against crashes on documents of the wrong shape.
-  void RefusesMalformedDocuments()
+  void RejectsMalformedDocuments()
   {
     for (const char* it :
          { "[]", "{}", "3", R"({"objects":{}})", R"({"objects":[],"x":1})" }) {
@@ -190,24 +193,24 @@
     }
     const auto truncated = ParseSet(std::string_view(R"({"objects":[)"));
     CPPUNIT_ASSERT(truncated.error().mKind == base::ErrorKind::InvalidJson);
-    const std::string many =
-      Wrap(kPool + R"(,{"kind":"service","name":"s","pool":"p","reserve":)" +
-           R"({"memory_bytes":9223372036854775807}})");
+    const std::string many = MakeDocument(
+      kPool + R"(,{"kind":"service","name":"s","pool":"p","reserve":)" +
+      R"({"memory_bytes":9223372036854775807}})");
     CPPUNIT_ASSERT(ParseSet(std::string_view(many)).has_error());
   }
 
   void DigestDependsOnContentOnly()
   {
-    const std::string a = Service("a", R"("pool":"p")");
-    const std::string b = Service("b", R"("pool":"p")");
+    const std::string a = MakeService("a", R"("pool":"p")");
+    const std::string b = MakeService("b", R"("pool":"p")");
     const auto one =
-      ParseSet(std::string_view(Wrap(kPool + "," + a + "," + b)));
+      ParseSet(std::string_view(MakeDocument(kPool + "," + a + "," + b)));
     const auto two =
-      ParseSet(std::string_view(Wrap(b + "," + a + "," + kPool)));
+      ParseSet(std::string_view(MakeDocument(b + "," + a + "," + kPool)));
     CPPUNIT_ASSERT_EQUAL(one.value().Digest(), two.value().Digest());
-    const std::string c = Service("b", R"("pool":"p","max_attempts":4)");
+    const std::string c = MakeService("b", R"("pool":"p","max_attempts":4)");
     const auto three =
-      ParseSet(std::string_view(Wrap(kPool + "," + a + "," + c)));
+      ParseSet(std::string_view(MakeDocument(kPool + "," + a + "," + c)));
     CPPUNIT_ASSERT(one.value().Digest() != three.value().Digest());
     CatalogSet changed = one.value();
     changed.Remove("a");
@@ -240,10 +243,10 @@
     std::string objects = kPool;
     for (int i = 1; i < kManyObjects; ++i) {
       const std::string name = "o" + std::to_string(i);
-      objects += "," + (i % 2 == 0 ? Service(name, R"("pool":"p")")
-                                   : BatchClass(name, R"("pool":"p")"));
+      objects += "," + (i % 2 == 0 ? MakeService(name, R"("pool":"p")")
+                                   : MakeBatchClass(name, R"("pool":"p")"));
     }
-    CPPUNIT_ASSERT(ReadInTime(Wrap(objects)).mFindings.empty());
+    CPPUNIT_ASSERT(ReadWithinLimit(MakeDocument(objects)).mFindings.empty());
   }
 
   // Guards against a check whose time grows with the square of a chain.
@@ -255,10 +258,9 @@
       objects += R"(,{"kind":"eviction_policy","name":"c)" + std::to_string(i) +
                  R"(","parent":"c)" + std::to_string(i - 1) + R"("})";
     }
-    const SetReading reading = ReadInTime(Wrap(objects));
-    CPPUNIT_ASSERT(!HasFinding(reading, "eviction_policy 'c16'", ""));
-    CPPUNIT_ASSERT(
-      HasFinding(reading, "eviction_policy 'c17'", "more than 16"));
+    const SetReadResult result = ReadWithinLimit(MakeDocument(objects));
+    CPPUNIT_ASSERT(!HasFinding(result, "eviction_policy 'c16'", ""));
+    CPPUNIT_ASSERT(HasFinding(result, "eviction_policy 'c17'", "more than 16"));
   }
 
 private:
@@ -266,18 +268,18 @@
 
   // Measures processor time, because elapsed time includes waiting for other
   // processes on a busy machine.
-  static SetReading ReadInTime(const std::string& aText)
+  static SetReadResult ReadWithinLimit(const std::string& aText)
   {
     constexpr double kMaxSeconds = 1.0;
     const std::clock_t begin = std::clock();
-    auto reading = ReadSet(std::string_view(aText));
+    auto result = ReadSet(std::string_view(aText));
     const double elapsed =
       static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC;
     std::cout << " [" << elapsed << " s] ";
     CPPUNIT_ASSERT(elapsed < kMaxSeconds);
     CPPUNIT_ASSERT_EQUAL(std::size_t(kManyObjects),
-                         reading.value().mSet.All().size());
-    return std::move(reading.value());
+                         result.value().mSet.All().size());
+    return std::move(result.value());
   }
 };
 
--- a/src/catalog/check.cpp
+++ b/src/catalog/check.cpp
@@ -15,7 +15,7 @@
 constexpr int kMaxAncestors = 16;
 
 Resources
-Times(const Resources& aAmount, std::int64_t aCount)
+Multiply(const Resources& aAmount, std::int64_t aCount)
 {
   return { aAmount.mMilliProcessors * aCount,
            aAmount.mMemoryBytes * aCount,
@@ -34,17 +34,17 @@
 class SetChecker
 {
 public:
-  // Sizes of pools in `aUnreliable` are not compared: one wrong member would
+  // Sizes of pools in `aInvalidNames` are not compared: one wrong member would
   // otherwise cause a finding for every user of the pool.
-  SetChecker(const CatalogSet& aSet, const std::set<std::string>& aUnreliable)
+  SetChecker(const CatalogSet& aSet, const std::set<std::string>& aInvalidNames)
     : mSet(aSet)
-    , mUnreliable(aUnreliable)
+    , mInvalidNames(aInvalidNames)
   {
   }
 
   std::vector<Finding> Check()
   {
-    CollectUsers();
+    CollectServicesByPool();
     mSet.ForEach<Service>(
       [this](const auto& aObject) { CheckService(aObject); });
     mSet.ForEach<BatchClass>(
@@ -60,7 +60,7 @@
   }
 
 private:
-  void Add(const Object& aObject, std::string aProblem)
+  void AddFinding(const Object& aObject, std::string aProblem)
   {
     mFindings.push_back({ Describe(aObject), std::move(aProblem) });
   }
@@ -74,13 +74,13 @@
     if (aName.empty() || mSet.FindAs<T>(aName) != nullptr) {
       return;
     }
-    AddReference(aFrom, aKey, aName, NameOf(KindOf(Object(T()))));
+    AddReferenceFinding(aFrom, aKey, aName, NameOf(KindOf(Object(T()))));
   }
 
-  void AddReference(const Object& aFrom,
-                    std::string_view aKey,
-                    const std::string& aName,
-                    std::string_view aExpected)
+  void AddReferenceFinding(const Object& aFrom,
+                           std::string_view aKey,
+                           const std::string& aName,
+                           std::string_view aExpected)
   {
     const Object* found = mSet.Find(aName);
     std::string problem = "'";
@@ -92,14 +92,14 @@
       problem.append(Describe(*found)).append(" instead of a ");
       problem.append(aExpected);
     }
-    Add(aFrom, std::move(problem));
+    AddFinding(aFrom, std::move(problem));
   }
 
-  void CollectUsers()
+  void CollectServicesByPool()
   {
     mSet.ForEach<Service>([this](const Service& aService) {
-      mServicesOfPool[aService.mPool].push_back(&aService);
-      mReserveOfPool[aService.mPool] += aService.mReserve;
+      mServicesByPool[aService.mPool].push_back(&aService);
+      mReserveByPool[aService.mPool] += aService.mReserve;
     });
   }
 
@@ -114,16 +114,18 @@
     CheckReference<EvictionPolicy>(
       aBatch, "eviction_policy", aBatch.mEvictionPolicy);
     const Pool* pool = mSet.FindAs<Pool>(aBatch.mPool);
-    if (pool == nullptr || mUnreliable.count(pool->mName) != 0 ||
-        mUnreliable.count(aBatch.mName) != 0) {
+    if (pool == nullptr || mInvalidNames.count(pool->mName) != 0 ||
+        mInvalidNames.count(aBatch.mName) != 0) {
       return;
     }
-    const Resources room = pool->mWorkerCapacity - mReserveOfPool[pool->mName];
-    if (!Fits(aBatch.mDefaultResources, room)) {
-      Add(aBatch,
-          "no worker of pool '" + pool->mName +
-            "' can ever hold 'default_resources': at most " + ToText(room) +
-            " are left beside the reserves of services");
+    const Resources available =
+      pool->mWorkerCapacity - mReserveByPool[pool->mName];
+    if (!Fits(aBatch.mDefaultResources, available)) {
+      AddFinding(aBatch,
+                 "no worker of pool '" + pool->mName +
+                   "' can ever hold 'default_resources': at most " +
+                   ToText(available) +
+                   " are left beside the reserves of services");
     }
   }
 
@@ -131,60 +133,61 @@
   {
     std::set<std::string> seen;
     for (const auto& it : aPool.mShares) {
-      if (!seen.insert(it.mFor).second) {
-        Add(aPool, "'shares' has two entries for '" + it.mFor + "'");
+      if (!seen.insert(it.mOwner).second) {
+        AddFinding(aPool, "'shares' has two entries for '" + it.mOwner + "'");
       }
-      const auto* service = mSet.FindAs<Service>(it.mFor);
-      const auto* batch = mSet.FindAs<BatchClass>(it.mFor);
+      const auto* service = mSet.FindAs<Service>(it.mOwner);
+      const auto* batch = mSet.FindAs<BatchClass>(it.mOwner);
       if (service == nullptr && batch == nullptr) {
-        AddReference(aPool, "shares", it.mFor, "service or batch_class");
+        AddReferenceFinding(
+          aPool, "shares", it.mOwner, "service or batch_class");
         continue;
       }
       const std::string& user =
         service != nullptr ? service->mPool : batch->mPool;
       if (user != aPool.mName) {
-        Add(aPool,
-            "'shares' has an entry for '" + it.mFor + "', which uses pool '" +
-              user + "'");
+        AddFinding(aPool,
+                   "'shares' has an entry for '" + it.mOwner +
+                     "', which uses pool '" + user + "'");
       }
     }
   }
 
-  // A service is promised its share or its reserves, whichever is larger.
-  std::map<std::string, Resources> CollectPromises(const Pool& aPool)
+  // A service is guaranteed its share or its reserves, whichever is larger.
+  std::map<std::string, Resources> CollectGuarantees(const Pool& aPool)
   {
-    std::map<std::string, Resources> promises;
+    std::map<std::string, Resources> guarantees;
     for (const auto& it : aPool.mShares) {
-      promises[it.mFor] = it.mResources;
+      guarantees[it.mOwner] = it.mResources;
     }
-    for (const auto* it : mServicesOfPool[aPool.mName]) {
-      const Resources reserves = Times(it->mReserve, aPool.mWorkers);
-      promises[it->mName] = Max(promises[it->mName], reserves);
+    for (const auto* it : mServicesByPool[aPool.mName]) {
+      const Resources reserves = Multiply(it->mReserve, aPool.mWorkers);
+      guarantees[it->mName] = Max(guarantees[it->mName], reserves);
     }
-    return promises;
+    return guarantees;
   }
 
   void CheckPool(const Pool& aPool)
   {
     CheckShares(aPool);
-    if (mUnreliable.count(aPool.mName) != 0) {
+    if (mInvalidNames.count(aPool.mName) != 0) {
       return;
     }
-    if (!Fits(mReserveOfPool[aPool.mName], aPool.mWorkerCapacity)) {
-      Add(aPool,
-          "reserves of services exceed 'worker_capacity': " +
-            ToText(mReserveOfPool[aPool.mName]));
+    if (!Fits(mReserveByPool[aPool.mName], aPool.mWorkerCapacity)) {
+      AddFinding(aPool,
+                 "reserves of services exceed 'worker_capacity': " +
+                   ToText(mReserveByPool[aPool.mName]));
       return;
     }
-    const Resources size = Times(aPool.mWorkerCapacity, aPool.mWorkers);
-    Resources promised;
-    for (const auto& it : CollectPromises(aPool)) {
-      promised += it.second;
+    const Resources size = Multiply(aPool.mWorkerCapacity, aPool.mWorkers);
+    Resources guaranteed;
+    for (const auto& it : CollectGuarantees(aPool)) {
+      guaranteed += it.second;
       // Stopping at the first excess also keeps the sum from overflowing.
-      if (!Fits(promised, size)) {
-        Add(aPool,
-            "promised beyond its size of " + ToText(size) + " at '" + it.first +
-              "': " + ToText(promised));
+      if (!Fits(guaranteed, size)) {
+        AddFinding(aPool,
+                   "promised beyond its size of " + ToText(size) + " at '" +
+                     it.first + "': " + ToText(guaranteed));
         return;
       }
     }
@@ -204,12 +207,12 @@
       policy = mSet.FindAs<EvictionPolicy>(policy->mParent);
     }
     if (policy != nullptr && onPath.count(policy->mName) != 0) {
-      AddCycle(*policy, path);
+      AddCycleFinding(*policy, path);
     }
   }
 
-  void AddCycle(const EvictionPolicy& aStart,
-                const std::vector<std::string>& aPath)
+  void AddCycleFinding(const EvictionPolicy& aStart,
+                       const std::vector<std::string>& aPath)
   {
     std::string text = "'parent' forms a cycle: ";
     bool inCycle = false;
@@ -220,7 +223,7 @@
         mCyclic.insert(it);
       }
     }
-    Add(aStart, text.append(aStart.mName));
+    AddFinding(aStart, text.append(aStart.mName));
   }
 
   void CheckDepth(const EvictionPolicy& aPolicy)
@@ -234,9 +237,9 @@
       }
     }
     if (policy != nullptr) {
-      Add(aPolicy,
-          "'parent' leads through more than " + std::to_string(kMaxAncestors) +
-            " policies");
+      AddFinding(aPolicy,
+                 "'parent' leads through more than " +
+                   std::to_string(kMaxAncestors) + " policies");
     }
   }
 
@@ -248,15 +251,17 @@
     CheckDepth(aPolicy);
     const EvictionRules rules = ResolveEvictionRules(mSet, aPolicy.mName);
     if (rules.mThrottlePercent > rules.mEvictPercent) {
-      Add(aPolicy,
-          "'throttle_percent' " + std::to_string(rules.mThrottlePercent) +
-            " exceeds 'evict_percent' " + std::to_string(rules.mEvictPercent));
+      AddFinding(
+        aPolicy,
+        "'throttle_percent' " + std::to_string(rules.mThrottlePercent) +
+          " exceeds 'evict_percent' " + std::to_string(rules.mEvictPercent));
     }
     if (rules.mHysteresisPercent >= rules.mThrottlePercent) {
-      Add(aPolicy,
-          "'hysteresis_percent' " + std::to_string(rules.mHysteresisPercent) +
-            " is not below 'throttle_percent' " +
-            std::to_string(rules.mThrottlePercent));
+      AddFinding(aPolicy,
+                 "'hysteresis_percent' " +
+                   std::to_string(rules.mHysteresisPercent) +
+                   " is not below 'throttle_percent' " +
+                   std::to_string(rules.mThrottlePercent));
     }
   }
 
@@ -272,8 +277,9 @@
     const Profile* first = nullptr;
     mSet.ForEach<Profile>([this, &first](const Profile& aProfile) {
       if (first != nullptr) {
-        Add(aProfile,
-            "a set has one profile; there is also '" + first->mName + "'");
+        AddFinding(aProfile,
+                   "a set has one profile; there is also '" + first->mName +
+                     "'");
       } else {
         first = &aProfile;
       }
@@ -281,10 +287,10 @@
   }
 
   const CatalogSet& mSet;
-  const std::set<std::string>& mUnreliable;
+  const std::set<std::string>& mInvalidNames;
   std::vector<Finding> mFindings;
-  std::map<std::string, std::vector<const Service*>> mServicesOfPool;
-  std::map<std::string, Resources> mReserveOfPool;
+  std::map<std::string, std::vector<const Service*>> mServicesByPool;
+  std::map<std::string, Resources> mReserveByPool;
   std::set<std::string> mVisited;
   std::set<std::string> mCyclic;
 };
@@ -313,46 +319,46 @@
   return objects;
 }
 
-/// Reads all objects. `aUnreliable` gets the names of those with findings.
-SetReading
+/// Reads all objects. `aInvalidNames` gets the names of those with findings.
+SetReadResult
 ReadObjects(const base::JsonValue& aDocument,
-            std::set<std::string>& aUnreliable)
+            std::set<std::string>& aInvalidNames)
 {
-  SetReading reading;
-  const base::JsonValue* objects = FindObjects(aDocument, reading.mFindings);
+  SetReadResult result;
+  const base::JsonValue* objects = FindObjects(aDocument, result.mFindings);
   if (objects == nullptr) {
-    return reading;
+    return result;
   }
   std::int64_t position = 0;
   for (const auto& it : *objects) {
     const std::string where = "object " + std::to_string(++position);
-    ObjectReading object = ReadObject(it, where);
+    ObjectReadResult object = ReadObject(it, where);
     if (object.mObject) {
       const std::string name = NameOf(*object.mObject);
       if (!object.mFindings.empty()) {
-        aUnreliable.insert(name);
+        aInvalidNames.insert(name);
       }
-      if (const Object* first = reading.mSet.Find(name)) {
+      if (const Object* first = result.mSet.Find(name)) {
         object.mFindings.push_back(
           { Describe(*object.mObject),
             "duplicate name: " + where + " repeats " + Describe(*first) });
       } else {
-        reading.mSet.Put(std::move(*object.mObject));
+        result.mSet.Put(std::move(*object.mObject));
       }
     }
-    Append(reading.mFindings, std::move(object.mFindings));
+    Append(result.mFindings, std::move(object.mFindings));
   }
-  return reading;
+  return result;
 }
 
 base::Result<CatalogSet>
-ToResult(SetReading aReading)
+ToResult(SetReadResult aResult)
 {
-  if (!aReading.mFindings.empty()) {
+  if (!aResult.mFindings.empty()) {
     return base::MakeError(base::ErrorKind::InvalidSet,
-                           JoinFindings(aReading.mFindings));
+                           JoinFindings(aResult.mFindings));
   }
-  return std::move(aReading.mSet);
+  return std::move(aResult.mSet);
 }
 
 } // namespace
@@ -363,16 +369,16 @@
   return SetChecker(aSet, {}).Check();
 }
 
-SetReading
+SetReadResult
 ReadSet(const base::JsonValue& aDocument)
 {
-  std::set<std::string> unreliable;
-  SetReading reading = ReadObjects(aDocument, unreliable);
-  Append(reading.mFindings, SetChecker(reading.mSet, unreliable).Check());
-  return reading;
+  std::set<std::string> invalidNames;
+  SetReadResult result = ReadObjects(aDocument, invalidNames);
+  Append(result.mFindings, SetChecker(result.mSet, invalidNames).Check());
+  return result;
 }
 
-base::Result<SetReading>
+base::Result<SetReadResult>
 ReadSet(std::string_view aText)
 {
   const auto document = base::ParseJson(aText);
@@ -401,8 +407,8 @@
 base::Result<CatalogSet>
 ParseUncheckedSet(const base::JsonValue& aDocument)
 {
-  std::set<std::string> unreliable;
-  return ToResult(ReadObjects(aDocument, unreliable));
+  std::set<std::string> invalidNames;
+  return ToResult(ReadObjects(aDocument, invalidNames));
 }
 
 EvictionRules
@@ -429,19 +435,19 @@
 }
 
 base::Resources
-BatchRoomPerWorker(const CatalogSet& aSet, std::string_view aPool)
+BatchCapacityPerWorker(const CatalogSet& aSet, std::string_view aPool)
 {
   const auto* pool = aSet.FindAs<Pool>(aPool);
   if (pool == nullptr) {
     return {};
   }
-  Resources room = pool->mWorkerCapacity;
-  aSet.ForEach<Service>([&room, aPool](const Service& aService) {
+  Resources available = pool->mWorkerCapacity;
+  aSet.ForEach<Service>([&available, aPool](const Service& aService) {
     if (aService.mPool == aPool) {
-      room -= aService.mReserve;
+      available -= aService.mReserve;
     }
   });
-  return Max(room, {});
+  return Max(available, {});
 }
 
 } // namespace skylarkhill::catalog
--- a/src/catalog/config_state.cpp
+++ b/src/catalog/config_state.cpp
@@ -13,7 +13,7 @@
 
 constexpr base::NameTable<ApplyResult, 8> kApplyResultNames{ {
   { ApplyResult::Published, "published" },
-  { ApplyResult::Beaten, "beaten" },
+  { ApplyResult::Conflict, "beaten" },
   { ApplyResult::Invalid, "invalid" },
   { ApplyResult::Repeated, "repeated" },
   { ApplyResult::Deferred, "deferred" },
@@ -22,14 +22,14 @@
   { ApplyResult::Malformed, "malformed" },
 } };
 
-using Verdicts = std::map<RecordIdentity, PublishVerdict>;
+using PublishOutcomes = std::map<RecordIdentity, PublishOutcome>;
 
 base::JsonValue
-FormatVerdicts(const Verdicts& aVerdicts)
+FormatOutcomes(const PublishOutcomes& aOutcomes)
 {
   base::JsonValue list;
   list.setCategory(base::JsonValue::Array);
-  for (const auto& it : aVerdicts) {
+  for (const auto& it : aOutcomes) {
     base::JsonValue& row = list.addMember();
     row.setCategory(base::JsonValue::Object);
     row.addMember("writer") <<= it.first.mWriter;
@@ -42,16 +42,16 @@
 }
 
 base::Result<void>
-ParseVerdict(const base::JsonValue& aRow, Verdicts& aVerdicts)
+ParseOutcome(const base::JsonValue& aRow, PublishOutcomes& aOutcomes)
 {
   base::JsonReader reader(aRow, "verdict");
   RecordIdentity identity;
   identity.mWriter = reader.GetString("writer");
   identity.mSequence = reader.GetInt("sequence");
-  PublishVerdict verdict;
+  PublishOutcome outcome;
   const std::string result = reader.GetString("result");
-  verdict.mVersion = reader.GetInt("version");
-  verdict.mOffset = reader.GetInt("offset");
+  outcome.mVersion = reader.GetInt("version");
+  outcome.mOffset = reader.GetInt("offset");
   reader.RejectUnknown();
   BOOST_OUTCOME_TRYV(reader.Check());
   const auto known = base::FindValue(kApplyResultNames, result);
@@ -59,8 +59,8 @@
     return base::MakeError(base::ErrorKind::InvalidArgument,
                            "unknown result '" + result + "'");
   }
-  verdict.mResult = *known;
-  aVerdicts.emplace(std::move(identity), verdict);
+  outcome.mResult = *known;
+  aOutcomes.emplace(std::move(identity), outcome);
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -68,10 +68,10 @@
 struct ExportedState
 {
   Version mVersion = kNoVersion;
-  platform::Offset mNext = 0;
-  platform::Offset mRecovery = 0;
+  platform::Offset mNextOffset = 0;
+  platform::Offset mRecoveryOffset = 0;
   CatalogSet mSet;
-  Verdicts mVerdicts;
+  PublishOutcomes mOutcomes;
 };
 
 base::Result<ExportedState>
@@ -84,19 +84,19 @@
   ExportedState state;
   base::JsonReader reader(value.value(), "state");
   state.mVersion = reader.GetInt("version");
-  state.mNext = reader.GetInt("next");
-  state.mRecovery = reader.GetInt("recovery");
+  state.mNextOffset = reader.GetInt("next");
+  state.mRecoveryOffset = reader.GetInt("recovery");
   const base::JsonValue* set = reader.GetMember("set");
-  const base::JsonValue* verdicts = reader.GetMember("verdicts");
+  const base::JsonValue* outcomes = reader.GetMember("verdicts");
   reader.RejectUnknown();
   BOOST_OUTCOME_TRYV(reader.Check());
-  if (set == nullptr || verdicts == nullptr ||
-      verdicts->category() != base::JsonValue::Array) {
+  if (set == nullptr || outcomes == nullptr ||
+      outcomes->category() != base::JsonValue::Array) {
     return base::MakeError(base::ErrorKind::InvalidArgument,
                            "state: 'set' or 'verdicts' is missing");
   }
-  for (const auto& it : *verdicts) {
-    BOOST_OUTCOME_TRYV(ParseVerdict(it, state.mVerdicts));
+  for (const auto& it : *outcomes) {
+    BOOST_OUTCOME_TRYV(ParseOutcome(it, state.mOutcomes));
   }
   auto parsed = ParseUncheckedSet(*set);
   if (parsed.has_error()) {
@@ -116,44 +116,44 @@
 
 ConfigState::ConfigState(platform::Offset aStreamBegin)
   : mSet(std::make_shared<const CatalogSet>())
-  , mNext(aStreamBegin)
+  , mNextOffset(aStreamBegin)
   , mReadFrom(aStreamBegin)
-  , mRecovery(aStreamBegin)
+  , mRecoveryOffset(aStreamBegin)
 {
 }
 
 void
-ConfigState::NoteFirstRetained(platform::Offset aFirstRetained)
+ConfigState::UpdateFirstRetained(platform::Offset aFirstRetained)
 {
-  if (aFirstRetained > mNext) {
-    BeginAt(aFirstRetained);
+  if (aFirstRetained > mNextOffset) {
+    SkipTo(aFirstRetained);
   }
-  ForgetBefore(aFirstRetained);
+  EraseOutcomesBefore(aFirstRetained);
 }
 
 // A publish may have won among the records that were not read, so whether a
 // later one wins cannot be decided before the state is restored. The set in
 // force stays: an outdated set is better than none.
 void
-ConfigState::BeginAt(platform::Offset aOffset)
+ConfigState::SkipTo(platform::Offset aOffset)
 {
   mComplete = false;
   mDeferred.clear();
   mReadFrom = aOffset;
-  mNext = aOffset;
+  mNextOffset = aOffset;
 }
 
-// An expired record cannot be read again, so it needs no verdict any more.
+// An expired record cannot be read again, so it needs no outcome any more.
 void
-ConfigState::ForgetBefore(platform::Offset aFirstRetained)
+ConfigState::EraseOutcomesBefore(platform::Offset aFirstRetained)
 {
-  if (aFirstRetained <= mForgottenBefore) {
+  if (aFirstRetained <= mFirstRetained) {
     return;
   }
-  mForgottenBefore = aFirstRetained;
-  for (auto it = mVerdicts.begin(); it != mVerdicts.end();) {
+  mFirstRetained = aFirstRetained;
+  for (auto it = mOutcomes.begin(); it != mOutcomes.end();) {
     const bool isExpired = it->second.mOffset < aFirstRetained;
-    it = isExpired ? mVerdicts.erase(it) : std::next(it);
+    it = isExpired ? mOutcomes.erase(it) : std::next(it);
   }
 }
 
@@ -162,14 +162,14 @@
                    std::string_view aPayload,
                    platform::Offset aFirstRetained)
 {
-  NoteFirstRetained(aFirstRetained);
-  if (aOffset < mNext) {
+  UpdateFirstRetained(aFirstRetained);
+  if (aOffset < mNextOffset) {
     return ApplyResult::Repeated;
   }
-  if (aOffset > mNext) {
-    BeginAt(aOffset);
+  if (aOffset > mNextOffset) {
+    SkipTo(aOffset);
   }
-  mNext = aOffset + 1;
+  mNextOffset = aOffset + 1;
   auto record = ParseConfigRecord(aPayload);
   if (record.has_error()) {
     return ApplyResult::Malformed;
@@ -188,29 +188,30 @@
     mDeferred.push_back({ aOffset, std::move(aRecord) });
     return ApplyResult::Deferred;
   }
-  return Decide(aOffset, aRecord);
+  return ResolvePublish(aOffset, aRecord);
 }
 
 ApplyResult
-ConfigState::Decide(platform::Offset aOffset, const PublishRecord& aRecord)
+ConfigState::ResolvePublish(platform::Offset aOffset,
+                            const PublishRecord& aRecord)
 {
-  if (mVerdicts.count(aRecord.mIdentity) != 0) {
+  if (mOutcomes.count(aRecord.mIdentity) != 0) {
     return ApplyResult::Repeated;
   }
-  PublishVerdict& verdict = mVerdicts[aRecord.mIdentity];
-  verdict = { ApplyResult::Beaten, mVersion, aOffset };
+  PublishOutcome& outcome = mOutcomes[aRecord.mIdentity];
+  outcome = { ApplyResult::Conflict, mVersion, aOffset };
   if (aRecord.mBaseVersion != mVersion) {
-    return verdict.mResult;
+    return outcome.mResult;
   }
   auto result = ApplyDelta(*mSet, aRecord.mDelta);
   if (result.has_error() || result.value().Digest() != aRecord.mDigest) {
-    verdict.mResult = ApplyResult::Invalid;
-    return verdict.mResult;
+    outcome.mResult = ApplyResult::Invalid;
+    return outcome.mResult;
   }
   mSet = std::make_shared<const CatalogSet>(std::move(result.value()));
   mVersion = aOffset;
-  verdict = { ApplyResult::Published, mVersion, aOffset };
-  return verdict.mResult;
+  outcome = { ApplyResult::Published, mVersion, aOffset };
+  return outcome.mResult;
 }
 
 // Section 2.2 of the design: usable only if every record after `as_of` has
@@ -226,7 +227,7 @@
   const bool isRestored = !mComplete && mReadFrom <= next &&
                           Restore(aRecord.mVersion, aRecord.mSet, next);
   if (mComplete) {
-    mRecovery = std::max(mRecovery, next);
+    mRecoveryOffset = std::max(mRecoveryOffset, next);
   }
   return isRestored ? ApplyResult::Restored : ApplyResult::Ignored;
 }
@@ -243,13 +244,13 @@
   }
   mSet = std::make_shared<const CatalogSet>(aSet);
   mVersion = aVersion;
-  mNext = std::max(mNext, aNextOffset);
+  mNextOffset = std::max(mNextOffset, aNextOffset);
   mComplete = true;
   for (const auto& it : std::exchange(mDeferred, {})) {
     if (it.mOffset >= aNextOffset) {
-      Decide(it.mOffset, it.mRecord);
+      ResolvePublish(it.mOffset, it.mRecord);
     } else {
-      RecordEarlierVerdict(aVersion, it);
+      RecordOutcomeBeforeRestore(aVersion, it);
     }
   }
   return true;
@@ -258,25 +259,25 @@
 // Of the publishes that a restored state includes, the one that is its version
 // won, and all later ones lost to it. About earlier ones nothing is known.
 void
-ConfigState::RecordEarlierVerdict(Version aVersion,
-                                  const DeferredPublish& aPublish)
+ConfigState::RecordOutcomeBeforeRestore(Version aVersion,
+                                        const DeferredPublish& aPublish)
 {
   const platform::Offset offset = aPublish.mOffset;
   if (offset < aVersion) {
     return;
   }
   const auto result =
-    offset == aVersion ? ApplyResult::Published : ApplyResult::Beaten;
-  mVerdicts.emplace(aPublish.mRecord.mIdentity,
-                    PublishVerdict{ result, aVersion, offset });
+    offset == aVersion ? ApplyResult::Published : ApplyResult::Conflict;
+  mOutcomes.emplace(aPublish.mRecord.mIdentity,
+                    PublishOutcome{ result, aVersion, offset });
 }
 
-std::optional<PublishVerdict>
-ConfigState::FindVerdict(const std::string& aWriter,
-                         std::int64_t aSequence) const
+std::optional<PublishOutcome>
+ConfigState::FindPublishOutcome(const std::string& aWriter,
+                                std::int64_t aSequence) const
 {
-  const auto it = mVerdicts.find({ aWriter, aSequence });
-  return it == mVerdicts.end() ? std::nullopt : std::optional(it->second);
+  const auto it = mOutcomes.find({ aWriter, aSequence });
+  return it == mOutcomes.end() ? std::nullopt : std::optional(it->second);
 }
 
 base::Result<SnapshotRecord>
@@ -286,7 +287,9 @@
     return base::MakeError(base::ErrorKind::NotFound,
                            "the state of the config stream is not complete");
   }
-  return SnapshotRecord{ std::move(aIdentity), mVersion, *mSet, mNext - 1 };
+  return SnapshotRecord{
+    std::move(aIdentity), mVersion, *mSet, mNextOffset - 1
+  };
 }
 
 base::Result<std::string>
@@ -298,10 +301,10 @@
   }
   base::JsonValue value = base::MakeJsonObject();
   value.addMember("version") <<= mVersion;
-  value.addMember("next") <<= mNext;
-  value.addMember("recovery") <<= mRecovery;
+  value.addMember("next") <<= mNextOffset;
+  value.addMember("recovery") <<= mRecoveryOffset;
   AddMember(value, "set", FormatSet(*mSet));
-  AddMember(value, "verdicts", FormatVerdicts(mVerdicts));
+  AddMember(value, "verdicts", FormatOutcomes(mOutcomes));
   return base::FormatJson(value);
 }
 
@@ -313,25 +316,27 @@
     return parsed.error();
   }
   ExportedState& state = parsed.value();
-  if (mComplete && state.mNext <= mNext) {
+  if (mComplete && state.mNextOffset <= mNextOffset) {
     return false;
   }
   // A gap between the peer's state and the records read here: its set may be
   // newer, but the records after it cannot be decided.
-  if (state.mNext < mReadFrom) {
-    return AdoptSet(state.mVersion, std::move(state.mSet));
+  if (state.mNextOffset < mReadFrom) {
+    return ReplaceIfNewer(state.mVersion, std::move(state.mSet));
   }
-  const Verdicts own = std::exchange(mVerdicts, std::move(state.mVerdicts));
-  mVerdicts.insert(own.begin(), own.end());
-  const bool isRestored = Restore(state.mVersion, state.mSet, state.mNext);
+  const PublishOutcomes own =
+    std::exchange(mOutcomes, std::move(state.mOutcomes));
+  mOutcomes.insert(own.begin(), own.end());
+  const bool isRestored =
+    Restore(state.mVersion, state.mSet, state.mNextOffset);
   if (isRestored) {
-    mRecovery = std::max(mRecovery, state.mRecovery);
+    mRecoveryOffset = std::max(mRecoveryOffset, state.mRecoveryOffset);
   }
   return isRestored;
 }
 
 bool
-ConfigState::AdoptSet(Version aVersion, CatalogSet aSet)
+ConfigState::ReplaceIfNewer(Version aVersion, CatalogSet aSet)
 {
   if (aVersion <= mVersion) {
     return false;
--- a/src/catalog/config_state_test.cpp
+++ b/src/catalog/config_state_test.cpp
@@ -52,7 +52,7 @@
 }
 
 void
-AssertSame(const ConfigState& aExpected, const ConfigState& aActual)
+AssertSameSet(const ConfigState& aExpected, const ConfigState& aActual)
 {
   CPPUNIT_ASSERT_EQUAL(aExpected.CurrentVersion(), aActual.CurrentVersion());
   CPPUNIT_ASSERT_EQUAL(aExpected.CurrentSet()->Digest(),
@@ -63,7 +63,7 @@
 {
   CPPUNIT_TEST_SUITE(ConfigStateTest);
   CPPUNIT_TEST(OnePublisherWins);
-  CPPUNIT_TEST(RefusesUnfitRecords);
+  CPPUNIT_TEST(RejectsInconsistentRecords);
   CPPUNIT_TEST(PreparesConsistentPublish);
   CPPUNIT_TEST(NewReaderNeedsUsableSnapshot);
   CPPUNIT_TEST(GapNeverRevertsVersion);
@@ -79,22 +79,22 @@
     const std::string first = MakePublish(state, "a", 1, "x");
     const std::string second = MakePublish(state, "b", 1, "y");
     CPPUNIT_ASSERT(state.Apply(0, first, 0) == ApplyResult::Published);
-    CPPUNIT_ASSERT(state.Apply(1, second, 0) == ApplyResult::Beaten);
+    CPPUNIT_ASSERT(state.Apply(1, second, 0) == ApplyResult::Conflict);
     CPPUNIT_ASSERT(state.Apply(2, first, 0) == ApplyResult::Repeated);
     CPPUNIT_ASSERT(state.Apply(1, second, 0) == ApplyResult::Repeated);
     CPPUNIT_ASSERT_EQUAL(Version(0), state.CurrentVersion());
     CPPUNIT_ASSERT(state.CurrentSet()->Find("x") != nullptr);
     CPPUNIT_ASSERT(state.CurrentSet()->Find("y") == nullptr);
-    const auto won = state.FindVerdict("a", 1);
+    const auto won = state.FindPublishOutcome("a", 1);
     CPPUNIT_ASSERT(won->mResult == ApplyResult::Published);
-    const auto lost = state.FindVerdict("b", 1);
-    CPPUNIT_ASSERT(lost->mResult == ApplyResult::Beaten);
+    const auto lost = state.FindPublishOutcome("b", 1);
+    CPPUNIT_ASSERT(lost->mResult == ApplyResult::Conflict);
     CPPUNIT_ASSERT_EQUAL(Version(0), lost->mVersion);
-    CPPUNIT_ASSERT(!state.FindVerdict("b", 2));
+    CPPUNIT_ASSERT(!state.FindPublishOutcome("b", 2));
   }
 
   // Guards against a record that changes the state of some readers only.
-  void RefusesUnfitRecords()
+  void RejectsInconsistentRecords()
   {
     ConfigState state;
     const std::string good = MakePublish(state, "a", 1, "x");
@@ -137,7 +137,7 @@
     const SetDelta second{ { MakeProfile("y") }, {} };
     const auto invalid = PreparePublish(state, 0, second, "operator");
     CPPUNIT_ASSERT(invalid.error().mKind == base::ErrorKind::InvalidSet);
-    state.NoteFirstRetained(9);
+    state.UpdateFirstRetained(9);
     CPPUNIT_ASSERT(PreparePublish(state, 0, {}, "operator").has_error());
   }
 
@@ -163,12 +163,12 @@
     CPPUNIT_ASSERT(!reader.IsComplete());
     CPPUNIT_ASSERT(reader.MakeSnapshot({ "r", 1 }).has_error());
     CPPUNIT_ASSERT(reader.Apply(3, stream[3], 2) == ApplyResult::Deferred);
-    CPPUNIT_ASSERT(!reader.FindVerdict("a", 3));
+    CPPUNIT_ASSERT(!reader.FindPublishOutcome("a", 3));
     CPPUNIT_ASSERT(reader.Apply(4, stream[4], 2) == ApplyResult::Restored);
     ApplyFrom(writer, stream, 0);
-    AssertSame(writer, reader);
+    AssertSameSet(writer, reader);
     CPPUNIT_ASSERT_EQUAL(Version(3), reader.CurrentVersion());
-    CPPUNIT_ASSERT(reader.FindVerdict("a", 3)->mResult ==
+    CPPUNIT_ASSERT(reader.FindPublishOutcome("a", 3)->mResult ==
                    ApplyResult::Published);
     CPPUNIT_ASSERT_EQUAL(platform::Offset(3), writer.RecoveryOffset());
     // Publishes that the snapshot includes must not count as beaten.
@@ -178,13 +178,13 @@
     early.Apply(2, "unreadable", 0);
     early.Apply(3, stream[3], 0);
     CPPUNIT_ASSERT(early.Apply(4, stream[4], 0) == ApplyResult::Restored);
-    AssertSame(writer, early);
-    CPPUNIT_ASSERT(!early.FindVerdict("a", 1));
-    CPPUNIT_ASSERT(early.FindVerdict("a", 2)->mResult ==
+    AssertSameSet(writer, early);
+    CPPUNIT_ASSERT(!early.FindPublishOutcome("a", 1));
+    CPPUNIT_ASSERT(early.FindPublishOutcome("a", 2)->mResult ==
                    ApplyResult::Published);
     // An empty page can follow expired records.
     ConfigState late;
-    late.NoteFirstRetained(5);
+    late.UpdateFirstRetained(5);
     CPPUNIT_ASSERT(!late.IsComplete());
     // Neither can a caller leave out records unnoticed.
     ConfigState skipping;
@@ -221,8 +221,8 @@
     ApplyFrom(peer, stream, 0);
     ConfigState state;
     CPPUNIT_ASSERT(state.Import(peer.Export().value()).value());
-    AssertSame(peer, state);
-    CPPUNIT_ASSERT(state.FindVerdict("a", 1)->mResult ==
+    AssertSameSet(peer, state);
+    CPPUNIT_ASSERT(state.FindPublishOutcome("a", 1)->mResult ==
                    ApplyResult::Published);
     CPPUNIT_ASSERT(state.Apply(0, stream[0], 0) == ApplyResult::Repeated);
     CPPUNIT_ASSERT(!state.Import(empty).value());
@@ -270,7 +270,7 @@
       const bool mustBeComplete = from <= aReference.RecoveryOffset();
       CPPUNIT_ASSERT_EQUAL_MESSAGE(where, mustBeComplete, reader.IsComplete());
       if (reader.IsComplete()) {
-        AssertSame(aReference, reader);
+        AssertSameSet(aReference, reader);
       }
     }
   }
--- a/src/catalog/delta.cpp
+++ b/src/catalog/delta.cpp
@@ -23,7 +23,7 @@
   std::int64_t position = 0;
   for (const auto& it : aList) {
     const std::string where = "changed object " + std::to_string(++position);
-    ObjectReading object = ReadObject(it, where);
+    ObjectReadResult object = ReadObject(it, where);
     for (auto& finding : object.mFindings) {
       aFindings.push_back(std::move(finding));
     }
--- a/src/catalog/object.cpp
+++ b/src/catalog/object.cpp
@@ -56,12 +56,12 @@
 constexpr std::int64_t kMaxPercent = 1'000;
 constexpr std::int64_t kMaxWeight = 1'000;
 
-constexpr base::Resources kMaxOfWorker{ kMaxMilliProcessors,
-                                        kMaxMemoryBytes,
-                                        kMaxAccelerators };
-constexpr base::Resources kMaxOfPool{ kMaxMilliProcessors * kMaxWorkers,
-                                      kMaxMemoryBytes* kMaxWorkers,
-                                      kMaxAccelerators* kMaxWorkers };
+constexpr base::Resources kMaxWorkerResources{ kMaxMilliProcessors,
+                                               kMaxMemoryBytes,
+                                               kMaxAccelerators };
+constexpr base::Resources kMaxPoolResources{ kMaxMilliProcessors * kMaxWorkers,
+                                             kMaxMemoryBytes* kMaxWorkers,
+                                             kMaxAccelerators* kMaxWorkers };
 
 /// Reads the members of one object and collects the findings of all nested
 /// readers.
@@ -97,7 +97,7 @@
     std::sort(sorted.begin(), sorted.end());
     const auto repeated = std::adjacent_find(sorted.begin(), sorted.end());
     if (repeated != sorted.end()) {
-      Add(aKey, "lists '" + *repeated + "' twice");
+      AddFinding(aKey, "lists '" + *repeated + "' twice");
     }
     return names;
   }
@@ -111,14 +111,14 @@
     }
     if (member->category() != base::JsonValue::Array) {
       if (mReader.GetString(aKey) != "all") {
-        Add(aKey, "must be \"all\" or a list of names");
+        AddFinding(aKey, "must be \"all\" or a list of names");
       }
       return selection;
     }
     selection.mAll = false;
     selection.mNames = Names(aKey);
     if (selection.mNames.empty()) {
-      Add(aKey, "must not be empty");
+      AddFinding(aKey, "must not be empty");
     }
     return selection;
   }
@@ -165,7 +165,7 @@
       for (const auto& it : aTable) {
         known.append(known.empty() ? "" : ", ").append(it.mName);
       }
-      Add(aKey, "must be one of " + known);
+      AddFinding(aKey, "must be one of " + known);
     }
     return value;
   }
@@ -175,38 +175,41 @@
                     const base::NameTable<Enum, N>& aTable)
   {
     if (mReader.GetMember(aKey) == nullptr) {
-      Add(aKey, "is missing");
+      AddFinding(aKey, "is missing");
     }
     return OptionalEnum(aKey, aTable).value_or(aTable.front().mValue);
   }
 
-  base::Resources Amount(std::string_view aKey, const base::Resources& aMax)
+  base::Resources OptionalResources(std::string_view aKey,
+                                    const base::Resources& aMax)
   {
     const base::JsonValue* member = mReader.GetMember(aKey);
     if (member == nullptr) {
       return {};
     }
     ObjectReader nested(*member);
-    base::Resources amount;
-    amount.mMilliProcessors =
+    base::Resources resources;
+    resources.mMilliProcessors =
       nested.Int("milli_processors", 0, 0, aMax.mMilliProcessors);
-    amount.mMemoryBytes = nested.Int("memory_bytes", 0, 0, aMax.mMemoryBytes);
-    amount.mAccelerators = nested.Int("accelerators", 0, 0, aMax.mAccelerators);
-    Merge(aKey, std::move(nested));
-    return amount;
+    resources.mMemoryBytes =
+      nested.Int("memory_bytes", 0, 0, aMax.mMemoryBytes);
+    resources.mAccelerators =
+      nested.Int("accelerators", 0, 0, aMax.mAccelerators);
+    MergeFindings(aKey, std::move(nested));
+    return resources;
   }
 
-  /// Like Amount, for a member that must be present and not zero.
-  base::Resources RequiredAmount(std::string_view aKey,
-                                 const base::Resources& aMax)
+  /// Like OptionalResources, for a member that must be present and not zero.
+  base::Resources RequiredResources(std::string_view aKey,
+                                    const base::Resources& aMax)
   {
-    const base::Resources amount = Amount(aKey, aMax);
+    const base::Resources resources = OptionalResources(aKey, aMax);
     if (mReader.GetMember(aKey) == nullptr) {
-      Add(aKey, "is missing");
-    } else if (amount.mMilliProcessors == 0 || amount.mMemoryBytes == 0) {
-      Add(aKey, "must have processors and memory");
+      AddFinding(aKey, "is missing");
+    } else if (resources.mMilliProcessors == 0 || resources.mMemoryBytes == 0) {
+      AddFinding(aKey, "must have processors and memory");
     }
-    return amount;
+    return resources;
   }
 
   std::vector<Share> Shares(std::string_view aKey)
@@ -217,33 +220,34 @@
       return shares;
     }
     if (member->category() != base::JsonValue::Array) {
-      Add(aKey, "must be a list");
+      AddFinding(aKey, "must be a list");
       return shares;
     }
     for (const auto& it : *member) {
       ObjectReader nested(it);
       Share share;
-      share.mFor = nested.Name("for");
-      share.mResources = nested.Amount("resources", kMaxOfPool);
-      Merge(aKey, std::move(nested));
+      share.mOwner = nested.Name("for");
+      share.mResources =
+        nested.OptionalResources("resources", kMaxPoolResources);
+      MergeFindings(aKey, std::move(nested));
       shares.push_back(std::move(share));
     }
     return shares;
   }
 
-  void Add(std::string_view aKey, std::string_view aProblem)
+  void AddFinding(std::string_view aKey, std::string_view aProblem)
   {
     std::string problem = "'";
     problem.append(aKey).append("' ").append(aProblem);
-    mOwn.push_back(std::move(problem));
+    mProblems.push_back(std::move(problem));
   }
 
   /// All problems, including members that nothing asked for.
-  std::vector<std::string> Finish()
+  std::vector<std::string> CollectProblems()
   {
     mReader.RejectUnknown();
     std::vector<std::string> problems = mReader.Findings();
-    problems.insert(problems.end(), mOwn.begin(), mOwn.end());
+    problems.insert(problems.end(), mProblems.begin(), mProblems.end());
     return problems;
   }
 
@@ -254,9 +258,9 @@
                           std::int64_t aHigh)
   {
     if (aValue < aLow || aValue > aHigh) {
-      Add(aKey,
-          "must be between " + std::to_string(aLow) + " and " +
-            std::to_string(aHigh));
+      AddFinding(aKey,
+                 "must be between " + std::to_string(aLow) + " and " +
+                   std::to_string(aHigh));
     }
     // The checks between objects go on with a value that cannot overflow.
     return std::clamp(aValue, aLow, aHigh);
@@ -269,19 +273,20 @@
                                           "0123456789._-";
     if (aName.empty() || aName.size() > kMaxNameLength ||
         aName.find_first_not_of(kAllowed) != std::string_view::npos) {
-      Add(aKey, "must have 1 to 64 letters, digits, dots, dashes, underscores");
+      AddFinding(
+        aKey, "must have 1 to 64 letters, digits, dots, dashes, underscores");
     }
   }
 
-  void Merge(std::string_view aKey, ObjectReader aNested)
+  void MergeFindings(std::string_view aKey, ObjectReader aNested)
   {
-    for (const auto& it : aNested.Finish()) {
-      Add(aKey, "has a problem: " + it);
+    for (const auto& it : aNested.CollectProblems()) {
+      AddFinding(aKey, "has a problem: " + it);
     }
   }
 
   base::JsonReader mReader;
-  std::vector<std::string> mOwn;
+  std::vector<std::string> mProblems;
 };
 
 Service
@@ -292,7 +297,7 @@
   service.mImportance =
     aReader.Int("importance", service.mImportance, 0, kMaxImportance);
   service.mIdempotent = aReader.Bool("idempotent", service.mIdempotent);
-  service.mReserve = aReader.Amount("reserve", kMaxOfWorker);
+  service.mReserve = aReader.OptionalResources("reserve", kMaxWorkerResources);
   service.mQueueLimit =
     aReader.Int("queue_limit", service.mQueueLimit, 1, kMaxQueueLimit);
   service.mTargetLatencyMs = aReader.Int(
@@ -302,7 +307,7 @@
   service.mMaxAttempts =
     aReader.Int("max_attempts", service.mMaxAttempts, 1, kMaxAttempts);
   if (service.mDefaultDeadlineMs < service.mTargetLatencyMs) {
-    aReader.Add("default_deadline_ms", "is below 'target_latency_ms'");
+    aReader.AddFinding("default_deadline_ms", "is below 'target_latency_ms'");
   }
   return service;
 }
@@ -314,7 +319,7 @@
   batch.mPool = aReader.Name("pool");
   batch.mEvictionPolicy = aReader.OptionalName("eviction_policy");
   batch.mDefaultResources =
-    aReader.RequiredAmount("default_resources", kMaxOfWorker);
+    aReader.RequiredResources("default_resources", kMaxWorkerResources);
   batch.mDefaultRunSeconds = aReader.Int(
     "default_run_seconds", batch.mDefaultRunSeconds, 1, kMaxRunSeconds);
   batch.mMaxEvictions =
@@ -330,7 +335,7 @@
   pool.mDomains = aReader.Select("domains");
   pool.mRacks = aReader.Select("racks");
   pool.mWorkerCapacity =
-    aReader.RequiredAmount("worker_capacity", kMaxOfWorker);
+    aReader.RequiredResources("worker_capacity", kMaxWorkerResources);
   pool.mWorkers = aReader.Int("workers", 1, kMaxWorkers);
   pool.mShares = aReader.Shares("shares");
   return pool;
@@ -349,7 +354,7 @@
   policy.mHysteresisPercent =
     aReader.OptionalInt("hysteresis_percent", 0, kMaxPercent);
   if (policy.mParent.empty() && !policy.mKind) {
-    aReader.Add("policy", "is missing and there is no 'parent'");
+    aReader.AddFinding("policy", "is missing and there is no 'parent'");
   }
   return policy;
 }
@@ -358,7 +363,7 @@
 ReadTeam(ObjectReader& aReader)
 {
   Team team;
-  team.mQuota = aReader.RequiredAmount("quota", kMaxOfPool);
+  team.mQuota = aReader.RequiredResources("quota", kMaxPoolResources);
   team.mWeight = aReader.Int("weight", team.mWeight, 1, kMaxWeight);
   team.mBatchClasses = aReader.Names("batch_classes");
   return team;
@@ -459,10 +464,10 @@
   return text.append(" '").append(NameOf(aObject)).append("'");
 }
 
-ObjectReading
+ObjectReadResult
 ReadObject(const base::JsonValue& aValue, const std::string& aWhere)
 {
-  ObjectReading reading;
+  ObjectReadResult result;
   ObjectReader reader(aValue);
   const auto kind = reader.OptionalEnum("kind", kObjectKindNames);
   const std::string name = reader.Name("name");
@@ -472,10 +477,10 @@
     Object object = ReadKind(*kind, reader);
     std::visit([&name](auto& aAlternative) { aAlternative.mName = name; },
                object);
-    problems = reader.Finish();
+    problems = reader.CollectProblems();
     if (!name.empty()) {
       where = Describe(object);
-      reading.mObject = std::move(object);
+      result.mObject = std::move(object);
     }
   } else if (aValue.category() != base::JsonValue::Object) {
     problems.emplace_back("is not an object");
@@ -484,20 +489,20 @@
     problems.emplace_back("'kind' is missing or unknown");
   }
   for (auto& it : problems) {
-    reading.mFindings.push_back({ where, std::move(it) });
+    result.mFindings.push_back({ where, std::move(it) });
   }
-  return reading;
+  return result;
 }
 
 base::Result<Object>
 ParseObject(const base::JsonValue& aValue)
 {
-  ObjectReading reading = ReadObject(aValue, "object");
-  if (!reading.mFindings.empty() || !reading.mObject) {
+  ObjectReadResult result = ReadObject(aValue, "object");
+  if (!result.mFindings.empty() || !result.mObject) {
     return base::MakeError(base::ErrorKind::InvalidSet,
-                           JoinFindings(reading.mFindings));
+                           JoinFindings(result.mFindings));
   }
-  return std::move(*reading.mObject);
+  return std::move(*result.mObject);
 }
 
 std::string
--- a/src/catalog/object_format.cpp
+++ b/src/catalog/object_format.cpp
@@ -89,7 +89,7 @@
   for (const auto& it : aPool.mShares) {
     base::JsonValue& share = shares.addMember();
     share.setCategory(base::JsonValue::Object);
-    AddName(share, "for", it.mFor);
+    AddName(share, "for", it.mOwner);
     AddResources(share, "resources", it.mResources);
   }
 }
--- a/src/cli/check_command.cpp
+++ b/src/cli/check_command.cpp
@@ -45,7 +45,7 @@
   }
 
 private:
-  static void Print(bool aAsJson, const catalog::SetReading& aReading)
+  static void Print(bool aAsJson, const catalog::SetReadResult& aReading)
   {
     if (!aAsJson) {
       std::cout << catalog::JoinFindings(aReading.mFindings);
--- a/src/entry/config_service.cpp
+++ b/src/entry/config_service.cpp
@@ -108,7 +108,7 @@
 void
 ConfigService::ApplyPage(const platform::LogPage& aPage)
 {
-  mState.NoteFirstRetained(aPage.mFirstRetained);
+  mState.UpdateFirstRetained(aPage.mFirstRetained);
   for (const auto& it : aPage.mRecords) {
     const auto result =
       mState.Apply(it.mOffset, it.mPayload, aPage.mFirstRetained);
@@ -206,10 +206,10 @@
                               base::TimePoint aDeadline)
 {
   std::unique_lock lock(mMutex);
-  std::optional<catalog::PublishVerdict> verdict;
+  std::optional<catalog::PublishOutcome> verdict;
   while (!verdict) {
-    verdict = mState.FindVerdict(aRecord.mIdentity.mWriter,
-                                 aRecord.mIdentity.mSequence);
+    verdict = mState.FindPublishOutcome(aRecord.mIdentity.mWriter,
+                                        aRecord.mIdentity.mSequence);
     const catalog::Version current = mState.CurrentVersion();
     // A record that was not among those read cannot win any more once its base
     // version has been replaced, whether or not its append took effect.
--- a/src/entry/task_service.cpp
+++ b/src/entry/task_service.cpp
@@ -119,7 +119,7 @@
                      "resources must not be negative, processors not zero");
   }
   if (!base::Fits(spec.mDeclared,
-                  catalog::BatchRoomPerWorker(aSet, batchClass->mPool))) {
+                  catalog::BatchCapacityPerWorker(aSet, batchClass->mPool))) {
     return MakeError(ErrorKind::Infeasible,
                      "no worker of pool '" + batchClass->mPool +
                        "' can ever hold the task");
--- a/src/settings/secret.cpp
+++ b/src/settings/secret.cpp
@@ -12,16 +12,16 @@
 // A comparison that stops at the first difference lets a caller guess the
 // secret byte by byte from the response time.
 bool
-Secret::Matches(std::string_view aOffered) const
+Secret::Matches(std::string_view aCandidate) const
 {
   if (mText.empty()) {
     return false;
   }
-  unsigned difference = mText.size() == aOffered.size() ? 0U : 1U;
-  for (std::size_t i = 0; i < aOffered.size(); ++i) {
+  unsigned difference = mText.size() == aCandidate.size() ? 0U : 1U;
+  for (std::size_t i = 0; i < aCandidate.size(); ++i) {
     const auto expected = static_cast<unsigned char>(mText[i % mText.size()]);
-    const auto offered = static_cast<unsigned char>(aOffered[i]);
-    difference |= static_cast<unsigned>(expected ^ offered);
+    const auto candidate = static_cast<unsigned char>(aCandidate[i]);
+    difference |= static_cast<unsigned>(expected ^ candidate);
   }
   return difference == 0;
 }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -28,18 +28,18 @@
 } };
 
 constexpr std::int64_t kMaxPort = 65'535;
-constexpr std::int64_t kMaxConnections = 100'000;
+constexpr std::int64_t kMaxRequests = 100'000;
 constexpr std::int64_t kMaxBodyBytes = 67'108'864;
 constexpr std::int64_t kMaxThreads = 4'096;
 constexpr std::int64_t kMaxAppendsPerS = 100'000;
-constexpr std::int64_t kMaxMs = 600'000;
+constexpr std::int64_t kMaxDurationMs = 600'000;
 constexpr std::int64_t kMaxRetentionS = 31'536'000;
 constexpr std::int64_t kMinIntervalMs = 10;
 constexpr std::size_t kMaxNameLength = 64;
 constexpr std::size_t kMinCredentialLength = 16;
 
 /// The permitted form of a text.
-enum class TextForm
+enum class TextFormat
 {
   /// Letters, digits, dots, dashes, underscores; required.
   Name,
@@ -57,25 +57,25 @@
 {
   auto& instance = aSettings.mInstance;
   aVisitor.Section("instance");
-  aVisitor.Text("name", instance.mName, TextForm::Name);
-  aVisitor.Text("domain", instance.mDomain, TextForm::Name);
-  aVisitor.Text("region", instance.mRegion, TextForm::Name);
+  aVisitor.Text("name", instance.mName, TextFormat::Name);
+  aVisitor.Text("domain", instance.mDomain, TextFormat::Name);
+  aVisitor.Text("region", instance.mRegion, TextFormat::Name);
 
   auto& listen = aSettings.mListen;
   aVisitor.Section("listen");
-  aVisitor.Text("address", listen.mAddress, TextForm::Address);
+  aVisitor.Text("address", listen.mAddress, TextFormat::Address);
   aVisitor.Number("port", listen.mPort, 1, kMaxPort);
   aVisitor.Number("peer_port", listen.mPeerPort, 1, kMaxPort);
-  aVisitor.Text("certificate", listen.mCertificate, TextForm::Path);
-  aVisitor.Text("key", listen.mKey, TextForm::Path);
-  aVisitor.Text("ca", listen.mCa, TextForm::Path);
-  aVisitor.Number("max_requests", listen.mMaxRequests, 1, kMaxConnections);
+  aVisitor.Text("certificate", listen.mCertificate, TextFormat::Path);
+  aVisitor.Text("key", listen.mKey, TextFormat::Path);
+  aVisitor.Text("ca", listen.mCa, TextFormat::Path);
+  aVisitor.Number("max_requests", listen.mMaxRequests, 1, kMaxRequests);
   aVisitor.Number("max_body_bytes", listen.mMaxBodyBytes, 1, kMaxBodyBytes);
   aVisitor.Number("threads", listen.mThreads, 1, kMaxThreads);
 
   auto& platform = aSettings.mPlatform;
   aVisitor.Section("platform");
-  aVisitor.Text("address", platform.mAddress, TextForm::Address);
+  aVisitor.Text("address", platform.mAddress, TextFormat::Address);
   aVisitor.RequiredNumber("port", platform.mPort, 1, kMaxPort);
 
   aVisitor.Section("peers");
@@ -86,20 +86,22 @@
   aVisitor.Number(
     "append_budget_per_s", log.mAppendBudgetPerS, 1, kMaxAppendsPerS);
   aVisitor.Number(
-    "append_timeout_ms", log.mAppendTimeoutMs, kMinIntervalMs, kMaxMs);
+    "append_timeout_ms", log.mAppendTimeoutMs, kMinIntervalMs, kMaxDurationMs);
   aVisitor.Number("retention_s", log.mRetentionS, 1, kMaxRetentionS);
 
   auto& holder = aSettings.mHolder;
   aVisitor.Section("holder");
-  aVisitor.Number("lease_ms", holder.mLeaseMs, kMinIntervalMs, kMaxMs);
-  aVisitor.Number("poll_ms", holder.mPollMs, kMinIntervalMs, kMaxMs);
-  aVisitor.Number("clock_margin_ms", holder.mClockMarginMs, 1, kMaxMs);
-  aVisitor.Number("takeover_delay_ms", holder.mTakeoverDelayMs, 0, kMaxMs);
-  aVisitor.Number("max_message_delay_ms", holder.mMaxMessageDelayMs, 1, kMaxMs);
+  aVisitor.Number("lease_ms", holder.mLeaseMs, kMinIntervalMs, kMaxDurationMs);
+  aVisitor.Number("poll_ms", holder.mPollMs, kMinIntervalMs, kMaxDurationMs);
+  aVisitor.Number("clock_margin_ms", holder.mClockMarginMs, 1, kMaxDurationMs);
+  aVisitor.Number(
+    "takeover_delay_ms", holder.mTakeoverDelayMs, 0, kMaxDurationMs);
+  aVisitor.Number(
+    "max_message_delay_ms", holder.mMaxMessageDelayMs, 1, kMaxDurationMs);
 
   aVisitor.Section("tasks");
   aVisitor.Number(
-    "lease_ms", aSettings.mTasks.mLeaseMs, kMinIntervalMs, kMaxMs);
+    "lease_ms", aSettings.mTasks.mLeaseMs, kMinIntervalMs, kMaxDurationMs);
 
   auto& requests = aSettings.mRequests;
   aVisitor.Section("requests");
@@ -108,13 +110,15 @@
 
   auto& drain = aSettings.mDrain;
   aVisitor.Section("drain");
-  aVisitor.Number("balancer_notice_ms", drain.mBalancerNoticeMs, 0, kMaxMs);
-  aVisitor.Number("deadline_ms", drain.mDeadlineMs, kMinIntervalMs, kMaxMs);
+  aVisitor.Number(
+    "balancer_notice_ms", drain.mBalancerNoticeMs, 0, kMaxDurationMs);
+  aVisitor.Number(
+    "deadline_ms", drain.mDeadlineMs, kMinIntervalMs, kMaxDurationMs);
 
   aVisitor.Section("operator");
   aVisitor.Credential("credential", aSettings.mOperator.mCredential);
   aVisitor.Text(
-    "credential_file", aSettings.mOperator.mCredentialFile, TextForm::Path);
+    "credential_file", aSettings.mOperator.mCredentialFile, TextFormat::Path);
 
   aVisitor.Section("log_output");
   aVisitor.Level("level", aSettings.mLogOutput.mLevel);
@@ -177,31 +181,31 @@
   void Section(const std::string& aName)
   {
     mSection = aName;
-    mKnown[aName];
+    mKnownKeys[aName];
     const toml::node* node = mRoot.get(aName);
     mTable = node == nullptr ? nullptr : node->as_table();
     if (node != nullptr && mTable == nullptr) {
-      Add(LineOf(*node), aName, "must be a section");
+      AddFinding(LineOf(*node), aName, "must be a section");
     }
   }
 
-  void Text(const std::string& aKey, std::string& aValue, TextForm aForm)
+  void Text(const std::string& aKey, std::string& aValue, TextFormat aFormat)
   {
     const toml::node* node = Find(aKey);
     if (node == nullptr) {
-      if (aForm != TextForm::Path) {
-        AddHere(aKey, "is missing");
+      if (aFormat != TextFormat::Path) {
+        AddKeyFinding(aKey, "is missing");
       }
       return;
     }
     const auto text = node->value_exact<std::string>();
     if (!text) {
-      AddHere(aKey, "must be a string");
-    } else if (aForm == TextForm::Name && !IsName(*text)) {
-      AddHere(aKey,
-              "must have 1 to 64 letters, digits, dots, dashes, underscores");
-    } else if (aForm == TextForm::Address && !IsAddress(*text)) {
-      AddHere(aKey, "must be an IP address");
+      AddKeyFinding(aKey, "must be a string");
+    } else if (aFormat == TextFormat::Name && !IsName(*text)) {
+      AddKeyFinding(
+        aKey, "must have 1 to 64 letters, digits, dots, dashes, underscores");
+    } else if (aFormat == TextFormat::Address && !IsAddress(*text)) {
+      AddKeyFinding(aKey, "must be an IP address");
     } else {
       aValue = *text;
     }
@@ -218,11 +222,11 @@
     }
     const auto number = node->value_exact<std::int64_t>();
     if (!number) {
-      AddHere(aKey, "must be an integer");
+      AddKeyFinding(aKey, "must be an integer");
     } else if (*number < aLow || *number > aHigh) {
-      AddHere(aKey,
-              "must be between " + std::to_string(aLow) + " and " +
-                std::to_string(aHigh));
+      AddKeyFinding(aKey,
+                    "must be between " + std::to_string(aLow) + " and " +
+                      std::to_string(aHigh));
     } else {
       aValue = *number;
     }
@@ -235,7 +239,7 @@
   {
     Number(aKey, aValue, aLow, aHigh);
     if (Find(aKey) == nullptr) {
-      AddHere(aKey, "is missing");
+      AddKeyFinding(aKey, "is missing");
     }
   }
 
@@ -247,13 +251,14 @@
     }
     const toml::array* list = node->as_array();
     if (list == nullptr) {
-      AddHere(aKey, "must be a list of \"address:port\"");
+      AddKeyFinding(aKey, "must be a list of \"address:port\"");
       return;
     }
     for (const auto& it : *list) {
       const auto text = it.value_exact<std::string>();
       if (!text || !IsEndpoint(*text)) {
-        Add(LineOf(it), Qualify(aKey), "must be a list of \"address:port\"");
+        AddFinding(
+          LineOf(it), QualifiedKey(aKey), "must be a list of \"address:port\"");
       } else {
         aValue.push_back(*text);
       }
@@ -264,9 +269,9 @@
   void Credential(const std::string& aKey, Secret& aValue)
   {
     std::string text;
-    Text(aKey, text, TextForm::Path);
+    Text(aKey, text, TextFormat::Path);
     if (Find(aKey) != nullptr && text.size() < kMinCredentialLength) {
-      AddHere(aKey, "must have at least 16 characters");
+      AddKeyFinding(aKey, "must have at least 16 characters");
     }
     aValue = Secret(std::move(text));
   }
@@ -280,7 +285,7 @@
     const auto level = base::FindValue(
       kLogLevelNames, node->value_exact<std::string>().value_or(""));
     if (!level) {
-      AddHere(aKey, "must be one of debug, info, warning, error");
+      AddKeyFinding(aKey, "must be one of debug, info, warning, error");
     } else {
       aValue = *level;
     }
@@ -291,9 +296,9 @@
   {
     for (const auto& [section, node] : mRoot) {
       const std::string name(section.str());
-      const auto known = mKnown.find(name);
-      if (known == mKnown.end()) {
-        Add(section.source().begin.line, name, "is unknown");
+      const auto known = mKnownKeys.find(name);
+      if (known == mKnownKeys.end()) {
+        AddFinding(section.source().begin.line, name, "is unknown");
       } else if (const auto* table = node.as_table()) {
         RejectUnknownKeys(name, *table, known->second);
       }
@@ -301,17 +306,17 @@
   }
 
   /// Adds a finding at `aSection`.`aKey`.
-  void AddAt(const std::string& aSection,
-             const std::string& aKey,
-             std::string aProblem)
+  void AddFindingAt(const std::string& aSection,
+                    const std::string& aKey,
+                    std::string aProblem)
   {
     mSection = aSection;
     mTable = mRoot[aSection].as_table();
-    AddHere(aKey, std::move(aProblem));
+    AddKeyFinding(aKey, std::move(aProblem));
   }
 
   /// The findings in the order of the lines.
-  std::vector<SettingsFinding> Finish()
+  std::vector<SettingsFinding> TakeFindings()
   {
     std::stable_sort(
       mFindings.begin(),
@@ -328,24 +333,24 @@
     return aNode.source().begin.line;
   }
 
-  std::string Qualify(const std::string& aKey) const
+  std::string QualifiedKey(const std::string& aKey) const
   {
     return mSection + "." + aKey;
   }
 
   const toml::node* Find(const std::string& aKey)
   {
-    mKnown[mSection].insert(aKey);
+    mKnownKeys[mSection].insert(aKey);
     return mTable == nullptr ? nullptr : mTable->get(aKey);
   }
 
-  void Add(std::int64_t aLine, std::string aKey, std::string aProblem)
+  void AddFinding(std::int64_t aLine, std::string aKey, std::string aProblem)
   {
     mFindings.push_back({ mFile, aLine, std::move(aKey), std::move(aProblem) });
   }
 
   // At the key, or at its section if the key is absent.
-  void AddHere(const std::string& aKey, std::string aProblem)
+  void AddKeyFinding(const std::string& aKey, std::string aProblem)
   {
     const toml::node* node = Find(aKey);
     std::int64_t line = 1;
@@ -354,19 +359,19 @@
     } else if (mTable != nullptr) {
       line = LineOf(*mTable);
     }
-    Add(line, Qualify(aKey), std::move(aProblem));
+    AddFinding(line, QualifiedKey(aKey), std::move(aProblem));
   }
 
   void RejectUnknownKeys(const std::string& aSection,
                          const toml::table& aTable,
-                         const std::set<std::string>& aKnown)
+                         const std::set<std::string>& aKnownKeys)
   {
     for (const auto& [key, node] : aTable) {
       const std::string name(key.str());
-      if (aKnown.count(name) == 0) {
+      if (aKnownKeys.count(name) == 0) {
         std::string qualified = aSection;
         qualified.append(".").append(name);
-        Add(key.source().begin.line, std::move(qualified), "is unknown");
+        AddFinding(key.source().begin.line, std::move(qualified), "is unknown");
       }
     }
   }
@@ -375,7 +380,7 @@
   const std::string& mFile;
   std::string mSection;
   const toml::table* mTable = nullptr;
-  std::map<std::string, std::set<std::string>> mKnown;
+  std::map<std::string, std::set<std::string>> mKnownKeys;
   std::vector<SettingsFinding> mFindings;
 };
 
@@ -385,7 +390,7 @@
 public:
   void Section(const std::string& aName) { mSection = aName; }
 
-  void Text(const std::string& aKey, const std::string& aValue, TextForm)
+  void Text(const std::string& aKey, const std::string& aValue, TextFormat)
   {
     Line(aKey) << aValue << '\n';
   }
@@ -445,11 +450,11 @@
 {
   if (aListen.mCertificate.empty() != aListen.mKey.empty()) {
     const char* missing = aListen.mKey.empty() ? "key" : "certificate";
-    aReader.AddAt(
+    aReader.AddFindingAt(
       "listen", missing, "is missing: 'certificate' and 'key' go together");
   }
   if (!aListen.mCa.empty() && aListen.mCertificate.empty()) {
-    aReader.AddAt("listen", "ca", "needs 'certificate' and 'key'");
+    aReader.AddFindingAt("listen", "ca", "needs 'certificate' and 'key'");
   }
 }
 
@@ -459,17 +464,19 @@
   const HolderSettings& holder = aSettings.mHolder;
   // One lost poll must not cost the lease.
   if (holder.mLeaseMs <= 2 * holder.mPollMs + holder.mClockMarginMs) {
-    aReader.AddAt("holder",
-                  "lease_ms",
-                  "must exceed two 'poll_ms' and 'clock_margin_ms' together");
+    aReader.AddFindingAt(
+      "holder",
+      "lease_ms",
+      "must exceed two 'poll_ms' and 'clock_margin_ms' together");
   }
   // The next holder must be able to renew the tasks that it takes over.
   if (aSettings.mTasks.mLeaseMs <=
       holder.mLeaseMs + holder.mTakeoverDelayMs + holder.mMaxMessageDelayMs) {
-    aReader.AddAt("tasks",
-                  "lease_ms",
-                  "must exceed 'holder.lease_ms', 'holder.takeover_delay_ms' "
-                  "and 'holder.max_message_delay_ms' together");
+    aReader.AddFindingAt(
+      "tasks",
+      "lease_ms",
+      "must exceed 'holder.lease_ms', 'holder.takeover_delay_ms' "
+      "and 'holder.max_message_delay_ms' together");
   }
 }
 
@@ -480,19 +487,21 @@
   CheckTls(aSettings.mListen, aReader);
   CheckHolder(aSettings, aReader);
   if (aSettings.mListen.mPort == aSettings.mListen.mPeerPort) {
-    aReader.AddAt("listen", "peer_port", "must differ from 'port'");
+    aReader.AddFindingAt("listen", "peer_port", "must differ from 'port'");
   }
   // Each standing request occupies one thread.
   if (aSettings.mRequests.mStandingLimit >= aSettings.mListen.mThreads) {
-    aReader.AddAt(
+    aReader.AddFindingAt(
       "requests", "standing_limit", "must be below 'listen.threads'");
   }
   if (aSettings.mDrain.mBalancerNoticeMs >= aSettings.mDrain.mDeadlineMs) {
-    aReader.AddAt("drain", "deadline_ms", "must exceed 'balancer_notice_ms'");
+    aReader.AddFindingAt(
+      "drain", "deadline_ms", "must exceed 'balancer_notice_ms'");
   }
   if (!aSettings.mOperator.mCredential.IsEmpty() &&
       !aSettings.mOperator.mCredentialFile.empty()) {
-    aReader.AddAt("operator", "credential_file", "excludes 'credential'");
+    aReader.AddFindingAt(
+      "operator", "credential_file", "excludes 'credential'");
   }
 }
 
@@ -521,7 +530,7 @@
               Reader& aReader)
 {
   if (!aPath.empty() && !std::ifstream(aPath)) {
-    aReader.AddAt("listen", aKey, "names a file that cannot be read");
+    aReader.AddFindingAt("listen", aKey, "names a file that cannot be read");
   }
 }
 
@@ -534,9 +543,10 @@
   const auto text = ReadFile(aOperator.mCredentialFile);
   aOperator.mCredential = Secret(TrimEnd(text.value_or("")));
   if (!text || aOperator.mCredential.Reveal().size() < kMinCredentialLength) {
-    aReader.AddAt("operator",
-                  "credential_file",
-                  "must name a readable file with at least 16 characters");
+    aReader.AddFindingAt(
+      "operator",
+      "credential_file",
+      "must name a readable file with at least 16 characters");
   }
 }
 
@@ -550,48 +560,52 @@
 }
 
 /// Whether files that the settings name are opened.
-enum class NamedFiles
+enum class ReferencedFiles
 {
   Ignore,
   Read,
 };
 
-SettingsReading
-ReadTable(const toml::table& aRoot, const std::string& aFile, NamedFiles aFiles)
+SettingsReadResult
+ReadTable(const toml::table& aRoot,
+          const std::string& aFile,
+          ReferencedFiles aFiles)
 {
-  SettingsReading reading;
+  SettingsReadResult result;
   Reader reader(aRoot, aFile);
-  VisitKeys(reading.mSettings, reader);
+  VisitKeys(result.mSettings, reader);
   reader.RejectUnknown();
-  CheckRelations(reading.mSettings, reader);
-  if (aFiles == NamedFiles::Read) {
-    ReadFiles(reading.mSettings, reader);
+  CheckRelations(result.mSettings, reader);
+  if (aFiles == ReferencedFiles::Read) {
+    ReadFiles(result.mSettings, reader);
   }
-  reading.mFindings = reader.Finish();
-  return reading;
+  result.mFindings = reader.TakeFindings();
+  return result;
 }
 
-SettingsReading
-ReadText(std::string_view aText, const std::string& aFile, NamedFiles aFiles)
+SettingsReadResult
+ReadText(std::string_view aText,
+         const std::string& aFile,
+         ReferencedFiles aFiles)
 {
   try {
     return ReadTable(toml::parse(aText, aFile), aFile, aFiles);
   } catch (const toml::parse_error& e) {
-    SettingsReading reading;
-    reading.mFindings.push_back(
+    SettingsReadResult result;
+    result.mFindings.push_back(
       { aFile, e.source().begin.line, "", std::string(e.description()) });
-    return reading;
+    return result;
   }
 }
 
 base::Result<Settings>
-ToResult(SettingsReading aReading)
+ToResult(SettingsReadResult aResult)
 {
-  if (!aReading.mFindings.empty()) {
+  if (!aResult.mFindings.empty()) {
     return base::MakeError(base::ErrorKind::InvalidSettings,
-                           JoinFindings(aReading.mFindings));
+                           JoinFindings(aResult.mFindings));
   }
-  return std::move(aReading.mSettings);
+  return std::move(aResult.mSettings);
 }
 
 } // namespace
@@ -602,10 +616,10 @@
   return base::FindName(kLogLevelNames, aLevel);
 }
 
-SettingsReading
+SettingsReadResult
 ReadSettings(std::string_view aText, const std::string& aFile)
 {
-  return ReadText(aText, aFile, NamedFiles::Ignore);
+  return ReadText(aText, aFile, ReferencedFiles::Ignore);
 }
 
 base::Result<Settings>
@@ -622,7 +636,7 @@
     return base::MakeError(base::ErrorKind::InvalidSettings,
                            aPath + ": file cannot be read");
   }
-  return ToResult(ReadText(*text, aPath, NamedFiles::Read));
+  return ToResult(ReadText(*text, aPath, ReferencedFiles::Read));
 }
 
 std::string
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -11,24 +11,24 @@
 
 namespace {
 
-const std::string kRequired = "[instance]\n"
-                              "name = \"entry-1\"\n"
-                              "domain = \"montevideo-a\"\n"
-                              "region = \"litoral-sur\"\n"
-                              "[listen]\n"
-                              "address = \"127.0.0.1\"\n"
-                              "[platform]\n"
-                              "address = \"127.0.0.1\"\n"
-                              "port = 8400\n";
+const std::string kMinimalSettings = "[instance]\n"
+                                     "name = \"entry-1\"\n"
+                                     "domain = \"montevideo-a\"\n"
+                                     "region = \"litoral-sur\"\n"
+                                     "[listen]\n"
+                                     "address = \"127.0.0.1\"\n"
+                                     "[platform]\n"
+                                     "address = \"127.0.0.1\"\n"
+                                     "port = 8400\n";
 
 bool
-HasFinding(const SettingsReading& aReading,
+HasFinding(const SettingsReadResult& aResult,
            std::int64_t aLine,
            const std::string& aKey,
            const std::string& aPart)
 {
-  return std::any_of(aReading.mFindings.begin(),
-                     aReading.mFindings.end(),
+  return std::any_of(aResult.mFindings.begin(),
+                     aResult.mFindings.end(),
                      [&](const SettingsFinding& aFinding) {
                        return aFinding.mLine == aLine &&
                               aFinding.mKey == aKey &&
@@ -56,7 +56,7 @@
     const auto example = LoadSettings(path);
     CPPUNIT_ASSERT_MESSAGE(example.has_error() ? example.error().mDetail : "",
                            example.has_value());
-    const auto defaults = ParseSettings(kRequired, "required.toml");
+    const auto defaults = ParseSettings(kMinimalSettings, "required.toml");
     CPPUNIT_ASSERT(defaults.has_value());
     const std::string lines = FormatSettings(defaults.value());
     CPPUNIT_ASSERT_EQUAL(lines, FormatSettings(example.value()));
@@ -76,34 +76,34 @@
   // Guards against a reader that stops at the first problem.
   void ReportsAllFindings()
   {
-    const auto reading = ReadSettings("colour = 1\n"
-                                      "[listen]\n"
-                                      "address = \"localhost\"\n"
-                                      "port = 70000\n"
-                                      "threads = \"many\"\n"
-                                      "speed = 3\n"
-                                      "[platform]\n"
-                                      "[peers]\n"
-                                      "addresses = [\"10.0.0.1:80\",\n"
-                                      "  \"10.0.0.1\", \"[::1]:9\", 5]\n"
-                                      "[operator]\n"
-                                      "credential = \"hunter2\"\n"
-                                      "[log_output]\n"
-                                      "level = \"loud\"\n",
-                                      "x.toml");
-    CPPUNIT_ASSERT(HasFinding(reading, 1, "colour", "unknown"));
-    CPPUNIT_ASSERT(HasFinding(reading, 1, "instance.name", "missing"));
-    CPPUNIT_ASSERT(HasFinding(reading, 3, "listen.address", "IP address"));
-    CPPUNIT_ASSERT(HasFinding(reading, 4, "listen.port", "1 and 65535"));
-    CPPUNIT_ASSERT(HasFinding(reading, 5, "listen.threads", "an integer"));
-    CPPUNIT_ASSERT(HasFinding(reading, 6, "listen.speed", "unknown"));
-    CPPUNIT_ASSERT(HasFinding(reading, 7, "platform.address", "missing"));
-    CPPUNIT_ASSERT(HasFinding(reading, 7, "platform.port", "missing"));
-    CPPUNIT_ASSERT(HasFinding(reading, 10, "peers.addresses", "a list"));
-    CPPUNIT_ASSERT(HasFinding(reading, 12, "operator.credential", "at least"));
-    CPPUNIT_ASSERT(HasFinding(reading, 14, "log_output.level", "one of"));
-    CPPUNIT_ASSERT_EQUAL(std::size_t(14), reading.mFindings.size());
-    const std::string text = JoinFindings(reading.mFindings);
+    const auto result = ReadSettings("colour = 1\n"
+                                     "[listen]\n"
+                                     "address = \"localhost\"\n"
+                                     "port = 70000\n"
+                                     "threads = \"many\"\n"
+                                     "speed = 3\n"
+                                     "[platform]\n"
+                                     "[peers]\n"
+                                     "addresses = [\"10.0.0.1:80\",\n"
+                                     "  \"10.0.0.1\", \"[::1]:9\", 5]\n"
+                                     "[operator]\n"
+                                     "credential = \"hunter2\"\n"
+                                     "[log_output]\n"
+                                     "level = \"loud\"\n",
+                                     "x.toml");
+    CPPUNIT_ASSERT(HasFinding(result, 1, "colour", "unknown"));
+    CPPUNIT_ASSERT(HasFinding(result, 1, "instance.name", "missing"));
+    CPPUNIT_ASSERT(HasFinding(result, 3, "listen.address", "IP address"));
+    CPPUNIT_ASSERT(HasFinding(result, 4, "listen.port", "1 and 65535"));
+    CPPUNIT_ASSERT(HasFinding(result, 5, "listen.threads", "an integer"));
+    CPPUNIT_ASSERT(HasFinding(result, 6, "listen.speed", "unknown"));
+    CPPUNIT_ASSERT(HasFinding(result, 7, "platform.address", "missing"));
+    CPPUNIT_ASSERT(HasFinding(result, 7, "platform.port", "missing"));
+    CPPUNIT_ASSERT(HasFinding(result, 10, "peers.addresses", "a list"));
+    CPPUNIT_ASSERT(HasFinding(result, 12, "operator.credential", "at least"));
+    CPPUNIT_ASSERT(HasFinding(result, 14, "log_output.level", "one of"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(14), result.mFindings.size());
+    const std::string text = JoinFindings(result.mFindings);
     CPPUNIT_ASSERT(text.find("x.toml:4: listen.port: ") != std::string::npos);
     CPPUNIT_ASSERT(text.find("hunter2") == std::string::npos);
   }
@@ -111,22 +111,22 @@
   // Guards against values that are valid alone but not together.
   void ReportsContradictions()
   {
-    const auto reading =
-      ReadSettings(kRequired + "[holder]\n"
-                               "lease_ms = 1000\n"
-                               "[tasks]\n"
-                               "lease_ms = 2000\n"
-                               "[requests]\n"
-                               "standing_limit = 256\n"
-                               "[drain]\n"
-                               "deadline_ms = 3000\n"
-                               "[operator]\n"
-                               "credential = \"0123456789abcdef\"\n"
-                               "credential_file = \"/nowhere\"\n",
+    const auto result =
+      ReadSettings(kMinimalSettings + "[holder]\n"
+                                      "lease_ms = 1000\n"
+                                      "[tasks]\n"
+                                      "lease_ms = 2000\n"
+                                      "[requests]\n"
+                                      "standing_limit = 256\n"
+                                      "[drain]\n"
+                                      "deadline_ms = 3000\n"
+                                      "[operator]\n"
+                                      "credential = \"0123456789abcdef\"\n"
+                                      "credential_file = \"/nowhere\"\n",
                    "x.toml");
-    CPPUNIT_ASSERT_EQUAL(std::size_t(5), reading.mFindings.size());
-    CPPUNIT_ASSERT(HasFinding(reading, 11, "holder.lease_ms", "must exceed"));
-    CPPUNIT_ASSERT(HasFinding(reading, 13, "tasks.lease_ms", "must exceed"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), result.mFindings.size());
+    CPPUNIT_ASSERT(HasFinding(result, 11, "holder.lease_ms", "must exceed"));
+    CPPUNIT_ASSERT(HasFinding(result, 13, "tasks.lease_ms", "must exceed"));
     const std::string withKey = "[listen]\naddress = \"::1\"\nkey = \"k\"\n";
     CPPUNIT_ASSERT(HasFinding(
       ReadSettings(withKey, "x"), 1, "listen.certificate", "go together"));
@@ -153,7 +153,7 @@
     const std::string stem = SKYLARKHILL_BINARY_DIR "/settings_test";
     std::ofstream(stem + ".secret") << "0123456789abcdef\n";
     std::ofstream(stem + ".toml")
-      << kRequired << "[operator]\ncredential_file = \"" << stem
+      << kMinimalSettings << "[operator]\ncredential_file = \"" << stem
       << ".secret\"\n";
     const auto settings = LoadSettings(stem + ".toml");
     CPPUNIT_ASSERT(settings.has_value());
--- a/src/testing/site_world.cpp
+++ b/src/testing/site_world.cpp
@@ -1297,7 +1297,7 @@
           return;
         }
         AtNode(aRef, Delay(), [=](Node& aNode) {
-          aNode.mConfig.NoteFirstRetained(page.value().mFirstRetained);
+          aNode.mConfig.UpdateFirstRetained(page.value().mFirstRetained);
           for (const auto& it : page.value().mRecords) {
             aNode.mConfig.Apply(
               it.mOffset, it.mPayload, page.value().mFirstRetained);
@@ -1388,7 +1388,7 @@
     for (auto it = node.mPublishes.begin(); it != node.mPublishes.end();) {
       const auto& identity = it->mIdentity;
       const auto verdict =
-        node.mConfig.FindVerdict(identity.mWriter, identity.mSequence);
+        node.mConfig.FindPublishOutcome(identity.mWriter, identity.mSequence);
       if (verdict) {
         CheckVerdict(identity, verdict->mResult);
         it = node.mPublishes.erase(it);
@@ -1412,7 +1412,7 @@
   {
     ++mRun.mPublishes;
     const auto truth =
-      mConfigOracle.FindVerdict(aIdentity.mWriter, aIdentity.mSequence);
+      mConfigOracle.FindPublishOutcome(aIdentity.mWriter, aIdentity.mSequence);
     if (!truth || truth->mResult != aTold) {
       Fail("P9: a publisher was told another verdict than the log's");
     }
