Reword the comments and messages of catalog and settings

Two messages that a test matches change together with the test: the guarantees of a pool that exceed its size, and a TLS certificate without its key. The checks are as strict as before.

--- a/include/skylarkhill/catalog/catalog_set.hpp
+++ b/include/skylarkhill/catalog/catalog_set.hpp
@@ -13,8 +13,8 @@
 
 namespace skylarkhill::catalog {
 
-/// Objects by name. Names are unique across all kinds. Copies share the
-/// objects.
+/// Catalog objects indexed by name. Names are unique across all kinds. Copies
+/// share the objects.
 class CatalogSet
 {
 public:
@@ -39,7 +39,7 @@
     return object == nullptr ? nullptr : std::get_if<T>(object);
   }
 
-  /// Calls `aVisit` for every T in the order of the names.
+  /// Calls `aVisit` for every object of type T, in name order.
   template<typename T, typename Visit>
   void ForEach(Visit aVisit) const
   {
@@ -50,7 +50,7 @@
     }
   }
 
-  /// 32 hexadecimal digits that depend on the content only, not on the order
+  /// 32 hexadecimal digits that depend only on the content, not on the order
   /// of changes.
   std::string Digest() const;
 
@@ -63,7 +63,7 @@
   std::uint64_t mHashHigh = 0;
 };
 
-/// The document {"objects": [...]} in the order of the names.
+/// Formats the set as {"objects": [...]}, sorted by name.
 base::JsonValue
 FormatSet(const CatalogSet& aSet);
 
--- a/include/skylarkhill/catalog/check.hpp
+++ b/include/skylarkhill/catalog/check.hpp
@@ -9,14 +9,14 @@
 
 namespace skylarkhill::catalog {
 
-/// A set read from a document together with all its problems.
+/// A set read from a document, with all problems that were found.
 struct SetReadResult
 {
   CatalogSet mSet;
   std::vector<Finding> mFindings;
 };
 
-/// An eviction policy with everything inherited filled in.
+/// An eviction policy with inherited and default values resolved.
 struct EvictionRules
 {
   EvictionKind mKind = EvictionKind::None;
@@ -25,40 +25,41 @@
   std::int64_t mHysteresisPercent = 20;
 };
 
-/// All problems between the objects: references, cycles, promises, classes that
-/// no worker can hold. Values of single objects are checked when read.
+/// Checks the relations between objects: references, inheritance cycles,
+/// capacity guarantees, and batch classes that fit on no worker. Values of
+/// single objects are checked when they are read.
 std::vector<Finding>
 CheckSet(const CatalogSet& aSet);
 
-/// Reads and checks a whole document. InvalidJson if it is no JSON object.
+/// Reads and checks a whole document. InvalidJson if it is not valid JSON.
 base::Result<SetReadResult>
 ReadSet(std::string_view aText);
 
-/// Like ReadSet, on parsed JSON. Never fails: problems become findings.
+/// Like ReadSet, for parsed JSON. Never fails; all problems are findings.
 SetReadResult
 ReadSet(const base::JsonValue& aDocument);
 
-/// The set of a document without problems. InvalidJson, InvalidSet with all
-/// findings.
+/// Reads and checks a document that must have no findings. InvalidJson;
+/// InvalidSet with all findings.
 base::Result<CatalogSet>
 ParseSet(std::string_view aText);
 
-/// Like ParseSet, on parsed JSON. InvalidSet.
+/// Like ParseSet, for parsed JSON. InvalidSet.
 base::Result<CatalogSet>
 ParseSet(const base::JsonValue& aDocument);
 
-/// The set of a document whose objects are valid by themselves; relations
-/// between them are not checked. InvalidSet.
+/// Reads a document and checks each object alone, but not the relations
+/// between objects. InvalidSet.
 base::Result<CatalogSet>
 ParseUncheckedSet(const base::JsonValue& aDocument);
 
-/// The rules of a policy of a checked set; the rules of no policy if it does
+/// Resolves a policy of a checked set. Returns the defaults if the policy does
 /// not exist.
 EvictionRules
 ResolveEvictionRules(const CatalogSet& aSet, std::string_view aPolicy);
 
-/// What batch tasks can use at most of one worker of the pool: its capacity
-/// less the reserves of the pool's services. Zero if there is no such pool.
+/// The most that batch tasks can use on one worker of the pool: its capacity
+/// minus the reserves of the pool's services. Zero if the pool does not exist.
 base::Resources
 BatchCapacityPerWorker(const CatalogSet& aSet, std::string_view aPool);
 
--- a/include/skylarkhill/catalog/config_record.hpp
+++ b/include/skylarkhill/catalog/config_record.hpp
@@ -11,13 +11,14 @@
 
 namespace skylarkhill::catalog {
 
-/// Offset of the publish record that made a set current.
+/// Version of a published set: the offset of its publish record.
 using Version = platform::Offset;
 
 /// The version of the empty set before the first publish.
 inline constexpr Version kNoVersion = -1;
 
-/// Identifies one record of one writer; a repeat has the same identity.
+/// Identifies a record of a writer. A record that is appended again keeps its
+/// identity.
 struct RecordIdentity
 {
   /// Instance name and incarnation.
@@ -28,19 +29,20 @@
                         const RecordIdentity& aRight);
 };
 
-/// Asks for a new set. Takes effect only if the base is current.
+/// A request to publish a set. It takes effect only if its base version is
+/// still current.
 struct PublishRecord
 {
   RecordIdentity mIdentity;
   Version mBaseVersion = kNoVersion;
   SetDelta mDelta;
-  /// Of the resulting set.
+  /// Digest of the resulting set.
   std::string mDigest;
-  /// Who published, for the timeline.
+  /// Who published the set; shown in the timeline.
   std::string mPublisher;
 };
 
-/// The state of a reader.
+/// A snapshot of the state that its writer has read from the stream.
 struct SnapshotRecord
 {
   RecordIdentity mIdentity;
@@ -52,11 +54,12 @@
 
 using ConfigRecord = std::variant<PublishRecord, SnapshotRecord>;
 
-/// The payload of `aRecord` in the `config` stream.
+/// Formats `aRecord` as a payload of the `config` stream.
 std::string
 FormatConfigRecord(const ConfigRecord& aRecord);
 
-/// InvalidJson, InvalidArgument, InvalidSet.
+/// Parses a payload of the `config` stream. InvalidJson, InvalidArgument,
+/// InvalidSet.
 base::Result<ConfigRecord>
 ParseConfigRecord(std::string_view aPayload);
 
--- a/include/skylarkhill/catalog/config_state.hpp
+++ b/include/skylarkhill/catalog/config_state.hpp
@@ -12,91 +12,94 @@
 
 namespace skylarkhill::catalog {
 
-/// What one record of the stream did to the state.
+/// The effect of one record of the stream on the state.
 enum class ApplyResult
 {
   /// A publish took effect.
   Published,
-  /// A publish whose base was not current.
+  /// A publish whose base version was no longer current.
   Conflict,
-  /// A publish whose difference or digest does not fit its base.
+  /// A publish whose delta or digest does not match its base.
   Invalid,
-  /// Read before, or a repeat of an earlier record.
+  /// A record that was read before, or a duplicate of an earlier one.
   Repeated,
-  /// Kept until a snapshot or a peer provides the state before it.
+  /// A publish that is kept until a snapshot or a peer provides the state
+  /// before it.
   Deferred,
-  /// A snapshot gave this reader its state.
+  /// A snapshot from which this reader restored its state.
   Restored,
-  /// A snapshot that this reader does not need or may not use.
+  /// A snapshot that this reader does not need or cannot use.
   Ignored,
-  /// Not a record of this stream.
+  /// Not a valid record of this stream.
   Malformed,
 };
 
 std::string_view
 NameOf(ApplyResult aResult);
 
-/// How a publish ended.
+/// The outcome of a publish.
 struct PublishOutcome
 {
   /// Published, Conflict or Invalid.
   ApplyResult mResult = ApplyResult::Conflict;
-  /// The version that is the publish if it won, else the version that was
-  /// current at its offset.
+  /// The version that the publish created, or, if it did not take effect, the
+  /// version that was current at its offset.
   Version mVersion = kNoVersion;
   platform::Offset mOffset = 0;
 };
 
-/// The state that every instance derives from the `config` stream. Not
+/// The configuration that every instance derives from the `config` stream. Not
 /// thread-safe.
 class ConfigState
 {
 public:
-  /// `aStreamBegin` is the offset of the first record the stream ever had.
+  /// `aStreamBegin` is the offset of the first record ever appended to the
+  /// stream.
   explicit ConfigState(platform::Offset aStreamBegin = 0);
 
-  /// Applies the record at `aOffset`. Records come in the order of the stream,
-  /// each at least once; `aFirstRetained` is the oldest offset that the log
-  /// kept when the record was read.
+  /// Applies the record at `aOffset`. Records must be applied in stream order,
+  /// each at least once. `aFirstRetained` is the oldest offset that the log
+  /// retained when the record was read.
   ApplyResult Apply(platform::Offset aOffset,
                     std::string_view aPayload,
                     platform::Offset aFirstRetained);
 
-  /// Tells what the log still keeps. To be called for every page, because a
-  /// page without records may follow expired ones.
+  /// Updates the oldest offset that the log retains. Must be called for every
+  /// page that was read: an empty page may follow expired records.
   void UpdateFirstRetained(platform::Offset aFirstRetained);
 
-  /// The set in force; never null.
+  /// The current set; never null.
   const std::shared_ptr<const CatalogSet>& CurrentSet() const { return mSet; }
   Version CurrentVersion() const { return mVersion; }
-  /// The offset to read next.
+  /// The next offset to read.
   platform::Offset NextOffset() const { return mNextOffset; }
-  /// False if records that decide about the state have expired unread. The
-  /// set in force may then be outdated.
+  /// False if records that affect the state expired before they were read. The
+  /// current set may then be outdated.
   bool IsComplete() const { return mComplete; }
-  /// The oldest record that a new reader needs. It has to be retained, or a
-  /// newer snapshot to be written before it expires.
+  /// Offset of the oldest record that a new reader needs. A newer snapshot must
+  /// be written before this record expires.
   platform::Offset RecoveryOffset() const { return mRecoveryOffset; }
 
-  /// The end of that publish, or nothing if it is not known: not read yet,
-  /// deferred, or expired.
+  /// The outcome of a publish, or nothing if it is unknown because the record
+  /// has not been read, is deferred or has expired.
   std::optional<PublishOutcome> FindPublishOutcome(
     const std::string& aWriter,
     std::int64_t aSequence) const;
 
-  /// A snapshot of the current state to be appended. NotFound if the state is
+  /// Creates a snapshot record of the current state. NotFound if the state is
   /// not complete.
   base::Result<SnapshotRecord> MakeSnapshot(RecordIdentity aIdentity) const;
 
-  /// The state as text, for a peer. NotFound if the state is not complete.
+  /// Formats the state as JSON for a peer. NotFound if the state is not
+  /// complete.
   base::Result<std::string> Export() const;
 
-  /// Takes over the state of a peer if it is newer. Returns whether anything
-  /// was taken over. InvalidJson, InvalidArgument, InvalidSet.
+  /// Replaces the state by that of a peer if the peer's is newer. Returns
+  /// whether the state changed. InvalidJson, InvalidArgument, InvalidSet.
   base::Result<bool> Import(std::string_view aText);
 
 private:
-  /// A publish read while the state before it was not known.
+  /// A publish that was read while the state before it was unknown.
   struct DeferredPublish
   {
     platform::Offset mOffset = 0;
@@ -120,7 +123,7 @@
   std::shared_ptr<const CatalogSet> mSet;
   Version mVersion = kNoVersion;
   platform::Offset mNextOffset;
-  /// Everything from this offset to mNextOffset has been read.
+  /// All records from this offset up to mNextOffset have been read.
   platform::Offset mReadFrom;
   platform::Offset mRecoveryOffset;
   platform::Offset mFirstRetained = 0;
--- a/include/skylarkhill/catalog/delta.hpp
+++ b/include/skylarkhill/catalog/delta.hpp
@@ -17,12 +17,12 @@
   std::vector<std::string> mRemoved;
 };
 
-/// What turns `aBase` into `aTarget`, in the order of the names.
+/// Computes the delta from `aBase` to `aTarget`, sorted by name.
 SetDelta
 Diff(const CatalogSet& aBase, const CatalogSet& aTarget);
 
-/// `aBase` with the difference applied. InvalidSet if it names an object twice
-/// or removes one that does not exist.
+/// Applies the delta to `aBase`. InvalidSet if the delta contains a name twice
+/// or removes an object that does not exist.
 base::Result<CatalogSet>
 ApplyDelta(CatalogSet aBase, const SetDelta& aDelta);
 
--- a/include/skylarkhill/catalog/json_member.hpp
+++ b/include/skylarkhill/catalog/json_member.hpp
@@ -5,7 +5,7 @@
 
 namespace skylarkhill::catalog {
 
-/// Adds a whole value as the member `aKey` of an object.
+/// Adds `aMember` to an object under the key `aKey`.
 void
 AddMember(base::JsonValue& aObject, const char* aKey, base::JsonValue aMember);
 
--- a/include/skylarkhill/catalog/object.hpp
+++ b/include/skylarkhill/catalog/object.hpp
@@ -14,7 +14,7 @@
 
 namespace skylarkhill::catalog {
 
-/// The kinds of published objects, in the order of the alternatives of Object.
+/// The kinds of catalog objects, in the order of the alternatives of Object.
 enum class ObjectKind
 {
   Service,
@@ -32,37 +32,37 @@
   ThrottleThenEvict,
 };
 
-/// The placement policies that a profile selects from.
+/// The placement policies that a profile can select.
 enum class PlacementKind
 {
   FirstFit,
   InterferenceAware,
 };
 
-/// The queue policies that a profile selects from.
+/// The queue policies that a profile can select.
 enum class QueueKind
 {
   Fifo,
   FairMultilevel,
 };
 
-/// What a profile is tuned for.
+/// The optimization goal of a profile.
 enum class Preset
 {
   Throughput,
   Tail,
 };
 
-/// Latency-critical work. Durations are in milliseconds.
+/// A latency-critical service.
 struct Service
 {
   std::string mName;
   std::string mPool;
   /// 0 to 100; more important services are served first.
   std::int64_t mImportance = 50;
-  /// For requests that do not say themselves whether they are idempotent.
+  /// Default for requests that do not declare whether they are idempotent.
   bool mIdempotent = false;
-  /// Kept free of batch work on every worker of the pool.
+  /// Resources kept free of batch work on every worker of the pool.
   base::Resources mReserve;
   std::int64_t mQueueLimit = 1000;
   std::int64_t mTargetLatencyMs = 100;
@@ -77,31 +77,32 @@
   std::string mPool;
   /// Empty if tasks of the class are never throttled or evicted.
   std::string mEvictionPolicy;
-  /// For tasks that declare nothing.
+  /// For tasks that declare no resources.
   base::Resources mDefaultResources;
   std::int64_t mDefaultRunSeconds = 600;
   std::int64_t mMaxEvictions = 3;
   bool mUrgentAllowed = false;
 };
 
-/// All names, or some.
+/// A selection of all names or of a list of names.
 struct Selection
 {
   bool mAll = true;
-  /// Meaningful unless mAll is set.
+  /// Used only if mAll is false.
   std::vector<std::string> mNames;
 
   bool Contains(std::string_view aName) const;
 };
 
-/// Part of a pool promised to a service or a batch class.
+/// Part of a pool that is guaranteed to a service or a batch class.
 struct Share
 {
+  /// Name of the service or batch class.
   std::string mOwner;
   base::Resources mResources;
 };
 
-/// Workers of the same size.
+/// A pool of workers of the same size.
 struct Pool
 {
   std::string mName;
@@ -112,17 +113,19 @@
   std::vector<Share> mShares;
 };
 
-/// When to throttle and evict batch work. Absent members come from the parent.
+/// When to throttle and evict batch tasks. Absent members are inherited from
+/// the parent.
 struct EvictionPolicy
 {
   std::string mName;
   std::string mParent;
   std::optional<EvictionKind> mKind;
-  /// Service time in percent of an undisturbed worker's at which the batch
-  /// tasks beside a service are throttled or evicted; above 100.
+  /// Service time, in percent of the service time without interference, from
+  /// which colocated batch tasks are throttled or evicted; above 100.
   std::optional<std::int64_t> mThrottlePercent;
   std::optional<std::int64_t> mEvictPercent;
-  /// Percentage points below the threshold at which a measure ends.
+  /// Throttling ends when the service time falls this many percentage points
+  /// below the threshold.
   std::optional<std::int64_t> mHysteresisPercent;
 };
 
@@ -136,7 +139,7 @@
   std::vector<std::string> mBatchClasses;
 };
 
-/// The policies in force at the site.
+/// The scheduling policies of the site.
 struct Profile
 {
   std::string mName;
@@ -149,18 +152,18 @@
 using Object =
   std::variant<Service, BatchClass, Pool, EvictionPolicy, Team, Profile>;
 
-/// One problem of one object.
+/// A problem of an object.
 struct Finding
 {
-  /// Kind and name, or the position in the document, of the object.
+  /// Kind and name of the object, or its position in the document.
   std::string mObject;
   std::string mProblem;
 };
 
-/// An object read from JSON together with its problems.
+/// An object read from JSON, with all problems that were found.
 struct ObjectReadResult
 {
-  /// Set if the kind and the name are known, even if there are findings.
+  /// Present if the kind and the name are known, even if there are findings.
   std::optional<Object> mObject;
   std::vector<Finding> mFindings;
 };
@@ -186,19 +189,21 @@
 std::string
 Describe(const Object& aObject);
 
-/// Reads one object; `aWhere` names it in findings until its name is known.
+/// Reads one object. `aWhere` identifies it in findings if its kind or name is
+/// unknown.
 ObjectReadResult
 ReadObject(const base::JsonValue& aValue, const std::string& aWhere);
 
-/// InvalidSet with all findings if there are any.
+/// Reads one object that must have no findings. InvalidSet with all findings.
 base::Result<Object>
 ParseObject(const base::JsonValue& aValue);
 
-/// Canonical JSON: every member, in a fixed order.
+/// Formats the object as canonical JSON: members in a fixed order, defaults
+/// included.
 base::JsonValue
 FormatObject(const Object& aObject);
 
-/// All findings in one text, one per line.
+/// Joins the findings, one per line.
 std::string
 JoinFindings(const std::vector<Finding>& aFindings);
 
--- a/include/skylarkhill/catalog/publish.hpp
+++ b/include/skylarkhill/catalog/publish.hpp
@@ -7,10 +7,10 @@
 
 namespace skylarkhill::catalog {
 
-/// The record that turns the set in force into its successor; its identity is
-/// left to the writer. VersionConflict if `aBaseVersion` is not current or the
-/// state is not complete; InvalidSet with all findings if the result is not
-/// consistent.
+/// Creates a record that publishes the current set with `aDelta` applied. The
+/// caller sets its identity. VersionConflict if `aBaseVersion` is not current
+/// or the state is not complete; InvalidSet with all findings if the delta
+/// cannot be applied or the resulting set is inconsistent.
 base::Result<PublishRecord>
 PreparePublish(const ConfigState& aState,
                Version aBaseVersion,
--- a/include/skylarkhill/settings/secret.hpp
+++ b/include/skylarkhill/settings/secret.hpp
@@ -7,7 +7,7 @@
 
 namespace skylarkhill::settings {
 
-/// Text that prints as "[secret]".
+/// A text that is printed as "[secret]".
 class Secret
 {
 public:
@@ -15,10 +15,11 @@
   explicit Secret(std::string aText);
 
   bool IsEmpty() const { return mText.empty(); }
-  /// True if `aCandidate` is the secret. An empty secret matches nothing. The
-  /// time depends on the length of `aCandidate` only.
+  /// True if `aCandidate` equals the secret. An empty secret matches nothing.
+  /// The comparison takes a time that depends only on the length of
+  /// `aCandidate`.
   bool Matches(std::string_view aCandidate) const;
-  /// The text itself, for sending it to its verifier.
+  /// The text itself, in clear.
   const std::string& Reveal() const { return mText; }
 
   friend std::ostream& operator<<(std::ostream& aOut, const Secret& aSecret);
--- a/include/skylarkhill/settings/settings.hpp
+++ b/include/skylarkhill/settings/settings.hpp
@@ -11,7 +11,7 @@
 
 namespace skylarkhill::settings {
 
-/// The least severe log line that is written.
+/// Minimum severity of the log lines that are written.
 enum class LogLevel
 {
   Debug,
@@ -20,7 +20,7 @@
   Error,
 };
 
-/// Who this instance is.
+/// The identity of this instance.
 struct InstanceSettings
 {
   std::string mName;
@@ -28,7 +28,7 @@
   std::string mRegion;
 };
 
-/// Where this instance listens, and its limits.
+/// Listening addresses and limits of this instance.
 struct ListenSettings
 {
   std::string mAddress;
@@ -43,14 +43,15 @@
   std::int64_t mThreads = 256;
 };
 
-/// Where the platform's services are.
+/// Address of the platform's services.
 struct PlatformSettings
 {
   std::string mAddress;
   std::int64_t mPort = 0;
 };
 
-/// Entry instances that are accepted besides those in the platform's list.
+/// Entry instances that are accepted in addition to those that the platform
+/// lists.
 struct PeerSettings
 {
   /// "address:port" or "[address]:port".
@@ -59,7 +60,7 @@
 
 struct LogSettings
 {
-  /// Appends a second of all instances of the site together.
+  /// Appends per second, for all instances of the site together.
   std::int64_t mAppendBudgetPerS = 300;
   std::int64_t mAppendTimeoutMs = 2'000;
   std::int64_t mRetentionS = 86'400;
@@ -81,7 +82,7 @@
 
 struct RequestSettings
 {
-  /// Standing requests of this instance at one time.
+  /// Maximum number of concurrent standing requests of this instance.
   std::int64_t mStandingLimit = 128;
   /// Retries in percent of first attempts.
   std::int64_t mRetryBudgetPercent = 10;
@@ -89,7 +90,7 @@
 
 struct DrainSettings
 {
-  /// How long the load balancer takes to notice that the instance is not
+  /// How long the load balancer takes to detect that the instance is not
   /// ready.
   std::int64_t mBalancerNoticeMs = 3'000;
   std::int64_t mDeadlineMs = 30'000;
@@ -97,9 +98,9 @@
 
 struct OperatorSettings
 {
-  /// Empty if operator commands are refused.
+  /// If empty, operator commands are rejected.
   Secret mCredential;
-  /// File that the credential is read from.
+  /// File from which the credential is read.
   std::string mCredentialFile;
 };
 
@@ -108,7 +109,7 @@
   LogLevel mLevel = LogLevel::Info;
 };
 
-/// Everything a process reads from its settings file.
+/// All settings of a process.
 struct Settings
 {
   InstanceSettings mInstance;
@@ -124,18 +125,18 @@
   LogOutputSettings mLogOutput;
 };
 
-/// One problem of a settings file.
+/// A problem of a settings file.
 struct SettingsFinding
 {
   std::string mFile;
-  /// From 1 on; of the section if the key is missing.
+  /// Starts at 1. The line of the section if the key is missing.
   std::int64_t mLine = 0;
   /// "section.key".
   std::string mKey;
   std::string mProblem;
 };
 
-/// Settings together with all problems of the text.
+/// Settings, with all problems that were found.
 struct SettingsReadResult
 {
   Settings mSettings;
@@ -145,8 +146,8 @@
 std::string_view
 NameOf(LogLevel aLevel);
 
-/// Reads TOML text without opening any file that it names. `aFile` names the
-/// text in findings.
+/// Reads settings from TOML text without opening the files that they refer to.
+/// `aFile` is the file name shown in findings.
 SettingsReadResult
 ReadSettings(std::string_view aText, const std::string& aFile);
 
@@ -154,16 +155,17 @@
 base::Result<Settings>
 ParseSettings(std::string_view aText, const std::string& aFile);
 
-/// Reads a settings file and the credential file that it names, and checks
-/// that the TLS files can be read. InvalidSettings with all findings.
+/// Reads a settings file and its credential file, and checks that the TLS files
+/// can be read. InvalidSettings with all findings.
 base::Result<Settings>
 LoadSettings(const std::string& aPath);
 
-/// One line per key, "section.key = value". Secrets are not shown.
+/// Formats the settings as "section.key = value", one per line, without
+/// secrets.
 std::string
 FormatSettings(const Settings& aSettings);
 
-/// The findings as "file:line: key: problem", one per line.
+/// Formats the findings as "file:line: key: problem", one per line.
 std::string
 JoinFindings(const std::vector<SettingsFinding>& aFindings);
 
--- a/src/catalog/catalog_set.cpp
+++ b/src/catalog/catalog_set.cpp
@@ -15,8 +15,8 @@
 
 } // namespace
 
-// The digest is the sum of the hashes of the objects. It does not depend on
-// their order, and a change costs the hashes of the changed objects only.
+// The digest is the sum of the hashes of the objects. It is independent of
+// their order, and an update only hashes the changed objects.
 void
 CatalogSet::AddHash(const Object& aObject)
 {
--- a/src/catalog/catalog_test.cpp
+++ b/src/catalog/catalog_test.cpp
@@ -75,7 +75,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against examples that the program itself refuses.
+  // Guards against examples that the program itself rejects.
   void AcceptsExamples()
   {
     for (const char* it : { "direccion.json", "exchange.json" }) {
@@ -119,7 +119,7 @@
     CPPUNIT_ASSERT(HasFinding(it, "profile 'y'", "there is also 'x'"));
   }
 
-  // Guards against promises and classes that the pool cannot hold.
+  // Guards against guarantees and batch classes that exceed the pool.
   void ReportsCapacityFindings()
   {
     const std::string reserve =
@@ -141,8 +141,8 @@
     const auto over =
       ReadSet(MakeDocument(pool + "," + MakeService("s", reserve) + "," +
                            MakeService("t", R"("pool":"p")")));
-    CPPUNIT_ASSERT(
-      HasFinding(over.value(), "pool 'p'", "promised beyond its size"));
+    CPPUNIT_ASSERT(HasFinding(
+      over.value(), "pool 'p'", "guaranteed resources exceed the pool size"));
     CPPUNIT_ASSERT(HasFinding(over.value(), "pool 'p'", "batch_class 'q'"));
     const auto twice =
       ReadSet(MakeDocument(kPool + "," + MakeService("s", reserve) + "," +
@@ -150,7 +150,8 @@
     CPPUNIT_ASSERT(HasFinding(twice.value(), "pool 'p'", "reserves"));
   }
 
-  // Guards against endless inheritance, and one cycle hiding another.
+  // Guards against endless loops in inheritance cycles, and against a cycle
+  // that hides another.
   void ReportsCycles()
   {
     const auto result = ReadSet(
@@ -230,14 +231,14 @@
     CPPUNIT_ASSERT(result.has_value());
     CPPUNIT_ASSERT_EQUAL(target.value().Digest(), result.value().Digest());
     CPPUNIT_ASSERT(Diff(result.value(), target.value()).mChanged.empty());
-    // A difference that does not fit its base must not be applied in part.
+    // A delta that does not match its base must be rejected as a whole.
     CPPUNIT_ASSERT(ApplyDelta(target.value(), parsed.value()).has_error());
     SetDelta twice;
     twice.mChanged.assign(2, delta.mChanged.front());
     CPPUNIT_ASSERT(ApplyDelta(CatalogSet(), twice).has_error());
   }
 
-  // Guards the requirement that 10,000 objects are checked within a second.
+  // 10,000 objects must be checked within a second.
   void ChecksLargeSetInTime()
   {
     std::string objects = kPool;
@@ -249,7 +250,8 @@
     CPPUNIT_ASSERT(ReadWithinLimit(MakeDocument(objects)).mFindings.empty());
   }
 
-  // Guards against a check whose time grows with the square of a chain.
+  // Guards against a check that takes quadratic time in the length of an
+  // inheritance chain.
   void ChecksLongChainInTime()
   {
     std::string objects = R"({"kind":"eviction_policy","name":"c0",)"
@@ -266,7 +268,7 @@
 private:
   static constexpr int kManyObjects = 10'000;
 
-  // Measures processor time, because elapsed time includes waiting for other
+  // Measures processor time: elapsed time would include waiting for other
   // processes on a busy machine.
   static SetReadResult ReadWithinLimit(const std::string& aText)
   {
--- a/src/catalog/check.cpp
+++ b/src/catalog/check.cpp
@@ -10,8 +10,8 @@
 
 using base::Resources;
 
-// Bounds the time to resolve a policy: one chain of 10,000 policies would
-// otherwise take quadratic time to check.
+// Bounds the time to resolve a policy. Without it, checking a chain of policies
+// takes quadratic time, which is too slow for 10,000 policies.
 constexpr int kMaxAncestors = 16;
 
 Resources
@@ -34,8 +34,9 @@
 class SetChecker
 {
 public:
-  // Sizes of pools in `aInvalidNames` are not compared: one wrong member would
-  // otherwise cause a finding for every user of the pool.
+  // `aInvalidNames` holds the objects that have findings already. Their sizes
+  // are not compared: one invalid member of a pool would otherwise cause a
+  // finding for every object that uses the pool.
   SetChecker(const CatalogSet& aSet, const std::set<std::string>& aInvalidNames)
     : mSet(aSet)
     , mInvalidNames(aInvalidNames)
@@ -65,7 +66,7 @@
     mFindings.push_back({ Describe(aObject), std::move(aProblem) });
   }
 
-  // Adds a finding unless `aName` is a T.
+  // Adds a finding unless `aName` is empty or names an object of type T.
   template<typename T>
   void CheckReference(const Object& aFrom,
                       std::string_view aKey,
@@ -125,7 +126,7 @@
                  "no worker of pool '" + pool->mName +
                    "' can ever hold 'default_resources': at most " +
                    ToText(available) +
-                   " are left beside the reserves of services");
+                   " are left after the reserves of services");
     }
   }
 
@@ -186,8 +187,9 @@
       // Stopping at the first excess also keeps the sum from overflowing.
       if (!Fits(guaranteed, size)) {
         AddFinding(aPool,
-                   "promised beyond its size of " + ToText(size) + " at '" +
-                     it.first + "': " + ToText(guaranteed));
+                   "guaranteed resources exceed the pool size of " +
+                     ToText(size) + ": including '" + it.first +
+                     "', they total " + ToText(guaranteed));
         return;
       }
     }
@@ -231,15 +233,15 @@
     const EvictionPolicy* policy = &aPolicy;
     for (int i = 0; i <= kMaxAncestors && policy != nullptr; ++i) {
       policy = mSet.FindAs<EvictionPolicy>(policy->mParent);
-      // Reported as a cycle already.
+      // The cycle has been reported already.
       if (policy != nullptr && mCyclic.count(policy->mName) != 0) {
         return;
       }
     }
     if (policy != nullptr) {
       AddFinding(aPolicy,
-                 "'parent' leads through more than " +
-                   std::to_string(kMaxAncestors) + " policies");
+                 "'parent' chain has more than " +
+                   std::to_string(kMaxAncestors) + " ancestors");
     }
   }
 
@@ -319,7 +321,8 @@
   return objects;
 }
 
-/// Reads all objects. `aInvalidNames` gets the names of those with findings.
+/// Reads all objects. Adds the names of objects with findings to
+/// `aInvalidNames`.
 SetReadResult
 ReadObjects(const base::JsonValue& aDocument,
             std::set<std::string>& aInvalidNames)
--- a/src/catalog/config_state.cpp
+++ b/src/catalog/config_state.cpp
@@ -64,7 +64,7 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-/// The state of a peer.
+/// A state that was exported by a peer.
 struct ExportedState
 {
   Version mVersion = kNoVersion;
@@ -131,9 +131,9 @@
   EraseOutcomesBefore(aFirstRetained);
 }
 
-// A publish may have won among the records that were not read, so whether a
-// later one wins cannot be decided before the state is restored. The set in
-// force stays: an outdated set is better than none.
+// A publish among the skipped records may have taken effect, so the outcome of
+// later publishes is unknown until the state is restored. The current set is
+// kept: an outdated set is better than none.
 void
 ConfigState::SkipTo(platform::Offset aOffset)
 {
@@ -143,7 +143,7 @@
   mNextOffset = aOffset;
 }
 
-// An expired record cannot be read again, so it needs no outcome any more.
+// An expired record cannot be read again, so its outcome is no longer needed.
 void
 ConfigState::EraseOutcomesBefore(platform::Offset aFirstRetained)
 {
@@ -214,8 +214,8 @@
   return outcome.mResult;
 }
 
-// Section 2.2 of the design: usable only if every record after `as_of` has
-// been read.
+// A snapshot is usable only if every record after its `as_of` offset has been
+// read: a publish among the missing records may have taken effect.
 ApplyResult
 ConfigState::ApplySnapshot(platform::Offset aOffset,
                            const SnapshotRecord& aRecord)
@@ -232,8 +232,8 @@
   return isRestored ? ApplyResult::Restored : ApplyResult::Ignored;
 }
 
-// Takes over a state that includes every record before `aNextOffset`. The
-// records from there on that were read already are applied to it.
+// Replaces the state by one that includes every record before `aNextOffset`,
+// then applies the deferred publishes from that offset on.
 bool
 ConfigState::Restore(Version aVersion,
                      const CatalogSet& aSet,
@@ -256,8 +256,9 @@
   return true;
 }
 
-// Of the publishes that a restored state includes, the one that is its version
-// won, and all later ones lost to it. About earlier ones nothing is known.
+// Of the publishes that a restored state includes, the one at the offset of its
+// version took effect, and all later ones conflicted with it. The outcome of
+// earlier ones is unknown.
 void
 ConfigState::RecordOutcomeBeforeRestore(Version aVersion,
                                         const DeferredPublish& aPublish)
@@ -319,8 +320,9 @@
   if (mComplete && state.mNextOffset <= mNextOffset) {
     return false;
   }
-  // A gap between the peer's state and the records read here: its set may be
-  // newer, but the records after it cannot be decided.
+  // Records between the peer's state and those read here are missing. The
+  // peer's set may be newer, but the outcome of later publishes remains
+  // unknown.
   if (state.mNextOffset < mReadFrom) {
     return ReplaceIfNewer(state.mVersion, std::move(state.mSet));
   }
--- a/src/catalog/config_state_test.cpp
+++ b/src/catalog/config_state_test.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// A stream of payloads with offsets from 0 on.
+/// The payloads of a stream; the index is the offset.
 using Stream = std::vector<std::string>;
 
 Object
@@ -72,7 +72,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against two racing publishers that both believe they won.
+  // Guards against two concurrent publishes that are both reported as
+  // published.
   void OnePublisherWins()
   {
     ConfigState state;
@@ -93,7 +94,7 @@
     CPPUNIT_ASSERT(!state.FindPublishOutcome("b", 2));
   }
 
-  // Guards against a record that changes the state of some readers only.
+  // Guards against invalid records that change the state of some readers only.
   void RejectsInconsistentRecords()
   {
     ConfigState state;
@@ -123,7 +124,7 @@
     CPPUNIT_ASSERT_EQUAL(Version(0), state.CurrentVersion());
   }
 
-  // Guards against a difference that is valid alone but not with its base.
+  // Guards against a delta that is valid alone but not with its base.
   void PreparesConsistentPublish()
   {
     ConfigState state;
@@ -141,8 +142,8 @@
     CPPUNIT_ASSERT(PreparePublish(state, 0, {}, "operator").has_error());
   }
 
-  // Guards against a snapshot that hides a publish between its `as_of` and the
-  // first record that the reader has read.
+  // Guards against restoring a snapshot although a publish between its `as_of`
+  // and the first record that the reader has read is missing.
   void NewReaderNeedsUsableSnapshot()
   {
     ConfigState writer;
@@ -171,7 +172,7 @@
     CPPUNIT_ASSERT(reader.FindPublishOutcome("a", 3)->mResult ==
                    ApplyResult::Published);
     CPPUNIT_ASSERT_EQUAL(platform::Offset(3), writer.RecoveryOffset());
-    // Publishes that the snapshot includes must not count as beaten.
+    // Publishes that the snapshot includes must not be reported as conflicts.
     ConfigState early(-1);
     early.Apply(0, stream[0], 0);
     early.Apply(1, stream[1], 0);
@@ -186,12 +187,13 @@
     ConfigState late;
     late.UpdateFirstRetained(5);
     CPPUNIT_ASSERT(!late.IsComplete());
-    // Neither can a caller leave out records unnoticed.
+    // A gap in the offsets makes the state incomplete.
     ConfigState skipping;
     CPPUNIT_ASSERT(skipping.Apply(1, stream[1], 0) == ApplyResult::Deferred);
   }
 
-  // Guards against an instance that loses its set while it catches up.
+  // Guards against an instance that reverts to an older set while it catches
+  // up.
   void GapNeverRevertsVersion()
   {
     ConfigState writer;
@@ -211,8 +213,9 @@
     CPPUNIT_ASSERT(reader.IsComplete());
   }
 
-  // Guards against an instance that a peer moves back, and against a publisher
-  // that never learns its result because its instance read the set elsewhere.
+  // Guards against importing an older state from a peer, and against a publish
+  // whose outcome is unknown because the instance imported the state instead of
+  // reading the record.
   void ImportsOnlyNewerState()
   {
     ConfigState peer;
@@ -231,8 +234,8 @@
     CPPUNIT_ASSERT_EQUAL(Version(0), state.CurrentVersion());
   }
 
-  // Guards against readers that derive different sets from one log, whatever
-  // part of it they have read.
+  // Guards against readers that derive different sets from the same log,
+  // wherever they start to read it.
   void CompleteReadersAgree()
   {
     constexpr std::uint64_t kSeeds = 40;
--- a/src/catalog/json_member.cpp
+++ b/src/catalog/json_member.cpp
@@ -2,7 +2,7 @@
 
 namespace skylarkhill::catalog {
 
-// The name is part of the value, so it has to be set after the swap.
+// The swap also replaces the key of the member, so the key is set afterwards.
 void
 AddMember(base::JsonValue& aObject, const char* aKey, base::JsonValue aMember)
 {
--- a/src/catalog/object.cpp
+++ b/src/catalog/object.cpp
@@ -38,7 +38,7 @@
 } };
 
 constexpr std::size_t kMaxNameLength = 64;
-// Products of these limits with kMaxWorkers stay within 64 bits.
+// The product of each of these limits and kMaxWorkers fits into 64 bits.
 constexpr std::int64_t kMaxMilliProcessors = 1'000'000;
 constexpr std::int64_t kMaxMemoryBytes = std::int64_t(1) << 44; // 16 TiB
 constexpr std::int64_t kMaxAccelerators = 1'000;
@@ -51,7 +51,7 @@
 constexpr std::int64_t kMaxAttempts = 10;
 constexpr std::int64_t kMaxRunSeconds = 30LL * 24 * 3600;
 constexpr std::int64_t kMaxEvictions = 100;
-// A worker that is not disturbed reports 100.
+// A worker without interference reports 100.
 constexpr std::int64_t kMinPercent = 101;
 constexpr std::int64_t kMaxPercent = 1'000;
 constexpr std::int64_t kMaxWeight = 1'000;
@@ -63,8 +63,8 @@
                                              kMaxMemoryBytes* kMaxWorkers,
                                              kMaxAccelerators* kMaxWorkers };
 
-/// Reads the members of one object and collects the findings of all nested
-/// readers.
+/// Reads the members of a JSON object and collects its problems and those of
+/// nested objects.
 class ObjectReader
 {
 public:
@@ -199,7 +199,8 @@
     return resources;
   }
 
-  /// Like OptionalResources, for a member that must be present and not zero.
+  /// Like OptionalResources, but the member must be present and include
+  /// processors and memory.
   base::Resources RequiredResources(std::string_view aKey,
                                     const base::Resources& aMax)
   {
@@ -242,7 +243,7 @@
     mProblems.push_back(std::move(problem));
   }
 
-  /// All problems, including members that nothing asked for.
+  /// All problems, including members that are not known.
   std::vector<std::string> CollectProblems()
   {
     mReader.RejectUnknown();
@@ -262,7 +263,7 @@
                  "must be between " + std::to_string(aLow) + " and " +
                    std::to_string(aHigh));
     }
-    // The checks between objects go on with a value that cannot overflow.
+    // Keeps the later checks of relations between objects from overflowing.
     return std::clamp(aValue, aLow, aHigh);
   }
 
@@ -485,7 +486,8 @@
   } else if (aValue.category() != base::JsonValue::Object) {
     problems.emplace_back("is not an object");
   } else {
-    // Without a kind, every other member would be reported as unknown.
+    // The other members are not checked: without a kind, all would be reported
+    // as unknown.
     problems.emplace_back("'kind' is missing or unknown");
   }
   for (auto& it : problems) {
--- a/src/settings/secret.cpp
+++ b/src/settings/secret.cpp
@@ -9,8 +9,8 @@
 {
 }
 
-// A comparison that stops at the first difference lets a caller guess the
-// secret byte by byte from the response time.
+// Compares all bytes: if the comparison stopped at the first difference, a
+// caller could guess the secret byte by byte from the response time.
 bool
 Secret::Matches(std::string_view aCandidate) const
 {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -2,8 +2,8 @@
 
 #include "skylarkhill/base/name_table.hpp"
 
-// The parser asserts that "[" is followed by a key, so that in a build with
-// assertions a malformed file such as "[!]" would end the process.
+// The parser asserts that "[" is followed by a key. In a build with assertions,
+// a malformed file such as "[!]" would abort the process.
 #define TOML_ASSERT(expr) static_assert(true)
 #include <toml++/toml.h>
 
@@ -38,19 +38,19 @@
 constexpr std::size_t kMaxNameLength = 64;
 constexpr std::size_t kMinCredentialLength = 16;
 
-/// The permitted form of a text.
+/// The format that a string value must have.
 enum class TextFormat
 {
   /// Letters, digits, dots, dashes, underscores; required.
   Name,
   /// An IP address; required.
   Address,
-  /// Anything; may be absent.
+  /// Any text; optional.
   Path,
 };
 
-/// Calls one method of `aVisitor` per key. The only list of all keys: the
-/// reader and the formatter are visitors.
+/// Calls a method of `aVisitor` for every key. This is the only list of the
+/// keys; the reader and the formatter are visitors.
 template<typename SettingsType, typename Visitor>
 void
 VisitKeys(SettingsType& aSettings, Visitor& aVisitor)
@@ -265,7 +265,7 @@
     }
   }
 
-  // The offered text is never repeated in a finding.
+  // Findings must never contain the credential.
   void Credential(const std::string& aKey, Secret& aValue)
   {
     std::string text;
@@ -291,7 +291,7 @@
     }
   }
 
-  /// Adds a finding for every section and key that nothing asked for.
+  /// Adds a finding for every section and key that is not known.
   void RejectUnknown()
   {
     for (const auto& [section, node] : mRoot) {
@@ -305,7 +305,7 @@
     }
   }
 
-  /// Adds a finding at `aSection`.`aKey`.
+  /// Adds a finding for `aKey` in `aSection`.
   void AddFindingAt(const std::string& aSection,
                     const std::string& aKey,
                     std::string aProblem)
@@ -315,7 +315,7 @@
     AddKeyFinding(aKey, std::move(aProblem));
   }
 
-  /// The findings in the order of the lines.
+  /// Returns the findings, sorted by line.
   std::vector<SettingsFinding> TakeFindings()
   {
     std::stable_sort(
@@ -349,7 +349,8 @@
     mFindings.push_back({ mFile, aLine, std::move(aKey), std::move(aProblem) });
   }
 
-  // At the key, or at its section if the key is absent.
+  // Adds a finding at the line of the key, or of its section if the key is
+  // missing.
   void AddKeyFinding(const std::string& aKey, std::string aProblem)
   {
     const toml::node* node = Find(aKey);
@@ -384,7 +385,7 @@
   std::vector<SettingsFinding> mFindings;
 };
 
-/// Prints every key.
+/// Formats every key as "section.key = value".
 class Formatter
 {
 public:
@@ -451,7 +452,9 @@
   if (aListen.mCertificate.empty() != aListen.mKey.empty()) {
     const char* missing = aListen.mKey.empty() ? "key" : "certificate";
     aReader.AddFindingAt(
-      "listen", missing, "is missing: 'certificate' and 'key' go together");
+      "listen",
+      missing,
+      "is missing: 'certificate' and 'key' must be set together");
   }
   if (!aListen.mCa.empty() && aListen.mCertificate.empty()) {
     aReader.AddFindingAt("listen", "ca", "needs 'certificate' and 'key'");
@@ -462,25 +465,24 @@
 CheckHolder(const Settings& aSettings, Reader& aReader)
 {
   const HolderSettings& holder = aSettings.mHolder;
-  // One lost poll must not cost the lease.
+  // The lease must survive one lost poll.
   if (holder.mLeaseMs <= 2 * holder.mPollMs + holder.mClockMarginMs) {
-    aReader.AddFindingAt(
-      "holder",
-      "lease_ms",
-      "must exceed two 'poll_ms' and 'clock_margin_ms' together");
+    aReader.AddFindingAt("holder",
+                         "lease_ms",
+                         "must exceed twice 'poll_ms' plus 'clock_margin_ms'");
   }
-  // The next holder must be able to renew the tasks that it takes over.
+  // The next holder must be able to renew the task leases that it takes over.
   if (aSettings.mTasks.mLeaseMs <=
       holder.mLeaseMs + holder.mTakeoverDelayMs + holder.mMaxMessageDelayMs) {
     aReader.AddFindingAt(
       "tasks",
       "lease_ms",
-      "must exceed 'holder.lease_ms', 'holder.takeover_delay_ms' "
-      "and 'holder.max_message_delay_ms' together");
+      "must exceed the sum of 'holder.lease_ms', "
+      "'holder.takeover_delay_ms' and 'holder.max_message_delay_ms'");
   }
 }
 
-/// Checks that involve more than one key.
+/// Checks the constraints that involve more than one key.
 void
 CheckRelations(const Settings& aSettings, Reader& aReader)
 {
@@ -500,8 +502,9 @@
   }
   if (!aSettings.mOperator.mCredential.IsEmpty() &&
       !aSettings.mOperator.mCredentialFile.empty()) {
-    aReader.AddFindingAt(
-      "operator", "credential_file", "excludes 'credential'");
+    aReader.AddFindingAt("operator",
+                         "credential_file",
+                         "cannot be set together with 'credential'");
   }
 }
 
@@ -530,7 +533,8 @@
               Reader& aReader)
 {
   if (!aPath.empty() && !std::ifstream(aPath)) {
-    aReader.AddFindingAt("listen", aKey, "names a file that cannot be read");
+    aReader.AddFindingAt(
+      "listen", aKey, "refers to a file that cannot be read");
   }
 }
 
@@ -559,7 +563,7 @@
   ReadCredentialFile(aSettings.mOperator, aReader);
 }
 
-/// Whether files that the settings name are opened.
+/// Whether the files that the settings refer to are opened.
 enum class ReferencedFiles
 {
   Ignore,
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -49,7 +49,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against an example that differs from the defaults or lacks a key.
+  // Guards against an example that differs from the defaults or misses a key.
   void ExampleShowsDefaults()
   {
     const std::string path = SKYLARKHILL_SOURCE_DIR "/examples/entry.toml";
@@ -108,7 +108,7 @@
     CPPUNIT_ASSERT(text.find("hunter2") == std::string::npos);
   }
 
-  // Guards against values that are valid alone but not together.
+  // Guards against values that are valid alone but contradict each other.
   void ReportsContradictions()
   {
     const auto result =
@@ -128,8 +128,10 @@
     CPPUNIT_ASSERT(HasFinding(result, 11, "holder.lease_ms", "must exceed"));
     CPPUNIT_ASSERT(HasFinding(result, 13, "tasks.lease_ms", "must exceed"));
     const std::string withKey = "[listen]\naddress = \"::1\"\nkey = \"k\"\n";
-    CPPUNIT_ASSERT(HasFinding(
-      ReadSettings(withKey, "x"), 1, "listen.certificate", "go together"));
+    CPPUNIT_ASSERT(HasFinding(ReadSettings(withKey, "x"),
+                              1,
+                              "listen.certificate",
+                              "must be set together"));
   }
 
   void ReportsMalformedText()
@@ -146,8 +148,9 @@
     CPPUNIT_ASSERT(LoadSettings("/nonexistent.toml").has_error());
   }
 
-  // Guards against a credential that ends in the newline of its file, and
-  // against files that are only found missing after the ports are open.
+  // Guards against keeping the trailing newline of a credential file as part of
+  // the credential, and against detecting missing files only after the ports
+  // are open.
   void ReadsCredentialFile()
   {
     const std::string stem = SKYLARKHILL_BINARY_DIR "/settings_test";
