Rename local names of catalog and settings

user -> ownerPool own -> ownOutcomes named -> seen again -> reparsed many -> hugeReserve over -> overcommitted ReadKind -> ReadMembers CheckHolder -> CheckLeases kHighSeed -> kHighHashSeed

--- a/src/catalog/catalog_set.cpp
+++ b/src/catalog/catalog_set.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::uint64_t kHighSeed = 1;
+constexpr std::uint64_t kHighHashSeed = 1;
 
 } // namespace
 
@@ -22,7 +22,7 @@
 {
   const std::string text = base::FormatJson(FormatObject(aObject));
   mHashLow += base::StableHash(text);
-  mHashHigh += base::StableHash(text, kHighSeed);
+  mHashHigh += base::StableHash(text, kHighHashSeed);
 }
 
 void
@@ -30,7 +30,7 @@
 {
   const std::string text = base::FormatJson(FormatObject(aObject));
   mHashLow -= base::StableHash(text);
-  mHashHigh -= base::StableHash(text, kHighSeed);
+  mHashHigh -= base::StableHash(text, kHighHashSeed);
 }
 
 void
--- a/src/catalog/catalog_test.cpp
+++ b/src/catalog/catalog_test.cpp
@@ -83,9 +83,9 @@
       CPPUNIT_ASSERT_MESSAGE(set.has_error() ? set.error().mDetail : "",
                              set.has_value());
       const std::string text = base::FormatJson(FormatSet(set.value()));
-      const auto again = ParseSet(text);
-      CPPUNIT_ASSERT(again.has_value());
-      CPPUNIT_ASSERT_EQUAL(set.value().Digest(), again.value().Digest());
+      const auto reparsed = ParseSet(text);
+      CPPUNIT_ASSERT(reparsed.has_value());
+      CPPUNIT_ASSERT_EQUAL(set.value().Digest(), reparsed.value().Digest());
     }
   }
 
@@ -138,12 +138,14 @@
     pool.insert(pool.size() - 1,
                 R"(,"shares":[{"for":"b","resources":{"milli_processors":)"
                 R"(31000}},{"for":"q","resources":{}}])");
-    const auto over =
+    const auto overcommitted =
       ReadSet(MakeDocument(pool + "," + MakeService("s", reserve) + "," +
                            MakeService("t", R"("pool":"p")")));
-    CPPUNIT_ASSERT(HasFinding(
-      over.value(), "pool 'p'", "guaranteed resources exceed the pool size"));
-    CPPUNIT_ASSERT(HasFinding(over.value(), "pool 'p'", "batch_class 'q'"));
+    CPPUNIT_ASSERT(HasFinding(overcommitted.value(),
+                              "pool 'p'",
+                              "guaranteed resources exceed the pool size"));
+    CPPUNIT_ASSERT(
+      HasFinding(overcommitted.value(), "pool 'p'", "batch_class 'q'"));
     const auto twice =
       ReadSet(MakeDocument(kPool + "," + MakeService("s", reserve) + "," +
                            MakeService("t", reserve)));
@@ -194,10 +196,10 @@
     }
     const auto truncated = ParseSet(std::string_view(R"({"objects":[)"));
     CPPUNIT_ASSERT(truncated.error().mKind == base::ErrorKind::InvalidJson);
-    const std::string many = MakeDocument(
+    const std::string hugeReserve = MakeDocument(
       kPool + R"(,{"kind":"service","name":"s","pool":"p","reserve":)" +
       R"({"memory_bytes":9223372036854775807}})");
-    CPPUNIT_ASSERT(ParseSet(std::string_view(many)).has_error());
+    CPPUNIT_ASSERT(ParseSet(std::string_view(hugeReserve)).has_error());
   }
 
   void DigestDependsOnContentOnly()
--- a/src/catalog/check.cpp
+++ b/src/catalog/check.cpp
@@ -144,12 +144,12 @@
           aPool, "shares", it.mOwner, "service or batch_class");
         continue;
       }
-      const std::string& user =
+      const std::string& ownerPool =
         service != nullptr ? service->mPool : batch->mPool;
-      if (user != aPool.mName) {
+      if (ownerPool != aPool.mName) {
         AddFinding(aPool,
                    "'shares' has an entry for '" + it.mOwner +
-                     "', which uses pool '" + user + "'");
+                     "', which uses pool '" + ownerPool + "'");
       }
     }
   }
--- a/src/catalog/config_state.cpp
+++ b/src/catalog/config_state.cpp
@@ -326,9 +326,9 @@
   if (state.mNextOffset < mReadFrom) {
     return ReplaceIfNewer(state.mVersion, std::move(state.mSet));
   }
-  const PublishOutcomes own =
+  const PublishOutcomes ownOutcomes =
     std::exchange(mOutcomes, std::move(state.mOutcomes));
-  mOutcomes.insert(own.begin(), own.end());
+  mOutcomes.insert(ownOutcomes.begin(), ownOutcomes.end());
   const bool isRestored =
     Restore(state.mVersion, state.mSet, state.mNextOffset);
   if (isRestored) {
--- a/src/catalog/delta.cpp
+++ b/src/catalog/delta.cpp
@@ -63,9 +63,9 @@
 base::Result<CatalogSet>
 ApplyDelta(CatalogSet aBase, const SetDelta& aDelta)
 {
-  std::set<std::string> named;
+  std::set<std::string> seen;
   for (const auto& it : aDelta.mRemoved) {
-    if (!named.insert(it).second) {
+    if (!seen.insert(it).second) {
       return MakeDeltaError(it, "is named twice");
     }
     if (aBase.Find(it) == nullptr) {
@@ -74,7 +74,7 @@
     aBase.Remove(it);
   }
   for (const auto& it : aDelta.mChanged) {
-    if (!named.insert(NameOf(it)).second) {
+    if (!seen.insert(NameOf(it)).second) {
       return MakeDeltaError(NameOf(it), "is named twice");
     }
     aBase.Put(it);
--- a/src/catalog/object.cpp
+++ b/src/catalog/object.cpp
@@ -385,7 +385,7 @@
 }
 
 Object
-ReadKind(ObjectKind aKind, ObjectReader& aReader)
+ReadMembers(ObjectKind aKind, ObjectReader& aReader)
 {
   switch (aKind) {
     case ObjectKind::Service:
@@ -475,7 +475,7 @@
   std::string where = aWhere;
   std::vector<std::string> problems;
   if (kind) {
-    Object object = ReadKind(*kind, reader);
+    Object object = ReadMembers(*kind, reader);
     std::visit([&name](auto& aAlternative) { aAlternative.mName = name; },
                object);
     problems = reader.CollectProblems();
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -462,7 +462,7 @@
 }
 
 void
-CheckHolder(const Settings& aSettings, Reader& aReader)
+CheckLeases(const Settings& aSettings, Reader& aReader)
 {
   const HolderSettings& holder = aSettings.mHolder;
   // The lease must survive one lost poll.
@@ -487,7 +487,7 @@
 CheckRelations(const Settings& aSettings, Reader& aReader)
 {
   CheckTls(aSettings.mListen, aReader);
-  CheckHolder(aSettings, aReader);
+  CheckLeases(aSettings, aReader);
   if (aSettings.mListen.mPort == aSettings.mListen.mPeerPort) {
     aReader.AddFindingAt("listen", "peer_port", "must differ from 'port'");
   }
