--- a/include/skylarkhill/catalog/config_state.hpp
+++ b/include/skylarkhill/catalog/config_state.hpp
@@ -15,7 +15,7 @@
 /// The effect of one record of the stream on the state.
 enum class ApplyResult
 {
-  /// A publish took effect.
+  /// A publish that took effect.
   Published,
   /// A publish whose base version was no longer current.
   Conflict,
--- a/include/skylarkhill/catalog/object.hpp
+++ b/include/skylarkhill/catalog/object.hpp
@@ -120,12 +120,12 @@
   std::string mName;
   std::string mParent;
   std::optional<EvictionKind> mKind;
-  /// Service time, in percent of the service time without interference, from
-  /// which colocated batch tasks are throttled or evicted; above 100.
+  /// Thresholds of the service time, in percent of the service time without
+  /// interference, at which colocated batch tasks are throttled or evicted;
+  /// above 100.
   std::optional<std::int64_t> mThrottlePercent;
   std::optional<std::int64_t> mEvictPercent;
-  /// Throttling ends when the service time falls this many percentage points
-  /// below the threshold.
+  /// Percentage points below the threshold at which throttling ends.
   std::optional<std::int64_t> mHysteresisPercent;
 };
 
--- a/include/skylarkhill/settings/secret.hpp
+++ b/include/skylarkhill/settings/secret.hpp
@@ -19,7 +19,7 @@
   /// The comparison takes a time that depends only on the length of
   /// `aCandidate`.
   bool Matches(std::string_view aCandidate) const;
-  /// The text itself, in clear.
+  /// The plain text, for sending it to the party that verifies it.
   const std::string& Reveal() const { return mText; }
 
   friend std::ostream& operator<<(std::ostream& aOut, const Secret& aSecret);
