--- a/include/skylarkhill/entry/batch_scheduler.hpp
+++ b/include/skylarkhill/entry/batch_scheduler.hpp
@@ -5,8 +5,8 @@
 #include "skylarkhill/entry/config_service.hpp"
 #include "skylarkhill/entry/instruments.hpp"
 #include "skylarkhill/entry/peer_network.hpp"
-#include "skylarkhill/entry/record_sender.hpp"
-#include "skylarkhill/entry/worker_pool.hpp"
+#include "skylarkhill/entry/record_appender.hpp"
+#include "skylarkhill/entry/worker_manager.hpp"
 #include "skylarkhill/journal/site_state.hpp"
 #include "skylarkhill/policy/profiles.hpp"
 #include "skylarkhill/policy/quarantine.hpp"
@@ -37,11 +37,11 @@
   /// The references must outlive the scheduler.
   BatchScheduler(BatchSchedulerOptions aOptions,
                  const base::Clock& aClock,
-                 WorkerPool& aWorkers,
+                 WorkerManager& aWorkers,
                  const ConfigService& aConfig,
                  const journal::SiteState& aState,
                  PeerNetwork& aPeers,
-                 RecordSender& aRecords,
+                 RecordAppender& aRecordAppender,
                  const Instruments& aInstruments);
   ~BatchScheduler();
   BatchScheduler(const BatchScheduler&) = delete;
@@ -53,14 +53,14 @@
   /// Learns from a report of a held worker.
   void OnReport(const WorkerStatus& aStatus);
   /// Learns from the end of an attempt on `aAgent`'s worker.
-  void OnEnd(WorkerAgent& aAgent, const tasks::EndRecord& aRecord);
+  void OnAttemptEnded(WorkerAgent& aAgent, const tasks::EndRecord& aRecord);
 
   /// The attempts that the log grants to the worker.
   std::vector<holder::GrantedAttempt> GrantsOn(
     const base::WorkerId& aWorker) const;
 
 private:
-  struct Pending
+  struct PendingGrant
   {
     base::WorkerId mWorker;
     std::int64_t mAttempt = 0;
@@ -69,35 +69,36 @@
   void Run();
   void RunOnce();
   void SelectPolicies(const ConfigView& aConfig);
-  void GrantQueued(const ConfigView& aConfig);
-  void GrantOne(const tasks::QueuedTask& aTask,
-                const ConfigView& aConfig,
-                std::vector<policy::WorkerView>& aViews);
-  std::vector<policy::WorkerView> MakeViews(const ConfigView& aConfig) const;
-  bool IsTurn(const tasks::QueuedTask& aTask, base::TimePoint aNow);
+  void GrantQueuedTasks(const ConfigView& aConfig);
+  void GrantTask(const tasks::QueuedTask& aTask,
+                 const ConfigView& aConfig,
+                 std::vector<policy::WorkerView>& aViews);
+  std::vector<policy::WorkerView> MakeWorkerViews(
+    const ConfigView& aConfig) const;
+  bool MayGrantNow(const tasks::QueuedTask& aTask, base::TimePoint aNow);
   policy::TeamUsageMap TeamUsages(const ConfigView& aConfig) const;
-  void FinishGrant(const base::TaskId& aTask, const Pending& aPending);
-  void Protect(const ConfigView& aConfig);
+  void FinishGrant(const base::TaskId& aTask, const PendingGrant& aPending);
+  void ProtectServices(const ConfigView& aConfig);
   /// Expected slowdown that one task of the class causes to the worst-hit
   /// service on the worker. Needs mMutex.
-  double WorstDisturbance(const ConfigView& aConfig,
-                          const WorkerPlace& aPlace,
-                          const std::string& aBatchClass) const;
-  void ProtectWorker(WorkerAgent& aAgent, const ConfigView& aConfig);
-  void EndLost();
-  void Record(timeline::EventKind aKind,
-              const base::TaskId& aTask,
-              std::int64_t aAttempt,
-              const base::WorkerId& aWorker,
-              std::string aDetail);
+  double MaxExpectedInterference(const ConfigView& aConfig,
+                                 const WorkerLocation& aLocation,
+                                 const std::string& aBatchClass) const;
+  void ProtectServicesOn(WorkerAgent& aAgent, const ConfigView& aConfig);
+  void EndLostAttempts();
+  void RecordEvent(timeline::EventKind aKind,
+                   const base::TaskId& aTask,
+                   std::int64_t aAttempt,
+                   const base::WorkerId& aWorker,
+                   std::string aDetail);
 
   const BatchSchedulerOptions mOptions;
   const base::Clock& mClock;
-  WorkerPool& mWorkers;
+  WorkerManager& mWorkers;
   const ConfigService& mConfig;
   const journal::SiteState& mState;
   PeerNetwork& mPeers;
-  RecordSender& mRecords;
+  RecordAppender& mRecordAppender;
   const Instruments mInstruments;
 
   /// Guards the policies and the members up to mStopping.
@@ -108,13 +109,13 @@
   std::unique_ptr<policy::QueuePolicy> mQueue;
   std::unique_ptr<policy::ProtectionPolicy> mProtection;
   policy::Quarantine mQuarantine;
-  std::map<base::TaskId, Pending> mPending;
+  std::map<base::TaskId, PendingGrant> mPendingGrants;
   /// When this instance first saw a task queued for an attempt.
-  std::map<worker::TaskKey, base::TimePoint> mFirstSeen;
+  std::map<worker::TaskKey, base::TimePoint> mFirstSeenAt;
   /// When this instance first saw an attempt run.
   std::map<worker::TaskKey, base::TimePoint> mRunningSince;
   /// Lost attempts whose end is being appended.
-  std::set<worker::TaskKey> mEnding;
+  std::set<worker::TaskKey> mEndingAttempts;
   bool mStopping = false;
 
   std::thread mThread;
--- a/include/skylarkhill/entry/config_service.hpp
+++ b/include/skylarkhill/entry/config_service.hpp
@@ -53,8 +53,8 @@
   void Stop();
 
   /// Publishes `aTarget` as the successor of `aBaseVersion` and waits for the
-  /// verdict of the log. InvalidSet, VersionConflict (with the version that
-  /// won), LogUnavailable; AnswerLost: the verdict is not known.
+  /// outcome of the log. InvalidSet, VersionConflict (with the version that
+  /// won), LogUnavailable; AnswerLost: the outcome is not known.
   base::Result<catalog::Version> Publish(catalog::Version aBaseVersion,
                                          const catalog::CatalogSet& aTarget,
                                          const std::string& aPublisher,
@@ -72,12 +72,12 @@
 private:
   void Run();
   /// Reads one page; true if there may be more.
-  bool ReadOnce();
+  bool ReadPage();
   void ApplyPage(const platform::LogPage& aPage);
   void AppendSnapshotIfDue();
   base::Result<void> Append(const catalog::ConfigRecord& aRecord,
                             base::TimePoint aDeadline);
-  base::Result<catalog::Version> WaitForVerdict(
+  base::Result<catalog::Version> WaitForPublishOutcome(
     const catalog::PublishRecord& aRecord,
     base::TimePoint aDeadline);
 
@@ -93,7 +93,7 @@
   base::TimePoint mSnapshotDueAt;
   platform::Offset mRecoveryOffset = -1;
   bool mReady = false;
-  bool mReadNow = false;
+  bool mReadRequested = false;
   bool mLogAvailable = true;
   bool mStopping = false;
   std::thread mThread;
--- a/include/skylarkhill/entry/peer_network.hpp
+++ b/include/skylarkhill/entry/peer_network.hpp
@@ -42,13 +42,13 @@
 
 /// Membership and messages between entry instances. Thread-safe.
 class PeerNetwork
-  : public PeerPort
+  : public PeerClient
   , private peer::MessageSink
 {
 public:
   /// The references must outlive the network.
   PeerNetwork(PeerNetworkOptions aOptions,
-              platform::InstanceList& aList,
+              platform::InstanceList& aInstanceList,
               const base::Clock& aClock,
               ConfigService& aConfig,
               const Instruments& aInstruments);
@@ -59,7 +59,7 @@
   /// Listens and starts the threads. ConnectionLost if it cannot listen.
   /// `aRequests` must outlive the network or be removed by Stop.
   base::Result<void> Start(RequestService& aRequests,
-                           std::function<LocalStatus()> aStatus);
+                           std::function<LocalStatus()> aGetLocalStatus);
   void Stop();
 
   std::vector<requests::Candidate> Candidates(
@@ -68,26 +68,25 @@
                              const requests::Request& aRequest,
                              std::int64_t aAttempt,
                              base::TimePoint aDeadline) override;
-  void Answer(const base::InstanceId& aPeer,
-              const base::RequestId& aRequest,
-              std::int64_t aAttempt,
-              const requests::RequestResult& aResult) override;
+  void SendResponse(const base::InstanceId& aPeer,
+                    const base::RequestId& aRequest,
+                    std::int64_t aAttempt,
+                    const requests::RequestResult& aResult) override;
   bool IsAlive(const base::InstanceId& aClaimant) const override;
 
   /// This instance begins a planned stop; tells all peers.
-  void LeaveSelf();
-  void OnWorkerEvidence(const base::WorkerId& aWorker, bool aLeaving);
+  void AnnounceLeaving();
+  void OnWorkerPolled(const base::WorkerId& aWorker, bool aLeaving);
 
   /// The last list of the platform.
   std::vector<platform::InstanceEntry> ListedInstances() const;
   bool IsEligible(const base::WorkerId& aWorker) const override;
   bool IsPreferredHolder(const base::WorkerId& aWorker) const;
   /// Entry instances that are live, of all known domains, this one included.
-  std::vector<base::InstanceId> LiveEntries() const;
+  std::vector<base::InstanceId> LiveEntryInstances() const;
   std::optional<base::TimePoint> AbsentSince(
     const base::WorkerId& aWorker) const;
-  std::optional<base::TimePoint> LastEvidence(
-    const base::WorkerId& aWorker) const;
+  std::optional<base::TimePoint> LastSeen(const base::WorkerId& aWorker) const;
 
 private:
   void OnMessage(peer::ReceivedMessage aMessage) override;
@@ -102,39 +101,39 @@
   void Handle(const peer::StatePage& aMessage,
               const peer::ReceivedMessage& aReceived);
   void RunHeartbeats();
-  void RunList();
-  void FetchList();
+  void RunListFetches();
+  void FetchInstanceList();
   void UpdateAllowedPeers();
   void SendHeartbeats();
-  void FetchConfigFrom(const peer::Heartbeat& aHeartbeat,
-                       const peer::PeerAddress& aPeer);
+  void FetchConfigIfNewer(const peer::Heartbeat& aHeartbeat,
+                          const peer::PeerAddress& aPeer);
   std::optional<peer::PeerAddress> AddressOf(
     const base::InstanceId& aInstance) const;
   base::Result<void> Send(const peer::PeerAddress& aPeer,
                           const peer::Message& aMessage,
                           base::TimePoint aDeadline,
-                          peer::AgePolicy aPolicy);
-  bool Pause(base::Duration aTime);
+                          peer::AgePolicy aAgePolicy);
+  bool SleepUnlessStopping(base::Duration aTime);
 
   const PeerNetworkOptions mOptions;
-  platform::InstanceList& mList;
+  platform::InstanceList& mInstanceList;
   const base::Clock& mClock;
   ConfigService& mConfig;
   const Instruments mInstruments;
-  std::function<LocalStatus()> mStatus;
+  std::function<LocalStatus()> mGetLocalStatus;
   RequestService* mRequests = nullptr;
   std::unique_ptr<peer::Transport> mTransport;
 
   mutable std::mutex mMutex;
   std::condition_variable mChanged;
   membership::View mView;
-  std::vector<platform::InstanceEntry> mListed;
+  std::vector<platform::InstanceEntry> mListedInstances;
   /// When the last heartbeat of each peer arrived.
-  std::map<base::InstanceId, base::TimePoint> mHeardAt;
-  std::set<base::InstanceId> mLiveBefore;
+  std::map<base::InstanceId, base::TimePoint> mLastHeartbeatAt;
+  std::set<base::InstanceId> mAppearedPeers;
   /// Pages of a peer's set that have arrived, in order.
   std::string mConfigPages;
-  std::uint64_t mConfigFetch = 0;
+  std::uint64_t mConfigFetchId = 0;
   std::int64_t mNextConfigPage = 0;
   bool mStopping = false;
   std::vector<std::thread> mThreads;
--- a/include/skylarkhill/entry/pool_membership.hpp
+++ b/include/skylarkhill/entry/pool_membership.hpp
@@ -8,13 +8,13 @@
 
 /// True if the pool covers the worker's failure domain and rack.
 bool
-IsInPool(const catalog::Pool& aPool, const WorkerPlace& aPlace);
+IsInPool(const catalog::Pool& aPool, const WorkerLocation& aLocation);
 
 /// True if the worker belongs to the pool of the service.
 bool
 Serves(const catalog::CatalogSet& aSet,
        const catalog::Service& aService,
-       const WorkerPlace& aPlace);
+       const WorkerLocation& aLocation);
 
 } // namespace skylarkhill::entry
 
--- a/include/skylarkhill/entry/record_sender.hpp
+++ b/include/skylarkhill/entry/record_appender.hpp
@@ -1,5 +1,5 @@
-#ifndef SKYLARKHILL_ENTRY_RECORD_SENDER_HPP
-#define SKYLARKHILL_ENTRY_RECORD_SENDER_HPP
+#ifndef SKYLARKHILL_ENTRY_RECORD_APPENDER_HPP
+#define SKYLARKHILL_ENTRY_RECORD_APPENDER_HPP
 
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/journal/journal_service.hpp"
@@ -16,41 +16,41 @@
 
 /// Appends task records in the background. Records that are queued at the same
 /// time share one submission. Thread-safe.
-class RecordSender
+class RecordAppender
 {
 public:
   /// Told whether the record was read back from the log; false if it was
   /// certainly not appended.
-  using Done = std::function<void(bool aAppended)>;
+  using Callback = std::function<void(bool aAppended)>;
 
   /// The references must outlive the sender.
-  RecordSender(journal::JournalService& aJournal, const base::Clock& aClock);
-  ~RecordSender();
-  RecordSender(const RecordSender&) = delete;
-  RecordSender& operator=(const RecordSender&) = delete;
+  RecordAppender(journal::JournalService& aJournal, const base::Clock& aClock);
+  ~RecordAppender();
+  RecordAppender(const RecordAppender&) = delete;
+  RecordAppender& operator=(const RecordAppender&) = delete;
 
   /// A record whose answer was lost is sent again, unchanged, until the log
   /// shows one of the copies.
-  void Send(tasks::TaskRecord aRecord, Done aDone);
+  void Append(tasks::TaskRecord aRecord, Callback aCallback);
   /// Waits until nothing is queued or in progress; false at `aDeadline`.
   bool Drain(base::TimePoint aDeadline);
 
 private:
-  struct Entry
+  struct QueuedRecord
   {
     tasks::TaskRecord mRecord;
-    Done mDone;
+    Callback mCallback;
   };
 
   void Run();
-  void Finish(std::vector<Entry> aBatch,
-              const base::Result<platform::Offset>& aResult);
+  void FinishBatch(std::vector<QueuedRecord> aBatch,
+                   const base::Result<platform::Offset>& aResult);
 
   journal::JournalService& mJournal;
   const base::Clock& mClock;
   std::mutex mMutex;
   std::condition_variable mChanged;
-  std::vector<Entry> mQueue;
+  std::vector<QueuedRecord> mQueue;
   std::size_t mInProgress = 0;
   bool mStopping = false;
   std::vector<std::thread> mThreads;
@@ -58,4 +58,4 @@
 
 } // namespace skylarkhill::entry
 
-#endif // SKYLARKHILL_ENTRY_RECORD_SENDER_HPP
+#endif // SKYLARKHILL_ENTRY_RECORD_APPENDER_HPP
--- a/include/skylarkhill/entry/request_service.hpp
+++ b/include/skylarkhill/entry/request_service.hpp
@@ -5,9 +5,9 @@
 #include "skylarkhill/base/random.hpp"
 #include "skylarkhill/entry/config_service.hpp"
 #include "skylarkhill/entry/instruments.hpp"
-#include "skylarkhill/entry/service_lane.hpp"
-#include "skylarkhill/entry/task_executor.hpp"
-#include "skylarkhill/entry/worker_pool.hpp"
+#include "skylarkhill/entry/service_admission.hpp"
+#include "skylarkhill/entry/thread_pool.hpp"
+#include "skylarkhill/entry/worker_manager.hpp"
 #include "skylarkhill/journal/journal_service.hpp"
 #include "skylarkhill/requests/forwarder.hpp"
 #include "skylarkhill/requests/request_machine.hpp"
@@ -25,10 +25,10 @@
 namespace skylarkhill::entry {
 
 /// What the request service needs from the connections to other instances.
-class PeerPort
+class PeerClient
 {
 public:
-  virtual ~PeerPort() = default;
+  virtual ~PeerClient() = default;
   /// Peers that hold workers of the service, with their gossiped free slots.
   virtual std::vector<requests::Candidate> Candidates(
     const std::string& aService) const = 0;
@@ -38,10 +38,10 @@
                                      std::int64_t aAttempt,
                                      base::TimePoint aDeadline) = 0;
   /// Answers an attempt that a peer has forwarded.
-  virtual void Answer(const base::InstanceId& aPeer,
-                      const base::RequestId& aRequest,
-                      std::int64_t aAttempt,
-                      const requests::RequestResult& aResult) = 0;
+  virtual void SendResponse(const base::InstanceId& aPeer,
+                            const base::RequestId& aRequest,
+                            std::int64_t aAttempt,
+                            const requests::RequestResult& aResult) = 0;
   /// True if the instance may still be working on the keys that it claimed.
   virtual bool IsAlive(const base::InstanceId& aInstance) const = 0;
   /// False if any source says that the worker is leaving.
@@ -54,7 +54,7 @@
   std::uint64_t mIncarnation = 0;
   std::int64_t mStandingLimit = 128;
   std::int64_t mRetryBudgetPercent = 10;
-  std::size_t mThreads = 128;
+  std::size_t mMaxThreads = 128;
 };
 
 /// Runs caller requests and forwarded attempts. Thread-safe.
@@ -64,11 +64,11 @@
   /// The references must outlive the service.
   RequestService(RequestServiceOptions aOptions,
                  const base::Clock& aClock,
-                 WorkerPool& aWorkers,
+                 WorkerManager& aWorkers,
                  const ConfigService& aConfig,
                  journal::JournalService& aJournal,
                  const journal::SiteState& aState,
-                 PeerPort& aPeers,
+                 PeerClient& aPeers,
                  const Instruments& aInstruments);
   ~RequestService();
   RequestService(const RequestService&) = delete;
@@ -102,13 +102,13 @@
 
   const catalog::Service* FindService(const ConfigView& aConfig,
                                       const std::string& aName) const;
-  std::vector<requests::Candidate> OwnCandidates(
+  std::vector<requests::Candidate> HeldWorkerCandidates(
     const std::string& aService) const;
   requests::RequestResult RunSession(const SessionPtr& aSession,
                                      base::TimePoint aArrivedAt);
-  requests::RequestResult Attach(const SessionPtr& aSession,
-                                 base::TimePoint aDeadline) const;
-  std::int64_t SlotsInReach(const std::string& aService) const;
+  requests::RequestResult AwaitResult(const SessionPtr& aSession,
+                                      base::TimePoint aDeadline) const;
+  std::int64_t ReachableSlots(const std::string& aService) const;
   bool IsKeyUnused(const base::RequestId& aKey,
                    base::TimePoint aArrivedAt) const;
   requests::RequestResult Drive(const SessionPtr& aSession);
@@ -120,10 +120,10 @@
                    const requests::SendAttempt& aAction);
   /// Needs mForwardMutex.
   void EndInFlight(const SessionPtr& aSession, std::int64_t aAttempt);
-  base::Result<std::string> CallWhenFree(WorkerAgent& aAgent,
-                                         const requests::Request& aRequest,
-                                         std::int64_t aAttempt,
-                                         base::TimePoint aDeadline) const;
+  base::Result<std::string> CallWhenSlotFree(WorkerAgent& aAgent,
+                                             const requests::Request& aRequest,
+                                             std::int64_t aAttempt,
+                                             base::TimePoint aDeadline) const;
   void CallWorker(const SessionPtr& aSession,
                   const requests::SendAttempt& aAction);
   void ForwardToPeer(const SessionPtr& aSession,
@@ -132,22 +132,22 @@
   void WatchClaim(const SessionPtr& aSession);
   void AppendOutcome(const requests::Request& aRequest,
                      const requests::RequestResult& aResult);
-  void PerformForward(const requests::ForwardActions& aActions);
+  void PerformForwardActions(const requests::ForwardActions& aActions);
   void RunForwarded(const requests::RunOnWorker& aAction);
   void RecordResult(const requests::Request& aRequest,
                     const requests::RequestResult& aResult,
                     base::TimePoint aStartedAt);
-  ServiceLane& Lane(const std::string& aService);
+  ServiceAdmission& AdmissionFor(const std::string& aService);
 
   const RequestServiceOptions mOptions;
   const base::Clock& mClock;
-  WorkerPool& mWorkers;
+  WorkerManager& mWorkers;
   const ConfigService& mConfig;
   journal::JournalService& mJournal;
   const journal::SiteState& mState;
-  PeerPort& mPeers;
+  PeerClient& mPeers;
   const Instruments mInstruments;
-  const std::unique_ptr<requests::TargetPicker> mPicker;
+  const std::unique_ptr<requests::TargetPicker> mTargetPicker;
 
   /// Guards the forwarder, its random numbers and the attempts in flight.
   mutable std::mutex mForwardMutex;
@@ -156,13 +156,13 @@
   requests::Forwarder mForwarder;
 
   mutable std::mutex mSessionsMutex;
-  std::unique_ptr<base::Random> mSeeds;
+  std::unique_ptr<base::Random> mSeedSource;
   std::map<base::RequestId, SessionPtr> mSessions;
 
-  mutable std::mutex mLanesMutex;
-  std::map<std::string, std::unique_ptr<ServiceLane>> mLanes;
+  mutable std::mutex mAdmissionsMutex;
+  std::map<std::string, std::unique_ptr<ServiceAdmission>> mAdmissions;
 
-  TaskExecutor mExecutor;
+  ThreadPool mThreadPool;
 };
 
 } // namespace skylarkhill::entry
--- a/include/skylarkhill/entry/service_lane.hpp
+++ b/include/skylarkhill/entry/service_admission.hpp
@@ -1,5 +1,5 @@
-#ifndef SKYLARKHILL_ENTRY_SERVICE_LANE_HPP
-#define SKYLARKHILL_ENTRY_SERVICE_LANE_HPP
+#ifndef SKYLARKHILL_ENTRY_SERVICE_ADMISSION_HPP
+#define SKYLARKHILL_ENTRY_SERVICE_ADMISSION_HPP
 
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/base/error.hpp"
@@ -17,7 +17,7 @@
 
 namespace skylarkhill::entry {
 
-struct ServiceLaneOptions
+struct ServiceAdmissionOptions
 {
   requests::AdmissionQueueOptions mQueue;
   requests::RetryBudgetOptions mRetryBudget;
@@ -25,27 +25,28 @@
 
 /// Admission to one service on this instance: queue, concurrency limit and
 /// retry budget. Thread-safe, with a lock of its own.
-class ServiceLane
+class ServiceAdmission
 {
 public:
-  ServiceLane(const ServiceLaneOptions& aOptions, const base::Clock& aClock);
+  ServiceAdmission(const ServiceAdmissionOptions& aOptions,
+                   const base::Clock& aClock);
 
   /// Waits until the request may run. Overloaded or DeadlineExceeded: it has
   /// not run and must not. `aSlots`: slots that the service has in reach.
-  base::Result<void> Enter(const requests::Request& aRequest,
-                           bool aStanding,
-                           std::int64_t aSlots);
+  base::Result<void> Acquire(const requests::Request& aRequest,
+                             bool aIsStanding,
+                             std::int64_t aSlots);
   /// A request that was let in has ended after `aServiceTime`.
-  void Leave(bool aStanding, base::Duration aServiceTime, bool aCompleted);
+  void Release(bool aIsStanding, base::Duration aServiceTime, bool aCompleted);
 
   requests::RetryBudget& Budget() { return mBudget; }
   /// Latency after which an idempotent request is hedged; zero if unknown.
   base::Duration HedgeDelay() const;
 
 private:
-  void RecordTime(base::Duration aServiceTime, bool aCompleted);
+  void RecordServiceTime(base::Duration aServiceTime, bool aCompleted);
   /// Lets queued requests in while the limit allows it.
-  void Admit();
+  void AdmitQueued();
 
   const base::Clock& mClock;
   requests::RetryBudget mBudget;
@@ -58,10 +59,10 @@
   std::map<base::RequestId, base::Error> mDropped;
   std::int64_t mRunning = 0;
   /// Moving estimate of a high latency quantile, in microseconds.
-  double mHighLatency = 0.0;
+  double mTailLatencyMicros = 0.0;
   std::int64_t mSamples = 0;
 };
 
 } // namespace skylarkhill::entry
 
-#endif // SKYLARKHILL_ENTRY_SERVICE_LANE_HPP
+#endif // SKYLARKHILL_ENTRY_SERVICE_ADMISSION_HPP
--- a/include/skylarkhill/entry/task_executor.hpp
+++ b/include/skylarkhill/entry/thread_pool.hpp
@@ -1,5 +1,5 @@
-#ifndef SKYLARKHILL_ENTRY_TASK_EXECUTOR_HPP
-#define SKYLARKHILL_ENTRY_TASK_EXECUTOR_HPP
+#ifndef SKYLARKHILL_ENTRY_THREAD_POOL_HPP
+#define SKYLARKHILL_ENTRY_THREAD_POOL_HPP
 
 #include <condition_variable>
 #include <cstddef>
@@ -13,14 +13,14 @@
 
 /// Runs functions on a bounded number of threads, which are started when they
 /// are needed. Thread-safe.
-class TaskExecutor
+class ThreadPool
 {
 public:
-  explicit TaskExecutor(std::size_t aMaxThreads);
+  explicit ThreadPool(std::size_t aMaxThreads);
   /// Waits for everything that was submitted.
-  ~TaskExecutor();
-  TaskExecutor(const TaskExecutor&) = delete;
-  TaskExecutor& operator=(const TaskExecutor&) = delete;
+  ~ThreadPool();
+  ThreadPool(const ThreadPool&) = delete;
+  ThreadPool& operator=(const ThreadPool&) = delete;
 
   /// Runs `aFunction` soon; false if every thread is busy and none can be
   /// started, in which case it will not run.
@@ -40,4 +40,4 @@
 
 } // namespace skylarkhill::entry
 
-#endif // SKYLARKHILL_ENTRY_TASK_EXECUTOR_HPP
+#endif // SKYLARKHILL_ENTRY_THREAD_POOL_HPP
--- a/include/skylarkhill/entry/worker_agent.hpp
+++ b/include/skylarkhill/entry/worker_agent.hpp
@@ -21,7 +21,7 @@
 namespace skylarkhill::entry {
 
 /// Where a worker is and what the platform's list says of it.
-struct WorkerPlace
+struct WorkerLocation
 {
   base::WorkerId mWorker;
   base::DomainId mDomain;
@@ -38,7 +38,7 @@
 /// One worker as the rest of the process sees it.
 struct WorkerStatus
 {
-  WorkerPlace mPlace;
+  WorkerLocation mLocation;
   bool mHeld = false;
   bool mLeaving = false;
   /// Whether new tasks may be placed on the worker.
@@ -60,10 +60,10 @@
 
 /// What an agent tells the rest of the process. Called without any lock of the
 /// agent, from the thread that steps it.
-class WorkerEvents
+class WorkerListener
 {
 public:
-  virtual ~WorkerEvents() = default;
+  virtual ~WorkerListener() = default;
   virtual void OnHolderChange(WorkerAgent& aAgent, bool aHeld) = 0;
   virtual void OnReport(WorkerAgent& aAgent,
                         const worker::WorkerReport& aReport) = 0;
@@ -77,22 +77,22 @@
 class WorkerAgent
 {
 public:
-  /// `aClock` and `aEvents` outlive the agent.
-  WorkerAgent(WorkerPlace aPlace,
+  /// `aClock` and `aListener` outlive the agent.
+  WorkerAgent(WorkerLocation aLocation,
               WorkerAgentOptions aOptions,
-              std::unique_ptr<worker::RemoteWorker> aPort,
+              std::unique_ptr<worker::RemoteWorker> aRemoteWorker,
               const base::Clock& aClock,
               std::uint64_t aSeed,
-              WorkerEvents& aEvents);
+              WorkerListener& aListener);
 
-  const WorkerPlace& Place() const { return mPlace; }
+  const WorkerLocation& Location() const { return mLocation; }
 
   void SetPreferred(bool aPreferred);
   void SetServiceReserve(const base::Resources& aReserve);
   /// The attempts that the log grants to this worker. Everything appended
-  /// before `aCaughtUpAsOf` has been read, which is up to `aPosition`.
+  /// before `aCaughtUpTime` has been read, which is up to `aPosition`.
   void SetGrants(const std::vector<holder::GrantedAttempt>& aGrants,
-                 base::TimePoint aCaughtUpAsOf,
+                 base::TimePoint aCaughtUpTime,
                  std::int64_t aPosition);
 
   /// Does what is due now. Blocks for the time of the commands it sends.
@@ -101,7 +101,7 @@
   /// Commits capacity for an attempt whose grant is about to be appended.
   /// NotHolder, NoCapacity, WorkerUnavailable.
   base::Result<void> Plan(const worker::TaskKey& aKey,
-                          const base::Resources& aNeed);
+                          const base::Resources& aResources);
   /// The grant was not appended or lost against another one.
   void CancelPlan(const worker::TaskKey& aKey);
   void Evict(const worker::TaskKey& aKey, base::TimePoint aDeadline);
@@ -109,7 +109,7 @@
   /// The End record of this attempt was not appended.
   void OnRecordDropped(const worker::TaskKey& aKey);
   /// The failures of a quarantined task are not held against this worker.
-  void TakeBackFailures(const base::TaskId& aTask);
+  void RemoveFailures(const base::TaskId& aTask);
 
   /// Sends one service request. NotHolder and NoCapacity: nothing was sent;
   /// otherwise as `worker::RemoteWorker::Call`.
@@ -121,7 +121,7 @@
   void BeginRelease();
   bool IsReleased() const;
 
-  bool MayCommit() const;
+  bool MaySendCommands() const;
   WorkerStatus Status() const;
 
 private:
@@ -133,10 +133,10 @@
   void StepLease();
   void StepRunner();
   void StepRelease();
-  void TakeReport(std::uint64_t aRequest,
-                  const base::Result<worker::WorkerReport>& aReport,
-                  base::TimePoint aSentAt);
-  void TakeRecord(const tasks::TaskRecord& aRecord);
+  void HandleReport(std::uint64_t aRequest,
+                    const base::Result<worker::WorkerReport>& aReport,
+                    base::TimePoint aSentAt);
+  void HandleRecord(const tasks::TaskRecord& aRecord);
   void SendCommand(const holder::Command& aCommand);
   base::Result<void> SendBody(const holder::Command& aCommand);
   void RecordCall(const worker::ServiceCall& aCall,
@@ -146,11 +146,11 @@
                   base::TimePoint aSentAt);
   bool IsWorkerFault(base::ErrorKind aKind, base::TimePoint aSentAt) const;
 
-  const WorkerPlace mPlace;
+  const WorkerLocation mLocation;
   const WorkerAgentOptions mOptions;
-  const std::unique_ptr<worker::RemoteWorker> mPort;
+  const std::unique_ptr<worker::RemoteWorker> mRemoteWorker;
   const base::Clock& mClock;
-  WorkerEvents& mEvents;
+  WorkerListener& mListener;
   const std::unique_ptr<base::Random> mRandom;
 
   mutable std::mutex mMutex;
@@ -168,7 +168,7 @@
   bool mGrantsChanged = false;
   std::optional<worker::WorkerReport> mReport;
   base::TimePoint mReportedAt;
-  holder::Ledger::CallNumber mLastCall = 0;
+  holder::Ledger::CallNumber mLastCallNumber = 0;
   bool mReleasing = false;
   bool mReleaseSent = false;
 };
--- a/include/skylarkhill/entry/worker_pool.hpp
+++ b/include/skylarkhill/entry/worker_manager.hpp
@@ -1,5 +1,5 @@
-#ifndef SKYLARKHILL_ENTRY_WORKER_POOL_HPP
-#define SKYLARKHILL_ENTRY_WORKER_POOL_HPP
+#ifndef SKYLARKHILL_ENTRY_WORKER_MANAGER_HPP
+#define SKYLARKHILL_ENTRY_WORKER_MANAGER_HPP
 
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/base/id.hpp"
@@ -18,18 +18,18 @@
 
 /// Steps the agents of all workers of the domain on several threads, so that a
 /// worker that does not answer delays no other one.
-class WorkerPool
+class WorkerManager
 {
 public:
   using AgentPtr = std::shared_ptr<WorkerAgent>;
 
   /// `aClock` outlives the pool. `aBeforeStep` runs before every step of an
   /// agent, on the same thread.
-  WorkerPool(const base::Clock& aClock,
-             std::function<void(WorkerAgent&)> aBeforeStep);
-  ~WorkerPool();
-  WorkerPool(const WorkerPool&) = delete;
-  WorkerPool& operator=(const WorkerPool&) = delete;
+  WorkerManager(const base::Clock& aClock,
+                std::function<void(WorkerAgent&)> aBeforeStep);
+  ~WorkerManager();
+  WorkerManager(const WorkerManager&) = delete;
+  WorkerManager& operator=(const WorkerManager&) = delete;
 
   void Start(std::size_t aThreads);
   void Stop();
@@ -42,7 +42,7 @@
   std::vector<AgentPtr> All() const;
 
 private:
-  struct Slot
+  struct ScheduledAgent
   {
     AgentPtr mAgent;
     base::TimePoint mDueAt;
@@ -50,18 +50,18 @@
   };
 
   void Run();
-  /// The slot that is due first and not busy, or null.
-  Slot* NextSlot();
+  /// The agent that is due first and not busy, or null.
+  ScheduledAgent* NextAgent();
 
   const base::Clock& mClock;
   const std::function<void(WorkerAgent&)> mBeforeStep;
   mutable std::mutex mMutex;
   std::condition_variable mChanged;
-  std::map<base::WorkerId, std::shared_ptr<Slot>> mSlots;
+  std::map<base::WorkerId, std::shared_ptr<ScheduledAgent>> mScheduledAgents;
   std::vector<std::thread> mThreads;
   bool mStopping = false;
 };
 
 } // namespace skylarkhill::entry
 
-#endif // SKYLARKHILL_ENTRY_WORKER_POOL_HPP
+#endif // SKYLARKHILL_ENTRY_WORKER_MANAGER_HPP
--- a/src/entry/batch_scheduler.cpp
+++ b/src/entry/batch_scheduler.cpp
@@ -18,17 +18,18 @@
 
 constexpr base::Duration kRoundInterval = std::chrono::milliseconds(50);
 /// Queued tasks looked at in one round.
-constexpr std::size_t kMaxQueued = 1000;
+constexpr std::size_t kMaxQueuedTasksPerRound = 1000;
 /// Grants of one round.
-constexpr std::size_t kMaxGrants = 100;
+constexpr std::size_t kMaxGrantsPerRound = 100;
 // Head start of each instance over the next one in the task's rendezvous
 // order, so that instances rarely grant the same task.
-constexpr base::Duration kTurnInterval = std::chrono::milliseconds(100);
-constexpr base::Duration kUrgentTurnInterval = std::chrono::milliseconds(30);
-// Later instances of a large site all have the last turn, so that urgent work
-// does not wait for the end of the order.
-constexpr std::ptrdiff_t kMaxTurns = 8;
-constexpr base::Duration kEvictionTime = std::chrono::seconds(5);
+constexpr base::Duration kGrantDelayPerRank = std::chrono::milliseconds(100);
+constexpr base::Duration kUrgentGrantDelayPerRank =
+  std::chrono::milliseconds(30);
+// Later instances of a large site all have the last delayPerRank, so that
+// urgent work does not wait for the end of the order.
+constexpr std::ptrdiff_t kMaxRank = 8;
+constexpr base::Duration kEvictionTimeout = std::chrono::seconds(5);
 constexpr std::int64_t kRestartCostSeconds = 10;
 
 policy::Profile
@@ -47,11 +48,11 @@
 
 BatchScheduler::BatchScheduler(BatchSchedulerOptions aOptions,
                                const base::Clock& aClock,
-                               WorkerPool& aWorkers,
+                               WorkerManager& aWorkers,
                                const ConfigService& aConfig,
                                const journal::SiteState& aState,
                                PeerNetwork& aPeers,
-                               RecordSender& aRecords,
+                               RecordAppender& aRecordAppender,
                                const Instruments& aInstruments)
   : mOptions(std::move(aOptions))
   , mClock(aClock)
@@ -59,7 +60,7 @@
   , mConfig(aConfig)
   , mState(aState)
   , mPeers(aPeers)
-  , mRecords(aRecords)
+  , mRecordAppender(aRecordAppender)
   , mInstruments(aInstruments)
   , mPlacement(policy::CreatePlacementPolicy(mProfile))
   , mQueue(policy::CreateQueuePolicy(mProfile))
@@ -111,9 +112,9 @@
   }
   const ConfigView config = mConfig.Current();
   SelectPolicies(config);
-  GrantQueued(config);
-  Protect(config);
-  EndLost();
+  GrantQueuedTasks(config);
+  ProtectServices(config);
+  EndLostAttempts();
 }
 
 void
@@ -131,26 +132,26 @@
 }
 
 std::vector<policy::WorkerView>
-BatchScheduler::MakeViews(const ConfigView& aConfig) const
+BatchScheduler::MakeWorkerViews(const ConfigView& aConfig) const
 {
   std::vector<policy::WorkerView> views;
   for (const auto& it : mWorkers.All()) {
     const WorkerStatus status = it->Status();
     const bool isUsable = status.mHeld && status.mAdmitsTasks &&
                           !status.mLeaving &&
-                          mPeers.IsEligible(status.mPlace.mWorker);
+                          mPeers.IsEligible(status.mLocation.mWorker);
     if (!isUsable) {
       continue;
     }
     policy::WorkerView view;
-    view.mWorker = status.mPlace.mWorker;
-    view.mDomain = status.mPlace.mDomain;
-    view.mRack = status.mPlace.mRack;
+    view.mWorker = status.mLocation.mWorker;
+    view.mDomain = status.mLocation.mDomain;
+    view.mRack = status.mLocation.mRack;
     view.mCapacity = status.mCapacity;
     view.mFree = status.mFree;
     aConfig.mSet->ForEach<catalog::Service>(
       [&](const catalog::Service& aService) {
-        if (Serves(*aConfig.mSet, aService, status.mPlace)) {
+        if (Serves(*aConfig.mSet, aService, status.mLocation)) {
           view.mServices.push_back(aService.mName);
         }
       });
@@ -181,33 +182,35 @@
 }
 
 bool
-BatchScheduler::IsTurn(const tasks::QueuedTask& aTask, base::TimePoint aNow)
+BatchScheduler::MayGrantNow(const tasks::QueuedTask& aTask,
+                            base::TimePoint aNow)
 {
   const worker::TaskKey key{ aTask.mTask, aTask.mNextAttempt };
-  const base::TimePoint seenAt = mFirstSeen.emplace(key, aNow).first->second;
-  std::vector<std::string> members;
-  for (const auto& it : mPeers.LiveEntries()) {
-    members.push_back(it.mValue);
+  const base::TimePoint seenAt = mFirstSeenAt.emplace(key, aNow).first->second;
+  std::vector<std::string> instances;
+  for (const auto& it : mPeers.LiveEntryInstances()) {
+    instances.push_back(it.mValue);
   }
-  const auto ranked = base::RendezvousRank(aTask.mTask.mValue, members);
+  const auto ranked = base::RendezvousRank(aTask.mTask.mValue, instances);
   const auto found =
     std::find(ranked.begin(), ranked.end(), mOptions.mInstance.mValue);
-  const auto rank = std::min(kMaxTurns, found - ranked.begin());
-  const base::Duration turn =
-    aTask.mUrgent ? kUrgentTurnInterval : kTurnInterval;
-  return aNow >= seenAt + rank * turn;
+  const auto rank = std::min(kMaxRank, found - ranked.begin());
+  const base::Duration delayPerRank =
+    aTask.mUrgent ? kUrgentGrantDelayPerRank : kGrantDelayPerRank;
+  return aNow >= seenAt + rank * delayPerRank;
 }
 
 void
-BatchScheduler::GrantQueued(const ConfigView& aConfig)
+BatchScheduler::GrantQueuedTasks(const ConfigView& aConfig)
 {
-  const std::vector<tasks::QueuedTask> queued = mState.Queued(kMaxQueued);
+  const std::vector<tasks::QueuedTask> queued =
+    mState.Queued(kMaxQueuedTasksPerRound);
   mInstruments.mMetrics
     .GetGauge("skylarkhill_tasks_queued", "Tasks that wait for a worker.")
     .Set(static_cast<std::int64_t>(queued.size()));
   const std::lock_guard lock(mMutex);
   if (queued.empty()) {
-    mFirstSeen.clear();
+    mFirstSeenAt.clear();
     return;
   }
   std::vector<policy::QueuedTask> entries;
@@ -222,26 +225,26 @@
                         0,
                         it.mDeclaredRunSeconds });
   }
-  std::vector<policy::WorkerView> views = MakeViews(aConfig);
+  std::vector<policy::WorkerView> views = MakeWorkerViews(aConfig);
   const auto order = mQueue->Order(entries, TeamUsages(aConfig));
   const base::TimePoint now = mClock.Now();
   std::size_t granted = 0;
   for (const std::size_t n : order) {
     const tasks::QueuedTask& task = queued[n];
-    if (granted >= kMaxGrants || views.empty()) {
+    if (granted >= kMaxGrantsPerRound || views.empty()) {
       break;
     }
-    if (mPending.count(task.mTask) == 0 && IsTurn(task, now)) {
-      GrantOne(task, aConfig, views);
+    if (mPendingGrants.count(task.mTask) == 0 && MayGrantNow(task, now)) {
+      GrantTask(task, aConfig, views);
       ++granted;
     }
   }
 }
 
 void
-BatchScheduler::GrantOne(const tasks::QueuedTask& aTask,
-                         const ConfigView& aConfig,
-                         std::vector<policy::WorkerView>& aViews)
+BatchScheduler::GrantTask(const tasks::QueuedTask& aTask,
+                          const ConfigView& aConfig,
+                          std::vector<policy::WorkerView>& aViews)
 {
   const auto* pool = aConfig.mSet->FindAs<catalog::Pool>(aTask.mPool);
   if (pool == nullptr) {
@@ -276,9 +279,9 @@
       ++it.mBatchTasks[aTask.mBatchClass];
     }
   }
-  const Pending pending{ worker, key.mAttempt };
-  mPending[aTask.mTask] = pending;
-  mRecords.Send(
+  const PendingGrant pending{ worker, key.mAttempt };
+  mPendingGrants[aTask.mTask] = pending;
+  mRecordAppender.Append(
     tasks::GrantRecord{ aTask.mTask, key.mAttempt, worker },
     [this, task = aTask.mTask, pending](bool) { FinishGrant(task, pending); });
 }
@@ -287,30 +290,32 @@
 // A grant that takes effect later is given back by the runner if it cannot be
 // started.
 void
-BatchScheduler::FinishGrant(const base::TaskId& aTask, const Pending& aPending)
+BatchScheduler::FinishGrant(const base::TaskId& aTask,
+                            const PendingGrant& aPending)
 {
   const auto task = mState.FindTask(aTask);
-  const bool isOurs = task && task->mWorker == aPending.mWorker &&
-                      task->mLastAttempt == aPending.mAttempt;
-  if (!isOurs) {
+  const bool isEffective = task && task->mWorker == aPending.mWorker &&
+                           task->mLastAttempt == aPending.mAttempt;
+  if (!isEffective) {
     if (const auto agent = mWorkers.Find(aPending.mWorker)) {
       agent->CancelPlan({ aTask, aPending.mAttempt });
     }
   } else {
-    Record(EventKind::AttemptGranted,
-           aTask,
-           aPending.mAttempt,
-           aPending.mWorker,
-           {});
+    RecordEvent(EventKind::AttemptGranted,
+                aTask,
+                aPending.mAttempt,
+                aPending.mWorker,
+                {});
   }
   mInstruments.mMetrics
-    .GetCounter("skylarkhill_grants_total",
-                "Grants by whether they took effect.",
-                { { metrics::LabelKey::Outcome, isOurs ? "won" : "lost" } })
+    .GetCounter(
+      "skylarkhill_grants_total",
+      "Grants by whether they took effect.",
+      { { metrics::LabelKey::Outcome, isEffective ? "won" : "lost" } })
     .Add();
   const std::lock_guard lock(mMutex);
-  mPending.erase(aTask);
-  mFirstSeen.erase({ aTask, aPending.mAttempt });
+  mPendingGrants.erase(aTask);
+  mFirstSeenAt.erase({ aTask, aPending.mAttempt });
 }
 
 std::vector<holder::GrantedAttempt>
@@ -342,7 +347,7 @@
 {
   const ConfigView config = mConfig.Current();
   policy::InterferenceReport report;
-  report.mWorker = aStatus.mPlace.mWorker;
+  report.mWorker = aStatus.mLocation.mWorker;
   report.mSlowdownPercent = aStatus.mServiceSlowdownPercent;
   report.mMeasuredAt = aStatus.mReportedAt;
   for (const auto& it : aStatus.mTasks) {
@@ -352,7 +357,7 @@
   }
   const std::lock_guard lock(mMutex);
   config.mSet->ForEach<catalog::Service>([&](const catalog::Service& aService) {
-    if (Serves(*config.mSet, aService, aStatus.mPlace)) {
+    if (Serves(*config.mSet, aService, aStatus.mLocation)) {
       report.mService = aService.mName;
       mPlacement->RecordReport(report);
     }
@@ -360,14 +365,15 @@
 }
 
 void
-BatchScheduler::OnEnd(WorkerAgent& aAgent, const tasks::EndRecord& aRecord)
+BatchScheduler::OnAttemptEnded(WorkerAgent& aAgent,
+                               const tasks::EndRecord& aRecord)
 {
-  const base::WorkerId worker = aAgent.Place().mWorker;
-  Record(EventKind::AttemptEnded,
-         aRecord.mTask,
-         aRecord.mAttempt,
-         worker,
-         std::string(tasks::NameOf(aRecord.mOutcome)));
+  const base::WorkerId worker = aAgent.Location().mWorker;
+  RecordEvent(EventKind::AttemptEnded,
+              aRecord.mTask,
+              aRecord.mAttempt,
+              worker,
+              std::string(tasks::NameOf(aRecord.mOutcome)));
   mInstruments.mMetrics
     .GetCounter("skylarkhill_attempts_total",
                 "Ended task attempts by outcome.",
@@ -411,35 +417,35 @@
   }
   for (const auto& it : decision->mWorkers) {
     if (const auto agent = mWorkers.Find(it)) {
-      agent->TakeBackFailures(aRecord.mTask);
+      agent->RemoveFailures(aRecord.mTask);
     }
   }
-  Record(EventKind::TaskQuarantined,
-         aRecord.mTask,
-         aRecord.mAttempt,
-         worker,
-         decision->mReason);
-  mRecords.Send(tasks::QuarantineRecord{ aRecord.mTask, decision->mReason },
-                [](bool) {});
+  RecordEvent(EventKind::TaskQuarantined,
+              aRecord.mTask,
+              aRecord.mAttempt,
+              worker,
+              decision->mReason);
+  mRecordAppender.Append(
+    tasks::QuarantineRecord{ aRecord.mTask, decision->mReason }, [](bool) {});
 }
 
 void
-BatchScheduler::Protect(const ConfigView& aConfig)
+BatchScheduler::ProtectServices(const ConfigView& aConfig)
 {
   for (const auto& it : mWorkers.All()) {
-    ProtectWorker(*it, aConfig);
+    ProtectServicesOn(*it, aConfig);
   }
 }
 
 double
-BatchScheduler::WorstDisturbance(const ConfigView& aConfig,
-                                 const WorkerPlace& aPlace,
-                                 const std::string& aBatchClass) const
+BatchScheduler::MaxExpectedInterference(const ConfigView& aConfig,
+                                        const WorkerLocation& aLocation,
+                                        const std::string& aBatchClass) const
 {
   double worst = 0.0;
   aConfig.mSet->ForEach<catalog::Service>(
     [&](const catalog::Service& aService) {
-      if (Serves(*aConfig.mSet, aService, aPlace)) {
+      if (Serves(*aConfig.mSet, aService, aLocation)) {
         worst = std::max(
           worst, mPlacement->ExpectedInterference(aService.mName, aBatchClass));
       }
@@ -448,14 +454,15 @@
 }
 
 void
-BatchScheduler::ProtectWorker(WorkerAgent& aAgent, const ConfigView& aConfig)
+BatchScheduler::ProtectServicesOn(WorkerAgent& aAgent,
+                                  const ConfigView& aConfig)
 {
   const WorkerStatus status = aAgent.Status();
   if (!status.mHeld || status.mTasks.empty()) {
     return;
   }
   policy::WorkerPressure pressure;
-  pressure.mWorker = status.mPlace.mWorker;
+  pressure.mWorker = status.mLocation.mWorker;
   pressure.mSlowdownPercent = status.mServiceSlowdownPercent;
   pressure.mToleratedPercent = std::numeric_limits<std::int64_t>::max() / 2;
   const base::TimePoint now = mClock.Now();
@@ -490,29 +497,29 @@
     running.mThrottlePercent = it.mThrottlePercent;
     running.mCheckpointing = it.mPhase == worker::TaskPhase::Checkpointing;
     running.mInterferencePercent =
-      WorstDisturbance(aConfig, status.mPlace, running.mBatchClass);
+      MaxExpectedInterference(aConfig, status.mLocation, running.mBatchClass);
     pressure.mTasks.push_back(std::move(running));
     attempts[it.mTask] = it.mAttempt;
   }
   for (const auto& it : mProtection->Decide(pressure, now)) {
     const worker::TaskKey key{ it.mTask, attempts[it.mTask] };
     if (it.mKind == policy::ProtectionKind::Evict) {
-      aAgent.Evict(key, now + kEvictionTime);
-      Record(
+      aAgent.Evict(key, now + kEvictionTimeout);
+      RecordEvent(
         EventKind::TaskEvicted, key.mTask, key.mAttempt, pressure.mWorker, {});
     } else {
       aAgent.Throttle(key, it.mThrottlePercent);
-      Record(EventKind::AttemptThrottled,
-             key.mTask,
-             key.mAttempt,
-             pressure.mWorker,
-             std::to_string(it.mThrottlePercent));
+      RecordEvent(EventKind::AttemptThrottled,
+                  key.mTask,
+                  key.mAttempt,
+                  pressure.mWorker,
+                  std::to_string(it.mThrottlePercent));
     }
   }
 }
 
 void
-BatchScheduler::EndLost()
+BatchScheduler::EndLostAttempts()
 {
   for (const auto& worker : mState.WorkersWithGrants()) {
     // Only workers of the own failure domain have an agent here.
@@ -522,7 +529,7 @@
     }
     holder::LostWorker lost;
     lost.mAbsentSince = *absentSince;
-    lost.mLastContact = mPeers.LastEvidence(worker).value_or(*absentSince);
+    lost.mLastContact = mPeers.LastSeen(worker).value_or(*absentSince);
     lost.mGrants = GrantsOn(worker);
     const auto ends = holder::EndLostAttempts(
       lost, mOptions.mTaskLease, mOptions.mLossMargin, mClock.Now());
@@ -530,25 +537,26 @@
       const worker::TaskKey key{ it.mTask, it.mAttempt };
       {
         const std::lock_guard lock(mMutex);
-        if (!mEnding.insert(key).second) {
+        if (!mEndingAttempts.insert(key).second) {
           continue;
         }
       }
-      Record(EventKind::AttemptEnded, it.mTask, it.mAttempt, worker, "lost");
-      mRecords.Send(it, [this, key](bool) {
+      RecordEvent(
+        EventKind::AttemptEnded, it.mTask, it.mAttempt, worker, "lost");
+      mRecordAppender.Append(it, [this, key](bool) {
         const std::lock_guard lock(mMutex);
-        mEnding.erase(key);
+        mEndingAttempts.erase(key);
       });
     }
   }
 }
 
 void
-BatchScheduler::Record(EventKind aKind,
-                       const base::TaskId& aTask,
-                       std::int64_t aAttempt,
-                       const base::WorkerId& aWorker,
-                       std::string aDetail)
+BatchScheduler::RecordEvent(EventKind aKind,
+                            const base::TaskId& aTask,
+                            std::int64_t aAttempt,
+                            const base::WorkerId& aWorker,
+                            std::string aDetail)
 {
   timeline::Event event;
   event.mKind = aKind;
--- a/src/entry/config_service.cpp
+++ b/src/entry/config_service.cpp
@@ -58,14 +58,15 @@
 ConfigService::Run()
 {
   while (true) {
-    const bool hasMore = ReadOnce();
+    const bool hasMore = ReadPage();
     AppendSnapshotIfDue();
     std::unique_lock lock(mMutex);
-    if (!hasMore && !mReadNow) {
-      mChanged.wait_for(
-        lock, mOptions.mPollInterval, [this] { return mStopping || mReadNow; });
+    if (!hasMore && !mReadRequested) {
+      mChanged.wait_for(lock, mOptions.mPollInterval, [this] {
+        return mStopping || mReadRequested;
+      });
     }
-    mReadNow = false;
+    mReadRequested = false;
     if (mStopping) {
       return;
     }
@@ -73,7 +74,7 @@
 }
 
 bool
-ConfigService::ReadOnce()
+ConfigService::ReadPage()
 {
   platform::Offset from = 0;
   {
@@ -167,12 +168,12 @@
   const auto offset =
     mLog.Append(kStream, catalog::FormatConfigRecord(aRecord), aDeadline);
   // Only reading can tell whether a write with a lost answer took effect, so
-  // the verdict is waited for in both cases.
+  // the outcome is waited for in both cases.
   if (!offset && offset.error().mKind != ErrorKind::AnswerLost) {
     return offset.error();
   }
   const std::lock_guard lock(mMutex);
-  mReadNow = true;
+  mReadRequested = true;
   mChanged.notify_all();
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -198,44 +199,44 @@
   const base::TimePoint appendDeadline =
     std::min(aDeadline, mClock.Now() + mOptions.mAppendTimeout);
   BOOST_OUTCOME_TRYV(Append(record, appendDeadline));
-  return WaitForVerdict(record, aDeadline);
+  return WaitForPublishOutcome(record, aDeadline);
 }
 
 base::Result<catalog::Version>
-ConfigService::WaitForVerdict(const catalog::PublishRecord& aRecord,
-                              base::TimePoint aDeadline)
+ConfigService::WaitForPublishOutcome(const catalog::PublishRecord& aRecord,
+                                     base::TimePoint aDeadline)
 {
   std::unique_lock lock(mMutex);
-  std::optional<catalog::PublishVerdict> verdict;
-  while (!verdict) {
-    verdict = mState.FindVerdict(aRecord.mIdentity.mWriter,
+  std::optional<catalog::PublishVerdict> outcome;
+  while (!outcome) {
+    outcome = mState.FindVerdict(aRecord.mIdentity.mWriter,
                                  aRecord.mIdentity.mSequence);
     const catalog::Version current = mState.CurrentVersion();
     // A record that was not among those read cannot win any more once its base
     // version has been replaced, whether or not its append took effect.
-    if (!verdict && mState.IsComplete() && current > aRecord.mBaseVersion) {
+    if (!outcome && mState.IsComplete() && current > aRecord.mBaseVersion) {
       return MakeError(ErrorKind::VersionConflict,
                        "beaten by version " + std::to_string(current));
     }
     const base::TimePoint now = mClock.Now();
-    if (verdict || now >= aDeadline || mStopping) {
+    if (outcome || now >= aDeadline || mStopping) {
       break;
     }
-    mReadNow = true;
+    mReadRequested = true;
     mChanged.notify_all();
     mChanged.wait_for(
       lock,
       std::min<base::Duration>(std::chrono::milliseconds(50), aDeadline - now));
   }
-  if (!verdict) {
+  if (!outcome) {
     return MakeError(ErrorKind::AnswerLost,
                      "the log has not shown the publish; check the version");
   }
-  if (verdict->mResult == catalog::ApplyResult::Published) {
-    return verdict->mVersion;
+  if (outcome->mResult == catalog::ApplyResult::Published) {
+    return outcome->mVersion;
   }
   return MakeError(ErrorKind::VersionConflict,
-                   "beaten by version " + std::to_string(verdict->mVersion));
+                   "beaten by version " + std::to_string(outcome->mVersion));
 }
 
 ConfigView
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -5,10 +5,10 @@
 #include "skylarkhill/entry/config_service.hpp"
 #include "skylarkhill/entry/peer_network.hpp"
 #include "skylarkhill/entry/pool_membership.hpp"
-#include "skylarkhill/entry/record_sender.hpp"
+#include "skylarkhill/entry/record_appender.hpp"
 #include "skylarkhill/entry/request_service.hpp"
 #include "skylarkhill/entry/task_service.hpp"
-#include "skylarkhill/entry/worker_pool.hpp"
+#include "skylarkhill/entry/worker_manager.hpp"
 #include "skylarkhill/journal/snapshot_planner.hpp"
 #include "skylarkhill/logging/logging.hpp"
 #include "skylarkhill/platform/http_platform.hpp"
@@ -29,8 +29,8 @@
 
 namespace {
 
-constexpr std::size_t kTimelineEvents = 20'000;
-constexpr std::size_t kWorkerThreads = 16;
+constexpr std::size_t kMaxTimelineEvents = 20'000;
+constexpr std::size_t kAgentThreads = 16;
 constexpr base::Duration kWorkerListInterval = milliseconds(250);
 constexpr base::Duration kGrantRefreshInterval = milliseconds(200);
 constexpr base::Duration kSnapshotInterval = std::chrono::seconds(5);
@@ -53,7 +53,7 @@
 }
 
 std::int64_t
-Incarnation()
+MakeIncarnation()
 {
   return journal::GetSystemWallClock().NowMs();
 }
@@ -111,22 +111,23 @@
 {
   WorkerAgentOptions options;
   options.mInstance = { aSettings.mInstance.mName };
-  const auto& from = aSettings.mHolder;
-  options.mLease.mLeaseLength = milliseconds(from.mLeaseMs);
-  options.mLease.mRenewInterval = milliseconds(from.mPollMs);
+  const auto& holderSettings = aSettings.mHolder;
+  options.mLease.mLeaseLength = milliseconds(holderSettings.mLeaseMs);
+  options.mLease.mRenewInterval = milliseconds(holderSettings.mPollMs);
   // Every instance of the domain scans every worker that it does not hold, so
   // scans are rarer than the holder's polls.
-  options.mLease.mScanInterval = milliseconds(from.mLeaseMs) / 2;
-  options.mLease.mClockMargin = milliseconds(from.mClockMarginMs);
+  options.mLease.mScanInterval = milliseconds(holderSettings.mLeaseMs) / 2;
+  options.mLease.mClockMargin = milliseconds(holderSettings.mClockMarginMs);
   // A worker that restarts forgets its leases; the old holder's renewal puts
   // its own back up to a lease length and a message delay later.
   options.mLease.mQuietPeriod =
-    milliseconds(from.mLeaseMs + from.mMaxMessageDelayMs);
-  options.mLease.mTakeoverDelay = milliseconds(from.mTakeoverDelayMs);
-  options.mLease.mRequestTimeout = milliseconds(from.mPollMs);
-  options.mRunner.mMaxMessageDelay = milliseconds(from.mMaxMessageDelayMs);
+    milliseconds(holderSettings.mLeaseMs + holderSettings.mMaxMessageDelayMs);
+  options.mLease.mTakeoverDelay = milliseconds(holderSettings.mTakeoverDelayMs);
+  options.mLease.mRequestTimeout = milliseconds(holderSettings.mPollMs);
+  options.mRunner.mMaxMessageDelay =
+    milliseconds(holderSettings.mMaxMessageDelayMs);
   options.mRunner.mTaskLease = milliseconds(aSettings.mTasks.mLeaseMs);
-  options.mRunner.mCommandTimeout = milliseconds(from.mPollMs);
+  options.mRunner.mCommandTimeout = milliseconds(holderSettings.mPollMs);
   return options;
 }
 
@@ -151,29 +152,29 @@
   options.mIncarnation = aIncarnation;
   options.mStandingLimit = aSettings.mRequests.mStandingLimit;
   options.mRetryBudgetPercent = aSettings.mRequests.mRetryBudgetPercent;
-  options.mThreads = static_cast<std::size_t>(aSettings.mListen.mThreads);
+  options.mMaxThreads = static_cast<std::size_t>(aSettings.mListen.mThreads);
   return options;
 }
 
 class EntryProcessImpl
   : public EntryProcess
-  , public WorkerEvents
+  , public WorkerListener
 {
 public:
   explicit EntryProcessImpl(const settings::Settings& aSettings)
     : mSettings(aSettings)
     , mClock(base::GetBootClock())
-    , mIncarnation(static_cast<std::uint64_t>(Incarnation()))
+    , mIncarnation(static_cast<std::uint64_t>(MakeIncarnation()))
     , mWriter(aSettings.mInstance.mName + "/" + std::to_string(mIncarnation))
-    , mCausalClock(mClock, timeline::ReadBootTime(mClock))
-    , mTimeline({ aSettings.mInstance.mName }, kTimelineEvents, mCausalClock)
-    , mInstruments{ mMetrics, mTimeline, mCausalClock }
+    , mHybridClock(mClock, timeline::ReadBootTime(mClock))
+    , mTimeline({ aSettings.mInstance.mName }, kMaxTimelineEvents, mHybridClock)
+    , mInstruments{ mMetrics, mTimeline, mHybridClock }
     , mLog(platform::CreateHttpLogService(PlatformAddress(),
                                           PlatformPort(),
                                           mClock))
-    , mList(platform::CreateHttpInstanceList(PlatformAddress(),
-                                             PlatformPort(),
-                                             mClock))
+    , mInstanceList(platform::CreateHttpInstanceList(PlatformAddress(),
+                                                     PlatformPort(),
+                                                     mClock))
     , mConfig(MakeConfigOptions(aSettings, mWriter),
               *mLog,
               mClock,
@@ -185,7 +186,7 @@
                mClock,
                journal::GetSystemWallClock())
     , mPeers(MakePeerOptions(aSettings, mIncarnation),
-             *mList,
+             *mInstanceList,
              mClock,
              mConfig,
              mInstruments)
@@ -199,14 +200,14 @@
                 mPeers,
                 mInstruments)
     , mTasks(mClock, mConfig, mJournal, mState, mInstruments)
-    , mRecords(mJournal, mClock)
+    , mRecordAppender(mJournal, mClock)
     , mScheduler(MakeSchedulerOptions(aSettings),
                  mClock,
                  mWorkers,
                  mConfig,
                  mState,
                  mPeers,
-                 mRecords,
+                 mRecordAppender,
                  mInstruments)
     , mApi({ { aSettings.mInstance.mName },
              aSettings.mOperator.mCredential,
@@ -216,7 +217,7 @@
            mTasks,
            mConfig,
            mInstruments)
-    , mPlanner(MakePlannerSettings(aSettings))
+    , mSnapshotPlanner(MakePlannerSettings(aSettings))
   {
   }
 
@@ -224,14 +225,14 @@
 
   base::Result<void> Start() override
   {
-    Record(EventKind::InstanceStarted, {});
+    RecordEvent(EventKind::InstanceStarted, {});
     BOOST_OUTCOME_TRYV(
       mPeers.Start(mRequests, [this] { return MakeLocalStatus(); }));
     mConfig.Start();
     mJournal.Start();
-    mWorkers.Start(kWorkerThreads);
+    mWorkers.Start(kAgentThreads);
     mScheduler.Start();
-    mThreads.emplace_back([this] { RunWorkerList(); });
+    mThreads.emplace_back([this] { RunWorkerUpdates(); });
     mThreads.emplace_back([this] { RunSnapshots(); });
     BOOST_OUTCOME_TRY(server, http::CreateServer(MakeServerOptions(), mApi));
     mServer = std::move(server);
@@ -246,11 +247,11 @@
   void Drain() override
   {
     mDraining = true;
-    Record(EventKind::DrainStarted, {});
+    RecordEvent(EventKind::DrainStarted, {});
     logging::Write(logging::Level::Info, "drain_started", {});
     const base::TimePoint deadline =
       mClock.Now() + milliseconds(mSettings.mDrain.mDeadlineMs);
-    mPeers.LeaveSelf();
+    mPeers.AnnounceLeaving();
     mRequests.StopAccepting();
     // The load balancer still sends requests until it has noticed; they are
     // answered as usual.
@@ -269,9 +270,9 @@
     mServer->Stop();
     mScheduler.Stop();
     HandOverWorkers();
-    mRecords.Drain(mClock.Now() + kHandOverTimeout);
+    mRecordAppender.Drain(mClock.Now() + kHandOverTimeout);
     mJournal.Drain(mClock.Now() + kHandOverTimeout);
-    Record(EventKind::DrainCompleted, {});
+    RecordEvent(EventKind::DrainCompleted, {});
     logging::Write(logging::Level::Info, "drain_completed", {});
     StopAll();
   }
@@ -294,16 +295,18 @@
 
   http::ServerOptions MakeServerOptions() const
   {
-    const auto& from = mSettings.mListen;
+    const auto& listenSettings = mSettings.mListen;
     http::ServerOptions options;
-    options.mAddress = from.mAddress;
-    options.mPort = static_cast<std::uint16_t>(from.mPort);
-    options.mTls.mCertificateFile = from.mCertificate;
-    options.mTls.mKeyFile = from.mKey;
-    options.mTls.mCaFile = from.mCa;
-    options.mMaxThreads = static_cast<std::size_t>(from.mThreads);
-    options.mMaxRequests = static_cast<std::size_t>(from.mMaxRequests);
-    options.mMaxBodyBytes = static_cast<std::size_t>(from.mMaxBodyBytes);
+    options.mAddress = listenSettings.mAddress;
+    options.mPort = static_cast<std::uint16_t>(listenSettings.mPort);
+    options.mTls.mCertificateFile = listenSettings.mCertificate;
+    options.mTls.mKeyFile = listenSettings.mKey;
+    options.mTls.mCaFile = listenSettings.mCa;
+    options.mMaxThreads = static_cast<std::size_t>(listenSettings.mThreads);
+    options.mMaxRequests =
+      static_cast<std::size_t>(listenSettings.mMaxRequests);
+    options.mMaxBodyBytes =
+      static_cast<std::size_t>(listenSettings.mMaxBodyBytes);
     return options;
   }
 
@@ -317,7 +320,7 @@
     std::this_thread::sleep_for(aTime);
   }
 
-  bool Pause(base::Duration aTime)
+  bool SleepUnlessStopping(base::Duration aTime)
   {
     std::unique_lock lock(mMutex);
     mChanged.wait_for(lock, aTime, [this] { return mStopping; });
@@ -352,7 +355,7 @@
     for (const auto& it : agents) {
       it->BeginRelease();
     }
-    const auto isReleased = [](const WorkerPool::AgentPtr& aAgent) {
+    const auto isReleased = [](const WorkerManager::AgentPtr& aAgent) {
       return aAgent->IsReleased();
     };
     while (!std::all_of(agents.begin(), agents.end(), isReleased) &&
@@ -368,19 +371,19 @@
       mDraining ? std::map<std::string, std::int64_t>() : mRequests.FreeSlots();
     for (const auto& it : mWorkers.All()) {
       if (it->Status().mHeld) {
-        status.mHeldWorkers.push_back(it->Place().mWorker);
+        status.mHeldWorkers.push_back(it->Location().mWorker);
       }
     }
     return status;
   }
 
-  void RunWorkerList()
+  void RunWorkerUpdates()
   {
     do {
       UpdateWorkers();
       mJournal.SetLiveInstances(
-        static_cast<std::int64_t>(mPeers.LiveEntries().size()));
-    } while (Pause(kWorkerListInterval));
+        static_cast<std::int64_t>(mPeers.LiveEntryInstances().size()));
+    } while (SleepUnlessStopping(kWorkerListInterval));
   }
 
   // Agents of workers that left the list stay: a worker that returns is polled
@@ -389,17 +392,17 @@
   {
     const base::DomainId domain{ mSettings.mInstance.mDomain };
     for (const auto& it : mPeers.ListedInstances()) {
-      const bool isOwn =
+      const bool isLocal =
         it.mRole == platform::InstanceRole::Worker && it.mDomain == domain;
-      if (isOwn && mWorkers.Find({ it.mName }) == nullptr) {
+      if (isLocal && mWorkers.Find({ it.mName }) == nullptr) {
         AddWorker(it);
       }
     }
     const ConfigView config = mConfig.Current();
     std::int64_t held = 0;
     for (const auto& it : mWorkers.All()) {
-      it->SetPreferred(mPeers.IsPreferredHolder(it->Place().mWorker));
-      it->SetServiceReserve(ReserveOn(config, it->Place()));
+      it->SetPreferred(mPeers.IsPreferredHolder(it->Location().mWorker));
+      it->SetServiceReserve(ServiceReserveOn(config, it->Location()));
       held += it->Status().mHeld ? 1 : 0;
     }
     mMetrics
@@ -407,13 +410,13 @@
       .Set(held);
   }
 
-  static base::Resources ReserveOn(const ConfigView& aConfig,
-                                   const WorkerPlace& aPlace)
+  static base::Resources ServiceReserveOn(const ConfigView& aConfig,
+                                          const WorkerLocation& aLocation)
   {
     base::Resources reserve;
     aConfig.mSet->ForEach<catalog::Service>(
       [&](const catalog::Service& aService) {
-        if (Serves(*aConfig.mSet, aService, aPlace)) {
+        if (Serves(*aConfig.mSet, aService, aLocation)) {
           reserve += aService.mReserve;
         }
       });
@@ -422,13 +425,13 @@
 
   void AddWorker(const platform::InstanceEntry& aEntry)
   {
-    auto port =
+    auto remoteWorker =
       worker::CreateHttpRemoteWorker(aEntry.mAddress, aEntry.mPort, mClock);
     const std::uint64_t seed = base::CreateSystemRandom()->Next();
     mWorkers.Add(std::make_shared<WorkerAgent>(
-      WorkerPlace{ { aEntry.mName }, aEntry.mDomain, aEntry.mRack },
+      WorkerLocation{ { aEntry.mName }, aEntry.mDomain, aEntry.mRack },
       MakeAgentOptions(mSettings),
-      std::move(port),
+      std::move(remoteWorker),
       mClock,
       seed,
       *this));
@@ -439,27 +442,29 @@
     const base::TimePoint now = mClock.Now();
     // Read before the grants, so that these are at least as new.
     const platform::Offset position = mState.Position();
-    const base::TimePoint caughtUpAsOf = mState.CaughtUpTime();
+    const base::TimePoint caughtUpTime = mState.CaughtUpTime();
     {
-      const std::lock_guard lock(mRefreshMutex);
-      Refresh& last = mRefreshes[aAgent.Place().mWorker];
+      const std::lock_guard lock(mGrantRefreshMutex);
+      GrantRefresh& last = mGrantRefreshes[aAgent.Location().mWorker];
       if (last.mPosition == position && now < last.mDueAt) {
         return;
       }
       last = { position, now + kGrantRefreshInterval };
     }
     aAgent.SetGrants(
-      mScheduler.GrantsOn(aAgent.Place().mWorker), caughtUpAsOf, position);
+      mScheduler.GrantsOn(aAgent.Location().mWorker), caughtUpTime, position);
   }
 
   void RunSnapshots()
   {
-    while (Pause(kSnapshotInterval)) {
+    while (SleepUnlessStopping(kSnapshotInterval)) {
       if (!mState.IsReady()) {
         continue;
       }
-      const auto records = mPlanner.Plan(
-        mState, mPeers.LiveEntries(), journal::GetSystemWallClock().NowMs());
+      const auto records =
+        mSnapshotPlanner.Plan(mState,
+                              mPeers.LiveEntryInstances(),
+                              journal::GetSystemWallClock().NowMs());
       if (!records.empty()) {
         // A snapshot that is not written is planned again later.
         const auto offset =
@@ -471,11 +476,11 @@
 
   void OnHolderChange(WorkerAgent& aAgent, bool aHeld) override
   {
-    const base::WorkerId& worker = aAgent.Place().mWorker;
-    Record(aHeld
-             ? EventKind::HolderAcquired
-             : (mDraining ? EventKind::HolderReleased : EventKind::HolderLost),
-           worker);
+    const base::WorkerId& worker = aAgent.Location().mWorker;
+    RecordEvent(
+      aHeld ? EventKind::HolderAcquired
+            : (mDraining ? EventKind::HolderReleased : EventKind::HolderLost),
+      worker);
     logging::Write(logging::Level::Info,
                    aHeld ? "holder_acquired" : "holder_ended",
                    { { "worker", worker.mValue } });
@@ -484,7 +489,7 @@
   void OnReport(WorkerAgent& aAgent,
                 const worker::WorkerReport& aReport) override
   {
-    mPeers.OnWorkerEvidence(aAgent.Place().mWorker, aReport.mLeaving);
+    mPeers.OnWorkerPolled(aAgent.Location().mWorker, aReport.mLeaving);
     const WorkerStatus status = aAgent.Status();
     if (status.mHeld) {
       mScheduler.OnReport(status);
@@ -493,11 +498,11 @@
 
   void OnRecord(WorkerAgent& aAgent, const tasks::TaskRecord& aRecord) override
   {
-    const base::WorkerId worker = aAgent.Place().mWorker;
+    const base::WorkerId worker = aAgent.Location().mWorker;
     std::optional<worker::TaskKey> ended;
     if (const auto* end = std::get_if<tasks::EndRecord>(&aRecord)) {
       ended = worker::TaskKey{ end->mTask, end->mAttempt };
-      mScheduler.OnEnd(aAgent, *end);
+      mScheduler.OnAttemptEnded(aAgent, *end);
     } else if (const auto* started =
                  std::get_if<tasks::StartedRecord>(&aRecord)) {
       timeline::Event event;
@@ -507,7 +512,7 @@
       event.mWorker = worker;
       mTimeline.Record(std::move(event));
     }
-    mRecords.Send(aRecord, [this, worker, ended](bool aAppended) {
+    mRecordAppender.Append(aRecord, [this, worker, ended](bool aAppended) {
       const auto agent = mWorkers.Find(worker);
       if (!aAppended && ended && agent != nullptr) {
         agent->OnRecordDropped(*ended);
@@ -515,7 +520,7 @@
     });
   }
 
-  void Record(EventKind aKind, const base::WorkerId& aWorker)
+  void RecordEvent(EventKind aKind, const base::WorkerId& aWorker)
   {
     timeline::Event event;
     event.mKind = aKind;
@@ -524,7 +529,7 @@
     mTimeline.Record(std::move(event));
   }
 
-  struct Refresh
+  struct GrantRefresh
   {
     platform::Offset mPosition = -1;
     base::TimePoint mDueAt;
@@ -534,27 +539,27 @@
   const base::Clock& mClock;
   const std::uint64_t mIncarnation;
   const std::string mWriter;
-  timeline::CausalClock mCausalClock;
+  timeline::CausalClock mHybridClock;
   timeline::Timeline mTimeline;
   metrics::Registry mMetrics;
   const Instruments mInstruments;
   const std::unique_ptr<platform::LogService> mLog;
-  const std::unique_ptr<platform::InstanceList> mList;
+  const std::unique_ptr<platform::InstanceList> mInstanceList;
   ConfigService mConfig;
   journal::SiteState mState;
   journal::JournalService mJournal;
   PeerNetwork mPeers;
-  WorkerPool mWorkers;
+  WorkerManager mWorkers;
   RequestService mRequests;
   TaskService mTasks;
-  RecordSender mRecords;
+  RecordAppender mRecordAppender;
   BatchScheduler mScheduler;
   ApiHandler mApi;
-  journal::SnapshotPlanner mPlanner;
+  journal::SnapshotPlanner mSnapshotPlanner;
   std::unique_ptr<http::Server> mServer;
 
-  std::mutex mRefreshMutex;
-  std::map<base::WorkerId, Refresh> mRefreshes;
+  std::mutex mGrantRefreshMutex;
+  std::map<base::WorkerId, GrantRefresh> mGrantRefreshes;
 
   std::atomic<bool> mDraining{ false };
   std::mutex mMutex;
--- a/src/entry/peer_network.cpp
+++ b/src/entry/peer_network.cpp
@@ -18,11 +18,11 @@
 
 constexpr const char* kConfigStream = "config";
 constexpr std::size_t kPageBytes = std::size_t{ 256 } << 10U;
-constexpr base::Duration kFetchTimeout = std::chrono::seconds(5);
+constexpr base::Duration kMessageTimeout = std::chrono::seconds(5);
 constexpr unsigned kLogicalBits = 12;
 
 std::uint64_t
-Pack(const timeline::CausalTime& aTime)
+PackTimestamp(const timeline::CausalTime& aTime)
 {
   constexpr std::int64_t kMaxLogical = (1 << kLogicalBits) - 1;
   const auto logical = std::min(aTime.mLogical, kMaxLogical);
@@ -31,7 +31,7 @@
 }
 
 timeline::CausalTime
-Unpack(std::uint64_t aPacked)
+UnpackTimestamp(std::uint64_t aPacked)
 {
   constexpr std::uint64_t kMask = (1U << kLogicalBits) - 1;
   return { static_cast<std::int64_t>(aPacked >> kLogicalBits),
@@ -83,12 +83,12 @@
 } // namespace
 
 PeerNetwork::PeerNetwork(PeerNetworkOptions aOptions,
-                         platform::InstanceList& aList,
+                         platform::InstanceList& aInstanceList,
                          const base::Clock& aClock,
                          ConfigService& aConfig,
                          const Instruments& aInstruments)
   : mOptions(std::move(aOptions))
-  , mList(aList)
+  , mInstanceList(aInstanceList)
   , mClock(aClock)
   , mConfig(aConfig)
   , mInstruments(aInstruments)
@@ -103,16 +103,16 @@
 
 base::Result<void>
 PeerNetwork::Start(RequestService& aRequests,
-                   std::function<LocalStatus()> aStatus)
+                   std::function<LocalStatus()> aGetLocalStatus)
 {
   mRequests = &aRequests;
-  mStatus = std::move(aStatus);
+  mGetLocalStatus = std::move(aGetLocalStatus);
   BOOST_OUTCOME_TRY(
     transport, peer::CreateNngTransport(mOptions.mTransport, *this, mClock));
   mTransport = std::move(transport);
   UpdateAllowedPeers();
   mThreads.emplace_back([this] { RunHeartbeats(); });
-  mThreads.emplace_back([this] { RunList(); });
+  mThreads.emplace_back([this] { RunListFetches(); });
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -134,7 +134,7 @@
 }
 
 bool
-PeerNetwork::Pause(base::Duration aTime)
+PeerNetwork::SleepUnlessStopping(base::Duration aTime)
 {
   std::unique_lock lock(mMutex);
   mChanged.wait_for(lock, aTime, [this] { return mStopping; });
@@ -146,21 +146,21 @@
 {
   do {
     SendHeartbeats();
-  } while (Pause(mOptions.mView.mHeartbeatInterval));
+  } while (SleepUnlessStopping(mOptions.mView.mHeartbeatInterval));
 }
 
 void
-PeerNetwork::RunList()
+PeerNetwork::RunListFetches()
 {
   do {
-    FetchList();
-  } while (Pause(mOptions.mListInterval));
+    FetchInstanceList();
+  } while (SleepUnlessStopping(mOptions.mListInterval));
 }
 
 void
-PeerNetwork::FetchList()
+PeerNetwork::FetchInstanceList()
 {
-  auto list = mList.Fetch(mClock.Now() + mOptions.mListTimeout);
+  auto list = mInstanceList.Fetch(mClock.Now() + mOptions.mListTimeout);
   if (!list) {
     mInstruments.mMetrics
       .GetCounter("skylarkhill_list_failures_total",
@@ -170,8 +170,8 @@
   }
   {
     const std::lock_guard lock(mMutex);
-    mListed = std::move(list.value());
-    mView.OnList(mListed, mClock.Now());
+    mListedInstances = std::move(list.value());
+    mView.OnList(mListedInstances, mClock.Now());
     mView.Prune(mClock.Now());
   }
   UpdateAllowedPeers();
@@ -183,7 +183,7 @@
   std::set<peer::PeerAddress> allowed = mOptions.mConfiguredPeers;
   {
     const std::lock_guard lock(mMutex);
-    for (const auto& it : mListed) {
+    for (const auto& it : mListedInstances) {
       if (it.mRole == platform::InstanceRole::Entry &&
           it.mName != mOptions.mSelf.mInstance.mValue) {
         allowed.insert({ it.mAddress, it.mPeerPort });
@@ -197,7 +197,7 @@
 void
 PeerNetwork::SendHeartbeats()
 {
-  const LocalStatus status = mStatus();
+  const LocalStatus status = mGetLocalStatus();
   membership::Heartbeat heartbeat;
   heartbeat.mInstance = mOptions.mSelf.mInstance;
   heartbeat.mIncarnation = mOptions.mSelf.mIncarnation;
@@ -211,7 +211,7 @@
   {
     const std::lock_guard lock(mMutex);
     heartbeat.mLeaving = mView.LeavingNotices(mClock.Now());
-    for (const auto& it : mListed) {
+    for (const auto& it : mListedInstances) {
       if (it.mRole == platform::InstanceRole::Entry) {
         peers.insert({ it.mAddress, it.mPeerPort });
       }
@@ -219,7 +219,7 @@
   }
   peers.erase({ mOptions.mSelf.mAddress, mOptions.mSelf.mPeerPort });
   peer::Heartbeat message = ToMessage(heartbeat);
-  message.mCausalClock = Pack(mInstruments.mCausalClock.Tick());
+  message.mCausalClock = PackTimestamp(mInstruments.mHybridClock.Tick());
   const base::TimePoint deadline =
     mClock.Now() + 2 * mOptions.mView.mHeartbeatInterval;
   for (const auto& it : peers) {
@@ -233,10 +233,10 @@
 PeerNetwork::Send(const peer::PeerAddress& aPeer,
                   const peer::Message& aMessage,
                   base::TimePoint aDeadline,
-                  peer::AgePolicy aPolicy)
+                  peer::AgePolicy aAgePolicy)
 {
   BOOST_OUTCOME_TRY(payload, peer::EncodeMessage(aMessage));
-  return mTransport->Send(aPeer, std::move(payload), aDeadline, aPolicy);
+  return mTransport->Send(aPeer, std::move(payload), aDeadline, aAgePolicy);
 }
 
 void
@@ -251,9 +251,9 @@
     return;
   }
   std::visit(
-    [&](const auto& aTyped) {
-      mInstruments.mCausalClock.Observe(Unpack(aTyped.mCausalClock));
-      Handle(aTyped, aMessage);
+    [&](const auto& aContent) {
+      mInstruments.mHybridClock.Observe(UnpackTimestamp(aContent.mCausalClock));
+      Handle(aContent, aMessage);
     },
     message.value());
 }
@@ -266,8 +266,8 @@
   {
     const std::lock_guard lock(mMutex);
     mView.OnHeartbeat(FromMessage(aMessage), now);
-    mHeardAt[aMessage.mInstance] = now;
-    if (mLiveBefore.insert(aMessage.mInstance).second) {
+    mLastHeartbeatAt[aMessage.mInstance] = now;
+    if (mAppearedPeers.insert(aMessage.mInstance).second) {
       timeline::Event event;
       event.mKind = EventKind::MemberAppeared;
       event.mDomain = aMessage.mDomain;
@@ -275,14 +275,14 @@
       mInstruments.mTimeline.Record(std::move(event));
     }
   }
-  FetchConfigFrom(aMessage, aReceived.mFrom);
+  FetchConfigIfNewer(aMessage, aReceived.mFrom);
 }
 
 // The log is the first source of a newer set; a peer is asked only while the
 // set that this instance has read is older than the peer's.
 void
-PeerNetwork::FetchConfigFrom(const peer::Heartbeat& aHeartbeat,
-                             const peer::PeerAddress& aPeer)
+PeerNetwork::FetchConfigIfNewer(const peer::Heartbeat& aHeartbeat,
+                                const peer::PeerAddress& aPeer)
 {
   if (aHeartbeat.mConfigVersion <= mConfig.Current().mVersion) {
     return;
@@ -290,14 +290,14 @@
   peer::StateFetch fetch;
   {
     const std::lock_guard lock(mMutex);
-    fetch.mFetch = ++mConfigFetch;
+    fetch.mFetch = ++mConfigFetchId;
     mConfigPages.clear();
     mNextConfigPage = 0;
   }
   fetch.mStream = kConfigStream;
-  fetch.mCausalClock = Pack(mInstruments.mCausalClock.Tick());
+  fetch.mCausalClock = PackTimestamp(mInstruments.mHybridClock.Tick());
   const auto sent = Send(
-    aPeer, fetch, mClock.Now() + kFetchTimeout, peer::AgePolicy::MustBeKnown);
+    aPeer, fetch, mClock.Now() + kMessageTimeout, peer::AgePolicy::MustBeKnown);
   static_cast<void>(sent);
 }
 
@@ -320,10 +320,10 @@
     page.mPage = static_cast<std::int64_t>(begin / kPageBytes);
     page.mIsLast = begin + kPageBytes >= size;
     page.mPayload = text.value().substr(begin, kPageBytes);
-    page.mCausalClock = Pack(mInstruments.mCausalClock.Tick());
+    page.mCausalClock = PackTimestamp(mInstruments.mHybridClock.Tick());
     const auto sent = Send(aReceived.mFrom,
                            page,
-                           mClock.Now() + kFetchTimeout,
+                           mClock.Now() + kMessageTimeout,
                            peer::AgePolicy::MustBeKnown);
     if (!sent) {
       return;
@@ -338,7 +338,8 @@
   std::string text;
   {
     const std::lock_guard lock(mMutex);
-    if (aMessage.mFetch != mConfigFetch || aMessage.mPage != mNextConfigPage) {
+    if (aMessage.mFetch != mConfigFetchId ||
+        aMessage.mPage != mNextConfigPage) {
       return;
     }
     mConfigPages += aMessage.mPayload;
@@ -413,7 +414,7 @@
   const std::lock_guard lock(mMutex);
   const base::TimePoint now = mClock.Now();
   std::vector<Candidate> candidates;
-  for (const auto& it : mHeardAt) {
+  for (const auto& it : mLastHeartbeatAt) {
     const auto* heartbeat = mView.FindPeer(it.first);
     if (heartbeat == nullptr || !mView.IsLive(it.first, now)) {
       continue;
@@ -450,15 +451,15 @@
   message.mIdempotent = aRequest.mIdempotent;
   message.mImportance = aRequest.mImportance;
   message.mBody = aRequest.mBody;
-  message.mCausalClock = Pack(mInstruments.mCausalClock.Tick());
+  message.mCausalClock = PackTimestamp(mInstruments.mHybridClock.Tick());
   return Send(*address, message, aDeadline, peer::AgePolicy::MustBeKnown);
 }
 
 void
-PeerNetwork::Answer(const base::InstanceId& aPeer,
-                    const base::RequestId& aRequest,
-                    std::int64_t aAttempt,
-                    const requests::RequestResult& aResult)
+PeerNetwork::SendResponse(const base::InstanceId& aPeer,
+                          const base::RequestId& aRequest,
+                          std::int64_t aAttempt,
+                          const requests::RequestResult& aResult)
 {
   const auto address = AddressOf(aPeer);
   if (!address) {
@@ -471,10 +472,10 @@
   message.mErrorKind = aResult.mError.mKind;
   message.mDetail = aResult.mError.mDetail;
   message.mBody = aResult.mBody;
-  message.mCausalClock = Pack(mInstruments.mCausalClock.Tick());
+  message.mCausalClock = PackTimestamp(mInstruments.mHybridClock.Tick());
   const auto sent = Send(*address,
                          message,
-                         mClock.Now() + kFetchTimeout,
+                         mClock.Now() + kMessageTimeout,
                          peer::AgePolicy::MustBeKnown);
   static_cast<void>(sent);
 }
@@ -497,7 +498,7 @@
 }
 
 void
-PeerNetwork::LeaveSelf()
+PeerNetwork::AnnounceLeaving()
 {
   {
     const std::lock_guard lock(mMutex);
@@ -507,7 +508,7 @@
 }
 
 void
-PeerNetwork::OnWorkerEvidence(const base::WorkerId& aWorker, bool aLeaving)
+PeerNetwork::OnWorkerPolled(const base::WorkerId& aWorker, bool aLeaving)
 {
   const std::lock_guard lock(mMutex);
   mView.OnWorkerPolled(aWorker, mOptions.mSelf.mDomain, aLeaving, mClock.Now());
@@ -517,7 +518,7 @@
 PeerNetwork::ListedInstances() const
 {
   const std::lock_guard lock(mMutex);
-  return mListed;
+  return mListedInstances;
 }
 
 bool
@@ -536,12 +537,12 @@
 }
 
 std::vector<base::InstanceId>
-PeerNetwork::LiveEntries() const
+PeerNetwork::LiveEntryInstances() const
 {
   const std::lock_guard lock(mMutex);
   const base::TimePoint now = mClock.Now();
   std::vector<base::InstanceId> live{ mOptions.mSelf.mInstance };
-  for (const auto& it : mHeardAt) {
+  for (const auto& it : mLastHeartbeatAt) {
     if (mView.IsLive(it.first, now)) {
       live.push_back(it.first);
     }
@@ -557,7 +558,7 @@
 }
 
 std::optional<base::TimePoint>
-PeerNetwork::LastEvidence(const base::WorkerId& aWorker) const
+PeerNetwork::LastSeen(const base::WorkerId& aWorker) const
 {
   const std::lock_guard lock(mMutex);
   return mView.LastSeen(aWorker);
--- a/src/entry/pool_membership.cpp
+++ b/src/entry/pool_membership.cpp
@@ -3,19 +3,19 @@
 namespace skylarkhill::entry {
 
 bool
-IsInPool(const catalog::Pool& aPool, const WorkerPlace& aPlace)
+IsInPool(const catalog::Pool& aPool, const WorkerLocation& aLocation)
 {
-  return aPool.mDomains.Contains(aPlace.mDomain.mValue) &&
-         aPool.mRacks.Contains(aPlace.mRack);
+  return aPool.mDomains.Contains(aLocation.mDomain.mValue) &&
+         aPool.mRacks.Contains(aLocation.mRack);
 }
 
 bool
 Serves(const catalog::CatalogSet& aSet,
        const catalog::Service& aService,
-       const WorkerPlace& aPlace)
+       const WorkerLocation& aLocation)
 {
   const auto* pool = aSet.FindAs<catalog::Pool>(aService.mPool);
-  return pool != nullptr && IsInPool(*pool, aPlace);
+  return pool != nullptr && IsInPool(*pool, aLocation);
 }
 
 } // namespace skylarkhill::entry
--- a/src/entry/record_sender.cpp
+++ b/src/entry/record_appender.cpp
@@ -1,4 +1,4 @@
-#include "skylarkhill/entry/record_sender.hpp"
+#include "skylarkhill/entry/record_appender.hpp"
 
 #include <utility>
 
@@ -8,23 +8,23 @@
 
 // One submission waits until its records are read back; several in progress
 // keep records from waiting behind it.
-constexpr int kThreads = 4;
+constexpr int kAppendThreads = 4;
 constexpr base::Duration kSubmitTimeout = std::chrono::seconds(5);
 constexpr std::size_t kMaxRecordsPerSubmission = 200;
 
 } // namespace
 
-RecordSender::RecordSender(journal::JournalService& aJournal,
-                           const base::Clock& aClock)
+RecordAppender::RecordAppender(journal::JournalService& aJournal,
+                               const base::Clock& aClock)
   : mJournal(aJournal)
   , mClock(aClock)
 {
-  for (int n = 0; n < kThreads; ++n) {
+  for (int n = 0; n < kAppendThreads; ++n) {
     mThreads.emplace_back([this] { Run(); });
   }
 }
 
-RecordSender::~RecordSender()
+RecordAppender::~RecordAppender()
 {
   {
     const std::lock_guard lock(mMutex);
@@ -37,15 +37,15 @@
 }
 
 void
-RecordSender::Send(tasks::TaskRecord aRecord, Done aDone)
+RecordAppender::Append(tasks::TaskRecord aRecord, Callback aCallback)
 {
   const std::lock_guard lock(mMutex);
-  mQueue.push_back({ std::move(aRecord), std::move(aDone) });
+  mQueue.push_back({ std::move(aRecord), std::move(aCallback) });
   mChanged.notify_one();
 }
 
 bool
-RecordSender::Drain(base::TimePoint aDeadline)
+RecordAppender::Drain(base::TimePoint aDeadline)
 {
   std::unique_lock lock(mMutex);
   while (!mQueue.empty() || mInProgress > 0) {
@@ -58,7 +58,7 @@
 }
 
 void
-RecordSender::Run()
+RecordAppender::Run()
 {
   std::unique_lock lock(mMutex);
   while (true) {
@@ -66,7 +66,7 @@
     if (mStopping) {
       return;
     }
-    std::vector<Entry> batch;
+    std::vector<QueuedRecord> batch;
     std::vector<journal::SiteRecord> records;
     while (!mQueue.empty() && batch.size() < kMaxRecordsPerSubmission) {
       records.emplace_back(mQueue.front().mRecord);
@@ -76,7 +76,7 @@
     ++mInProgress;
     lock.unlock();
     const auto offset = mJournal.Submit(records, mClock.Now() + kSubmitTimeout);
-    Finish(std::move(batch), offset);
+    FinishBatch(std::move(batch), offset);
     lock.lock();
     --mInProgress;
     mChanged.notify_all();
@@ -87,14 +87,14 @@
 // else may be decided about its attempt. Sending it again is safe: the first
 // copy counts and the others are dropped by their rules.
 void
-RecordSender::Finish(std::vector<Entry> aBatch,
-                     const base::Result<platform::Offset>& aResult)
+RecordAppender::FinishBatch(std::vector<QueuedRecord> aBatch,
+                            const base::Result<platform::Offset>& aResult)
 {
-  const bool isLost =
+  const bool isAnswerLost =
     !aResult && aResult.error().mKind == base::ErrorKind::AnswerLost;
-  if (!isLost) {
+  if (!isAnswerLost) {
     for (const auto& it : aBatch) {
-      it.mDone(aResult.has_value());
+      it.mCallback(aResult.has_value());
     }
     return;
   }
--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -27,11 +27,11 @@
 constexpr base::Duration kSlotCheckInterval = std::chrono::milliseconds(5);
 // A service whose latency is not known yet is hedged after this share of the
 // deadline; without a hedge one silent worker would use up all of it.
-constexpr int kUnmeasuredHedge = 3;
+constexpr int kHedgeDeadlineDivisor = 3;
 constexpr base::Duration kClaimCheckInterval = std::chrono::milliseconds(50);
 constexpr base::Duration kCatchUpTimeout = std::chrono::milliseconds(250);
-constexpr base::Duration kOutcomeTimeout = std::chrono::seconds(10);
-constexpr std::size_t kMaxInlineBody = 4096;
+constexpr base::Duration kOutcomeAppendTimeout = std::chrono::seconds(10);
+constexpr std::size_t kMaxInlineBodyBytes = 4096;
 
 // NotHolder and NoCapacity come from this process, before anything was sent.
 base::Error
@@ -78,7 +78,7 @@
     const std::lock_guard lock(mMutex);
     mEvents.push_back(std::move(aEvent));
     mChanged.notify_all();
-    return !mFinal;
+    return !mFinalResult;
   }
 
   std::mutex mMutex;
@@ -90,16 +90,16 @@
   /// Targets of the attempts that count as in flight, by attempt number.
   std::map<std::int64_t, requests::Target> mTargets;
   /// What the caller was told; other requests with the key wait for it.
-  std::optional<RequestResult> mFinal;
+  std::optional<RequestResult> mFinalResult;
 };
 
 RequestService::RequestService(RequestServiceOptions aOptions,
                                const base::Clock& aClock,
-                               WorkerPool& aWorkers,
+                               WorkerManager& aWorkers,
                                const ConfigService& aConfig,
                                journal::JournalService& aJournal,
                                const journal::SiteState& aState,
-                               PeerPort& aPeers,
+                               PeerClient& aPeers,
                                const Instruments& aInstruments)
   : mOptions(std::move(aOptions))
   , mClock(aClock)
@@ -109,11 +109,11 @@
   , mState(aState)
   , mPeers(aPeers)
   , mInstruments(aInstruments)
-  , mPicker(requests::CreateTwoChoicesTargetPicker())
+  , mTargetPicker(requests::CreateTwoChoicesTargetPicker())
   , mRandom(base::CreateSystemRandom())
-  , mForwarder(*mPicker, mInFlight, aClock, *mRandom)
-  , mSeeds(base::CreateSystemRandom())
-  , mExecutor(mOptions.mThreads)
+  , mForwarder(*mTargetPicker, mInFlight, aClock, *mRandom)
+  , mSeedSource(base::CreateSystemRandom())
+  , mThreadPool(mOptions.mMaxThreads)
 {
 }
 
@@ -126,13 +126,13 @@
   return aConfig.mSet->FindAs<catalog::Service>(aName);
 }
 
-ServiceLane&
-RequestService::Lane(const std::string& aService)
+ServiceAdmission&
+RequestService::AdmissionFor(const std::string& aService)
 {
-  const std::lock_guard lock(mLanesMutex);
-  auto& lane = mLanes[aService];
-  if (lane == nullptr) {
-    ServiceLaneOptions options;
+  const std::lock_guard lock(mAdmissionsMutex);
+  auto& admission = mAdmissions[aService];
+  if (admission == nullptr) {
+    ServiceAdmissionOptions options;
     options.mQueue.mMaxStanding =
       static_cast<std::size_t>(mOptions.mStandingLimit);
     const ConfigView config = mConfig.Current();
@@ -141,13 +141,13 @@
         static_cast<std::size_t>(service->mQueueLimit);
     }
     options.mRetryBudget.mRetryPercent = mOptions.mRetryBudgetPercent;
-    lane = std::make_unique<ServiceLane>(options, mClock);
+    admission = std::make_unique<ServiceAdmission>(options, mClock);
   }
-  return *lane;
+  return *admission;
 }
 
 std::vector<Candidate>
-RequestService::OwnCandidates(const std::string& aService) const
+RequestService::HeldWorkerCandidates(const std::string& aService) const
 {
   const ConfigView config = mConfig.Current();
   const auto* service = FindService(config, aService);
@@ -157,19 +157,19 @@
   }
   for (const auto& it : mWorkers.All()) {
     const WorkerStatus status = it->Status();
-    if (!status.mHeld || !Serves(*config.mSet, *service, status.mPlace)) {
+    if (!status.mHeld || !Serves(*config.mSet, *service, status.mLocation)) {
       continue;
     }
     Candidate candidate;
     candidate.mTarget = { TargetKind::HeldWorker,
-                          status.mPlace.mWorker.mValue };
+                          status.mLocation.mWorker.mValue };
     candidate.mFreeSlots =
       std::min(status.mFreeCalls.mSlots, status.mFreeCalls.mConnections);
     // The ledger counts the calls in flight itself.
     candidate.mReportedAt = base::kNoDeadline;
     // The platform's list and gossip may know it before the worker reports it.
     candidate.mLeaving =
-      status.mLeaving || !mPeers.IsEligible(status.mPlace.mWorker);
+      status.mLeaving || !mPeers.IsEligible(status.mLocation.mWorker);
     const bool isSilent = mClock.Now() - status.mReportedAt > kMaxReportAge;
     candidate.mBreakerOpen = !status.mAdmitsCalls || isSilent;
     candidates.push_back(std::move(candidate));
@@ -183,7 +183,7 @@
   std::map<std::string, std::int64_t> slots;
   const ConfigView config = mConfig.Current();
   config.mSet->ForEach<catalog::Service>([&](const catalog::Service& aService) {
-    for (const auto& it : OwnCandidates(aService.mName)) {
+    for (const auto& it : HeldWorkerCandidates(aService.mName)) {
       if (!it.mLeaving && !it.mBreakerOpen) {
         slots[aService.mName] += std::max<std::int64_t>(0, it.mFreeSlots);
       }
@@ -212,7 +212,7 @@
 }
 
 std::int64_t
-RequestService::SlotsInReach(const std::string& aService) const
+RequestService::ReachableSlots(const std::string& aService) const
 {
   std::int64_t slots = 0;
   for (const auto& it : mWorkers.All()) {
@@ -235,27 +235,28 @@
     return requests::MakeNotRun(
       MakeError(ErrorKind::NotFound, "no service '" + aRequest.mService + "'"));
   }
-  ServiceLane& lane = Lane(aRequest.mService);
+  ServiceAdmission& admission = AdmissionFor(aRequest.mService);
   requests::RequestMachineOptions options;
   options.mMaxAttempts = service->mMaxAttempts;
-  options.mHedgeDelay = lane.HedgeDelay();
+  options.mHedgeDelay = admission.HedgeDelay();
   if (options.mHedgeDelay.count() == 0) {
-    options.mHedgeDelay = (aRequest.mDeadline - startedAt) / kUnmeasuredHedge;
+    options.mHedgeDelay =
+      (aRequest.mDeadline - startedAt) / kHedgeDeadlineDivisor;
   }
   SessionPtr session;
-  SessionPtr earlier;
+  SessionPtr existing;
   {
     const std::lock_guard lock(mSessionsMutex);
     SessionPtr& slot = mSessions[aRequest.mId];
-    earlier = slot;
-    if (earlier == nullptr) {
+    existing = slot;
+    if (existing == nullptr) {
       slot = std::make_shared<Session>(
-        aRequest, options, lane.Budget(), mClock, mSeeds->Next());
+        aRequest, options, admission.Budget(), mClock, mSeedSource->Next());
       session = slot;
     }
   }
-  if (earlier != nullptr) {
-    return Attach(earlier, aRequest.mDeadline);
+  if (existing != nullptr) {
+    return AwaitResult(existing, aRequest.mDeadline);
   }
   RequestResult result = RunSession(session, startedAt);
   // Refusing a repeat of a key whose first send may have run must not be
@@ -270,7 +271,7 @@
   }
   {
     const std::lock_guard lock(session->mMutex);
-    session->mFinal = result;
+    session->mFinalResult = result;
     session->mChanged.notify_all();
   }
   {
@@ -286,17 +287,17 @@
 {
   const requests::Request& request = aSession->mMachine.GetRequest();
   const bool isStanding = request.mDeadline - aArrivedAt > kStandingThreshold;
-  ServiceLane& lane = Lane(request.mService);
+  ServiceAdmission& admission = AdmissionFor(request.mService);
   const auto admitted =
-    lane.Enter(request, isStanding, SlotsInReach(request.mService));
+    admission.Acquire(request, isStanding, ReachableSlots(request.mService));
   if (!admitted) {
     return requests::MakeNotRun(admitted.error());
   }
   const TimePoint admittedAt = mClock.Now();
   RequestResult result = Drive(aSession);
-  lane.Leave(isStanding,
-             mClock.Now() - admittedAt,
-             result.mOutcome == Outcome::Completed);
+  admission.Release(isStanding,
+                    mClock.Now() - admittedAt,
+                    result.mOutcome == Outcome::Completed);
   const std::lock_guard lock(mForwardMutex);
   const std::lock_guard sessionLock(aSession->mMutex);
   for (const auto& it : aSession->mTargets) {
@@ -306,14 +307,15 @@
 }
 
 RequestResult
-RequestService::Attach(const SessionPtr& aSession, TimePoint aDeadline) const
+RequestService::AwaitResult(const SessionPtr& aSession,
+                            TimePoint aDeadline) const
 {
   std::unique_lock lock(aSession->mMutex);
-  while (!aSession->mFinal && mClock.Now() < aDeadline) {
+  while (!aSession->mFinalResult && mClock.Now() < aDeadline) {
     aSession->mChanged.wait_for(lock, kClaimCheckInterval);
   }
-  return aSession->mFinal
-           ? *aSession->mFinal
+  return aSession->mFinalResult
+           ? *aSession->mFinalResult
            : requests::MakeUnknown(MakeError(ErrorKind::OutcomeUnknown));
 }
 
@@ -328,9 +330,9 @@
     return key.mOutcome->mOutcome == Outcome::NotRun;
   }
   const bool isOwn = key.mClaimant == mOptions.mInstance;
-  const bool isOpen = key.mState == requests::KeyState::Unknown || isOwn;
-  return isOpen && mState.WaitUntilCaughtUp(
-                     aArrivedAt, mClock, mClock.Now() + kCatchUpTimeout);
+  const bool isUnused = key.mState == requests::KeyState::Unknown || isOwn;
+  return isUnused && mState.WaitUntilCaughtUp(
+                       aArrivedAt, mClock, mClock.Now() + kCatchUpTimeout);
 }
 
 RequestResult
@@ -383,9 +385,9 @@
   } else if (const auto* send = std::get_if<requests::SendAttempt>(&aAction)) {
     SendAttempt(aSession, *send);
   } else if (std::holds_alternative<requests::AppendIntent>(aAction)) {
-    const bool isRunning =
-      mExecutor.TrySubmit([this, aSession] { AppendIntent(aSession); });
-    if (!isRunning) {
+    const bool isSubmitted =
+      mThreadPool.TrySubmit([this, aSession] { AppendIntent(aSession); });
+    if (!isSubmitted) {
       aSession->Post(requests::LogUnavailable{});
     }
   } else if (const auto* outcome =
@@ -397,21 +399,22 @@
 }
 
 // A first attempt waits for a slot: the admission queue bounds how many wait.
-// Later attempts do not, because an earlier one may still answer.
+// Later attempts do not, because an existing one may still answer.
 void
 RequestService::PickTarget(const SessionPtr& aSession,
                            const requests::PickTarget& aAction)
 {
   const requests::Request& request = aSession->mMachine.GetRequest();
   while (true) {
-    std::vector<Candidate> candidates = OwnCandidates(request.mService);
+    std::vector<Candidate> candidates = HeldWorkerCandidates(request.mService);
     for (auto& it : mPeers.Candidates(request.mService)) {
       candidates.push_back(std::move(it));
     }
     std::optional<requests::Target> target;
     {
       const std::lock_guard lock(mForwardMutex);
-      target = mPicker->Pick(candidates, aAction.mTried, mInFlight, *mRandom);
+      target =
+        mTargetPicker->Pick(candidates, aAction.mTried, mInFlight, *mRandom);
     }
     if (target) {
       aSession->Post(requests::TargetOffered{ *target });
@@ -456,9 +459,9 @@
     ForwardToPeer(aSession, aAction);
     return;
   }
-  const bool isRunning = mExecutor.TrySubmit(
+  const bool isSubmitted = mThreadPool.TrySubmit(
     [this, aSession, aAction] { CallWorker(aSession, aAction); });
-  if (!isRunning) {
+  if (!isSubmitted) {
     {
       const std::lock_guard lock(mForwardMutex);
       EndInFlight(aSession, aAction.mAttempt);
@@ -484,10 +487,10 @@
 // Another call may take the last slot between the choice of the worker and the
 // call. Nothing was sent then, and the attempt waits for the next slot.
 base::Result<std::string>
-RequestService::CallWhenFree(WorkerAgent& aAgent,
-                             const requests::Request& aRequest,
-                             std::int64_t aAttempt,
-                             TimePoint aDeadline) const
+RequestService::CallWhenSlotFree(WorkerAgent& aAgent,
+                                 const requests::Request& aRequest,
+                                 std::int64_t aAttempt,
+                                 TimePoint aDeadline) const
 {
   while (true) {
     auto body = aAgent.Call({ aRequest.mId,
@@ -496,8 +499,8 @@
                               aRequest.mBody,
                               aRequest.mIdempotent },
                             aDeadline);
-    const bool isFull = !body && body.error().mKind == ErrorKind::NoCapacity;
-    if (!isFull || mClock.Now() + kSlotCheckInterval >= aDeadline) {
+    const bool hasNoSlot = !body && body.error().mKind == ErrorKind::NoCapacity;
+    if (!hasNoSlot || mClock.Now() + kSlotCheckInterval >= aDeadline) {
       return body;
     }
     std::this_thread::sleep_for(kSlotCheckInterval);
@@ -512,7 +515,8 @@
   base::Result<std::string> body =
     MakeError(ErrorKind::WorkerUnavailable, "worker is gone");
   if (const auto agent = mWorkers.Find({ aAction.mTarget.mName })) {
-    body = CallWhenFree(*agent, request, aAction.mAttempt, aAction.mDeadline);
+    body =
+      CallWhenSlotFree(*agent, request, aAction.mAttempt, aAction.mDeadline);
   }
   {
     const std::lock_guard lock(mForwardMutex);
@@ -632,13 +636,13 @@
   record.mInstance = mOptions.mInstance;
   record.mOutcome = aResult.mOutcome;
   record.mErrorKind = aResult.mError.mKind;
-  record.mBodyOmitted = aResult.mBody.size() > kMaxInlineBody;
+  record.mBodyOmitted = aResult.mBody.size() > kMaxInlineBodyBytes;
   if (!record.mBodyOmitted) {
     record.mBody = aResult.mBody;
   }
-  const bool isRunning = mExecutor.TrySubmit([this, record] {
+  const bool isSubmitted = mThreadPool.TrySubmit([this, record] {
     const auto offset = mJournal.Submit({ requests::KeyRecord{ record } },
-                                        mClock.Now() + kOutcomeTimeout);
+                                        mClock.Now() + kOutcomeAppendTimeout);
     mInstruments.mMetrics
       .GetCounter(
         "skylarkhill_outcomes_total",
@@ -646,7 +650,7 @@
         { { metrics::LabelKey::Outcome, offset ? "appended" : "failed" } })
       .Add();
   });
-  static_cast<void>(isRunning);
+  static_cast<void>(isSubmitted);
 }
 
 base::Result<std::optional<RequestResult>>
@@ -671,7 +675,7 @@
 void
 RequestService::OnForwarded(const requests::ForwardedAttempt& aAttempt)
 {
-  const auto candidates = OwnCandidates(aAttempt.mRequest.mService);
+  const auto candidates = HeldWorkerCandidates(aAttempt.mRequest.mService);
   requests::ForwardActions actions;
   {
     const std::lock_guard lock(mForwardMutex);
@@ -680,20 +684,20 @@
       actions.push_back(std::move(it));
     }
   }
-  PerformForward(actions);
+  PerformForwardActions(actions);
 }
 
 void
-RequestService::PerformForward(const requests::ForwardActions& aActions)
+RequestService::PerformForwardActions(const requests::ForwardActions& aActions)
 {
   for (const auto& it : aActions) {
     if (const auto* answer = std::get_if<requests::AnswerOrigin>(&it)) {
-      mPeers.Answer(
+      mPeers.SendResponse(
         answer->mOrigin, answer->mRequest, answer->mAttempt, answer->mResult);
       continue;
     }
     const auto& run = std::get<requests::RunOnWorker>(it);
-    if (!mExecutor.TrySubmit([this, run] { RunForwarded(run); })) {
+    if (!mThreadPool.TrySubmit([this, run] { RunForwarded(run); })) {
       const auto& attempt = run.mAttempt;
       requests::ForwardActions actions;
       {
@@ -705,7 +709,7 @@
             attempt.mAttempt,
             MakeError(ErrorKind::WorkerUnavailable, "no free thread") });
       }
-      PerformForward(actions);
+      PerformForwardActions(actions);
     }
   }
 }
@@ -723,7 +727,7 @@
                                                "worker is gone") };
   if (const auto agent = mWorkers.Find(aAction.mWorker)) {
     auto body =
-      CallWhenFree(*agent, request, attempt.mAttempt, request.mDeadline);
+      CallWhenSlotFree(*agent, request, attempt.mAttempt, request.mDeadline);
     if (body) {
       finished.mBody = std::move(body.value());
     } else {
@@ -735,7 +739,7 @@
     const std::lock_guard lock(mForwardMutex);
     actions = mForwarder.OnWorkerFinished(finished);
   }
-  PerformForward(actions);
+  PerformForwardActions(actions);
 }
 
 void
--- a/src/entry/service_lane.cpp
+++ b/src/entry/service_admission.cpp
@@ -1,4 +1,4 @@
-#include "skylarkhill/entry/service_lane.hpp"
+#include "skylarkhill/entry/service_admission.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -10,16 +10,16 @@
 constexpr base::Duration kQueueCheckInterval = std::chrono::milliseconds(20);
 // A step up weighs 19 times a step down, so that the estimate settles near the
 // 95th percentile.
-constexpr double kStepShare = 0.02;
-constexpr double kUpWeight = 19.0;
+constexpr double kEstimateStepRatio = 0.02;
+constexpr double kUpDownRatio = 19.0;
 // Below this delay a hedge is sent before most answers can have arrived.
 constexpr base::Duration kMinHedgeDelay = std::chrono::milliseconds(10);
 constexpr std::int64_t kMinHedgeSamples = 50;
 
 } // namespace
 
-ServiceLane::ServiceLane(const ServiceLaneOptions& aOptions,
-                         const base::Clock& aClock)
+ServiceAdmission::ServiceAdmission(const ServiceAdmissionOptions& aOptions,
+                                   const base::Clock& aClock)
   : mClock(aClock)
   , mBudget(aOptions.mRetryBudget, aClock.Now())
   , mQueue(requests::CreateDeadlineAdmissionQueue(aOptions.mQueue))
@@ -28,17 +28,17 @@
 }
 
 base::Result<void>
-ServiceLane::Enter(const requests::Request& aRequest,
-                   bool aStanding,
-                   std::int64_t aSlots)
+ServiceAdmission::Acquire(const requests::Request& aRequest,
+                          bool aIsStanding,
+                          std::int64_t aSlots)
 {
   std::unique_lock lock(mMutex);
   mLimit->SetCapacity(aSlots);
   mQueue->SetConcurrency(static_cast<double>(mLimit->Limit()));
   BOOST_OUTCOME_TRYV(mQueue->Offer(
-    { aRequest.mId, aRequest.mImportance, aRequest.mDeadline, aStanding },
+    { aRequest.mId, aRequest.mImportance, aRequest.mDeadline, aIsStanding },
     mClock.Now()));
-  Admit();
+  AdmitQueued();
   while (mAdmitted.erase(aRequest.mId) == 0) {
     const auto dropped = mDropped.find(aRequest.mId);
     if (dropped != mDropped.end()) {
@@ -47,13 +47,13 @@
       return error;
     }
     mChanged.wait_for(lock, kQueueCheckInterval);
-    Admit();
+    AdmitQueued();
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 void
-ServiceLane::Admit()
+ServiceAdmission::AdmitQueued()
 {
   const base::TimePoint now = mClock.Now();
   mQueue->Expire(now);
@@ -74,22 +74,25 @@
 }
 
 void
-ServiceLane::Leave(bool aStanding, base::Duration aServiceTime, bool aCompleted)
+ServiceAdmission::Release(bool aIsStanding,
+                          base::Duration aServiceTime,
+                          bool aCompleted)
 {
   const std::lock_guard lock(mMutex);
-  if (aStanding) {
+  if (aIsStanding) {
     mQueue->ReleaseStanding();
   } else {
-    RecordTime(aServiceTime, aCompleted);
+    RecordServiceTime(aServiceTime, aCompleted);
   }
   --mRunning;
-  Admit();
+  AdmitQueued();
 }
 
 // The time of a request that was refused or lost says nothing about the
 // service.
 void
-ServiceLane::RecordTime(base::Duration aServiceTime, bool aCompleted)
+ServiceAdmission::RecordServiceTime(base::Duration aServiceTime,
+                                    bool aCompleted)
 {
   mLimit->Observe({ aServiceTime, mRunning, !aCompleted }, mClock.Now());
   if (!aCompleted) {
@@ -99,20 +102,22 @@
   ++mSamples;
   const auto sample = static_cast<double>(aServiceTime.count());
   const double step =
-    kStepShare * std::max(1.0, std::max(sample, mHighLatency));
-  mHighLatency +=
-    sample > mHighLatency ? step : -std::min(mHighLatency, step / kUpWeight);
+    kEstimateStepRatio * std::max(1.0, std::max(sample, mTailLatencyMicros));
+  mTailLatencyMicros += sample > mTailLatencyMicros
+                          ? step
+                          : -std::min(mTailLatencyMicros, step / kUpDownRatio);
 }
 
 base::Duration
-ServiceLane::HedgeDelay() const
+ServiceAdmission::HedgeDelay() const
 {
   const std::lock_guard lock(mMutex);
   if (mSamples < kMinHedgeSamples) {
     return base::Duration::zero();
   }
-  return std::max(kMinHedgeDelay,
-                  base::Duration(static_cast<std::int64_t>(mHighLatency)));
+  return std::max(
+    kMinHedgeDelay,
+    base::Duration(static_cast<std::int64_t>(mTailLatencyMicros)));
 }
 
 } // namespace skylarkhill::entry
--- a/src/entry/task_service.cpp
+++ b/src/entry/task_service.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t kMaxKeyBytes = 128;
 
 bool
-IsPlainName(const std::string& aText)
+IsValidKey(const std::string& aText)
 {
   return !aText.empty() && aText.size() <= kMaxKeyBytes &&
          std::all_of(aText.begin(), aText.end(), [](char aByte) {
@@ -31,7 +31,7 @@
 }
 
 std::optional<base::Resources>
-ReadResources(base::JsonReader& aReader)
+ParseResources(base::JsonReader& aReader)
 {
   const bool isPresent = aReader.GetMember("milli_processors") != nullptr ||
                          aReader.GetMember("memory_bytes") != nullptr ||
@@ -62,7 +62,7 @@
   submission.mTeam = reader.GetString("team");
   submission.mBatchClass = reader.GetString("class");
   submission.mCaller = reader.GetString("caller", "");
-  submission.mResources = ReadResources(reader);
+  submission.mResources = ParseResources(reader);
   if (reader.GetMember("run_seconds") != nullptr) {
     submission.mRunSeconds = reader.GetInt("run_seconds");
   }
@@ -70,7 +70,7 @@
   submission.mPayload = reader.GetString("payload", "{}");
   reader.RejectUnknown();
   BOOST_OUTCOME_TRYV(reader.Check());
-  if (!IsPlainName(submission.mKey)) {
+  if (!IsValidKey(submission.mKey)) {
     return MakeError(ErrorKind::InvalidArgument,
                      "key must be 1 to 128 letters, digits, '-', '_' or '.'");
   }
--- a/src/entry/task_executor.cpp
+++ b/src/entry/thread_pool.cpp
@@ -1,15 +1,15 @@
-#include "skylarkhill/entry/task_executor.hpp"
+#include "skylarkhill/entry/thread_pool.hpp"
 
 #include <utility>
 
 namespace skylarkhill::entry {
 
-TaskExecutor::TaskExecutor(std::size_t aMaxThreads)
+ThreadPool::ThreadPool(std::size_t aMaxThreads)
   : mMaxThreads(aMaxThreads)
 {
 }
 
-TaskExecutor::~TaskExecutor()
+ThreadPool::~ThreadPool()
 {
   {
     const std::lock_guard lock(mMutex);
@@ -24,7 +24,7 @@
 // A function never waits in the queue behind a busy thread: an attempt that
 // starts late has lost part of its deadline.
 bool
-TaskExecutor::TrySubmit(std::function<void()> aFunction)
+ThreadPool::TrySubmit(std::function<void()> aFunction)
 {
   const std::lock_guard lock(mMutex);
   if (mStopping) {
@@ -42,7 +42,7 @@
 }
 
 void
-TaskExecutor::Run()
+ThreadPool::Run()
 {
   std::unique_lock lock(mMutex);
   while (true) {
--- a/src/entry/worker_agent.cpp
+++ b/src/entry/worker_agent.cpp
@@ -16,27 +16,27 @@
 // Acquiring a worker takes three rounds: place, read, acquired.
 constexpr int kMaxLeaseRounds = 6;
 /// A call without an answer for this long counts against its worker.
-constexpr base::Duration kSilenceLimit = std::chrono::milliseconds(500);
+constexpr base::Duration kUnresponsiveAfter = std::chrono::milliseconds(500);
 
 base::TaskId
-BreakerKey(const worker::ServiceCall& aCall)
+CallBreakerKey(const worker::ServiceCall& aCall)
 {
   return { aCall.mRequest.mValue + "/" + std::to_string(aCall.mAttempt) };
 }
 
 } // namespace
 
-WorkerAgent::WorkerAgent(WorkerPlace aPlace,
+WorkerAgent::WorkerAgent(WorkerLocation aLocation,
                          WorkerAgentOptions aOptions,
-                         std::unique_ptr<worker::RemoteWorker> aPort,
+                         std::unique_ptr<worker::RemoteWorker> aRemoteWorker,
                          const base::Clock& aClock,
                          std::uint64_t aSeed,
-                         WorkerEvents& aEvents)
-  : mPlace(std::move(aPlace))
+                         WorkerListener& aListener)
+  : mLocation(std::move(aLocation))
   , mOptions(std::move(aOptions))
-  , mPort(std::move(aPort))
+  , mRemoteWorker(std::move(aRemoteWorker))
   , mClock(aClock)
-  , mEvents(aEvents)
+  , mListener(aListener)
   , mRandom(base::CreateSeededRandom(aSeed))
   , mLease(mOptions.mInstance, mOptions.mLease, *mRandom)
   , mTaskBreaker(policy::BreakerOptions{})
@@ -63,13 +63,13 @@
 
 void
 WorkerAgent::SetGrants(const std::vector<holder::GrantedAttempt>& aGrants,
-                       base::TimePoint aCaughtUpAsOf,
+                       base::TimePoint aCaughtUpTime,
                        std::int64_t aPosition)
 {
   const std::lock_guard lock(mMutex);
   mGrants = aGrants;
   mGrantsChanged = true;
-  if (mRunner && !mInheritedBefore && aCaughtUpAsOf >= mAcquiredAt) {
+  if (mRunner && !mInheritedBefore && aCaughtUpTime >= mAcquiredAt) {
     mInheritedBefore = aPosition;
   }
 }
@@ -104,16 +104,17 @@
 WorkerAgent::Perform(const holder::PlaceLease& aAction)
 {
   const base::TimePoint sentAt = mClock.Now();
-  const auto report =
-    mPort->SetHolderLease(aAction.mToken, aAction.mLength, aAction.mDeadline);
-  TakeReport(aAction.mRequest, report, sentAt);
+  const auto report = mRemoteWorker->SetHolderLease(
+    aAction.mToken, aAction.mLength, aAction.mDeadline);
+  HandleReport(aAction.mRequest, report, sentAt);
 }
 
 void
 WorkerAgent::Perform(const holder::ReadHolders& aAction)
 {
   const base::TimePoint sentAt = mClock.Now();
-  TakeReport(aAction.mRequest, mPort->Poll(aAction.mDeadline), sentAt);
+  HandleReport(
+    aAction.mRequest, mRemoteWorker->Poll(aAction.mDeadline), sentAt);
 }
 
 void
@@ -121,7 +122,7 @@
 {
   // The lease ends by itself if the removal is lost.
   const auto ignored =
-    mPort->RemoveHolderLease(aAction.mToken, aAction.mDeadline);
+    mRemoteWorker->RemoveHolderLease(aAction.mToken, aAction.mDeadline);
   static_cast<void>(ignored);
   const std::lock_guard lock(mMutex);
   mLease.OnRemoved(aAction.mRequest, mClock.Now());
@@ -140,7 +141,7 @@
     mInheritedBefore.reset();
     mGrantsChanged = true;
   }
-  mEvents.OnHolderChange(*this, true);
+  mListener.OnHolderChange(*this, true);
 }
 
 void
@@ -151,13 +152,13 @@
     mRunner.reset();
     mLedger.reset();
   }
-  mEvents.OnHolderChange(*this, false);
+  mListener.OnHolderChange(*this, false);
 }
 
 void
-WorkerAgent::TakeReport(std::uint64_t aRequest,
-                        const base::Result<worker::WorkerReport>& aReport,
-                        base::TimePoint aSentAt)
+WorkerAgent::HandleReport(std::uint64_t aRequest,
+                          const base::Result<worker::WorkerReport>& aReport,
+                          base::TimePoint aSentAt)
 {
   {
     const std::lock_guard lock(mMutex);
@@ -171,7 +172,7 @@
     }
   }
   if (aReport) {
-    mEvents.OnReport(*this, aReport.value());
+    mListener.OnReport(*this, aReport.value());
   }
 }
 
@@ -191,7 +192,7 @@
     output = mRunner->Step(mClock.Now());
   }
   for (const auto& it : output.mRecords) {
-    TakeRecord(it);
+    HandleRecord(it);
   }
   for (const auto& it : output.mCommands) {
     SendCommand(it);
@@ -199,7 +200,7 @@
 }
 
 void
-WorkerAgent::TakeRecord(const tasks::TaskRecord& aRecord)
+WorkerAgent::HandleRecord(const tasks::TaskRecord& aRecord)
 {
   if (const auto* end = std::get_if<tasks::EndRecord>(&aRecord)) {
     const std::lock_guard lock(mMutex);
@@ -215,7 +216,7 @@
         break;
     }
   }
-  mEvents.OnRecord(*this, aRecord);
+  mListener.OnRecord(*this, aRecord);
 }
 
 void
@@ -243,26 +244,28 @@
   const auto& header = aCommand.mHeader;
   const base::TimePoint deadline = aCommand.mDeadline;
   if (const auto* it = std::get_if<worker::StartTask>(&aCommand.mBody)) {
-    return mPort->Start(header, *it, deadline);
+    return mRemoteWorker->Start(header, *it, deadline);
   }
   if (const auto* it = std::get_if<holder::RenewTasks>(&aCommand.mBody)) {
-    return mPort->Renew(header, it->mTasks, it->mLeaseExpiresAt, deadline);
+    return mRemoteWorker->Renew(
+      header, it->mTasks, it->mLeaseExpiresAt, deadline);
   }
   if (const auto* it = std::get_if<holder::CheckpointTask>(&aCommand.mBody)) {
-    return mPort->Checkpoint(header, it->mTask, deadline);
+    return mRemoteWorker->Checkpoint(header, it->mTask, deadline);
   }
   if (const auto* it = std::get_if<holder::ThrottleTask>(&aCommand.mBody)) {
-    return mPort->Throttle(header, it->mTask, it->mPercent, deadline);
+    return mRemoteWorker->Throttle(header, it->mTask, it->mPercent, deadline);
   }
   if (const auto* it = std::get_if<holder::StopTask>(&aCommand.mBody)) {
-    return mPort->Stop(header, it->mTask, deadline);
+    return mRemoteWorker->Stop(header, it->mTask, deadline);
   }
   const auto& acknowledge = std::get<holder::AcknowledgeTask>(aCommand.mBody);
-  return mPort->Acknowledge(header, acknowledge.mTask, deadline);
+  return mRemoteWorker->Acknowledge(header, acknowledge.mTask, deadline);
 }
 
 base::Result<void>
-WorkerAgent::Plan(const worker::TaskKey& aKey, const base::Resources& aNeed)
+WorkerAgent::Plan(const worker::TaskKey& aKey,
+                  const base::Resources& aResources)
 {
   const std::lock_guard lock(mMutex);
   const base::TimePoint now = mClock.Now();
@@ -272,7 +275,7 @@
   if (!mTaskBreaker.Admits(now)) {
     return MakeError(ErrorKind::WorkerUnavailable, "circuit breaker is open");
   }
-  BOOST_OUTCOME_TRYV(mLedger->Plan(aKey, aNeed));
+  BOOST_OUTCOME_TRYV(mLedger->Plan(aKey, aResources));
   mTaskBreaker.OnPlaced(aKey.mTask, now);
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -315,7 +318,7 @@
 }
 
 void
-WorkerAgent::TakeBackFailures(const base::TaskId& aTask)
+WorkerAgent::RemoveFailures(const base::TaskId& aTask)
 {
   const std::lock_guard lock(mMutex);
   mTaskBreaker.RemoveFailures(aTask);
@@ -337,15 +340,15 @@
     header.mToken = mLease.Token();
     header.mNotAfter = mLease.Clock().ToEarliestWorkerTime(
       std::min(aDeadline, mLease.Deadline()));
-    number = ++mLastCall;
-    const base::TimePoint arrivesBefore =
+    number = ++mLastCallNumber;
+    const base::TimePoint latestArrival =
       now + mOptions.mRunner.mMaxMessageDelay;
     BOOST_OUTCOME_TRYV(
-      mLedger->BeginCall(number, { header.mNotAfter, arrivesBefore }));
-    mCallBreaker.OnPlaced(BreakerKey(aCall), now);
+      mLedger->BeginCall(number, { header.mNotAfter, latestArrival }));
+    mCallBreaker.OnPlaced(CallBreakerKey(aCall), now);
   }
   const base::TimePoint sentAt = mClock.Now();
-  const auto answer = mPort->Call(header, aCall, aDeadline);
+  const auto answer = mRemoteWorker->Call(header, aCall, aDeadline);
   RecordCall(aCall, answer, number, header.mToken, sentAt);
   if (!answer) {
     return answer.error();
@@ -361,20 +364,21 @@
                         base::TimePoint aSentAt)
 {
   const std::lock_guard lock(mMutex);
-  const bool isOver = aAnswer || requests::ProvesNotRun(aAnswer.error().mKind);
+  const bool hasEnded =
+    aAnswer || requests::ProvesNotRun(aAnswer.error().mKind);
   if (mLedger && mLease.Token() == aToken) {
-    if (isOver) {
+    if (hasEnded) {
       mLedger->EndCall(aNumber);
     } else {
       mLedger->MarkCallLost(aNumber);
     }
   }
   if (aAnswer) {
-    mCallBreaker.OnSuccess(BreakerKey(aCall));
+    mCallBreaker.OnSuccess(CallBreakerKey(aCall));
   } else if (IsWorkerFault(aAnswer.error().mKind, aSentAt)) {
-    mCallBreaker.OnFailure(BreakerKey(aCall), mClock.Now());
+    mCallBreaker.OnFailure(CallBreakerKey(aCall), mClock.Now());
   } else {
-    mCallBreaker.OnCancelled(BreakerKey(aCall));
+    mCallBreaker.OnCancelled(CallBreakerKey(aCall));
   }
 }
 
@@ -388,7 +392,7 @@
     return false;
   }
   return aKind != ErrorKind::DeadlineExceeded ||
-         mClock.Now() - aSentAt >= kSilenceLimit;
+         mClock.Now() - aSentAt >= kUnresponsiveAfter;
 }
 
 void
@@ -424,7 +428,7 @@
 }
 
 bool
-WorkerAgent::MayCommit() const
+WorkerAgent::MaySendCommands() const
 {
   const std::lock_guard lock(mMutex);
   return mLease.MaySendCommands(mClock.Now());
@@ -436,7 +440,7 @@
   const std::lock_guard lock(mMutex);
   const base::TimePoint now = mClock.Now();
   WorkerStatus status;
-  status.mPlace = mPlace;
+  status.mLocation = mLocation;
   status.mHeld = mRunner != nullptr && mLedger->HasReport() && !mReleasing &&
                  mRunner->MaySendCalls(now);
   status.mAdmitsTasks = status.mHeld && mTaskBreaker.Admits(now);
--- a/src/testing/capacity_memory.cpp
+++ b/src/testing/capacity_memory.cpp
@@ -65,7 +65,7 @@
   return table;
 }
 
-class NoEvents : public entry::WorkerEvents
+class NoEvents : public entry::WorkerListener
 {
 public:
   void OnHolderChange(entry::WorkerAgent&, bool) override {}
@@ -83,7 +83,9 @@
   HeldWorkers(std::int64_t aWorkers, std::int64_t aTasks)
   {
     for (std::int64_t n = 0; n < aWorkers; ++n) {
-      entry::WorkerPlace place{ { SampleWorkerId(n) }, { "domain" }, "rack" };
+      entry::WorkerLocation place{ { SampleWorkerId(n) },
+                                   { "domain" },
+                                   "rack" };
       entry::WorkerAgentOptions options;
       options.mInstance = { "entry-1" };
       mAgents.push_back(
@@ -102,7 +104,7 @@
     }
     // Workers that are not held keep no ledger, and would look too cheap.
     for (const auto& it : mAgents) {
-      if (!it->MayCommit()) {
+      if (!it->MaySendCommands()) {
         throw std::runtime_error("a sample worker was not acquired");
       }
     }
