--- a/include/skylarkhill/entry/thread_pool.hpp
+++ b/include/skylarkhill/entry/thread_pool.hpp
@@ -34,7 +34,7 @@
   std::condition_variable mChanged;
   std::deque<std::function<void()>> mQueue;
   std::vector<std::thread> mThreads;
-  std::size_t mIdle = 0;
+  std::size_t mIdleThreads = 0;
   bool mStopping = false;
 };
 
--- a/src/entry/api_handler.cpp
+++ b/src/entry/api_handler.cpp
@@ -20,7 +20,7 @@
 
 constexpr std::string_view kRequestPath = "/v1/requests/";
 constexpr std::string_view kTaskPath = "/v1/tasks/";
-constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kBearerPrefix = "Bearer ";
 constexpr std::int64_t kMaxDeadlineMs = 3'600'000;
 constexpr base::Duration kSubmitTimeout = std::chrono::seconds(10);
 constexpr base::Duration kPublishTimeout = std::chrono::seconds(10);
@@ -309,8 +309,9 @@
 {
   const std::string* header =
     http::FindField(aRequest.mHeaders, "Authorization");
-  return header != nullptr && StartsWith(*header, kBearer) &&
-         mOptions.mOperatorCredential.Matches(header->substr(kBearer.size()));
+  return header != nullptr && StartsWith(*header, kBearerPrefix) &&
+         mOptions.mOperatorCredential.Matches(
+           header->substr(kBearerPrefix.size()));
 }
 
 } // namespace skylarkhill::entry
--- a/src/entry/peer_network.cpp
+++ b/src/entry/peer_network.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr const char* kConfigStream = "config";
-constexpr std::size_t kPageBytes = std::size_t{ 256 } << 10U;
+constexpr std::size_t kStatePageBytes = std::size_t{ 256 } << 10U;
 constexpr base::Duration kMessageTimeout = std::chrono::seconds(5);
 constexpr unsigned kLogicalBits = 12;
 
@@ -313,13 +313,13 @@
     return;
   }
   const std::size_t size = text.value().size();
-  for (std::size_t begin = 0; begin < size; begin += kPageBytes) {
+  for (std::size_t begin = 0; begin < size; begin += kStatePageBytes) {
     peer::StatePage page;
     page.mFetch = aMessage.mFetch;
     page.mStream = kConfigStream;
-    page.mPage = static_cast<std::int64_t>(begin / kPageBytes);
-    page.mIsLast = begin + kPageBytes >= size;
-    page.mPayload = text.value().substr(begin, kPageBytes);
+    page.mPage = static_cast<std::int64_t>(begin / kStatePageBytes);
+    page.mIsLast = begin + kStatePageBytes >= size;
+    page.mPayload = text.value().substr(begin, kStatePageBytes);
     page.mCausalClock = PackTimestamp(mInstruments.mHybridClock.Tick());
     const auto sent = Send(aReceived.mFrom,
                            page,
--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -170,8 +170,9 @@
     // The platform's list and gossip may know it before the worker reports it.
     candidate.mLeaving =
       status.mLeaving || !mPeers.IsEligible(status.mLocation.mWorker);
-    const bool isSilent = mClock.Now() - status.mReportedAt > kMaxReportAge;
-    candidate.mBreakerOpen = !status.mAdmitsCalls || isSilent;
+    const bool hasStaleReport =
+      mClock.Now() - status.mReportedAt > kMaxReportAge;
+    candidate.mBreakerOpen = !status.mAdmitsCalls || hasStaleReport;
     candidates.push_back(std::move(candidate));
   }
   return candidates;
@@ -247,12 +248,12 @@
   SessionPtr existing;
   {
     const std::lock_guard lock(mSessionsMutex);
-    SessionPtr& slot = mSessions[aRequest.mId];
-    existing = slot;
+    SessionPtr& stored = mSessions[aRequest.mId];
+    existing = stored;
     if (existing == nullptr) {
-      slot = std::make_shared<Session>(
+      stored = std::make_shared<Session>(
         aRequest, options, admission.Budget(), mClock, mSeedSource->Next());
-      session = slot;
+      session = stored;
     }
   }
   if (existing != nullptr) {
@@ -329,10 +330,12 @@
   if (key.mState == requests::KeyState::Finished) {
     return key.mOutcome->mOutcome == Outcome::NotRun;
   }
-  const bool isOwn = key.mClaimant == mOptions.mInstance;
-  const bool isUnused = key.mState == requests::KeyState::Unknown || isOwn;
-  return isUnused && mState.WaitUntilCaughtUp(
-                       aArrivedAt, mClock, mClock.Now() + kCatchUpTimeout);
+  const bool isOwnClaim = key.mClaimant == mOptions.mInstance;
+  const bool isUnclaimedByOthers =
+    key.mState == requests::KeyState::Unknown || isOwnClaim;
+  return isUnclaimedByOthers &&
+         mState.WaitUntilCaughtUp(
+           aArrivedAt, mClock, mClock.Now() + kCatchUpTimeout);
 }
 
 RequestResult
@@ -399,7 +402,7 @@
 }
 
 // A first attempt waits for a slot: the admission queue bounds how many wait.
-// Later attempts do not, because an existing one may still answer.
+// Later attempts do not, because an earlier one may still answer.
 void
 RequestService::PickTarget(const SessionPtr& aSession,
                            const requests::PickTarget& aAction)
--- a/src/entry/thread_pool.cpp
+++ b/src/entry/thread_pool.cpp
@@ -30,7 +30,7 @@
   if (mStopping) {
     return false;
   }
-  if (mQueue.size() >= mIdle) {
+  if (mQueue.size() >= mIdleThreads) {
     if (mThreads.size() >= mMaxThreads) {
       return false;
     }
@@ -46,9 +46,9 @@
 {
   std::unique_lock lock(mMutex);
   while (true) {
-    ++mIdle;
+    ++mIdleThreads;
     mChanged.wait(lock, [this] { return mStopping || !mQueue.empty(); });
-    --mIdle;
+    --mIdleThreads;
     if (mQueue.empty()) {
       return;
     }
