--- a/include/skylarkhill/entry/batch_scheduler.hpp
+++ b/include/skylarkhill/entry/batch_scheduler.hpp
@@ -25,12 +25,15 @@
 {
   base::InstanceId mInstance;
   base::DomainId mDomain;
+  /// Longest lease of a task on a worker.
   base::Duration mTaskLease = std::chrono::seconds(10);
+  /// Wait beyond the task lease before the attempts of a lost worker are ended.
   base::Duration mLossMargin = std::chrono::seconds(2);
 };
 
-/// Grants queued tasks to workers that this instance holds, protects services
-/// from them, and ends the attempts of lost workers. Thread-safe.
+/// Grants queued tasks to workers that this instance holds, throttles or evicts
+/// tasks that slow services down, and ends the attempts of lost workers.
+/// Thread-safe.
 class BatchScheduler
 {
 public:
@@ -50,12 +53,13 @@
   void Start();
   void Stop();
 
-  /// Learns from a report of a held worker.
+  /// Updates the placement policy from a report of a held worker.
   void OnReport(const WorkerStatus& aStatus);
-  /// Learns from the end of an attempt on `aAgent`'s worker.
+  /// Updates the run statistics and the quarantine after an attempt on
+  /// `aAgent`'s worker has ended.
   void OnAttemptEnded(WorkerAgent& aAgent, const tasks::EndRecord& aRecord);
 
-  /// The attempts that the log grants to the worker.
+  /// The attempts that are granted to the worker according to the log.
   std::vector<holder::GrantedAttempt> GrantsOn(
     const base::WorkerId& aWorker) const;
 
@@ -79,8 +83,8 @@
   policy::TeamUsageMap TeamUsages(const ConfigView& aConfig) const;
   void FinishGrant(const base::TaskId& aTask, const PendingGrant& aPending);
   void ProtectServices(const ConfigView& aConfig);
-  /// Expected slowdown that one task of the class causes to the worst-hit
-  /// service on the worker. Needs mMutex.
+  /// Largest interference that one task of the class is expected to cause to
+  /// any service on the worker. Requires mMutex.
   double MaxExpectedInterference(const ConfigView& aConfig,
                                  const WorkerLocation& aLocation,
                                  const std::string& aBatchClass) const;
@@ -110,11 +114,11 @@
   std::unique_ptr<policy::ProtectionPolicy> mProtection;
   policy::Quarantine mQuarantine;
   std::map<base::TaskId, PendingGrant> mPendingGrants;
-  /// When this instance first saw a task queued for an attempt.
+  /// When this instance first saw the task of an attempt in the queue.
   std::map<worker::TaskKey, base::TimePoint> mFirstSeenAt;
-  /// When this instance first saw an attempt run.
+  /// When this instance first saw an attempt running.
   std::map<worker::TaskKey, base::TimePoint> mRunningSince;
-  /// Lost attempts whose end is being appended.
+  /// Lost attempts whose end record is being appended.
   std::set<worker::TaskKey> mEndingAttempts;
   bool mStopping = false;
 
--- a/include/skylarkhill/entry/config_service.hpp
+++ b/include/skylarkhill/entry/config_service.hpp
@@ -19,24 +19,24 @@
 
 struct ConfigServiceOptions
 {
-  /// Instance and incarnation.
+  /// Instance and incarnation, as "name/incarnation".
   std::string mWriter;
   base::Duration mPollInterval = std::chrono::milliseconds(250);
   base::Duration mReadTimeout = std::chrono::seconds(2);
   base::Duration mAppendTimeout = std::chrono::seconds(2);
-  /// Age of the oldest record that a new reader needs after which a snapshot is
-  /// appended.
+  /// A snapshot is appended once the oldest record that a new reader needs has
+  /// reached this age.
   base::Duration mSnapshotAge = std::chrono::hours(12);
 };
 
-/// The set in force and its version.
+/// The current catalog set and its version.
 struct ConfigView
 {
   catalog::Version mVersion = catalog::kNoVersion;
   std::shared_ptr<const catalog::CatalogSet> mSet;
 };
 
-/// Follows the `config` stream and publishes to it. Thread-safe.
+/// Reads the `config` stream and publishes to it. Thread-safe.
 class ConfigService
 {
 public:
@@ -52,21 +52,23 @@
   void Start();
   void Stop();
 
-  /// Publishes `aTarget` as the successor of `aBaseVersion` and waits for the
-  /// outcome of the log. InvalidSet, VersionConflict (with the version that
-  /// won), LogUnavailable; AnswerLost: the outcome is not known.
+  /// Publishes `aTarget` as the successor of `aBaseVersion` and waits until the
+  /// log shows whether it took effect. InvalidSet, VersionConflict (with the
+  /// version that took effect instead), LogUnavailable; AnswerLost: the outcome
+  /// is unknown.
   base::Result<catalog::Version> Publish(catalog::Version aBaseVersion,
                                          const catalog::CatalogSet& aTarget,
                                          const std::string& aPublisher,
                                          base::TimePoint aDeadline);
 
   ConfigView Current() const;
-  /// True once the end of the stream was reached or a peer's state taken over.
+  /// True once the stream has been read to its end with complete state, or a
+  /// peer's state has been imported.
   bool IsReady() const;
 
-  /// The state for a peer. NotFound while it is not complete.
+  /// Serializes the state for a peer. NotFound while it is incomplete.
   base::Result<std::string> Export() const;
-  /// Takes over a peer's state if it is newer.
+  /// Replaces the state by a peer's state if that is newer; true if it was.
   base::Result<bool> Import(const std::string& aText);
 
 private:
--- a/include/skylarkhill/entry/entry_process.hpp
+++ b/include/skylarkhill/entry/entry_process.hpp
@@ -16,8 +16,8 @@
   /// Opens the listeners and starts all threads. InvalidSettings,
   /// ConnectionLost.
   virtual base::Result<void> Start() = 0;
-  /// Planned stop: finishes what is in flight, hands the workers over and
-  /// returns when everything is down.
+  /// Planned stop: finishes the requests in flight, releases the workers and
+  /// returns when all threads have stopped.
   virtual void Drain() = 0;
 };
 
--- a/include/skylarkhill/entry/instruments.hpp
+++ b/include/skylarkhill/entry/instruments.hpp
@@ -6,7 +6,8 @@
 
 namespace skylarkhill::entry {
 
-/// Where an entry process reports what it does. Thread-safe.
+/// Metrics, timeline and clock shared by the parts of an entry process.
+/// Thread-safe.
 struct Instruments
 {
   metrics::Registry& mMetrics;
--- a/include/skylarkhill/entry/peer_network.hpp
+++ b/include/skylarkhill/entry/peer_network.hpp
@@ -27,13 +27,15 @@
   membership::Self mSelf;
   membership::ViewOptions mView;
   peer::TransportOptions mTransport;
-  /// Peers that are accepted besides those in the platform's list.
+  /// Peers that are accepted in addition to those in the platform's instance
+  /// list.
   std::set<peer::PeerAddress> mConfiguredPeers;
+  /// Between fetches of the platform's instance list.
   base::Duration mListInterval = std::chrono::seconds(1);
   base::Duration mListTimeout = std::chrono::seconds(2);
 };
 
-/// What this instance tells its peers in a heartbeat.
+/// Local state that is sent to peers in heartbeats.
 struct LocalStatus
 {
   std::map<std::string, std::int64_t> mFreeSlots;
@@ -57,7 +59,7 @@
   PeerNetwork& operator=(const PeerNetwork&) = delete;
 
   /// Listens and starts the threads. ConnectionLost if it cannot listen.
-  /// `aRequests` must outlive the network or be removed by Stop.
+  /// `aRequests` must remain valid until Stop returns.
   base::Result<void> Start(RequestService& aRequests,
                            std::function<LocalStatus()> aGetLocalStatus);
   void Stop();
@@ -74,15 +76,16 @@
                     const requests::RequestResult& aResult) override;
   bool IsAlive(const base::InstanceId& aClaimant) const override;
 
-  /// This instance begins a planned stop; tells all peers.
+  /// Tells all peers that this instance is leaving.
   void AnnounceLeaving();
+  /// The worker answered a poll.
   void OnWorkerPolled(const base::WorkerId& aWorker, bool aLeaving);
 
-  /// The last list of the platform.
+  /// The instance list that was last fetched from the platform.
   std::vector<platform::InstanceEntry> ListedInstances() const;
   bool IsEligible(const base::WorkerId& aWorker) const override;
   bool IsPreferredHolder(const base::WorkerId& aWorker) const;
-  /// Entry instances that are live, of all known domains, this one included.
+  /// Live entry instances of all known failure domains, including this one.
   std::vector<base::InstanceId> LiveEntryInstances() const;
   std::optional<base::TimePoint> AbsentSince(
     const base::WorkerId& aWorker) const;
@@ -113,6 +116,7 @@
                           const peer::Message& aMessage,
                           base::TimePoint aDeadline,
                           peer::AgePolicy aAgePolicy);
+  /// Returns false if the network is stopping.
   bool SleepUnlessStopping(base::Duration aTime);
 
   const PeerNetworkOptions mOptions;
@@ -128,10 +132,11 @@
   std::condition_variable mChanged;
   membership::View mView;
   std::vector<platform::InstanceEntry> mListedInstances;
-  /// When the last heartbeat of each peer arrived.
+  /// When the last heartbeat of each peer was received.
   std::map<base::InstanceId, base::TimePoint> mLastHeartbeatAt;
+  /// Peers whose appearance has been recorded in the timeline.
   std::set<base::InstanceId> mAppearedPeers;
-  /// Pages of a peer's set that have arrived, in order.
+  /// Pages received so far of the state that is being fetched from a peer.
   std::string mConfigPages;
   std::uint64_t mConfigFetchId = 0;
   std::int64_t mNextConfigPage = 0;
--- a/include/skylarkhill/entry/record_appender.hpp
+++ b/include/skylarkhill/entry/record_appender.hpp
@@ -14,25 +14,26 @@
 
 namespace skylarkhill::entry {
 
-/// Appends task records in the background. Records that are queued at the same
-/// time share one submission. Thread-safe.
+/// Appends task records to the journal in the background. Records that are
+/// queued at the same time share one submission. Thread-safe.
 class RecordAppender
 {
 public:
-  /// Told whether the record was read back from the log; false if it was
-  /// certainly not appended.
+  /// Receives true once the record has been read back from the log, or false if
+  /// it was definitely not appended.
   using Callback = std::function<void(bool aAppended)>;
 
-  /// The references must outlive the sender.
+  /// The references must outlive the appender.
   RecordAppender(journal::JournalService& aJournal, const base::Clock& aClock);
   ~RecordAppender();
   RecordAppender(const RecordAppender&) = delete;
   RecordAppender& operator=(const RecordAppender&) = delete;
 
-  /// A record whose answer was lost is sent again, unchanged, until the log
-  /// shows one of the copies.
+  /// Queues a record. If the answer to its append is lost, it is appended
+  /// again, unchanged, until one copy has been read back from the log.
   void Append(tasks::TaskRecord aRecord, Callback aCallback);
-  /// Waits until nothing is queued or in progress; false at `aDeadline`.
+  /// Waits until no record is queued or in progress; false if `aDeadline`
+  /// passes first.
   bool Drain(base::TimePoint aDeadline);
 
 private:
--- a/include/skylarkhill/entry/request_service.hpp
+++ b/include/skylarkhill/entry/request_service.hpp
@@ -24,12 +24,13 @@
 
 namespace skylarkhill::entry {
 
-/// What the request service needs from the connections to other instances.
+/// Interface through which the request service reaches other entry instances.
 class PeerClient
 {
 public:
   virtual ~PeerClient() = default;
-  /// Peers that hold workers of the service, with their gossiped free slots.
+  /// Peers that hold workers of the service, with the free slots from their
+  /// heartbeats.
   virtual std::vector<requests::Candidate> Candidates(
     const std::string& aService) const = 0;
   /// Asks a peer to run one attempt. On an error nothing was sent.
@@ -37,23 +38,27 @@
                                      const requests::Request& aRequest,
                                      std::int64_t aAttempt,
                                      base::TimePoint aDeadline) = 0;
-  /// Answers an attempt that a peer has forwarded.
+  /// Sends the result of an attempt that a peer has forwarded.
   virtual void SendResponse(const base::InstanceId& aPeer,
                             const base::RequestId& aRequest,
                             std::int64_t aAttempt,
                             const requests::RequestResult& aResult) = 0;
   /// True if the instance may still be working on the keys that it claimed.
   virtual bool IsAlive(const base::InstanceId& aInstance) const = 0;
-  /// False if any source says that the worker is leaving.
+  /// False if any source reports that the worker is leaving.
   virtual bool IsEligible(const base::WorkerId& aWorker) const = 0;
 };
 
 struct RequestServiceOptions
 {
+  /// Instance and incarnation, as "name/incarnation"; identifies the claimant
+  /// of a key.
   base::InstanceId mInstance;
   std::uint64_t mIncarnation = 0;
+  /// Standing (long-lived) requests per service, queued and running.
   std::int64_t mStandingLimit = 128;
   std::int64_t mRetryBudgetPercent = 10;
+  /// Threads for worker calls and for appends to the log.
   std::size_t mMaxThreads = 128;
 };
 
@@ -74,26 +79,27 @@
   RequestService(const RequestService&) = delete;
   RequestService& operator=(const RequestService&) = delete;
 
-  /// Runs one request and returns what the caller is told, by the request's
-  /// deadline. Blocks. `aIsFirstSend`: the caller declares that it has not sent
+  /// Runs one request and returns the result for the caller by the request's
+  /// deadline. Blocks. `aIsFirstSend`: the caller states that it has not sent
   /// this key before.
   requests::RequestResult Run(const requests::Request& aRequest,
                               bool aIsFirstSend);
 
-  /// What is known of a key: its outcome, or nothing while it is open.
-  /// NotFound.
+  /// The outcome of the request with this key, or nothing while it is in
+  /// progress. NotFound.
   base::Result<std::optional<requests::RequestResult>> Lookup(
     const base::RequestId& aKey) const;
 
-  /// A peer asks this instance to run an attempt.
+  /// Runs an attempt that a peer has forwarded to this instance.
   void OnForwarded(const requests::ForwardedAttempt& aAttempt);
-  /// A peer answers an attempt that was forwarded to it.
+  /// Handles the answer of a peer to an attempt that was forwarded to it.
   void OnPeerAnswered(const requests::PeerAnswered& aAnswer);
 
   /// Free slots per service on the workers that this instance holds.
   std::map<std::string, std::int64_t> FreeSlots() const;
+  /// Requests of callers and forwarded attempts.
   std::int64_t CountInProgress() const;
-  /// Refuses new forwarded attempts from now on.
+  /// Refuses forwarded attempts from now on.
   void StopAccepting();
 
 private:
@@ -108,6 +114,7 @@
                                      base::TimePoint aArrivedAt);
   requests::RequestResult AwaitResult(const SessionPtr& aSession,
                                       base::TimePoint aDeadline) const;
+  /// Slots of all held workers plus the free slots of peers; at least 1.
   std::int64_t ReachableSlots(const std::string& aService) const;
   bool IsKeyUnused(const base::RequestId& aKey,
                    base::TimePoint aArrivedAt) const;
@@ -118,7 +125,7 @@
                   const requests::PickTarget& aAction);
   void SendAttempt(const SessionPtr& aSession,
                    const requests::SendAttempt& aAction);
-  /// Needs mForwardMutex.
+  /// Requires mForwardMutex.
   void EndInFlight(const SessionPtr& aSession, std::int64_t aAttempt);
   base::Result<std::string> CallWhenSlotFree(WorkerAgent& aAgent,
                                              const requests::Request& aRequest,
@@ -149,7 +156,7 @@
   const Instruments mInstruments;
   const std::unique_ptr<requests::TargetPicker> mTargetPicker;
 
-  /// Guards the forwarder, its random numbers and the attempts in flight.
+  /// Guards the forwarder, its random generator and the attempts in flight.
   mutable std::mutex mForwardMutex;
   std::unique_ptr<base::Random> mRandom;
   requests::InFlightTable mInFlight;
--- a/include/skylarkhill/entry/service_admission.hpp
+++ b/include/skylarkhill/entry/service_admission.hpp
@@ -23,20 +23,22 @@
   requests::RetryBudgetOptions mRetryBudget;
 };
 
-/// Admission to one service on this instance: queue, concurrency limit and
-/// retry budget. Thread-safe, with a lock of its own.
+/// Admission control for one service on this instance: queue, concurrency limit
+/// and retry budget. Thread-safe.
 class ServiceAdmission
 {
 public:
   ServiceAdmission(const ServiceAdmissionOptions& aOptions,
                    const base::Clock& aClock);
 
-  /// Waits until the request may run. Overloaded or DeadlineExceeded: it has
-  /// not run and must not. `aSlots`: slots that the service has in reach.
+  /// Waits until the request may run. Overloaded, DeadlineExceeded: it must not
+  /// run. `aSlots`: slots that the service can use on this instance and its
+  /// peers.
   base::Result<void> Acquire(const requests::Request& aRequest,
                              bool aIsStanding,
                              std::int64_t aSlots);
-  /// A request that was let in has ended after `aServiceTime`.
+  /// Must be called when an admitted request has ended, `aServiceTime` after
+  /// its admission.
   void Release(bool aIsStanding, base::Duration aServiceTime, bool aCompleted);
 
   requests::RetryBudget& Budget() { return mBudget; }
@@ -45,7 +47,7 @@
 
 private:
   void RecordServiceTime(base::Duration aServiceTime, bool aCompleted);
-  /// Lets queued requests in while the limit allows it.
+  /// Admits queued requests up to the concurrency limit.
   void AdmitQueued();
 
   const base::Clock& mClock;
@@ -58,7 +60,8 @@
   std::set<base::RequestId> mAdmitted;
   std::map<base::RequestId, base::Error> mDropped;
   std::int64_t mRunning = 0;
-  /// Moving estimate of a high latency quantile, in microseconds.
+  /// Running estimate of the 95th percentile of the service time, in
+  /// microseconds.
   double mTailLatencyMicros = 0.0;
   std::int64_t mSamples = 0;
 };
--- a/include/skylarkhill/entry/task_service.hpp
+++ b/include/skylarkhill/entry/task_service.hpp
@@ -15,7 +15,8 @@
 
 namespace skylarkhill::entry {
 
-/// A caller's wish to run a task. Absent sizes come from the batch class.
+/// A caller's request to run a task. Resources and run time default to those of
+/// the batch class.
 struct TaskSubmission
 {
   std::string mKey;
@@ -28,11 +29,11 @@
   std::string mPayload;
 };
 
-/// Reads a submission. InvalidArgument with all findings.
+/// Parses a submission. InvalidArgument lists all problems.
 base::Result<TaskSubmission>
 ParseSubmission(const base::JsonValue& aValue);
 
-/// The task that a submission asks for. NotFound, InvalidArgument,
+/// Makes the specification of the submitted task. NotFound, InvalidArgument,
 /// Infeasible, QuotaExceeded.
 base::Result<tasks::TaskSpec>
 MakeTaskSpec(const TaskSubmission& aSubmission,
@@ -49,15 +50,15 @@
               const journal::SiteState& aState,
               const Instruments& aInstruments);
 
-  /// Returns once the task is in the log. A repeat of a key returns the task
-  /// that was accepted first. As MakeTaskSpec; LogUnavailable: not accepted;
-  /// AnswerLost: may have been accepted.
+  /// Returns once the task is in the log. If the key was submitted before,
+  /// returns the task that was accepted first. Errors of MakeTaskSpec;
+  /// LogUnavailable: not accepted; AnswerLost: may have been accepted.
   base::Result<tasks::TaskSnapshot> Submit(const TaskSubmission& aSubmission,
                                            base::TimePoint aDeadline);
 
-  /// Asks for a cancellation and waits until the task has ended, which may
-  /// also be in another way, or until `aDeadline`. NotFound, Unauthorized,
-  /// LogUnavailable, AnswerLost.
+  /// Requests the cancellation and waits until the task has ended, cancelled or
+  /// not, or until `aDeadline`. NotFound, Unauthorized, LogUnavailable,
+  /// AnswerLost.
   base::Result<tasks::TaskSnapshot> Cancel(const base::TaskId& aTask,
                                            const std::string& aCaller,
                                            bool aIsOperator,
--- a/include/skylarkhill/entry/thread_pool.hpp
+++ b/include/skylarkhill/entry/thread_pool.hpp
@@ -11,19 +11,19 @@
 
 namespace skylarkhill::entry {
 
-/// Runs functions on a bounded number of threads, which are started when they
-/// are needed. Thread-safe.
+/// Runs functions on a bounded number of threads, which are started on demand.
+/// Thread-safe.
 class ThreadPool
 {
 public:
   explicit ThreadPool(std::size_t aMaxThreads);
-  /// Waits for everything that was submitted.
+  /// Waits for all submitted functions.
   ~ThreadPool();
   ThreadPool(const ThreadPool&) = delete;
   ThreadPool& operator=(const ThreadPool&) = delete;
 
-  /// Runs `aFunction` soon; false if every thread is busy and none can be
-  /// started, in which case it will not run.
+  /// Runs `aFunction` on an idle or new thread. False if all threads are busy
+  /// and no more may be started; the function is then not run.
   bool TrySubmit(std::function<void()> aFunction);
 
 private:
--- a/include/skylarkhill/entry/worker_agent.hpp
+++ b/include/skylarkhill/entry/worker_agent.hpp
@@ -20,7 +20,7 @@
 
 namespace skylarkhill::entry {
 
-/// Where a worker is and what the platform's list says of it.
+/// Id and location of a worker, as given in the platform's instance list.
 struct WorkerLocation
 {
   base::WorkerId mWorker;
@@ -35,7 +35,7 @@
   holder::TaskRunnerOptions mRunner;
 };
 
-/// One worker as the rest of the process sees it.
+/// Snapshot of the state of a worker.
 struct WorkerStatus
 {
   WorkerLocation mLocation;
@@ -46,7 +46,7 @@
   /// Whether new service calls may be sent to the worker.
   bool mAdmitsCalls = false;
   base::Resources mCapacity;
-  /// Uncommitted resources.
+  /// Capacity less the committed resources and the service reserve.
   base::Resources mFree;
   std::int64_t mSlots = 0;
   holder::CallCapacity mFreeCalls;
@@ -58,8 +58,8 @@
 
 class WorkerAgent;
 
-/// What an agent tells the rest of the process. Called without any lock of the
-/// agent, from the thread that steps it.
+/// Receives the events of an agent. Called without any lock of the agent, from
+/// the thread that steps it.
 class WorkerListener
 {
 public:
@@ -72,12 +72,12 @@
                         const tasks::TaskRecord& aRecord) = 0;
 };
 
-/// Drives the state machines of one worker and does their I/O. Thread-safe;
-/// Step is called by one thread at a time.
+/// Runs the lease and task state machines of one worker and performs their I/O.
+/// Thread-safe; Step is called by one thread at a time.
 class WorkerAgent
 {
 public:
-  /// `aClock` and `aListener` outlive the agent.
+  /// `aClock` and `aListener` must outlive the agent.
   WorkerAgent(WorkerLocation aLocation,
               WorkerAgentOptions aOptions,
               std::unique_ptr<worker::RemoteWorker> aRemoteWorker,
@@ -89,26 +89,29 @@
 
   void SetPreferred(bool aPreferred);
   void SetServiceReserve(const base::Resources& aReserve);
-  /// The attempts that the log grants to this worker. Everything appended
-  /// before `aCaughtUpTime` has been read, which is up to `aPosition`.
+  /// Sets the attempts that the log grants to this worker, after reading it up
+  /// to the offset `aPosition`, which covers everything appended before
+  /// `aCaughtUpTime`.
   void SetGrants(const std::vector<holder::GrantedAttempt>& aGrants,
                  base::TimePoint aCaughtUpTime,
                  std::int64_t aPosition);
 
-  /// Does what is due now. Blocks for the time of the commands it sends.
+  /// Performs the actions that are due. Blocks while it sends commands.
   void Step();
 
   /// Commits capacity for an attempt whose grant is about to be appended.
   /// NotHolder, NoCapacity, WorkerUnavailable.
   base::Result<void> Plan(const worker::TaskKey& aKey,
                           const base::Resources& aResources);
-  /// The grant was not appended or lost against another one.
+  /// Frees the planned capacity: the grant was not appended or another one took
+  /// effect.
   void CancelPlan(const worker::TaskKey& aKey);
   void Evict(const worker::TaskKey& aKey, base::TimePoint aDeadline);
   void Throttle(const worker::TaskKey& aKey, std::int64_t aPercent);
-  /// The End record of this attempt was not appended.
+  /// The end record of this attempt was definitely not appended.
   void OnRecordDropped(const worker::TaskKey& aKey);
-  /// The failures of a quarantined task are not held against this worker.
+  /// Removes the failures of a quarantined task from the worker's circuit
+  /// breaker.
   void RemoveFailures(const base::TaskId& aTask);
 
   /// Sends one service request. NotHolder and NoCapacity: nothing was sent;
@@ -116,8 +119,7 @@
   base::Result<std::string> Call(const worker::ServiceCall& aCall,
                                  base::TimePoint aDeadline);
 
-  /// Starts nothing more, and gives the worker up when no command is in
-  /// flight.
+  /// Stops starting work, and releases the worker once no command is in flight.
   void BeginRelease();
   bool IsReleased() const;
 
@@ -155,7 +157,7 @@
 
   mutable std::mutex mMutex;
   holder::LeaseMachine mLease;
-  /// Set while the worker is held.
+  /// mLedger and mRunner are set while the worker is held.
   std::unique_ptr<holder::Ledger> mLedger;
   std::unique_ptr<holder::TaskRunner> mRunner;
   policy::Breaker mTaskBreaker;
@@ -163,7 +165,8 @@
   base::Resources mServiceReserve;
   std::vector<holder::GrantedAttempt> mGrants;
   base::TimePoint mAcquiredAt;
-  /// End offset of the log that was observed after the acquisition.
+  /// End offset of the log, observed after the acquisition; grants below it are
+  /// inherited from previous holders.
   std::optional<std::int64_t> mInheritedBefore;
   bool mGrantsChanged = false;
   std::optional<worker::WorkerReport> mReport;
--- a/include/skylarkhill/entry/worker_manager.hpp
+++ b/include/skylarkhill/entry/worker_manager.hpp
@@ -16,15 +16,15 @@
 
 namespace skylarkhill::entry {
 
-/// Steps the agents of all workers of the domain on several threads, so that a
-/// worker that does not answer delays no other one.
+/// Steps the agents of all workers of the failure domain on several threads, so
+/// that an unresponsive worker does not delay the others.
 class WorkerManager
 {
 public:
   using AgentPtr = std::shared_ptr<WorkerAgent>;
 
-  /// `aClock` outlives the pool. `aBeforeStep` runs before every step of an
-  /// agent, on the same thread.
+  /// `aClock` must outlive the manager. `aBeforeStep` runs before every step of
+  /// an agent, on the same thread.
   WorkerManager(const base::Clock& aClock,
                 std::function<void(WorkerAgent&)> aBeforeStep);
   ~WorkerManager();
@@ -38,7 +38,7 @@
   void Remove(const base::WorkerId& aWorker);
 
   AgentPtr Find(const base::WorkerId& aWorker) const;
-  /// All agents, in order of worker id.
+  /// All agents, sorted by worker id.
   std::vector<AgentPtr> All() const;
 
 private:
@@ -50,7 +50,7 @@
   };
 
   void Run();
-  /// The agent that is due first and not busy, or null.
+  /// The agent that is due first among those not being stepped, or null.
   ScheduledAgent* NextAgent();
 
   const base::Clock& mClock;
--- a/src/entry/api_handler.cpp
+++ b/src/entry/api_handler.cpp
@@ -89,7 +89,7 @@
   return MakeJsonResponse(value, aStatus);
 }
 
-/// Unique among all requests that have no key of their own.
+/// Returns a unique id for a request without a key.
 base::RequestId
 MakeRequestId(const base::InstanceId& aInstance, base::TimePoint aNow)
 {
--- a/src/entry/batch_scheduler.cpp
+++ b/src/entry/batch_scheduler.cpp
@@ -17,17 +17,15 @@
 namespace {
 
 constexpr base::Duration kRoundInterval = std::chrono::milliseconds(50);
-/// Queued tasks looked at in one round.
 constexpr std::size_t kMaxQueuedTasksPerRound = 1000;
-/// Grants of one round.
 constexpr std::size_t kMaxGrantsPerRound = 100;
-// Head start of each instance over the next one in the task's rendezvous
-// order, so that instances rarely grant the same task.
+// Each instance waits according to its rank in the task's rendezvous order, so
+// that two instances rarely grant the same task.
 constexpr base::Duration kGrantDelayPerRank = std::chrono::milliseconds(100);
 constexpr base::Duration kUrgentGrantDelayPerRank =
   std::chrono::milliseconds(30);
-// Later instances of a large site all have the last delayPerRank, so that
-// urgent work does not wait for the end of the order.
+// Higher ranks wait no longer, so that on a large site urgent tasks do not wait
+// for the last rank.
 constexpr std::ptrdiff_t kMaxRank = 8;
 constexpr base::Duration kEvictionTimeout = std::chrono::seconds(5);
 constexpr std::int64_t kRestartCostSeconds = 10;
@@ -286,9 +284,9 @@
     [this, task = aTask.mTask, pending](bool) { FinishGrant(task, pending); });
 }
 
-// Whatever became of the append, the task table tells who has the attempt now.
-// A grant that takes effect later is given back by the runner if it cannot be
-// started.
+// The task table decides which grant took effect, whatever the append returned.
+// If this grant takes effect only later, the task runner releases the attempt
+// if it cannot start it.
 void
 BatchScheduler::FinishGrant(const base::TaskId& aTask,
                             const PendingGrant& aPending)
@@ -398,8 +396,8 @@
       mQuarantine.Forget(aRecord.mTask);
       return;
     }
-    // Earlier failures may have been seen by other instances; the log has
-    // them all.
+    // Earlier attempts may have failed under other instances; the log has all
+    // failures.
     if (task) {
       for (const auto& it : task->mFailedWorkers) {
         mQuarantine.OnFailure(aRecord.mTask, it, true, task->mDetail);
@@ -522,7 +520,7 @@
 BatchScheduler::EndLostAttempts()
 {
   for (const auto& worker : mState.WorkersWithGrants()) {
-    // Only workers of the own failure domain have an agent here.
+    // Only workers of this instance's failure domain have an agent.
     const auto absentSince = mPeers.AbsentSince(worker);
     if (!absentSince || mWorkers.Find(worker) == nullptr) {
       continue;
--- a/src/entry/config_service.cpp
+++ b/src/entry/config_service.cpp
@@ -99,8 +99,8 @@
   }
   ApplyPage(page.value());
   const bool hasMore = mState.NextOffset() < page.value().mEnd;
-  // A reader whose records have expired unread has an outdated set; it is
-  // ready only when a snapshot or a peer has completed its state.
+  // If records expired before they were read, the set may be outdated; the
+  // state is complete again after a snapshot or an import from a peer.
   mReady = mReady || (!hasMore && mState.IsComplete());
   mChanged.notify_all();
   return hasMore;
@@ -129,8 +129,8 @@
     logging::Write(
       logging::Level::Info, "config_applied", { { "version", version } });
   }
-  // A new reader needs the record at the recovery offset and all after it, so
-  // the age of that record decides when the next snapshot is due.
+  // A new reader needs the record at the recovery offset and all later ones, so
+  // the age of that record determines when the next snapshot is due.
   if (mState.RecoveryOffset() != mRecoveryOffset) {
     mRecoveryOffset = mState.RecoveryOffset();
     mSnapshotDueAt = mClock.Now() + mOptions.mSnapshotAge;
@@ -156,7 +156,8 @@
     }
     record = std::move(snapshot.value());
   }
-  // If the append fails, another instance appends its own when it is due.
+  // If the append fails, another instance appends a snapshot when its own is
+  // due.
   const auto appended = Append(record, mClock.Now() + mOptions.mAppendTimeout);
   static_cast<void>(appended);
 }
@@ -167,8 +168,8 @@
 {
   const auto offset =
     mLog.Append(kStream, catalog::FormatConfigRecord(aRecord), aDeadline);
-  // Only reading can tell whether a write with a lost answer took effect, so
-  // the outcome is waited for in both cases.
+  // If the answer was lost, only reading the stream shows whether the append
+  // took effect, so the stream is read in both cases.
   if (!offset && offset.error().mKind != ErrorKind::AnswerLost) {
     return offset.error();
   }
@@ -212,11 +213,11 @@
     outcome = mState.FindVerdict(aRecord.mIdentity.mWriter,
                                  aRecord.mIdentity.mSequence);
     const catalog::Version current = mState.CurrentVersion();
-    // A record that was not among those read cannot win any more once its base
-    // version has been replaced, whether or not its append took effect.
+    // Once its base version has been replaced, a record that has not been read
+    // yet can no longer take effect, whether or not it was appended.
     if (!outcome && mState.IsComplete() && current > aRecord.mBaseVersion) {
       return MakeError(ErrorKind::VersionConflict,
-                       "beaten by version " + std::to_string(current));
+                       "conflicts with version " + std::to_string(current));
     }
     const base::TimePoint now = mClock.Now();
     if (outcome || now >= aDeadline || mStopping) {
@@ -229,14 +230,16 @@
       std::min<base::Duration>(std::chrono::milliseconds(50), aDeadline - now));
   }
   if (!outcome) {
-    return MakeError(ErrorKind::AnswerLost,
-                     "the log has not shown the publish; check the version");
+    return MakeError(
+      ErrorKind::AnswerLost,
+      "the outcome of the publish is unknown; check the current version");
   }
   if (outcome->mResult == catalog::ApplyResult::Published) {
     return outcome->mVersion;
   }
   return MakeError(ErrorKind::VersionConflict,
-                   "beaten by version " + std::to_string(outcome->mVersion));
+                   "conflicts with version " +
+                     std::to_string(outcome->mVersion));
 }
 
 ConfigView
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -114,12 +114,12 @@
   const auto& holderSettings = aSettings.mHolder;
   options.mLease.mLeaseLength = milliseconds(holderSettings.mLeaseMs);
   options.mLease.mRenewInterval = milliseconds(holderSettings.mPollMs);
-  // Every instance of the domain scans every worker that it does not hold, so
-  // scans are rarer than the holder's polls.
+  // Every instance of the failure domain scans all workers that it does not
+  // hold, so scans are less frequent than the holder's polls.
   options.mLease.mScanInterval = milliseconds(holderSettings.mLeaseMs) / 2;
   options.mLease.mClockMargin = milliseconds(holderSettings.mClockMarginMs);
-  // A worker that restarts forgets its leases; the old holder's renewal puts
-  // its own back up to a lease length and a message delay later.
+  // A restarted worker has forgotten its leases; a renewal by the previous
+  // holder may restore one up to a lease length plus a message delay later.
   options.mLease.mQuietPeriod =
     milliseconds(holderSettings.mLeaseMs + holderSettings.mMaxMessageDelayMs);
   options.mLease.mTakeoverDelay = milliseconds(holderSettings.mTakeoverDelayMs);
@@ -147,7 +147,8 @@
                    std::uint64_t aIncarnation)
 {
   RequestServiceOptions options;
-  // Claims of an earlier incarnation are not this one's.
+  // Includes the incarnation, so that this process does not own the claims of
+  // an earlier one.
   options.mInstance = { aWriter };
   options.mIncarnation = aIncarnation;
   options.mStandingLimit = aSettings.mRequests.mStandingLimit;
@@ -253,10 +254,11 @@
       mClock.Now() + milliseconds(mSettings.mDrain.mDeadlineMs);
     mPeers.AnnounceLeaving();
     mRequests.StopAccepting();
-    // The load balancer still sends requests until it has noticed; they are
+    // Until the load balancer notices, it still sends requests, which are
     // answered as usual.
     Sleep(milliseconds(mSettings.mDrain.mBalancerNoticeMs));
-    // No request in flight is cut, however long it takes.
+    // Requests in flight are never aborted; exceeding the deadline only logs a
+    // warning.
     bool isOverdue = false;
     while (mRequests.CountInProgress() > 0) {
       if (!isOverdue && mClock.Now() >= deadline) {
@@ -320,6 +322,7 @@
     std::this_thread::sleep_for(aTime);
   }
 
+  /// Returns false if the process is stopping.
   bool SleepUnlessStopping(base::Duration aTime)
   {
     std::unique_lock lock(mMutex);
@@ -386,8 +389,8 @@
     } while (SleepUnlessStopping(kWorkerListInterval));
   }
 
-  // Agents of workers that left the list stay: a worker that returns is polled
-  // again, and its lost attempts can be ended.
+  // Agents of workers that have left the list are kept, so that a returning
+  // worker is polled again and the attempts of a lost one can be ended.
   void UpdateWorkers()
   {
     const base::DomainId domain{ mSettings.mInstance.mDomain };
@@ -440,7 +443,7 @@
   void RefreshGrants(WorkerAgent& aAgent)
   {
     const base::TimePoint now = mClock.Now();
-    // Read before the grants, so that these are at least as new.
+    // Read before the grants, so that the grants are at least as new.
     const platform::Offset position = mState.Position();
     const base::TimePoint caughtUpTime = mState.CaughtUpTime();
     {
@@ -466,7 +469,7 @@
                               mPeers.LiveEntryInstances(),
                               journal::GetSystemWallClock().NowMs());
       if (!records.empty()) {
-        // A snapshot that is not written is planned again later.
+        // A snapshot whose append fails is planned again later.
         const auto offset =
           mJournal.Submit(records, mClock.Now() + kSnapshotTimeout);
         static_cast<void>(offset);
--- a/src/entry/peer_network.cpp
+++ b/src/entry/peer_network.cpp
@@ -19,6 +19,7 @@
 constexpr const char* kConfigStream = "config";
 constexpr std::size_t kStatePageBytes = std::size_t{ 256 } << 10U;
 constexpr base::Duration kMessageTimeout = std::chrono::seconds(5);
+/// Low bits of a packed timestamp that hold the logical counter.
 constexpr unsigned kLogicalBits = 12;
 
 std::uint64_t
@@ -278,8 +279,8 @@
   FetchConfigIfNewer(aMessage, aReceived.mFrom);
 }
 
-// The log is the first source of a newer set; a peer is asked only while the
-// set that this instance has read is older than the peer's.
+// A newer set normally arrives through the log; a peer is asked only while its
+// version is newer than the one read by this instance.
 void
 PeerNetwork::FetchConfigIfNewer(const peer::Heartbeat& aHeartbeat,
                                 const peer::PeerAddress& aPeer)
@@ -440,7 +441,8 @@
 {
   const auto address = AddressOf(aPeer);
   if (!address) {
-    return MakeError(ErrorKind::WorkerUnavailable, "peer is gone");
+    return MakeError(ErrorKind::WorkerUnavailable,
+                     "the address of the peer is unknown");
   }
   peer::ForwardRequest message;
   message.mOrigin = mOptions.mSelf.mInstance;
@@ -480,7 +482,8 @@
   static_cast<void>(sent);
 }
 
-// A claimant is "name/incarnation"; a restarted process has another one.
+// A claimant has the form "name/incarnation"; a restarted process has a new
+// incarnation.
 bool
 PeerNetwork::IsAlive(const base::InstanceId& aClaimant) const
 {
--- a/src/entry/record_appender.cpp
+++ b/src/entry/record_appender.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// One submission waits until its records are read back; several in progress
-// keep records from waiting behind it.
+// A submission blocks until its records have been read back; with several
+// threads, other records need not wait for it.
 constexpr int kAppendThreads = 4;
 constexpr base::Duration kSubmitTimeout = std::chrono::seconds(5);
 constexpr std::size_t kMaxRecordsPerSubmission = 200;
@@ -83,9 +83,9 @@
   }
 }
 
-// A copy of a record whose answer was lost may still be appended, so nothing
-// else may be decided about its attempt. Sending it again is safe: the first
-// copy counts and the others are dropped by their rules.
+// If the answer was lost, the records may still be appended, so no other
+// decision may be made about their attempts. Appending them again is safe: only
+// the first copy of a record takes effect, and readers ignore the others.
 void
 RecordAppender::FinishBatch(std::vector<QueuedRecord> aBatch,
                             const base::Result<platform::Offset>& aResult)
--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -19,21 +19,24 @@
 
 namespace {
 
-// Requests that are held open for longer than this are standing requests.
+// A request whose deadline is further away than this counts as a standing
+// request.
 constexpr base::Duration kStandingThreshold = std::chrono::seconds(30);
-// A worker whose polls were unanswered for three intervals of the default
-// 500 ms gets no new requests, well before the holder lease ends.
+// Three poll intervals at the default of 500 ms. A worker without a report for
+// this long gets no new requests, well before the holder lease ends.
 constexpr base::Duration kMaxReportAge = std::chrono::milliseconds(1500);
 constexpr base::Duration kSlotCheckInterval = std::chrono::milliseconds(5);
-// A service whose latency is not known yet is hedged after this share of the
-// deadline; without a hedge one silent worker would use up all of it.
+// While the latency of a service is unknown, a hedge is sent after a third of
+// the time to the deadline; without one, an unresponsive worker would use up
+// all of it.
 constexpr int kHedgeDeadlineDivisor = 3;
 constexpr base::Duration kClaimCheckInterval = std::chrono::milliseconds(50);
 constexpr base::Duration kCatchUpTimeout = std::chrono::milliseconds(250);
 constexpr base::Duration kOutcomeAppendTimeout = std::chrono::seconds(10);
 constexpr std::size_t kMaxInlineBodyBytes = 4096;
 
-// NotHolder and NoCapacity come from this process, before anything was sent.
+// NotHolder and NoCapacity are errors of this process: nothing was sent to the
+// worker.
 base::Error
 ToAttemptError(const base::Error& aError)
 {
@@ -72,7 +75,7 @@
   {
   }
 
-  /// Hands an event to the driving thread; false if the request has ended.
+  /// Queues an event for the driving thread; false if the request has ended.
   bool Post(requests::RequestEvent aEvent)
   {
     const std::lock_guard lock(mMutex);
@@ -89,7 +92,8 @@
   std::optional<RequestResult> mResult;
   /// Targets of the attempts that count as in flight, by attempt number.
   std::map<std::int64_t, requests::Target> mTargets;
-  /// What the caller was told; other requests with the key wait for it.
+  /// The result returned to the caller; other requests with the same key wait
+  /// for it.
   std::optional<RequestResult> mFinalResult;
 };
 
@@ -165,9 +169,11 @@
                           status.mLocation.mWorker.mValue };
     candidate.mFreeSlots =
       std::min(status.mFreeCalls.mSlots, status.mFreeCalls.mConnections);
-    // The ledger counts the calls in flight itself.
+    // The free slots are current: the ledger already counts the calls in
+    // flight.
     candidate.mReportedAt = base::kNoDeadline;
-    // The platform's list and gossip may know it before the worker reports it.
+    // The platform's list or a peer may know that the worker is leaving before
+    // the worker reports it.
     candidate.mLeaving =
       status.mLeaving || !mPeers.IsEligible(status.mLocation.mWorker);
     const bool hasStaleReport =
@@ -260,8 +266,8 @@
     return AwaitResult(existing, aRequest.mDeadline);
   }
   RequestResult result = RunSession(session, startedAt);
-  // Refusing a repeat of a key whose first send may have run must not be
-  // reported as "not run".
+  // If an earlier request with the key may have run, refusing this one must not
+  // be reported as "not run".
   if (!aRequest.mIdempotent && !aIsFirstSend &&
       result.mOutcome == Outcome::NotRun &&
       !IsKeyUnused(aRequest.mId, startedAt)) {
@@ -320,8 +326,9 @@
            : requests::MakeUnknown(MakeError(ErrorKind::OutcomeUnknown));
 }
 
-// A recorded outcome is the request's own. Otherwise the key must be unknown
-// in everything that was appended before the request arrived.
+// True if no request with the key can have run: either its recorded outcome
+// says so, or no other instance claimed the key in any record appended before
+// the request arrived.
 bool
 RequestService::IsKeyUnused(const base::RequestId& aKey,
                             TimePoint aArrivedAt) const
@@ -401,8 +408,9 @@
   }
 }
 
-// A first attempt waits for a slot: the admission queue bounds how many wait.
-// Later attempts do not, because an earlier one may still answer.
+// The first attempt waits for a free slot; the admission queue limits how many
+// requests wait. Later attempts do not wait, because an earlier one may still
+// answer.
 void
 RequestService::PickTarget(const SessionPtr& aSession,
                            const requests::PickTarget& aAction)
@@ -487,8 +495,8 @@
   }
 }
 
-// Another call may take the last slot between the choice of the worker and the
-// call. Nothing was sent then, and the attempt waits for the next slot.
+// Another call may take the last slot after the worker was chosen. In that case
+// nothing was sent, and the attempt waits for the next free slot.
 base::Result<std::string>
 RequestService::CallWhenSlotFree(WorkerAgent& aAgent,
                                  const requests::Request& aRequest,
@@ -516,7 +524,7 @@
 {
   const requests::Request& request = aSession->mMachine.GetRequest();
   base::Result<std::string> body =
-    MakeError(ErrorKind::WorkerUnavailable, "worker is gone");
+    MakeError(ErrorKind::WorkerUnavailable, "the worker is no longer known");
   if (const auto agent = mWorkers.Find({ aAction.mTarget.mName })) {
     body =
       CallWhenSlotFree(*agent, request, aAction.mAttempt, aAction.mDeadline);
@@ -590,8 +598,8 @@
         key.mClaimant == mOptions.mInstance &&
         key.mClaimedAt == offset.value()) {
       if (!aSession->Post(requests::IntentWon{})) {
-        // The caller was told Unknown at its deadline. Nothing was sent, so a
-        // later lookup of the key gets the definite outcome.
+        // The caller already got Unknown at its deadline. Nothing was sent to a
+        // worker, so NotRun is recorded for later lookups of the key.
         AppendOutcome(
           request,
           requests::MakeNotRun(MakeError(ErrorKind::DeadlineExceeded)));
@@ -601,8 +609,8 @@
     WatchClaim(aSession);
     return;
   }
-  // With a lost answer the intent may still take effect; the machine then ends
-  // the request as unknown at its deadline.
+  // If the answer was lost, the intent may still take effect; the request
+  // machine then ends the request as unknown at its deadline.
   if (!offset && offset.error().mKind != ErrorKind::AnswerLost) {
     aSession->Post(requests::LogUnavailable{});
   }
@@ -629,7 +637,7 @@
 }
 
 // The caller is answered before the outcome is in the log: the intent alone
-// keeps the key from being run again.
+// prevents another run of the key.
 void
 RequestService::AppendOutcome(const requests::Request& aRequest,
                               const RequestResult& aResult)
@@ -666,7 +674,8 @@
     case requests::KeyState::Claimed:
       if (!mPeers.IsAlive(key.mClaimant)) {
         return std::optional<RequestResult>(requests::MakeUnknown(
-          MakeError(ErrorKind::OutcomeUnknown, "the claimant is gone")));
+          MakeError(ErrorKind::OutcomeUnknown,
+                    "the instance that claimed the key is gone")));
       }
       return std::optional<RequestResult>();
     case requests::KeyState::Unknown:
@@ -722,12 +731,13 @@
 {
   const requests::ForwardedAttempt& attempt = aAction.mAttempt;
   const requests::Request& request = attempt.mRequest;
-  requests::WorkerFinished finished{ attempt.mOrigin,
-                                     attempt.mOriginIncarnation,
-                                     request.mId,
-                                     attempt.mAttempt,
-                                     MakeError(ErrorKind::WorkerUnavailable,
-                                               "worker is gone") };
+  requests::WorkerFinished finished{
+    attempt.mOrigin,
+    attempt.mOriginIncarnation,
+    request.mId,
+    attempt.mAttempt,
+    MakeError(ErrorKind::WorkerUnavailable, "the worker is no longer known")
+  };
   if (const auto agent = mWorkers.Find(aAction.mWorker)) {
     auto body =
       CallWhenSlotFree(*agent, request, attempt.mAttempt, request.mDeadline);
--- a/src/entry/service_admission.cpp
+++ b/src/entry/service_admission.cpp
@@ -8,11 +8,12 @@
 namespace {
 
 constexpr base::Duration kQueueCheckInterval = std::chrono::milliseconds(20);
-// A step up weighs 19 times a step down, so that the estimate settles near the
-// 95th percentile.
+// Size of an upward step of the latency estimate, relative to the larger of
+// sample and estimate. Downward steps are 19 times smaller, so that the
+// estimate settles near the 95th percentile.
 constexpr double kEstimateStepRatio = 0.02;
 constexpr double kUpDownRatio = 19.0;
-// Below this delay a hedge is sent before most answers can have arrived.
+// With a shorter delay, hedges would be sent before most answers can arrive.
 constexpr base::Duration kMinHedgeDelay = std::chrono::milliseconds(10);
 constexpr std::int64_t kMinHedgeSamples = 50;
 
@@ -88,8 +89,7 @@
   AdmitQueued();
 }
 
-// The time of a request that was refused or lost says nothing about the
-// service.
+// The time of a request that was refused or lost does not measure the service.
 void
 ServiceAdmission::RecordServiceTime(base::Duration aServiceTime,
                                     bool aCompleted)
--- a/src/entry/task_service.cpp
+++ b/src/entry/task_service.cpp
@@ -115,14 +115,15 @@
   spec.mPayload = aSubmission.mPayload;
   if (!base::IsNonNegative(spec.mDeclared) ||
       spec.mDeclared.mMilliProcessors == 0) {
-    return MakeError(ErrorKind::InvalidArgument,
-                     "resources must not be negative, processors not zero");
+    return MakeError(
+      ErrorKind::InvalidArgument,
+      "resources must not be negative; milli_processors must not be 0");
   }
   if (!base::Fits(spec.mDeclared,
                   catalog::BatchRoomPerWorker(aSet, batchClass->mPool))) {
     return MakeError(ErrorKind::Infeasible,
                      "no worker of pool '" + batchClass->mPool +
-                       "' can ever hold the task");
+                       "' is large enough for the task");
   }
   if (!base::Fits(spec.mDeclared, team->mQuota)) {
     return MakeError(ErrorKind::QuotaExceeded,
--- a/src/entry/thread_pool.cpp
+++ b/src/entry/thread_pool.cpp
@@ -21,8 +21,8 @@
   }
 }
 
-// A function never waits in the queue behind a busy thread: an attempt that
-// starts late has lost part of its deadline.
+// Functions are never queued behind busy threads, because an attempt that
+// starts late has less time until its deadline.
 bool
 ThreadPool::TrySubmit(std::function<void()> aFunction)
 {
--- a/src/entry/worker_agent.cpp
+++ b/src/entry/worker_agent.cpp
@@ -13,9 +13,11 @@
 
 namespace {
 
-// Acquiring a worker takes three rounds: place, read, acquired.
+// Acquiring a worker takes three rounds: set the lease, read the holders,
+// report the acquisition.
 constexpr int kMaxLeaseRounds = 6;
-/// A call without an answer for this long counts against its worker.
+/// A call that exceeds its deadline counts as a fault of the worker only if it
+/// was unanswered for this long.
 constexpr base::Duration kUnresponsiveAfter = std::chrono::milliseconds(500);
 
 base::TaskId
@@ -120,7 +122,7 @@
 void
 WorkerAgent::Perform(const holder::RemoveLease& aAction)
 {
-  // The lease ends by itself if the removal is lost.
+  // If the removal is lost, the lease expires.
   const auto ignored =
     mRemoteWorker->RemoveHolderLease(aAction.mToken, aAction.mDeadline);
   static_cast<void>(ignored);
@@ -223,8 +225,8 @@
 WorkerAgent::SendCommand(const holder::Command& aCommand)
 {
   {
-    // The deadline is checked right before the send: the thread may have been
-    // paused since the command was decided.
+    // The deadline is checked right before sending, because the thread may have
+    // been paused since the command was created.
     const std::lock_guard lock(mMutex);
     if (!mLease.MaySendCommands(mClock.Now()) ||
         mLease.Token() != aCommand.mHeader.mToken) {
@@ -335,8 +337,8 @@
     if (!mRunner || mReleasing || !mRunner->MaySendCalls(now)) {
       return MakeError(ErrorKind::NotHolder);
     }
-    // A call that has started may outlive the holder lease; only its start is
-    // bound to it.
+    // Only the start of a call must fall within the holder lease; a running
+    // call may outlast it.
     header.mToken = mLease.Token();
     header.mNotAfter = mLease.Clock().ToEarliestWorkerTime(
       std::min(aDeadline, mLease.Deadline()));
@@ -382,9 +384,9 @@
   }
 }
 
-// A refusal says that the worker is full, and a deadline that ran out quickly
-// says more about the caller than about the worker. Counting either would open
-// the breakers of all workers at the peak of a swing.
+// A refusal means that the worker is full, and a deadline that is exceeded
+// quickly was set too short by the caller. Counting either would open the
+// breakers of all workers at peak load.
 bool
 WorkerAgent::IsWorkerFault(ErrorKind aKind, base::TimePoint aSentAt) const
 {
