--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -19,21 +19,24 @@
 
 namespace {
 
-// Requests that are held open for longer than this are standing requests.
+// A request whose deadline is further away than this counts as a standing
+// request.
 constexpr base::Duration kStandingThreshold = std::chrono::seconds(30);
-// A worker whose polls were unanswered for three intervals of the default
-// 500 ms gets no new requests, well before the holder lease ends.
+// Three poll intervals at the default of 500 ms. A worker without a report for
+// this long gets no new requests, well before the holder lease ends.
 constexpr base::Duration kMaxReportAge = std::chrono::milliseconds(1500);
 constexpr base::Duration kSlotCheckInterval = std::chrono::milliseconds(5);
-// A service whose latency is not known yet is hedged after this share of the
-// deadline; without a hedge one silent worker would use up all of it.
-constexpr int kUnmeasuredHedge = 3;
+// While the latency of a service is unknown, a hedge is sent after a third of
+// the time to the deadline; without one, an unresponsive worker would use up
+// all of it.
+constexpr int kHedgeDeadlineDivisor = 3;
 constexpr base::Duration kClaimCheckInterval = std::chrono::milliseconds(50);
 constexpr base::Duration kCatchUpTimeout = std::chrono::milliseconds(250);
-constexpr base::Duration kOutcomeTimeout = std::chrono::seconds(10);
-constexpr std::size_t kMaxInlineBody = 4096;
+constexpr base::Duration kOutcomeAppendTimeout = std::chrono::seconds(10);
+constexpr std::size_t kMaxInlineBodyBytes = 4096;
 
-// NotHolder and NoCapacity come from this process, before anything was sent.
+// NotHolder and NoCapacity are errors of this process: nothing was sent to the
+// worker.
 base::Error
 ToAttemptError(const base::Error& aError)
 {
@@ -72,13 +75,13 @@
   {
   }
 
-  /// Hands an event to the driving thread; false if the request has ended.
+  /// Queues an event for the driving thread; false if the request has ended.
   bool Post(requests::RequestEvent aEvent)
   {
     const std::lock_guard lock(mMutex);
     mEvents.push_back(std::move(aEvent));
     mChanged.notify_all();
-    return !mFinal;
+    return !mFinalResult;
   }
 
   std::mutex mMutex;
@@ -89,17 +92,18 @@
   std::optional<RequestResult> mResult;
   /// Targets of the attempts that count as in flight, by attempt number.
   std::map<std::int64_t, requests::Target> mTargets;
-  /// What the caller was told; other requests with the key wait for it.
-  std::optional<RequestResult> mFinal;
+  /// The result returned to the caller; other requests with the same key wait
+  /// for it.
+  std::optional<RequestResult> mFinalResult;
 };
 
 RequestService::RequestService(RequestServiceOptions aOptions,
                                const base::Clock& aClock,
-                               WorkerPool& aWorkers,
+                               WorkerManager& aWorkers,
                                const ConfigService& aConfig,
                                journal::JournalService& aJournal,
                                const journal::SiteState& aState,
-                               PeerPort& aPeers,
+                               PeerClient& aPeers,
                                const Instruments& aInstruments)
   : mOptions(std::move(aOptions))
   , mClock(aClock)
@@ -109,11 +113,11 @@
   , mState(aState)
   , mPeers(aPeers)
   , mInstruments(aInstruments)
-  , mPicker(requests::CreateTwoChoicesTargetPicker())
+  , mTargetPicker(requests::CreateTwoChoicesTargetPicker())
   , mRandom(base::CreateSystemRandom())
-  , mForwarder(*mPicker, mInFlight, aClock, *mRandom)
-  , mSeeds(base::CreateSystemRandom())
-  , mExecutor(mOptions.mThreads)
+  , mForwarder(*mTargetPicker, mInFlight, aClock, *mRandom)
+  , mSeedSource(base::CreateSystemRandom())
+  , mThreadPool(mOptions.mMaxThreads)
 {
 }
 
@@ -126,13 +130,13 @@
   return aConfig.mSet->FindAs<catalog::Service>(aName);
 }
 
-ServiceLane&
-RequestService::Lane(const std::string& aService)
+ServiceAdmission&
+RequestService::AdmissionFor(const std::string& aService)
 {
-  const std::lock_guard lock(mLanesMutex);
-  auto& lane = mLanes[aService];
-  if (lane == nullptr) {
-    ServiceLaneOptions options;
+  const std::lock_guard lock(mAdmissionsMutex);
+  auto& admission = mAdmissions[aService];
+  if (admission == nullptr) {
+    ServiceAdmissionOptions options;
     options.mQueue.mMaxStanding =
       static_cast<std::size_t>(mOptions.mStandingLimit);
     const ConfigView config = mConfig.Current();
@@ -141,13 +145,13 @@
         static_cast<std::size_t>(service->mQueueLimit);
     }
     options.mRetryBudget.mRetryPercent = mOptions.mRetryBudgetPercent;
-    lane = std::make_unique<ServiceLane>(options, mClock);
+    admission = std::make_unique<ServiceAdmission>(options, mClock);
   }
-  return *lane;
+  return *admission;
 }
 
 std::vector<Candidate>
-RequestService::OwnCandidates(const std::string& aService) const
+RequestService::HeldWorkerCandidates(const std::string& aService) const
 {
   const ConfigView config = mConfig.Current();
   const auto* service = FindService(config, aService);
@@ -157,21 +161,24 @@
   }
   for (const auto& it : mWorkers.All()) {
     const WorkerStatus status = it->Status();
-    if (!status.mHeld || !Serves(*config.mSet, *service, status.mPlace)) {
+    if (!status.mHeld || !Serves(*config.mSet, *service, status.mLocation)) {
       continue;
     }
     Candidate candidate;
     candidate.mTarget = { TargetKind::HeldWorker,
-                          status.mPlace.mWorker.mValue };
+                          status.mLocation.mWorker.mValue };
     candidate.mFreeSlots =
       std::min(status.mFreeCalls.mSlots, status.mFreeCalls.mConnections);
-    // The ledger counts the calls in flight itself.
+    // The free slots are current: the ledger already counts the calls in
+    // flight.
     candidate.mReportedAt = base::kNoDeadline;
-    // The platform's list and gossip may know it before the worker reports it.
+    // The platform's list or a peer may know that the worker is leaving before
+    // the worker reports it.
     candidate.mLeaving =
-      status.mLeaving || !mPeers.IsEligible(status.mPlace.mWorker);
-    const bool isSilent = mClock.Now() - status.mReportedAt > kMaxReportAge;
-    candidate.mBreakerOpen = !status.mAdmitsCalls || isSilent;
+      status.mLeaving || !mPeers.IsEligible(status.mLocation.mWorker);
+    const bool hasStaleReport =
+      mClock.Now() - status.mReportedAt > kMaxReportAge;
+    candidate.mBreakerOpen = !status.mAdmitsCalls || hasStaleReport;
     candidates.push_back(std::move(candidate));
   }
   return candidates;
@@ -183,7 +190,7 @@
   std::map<std::string, std::int64_t> slots;
   const ConfigView config = mConfig.Current();
   config.mSet->ForEach<catalog::Service>([&](const catalog::Service& aService) {
-    for (const auto& it : OwnCandidates(aService.mName)) {
+    for (const auto& it : HeldWorkerCandidates(aService.mName)) {
       if (!it.mLeaving && !it.mBreakerOpen) {
         slots[aService.mName] += std::max<std::int64_t>(0, it.mFreeSlots);
       }
@@ -212,7 +219,7 @@
 }
 
 std::int64_t
-RequestService::SlotsInReach(const std::string& aService) const
+RequestService::ReachableSlots(const std::string& aService) const
 {
   std::int64_t slots = 0;
   for (const auto& it : mWorkers.All()) {
@@ -235,31 +242,32 @@
     return requests::MakeNotRun(
       MakeError(ErrorKind::NotFound, "no service '" + aRequest.mService + "'"));
   }
-  ServiceLane& lane = Lane(aRequest.mService);
+  ServiceAdmission& admission = AdmissionFor(aRequest.mService);
   requests::RequestMachineOptions options;
   options.mMaxAttempts = service->mMaxAttempts;
-  options.mHedgeDelay = lane.HedgeDelay();
+  options.mHedgeDelay = admission.HedgeDelay();
   if (options.mHedgeDelay.count() == 0) {
-    options.mHedgeDelay = (aRequest.mDeadline - startedAt) / kUnmeasuredHedge;
+    options.mHedgeDelay =
+      (aRequest.mDeadline - startedAt) / kHedgeDeadlineDivisor;
   }
   SessionPtr session;
-  SessionPtr earlier;
+  SessionPtr existing;
   {
     const std::lock_guard lock(mSessionsMutex);
-    SessionPtr& slot = mSessions[aRequest.mId];
-    earlier = slot;
-    if (earlier == nullptr) {
-      slot = std::make_shared<Session>(
-        aRequest, options, lane.Budget(), mClock, mSeeds->Next());
-      session = slot;
+    SessionPtr& stored = mSessions[aRequest.mId];
+    existing = stored;
+    if (existing == nullptr) {
+      stored = std::make_shared<Session>(
+        aRequest, options, admission.Budget(), mClock, mSeedSource->Next());
+      session = stored;
     }
   }
-  if (earlier != nullptr) {
-    return Attach(earlier, aRequest.mDeadline);
+  if (existing != nullptr) {
+    return AwaitResult(existing, aRequest.mDeadline);
   }
   RequestResult result = RunSession(session, startedAt);
-  // Refusing a repeat of a key whose first send may have run must not be
-  // reported as "not run".
+  // If an earlier request with the key may have run, refusing this one must not
+  // be reported as "not run".
   if (!aRequest.mIdempotent && !aIsFirstSend &&
       result.mOutcome == Outcome::NotRun &&
       !IsKeyUnused(aRequest.mId, startedAt)) {
@@ -270,7 +278,7 @@
   }
   {
     const std::lock_guard lock(session->mMutex);
-    session->mFinal = result;
+    session->mFinalResult = result;
     session->mChanged.notify_all();
   }
   {
@@ -286,17 +294,17 @@
 {
   const requests::Request& request = aSession->mMachine.GetRequest();
   const bool isStanding = request.mDeadline - aArrivedAt > kStandingThreshold;
-  ServiceLane& lane = Lane(request.mService);
+  ServiceAdmission& admission = AdmissionFor(request.mService);
   const auto admitted =
-    lane.Enter(request, isStanding, SlotsInReach(request.mService));
+    admission.Acquire(request, isStanding, ReachableSlots(request.mService));
   if (!admitted) {
     return requests::MakeNotRun(admitted.error());
   }
   const TimePoint admittedAt = mClock.Now();
   RequestResult result = Drive(aSession);
-  lane.Leave(isStanding,
-             mClock.Now() - admittedAt,
-             result.mOutcome == Outcome::Completed);
+  admission.Release(isStanding,
+                    mClock.Now() - admittedAt,
+                    result.mOutcome == Outcome::Completed);
   const std::lock_guard lock(mForwardMutex);
   const std::lock_guard sessionLock(aSession->mMutex);
   for (const auto& it : aSession->mTargets) {
@@ -306,19 +314,21 @@
 }
 
 RequestResult
-RequestService::Attach(const SessionPtr& aSession, TimePoint aDeadline) const
+RequestService::AwaitResult(const SessionPtr& aSession,
+                            TimePoint aDeadline) const
 {
   std::unique_lock lock(aSession->mMutex);
-  while (!aSession->mFinal && mClock.Now() < aDeadline) {
+  while (!aSession->mFinalResult && mClock.Now() < aDeadline) {
     aSession->mChanged.wait_for(lock, kClaimCheckInterval);
   }
-  return aSession->mFinal
-           ? *aSession->mFinal
+  return aSession->mFinalResult
+           ? *aSession->mFinalResult
            : requests::MakeUnknown(MakeError(ErrorKind::OutcomeUnknown));
 }
 
-// A recorded outcome is the request's own. Otherwise the key must be unknown
-// in everything that was appended before the request arrived.
+// True if no request with the key can have run: either its recorded outcome
+// says so, or no other instance claimed the key in any record appended before
+// the request arrived.
 bool
 RequestService::IsKeyUnused(const base::RequestId& aKey,
                             TimePoint aArrivedAt) const
@@ -327,10 +337,12 @@
   if (key.mState == requests::KeyState::Finished) {
     return key.mOutcome->mOutcome == Outcome::NotRun;
   }
-  const bool isOwn = key.mClaimant == mOptions.mInstance;
-  const bool isOpen = key.mState == requests::KeyState::Unknown || isOwn;
-  return isOpen && mState.WaitUntilCaughtUp(
-                     aArrivedAt, mClock, mClock.Now() + kCatchUpTimeout);
+  const bool isOwnClaim = key.mClaimant == mOptions.mInstance;
+  const bool isUnclaimedByOthers =
+    key.mState == requests::KeyState::Unknown || isOwnClaim;
+  return isUnclaimedByOthers &&
+         mState.WaitUntilCaughtUp(
+           aArrivedAt, mClock, mClock.Now() + kCatchUpTimeout);
 }
 
 RequestResult
@@ -383,9 +395,9 @@
   } else if (const auto* send = std::get_if<requests::SendAttempt>(&aAction)) {
     SendAttempt(aSession, *send);
   } else if (std::holds_alternative<requests::AppendIntent>(aAction)) {
-    const bool isRunning =
-      mExecutor.TrySubmit([this, aSession] { AppendIntent(aSession); });
-    if (!isRunning) {
+    const bool isSubmitted =
+      mThreadPool.TrySubmit([this, aSession] { AppendIntent(aSession); });
+    if (!isSubmitted) {
       aSession->Post(requests::LogUnavailable{});
     }
   } else if (const auto* outcome =
@@ -396,22 +408,24 @@
   }
 }
 
-// A first attempt waits for a slot: the admission queue bounds how many wait.
-// Later attempts do not, because an earlier one may still answer.
+// The first attempt waits for a free slot; the admission queue limits how many
+// requests wait. Later attempts do not wait, because an earlier one may still
+// answer.
 void
 RequestService::PickTarget(const SessionPtr& aSession,
                            const requests::PickTarget& aAction)
 {
   const requests::Request& request = aSession->mMachine.GetRequest();
   while (true) {
-    std::vector<Candidate> candidates = OwnCandidates(request.mService);
+    std::vector<Candidate> candidates = HeldWorkerCandidates(request.mService);
     for (auto& it : mPeers.Candidates(request.mService)) {
       candidates.push_back(std::move(it));
     }
     std::optional<requests::Target> target;
     {
       const std::lock_guard lock(mForwardMutex);
-      target = mPicker->Pick(candidates, aAction.mTried, mInFlight, *mRandom);
+      target =
+        mTargetPicker->Pick(candidates, aAction.mTried, mInFlight, *mRandom);
     }
     if (target) {
       aSession->Post(requests::TargetOffered{ *target });
@@ -456,9 +470,9 @@
     ForwardToPeer(aSession, aAction);
     return;
   }
-  const bool isRunning = mExecutor.TrySubmit(
+  const bool isSubmitted = mThreadPool.TrySubmit(
     [this, aSession, aAction] { CallWorker(aSession, aAction); });
-  if (!isRunning) {
+  if (!isSubmitted) {
     {
       const std::lock_guard lock(mForwardMutex);
       EndInFlight(aSession, aAction.mAttempt);
@@ -481,13 +495,13 @@
   }
 }
 
-// Another call may take the last slot between the choice of the worker and the
-// call. Nothing was sent then, and the attempt waits for the next slot.
+// Another call may take the last slot after the worker was chosen. In that case
+// nothing was sent, and the attempt waits for the next free slot.
 base::Result<std::string>
-RequestService::CallWhenFree(WorkerAgent& aAgent,
-                             const requests::Request& aRequest,
-                             std::int64_t aAttempt,
-                             TimePoint aDeadline) const
+RequestService::CallWhenSlotFree(WorkerAgent& aAgent,
+                                 const requests::Request& aRequest,
+                                 std::int64_t aAttempt,
+                                 TimePoint aDeadline) const
 {
   while (true) {
     auto body = aAgent.Call({ aRequest.mId,
@@ -496,8 +510,8 @@
                               aRequest.mBody,
                               aRequest.mIdempotent },
                             aDeadline);
-    const bool isFull = !body && body.error().mKind == ErrorKind::NoCapacity;
-    if (!isFull || mClock.Now() + kSlotCheckInterval >= aDeadline) {
+    const bool hasNoSlot = !body && body.error().mKind == ErrorKind::NoCapacity;
+    if (!hasNoSlot || mClock.Now() + kSlotCheckInterval >= aDeadline) {
       return body;
     }
     std::this_thread::sleep_for(kSlotCheckInterval);
@@ -510,9 +524,10 @@
 {
   const requests::Request& request = aSession->mMachine.GetRequest();
   base::Result<std::string> body =
-    MakeError(ErrorKind::WorkerUnavailable, "worker is gone");
+    MakeError(ErrorKind::WorkerUnavailable, "the worker is no longer known");
   if (const auto agent = mWorkers.Find({ aAction.mTarget.mName })) {
-    body = CallWhenFree(*agent, request, aAction.mAttempt, aAction.mDeadline);
+    body =
+      CallWhenSlotFree(*agent, request, aAction.mAttempt, aAction.mDeadline);
   }
   {
     const std::lock_guard lock(mForwardMutex);
@@ -583,8 +598,8 @@
         key.mClaimant == mOptions.mInstance &&
         key.mClaimedAt == offset.value()) {
       if (!aSession->Post(requests::IntentWon{})) {
-        // The caller was told Unknown at its deadline. Nothing was sent, so a
-        // later lookup of the key gets the definite outcome.
+        // The caller already got Unknown at its deadline. Nothing was sent to a
+        // worker, so NotRun is recorded for later lookups of the key.
         AppendOutcome(
           request,
           requests::MakeNotRun(MakeError(ErrorKind::DeadlineExceeded)));
@@ -594,8 +609,8 @@
     WatchClaim(aSession);
     return;
   }
-  // With a lost answer the intent may still take effect; the machine then ends
-  // the request as unknown at its deadline.
+  // If the answer was lost, the intent may still take effect; the request
+  // machine then ends the request as unknown at its deadline.
   if (!offset && offset.error().mKind != ErrorKind::AnswerLost) {
     aSession->Post(requests::LogUnavailable{});
   }
@@ -622,7 +637,7 @@
 }
 
 // The caller is answered before the outcome is in the log: the intent alone
-// keeps the key from being run again.
+// prevents another run of the key.
 void
 RequestService::AppendOutcome(const requests::Request& aRequest,
                               const RequestResult& aResult)
@@ -632,13 +647,13 @@
   record.mInstance = mOptions.mInstance;
   record.mOutcome = aResult.mOutcome;
   record.mErrorKind = aResult.mError.mKind;
-  record.mBodyOmitted = aResult.mBody.size() > kMaxInlineBody;
+  record.mBodyOmitted = aResult.mBody.size() > kMaxInlineBodyBytes;
   if (!record.mBodyOmitted) {
     record.mBody = aResult.mBody;
   }
-  const bool isRunning = mExecutor.TrySubmit([this, record] {
+  const bool isSubmitted = mThreadPool.TrySubmit([this, record] {
     const auto offset = mJournal.Submit({ requests::KeyRecord{ record } },
-                                        mClock.Now() + kOutcomeTimeout);
+                                        mClock.Now() + kOutcomeAppendTimeout);
     mInstruments.mMetrics
       .GetCounter(
         "skylarkhill_outcomes_total",
@@ -646,7 +661,7 @@
         { { metrics::LabelKey::Outcome, offset ? "appended" : "failed" } })
       .Add();
   });
-  static_cast<void>(isRunning);
+  static_cast<void>(isSubmitted);
 }
 
 base::Result<std::optional<RequestResult>>
@@ -659,7 +674,8 @@
     case requests::KeyState::Claimed:
       if (!mPeers.IsAlive(key.mClaimant)) {
         return std::optional<RequestResult>(requests::MakeUnknown(
-          MakeError(ErrorKind::OutcomeUnknown, "the claimant is gone")));
+          MakeError(ErrorKind::OutcomeUnknown,
+                    "the instance that claimed the key is gone")));
       }
       return std::optional<RequestResult>();
     case requests::KeyState::Unknown:
@@ -671,7 +687,7 @@
 void
 RequestService::OnForwarded(const requests::ForwardedAttempt& aAttempt)
 {
-  const auto candidates = OwnCandidates(aAttempt.mRequest.mService);
+  const auto candidates = HeldWorkerCandidates(aAttempt.mRequest.mService);
   requests::ForwardActions actions;
   {
     const std::lock_guard lock(mForwardMutex);
@@ -680,20 +696,20 @@
       actions.push_back(std::move(it));
     }
   }
-  PerformForward(actions);
+  PerformForwardActions(actions);
 }
 
 void
-RequestService::PerformForward(const requests::ForwardActions& aActions)
+RequestService::PerformForwardActions(const requests::ForwardActions& aActions)
 {
   for (const auto& it : aActions) {
     if (const auto* answer = std::get_if<requests::AnswerOrigin>(&it)) {
-      mPeers.Answer(
+      mPeers.SendResponse(
         answer->mOrigin, answer->mRequest, answer->mAttempt, answer->mResult);
       continue;
     }
     const auto& run = std::get<requests::RunOnWorker>(it);
-    if (!mExecutor.TrySubmit([this, run] { RunForwarded(run); })) {
+    if (!mThreadPool.TrySubmit([this, run] { RunForwarded(run); })) {
       const auto& attempt = run.mAttempt;
       requests::ForwardActions actions;
       {
@@ -705,7 +721,7 @@
             attempt.mAttempt,
             MakeError(ErrorKind::WorkerUnavailable, "no free thread") });
       }
-      PerformForward(actions);
+      PerformForwardActions(actions);
     }
   }
 }
@@ -715,15 +731,16 @@
 {
   const requests::ForwardedAttempt& attempt = aAction.mAttempt;
   const requests::Request& request = attempt.mRequest;
-  requests::WorkerFinished finished{ attempt.mOrigin,
-                                     attempt.mOriginIncarnation,
-                                     request.mId,
-                                     attempt.mAttempt,
-                                     MakeError(ErrorKind::WorkerUnavailable,
-                                               "worker is gone") };
+  requests::WorkerFinished finished{
+    attempt.mOrigin,
+    attempt.mOriginIncarnation,
+    request.mId,
+    attempt.mAttempt,
+    MakeError(ErrorKind::WorkerUnavailable, "the worker is no longer known")
+  };
   if (const auto agent = mWorkers.Find(aAction.mWorker)) {
     auto body =
-      CallWhenFree(*agent, request, attempt.mAttempt, request.mDeadline);
+      CallWhenSlotFree(*agent, request, attempt.mAttempt, request.mDeadline);
     if (body) {
       finished.mBody = std::move(body.value());
     } else {
@@ -735,7 +752,7 @@
     const std::lock_guard lock(mForwardMutex);
     actions = mForwarder.OnWorkerFinished(finished);
   }
-  PerformForward(actions);
+  PerformForwardActions(actions);
 }
 
 void
--- a/src/entry/task_executor.cpp
+++ b/src/entry/thread_pool.cpp
@@ -1,15 +1,15 @@
-#include "skylarkhill/entry/task_executor.hpp"
+#include "skylarkhill/entry/thread_pool.hpp"
 
 #include <utility>
 
 namespace skylarkhill::entry {
 
-TaskExecutor::TaskExecutor(std::size_t aMaxThreads)
+ThreadPool::ThreadPool(std::size_t aMaxThreads)
   : mMaxThreads(aMaxThreads)
 {
 }
 
-TaskExecutor::~TaskExecutor()
+ThreadPool::~ThreadPool()
 {
   {
     const std::lock_guard lock(mMutex);
@@ -21,16 +21,16 @@
   }
 }
 
-// A function never waits in the queue behind a busy thread: an attempt that
-// starts late has lost part of its deadline.
+// Functions are never queued behind busy threads, because an attempt that
+// starts late has less time until its deadline.
 bool
-TaskExecutor::TrySubmit(std::function<void()> aFunction)
+ThreadPool::TrySubmit(std::function<void()> aFunction)
 {
   const std::lock_guard lock(mMutex);
   if (mStopping) {
     return false;
   }
-  if (mQueue.size() >= mIdle) {
+  if (mQueue.size() >= mIdleThreads) {
     if (mThreads.size() >= mMaxThreads) {
       return false;
     }
@@ -42,13 +42,13 @@
 }
 
 void
-TaskExecutor::Run()
+ThreadPool::Run()
 {
   std::unique_lock lock(mMutex);
   while (true) {
-    ++mIdle;
+    ++mIdleThreads;
     mChanged.wait(lock, [this] { return mStopping || !mQueue.empty(); });
-    --mIdle;
+    --mIdleThreads;
     if (mQueue.empty()) {
       return;
     }
