--- a/src/entry/config_service.cpp
+++ b/src/entry/config_service.cpp
@@ -211,7 +211,7 @@
   std::optional<catalog::PublishOutcome> outcome;
   while (!outcome) {
     outcome = mState.FindPublishOutcome(aRecord.mIdentity.mWriter,
-                                 aRecord.mIdentity.mSequence);
+                                        aRecord.mIdentity.mSequence);
     const catalog::Version current = mState.CurrentVersion();
     // Once its base version has been replaced, a record that has not been read
     // yet can no longer take effect, whether or not it was appended.
--- a/src/entry/peer_network.cpp
+++ b/src/entry/peer_network.cpp
@@ -297,8 +297,10 @@
   }
   fetch.mStream = kConfigStream;
   fetch.mCausalClock = PackTimestamp(mInstruments.mHybridClock.Tick());
-  const auto sent = Send(
-    aPeer, fetch, mClock.Now() + kMessageTimeout, peer::AgePolicy::RequireKnown);
+  const auto sent = Send(aPeer,
+                         fetch,
+                         mClock.Now() + kMessageTimeout,
+                         peer::AgePolicy::RequireKnown);
   static_cast<void>(sent);
 }
 
