Rename identifiers of the command line and the timeline

The clock of the timeline is named by its usual term, a hybrid logical clock, and the exit codes by what they mean to the shell.

Files: timeline/causal_clock.hpp -> timeline/hybrid_logical_clock.hpp timeline/causal_clock.cpp -> timeline/hybrid_logical_clock.cpp

timeline: CausalClock -> HybridLogicalClock CausalTime -> HybridTimestamp MatchesId: aWanted -> aFilterId, aFound -> aEventId AddText (event.cpp) -> AddIfNotEmpty known (ParseEvent) -> parsedKind IsSame -> IsDuplicate IsPlain -> NeedsNoQuotes SpanOf -> SpanName AddRow -> AddTraceEvent AddName -> AddMetadata FindProcess -> ProcessIdOf FindThread -> ThreadIdOf mProcesses -> mProcessIds mWorkers (merge.cpp) -> mThreadIds aRow -> aTraceEvent row -> traceEvent aWhat -> aKey aProcess -> aProcessId aThread -> aThreadId process -> processId thread -> threadId next -> newId details -> arguments FiltersAndMergesOnce -> FiltersAndDropsDuplicates WritesTextAndTrace -> FormatsTextAndChromeTrace aError (timeline_test.cpp) -> aOffsetSeconds causal (timeline_test.cpp) -> logicalClock

cli: Command::Describe -> Command::AddOptions ExitCode::Done -> ExitCode::Success ExitCode::Refused -> ExitCode::Failure ExitCode::Usage -> ExitCode::UsageError WantsJson -> IsJsonOutput isLost -> isOutcomeUnknown number (signals) -> signalNumber OptionOr -> OptionOrEmpty Names -> StringList Copy -> CopyOption MakeRequest -> MakeRequestBody MakeTask -> MakeTaskBody

--- a/include/skylarkhill/cli/api_client.hpp
+++ b/include/skylarkhill/cli/api_client.hpp
@@ -43,13 +43,13 @@
 AddCredential(const boost::program_options::variables_map& aOptions,
               http::ClientRequest& aRequest);
 
-/// Prints the response, as JSON or as "name: value" lines, and returns Refused
+/// Prints the response, as JSON or as "name: value" lines, and returns Failure
 /// unless its status is 2xx.
 ExitCode
 PrintResponse(const boost::program_options::variables_map& aOptions,
               const base::Result<http::Response>& aResponse);
 
-/// Prints an error and returns Refused.
+/// Prints an error and returns Failure.
 ExitCode
 PrintError(const boost::program_options::variables_map& aOptions,
            const base::Error& aError);
--- a/include/skylarkhill/cli/command.hpp
+++ b/include/skylarkhill/cli/command.hpp
@@ -15,11 +15,11 @@
 /// Exit codes of every subcommand.
 enum class ExitCode
 {
-  Done = 0,
+  Success = 0,
   /// The request was refused or failed.
-  Refused = 1,
+  Failure = 1,
   /// The command line was wrong.
-  Usage = 2,
+  UsageError = 2,
 };
 
 /// One subcommand.
@@ -31,9 +31,10 @@
   /// One line for the overview.
   virtual std::string_view Summary() const = 0;
   /// Adds the options of this subcommand.
-  virtual void Describe(boost::program_options::options_description& aOptions,
-                        boost::program_options::positional_options_description&
-                          aPositional) const = 0;
+  virtual void AddOptions(
+    boost::program_options::options_description& aOptions,
+    boost::program_options::positional_options_description& aPositional)
+    const = 0;
   virtual ExitCode Run(
     const boost::program_options::variables_map& aOptions) const = 0;
 };
--- a/include/skylarkhill/entry/instruments.hpp
+++ b/include/skylarkhill/entry/instruments.hpp
@@ -11,7 +11,7 @@
 {
   metrics::Registry& mMetrics;
   timeline::Timeline& mTimeline;
-  timeline::CausalClock& mCausalClock;
+  timeline::HybridLogicalClock& mCausalClock;
 };
 
 } // namespace skylarkhill::entry
--- a/include/skylarkhill/timeline/event.hpp
+++ b/include/skylarkhill/timeline/event.hpp
@@ -4,7 +4,7 @@
 #include "skylarkhill/base/error.hpp"
 #include "skylarkhill/base/id.hpp"
 #include "skylarkhill/base/json.hpp"
-#include "skylarkhill/timeline/causal_clock.hpp"
+#include "skylarkhill/timeline/hybrid_logical_clock.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -64,7 +64,7 @@
 {
   EventKind mKind = EventKind::InstanceStarted;
   /// Set when the event is recorded.
-  CausalTime mTime;
+  HybridTimestamp mTime;
   base::RequestId mRequest;
   base::TaskId mTask;
   base::WorkerId mWorker;
--- a/include/skylarkhill/timeline/causal_clock.hpp
+++ b/include/skylarkhill/timeline/hybrid_logical_clock.hpp
@@ -1,5 +1,5 @@
-#ifndef SKYLARKHILL_TIMELINE_CAUSAL_CLOCK_HPP
-#define SKYLARKHILL_TIMELINE_CAUSAL_CLOCK_HPP
+#ifndef SKYLARKHILL_TIMELINE_HYBRID_LOGICAL_CLOCK_HPP
+#define SKYLARKHILL_TIMELINE_HYBRID_LOGICAL_CLOCK_HPP
 
 #include "skylarkhill/base/clock.hpp"
 
@@ -10,7 +10,7 @@
 
 /// A time of the hybrid logical clock. If one event can have caused another,
 /// its time is the smaller one.
-struct CausalTime
+struct HybridTimestamp
 {
   /// Microseconds since 1970 (UTC), at least those of the instance's clock.
   std::int64_t mWallMicros = 0;
@@ -19,28 +19,28 @@
 };
 
 bool
-operator==(const CausalTime& aLeft, const CausalTime& aRight);
+operator==(const HybridTimestamp& aLeft, const HybridTimestamp& aRight);
 bool
-operator<(const CausalTime& aLeft, const CausalTime& aRight);
+operator<(const HybridTimestamp& aLeft, const HybridTimestamp& aRight);
 
 /// The time of the boot since 1970 (UTC) according to the system's clock.
 base::Duration
 ReadBootTime(const base::Clock& aClock);
 
 /// A hybrid logical clock. Thread-safe.
-class CausalClock
+class HybridLogicalClock
 {
 public:
   /// `aBootTime` is the boot of `aClock` since 1970 (UTC). It is read once, so
   /// that steps of the system's clock do not matter.
-  CausalClock(const base::Clock& aClock, base::Duration aBootTime);
+  HybridLogicalClock(const base::Clock& aClock, base::Duration aBootTime);
 
   /// The time of a new event, larger than all before; to be sent along with
   /// messages.
-  CausalTime Tick();
+  HybridTimestamp Tick();
 
   /// Takes note of the time in a received message: later events are larger.
-  void Observe(const CausalTime& aRemote);
+  void Observe(const HybridTimestamp& aRemote);
 
 private:
   std::int64_t ReadWallMicros() const;
@@ -48,9 +48,9 @@
   const base::Clock& mClock;
   const base::Duration mBootTime;
   std::mutex mLock;
-  CausalTime mLast;
+  HybridTimestamp mLast;
 };
 
 } // namespace skylarkhill::timeline
 
-#endif // SKYLARKHILL_TIMELINE_CAUSAL_CLOCK_HPP
+#endif // SKYLARKHILL_TIMELINE_HYBRID_LOGICAL_CLOCK_HPP
--- a/include/skylarkhill/timeline/timeline.hpp
+++ b/include/skylarkhill/timeline/timeline.hpp
@@ -30,7 +30,7 @@
 public:
   Timeline(base::InstanceId aInstance,
            std::size_t aCapacity,
-           CausalClock& aClock);
+           HybridLogicalClock& aClock);
 
   /// Sets the time of the event and keeps it; drops the oldest if the ring is
   /// full.
@@ -41,7 +41,7 @@
 
 private:
   const base::InstanceId mInstance;
-  CausalClock& mClock;
+  HybridLogicalClock& mClock;
   mutable std::mutex mLock;
   boost::circular_buffer<Event> mEvents;
   std::int64_t mDropped = 0;
--- a/src/cli/api_client.cpp
+++ b/src/cli/api_client.cpp
@@ -20,7 +20,7 @@
 constexpr std::int64_t kDefaultTimeoutMs = 15'000;
 
 bool
-WantsJson(const po::variables_map& aOptions)
+IsJsonOutput(const po::variables_map& aOptions)
 {
   return aOptions.count("output") != 0 &&
          aOptions["output"].as<std::string>() == "json";
@@ -94,14 +94,15 @@
   const auto client = http::CreateClient(options, clock);
   auto response =
     client->Call(aRequest, clock.Now() + std::chrono::milliseconds(aTimeoutMs));
-  const bool isLost =
+  const bool isOutcomeUnknown =
     !response && (response.error().mKind == ErrorKind::DeadlineExceeded ||
                   response.error().mKind == ErrorKind::ConnectionLost);
   // The instance may have received the request, whatever the kind's own row
   // in the error table says.
-  return isLost ? base::Result<http::Response>(MakeError(
-                    ErrorKind::OutcomeUnknown, response.error().mDetail))
-                : std::move(response);
+  return isOutcomeUnknown
+           ? base::Result<http::Response>(
+               MakeError(ErrorKind::OutcomeUnknown, response.error().mDetail))
+           : std::move(response);
 }
 
 base::Result<void>
@@ -128,24 +129,24 @@
   }
   const http::Response& response = aResponse.value();
   const auto value = base::ParseJson(response.mBody);
-  if (WantsJson(aOptions) || !value) {
+  if (IsJsonOutput(aOptions) || !value) {
     std::cout << response.mBody << "\n";
   } else {
     PrintFields(value.value());
   }
   const bool isSuccess = response.mStatus >= 200 && response.mStatus < 300;
-  return isSuccess ? ExitCode::Done : ExitCode::Refused;
+  return isSuccess ? ExitCode::Success : ExitCode::Failure;
 }
 
 ExitCode
 PrintError(const po::variables_map& aOptions, const base::Error& aError)
 {
-  if (WantsJson(aOptions)) {
+  if (IsJsonOutput(aOptions)) {
     std::cout << http::FormatErrorBody(aError) << "\n";
   } else {
     std::cerr << base::NameOf(aError.mKind) << ": " << aError.mDetail << "\n";
   }
-  return ExitCode::Refused;
+  return ExitCode::Failure;
 }
 
 base::Result<std::string>
--- a/src/cli/check_command.cpp
+++ b/src/cli/check_command.cpp
@@ -18,8 +18,9 @@
   {
     return "check a set of objects without publishing it";
   }
-  void Describe(po::options_description& aOptions,
-                po::positional_options_description& aPositional) const override
+  void AddOptions(
+    po::options_description& aOptions,
+    po::positional_options_description& aPositional) const override
   {
     aOptions.add_options()(
       "set", po::value<std::string>()->required(), "file with the set (JSON)")(
@@ -40,8 +41,8 @@
       return PrintError(aOptions, reading.error());
     }
     Print(aOptions["output"].as<std::string>() == "json", reading.value());
-    return reading.value().mFindings.empty() ? ExitCode::Done
-                                             : ExitCode::Refused;
+    return reading.value().mFindings.empty() ? ExitCode::Success
+                                             : ExitCode::Failure;
   }
 
 private:
--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -44,7 +44,7 @@
   po::positional_options_description positional;
   options.add_options()("help", "print this help and exit")(
     "version", "print the version and exit");
-  aCommand.Describe(options, positional);
+  aCommand.AddOptions(options, positional);
   po::variables_map values;
   try {
     po::store(po::command_line_parser(aArguments)
@@ -54,16 +54,16 @@
               values);
     if (values.count("help") != 0) {
       PrintHelp(aCommand, options);
-      return ExitCode::Done;
+      return ExitCode::Success;
     }
     if (values.count("version") != 0) {
       PrintVersion();
-      return ExitCode::Done;
+      return ExitCode::Success;
     }
     po::notify(values);
   } catch (const po::error& e) {
     std::cerr << "skylarkhill " << aCommand.Name() << ": " << e.what() << "\n";
-    return ExitCode::Usage;
+    return ExitCode::UsageError;
   }
   return aCommand.Run(values);
 }
@@ -91,16 +91,16 @@
   const auto commands = CreateCommands();
   if (aArguments.empty()) {
     PrintOverview(std::cerr, commands);
-    return ExitCode::Usage;
+    return ExitCode::UsageError;
   }
   const std::string& name = aArguments.front();
   if (name == "--help" || name == "help") {
     PrintOverview(std::cout, commands);
-    return ExitCode::Done;
+    return ExitCode::Success;
   }
   if (name == "--version") {
     PrintVersion();
-    return ExitCode::Done;
+    return ExitCode::Success;
   }
   for (const auto& it : commands) {
     if (it->Name() == name) {
@@ -109,7 +109,7 @@
   }
   std::cerr << "skylarkhill: unknown command '" << name << "'\n";
   PrintOverview(std::cerr, commands);
-  return ExitCode::Usage;
+  return ExitCode::UsageError;
 }
 
 } // namespace skylarkhill::cli
--- a/src/cli/entry_command.cpp
+++ b/src/cli/entry_command.cpp
@@ -27,8 +27,8 @@
   {
     return "run an entry instance until SIGTERM or SIGINT";
   }
-  void Describe(po::options_description& aOptions,
-                po::positional_options_description&) const override
+  void AddOptions(po::options_description& aOptions,
+                  po::positional_options_description&) const override
   {
     aOptions.add_options()(
       "settings", po::value<std::string>()->required(), "settings file (TOML)")(
@@ -41,11 +41,11 @@
       settings::LoadSettings(aOptions["settings"].as<std::string>());
     if (!loaded) {
       std::cerr << loaded.error().mDetail << "\n";
-      return ExitCode::Refused;
+      return ExitCode::Failure;
     }
     if (aOptions.count("check-settings") != 0) {
       std::cout << settings::FormatSettings(loaded.value());
-      return ExitCode::Done;
+      return ExitCode::Success;
     }
     logging::ConfigureLogging(ToLoggingLevel(loaded.value().mLogOutput.mLevel));
     return Serve(loaded.value());
@@ -67,12 +67,12 @@
     if (!started) {
       std::cerr << base::NameOf(started.error().mKind) << ": "
                 << started.error().mDetail << "\n";
-      return ExitCode::Refused;
+      return ExitCode::Failure;
     }
-    int number = 0;
-    sigwait(&signals, &number);
+    int signalNumber = 0;
+    sigwait(&signals, &signalNumber);
     process->Drain();
-    return ExitCode::Done;
+    return ExitCode::Success;
   }
 };
 
--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -21,8 +21,8 @@
   {
     return "run an entry instance on the platform until SIGTERM or SIGINT";
   }
-  void Describe(po::options_description& aOptions,
-                po::positional_options_description&) const override
+  void AddOptions(po::options_description& aOptions,
+                  po::positional_options_description&) const override
   {
     aOptions.add_options()("metrics-port",
                            po::value<std::uint16_t>()->default_value(0),
@@ -39,16 +39,16 @@
       logging::ParseLevel(aOptions["log-level"].as<std::string>());
     if (!level) {
       std::cerr << "unknown log level\n";
-      return ExitCode::Usage;
+      return ExitCode::UsageError;
     }
     const auto settings = adapter::LoadInstanceSettings();
     if (!settings) {
       std::cerr << settings.error().mDetail << "\n";
-      return ExitCode::Refused;
+      return ExitCode::Failure;
     }
     if (aOptions.count("check-settings") != 0) {
       std::cout << "settings are valid\n";
-      return ExitCode::Done;
+      return ExitCode::Success;
     }
     logging::ConfigureLogging(*level);
     return Serve(settings.value(),
@@ -73,17 +73,17 @@
     if (!started) {
       std::cerr << base::NameOf(started.error().mKind) << ": "
                 << started.error().mDetail << "\n";
-      return ExitCode::Refused;
+      return ExitCode::Failure;
     }
-    int number = SIGHUP;
-    while (number == SIGHUP) {
-      sigwait(&signals, &number);
-      if (number == SIGHUP) {
+    int signalNumber = SIGHUP;
+    while (signalNumber == SIGHUP) {
+      sigwait(&signals, &signalNumber);
+      if (signalNumber == SIGHUP) {
         logging::Write(logging::Level::Info, "settings_reload_requested", {});
       }
     }
     instance->Drain();
-    return ExitCode::Done;
+    return ExitCode::Success;
   }
 };
 
--- a/src/cli/publish_command.cpp
+++ b/src/cli/publish_command.cpp
@@ -16,8 +16,9 @@
   {
     return "publish a set of objects as the successor of a version";
   }
-  void Describe(po::options_description& aOptions,
-                po::positional_options_description& aPositional) const override
+  void AddOptions(
+    po::options_description& aOptions,
+    po::positional_options_description& aPositional) const override
   {
     AddClientOptions(aOptions);
     aOptions.add_options()(
--- a/src/cli/skylarkhill_main.cpp
+++ b/src/cli/skylarkhill_main.cpp
@@ -18,6 +18,6 @@
     return static_cast<int>(skylarkhill::cli::RunCommandLine(arguments));
   } catch (const std::exception& e) {
     std::cerr << "skylarkhill: " << e.what() << "\n";
-    return static_cast<int>(skylarkhill::cli::ExitCode::Refused);
+    return static_cast<int>(skylarkhill::cli::ExitCode::Failure);
   }
 }
--- a/src/cli/submit_command.cpp
+++ b/src/cli/submit_command.cpp
@@ -17,8 +17,8 @@
   {
     return "submit a request to a service, or a batch task";
   }
-  void Describe(po::options_description& aOptions,
-                po::positional_options_description&) const override
+  void AddOptions(po::options_description& aOptions,
+                  po::positional_options_description&) const override
   {
     AddClientOptions(aOptions);
     auto add = aOptions.add_options();
@@ -47,52 +47,53 @@
     const bool isRequest = aOptions.count("service") != 0;
     if (isRequest == (aOptions.count("class") != 0)) {
       std::cerr << "skylarkhill submit: give either --service or --class\n";
-      return ExitCode::Usage;
+      return ExitCode::UsageError;
     }
     http::ClientRequest request;
     request.mMethod = "POST";
     request.mTarget = isRequest ? "/v1/requests" : "/v1/tasks";
-    request.mBody =
-      base::FormatJson(isRequest ? MakeRequest(aOptions) : MakeTask(aOptions));
+    request.mBody = base::FormatJson(isRequest ? MakeRequestBody(aOptions)
+                                               : MakeTaskBody(aOptions));
     return PrintResponse(aOptions, CallEntry(aOptions, request));
   }
 
 private:
   template<typename T>
-  static void Copy(const po::variables_map& aOptions,
-                   const std::string& aOption,
-                   const std::string& aMember,
-                   base::JsonValue& aValue)
+  static void CopyOption(const po::variables_map& aOptions,
+                         const std::string& aOption,
+                         const std::string& aMember,
+                         base::JsonValue& aValue)
   {
     if (aOptions.count(aOption) != 0) {
       aValue.addMember(aMember) <<= aOptions[aOption].as<T>();
     }
   }
 
-  static base::JsonValue MakeRequest(const po::variables_map& aOptions)
+  static base::JsonValue MakeRequestBody(const po::variables_map& aOptions)
   {
     base::JsonValue value = base::MakeJsonObject();
-    Copy<std::string>(aOptions, "service", "service", value);
-    Copy<std::string>(aOptions, "key", "key", value);
-    Copy<std::string>(aOptions, "body", "body", value);
-    Copy<bool>(aOptions, "idempotent", "idempotent", value);
-    Copy<std::int64_t>(aOptions, "deadline-ms", "deadline_ms", value);
+    CopyOption<std::string>(aOptions, "service", "service", value);
+    CopyOption<std::string>(aOptions, "key", "key", value);
+    CopyOption<std::string>(aOptions, "body", "body", value);
+    CopyOption<bool>(aOptions, "idempotent", "idempotent", value);
+    CopyOption<std::int64_t>(aOptions, "deadline-ms", "deadline_ms", value);
     value.addMember("first_send") <<= (aOptions.count("first-send") != 0);
     return value;
   }
 
-  static base::JsonValue MakeTask(const po::variables_map& aOptions)
+  static base::JsonValue MakeTaskBody(const po::variables_map& aOptions)
   {
     base::JsonValue value = base::MakeJsonObject();
-    Copy<std::string>(aOptions, "class", "class", value);
-    Copy<std::string>(aOptions, "key", "key", value);
-    Copy<std::string>(aOptions, "body", "payload", value);
-    Copy<std::string>(aOptions, "team", "team", value);
-    Copy<std::string>(aOptions, "caller", "caller", value);
-    Copy<std::int64_t>(aOptions, "milli-processors", "milli_processors", value);
-    Copy<std::int64_t>(aOptions, "memory-bytes", "memory_bytes", value);
-    Copy<std::int64_t>(aOptions, "accelerators", "accelerators", value);
-    Copy<std::int64_t>(aOptions, "run-seconds", "run_seconds", value);
+    CopyOption<std::string>(aOptions, "class", "class", value);
+    CopyOption<std::string>(aOptions, "key", "key", value);
+    CopyOption<std::string>(aOptions, "body", "payload", value);
+    CopyOption<std::string>(aOptions, "team", "team", value);
+    CopyOption<std::string>(aOptions, "caller", "caller", value);
+    CopyOption<std::int64_t>(
+      aOptions, "milli-processors", "milli_processors", value);
+    CopyOption<std::int64_t>(aOptions, "memory-bytes", "memory_bytes", value);
+    CopyOption<std::int64_t>(aOptions, "accelerators", "accelerators", value);
+    CopyOption<std::int64_t>(aOptions, "run-seconds", "run_seconds", value);
     value.addMember("urgent") <<= (aOptions.count("urgent") != 0);
     return value;
   }
--- a/src/cli/task_commands.cpp
+++ b/src/cli/task_commands.cpp
@@ -17,8 +17,9 @@
   {
     return "cancel a task and print how it ended";
   }
-  void Describe(po::options_description& aOptions,
-                po::positional_options_description& aPositional) const override
+  void AddOptions(
+    po::options_description& aOptions,
+    po::positional_options_description& aPositional) const override
   {
     AddClientOptions(aOptions);
     aOptions.add_options()(
@@ -55,8 +56,8 @@
   {
     return "print a task, a request, or the published set";
   }
-  void Describe(po::options_description& aOptions,
-                po::positional_options_description&) const override
+  void AddOptions(po::options_description& aOptions,
+                  po::positional_options_description&) const override
   {
     AddClientOptions(aOptions);
     aOptions.add_options()("task", po::value<std::string>(), "id of a task")(
@@ -67,7 +68,7 @@
   {
     if (aOptions.count("task") + aOptions.count("request") > 1) {
       std::cerr << "skylarkhill status: give --task or --request\n";
-      return ExitCode::Usage;
+      return ExitCode::UsageError;
     }
     http::ClientRequest request;
     request.mDelivery = http::Delivery::Idempotent;
--- a/src/cli/timeline_command.cpp
+++ b/src/cli/timeline_command.cpp
@@ -11,10 +11,10 @@
 
 namespace po = boost::program_options;
 
-using Names = std::vector<std::string>;
+using StringList = std::vector<std::string>;
 
 std::string
-OptionOr(const po::variables_map& aOptions, const std::string& aName)
+OptionOrEmpty(const po::variables_map& aOptions, const std::string& aName)
 {
   return aOptions.count(aName) == 0 ? std::string()
                                     : aOptions[aName].as<std::string>();
@@ -28,12 +28,12 @@
   {
     return "merge the events of entry instances into one timeline";
   }
-  void Describe(po::options_description& aOptions,
-                po::positional_options_description&) const override
+  void AddOptions(po::options_description& aOptions,
+                  po::positional_options_description&) const override
   {
     auto add = aOptions.add_options();
     add("entry",
-        po::value<Names>()->required()->multitoken(),
+        po::value<StringList>()->required()->multitoken(),
         "IP:PORT of every entry instance");
     add("timeout-ms",
         po::value<std::int64_t>()->default_value(5000),
@@ -50,21 +50,21 @@
   ExitCode Run(const po::variables_map& aOptions) const override
   {
     std::vector<timeline::TimelineExport> exports;
-    ExitCode code = ExitCode::Done;
-    for (const auto& it : aOptions["entry"].as<Names>()) {
+    ExitCode code = ExitCode::Success;
+    for (const auto& it : aOptions["entry"].as<StringList>()) {
       auto fetched = Fetch(it, aOptions["timeout-ms"].as<std::int64_t>());
       if (fetched) {
         exports.push_back(std::move(fetched.value()));
       } else {
         std::cerr << it << ": " << fetched.error().mDetail << "\n";
-        code = ExitCode::Refused;
+        code = ExitCode::Failure;
       }
     }
     timeline::EventFilter filter;
-    filter.mRequest = { OptionOr(aOptions, "request") };
-    filter.mTask = { OptionOr(aOptions, "task") };
-    filter.mWorker = { OptionOr(aOptions, "worker") };
-    filter.mDomain = { OptionOr(aOptions, "domain") };
+    filter.mRequest = { OptionOrEmpty(aOptions, "request") };
+    filter.mTask = { OptionOrEmpty(aOptions, "task") };
+    filter.mWorker = { OptionOrEmpty(aOptions, "worker") };
+    filter.mDomain = { OptionOrEmpty(aOptions, "domain") };
     const auto merged = timeline::Merge(exports, filter);
     const bool isJson = aOptions["output"].as<std::string>() == "json";
     std::cout << (isJson ? timeline::FormatChromeTrace(merged)
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -534,7 +534,7 @@
   const base::Clock& mClock;
   const std::uint64_t mIncarnation;
   const std::string mWriter;
-  timeline::CausalClock mCausalClock;
+  timeline::HybridLogicalClock mCausalClock;
   timeline::Timeline mTimeline;
   metrics::Registry mMetrics;
   const Instruments mInstruments;
--- a/src/entry/peer_network.cpp
+++ b/src/entry/peer_network.cpp
@@ -22,7 +22,7 @@
 constexpr unsigned kLogicalBits = 12;
 
 std::uint64_t
-Pack(const timeline::CausalTime& aTime)
+Pack(const timeline::HybridTimestamp& aTime)
 {
   constexpr std::int64_t kMaxLogical = (1 << kLogicalBits) - 1;
   const auto logical = std::min(aTime.mLogical, kMaxLogical);
@@ -30,7 +30,7 @@
          static_cast<std::uint64_t>(logical);
 }
 
-timeline::CausalTime
+timeline::HybridTimestamp
 Unpack(std::uint64_t aPacked)
 {
   constexpr std::uint64_t kMask = (1U << kLogicalBits) - 1;
--- a/src/timeline/event.cpp
+++ b/src/timeline/event.cpp
@@ -52,13 +52,15 @@
 
 template<typename Id>
 bool
-MatchesId(const Id& aWanted, const Id& aFound)
+MatchesId(const Id& aFilterId, const Id& aEventId)
 {
-  return aWanted.mValue.empty() || aWanted == aFound;
+  return aFilterId.mValue.empty() || aFilterId == aEventId;
 }
 
 void
-AddText(base::JsonValue& aValue, const char* aKey, const std::string& aText)
+AddIfNotEmpty(base::JsonValue& aValue,
+              const char* aKey,
+              const std::string& aText)
 {
   if (!aText.empty()) {
     aValue.addMember(aKey) <<= aText;
@@ -95,14 +97,14 @@
   value.addMember("kind") <<= std::string(NameOf(aEvent.mKind));
   value.addMember("wall_us") <<= aEvent.mTime.mWallMicros;
   value.addMember("logical") <<= aEvent.mTime.mLogical;
-  AddText(value, "request", aEvent.mRequest.mValue);
-  AddText(value, "task", aEvent.mTask.mValue);
-  AddText(value, "worker", aEvent.mWorker.mValue);
-  AddText(value, "domain", aEvent.mDomain.mValue);
+  AddIfNotEmpty(value, "request", aEvent.mRequest.mValue);
+  AddIfNotEmpty(value, "task", aEvent.mTask.mValue);
+  AddIfNotEmpty(value, "worker", aEvent.mWorker.mValue);
+  AddIfNotEmpty(value, "domain", aEvent.mDomain.mValue);
   if (aEvent.mAttempt != 0) {
     value.addMember("attempt") <<= aEvent.mAttempt;
   }
-  AddText(value, "detail", aEvent.mDetail);
+  AddIfNotEmpty(value, "detail", aEvent.mDetail);
   return value;
 }
 
@@ -122,12 +124,12 @@
   event.mDetail = reader.GetString("detail", "");
   reader.RejectUnknown();
   BOOST_OUTCOME_TRYV(reader.Check());
-  const auto known = ParseEventKind(kind);
-  if (!known) {
+  const auto parsedKind = ParseEventKind(kind);
+  if (!parsedKind) {
     return base::MakeError(base::ErrorKind::InvalidArgument,
                            "unknown event kind '" + kind + "'");
   }
-  event.mKind = *known;
+  event.mKind = *parsedKind;
   return event;
 }
 
--- a/src/timeline/causal_clock.cpp
+++ b/src/timeline/hybrid_logical_clock.cpp
@@ -1,4 +1,4 @@
-#include "skylarkhill/timeline/causal_clock.hpp"
+#include "skylarkhill/timeline/hybrid_logical_clock.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -7,14 +7,14 @@
 namespace skylarkhill::timeline {
 
 bool
-operator==(const CausalTime& aLeft, const CausalTime& aRight)
+operator==(const HybridTimestamp& aLeft, const HybridTimestamp& aRight)
 {
   return aLeft.mWallMicros == aRight.mWallMicros &&
          aLeft.mLogical == aRight.mLogical;
 }
 
 bool
-operator<(const CausalTime& aLeft, const CausalTime& aRight)
+operator<(const HybridTimestamp& aLeft, const HybridTimestamp& aRight)
 {
   return std::tie(aLeft.mWallMicros, aLeft.mLogical) <
          std::tie(aRight.mWallMicros, aRight.mLogical);
@@ -28,20 +28,21 @@
          aClock.Now().time_since_epoch();
 }
 
-CausalClock::CausalClock(const base::Clock& aClock, base::Duration aBootTime)
+HybridLogicalClock::HybridLogicalClock(const base::Clock& aClock,
+                                       base::Duration aBootTime)
   : mClock(aClock)
   , mBootTime(aBootTime)
 {
 }
 
 std::int64_t
-CausalClock::ReadWallMicros() const
+HybridLogicalClock::ReadWallMicros() const
 {
   return base::ToMicros(mClock.Now()) + mBootTime.count();
 }
 
-CausalTime
-CausalClock::Tick()
+HybridTimestamp
+HybridLogicalClock::Tick()
 {
   const std::int64_t wall = ReadWallMicros();
   const std::lock_guard<std::mutex> guard(mLock);
@@ -55,7 +56,7 @@
 
 // Tick() returns more than mLast, so the larger of both times is enough.
 void
-CausalClock::Observe(const CausalTime& aRemote)
+HybridLogicalClock::Observe(const HybridTimestamp& aRemote)
 {
   const std::lock_guard<std::mutex> guard(mLock);
   mLast = std::max(mLast, aRemote);
--- a/src/timeline/merge.cpp
+++ b/src/timeline/merge.cpp
@@ -25,7 +25,7 @@
 
 // An instance gives no two events the same time.
 bool
-IsSame(const MergedEvent& aLeft, const MergedEvent& aRight)
+IsDuplicate(const MergedEvent& aLeft, const MergedEvent& aRight)
 {
   return aLeft.mInstance == aRight.mInstance &&
          aLeft.mEvent.mTime == aRight.mEvent.mTime;
@@ -33,7 +33,7 @@
 
 // E.g. "2026-01-31T23:59:59.000001Z+2", with the logical part at the end.
 std::string
-FormatTime(const CausalTime& aTime)
+FormatTime(const HybridTimestamp& aTime)
 {
   constexpr std::size_t kMaxLength = 64;
   const std::time_t seconds = aTime.mWallMicros / kMicrosPerSecond;
@@ -70,7 +70,7 @@
 
 // Callers choose the ids of requests and tasks.
 bool
-IsPlain(std::string_view aText)
+NeedsNoQuotes(std::string_view aText)
 {
   return std::all_of(aText.begin(), aText.end(), [](char aChar) {
     return aChar > ' ' && aChar != '"' && aChar != '\\' && aChar != '\x7f';
@@ -81,7 +81,8 @@
 PrintId(std::ostream& aOut, const char* aKey, const std::string& aValue)
 {
   if (!aValue.empty()) {
-    aOut << ' ' << aKey << '=' << (IsPlain(aValue) ? aValue : Quote(aValue));
+    aOut << ' ' << aKey << '='
+         << (NeedsNoQuotes(aValue) ? aValue : Quote(aValue));
   }
 }
 
@@ -112,7 +113,7 @@
 }
 
 std::string
-SpanOf(const Event& aEvent)
+SpanName(const Event& aEvent)
 {
   if (!aEvent.mTask.mValue.empty()) {
     return "task " + aEvent.mTask.mValue + " attempt " +
@@ -133,14 +134,14 @@
 
   void Add(const MergedEvent& aEvent)
   {
-    const std::int64_t process = FindProcess(aEvent.mInstance);
-    const std::int64_t thread = FindThread(process, aEvent.mEvent.mWorker);
-    base::JsonValue& row = AddRow(process, thread);
-    row.addMember("ts") <<= aEvent.mEvent.mTime.mWallMicros;
-    AddPhase(row, aEvent.mEvent);
-    base::JsonValue& details = row.addMember("args");
-    details = FormatEvent(aEvent.mEvent);
-    details.setName("args");
+    const std::int64_t processId = ProcessIdOf(aEvent.mInstance);
+    const std::int64_t threadId = ThreadIdOf(processId, aEvent.mEvent.mWorker);
+    base::JsonValue& traceEvent = AddTraceEvent(processId, threadId);
+    traceEvent.addMember("ts") <<= aEvent.mEvent.mTime.mWallMicros;
+    AddPhase(traceEvent, aEvent.mEvent);
+    base::JsonValue& arguments = traceEvent.addMember("args");
+    arguments = FormatEvent(aEvent.mEvent);
+    arguments.setName("args");
   }
 
   std::string Finish()
@@ -152,76 +153,80 @@
   }
 
 private:
-  base::JsonValue& AddRow(std::int64_t aProcess, std::int64_t aThread)
+  base::JsonValue& AddTraceEvent(std::int64_t aProcessId,
+                                 std::int64_t aThreadId)
   {
-    base::JsonValue& row = mEvents.addMember();
-    row.setCategory(base::JsonValue::Object);
-    row.addMember("pid") <<= aProcess;
-    row.addMember("tid") <<= aThread;
-    return row;
+    base::JsonValue& traceEvent = mEvents.addMember();
+    traceEvent.setCategory(base::JsonValue::Object);
+    traceEvent.addMember("pid") <<= aProcessId;
+    traceEvent.addMember("tid") <<= aThreadId;
+    return traceEvent;
   }
 
   // Spans are asynchronous events: an attempt can begin on one instance and
   // end on another.
-  static void AddPhase(base::JsonValue& aRow, const Event& aEvent)
+  static void AddPhase(base::JsonValue& aTraceEvent, const Event& aEvent)
   {
     const Phase phase = PhaseOf(aEvent.mKind);
     const bool isSpan = phase != Phase::Instant;
     const std::string name =
-      isSpan ? SpanOf(aEvent) : std::string(NameOf(aEvent.mKind));
-    aRow.addMember("name") <<= name;
-    aRow.addMember("cat") <<=
+      isSpan ? SpanName(aEvent) : std::string(NameOf(aEvent.mKind));
+    aTraceEvent.addMember("name") <<= name;
+    aTraceEvent.addMember("cat") <<=
       std::string(aEvent.mTask.mValue.empty() ? "request" : "task");
     if (isSpan) {
-      aRow.addMember("ph") <<= std::string(phase == Phase::Begin ? "b" : "e");
-      aRow.addMember("id") <<= name;
+      aTraceEvent.addMember("ph") <<=
+        std::string(phase == Phase::Begin ? "b" : "e");
+      aTraceEvent.addMember("id") <<= name;
     } else {
-      aRow.addMember("ph") <<= std::string("i");
-      aRow.addMember("s") <<= std::string("t");
+      aTraceEvent.addMember("ph") <<= std::string("i");
+      aTraceEvent.addMember("s") <<= std::string("t");
     }
   }
 
-  void AddName(const char* aWhat,
-               std::int64_t aProcess,
-               std::int64_t aThread,
-               const std::string& aName)
+  void AddMetadata(const char* aKey,
+                   std::int64_t aProcessId,
+                   std::int64_t aThreadId,
+                   const std::string& aName)
   {
-    base::JsonValue& row = AddRow(aProcess, aThread);
-    row.addMember("ph") <<= std::string("M");
-    row.addMember("name") <<= std::string(aWhat);
-    base::JsonValue& details = row.addMember("args");
-    details.setCategory(base::JsonValue::Object);
-    details.addMember("name") <<= aName;
+    base::JsonValue& traceEvent = AddTraceEvent(aProcessId, aThreadId);
+    traceEvent.addMember("ph") <<= std::string("M");
+    traceEvent.addMember("name") <<= std::string(aKey);
+    base::JsonValue& arguments = traceEvent.addMember("args");
+    arguments.setCategory(base::JsonValue::Object);
+    arguments.addMember("name") <<= aName;
   }
 
-  std::int64_t FindProcess(const base::InstanceId& aInstance)
+  std::int64_t ProcessIdOf(const base::InstanceId& aInstance)
   {
-    const auto next = static_cast<std::int64_t>(mProcesses.size()) + 1;
-    const auto [it, isNew] = mProcesses.emplace(aInstance, next);
+    const auto newId = static_cast<std::int64_t>(mProcessIds.size()) + 1;
+    const auto [it, isNew] = mProcessIds.emplace(aInstance, newId);
     if (isNew) {
-      AddName("process_name", next, 0, aInstance.mValue);
+      AddMetadata("process_name", newId, 0, aInstance.mValue);
     }
     return it->second;
   }
 
   // Events without a worker are on thread 0.
-  std::int64_t FindThread(std::int64_t aProcess, const base::WorkerId& aWorker)
+  std::int64_t ThreadIdOf(std::int64_t aProcessId,
+                          const base::WorkerId& aWorker)
   {
     if (aWorker.mValue.empty()) {
       return 0;
     }
-    const auto next = static_cast<std::int64_t>(mWorkers.size()) + 1;
-    const std::int64_t thread = mWorkers.emplace(aWorker, next).first->second;
-    if (mNamedThreads.emplace(aProcess, thread).second) {
-      AddName("thread_name", aProcess, thread, aWorker.mValue);
+    const auto newId = static_cast<std::int64_t>(mThreadIds.size()) + 1;
+    const std::int64_t threadId =
+      mThreadIds.emplace(aWorker, newId).first->second;
+    if (mNamedThreads.emplace(aProcessId, threadId).second) {
+      AddMetadata("thread_name", aProcessId, threadId, aWorker.mValue);
     }
-    return thread;
+    return threadId;
   }
 
   base::JsonValue mTrace;
   base::JsonValue mEvents;
-  std::map<base::InstanceId, std::int64_t> mProcesses;
-  std::map<base::WorkerId, std::int64_t> mWorkers;
+  std::map<base::InstanceId, std::int64_t> mProcessIds;
+  std::map<base::WorkerId, std::int64_t> mThreadIds;
   std::set<std::pair<std::int64_t, std::int64_t>> mNamedThreads;
 };
 
@@ -239,7 +244,8 @@
     }
   }
   std::sort(merged.begin(), merged.end(), IsBefore);
-  merged.erase(std::unique(merged.begin(), merged.end(), IsSame), merged.end());
+  merged.erase(std::unique(merged.begin(), merged.end(), IsDuplicate),
+               merged.end());
   return merged;
 }
 
--- a/src/timeline/timeline.cpp
+++ b/src/timeline/timeline.cpp
@@ -8,7 +8,7 @@
 
 Timeline::Timeline(base::InstanceId aInstance,
                    std::size_t aCapacity,
-                   CausalClock& aClock)
+                   HybridLogicalClock& aClock)
   : mInstance(std::move(aInstance))
   , mClock(aClock)
   , mEvents(aCapacity)
--- a/src/timeline/timeline_test.cpp
+++ b/src/timeline/timeline_test.cpp
@@ -22,13 +22,15 @@
 /// An instance whose wall clock is off by `aError`.
 struct Instance
 {
-  Instance(const std::string& aName, const base::Clock& aClock, int aError)
-    : mClock(aClock, std::chrono::seconds(aError))
+  Instance(const std::string& aName,
+           const base::Clock& aClock,
+           int aOffsetSeconds)
+    : mClock(aClock, std::chrono::seconds(aOffsetSeconds))
     , mTimeline({ aName }, 4, mClock)
   {
   }
 
-  CausalClock mClock;
+  HybridLogicalClock mClock;
   Timeline mTimeline;
 };
 
@@ -38,9 +40,9 @@
   CPPUNIT_TEST(OrdersCauseBeforeEffect);
   CPPUNIT_TEST(DropsOldestEvents);
   CPPUNIT_TEST(RoundTripsExports);
-  CPPUNIT_TEST(FiltersAndMergesOnce);
+  CPPUNIT_TEST(FiltersAndDropsDuplicates);
   CPPUNIT_TEST(NamesEveryKind);
-  CPPUNIT_TEST(WritesTextAndTrace);
+  CPPUNIT_TEST(FormatsTextAndChromeTrace);
   CPPUNIT_TEST(RecordsFromManyThreads);
   CPPUNIT_TEST_SUITE_END();
 
@@ -105,7 +107,7 @@
   }
 
   // Guards against events shown twice after two fetches from one instance.
-  void FiltersAndMergesOnce()
+  void FiltersAndDropsDuplicates()
   {
     base::ManualClock clock;
     Instance one("one", clock, 0);
@@ -133,7 +135,7 @@
   }
 
   // Guards against ids and details from callers that forge further lines.
-  void WritesTextAndTrace()
+  void FormatsTextAndChromeTrace()
   {
     base::ManualClock clock;
     Instance one("one", clock, 0);
@@ -170,8 +172,8 @@
     constexpr std::size_t kThreads = 4;
     constexpr std::size_t kEvents = 500;
     base::ManualClock clock;
-    CausalClock causal(clock, {});
-    Timeline timeline({ "one" }, kThreads * kEvents, causal);
+    HybridLogicalClock logicalClock(clock, {});
+    Timeline timeline({ "one" }, kThreads * kEvents, logicalClock);
     std::vector<std::thread> threads;
     threads.reserve(kThreads);
     for (std::size_t i = 0; i < kThreads; ++i) {
