--- a/include/skylarkhill/cli/api_client.hpp
+++ b/include/skylarkhill/cli/api_client.hpp
@@ -11,7 +11,7 @@
 
 namespace skylarkhill::cli {
 
-/// Where an entry instance listens.
+/// The address at which an entry instance serves the API.
 struct EntryAddress
 {
   std::string mHost;
@@ -22,29 +22,30 @@
 base::Result<EntryAddress>
 ParseEntryAddress(const std::string& aText);
 
-/// Adds --entry, --timeout-ms and --output.
+/// Adds the options --entry, --timeout-ms and --output.
 void
 AddClientOptions(boost::program_options::options_description& aOptions);
 
-/// Calls the entry instance that --entry names.
+/// Sends the request to the entry instance given by --entry and waits for the
+/// response. OutcomeUnknown if the connection is lost or --timeout-ms elapses.
 base::Result<http::Response>
 CallEntry(const boost::program_options::variables_map& aOptions,
           const http::ClientRequest& aRequest);
 
-/// Calls one entry instance.
+/// As above, for the entry instance at `aAddress`.
 base::Result<http::Response>
 CallEntry(const EntryAddress& aAddress,
           const http::ClientRequest& aRequest,
           std::int64_t aTimeoutMs);
 
-/// Reads the file named --credential-file and adds its content as the operator
-/// credential. InvalidArgument.
+/// Adds the content of the file given by --credential-file, if there is one, as
+/// the operator credential. InvalidArgument if the file cannot be read.
 base::Result<void>
 AddCredential(const boost::program_options::variables_map& aOptions,
               http::ClientRequest& aRequest);
 
-/// Prints the response, as JSON or as "name: value" lines, and returns Failure
-/// unless its status is 2xx.
+/// Prints the response as JSON or as "name: value" lines, or the error. Returns
+/// Success if the status is 2xx, else Failure.
 ExitCode
 PrintResponse(const boost::program_options::variables_map& aOptions,
               const base::Result<http::Response>& aResponse);
@@ -54,7 +55,7 @@
 PrintError(const boost::program_options::variables_map& aOptions,
            const base::Error& aError);
 
-/// Reads a whole file. InvalidArgument.
+/// Reads a whole file. InvalidArgument if it cannot be opened.
 base::Result<std::string>
 ReadFile(const std::string& aPath);
 
--- a/include/skylarkhill/cli/command.hpp
+++ b/include/skylarkhill/cli/command.hpp
@@ -16,9 +16,9 @@
 enum class ExitCode
 {
   Success = 0,
-  /// The request was refused or failed.
+  /// The command failed or the request was refused.
   Failure = 1,
-  /// The command line was wrong.
+  /// The command line is invalid.
   UsageError = 2,
 };
 
@@ -28,7 +28,7 @@
 public:
   virtual ~Command() = default;
   virtual std::string_view Name() const = 0;
-  /// One line for the overview.
+  /// One line for the list of subcommands.
   virtual std::string_view Summary() const = 0;
   /// Adds the options of this subcommand.
   virtual void AddOptions(
@@ -56,7 +56,7 @@
 std::unique_ptr<Command>
 CreateTimelineCommand();
 
-/// All subcommands, in the order of the overview.
+/// All subcommands, in the order in which they are listed.
 std::vector<std::unique_ptr<Command>>
 CreateCommands();
 
--- a/include/skylarkhill/timeline/event.hpp
+++ b/include/skylarkhill/timeline/event.hpp
@@ -13,7 +13,7 @@
 
 namespace skylarkhill::timeline {
 
-/// What happened.
+/// The type of an event.
 enum class EventKind
 {
   RequestAccepted,
@@ -59,11 +59,11 @@
   DrainCompleted,
 };
 
-/// One event. Ids that do not apply are empty.
+/// One event of the timeline. Ids that do not apply are empty.
 struct Event
 {
   EventKind mKind = EventKind::InstanceStarted;
-  /// Set when the event is recorded.
+  /// Set by Timeline::Record.
   HybridTimestamp mTime;
   base::RequestId mRequest;
   base::TaskId mTask;
@@ -71,11 +71,11 @@
   base::DomainId mDomain;
   /// Number of the attempt at the request or task; 0 if there is none.
   std::int64_t mAttempt = 0;
-  /// Holds no secrets.
+  /// Text for people; must not contain secrets.
   std::string mDetail;
 };
 
-/// Selects events. Every id that is not empty has to match.
+/// Selects events. An empty id matches every event; all others must be equal.
 struct EventFilter
 {
   base::RequestId mRequest;
@@ -84,7 +84,7 @@
   base::DomainId mDomain;
 };
 
-/// The stable name of `aKind`, e.g. "attempt_started".
+/// The name of `aKind` in exports and in the output, e.g. "attempt_started".
 std::string_view
 NameOf(EventKind aKind);
 
@@ -97,7 +97,7 @@
 base::JsonValue
 FormatEvent(const Event& aEvent);
 
-/// InvalidArgument with all findings.
+/// InvalidArgument; the detail lists the invalid fields.
 base::Result<Event>
 ParseEvent(const base::JsonValue& aValue);
 
--- a/include/skylarkhill/timeline/hybrid_logical_clock.hpp
+++ b/include/skylarkhill/timeline/hybrid_logical_clock.hpp
@@ -8,13 +8,14 @@
 
 namespace skylarkhill::timeline {
 
-/// A time of the hybrid logical clock. If one event can have caused another,
-/// its time is the smaller one.
+/// A timestamp of a hybrid logical clock. If event A can have caused event B,
+/// the timestamp of A is smaller than that of B.
 struct HybridTimestamp
 {
-  /// Microseconds since 1970 (UTC), at least those of the instance's clock.
+  /// Microseconds since 1970 (UTC). Ahead of the instance's own clock if a
+  /// message from another instance carried a later timestamp.
   std::int64_t mWallMicros = 0;
-  /// Orders the events of one microsecond.
+  /// Orders events with equal `mWallMicros`.
   std::int64_t mLogical = 0;
 };
 
@@ -23,7 +24,8 @@
 bool
 operator<(const HybridTimestamp& aLeft, const HybridTimestamp& aRight);
 
-/// The time of the boot since 1970 (UTC) according to the system's clock.
+/// The UTC time, since 1970, of the zero point of `aClock`, calculated from the
+/// current time of the system clock.
 base::Duration
 ReadBootTime(const base::Clock& aClock);
 
@@ -31,15 +33,16 @@
 class HybridLogicalClock
 {
 public:
-  /// `aBootTime` is the boot of `aClock` since 1970 (UTC). It is read once, so
-  /// that steps of the system's clock do not matter.
+  /// `aBootTime` is the UTC time, since 1970, of the zero point of `aClock`. It
+  /// stays fixed, so that steps of the system clock have no effect.
   HybridLogicalClock(const base::Clock& aClock, base::Duration aBootTime);
 
-  /// The time of a new event, larger than all before; to be sent along with
-  /// messages.
+  /// Returns the timestamp of a new event or of an outgoing message. It is
+  /// larger than all timestamps returned or observed before.
   HybridTimestamp Tick();
 
-  /// Takes note of the time in a received message: later events are larger.
+  /// Advances the clock to the timestamp of a received message. Timestamps
+  /// returned afterwards are larger than `aRemote`.
   void Observe(const HybridTimestamp& aRemote);
 
 private:
--- a/include/skylarkhill/timeline/merge.hpp
+++ b/include/skylarkhill/timeline/merge.hpp
@@ -15,9 +15,9 @@
   Event mEvent;
 };
 
-/// The matching events of several instances in one order in which every event
-/// follows those that can have caused it. Events that occur in two exports of
-/// the same instance are kept once.
+/// Merges the matching events of several instances so that every event follows
+/// those that can have caused it. An event that occurs in several exports of
+/// the same instance is returned once.
 std::vector<MergedEvent>
 Merge(const std::vector<TimelineExport>& aExports,
       const EventFilter& aFilter = {});
@@ -26,8 +26,9 @@
 std::string
 FormatText(const std::vector<MergedEvent>& aEvents);
 
-/// Chrome trace JSON: one process per instance, one thread per worker,
-/// requests and attempts as spans, everything else as instants.
+/// JSON in the Chrome trace event format: one process per instance and one
+/// thread per worker in it; requests and attempts are asynchronous spans, all
+/// other events are instant events.
 std::string
 FormatChromeTrace(const std::vector<MergedEvent>& aEvents);
 
--- a/include/skylarkhill/timeline/timeline.hpp
+++ b/include/skylarkhill/timeline/timeline.hpp
@@ -14,29 +14,30 @@
 
 namespace skylarkhill::timeline {
 
-/// The events of one instance.
+/// Events that one instance has recorded.
 struct TimelineExport
 {
   base::InstanceId mInstance;
-  /// Events that the ring had no room for.
+  /// Number of old events that have been overwritten.
   std::int64_t mDropped = 0;
-  /// In the order of their times.
+  /// In the order of `Event::mTime`.
   std::vector<Event> mEvents;
 };
 
-/// The most recent events of this instance. Thread-safe.
+/// Ring buffer with the most recent events of this instance. Thread-safe.
 class Timeline
 {
 public:
+  /// `aCapacity` is the largest number of events that are kept.
   Timeline(base::InstanceId aInstance,
            std::size_t aCapacity,
            HybridLogicalClock& aClock);
 
-  /// Sets the time of the event and keeps it; drops the oldest if the ring is
-  /// full.
+  /// Sets the timestamp of the event and adds the event. Overwrites the oldest
+  /// event if the buffer is full.
   void Record(Event aEvent);
 
-  /// The events that match.
+  /// Copies the events that match `aFilter`.
   TimelineExport Export(const EventFilter& aFilter = {}) const;
 
 private:
--- a/src/cli/api_client.cpp
+++ b/src/cli/api_client.cpp
@@ -57,7 +57,7 @@
     }
   }
   return MakeError(ErrorKind::InvalidArgument,
-                   "'" + aText + "' is not IP:PORT");
+                   "'" + aText + "' is not of the form IP:PORT");
 }
 
 void
@@ -68,7 +68,7 @@
                          "IP:PORT of an entry instance or the balancer")(
     "timeout-ms",
     po::value<std::int64_t>()->default_value(kDefaultTimeoutMs),
-    "time to wait for the answer")(
+    "time limit for the response, in milliseconds")(
     "output", po::value<std::string>()->default_value("text"), "text or json");
 }
 
@@ -97,8 +97,8 @@
   const bool isOutcomeUnknown =
     !response && (response.error().mKind == ErrorKind::DeadlineExceeded ||
                   response.error().mKind == ErrorKind::ConnectionLost);
-  // The instance may have received the request, whatever the kind's own row
-  // in the error table says.
+  // The instance may have received the request, even if the error table marks
+  // the kind as "not run", as it does for DeadlineExceeded.
   return isOutcomeUnknown
            ? base::Result<http::Response>(
                MakeError(ErrorKind::OutcomeUnknown, response.error().mDetail))
--- a/src/cli/check_command.cpp
+++ b/src/cli/check_command.cpp
@@ -16,7 +16,7 @@
   std::string_view Name() const override { return "check"; }
   std::string_view Summary() const override
   {
-    return "check a set of objects without publishing it";
+    return "check a configuration set without publishing it";
   }
   void AddOptions(
     po::options_description& aOptions,
--- a/src/cli/entry_command.cpp
+++ b/src/cli/entry_command.cpp
@@ -54,8 +54,8 @@
 private:
   static ExitCode Serve(const settings::Settings& aSettings)
   {
-    // Blocked before the first thread starts, so that every thread inherits
-    // it and only sigwait receives the signals.
+    // The signals are blocked before the first thread starts, so that all
+    // threads inherit the mask and only sigwait receives the signals.
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -26,7 +26,7 @@
   {
     aOptions.add_options()("metrics-port",
                            po::value<std::uint16_t>()->default_value(0),
-                           "port that serves metrics; 0: none")(
+                           "port that serves metrics, or 0 for none")(
       "log-level",
       po::value<std::string>()->default_value("info"),
       "debug, info, warning or error")("check-settings",
@@ -47,7 +47,7 @@
       return ExitCode::Failure;
     }
     if (aOptions.count("check-settings") != 0) {
-      std::cout << "settings are valid\n";
+      std::cout << "the settings are valid\n";
       return ExitCode::Success;
     }
     logging::ConfigureLogging(*level);
@@ -59,8 +59,8 @@
   static ExitCode Serve(const adapter::InstanceSettings& aSettings,
                         std::uint16_t aMetricsPort)
   {
-    // Blocked before the first thread starts, so that every thread inherits
-    // it and only sigwait receives the signals.
+    // The signals are blocked before the first thread starts, so that all
+    // threads inherit the mask and only sigwait receives the signals.
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
--- a/src/cli/publish_command.cpp
+++ b/src/cli/publish_command.cpp
@@ -14,7 +14,7 @@
   std::string_view Name() const override { return "publish"; }
   std::string_view Summary() const override
   {
-    return "publish a set of objects as the successor of a version";
+    return "publish a configuration set as the next version";
   }
   void AddOptions(
     po::options_description& aOptions,
@@ -25,11 +25,12 @@
       "set", po::value<std::string>()->required(), "file with the set (JSON)")(
       "base-version",
       po::value<std::int64_t>()->required(),
-      "version that the set is based on; -1 before the first publish")(
-      "publisher", po::value<std::string>()->default_value(""), "your name")(
-      "credential-file",
-      po::value<std::string>()->required(),
-      "file with the operator credential");
+      "current version, which the set replaces; -1 if there is none")(
+      "publisher",
+      po::value<std::string>()->default_value(""),
+      "name of the publisher")("credential-file",
+                               po::value<std::string>()->required(),
+                               "file with the operator credential");
     aPositional.add("set", 1);
   }
 
--- a/src/cli/submit_command.cpp
+++ b/src/cli/submit_command.cpp
@@ -15,38 +15,49 @@
   std::string_view Name() const override { return "submit"; }
   std::string_view Summary() const override
   {
-    return "submit a request to a service, or a batch task";
+    return "send a request to a service, or submit a batch task";
   }
   void AddOptions(po::options_description& aOptions,
                   po::positional_options_description&) const override
   {
     AddClientOptions(aOptions);
     auto add = aOptions.add_options();
-    add("service", po::value<std::string>(), "service of a request");
-    add("class", po::value<std::string>(), "batch class of a task");
+    add(
+      "service", po::value<std::string>(), "service that handles the request");
+    add("class", po::value<std::string>(), "batch class of the task");
     add("key", po::value<std::string>(), "idempotency key");
     add("body",
         po::value<std::string>()->default_value("{}"),
-        "body of the request or payload of the task");
-    add("idempotent", po::value<bool>(), "whether a request may run twice");
-    add("first-send", "the key has not been sent before");
-    add("deadline-ms", po::value<std::int64_t>(), "deadline of a request");
-    add("team", po::value<std::string>(), "team of a task");
+        "body of the request, or payload of the task");
+    add("idempotent",
+        po::value<bool>(),
+        "whether the request may run more than once");
+    add("first-send", "state that no request with this key was sent before");
+    add("deadline-ms",
+        po::value<std::int64_t>(),
+        "deadline of the request, in milliseconds from now");
+    add("team", po::value<std::string>(), "team that owns the task");
     add("caller",
         po::value<std::string>()->default_value(""),
-        "identity that may cancel the task");
-    add("urgent", "start the task before others");
-    add("milli-processors", po::value<std::int64_t>(), "size of a task");
-    add("memory-bytes", po::value<std::int64_t>(), "size of a task");
-    add("accelerators", po::value<std::int64_t>(), "size of a task");
-    add("run-seconds", po::value<std::int64_t>(), "declared run time");
+        "identity that is allowed to cancel the task");
+    add("urgent", "start the task before tasks that are not urgent");
+    add("milli-processors",
+        po::value<std::int64_t>(),
+        "processors of the task, in thousandths");
+    add("memory-bytes",
+        po::value<std::int64_t>(),
+        "memory of the task, in bytes");
+    add("accelerators", po::value<std::int64_t>(), "accelerators of the task");
+    add("run-seconds",
+        po::value<std::int64_t>(),
+        "declared run time of the task, in seconds");
   }
 
   ExitCode Run(const po::variables_map& aOptions) const override
   {
     const bool isRequest = aOptions.count("service") != 0;
     if (isRequest == (aOptions.count("class") != 0)) {
-      std::cerr << "skylarkhill submit: give either --service or --class\n";
+      std::cerr << "skylarkhill submit: specify either --service or --class\n";
       return ExitCode::UsageError;
     }
     http::ClientRequest request;
--- a/src/cli/task_commands.cpp
+++ b/src/cli/task_commands.cpp
@@ -15,7 +15,7 @@
   std::string_view Name() const override { return "cancel"; }
   std::string_view Summary() const override
   {
-    return "cancel a task and print how it ended";
+    return "cancel a task and print its final state";
   }
   void AddOptions(
     po::options_description& aOptions,
@@ -54,7 +54,7 @@
   std::string_view Name() const override { return "status"; }
   std::string_view Summary() const override
   {
-    return "print a task, a request, or the published set";
+    return "print a task, a request, or the published configuration";
   }
   void AddOptions(po::options_description& aOptions,
                   po::positional_options_description&) const override
@@ -67,7 +67,8 @@
   ExitCode Run(const po::variables_map& aOptions) const override
   {
     if (aOptions.count("task") + aOptions.count("request") > 1) {
-      std::cerr << "skylarkhill status: give --task or --request\n";
+      std::cerr
+        << "skylarkhill status: --task and --request cannot be combined\n";
       return ExitCode::UsageError;
     }
     http::ClientRequest request;
--- a/src/cli/timeline_command.cpp
+++ b/src/cli/timeline_command.cpp
@@ -37,14 +37,15 @@
         "IP:PORT of every entry instance");
     add("timeout-ms",
         po::value<std::int64_t>()->default_value(5000),
-        "time to wait for each instance");
+        "time limit for each instance, in milliseconds");
     add("output",
         po::value<std::string>()->default_value("text"),
-        "text, or json for a Chrome trace");
+        "text, or json for a trace in Chrome's format");
     add("request", po::value<std::string>(), "only events of this request");
     add("task", po::value<std::string>(), "only events of this task");
     add("worker", po::value<std::string>(), "only events of this worker");
-    add("domain", po::value<std::string>(), "only events of this domain");
+    add(
+      "domain", po::value<std::string>(), "only events of this failure domain");
   }
 
   ExitCode Run(const po::variables_map& aOptions) const override
--- a/src/timeline/hybrid_logical_clock.cpp
+++ b/src/timeline/hybrid_logical_clock.cpp
@@ -54,7 +54,8 @@
   return mLast;
 }
 
-// Tick() returns more than mLast, so the larger of both times is enough.
+// Tick() returns a timestamp larger than mLast, so keeping the maximum is
+// enough.
 void
 HybridLogicalClock::Observe(const HybridTimestamp& aRemote)
 {
--- a/src/timeline/merge.cpp
+++ b/src/timeline/merge.cpp
@@ -23,7 +23,7 @@
          std::tie(aRight.mEvent.mTime, aRight.mInstance);
 }
 
-// An instance gives no two events the same time.
+// The timestamps of one instance are unique, so they identify its events.
 bool
 IsDuplicate(const MergedEvent& aLeft, const MergedEvent& aRight)
 {
@@ -31,7 +31,7 @@
          aLeft.mEvent.mTime == aRight.mEvent.mTime;
 }
 
-// E.g. "2026-01-31T23:59:59.000001Z+2", with the logical part at the end.
+// E.g. "2026-01-31T23:59:59.000001Z+2", which ends with mLogical.
 std::string
 FormatTime(const HybridTimestamp& aTime)
 {
@@ -50,7 +50,8 @@
   return std::string(date.data()).append(fraction.data());
 }
 
-// Keeps every event on one line.
+// Quotes and escapes the text. Control characters become spaces, so that every
+// event stays on one line.
 std::string
 Quote(std::string_view aText)
 {
@@ -68,7 +69,7 @@
   return text + '"';
 }
 
-// Callers choose the ids of requests and tasks.
+// Callers choose the ids of requests and tasks, so these may need quotes.
 bool
 NeedsNoQuotes(std::string_view aText)
 {
@@ -86,7 +87,7 @@
   }
 }
 
-/// What an event is in a Chrome trace.
+/// The role of an event in a Chrome trace ("ph").
 enum class Phase
 {
   Begin,
@@ -122,7 +123,7 @@
   return "request " + aEvent.mRequest.mValue;
 }
 
-/// Builds the trace of one merged timeline.
+/// Builds a Chrome trace from merged events.
 class TraceBuilder
 {
 public:
@@ -163,8 +164,8 @@
     return traceEvent;
   }
 
-  // Spans are asynchronous events: an attempt can begin on one instance and
-  // end on another.
+  // Spans are asynchronous events ("b" and "e"), because an attempt can begin
+  // on one instance and end on another.
   static void AddPhase(base::JsonValue& aTraceEvent, const Event& aEvent)
   {
     const Phase phase = PhaseOf(aEvent.mKind);
@@ -184,6 +185,7 @@
     }
   }
 
+  // Names a process or a thread; `aKey` is "process_name" or "thread_name".
   void AddMetadata(const char* aKey,
                    std::int64_t aProcessId,
                    std::int64_t aThreadId,
@@ -197,6 +199,7 @@
     arguments.addMember("name") <<= aName;
   }
 
+  // Assigns an id to an instance at its first event.
   std::int64_t ProcessIdOf(const base::InstanceId& aInstance)
   {
     const auto newId = static_cast<std::int64_t>(mProcessIds.size()) + 1;
@@ -207,7 +210,8 @@
     return it->second;
   }
 
-  // Events without a worker are on thread 0.
+  // Assigns an id to a worker at its first event. Events without a worker are
+  // on thread 0.
   std::int64_t ThreadIdOf(std::int64_t aProcessId,
                           const base::WorkerId& aWorker)
   {
--- a/src/timeline/timeline.cpp
+++ b/src/timeline/timeline.cpp
@@ -15,7 +15,8 @@
 {
 }
 
-// The time is taken under the lock so that the ring is in the order of times.
+// The timestamp is taken under the lock so that the buffer is in the order of
+// timestamps.
 void
 Timeline::Record(Event aEvent)
 {
@@ -72,7 +73,7 @@
   BOOST_OUTCOME_TRYV(reader.Check());
   if (events == nullptr || events->category() != base::JsonValue::Array) {
     return base::MakeError(base::ErrorKind::InvalidArgument,
-                           "timeline: 'events' must be a list");
+                           "timeline: 'events' must be an array");
   }
   for (const auto& it : *events) {
     auto event = ParseEvent(it);
--- a/src/timeline/timeline_test.cpp
+++ b/src/timeline/timeline_test.cpp
@@ -19,7 +19,7 @@
   return event;
 }
 
-/// An instance whose wall clock is off by `aError`.
+/// An instance whose wall clock is `aOffsetSeconds` ahead.
 struct Instance
 {
   Instance(const std::string& aName,
@@ -47,7 +47,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against an order by wall clocks, which differ between instances.
+  // Guards against ordering events by the wall clocks of the instances, which
+  // differ.
   void OrdersCauseBeforeEffect()
   {
     base::ManualClock clock;
@@ -66,7 +67,8 @@
     CPPUNIT_ASSERT(events[2].mEvent.mKind == EventKind::AttemptEnded);
   }
 
-  // Guards against a ring that grows, or that loses events silently.
+  // Guards against a buffer that grows without bound or does not count the
+  // events that it drops.
   void DropsOldestEvents()
   {
     base::ManualClock clock;
@@ -106,7 +108,8 @@
     }
   }
 
-  // Guards against events shown twice after two fetches from one instance.
+  // Guards against events that appear twice when one instance has been queried
+  // twice.
   void FiltersAndDropsDuplicates()
   {
     base::ManualClock clock;
@@ -124,7 +127,7 @@
     CPPUNIT_ASSERT(Merge({ all }, filter).empty());
   }
 
-  // Guards against a kind without a name, whose exports no peer can read.
+  // Guards against a kind without a name: ParseExport would reject its events.
   void NamesEveryKind()
   {
     const int last = static_cast<int>(EventKind::DrainCompleted);
@@ -134,7 +137,8 @@
     }
   }
 
-  // Guards against ids and details from callers that forge further lines.
+  // Guards against line breaks in ids and details, with which a caller could
+  // forge events in the text output.
   void FormatsTextAndChromeTrace()
   {
     base::ManualClock clock;
@@ -166,7 +170,8 @@
     CPPUNIT_ASSERT_EQUAL(std::string("MMbeMi"), phases);
   }
 
-  // Guards against times that are given twice, which Merge takes for repeats.
+  // Guards against equal timestamps of two events, one of which Merge would
+  // drop as a duplicate.
   void RecordsFromManyThreads()
   {
     constexpr std::size_t kThreads = 4;
