--- a/scenarios/cancel_race.lua
+++ b/scenarios/cancel_race.lua
@@ -17,29 +17,29 @@
   calls[n] = start_cancel(site.entries[n % 2 + 1], "orders.race-" .. n)
   sleep(native.random(80) / 1000)
 end
-local told = {}
+local reported = {}
 for n = 1, count do
   local answer = await(calls[n])
   expect(answer.status == 200, "cancel " .. n .. " is answered: " .. tostring(answer.error) ..
     " " .. answer.text)
-  told[n] = answer.body.state
+  reported[n] = answer.body.state
 end
 sleep(2)
-local totals = {}
+local counts = {}
 local by_task = expect_no_double_run()
 for n = 1, count do
   local task = "orders.race-" .. n
-  expect(told[n] == "completed" or told[n] == "cancelled", task .. " has ended: " .. told[n])
-  for _, it in ipairs(site.entries) do wait_task(it, task, 10, told[n]) end
-  totals[told[n]] = (totals[told[n]] or 0) + 1
+  expect(reported[n] == "completed" or reported[n] == "cancelled", task .. " has ended: " .. reported[n])
+  for _, it in ipairs(site.entries) do wait_task(it, task, 10, reported[n]) end
+  counts[reported[n]] = (counts[reported[n]] or 0) + 1
   local list = by_task[task] or {}
   expect(#list <= 1, task .. " ran at most once")
-  if told[n] == "completed" then
+  if reported[n] == "completed" then
     expect(#list == 1 and (list[1].ended_at - list[1].started_at) >= run_ms[n] * 990,
       task .. " ran to its end")
   else
     expect(#list == 0 or (list[1].ended_at >= 0), task .. " has stopped")
   end
 end
-report((totals.completed or 0) .. " completed, " .. (totals.cancelled or 0) .. " cancelled")
+report((counts.completed or 0) .. " completed, " .. (counts.cancelled or 0) .. " cancelled")
 stop_all()
--- a/scenarios/domain_cut.lua
+++ b/scenarios/domain_cut.lua
@@ -15,12 +15,12 @@
 end)
 cut("entry-1/platform")
 cut("entry-2/platform")
-local healed_at = now() + 14
+local cut_end = now() + 14
 -- Refusals must come within the ten seconds that a submission may take.
-local orders = { start_submit(inside, { key = "refused-1", run_ms = 200 }),
+local submissions = { start_submit(inside, { key = "refused-1", run_ms = 200 }),
   start_request(inside, { key = "refused-2", first_send = true, deadline_ms = 6000 }) }
 local served = 0
-while now() < healed_at do
+while now() < cut_end do
   for n = 1, 2 do
     local answer = request(site.entries[n], { deadline_ms = 3000 })
     expect(answer.body.outcome == "completed",
@@ -29,7 +29,7 @@
   end
   sleep(0.1)
 end
-local refused = { await(orders[1]), await(orders[2]) }
+local refused = { await(submissions[1]), await(submissions[2]) }
 for n, it in ipairs(refused) do
   expect(it.status and it.status >= 400, "new order " .. n .. " is refused: " ..
     tostring(it.error) .. " " .. it.text)
--- a/scenarios/failing_worker.lua
+++ b/scenarios/failing_worker.lua
@@ -7,26 +7,26 @@
 local probe = submit(site.entries[1], { key = "probe", run_ms = 100 })
 expect(probe.status == 201, "the probe is accepted: " .. probe.text)
 wait_task(site.entries[1], "orders.probe", 60)
-local bad
+local failing
 for _, it in ipairs(site.workers) do
-  if #admin(it).executions > 0 then bad = it end
+  if #admin(it).executions > 0 then failing = it end
 end
-admin(bad, { fail_all = true })
+admin(failing, { fail_all = true })
 for n = 1, 24 do
   local answer = submit(site.entries[n % 2 + 1], { key = "fail-" .. n, run_ms = 300 })
   expect(answer.status == 201, "task " .. n .. " is accepted: " .. answer.text)
   sleep(0.1)
 end
 for n = 1, 24 do wait_task(site.entries[1], "orders.fail-" .. n, 90) end
-local _, failed_starts = load_of(bad)
+local _, failed_starts = load_of(failing)
 failed_starts = failed_starts - 1
 expect(failed_starts > 0, "the worker fails at least one task")
 report(failed_starts .. " of 24 tasks started on the failing worker")
 expect(failed_starts <= 12, "the failing worker attracts few starts, not " .. failed_starts)
-admin(bad, { fail_all = false })
+admin(failing, { fail_all = false })
 
-local poison = submit(site.entries[1], { key = "poison", run_ms = 100, fail = "broken input" })
-expect(poison.status == 201, "the failing job is accepted: " .. poison.text)
+local poison_task = submit(site.entries[1], { key = "poison", run_ms = 100, fail = "broken input" })
+expect(poison_task.status == 201, "the failing job is accepted: " .. poison_task.text)
 local found = wait_task(site.entries[2], "orders.poison", 60, "quarantined")
 report("quarantined after " .. found.attempt .. " attempts: " .. found.detail)
 expect(#found.detail > 0, "the quarantine has a reason")
--- a/scenarios/kill_holder.lua
+++ b/scenarios/kill_holder.lua
@@ -3,8 +3,8 @@
 -- another instance takes the workers over.
 
 start({ 1, 1, 1 }, { 1, 1, 1 })
-local keys = 12
-for n = 1, keys do
+local task_count = 12
+for n = 1, task_count do
   local answer = submit(site.entries[n % 3 + 1],
     { key = "kill-" .. n, run_ms = 3000 + native.random(4000) })
   expect(answer.status == 201, "task " .. n .. " is accepted: " .. answer.text)
@@ -35,11 +35,11 @@
   return count == #site.workers
 end)
 report(string.format("takeover %.1f s after the kill", now() - killed_at))
-for n = 1, keys do
+for n = 1, task_count do
   for _, it in ipairs(survivors) do wait_task(it, "orders.kill-" .. n, 60) end
 end
 local by_task = expect_no_double_run()
-for n = 1, keys do
+for n = 1, task_count do
   local list = by_task["orders.kill-" .. n]
   expect(list and #list == 1, "kill-" .. n .. " ran exactly once")
 end
--- a/scenarios/lib/site.lua
+++ b/scenarios/lib/site.lua
@@ -217,16 +217,16 @@
   error("no entry instance " .. tostring(name))
 end
 
-function signal(party, name) native.signal(party.name, name) end
-function kill(party) native.signal(party.name, "KILL") end
-function freeze(party) native.signal(party.name, "STOP") end
-function thaw(party) native.signal(party.name, "CONT") end
+function signal(process, name) native.signal(process.name, name) end
+function kill(process) native.signal(process.name, "KILL") end
+function freeze(process) native.signal(process.name, "STOP") end
+function thaw(process) native.signal(process.name, "CONT") end
 
 -- Planned stop; fails unless the process exits with 0.
-function stop(party)
-  native.signal(party.name, "TERM")
-  local code = native.wait_exit(party.name, 40000)
-  expect(code == 0, party.name .. " exits with 0, not " .. tostring(code))
+function stop(process)
+  native.signal(process.name, "TERM")
+  local code = native.wait_exit(process.name, 40000)
+  expect(code == 0, process.name .. " exits with 0, not " .. tostring(code))
 end
 
 -- Links are named "entry-N/platform" and "worker-N".
@@ -283,8 +283,8 @@
     seconds * 1000)
 end
 
-function await(number)
-  return answer_of(native.http_wait(number))
+function await(call_id)
+  return answer_of(native.http_wait(call_id))
 end
 
 local function task_body(options)
--- a/scenarios/publish_race.lua
+++ b/scenarios/publish_race.lua
@@ -33,13 +33,13 @@
   platform({ down = false, slow_ms = 0 })
   local recovered_at = now()
   local answers = { await(calls[1]), await(calls[2]) }
-  local won, lost
+  local winner, loser
   for _, it in ipairs(answers) do
     if it.status == 200 then
-      expect(not won, "round " .. round .. " has one winner")
-      won = it
+      expect(not winner, "round " .. round .. " has one winner")
+      winner = it
     else
-      lost = it
+      loser = it
     end
   end
   if fault.down then
@@ -49,12 +49,12 @@
         it.body.error == "version_conflict", "a clear answer in an outage: " .. it.text)
     end
   else
-    expect(won, "round " .. round .. " has a winner: " .. answers[1].text .. answers[2].text)
-    expect(lost.body.error == "version_conflict" and
-      lost.body.detail:find(tostring(won.body.version), 1, true),
-      "the loser is told version " .. won.body.version .. ": " .. lost.text)
+    expect(winner, "round " .. round .. " has a winner: " .. answers[1].text .. answers[2].text)
+    expect(loser.body.error == "version_conflict" and
+      loser.body.detail:find(tostring(winner.body.version), 1, true),
+      "the loser is told version " .. winner.body.version .. ": " .. loser.text)
   end
-  local target = won and won.body.version or base
+  local target = winner and winner.body.version or base
   wait_until(CONFIG_SECONDS, "version " .. target .. " is in force everywhere", function()
     check_versions()
     for _, it in ipairs(site.entries) do
--- a/scenarios/silent_worker.lua
+++ b/scenarios/silent_worker.lua
@@ -13,8 +13,8 @@
 end)
 silence("worker-1")
 local completed, slowest = 0, 0
-local until_time = now() + 8
-while now() < until_time do
+local silence_end = now() + 8
+while now() < silence_end do
   local started = now()
   local answer = request(site.entries[completed % 2 + 1], { deadline_ms = 6000 })
   expect(answer.body.outcome == "completed", "requests complete elsewhere: " .. answer.text)
