--- a/scenarios/bad_input.lua
+++ b/scenarios/bad_input.lua
@@ -1,6 +1,6 @@
--- Failure: callers send malformed input. Guards against a wrong or missing
--- error, against a process that stops serving, and against work that runs for
--- a refused request.
+-- Callers send malformed input. Guards against a wrong or missing error,
+-- against an entry instance that stops serving, and against work that runs
+-- although its request was refused.
 
 start({ 1 }, { 1 })
 local entry = site.entries[1]
@@ -46,12 +46,12 @@
 refuse_raw("an oversized body", post .. "Content-Length: 100000000\r\n\r\n{")
 refuse_raw("a chunked body", post .. "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n")
 refuse_raw("a negative length", post .. "Content-Length: -5\r\n\r\n")
--- A body that ends early and a connection without a request get no work done.
+-- Neither a truncated body nor bytes that are not HTTP may start any work.
 raw(entry, post .. "Content-Length: 500\r\n\r\n{\"service\":")
 raw(entry, "\0\1\2\3\r\n\r\n")
 raw(entry, string.rep("x", 100000))
 
-expect(call("GET", entry, "/healthz").status == 200, "the process serves")
+expect(call("GET", entry, "/healthz").status == 200, "the entry instance still serves")
 expect(load_of(site.workers[1]) == before, "no refused request has run")
-expect(request(entry).body.outcome == "completed", "good requests complete")
+expect(request(entry).body.outcome == "completed", "valid requests complete")
 stop_all()
--- a/scenarios/cancel_race.lua
+++ b/scenarios/cancel_race.lua
@@ -1,5 +1,5 @@
--- Failure: a burst of cancellations races with completions. Guards against a
--- caller who is told another outcome than the real one.
+-- Tasks are cancelled while they complete. Guards against a final state in the
+-- answer to a caller that differs from what happened to the task.
 
 start({ 1, 1 }, { 1, 1 })
 local count = 16
@@ -29,14 +29,15 @@
 local by_task = expect_no_double_run()
 for n = 1, count do
   local task = "orders.race-" .. n
-  expect(reported[n] == "completed" or reported[n] == "cancelled", task .. " has ended: " .. reported[n])
+  expect(reported[n] == "completed" or reported[n] == "cancelled",
+    task .. " has ended: " .. reported[n])
   for _, it in ipairs(site.entries) do wait_task(it, task, 10, reported[n]) end
   counts[reported[n]] = (counts[reported[n]] or 0) + 1
   local list = by_task[task] or {}
   expect(#list <= 1, task .. " ran at most once")
   if reported[n] == "completed" then
     expect(#list == 1 and (list[1].ended_at - list[1].started_at) >= run_ms[n] * 990,
-      task .. " ran to its end")
+      task .. " ran to completion")
   else
     expect(#list == 0 or (list[1].ended_at >= 0), task .. " has stopped")
   end
--- a/scenarios/domain_cut.lua
+++ b/scenarios/domain_cut.lua
@@ -1,6 +1,6 @@
--- Failure: a failure domain is cut off from the platform. Guards against an
--- outage of requests there, orders that run although they were refused, and
--- tasks that stop or run twice.
+-- A failure domain loses its connection to the platform. Guards against failing
+-- idempotent requests in that domain, work that runs although it was refused,
+-- and tasks that stop or run twice.
 
 start({ 1, 1, 2 }, { 1, 2 })
 local inside, outside = site.entries[1], site.entries[3]
@@ -16,7 +16,7 @@
 cut("entry-1/platform")
 cut("entry-2/platform")
 local cut_end = now() + 14
--- Refusals must come within the ten seconds that a submission may take.
+-- A submission takes at most ten seconds, so it is refused before the cut ends.
 local submissions = { start_submit(inside, { key = "refused-1", run_ms = 200 }),
   start_request(inside, { key = "refused-2", first_send = true, deadline_ms = 6000 }) }
 local served = 0
@@ -31,11 +31,11 @@
 end
 local refused = { await(submissions[1]), await(submissions[2]) }
 for n, it in ipairs(refused) do
-  expect(it.status and it.status >= 400, "new order " .. n .. " is refused: " ..
+  expect(it.status and it.status >= 400, "new submission " .. n .. " is refused: " ..
     tostring(it.error) .. " " .. it.text)
 end
-expect(served > 50, "requests are served while cut off, not only " .. served)
-report(served .. " requests served while cut off")
+expect(served > 50, "more than 50 requests are served during the cut, not " .. served)
+report(served .. " requests served during the cut")
 for _, list in pairs(executions()) do
   for _, it in ipairs(list) do
     expect(it.ended_at >= 0, it.task .. " has finished during the cut")
@@ -47,9 +47,10 @@
   for n = 1, 4 do wait_task(entry, "orders.cut-" .. n, SETTLE_SECONDS) end
 end
 local answer = submit(inside, { key = "after-1", run_ms = 200 })
-expect(answer.status == 201, "new tasks are accepted after the heal: " .. answer.text)
+expect(answer.status == 201, "new tasks are accepted after the cut: " .. answer.text)
 wait_task(outside, "orders.after-1", SETTLE_SECONDS)
--- A late append must not start what was refused as not run.
+-- An append that the log receives late must not start work that was reported
+-- as not run.
 sleep(3)
 local by_task = expect_no_double_run()
 if refused[1].body.may_have_run == false then
--- a/scenarios/kill_holder.lua
+++ b/scenarios/kill_holder.lua
@@ -1,6 +1,6 @@
--- Failure: the entry instance that holds workers with running tasks dies.
--- Guards against lost tasks, tasks that run twice, and wrong answers while
--- another instance takes the workers over.
+-- The entry instance that holds workers with running tasks is killed. Guards
+-- against lost tasks, tasks that run twice, and wrong answers while another
+-- instance takes over the workers.
 
 start({ 1, 1, 1 }, { 1, 1, 1 })
 local task_count = 12
@@ -9,7 +9,7 @@
     { key = "kill-" .. n, run_ms = 3000 + native.random(4000) })
   expect(answer.status == 201, "task " .. n .. " is accepted: " .. answer.text)
 end
--- The victim holds a worker that runs tasks.
+-- Kills the holder of a worker that runs tasks.
 local busy = wait_until(SETTLE_SECONDS, "tasks run", function()
   for _, it in ipairs(site.workers) do
     if #admin(it).executions > 0 then return it end
--- a/scenarios/lib/site.lua
+++ b/scenarios/lib/site.lua
@@ -1,17 +1,18 @@
--- Verbs of the scenarios: one site of real processes on loopback.
+-- Functions for the scenario scripts. Each script tests one site of real
+-- processes on loopback.
 --
--- A site has a platform, workers and entry instances. Every link between an
--- entry instance and the platform, and the link to every worker, is a relay
--- that can be cut. Addresses below 127.3.<scenario>.: platform 10, entry
+-- A site has a platform, workers and entry instances. Entry instances reach the
+-- platform and the workers through TCP relays ("links"), which can be cut or
+-- slowed down. Last part of the addresses 127.3.<scenario>.N: platform 10, entry
 -- instances 20+n, workers 60+n, links to workers 120+n, links from entry
 -- instance n to the platform 160+n.
 
 local credential = "scenario-operator-credential"
 local entry_port, peer_port, worker_port, platform_port = 18470, 18471, 18480, 18400
 
--- Seconds within which a configuration is in force everywhere.
+-- Time limit in seconds for all instances to apply a published configuration.
 CONFIG_SECONDS = 7
--- Bound for takeover of workers and for the start of all processes.
+-- Time limit in seconds for the takeover of workers and the start of a site.
 SETTLE_SECONDS = 30
 
 site = { entries = {}, workers = {}, calls = {} }
@@ -56,7 +57,8 @@
   if not condition then error("expected: " .. text, 2) end
 end
 
--- Fails unless `condition` becomes true within `seconds`; returns its result.
+-- Polls `condition` until it is true and returns its result; fails after
+-- `seconds`.
 function wait_until(seconds, text, condition)
   local deadline = now() + seconds
   repeat
@@ -64,11 +66,11 @@
     if result then return result end
     native.sleep(50)
   until now() >= deadline
-  error("not within " .. seconds .. " s: " .. text, 2)
+  error("timed out after " .. seconds .. " s, expected: " .. text, 2)
 end
 
--- Sends one HTTP request to an entry instance. Returns {status, body, text};
--- the status is nil and `error` is set without a complete response.
+-- Sends one HTTP request to an entry instance. Returns {status, body, text}.
+-- Without a complete response, `status` is nil and `error` is the error kind.
 function call(method, entry, target, body, seconds, token)
   local status, text = native.http(method, entry.address, entry_port, target,
     body or "", (seconds or 10) * 1000, token)
@@ -88,8 +90,8 @@
   return native.parse_json(text)
 end
 
--- Sets faults of a worker, or of the platform; without faults, returns the
--- counters.
+-- Injects `faults` into a worker. Without `faults`, returns its counters and
+-- executions. `platform` does the same for the platform.
 function admin(worker, faults)
   return admin_call(worker.address, worker_port, faults)
 end
@@ -139,9 +141,9 @@
     platform_port, credential))
 end
 
--- Starts a site and waits until every instance is ready, the set is published
--- and every service request can run. `entries` and `workers` list the domain of
--- each instance by the numbers 1 to 3.
+-- Starts a site, publishes a configuration and waits until every entry instance
+-- serves requests and every worker has a holder. `entries` and `workers` give
+-- the failure domain, 1 to 3, of each entry instance and worker.
 function start(entries, workers)
   local domains = { "montevideo-a", "colonia-b", "maldonado-c" }
   local rows = {}
@@ -188,7 +190,8 @@
   end)
 end
 
--- Holder of every worker, from the holder leases that the workers list.
+-- Returns the holder of each worker that reports exactly one holder lease, and
+-- the number of these workers.
 function holders()
   local found, count = {}, 0
   for _, it in ipairs(site.workers) do
@@ -222,7 +225,7 @@
 function freeze(process) native.signal(process.name, "STOP") end
 function thaw(process) native.signal(process.name, "CONT") end
 
--- Planned stop; fails unless the process exits with 0.
+-- Stops a process by SIGTERM; fails unless it exits with 0.
 function stop(process)
   native.signal(process.name, "TERM")
   local code = native.wait_exit(process.name, 40000)
@@ -240,7 +243,7 @@
   return file:read("a")
 end
 
--- The credential of the operators.
+-- Returns the operator credential.
 function operator() return credential end
 
 function publish_body(base, publisher, importance)
@@ -270,13 +273,14 @@
   return encode(fields), fields.deadline_ms / 1000 + 10
 end
 
--- Sends a request; with a key, a non-idempotent one.
+-- Sends a request to a service, by default to a non-idempotent one if a key is
+-- given and to an idempotent one otherwise.
 function request(entry, options)
   local body, seconds = request_body(options or {})
   return call("POST", entry, "/v1/requests", body, seconds)
 end
 
--- As request, in the background; `await` returns the answer.
+-- Like `request`, but runs in the background; `await` returns the answer.
 function start_request(entry, options)
   local body, seconds = request_body(options or {})
   return native.http_start("POST", entry.address, entry_port, "/v1/requests", body,
@@ -340,8 +344,8 @@
   return by_task
 end
 
--- Fails if an attempt ran twice or two attempts of one task overlapped.
--- Workers that are dead are left out. Returns the executions.
+-- Fails if an attempt started twice or two attempts of one task overlapped, or
+-- if a worker cannot be reached. Returns the executions.
 function expect_no_double_run()
   local by_task = executions()
   for task, list in pairs(by_task) do
@@ -358,7 +362,7 @@
   return by_task
 end
 
--- How often the request with this key ran on the workers.
+-- Returns how often the request with this key ran, on all workers together.
 function runs_of(key)
   local runs = 0
   for _, worker in ipairs(site.workers) do
@@ -369,14 +373,15 @@
   return runs
 end
 
--- Number of requests that the worker has started, and of tasks.
+-- Returns the numbers of requests and of tasks that the worker has started.
 function load_of(worker)
   local calls, counters = 0, admin(worker)
   for _, it in ipairs(counters.call_runs) do calls = calls + it.runs end
   return calls, #counters.executions
 end
 
--- Fails unless the answer has one of the three outcomes.
+-- Fails unless the answer has an outcome or is an error that tells whether the
+-- request may have run.
 function expect_outcome(answer, text)
   local outcome = answer.body.outcome
   expect(outcome == "completed" or outcome == "not_run" or outcome == "unknown" or
@@ -384,7 +389,8 @@
     text .. " has an outcome: " .. tostring(answer.error) .. " " .. answer.text)
 end
 
--- Status line and headers that the entry instance sends for these bytes.
+-- Sends bytes to the entry instance and returns the status line and headers of
+-- its response, or nil.
 function raw(entry, bytes)
   return native.raw(entry.address, entry_port, bytes, 10000)
 end
--- a/scenarios/pause_holder.lua
+++ b/scenarios/pause_holder.lua
@@ -1,5 +1,6 @@
--- Failure: the holder's lease expires while the holder is paused. Guards
--- against a second start, and against commands that it sends after the pause.
+-- A holder is paused (SIGSTOP) until its leases on workers have expired. Guards
+-- against a second start of a task, and against commands that the former holder
+-- sends after the pause.
 
 start({ 1, 1 }, { 1, 1 })
 for n = 1, 8 do
@@ -18,7 +19,7 @@
   expect(answer.status == 201, "task " .. n .. " is accepted: " .. answer.text)
 end
 thaw(holder)
--- The paused instance must accept work again, too.
+-- The former holder must serve requests again.
 wait_serving(holder)
 for n = 1, 12 do
   wait_task(other, "orders.pause-" .. n, 60)
--- a/scenarios/planned_stop.lua
+++ b/scenarios/planned_stop.lua
@@ -1,5 +1,5 @@
--- Failure: an entry instance is stopped on purpose while it has requests in
--- flight. Guards against a stop that cuts a request or loses a task.
+-- An entry instance is stopped by SIGTERM while it has requests in flight.
+-- Guards against a drain that aborts a request or loses a task.
 
 start({ 1, 1 }, { 1, 1 })
 local leaving, staying = site.entries[1], site.entries[2]
@@ -19,7 +19,7 @@
 sleep(0.3)
 local started = now()
 signal(leaving, "TERM")
--- Callers may send until the load balancer has noticed.
+-- Callers keep sending until the load balancer notices that the instance drains.
 for n = 1, 5 do
   calls[#calls + 1] = start_request(leaving, { work_ms = 100, deadline_ms = 10000 })
   sleep(0.05)
--- a/scenarios/publish_race.lua
+++ b/scenarios/publish_race.lua
@@ -1,6 +1,6 @@
--- Failure: two operators publish at the same time while the log is down, slow
--- or loses answers. Guards against two winners, a version that reverts and an
--- instance that stays behind.
+-- Two operators publish on the same base version while the log is down, slow or
+-- loses answers. Guards against two successful publishes, a version that goes
+-- back and an instance that does not apply the new version.
 
 start({ 1, 2, 3 }, { 1 })
 local seen = {}
@@ -8,7 +8,7 @@
   for _, it in ipairs(site.entries) do
     local found = version(it)
     if found then
-      expect(found >= (seen[it.name] or -1), "the version at " .. it.name .. " never reverts")
+      expect(found >= (seen[it.name] or -1), "the version at " .. it.name .. " never goes back")
       seen[it.name] = found
     end
   end
@@ -36,33 +36,34 @@
   local winner, loser
   for _, it in ipairs(answers) do
     if it.status == 200 then
-      expect(not winner, "round " .. round .. " has one winner")
+      expect(not winner, "at most one publish succeeds in round " .. round)
       winner = it
     else
       loser = it
     end
   end
   if fault.down then
-    -- Both may have been refused before the recovery; then nothing was applied.
+    -- Both may fail before the log recovers; the version then stays the same.
     for _, it in ipairs(answers) do
       expect(it.status == 200 or it.body.error == "log_unavailable" or
-        it.body.error == "version_conflict", "a clear answer in an outage: " .. it.text)
+        it.body.error == "version_conflict", "an expected answer during an outage: " .. it.text)
     end
   else
-    expect(winner, "round " .. round .. " has a winner: " .. answers[1].text .. answers[2].text)
+    expect(winner, "one publish succeeds in round " .. round .. ": " ..
+      answers[1].text .. answers[2].text)
     expect(loser.body.error == "version_conflict" and
       loser.body.detail:find(tostring(winner.body.version), 1, true),
-      "the loser is told version " .. winner.body.version .. ": " .. loser.text)
+      "the other publish conflicts with version " .. winner.body.version .. ": " .. loser.text)
   end
   local target = winner and winner.body.version or base
-  wait_until(CONFIG_SECONDS, "version " .. target .. " is in force everywhere", function()
+  wait_until(CONFIG_SECONDS, "version " .. target .. " is applied by every instance", function()
     check_versions()
     for _, it in ipairs(site.entries) do
       if version(it) ~= target then return false end
     end
     return true
   end)
-  report(string.format("round %d: everywhere %.1f s after the recovery", round,
+  report(string.format("round %d: applied by every instance %.1f s after the recovery", round,
     now() - recovered_at))
 end
 stop_all()
--- a/scenarios/same_key.lua
+++ b/scenarios/same_key.lua
@@ -1,6 +1,6 @@
--- Failure: a caller sends one idempotency key to several instances while one
--- of them dies and the log loses answers. Guards against a second run, and
--- against "not run" for work that ran.
+-- A caller sends one idempotency key to several instances while one of them is
+-- killed and the log loses answers. Guards against a second run, and against
+-- the outcome not_run for a request that ran.
 
 start({ 1, 1, 1 }, { 1, 1 })
 local rounds = 8
@@ -41,19 +41,19 @@
   end
   local runs = runs_of(key)
   expect(runs <= 1, key .. " ran at most once, not " .. runs .. " times")
-  expect(not has_completed or runs == 1, key .. " ran when a caller was told so")
-  expect(not has_not_run or runs == 0, key .. " did not run when a caller was told so")
+  expect(not has_completed or runs == 1, key .. " ran if a caller got completed")
+  expect(not has_not_run or runs == 0, key .. " did not run if a caller got not_run")
 end
 report(string.format("%d completed, %d not run, %d unknown, %d connections broken",
   outcomes.completed, outcomes.not_run, outcomes.unknown, outcomes.broken))
 expect(outcomes.completed >= rounds, "most calls complete")
--- A repeat is answered from the record and does not run again.
+-- A repeated request gets the recorded outcome and does not run again.
 for round = 1, rounds do
   local answer = request(site.entries[1], { key = "same-" .. round, deadline_ms = 5000 })
   expect_outcome(answer, "repeat of same-" .. round)
   expect(runs_of("same-" .. round) <= 1, "the repeat of same-" .. round .. " does not run again")
 end
--- A repeat waits until its own deadline, not until that of the first send.
+-- A repeated request waits until its own deadline, not until that of the first.
 for _, it in ipairs({ site.entries[1], site.entries[2] }) do
   local key = "long-" .. it.number
   local first = start_request(site.entries[1], { key = key, first_send = true, work_ms = 8000,
@@ -62,7 +62,7 @@
   local started = now()
   local answer = request(it, { key = key, deadline_ms = 1000 })
   expect(answer.body.outcome == "unknown", "the repeat of " .. key ..
-    " is answered unknown: " .. answer.text)
+    " has the outcome unknown: " .. answer.text)
   expect(now() - started < 4, "the repeat of " .. key .. " is answered by its deadline, not after " ..
     (now() - started) .. " s")
   answer = await(first)
--- a/scenarios/silent_worker.lua
+++ b/scenarios/silent_worker.lua
@@ -1,5 +1,5 @@
--- Failure: the connections to a worker become unresponsive. Guards against
--- requests that wait for it, and against a second run of the tasks on it.
+-- The connections to a worker stay open but deliver no data. Guards against
+-- requests that wait for this worker, and against a second run of its tasks.
 
 start({ 1, 1 }, { 1, 1, 1 })
 for n = 1, 6 do
--- a/scenarios/worker_leaving.lua
+++ b/scenarios/worker_leaving.lua
@@ -1,6 +1,7 @@
--- Failure: a worker is leaving, announced by the platform's list or by itself.
--- Guards against new work on it after a few seconds.
+-- One worker is listed as leaving by the platform, another reports it itself.
+-- Guards against new work on them once the instances have learned it.
 
+-- Time in seconds within which the instances stop using a leaving worker.
 local LEAVING_SECONDS = 5
 start({ 1, 1 }, { 1, 1, 1 })
 platform({ leaving = "worker-1" })
