--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -1,4 +1,4 @@
-# Sources are found by pattern, so that a new module needs no change here.
+# Sources are collected by pattern so that a new module needs no edit here.
 file(GLOB_RECURSE core_sources CONFIGURE_DEPENDS
   ${PROJECT_SOURCE_DIR}/src/*.cpp
   ${PROJECT_SOURCE_DIR}/platform/*.cpp)
@@ -9,7 +9,7 @@
 list(FILTER testing_sources EXCLUDE REGEX "(_test|_main)\\.cpp$")
 list(FILTER core_sources EXCLUDE REGEX "_test\\.cpp$|/src/testing/|_main\\.cpp$")
 
-# easylogging++ is installed as a header and one source file.
+# easylogging++ ships its implementation as one source file.
 add_library(easyloggingpp STATIC /usr/include/easylogging++.cc)
 target_compile_definitions(easyloggingpp PUBLIC ELPP_THREAD_SAFE
   ELPP_NO_DEFAULT_LOG_FILE ELPP_DISABLE_DEFAULT_CRASH_HANDLING)
