--- a/src/cli/check_command.cpp
+++ b/src/cli/check_command.cpp
@@ -16,10 +16,11 @@
   std::string_view Name() const override { return "check"; }
   std::string_view Summary() const override
   {
-    return "check a set of objects without publishing it";
+    return "check a configuration set without publishing it";
   }
-  void Describe(po::options_description& aOptions,
-                po::positional_options_description& aPositional) const override
+  void AddOptions(
+    po::options_description& aOptions,
+    po::positional_options_description& aPositional) const override
   {
     aOptions.add_options()(
       "set", po::value<std::string>()->required(), "file with the set (JSON)")(
@@ -40,8 +41,8 @@
       return PrintError(aOptions, reading.error());
     }
     Print(aOptions["output"].as<std::string>() == "json", reading.value());
-    return reading.value().mFindings.empty() ? ExitCode::Done
-                                             : ExitCode::Refused;
+    return reading.value().mFindings.empty() ? ExitCode::Success
+                                             : ExitCode::Failure;
   }
 
 private:
--- a/src/cli/task_commands.cpp
+++ b/src/cli/task_commands.cpp
@@ -15,10 +15,11 @@
   std::string_view Name() const override { return "cancel"; }
   std::string_view Summary() const override
   {
-    return "cancel a task and print how it ended";
+    return "cancel a task and print its final state";
   }
-  void Describe(po::options_description& aOptions,
-                po::positional_options_description& aPositional) const override
+  void AddOptions(
+    po::options_description& aOptions,
+    po::positional_options_description& aPositional) const override
   {
     AddClientOptions(aOptions);
     aOptions.add_options()(
@@ -53,10 +54,10 @@
   std::string_view Name() const override { return "status"; }
   std::string_view Summary() const override
   {
-    return "print a task, a request, or the published set";
+    return "print a task, a request, or the published configuration";
   }
-  void Describe(po::options_description& aOptions,
-                po::positional_options_description&) const override
+  void AddOptions(po::options_description& aOptions,
+                  po::positional_options_description&) const override
   {
     AddClientOptions(aOptions);
     aOptions.add_options()("task", po::value<std::string>(), "id of a task")(
@@ -66,8 +67,9 @@
   ExitCode Run(const po::variables_map& aOptions) const override
   {
     if (aOptions.count("task") + aOptions.count("request") > 1) {
-      std::cerr << "skylarkhill status: give --task or --request\n";
-      return ExitCode::Usage;
+      std::cerr
+        << "skylarkhill status: --task and --request cannot be combined\n";
+      return ExitCode::UsageError;
     }
     http::ClientRequest request;
     request.mDelivery = http::Delivery::Idempotent;
--- a/src/entry/peer_network.cpp
+++ b/src/entry/peer_network.cpp
@@ -23,7 +23,7 @@
 constexpr unsigned kLogicalBits = 12;
 
 std::uint64_t
-PackTimestamp(const timeline::CausalTime& aTime)
+PackTimestamp(const timeline::HybridTimestamp& aTime)
 {
   constexpr std::int64_t kMaxLogical = (1 << kLogicalBits) - 1;
   const auto logical = std::min(aTime.mLogical, kMaxLogical);
@@ -31,7 +31,7 @@
          static_cast<std::uint64_t>(logical);
 }
 
-timeline::CausalTime
+timeline::HybridTimestamp
 UnpackTimestamp(std::uint64_t aPacked)
 {
   constexpr std::uint64_t kMask = (1U << kLogicalBits) - 1;
--- a/src/timeline/timeline_test.cpp
+++ b/src/timeline/timeline_test.cpp
@@ -19,16 +19,18 @@
   return event;
 }
 
-/// An instance whose wall clock is off by `aError`.
+/// An instance whose wall clock is `aOffsetSeconds` ahead.
 struct Instance
 {
-  Instance(const std::string& aName, const base::Clock& aClock, int aError)
-    : mClock(aClock, std::chrono::seconds(aError))
+  Instance(const std::string& aName,
+           const base::Clock& aClock,
+           int aOffsetSeconds)
+    : mClock(aClock, std::chrono::seconds(aOffsetSeconds))
     , mTimeline({ aName }, 4, mClock)
   {
   }
 
-  CausalClock mClock;
+  HybridLogicalClock mClock;
   Timeline mTimeline;
 };
 
@@ -38,14 +40,15 @@
   CPPUNIT_TEST(OrdersCauseBeforeEffect);
   CPPUNIT_TEST(DropsOldestEvents);
   CPPUNIT_TEST(RoundTripsExports);
-  CPPUNIT_TEST(FiltersAndMergesOnce);
+  CPPUNIT_TEST(FiltersAndDropsDuplicates);
   CPPUNIT_TEST(NamesEveryKind);
-  CPPUNIT_TEST(WritesTextAndTrace);
+  CPPUNIT_TEST(FormatsTextAndChromeTrace);
   CPPUNIT_TEST(RecordsFromManyThreads);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against an order by wall clocks, which differ between instances.
+  // Guards against ordering events by the wall clocks of the instances, which
+  // differ.
   void OrdersCauseBeforeEffect()
   {
     base::ManualClock clock;
@@ -64,7 +67,8 @@
     CPPUNIT_ASSERT(events[2].mEvent.mKind == EventKind::AttemptEnded);
   }
 
-  // Guards against a ring that grows, or that loses events silently.
+  // Guards against a buffer that grows without bound or does not count the
+  // events that it drops.
   void DropsOldestEvents()
   {
     base::ManualClock clock;
@@ -104,8 +108,9 @@
     }
   }
 
-  // Guards against events shown twice after two fetches from one instance.
-  void FiltersAndMergesOnce()
+  // Guards against events that appear twice when one instance has been queried
+  // twice.
+  void FiltersAndDropsDuplicates()
   {
     base::ManualClock clock;
     Instance one("one", clock, 0);
@@ -122,7 +127,7 @@
     CPPUNIT_ASSERT(Merge({ all }, filter).empty());
   }
 
-  // Guards against a kind without a name, whose exports no peer can read.
+  // Guards against a kind without a name: ParseExport would reject its events.
   void NamesEveryKind()
   {
     const int last = static_cast<int>(EventKind::DrainCompleted);
@@ -132,8 +137,9 @@
     }
   }
 
-  // Guards against ids and details from callers that forge further lines.
-  void WritesTextAndTrace()
+  // Guards against line breaks in ids and details, with which a caller could
+  // forge events in the text output.
+  void FormatsTextAndChromeTrace()
   {
     base::ManualClock clock;
     Instance one("one", clock, 0);
@@ -164,14 +170,15 @@
     CPPUNIT_ASSERT_EQUAL(std::string("MMbeMi"), phases);
   }
 
-  // Guards against times that are given twice, which Merge takes for repeats.
+  // Guards against equal timestamps of two events, one of which Merge would
+  // drop as a duplicate.
   void RecordsFromManyThreads()
   {
     constexpr std::size_t kThreads = 4;
     constexpr std::size_t kEvents = 500;
     base::ManualClock clock;
-    CausalClock causal(clock, {});
-    Timeline timeline({ "one" }, kThreads * kEvents, causal);
+    HybridLogicalClock logicalClock(clock, {});
+    Timeline timeline({ "one" }, kThreads * kEvents, logicalClock);
     std::vector<std::thread> threads;
     threads.reserve(kThreads);
     for (std::size_t i = 0; i < kThreads; ++i) {
