--- a/include/skylarkhill/entry/instruments.hpp
+++ b/include/skylarkhill/entry/instruments.hpp
@@ -12,7 +12,7 @@
 {
   metrics::Registry& mMetrics;
   timeline::Timeline& mTimeline;
-  timeline::CausalClock& mHybridClock;
+  timeline::HybridLogicalClock& mHybridClock;
 };
 
 } // namespace skylarkhill::entry
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -542,7 +542,7 @@
   const base::Clock& mClock;
   const std::uint64_t mIncarnation;
   const std::string mWriter;
-  timeline::CausalClock mHybridClock;
+  timeline::HybridLogicalClock mHybridClock;
   timeline::Timeline mTimeline;
   metrics::Registry mMetrics;
   const Instruments mInstruments;
