--- a/include/skylarkhill/peer/message.hpp
+++ b/include/skylarkhill/peer/message.hpp
@@ -40,7 +40,7 @@
   std::vector<LeavingNotice> mLeaving;
   std::vector<ServiceSlots> mFreeSlots;
   std::vector<base::WorkerId> mHeldWorkers;
-  std::uint64_t mCausalClock = 0;
+  std::uint64_t mHybridTimestamp = 0;
 };
 
 /// Asks the receiver to run one attempt of a request. The deadline of the
@@ -55,7 +55,7 @@
   bool mIdempotent = false;
   std::int64_t mImportance = 0;
   std::string mBody;
-  std::uint64_t mCausalClock = 0;
+  std::uint64_t mHybridTimestamp = 0;
 };
 
 /// Outcome of a forwarded attempt.
@@ -68,7 +68,7 @@
   base::ErrorKind mErrorKind = base::ErrorKind::OutcomeUnknown;
   std::string mDetail;
   std::string mBody;
-  std::uint64_t mCausalClock = 0;
+  std::uint64_t mHybridTimestamp = 0;
 };
 
 /// Asks for the state that the receiver has derived from one stream.
@@ -78,7 +78,7 @@
   std::string mStream;
   /// First page to send; 0 is the start.
   std::int64_t mPageIndex = 0;
-  std::uint64_t mCausalClock = 0;
+  std::uint64_t mHybridTimestamp = 0;
 };
 
 /// One page of the state that the sender has derived from one stream.
@@ -91,7 +91,7 @@
   /// Offset up to which the sender has read the stream.
   std::int64_t mAsOf = 0;
   std::string mPayload;
-  std::uint64_t mCausalClock = 0;
+  std::uint64_t mHybridTimestamp = 0;
 };
 
 using Message = std::
--- a/src/entry/peer_network.cpp
+++ b/src/entry/peer_network.cpp
@@ -220,7 +220,7 @@
   }
   peers.erase({ mOptions.mSelf.mAddress, mOptions.mSelf.mPeerPort });
   peer::Heartbeat message = ToMessage(heartbeat);
-  message.mCausalClock = PackTimestamp(mInstruments.mHybridClock.Tick());
+  message.mHybridTimestamp = PackTimestamp(mInstruments.mHybridClock.Tick());
   const base::TimePoint deadline =
     mClock.Now() + 2 * mOptions.mView.mHeartbeatInterval;
   for (const auto& it : peers) {
@@ -253,7 +253,8 @@
   }
   std::visit(
     [&](const auto& aContent) {
-      mInstruments.mHybridClock.Observe(UnpackTimestamp(aContent.mCausalClock));
+      mInstruments.mHybridClock.Observe(
+        UnpackTimestamp(aContent.mHybridTimestamp));
       Handle(aContent, aMessage);
     },
     message.value());
@@ -296,7 +297,7 @@
     mNextConfigPage = 0;
   }
   fetch.mStream = kConfigStream;
-  fetch.mCausalClock = PackTimestamp(mInstruments.mHybridClock.Tick());
+  fetch.mHybridTimestamp = PackTimestamp(mInstruments.mHybridClock.Tick());
   const auto sent = Send(aPeer,
                          fetch,
                          mClock.Now() + kMessageTimeout,
@@ -323,7 +324,7 @@
     page.mPageIndex = static_cast<std::int64_t>(begin / kStatePageBytes);
     page.mIsLast = begin + kStatePageBytes >= size;
     page.mPayload = text.value().substr(begin, kStatePageBytes);
-    page.mCausalClock = PackTimestamp(mInstruments.mHybridClock.Tick());
+    page.mHybridTimestamp = PackTimestamp(mInstruments.mHybridClock.Tick());
     const auto sent = Send(aReceived.mFrom,
                            page,
                            mClock.Now() + kMessageTimeout,
@@ -455,7 +456,7 @@
   message.mIdempotent = aRequest.mIdempotent;
   message.mImportance = aRequest.mImportance;
   message.mBody = aRequest.mBody;
-  message.mCausalClock = PackTimestamp(mInstruments.mHybridClock.Tick());
+  message.mHybridTimestamp = PackTimestamp(mInstruments.mHybridClock.Tick());
   return Send(*address, message, aDeadline, peer::AgePolicy::RequireKnown);
 }
 
@@ -476,7 +477,7 @@
   message.mErrorKind = aResult.mError.mKind;
   message.mDetail = aResult.mError.mDetail;
   message.mBody = aResult.mBody;
-  message.mCausalClock = PackTimestamp(mInstruments.mHybridClock.Tick());
+  message.mHybridTimestamp = PackTimestamp(mInstruments.mHybridClock.Tick());
   const auto sent = Send(*address,
                          message,
                          mClock.Now() + kMessageTimeout,
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -194,7 +194,7 @@
              m.mLeaving,
              m.mFreeSlots,
              m.mHeldWorkers,
-             m.mCausalClock);
+             m.mHybridTimestamp);
   } else if constexpr (std::is_same_v<Plain, ForwardRequest>) {
     aVisitor(m.mOrigin,
              m.mOriginIncarnation,
@@ -204,7 +204,7 @@
              m.mIdempotent,
              m.mImportance,
              m.mBody,
-             m.mCausalClock);
+             m.mHybridTimestamp);
   } else if constexpr (std::is_same_v<Plain, ForwardResponse>) {
     aVisitor(m.mRequest,
              m.mAttempt,
@@ -212,9 +212,9 @@
              m.mErrorKind,
              m.mDetail,
              m.mBody,
-             m.mCausalClock);
+             m.mHybridTimestamp);
   } else if constexpr (std::is_same_v<Plain, StateFetch>) {
-    aVisitor(m.mFetchId, m.mStream, m.mPageIndex, m.mCausalClock);
+    aVisitor(m.mFetchId, m.mStream, m.mPageIndex, m.mHybridTimestamp);
   } else if constexpr (std::is_same_v<Plain, StatePage>) {
     aVisitor(m.mFetchId,
              m.mStream,
@@ -222,7 +222,7 @@
              m.mIsLast,
              m.mAsOf,
              m.mPayload,
-             m.mCausalClock);
+             m.mHybridTimestamp);
   } else {
     aVisitor(m.mSender.mHost,
              m.mSender.mPort,
--- a/src/peer/codec_test.cpp
+++ b/src/peer/codec_test.cpp
@@ -26,7 +26,7 @@
   heartbeat.mLeaving = { { "worker-3", 7, 1000 } };
   heartbeat.mFreeSlots = { { "lookup", 12 }, { "match", 0 } };
   heartbeat.mHeldWorkers = { { "worker-1" }, { "worker-2" } };
-  heartbeat.mCausalClock = 99;
+  heartbeat.mHybridTimestamp = 99;
   return heartbeat;
 }
 
@@ -81,7 +81,7 @@
     CPPUNIT_ASSERT(heartbeat.mFreeSlots.at(0).mFreeSlots == 12);
     CPPUNIT_ASSERT_EQUAL(std::string("worker-2"),
                          heartbeat.mHeldWorkers.at(1).mValue);
-    CPPUNIT_ASSERT(heartbeat.mCausalClock == 99 &&
+    CPPUNIT_ASSERT(heartbeat.mHybridTimestamp == 99 &&
                    heartbeat.mDomain.mValue == "kochi");
   }
 
