Rename the simulations that the random explorer runs

The names say what each function, option and member does, and use the terms of the rest of the code (instance, agent, grant, execution). No change of behaviour.

--- a/include/skylarkhill/testing/site_world.hpp
+++ b/include/skylarkhill/testing/site_simulation.hpp
@@ -1,5 +1,5 @@
-#ifndef SKYLARKHILL_TESTING_SITE_WORLD_HPP
-#define SKYLARKHILL_TESTING_SITE_WORLD_HPP
+#ifndef SKYLARKHILL_TESTING_SITE_SIMULATION_HPP
+#define SKYLARKHILL_TESTING_SITE_SIMULATION_HPP
 
 #include <cstddef>
 #include <cstdint>
@@ -9,24 +9,24 @@
 namespace skylarkhill::testing {
 
 /// Mechanisms of the program; false removes one by falsified inputs.
-struct SiteVariant
+struct SiteSimulationOptions
 {
   /// Messages to workers may take longer than the maximum message delay.
   bool mLateMessages = false;
   bool mWorkerChecksNotAfter = true;
-  bool mVerify = true;
-  bool mQuietPeriod = true;
-  bool mCheckBeforeSend = true;
-  bool mReadIntentBack = true;
-  bool mReadAcceptBack = true;
-  bool mReadVerdictBack = true;
-  bool mMatchAnswers = true;
-  bool mSnapshots = true;
-  bool mSeeLeaving = true;
-  bool mReleaseInherited = true;
+  bool mVerifiesLease = true;
+  bool mHasQuietPeriod = true;
+  bool mChecksLeaseBeforeSend = true;
+  bool mReadsIntentBack = true;
+  bool mReadsAcceptBack = true;
+  bool mReadsPublishOutcomeBack = true;
+  bool mMatchesRequestIds = true;
+  bool mWritesSnapshots = true;
+  bool mObservesLeavingWorkers = true;
+  bool mReleasesInheritedGrants = true;
 };
 
-struct SiteRun
+struct SiteSimulationResult
 {
   /// The first violated invariant; empty if there is none.
   std::string mViolation;
@@ -35,8 +35,8 @@
   std::size_t mTasksEnded = 0;
   std::size_t mStarts = 0;
   std::size_t mCompletedRequests = 0;
-  std::size_t mKeysRun = 0;
-  std::size_t mPublishes = 0;
+  std::size_t mExecutedKeys = 0;
+  std::size_t mPublishOutcomes = 0;
   std::size_t mSnapshots = 0;
 };
 
@@ -44,9 +44,9 @@
 /// log: 30 simulated seconds with faults, then without until everything that
 /// was accepted has finished. Checks the invariants after every event. The run
 /// depends on the arguments only.
-SiteRun
-RunSiteWorld(std::uint64_t aSeed, const SiteVariant& aVariant);
+SiteSimulationResult
+RunSiteSimulation(std::uint64_t aSeed, const SiteSimulationOptions& aOptions);
 
 } // namespace skylarkhill::testing
 
-#endif // SKYLARKHILL_TESTING_SITE_WORLD_HPP
+#endif // SKYLARKHILL_TESTING_SITE_SIMULATION_HPP
--- a/src/holder/holder_random_test.cpp
+++ b/src/holder/holder_random_test.cpp
@@ -1,4 +1,4 @@
-#include "skylarkhill/testing/holder_world.hpp"
+#include "skylarkhill/testing/holder_simulation.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -9,9 +9,9 @@
 
 namespace {
 
-using testing::HolderRun;
-using testing::RunHolderWorld;
-using Variant = testing::HolderVariant;
+using testing::HolderSimulationResult;
+using testing::RunHolderSimulation;
+using Variant = testing::HolderSimulationOptions;
 
 constexpr std::uint64_t kSeeds = 30;
 constexpr std::size_t kMinTasksDonePerSeed = 25;
@@ -58,7 +58,7 @@
   {
     Variant variant;
     variant.mWorkerChecksNotAfter = false;
-    variant.mSlowLog = true;
+    variant.mDelaysAppends = true;
     ExpectNoViolation(variant);
   }
 
@@ -67,7 +67,7 @@
   {
     Variant variant;
     variant.mWorkerChecksNotAfter = false;
-    variant.mWorkersForget = true;
+    variant.mRestartsWorkers = true;
     // Long quiet periods leave less time to complete tasks.
     ExpectNoViolation(variant, 15);
   }
@@ -77,14 +77,14 @@
   void FindsMissingVerification()
   {
     Variant variant;
-    variant.mVerify = false;
+    variant.mVerifiesLease = false;
     ExpectViolation(variant);
   }
 
   void FindsMissingMargin()
   {
     Variant variant;
-    variant.mMargin = false;
+    variant.mHasClockMargin = false;
     ExpectViolation(variant);
   }
 
@@ -92,7 +92,7 @@
   {
     Variant variant;
     variant.mWorkerChecksNotAfter = false;
-    variant.mQuietPeriod = false;
+    variant.mHasQuietPeriod = false;
     variant.mSlowCommandPercent = 60;
     ExpectViolation(variant);
   }
@@ -108,7 +108,7 @@
   void FindsRepeatedStart()
   {
     Variant variant;
-    variant.mStartOnce = false;
+    variant.mPreventsRepeatedStarts = false;
     ExpectViolation(variant);
   }
 
@@ -117,7 +117,7 @@
   {
     Variant variant;
     variant.mWorkerChecksNotAfter = false;
-    variant.mCheckBeforeSend = false;
+    variant.mChecksLeaseBeforeSend = false;
     ExpectViolation(variant);
   }
 
@@ -126,8 +126,8 @@
   void FindsStartOfInheritedGrants()
   {
     Variant variant;
-    variant.mSlowLog = true;
-    variant.mReleaseInherited = false;
+    variant.mDelaysAppends = true;
+    variant.mReleasesInheritedGrants = false;
     ExpectViolation(variant);
   }
 
@@ -136,8 +136,8 @@
   void FindsShortQuietPeriodAfterRestarts()
   {
     Variant variant;
-    variant.mWorkersForget = true;
-    variant.mLongQuietPeriod = false;
+    variant.mRestartsWorkers = true;
+    variant.mQuietPeriodCoversLease = false;
     ExpectViolation(variant);
   }
 
@@ -148,13 +148,13 @@
   {
     std::size_t done = 0;
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      const HolderRun run = RunHolderWorld(seed, aVariant);
+      const HolderSimulationResult run = RunHolderSimulation(seed, aVariant);
       std::string text = "seed " + std::to_string(seed) + ": " + run.mViolation;
       for (const auto& it : run.mTrace) {
         text += "\n" + it;
       }
       CPPUNIT_ASSERT_MESSAGE(text, run.mViolation.empty());
-      done += run.mTasksDone;
+      done += run.mTasksEnded;
     }
     // A holder that starts no task causes no violation either.
     CPPUNIT_ASSERT_MESSAGE("tasks done: " + std::to_string(done),
@@ -164,7 +164,7 @@
   static void ExpectViolation(const Variant& aVariant)
   {
     for (std::uint64_t seed = 1; seed <= kMaxSearchedSeeds; ++seed) {
-      const HolderRun run = RunHolderWorld(seed, aVariant);
+      const HolderSimulationResult run = RunHolderSimulation(seed, aVariant);
       if (!run.mViolation.empty()) {
         std::cout << " [seed " << seed << ": " << run.mViolation << "]";
         return;
--- a/src/testing/explore_main.cpp
+++ b/src/testing/explore_main.cpp
@@ -1,5 +1,5 @@
-#include "skylarkhill/testing/holder_world.hpp"
-#include "skylarkhill/testing/site_world.hpp"
+#include "skylarkhill/testing/holder_simulation.hpp"
+#include "skylarkhill/testing/site_simulation.hpp"
 
 #include <boost/program_options.hpp>
 #include <easylogging++.h>
@@ -19,50 +19,50 @@
 using namespace skylarkhill::testing;
 
 /// A mechanism that can be removed, by its name on the command line.
-struct Removal
+struct Mechanism
 {
   const char* mName;
-  bool SiteVariant::*mMechanism;
+  bool SiteSimulationOptions::*mMember;
   bool mNeedsLateMessages = false;
 };
 
-constexpr Removal kRemovals[] = {
-  { "not_after", &SiteVariant::mWorkerChecksNotAfter, true },
-  { "verify", &SiteVariant::mVerify },
-  { "quiet_period", &SiteVariant::mQuietPeriod },
-  { "check_before_send", &SiteVariant::mCheckBeforeSend },
-  { "read_intent_back", &SiteVariant::mReadIntentBack },
-  { "read_accept_back", &SiteVariant::mReadAcceptBack },
-  { "read_verdict_back", &SiteVariant::mReadVerdictBack },
-  { "match_answers", &SiteVariant::mMatchAnswers },
-  { "snapshots", &SiteVariant::mSnapshots },
-  { "see_leaving", &SiteVariant::mSeeLeaving },
-  { "release_inherited", &SiteVariant::mReleaseInherited },
+constexpr Mechanism kMechanisms[] = {
+  { "not_after", &SiteSimulationOptions::mWorkerChecksNotAfter, true },
+  { "verify", &SiteSimulationOptions::mVerifiesLease },
+  { "quiet_period", &SiteSimulationOptions::mHasQuietPeriod },
+  { "check_before_send", &SiteSimulationOptions::mChecksLeaseBeforeSend },
+  { "read_intent_back", &SiteSimulationOptions::mReadsIntentBack },
+  { "read_accept_back", &SiteSimulationOptions::mReadsAcceptBack },
+  { "read_verdict_back", &SiteSimulationOptions::mReadsPublishOutcomeBack },
+  { "match_answers", &SiteSimulationOptions::mMatchesRequestIds },
+  { "snapshots", &SiteSimulationOptions::mWritesSnapshots },
+  { "see_leaving", &SiteSimulationOptions::mObservesLeavingWorkers },
+  { "release_inherited", &SiteSimulationOptions::mReleasesInheritedGrants },
 };
 
 struct Arguments
 {
   std::uint64_t mSeeds = 100;
-  std::uint64_t mFirst = 1;
+  std::uint64_t mFirstSeed = 1;
   std::string mWorld = "site";
-  std::string mRemove;
+  std::string mRemovedMechanism;
   bool mLateMessages = false;
-  bool mWithoutGuard = false;
+  bool mSkipsNotAfterCheck = false;
 };
 
 /// False if the mechanism is not known.
 bool
-Remove(const Arguments& aArguments, SiteVariant& aVariant)
+ApplyArguments(const Arguments& aArguments, SiteSimulationOptions& aOptions)
 {
-  aVariant.mLateMessages = aArguments.mLateMessages;
-  aVariant.mWorkerChecksNotAfter = !aArguments.mWithoutGuard;
-  if (aArguments.mRemove.empty()) {
+  aOptions.mLateMessages = aArguments.mLateMessages;
+  aOptions.mWorkerChecksNotAfter = !aArguments.mSkipsNotAfterCheck;
+  if (aArguments.mRemovedMechanism.empty()) {
     return true;
   }
-  for (const Removal& it : kRemovals) {
-    if (aArguments.mRemove == it.mName) {
-      aVariant.*it.mMechanism = false;
-      aVariant.mLateMessages |= it.mNeedsLateMessages;
+  for (const Mechanism& it : kMechanisms) {
+    if (aArguments.mRemovedMechanism == it.mName) {
+      aOptions.*it.mMember = false;
+      aOptions.mLateMessages |= it.mNeedsLateMessages;
       return true;
     }
   }
@@ -85,42 +85,43 @@
 }
 
 int
-Explore(const Arguments& aArguments, const SiteVariant& aVariant)
+Explore(const Arguments& aArguments, const SiteSimulationOptions& aOptions)
 {
-  SiteRun sum;
+  SiteSimulationResult sum;
   for (std::uint64_t n = 0; n < aArguments.mSeeds; ++n) {
-    const std::uint64_t seed = aArguments.mFirst + n;
+    const std::uint64_t seed = aArguments.mFirstSeed + n;
     if (aArguments.mWorld == "holder") {
-      HolderVariant variant;
-      variant.mLateMessages = aArguments.mLateMessages;
-      variant.mWorkerChecksNotAfter = !aArguments.mWithoutGuard;
-      variant.mVerify = aVariant.mVerify;
-      variant.mCheckBeforeSend = aVariant.mCheckBeforeSend;
-      const HolderRun run = RunHolderWorld(seed, variant);
+      HolderSimulationOptions holderOptions;
+      holderOptions.mLateMessages = aArguments.mLateMessages;
+      holderOptions.mWorkerChecksNotAfter = !aArguments.mSkipsNotAfterCheck;
+      holderOptions.mVerifiesLease = aOptions.mVerifiesLease;
+      holderOptions.mChecksLeaseBeforeSend = aOptions.mChecksLeaseBeforeSend;
+      const HolderSimulationResult run =
+        RunHolderSimulation(seed, holderOptions);
       if (!Report(seed, run.mViolation, run.mTrace)) {
         return 1;
       }
-      sum.mTasksEnded += run.mTasksDone;
+      sum.mTasksEnded += run.mTasksEnded;
       sum.mStarts += run.mStarts;
       continue;
     }
-    const SiteRun run = RunSiteWorld(seed, aVariant);
+    const SiteSimulationResult run = RunSiteSimulation(seed, aOptions);
     if (!Report(seed, run.mViolation, run.mTrace)) {
       return 1;
     }
     sum.mTasksEnded += run.mTasksEnded;
     sum.mStarts += run.mStarts;
     sum.mCompletedRequests += run.mCompletedRequests;
-    sum.mKeysRun += run.mKeysRun;
-    sum.mPublishes += run.mPublishes;
+    sum.mExecutedKeys += run.mExecutedKeys;
+    sum.mPublishOutcomes += run.mPublishOutcomes;
     sum.mSnapshots += run.mSnapshots;
   }
-  std::cout << aArguments.mSeeds << " seeds from " << aArguments.mFirst
+  std::cout << aArguments.mSeeds << " seeds from " << aArguments.mFirstSeed
             << ", world " << aArguments.mWorld << ": no violation; tasks ended "
             << sum.mTasksEnded << ", starts " << sum.mStarts
             << ", requests completed " << sum.mCompletedRequests
-            << ", keys run " << sum.mKeysRun << ", publish verdicts "
-            << sum.mPublishes << ", snapshots " << sum.mSnapshots << '\n';
+            << ", keys run " << sum.mExecutedKeys << ", publish verdicts "
+            << sum.mPublishOutcomes << ", snapshots " << sum.mSnapshots << '\n';
   return 0;
 }
 
@@ -135,20 +136,21 @@
   add("seeds",
       options::value(&arguments.mSeeds)->default_value(100),
       "number of seeds");
-  add(
-    "first", options::value(&arguments.mFirst)->default_value(1), "first seed");
+  add("first",
+      options::value(&arguments.mFirstSeed)->default_value(1),
+      "first seed");
   add("world",
       options::value(&arguments.mWorld)->default_value("site"),
       "site or holder");
   add("remove",
-      options::value(&arguments.mRemove),
+      options::value(&arguments.mRemovedMechanism),
       "mechanism to remove; from the holder world verify or "
       "check_before_send");
   add("late-messages",
       options::bool_switch(&arguments.mLateMessages),
       "messages may exceed the maximum message delay");
   add("without-guard",
-      options::bool_switch(&arguments.mWithoutGuard),
+      options::bool_switch(&arguments.mSkipsNotAfterCheck),
       "workers do not check not_after");
   options::variables_map values;
   options::store(options::parse_command_line(aCount, aValues, description),
@@ -158,17 +160,19 @@
     std::cout << description;
     return 0;
   }
-  SiteVariant variant;
-  const bool isWorld =
+  SiteSimulationOptions siteOptions;
+  const bool isKnownWorld =
     arguments.mWorld == "site" || arguments.mWorld == "holder";
-  const bool isRemovable =
-    arguments.mRemove.empty() || arguments.mWorld == "site" ||
-    arguments.mRemove == "verify" || arguments.mRemove == "check_before_send";
-  if (!isWorld || !isRemovable || !Remove(arguments, variant)) {
+  const bool isRemovable = arguments.mRemovedMechanism.empty() ||
+                           arguments.mWorld == "site" ||
+                           arguments.mRemovedMechanism == "verify" ||
+                           arguments.mRemovedMechanism == "check_before_send";
+  if (!isKnownWorld || !isRemovable ||
+      !ApplyArguments(arguments, siteOptions)) {
     std::cerr << "unknown world or mechanism\n";
     return 2;
   }
-  return Explore(arguments, variant);
+  return Explore(arguments, siteOptions);
 }
 
 } // namespace
--- a/src/testing/site_world_test.cpp
+++ b/src/testing/site_simulation_test.cpp
@@ -1,4 +1,4 @@
-#include "skylarkhill/testing/site_world.hpp"
+#include "skylarkhill/testing/site_simulation.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -10,40 +10,40 @@
 
 constexpr std::uint64_t kSeeds = 100;
 
-class SiteWorldTest : public CppUnit::TestFixture
+class SiteSimulationTest : public CppUnit::TestFixture
 {
-  CPPUNIT_TEST_SUITE(SiteWorldTest);
-  CPPUNIT_TEST(HoldsForAFixedSetOfSeeds);
+  CPPUNIT_TEST_SUITE(SiteSimulationTest);
+  CPPUNIT_TEST(NoViolationForFixedSeeds);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   // Guards against violations of P1 to P7 and P9 by the parts together.
-  void HoldsForAFixedSetOfSeeds()
+  void NoViolationForFixedSeeds()
   {
-    SiteRun sum;
+    SiteSimulationResult sum;
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      const SiteRun run = RunSiteWorld(seed, {});
+      const SiteSimulationResult run = RunSiteSimulation(seed, {});
       std::string text = "seed " + std::to_string(seed) + ": " + run.mViolation;
       for (const auto& it : run.mTrace) {
         text += "\n" + it;
       }
       CPPUNIT_ASSERT_MESSAGE(text, run.mViolation.empty());
       sum.mTasksEnded += run.mTasksEnded;
-      sum.mKeysRun += run.mKeysRun;
+      sum.mExecutedKeys += run.mExecutedKeys;
       sum.mCompletedRequests += run.mCompletedRequests;
-      sum.mPublishes += run.mPublishes;
+      sum.mPublishOutcomes += run.mPublishOutcomes;
       sum.mSnapshots += run.mSnapshots;
     }
     // A world in which nothing happens violates nothing.
     CPPUNIT_ASSERT(sum.mTasksEnded > 20 * kSeeds);
-    CPPUNIT_ASSERT(sum.mKeysRun > 10 * kSeeds);
+    CPPUNIT_ASSERT(sum.mExecutedKeys > 10 * kSeeds);
     CPPUNIT_ASSERT(sum.mCompletedRequests > 10 * kSeeds);
-    CPPUNIT_ASSERT(sum.mPublishes > 5 * kSeeds);
+    CPPUNIT_ASSERT(sum.mPublishOutcomes > 5 * kSeeds);
     CPPUNIT_ASSERT(sum.mSnapshots > kSeeds);
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(SiteWorldTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(SiteSimulationTest);
 
 } // namespace
 
