Reword the comments and messages of the simulations

Violation messages and trace lines say what happened without the numbers of the properties. The headers say what each mechanism does. No change of behaviour.

--- a/include/skylarkhill/testing/holder_simulation.hpp
+++ b/include/skylarkhill/testing/holder_simulation.hpp
@@ -8,26 +8,34 @@
 
 namespace skylarkhill::testing {
 
-/// What one run does differently from the correct program and network.
+/// Faults to add and mechanisms to disable.
 struct HolderSimulationOptions
 {
-  /// Messages may take longer than the maximum message delay.
+  /// Messages may exceed the maximum message delay.
   bool mLateMessages = false;
-  /// Appends to the log may take effect seconds later.
+  /// Some appends to the log take effect up to 15 s later.
   bool mDelaysAppends = false;
-  /// Share of commands that take almost the maximum message delay.
+  /// Percentage of commands with almost the maximum message delay.
   int mSlowCommandPercent = 15;
-  /// Workers restart and forget tasks and leases.
+  /// Workers restart and lose their tasks and leases.
   bool mRestartsWorkers = false;
-  /// The only guard that the workers may have.
+  /// Workers refuse commands that arrive after their not_after time; they check
+  /// nothing else.
   bool mWorkerChecksNotAfter = true;
-  /// Mechanisms of the program; false removes one.
+  /// After placing its lease, an instance checks that the worker lists no other
+  /// holder.
   bool mVerifiesLease = true;
+  /// Lease deadlines leave a margin for clock drift.
   bool mHasClockMargin = true;
+  /// A new holder starts nothing while commands of previous holders may arrive.
   bool mHasQuietPeriod = true;
+  /// An attempt is given up only when its start can no longer arrive.
   bool mPreventsRepeatedStarts = true;
+  /// The lease is checked again just before a command is sent.
   bool mChecksLeaseBeforeSend = true;
+  /// A new holder releases the grants of previous holders that do not run.
   bool mReleasesInheritedGrants = true;
+  /// With restarts: the quiet period also covers a lease that a worker lost.
   bool mQuietPeriodCoversLease = true;
 };
 
@@ -42,11 +50,11 @@
   std::size_t mStarts = 0;
 };
 
-/// Runs lease machines, ledgers and task runners of three entry instances
-/// against two workers and a log for 90 simulated seconds, with message loss,
-/// duplication and delay, crashes, pauses, stuck connections, skewed clocks,
-/// log outages, evictions and cancellations. Checks the invariants after every
-/// event. The run depends on the arguments only.
+/// Simulates the lease machines, ledgers and task runners of three entry
+/// instances, two workers and a log for 90 s of simulated time. Messages are
+/// lost, duplicated and delayed; instances crash and pause; connections block;
+/// clocks drift; the log fails; tasks are evicted and cancelled. Stops at the
+/// first violated invariant. The same arguments always give the same run.
 HolderSimulationResult
 RunHolderSimulation(std::uint64_t aSeed,
                     const HolderSimulationOptions& aOptions);
--- a/include/skylarkhill/testing/site_simulation.hpp
+++ b/include/skylarkhill/testing/site_simulation.hpp
@@ -8,21 +8,30 @@
 
 namespace skylarkhill::testing {
 
-/// Mechanisms of the program; false removes one by falsified inputs.
+/// Faults to add and mechanisms to disable. A mechanism that is false is
+/// bypassed by changing what the program receives, not the program itself.
 struct SiteSimulationOptions
 {
-  /// Messages to workers may take longer than the maximum message delay.
+  /// Messages to workers may exceed the maximum message delay.
   bool mLateMessages = false;
+  /// Workers refuse commands that arrive after their not_after time.
   bool mWorkerChecksNotAfter = true;
+  /// After placing its lease, an instance checks that the worker lists no other
+  /// holder.
   bool mVerifiesLease = true;
+  /// A new holder starts nothing while commands of previous holders may arrive.
   bool mHasQuietPeriod = true;
+  /// The lease is checked again just before a command is sent.
   bool mChecksLeaseBeforeSend = true;
+  /// An append counts only once its record was read back from the log.
   bool mReadsIntentBack = true;
   bool mReadsAcceptBack = true;
   bool mReadsPublishOutcomeBack = true;
+  /// Answers with another request's id are dropped.
   bool mMatchesRequestIds = true;
   bool mWritesSnapshots = true;
   bool mObservesLeavingWorkers = true;
+  /// A new holder releases the grants of previous holders that do not run.
   bool mReleasesInheritedGrants = true;
 };
 
@@ -35,15 +44,17 @@
   std::size_t mTasksEnded = 0;
   std::size_t mStarts = 0;
   std::size_t mCompletedRequests = 0;
+  /// Distinct request keys that ran at least once.
   std::size_t mExecutedKeys = 0;
+  /// Publishes whose outcome was reported to the publisher.
   std::size_t mPublishOutcomes = 0;
   std::size_t mSnapshots = 0;
 };
 
-/// Runs the decision logic of three entry instances against two workers and a
-/// log: 30 simulated seconds with faults, then without until everything that
-/// was accepted has finished. Checks the invariants after every event. The run
-/// depends on the arguments only.
+/// Simulates three entry instances, two fake workers and a fake log: 30 s of
+/// simulated time with faults, then without faults until all accepted work has
+/// ended, at most 90 s in total. Stops at the first violated invariant. The
+/// same arguments always give the same run.
 SiteSimulationResult
 RunSiteSimulation(std::uint64_t aSeed, const SiteSimulationOptions& aOptions);
 
--- a/src/testing/explore_main.cpp
+++ b/src/testing/explore_main.cpp
@@ -18,11 +18,13 @@
 namespace options = boost::program_options;
 using namespace skylarkhill::testing;
 
-/// A mechanism that can be removed, by its name on the command line.
+/// A mechanism that --remove disables.
 struct Mechanism
 {
+  /// Value of --remove.
   const char* mName;
   bool SiteSimulationOptions::*mMember;
+  /// Only late messages cause violations without it.
   bool mNeedsLateMessages = false;
 };
 
@@ -50,7 +52,7 @@
   bool mSkipsNotAfterCheck = false;
 };
 
-/// False if the mechanism is not known.
+/// Sets `aOptions`; false if the mechanism to remove is unknown.
 bool
 ApplyArguments(const Arguments& aArguments, SiteSimulationOptions& aOptions)
 {
@@ -120,7 +122,7 @@
             << ", world " << aArguments.mWorld << ": no violation; tasks ended "
             << sum.mTasksEnded << ", starts " << sum.mStarts
             << ", requests completed " << sum.mCompletedRequests
-            << ", keys run " << sum.mExecutedKeys << ", publish verdicts "
+            << ", keys executed " << sum.mExecutedKeys << ", publish outcomes "
             << sum.mPublishOutcomes << ", snapshots " << sum.mSnapshots << '\n';
   return 0;
 }
@@ -130,7 +132,7 @@
 {
   Arguments arguments;
   options::options_description description(
-    "Random exploration of the decision logic");
+    "Runs randomized fault simulations and checks their invariants");
   auto add = description.add_options();
   add("help", "print this text");
   add("seeds",
@@ -141,10 +143,10 @@
       "first seed");
   add("world",
       options::value(&arguments.mWorld)->default_value("site"),
-      "site or holder");
+      "simulation to run: site or holder");
   add("remove",
       options::value(&arguments.mRemovedMechanism),
-      "mechanism to remove; from the holder world verify or "
+      "mechanism to disable; the holder simulation accepts only verify and "
       "check_before_send");
   add("late-messages",
       options::bool_switch(&arguments.mLateMessages),
@@ -169,7 +171,7 @@
                            arguments.mRemovedMechanism == "check_before_send";
   if (!isKnownWorld || !isRemovable ||
       !ApplyArguments(arguments, siteOptions)) {
-    std::cerr << "unknown world or mechanism\n";
+    std::cerr << "--world or --remove has an unknown value\n";
     return 2;
   }
   return Explore(arguments, siteOptions);
--- a/src/testing/holder_simulation.cpp
+++ b/src/testing/holder_simulation.cpp
@@ -21,17 +21,20 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Simulated time is in microseconds.
 constexpr std::int64_t kMillisecond = 1000;
 constexpr std::int64_t kSecond = 1000 * kMillisecond;
 constexpr std::int64_t kRunLength = 90 * kSecond;
 constexpr int kTasks = 100;
 constexpr base::Resources kCapacity{ 4000, 4000, 1 };
 
+/// A task and its latest attempt.
 struct SimulatedTask
 {
   base::Resources mDeclared;
   std::int64_t mAttempt = 0;
   std::int64_t mGrantedOffset = 0;
+  /// Worker of the latest attempt; empty if that has ended.
   std::optional<base::WorkerId> mLiveWorker;
   bool mStarted = false;
   bool mCancelRequested = false;
@@ -39,7 +42,7 @@
   std::string mCheckpoint;
 };
 
-/// The rules of section 2.3 of the design that matter to a holder.
+/// Task state that results from the log, reduced to what holders depend on.
 struct TaskLogState
 {
   std::map<base::TaskId, SimulatedTask> mTasks;
@@ -102,7 +105,7 @@
   }
 };
 
-/// A clock with its own zero point and rate.
+/// A clock that differs from simulated time in offset and rate.
 struct SkewedClock
 {
   std::int64_t mOffset = 0;
@@ -114,7 +117,7 @@
   }
 };
 
-/// A worker that refuses nothing but commands that are past not_after.
+/// A worker that checks nothing but the not_after time of commands.
 struct MinimalWorker
 {
   struct Task
@@ -129,7 +132,7 @@
   base::Resources mCapacity = kCapacity;
   std::vector<worker::HolderLease> mHolders;
   std::map<worker::TaskKey, Task> mTasks;
-  /// Number of the newest acquisition that has started a task.
+  /// Number of the latest acquisition whose holder has started a task here.
   std::uint64_t mLatestStartAcquisition = 0;
 
   static bool IsRunning(const Task& aTask)
@@ -204,6 +207,7 @@
   }
 };
 
+/// An instance's state for one worker.
 struct Agent
 {
   std::unique_ptr<LeaseMachine> mLease;
@@ -211,8 +215,8 @@
   std::unique_ptr<TaskRunner> mRunner;
   base::TimePoint mAcquiredAt;
   std::map<std::uint64_t, base::TimePoint> mSentAt;
-  /// Until then the connection for polls and lease requests delivers nothing,
-  /// while that for commands works.
+  /// Simulated time until which polls and lease requests are not delivered;
+  /// commands use another connection.
   std::int64_t mPollsBlockedUntil = 0;
 };
 
@@ -224,13 +228,13 @@
   std::vector<Agent> mAgents;
   TaskLogState mLogState;
   std::int64_t mNextOffset = 0;
-  /// Send time of the read that observed the end up to which it has read.
+  /// When the latest completed read of the log was sent.
   base::TimePoint mCaughtUpTime;
-  /// Grants that are not read back yet.
+  /// Attempt and worker index of grants that have not been read back yet.
   std::map<base::TaskId, std::pair<std::int64_t, std::size_t>> mPendingGrants;
 };
 
-/// Several instances, workers and a log on one simulated time line.
+/// Discrete-event simulation of all instances, workers and the log.
 class Simulation
 {
 public:
@@ -299,8 +303,8 @@
 
   bool Chance(int aPercent) { return RandomBelow(100) < aPercent; }
 
-  // Rates of up to 2% make two clocks drift apart by up to 240 ms during a
-  // lease of 6 s, just below the margin of 250 ms.
+  // Clocks are up to 2% fast or slow, so two of them drift apart by up to
+  // 240 ms during a lease of 6 s, just below the margin of 250 ms.
   SkewedClock MakeClock()
   {
     return { RandomBelow(1000 * kSecond),
@@ -312,7 +316,8 @@
     if (mOptions.mLateMessages && Chance(5)) {
       return RandomBelow(12 * kSecond);
     }
-    // Just below the maximum message delay, less the largest clock rate.
+    // Slow messages stay below the maximum message delay of 1 s as measured by
+    // the fastest clock.
     return Chance(aSlowPercent)
              ? 950 * kMillisecond - RandomBelow(400 * kMillisecond)
              : 200 + RandomBelow(5'000);
@@ -340,7 +345,8 @@
     mEvents.push({ mTime + aDelay, mNextEvent++, std::move(aAction) });
   }
 
-  /// Runs at the instance, after its pause if it is paused.
+  /// Runs `aAction` after `aDelay`, or when the instance resumes if it is
+  /// paused then. A crashed instance drops it.
   void ScheduleAtInstance(const InstanceRef& aRef,
                           std::int64_t aDelay,
                           std::function<void(Instance&)> aAction)
@@ -428,7 +434,7 @@
       AppendRecord(aRef, it);
     }
     for (const auto& it : output.mCommands) {
-      // Some commands wait for a connection.
+      // Simulates commands that wait for a free connection.
       const std::int64_t wait = Chance(10) ? 300 * kMillisecond : kMillisecond;
       ScheduleAtInstance(
         aRef, RandomBelow(wait), [this, aRef, aWorkerIndex, it](Instance&) {
@@ -485,7 +491,7 @@
       agent.mRunner =
         std::make_unique<TaskRunner>(*agent.mLease, *agent.mLedger, options);
     } else {
-      Trace(agent.mLease->Token().mInstance.mValue + " ends hold of " +
+      Trace(agent.mLease->Token().mInstance.mValue + " no longer holds " +
             mWorkers[aWorkerIndex].mId.mValue);
       agent.mRunner.reset();
       agent.mLedger.reset();
@@ -566,8 +572,8 @@
     if (mOptions.mChecksLeaseBeforeSend && !isAllowed) {
       return;
     }
-    // A worker without its guard for duplicate ids would run a duplicated
-    // start twice; the transport never repeats a start.
+    // These workers do not recognize duplicate starts. The transport never
+    // resends a start.
     const bool isStart =
       std::holds_alternative<worker::StartTask>(aCommand.mBody);
     const auto deliver = [=] {
@@ -617,7 +623,7 @@
       }
     } else if (const auto* it = std::get_if<AcknowledgeTask>(&aCommand.mBody)) {
       if (worker.IsRunning(it->mTask)) {
-        ReportViolation("acknowledged while running");
+        ReportViolation("task acknowledged while it runs");
       }
       worker.mTasks.erase(it->mTask);
     }
@@ -636,23 +642,23 @@
     }
     const SimulatedTask& expected = mOracle.mTasks.at(aStart.mTask);
     if (!expected.mLiveWorker || expected.mAttempt != aStart.mAttempt) {
-      ReportViolation("started after the end record");
+      ReportViolation("attempt started without a live grant");
     }
     for (const auto& other : mWorkers) {
       for (const auto& it : other.mTasks) {
         if (it.first.mTask == aStart.mTask &&
             MinimalWorker::IsRunning(it.second)) {
-          ReportViolation("task runs twice");
+          ReportViolation("task runs in two attempts");
         }
       }
     }
-    // Epochs grow only between holders that see each other's leases, so the
-    // order of the acquisitions is recorded here.
+    // Epochs do not order holders that never saw each other's leases, so the
+    // simulation numbers the acquisitions itself.
     const worker::HolderToken& token = aHeader.mToken;
     const std::uint64_t acquisition =
       mAcquisitions[{ token.mInstance, token.mEpoch, aWorker.mId }];
     if (acquisition < aWorker.mLatestStartAcquisition) {
-      ReportViolation("start of an earlier holder");
+      ReportViolation("start by an earlier holder");
     }
     aWorker.mLatestStartAcquisition =
       std::max(aWorker.mLatestStartAcquisition, acquisition);
@@ -665,14 +671,14 @@
     task.mEndsAt = now + RandomBelow(15 * kSecond);
     aWorker.mTasks[key] = task;
     if (!base::Fits(aWorker.Reserved(), kCapacity)) {
-      ReportViolation("capacity exceeded");
+      ReportViolation("capacity of the worker exceeded");
     }
   }
 
   void GrantQueuedTask(const InstanceRef& aRef)
   {
-    // Slow enough to leave capacity free, so that starts are in flight at all
-    // times.
+    // Grants rarely, so that capacity remains free and starts occur throughout
+    // the run.
     if (!Chance(4)) {
       return;
     }
@@ -718,7 +724,7 @@
       for (std::size_t n = 0; n < mWorkers.size(); ++n) {
         if (Advance(n).IsRunning(
               worker::TaskKey{ end->mTask, end->mAttempt })) {
-          ReportViolation("end record of a running attempt");
+          ReportViolation("end record takes effect while the attempt runs");
         }
       }
     }
@@ -815,7 +821,8 @@
   void RestartWorker(MinimalWorker& aWorker)
   {
     Trace("restart of " + aWorker.mId.mValue);
-    // What the restart killed without a trace may be started once more.
+    // The restarted worker does not report the attempts that it killed, so they
+    // may be started again.
     for (const auto& it : aWorker.mTasks) {
       mStartedAttempts.erase(it.first);
     }
@@ -835,8 +842,8 @@
       Now(aInstance) + milliseconds(500 + RandomBelow(1000)));
   }
 
-  /// While a worker that forgot its holder has two, the newer one may renew
-  /// but not start anything.
+  /// After a restart a worker may have two holders; the newer one may renew
+  /// leases but must not send calls until its quiet period ends.
   bool MaySendTo(const Instance& aInstance, const Agent& aAgent) const
   {
     const base::TimePoint now = Now(aInstance);
@@ -854,7 +861,7 @@
           return MaySendTo(*aItem, aItem->mAgents[n]);
         });
       if (holders > 1) {
-        ReportViolation("two instances may commit");
+        ReportViolation("two active holders of a worker");
       }
     }
   }
--- a/src/testing/site_simulation.cpp
+++ b/src/testing/site_simulation.cpp
@@ -31,6 +31,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Simulated time is in microseconds.
 constexpr std::int64_t kMillisecond = 1000;
 constexpr std::int64_t kSecond = 1000 * kMillisecond;
 constexpr std::int64_t kFaultsEnd = 30 * kSecond;
@@ -38,14 +39,15 @@
 constexpr std::int64_t kRetentionMs = 20'000;
 constexpr std::int64_t kMaxOutage = 3 * kSecond;
 constexpr std::int64_t kAppendTimeout = 500 * kMillisecond;
-/// A holder without an answered poll learns of a leaving worker only when its
-/// lease ends; the rest covers messages in flight.
+/// Time for which new work may still reach a leaving worker. A holder whose
+/// polls fail learns of the departure only when its 2 s lease ends; 1 s more
+/// covers messages in flight.
 constexpr std::int64_t kLeavingGrace = 3 * kSecond;
 constexpr std::size_t kInstances = 3;
 constexpr std::size_t kWorkers = 2;
 constexpr base::Resources kCapacity{ 4000, 4000, 1 };
 
-/// The clock of one instance, with its own zero point and rate.
+/// An instance's clock, which differs from simulated time in offset and rate.
 class SkewedClock : public base::Clock
 {
 public:
@@ -68,6 +70,7 @@
   double mRate;
 };
 
+/// An instance's state for one worker.
 struct Agent
 {
   std::unique_ptr<holder::LeaseMachine> mLease;
@@ -75,15 +78,16 @@
   std::unique_ptr<holder::TaskRunner> mRunner;
   base::TimePoint mAcquiredAt;
   std::map<std::uint64_t, base::TimePoint> mSentAt;
-  /// Until then nothing passes between the instance and the worker.
+  /// Simulated time until which the instance and the worker are disconnected.
   std::int64_t mUnreachableUntil = 0;
 };
 
-/// One caller's request at one instance.
+/// A request that an instance handles for a caller.
 struct Session
 {
   std::uint64_t mNumber = 0;
   std::unique_ptr<requests::RequestMachine> mMachine;
+  /// Another session has claimed the key.
   bool mAwaitsKeyOutcome = false;
   std::optional<requests::RequestResult> mResult;
 };
@@ -91,16 +95,17 @@
 using SubmitCallback =
   std::function<void(const base::Result<platform::Offset>&)>;
 
-/// A submission that was appended or is queued.
+/// Records that wait to be appended or, once appended, to be read back.
 struct Submission
 {
   std::vector<journal::SiteRecord> mRecords;
   base::TimePoint mDeadline;
+  /// Set once appended.
   std::optional<platform::Offset> mOffset;
   SubmitCallback mCallback;
 };
 
-/// One publish, until its outcome is known.
+/// A configuration change whose outcome is not known yet.
 struct PendingPublish
 {
   catalog::RecordIdentity mIdentity;
@@ -125,7 +130,7 @@
   base::InstanceId mId;
   std::unique_ptr<SkewedClock> mClock;
   std::int64_t mPausedUntil = 0;
-  /// Until then nothing passes between the instance and the log.
+  /// Simulated time until which the instance and the log are disconnected.
   std::int64_t mLogUnreachableUntil = 0;
   std::array<Agent, kWorkers> mAgents;
 
@@ -148,7 +153,7 @@
   std::vector<PendingPublish> mPendingPublishes;
 };
 
-/// All instances, workers and streams on one simulated time line.
+/// Discrete-event simulation of all instances, workers and log streams.
 class Simulation
 {
 public:
@@ -231,7 +236,8 @@
     mClock.Set(base::FromMicros(kSecond + aTime));
   }
 
-  // Just below the maximum message delay, less the largest clock rate.
+  // Slow messages stay below the maximum message delay of 300 ms as measured by
+  // the fastest clock.
   std::int64_t MessageDelay()
   {
     return FaultOccurs(15)
@@ -261,7 +267,8 @@
     mEvents.push({ mTime + aDelay, mNextEvent++, std::move(aAction) });
   }
 
-  /// Runs at the instance, after its pause if it is paused.
+  /// Runs `aAction` after `aDelay`, or when the instance resumes if it is
+  /// paused then. A crashed instance drops it.
   void ScheduleAtInstance(const InstanceRef& aRef,
                           std::int64_t aDelay,
                           std::function<void(Instance&)> aAction)
@@ -281,8 +288,8 @@
 
   std::shared_ptr<Instance> CreateInstance()
   {
-    // Rates of up to 1% make two clocks drift apart by up to 40 ms during a
-    // lease, below the margin.
+    // Clocks are up to 1% fast or slow, so two of them drift apart by up to
+    // 40 ms during a lease of 2 s; the margin is 100 ms.
     auto clock = std::make_unique<SkewedClock>(
       mTime,
       1000 * kSecond + RandomBelow(1000 * kSecond),
@@ -294,7 +301,7 @@
     options.mLeaseLength = seconds(2);
     options.mRenewInterval = milliseconds(300);
     options.mClockMargin = milliseconds(100);
-    // Workers restart with an empty lease list.
+    // Lease length plus message delay: restarted workers list no holders.
     options.mQuietPeriod = milliseconds(mOptions.mHasQuietPeriod ? 2500 : 0);
     options.mRequestTimeout = milliseconds(600);
     options.mTakeoverDelay = milliseconds(500);
@@ -420,7 +427,7 @@
           return;
         }
         ScheduleAtInstance(aRef, MessageDelay(), [=](Instance& aInstance) {
-          // An answer to an earlier read is dropped.
+          // Drops the response to a read that a later one replaced.
           if (aInstance.mReadNumber == number && IsLogReachable(aInstance)) {
             ++aInstance.mReadNumber;
             ApplyPage(aInstance, page.value(), sentAt);
@@ -465,7 +472,7 @@
                                   requests::KeyState::Unknown;
   }
 
-  /// As JournalService::Submit, with the result passed to `aCallback`.
+  /// Like JournalService::Submit, but passes the result to `aCallback`.
   void Submit(Instance& aInstance,
               const std::vector<journal::SiteRecord>& aRecords,
               base::TimePoint aDeadline,
@@ -546,7 +553,7 @@
     }
   }
 
-  // The oracle reads every record at once.
+  // The oracle applies each record as soon as it is appended.
   void ApplyToOracle(const std::string& aPayload)
   {
     const auto batch = journal::DecodeBatch(aPayload);
@@ -591,7 +598,7 @@
            aTask.mPhase == worker::TaskPhase::Checkpointing;
   }
 
-  /// An end record may only take effect for an attempt that does not run.
+  /// An end record must not take effect while its attempt still runs.
   void CheckEndRecord(const journal::SiteRecord& aRecord)
   {
     const auto* record = std::get_if<tasks::TaskRecord>(&aRecord);
@@ -611,7 +618,7 @@
       for (const auto& it : TasksOf(*worker)) {
         if (it.mTask == end->mTask && it.mAttempt == end->mAttempt &&
             IsRunning(it)) {
-          ReportViolation("P2: end record of a running attempt");
+          ReportViolation("end record takes effect while the attempt runs");
         }
       }
     }
@@ -623,18 +630,18 @@
     const bool hasEnded = mEndedTasks.count(aTask) != 0;
     if (!task) {
       if (mAcceptedTasks.count(aTask) != 0 && !hasEnded) {
-        ReportViolation("accepted task " + aTask.mValue + " was lost");
+        ReportViolation("accepted task " + aTask.mValue + " is missing");
       }
       return;
     }
     if (tasks::IsEnded(task->mState)) {
       mEndedTasks.insert(aTask);
     } else if (hasEnded) {
-      ReportViolation("P3: ended task " + aTask.mValue + " came back");
+      ReportViolation("ended task " + aTask.mValue + " is active again");
     }
     std::int64_t& newest = mLatestAttempts[aTask];
     if (task->mLastAttempt < newest) {
-      ReportViolation("P2: an attempt of " + aTask.mValue + " came back");
+      ReportViolation("attempt number of " + aTask.mValue + " decreased");
     }
     newest = std::max(newest, task->mLastAttempt);
   }
@@ -646,8 +653,8 @@
         key.mOutcome->mOutcome == requests::Outcome::NotRun) {
       mNotRunKeys.insert(aKey);
       if (mKeyExecutions[aKey] > 0) {
-        ReportViolation("P5: " + aKey.mValue +
-                        " is recorded as not run, but ran");
+        ReportViolation("key " + aKey.mValue +
+                        " is recorded as not_run, but it ran");
       }
     }
   }
@@ -678,7 +685,7 @@
       SendRecord(aRef, it);
     }
     for (const auto& it : output.mCommands) {
-      // Some commands wait for a connection.
+      // Simulates commands that wait for a free connection.
       const std::int64_t wait =
         FaultOccurs(10) ? 200 * kMillisecond : kMillisecond;
       ScheduleAtInstance(
@@ -708,7 +715,7 @@
     return result;
   }
 
-  /// Records stay true, so they are sent until they are in the log.
+  /// Retries until the log has the record, which is safe: it stays valid.
   void SendRecord(const InstanceRef& aRef, const tasks::TaskRecord& aRecord)
   {
     Instance& instance = *aRef.lock();
@@ -781,7 +788,7 @@
       agent.mRunner = std::make_unique<holder::TaskRunner>(
         *agent.mLease, *agent.mLedger, options);
     } else {
-      Trace(instance.mId.mValue + " ends hold of " + worker.Name().mValue);
+      Trace(instance.mId.mValue + " no longer holds " + worker.Name().mValue);
       agent.mRunner.reset();
       agent.mLedger.reset();
     }
@@ -845,7 +852,7 @@
     if (mOptions.mChecksLeaseBeforeSend && !isAllowed) {
       return;
     }
-    // The transport never repeats a start.
+    // The transport never resends a start.
     const bool isStart =
       std::holds_alternative<worker::StartTask>(aCommand.mBody);
     SendToWorker(agent, !isStart, [=] {
@@ -902,7 +909,7 @@
   {
     const auto it = mLeavingSince.find(aWorker.Name());
     if (it != mLeavingSince.end() && mTime > it->second + kLeavingGrace) {
-      ReportViolation("P7: " + aWhat + " sent to a leaving worker");
+      ReportViolation("a " + aWhat + " reached a leaving worker");
     }
   }
 
@@ -917,17 +924,17 @@
     Trace(aHeader.mToken.mInstance.mValue + " starts " + name + " on " +
           aWorker.Name().mValue);
     if (!mStartedAttempts.insert(key).second) {
-      ReportViolation("P2: attempt " + name + " started twice");
+      ReportViolation("attempt " + name + " started twice");
     }
     const auto task = mOracle.FindTask(aStart.mTask);
     if (!task || !tasks::HasLiveAttempt(task->mState) ||
         task->mLastAttempt != aStart.mAttempt ||
         task->mWorker != aWorker.Name()) {
-      ReportViolation("P2: " + name + " started without a live grant");
+      ReportViolation("attempt " + name + " started without a live grant");
       return;
     }
     if (task->mCheckpoint != aStart.mCheckpoint) {
-      ReportViolation("P3: " + name + " resumed from another checkpoint");
+      ReportViolation("attempt " + name + " resumed from the wrong checkpoint");
     }
     base::Resources sum;
     for (const auto& other : mWorkers) {
@@ -935,7 +942,7 @@
         const bool isSelf =
           other.get() == &aWorker && it.mAttempt == aStart.mAttempt;
         if (it.mTask == aStart.mTask && IsRunning(it) && !isSelf) {
-          ReportViolation("P2: " + name + " overlaps another attempt");
+          ReportViolation("attempt " + name + " overlaps another attempt");
         }
         if (other.get() == &aWorker && IsRunning(it)) {
           sum += it.mReserved;
@@ -943,7 +950,7 @@
       }
     }
     if (!base::Fits(sum, kCapacity)) {
-      ReportViolation("P1: capacity of " + aWorker.Name().mValue + " exceeded");
+      ReportViolation("capacity of " + aWorker.Name().mValue + " exceeded");
     }
   }
 
@@ -995,7 +1002,8 @@
   void BeginRequest(const InstanceRef& aRef, const requests::Request& aRequest)
   {
     Instance& instance = *aRef.lock();
-    // A repeat attaches to the session of its key, as in RequestService.
+    // As in RequestService, a repeated request joins the session of the first
+    // one and starts none.
     const bool isRepeat = std::any_of(
       instance.mSessions.begin(),
       instance.mSessions.end(),
@@ -1128,7 +1136,8 @@
       fail(base::ErrorKind::NoCapacity);
       return;
     }
-    // Calls without an answer keep their slot until a report shows the end.
+    // After its timeout a call still occupies its slot until a report shows
+    // that it has ended.
     const auto token = agent.mLease->Token();
     ScheduleAtInstance(aRef, 700'000, [=](Instance& aInstance) {
       Agent& own = aInstance.mAgents[index];
@@ -1164,8 +1173,8 @@
                                              aRequest.mBody,
                                              aRequest.mIdempotent });
     if (!admitted) {
-      // As HttpRemoteWorker: the refused copy of a call that may be repeated
-      // proves nothing about the other one.
+      // As in HttpRemoteWorker: an idempotent call may be sent twice, and the
+      // refusal of one copy does not show that the other did not run.
       const base::Error error =
         aRequest.mIdempotent ? base::MakeError(base::ErrorKind::ConnectionLost)
                              : admitted.error();
@@ -1195,7 +1204,7 @@
     }
   }
 
-  /// Some answers reach another request of the instance.
+  /// Delivers some answers to the wrong session of the instance.
   void DeliverAnswer(const InstanceRef& aRef,
                      Instance& aInstance,
                      std::uint64_t aSession,
@@ -1219,20 +1228,20 @@
   {
     mExecutedSessions.insert(aSession);
     if (mNotRunSessions.count(aSession) != 0) {
-      ReportViolation("P5: " + aRequest.mId.mValue +
-                      " ran after not_run was told");
+      ReportViolation("request " + aRequest.mId.mValue +
+                      " ran after the caller received not_run");
     }
     const int runs = ++mKeyExecutions[aRequest.mId];
     if (aRequest.mIdempotent) {
       return;
     }
-    Trace("run of " + aRequest.mId.mValue);
+    Trace("execution of " + aRequest.mId.mValue);
     if (runs > 1) {
-      ReportViolation("P6: " + aRequest.mId.mValue + " ran twice");
+      ReportViolation("request " + aRequest.mId.mValue + " ran twice");
     }
     if (mNotRunKeys.count(aRequest.mId) != 0) {
-      ReportViolation("P5: " + aRequest.mId.mValue +
-                      " ran after it was recorded not_run");
+      ReportViolation("request " + aRequest.mId.mValue +
+                      " ran after it was recorded as not_run");
     }
   }
 
@@ -1240,23 +1249,24 @@
   {
     const requests::Request& request = aSession.mMachine->GetRequest();
     if (aSession.mResult) {
-      ReportViolation("P4: " + request.mId.mValue + " answered twice");
+      ReportViolation("request " + request.mId.mValue + " was answered twice");
     }
     aSession.mResult = aResult;
     if (aResult.mOutcome == requests::Outcome::NotRun) {
       mNotRunSessions.insert(aSession.mNumber);
       if (mExecutedSessions.count(aSession.mNumber) != 0) {
-        ReportViolation("P5: " + request.mId.mValue +
-                        " ran, but not_run was told");
+        ReportViolation("request " + request.mId.mValue +
+                        " ran, but the caller received not_run");
       }
     } else if (aResult.mOutcome == requests::Outcome::Completed) {
       ++mResult.mCompletedRequests;
       if (aResult.mBody != request.mBody) {
-        ReportViolation("P4: " + request.mId.mValue + " got another answer");
+        ReportViolation("request " + request.mId.mValue +
+                        " got the answer of another request");
       }
       if (mKeyExecutions[request.mId] == 0) {
-        ReportViolation("P4: " + request.mId.mValue +
-                        " completed without a run");
+        ReportViolation("request " + request.mId.mValue +
+                        " completed but never ran");
       }
     }
   }
@@ -1375,7 +1385,7 @@
                        [this, aRef](Instance&) { ReadConfig(aRef); });
   }
 
-  /// Asks a peer while the log does not answer.
+  /// Copies the configuration from a peer while the log is unreachable.
   void ImportConfig(const InstanceRef& aRef)
   {
     const auto peer =
@@ -1387,7 +1397,7 @@
     ScheduleAtInstance(
       aRef, MessageDelay(), [this, text = text.value()](Instance& aInstance) {
         if (!aInstance.mConfig.Import(text)) {
-          ReportViolation("a peer's configuration was refused");
+          ReportViolation("import of a peer's configuration failed");
         }
       });
   }
@@ -1413,7 +1423,7 @@
       { record.mIdentity, catalog::FormatConfigRecord(record) });
   }
 
-  /// Keeps the state recoverable after the publishes have expired.
+  /// Lets new readers restore the configuration after its records have expired.
   void AppendConfigSnapshot(Instance& aInstance)
   {
     const auto snapshot = aInstance.mConfig.MakeSnapshot(
@@ -1448,7 +1458,8 @@
   void StepPublishes(const InstanceRef& aRef)
   {
     Instance& instance = *aRef.lock();
-    // Often enough that lost snapshots do not leave new readers without one.
+    // Often enough that the retained log always holds a snapshot, even if some
+    // are lost.
     if (RandomBelow(60) == 0) {
       AppendConfigSnapshot(instance);
     }
@@ -1483,7 +1494,7 @@
       mConfigOracle.FindVerdict(aIdentity.mWriter, aIdentity.mSequence);
     if (!expected || expected->mResult != aReported) {
       ReportViolation(
-        "P9: a publisher was told another verdict than the log's");
+        "a publisher received another outcome than the log gives");
     }
   }
 
@@ -1494,8 +1505,8 @@
       catalog::Version& newest =
         mConfigVersions.emplace(it->mId, catalog::kNoVersion).first->second;
       if (version < newest) {
-        ReportViolation("P9: the configuration of " + it->mId.mValue +
-                        " went back");
+        ReportViolation("configuration version of " + it->mId.mValue +
+                        " decreased");
       }
       if (version == newest) {
         continue;
@@ -1503,7 +1514,7 @@
       newest = version;
       const std::string digest = it->mConfig.CurrentSet()->Digest();
       if (mConfigDigests.emplace(version, digest).first->second != digest) {
-        ReportViolation("P9: readers disagree about a version");
+        ReportViolation("instances disagree about a configuration version");
       }
     }
   }
@@ -1538,7 +1549,8 @@
       BeginPublish(*aInstance);
     } else {
       const bool isIdempotent = kind < 12;
-      // Keys of non-idempotent requests are repeated, also at other instances.
+      // Non-idempotent requests are repeated with the same key, also at other
+      // instances.
       mLastRequestNumber += isIdempotent || Chance(40) ? 1 : 0;
       requests::Request request;
       request.mId = { (isIdempotent ? "request-" : "key-") +
@@ -1548,7 +1560,7 @@
       request.mIdempotent = isIdempotent;
       request.mBody = R"({"id":")" + request.mId.mValue + R"(","work_ms":)" +
                       std::to_string(RandomBelow(5) * 100) + "}";
-      // A repeat has the body of the first request.
+      // A repeated request has the same body.
       request.mBody =
         mRequestBodies.emplace(request.mId, request.mBody).first->second;
       BeginRequest(aInstance, request);
@@ -1558,7 +1570,7 @@
   void SubmitTask(const std::shared_ptr<Instance>& aInstance)
   {
     tasks::AcceptRecord accept;
-    // Callers repeat submissions whose answer they did not get.
+    // Sometimes repeats the previous submission, as after a lost answer.
     mLastTaskNumber += Chance(70) ? 1 : 0;
     accept.mSpec.mTask = { "task-" + std::to_string(mLastTaskNumber) };
     accept.mSpec.mCaller = "caller";
@@ -1626,13 +1638,13 @@
         break;
       case 4:
         instance.mLogUnreachableUntil = mTime + RandomBelow(5 * kSecond);
-        Trace(instance.mId.mValue + " cut off from the log");
+        Trace(instance.mId.mValue + " disconnected from the log");
         break;
       case 5:
       case 6:
         instance.mAgents[w].mUnreachableUntil =
           mTime + RandomBelow(5 * kSecond);
-        Trace(instance.mId.mValue + " cut off from worker " +
+        Trace(instance.mId.mValue + " disconnected from worker " +
               std::to_string(w));
         break;
       case 7:
@@ -1654,7 +1666,8 @@
              [this] { InjectRandomFault(); });
   }
 
-  // Snapshots need the log for some time in every retention period.
+  // At least 3 s between outages, so that snapshots are written before the
+  // records that they replace expire.
   void StartLogOutage()
   {
     if (mTime < mLogDownUntil + 3 * kSecond) {
@@ -1671,7 +1684,8 @@
   {
     FakeWorker& worker = *mWorkers[aWorker];
     Trace("restart of " + worker.Name().mValue);
-    // What the restart killed without a trace may be started once more.
+    // The restarted worker does not report the attempts that it killed, so they
+    // may be started again.
     for (const auto& it : TasksOf(worker)) {
       mStartedAttempts.erase({ it.mTask, it.mAttempt });
     }
@@ -1734,8 +1748,7 @@
           return agent.mRunner && agent.mRunner->MaySendCalls(aItem->Now());
         });
       if (holders > 1) {
-        ReportViolation("P1: two instances may commit " +
-                        mWorkers[n]->Name().mValue);
+        ReportViolation("two active holders of " + mWorkers[n]->Name().mValue);
       }
     }
   }
@@ -1765,7 +1778,7 @@
 
   bool IsFinished()
   {
-    // Late messages of the faults arrive within some seconds.
+    // Messages that faults delayed may arrive up to 6 s later.
     if (mTime < kFaultsEnd + 8 * kSecond || !FirstUnfinished().empty()) {
       return false;
     }
--- a/src/testing/site_simulation_test.cpp
+++ b/src/testing/site_simulation_test.cpp
@@ -17,7 +17,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against violations of P1 to P7 and P9 by the parts together.
+  // Guards against faults in the interaction of all components, such as two
+  // holders of a worker, repeated executions, lost tasks and wrong outcomes.
   void NoViolationForFixedSeeds()
   {
     SiteSimulationResult sum;
@@ -34,7 +35,7 @@
       sum.mPublishOutcomes += run.mPublishOutcomes;
       sum.mSnapshots += run.mSnapshots;
     }
-    // A world in which nothing happens violates nothing.
+    // Guards against a simulation that does no work and so violates nothing.
     CPPUNIT_ASSERT(sum.mTasksEnded > 20 * kSeeds);
     CPPUNIT_ASSERT(sum.mExecutedKeys > 10 * kSeeds);
     CPPUNIT_ASSERT(sum.mCompletedRequests > 10 * kSeeds);
