--- a/src/testing/holder_simulation.cpp
+++ b/src/testing/holder_simulation.cpp
@@ -545,12 +545,12 @@
                 worker::WorkerReport aReport)
   {
     Agent& agent = aInstance.mAgents[aWorkerIndex];
-    worker::WorkerReport seen = aReport;
+    worker::WorkerReport leaseReport = aReport;
     if (!mOptions.mVerifiesLease &&
         agent.mLease->State() == LeaseState::Verifying) {
-      seen.mHolders = { { agent.mLease->Token(), 0 } };
+      leaseReport.mHolders = { { agent.mLease->Token(), 0 } };
     }
-    agent.mLease->OnReport(aRequest, seen, Now(aInstance));
+    agent.mLease->OnReport(aRequest, leaseReport, Now(aInstance));
     if (!mOptions.mPreventsRepeatedStarts) {
       aReport.mNow += 60 * kSecond;
     }
--- a/src/testing/site_simulation.cpp
+++ b/src/testing/site_simulation.cpp
@@ -825,13 +825,13 @@
           return;
         }
         report.mLeaving = report.mLeaving && mOptions.mObservesLeavingWorkers;
-        worker::WorkerReport seen = report;
+        worker::WorkerReport leaseReport = report;
         const auto state = agent.mLease->State();
         if (!mOptions.mVerifiesLease &&
             state == holder::LeaseState::Verifying) {
-          seen.mHolders = { { agent.mLease->Token(), 0 } };
+          leaseReport.mHolders = { { agent.mLease->Token(), 0 } };
         }
-        agent.mLease->OnReport(aRequest, seen, aInstance.Now());
+        agent.mLease->OnReport(aRequest, leaseReport, aInstance.Now());
         if (agent.mRunner && agent.mLease->MaySendCommands(aInstance.Now())) {
           agent.mRunner->OnReport({ report, agent.mSentAt[aRequest] });
         }
@@ -1123,7 +1123,7 @@
                        aRequest.mId, aSend.mAttempt, base::MakeError(aKind) });
     };
     const base::TimePoint now = instance.Now();
-    const std::uint64_t call = ++mNextCallNumber;
+    const std::uint64_t call = ++mLastCallNumber;
     if (now >= aSend.mDeadline || !agent.mRunner ||
         !agent.mRunner->MaySendCalls(now)) {
       fail(base::ErrorKind::WorkerUnavailable);
@@ -1802,7 +1802,7 @@
   std::int64_t mLastTaskNumber = 0;
   std::int64_t mLastRequestNumber = 3;
   std::uint64_t mNextSessionNumber = 1;
-  std::uint64_t mNextCallNumber = 0;
+  std::uint64_t mLastCallNumber = 0;
   std::map<base::RequestId, std::string> mRequestBodies;
 
   journal::SiteState mOracle;
