--- a/include/skylarkhill/testing/raw_connection.hpp
+++ b/include/skylarkhill/testing/raw_connection.hpp
@@ -55,7 +55,7 @@
 
 private:
   /// Appends at least one byte to the buffer.
-  base::Result<void> Fill(base::TimePoint aDeadline);
+  base::Result<void> FillBuffer(base::TimePoint aDeadline);
   base::Result<void> SetTimeout(base::TimePoint aDeadline);
 
   const base::Clock& mClock;
--- a/include/skylarkhill/testing/tcp_relay.hpp
+++ b/include/skylarkhill/testing/tcp_relay.hpp
@@ -46,8 +46,8 @@
 
   void Run();
   void Accept();
-  void Serve(Connection& aConnection);
-  void CloseAffected();
+  void Forward(Connection& aConnection);
+  void CloseAfterCut();
 
   const RelayEndpoint mTarget;
   int mListener = -1;
--- a/src/testing/child_process.cpp
+++ b/src/testing/child_process.cpp
@@ -12,9 +12,9 @@
 
 namespace {
 
-constexpr int kFileMode = 0644;
-constexpr int kSignalBase = 128;
-constexpr auto kWaitInterval = std::chrono::milliseconds(5);
+constexpr int kLogFileMode = 0644;
+constexpr int kSignalExitCodeBase = 128;
+constexpr auto kPollInterval = std::chrono::milliseconds(5);
 
 } // namespace
 
@@ -33,7 +33,7 @@
                                    STDOUT_FILENO,
                                    aLogFile.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND,
-                                   kFileMode);
+                                   kLogFileMode);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
   const int ec = posix_spawn(
     &mProcess, arguments[0], &actions, nullptr, arguments.data(), environ);
@@ -66,11 +66,11 @@
     int status = 0;
     if (waitpid(mProcess, &status, WNOHANG) == mProcess) {
       mExitCode = WIFEXITED(status) ? WEXITSTATUS(status)
-                                    : kSignalBase + WTERMSIG(status);
+                                    : kSignalExitCodeBase + WTERMSIG(status);
     } else if (base::GetBootClock().Now() >= aDeadline) {
       return std::nullopt;
     } else {
-      std::this_thread::sleep_for(kWaitInterval);
+      std::this_thread::sleep_for(kPollInterval);
     }
   }
   return mExitCode;
--- a/src/testing/raw_connection.cpp
+++ b/src/testing/raw_connection.cpp
@@ -20,7 +20,7 @@
 // One TLS record holds at most 16 KiB. A read that takes whole records leaves
 // nothing inside the TLS layer, so polling the descriptor is sufficient.
 constexpr std::size_t kReadSize = std::size_t{ 16 } << 10;
-constexpr std::string_view kEndOfHead = "\r\n\r\n";
+constexpr std::string_view kHeadTerminator = "\r\n\r\n";
 constexpr int kVerifyPeer = 2;
 constexpr std::int64_t kMaxTimeoutMs = 86'400'000;
 
@@ -33,7 +33,7 @@
 /// Runs `aOperation` and turns cxxtools' exceptions into errors.
 template<typename Operation>
 base::Result<void>
-Guard(const Operation& aOperation)
+ConvertExceptions(const Operation& aOperation)
 {
   try {
     aOperation();
@@ -56,12 +56,13 @@
 base::Result<void>
 RawConnection::SetTimeout(base::TimePoint aDeadline)
 {
-  const base::Duration left = base::Remaining(mClock.Now(), aDeadline);
-  if (left.count() <= 0) {
+  const base::Duration remaining = base::Remaining(mClock.Now(), aDeadline);
+  if (remaining.count() <= 0) {
     return MakeError(ErrorKind::DeadlineExceeded, "the deadline has passed");
   }
   // Rounds up: a timeout of 0 ms would fail without waiting.
-  const std::int64_t ms = std::min((left.count() + 999) / 1000, kMaxTimeoutMs);
+  const std::int64_t ms =
+    std::min((remaining.count() + 999) / 1000, kMaxTimeoutMs);
   mSocket.setTimeout(cxxtools::Milliseconds(static_cast<long>(ms)));
   return Success();
 }
@@ -73,12 +74,13 @@
                        base::TimePoint aDeadline)
 {
   BOOST_OUTCOME_TRYV(SetTimeout(aDeadline));
-  BOOST_OUTCOME_TRYV(Guard([&] { mSocket.connect(aAddress, aPort); }));
+  BOOST_OUTCOME_TRYV(
+    ConvertExceptions([&] { mSocket.connect(aAddress, aPort); }));
   if (!aTls.mUseTls) {
     return Success();
   }
   BOOST_OUTCOME_TRYV(SetTimeout(aDeadline));
-  return Guard([&] {
+  return ConvertExceptions([&] {
     if (!aTls.mCertificateFile.empty()) {
       mSocket.loadSslCertificateFile(aTls.mCertificateFile, aTls.mKeyFile);
     }
@@ -103,7 +105,7 @@
     return Success();
   }
   BOOST_OUTCOME_TRYV(SetTimeout(aDeadline));
-  return Guard([&] {
+  return ConvertExceptions([&] {
     mSocket.loadSslCertificateFile(aTls.mCertificateFile, aTls.mKeyFile);
     if (!aTls.mCaFile.empty()) {
       mSocket.setSslVerify(kVerifyPeer, aTls.mCaFile);
@@ -118,25 +120,25 @@
   while (!aData.empty()) {
     BOOST_OUTCOME_TRYV(SetTimeout(aDeadline));
     std::size_t written = 0;
-    BOOST_OUTCOME_TRYV(
-      Guard([&] { written = mSocket.write(aData.data(), aData.size()); }));
+    BOOST_OUTCOME_TRYV(ConvertExceptions(
+      [&] { written = mSocket.write(aData.data(), aData.size()); }));
     aData.remove_prefix(std::min(written, aData.size()));
   }
   return Success();
 }
 
 base::Result<void>
-RawConnection::Fill(base::TimePoint aDeadline)
+RawConnection::FillBuffer(base::TimePoint aDeadline)
 {
   BOOST_OUTCOME_TRYV(SetTimeout(aDeadline));
-  std::array<char, kReadSize> chunk{};
+  std::array<char, kReadSize> buf{};
   std::size_t n = 0;
   BOOST_OUTCOME_TRYV(
-    Guard([&] { n = mSocket.read(chunk.data(), chunk.size()); }));
+    ConvertExceptions([&] { n = mSocket.read(buf.data(), buf.size()); }));
   if (n == 0) {
     return MakeError(ErrorKind::ConnectionLost, "closed by the peer");
   }
-  mBuffer.append(chunk.data(), n);
+  mBuffer.append(buf.data(), n);
   return Success();
 }
 
@@ -145,9 +147,9 @@
 {
   std::size_t searched = 0;
   while (true) {
-    const std::size_t end = mBuffer.find(kEndOfHead, searched);
+    const std::size_t end = mBuffer.find(kHeadTerminator, searched);
     const std::size_t size =
-      end == std::string::npos ? mBuffer.size() : end + kEndOfHead.size();
+      end == std::string::npos ? mBuffer.size() : end + kHeadTerminator.size();
     if (size > aLimit) {
       return MakeError(ErrorKind::PayloadTooLarge,
                        "the header exceeds " + std::to_string(aLimit) +
@@ -158,8 +160,9 @@
       mBuffer.erase(0, size);
       return head;
     }
-    searched = mBuffer.size() - std::min(mBuffer.size(), kEndOfHead.size() - 1);
-    BOOST_OUTCOME_TRYV(Fill(aDeadline));
+    searched =
+      mBuffer.size() - std::min(mBuffer.size(), kHeadTerminator.size() - 1);
+    BOOST_OUTCOME_TRYV(FillBuffer(aDeadline));
   }
 }
 
@@ -167,7 +170,7 @@
 RawConnection::ReadBody(std::size_t aLength, base::TimePoint aDeadline)
 {
   while (mBuffer.size() < aLength) {
-    BOOST_OUTCOME_TRYV(Fill(aDeadline));
+    BOOST_OUTCOME_TRYV(FillBuffer(aDeadline));
   }
   std::string body = mBuffer.substr(0, aLength);
   mBuffer.erase(0, aLength);
@@ -183,10 +186,10 @@
 bool
 RawConnection::DiscardInput()
 {
-  std::array<char, kReadSize> chunk{};
+  std::array<char, kReadSize> buf{};
   ssize_t n = 0;
   do {
-    n = recv(Descriptor(), chunk.data(), chunk.size(), MSG_DONTWAIT);
+    n = recv(Descriptor(), buf.data(), buf.size(), MSG_DONTWAIT);
   } while (n > 0);
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
--- a/src/testing/scenario_runner.cpp
+++ b/src/testing/scenario_runner.cpp
@@ -25,7 +25,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t kRawLimit = std::size_t{ 1 } << 20;
+constexpr std::size_t kMaxRawHeadBytes = std::size_t{ 1 } << 20;
 
 struct HttpCall
 {
@@ -35,13 +35,13 @@
 };
 
 base::TimePoint
-After(std::int64_t aMilliseconds)
+DeadlineIn(std::int64_t aMilliseconds)
 {
   return base::GetBootClock().Now() + milliseconds(aMilliseconds);
 }
 
 base::Result<http::Response>
-Execute(const HttpCall& aCall)
+SendHttp(const HttpCall& aCall)
 {
   const auto client = http::CreateClient(aCall.mServer, base::GetBootClock());
   return client->Call(aCall.mRequest, aCall.mDeadline);
@@ -61,7 +61,7 @@
     std::filesystem::remove_all(mDirectory);
     std::filesystem::create_directories(mDirectory);
     luaL_openlibs(mLua.get());
-    Register();
+    RegisterFunctions();
   }
 
   ScenarioResult Run()
@@ -76,7 +76,7 @@
   using Function = int (Scenario::*)(lua_State*);
 
   template<Function F>
-  static int Call(lua_State* aLua)
+  static int Invoke(lua_State* aLua)
   {
     auto* self =
       static_cast<Scenario*>(lua_touserdata(aLua, lua_upvalueindex(1)));
@@ -89,10 +89,10 @@
   }
 
   template<Function F>
-  void Add(const char* aName)
+  void AddFunction(const char* aName)
   {
     lua_pushlightuserdata(mLua.get(), this);
-    lua_pushcclosure(mLua.get(), &Call<F>, 1);
+    lua_pushcclosure(mLua.get(), &Invoke<F>, 1);
     lua_setfield(mLua.get(), -2, aName);
   }
 
@@ -102,24 +102,24 @@
     lua_setfield(mLua.get(), -2, aName);
   }
 
-  void Register()
+  void RegisterFunctions()
   {
     lua_newtable(mLua.get());
-    Add<&Scenario::Spawn>("spawn");
-    Add<&Scenario::Signal>("signal");
-    Add<&Scenario::WaitForExit>("wait_exit");
-    Add<&Scenario::AddRelay>("relay");
-    Add<&Scenario::SetLink>("set_link");
-    Add<&Scenario::CallHttp>("http");
-    Add<&Scenario::StartHttp>("http_start");
-    Add<&Scenario::AwaitHttp>("http_wait");
-    Add<&Scenario::SendRaw>("raw");
-    Add<&Scenario::ParseJson>("parse_json");
-    Add<&Scenario::WriteFile>("write_file");
-    Add<&Scenario::ReadClock>("now_ms");
-    Add<&Scenario::Sleep>("sleep");
-    Add<&Scenario::DrawRandom>("random");
-    Add<&Scenario::Report>("report");
+    AddFunction<&Scenario::Spawn>("spawn");
+    AddFunction<&Scenario::Signal>("signal");
+    AddFunction<&Scenario::WaitForExit>("wait_exit");
+    AddFunction<&Scenario::AddRelay>("relay");
+    AddFunction<&Scenario::SetLink>("set_link");
+    AddFunction<&Scenario::CallHttp>("http");
+    AddFunction<&Scenario::StartHttp>("http_start");
+    AddFunction<&Scenario::AwaitHttp>("http_wait");
+    AddFunction<&Scenario::SendRaw>("raw");
+    AddFunction<&Scenario::ParseJson>("parse_json");
+    AddFunction<&Scenario::WriteFile>("write_file");
+    AddFunction<&Scenario::ReadClock>("now_ms");
+    AddFunction<&Scenario::Sleep>("sleep");
+    AddFunction<&Scenario::DrawRandom>("random");
+    AddFunction<&Scenario::Report>("report");
     AddText("directory", mDirectory);
     AddText("source_directory", mOptions.mSourceDirectory);
     AddText("binary_directory", mOptions.mBinaryDirectory);
@@ -144,7 +144,7 @@
     lua_settop(lua, 0);
   }
 
-  static std::string Text(lua_State* aLua, int aIndex)
+  static std::string ToText(lua_State* aLua, int aIndex)
   {
     std::size_t length = 0;
     const char* text = lua_tolstring(aLua, aIndex, &length);
@@ -155,7 +155,7 @@
     return { text, length };
   }
 
-  static std::int64_t Number(lua_State* aLua, int aIndex)
+  static std::int64_t ToInteger(lua_State* aLua, int aIndex)
   {
     int isNumber = 0;
     const lua_Number number = lua_tonumberx(aLua, aIndex, &isNumber);
@@ -166,10 +166,10 @@
     return static_cast<std::int64_t>(number);
   }
 
-  static RelayEndpoint Endpoint(lua_State* aLua, int aIndex)
+  static RelayEndpoint ToEndpoint(lua_State* aLua, int aIndex)
   {
-    return { Text(aLua, aIndex),
-             static_cast<std::uint16_t>(Number(aLua, aIndex + 1)) };
+    return { ToText(aLua, aIndex),
+             static_cast<std::uint16_t>(ToInteger(aLua, aIndex + 1)) };
   }
 
   static void PushText(lua_State* aLua, std::string_view aText)
@@ -180,11 +180,11 @@
   /// spawn(name, {program, argument, ...})
   int Spawn(lua_State* aLua)
   {
-    const std::string name = Text(aLua, 1);
+    const std::string name = ToText(aLua, 1);
     std::vector<std::string> command;
     for (lua_Integer n = 1; n <= luaL_len(aLua, 2); ++n) {
       lua_geti(aLua, 2, n);
-      command.push_back(Text(aLua, -1));
+      command.push_back(ToText(aLua, -1));
       lua_pop(aLua, 1);
     }
     command.front() = mOptions.mBinaryDirectory + "/" + command.front();
@@ -200,15 +200,15 @@
                                                       { "STOP", SIGSTOP },
                                                       { "CONT", SIGCONT },
                                                       { "TERM", SIGTERM } };
-    mProcesses.at(Text(aLua, 1))->Signal(kSignals.at(Text(aLua, 2)));
+    mProcesses.at(ToText(aLua, 1))->Signal(kSignals.at(ToText(aLua, 2)));
     return 0;
   }
 
   /// wait_exit(name, milliseconds) -> code or nil
   int WaitForExit(lua_State* aLua)
   {
-    const auto code =
-      mProcesses.at(Text(aLua, 1))->WaitForExit(After(Number(aLua, 2)));
+    const auto code = mProcesses.at(ToText(aLua, 1))
+                        ->WaitForExit(DeadlineIn(ToInteger(aLua, 2)));
     code ? lua_pushinteger(aLua, *code) : lua_pushnil(aLua);
     return 1;
   }
@@ -216,8 +216,8 @@
   /// relay(name, address, port, target address, target port)
   int AddRelay(lua_State* aLua)
   {
-    mRelays[Text(aLua, 1)] =
-      std::make_unique<TcpRelay>(Endpoint(aLua, 2), Endpoint(aLua, 4));
+    mRelays[ToText(aLua, 1)] =
+      std::make_unique<TcpRelay>(ToEndpoint(aLua, 2), ToEndpoint(aLua, 4));
     return 0;
   }
 
@@ -229,24 +229,24 @@
       { "cut", LinkMode::Cut },
       { "silent", LinkMode::Silent }
     };
-    mRelays.at(Text(aLua, 1))
-      ->SetMode(kModes.at(Text(aLua, 2)), milliseconds(Number(aLua, 3)));
+    mRelays.at(ToText(aLua, 1))
+      ->SetMode(kModes.at(ToText(aLua, 2)), milliseconds(ToInteger(aLua, 3)));
     return 0;
   }
 
-  static HttpCall ReadCall(lua_State* aLua)
+  static HttpCall ReadHttpCall(lua_State* aLua)
   {
     HttpCall call;
-    call.mRequest.mMethod = Text(aLua, 1);
-    const RelayEndpoint server = Endpoint(aLua, 2);
+    call.mRequest.mMethod = ToText(aLua, 1);
+    const RelayEndpoint server = ToEndpoint(aLua, 2);
     call.mServer.mAddress = server.mAddress;
     call.mServer.mPort = server.mPort;
-    call.mRequest.mTarget = Text(aLua, 4);
-    call.mRequest.mBody = Text(aLua, 5);
-    call.mDeadline = After(Number(aLua, 6));
+    call.mRequest.mTarget = ToText(aLua, 4);
+    call.mRequest.mBody = ToText(aLua, 5);
+    call.mDeadline = DeadlineIn(ToInteger(aLua, 6));
     if (!lua_isnoneornil(aLua, 7)) {
       call.mRequest.mHeaders.push_back(
-        { "Authorization", "Bearer " + Text(aLua, 7) });
+        { "Authorization", "Bearer " + ToText(aLua, 7) });
     }
     return call;
   }
@@ -268,14 +268,14 @@
   /// -> status, body, or nil, name of the error
   int CallHttp(lua_State* aLua)
   {
-    return PushResponse(aLua, Execute(ReadCall(aLua)));
+    return PushResponse(aLua, SendHttp(ReadHttpCall(aLua)));
   }
 
   /// As http, in the background -> number of the call
   int StartHttp(lua_State* aLua)
   {
     mCalls.push_back(
-      std::async(std::launch::async, &Execute, ReadCall(aLua)).share());
+      std::async(std::launch::async, &SendHttp, ReadHttpCall(aLua)).share());
     lua_pushinteger(aLua, static_cast<lua_Integer>(mCalls.size()));
     return 1;
   }
@@ -283,24 +283,24 @@
   /// http_wait(number of the call) -> as http
   int AwaitHttp(lua_State* aLua)
   {
-    const auto n = static_cast<std::size_t>(Number(aLua, 1));
+    const auto n = static_cast<std::size_t>(ToInteger(aLua, 1));
     return PushResponse(aLua, mCalls.at(n - 1).get());
   }
 
   /// raw(address, port, bytes, milliseconds) -> head of the response, or nil
   int SendRaw(lua_State* aLua)
   {
-    const RelayEndpoint server = Endpoint(aLua, 1);
-    const base::TimePoint deadline = After(Number(aLua, 4));
+    const RelayEndpoint server = ToEndpoint(aLua, 1);
+    const base::TimePoint deadline = DeadlineIn(ToInteger(aLua, 4));
     RawConnection connection(base::GetBootClock());
     auto sent = connection.Connect(server.mAddress, server.mPort, {}, deadline);
     if (sent) {
-      sent = connection.Write(Text(aLua, 3), deadline);
+      sent = connection.Write(ToText(aLua, 3), deadline);
     }
     if (sent) {
       connection.EndWriting();
     }
-    const auto head = connection.ReadHead(kRawLimit, deadline);
+    const auto head = connection.ReadHead(kMaxRawHeadBytes, deadline);
     head ? PushText(aLua, head.value()) : lua_pushnil(aLua);
     return 1;
   }
@@ -345,7 +345,7 @@
   /// parse_json(text) -> value, or nil, detail
   int ParseJson(lua_State* aLua)
   {
-    const auto value = base::ParseJson(Text(aLua, 1));
+    const auto value = base::ParseJson(ToText(aLua, 1));
     if (value.has_error()) {
       lua_pushnil(aLua);
       PushText(aLua, value.error().mDetail);
@@ -358,8 +358,8 @@
   /// write_file(name, text) -> path
   int WriteFile(lua_State* aLua)
   {
-    const std::string path = mDirectory + "/" + Text(aLua, 1);
-    std::ofstream(path) << Text(aLua, 2);
+    const std::string path = mDirectory + "/" + ToText(aLua, 1);
+    std::ofstream(path) << ToText(aLua, 2);
     PushText(aLua, path);
     return 1;
   }
@@ -374,7 +374,7 @@
 
   int Sleep(lua_State* aLua)
   {
-    std::this_thread::sleep_for(milliseconds(Number(aLua, 1)));
+    std::this_thread::sleep_for(milliseconds(ToInteger(aLua, 1)));
     return 0;
   }
 
@@ -383,14 +383,14 @@
   {
     lua_pushinteger(aLua,
                     static_cast<lua_Integer>(mRandom->Below(
-                      static_cast<std::uint64_t>(Number(aLua, 1)))) +
+                      static_cast<std::uint64_t>(ToInteger(aLua, 1)))) +
                       1);
     return 1;
   }
 
   int Report(lua_State* aLua)
   {
-    mResult.mReports.push_back(Text(aLua, 1));
+    mResult.mReports.push_back(ToText(aLua, 1));
     return 0;
   }
 
--- a/src/testing/scenario_test.cpp
+++ b/src/testing/scenario_test.cpp
@@ -46,7 +46,7 @@
     }
   }
 
-  ScenarioResult Take(const ScenarioOptions& aOptions)
+  ScenarioResult WaitForResult(const ScenarioOptions& aOptions)
   {
     const auto it = mResults.find(aOptions.mName);
     return it == mResults.end() ? RunScenario(aOptions) : it->second.get();
@@ -55,7 +55,8 @@
 private:
   void RunScenarios()
   {
-    for (std::size_t n = mNext++; n < mScenarios.size(); n = mNext++) {
+    for (std::size_t n = mNextScenario++; n < mScenarios.size();
+         n = mNextScenario++) {
       mPromises[n].set_value(RunScenario(mScenarios[n]));
     }
   }
@@ -63,7 +64,7 @@
   std::vector<ScenarioOptions> mScenarios;
   std::vector<std::promise<ScenarioResult>> mPromises;
   std::map<std::string, std::shared_future<ScenarioResult>> mResults;
-  std::atomic<std::size_t> mNext{ 0 };
+  std::atomic<std::size_t> mNextScenario{ 0 };
   std::vector<std::thread> mThreads;
 };
 
@@ -80,7 +81,7 @@
 
   void runTest() override
   {
-    const ScenarioResult result = mPool->Take(mOptions);
+    const ScenarioResult result = mPool->WaitForResult(mOptions);
     for (const auto& it : result.mReports) {
       std::cout << "\n  " << mOptions.mName << ": " << it << std::flush;
     }
--- a/src/testing/tcp_relay.cpp
+++ b/src/testing/tcp_relay.cpp
@@ -16,9 +16,9 @@
 
 namespace {
 
-constexpr int kPollMs = 5;
+constexpr int kPollIntervalMs = 5;
 constexpr std::size_t kReadSize = std::size_t{ 64 } << 10;
-constexpr std::size_t kMaxChunks = 64;
+constexpr std::size_t kMaxQueuedChunks = 64;
 
 sockaddr_in
 MakeAddress(const RelayEndpoint& aEndpoint)
@@ -42,21 +42,21 @@
 {
   struct Chunk
   {
-    base::TimePoint mDue;
+    base::TimePoint mForwardAt;
     std::string mData;
   };
   /// One direction. The end of the input is forwarded after all chunks.
   struct Flow
   {
-    int mFrom = -1;
-    int mTo = -1;
+    int mInput = -1;
+    int mOutput = -1;
     std::deque<Chunk> mChunks;
-    bool mEnded = false;
-    bool mEndSent = false;
+    bool mInputEnded = false;
+    bool mOutputClosed = false;
   };
 
-  Flow mUp;
-  Flow mDown;
+  Flow mToTarget;
+  Flow mFromTarget;
   bool mClosed = false;
 };
 
@@ -82,8 +82,8 @@
   mStop = true;
   mThread.join();
   for (const auto& it : mConnections) {
-    close(it.mUp.mFrom);
-    close(it.mUp.mTo);
+    close(it.mToTarget.mInput);
+    close(it.mToTarget.mOutput);
   }
   close(mListener);
 }
@@ -99,21 +99,21 @@
 TcpRelay::Run()
 {
   while (!mStop) {
-    std::vector<pollfd> waits{ { mListener, POLLIN, 0 } };
+    std::vector<pollfd> descriptors{ { mListener, POLLIN, 0 } };
     if (mMode == LinkMode::Open) {
       for (const auto& it : mConnections) {
-        waits.push_back({ it.mUp.mFrom, POLLIN, 0 });
-        waits.push_back({ it.mUp.mTo, POLLIN, 0 });
+        descriptors.push_back({ it.mToTarget.mInput, POLLIN, 0 });
+        descriptors.push_back({ it.mToTarget.mOutput, POLLIN, 0 });
       }
     }
-    poll(waits.data(), waits.size(), kPollMs);
-    CloseAffected();
+    poll(descriptors.data(), descriptors.size(), kPollIntervalMs);
+    CloseAfterCut();
     Accept();
     for (auto it = mConnections.begin(); it != mConnections.end();) {
-      Serve(*it);
+      Forward(*it);
       if (it->mClosed) {
-        close(it->mUp.mFrom);
-        close(it->mUp.mTo);
+        close(it->mToTarget.mInput);
+        close(it->mToTarget.mOutput);
         it = mConnections.erase(it);
       } else {
         ++it;
@@ -124,7 +124,7 @@
 
 /// After a cut, connections that were open have lost data and cannot go on.
 void
-TcpRelay::CloseAffected()
+TcpRelay::CloseAfterCut()
 {
   const bool isCut = mMode == LinkMode::Cut;
   for (auto& it : mConnections) {
@@ -137,61 +137,62 @@
 TcpRelay::Accept()
 {
   for (;;) {
-    const int from =
+    const int client =
       accept4(mListener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (from < 0) {
+    if (client < 0) {
       return;
     }
-    const int to = MakeSocket();
+    const int target = MakeSocket();
     const sockaddr_in address = MakeAddress(mTarget);
-    if (connect(to,
+    if (connect(target,
                 reinterpret_cast<const sockaddr*>(&address),
                 sizeof address) != 0 &&
         errno != EINPROGRESS) {
-      close(from);
-      close(to);
+      close(client);
+      close(target);
       continue;
     }
     Connection connection;
-    connection.mUp.mFrom = from;
-    connection.mUp.mTo = to;
-    connection.mDown.mFrom = to;
-    connection.mDown.mTo = from;
+    connection.mToTarget.mInput = client;
+    connection.mToTarget.mOutput = target;
+    connection.mFromTarget.mInput = target;
+    connection.mFromTarget.mOutput = client;
     mConnections.push_back(std::move(connection));
   }
 }
 
 void
-TcpRelay::Serve(Connection& aConnection)
+TcpRelay::Forward(Connection& aConnection)
 {
   if (aConnection.mClosed || mMode != LinkMode::Open) {
     return;
   }
   const base::TimePoint now = base::GetBootClock().Now();
-  for (auto* flow : { &aConnection.mUp, &aConnection.mDown }) {
+  for (auto* flow : { &aConnection.mToTarget, &aConnection.mFromTarget }) {
     std::array<char, kReadSize> buf{};
     errno = EAGAIN;
-    const ssize_t n = flow->mEnded || flow->mChunks.size() >= kMaxChunks
-                        ? -1
-                        : recv(flow->mFrom, buf.data(), buf.size(), 0);
+    const ssize_t n =
+      flow->mInputEnded || flow->mChunks.size() >= kMaxQueuedChunks
+        ? -1
+        : recv(flow->mInput, buf.data(), buf.size(), 0);
     if (n > 0) {
       flow->mChunks.push_back(
         { now + base::Duration(mDelayMicros.load()),
           std::string(buf.data(), static_cast<std::size_t>(n)) });
     } else if (n == 0) {
-      flow->mEnded = true;
+      flow->mInputEnded = true;
     } else if (errno == ECONNRESET || errno == ECONNREFUSED) {
       aConnection.mClosed = true;
       return;
     }
-    while (!flow->mChunks.empty() && flow->mChunks.front().mDue <= now) {
+    while (!flow->mChunks.empty() && flow->mChunks.front().mForwardAt <= now) {
       std::string& data = flow->mChunks.front().mData;
       const ssize_t sent =
-        send(flow->mTo, data.data(), data.size(), MSG_NOSIGNAL);
+        send(flow->mOutput, data.data(), data.size(), MSG_NOSIGNAL);
       if (sent < 0) {
-        const bool isBusy =
+        const bool wouldBlock =
           errno == EAGAIN || errno == ENOTCONN || errno == EINPROGRESS;
-        aConnection.mClosed = !isBusy;
+        aConnection.mClosed = !wouldBlock;
         break;
       }
       data.erase(0, static_cast<std::size_t>(sent));
@@ -199,12 +200,13 @@
         flow->mChunks.pop_front();
       }
     }
-    if (flow->mEnded && flow->mChunks.empty() && !flow->mEndSent) {
-      flow->mEndSent = true;
-      shutdown(flow->mTo, SHUT_WR);
+    if (flow->mInputEnded && flow->mChunks.empty() && !flow->mOutputClosed) {
+      flow->mOutputClosed = true;
+      shutdown(flow->mOutput, SHUT_WR);
     }
   }
-  if (aConnection.mUp.mEndSent && aConnection.mDown.mEndSent) {
+  if (aConnection.mToTarget.mOutputClosed &&
+      aConnection.mFromTarget.mOutputClosed) {
     aConnection.mClosed = true;
   }
 }
