--- a/include/skylarkhill/testing/child_process.hpp
+++ b/include/skylarkhill/testing/child_process.hpp
@@ -10,22 +10,22 @@
 
 namespace skylarkhill::testing {
 
-/// One program that a test has started; killed by its id at the end.
+/// A child process of a test. The destructor kills it if it still runs.
 class ChildProcess
 {
 public:
-  /// Output goes to `aLogFile`. Throws std::runtime_error if the program cannot
-  /// be started.
+  /// Appends the output to `aLogFile`. Throws std::runtime_error if the program
+  /// cannot be started.
   ChildProcess(const std::vector<std::string>& aCommand,
                const std::string& aLogFile);
   ~ChildProcess();
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
 
-  /// Does nothing after the end of the process.
+  /// Sends a signal. Does nothing once WaitForExit has returned an exit code.
   void Signal(int aSignal);
-  /// The exit code, or 128 plus the number of the signal that ended it; empty
-  /// if it still runs at the deadline.
+  /// The exit code, or 128 plus the number of the signal that ended the
+  /// process; empty if it still runs at the deadline.
   std::optional<int> WaitForExit(base::TimePoint aDeadline);
 
 private:
--- a/include/skylarkhill/testing/raw_connection.hpp
+++ b/include/skylarkhill/testing/raw_connection.hpp
@@ -15,9 +15,8 @@
 
 namespace skylarkhill::testing {
 
-/// A TCP or TLS connection with absolute deadlines. Every failure is
-/// ConnectionLost or DeadlineExceeded; what it means is the caller's matter.
-/// Not thread-safe.
+/// A TCP or TLS connection with absolute deadlines. Operations fail with
+/// ConnectionLost or DeadlineExceeded unless stated otherwise. Not thread-safe.
 class RawConnection
 {
 public:
@@ -27,28 +26,28 @@
                              std::uint16_t aPort,
                              const http::TlsOptions& aTls,
                              base::TimePoint aDeadline);
-  /// Takes the next connection of `aServer`; throws like cxxtools.
+  /// Accepts the next connection of `aServer`. Throws cxxtools' exceptions.
   void Accept(cxxtools::net::TcpServer& aServer);
-  /// TLS handshake of the accepting side; does nothing without a certificate.
+  /// Performs the server side of the TLS handshake, if a certificate is set.
   base::Result<void> AcceptTls(const http::TlsOptions& aTls,
                                base::TimePoint aDeadline);
 
   base::Result<void> Write(std::string_view aData, base::TimePoint aDeadline);
-  /// Reads up to and including the first empty line. PayloadTooLarge after
-  /// `aLimit` bytes.
+  /// Reads up to and including the first empty line. Fails with PayloadTooLarge
+  /// if that exceeds `aLimit` bytes.
   base::Result<std::string> ReadHead(std::size_t aLimit,
                                      base::TimePoint aDeadline);
   base::Result<std::string> ReadBody(std::size_t aLength,
                                      base::TimePoint aDeadline);
-  /// Tells the peer that no more bytes follow.
+  /// Closes the sending direction of the connection.
   void EndWriting();
-  /// Discards the input that has arrived, without waiting. False when the peer
-  /// has closed.
+  /// Discards received input without blocking. False if the connection has been
+  /// closed or has failed.
   bool DiscardInput();
 
-  /// True if bytes were read that belong to the next message.
+  /// True if bytes after the last returned head or body have been read.
   bool HasBufferedInput() const { return !mBuffer.empty(); }
-  /// True if a read would not block: input, end or failure.
+  /// True if a read would not block: input, end of input or an error.
   bool IsReadable() const;
   int Descriptor() const;
   std::string PeerAddress() const;
--- a/include/skylarkhill/testing/response_gate.hpp
+++ b/include/skylarkhill/testing/response_gate.hpp
@@ -6,13 +6,14 @@
 
 namespace skylarkhill::testing {
 
-/// Holds the requests to a stand-in that accepts and never answers.
+/// Blocks request handlers while closed, as in a server that accepts requests
+/// and does not respond.
 class ResponseGate
 {
 public:
   void SetClosed(bool aClosed);
   bool IsClosed() const;
-  /// Returns once the gate is open.
+  /// Blocks until the gate is open.
   void Wait();
 
 private:
--- a/include/skylarkhill/testing/scenario_runner.hpp
+++ b/include/skylarkhill/testing/scenario_runner.hpp
@@ -12,9 +12,9 @@
   std::string mName;
   /// Holds scenarios/<name>.lua and scenarios/lib/site.lua.
   std::string mSourceDirectory;
-  /// Holds the programs; the logs of the processes go below it.
+  /// Holds the programs and receives the logs of the processes.
   std::string mBinaryDirectory;
-  /// Third number of the loopback addresses: 127.3.<network>.x.
+  /// Third octet of the scenario's loopback addresses: 127.3.<network>.x.
   int mNetwork = 1;
   std::uint64_t mSeed = 1;
 };
@@ -23,7 +23,7 @@
 {
   /// Empty if the scenario passed.
   std::string mFailure;
-  /// Figures that the scenario reported.
+  /// Lines that the script passed to native.report.
   std::vector<std::string> mReports;
 };
 
@@ -31,8 +31,8 @@
 std::vector<std::string>
 ListScenarios(const std::string& aSourceDirectory);
 
-/// Runs one scenario against real processes over loopback and ends every
-/// process that it started.
+/// Runs one scenario with real processes that communicate over loopback, and
+/// kills the processes at its end.
 ScenarioResult
 RunScenario(const ScenarioOptions& aOptions);
 
--- a/include/skylarkhill/testing/tcp_relay.hpp
+++ b/include/skylarkhill/testing/tcp_relay.hpp
@@ -12,14 +12,14 @@
 
 namespace skylarkhill::testing {
 
-/// What a link does with its connections.
+/// How a relay handles its connections.
 enum class LinkMode
 {
-  /// Forwards, after the delay.
+  /// Forwards all data after the delay.
   Open,
-  /// Loses everything; connections of this time end when the mode changes.
+  /// Forwards nothing; connections are closed when the mode changes.
   Cut,
-  /// Keeps everything and forwards it when the link is open again.
+  /// Forwards nothing until the mode is Open again, and then all data.
   Silent,
 };
 
@@ -29,11 +29,11 @@
   std::uint16_t mPort = 0;
 };
 
-/// One TCP link with faults: accepts on one address and forwards to another.
+/// A TCP proxy that injects link faults between a client and `aTarget`.
 class TcpRelay
 {
 public:
-  /// Throws std::runtime_error if it cannot listen.
+  /// Throws std::runtime_error if it cannot listen on `aListen`.
   TcpRelay(const RelayEndpoint& aListen, const RelayEndpoint& aTarget);
   ~TcpRelay();
   TcpRelay(const TcpRelay&) = delete;
--- a/src/testing/raw_connection.cpp
+++ b/src/testing/raw_connection.cpp
@@ -17,8 +17,8 @@
 
 namespace {
 
-// One TLS record holds at most 16 KiB. A read that takes whole records leaves
-// nothing inside the TLS layer, so polling the descriptor is sufficient.
+// The maximum size of a TLS record. A read of this size leaves no decrypted
+// data in the TLS layer, so polling the descriptor is sufficient.
 constexpr std::size_t kReadSize = std::size_t{ 16 } << 10;
 constexpr std::string_view kHeadTerminator = "\r\n\r\n";
 constexpr int kVerifyPeer = 2;
@@ -30,7 +30,7 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-/// Runs `aOperation` and turns cxxtools' exceptions into errors.
+/// Runs `aOperation` and converts its exceptions to errors.
 template<typename Operation>
 base::Result<void>
 ConvertExceptions(const Operation& aOperation)
@@ -60,7 +60,7 @@
   if (remaining.count() <= 0) {
     return MakeError(ErrorKind::DeadlineExceeded, "the deadline has passed");
   }
-  // Rounds up: a timeout of 0 ms would fail without waiting.
+  // Rounded up, as a timeout of 0 ms would fail at once.
   const std::int64_t ms =
     std::min((remaining.count() + 999) / 1000, kMaxTimeoutMs);
   mSocket.setTimeout(cxxtools::Milliseconds(static_cast<long>(ms)));
--- a/src/testing/scenario_runner.cpp
+++ b/src/testing/scenario_runner.cpp
@@ -47,8 +47,8 @@
   return client->Call(aCall.mRequest, aCall.mDeadline);
 }
 
-/// Processes, links and calls of one scenario, behind the functions that the
-/// script calls.
+/// Runs the Lua script of a scenario and owns the processes, relays and HTTP
+/// calls that it starts.
 class Scenario
 {
 public:
@@ -139,7 +139,8 @@
     if (luaL_loadfile(lua, aFile.c_str()) != LUA_OK ||
         lua_pcall(lua, 0, 0, handler) != LUA_OK) {
       const char* text = lua_tostring(lua, -1);
-      mResult.mFailure = text == nullptr ? "error without text" : text;
+      mResult.mFailure =
+        text == nullptr ? "the script raised an error without a message" : text;
     }
     lua_settop(lua, 0);
   }
@@ -150,7 +151,7 @@
     const char* text = lua_tolstring(aLua, aIndex, &length);
     if (text == nullptr) {
       throw std::runtime_error("argument " + std::to_string(aIndex) +
-                               " is not text");
+                               " is not a string");
     }
     return { text, length };
   }
@@ -271,7 +272,7 @@
     return PushResponse(aLua, SendHttp(ReadHttpCall(aLua)));
   }
 
-  /// As http, in the background -> number of the call
+  /// http_start(arguments as for http) -> call number; runs in the background
   int StartHttp(lua_State* aLua)
   {
     mCalls.push_back(
@@ -280,7 +281,7 @@
     return 1;
   }
 
-  /// http_wait(number of the call) -> as http
+  /// http_wait(call number) -> results as for http
   int AwaitHttp(lua_State* aLua)
   {
     const auto n = static_cast<std::size_t>(ToInteger(aLua, 1));
@@ -327,7 +328,7 @@
       aValue >>= value;
       lua_pushboolean(aLua, value ? 1 : 0);
     } else if (aValue.typeName() == "int") {
-      // The parser keeps numbers as text.
+      // The parser stores numbers as text; only the type name tells the type.
       std::int64_t value = 0;
       aValue >>= value;
       lua_pushinteger(aLua, value);
@@ -399,8 +400,8 @@
   const std::unique_ptr<base::Random> mRandom;
   ScenarioResult mResult;
   std::unique_ptr<lua_State, void (*)(lua_State*)> mLua;
-  // Destroyed in reverse order: the processes end first, so that no call and
-  // no connection of a link is left waiting for one.
+  // Members are destroyed in reverse order: processes are killed first, so that
+  // pending calls and relays do not wait for them.
   std::vector<std::shared_future<base::Result<http::Response>>> mCalls;
   std::map<std::string, std::unique_ptr<TcpRelay>> mRelays;
   std::map<std::string, std::unique_ptr<ChildProcess>> mProcesses;
--- a/src/testing/scenario_test.cpp
+++ b/src/testing/scenario_test.cpp
@@ -19,11 +19,11 @@
 
 namespace {
 
-/// Scenarios at one time; each has up to about ten processes.
+/// Scenarios that run at the same time; each starts up to about ten processes.
 constexpr std::size_t kParallelScenarios = 3;
 constexpr std::uint64_t kSeed = 20'260;
 
-/// Runs scenarios on a few threads; the tests collect the results.
+/// Runs all scenarios in background threads; the tests wait for the results.
 class ScenarioPool
 {
 public:
@@ -68,7 +68,8 @@
   std::vector<std::thread> mThreads;
 };
 
-/// One scenario file; its first lines say which failure it guards against.
+/// Runs one scenario file. The comment at the head of the file says which
+/// failure it guards against.
 class ScenarioTest : public CppUnit::TestCase
 {
 public:
@@ -95,8 +96,8 @@
   const std::shared_ptr<ScenarioPool> mPool;
 };
 
-/// Starts all scenarios when the suite runs as a whole; a single selected test
-/// runs its scenario alone.
+/// Starts all scenarios in parallel if the whole suite runs. A test that is
+/// selected alone runs only its scenario.
 class ScenarioSuite : public CppUnit::TestSuite
 {
 public:
--- a/src/testing/tcp_relay.cpp
+++ b/src/testing/tcp_relay.cpp
@@ -45,7 +45,8 @@
     base::TimePoint mForwardAt;
     std::string mData;
   };
-  /// One direction. The end of the input is forwarded after all chunks.
+  /// One direction. Its output is shut down after the input has ended and all
+  /// chunks are sent.
   struct Flow
   {
     int mInput = -1;
@@ -122,7 +123,7 @@
   }
 }
 
-/// After a cut, connections that were open have lost data and cannot go on.
+/// Closes the connections that were open during a cut: their data is lost.
 void
 TcpRelay::CloseAfterCut()
 {
