--- a/src/testing/holder_simulation.cpp
+++ b/src/testing/holder_simulation.cpp
@@ -346,7 +346,7 @@
   }
 
   /// Runs `aAction` after `aDelay`, or when the instance resumes if it is
-  /// paused then. A crashed instance drops it.
+  /// paused then. An instance that has crashed by then never runs it.
   void ScheduleAtInstance(const InstanceRef& aRef,
                           std::int64_t aDelay,
                           std::function<void(Instance&)> aAction)
