--- a/src/testing/scenario_test.cpp
+++ b/src/testing/scenario_test.cpp
@@ -19,11 +19,11 @@
 
 namespace {
 
-/// Scenarios at one time; each has up to about ten processes.
+/// Scenarios that run at the same time; each starts up to about ten processes.
 constexpr std::size_t kParallelScenarios = 3;
 constexpr std::uint64_t kSeed = 20'260;
 
-/// Runs scenarios on a few threads; the tests collect the results.
+/// Runs all scenarios in background threads; the tests wait for the results.
 class ScenarioPool
 {
 public:
@@ -46,7 +46,7 @@
     }
   }
 
-  ScenarioResult Take(const ScenarioOptions& aOptions)
+  ScenarioResult WaitForResult(const ScenarioOptions& aOptions)
   {
     const auto it = mResults.find(aOptions.mName);
     return it == mResults.end() ? RunScenario(aOptions) : it->second.get();
@@ -55,7 +55,8 @@
 private:
   void RunScenarios()
   {
-    for (std::size_t n = mNext++; n < mScenarios.size(); n = mNext++) {
+    for (std::size_t n = mNextScenario++; n < mScenarios.size();
+         n = mNextScenario++) {
       mPromises[n].set_value(RunScenario(mScenarios[n]));
     }
   }
@@ -63,11 +64,12 @@
   std::vector<ScenarioOptions> mScenarios;
   std::vector<std::promise<ScenarioResult>> mPromises;
   std::map<std::string, std::shared_future<ScenarioResult>> mResults;
-  std::atomic<std::size_t> mNext{ 0 };
+  std::atomic<std::size_t> mNextScenario{ 0 };
   std::vector<std::thread> mThreads;
 };
 
-/// One scenario file; its first lines say which failure it guards against.
+/// Runs one scenario file. The comment at the head of the file says which
+/// failure it guards against.
 class ScenarioTest : public CppUnit::TestCase
 {
 public:
@@ -80,7 +82,7 @@
 
   void runTest() override
   {
-    const ScenarioResult result = mPool->Take(mOptions);
+    const ScenarioResult result = mPool->WaitForResult(mOptions);
     for (const auto& it : result.mReports) {
       std::cout << "\n  " << mOptions.mName << ": " << it << std::flush;
     }
@@ -94,8 +96,8 @@
   const std::shared_ptr<ScenarioPool> mPool;
 };
 
-/// Starts all scenarios when the suite runs as a whole; a single selected test
-/// runs its scenario alone.
+/// Starts all scenarios in parallel if the whole suite runs. A test that is
+/// selected alone runs only its scenario.
 class ScenarioSuite : public CppUnit::TestSuite
 {
 public:
