--- a/src/testing/site_simulation.cpp
+++ b/src/testing/site_simulation.cpp
@@ -1466,8 +1466,8 @@
     for (auto it = instance.mPendingPublishes.begin();
          it != instance.mPendingPublishes.end();) {
       const auto& identity = it->mIdentity;
-      const auto outcome =
-        instance.mConfig.FindPublishOutcome(identity.mWriter, identity.mSequence);
+      const auto outcome = instance.mConfig.FindPublishOutcome(
+        identity.mWriter, identity.mSequence);
       if (outcome) {
         CheckPublishOutcome(identity, outcome->mResult);
         it = instance.mPendingPublishes.erase(it);
