--- a/include/skylarkhill/testing/bench_decisions.hpp
+++ b/include/skylarkhill/testing/bench_decisions.hpp
@@ -8,7 +8,7 @@
 namespace skylarkhill::testing {
 
 /// Time of one placement decision in microseconds.
-struct DecisionTime
+struct DecisionLatency
 {
   double mP50 = 0.0;
   double mP99 = 0.0;
@@ -16,10 +16,10 @@
 
 /// Times `aDecisions` placement decisions over `aWorkers` workers, with the
 /// boot clock of this machine.
-DecisionTime
-MeasureDecisions(policy::Profile aProfile,
-                 std::size_t aWorkers,
-                 std::size_t aDecisions);
+DecisionLatency
+MeasureDecisionLatency(policy::Profile aProfile,
+                       std::size_t aWorkers,
+                       std::size_t aDecisions);
 
 } // namespace skylarkhill::testing
 
--- a/include/skylarkhill/testing/bench_measures.hpp
+++ b/include/skylarkhill/testing/bench_metrics.hpp
@@ -1,5 +1,5 @@
-#ifndef SKYLARKHILL_TESTING_BENCH_MEASURES_HPP
-#define SKYLARKHILL_TESTING_BENCH_MEASURES_HPP
+#ifndef SKYLARKHILL_TESTING_BENCH_METRICS_HPP
+#define SKYLARKHILL_TESTING_BENCH_METRICS_HPP
 
 #include <array>
 #include <cstddef>
@@ -9,7 +9,7 @@
 namespace skylarkhill::testing {
 
 /// What one run of the bench measures.
-enum class BenchMeasure
+enum class BenchMetric
 {
   /// Service latency in milliseconds, of answered requests.
   LatencyP50,
@@ -33,35 +33,35 @@
   ShortWaitP99,
 };
 
-constexpr std::size_t kBenchMeasures = 12;
+constexpr std::size_t kBenchMetricCount = 12;
 
-using BenchMeasures = std::array<double, kBenchMeasures>;
+using BenchMetrics = std::array<double, kBenchMetricCount>;
 
-struct BenchMeasureInfo
+struct BenchMetricInfo
 {
-  BenchMeasure mMeasure;
+  BenchMetric mMetric;
   std::string_view mName;
   bool mLowerIsBetter;
 };
 
 /// All measures in the order of the enumerators.
-const std::array<BenchMeasureInfo, kBenchMeasures>&
-BenchMeasureTable();
+const std::array<BenchMetricInfo, kBenchMetricCount>&
+BenchMetricTable();
 
-/// The value of `aMeasure`.
+/// The value of `aMetric`.
 double
-ValueOf(const BenchMeasures& aMeasures, BenchMeasure aMeasure);
+ValueOf(const BenchMetrics& aMetrics, BenchMetric aMetric);
 
 /// Mean, smallest and largest value of one measure over several runs.
-struct BenchSpread
+struct BenchSummary
 {
   double mMean = 0.0;
-  double mLow = 0.0;
-  double mHigh = 0.0;
+  double mMin = 0.0;
+  double mMax = 0.0;
 };
 
-BenchSpread
-SpreadOf(const std::vector<BenchMeasures>& aRuns, BenchMeasure aMeasure);
+BenchSummary
+SummarizeRuns(const std::vector<BenchMetrics>& aRuns, BenchMetric aMetric);
 
 /// The value below which `aPercent` of `aValues` lie; 0 if there are none.
 double
@@ -69,4 +69,4 @@
 
 } // namespace skylarkhill::testing
 
-#endif // SKYLARKHILL_TESTING_BENCH_MEASURES_HPP
+#endif // SKYLARKHILL_TESTING_BENCH_METRICS_HPP
--- a/include/skylarkhill/testing/bench_report.hpp
+++ b/include/skylarkhill/testing/bench_report.hpp
@@ -13,7 +13,7 @@
 struct BenchSeries
 {
   BenchSetup mSetup = BenchSetup::Baseline;
-  std::vector<BenchMeasures> mRuns;
+  std::vector<BenchMetrics> mRuns;
 };
 
 /// All runs for one site; the first series is the baseline.
--- a/include/skylarkhill/testing/bench_run.hpp
+++ b/include/skylarkhill/testing/bench_run.hpp
@@ -1,7 +1,7 @@
 #ifndef SKYLARKHILL_TESTING_BENCH_RUN_HPP
 #define SKYLARKHILL_TESTING_BENCH_RUN_HPP
 
-#include "skylarkhill/testing/bench_measures.hpp"
+#include "skylarkhill/testing/bench_metrics.hpp"
 #include "skylarkhill/testing/bench_site.hpp"
 
 #include <cstdint>
@@ -27,7 +27,7 @@
 
 /// One run; the same seed gives every setup the same site, demand, batch tasks
 /// and failures.
-BenchMeasures
+BenchMetrics
 RunBench(const BenchSite& aSite, BenchSetup aSetup, std::uint64_t aSeed);
 
 } // namespace skylarkhill::testing
--- a/include/skylarkhill/testing/bench_site.hpp
+++ b/include/skylarkhill/testing/bench_site.hpp
@@ -20,7 +20,7 @@
 {
   std::string mName;
   /// Mean service time on an undisturbed worker.
-  base::Duration mMeanTime{ 0 };
+  base::Duration mMeanServiceTime{ 0 };
   /// Time from arrival until an answer is useless.
   base::Duration mDeadline{ 0 };
   /// Hidden: percent points that one unthrottled task of each batch class adds
@@ -29,18 +29,18 @@
 };
 
 /// A batch class of a site.
-struct BenchClass
+struct BenchBatchClass
 {
   std::string mName;
   base::Resources mDeclared;
   std::int64_t mDeclaredRunSeconds = 0;
   /// Share of the class in all arrivals.
-  double mShare = 0.0;
+  double mArrivalShare = 0.0;
   /// Its tasks write a checkpoint now and then and before an eviction.
-  bool mCheckpoints = true;
-  double mMeanSeconds = 0.0;
+  bool mHasCheckpoints = true;
+  double mMeanRunSeconds = 0.0;
   /// Hidden: processors that a task uses per declared processor.
-  double mActualShare = 1.0;
+  double mActualUseRatio = 1.0;
 };
 
 /// A site and its load.
@@ -50,14 +50,14 @@
   policy::Profile mProfile = policy::Profile::Throughput;
   std::size_t mWorkers = 0;
   std::size_t mRackSize = 0;
-  std::size_t mDomains = 0;
+  std::size_t mDomainCount = 0;
   base::Duration mDomainLatency{ 0 };
   base::Duration mClientLatency = std::chrono::milliseconds(1);
   std::int64_t mSlots = 8;
   std::int64_t mConnections = 64;
   std::vector<BenchService> mServices;
-  std::vector<BenchClass> mClasses;
-  base::Duration mLength = std::chrono::seconds(180);
+  std::vector<BenchBatchClass> mBatchClasses;
+  base::Duration mDuration = std::chrono::seconds(180);
 };
 
 /// The site named `aName` without its hidden values, or nothing.
--- a/include/skylarkhill/testing/capacity.hpp
+++ b/include/skylarkhill/testing/capacity.hpp
@@ -1,7 +1,7 @@
 #ifndef SKYLARKHILL_TESTING_CAPACITY_HPP
 #define SKYLARKHILL_TESTING_CAPACITY_HPP
 
-#include "skylarkhill/testing/slope.hpp"
+#include "skylarkhill/testing/line_fit.hpp"
 
 #include <functional>
 #include <vector>
@@ -18,16 +18,16 @@
 MicrosPerCall(int aCalls, const std::function<void()>& aFunction);
 
 /// Memory of tasks, keys, configuration objects and workers.
-std::vector<Series>
+std::vector<CostSeries>
 MeasureMemory();
 
 /// Processor time of records, policies, configuration and peer messages.
-std::vector<Series>
+std::vector<CostSeries>
 MeasureProcessorTime();
 
 /// Bytes of records, batches, heartbeats, config changes and polls.
-std::vector<Series>
-MeasureWire();
+std::vector<CostSeries>
+MeasureEncodedSizes();
 
 } // namespace skylarkhill::testing
 
--- a/include/skylarkhill/testing/capacity_samples.hpp
+++ b/include/skylarkhill/testing/capacity_samples.hpp
@@ -43,7 +43,7 @@
 
 /// One pool, one batch class, and teams for the rest of `aObjects` objects.
 catalog::CatalogSet
-SampleSet(std::int64_t aObjects);
+SampleCatalogSet(std::int64_t aObjects);
 
 catalog::Team
 SampleTeam(std::int64_t aNumber);
@@ -52,10 +52,10 @@
 SampleHeartbeat(std::int64_t aWorkers, std::int64_t aServices);
 
 worker::WorkerReport
-SampleReport(std::int64_t aTasks);
+SampleWorkerReport(std::int64_t aTasks);
 
 std::vector<holder::GrantedAttempt>
-SampleGrants(std::int64_t aTasks);
+SampleGrantedAttempts(std::int64_t aTasks);
 
 /// A worker that runs `aTasks` tasks and accepts every command.
 std::unique_ptr<worker::RemoteWorker>
--- a/include/skylarkhill/testing/slope.hpp
+++ b/include/skylarkhill/testing/line_fit.hpp
@@ -1,5 +1,5 @@
-#ifndef SKYLARKHILL_TESTING_SLOPE_HPP
-#define SKYLARKHILL_TESTING_SLOPE_HPP
+#ifndef SKYLARKHILL_TESTING_LINE_FIT_HPP
+#define SKYLARKHILL_TESTING_LINE_FIT_HPP
 
 #include <string>
 #include <vector>
@@ -7,34 +7,34 @@
 namespace skylarkhill::testing {
 
 /// One measured size and its cost.
-struct SlopePoint
+struct CostPoint
 {
   double mSize = 0.0;
   double mCost = 0.0;
 };
 
 /// A straight line.
-struct Line
+struct FittedLine
 {
   double mSlope = 0.0;
   double mIntercept = 0.0;
 };
 
 /// The cost of one quantity at several sizes.
-struct Series
+struct CostSeries
 {
   std::string mName;
   /// Unit of the cost, e.g. "bytes".
-  std::string mUnit;
+  std::string mCostUnit;
   /// What the size counts, e.g. "task".
-  std::string mPer;
-  std::vector<SlopePoint> mPoints;
+  std::string mSizeUnit;
+  std::vector<CostPoint> mPoints;
 };
 
 /// The least-squares line; a slope of 0 if all sizes are equal.
-Line
-FitLine(const std::vector<SlopePoint>& aPoints);
+FittedLine
+FitLine(const std::vector<CostPoint>& aPoints);
 
 } // namespace skylarkhill::testing
 
-#endif // SKYLARKHILL_TESTING_SLOPE_HPP
+#endif // SKYLARKHILL_TESTING_LINE_FIT_HPP
--- a/src/testing/bench_decisions.cpp
+++ b/src/testing/bench_decisions.cpp
@@ -1,7 +1,7 @@
 #include "skylarkhill/testing/bench_decisions.hpp"
 
 #include "skylarkhill/base/random.hpp"
-#include "skylarkhill/testing/bench_measures.hpp"
+#include "skylarkhill/testing/bench_metrics.hpp"
 
 #include <chrono>
 #include <string>
@@ -11,17 +11,17 @@
 
 namespace {
 
-constexpr std::size_t kClasses = 5;
+constexpr std::size_t kBatchClasses = 5;
 constexpr std::int64_t kGiB = std::int64_t{ 1 } << 30;
 
 std::string
-ClassName(std::size_t aClass)
+BatchClassName(std::size_t aIndex)
 {
-  return "class" + std::to_string(aClass);
+  return "class" + std::to_string(aIndex);
 }
 
 std::vector<policy::WorkerView>
-MakeViews(std::size_t aWorkers, base::Random& aRandom)
+MakeWorkerViews(std::size_t aWorkers, base::Random& aRandom)
 {
   std::vector<policy::WorkerView> views;
   for (std::size_t n = 0; n < aWorkers; ++n) {
@@ -32,8 +32,8 @@
                    static_cast<std::int64_t>(aRandom.Below(60)) * kGiB,
                    0 };
     view.mServices = { "service0", "service1" };
-    for (std::size_t it = 0; it < kClasses; ++it) {
-      view.mBatchTasks[ClassName(it)] = 1;
+    for (std::size_t it = 0; it < kBatchClasses; ++it) {
+      view.mBatchTasks[BatchClassName(it)] = 1;
     }
     views.push_back(std::move(view));
   }
@@ -41,8 +41,8 @@
 }
 
 void
-Teach(policy::PlacementPolicy& aPolicy,
-      const std::vector<policy::WorkerView>& aViews)
+RecordReports(policy::PlacementPolicy& aPolicy,
+              const std::vector<policy::WorkerView>& aViews)
 {
   for (const auto& view : aViews) {
     for (const auto& service : view.mServices) {
@@ -57,19 +57,19 @@
 
 } // namespace
 
-DecisionTime
-MeasureDecisions(policy::Profile aProfile,
-                 std::size_t aWorkers,
-                 std::size_t aDecisions)
+DecisionLatency
+MeasureDecisionLatency(policy::Profile aProfile,
+                       std::size_t aWorkers,
+                       std::size_t aDecisions)
 {
   const auto random = base::CreateSeededRandom(1);
   const auto policy = policy::CreatePlacementPolicy(aProfile);
-  const auto views = MakeViews(aWorkers, *random);
-  Teach(*policy, views);
+  const auto views = MakeWorkerViews(aWorkers, *random);
+  RecordReports(*policy, views);
   std::vector<double> micros;
   for (std::size_t n = 0; n < aDecisions; ++n) {
     const policy::TaskDemand demand{ { "task" + std::to_string(n) },
-                                     ClassName(n % kClasses),
+                                     BatchClassName(n % kBatchClasses),
                                      { 1'000, 4 * kGiB, 0 },
                                      false };
     const auto before = std::chrono::steady_clock::now();
--- a/src/testing/bench_main.cpp
+++ b/src/testing/bench_main.cpp
@@ -22,7 +22,7 @@
   std::string mSvg;
   std::uint64_t mSeeds = 5;
   std::uint64_t mFirstSeed = 1;
-  bool mDecisions = false;
+  bool mMeasuresDecisions = false;
   bool mHelp = false;
 };
 
@@ -40,7 +40,7 @@
   add("output", options::value(&settings.mOutput), "text or json");
   add("svg", options::value(&settings.mSvg), "file for a plot");
   add("decisions",
-      options::bool_switch(&settings.mDecisions),
+      options::bool_switch(&settings.mMeasuresDecisions),
       "time placement decisions instead");
   options::variables_map values;
   options::store(options::parse_command_line(aCount, aArguments, description),
@@ -54,14 +54,15 @@
 }
 
 int
-RunDecisions()
+PrintDecisionLatencies()
 {
   constexpr std::size_t kDecisions = 2000;
   std::cout << "placement decision in microseconds\n";
   for (const auto profile :
        { policy::Profile::Throughput, policy::Profile::Tail }) {
     for (const std::size_t workers : { 65, 650, 2000, 7900 }) {
-      const auto time = testing::MeasureDecisions(profile, workers, kDecisions);
+      const auto time =
+        testing::MeasureDecisionLatency(profile, workers, kDecisions);
       std::cout << policy::NameOf(profile) << " workers=" << workers
                 << " p50=" << time.mP50 << " p99=" << time.mP99 << '\n';
     }
@@ -125,7 +126,8 @@
     if (settings.mHelp) {
       return 0;
     }
-    return settings.mDecisions ? RunDecisions() : Run(settings);
+    return settings.mMeasuresDecisions ? PrintDecisionLatencies()
+                                       : Run(settings);
   } catch (const std::exception& e) {
     std::cerr << e.what() << std::endl;
     return 2;
--- a/src/testing/bench_report.cpp
+++ b/src/testing/bench_report.cpp
@@ -14,11 +14,11 @@
 constexpr int kColumnWidth = 30;
 
 std::string
-FormatSpread(const BenchSpread& aSpread)
+FormatSummary(const BenchSummary& aSummary)
 {
   std::ostringstream out;
-  out << std::fixed << std::setprecision(1) << aSpread.mMean << " ("
-      << aSpread.mLow << ".." << aSpread.mHigh << ")";
+  out << std::fixed << std::setprecision(1) << aSummary.mMean << " ("
+      << aSummary.mMin << ".." << aSummary.mMax << ")";
   return out.str();
 }
 
@@ -41,11 +41,11 @@
     out << std::setw(kColumnWidth) << NameOf(it.mSetup);
   }
   out << '\n';
-  for (const auto& info : BenchMeasureTable()) {
+  for (const auto& info : BenchMetricTable()) {
     out << std::setw(kNameWidth) << info.mName;
     for (const auto& it : aResult.mSeries) {
       out << std::setw(kColumnWidth)
-          << FormatSpread(SpreadOf(it.mRuns, info.mMeasure));
+          << FormatSummary(SummarizeRuns(it.mRuns, info.mMetric));
     }
     out << '\n';
   }
@@ -61,12 +61,12 @@
   auto& setups = root.addMember("setups");
   for (const auto& series : aResult.mSeries) {
     auto& setup = setups.addMember(std::string(NameOf(series.mSetup)));
-    for (const auto& info : BenchMeasureTable()) {
-      const BenchSpread spread = SpreadOf(series.mRuns, info.mMeasure);
+    for (const auto& info : BenchMetricTable()) {
+      const BenchSummary summary = SummarizeRuns(series.mRuns, info.mMetric);
       auto& measure = setup.addMember(std::string(info.mName));
-      measure.addMember("mean") <<= spread.mMean;
-      measure.addMember("low") <<= spread.mLow;
-      measure.addMember("high") <<= spread.mHigh;
+      measure.addMember("mean") <<= summary.mMean;
+      measure.addMember("low") <<= summary.mMin;
+      measure.addMember("high") <<= summary.mMax;
     }
   }
   return base::FormatJson(root) + "\n";
@@ -75,14 +75,15 @@
 std::string
 FormatBenchSvg(const BenchResult& aResult)
 {
-  constexpr double kBar = 12.0;
-  constexpr double kLeft = 220.0;
+  constexpr double kBarHeight = 12.0;
+  constexpr double kPlotLeft = 220.0;
   constexpr double kPixelsPerPercent = 2.0;
   constexpr double kMaxPercent = 250.0;
   const std::vector<std::string> colors{ "#888888", "#d08a2e", "#2e6fd0" };
-  const double group =
-    kBar * static_cast<double>(aResult.mSeries.size()) + 10.0;
-  const double height = 50.0 + group * static_cast<double>(kBenchMeasures);
+  const double groupHeight =
+    kBarHeight * static_cast<double>(aResult.mSeries.size()) + 10.0;
+  const double height =
+    50.0 + groupHeight * static_cast<double>(kBenchMetricCount);
   std::ostringstream out;
   out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"760\" height=\""
       << height << "\" font-family=\"sans-serif\" font-size=\"11\">\n"
@@ -94,30 +95,34 @@
   }
   out << "</text>\n";
   double top = 34.0;
-  const auto toX = [&](double aPercent) {
-    return kLeft + std::min(aPercent, kMaxPercent) * kPixelsPerPercent;
+  const auto toPixels = [&](double aPercent) {
+    return kPlotLeft + std::min(aPercent, kMaxPercent) * kPixelsPerPercent;
   };
-  for (const auto& info : BenchMeasureTable()) {
-    out << "<text x=\"8\" y=\"" << top + kBar << "\">" << info.mName
+  for (const auto& info : BenchMetricTable()) {
+    out << "<text x=\"8\" y=\"" << top + kBarHeight << "\">" << info.mName
         << "</text>\n";
     // A measure that the baseline does not have is scaled to the first setup
     // that has it.
-    double whole = 0.0;
+    double reference = 0.0;
     for (const auto& it : aResult.mSeries) {
-      whole = whole != 0.0 ? whole : SpreadOf(it.mRuns, info.mMeasure).mMean;
+      reference = reference != 0.0
+                    ? reference
+                    : SummarizeRuns(it.mRuns, info.mMetric).mMean;
     }
     for (std::size_t n = 0; n < aResult.mSeries.size(); ++n) {
-      const BenchSpread spread =
-        SpreadOf(aResult.mSeries[n].mRuns, info.mMeasure);
-      const double y = top + kBar * static_cast<double>(n);
-      out << "<rect x=\"" << kLeft << "\" y=\"" << y << "\" width=\""
-          << toX(PercentOf(spread.mMean, whole)) - kLeft << "\" height=\""
-          << kBar - 2.0 << "\" fill=\"" << colors.at(n) << "\"/>\n"
-          << "<line x1=\"" << toX(PercentOf(spread.mLow, whole)) << "\" x2=\""
-          << toX(PercentOf(spread.mHigh, whole)) << "\" y1=\"" << y + kBar / 2.0
-          << "\" y2=\"" << y + kBar / 2.0 << "\" stroke=\"black\"/>\n";
+      const BenchSummary summary =
+        SummarizeRuns(aResult.mSeries[n].mRuns, info.mMetric);
+      const double y = top + kBarHeight * static_cast<double>(n);
+      out << "<rect x=\"" << kPlotLeft << "\" y=\"" << y << "\" width=\""
+          << toPixels(PercentOf(summary.mMean, reference)) - kPlotLeft
+          << "\" height=\"" << kBarHeight - 2.0 << "\" fill=\"" << colors.at(n)
+          << "\"/>\n"
+          << "<line x1=\"" << toPixels(PercentOf(summary.mMin, reference))
+          << "\" x2=\"" << toPixels(PercentOf(summary.mMax, reference))
+          << "\" y1=\"" << y + kBarHeight / 2.0 << "\" y2=\""
+          << y + kBarHeight / 2.0 << "\" stroke=\"black\"/>\n";
     }
-    top += group;
+    top += groupHeight;
   }
   out << "</svg>\n";
   return out.str();
--- a/src/testing/bench_run.cpp
+++ b/src/testing/bench_run.cpp
@@ -38,32 +38,32 @@
 constexpr double kProcessors = 16.0;
 constexpr base::Resources kCapacity{ 16'000, 60 * kGiB, 0 };
 // What the services of a worker have reserved.
-constexpr base::Resources kServiceReserve{ 4'000, 12 * kGiB, 0 };
+constexpr base::Resources kServiceResources{ 4'000, 12 * kGiB, 0 };
 
-constexpr Duration kTick = milliseconds(200);
+constexpr Duration kTickInterval = milliseconds(200);
 constexpr Duration kReportInterval = seconds(1);
 constexpr Duration kReportLag = milliseconds(1500);
 constexpr Duration kStartDelay = milliseconds(300);
-constexpr Duration kEvictionTime = seconds(2);
-constexpr Duration kOutage = seconds(20);
-constexpr Duration kDetectionTime = seconds(1);
+constexpr Duration kEvictionDelay = seconds(2);
+constexpr Duration kOutageDuration = seconds(20);
+constexpr Duration kFailureDetectionDelay = seconds(1);
 /// Queued tasks that one round looks at, as in the entry process.
-constexpr std::size_t kMaxQueued = 1000;
+constexpr std::size_t kMaxQueuedPerRound = 1000;
 /// Placement decisions in one round.
-constexpr std::size_t kMaxDecisions = 40;
-constexpr double kCheckpointSeconds = 20.0;
-constexpr double kRestartSeconds = 10.0;
+constexpr std::size_t kMaxDecisionsPerRound = 40;
+constexpr double kCheckpointIntervalSeconds = 20.0;
+constexpr double kRestartCostSeconds = 10.0;
 constexpr std::int64_t kMaxEvictions = 3;
-constexpr std::int64_t kToleratedPercent = 150;
+constexpr std::int64_t kToleratedSlowdownPercent = 150;
 /// Checkpoints on eviction that fail, in percent.
 constexpr std::uint64_t kFailedCheckpointPercent = 20;
 /// Batch work that arrives, in percent of what the workers can reserve.
-constexpr double kOfferedPercent = 110.0;
+constexpr double kBatchLoadPercent = 110.0;
 /// Slots busy on an undisturbed site between and at the peaks.
-constexpr double kLowLoad = 0.25;
+constexpr double kBaseLoad = 0.25;
 constexpr double kPeakLoad = 0.62;
-constexpr double kSwingSeconds = 30.0;
-constexpr double kShortSeconds = 8.0;
+constexpr double kDemandPeriodSeconds = 30.0;
+constexpr double kMaxShortTaskSeconds = 8.0;
 
 enum class EventKind
 {
@@ -81,7 +81,7 @@
   std::size_t mRequest = 0;
 };
 
-struct Later
+struct IsLater
 {
   bool operator()(const Event& aLeft, const Event& aRight) const
   {
@@ -93,13 +93,13 @@
 struct Request
 {
   std::size_t mService = 0;
-  std::size_t mHome = 0;
+  std::size_t mHomeDomain = 0;
   std::size_t mDomain = 0;
-  TimePoint mArrived;
-  double mBaseMicros = 0.0;
-  bool mAtPeak = false;
+  TimePoint mArrivedAt;
+  double mServiceMicros = 0.0;
+  bool mIsAtPeak = false;
   std::size_t mWorker = 0;
-  TimePoint mStarted;
+  TimePoint mStartedAt;
   std::int64_t mAttempt = 0;
 };
 
@@ -113,28 +113,28 @@
 
 struct Task
 {
-  std::size_t mClass = 0;
+  std::size_t mBatchClassIndex = 0;
   std::string mTeam;
   base::TaskId mId;
-  bool mUrgent = false;
-  double mSeconds = 0.0;
+  bool mIsUrgent = false;
+  double mRunSeconds = 0.0;
   /// Processors it uses when it is not throttled.
   double mProcessors = 0.0;
-  base::Resources mNeed;
-  TimePoint mAccepted;
-  TimePoint mStarted;
+  base::Resources mResources;
+  TimePoint mAcceptedAt;
+  TimePoint mStartedAt;
   bool mHasStarted = false;
   TimePoint mStopAt;
   Phase mPhase = Phase::Queued;
-  double mDone = 0.0;
-  double mSaved = 0.0;
-  double mReceived = 0.0;
-  double mStartupLeft = 0.0;
+  double mDoneSeconds = 0.0;
+  double mCheckpointedSeconds = 0.0;
+  double mSpentSeconds = 0.0;
+  double mStartupSecondsLeft = 0.0;
   std::int64_t mEvictions = 0;
   std::int64_t mThrottlePercent = 100;
 };
 
-struct Report
+struct DelayedReport
 {
   TimePoint mVisibleAt;
   policy::InterferenceReport mReport;
@@ -146,18 +146,18 @@
   std::size_t mDomain = 0;
   std::vector<std::size_t> mServices;
   std::vector<std::size_t> mTasks;
-  std::int64_t mBusy = 0;
+  std::int64_t mBusySlots = 0;
   TimePoint mDownUntil;
-  std::deque<Report> mReports;
-  std::int64_t mSeenPercent = 100;
+  std::deque<DelayedReport> mReports;
+  std::int64_t mReportedSlowdownPercent = 100;
 };
 
 /// The queue of one service in one failure domain.
-struct Lane
+struct ServiceGroup
 {
   std::unique_ptr<requests::AdmissionQueue> mQueue;
   std::unique_ptr<requests::ConcurrencyLimit> mLimit;
-  std::unique_ptr<requests::RetryBudget> mBudget;
+  std::unique_ptr<requests::RetryBudget> mRetryBudget;
   std::vector<requests::Candidate> mCandidates;
   std::vector<std::size_t> mWorkers;
   std::int64_t mInFlight = 0;
@@ -179,7 +179,7 @@
     auto actions = mPolicy->Decide(aWorker, aNow);
     for (auto& it : actions) {
       if (it.mKind == policy::ProtectionKind::Evict) {
-        it.mTask = Youngest(aWorker, it.mTask);
+        it.mTask = FindYoungest(aWorker, it.mTask);
       }
     }
     return actions;
@@ -187,8 +187,8 @@
 
 private:
   // Tasks are listed in the order of their starts.
-  static base::TaskId Youngest(const policy::WorkerPressure& aWorker,
-                               const base::TaskId& aDefault)
+  static base::TaskId FindYoungest(const policy::WorkerPressure& aWorker,
+                                   const base::TaskId& aDefault)
   {
     for (auto it = aWorker.mTasks.rbegin(); it != aWorker.mTasks.rend(); ++it) {
       if (!it->mCheckpointing && it->mEvictions < it->mMaxEvictions) {
@@ -239,14 +239,14 @@
   {
     DrawHiddenValues(mSite, *mSiteRandom);
     MakeWorkers();
-    MakeLanes();
+    MakeServiceGroups();
   }
 
-  BenchMeasures Run()
+  BenchMetrics Run()
   {
     Schedule(mStart, EventKind::Tick);
     ScheduleArrival(mStart);
-    const TimePoint end = mStart + mSite.mLength;
+    const TimePoint end = mStart + mSite.mDuration;
     while (!mEvents.empty() && mEvents.top().mAt <= end) {
       const Event event = mEvents.top();
       mEvents.pop();
@@ -262,11 +262,11 @@
     for (std::size_t n = 0; n < mSite.mWorkers; ++n) {
       Worker worker;
       const std::size_t rack = n / mSite.mRackSize;
-      worker.mDomain = rack % mSite.mDomains;
+      worker.mDomain = rack % mSite.mDomainCount;
       worker.mView.mWorker = { "w" + std::to_string(n) };
       worker.mView.mDomain = { "d" + std::to_string(worker.mDomain) };
       worker.mView.mRack = "r" + std::to_string(rack);
-      worker.mView.mCapacity = kCapacity - kServiceReserve;
+      worker.mView.mCapacity = kCapacity - kServiceResources;
       worker.mView.mFree = worker.mView.mCapacity;
       // A third of the workers serves the first service, a third the second,
       // and a third both.
@@ -281,26 +281,26 @@
     }
   }
 
-  void MakeLanes()
+  void MakeServiceGroups()
   {
-    mInFlight.resize(mSite.mDomains);
-    mLanes.resize(mSite.mDomains);
-    for (std::size_t domain = 0; domain < mSite.mDomains; ++domain) {
+    mInFlight.resize(mSite.mDomainCount);
+    mServiceGroups.resize(mSite.mDomainCount);
+    for (std::size_t domain = 0; domain < mSite.mDomainCount; ++domain) {
       for (std::size_t service = 0; service < mSite.mServices.size();
            ++service) {
-        mLanes[domain].push_back(MakeLane(domain, service));
+        mServiceGroups[domain].push_back(MakeServiceGroup(domain, service));
       }
     }
   }
 
-  Lane MakeLane(std::size_t aDomain, std::size_t aService) const
+  ServiceGroup MakeServiceGroup(std::size_t aDomain, std::size_t aService) const
   {
-    Lane lane;
-    lane.mQueue = mUsesProfile ? requests::CreateDeadlineAdmissionQueue({})
-                               : requests::CreateFifoAdmissionQueue({});
-    lane.mLimit = mUsesProfile ? requests::CreateAdaptiveConcurrencyLimit({})
-                               : requests::CreateFixedConcurrencyLimit();
-    lane.mBudget = std::make_unique<requests::RetryBudget>(
+    ServiceGroup group;
+    group.mQueue = mUsesProfile ? requests::CreateDeadlineAdmissionQueue({})
+                                : requests::CreateFifoAdmissionQueue({});
+    group.mLimit = mUsesProfile ? requests::CreateAdaptiveConcurrencyLimit({})
+                                : requests::CreateFixedConcurrencyLimit();
+    group.mRetryBudget = std::make_unique<requests::RetryBudget>(
       requests::RetryBudgetOptions{}, mStart);
     for (std::size_t n = 0; n < mWorkers.size(); ++n) {
       const auto& services = mWorkers[n].mServices;
@@ -310,13 +310,13 @@
         requests::Candidate candidate;
         candidate.mTarget.mName = mWorkers[n].mView.mWorker.mValue;
         candidate.mFreeSlots = mSite.mSlots;
-        lane.mCandidates.push_back(candidate);
-        lane.mWorkers.push_back(n);
+        group.mCandidates.push_back(candidate);
+        group.mWorkers.push_back(n);
       }
     }
-    lane.mLimit->SetCapacity(static_cast<std::int64_t>(lane.mWorkers.size()) *
-                             mSite.mSlots);
-    return lane;
+    group.mLimit->SetCapacity(static_cast<std::int64_t>(group.mWorkers.size()) *
+                              mSite.mSlots);
+    return group;
   }
 
   void Schedule(TimePoint aAt, EventKind aKind, std::size_t aRequest = 0)
@@ -354,10 +354,10 @@
   /// plateau, and a fall.
   static double LoadAt(double aSeconds)
   {
-    const double phase = std::fmod(aSeconds, kSwingSeconds);
+    const double phase = std::fmod(aSeconds, kDemandPeriodSeconds);
     const double rise = std::clamp((phase - 10.0) / 2.0, 0.0, 1.0);
     const double fall = std::clamp((phase - 22.0) / 3.0, 0.0, 1.0);
-    return kLowLoad + (kPeakLoad - kLowLoad) * (rise - fall);
+    return kBaseLoad + (kPeakLoad - kBaseLoad) * (rise - fall);
   }
 
   void ScheduleArrival(TimePoint aFrom)
@@ -365,7 +365,7 @@
     const double load = LoadAt(Seconds(aFrom));
     double micros = 0.0;
     for (const auto& it : mSite.mServices) {
-      micros += static_cast<double>(it.mMeanTime.count());
+      micros += static_cast<double>(it.mMeanServiceTime.count());
     }
     const auto slots =
       static_cast<double>(mSite.mWorkers) * static_cast<double>(mSite.mSlots);
@@ -375,48 +375,49 @@
     const TimePoint at = aFrom + Duration(1 + static_cast<std::int64_t>(gap));
     Request request;
     request.mService = mRequestRandom->Below(mSite.mServices.size());
-    request.mHome = mRequestRandom->Below(mSite.mDomains);
-    request.mDomain = request.mHome;
-    request.mArrived = at;
-    request.mBaseMicros =
+    request.mHomeDomain = mRequestRandom->Below(mSite.mDomainCount);
+    request.mDomain = request.mHomeDomain;
+    request.mArrivedAt = at;
+    request.mServiceMicros =
       DrawLognormal(*mRequestRandom, 0.5) *
-      static_cast<double>(mSite.mServices[request.mService].mMeanTime.count());
-    request.mAtPeak = LoadAt(Seconds(at)) > 0.9 * kPeakLoad;
+      static_cast<double>(
+        mSite.mServices[request.mService].mMeanServiceTime.count());
+    request.mIsAtPeak = LoadAt(Seconds(at)) > 0.9 * kPeakLoad;
     mRequests.push_back(request);
     Schedule(at, EventKind::Arrive, mRequests.size() - 1);
   }
 
   TimePoint DeadlineOf(const Request& aRequest) const
   {
-    return aRequest.mArrived + mSite.mServices[aRequest.mService].mDeadline;
+    return aRequest.mArrivedAt + mSite.mServices[aRequest.mService].mDeadline;
   }
 
   void Admit(std::size_t aRequest, bool aMayForward)
   {
     Request& request = mRequests[aRequest];
-    Lane& lane = mLanes[request.mDomain][request.mService];
-    if (aMayForward && lane.mQueue->Size() > 0 && Forward(aRequest)) {
+    ServiceGroup& group = mServiceGroups[request.mDomain][request.mService];
+    if (aMayForward && group.mQueue->Size() > 0 && TryForward(aRequest)) {
       return;
     }
-    lane.mBudget->RecordFirstAttempt();
+    group.mRetryBudget->RecordFirstAttempt();
     requests::QueueEntry entry;
     entry.mRequest = { std::to_string(aRequest) };
     entry.mDeadline = DeadlineOf(request);
-    if (lane.mQueue->Offer(entry, mNow).has_error()) {
+    if (group.mQueue->Offer(entry, mNow).has_error()) {
       CountMissed(request);
     }
     Dispatch(request.mDomain, request.mService);
   }
 
-  bool Forward(std::size_t aRequest)
+  bool TryForward(std::size_t aRequest)
   {
     Request& request = mRequests[aRequest];
-    for (std::size_t n = 1; n < mSite.mDomains; ++n) {
-      const std::size_t domain = (request.mHome + n) % mSite.mDomains;
-      const Lane& lane = mLanes[domain][request.mService];
+    for (std::size_t n = 1; n < mSite.mDomainCount; ++n) {
+      const std::size_t domain = (request.mHomeDomain + n) % mSite.mDomainCount;
+      const ServiceGroup& group = mServiceGroups[domain][request.mService];
       const auto capacity =
-        static_cast<std::int64_t>(lane.mWorkers.size()) * mSite.mSlots;
-      if (lane.mQueue->Size() == 0 && lane.mInFlight * 10 < capacity * 7) {
+        static_cast<std::int64_t>(group.mWorkers.size()) * mSite.mSlots;
+      if (group.mQueue->Size() == 0 && group.mInFlight * 10 < capacity * 7) {
         request.mDomain = domain;
         Schedule(mNow + mSite.mDomainLatency, EventKind::Forwarded, aRequest);
         return true;
@@ -427,20 +428,21 @@
 
   void Dispatch(std::size_t aDomain, std::size_t aService)
   {
-    Lane& lane = mLanes[aDomain][aService];
-    while (lane.mQueue->Size() > 0 && lane.mInFlight < lane.mLimit->Limit()) {
+    ServiceGroup& group = mServiceGroups[aDomain][aService];
+    while (group.mQueue->Size() > 0 &&
+           group.mInFlight < group.mLimit->Limit()) {
       const auto target =
-        mPicker->Pick(lane.mCandidates, {}, mInFlight[aDomain], *mPickRandom);
+        mPicker->Pick(group.mCandidates, {}, mInFlight[aDomain], *mPickRandom);
       if (!target) {
         break;
       }
-      const auto entry = lane.mQueue->Take(mNow);
+      const auto entry = group.mQueue->Take(mNow);
       if (!entry) {
         break;
       }
       StartRequest(std::stoul(entry->mRequest.mValue), *target);
     }
-    for (const auto& it : lane.mQueue->TakeDropped()) {
+    for (const auto& it : group.mQueue->TakeDropped()) {
       CountMissed(mRequests[std::stoul(it.mEntry.mRequest.mValue)]);
     }
   }
@@ -448,26 +450,26 @@
   void StartRequest(std::size_t aRequest, const requests::Target& aTarget)
   {
     Request& request = mRequests[aRequest];
-    Lane& lane = mLanes[request.mDomain][request.mService];
+    ServiceGroup& group = mServiceGroups[request.mDomain][request.mService];
     request.mWorker = std::stoul(aTarget.mName.substr(1));
-    request.mStarted = mNow;
+    request.mStartedAt = mNow;
     ++request.mAttempt;
-    ++lane.mInFlight;
-    ++mWorkers[request.mWorker].mBusy;
+    ++group.mInFlight;
+    ++mWorkers[request.mWorker].mBusySlots;
     mInFlight[request.mDomain].Begin(
       aTarget, { std::to_string(aRequest) }, request.mAttempt, mNow);
     const double factor = Slowdown(mWorkers[request.mWorker], request.mService);
-    Schedule(
-      mNow + Duration(static_cast<std::int64_t>(request.mBaseMicros * factor)),
-      EventKind::Finish,
-      aRequest);
+    Schedule(mNow + Duration(static_cast<std::int64_t>(request.mServiceMicros *
+                                                       factor)),
+             EventKind::Finish,
+             aRequest);
   }
 
   void ReleaseSlot(std::size_t aRequest)
   {
     const Request& request = mRequests[aRequest];
-    --mLanes[request.mDomain][request.mService].mInFlight;
-    --mWorkers[request.mWorker].mBusy;
+    --mServiceGroups[request.mDomain][request.mService].mInFlight;
+    --mWorkers[request.mWorker].mBusySlots;
     mInFlight[request.mDomain].End(
       { requests::TargetKind::HeldWorker,
         mWorkers[request.mWorker].mView.mWorker.mValue },
@@ -478,16 +480,16 @@
   void Finish(std::size_t aRequest)
   {
     Request& request = mRequests[aRequest];
-    Lane& lane = mLanes[request.mDomain][request.mService];
+    ServiceGroup& group = mServiceGroups[request.mDomain][request.mService];
     ReleaseSlot(aRequest);
-    const Duration took = mNow - request.mStarted;
+    const Duration serviceTime = mNow - request.mStartedAt;
     const bool lost = mWorkers[request.mWorker].mDownUntil > mNow;
-    lane.mLimit->Observe({ took, lane.mInFlight, lost }, mNow);
+    group.mLimit->Observe({ serviceTime, group.mInFlight, lost }, mNow);
     if (lost) {
       Retry(aRequest);
     } else {
-      lane.mQueue->RecordServiceTime(took);
-      LearnLatency(lane, request.mWorker, took);
+      group.mQueue->RecordServiceTime(serviceTime);
+      UpdateLatency(group, request.mWorker, serviceTime);
       CountAnswered(request);
     }
     for (std::size_t service = 0; service < mSite.mServices.size(); ++service) {
@@ -495,28 +497,31 @@
     }
   }
 
-  static void LearnLatency(Lane& aLane, std::size_t aWorker, Duration aTook)
+  static void UpdateLatency(ServiceGroup& aGroup,
+                            std::size_t aWorker,
+                            Duration aLatency)
   {
     const auto found =
-      std::find(aLane.mWorkers.begin(), aLane.mWorkers.end(), aWorker);
+      std::find(aGroup.mWorkers.begin(), aGroup.mWorkers.end(), aWorker);
     auto& latency =
-      aLane
-        .mCandidates[static_cast<std::size_t>(found - aLane.mWorkers.begin())]
+      aGroup
+        .mCandidates[static_cast<std::size_t>(found - aGroup.mWorkers.begin())]
         .mLatency;
-    constexpr std::int64_t kSamples = 10;
-    latency =
-      latency.count() == 0 ? aTook : latency + (aTook - latency) / kSamples;
+    constexpr std::int64_t kSmoothingSamples = 10;
+    latency = latency.count() == 0
+                ? aLatency
+                : latency + (aLatency - latency) / kSmoothingSamples;
   }
 
   void Retry(std::size_t aRequest)
   {
     const Request& request = mRequests[aRequest];
-    Lane& lane = mLanes[request.mDomain][request.mService];
+    ServiceGroup& group = mServiceGroups[request.mDomain][request.mService];
     requests::QueueEntry entry;
     entry.mRequest = { std::to_string(aRequest) };
     entry.mDeadline = DeadlineOf(request);
-    if (!lane.mBudget->TryTake(mNow) ||
-        lane.mQueue->Offer(entry, mNow).has_error()) {
+    if (!group.mRetryBudget->TryTake(mNow) ||
+        group.mQueue->Offer(entry, mNow).has_error()) {
       CountMissed(request);
     }
   }
@@ -524,20 +529,20 @@
   void CountMissed(const Request& aRequest)
   {
     ++mOffered;
-    mOfferedAtPeak += aRequest.mAtPeak ? 1 : 0;
+    mOfferedAtPeak += aRequest.mIsAtPeak ? 1 : 0;
   }
 
   void CountAnswered(const Request& aRequest)
   {
-    Duration latency = mNow - aRequest.mArrived + 2 * mSite.mClientLatency;
-    if (aRequest.mDomain != aRequest.mHome) {
+    Duration latency = mNow - aRequest.mArrivedAt + 2 * mSite.mClientLatency;
+    if (aRequest.mDomain != aRequest.mHomeDomain) {
       latency += mSite.mDomainLatency;
     }
     const bool inTime = latency <= mSite.mServices[aRequest.mService].mDeadline;
     ++mOffered;
     mInTime += inTime ? 1 : 0;
-    mOfferedAtPeak += aRequest.mAtPeak ? 1 : 0;
-    mInTimeAtPeak += inTime && aRequest.mAtPeak ? 1 : 0;
+    mOfferedAtPeak += aRequest.mIsAtPeak ? 1 : 0;
+    mInTimeAtPeak += inTime && aRequest.mIsAtPeak ? 1 : 0;
     mLatencies.push_back(static_cast<double>(latency.count()) / 1000.0);
   }
 
@@ -548,17 +553,19 @@
     double percent = 0.0;
     for (const std::size_t it : aWorker.mTasks) {
       const Task& task = mTasks[it];
-      percent += mSite.mServices[aService].mInterference[task.mClass] *
-                 static_cast<double>(task.mThrottlePercent) / 100.0;
+      percent +=
+        mSite.mServices[aService].mInterference[task.mBatchClassIndex] *
+        static_cast<double>(task.mThrottlePercent) / 100.0;
     }
-    const double load =
-      static_cast<double>(aWorker.mBusy) / static_cast<double>(mSite.mSlots);
-    const double used = BatchUse(aWorker) + static_cast<double>(aWorker.mBusy);
+    const double load = static_cast<double>(aWorker.mBusySlots) /
+                        static_cast<double>(mSite.mSlots);
+    const double used =
+      BatchProcessorsUsed(aWorker) + static_cast<double>(aWorker.mBusySlots);
     return (1.0 + percent / 100.0 * (0.5 + load)) *
            std::max(1.0, used / kProcessors);
   }
 
-  double BatchUse(const Worker& aWorker) const
+  double BatchProcessorsUsed(const Worker& aWorker) const
   {
     double used = 0.0;
     for (const std::size_t it : aWorker.mTasks) {
@@ -572,13 +579,13 @@
 
   void Tick()
   {
-    Schedule(mNow + kTick, EventKind::Tick);
+    Schedule(mNow + kTickInterval, EventKind::Tick);
     SubmitTasks();
     FailWorkers();
-    OpenBreakers();
+    UpdateBreakers();
     for (std::size_t n = 0; n < mWorkers.size(); ++n) {
       RunTasks(n);
-      Observe(n);
+      ExchangeReports(n);
       Protect(n);
     }
     if (mTicks++ % 2 == 0) {
@@ -589,8 +596,8 @@
   double MeanTaskWork() const
   {
     double work = 0.0;
-    for (const auto& it : mSite.mClasses) {
-      work += it.mShare * it.mMeanSeconds *
+    for (const auto& it : mSite.mBatchClasses) {
+      work += it.mArrivalShare * it.mMeanRunSeconds *
               static_cast<double>(it.mDeclared.mMilliProcessors) / 1000.0;
     }
     return work;
@@ -599,64 +606,64 @@
   void SubmitTasks()
   {
     const double reservable =
-      static_cast<double>((kCapacity - kServiceReserve).mMilliProcessors) /
+      static_cast<double>((kCapacity - kServiceResources).mMilliProcessors) /
       1000.0 * static_cast<double>(mSite.mWorkers);
-    const double perTick = kOfferedPercent / 100.0 * reservable /
+    const double perTick = kBatchLoadPercent / 100.0 * reservable /
                            MeanTaskWork() *
-                           std::chrono::duration<double>(kTick).count();
+                           std::chrono::duration<double>(kTickInterval).count();
     // A backlog at the start, as on a site that has been busy for a while.
-    mDueTasks +=
+    mDueArrivals +=
       perTick + (mTicks == 0 ? 2.0 * static_cast<double>(mSite.mWorkers) : 0.0);
-    while (mDueTasks >= 1.0) {
-      mDueTasks -= 1.0;
-      Submit(DrawClass());
+    while (mDueArrivals >= 1.0) {
+      mDueArrivals -= 1.0;
+      Submit(DrawBatchClass());
     }
     // Noisy tasks of one class arrive in a burst.
     constexpr std::int64_t kBurstTicks = 200;
     if (mTicks % kBurstTicks == kBurstTicks / 2) {
-      const std::size_t noisy = NoisiestClass();
+      const std::size_t interfering = MostInterferingClass();
       for (std::size_t n = 0; n < mSite.mWorkers / 2; ++n) {
-        Submit(noisy);
+        Submit(interfering);
       }
     }
   }
 
-  std::size_t DrawClass()
+  std::size_t DrawBatchClass()
   {
-    double left = mTaskRandom->UniformReal();
-    for (std::size_t n = 0; n + 1 < mSite.mClasses.size(); ++n) {
-      left -= mSite.mClasses[n].mShare;
-      if (left < 0.0) {
+    double remaining = mTaskRandom->UniformReal();
+    for (std::size_t n = 0; n + 1 < mSite.mBatchClasses.size(); ++n) {
+      remaining -= mSite.mBatchClasses[n].mArrivalShare;
+      if (remaining < 0.0) {
         return n;
       }
     }
-    return mSite.mClasses.size() - 1;
+    return mSite.mBatchClasses.size() - 1;
   }
 
-  std::size_t NoisiestClass() const
+  std::size_t MostInterferingClass() const
   {
     const auto& percents = mSite.mServices.front().mInterference;
     return static_cast<std::size_t>(
       std::max_element(percents.begin(), percents.end()) - percents.begin());
   }
 
-  void Submit(std::size_t aClass)
+  void Submit(std::size_t aBatchClass)
   {
-    const BenchClass& type = mSite.mClasses[aClass];
+    const BenchBatchClass& type = mSite.mBatchClasses[aBatchClass];
     Task task;
-    task.mClass = aClass;
+    task.mBatchClassIndex = aBatchClass;
     task.mId = { "t" + std::to_string(mTasks.size()) };
     task.mTeam = "team" + std::to_string(mTaskRandom->Below(3));
-    task.mUrgent = mTaskRandom->Below(50) == 0;
-    task.mSeconds = type.mMeanSeconds * DrawLognormal(*mTaskRandom, 0.8);
+    task.mIsUrgent = mTaskRandom->Below(50) == 0;
+    task.mRunSeconds = type.mMeanRunSeconds * DrawLognormal(*mTaskRandom, 0.8);
     if (mTaskRandom->Below(100) < 2) {
-      task.mSeconds *= 10.0;
+      task.mRunSeconds *= 10.0;
     }
-    task.mNeed = type.mDeclared;
+    task.mResources = type.mDeclared;
     task.mProcessors = static_cast<double>(type.mDeclared.mMilliProcessors) /
-                       1000.0 * type.mActualShare *
+                       1000.0 * type.mActualUseRatio *
                        (0.8 + 0.4 * mTaskRandom->UniformReal());
-    task.mAccepted = mNow;
+    task.mAcceptedAt = mNow;
     mTasks.push_back(std::move(task));
     mQueued.push_back(mTasks.size() - 1);
   }
@@ -664,41 +671,43 @@
   void FailWorkers()
   {
     const auto perMinute =
-      static_cast<std::uint64_t>(std::chrono::minutes(1) / kTick);
+      static_cast<std::uint64_t>(std::chrono::minutes(1) / kTickInterval);
     if (mFailureRandom->Below(perMinute) != 0) {
       return;
     }
     const std::size_t failed = mFailureRandom->Below(mWorkers.size());
     Worker& worker = mWorkers[failed];
-    worker.mDownUntil = mNow + kOutage;
+    worker.mDownUntil = mNow + kOutageDuration;
     const std::vector<std::size_t> tasks = worker.mTasks;
     for (const std::size_t it : tasks) {
-      mFailureLoss += LoseProgress(mTasks[it]);
+      mFailureLoss += DiscardProgress(mTasks[it]);
       Requeue(worker, it);
     }
   }
 
   // Stands for the breakers: requests avoid a failed worker from the detection
   // of its failure until it is back.
-  void OpenBreakers()
+  void UpdateBreakers()
   {
-    for (auto& lanes : mLanes) {
-      for (auto& lane : lanes) {
-        for (std::size_t n = 0; n < lane.mWorkers.size(); ++n) {
-          const TimePoint backAt = mWorkers[lane.mWorkers[n]].mDownUntil;
-          lane.mCandidates[n].mBreakerOpen =
-            mNow < backAt && mNow >= backAt - kOutage + kDetectionTime;
+    for (auto& groups : mServiceGroups) {
+      for (auto& group : groups) {
+        for (std::size_t n = 0; n < group.mWorkers.size(); ++n) {
+          const TimePoint backAt = mWorkers[group.mWorkers[n]].mDownUntil;
+          group.mCandidates[n].mBreakerOpen =
+            mNow < backAt &&
+            mNow >= backAt - kOutageDuration + kFailureDetectionDelay;
         }
       }
     }
   }
 
   /// Takes the progress since the last checkpoint back.
-  double LoseProgress(Task& aTask)
+  double DiscardProgress(Task& aTask)
   {
-    const double lost = (aTask.mDone - aTask.mSaved) * aTask.mProcessors;
-    aTask.mDone = aTask.mSaved;
-    mWork -= lost;
+    const double lost =
+      (aTask.mDoneSeconds - aTask.mCheckpointedSeconds) * aTask.mProcessors;
+    aTask.mDoneSeconds = aTask.mCheckpointedSeconds;
+    mBatchWork -= lost;
     return lost;
   }
 
@@ -708,21 +717,21 @@
     task.mPhase = Phase::Queued;
     task.mThrottlePercent = 100;
     mQueue->RecordRun(
-      mSite.mClasses[task.mClass].mName,
-      std::chrono::duration_cast<seconds>(mNow - task.mStarted).count(),
+      mSite.mBatchClasses[task.mBatchClassIndex].mName,
+      std::chrono::duration_cast<seconds>(mNow - task.mStartedAt).count(),
       false);
-    Leave(aWorker, aTask);
+    RemoveTask(aWorker, aTask);
     mQueued.push_back(aTask);
   }
 
-  void Leave(Worker& aWorker, std::size_t aTask)
+  void RemoveTask(Worker& aWorker, std::size_t aTask)
   {
     const Task& task = mTasks[aTask];
     aWorker.mTasks.erase(
       std::find(aWorker.mTasks.begin(), aWorker.mTasks.end(), aTask));
-    aWorker.mView.mFree += task.mNeed;
-    const auto count =
-      aWorker.mView.mBatchTasks.find(mSite.mClasses[task.mClass].mName);
+    aWorker.mView.mFree += task.mResources;
+    const auto count = aWorker.mView.mBatchTasks.find(
+      mSite.mBatchClasses[task.mBatchClassIndex].mName);
     if (--count->second == 0) {
       aWorker.mView.mBatchTasks.erase(count);
     }
@@ -731,40 +740,44 @@
   void RunTasks(std::size_t aWorker)
   {
     Worker& worker = mWorkers[aWorker];
-    const double left =
-      std::max(2.0, kProcessors - static_cast<double>(worker.mBusy));
-    const double used = BatchUse(worker);
-    const double rate = used > left ? left / used : 1.0;
-    const double step = std::chrono::duration<double>(kTick).count();
+    const double available =
+      std::max(2.0, kProcessors - static_cast<double>(worker.mBusySlots));
+    const double used = BatchProcessorsUsed(worker);
+    const double speed = used > available ? available / used : 1.0;
+    const double tickSeconds =
+      std::chrono::duration<double>(kTickInterval).count();
     const std::vector<std::size_t> tasks = worker.mTasks;
     for (const std::size_t it : tasks) {
       Task& task = mTasks[it];
-      const double got =
-        step * rate * static_cast<double>(task.mThrottlePercent) / 100.0;
-      Advance(task, got);
-      if (task.mDone >= task.mSeconds) {
+      const double runSeconds = tickSeconds * speed *
+                                static_cast<double>(task.mThrottlePercent) /
+                                100.0;
+      Advance(task, runSeconds);
+      if (task.mDoneSeconds >= task.mRunSeconds) {
         Complete(worker, it);
       } else if (task.mPhase == Phase::Checkpointing && mNow >= task.mStopAt) {
-        StopEvicted(worker, it);
+        FinishEviction(worker, it);
       }
     }
   }
 
-  void Advance(Task& aTask, double aGot)
+  void Advance(Task& aTask, double aRunSeconds)
   {
     if (aTask.mPhase == Phase::Checkpointing) {
       return;
     }
-    const double startup = std::min(aTask.mStartupLeft, aGot);
-    aTask.mStartupLeft -= startup;
+    const double startup = std::min(aTask.mStartupSecondsLeft, aRunSeconds);
+    aTask.mStartupSecondsLeft -= startup;
     const double progress =
-      std::min(aGot - startup, aTask.mSeconds - aTask.mDone);
-    aTask.mDone += progress;
-    aTask.mReceived += aGot;
-    mWork += progress * aTask.mProcessors;
-    const bool checkpoints = mSite.mClasses[aTask.mClass].mCheckpoints;
-    if (checkpoints && aTask.mDone - aTask.mSaved >= kCheckpointSeconds) {
-      aTask.mSaved = aTask.mDone;
+      std::min(aRunSeconds - startup, aTask.mRunSeconds - aTask.mDoneSeconds);
+    aTask.mDoneSeconds += progress;
+    aTask.mSpentSeconds += aRunSeconds;
+    mBatchWork += progress * aTask.mProcessors;
+    const bool checkpoints =
+      mSite.mBatchClasses[aTask.mBatchClassIndex].mHasCheckpoints;
+    if (checkpoints && aTask.mDoneSeconds - aTask.mCheckpointedSeconds >=
+                         kCheckpointIntervalSeconds) {
+      aTask.mCheckpointedSeconds = aTask.mDoneSeconds;
     }
   }
 
@@ -774,31 +787,32 @@
     task.mPhase = Phase::Done;
     ++mCompleted;
     mQueue->RecordRun(
-      mSite.mClasses[task.mClass].mName,
-      std::chrono::duration_cast<seconds>(mNow - task.mStarted).count(),
+      mSite.mBatchClasses[task.mBatchClassIndex].mName,
+      std::chrono::duration_cast<seconds>(mNow - task.mStartedAt).count(),
       true);
-    Leave(aWorker, aTask);
+    RemoveTask(aWorker, aTask);
   }
 
-  void StopEvicted(Worker& aWorker, std::size_t aTask)
+  void FinishEviction(Worker& aWorker, std::size_t aTask)
   {
     Task& task = mTasks[aTask];
     const bool saved =
-      mSite.mClasses[task.mClass].mCheckpoints &&
+      mSite.mBatchClasses[task.mBatchClassIndex].mHasCheckpoints &&
       base::StableHash(task.mId.mValue) % 100 >= kFailedCheckpointPercent;
     if (saved) {
-      task.mSaved = task.mDone;
+      task.mCheckpointedSeconds = task.mDoneSeconds;
     }
-    mEvictionLoss += LoseProgress(task);
+    mEvictionLoss += DiscardProgress(task);
     ++task.mEvictions;
     ++mEvictions;
     Requeue(aWorker, aTask);
   }
 
-  void Observe(std::size_t aWorker)
+  void ExchangeReports(std::size_t aWorker)
   {
     Worker& worker = mWorkers[aWorker];
-    const auto ticks = static_cast<std::size_t>(kReportInterval / kTick);
+    const auto ticks =
+      static_cast<std::size_t>(kReportInterval / kTickInterval);
     if (static_cast<std::size_t>(mTicks) % ticks == aWorker % ticks &&
         worker.mDownUntil <= mNow) {
       SendReport(worker);
@@ -831,7 +845,7 @@
   // does.
   void ReceiveReport(Worker& aWorker, policy::InterferenceReport aReport)
   {
-    aWorker.mSeenPercent = aReport.mSlowdownPercent;
+    aWorker.mReportedSlowdownPercent = aReport.mSlowdownPercent;
     for (const auto& it : aWorker.mView.mServices) {
       aReport.mService = it;
       mPlacement->RecordReport(aReport);
@@ -846,13 +860,13 @@
     }
     policy::WorkerPressure pressure;
     pressure.mWorker = worker.mView.mWorker;
-    pressure.mSlowdownPercent = worker.mSeenPercent;
-    pressure.mToleratedPercent = kToleratedPercent;
+    pressure.mSlowdownPercent = worker.mReportedSlowdownPercent;
+    pressure.mToleratedPercent = kToleratedSlowdownPercent;
     std::unordered_map<base::TaskId, std::size_t> indexes;
     for (const std::size_t it : worker.mTasks) {
-      pressure.mTasks.push_back(Describe(mTasks[it]));
+      pressure.mTasks.push_back(ToRunningTask(mTasks[it]));
       pressure.mTasks.back().mInterferencePercent =
-        Disturbance(worker, pressure.mTasks.back().mBatchClass);
+        WorstInterference(worker, pressure.mTasks.back().mBatchClass);
       indexes[mTasks[it].mId] = it;
     }
     for (const auto& it : mProtection->Decide(pressure, mNow)) {
@@ -861,29 +875,32 @@
         task.mThrottlePercent = it.mThrottlePercent;
       } else if (task.mPhase == Phase::Running) {
         task.mPhase = Phase::Checkpointing;
-        task.mStopAt = mNow + kEvictionTime;
+        task.mStopAt = mNow + kEvictionDelay;
       }
     }
   }
 
-  double Disturbance(const Worker& aWorker, const std::string& aClass) const
+  double WorstInterference(const Worker& aWorker,
+                           const std::string& aBatchClass) const
   {
     double worst = 0.0;
     for (const auto& it : aWorker.mView.mServices) {
-      worst = std::max(worst, mPlacement->ExpectedInterference(it, aClass));
+      worst =
+        std::max(worst, mPlacement->ExpectedInterference(it, aBatchClass));
     }
     return worst;
   }
 
-  policy::RunningTask Describe(const Task& aTask) const
+  policy::RunningTask ToRunningTask(const Task& aTask) const
   {
     policy::RunningTask running;
     running.mTask = aTask.mId;
-    running.mBatchClass = mSite.mClasses[aTask.mClass].mName;
-    running.mMilliProcessors = aTask.mNeed.mMilliProcessors;
-    running.mSecondsSinceCheckpoint =
-      static_cast<std::int64_t>(aTask.mDone - aTask.mSaved);
-    running.mRestartCostSeconds = static_cast<std::int64_t>(kRestartSeconds);
+    running.mBatchClass = mSite.mBatchClasses[aTask.mBatchClassIndex].mName;
+    running.mMilliProcessors = aTask.mResources.mMilliProcessors;
+    running.mSecondsSinceCheckpoint = static_cast<std::int64_t>(
+      aTask.mDoneSeconds - aTask.mCheckpointedSeconds);
+    running.mRestartCostSeconds =
+      static_cast<std::int64_t>(kRestartCostSeconds);
     running.mEvictions = aTask.mEvictions;
     running.mMaxEvictions = kMaxEvictions;
     running.mThrottlePercent = aTask.mThrottlePercent;
@@ -894,21 +911,21 @@
   void PlaceTasks()
   {
     std::vector<policy::QueuedTask> entries;
-    const std::size_t looked = std::min(kMaxQueued, mQueued.size());
-    entries.reserve(looked);
-    for (std::size_t n = 0; n < looked; ++n) {
+    const std::size_t considered = std::min(kMaxQueuedPerRound, mQueued.size());
+    entries.reserve(considered);
+    for (std::size_t n = 0; n < considered; ++n) {
       const Task& task = mTasks[mQueued[n]];
-      const BenchClass& type = mSite.mClasses[task.mClass];
+      const BenchBatchClass& type = mSite.mBatchClasses[task.mBatchClassIndex];
       entries.push_back({ task.mId,
                           task.mTeam,
                           type.mName,
-                          task.mNeed,
-                          task.mUrgent,
+                          task.mResources,
+                          task.mIsUrgent,
                           static_cast<std::int64_t>(mQueued[n]),
-                          static_cast<std::int64_t>(task.mReceived),
+                          static_cast<std::int64_t>(task.mSpentSeconds),
                           type.mDeclaredRunSeconds });
     }
-    const std::vector<std::size_t> eligible = UpWorkers();
+    const std::vector<std::size_t> eligible = AvailableWorkers();
     std::vector<policy::WorkerView> views;
     views.reserve(eligible.size());
     for (const std::size_t it : eligible) {
@@ -916,13 +933,13 @@
     }
     std::vector<bool> placed(mQueued.size(), false);
     std::size_t decisions = 0;
-    for (const std::size_t n : mQueue->Order(entries, Usages())) {
-      if (decisions++ >= kMaxDecisions) {
+    for (const std::size_t n : mQueue->Order(entries, TeamUsages())) {
+      if (decisions++ >= kMaxDecisionsPerRound) {
         break;
       }
       const Task& task = mTasks[mQueued[n]];
       const policy::TaskDemand demand{
-        task.mId, entries[n].mBatchClass, task.mNeed, task.mUrgent
+        task.mId, entries[n].mBatchClass, task.mResources, task.mIsUrgent
       };
       const auto chosen = mPlacement->Choose(demand, views);
       if (chosen) {
@@ -932,16 +949,16 @@
         placed[n] = true;
       }
     }
-    std::deque<std::size_t> rest;
+    std::deque<std::size_t> remaining;
     for (std::size_t n = 0; n < mQueued.size(); ++n) {
       if (!placed[n]) {
-        rest.push_back(mQueued[n]);
+        remaining.push_back(mQueued[n]);
       }
     }
-    mQueued.swap(rest);
+    mQueued.swap(remaining);
   }
 
-  std::vector<std::size_t> UpWorkers() const
+  std::vector<std::size_t> AvailableWorkers() const
   {
     std::vector<std::size_t> up;
     for (std::size_t n = 0; n < mWorkers.size(); ++n) {
@@ -952,11 +969,11 @@
     return up;
   }
 
-  policy::TeamUsageMap Usages() const
+  policy::TeamUsageMap TeamUsages() const
   {
     policy::TeamUsageMap usages;
     const auto workers = static_cast<std::int64_t>(mSite.mWorkers);
-    const base::Resources reservable = kCapacity - kServiceReserve;
+    const base::Resources reservable = kCapacity - kServiceResources;
     for (std::size_t n = 0; n < 3; ++n) {
       auto& quota = usages["team" + std::to_string(n)].mQuota;
       quota.mMilliProcessors = reservable.mMilliProcessors * workers / 2;
@@ -964,7 +981,7 @@
     }
     for (const auto& worker : mWorkers) {
       for (const std::size_t it : worker.mTasks) {
-        usages[mTasks[it].mTeam].mUsed += mTasks[it].mNeed;
+        usages[mTasks[it].mTeam].mUsed += mTasks[it].mResources;
       }
     }
     return usages;
@@ -973,28 +990,30 @@
   void StartTask(Worker& aWorker, std::size_t aTask)
   {
     Task& task = mTasks[aTask];
-    if (!task.mHasStarted && task.mSeconds <= kShortSeconds) {
-      mShortWaits.push_back(Seconds(mNow) - Seconds(task.mAccepted));
+    if (!task.mHasStarted && task.mRunSeconds <= kMaxShortTaskSeconds) {
+      mShortWaits.push_back(Seconds(mNow) - Seconds(task.mAcceptedAt));
     }
-    task.mStartupLeft = std::chrono::duration<double>(kStartDelay).count() +
-                        (task.mHasStarted ? kRestartSeconds : 0.0);
+    task.mStartupSecondsLeft =
+      std::chrono::duration<double>(kStartDelay).count() +
+      (task.mHasStarted ? kRestartCostSeconds : 0.0);
     task.mHasStarted = true;
-    task.mStarted = mNow;
+    task.mStartedAt = mNow;
     task.mPhase = Phase::Running;
     aWorker.mTasks.push_back(aTask);
-    aWorker.mView.mFree -= task.mNeed;
-    ++aWorker.mView.mBatchTasks[mSite.mClasses[task.mClass].mName];
+    aWorker.mView.mFree -= task.mResources;
+    ++aWorker.mView
+        .mBatchTasks[mSite.mBatchClasses[task.mBatchClassIndex].mName];
   }
 
   // --- Result ---
 
-  BenchMeasures Measure()
+  BenchMetrics Measure()
   {
     // Short tasks that never started have waited at least until now.
     for (const std::size_t it : mQueued) {
       const Task& task = mTasks[it];
-      if (!task.mHasStarted && task.mSeconds <= kShortSeconds) {
-        mShortWaits.push_back(Seconds(mNow) - Seconds(task.mAccepted));
+      if (!task.mHasStarted && task.mRunSeconds <= kMaxShortTaskSeconds) {
+        mShortWaits.push_back(Seconds(mNow) - Seconds(task.mAcceptedAt));
       }
     }
     const auto percent = [](std::int64_t aPart, std::int64_t aWhole) {
@@ -1002,13 +1021,14 @@
                          : 100.0 * static_cast<double>(aPart) /
                              static_cast<double>(aWhole);
     };
-    const double length = std::chrono::duration<double>(mSite.mLength).count();
+    const double length =
+      std::chrono::duration<double>(mSite.mDuration).count();
     return { PercentileOf(mLatencies, 50.0),
              PercentileOf(mLatencies, 99.0),
              PercentileOf(mLatencies, 99.9),
              percent(mInTime, mOffered),
              percent(mInTimeAtPeak, mOfferedAtPeak),
-             mWork / length,
+             mBatchWork / length,
              static_cast<double>(mCompleted),
              static_cast<double>(mEvictions),
              mEvictionLoss,
@@ -1033,23 +1053,23 @@
 
   const TimePoint mStart{ seconds(1000) };
   TimePoint mNow = mStart;
-  std::priority_queue<Event, std::vector<Event>, Later> mEvents;
+  std::priority_queue<Event, std::vector<Event>, IsLater> mEvents;
   std::uint64_t mNextSequence = 0;
   std::vector<Worker> mWorkers;
-  std::vector<std::vector<Lane>> mLanes;
+  std::vector<std::vector<ServiceGroup>> mServiceGroups;
   std::vector<requests::InFlightTable> mInFlight;
   std::vector<Request> mRequests;
   std::vector<Task> mTasks;
   std::deque<std::size_t> mQueued;
   std::int64_t mTicks = 0;
-  double mDueTasks = 0.0;
+  double mDueArrivals = 0.0;
 
   std::vector<double> mLatencies;
   std::int64_t mOffered = 0;
   std::int64_t mInTime = 0;
   std::int64_t mOfferedAtPeak = 0;
   std::int64_t mInTimeAtPeak = 0;
-  double mWork = 0.0;
+  double mBatchWork = 0.0;
   std::int64_t mCompleted = 0;
   std::int64_t mEvictions = 0;
   double mEvictionLoss = 0.0;
@@ -1065,7 +1085,7 @@
   return base::FindName(kSetupNames, aSetup);
 }
 
-BenchMeasures
+BenchMetrics
 RunBench(const BenchSite& aSite, BenchSetup aSetup, std::uint64_t aSeed)
 {
   return BenchRun(aSite, aSetup, aSeed).Run();
--- a/src/testing/bench_site.cpp
+++ b/src/testing/bench_site.cpp
@@ -13,7 +13,7 @@
 constexpr std::int64_t kMilli = 1000;
 constexpr std::int64_t kGiB = std::int64_t{ 1 } << 30;
 
-BenchClass
+BenchBatchClass
 MakeClass(std::string aName,
           double aProcessors,
           std::int64_t aMemoryGb,
@@ -21,18 +21,18 @@
           double aShare,
           bool aCheckpoints)
 {
-  BenchClass made;
+  BenchBatchClass made;
   made.mName = std::move(aName);
   made.mDeclared.mMilliProcessors =
     static_cast<std::int64_t>(aProcessors * kMilli);
   made.mDeclared.mMemoryBytes = aMemoryGb * kGiB;
-  made.mMeanSeconds = aSeconds;
-  made.mShare = aShare;
-  made.mCheckpoints = aCheckpoints;
+  made.mMeanRunSeconds = aSeconds;
+  made.mArrivalShare = aShare;
+  made.mHasCheckpoints = aCheckpoints;
   return made;
 }
 
-std::vector<BenchClass>
+std::vector<BenchBatchClass>
 MakeClasses()
 {
   return { MakeClass("brief", 1.0, 3, 5.0, 0.40, true),
@@ -50,13 +50,13 @@
   site.mProfile = policy::Profile::Throughput;
   site.mWorkers = 65;
   site.mRackSize = 10;
-  site.mDomains = 3;
+  site.mDomainCount = 3;
   site.mDomainLatency = microseconds(500);
   site.mServices = {
     { "confirmation", milliseconds(120), milliseconds(700), {} },
     { "inventory", milliseconds(160), milliseconds(1200), {} }
   };
-  site.mClasses = MakeClasses();
+  site.mBatchClasses = MakeClasses();
   return site;
 }
 
@@ -68,7 +68,7 @@
   site.mProfile = policy::Profile::Tail;
   site.mWorkers = 50;
   site.mRackSize = 6;
-  site.mDomains = 4;
+  site.mDomainCount = 4;
   site.mDomainLatency = microseconds(1500);
   site.mServices = {
     { "lookup", milliseconds(100), milliseconds(500), {} },
@@ -110,11 +110,11 @@
     }
     service.mInterference = percents;
   }
-  for (auto& it : aSite.mClasses) {
-    it.mActualShare = 0.5 + 1.2 * aRandom.UniformReal();
+  for (auto& it : aSite.mBatchClasses) {
+    it.mActualUseRatio = 0.5 + 1.2 * aRandom.UniformReal();
     const double error = 0.3 * std::pow(10.0, aRandom.UniformReal());
     it.mDeclaredRunSeconds = std::max<std::int64_t>(
-      1, static_cast<std::int64_t>(it.mMeanSeconds * error));
+      1, static_cast<std::int64_t>(it.mMeanRunSeconds * error));
   }
 }
 
--- a/src/testing/capacity_main.cpp
+++ b/src/testing/capacity_main.cpp
@@ -17,13 +17,13 @@
 using namespace skylarkhill;
 
 void
-PrintText(const std::vector<testing::Series>& aAll)
+PrintText(const std::vector<testing::CostSeries>& aSeries)
 {
   std::cout << std::fixed << std::setprecision(3);
-  for (const auto& it : aAll) {
-    const testing::Line line = testing::FitLine(it.mPoints);
-    std::cout << it.mName << ": " << line.mSlope << ' ' << it.mUnit << " per "
-              << it.mPer << " + " << line.mIntercept << " (";
+  for (const auto& it : aSeries) {
+    const testing::FittedLine line = testing::FitLine(it.mPoints);
+    std::cout << it.mName << ": " << line.mSlope << ' ' << it.mCostUnit
+              << " per " << it.mSizeUnit << " + " << line.mIntercept << " (";
     for (const auto& point : it.mPoints) {
       std::cout << ' ' << point.mSize << '=' << point.mCost;
     }
@@ -32,19 +32,19 @@
 }
 
 void
-PrintJson(const std::vector<testing::Series>& aAll, double aLoad)
+PrintJson(const std::vector<testing::CostSeries>& aSeries, double aLoadAverage)
 {
   base::JsonValue document = base::MakeJsonObject();
-  document.addMember("load_average") <<= aLoad;
+  document.addMember("load_average") <<= aLoadAverage;
   base::JsonValue& list = document.addMember("series");
   list.setCategory(base::JsonValue::Array);
-  for (const auto& it : aAll) {
-    const testing::Line line = testing::FitLine(it.mPoints);
+  for (const auto& it : aSeries) {
+    const testing::FittedLine line = testing::FitLine(it.mPoints);
     base::JsonValue& series = list.addMember("");
     series.setCategory(base::JsonValue::Object);
     series.addMember("name") <<= it.mName;
-    series.addMember("unit") <<= it.mUnit;
-    series.addMember("per") <<= it.mPer;
+    series.addMember("unit") <<= it.mCostUnit;
+    series.addMember("per") <<= it.mSizeUnit;
     series.addMember("slope") <<= line.mSlope;
     series.addMember("intercept") <<= line.mIntercept;
     base::JsonValue& points = series.addMember("points");
@@ -59,14 +59,14 @@
   std::cout << base::FormatJson(document) << '\n';
 }
 
-std::vector<testing::Series>
+std::vector<testing::CostSeries>
 MeasureAll()
 {
   auto all = testing::MeasureMemory();
   for (auto& it : testing::MeasureProcessorTime()) {
     all.push_back(std::move(it));
   }
-  for (auto& it : testing::MeasureWire()) {
+  for (auto& it : testing::MeasureEncodedSizes()) {
     all.push_back(std::move(it));
   }
   return all;
@@ -75,13 +75,13 @@
 int
 Run(const std::string& aOutput)
 {
-  double load = 0.0;
-  getloadavg(&load, 1);
+  double loadAverage = 0.0;
+  getloadavg(&loadAverage, 1);
   const auto all = MeasureAll();
   if (aOutput == "json") {
-    PrintJson(all, load);
+    PrintJson(all, loadAverage);
   } else {
-    std::cout << "load average at the start: " << load << '\n';
+    std::cout << "load average at the start: " << loadAverage << '\n';
     PrintText(all);
   }
   return 0;
--- a/src/testing/capacity_memory.cpp
+++ b/src/testing/capacity_memory.cpp
@@ -18,10 +18,13 @@
 
 /// What `aBuild` keeps allocated, for several sizes.
 template<typename Build>
-Series
-MeasureBytes(std::string aName, std::string aPer, Sizes aSizes, Build aBuild)
+CostSeries
+MeasureBytes(std::string aName,
+             std::string aSizeUnit,
+             Sizes aSizes,
+             Build aBuild)
 {
-  Series series{ std::move(aName), "bytes", std::move(aPer), {} };
+  CostSeries series{ std::move(aName), "bytes", std::move(aSizeUnit), {} };
   for (const std::int64_t size : aSizes) {
     const double before = AllocatedBytes();
     const auto state = aBuild(size);
@@ -65,7 +68,7 @@
   return table;
 }
 
-class NoEvents : public entry::WorkerEvents
+class NullWorkerListener : public entry::WorkerEvents
 {
 public:
   void OnHolderChange(entry::WorkerAgent&, bool) override {}
@@ -77,7 +80,7 @@
 struct HeldWorkers
 {
   base::ManualClock mClock;
-  NoEvents mEvents;
+  NullWorkerListener mListener;
   std::vector<std::unique_ptr<entry::WorkerAgent>> mAgents;
 
   HeldWorkers(std::int64_t aWorkers, std::int64_t aTasks)
@@ -92,7 +95,7 @@
                                              CreateSampleWorker(aTasks, mClock),
                                              mClock,
                                              n + 1,
-                                             mEvents));
+                                             mListener));
       mAgents.back()->SetPreferred(true);
     }
     // Longer than the takeover delay and the quiet period together.
@@ -114,7 +117,7 @@
   {
     constexpr int kSteps = 25;
     constexpr int kStepsPerRefresh = 5;
-    const auto grants = SampleGrants(aTasks);
+    const auto grants = SampleGrantedAttempts(aTasks);
     for (int n = 0; n < kSteps; ++n) {
       mClock.Advance(std::chrono::milliseconds(40));
       for (const auto& it : mAgents) {
@@ -136,19 +139,19 @@
   return static_cast<double>(info.uordblks + info.hblkhd);
 }
 
-std::vector<Series>
+std::vector<CostSeries>
 MeasureMemory()
 {
-  std::vector<Series> all;
-  const Sizes many{ 10'000, 20'000, 40'000 };
+  std::vector<CostSeries> all;
+  const Sizes sizes{ 10'000, 20'000, 40'000 };
   all.push_back(
-    MeasureBytes("live_task_memory", "live task", many, BuildLiveTasks));
+    MeasureBytes("live_task_memory", "live task", sizes, BuildLiveTasks));
   all.push_back(
-    MeasureBytes("tombstone_memory", "tombstone", many, BuildTombstones));
-  all.push_back(
-    MeasureBytes("key_memory", "finished key, 100-byte body", many, BuildKeys));
+    MeasureBytes("tombstone_memory", "tombstone", sizes, BuildTombstones));
+  all.push_back(MeasureBytes(
+    "key_memory", "finished key, 100-byte body", sizes, BuildKeys));
   all.push_back(MeasureBytes(
-    "config_object_memory", "config object (team)", many, SampleSet));
+    "config_object_memory", "config object (team)", sizes, SampleCatalogSet));
   for (const std::int64_t tasks : { 0, 7, 14 }) {
     all.push_back(
       MeasureBytes("held_worker_memory_" + std::to_string(tasks),
@@ -159,11 +162,13 @@
                    }));
   }
   for (const std::int64_t tasks : { 0, 7, 14 }) {
-    Series series{ "holder_second_" + std::to_string(tasks),
-                   "us of processor time",
-                   "worker held with " + std::to_string(tasks) +
-                     " tasks and second (25 steps, 5 grant refreshes, polls)",
-                   {} };
+    CostSeries series{
+      "holder_second_" + std::to_string(tasks),
+      "us of processor time",
+      "worker held with " + std::to_string(tasks) +
+        " tasks and second (25 steps, 5 grant refreshes, polls)",
+      {}
+    };
     for (const std::int64_t size : { 20, 50, 100 }) {
       HeldWorkers workers(size, tasks);
       const double micros =
--- a/src/testing/capacity_samples.cpp
+++ b/src/testing/capacity_samples.cpp
@@ -11,7 +11,7 @@
 constexpr std::int64_t kTeams = 470;
 constexpr std::int64_t kWorkers = 7900;
 constexpr worker::WorkerTime kLongLease = 3'600'000'000;
-const base::Resources kTaskNeed{ 1000, 2 * kGiB, 0 };
+const base::Resources kTaskResources{ 1000, 2 * kGiB, 0 };
 
 class SampleWorker : public worker::RemoteWorker
 {
@@ -24,24 +24,25 @@
 
   base::Result<worker::WorkerReport> Poll(base::TimePoint) override
   {
-    worker::WorkerReport report = SampleReport(mTasks);
+    worker::WorkerReport report = SampleWorkerReport(mTasks);
     report.mNow = base::ToMicros(mClock.Now());
     for (auto& it : report.mTasks) {
       it.mLeaseExpiresAt = report.mNow + kLongLease;
     }
     if (!mHolder.mInstance.mValue.empty()) {
-      report.mHolders.push_back({ mHolder, report.mNow + mLength.count() });
+      report.mHolders.push_back(
+        { mHolder, report.mNow + mLeaseDuration.count() });
     }
     return report;
   }
 
   base::Result<worker::WorkerReport> SetHolderLease(
     const worker::HolderToken& aToken,
-    base::Duration aLength,
+    base::Duration aLeaseDuration,
     base::TimePoint aDeadline) override
   {
     mHolder = aToken;
-    mLength = aLength;
+    mLeaseDuration = aLeaseDuration;
     return Poll(aDeadline);
   }
 
@@ -112,7 +113,7 @@
   const std::int64_t mTasks;
   const base::Clock& mClock;
   worker::HolderToken mHolder;
-  base::Duration mLength{ 0 };
+  base::Duration mLeaseDuration{ 0 };
 };
 
 } // namespace
@@ -140,7 +141,7 @@
   record.mSpec.mBatchClass = "tar-and-strand";
   record.mSpec.mPool = "pool";
   record.mSpec.mCaller = "caller-" + std::to_string(aNumber % kTeams);
-  record.mSpec.mDeclared = kTaskNeed;
+  record.mSpec.mDeclared = kTaskResources;
   record.mSpec.mDeclaredRunSeconds = 600;
   record.mSpec.mPayload = std::string(100, 'p');
   return record;
@@ -198,7 +199,7 @@
 }
 
 catalog::CatalogSet
-SampleSet(std::int64_t aObjects)
+SampleCatalogSet(std::int64_t aObjects)
 {
   catalog::CatalogSet set;
   catalog::Pool pool;
@@ -209,7 +210,7 @@
   catalog::BatchClass batch;
   batch.mName = "tar-and-strand";
   batch.mPool = "pool";
-  batch.mDefaultResources = kTaskNeed;
+  batch.mDefaultResources = kTaskResources;
   set.Put(batch);
   for (std::int64_t n = 2; n < aObjects; ++n) {
     set.Put(SampleTeam(n));
@@ -236,7 +237,7 @@
 }
 
 worker::WorkerReport
-SampleReport(std::int64_t aTasks)
+SampleWorkerReport(std::int64_t aTasks)
 {
   worker::WorkerReport report;
   report.mWorker = { SampleWorkerId(1) };
@@ -248,8 +249,8 @@
     worker::TaskReport task;
     task.mTask = { SampleTaskId(n) };
     task.mAttempt = 1;
-    task.mReserved = kTaskNeed;
-    task.mUsed = kTaskNeed;
+    task.mReserved = kTaskResources;
+    task.mUsed = kTaskResources;
     task.mLeaseExpiresAt = 2 * kLongLease;
     task.mCheckpoint = "checkpoint-1";
     report.mTasks.push_back(task);
@@ -258,7 +259,7 @@
 }
 
 std::vector<holder::GrantedAttempt>
-SampleGrants(std::int64_t aTasks)
+SampleGrantedAttempts(std::int64_t aTasks)
 {
   std::vector<holder::GrantedAttempt> grants;
   for (std::int64_t n = 0; n < aTasks; ++n) {
@@ -267,7 +268,7 @@
     grant.mAttempt = 1;
     grant.mBatchClass = "tar-and-strand";
     grant.mPayload = std::string(100, 'p');
-    grant.mReserve = kTaskNeed;
+    grant.mReserve = kTaskResources;
     grant.mStarted = true;
     grants.push_back(grant);
   }
--- a/src/testing/capacity_time.cpp
+++ b/src/testing/capacity_time.cpp
@@ -19,7 +19,7 @@
 using Sizes = std::initializer_list<std::int64_t>;
 
 double
-ProcessMicros()
+ProcessorMicros()
 {
   timespec time{};
   clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
@@ -28,14 +28,16 @@
 }
 
 template<typename Measure>
-Series
+CostSeries
 MeasureSeries(std::string aName,
-              std::string aUnit,
-              std::string aPer,
+              std::string aCostUnit,
+              std::string aSizeUnit,
               Sizes aSizes,
               Measure aMeasure)
 {
-  Series series{ std::move(aName), std::move(aUnit), std::move(aPer), {} };
+  CostSeries series{
+    std::move(aName), std::move(aCostUnit), std::move(aSizeUnit), {}
+  };
   for (const std::int64_t size : aSizes) {
     series.mPoints.push_back({ static_cast<double>(size), aMeasure(size) });
   }
@@ -91,7 +93,7 @@
 }
 
 double
-MeasureApply(std::int64_t aTasks)
+MeasureRecordApply(std::int64_t aTasks)
 {
   const auto page = SamplePage(aTasks);
   return MicrosPerCall(1, [&] {
@@ -113,7 +115,7 @@
 }
 
 void
-AddRecordSeries(std::vector<Series>& aAll)
+AddRecordSeries(std::vector<CostSeries>& aAll)
 {
   const Sizes sizes{ 1000, 2000, 4000 };
   const std::string micros = "us of processor time";
@@ -135,7 +137,7 @@
                                micros,
                                "task (4 records, 16 shards)",
                                sizes,
-                               MeasureApply));
+                               MeasureRecordApply));
   aAll.push_back(MeasureSeries("state_export",
                                micros,
                                "exported task (500 on a page)",
@@ -166,7 +168,7 @@
 }
 
 double
-MeasureQueue(std::int64_t aTasks, policy::Profile aProfile)
+MeasureQueueOrder(std::int64_t aTasks, policy::Profile aProfile)
 {
   std::vector<policy::QueuedTask> queued;
   policy::TeamUsageMap teams;
@@ -187,7 +189,7 @@
 }
 
 void
-AddPolicySeries(std::vector<Series>& aAll)
+AddPolicySeries(std::vector<CostSeries>& aAll)
 {
   const std::string micros = "us of processor time";
   for (const auto profile :
@@ -200,18 +202,19 @@
                                  [profile](std::int64_t aSize) {
                                    return MeasurePlacement(aSize, profile);
                                  }));
-    aAll.push_back(MeasureSeries(
-      "queue_order_" + name,
-      micros,
-      "queued task",
-      { 100, 1000, 10'000 },
-      [profile](std::int64_t aSize) { return MeasureQueue(aSize, profile); }));
+    aAll.push_back(MeasureSeries("queue_order_" + name,
+                                 micros,
+                                 "queued task",
+                                 { 100, 1000, 10'000 },
+                                 [profile](std::int64_t aSize) {
+                                   return MeasureQueueOrder(aSize, profile);
+                                 }));
   }
 }
 
 /// What one refresh of a worker's grants reads from the site's state.
 double
-MeasureGrants(std::int64_t aTasksPerWorker)
+MeasureGrantRefresh(std::int64_t aTasksPerWorker)
 {
   constexpr std::int64_t kWorkers = 200;
   journal::SiteState state{ {} };
@@ -241,7 +244,7 @@
 
 /// How an instance finds its turn to grant one task.
 double
-MeasureTurn(std::int64_t aInstances)
+MeasureGrantRank(std::int64_t aInstances)
 {
   std::vector<std::string> members;
   for (std::int64_t n = 0; n < aInstances; ++n) {
@@ -252,36 +255,37 @@
 }
 
 void
-AddSchedulerSeries(std::vector<Series>& aAll)
+AddSchedulerSeries(std::vector<CostSeries>& aAll)
 {
   const std::string micros = "us of processor time";
   aAll.push_back(MeasureSeries("grant_refresh",
                                micros,
                                "task on the worker, 16 shards",
                                { 1, 7, 14 },
-                               MeasureGrants));
+                               MeasureGrantRefresh));
   aAll.push_back(MeasureSeries("grant_turn",
                                micros,
                                "live entry instance and queued task",
                                { 7, 70, 161 },
-                               MeasureTurn));
+                               MeasureGrantRank));
 }
 
 catalog::PublishRecord
-PrepareFirst(const catalog::ConfigState& aState, std::int64_t aObjects)
+PrepareInitialPublish(const catalog::ConfigState& aState, std::int64_t aObjects)
 {
-  auto record = catalog::PreparePublish(
-                  aState,
-                  catalog::kNoVersion,
-                  catalog::Diff(catalog::CatalogSet(), SampleSet(aObjects)),
-                  "operator")
-                  .value();
+  auto record =
+    catalog::PreparePublish(
+      aState,
+      catalog::kNoVersion,
+      catalog::Diff(catalog::CatalogSet(), SampleCatalogSet(aObjects)),
+      "operator")
+      .value();
   record.mIdentity = { "entry-1.1", 1 };
   return record;
 }
 
 catalog::SetDelta
-OneChange()
+SingleTeamChange()
 {
   catalog::SetDelta delta;
   catalog::Team team = SampleTeam(3);
@@ -291,13 +295,14 @@
 }
 
 double
-MeasurePrepare(std::int64_t aObjects)
+MeasurePublishPreparation(std::int64_t aObjects)
 {
   catalog::ConfigState state;
-  state.Apply(0, catalog::FormatConfigRecord(PrepareFirst(state, aObjects)), 0);
+  state.Apply(
+    0, catalog::FormatConfigRecord(PrepareInitialPublish(state, aObjects)), 0);
   return MicrosPerCall(1, [&] {
     static_cast<void>(
-      catalog::PreparePublish(state, 0, OneChange(), "operator"));
+      catalog::PreparePublish(state, 0, SingleTeamChange(), "operator"));
   });
 }
 
@@ -305,9 +310,10 @@
 MeasureConfigApply(std::int64_t aObjects)
 {
   catalog::ConfigState first;
-  first.Apply(0, catalog::FormatConfigRecord(PrepareFirst(first, aObjects)), 0);
+  first.Apply(
+    0, catalog::FormatConfigRecord(PrepareInitialPublish(first, aObjects)), 0);
   auto change =
-    catalog::PreparePublish(first, 0, OneChange(), "operator").value();
+    catalog::PreparePublish(first, 0, SingleTeamChange(), "operator").value();
   change.mIdentity = { "entry-1.1", 2 };
   const std::string payload = catalog::FormatConfigRecord(change);
   return MicrosPerCall(1, [&] {
@@ -318,7 +324,7 @@
 }
 
 void
-AddConfigSeries(std::vector<Series>& aAll)
+AddConfigSeries(std::vector<CostSeries>& aAll)
 {
   const Sizes sizes{ 100, 1000, 10'000 };
   const std::string micros = "us of processor time";
@@ -326,7 +332,7 @@
                                micros,
                                "object in the set, one changed",
                                sizes,
-                               MeasurePrepare));
+                               MeasurePublishPreparation));
   aAll.push_back(MeasureSeries("config_apply",
                                micros,
                                "object in the set, one changed",
@@ -335,7 +341,7 @@
 }
 
 double
-MeasureHeartbeat(std::int64_t aWorkers, std::int64_t aServices)
+MeasureHeartbeatCodec(std::int64_t aWorkers, std::int64_t aServices)
 {
   const peer::Message message = SampleHeartbeat(aWorkers, aServices);
   return MicrosPerCall(20, [&] {
@@ -345,7 +351,7 @@
 }
 
 void
-AddHeartbeatSeries(std::vector<Series>& aAll)
+AddHeartbeatSeries(std::vector<CostSeries>& aAll)
 {
   const std::string micros = "us of processor time";
   aAll.push_back(MeasureSeries(
@@ -353,13 +359,13 @@
     micros,
     "worker held, encoded and decoded",
     { 10, 100, 1000 },
-    [](std::int64_t aSize) { return MeasureHeartbeat(aSize, 3); }));
+    [](std::int64_t aSize) { return MeasureHeartbeatCodec(aSize, 3); }));
   aAll.push_back(MeasureSeries(
     "heartbeat_services",
     micros,
     "service, encoded and decoded",
     { 5, 50, 500 },
-    [](std::int64_t aSize) { return MeasureHeartbeat(10, aSize); }));
+    [](std::int64_t aSize) { return MeasureHeartbeatCodec(10, aSize); }));
 }
 
 } // namespace
@@ -370,21 +376,21 @@
   // The smallest of several runs is the one that other processes disturbed
   // least.
   constexpr int kRuns = 5;
-  double best = std::numeric_limits<double>::max();
+  double least = std::numeric_limits<double>::max();
   for (int run = 0; run < kRuns; ++run) {
-    const double before = ProcessMicros();
+    const double before = ProcessorMicros();
     for (int n = 0; n < aCalls; ++n) {
       aFunction();
     }
-    best = std::min(best, (ProcessMicros() - before) / aCalls);
+    least = std::min(least, (ProcessorMicros() - before) / aCalls);
   }
-  return best;
+  return least;
 }
 
-std::vector<Series>
+std::vector<CostSeries>
 MeasureProcessorTime()
 {
-  std::vector<Series> all;
+  std::vector<CostSeries> all;
   AddRecordSeries(all);
   AddPolicySeries(all);
   AddSchedulerSeries(all);
--- a/src/testing/capacity_wire.cpp
+++ b/src/testing/capacity_wire.cpp
@@ -15,13 +15,13 @@
 using Sizes = std::initializer_list<std::int64_t>;
 
 template<typename Measure>
-Series
-MeasureLengths(std::string aName,
-               std::string aPer,
-               Sizes aSizes,
-               Measure aMeasure)
+CostSeries
+MeasureEncodedLengths(std::string aName,
+                      std::string aSizeUnit,
+                      Sizes aSizes,
+                      Measure aMeasure)
 {
-  Series series{ std::move(aName), "bytes", std::move(aPer), {} };
+  CostSeries series{ std::move(aName), "bytes", std::move(aSizeUnit), {} };
   for (const std::int64_t size : aSizes) {
     series.mPoints.push_back(
       { static_cast<double>(size), static_cast<double>(aMeasure(size)) });
@@ -55,7 +55,7 @@
 }
 
 std::size_t
-ChangeLength(std::int64_t aChanges)
+ConfigChangeLength(std::int64_t aChanges)
 {
   catalog::PublishRecord record;
   record.mIdentity = { "entry-1.1700000000000", 100 };
@@ -74,66 +74,72 @@
   worker::HolderCommand command{ { { "entry-1" }, 1000 },
                                  std::chrono::seconds(6) };
   return worker::FormatHolderCommand(command).size() +
-         worker::FormatReport(SampleReport(aTasks)).size();
+         worker::FormatReport(SampleWorkerReport(aTasks)).size();
 }
 
 } // namespace
 
-std::vector<Series>
-MeasureWire()
+std::vector<CostSeries>
+MeasureEncodedSizes()
 {
   using journal::SiteRecord;
   using tasks::TaskRecord;
   const Sizes counts{ 1, 10, 100 };
   return {
-    MeasureLengths("accept_wire",
-                   "accept record in a batch, 100-byte payload",
-                   counts,
-                   [](std::int64_t aCount) {
-                     return BatchLength(aCount, [](std::int64_t aNumber) {
-                       return SiteRecord(TaskRecord(SampleAccept(aNumber)));
-                     });
-                   }),
-    MeasureLengths("grant_wire",
-                   "grant record in a batch",
-                   counts,
-                   [](std::int64_t aCount) {
-                     return BatchLength(aCount, [](std::int64_t aNumber) {
-                       return SiteRecord(TaskRecord(SampleGrant(aNumber)));
-                     });
-                   }),
-    MeasureLengths("started_wire",
-                   "started record in a batch",
-                   counts,
-                   [](std::int64_t aCount) {
-                     return BatchLength(aCount, [](std::int64_t aNumber) {
-                       return SiteRecord(TaskRecord(SampleStarted(aNumber)));
-                     });
-                   }),
-    MeasureLengths("end_wire",
-                   "end record in a batch",
-                   counts,
-                   [](std::int64_t aCount) {
-                     return BatchLength(aCount, [](std::int64_t aNumber) {
-                       return SiteRecord(TaskRecord(SampleEnd(aNumber)));
-                     });
-                   }),
-    MeasureLengths(
+    MeasureEncodedLengths(
+      "accept_wire",
+      "accept record in a batch, 100-byte payload",
+      counts,
+      [](std::int64_t aCount) {
+        return BatchLength(aCount, [](std::int64_t aNumber) {
+          return SiteRecord(TaskRecord(SampleAccept(aNumber)));
+        });
+      }),
+    MeasureEncodedLengths(
+      "grant_wire",
+      "grant record in a batch",
+      counts,
+      [](std::int64_t aCount) {
+        return BatchLength(aCount, [](std::int64_t aNumber) {
+          return SiteRecord(TaskRecord(SampleGrant(aNumber)));
+        });
+      }),
+    MeasureEncodedLengths(
+      "started_wire",
+      "started record in a batch",
+      counts,
+      [](std::int64_t aCount) {
+        return BatchLength(aCount, [](std::int64_t aNumber) {
+          return SiteRecord(TaskRecord(SampleStarted(aNumber)));
+        });
+      }),
+    MeasureEncodedLengths(
+      "end_wire",
+      "end record in a batch",
+      counts,
+      [](std::int64_t aCount) {
+        return BatchLength(aCount, [](std::int64_t aNumber) {
+          return SiteRecord(TaskRecord(SampleEnd(aNumber)));
+        });
+      }),
+    MeasureEncodedLengths(
       "heartbeat_wire_workers",
       "worker held",
       { 10, 100, 1000 },
       [](std::int64_t aSize) { return HeartbeatLength(aSize, 3); }),
-    MeasureLengths(
+    MeasureEncodedLengths(
       "heartbeat_wire_services",
       "service",
       { 5, 50, 500 },
       [](std::int64_t aSize) { return HeartbeatLength(10, aSize); }),
-    MeasureLengths(
-      "config_change_wire", "changed object (team)", counts, ChangeLength),
-    MeasureLengths("poll_wire",
-                   "task on the worker (bodies of request and response)",
-                   { 0, 7, 14 },
-                   PollLength),
+    MeasureEncodedLengths("config_change_wire",
+                          "changed object (team)",
+                          counts,
+                          ConfigChangeLength),
+    MeasureEncodedLengths("poll_wire",
+                          "task on the worker (bodies of request and response)",
+                          { 0, 7, 14 },
+                          PollLength),
   };
 }
 
--- a/src/testing/slope.cpp
+++ b/src/testing/line_fit.cpp
@@ -1,9 +1,9 @@
-#include "skylarkhill/testing/slope.hpp"
+#include "skylarkhill/testing/line_fit.hpp"
 
 namespace skylarkhill::testing {
 
-Line
-FitLine(const std::vector<SlopePoint>& aPoints)
+FittedLine
+FitLine(const std::vector<CostPoint>& aPoints)
 {
   if (aPoints.empty()) {
     return {};
@@ -21,7 +21,7 @@
     covariance += (it.mSize - meanSize) * (it.mCost - meanCost);
     variance += (it.mSize - meanSize) * (it.mSize - meanSize);
   }
-  Line line;
+  FittedLine line;
   line.mSlope = variance > 0.0 ? covariance / variance : 0.0;
   line.mIntercept = meanCost - line.mSlope * meanSize;
   return line;
--- a/src/testing/slope_test.cpp
+++ b/src/testing/line_fit_test.cpp
@@ -1,4 +1,4 @@
-#include "skylarkhill/testing/slope.hpp"
+#include "skylarkhill/testing/line_fit.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -6,9 +6,9 @@
 
 namespace {
 
-class SlopeTest : public CppUnit::TestFixture
+class LineFitTest : public CppUnit::TestFixture
 {
-  CPPUNIT_TEST_SUITE(SlopeTest);
+  CPPUNIT_TEST_SUITE(LineFitTest);
   CPPUNIT_TEST(FindsSlopeAndIntercept);
   CPPUNIT_TEST(AcceptsEqualSizes);
   CPPUNIT_TEST_SUITE_END();
@@ -16,7 +16,7 @@
   // Guards against a fixed cost that is counted as cost per unit.
   void FindsSlopeAndIntercept()
   {
-    const Line line =
+    const FittedLine line =
       FitLine({ { 10.0, 120.0 }, { 20.0, 140.0 }, { 40.0, 180.0 } });
     CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, line.mSlope, 1e-9);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(100.0, line.mIntercept, 1e-9);
@@ -25,14 +25,14 @@
   // Guards against a division by zero.
   void AcceptsEqualSizes()
   {
-    const Line line = FitLine({ { 5.0, 1.0 }, { 5.0, 3.0 } });
+    const FittedLine line = FitLine({ { 5.0, 1.0 }, { 5.0, 3.0 } });
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, line.mSlope, 1e-9);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, line.mIntercept, 1e-9);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, FitLine({}).mSlope, 1e-9);
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(SlopeTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(LineFitTest);
 
 } // namespace
 
--- a/src/testing/load_main.cpp
+++ b/src/testing/load_main.cpp
@@ -34,7 +34,7 @@
   std::string mTarget;
   std::string mService;
   /// Sends worker calls instead of caller requests.
-  bool mIsWorker = false;
+  bool mTargetsWorker = false;
   std::int64_t mThreads = 8;
   /// Requests a second over all threads; 0: each thread sends the next request
   /// when the last one was answered.
@@ -46,7 +46,7 @@
 };
 
 /// What one thread saw.
-struct Tally
+struct ThreadStats
 {
   std::map<std::string, std::int64_t> mOutcomes;
   /// Milliseconds of completed requests.
@@ -77,7 +77,7 @@
   options::store(options::parse_command_line(aCount, aArguments, description),
                  values);
   options::notify(values);
-  settings.mIsWorker = values.count("worker") != 0;
+  settings.mTargetsWorker = values.count("worker") != 0;
   settings.mHelp = values.count("help") != 0;
   if (settings.mHelp) {
     std::cout << description << std::endl;
@@ -86,7 +86,7 @@
 }
 
 base::Result<void>
-Check(const Settings& aSettings)
+ValidateSettings(const Settings& aSettings)
 {
   const bool isValid =
     aSettings.mThreads >= 1 && aSettings.mThreads <= kMaxThreads &&
@@ -118,40 +118,41 @@
     mClient = http::CreateClient(client, mClock);
   }
 
-  std::vector<Tally> Run()
+  std::vector<ThreadStats> Run()
   {
-    std::vector<Tally> tallies(static_cast<std::size_t>(mSettings.mThreads));
+    std::vector<ThreadStats> stats(
+      static_cast<std::size_t>(mSettings.mThreads));
     std::vector<std::thread> threads;
-    threads.reserve(tallies.size());
-    for (auto& it : tallies) {
+    threads.reserve(stats.size());
+    for (auto& it : stats) {
       threads.emplace_back([this, &it] { RunThread(it); });
     }
     for (auto& it : threads) {
       it.join();
     }
-    return tallies;
+    return stats;
   }
 
 private:
-  void RunThread(Tally& aTally)
+  void RunThread(ThreadStats& aStats)
   {
     const auto deadline = std::chrono::milliseconds(mSettings.mDeadlineMs);
     for (;;) {
-      const std::int64_t number = mNext++;
-      const base::TimePoint due = DueTime(number);
+      const std::int64_t number = mNextNumber++;
+      const base::TimePoint due = ScheduledTime(number);
       if (number >= kMaxRequests || std::max(due, mClock.Now()) >= mEnd) {
         return;
       }
       std::this_thread::sleep_for(base::Remaining(mClock.Now(), due));
       if (mSettings.mRate > 0 && mClock.Now() > due + deadline) {
-        ++aTally.mSkipped;
+        ++aStats.mSkipped;
         continue;
       }
-      SendOne(number, aTally);
+      SendOne(number, aStats);
     }
   }
 
-  base::TimePoint DueTime(std::int64_t aNumber) const
+  base::TimePoint ScheduledTime(std::int64_t aNumber) const
   {
     if (mSettings.mRate == 0) {
       return mStart;
@@ -159,47 +160,48 @@
     return mStart + base::Duration(aNumber * 1'000'000 / mSettings.mRate);
   }
 
-  void SendOne(std::int64_t aNumber, Tally& aTally)
+  void SendOne(std::int64_t aNumber, ThreadStats& aStats)
   {
     // An instance that answers too late is seen as an error, not waited for.
-    constexpr std::chrono::milliseconds kAnswerMargin{ 2000 };
+    constexpr std::chrono::milliseconds kResponseMargin{ 2000 };
     http::ClientRequest request;
     request.mMethod = "POST";
-    request.mTarget = mSettings.mIsWorker ? "/call" : "/v1/requests";
-    request.mBody = mSettings.mIsWorker ? WorkerBody(aNumber) : EntryBody();
+    request.mTarget = mSettings.mTargetsWorker ? "/call" : "/v1/requests";
+    request.mBody =
+      mSettings.mTargetsWorker ? WorkerCallBody(aNumber) : EntryRequestBody();
     request.mDelivery = http::Delivery::Idempotent;
     const base::TimePoint sentAt = mClock.Now();
     const auto response =
       mClient->Call(request,
                     sentAt + std::chrono::milliseconds(mSettings.mDeadlineMs) +
-                      kAnswerMargin);
+                      kResponseMargin);
     const base::Duration latency = mClock.Now() - sentAt;
-    ++aTally.mSent;
+    ++aStats.mSent;
     const std::string outcome =
       response ? OutcomeOf(response.value())
                : "client_" + std::string(base::NameOf(response.error().mKind));
-    ++aTally.mOutcomes[outcome];
+    ++aStats.mOutcomes[outcome];
     if (outcome == "completed") {
-      aTally.mLatencies.push_back(static_cast<double>(latency.count()) / 1e3);
+      aStats.mLatencies.push_back(static_cast<double>(latency.count()) / 1e3);
     }
   }
 
-  std::string WorkBody() const
+  std::string CallBody() const
   {
     return R"({"work_ms":)" + std::to_string(mSettings.mWorkMs) + "}";
   }
 
-  std::string EntryBody() const
+  std::string EntryRequestBody() const
   {
     base::JsonValue value = base::MakeJsonObject();
     value.addMember("service") <<= mSettings.mService;
     value.addMember("idempotent") <<= true;
     value.addMember("deadline_ms") <<= mSettings.mDeadlineMs;
-    value.addMember("body") <<= WorkBody();
+    value.addMember("body") <<= CallBody();
     return base::FormatJson(value);
   }
 
-  std::string WorkerBody(std::int64_t aNumber) const
+  std::string WorkerCallBody(std::int64_t aNumber) const
   {
     worker::CallCommand command;
     command.mHeader.mToken = { { "load" }, 1 };
@@ -208,14 +210,14 @@
     command.mCall.mRequest = { "load-" + std::to_string(aNumber) };
     command.mCall.mAttempt = 1;
     command.mCall.mService = mSettings.mService;
-    command.mCall.mBody = WorkBody();
+    command.mCall.mBody = CallBody();
     command.mCall.mIdempotent = true;
     return worker::FormatCallCommand(command);
   }
 
   std::string OutcomeOf(const http::Response& aResponse) const
   {
-    if (mSettings.mIsWorker) {
+    if (mSettings.mTargetsWorker) {
       return aResponse.mStatus == 200 ? "completed"
                                       : std::to_string(aResponse.mStatus);
     }
@@ -234,24 +236,24 @@
   const base::TimePoint mStart;
   const base::TimePoint mEnd;
   std::unique_ptr<http::Client> mClient;
-  std::atomic<std::int64_t> mNext{ 0 };
+  std::atomic<std::int64_t> mNextNumber{ 0 };
 };
 
 double
-Quantile(const std::vector<double>& aSorted, double aShare)
+Quantile(const std::vector<double>& aSorted, double aFraction)
 {
   if (aSorted.empty()) {
     return 0.0;
   }
   const auto last = static_cast<double>(aSorted.size() - 1);
-  return aSorted[static_cast<std::size_t>(aShare * last)];
+  return aSorted[static_cast<std::size_t>(aFraction * last)];
 }
 
 void
-Print(const Settings& aSettings, const std::vector<Tally>& aTallies)
+PrintSummary(const Settings& aSettings, const std::vector<ThreadStats>& aStats)
 {
-  Tally sum;
-  for (const auto& it : aTallies) {
+  ThreadStats sum;
+  for (const auto& it : aStats) {
     sum.mSent += it.mSent;
     sum.mSkipped += it.mSkipped;
     sum.mLatencies.insert(
@@ -279,14 +281,14 @@
 int
 Run(const Settings& aSettings)
 {
-  const auto valid = Check(aSettings);
+  const auto valid = ValidateSettings(aSettings);
   const auto address = cli::ParseEntryAddress(aSettings.mTarget);
   if (!valid || !address) {
     std::cerr << (valid ? address.error() : valid.error()).mDetail << std::endl;
     return 2;
   }
   Generator generator(aSettings, address.value());
-  Print(aSettings, generator.Run());
+  PrintSummary(aSettings, generator.Run());
   return 0;
 }
 
