--- a/include/skylarkhill/testing/fake_instance_list.hpp
+++ b/include/skylarkhill/testing/fake_instance_list.hpp
@@ -27,7 +27,7 @@
   /// While down, Fetch fails with LogUnavailable.
   void SetDown(bool aDown);
   /// Adds the instance, or replaces the one with the same name.
-  void Put(platform::InstanceInfo aEntry);
+  void Put(platform::InstanceInfo aInstance);
   void MarkLeaving(const std::string& aName);
   void Remove(const std::string& aName);
 
@@ -43,18 +43,18 @@
     base::TimePoint mVisibleAt;
     ChangeKind mKind = ChangeKind::Put;
     std::string mName;
-    platform::InstanceInfo mEntry;
+    platform::InstanceInfo mInstance;
   };
 
   void AddChange(ChangeKind aKind,
                  std::string aName,
-                 platform::InstanceInfo aEntry);
+                 platform::InstanceInfo aInstance);
   void ApplyVisibleChanges();
   void Apply(Change& aChange);
 
   const base::Clock& mClock;
   std::mutex mMutex;
-  std::map<std::string, platform::InstanceInfo> mEntries;
+  std::map<std::string, platform::InstanceInfo> mInstances;
   std::deque<Change> mChanges;
   base::Duration mLag{ 0 };
   bool mDown = false;
--- a/include/skylarkhill/testing/fake_log.hpp
+++ b/include/skylarkhill/testing/fake_log.hpp
@@ -47,7 +47,7 @@
   void ExpireBefore(std::string_view aStream, platform::Offset aOffset);
 
   /// Records that were ever appended to `aStream`.
-  platform::Offset EndOf(std::string_view aStream) const;
+  platform::Offset EndOffset(std::string_view aStream) const;
   base::Duration AnswerDelay() const;
 
 private:
@@ -62,8 +62,8 @@
     std::deque<StoredRecord> mRecords;
   };
 
-  void Expire(Stream& aStream);
-  static void DropFront(Stream& aStream);
+  void ExpireRecords(Stream& aStream);
+  static void DropFirstRecord(Stream& aStream);
 
   const base::Clock& mClock;
   const RetentionLimits mLimits;
--- a/include/skylarkhill/testing/fake_worker.hpp
+++ b/include/skylarkhill/testing/fake_worker.hpp
@@ -30,7 +30,7 @@
   base::Duration mClockOffset{ 0 };
   /// Refuse overcommitment, duplicate attempts, late commands and commands
   /// without a live holder lease.
-  bool mGuards = true;
+  bool mHasGuards = true;
 };
 
 /// One interval in which a task attempt ran.
@@ -71,7 +71,7 @@
   base::Result<worker::WorkerReport> Poll(base::TimePoint aDeadline) override;
   base::Result<worker::WorkerReport> SetHolderLease(
     const worker::HolderToken& aToken,
-    base::Duration aLength,
+    base::Duration aLeaseDuration,
     base::TimePoint aDeadline) override;
   base::Result<void> RemoveHolderLease(const worker::HolderToken& aToken,
                                        base::TimePoint aDeadline) override;
@@ -157,14 +157,14 @@
     base::Resources mReserved;
     Workload mWorkload;
     base::TimePoint mLeaseExpiresAt;
-    /// When mDone was computed.
-    base::TimePoint mSettledAt;
-    base::Duration mDone{ 0 };
+    /// When mWorkDone was computed.
+    base::TimePoint mAdvancedAt;
+    base::Duration mWorkDone{ 0 };
     base::TimePoint mCheckpointEndsAt;
     std::string mCheckpoint;
     std::int64_t mThrottlePercent = 100;
     std::string mDetail;
-    std::size_t mExecution = 0;
+    std::size_t mExecutionIndex = 0;
   };
 
   static Workload ParseWorkload(const worker::StartTask& aStart);
@@ -173,14 +173,14 @@
   base::Result<void> CheckReachable(base::TimePoint aDeadline) const;
   base::Result<void> CheckHeader(const worker::CommandHeader& aHeader);
   base::Result<void> CheckStart(const worker::StartTask& aStart);
-  base::Result<void> Refuse(base::ErrorKind aKind, std::string aDetail);
-  base::Result<void> BeginCommand(const worker::CommandHeader& aHeader,
+  base::Result<void> RefuseByGuard(base::ErrorKind aKind, std::string aDetail);
+  base::Result<void> CheckCommand(const worker::CommandHeader& aHeader,
                                   base::TimePoint aDeadline);
-  base::Result<void> EndCommand();
-  bool TakeLostAnswer();
+  base::Result<void> FinishCommand();
+  bool ConsumeLostAnswer();
   /// Brings all tasks, leases and requests up to the present.
-  void Settle();
-  void SettleTask(Task& aTask, base::TimePoint aNow);
+  void AdvanceToNow();
+  void AdvanceTask(Task& aTask, base::TimePoint aNow);
   void EndTask(Task& aTask,
                worker::TaskPhase aPhase,
                std::string aDetail,
@@ -203,7 +203,7 @@
   std::vector<worker::HolderLease> mHolders;
   std::map<worker::TaskKey, Task> mTasks;
   /// Attempts that must never start again.
-  std::set<worker::TaskKey> mClosedKeys;
+  std::set<worker::TaskKey> mUnstartableKeys;
   std::vector<TaskExecution> mExecutions;
   /// End times of the service requests that run or wait.
   std::vector<base::TimePoint> mCallEnds;
--- a/include/skylarkhill/testing/platform_handler.hpp
+++ b/include/skylarkhill/testing/platform_handler.hpp
@@ -41,7 +41,7 @@
   http::Response FetchInstances();
   http::Response HandleAdmin(const http::Request& aRequest);
   base::Result<void> ApplyAdmin(const std::string& aBody);
-  http::Response ReportCounters() const;
+  http::Response MakeCounterReport() const;
 
   FakeLog& mLog;
   FakeInstanceList& mInstances;
--- a/include/skylarkhill/testing/worker_handler.hpp
+++ b/include/skylarkhill/testing/worker_handler.hpp
@@ -29,16 +29,16 @@
 
 private:
   http::Response Dispatch(const http::Request& aRequest);
-  http::Response DispatchTask(const std::string& aPath,
-                              const std::string& aBody);
-  http::Response PlaceHolder(const std::string& aBody);
+  http::Response DispatchTaskCommand(const std::string& aPath,
+                                     const std::string& aBody);
+  http::Response SetHolder(const std::string& aBody);
   http::Response RemoveHolder(const std::string& aBody);
   http::Response Start(const std::string& aBody);
   http::Response Renew(const std::string& aBody);
   http::Response Call(const std::string& aBody);
   http::Response HandleAdmin(const http::Request& aRequest);
   base::Result<void> ApplyAdmin(const std::string& aBody);
-  http::Response ReportRuns();
+  http::Response MakeRunReport();
 
   FakeWorker& mWorker;
   const base::Clock& mClock;
--- a/src/platform/http_platform_test.cpp
+++ b/src/platform/http_platform_test.cpp
@@ -82,7 +82,7 @@
   {
     ChangePlatform(R"({"lose_answers":1})");
     AssertKind(ErrorKind::AnswerLost, mLog->Append("s", "a", Deadline()));
-    CPPUNIT_ASSERT_EQUAL(Offset{ 1 }, mFakeLog.EndOf("s"));
+    CPPUNIT_ASSERT_EQUAL(Offset{ 1 }, mFakeLog.EndOffset("s"));
     ChangePlatform(R"({"slow_ms":200})");
     AssertKind(ErrorKind::AnswerLost,
                mLog->Append("s", "b", mClock.Now() + milliseconds(50)));
@@ -97,7 +97,7 @@
     mHandler.Release();
     mServer->Stop();
     AssertKind(ErrorKind::LogUnavailable, mLog->Append("s", "c", Deadline()));
-    CPPUNIT_ASSERT_EQUAL(Offset{ 2 }, mFakeLog.EndOf("s"));
+    CPPUNIT_ASSERT_EQUAL(Offset{ 2 }, mFakeLog.EndOffset("s"));
   }
 
   void OversizedRecordsArePermanentErrors()
--- a/src/testing/fake_instance_list.cpp
+++ b/src/testing/fake_instance_list.cpp
@@ -24,11 +24,11 @@
                            "the deadline has passed");
   }
   ApplyVisibleChanges();
-  std::vector<InstanceInfo> entries;
-  for (const auto& it : mEntries) {
-    entries.push_back(it.second);
+  std::vector<InstanceInfo> instances;
+  for (const auto& it : mInstances) {
+    instances.push_back(it.second);
   }
-  return entries;
+  return instances;
 }
 
 void
@@ -46,10 +46,10 @@
 }
 
 void
-FakeInstanceList::Put(InstanceInfo aEntry)
+FakeInstanceList::Put(InstanceInfo aInstance)
 {
-  std::string name = aEntry.mName;
-  AddChange(ChangeKind::Put, std::move(name), std::move(aEntry));
+  std::string name = aInstance.mName;
+  AddChange(ChangeKind::Put, std::move(name), std::move(aInstance));
 }
 
 void
@@ -67,7 +67,7 @@
 void
 FakeInstanceList::AddChange(ChangeKind aKind,
                             std::string aName,
-                            InstanceInfo aEntry)
+                            InstanceInfo aInstance)
 {
   const std::lock_guard lock(mMutex);
   base::TimePoint visibleAt = mClock.Now() + mLag;
@@ -75,7 +75,8 @@
   if (!mChanges.empty() && mChanges.back().mVisibleAt > visibleAt) {
     visibleAt = mChanges.back().mVisibleAt;
   }
-  mChanges.push_back({ visibleAt, aKind, std::move(aName), std::move(aEntry) });
+  mChanges.push_back(
+    { visibleAt, aKind, std::move(aName), std::move(aInstance) });
 }
 
 void
@@ -93,17 +94,17 @@
 {
   switch (aChange.mKind) {
     case ChangeKind::Put:
-      mEntries[aChange.mName] = std::move(aChange.mEntry);
+      mInstances[aChange.mName] = std::move(aChange.mInstance);
       return;
     case ChangeKind::MarkLeaving: {
-      const auto found = mEntries.find(aChange.mName);
-      if (found != mEntries.end()) {
+      const auto found = mInstances.find(aChange.mName);
+      if (found != mInstances.end()) {
         found->second.mState = platform::InstanceState::Leaving;
       }
       return;
     }
     case ChangeKind::Remove:
-      mEntries.erase(aChange.mName);
+      mInstances.erase(aChange.mName);
       return;
   }
 }
--- a/src/testing/fake_log.cpp
+++ b/src/testing/fake_log.cpp
@@ -37,7 +37,7 @@
   const Offset offset =
     stream.mFirstRetained + static_cast<Offset>(stream.mRecords.size());
   stream.mRecords.push_back({ now, std::string(aPayload) });
-  Expire(stream);
+  ExpireRecords(stream);
   if (mAnswersToLose > 0) {
     --mAnswersToLose;
     return MakeError(ErrorKind::AnswerLost, "the answer was lost");
@@ -67,7 +67,7 @@
     return page;
   }
   Stream& stream = found->second;
-  Expire(stream);
+  ExpireRecords(stream);
   page.mFirstRetained = stream.mFirstRetained;
   page.mEnd =
     stream.mFirstRetained + static_cast<Offset>(stream.mRecords.size());
@@ -119,12 +119,12 @@
   }
   Stream& stream = found->second;
   while (!stream.mRecords.empty() && stream.mFirstRetained < aOffset) {
-    DropFront(stream);
+    DropFirstRecord(stream);
   }
 }
 
 Offset
-FakeLog::EndOf(std::string_view aStream) const
+FakeLog::EndOffset(std::string_view aStream) const
 {
   const std::lock_guard lock(mMutex);
   const auto found = mStreams.find(aStream);
@@ -143,21 +143,21 @@
 }
 
 void
-FakeLog::Expire(Stream& aStream)
+FakeLog::ExpireRecords(Stream& aStream)
 {
   const base::TimePoint now = mClock.Now();
   const auto maxRecords = static_cast<std::size_t>(mLimits.mMaxRecords);
   while (maxRecords > 0 && aStream.mRecords.size() > maxRecords) {
-    DropFront(aStream);
+    DropFirstRecord(aStream);
   }
   while (mLimits.mMaxAge.count() > 0 && !aStream.mRecords.empty() &&
          aStream.mRecords.front().mAppendedAt + mLimits.mMaxAge <= now) {
-    DropFront(aStream);
+    DropFirstRecord(aStream);
   }
 }
 
 void
-FakeLog::DropFront(Stream& aStream)
+FakeLog::DropFirstRecord(Stream& aStream)
 {
   aStream.mRecords.pop_front();
   ++aStream.mFirstRetained;
--- a/src/testing/fake_log_test.cpp
+++ b/src/testing/fake_log_test.cpp
@@ -14,7 +14,7 @@
 {
   CPPUNIT_TEST_SUITE(FakeLogTest);
   CPPUNIT_TEST(ReadStartsAtTheFirstRetainedRecord);
-  CPPUNIT_TEST(LostAnswersDifferFromLostAppends);
+  CPPUNIT_TEST(LostAnswerKeepsTheRecordAndLostAppendDoesNot);
   CPPUNIT_TEST(InstanceChangesBecomeVisibleAfterTheLag);
   CPPUNIT_TEST_SUITE_END();
 
@@ -42,33 +42,33 @@
   }
 
   // Guards against a fake that reports both kinds of loss alike in the stream.
-  void LostAnswersDifferFromLostAppends()
+  void LostAnswerKeepsTheRecordAndLostAppendDoesNot()
   {
     FakeLog log(mClock);
     log.LoseNextAnswers(1);
     CPPUNIT_ASSERT(log.Append("s", "a", Deadline()).error().mKind ==
                    ErrorKind::AnswerLost);
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{ 1 }, log.EndOf("s"));
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{ 1 }, log.EndOffset("s"));
     log.LoseNextAppends(1);
     CPPUNIT_ASSERT(log.Append("s", "b", Deadline()).error().mKind ==
                    ErrorKind::AnswerLost);
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{ 1 }, log.EndOf("s"));
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{ 1 }, log.EndOffset("s"));
     log.SetAnswerDelay(seconds(2));
     CPPUNIT_ASSERT(log.Append("s", "c", Deadline()).error().mKind ==
                    ErrorKind::AnswerLost);
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{ 2 }, log.EndOf("s"));
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{ 2 }, log.EndOffset("s"));
     log.SetDown(true);
     CPPUNIT_ASSERT(log.Append("s", "d", Deadline()).error().mKind ==
                    ErrorKind::LogUnavailable);
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{ 2 }, log.EndOf("s"));
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{ 2 }, log.EndOffset("s"));
   }
 
   void InstanceChangesBecomeVisibleAfterTheLag()
   {
     FakeInstanceList list(mClock);
-    platform::InstanceInfo entry;
-    entry.mName = "w1";
-    list.Put(entry);
+    platform::InstanceInfo instance;
+    instance.mName = "w1";
+    list.Put(instance);
     list.SetLag(seconds(5));
     list.MarkLeaving("w1");
     CPPUNIT_ASSERT(list.Fetch(Deadline()).value().at(0).mState ==
--- a/src/testing/fake_worker.cpp
+++ b/src/testing/fake_worker.cpp
@@ -33,15 +33,15 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-/// The name of a checkpoint that holds `aDone` of the work of `aTask`.
+/// The name of a checkpoint that holds `aWorkDone` of the work of `aTask`.
 std::string
-MakeCheckpointName(const base::TaskId& aTask, base::Duration aDone)
+FormatCheckpointName(const base::TaskId& aTask, base::Duration aWorkDone)
 {
-  return aTask.mValue + "@" + std::to_string(aDone.count());
+  return aTask.mValue + "@" + std::to_string(aWorkDone.count());
 }
 
 /// The work that a checkpoint of `aTask` holds, or nothing if the name is not
-/// one of MakeCheckpointName.
+/// one of FormatCheckpointName.
 std::optional<base::Duration>
 ParseCheckpointName(const base::TaskId& aTask, const std::string& aName)
 {
@@ -63,7 +63,7 @@
 /// The "work_ms" of a service request's body, or nothing if the body is not a
 /// JSON object.
 std::optional<base::Duration>
-ParseWorkTime(const std::string& aBody)
+ParseRequestWork(const std::string& aBody)
 {
   if (aBody.empty()) {
     return base::Duration(0);
@@ -90,20 +90,20 @@
 {
   const std::lock_guard lock(mMutex);
   BOOST_OUTCOME_TRYV(CheckReachable(aDeadline));
-  Settle();
-  BOOST_OUTCOME_TRYV(EndCommand());
+  AdvanceToNow();
+  BOOST_OUTCOME_TRYV(FinishCommand());
   return MakeReport();
 }
 
 base::Result<WorkerReport>
 FakeWorker::SetHolderLease(const HolderToken& aToken,
-                           base::Duration aLength,
+                           base::Duration aLeaseDuration,
                            base::TimePoint aDeadline)
 {
   const std::lock_guard lock(mMutex);
   BOOST_OUTCOME_TRYV(CheckReachable(aDeadline));
-  Settle();
-  const WorkerTime expiresAt = ToWorkerTime(mClock.Now() + aLength);
+  AdvanceToNow();
+  const WorkerTime expiresAt = ToWorkerTime(mClock.Now() + aLeaseDuration);
   const auto found =
     std::find_if(mHolders.begin(), mHolders.end(), [&](const auto& aLease) {
       return aLease.mToken == aToken;
@@ -113,7 +113,7 @@
   } else {
     found->mExpiresAt = std::max(found->mExpiresAt, expiresAt);
   }
-  BOOST_OUTCOME_TRYV(EndCommand());
+  BOOST_OUTCOME_TRYV(FinishCommand());
   return MakeReport();
 }
 
@@ -123,13 +123,13 @@
 {
   const std::lock_guard lock(mMutex);
   BOOST_OUTCOME_TRYV(CheckReachable(aDeadline));
-  Settle();
+  AdvanceToNow();
   mHolders.erase(
     std::remove_if(mHolders.begin(),
                    mHolders.end(),
                    [&](const auto& aLease) { return aLease.mToken == aToken; }),
     mHolders.end());
-  return EndCommand();
+  return FinishCommand();
 }
 
 base::Result<void>
@@ -138,10 +138,10 @@
                   base::TimePoint aDeadline)
 {
   const std::lock_guard lock(mMutex);
-  BOOST_OUTCOME_TRYV(BeginCommand(aHeader, aDeadline));
+  BOOST_OUTCOME_TRYV(CheckCommand(aHeader, aDeadline));
   BOOST_OUTCOME_TRYV(CheckStart(aStart));
   AddTask(aStart);
-  return EndCommand();
+  return FinishCommand();
 }
 
 base::Result<void>
@@ -151,7 +151,7 @@
                   base::TimePoint aDeadline)
 {
   const std::lock_guard lock(mMutex);
-  BOOST_OUTCOME_TRYV(BeginCommand(aHeader, aDeadline));
+  BOOST_OUTCOME_TRYV(CheckCommand(aHeader, aDeadline));
   const base::TimePoint expiresAt = FromWorkerTime(aLeaseExpiresAt);
   for (const auto& it : aTasks) {
     Task* task = FindTask(it);
@@ -159,7 +159,7 @@
       task->mLeaseExpiresAt = std::max(task->mLeaseExpiresAt, expiresAt);
     }
   }
-  return EndCommand();
+  return FinishCommand();
 }
 
 base::Result<void>
@@ -168,7 +168,7 @@
                        base::TimePoint aDeadline)
 {
   const std::lock_guard lock(mMutex);
-  BOOST_OUTCOME_TRYV(BeginCommand(aHeader, aDeadline));
+  BOOST_OUTCOME_TRYV(CheckCommand(aHeader, aDeadline));
   Task* task = FindTask(aTask);
   if (task == nullptr || !IsLive(*task)) {
     return MakeError(ErrorKind::WorkerRefused, "the attempt does not run");
@@ -176,10 +176,10 @@
   if (task->mPhase == TaskPhase::Running) {
     task->mPhase = TaskPhase::Checkpointing;
     task->mCheckpointEndsAt =
-      task->mSettledAt + task->mWorkload.mCheckpointTime;
-    Settle();
+      task->mAdvancedAt + task->mWorkload.mCheckpointTime;
+    AdvanceToNow();
   }
-  return EndCommand();
+  return FinishCommand();
 }
 
 base::Result<void>
@@ -189,7 +189,7 @@
                      base::TimePoint aDeadline)
 {
   const std::lock_guard lock(mMutex);
-  BOOST_OUTCOME_TRYV(BeginCommand(aHeader, aDeadline));
+  BOOST_OUTCOME_TRYV(CheckCommand(aHeader, aDeadline));
   if (aPercent < 0 || aPercent > kPercent) {
     return MakeError(ErrorKind::WorkerRefused, "percent is out of range");
   }
@@ -198,7 +198,7 @@
     return MakeError(ErrorKind::WorkerRefused, "the attempt does not run");
   }
   task->mThrottlePercent = aPercent;
-  return EndCommand();
+  return FinishCommand();
 }
 
 base::Result<void>
@@ -207,8 +207,8 @@
                  base::TimePoint aDeadline)
 {
   const std::lock_guard lock(mMutex);
-  BOOST_OUTCOME_TRYV(BeginCommand(aHeader, aDeadline));
-  mClosedKeys.insert(aTask);
+  BOOST_OUTCOME_TRYV(CheckCommand(aHeader, aDeadline));
+  mUnstartableKeys.insert(aTask);
   Task* task = FindTask(aTask);
   if (task == nullptr) {
     return MakeError(ErrorKind::NotFound, "the attempt is unknown");
@@ -220,7 +220,7 @@
   if (IsLive(*task)) {
     EndTask(*task, TaskPhase::Stopped, "stopped on command", mClock.Now());
   }
-  return EndCommand();
+  return FinishCommand();
 }
 
 base::Result<void>
@@ -229,13 +229,13 @@
                         base::TimePoint aDeadline)
 {
   const std::lock_guard lock(mMutex);
-  BOOST_OUTCOME_TRYV(BeginCommand(aHeader, aDeadline));
+  BOOST_OUTCOME_TRYV(CheckCommand(aHeader, aDeadline));
   const Task* task = FindTask(aTask);
   if (task != nullptr && IsLive(*task)) {
     return MakeError(ErrorKind::WorkerRefused, "the attempt still runs");
   }
   mTasks.erase(aTask);
-  return EndCommand();
+  return FinishCommand();
 }
 
 base::Result<ServiceAnswer>
@@ -269,12 +269,12 @@
 base::Result<AdmittedCall>
 FakeWorker::AdmitLocked(const CommandHeader& aHeader, const ServiceCall& aCall)
 {
-  Settle();
+  AdvanceToNow();
   BOOST_OUTCOME_TRYV(CheckHeader(aHeader));
   if (mLeaving) {
     return MakeError(ErrorKind::WorkerRefused, "the worker is leaving");
   }
-  const std::optional<base::Duration> work = ParseWorkTime(aCall.mBody);
+  const std::optional<base::Duration> work = ParseRequestWork(aCall.mBody);
   if (!work) {
     return MakeError(ErrorKind::WorkerRefused, "the body is invalid");
   }
@@ -283,7 +283,7 @@
   }
   const base::TimePoint now = mClock.Now();
   const base::TimePoint startsAt = FindStartTime(now);
-  if (mConfig.mGuards && ToWorkerTime(startsAt) > aHeader.mNotAfter) {
+  if (mConfig.mHasGuards && ToWorkerTime(startsAt) > aHeader.mNotAfter) {
     ++mGuardRefusals;
     return MakeError(ErrorKind::StaleCommand, "no slot is free in time");
   }
@@ -297,7 +297,7 @@
     --mAnswersToMismatch;
     --admitted.mAnswer.mAttempt;
   }
-  admitted.mIsAnswerLost = TakeLostAnswer();
+  admitted.mIsAnswerLost = ConsumeLostAnswer();
   return admitted;
 }
 
@@ -329,25 +329,25 @@
 }
 
 base::Result<void>
-FakeWorker::BeginCommand(const CommandHeader& aHeader,
+FakeWorker::CheckCommand(const CommandHeader& aHeader,
                          base::TimePoint aDeadline)
 {
   BOOST_OUTCOME_TRYV(CheckReachable(aDeadline));
-  Settle();
+  AdvanceToNow();
   return CheckHeader(aHeader);
 }
 
 base::Result<void>
-FakeWorker::EndCommand()
+FakeWorker::FinishCommand()
 {
-  if (TakeLostAnswer()) {
+  if (ConsumeLostAnswer()) {
     return MakeError(ErrorKind::ConnectionLost, "the answer was lost");
   }
   return Success();
 }
 
 bool
-FakeWorker::TakeLostAnswer()
+FakeWorker::ConsumeLostAnswer()
 {
   if (mAnswersToLose == 0) {
     return false;
@@ -357,7 +357,7 @@
 }
 
 base::Result<void>
-FakeWorker::Refuse(ErrorKind aKind, std::string aDetail)
+FakeWorker::RefuseByGuard(ErrorKind aKind, std::string aDetail)
 {
   ++mGuardRefusals;
   return MakeError(aKind, std::move(aDetail));
@@ -368,14 +368,14 @@
 base::Result<void>
 FakeWorker::CheckHeader(const CommandHeader& aHeader)
 {
-  if (!mConfig.mGuards) {
+  if (!mConfig.mHasGuards) {
     return Success();
   }
   if (ToWorkerTime(mClock.Now()) > aHeader.mNotAfter) {
-    return Refuse(ErrorKind::StaleCommand, "not_after has passed");
+    return RefuseByGuard(ErrorKind::StaleCommand, "not_after has passed");
   }
   if (mHolders.empty() || mHolders.front().mToken != aHeader.mToken) {
-    return Refuse(ErrorKind::WorkerRefused, "not the live holder");
+    return RefuseByGuard(ErrorKind::WorkerRefused, "not the live holder");
   }
   return Success();
 }
@@ -386,14 +386,15 @@
   if (mLeaving) {
     return MakeError(ErrorKind::WorkerRefused, "the worker is leaving");
   }
-  if (!mConfig.mGuards) {
+  if (!mConfig.mHasGuards) {
     return Success();
   }
   if (FromWorkerTime(aStart.mLeaseExpiresAt) <= mClock.Now()) {
-    return Refuse(ErrorKind::StaleCommand, "the task lease has expired");
+    return RefuseByGuard(ErrorKind::StaleCommand, "the task lease has expired");
   }
-  if (mClosedKeys.count({ aStart.mTask, aStart.mAttempt }) != 0) {
-    return Refuse(ErrorKind::WorkerRefused, "the attempt is a duplicate");
+  if (mUnstartableKeys.count({ aStart.mTask, aStart.mAttempt }) != 0) {
+    return RefuseByGuard(ErrorKind::WorkerRefused,
+                         "the attempt is a duplicate");
   }
   base::Resources reserved = aStart.mReserve;
   for (const auto& it : mTasks) {
@@ -401,12 +402,12 @@
       continue;
     }
     if (it.first.mTask == aStart.mTask) {
-      return Refuse(ErrorKind::WorkerRefused, "another attempt runs");
+      return RefuseByGuard(ErrorKind::WorkerRefused, "another attempt runs");
     }
     reserved += it.second.mReserved;
   }
   if (!base::Fits(reserved, mConfig.mCapacity)) {
-    return Refuse(ErrorKind::WorkerRefused, "the task does not fit");
+    return RefuseByGuard(ErrorKind::WorkerRefused, "the task does not fit");
   }
   return Success();
 }
@@ -422,18 +423,18 @@
     return invalid;
   }
   base::JsonReader reader(json.value());
-  Workload load;
-  load.mRunTime = milliseconds(reader.GetInt("run_ms", kDefaultRunMs));
-  load.mCheckpointTime = milliseconds(reader.GetInt("checkpoint_ms", 0));
-  load.mResult = reader.GetString("result", "");
-  load.mFailure = reader.GetString("fail", "");
-  load.mUsed.mMilliProcessors =
+  Workload workload;
+  workload.mRunTime = milliseconds(reader.GetInt("run_ms", kDefaultRunMs));
+  workload.mCheckpointTime = milliseconds(reader.GetInt("checkpoint_ms", 0));
+  workload.mResult = reader.GetString("result", "");
+  workload.mFailure = reader.GetString("fail", "");
+  workload.mUsed.mMilliProcessors =
     reader.GetInt("use_milli_processors", aStart.mReserve.mMilliProcessors);
-  load.mUsed.mMemoryBytes =
+  workload.mUsed.mMemoryBytes =
     reader.GetInt("use_memory_bytes", aStart.mReserve.mMemoryBytes);
-  load.mUsed.mAccelerators =
+  workload.mUsed.mAccelerators =
     reader.GetInt("use_accelerators", aStart.mReserve.mAccelerators);
-  return reader.Check() ? load : invalid;
+  return reader.Check() ? workload : invalid;
 }
 
 void
@@ -450,19 +451,19 @@
   task.mReserved = aStart.mReserve;
   task.mWorkload = ParseWorkload(aStart);
   task.mLeaseExpiresAt = FromWorkerTime(aStart.mLeaseExpiresAt);
-  task.mSettledAt = now;
-  task.mDone = ParseCheckpointName(aStart.mTask, aStart.mCheckpoint)
-                 .value_or(base::Duration(0));
+  task.mAdvancedAt = now;
+  task.mWorkDone = ParseCheckpointName(aStart.mTask, aStart.mCheckpoint)
+                     .value_or(base::Duration(0));
   task.mCheckpoint = aStart.mCheckpoint;
-  task.mExecution = mExecutions.size();
+  task.mExecutionIndex = mExecutions.size();
   mExecutions.push_back(
-    { key, now, std::nullopt, task.mDone, aStart.mBatchClass });
-  mClosedKeys.insert(key);
+    { key, now, std::nullopt, task.mWorkDone, aStart.mBatchClass });
+  mUnstartableKeys.insert(key);
   if (mFailAll) {
     EndTask(task, TaskPhase::Failed, "the worker fails every task", now);
   }
   mTasks[key] = std::move(task);
-  Settle();
+  AdvanceToNow();
 }
 
 bool
@@ -480,16 +481,16 @@
 {
   aTask.mPhase = aPhase;
   aTask.mDetail = std::move(aDetail);
-  aTask.mSettledAt = aWhen;
-  mExecutions[aTask.mExecution].mEndedAt = aWhen;
+  aTask.mAdvancedAt = aWhen;
+  mExecutions[aTask.mExecutionIndex].mEndedAt = aWhen;
 }
 
 void
-FakeWorker::Settle()
+FakeWorker::AdvanceToNow()
 {
   const base::TimePoint now = mClock.Now();
   for (auto& it : mTasks) {
-    SettleTask(it.second, now);
+    AdvanceTask(it.second, now);
   }
   mHolders.erase(std::remove_if(mHolders.begin(),
                                 mHolders.end(),
@@ -506,36 +507,41 @@
 // Replays the events of the task in time order: the lease may have lapsed
 // before the work was done, and the other way round.
 void
-FakeWorker::SettleTask(Task& aTask, base::TimePoint aNow)
+FakeWorker::AdvanceTask(Task& aTask, base::TimePoint aNow)
 {
   while (IsLive(aTask)) {
     const bool isCheckpointing = aTask.mPhase == TaskPhase::Checkpointing;
-    const base::Duration left = aTask.mWorkload.mRunTime - aTask.mDone;
-    base::TimePoint next = base::kNoDeadline;
+    const base::Duration remainingWork =
+      aTask.mWorkload.mRunTime - aTask.mWorkDone;
+    base::TimePoint nextEventAt = base::kNoDeadline;
     if (isCheckpointing) {
-      next = aTask.mCheckpointEndsAt;
+      nextEventAt = aTask.mCheckpointEndsAt;
     } else if (aTask.mThrottlePercent > 0) {
-      next = aTask.mSettledAt + std::max(left, base::Duration(0)) * kPercent /
-                                  aTask.mThrottlePercent;
+      nextEventAt =
+        aTask.mAdvancedAt + std::max(remainingWork, base::Duration(0)) *
+                              kPercent / aTask.mThrottlePercent;
     }
-    const base::TimePoint until = std::max(
-      aTask.mSettledAt, std::min({ next, aTask.mLeaseExpiresAt, aNow }));
+    const base::TimePoint until =
+      std::max(aTask.mAdvancedAt,
+               std::min({ nextEventAt, aTask.mLeaseExpiresAt, aNow }));
     if (!isCheckpointing) {
-      aTask.mDone +=
-        (until - aTask.mSettledAt) * aTask.mThrottlePercent / kPercent;
+      aTask.mWorkDone +=
+        (until - aTask.mAdvancedAt) * aTask.mThrottlePercent / kPercent;
     }
-    aTask.mSettledAt = until;
-    if (aTask.mLeaseExpiresAt <= aNow && aTask.mLeaseExpiresAt <= next) {
+    aTask.mAdvancedAt = until;
+    if (aTask.mLeaseExpiresAt <= aNow && aTask.mLeaseExpiresAt <= nextEventAt) {
       EndTask(aTask, TaskPhase::Stopped, "the task lease expired", until);
-    } else if (next > aNow) {
+    } else if (nextEventAt > aNow) {
       return;
     } else if (isCheckpointing) {
-      aTask.mCheckpoint = MakeCheckpointName(aTask.mKey.mTask, aTask.mDone);
+      aTask.mCheckpoint =
+        FormatCheckpointName(aTask.mKey.mTask, aTask.mWorkDone);
       aTask.mPhase = TaskPhase::Running;
     } else if (!aTask.mWorkload.mFailure.empty()) {
-      EndTask(aTask, TaskPhase::Failed, aTask.mWorkload.mFailure, next);
+      EndTask(aTask, TaskPhase::Failed, aTask.mWorkload.mFailure, nextEventAt);
     } else {
-      EndTask(aTask, TaskPhase::Completed, aTask.mWorkload.mResult, next);
+      EndTask(
+        aTask, TaskPhase::Completed, aTask.mWorkload.mResult, nextEventAt);
     }
   }
 }
@@ -556,10 +562,10 @@
   for (const auto& it : mTasks) {
     report.mTasks.push_back(MakeTaskReport(it.second));
   }
-  const base::TimePoint seenAt = mClock.Now() - mConfig.mUsageLag;
+  const base::TimePoint measuredAt = mClock.Now() - mConfig.mUsageLag;
   for (const auto& it : mInterference) {
     report.mServiceSlowdownPercent = std::max(
-      report.mServiceSlowdownPercent, SlowdownAt(seenAt, it.first.first));
+      report.mServiceSlowdownPercent, SlowdownAt(measuredAt, it.first.first));
   }
   return report;
 }
@@ -567,22 +573,24 @@
 TaskReport
 FakeWorker::MakeTaskReport(const Task& aTask) const
 {
-  const base::TimePoint seenAt = mClock.Now() - mConfig.mUsageLag;
+  const base::TimePoint measuredAt = mClock.Now() - mConfig.mUsageLag;
   TaskReport report;
   report.mTask = aTask.mKey.mTask;
   report.mAttempt = aTask.mKey.mAttempt;
   report.mPhase = aTask.mPhase;
   report.mReserved = aTask.mReserved;
-  if (IsLive(aTask) && mExecutions[aTask.mExecution].mStartedAt <= seenAt) {
+  if (IsLive(aTask) &&
+      mExecutions[aTask.mExecutionIndex].mStartedAt <= measuredAt) {
     report.mUsed = aTask.mWorkload.mUsed;
     report.mUsed.mMilliProcessors =
       report.mUsed.mMilliProcessors * aTask.mThrottlePercent / kPercent;
   }
   report.mLeaseExpiresAt = ToWorkerTime(aTask.mLeaseExpiresAt);
   report.mCheckpoint = aTask.mCheckpoint;
-  base::Duration done = aTask.mDone;
+  base::Duration done = aTask.mWorkDone;
   if (IsLive(aTask)) {
-    const base::Duration atStart = mExecutions[aTask.mExecution].mResumedFrom;
+    const base::Duration atStart =
+      mExecutions[aTask.mExecutionIndex].mResumedFrom;
     done = std::max(atStart, done - mConfig.mUsageLag);
   }
   const base::Duration total = aTask.mWorkload.mRunTime;
@@ -687,7 +695,7 @@
 FakeWorker::Crash()
 {
   const std::lock_guard lock(mMutex);
-  Settle();
+  AdvanceToNow();
   for (auto& it : mTasks) {
     if (IsLive(it.second)) {
       EndTask(it.second, TaskPhase::Stopped, "crashed", mClock.Now());
@@ -703,7 +711,7 @@
 FakeWorker::Restart()
 {
   const std::lock_guard lock(mMutex);
-  mClosedKeys.clear();
+  mUnstartableKeys.clear();
   mUnreachable = false;
 }
 
@@ -711,7 +719,7 @@
 FakeWorker::Executions()
 {
   const std::lock_guard lock(mMutex);
-  Settle();
+  AdvanceToNow();
   return mExecutions;
 }
 
--- a/src/testing/fake_worker_test.cpp
+++ b/src/testing/fake_worker_test.cpp
@@ -14,12 +14,12 @@
 class FakeWorkerTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(FakeWorkerTest);
-  CPPUNIT_TEST(GuardsRefuseWhatNoHolderMaySend);
-  CPPUNIT_TEST(TaskLeaseEndsATaskThatIsNotRenewed);
-  CPPUNIT_TEST(CheckpointCarriesTheWorkThatWasDone);
-  CPPUNIT_TEST(StopOfAnUnknownAttemptPreventsItsStart);
-  CPPUNIT_TEST(RequestsBeyondTheSlotsWaitAndBeyondTheConnectionsAreRefused);
-  CPPUNIT_TEST(LostAndMismatchedAnswersCountAsRun);
+  CPPUNIT_TEST(GuardsRefuseInvalidCommands);
+  CPPUNIT_TEST(TaskStopsWhenItsLeaseExpires);
+  CPPUNIT_TEST(ResumedTaskContinuesFromTheCheckpoint);
+  CPPUNIT_TEST(StopPreventsTheStartOfAnUnknownAttempt);
+  CPPUNIT_TEST(RequestsWaitForASlotAndAreRefusedWithoutAConnection);
+  CPPUNIT_TEST(RequestsWithLostOrMismatchedAnswersCountAsRun);
   CPPUNIT_TEST_SUITE_END();
 
   base::ManualClock mClock;
@@ -44,47 +44,47 @@
              aPayload };
   }
 
-  void Hold(FakeWorker& aWorker)
+  void AcquireHolderLease(FakeWorker& aWorker)
   {
     CPPUNIT_ASSERT(aWorker.SetHolderLease(mHolder, seconds(60), Deadline()));
   }
 
   template<typename R>
-  static void AssertKind(ErrorKind aKind, const R& aResult)
+  static void AssertErrorKind(ErrorKind aExpected, const R& aResult)
   {
     CPPUNIT_ASSERT(aResult.has_error());
-    CPPUNIT_ASSERT_EQUAL(std::string(base::NameOf(aKind)),
+    CPPUNIT_ASSERT_EQUAL(std::string(base::NameOf(aExpected)),
                          std::string(base::NameOf(aResult.error().mKind)));
   }
 
 public:
-  void GuardsRefuseWhatNoHolderMaySend()
+  void GuardsRefuseInvalidCommands()
   {
     FakeWorker target(mClock, { { "w" } });
-    AssertKind(ErrorKind::WorkerRefused,
-               target.Start(Header(), MakeStart(1, "{}"), Deadline()));
-    Hold(target);
+    AssertErrorKind(ErrorKind::WorkerRefused,
+                    target.Start(Header(), MakeStart(1, "{}"), Deadline()));
+    AcquireHolderLease(target);
     worker::CommandHeader late = Header();
     mClock.Advance(seconds(2));
-    AssertKind(ErrorKind::StaleCommand,
-               target.Start(late, MakeStart(1, "{}"), Deadline()));
+    AssertErrorKind(ErrorKind::StaleCommand,
+                    target.Start(late, MakeStart(1, "{}"), Deadline()));
     worker::StartTask large = MakeStart(1, "{}");
     large.mReserve.mMilliProcessors = 16'001;
-    AssertKind(ErrorKind::WorkerRefused,
-               target.Start(Header(), large, Deadline()));
+    AssertErrorKind(ErrorKind::WorkerRefused,
+                    target.Start(Header(), large, Deadline()));
     CPPUNIT_ASSERT(target.Start(Header(), MakeStart(1, "{}"), Deadline()));
-    AssertKind(ErrorKind::WorkerRefused,
-               target.Start(Header(), MakeStart(1, "{}"), Deadline()));
-    AssertKind(ErrorKind::WorkerRefused,
-               target.Start(Header(), MakeStart(2, "{}"), Deadline()));
+    AssertErrorKind(ErrorKind::WorkerRefused,
+                    target.Start(Header(), MakeStart(1, "{}"), Deadline()));
+    AssertErrorKind(ErrorKind::WorkerRefused,
+                    target.Start(Header(), MakeStart(2, "{}"), Deadline()));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, target.Executions().size());
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 5 }, target.GuardRefusals());
   }
 
-  void TaskLeaseEndsATaskThatIsNotRenewed()
+  void TaskStopsWhenItsLeaseExpires()
   {
     FakeWorker target(mClock, { { "w" } });
-    Hold(target);
+    AcquireHolderLease(target);
     const auto begin = mClock.Now();
     CPPUNIT_ASSERT(
       target.Start(Header(), MakeStart(1, R"({"run_ms":60000})"), Deadline()));
@@ -99,10 +99,10 @@
   }
 
   // Guards against a resumed task that repeats or skips work.
-  void CheckpointCarriesTheWorkThatWasDone()
+  void ResumedTaskContinuesFromTheCheckpoint()
   {
     FakeWorker target(mClock, { { "w" } });
-    Hold(target);
+    AcquireHolderLease(target);
     const std::string payload =
       R"({"run_ms":8000,"checkpoint_ms":1000,"result":"x"})";
     const worker::TaskKey first{ { "t" }, 1 };
@@ -126,23 +126,23 @@
     CPPUNIT_ASSERT_EQUAL(std::string("x"), report.mTasks.at(0).mDetail);
   }
 
-  void StopOfAnUnknownAttemptPreventsItsStart()
+  void StopPreventsTheStartOfAnUnknownAttempt()
   {
     FakeWorker target(mClock, { { "w" } });
-    Hold(target);
-    AssertKind(ErrorKind::NotFound,
-               target.Stop(Header(), { { "t" }, 1 }, Deadline()));
-    AssertKind(ErrorKind::WorkerRefused,
-               target.Start(Header(), MakeStart(1, "{}"), Deadline()));
+    AcquireHolderLease(target);
+    AssertErrorKind(ErrorKind::NotFound,
+                    target.Stop(Header(), { { "t" }, 1 }, Deadline()));
+    AssertErrorKind(ErrorKind::WorkerRefused,
+                    target.Start(Header(), MakeStart(1, "{}"), Deadline()));
   }
 
-  void RequestsBeyondTheSlotsWaitAndBeyondTheConnectionsAreRefused()
+  void RequestsWaitForASlotAndAreRefusedWithoutAConnection()
   {
     FakeWorkerConfig config{ { "w" } };
     config.mSlots = 1;
     config.mConnections = 2;
     FakeWorker target(mClock, config);
-    Hold(target);
+    AcquireHolderLease(target);
     const worker::ServiceCall call{
       { "r" }, 1, "s", R"({"work_ms":100})", true
     };
@@ -150,23 +150,23 @@
     const auto second = target.Admit(Header(), call).value();
     CPPUNIT_ASSERT(first.mEndsAt == mClock.Now() + milliseconds(100));
     CPPUNIT_ASSERT(second.mEndsAt == mClock.Now() + milliseconds(200));
-    AssertKind(ErrorKind::WorkerRefused, target.Admit(Header(), call));
+    AssertErrorKind(ErrorKind::WorkerRefused, target.Admit(Header(), call));
   }
 
-  void LostAndMismatchedAnswersCountAsRun()
+  void RequestsWithLostOrMismatchedAnswersCountAsRun()
   {
     FakeWorker target(mClock, { { "w" } });
-    Hold(target);
+    AcquireHolderLease(target);
     const worker::ServiceCall call{ { "r" }, 1, "s", "{}", true };
     target.LoseNextAnswers(1);
-    AssertKind(ErrorKind::ConnectionLost,
-               target.Call(Header(), call, Deadline()));
+    AssertErrorKind(ErrorKind::ConnectionLost,
+                    target.Call(Header(), call, Deadline()));
     target.MismatchNextAnswers(1);
-    AssertKind(ErrorKind::ConnectionLost,
-               target.Call(Header(), call, Deadline()));
+    AssertErrorKind(ErrorKind::ConnectionLost,
+                    target.Call(Header(), call, Deadline()));
     target.SetSilent(true);
-    AssertKind(ErrorKind::DeadlineExceeded,
-               target.Call(Header(), call, Deadline()));
+    AssertErrorKind(ErrorKind::DeadlineExceeded,
+                    target.Call(Header(), call, Deadline()));
     const auto counts = target.CallCounts();
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 2 }, counts.at({ { "r" }, 1 }));
   }
--- a/src/testing/platform_handler.cpp
+++ b/src/testing/platform_handler.cpp
@@ -34,7 +34,7 @@
 
 /// An answer that the fake lost is not sent at all.
 Response
-FailedResponse(const base::Error& aError)
+MakeFailureResponse(const base::Error& aError)
 {
   Response response = MakeErrorResponse(aError);
   response.mDropConnection = aError.mKind == ErrorKind::AnswerLost;
@@ -42,9 +42,9 @@
 }
 
 std::int64_t
-GetNumber(const Request& aRequest,
-          std::string_view aName,
-          std::int64_t aDefault)
+GetQueryInt(const Request& aRequest,
+            std::string_view aName,
+            std::int64_t aDefault)
 {
   const std::string* text = http::FindField(aRequest.mQuery, aName);
   return text == nullptr ? aDefault : std::strtoll(text->c_str(), nullptr, 10);
@@ -116,7 +116,7 @@
   }
   const auto offset = mLog.Append(aStream, payload.value(), base::kNoDeadline);
   return offset ? MakeResponse(platform::FormatAppendResponse(offset.value()))
-                : FailedResponse(offset.error());
+                : MakeFailureResponse(offset.error());
 }
 
 Response
@@ -124,11 +124,11 @@
 {
   ++mReads;
   const auto page = mLog.Read(aStream,
-                              GetNumber(aRequest, "from", 0),
-                              GetNumber(aRequest, "max", kDefaultMaxRecords),
+                              GetQueryInt(aRequest, "from", 0),
+                              GetQueryInt(aRequest, "max", kDefaultMaxRecords),
                               base::kNoDeadline);
   return page ? MakeResponse(platform::FormatLogPage(page.value()))
-              : FailedResponse(page.error());
+              : MakeFailureResponse(page.error());
 }
 
 Response
@@ -137,14 +137,14 @@
   ++mFetches;
   const auto instances = mInstances.Fetch(base::kNoDeadline);
   return instances ? MakeResponse(platform::FormatInstances(instances.value()))
-                   : FailedResponse(instances.error());
+                   : MakeFailureResponse(instances.error());
 }
 
 Response
 PlatformHandler::HandleAdmin(const Request& aRequest)
 {
   if (aRequest.mMethod == "GET") {
-    return ReportCounters();
+    return MakeCounterReport();
   }
   const auto applied = ApplyAdmin(aRequest.mBody);
   return applied ? MakeResponse("{}") : MakeErrorResponse(applied.error());
@@ -197,7 +197,7 @@
 }
 
 Response
-PlatformHandler::ReportCounters() const
+PlatformHandler::MakeCounterReport() const
 {
   base::JsonValue body = base::MakeJsonObject();
   body.addMember("appends") <<= mAppends.load();
--- a/src/testing/site_world.cpp
+++ b/src/testing/site_world.cpp
@@ -165,7 +165,7 @@
       config.mSlots = 4;
       config.mConnections = 16;
       config.mClockOffset = base::Duration(Pick(1000 * kSecond));
-      config.mGuards = false;
+      config.mHasGuards = false;
       mWorkers.push_back(std::make_unique<FakeWorker>(mClock, config));
     }
     for (std::size_t n = 0; n < kNodes; ++n) {
--- a/src/testing/standin_worker_main.cpp
+++ b/src/testing/standin_worker_main.cpp
@@ -33,7 +33,7 @@
 };
 
 options::options_description
-Describe(Settings& aSettings)
+DescribeOptions(Settings& aSettings)
 {
   options::options_description description("Worker stand-in for tests");
   auto add = description.add_options();
@@ -65,7 +65,7 @@
 ParseCommandLine(int aCount, char** aArguments)
 {
   Settings settings;
-  const options::options_description description = Describe(settings);
+  const options::options_description description = DescribeOptions(settings);
   options::variables_map values;
   options::store(options::parse_command_line(aCount, aArguments, description),
                  values);
@@ -74,7 +74,7 @@
   if (settings.mHelp) {
     std::cout << description << std::endl;
   }
-  settings.mWorker.mGuards = values.count("no-guards") == 0;
+  settings.mWorker.mHasGuards = values.count("no-guards") == 0;
   settings.mWorker.mCapacity.mMilliProcessors = settings.mProcessors * kMilli;
   settings.mWorker.mCapacity.mMemoryBytes = settings.mMemoryGb * kGiB;
   settings.mWorker.mUsageLag = std::chrono::milliseconds(settings.mUsageLagMs);
--- a/src/testing/tests_main_test.cpp
+++ b/src/testing/tests_main_test.cpp
@@ -23,7 +23,7 @@
 
 /// The exact test names in lines "test: NAME" of KNOWN-RED.txt.
 std::set<std::string>
-ReadKnownRed()
+ReadKnownFailures()
 {
   constexpr std::string_view kPrefix = "test: ";
   std::ifstream file(SKYLARKHILL_SOURCE_DIR "/KNOWN-RED.txt");
@@ -41,32 +41,34 @@
 std::size_t
 PrintSummary(const CppUnit::TestResultCollector& aCollector)
 {
-  const std::set<std::string> knownRed = ReadKnownRed();
+  const std::set<std::string> knownFailures = ReadKnownFailures();
   std::set<std::string> failed;
   for (const auto* it : aCollector.failures()) {
     failed.insert(it->failedTestName());
   }
-  std::set<std::string> known;
-  std::set_intersection(failed.begin(),
-                        failed.end(),
-                        knownRed.begin(),
-                        knownRed.end(),
-                        std::inserter(known, known.end()));
-  for (const auto& it : known) {
+  std::set<std::string> observedKnownFailures;
+  std::set_intersection(
+    failed.begin(),
+    failed.end(),
+    knownFailures.begin(),
+    knownFailures.end(),
+    std::inserter(observedKnownFailures, observedKnownFailures.end()));
+  for (const auto& it : observedKnownFailures) {
     std::cout << "known red: " << it << std::endl;
   }
   const int passed = aCollector.runTests() - static_cast<int>(failed.size());
-  std::cout << passed << " passed, " << failed.size() - known.size()
-            << " failed" << std::endl;
-  return failed.size() - known.size();
+  std::cout << passed << " passed, "
+            << failed.size() - observedKnownFailures.size() << " failed"
+            << std::endl;
+  return failed.size() - observedKnownFailures.size();
 }
 
 /// Adds the suite named `aPart`, or every test below `aTest` whose name
 /// contains `aPart`.
 void
-AddMatching(CppUnit::Test& aTest,
-            const std::string& aPart,
-            CppUnit::TestRunner& aRunner)
+AddMatchingTests(CppUnit::Test& aTest,
+                 const std::string& aPart,
+                 CppUnit::TestRunner& aRunner)
 {
   if (aTest.getName() == aPart) {
     aRunner.addTest(&aTest);
@@ -79,7 +81,7 @@
     return;
   }
   for (int n = 0; n < aTest.getChildTestCount(); ++n) {
-    AddMatching(*aTest.getChildTestAt(n), aPart, aRunner);
+    AddMatchingTests(*aTest.getChildTestAt(n), aPart, aRunner);
   }
 }
 
@@ -100,7 +102,7 @@
     CppUnit::Test* all = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
     auto* runner = new CppUnit::TestRunner;
     if (aCount > 1) {
-      AddMatching(*all, aArguments[1], *runner);
+      AddMatchingTests(*all, aArguments[1], *runner);
     } else {
       runner->addTest(all);
     }
--- a/src/testing/worker_handler.cpp
+++ b/src/testing/worker_handler.cpp
@@ -39,23 +39,23 @@
 
 /// An answer that the fake lost is not sent at all.
 Response
-FailedResponse(const base::Error& aError)
+MakeFailureResponse(const base::Error& aError)
 {
   return aError.mKind == ErrorKind::ConnectionLost ? MakeDroppedResponse()
                                                    : MakeErrorResponse(aError);
 }
 
 Response
-RespondTo(const base::Result<void>& aResult)
+MakeResultResponse(const base::Result<void>& aResult)
 {
-  return aResult ? MakeResponse("{}") : FailedResponse(aResult.error());
+  return aResult ? MakeResponse("{}") : MakeFailureResponse(aResult.error());
 }
 
 Response
-RespondTo(const base::Result<worker::WorkerReport>& aResult)
+MakeResultResponse(const base::Result<worker::WorkerReport>& aResult)
 {
   return aResult ? MakeResponse(worker::FormatReport(aResult.value()))
-                 : FailedResponse(aResult.error());
+                 : MakeFailureResponse(aResult.error());
 }
 
 JsonValue&
@@ -75,11 +75,11 @@
 }
 
 void
-AddRun(JsonValue& aArray,
-       const std::string& aIdName,
-       const std::string& aId,
-       std::int64_t aAttempt,
-       std::int64_t aRuns)
+AddRunCount(JsonValue& aArray,
+            const std::string& aIdName,
+            const std::string& aId,
+            std::int64_t aAttempt,
+            std::int64_t aRuns)
 {
   JsonValue& element = AddElement(aArray);
   element.addMember(aIdName) <<= aId;
@@ -133,10 +133,10 @@
 WorkerHandler::Dispatch(const Request& aRequest)
 {
   if (aRequest.mPath == "/poll") {
-    return RespondTo(mWorker.Poll(kNoDeadline));
+    return MakeResultResponse(mWorker.Poll(kNoDeadline));
   }
   if (aRequest.mPath == "/holder") {
-    return PlaceHolder(aRequest.mBody);
+    return SetHolder(aRequest.mBody);
   }
   if (aRequest.mPath == "/holder/remove") {
     return RemoveHolder(aRequest.mBody);
@@ -150,11 +150,12 @@
   if (aRequest.mPath == "/call") {
     return Call(aRequest.mBody);
   }
-  return DispatchTask(aRequest.mPath, aRequest.mBody);
+  return DispatchTaskCommand(aRequest.mPath, aRequest.mBody);
 }
 
 Response
-WorkerHandler::DispatchTask(const std::string& aPath, const std::string& aBody)
+WorkerHandler::DispatchTaskCommand(const std::string& aPath,
+                                   const std::string& aBody)
 {
   const auto command = worker::ParseTaskCommand(aBody);
   if (command.has_error()) {
@@ -163,29 +164,29 @@
   const worker::CommandHeader& header = command.value().mHeader;
   const worker::TaskKey& task = command.value().mTask;
   if (aPath == "/tasks/checkpoint") {
-    return RespondTo(mWorker.Checkpoint(header, task, kNoDeadline));
+    return MakeResultResponse(mWorker.Checkpoint(header, task, kNoDeadline));
   }
   if (aPath == "/tasks/throttle") {
-    return RespondTo(
+    return MakeResultResponse(
       mWorker.Throttle(header, task, command.value().mPercent, kNoDeadline));
   }
   if (aPath == "/tasks/stop") {
-    return RespondTo(mWorker.Stop(header, task, kNoDeadline));
+    return MakeResultResponse(mWorker.Stop(header, task, kNoDeadline));
   }
   if (aPath == "/tasks/ack") {
-    return RespondTo(mWorker.Acknowledge(header, task, kNoDeadline));
+    return MakeResultResponse(mWorker.Acknowledge(header, task, kNoDeadline));
   }
   return MakeErrorResponse(MakeError(ErrorKind::NotFound, aPath));
 }
 
 Response
-WorkerHandler::PlaceHolder(const std::string& aBody)
+WorkerHandler::SetHolder(const std::string& aBody)
 {
   const auto command = worker::ParseHolderCommand(aBody);
   if (command.has_error()) {
     return MakeErrorResponse(command.error());
   }
-  return RespondTo(mWorker.SetHolderLease(
+  return MakeResultResponse(mWorker.SetHolderLease(
     command.value().mToken, command.value().mLeaseDuration, kNoDeadline));
 }
 
@@ -196,7 +197,7 @@
   if (command.has_error()) {
     return MakeErrorResponse(command.error());
   }
-  return RespondTo(
+  return MakeResultResponse(
     mWorker.RemoveHolderLease(command.value().mToken, kNoDeadline));
 }
 
@@ -207,7 +208,7 @@
   if (command.has_error()) {
     return MakeErrorResponse(command.error());
   }
-  return RespondTo(mWorker.Start(
+  return MakeResultResponse(mWorker.Start(
     command.value().mHeader, command.value().mStart, kNoDeadline));
 }
 
@@ -218,10 +219,10 @@
   if (command.has_error()) {
     return MakeErrorResponse(command.error());
   }
-  return RespondTo(mWorker.Renew(command.value().mHeader,
-                                 command.value().mTasks,
-                                 command.value().mLeaseExpiresAt,
-                                 kNoDeadline));
+  return MakeResultResponse(mWorker.Renew(command.value().mHeader,
+                                          command.value().mTasks,
+                                          command.value().mLeaseExpiresAt,
+                                          kNoDeadline));
 }
 
 Response
@@ -234,7 +235,7 @@
   const auto admitted =
     mWorker.Admit(command.value().mHeader, command.value().mCall);
   if (admitted.has_error()) {
-    return FailedResponse(admitted.error());
+    return MakeFailureResponse(admitted.error());
   }
   std::this_thread::sleep_for(
     base::Remaining(mClock.Now(), admitted.value().mEndsAt));
@@ -248,9 +249,9 @@
 WorkerHandler::HandleAdmin(const Request& aRequest)
 {
   if (aRequest.mMethod == "GET") {
-    return ReportRuns();
+    return MakeRunReport();
   }
-  return RespondTo(ApplyAdmin(aRequest.mBody));
+  return MakeResultResponse(ApplyAdmin(aRequest.mBody));
 }
 
 base::Result<void>
@@ -286,7 +287,7 @@
 }
 
 Response
-WorkerHandler::ReportRuns()
+WorkerHandler::MakeRunReport()
 {
   const std::vector<TaskExecution> executions = mWorker.Executions();
   std::map<worker::TaskKey, std::int64_t> taskRuns;
@@ -298,11 +299,13 @@
   body.addMember("guard_refusals") <<= mWorker.GuardRefusals();
   JsonValue& tasks = AddArray(body, "task_runs");
   for (const auto& it : taskRuns) {
-    AddRun(tasks, "task", it.first.mTask.mValue, it.first.mAttempt, it.second);
+    AddRunCount(
+      tasks, "task", it.first.mTask.mValue, it.first.mAttempt, it.second);
   }
   JsonValue& calls = AddArray(body, "call_runs");
   for (const auto& it : mWorker.CallCounts()) {
-    AddRun(calls, "request", it.first.first.mValue, it.first.second, it.second);
+    AddRunCount(
+      calls, "request", it.first.first.mValue, it.first.second, it.second);
   }
   JsonValue& intervals = AddArray(body, "executions");
   for (const auto& it : executions) {
