--- a/include/skylarkhill/testing/bench_decisions.hpp
+++ b/include/skylarkhill/testing/bench_decisions.hpp
@@ -7,15 +7,15 @@
 
 namespace skylarkhill::testing {
 
-/// Time of one placement decision in microseconds.
+/// Percentiles of the duration of a placement decision, in microseconds.
 struct DecisionLatency
 {
   double mP50 = 0.0;
   double mP99 = 0.0;
 };
 
-/// Times `aDecisions` placement decisions over `aWorkers` workers, with the
-/// boot clock of this machine.
+/// Measures `aDecisions` placement decisions over `aWorkers` workers with the
+/// steady clock.
 DecisionLatency
 MeasureDecisionLatency(policy::Profile aProfile,
                        std::size_t aWorkers,
--- a/include/skylarkhill/testing/bench_metrics.hpp
+++ b/include/skylarkhill/testing/bench_metrics.hpp
@@ -8,27 +8,27 @@
 
 namespace skylarkhill::testing {
 
-/// What one run of the bench measures.
+/// Metrics of one benchmark run.
 enum class BenchMetric
 {
-  /// Service latency in milliseconds, of answered requests.
+  /// Latency of answered service requests in milliseconds.
   LatencyP50,
   LatencyP99,
   LatencyP999,
-  /// Percent of the requests that were answered by their deadline; a refused
-  /// request counts as late.
+  /// Percentage of requests answered by their deadline; a refused request
+  /// counts as late.
   InTime,
-  /// The same for requests that arrived at the peak of a demand swing.
+  /// The same for requests that arrived while demand was at its peak.
   InTimeAtPeak,
-  /// Processor seconds of batch progress per second, less lost progress.
+  /// Processor seconds of batch progress per second, minus lost progress.
   BatchWork,
   TasksCompleted,
   Evictions,
-  /// Processor seconds of progress that evictions lost.
+  /// Processor seconds of progress lost to evictions.
   EvictionLoss,
-  /// Processor seconds of progress that failed workers lost.
+  /// Processor seconds of progress lost to worker failures.
   FailureLoss,
-  /// Seconds that short tasks waited for their first start.
+  /// Queueing time of short tasks before their first start, in seconds.
   ShortWaitP50,
   ShortWaitP99,
 };
@@ -44,7 +44,7 @@
   bool mLowerIsBetter;
 };
 
-/// All measures in the order of the enumerators.
+/// All metrics in the order of the enumerators.
 const std::array<BenchMetricInfo, kBenchMetricCount>&
 BenchMetricTable();
 
@@ -52,7 +52,7 @@
 double
 ValueOf(const BenchMetrics& aMetrics, BenchMetric aMetric);
 
-/// Mean, smallest and largest value of one measure over several runs.
+/// Mean, minimum and maximum of one metric over several runs.
 struct BenchSummary
 {
   double mMean = 0.0;
@@ -63,7 +63,7 @@
 BenchSummary
 SummarizeRuns(const std::vector<BenchMetrics>& aRuns, BenchMetric aMetric);
 
-/// The value below which `aPercent` of `aValues` lie; 0 if there are none.
+/// The `aPercent` percentile of `aValues`; 0 if there are no values.
 double
 PercentileOf(std::vector<double> aValues, double aPercent);
 
--- a/include/skylarkhill/testing/bench_report.hpp
+++ b/include/skylarkhill/testing/bench_report.hpp
@@ -9,14 +9,14 @@
 
 namespace skylarkhill::testing {
 
-/// All runs of one setup.
+/// The runs of one setup, one per seed.
 struct BenchSeries
 {
   BenchSetup mSetup = BenchSetup::Baseline;
   std::vector<BenchMetrics> mRuns;
 };
 
-/// All runs for one site; the first series is the baseline.
+/// The runs of all setups for one site; the first series is the baseline.
 struct BenchResult
 {
   std::string mSite;
@@ -24,15 +24,15 @@
   std::vector<BenchSeries> mSeries;
 };
 
-/// A table with mean and spread per measure and setup.
+/// A table of mean, minimum and maximum per metric and setup.
 std::string
 FormatBenchText(const BenchResult& aResult);
 
 std::string
 FormatBenchJson(const BenchResult& aResult);
 
-/// A bar per measure and setup, in percent of the baseline's mean, with the
-/// spread over the seeds.
+/// A bar chart of the means per metric and setup, in percent of the baseline's
+/// mean, with a line from minimum to maximum.
 std::string
 FormatBenchSvg(const BenchResult& aResult);
 
--- a/include/skylarkhill/testing/bench_run.hpp
+++ b/include/skylarkhill/testing/bench_run.hpp
@@ -9,15 +9,16 @@
 
 namespace skylarkhill::testing {
 
-/// Which policies a run uses.
+/// The scheduling policies of a run.
 enum class BenchSetup
 {
   /// First fit, FIFO queues, no throttling, no eviction.
   Baseline,
-  /// As the baseline, with the profile's protection that evicts the youngest
-  /// task: the reference for evictions, of which the baseline has none.
+  /// The baseline with the profile's protection policy, changed to evict the
+  /// youngest task. Reference for the eviction metrics, as the baseline never
+  /// evicts.
   EvictYoungest,
-  /// The site's profile.
+  /// The policies of the site's profile.
   Profile,
 };
 
@@ -25,8 +26,8 @@
 std::string_view
 NameOf(BenchSetup aSetup);
 
-/// One run; the same seed gives every setup the same site, demand, batch tasks
-/// and failures.
+/// Simulates one run. Runs with the same seed have the same site, demand, batch
+/// tasks and failures in every setup.
 BenchMetrics
 RunBench(const BenchSite& aSite, BenchSetup aSetup, std::uint64_t aSeed);
 
--- a/include/skylarkhill/testing/bench_site.hpp
+++ b/include/skylarkhill/testing/bench_site.hpp
@@ -19,12 +19,12 @@
 struct BenchService
 {
   std::string mName;
-  /// Mean service time on an undisturbed worker.
+  /// Mean service time on a worker without batch tasks.
   base::Duration mMeanServiceTime{ 0 };
-  /// Time from arrival until an answer is useless.
+  /// Time from arrival until the response is due.
   base::Duration mDeadline{ 0 };
-  /// Hidden: percent points that one unthrottled task of each batch class adds
-  /// to the service time when half of the slots are busy.
+  /// Hidden from the policies: increase of the service time in percent by one
+  /// unthrottled task of each batch class when half of the slots are busy.
   std::vector<double> mInterference;
 };
 
@@ -34,16 +34,16 @@
   std::string mName;
   base::Resources mDeclared;
   std::int64_t mDeclaredRunSeconds = 0;
-  /// Share of the class in all arrivals.
+  /// Fraction of task arrivals that belong to this class.
   double mArrivalShare = 0.0;
-  /// Its tasks write a checkpoint now and then and before an eviction.
+  /// Tasks write checkpoints periodically and before an eviction.
   bool mHasCheckpoints = true;
   double mMeanRunSeconds = 0.0;
-  /// Hidden: processors that a task uses per declared processor.
+  /// Hidden from the policies: processors used per declared processor.
   double mActualUseRatio = 1.0;
 };
 
-/// A site and its load.
+/// A simulated site and its load.
 struct BenchSite
 {
   std::string mName;
@@ -53,6 +53,7 @@
   std::size_t mDomainCount = 0;
   base::Duration mDomainLatency{ 0 };
   base::Duration mClientLatency = std::chrono::milliseconds(1);
+  /// Concurrent service requests per worker.
   std::int64_t mSlots = 8;
   std::int64_t mConnections = 64;
   std::vector<BenchService> mServices;
@@ -60,15 +61,16 @@
   base::Duration mDuration = std::chrono::seconds(180);
 };
 
-/// The site named `aName` without its hidden values, or nothing.
+/// The site named `aName` with its hidden values unset, or nothing if there is
+/// no such site.
 std::optional<BenchSite>
 FindBenchSite(std::string_view aName);
 
-/// Draws the hidden values of `aSite`.
+/// Sets the hidden values of `aSite` and the declared run times at random.
 void
 DrawHiddenValues(BenchSite& aSite, base::Random& aRandom);
 
-/// A lognormal factor with mean 1.
+/// A lognormally distributed factor with mean 1.
 double
 DrawLognormal(base::Random& aRandom, double aSigma);
 
--- a/include/skylarkhill/testing/capacity.hpp
+++ b/include/skylarkhill/testing/capacity.hpp
@@ -8,24 +8,25 @@
 
 namespace skylarkhill::testing {
 
-/// Bytes that are allocated on the heap of this process.
+/// Bytes currently allocated on the heap of this process.
 double
 AllocatedBytes();
 
-/// Processor time in microseconds that one call of `aFunction` takes in this
-/// process: the smallest of several runs of `aCalls` calls.
+/// Processor time of one call of `aFunction` in microseconds: the minimum over
+/// several runs of the mean of `aCalls` calls.
 double
 MicrosPerCall(int aCalls, const std::function<void()>& aFunction);
 
-/// Memory of tasks, keys, configuration objects and workers.
+/// Memory of tasks, keys, configuration objects and held workers, and processor
+/// time of holding a worker.
 std::vector<CostSeries>
 MeasureMemory();
 
-/// Processor time of records, policies, configuration and peer messages.
+/// Processor time of records, policies, grants, configuration and heartbeats.
 std::vector<CostSeries>
 MeasureProcessorTime();
 
-/// Bytes of records, batches, heartbeats, config changes and polls.
+/// Encoded sizes of records, heartbeats, configuration changes and polls.
 std::vector<CostSeries>
 MeasureEncodedSizes();
 
--- a/include/skylarkhill/testing/capacity_samples.hpp
+++ b/include/skylarkhill/testing/capacity_samples.hpp
@@ -15,7 +15,7 @@
 
 namespace skylarkhill::testing {
 
-/// Records and messages of typical length for capacity measurements.
+// Records and messages of typical size for capacity measurements.
 
 std::string
 SampleTaskId(std::int64_t aNumber);
@@ -41,7 +41,7 @@
 requests::OutcomeRecord
 SampleOutcome(std::int64_t aNumber);
 
-/// One pool, one batch class, and teams for the rest of `aObjects` objects.
+/// `aObjects` objects: one pool, one batch class and otherwise teams.
 catalog::CatalogSet
 SampleCatalogSet(std::int64_t aObjects);
 
--- a/include/skylarkhill/testing/fake_instance_list.hpp
+++ b/include/skylarkhill/testing/fake_instance_list.hpp
@@ -13,8 +13,8 @@
 
 namespace skylarkhill::testing {
 
-/// An in-memory instance list. A change becomes visible after the lag that was
-/// set when it was made.
+/// An in-memory instance list. A change becomes visible after the lag in effect
+/// when the change was made.
 class FakeInstanceList : public platform::InstanceList
 {
 public:
--- a/include/skylarkhill/testing/fake_log.hpp
+++ b/include/skylarkhill/testing/fake_log.hpp
@@ -12,7 +12,7 @@
 
 namespace skylarkhill::testing {
 
-/// How long records are kept; 0 means without limit.
+/// Limits beyond which records of a stream expire; 0 means no limit.
 struct RetentionLimits
 {
   std::int64_t mMaxRecords = 0;
@@ -20,7 +20,7 @@
 };
 
 /// An in-memory log with injected clock and faults. Never blocks: a call whose
-/// answer would arrive after its deadline fails at once.
+/// answer would arrive after its deadline fails immediately.
 class FakeLog : public platform::LogService
 {
 public:
@@ -36,17 +36,17 @@
 
   /// While down, every call fails with LogUnavailable and has no effect.
   void SetDown(bool aDown);
-  /// Every answer takes `aDelay`. An append whose answer is late takes effect
-  /// and ends with AnswerLost.
+  /// Delays every answer by `aDelay`. An append whose answer misses the
+  /// deadline takes effect and fails with AnswerLost.
   void SetAnswerDelay(base::Duration aDelay);
-  /// The next `aCount` appends take effect and end with AnswerLost.
+  /// The next `aCount` appends take effect and fail with AnswerLost.
   void LoseNextAnswers(std::int64_t aCount);
-  /// The next `aCount` appends have no effect and end with AnswerLost.
+  /// The next `aCount` appends have no effect and fail with AnswerLost.
   void LoseNextAppends(std::int64_t aCount);
   /// Expires all records of `aStream` before `aOffset`.
   void ExpireBefore(std::string_view aStream, platform::Offset aOffset);
 
-  /// Records that were ever appended to `aStream`.
+  /// Offset of the next record of `aStream`.
   platform::Offset EndOffset(std::string_view aStream) const;
   base::Duration AnswerDelay() const;
 
--- a/include/skylarkhill/testing/fake_worker.hpp
+++ b/include/skylarkhill/testing/fake_worker.hpp
@@ -20,15 +20,15 @@
 {
   base::WorkerId mWorker;
   base::Resources mCapacity{ 16'000, std::int64_t{ 60 } << 30, 0 };
-  /// Service requests that run at once; further ones wait.
+  /// Maximum of service requests that run; further ones wait.
   std::int64_t mSlots = 8;
-  /// Service requests that run or wait; further ones are refused.
+  /// Maximum of service requests that run or wait; further ones are refused.
   std::int64_t mConnections = 64;
-  /// Age of the usage that a report shows.
+  /// Age of the resource usage in a report.
   base::Duration mUsageLag{ 0 };
-  /// The worker's clock minus the injected one.
+  /// Offset of the worker's clock from the injected clock.
   base::Duration mClockOffset{ 0 };
-  /// Refuse overcommitment, duplicate attempts, late commands and commands
+  /// Refuses overcommitment, duplicate attempts, late commands and commands
   /// without a live holder lease.
   bool mHasGuards = true;
 };
@@ -40,12 +40,12 @@
   base::TimePoint mStartedAt;
   /// Empty while the attempt runs.
   std::optional<base::TimePoint> mEndedAt;
-  /// Work that was done before the start, taken from the checkpoint.
+  /// Completed work at the start, taken from the checkpoint.
   base::Duration mResumedFrom{ 0 };
   std::string mBatchClass;
 };
 
-/// A service request that the worker has accepted.
+/// A service request that the worker has admitted.
 struct AdmittedCall
 {
   worker::ServiceAnswer mAnswer;
@@ -54,15 +54,16 @@
   bool mIsAnswerLost = false;
 };
 
-/// An in-memory worker with injected clock and faults. Never blocks: a call
-/// that would end after its deadline runs and ends with DeadlineExceeded.
+/// An in-memory worker with injected clock and faults. Never blocks: a service
+/// request that would end after its deadline runs and fails immediately with
+/// DeadlineExceeded.
 ///
 /// The payload of a task is a JSON object with the optional members "run_ms"
-/// (default 100), "result", "fail" (reason of a failure at the end),
+/// (default 100), "result", "fail" (fails at its end for this reason),
 /// "checkpoint_ms" (default 0), "use_milli_processors", "use_memory_bytes" and
-/// "use_accelerators" (default: what was reserved). The body of a service
-/// request has "work_ms" (default 0). A task with any other payload fails at
-/// once.
+/// "use_accelerators" (default: the reservation). A task with any other payload
+/// fails immediately. The body of a service request has the optional member
+/// "work_ms" (default 0).
 class FakeWorker : public worker::RemoteWorker
 {
 public:
@@ -90,8 +91,8 @@
                               const worker::TaskKey& aTask,
                               std::int64_t aPercent,
                               base::TimePoint aDeadline) override;
-  /// WorkerRefused for an attempt that ended by itself; NotFound for an unknown
-  /// one, which can then no longer be started.
+  /// Fails with WorkerRefused for an attempt that has completed or failed, and
+  /// with NotFound for an unknown one, which can then no longer be started.
   base::Result<void> Stop(const worker::CommandHeader& aHeader,
                           const worker::TaskKey& aTask,
                           base::TimePoint aDeadline) override;
@@ -103,42 +104,43 @@
                                            const worker::ServiceCall& aCall,
                                            base::TimePoint aDeadline) override;
 
-  /// Starts a service request and says when its answer is due. For callers that
-  /// wait by themselves.
+  /// Starts a service request and returns its answer and end time, for callers
+  /// that do the waiting.
   base::Result<AdmittedCall> Admit(const worker::CommandHeader& aHeader,
                                    const worker::ServiceCall& aCall);
 
-  /// Every task fails right after its start.
+  /// Every new task fails at its start.
   void SetFailAll(bool aFailAll);
-  /// Refuses new tasks and requests; the report says so.
+  /// Refuses new tasks and requests and marks reports as leaving.
   void SetLeaving(bool aLeaving);
-  /// Commands have no effect and end with DeadlineExceeded.
+  /// Commands have no effect and fail with DeadlineExceeded.
   void SetSilent(bool aSilent);
-  /// Commands are not sent and end with WorkerUnavailable.
+  /// Commands have no effect and fail with WorkerUnavailable.
   void SetUnreachable(bool aUnreachable);
-  /// The next `aCount` commands take effect and end with ConnectionLost.
+  /// The next `aCount` commands take effect and fail with ConnectionLost.
   void LoseNextAnswers(std::int64_t aCount);
-  /// The next `aCount` service answers carry another attempt number.
+  /// The next `aCount` service answers carry a wrong attempt number.
   void MismatchNextAnswers(std::int64_t aCount);
-  /// Running tasks of `aBatchClass` slow requests to `aService` down by
-  /// `aPercent` each.
+  /// Each running task of `aBatchClass` increases the service time of
+  /// `aService` by `aPercent`.
   void SetInterference(const std::string& aService,
                        const std::string& aBatchClass,
                        std::int64_t aPercent);
-  /// All tasks, leases and requests are lost and the worker is unreachable.
+  /// Discards all tasks, leases and requests and makes the worker unreachable.
   void Crash();
-  /// Makes a crashed worker reachable again, with nothing running.
+  /// Makes a crashed worker reachable again, without tasks and with no memory
+  /// of earlier attempts.
   void Restart();
 
-  /// Every interval in which an attempt ran, in order of the starts.
+  /// Every interval in which an attempt ran, in start order.
   std::vector<TaskExecution> Executions();
-  /// How often each service request attempt ran.
+  /// Number of executions of each service request attempt.
   std::map<std::pair<base::RequestId, std::int64_t>, std::int64_t> CallCounts()
     const;
-  /// Commands that a guard refused.
+  /// Number of commands that a guard refused.
   std::int64_t GuardRefusals() const;
   const base::WorkerId& Name() const { return mConfig.mWorker; }
-  /// The worker's own clock.
+  /// The time of the worker's clock.
   worker::WorkerTime Now() const;
 
 private:
@@ -157,7 +159,7 @@
     base::Resources mReserved;
     Workload mWorkload;
     base::TimePoint mLeaseExpiresAt;
-    /// When mWorkDone was computed.
+    /// Time up to which the task has been simulated.
     base::TimePoint mAdvancedAt;
     base::Duration mWorkDone{ 0 };
     base::TimePoint mCheckpointEndsAt;
@@ -178,7 +180,7 @@
                                   base::TimePoint aDeadline);
   base::Result<void> FinishCommand();
   bool ConsumeLostAnswer();
-  /// Brings all tasks, leases and requests up to the present.
+  /// Simulates all tasks, leases and requests up to the current time.
   void AdvanceToNow();
   void AdvanceTask(Task& aTask, base::TimePoint aNow);
   void EndTask(Task& aTask,
@@ -202,10 +204,10 @@
   mutable std::mutex mMutex;
   std::vector<worker::HolderLease> mHolders;
   std::map<worker::TaskKey, Task> mTasks;
-  /// Attempts that must never start again.
+  /// Attempts that were started or stopped and can't start again.
   std::set<worker::TaskKey> mUnstartableKeys;
   std::vector<TaskExecution> mExecutions;
-  /// End times of the service requests that run or wait.
+  /// End times of running and waiting service requests.
   std::vector<base::TimePoint> mCallEnds;
   std::map<std::pair<base::RequestId, std::int64_t>, std::int64_t> mCallCounts;
   std::map<std::pair<std::string, std::string>, std::int64_t> mInterference;
--- a/include/skylarkhill/testing/line_fit.hpp
+++ b/include/skylarkhill/testing/line_fit.hpp
@@ -6,32 +6,32 @@
 
 namespace skylarkhill::testing {
 
-/// One measured size and its cost.
+/// The measured cost at one size.
 struct CostPoint
 {
   double mSize = 0.0;
   double mCost = 0.0;
 };
 
-/// A straight line.
+/// A straight line: cost = slope * size + intercept.
 struct FittedLine
 {
   double mSlope = 0.0;
   double mIntercept = 0.0;
 };
 
-/// The cost of one quantity at several sizes.
+/// The cost of one operation or structure, measured at several sizes.
 struct CostSeries
 {
   std::string mName;
-  /// Unit of the cost, e.g. "bytes".
+  /// e.g. "bytes"
   std::string mCostUnit;
-  /// What the size counts, e.g. "task".
+  /// e.g. "task"
   std::string mSizeUnit;
   std::vector<CostPoint> mPoints;
 };
 
-/// The least-squares line; a slope of 0 if all sizes are equal.
+/// The least-squares line; its slope is 0 if all sizes are equal.
 FittedLine
 FitLine(const std::vector<CostPoint>& aPoints);
 
--- a/include/skylarkhill/testing/platform_handler.hpp
+++ b/include/skylarkhill/testing/platform_handler.hpp
@@ -12,24 +12,25 @@
 namespace skylarkhill::testing {
 
 /// The HTTP interface of the platform stand-in:
-/// POST /log/<stream>, GET /log/<stream>?from=N&max=M, GET /instances, and
+/// POST /log/<stream>, GET /log/<stream>?from=N&max=M, GET /instances.
 ///
-/// POST /admin with any of these members:
-/// "down": true or false; "silent": accept and never answer;
+/// POST /admin injects faults and changes the list, with any of these members:
+/// "down": true or false; "silent": requests are accepted but not answered;
 /// "slow_ms": delay of every answer; "lose_answers": the next N appends take
-/// effect and are not answered; "lose_appends": the next N appends are lost;
-/// "expire_stream" and "expire_before": expire records; "lag_ms": lag of later
-/// changes of the list; "put": an instance object; "leaving": an instance name;
-/// "remove": an instance name.
+/// effect but are not answered; "lose_appends": the next N appends have no
+/// effect and are not answered; "expire_stream" and "expire_before": records of
+/// the stream before this offset expire; "lag_ms": time until later changes of
+/// the list are visible; "put": an instance object; "leaving": an instance
+/// name; "remove": an instance name.
 ///
-/// GET /admin: {"appends", "reads", "fetches"}, the requests so far.
+/// GET /admin returns the request counts {"appends", "reads", "fetches"}.
 class PlatformHandler : public http::Handler
 {
 public:
   PlatformHandler(FakeLog& aLog, FakeInstanceList& aInstances);
 
   http::Response Handle(const http::Request& aRequest) override;
-  /// Releases the requests that are held by "silent".
+  /// Drops the requests held back by "silent".
   void Release();
 
 private:
--- a/include/skylarkhill/testing/standin.hpp
+++ b/include/skylarkhill/testing/standin.hpp
@@ -7,9 +7,9 @@
 
 namespace skylarkhill::testing {
 
-/// Serves until SIGTERM or SIGINT, calls `aBeforeStop` and stops gracefully.
-/// Prints "listening <port>" once it serves. Returns the exit code. Must be
-/// called before any thread is started.
+/// Serves requests until SIGTERM or SIGINT, then calls `aBeforeStop` and stops
+/// gracefully. Prints "listening <port>" when ready. Returns the exit code.
+/// Must be called before any thread is started, since it blocks these signals.
 int
 RunStandin(const http::ServerOptions& aOptions,
            http::Handler& aHandler,
--- a/include/skylarkhill/testing/worker_handler.hpp
+++ b/include/skylarkhill/testing/worker_handler.hpp
@@ -7,24 +7,24 @@
 
 namespace skylarkhill::testing {
 
-/// The HTTP interface of the worker stand-in: the commands of
-/// worker_codec.hpp, and
+/// The HTTP interface of the worker stand-in: the commands of worker_codec.hpp.
 ///
-/// POST /admin with any of these members: "fail_all", "leaving" and "silent"
-/// (true or false); "lose_answers" and "mismatch_answers" (the next N);
-/// "interference_service", "interference_class" and "interference_percent".
+/// POST /admin injects faults, with any of these members: "fail_all", "leaving"
+/// and "silent" (true or false); "lose_answers" and "mismatch_answers" (number
+/// of affected answers); "interference_service", "interference_class" and
+/// "interference_percent". See the setters of FakeWorker.
 ///
-/// GET /admin: {"worker", "guard_refusals", "task_runs": [{"task", "attempt",
-/// "runs"}], "call_runs": [{"request", "attempt", "runs"}], "executions":
-/// [{"task", "attempt", "started_at", "ended_at"}]}. Times are microseconds of
-/// the boot clock; "ended_at" is -1 while the attempt runs.
+/// GET /admin returns {"worker", "guard_refusals", "task_runs": [{"task",
+/// "attempt", "runs"}], "call_runs": [{"request", "attempt", "runs"}],
+/// "executions": [{"task", "attempt", "started_at", "ended_at"}]}. Times are
+/// microseconds of the boot clock; "ended_at" is -1 while the attempt runs.
 class WorkerHandler : public http::Handler
 {
 public:
   WorkerHandler(FakeWorker& aWorker, const base::Clock& aClock);
 
   http::Response Handle(const http::Request& aRequest) override;
-  /// Releases the requests that are held by "silent".
+  /// Drops the requests held back by "silent".
   void Release();
 
 private:
--- a/src/testing/bench_main.cpp
+++ b/src/testing/bench_main.cpp
@@ -31,17 +31,17 @@
 {
   Settings settings;
   options::options_description description(
-    "Measures the scheduling policies against their baselines");
+    "Compares the scheduling policies with the baseline by simulation");
   auto add = description.add_options();
   add("help", "print this text");
-  add("site", options::value(&settings.mSite), "direccion or exchange");
+  add("site", options::value(&settings.mSite), "site: direccion or exchange");
   add("seeds", options::value(&settings.mSeeds), "number of seeds");
   add("first-seed", options::value(&settings.mFirstSeed), "first seed");
-  add("output", options::value(&settings.mOutput), "text or json");
-  add("svg", options::value(&settings.mSvg), "file for a plot");
+  add("output", options::value(&settings.mOutput), "format: text or json");
+  add("svg", options::value(&settings.mSvg), "file for an SVG chart");
   add("decisions",
       options::bool_switch(&settings.mMeasuresDecisions),
-      "time placement decisions instead");
+      "measure the latency of placement decisions instead");
   options::variables_map values;
   options::store(options::parse_command_line(aCount, aArguments, description),
                  values);
@@ -99,7 +99,7 @@
   const bool isJson = aSettings.mOutput == "json";
   if (!site || aSettings.mSeeds == 0 ||
       (!isJson && aSettings.mOutput != "text")) {
-    std::cerr << "see --help for the accepted values" << std::endl;
+    std::cerr << "invalid --site, --seeds or --output; see --help" << std::endl;
     return 2;
   }
   const testing::BenchResult result = RunSite(*site, aSettings);
--- a/src/testing/bench_report.cpp
+++ b/src/testing/bench_report.cpp
@@ -101,8 +101,8 @@
   for (const auto& info : BenchMetricTable()) {
     out << "<text x=\"8\" y=\"" << top + kBarHeight << "\">" << info.mName
         << "</text>\n";
-    // A measure that the baseline does not have is scaled to the first setup
-    // that has it.
+    // Percentages refer to the first setup with a nonzero mean, since the
+    // baseline has no evictions.
     double reference = 0.0;
     for (const auto& it : aResult.mSeries) {
       reference = reference != 0.0
--- a/src/testing/bench_run.cpp
+++ b/src/testing/bench_run.cpp
@@ -37,7 +37,7 @@
 constexpr std::int64_t kGiB = std::int64_t{ 1 } << 30;
 constexpr double kProcessors = 16.0;
 constexpr base::Resources kCapacity{ 16'000, 60 * kGiB, 0 };
-// What the services of a worker have reserved.
+// Reserved for the services on each worker.
 constexpr base::Resources kServiceResources{ 4'000, 12 * kGiB, 0 };
 
 constexpr Duration kTickInterval = milliseconds(200);
@@ -47,19 +47,21 @@
 constexpr Duration kEvictionDelay = seconds(2);
 constexpr Duration kOutageDuration = seconds(20);
 constexpr Duration kFailureDetectionDelay = seconds(1);
-/// Queued tasks that one round looks at, as in the entry process.
+/// Queued tasks considered per placement round, as in the entry process.
 constexpr std::size_t kMaxQueuedPerRound = 1000;
-/// Placement decisions in one round.
+/// Placement decisions per round.
 constexpr std::size_t kMaxDecisionsPerRound = 40;
 constexpr double kCheckpointIntervalSeconds = 20.0;
 constexpr double kRestartCostSeconds = 10.0;
 constexpr std::int64_t kMaxEvictions = 3;
 constexpr std::int64_t kToleratedSlowdownPercent = 150;
-/// Checkpoints on eviction that fail, in percent.
+/// Percentage of the checkpoints before an eviction that fail.
 constexpr std::uint64_t kFailedCheckpointPercent = 20;
-/// Batch work that arrives, in percent of what the workers can reserve.
+/// Arriving batch work in percent of the processors available to batch tasks;
+/// above 100, so that tasks queue.
 constexpr double kBatchLoadPercent = 110.0;
-/// Slots busy on an undisturbed site between and at the peaks.
+/// Fraction of service slots in use without interference, outside and during
+/// the demand peaks.
 constexpr double kBaseLoad = 0.25;
 constexpr double kPeakLoad = 0.62;
 constexpr double kDemandPeriodSeconds = 30.0;
@@ -117,17 +119,20 @@
   std::string mTeam;
   base::TaskId mId;
   bool mIsUrgent = false;
+  /// Run time without throttling and contention.
   double mRunSeconds = 0.0;
-  /// Processors it uses when it is not throttled.
+  /// Processors used without throttling.
   double mProcessors = 0.0;
   base::Resources mResources;
   TimePoint mAcceptedAt;
   TimePoint mStartedAt;
   bool mHasStarted = false;
+  /// End of the checkpoint before an eviction.
   TimePoint mStopAt;
   Phase mPhase = Phase::Queued;
   double mDoneSeconds = 0.0;
   double mCheckpointedSeconds = 0.0;
+  /// Run time of all attempts, including startup and lost progress.
   double mSpentSeconds = 0.0;
   double mStartupSecondsLeft = 0.0;
   std::int64_t mEvictions = 0;
@@ -152,7 +157,7 @@
   std::int64_t mReportedSlowdownPercent = 100;
 };
 
-/// The queue of one service in one failure domain.
+/// Admission state and workers of one service in one failure domain.
 struct ServiceGroup
 {
   std::unique_ptr<requests::AdmissionQueue> mQueue;
@@ -163,7 +168,7 @@
   std::int64_t mInFlight = 0;
 };
 
-/// The profile's protection, with the youngest task as the victim.
+/// Delegates to another protection policy, but evicts the youngest task.
 class EvictYoungest : public policy::ProtectionPolicy
 {
 public:
@@ -186,7 +191,7 @@
   }
 
 private:
-  // Tasks are listed in the order of their starts.
+  // The tasks of a worker are listed in start order.
   static base::TaskId FindYoungest(const policy::WorkerPressure& aWorker,
                                    const base::TaskId& aDefault)
   {
@@ -268,8 +273,8 @@
       worker.mView.mRack = "r" + std::to_string(rack);
       worker.mView.mCapacity = kCapacity - kServiceResources;
       worker.mView.mFree = worker.mView.mCapacity;
-      // A third of the workers serves the first service, a third the second,
-      // and a third both.
+      // One third of the workers runs only the first service, one third only
+      // the second, and one third both.
       for (std::size_t service = 0; service < mSite.mServices.size();
            ++service) {
         if (n % 3 == service || n % 3 == 2) {
@@ -350,8 +355,8 @@
     return std::chrono::duration<double>(aAt - mStart).count();
   }
 
-  /// Demand as a share of the site's slots: a swing within two seconds, a
-  /// plateau, and a fall.
+  /// Demand as a fraction of the site's slots. In each period it rises within 2
+  /// seconds, stays at the peak for 10 and falls within 3.
   static double LoadAt(double aSeconds)
   {
     const double phase = std::fmod(aSeconds, kDemandPeriodSeconds);
@@ -546,8 +551,8 @@
     mLatencies.push_back(static_cast<double>(latency.count()) / 1000.0);
   }
 
-  /// Factor on the service time: interference that grows with the load, and
-  /// contention for processors.
+  /// Factor on the service time due to interference, which grows with the load,
+  /// and to processor contention.
   double Slowdown(const Worker& aWorker, std::size_t aService) const
   {
     double percent = 0.0;
@@ -611,14 +616,14 @@
     const double perTick = kBatchLoadPercent / 100.0 * reservable /
                            MeanTaskWork() *
                            std::chrono::duration<double>(kTickInterval).count();
-    // A backlog at the start, as on a site that has been busy for a while.
+    // The run starts with a backlog, as on a site under sustained load.
     mDueArrivals +=
       perTick + (mTicks == 0 ? 2.0 * static_cast<double>(mSite.mWorkers) : 0.0);
     while (mDueArrivals >= 1.0) {
       mDueArrivals -= 1.0;
       Submit(DrawBatchClass());
     }
-    // Noisy tasks of one class arrive in a burst.
+    // Periodic burst of the class that interferes most with the first service.
     constexpr std::int64_t kBurstTicks = 200;
     if (mTicks % kBurstTicks == kBurstTicks / 2) {
       const std::size_t interfering = MostInterferingClass();
@@ -685,8 +690,8 @@
     }
   }
 
-  // Stands for the breakers: requests avoid a failed worker from the detection
-  // of its failure until it is back.
+  // Models the circuit breakers: requests avoid a failed worker from the
+  // detection of its failure until its recovery.
   void UpdateBreakers()
   {
     for (auto& groups : mServiceGroups) {
@@ -701,7 +706,8 @@
     }
   }
 
-  /// Takes the progress since the last checkpoint back.
+  /// Discards the progress since the last checkpoint and returns it in
+  /// processor seconds.
   double DiscardProgress(Task& aTask)
   {
     const double lost =
@@ -841,8 +847,7 @@
     aWorker.mReports.push_back({ mNow + kReportLag, std::move(report) });
   }
 
-  // A worker reports one slowdown for all of its services, as RemoteWorker
-  // does.
+  // As with RemoteWorker, one slowdown value covers all services of a worker.
   void ReceiveReport(Worker& aWorker, policy::InterferenceReport aReport)
   {
     aWorker.mReportedSlowdownPercent = aReport.mSlowdownPercent;
@@ -1009,7 +1014,7 @@
 
   BenchMetrics Measure()
   {
-    // Short tasks that never started have waited at least until now.
+    // Includes short tasks that have not started, with their wait so far.
     for (const std::size_t it : mQueued) {
       const Task& task = mTasks[it];
       if (!task.mHasStarted && task.mRunSeconds <= kMaxShortTaskSeconds) {
@@ -1043,7 +1048,8 @@
   std::unique_ptr<policy::QueuePolicy> mQueue;
   std::unique_ptr<policy::ProtectionPolicy> mProtection;
   std::unique_ptr<requests::TargetPicker> mPicker;
-  // One generator per cause, so that the load does not depend on the policy.
+  // One generator per purpose, so that load and failures do not depend on the
+  // policies.
   std::unique_ptr<base::Random> mSiteRandom;
   std::unique_ptr<base::Random> mRequestRandom;
   std::unique_ptr<base::Random> mTaskRandom;
--- a/src/testing/bench_site.cpp
+++ b/src/testing/bench_site.cpp
@@ -103,7 +103,8 @@
 DrawHiddenValues(BenchSite& aSite, base::Random& aRandom)
 {
   for (auto& service : aSite.mServices) {
-    // Most pairs get on; one class disturbs the service much, one somewhat.
+    // One class interferes strongly with the service, one moderately and the
+    // others hardly at all.
     std::vector<double> percents{ 1.0, 2.0, 4.0, 12.0, 35.0 };
     for (std::size_t n = percents.size(); n > 1; --n) {
       std::swap(percents[n - 1], percents[aRandom.Below(n)]);
--- a/src/testing/bench_test.cpp
+++ b/src/testing/bench_test.cpp
@@ -15,8 +15,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against a change of the policies that costs the site direccion the
-  // throughput it weighs most.
+  // Guards against a policy change that reduces batch throughput, the main
+  // objective of the site direccion.
   void ThroughputProfileDoesNotReduceBatchWork()
   {
     const BenchMetrics baseline = Run("direccion", BenchSetup::Baseline);
@@ -25,8 +25,8 @@
                    ValueOf(baseline, BenchMetric::BatchWork));
   }
 
-  // Guards against a change that costs the site exchange its tail latency or
-  // its service quality at the peak.
+  // Guards against a policy change that worsens the tail latency of the site
+  // exchange or its share of requests answered in time at peak demand.
   void TailProfileDoesNotIncreaseTailLatency()
   {
     const BenchMetrics baseline = Run("exchange", BenchSetup::Baseline);
@@ -37,7 +37,7 @@
                    ValueOf(baseline, BenchMetric::InTimeAtPeak));
   }
 
-  // Guards against figures that depend on anything but the seed.
+  // Guards against results that depend on anything but the seed.
   void SameSeedGivesTheSameMetrics()
   {
     CPPUNIT_ASSERT(Run("exchange", BenchSetup::Profile) ==
--- a/src/testing/capacity_main.cpp
+++ b/src/testing/capacity_main.cpp
@@ -95,7 +95,7 @@
   try {
     std::string output;
     options::options_description description(
-      "Measures memory, processor time and message sizes as slopes");
+      "Measures how memory, processor time and message sizes grow with input");
     auto add = description.add_options();
     add("help", "print this text");
     add(
@@ -109,7 +109,7 @@
       return 0;
     }
     if (output != "text" && output != "json") {
-      std::cerr << "--output is text or json" << std::endl;
+      std::cerr << "--output must be text or json" << std::endl;
       return 2;
     }
     return Run(output);
--- a/src/testing/capacity_memory.cpp
+++ b/src/testing/capacity_memory.cpp
@@ -16,7 +16,7 @@
 
 using Sizes = std::initializer_list<std::int64_t>;
 
-/// What `aBuild` keeps allocated, for several sizes.
+/// Heap memory held by the result of `aBuild` for each size.
 template<typename Build>
 CostSeries
 MeasureBytes(std::string aName,
@@ -76,7 +76,7 @@
   void OnRecord(entry::WorkerAgent&, const tasks::TaskRecord&) override {}
 };
 
-/// Held workers with their state machines, after they have been acquired.
+/// Agents of workers that this instance holds.
 struct HeldWorkers
 {
   base::ManualClock mClock;
@@ -98,12 +98,12 @@
                                              mListener));
       mAgents.back()->SetPreferred(true);
     }
-    // Longer than the takeover delay and the quiet period together.
+    // More than the sum of takeover delay and quiet period.
     constexpr int kSeconds = 10;
     for (int n = 0; n < kSeconds; ++n) {
       RunOneSecond(aTasks);
     }
-    // Workers that are not held keep no ledger, and would look too cheap.
+    // A worker that is not held has no ledger and would be measured too small.
     for (const auto& it : mAgents) {
       if (!it->MayCommit()) {
         throw std::runtime_error("a sample worker was not acquired");
@@ -111,8 +111,8 @@
     }
   }
 
-  /// The steps and grant refreshes of one second, as the entry process does
-  /// them.
+  /// Runs the steps and grant refreshes of one second at the rates of the entry
+  /// process.
   void RunOneSecond(std::int64_t aTasks)
   {
     constexpr int kSteps = 25;
--- a/src/testing/capacity_time.cpp
+++ b/src/testing/capacity_time.cpp
@@ -44,7 +44,7 @@
   return series;
 }
 
-/// Accept, grant, started and end records of `aTasks` tasks.
+/// One accept, grant, started and end record for each of `aTasks` tasks.
 std::vector<journal::SiteRecord>
 SampleRecords(std::int64_t aTasks)
 {
@@ -69,7 +69,7 @@
   return encoded;
 }
 
-/// A page with the records of `aTasks` tasks in batches of 100 tasks.
+/// A page with the records of `aTasks` tasks, 100 tasks per batch.
 journal::PageResult
 SamplePage(std::int64_t aTasks)
 {
@@ -212,7 +212,7 @@
   }
 }
 
-/// What one refresh of a worker's grants reads from the site's state.
+/// Time to look up the grants of one worker in the site's state.
 double
 MeasureGrantRefresh(std::int64_t aTasksPerWorker)
 {
@@ -242,7 +242,7 @@
   });
 }
 
-/// How an instance finds its turn to grant one task.
+/// Time to rank the instances that may grant one task.
 double
 MeasureGrantRank(std::int64_t aInstances)
 {
@@ -317,7 +317,7 @@
   change.mIdentity = { "entry-1.1", 2 };
   const std::string payload = catalog::FormatConfigRecord(change);
   return MicrosPerCall(1, [&] {
-    // A copy shares the objects, so it adds little to the cost of one change.
+    // Copying is cheap, since copies share the objects.
     catalog::ConfigState state(first);
     state.Apply(1, payload, 0);
   });
@@ -373,8 +373,7 @@
 double
 MicrosPerCall(int aCalls, const std::function<void()>& aFunction)
 {
-  // The smallest of several runs is the one that other processes disturbed
-  // least.
+  // The minimum of several runs is least affected by other processes.
   constexpr int kRuns = 5;
   double least = std::numeric_limits<double>::max();
   for (int run = 0; run < kRuns; ++run) {
--- a/src/testing/fake_log_test.cpp
+++ b/src/testing/fake_log_test.cpp
@@ -23,7 +23,7 @@
   base::TimePoint Deadline() const { return mClock.Now() + seconds(1); }
 
 public:
-  // Guards against a page that hides the loss of expired records.
+  // Guards against a page that does not report that older records expired.
   void ReadStartsAtTheFirstRetainedRecord()
   {
     FakeLog log(mClock, { 2, seconds(10) });
@@ -41,7 +41,8 @@
     CPPUNIT_ASSERT(later.mRecords.empty());
   }
 
-  // Guards against a fake that reports both kinds of loss alike in the stream.
+  // Guards against a fake that stores the record of a lost append or discards
+  // the record whose answer was lost.
   void LostAnswerKeepsTheRecordAndLostAppendDoesNot()
   {
     FakeLog log(mClock);
--- a/src/testing/fake_worker.cpp
+++ b/src/testing/fake_worker.cpp
@@ -33,15 +33,15 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-/// The name of a checkpoint that holds `aWorkDone` of the work of `aTask`.
+/// The name of a checkpoint of `aTask` after `aWorkDone` of its work.
 std::string
 FormatCheckpointName(const base::TaskId& aTask, base::Duration aWorkDone)
 {
   return aTask.mValue + "@" + std::to_string(aWorkDone.count());
 }
 
-/// The work that a checkpoint of `aTask` holds, or nothing if the name is not
-/// one of FormatCheckpointName.
+/// The work done at a checkpoint of `aTask`, or nothing if FormatCheckpointName
+/// does not produce such a name.
 std::optional<base::Duration>
 ParseCheckpointName(const base::TaskId& aTask, const std::string& aName)
 {
@@ -215,7 +215,7 @@
   }
   if (task->mPhase == TaskPhase::Completed ||
       task->mPhase == TaskPhase::Failed) {
-    return MakeError(ErrorKind::WorkerRefused, "the attempt ended by itself");
+    return MakeError(ErrorKind::WorkerRefused, "the attempt has already ended");
   }
   if (IsLive(*task)) {
     EndTask(*task, TaskPhase::Stopped, "stopped on command", mClock.Now());
@@ -232,7 +232,7 @@
   BOOST_OUTCOME_TRYV(CheckCommand(aHeader, aDeadline));
   const Task* task = FindTask(aTask);
   if (task != nullptr && IsLive(*task)) {
-    return MakeError(ErrorKind::WorkerRefused, "the attempt still runs");
+    return MakeError(ErrorKind::WorkerRefused, "the attempt is still running");
   }
   mTasks.erase(aTask);
   return FinishCommand();
@@ -250,11 +250,13 @@
     return MakeError(ErrorKind::ConnectionLost, "the answer was lost");
   }
   if (admitted.mEndsAt >= aDeadline) {
-    return MakeError(ErrorKind::DeadlineExceeded, "the answer is late");
+    return MakeError(ErrorKind::DeadlineExceeded,
+                     "the answer missed the deadline");
   }
   if (admitted.mAnswer.mRequest != aCall.mRequest ||
       admitted.mAnswer.mAttempt != aCall.mAttempt) {
-    return MakeError(ErrorKind::ConnectionLost, "answer to another request");
+    return MakeError(ErrorKind::ConnectionLost,
+                     "the answer belongs to another request");
   }
   return admitted.mAnswer;
 }
@@ -276,7 +278,7 @@
   }
   const std::optional<base::Duration> work = ParseRequestWork(aCall.mBody);
   if (!work) {
-    return MakeError(ErrorKind::WorkerRefused, "the body is invalid");
+    return MakeError(ErrorKind::WorkerRefused, "the request body is invalid");
   }
   if (static_cast<std::int64_t>(mCallEnds.size()) >= mConfig.mConnections) {
     return MakeError(ErrorKind::WorkerRefused, "all connections are in use");
@@ -285,7 +287,8 @@
   const base::TimePoint startsAt = FindStartTime(now);
   if (mConfig.mHasGuards && ToWorkerTime(startsAt) > aHeader.mNotAfter) {
     ++mGuardRefusals;
-    return MakeError(ErrorKind::StaleCommand, "no slot is free in time");
+    return MakeError(ErrorKind::StaleCommand,
+                     "no slot becomes free before not_after");
   }
   AdmittedCall admitted;
   admitted.mEndsAt =
@@ -363,8 +366,8 @@
   return MakeError(aKind, std::move(aDetail));
 }
 
-// Of several live holder leases the oldest one counts, so that at no time two
-// instances pass this guard.
+// Only the oldest live holder lease is valid, so that two instances never pass
+// this guard at the same time.
 base::Result<void>
 FakeWorker::CheckHeader(const CommandHeader& aHeader)
 {
@@ -375,7 +378,9 @@
     return RefuseByGuard(ErrorKind::StaleCommand, "not_after has passed");
   }
   if (mHolders.empty() || mHolders.front().mToken != aHeader.mToken) {
-    return RefuseByGuard(ErrorKind::WorkerRefused, "not the live holder");
+    return RefuseByGuard(
+      ErrorKind::WorkerRefused,
+      "the sender does not hold the oldest live holder lease");
   }
   return Success();
 }
@@ -394,7 +399,7 @@
   }
   if (mUnstartableKeys.count({ aStart.mTask, aStart.mAttempt }) != 0) {
     return RefuseByGuard(ErrorKind::WorkerRefused,
-                         "the attempt is a duplicate");
+                         "the attempt was already started or stopped");
   }
   base::Resources reserved = aStart.mReserve;
   for (const auto& it : mTasks) {
@@ -402,12 +407,14 @@
       continue;
     }
     if (it.first.mTask == aStart.mTask) {
-      return RefuseByGuard(ErrorKind::WorkerRefused, "another attempt runs");
+      return RefuseByGuard(ErrorKind::WorkerRefused,
+                           "another attempt of the task is running");
     }
     reserved += it.second.mReserved;
   }
   if (!base::Fits(reserved, mConfig.mCapacity)) {
-    return RefuseByGuard(ErrorKind::WorkerRefused, "the task does not fit");
+    return RefuseByGuard(ErrorKind::WorkerRefused,
+                         "the task exceeds the free capacity");
   }
   return Success();
 }
@@ -504,8 +511,8 @@
                   mCallEnds.end());
 }
 
-// Replays the events of the task in time order: the lease may have lapsed
-// before the work was done, and the other way round.
+// Simulates lease expiry, checkpoints and completion in time order, since the
+// lease may have expired before the work was done or after it.
 void
 FakeWorker::AdvanceTask(Task& aTask, base::TimePoint aNow)
 {
--- a/src/testing/load_main.cpp
+++ b/src/testing/load_main.cpp
@@ -22,8 +22,8 @@
 namespace options = boost::program_options;
 using namespace skylarkhill;
 
-// Bounds of one run: it ends by itself, and its threads stay below the limit
-// of processes on a shared machine.
+// Limits of a run, so that it ends in bounded time and stays below the process
+// limit of a shared machine.
 constexpr std::int64_t kMaxSeconds = 60;
 constexpr std::int64_t kMaxThreads = 256;
 constexpr std::int64_t kMaxRequests = 500'000;
@@ -33,11 +33,11 @@
 {
   std::string mTarget;
   std::string mService;
-  /// Sends worker calls instead of caller requests.
+  /// Sends calls to a worker instead of requests to an entry instance.
   bool mTargetsWorker = false;
   std::int64_t mThreads = 8;
-  /// Requests a second over all threads; 0: each thread sends the next request
-  /// when the last one was answered.
+  /// Requests per second of all threads together; 0 for a closed loop, in which
+  /// each thread sends a request when its previous one has ended.
   std::int64_t mRate = 0;
   std::int64_t mSeconds = 5;
   std::int64_t mWorkMs = 5;
@@ -45,15 +45,15 @@
   bool mHelp = false;
 };
 
-/// What one thread saw.
+/// Results of one thread.
 struct ThreadStats
 {
   std::map<std::string, std::int64_t> mOutcomes;
-  /// Milliseconds of completed requests.
+  /// Of completed requests, in milliseconds.
   std::vector<double> mLatencies;
   std::int64_t mSent = 0;
-  /// Open loop only: requests that started later than their deadline allows,
-  /// because every thread was waiting. They are not sent.
+  /// Open loop only: requests not sent, because no thread was free before their
+  /// deadline.
   std::int64_t mSkipped = 0;
 };
 
@@ -68,11 +68,15 @@
   add("target", options::value(&settings.mTarget), "IP:PORT");
   add("service", options::value(&settings.mService), "service name");
   add("worker", "the target is a worker stand-in without guards");
-  add("threads", options::value(&settings.mThreads), "requests at once");
-  add("rate", options::value(&settings.mRate), "requests a second; 0: closed");
+  add("threads", options::value(&settings.mThreads), "concurrent requests");
+  add("rate",
+      options::value(&settings.mRate),
+      "requests per second; 0: closed loop");
   add("seconds", options::value(&settings.mSeconds), "duration");
-  add("work-ms", options::value(&settings.mWorkMs), "work of one request");
-  add("deadline-ms", options::value(&settings.mDeadlineMs), "deadline");
+  add("work-ms", options::value(&settings.mWorkMs), "service time per request");
+  add("deadline-ms",
+      options::value(&settings.mDeadlineMs),
+      "deadline of a request");
   options::variables_map values;
   options::store(options::parse_command_line(aCount, aArguments, description),
                  values);
@@ -95,13 +99,14 @@
     aSettings.mWorkMs >= 0 && aSettings.mDeadlineMs >= 1;
   if (!isValid) {
     return base::MakeError(base::ErrorKind::InvalidArgument,
-                           "1 to 256 threads, 1 to 60 seconds, rate up to "
-                           "50000, positive deadline");
+                           "options out of range: threads 1 to 256, seconds 1 "
+                           "to 60, rate 0 to 50000, work-ms at least 0, "
+                           "deadline-ms at least 1");
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-/// Sends requests until its time is over.
+/// Sends requests for the configured duration.
 class Generator
 {
 public:
@@ -162,7 +167,8 @@
 
   void SendOne(std::int64_t aNumber, ThreadStats& aStats)
   {
-    // An instance that answers too late is seen as an error, not waited for.
+    // Response time allowed beyond the deadline, after which a request counts
+    // as a client error.
     constexpr std::chrono::milliseconds kResponseMargin{ 2000 };
     http::ClientRequest request;
     request.mMethod = "POST";
--- a/src/testing/platform_handler.cpp
+++ b/src/testing/platform_handler.cpp
@@ -32,7 +32,7 @@
   return response;
 }
 
-/// An answer that the fake lost is not sent at all.
+/// Drops the connection if the fake reports a lost answer.
 Response
 MakeFailureResponse(const base::Error& aError)
 {
--- a/src/testing/standin_platform_main.cpp
+++ b/src/testing/standin_platform_main.cpp
@@ -34,7 +34,7 @@
 ParseCommandLine(int aCount, char** aArguments)
 {
   Settings settings;
-  options::options_description description("Platform stand-in for tests");
+  options::options_description description("Simulated platform for tests");
   auto add = description.add_options();
   add("help", "print this text");
   add("listen", options::value(&settings.mServer.mAddress), "IP address");
@@ -44,13 +44,13 @@
       "JSON file with a list of instances");
   add("retention-records",
       options::value(&settings.mRetention.mMaxRecords),
-      "records kept per stream; 0: all");
+      "maximum of records kept per stream; 0: no limit");
   add("retention-seconds",
       options::value(&settings.mRetentionSeconds),
-      "age up to which records are kept; 0: any");
+      "maximum age of records; 0: no limit");
   add("lag-ms",
       options::value(&settings.mLagMs),
-      "time until a change of the list is visible");
+      "time until a change of the instance list is visible");
   options::variables_map values;
   options::store(options::parse_command_line(aCount, aArguments, description),
                  values);
--- a/src/testing/standin_worker_main.cpp
+++ b/src/testing/standin_worker_main.cpp
@@ -14,7 +14,7 @@
 namespace options = boost::program_options;
 using namespace skylarkhill;
 
-/// Threads beyond one per service connection, for commands and /admin.
+/// Threads for commands and /admin, in addition to one per service connection.
 constexpr std::size_t kCommandThreads = 64;
 constexpr std::int64_t kMilli = 1000;
 constexpr std::int64_t kGiB = std::int64_t{ 1 } << 30;
@@ -35,13 +35,14 @@
 options::options_description
 DescribeOptions(Settings& aSettings)
 {
-  options::options_description description("Worker stand-in for tests");
+  options::options_description description("Simulated worker for tests");
   auto add = description.add_options();
   add("help", "print this text");
   add("listen", options::value(&aSettings.mServer.mAddress), "IP address");
   add("port", options::value(&aSettings.mServer.mPort), "0: any free port");
   add("name", options::value(&aSettings.mWorker.mWorker.mValue), "worker id");
-  // The list of instances carries both; the worker itself needs neither.
+  // Accepted but unused: the instance list provides both to the entry
+  // instances.
   add("domain", options::value(&aSettings.mDomain), "failure domain");
   add("rack", options::value(&aSettings.mRack), "rack");
   add("processors", options::value(&aSettings.mProcessors), "processors");
@@ -49,15 +50,18 @@
   add("accelerators",
       options::value(&aSettings.mWorker.mCapacity.mAccelerators),
       "accelerators");
-  add("slots", options::value(&aSettings.mWorker.mSlots), "requests at once");
+  add(
+    "slots", options::value(&aSettings.mWorker.mSlots), "concurrent requests");
   add("connections",
       options::value(&aSettings.mWorker.mConnections),
-      "requests that run or wait");
-  add("usage-lag-ms", options::value(&aSettings.mUsageLagMs), "age of usage");
+      "maximum of running and waiting requests");
+  add("usage-lag-ms",
+      options::value(&aSettings.mUsageLagMs),
+      "age of reported usage");
   add("clock-offset-ms",
       options::value(&aSettings.mClockOffsetMs),
-      "the worker's clock minus the boot clock");
-  add("no-guards", "accept commands that a guard would refuse");
+      "offset of the worker's clock from the boot clock");
+  add("no-guards", "accept late, duplicate and unauthorized commands");
   return description;
 }
 
--- a/src/testing/tests_main_test.cpp
+++ b/src/testing/tests_main_test.cpp
@@ -21,7 +21,7 @@
 
 namespace {
 
-/// The exact test names in lines "test: NAME" of KNOWN-RED.txt.
+/// The test names in lines "test: NAME" of KNOWN-RED.txt.
 std::set<std::string>
 ReadKnownFailures()
 {
@@ -37,7 +37,7 @@
 }
 
 /// Prints the known failures and the closing line that CI reads. Returns the
-/// number of tests that failed without being known to.
+/// number of failed tests that are not known failures.
 std::size_t
 PrintSummary(const CppUnit::TestResultCollector& aCollector)
 {
@@ -97,8 +97,8 @@
     CppUnit::BriefTestProgressListener progress;
     controller.addListener(&collector);
     controller.addListener(&progress);
-    // The runner deletes the tests that it is given; the registry's tree must
-    // outlive it and is left to the end of the process.
+    // Neither is deleted: the runner would delete its tests, which may be
+    // children of `all`.
     CppUnit::Test* all = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
     auto* runner = new CppUnit::TestRunner;
     if (aCount > 1) {
--- a/src/testing/worker_handler.cpp
+++ b/src/testing/worker_handler.cpp
@@ -37,7 +37,7 @@
   return response;
 }
 
-/// An answer that the fake lost is not sent at all.
+/// Drops the connection if the fake reports a lost answer.
 Response
 MakeFailureResponse(const base::Error& aError)
 {
