--- a/include/skylarkhill/testing/fake_worker.hpp
+++ b/include/skylarkhill/testing/fake_worker.hpp
@@ -128,8 +128,8 @@
                        std::int64_t aPercent);
   /// Discards all tasks, leases and requests and makes the worker unreachable.
   void Crash();
-  /// Makes a crashed worker reachable again, without tasks and with no memory
-  /// of earlier attempts.
+  /// Makes a crashed worker reachable again, without tasks; earlier attempts
+  /// can start again.
   void Restart();
 
   /// Every interval in which an attempt ran, in start order.
--- a/src/testing/load_main.cpp
+++ b/src/testing/load_main.cpp
@@ -49,7 +49,7 @@
 struct ThreadStats
 {
   std::map<std::string, std::int64_t> mOutcomes;
-  /// Of completed requests, in milliseconds.
+  /// Latencies of completed requests in milliseconds.
   std::vector<double> mLatencies;
   std::int64_t mSent = 0;
   /// Open loop only: requests not sent, because no thread was free before their
@@ -74,9 +74,7 @@
       "requests per second; 0: closed loop");
   add("seconds", options::value(&settings.mSeconds), "duration");
   add("work-ms", options::value(&settings.mWorkMs), "service time per request");
-  add("deadline-ms",
-      options::value(&settings.mDeadlineMs),
-      "deadline of a request");
+  add("deadline-ms", options::value(&settings.mDeadlineMs), "deadline");
   options::variables_map values;
   options::store(options::parse_command_line(aCount, aArguments, description),
                  values);
