--- a/include/skylarkhill/testing/platform_handler.hpp
+++ b/include/skylarkhill/testing/platform_handler.hpp
@@ -11,7 +11,7 @@
 
 namespace skylarkhill::testing {
 
-/// The HTTP interface of the platform stand-in:
+/// The HTTP interface of the simulated platform:
 /// POST /log/<stream>, GET /log/<stream>?from=N&max=M, GET /instances.
 ///
 /// POST /admin injects faults and changes the list, with any of these members:
--- a/include/skylarkhill/testing/worker_handler.hpp
+++ b/include/skylarkhill/testing/worker_handler.hpp
@@ -7,7 +7,7 @@
 
 namespace skylarkhill::testing {
 
-/// The HTTP interface of the worker stand-in: the commands of worker_codec.hpp.
+/// The HTTP interface of a simulated worker: the commands of worker_codec.hpp.
 ///
 /// POST /admin injects faults, with any of these members: "fail_all", "leaving"
 /// and "silent" (true or false); "lose_answers" and "mismatch_answers" (number
--- a/src/testing/load_main.cpp
+++ b/src/testing/load_main.cpp
@@ -62,12 +62,12 @@
 {
   Settings settings;
   options::options_description description(
-    "Load generator for one entry instance or worker stand-in");
+    "Load generator for one entry instance or simulated worker");
   auto add = description.add_options();
   add("help", "print this text");
   add("target", options::value(&settings.mTarget), "IP:PORT");
   add("service", options::value(&settings.mService), "service name");
-  add("worker", "the target is a worker stand-in without guards");
+  add("worker", "the target is a simulated worker without guards");
   add("threads", options::value(&settings.mThreads), "concurrent requests");
   add("rate",
       options::value(&settings.mRate),
