--- a/include/skylarkhill/testing/bench_site.hpp
+++ b/include/skylarkhill/testing/bench_site.hpp
@@ -19,56 +19,58 @@
 struct BenchService
 {
   std::string mName;
-  /// Mean service time on an undisturbed worker.
-  base::Duration mMeanTime{ 0 };
-  /// Time from arrival until an answer is useless.
+  /// Mean service time on a worker without batch tasks.
+  base::Duration mMeanServiceTime{ 0 };
+  /// Time from arrival until the response is due.
   base::Duration mDeadline{ 0 };
-  /// Hidden: percent points that one unthrottled task of each batch class adds
-  /// to the service time when half of the slots are busy.
+  /// Hidden from the policies: increase of the service time in percent by one
+  /// unthrottled task of each batch class when half of the slots are busy.
   std::vector<double> mInterference;
 };
 
 /// A batch class of a site.
-struct BenchClass
+struct BenchBatchClass
 {
   std::string mName;
   base::Resources mDeclared;
   std::int64_t mDeclaredRunSeconds = 0;
-  /// Share of the class in all arrivals.
-  double mShare = 0.0;
-  /// Its tasks write a checkpoint now and then and before an eviction.
-  bool mCheckpoints = true;
-  double mMeanSeconds = 0.0;
-  /// Hidden: processors that a task uses per declared processor.
-  double mActualShare = 1.0;
+  /// Fraction of task arrivals that belong to this class.
+  double mArrivalShare = 0.0;
+  /// Tasks write checkpoints periodically and before an eviction.
+  bool mHasCheckpoints = true;
+  double mMeanRunSeconds = 0.0;
+  /// Hidden from the policies: processors used per declared processor.
+  double mActualUseRatio = 1.0;
 };
 
-/// A site and its load.
+/// A simulated site and its load.
 struct BenchSite
 {
   std::string mName;
   policy::Profile mProfile = policy::Profile::Throughput;
   std::size_t mWorkers = 0;
   std::size_t mRackSize = 0;
-  std::size_t mDomains = 0;
+  std::size_t mDomainCount = 0;
   base::Duration mDomainLatency{ 0 };
   base::Duration mClientLatency = std::chrono::milliseconds(1);
+  /// Concurrent service requests per worker.
   std::int64_t mSlots = 8;
   std::int64_t mConnections = 64;
   std::vector<BenchService> mServices;
-  std::vector<BenchClass> mClasses;
-  base::Duration mLength = std::chrono::seconds(180);
+  std::vector<BenchBatchClass> mBatchClasses;
+  base::Duration mDuration = std::chrono::seconds(180);
 };
 
-/// The site named `aName` without its hidden values, or nothing.
+/// The site named `aName` with its hidden values unset, or nothing if there is
+/// no such site.
 std::optional<BenchSite>
 FindBenchSite(std::string_view aName);
 
-/// Draws the hidden values of `aSite`.
+/// Sets the hidden values of `aSite` and the declared run times at random.
 void
 DrawHiddenValues(BenchSite& aSite, base::Random& aRandom);
 
-/// A lognormal factor with mean 1.
+/// A lognormally distributed factor with mean 1.
 double
 DrawLognormal(base::Random& aRandom, double aSigma);
 
--- a/src/testing/bench_main.cpp
+++ b/src/testing/bench_main.cpp
@@ -22,7 +22,7 @@
   std::string mSvg;
   std::uint64_t mSeeds = 5;
   std::uint64_t mFirstSeed = 1;
-  bool mDecisions = false;
+  bool mMeasuresDecisions = false;
   bool mHelp = false;
 };
 
@@ -31,17 +31,17 @@
 {
   Settings settings;
   options::options_description description(
-    "Measures the scheduling policies against their baselines");
+    "Compares the scheduling policies with the baseline by simulation");
   auto add = description.add_options();
   add("help", "print this text");
-  add("site", options::value(&settings.mSite), "direccion or exchange");
+  add("site", options::value(&settings.mSite), "site: direccion or exchange");
   add("seeds", options::value(&settings.mSeeds), "number of seeds");
   add("first-seed", options::value(&settings.mFirstSeed), "first seed");
-  add("output", options::value(&settings.mOutput), "text or json");
-  add("svg", options::value(&settings.mSvg), "file for a plot");
+  add("output", options::value(&settings.mOutput), "format: text or json");
+  add("svg", options::value(&settings.mSvg), "file for an SVG chart");
   add("decisions",
-      options::bool_switch(&settings.mDecisions),
-      "time placement decisions instead");
+      options::bool_switch(&settings.mMeasuresDecisions),
+      "measure the latency of placement decisions instead");
   options::variables_map values;
   options::store(options::parse_command_line(aCount, aArguments, description),
                  values);
@@ -54,14 +54,15 @@
 }
 
 int
-RunDecisions()
+PrintDecisionLatencies()
 {
   constexpr std::size_t kDecisions = 2000;
   std::cout << "placement decision in microseconds\n";
   for (const auto profile :
        { policy::Profile::Throughput, policy::Profile::Tail }) {
     for (const std::size_t workers : { 65, 650, 2000, 7900 }) {
-      const auto time = testing::MeasureDecisions(profile, workers, kDecisions);
+      const auto time =
+        testing::MeasureDecisionLatency(profile, workers, kDecisions);
       std::cout << policy::NameOf(profile) << " workers=" << workers
                 << " p50=" << time.mP50 << " p99=" << time.mP99 << '\n';
     }
@@ -98,7 +99,7 @@
   const bool isJson = aSettings.mOutput == "json";
   if (!site || aSettings.mSeeds == 0 ||
       (!isJson && aSettings.mOutput != "text")) {
-    std::cerr << "see --help for the accepted values" << std::endl;
+    std::cerr << "invalid --site, --seeds or --output; see --help" << std::endl;
     return 2;
   }
   const testing::BenchResult result = RunSite(*site, aSettings);
@@ -125,7 +126,8 @@
     if (settings.mHelp) {
       return 0;
     }
-    return settings.mDecisions ? RunDecisions() : Run(settings);
+    return settings.mMeasuresDecisions ? PrintDecisionLatencies()
+                                       : Run(settings);
   } catch (const std::exception& e) {
     std::cerr << e.what() << std::endl;
     return 2;
