--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -49,12 +49,12 @@
   /// Adds a worker or replaces its entry.
   virtual void SetWorker(const WorkerEntry& aEntry, base::TimePoint aNow) = 0;
   /// The worker is no longer in the registry.
-  virtual void RemoveWorker(const std::string& aWorkerId,
-                            base::TimePoint aNow) = 0;
-  /// Adds a job. `aIsInherited` is true if an earlier leader may have started
-  /// tasks of the job.
-  virtual void AddJob(const jobs::JobRecord& aJob,
-                      bool aIsInherited,
+  virtual void OnWorkerUnregistered(const std::string& aWorkerId,
+                                    base::TimePoint aNow) = 0;
+  /// Adds a job. `aIsFromEarlierTerm` is true if an earlier leader may have
+  /// started tasks of the job.
+  virtual void AddJob(const jobs::JobEntry& aJob,
+                      bool aIsFromEarlierTerm,
                       base::TimePoint aNow) = 0;
   virtual void CancelJob(const std::string& aJobId, base::TimePoint aNow) = 0;
 
@@ -85,12 +85,12 @@
 
   /// No other node took over the leadership before `aConfirmedAt`. Calls may be
   /// sent and leases extended until `aUntil`.
-  virtual void SetLeadershipLease(base::TimePoint aConfirmedAt,
-                                  base::TimePoint aUntil) = 0;
+  virtual void SetLeaderLease(base::TimePoint aConfirmedAt,
+                              base::TimePoint aUntil) = 0;
   /// Sends all calls that are due. `aUnixMs` is the Unix time.
   virtual void Tick(base::TimePoint aNow, std::int64_t aUnixMs) = 0;
   /// Time at which Tick must be called next.
-  virtual base::TimePoint NextTick() const = 0;
+  virtual base::TimePoint NextTickAt() const = 0;
 
   /// True if TakeDirty would return jobs.
   virtual bool IsDirty() const = 0;
--- a/include/skylarkhill/dispatch/worker.hpp
+++ b/include/skylarkhill/dispatch/worker.hpp
@@ -36,7 +36,7 @@
 struct WorkerEntry
 {
   std::string mId;
-  std::string mService;
+  std::string mPool;
   /// "IP:PORT".
   std::string mAddress;
   std::string mDomain;
@@ -53,13 +53,13 @@
 struct ActiveRun
 {
   TaskId mTask;
-  int mRun = 0;
+  int mRunNumber = 0;
   /// Latest checkpoint; empty if there is none.
   std::string mCheckpoint;
-  int mPercent = 0;
+  int mProgressPercent = 0;
   /// Tail latency in ms for a service task, processors in use in thousandths
   /// for any other task. Negative if not reported.
-  std::int64_t mMeasurement = -1;
+  std::int64_t mTailLatencyOrUse = -1;
 };
 
 /// How a run ended.
@@ -86,7 +86,7 @@
   /// Sequence number among the ended runs of this incarnation, from 1.
   std::int64_t mSequence = 0;
   TaskId mTask;
-  int mRun = 0;
+  int mRunNumber = 0;
   RunOutcome mOutcome = RunOutcome::Failed;
   std::string mCheckpoint;
 };
@@ -159,7 +159,7 @@
   std::string mWorkerId;
   std::string mAddress;
   TaskId mTask;
-  int mRun = 0;
+  int mRunNumber = 0;
   std::string mPayload;
   std::string mCheckpoint;
   std::int64_t mLeaseUntilMs = 0;
@@ -197,7 +197,7 @@
   std::string mWorkerId;
   std::string mAddress;
   TaskId mTask;
-  int mRun = 0;
+  int mRunNumber = 0;
 };
 
 /// Sets the speed of a run.
@@ -206,9 +206,9 @@
   std::string mWorkerId;
   std::string mAddress;
   TaskId mTask;
-  int mRun = 0;
+  int mRunNumber = 0;
   /// Percent of full speed; 0 pauses the run.
-  int mPercent = 100;
+  int mPacePercent = 100;
 };
 
 /// Sends calls to workers and to the advice service. Results are passed to the
--- a/include/skylarkhill/jobs/job.hpp
+++ b/include/skylarkhill/jobs/job.hpp
@@ -67,17 +67,17 @@
 {
   std::string mQueue;
   /// The pool of workers that runs the tasks.
-  std::string mService;
+  std::string mPool;
   /// 0 is the highest priority.
   int mPriority = 0;
   /// Number of failed runs of one task after which the job fails.
-  int mMaxAttempts = 1;
+  int mMaxFailedRuns = 1;
   /// The objective of a job is the length of its critical path times this
   /// factor, plus the target latency.
   double mSlackFactor = 1.0;
   std::int64_t mTargetLatencyMs = 0;
   /// Starts need a ticket of the advice service.
-  bool mNeedsAdvice = false;
+  bool mNeedsTicket = false;
 };
 
 /// An accepted job.
@@ -136,7 +136,7 @@
   JobState mState = JobState::Pending;
   /// Tasks of the job may have been started. Becomes durable before the first
   /// start.
-  bool mIsReleased = false;
+  bool mMayHaveStarted = false;
   std::vector<StepProgress> mSteps;
 };
 
--- a/include/skylarkhill/jobs/job_codec.hpp
+++ b/include/skylarkhill/jobs/job_codec.hpp
@@ -28,11 +28,11 @@
 {
   RecordKind mKind = RecordKind::Submission;
   /// Worker id for RecordKind::Worker.
-  std::string mJobId;
+  std::string mId;
 };
 
 std::string
-FormatRecordKey(RecordKind aKind, std::string_view aJobId);
+FormatRecordKey(RecordKind aKind, std::string_view aId);
 
 /// Returns nothing if the key is malformed.
 std::optional<RecordKey>
--- a/include/skylarkhill/jobs/job_table.hpp
+++ b/include/skylarkhill/jobs/job_table.hpp
@@ -16,7 +16,7 @@
 namespace skylarkhill::jobs {
 
 /// Contents of the journal for one job.
-struct JobRecord
+struct JobEntry
 {
   /// Empty until the submission record has been read.
   std::optional<Submission> mSubmission;
@@ -44,11 +44,11 @@
   std::optional<JobState> StateOf(const std::string& aJobId) const;
   /// True if the submission of the job has been read.
   bool Contains(const std::string& aJobId) const;
-  std::optional<JobRecord> Find(const std::string& aJobId) const;
+  std::optional<JobEntry> Find(const std::string& aJobId) const;
   /// Number of pending jobs of `aQueue`.
   std::size_t CountPending(std::string_view aQueue) const;
   /// Copies of all jobs whose submission has been read.
-  std::vector<JobRecord> List() const;
+  std::vector<JobEntry> List() const;
   /// Ids of jobs in a final state that were accepted before
   /// `aAcceptedBeforeMs`.
   std::vector<std::string> ListFinal(std::int64_t aAcceptedBeforeMs) const;
@@ -58,7 +58,7 @@
   struct Shard
   {
     mutable std::mutex mLock;
-    std::unordered_map<std::string, JobRecord> mJobs;
+    std::unordered_map<std::string, JobEntry> mJobs;
   };
 
   static constexpr std::size_t kShards = 16;
--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -3,8 +3,8 @@
 
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/base/error.hpp"
+#include "skylarkhill/node/log_stream_reader.hpp"
 #include "skylarkhill/node/shared_log.hpp"
-#include "skylarkhill/node/stream_tail.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -18,7 +18,7 @@
 {
   /// Term number, higher with each claim; the fencing token of the leader.
   std::int64_t mEpoch = 0;
-  /// NodeOptions::mNodeId of the leader.
+  /// NodeOptions::mInstanceId of the leader.
   std::string mLeaderId;
   /// The leader gives up the leadership.
   bool mIsResigned = false;
@@ -42,14 +42,14 @@
 class Leadership
 {
 public:
-  Leadership(SharedLog& aLog,
+  Leadership(AsyncLog& aLog,
              const base::Clock& aClock,
              LogStream aStream,
-             std::string aNodeId,
-             double aProcessorShare);
+             std::string aInstanceId,
+             double aProcessors);
 
   /// Starts the reads, claims and renewals that are due.
-  void Poll();
+  void Tick();
   /// Gives up the leadership, if held, and never claims it again.
   void Resign();
   /// Stops leading because another node may have taken over; stays a candidate.
@@ -66,7 +66,7 @@
   {
     return mPreviousLeaderLeaseEnd;
   }
-  base::TimePoint NextPollAt() const;
+  base::TimePoint NextTickAt() const;
   /// The newest record of the stream; empty if there is none.
   const std::optional<LeaderRecord>& NewestRecord() const
   {
@@ -82,12 +82,12 @@
                   base::TimePoint aSentAt);
   void BecomeLeader(std::int64_t aEpoch, base::TimePoint aClaimedAt);
 
-  SharedLog& mLog;
+  AsyncLog& mLog;
   const base::Clock& mClock;
   const LogStream mStream;
-  const std::string mNodeId;
-  const double mProcessorShare;
-  StreamTail mTail;
+  const std::string mInstanceId;
+  const double mProcessors;
+  LogStreamReader mReader;
   std::optional<LeaderRecord> mNewestRecord;
   base::TimePoint mNewestReadAt;
   /// When the last claim of this node was sent.
--- a/include/skylarkhill/node/stream_tail.hpp
+++ b/include/skylarkhill/node/log_stream_reader.hpp
@@ -1,5 +1,5 @@
-#ifndef SKYLARKHILL_NODE_STREAM_TAIL_HPP
-#define SKYLARKHILL_NODE_STREAM_TAIL_HPP
+#ifndef SKYLARKHILL_NODE_LOG_STREAM_READER_HPP
+#define SKYLARKHILL_NODE_LOG_STREAM_READER_HPP
 
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/node/shared_log.hpp"
@@ -11,8 +11,8 @@
 
 namespace skylarkhill::node {
 
-/// Callbacks of a StreamTail.
-struct TailHandlers
+/// Callbacks of a LogStreamReader.
+struct LogStreamHandlers
 {
   std::function<void(const LogRecord&)> mOnRecord;
   /// Receives the newest record of every key, after the start and whenever
@@ -23,19 +23,19 @@
 
 /// Reads a stream continuously. Not thread-safe: used on the call loop's thread
 /// only.
-class StreamTail
+class LogStreamReader
 {
 public:
-  StreamTail(SharedLog& aLog,
-             const base::Clock& aClock,
-             LogStream aStream,
-             TailHandlers aHandlers);
+  LogStreamReader(AsyncLog& aLog,
+                  const base::Clock& aClock,
+                  LogStream aStream,
+                  LogStreamHandlers aHandlers);
 
   /// Starts a read unless one is in progress or the pause has not passed.
-  void Poll();
+  void Tick();
   /// Pause between the end of a read that delivered records and the next one.
   void SetPause(base::Duration aPause) { mPause = aPause; }
-  /// Makes the next Poll read without waiting for the end of the pause.
+  /// Makes the next Tick read without waiting for the end of the pause.
   void SkipPause();
 
   /// True once the newest record of every key has been delivered.
@@ -47,10 +47,10 @@
   base::TimePoint ReachableSince() const { return mReachableSince; }
   /// Offset of the next record to deliver.
   std::int64_t NextOffset() const { return mNextOffset; }
-  /// When Poll is due; never while a read is in progress.
-  base::TimePoint NextPollAt() const
+  /// When Tick is due; never while a read is in progress.
+  base::TimePoint NextTickAt() const
   {
-    return mIsReading ? base::kNoDeadline : mNextPollAt;
+    return mIsReading ? base::kNoDeadline : mNextReadAt;
   }
   /// Failed reads since the last successful one.
   int ConsecutiveFailures() const { return mConsecutiveFailures; }
@@ -62,10 +62,10 @@
   void OnFailure();
   void OnSuccess(base::TimePoint aSentAt);
 
-  SharedLog& mLog;
+  AsyncLog& mLog;
   const base::Clock& mClock;
   const LogStream mStream;
-  const TailHandlers mHandlers;
+  const LogStreamHandlers mHandlers;
   base::Duration mPause{ 0 };
   bool mIsLoaded = false;
   bool mIsReading = false;
@@ -74,9 +74,9 @@
   std::atomic<std::int64_t> mNextOffset{ 0 };
   base::TimePoint mUpToDateAt;
   base::TimePoint mReachableSince;
-  base::TimePoint mNextPollAt;
+  base::TimePoint mNextReadAt;
 };
 
 } // namespace skylarkhill::node
 
-#endif // SKYLARKHILL_NODE_STREAM_TAIL_HPP
+#endif // SKYLARKHILL_NODE_LOG_STREAM_READER_HPP
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -9,9 +9,9 @@
 #include "skylarkhill/metrics/registry.hpp"
 #include "skylarkhill/node/job_service.hpp"
 #include "skylarkhill/node/leadership.hpp"
+#include "skylarkhill/node/log_stream_reader.hpp"
 #include "skylarkhill/node/route_table.hpp"
 #include "skylarkhill/node/shared_log.hpp"
-#include "skylarkhill/node/stream_tail.hpp"
 
 #include <atomic>
 #include <functional>
@@ -52,18 +52,18 @@
 {
 public:
   /// Ends a term; the outcomes of calls in flight are dropped.
-  virtual void Detach() = 0;
+  virtual void ClearDispatcher() = 0;
   /// Begins a term; outcomes are passed to `aDispatcher`.
-  virtual void Attach(std::int64_t aEpoch,
-                      dispatch::Dispatcher& aDispatcher) = 0;
+  virtual void SetDispatcher(std::int64_t aEpoch,
+                             dispatch::Dispatcher& aDispatcher) = 0;
 };
 
 struct NodeOptions
 {
   /// Differs between nodes and between processes of one node.
-  std::string mNodeId;
+  std::string mInstanceId;
   /// Processors that this process may use; may be a fraction.
-  double mProcessorShare = 1.0;
+  double mProcessors = 1.0;
   NodeStreams mStreams;
   dispatch::DispatchLimits mLimits;
 };
@@ -75,7 +75,7 @@
 {
 public:
   Node(NodeOptions aOptions,
-       SharedLog& aLog,
+       AsyncLog& aLog,
        BlockingLog& aBlockingLog,
        WorkerClient& aWorkerClient,
        const RecordDecoder& aDecoder,
@@ -85,16 +85,16 @@
   ~Node();
 
   /// Runs all work that is due.
-  void Poll();
-  /// When to call Poll next if no event arrives before.
-  base::TimePoint NextPollAt() const;
+  void Tick();
+  /// When to call Tick next if no event arrives before.
+  base::TimePoint NextTickAt() const;
   /// Gives up the leadership before the process stops.
   void Resign();
 
-  JobService& Service() { return mService; }
+  JobService& GetJobService() { return mJobService; }
   /// True if this node can serve callers. Thread-safe.
   bool IsReady() const { return mIsReady; }
-  bool IsLeader() const { return mDispatcher != nullptr; }
+  bool IsDispatching() const { return mDispatcher != nullptr; }
 
 private:
   struct KnownWorker
@@ -117,9 +117,9 @@
   /// deletions for workers that left the registry long enough ago.
   void AddWorkerRecords();
   void UpdateTerm();
-  void BeginTerm();
+  void PrepareTerm();
   void EndTerm();
-  void FenceJournal();
+  void FenceEarlierWriters();
   void StartDispatcher();
   void Flush();
   void SendBatch();
@@ -129,7 +129,7 @@
   void UpdateReadiness();
 
   const NodeOptions mOptions;
-  SharedLog& mLog;
+  AsyncLog& mLog;
   WorkerClient& mWorkerClient;
   const RecordDecoder& mDecoder;
   const base::Clock& mClock;
@@ -140,25 +140,25 @@
   metrics::Distribution& mFlushSeconds;
 
   jobs::JobTable mJobs;
-  StreamTail mConfigurationTail;
-  StreamTail mWorkerTail;
-  StreamTail mJournalTail;
+  LogStreamReader mConfigurationReader;
+  LogStreamReader mWorkerReader;
+  LogStreamReader mJournalReader;
   std::atomic<std::int64_t> mNextJournalOffset{ kJournalNotLoaded };
-  JobService mService;
+  JobService mJobService;
   Leadership mLeadership;
   std::map<std::string, KnownWorker> mWorkers;
   /// Ids of the workers that are recorded in the journal. A leader that starts
   /// while the registry is incomplete polls these workers as well.
   std::set<std::string> mJournaledWorkers;
   std::atomic<bool> mIsReady{ false };
-  base::TimePoint mLastPollAt;
+  base::TimePoint mLastTickAt;
   /// When this process last resumed after a pause.
   base::TimePoint mResumedAt;
 
   /// Epoch of the term that this node leads or prepares; 0: none.
   std::int64_t mEpoch = 0;
-  bool mIsJournalFenced = false;
-  base::TimePoint mJournalFencedAt;
+  bool mAreEarlierWritersFenced = false;
+  base::TimePoint mEarlierWritersFencedAt;
   bool mIsFlushInFlight = false;
   base::TimePoint mNextFlushAt;
   std::int64_t mSequence = 0;
--- a/include/skylarkhill/node/shared_log.hpp
+++ b/include/skylarkhill/node/shared_log.hpp
@@ -85,10 +85,10 @@
 };
 
 /// Asynchronous access to the log; handlers run on the call loop's thread.
-class SharedLog
+class AsyncLog
 {
 public:
-  virtual ~SharedLog() = default;
+  virtual ~AsyncLog() = default;
   virtual void Append(const AppendRequest& aRequest,
                       base::TimePoint aDeadline,
                       std::function<void(AppendResult)> aHandler) = 0;
--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -56,7 +56,7 @@
   }
 
 private:
-  static ExitCode Serve(const adapter::InstanceSettings& aSettings,
+  static ExitCode Serve(const adapter::PlatformInstanceSettings& aSettings,
                         std::uint16_t aMetricsPort)
   {
     // Blocked before the first thread starts, so that every thread inherits
--- a/src/dispatch/colocation_model.cpp
+++ b/src/dispatch/colocation_model.cpp
@@ -35,11 +35,11 @@
 
 /// Variance of the difference in saturation between two tasks of a service,
 /// both without colocated backfill. Measured deviations were 0.05 to 0.1.
-constexpr double kBaselineNoise = 0.01;
+constexpr double kBaselineVariance = 0.01;
 /// Variance if all other reporting tasks have colocated backfill.
-constexpr double kColocatedBaselineNoise = 0.03;
+constexpr double kColocatedBaselineVariance = 0.03;
 /// Variance if no other task has reported.
-constexpr double kDefaultBaselineNoise = 0.06;
+constexpr double kDefaultBaselineVariance = 0.06;
 
 /// Tail ratio of an idle service task: sites set the target to five times the
 /// idle tail latency.
@@ -54,7 +54,7 @@
 struct BaselineEstimate
 {
   Saturation mBaseline = kDefaultBaseline;
-  double mNoise = kDefaultBaselineNoise;
+  double mVariance = kDefaultBaselineVariance;
 };
 
 /// Median baseline of the tasks of a service, without the run `aExcept`.
@@ -67,7 +67,7 @@
   std::vector<double> colocated;
   for (const TaskState& task : aService.mTasks) {
     for (const RunState& it : task.mRuns) {
-      if (&it != aExcept && it.mMeasurement > 0 &&
+      if (&it != aExcept && it.mTailLatencyOrUse > 0 &&
           it.mBaselineAt + kMaxBaselineAge > aNow) {
         (it.mIsColocated ? colocated : isolated).push_back(it.mBaseline);
       }
@@ -81,7 +81,7 @@
     baselines.begin() + static_cast<std::ptrdiff_t>((baselines.size() - 1) / 2);
   std::nth_element(baselines.begin(), middle, baselines.end());
   return { *middle,
-           isolated.empty() ? kColocatedBaselineNoise : kBaselineNoise };
+           isolated.empty() ? kColocatedBaselineVariance : kBaselineVariance };
 }
 
 /// By backfill image: share of the worker's processors at the last report.
@@ -91,8 +91,8 @@
   std::map<int, double> shares;
   for (const RunState* it : aWorker.mRuns) {
     const StepState& step = *it->mTask->mStep;
-    if (step.mSpec->mIsBackfill && it->mMeasurement > 0) {
-      shares[step.mImage] += ShareOf(it->mMeasurement, aWorker);
+    if (step.mSpec->mIsBackfill && it->mTailLatencyOrUse > 0) {
+      shares[step.mImage] += ShareOf(it->mTailLatencyOrUse, aWorker);
     }
   }
   return shares;
@@ -136,12 +136,13 @@
 }
 
 void
-ColocationModel::Record(WorkerState& aWorker, base::TimePoint aNow)
+ColocationModel::Update(WorkerState& aWorker, base::TimePoint aNow)
 {
   std::vector<RunState*> services;
   for (RunState* it : aWorker.mRuns) {
     const jobs::Step& step = *it->mTask->mStep->mSpec;
-    if (step.mIsService && step.mTailTargetMs > 0 && it->mMeasurement > 0) {
+    if (step.mIsService && step.mTailTargetMs > 0 &&
+        it->mTailLatencyOrUse > 0) {
       services.push_back(it);
     }
   }
@@ -166,10 +167,10 @@
     step.mBaseline = EstimateBaseline(step, nullptr, aNow).mBaseline;
     if (!backfill.empty()) {
       const BaselineEstimate others = EstimateBaseline(step, it, aNow);
-      mEstimator.Record(step.mImage,
+      mEstimator.Update(step.mImage,
                         backfill,
                         SaturationOf(TailRatioOf(*it)) - others.mBaseline,
-                        others.mNoise);
+                        others.mVariance);
     }
   }
 }
@@ -183,9 +184,9 @@
 }
 
 Saturation
-ColocationModel::InterferenceUpperBound(int aServiceImage,
-                                        int aBackfillImage,
-                                        double aShare) const
+ColocationModel::CautiousInterference(int aServiceImage,
+                                      int aBackfillImage,
+                                      double aShare) const
 {
   const PairEstimate estimate =
     mEstimator.Estimate(aServiceImage, aBackfillImage);
@@ -255,8 +256,8 @@
 TailRatioOf(const RunState& aRun)
 {
   const auto target = aRun.mTask->mStep->mSpec->mTailTargetMs;
-  return aRun.mMeasurement > 0 && target > 0
-           ? static_cast<double>(aRun.mMeasurement) /
+  return aRun.mTailLatencyOrUse > 0 && target > 0
+           ? static_cast<double>(aRun.mTailLatencyOrUse) /
                static_cast<double>(target)
            : kIdleRatio / (1.0 - kDefaultBaseline);
 }
--- a/src/dispatch/colocation_model.hpp
+++ b/src/dispatch/colocation_model.hpp
@@ -34,7 +34,7 @@
   int Intern(const std::string& aImage);
 
   /// Updates the estimates with the latest report of `aWorker`.
-  void Record(WorkerState& aWorker, base::TimePoint aNow);
+  void Update(WorkerState& aWorker, base::TimePoint aNow);
 
   /// Returns the expected interference of a backfill task that uses `aShare`
   /// (0 to 1) of the worker's processors.
@@ -43,9 +43,9 @@
                                   double aShare) const;
 
   /// Returns the expected interference plus one standard deviation.
-  Saturation InterferenceUpperBound(int aServiceImage,
-                                    int aBackfillImage,
-                                    double aShare) const;
+  Saturation CautiousInterference(int aServiceImage,
+                                  int aBackfillImage,
+                                  double aShare) const;
 
   /// Returns the expected interference of `aBackfill` at full pace with
   /// `aService` on the same worker.
--- a/src/dispatch/colocation_test.cpp
+++ b/src/dispatch/colocation_test.cpp
@@ -24,7 +24,7 @@
   {
     mSpecs.push_back(aSpec);
     mJobs.emplace_back();
-    mJobs.back().mSubmission.mPolicy.mService = "pool";
+    mJobs.back().mSubmission.mPolicy.mPool = "pool";
     mSteps.emplace_back();
     StepState& step = mSteps.back();
     step.mJob = &mJobs.back();
@@ -51,21 +51,23 @@
     auto& worker = mWorkers[aId];
     worker = std::make_unique<WorkerState>();
     worker->mEntry.mId = aId;
-    worker->mEntry.mService = "pool";
+    worker->mEntry.mPool = "pool";
     worker->mEntry.mCapacity = { 16000, std::int64_t{ 1 } << 36, 0 };
     worker->mHasReported = true;
     worker->mLastReportAt = mNow;
     return *worker;
   }
 
-  RunState& Run(TaskState& aTask, WorkerState& aWorker, std::int64_t aUsage)
+  RunState& Run(TaskState& aTask,
+                WorkerState& aWorker,
+                std::int64_t aTailLatencyOrUse)
   {
     RunState& run = aTask.mRuns.emplace_back();
     run.mTask = &aTask;
     run.mWorker = &aWorker;
     run.mIsConfirmed = true;
     run.mConfirmedAt = mNow - std::chrono::seconds(5);
-    run.mMeasurement = aUsage;
+    run.mTailLatencyOrUse = aTailLatencyOrUse;
     aWorker.mRuns.insert(&run);
     const jobs::Step& step = *aTask.mStep->mSpec;
     if (step.mIsBackfill) {
@@ -87,7 +89,7 @@
 
 private:
   std::list<jobs::Step> mSpecs;
-  std::list<JobState> mJobs;
+  std::list<ScheduledJob> mJobs;
   std::list<StepState> mSteps;
   std::list<TaskState> mTasks;
 };
@@ -137,20 +139,20 @@
     mFixture = std::make_unique<PlacementFixture>();
     mSensitive = mFixture->mModel.Intern("sensitive");
     mTolerant = mFixture->mModel.Intern("tolerant");
-    mLoud = mFixture->mModel.Intern("loud");
-    mLouder = mFixture->mModel.Intern("louder");
-    mQuiet = mFixture->mModel.Intern("quiet");
+    mInterfering = mFixture->mModel.Intern("loud");
+    mMostInterfering = mFixture->mModel.Intern("louder");
+    mHarmless = mFixture->mModel.Intern("quiet");
   }
 
   void LearnsWhichImagesInterfere()
   {
     TrainModel();
+    CPPUNIT_ASSERT(mFixture->mModel.ExpectedInterference(
+                     mSensitive, mInterfering, 0.1) > 0.15);
     CPPUNIT_ASSERT(
-      mFixture->mModel.ExpectedInterference(mSensitive, mLoud, 0.1) > 0.15);
-    CPPUNIT_ASSERT(
-      mFixture->mModel.ExpectedInterference(mSensitive, mQuiet, 0.1) < 0.08);
-    CPPUNIT_ASSERT(
-      mFixture->mModel.ExpectedInterference(mTolerant, mLoud, 0.1) < 0.08);
+      mFixture->mModel.ExpectedInterference(mSensitive, mHarmless, 0.1) < 0.08);
+    CPPUNIT_ASSERT(mFixture->mModel.ExpectedInterference(
+                     mTolerant, mInterfering, 0.1) < 0.08);
   }
 
   // The load of a service varies by half while some of its tasks have colocated
@@ -160,30 +162,34 @@
   {
     StepState& service = mFixture->AddStep(ServiceStep(), mSensitive, 3);
     WorkerState& alone = mFixture->AddWorker("a");
-    WorkerState& withLoud = mFixture->AddWorker("b");
-    WorkerState& withQuiet = mFixture->AddWorker("c");
+    WorkerState& withInterfering = mFixture->AddWorker("b");
+    WorkerState& withHarmless = mFixture->AddWorker("c");
     const std::vector<std::pair<WorkerState*, Saturation>> placements = {
-      { &alone, 0.0 }, { &withLoud, 0.2 }, { &withQuiet, 0.01 }
+      { &alone, 0.0 }, { &withInterfering, 0.2 }, { &withHarmless, 0.01 }
     };
     for (std::size_t n = 0; n < placements.size(); ++n) {
       mFixture->Run(service.mTasks[n], *placements[n].first, 50);
     }
-    mFixture->Run(mFixture->AddTask(BackfillStep(), mLoud), withLoud, 1600);
-    mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), withQuiet, 1600);
+    mFixture->Run(
+      mFixture->AddTask(BackfillStep(), mInterfering), withInterfering, 1600);
+    mFixture->Run(
+      mFixture->AddTask(BackfillStep(), mHarmless), withHarmless, 1600);
     for (int n = 0; n < 120; ++n) {
       const Saturation load = 0.45 + 0.22 * std::sin(n * 0.157);
       for (std::size_t index = 0; index < placements.size(); ++index) {
-        service.mTasks[index].mRuns.front().mMeasurement =
+        service.mTasks[index].mRuns.front().mTailLatencyOrUse =
           TailAt(load + placements[index].second);
-        mFixture->mModel.Record(*placements[index].first, mFixture->mNow);
+        mFixture->mModel.Update(*placements[index].first, mFixture->mNow);
       }
       mFixture->mNow += milliseconds(500);
     }
     CPPUNIT_ASSERT_DOUBLES_EQUAL(
-      0.2, mFixture->mModel.ExpectedInterference(mSensitive, mLoud, 0.1), 0.04);
+      0.2,
+      mFixture->mModel.ExpectedInterference(mSensitive, mInterfering, 0.1),
+      0.04);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(
       0.01,
-      mFixture->mModel.ExpectedInterference(mSensitive, mQuiet, 0.1),
+      mFixture->mModel.ExpectedInterference(mSensitive, mHarmless, 0.1),
       0.02);
   }
 
@@ -195,16 +201,16 @@
     StepState& service = mFixture->AddStep(ServiceStep(), mSensitive, 1);
     WorkerState& worker = mFixture->AddWorker("w");
     const Saturation interference =
-      mFixture->mModel.ExpectedInterference(mSensitive, mLoud, 0.1);
+      mFixture->mModel.ExpectedInterference(mSensitive, mInterfering, 0.1);
     RunState& run =
       mFixture->Run(service.mTasks.front(), worker, TailAt(0.3 + interference));
-    RunState& loud =
-      mFixture->Run(mFixture->AddTask(BackfillStep(), mLoud), worker, 1600);
-    mFixture->mModel.Record(worker, mFixture->mNow);
-    mFixture->mModel.Record(worker, mFixture->mNow);
-    worker.mRuns.erase(&loud);
-    run.mMeasurement = TailAt(0.3 + interference / 2);
-    mFixture->mModel.Record(worker, mFixture->mNow);
+    RunState& interfering = mFixture->Run(
+      mFixture->AddTask(BackfillStep(), mInterfering), worker, 1600);
+    mFixture->mModel.Update(worker, mFixture->mNow);
+    mFixture->mModel.Update(worker, mFixture->mNow);
+    worker.mRuns.erase(&interfering);
+    run.mTailLatencyOrUse = TailAt(0.3 + interference / 2);
+    mFixture->mModel.Update(worker, mFixture->mNow);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.3, BaselineOf(run), 0.05);
   }
 
@@ -215,14 +221,14 @@
     TrainModel();
     WorkerState& worker = mFixture->AddWorker("w");
     mFixture->Run(mFixture->AddTask(ServiceStep(), mSensitive), worker, 95);
-    RunState& loud =
-      mFixture->Run(mFixture->AddTask(BackfillStep(), mLoud), worker, 1600);
-    RunState& quiet =
-      mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), worker, 1600);
+    RunState& interfering = mFixture->Run(
+      mFixture->AddTask(BackfillStep(), mInterfering), worker, 1600);
+    RunState& harmless =
+      mFixture->Run(mFixture->AddTask(BackfillStep(), mHarmless), worker, 1600);
     AdjustPace(
       worker, mFixture->mModel, std::chrono::seconds(4), mFixture->mNow);
-    CPPUNIT_ASSERT(loud.mTargetPace < 100);
-    CPPUNIT_ASSERT_EQUAL(100, quiet.mTargetPace);
+    CPPUNIT_ASSERT(interfering.mTargetPace < 100);
+    CPPUNIT_ASSERT_EQUAL(100, harmless.mTargetPace);
   }
 
   // Two images interfere. If slowing down the worse one is sufficient, the
@@ -232,18 +238,18 @@
     WorkerState& worker = mFixture->AddWorker("w");
     StepState& service = mFixture->AddStep(ServiceStep(), mSensitive, 1);
     mFixture->Run(service.mTasks.front(), worker, TailAt(0.7));
-    RunState& loud =
-      mFixture->Run(mFixture->AddTask(BackfillStep(), mLoud), worker, 1600);
-    RunState& louder =
-      mFixture->Run(mFixture->AddTask(BackfillStep(), mLouder), worker, 1600);
-    TrainPair(mLoud, 1.0);
-    TrainPair(mLouder, 2.0);
+    RunState& interfering = mFixture->Run(
+      mFixture->AddTask(BackfillStep(), mInterfering), worker, 1600);
+    RunState& mostInterfering = mFixture->Run(
+      mFixture->AddTask(BackfillStep(), mMostInterfering), worker, 1600);
+    TrainPair(mInterfering, 1.0);
+    TrainPair(mMostInterfering, 2.0);
     service.mBaseline = 0.6;
     AdjustPace(
       worker, mFixture->mModel, std::chrono::seconds(4), mFixture->mNow);
-    CPPUNIT_ASSERT_EQUAL(100, loud.mTargetPace);
-    CPPUNIT_ASSERT(louder.mTargetPace < 100);
-    CPPUNIT_ASSERT(louder.mTargetPace > 0);
+    CPPUNIT_ASSERT_EQUAL(100, interfering.mTargetPace);
+    CPPUNIT_ASSERT(mostInterfering.mTargetPace < 100);
+    CPPUNIT_ASSERT(mostInterfering.mTargetPace > 0);
   }
 
   void PlacesInterferingBackfillWithTolerantServices()
@@ -254,10 +260,12 @@
     mFixture->Run(mFixture->AddTask(ServiceStep(), mSensitive), sensitive, 60);
     mFixture->Run(mFixture->AddTask(ServiceStep(), mTolerant), tolerant, 60);
     for (int n = 0; n < 3; ++n) {
-      mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), tolerant, 1600);
+      mFixture->Run(
+        mFixture->AddTask(BackfillStep(), mHarmless), tolerant, 1600);
     }
     CPPUNIT_ASSERT_EQUAL(
-      &tolerant, mFixture->Choose(mFixture->AddTask(BackfillStep(), mLoud)));
+      &tolerant,
+      mFixture->Choose(mFixture->AddTask(BackfillStep(), mInterfering)));
   }
 
   // The tasks of a wide step arrive together and must not all be placed by the
@@ -269,7 +277,7 @@
     mFixture->Run(mFixture->AddTask(ServiceStep(), mSensitive), worker, 45);
     int placed = 0;
     while (placed < 6) {
-      TaskState& task = mFixture->AddTask(BackfillStep(), mLoud);
+      TaskState& task = mFixture->AddTask(BackfillStep(), mInterfering);
       if (mFixture->Choose(task) == nullptr) {
         break;
       }
@@ -299,11 +307,12 @@
   {
     WorkerState& failing = mFixture->AddWorker("a");
     WorkerState& healthy = mFixture->AddWorker("b");
-    AddFailure(failing, 1.0, mFixture->mNow);
+    ChangeFailureScore(failing, 1.0, mFixture->mNow);
     for (int n = 0; n < 5; ++n) {
-      mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), healthy, 1600);
+      mFixture->Run(
+        mFixture->AddTask(BackfillStep(), mHarmless), healthy, 1600);
     }
-    const TaskState& task = mFixture->AddTask(BackfillStep(), mQuiet);
+    const TaskState& task = mFixture->AddTask(BackfillStep(), mHarmless);
     CPPUNIT_ASSERT_EQUAL(&healthy, mFixture->Choose(task));
     mFixture->mNow += std::chrono::seconds(10);
     failing.mLastReportAt = mFixture->mNow;
@@ -318,7 +327,7 @@
     WorkerState& worker = mFixture->AddWorker("w");
     mFixture->Run(mFixture->AddTask(ServiceStep(), mTolerant), worker, 120);
     RunState& backfill =
-      mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), worker, 1600);
+      mFixture->Run(mFixture->AddTask(BackfillStep(), mHarmless), worker, 1600);
     const auto limit = std::chrono::seconds(4);
     for (int n = 0; n < 6; ++n) {
       AdjustPace(worker, mFixture->mModel, limit, mFixture->mNow);
@@ -340,8 +349,8 @@
     const auto limit = std::chrono::seconds(4);
     AdjustPace(worker, mFixture->mModel, limit, mFixture->mNow);
     RunState& backfill =
-      mFixture->Run(mFixture->AddTask(BackfillStep(), mQuiet), worker, 1600);
-    service.mMeasurement = 150;
+      mFixture->Run(mFixture->AddTask(BackfillStep(), mHarmless), worker, 1600);
+    service.mTailLatencyOrUse = 150;
     mFixture->mNow += milliseconds(1600);
     AdjustPace(worker, mFixture->mModel, limit, mFixture->mNow);
     CPPUNIT_ASSERT_EQUAL(0, backfill.mTargetPace);
@@ -354,12 +363,12 @@
     TrainModel();
     ColocationModel successor;
     // Image indexes differ between processes.
-    const int loud = successor.Intern("loud");
+    const int interfering = successor.Intern("loud");
     const int sensitive = successor.Intern("sensitive");
     CPPUNIT_ASSERT(successor.Import(mFixture->mModel.Export()));
     CPPUNIT_ASSERT_DOUBLES_EQUAL(
-      mFixture->mModel.ExpectedInterference(mSensitive, mLoud, 0.1),
-      successor.ExpectedInterference(sensitive, loud, 0.1),
+      mFixture->mModel.ExpectedInterference(mSensitive, mInterfering, 0.1),
+      successor.ExpectedInterference(sensitive, interfering, 0.1),
       1e-9);
     CPPUNIT_ASSERT(!successor.Import("garbage"));
   }
@@ -377,7 +386,7 @@
       RunState& service = mFixture->Run(
         mFixture->AddTask(ServiceStep(), mSensitive), worker, tail);
       service.mTask->mStep->mBaseline = SaturationOf(tail / 100.0);
-      TaskState& task = mFixture->AddTask(BackfillStep(), mLoud);
+      TaskState& task = mFixture->AddTask(BackfillStep(), mInterfering);
       placedWithTime += mFixture->Choose(task) != nullptr ? 1 : 0;
       task.mStep->mIsUrgent = true;
       placedUrgently += mFixture->Choose(task) != nullptr ? 1 : 0;
@@ -406,9 +415,9 @@
       mFixture->Run(
         service.mTasks[1], colocated, TailAt(0.3 + 0.1 * aPerShare));
       mFixture->Run(mFixture->AddTask(BackfillStep(), aImage), colocated, 1600);
-      mFixture->mModel.Record(alone, mFixture->mNow);
+      mFixture->mModel.Update(alone, mFixture->mNow);
       colocated.mBackfillShares = { { aImage, 0.1 } };
-      mFixture->mModel.Record(colocated, mFixture->mNow);
+      mFixture->mModel.Update(colocated, mFixture->mNow);
       mFixture->mWorkers.erase("alone");
       mFixture->mWorkers.erase("beside");
     }
@@ -420,15 +429,16 @@
   {
     for (int n = 0; n < 40; ++n) {
       for (const int service : { mSensitive, mTolerant }) {
-        for (const int image : { mLoud, mQuiet }) {
+        for (const int image : { mInterfering, mHarmless }) {
           WorkerState& worker = mFixture->AddWorker("teacher");
-          const bool isInterfering = service == mSensitive && image == mLoud;
+          const bool isInterfering =
+            service == mSensitive && image == mInterfering;
           mFixture->Run(mFixture->AddTask(ServiceStep(), service),
                         worker,
                         isInterfering ? 160 : 42);
           mFixture->Run(mFixture->AddTask(BackfillStep(), image), worker, 1600);
           worker.mBackfillShares = { { image, 0.1 } };
-          mFixture->mModel.Record(worker, mFixture->mNow);
+          mFixture->mModel.Update(worker, mFixture->mNow);
         }
       }
     }
@@ -438,9 +448,9 @@
   std::unique_ptr<PlacementFixture> mFixture;
   int mSensitive = 0;
   int mTolerant = 0;
-  int mLoud = 0;
-  int mLouder = 0;
-  int mQuiet = 0;
+  int mInterfering = 0;
+  int mMostInterfering = 0;
+  int mHarmless = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ColocationTest);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -32,7 +32,7 @@
 
 /// Long-poll wait of workers with backfill: at most the half second that a
 /// reported tail covers.
-constexpr int kPollWaitSharedMs = 500;
+constexpr int kPollWaitColocatedMs = 500;
 /// Long-poll wait of other workers. Backfill placed during such a poll is
 /// monitored from the next poll on.
 constexpr int kPollWaitMs = 700;
@@ -50,7 +50,7 @@
 
 /// A worker whose registry entry is missing for longer is taken to have left.
 /// Entries lost in an outage of the store reappear within two seconds.
-constexpr Duration kUnlistedGrace = std::chrono::milliseconds(2500);
+constexpr Duration kUnregisteredGrace = std::chrono::milliseconds(2500);
 
 /// Minimum time without progress after which a run counts as stalled.
 constexpr Duration kMinStallTime = std::chrono::milliseconds(2000);
@@ -68,7 +68,7 @@
 /// processor use varies down to about this percentage.
 constexpr int kMinFullPaceEstimate = 70;
 /// Below this progress the reported use may cover less than half a second.
-constexpr int kMinMeasuredPercent = 3;
+constexpr int kMinMeasuredProgressPercent = 3;
 
 /// A duplicate of a task is started once its run has taken this multiple of the
 /// estimate.
@@ -88,7 +88,7 @@
 
 /// Maximum number of workers per call to the advice service; the objective of a
 /// job accounts for this many per step.
-constexpr std::size_t kMaxAdvisedWorkers = 30;
+constexpr std::size_t kMaxQueriedWorkers = 30;
 constexpr Duration kAdvicePause = std::chrono::milliseconds(100);
 /// Tickets are treated as expired this early, because a start takes time.
 constexpr Duration kTicketMargin = std::chrono::milliseconds(200);
@@ -134,7 +134,7 @@
     const bool wasDraining = worker->mEntry.mIsDraining;
     const bool hasMoved = worker->mEntry.mAddress != aEntry.mAddress;
     worker->mEntry = aEntry;
-    worker->mIsListed = true;
+    worker->mIsRegistered = true;
     if (hasMoved) {
       worker->mNextPollAt = std::min(worker->mNextPollAt, aNow);
     }
@@ -150,24 +150,25 @@
     RequestTick(aNow);
   }
 
-  void RemoveWorker(const std::string& aWorkerId, TimePoint aNow) override
+  void OnWorkerUnregistered(const std::string& aWorkerId,
+                            TimePoint aNow) override
   {
     const auto found = mWorkers.find(aWorkerId);
-    if (found != mWorkers.end() && found->second->mIsListed) {
-      found->second->mIsListed = false;
-      found->second->mUnlistedAt = aNow;
+    if (found != mWorkers.end() && found->second->mIsRegistered) {
+      found->second->mIsRegistered = false;
+      found->second->mUnregisteredAt = aNow;
     }
   }
 
-  void AddJob(const jobs::JobRecord& aJob,
-              bool aIsInherited,
+  void AddJob(const jobs::JobEntry& aJob,
+              bool aIsFromEarlierTerm,
               TimePoint aNow) override
   {
     if (!aJob.mSubmission || IsFinal(aJob.State()) ||
         mJobs.count(aJob.mSubmission->mId) != 0) {
       return;
     }
-    auto job = std::make_unique<JobState>();
+    auto job = std::make_unique<ScheduledJob>();
     job->mSubmission = *aJob.mSubmission;
     job->mState = aJob.mProgress.mState;
     const auto& policy = job->mSubmission.mPolicy;
@@ -176,15 +177,16 @@
                                 static_cast<double>(EstimateCriticalPathMs(
                                   job->mSubmission.mRequest))) +
       policy.mTargetLatencyMs;
-    job->mObjectiveMs = job->mSubmission.mAcceptedMs + objective;
-    job->mZeroValueMs = job->mSubmission.mAcceptedMs +
-                        static_cast<std::int64_t>(
-                          kZeroValueFactor * static_cast<double>(objective));
-    job->mIsReleased = aJob.mProgress.mIsReleased;
-    job->mIsReleaseRequested = job->mIsReleased;
-    CreateOccurrences(*job, mColocationModel, aIsInherited && job->mIsReleased);
+    job->mObjectiveAtMs = job->mSubmission.mAcceptedMs + objective;
+    job->mZeroValueAtMs = job->mSubmission.mAcceptedMs +
+                          static_cast<std::int64_t>(
+                            kZeroValueFactor * static_cast<double>(objective));
+    job->mIsStartRecorded = aJob.mProgress.mMayHaveStarted;
+    job->mIsStartRecordRequested = job->mIsStartRecorded;
+    CreateOccurrences(
+      *job, mColocationModel, aIsFromEarlierTerm && job->mIsStartRecorded);
     RestoreProgress(*job, aJob.mProgress);
-    JobState& added = *job;
+    ScheduledJob& added = *job;
     mJobs[added.mSubmission.mId] = std::move(job);
     BeginDueOccurrences(added, mUnixMs);
     UpdateReadySteps(added);
@@ -230,7 +232,7 @@
     worker.mLastReportAt = aNow;
     const bool mustWait = HandleEndedRuns(worker, aReport, aNow);
     HandleActiveRuns(worker, aReport, aSentAt, aNow);
-    mColocationModel.Record(worker, aNow);
+    mColocationModel.Update(worker, aNow);
     AdjustPace(worker, mColocationModel, mLimits.mMaxTailViolation, aNow);
     for (RunState* it : worker.mRuns) {
       if (it->mPace != it->mTargetPace) {
@@ -255,7 +257,7 @@
         "worker_silent",
         { { "worker", aWorkerId },
           { "runs", static_cast<std::int64_t>(worker.mRuns.size()) },
-          { "listed", worker.mIsListed ? "yes" : "no" } });
+          { "listed", worker.mIsRegistered ? "yes" : "no" } });
     }
     worker.mNextPollAt = aNow + kPollRetryPause;
   }
@@ -274,7 +276,7 @@
                      StartOutcome aOutcome,
                      TimePoint aNow) override
   {
-    RunState* run = FindRun(aCall.mTask, aCall.mRun, aCall.mWorkerId);
+    RunState* run = FindRun(aCall.mTask, aCall.mRunNumber, aCall.mWorkerId);
     if (aOutcome == StartOutcome::Fenced) {
       OnFenced(aCall.mWorkerId);
     }
@@ -287,7 +289,7 @@
       logging::Write(logging::Level::Info,
                      "start_not_accepted",
                      { { "task", ToText(aCall.mTask) },
-                       { "run", aCall.mRun },
+                       { "run", aCall.mRunNumber },
                        { "worker", aCall.mWorkerId },
                        { "outcome", NameOf(aOutcome) } });
     }
@@ -304,7 +306,7 @@
           std::max(run->mTask->mLastRun, run->mNumber + kRunNumberGap);
         break;
       case StartOutcome::NoRoom:
-        worker.mAvoidUntil = aNow + kNoRoomPause;
+        worker.mNoStartsUntil = aNow + kNoRoomPause;
         DropRefusedRun(*run);
         break;
       case StartOutcome::TicketInvalid:
@@ -317,8 +319,8 @@
         break;
       case StartOutcome::Unhealthy:
       case StartOutcome::Rejected:
-        worker.mAvoidUntil = aNow + kUnhealthyPause;
-        AddFailure(worker, 0.5, aNow);
+        worker.mNoStartsUntil = aNow + kUnhealthyPause;
+        ChangeFailureScore(worker, 0.5, aNow);
         DropRefusedRun(*run);
         break;
       case StartOutcome::Fenced:
@@ -335,7 +337,7 @@
     if (aOutcome == CallOutcome::Fenced) {
       OnFenced(aCall.mWorkerId);
     }
-    RunState* run = FindRun(aCall.mTask, aCall.mRun, aCall.mWorkerId);
+    RunState* run = FindRun(aCall.mTask, aCall.mRunNumber, aCall.mWorkerId);
     if (run == nullptr) {
       return;
     }
@@ -358,13 +360,13 @@
     if (aOutcome == CallOutcome::Fenced) {
       OnFenced(aCall.mWorkerId);
     }
-    RunState* run = FindRun(aCall.mTask, aCall.mRun, aCall.mWorkerId);
+    RunState* run = FindRun(aCall.mTask, aCall.mRunNumber, aCall.mWorkerId);
     if (run == nullptr) {
       return;
     }
     run->mIsPaceInFlight = false;
     if (aOutcome == CallOutcome::Accepted) {
-      run->mPace = aCall.mPercent;
+      run->mPace = aCall.mPacePercent;
       run->mProgressAt = aNow;
     } else {
       run->mNextCallAt = aNow + kResendPause;
@@ -389,7 +391,7 @@
     if (!aAdvice) {
       return;
     }
-    step->mAdvisedWorkers.insert(aCall.mWorkerIds.begin(),
+    step->mQueriedWorkers.insert(aCall.mWorkerIds.begin(),
                                  aCall.mWorkerIds.end());
     const TimePoint validUntil =
       aNow + std::chrono::milliseconds(aAdvice->mValidMs) - kTicketMargin;
@@ -400,15 +402,15 @@
     RequestTick(aNow);
   }
 
-  void SetLeadershipLease(TimePoint aConfirmedAt, TimePoint aUntil) override
+  void SetLeaderLease(TimePoint aConfirmedAt, TimePoint aUntil) override
   {
-    mLeadershipConfirmedAt = aConfirmedAt;
-    mLeadershipEndsAt = aUntil;
+    mLeaderLeaseConfirmedAt = aConfirmedAt;
+    mLeaderLeaseEndsAt = aUntil;
   }
 
   void Tick(TimePoint aNow, std::int64_t aUnixMs) override
   {
-    mNextTick = aNow + kTickInterval;
+    mNextTickAt = aNow + kTickInterval;
     if (mIsFenced) {
       return;
     }
@@ -425,10 +427,10 @@
         LogDispatchSummary(mJobs.size(), mReadySteps, mWorkers);
       }
     }
-    if (isFullTick || mMayHaveUnknownRuns) {
+    if (isFullTick || mAreReportsMissing) {
       CheckWorkers(aNow);
     }
-    if (aNow >= mLeadershipEndsAt) {
+    if (aNow >= mLeaderLeaseEndsAt) {
       return;
     }
     if (isFullTick) {
@@ -438,7 +440,7 @@
     SendCalls(aNow);
   }
 
-  TimePoint NextTick() const override { return mNextTick; }
+  TimePoint NextTickAt() const override { return mNextTickAt; }
 
   bool IsDirty() const override { return !mDirty.empty(); }
 
@@ -454,25 +456,25 @@
       }
     }
     mDirty.clear();
-    for (auto& it : mRequestedReleases) {
-      mPendingReleases.emplace_back(mBatch, std::move(it));
+    for (auto& it : mRequestedStartRecords) {
+      mPendingStartRecords.emplace_back(mBatch, std::move(it));
     }
-    mRequestedReleases.clear();
+    mRequestedStartRecords.clear();
     return { mBatch++, std::move(dirty) };
   }
 
   void OnDurable(std::uint64_t aBatch, TimePoint aNow) override
   {
     mDurableBatch = std::max(mDurableBatch, aBatch + 1);
-    while (!mPendingReleases.empty() &&
-           mPendingReleases.front().first < mDurableBatch) {
-      const auto found = mJobs.find(mPendingReleases.front().second);
+    while (!mPendingStartRecords.empty() &&
+           mPendingStartRecords.front().first < mDurableBatch) {
+      const auto found = mJobs.find(mPendingStartRecords.front().second);
       if (found != mJobs.end()) {
-        found->second->mIsReleased = true;
+        found->second->mIsStartRecorded = true;
         mIsPlacementDue = true;
         RequestTick(aNow);
       }
-      mPendingReleases.pop_front();
+      mPendingStartRecords.pop_front();
     }
     for (auto& [id, worker] : mWorkers) {
       auto& pending = worker->mPendingAcknowledgements;
@@ -534,7 +536,7 @@
     return nullptr;
   }
 
-  void MarkDirty(JobState& aJob)
+  void MarkDirty(ScheduledJob& aJob)
   {
     if (!aJob.mIsDirty) {
       aJob.mIsDirty = true;
@@ -544,7 +546,7 @@
 
   /// Marks steps whose dependencies are complete as ready. Ends the job if all
   /// steps are complete.
-  void UpdateReadySteps(JobState& aJob)
+  void UpdateReadySteps(ScheduledJob& aJob)
   {
     if (IsFinal(aJob.mState)) {
       return;
@@ -586,7 +588,7 @@
     }
   }
 
-  void EndJob(JobState& aJob, jobs::JobState aState)
+  void EndJob(ScheduledJob& aJob, jobs::JobState aState)
   {
     if (IsFinal(aJob.mState)) {
       return;
@@ -599,8 +601,8 @@
         { "queue", aJob.mSubmission.mPolicy.mQueue },
         { "state", jobs::NameOf(aState) },
         { "age_ms", mUnixMs - aJob.mSubmission.mAcceptedMs },
-        { "objective_ms", aJob.mObjectiveMs - aJob.mSubmission.mAcceptedMs },
-        { "late_ms", mUnixMs - aJob.mObjectiveMs } });
+        { "objective_ms", aJob.mObjectiveAtMs - aJob.mSubmission.mAcceptedMs },
+        { "late_ms", mUnixMs - aJob.mObjectiveAtMs } });
     // A cancellation is already durable.
     if (aState != jobs::JobState::Cancelled) {
       MarkDirty(aJob);
@@ -624,7 +626,7 @@
   void RemoveEndedJobs()
   {
     for (auto it = mJobs.begin(); it != mJobs.end();) {
-      JobState& job = *it->second;
+      ScheduledJob& job = *it->second;
       // If a job were removed before its end is durable, a repeated submission
       // would be treated as a new job.
       const bool isDurable =
@@ -694,7 +696,7 @@
       aRun.mConfirmedAt = aNow;
       aRun.mProgressAt = aNow;
     }
-    JobState& job = *aRun.mTask->mStep->mJob;
+    ScheduledJob& job = *aRun.mTask->mStep->mJob;
     if (job.mState == jobs::JobState::Pending) {
       job.mState = jobs::JobState::Running;
       MarkDirty(job);
@@ -804,14 +806,14 @@
       return false;
     }
     RunState* run =
-      FindRun(aEndedRun.mTask, aEndedRun.mRun, aWorker.mEntry.mId);
+      FindRun(aEndedRun.mTask, aEndedRun.mRunNumber, aWorker.mEntry.mId);
     const bool wasStopping = run != nullptr && run->mIsStopping;
     if (run != nullptr) {
       RemoveRun(*run);
     }
-    task->mLastRun = std::max(task->mLastRun, aEndedRun.mRun);
+    task->mLastRun = std::max(task->mLastRun, aEndedRun.mRunNumber);
     task->mHasEndedRun = true;
-    JobState& job = *task->mStep->mJob;
+    ScheduledJob& job = *task->mStep->mJob;
     if (IsFinal(job.mState) || task->mIsDone) {
       return false;
     }
@@ -820,11 +822,11 @@
     }
     switch (aEndedRun.mOutcome) {
       case RunOutcome::Done:
-        AddFailure(aWorker, -0.5, aNow);
+        ChangeFailureScore(aWorker, -0.5, aNow);
         CompleteTask(*task);
         return true;
       case RunOutcome::Failed:
-        FailTask(*task, aEndedRun.mRun, aWorker, aNow);
+        FailTask(*task, aEndedRun.mRunNumber, aWorker, aNow);
         MarkDirty(job);
         return true;
       case RunOutcome::Stopped:
@@ -835,7 +837,7 @@
           logging::Write(logging::Level::Info,
                          "run_ended_early",
                          { { "task", ToText(aEndedRun.mTask) },
-                           { "run", aEndedRun.mRun },
+                           { "run", aEndedRun.mRunNumber },
                            { "worker", aWorker.mEntry.mId },
                            { "end", NameOf(aEndedRun.mOutcome) } });
         }
@@ -880,7 +882,7 @@
                 WorkerState& aWorker,
                 TimePoint aNow)
   {
-    AddFailure(aWorker, 1.0, aNow);
+    ChangeFailureScore(aWorker, 1.0, aNow);
     aTask.mAvoidedWorkerId = aWorker.mEntry.mId;
     if (aTask.mStep->mSpec->mIsService) {
       return;
@@ -891,14 +893,14 @@
     }
     failed.push_back(aRun);
     const auto failures = static_cast<int>(failed.size());
-    JobState& job = *aTask.mStep->mJob;
+    ScheduledJob& job = *aTask.mStep->mJob;
     logging::Write(logging::Level::Info,
                    "run_failed",
                    { { "task", ToText(IdOf(aTask)) },
                      { "worker", aWorker.mEntry.mId },
                      { "failures", failures },
-                     { "limit", job.mSubmission.mPolicy.mMaxAttempts } });
-    if (failures >= job.mSubmission.mPolicy.mMaxAttempts) {
+                     { "limit", job.mSubmission.mPolicy.mMaxFailedRuns } });
+    if (failures >= job.mSubmission.mPolicy.mMaxFailedRuns) {
       EndJob(job, jobs::JobState::Failed);
     }
   }
@@ -911,7 +913,7 @@
     std::set<const RunState*> listed;
     for (const auto& it : aReport.mActiveRuns) {
       TaskState* task = FindTask(it.mTask);
-      RunState* run = FindRun(it.mTask, it.mRun, aWorker.mEntry.mId);
+      RunState* run = FindRun(it.mTask, it.mRunNumber, aWorker.mEntry.mId);
       if (run == nullptr) {
         run = AdoptRun(aWorker, task, it, aNow);
       }
@@ -920,11 +922,11 @@
       }
       listed.insert(run);
       ConfirmRun(*run, aNow);
-      if (it.mPercent != run->mPercent) {
-        run->mPercent = it.mPercent;
+      if (it.mProgressPercent != run->mProgressPercent) {
+        run->mProgressPercent = it.mProgressPercent;
         run->mProgressAt = aNow;
       }
-      run->mMeasurement = it.mMeasurement;
+      run->mTailLatencyOrUse = it.mTailLatencyOrUse;
       if (!it.mCheckpoint.empty()) {
         run->mTask->mCheckpoint = it.mCheckpoint;
       }
@@ -954,21 +956,21 @@
       logging::Write(logging::Level::Info,
                      "unwanted_run",
                      { { "task", ToText(aRun.mTask) },
-                       { "run", aRun.mRun },
+                       { "run", aRun.mRunNumber },
                        { "worker", aWorker.mEntry.mId } });
-      if (aNow < mLeadershipEndsAt) {
-        SendStop(aWorker, aRun.mTask, aRun.mRun);
+      if (aNow < mLeaderLeaseEndsAt) {
+        SendStop(aWorker, aRun.mTask, aRun.mRunNumber);
       }
       return nullptr;
     }
     const bool isDuplicate = HasLiveRun(*aTask);
-    RunState& run = AddRun(*aTask, aWorker, aRun.mRun, aNow);
+    RunState& run = AddRun(*aTask, aWorker, aRun.mRunNumber, aNow);
     run.mCallsSent = 1;
     if (run.mTask->mStep->mSpec->mIsBackfill) {
       run.mTargetPace = EstimatePace(run, aRun);
       run.mPace = run.mTargetPace == kFullPace ? kUnknownPace : run.mTargetPace;
     }
-    aTask->mMayHaveUnknownRun = false;
+    aTask->mMayHaveEarlierRun = false;
     if (isDuplicate && !aTask->mStep->mSpec->mMayDuplicate) {
       StopRun(run);
     }
@@ -982,12 +984,13 @@
   {
     const auto requested =
       aRun.mTask->mStep->mSpec->mResources.mMilliProcessors;
-    const bool hasJustStarted = aReport.mPercent < kMinMeasuredPercent;
-    if (requested <= 0 || aReport.mMeasurement < 0 || hasJustStarted) {
+    const bool hasJustStarted =
+      aReport.mProgressPercent < kMinMeasuredProgressPercent;
+    if (requested <= 0 || aReport.mTailLatencyOrUse < 0 || hasJustStarted) {
       return kFullPace;
     }
     const auto pace =
-      static_cast<int>(kFullPace * aReport.mMeasurement / requested);
+      static_cast<int>(kFullPace * aReport.mTailLatencyOrUse / requested);
     return pace > kMinFullPaceEstimate ? kFullPace : pace;
   }
 
@@ -1006,12 +1009,13 @@
                             worker.mFailedPolls > 0;
       // A successor unknown to this node may have extended the lease, so the
       // leadership must have been confirmed after the end of the lease.
-      if (isSilent && worker.mLeaseEndsAt < mLeadershipConfirmedAt &&
+      if (isSilent && worker.mLeaseEndsAt < mLeaderLeaseConfirmedAt &&
           !worker.mRuns.empty()) {
         DropAllLostRuns(worker, "worker silent beyond its lease", aNow);
       }
-      if (!worker.mIsListed && worker.mUnlistedAt + kUnlistedGrace < aNow &&
-          isSilent && worker.mRuns.empty() && worker.mLeaseEndsAt < aNow &&
+      if (!worker.mIsRegistered &&
+          worker.mUnregisteredAt + kUnregisteredGrace < aNow && isSilent &&
+          worker.mRuns.empty() && worker.mLeaseEndsAt < aNow &&
           !worker.mIsPollInFlight &&
           (worker.mHasReported || aNow >= mTerm.mPreviousLeasesEndAt)) {
         it = mWorkers.erase(it);
@@ -1021,10 +1025,10 @@
     }
     // No run outlives the leases of earlier leaders, but a reachable worker may
     // still have the end of a run to report.
-    if (mMayHaveUnknownRuns &&
+    if (mAreReportsMissing &&
         ((haveAllReported && !mWorkers.empty()) ||
          (areAllPolled && aNow >= mTerm.mPreviousLeasesEndAt))) {
-      mMayHaveUnknownRuns = false;
+      mAreReportsMissing = false;
       mIsPlacementDue = true;
     }
   }
@@ -1053,7 +1057,7 @@
   static bool IsWorthMoving(const RunState& aRun, TimePoint aNow)
   {
     const bool isCheap = aRun.mTask->mStep->mSpec->mSavesProgress ||
-                         aRun.mPercent < kMaxRestartPercent;
+                         aRun.mProgressPercent < kMaxRestartPercent;
     return isCheap && aRun.mIsConfirmed &&
            aNow - *aRun.mThrottledSince > kThrottledGrace;
   }
@@ -1066,11 +1070,13 @@
     if (step.mSpec->mIsService) {
       const int unavailable = static_cast<int>(std::count_if(
         step.mTasks.begin(), step.mTasks.end(), [](const TaskState& aTask) {
-          return !HasLiveRun(aTask) || aTask.mRuns.front().mPercent < 100;
+          return !HasLiveRun(aTask) ||
+                 aTask.mRuns.front().mProgressPercent < 100;
         }));
-      const bool isUrgent =
+      const bool leavesSoon =
         aRun.mWorker->mLeavesAt < aNow + std::chrono::milliseconds(1500);
-      if (unavailable < std::max(1, step.mSpec->mMaxUnavailable) || isUrgent) {
+      if (unavailable < std::max(1, step.mSpec->mMaxUnavailable) ||
+          leavesSoon) {
         StopRun(aRun);
       }
       return;
@@ -1078,8 +1084,9 @@
     const auto elapsed =
       std::chrono::duration<double>(aNow - aRun.mPlacedAt).count();
     const double total =
-      aRun.mPercent > 0 ? elapsed * 100.0 / aRun.mPercent
-                        : static_cast<double>(step.mSpec->mEstimateMs) / 1000.0;
+      aRun.mProgressPercent > 0
+        ? elapsed * 100.0 / aRun.mProgressPercent
+        : static_cast<double>(step.mSpec->mEstimateMs) / 1000.0;
     const double remaining =
       std::chrono::duration<double>(aRun.mWorker->mLeavesAt - aNow).count();
     if (total - elapsed > remaining && step.mSpec->mSavesProgress &&
@@ -1101,9 +1108,9 @@
     }
     const Duration elapsed = aNow - aRun.mConfirmedAt;
     Duration limit = kMinStallTime;
-    if (aRun.mPercent > 0) {
-      const auto perPercent =
-        (aRun.mProgressAt - aRun.mConfirmedAt) / std::max(1, aRun.mPercent);
+    if (aRun.mProgressPercent > 0) {
+      const auto perPercent = (aRun.mProgressAt - aRun.mConfirmedAt) /
+                              std::max(1, aRun.mProgressPercent);
       limit =
         std::max(limit,
                  Duration(static_cast<Duration::rep>(
@@ -1118,21 +1125,21 @@
       const bool isLate =
         std::chrono::duration<double>(elapsed).count() >
         kDuplicateFactor * std::chrono::duration<double>(estimate).count();
-      if (isStalled || (isLate && aRun.mPercent < 60)) {
+      if (isStalled || (isLate && aRun.mProgressPercent < 60)) {
         PlaceRun(task, aNow);
       }
       return;
     }
     if (isStalled && task.mRuns.size() == 1) {
       mStalledRuns.Add();
-      AddFailure(*aRun.mWorker, 1.0, aNow);
+      ChangeFailureScore(*aRun.mWorker, 1.0, aNow);
       task.mAvoidedWorkerId = aRun.mWorker->mEntry.mId;
       logging::Write(logging::Level::Info,
                      "run_stalled",
                      { { "task", ToText(IdOf(task)) },
                        { "run", aRun.mNumber },
                        { "worker", aRun.mWorker->mEntry.mId },
-                       { "percent", aRun.mPercent },
+                       { "percent", aRun.mProgressPercent },
                        { "still_ms", ToMs(aNow - aRun.mProgressAt) } });
       StopRun(aRun);
     }
@@ -1142,10 +1149,10 @@
 
   /// 0 for jobs that can still meet their objective, 1 for late jobs, 2 for
   /// jobs whose completion has no value. Lower values are placed first.
-  int LatenessOf(const JobState& aJob) const
+  int LatenessOf(const ScheduledJob& aJob) const
   {
-    return (aJob.mObjectiveMs < mUnixMs ? 1 : 0) +
-           (aJob.mZeroValueMs < mUnixMs ? 1 : 0);
+    return (aJob.mObjectiveAtMs < mUnixMs ? 1 : 0) +
+           (aJob.mZeroValueAtMs < mUnixMs ? 1 : 0);
   }
 
   /// True if the tasks of `aLeft` are placed before those of `aRight`.
@@ -1154,18 +1161,18 @@
     if (aLeft.mSpec->mIsService != aRight.mSpec->mIsService) {
       return aLeft.mSpec->mIsService;
     }
-    const JobState& left = *aLeft.mJob;
-    const JobState& right = *aRight.mJob;
+    const ScheduledJob& left = *aLeft.mJob;
+    const ScheduledJob& right = *aRight.mJob;
     const int leftLateness = LatenessOf(left);
     const int rightLateness = LatenessOf(right);
     return std::tie(leftLateness,
                     left.mSubmission.mPolicy.mPriority,
-                    left.mObjectiveMs,
+                    left.mObjectiveAtMs,
                     left.mSubmission.mId,
                     aLeft.mIndex) <
            std::tie(rightLateness,
                     right.mSubmission.mPolicy.mPriority,
-                    right.mObjectiveMs,
+                    right.mObjectiveAtMs,
                     right.mSubmission.mId,
                     aRight.mIndex);
   }
@@ -1189,11 +1196,11 @@
               });
     for (StepState* step : waiting) {
       step->mIsUrgent =
-        step->mJob->mObjectiveMs > mUnixMs &&
-        step->mJob->mObjectiveMs <
+        step->mJob->mObjectiveAtMs > mUnixMs &&
+        step->mJob->mObjectiveAtMs <
           mUnixMs + step->mCriticalPathMs * 3 / 2 + kUrgentSlackMs;
       RequestAdvice(*step, aNow);
-      if (!EnsureReleased(*step, aNow)) {
+      if (!EnsureStartRecorded(*step, aNow)) {
         continue;
       }
       if (step->mSpec->mIsGang) {
@@ -1215,7 +1222,7 @@
   /// Workers are asked about again only after their tickets have expired.
   void RequestAdvice(StepState& aStep, TimePoint aNow)
   {
-    if (!aStep.mJob->mSubmission.mPolicy.mNeedsAdvice ||
+    if (!aStep.mJob->mSubmission.mPolicy.mNeedsTicket ||
         aStep.mIsAdviceInFlight || aStep.mNextAdviceAt > aNow) {
       return;
     }
@@ -1225,18 +1232,18 @@
     call.mStep = aStep.mIndex;
     std::size_t usable = 0;
     for (const auto& [id, worker] : mWorkers) {
-      if (worker->mEntry.mService != aStep.mJob->mSubmission.mPolicy.mService ||
+      if (worker->mEntry.mPool != aStep.mJob->mSubmission.mPolicy.mPool ||
           !AcceptsStarts(*worker, aNow) ||
           !base::Fits(worker->mUsed + ReservedResources(*aStep.mSpec),
                       worker->mEntry.mCapacity)) {
         continue;
       }
-      const bool wasAsked = aStep.mAdvisedWorkers.count(id) != 0;
+      const bool wasAsked = aStep.mQueriedWorkers.count(id) != 0;
       const bool hasExpired =
         aStep.mTickets.count(id) != 0 && !HasTicket(aStep, *worker, aNow);
       usable += HasTicket(aStep, *worker, aNow) ? 1 : 0;
       if ((!wasAsked || hasExpired) &&
-          call.mWorkerIds.size() < kMaxAdvisedWorkers) {
+          call.mWorkerIds.size() < kMaxQueriedWorkers) {
         call.mWorkerIds.push_back(id);
       }
     }
@@ -1250,24 +1257,24 @@
 
   /// Returns true if the job of the step is released. Requests the release once
   /// a task of the step can be placed.
-  bool EnsureReleased(StepState& aStep, TimePoint aNow)
+  bool EnsureStartRecorded(StepState& aStep, TimePoint aNow)
   {
-    JobState& job = *aStep.mJob;
-    if (!job.mIsReleaseRequested &&
+    ScheduledJob& job = *aStep.mJob;
+    if (!job.mIsStartRecordRequested &&
         ChooseWorker(aStep.mTasks.front(), mWorkers, mColocationModel, aNow) !=
           nullptr) {
-      job.mIsReleaseRequested = true;
-      mRequestedReleases.push_back(job.mSubmission.mId);
+      job.mIsStartRecordRequested = true;
+      mRequestedStartRecords.push_back(job.mSubmission.mId);
       MarkDirty(job);
     }
-    return job.mIsReleased;
+    return job.mIsStartRecorded;
   }
 
   /// True while a run started by an earlier leader may be active on a worker
   /// that has not reported yet.
   bool IsStartDeferred(const TaskState& aTask) const
   {
-    return aTask.mMayHaveUnknownRun && mMayHaveUnknownRuns;
+    return aTask.mMayHaveEarlierRun && mAreReportsMissing;
   }
 
   bool PlaceRun(TaskState& aTask, TimePoint aNow)
@@ -1282,7 +1289,7 @@
 
   static int NextRunNumber(const TaskState& aTask)
   {
-    return aTask.mLastRun + 1 + (aTask.mMayHaveUnknownRun ? kRunNumberGap : 0);
+    return aTask.mLastRun + 1 + (aTask.mMayHaveEarlierRun ? kRunNumberGap : 0);
   }
 
   /// Places all tasks of a gang, or none of them.
@@ -1355,7 +1362,7 @@
       return 0;
     }
     const TimePoint until =
-      std::min(aNow + std::min(kLease, mLimits.mMaxLease), mLeadershipEndsAt);
+      std::min(aNow + std::min(kLease, mLimits.mMaxLease), mLeaderLeaseEndsAt);
     if (until <= aNow) {
       return 0;
     }
@@ -1395,7 +1402,7 @@
     call.mAcknowledgedSequence = aWorker.mAcknowledgedSequence;
     const bool isShared = aWorker.mBackfillDemand > 0;
     call.mWaitMs = !aWorker.mHasReported ? 0
-                   : isShared            ? kPollWaitSharedMs
+                   : isShared            ? kPollWaitColocatedMs
                                          : kPollWaitMs;
     mSink.Poll(call);
   }
@@ -1432,7 +1439,7 @@
   void SendStart(RunState& aRun, TimePoint aNow)
   {
     if (aRun.mCallsSent >= kMaxStartCalls) {
-      AddFailure(*aRun.mWorker, 0.5, aNow);
+      ChangeFailureScore(*aRun.mWorker, 0.5, aNow);
       aRun.mTask->mAvoidedWorkerId = aRun.mWorker->mEntry.mId;
       StopRun(aRun);
       return;
@@ -1449,7 +1456,7 @@
     call.mWorkerId = aRun.mWorker->mEntry.mId;
     call.mAddress = aRun.mWorker->mEntry.mAddress;
     call.mTask = IdOf(task);
-    call.mRun = aRun.mNumber;
+    call.mRunNumber = aRun.mNumber;
     call.mPayload = task.mStep->mJob->mSubmission.mRequest.mPayload;
     call.mCheckpoint = task.mCheckpoint;
     call.mLeaseUntilMs = lease;
@@ -1466,7 +1473,10 @@
     mSink.Stop({ aWorker.mEntry.mId, aWorker.mEntry.mAddress, aTask, aRun });
   }
 
-  void RequestTick(TimePoint aNow) { mNextTick = std::min(mNextTick, aNow); }
+  void RequestTick(TimePoint aNow)
+  {
+    mNextTickAt = std::min(mNextTickAt, aNow);
+  }
 
   const DispatchLimits mLimits;
   const Term mTerm;
@@ -1478,27 +1488,27 @@
 
   WorkerMap mWorkers;
   ColocationModel mColocationModel;
-  std::unordered_map<std::string, std::unique_ptr<JobState>> mJobs;
+  std::unordered_map<std::string, std::unique_ptr<ScheduledJob>> mJobs;
   std::vector<StepState*> mReadySteps;
   /// Runs that are unconfirmed, or that need a stop or pace call.
   std::set<RunState*> mRunsToCall;
   std::vector<std::string> mDirty;
-  std::vector<std::string> mRequestedReleases;
+  std::vector<std::string> mRequestedStartRecords;
   /// Requested releases with the batch that makes them durable.
-  std::deque<std::pair<std::uint64_t, std::string>> mPendingReleases;
+  std::deque<std::pair<std::uint64_t, std::string>> mPendingStartRecords;
   /// Number of the batch that the next TakeDirty returns.
   std::uint64_t mBatch = 0;
   /// All batches with lower numbers are durable.
   std::uint64_t mDurableBatch = 0;
   std::int64_t mUnixMs = 0;
-  TimePoint mLeadershipConfirmedAt;
-  TimePoint mLeadershipEndsAt;
-  TimePoint mNextTick;
+  TimePoint mLeaderLeaseConfirmedAt;
+  TimePoint mLeaderLeaseEndsAt;
+  TimePoint mNextTickAt;
   TimePoint mNextSummaryAt;
   TimePoint mNextFullTickAt;
   bool mIsPlacementDue = true;
   /// Workers that have not reported yet may have runs of earlier leaders.
-  bool mMayHaveUnknownRuns = true;
+  bool mAreReportsMissing = true;
   bool mIsFenced = false;
 };
 
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 
-jobs::JobRecord
+jobs::JobEntry
 MakeService(const std::string& aId, int aCount, const std::string& aImage)
 {
-  jobs::JobRecord job = MakeJob(aId, { aCount }, 2000);
+  jobs::JobEntry job = MakeJob(aId, { aCount }, 2000);
   jobs::Step& step = job.mSubmission->mRequest.mSteps.front();
   step.mIsService = true;
   step.mImage = aImage;
@@ -23,10 +23,10 @@
   return job;
 }
 
-jobs::JobRecord
+jobs::JobEntry
 MakeBackfill(const std::string& aId, int aCount, const std::string& aImage)
 {
-  jobs::JobRecord job = MakeJob(aId, { aCount }, 2000);
+  jobs::JobEntry job = MakeJob(aId, { aCount }, 2000);
   jobs::Step& step = job.mSubmission->mRequest.mSteps.front();
   step.mIsBackfill = true;
   step.mSavesProgress = true;
@@ -35,8 +35,8 @@
 }
 
 /// Returns the job as the next leader reads it from the journal.
-jobs::JobRecord
-Stored(const FakeSite::Leader& aLeader, jobs::JobRecord aJob)
+jobs::JobEntry
+Stored(const FakeSite::Leader& aLeader, jobs::JobEntry aJob)
 {
   const auto found = aLeader.mStored.find(aJob.mSubmission->mId);
   if (found != aLeader.mStored.end()) {
@@ -53,13 +53,13 @@
 
 /// Runs `aJob` under a first leader for `aTime` and kills the leader. Returns
 /// the job as the next leader reads it.
-jobs::JobRecord
-RunUntilKilled(FakeSite& aSite, const jobs::JobRecord& aJob, milliseconds aTime)
+jobs::JobEntry
+RunUntilKilled(FakeSite& aSite, const jobs::JobEntry& aJob, milliseconds aTime)
 {
   auto& leader = aSite.AddLeader(1);
-  leader.Get().AddJob(aJob, false, aSite.Now());
+  leader.GetDispatcher().AddJob(aJob, false, aSite.Now());
   aSite.Advance(aTime);
-  jobs::JobRecord stored = Stored(leader, aJob);
+  jobs::JobEntry stored = Stored(leader, aJob);
   aSite.Kill(leader);
   return stored;
 }
@@ -77,12 +77,12 @@
 {
   CPPUNIT_TEST_SUITE(DispatcherTest);
   CPPUNIT_TEST(RunsTheStepsOfAJobInOrder);
-  CPPUNIT_TEST(ReleasesAJobDurablyBeforeItsFirstStart);
+  CPPUNIT_TEST(RecordsAJobDurablyBeforeItsFirstStart);
   CPPUNIT_TEST(AcknowledgesSuccessOnlyWhenItIsDurable);
   CPPUNIT_TEST(KeepsAnEndedJobUntilItsEndIsDurable);
   CPPUNIT_TEST(FailsAJobAtItsAttemptLimit);
   CPPUNIT_TEST(CountsFailuresReportedOutOfOrder);
-  CPPUNIT_TEST(RestartsAServiceTaskAfterAnyOutcome);
+  CPPUNIT_TEST(RestartsAServiceTaskAfterFailures);
   CPPUNIT_TEST(StopsTheRunsOfACancelledJob);
   CPPUNIT_TEST(NeverExceedsTheCapacityOfAWorker);
   CPPUNIT_TEST(RestartsTasksOfASilentWorkerAfterItsLease);
@@ -109,7 +109,7 @@
     site.AddWorker("w1");
     site.AddWorker("w2");
     auto& leader = site.AddLeader(1);
-    leader.Get().AddJob(MakeJob("a", { 4, 2 }), false, site.Now());
+    leader.GetDispatcher().AddJob(MakeJob("a", { 4, 2 }), false, site.Now());
     site.Advance(milliseconds(200));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, leader.mStarts.size());
     site.Advance(milliseconds(800));
@@ -119,19 +119,19 @@
   }
 
   // Otherwise the next leader would not know that the job may have runs.
-  void ReleasesAJobDurablyBeforeItsFirstStart()
+  void RecordsAJobDurablyBeforeItsFirstStart()
   {
     FakeSite site;
     site.AddWorker("w1");
     auto& leader = site.AddLeader(1);
     leader.mCanStore = false;
-    leader.Get().AddJob(MakeJob("a", { 1 }), false, site.Now());
+    leader.GetDispatcher().AddJob(MakeJob("a", { 1 }), false, site.Now());
     site.Advance(milliseconds(300));
     CPPUNIT_ASSERT(leader.mStarts.empty());
     leader.mCanStore = true;
     site.Advance(milliseconds(50));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, leader.mStarts.size());
-    CPPUNIT_ASSERT(leader.mStored.at("a").mIsReleased);
+    CPPUNIT_ASSERT(leader.mStored.at("a").mMayHaveStarted);
   }
 
   // Otherwise a success could be dropped by the worker and lost with the
@@ -141,7 +141,7 @@
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
     auto& leader = site.AddLeader(1);
-    leader.Get().AddJob(MakeJob("a", { 1 }), false, site.Now());
+    leader.GetDispatcher().AddJob(MakeJob("a", { 1 }), false, site.Now());
     site.Advance(milliseconds(200));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, worker.mRuns.size());
     leader.mCanStore = false;
@@ -159,13 +159,13 @@
     FakeSite site;
     site.AddWorker("w1");
     auto& leader = site.AddLeader(1);
-    const jobs::JobRecord job = MakeJob("a", { 1 });
-    leader.Get().AddJob(job, false, site.Now());
+    const jobs::JobEntry job = MakeJob("a", { 1 });
+    leader.GetDispatcher().AddJob(job, false, site.Now());
     site.Advance(milliseconds(200));
     CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
     leader.mIsStoreUnresponsive = true;
     site.Advance(milliseconds(1000));
-    leader.Get().AddJob(Stored(leader, job), false, site.Now());
+    leader.GetDispatcher().AddJob(Stored(leader, job), false, site.Now());
     leader.mIsStoreUnresponsive = false;
     site.Advance(milliseconds(1000));
     CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
@@ -176,9 +176,9 @@
     FakeSite site;
     site.AddWorker("w1");
     site.AddWorker("w2");
-    site.mFails = [](const TaskId&, int) { return true; };
+    site.mDecideFailure = [](const TaskId&, int) { return true; };
     auto& leader = site.AddLeader(1);
-    leader.Get().AddJob(MakeJob("a", { 1 }), false, site.Now());
+    leader.GetDispatcher().AddJob(MakeJob("a", { 1 }), false, site.Now());
     site.Advance(milliseconds(4000));
     CPPUNIT_ASSERT_EQUAL(3, site.mStartCounts.at("a.0.0.0"));
     CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Failed);
@@ -197,21 +197,21 @@
       worker.mHighestEndedRuns[ToText(task)] = number--;
     }
     auto& leader = AddSuccessor(site, 2);
-    jobs::JobRecord job = MakeJob("a", { 1 });
-    job.mProgress.mIsReleased = true;
-    leader.Get().AddJob(job, true, site.Now());
+    jobs::JobEntry job = MakeJob("a", { 1 });
+    job.mProgress.mMayHaveStarted = true;
+    leader.GetDispatcher().AddJob(job, true, site.Now());
     site.Advance(milliseconds(2000));
     CPPUNIT_ASSERT(leader.mStarts.empty());
     CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Failed);
   }
 
-  void RestartsAServiceTaskAfterAnyOutcome()
+  void RestartsAServiceTaskAfterFailures()
   {
     FakeSite site;
     site.AddWorker("w1");
-    site.mFails = [](const TaskId&, int) { return true; };
+    site.mDecideFailure = [](const TaskId&, int) { return true; };
     auto& leader = site.AddLeader(1);
-    leader.Get().AddJob(MakeService("a", 1, "x"), false, site.Now());
+    leader.GetDispatcher().AddJob(MakeService("a", 1, "x"), false, site.Now());
     site.Advance(milliseconds(4000));
     CPPUNIT_ASSERT(site.mStartCounts.at("a.0.0.0") >= 6);
     CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Running);
@@ -223,10 +223,10 @@
     FakeWorker& worker = site.AddWorker("w1");
     site.mRunTime = OneMinuteRunTime;
     auto& leader = site.AddLeader(1);
-    leader.Get().AddJob(MakeJob("a", { 3 }), false, site.Now());
+    leader.GetDispatcher().AddJob(MakeJob("a", { 3 }), false, site.Now());
     site.Advance(milliseconds(300));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, worker.mRuns.size());
-    leader.Get().CancelJob("a", site.Now());
+    leader.GetDispatcher().CancelJob("a", site.Now());
     site.Advance(milliseconds(300));
     CPPUNIT_ASSERT(worker.mRuns.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, leader.mStarts.size());
@@ -237,7 +237,8 @@
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1", 4000);
     auto& leader = site.AddLeader(1);
-    leader.Get().AddJob(MakeJob("a", { 10 }, 1500), false, site.Now());
+    leader.GetDispatcher().AddJob(
+      MakeJob("a", { 10 }, 1500), false, site.Now());
     for (int n = 0; n < 600; ++n) {
       site.Advance(milliseconds(5));
       CPPUNIT_ASSERT(worker.mRuns.size() <= 2);
@@ -253,16 +254,17 @@
     FakeWorker& silent = site.AddWorker("w1", 4000);
     site.mRunTime = OneMinuteRunTime;
     auto& leader = site.AddLeader(1);
-    leader.Get().AddJob(MakeService("a", 1, "x"), false, site.Now());
+    leader.GetDispatcher().AddJob(MakeService("a", 1, "x"), false, site.Now());
     site.Advance(milliseconds(300));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, silent.mRuns.size());
-    leader.Get().SetWorker(site.AddWorker("w2", 4000).Entry(), site.Now());
+    leader.GetDispatcher().SetWorker(site.AddWorker("w2", 4000).Entry(),
+                                     site.Now());
     leader.mUnreachableWorkers.insert("w1");
     site.Advance(milliseconds(4000));
     CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
     site.Advance(milliseconds(5000));
     CPPUNIT_ASSERT_EQUAL(2, site.mStartCounts.at("a.0.0.0"));
-    CPPUNIT_ASSERT(site.mViolations.empty());
+    CPPUNIT_ASSERT(site.mDoubleRuns.empty());
   }
 
   void RestartsTasksAtOnceAfterAWorkerRestart()
@@ -271,7 +273,7 @@
     FakeWorker& worker = site.AddWorker("w1");
     site.mRunTime = OneMinuteRunTime;
     auto& leader = site.AddLeader(1);
-    leader.Get().AddJob(MakeService("a", 1, "x"), false, site.Now());
+    leader.GetDispatcher().AddJob(MakeService("a", 1, "x"), false, site.Now());
     site.Advance(milliseconds(300));
     worker.Restart();
     site.Advance(milliseconds(500));
@@ -288,14 +290,14 @@
     site.AddWorker("w1");
     site.AddWorker("w2");
     site.mRunTime = [](const TaskId&) { return milliseconds(800); };
-    const jobs::JobRecord stored =
+    const jobs::JobEntry stored =
       RunUntilKilled(site, MakeJob("a", { 1 }), milliseconds(300));
     const std::string busy = site.Worker("w1").mRuns.empty() ? "w2" : "w1";
     site.Advance(milliseconds(1000));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.Worker(busy).mEndedRuns.size());
     auto& second = site.AddLeader(2, site.Now());
     second.mDelays[busy] = milliseconds(200);
-    second.Get().AddJob(stored, true, site.Now());
+    second.GetDispatcher().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(1000));
     CPPUNIT_ASSERT(second.mStarts.empty());
     CPPUNIT_ASSERT(second.mStored.at("a").mState == jobs::JobState::Completed);
@@ -308,18 +310,18 @@
     FakeSite site;
     site.AddWorker("w1", 4000);
     site.mRunTime = OneMinuteRunTime;
-    const jobs::JobRecord stored =
+    const jobs::JobEntry stored =
       RunUntilKilled(site, MakeService("a", 1, "x"), milliseconds(300));
     site.AddWorker("w2", 4000);
     auto& second = AddSuccessor(site, 2);
     second.mUnreachableWorkers.insert("w1");
-    second.Get().RemoveWorker("w1", site.Now());
-    second.Get().AddJob(stored, true, site.Now());
+    second.GetDispatcher().OnWorkerUnregistered("w1", site.Now());
+    second.GetDispatcher().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(5500));
     CPPUNIT_ASSERT(second.mStarts.empty());
     site.Advance(milliseconds(7500));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, second.mStarts.size());
-    CPPUNIT_ASSERT(site.mViolations.empty());
+    CPPUNIT_ASSERT(site.mDoubleRuns.empty());
   }
 
   // If a worker stops answering after its first report, its runs must be kept
@@ -329,15 +331,15 @@
     FakeSite site;
     site.AddWorker("w1", 4000);
     site.mRunTime = OneMinuteRunTime;
-    const jobs::JobRecord stored =
+    const jobs::JobEntry stored =
       RunUntilKilled(site, MakeService("a", 1, "x"), milliseconds(300));
     site.AddWorker("w2", 4000);
     auto& second = AddSuccessor(site, 2);
-    second.Get().AddJob(stored, true, site.Now());
+    second.GetDispatcher().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(5));
     second.mUnreachableWorkers.insert("w1");
     site.Advance(milliseconds(10000));
-    CPPUNIT_ASSERT(site.mViolations.empty());
+    CPPUNIT_ASSERT(site.mDoubleRuns.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, second.mStarts.size());
   }
 
@@ -349,19 +351,19 @@
     site.AddWorker("w1", 4000);
     site.mRunTime = OneMinuteRunTime;
     auto& first = site.AddLeader(1);
-    const jobs::JobRecord job = MakeService("a", 1, "x");
-    first.Get().AddJob(job, false, site.Now());
+    const jobs::JobEntry job = MakeService("a", 1, "x");
+    first.GetDispatcher().AddJob(job, false, site.Now());
     site.Advance(milliseconds(300));
     site.AddWorker("w2", 4000);
-    first.Get().SetWorker(site.Worker("w2").Entry(), site.Now());
+    first.GetDispatcher().SetWorker(site.Worker("w2").Entry(), site.Now());
     site.Advance(milliseconds(100));
     first.mUnreachableWorkers.insert("w1");
     first.mIsConfirmed = false;
     auto& second = AddSuccessor(site, 2);
     second.mUnreachableWorkers.insert("w2");
-    second.Get().AddJob(Stored(first, job), true, site.Now());
+    second.GetDispatcher().AddJob(Stored(first, job), true, site.Now());
     site.Advance(milliseconds(11000));
-    CPPUNIT_ASSERT(site.mViolations.empty());
+    CPPUNIT_ASSERT(site.mDoubleRuns.empty());
     CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
   }
 
@@ -373,8 +375,8 @@
     site.Advance(milliseconds(100));
     site.AddLeader(2);
     site.Advance(milliseconds(100));
-    CPPUNIT_ASSERT(first.Get().IsFenced());
-    first.Get().AddJob(MakeJob("a", { 1 }), false, site.Now());
+    CPPUNIT_ASSERT(first.GetDispatcher().IsFenced());
+    first.GetDispatcher().AddJob(MakeJob("a", { 1 }), false, site.Now());
     site.Advance(milliseconds(200));
     CPPUNIT_ASSERT(first.mStarts.empty());
   }
@@ -388,7 +390,7 @@
     site.AddWorker("w2");
     auto& leader = AddSuccessor(site, 2);
     leader.mUnreachableWorkers.insert("w1");
-    leader.Get().AddJob(MakeJob("a", { 1 }), true, site.Now());
+    leader.GetDispatcher().AddJob(MakeJob("a", { 1 }), true, site.Now());
     site.Advance(milliseconds(200));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, leader.mStarts.size());
   }
@@ -401,12 +403,12 @@
     site.AddWorker("w1", 1000);
     site.mRunTime = [](const TaskId&) { return milliseconds(800); };
     auto& leader = site.AddLeader(1);
-    jobs::JobRecord late = MakeJob("late", { 1 });
+    jobs::JobEntry late = MakeJob("late", { 1 });
     late.mSubmission->mAcceptedMs = base::ToMicros(site.Now()) / 1000 - 1500;
-    jobs::JobRecord fresh = MakeJob("fresh", { 1 });
+    jobs::JobEntry fresh = MakeJob("fresh", { 1 });
     fresh.mSubmission->mAcceptedMs = base::ToMicros(site.Now()) / 1000;
-    leader.Get().AddJob(late, false, site.Now());
-    leader.Get().AddJob(fresh, false, site.Now());
+    leader.GetDispatcher().AddJob(late, false, site.Now());
+    leader.GetDispatcher().AddJob(fresh, false, site.Now());
     site.Advance(milliseconds(2500));
     CPPUNIT_ASSERT_EQUAL(std::string("fresh"),
                          leader.mStarts.front().mTask.mJobId);
@@ -420,20 +422,20 @@
     FakeWorker& worker = site.AddWorker("w1");
     site.mRunTime = OneMinuteRunTime;
     auto& leader = site.AddLeader(1);
-    jobs::JobRecord job = MakeService("a", 3, "x");
+    jobs::JobEntry job = MakeService("a", 3, "x");
     job.mSubmission->mRequest.mSteps.front().mMaxUnavailable = 1;
-    leader.Get().AddJob(job, false, site.Now());
+    leader.GetDispatcher().AddJob(job, false, site.Now());
     site.Advance(milliseconds(300));
     FakeWorker& other = site.AddWorker("w2");
-    leader.Get().SetWorker(other.Entry(), site.Now());
+    leader.GetDispatcher().SetWorker(other.Entry(), site.Now());
     worker.mIsDraining = true;
     WorkerEntry entry = worker.Entry();
     entry.mRemainingMs = 4000;
-    leader.Get().SetWorker(entry, site.Now());
+    leader.GetDispatcher().SetWorker(entry, site.Now());
     site.Advance(milliseconds(4000));
     CPPUNIT_ASSERT(worker.mRuns.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, other.mRuns.size());
-    CPPUNIT_ASSERT(site.mViolations.empty());
+    CPPUNIT_ASSERT(site.mDoubleRuns.empty());
   }
 
   // Backfill colocated with a service whose tail exceeds its target.
@@ -443,16 +445,16 @@
     FakeWorker& worker = site.AddWorker("w1");
     site.mRunTime = OneMinuteRunTime;
     auto& leader = site.AddLeader(1);
-    leader.Get().AddJob(MakeService("s", 1, "x"), false, site.Now());
-    leader.Get().AddJob(MakeBackfill("b", 1, "y"), false, site.Now());
+    leader.GetDispatcher().AddJob(MakeService("s", 1, "x"), false, site.Now());
+    leader.GetDispatcher().AddJob(MakeBackfill("b", 1, "y"), false, site.Now());
     site.Advance(milliseconds(1000));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, worker.mRuns.size());
-    worker.mReportedMeasurement = 80;
+    worker.mReportedTailLatencyOrUse = 80;
     site.Advance(milliseconds(2500));
     CPPUNIT_ASSERT(!leader.mPaces.empty());
     CPPUNIT_ASSERT(std::any_of(
       leader.mPaces.begin(), leader.mPaces.end(), [](const auto& aEntry) {
-        return aEntry.mPercent == 0;
+        return aEntry.mPacePercent == 0;
       }));
   }
 
@@ -463,17 +465,17 @@
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
     site.mRunTime = OneMinuteRunTime;
-    const jobs::JobRecord stored =
+    const jobs::JobEntry stored =
       RunUntilKilled(site, MakeBackfill("b", 1, "y"), milliseconds(500));
     // For a backfill run, this is the reported processor use.
-    worker.mReportedMeasurement = 0;
+    worker.mReportedTailLatencyOrUse = 0;
     auto& second = AddSuccessor(site, 2);
-    second.Get().AddJob(stored, true, site.Now());
+    second.GetDispatcher().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(400));
     CPPUNIT_ASSERT(second.mPaces.empty() ||
-                   second.mPaces.front().mPercent <= 25);
+                   second.mPaces.front().mPacePercent <= 25);
     site.Advance(milliseconds(5000));
-    CPPUNIT_ASSERT_EQUAL(100, second.mPaces.back().mPercent);
+    CPPUNIT_ASSERT_EQUAL(100, second.mPaces.back().mPacePercent);
   }
 
   // The new leader does not know the pace that its predecessor has set.
@@ -482,14 +484,14 @@
     FakeSite site;
     FakeWorker& worker = site.AddWorker("w1");
     site.mRunTime = OneMinuteRunTime;
-    const jobs::JobRecord stored =
+    const jobs::JobEntry stored =
       RunUntilKilled(site, MakeBackfill("b", 1, "y"), milliseconds(500));
-    worker.mReportedMeasurement = 1990;
+    worker.mReportedTailLatencyOrUse = 1990;
     auto& second = AddSuccessor(site, 2);
-    second.Get().AddJob(stored, true, site.Now());
+    second.GetDispatcher().AddJob(stored, true, site.Now());
     site.Advance(milliseconds(500));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, second.mPaces.size());
-    CPPUNIT_ASSERT_EQUAL(100, second.mPaces.front().mPercent);
+    CPPUNIT_ASSERT_EQUAL(100, second.mPaces.front().mPacePercent);
   }
 
   void StartsOnlyWhereTheAdviceServicePermits()
@@ -499,9 +501,9 @@
     site.AddWorker("w2");
     auto& leader = site.AddLeader(1);
     leader.mPermittedWorkerIds = { "w2" };
-    jobs::JobRecord job = MakeJob("a", { 3 });
-    job.mSubmission->mPolicy.mNeedsAdvice = true;
-    leader.Get().AddJob(job, false, site.Now());
+    jobs::JobEntry job = MakeJob("a", { 3 });
+    job.mSubmission->mPolicy.mNeedsTicket = true;
+    leader.GetDispatcher().AddJob(job, false, site.Now());
     site.Advance(milliseconds(1500));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, leader.mStarts.size());
     for (const auto& it : leader.mStarts) {
@@ -529,8 +531,10 @@
     site.mRunTime = [&](const TaskId&) {
       return milliseconds(200 + random->Below(3000));
     };
-    site.mFails = [&](const TaskId&, int) { return random->Below(20) == 0; };
-    std::vector<jobs::JobRecord> submitted;
+    site.mDecideFailure = [&](const TaskId&, int) {
+      return random->Below(20) == 0;
+    };
+    std::vector<jobs::JobEntry> submitted;
     std::map<std::string, jobs::JobProgress> stored;
     std::int64_t epoch = 0;
     FakeSite::Leader* old = nullptr;
@@ -564,12 +568,12 @@
         if (found != stored.end()) {
           job.mProgress = found->second;
         }
-        leader->Get().AddJob(job, true, site.Now());
+        leader->GetDispatcher().AddJob(job, true, site.Now());
       }
       for (int k = 0; k < 4; ++k) {
         submitted.push_back(
           MakeJob("j" + std::to_string(submitted.size()), { 3, 2 }));
-        leader->Get().AddJob(submitted.back(), false, site.Now());
+        leader->GetDispatcher().AddJob(submitted.back(), false, site.Now());
       }
       site.Advance(milliseconds(500 + random->Below(4000)));
       leader->mUnreachableWorkers.clear();
@@ -577,8 +581,8 @@
     }
     CPPUNIT_ASSERT_MESSAGE(
       "seed " + std::to_string(aSeed) + ": " +
-        (site.mViolations.empty() ? std::string() : site.mViolations.front()),
-      site.mViolations.empty());
+        (site.mDoubleRuns.empty() ? std::string() : site.mDoubleRuns.front()),
+      site.mDoubleRuns.empty());
     site.Advance(milliseconds(30000));
     for (const auto& it : submitted) {
       CPPUNIT_ASSERT_MESSAGE(
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr auto kStep = std::chrono::milliseconds(5);
+constexpr auto kTimeStep = std::chrono::milliseconds(5);
 constexpr auto kLatency = std::chrono::milliseconds(2);
 constexpr auto kCallTimeout = std::chrono::milliseconds(600);
 
@@ -29,7 +29,7 @@
 {
   WorkerEntry entry;
   entry.mId = mId;
-  entry.mService = "pool";
+  entry.mPool = "pool";
   entry.mAddress = mId + ":1";
   entry.mCapacity = { mMilliProcessors, std::int64_t{ 1 } << 36, 0 };
   entry.mLabels = { "a", "rack-1" };
@@ -96,7 +96,7 @@
   report.mEndedRuns = worker.mEndedRuns;
   for (const auto& it : worker.mRuns) {
     report.mActiveRuns.push_back(
-      { it.mTask, it.mNumber, "", 50, worker.mReportedMeasurement });
+      { it.mTask, it.mNumber, "", 50, worker.mReportedTailLatencyOrUse });
   }
   const base::TimePoint answeredAt =
     sentAt + kLatency + mDelays[aCall.mWorkerId];
@@ -118,7 +118,8 @@
     FakeWorker& worker = mSite.Worker(aCall.mWorkerId);
     const bool isRunning = std::any_of(
       worker.mRuns.begin(), worker.mRuns.end(), [&](const auto& aEntry) {
-        return aEntry.mTask == aCall.mTask && aEntry.mNumber == aCall.mRun;
+        return aEntry.mTask == aCall.mTask &&
+               aEntry.mNumber == aCall.mRunNumber;
       });
     const auto ended = worker.mHighestEndedRuns.find(ToText(aCall.mTask));
     if (mEpoch < worker.mFencingToken) {
@@ -126,7 +127,7 @@
     } else if (isRunning) {
       outcome = StartOutcome::Started;
     } else if (ended != worker.mHighestEndedRuns.end() &&
-               aCall.mRun <= ended->second) {
+               aCall.mRunNumber <= ended->second) {
       outcome = StartOutcome::OldRun;
     } else {
       worker.mFencingToken = mEpoch;
@@ -138,9 +139,10 @@
                                     : std::chrono::milliseconds(300);
       worker.mRuns.push_back(
         { aCall.mTask,
-          aCall.mRun,
+          aCall.mRunNumber,
           mSite.Now() + time,
-          mSite.mFails && mSite.mFails(aCall.mTask, aCall.mRun) });
+          mSite.mDecideFailure &&
+            mSite.mDecideFailure(aCall.mTask, aCall.mRunNumber) });
     }
   }
   mPendingAnswers.emplace_back(answeredAt, [this, aCall, outcome] {
@@ -162,12 +164,12 @@
       outcome = CallOutcome::Fenced;
     } else {
       auto& highest = worker.mHighestEndedRuns[ToText(aCall.mTask)];
-      highest = std::max(highest, aCall.mRun);
+      highest = std::max(highest, aCall.mRunNumber);
       for (auto it = worker.mRuns.begin(); it != worker.mRuns.end(); ++it) {
-        if (it->mTask == aCall.mTask && it->mNumber == aCall.mRun) {
+        if (it->mTask == aCall.mTask && it->mNumber == aCall.mRunNumber) {
           worker.mEndedRuns.push_back({ worker.mNextSequence++,
                                         aCall.mTask,
-                                        aCall.mRun,
+                                        aCall.mRunNumber,
                                         RunOutcome::Stopped,
                                         "" });
           worker.mRuns.erase(it);
@@ -207,14 +209,14 @@
 }
 
 void
-FakeSite::Leader::Step()
+FakeSite::Leader::Advance()
 {
   const base::TimePoint now = mSite.Now();
   if (mIsConfirmed) {
     mConfirmedAt = now;
   }
-  mDispatcher->SetLeadershipLease(mConfirmedAt,
-                                  mConfirmedAt + std::chrono::seconds(12));
+  mDispatcher->SetLeaderLease(mConfirmedAt,
+                              mConfirmedAt + std::chrono::seconds(12));
   auto answers = std::move(mPendingAnswers);
   mPendingAnswers.clear();
   for (auto& it : answers) {
@@ -252,7 +254,7 @@
   mLeaders.push_back(
     std::make_unique<Leader>(*this, Term{ aEpoch, aPreviousLeasesEndAt }));
   for (const auto& [id, worker] : mWorkers) {
-    mLeaders.back()->Get().SetWorker(worker->Entry(), Now());
+    mLeaders.back()->GetDispatcher().SetWorker(worker->Entry(), Now());
   }
   return *mLeaders.back();
 }
@@ -273,18 +275,18 @@
 {
   const base::TimePoint end = Now() + aTime;
   while (Now() < end) {
-    mClock.Advance(kStep);
+    mClock.Advance(kTimeStep);
     for (auto& [id, worker] : mWorkers) {
-      StepWorker(*worker);
+      AdvanceWorker(*worker);
     }
     for (auto& it : mLeaders) {
-      it->Step();
+      it->Advance();
     }
   }
 }
 
 void
-FakeSite::StepWorker(FakeWorker& aWorker)
+FakeSite::AdvanceWorker(FakeWorker& aWorker)
 {
   const bool isLeaseExpired = aWorker.mLeaseUntil < Now();
   for (auto it = aWorker.mRuns.begin(); it != aWorker.mRuns.end();) {
@@ -309,28 +311,28 @@
   const std::string task = ToText(aTask);
   ++mStartCounts[task];
   if (mAcknowledgedTasks.count(task) != 0) {
-    mViolations.push_back(task + " started after an acknowledged success");
+    mDoubleRuns.push_back(task + " started after an acknowledged success");
   }
   for (const auto& [id, worker] : mWorkers) {
     for (const auto& it : worker->mRuns) {
       if (it.mTask == aTask) {
-        mViolations.push_back(task + " runs twice");
+        mDoubleRuns.push_back(task + " runs twice");
       }
     }
   }
 }
 
-jobs::JobRecord
+jobs::JobEntry
 MakeJob(const std::string& aId,
         const std::vector<int>& aCounts,
         std::int64_t aMilliProcessors)
 {
-  jobs::JobRecord job;
+  jobs::JobEntry job;
   job.mSubmission.emplace();
   job.mSubmission->mId = aId;
   job.mSubmission->mPolicy.mQueue = "queue";
-  job.mSubmission->mPolicy.mService = "pool";
-  job.mSubmission->mPolicy.mMaxAttempts = 3;
+  job.mSubmission->mPolicy.mPool = "pool";
+  job.mSubmission->mPolicy.mMaxFailedRuns = 3;
   job.mSubmission->mPolicy.mTargetLatencyMs = 1000;
   for (const int count : aCounts) {
     jobs::Step step;
--- a/src/dispatch/fake_site_test.hpp
+++ b/src/dispatch/fake_site_test.hpp
@@ -47,8 +47,8 @@
   std::int64_t mAcknowledgedSequence = 0;
   /// By task: highest run number that was stopped or has ended.
   std::map<std::string, int> mHighestEndedRuns;
-  /// Value of ActiveRun::mMeasurement in the reports.
-  std::int64_t mReportedMeasurement = 20;
+  /// Value of ActiveRun::mTailLatencyOrUse in the reports.
+  std::int64_t mReportedTailLatencyOrUse = 20;
   bool mIsDraining = false;
 };
 
@@ -63,7 +63,7 @@
   public:
     Leader(FakeSite& aSite, const Term& aTerm);
 
-    Dispatcher& Get() { return *mDispatcher; }
+    Dispatcher& GetDispatcher() { return *mDispatcher; }
     void Poll(const PollCall& aCall) override;
     void Start(const StartCall& aCall) override;
     void Stop(const StopCall& aCall) override;
@@ -74,7 +74,7 @@
     std::set<std::string> mUnreachableWorkers;
     /// By worker id: additional delay of its poll answers.
     std::map<std::string, base::Duration> mDelays;
-    /// If true, the leadership is confirmed in every step.
+    /// If true, the leadership is confirmed at every time step.
     bool mIsConfirmed = true;
     /// If true, progress records become durable at once.
     bool mCanStore = true;
@@ -89,7 +89,7 @@
 
   private:
     friend class FakeSite;
-    void Step();
+    void Advance();
 
     FakeSite& mSite;
     const std::int64_t mEpoch;
@@ -112,15 +112,15 @@
 
   /// Run time of a task; 300 ms if unset.
   std::function<base::Duration(const TaskId&)> mRunTime;
-  std::function<bool(const TaskId&, int aRun)> mFails;
+  std::function<bool(const TaskId&, int aRun)> mDecideFailure;
   /// Tasks that had two concurrent runs, or a run after an acknowledged
   /// success.
-  std::vector<std::string> mViolations;
+  std::vector<std::string> mDoubleRuns;
   /// Number of starts by task.
   std::map<std::string, int> mStartCounts;
 
 private:
-  void StepWorker(FakeWorker& aWorker);
+  void AdvanceWorker(FakeWorker& aWorker);
   void RecordStart(const FakeWorker& aWorker, const TaskId& aTask);
 
   base::ManualClock mClock;
@@ -132,7 +132,7 @@
 
 /// Creates a job with one step per entry of `aCounts`, each depending on the
 /// previous one.
-jobs::JobRecord
+jobs::JobEntry
 MakeJob(const std::string& aId,
         const std::vector<int>& aCounts,
         std::int64_t aMilliProcessors = 1000);
--- a/src/dispatch/interference_estimator.cpp
+++ b/src/dispatch/interference_estimator.cpp
@@ -19,13 +19,13 @@
 } // namespace
 
 void
-InterferenceEstimator::Record(int aServiceImage,
+InterferenceEstimator::Update(int aServiceImage,
                               const std::vector<BackfillUsage>& aBackfill,
                               Saturation aExcess,
-                              double aNoise)
+                              double aVariance)
 {
   Saturation expected = 0.0;
-  double variance = aNoise;
+  double variance = aVariance;
   for (const auto& it : aBackfill) {
     const PairEstimate estimate = Estimate(aServiceImage, it.mImage);
     expected += estimate.mMean * it.mShare;
--- a/src/dispatch/interference_estimator.hpp
+++ b/src/dispatch/interference_estimator.hpp
@@ -32,16 +32,16 @@
 {
 public:
   /// Updates the estimates with one report. `aExcess` is the saturation above
-  /// the baseline of the service, with the variance `aNoise`.
-  void Record(int aServiceImage,
+  /// the baseline of the service, with the variance `aVariance`.
+  void Update(int aServiceImage,
               const std::vector<BackfillUsage>& aBackfill,
               Saturation aExcess,
-              double aNoise);
+              double aVariance);
 
   /// Returns the estimate for a pair, or the prior if there is none.
   PairEstimate Estimate(int aServiceImage, int aBackfillImage) const;
 
-  /// True if Record or Set has stored an estimate for the pair.
+  /// True if Update or Set has stored an estimate for the pair.
   bool HasEstimate(int aServiceImage, int aBackfillImage) const;
 
   /// Replaces the estimate for a pair.
--- a/src/dispatch/interference_estimator_test.cpp
+++ b/src/dispatch/interference_estimator_test.cpp
@@ -29,8 +29,8 @@
   {
     InterferenceEstimator model;
     for (int n = 0; n < 100; ++n) {
-      model.Record(0, { { 1, 0.1 }, { 2, 0.1 } }, 0.2, 0.01);
-      model.Record(0, { { 2, 0.1 } }, 0.0, 0.01);
+      model.Update(0, { { 1, 0.1 }, { 2, 0.1 } }, 0.2, 0.01);
+      model.Update(0, { { 2, 0.1 } }, 0.0, 0.01);
     }
     CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, model.Estimate(0, 1).mMean, 0.2);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, model.Estimate(0, 2).mMean, 0.2);
@@ -43,10 +43,10 @@
   {
     InterferenceEstimator model;
     for (int n = 0; n < 200; ++n) {
-      model.Record(0, { { 1, 0.1 } }, 0.0, 0.01);
+      model.Update(0, { { 1, 0.1 } }, 0.0, 0.01);
     }
     for (int n = 0; n < 60; ++n) {
-      model.Record(0, { { 1, 0.1 } }, 0.2, 0.01);
+      model.Update(0, { { 1, 0.1 } }, 0.2, 0.01);
     }
     CPPUNIT_ASSERT(model.Estimate(0, 1).mMean > 1.5);
   }
--- a/src/dispatch/job_state.cpp
+++ b/src/dispatch/job_state.cpp
@@ -5,7 +5,7 @@
 namespace skylarkhill::dispatch {
 
 void
-CreateOccurrences(JobState& aJob,
+CreateOccurrences(ScheduledJob& aJob,
                   ColocationModel& aModel,
                   bool aMayHaveUnknownRuns)
 {
@@ -14,9 +14,9 @@
   for (int n = 0; n < count; ++n) {
     auto occurrence = std::make_unique<OccurrenceState>();
     occurrence->mNumber = n;
-    occurrence->mDueMs = request.mOccurrences > 0
-                           ? request.mFirstStartMs + n * request.mIntervalMs
-                           : 0;
+    occurrence->mStartAtMs = request.mOccurrences > 0
+                               ? request.mFirstStartMs + n * request.mIntervalMs
+                               : 0;
     occurrence->mSteps.resize(request.mSteps.size());
     for (std::size_t index = 0; index < request.mSteps.size(); ++index) {
       StepState& step = occurrence->mSteps[index];
@@ -31,7 +31,7 @@
       for (TaskState& task : step.mTasks) {
         task.mStep = &step;
         task.mIndex = position++;
-        task.mMayHaveUnknownRun = aMayHaveUnknownRuns;
+        task.mMayHaveEarlierRun = aMayHaveUnknownRuns;
         task.mLastRun = 0;
       }
     }
@@ -50,7 +50,7 @@
 }
 
 void
-RestoreProgress(JobState& aJob, const jobs::JobProgress& aProgress)
+RestoreProgress(ScheduledJob& aJob, const jobs::JobProgress& aProgress)
 {
   for (const auto& entry : aProgress.mSteps) {
     StepState* step = FindStep(aJob, entry.mOccurrence, entry.mStep);
@@ -74,11 +74,11 @@
 }
 
 jobs::JobProgress
-ProgressOf(const JobState& aJob)
+ProgressOf(const ScheduledJob& aJob)
 {
   jobs::JobProgress progress;
   progress.mState = aJob.mState;
-  progress.mIsReleased = aJob.mIsReleaseRequested;
+  progress.mMayHaveStarted = aJob.mIsStartRecordRequested;
   if (IsFinal(aJob.mState)) {
     return progress;
   }
@@ -105,11 +105,11 @@
 }
 
 bool
-BeginDueOccurrences(JobState& aJob, std::int64_t aUnixMs)
+BeginDueOccurrences(ScheduledJob& aJob, std::int64_t aUnixMs)
 {
   bool hasChanged = false;
   for (auto& it : aJob.mOccurrences) {
-    if (!it->mIsBegun && it->mDueMs <= aUnixMs) {
+    if (!it->mIsBegun && it->mStartAtMs <= aUnixMs) {
       it->mIsBegun = true;
       hasChanged = true;
     }
@@ -118,7 +118,7 @@
 }
 
 StepState*
-FindStep(JobState& aJob, int aOccurrence, int aStep)
+FindStep(ScheduledJob& aJob, int aOccurrence, int aStep)
 {
   if (aOccurrence < 0 ||
       aOccurrence >= static_cast<int>(aJob.mOccurrences.size())) {
@@ -142,7 +142,7 @@
 }
 
 bool
-HasRuns(const JobState& aJob)
+HasRuns(const ScheduledJob& aJob)
 {
   for (const auto& occurrence : aJob.mOccurrences) {
     for (const StepState& step : occurrence->mSteps) {
--- a/src/dispatch/job_state.hpp
+++ b/src/dispatch/job_state.hpp
@@ -11,32 +11,32 @@
 /// Creates the occurrences, steps and tasks of `aJob`. `aMayHaveUnknownRuns` is
 /// true if an earlier leader may have started tasks.
 void
-CreateOccurrences(JobState& aJob,
+CreateOccurrences(ScheduledJob& aJob,
                   ColocationModel& aModel,
                   bool aMayHaveUnknownRuns);
 
 /// Restores the tasks of `aJob` from its durable progress.
 void
-RestoreProgress(JobState& aJob, const jobs::JobProgress& aProgress);
+RestoreProgress(ScheduledJob& aJob, const jobs::JobProgress& aProgress);
 
 /// Returns the progress of `aJob` that must be persisted.
 jobs::JobProgress
-ProgressOf(const JobState& aJob);
+ProgressOf(const ScheduledJob& aJob);
 
 /// Begins the occurrences that are due and returns true if there were any.
 bool
-BeginDueOccurrences(JobState& aJob, std::int64_t aUnixMs);
+BeginDueOccurrences(ScheduledJob& aJob, std::int64_t aUnixMs);
 
 /// Returns the step, or null if the job has none at this position.
 StepState*
-FindStep(JobState& aJob, int aOccurrence, int aStep);
+FindStep(ScheduledJob& aJob, int aOccurrence, int aStep);
 
 TaskId
 IdOf(const TaskState& aTask);
 
 /// True if any task of the job has a run.
 bool
-HasRuns(const JobState& aJob);
+HasRuns(const ScheduledJob& aJob);
 
 /// True if the task has a run that is not being stopped.
 bool
--- a/src/dispatch/pacing.cpp
+++ b/src/dispatch/pacing.cpp
@@ -10,11 +10,11 @@
 
 /// Tails are kept below this share of their target, because reported values are
 /// imprecise.
-constexpr TailRatio kTailLimit = 0.85;
+constexpr TailRatio kMaxTailRatioForPacing = 0.85;
 
 /// From this share of its target on, a tail is treated as a possible violation,
 /// because reported values are imprecise.
-constexpr TailRatio kTailWarning = 0.9;
+constexpr TailRatio kViolationTailRatio = 0.9;
 
 /// Fractions of the permitted violation time after which backfill is paused and
 /// after which it is moved, whatever the model expects.
@@ -39,8 +39,8 @@
 }
 
 /// Lowers the paces of `aBackfill` until `aService` is expected to stay below
-/// kTailLimit, starting with the run that has the highest interference per
-/// processor share.
+/// kMaxTailRatioForPacing, starting with the run that has the highest
+/// interference per processor share.
 void
 LimitPaces(const ColocationModel& aModel,
            const RunState& aService,
@@ -54,7 +54,8 @@
     Saturation mInterferencePerShare = 0.0;
   };
   std::vector<Entry> entries;
-  Saturation excess = BaselineOf(aService) - SaturationOf(kTailLimit);
+  Saturation excess =
+    BaselineOf(aService) - SaturationOf(kMaxTailRatioForPacing);
   for (const RunState* it : aBackfill) {
     const Saturation interference = aModel.InterferenceBetween(aService, *it);
     excess += interference * aPaces[it] / kFullPace;
@@ -99,12 +100,12 @@
       backfill.push_back(it);
     }
   }
-  if (highestRatio <= kTailWarning) {
+  if (highestRatio <= kViolationTailRatio) {
     aWorker.mTailViolatedSince.reset();
-    aWorker.mLastHealthyReportAt = aNow;
+    aWorker.mTailsBelowTargetAt = aNow;
   } else if (!aWorker.mTailViolatedSince) {
     // The violation may have begun right after the last healthy report.
-    aWorker.mTailViolatedSince = aWorker.mLastHealthyReportAt.value_or(aNow);
+    aWorker.mTailViolatedSince = aWorker.mTailsBelowTargetAt.value_or(aNow);
   }
   if (backfill.empty()) {
     return;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -37,11 +37,12 @@
 constexpr double kInterferenceCost = 20000.0;
 
 /// No backfill task is placed where its interference would exceed
-/// kMinSignificantInterference and bring a tail above kMaxTailRatio, or
-/// kMaxTailRatioUrgent if the step is urgent.
+/// kMinSignificantInterference and bring a tail above
+/// kMaxTailRatioForPlacement, or kMaxTailRatioForUrgentPlacement if the step is
+/// urgent.
 constexpr Saturation kMinSignificantInterference = 0.03;
-constexpr TailRatio kMaxTailRatio = 0.7;
-constexpr TailRatio kMaxTailRatioUrgent = 0.8;
+constexpr TailRatio kMaxTailRatioForPlacement = 0.7;
+constexpr TailRatio kMaxTailRatioForUrgentPlacement = 0.8;
 
 bool
 HasLabel(const WorkerState& aWorker, const std::string& aLabel)
@@ -63,7 +64,7 @@
   for (const RunState* it : aWorker.mRuns) {
     if (it->mTask->mStep->mSpec->mIsService) {
       highest = std::max(highest,
-                         aModel.InterferenceUpperBound(
+                         aModel.CautiousInterference(
                            it->mTask->mStep->mImage, aStep.mImage, share));
     }
   }
@@ -99,19 +100,20 @@
 /// True if one more task of `aStep` would bring a service task on `aWorker`
 /// above its tail limit.
 bool
-WouldExceedTailLimit(const StepState& aStep,
-                     const WorkerState& aWorker,
-                     const ColocationModel& aModel)
+WouldExceedMaxTailRatio(const StepState& aStep,
+                        const WorkerState& aWorker,
+                        const ColocationModel& aModel)
 {
   const double share =
     ShareOf(aStep.mSpec->mResources.mMilliProcessors, aWorker);
-  const TailRatio limit = aStep.mIsUrgent ? kMaxTailRatioUrgent : kMaxTailRatio;
+  const TailRatio limit = aStep.mIsUrgent ? kMaxTailRatioForUrgentPlacement
+                                          : kMaxTailRatioForPlacement;
   return std::any_of(
     aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const RunState* aRun) {
       if (!aRun->mTask->mStep->mSpec->mIsService) {
         return false;
       }
-      const Saturation interference = aModel.InterferenceUpperBound(
+      const Saturation interference = aModel.CautiousInterference(
         aRun->mTask->mStep->mImage, aStep.mImage, share);
       return interference > kMinSignificantInterference &&
              BaselineOf(*aRun) + aModel.TotalInterference(*aRun) +
@@ -179,9 +181,9 @@
 }
 
 void
-AddFailure(WorkerState& aWorker, double aWeight, base::TimePoint aNow)
+ChangeFailureScore(WorkerState& aWorker, double aChange, base::TimePoint aNow)
 {
-  aWorker.mFailureScore = std::max(0.0, FailureScore(aWorker, aNow) + aWeight);
+  aWorker.mFailureScore = std::max(0.0, FailureScore(aWorker, aNow) + aChange);
   aWorker.mFailureScoreAt = aNow;
 }
 
@@ -204,8 +206,8 @@
 bool
 AcceptsStarts(const WorkerState& aWorker, base::TimePoint aNow)
 {
-  return aWorker.mHasReported && aWorker.mIsListed &&
-         !aWorker.mEntry.mIsDraining && aWorker.mAvoidUntil <= aNow &&
+  return aWorker.mHasReported && aWorker.mIsRegistered &&
+         !aWorker.mEntry.mIsDraining && aWorker.mNoStartsUntil <= aNow &&
          aWorker.mLastReportAt + kMaxReportAge > aNow;
 }
 
@@ -225,7 +227,7 @@
            base::TimePoint aNow)
 {
   const jobs::Step& step = *aStep.mSpec;
-  if (aWorker.mEntry.mService != aStep.mJob->mSubmission.mPolicy.mService ||
+  if (aWorker.mEntry.mPool != aStep.mJob->mSubmission.mPolicy.mPool ||
       !AcceptsStarts(aWorker, aNow)) {
     return false;
   }
@@ -233,7 +235,7 @@
                   aWorker.mEntry.mCapacity)) {
     return false;
   }
-  if (aStep.mJob->mSubmission.mPolicy.mNeedsAdvice &&
+  if (aStep.mJob->mSubmission.mPolicy.mNeedsTicket &&
       !HasTicket(aStep, aWorker, aNow)) {
     return false;
   }
@@ -254,7 +256,7 @@
       static_cast<double>(std::min(step.mResources.mMilliProcessors,
                                    aWorker.mEntry.mCapacity.mMilliProcessors));
     return left >= kMinBackfillShare * requested &&
-           !WouldExceedTailLimit(aStep, aWorker, aModel);
+           !WouldExceedMaxTailRatio(aStep, aWorker, aModel);
   }
   return true;
 }
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -19,9 +19,9 @@
 double
 FailureScore(const WorkerState& aWorker, base::TimePoint aNow);
 
-/// Adds `aWeight`, which may be negative, to the failure score of `aWorker`.
+/// Adds `aChange`, which may be negative, to the failure score of `aWorker`.
 void
-AddFailure(WorkerState& aWorker, double aWeight, base::TimePoint aNow);
+ChangeFailureScore(WorkerState& aWorker, double aChange, base::TimePoint aNow);
 
 /// Estimates the processors of `aWorker`, in thousandths, that tasks other than
 /// backfill leave unused.
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -17,7 +17,7 @@
 
 namespace skylarkhill::dispatch {
 
-struct JobState;
+struct ScheduledJob;
 struct StepState;
 struct TaskState;
 struct WorkerState;
@@ -37,7 +37,7 @@
   bool mIsCallInFlight = false;
   int mCallsSent = 0;
   base::TimePoint mNextCallAt;
-  int mPercent = 0;
+  int mProgressPercent = 0;
   base::TimePoint mProgressAt;
   /// Pace that the worker has accepted, in percent of full speed; -1 if
   /// unknown.
@@ -50,8 +50,8 @@
   /// A service task on the same worker has exceeded its tail target for too
   /// long.
   bool mMustMove = false;
-  /// The last reported value, see ActiveRun::mMeasurement.
-  std::int64_t mMeasurement = -1;
+  /// The last reported value, see ActiveRun::mTailLatencyOrUse.
+  std::int64_t mTailLatencyOrUse = -1;
   /// Service runs only: saturation at the last report, less the expected
   /// interference by backfill.
   double mBaseline = 0.0;
@@ -75,7 +75,7 @@
   std::string mAvoidedWorkerId;
   /// An earlier leader may have started the task on a worker that has not
   /// reported yet.
-  bool mMayHaveUnknownRun = false;
+  bool mMayHaveEarlierRun = false;
 };
 
 /// Ticket of the advice service to run a step on a worker.
@@ -87,7 +87,7 @@
 
 struct StepState
 {
-  JobState* mJob = nullptr;
+  ScheduledJob* mJob = nullptr;
   const jobs::Step* mSpec = nullptr;
   int mOccurrence = 0;
   int mIndex = 0;
@@ -112,7 +112,7 @@
   /// By worker id; used only if the queue requires advice.
   std::map<std::string, Ticket> mTickets;
   /// Workers that the advice service has been asked about, permitted or not.
-  std::set<std::string> mAdvisedWorkers;
+  std::set<std::string> mQueriedWorkers;
   bool mIsAdviceInFlight = false;
   base::TimePoint mNextAdviceAt;
 };
@@ -120,23 +120,23 @@
 struct OccurrenceState
 {
   int mNumber = 0;
-  std::int64_t mDueMs = 0;
+  std::int64_t mStartAtMs = 0;
   bool mIsBegun = false;
   std::vector<StepState> mSteps;
 };
 
-struct JobState
+struct ScheduledJob
 {
   jobs::Submission mSubmission;
   jobs::JobState mState = jobs::JobState::Pending;
   /// Unix time by which the job should be complete.
-  std::int64_t mObjectiveMs = 0;
+  std::int64_t mObjectiveAtMs = 0;
   /// Unix time after which completion has no value.
-  std::int64_t mZeroValueMs = 0;
+  std::int64_t mZeroValueAtMs = 0;
   /// Tasks are started only once the release is durable, so that the next
   /// leader knows which jobs may have runs that no worker has reported to it.
-  bool mIsReleaseRequested = false;
-  bool mIsReleased = false;
+  bool mIsStartRecordRequested = false;
+  bool mIsStartRecorded = false;
   std::vector<std::unique_ptr<OccurrenceState>> mOccurrences;
   bool mIsDirty = false;
   /// The batch that holds the latest progress of the job.
@@ -153,8 +153,8 @@
 struct WorkerState
 {
   WorkerEntry mEntry;
-  bool mIsListed = true;
-  base::TimePoint mUnlistedAt;
+  bool mIsRegistered = true;
+  base::TimePoint mUnregisteredAt;
   base::TimePoint mLeavesAt = base::kNoDeadline;
 
   /// The worker has answered a poll in this term.
@@ -183,14 +183,14 @@
   std::map<int, double> mBackfillShares;
 
   /// No tasks are placed on the worker before this time.
-  base::TimePoint mAvoidUntil;
+  base::TimePoint mNoStartsUntil;
   /// Score of recent failures and stalls; decays with kFailureHalfLife.
   double mFailureScore = 0.0;
   base::TimePoint mFailureScoreAt;
 
   base::TimePoint mPaceChangedAt;
   /// Last report in which no service task was near or above its tail target.
-  std::optional<base::TimePoint> mLastHealthyReportAt;
+  std::optional<base::TimePoint> mTailsBelowTargetAt;
   /// Since when a service task may have exceeded its tail target.
   std::optional<base::TimePoint> mTailViolatedSince;
 };
--- a/src/dispatch/summary.cpp
+++ b/src/dispatch/summary.cpp
@@ -42,10 +42,10 @@
       if (it->mTask->mStep->mSpec->mIsService) {
         ++services;
         aboveTarget += TailRatioOf(*it) > 1.0 ? 1 : 0;
-        starting += it->mPercent < 100 ? 1 : 0;
+        starting += it->mProgressPercent < 100 ? 1 : 0;
       }
       paced += it->mTargetPace < 100 ? 1 : 0;
-      used += isBackfill ? std::max<std::int64_t>(0, it->mMeasurement) : 0;
+      used += isBackfill ? std::max<std::int64_t>(0, it->mTailLatencyOrUse) : 0;
     }
   }
   logging::Write(logging::Level::Info,
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -128,11 +128,11 @@
 } // namespace
 
 std::string
-FormatRecordKey(RecordKind aKind, std::string_view aJobId)
+FormatRecordKey(RecordKind aKind, std::string_view aId)
 {
   std::string key(base::FindName(kKeyPrefixes, aKind));
   key.push_back('/');
-  key.append(aJobId);
+  key.append(aId);
   return key;
 }
 
@@ -159,12 +159,12 @@
   const auto& policy = aSubmission.mPolicy;
   return Pack(SubmissionFields{ aSubmission.mId,
                                 { policy.mQueue,
-                                  policy.mService,
+                                  policy.mPool,
                                   policy.mPriority,
-                                  policy.mMaxAttempts,
+                                  policy.mMaxFailedRuns,
                                   policy.mSlackFactor,
                                   policy.mTargetLatencyMs,
-                                  policy.mNeedsAdvice },
+                                  policy.mNeedsTicket },
                                 aSubmission.mAcceptedMs,
                                 aSubmission.mRequest.mPayload,
                                 steps,
@@ -190,12 +190,12 @@
            request.mFirstStartMs,
            request.mIntervalMs) = std::move(fields);
   std::tie(submission.mPolicy.mQueue,
-           submission.mPolicy.mService,
+           submission.mPolicy.mPool,
            submission.mPolicy.mPriority,
-           submission.mPolicy.mMaxAttempts,
+           submission.mPolicy.mMaxFailedRuns,
            submission.mPolicy.mSlackFactor,
            submission.mPolicy.mTargetLatencyMs,
-           submission.mPolicy.mNeedsAdvice) = std::move(policy);
+           submission.mPolicy.mNeedsTicket) = std::move(policy);
   for (const auto& it : steps) {
     request.mSteps.push_back(ToStep(it));
   }
@@ -215,7 +215,7 @@
     steps.emplace_back(step.mOccurrence, step.mStep, std::move(tasks));
   }
   return Pack(ProgressFields{ static_cast<int>(aProgress.mState),
-                              aProgress.mIsReleased,
+                              aProgress.mMayHaveStarted,
                               std::move(steps) });
 }
 
@@ -229,7 +229,7 @@
   }
   JobProgress progress;
   progress.mState = static_cast<JobState>(state);
-  progress.mIsReleased = std::get<1>(fields);
+  progress.mMayHaveStarted = std::get<1>(fields);
   for (auto& step : std::get<2>(fields)) {
     StepProgress entry;
     entry.mOccurrence = std::get<0>(step);
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 JobState
-JobRecord::State() const
+JobEntry::State() const
 {
   if (IsFinal(mProgress.mState)) {
     return mProgress.mState;
@@ -43,11 +43,11 @@
   }
   if (aValue.empty()) {
     if (key->mKind == RecordKind::Submission) {
-      Erase(key->mJobId);
+      Erase(key->mId);
     }
     return;
   }
-  Shard& shard = ShardOf(key->mJobId);
+  Shard& shard = ShardOf(key->mId);
   switch (key->mKind) {
     case RecordKind::Submission: {
       auto submission = DecodeSubmission(aValue);
@@ -56,7 +56,7 @@
         return;
       }
       const std::lock_guard lock(shard.mLock);
-      JobRecord& job = shard.mJobs[key->mJobId];
+      JobEntry& job = shard.mJobs[key->mId];
       // A repeated submission is ignored.
       if (job.mSubmission) {
         return;
@@ -66,7 +66,7 @@
     }
     case RecordKind::Cancellation: {
       const std::lock_guard lock(shard.mLock);
-      JobRecord& job = shard.mJobs[key->mJobId];
+      JobEntry& job = shard.mJobs[key->mId];
       job.mIsCancelled = true;
       break;
     }
@@ -77,7 +77,7 @@
         return;
       }
       const std::lock_guard lock(shard.mLock);
-      JobRecord& job = shard.mJobs[key->mJobId];
+      JobEntry& job = shard.mJobs[key->mId];
       if (aOffset <= job.mProgressOffset) {
         return;
       }
@@ -117,7 +117,7 @@
   return StateOf(aJobId).has_value();
 }
 
-std::optional<JobRecord>
+std::optional<JobEntry>
 JobTable::Find(const std::string& aJobId) const
 {
   const Shard& shard = ShardOf(aJobId);
@@ -145,10 +145,10 @@
   return n;
 }
 
-std::vector<JobRecord>
+std::vector<JobEntry>
 JobTable::List() const
 {
-  std::vector<JobRecord> jobs;
+  std::vector<JobEntry> jobs;
   for (const Shard& shard : mShards) {
     const std::lock_guard lock(shard.mLock);
     for (const auto& [id, job] : shard.mJobs) {
--- a/src/jobs/jobs_test.cpp
+++ b/src/jobs/jobs_test.cpp
@@ -13,7 +13,7 @@
   Submission submission;
   submission.mId = aId;
   submission.mPolicy.mQueue = "queue";
-  submission.mPolicy.mService = "pool";
+  submission.mPolicy.mPool = "pool";
   submission.mPolicy.mSlackFactor = 1.5;
   submission.mAcceptedMs = 1234;
   submission.mRequest.mPayload = std::string("\0\xff text", 7);
@@ -51,7 +51,7 @@
   CPPUNIT_TEST_SUITE(JobsTest);
   CPPUNIT_TEST(RoundTripsASubmission);
   CPPUNIT_TEST(RoundTripsProgress);
-  CPPUNIT_TEST(RejectsMalformedRecords);
+  CPPUNIT_TEST(RefusesMalformedRecords);
   CPPUNIT_TEST(IgnoresARepeatedSubmission);
   CPPUNIT_TEST(IgnoresOlderProgress);
   CPPUNIT_TEST(CancelsAJobSubmittedAfterItsCancellation);
@@ -81,18 +81,18 @@
   {
     JobProgress before;
     before.mState = JobState::Running;
-    before.mIsReleased = true;
+    before.mMayHaveStarted = true;
     before.mSteps.push_back({ 2, 1, { { 3, false, { 1, 4 }, 5, "point" } } });
     const auto after = DecodeProgress(EncodeProgress(before));
     CPPUNIT_ASSERT(after);
-    CPPUNIT_ASSERT(after.value().mIsReleased);
+    CPPUNIT_ASSERT(after.value().mMayHaveStarted);
     const TaskProgress& task = after.value().mSteps.front().mTasks.front();
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, task.mFailedRuns.size());
     CPPUNIT_ASSERT_EQUAL(5, task.mLastRun);
     CPPUNIT_ASSERT_EQUAL(std::string("point"), task.mCheckpoint);
   }
 
-  void RejectsMalformedRecords()
+  void RefusesMalformedRecords()
   {
     CPPUNIT_ASSERT(!DecodeSubmission("garbage"));
     CPPUNIT_ASSERT(!DecodeProgress(""));
--- a/src/node/fake_shared_log_test.hpp
+++ b/src/node/fake_shared_log_test.hpp
@@ -21,7 +21,7 @@
 /// One node's access to the in-memory log. Handlers of asynchronous calls run
 /// in Deliver.
 class FakeSharedLog
-  : public SharedLog
+  : public AsyncLog
   , public BlockingLog
 {
 public:
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -28,7 +28,7 @@
 constexpr base::Duration kMaxClaimJitter = std::chrono::milliseconds(200);
 /// Nodes with at least this many processors claim without a share delay; the
 /// largest instances of the sites have 0.5.
-constexpr double kMinShareWithoutDelay = 0.5;
+constexpr double kMinProcessorsWithoutDelay = 0.5;
 /// Additional claim delay of a node whose processor share is close to 0.
 constexpr base::Duration kMaxShareDelay = std::chrono::milliseconds(500);
 /// Pause after a lost claim, a failed append or a loss of the leadership.
@@ -41,14 +41,14 @@
 /// Time that a candidate waits before it claims. Nodes with a smaller processor
 /// share wait longer, because a slow leader slows down all callers.
 base::Duration
-ClaimDelay(const std::string& aNodeId,
+ClaimDelay(const std::string& aInstanceId,
            std::int64_t aEpoch,
-           double aProcessorShare)
+           double aProcessors)
 {
   const auto hash =
-    base::StableHash(aNodeId, static_cast<std::uint64_t>(aEpoch));
+    base::StableHash(aInstanceId, static_cast<std::uint64_t>(aEpoch));
   const double shortfall =
-    std::clamp(1.0 - aProcessorShare / kMinShareWithoutDelay, 0.0, 1.0);
+    std::clamp(1.0 - aProcessors / kMinProcessorsWithoutDelay, 0.0, 1.0);
   const auto shareDelay = base::Duration(static_cast<base::Duration::rep>(
     shortfall * static_cast<double>(kMaxShareDelay.count())));
   return shareDelay +
@@ -81,36 +81,37 @@
   }
 }
 
-Leadership::Leadership(SharedLog& aLog,
+Leadership::Leadership(AsyncLog& aLog,
                        const base::Clock& aClock,
                        LogStream aStream,
-                       std::string aNodeId,
-                       double aProcessorShare)
+                       std::string aInstanceId,
+                       double aProcessors)
   : mLog(aLog)
   , mClock(aClock)
   , mStream(std::move(aStream))
-  , mNodeId(std::move(aNodeId))
-  , mProcessorShare(aProcessorShare)
-  , mTail(aLog,
-          aClock,
-          mStream,
-          { [this](const LogRecord& aRecord) { OnRecord(aRecord); }, {} })
+  , mInstanceId(std::move(aInstanceId))
+  , mProcessors(aProcessors)
+  , mReader(aLog,
+            aClock,
+            mStream,
+            { [this](const LogRecord& aRecord) { OnRecord(aRecord); }, {} })
 {
-  mTail.SetPause(kFollowerPause);
+  mReader.SetPause(kFollowerPause);
 }
 
 void
-Leadership::Poll()
+Leadership::Tick()
 {
-  mTail.Poll();
+  mReader.Tick();
   const TimePoint now = mClock.Now();
   if (mIsAppending || now < mNextAppendAt) {
     return;
   }
   if (mOwnEpoch) {
-    Append({ *mOwnEpoch, mNodeId, false });
+    Append({ *mOwnEpoch, mInstanceId, false });
   } else if (!mHasResigned && IsClaimDue(now)) {
-    Append({ (mNewestRecord ? mNewestRecord->mEpoch : 0) + 1, mNodeId, false });
+    Append(
+      { (mNewestRecord ? mNewestRecord->mEpoch : 0) + 1, mInstanceId, false });
   }
 }
 
@@ -125,7 +126,7 @@
   mOwnEpoch.reset();
   logging::Write(
     logging::Level::Info, "leadership_resigned", { { "epoch", epoch } });
-  Append({ epoch, mNodeId, true });
+  Append({ epoch, mInstanceId, true });
 }
 
 void
@@ -137,13 +138,13 @@
   }
   mOwnEpoch.reset();
   mNextAppendAt = mClock.Now() + kRetryPause;
-  mTail.SkipPause();
+  mReader.SkipPause();
 }
 
 base::TimePoint
-Leadership::NextPollAt() const
+Leadership::NextTickAt() const
 {
-  TimePoint next = mTail.NextPollAt();
+  TimePoint next = mReader.NextTickAt();
   if (mOwnEpoch && !mIsAppending) {
     next = std::min(next, mNextAppendAt);
   }
@@ -165,7 +166,7 @@
     return;
   }
   const LeaderRecord& leaderRecord = record.value();
-  const bool isOwn = leaderRecord.mLeaderId == mNodeId;
+  const bool isOwn = leaderRecord.mLeaderId == mInstanceId;
   if (mNewestRecord && leaderRecord.mEpoch < mNewestRecord->mEpoch) {
     return;
   }
@@ -198,16 +199,16 @@
 bool
 Leadership::IsClaimDue(TimePoint aNow) const
 {
-  if (!mTail.IsLoaded() || mTail.ConsecutiveFailures() > 0) {
+  if (!mReader.IsLoaded() || mReader.ConsecutiveFailures() > 0) {
     return false;
   }
   const base::Duration delay = ClaimDelay(
-    mNodeId, mNewestRecord ? mNewestRecord->mEpoch : 0, mProcessorShare);
+    mInstanceId, mNewestRecord ? mNewestRecord->mEpoch : 0, mProcessors);
   if (!mNewestRecord || mNewestRecord->mIsResigned) {
-    return aNow >= std::max(mNewestReadAt, mTail.ReachableSince()) + delay;
+    return aNow >= std::max(mNewestReadAt, mReader.ReachableSince()) + delay;
   }
   // Time in which the stream could not be read does not count as silence.
-  return aNow >= std::max(mNewestReadAt, mTail.ReachableSince()) +
+  return aNow >= std::max(mNewestReadAt, mReader.ReachableSince()) +
                    kTakeoverTimeout + delay;
 }
 
@@ -219,7 +220,7 @@
   if (!mOwnEpoch) {
     mClaimSentAt = now;
   }
-  mStreamEnd = std::max(mStreamEnd, mTail.NextOffset());
+  mStreamEnd = std::max(mStreamEnd, mReader.NextOffset());
   AppendRequest request;
   request.mStream = mStream;
   request.mRecords.push_back(
@@ -243,7 +244,7 @@
     // The next read shows whether another node leads or whether an append
     // without a response was stored.
     mNextAppendAt = now + kRetryPause;
-    mTail.SkipPause();
+    mReader.SkipPause();
     return;
   }
   mStreamEnd = aResult.mEnd;
@@ -265,7 +266,7 @@
 {
   mOwnEpoch = aEpoch;
   mConfirmedAt = aClaimedAt;
-  mNewestRecord = LeaderRecord{ aEpoch, mNodeId, false };
+  mNewestRecord = LeaderRecord{ aEpoch, mInstanceId, false };
   mNewestReadAt = mClock.Now();
   mNextAppendAt = mNewestReadAt + kRenewInterval;
   logging::Write(
--- a/src/node/stream_tail.cpp
+++ b/src/node/log_stream_reader.cpp
@@ -1,4 +1,4 @@
-#include "skylarkhill/node/stream_tail.hpp"
+#include "skylarkhill/node/log_stream_reader.hpp"
 
 #include "skylarkhill/logging/logging.hpp"
 
@@ -16,10 +16,10 @@
 
 } // namespace
 
-StreamTail::StreamTail(SharedLog& aLog,
-                       const base::Clock& aClock,
-                       LogStream aStream,
-                       TailHandlers aHandlers)
+LogStreamReader::LogStreamReader(AsyncLog& aLog,
+                                 const base::Clock& aClock,
+                                 LogStream aStream,
+                                 LogStreamHandlers aHandlers)
   : mLog(aLog)
   , mClock(aClock)
   , mStream(std::move(aStream))
@@ -28,10 +28,10 @@
 }
 
 void
-StreamTail::Poll()
+LogStreamReader::Tick()
 {
   const base::TimePoint now = mClock.Now();
-  if (mIsReading || now < mNextPollAt) {
+  if (mIsReading || now < mNextReadAt) {
     return;
   }
   mIsReading = true;
@@ -48,13 +48,13 @@
 }
 
 void
-StreamTail::SkipPause()
+LogStreamReader::SkipPause()
 {
-  mNextPollAt = base::TimePoint{};
+  mNextReadAt = base::TimePoint{};
 }
 
 void
-StreamTail::OnNewest(const ReadResult& aResult, base::TimePoint aSentAt)
+LogStreamReader::OnNewest(const ReadResult& aResult, base::TimePoint aSentAt)
 {
   mIsReading = false;
   if (aResult.mOutcome != LogOutcome::Done) {
@@ -72,7 +72,7 @@
 }
 
 void
-StreamTail::OnRead(const ReadResult& aResult, base::TimePoint aSentAt)
+LogStreamReader::OnRead(const ReadResult& aResult, base::TimePoint aSentAt)
 {
   mIsReading = false;
   if (aResult.mOutcome == LogOutcome::Expired) {
@@ -92,18 +92,18 @@
   mNextOffset = std::max(mNextOffset.load(), aResult.mNextOffset);
   OnSuccess(aSentAt);
   if (hasRecords) {
-    mNextPollAt = mClock.Now() + mPause;
+    mNextReadAt = mClock.Now() + mPause;
   }
 }
 
 void
-StreamTail::Deliver(const std::vector<LogRecord>& aRecords)
+LogStreamReader::Deliver(const std::vector<LogRecord>& aRecords)
 {
   std::for_each(aRecords.begin(), aRecords.end(), mHandlers.mOnRecord);
 }
 
 void
-StreamTail::OnFailure()
+LogStreamReader::OnFailure()
 {
   if (++mConsecutiveFailures == 1) {
     logging::Write(logging::Level::Warning,
@@ -111,11 +111,11 @@
                    { { "stream", mStream.mTopic } });
   }
   mIsReachable = false;
-  mNextPollAt = mClock.Now() + kRetryPause;
+  mNextReadAt = mClock.Now() + kRetryPause;
 }
 
 void
-StreamTail::OnSuccess(base::TimePoint aSentAt)
+LogStreamReader::OnSuccess(base::TimePoint aSentAt)
 {
   if (mConsecutiveFailures > 0) {
     logging::Write(logging::Level::Info,
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -37,7 +37,7 @@
 /// A longer gap between two polls means that the process was paused. Its state
 /// may then be outdated, so it starts and stops no tasks until its leadership
 /// is confirmed again.
-constexpr Duration kMaxPollGap = std::chrono::milliseconds(900);
+constexpr Duration kMaxTickGap = std::chrono::milliseconds(900);
 
 /// Workers that left the registry are kept while a previous leader may have
 /// extended their leases.
@@ -49,7 +49,7 @@
 /// about as long.
 constexpr std::int64_t kFinalJobRetentionMs = 400'000;
 /// Maximum time between two polls.
-constexpr Duration kMaxPollInterval = std::chrono::milliseconds(100);
+constexpr Duration kMaxTickInterval = std::chrono::milliseconds(100);
 
 constexpr Duration kCleanupInterval = std::chrono::seconds(20);
 constexpr std::size_t kMaxJobsPerCleanup = 500;
@@ -57,7 +57,7 @@
 } // namespace
 
 Node::Node(NodeOptions aOptions,
-           SharedLog& aLog,
+           AsyncLog& aLog,
            BlockingLog& aBlockingLog,
            WorkerClient& aWorkerClient,
            const RecordDecoder& aDecoder,
@@ -77,73 +77,74 @@
   , mFlushSeconds(
       aMetrics.GetDistribution("skylarkhill_flush_seconds",
                                "Time until progress records are stored."))
-  , mConfigurationTail(
+  , mConfigurationReader(
       aLog,
       aClock,
       mOptions.mStreams.mConfiguration,
       { [this](const LogRecord& aRecord) { OnConfiguration(aRecord); }, {} })
-  , mWorkerTail(aLog,
-                aClock,
-                mOptions.mStreams.mWorkers,
-                { [this](const LogRecord& aRecord) { OnWorkerRecord(aRecord); },
-                  [this](const std::vector<LogRecord>& aRecords) {
-                    OnWorkerSnapshot(aRecords);
-                  } })
-  , mJournalTail(
+  , mWorkerReader(
+      aLog,
+      aClock,
+      mOptions.mStreams.mWorkers,
+      { [this](const LogRecord& aRecord) { OnWorkerRecord(aRecord); },
+        [this](const std::vector<LogRecord>& aRecords) {
+          OnWorkerSnapshot(aRecords);
+        } })
+  , mJournalReader(
       aLog,
       aClock,
       mOptions.mStreams.mJournal,
       { [this](const LogRecord& aRecord) { OnJournalRecord(aRecord); }, {} })
-  , mService(mJobs,
-             aBlockingLog,
-             mOptions.mStreams.mJournal,
-             mNextJournalOffset,
-             aClock,
-             aWallClock,
-             aMetrics)
+  , mJobService(mJobs,
+                aBlockingLog,
+                mOptions.mStreams.mJournal,
+                mNextJournalOffset,
+                aClock,
+                aWallClock,
+                aMetrics)
   , mLeadership(aLog,
                 aClock,
                 mOptions.mStreams.mLeader,
-                mOptions.mNodeId,
-                mOptions.mProcessorShare)
+                mOptions.mInstanceId,
+                mOptions.mProcessors)
 {
-  mWorkerTail.SetPause(kFollowerWorkerPause);
-  mJournalTail.SetPause(kFollowerJournalPause);
-  mLastPollAt = aClock.Now();
+  mWorkerReader.SetPause(kFollowerWorkerPause);
+  mJournalReader.SetPause(kFollowerJournalPause);
+  mLastTickAt = aClock.Now();
 }
 
 Node::~Node()
 {
-  mWorkerClient.Detach();
+  mWorkerClient.ClearDispatcher();
 }
 
 void
-Node::Poll()
+Node::Tick()
 {
   const TimePoint now = mClock.Now();
-  if (now - mLastPollAt > kMaxPollGap) {
+  if (now - mLastTickAt > kMaxTickGap) {
     logging::Write(logging::Level::Warning,
                    "process_was_paused",
                    { { "ms",
                        std::chrono::duration_cast<std::chrono::milliseconds>(
-                         now - mLastPollAt)
+                         now - mLastTickAt)
                          .count() } });
     mResumedAt = now;
   }
-  mLastPollAt = now;
-  mConfigurationTail.Poll();
-  mWorkerTail.Poll();
-  mJournalTail.Poll();
+  mLastTickAt = now;
+  mConfigurationReader.Tick();
+  mWorkerReader.Tick();
+  mJournalReader.Tick();
   mNextJournalOffset =
-    mJournalTail.IsLoaded() ? mJournalTail.NextOffset() : kJournalNotLoaded;
-  mLeadership.Poll();
+    mJournalReader.IsLoaded() ? mJournalReader.NextOffset() : kJournalNotLoaded;
+  mLeadership.Tick();
   UpdateTerm();
   if (mDispatcher != nullptr) {
     const TimePoint confirmedAt = mLeadership.ConfirmedAt();
-    mDispatcher->SetLeadershipLease(
+    mDispatcher->SetLeaderLease(
       confirmedAt,
       confirmedAt >= mResumedAt ? confirmedAt + kLeaderLease : now);
-    if (now >= mDispatcher->NextTick()) {
+    if (now >= mDispatcher->NextTickAt()) {
       mDispatcher->Tick(now, mWallClock.NowMs());
     }
     Flush();
@@ -153,18 +154,18 @@
 }
 
 TimePoint
-Node::NextPollAt() const
+Node::NextTickAt() const
 {
   // Bounded, because the values below leave out when a claim becomes due.
-  TimePoint next = mClock.Now() + kMaxPollInterval;
-  for (const TimePoint it : { mConfigurationTail.NextPollAt(),
-                              mWorkerTail.NextPollAt(),
-                              mJournalTail.NextPollAt(),
-                              mLeadership.NextPollAt() }) {
+  TimePoint next = mClock.Now() + kMaxTickInterval;
+  for (const TimePoint it : { mConfigurationReader.NextTickAt(),
+                              mWorkerReader.NextTickAt(),
+                              mJournalReader.NextTickAt(),
+                              mLeadership.NextTickAt() }) {
     next = std::min(next, it);
   }
   if (mDispatcher != nullptr) {
-    next = std::min(next, mDispatcher->NextTick());
+    next = std::min(next, mDispatcher->NextTickAt());
     if (!mIsFlushInFlight && (mIsBatchUnsaved || mDispatcher->IsDirty())) {
       next = std::min(next, mNextFlushAt);
     }
@@ -187,7 +188,7 @@
 Node::OnConfiguration(const LogRecord& aRecord)
 {
   auto routes = mDecoder.DecodeRoutes(aRecord);
-  const auto current = mService.Routes();
+  const auto current = mJobService.Routes();
   if (routes == nullptr ||
       (current != nullptr && current->Version() >= routes->Version())) {
     return;
@@ -197,7 +198,7 @@
                  { { "version", routes->Version() },
                    { "routes", static_cast<std::int64_t>(routes->Size()) },
                    { "offset", aRecord.mOffset } });
-  mService.SetRoutes(std::move(routes));
+  mJobService.SetRoutes(std::move(routes));
 }
 
 void
@@ -246,7 +247,7 @@
   found->second.mIsRegistered = false;
   found->second.mUnregisteredAt = mClock.Now();
   if (mDispatcher != nullptr) {
-    mDispatcher->RemoveWorker(aWorkerId, mClock.Now());
+    mDispatcher->OnWorkerUnregistered(aWorkerId, mClock.Now());
   }
 }
 
@@ -259,7 +260,7 @@
     mModelRecord = aRecord.mValue;
   }
   if (key && key->mKind == jobs::RecordKind::Worker) {
-    OnJournaledWorker(key->mJobId, aRecord.mValue);
+    OnJournaledWorker(key->mId, aRecord.mValue);
   }
   if (mDispatcher == nullptr) {
     return;
@@ -270,14 +271,14 @@
   const TimePoint now = mClock.Now();
   switch (key->mKind) {
     case jobs::RecordKind::Submission: {
-      const auto job = mJobs.Find(key->mJobId);
+      const auto job = mJobs.Find(key->mId);
       if (job) {
         mDispatcher->AddJob(*job, false, now);
       }
       break;
     }
     case jobs::RecordKind::Cancellation:
-      mDispatcher->CancelJob(key->mJobId, now);
+      mDispatcher->CancelJob(key->mId, now);
       break;
     case jobs::RecordKind::Progress:
     case jobs::RecordKind::Model:
@@ -353,58 +354,59 @@
       EndTerm();
     }
     if (epoch != 0) {
-      BeginTerm();
+      PrepareTerm();
     }
     return;
   }
   if (epoch == 0 || mDispatcher != nullptr) {
     return;
   }
-  if (!mIsJournalFenced) {
-    FenceJournal();
+  if (!mAreEarlierWritersFenced) {
+    FenceEarlierWriters();
     return;
   }
   // No previous leader can append after the fence, so a read that was sent
   // later returns everything that it has stored.
-  const bool isCurrent = mJournalTail.IsLoaded() &&
-                         mJournalTail.UpToDateAt() > mJournalFencedAt &&
-                         mWorkerTail.IsLoaded();
+  const bool isCurrent =
+    mJournalReader.IsLoaded() &&
+    mJournalReader.UpToDateAt() > mEarlierWritersFencedAt &&
+    mWorkerReader.IsLoaded();
   if (isCurrent) {
     StartDispatcher();
   } else {
-    mJournalTail.SkipPause();
-    mWorkerTail.SkipPause();
+    mJournalReader.SkipPause();
+    mWorkerReader.SkipPause();
   }
 }
 
 void
-Node::BeginTerm()
+Node::PrepareTerm()
 {
   mEpoch = mLeadership.Epoch();
-  mIsJournalFenced = false;
+  mAreEarlierWritersFenced = false;
   mIsFlushInFlight = false;
   mIsBatchUnsaved = false;
   mSequence = 0;
   mNextFlushAt = mClock.Now();
-  mJournalTail.SetPause(kLeaderJournalPause);
-  mWorkerTail.SetPause(kLeaderWorkerPause);
-  FenceJournal();
+  mJournalReader.SetPause(kLeaderJournalPause);
+  mWorkerReader.SetPause(kLeaderWorkerPause);
+  FenceEarlierWriters();
 }
 
 void
 Node::EndTerm()
 {
   logging::Write(logging::Level::Info, "term_ended", { { "epoch", mEpoch } });
-  mWorkerClient.Detach();
+  mWorkerClient.ClearDispatcher();
   mDispatcher.reset();
   mEpoch = 0;
   mLeading.Set(0);
-  mJournalTail.SetPause(kFollowerJournalPause);
-  mWorkerTail.SetPause(kFollowerWorkerPause);
+  mJournalReader.SetPause(kFollowerJournalPause);
+  mWorkerReader.SetPause(kFollowerWorkerPause);
 }
 
 void
-Node::FenceJournal()
+Node::FenceEarlierWriters()
 {
   const TimePoint now = mClock.Now();
   if (mIsFlushInFlight || now < mNextFlushAt) {
@@ -423,10 +425,10 @@
                 mIsFlushInFlight = false;
                 mNextFlushAt = mClock.Now() + kFlushRetryPause;
                 if (aResult.mOutcome == LogOutcome::Done) {
-                  mIsJournalFenced = true;
-                  mJournalFencedAt = mClock.Now();
-                  mNextFlushAt = mJournalFencedAt;
-                  mJournalTail.SkipPause();
+                  mAreEarlierWritersFenced = true;
+                  mEarlierWritersFencedAt = mClock.Now();
+                  mNextFlushAt = mEarlierWritersFencedAt;
+                  mJournalReader.SkipPause();
                 } else if (aResult.mOutcome == LogOutcome::Fenced) {
                   EndTerm();
                   mLeadership.StepDown();
@@ -444,16 +446,16 @@
     mLeadership.PreviousLeaderLeaseEnd() + std::chrono::milliseconds(700);
   mDispatcher =
     dispatch::CreateDispatcher(mOptions.mLimits, term, mWorkerClient, mMetrics);
-  mWorkerClient.Attach(mEpoch, *mDispatcher);
-  mDispatcher->SetLeadershipLease(mLeadership.ConfirmedAt(),
-                                  mLeadership.ConfirmedAt() + kLeaderLease);
+  mWorkerClient.SetDispatcher(mEpoch, *mDispatcher);
+  mDispatcher->SetLeaderLease(mLeadership.ConfirmedAt(),
+                              mLeadership.ConfirmedAt() + kLeaderLease);
   if (!mModelRecord.empty()) {
     mDispatcher->ImportModel(mModelRecord);
   }
   for (const auto& [id, worker] : mWorkers) {
     mDispatcher->SetWorker(worker.mEntry, now);
     if (!worker.mIsRegistered) {
-      mDispatcher->RemoveWorker(id, worker.mUnregisteredAt);
+      mDispatcher->OnWorkerUnregistered(id, worker.mUnregisteredAt);
     }
   }
   std::int64_t openJobs = 0;
@@ -469,7 +471,7 @@
                  { { "epoch", mEpoch },
                    { "open_jobs", openJobs },
                    { "workers", static_cast<std::int64_t>(mWorkers.size()) },
-                   { "journal", mJournalTail.NextOffset() } });
+                   { "journal", mJournalReader.NextOffset() } });
 }
 
 void
@@ -600,13 +602,13 @@
 Node::UpdateReadiness()
 {
   const TimePoint now = mClock.Now();
-  const bool isUpToDate = mJournalTail.IsLoaded() &&
-                          mJournalTail.UpToDateAt() + kMaxReadAge > now &&
-                          mJournalTail.ConsecutiveFailures() < 2;
-  if (mJournalTail.ConsecutiveFailures() > 0) {
-    mService.Health().SetUnreachable(now);
+  const bool isUpToDate = mJournalReader.IsLoaded() &&
+                          mJournalReader.UpToDateAt() + kMaxReadAge > now &&
+                          mJournalReader.ConsecutiveFailures() < 2;
+  if (mJournalReader.ConsecutiveFailures() > 0) {
+    mJobService.Health().SetUnreachable(now);
   }
-  const bool isReady = isUpToDate && mService.Routes() != nullptr;
+  const bool isReady = isUpToDate && mJobService.Routes() != nullptr;
   if (isReady != mIsReady) {
     logging::Write(logging::Level::Info,
                    "readiness_changed",
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -22,9 +22,9 @@
   Candidate(FakeLogState& aState,
             const base::Clock& aClock,
             const std::string& aName,
-            double aProcessorShare = 0.25)
+            double aProcessors = 0.25)
     : mLog(aState)
-    , mLeadership(mLog, aClock, kLeaderStream, aName, aProcessorShare)
+    , mLeadership(mLog, aClock, kLeaderStream, aName, aProcessors)
   {
   }
 
@@ -54,8 +54,8 @@
   CPPUNIT_TEST(KeepsTheLeaderDuringALogOutage);
   CPPUNIT_TEST(KeepsTheLeaderWhenResponsesAreLost);
   CPPUNIT_TEST(ReplacesAResignedLeaderAtOnce);
-  CPPUNIT_TEST(WaitsForTheLeaseOfAResignedLeader);
-  CPPUNIT_TEST(PrefersTheNodeWithTheLargestProcessorShare);
+  CPPUNIT_TEST(CountsTheFullLeaseOfAResignedLeader);
+  CPPUNIT_TEST(PrefersTheInstanceWithTheMostProcessors);
   CPPUNIT_TEST(MatchesTheLongestPrefix);
   CPPUNIT_TEST(AcceptsAJobOnceItIsStored);
   CPPUNIT_TEST(RefusesAJobWhileTheLogIsUnreachable);
@@ -135,7 +135,7 @@
 
   // Guards against double runs: a new leader must wait for the lease of the
   // previous one even if it has only read its resignation.
-  void WaitsForTheLeaseOfAResignedLeader()
+  void CountsTheFullLeaseOfAResignedLeader()
   {
     AddCandidates(1);
     Advance(milliseconds(2000));
@@ -150,7 +150,7 @@
   }
 
   // At large sites the smallest instances are too slow to lead.
-  void PrefersTheNodeWithTheLargestProcessorShare()
+  void PrefersTheInstanceWithTheMostProcessors()
   {
     AddCandidates(4);
     mCandidates.push_back(
@@ -179,17 +179,17 @@
     CPPUNIT_ASSERT(Submit("a"));
     CPPUNIT_ASSERT(Submit("a"));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mState.mStreams["journal"].size());
-    CPPUNIT_ASSERT(mService.StateOf("a", DefaultDeadline()).value() ==
+    CPPUNIT_ASSERT(mJobService.StateOf("a", DefaultDeadline()).value() ==
                    jobs::JobState::Pending);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mService.CountPending("queue"));
-    CPPUNIT_ASSERT(mService.Cancel("a", DefaultDeadline()));
-    CPPUNIT_ASSERT(mService.StateOf("a", DefaultDeadline()).value() ==
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mJobService.CountPending("queue"));
+    CPPUNIT_ASSERT(mJobService.Cancel("a", DefaultDeadline()));
+    CPPUNIT_ASSERT(mJobService.StateOf("a", DefaultDeadline()).value() ==
                    jobs::JobState::Cancelled);
   }
 
   void RefusesAJobWhileTheLogIsUnreachable()
   {
-    mService.Health().SetUnreachable(mClock.Now());
+    mJobService.Health().SetUnreachable(mClock.Now());
     const auto result = Submit("a");
     CPPUNIT_ASSERT(result.error().mKind == base::ErrorKind::LogUnavailable);
     CPPUNIT_ASSERT(mState.mStreams["journal"].empty());
@@ -247,12 +247,12 @@
   void ReportsLogUnavailableBeforeTheJournalIsLoaded()
   {
     mNextOffset = kJournalNotLoaded;
-    CPPUNIT_ASSERT(mService.Cancel("a", DefaultDeadline()).error().mKind ==
+    CPPUNIT_ASSERT(mJobService.Cancel("a", DefaultDeadline()).error().mKind ==
                    base::ErrorKind::LogUnavailable);
-    CPPUNIT_ASSERT(mService.StateOf("a", DefaultDeadline()).error().mKind ==
+    CPPUNIT_ASSERT(mJobService.StateOf("a", DefaultDeadline()).error().mKind ==
                    base::ErrorKind::LogUnavailable);
     mNextOffset = 0;
-    CPPUNIT_ASSERT(mService.Cancel("a", DefaultDeadline()).error().mKind ==
+    CPPUNIT_ASSERT(mJobService.Cancel("a", DefaultDeadline()).error().mKind ==
                    base::ErrorKind::NotFound);
   }
 
@@ -267,7 +267,7 @@
         jobs::EncodeSubmission(submission),
         0 });
     mLog.Append(request, DefaultDeadline());
-    CPPUNIT_ASSERT(mService.StateOf("b", DefaultDeadline()));
+    CPPUNIT_ASSERT(mJobService.StateOf("b", DefaultDeadline()));
   }
 
 private:
@@ -285,7 +285,7 @@
     while (mClock.Now() < end) {
       mClock.Advance(milliseconds(20));
       for (auto& it : mCandidates) {
-        it->mLeadership.Poll();
+        it->mLeadership.Tick();
         it->mLog.Deliver();
       }
     }
@@ -315,7 +315,7 @@
   {
     jobs::QueuePolicy policy;
     policy.mQueue = "queue";
-    return mService.Submit(policy, aId, {}, DefaultDeadline());
+    return mJobService.Submit(policy, aId, {}, DefaultDeadline());
   }
 
   base::TimePoint DefaultDeadline() const
@@ -330,9 +330,9 @@
   jobs::JobTable mJobs;
   std::atomic<std::int64_t> mNextOffset{ 0 };
   metrics::Registry mMetrics;
-  JobService mService{ mJobs,       mLog,   kJournalStream,
-                       mNextOffset, mClock, journal::GetSystemWallClock(),
-                       mMetrics };
+  JobService mJobService{ mJobs,       mLog,   kJournalStream,
+                          mNextOffset, mClock, journal::GetSystemWallClock(),
+                          mMetrics };
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(NodeTest);
