--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -17,7 +17,7 @@
 
 namespace skylarkhill::dispatch {
 
-/// Limits set by the site configuration.
+/// Limits from the settings file.
 struct DispatchLimits
 {
   /// Longest lease that a worker accepts.
@@ -32,11 +32,11 @@
 {
   /// Fencing token of this term, one above that of the previous leader.
   std::int64_t mEpoch = 1;
-  /// Earlier leaders have extended no lease beyond this time.
+  /// Worker leases that earlier leaders granted end by this time.
   base::TimePoint mPreviousLeasesEndAt;
 };
 
-/// Id of a job and its progress that must be persisted.
+/// Id of a job and its progress that must become durable.
 using DirtyJob = std::pair<std::string, jobs::JobProgress>;
 
 /// Assigns tasks to workers. Not thread-safe; all I/O goes through the CallSink
@@ -48,11 +48,12 @@
 
   /// Adds a worker or replaces its entry.
   virtual void SetWorker(const WorkerEntry& aEntry, base::TimePoint aNow) = 0;
-  /// The worker is no longer in the registry.
+  /// The worker is no longer in the registry. It is polled until its runs have
+  /// ended and its lease has expired.
   virtual void OnWorkerUnregistered(const std::string& aWorkerId,
                                     base::TimePoint aNow) = 0;
-  /// Adds a job. `aIsFromEarlierTerm` is true if an earlier leader may have
-  /// started tasks of the job.
+  /// Adds a job. `aIsFromEarlierTerm` is true if the job may have been accepted
+  /// before this term.
   virtual void AddJob(const jobs::JobEntry& aJob,
                       bool aIsFromEarlierTerm,
                       base::TimePoint aNow) = 0;
@@ -66,7 +67,7 @@
   /// A poll failed or its answer was unusable.
   virtual void OnPollFailed(const std::string& aWorkerId,
                             base::TimePoint aNow) = 0;
-  /// The worker rejected a call because it has seen a higher fencing token.
+  /// The worker refused a call because it has seen a higher fencing token.
   virtual void OnFenced(const std::string& aWorkerId) = 0;
   virtual void OnStartResult(const StartCall& aCall,
                              StartOutcome aOutcome,
@@ -83,8 +84,8 @@
                               const std::optional<Advice>& aAdvice,
                               base::TimePoint aNow) = 0;
 
-  /// No other node took over the leadership before `aConfirmedAt`. Calls may be
-  /// sent and leases extended until `aUntil`.
+  /// No other instance took over the leadership before `aConfirmedAt`. Calls
+  /// may be sent until `aUntil`, and no lease is extended beyond it.
   virtual void SetLeaderLease(base::TimePoint aConfirmedAt,
                               base::TimePoint aUntil) = 0;
   /// Sends all calls that are due. `aUnixMs` is the Unix time.
@@ -107,7 +108,7 @@
   /// bytes are logged and ignored.
   virtual void ImportModel(std::string_view aBytes) = 0;
 
-  /// True once a worker has rejected the fencing token of this term.
+  /// True once a worker has refused the fencing token of this term.
   virtual bool IsFenced() const = 0;
 };
 
--- a/include/skylarkhill/dispatch/worker.hpp
+++ b/include/skylarkhill/dispatch/worker.hpp
@@ -56,6 +56,7 @@
   int mRunNumber = 0;
   /// Latest checkpoint; empty if there is none.
   std::string mCheckpoint;
+  /// Progress; a service task can serve once it is 100.
   int mProgressPercent = 0;
   /// Tail latency in ms for a service task, processors in use in thousandths
   /// for any other task. Negative if not reported.
@@ -115,9 +116,10 @@
   Fenced,
   /// The ticket of the advice service is missing or has expired.
   TicketInvalid,
-  /// The worker is unhealthy and did not start the run.
+  /// The worker is unhealthy or refused the call with an unexpected status; the
+  /// run is taken as not started.
   Unhealthy,
-  /// The worker rejected the call as malformed.
+  /// The worker refused the call as malformed or for an unknown reason.
   Rejected,
   /// The address belongs to another incarnation, which did not start the run.
   OtherIncarnation,
@@ -183,7 +185,8 @@
   std::string mTicket;
 };
 
-/// Answer of the advice service.
+/// Answer of the advice service. The step is started only on the permitted
+/// workers.
 struct Advice
 {
   std::vector<WorkerPermission> mPermissions;
--- a/include/skylarkhill/jobs/job.hpp
+++ b/include/skylarkhill/jobs/job.hpp
@@ -44,8 +44,8 @@
   /// Uses only processor time that other tasks leave idle; its processors do
   /// not count against the capacity of a worker.
   bool mIsBackfill = false;
-  /// Maximum number of service tasks that may be unavailable while a worker
-  /// drains.
+  /// Number of tasks of the service that may be unavailable while a worker
+  /// drains; 0 is treated as 1. Ignored shortly before the worker leaves.
   int mMaxUnavailable = 0;
 };
 
@@ -80,7 +80,7 @@
   bool mNeedsTicket = false;
 };
 
-/// An accepted job.
+/// A job with its id and policy, as written to the journal.
 struct Submission
 {
   std::string mId;
@@ -92,6 +92,7 @@
 
 enum class JobState
 {
+  /// No start of a task has been confirmed.
   Pending,
   Running,
   Completed,
@@ -112,8 +113,8 @@
 {
   int mIndex = 0;
   bool mIsDone = false;
-  /// Numbers of the failed runs. A count would not be enough, because ends may
-  /// be reported again after a failover, and in any order.
+  /// Numbers of the failed runs. A count would not be enough, because ended
+  /// runs may be reported again after a failover, and in any order.
   std::vector<int> mFailedRuns;
   /// Highest known run number; later runs get higher numbers.
   int mLastRun = 0;
@@ -121,8 +122,8 @@
   std::string mCheckpoint;
 };
 
-/// Durable state of one step of one occurrence. No run of a task without an
-/// entry has ended.
+/// Durable state of one step of one occurrence. Has entries for the tasks that
+/// were done or had an ended run when the record was written.
 struct StepProgress
 {
   int mOccurrence = 0;
@@ -130,7 +131,8 @@
   std::vector<TaskProgress> mTasks;
 };
 
-/// Durable state of a job, apart from its submission.
+/// Durable state of a job, apart from its submission. A job in a final state
+/// has no steps.
 struct JobProgress
 {
   JobState mState = JobState::Pending;
--- a/include/skylarkhill/jobs/job_codec.hpp
+++ b/include/skylarkhill/jobs/job_codec.hpp
@@ -16,10 +16,10 @@
   Submission,
   Cancellation,
   Progress,
-  /// Interference estimates of a leader; does not belong to a job.
+  /// Interference estimates of a leader.
   Model,
-  /// A worker that a leader has used. The key holds the worker id instead of a
-  /// job id.
+  /// Registry entry of a worker, for a leader that starts while the registry is
+  /// incomplete.
   Worker,
 };
 
@@ -27,7 +27,8 @@
 struct RecordKey
 {
   RecordKind mKind = RecordKind::Submission;
-  /// Worker id for RecordKind::Worker.
+  /// Job id; the worker id for RecordKind::Worker, a constant for
+  /// RecordKind::Model.
   std::string mId;
 };
 
--- a/include/skylarkhill/jobs/job_table.hpp
+++ b/include/skylarkhill/jobs/job_table.hpp
@@ -15,7 +15,7 @@
 
 namespace skylarkhill::jobs {
 
-/// Contents of the journal for one job.
+/// State of one job, merged from its journal records.
 struct JobEntry
 {
   /// Empty until the submission record has been read.
@@ -45,13 +45,14 @@
   /// True if the submission of the job has been read.
   bool Contains(const std::string& aJobId) const;
   std::optional<JobEntry> Find(const std::string& aJobId) const;
-  /// Number of pending jobs of `aQueue`.
+  /// Number of jobs of `aQueue` in the state Pending.
   std::size_t CountPending(std::string_view aQueue) const;
   /// Copies of all jobs whose submission has been read.
   std::vector<JobEntry> List() const;
   /// Ids of jobs in a final state that were accepted before
   /// `aAcceptedBeforeMs`.
   std::vector<std::string> ListFinal(std::int64_t aAcceptedBeforeMs) const;
+  /// Number of jobs, including those whose submission has not been read.
   std::size_t Size() const;
 
 private:
--- a/include/skylarkhill/node/job_service.hpp
+++ b/include/skylarkhill/node/job_service.hpp
@@ -19,13 +19,13 @@
 
 namespace skylarkhill::node {
 
-/// Tracks whether the log is reachable from this node. Thread-safe.
+/// Tracks whether the log is reachable from this instance. Thread-safe.
 class LogHealth
 {
 public:
   /// Records that a call succeeded.
   void SetReachable(base::TimePoint aNow);
-  /// Records that a call was refused or timed out.
+  /// Records that an append or a read of the journal failed.
   void SetUnreachable(base::TimePoint aNow);
   /// True for a short time after a failed call unless one has succeeded since.
   bool IsUnreachable(base::TimePoint aNow) const;
@@ -38,7 +38,8 @@
 /// Next offset of a journal that has not been loaded yet.
 inline constexpr std::int64_t kJournalNotLoaded = -1;
 
-/// Submits, cancels and queries jobs for the callers of this node. Thread-safe.
+/// Submits, cancels and queries jobs for the callers of this instance.
+/// Thread-safe.
 class JobService
 {
 public:
@@ -64,11 +65,11 @@
   /// Cancels a job. NotFound: no such job; other errors as for Submit.
   base::Result<void> Cancel(const std::string& aJobId,
                             base::TimePoint aDeadline);
-  /// State of a job; reads the journal if this node does not know it yet.
+  /// State of a job; reads the journal if the job is not known yet.
   /// NotFound: no such job. LogUnavailable: the journal could not be read.
   base::Result<jobs::JobState> StateOf(const std::string& aJobId,
                                        base::TimePoint aDeadline);
-  /// Number of jobs of `aQueue` none of whose tasks has started.
+  /// Number of jobs of `aQueue` in the state Pending.
   std::size_t CountPending(std::string_view aQueue) const;
 
 private:
--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -31,13 +31,13 @@
 base::Result<LeaderRecord>
 DecodeLeaderRecord(std::string_view aBytes);
 
-/// A leader may extend the leases of tasks until this long after it sent its
-/// last confirmed record. For workers that a successor cannot reach, it waits
-/// until then.
+/// A leader grants no worker lease that ends later than this after it sent its
+/// last confirmed record. A successor waits this long for workers that it
+/// cannot reach.
 inline constexpr base::Duration kLeaderLease = std::chrono::seconds(9);
 
 /// Leader election by conditional appends to a stream that only leaders and
-/// candidates write to. Nodes with a larger processor share claim earlier.
+/// candidates write to. Instances with more processors claim earlier.
 /// Not thread-safe: used on the call loop's thread only.
 class Leadership
 {
@@ -52,16 +52,18 @@
   void Tick();
   /// Gives up the leadership, if held, and never claims it again.
   void Resign();
-  /// Stops leading because another node may have taken over; stays a candidate.
+  /// Stops leading because another instance may have taken over; stays a
+  /// candidate.
   void StepDown();
 
+  /// True once a claim of this instance is confirmed.
   bool IsLeader() const { return mOwnEpoch.has_value(); }
-  /// Epoch of the term that this node leads; 0 if it does not lead.
+  /// Epoch of the term that this instance leads; 0 if it does not lead.
   std::int64_t Epoch() const { return mOwnEpoch.value_or(0); }
-  /// When this leader sent its last confirmed record; no other node took over
-  /// before that time.
+  /// When this leader sent its last confirmed record; no other instance took
+  /// over before that time.
   base::TimePoint ConfirmedAt() const { return mConfirmedAt; }
-  /// Latest time at which the lease of any previous leader ends.
+  /// Latest time at which the leader lease of any previous leader ends.
   base::TimePoint PreviousLeaderLeaseEnd() const
   {
     return mPreviousLeaderLeaseEnd;
@@ -90,7 +92,7 @@
   LogStreamReader mReader;
   std::optional<LeaderRecord> mNewestRecord;
   base::TimePoint mNewestReadAt;
-  /// When the last claim of this node was sent.
+  /// When the last claim of this instance was sent.
   base::TimePoint mClaimSentAt;
   std::optional<std::int64_t> mOwnEpoch;
   std::int64_t mStreamEnd = 0;
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -38,7 +38,8 @@
 {
 public:
   virtual ~RecordDecoder() = default;
-  /// nullptr if the record is not a configuration or is malformed.
+  /// nullptr if the record is not a configuration or is malformed. Malformed
+  /// members of a route are replaced by defaults.
   virtual std::shared_ptr<const RouteTable> DecodeRoutes(
     const LogRecord& aRecord) const = 0;
   /// Empty if the record is malformed or the worker is in an unknown state.
@@ -51,16 +52,16 @@
 class WorkerClient : public dispatch::CallSink
 {
 public:
-  /// Ends a term; the outcomes of calls in flight are dropped.
+  /// Called at the end of a term; the outcomes of calls in flight are dropped.
   virtual void ClearDispatcher() = 0;
-  /// Begins a term; outcomes are passed to `aDispatcher`.
+  /// Called when the dispatcher of a term starts; outcomes are passed to it.
   virtual void SetDispatcher(std::int64_t aEpoch,
                              dispatch::Dispatcher& aDispatcher) = 0;
 };
 
 struct NodeOptions
 {
-  /// Differs between nodes and between processes of one node.
+  /// Differs between instances and between restarts of one instance.
   std::string mInstanceId;
   /// Processors that this process may use; may be a fraction.
   double mProcessors = 1.0;
@@ -92,8 +93,9 @@
   void Resign();
 
   JobService& GetJobService() { return mJobService; }
-  /// True if this node can serve callers. Thread-safe.
+  /// True if this instance can serve callers. Thread-safe.
   bool IsReady() const { return mIsReady; }
+  /// True from the start of the dispatcher to the end of the term.
   bool IsDispatching() const { return mDispatcher != nullptr; }
 
 private:
@@ -117,8 +119,10 @@
   /// deletions for workers that left the registry long enough ago.
   void AddWorkerRecords();
   void UpdateTerm();
+  /// Resets the state of the last term and fences earlier writers.
   void PrepareTerm();
   void EndTerm();
+  /// Makes the log refuse journal appends of earlier leaders.
   void FenceEarlierWriters();
   void StartDispatcher();
   void Flush();
@@ -155,7 +159,7 @@
   /// When this process last resumed after a pause.
   base::TimePoint mResumedAt;
 
-  /// Epoch of the term that this node leads or prepares; 0: none.
+  /// Epoch of the term that this instance leads or prepares; 0: none.
   std::int64_t mEpoch = 0;
   bool mAreEarlierWritersFenced = false;
   base::TimePoint mEarlierWritersFencedAt;
@@ -169,7 +173,7 @@
   base::TimePoint mBatchSentAt;
   std::unique_ptr<dispatch::Dispatcher> mDispatcher;
   base::TimePoint mNextCleanupAt;
-  /// Newest record of the sharing model in the journal.
+  /// Newest record of the interference estimates in the journal.
   std::string mModelRecord;
   base::TimePoint mNextModelAt;
 };
--- a/include/skylarkhill/node/shared_log.hpp
+++ b/include/skylarkhill/node/shared_log.hpp
@@ -57,7 +57,8 @@
   OutOfSequence,
   /// The requested records have been deleted.
   Expired,
-  /// The log refused the call; it had no effect.
+  /// The call is taken to have had no effect: it was refused, answered with an
+  /// unexpected status, or not sent.
   Refused,
   /// No response: the call may have taken effect or may still do so.
   Unknown,
--- a/src/dispatch/colocation_model.cpp
+++ b/src/dispatch/colocation_model.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-/// Baseline of a service without reports: typical load at the sites, with a
-/// margin for its variation.
+/// Baseline of a service without reports: a typical load with a margin for its
+/// variation.
 constexpr Saturation kDefaultBaseline = 0.55;
 
 /// Bounds of a baseline. A higher saturation is attributed to interference that
@@ -25,8 +25,8 @@
 constexpr Saturation kMinBaseline = 0.1;
 constexpr Saturation kMaxBaseline = 0.8;
 
-/// Older reports are not used to estimate a baseline: the load of a service
-/// varies by half within ten seconds.
+/// Older reports are not used to estimate a baseline: the load of a service may
+/// change by half within ten seconds.
 constexpr base::Duration kMaxBaselineAge = std::chrono::milliseconds(1200);
 
 /// A task may exceed the baseline of its service by this much before its own
@@ -34,15 +34,16 @@
 constexpr Saturation kBaselineTolerance = 0.15;
 
 /// Variance of the difference in saturation between two tasks of a service,
-/// both without colocated backfill. Measured deviations were 0.05 to 0.1.
+/// both without colocated backfill: the upper end of usual deviations, 0.05 to
+/// 0.1.
 constexpr double kBaselineVariance = 0.01;
 /// Variance if all other reporting tasks have colocated backfill.
 constexpr double kColocatedBaselineVariance = 0.03;
 /// Variance if no other task has reported.
 constexpr double kDefaultBaselineVariance = 0.06;
 
-/// Tail ratio of an idle service task: sites set the target to five times the
-/// idle tail latency.
+/// Tail ratio of an idle service task: assumes a target of five times the idle
+/// tail latency.
 constexpr TailRatio kIdleRatio = 0.2;
 
 constexpr double kPercent = 100.0;
--- a/src/dispatch/colocation_model.hpp
+++ b/src/dispatch/colocation_model.hpp
@@ -75,7 +75,8 @@
 
 /// Returns the saturation of a service run without interference. The tasks of a
 /// service share its load, so the estimate is taken from tasks without
-/// colocated backfill if there are any.
+/// colocated backfill if there are any, or from the run itself if its own
+/// baseline is clearly higher.
 Saturation
 BaselineOf(const RunState& aService);
 
--- a/src/dispatch/colocation_test.cpp
+++ b/src/dispatch/colocation_test.cpp
@@ -156,8 +156,8 @@
   }
 
   // The load of a service varies by half while some of its tasks have colocated
-  // backfill. The variation must not be attributed to the backfill, or most
-  // workers would be closed to it.
+  // backfill. The variation must not be attributed to the backfill, or hardly
+  // any worker would be eligible for it.
   void LearnsPairsUnderVaryingServiceLoad()
   {
     StepState& service = mFixture->AddStep(ServiceStep(), mSensitive, 3);
@@ -193,8 +193,8 @@
       0.02);
   }
 
-  // Tails lag behind processor use: interference by backfill that has just
-  // ended must not be counted as load of the service.
+  // Tail latencies lag behind processor use: interference by backfill that has
+  // just ended must not be counted as load of the service.
   void EstimatesTheBaselineAfterBackfillHasEnded()
   {
     TrainModel();
@@ -268,8 +268,8 @@
       mFixture->Choose(mFixture->AddTask(BackfillStep(), mInterfering)));
   }
 
-  // The tasks of a wide step arrive together and must not all be placed by the
-  // same outdated tail.
+  // The tasks of a wide step arrive together and must not all be placed by a
+  // tail latency that does not include them yet.
   void CountsBackfillThatIsNotReportedYet()
   {
     TrainModel();
@@ -287,7 +287,8 @@
     CPPUNIT_ASSERT(placed <= 2);
   }
 
-  // Long-running services of several images fill the pool.
+  // Service tasks are placed on workers with service tasks of the same image,
+  // which leaves more workers usable for each backfill image.
   void GroupsServiceTasksOfOneImage()
   {
     WorkerState& first = mFixture->AddWorker("a");
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -30,13 +30,13 @@
 /// seconds; a lost worker blocks its tasks for this long.
 constexpr Duration kLease = std::chrono::seconds(6);
 
-/// Long-poll wait of workers with backfill: at most the half second that a
-/// reported tail covers.
+/// Long-poll wait of workers with backfill. Workers report tail latency and
+/// processor use over the last half second, so a longer wait would leave gaps.
 constexpr int kPollWaitColocatedMs = 500;
 /// Long-poll wait of other workers. Backfill placed during such a poll is
 /// monitored from the next poll on.
 constexpr int kPollWaitMs = 700;
-/// Pause before the next poll while reported ends are not durable yet.
+/// Pause before the next poll while reported ended runs are not durable yet.
 constexpr Duration kPersistPollPause = std::chrono::milliseconds(250);
 constexpr Duration kPollPause = std::chrono::milliseconds(15);
 constexpr Duration kPollRetryPause = std::chrono::milliseconds(300);
@@ -67,11 +67,12 @@
 /// Above this estimate a run is taken to be at full pace, because the reported
 /// processor use varies down to about this percentage.
 constexpr int kMinFullPaceEstimate = 70;
-/// Below this progress the reported use may cover less than half a second.
+/// Below this progress the run may be younger than the half second over which
+/// workers measure processor use.
 constexpr int kMinMeasuredProgressPercent = 3;
 
 /// A duplicate of a task is started once its run has taken this multiple of the
-/// estimate.
+/// estimate and is below 60 percent, or has stalled.
 constexpr double kDuplicateFactor = 1.6;
 
 /// Completion has no value after this multiple of the objective.
@@ -82,19 +83,19 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 
-/// A job becomes urgent this long before it would miss its objective.
-/// Placement, start and report take about half of this time.
+/// A step is urgent if the time to the objective of its job is less than 1.5
+/// times its critical path plus this. Placement, start and report take about
+/// half of this time.
 constexpr std::int64_t kUrgentSlackMs = 400;
 
-/// Maximum number of workers per call to the advice service; the objective of a
-/// job accounts for this many per step.
+/// Maximum number of workers per call to the advice service.
 constexpr std::size_t kMaxQueriedWorkers = 30;
 constexpr Duration kAdvicePause = std::chrono::milliseconds(100);
 /// Tickets are treated as expired this early, because a start takes time.
 constexpr Duration kTicketMargin = std::chrono::milliseconds(200);
 
-/// Run numbers skipped after a failover: an earlier leader may have used up to
-/// this many that are not recorded.
+/// Run numbers skipped after a failover or an OldRun refusal: an earlier leader
+/// may have used up to this many that are not recorded.
 constexpr int kRunNumberGap = 8;
 
 std::int64_t
@@ -114,13 +115,16 @@
     , mTerm(aTerm)
     , mSink(aSink)
     , mStarts(aMetrics.GetCounter("skylarkhill_starts_total",
-                                  "Starts ordered, repeats included."))
-    , mStops(aMetrics.GetCounter("skylarkhill_stops_total", "Stops ordered."))
-    , mLostRuns(aMetrics.GetCounter("skylarkhill_runs_lost_total",
-                                    "Runs that disappeared with a worker."))
+                                  "Start calls sent, including repeats."))
+    , mStops(aMetrics.GetCounter("skylarkhill_stops_total",
+                                 "Stop calls sent, including repeats."))
+    , mLostRuns(aMetrics.GetCounter(
+        "skylarkhill_runs_lost_total",
+        "Runs whose end was not reported: the worker was silent, "
+        "restarted or no longer listed them."))
     , mStalledRuns(
         aMetrics.GetCounter("skylarkhill_runs_stalled_total",
-                            "Runs taken for stuck and started elsewhere."))
+                            "Runs stopped because they made no progress."))
   {
   }
 
@@ -344,7 +348,7 @@
     run->mIsCallInFlight = false;
     run->mNextCallAt = aNow + kResendPause;
     if (aOutcome == CallOutcome::Accepted) {
-      // The worker now rejects a delayed start of this run, and its next report
+      // The worker now refuses a delayed start of this run, and its next report
       // shows whether the run is active.
       ConfirmRun(*run, aNow);
       run->mNextCallAt = aNow + std::chrono::seconds(1);
@@ -770,8 +774,8 @@
 
   // --- Reports ------------------------------------------------------------
 
-  /// Handles newly reported ends. Returns true if ends must become durable
-  /// before they may be acknowledged.
+  /// Handles newly reported ended runs. Returns true while ended runs of the
+  /// worker must become durable before they may be acknowledged.
   bool HandleEndedRuns(WorkerState& aWorker,
                        const WorkerReport& aReport,
                        TimePoint aNow)
@@ -796,7 +800,8 @@
     return !aWorker.mPendingAcknowledgements.empty();
   }
 
-  /// Returns true if the end changed progress that must be persisted.
+  /// Returns true if the progress of the job must become durable before the
+  /// ended run may be acknowledged.
   bool HandleEndedRun(WorkerState& aWorker,
                       const EndedRun& aEndedRun,
                       TimePoint aNow)
@@ -1007,8 +1012,8 @@
         areAllPolled && (worker.mHasReported || worker.mFailedPolls > 0);
       const bool isSilent = worker.mLastReportAt + kPollRetryPause < aNow &&
                             worker.mFailedPolls > 0;
-      // A successor unknown to this node may have extended the lease, so the
-      // leadership must have been confirmed after the end of the lease.
+      // A successor unknown to this instance may have extended the lease, so
+      // the leadership must have been confirmed after the end of the lease.
       if (isSilent && worker.mLeaseEndsAt < mLeaderLeaseConfirmedAt &&
           !worker.mRuns.empty()) {
         DropAllLostRuns(worker, "worker silent beyond its lease", aNow);
@@ -1062,8 +1067,9 @@
            aNow - *aRun.mThrottledSince > kThrottledGrace;
   }
 
-  /// Moves work off a draining worker: service runs within mMaxUnavailable, and
-  /// in the last second checkpointed runs that cannot finish in time.
+  /// Stops runs on a draining worker: service runs as far as mMaxUnavailable
+  /// permits (at least one at a time, all of them in the last 1.5 s) and, in
+  /// the last second, runs that save their progress and cannot finish in time.
   void CheckDrainingRun(RunState& aRun, TimePoint aNow)
   {
     const StepState& step = *aRun.mTask->mStep;
@@ -1095,7 +1101,8 @@
     }
   }
 
-  /// Stops a stalled run, or starts a duplicate if the step allows it.
+  /// Stops a stalled run. If the step allows duplicates, starts one for a
+  /// stalled or late run instead.
   void CheckStall(RunState& aRun, TimePoint aNow)
   {
     TaskState& task = *aRun.mTask;
@@ -1255,8 +1262,8 @@
     mSink.Advise(call);
   }
 
-  /// Returns true if the job of the step is released. Requests the release once
-  /// a task of the step can be placed.
+  /// Returns true if JobProgress::mMayHaveStarted is durable for the job of the
+  /// step. Requests the record once a task of the step can be placed.
   bool EnsureStartRecorded(StepState& aStep, TimePoint aNow)
   {
     ScheduledJob& job = *aStep.mJob;
@@ -1341,7 +1348,7 @@
 
   // --- Calls --------------------------------------------------------------
 
-  /// Upper bound of the duration of a full lease on this node's clock.
+  /// Upper bound of the duration of a full lease on this instance's clock.
   Duration MaxLeaseDuration() const
   {
     return ScaleToSlowestClock(std::min(kLease, mLimits.mMaxLease)) +
@@ -1493,8 +1500,9 @@
   /// Runs that are unconfirmed, or that need a stop or pace call.
   std::set<RunState*> mRunsToCall;
   std::vector<std::string> mDirty;
+  /// Ids of jobs whose start record goes into the next batch.
   std::vector<std::string> mRequestedStartRecords;
-  /// Requested releases with the batch that makes them durable.
+  /// Batch number and job id of each start record that is not durable yet.
   std::deque<std::pair<std::uint64_t, std::string>> mPendingStartRecords;
   /// Number of the batch that the next TakeDirty returns.
   std::uint64_t mBatch = 0;
@@ -1507,7 +1515,7 @@
   TimePoint mNextSummaryAt;
   TimePoint mNextFullTickAt;
   bool mIsPlacementDue = true;
-  /// Workers that have not reported yet may have runs of earlier leaders.
+  /// Workers may have runs of earlier leaders that they have not reported yet.
   bool mAreReportsMissing = true;
   bool mIsFenced = false;
 };
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -64,7 +64,8 @@
   return stored;
 }
 
-/// Adds a leader whose predecessor may just have extended leases.
+/// Adds a leader whose predecessor may just have extended leases, which end
+/// within 12 s: longer than any lease of the program.
 FakeSite::Leader&
 AddSuccessor(FakeSite& aSite, std::int64_t aEpoch)
 {
@@ -438,7 +439,8 @@
     CPPUNIT_ASSERT(site.mDoubleRuns.empty());
   }
 
-  // Backfill colocated with a service whose tail exceeds its target.
+  // Backfill must be paused while the tail latency of a colocated service
+  // exceeds its target.
   void PausesBackfillBeforeTheTailViolationLimit()
   {
     FakeSite site;
--- a/src/dispatch/fake_site_test.hpp
+++ b/src/dispatch/fake_site_test.hpp
@@ -74,7 +74,7 @@
     std::set<std::string> mUnreachableWorkers;
     /// By worker id: additional delay of its poll answers.
     std::map<std::string, base::Duration> mDelays;
-    /// If true, the leadership is confirmed at every time step.
+    /// If true, the leader lease is renewed at every time step.
     bool mIsConfirmed = true;
     /// If true, progress records become durable at once.
     bool mCanStore = true;
@@ -112,6 +112,7 @@
 
   /// Run time of a task; 300 ms if unset.
   std::function<base::Duration(const TaskId&)> mRunTime;
+  /// Decides whether a run fails; no run fails if unset.
   std::function<bool(const TaskId&, int aRun)> mDecideFailure;
   /// Tasks that had two concurrent runs, or a run after an acknowledged
   /// success.
--- a/src/dispatch/interference_estimator.cpp
+++ b/src/dispatch/interference_estimator.cpp
@@ -7,13 +7,13 @@
 
 namespace {
 
-/// Prior for an unknown pair. Measured means were 0 to 0.3 for pairs with
-/// little interference and 1 to 2.5 for the others.
+/// Prior for an unknown pair: between the usual means of pairs with little
+/// interference (up to 0.3) and of the others (1 to 2.5).
 constexpr PairEstimate kPriorEstimate{ 0.6, 1.0 };
 
 /// Lower bound, because the interference of a pair changes within seconds.
 constexpr double kMinVariance = 0.06;
-/// Far above the mean of any measured pair.
+/// Far above the usual means, see kPriorEstimate.
 constexpr double kMaxMean = 12.0;
 
 } // namespace
--- a/src/dispatch/interference_estimator.hpp
+++ b/src/dispatch/interference_estimator.hpp
@@ -5,20 +5,23 @@
 
 namespace skylarkhill::dispatch {
 
-/// Saturation of a service task, derived from its tail latency: 0 when idle,
-/// approaching 1 as the tail grows without bound. Like the utilisation of a
-/// queue, contributions of several sources add up.
+/// Saturation of a service task, derived from its tail latency: 0 at the idle
+/// latency, negative below it, approaching 1 as the tail latency grows without
+/// bound. Like the utilisation of a queue, contributions of several sources add
+/// up.
 using Saturation = double;
 
 /// Saturation that a backfill image using all processors of a worker adds to a
-/// task of a service image.
+/// task of a service image. Extrapolated from smaller shares, so the mean may
+/// exceed 1.
 struct PairEstimate
 {
   double mMean = 0.0;
   double mVariance = 0.0;
 };
 
-/// Processor use of one backfill image on a worker during a report.
+/// Processor use of one backfill image on a worker in the period that a report
+/// covers.
 struct BackfillUsage
 {
   int mImage = 0;
--- a/src/dispatch/interference_estimator_test.cpp
+++ b/src/dispatch/interference_estimator_test.cpp
@@ -23,8 +23,8 @@
     CPPUNIT_ASSERT(model.Estimate(0, 1).mVariance > 0.5);
   }
 
-  // An image that is reported almost only together with another one must not be
-  // charged with the other's interference.
+  // The interference of an image must not be attributed to another image that
+  // is reported together with it half of the time.
   void SeparatesTwoImagesOfOneReport()
   {
     InterferenceEstimator model;
@@ -38,7 +38,7 @@
     CPPUNIT_ASSERT(!model.HasEstimate(1, 2));
   }
 
-  // Many consistent reports must not make the estimate too rigid to adapt.
+  // Many consistent reports must not keep the estimate from following a change.
   void AdaptsToAChangingPair()
   {
     InterferenceEstimator model;
--- a/src/dispatch/job_state.hpp
+++ b/src/dispatch/job_state.hpp
@@ -19,7 +19,7 @@
 void
 RestoreProgress(ScheduledJob& aJob, const jobs::JobProgress& aProgress);
 
-/// Returns the progress of `aJob` that must be persisted.
+/// Returns the progress of `aJob` that must become durable.
 jobs::JobProgress
 ProgressOf(const ScheduledJob& aJob);
 
--- a/src/dispatch/pacing.cpp
+++ b/src/dispatch/pacing.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-/// Tails are kept below this share of their target, because reported values are
-/// imprecise.
+/// Paces are lowered until the expected tail ratios are below this. The margin
+/// to 1 allows for imprecise reports.
 constexpr TailRatio kMaxTailRatioForPacing = 0.85;
 
-/// From this share of its target on, a tail is treated as a possible violation,
+/// Above this tail ratio a violation is assumed and its duration counted,
 /// because reported values are imprecise.
 constexpr TailRatio kViolationTailRatio = 0.9;
 
@@ -24,8 +24,8 @@
 /// Interference up to this value is treated as noise.
 constexpr Saturation kNegligibleInterference = 0.01;
 
-/// Longer than the half second that a report covers, so that two changes are
-/// not based on the same measurements.
+/// Workers report tail latency and processor use over the last half second.
+/// This is longer, so that two changes are not based on the same measurements.
 constexpr base::Duration kMinChangeInterval = std::chrono::milliseconds(550);
 
 constexpr int kFullPace = 100; // percent
@@ -104,7 +104,7 @@
     aWorker.mTailViolatedSince.reset();
     aWorker.mTailsBelowTargetAt = aNow;
   } else if (!aWorker.mTailViolatedSince) {
-    // The violation may have begun right after the last healthy report.
+    // The violation may have begun right after the last report without one.
     aWorker.mTailViolatedSince = aWorker.mTailsBelowTargetAt.value_or(aNow);
   }
   if (backfill.empty()) {
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -10,19 +10,19 @@
 
 namespace {
 
-/// A worker whose last report is older gets no starts. Allows for several polls
-/// of 500 ms.
+/// A worker whose last report is older gets no starts. Allows for two long
+/// polls, which wait up to 700 ms, and their delays.
 constexpr base::Duration kMaxReportAge = std::chrono::milliseconds(1800);
 
-/// Assumed share of its declared processors that a service task uses. Site
-/// files state a mean of 0.45, varying by one half.
+/// Assumed share of its declared processors that a service task uses. Above the
+/// usual mean of 0.45, from which the use varies by one half.
 constexpr double kServiceUse = 0.6;
 
 /// A backfill task is placed only where at least this share of its requested
 /// processors is unused.
 constexpr double kMinBackfillShare = 0.6;
 
-/// Workers with a higher failure score are used only if no other fits.
+/// Workers with a higher failure score cost kHighFailureScoreCost more.
 constexpr double kMaxFailureScore = 0.7;
 
 /// Placement costs, in thousandths of a processor.
@@ -37,7 +37,7 @@
 constexpr double kInterferenceCost = 20000.0;
 
 /// No backfill task is placed where its interference would exceed
-/// kMinSignificantInterference and bring a tail above
+/// kMinSignificantInterference and bring a tail ratio above
 /// kMaxTailRatioForPlacement, or kMaxTailRatioForUrgentPlacement if the step is
 /// urgent.
 constexpr Saturation kMinSignificantInterference = 0.03;
@@ -51,8 +51,8 @@
   return std::find(labels.begin(), labels.end(), aLabel) != labels.end();
 }
 
-/// Highest interference that one more task of `aStep` would cause with a
-/// service task on `aWorker`.
+/// Highest interference, by the cautious estimate, of one more task of `aStep`
+/// with a service task on `aWorker`.
 Saturation
 MaxInterference(const StepState& aStep,
                 const WorkerState& aWorker,
@@ -97,8 +97,8 @@
   return all == 0 ? 0.5 : static_cast<double>(others) / all;
 }
 
-/// True if one more task of `aStep` would bring a service task on `aWorker`
-/// above its tail limit.
+/// True if one more task of `aStep` would interfere significantly with a
+/// service task on `aWorker` and bring it above the maximum tail ratio.
 bool
 WouldExceedMaxTailRatio(const StepState& aStep,
                         const WorkerState& aWorker,
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -19,7 +19,7 @@
 double
 FailureScore(const WorkerState& aWorker, base::TimePoint aNow);
 
-/// Adds `aChange`, which may be negative, to the failure score of `aWorker`.
+/// Adds `aChange` to the failure score of `aWorker`; negative after a success.
 void
 ChangeFailureScore(WorkerState& aWorker, double aChange, base::TimePoint aNow);
 
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -47,16 +47,17 @@
   bool mIsPaceInFlight = false;
   /// Since when the target pace has been below one half.
   std::optional<base::TimePoint> mThrottledSince;
-  /// A service task on the same worker has exceeded its tail target for too
-  /// long.
+  /// A service task on the same worker has exceeded its tail latency target for
+  /// too long.
   bool mMustMove = false;
   /// The last reported value, see ActiveRun::mTailLatencyOrUse.
   std::int64_t mTailLatencyOrUse = -1;
-  /// Service runs only: saturation at the last report, less the expected
-  /// interference by backfill.
+  /// Service runs only: saturation at the report at mBaselineAt, less the
+  /// expected interference by backfill.
   double mBaseline = 0.0;
   base::TimePoint mBaselineAt;
-  /// Backfill ran on the same worker during that report.
+  /// Backfill ran on the worker in the period that the report at mBaselineAt
+  /// covers.
   bool mIsColocated = false;
 };
 
@@ -100,16 +101,17 @@
   /// Services only: saturation without interference; empty before the first
   /// report.
   std::optional<double> mBaseline;
-  /// The dependencies are complete and the occurrence is due.
+  /// The dependencies are complete and the occurrence has begun.
   bool mIsReady = false;
   /// Length of the critical path that begins with this step, by the declared
   /// estimates.
   std::int64_t mCriticalPathMs = 0;
-  /// The job will miss its objective unless the step starts now.
+  /// Little time is left until the objective of the job, see kUrgentSlackMs;
+  /// false once the objective has passed.
   bool mIsUrgent = false;
   /// Number of tasks on each worker, for jobs::Step::mMaxPerWorker.
   std::map<const WorkerState*, int> mTasksPerWorker;
-  /// By worker id; used only if the queue requires advice.
+  /// By worker id; used only if QueuePolicy::mNeedsTicket.
   std::map<std::string, Ticket> mTickets;
   /// Workers that the advice service has been asked about, permitted or not.
   std::set<std::string> mQueriedWorkers;
@@ -120,6 +122,7 @@
 struct OccurrenceState
 {
   int mNumber = 0;
+  /// Unix time from which the occurrence may run.
   std::int64_t mStartAtMs = 0;
   bool mIsBegun = false;
   std::vector<StepState> mSteps;
@@ -133,8 +136,9 @@
   std::int64_t mObjectiveAtMs = 0;
   /// Unix time after which completion has no value.
   std::int64_t mZeroValueAtMs = 0;
-  /// Tasks are started only once the release is durable, so that the next
-  /// leader knows which jobs may have runs that no worker has reported to it.
+  /// Tasks are started only once JobProgress::mMayHaveStarted is durable, so
+  /// that the next leader knows which jobs may have runs that no worker has
+  /// reported to it.
   bool mIsStartRecordRequested = false;
   bool mIsStartRecorded = false;
   std::vector<std::unique_ptr<OccurrenceState>> mOccurrences;
@@ -163,8 +167,7 @@
   std::int64_t mClockMs = 0;
   base::TimePoint mClockReadAt;
   base::TimePoint mLastReportAt;
-  /// Runs started by this leader stop by this time unless a call extends the
-  /// lease.
+  /// All runs on the worker stop by this time unless a call extends the lease.
   base::TimePoint mLeaseEndsAt;
 
   bool mIsPollInFlight = false;
@@ -189,9 +192,10 @@
   base::TimePoint mFailureScoreAt;
 
   base::TimePoint mPaceChangedAt;
-  /// Last report in which no service task was near or above its tail target.
+  /// Last report in which no service task was near or above its tail latency
+  /// target.
   std::optional<base::TimePoint> mTailsBelowTargetAt;
-  /// Since when a service task may have exceeded its tail target.
+  /// Since when a service task may have exceeded its tail latency target.
   std::optional<base::TimePoint> mTailViolatedSince;
 };
 
--- a/src/dispatch/summary.hpp
+++ b/src/dispatch/summary.hpp
@@ -9,8 +9,8 @@
 
 namespace skylarkhill::dispatch {
 
-/// Logs the numbers of waiting, running and throttled tasks and of service
-/// tasks above their tail target.
+/// Logs the numbers of waiting and running tasks, of tasks below full pace and
+/// of service tasks above their tail latency target.
 void
 LogDispatchSummary(std::size_t aJobCount,
                    const std::vector<StepState*>& aReadySteps,
--- a/src/node/fake_shared_log_test.hpp
+++ b/src/node/fake_shared_log_test.hpp
@@ -18,8 +18,8 @@
   std::map<std::string, std::int64_t> mEpochs;
 };
 
-/// One node's access to the in-memory log. Handlers of asynchronous calls run
-/// in Deliver.
+/// One instance's access to the in-memory log. Handlers of asynchronous calls
+/// run in Deliver.
 class FakeSharedLog
   : public AsyncLog
   , public BlockingLog
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -14,10 +14,11 @@
 
 namespace {
 
-/// Timeout of one append attempt, twice the response time of a slow log. A
-/// retry has the same key and value, so a duplicate has no effect.
+/// Timeout of one append attempt; a log under load responds within half of it.
+/// A retry has the same key and value, so a duplicate has no effect.
 constexpr base::Duration kAppendAttemptTimeout = std::chrono::milliseconds(500);
-/// An attempt needs at least this time: several times the usual response time.
+/// No attempt is made if less time is left; several times the usual response
+/// time.
 constexpr base::Duration kMinAppendAttemptTime = std::chrono::milliseconds(100);
 /// Pause before a retry. Without it, a log that refuses calls immediately would
 /// be called in a tight loop.
@@ -25,8 +26,7 @@
 /// Time reserved for the response to the caller.
 constexpr base::Duration kResponseReserve = std::chrono::milliseconds(150);
 constexpr base::Duration kReadTimeout = std::chrono::milliseconds(800);
-/// Callers' requests fail fast for this time after a failed call, unless a read
-/// of the node itself succeeds earlier.
+/// Callers' requests fail fast for this time after a failed call to the log.
 constexpr base::Duration kUnreachablePeriod = std::chrono::milliseconds(700);
 
 } // namespace
@@ -63,14 +63,16 @@
   , mNextJournalOffset(aNextJournalOffset)
   , mClock(aClock)
   , mWallClock(aWallClock)
-  , mAccepted(aMetrics.GetCounter("skylarkhill_jobs_accepted_total",
-                                  "Jobs stored by this node."))
+  , mAccepted(aMetrics.GetCounter(
+      "skylarkhill_jobs_accepted_total",
+      "Jobs that this instance has appended to the journal."))
   , mRefused(aMetrics.GetCounter("skylarkhill_jobs_refused_total",
                                  "Jobs that were not accepted."))
   , mUnknown(aMetrics.GetCounter("skylarkhill_jobs_unknown_total",
                                  "Jobs whose acceptance is not known."))
-  , mCancelled(aMetrics.GetCounter("skylarkhill_jobs_cancelled_total",
-                                   "Cancellations stored by this node."))
+  , mCancelled(
+      aMetrics.GetCounter("skylarkhill_jobs_cancelled_total",
+                          "Cancellations that this instance has appended."))
   , mAppendSeconds(
       aMetrics.GetDistribution("skylarkhill_append_seconds",
                                "Time until a caller's record is stored."))
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -26,10 +26,10 @@
 /// Upper bound of the pseudo-random part of a claim delay, which keeps
 /// candidates from claiming at the same time.
 constexpr base::Duration kMaxClaimJitter = std::chrono::milliseconds(200);
-/// Nodes with at least this many processors claim without a share delay; the
-/// largest instances of the sites have 0.5.
+/// Instances with at least this many processors claim without an additional
+/// delay.
 constexpr double kMinProcessorsWithoutDelay = 0.5;
-/// Additional claim delay of a node whose processor share is close to 0.
+/// Additional claim delay of an instance with almost no processor time.
 constexpr base::Duration kMaxShareDelay = std::chrono::milliseconds(500);
 /// Pause after a lost claim, a failed append or a loss of the leadership.
 constexpr base::Duration kRetryPause = std::chrono::milliseconds(250);
@@ -38,8 +38,8 @@
 
 using Fields = std::tuple<std::int64_t, std::string, bool>;
 
-/// Time that a candidate waits before it claims. Nodes with a smaller processor
-/// share wait longer, because a slow leader slows down all callers.
+/// Time that a candidate waits before it claims. Instances with fewer
+/// processors wait longer, because a slow leader slows down all callers.
 base::Duration
 ClaimDelay(const std::string& aInstanceId,
            std::int64_t aEpoch,
@@ -241,7 +241,7 @@
   mIsAppending = false;
   const TimePoint now = mClock.Now();
   if (aResult.mOutcome != LogOutcome::Done) {
-    // The next read shows whether another node leads or whether an append
+    // The next read shows whether another instance leads or whether an append
     // without a response was stored.
     mNextAppendAt = now + kRetryPause;
     mReader.SkipPause();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -25,16 +25,16 @@
 
 /// Minimum time between two batches of progress records.
 constexpr Duration kFlushInterval = std::chrono::milliseconds(20);
-/// Interval between two records of the sharing model.
+/// Interval between two records of the interference estimates.
 constexpr Duration kModelInterval = std::chrono::seconds(2);
 constexpr std::string_view kModelId = "images";
 constexpr Duration kFlushTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kFlushRetryPause = std::chrono::milliseconds(150);
 
-/// Maximum age of the last journal read of a node that reports ready.
+/// Maximum age of the last journal read of an instance that reports ready.
 constexpr Duration kMaxReadAge = std::chrono::milliseconds(4000);
 
-/// A longer gap between two polls means that the process was paused. Its state
+/// A longer gap between two ticks means that the process was paused. Its state
 /// may then be outdated, so it starts and stops no tasks until its leadership
 /// is confirmed again.
 constexpr Duration kMaxTickGap = std::chrono::milliseconds(900);
@@ -44,11 +44,10 @@
 constexpr Duration kUnregisteredRetention =
   kLeaderLease + std::chrono::seconds(1);
 
-/// Measured from the acceptance of a job. The state of a job must be available
-/// for at least 120 s after its end; the longest jobs of the sites run for
-/// about as long.
+/// Final jobs are removed this long after their acceptance. Keeps the state for
+/// the required 120 s after the end of jobs that take up to 280 s.
 constexpr std::int64_t kFinalJobRetentionMs = 400'000;
-/// Maximum time between two polls.
+/// Maximum time between two ticks.
 constexpr Duration kMaxTickInterval = std::chrono::milliseconds(100);
 
 constexpr Duration kCleanupInterval = std::chrono::seconds(20);
@@ -72,11 +71,13 @@
   , mWallClock(aWallClock)
   , mMetrics(aMetrics)
   , mLeading(aMetrics.GetGauge("skylarkhill_leading",
-                               "1 while this node dispatches tasks."))
-  , mJobCount(aMetrics.GetGauge("skylarkhill_jobs", "Jobs known here."))
-  , mFlushSeconds(
-      aMetrics.GetDistribution("skylarkhill_flush_seconds",
-                               "Time until progress records are stored."))
+                               "1 while this instance dispatches tasks."))
+  , mJobCount(aMetrics.GetGauge("skylarkhill_jobs",
+                                "Jobs in the job table of this instance."))
+  , mFlushSeconds(aMetrics.GetDistribution(
+      "skylarkhill_flush_seconds",
+      "Time from sending a batch of progress records until it "
+      "is stored."))
   , mConfigurationReader(
       aLog,
       aClock,
@@ -156,7 +157,8 @@
 TimePoint
 Node::NextTickAt() const
 {
-  // Bounded, because the values below leave out when a claim becomes due.
+  // The wait is bounded, because none of the values below tells when a claim
+  // becomes due.
   TimePoint next = mClock.Now() + kMaxTickInterval;
   for (const TimePoint it : { mConfigurationReader.NextTickAt(),
                               mWorkerReader.NextTickAt(),
@@ -442,6 +444,8 @@
   const TimePoint now = mClock.Now();
   dispatch::Term term;
   term.mEpoch = mEpoch;
+  // A worker lease may outlast the leader lease a little: worker clocks may run
+  // slow and are read with a delay.
   term.mPreviousLeasesEndAt =
     mLeadership.PreviousLeaderLeaseEnd() + std::chrono::milliseconds(700);
   mDispatcher =
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -133,8 +133,8 @@
     CPPUNIT_ASSERT(!firstLeader.mLeadership.IsLeader());
   }
 
-  // Guards against double runs: a new leader must wait for the lease of the
-  // previous one even if it has only read its resignation.
+  // Guards against double runs: the previous leader lease counts in full for a
+  // new leader that has only read the resignation.
   void CountsTheFullLeaseOfAResignedLeader()
   {
     AddCandidates(1);
@@ -149,7 +149,7 @@
                    restartedAt + kLeaderLease);
   }
 
-  // At large sites the smallest instances are too slow to lead.
+  // A leader with little processor time slows down all callers.
   void PrefersTheInstanceWithTheMostProcessors()
   {
     AddCandidates(4);
@@ -228,8 +228,8 @@
     CPPUNIT_ASSERT(attempts <= 20);
   }
 
-  // Guards against a retry of an append whose record the node has already read
-  // from the journal.
+  // Guards against a retry of an append whose record the instance has already
+  // read from the journal.
   void AcceptsAJobWhoseRecordIsReadBack()
   {
     mLog.mDropsResponses = true;
@@ -242,8 +242,8 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mState.mStreams["journal"].size());
   }
 
-  // Guards against "no such job" (status 410) for an accepted job at a node
-  // that has just started.
+  // Guards against "no such job" (status 410) for an accepted job at an
+  // instance that has just started.
   void ReportsLogUnavailableBeforeTheJournalIsLoaded()
   {
     mNextOffset = kJournalNotLoaded;
