--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -168,7 +168,7 @@
   std::int64_t mSequence = 0;
   /// The batch that is being stored, kept for retries.
   AppendRequest mBatchRequest;
-  bool mIsBatchUnsaved = false;
+  bool mIsBatchPending = false;
   std::uint64_t mBatchNumber = 0;
   base::TimePoint mBatchSentAt;
   std::unique_ptr<dispatch::Dispatcher> mDispatcher;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -37,7 +37,7 @@
 /// monitored from the next poll on.
 constexpr int kPollWaitMs = 700;
 /// Pause before the next poll while reported ended runs are not durable yet.
-constexpr Duration kPersistPollPause = std::chrono::milliseconds(250);
+constexpr Duration kDurabilityPollPause = std::chrono::milliseconds(250);
 constexpr Duration kPollPause = std::chrono::milliseconds(15);
 constexpr Duration kPollRetryPause = std::chrono::milliseconds(300);
 
@@ -243,7 +243,7 @@
         mRunsToCall.insert(it);
       }
     }
-    worker.mNextPollAt = aNow + (mustWait ? kPersistPollPause : kPollPause);
+    worker.mNextPollAt = aNow + (mustWait ? kDurabilityPollPause : kPollPause);
     RequestTick(aNow);
   }
 
@@ -526,14 +526,16 @@
     return &step->mTasks[static_cast<std::size_t>(aTask.mIndex)];
   }
 
-  RunState* FindRun(const TaskId& aTask, int aRun, const std::string& aWorkerId)
+  RunState* FindRun(const TaskId& aTask,
+                    int aRunNumber,
+                    const std::string& aWorkerId)
   {
     TaskState* task = FindTask(aTask);
     if (task == nullptr) {
       return nullptr;
     }
     for (RunState& it : task->mRuns) {
-      if (it.mNumber == aRun && it.mWorker->mEntry.mId == aWorkerId) {
+      if (it.mNumber == aRunNumber && it.mWorker->mEntry.mId == aWorkerId) {
         return &it;
       }
     }
@@ -647,7 +649,7 @@
 
   RunState& AddRun(TaskState& aTask,
                    WorkerState& aWorker,
-                   int aNumber,
+                   int aRunNumber,
                    TimePoint aNow)
   {
     if (aTask.mRuns.empty()) {
@@ -657,11 +659,11 @@
     RunState& run = aTask.mRuns.back();
     run.mTask = &aTask;
     run.mWorker = &aWorker;
-    run.mNumber = aNumber;
+    run.mNumber = aRunNumber;
     run.mPlacedAt = aNow;
     run.mProgressAt = aNow;
     run.mNextCallAt = aNow;
-    aTask.mLastRun = std::max(aTask.mLastRun, aNumber);
+    aTask.mLastRun = std::max(aTask.mLastRun, aRunNumber);
     const jobs::Step& step = *aTask.mStep->mSpec;
     aWorker.mRuns.insert(&run);
     mRunsToCall.insert(&run);
@@ -780,18 +782,19 @@
                        const WorkerReport& aReport,
                        TimePoint aNow)
   {
-    bool mustPersist = false;
+    bool mustBecomeDurable = false;
     std::int64_t highest = aWorker.mProcessedSequence;
     for (const auto& it : aReport.mEndedRuns) {
       if (it.mSequence > aWorker.mProcessedSequence) {
-        mustPersist = HandleEndedRun(aWorker, it, aNow) || mustPersist;
+        mustBecomeDurable =
+          HandleEndedRun(aWorker, it, aNow) || mustBecomeDurable;
         highest = std::max(highest, it.mSequence);
       }
     }
     if (highest > aWorker.mProcessedSequence) {
       aWorker.mProcessedSequence = highest;
       auto& pending = aWorker.mPendingAcknowledgements;
-      if (mustPersist || !pending.empty()) {
+      if (mustBecomeDurable || !pending.empty()) {
         pending.push_back({ mBatch, highest });
       } else {
         aWorker.mAcknowledgedSequence = highest;
@@ -883,7 +886,7 @@
   }
 
   void FailTask(TaskState& aTask,
-                int aRun,
+                int aRunNumber,
                 WorkerState& aWorker,
                 TimePoint aNow)
   {
@@ -893,10 +896,10 @@
       return;
     }
     auto& failed = aTask.mFailedRuns;
-    if (std::find(failed.begin(), failed.end(), aRun) != failed.end()) {
+    if (std::find(failed.begin(), failed.end(), aRunNumber) != failed.end()) {
       return;
     }
-    failed.push_back(aRun);
+    failed.push_back(aRunNumber);
     const auto failures = static_cast<int>(failed.size());
     ScheduledJob& job = *aTask.mStep->mJob;
     logging::Write(logging::Level::Info,
@@ -1407,9 +1410,9 @@
     call.mLeaseUntilMs =
       aWorker.mFailedPolls == 0 ? ExtendLease(aWorker, aNow) : 0;
     call.mAcknowledgedSequence = aWorker.mAcknowledgedSequence;
-    const bool isShared = aWorker.mBackfillDemand > 0;
+    const bool isColocated = aWorker.mBackfillDemand > 0;
     call.mWaitMs = !aWorker.mHasReported ? 0
-                   : isShared            ? kPollWaitColocatedMs
+                   : isColocated         ? kPollWaitColocatedMs
                                          : kPollWaitMs;
     mSink.Poll(call);
   }
@@ -1474,10 +1477,11 @@
     mSink.Start(call);
   }
 
-  void SendStop(const WorkerState& aWorker, const TaskId& aTask, int aRun)
+  void SendStop(const WorkerState& aWorker, const TaskId& aTask, int aRunNumber)
   {
     mStops.Add();
-    mSink.Stop({ aWorker.mEntry.mId, aWorker.mEntry.mAddress, aTask, aRun });
+    mSink.Stop(
+      { aWorker.mEntry.mId, aWorker.mEntry.mAddress, aTask, aRunNumber });
   }
 
   void RequestTick(TimePoint aNow)
--- a/src/dispatch/fake_site_test.hpp
+++ b/src/dispatch/fake_site_test.hpp
@@ -113,7 +113,7 @@
   /// Run time of a task; 300 ms if unset.
   std::function<base::Duration(const TaskId&)> mRunTime;
   /// Decides whether a run fails; no run fails if unset.
-  std::function<bool(const TaskId&, int aRun)> mDecideFailure;
+  std::function<bool(const TaskId&, int aRunNumber)> mDecideFailure;
   /// Tasks that had two concurrent runs, or a run after an acknowledged
   /// success.
   std::vector<std::string> mDoubleRuns;
--- a/src/dispatch/job_state.cpp
+++ b/src/dispatch/job_state.cpp
@@ -7,7 +7,7 @@
 void
 CreateOccurrences(ScheduledJob& aJob,
                   ColocationModel& aModel,
-                  bool aMayHaveUnknownRuns)
+                  bool aMayHaveEarlierRuns)
 {
   const auto& request = aJob.mSubmission.mRequest;
   const int count = std::max(1, request.mOccurrences);
@@ -31,7 +31,7 @@
       for (TaskState& task : step.mTasks) {
         task.mStep = &step;
         task.mIndex = position++;
-        task.mMayHaveEarlierRun = aMayHaveUnknownRuns;
+        task.mMayHaveEarlierRun = aMayHaveEarlierRuns;
         task.mLastRun = 0;
       }
     }
--- a/src/dispatch/job_state.hpp
+++ b/src/dispatch/job_state.hpp
@@ -8,12 +8,12 @@
 
 namespace skylarkhill::dispatch {
 
-/// Creates the occurrences, steps and tasks of `aJob`. `aMayHaveUnknownRuns` is
+/// Creates the occurrences, steps and tasks of `aJob`. `aMayHaveEarlierRuns` is
 /// true if an earlier leader may have started tasks.
 void
 CreateOccurrences(ScheduledJob& aJob,
                   ColocationModel& aModel,
-                  bool aMayHaveUnknownRuns);
+                  bool aMayHaveEarlierRuns);
 
 /// Restores the tasks of `aJob` from its durable progress.
 void
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -30,7 +30,7 @@
 /// delay.
 constexpr double kMinProcessorsWithoutDelay = 0.5;
 /// Additional claim delay of an instance with almost no processor time.
-constexpr base::Duration kMaxShareDelay = std::chrono::milliseconds(500);
+constexpr base::Duration kMaxSlowInstanceDelay = std::chrono::milliseconds(500);
 /// Pause after a lost claim, a failed append or a loss of the leadership.
 constexpr base::Duration kRetryPause = std::chrono::milliseconds(250);
 constexpr base::Duration kFollowerPause = std::chrono::milliseconds(300);
@@ -49,9 +49,10 @@
     base::StableHash(aInstanceId, static_cast<std::uint64_t>(aEpoch));
   const double shortfall =
     std::clamp(1.0 - aProcessors / kMinProcessorsWithoutDelay, 0.0, 1.0);
-  const auto shareDelay = base::Duration(static_cast<base::Duration::rep>(
-    shortfall * static_cast<double>(kMaxShareDelay.count())));
-  return shareDelay +
+  const auto slowInstanceDelay =
+    base::Duration(static_cast<base::Duration::rep>(
+      shortfall * static_cast<double>(kMaxSlowInstanceDelay.count())));
+  return slowInstanceDelay +
          base::Duration(static_cast<base::Duration::rep>(
            hash % static_cast<std::uint64_t>(kMaxClaimJitter.count())));
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -168,7 +168,7 @@
   }
   if (mDispatcher != nullptr) {
     next = std::min(next, mDispatcher->NextTickAt());
-    if (!mIsFlushInFlight && (mIsBatchUnsaved || mDispatcher->IsDirty())) {
+    if (!mIsFlushInFlight && (mIsBatchPending || mDispatcher->IsDirty())) {
       next = std::min(next, mNextFlushAt);
     }
   } else if (mEpoch != 0 && !mIsFlushInFlight) {
@@ -387,7 +387,7 @@
   mEpoch = mLeadership.Epoch();
   mAreEarlierWritersFenced = false;
   mIsFlushInFlight = false;
-  mIsBatchUnsaved = false;
+  mIsBatchPending = false;
   mSequence = 0;
   mNextFlushAt = mClock.Now();
   mJournalReader.SetPause(kLeaderJournalPause);
@@ -485,7 +485,7 @@
   if (mIsFlushInFlight || now < mNextFlushAt) {
     return;
   }
-  if (mIsBatchUnsaved) {
+  if (mIsBatchPending) {
     SendBatch();
     return;
   }
@@ -514,7 +514,7 @@
   mBatchRequest.mStamp =
     WriterStamp{ std::string(kWriterName), mEpoch, ++mSequence };
   mBatchSentAt = now;
-  mIsBatchUnsaved = true;
+  mIsBatchPending = true;
   SendBatch();
 }
 
@@ -533,7 +533,7 @@
       mIsFlushInFlight = false;
       switch (aResult.mOutcome) {
         case LogOutcome::Done:
-          mIsBatchUnsaved = false;
+          mIsBatchPending = false;
           mNextFlushAt = std::max(now, mBatchSentAt + kFlushInterval);
           mFlushSeconds.Record(
             std::chrono::duration<double>(now - mBatchSentAt).count());
