--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -48,8 +48,8 @@
 
   /// Adds a worker or replaces its entry.
   virtual void SetWorker(const WorkerEntry& aEntry, base::TimePoint aNow) = 0;
-  /// The worker is no longer in the registry. It is polled until its runs have
-  /// ended and its lease has expired.
+  /// The worker is no longer in the registry. It gets no more starts and is
+  /// removed once it is silent, has no runs and its lease has expired.
   virtual void OnWorkerUnregistered(const std::string& aWorkerId,
                                     base::TimePoint aNow) = 0;
   /// Adds a job. `aIsFromEarlierTerm` is true if the job may have been accepted
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -185,8 +185,8 @@
   if (mOwnEpoch && (!isOwn || leaderRecord.mEpoch != *mOwnEpoch)) {
     StepDown();
   }
-  // Tasks that a leader started go on after its resignation, so its lease
-  // counts in full.
+  // Tasks that a leader started go on after its resignation, so its leader
+  // lease counts in full.
   if (!isOwn) {
     mPreviousLeaderLeaseEnd = mNewestReadAt + kLeaderLease;
   }
