--- a/include/skylarkhill/jobs/job.hpp
+++ b/include/skylarkhill/jobs/job.hpp
@@ -44,8 +44,8 @@
   /// Uses only processor time that other tasks leave idle; its processors do
   /// not count against the capacity of a worker.
   bool mIsBackfill = false;
-  /// Maximum number of service tasks that may be unavailable while a worker
-  /// drains.
+  /// Number of tasks of the service that may be unavailable while a worker
+  /// drains; 0 is treated as 1. Ignored shortly before the worker leaves.
   int mMaxUnavailable = 0;
 };
 
@@ -67,20 +67,20 @@
 {
   std::string mQueue;
   /// The pool of workers that runs the tasks.
-  std::string mService;
+  std::string mPool;
   /// 0 is the highest priority.
   int mPriority = 0;
   /// Number of failed runs of one task after which the job fails.
-  int mMaxAttempts = 1;
+  int mMaxFailedRuns = 1;
   /// The objective of a job is the length of its critical path times this
   /// factor, plus the target latency.
   double mSlackFactor = 1.0;
   std::int64_t mTargetLatencyMs = 0;
   /// Starts need a ticket of the advice service.
-  bool mNeedsAdvice = false;
+  bool mNeedsTicket = false;
 };
 
-/// An accepted job.
+/// A job with its id and policy, as written to the journal.
 struct Submission
 {
   std::string mId;
@@ -92,6 +92,7 @@
 
 enum class JobState
 {
+  /// No start of a task has been confirmed.
   Pending,
   Running,
   Completed,
@@ -112,8 +113,8 @@
 {
   int mIndex = 0;
   bool mIsDone = false;
-  /// Numbers of the failed runs. A count would not be enough, because ends may
-  /// be reported again after a failover, and in any order.
+  /// Numbers of the failed runs. A count would not be enough, because ended
+  /// runs may be reported again after a failover, and in any order.
   std::vector<int> mFailedRuns;
   /// Highest known run number; later runs get higher numbers.
   int mLastRun = 0;
@@ -121,8 +122,8 @@
   std::string mCheckpoint;
 };
 
-/// Durable state of one step of one occurrence. No run of a task without an
-/// entry has ended.
+/// Durable state of one step of one occurrence. Has entries for the tasks that
+/// were done or had an ended run when the record was written.
 struct StepProgress
 {
   int mOccurrence = 0;
@@ -130,13 +131,14 @@
   std::vector<TaskProgress> mTasks;
 };
 
-/// Durable state of a job, apart from its submission.
+/// Durable state of a job, apart from its submission. A job in a final state
+/// has no steps.
 struct JobProgress
 {
   JobState mState = JobState::Pending;
   /// Tasks of the job may have been started. Becomes durable before the first
   /// start.
-  bool mIsReleased = false;
+  bool mMayHaveStarted = false;
   std::vector<StepProgress> mSteps;
 };
 
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -9,9 +9,9 @@
 #include "skylarkhill/metrics/registry.hpp"
 #include "skylarkhill/node/job_service.hpp"
 #include "skylarkhill/node/leadership.hpp"
+#include "skylarkhill/node/log_stream_reader.hpp"
 #include "skylarkhill/node/route_table.hpp"
 #include "skylarkhill/node/shared_log.hpp"
-#include "skylarkhill/node/stream_tail.hpp"
 
 #include <atomic>
 #include <functional>
@@ -38,7 +38,8 @@
 {
 public:
   virtual ~RecordDecoder() = default;
-  /// nullptr if the record is not a configuration or is malformed.
+  /// nullptr if the record is not a configuration or is malformed. Malformed
+  /// members of a route are replaced by defaults.
   virtual std::shared_ptr<const RouteTable> DecodeRoutes(
     const LogRecord& aRecord) const = 0;
   /// Empty if the record is malformed or the worker is in an unknown state.
@@ -51,19 +52,19 @@
 class WorkerClient : public dispatch::CallSink
 {
 public:
-  /// Ends a term; the outcomes of calls in flight are dropped.
-  virtual void Detach() = 0;
-  /// Begins a term; outcomes are passed to `aDispatcher`.
-  virtual void Attach(std::int64_t aEpoch,
-                      dispatch::Dispatcher& aDispatcher) = 0;
+  /// Called at the end of a term; the outcomes of calls in flight are dropped.
+  virtual void ClearDispatcher() = 0;
+  /// Called when the dispatcher of a term starts; outcomes are passed to it.
+  virtual void SetDispatcher(std::int64_t aEpoch,
+                             dispatch::Dispatcher& aDispatcher) = 0;
 };
 
 struct NodeOptions
 {
-  /// Differs between nodes and between processes of one node.
-  std::string mNodeId;
+  /// Differs between instances and between restarts of one instance.
+  std::string mInstanceId;
   /// Processors that this process may use; may be a fraction.
-  double mProcessorShare = 1.0;
+  double mProcessors = 1.0;
   NodeStreams mStreams;
   dispatch::DispatchLimits mLimits;
 };
@@ -75,7 +76,7 @@
 {
 public:
   Node(NodeOptions aOptions,
-       SharedLog& aLog,
+       AsyncLog& aLog,
        BlockingLog& aBlockingLog,
        WorkerClient& aWorkerClient,
        const RecordDecoder& aDecoder,
@@ -85,16 +86,17 @@
   ~Node();
 
   /// Runs all work that is due.
-  void Poll();
-  /// When to call Poll next if no event arrives before.
-  base::TimePoint NextPollAt() const;
+  void Tick();
+  /// When to call Tick next if no event arrives before.
+  base::TimePoint NextTickAt() const;
   /// Gives up the leadership before the process stops.
   void Resign();
 
-  JobService& Service() { return mService; }
-  /// True if this node can serve callers. Thread-safe.
+  JobService& GetJobService() { return mJobService; }
+  /// True if this instance can serve callers. Thread-safe.
   bool IsReady() const { return mIsReady; }
-  bool IsLeader() const { return mDispatcher != nullptr; }
+  /// True from the start of the dispatcher to the end of the term.
+  bool IsDispatching() const { return mDispatcher != nullptr; }
 
 private:
   struct KnownWorker
@@ -117,9 +119,11 @@
   /// deletions for workers that left the registry long enough ago.
   void AddWorkerRecords();
   void UpdateTerm();
-  void BeginTerm();
+  /// Resets the state of the last term and fences earlier writers.
+  void PrepareTerm();
   void EndTerm();
-  void FenceJournal();
+  /// Makes the log refuse journal appends of earlier leaders.
+  void FenceEarlierWriters();
   void StartDispatcher();
   void Flush();
   void SendBatch();
@@ -129,7 +133,7 @@
   void UpdateReadiness();
 
   const NodeOptions mOptions;
-  SharedLog& mLog;
+  AsyncLog& mLog;
   WorkerClient& mWorkerClient;
   const RecordDecoder& mDecoder;
   const base::Clock& mClock;
@@ -140,36 +144,36 @@
   metrics::Distribution& mFlushSeconds;
 
   jobs::JobTable mJobs;
-  StreamTail mConfigurationTail;
-  StreamTail mWorkerTail;
-  StreamTail mJournalTail;
+  LogStreamReader mConfigurationReader;
+  LogStreamReader mWorkerReader;
+  LogStreamReader mJournalReader;
   std::atomic<std::int64_t> mNextJournalOffset{ kJournalNotLoaded };
-  JobService mService;
+  JobService mJobService;
   Leadership mLeadership;
   std::map<std::string, KnownWorker> mWorkers;
   /// Ids of the workers that are recorded in the journal. A leader that starts
   /// while the registry is incomplete polls these workers as well.
   std::set<std::string> mJournaledWorkers;
   std::atomic<bool> mIsReady{ false };
-  base::TimePoint mLastPollAt;
+  base::TimePoint mLastTickAt;
   /// When this process last resumed after a pause.
   base::TimePoint mResumedAt;
 
-  /// Epoch of the term that this node leads or prepares; 0: none.
+  /// Epoch of the term that this instance leads or prepares; 0: none.
   std::int64_t mEpoch = 0;
-  bool mIsJournalFenced = false;
-  base::TimePoint mJournalFencedAt;
+  bool mAreEarlierWritersFenced = false;
+  base::TimePoint mEarlierWritersFencedAt;
   bool mIsFlushInFlight = false;
   base::TimePoint mNextFlushAt;
   std::int64_t mSequence = 0;
   /// The batch that is being stored, kept for retries.
   AppendRequest mBatchRequest;
-  bool mIsBatchUnsaved = false;
+  bool mIsBatchPending = false;
   std::uint64_t mBatchNumber = 0;
   base::TimePoint mBatchSentAt;
   std::unique_ptr<dispatch::Dispatcher> mDispatcher;
   base::TimePoint mNextCleanupAt;
-  /// Newest record of the sharing model in the journal.
+  /// Newest record of the interference estimates in the journal.
   std::string mModelRecord;
   base::TimePoint mNextModelAt;
 };
--- a/src/dispatch/colocation_model.cpp
+++ b/src/dispatch/colocation_model.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-/// Baseline of a service without reports: typical load at the sites, with a
-/// margin for its variation.
+/// Baseline of a service without reports: a typical load with a margin for its
+/// variation.
 constexpr Saturation kDefaultBaseline = 0.55;
 
 /// Bounds of a baseline. A higher saturation is attributed to interference that
@@ -25,8 +25,8 @@
 constexpr Saturation kMinBaseline = 0.1;
 constexpr Saturation kMaxBaseline = 0.8;
 
-/// Older reports are not used to estimate a baseline: the load of a service
-/// varies by half within ten seconds.
+/// Older reports are not used to estimate a baseline: the load of a service may
+/// change by half within ten seconds.
 constexpr base::Duration kMaxBaselineAge = std::chrono::milliseconds(1200);
 
 /// A task may exceed the baseline of its service by this much before its own
@@ -34,15 +34,16 @@
 constexpr Saturation kBaselineTolerance = 0.15;
 
 /// Variance of the difference in saturation between two tasks of a service,
-/// both without colocated backfill. Measured deviations were 0.05 to 0.1.
-constexpr double kBaselineNoise = 0.01;
+/// both without colocated backfill: the upper end of usual deviations, 0.05 to
+/// 0.1.
+constexpr double kBaselineVariance = 0.01;
 /// Variance if all other reporting tasks have colocated backfill.
-constexpr double kColocatedBaselineNoise = 0.03;
+constexpr double kColocatedBaselineVariance = 0.03;
 /// Variance if no other task has reported.
-constexpr double kDefaultBaselineNoise = 0.06;
+constexpr double kDefaultBaselineVariance = 0.06;
 
-/// Tail ratio of an idle service task: sites set the target to five times the
-/// idle tail latency.
+/// Tail ratio of an idle service task: assumes a target of five times the idle
+/// tail latency.
 constexpr TailRatio kIdleRatio = 0.2;
 
 constexpr double kPercent = 100.0;
@@ -54,7 +55,7 @@
 struct BaselineEstimate
 {
   Saturation mBaseline = kDefaultBaseline;
-  double mNoise = kDefaultBaselineNoise;
+  double mVariance = kDefaultBaselineVariance;
 };
 
 /// Median baseline of the tasks of a service, without the run `aExcept`.
@@ -67,7 +68,7 @@
   std::vector<double> colocated;
   for (const TaskState& task : aService.mTasks) {
     for (const RunState& it : task.mRuns) {
-      if (&it != aExcept && it.mMeasurement > 0 &&
+      if (&it != aExcept && it.mTailLatencyOrUse > 0 &&
           it.mBaselineAt + kMaxBaselineAge > aNow) {
         (it.mIsColocated ? colocated : isolated).push_back(it.mBaseline);
       }
@@ -81,7 +82,7 @@
     baselines.begin() + static_cast<std::ptrdiff_t>((baselines.size() - 1) / 2);
   std::nth_element(baselines.begin(), middle, baselines.end());
   return { *middle,
-           isolated.empty() ? kColocatedBaselineNoise : kBaselineNoise };
+           isolated.empty() ? kColocatedBaselineVariance : kBaselineVariance };
 }
 
 /// By backfill image: share of the worker's processors at the last report.
@@ -91,8 +92,8 @@
   std::map<int, double> shares;
   for (const RunState* it : aWorker.mRuns) {
     const StepState& step = *it->mTask->mStep;
-    if (step.mSpec->mIsBackfill && it->mMeasurement > 0) {
-      shares[step.mImage] += ShareOf(it->mMeasurement, aWorker);
+    if (step.mSpec->mIsBackfill && it->mTailLatencyOrUse > 0) {
+      shares[step.mImage] += ShareOf(it->mTailLatencyOrUse, aWorker);
     }
   }
   return shares;
@@ -136,12 +137,13 @@
 }
 
 void
-ColocationModel::Record(WorkerState& aWorker, base::TimePoint aNow)
+ColocationModel::Update(WorkerState& aWorker, base::TimePoint aNow)
 {
   std::vector<RunState*> services;
   for (RunState* it : aWorker.mRuns) {
     const jobs::Step& step = *it->mTask->mStep->mSpec;
-    if (step.mIsService && step.mTailTargetMs > 0 && it->mMeasurement > 0) {
+    if (step.mIsService && step.mTailTargetMs > 0 &&
+        it->mTailLatencyOrUse > 0) {
       services.push_back(it);
     }
   }
@@ -166,10 +168,10 @@
     step.mBaseline = EstimateBaseline(step, nullptr, aNow).mBaseline;
     if (!backfill.empty()) {
       const BaselineEstimate others = EstimateBaseline(step, it, aNow);
-      mEstimator.Record(step.mImage,
+      mEstimator.Update(step.mImage,
                         backfill,
                         SaturationOf(TailRatioOf(*it)) - others.mBaseline,
-                        others.mNoise);
+                        others.mVariance);
     }
   }
 }
@@ -183,9 +185,9 @@
 }
 
 Saturation
-ColocationModel::InterferenceUpperBound(int aServiceImage,
-                                        int aBackfillImage,
-                                        double aShare) const
+ColocationModel::CautiousInterference(int aServiceImage,
+                                      int aBackfillImage,
+                                      double aShare) const
 {
   const PairEstimate estimate =
     mEstimator.Estimate(aServiceImage, aBackfillImage);
@@ -255,8 +257,8 @@
 TailRatioOf(const RunState& aRun)
 {
   const auto target = aRun.mTask->mStep->mSpec->mTailTargetMs;
-  return aRun.mMeasurement > 0 && target > 0
-           ? static_cast<double>(aRun.mMeasurement) /
+  return aRun.mTailLatencyOrUse > 0 && target > 0
+           ? static_cast<double>(aRun.mTailLatencyOrUse) /
                static_cast<double>(target)
            : kIdleRatio / (1.0 - kDefaultBaseline);
 }
--- a/src/dispatch/interference_estimator_test.cpp
+++ b/src/dispatch/interference_estimator_test.cpp
@@ -23,14 +23,14 @@
     CPPUNIT_ASSERT(model.Estimate(0, 1).mVariance > 0.5);
   }
 
-  // An image that is reported almost only together with another one must not be
-  // charged with the other's interference.
+  // The interference of an image must not be attributed to another image that
+  // is reported together with it half of the time.
   void SeparatesTwoImagesOfOneReport()
   {
     InterferenceEstimator model;
     for (int n = 0; n < 100; ++n) {
-      model.Record(0, { { 1, 0.1 }, { 2, 0.1 } }, 0.2, 0.01);
-      model.Record(0, { { 2, 0.1 } }, 0.0, 0.01);
+      model.Update(0, { { 1, 0.1 }, { 2, 0.1 } }, 0.2, 0.01);
+      model.Update(0, { { 2, 0.1 } }, 0.0, 0.01);
     }
     CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, model.Estimate(0, 1).mMean, 0.2);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, model.Estimate(0, 2).mMean, 0.2);
@@ -38,15 +38,15 @@
     CPPUNIT_ASSERT(!model.HasEstimate(1, 2));
   }
 
-  // Many consistent reports must not make the estimate too rigid to adapt.
+  // Many consistent reports must not keep the estimate from following a change.
   void AdaptsToAChangingPair()
   {
     InterferenceEstimator model;
     for (int n = 0; n < 200; ++n) {
-      model.Record(0, { { 1, 0.1 } }, 0.0, 0.01);
+      model.Update(0, { { 1, 0.1 } }, 0.0, 0.01);
     }
     for (int n = 0; n < 60; ++n) {
-      model.Record(0, { { 1, 0.1 } }, 0.2, 0.01);
+      model.Update(0, { { 1, 0.1 } }, 0.2, 0.01);
     }
     CPPUNIT_ASSERT(model.Estimate(0, 1).mMean > 1.5);
   }
