--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -115,16 +115,13 @@
     , mTerm(aTerm)
     , mSink(aSink)
     , mStarts(aMetrics.GetCounter("skylarkhill_starts_total",
-                                  "Start calls sent, including repeats."))
-    , mStops(aMetrics.GetCounter("skylarkhill_stops_total",
-                                 "Stop calls sent, including repeats."))
-    , mLostRuns(aMetrics.GetCounter(
-        "skylarkhill_runs_lost_total",
-        "Runs whose end was not reported: the worker was silent, "
-        "restarted or no longer listed them."))
+                                  "Starts ordered, repeats included."))
+    , mStops(aMetrics.GetCounter("skylarkhill_stops_total", "Stops ordered."))
+    , mLostRuns(aMetrics.GetCounter("skylarkhill_runs_lost_total",
+                                    "Runs that disappeared with a worker."))
     , mStalledRuns(
         aMetrics.GetCounter("skylarkhill_runs_stalled_total",
-                            "Runs stopped because they made no progress."))
+                            "Runs taken for stuck and started elsewhere."))
   {
   }
 
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -63,16 +63,14 @@
   , mNextJournalOffset(aNextJournalOffset)
   , mClock(aClock)
   , mWallClock(aWallClock)
-  , mAccepted(aMetrics.GetCounter(
-      "skylarkhill_jobs_accepted_total",
-      "Jobs that this instance has appended to the journal."))
+  , mAccepted(aMetrics.GetCounter("skylarkhill_jobs_accepted_total",
+                                  "Jobs stored by this node."))
   , mRefused(aMetrics.GetCounter("skylarkhill_jobs_refused_total",
                                  "Jobs that were not accepted."))
   , mUnknown(aMetrics.GetCounter("skylarkhill_jobs_unknown_total",
                                  "Jobs whose acceptance is not known."))
-  , mCancelled(
-      aMetrics.GetCounter("skylarkhill_jobs_cancelled_total",
-                          "Cancellations that this instance has appended."))
+  , mCancelled(aMetrics.GetCounter("skylarkhill_jobs_cancelled_total",
+                                   "Cancellations stored by this node."))
   , mAppendSeconds(
       aMetrics.GetDistribution("skylarkhill_append_seconds",
                                "Time until a caller's record is stored."))
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -71,13 +71,11 @@
   , mWallClock(aWallClock)
   , mMetrics(aMetrics)
   , mLeading(aMetrics.GetGauge("skylarkhill_leading",
-                               "1 while this instance dispatches tasks."))
-  , mJobCount(aMetrics.GetGauge("skylarkhill_jobs",
-                                "Jobs in the job table of this instance."))
-  , mFlushSeconds(aMetrics.GetDistribution(
-      "skylarkhill_flush_seconds",
-      "Time from sending a batch of progress records until it "
-      "is stored."))
+                               "1 while this node dispatches tasks."))
+  , mJobCount(aMetrics.GetGauge("skylarkhill_jobs", "Jobs known here."))
+  , mFlushSeconds(
+      aMetrics.GetDistribution("skylarkhill_flush_seconds",
+                               "Time until progress records are stored."))
   , mConfigurationReader(
       aLog,
       aClock,
