--- a/include/skylarkhill/entry/batch_scheduler.hpp
+++ b/include/skylarkhill/entry/batch_scheduler.hpp
@@ -115,11 +115,11 @@
   policy::Quarantine mQuarantine;
   std::map<base::TaskId, PendingGrant> mPendingGrants;
   /// When this instance first saw the task of an attempt in the queue.
-  std::map<worker::TaskKey, base::TimePoint> mFirstSeenAt;
+  std::map<worker::AttemptKey, base::TimePoint> mFirstSeenAt;
   /// When this instance first saw an attempt running.
-  std::map<worker::TaskKey, base::TimePoint> mRunningSince;
+  std::map<worker::AttemptKey, base::TimePoint> mRunningSince;
   /// Lost attempts whose end record is being appended.
-  std::set<worker::TaskKey> mEndingAttempts;
+  std::set<worker::AttemptKey> mEndingAttempts;
   bool mStopping = false;
 
   std::thread mThread;
--- a/include/skylarkhill/entry/worker_agent.hpp
+++ b/include/skylarkhill/entry/worker_agent.hpp
@@ -101,15 +101,15 @@
 
   /// Commits capacity for an attempt whose grant is about to be appended.
   /// NotHolder, NoCapacity, WorkerUnavailable.
-  base::Result<void> Plan(const worker::TaskKey& aKey,
+  base::Result<void> Plan(const worker::AttemptKey& aKey,
                           const base::Resources& aResources);
   /// Frees the planned capacity: the grant was not appended or another one took
   /// effect.
-  void CancelPlan(const worker::TaskKey& aKey);
-  void Evict(const worker::TaskKey& aKey, base::TimePoint aDeadline);
-  void Throttle(const worker::TaskKey& aKey, std::int64_t aPercent);
+  void CancelPlan(const worker::AttemptKey& aKey);
+  void Evict(const worker::AttemptKey& aKey, base::TimePoint aDeadline);
+  void Throttle(const worker::AttemptKey& aKey, std::int64_t aPercent);
   /// The end record of this attempt was definitely not appended.
-  void OnRecordDropped(const worker::TaskKey& aKey);
+  void OnRecordDropped(const worker::AttemptKey& aKey);
   /// Removes the failures of a quarantined task from the worker's circuit
   /// breaker.
   void RemoveFailures(const base::TaskId& aTask);
@@ -127,7 +127,7 @@
   WorkerStatus Status() const;
 
 private:
-  void Perform(const holder::PlaceLease& aAction);
+  void Perform(const holder::SetLease& aAction);
   void Perform(const holder::ReadHolders& aAction);
   void Perform(const holder::RemoveLease& aAction);
   void Perform(const holder::LeaseAcquired& aAction);
--- a/include/skylarkhill/holder/lost_worker.hpp
+++ b/include/skylarkhill/holder/absent_worker.hpp
@@ -1,5 +1,5 @@
-#ifndef SKYLARKHILL_HOLDER_LOST_WORKER_HPP
-#define SKYLARKHILL_HOLDER_LOST_WORKER_HPP
+#ifndef SKYLARKHILL_HOLDER_ABSENT_WORKER_HPP
+#define SKYLARKHILL_HOLDER_ABSENT_WORKER_HPP
 
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/holder/granted_attempt.hpp"
@@ -10,13 +10,13 @@
 namespace skylarkhill::holder {
 
 /// A worker that no instance can reach.
-struct LostWorker
+struct AbsentWorker
 {
   /// Start of the uninterrupted absence of the worker from the platform's list.
   base::TimePoint mAbsentSince;
   /// Last sign that the worker was running: an answered poll of this instance,
   /// or a peer's heartbeat that lists the worker as held.
-  base::TimePoint mLastContact;
+  base::TimePoint mLastSeen;
   /// The attempts that the log grants to the worker.
   std::vector<GrantedAttempt> mGrants;
 };
@@ -27,11 +27,11 @@
 /// failure domain: to instances outside, workers of a partitioned domain look
 /// lost although they run.
 std::vector<tasks::EndRecord>
-EndLostAttempts(const LostWorker& aWorker,
-                base::Duration aLongestTaskLease,
-                base::Duration aMargin,
-                base::TimePoint aNow);
+EndAbsentWorkerAttempts(const AbsentWorker& aWorker,
+                        base::Duration aLongestTaskLease,
+                        base::Duration aMargin,
+                        base::TimePoint aNow);
 
 } // namespace skylarkhill::holder
 
-#endif // SKYLARKHILL_HOLDER_LOST_WORKER_HPP
+#endif // SKYLARKHILL_HOLDER_ABSENT_WORKER_HPP
--- a/include/skylarkhill/holder/lease_machine.hpp
+++ b/include/skylarkhill/holder/lease_machine.hpp
@@ -39,7 +39,7 @@
 
 struct LeaseOptions
 {
-  base::Duration mLeaseLength = std::chrono::seconds(6);
+  base::Duration mLeaseDuration = std::chrono::seconds(6);
   base::Duration mRenewInterval = std::chrono::seconds(1);
   /// Upper bound on the drift between the instance's and the worker's clock
   /// during one lease.
@@ -59,11 +59,11 @@
 
 /// Request to call `RemoteWorker::SetHolderLease`; the result is passed to
 /// `OnReport`.
-struct PlaceLease
+struct SetLease
 {
   std::uint64_t mRequest = 0;
   worker::HolderToken mToken;
-  base::Duration mLength{};
+  base::Duration mDuration{};
   base::TimePoint mDeadline;
 };
 
@@ -97,7 +97,7 @@
 };
 
 using LeaseAction =
-  std::variant<PlaceLease, ReadHolders, RemoveLease, LeaseAcquired, LeaseEnded>;
+  std::variant<SetLease, ReadHolders, RemoveLease, LeaseAcquired, LeaseEnded>;
 
 /// State machine that acquires, renews and releases the holder lease on one
 /// worker for one entry instance. Not thread-safe: used under the lock of the
@@ -117,7 +117,7 @@
   /// not wait for the takeover delay.
   void SetPreferred(bool aPreferred);
 
-  /// Handles the result of the PlaceLease or ReadHolders request `aRequest`.
+  /// Handles the result of the SetLease or ReadHolders request `aRequest`.
   void OnReport(std::uint64_t aRequest,
                 const base::Result<worker::WorkerReport>& aReport,
                 base::TimePoint aNow);
@@ -164,7 +164,7 @@
   void HandleReport(const worker::WorkerReport& aReport,
                     const Request& aRequest,
                     base::TimePoint aNow);
-  void HandleFailure(base::TimePoint aNow);
+  void HandleEndWithoutReport(base::TimePoint aNow);
   void HandleScan(const worker::WorkerReport& aReport, base::TimePoint aNow);
   void HandleVerification(const worker::WorkerReport& aReport,
                           base::TimePoint aNow);
@@ -172,7 +172,7 @@
                      const Request& aRequest,
                      base::TimePoint aNow);
   void SendReadHolders(base::TimePoint aNow);
-  void SendPlaceLease(base::TimePoint aNow);
+  void SendSetLease(base::TimePoint aNow);
   void EndLease(LeaseState aState, base::TimePoint aNow);
   void StartRequest(base::TimePoint aNow);
 
--- a/include/skylarkhill/holder/ledger.hpp
+++ b/include/skylarkhill/holder/ledger.hpp
@@ -58,27 +58,27 @@
   /// True if `aNeed` fits into the capacity that is not committed.
   bool Fits(const base::Resources& aNeed) const;
   /// Like Fits, but ignores the plan for `aKey` itself.
-  bool FitsStart(const worker::TaskKey& aKey,
+  bool FitsStart(const worker::AttemptKey& aKey,
                  const base::Resources& aNeed) const;
 
   /// Commits capacity for an attempt whose grant record is being appended.
   /// Fails with NoCapacity if it does not fit.
-  base::Result<void> Plan(const worker::TaskKey& aKey,
-                          const base::Resources& aNeed);
+  base::Result<void> CommitGrant(const worker::AttemptKey& aKey,
+                                 const base::Resources& aNeed);
   /// Removes a plan. Has no effect if the start was already committed.
-  void CancelPlan(const worker::TaskKey& aKey);
+  void CancelGrant(const worker::AttemptKey& aKey);
 
   /// Commits capacity for a start command that is about to be sent, in place of
   /// the plan for it. Fails with NoCapacity if it does not fit.
-  base::Result<void> CommitStart(const worker::TaskKey& aKey,
+  base::Result<void> CommitStart(const worker::AttemptKey& aKey,
                                  const base::Resources& aNeed,
                                  const CommandExpiry& aExpiry);
 
   /// Sets the usage estimate of a running task; nothing if there is no reliable
   /// one. The task counts with the maximum of its reservation and the estimate.
   /// Estimates never raise the committed capacity above the worker's capacity.
-  void SetTrustedUsage(const worker::TaskKey& aKey,
-                       const std::optional<base::Resources>& aUsage);
+  void SetUsageEstimate(const worker::AttemptKey& aKey,
+                        const std::optional<base::Resources>& aUsage);
 
   /// Sets the capacity that is reserved for services and not used for tasks.
   void SetServiceReserve(const base::Resources& aReserve);
@@ -91,7 +91,7 @@
   void EndCall(CallNumber aCall);
   /// Marks a call whose answer was lost. Its slot and connection stay committed
   /// until a report shows that the call has ended.
-  void MarkCallLost(CallNumber aCall);
+  void MarkAnswerLost(CallNumber aCall);
 
   base::Resources Capacity() const { return mCapacity; }
   /// The capacity of running tasks, starts in flight and plans, including the
@@ -99,7 +99,7 @@
   base::Resources Committed() const;
   CallCapacity FreeCallCapacity() const;
   bool HasReport() const { return mHasReport; }
-  bool IsStartInFlight(const worker::TaskKey& aKey) const;
+  bool IsStartInFlight(const worker::AttemptKey& aKey) const;
 
 private:
   struct Start
@@ -110,7 +110,7 @@
   struct Call
   {
     CommandExpiry mExpiry;
-    bool mLost = false;
+    bool mAnswerLost = false;
   };
 
   base::Resources Reserved() const;
@@ -126,10 +126,10 @@
   bool mHasCalled = false;
   /// Slots still occupied by calls of previous holders.
   std::int64_t mInheritedBusySlots = 0;
-  std::map<worker::TaskKey, base::Resources> mRunning;
-  std::map<worker::TaskKey, base::Resources> mTrustedUsage;
-  std::map<worker::TaskKey, Start> mStarts;
-  std::map<worker::TaskKey, base::Resources> mPlans;
+  std::map<worker::AttemptKey, base::Resources> mRunning;
+  std::map<worker::AttemptKey, base::Resources> mUsageEstimates;
+  std::map<worker::AttemptKey, Start> mStarts;
+  std::map<worker::AttemptKey, base::Resources> mUnstartedGrants;
   std::map<CallNumber, Call> mCalls;
 };
 
--- a/include/skylarkhill/holder/task_command.hpp
+++ b/include/skylarkhill/holder/task_command.hpp
@@ -13,29 +13,29 @@
 
 struct RenewTasks
 {
-  std::vector<worker::TaskKey> mTasks;
+  std::vector<worker::AttemptKey> mTasks;
   worker::WorkerTime mLeaseExpiresAt = 0;
 };
 
 struct CheckpointTask
 {
-  worker::TaskKey mTask;
+  worker::AttemptKey mTask;
 };
 
 struct ThrottleTask
 {
-  worker::TaskKey mTask;
+  worker::AttemptKey mTask;
   std::int64_t mPercent = 100;
 };
 
 struct StopTask
 {
-  worker::TaskKey mTask;
+  worker::AttemptKey mTask;
 };
 
 struct AcknowledgeTask
 {
-  worker::TaskKey mTask;
+  worker::AttemptKey mTask;
 };
 
 using CommandBody = std::variant<worker::StartTask,
--- a/include/skylarkhill/holder/task_runner.hpp
+++ b/include/skylarkhill/holder/task_runner.hpp
@@ -54,24 +54,24 @@
   /// Handles the outcome of the command `aNumber`.
   void OnResult(std::uint64_t aNumber, CommandOutcome aOutcome);
 
-  /// Sets the attempts that the log grants to this worker. `aInheritedBefore`
-  /// is an end offset of the log observed at or after the lease was acquired;
-  /// empty until the log has been read up to it. Only the first value is used.
-  /// Grants below it are inherited from previous holders: running attempts are
-  /// adopted, the others are released.
+  /// Sets the attempts that the log grants to this worker.
+  /// `aInheritedEndOffset` is an end offset of the log observed at or after the
+  /// lease was acquired; empty until the log has been read up to it. Only the
+  /// first value is used. Grants below it are inherited from previous holders:
+  /// running attempts are adopted, the others are released.
   void SetGrants(const std::vector<GrantedAttempt>& aGrants,
-                 std::optional<std::int64_t> aInheritedBefore);
+                 std::optional<std::int64_t> aInheritedEndOffset);
 
   /// The end record of this attempt was certainly not appended; the next Step
   /// may return it again.
-  void OnRecordDropped(const worker::TaskKey& aKey);
+  void OnEndRecordNotAppended(const worker::AttemptKey& aKey);
 
   /// Checkpoints the attempt and stops it as soon as the checkpoint is
   /// complete, at the latest at `aDeadline`.
-  void Evict(const worker::TaskKey& aKey, base::TimePoint aDeadline);
+  void Evict(const worker::AttemptKey& aKey, base::TimePoint aDeadline);
 
   /// Limits the attempt to `aPercent` of its processors.
-  void Throttle(const worker::TaskKey& aKey, std::int64_t aPercent);
+  void Throttle(const worker::AttemptKey& aKey, std::int64_t aPercent);
 
   /// Starts no further attempts; running attempts continue.
   void BeginDrain();
@@ -107,7 +107,7 @@
   {
     base::TimePoint mDeadline;
     /// Newest checkpoint before the eviction requested one.
-    std::optional<std::string> mBaseline;
+    std::optional<std::string> mCheckpointBefore;
     bool mStopping = false;
   };
   struct Attempt
@@ -123,10 +123,10 @@
     std::optional<std::int64_t> mThrottlePercent;
     std::optional<base::TimePoint> mNoCapacitySince;
     bool mWasReported = false;
-    bool mStartedSent = false;
-    bool mEndSent = false;
+    bool mStartedRecordReturned = false;
+    bool mEndRecordReturned = false;
   };
-  using Entry = std::pair<const worker::TaskKey, Attempt>;
+  using Entry = std::pair<const worker::AttemptKey, Attempt>;
 
   bool IsQuietPeriodOver() const;
   bool IsReady() const;
@@ -152,13 +152,13 @@
   const LeaseMachine& mLease;
   Ledger& mLedger;
   TaskRunnerOptions mOptions;
-  std::optional<std::int64_t> mInheritedBefore;
+  std::optional<std::int64_t> mInheritedEndOffset;
   bool mDraining = false;
   bool mRenewDue = false;
   std::uint64_t mLastNumber = 0;
   std::optional<PollResult> mLastPoll;
   std::optional<SentCommand> mRenewal;
-  std::map<worker::TaskKey, Attempt> mAttempts;
+  std::map<worker::AttemptKey, Attempt> mAttempts;
   RunnerOutput mOutput;
 };
 
--- a/include/skylarkhill/holder/worker_clock.hpp
+++ b/include/skylarkhill/holder/worker_clock.hpp
@@ -30,7 +30,7 @@
   worker::WorkerTime ToEarliestWorkerTime(base::TimePoint aDeadline) const;
 
   /// Upper bound of the boot time at which the worker's clock reaches `aTime`.
-  base::TimePoint ToLatestBootTime(worker::WorkerTime aTime) const;
+  base::TimePoint ToLatestLocalTime(worker::WorkerTime aTime) const;
 
 private:
   std::int64_t Drift(base::TimePoint aUntil) const;
--- a/include/skylarkhill/journal/batch_writer.hpp
+++ b/include/skylarkhill/journal/batch_writer.hpp
@@ -17,7 +17,7 @@
 /// Identifies one submission to a BatchWriter.
 using Ticket = std::uint64_t;
 
-struct BatchWriterSettings
+struct BatchWriterOptions
 {
   /// Instance and incarnation; unique to this process.
   std::string mWriter;
@@ -51,7 +51,7 @@
 class BatchWriter
 {
 public:
-  explicit BatchWriter(BatchWriterSettings aSettings);
+  explicit BatchWriter(BatchWriterOptions aOptions);
 
   void SetLiveInstances(std::int64_t aCount);
 
@@ -128,7 +128,7 @@
   void EndSubmission(const Submission& aSubmission,
                      base::Result<Offset> aResult);
 
-  BatchWriterSettings mSettings;
+  BatchWriterOptions mOptions;
   std::int64_t mLiveInstances = 1;
   Phase mPhase = Phase::Idle;
   std::deque<Submission> mQueue;
--- a/include/skylarkhill/journal/journal_service.hpp
+++ b/include/skylarkhill/journal/journal_service.hpp
@@ -21,10 +21,10 @@
 
 namespace skylarkhill::journal {
 
-struct JournalServiceSettings
+struct JournalServiceOptions
 {
   std::string mStream = "site";
-  BatchWriterSettings mWriter;
+  BatchWriterOptions mWriterOptions;
   std::int64_t mMaxRecordsPerRead = 256;
   /// Pause between reads at the end of the stream.
   base::Duration mPollInterval = std::chrono::milliseconds(50);
@@ -38,7 +38,7 @@
 struct JournalCounts
 {
   std::int64_t mAppends = 0;
-  std::int64_t mAppendsUnavailable = 0;
+  std::int64_t mAppendsFailed = 0;
   std::int64_t mAnswersLost = 0;
   std::int64_t mReads = 0;
   std::int64_t mReadsFailed = 0;
@@ -59,7 +59,7 @@
 {
 public:
   /// The references must outlive the service.
-  JournalService(JournalServiceSettings aSettings,
+  JournalService(JournalServiceOptions aOptions,
                  platform::LogService& aLog,
                  SiteState& aState,
                  const base::Clock& aClock,
@@ -111,7 +111,7 @@
                                      Offset aOffset,
                                      base::TimePoint aDeadline) const;
 
-  JournalServiceSettings mSettings;
+  JournalServiceOptions mOptions;
   platform::LogService& mLog;
   SiteState& mState;
   const base::Clock& mClock;
--- a/include/skylarkhill/journal/site_state.hpp
+++ b/include/skylarkhill/journal/site_state.hpp
@@ -24,7 +24,7 @@
 
 namespace skylarkhill::journal {
 
-struct SiteStateSettings
+struct SiteStateOptions
 {
   std::size_t mShards = 16;
   /// How long the platform retains records, in milliseconds.
@@ -77,12 +77,12 @@
 class SiteState
 {
 public:
-  explicit SiteState(SiteStateSettings aSettings);
+  explicit SiteState(SiteStateOptions aOptions);
 
   /// Applies the batches in order and wakes up the waiting threads.
   void ApplyPage(const PageResult& aPage, std::int64_t aNowMs);
-  /// Everything appended before `aAsOf` has been applied.
-  void SetCaughtUp(base::TimePoint aAsOf);
+  /// Everything appended before `aCaughtUpTime` has been applied.
+  void SetCaughtUp(base::TimePoint aCaughtUpTime);
 
   /// Offset of the next record to apply.
   Offset Position() const;
@@ -98,9 +98,9 @@
   bool WaitUntilApplied(Offset aOffset,
                         const base::Clock& aClock,
                         base::TimePoint aDeadline) const;
-  /// Waits until everything appended before `aAsOf` was applied; false if
-  /// `aDeadline` passed first.
-  bool WaitUntilCaughtUp(base::TimePoint aAsOf,
+  /// Waits until everything appended before `aCaughtUpTime` was applied; false
+  /// if `aDeadline` passed first.
+  bool WaitUntilCaughtUp(base::TimePoint aCaughtUpTime,
                          const base::Clock& aClock,
                          base::TimePoint aDeadline) const;
 
@@ -110,10 +110,11 @@
   /// Up to `aLimit` queued tasks: urgent ones first, then in order of
   /// acceptance and of id.
   std::vector<tasks::QueuedTask> Queued(std::size_t aLimit) const;
-  std::vector<tasks::LiveAttempt> GrantsOn(const base::WorkerId& aWorker) const;
+  std::vector<tasks::LiveAttempt> LiveAttemptsOn(
+    const base::WorkerId& aWorker) const;
   /// Workers with at least one live attempt, in order of id.
-  std::vector<base::WorkerId> WorkersWithGrants() const;
-  std::map<std::string, tasks::TeamUse> TeamUses() const;
+  std::vector<base::WorkerId> WorkersWithLiveAttempts() const;
+  std::map<std::string, tasks::TeamCommitment> TeamCommitments() const;
   requests::KeySnapshot FindKey(const base::RequestId& aKey) const;
   std::vector<base::RequestId> ClaimedBy(
     const base::InstanceId& aInstance) const;
@@ -188,7 +189,7 @@
                  const base::Clock& aClock,
                  base::TimePoint aDeadline) const;
 
-  SiteStateSettings mSettings;
+  SiteStateOptions mOptions;
   std::vector<std::unique_ptr<Shard>> mShards;
 
   /// Guards the members below; never locked together with the mutex of a shard.
--- a/include/skylarkhill/journal/snapshot_planner.hpp
+++ b/include/skylarkhill/journal/snapshot_planner.hpp
@@ -14,7 +14,7 @@
 
 namespace skylarkhill::journal {
 
-struct SnapshotPlannerSettings
+struct SnapshotPlannerOptions
 {
   base::InstanceId mSelf;
   /// How long the platform retains records, in milliseconds.
@@ -41,7 +41,7 @@
 class SnapshotPlanner
 {
 public:
-  explicit SnapshotPlanner(SnapshotPlannerSettings aSettings);
+  explicit SnapshotPlanner(SnapshotPlannerOptions aOptions);
 
   /// Returns the snapshots to append now. Call it at least every 1/128 of the
   /// retention, e.g. every 11 minutes for a day. A planned snapshot is not
@@ -56,7 +56,7 @@
                  const std::vector<base::InstanceId>& aLive,
                  std::int64_t aNowMs);
 
-  SnapshotPlannerSettings mSettings;
+  SnapshotPlannerOptions mOptions;
   /// When the last snapshot was planned, per id.
   std::unordered_map<std::string, std::int64_t> mPlannedAtMs;
 };
--- a/include/skylarkhill/journal/stream_reader.hpp
+++ b/include/skylarkhill/journal/stream_reader.hpp
@@ -54,7 +54,7 @@
   Offset Position() const { return mState.mPosition; }
   /// First offset of the contiguous part that was read; nullopt before the
   /// first page.
-  std::optional<Offset> Start() const;
+  std::optional<Offset> FirstOffset() const;
 
   /// Processes the answer to a read from Position() that was issued at
   /// `aIssuedAt`.
--- a/include/skylarkhill/policy/breaker.hpp
+++ b/include/skylarkhill/policy/breaker.hpp
@@ -50,7 +50,7 @@
   /// over.
   void OnPlaced(const base::TaskId& aTask, base::TimePoint aNow);
   /// The task ended or was cancelled without showing whether the worker works.
-  void OnCancelled(const base::TaskId& aTask);
+  void OnInconclusiveEnd(const base::TaskId& aTask);
   void OnSuccess(const base::TaskId& aTask);
   void OnFailure(const base::TaskId& aTask, base::TimePoint aNow);
   /// Discards the failures of a quarantined task; closes the breaker if fewer
--- a/include/skylarkhill/policy/placement.hpp
+++ b/include/skylarkhill/policy/placement.hpp
@@ -47,7 +47,7 @@
   /// Batch class -> number of its tasks at the time of the measurement.
   std::map<std::string, std::int64_t> mBatchTasks;
   /// Service time in percent of that without batch tasks.
-  std::int64_t mSlowdownPercent = 100;
+  std::int64_t mServiceTimePercent = 100;
   base::TimePoint mMeasuredAt;
 };
 
--- a/include/skylarkhill/policy/protection.hpp
+++ b/include/skylarkhill/policy/protection.hpp
@@ -29,12 +29,12 @@
 };
 
 /// State of one worker, as input of the protection policy.
-struct WorkerPressure
+struct ProtectionInput
 {
   base::WorkerId mWorker;
   /// Service time in percent of that without batch tasks; a delayed
   /// measurement.
-  std::int64_t mSlowdownPercent = 100;
+  std::int64_t mServiceTimePercent = 100;
   /// Service time that the most affected service tolerates, in percent of that
   /// without batch tasks.
   std::int64_t mToleratedPercent = 100;
@@ -64,7 +64,7 @@
 public:
   virtual ~ProtectionPolicy() = default;
   /// Actions to take now on one worker. Keeps state per worker for hysteresis.
-  virtual std::vector<ProtectionAction> Decide(const WorkerPressure& aWorker,
+  virtual std::vector<ProtectionAction> Decide(const ProtectionInput& aWorker,
                                                base::TimePoint aNow) = 0;
 };
 
--- a/include/skylarkhill/policy/queue.hpp
+++ b/include/skylarkhill/policy/queue.hpp
@@ -14,7 +14,7 @@
 namespace skylarkhill::policy {
 
 /// One queued task, as input of the queue policy.
-struct QueuedTask
+struct QueueCandidate
 {
   base::TaskId mTask;
   std::string mTeam;
@@ -47,8 +47,9 @@
 
   /// Indexes into `aTasks` in the order in which the tasks should start; tasks
   /// that exceed the quota of their team are omitted.
-  virtual std::vector<std::size_t> Order(const std::vector<QueuedTask>& aTasks,
-                                         const TeamUsageMap& aTeams) const = 0;
+  virtual std::vector<std::size_t> Order(
+    const std::vector<QueueCandidate>& aTasks,
+    const TeamUsageMap& aTeams) const = 0;
 
   /// Records the actual run time of an attempt of a task of `aBatchClass`.
   virtual void RecordRun(const std::string& aBatchClass,
--- a/include/skylarkhill/requests/forwarder.hpp
+++ b/include/skylarkhill/requests/forwarder.hpp
@@ -27,7 +27,7 @@
 };
 
 /// A worker of this instance has answered or failed the attempt.
-struct WorkerFinished
+struct AttemptFinished
 {
   base::InstanceId mOrigin;
   std::uint64_t mOriginIncarnation = 0;
@@ -69,7 +69,7 @@
   /// `aCandidates`: targets that serve the service; peers are ignored.
   ForwardActions OnAttempt(const ForwardedAttempt& aAttempt,
                            const std::vector<Candidate>& aCandidates);
-  ForwardActions OnWorkerFinished(const WorkerFinished& aEvent);
+  ForwardActions OnAttemptFinished(const AttemptFinished& aEvent);
   /// Answers the running attempts whose deadline has passed with Unknown, and
   /// removes all attempts past their deadline.
   ForwardActions OnTimer();
@@ -77,7 +77,7 @@
   void StopAccepting() { mStopping = true; }
 
   /// Time of the next OnTimer call; kNoDeadline if there are no attempts.
-  base::TimePoint NextWakeup() const;
+  base::TimePoint NextWakeUp() const;
   /// Attempts that are running and unanswered.
   std::int64_t CountRunning() const;
   /// Received duplicates of known attempts; these are not answered.
--- a/include/skylarkhill/requests/key_table.hpp
+++ b/include/skylarkhill/requests/key_table.hpp
@@ -21,7 +21,7 @@
 enum class KeyState
 {
   /// No instance has claimed the key.
-  Unknown,
+  Unclaimed,
   /// Claimed; the outcome is not recorded yet.
   Claimed,
   Finished,
@@ -31,13 +31,13 @@
 struct KeySnapshot
 {
   base::RequestId mKey;
-  KeyState mState = KeyState::Unknown;
+  KeyState mState = KeyState::Unclaimed;
   /// The instance whose intent took effect; empty if it is not known, e.g.
   /// because that record has expired.
   base::InstanceId mClaimant;
-  Offset mClaimedAt = 0;
+  Offset mClaimedOffset = 0;
   /// Offset of the newest record about the key.
-  Offset mLastRecordAt = 0;
+  Offset mLastRecordOffset = 0;
   /// Set if the state is Finished.
   std::optional<OutcomeRecord> mOutcome;
 };
@@ -74,7 +74,7 @@
 
   /// Applies a record that must not take effect but proves that its key is in
   /// use. A key that is unknown has no claimant until a snapshot is applied.
-  void ApplyStale(Offset aOffset, const KeyRecord& aRecord);
+  void RegisterIgnored(Offset aOffset, const KeyRecord& aRecord);
 
   /// Adds the key in its state after offset `aAsOf` and applies the records
   /// about it read since then. The state of a known key does not change.
@@ -85,7 +85,7 @@
 
   /// Removes `aKey` if it is finished and has no record at or after
   /// `aFirstRetained`.
-  void ForgetFinished(const base::RequestId& aKey, Offset aFirstRetained);
+  void RemoveTombstone(const base::RequestId& aKey, Offset aFirstRetained);
 
   /// Removes finished keys without a record at or after `aFirstRetained`.
   void Purge(Offset aFirstRetained);
--- a/include/skylarkhill/requests/request_machine.hpp
+++ b/include/skylarkhill/requests/request_machine.hpp
@@ -42,7 +42,7 @@
 {};
 
 /// State of a key that another request has claimed.
-enum class ClaimState
+enum class OtherClaimState
 {
   /// The claiming instance is alive; another event follows when the request
   /// has finished.
@@ -56,7 +56,7 @@
 /// Another request has claimed the key first.
 struct KeyClaimedByOther
 {
-  ClaimState mState = ClaimState::InProgress;
+  OtherClaimState mState = OtherClaimState::InProgress;
   /// Valid if the state is Finished.
   OutcomeRecord mRecord;
 };
@@ -93,7 +93,7 @@
 struct CancelRequested
 {};
 
-/// The time returned by NextWakeup has come.
+/// The time returned by NextWakeUp has come.
 struct TimerFired
 {};
 
@@ -172,14 +172,14 @@
 
   const Request& GetRequest() const { return mRequest; }
   /// Time at which TimerFired is due; kNoDeadline once the request has ended.
-  base::TimePoint NextWakeup() const;
+  base::TimePoint NextWakeUp() const;
   bool IsFinished() const { return mFinished; }
   /// True if no further event can cause an action.
-  bool IsSettled() const { return mFinished && mClaim != Claim::Pending; }
+  bool IsSettled() const { return mFinished && mClaim != OwnClaim::Pending; }
   const DroppedAnswers& GetDroppedAnswers() const { return mDropped; }
 
 private:
-  enum class Claim
+  enum class OwnClaim
   {
     /// Idempotent requests claim no key.
     NotNeeded,
@@ -240,7 +240,7 @@
   RetryBudget& mBudget;
   const base::Clock& mClock;
   base::Random& mRandom;
-  Claim mClaim = Claim::NotNeeded;
+  OwnClaim mClaim = OwnClaim::NotNeeded;
   bool mStarted = false;
   bool mFinished = false;
   bool mCancelled = false;
--- a/include/skylarkhill/tasks/task_snapshot.hpp
+++ b/include/skylarkhill/tasks/task_snapshot.hpp
@@ -17,13 +17,13 @@
 {
   TaskSpec mSpec;
   TaskState mState = TaskState::Queued;
-  Offset mAcceptedAt = 0;
+  Offset mAcceptedOffset = 0;
   /// Offset of the newest record about the task.
-  Offset mLastRecordAt = 0;
+  Offset mLastRecordOffset = 0;
   /// Number of the newest attempt; 0 before the first grant.
   std::int64_t mLastAttempt = 0;
   /// Offset of the newest grant record.
-  Offset mGrantedAt = 0;
+  Offset mGrantedOffset = 0;
   /// Worker of the live attempt; empty if there is none.
   base::WorkerId mWorker;
   /// Checkpoint that the next attempt resumes from.
--- a/include/skylarkhill/tasks/task_table.hpp
+++ b/include/skylarkhill/tasks/task_table.hpp
@@ -27,7 +27,7 @@
   std::string mPool;
   base::Resources mDeclared;
   std::int64_t mDeclaredRunSeconds = 0;
-  Offset mAcceptedAt = 0;
+  Offset mAcceptedOffset = 0;
   std::int64_t mNextAttempt = 1;
   std::int64_t mEvictions = 0;
   bool mUrgent = false;
@@ -42,11 +42,11 @@
   TaskState mState = TaskState::Granted;
   bool mCancelRequested = false;
   /// Offset of the grant record.
-  Offset mGrantedAt = 0;
+  Offset mGrantedOffset = 0;
 };
 
 /// Resources and number of the live attempts of one team.
-struct TeamUse
+struct TeamCommitment
 {
   base::Resources mCommitted;
   std::int64_t mLiveAttempts = 0;
@@ -81,7 +81,7 @@
 
   /// Registers a record without applying it to its task. The record of an
   /// unknown task is kept as unmatched until a snapshot of the task is applied.
-  void ApplyStale(Offset aOffset, const TaskRecord& aRecord);
+  void RegisterIgnored(Offset aOffset, const TaskRecord& aRecord);
 
   /// Adds the task in its state after the record at `aAsOf`, and applies its
   /// unmatched records with later offsets. Of a known task, only the replay
@@ -109,10 +109,10 @@
   /// and id.
   std::vector<QueuedTask> Queued(std::size_t aLimit) const;
   /// Live attempts on `aWorker`, by acceptance offset and id.
-  std::vector<LiveAttempt> GrantsOn(const base::WorkerId& aWorker) const;
-  std::map<std::string, TeamUse> TeamUses() const;
+  std::vector<LiveAttempt> LiveAttemptsOn(const base::WorkerId& aWorker) const;
+  std::map<std::string, TeamCommitment> TeamCommitments() const;
   /// Workers with at least one live attempt, by id.
-  std::vector<base::WorkerId> WorkersWithGrants() const;
+  std::vector<base::WorkerId> WorkersWithLiveAttempts() const;
   /// Up to `aLimit` tasks that have not ended and whose replay offset is before
   /// `aBefore`, lowest offset first.
   std::vector<TaskReplayOffset> OldestReplayOffsets(Offset aBefore,
@@ -175,7 +175,7 @@
   std::unordered_map<base::TaskId, Unmatched> mUnmatched;
   std::set<Entry*, ByQueueOrder> mQueued;
   std::unordered_map<StringPool::Handle, EntrySet> mByWorker;
-  std::unordered_map<StringPool::Handle, TeamUse> mTeamUses;
+  std::unordered_map<StringPool::Handle, TeamCommitment> mTeamCommitments;
   std::set<Entry*, ByReplayOffset> mByReplayOffset;
   std::set<Entry*, ByLastRecord> mEnded;
   std::int64_t mIgnoredRecords = 0;
--- a/include/skylarkhill/testing/fake_worker.hpp
+++ b/include/skylarkhill/testing/fake_worker.hpp
@@ -36,7 +36,7 @@
 /// One interval in which a task attempt ran.
 struct TaskExecution
 {
-  worker::TaskKey mKey;
+  worker::AttemptKey mKey;
   base::TimePoint mStartedAt;
   /// Empty while the attempt runs.
   std::optional<base::TimePoint> mEndedAt;
@@ -80,24 +80,24 @@
                            base::TimePoint aDeadline) override;
   /// Attempts that do not run are skipped; a lease is never shortened.
   base::Result<void> Renew(const worker::CommandHeader& aHeader,
-                           const std::vector<worker::TaskKey>& aTasks,
+                           const std::vector<worker::AttemptKey>& aTasks,
                            worker::WorkerTime aLeaseExpiresAt,
                            base::TimePoint aDeadline) override;
   base::Result<void> Checkpoint(const worker::CommandHeader& aHeader,
-                                const worker::TaskKey& aTask,
+                                const worker::AttemptKey& aTask,
                                 base::TimePoint aDeadline) override;
   base::Result<void> Throttle(const worker::CommandHeader& aHeader,
-                              const worker::TaskKey& aTask,
+                              const worker::AttemptKey& aTask,
                               std::int64_t aPercent,
                               base::TimePoint aDeadline) override;
   /// WorkerRefused for an attempt that ended by itself; NotFound for an unknown
   /// one, which can then no longer be started.
   base::Result<void> Stop(const worker::CommandHeader& aHeader,
-                          const worker::TaskKey& aTask,
+                          const worker::AttemptKey& aTask,
                           base::TimePoint aDeadline) override;
   /// Succeeds for an unknown attempt.
   base::Result<void> Acknowledge(const worker::CommandHeader& aHeader,
-                                 const worker::TaskKey& aTask,
+                                 const worker::AttemptKey& aTask,
                                  base::TimePoint aDeadline) override;
   base::Result<worker::ServiceAnswer> Call(const worker::CommandHeader& aHeader,
                                            const worker::ServiceCall& aCall,
@@ -152,7 +152,7 @@
   };
   struct Task
   {
-    worker::TaskKey mKey;
+    worker::AttemptKey mKey;
     worker::TaskPhase mPhase = worker::TaskPhase::Running;
     base::Resources mReserved;
     Workload mWorkload;
@@ -193,7 +193,7 @@
   base::Result<AdmittedCall> AdmitLocked(const worker::CommandHeader& aHeader,
                                          const worker::ServiceCall& aCall);
   base::TimePoint FindStartTime(base::TimePoint aNow) const;
-  Task* FindTask(const worker::TaskKey& aKey);
+  Task* FindTask(const worker::AttemptKey& aKey);
   worker::WorkerTime ToWorkerTime(base::TimePoint aTime) const;
   base::TimePoint FromWorkerTime(worker::WorkerTime aTime) const;
 
@@ -201,9 +201,9 @@
   const FakeWorkerConfig mConfig;
   mutable std::mutex mMutex;
   std::vector<worker::HolderLease> mHolders;
-  std::map<worker::TaskKey, Task> mTasks;
+  std::map<worker::AttemptKey, Task> mTasks;
   /// Attempts that must never start again.
-  std::set<worker::TaskKey> mClosedKeys;
+  std::set<worker::AttemptKey> mClosedKeys;
   std::vector<TaskExecution> mExecutions;
   /// End times of the service requests that run or wait.
   std::vector<base::TimePoint> mCallEnds;
--- a/include/skylarkhill/worker/remote_worker.hpp
+++ b/include/skylarkhill/worker/remote_worker.hpp
@@ -99,7 +99,7 @@
   std::vector<TaskReport> mTasks;
   /// Slowdown of service requests compared with an idle worker, in percent; 100
   /// means none. May be out of date.
-  std::int64_t mServiceSlowdownPercent = 100;
+  std::int64_t mServiceTimePercent = 100;
 };
 
 /// Fields that every command carries.
@@ -124,16 +124,16 @@
 };
 
 /// One attempt on the worker.
-struct TaskKey
+struct AttemptKey
 {
   base::TaskId mTask;
   std::int64_t mAttempt = 0;
 
-  friend bool operator==(const TaskKey& aLeft, const TaskKey& aRight)
+  friend bool operator==(const AttemptKey& aLeft, const AttemptKey& aRight)
   {
     return aLeft.mTask == aRight.mTask && aLeft.mAttempt == aRight.mAttempt;
   }
-  friend bool operator<(const TaskKey& aLeft, const TaskKey& aRight)
+  friend bool operator<(const AttemptKey& aLeft, const AttemptKey& aRight)
   {
     return aLeft.mTask < aRight.mTask ||
            (aLeft.mTask == aRight.mTask && aLeft.mAttempt < aRight.mAttempt);
@@ -187,27 +187,27 @@
 
   /// Extends the leases of all listed attempts to `aLeaseExpiresAt`.
   virtual base::Result<void> Renew(const CommandHeader& aHeader,
-                                   const std::vector<TaskKey>& aTasks,
+                                   const std::vector<AttemptKey>& aTasks,
                                    WorkerTime aLeaseExpiresAt,
                                    base::TimePoint aDeadline) = 0;
 
   virtual base::Result<void> Checkpoint(const CommandHeader& aHeader,
-                                        const TaskKey& aTask,
+                                        const AttemptKey& aTask,
                                         base::TimePoint aDeadline) = 0;
 
   virtual base::Result<void> Throttle(const CommandHeader& aHeader,
-                                      const TaskKey& aTask,
+                                      const AttemptKey& aTask,
                                       std::int64_t aPercent,
                                       base::TimePoint aDeadline) = 0;
 
   /// Stops the attempt; success means that the worker confirmed the stop.
   virtual base::Result<void> Stop(const CommandHeader& aHeader,
-                                  const TaskKey& aTask,
+                                  const AttemptKey& aTask,
                                   base::TimePoint aDeadline) = 0;
 
   /// Lets the worker discard an ended attempt.
   virtual base::Result<void> Acknowledge(const CommandHeader& aHeader,
-                                         const TaskKey& aTask,
+                                         const AttemptKey& aTask,
                                          base::TimePoint aDeadline) = 0;
 
   /// Runs one service request. WorkerUnavailable, WorkerRefused and
--- a/include/skylarkhill/worker/worker_codec.hpp
+++ b/include/skylarkhill/worker/worker_codec.hpp
@@ -32,7 +32,7 @@
 struct RenewCommand
 {
   CommandHeader mHeader;
-  std::vector<TaskKey> mTasks;
+  std::vector<AttemptKey> mTasks;
   WorkerTime mLeaseExpiresAt = 0;
 };
 
@@ -40,7 +40,7 @@
 struct TaskCommand
 {
   CommandHeader mHeader;
-  TaskKey mTask;
+  AttemptKey mTask;
   /// Used by /tasks/throttle only.
   std::int64_t mPercent = 100;
 };
--- a/src/entry/batch_scheduler.cpp
+++ b/src/entry/batch_scheduler.cpp
@@ -3,7 +3,7 @@
 #include "skylarkhill/base/hash.hpp"
 #include "skylarkhill/catalog/check.hpp"
 #include "skylarkhill/entry/pool_membership.hpp"
-#include "skylarkhill/holder/lost_worker.hpp"
+#include "skylarkhill/holder/absent_worker.hpp"
 #include "skylarkhill/tasks/task_names.hpp"
 
 #include <algorithm>
@@ -153,7 +153,7 @@
           view.mServices.push_back(aService.mName);
         }
       });
-    for (const auto& grant : mState.GrantsOn(view.mWorker)) {
+    for (const auto& grant : mState.LiveAttemptsOn(view.mWorker)) {
       if (const auto task = mState.FindTask(grant.mTask)) {
         ++view.mBatchTasks[task->mSpec.mBatchClass];
       }
@@ -170,7 +170,7 @@
   aConfig.mSet->ForEach<catalog::Team>([&](const catalog::Team& aTeam) {
     usages[aTeam.mName] = { aTeam.mQuota, {}, aTeam.mWeight };
   });
-  for (const auto& it : mState.TeamUses()) {
+  for (const auto& it : mState.TeamCommitments()) {
     const auto found = usages.find(it.first);
     if (found != usages.end()) {
       found->second.mUsed = it.second.mCommitted;
@@ -183,7 +183,7 @@
 BatchScheduler::MayGrantNow(const tasks::QueuedTask& aTask,
                             base::TimePoint aNow)
 {
-  const worker::TaskKey key{ aTask.mTask, aTask.mNextAttempt };
+  const worker::AttemptKey key{ aTask.mTask, aTask.mNextAttempt };
   const base::TimePoint seenAt = mFirstSeenAt.emplace(key, aNow).first->second;
   std::vector<std::string> instances;
   for (const auto& it : mPeers.LiveEntryInstances()) {
@@ -211,7 +211,7 @@
     mFirstSeenAt.clear();
     return;
   }
-  std::vector<policy::QueuedTask> entries;
+  std::vector<policy::QueueCandidate> entries;
   entries.reserve(queued.size());
   for (const auto& it : queued) {
     entries.push_back({ it.mTask,
@@ -219,7 +219,7 @@
                         it.mBatchClass,
                         it.mDeclared,
                         it.mUrgent,
-                        it.mAcceptedAt,
+                        it.mAcceptedOffset,
                         0,
                         it.mDeclaredRunSeconds });
   }
@@ -266,7 +266,7 @@
   }
   const base::WorkerId worker = candidates[*chosen].mWorker;
   const auto agent = mWorkers.Find(worker);
-  const worker::TaskKey key{ aTask.mTask, aTask.mNextAttempt };
+  const worker::AttemptKey key{ aTask.mTask, aTask.mNextAttempt };
   if (agent == nullptr || !agent->Plan(key, aTask.mDeclared)) {
     return;
   }
@@ -320,7 +320,7 @@
 BatchScheduler::GrantsOn(const base::WorkerId& aWorker) const
 {
   std::vector<holder::GrantedAttempt> grants;
-  for (const auto& it : mState.GrantsOn(aWorker)) {
+  for (const auto& it : mState.LiveAttemptsOn(aWorker)) {
     const auto task = mState.FindTask(it.mTask);
     if (!task || task->mLastAttempt != it.mAttempt) {
       continue;
@@ -334,7 +334,7 @@
     grant.mCheckpoint = task->mCheckpoint;
     grant.mCancelRequested = it.mCancelRequested;
     grant.mStarted = it.mState != tasks::TaskState::Granted;
-    grant.mGrantedOffset = it.mGrantedAt;
+    grant.mGrantedOffset = it.mGrantedOffset;
     grants.push_back(std::move(grant));
   }
   return grants;
@@ -346,7 +346,7 @@
   const ConfigView config = mConfig.Current();
   policy::InterferenceReport report;
   report.mWorker = aStatus.mLocation.mWorker;
-  report.mSlowdownPercent = aStatus.mServiceSlowdownPercent;
+  report.mServiceTimePercent = aStatus.mServiceSlowdownPercent;
   report.mMeasuredAt = aStatus.mReportedAt;
   for (const auto& it : aStatus.mTasks) {
     if (const auto task = mState.FindTask(it.mTask)) {
@@ -382,7 +382,7 @@
   const auto task = mState.FindTask(aRecord.mTask);
   {
     const std::lock_guard lock(mMutex);
-    const worker::TaskKey key{ aRecord.mTask, aRecord.mAttempt };
+    const worker::AttemptKey key{ aRecord.mTask, aRecord.mAttempt };
     const auto since = mRunningSince.find(key);
     if (since != mRunningSince.end() && task) {
       const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(
@@ -459,9 +459,9 @@
   if (!status.mHeld || status.mTasks.empty()) {
     return;
   }
-  policy::WorkerPressure pressure;
+  policy::ProtectionInput pressure;
   pressure.mWorker = status.mLocation.mWorker;
-  pressure.mSlowdownPercent = status.mServiceSlowdownPercent;
+  pressure.mServiceTimePercent = status.mServiceSlowdownPercent;
   pressure.mToleratedPercent = std::numeric_limits<std::int64_t>::max() / 2;
   const base::TimePoint now = mClock.Now();
   const std::lock_guard lock(mMutex);
@@ -481,7 +481,7 @@
     }
     pressure.mToleratedPercent =
       std::min(pressure.mToleratedPercent, rules.mThrottlePercent);
-    const worker::TaskKey key{ it.mTask, it.mAttempt };
+    const worker::AttemptKey key{ it.mTask, it.mAttempt };
     const base::TimePoint since = mRunningSince.emplace(key, now).first->second;
     policy::RunningTask running;
     running.mTask = it.mTask;
@@ -500,7 +500,7 @@
     attempts[it.mTask] = it.mAttempt;
   }
   for (const auto& it : mProtection->Decide(pressure, now)) {
-    const worker::TaskKey key{ it.mTask, attempts[it.mTask] };
+    const worker::AttemptKey key{ it.mTask, attempts[it.mTask] };
     if (it.mKind == policy::ProtectionKind::Evict) {
       aAgent.Evict(key, now + kEvictionTimeout);
       RecordEvent(
@@ -519,20 +519,20 @@
 void
 BatchScheduler::EndLostAttempts()
 {
-  for (const auto& worker : mState.WorkersWithGrants()) {
+  for (const auto& worker : mState.WorkersWithLiveAttempts()) {
     // Only workers of this instance's failure domain have an agent.
     const auto absentSince = mPeers.AbsentSince(worker);
     if (!absentSince || mWorkers.Find(worker) == nullptr) {
       continue;
     }
-    holder::LostWorker lost;
+    holder::AbsentWorker lost;
     lost.mAbsentSince = *absentSince;
-    lost.mLastContact = mPeers.LastSeen(worker).value_or(*absentSince);
+    lost.mLastSeen = mPeers.LastSeen(worker).value_or(*absentSince);
     lost.mGrants = GrantsOn(worker);
-    const auto ends = holder::EndLostAttempts(
+    const auto ends = holder::EndAbsentWorkerAttempts(
       lost, mOptions.mTaskLease, mOptions.mLossMargin, mClock.Now());
     for (const auto& it : ends) {
-      const worker::TaskKey key{ it.mTask, it.mAttempt };
+      const worker::AttemptKey key{ it.mTask, it.mAttempt };
       {
         const std::lock_guard lock(mMutex);
         if (!mEndingAttempts.insert(key).second) {
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -69,21 +69,22 @@
   return options;
 }
 
-journal::SiteStateSettings
+journal::SiteStateOptions
 MakeStateSettings(const settings::Settings& aSettings)
 {
-  journal::SiteStateSettings settings;
+  journal::SiteStateOptions settings;
   settings.mRetentionMs = aSettings.mLog.mRetentionS * 1000;
   return settings;
 }
 
-journal::JournalServiceSettings
+journal::JournalServiceOptions
 MakeJournalSettings(const settings::Settings& aSettings,
                     const std::string& aWriter)
 {
-  journal::JournalServiceSettings settings;
-  settings.mWriter.mWriter = aWriter;
-  settings.mWriter.mAppendBudgetPerSecond = aSettings.mLog.mAppendBudgetPerS;
+  journal::JournalServiceOptions settings;
+  settings.mWriterOptions.mWriter = aWriter;
+  settings.mWriterOptions.mAppendBudgetPerSecond =
+    aSettings.mLog.mAppendBudgetPerS;
   settings.mAppendTimeout = milliseconds(aSettings.mLog.mAppendTimeoutMs);
   return settings;
 }
@@ -112,7 +113,7 @@
   WorkerAgentOptions options;
   options.mInstance = { aSettings.mInstance.mName };
   const auto& holderSettings = aSettings.mHolder;
-  options.mLease.mLeaseLength = milliseconds(holderSettings.mLeaseMs);
+  options.mLease.mLeaseDuration = milliseconds(holderSettings.mLeaseMs);
   options.mLease.mRenewInterval = milliseconds(holderSettings.mPollMs);
   // Every instance of the failure domain scans all workers that it does not
   // hold, so scans are less frequent than the holder's polls.
@@ -286,10 +287,10 @@
     return static_cast<std::uint16_t>(mSettings.mPlatform.mPort);
   }
 
-  static journal::SnapshotPlannerSettings MakePlannerSettings(
+  static journal::SnapshotPlannerOptions MakePlannerSettings(
     const settings::Settings& aSettings)
   {
-    journal::SnapshotPlannerSettings settings;
+    journal::SnapshotPlannerOptions settings;
     settings.mSelf = { aSettings.mInstance.mName };
     settings.mRetentionMs = aSettings.mLog.mRetentionS * 1000;
     return settings;
@@ -502,9 +503,9 @@
   void OnRecord(WorkerAgent& aAgent, const tasks::TaskRecord& aRecord) override
   {
     const base::WorkerId worker = aAgent.Location().mWorker;
-    std::optional<worker::TaskKey> ended;
+    std::optional<worker::AttemptKey> ended;
     if (const auto* end = std::get_if<tasks::EndRecord>(&aRecord)) {
-      ended = worker::TaskKey{ end->mTask, end->mAttempt };
+      ended = worker::AttemptKey{ end->mTask, end->mAttempt };
       mScheduler.OnAttemptEnded(aAgent, *end);
     } else if (const auto* started =
                  std::get_if<tasks::StartedRecord>(&aRecord)) {
--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -339,7 +339,7 @@
   }
   const bool isOwnClaim = key.mClaimant == mOptions.mInstance;
   const bool isUnclaimedByOthers =
-    key.mState == requests::KeyState::Unknown || isOwnClaim;
+    key.mState == requests::KeyState::Unclaimed || isOwnClaim;
   return isUnclaimedByOthers &&
          mState.WaitUntilCaughtUp(
            aArrivedAt, mClock, mClock.Now() + kCatchUpTimeout);
@@ -360,7 +360,7 @@
     {
       std::unique_lock lock(aSession->mMutex);
       const TimePoint now = mClock.Now();
-      const TimePoint due = aSession->mMachine.NextWakeup();
+      const TimePoint due = aSession->mMachine.NextWakeUp();
       if (aSession->mEvents.empty() && due > now) {
         aSession->mChanged.wait_for(
           lock, std::min<base::Duration>(std::chrono::seconds(1), due - now));
@@ -372,7 +372,7 @@
     }
     if (event) {
       actions = aSession->mMachine.Handle(*event);
-    } else if (mClock.Now() >= aSession->mMachine.NextWakeup()) {
+    } else if (mClock.Now() >= aSession->mMachine.NextWakeUp()) {
       actions = aSession->mMachine.Handle(requests::TimerFired{});
     } else {
       actions.clear();
@@ -593,10 +593,10 @@
   const auto offset =
     mJournal.Submit({ requests::KeyRecord{ intent } }, request.mDeadline);
   const requests::KeySnapshot key = mState.FindKey(request.mId);
-  if (key.mState != requests::KeyState::Unknown) {
+  if (key.mState != requests::KeyState::Unclaimed) {
     if (offset && key.mState == requests::KeyState::Claimed &&
         key.mClaimant == mOptions.mInstance &&
-        key.mClaimedAt == offset.value()) {
+        key.mClaimedOffset == offset.value()) {
       if (!aSession->Post(requests::IntentWon{})) {
         // The caller already got Unknown at its deadline. Nothing was sent to a
         // worker, so NotRun is recorded for later lookups of the key.
@@ -624,12 +624,12 @@
     const requests::KeySnapshot key = mState.FindKey(request.mId);
     if (key.mState == requests::KeyState::Finished) {
       aSession->Post(requests::KeyClaimedByOther{
-        requests::ClaimState::Finished, *key.mOutcome });
+        requests::OtherClaimState::Finished, *key.mOutcome });
       return;
     }
     if (!mPeers.IsAlive(key.mClaimant)) {
-      aSession->Post(
-        requests::KeyClaimedByOther{ requests::ClaimState::Abandoned, {} });
+      aSession->Post(requests::KeyClaimedByOther{
+        requests::OtherClaimState::Abandoned, {} });
       return;
     }
     std::this_thread::sleep_for(kClaimCheckInterval);
@@ -678,7 +678,7 @@
                     "the instance that claimed the key is gone")));
       }
       return std::optional<RequestResult>();
-    case requests::KeyState::Unknown:
+    case requests::KeyState::Unclaimed:
       break;
   }
   return MakeError(ErrorKind::NotFound, "no request with this key");
@@ -714,7 +714,7 @@
       requests::ForwardActions actions;
       {
         const std::lock_guard lock(mForwardMutex);
-        actions = mForwarder.OnWorkerFinished(
+        actions = mForwarder.OnAttemptFinished(
           { attempt.mOrigin,
             attempt.mOriginIncarnation,
             attempt.mRequest.mId,
@@ -731,7 +731,7 @@
 {
   const requests::ForwardedAttempt& attempt = aAction.mAttempt;
   const requests::Request& request = attempt.mRequest;
-  requests::WorkerFinished finished{
+  requests::AttemptFinished finished{
     attempt.mOrigin,
     attempt.mOriginIncarnation,
     request.mId,
@@ -750,7 +750,7 @@
   requests::ForwardActions actions;
   {
     const std::lock_guard lock(mForwardMutex);
-    actions = mForwarder.OnWorkerFinished(finished);
+    actions = mForwarder.OnAttemptFinished(finished);
   }
   PerformForwardActions(actions);
 }
--- a/src/entry/worker_agent.cpp
+++ b/src/entry/worker_agent.cpp
@@ -103,11 +103,11 @@
 }
 
 void
-WorkerAgent::Perform(const holder::PlaceLease& aAction)
+WorkerAgent::Perform(const holder::SetLease& aAction)
 {
   const base::TimePoint sentAt = mClock.Now();
   const auto report = mRemoteWorker->SetHolderLease(
-    aAction.mToken, aAction.mLength, aAction.mDeadline);
+    aAction.mToken, aAction.mDuration, aAction.mDeadline);
   HandleReport(aAction.mRequest, report, sentAt);
 }
 
@@ -214,7 +214,7 @@
         mTaskBreaker.OnFailure(end->mTask, mClock.Now());
         break;
       default:
-        mTaskBreaker.OnCancelled(end->mTask);
+        mTaskBreaker.OnInconclusiveEnd(end->mTask);
         break;
     }
   }
@@ -266,7 +266,7 @@
 }
 
 base::Result<void>
-WorkerAgent::Plan(const worker::TaskKey& aKey,
+WorkerAgent::Plan(const worker::AttemptKey& aKey,
                   const base::Resources& aResources)
 {
   const std::lock_guard lock(mMutex);
@@ -277,23 +277,23 @@
   if (!mTaskBreaker.Admits(now)) {
     return MakeError(ErrorKind::WorkerUnavailable, "circuit breaker is open");
   }
-  BOOST_OUTCOME_TRYV(mLedger->Plan(aKey, aResources));
+  BOOST_OUTCOME_TRYV(mLedger->CommitGrant(aKey, aResources));
   mTaskBreaker.OnPlaced(aKey.mTask, now);
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 void
-WorkerAgent::CancelPlan(const worker::TaskKey& aKey)
+WorkerAgent::CancelPlan(const worker::AttemptKey& aKey)
 {
   const std::lock_guard lock(mMutex);
-  mTaskBreaker.OnCancelled(aKey.mTask);
+  mTaskBreaker.OnInconclusiveEnd(aKey.mTask);
   if (mLedger) {
-    mLedger->CancelPlan(aKey);
+    mLedger->CancelGrant(aKey);
   }
 }
 
 void
-WorkerAgent::Evict(const worker::TaskKey& aKey, base::TimePoint aDeadline)
+WorkerAgent::Evict(const worker::AttemptKey& aKey, base::TimePoint aDeadline)
 {
   const std::lock_guard lock(mMutex);
   if (mRunner) {
@@ -302,7 +302,7 @@
 }
 
 void
-WorkerAgent::Throttle(const worker::TaskKey& aKey, std::int64_t aPercent)
+WorkerAgent::Throttle(const worker::AttemptKey& aKey, std::int64_t aPercent)
 {
   const std::lock_guard lock(mMutex);
   if (mRunner) {
@@ -311,11 +311,11 @@
 }
 
 void
-WorkerAgent::OnRecordDropped(const worker::TaskKey& aKey)
+WorkerAgent::OnRecordDropped(const worker::AttemptKey& aKey)
 {
   const std::lock_guard lock(mMutex);
   if (mRunner) {
-    mRunner->OnRecordDropped(aKey);
+    mRunner->OnEndRecordNotAppended(aKey);
   }
 }
 
@@ -372,7 +372,7 @@
     if (hasEnded) {
       mLedger->EndCall(aNumber);
     } else {
-      mLedger->MarkCallLost(aNumber);
+      mLedger->MarkAnswerLost(aNumber);
     }
   }
   if (aAnswer) {
@@ -380,7 +380,7 @@
   } else if (IsWorkerFault(aAnswer.error().mKind, aSentAt)) {
     mCallBreaker.OnFailure(CallBreakerKey(aCall), mClock.Now());
   } else {
-    mCallBreaker.OnCancelled(CallBreakerKey(aCall));
+    mCallBreaker.OnInconclusiveEnd(CallBreakerKey(aCall));
   }
 }
 
@@ -455,7 +455,7 @@
   if (mReport) {
     status.mLeaving = mReport->mLeaving;
     status.mSlots = mReport->mSlots;
-    status.mServiceSlowdownPercent = mReport->mServiceSlowdownPercent;
+    status.mServiceSlowdownPercent = mReport->mServiceTimePercent;
     status.mReportedAt = mReportedAt;
     status.mTasks = mReport->mTasks;
   }
--- a/src/holder/lost_worker.cpp
+++ b/src/holder/absent_worker.cpp
@@ -1,17 +1,17 @@
-#include "skylarkhill/holder/lost_worker.hpp"
+#include "skylarkhill/holder/absent_worker.hpp"
 
 #include <algorithm>
 
 namespace skylarkhill::holder {
 
 std::vector<tasks::EndRecord>
-EndLostAttempts(const LostWorker& aWorker,
-                base::Duration aLongestTaskLease,
-                base::Duration aMargin,
-                base::TimePoint aNow)
+EndAbsentWorkerAttempts(const AbsentWorker& aWorker,
+                        base::Duration aLongestTaskLease,
+                        base::Duration aMargin,
+                        base::TimePoint aNow)
 {
   const base::TimePoint since =
-    std::max(aWorker.mAbsentSince, aWorker.mLastContact);
+    std::max(aWorker.mAbsentSince, aWorker.mLastSeen);
   if (aNow < since + aLongestTaskLease + aMargin) {
     return {};
   }
--- a/src/holder/holder_random_test.cpp
+++ b/src/holder/holder_random_test.cpp
@@ -26,10 +26,10 @@
   CPPUNIT_TEST(NoViolationWithSlowLog);
   CPPUNIT_TEST(NoViolationAfterWorkerRestarts);
   CPPUNIT_TEST(FindsMissingVerification);
-  CPPUNIT_TEST(FindsMissingMargin);
+  CPPUNIT_TEST(FindsMissingClockMargin);
   CPPUNIT_TEST(FindsMissingQuietPeriod);
   CPPUNIT_TEST(FindsMissingNotAfterCheck);
-  CPPUNIT_TEST(FindsRepeatedStart);
+  CPPUNIT_TEST(FindsMissingStartOnceRule);
   CPPUNIT_TEST(FindsMissingCheckBeforeSend);
   CPPUNIT_TEST(FindsStartOfInheritedGrants);
   CPPUNIT_TEST(FindsShortQuietPeriodAfterRestarts);
@@ -81,7 +81,7 @@
     ExpectViolation(variant);
   }
 
-  void FindsMissingMargin()
+  void FindsMissingClockMargin()
   {
     Variant variant;
     variant.mMargin = false;
@@ -105,7 +105,7 @@
     ExpectViolation(variant);
   }
 
-  void FindsRepeatedStart()
+  void FindsMissingStartOnceRule()
   {
     Variant variant;
     variant.mStartOnce = false;
--- a/src/holder/lease_machine.cpp
+++ b/src/holder/lease_machine.cpp
@@ -29,7 +29,7 @@
 {
   constexpr std::int64_t kMillion = 1'000'000;
   return aOptions.mClockMargin.count() * kMillion /
-         aOptions.mLeaseLength.count();
+         aOptions.mLeaseDuration.count();
 }
 
 } // namespace
@@ -86,7 +86,7 @@
   const Request request = *mOutstanding;
   mOutstanding.reset();
   if (!aReport) {
-    HandleFailure(aNow);
+    HandleEndWithoutReport(aNow);
     return;
   }
   UpdateFromReport(aReport.value(), request, aNow);
@@ -98,7 +98,7 @@
 {
   if (mOutstanding && mOutstanding->mNumber == aRequest) {
     mOutstanding.reset();
-    HandleFailure(aNow);
+    HandleEndWithoutReport(aNow);
   }
 }
 
@@ -122,14 +122,14 @@
   }
   if (mOutstanding && aNow >= mOutstanding->mDeadline) {
     mOutstanding.reset();
-    HandleFailure(aNow);
+    HandleEndWithoutReport(aNow);
   }
   const bool due = !mOutstanding && aNow >= mNextSend;
   if (due && mState == LeaseState::NotHeld && !mReleased) {
     SendReadHolders(aNow);
   }
   if (due && mState == LeaseState::Held) {
-    SendPlaceLease(aNow);
+    SendSetLease(aNow);
   }
   return std::exchange(mActions, {});
 }
@@ -192,7 +192,7 @@
 }
 
 void
-LeaseMachine::HandleFailure(base::TimePoint aNow)
+LeaseMachine::HandleEndWithoutReport(base::TimePoint aNow)
 {
   switch (mState) {
     case LeaseState::NotHeld:
@@ -234,8 +234,8 @@
   mState = LeaseState::Placing;
   // Counted from the send time. The worker counts from the later receive time,
   // so that the lease ends here before it expires on the worker.
-  mDeadline = aNow + mOptions.mLeaseLength - mOptions.mClockMargin;
-  SendPlaceLease(aNow);
+  mDeadline = aNow + mOptions.mLeaseDuration - mOptions.mClockMargin;
+  SendSetLease(aNow);
 }
 
 void
@@ -274,7 +274,8 @@
     return;
   }
   mConfirmed = mConfirmed || aRequest.mSentAt >= mQuietPeriodEnd;
-  mDeadline = aRequest.mSentAt + mOptions.mLeaseLength - mOptions.mClockMargin;
+  mDeadline =
+    aRequest.mSentAt + mOptions.mLeaseDuration - mOptions.mClockMargin;
   mNextSend = aRequest.mSentAt + mOptions.mRenewInterval;
 }
 
@@ -287,13 +288,13 @@
 }
 
 void
-LeaseMachine::SendPlaceLease(base::TimePoint aNow)
+LeaseMachine::SendSetLease(base::TimePoint aNow)
 {
   StartRequest(aNow);
-  mActions.emplace_back(PlaceLease{ mOutstanding->mNumber,
-                                    mToken,
-                                    mOptions.mLeaseLength,
-                                    mOutstanding->mDeadline });
+  mActions.emplace_back(SetLease{ mOutstanding->mNumber,
+                                  mToken,
+                                  mOptions.mLeaseDuration,
+                                  mOutstanding->mDeadline });
 }
 
 void
--- a/src/holder/lease_machine_test.cpp
+++ b/src/holder/lease_machine_test.cpp
@@ -38,7 +38,7 @@
   {
     mMachine->SetPreferred(true);
     Answer(NextAction<ReadHolders>(), {});
-    const auto place = NextAction<PlaceLease>();
+    const auto place = NextAction<SetLease>();
     Answer(place, { place.mToken });
     CPPUNIT_ASSERT(!mMachine->MaySendCommands(mNow));
     Answer(NextAction<ReadHolders>(), { place.mToken });
@@ -52,7 +52,7 @@
   {
     mMachine->SetPreferred(true);
     Answer(NextAction<ReadHolders>(), {});
-    const auto place = NextAction<PlaceLease>();
+    const auto place = NextAction<SetLease>();
     Answer(place, { place.mToken, kOther });
     Answer(NextAction<ReadHolders>(), { place.mToken, kOther });
     const auto remove = NextAction<RemoveLease>();
@@ -61,7 +61,7 @@
     CPPUNIT_ASSERT(mMachine->Step(mNow).empty());
     mNow += mOptions.mBackoffHigh;
     Answer(NextAction<ReadHolders>(), {});
-    CPPUNIT_ASSERT(NextAction<PlaceLease>().mToken.mEpoch > kOther.mEpoch);
+    CPPUNIT_ASSERT(NextAction<SetLease>().mToken.mEpoch > kOther.mEpoch);
   }
 
   // Guards against non-preferred instances that place a lease before the
@@ -84,12 +84,12 @@
   void DeadlineCountsFromSendTime()
   {
     AcquireLease();
-    const auto renewal = NextAction<PlaceLease>();
+    const auto renewal = NextAction<SetLease>();
     const base::TimePoint sent = mNow;
     mNow += milliseconds(900);
     Answer(renewal, { renewal.mToken });
     const base::TimePoint end =
-      sent + mOptions.mLeaseLength - mOptions.mClockMargin;
+      sent + mOptions.mLeaseDuration - mOptions.mClockMargin;
     CPPUNIT_ASSERT(mMachine->Deadline() == end);
     while (mNow < end - milliseconds(50)) {
       mNow += milliseconds(50);
@@ -104,7 +104,7 @@
   void PauseBeyondTheDeadlineLosesTheLease()
   {
     AcquireLease();
-    const auto renewal = NextAction<PlaceLease>();
+    const auto renewal = NextAction<SetLease>();
     mNow += seconds(20);
     CPPUNIT_ASSERT(!mMachine->MaySendCommands(mNow));
     Answer(renewal, { renewal.mToken });
@@ -114,7 +114,7 @@
     CPPUNIT_ASSERT(std::holds_alternative<RemoveLease>(actions.at(1)));
     mNow += seconds(2);
     Answer(NextAction<ReadHolders>(), {});
-    CPPUNIT_ASSERT(NextAction<PlaceLease>().mToken.mEpoch >
+    CPPUNIT_ASSERT(NextAction<SetLease>().mToken.mEpoch >
                    renewal.mToken.mEpoch);
   }
 
@@ -123,17 +123,17 @@
   void NewHolderReleasesDuringItsQuietPeriod()
   {
     AcquireLease();
-    const auto first = NextAction<PlaceLease>();
+    const auto first = NextAction<SetLease>();
     mNow += mOptions.mQuietPeriod;
     Answer(first, { first.mToken, kOther });
     CPPUNIT_ASSERT(mMachine->State() == LeaseState::Releasing);
     mNow += seconds(2);
     AcquireLease();
-    Answer(NextAction<PlaceLease>(), { mMachine->Token() });
+    Answer(NextAction<SetLease>(), { mMachine->Token() });
     mNow += mOptions.mQuietPeriod;
-    Answer(NextAction<PlaceLease>(), { mMachine->Token() });
+    Answer(NextAction<SetLease>(), { mMachine->Token() });
     mNow += mOptions.mRenewInterval;
-    Answer(NextAction<PlaceLease>(), { mMachine->Token(), kOther });
+    Answer(NextAction<SetLease>(), { mMachine->Token(), kOther });
     CPPUNIT_ASSERT(mMachine->MaySendCommands(mNow));
   }
 
@@ -142,7 +142,7 @@
   void UnlistedLeaseIsLost()
   {
     AcquireLease();
-    Answer(NextAction<PlaceLease>(), { kOther });
+    Answer(NextAction<SetLease>(), { kOther });
     CPPUNIT_ASSERT(mMachine->State() == LeaseState::Lost);
     CPPUNIT_ASSERT(!mMachine->MaySendCommands(mNow));
   }
@@ -150,7 +150,7 @@
   void ReleaseIsFinal()
   {
     AcquireLease();
-    NextAction<PlaceLease>();
+    NextAction<SetLease>();
     mMachine->Release(mNow);
     CPPUNIT_ASSERT(!mMachine->MaySendCommands(mNow));
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), mMachine->Step(mNow).size());
@@ -177,7 +177,7 @@
       CPPUNIT_ASSERT(clock.ToEarliestWorkerTime(end) <= workerTime(end));
       CPPUNIT_ASSERT(clock.ToEarliestWorkerTime(end) + 300'000 >
                      workerTime(end));
-      CPPUNIT_ASSERT(clock.ToLatestBootTime(workerTime(end)) >= end);
+      CPPUNIT_ASSERT(clock.ToLatestLocalTime(workerTime(end)) >= end);
       mNow += seconds(1);
     }
   }
@@ -209,7 +209,7 @@
   {
     mMachine->SetPreferred(true);
     Answer(NextAction<ReadHolders>(), {});
-    const auto place = NextAction<PlaceLease>();
+    const auto place = NextAction<SetLease>();
     Answer(place, { place.mToken });
     Answer(NextAction<ReadHolders>(), { place.mToken });
     CPPUNIT_ASSERT(mMachine->State() == LeaseState::Held);
--- a/src/holder/ledger.cpp
+++ b/src/holder/ledger.cpp
@@ -56,9 +56,9 @@
 {
   mRunning.clear();
   for (const auto& it : aPoll.mReport.mTasks) {
-    const worker::TaskKey key{ it.mTask, it.mAttempt };
+    const worker::AttemptKey key{ it.mTask, it.mAttempt };
     mStarts.erase(key);
-    mPlans.erase(key);
+    mUnstartedGrants.erase(key);
     if (TakesCapacity(it.mPhase)) {
       mRunning[key] = it.mReserved;
     }
@@ -67,9 +67,9 @@
     const bool expired = IsPastExpiry(it->second.mExpiry, aPoll);
     it = expired ? mStarts.erase(it) : std::next(it);
   }
-  for (auto it = mTrustedUsage.begin(); it != mTrustedUsage.end();) {
+  for (auto it = mUsageEstimates.begin(); it != mUsageEstimates.end();) {
     const bool ended = mRunning.count(it->first) == 0;
-    it = ended ? mTrustedUsage.erase(it) : std::next(it);
+    it = ended ? mUsageEstimates.erase(it) : std::next(it);
   }
 }
 
@@ -78,7 +78,7 @@
 {
   std::vector<CallNumber> expired;
   for (const auto& it : mCalls) {
-    if (it.second.mLost && IsPastExpiry(it.second.mExpiry, aPoll)) {
+    if (it.second.mAnswerLost && IsPastExpiry(it.second.mExpiry, aPoll)) {
       expired.push_back(it.first);
     }
   }
@@ -98,51 +98,52 @@
 }
 
 bool
-Ledger::FitsStart(const worker::TaskKey& aKey,
+Ledger::FitsStart(const worker::AttemptKey& aKey,
                   const base::Resources& aNeed) const
 {
-  const auto plan = mPlans.find(aKey);
+  const auto plan = mUnstartedGrants.find(aKey);
   const base::Resources own =
-    plan == mPlans.end() ? base::Resources{} : plan->second;
+    plan == mUnstartedGrants.end() ? base::Resources{} : plan->second;
   return mHasReport && base::Fits(aNeed, Free() + own);
 }
 
 base::Result<void>
-Ledger::Plan(const worker::TaskKey& aKey, const base::Resources& aNeed)
+Ledger::CommitGrant(const worker::AttemptKey& aKey,
+                    const base::Resources& aNeed)
 {
   if (!FitsStart(aKey, aNeed)) {
     return base::MakeError(base::ErrorKind::NoCapacity);
   }
-  mPlans[aKey] = aNeed;
+  mUnstartedGrants[aKey] = aNeed;
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 void
-Ledger::CancelPlan(const worker::TaskKey& aKey)
+Ledger::CancelGrant(const worker::AttemptKey& aKey)
 {
-  mPlans.erase(aKey);
+  mUnstartedGrants.erase(aKey);
 }
 
 base::Result<void>
-Ledger::CommitStart(const worker::TaskKey& aKey,
+Ledger::CommitStart(const worker::AttemptKey& aKey,
                     const base::Resources& aNeed,
                     const CommandExpiry& aExpiry)
 {
   if (!FitsStart(aKey, aNeed)) {
     return base::MakeError(base::ErrorKind::NoCapacity);
   }
-  mPlans.erase(aKey);
+  mUnstartedGrants.erase(aKey);
   mStarts[aKey] = Start{ aNeed, aExpiry };
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 void
-Ledger::SetTrustedUsage(const worker::TaskKey& aKey,
-                        const std::optional<base::Resources>& aUsage)
+Ledger::SetUsageEstimate(const worker::AttemptKey& aKey,
+                         const std::optional<base::Resources>& aUsage)
 {
-  mTrustedUsage.erase(aKey);
+  mUsageEstimates.erase(aKey);
   if (aUsage && mRunning.count(aKey) != 0) {
-    mTrustedUsage[aKey] = *aUsage;
+    mUsageEstimates[aKey] = *aUsage;
   }
 }
 
@@ -171,11 +172,11 @@
 }
 
 void
-Ledger::MarkCallLost(CallNumber aCall)
+Ledger::MarkAnswerLost(CallNumber aCall)
 {
   const auto it = mCalls.find(aCall);
   if (it != mCalls.end()) {
-    it->second.mLost = true;
+    it->second.mAnswerLost = true;
   }
 }
 
@@ -184,7 +185,7 @@
 {
   const base::Resources reserved = Reserved();
   base::Resources surplus;
-  for (const auto& it : mTrustedUsage) {
+  for (const auto& it : mUsageEstimates) {
     const base::Resources& own = mRunning.at(it.first);
     surplus += base::Max(own, it.second) - own;
   }
@@ -202,7 +203,7 @@
 }
 
 bool
-Ledger::IsStartInFlight(const worker::TaskKey& aKey) const
+Ledger::IsStartInFlight(const worker::AttemptKey& aKey) const
 {
   return mStarts.count(aKey) != 0;
 }
@@ -217,7 +218,7 @@
   for (const auto& it : mStarts) {
     sum += it.second.mNeed;
   }
-  for (const auto& it : mPlans) {
+  for (const auto& it : mUnstartedGrants) {
     sum += it.second;
   }
   return sum;
--- a/src/holder/ledger_test.cpp
+++ b/src/holder/ledger_test.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-const worker::TaskKey kTask{ { "a" }, 1 };
-const worker::TaskKey kOther{ { "b" }, 1 };
+const worker::AttemptKey kTask{ { "a" }, 1 };
+const worker::AttemptKey kOther{ { "b" }, 1 };
 
 class LedgerTest : public CppUnit::TestFixture
 {
@@ -67,11 +67,11 @@
     Ledger ledger;
     ledger.ApplyReport(
       MakePoll(10, { MakeTask(kTask, 300), MakeTask(kOther, 300) }));
-    ledger.SetTrustedUsage(kTask, base::Resources{ 500, 20, 0 });
+    ledger.SetUsageEstimate(kTask, base::Resources{ 500, 20, 0 });
     CPPUNIT_ASSERT(ledger.Committed() == (base::Resources{ 800, 20, 0 }));
-    ledger.SetTrustedUsage(kTask, base::Resources{ 5000, 20, 0 });
+    ledger.SetUsageEstimate(kTask, base::Resources{ 5000, 20, 0 });
     CPPUNIT_ASSERT(ledger.Committed() == (base::Resources{ 1000, 20, 0 }));
-    ledger.SetTrustedUsage(kTask, base::Resources{ 100, 0, 0 });
+    ledger.SetUsageEstimate(kTask, base::Resources{ 100, 0, 0 });
     CPPUNIT_ASSERT(ledger.Committed() == (base::Resources{ 600, 0, 0 }));
   }
 
@@ -80,11 +80,11 @@
     Ledger ledger;
     ledger.ApplyReport(MakePoll(10, {}));
     ledger.SetServiceReserve({ 200, 0, 0 });
-    CPPUNIT_ASSERT(ledger.Plan(kTask, { 800, 0, 0 }));
-    CPPUNIT_ASSERT(!ledger.Plan(kOther, { 1, 0, 0 }));
+    CPPUNIT_ASSERT(ledger.CommitGrant(kTask, { 800, 0, 0 }));
+    CPPUNIT_ASSERT(!ledger.CommitGrant(kOther, { 1, 0, 0 }));
     CPPUNIT_ASSERT(
       ledger.CommitStart(kTask, { 800, 0, 0 }, MakeExpiry(20, 20)));
-    ledger.CancelPlan(kTask);
+    ledger.CancelGrant(kTask);
     CPPUNIT_ASSERT(!ledger.Fits({ 1, 0, 0 }));
   }
 
@@ -97,7 +97,7 @@
     CPPUNIT_ASSERT(ledger.BeginCall(2, MakeExpiry(20, 20)));
     CPPUNIT_ASSERT(!ledger.BeginCall(3, MakeExpiry(20, 20)));
     ledger.EndCall(1);
-    ledger.MarkCallLost(2);
+    ledger.MarkAnswerLost(2);
     ledger.ApplyReport(MakePoll(15, {}));
     CPPUNIT_ASSERT_EQUAL(std::int64_t(1), ledger.FreeCallCapacity().mSlots);
     PollResult busy = MakePoll(25, {});
@@ -132,7 +132,8 @@
     return { aNotAfter, base::FromMicros(aLatestArrival) };
   }
 
-  static worker::TaskReport MakeTask(const worker::TaskKey& aKey, int aReserved)
+  static worker::TaskReport MakeTask(const worker::AttemptKey& aKey,
+                                     int aReserved)
   {
     worker::TaskReport report;
     report.mTask = aKey.mTask;
--- a/src/holder/task_runner.cpp
+++ b/src/holder/task_runner.cpp
@@ -72,9 +72,10 @@
 
 void
 TaskRunner::SetGrants(const std::vector<GrantedAttempt>& aGrants,
-                      std::optional<std::int64_t> aInheritedBefore)
+                      std::optional<std::int64_t> aInheritedEndOffset)
 {
-  mInheritedBefore = mInheritedBefore ? mInheritedBefore : aInheritedBefore;
+  mInheritedEndOffset =
+    mInheritedEndOffset ? mInheritedEndOffset : aInheritedEndOffset;
   for (auto& it : mAttempts) {
     it.second.mGrant.reset();
   }
@@ -84,16 +85,16 @@
 }
 
 void
-TaskRunner::OnRecordDropped(const worker::TaskKey& aKey)
+TaskRunner::OnEndRecordNotAppended(const worker::AttemptKey& aKey)
 {
   const auto it = mAttempts.find(aKey);
   if (it != mAttempts.end()) {
-    it->second.mEndSent = false;
+    it->second.mEndRecordReturned = false;
   }
 }
 
 void
-TaskRunner::Evict(const worker::TaskKey& aKey, base::TimePoint aDeadline)
+TaskRunner::Evict(const worker::AttemptKey& aKey, base::TimePoint aDeadline)
 {
   const auto it = mAttempts.find(aKey);
   if (it != mAttempts.end() && !it->second.mEviction) {
@@ -102,7 +103,7 @@
 }
 
 void
-TaskRunner::Throttle(const worker::TaskKey& aKey, std::int64_t aPercent)
+TaskRunner::Throttle(const worker::AttemptKey& aKey, std::int64_t aPercent)
 {
   const auto it = mAttempts.find(aKey);
   if (it != mAttempts.end()) {
@@ -160,13 +161,13 @@
 bool
 TaskRunner::IsReady() const
 {
-  return mInheritedBefore && IsQuietPeriodOver();
+  return mInheritedEndOffset && IsQuietPeriodOver();
 }
 
 bool
 TaskRunner::ShouldRenew(const Attempt& aAttempt) const
 {
-  const bool wanted = aAttempt.mGrant || !mInheritedBefore;
+  const bool wanted = aAttempt.mGrant || !mInheritedEndOffset;
   return wanted && aAttempt.mReport && IsRunning(*aAttempt.mReport);
 }
 
@@ -202,7 +203,7 @@
                                base::TimePoint aNow) const
 {
   const base::TimePoint end =
-    mLease.Clock().ToLatestBootTime(aAttempt.mLeaseExpiresAt);
+    mLease.Clock().ToLatestLocalTime(aAttempt.mLeaseExpiresAt);
   return IsQuietPeriodOver() && aNow >= end + mLease.Options().mClockMargin;
 }
 
@@ -269,7 +270,7 @@
   }
   AppendStarted(aEntry);
   const bool unwanted = attempt.mGrant ? attempt.mGrant->mCancelRequested
-                                       : mInheritedBefore.has_value();
+                                       : mInheritedEndOffset.has_value();
   if (unwanted) {
     if (MaySend(attempt, aNow)) {
       Send(attempt, StopTask{ aEntry.first }, aNow);
@@ -293,9 +294,9 @@
   Attempt& attempt = aEntry.second;
   Eviction& eviction = *attempt.mEviction;
   const worker::TaskReport& report = *attempt.mReport;
-  const bool complete = eviction.mBaseline &&
+  const bool complete = eviction.mCheckpointBefore &&
                         report.mPhase == worker::TaskPhase::Running &&
-                        report.mCheckpoint != *eviction.mBaseline;
+                        report.mCheckpoint != *eviction.mCheckpointBefore;
   eviction.mStopping =
     eviction.mStopping || complete || aNow >= eviction.mDeadline;
   if (!MaySend(attempt, aNow)) {
@@ -306,7 +307,8 @@
     return;
   }
   if (report.mPhase == worker::TaskPhase::Running) {
-    eviction.mBaseline = eviction.mBaseline.value_or(report.mCheckpoint);
+    eviction.mCheckpointBefore =
+      eviction.mCheckpointBefore.value_or(report.mCheckpoint);
     Send(attempt, CheckpointTask{ aEntry.first }, aNow);
   }
 }
@@ -348,7 +350,7 @@
 TaskRunner::StepUnreported(Entry& aEntry, base::TimePoint aNow)
 {
   Attempt& attempt = aEntry.second;
-  if (!attempt.mGrant || attempt.mEndSent || !IsReady()) {
+  if (!attempt.mGrant || attempt.mEndRecordReturned || !IsReady()) {
     return;
   }
   if (!ResolveStart(aEntry, aNow)) {
@@ -367,7 +369,7 @@
   // The previous holder may have sent an end record for a grant that it did not
   // start, and the log may append it at any later time. Inherited grants are
   // never started, so that this record stays valid.
-  const bool inherited = attempt.mGrant->mGrantedOffset < *mInheritedBefore;
+  const bool inherited = attempt.mGrant->mGrantedOffset < *mInheritedEndOffset;
   if (inherited || attempt.mEviction || mLastPoll->mReport.mLeaving) {
     AppendEndWithoutReport(aEntry, tasks::AttemptOutcome::Released);
     return;
@@ -452,10 +454,10 @@
 {
   Attempt& attempt = aEntry.second;
   const bool known = !attempt.mGrant || attempt.mGrant->mStarted;
-  if (known || attempt.mStartedSent) {
+  if (known || attempt.mStartedRecordReturned) {
     return;
   }
-  attempt.mStartedSent = true;
+  attempt.mStartedRecordReturned = true;
   mOutput.mRecords.push_back(
     tasks::StartedRecord{ aEntry.first.mTask, aEntry.first.mAttempt });
 }
@@ -464,10 +466,10 @@
 TaskRunner::AppendEnd(Entry& aEntry, tasks::AttemptOutcome aOutcome)
 {
   Attempt& attempt = aEntry.second;
-  if (attempt.mEndSent) {
+  if (attempt.mEndRecordReturned) {
     return;
   }
-  attempt.mEndSent = true;
+  attempt.mEndRecordReturned = true;
   tasks::EndRecord end;
   end.mTask = aEntry.first.mTask;
   end.mAttempt = aEntry.first.mAttempt;
@@ -485,11 +487,11 @@
                                    tasks::AttemptOutcome aOutcome)
 {
   Attempt& attempt = aEntry.second;
-  if (attempt.mEndSent) {
+  if (attempt.mEndRecordReturned) {
     return;
   }
-  attempt.mEndSent = true;
-  mLedger.CancelPlan(aEntry.first);
+  attempt.mEndRecordReturned = true;
+  mLedger.CancelGrant(aEntry.first);
   tasks::EndRecord end;
   end.mTask = aEntry.first.mTask;
   end.mAttempt = aEntry.first.mAttempt;
--- a/src/holder/task_runner_test.cpp
+++ b/src/holder/task_runner_test.cpp
@@ -1,4 +1,4 @@
-#include "skylarkhill/holder/lost_worker.hpp"
+#include "skylarkhill/holder/absent_worker.hpp"
 #include "skylarkhill/holder/task_runner.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -12,7 +12,7 @@
 using tasks::AttemptOutcome;
 using worker::TaskPhase;
 
-const worker::TaskKey kTask{ { "a" }, 1 };
+const worker::AttemptKey kTask{ { "a" }, 1 };
 // End offset of the log, observed after the lease was acquired.
 constexpr std::int64_t kLogEnd = 100;
 
@@ -35,7 +35,7 @@
   CPPUNIT_TEST(ReleasesGrantsOnLeavingOrFullWorkers);
   CPPUNIT_TEST(DrainKeepsTasksRunning);
   CPPUNIT_TEST(ExpiredTaskLeaseEndsTheAttempt);
-  CPPUNIT_TEST(LostWorkerIsDeclaredAfterTheTaskLease);
+  CPPUNIT_TEST(AttemptsOfAbsentWorkerEndAfterTheTaskLease);
   CPPUNIT_TEST(ExpiredHolderSendsNothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -123,7 +123,7 @@
     mNow += seconds(3);
     ExpectEnd(Poll(), AttemptOutcome::Released);
     CPPUNIT_ASSERT(Poll().mRecords.empty());
-    mRunner->OnRecordDropped(kTask);
+    mRunner->OnEndRecordNotAppended(kTask);
     ExpectEnd(Poll(), AttemptOutcome::Released);
   }
 
@@ -271,11 +271,11 @@
 
   // Guards against a second run of tasks while their worker is only
   // unreachable.
-  void LostWorkerIsDeclaredAfterTheTaskLease()
+  void AttemptsOfAbsentWorkerEndAfterTheTaskLease()
   {
-    LostWorker lost{ mNow, mNow + seconds(5), { Grant() } };
+    AbsentWorker lost{ mNow, mNow + seconds(5), { Grant() } };
     const auto count = [&](int aSeconds) {
-      return EndLostAttempts(
+      return EndAbsentWorkerAttempts(
                lost, seconds(30), seconds(1), mNow + seconds(aSeconds))
         .size();
     };
@@ -303,7 +303,7 @@
     return grant;
   }
 
-  void ReportTask(const worker::TaskKey& aKey,
+  void ReportTask(const worker::AttemptKey& aKey,
                   TaskPhase aPhase,
                   const std::string& aCheckpoint = {})
   {
@@ -322,7 +322,7 @@
   {
     for (const auto& it : mLease->Step(mNow)) {
       std::uint64_t request = 0;
-      if (const auto* place = std::get_if<PlaceLease>(&it)) {
+      if (const auto* place = std::get_if<SetLease>(&it)) {
         mReport.mHolders = { { place->mToken, 0 } };
         request = place->mRequest;
       } else if (const auto* read = std::get_if<ReadHolders>(&it)) {
--- a/src/holder/worker_clock.cpp
+++ b/src/holder/worker_clock.cpp
@@ -41,7 +41,7 @@
 }
 
 base::TimePoint
-WorkerClock::ToLatestBootTime(worker::WorkerTime aTime) const
+WorkerClock::ToLatestLocalTime(worker::WorkerTime aTime) const
 {
   const base::TimePoint estimate = base::FromMicros(aTime - mLow);
   return base::FromMicros(aTime - mLow + Drift(estimate));
--- a/src/journal/batch_writer.cpp
+++ b/src/journal/batch_writer.cpp
@@ -21,8 +21,8 @@
 
 } // namespace
 
-BatchWriter::BatchWriter(BatchWriterSettings aSettings)
-  : mSettings(std::move(aSettings))
+BatchWriter::BatchWriter(BatchWriterOptions aOptions)
+  : mOptions(std::move(aOptions))
 {
 }
 
@@ -39,7 +39,7 @@
 {
   constexpr std::int64_t kMicrosPerSecond = 1'000'000;
   const std::int64_t budget =
-    std::max<std::int64_t>(1, mSettings.mAppendBudgetPerSecond);
+    std::max<std::int64_t>(1, mOptions.mAppendBudgetPerSecond);
   return base::Duration(mLiveInstances * kMicrosPerSecond / budget);
 }
 
@@ -50,11 +50,11 @@
                  base::TimePoint aDeadline)
 {
   const std::size_t bytes = TotalBytes(aRecords);
-  if (bytes > mSettings.mMaxBatchBytes) {
+  if (bytes > mOptions.mMaxBatchBytes) {
     return base::MakeError(base::ErrorKind::PayloadTooLarge,
                            "records exceed the maximum batch size");
   }
-  if (mQueuedRecords + aRecords.size() > mSettings.mMaxQueuedRecords) {
+  if (mQueuedRecords + aRecords.size() > mOptions.mMaxQueuedRecords) {
     return base::MakeError(base::ErrorKind::Overloaded,
                            "queue of the log writer is full");
   }
@@ -89,7 +89,7 @@
   std::size_t bytes = 0;
   while (!mQueue.empty()) {
     bytes += mQueue.front().mBytes;
-    if (!mBatch.empty() && bytes > mSettings.mMaxBatchBytes) {
+    if (!mBatch.empty() && bytes > mOptions.mMaxBatchBytes) {
       return;
     }
     mBatch.push_back(std::move(mQueue.front()));
@@ -101,7 +101,7 @@
 BatchWriter::EncodePayload(std::int64_t aWallClockMs)
 {
   Batch batch;
-  batch.mWriter = mSettings.mWriter;
+  batch.mWriter = mOptions.mWriter;
   batch.mSequence = mSequence;
   batch.mWrittenAtMs = aWallClockMs;
   // The position of the batch must hold for each of its submissions, so it is
@@ -200,8 +200,8 @@
     return;
   }
   mPhase = Phase::Retrying;
-  mRetryDelay = std::min(std::max(mSettings.mRetryDelay, mRetryDelay * 2),
-                         mSettings.mMaxRetryDelay);
+  mRetryDelay = std::min(std::max(mOptions.mRetryDelay, mRetryDelay * 2),
+                         mOptions.mMaxRetryDelay);
   mRetryAt = std::max(aNow + mRetryDelay, mNextAppendAt);
   Expire(aNow);
 }
--- a/src/journal/journal_random_test.cpp
+++ b/src/journal/journal_random_test.cpp
@@ -23,9 +23,9 @@
 constexpr int kSteps = 4'000;
 
 /// One entry instance, without threads.
-struct Node
+struct SimulatedInstance
 {
-  explicit Node(const std::string& aName)
+  explicit SimulatedInstance(const std::string& aName)
     : mName(aName)
     , mWriter({ aName, 300, 500, 4'096 })
     , mState({ 3, kRetentionMs, 5 })
@@ -88,8 +88,8 @@
 
   void AddNode()
   {
-    mNodes.push_back(
-      std::make_unique<Node>("i" + std::to_string(++mIncarnations)));
+    mNodes.push_back(std::make_unique<SimulatedInstance>(
+      "i" + std::to_string(++mIncarnations)));
   }
 
   base::TimePoint Now() const { return base::FromMicros(mNowMs * 1'000); }
@@ -131,7 +131,7 @@
     return n;
   }
 
-  void StepNode(Node& aNode)
+  void StepNode(SimulatedInstance& aNode)
   {
     if (aNode.mInFlight) {
       FinishAppend(aNode);
@@ -155,7 +155,7 @@
 
   // A node can be paused between StartAppend and this call, so that old batches
   // reach the log.
-  void FinishAppend(Node& aNode)
+  void FinishAppend(SimulatedInstance& aNode)
   {
     const AppendAction action = *aNode.mInFlight;
     aNode.mInFlight.reset();
@@ -202,7 +202,7 @@
     return offset;
   }
 
-  void ReadPage(Node& aNode, std::int64_t aMax)
+  void ReadPage(SimulatedInstance& aNode, std::int64_t aMax)
   {
     const auto page = mLog.Page(aNode.mReader.Position(), aMax);
     const auto result = aNode.mReader.OnPage(page, Now());
@@ -216,14 +216,14 @@
     aNode.mWriter.OnCaughtUp(aNode.mReader.CaughtUpTime());
   }
 
-  void Read(Node& aNode)
+  void Read(SimulatedInstance& aNode)
   {
     if (!IsDown()) {
       ReadPage(aNode, 1 + static_cast<std::int64_t>(mRandom->Below(60)));
     }
   }
 
-  void Submit(Node& aNode,
+  void Submit(SimulatedInstance& aNode,
               const std::vector<SiteRecord>& aRecords,
               const WriterPosition& aPosition)
   {
@@ -240,7 +240,7 @@
                    added.error().mKind == base::ErrorKind::Overloaded);
   }
 
-  void SubmitOne(Node& aNode)
+  void SubmitOne(SimulatedInstance& aNode)
   {
     const WriterPosition position = aNode.mState.GetWriterPosition();
     mNextTask += OneIn(25) ? 1 : 0;
@@ -262,7 +262,8 @@
 
   // Returns a record that is usually valid in the node's state and sometimes is
   // not.
-  SiteRecord MakeChange(const tasks::TaskSnapshot& aTask, const Node& aNode)
+  SiteRecord MakeChange(const tasks::TaskSnapshot& aTask,
+                        const SimulatedInstance& aNode)
   {
     const auto& id = aTask.mSpec.mTask;
     const std::int64_t attempt =
@@ -286,7 +287,7 @@
     return static_cast<std::int64_t>(mRandom->Below(aCount));
   }
 
-  void SubmitSnapshots(Node& aNode)
+  void SubmitSnapshots(SimulatedInstance& aNode)
   {
     std::vector<base::InstanceId> live;
     live.reserve(mNodes.size());
@@ -301,7 +302,7 @@
     }
   }
 
-  void TakeResults(Node& aNode)
+  void TakeResults(SimulatedInstance& aNode)
   {
     for (const auto& it : aNode.mWriter.TakeResults()) {
       const auto accept = aNode.mAccepts.find(it.mTicket);
@@ -341,12 +342,12 @@
       return;
     }
     if (tasks::IsEnded(task->mState)) {
-      mEnded[aTask.mValue] = task->mLastRecordAt;
+      mEnded[aTask.mValue] = task->mLastRecordOffset;
     } else if (mEnded.count(aTask.mValue) != 0) {
       // An id may be reused when none of its records is retained.
       CPPUNIT_ASSERT_MESSAGE("ended task became live again",
                              mEnded[aTask.mValue] < mFirstRetained &&
-                               task->mAcceptedAt >= mFirstRetained);
+                               task->mAcceptedOffset >= mFirstRetained);
       Forget(aTask.mValue);
     }
     const std::pair<std::string, std::int64_t> attempt{ aTask.mValue,
@@ -391,11 +392,11 @@
     for (auto& it : mNodes) {
       CheckMatchesOracle(*it);
     }
-    Node lateNode("late");
+    SimulatedInstance lateNode("late");
     CheckMatchesOracle(lateNode);
   }
 
-  void CheckMatchesOracle(Node& aNode)
+  void CheckMatchesOracle(SimulatedInstance& aNode)
   {
     while (aNode.mReader.Position() < mLog.End() || !aNode.mState.IsReady()) {
       ReadPage(aNode, 50);
@@ -405,7 +406,7 @@
                                  aNode.mState.LiveDigest());
   }
 
-  void AddCoverage(const Node& aNode)
+  void AddCoverage(const SimulatedInstance& aNode)
   {
     mCoverage.mDuplicates += aNode.mReader.Duplicates();
     mCoverage.mStale += aNode.mState.Counts().mStaleRecords;
@@ -419,11 +420,11 @@
   std::int64_t mNowMs = 1'000'000;
   std::int64_t mDownUntilMs = 0;
   std::deque<std::pair<std::int64_t, std::string>> mDelayed;
-  std::deque<std::unique_ptr<Node>> mNodes;
+  std::deque<std::unique_ptr<SimulatedInstance>> mNodes;
   int mIncarnations = 0;
   std::int64_t mNextTask = 20;
   /// Reads every record as soon as it is written.
-  Node mOracle;
+  SimulatedInstance mOracle;
   std::set<std::string> mAccepted;
   /// Offset of the newest record, per ended task.
   std::map<std::string, Offset> mEnded;
--- a/src/journal/journal_service.cpp
+++ b/src/journal/journal_service.cpp
@@ -28,17 +28,17 @@
 
 } // namespace
 
-JournalService::JournalService(JournalServiceSettings aSettings,
+JournalService::JournalService(JournalServiceOptions aOptions,
                                platform::LogService& aLog,
                                SiteState& aState,
                                const base::Clock& aClock,
                                const WallClock& aWallClock)
-  : mSettings(std::move(aSettings))
+  : mOptions(std::move(aOptions))
   , mLog(aLog)
   , mState(aState)
   , mClock(aClock)
   , mWallClock(aWallClock)
-  , mWriter(mSettings.mWriter)
+  , mWriter(mOptions.mWriterOptions)
 {
 }
 
@@ -89,7 +89,7 @@
     return mState.FindTask(accept->mSpec.mTask).has_value();
   }
   if (const auto* intent = FindIntent(aRecord)) {
-    return mState.FindKey(intent->mKey).mState != requests::KeyState::Unknown;
+    return mState.FindKey(intent->mKey).mState != requests::KeyState::Unclaimed;
   }
   return false;
 }
@@ -198,16 +198,15 @@
 JournalService::Append(const AppendAction& aAction)
 {
   const base::TimePoint deadline =
-    std::min(aAction.mDeadline, mClock.Now() + mSettings.mAppendTimeout);
-  const auto offset =
-    mLog.Append(mSettings.mStream, aAction.mPayload, deadline);
+    std::min(aAction.mDeadline, mClock.Now() + mOptions.mAppendTimeout);
+  const auto offset = mLog.Append(mOptions.mStream, aAction.mPayload, deadline);
   const std::lock_guard<std::mutex> lock(mMutex);
   ++mCounts.mAppends;
   mIsReadDue = true;
   if (offset) {
     mWriter.OnAppended(offset.value());
   } else if (offset.error().mKind == base::ErrorKind::LogUnavailable) {
-    ++mCounts.mAppendsUnavailable;
+    ++mCounts.mAppendsFailed;
     mIsReadDue = false;
     mWriter.OnUnavailable(mClock.Now());
   } else {
@@ -239,16 +238,16 @@
 JournalService::ReadOnce()
 {
   const base::TimePoint issuedAt = mClock.Now();
-  const auto page = mLog.Read(mSettings.mStream,
+  const auto page = mLog.Read(mOptions.mStream,
                               mReader.Position(),
-                              mSettings.mMaxRecordsPerRead,
-                              issuedAt + mSettings.mReadTimeout);
+                              mOptions.mMaxRecordsPerRead,
+                              issuedAt + mOptions.mReadTimeout);
   if (!page) {
     const std::lock_guard<std::mutex> lock(mMutex);
     ++mCounts.mReads;
     ++mCounts.mReadsFailed;
-    mReadPause = std::min(std::max(mSettings.mPollInterval, mReadPause * 2),
-                          mSettings.mMaxReadRetryDelay);
+    mReadPause = std::min(std::max(mOptions.mPollInterval, mReadPause * 2),
+                          mOptions.mMaxReadRetryDelay);
     return mReadPause;
   }
   mReadPause = base::Duration(0);
@@ -262,14 +261,14 @@
   mCounts.mUndecodableBatches = mReader.Undecodable();
   mCounts.mGaps = mReader.Gaps();
   for (const auto& it : result.mBatches) {
-    if (it.mBatch.mWriter == mSettings.mWriter.mWriter) {
+    if (it.mBatch.mWriter == mOptions.mWriterOptions.mWriter) {
       mWriter.OnRead(it.mBatch.mSequence, it.mOffset);
     }
   }
   mWriter.OnCaughtUp(mReader.CaughtUpTime());
   TakeResults();
   const bool isAtEnd = mReader.Position() >= page.value().mEnd;
-  return isAtEnd ? mSettings.mPollInterval : base::Duration(0);
+  return isAtEnd ? mOptions.mPollInterval : base::Duration(0);
 }
 
 void
--- a/src/journal/journal_service_test.cpp
+++ b/src/journal/journal_service_test.cpp
@@ -25,11 +25,11 @@
   {
   }
 
-  static JournalServiceSettings MakeSettings(const std::string& aWriter)
+  static JournalServiceOptions MakeSettings(const std::string& aWriter)
   {
-    JournalServiceSettings settings;
-    settings.mWriter.mWriter = aWriter;
-    settings.mWriter.mRetryDelay = milliseconds(5);
+    JournalServiceOptions settings;
+    settings.mWriterOptions.mWriter = aWriter;
+    settings.mWriterOptions.mRetryDelay = milliseconds(5);
     settings.mPollInterval = milliseconds(2);
     return settings;
   }
@@ -131,7 +131,7 @@
     const SiteRecord intent =
       requests::KeyRecord(requests::IntentRecord{ key, { "a" } });
     const auto first = instance.Submit(intent);
-    CPPUNIT_ASSERT_EQUAL(instance.mState.FindKey(key).mClaimedAt,
+    CPPUNIT_ASSERT_EQUAL(instance.mState.FindKey(key).mClaimedOffset,
                          first.value());
     CPPUNIT_ASSERT_EQUAL(kNotAppended, instance.Submit(intent).value());
   }
--- a/src/journal/record_codec.cpp
+++ b/src/journal/record_codec.cpp
@@ -16,7 +16,7 @@
 // record. The prefix identifies the format.
 constexpr std::string_view kBatchPrefix = "sh1:";
 constexpr std::size_t kMaxDepth = 8;
-constexpr std::size_t kMaxBatchBytes = std::size_t{ 64 } * 1024 * 1024;
+constexpr std::size_t kMaxPayloadBytes = std::size_t{ 64 } * 1024 * 1024;
 
 /// Base64 without the line breaks that cxxtools inserts by default.
 class SingleLineCodec : public cxxtools::Base64Codec
@@ -349,10 +349,10 @@
     writer.Put(aRecord.mAsOf);
     PutSpec(writer, task.mSpec);
     writer.Put(task.mState);
-    writer.Put(task.mAcceptedAt);
-    writer.Put(task.mLastRecordAt);
+    writer.Put(task.mAcceptedOffset);
+    writer.Put(task.mLastRecordOffset);
     writer.Put(task.mLastAttempt);
-    writer.Put(task.mGrantedAt);
+    writer.Put(task.mGrantedOffset);
     writer.Put(task.mWorker);
     writer.Put(task.mCheckpoint);
     writer.Put(task.mDetail);
@@ -374,8 +374,8 @@
     writer.Put(key.mKey);
     writer.Put(key.mState);
     writer.Put(key.mClaimant);
-    writer.Put(key.mClaimedAt);
-    writer.Put(key.mLastRecordAt);
+    writer.Put(key.mClaimedOffset);
+    writer.Put(key.mLastRecordOffset);
     writer.Put(hasOutcome);
     if (hasOutcome) {
       PutOutcome(writer, *key.mOutcome);
@@ -392,10 +392,10 @@
   aReader.Get(record.mAsOf);
   GetSpec(aReader, task.mSpec);
   aReader.GetEnum(task.mState, tasks::TaskState::Quarantined);
-  aReader.Get(task.mAcceptedAt);
-  aReader.Get(task.mLastRecordAt);
+  aReader.Get(task.mAcceptedOffset);
+  aReader.Get(task.mLastRecordOffset);
   aReader.Get(task.mLastAttempt);
-  aReader.Get(task.mGrantedAt);
+  aReader.Get(task.mGrantedOffset);
   aReader.Get(task.mWorker);
   aReader.Get(task.mCheckpoint);
   aReader.Get(task.mDetail);
@@ -417,8 +417,8 @@
   aReader.Get(key.mKey);
   aReader.GetEnum(key.mState, requests::KeyState::Finished);
   aReader.Get(key.mClaimant);
-  aReader.Get(key.mClaimedAt);
-  aReader.Get(key.mLastRecordAt);
+  aReader.Get(key.mClaimedOffset);
+  aReader.Get(key.mLastRecordOffset);
   aReader.Get(hasOutcome);
   if (hasOutcome) {
     GetOutcome(aReader, key.mOutcome.emplace());
@@ -588,7 +588,7 @@
 DecodeBatch(std::string_view aPayload)
 {
   if (aPayload.substr(0, kBatchPrefix.size()) != kBatchPrefix ||
-      aPayload.size() > kMaxBatchBytes) {
+      aPayload.size() > kMaxPayloadBytes) {
     return MakeCodecError("not a batch");
   }
   const std::string_view text = aPayload.substr(kBatchPrefix.size());
--- a/src/journal/site_state.cpp
+++ b/src/journal/site_state.cpp
@@ -18,29 +18,29 @@
 constexpr std::chrono::milliseconds kMaxWait{ 20 };
 
 template<typename... Functions>
-struct Overloaded : Functions...
+struct OverloadSet : Functions...
 {
   using Functions::operator()...;
 };
 template<typename... Functions>
-Overloaded(Functions...) -> Overloaded<Functions...>;
+OverloadSet(Functions...) -> OverloadSet<Functions...>;
 
 const std::string&
 IdOf(const SiteRecord& aRecord)
 {
   return std::visit(
-    Overloaded{ [](const tasks::TaskRecord& aEach) -> const std::string& {
-                 return tasks::TaskOf(aEach).mValue;
-               },
-                [](const requests::KeyRecord& aEach) -> const std::string& {
-                  return requests::KeyOf(aEach).mValue;
+    OverloadSet{ [](const tasks::TaskRecord& aEach) -> const std::string& {
+                  return tasks::TaskOf(aEach).mValue;
                 },
-                [](const TaskSnapshotRecord& aEach) -> const std::string& {
-                  return aEach.mTask.mSpec.mTask.mValue;
-                },
-                [](const KeySnapshotRecord& aEach) -> const std::string& {
-                  return aEach.mKey.mKey.mValue;
-                } },
+                 [](const requests::KeyRecord& aEach) -> const std::string& {
+                   return requests::KeyOf(aEach).mValue;
+                 },
+                 [](const TaskSnapshotRecord& aEach) -> const std::string& {
+                   return aEach.mTask.mSpec.mTask.mValue;
+                 },
+                 [](const KeySnapshotRecord& aEach) -> const std::string& {
+                   return aEach.mKey.mKey.mValue;
+                 } },
     aRecord);
 }
 
@@ -93,11 +93,11 @@
 
 } // namespace
 
-SiteState::SiteState(SiteStateSettings aSettings)
-  : mSettings(aSettings)
-  , mAgeIndex(aSettings.mRetentionMs / kAgeSamplesPerRetention)
+SiteState::SiteState(SiteStateOptions aOptions)
+  : mOptions(aOptions)
+  , mAgeIndex(aOptions.mRetentionMs / kAgeSamplesPerRetention)
 {
-  const std::size_t n = std::max<std::size_t>(1, mSettings.mShards);
+  const std::size_t n = std::max<std::size_t>(1, mOptions.mShards);
   for (std::size_t i = 0; i < n; ++i) {
     mShards.push_back(std::make_unique<Shard>());
   }
@@ -189,20 +189,20 @@
                        const ReadBatch& aBatch,
                        const SiteRecord& aRecord) const
 {
-  const Offset basedAt = aBatch.mBatch.mPosition.mAsOf + 1;
+  const Offset replayFrom = aBatch.mBatch.mPosition.mAsOf + 1;
   std::visit(
-    Overloaded{
+    OverloadSet{
       [&](const tasks::TaskRecord& aEach) {
         if (IsCreationRecord(aRecord)) {
           aTables.mTasks.RemoveTombstone(tasks::TaskOf(aEach), mHorizon);
         }
-        aTables.mTasks.Apply(aBatch.mOffset, aEach, basedAt);
+        aTables.mTasks.Apply(aBatch.mOffset, aEach, replayFrom);
       },
       [&](const requests::KeyRecord& aEach) {
         if (IsCreationRecord(aRecord)) {
-          aTables.mKeys.ForgetFinished(requests::KeyOf(aEach), mHorizon);
+          aTables.mKeys.RemoveTombstone(requests::KeyOf(aEach), mHorizon);
         }
-        aTables.mKeys.Apply(aBatch.mOffset, aEach, basedAt);
+        aTables.mKeys.Apply(aBatch.mOffset, aEach, replayFrom);
       },
       [&](const TaskSnapshotRecord& aEach) {
         aTables.mTasks.ApplySnapshot(aEach.mAsOf, aEach.mTask);
@@ -221,9 +221,9 @@
                             const SiteRecord& aRecord)
 {
   if (const auto* task = std::get_if<tasks::TaskRecord>(&aRecord)) {
-    aTables.mTasks.ApplyStale(aOffset, *task);
+    aTables.mTasks.RegisterIgnored(aOffset, *task);
   } else if (const auto* key = std::get_if<requests::KeyRecord>(&aRecord)) {
-    aTables.mKeys.ApplyStale(aOffset, *key);
+    aTables.mKeys.RegisterIgnored(aOffset, *key);
   }
 }
 
@@ -287,11 +287,11 @@
 }
 
 void
-SiteState::SetCaughtUp(base::TimePoint aAsOf)
+SiteState::SetCaughtUp(base::TimePoint aCaughtUpTime)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  mCaughtUpTime = aAsOf;
-  mIsReady = mIsReady || aAsOf != base::TimePoint::min();
+  mCaughtUpTime = aCaughtUpTime;
+  mIsReady = mIsReady || aCaughtUpTime != base::TimePoint::min();
   mChanged.notify_all();
 }
 
@@ -349,11 +349,12 @@
 }
 
 bool
-SiteState::WaitUntilCaughtUp(base::TimePoint aAsOf,
+SiteState::WaitUntilCaughtUp(base::TimePoint aCaughtUpTime,
                              const base::Clock& aClock,
                              base::TimePoint aDeadline) const
 {
-  return WaitUntil([&] { return mCaughtUpTime >= aAsOf; }, aClock, aDeadline);
+  return WaitUntil(
+    [&] { return mCaughtUpTime >= aCaughtUpTime; }, aClock, aDeadline);
 }
 
 bool
@@ -386,7 +387,7 @@
     result.end(),
     [](const tasks::QueuedTask& aLeft, const tasks::QueuedTask& aRight) {
       const auto key = [](const tasks::QueuedTask& aTask) {
-        return std::tie(aTask.mAcceptedAt, aTask.mTask);
+        return std::tie(aTask.mAcceptedOffset, aTask.mTask);
       };
       return aLeft.mUrgent != aRight.mUrgent ? aLeft.mUrgent
                                              : key(aLeft) < key(aRight);
@@ -398,11 +399,11 @@
 }
 
 std::vector<tasks::LiveAttempt>
-SiteState::GrantsOn(const base::WorkerId& aWorker) const
+SiteState::LiveAttemptsOn(const base::WorkerId& aWorker) const
 {
   std::vector<tasks::LiveAttempt> result;
   ForEachShard([&](const Tables& aTables) {
-    for (auto& it : aTables.mTasks.GrantsOn(aWorker)) {
+    for (auto& it : aTables.mTasks.LiveAttemptsOn(aWorker)) {
       result.push_back(std::move(it));
     }
   });
@@ -416,11 +417,11 @@
 }
 
 std::vector<base::WorkerId>
-SiteState::WorkersWithGrants() const
+SiteState::WorkersWithLiveAttempts() const
 {
   std::vector<base::WorkerId> result;
   ForEachShard([&](const Tables& aTables) {
-    for (auto& it : aTables.mTasks.WorkersWithGrants()) {
+    for (auto& it : aTables.mTasks.WorkersWithLiveAttempts()) {
       result.push_back(std::move(it));
     }
   });
@@ -429,12 +430,12 @@
   return result;
 }
 
-std::map<std::string, tasks::TeamUse>
-SiteState::TeamUses() const
+std::map<std::string, tasks::TeamCommitment>
+SiteState::TeamCommitments() const
 {
-  std::map<std::string, tasks::TeamUse> result;
+  std::map<std::string, tasks::TeamCommitment> result;
   ForEachShard([&](const Tables& aTables) {
-    for (const auto& [team, use] : aTables.mTasks.TeamUses()) {
+    for (const auto& [team, use] : aTables.mTasks.TeamCommitments()) {
       result[team].mCommitted += use.mCommitted;
       result[team].mLiveAttempts += use.mLiveAttempts;
     }
@@ -585,7 +586,7 @@
   const std::lock_guard<std::mutex> lock(shard.mMutex);
   PageBuilder builder(static_cast<std::int64_t>(aShard),
                       std::max(applied, shard.mAppliedThrough),
-                      mSettings.mRecordsPerPage);
+                      mOptions.mRecordsPerPage);
   const tasks::TaskTable& tasks = shard.mTables->mTasks;
   const requests::KeyTable& keys = shard.mTables->mKeys;
   for (const auto& it : tasks.All()) {
@@ -635,10 +636,10 @@
       return malformed;
     }
     if (const auto* task = std::get_if<tasks::TaskRecord>(&record.value())) {
-      shard.mTables->mTasks.ApplyStale(offset, *task);
+      shard.mTables->mTasks.RegisterIgnored(offset, *task);
     } else if (const auto* key =
                  std::get_if<requests::KeyRecord>(&record.value())) {
-      shard.mTables->mKeys.ApplyStale(offset, *key);
+      shard.mTables->mKeys.RegisterIgnored(offset, *key);
     }
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/src/journal/site_state_test.cpp
+++ b/src/journal/site_state_test.cpp
@@ -16,10 +16,10 @@
 
 constexpr std::int64_t kRetentionMs = 8'000;
 
-SiteStateSettings
+SiteStateOptions
 MakeSettings()
 {
-  SiteStateSettings settings;
+  SiteStateOptions settings;
   settings.mShards = 4;
   settings.mRetentionMs = kRetentionMs;
   settings.mRecordsPerPage = 3;
--- a/src/journal/snapshot_planner.cpp
+++ b/src/journal/snapshot_planner.cpp
@@ -61,8 +61,8 @@
          rank * SnapshotIntervalMs(aRetentionMs);
 }
 
-SnapshotPlanner::SnapshotPlanner(SnapshotPlannerSettings aSettings)
-  : mSettings(std::move(aSettings))
+SnapshotPlanner::SnapshotPlanner(SnapshotPlannerOptions aOptions)
+  : mOptions(std::move(aOptions))
 {
 }
 
@@ -74,9 +74,9 @@
 {
   // Ranking computes a hash per instance, so the cheap lower bound is checked
   // first.
-  const std::int64_t retention = mSettings.mRetentionMs;
+  const std::int64_t retention = mOptions.mRetentionMs;
   if (aAgeMs < EarliestAgeMs(aId, retention) ||
-      aAgeMs < SnapshotAgeMs(aId, mSettings.mSelf, aLive, retention)) {
+      aAgeMs < SnapshotAgeMs(aId, mOptions.mSelf, aLive, retention)) {
     return false;
   }
   return mPlannedAtMs.emplace(aId, aNowMs).second;
@@ -87,7 +87,7 @@
                       const std::vector<base::InstanceId>& aLive,
                       std::int64_t aNowMs)
 {
-  const std::int64_t interval = SnapshotIntervalMs(mSettings.mRetentionMs);
+  const std::int64_t interval = SnapshotIntervalMs(mOptions.mRetentionMs);
   for (auto it = mPlannedAtMs.begin(); it != mPlannedAtMs.end();) {
     const bool isExpired = it->second + interval <= aNowMs;
     it = isExpired ? mPlannedAtMs.erase(it) : std::next(it);
@@ -95,8 +95,8 @@
   const std::int64_t minAge = interval * kFirstSnapshotInterval;
   std::vector<SiteRecord> result;
   for (const auto& it :
-       aState.TasksToSnapshot(minAge, aNowMs, mSettings.mMaxCandidates)) {
-    if (result.size() >= mSettings.mMaxPerPlan) {
+       aState.TasksToSnapshot(minAge, aNowMs, mOptions.mMaxCandidates)) {
+    if (result.size() >= mOptions.mMaxPerPlan) {
       return result;
     }
     const std::int64_t age = aState.AgeOf(it.mReplayFrom, aNowMs);
@@ -109,8 +109,8 @@
     }
   }
   for (const auto& it :
-       aState.KeysToSnapshot(minAge, aNowMs, mSettings.mMaxCandidates)) {
-    if (result.size() >= mSettings.mMaxPerPlan) {
+       aState.KeysToSnapshot(minAge, aNowMs, mOptions.mMaxCandidates)) {
+    if (result.size() >= mOptions.mMaxPerPlan) {
       return result;
     }
     const std::int64_t age = aState.AgeOf(it.mReplayFrom, aNowMs);
--- a/src/journal/stream_reader.cpp
+++ b/src/journal/stream_reader.cpp
@@ -8,7 +8,7 @@
 namespace skylarkhill::journal {
 
 std::optional<Offset>
-StreamReader::Start() const
+StreamReader::FirstOffset() const
 {
   if (!mHasStarted) {
     return std::nullopt;
--- a/src/journal/stream_reader_test.cpp
+++ b/src/journal/stream_reader_test.cpp
@@ -60,14 +60,14 @@
     }
     mLog.Expire(2);
     CPPUNIT_ASSERT(!Read(3).mIsGap);
-    CPPUNIT_ASSERT_EQUAL(Offset(2), *mReader.Start());
+    CPPUNIT_ASSERT_EQUAL(Offset(2), *mReader.FirstOffset());
     mLog.Expire(5);
     CPPUNIT_ASSERT(!Read(1).mIsGap);
     mLog.Expire(7);
     const auto page = Read();
     CPPUNIT_ASSERT(page.mIsGap);
     CPPUNIT_ASSERT_EQUAL(Offset(7), page.mFirstRetained);
-    CPPUNIT_ASSERT_EQUAL(Offset(7), *mReader.Start());
+    CPPUNIT_ASSERT_EQUAL(Offset(7), *mReader.FirstOffset());
     CPPUNIT_ASSERT_EQUAL(std::size_t(3), page.mBatches.size());
     mLog.Expire(10);
     CPPUNIT_ASSERT_MESSAGE("everything expired after it was read",
--- a/src/policy/breaker.cpp
+++ b/src/policy/breaker.cpp
@@ -57,7 +57,7 @@
 }
 
 void
-Breaker::OnCancelled(const base::TaskId& aTask)
+Breaker::OnInconclusiveEnd(const base::TaskId& aTask)
 {
   if (mProbe == aTask) {
     mProbe.reset();
--- a/src/policy/breaker_test.cpp
+++ b/src/policy/breaker_test.cpp
@@ -31,7 +31,7 @@
     CPPUNIT_ASSERT(!breaker.Admits(At(11)));
     breaker.OnSuccess(kTaskB);
     CPPUNIT_ASSERT(!breaker.Admits(At(11)));
-    breaker.OnCancelled(kTaskA);
+    breaker.OnInconclusiveEnd(kTaskA);
     CPPUNIT_ASSERT(breaker.Admits(At(11)));
     breaker.OnPlaced(kTaskB, At(11));
     breaker.OnSuccess(kTaskB);
--- a/src/policy/interference.cpp
+++ b/src/policy/interference.cpp
@@ -57,7 +57,8 @@
   if (norm <= 0.0) {
     return;
   }
-  const double observed = static_cast<double>(aReport.mSlowdownPercent) - 100.0;
+  const double observed =
+    static_cast<double>(aReport.mServiceTimePercent) - 100.0;
   const double error = observed - predicted;
   for (const auto& it : aReport.mBatchTasks) {
     const auto count = static_cast<double>(it.second);
--- a/src/policy/policy_test.cpp
+++ b/src/policy/policy_test.cpp
@@ -13,7 +13,7 @@
 class PolicyTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(PolicyTest);
-  CPPUNIT_TEST(ModelSeparatesPairsAndDecays);
+  CPPUNIT_TEST(InterferenceModelSeparatesClassesAndDecays);
   CPPUNIT_TEST(PlacementNeverOvercommits);
   CPPUNIT_TEST(PlacementAvoidsAnAffectedService);
   CPPUNIT_TEST(ShortTasksGoBeforeLongOnes);
@@ -27,7 +27,7 @@
 public:
   // Guards against attributing a slowdown to a class that was merely present,
   // and against estimates that do not decay without reports.
-  void ModelSeparatesPairsAndDecays()
+  void InterferenceModelSeparatesClassesAndDecays()
   {
     InterferenceModel model;
     for (int n = 0; n < 200; ++n) {
@@ -77,7 +77,7 @@
     const auto queue = CreateQueuePolicy(Profile::Throughput);
     queue->RecordRun("short", 5, true);
     queue->RecordRun("long", 4000, true);
-    const std::vector<QueuedTask> tasks{
+    const std::vector<QueueCandidate> tasks{
       { { "a" }, "t", "long", {}, false, 1, 0, 1 },
       { { "b" }, "t", "short", {}, false, 2, 4000, 1 },
       { { "c" }, "t", "short", {}, false, 3, 0, 9999 },
@@ -92,7 +92,7 @@
   {
     const auto queue = CreateQueuePolicy(Profile::Tail);
     const base::Resources need{ 1000, 1, 0 };
-    const std::vector<QueuedTask> tasks{
+    const std::vector<QueueCandidate> tasks{
       { { "a" }, "t", "c", need, false, 1, 0, 1 },
       { { "b" }, "t", "c", need, false, 2, 0, 1 }
     };
@@ -103,7 +103,7 @@
   // Guards against throttling tasks that do not interfere.
   void ProtectionThrottlesTheInterferingTaskOnly()
   {
-    WorkerPressure pressure = MakePressure(230);
+    ProtectionInput pressure = MakePressure(230);
     pressure.mTasks[1].mInterferencePercent = 170.0;
     const auto policy = CreateProtectionPolicy(Profile::Tail);
     const auto actions = policy->Decide(pressure, At(0));
@@ -133,7 +133,7 @@
   // tasks than needed.
   void TaskAtItsEvictionLimitIsNotEvicted()
   {
-    WorkerPressure pressure = MakePressure(300);
+    ProtectionInput pressure = MakePressure(300);
     for (auto& it : pressure.mTasks) {
       it.mThrottlePercent = 1;
     }
@@ -172,11 +172,11 @@
     return view;
   }
 
-  static WorkerPressure MakePressure(std::int64_t aSlowdown)
+  static ProtectionInput MakePressure(std::int64_t aSlowdown)
   {
-    WorkerPressure pressure;
+    ProtectionInput pressure;
     pressure.mWorker = { "w" };
-    pressure.mSlowdownPercent = aSlowdown;
+    pressure.mServiceTimePercent = aSlowdown;
     pressure.mToleratedPercent = 150;
     pressure.mTasks.resize(2);
     pressure.mTasks[0].mTask = { "t0" };
--- a/src/policy/protection.cpp
+++ b/src/policy/protection.cpp
@@ -12,7 +12,7 @@
 class NoProtection : public ProtectionPolicy
 {
 public:
-  std::vector<ProtectionAction> Decide(const WorkerPressure&,
+  std::vector<ProtectionAction> Decide(const ProtectionInput&,
                                        base::TimePoint) override
   {
     return {};
@@ -56,7 +56,7 @@
   {
   }
 
-  std::vector<ProtectionAction> Decide(const WorkerPressure& aWorker,
+  std::vector<ProtectionAction> Decide(const ProtectionInput& aWorker,
                                        base::TimePoint aNow) override
   {
     State& state = mStates[aWorker.mWorker];
@@ -67,11 +67,11 @@
       aWorker.mToleratedPercent + mLimits.mExcessPercent;
     const std::int64_t lower =
       aWorker.mToleratedPercent - mLimits.mRecoveryPercent;
-    if (aWorker.mSlowdownPercent > upper) {
+    if (aWorker.mServiceTimePercent > upper) {
       return Restrict(aWorker, state, aNow);
     }
     state.mDecisionsOverLimit = 0;
-    if (aWorker.mSlowdownPercent < lower) {
+    if (aWorker.mServiceTimePercent < lower) {
       return Relax(aWorker, state, aNow);
     }
     return {};
@@ -84,7 +84,7 @@
     std::int64_t mDecisionsOverLimit = 0;
   };
 
-  std::vector<ProtectionAction> Restrict(const WorkerPressure& aWorker,
+  std::vector<ProtectionAction> Restrict(const ProtectionInput& aWorker,
                                          State& aState,
                                          base::TimePoint aNow) const
   {
@@ -106,7 +106,7 @@
   // not interfere costs throughput without benefit. Without estimates all
   // tasks are throttled.
   std::vector<ProtectionAction> ThrottleMostInterfering(
-    const WorkerPressure& aWorker) const
+    const ProtectionInput& aWorker) const
   {
     std::vector<const RunningTask*> tasks;
     for (const auto& it : aWorker.mTasks) {
@@ -117,8 +117,8 @@
     std::stable_sort(tasks.begin(), tasks.end(), [](auto* aLeft, auto* aRight) {
       return aLeft->mInterferencePercent > aRight->mInterferencePercent;
     });
-    auto excess =
-      static_cast<double>(aWorker.mSlowdownPercent - aWorker.mToleratedPercent);
+    auto excess = static_cast<double>(aWorker.mServiceTimePercent -
+                                      aWorker.mToleratedPercent);
     std::vector<ProtectionAction> actions;
     for (const RunningTask* it : tasks) {
       if (excess <= 0.0) {
@@ -133,7 +133,7 @@
     return actions;
   }
 
-  std::vector<ProtectionAction> Relax(const WorkerPressure& aWorker,
+  std::vector<ProtectionAction> Relax(const ProtectionInput& aWorker,
                                       State& aState,
                                       base::TimePoint aNow) const
   {
@@ -159,7 +159,7 @@
   }
 
   static std::vector<ProtectionAction> EvictCheapest(
-    const WorkerPressure& aWorker)
+    const ProtectionInput& aWorker)
   {
     const RunningTask* cheapest = nullptr;
     for (const auto& it : aWorker.mTasks) {
--- a/src/policy/queue.cpp
+++ b/src/policy/queue.cpp
@@ -15,7 +15,7 @@
 class FifoQueue : public QueuePolicy
 {
 public:
-  std::vector<std::size_t> Order(const std::vector<QueuedTask>& aTasks,
+  std::vector<std::size_t> Order(const std::vector<QueueCandidate>& aTasks,
                                  const TeamUsageMap&) const override
   {
     std::vector<std::size_t> order(aTasks.size());
@@ -67,7 +67,7 @@
 class FairQueue : public QueuePolicy
 {
 public:
-  std::vector<std::size_t> Order(const std::vector<QueuedTask>& aTasks,
+  std::vector<std::size_t> Order(const std::vector<QueueCandidate>& aTasks,
                                  const TeamUsageMap& aTeams) const override
   {
     TeamUsageMap teams = aTeams;
@@ -101,7 +101,7 @@
 private:
   // Declared run times are unreliable; the actual run times of the class and
   // the time for which the task has already run are better estimates.
-  std::int64_t ExpectedSeconds(const QueuedTask& aTask) const
+  std::int64_t ExpectedSeconds(const QueueCandidate& aTask) const
   {
     const auto it = mTypicalSeconds.find(aTask.mBatchClass);
     const std::int64_t typical = it == mTypicalSeconds.end()
@@ -110,14 +110,15 @@
     return std::max(typical, aTask.mPriorRunSeconds);
   }
 
-  std::vector<std::size_t> SortedByKey(const std::vector<QueuedTask>& aTasks,
-                                       const TeamUsageMap& aTeams) const
+  std::vector<std::size_t> SortedByKey(
+    const std::vector<QueueCandidate>& aTasks,
+    const TeamUsageMap& aTeams) const
   {
     using Key = std::tuple<bool, std::size_t, double, std::int64_t>;
     std::vector<std::pair<Key, std::size_t>> keyed;
     keyed.reserve(aTasks.size());
     for (std::size_t n = 0; n < aTasks.size(); ++n) {
-      const QueuedTask& task = aTasks[n];
+      const QueueCandidate& task = aTasks[n];
       const auto team = aTeams.find(task.mTeam);
       const double share =
         team == aTeams.end() ? 0.0 : DominantShare(team->second);
@@ -136,7 +137,7 @@
     return order;
   }
 
-  static bool ReserveQuota(const QueuedTask& aTask, TeamUsageMap& aTeams)
+  static bool ReserveQuota(const QueueCandidate& aTask, TeamUsageMap& aTeams)
   {
     const auto it = aTeams.find(aTask.mTeam);
     if (it == aTeams.end()) {
--- a/src/requests/admission_queue.cpp
+++ b/src/requests/admission_queue.cpp
@@ -17,7 +17,7 @@
 // last 20 requests count, since demand and interference change within seconds.
 constexpr double kServiceTimeWeight = 0.05;
 
-struct QueuedEntry
+struct SequencedEntry
 {
   QueueEntry mEntry;
   std::uint64_t mSequence = 0;
@@ -26,7 +26,8 @@
 /// Order of arrival.
 struct ArrivalOrder
 {
-  bool operator()(const QueuedEntry& aLeft, const QueuedEntry& aRight) const
+  bool operator()(const SequencedEntry& aLeft,
+                  const SequencedEntry& aRight) const
   {
     return aLeft.mSequence < aRight.mSequence;
   }
@@ -35,7 +36,8 @@
 /// More important first, then earlier deadline, then order of arrival.
 struct ImportanceOrder
 {
-  bool operator()(const QueuedEntry& aLeft, const QueuedEntry& aRight) const
+  bool operator()(const SequencedEntry& aLeft,
+                  const SequencedEntry& aRight) const
   {
     const QueueEntry& left = aLeft.mEntry;
     const QueueEntry& right = aRight.mEntry;
@@ -70,7 +72,7 @@
       return MakeError(ErrorKind::Overloaded, "too many standing requests");
     }
     Expire(aNow);
-    const QueuedEntry queued{ aEntry, mNextSequence };
+    const SequencedEntry queued{ aEntry, mNextSequence };
     if (mShedsLoad && ExpectedWait(CountAhead(queued)) >
                         base::Remaining(aNow, aEntry.mDeadline)) {
       return MakeError(ErrorKind::Overloaded, "expected wait is too long");
@@ -160,9 +162,9 @@
   }
 
 private:
-  using Entries = std::set<QueuedEntry, Order>;
+  using Entries = std::set<SequencedEntry, Order>;
 
-  std::size_t CountAhead(const QueuedEntry& aQueued) const
+  std::size_t CountAhead(const SequencedEntry& aQueued) const
   {
     const auto position = mEntries.lower_bound(aQueued);
     return static_cast<std::size_t>(std::distance(mEntries.begin(), position));
--- a/src/requests/forwarder.cpp
+++ b/src/requests/forwarder.cpp
@@ -84,7 +84,7 @@
 }
 
 ForwardActions
-Forwarder::OnWorkerFinished(const WorkerFinished& aEvent)
+Forwarder::OnAttemptFinished(const AttemptFinished& aEvent)
 {
   const auto found = mEntries.find(AttemptKey(aEvent.mOrigin,
                                               aEvent.mOriginIncarnation,
@@ -121,7 +121,7 @@
 }
 
 base::TimePoint
-Forwarder::NextWakeup() const
+Forwarder::NextWakeUp() const
 {
   base::TimePoint due = base::kNoDeadline;
   for (const auto& it : mEntries) {
--- a/src/requests/forwarder_test.cpp
+++ b/src/requests/forwarder_test.cpp
@@ -59,7 +59,7 @@
     CPPUNIT_ASSERT(Offer(1, { free }).empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, Offer(2, { free }).size());
     CPPUNIT_ASSERT(Offer(2, { free }).empty());
-    mForwarder.OnWorkerFinished({ { "origin" }, 1, { "key" }, 2, "done" });
+    mForwarder.OnAttemptFinished({ { "origin" }, 1, { "key" }, 2, "done" });
     CPPUNIT_ASSERT(Offer(2, { free }).empty());
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 3 }, mForwarder.CountDuplicates());
     mClock.Advance(milliseconds(100));
@@ -71,14 +71,14 @@
   void DeadlineEndsARunningAttemptAsUnknown()
   {
     Offer(1, { MakeCandidate(TargetKind::HeldWorker, 1) });
-    CPPUNIT_ASSERT(mForwarder.NextWakeup() == mDeadline);
+    CPPUNIT_ASSERT(mForwarder.NextWakeUp() == mDeadline);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, mForwarder.CountRunning());
     mClock.Advance(milliseconds(100));
     const ForwardActions actions = mForwarder.OnTimer();
     CPPUNIT_ASSERT(std::get<AnswerOrigin>(actions.at(0)).mResult.mOutcome ==
                    Outcome::Unknown);
     CPPUNIT_ASSERT(
-      mForwarder.OnWorkerFinished({ { "origin" }, 1, { "key" }, 1, "x" })
+      mForwarder.OnAttemptFinished({ { "origin" }, 1, { "key" }, 1, "x" })
         .empty());
   }
 
@@ -118,7 +118,7 @@
   Outcome Finish(std::int64_t aAttempt, base::Result<std::string> aBody)
   {
     Offer(aAttempt, { MakeCandidate(TargetKind::HeldWorker, 1) });
-    const ForwardActions actions = mForwarder.OnWorkerFinished(
+    const ForwardActions actions = mForwarder.OnAttemptFinished(
       { { "origin" }, 1, { "key" }, aAttempt, std::move(aBody) });
     return std::get<AnswerOrigin>(actions.at(0)).mResult.mOutcome;
   }
--- a/src/requests/key_table.cpp
+++ b/src/requests/key_table.cpp
@@ -17,7 +17,7 @@
 } };
 
 constexpr base::NameTable<KeyState, 3> kKeyStateNames{ {
-  { KeyState::Unknown, "unknown" },
+  { KeyState::Unclaimed, "unknown" },
   { KeyState::Claimed, "claimed" },
   { KeyState::Finished, "finished" },
 } };
@@ -77,7 +77,7 @@
 {
   const KeySnapshot& key = aEntry.mSnapshot;
   if (key.mState == KeyState::Finished) {
-    mFinished.emplace(key.mLastRecordAt, key.mKey);
+    mFinished.emplace(key.mLastRecordOffset, key.mKey);
     return;
   }
   mByReplayOffset.emplace(aEntry.mReplayFrom, key.mKey);
@@ -89,7 +89,7 @@
 {
   const KeySnapshot& key = aEntry.mSnapshot;
   if (key.mState == KeyState::Finished) {
-    mFinished.erase({ key.mLastRecordAt, key.mKey });
+    mFinished.erase({ key.mLastRecordOffset, key.mKey });
     return;
   }
   mByReplayOffset.erase({ aEntry.mReplayFrom, key.mKey });
@@ -115,21 +115,21 @@
   // reader has read.
   if (mEntries.count(aRecord.mKey) != 0 ||
       mUnmatched.count(aRecord.mKey) != 0) {
-    ApplyStale(aOffset, aRecord);
+    RegisterIgnored(aOffset, aRecord);
     return;
   }
   Entry& entry = mEntries[aRecord.mKey];
   entry.mSnapshot.mKey = aRecord.mKey;
   entry.mSnapshot.mState = KeyState::Claimed;
   entry.mSnapshot.mClaimant = aRecord.mInstance;
-  entry.mSnapshot.mClaimedAt = aOffset;
-  entry.mSnapshot.mLastRecordAt = aOffset;
+  entry.mSnapshot.mClaimedOffset = aOffset;
+  entry.mSnapshot.mLastRecordOffset = aOffset;
   entry.mReplayFrom = aReplayFrom;
   AddToIndexes(entry);
 }
 
 void
-KeyTable::ApplyStale(Offset aOffset, const KeyRecord& aRecord)
+KeyTable::RegisterIgnored(Offset aOffset, const KeyRecord& aRecord)
 {
   ++mIgnoredRecords;
   const base::RequestId& key = KeyOf(aRecord);
@@ -139,7 +139,7 @@
     return;
   }
   RemoveFromIndexes(found->second);
-  Offset& last = found->second.mSnapshot.mLastRecordAt;
+  Offset& last = found->second.mSnapshot.mLastRecordOffset;
   last = std::max(last, aOffset);
   AddToIndexes(found->second);
 }
@@ -149,13 +149,13 @@
 {
   const auto found = mEntries.find(aRecord.mKey);
   if (found == mEntries.end()) {
-    ApplyStale(aOffset, aRecord);
+    RegisterIgnored(aOffset, aRecord);
     return;
   }
   Entry& entry = found->second;
   RemoveFromIndexes(entry);
   KeySnapshot& key = entry.mSnapshot;
-  key.mLastRecordAt = std::max(key.mLastRecordAt, aOffset);
+  key.mLastRecordOffset = std::max(key.mLastRecordOffset, aOffset);
   if (key.mState == KeyState::Claimed && MayFinish(key.mClaimant, aRecord)) {
     key.mState = KeyState::Finished;
     key.mOutcome = aRecord;
@@ -187,8 +187,8 @@
   const auto found = mEntries.find(aSnapshot.mKey);
   if (found != mEntries.end()) {
     RemoveFromIndexes(found->second);
-    Offset& base = found->second.mReplayFrom;
-    base = std::max(base, aAsOf + 1);
+    Offset& replayFrom = found->second.mReplayFrom;
+    replayFrom = std::max(replayFrom, aAsOf + 1);
     AddToIndexes(found->second);
     return;
   }
@@ -220,12 +220,12 @@
 }
 
 void
-KeyTable::ForgetFinished(const base::RequestId& aKey, Offset aFirstRetained)
+KeyTable::RemoveTombstone(const base::RequestId& aKey, Offset aFirstRetained)
 {
   const auto found = mEntries.find(aKey);
   if (found != mEntries.end() &&
       found->second.mSnapshot.mState == KeyState::Finished &&
-      found->second.mSnapshot.mLastRecordAt < aFirstRetained) {
+      found->second.mSnapshot.mLastRecordOffset < aFirstRetained) {
     RemoveKey(aKey);
   }
   const auto unmatched = mUnmatched.find(aKey);
@@ -261,7 +261,7 @@
     return result;
   }
   result.mState = KeyState::Claimed;
-  result.mLastRecordAt = unmatched->second.back().first;
+  result.mLastRecordOffset = unmatched->second.back().first;
   for (const auto& it : unmatched->second) {
     // Outcomes are appended only by the claimant, or by another instance once
     // the claimant is gone, so readers that know the claim have applied the
--- a/src/requests/key_table_test.cpp
+++ b/src/requests/key_table_test.cpp
@@ -27,7 +27,7 @@
   // Guards against two instances that both send a non-idempotent request.
   void TheFirstIntentWins()
   {
-    CPPUNIT_ASSERT(mTable.Find({ "k" }).mState == KeyState::Unknown);
+    CPPUNIT_ASSERT(mTable.Find({ "k" }).mState == KeyState::Unclaimed);
     mTable.Apply(1, IntentRecord{ { "k" }, { "a" } });
     mTable.Apply(2, IntentRecord{ { "k" }, { "b" } });
     CPPUNIT_ASSERT_EQUAL(std::string("a"),
@@ -69,10 +69,10 @@
     mTable.Apply(1, IntentRecord{ { "k" }, { "a" } });
     mTable.Apply(5, MakeOutcome("a", Outcome::Completed));
     mTable.Purge(5);
-    mTable.ForgetFinished({ "k" }, 5);
+    mTable.RemoveTombstone({ "k" }, 5);
     CPPUNIT_ASSERT(mTable.Find({ "k" }).mState == KeyState::Finished);
     mTable.Purge(6);
-    CPPUNIT_ASSERT(mTable.Find({ "k" }).mState == KeyState::Unknown);
+    CPPUNIT_ASSERT(mTable.Find({ "k" }).mState == KeyState::Unclaimed);
   }
 
   // Guards against a key that stays claimed forever on a reader that read the
--- a/src/requests/request_machine.cpp
+++ b/src/requests/request_machine.cpp
@@ -46,7 +46,7 @@
     AskForTarget(actions);
     return actions;
   }
-  mClaim = Claim::Pending;
+  mClaim = OwnClaim::Pending;
   actions.push_back(AppendIntent{});
   return actions;
 }
@@ -64,7 +64,7 @@
 }
 
 base::TimePoint
-RequestMachine::NextWakeup() const
+RequestMachine::NextWakeUp() const
 {
   if (mFinished) {
     return base::kNoDeadline;
@@ -120,10 +120,10 @@
 void
 RequestMachine::On(const IntentWon&, RequestActions& aActions)
 {
-  if (mClaim != Claim::Pending) {
+  if (mClaim != OwnClaim::Pending) {
     return;
   }
-  mClaim = Claim::Won;
+  mClaim = OwnClaim::Won;
   if (mFinished) {
     // The deadline passed before the intent was read back, so the caller was
     // told Unknown. No attempt was sent: NotRun is recorded for later requests
@@ -146,14 +146,14 @@
 void
 RequestMachine::On(const KeyClaimedByOther& aEvent, RequestActions& aActions)
 {
-  if (mClaim != Claim::Pending && mClaim != Claim::Lost) {
+  if (mClaim != OwnClaim::Pending && mClaim != OwnClaim::Lost) {
     return;
   }
-  mClaim = Claim::Lost;
-  if (mFinished || aEvent.mState == ClaimState::InProgress) {
+  mClaim = OwnClaim::Lost;
+  if (mFinished || aEvent.mState == OtherClaimState::InProgress) {
     return;
   }
-  if (aEvent.mState == ClaimState::Abandoned) {
+  if (aEvent.mState == OtherClaimState::Abandoned) {
     FinishWith(
       MakeUnknown(MakeError(ErrorKind::OutcomeUnknown,
                             "the instance that claimed the key is gone")),
@@ -175,10 +175,10 @@
 void
 RequestMachine::On(const LogUnavailable&, RequestActions& aActions)
 {
-  if (mClaim != Claim::Pending) {
+  if (mClaim != OwnClaim::Pending) {
     return;
   }
-  mClaim = Claim::Lost;
+  mClaim = OwnClaim::Lost;
   if (!mFinished) {
     FinishWith(MakeNotRun(MakeError(ErrorKind::LogUnavailable)), aActions);
   }
@@ -233,7 +233,7 @@
   // Without a won claim another instance may be running the request, and an
   // attempt in flight cannot be revoked; the outcome depends on them.
   const bool mayRunElsewhere =
-    mClaim == Claim::Pending || mClaim == Claim::Lost;
+    mClaim == OwnClaim::Pending || mClaim == OwnClaim::Lost;
   if (!mayRunElsewhere && !HasState(AttemptState::InFlight)) {
     FinishWithoutAnswer(aActions);
   }
@@ -288,7 +288,7 @@
   if (mRequest.mIdempotent) {
     return true;
   }
-  return mClaim == Claim::Won && !MayHaveRun();
+  return mClaim == OwnClaim::Won && !MayHaveRun();
 }
 
 RequestMachine::Attempt*
@@ -418,7 +418,7 @@
 {
   // Without a won claim, another request with this key may have run.
   const bool mayRunElsewhere =
-    mClaim == Claim::Pending || mClaim == Claim::Lost;
+    mClaim == OwnClaim::Pending || mClaim == OwnClaim::Lost;
   if (mayRunElsewhere || MayHaveRun()) {
     FinishWith(MakeUnknown(MakeError(ErrorKind::OutcomeUnknown,
                                      "deadline passed without an answer")),
@@ -432,7 +432,7 @@
 RequestMachine::FinishWith(RequestResult aResult, RequestActions& aActions)
 {
   mFinished = true;
-  if (mClaim == Claim::Won) {
+  if (mClaim == OwnClaim::Won) {
     aActions.push_back(AppendOutcome{ aResult });
   }
   aActions.push_back(Finish{ std::move(aResult) });
--- a/src/requests/request_machine_test.cpp
+++ b/src/requests/request_machine_test.cpp
@@ -127,10 +127,10 @@
     } else if (choice == 4) {
       mHarness.Handle(TargetUnavailable{});
     } else if (choice == 5) {
-      mWon = mWon || !mLost;
+      mWon = mWon || !mNotWon;
       mHarness.Handle(IntentWon{});
     } else if (choice == 6) {
-      ClaimByOther();
+      FailClaim();
     } else if (choice < 9) {
       Answer();
     } else if (choice < 11) {
@@ -144,7 +144,7 @@
   /// Often advances exactly to the next timer, where races are likely.
   void Advance()
   {
-    const base::TimePoint due = mHarness.mMachine->NextWakeup();
+    const base::TimePoint due = mHarness.mMachine->NextWakeUp();
     if (mChoice->Below(2) == 0 && due != base::kNoDeadline) {
       mHarness.mClock.Set(std::max(due, mHarness.mClock.Now()));
     } else {
@@ -152,19 +152,20 @@
     }
     mHarness.Handle(TimerFired{});
   }
-  void ClaimByOther()
+  void FailClaim()
   {
     if (mWon) {
       return;
     }
-    mLost = true;
+    mNotWon = true;
     if (mChoice->Below(2) == 0) {
       mHarness.Handle(LogUnavailable{});
       return;
     }
-    mHarness.Handle(KeyClaimedByOther{
-      mChoice->Below(2) == 0 ? ClaimState::InProgress : ClaimState::Abandoned,
-      {} });
+    mHarness.Handle(KeyClaimedByOther{ mChoice->Below(2) == 0
+                                         ? OtherClaimState::InProgress
+                                         : OtherClaimState::Abandoned,
+                                       {} });
   }
   void Answer()
   {
@@ -211,7 +212,7 @@
             "non-idempotent request was sent without a won claim");
     Require(sends <= 3, "more attempts than mMaxAttempts");
     if (!mHarness.mResult) {
-      Require(mHarness.mMachine->NextWakeup() <=
+      Require(mHarness.mMachine->NextWakeUp() <=
                 mHarness.mMachine->GetRequest().mDeadline,
               "no timer is set for the deadline");
       return;
@@ -246,7 +247,7 @@
   std::unique_ptr<base::Random> mChoice;
   std::string mTrace;
   bool mWon = false;
-  bool mLost = false;
+  bool mNotWon = false;
   /// For each failed attempt, whether its first result proves that it did not
   /// run.
   std::map<std::int64_t, bool> mNotRun;
@@ -261,7 +262,7 @@
   CPPUNIT_TEST(RefusedAttemptGoesToAnotherTarget);
   CPPUNIT_TEST(ClaimedKeyGetsTheRecordedOutcome);
   CPPUNIT_TEST(CancelDuringOpenClaimWaitsForTheClaim);
-  CPPUNIT_TEST(LateClaimIsRecordedAsNotRun);
+  CPPUNIT_TEST(RequestWithLateClaimIsRecordedAsNotRun);
   CPPUNIT_TEST(HedgeRespectsBudgetAndFirstAnswerWins);
   CPPUNIT_TEST(TimedOutAttemptMayStillAnswer);
   CPPUNIT_TEST(UnmatchedAnswersAreDroppedAndCounted);
@@ -327,16 +328,16 @@
   void ClaimedKeyGetsTheRecordedOutcome()
   {
     Harness harness(false);
-    harness.Handle(KeyClaimedByOther{ ClaimState::InProgress, {} });
+    harness.Handle(KeyClaimedByOther{ OtherClaimState::InProgress, {} });
     CPPUNIT_ASSERT(!harness.mResult);
     OutcomeRecord record;
     record.mOutcome = Outcome::Completed;
     record.mBody = "kept";
-    harness.Handle(KeyClaimedByOther{ ClaimState::Finished, record });
+    harness.Handle(KeyClaimedByOther{ OtherClaimState::Finished, record });
     CPPUNIT_ASSERT_EQUAL(std::string("kept"), harness.mResult->mBody);
     CPPUNIT_ASSERT(harness.mRecorded.empty());
     Harness waiting(false);
-    waiting.Handle(KeyClaimedByOther{ ClaimState::InProgress, {} });
+    waiting.Handle(KeyClaimedByOther{ OtherClaimState::InProgress, {} });
     waiting.AdvanceClock(milliseconds(1000));
     CPPUNIT_ASSERT(waiting.Ended(Outcome::Unknown, ErrorKind::OutcomeUnknown));
   }
@@ -354,7 +355,7 @@
 
   // Guards against a claim without an outcome when the intent is read back
   // after the deadline.
-  void LateClaimIsRecordedAsNotRun()
+  void RequestWithLateClaimIsRecordedAsNotRun()
   {
     Harness harness(false);
     harness.AdvanceClock(milliseconds(1000));
--- a/src/requests/target_picker_test.cpp
+++ b/src/requests/target_picker_test.cpp
@@ -40,8 +40,8 @@
   CPPUNIT_TEST(PrefersFreeAndFastTargets);
   CPPUNIT_TEST(SpreadsABurstBetweenReports);
   CPPUNIT_TEST(RetryBudgetRefillsByShareAndTime);
-  CPPUNIT_TEST(LimitFollowsCapacityAndLatency);
-  CPPUNIT_TEST(LimitRecoversFromItsMinimum);
+  CPPUNIT_TEST(ConcurrencyLimitFollowsCapacityAndLatency);
+  CPPUNIT_TEST(ConcurrencyLimitRecoversFromItsMinimum);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -151,7 +151,7 @@
   // Guards against a limit that stays at 1 or 2 of 48 slots after a period of
   // high latency, because the requests in flight never reach its fractional
   // value.
-  void LimitRecoversFromItsMinimum()
+  void ConcurrencyLimitRecoversFromItsMinimum()
   {
     const auto limit = CreateAdaptiveConcurrencyLimit({ 200 });
     limit->SetCapacity(48);
@@ -171,7 +171,7 @@
   }
 
   // Guards against a limit that ignores lost workers or rising latency.
-  void LimitFollowsCapacityAndLatency()
+  void ConcurrencyLimitFollowsCapacityAndLatency()
   {
     const auto limit = CreateAdaptiveConcurrencyLimit({ 200 });
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, limit->Limit());
--- a/src/tasks/task_table.cpp
+++ b/src/tasks/task_table.cpp
@@ -37,11 +37,11 @@
   std::vector<StringPool::Handle> mFailedWorkers;
   base::Resources mDeclared;
   std::int64_t mDeclaredRunSeconds = 0;
-  Offset mAcceptedAt = 0;
-  Offset mLastRecordAt = 0;
+  Offset mAcceptedOffset = 0;
+  Offset mLastRecordOffset = 0;
   Offset mReplayFrom = 0;
   std::int64_t mLastAttempt = 0;
-  Offset mGrantedAt = 0;
+  Offset mGrantedOffset = 0;
   StringPool::Handle mTeam = StringPool::kEmpty;
   StringPool::Handle mBatchClass = StringPool::kEmpty;
   StringPool::Handle mPool = StringPool::kEmpty;
@@ -65,9 +65,9 @@
 
   bool Grant(StringPool::Handle aWorker, std::int64_t aAttempt)
   {
-    const bool isOpen =
+    const bool isWaiting =
       mState == TaskState::Queued || mState == TaskState::Evicted;
-    if (!isOpen || aAttempt != mLastAttempt + 1) {
+    if (!isWaiting || aAttempt != mLastAttempt + 1) {
       return false;
     }
     mState = TaskState::Granted;
@@ -177,8 +177,8 @@
 TaskTable::ByAcceptance::operator()(const Entry* aLeft,
                                     const Entry* aRight) const
 {
-  if (aLeft->mAcceptedAt != aRight->mAcceptedAt) {
-    return aLeft->mAcceptedAt < aRight->mAcceptedAt;
+  if (aLeft->mAcceptedOffset != aRight->mAcceptedOffset) {
+    return aLeft->mAcceptedOffset < aRight->mAcceptedOffset;
   }
   return aLeft->mTask < aRight->mTask;
 }
@@ -207,8 +207,8 @@
 TaskTable::ByLastRecord::operator()(const Entry* aLeft,
                                     const Entry* aRight) const
 {
-  if (aLeft->mLastRecordAt != aRight->mLastRecordAt) {
-    return aLeft->mLastRecordAt < aRight->mLastRecordAt;
+  if (aLeft->mLastRecordOffset != aRight->mLastRecordOffset) {
+    return aLeft->mLastRecordOffset < aRight->mLastRecordOffset;
   }
   return aLeft->mTask < aRight->mTask;
 }
@@ -280,11 +280,11 @@
 {
   Entry& entry = AddEntry(aSnapshot.mSpec);
   entry.mState = aSnapshot.mState;
-  entry.mAcceptedAt = aSnapshot.mAcceptedAt;
-  entry.mLastRecordAt = aSnapshot.mLastRecordAt;
+  entry.mAcceptedOffset = aSnapshot.mAcceptedOffset;
+  entry.mLastRecordOffset = aSnapshot.mLastRecordOffset;
   entry.mReplayFrom = aReplayFrom;
   entry.mLastAttempt = aSnapshot.mLastAttempt;
-  entry.mGrantedAt = aSnapshot.mGrantedAt;
+  entry.mGrantedOffset = aSnapshot.mGrantedOffset;
   entry.mWorker = mPool.Intern(aSnapshot.mWorker.mValue);
   entry.mCheckpoint = aSnapshot.mCheckpoint;
   entry.mDetail = aSnapshot.mDetail;
@@ -319,7 +319,7 @@
     return;
   }
   mByWorker[aEntry.mWorker].insert(&aEntry);
-  TeamUse& use = mTeamUses[aEntry.mTeam];
+  TeamCommitment& use = mTeamCommitments[aEntry.mTeam];
   use.mCommitted += aEntry.mDeclared;
   ++use.mLiveAttempts;
 }
@@ -341,7 +341,7 @@
   if (worker->second.empty()) {
     mByWorker.erase(worker);
   }
-  TeamUse& use = mTeamUses[aEntry.mTeam];
+  TeamCommitment& use = mTeamCommitments[aEntry.mTeam];
   use.mCommitted -= aEntry.mDeclared;
   --use.mLiveAttempts;
 }
@@ -354,18 +354,18 @@
   // A task with unmatched records was accepted before this reader's first
   // record, so this record is a duplicate of an expired accept record.
   if (IsKnown(aRecord.mSpec.mTask)) {
-    ApplyStale(aOffset, aRecord);
+    RegisterIgnored(aOffset, aRecord);
     return;
   }
   Entry& entry = AddEntry(aRecord.mSpec);
-  entry.mAcceptedAt = aOffset;
-  entry.mLastRecordAt = aOffset;
+  entry.mAcceptedOffset = aOffset;
+  entry.mLastRecordOffset = aOffset;
   entry.mReplayFrom = aReplayFrom;
   AddToIndexes(entry);
 }
 
 void
-TaskTable::ApplyStale(Offset aOffset, const TaskRecord& aRecord)
+TaskTable::RegisterIgnored(Offset aOffset, const TaskRecord& aRecord)
 {
   ++mIgnoredRecords;
   const base::TaskId& task = TaskOf(aRecord);
@@ -375,7 +375,7 @@
     return;
   }
   RemoveFromIndexes(*entry);
-  entry->mLastRecordAt = std::max(entry->mLastRecordAt, aOffset);
+  entry->mLastRecordOffset = std::max(entry->mLastRecordOffset, aOffset);
   AddToIndexes(*entry);
 }
 
@@ -416,11 +416,11 @@
   RemoveFromIndexes(entry);
   // Ignored records count as well: a reader that starts later and reads only
   // that record must keep the task id reserved for the same time.
-  entry.mLastRecordAt = std::max(entry.mLastRecordAt, aOffset);
+  entry.mLastRecordOffset = std::max(entry.mLastRecordOffset, aOffset);
   if (!Update(mPool, entry, aRecord)) {
     ++mIgnoredRecords;
   } else if (std::holds_alternative<GrantRecord>(aRecord)) {
-    entry.mGrantedAt = aOffset;
+    entry.mGrantedOffset = aOffset;
   }
   AddToIndexes(entry);
 }
@@ -437,7 +437,7 @@
   if (const auto* accept = std::get_if<AcceptRecord>(&aRecord)) {
     Accept(aOffset, *accept, aReplayFrom);
   } else if (FindEntry(TaskOf(aRecord)) == nullptr) {
-    ApplyStale(aOffset, aRecord);
+    RegisterIgnored(aOffset, aRecord);
   } else {
     ApplyKnown(aOffset, aRecord);
   }
@@ -478,7 +478,7 @@
 {
   Entry* entry = FindEntry(aTask);
   if (entry != nullptr && IsEnded(entry->mState) &&
-      entry->mLastRecordAt < aFirstRetained) {
+      entry->mLastRecordOffset < aFirstRetained) {
     RemoveEntry(*entry);
   }
   const auto unmatched = mUnmatched.find(aTask);
@@ -491,7 +491,8 @@
 void
 TaskTable::Purge(Offset aFirstRetained)
 {
-  while (!mEnded.empty() && (*mEnded.begin())->mLastRecordAt < aFirstRetained) {
+  while (!mEnded.empty() &&
+         (*mEnded.begin())->mLastRecordOffset < aFirstRetained) {
     RemoveEntry(**mEnded.begin());
   }
   for (auto it = mUnmatched.begin(); it != mUnmatched.end();) {
@@ -515,10 +516,10 @@
   result.mSpec.mUrgent = aEntry.mUrgent;
   result.mSpec.mPayload = aEntry.mPayload;
   result.mState = aEntry.mState;
-  result.mAcceptedAt = aEntry.mAcceptedAt;
-  result.mLastRecordAt = aEntry.mLastRecordAt;
+  result.mAcceptedOffset = aEntry.mAcceptedOffset;
+  result.mLastRecordOffset = aEntry.mLastRecordOffset;
   result.mLastAttempt = aEntry.mLastAttempt;
-  result.mGrantedAt = aEntry.mGrantedAt;
+  result.mGrantedOffset = aEntry.mGrantedOffset;
   result.mWorker.mValue = mPool.Get(aEntry.mWorker);
   result.mCheckpoint = aEntry.mCheckpoint;
   result.mDetail = aEntry.mDetail;
@@ -574,7 +575,7 @@
     task.mPool = mPool.Get(it->mPool);
     task.mDeclared = it->mDeclared;
     task.mDeclaredRunSeconds = it->mDeclaredRunSeconds;
-    task.mAcceptedAt = it->mAcceptedAt;
+    task.mAcceptedOffset = it->mAcceptedOffset;
     task.mNextAttempt = it->mLastAttempt + 1;
     task.mEvictions = it->mEvictions;
     task.mUrgent = it->mUrgent;
@@ -587,7 +588,7 @@
 }
 
 std::vector<LiveAttempt>
-TaskTable::GrantsOn(const base::WorkerId& aWorker) const
+TaskTable::LiveAttemptsOn(const base::WorkerId& aWorker) const
 {
   std::vector<LiveAttempt> result;
   const auto found = mByWorker.find(mPool.Find(aWorker.mValue));
@@ -599,16 +600,16 @@
                        it->mLastAttempt,
                        it->mState,
                        it->mCancelRequested,
-                       it->mGrantedAt });
+                       it->mGrantedOffset });
   }
   return result;
 }
 
-std::map<std::string, TeamUse>
-TaskTable::TeamUses() const
+std::map<std::string, TeamCommitment>
+TaskTable::TeamCommitments() const
 {
-  std::map<std::string, TeamUse> result;
-  for (const auto& [team, use] : mTeamUses) {
+  std::map<std::string, TeamCommitment> result;
+  for (const auto& [team, use] : mTeamCommitments) {
     if (use.mLiveAttempts > 0) {
       result.emplace(mPool.Get(team), use);
     }
@@ -617,7 +618,7 @@
 }
 
 std::vector<base::WorkerId>
-TaskTable::WorkersWithGrants() const
+TaskTable::WorkersWithLiveAttempts() const
 {
   std::vector<base::WorkerId> result;
   result.reserve(mByWorker.size());
@@ -679,7 +680,7 @@
   digest = Combine(digest, aEntry.mCheckpoint);
   digest = Combine(digest, aEntry.mDetail);
   digest = Combine(digest, NameOf(aEntry.mState));
-  digest = Combine(digest, aEntry.mAcceptedAt);
+  digest = Combine(digest, aEntry.mAcceptedOffset);
   digest = Combine(digest, aEntry.mLastAttempt);
   digest = Combine(digest, std::int64_t{ aEntry.mEvictions });
   digest = Combine(digest, std::int64_t{ aEntry.mFailures });
--- a/src/tasks/task_table_test.cpp
+++ b/src/tasks/task_table_test.cpp
@@ -39,7 +39,7 @@
 {
   CPPUNIT_TEST_SUITE(TaskTableTest);
   CPPUNIT_TEST(AppliesTheFirstAcceptOnly);
-  CPPUNIT_TEST(GrantsOnlyTheNextAttemptOfAnOpenTask);
+  CPPUNIT_TEST(GrantsOnlyTheNextAttemptOfAQueuedTask);
   CPPUNIT_TEST(ResumesOnceFromTheLastCheckpoint);
   CPPUNIT_TEST(CancelsAtOnceOrAtTheEndOfTheAttempt);
   CPPUNIT_TEST(QuarantineStopsFurtherGrants);
@@ -100,7 +100,7 @@
 
   // Guards against two live attempts of a task and against an attempt number
   // that is granted twice.
-  void GrantsOnlyTheNextAttemptOfAnOpenTask()
+  void GrantsOnlyTheNextAttemptOfAQueuedTask()
   {
     Grant("a", 1);
     Accept("a");
@@ -164,7 +164,7 @@
       Grant(task, 1);
       Apply(CancelRecord{ { task }, "caller" });
       CPPUNIT_ASSERT(StateOf(task) == TaskState::Granted);
-      CPPUNIT_ASSERT(mTable.GrantsOn({ "w1" }).front().mCancelRequested);
+      CPPUNIT_ASSERT(mTable.LiveAttemptsOn({ "w1" }).front().mCancelRequested);
       Apply(MakeEnd(task, 1, outcome));
       CPPUNIT_ASSERT_MESSAGE(task, StateOf(task) == state);
       Grant(task, 2);
@@ -207,15 +207,16 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), mTable.Queued(2).size());
     mTable.Apply(8, GrantRecord{ { "z" }, 1, { "w1" } });
     mTable.Apply(9, GrantRecord{ { "b" }, 1, { "w1" } });
-    CPPUNIT_ASSERT_EQUAL(std::size_t(2), mTable.GrantsOn({ "w1" }).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2),
+                         mTable.LiveAttemptsOn({ "w1" }).size());
     CPPUNIT_ASSERT_EQUAL(
       std::int64_t(2000),
-      mTable.TeamUses().at("t1").mCommitted.mMilliProcessors);
+      mTable.TeamCommitments().at("t1").mCommitted.mMilliProcessors);
     mTable.Apply(10, MakeEnd("z", 1, AttemptOutcome::Released));
     mTable.Apply(11, MakeEnd("b", 1, AttemptOutcome::Completed));
-    CPPUNIT_ASSERT(mTable.GrantsOn({ "w1" }).empty());
-    CPPUNIT_ASSERT(mTable.WorkersWithGrants().empty());
-    CPPUNIT_ASSERT(mTable.TeamUses().empty());
+    CPPUNIT_ASSERT(mTable.LiveAttemptsOn({ "w1" }).empty());
+    CPPUNIT_ASSERT(mTable.WorkersWithLiveAttempts().empty());
+    CPPUNIT_ASSERT(mTable.TeamCommitments().empty());
     CPPUNIT_ASSERT_EQUAL(std::string("z"),
                          mTable.OldestReplayOffsets(7, 9).front().mTask.mValue);
   }
@@ -301,11 +302,11 @@
           second.Purge(offset - 40);
         }
         std::size_t granted = 0;
-        for (const auto& worker : first.WorkersWithGrants()) {
-          granted += first.GrantsOn(worker).size();
+        for (const auto& worker : first.WorkersWithLiveAttempts()) {
+          granted += first.LiveAttemptsOn(worker).size();
         }
         std::int64_t used = 0;
-        for (const auto& it : first.TeamUses()) {
+        for (const auto& it : first.TeamCommitments()) {
           used += it.second.mLiveAttempts;
         }
         CPPUNIT_ASSERT_EQUAL(first.CountLive(), first.CountQueued() + granted);
--- a/src/testing/bench_run.cpp
+++ b/src/testing/bench_run.cpp
@@ -173,7 +173,7 @@
   }
 
   std::vector<policy::ProtectionAction> Decide(
-    const policy::WorkerPressure& aWorker,
+    const policy::ProtectionInput& aWorker,
     TimePoint aNow) override
   {
     auto actions = mPolicy->Decide(aWorker, aNow);
@@ -187,7 +187,7 @@
 
 private:
   // Tasks are listed in the order of their starts.
-  static base::TaskId Youngest(const policy::WorkerPressure& aWorker,
+  static base::TaskId Youngest(const policy::ProtectionInput& aWorker,
                                const base::TaskId& aDefault)
   {
     for (auto it = aWorker.mTasks.rbegin(); it != aWorker.mTasks.rend(); ++it) {
@@ -822,7 +822,7 @@
     report.mWorker = aWorker.mView.mWorker;
     report.mMeasuredAt = mNow;
     report.mBatchTasks = aWorker.mView.mBatchTasks;
-    report.mSlowdownPercent = static_cast<std::int64_t>(
+    report.mServiceTimePercent = static_cast<std::int64_t>(
       100.0 + (factor - 1.0) * 100.0 * noise + offset);
     aWorker.mReports.push_back({ mNow + kReportLag, std::move(report) });
   }
@@ -831,7 +831,7 @@
   // does.
   void ReceiveReport(Worker& aWorker, policy::InterferenceReport aReport)
   {
-    aWorker.mSeenPercent = aReport.mSlowdownPercent;
+    aWorker.mSeenPercent = aReport.mServiceTimePercent;
     for (const auto& it : aWorker.mView.mServices) {
       aReport.mService = it;
       mPlacement->RecordReport(aReport);
@@ -844,9 +844,9 @@
     if (worker.mTasks.empty()) {
       return;
     }
-    policy::WorkerPressure pressure;
+    policy::ProtectionInput pressure;
     pressure.mWorker = worker.mView.mWorker;
-    pressure.mSlowdownPercent = worker.mSeenPercent;
+    pressure.mServiceTimePercent = worker.mSeenPercent;
     pressure.mToleratedPercent = kToleratedPercent;
     std::unordered_map<base::TaskId, std::size_t> indexes;
     for (const std::size_t it : worker.mTasks) {
@@ -893,7 +893,7 @@
 
   void PlaceTasks()
   {
-    std::vector<policy::QueuedTask> entries;
+    std::vector<policy::QueueCandidate> entries;
     const std::size_t looked = std::min(kMaxQueued, mQueued.size());
     entries.reserve(looked);
     for (std::size_t n = 0; n < looked; ++n) {
--- a/src/testing/capacity_samples.cpp
+++ b/src/testing/capacity_samples.cpp
@@ -60,7 +60,7 @@
   }
 
   base::Result<void> Renew(const worker::CommandHeader&,
-                           const std::vector<worker::TaskKey>&,
+                           const std::vector<worker::AttemptKey>&,
                            worker::WorkerTime,
                            base::TimePoint) override
   {
@@ -68,14 +68,14 @@
   }
 
   base::Result<void> Checkpoint(const worker::CommandHeader&,
-                                const worker::TaskKey&,
+                                const worker::AttemptKey&,
                                 base::TimePoint) override
   {
     return Ok();
   }
 
   base::Result<void> Throttle(const worker::CommandHeader&,
-                              const worker::TaskKey&,
+                              const worker::AttemptKey&,
                               std::int64_t,
                               base::TimePoint) override
   {
@@ -83,14 +83,14 @@
   }
 
   base::Result<void> Stop(const worker::CommandHeader&,
-                          const worker::TaskKey&,
+                          const worker::AttemptKey&,
                           base::TimePoint) override
   {
     return Ok();
   }
 
   base::Result<void> Acknowledge(const worker::CommandHeader&,
-                                 const worker::TaskKey&,
+                                 const worker::AttemptKey&,
                                  base::TimePoint) override
   {
     return Ok();
--- a/src/testing/capacity_time.cpp
+++ b/src/testing/capacity_time.cpp
@@ -168,10 +168,10 @@
 double
 MeasureQueue(std::int64_t aTasks, policy::Profile aProfile)
 {
-  std::vector<policy::QueuedTask> queued;
+  std::vector<policy::QueueCandidate> queued;
   policy::TeamUsageMap teams;
   for (std::int64_t n = 0; n < aTasks; ++n) {
-    policy::QueuedTask task;
+    policy::QueueCandidate task;
     task.mTask = { SampleTaskId(n) };
     task.mTeam = "team-" + std::to_string(n % 470);
     task.mBatchClass = "tar-and-strand";
@@ -233,7 +233,7 @@
   page.mBatches.push_back(read);
   state.ApplyPage(page, 0);
   return MicrosPerCall(100, [&] {
-    for (const auto& it : state.GrantsOn({ SampleWorkerId(1) })) {
+    for (const auto& it : state.LiveAttemptsOn({ SampleWorkerId(1) })) {
       state.FindTask(it.mTask);
     }
   });
--- a/src/testing/fake_worker.cpp
+++ b/src/testing/fake_worker.cpp
@@ -11,12 +11,12 @@
 using base::ErrorKind;
 using base::MakeError;
 using std::chrono::milliseconds;
+using worker::AttemptKey;
 using worker::CommandHeader;
 using worker::HolderToken;
 using worker::ServiceAnswer;
 using worker::ServiceCall;
 using worker::StartTask;
-using worker::TaskKey;
 using worker::TaskPhase;
 using worker::TaskReport;
 using worker::WorkerReport;
@@ -146,7 +146,7 @@
 
 base::Result<void>
 FakeWorker::Renew(const CommandHeader& aHeader,
-                  const std::vector<TaskKey>& aTasks,
+                  const std::vector<AttemptKey>& aTasks,
                   WorkerTime aLeaseExpiresAt,
                   base::TimePoint aDeadline)
 {
@@ -164,7 +164,7 @@
 
 base::Result<void>
 FakeWorker::Checkpoint(const CommandHeader& aHeader,
-                       const TaskKey& aTask,
+                       const AttemptKey& aTask,
                        base::TimePoint aDeadline)
 {
   const std::lock_guard lock(mMutex);
@@ -184,7 +184,7 @@
 
 base::Result<void>
 FakeWorker::Throttle(const CommandHeader& aHeader,
-                     const TaskKey& aTask,
+                     const AttemptKey& aTask,
                      std::int64_t aPercent,
                      base::TimePoint aDeadline)
 {
@@ -203,7 +203,7 @@
 
 base::Result<void>
 FakeWorker::Stop(const CommandHeader& aHeader,
-                 const TaskKey& aTask,
+                 const AttemptKey& aTask,
                  base::TimePoint aDeadline)
 {
   const std::lock_guard lock(mMutex);
@@ -225,7 +225,7 @@
 
 base::Result<void>
 FakeWorker::Acknowledge(const CommandHeader& aHeader,
-                        const TaskKey& aTask,
+                        const AttemptKey& aTask,
                         base::TimePoint aDeadline)
 {
   const std::lock_guard lock(mMutex);
@@ -440,7 +440,7 @@
 FakeWorker::AddTask(const StartTask& aStart)
 {
   const base::TimePoint now = mClock.Now();
-  const TaskKey key{ aStart.mTask, aStart.mAttempt };
+  const AttemptKey key{ aStart.mTask, aStart.mAttempt };
   Task* previous = FindTask(key);
   if (previous != nullptr && IsLive(*previous)) {
     EndTask(*previous, TaskPhase::Stopped, "started again", now);
@@ -558,8 +558,8 @@
   }
   const base::TimePoint seenAt = mClock.Now() - mConfig.mUsageLag;
   for (const auto& it : mInterference) {
-    report.mServiceSlowdownPercent = std::max(
-      report.mServiceSlowdownPercent, SlowdownAt(seenAt, it.first.first));
+    report.mServiceTimePercent =
+      std::max(report.mServiceTimePercent, SlowdownAt(seenAt, it.first.first));
   }
   return report;
 }
@@ -614,7 +614,7 @@
 }
 
 FakeWorker::Task*
-FakeWorker::FindTask(const TaskKey& aKey)
+FakeWorker::FindTask(const AttemptKey& aKey)
 {
   const auto found = mTasks.find(aKey);
   return found == mTasks.end() ? nullptr : &found->second;
--- a/src/testing/fake_worker_test.cpp
+++ b/src/testing/fake_worker_test.cpp
@@ -105,7 +105,7 @@
     Hold(target);
     const std::string payload =
       R"({"run_ms":8000,"checkpoint_ms":1000,"result":"x"})";
-    const worker::TaskKey first{ { "t" }, 1 };
+    const worker::AttemptKey first{ { "t" }, 1 };
     CPPUNIT_ASSERT(target.Start(Header(), MakeStart(1, payload), Deadline()));
     CPPUNIT_ASSERT(target.Throttle(Header(), first, 50, Deadline()));
     mClock.Advance(seconds(4));
--- a/src/testing/holder_world.cpp
+++ b/src/testing/holder_world.cpp
@@ -127,7 +127,7 @@
   SkewedClock mClock;
   base::Resources mCapacity = kCapacity;
   std::vector<worker::HolderLease> mHolders;
-  std::map<worker::TaskKey, Task> mTasks;
+  std::map<worker::AttemptKey, Task> mTasks;
   /// Number of the newest acquisition that has started a task.
   std::uint64_t mNewestStarter = 0;
 
@@ -137,7 +137,7 @@
            aTask.mReport.mPhase == worker::TaskPhase::Checkpointing;
   }
 
-  bool IsRunning(const worker::TaskKey& aKey) const
+  bool IsRunning(const worker::AttemptKey& aKey) const
   {
     const auto it = mTasks.find(aKey);
     return it != mTasks.end() && IsRunning(it->second);
@@ -368,7 +368,7 @@
     options.mClockMargin = milliseconds(mVariant.mMargin ? 250 : 0);
     options.mQuietPeriod = seconds(mVariant.mQuietPeriod ? 1 : 0);
     if (mVariant.mWorkersForget && mVariant.mLongQuietPeriod) {
-      options.mQuietPeriod += options.mLeaseLength + milliseconds(500);
+      options.mQuietPeriod += options.mLeaseDuration + milliseconds(500);
     }
     for (std::size_t n = 0; n < mWorkers.size(); ++n) {
       Site site;
@@ -434,12 +434,12 @@
     Site& site = aRef.lock()->mSites[aSite];
     const base::TimePoint now = Now(*aRef.lock());
     const bool stuck = mTime < site.mPollsStuckUntil;
-    if (const auto* it = std::get_if<PlaceLease>(&aAction)) {
+    if (const auto* it = std::get_if<SetLease>(&aAction)) {
       site.mSentAt[it->mRequest] = now;
       ToWorker(!stuck, true, [this, aRef, aSite, place = *it] {
         SmallWorker& worker = Advance(aSite);
         const std::int64_t end =
-          worker.mClock.At(mTime) + place.mLength.count();
+          worker.mClock.At(mTime) + place.mDuration.count();
         worker.RemoveHolder(place.mToken);
         worker.mHolders.push_back({ place.mToken, end });
         Report(aRef, aSite, place.mRequest);
@@ -612,7 +612,7 @@
                     const worker::CommandHeader& aHeader,
                     const worker::StartTask& aStart)
   {
-    const worker::TaskKey key{ aStart.mTask, aStart.mAttempt };
+    const worker::AttemptKey key{ aStart.mTask, aStart.mAttempt };
     Trace(aHeader.mToken.mInstance.mValue + " starts " + aStart.mTask.mValue +
           "/" + std::to_string(aStart.mAttempt) + " on " + aWorker.mId.mValue);
     if (!mStarted.insert(key).second) {
@@ -664,10 +664,10 @@
     Ledger* ledger = instance.mSites[site].mLedger.get();
     for (const auto& it : instance.mTable.mRows) {
       const TaskRow& row = it.second;
-      const worker::TaskKey key{ it.first, row.mAttempt + 1 };
+      const worker::AttemptKey key{ it.first, row.mAttempt + 1 };
       const bool open =
         !row.mDone && !row.mLive && instance.mGranting.count(it.first) == 0;
-      if (ledger && open && ledger->Plan(key, row.mNeed)) {
+      if (ledger && open && ledger->CommitGrant(key, row.mNeed)) {
         instance.mGranting[it.first] = { key.mAttempt, site };
         const tasks::GrantRecord grant{ it.first,
                                         key.mAttempt,
@@ -700,7 +700,7 @@
             std::to_string(static_cast<int>(end->mOutcome)));
       for (std::size_t n = 0; n < mWorkers.size(); ++n) {
         if (Advance(n).IsRunning(
-              worker::TaskKey{ end->mTask, end->mAttempt })) {
+              worker::AttemptKey{ end->mTask, end->mAttempt })) {
           Fail("end record of a running attempt");
         }
       }
@@ -745,7 +745,7 @@
         aInstance.mTable.mRows[grant->mTask].mLive == mWorkers[site].mId;
       Ledger* ledger = aInstance.mSites[site].mLedger.get();
       if (ledger && !won) {
-        ledger->CancelPlan({ grant->mTask, grant->mAttempt });
+        ledger->CancelGrant({ grant->mTask, grant->mAttempt });
       }
       aInstance.mGranting.erase(own);
     }
@@ -849,7 +849,7 @@
   Table mInitial;
   Table mTruth;
   std::deque<tasks::TaskRecord> mLog;
-  std::set<worker::TaskKey> mStarted;
+  std::set<worker::AttemptKey> mStarted;
   std::uint64_t mLastAcquisition = 0;
   std::map<std::tuple<base::InstanceId, std::uint64_t, base::WorkerId>,
            std::uint64_t>
--- a/src/testing/site_world.cpp
+++ b/src/testing/site_world.cpp
@@ -285,7 +285,7 @@
     auto node = std::make_shared<Node>(name, std::move(clock));
     node->mWriter.SetLiveInstances(kNodes);
     holder::LeaseOptions options;
-    options.mLeaseLength = seconds(2);
+    options.mLeaseDuration = seconds(2);
     options.mRenewInterval = milliseconds(300);
     options.mClockMargin = milliseconds(100);
     // Workers restart with an empty lease list.
@@ -443,7 +443,7 @@
     const auto* intent =
       key != nullptr ? std::get_if<requests::IntentRecord>(key) : nullptr;
     return intent != nullptr && aNode.mState.FindKey(intent->mKey).mState !=
-                                  requests::KeyState::Unknown;
+                                  requests::KeyState::Unclaimed;
   }
 
   /// As JournalService::Submit, with the result passed to `aDone`.
@@ -667,7 +667,8 @@
                                                std::size_t aSite) const
   {
     std::vector<holder::GrantedAttempt> result;
-    for (const auto& it : aNode.mState.GrantsOn(mWorkers[aSite]->Name())) {
+    for (const auto& it :
+         aNode.mState.LiveAttemptsOn(mWorkers[aSite]->Name())) {
       const auto task = aNode.mState.FindTask(it.mTask);
       result.push_back({ it.mTask,
                          it.mAttempt,
@@ -677,7 +678,7 @@
                          task->mCheckpoint,
                          it.mCancelRequested,
                          it.mState != tasks::TaskState::Granted,
-                         it.mGrantedAt });
+                         it.mGrantedOffset });
     }
     return result;
   }
@@ -708,13 +709,13 @@
     Site& site = node.mSites[aSite];
     const base::TimePoint far = mClock.Now() + seconds(60);
     FakeWorker& worker = *mWorkers[aSite];
-    if (const auto* it = std::get_if<holder::PlaceLease>(&aAction)) {
+    if (const auto* it = std::get_if<holder::SetLease>(&aAction)) {
       site.mSentAt[it->mRequest] = node.Now();
       ToWorker(site, true, [this, aRef, aSite, far, &worker, place = *it] {
         Report(aRef,
                aSite,
                place.mRequest,
-               worker.SetHolderLease(place.mToken, place.mLength, far));
+               worker.SetHolderLease(place.mToken, place.mDuration, far));
       });
     } else if (const auto* it = std::get_if<holder::ReadHolders>(&aAction)) {
       site.mSentAt[it->mRequest] = node.Now();
@@ -865,7 +866,7 @@
                   const worker::StartTask& aStart)
   {
     ++mRun.mStarts;
-    const worker::TaskKey key{ aStart.mTask, aStart.mAttempt };
+    const worker::AttemptKey key{ aStart.mTask, aStart.mAttempt };
     const std::string name =
       aStart.mTask.mValue + "/" + std::to_string(aStart.mAttempt);
     Trace(aHeader.mToken.mInstance.mValue + " starts " + name + " on " +
@@ -910,9 +911,9 @@
       return;
     }
     for (const auto& it : node.mState.Queued(20)) {
-      const worker::TaskKey key{ it.mTask, it.mNextAttempt };
+      const worker::AttemptKey key{ it.mTask, it.mNextAttempt };
       if (node.mGranting.count(it.mTask) != 0 ||
-          !site.mLedger->Plan(key, it.mDeclared)) {
+          !site.mLedger->CommitGrant(key, it.mDeclared)) {
         continue;
       }
       node.mGranting.insert(it.mTask);
@@ -939,7 +940,8 @@
                      task->mLastAttempt == aGrant.mAttempt &&
                      task->mWorker == aGrant.mWorker;
     if (!won && node.mSites[aSite].mLedger) {
-      node.mSites[aSite].mLedger->CancelPlan({ aGrant.mTask, aGrant.mAttempt });
+      node.mSites[aSite].mLedger->CancelGrant(
+        { aGrant.mTask, aGrant.mAttempt });
     }
   }
 
@@ -1080,7 +1082,7 @@
     AtNode(aRef, 700'000, [=](Node& aNode) {
       Site& own = aNode.mSites[index];
       if (own.mLedger && own.mLease->Token() == token) {
-        own.mLedger->MarkCallLost(call);
+        own.mLedger->MarkAnswerLost(call);
       }
     });
     ToWorker(site, aRequest.mIdempotent, [=] {
@@ -1215,20 +1217,21 @@
       Trace("session " + std::to_string(aSession) + " of " + key.mValue + ": " +
             (aOffset ? "offset " + std::to_string(aOffset.value())
                      : std::string(base::NameOf(aOffset.error().mKind))) +
-            ", claimed at " + std::to_string(known.mClaimedAt) + " by " +
+            ", claimed at " + std::to_string(known.mClaimedOffset) + " by " +
             known.mClaimant.mValue);
       if (!mVariant.mReadIntentBack && aOffset) {
         PostLater(aRef, 0, aSession, requests::IntentWon{});
         return;
       }
-      if (known.mState == requests::KeyState::Unknown) {
+      if (known.mState == requests::KeyState::Unclaimed) {
         if (!aOffset && aOffset.error().mKind != base::ErrorKind::AnswerLost) {
           PostLater(aRef, 0, aSession, requests::LogUnavailable{});
         }
         return;
       }
       if (aOffset && known.mState == requests::KeyState::Claimed &&
-          known.mClaimant == self.mId && known.mClaimedAt == aOffset.value()) {
+          known.mClaimant == self.mId &&
+          known.mClaimedOffset == aOffset.value()) {
         PostLater(aRef, 0, aSession, requests::IntentWon{});
         return;
       }
@@ -1262,16 +1265,17 @@
       }
       const auto key = node.mState.FindKey(request.mId);
       if (session.mIsWatching && key.mState == requests::KeyState::Finished) {
-        session.mIsWatching = false;
-        events.emplace_back(it->first,
-                            requests::KeyClaimedByOther{
-                              requests::ClaimState::Finished, *key.mOutcome });
-      } else if (session.mIsWatching && !IsAlive(key.mClaimant)) {
         session.mIsWatching = false;
         events.emplace_back(
           it->first,
-          requests::KeyClaimedByOther{ requests::ClaimState::Abandoned, {} });
-      } else if (node.Now() >= session.mMachine->NextWakeup()) {
+          requests::KeyClaimedByOther{ requests::OtherClaimState::Finished,
+                                       *key.mOutcome });
+      } else if (session.mIsWatching && !IsAlive(key.mClaimant)) {
+        session.mIsWatching = false;
+        events.emplace_back(it->first,
+                            requests::KeyClaimedByOther{
+                              requests::OtherClaimState::Abandoned, {} });
+      } else if (node.Now() >= session.mMachine->NextWakeUp()) {
         events.emplace_back(it->first, requests::TimerFired{});
       } else if (Fault(1) && Chance(30)) {
         events.emplace_back(it->first, requests::CancelRequested{});
@@ -1720,7 +1724,7 @@
   std::set<base::TaskId> mAccepted;
   std::set<base::TaskId> mEnded;
   std::map<base::TaskId, std::int64_t> mNewestAttempt;
-  std::set<worker::TaskKey> mStarted;
+  std::set<worker::AttemptKey> mStarted;
   std::map<base::RequestId, int> mKeyRuns;
   std::set<base::RequestId> mNotRunKeys;
   std::set<std::uint64_t> mRanSessions;
--- a/src/testing/worker_handler.cpp
+++ b/src/testing/worker_handler.cpp
@@ -161,7 +161,7 @@
     return MakeErrorResponse(command.error());
   }
   const worker::CommandHeader& header = command.value().mHeader;
-  const worker::TaskKey& task = command.value().mTask;
+  const worker::AttemptKey& task = command.value().mTask;
   if (aPath == "/tasks/checkpoint") {
     return RespondTo(mWorker.Checkpoint(header, task, kNoDeadline));
   }
@@ -289,7 +289,7 @@
 WorkerHandler::ReportRuns()
 {
   const std::vector<TaskExecution> executions = mWorker.Executions();
-  std::map<worker::TaskKey, std::int64_t> taskRuns;
+  std::map<worker::AttemptKey, std::int64_t> taskRuns;
   for (const auto& it : executions) {
     ++taskRuns[it.mKey];
   }
--- a/src/worker/http_remote_worker.cpp
+++ b/src/worker/http_remote_worker.cpp
@@ -82,7 +82,7 @@
   }
 
   base::Result<void> Renew(const CommandHeader& aHeader,
-                           const std::vector<TaskKey>& aTasks,
+                           const std::vector<AttemptKey>& aTasks,
                            WorkerTime aLeaseExpiresAt,
                            base::TimePoint aDeadline) override
   {
@@ -93,14 +93,14 @@
   }
 
   base::Result<void> Checkpoint(const CommandHeader& aHeader,
-                                const TaskKey& aTask,
+                                const AttemptKey& aTask,
                                 base::TimePoint aDeadline) override
   {
     return SendTaskCommand("/tasks/checkpoint", { aHeader, aTask }, aDeadline);
   }
 
   base::Result<void> Throttle(const CommandHeader& aHeader,
-                              const TaskKey& aTask,
+                              const AttemptKey& aTask,
                               std::int64_t aPercent,
                               base::TimePoint aDeadline) override
   {
@@ -109,14 +109,14 @@
   }
 
   base::Result<void> Stop(const CommandHeader& aHeader,
-                          const TaskKey& aTask,
+                          const AttemptKey& aTask,
                           base::TimePoint aDeadline) override
   {
     return SendTaskCommand("/tasks/stop", { aHeader, aTask }, aDeadline);
   }
 
   base::Result<void> Acknowledge(const CommandHeader& aHeader,
-                                 const TaskKey& aTask,
+                                 const AttemptKey& aTask,
                                  base::TimePoint aDeadline) override
   {
     return SendTaskCommand("/tasks/ack", { aHeader, aTask }, aDeadline);
--- a/src/worker/http_remote_worker_test.cpp
+++ b/src/worker/http_remote_worker_test.cpp
@@ -91,7 +91,7 @@
 
   void RunsATaskFromStartToAcknowledgement()
   {
-    const TaskKey key{ { "t" }, 1 };
+    const AttemptKey key{ { "t" }, 1 };
     const std::string payload = R"({"run_ms":3600000})";
     CPPUNIT_ASSERT(
       mRemoteWorker->Start(Header(), MakeStart(payload), Deadline()));
@@ -193,7 +193,7 @@
     report.mWorker = { "w" };
     report.mNow = -5;
     report.mLeaving = true;
-    report.mServiceSlowdownPercent = 130;
+    report.mServiceTimePercent = 130;
     report.mTasks.push_back({ { "t" },
                               3,
                               TaskPhase::Failed,
--- a/src/worker/worker_codec.cpp
+++ b/src/worker/worker_codec.cpp
@@ -61,7 +61,7 @@
 }
 
 void
-AddKey(JsonValue& aObject, const TaskKey& aKey)
+AddKey(JsonValue& aObject, const AttemptKey& aKey)
 {
   Add(aObject, "task", aKey.mTask.mValue);
   Add(aObject, "attempt", aKey.mAttempt);
@@ -85,10 +85,10 @@
   return header;
 }
 
-TaskKey
+AttemptKey
 ReadKey(JsonReader& aReader)
 {
-  TaskKey key;
+  AttemptKey key;
   key.mTask.mValue = aReader.GetString("task");
   key.mAttempt = aReader.GetInt("attempt");
   return key;
@@ -142,7 +142,7 @@
 TaskReport
 ReadTaskReport(JsonReader& aReader, bool& aIsPhaseKnown)
 {
-  const TaskKey key = ReadKey(aReader);
+  const AttemptKey key = ReadKey(aReader);
   const auto phase = ParseTaskPhase(aReader.GetString("phase"));
   aIsPhaseKnown = aIsPhaseKnown && phase.has_value();
   TaskReport task;
@@ -169,7 +169,7 @@
   aReport.mSlots = aReader.GetInt("slots");
   aReport.mConnections = aReader.GetInt("connections");
   aReport.mSlotsBusy = aReader.GetInt("slots_busy");
-  aReport.mServiceSlowdownPercent = aReader.GetInt("service_slowdown_percent");
+  aReport.mServiceTimePercent = aReader.GetInt("service_slowdown_percent");
 }
 
 } // namespace
@@ -205,7 +205,7 @@
   Add(body, "slots", aReport.mSlots);
   Add(body, "connections", aReport.mConnections);
   Add(body, "slots_busy", aReport.mSlotsBusy);
-  Add(body, "service_slowdown_percent", aReport.mServiceSlowdownPercent);
+  Add(body, "service_slowdown_percent", aReport.mServiceTimePercent);
   JsonValue& holders = AddArray(body, "holders");
   for (const auto& it : aReport.mHolders) {
     JsonValue& element = AddElement(holders);
@@ -281,7 +281,7 @@
   return ParseWith<StartCommand>(
     aBody, [](JsonReader& aReader, StartCommand& aCommand) {
       aCommand.mHeader = ReadHeader(aReader);
-      const TaskKey key = ReadKey(aReader);
+      const AttemptKey key = ReadKey(aReader);
       aCommand.mStart.mTask = key.mTask;
       aCommand.mStart.mAttempt = key.mAttempt;
       aCommand.mStart.mBatchClass = aReader.GetString("batch_class");
