Rename offsets, reservations and the resource estimator after what they hold

PlanIsReplacedByItsStart -> GrantIsReplacedByItsStart LostCallKeepsItsSlot -> CallWithLostAnswerKeepsItsSlot aWinner -> aClaimant StartTask::mReserve, GrantedAttempt::mReserve -> mReserved SiteState::Position, StreamReader::Position -> NextOffset ReaderState::mPosition, PageResult::mPosition, SiteState::mPosition -> mNextOffset WriterPosition::mAsOf -> WriterPosition::mAppliedThrough SizeEstimator -> ResourceEstimator SizeEstimatorOptions -> ResourceEstimatorOptions policy/size_estimator.* -> policy/resource_estimator.* AddNode -> AddInstance StepNode -> StepInstance mNodes -> mInstances aNode -> aInstance place -> set placed -> isLeaseSet plan -> grant SiteState::Clear(aHorizon) -> Clear(aFirstOffset) NeverBelowTheDeclaredSize -> NeverBelowTheDeclaredResources lateNode -> lateInstance

--- a/include/skylarkhill/holder/granted_attempt.hpp
+++ b/include/skylarkhill/holder/granted_attempt.hpp
@@ -17,7 +17,7 @@
   std::string mBatchClass;
   std::string mPayload;
   /// Resources to reserve on the worker.
-  base::Resources mReserve;
+  base::Resources mReserved;
   /// Checkpoint to resume from; empty for a fresh start.
   std::string mCheckpoint;
   bool mCancelRequested = false;
--- a/include/skylarkhill/journal/site_record.hpp
+++ b/include/skylarkhill/journal/site_record.hpp
@@ -43,7 +43,7 @@
 struct WriterPosition
 {
   /// Newest offset that the writer had applied; -1 if none.
-  Offset mAsOf = -1;
+  Offset mAppliedThrough = -1;
   /// Oldest offset that the log service still retained. Readers remove
   /// tombstones whose records are all older; since they take this from the
   /// batch, all of them do so at the same offset.
--- a/include/skylarkhill/journal/site_state.hpp
+++ b/include/skylarkhill/journal/site_state.hpp
@@ -86,7 +86,7 @@
   void SetCaughtUp(base::TimePoint aCaughtUpTime);
 
   /// Offset of the next record to apply.
-  Offset Position() const;
+  Offset NextOffset() const;
   /// Newest applied and first retained offset, for the batches that the
   /// instance writes.
   WriterPosition GetWriterPosition() const;
@@ -168,7 +168,7 @@
 
   std::size_t ShardIndexFor(std::string_view aId) const;
   const Shard& ShardOf(std::string_view aId) const;
-  void Clear(Offset aHorizon);
+  void Clear(Offset aFirstOffset);
   void RaiseHorizon(Offset aHorizon);
   void ApplyBatch(const ReadBatch& aBatch);
   void ApplyToShard(Shard& aShard,
@@ -197,7 +197,7 @@
   /// Guards the members below; never locked together with the mutex of a shard.
   mutable std::mutex mMutex;
   mutable std::condition_variable mChanged;
-  Offset mPosition = 0;
+  Offset mNextOffset = 0;
   /// Records before this offset may be missing from the state: they expired
   /// before the reader started, or their tombstones were removed. Depends only
   /// on the start offset and the batches, so that all readers with the same
--- a/include/skylarkhill/journal/stream_reader.hpp
+++ b/include/skylarkhill/journal/stream_reader.hpp
@@ -32,7 +32,7 @@
   /// Oldest offset that the log service still retains.
   Offset mFirstRetained = 0;
   /// Offset of the next record to read, after the batches.
-  Offset mPosition = 0;
+  Offset mNextOffset = 0;
   /// Without duplicates and undecodable records.
   std::vector<ReadBatch> mBatches;
 };
@@ -40,7 +40,7 @@
 /// Position of a reader, from which another instance can continue.
 struct ReaderState
 {
-  Offset mPosition = 0;
+  Offset mNextOffset = 0;
   Offset mStart = 0;
   /// Newest sequence number read per writer, with its offset.
   std::map<std::string, std::pair<std::int64_t, Offset>> mSequences;
@@ -51,12 +51,12 @@
 {
 public:
   /// Offset of the next record to read.
-  Offset Position() const { return mState.mPosition; }
+  Offset NextOffset() const { return mState.mNextOffset; }
   /// First offset of the contiguous part that was read; nullopt before the
   /// first page.
   std::optional<Offset> FirstOffset() const;
 
-  /// Processes the answer to a read from Position() that was issued at
+  /// Processes the answer to a read from NextOffset() that was issued at
   /// `aIssuedAt`.
   PageResult OnPage(const platform::LogPage& aPage, base::TimePoint aIssuedAt);
 
--- a/include/skylarkhill/policy/size_estimator.hpp
+++ b/include/skylarkhill/policy/resource_estimator.hpp
@@ -1,5 +1,5 @@
-#ifndef SKYLARKHILL_POLICY_SIZE_ESTIMATOR_HPP
-#define SKYLARKHILL_POLICY_SIZE_ESTIMATOR_HPP
+#ifndef SKYLARKHILL_POLICY_RESOURCE_ESTIMATOR_HPP
+#define SKYLARKHILL_POLICY_RESOURCE_ESTIMATOR_HPP
 
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/base/resources.hpp"
@@ -12,7 +12,7 @@
 
 namespace skylarkhill::policy {
 
-struct SizeEstimatorOptions
+struct ResourceEstimatorOptions
 {
   double mQuantile = 0.9;
   base::Duration mHalfLife = std::chrono::minutes(10);
@@ -24,10 +24,10 @@
 
 /// Corrects the declared resources of tasks by a quantile of the usage observed
 /// for their batch class, weighted by age. Not thread-safe.
-class SizeEstimator
+class ResourceEstimator
 {
 public:
-  explicit SizeEstimator(const SizeEstimatorOptions& aOptions = {});
+  explicit ResourceEstimator(const ResourceEstimatorOptions& aOptions = {});
 
   /// Records that a task of the class uses `aUsed`.
   void Observe(const std::string& aBatchClass,
@@ -51,10 +51,10 @@
                         std::int64_t base::Resources::*aDimension,
                         base::TimePoint aNow) const;
 
-  SizeEstimatorOptions mOptions;
+  ResourceEstimatorOptions mOptions;
   std::unordered_map<std::string, std::deque<Sample>> mSamples;
 };
 
 } // namespace skylarkhill::policy
 
-#endif // SKYLARKHILL_POLICY_SIZE_ESTIMATOR_HPP
+#endif // SKYLARKHILL_POLICY_RESOURCE_ESTIMATOR_HPP
--- a/include/skylarkhill/worker/remote_worker.hpp
+++ b/include/skylarkhill/worker/remote_worker.hpp
@@ -114,7 +114,7 @@
   base::TaskId mTask;
   std::int64_t mAttempt = 0;
   std::string mBatchClass;
-  base::Resources mReserve;
+  base::Resources mReserved;
   /// End of the task's lease.
   WorkerTime mLeaseExpiresAt = 0;
   /// Checkpoint to resume from; empty for a fresh start.
--- a/src/entry/batch_scheduler.cpp
+++ b/src/entry/batch_scheduler.cpp
@@ -330,7 +330,7 @@
     grant.mAttempt = it.mAttempt;
     grant.mBatchClass = task->mSpec.mBatchClass;
     grant.mPayload = task->mSpec.mPayload;
-    grant.mReserve = task->mSpec.mDeclared;
+    grant.mReserved = task->mSpec.mDeclared;
     grant.mCheckpoint = task->mCheckpoint;
     grant.mCancelRequested = it.mCancelRequested;
     grant.mStarted = it.mState != tasks::TaskState::Granted;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -445,7 +445,7 @@
   {
     const base::TimePoint now = mClock.Now();
     // Read before the grants, so that the grants are at least as new.
-    const platform::Offset position = mState.Position();
+    const platform::Offset position = mState.NextOffset();
     const base::TimePoint caughtUpTime = mState.CaughtUpTime();
     {
       const std::lock_guard lock(mGrantRefreshMutex);
--- a/src/holder/lease_machine.cpp
+++ b/src/holder/lease_machine.cpp
@@ -106,10 +106,10 @@
 LeaseMachine::Release(base::TimePoint aNow)
 {
   mReleased = true;
-  const bool placed = mState == LeaseState::Placing ||
-                      mState == LeaseState::Verifying ||
-                      mState == LeaseState::Held;
-  if (placed) {
+  const bool isLeaseSet = mState == LeaseState::Placing ||
+                          mState == LeaseState::Verifying ||
+                          mState == LeaseState::Held;
+  if (isLeaseSet) {
     EndLease(LeaseState::Releasing, aNow);
   }
 }
--- a/src/holder/lease_machine_test.cpp
+++ b/src/holder/lease_machine_test.cpp
@@ -38,10 +38,10 @@
   {
     mMachine->SetPreferred(true);
     Answer(NextAction<ReadHolders>(), {});
-    const auto place = NextAction<SetLease>();
-    Answer(place, { place.mToken });
+    const auto set = NextAction<SetLease>();
+    Answer(set, { set.mToken });
     CPPUNIT_ASSERT(!mMachine->MaySendCommands(mNow));
-    Answer(NextAction<ReadHolders>(), { place.mToken });
+    Answer(NextAction<ReadHolders>(), { set.mToken });
     CPPUNIT_ASSERT(mMachine->MaySendCommands(mNow));
     CPPUNIT_ASSERT(mMachine->QuietPeriodEnd() == mNow + mOptions.mQuietPeriod);
   }
@@ -52,11 +52,11 @@
   {
     mMachine->SetPreferred(true);
     Answer(NextAction<ReadHolders>(), {});
-    const auto place = NextAction<SetLease>();
-    Answer(place, { place.mToken, kOther });
-    Answer(NextAction<ReadHolders>(), { place.mToken, kOther });
+    const auto set = NextAction<SetLease>();
+    Answer(set, { set.mToken, kOther });
+    Answer(NextAction<ReadHolders>(), { set.mToken, kOther });
     const auto remove = NextAction<RemoveLease>();
-    CPPUNIT_ASSERT(remove.mToken == place.mToken);
+    CPPUNIT_ASSERT(remove.mToken == set.mToken);
     mMachine->OnRemoved(remove.mRequest, mNow);
     CPPUNIT_ASSERT(mMachine->Step(mNow).empty());
     mNow += mOptions.mBackoffHigh;
@@ -209,9 +209,9 @@
   {
     mMachine->SetPreferred(true);
     Answer(NextAction<ReadHolders>(), {});
-    const auto place = NextAction<SetLease>();
-    Answer(place, { place.mToken });
-    Answer(NextAction<ReadHolders>(), { place.mToken });
+    const auto set = NextAction<SetLease>();
+    Answer(set, { set.mToken });
+    Answer(NextAction<ReadHolders>(), { set.mToken });
     CPPUNIT_ASSERT(mMachine->State() == LeaseState::Held);
   }
 
--- a/src/holder/ledger.cpp
+++ b/src/holder/ledger.cpp
@@ -101,9 +101,9 @@
 Ledger::FitsStart(const worker::AttemptKey& aKey,
                   const base::Resources& aNeed) const
 {
-  const auto plan = mUnstartedGrants.find(aKey);
+  const auto grant = mUnstartedGrants.find(aKey);
   const base::Resources own =
-    plan == mUnstartedGrants.end() ? base::Resources{} : plan->second;
+    grant == mUnstartedGrants.end() ? base::Resources{} : grant->second;
   return mHasReport && base::Fits(aNeed, Free() + own);
 }
 
--- a/src/holder/ledger_test.cpp
+++ b/src/holder/ledger_test.cpp
@@ -16,8 +16,8 @@
   CPPUNIT_TEST(UnknownStartIsCountedUntilItExpires);
   CPPUNIT_TEST(ShrunkCapacityAdmitsNothingNew);
   CPPUNIT_TEST(UsageEstimateIsCappedByCapacity);
-  CPPUNIT_TEST(PlanIsReplacedByItsStart);
-  CPPUNIT_TEST(LostCallKeepsItsSlot);
+  CPPUNIT_TEST(GrantIsReplacedByItsStart);
+  CPPUNIT_TEST(CallWithLostAnswerKeepsItsSlot);
   CPPUNIT_TEST(InheritedCallsKeepTheirSlots);
   CPPUNIT_TEST_SUITE_END();
 
@@ -75,7 +75,7 @@
     CPPUNIT_ASSERT(ledger.Committed() == (base::Resources{ 600, 0, 0 }));
   }
 
-  void PlanIsReplacedByItsStart()
+  void GrantIsReplacedByItsStart()
   {
     Ledger ledger;
     ledger.ApplyReport(MakePoll(10, {}));
@@ -90,7 +90,7 @@
 
   // Guards against a second call in a slot that a call whose answer was lost
   // still occupies.
-  void LostCallKeepsItsSlot()
+  void CallWithLostAnswerKeepsItsSlot()
   {
     Ledger ledger;
     ledger.ApplyReport(MakePoll(10, {}));
--- a/src/holder/task_runner.cpp
+++ b/src/holder/task_runner.cpp
@@ -413,7 +413,7 @@
 {
   Attempt& attempt = aEntry.second;
   const GrantedAttempt& grant = *attempt.mGrant;
-  if (!mLedger.FitsStart(aEntry.first, grant.mReserve)) {
+  if (!mLedger.FitsStart(aEntry.first, grant.mReserved)) {
     attempt.mNoCapacitySince = attempt.mNoCapacitySince.value_or(aNow);
     if (aNow >= *attempt.mNoCapacitySince + mOptions.mReleaseAfter) {
       AppendEndWithoutReport(aEntry, tasks::AttemptOutcome::Released);
@@ -425,7 +425,7 @@
   start.mTask = grant.mTask;
   start.mAttempt = grant.mAttempt;
   start.mBatchClass = grant.mBatchClass;
-  start.mReserve = grant.mReserve;
+  start.mReserved = grant.mReserved;
   start.mLeaseExpiresAt =
     mLease.Clock().ToEarliestWorkerTime(aNow + mOptions.mTaskLease);
   start.mCheckpoint = grant.mCheckpoint;
@@ -434,7 +434,7 @@
   const Command command = MakeCommand(std::move(start), aNow);
   const CommandExpiry expiry{ command.mHeader.mNotAfter,
                               command.mDeadline + mOptions.mMaxMessageDelay };
-  if (!mLedger.CommitStart(aEntry.first, grant.mReserve, expiry)) {
+  if (!mLedger.CommitStart(aEntry.first, grant.mReserved, expiry)) {
     return;
   }
   attempt.mStart =
--- a/src/holder/task_runner_test.cpp
+++ b/src/holder/task_runner_test.cpp
@@ -230,7 +230,7 @@
   {
     EndQuietPeriod();
     GrantedAttempt grant = Grant();
-    grant.mReserve = { 2000, 0, 0 };
+    grant.mReserved = { 2000, 0, 0 };
     mRunner->SetGrants({ grant }, kLogEnd);
     CPPUNIT_ASSERT(Poll().mRecords.empty());
     mNow += mOptions.mReleaseAfter;
@@ -299,7 +299,7 @@
     GrantedAttempt grant;
     grant.mTask = kTask.mTask;
     grant.mAttempt = kTask.mAttempt;
-    grant.mReserve = { 500, 500, 0 };
+    grant.mReserved = { 500, 500, 0 };
     grant.mCheckpoint = "c0";
     grant.mGrantedOffset = kLogEnd;
     return grant;
--- a/src/journal/batch_writer.cpp
+++ b/src/journal/batch_writer.cpp
@@ -108,7 +108,8 @@
   // the minimum of their positions.
   batch.mPosition = mBatch.front().mPosition;
   for (const auto& it : mBatch) {
-    batch.mPosition.mAsOf = std::min(batch.mPosition.mAsOf, it.mPosition.mAsOf);
+    batch.mPosition.mAppliedThrough =
+      std::min(batch.mPosition.mAppliedThrough, it.mPosition.mAppliedThrough);
     batch.mPosition.mFirstRetained =
       std::min(batch.mPosition.mFirstRetained, it.mPosition.mFirstRetained);
     batch.mRecords.insert(
--- a/src/journal/batch_writer_test.cpp
+++ b/src/journal/batch_writer_test.cpp
@@ -173,7 +173,7 @@
     CPPUNIT_ASSERT(mWriter.Add(1, { "a" }, { 9, 2 }, deadline).has_value());
     CPPUNIT_ASSERT(mWriter.Add(2, { "b" }, { 7, 4 }, deadline).has_value());
     const auto batch = DecodeBatch(Start(milliseconds(0))->mPayload).value();
-    CPPUNIT_ASSERT_EQUAL(Offset(7), batch.mPosition.mAsOf);
+    CPPUNIT_ASSERT_EQUAL(Offset(7), batch.mPosition.mAppliedThrough);
     CPPUNIT_ASSERT_EQUAL(Offset(2), batch.mPosition.mFirstRetained);
   }
 
--- a/src/journal/journal_random_test.cpp
+++ b/src/journal/journal_random_test.cpp
@@ -55,7 +55,7 @@
     , mOracle("oracle")
   {
     for (int i = 0; i < 3; ++i) {
-      AddNode();
+      AddInstance();
     }
   }
 
@@ -86,9 +86,9 @@
 private:
   bool OneIn(std::uint64_t aCount) { return mRandom->Below(aCount) == 0; }
 
-  void AddNode()
+  void AddInstance()
   {
-    mNodes.push_back(std::make_unique<SimulatedInstance>(
+    mInstances.push_back(std::make_unique<SimulatedInstance>(
       "i" + std::to_string(++mIncarnations)));
   }
 
@@ -102,11 +102,11 @@
     if (mDownUntilMs <= mNowMs && OneIn(400)) {
       mDownUntilMs = mNowMs + 300;
     }
-    for (auto& it : mNodes) {
+    for (auto& it : mInstances) {
       if (it->mPausedUntilMs > mNowMs) {
         continue;
       }
-      StepNode(*it);
+      StepInstance(*it);
       // At least one instance must run to write the snapshots.
       if (CountPaused() == 0 && OneIn(1'500)) {
         it->mPausedUntilMs =
@@ -116,60 +116,60 @@
     }
     if (OneIn(500)) {
       ++mCoverage.mRestarts;
-      AddCoverage(*mNodes.front());
-      mNodes.pop_front();
-      AddNode();
+      AddCoverage(*mInstances.front());
+      mInstances.pop_front();
+      AddInstance();
     }
   }
 
   std::size_t CountPaused() const
   {
     std::size_t n = 0;
-    for (const auto& it : mNodes) {
+    for (const auto& it : mInstances) {
       n += it->mPausedUntilMs > mNowMs ? 1 : 0;
     }
     return n;
   }
 
-  void StepNode(SimulatedInstance& aNode)
+  void StepInstance(SimulatedInstance& aInstance)
   {
-    if (aNode.mInFlight) {
-      FinishAppend(aNode);
+    if (aInstance.mInFlight) {
+      FinishAppend(aInstance);
     }
     if (OneIn(2)) {
-      Read(aNode);
+      Read(aInstance);
     }
-    if (aNode.mState.IsReady() && OneIn(3)) {
-      SubmitOne(aNode);
+    if (aInstance.mState.IsReady() && OneIn(3)) {
+      SubmitOne(aInstance);
     }
-    if (aNode.mState.IsReady() && OneIn(10)) {
-      SubmitSnapshots(aNode);
+    if (aInstance.mState.IsReady() && OneIn(10)) {
+      SubmitSnapshots(aInstance);
     }
-    if (!aNode.mInFlight) {
-      aNode.mInFlight = aNode.mWriter.StartAppend(Now(), mNowMs);
+    if (!aInstance.mInFlight) {
+      aInstance.mInFlight = aInstance.mWriter.StartAppend(Now(), mNowMs);
     }
-    TakeResults(aNode);
+    TakeResults(aInstance);
   }
 
   bool IsDown() const { return mDownUntilMs > mNowMs; }
 
   // A node can be paused between StartAppend and this call, so that old batches
   // reach the log.
-  void FinishAppend(SimulatedInstance& aNode)
+  void FinishAppend(SimulatedInstance& aInstance)
   {
-    const AppendAction action = *aNode.mInFlight;
-    aNode.mInFlight.reset();
+    const AppendAction action = *aInstance.mInFlight;
+    aInstance.mInFlight.reset();
     if (IsDown()) {
-      aNode.mWriter.OnUnavailable(Now());
+      aInstance.mWriter.OnUnavailable(Now());
     } else if (OneIn(10)) {
       if (OneIn(2)) {
         Write(action.mPayload);
       } else if (OneIn(2)) {
         mDelayed.emplace_back(mNowMs + 200, action.mPayload);
       }
-      aNode.mWriter.OnAnswerLost(Now());
+      aInstance.mWriter.OnAnswerLost(Now());
     } else {
-      aNode.mWriter.OnAppended(Write(action.mPayload));
+      aInstance.mWriter.OnAppended(Write(action.mPayload));
     }
   }
 
@@ -202,28 +202,28 @@
     return offset;
   }
 
-  void ReadPage(SimulatedInstance& aNode, std::int64_t aMax)
+  void ReadPage(SimulatedInstance& aInstance, std::int64_t aMax)
   {
-    const auto page = mLog.Page(aNode.mReader.Position(), aMax);
-    const auto result = aNode.mReader.OnPage(page, Now());
-    aNode.mState.ApplyPage(result, mNowMs);
-    aNode.mState.SetCaughtUp(aNode.mReader.CaughtUpTime());
+    const auto page = mLog.Page(aInstance.mReader.NextOffset(), aMax);
+    const auto result = aInstance.mReader.OnPage(page, Now());
+    aInstance.mState.ApplyPage(result, mNowMs);
+    aInstance.mState.SetCaughtUp(aInstance.mReader.CaughtUpTime());
     for (const auto& it : result.mBatches) {
-      if (it.mBatch.mWriter == aNode.mName) {
-        aNode.mWriter.OnRead(it.mBatch.mSequence, it.mOffset);
+      if (it.mBatch.mWriter == aInstance.mName) {
+        aInstance.mWriter.OnRead(it.mBatch.mSequence, it.mOffset);
       }
     }
-    aNode.mWriter.OnCaughtUp(aNode.mReader.CaughtUpTime());
+    aInstance.mWriter.OnCaughtUp(aInstance.mReader.CaughtUpTime());
   }
 
-  void Read(SimulatedInstance& aNode)
+  void Read(SimulatedInstance& aInstance)
   {
     if (!IsDown()) {
-      ReadPage(aNode, 1 + static_cast<std::int64_t>(mRandom->Below(60)));
+      ReadPage(aInstance, 1 + static_cast<std::int64_t>(mRandom->Below(60)));
     }
   }
 
-  void Submit(SimulatedInstance& aNode,
+  void Submit(SimulatedInstance& aInstance,
               const std::vector<SiteRecord>& aRecords,
               const WriterPosition& aPosition)
   {
@@ -232,38 +232,38 @@
     for (const auto& it : aRecords) {
       encoded.push_back(EncodeRecord(it));
     }
-    const auto added = aNode.mWriter.Add(aNode.mNextTicket++,
-                                         std::move(encoded),
-                                         aPosition,
-                                         Now() + std::chrono::seconds(1));
+    const auto added = aInstance.mWriter.Add(aInstance.mNextTicket++,
+                                             std::move(encoded),
+                                             aPosition,
+                                             Now() + std::chrono::seconds(1));
     CPPUNIT_ASSERT(added.has_value() ||
                    added.error().mKind == base::ErrorKind::Overloaded);
   }
 
-  void SubmitOne(SimulatedInstance& aNode)
+  void SubmitOne(SimulatedInstance& aInstance)
   {
-    const WriterPosition position = aNode.mState.GetWriterPosition();
+    const WriterPosition position = aInstance.mState.GetWriterPosition();
     mNextTask += OneIn(25) ? 1 : 0;
     const std::string task = "t" + std::to_string(mNextTask - RandomBelow(12));
-    const auto known = aNode.mState.FindTask({ task });
-    if (!known && aNode.mState.IsTaskKnown({ task })) {
+    const auto known = aInstance.mState.FindTask({ task });
+    if (!known && aInstance.mState.IsTaskKnown({ task })) {
       return;
     }
     if (!known) {
       tasks::AcceptRecord accept;
       accept.mSpec.mTask.mValue = task;
-      aNode.mAccepts[aNode.mNextTicket] = task;
+      aInstance.mAccepts[aInstance.mNextTicket] = task;
 
-      Submit(aNode, { tasks::TaskRecord(accept) }, position);
+      Submit(aInstance, { tasks::TaskRecord(accept) }, position);
       return;
     }
-    Submit(aNode, { MakeChange(*known, aNode) }, position);
+    Submit(aInstance, { MakeChange(*known, aInstance) }, position);
   }
 
   // Returns a record that is usually valid in the node's state and sometimes is
   // not.
   SiteRecord MakeChange(const tasks::TaskSnapshot& aTask,
-                        const SimulatedInstance& aNode)
+                        const SimulatedInstance& aInstance)
   {
     const auto& id = aTask.mSpec.mTask;
     const std::int64_t attempt =
@@ -276,10 +276,10 @@
         OneIn(12) ? tasks::AttemptOutcome::Completed
                   : static_cast<tasks::AttemptOutcome>(1 + mRandom->Below(3));
       return tasks::TaskRecord(
-        tasks::EndRecord{ id, attempt, outcome, "ck", aNode.mName });
+        tasks::EndRecord{ id, attempt, outcome, "ck", aInstance.mName });
     }
     return tasks::TaskRecord(
-      tasks::GrantRecord{ id, attempt + 1, { "w-" + aNode.mName } });
+      tasks::GrantRecord{ id, attempt + 1, { "w-" + aInstance.mName } });
   }
 
   std::int64_t RandomBelow(std::uint64_t aCount)
@@ -287,26 +287,26 @@
     return static_cast<std::int64_t>(mRandom->Below(aCount));
   }
 
-  void SubmitSnapshots(SimulatedInstance& aNode)
+  void SubmitSnapshots(SimulatedInstance& aInstance)
   {
     std::vector<base::InstanceId> live;
-    live.reserve(mNodes.size());
-    for (const auto& it : mNodes) {
+    live.reserve(mInstances.size());
+    for (const auto& it : mInstances) {
       live.push_back({ it->mName });
     }
-    const WriterPosition position = aNode.mState.GetWriterPosition();
-    const auto plan = aNode.mPlanner.Plan(aNode.mState, live, mNowMs);
+    const WriterPosition position = aInstance.mState.GetWriterPosition();
+    const auto plan = aInstance.mPlanner.Plan(aInstance.mState, live, mNowMs);
     if (!plan.empty()) {
       mCoverage.mSnapshots += static_cast<std::int64_t>(plan.size());
-      Submit(aNode, plan, position);
+      Submit(aInstance, plan, position);
     }
   }
 
-  void TakeResults(SimulatedInstance& aNode)
+  void TakeResults(SimulatedInstance& aInstance)
   {
-    for (const auto& it : aNode.mWriter.TakeResults()) {
-      const auto accept = aNode.mAccepts.find(it.mTicket);
-      if (accept == aNode.mAccepts.end()) {
+    for (const auto& it : aInstance.mWriter.TakeResults()) {
+      const auto accept = aInstance.mAccepts.find(it.mTicket);
+      if (accept == aInstance.mAccepts.end()) {
         continue;
       }
       // As in JournalService, an accept succeeds only if the task is in the
@@ -314,7 +314,7 @@
       if (it.mOffset && mOracle.mState.FindTask({ accept->second })) {
         mAccepted.insert(accept->second);
       }
-      aNode.mAccepts.erase(accept);
+      aInstance.mAccepts.erase(accept);
     }
   }
 
@@ -389,28 +389,30 @@
                              mEnded.count(it) != 0 ||
                                mOracle.mState.FindTask({ it }).has_value());
     }
-    for (auto& it : mNodes) {
+    for (auto& it : mInstances) {
       CheckMatchesOracle(*it);
     }
-    SimulatedInstance lateNode("late");
-    CheckMatchesOracle(lateNode);
+    SimulatedInstance lateInstance("late");
+    CheckMatchesOracle(lateInstance);
   }
 
-  void CheckMatchesOracle(SimulatedInstance& aNode)
+  void CheckMatchesOracle(SimulatedInstance& aInstance)
   {
-    while (aNode.mReader.Position() < mLog.End() || !aNode.mState.IsReady()) {
-      ReadPage(aNode, 50);
+    while (aInstance.mReader.NextOffset() < mLog.End() ||
+           !aInstance.mState.IsReady()) {
+      ReadPage(aInstance, 50);
     }
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(aNode.mName + " at " + std::to_string(mNowMs),
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(aInstance.mName + " at " +
+                                   std::to_string(mNowMs),
                                  mOracle.mState.LiveDigest(),
-                                 aNode.mState.LiveDigest());
+                                 aInstance.mState.LiveDigest());
   }
 
-  void AddCoverage(const SimulatedInstance& aNode)
+  void AddCoverage(const SimulatedInstance& aInstance)
   {
-    mCoverage.mDuplicates += aNode.mReader.Duplicates();
-    mCoverage.mStale += aNode.mState.Counts().mStaleRecords;
-    mCoverage.mGaps += aNode.mReader.Gaps();
+    mCoverage.mDuplicates += aInstance.mReader.Duplicates();
+    mCoverage.mStale += aInstance.mState.Counts().mStaleRecords;
+    mCoverage.mGaps += aInstance.mReader.Gaps();
   }
 
   std::unique_ptr<base::Random> mRandom;
@@ -420,7 +422,7 @@
   std::int64_t mNowMs = 1'000'000;
   std::int64_t mDownUntilMs = 0;
   std::deque<std::pair<std::int64_t, std::string>> mDelayed;
-  std::deque<std::unique_ptr<SimulatedInstance>> mNodes;
+  std::deque<std::unique_ptr<SimulatedInstance>> mInstances;
   int mIncarnations = 0;
   std::int64_t mNextTask = 20;
   /// Reads every record as soon as it is written.
--- a/src/journal/journal_service.cpp
+++ b/src/journal/journal_service.cpp
@@ -241,7 +241,7 @@
 {
   const base::TimePoint issuedAt = mClock.Now();
   const auto page = mLog.Read(mOptions.mStream,
-                              mReader.Position(),
+                              mReader.NextOffset(),
                               mOptions.mMaxRecordsPerRead,
                               issuedAt + mOptions.mReadTimeout);
   if (!page) {
@@ -269,7 +269,7 @@
   }
   mWriter.OnCaughtUp(mReader.CaughtUpTime());
   TakeResults();
-  const bool isAtEnd = mReader.Position() >= page.value().mEnd;
+  const bool isAtEnd = mReader.NextOffset() >= page.value().mEnd;
   return isAtEnd ? mOptions.mPollInterval : base::Duration(0);
 }
 
--- a/src/journal/record_codec.cpp
+++ b/src/journal/record_codec.cpp
@@ -574,7 +574,7 @@
   packer.pack_array(6);
   packer.pack(aBatch.mWriter);
   packer.pack(aBatch.mSequence);
-  packer.pack(aBatch.mPosition.mAsOf);
+  packer.pack(aBatch.mPosition.mAppliedThrough);
   packer.pack(aBatch.mPosition.mFirstRetained);
   packer.pack(aBatch.mWrittenAtMs);
   packer.pack(aBatch.mRecords);
@@ -608,7 +608,7 @@
   Batch batch;
   reader.Get(batch.mWriter);
   reader.Get(batch.mSequence);
-  reader.Get(batch.mPosition.mAsOf);
+  reader.Get(batch.mPosition.mAppliedThrough);
   reader.Get(batch.mPosition.mFirstRetained);
   reader.Get(batch.mWrittenAtMs);
   if (!reader.IsValid() || object.via.array.size < 6) {
--- a/src/journal/record_codec_test.cpp
+++ b/src/journal/record_codec_test.cpp
@@ -90,7 +90,7 @@
     CPPUNIT_ASSERT(read.has_value());
     CPPUNIT_ASSERT_EQUAL(batch.mWriter, read.value().mWriter);
     CPPUNIT_ASSERT_EQUAL(batch.mSequence, read.value().mSequence);
-    CPPUNIT_ASSERT_EQUAL(Offset(41), read.value().mPosition.mAsOf);
+    CPPUNIT_ASSERT_EQUAL(Offset(41), read.value().mPosition.mAppliedThrough);
     CPPUNIT_ASSERT_EQUAL(Offset(12), read.value().mPosition.mFirstRetained);
     CPPUNIT_ASSERT_EQUAL(batch.mWrittenAtMs, read.value().mWrittenAtMs);
     CPPUNIT_ASSERT(batch.mRecords == read.value().mRecords);
--- a/src/journal/site_state.cpp
+++ b/src/journal/site_state.cpp
@@ -126,7 +126,7 @@
 }
 
 void
-SiteState::Clear(Offset aHorizon)
+SiteState::Clear(Offset aFirstOffset)
 {
   for (const auto& it : mShards) {
     const std::lock_guard<std::mutex> lock(it->mMutex);
@@ -134,9 +134,9 @@
     it->mAppliedThrough = -1;
   }
   const std::lock_guard<std::mutex> lock(mMutex);
-  mHorizon = aHorizon;
-  mPosition = aHorizon;
-  mFirstRetained = aHorizon;
+  mHorizon = aFirstOffset;
+  mNextOffset = aFirstOffset;
+  mFirstRetained = aFirstOffset;
   mCaughtUpTime = base::TimePoint::min();
   mIsReady = false;
   mAgeIndex.Clear();
@@ -151,7 +151,7 @@
                    Offset aOffset,
                    const SiteRecord& aRecord) const
 {
-  Offset asOf = aBatch.mPosition.mAsOf;
+  Offset asOf = aBatch.mPosition.mAppliedThrough;
   if (const auto* task = std::get_if<TaskSnapshotRecord>(&aRecord)) {
     asOf = task->mAsOf;
   } else if (const auto* key = std::get_if<KeySnapshotRecord>(&aRecord)) {
@@ -189,7 +189,7 @@
                        const ReadBatch& aBatch,
                        const SiteRecord& aRecord) const
 {
-  const Offset replayFrom = aBatch.mBatch.mPosition.mAsOf + 1;
+  const Offset replayFrom = aBatch.mBatch.mPosition.mAppliedThrough + 1;
   std::visit(
     OverloadSet{
       [&](const tasks::TaskRecord& aEach) {
@@ -282,7 +282,7 @@
   }
   mAgeIndex.DiscardBefore(aPage.mFirstRetained);
   mFirstRetained = std::max(mFirstRetained, aPage.mFirstRetained);
-  mPosition = aPage.mPosition;
+  mNextOffset = aPage.mNextOffset;
   mChanged.notify_all();
 }
 
@@ -296,17 +296,17 @@
 }
 
 Offset
-SiteState::Position() const
+SiteState::NextOffset() const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  return mPosition;
+  return mNextOffset;
 }
 
 WriterPosition
 SiteState::GetWriterPosition() const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  return { mPosition - 1, mFirstRetained };
+  return { mNextOffset - 1, mFirstRetained };
 }
 
 base::TimePoint
@@ -345,7 +345,7 @@
                             const base::Clock& aClock,
                             base::TimePoint aDeadline) const
 {
-  return WaitUntil([&] { return mPosition > aOffset; }, aClock, aDeadline);
+  return WaitUntil([&] { return mNextOffset > aOffset; }, aClock, aDeadline);
 }
 
 bool
@@ -541,7 +541,7 @@
 std::optional<TaskSnapshotRecord>
 SiteState::SnapshotTask(const base::TaskId& aTask) const
 {
-  const Offset applied = Position() - 1;
+  const Offset applied = NextOffset() - 1;
   const Shard& shard = ShardOf(aTask.mValue);
   const std::lock_guard<std::mutex> lock(shard.mMutex);
   auto task = shard.mTables->mTasks.Find(aTask);
@@ -555,7 +555,7 @@
 std::optional<KeySnapshotRecord>
 SiteState::SnapshotKey(const base::RequestId& aKey) const
 {
-  const Offset applied = Position() - 1;
+  const Offset applied = NextOffset() - 1;
   const Shard& shard = ShardOf(aKey.mValue);
   const std::lock_guard<std::mutex> lock(shard.mMutex);
   auto key = shard.mTables->mKeys.Find(aKey);
@@ -580,7 +580,7 @@
 std::vector<StatePage>
 SiteState::ExportShard(std::size_t aShard) const
 {
-  const Offset applied = Position() - 1;
+  const Offset applied = NextOffset() - 1;
 
   const Shard& shard = *mShards[aShard];
   const std::lock_guard<std::mutex> lock(shard.mMutex);
@@ -670,7 +670,7 @@
                            "state pages are missing");
   }
   const std::lock_guard<std::mutex> lock(mMutex);
-  mPosition = aHeader.mReader.mPosition;
+  mNextOffset = aHeader.mReader.mNextOffset;
   mFirstRetained = aHeader.mFirstRetained;
   mAgeIndex.Restore(aHeader.mAgeSamples);
   mIsReady = true;
--- a/src/journal/site_state_test.cpp
+++ b/src/journal/site_state_test.cpp
@@ -34,7 +34,7 @@
 
   void ReadAll(const MemoryLog& aLog, std::int64_t aNowMs = 0)
   {
-    const auto page = aLog.Page(mReader.Position(), 1'000);
+    const auto page = aLog.Page(mReader.NextOffset(), 1'000);
     mState.ApplyPage(mReader.OnPage(page, base::FromMicros(1)), aNowMs);
     mState.SetCaughtUp(mReader.CaughtUpTime());
   }
@@ -274,8 +274,8 @@
                          lateReplica.mState.LiveDigest());
     CPPUNIT_ASSERT_EQUAL(mReplica.mState.Counts().mLiveTasks,
                          lateReplica.mState.Counts().mLiveTasks);
-    CPPUNIT_ASSERT_EQUAL(mReplica.mState.Position(),
-                         lateReplica.mState.Position());
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.NextOffset(),
+                         lateReplica.mState.NextOffset());
   }
 
   void RejectsAnIncompleteImport()
--- a/src/journal/stream_reader.cpp
+++ b/src/journal/stream_reader.cpp
@@ -19,7 +19,7 @@
 void
 StreamReader::Restart(Offset aFirstRetained)
 {
-  mState.mPosition = aFirstRetained;
+  mState.mNextOffset = aFirstRetained;
   mState.mStart = aFirstRetained;
   mState.mSequences.clear();
   mCaughtUpTime = base::TimePoint::min();
@@ -30,7 +30,7 @@
 StreamReader::ProcessRecord(const platform::LogRecord& aRecord,
                             PageResult& aResult)
 {
-  mState.mPosition = aRecord.mOffset + 1;
+  mState.mNextOffset = aRecord.mOffset + 1;
   auto batch = DecodeBatch(aRecord.mPayload);
   if (!batch) {
     ++mUndecodable;
@@ -65,11 +65,11 @@
   if (!mPendingEnd) {
     mPendingEnd.emplace(aEnd, aIssuedAt);
   }
-  if (mState.mPosition >= mPendingEnd->first) {
+  if (mState.mNextOffset >= mPendingEnd->first) {
     mCaughtUpTime = std::max(mCaughtUpTime, mPendingEnd->second);
     mPendingEnd.reset();
   }
-  if (mState.mPosition >= aEnd) {
+  if (mState.mNextOffset >= aEnd) {
     mCaughtUpTime = std::max(mCaughtUpTime, aIssuedAt);
   }
 }
@@ -79,25 +79,25 @@
 {
   PageResult result;
   result.mFirstRetained = aPage.mFirstRetained;
-  const bool isBehind = mState.mPosition < aPage.mFirstRetained;
+  const bool isBehind = mState.mNextOffset < aPage.mFirstRetained;
   if (isBehind && mHasStarted) {
     result.mIsGap = true;
     ++mGaps;
   }
   if (isBehind || !mHasStarted) {
-    Restart(std::max(mState.mPosition, aPage.mFirstRetained));
+    Restart(std::max(mState.mNextOffset, aPage.mFirstRetained));
     result.mIsFirst = !result.mIsGap;
     mHasStarted = true;
   }
   for (const auto& it : aPage.mRecords) {
     // The page may begin before the requested position.
-    if (it.mOffset >= mState.mPosition) {
+    if (it.mOffset >= mState.mNextOffset) {
       ProcessRecord(it, result);
     }
   }
   DiscardExpiredWriters(aPage.mFirstRetained);
   UpdateCaughtUp(aPage.mEnd, aIssuedAt);
-  result.mPosition = mState.mPosition;
+  result.mNextOffset = mState.mNextOffset;
   return result;
 }
 
--- a/src/journal/stream_reader_test.cpp
+++ b/src/journal/stream_reader_test.cpp
@@ -29,7 +29,7 @@
 
   PageResult Read(std::int64_t aMax = 100, std::int64_t aIssuedAt = 1)
   {
-    return mReader.OnPage(mLog.Page(mReader.Position(), aMax),
+    return mReader.OnPage(mLog.Page(mReader.NextOffset(), aMax),
                           base::FromMicros(aIssuedAt));
   }
 
@@ -48,7 +48,7 @@
     CPPUNIT_ASSERT_EQUAL(Offset(4), page.mBatches[2].mOffset);
     CPPUNIT_ASSERT_EQUAL(std::int64_t(2), mReader.Duplicates());
     CPPUNIT_ASSERT_EQUAL(std::int64_t(1), mReader.Undecodable());
-    CPPUNIT_ASSERT_EQUAL(Offset(6), mReader.Position());
+    CPPUNIT_ASSERT_EQUAL(Offset(6), mReader.NextOffset());
   }
 
   // Guards against a reader that continues after records expired unread. The
@@ -105,7 +105,7 @@
     other.Import(mReader.Export());
     Write("a", 2);
     Write("a", 3);
-    const auto page = other.OnPage(mLog.Page(other.Position(), 9), {});
+    const auto page = other.OnPage(mLog.Page(other.NextOffset(), 9), {});
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), page.mBatches.size());
     CPPUNIT_ASSERT_EQUAL(Offset(3), page.mBatches[0].mOffset);
   }
--- a/src/policy/size_estimator.cpp
+++ b/src/policy/resource_estimator.cpp
@@ -1,4 +1,4 @@
-#include "skylarkhill/policy/size_estimator.hpp"
+#include "skylarkhill/policy/resource_estimator.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -7,15 +7,15 @@
 
 namespace skylarkhill::policy {
 
-SizeEstimator::SizeEstimator(const SizeEstimatorOptions& aOptions)
+ResourceEstimator::ResourceEstimator(const ResourceEstimatorOptions& aOptions)
   : mOptions(aOptions)
 {
 }
 
 void
-SizeEstimator::Observe(const std::string& aBatchClass,
-                       const base::Resources& aUsed,
-                       base::TimePoint aNow)
+ResourceEstimator::Observe(const std::string& aBatchClass,
+                           const base::Resources& aUsed,
+                           base::TimePoint aNow)
 {
   auto& samples = mSamples[aBatchClass];
   samples.push_back({ aUsed, aNow });
@@ -25,9 +25,9 @@
 }
 
 base::Resources
-SizeEstimator::Estimate(const std::string& aBatchClass,
-                        const base::Resources& aDeclared,
-                        base::TimePoint aNow) const
+ResourceEstimator::Estimate(const std::string& aBatchClass,
+                            const base::Resources& aDeclared,
+                            base::TimePoint aNow) const
 {
   const auto found = mSamples.find(aBatchClass);
   if (found == mSamples.end() || found->second.size() < mOptions.mMinSamples) {
@@ -43,9 +43,9 @@
 }
 
 std::int64_t
-SizeEstimator::Quantile(const std::deque<Sample>& aSamples,
-                        std::int64_t base::Resources::*aDimension,
-                        base::TimePoint aNow) const
+ResourceEstimator::Quantile(const std::deque<Sample>& aSamples,
+                            std::int64_t base::Resources::*aDimension,
+                            base::TimePoint aNow) const
 {
   // Ages are relative to the newest sample; otherwise all weights of a class
   // without recent samples would round to zero.
--- a/src/policy/size_estimator_test.cpp
+++ b/src/policy/resource_estimator_test.cpp
@@ -1,4 +1,4 @@
-#include "skylarkhill/policy/size_estimator.hpp"
+#include "skylarkhill/policy/resource_estimator.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -8,17 +8,17 @@
 
 using std::chrono::seconds;
 
-class SizeEstimatorTest : public CppUnit::TestFixture
+class ResourceEstimatorTest : public CppUnit::TestFixture
 {
-  CPPUNIT_TEST_SUITE(SizeEstimatorTest);
-  CPPUNIT_TEST(NeverBelowTheDeclaredSize);
+  CPPUNIT_TEST_SUITE(ResourceEstimatorTest);
+  CPPUNIT_TEST(NeverBelowTheDeclaredResources);
   CPPUNIT_TEST(IgnoresASingleOutlier);
   CPPUNIT_TEST(ForgetsOldUsage);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   // Guards against overcommitment by a class that was idle when observed.
-  void NeverBelowTheDeclaredSize()
+  void NeverBelowTheDeclaredResources()
   {
     Observe(20, 100, 0);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1000 }, Processors(20));
@@ -64,10 +64,10 @@
       .mMilliProcessors;
   }
 
-  SizeEstimator mEstimator;
+  ResourceEstimator mEstimator;
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(SizeEstimatorTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(ResourceEstimatorTest);
 
 } // namespace
 
--- a/src/requests/key_table.cpp
+++ b/src/requests/key_table.cpp
@@ -39,9 +39,9 @@
 // Only the claimant knows the outcome. Other instances may record Unknown once
 // the claimant is gone.
 bool
-MayFinish(const base::InstanceId& aWinner, const OutcomeRecord& aRecord)
+MayFinish(const base::InstanceId& aClaimant, const OutcomeRecord& aRecord)
 {
-  return aRecord.mInstance == aWinner || aRecord.mOutcome == Outcome::Unknown;
+  return aRecord.mInstance == aClaimant || aRecord.mOutcome == Outcome::Unknown;
 }
 
 } // namespace
--- a/src/testing/capacity_samples.cpp
+++ b/src/testing/capacity_samples.cpp
@@ -267,7 +267,7 @@
     grant.mAttempt = 1;
     grant.mBatchClass = "tar-and-strand";
     grant.mPayload = std::string(100, 'p');
-    grant.mReserve = kTaskNeed;
+    grant.mReserved = kTaskNeed;
     grant.mStarted = true;
     grants.push_back(grant);
   }
--- a/src/testing/capacity_time.cpp
+++ b/src/testing/capacity_time.cpp
@@ -79,10 +79,10 @@
     const auto begin = encoded.begin() + static_cast<std::ptrdiff_t>(n);
     const std::size_t count = std::min(kRecordsPerBatch, encoded.size() - n);
     journal::ReadBatch read;
-    read.mOffset = page.mPosition++;
+    read.mOffset = page.mNextOffset++;
     read.mBatch.mWriter = "entry-1.1";
     read.mBatch.mSequence = read.mOffset + 1;
-    read.mBatch.mPosition.mAsOf = read.mOffset - 1;
+    read.mBatch.mPosition.mAppliedThrough = read.mOffset - 1;
     read.mBatch.mRecords.assign(begin,
                                 begin + static_cast<std::ptrdiff_t>(count));
     page.mBatches.push_back(read);
@@ -217,7 +217,7 @@
   journal::SiteState state{ {} };
   journal::PageResult page;
   page.mIsFirst = true;
-  page.mPosition = 1;
+  page.mNextOffset = 1;
   journal::ReadBatch read;
   read.mBatch.mWriter = "entry-1.1";
   read.mBatch.mSequence = 1;
--- a/src/testing/fake_worker.cpp
+++ b/src/testing/fake_worker.cpp
@@ -395,7 +395,7 @@
   if (mClosedKeys.count({ aStart.mTask, aStart.mAttempt }) != 0) {
     return Refuse(ErrorKind::WorkerRefused, "the attempt is a duplicate");
   }
-  base::Resources reserved = aStart.mReserve;
+  base::Resources reserved = aStart.mReserved;
   for (const auto& it : mTasks) {
     if (!IsLive(it.second)) {
       continue;
@@ -428,11 +428,11 @@
   load.mResult = reader.GetString("result", "");
   load.mFailure = reader.GetString("fail", "");
   load.mUsed.mMilliProcessors =
-    reader.GetInt("use_milli_processors", aStart.mReserve.mMilliProcessors);
+    reader.GetInt("use_milli_processors", aStart.mReserved.mMilliProcessors);
   load.mUsed.mMemoryBytes =
-    reader.GetInt("use_memory_bytes", aStart.mReserve.mMemoryBytes);
+    reader.GetInt("use_memory_bytes", aStart.mReserved.mMemoryBytes);
   load.mUsed.mAccelerators =
-    reader.GetInt("use_accelerators", aStart.mReserve.mAccelerators);
+    reader.GetInt("use_accelerators", aStart.mReserved.mAccelerators);
   return reader.Check() ? load : invalid;
 }
 
@@ -447,7 +447,7 @@
   }
   Task task;
   task.mKey = key;
-  task.mReserved = aStart.mReserve;
+  task.mReserved = aStart.mReserved;
   task.mWorkload = ParseWorkload(aStart);
   task.mLeaseExpiresAt = FromWorkerTime(aStart.mLeaseExpiresAt);
   task.mSettledAt = now;
--- a/src/testing/fake_worker_test.cpp
+++ b/src/testing/fake_worker_test.cpp
@@ -69,7 +69,7 @@
     AssertKind(ErrorKind::StaleCommand,
                target.Start(late, MakeStart(1, "{}"), Deadline()));
     worker::StartTask large = MakeStart(1, "{}");
-    large.mReserve.mMilliProcessors = 16'001;
+    large.mReserved.mMilliProcessors = 16'001;
     AssertKind(ErrorKind::WorkerRefused,
                target.Start(Header(), large, Deadline()));
     CPPUNIT_ASSERT(target.Start(Header(), MakeStart(1, "{}"), Deadline()));
--- a/src/testing/holder_world.cpp
+++ b/src/testing/holder_world.cpp
@@ -643,7 +643,7 @@
     SmallWorker::Task task;
     task.mReport.mTask = aStart.mTask;
     task.mReport.mAttempt = aStart.mAttempt;
-    task.mReport.mReserved = aStart.mReserve;
+    task.mReport.mReserved = aStart.mReserved;
     task.mReport.mLeaseExpiresAt = aStart.mLeaseExpiresAt;
     task.mEndsAt = now + Pick(15 * kSecond);
     aWorker.mTasks[key] = task;
--- a/src/testing/site_world.cpp
+++ b/src/testing/site_world.cpp
@@ -396,7 +396,7 @@
     Node& node = *aRef.lock();
     const std::uint64_t number = ++node.mRead;
     const base::TimePoint sentAt = node.Now();
-    const platform::Offset from = node.mReader.Position();
+    const platform::Offset from = node.mReader.NextOffset();
     if (IsLogReachable(node) && !Fault(3)) {
       At(Delay(), [=] {
         auto page =
@@ -494,7 +494,7 @@
     for (auto it = aNode.mSubmissions.begin();
          it != aNode.mSubmissions.end();) {
       const Submission& each = it->second;
-      if (each.mOffset && aNode.mState.Position() > *each.mOffset) {
+      if (each.mOffset && aNode.mState.NextOffset() > *each.mOffset) {
         ended.emplace_back(each.mDone, *each.mOffset);
       } else if (aNode.Now() >= each.mDeadline + seconds(1)) {
         ended.emplace_back(each.mDone,
@@ -535,11 +535,11 @@
     bool isAtEnd = false;
     while (!isAtEnd) {
       const auto page = mLog.Read(
-        "site", mOracleReader.Position(), 100, mClock.Now() + seconds(1));
+        "site", mOracleReader.NextOffset(), 100, mClock.Now() + seconds(1));
       const auto result = mOracleReader.OnPage(page.value(), mClock.Now());
       mOracle.ApplyPage(result, kRetentionMs + mTime / kMillisecond);
       mOracle.SetCaughtUp(mOracleReader.CaughtUpTime());
-      isAtEnd = mOracleReader.Position() >= page.value().mEnd;
+      isAtEnd = mOracleReader.NextOffset() >= page.value().mEnd;
     }
     for (const auto& bytes : batch.value().mRecords) {
       const auto record = journal::DecodeRecord(bytes);
@@ -646,7 +646,7 @@
       std::optional<std::int64_t> inheritedBefore;
       if (node.mState.CaughtUpTime() >= site.mAcquiredAt) {
         inheritedBefore =
-          mVariant.mReleaseInherited ? node.mState.Position() : 0;
+          mVariant.mReleaseInherited ? node.mState.NextOffset() : 0;
       }
       site.mRunner->SetGrants(GrantsOn(node, aSite), inheritedBefore);
     }
--- a/src/worker/worker_codec.cpp
+++ b/src/worker/worker_codec.cpp
@@ -268,7 +268,7 @@
   AddHeader(body, aCommand.mHeader);
   AddKey(body, { aCommand.mStart.mTask, aCommand.mStart.mAttempt });
   Add(body, "batch_class", aCommand.mStart.mBatchClass);
-  AddResources(body, "", aCommand.mStart.mReserve);
+  AddResources(body, "", aCommand.mStart.mReserved);
   Add(body, "lease_expires_at", aCommand.mStart.mLeaseExpiresAt);
   Add(body, "checkpoint", aCommand.mStart.mCheckpoint);
   Add(body, "payload", aCommand.mStart.mPayload);
@@ -285,7 +285,7 @@
       aCommand.mStart.mTask = key.mTask;
       aCommand.mStart.mAttempt = key.mAttempt;
       aCommand.mStart.mBatchClass = aReader.GetString("batch_class");
-      aCommand.mStart.mReserve = ReadResources(aReader, "");
+      aCommand.mStart.mReserved = ReadResources(aReader, "");
       aCommand.mStart.mLeaseExpiresAt = aReader.GetInt("lease_expires_at");
       aCommand.mStart.mCheckpoint = aReader.GetString("checkpoint");
       aCommand.mStart.mPayload = aReader.GetString("payload");
