--- a/include/skylarkhill/holder/absent_worker.hpp
+++ b/include/skylarkhill/holder/absent_worker.hpp
@@ -21,11 +21,11 @@
   std::vector<GrantedAttempt> mGrants;
 };
 
-/// Returns Lost end records for all attempts in `mGrants`, or nothing
+/// Returns Lost end records for all attempts in `aWorker.mGrants`, or nothing
 /// before `aLongestTaskLease` and `aMargin` have passed since both the start of
-/// the absence and the last contact. Called only by instances in the worker's
+/// the absence and `mLastSeen`. Called only by instances in the worker's
 /// failure domain: to instances outside, workers of a partitioned domain look
-/// lost although they run.
+/// absent although they run.
 std::vector<tasks::EndRecord>
 EndAbsentWorkerAttempts(const AbsentWorker& aWorker,
                         base::Duration aLongestTaskLease,
--- a/include/skylarkhill/holder/lease_machine.hpp
+++ b/include/skylarkhill/holder/lease_machine.hpp
@@ -193,9 +193,9 @@
   bool mConfirmed = false;
   /// When the next scan or renewal is due.
   base::TimePoint mNextSend;
-  /// When the first of the latest consecutive scans that found no other holder
-  /// was answered; empty if the latest scan failed or found one, and after the
-  /// lease was requested or ended.
+  /// When the first of the latest uninterrupted scans without another holder
+  /// was answered; empty after a scan that failed or found one, and once the
+  /// lease is requested or ended.
   std::optional<base::TimePoint> mUnheldSince;
   std::uint64_t mLastRequest = 0;
   std::optional<Request> mOutstanding;
--- a/include/skylarkhill/holder/ledger.hpp
+++ b/include/skylarkhill/holder/ledger.hpp
@@ -76,7 +76,7 @@
                                  const base::Resources& aNeed,
                                  const CommandExpiry& aExpiry);
 
-  /// Sets the usage estimate of a running task; nothing removes it. The task
+  /// Sets the usage estimate of a running task; nullopt removes it. The task
   /// counts with the maximum of its reservation and the estimate. Estimates
   /// never raise the committed capacity above the worker's capacity.
   void SetUsageEstimate(const worker::AttemptKey& aKey,
--- a/include/skylarkhill/requests/admission_queue.hpp
+++ b/include/skylarkhill/requests/admission_queue.hpp
@@ -74,8 +74,8 @@
   virtual base::Duration ExpectedWait(std::size_t aAhead) const = 0;
 };
 
-/// Simple variant for the baseline profile: in order of arrival; refuses
-/// entries only when full.
+/// Simple variant for comparison: in order of arrival; refuses entries only
+/// when full.
 std::unique_ptr<AdmissionQueue>
 CreateFifoAdmissionQueue(const AdmissionQueueOptions& aOptions);
 
--- a/src/journal/journal_random_test.cpp
+++ b/src/journal/journal_random_test.cpp
@@ -153,8 +153,8 @@
 
   bool IsDown() const { return mDownUntilMs > mNowMs; }
 
-  // A node can be paused between StartAppend and this call, so that old batches
-  // reach the log.
+  // An instance can be paused between StartAppend and this call, so that old
+  // batches reach the log.
   void FinishAppend(SimulatedInstance& aInstance)
   {
     const AppendAction action = *aInstance.mInFlight;
@@ -260,8 +260,8 @@
     Submit(aInstance, { MakeChange(*known, aInstance) }, position);
   }
 
-  // Returns a record that is usually valid in the node's state and sometimes is
-  // not.
+  // Returns a record that is usually valid in the state of the instance and
+  // sometimes is not.
   SiteRecord MakeChange(const tasks::TaskSnapshot& aTask,
                         const SimulatedInstance& aInstance)
   {
--- a/src/journal/site_state_test.cpp
+++ b/src/journal/site_state_test.cpp
@@ -130,7 +130,8 @@
     CPPUNIT_ASSERT(!mReplica.mState.FindTask({ "a" }).has_value());
     CPPUNIT_ASSERT_EQUAL(std::int64_t(1),
                          lateReplica.mState.Counts().mStaleRecords);
-    // Without the check for stale records, the snapshot revives the task.
+    // Without the check for stale records, the snapshot makes the ended task
+    // live again.
     tasks::TaskTable table;
     table.ApplySnapshot(stale.mAsOf, stale.mTask);
     CPPUNIT_ASSERT(table.Find({ "a" })->mState == tasks::TaskState::Granted);
--- a/src/policy/breaker.cpp
+++ b/src/policy/breaker.cpp
@@ -67,8 +67,8 @@
 void
 Breaker::OnSuccess(const base::TaskId& aTask)
 {
-  // Only the success of the probe closes an open breaker: all other tasks were
-  // placed before the failures.
+  // Of all successes, only that of the probe closes an open breaker: the other
+  // tasks were placed before the failures.
   if (!mOpen || mProbe == aTask) {
     Close();
   }
--- a/src/policy/protection.cpp
+++ b/src/policy/protection.cpp
@@ -31,8 +31,8 @@
   std::int64_t mMinThrottlePercent;
   /// Time until the delayed reports show the effect of an action.
   base::Duration mReactionTime;
-  /// Number of consecutive decisions that find no task left to throttle, after
-  /// which a task is evicted.
+  /// Number of decisions over the limit that find no task left to throttle,
+  /// after which a task is evicted.
   std::int64_t mDecisionsBeforeEviction;
 };
 
