--- a/src/holder/task_runner_test.cpp
+++ b/src/holder/task_runner_test.cpp
@@ -275,10 +275,10 @@
   // unreachable.
   void AttemptsOfAbsentWorkerEndAfterTheTaskLease()
   {
-    AbsentWorker lost{ mNow, mNow + seconds(5), { Grant() } };
+    AbsentWorker absent{ mNow, mNow + seconds(5), { Grant() } };
     const auto count = [&](int aSeconds) {
       return EndAbsentWorkerAttempts(
-               lost, seconds(30), seconds(1), mNow + seconds(aSeconds))
+               absent, seconds(30), seconds(1), mNow + seconds(aSeconds))
         .size();
     };
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), count(35));
--- a/src/policy/policy_test.cpp
+++ b/src/policy/policy_test.cpp
@@ -103,7 +103,7 @@
   // Guards against throttling tasks that do not interfere.
   void ProtectionThrottlesTheInterferingTaskOnly()
   {
-    ProtectionInput pressure = MakePressure(230);
+    ProtectionInput pressure = MakeProtectionInput(230);
     pressure.mTasks[1].mInterferencePercent = 170.0;
     const auto policy = CreateProtectionPolicy(Profile::Tail);
     const auto actions = policy->Decide(pressure, At(0));
@@ -115,8 +115,8 @@
   void ProtectionThrottlesAllWithoutEstimates()
   {
     const auto policy = CreateProtectionPolicy(Profile::Tail);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 },
-                         policy->Decide(MakePressure(230), At(0)).size());
+    CPPUNIT_ASSERT_EQUAL(
+      std::size_t{ 2 }, policy->Decide(MakeProtectionInput(230), At(0)).size());
   }
 
   // Guards against further actions before the delayed reports show the effect
@@ -124,16 +124,16 @@
   void ProtectionWaitsForTheReports()
   {
     const auto policy = CreateProtectionPolicy(Profile::Tail);
-    policy->Decide(MakePressure(230), At(0));
-    CPPUNIT_ASSERT(policy->Decide(MakePressure(230), At(1)).empty());
-    CPPUNIT_ASSERT(!policy->Decide(MakePressure(230), At(3)).empty());
+    policy->Decide(MakeProtectionInput(230), At(0));
+    CPPUNIT_ASSERT(policy->Decide(MakeProtectionInput(230), At(1)).empty());
+    CPPUNIT_ASSERT(!policy->Decide(MakeProtectionInput(230), At(3)).empty());
   }
 
   // Guards against a task that is evicted forever, and against evicting more
   // tasks than needed.
   void TaskAtItsEvictionLimitIsNotEvicted()
   {
-    ProtectionInput pressure = MakePressure(300);
+    ProtectionInput pressure = MakeProtectionInput(300);
     for (auto& it : pressure.mTasks) {
       it.mThrottlePercent = 1;
     }
@@ -172,7 +172,7 @@
     return view;
   }
 
-  static ProtectionInput MakePressure(std::int64_t aSlowdown)
+  static ProtectionInput MakeProtectionInput(std::int64_t aSlowdown)
   {
     ProtectionInput pressure;
     pressure.mWorker = { "w" };
