--- a/include/skylarkhill/journal/site_state.hpp
+++ b/include/skylarkhill/journal/site_state.hpp
@@ -65,7 +65,7 @@
   /// Ignored snapshots, accepts and intents: the position of their writer was
   /// too old.
   std::int64_t mStaleRecords = 0;
-  std::size_t mLiveTasks = 0;
+  std::size_t mUnfinishedTasks = 0;
   std::size_t mQueuedTasks = 0;
   std::size_t mEndedTasks = 0;
   std::size_t mClaimedKeys = 0;
@@ -121,7 +121,7 @@
   std::vector<base::RequestId> ClaimedBy(
     const base::InstanceId& aInstance) const;
   SiteStateCounts Counts() const;
-  std::uint64_t LiveDigest() const;
+  std::uint64_t UnfinishedDigest() const;
 
   /// Up to `aLimit` live tasks per shard whose state depends on records that
   /// are at least `aAgeMs` old; in each shard the oldest first.
--- a/include/skylarkhill/requests/key_table.hpp
+++ b/include/skylarkhill/requests/key_table.hpp
@@ -114,7 +114,7 @@
   std::int64_t IgnoredRecords() const { return mIgnoredRecords; }
 
   /// Digest of the claimed keys; equal for tables with the same ones.
-  std::uint64_t LiveDigest() const;
+  std::uint64_t UnfinishedDigest() const;
   /// Digest of the claimed and finished keys; equal for tables with the same
   /// ones.
   std::uint64_t Digest() const;
--- a/include/skylarkhill/tasks/task_table.hpp
+++ b/include/skylarkhill/tasks/task_table.hpp
@@ -123,13 +123,13 @@
   std::vector<base::TaskId> All() const;
 
   /// Number of tasks that have not ended, queued ones included.
-  std::size_t CountLive() const { return mByReplayOffset.size(); }
+  std::size_t CountUnfinished() const { return mByReplayOffset.size(); }
   std::size_t CountQueued() const { return mQueued.size(); }
   std::size_t CountEnded() const { return mEnded.size(); }
   std::int64_t IgnoredRecords() const { return mIgnoredRecords; }
 
   /// Hash of all tasks that have not ended; equal for equal tasks.
-  std::uint64_t LiveDigest() const;
+  std::uint64_t UnfinishedDigest() const;
   /// Hash of all tasks and tombstones; equal for equal tables.
   std::uint64_t Digest() const;
 
--- a/src/journal/journal_random_test.cpp
+++ b/src/journal/journal_random_test.cpp
@@ -404,8 +404,8 @@
     }
     CPPUNIT_ASSERT_EQUAL_MESSAGE(aInstance.mName + " at " +
                                    std::to_string(mNowMs),
-                                 mOracle.mState.LiveDigest(),
-                                 aInstance.mState.LiveDigest());
+                                 mOracle.mState.UnfinishedDigest(),
+                                 aInstance.mState.UnfinishedDigest());
   }
 
   void AddCoverage(const SimulatedInstance& aInstance)
--- a/src/journal/journal_service_test.cpp
+++ b/src/journal/journal_service_test.cpp
@@ -98,9 +98,11 @@
     for (Instance* it : { &first, &second }) {
       CPPUNIT_ASSERT(
         it->mState.WaitUntilCaughtUp(now, base::GetBootClock(), deadline));
-      CPPUNIT_ASSERT_EQUAL(std::size_t(80), it->mState.Counts().mLiveTasks);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(80),
+                           it->mState.Counts().mUnfinishedTasks);
     }
-    CPPUNIT_ASSERT_EQUAL(first.mState.LiveDigest(), second.mState.LiveDigest());
+    CPPUNIT_ASSERT_EQUAL(first.mState.UnfinishedDigest(),
+                         second.mState.UnfinishedDigest());
     CPPUNIT_ASSERT(mLog.End() < 160);
   }
 
--- a/src/journal/site_state.cpp
+++ b/src/journal/site_state.cpp
@@ -472,7 +472,7 @@
   counts.mUndecodableRecords = mUndecodableRecords;
   counts.mStaleRecords = mStaleRecords;
   ForEachShard([&](const Tables& aTables) {
-    counts.mLiveTasks += aTables.mTasks.CountLive();
+    counts.mUnfinishedTasks += aTables.mTasks.CountUnfinished();
     counts.mQueuedTasks += aTables.mTasks.CountQueued();
     counts.mEndedTasks += aTables.mTasks.CountEnded();
     counts.mClaimedKeys += aTables.mKeys.CountClaimed();
@@ -482,11 +482,12 @@
 }
 
 std::uint64_t
-SiteState::LiveDigest() const
+SiteState::UnfinishedDigest() const
 {
   std::uint64_t digest = 0;
   ForEachShard([&](const Tables& aTables) {
-    digest += aTables.mTasks.LiveDigest() + aTables.mKeys.LiveDigest();
+    digest +=
+      aTables.mTasks.UnfinishedDigest() + aTables.mKeys.UnfinishedDigest();
   });
   return digest;
 }
--- a/src/journal/site_state_test.cpp
+++ b/src/journal/site_state_test.cpp
@@ -152,8 +152,8 @@
     Replica lateReplica;
     lateReplica.ReadAll(mLog);
     mReplica.ReadAll(mLog);
-    CPPUNIT_ASSERT_EQUAL(mReplica.mState.LiveDigest(),
-                         lateReplica.mState.LiveDigest());
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.UnfinishedDigest(),
+                         lateReplica.mState.UnfinishedDigest());
     CPPUNIT_ASSERT_EQUAL(std::int64_t(2),
                          lateReplica.mState.FindTask({ "a" })->mLastAttempt);
     CPPUNIT_ASSERT(lateReplica.mState.FindKey({ "k" }).mState ==
@@ -201,10 +201,10 @@
     lateReplica.ReadAll(mLog);
     laggingReplica.ReadAll(mLog);
     CPPUNIT_ASSERT(mReplica.mState.FindTask({ "a" }).has_value());
-    CPPUNIT_ASSERT_EQUAL(mReplica.mState.LiveDigest(),
-                         laggingReplica.mState.LiveDigest());
-    CPPUNIT_ASSERT_EQUAL(mReplica.mState.LiveDigest(),
-                         lateReplica.mState.LiveDigest());
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.UnfinishedDigest(),
+                         laggingReplica.mState.UnfinishedDigest());
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.UnfinishedDigest(),
+                         lateReplica.mState.UnfinishedDigest());
   }
 
   // Guards against a record of a newer release that stops the reader of an
@@ -221,7 +221,7 @@
     mReplica.ReadAll(mLog);
     const auto counts = mReplica.mState.Counts();
     CPPUNIT_ASSERT_EQUAL(std::int64_t(1), counts.mUndecodableRecords);
-    CPPUNIT_ASSERT_EQUAL(std::size_t(2), counts.mLiveTasks);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), counts.mUnfinishedTasks);
   }
 
   // Guards against tasks that stay live because their end records expired while
@@ -271,10 +271,10 @@
     lateReplica.mReader.Import(header.mReader);
     CPPUNIT_ASSERT(lateReplica.mState.IsReady());
     lateReplica.ReadAll(mLog);
-    CPPUNIT_ASSERT_EQUAL(mReplica.mState.LiveDigest(),
-                         lateReplica.mState.LiveDigest());
-    CPPUNIT_ASSERT_EQUAL(mReplica.mState.Counts().mLiveTasks,
-                         lateReplica.mState.Counts().mLiveTasks);
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.UnfinishedDigest(),
+                         lateReplica.mState.UnfinishedDigest());
+    CPPUNIT_ASSERT_EQUAL(mReplica.mState.Counts().mUnfinishedTasks,
+                         lateReplica.mState.Counts().mUnfinishedTasks);
     CPPUNIT_ASSERT_EQUAL(mReplica.mState.NextOffset(),
                          lateReplica.mState.NextOffset());
   }
--- a/src/requests/key_table.cpp
+++ b/src/requests/key_table.cpp
@@ -331,7 +331,7 @@
 }
 
 std::uint64_t
-KeyTable::LiveDigest() const
+KeyTable::UnfinishedDigest() const
 {
   std::uint64_t digest = 0;
   for (const auto& it : mByReplayOffset) {
@@ -343,7 +343,7 @@
 std::uint64_t
 KeyTable::Digest() const
 {
-  std::uint64_t digest = LiveDigest();
+  std::uint64_t digest = UnfinishedDigest();
   for (const auto& it : mFinished) {
     digest += DigestOf(mEntries.at(it.second).mSnapshot);
   }
--- a/src/tasks/task_table.cpp
+++ b/src/tasks/task_table.cpp
@@ -695,7 +695,7 @@
 }
 
 std::uint64_t
-TaskTable::LiveDigest() const
+TaskTable::UnfinishedDigest() const
 {
   std::uint64_t digest = 0;
   for (const Entry* it : mByReplayOffset) {
@@ -707,7 +707,7 @@
 std::uint64_t
 TaskTable::Digest() const
 {
-  std::uint64_t digest = LiveDigest();
+  std::uint64_t digest = UnfinishedDigest();
   for (const Entry* it : mEnded) {
     digest += DigestOf(*it);
   }
--- a/src/tasks/task_table_test.cpp
+++ b/src/tasks/task_table_test.cpp
@@ -309,10 +309,11 @@
         for (const auto& it : first.TeamCommitments()) {
           used += it.second.mLiveAttempts;
         }
-        CPPUNIT_ASSERT_EQUAL(first.CountLive(), first.CountQueued() + granted);
+        CPPUNIT_ASSERT_EQUAL(first.CountUnfinished(),
+                             first.CountQueued() + granted);
         CPPUNIT_ASSERT_EQUAL(static_cast<std::int64_t>(granted), used);
         CPPUNIT_ASSERT_EQUAL(first.All().size(),
-                             first.CountLive() + first.CountEnded());
+                             first.CountUnfinished() + first.CountEnded());
       }
       CPPUNIT_ASSERT_EQUAL(first.Digest(), second.Digest());
     }
