--- a/include/skylarkhill/journal/site_record.hpp
+++ b/include/skylarkhill/journal/site_record.hpp
@@ -16,8 +16,9 @@
 
 using platform::Offset;
 
-/// State of a live task after exactly the records up to offset `mAsOf`. In a
-/// StatePage, `mAsOf` + 1 is the replay offset and the task may have ended.
+/// State of an unfinished task after exactly the records up to offset `mAsOf`.
+/// In a StatePage, `mAsOf` + 1 is the replay offset and the task may have
+/// ended.
 struct TaskSnapshotRecord
 {
   Offset mAsOf = -1;
--- a/include/skylarkhill/journal/site_state.hpp
+++ b/include/skylarkhill/journal/site_state.hpp
@@ -123,8 +123,8 @@
   SiteStateCounts Counts() const;
   std::uint64_t UnfinishedDigest() const;
 
-  /// Up to `aLimit` live tasks per shard whose state depends on records that
-  /// are at least `aAgeMs` old; in each shard the oldest first.
+  /// Up to `aLimit` unfinished tasks per shard whose state depends on records
+  /// that are at least `aAgeMs` old; in each shard the oldest first.
   std::vector<tasks::TaskReplayOffset> TasksToSnapshot(
     std::int64_t aAgeMs,
     std::int64_t aNowMs,
@@ -134,7 +134,8 @@
     std::int64_t aNowMs,
     std::size_t aLimit) const;
   std::int64_t AgeOf(Offset aOffset, std::int64_t aNowMs) const;
-  /// Snapshot to append to the log; nullopt if the task is not live.
+  /// Snapshot to append to the log; nullopt if the task has ended or is
+  /// unknown.
   std::optional<TaskSnapshotRecord> SnapshotTask(
     const base::TaskId& aTask) const;
   /// Snapshot to append to the log; nullopt if the key is not claimed.
--- a/include/skylarkhill/journal/snapshot_planner.hpp
+++ b/include/skylarkhill/journal/snapshot_planner.hpp
@@ -21,8 +21,8 @@
   std::int64_t mRetentionMs = 24LL * 3600 * 1000;
   /// Maximum number of snapshots in one plan.
   std::size_t mMaxPerPlan = 200;
-  /// Maximum number of live tasks, and of claimed keys, examined per shard and
-  /// plan.
+  /// Maximum number of unfinished tasks, and of claimed keys, examined per
+  /// shard and plan.
   std::size_t mMaxCandidates = 10'000;
 };
 
@@ -36,7 +36,7 @@
               const std::vector<base::InstanceId>& aLive,
               std::int64_t aRetentionMs);
 
-/// Decides for which live tasks and claimed keys this instance appends
+/// Decides for which unfinished tasks and claimed keys this instance appends
 /// snapshots before their records expire. Not thread-safe.
 class SnapshotPlanner
 {
--- a/src/journal/journal_random_test.cpp
+++ b/src/journal/journal_random_test.cpp
@@ -345,7 +345,7 @@
       mEnded[aTask.mValue] = task->mLastRecordOffset;
     } else if (mEnded.count(aTask.mValue) != 0) {
       // An id may be reused when none of its records is retained.
-      CPPUNIT_ASSERT_MESSAGE("ended task became live again",
+      CPPUNIT_ASSERT_MESSAGE("ended task became unfinished again",
                              mEnded[aTask.mValue] < mFirstRetained &&
                                task->mAcceptedOffset >= mFirstRetained);
       Forget(aTask.mValue);
--- a/src/journal/site_state.cpp
+++ b/src/journal/site_state.cpp
@@ -145,7 +145,7 @@
 // A record that creates or restores a task or key is applied only if this
 // reader has every record that follows its writer's position. Otherwise the end
 // record may have expired unread, and an ended task or finished key would
-// become live again.
+// become unfinished again.
 bool
 SiteState::IsStale(const Batch& aBatch,
                    Offset aOffset,
@@ -537,7 +537,7 @@
   return mAgeIndex.AgeOf(aOffset, aNowMs);
 }
 
-// The position is read before the shard is locked: the shard then reflects
+// The offset is read before the shard is locked: the shard then reflects
 // exactly the records up to the larger of the two offsets.
 std::optional<TaskSnapshotRecord>
 SiteState::SnapshotTask(const base::TaskId& aTask) const
--- a/src/journal/site_state_test.cpp
+++ b/src/journal/site_state_test.cpp
@@ -131,13 +131,13 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t(1),
                          lateReplica.mState.Counts().mStaleRecords);
     // Without the check for stale records, the snapshot makes the ended task
-    // live again.
+    // unfinished again.
     tasks::TaskTable table;
     table.ApplySnapshot(stale.mAsOf, stale.mTask);
     CPPUNIT_ASSERT(table.Find({ "a" })->mState == tasks::TaskState::Granted);
   }
 
-  // Guards against the loss of a live task whose accept record expired.
+  // Guards against the loss of an unfinished task whose accept record expired.
   void RestoresALiveTaskFromASnapshot()
   {
     Write({ Accept("a"), Intent("k") });
@@ -224,8 +224,8 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), counts.mUnfinishedTasks);
   }
 
-  // Guards against tasks that stay live because their end records expired while
-  // the instance was paused.
+  // Guards against tasks that stay unfinished because their end records expired
+  // while the instance was paused.
   void RebuildsAfterAGap()
   {
     Write({ Accept("a") });
