--- a/src/journal/stream_reader.cpp
+++ b/src/journal/stream_reader.cpp
@@ -90,7 +90,7 @@
     mHasStarted = true;
   }
   for (const auto& it : aPage.mRecords) {
-    // The page may begin before the requested position.
+    // The page may begin before the requested offset.
     if (it.mOffset >= mState.mNextOffset) {
       ProcessRecord(it, result);
     }
