--- a/include/skylarkhill/holder/granted_attempt.hpp
+++ b/include/skylarkhill/holder/granted_attempt.hpp
@@ -9,7 +9,7 @@
 
 namespace skylarkhill::holder {
 
-/// A task attempt that the log grants to a worker and that has no end record.
+/// A task attempt that has a grant record and no end record.
 struct GrantedAttempt
 {
   base::TaskId mTask;
@@ -17,7 +17,7 @@
   std::string mBatchClass;
   std::string mPayload;
   /// Resources to reserve on the worker.
-  base::Resources mReserve;
+  base::Resources mReserved;
   /// Checkpoint to resume from; empty for a fresh start.
   std::string mCheckpoint;
   bool mCancelRequested = false;
--- a/include/skylarkhill/journal/journal_service.hpp
+++ b/include/skylarkhill/journal/journal_service.hpp
@@ -21,10 +21,10 @@
 
 namespace skylarkhill::journal {
 
-struct JournalServiceSettings
+struct JournalServiceOptions
 {
   std::string mStream = "site";
-  BatchWriterSettings mWriter;
+  BatchWriterOptions mWriterOptions;
   std::int64_t mMaxRecordsPerRead = 256;
   /// Pause between reads at the end of the stream.
   base::Duration mPollInterval = std::chrono::milliseconds(50);
@@ -38,7 +38,7 @@
 struct JournalCounts
 {
   std::int64_t mAppends = 0;
-  std::int64_t mAppendsUnavailable = 0;
+  std::int64_t mAppendsFailed = 0;
   std::int64_t mAnswersLost = 0;
   std::int64_t mReads = 0;
   std::int64_t mReadsFailed = 0;
@@ -50,16 +50,17 @@
 /// Result of a submission that appended nothing, as all its records were
 /// already known. Not a valid offset: a request that compares the result with
 /// the offset of a claim must not match the claim of an earlier request at the
-/// same instance (explore, world site, seed 11).
+/// same instance.
 inline constexpr Offset kNotAppended = -1;
 
-/// Runs the writer and the reader of one stream, each in its own thread.
+/// Runs the writer and the reader of one stream of the platform's log service,
+/// the journal, each in its own thread.
 /// Thread-safe.
 class JournalService
 {
 public:
   /// The references must outlive the service.
-  JournalService(JournalServiceSettings aSettings,
+  JournalService(JournalServiceOptions aOptions,
                  platform::LogService& aLog,
                  SiteState& aState,
                  const base::Clock& aClock,
@@ -88,8 +89,8 @@
   base::Result<Offset> Submit(const std::vector<SiteRecord>& aRecords,
                               base::TimePoint aDeadline);
 
-  /// Waits until the queue is empty and no append is in progress; false if
-  /// `aDeadline` passed first.
+  /// Waits until the queue of submissions is empty and no append is in
+  /// progress; false if `aDeadline` passed first.
   bool Drain(base::TimePoint aDeadline);
 
   void SetLiveInstances(std::int64_t aCount);
@@ -111,7 +112,7 @@
                                      Offset aOffset,
                                      base::TimePoint aDeadline) const;
 
-  JournalServiceSettings mSettings;
+  JournalServiceOptions mOptions;
   platform::LogService& mLog;
   SiteState& mState;
   const base::Clock& mClock;
--- a/include/skylarkhill/journal/site_state.hpp
+++ b/include/skylarkhill/journal/site_state.hpp
@@ -24,7 +24,7 @@
 
 namespace skylarkhill::journal {
 
-struct SiteStateSettings
+struct SiteStateOptions
 {
   std::size_t mShards = 16;
   /// How long the platform retains records, in milliseconds.
@@ -50,6 +50,7 @@
 struct StateHeader
 {
   std::int64_t mShards = 0;
+  /// Records before this offset may be missing from the state.
   Offset mHorizon = 0;
   Offset mFirstRetained = 0;
   ReaderState mReader;
@@ -64,7 +65,7 @@
   /// Ignored snapshots, accepts and intents: the position of their writer was
   /// too old.
   std::int64_t mStaleRecords = 0;
-  std::size_t mLiveTasks = 0;
+  std::size_t mUnfinishedTasks = 0;
   std::size_t mQueuedTasks = 0;
   std::size_t mEndedTasks = 0;
   std::size_t mClaimedKeys = 0;
@@ -72,21 +73,22 @@
 };
 
 /// The tasks and keys that result from the records of the `site` stream,
-/// sharded by the hash of the id. Only one thread may apply pages; all other
+/// sharded by the hash of the id. Only one thread may call ApplyPage; all other
 /// functions are thread-safe.
 class SiteState
 {
 public:
-  explicit SiteState(SiteStateSettings aSettings);
+  explicit SiteState(SiteStateOptions aOptions);
 
   /// Applies the batches in order and wakes up the waiting threads.
   void ApplyPage(const PageResult& aPage, std::int64_t aNowMs);
-  /// Everything appended before `aAsOf` has been applied.
-  void SetCaughtUp(base::TimePoint aAsOf);
+  /// Reports that everything appended before `aCaughtUpTime` has been applied.
+  void SetCaughtUp(base::TimePoint aCaughtUpTime);
 
   /// Offset of the next record to apply.
-  Offset Position() const;
-  /// Current position of this state, for the batches that the instance writes.
+  Offset NextOffset() const;
+  /// Newest applied and first retained offset, for the batches that the
+  /// instance writes.
   WriterPosition GetWriterPosition() const;
   base::TimePoint CaughtUpTime() const;
   /// True once the end of the stream was reached or a peer's state was
@@ -98,9 +100,9 @@
   bool WaitUntilApplied(Offset aOffset,
                         const base::Clock& aClock,
                         base::TimePoint aDeadline) const;
-  /// Waits until everything appended before `aAsOf` was applied; false if
-  /// `aDeadline` passed first.
-  bool WaitUntilCaughtUp(base::TimePoint aAsOf,
+  /// Waits until everything appended before `aCaughtUpTime` was applied; false
+  /// if `aDeadline` passed first.
+  bool WaitUntilCaughtUp(base::TimePoint aCaughtUpTime,
                          const base::Clock& aClock,
                          base::TimePoint aDeadline) const;
 
@@ -110,18 +112,19 @@
   /// Up to `aLimit` queued tasks: urgent ones first, then in order of
   /// acceptance and of id.
   std::vector<tasks::QueuedTask> Queued(std::size_t aLimit) const;
-  std::vector<tasks::LiveAttempt> GrantsOn(const base::WorkerId& aWorker) const;
+  std::vector<tasks::LiveAttempt> LiveAttemptsOn(
+    const base::WorkerId& aWorker) const;
   /// Workers with at least one live attempt, in order of id.
-  std::vector<base::WorkerId> WorkersWithGrants() const;
-  std::map<std::string, tasks::TeamUse> TeamUses() const;
+  std::vector<base::WorkerId> WorkersWithLiveAttempts() const;
+  std::map<std::string, tasks::TeamCommitment> TeamCommitments() const;
   requests::KeySnapshot FindKey(const base::RequestId& aKey) const;
   std::vector<base::RequestId> ClaimedBy(
     const base::InstanceId& aInstance) const;
   SiteStateCounts Counts() const;
-  std::uint64_t LiveDigest() const;
+  std::uint64_t UnfinishedDigest() const;
 
-  /// Up to `aLimit` live tasks per shard whose state depends on records that
-  /// are at least `aAgeMs` old; in each shard the oldest first.
+  /// Up to `aLimit` unfinished tasks per shard whose state depends on records
+  /// that are at least `aAgeMs` old; in each shard the oldest first.
   std::vector<tasks::TaskReplayOffset> TasksToSnapshot(
     std::int64_t aAgeMs,
     std::int64_t aNowMs,
@@ -131,7 +134,8 @@
     std::int64_t aNowMs,
     std::size_t aLimit) const;
   std::int64_t AgeOf(Offset aOffset, std::int64_t aNowMs) const;
-  /// Snapshot to append to the log; nullopt if the task is not live.
+  /// Snapshot to append to the log; nullopt if the task has ended or is
+  /// unknown.
   std::optional<TaskSnapshotRecord> SnapshotTask(
     const base::TaskId& aTask) const;
   /// Snapshot to append to the log; nullopt if the key is not claimed.
@@ -165,7 +169,7 @@
 
   std::size_t ShardIndexFor(std::string_view aId) const;
   const Shard& ShardOf(std::string_view aId) const;
-  void Clear(Offset aHorizon);
+  void Clear(Offset aFirstOffset);
   void RaiseHorizon(Offset aHorizon);
   void ApplyBatch(const ReadBatch& aBatch);
   void ApplyToShard(Shard& aShard,
@@ -188,13 +192,13 @@
                  const base::Clock& aClock,
                  base::TimePoint aDeadline) const;
 
-  SiteStateSettings mSettings;
+  SiteStateOptions mOptions;
   std::vector<std::unique_ptr<Shard>> mShards;
 
   /// Guards the members below; never locked together with the mutex of a shard.
   mutable std::mutex mMutex;
   mutable std::condition_variable mChanged;
-  Offset mPosition = 0;
+  Offset mNextOffset = 0;
   /// Records before this offset may be missing from the state: they expired
   /// before the reader started, or their tombstones were removed. Depends only
   /// on the start offset and the batches, so that all readers with the same
--- a/include/skylarkhill/journal/snapshot_planner.hpp
+++ b/include/skylarkhill/journal/snapshot_planner.hpp
@@ -14,15 +14,15 @@
 
 namespace skylarkhill::journal {
 
-struct SnapshotPlannerSettings
+struct SnapshotPlannerOptions
 {
   base::InstanceId mSelf;
   /// How long the platform retains records, in milliseconds.
   std::int64_t mRetentionMs = 24LL * 3600 * 1000;
   /// Maximum number of snapshots in one plan.
   std::size_t mMaxPerPlan = 200;
-  /// Maximum number of live tasks, and of claimed keys, examined per shard and
-  /// plan.
+  /// Maximum number of unfinished tasks, and of claimed keys, examined per
+  /// shard and plan.
   std::size_t mMaxCandidates = 10'000;
 };
 
@@ -36,16 +36,16 @@
               const std::vector<base::InstanceId>& aLive,
               std::int64_t aRetentionMs);
 
-/// Decides for which live tasks and claimed keys this instance appends
+/// Decides for which unfinished tasks and claimed keys this instance appends
 /// snapshots before their records expire. Not thread-safe.
 class SnapshotPlanner
 {
 public:
-  explicit SnapshotPlanner(SnapshotPlannerSettings aSettings);
+  explicit SnapshotPlanner(SnapshotPlannerOptions aOptions);
 
-  /// Returns the snapshots to append now. Call it at least every 1/128 of the
-  /// retention, e.g. every 11 minutes for a day. A planned snapshot is not
-  /// planned again for 1/8 of the retention.
+  /// Returns the snapshots to append now. Call it at least once per age sample
+  /// of SiteState, 1/128 of the retention, e.g. every 11 minutes for a day. A
+  /// planned snapshot is not planned again for 1/8 of the retention.
   std::vector<SiteRecord> Plan(const SiteState& aState,
                                const std::vector<base::InstanceId>& aLive,
                                std::int64_t aNowMs);
@@ -56,7 +56,7 @@
                  const std::vector<base::InstanceId>& aLive,
                  std::int64_t aNowMs);
 
-  SnapshotPlannerSettings mSettings;
+  SnapshotPlannerOptions mOptions;
   /// When the last snapshot was planned, per id.
   std::unordered_map<std::string, std::int64_t> mPlannedAtMs;
 };
--- a/include/skylarkhill/policy/placement.hpp
+++ b/include/skylarkhill/policy/placement.hpp
@@ -47,7 +47,7 @@
   /// Batch class -> number of its tasks at the time of the measurement.
   std::map<std::string, std::int64_t> mBatchTasks;
   /// Service time in percent of that without batch tasks.
-  std::int64_t mSlowdownPercent = 100;
+  std::int64_t mServiceTimePercent = 100;
   base::TimePoint mMeasuredAt;
 };
 
@@ -63,7 +63,8 @@
     const TaskDemand& aTask,
     const std::vector<WorkerView>& aWorkers) const = 0;
 
-  /// Records a placement before reports include it.
+  /// Tells the policy the time of a placement. The placement itself takes
+  /// effect through `WorkerView::mBatchTasks`.
   virtual void RecordPlacement(const TaskDemand& aTask,
                                const base::WorkerId& aWorker,
                                base::TimePoint aNow) = 0;
--- a/include/skylarkhill/policy/size_estimator.hpp
+++ b/include/skylarkhill/policy/resource_estimator.hpp
@@ -1,5 +1,5 @@
-#ifndef SKYLARKHILL_POLICY_SIZE_ESTIMATOR_HPP
-#define SKYLARKHILL_POLICY_SIZE_ESTIMATOR_HPP
+#ifndef SKYLARKHILL_POLICY_RESOURCE_ESTIMATOR_HPP
+#define SKYLARKHILL_POLICY_RESOURCE_ESTIMATOR_HPP
 
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/base/resources.hpp"
@@ -12,30 +12,30 @@
 
 namespace skylarkhill::policy {
 
-struct SizeEstimatorOptions
+struct ResourceEstimatorOptions
 {
   double mQuantile = 0.9;
   base::Duration mHalfLife = std::chrono::minutes(10);
   /// Number of observations kept per class; older ones are discarded.
   std::size_t mMaxSamples = 64;
-  /// With fewer observations the declared size is used.
+  /// With fewer observations the declared resources are used.
   std::size_t mMinSamples = 5;
 };
 
 /// Corrects the declared resources of tasks by a quantile of the usage observed
 /// for their batch class, weighted by age. Not thread-safe.
-class SizeEstimator
+class ResourceEstimator
 {
 public:
-  explicit SizeEstimator(const SizeEstimatorOptions& aOptions = {});
+  explicit ResourceEstimator(const ResourceEstimatorOptions& aOptions = {});
 
   /// Records that a task of the class uses `aUsed`.
   void Observe(const std::string& aBatchClass,
                const base::Resources& aUsed,
                base::TimePoint aNow);
 
-  /// The larger of declared and observed size for each resource, so that a low
-  /// observation never leads to overcommitment of a worker.
+  /// The larger of the declared and the observed amount of each resource, so
+  /// that a low observation never leads to overcommitment of a worker.
   base::Resources Estimate(const std::string& aBatchClass,
                            const base::Resources& aDeclared,
                            base::TimePoint aNow) const;
@@ -51,10 +51,10 @@
                         std::int64_t base::Resources::*aDimension,
                         base::TimePoint aNow) const;
 
-  SizeEstimatorOptions mOptions;
+  ResourceEstimatorOptions mOptions;
   std::unordered_map<std::string, std::deque<Sample>> mSamples;
 };
 
 } // namespace skylarkhill::policy
 
-#endif // SKYLARKHILL_POLICY_SIZE_ESTIMATOR_HPP
+#endif // SKYLARKHILL_POLICY_RESOURCE_ESTIMATOR_HPP
--- a/include/skylarkhill/requests/key_table.hpp
+++ b/include/skylarkhill/requests/key_table.hpp
@@ -21,7 +21,7 @@
 enum class KeyState
 {
   /// No instance has claimed the key.
-  Unknown,
+  Unclaimed,
   /// Claimed; the outcome is not recorded yet.
   Claimed,
   Finished,
@@ -31,13 +31,13 @@
 struct KeySnapshot
 {
   base::RequestId mKey;
-  KeyState mState = KeyState::Unknown;
+  KeyState mState = KeyState::Unclaimed;
   /// The instance whose intent took effect; empty if it is not known, e.g.
   /// because that record has expired.
   base::InstanceId mClaimant;
-  Offset mClaimedAt = 0;
+  Offset mClaimedOffset = 0;
   /// Offset of the newest record about the key.
-  Offset mLastRecordAt = 0;
+  Offset mLastRecordOffset = 0;
   /// Set if the state is Finished.
   std::optional<OutcomeRecord> mOutcome;
 };
@@ -74,7 +74,7 @@
 
   /// Applies a record that must not take effect but proves that its key is in
   /// use. A key that is unknown has no claimant until a snapshot is applied.
-  void ApplyStale(Offset aOffset, const KeyRecord& aRecord);
+  void RegisterIgnored(Offset aOffset, const KeyRecord& aRecord);
 
   /// Adds the key in its state after offset `aAsOf` and applies the records
   /// about it read since then. The state of a known key does not change.
@@ -83,14 +83,16 @@
   /// Adds a key exported from another table.
   void Restore(const KeySnapshot& aSnapshot, Offset aReplayFrom);
 
-  /// Removes `aKey` if it is finished and has no record at or after
-  /// `aFirstRetained`.
-  void ForgetFinished(const base::RequestId& aKey, Offset aFirstRetained);
+  /// Removes `aKey` if it is finished, and its unmatched records, if no record
+  /// about it is at or after `aFirstRetained`.
+  void RemoveTombstone(const base::RequestId& aKey, Offset aFirstRetained);
 
-  /// Removes finished keys without a record at or after `aFirstRetained`.
+  /// Removes all finished keys and unmatched records of keys that have no
+  /// record at or after `aFirstRetained`.
   void Purge(Offset aFirstRetained);
 
-  /// The state is Unknown for a key that is not in the table.
+  /// Unclaimed for a key without any record; Claimed or Finished without a
+  /// claimant for a key with only unmatched records.
   KeySnapshot Find(const base::RequestId& aKey) const;
   /// Offset from which replaying the log restores the key; nothing if the key
   /// is not in the table.
@@ -112,7 +114,7 @@
   std::int64_t IgnoredRecords() const { return mIgnoredRecords; }
 
   /// Digest of the claimed keys; equal for tables with the same ones.
-  std::uint64_t LiveDigest() const;
+  std::uint64_t UnfinishedDigest() const;
   /// Digest of the claimed and finished keys; equal for tables with the same
   /// ones.
   std::uint64_t Digest() const;
@@ -125,7 +127,7 @@
   };
   using OffsetSet = std::set<std::pair<Offset, base::RequestId>>;
   /// Records about a key whose first intent is not known, e.g. because it
-  /// expired before this reader started.
+  /// expired before the first record applied to this table.
   using Unmatched = std::vector<std::pair<Offset, KeyRecord>>;
 
   void Claim(Offset aOffset, const IntentRecord& aRecord, Offset aReplayFrom);
--- a/include/skylarkhill/requests/request_machine.hpp
+++ b/include/skylarkhill/requests/request_machine.hpp
@@ -27,13 +27,13 @@
   base::Duration mAttemptTimeout{ 0 };
 };
 
-/// The router offers a target.
+/// The target that the caller picked for the next attempt.
 struct TargetOffered
 {
   Target mTarget;
 };
 
-/// The router has no eligible target.
+/// The caller found no eligible target.
 struct TargetUnavailable
 {};
 
@@ -42,7 +42,7 @@
 {};
 
 /// State of a key that another request has claimed.
-enum class ClaimState
+enum class OtherClaimState
 {
   /// The claiming instance is alive; another event follows when the request
   /// has finished.
@@ -56,7 +56,7 @@
 /// Another request has claimed the key first.
 struct KeyClaimedByOther
 {
-  ClaimState mState = ClaimState::InProgress;
+  OtherClaimState mState = OtherClaimState::InProgress;
   /// Valid if the state is Finished.
   OutcomeRecord mRecord;
 };
@@ -93,7 +93,7 @@
 struct CancelRequested
 {};
 
-/// The time returned by NextWakeup has come.
+/// The time returned by NextWakeUp has come.
 struct TimerFired
 {};
 
@@ -108,7 +108,7 @@
                                   CancelRequested,
                                   TimerFired>;
 
-/// Ask the router for a target; answered by TargetOffered or
+/// Pick a target that is not in `mTried`; answered by TargetOffered or
 /// TargetUnavailable.
 struct PickTarget
 {
@@ -172,19 +172,20 @@
 
   const Request& GetRequest() const { return mRequest; }
   /// Time at which TimerFired is due; kNoDeadline once the request has ended.
-  base::TimePoint NextWakeup() const;
+  base::TimePoint NextWakeUp() const;
   bool IsFinished() const { return mFinished; }
   /// True if no further event can cause an action.
-  bool IsSettled() const { return mFinished && mClaim != Claim::Pending; }
+  bool IsSettled() const { return mFinished && mClaim != OwnClaim::Pending; }
   const DroppedAnswers& GetDroppedAnswers() const { return mDropped; }
 
 private:
-  enum class Claim
+  enum class OwnClaim
   {
     /// Idempotent requests claim no key.
     NotNeeded,
     Pending,
     Won,
+    /// Another request claimed the key first, or the intent was not appended.
     Lost,
   };
   enum class AttemptState
@@ -225,11 +226,11 @@
                   RequestActions& aActions);
   void ExpireAttempts(RequestActions& aActions);
   /// Called when an attempt ended without an answer: sends another attempt,
-  /// waits for the open ones or finishes.
+  /// waits for those in flight or finishes.
   void RetryOrFinish(RequestActions& aActions);
   void AskForTarget(RequestActions& aActions);
   void Send(const Target& aTarget, RequestActions& aActions);
-  /// Sends no further attempt now: waits for the open ones or finishes.
+  /// Sends no further attempt now: waits for those in flight or finishes.
   void StopRetrying(RequestActions& aActions);
   void FinishWithoutAnswer(RequestActions& aActions);
   void FinishAtDeadline(RequestActions& aActions);
@@ -240,7 +241,7 @@
   RetryBudget& mBudget;
   const base::Clock& mClock;
   base::Random& mRandom;
-  Claim mClaim = Claim::NotNeeded;
+  OwnClaim mClaim = OwnClaim::NotNeeded;
   bool mStarted = false;
   bool mFinished = false;
   bool mCancelled = false;
--- a/include/skylarkhill/tasks/task_table.hpp
+++ b/include/skylarkhill/tasks/task_table.hpp
@@ -27,7 +27,7 @@
   std::string mPool;
   base::Resources mDeclared;
   std::int64_t mDeclaredRunSeconds = 0;
-  Offset mAcceptedAt = 0;
+  Offset mAcceptedOffset = 0;
   std::int64_t mNextAttempt = 1;
   std::int64_t mEvictions = 0;
   bool mUrgent = false;
@@ -42,18 +42,18 @@
   TaskState mState = TaskState::Granted;
   bool mCancelRequested = false;
   /// Offset of the grant record.
-  Offset mGrantedAt = 0;
+  Offset mGrantedOffset = 0;
 };
 
 /// Resources and number of the live attempts of one team.
-struct TeamUse
+struct TeamCommitment
 {
   base::Resources mCommitted;
   std::int64_t mLiveAttempts = 0;
 };
 
-/// A task that has not ended, and the log offset from which replay alone
-/// restores it.
+/// A task that has not ended. Replaying the log from `mReplayFrom` restores it
+/// without a snapshot.
 struct TaskReplayOffset
 {
   base::TaskId mTask;
@@ -81,7 +81,7 @@
 
   /// Registers a record without applying it to its task. The record of an
   /// unknown task is kept as unmatched until a snapshot of the task is applied.
-  void ApplyStale(Offset aOffset, const TaskRecord& aRecord);
+  void RegisterIgnored(Offset aOffset, const TaskRecord& aRecord);
 
   /// Adds the task in its state after the record at `aAsOf`, and applies its
   /// unmatched records with later offsets. Of a known task, only the replay
@@ -99,20 +99,20 @@
   /// at or after `aFirstRetained`.
   void Purge(Offset aFirstRetained);
 
-  /// True if a retained record refers to the task. An accept record creates
-  /// only unknown tasks.
+  /// True if a retained record refers to the task. An accept record creates a
+  /// task only if its id is not known.
   bool IsKnown(const base::TaskId& aTask) const;
   std::optional<TaskSnapshot> Find(const base::TaskId& aTask) const;
-  /// Log offset from which replay alone restores the task.
+  /// Log offset from which a replay restores the task without a snapshot.
   std::optional<Offset> FindReplayOffset(const base::TaskId& aTask) const;
   /// Up to `aLimit` queued tasks: urgent tasks first, then by acceptance offset
   /// and id.
   std::vector<QueuedTask> Queued(std::size_t aLimit) const;
   /// Live attempts on `aWorker`, by acceptance offset and id.
-  std::vector<LiveAttempt> GrantsOn(const base::WorkerId& aWorker) const;
-  std::map<std::string, TeamUse> TeamUses() const;
+  std::vector<LiveAttempt> LiveAttemptsOn(const base::WorkerId& aWorker) const;
+  std::map<std::string, TeamCommitment> TeamCommitments() const;
   /// Workers with at least one live attempt, by id.
-  std::vector<base::WorkerId> WorkersWithGrants() const;
+  std::vector<base::WorkerId> WorkersWithLiveAttempts() const;
   /// Up to `aLimit` tasks that have not ended and whose replay offset is before
   /// `aBefore`, lowest offset first.
   std::vector<TaskReplayOffset> OldestReplayOffsets(Offset aBefore,
@@ -122,13 +122,14 @@
   /// All tasks and tombstones, by acceptance offset and id.
   std::vector<base::TaskId> All() const;
 
-  std::size_t CountLive() const { return mByReplayOffset.size(); }
+  /// Number of tasks that have not ended, queued ones included.
+  std::size_t CountUnfinished() const { return mByReplayOffset.size(); }
   std::size_t CountQueued() const { return mQueued.size(); }
   std::size_t CountEnded() const { return mEnded.size(); }
   std::int64_t IgnoredRecords() const { return mIgnoredRecords; }
 
   /// Hash of all tasks that have not ended; equal for equal tasks.
-  std::uint64_t LiveDigest() const;
+  std::uint64_t UnfinishedDigest() const;
   /// Hash of all tasks and tombstones; equal for equal tables.
   std::uint64_t Digest() const;
 
@@ -153,7 +154,7 @@
   };
   using EntrySet = std::set<Entry*, ByAcceptance>;
   /// Records of an unknown task, e.g. one whose accept record expired before
-  /// this reader started.
+  /// the first record applied to this table.
   using Unmatched = std::vector<std::pair<Offset, TaskRecord>>;
 
   Entry* FindEntry(const base::TaskId& aTask) const;
@@ -175,7 +176,7 @@
   std::unordered_map<base::TaskId, Unmatched> mUnmatched;
   std::set<Entry*, ByQueueOrder> mQueued;
   std::unordered_map<StringPool::Handle, EntrySet> mByWorker;
-  std::unordered_map<StringPool::Handle, TeamUse> mTeamUses;
+  std::unordered_map<StringPool::Handle, TeamCommitment> mTeamCommitments;
   std::set<Entry*, ByReplayOffset> mByReplayOffset;
   std::set<Entry*, ByLastRecord> mEnded;
   std::int64_t mIgnoredRecords = 0;
--- a/include/skylarkhill/worker/remote_worker.hpp
+++ b/include/skylarkhill/worker/remote_worker.hpp
@@ -34,7 +34,7 @@
   }
 };
 
-/// A holder lease in the worker's lease list. It reserves no resources.
+/// A holder lease in the worker's holder list. It reserves no resources.
 struct HolderLease
 {
   HolderToken mToken;
@@ -55,7 +55,7 @@
   Stopped,
 };
 
-/// The name of `aPhase` in messages.
+/// The stable name of `aPhase`.
 std::string_view
 NameOf(TaskPhase aPhase);
 
@@ -97,12 +97,11 @@
   /// All holder leases that have not expired.
   std::vector<HolderLease> mHolders;
   std::vector<TaskReport> mTasks;
-  /// Slowdown of service requests compared with an idle worker, in percent; 100
-  /// means none. May be out of date.
-  std::int64_t mServiceSlowdownPercent = 100;
+  /// Service time in percent of that without batch tasks; may be out of date.
+  std::int64_t mServiceTimePercent = 100;
 };
 
-/// Fields that every command carries.
+/// Fields that every task command and service call carries.
 struct CommandHeader
 {
   HolderToken mToken;
@@ -115,7 +114,7 @@
   base::TaskId mTask;
   std::int64_t mAttempt = 0;
   std::string mBatchClass;
-  base::Resources mReserve;
+  base::Resources mReserved;
   /// End of the task's lease.
   WorkerTime mLeaseExpiresAt = 0;
   /// Checkpoint to resume from; empty for a fresh start.
@@ -123,17 +122,17 @@
   std::string mPayload;
 };
 
-/// One attempt on the worker.
-struct TaskKey
+/// Identifies one attempt of a task.
+struct AttemptKey
 {
   base::TaskId mTask;
   std::int64_t mAttempt = 0;
 
-  friend bool operator==(const TaskKey& aLeft, const TaskKey& aRight)
+  friend bool operator==(const AttemptKey& aLeft, const AttemptKey& aRight)
   {
     return aLeft.mTask == aRight.mTask && aLeft.mAttempt == aRight.mAttempt;
   }
-  friend bool operator<(const TaskKey& aLeft, const TaskKey& aRight)
+  friend bool operator<(const AttemptKey& aLeft, const AttemptKey& aRight)
   {
     return aLeft.mTask < aRight.mTask ||
            (aLeft.mTask == aRight.mTask && aLeft.mAttempt < aRight.mAttempt);
@@ -187,27 +186,27 @@
 
   /// Extends the leases of all listed attempts to `aLeaseExpiresAt`.
   virtual base::Result<void> Renew(const CommandHeader& aHeader,
-                                   const std::vector<TaskKey>& aTasks,
+                                   const std::vector<AttemptKey>& aTasks,
                                    WorkerTime aLeaseExpiresAt,
                                    base::TimePoint aDeadline) = 0;
 
   virtual base::Result<void> Checkpoint(const CommandHeader& aHeader,
-                                        const TaskKey& aTask,
+                                        const AttemptKey& aTask,
                                         base::TimePoint aDeadline) = 0;
 
   virtual base::Result<void> Throttle(const CommandHeader& aHeader,
-                                      const TaskKey& aTask,
+                                      const AttemptKey& aTask,
                                       std::int64_t aPercent,
                                       base::TimePoint aDeadline) = 0;
 
   /// Stops the attempt; success means that the worker confirmed the stop.
   virtual base::Result<void> Stop(const CommandHeader& aHeader,
-                                  const TaskKey& aTask,
+                                  const AttemptKey& aTask,
                                   base::TimePoint aDeadline) = 0;
 
   /// Lets the worker discard an ended attempt.
   virtual base::Result<void> Acknowledge(const CommandHeader& aHeader,
-                                         const TaskKey& aTask,
+                                         const AttemptKey& aTask,
                                          base::TimePoint aDeadline) = 0;
 
   /// Runs one service request. WorkerUnavailable, WorkerRefused and
--- a/src/holder/ledger_test.cpp
+++ b/src/holder/ledger_test.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-const worker::TaskKey kTask{ { "a" }, 1 };
-const worker::TaskKey kOther{ { "b" }, 1 };
+const worker::AttemptKey kTask{ { "a" }, 1 };
+const worker::AttemptKey kOther{ { "b" }, 1 };
 
 class LedgerTest : public CppUnit::TestFixture
 {
@@ -16,8 +16,8 @@
   CPPUNIT_TEST(UnknownStartIsCountedUntilItExpires);
   CPPUNIT_TEST(ShrunkCapacityAdmitsNothingNew);
   CPPUNIT_TEST(UsageEstimateIsCappedByCapacity);
-  CPPUNIT_TEST(PlanIsReplacedByItsStart);
-  CPPUNIT_TEST(LostCallKeepsItsSlot);
+  CPPUNIT_TEST(GrantIsReplacedByItsStart);
+  CPPUNIT_TEST(CallWithLostAnswerKeepsItsSlot);
   CPPUNIT_TEST(InheritedCallsKeepTheirSlots);
   CPPUNIT_TEST_SUITE_END();
 
@@ -67,29 +67,30 @@
     Ledger ledger;
     ledger.ApplyReport(
       MakePoll(10, { MakeTask(kTask, 300), MakeTask(kOther, 300) }));
-    ledger.SetTrustedUsage(kTask, base::Resources{ 500, 20, 0 });
+    ledger.SetUsageEstimate(kTask, base::Resources{ 500, 20, 0 });
     CPPUNIT_ASSERT(ledger.Committed() == (base::Resources{ 800, 20, 0 }));
-    ledger.SetTrustedUsage(kTask, base::Resources{ 5000, 20, 0 });
+    ledger.SetUsageEstimate(kTask, base::Resources{ 5000, 20, 0 });
     CPPUNIT_ASSERT(ledger.Committed() == (base::Resources{ 1000, 20, 0 }));
-    ledger.SetTrustedUsage(kTask, base::Resources{ 100, 0, 0 });
+    ledger.SetUsageEstimate(kTask, base::Resources{ 100, 0, 0 });
     CPPUNIT_ASSERT(ledger.Committed() == (base::Resources{ 600, 0, 0 }));
   }
 
-  void PlanIsReplacedByItsStart()
+  void GrantIsReplacedByItsStart()
   {
     Ledger ledger;
     ledger.ApplyReport(MakePoll(10, {}));
     ledger.SetServiceReserve({ 200, 0, 0 });
-    CPPUNIT_ASSERT(ledger.Plan(kTask, { 800, 0, 0 }));
-    CPPUNIT_ASSERT(!ledger.Plan(kOther, { 1, 0, 0 }));
+    CPPUNIT_ASSERT(ledger.CommitGrant(kTask, { 800, 0, 0 }));
+    CPPUNIT_ASSERT(!ledger.CommitGrant(kOther, { 1, 0, 0 }));
     CPPUNIT_ASSERT(
       ledger.CommitStart(kTask, { 800, 0, 0 }, MakeExpiry(20, 20)));
-    ledger.CancelPlan(kTask);
+    ledger.CancelGrant(kTask);
     CPPUNIT_ASSERT(!ledger.Fits({ 1, 0, 0 }));
   }
 
-  // Guards against a second call in a slot that a lost call still occupies.
-  void LostCallKeepsItsSlot()
+  // Guards against a second call in a slot that a call whose answer was lost
+  // still occupies.
+  void CallWithLostAnswerKeepsItsSlot()
   {
     Ledger ledger;
     ledger.ApplyReport(MakePoll(10, {}));
@@ -97,7 +98,7 @@
     CPPUNIT_ASSERT(ledger.BeginCall(2, MakeExpiry(20, 20)));
     CPPUNIT_ASSERT(!ledger.BeginCall(3, MakeExpiry(20, 20)));
     ledger.EndCall(1);
-    ledger.MarkCallLost(2);
+    ledger.MarkAnswerLost(2);
     ledger.ApplyReport(MakePoll(15, {}));
     CPPUNIT_ASSERT_EQUAL(std::int64_t(1), ledger.FreeCallCapacity().mSlots);
     PollResult busy = MakePoll(25, {});
@@ -132,7 +133,8 @@
     return { aNotAfter, base::FromMicros(aLatestArrival) };
   }
 
-  static worker::TaskReport MakeTask(const worker::TaskKey& aKey, int aReserved)
+  static worker::TaskReport MakeTask(const worker::AttemptKey& aKey,
+                                     int aReserved)
   {
     worker::TaskReport report;
     report.mTask = aKey.mTask;
--- a/src/holder/task_runner_test.cpp
+++ b/src/holder/task_runner_test.cpp
@@ -1,4 +1,4 @@
-#include "skylarkhill/holder/lost_worker.hpp"
+#include "skylarkhill/holder/absent_worker.hpp"
 #include "skylarkhill/holder/task_runner.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -12,7 +12,7 @@
 using tasks::AttemptOutcome;
 using worker::TaskPhase;
 
-const worker::TaskKey kTask{ { "a" }, 1 };
+const worker::AttemptKey kTask{ { "a" }, 1 };
 // End offset of the log, observed after the lease was acquired.
 constexpr std::int64_t kLogEnd = 100;
 
@@ -35,7 +35,7 @@
   CPPUNIT_TEST(ReleasesGrantsOnLeavingOrFullWorkers);
   CPPUNIT_TEST(DrainKeepsTasksRunning);
   CPPUNIT_TEST(ExpiredTaskLeaseEndsTheAttempt);
-  CPPUNIT_TEST(LostWorkerIsDeclaredAfterTheTaskLease);
+  CPPUNIT_TEST(AttemptsOfAbsentWorkerEndAfterTheTaskLease);
   CPPUNIT_TEST(ExpiredHolderSendsNothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -123,7 +123,7 @@
     mNow += seconds(3);
     ExpectEnd(Poll(), AttemptOutcome::Released);
     CPPUNIT_ASSERT(Poll().mRecords.empty());
-    mRunner->OnRecordDropped(kTask);
+    mRunner->OnEndRecordNotAppended(kTask);
     ExpectEnd(Poll(), AttemptOutcome::Released);
   }
 
@@ -230,7 +230,7 @@
   {
     EndQuietPeriod();
     GrantedAttempt grant = Grant();
-    grant.mReserve = { 2000, 0, 0 };
+    grant.mReserved = { 2000, 0, 0 };
     mRunner->SetGrants({ grant }, kLogEnd);
     CPPUNIT_ASSERT(Poll().mRecords.empty());
     mNow += mOptions.mReleaseAfter;
@@ -256,7 +256,9 @@
     CPPUNIT_ASSERT(mRunner->IsDrained(mNow));
   }
 
-  // Possible only if the task lease expires before the holder lease.
+  // Guards against an attempt that never ends although its task lease expired
+  // while the worker was held. With the default options the holder lease
+  // expires first.
   void ExpiredTaskLeaseEndsTheAttempt()
   {
     Run();
@@ -271,12 +273,12 @@
 
   // Guards against a second run of tasks while their worker is only
   // unreachable.
-  void LostWorkerIsDeclaredAfterTheTaskLease()
+  void AttemptsOfAbsentWorkerEndAfterTheTaskLease()
   {
-    LostWorker lost{ mNow, mNow + seconds(5), { Grant() } };
+    AbsentWorker absent{ mNow, mNow + seconds(5), { Grant() } };
     const auto count = [&](int aSeconds) {
-      return EndLostAttempts(
-               lost, seconds(30), seconds(1), mNow + seconds(aSeconds))
+      return EndAbsentWorkerAttempts(
+               absent, seconds(30), seconds(1), mNow + seconds(aSeconds))
         .size();
     };
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), count(35));
@@ -297,13 +299,13 @@
     GrantedAttempt grant;
     grant.mTask = kTask.mTask;
     grant.mAttempt = kTask.mAttempt;
-    grant.mReserve = { 500, 500, 0 };
+    grant.mReserved = { 500, 500, 0 };
     grant.mCheckpoint = "c0";
     grant.mGrantedOffset = kLogEnd;
     return grant;
   }
 
-  void ReportTask(const worker::TaskKey& aKey,
+  void ReportTask(const worker::AttemptKey& aKey,
                   TaskPhase aPhase,
                   const std::string& aCheckpoint = {})
   {
@@ -322,7 +324,7 @@
   {
     for (const auto& it : mLease->Step(mNow)) {
       std::uint64_t request = 0;
-      if (const auto* place = std::get_if<PlaceLease>(&it)) {
+      if (const auto* place = std::get_if<SetLease>(&it)) {
         mReport.mHolders = { { place->mToken, 0 } };
         request = place->mRequest;
       } else if (const auto* read = std::get_if<ReadHolders>(&it)) {
--- a/src/journal/journal_random_test.cpp
+++ b/src/journal/journal_random_test.cpp
@@ -23,9 +23,9 @@
 constexpr int kSteps = 4'000;
 
 /// One entry instance, without threads.
-struct Node
+struct SimulatedInstance
 {
-  explicit Node(const std::string& aName)
+  explicit SimulatedInstance(const std::string& aName)
     : mName(aName)
     , mWriter({ aName, 300, 500, 4'096 })
     , mState({ 3, kRetentionMs, 5 })
@@ -55,7 +55,7 @@
     , mOracle("oracle")
   {
     for (int i = 0; i < 3; ++i) {
-      AddNode();
+      AddInstance();
     }
   }
 
@@ -72,7 +72,7 @@
     CPPUNIT_ASSERT(mEnded.size() > 5);
   }
 
-  /// Counts of the faults that occurred.
+  /// Counts of the events that a test checks to have occurred.
   struct Coverage
   {
     std::int64_t mDuplicates = 0;
@@ -86,10 +86,10 @@
 private:
   bool OneIn(std::uint64_t aCount) { return mRandom->Below(aCount) == 0; }
 
-  void AddNode()
+  void AddInstance()
   {
-    mNodes.push_back(
-      std::make_unique<Node>("i" + std::to_string(++mIncarnations)));
+    mInstances.push_back(std::make_unique<SimulatedInstance>(
+      "i" + std::to_string(++mIncarnations)));
   }
 
   base::TimePoint Now() const { return base::FromMicros(mNowMs * 1'000); }
@@ -102,11 +102,11 @@
     if (mDownUntilMs <= mNowMs && OneIn(400)) {
       mDownUntilMs = mNowMs + 300;
     }
-    for (auto& it : mNodes) {
+    for (auto& it : mInstances) {
       if (it->mPausedUntilMs > mNowMs) {
         continue;
       }
-      StepNode(*it);
+      StepInstance(*it);
       // At least one instance must run to write the snapshots.
       if (CountPaused() == 0 && OneIn(1'500)) {
         it->mPausedUntilMs =
@@ -116,60 +116,60 @@
     }
     if (OneIn(500)) {
       ++mCoverage.mRestarts;
-      AddCoverage(*mNodes.front());
-      mNodes.pop_front();
-      AddNode();
+      AddCoverage(*mInstances.front());
+      mInstances.pop_front();
+      AddInstance();
     }
   }
 
   std::size_t CountPaused() const
   {
     std::size_t n = 0;
-    for (const auto& it : mNodes) {
+    for (const auto& it : mInstances) {
       n += it->mPausedUntilMs > mNowMs ? 1 : 0;
     }
     return n;
   }
 
-  void StepNode(Node& aNode)
+  void StepInstance(SimulatedInstance& aInstance)
   {
-    if (aNode.mInFlight) {
-      FinishAppend(aNode);
+    if (aInstance.mInFlight) {
+      FinishAppend(aInstance);
     }
     if (OneIn(2)) {
-      Read(aNode);
+      Read(aInstance);
     }
-    if (aNode.mState.IsReady() && OneIn(3)) {
-      SubmitOne(aNode);
+    if (aInstance.mState.IsReady() && OneIn(3)) {
+      SubmitOne(aInstance);
     }
-    if (aNode.mState.IsReady() && OneIn(10)) {
-      SubmitSnapshots(aNode);
+    if (aInstance.mState.IsReady() && OneIn(10)) {
+      SubmitSnapshots(aInstance);
     }
-    if (!aNode.mInFlight) {
-      aNode.mInFlight = aNode.mWriter.StartAppend(Now(), mNowMs);
+    if (!aInstance.mInFlight) {
+      aInstance.mInFlight = aInstance.mWriter.StartAppend(Now(), mNowMs);
     }
-    TakeResults(aNode);
+    TakeResults(aInstance);
   }
 
   bool IsDown() const { return mDownUntilMs > mNowMs; }
 
-  // A node can be paused between StartAppend and this call, so that old batches
-  // reach the log.
-  void FinishAppend(Node& aNode)
+  // An instance can be paused between StartAppend and this call, so that old
+  // batches reach the log.
+  void FinishAppend(SimulatedInstance& aInstance)
   {
-    const AppendAction action = *aNode.mInFlight;
-    aNode.mInFlight.reset();
+    const AppendAction action = *aInstance.mInFlight;
+    aInstance.mInFlight.reset();
     if (IsDown()) {
-      aNode.mWriter.OnUnavailable(Now());
+      aInstance.mWriter.OnUnavailable(Now());
     } else if (OneIn(10)) {
       if (OneIn(2)) {
         Write(action.mPayload);
       } else if (OneIn(2)) {
         mDelayed.emplace_back(mNowMs + 200, action.mPayload);
       }
-      aNode.mWriter.OnAnswerLost(Now());
+      aInstance.mWriter.OnAnswerLost(Now());
     } else {
-      aNode.mWriter.OnAppended(Write(action.mPayload));
+      aInstance.mWriter.OnAppended(Write(action.mPayload));
     }
   }
 
@@ -202,28 +202,28 @@
     return offset;
   }
 
-  void ReadPage(Node& aNode, std::int64_t aMax)
+  void ReadPage(SimulatedInstance& aInstance, std::int64_t aMax)
   {
-    const auto page = mLog.Page(aNode.mReader.Position(), aMax);
-    const auto result = aNode.mReader.OnPage(page, Now());
-    aNode.mState.ApplyPage(result, mNowMs);
-    aNode.mState.SetCaughtUp(aNode.mReader.CaughtUpTime());
+    const auto page = mLog.Page(aInstance.mReader.NextOffset(), aMax);
+    const auto result = aInstance.mReader.OnPage(page, Now());
+    aInstance.mState.ApplyPage(result, mNowMs);
+    aInstance.mState.SetCaughtUp(aInstance.mReader.CaughtUpTime());
     for (const auto& it : result.mBatches) {
-      if (it.mBatch.mWriter == aNode.mName) {
-        aNode.mWriter.OnRead(it.mBatch.mSequence, it.mOffset);
+      if (it.mBatch.mWriter == aInstance.mName) {
+        aInstance.mWriter.OnRead(it.mBatch.mSequence, it.mOffset);
       }
     }
-    aNode.mWriter.OnCaughtUp(aNode.mReader.CaughtUpTime());
+    aInstance.mWriter.OnCaughtUp(aInstance.mReader.CaughtUpTime());
   }
 
-  void Read(Node& aNode)
+  void Read(SimulatedInstance& aInstance)
   {
     if (!IsDown()) {
-      ReadPage(aNode, 1 + static_cast<std::int64_t>(mRandom->Below(60)));
+      ReadPage(aInstance, 1 + static_cast<std::int64_t>(mRandom->Below(60)));
     }
   }
 
-  void Submit(Node& aNode,
+  void Submit(SimulatedInstance& aInstance,
               const std::vector<SiteRecord>& aRecords,
               const WriterPosition& aPosition)
   {
@@ -232,37 +232,38 @@
     for (const auto& it : aRecords) {
       encoded.push_back(EncodeRecord(it));
     }
-    const auto added = aNode.mWriter.Add(aNode.mNextTicket++,
-                                         std::move(encoded),
-                                         aPosition,
-                                         Now() + std::chrono::seconds(1));
+    const auto added = aInstance.mWriter.Add(aInstance.mNextTicket++,
+                                             std::move(encoded),
+                                             aPosition,
+                                             Now() + std::chrono::seconds(1));
     CPPUNIT_ASSERT(added.has_value() ||
                    added.error().mKind == base::ErrorKind::Overloaded);
   }
 
-  void SubmitOne(Node& aNode)
+  void SubmitOne(SimulatedInstance& aInstance)
   {
-    const WriterPosition position = aNode.mState.GetWriterPosition();
+    const WriterPosition position = aInstance.mState.GetWriterPosition();
     mNextTask += OneIn(25) ? 1 : 0;
     const std::string task = "t" + std::to_string(mNextTask - RandomBelow(12));
-    const auto known = aNode.mState.FindTask({ task });
-    if (!known && aNode.mState.IsTaskKnown({ task })) {
+    const auto known = aInstance.mState.FindTask({ task });
+    if (!known && aInstance.mState.IsTaskKnown({ task })) {
       return;
     }
     if (!known) {
       tasks::AcceptRecord accept;
       accept.mSpec.mTask.mValue = task;
-      aNode.mAccepts[aNode.mNextTicket] = task;
+      aInstance.mAccepts[aInstance.mNextTicket] = task;
 
-      Submit(aNode, { tasks::TaskRecord(accept) }, position);
+      Submit(aInstance, { tasks::TaskRecord(accept) }, position);
       return;
     }
-    Submit(aNode, { MakeChange(*known, aNode) }, position);
+    Submit(aInstance, { MakeChange(*known, aInstance) }, position);
   }
 
-  // Returns a record that is usually valid in the node's state and sometimes is
-  // not.
-  SiteRecord MakeChange(const tasks::TaskSnapshot& aTask, const Node& aNode)
+  // Returns a record that is usually valid in the state of the instance and
+  // sometimes is not.
+  SiteRecord MakeChange(const tasks::TaskSnapshot& aTask,
+                        const SimulatedInstance& aInstance)
   {
     const auto& id = aTask.mSpec.mTask;
     const std::int64_t attempt =
@@ -275,10 +276,10 @@
         OneIn(12) ? tasks::AttemptOutcome::Completed
                   : static_cast<tasks::AttemptOutcome>(1 + mRandom->Below(3));
       return tasks::TaskRecord(
-        tasks::EndRecord{ id, attempt, outcome, "ck", aNode.mName });
+        tasks::EndRecord{ id, attempt, outcome, "ck", aInstance.mName });
     }
     return tasks::TaskRecord(
-      tasks::GrantRecord{ id, attempt + 1, { "w-" + aNode.mName } });
+      tasks::GrantRecord{ id, attempt + 1, { "w-" + aInstance.mName } });
   }
 
   std::int64_t RandomBelow(std::uint64_t aCount)
@@ -286,26 +287,26 @@
     return static_cast<std::int64_t>(mRandom->Below(aCount));
   }
 
-  void SubmitSnapshots(Node& aNode)
+  void SubmitSnapshots(SimulatedInstance& aInstance)
   {
     std::vector<base::InstanceId> live;
-    live.reserve(mNodes.size());
-    for (const auto& it : mNodes) {
+    live.reserve(mInstances.size());
+    for (const auto& it : mInstances) {
       live.push_back({ it->mName });
     }
-    const WriterPosition position = aNode.mState.GetWriterPosition();
-    const auto plan = aNode.mPlanner.Plan(aNode.mState, live, mNowMs);
+    const WriterPosition position = aInstance.mState.GetWriterPosition();
+    const auto plan = aInstance.mPlanner.Plan(aInstance.mState, live, mNowMs);
     if (!plan.empty()) {
       mCoverage.mSnapshots += static_cast<std::int64_t>(plan.size());
-      Submit(aNode, plan, position);
+      Submit(aInstance, plan, position);
     }
   }
 
-  void TakeResults(Node& aNode)
+  void TakeResults(SimulatedInstance& aInstance)
   {
-    for (const auto& it : aNode.mWriter.TakeResults()) {
-      const auto accept = aNode.mAccepts.find(it.mTicket);
-      if (accept == aNode.mAccepts.end()) {
+    for (const auto& it : aInstance.mWriter.TakeResults()) {
+      const auto accept = aInstance.mAccepts.find(it.mTicket);
+      if (accept == aInstance.mAccepts.end()) {
         continue;
       }
       // As in JournalService, an accept succeeds only if the task is in the
@@ -313,7 +314,7 @@
       if (it.mOffset && mOracle.mState.FindTask({ accept->second })) {
         mAccepted.insert(accept->second);
       }
-      aNode.mAccepts.erase(accept);
+      aInstance.mAccepts.erase(accept);
     }
   }
 
@@ -341,12 +342,12 @@
       return;
     }
     if (tasks::IsEnded(task->mState)) {
-      mEnded[aTask.mValue] = task->mLastRecordAt;
+      mEnded[aTask.mValue] = task->mLastRecordOffset;
     } else if (mEnded.count(aTask.mValue) != 0) {
       // An id may be reused when none of its records is retained.
-      CPPUNIT_ASSERT_MESSAGE("ended task became live again",
+      CPPUNIT_ASSERT_MESSAGE("ended task became unfinished again",
                              mEnded[aTask.mValue] < mFirstRetained &&
-                               task->mAcceptedAt >= mFirstRetained);
+                               task->mAcceptedOffset >= mFirstRetained);
       Forget(aTask.mValue);
     }
     const std::pair<std::string, std::int64_t> attempt{ aTask.mValue,
@@ -388,28 +389,30 @@
                              mEnded.count(it) != 0 ||
                                mOracle.mState.FindTask({ it }).has_value());
     }
-    for (auto& it : mNodes) {
+    for (auto& it : mInstances) {
       CheckMatchesOracle(*it);
     }
-    Node lateNode("late");
-    CheckMatchesOracle(lateNode);
+    SimulatedInstance lateInstance("late");
+    CheckMatchesOracle(lateInstance);
   }
 
-  void CheckMatchesOracle(Node& aNode)
+  void CheckMatchesOracle(SimulatedInstance& aInstance)
   {
-    while (aNode.mReader.Position() < mLog.End() || !aNode.mState.IsReady()) {
-      ReadPage(aNode, 50);
-    }
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(aNode.mName + " at " + std::to_string(mNowMs),
-                                 mOracle.mState.LiveDigest(),
-                                 aNode.mState.LiveDigest());
+    while (aInstance.mReader.NextOffset() < mLog.End() ||
+           !aInstance.mState.IsReady()) {
+      ReadPage(aInstance, 50);
+    }
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(aInstance.mName + " at " +
+                                   std::to_string(mNowMs),
+                                 mOracle.mState.UnfinishedDigest(),
+                                 aInstance.mState.UnfinishedDigest());
   }
 
-  void AddCoverage(const Node& aNode)
+  void AddCoverage(const SimulatedInstance& aInstance)
   {
-    mCoverage.mDuplicates += aNode.mReader.Duplicates();
-    mCoverage.mStale += aNode.mState.Counts().mStaleRecords;
-    mCoverage.mGaps += aNode.mReader.Gaps();
+    mCoverage.mDuplicates += aInstance.mReader.Duplicates();
+    mCoverage.mStale += aInstance.mState.Counts().mStaleRecords;
+    mCoverage.mGaps += aInstance.mReader.Gaps();
   }
 
   std::unique_ptr<base::Random> mRandom;
@@ -419,11 +422,11 @@
   std::int64_t mNowMs = 1'000'000;
   std::int64_t mDownUntilMs = 0;
   std::deque<std::pair<std::int64_t, std::string>> mDelayed;
-  std::deque<std::unique_ptr<Node>> mNodes;
+  std::deque<std::unique_ptr<SimulatedInstance>> mInstances;
   int mIncarnations = 0;
   std::int64_t mNextTask = 20;
   /// Reads every record as soon as it is written.
-  Node mOracle;
+  SimulatedInstance mOracle;
   std::set<std::string> mAccepted;
   /// Offset of the newest record, per ended task.
   std::map<std::string, Offset> mEnded;
--- a/src/journal/journal_service_test.cpp
+++ b/src/journal/journal_service_test.cpp
@@ -25,11 +25,11 @@
   {
   }
 
-  static JournalServiceSettings MakeSettings(const std::string& aWriter)
+  static JournalServiceOptions MakeSettings(const std::string& aWriter)
   {
-    JournalServiceSettings settings;
-    settings.mWriter.mWriter = aWriter;
-    settings.mWriter.mRetryDelay = milliseconds(5);
+    JournalServiceOptions settings;
+    settings.mWriterOptions.mWriter = aWriter;
+    settings.mWriterOptions.mRetryDelay = milliseconds(5);
     settings.mPollInterval = milliseconds(2);
     return settings;
   }
@@ -98,9 +98,11 @@
     for (Instance* it : { &first, &second }) {
       CPPUNIT_ASSERT(
         it->mState.WaitUntilCaughtUp(now, base::GetBootClock(), deadline));
-      CPPUNIT_ASSERT_EQUAL(std::size_t(80), it->mState.Counts().mLiveTasks);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(80),
+                           it->mState.Counts().mUnfinishedTasks);
     }
-    CPPUNIT_ASSERT_EQUAL(first.mState.LiveDigest(), second.mState.LiveDigest());
+    CPPUNIT_ASSERT_EQUAL(first.mState.UnfinishedDigest(),
+                         second.mState.UnfinishedDigest());
     CPPUNIT_ASSERT(mLog.End() < 160);
   }
 
@@ -121,8 +123,8 @@
   }
 
   // Guards against a second request that takes an earlier request's claim of
-  // the key for its own and runs the work again. It happened while the claim
-  // was the newest record (explore, world site, seed 11).
+  // the key for its own and runs the work again, because that claim is the
+  // newest record.
   void DoesNotAppendAnIntentForAClaimedKey()
   {
     Instance instance(mLog, "a/1");
@@ -131,7 +133,7 @@
     const SiteRecord intent =
       requests::KeyRecord(requests::IntentRecord{ key, { "a" } });
     const auto first = instance.Submit(intent);
-    CPPUNIT_ASSERT_EQUAL(instance.mState.FindKey(key).mClaimedAt,
+    CPPUNIT_ASSERT_EQUAL(instance.mState.FindKey(key).mClaimedOffset,
                          first.value());
     CPPUNIT_ASSERT_EQUAL(kNotAppended, instance.Submit(intent).value());
   }
--- a/src/journal/stream_reader_test.cpp
+++ b/src/journal/stream_reader_test.cpp
@@ -29,7 +29,7 @@
 
   PageResult Read(std::int64_t aMax = 100, std::int64_t aIssuedAt = 1)
   {
-    return mReader.OnPage(mLog.Page(mReader.Position(), aMax),
+    return mReader.OnPage(mLog.Page(mReader.NextOffset(), aMax),
                           base::FromMicros(aIssuedAt));
   }
 
@@ -48,7 +48,7 @@
     CPPUNIT_ASSERT_EQUAL(Offset(4), page.mBatches[2].mOffset);
     CPPUNIT_ASSERT_EQUAL(std::int64_t(2), mReader.Duplicates());
     CPPUNIT_ASSERT_EQUAL(std::int64_t(1), mReader.Undecodable());
-    CPPUNIT_ASSERT_EQUAL(Offset(6), mReader.Position());
+    CPPUNIT_ASSERT_EQUAL(Offset(6), mReader.NextOffset());
   }
 
   // Guards against a reader that continues after records expired unread. The
@@ -60,23 +60,23 @@
     }
     mLog.Expire(2);
     CPPUNIT_ASSERT(!Read(3).mIsGap);
-    CPPUNIT_ASSERT_EQUAL(Offset(2), *mReader.Start());
+    CPPUNIT_ASSERT_EQUAL(Offset(2), *mReader.FirstOffset());
     mLog.Expire(5);
     CPPUNIT_ASSERT(!Read(1).mIsGap);
     mLog.Expire(7);
     const auto page = Read();
     CPPUNIT_ASSERT(page.mIsGap);
     CPPUNIT_ASSERT_EQUAL(Offset(7), page.mFirstRetained);
-    CPPUNIT_ASSERT_EQUAL(Offset(7), *mReader.Start());
+    CPPUNIT_ASSERT_EQUAL(Offset(7), *mReader.FirstOffset());
     CPPUNIT_ASSERT_EQUAL(std::size_t(3), page.mBatches.size());
     mLog.Expire(10);
     CPPUNIT_ASSERT_MESSAGE("everything expired after it was read",
                            !Read().mIsGap);
   }
 
-  // Guards against a new holder that starts a granted attempt although the
-  // previous holder had appended its end record before the new holder acquired
-  // the worker.
+  // Guards against a caught-up time later than the read that saw the end of the
+  // stream: a new holder would start an attempt whose end record it has not
+  // read.
   void CaughtUpTimeIsThatOfAReadThatSawTheEnd()
   {
     CPPUNIT_ASSERT(mReader.CaughtUpTime() == base::TimePoint::min());
@@ -105,7 +105,7 @@
     other.Import(mReader.Export());
     Write("a", 2);
     Write("a", 3);
-    const auto page = other.OnPage(mLog.Page(other.Position(), 9), {});
+    const auto page = other.OnPage(mLog.Page(other.NextOffset(), 9), {});
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), page.mBatches.size());
     CPPUNIT_ASSERT_EQUAL(Offset(3), page.mBatches[0].mOffset);
   }
--- a/src/policy/breaker.cpp
+++ b/src/policy/breaker.cpp
@@ -57,7 +57,7 @@
 }
 
 void
-Breaker::OnCancelled(const base::TaskId& aTask)
+Breaker::OnInconclusiveEnd(const base::TaskId& aTask)
 {
   if (mProbe == aTask) {
     mProbe.reset();
@@ -67,8 +67,8 @@
 void
 Breaker::OnSuccess(const base::TaskId& aTask)
 {
-  // While the breaker is open, only the probe closes it: all other tasks were
-  // placed before the failures.
+  // Of all successes, only that of the probe closes an open breaker: the other
+  // tasks were placed before the failures.
   if (!mOpen || mProbe == aTask) {
     Close();
   }
--- a/src/testing/bench_run.cpp
+++ b/src/testing/bench_run.cpp
@@ -178,7 +178,7 @@
   }
 
   std::vector<policy::ProtectionAction> Decide(
-    const policy::WorkerPressure& aWorker,
+    const policy::ProtectionInput& aWorker,
     TimePoint aNow) override
   {
     auto actions = mPolicy->Decide(aWorker, aNow);
@@ -192,7 +192,7 @@
 
 private:
   // The tasks of a worker are listed in start order.
-  static base::TaskId FindYoungest(const policy::WorkerPressure& aWorker,
+  static base::TaskId FindYoungest(const policy::ProtectionInput& aWorker,
                                    const base::TaskId& aDefault)
   {
     for (auto it = aWorker.mTasks.rbegin(); it != aWorker.mTasks.rend(); ++it) {
@@ -842,7 +842,7 @@
     report.mWorker = aWorker.mView.mWorker;
     report.mMeasuredAt = mNow;
     report.mBatchTasks = aWorker.mView.mBatchTasks;
-    report.mSlowdownPercent = static_cast<std::int64_t>(
+    report.mServiceTimePercent = static_cast<std::int64_t>(
       100.0 + (factor - 1.0) * 100.0 * noise + offset);
     aWorker.mReports.push_back({ mNow + kReportLag, std::move(report) });
   }
@@ -850,7 +850,7 @@
   // As with RemoteWorker, one slowdown value covers all services of a worker.
   void ReceiveReport(Worker& aWorker, policy::InterferenceReport aReport)
   {
-    aWorker.mReportedSlowdownPercent = aReport.mSlowdownPercent;
+    aWorker.mReportedSlowdownPercent = aReport.mServiceTimePercent;
     for (const auto& it : aWorker.mView.mServices) {
       aReport.mService = it;
       mPlacement->RecordReport(aReport);
@@ -863,9 +863,9 @@
     if (worker.mTasks.empty()) {
       return;
     }
-    policy::WorkerPressure pressure;
+    policy::ProtectionInput pressure;
     pressure.mWorker = worker.mView.mWorker;
-    pressure.mSlowdownPercent = worker.mReportedSlowdownPercent;
+    pressure.mServiceTimePercent = worker.mReportedSlowdownPercent;
     pressure.mToleratedPercent = kToleratedSlowdownPercent;
     std::unordered_map<base::TaskId, std::size_t> indexes;
     for (const std::size_t it : worker.mTasks) {
@@ -915,7 +915,7 @@
 
   void PlaceTasks()
   {
-    std::vector<policy::QueuedTask> entries;
+    std::vector<policy::QueueCandidate> entries;
     const std::size_t considered = std::min(kMaxQueuedPerRound, mQueued.size());
     entries.reserve(considered);
     for (std::size_t n = 0; n < considered; ++n) {
--- a/src/testing/capacity_time.cpp
+++ b/src/testing/capacity_time.cpp
@@ -81,10 +81,10 @@
     const auto begin = encoded.begin() + static_cast<std::ptrdiff_t>(n);
     const std::size_t count = std::min(kRecordsPerBatch, encoded.size() - n);
     journal::ReadBatch read;
-    read.mOffset = page.mPosition++;
+    read.mOffset = page.mNextOffset++;
     read.mBatch.mWriter = "entry-1.1";
     read.mBatch.mSequence = read.mOffset + 1;
-    read.mBatch.mPosition.mAsOf = read.mOffset - 1;
+    read.mBatch.mPosition.mAppliedThrough = read.mOffset - 1;
     read.mBatch.mRecords.assign(begin,
                                 begin + static_cast<std::ptrdiff_t>(count));
     page.mBatches.push_back(read);
@@ -170,10 +170,10 @@
 double
 MeasureQueueOrder(std::int64_t aTasks, policy::Profile aProfile)
 {
-  std::vector<policy::QueuedTask> queued;
+  std::vector<policy::QueueCandidate> queued;
   policy::TeamUsageMap teams;
   for (std::int64_t n = 0; n < aTasks; ++n) {
-    policy::QueuedTask task;
+    policy::QueueCandidate task;
     task.mTask = { SampleTaskId(n) };
     task.mTeam = "team-" + std::to_string(n % 470);
     task.mBatchClass = "tar-and-strand";
@@ -220,7 +220,7 @@
   journal::SiteState state{ {} };
   journal::PageResult page;
   page.mIsFirst = true;
-  page.mPosition = 1;
+  page.mNextOffset = 1;
   journal::ReadBatch read;
   read.mBatch.mWriter = "entry-1.1";
   read.mBatch.mSequence = 1;
@@ -236,7 +236,7 @@
   page.mBatches.push_back(read);
   state.ApplyPage(page, 0);
   return MicrosPerCall(100, [&] {
-    for (const auto& it : state.GrantsOn({ SampleWorkerId(1) })) {
+    for (const auto& it : state.LiveAttemptsOn({ SampleWorkerId(1) })) {
       state.FindTask(it.mTask);
     }
   });
--- a/src/testing/fake_worker_test.cpp
+++ b/src/testing/fake_worker_test.cpp
@@ -71,7 +71,7 @@
     worker::StartTask large = MakeStart(1, "{}");
     large.mReserve.mMilliProcessors = 16'001;
     AssertErrorKind(ErrorKind::WorkerRefused,
-                    target.Start(Header(), large, Deadline()));
+                    target.FirstOffset(Header(), large, Deadline()));
     CPPUNIT_ASSERT(target.Start(Header(), MakeStart(1, "{}"), Deadline()));
     AssertErrorKind(ErrorKind::WorkerRefused,
                     target.Start(Header(), MakeStart(1, "{}"), Deadline()));
@@ -105,7 +105,7 @@
     AcquireHolderLease(target);
     const std::string payload =
       R"({"run_ms":8000,"checkpoint_ms":1000,"result":"x"})";
-    const worker::TaskKey first{ { "t" }, 1 };
+    const worker::AttemptKey first{ { "t" }, 1 };
     CPPUNIT_ASSERT(target.Start(Header(), MakeStart(1, payload), Deadline()));
     CPPUNIT_ASSERT(target.Throttle(Header(), first, 50, Deadline()));
     mClock.Advance(seconds(4));
--- a/src/testing/holder_simulation.cpp
+++ b/src/testing/holder_simulation.cpp
@@ -131,7 +131,7 @@
   SkewedClock mClock;
   base::Resources mCapacity = kCapacity;
   std::vector<worker::HolderLease> mHolders;
-  std::map<worker::TaskKey, Task> mTasks;
+  std::map<worker::AttemptKey, Task> mTasks;
   /// Number of the latest acquisition whose holder has started a task here.
   std::uint64_t mLatestStartAcquisition = 0;
 
@@ -141,7 +141,7 @@
            aTask.mReport.mPhase == worker::TaskPhase::Checkpointing;
   }
 
-  bool IsRunning(const worker::TaskKey& aKey) const
+  bool IsRunning(const worker::AttemptKey& aKey) const
   {
     const auto it = mTasks.find(aKey);
     return it != mTasks.end() && IsRunning(it->second);
@@ -380,7 +380,7 @@
     options.mClockMargin = milliseconds(mOptions.mHasClockMargin ? 250 : 0);
     options.mQuietPeriod = seconds(mOptions.mHasQuietPeriod ? 1 : 0);
     if (mOptions.mRestartsWorkers && mOptions.mQuietPeriodCoversLease) {
-      options.mQuietPeriod += options.mLeaseLength + milliseconds(500);
+      options.mQuietPeriod += options.mLeaseDuration + milliseconds(500);
     }
     for (std::size_t n = 0; n < mWorkers.size(); ++n) {
       Agent agent;
@@ -450,12 +450,12 @@
     Agent& agent = aRef.lock()->mAgents[aWorkerIndex];
     const base::TimePoint now = Now(*aRef.lock());
     const bool isBlocked = mTime < agent.mPollsBlockedUntil;
-    if (const auto* it = std::get_if<PlaceLease>(&aAction)) {
+    if (const auto* it = std::get_if<SetLease>(&aAction)) {
       agent.mSentAt[it->mRequest] = now;
       SendToWorker(!isBlocked, true, [this, aRef, aWorkerIndex, place = *it] {
         MinimalWorker& worker = Advance(aWorkerIndex);
         const std::int64_t end =
-          worker.mClock.LocalTime(mTime) + place.mLength.count();
+          worker.mClock.LocalTime(mTime) + place.mDuration.count();
         worker.RemoveHolder(place.mToken);
         worker.mHolders.push_back({ place.mToken, end });
         DeliverReport(aRef, aWorkerIndex, place.mRequest);
@@ -634,7 +634,7 @@
                     const worker::CommandHeader& aHeader,
                     const worker::StartTask& aStart)
   {
-    const worker::TaskKey key{ aStart.mTask, aStart.mAttempt };
+    const worker::AttemptKey key{ aStart.mTask, aStart.mAttempt };
     Trace(aHeader.mToken.mInstance.mValue + " starts " + aStart.mTask.mValue +
           "/" + std::to_string(aStart.mAttempt) + " on " + aWorker.mId.mValue);
     if (!mStartedAttempts.insert(key).second) {
@@ -666,7 +666,7 @@
     MinimalWorker::Task task;
     task.mReport.mTask = aStart.mTask;
     task.mReport.mAttempt = aStart.mAttempt;
-    task.mReport.mReserved = aStart.mReserve;
+    task.mReport.mReserved = aStart.mReserved;
     task.mReport.mLeaseExpiresAt = aStart.mLeaseExpiresAt;
     task.mEndsAt = now + RandomBelow(15 * kSecond);
     aWorker.mTasks[key] = task;
@@ -687,10 +687,10 @@
     Ledger* ledger = instance.mAgents[workerIndex].mLedger.get();
     for (const auto& it : instance.mLogState.mTasks) {
       const SimulatedTask& task = it.second;
-      const worker::TaskKey key{ it.first, task.mAttempt + 1 };
+      const worker::AttemptKey key{ it.first, task.mAttempt + 1 };
       const bool canGrant = !task.mHasEnded && !task.mLiveWorker &&
                             instance.mPendingGrants.count(it.first) == 0;
-      if (ledger && canGrant && ledger->Plan(key, task.mDeclared)) {
+      if (ledger && canGrant && ledger->CommitGrant(key, task.mDeclared)) {
         instance.mPendingGrants[it.first] = { key.mAttempt, workerIndex };
         const tasks::GrantRecord grant{ it.first,
                                         key.mAttempt,
@@ -723,7 +723,7 @@
             std::to_string(static_cast<int>(end->mOutcome)));
       for (std::size_t n = 0; n < mWorkers.size(); ++n) {
         if (Advance(n).IsRunning(
-              worker::TaskKey{ end->mTask, end->mAttempt })) {
+              worker::AttemptKey{ end->mTask, end->mAttempt })) {
           ReportViolation("end record takes effect while the attempt runs");
         }
       }
@@ -770,7 +770,7 @@
         mWorkers[workerIndex].mId;
       Ledger* ledger = aInstance.mAgents[workerIndex].mLedger.get();
       if (ledger && !tookEffect) {
-        ledger->CancelPlan({ grant->mTask, grant->mAttempt });
+        ledger->CancelGrant({ grant->mTask, grant->mAttempt });
       }
       aInstance.mPendingGrants.erase(own);
     }
@@ -878,7 +878,7 @@
   TaskLogState mInitialState;
   TaskLogState mOracle;
   std::deque<tasks::TaskRecord> mLog;
-  std::set<worker::TaskKey> mStartedAttempts;
+  std::set<worker::AttemptKey> mStartedAttempts;
   std::uint64_t mLastAcquisition = 0;
   std::map<std::tuple<base::InstanceId, std::uint64_t, base::WorkerId>,
            std::uint64_t>
--- a/src/testing/site_simulation.cpp
+++ b/src/testing/site_simulation.cpp
@@ -298,7 +298,7 @@
     auto instance = std::make_shared<Instance>(name, std::move(clock));
     instance->mWriter.SetLiveInstances(kInstances);
     holder::LeaseOptions options;
-    options.mLeaseLength = seconds(2);
+    options.mLeaseDuration = seconds(2);
     options.mRenewInterval = milliseconds(300);
     options.mClockMargin = milliseconds(100);
     // Lease length plus message delay: restarted workers list no holders.
@@ -418,7 +418,7 @@
     Instance& instance = *aRef.lock();
     const std::uint64_t number = ++instance.mReadNumber;
     const base::TimePoint sentAt = instance.Now();
-    const platform::Offset from = instance.mReader.Position();
+    const platform::Offset from = instance.mReader.NextOffset();
     if (IsLogReachable(instance) && !FaultOccurs(3)) {
       Schedule(MessageDelay(), [=] {
         auto page = mLog.Read(
@@ -469,7 +469,7 @@
     const auto* intent =
       key != nullptr ? std::get_if<requests::IntentRecord>(key) : nullptr;
     return intent != nullptr && aInstance.mState.FindKey(intent->mKey).mState !=
-                                  requests::KeyState::Unknown;
+                                  requests::KeyState::Unclaimed;
   }
 
   /// Like JournalService::Submit, but passes the result to `aCallback`.
@@ -522,7 +522,7 @@
     for (auto it = aInstance.mSubmissions.begin();
          it != aInstance.mSubmissions.end();) {
       const Submission& each = it->second;
-      if (each.mOffset && aInstance.mState.Position() > *each.mOffset) {
+      if (each.mOffset && aInstance.mState.NextOffset() > *each.mOffset) {
         ended.emplace_back(each.mCallback, *each.mOffset);
       } else if (aInstance.Now() >= each.mDeadline + seconds(1)) {
         ended.emplace_back(each.mCallback,
@@ -563,11 +563,11 @@
     bool isAtEnd = false;
     while (!isAtEnd) {
       const auto page = mLog.Read(
-        "site", mOracleReader.Position(), 100, mClock.Now() + seconds(1));
+        "site", mOracleReader.NextOffset(), 100, mClock.Now() + seconds(1));
       const auto result = mOracleReader.OnPage(page.value(), mClock.Now());
       mOracle.ApplyPage(result, kRetentionMs + mTime / kMillisecond);
       mOracle.SetCaughtUp(mOracleReader.CaughtUpTime());
-      isAtEnd = mOracleReader.Position() >= page.value().mEnd;
+      isAtEnd = mOracleReader.NextOffset() >= page.value().mEnd;
     }
     for (const auto& bytes : batch.value().mRecords) {
       const auto record = journal::DecodeRecord(bytes);
@@ -675,7 +675,7 @@
       std::optional<std::int64_t> inheritedBefore;
       if (instance.mState.CaughtUpTime() >= agent.mAcquiredAt) {
         inheritedBefore =
-          mOptions.mReleasesInheritedGrants ? instance.mState.Position() : 0;
+          mOptions.mReleasesInheritedGrants ? instance.mState.NextOffset() : 0;
       }
       agent.mRunner->SetGrants(GrantsOn(instance, aWorkerIndex),
                                inheritedBefore);
@@ -700,7 +700,7 @@
   {
     std::vector<holder::GrantedAttempt> result;
     for (const auto& it :
-         aInstance.mState.GrantsOn(mWorkers[aWorkerIndex]->Name())) {
+         aInstance.mState.LiveAttemptsOn(mWorkers[aWorkerIndex]->Name())) {
       const auto task = aInstance.mState.FindTask(it.mTask);
       result.push_back({ it.mTask,
                          it.mAttempt,
@@ -710,7 +710,7 @@
                          task->mCheckpoint,
                          it.mCancelRequested,
                          it.mState != tasks::TaskState::Granted,
-                         it.mGrantedAt });
+                         it.mGrantedOffset });
     }
     return result;
   }
@@ -745,7 +745,7 @@
     Agent& agent = instance.mAgents[aWorkerIndex];
     const base::TimePoint deadline = mClock.Now() + seconds(60);
     FakeWorker& worker = *mWorkers[aWorkerIndex];
-    if (const auto* it = std::get_if<holder::PlaceLease>(&aAction)) {
+    if (const auto* it = std::get_if<holder::SetLease>(&aAction)) {
       agent.mSentAt[it->mRequest] = instance.Now();
       SendToWorker(agent,
                    true,
@@ -754,7 +754,7 @@
                                    aWorkerIndex,
                                    place.mRequest,
                                    worker.SetHolderLease(
-                                     place.mToken, place.mLength, deadline));
+                                     place.mToken, place.mDuration, deadline));
                    });
     } else if (const auto* it = std::get_if<holder::ReadHolders>(&aAction)) {
       agent.mSentAt[it->mRequest] = instance.Now();
@@ -918,7 +918,7 @@
                   const worker::StartTask& aStart)
   {
     ++mResult.mStarts;
-    const worker::TaskKey key{ aStart.mTask, aStart.mAttempt };
+    const worker::AttemptKey key{ aStart.mTask, aStart.mAttempt };
     const std::string name =
       aStart.mTask.mValue + "/" + std::to_string(aStart.mAttempt);
     Trace(aHeader.mToken.mInstance.mValue + " starts " + name + " on " +
@@ -963,9 +963,9 @@
       return;
     }
     for (const auto& it : instance.mState.Queued(20)) {
-      const worker::TaskKey key{ it.mTask, it.mNextAttempt };
+      const worker::AttemptKey key{ it.mTask, it.mNextAttempt };
       if (instance.mPendingGrants.count(it.mTask) != 0 ||
-          !agent.mLedger->Plan(key, it.mDeclared)) {
+          !agent.mLedger->CommitGrant(key, it.mDeclared)) {
         continue;
       }
       instance.mPendingGrants.insert(it.mTask);
@@ -992,7 +992,7 @@
                             task->mLastAttempt == aGrant.mAttempt &&
                             task->mWorker == aGrant.mWorker;
     if (!tookEffect && instance.mAgents[aWorkerIndex].mLedger) {
-      instance.mAgents[aWorkerIndex].mLedger->CancelPlan(
+      instance.mAgents[aWorkerIndex].mLedger->CancelGrant(
         { aGrant.mTask, aGrant.mAttempt });
     }
   }
@@ -1142,7 +1142,7 @@
     ScheduleAtInstance(aRef, 700'000, [=](Instance& aInstance) {
       Agent& own = aInstance.mAgents[index];
       if (own.mLedger && own.mLease->Token() == token) {
-        own.mLedger->MarkCallLost(call);
+        own.mLedger->MarkAnswerLost(call);
       }
     });
     SendToWorker(agent, aRequest.mIdempotent, [=] {
@@ -1284,20 +1284,20 @@
       Trace("session " + std::to_string(aSession) + " of " + key.mValue + ": " +
             (aOffset ? "offset " + std::to_string(aOffset.value())
                      : std::string(base::NameOf(aOffset.error().mKind))) +
-            ", claimed at " + std::to_string(known.mClaimedAt) + " by " +
+            ", claimed at " + std::to_string(known.mClaimedOffset) + " by " +
             known.mClaimant.mValue);
       if (!mOptions.mReadsIntentBack && aOffset) {
         PostEventLater(aRef, 0, aSession, requests::IntentWon{});
         return;
       }
-      if (known.mState == requests::KeyState::Unknown) {
+      if (known.mState == requests::KeyState::Unclaimed) {
         if (!aOffset && aOffset.error().mKind != base::ErrorKind::AnswerLost) {
           PostEventLater(aRef, 0, aSession, requests::LogUnavailable{});
         }
         return;
       }
       if (aOffset && known.mState == requests::KeyState::Claimed &&
-          known.mClaimant == self.mId && known.mClaimedAt == aOffset.value()) {
+          known.mClaimant == self.mId && known.mClaimedOffset == aOffset.value()) {
         PostEventLater(aRef, 0, aSession, requests::IntentWon{});
         return;
       }
@@ -1338,13 +1338,13 @@
         session.mAwaitsKeyOutcome = false;
         events.emplace_back(it->first,
                             requests::KeyClaimedByOther{
-                              requests::ClaimState::Finished, *key.mOutcome });
+                              requests::OtherClaimState::Finished, *key.mOutcome });
       } else if (session.mAwaitsKeyOutcome && !IsAlive(key.mClaimant)) {
         session.mAwaitsKeyOutcome = false;
         events.emplace_back(
           it->first,
-          requests::KeyClaimedByOther{ requests::ClaimState::Abandoned, {} });
-      } else if (instance.Now() >= session.mMachine->NextWakeup()) {
+          requests::KeyClaimedByOther{ requests::OtherClaimState::Abandoned, {} });
+      } else if (instance.Now() >= session.mMachine->NextWakeUp()) {
         events.emplace_back(it->first, requests::TimerFired{});
       } else if (FaultOccurs(1) && Chance(30)) {
         events.emplace_back(it->first, requests::CancelRequested{});
@@ -1811,7 +1811,7 @@
   std::set<base::TaskId> mAcceptedTasks;
   std::set<base::TaskId> mEndedTasks;
   std::map<base::TaskId, std::int64_t> mLatestAttempts;
-  std::set<worker::TaskKey> mStartedAttempts;
+  std::set<worker::AttemptKey> mStartedAttempts;
   std::map<base::RequestId, int> mKeyExecutions;
   std::set<base::RequestId> mNotRunKeys;
   std::set<std::uint64_t> mExecutedSessions;
--- a/src/testing/worker_handler.cpp
+++ b/src/testing/worker_handler.cpp
@@ -162,7 +162,7 @@
     return MakeErrorResponse(command.error());
   }
   const worker::CommandHeader& header = command.value().mHeader;
-  const worker::TaskKey& task = command.value().mTask;
+  const worker::AttemptKey& task = command.value().mTask;
   if (aPath == "/tasks/checkpoint") {
     return MakeResultResponse(mWorker.Checkpoint(header, task, kNoDeadline));
   }
@@ -290,7 +290,7 @@
 WorkerHandler::MakeRunReport()
 {
   const std::vector<TaskExecution> executions = mWorker.Executions();
-  std::map<worker::TaskKey, std::int64_t> taskRuns;
+  std::map<worker::AttemptKey, std::int64_t> taskRuns;
   for (const auto& it : executions) {
     ++taskRuns[it.mKey];
   }
--- a/src/worker/http_remote_worker.cpp
+++ b/src/worker/http_remote_worker.cpp
@@ -82,7 +82,7 @@
   }
 
   base::Result<void> Renew(const CommandHeader& aHeader,
-                           const std::vector<TaskKey>& aTasks,
+                           const std::vector<AttemptKey>& aTasks,
                            WorkerTime aLeaseExpiresAt,
                            base::TimePoint aDeadline) override
   {
@@ -93,14 +93,14 @@
   }
 
   base::Result<void> Checkpoint(const CommandHeader& aHeader,
-                                const TaskKey& aTask,
+                                const AttemptKey& aTask,
                                 base::TimePoint aDeadline) override
   {
     return SendTaskCommand("/tasks/checkpoint", { aHeader, aTask }, aDeadline);
   }
 
   base::Result<void> Throttle(const CommandHeader& aHeader,
-                              const TaskKey& aTask,
+                              const AttemptKey& aTask,
                               std::int64_t aPercent,
                               base::TimePoint aDeadline) override
   {
@@ -109,14 +109,14 @@
   }
 
   base::Result<void> Stop(const CommandHeader& aHeader,
-                          const TaskKey& aTask,
+                          const AttemptKey& aTask,
                           base::TimePoint aDeadline) override
   {
     return SendTaskCommand("/tasks/stop", { aHeader, aTask }, aDeadline);
   }
 
   base::Result<void> Acknowledge(const CommandHeader& aHeader,
-                                 const TaskKey& aTask,
+                                 const AttemptKey& aTask,
                                  base::TimePoint aDeadline) override
   {
     return SendTaskCommand("/tasks/ack", { aHeader, aTask }, aDeadline);
@@ -137,7 +137,7 @@
     if (response.mStatus != kStatusOk) {
       base::Error error = ToWorkerError(response);
       // The request may have been sent twice: the second copy was refused, but
-      // the first may have run (explore, world site, seed 83).
+      // the first may have run.
       return response.mIsPossiblyResent
                ? MakeError(ErrorKind::ConnectionLost, std::move(error.mDetail))
                : error;
@@ -146,7 +146,8 @@
                       MapParseError(ParseServiceAnswer(response.mBody)));
     if (answer.mRequest != aCall.mRequest ||
         answer.mAttempt != aCall.mAttempt) {
-      return MakeError(ErrorKind::ConnectionLost, "answer to another request");
+      return MakeError(ErrorKind::ConnectionLost,
+                       "the answer belongs to another request or attempt");
     }
     return std::move(answer);
   }
@@ -199,7 +200,7 @@
                        aDeadline);
   }
 
-  // Polls and holder lease commands may be sent twice: the worker counts the
+  // Polls and SetHolderLease may be sent twice: the worker counts the
   // lease from the receipt, its holder from the earlier first send.
   base::Result<WorkerReport> FetchReport(std::string aTarget,
                                          std::string aBody,
