--- a/src/testing/site_simulation.cpp
+++ b/src/testing/site_simulation.cpp
@@ -1297,7 +1297,8 @@
         return;
       }
       if (aOffset && known.mState == requests::KeyState::Claimed &&
-          known.mClaimant == self.mId && known.mClaimedOffset == aOffset.value()) {
+          known.mClaimant == self.mId &&
+          known.mClaimedOffset == aOffset.value()) {
         PostEventLater(aRef, 0, aSession, requests::IntentWon{});
         return;
       }
@@ -1336,14 +1337,15 @@
       if (session.mAwaitsKeyOutcome &&
           key.mState == requests::KeyState::Finished) {
         session.mAwaitsKeyOutcome = false;
-        events.emplace_back(it->first,
-                            requests::KeyClaimedByOther{
-                              requests::OtherClaimState::Finished, *key.mOutcome });
-      } else if (session.mAwaitsKeyOutcome && !IsAlive(key.mClaimant)) {
-        session.mAwaitsKeyOutcome = false;
         events.emplace_back(
           it->first,
-          requests::KeyClaimedByOther{ requests::OtherClaimState::Abandoned, {} });
+          requests::KeyClaimedByOther{ requests::OtherClaimState::Finished,
+                                       *key.mOutcome });
+      } else if (session.mAwaitsKeyOutcome && !IsAlive(key.mClaimant)) {
+        session.mAwaitsKeyOutcome = false;
+        events.emplace_back(it->first,
+                            requests::KeyClaimedByOther{
+                              requests::OtherClaimState::Abandoned, {} });
       } else if (instance.Now() >= session.mMachine->NextWakeUp()) {
         events.emplace_back(it->first, requests::TimerFired{});
       } else if (FaultOccurs(1) && Chance(30)) {
