--- a/src/testing/capacity_samples.cpp
+++ b/src/testing/capacity_samples.cpp
@@ -268,7 +268,7 @@
     grant.mAttempt = 1;
     grant.mBatchClass = "tar-and-strand";
     grant.mPayload = std::string(100, 'p');
-    grant.mReserve = kTaskResources;
+    grant.mReserved = kTaskResources;
     grant.mStarted = true;
     grants.push_back(grant);
   }
--- a/src/testing/fake_worker.cpp
+++ b/src/testing/fake_worker.cpp
@@ -436,11 +436,11 @@
   workload.mResult = reader.GetString("result", "");
   workload.mFailure = reader.GetString("fail", "");
   workload.mUsed.mMilliProcessors =
-    reader.GetInt("use_milli_processors", aStart.mReserve.mMilliProcessors);
+    reader.GetInt("use_milli_processors", aStart.mReserved.mMilliProcessors);
   workload.mUsed.mMemoryBytes =
-    reader.GetInt("use_memory_bytes", aStart.mReserve.mMemoryBytes);
+    reader.GetInt("use_memory_bytes", aStart.mReserved.mMemoryBytes);
   workload.mUsed.mAccelerators =
-    reader.GetInt("use_accelerators", aStart.mReserve.mAccelerators);
+    reader.GetInt("use_accelerators", aStart.mReserved.mAccelerators);
   return reader.Check() ? workload : invalid;
 }
 
--- a/src/testing/fake_worker_test.cpp
+++ b/src/testing/fake_worker_test.cpp
@@ -69,9 +69,9 @@
     AssertErrorKind(ErrorKind::StaleCommand,
                     target.Start(late, MakeStart(1, "{}"), Deadline()));
     worker::StartTask large = MakeStart(1, "{}");
-    large.mReserve.mMilliProcessors = 16'001;
+    large.mReserved.mMilliProcessors = 16'001;
     AssertErrorKind(ErrorKind::WorkerRefused,
-                    target.FirstOffset(Header(), large, Deadline()));
+                    target.Start(Header(), large, Deadline()));
     CPPUNIT_ASSERT(target.Start(Header(), MakeStart(1, "{}"), Deadline()));
     AssertErrorKind(ErrorKind::WorkerRefused,
                     target.Start(Header(), MakeStart(1, "{}"), Deadline()));
