Name the request, lease and catalog identifiers after what they hold

WorkerStatus::mHeld -> mUsable RequestServiceOptions::mInstance -> mClaimant PeerClient::IsEligible -> MayReceiveWork PeerNetwork::IsEligible -> MayReceiveWork RecordAppender::Drain -> WaitUntilEmpty RequestService::Session -> ActiveRequest RequestService::SessionPtr -> ActiveRequestPtr RequestService::mSessions -> mActiveRequests RequestService::mSessionsMutex -> mActiveRequestsMutex RequestService::RunSession -> RunActiveRequest RequestService::Drive -> ProcessEvents RequestService::IsKeyUnused -> IsKnownNotRun Session::mResult -> ActiveRequest::mMachineResult HandOverWorkers -> ReleaseWorkers kHandOverTimeout -> kReleaseTimeout api_handler.cpp: kMaxDeadlineMs -> kMaxRequestDeadlineMs object.cpp: kMinPercent -> kMinSlowdownPercent object.cpp: kMaxPercent -> kMaxSlowdownPercent ParseUncheckedSet -> ParseSetWithoutRelationChecks TextFormat::Path -> TextFormat::OptionalText OnePublisherWins -> OneOfTwoPublishesTakesEffect GapNeverRevertsVersion -> MissingRecordsNeverRevertVersion CompleteReadersAgree -> CompleteReadersHaveSameSet ChecksLargeSetInTime -> ChecksLargeSetWithinOneSecond ChecksLongChainInTime -> ChecksLongInheritanceChainWithinOneSecond AppliesDifferences -> AppliesDeltas

--- a/include/skylarkhill/catalog/check.hpp
+++ b/include/skylarkhill/catalog/check.hpp
@@ -51,7 +51,7 @@
 /// Reads a document and checks each object alone, but not the relations
 /// between objects. InvalidSet.
 base::Result<CatalogSet>
-ParseUncheckedSet(const base::JsonValue& aDocument);
+ParseSetWithoutRelationChecks(const base::JsonValue& aDocument);
 
 /// Resolves a policy of a checked set. Returns the defaults if the policy does
 /// not exist.
--- a/include/skylarkhill/entry/peer_network.hpp
+++ b/include/skylarkhill/entry/peer_network.hpp
@@ -83,7 +83,7 @@
 
   /// The instance list that was last fetched from the platform.
   std::vector<platform::InstanceInfo> ListedInstances() const;
-  bool IsEligible(const base::WorkerId& aWorker) const override;
+  bool MayReceiveWork(const base::WorkerId& aWorker) const override;
   bool IsPreferredHolder(const base::WorkerId& aWorker) const;
   /// Live entry instances of all known failure domains, including this one.
   std::vector<base::InstanceId> LiveEntryInstances() const;
--- a/include/skylarkhill/entry/record_appender.hpp
+++ b/include/skylarkhill/entry/record_appender.hpp
@@ -34,7 +34,7 @@
   void Append(tasks::TaskRecord aRecord, Callback aCallback);
   /// Waits until no record is queued or in progress; false if `aDeadline`
   /// passes first.
-  bool Drain(base::TimePoint aDeadline);
+  bool WaitUntilEmpty(base::TimePoint aDeadline);
 
 private:
   struct QueuedRecord
--- a/include/skylarkhill/entry/request_service.hpp
+++ b/include/skylarkhill/entry/request_service.hpp
@@ -46,14 +46,14 @@
   /// True if the instance may still be working on the keys that it claimed.
   virtual bool IsAlive(const base::InstanceId& aInstance) const = 0;
   /// False if any source reports that the worker is leaving.
-  virtual bool IsEligible(const base::WorkerId& aWorker) const = 0;
+  virtual bool MayReceiveWork(const base::WorkerId& aWorker) const = 0;
 };
 
 struct RequestServiceOptions
 {
   /// Instance and incarnation, as "name/incarnation"; identifies the claimant
   /// of a key.
-  base::InstanceId mInstance;
+  base::InstanceId mClaimant;
   std::uint64_t mIncarnation = 0;
   /// Standing (long-lived) requests per service, queued and running.
   std::int64_t mStandingLimit = 128;
@@ -103,40 +103,40 @@
   void StopAccepting();
 
 private:
-  struct Session;
-  using SessionPtr = std::shared_ptr<Session>;
+  struct ActiveRequest;
+  using ActiveRequestPtr = std::shared_ptr<ActiveRequest>;
 
   const catalog::Service* FindService(const ConfigView& aConfig,
                                       const std::string& aName) const;
   std::vector<requests::Candidate> HeldWorkerCandidates(
     const std::string& aService) const;
-  requests::RequestResult RunSession(const SessionPtr& aSession,
-                                     base::TimePoint aArrivedAt);
-  requests::RequestResult AwaitResult(const SessionPtr& aSession,
+  requests::RequestResult RunActiveRequest(const ActiveRequestPtr& aActive,
+                                           base::TimePoint aArrivedAt);
+  requests::RequestResult AwaitResult(const ActiveRequestPtr& aActive,
                                       base::TimePoint aDeadline) const;
   /// Slots of all held workers plus the free slots of peers; at least 1.
   std::int64_t ReachableSlots(const std::string& aService) const;
-  bool IsKeyUnused(const base::RequestId& aKey,
-                   base::TimePoint aArrivedAt) const;
-  requests::RequestResult Drive(const SessionPtr& aSession);
-  void Perform(const SessionPtr& aSession,
+  bool IsKnownNotRun(const base::RequestId& aKey,
+                     base::TimePoint aArrivedAt) const;
+  requests::RequestResult ProcessEvents(const ActiveRequestPtr& aActive);
+  void Perform(const ActiveRequestPtr& aActive,
                const requests::RequestAction& aAction);
-  void PickTarget(const SessionPtr& aSession,
+  void PickTarget(const ActiveRequestPtr& aActive,
                   const requests::PickTarget& aAction);
-  void SendAttempt(const SessionPtr& aSession,
+  void SendAttempt(const ActiveRequestPtr& aActive,
                    const requests::SendAttempt& aAction);
   /// Requires mForwardMutex.
-  void EndInFlight(const SessionPtr& aSession, std::int64_t aAttempt);
+  void EndInFlight(const ActiveRequestPtr& aActive, std::int64_t aAttempt);
   base::Result<std::string> CallWhenSlotFree(WorkerAgent& aAgent,
                                              const requests::Request& aRequest,
                                              std::int64_t aAttempt,
                                              base::TimePoint aDeadline) const;
-  void CallWorker(const SessionPtr& aSession,
+  void CallWorker(const ActiveRequestPtr& aActive,
                   const requests::SendAttempt& aAction);
-  void ForwardToPeer(const SessionPtr& aSession,
+  void ForwardToPeer(const ActiveRequestPtr& aActive,
                      const requests::SendAttempt& aAction);
-  void AppendIntent(const SessionPtr& aSession);
-  void WatchClaim(const SessionPtr& aSession);
+  void AppendIntent(const ActiveRequestPtr& aActive);
+  void WatchClaim(const ActiveRequestPtr& aActive);
   void AppendOutcome(const requests::Request& aRequest,
                      const requests::RequestResult& aResult);
   void PerformForwardActions(const requests::ForwardActions& aActions);
@@ -162,9 +162,9 @@
   requests::InFlightTable mInFlight;
   requests::Forwarder mForwarder;
 
-  mutable std::mutex mSessionsMutex;
+  mutable std::mutex mActiveRequestsMutex;
   std::unique_ptr<base::Random> mSeedSource;
-  std::map<base::RequestId, SessionPtr> mSessions;
+  std::map<base::RequestId, ActiveRequestPtr> mActiveRequests;
 
   mutable std::mutex mAdmissionsMutex;
   std::map<std::string, std::unique_ptr<ServiceAdmission>> mAdmissions;
--- a/include/skylarkhill/entry/worker_agent.hpp
+++ b/include/skylarkhill/entry/worker_agent.hpp
@@ -39,7 +39,7 @@
 struct WorkerStatus
 {
   WorkerLocation mLocation;
-  bool mHeld = false;
+  bool mUsable = false;
   bool mLeaving = false;
   /// Whether new tasks may be placed on the worker.
   bool mAdmitsTasks = false;
--- a/src/catalog/catalog_test.cpp
+++ b/src/catalog/catalog_test.cpp
@@ -69,9 +69,9 @@
   CPPUNIT_TEST(InheritsEvictionRules);
   CPPUNIT_TEST(RejectsMalformedDocuments);
   CPPUNIT_TEST(DigestDependsOnContentOnly);
-  CPPUNIT_TEST(AppliesDifferences);
-  CPPUNIT_TEST(ChecksLargeSetInTime);
-  CPPUNIT_TEST(ChecksLongChainInTime);
+  CPPUNIT_TEST(AppliesDeltas);
+  CPPUNIT_TEST(ChecksLargeSetWithinOneSecond);
+  CPPUNIT_TEST(ChecksLongInheritanceChainWithinOneSecond);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -222,7 +222,7 @@
     CPPUNIT_ASSERT_EQUAL(one.value().Digest(), changed.Digest());
   }
 
-  void AppliesDifferences()
+  void AppliesDeltas()
   {
     const auto base = ParseSet(ReadExample("direccion.json"));
     const auto target = ParseSet(ReadExample("exchange.json"));
@@ -241,7 +241,7 @@
   }
 
   // 10,000 objects must be checked within a second.
-  void ChecksLargeSetInTime()
+  void ChecksLargeSetWithinOneSecond()
   {
     std::string objects = kPool;
     for (int i = 1; i < kManyObjects; ++i) {
@@ -254,7 +254,7 @@
 
   // Guards against a check that takes quadratic time in the length of an
   // inheritance chain.
-  void ChecksLongChainInTime()
+  void ChecksLongInheritanceChainWithinOneSecond()
   {
     std::string objects = R"({"kind":"eviction_policy","name":"c0",)"
                           R"("policy":"none"})";
--- a/src/catalog/check.cpp
+++ b/src/catalog/check.cpp
@@ -408,7 +408,7 @@
 }
 
 base::Result<CatalogSet>
-ParseUncheckedSet(const base::JsonValue& aDocument)
+ParseSetWithoutRelationChecks(const base::JsonValue& aDocument)
 {
   std::set<std::string> invalidNames;
   return ToResult(ReadObjects(aDocument, invalidNames));
--- a/src/catalog/config_record.cpp
+++ b/src/catalog/config_record.cpp
@@ -81,7 +81,7 @@
     return base::MakeError(base::ErrorKind::InvalidArgument,
                            "'set' is missing");
   }
-  auto parsed = ParseUncheckedSet(*set);
+  auto parsed = ParseSetWithoutRelationChecks(*set);
   if (parsed.has_error()) {
     return parsed.error();
   }
--- a/src/catalog/config_state.cpp
+++ b/src/catalog/config_state.cpp
@@ -98,7 +98,7 @@
   for (const auto& it : *outcomes) {
     BOOST_OUTCOME_TRYV(ParseOutcome(it, state.mOutcomes));
   }
-  auto parsed = ParseUncheckedSet(*set);
+  auto parsed = ParseSetWithoutRelationChecks(*set);
   if (parsed.has_error()) {
     return parsed.error();
   }
--- a/src/catalog/config_state_test.cpp
+++ b/src/catalog/config_state_test.cpp
@@ -62,19 +62,19 @@
 class ConfigStateTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(ConfigStateTest);
-  CPPUNIT_TEST(OnePublisherWins);
+  CPPUNIT_TEST(OneOfTwoPublishesTakesEffect);
   CPPUNIT_TEST(RejectsInconsistentRecords);
   CPPUNIT_TEST(PreparesConsistentPublish);
   CPPUNIT_TEST(NewReaderNeedsUsableSnapshot);
-  CPPUNIT_TEST(GapNeverRevertsVersion);
+  CPPUNIT_TEST(MissingRecordsNeverRevertVersion);
   CPPUNIT_TEST(ImportsOnlyNewerState);
-  CPPUNIT_TEST(CompleteReadersAgree);
+  CPPUNIT_TEST(CompleteReadersHaveSameSet);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   // Guards against two concurrent publishes that are both reported as
   // published.
-  void OnePublisherWins()
+  void OneOfTwoPublishesTakesEffect()
   {
     ConfigState state;
     const std::string first = MakePublish(state, "a", 1, "x");
@@ -194,7 +194,7 @@
 
   // Guards against an instance that reverts to an older set while it catches
   // up.
-  void GapNeverRevertsVersion()
+  void MissingRecordsNeverRevertVersion()
   {
     ConfigState writer;
     Stream stream{ MakePublish(writer, "a", 1, "x") };
@@ -236,7 +236,7 @@
 
   // Guards against readers that derive different sets from the same log,
   // wherever they start to read it.
-  void CompleteReadersAgree()
+  void CompleteReadersHaveSameSet()
   {
     constexpr std::uint64_t kSeeds = 40;
     constexpr int kRecords = 40;
--- a/src/catalog/object.cpp
+++ b/src/catalog/object.cpp
@@ -52,8 +52,8 @@
 constexpr std::int64_t kMaxRunSeconds = 30LL * 24 * 3600;
 constexpr std::int64_t kMaxEvictions = 100;
 // A worker without interference reports 100.
-constexpr std::int64_t kMinPercent = 101;
-constexpr std::int64_t kMaxPercent = 1'000;
+constexpr std::int64_t kMinSlowdownPercent = 101;
+constexpr std::int64_t kMaxSlowdownPercent = 1'000;
 constexpr std::int64_t kMaxWeight = 1'000;
 
 constexpr base::Resources kMaxWorkerResources{ kMaxMilliProcessors,
@@ -348,12 +348,12 @@
   EvictionPolicy policy;
   policy.mParent = aReader.OptionalName("parent");
   policy.mKind = aReader.OptionalEnum("policy", kEvictionKindNames);
-  policy.mThrottlePercent =
-    aReader.OptionalInt("throttle_percent", kMinPercent, kMaxPercent);
-  policy.mEvictPercent =
-    aReader.OptionalInt("evict_percent", kMinPercent, kMaxPercent);
+  policy.mThrottlePercent = aReader.OptionalInt(
+    "throttle_percent", kMinSlowdownPercent, kMaxSlowdownPercent);
+  policy.mEvictPercent = aReader.OptionalInt(
+    "evict_percent", kMinSlowdownPercent, kMaxSlowdownPercent);
   policy.mHysteresisPercent =
-    aReader.OptionalInt("hysteresis_percent", 0, kMaxPercent);
+    aReader.OptionalInt("hysteresis_percent", 0, kMaxSlowdownPercent);
   if (policy.mParent.empty() && !policy.mKind) {
     aReader.AddFinding("policy", "is missing and there is no 'parent'");
   }
--- a/src/entry/api_handler.cpp
+++ b/src/entry/api_handler.cpp
@@ -21,7 +21,7 @@
 constexpr std::string_view kRequestPath = "/v1/requests/";
 constexpr std::string_view kTaskPath = "/v1/tasks/";
 constexpr std::string_view kBearerPrefix = "Bearer ";
-constexpr std::int64_t kMaxDeadlineMs = 3'600'000;
+constexpr std::int64_t kMaxRequestDeadlineMs = 3'600'000;
 constexpr base::Duration kSubmitTimeout = std::chrono::seconds(10);
 constexpr base::Duration kPublishTimeout = std::chrono::seconds(10);
 
@@ -189,7 +189,7 @@
     return MakeError(ErrorKind::NotFound,
                      "no service '" + request.mService + "'");
   }
-  if (deadlineMs <= 0 || deadlineMs > kMaxDeadlineMs) {
+  if (deadlineMs <= 0 || deadlineMs > kMaxRequestDeadlineMs) {
     return MakeError(ErrorKind::InvalidArgument,
                      "deadline_ms must be between 1 and 3600000");
   }
--- a/src/entry/batch_scheduler.cpp
+++ b/src/entry/batch_scheduler.cpp
@@ -135,9 +135,9 @@
   std::vector<policy::WorkerView> views;
   for (const auto& it : mWorkers.All()) {
     const WorkerStatus status = it->Status();
-    const bool isUsable = status.mHeld && status.mAdmitsTasks &&
+    const bool isUsable = status.mUsable && status.mAdmitsTasks &&
                           !status.mLeaving &&
-                          mPeers.IsEligible(status.mLocation.mWorker);
+                          mPeers.MayReceiveWork(status.mLocation.mWorker);
     if (!isUsable) {
       continue;
     }
@@ -456,7 +456,7 @@
                                   const ConfigView& aConfig)
 {
   const WorkerStatus status = aAgent.Status();
-  if (!status.mHeld || status.mTasks.empty()) {
+  if (!status.mUsable || status.mTasks.empty()) {
     return;
   }
   policy::WorkerPressure pressure;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -36,7 +36,7 @@
 constexpr base::Duration kSnapshotInterval = std::chrono::seconds(5);
 constexpr base::Duration kSnapshotTimeout = std::chrono::seconds(10);
 constexpr base::Duration kDrainCheckInterval = milliseconds(20);
-constexpr base::Duration kHandOverTimeout = std::chrono::seconds(10);
+constexpr base::Duration kReleaseTimeout = std::chrono::seconds(10);
 
 peer::PeerAddress
 ParsePeerAddress(const std::string& aText)
@@ -72,20 +72,20 @@
 journal::SiteStateSettings
 MakeStateSettings(const settings::Settings& aSettings)
 {
-  journal::SiteStateSettings settings;
-  settings.mRetentionMs = aSettings.mLog.mRetentionS * 1000;
-  return settings;
+  journal::SiteStateSettings options;
+  options.mRetentionMs = aSettings.mLog.mRetentionS * 1000;
+  return options;
 }
 
 journal::JournalServiceSettings
 MakeJournalSettings(const settings::Settings& aSettings,
                     const std::string& aWriter)
 {
-  journal::JournalServiceSettings settings;
-  settings.mWriter.mWriter = aWriter;
-  settings.mWriter.mAppendBudgetPerSecond = aSettings.mLog.mAppendBudgetPerS;
-  settings.mAppendTimeout = milliseconds(aSettings.mLog.mAppendTimeoutMs);
-  return settings;
+  journal::JournalServiceSettings options;
+  options.mWriter.mWriter = aWriter;
+  options.mWriter.mAppendBudgetPerSecond = aSettings.mLog.mAppendBudgetPerS;
+  options.mAppendTimeout = milliseconds(aSettings.mLog.mAppendTimeoutMs);
+  return options;
 }
 
 PeerNetworkOptions
@@ -149,7 +149,7 @@
   RequestServiceOptions options;
   // Includes the incarnation, so that this process does not own the claims of
   // an earlier one.
-  options.mInstance = { aWriter };
+  options.mClaimant = { aWriter };
   options.mIncarnation = aIncarnation;
   options.mStandingLimit = aSettings.mRequests.mStandingLimit;
   options.mRetryBudgetPercent = aSettings.mRequests.mRetryBudgetPercent;
@@ -271,9 +271,9 @@
     }
     mServer->Stop();
     mScheduler.Stop();
-    HandOverWorkers();
-    mRecordAppender.Drain(mClock.Now() + kHandOverTimeout);
-    mJournal.Drain(mClock.Now() + kHandOverTimeout);
+    ReleaseWorkers();
+    mRecordAppender.WaitUntilEmpty(mClock.Now() + kReleaseTimeout);
+    mJournal.Drain(mClock.Now() + kReleaseTimeout);
     RecordEvent(EventKind::DrainCompleted, {});
     logging::Write(logging::Level::Info, "drain_completed", {});
     StopAll();
@@ -289,10 +289,10 @@
   static journal::SnapshotPlannerSettings MakePlannerSettings(
     const settings::Settings& aSettings)
   {
-    journal::SnapshotPlannerSettings settings;
-    settings.mSelf = { aSettings.mInstance.mName };
-    settings.mRetentionMs = aSettings.mLog.mRetentionS * 1000;
-    return settings;
+    journal::SnapshotPlannerSettings options;
+    options.mSelf = { aSettings.mInstance.mName };
+    options.mRetentionMs = aSettings.mLog.mRetentionS * 1000;
+    return options;
   }
 
   http::ServerOptions MakeServerOptions() const
@@ -351,9 +351,9 @@
     mConfig.Stop();
   }
 
-  void HandOverWorkers()
+  void ReleaseWorkers()
   {
-    const base::TimePoint deadline = mClock.Now() + kHandOverTimeout;
+    const base::TimePoint deadline = mClock.Now() + kReleaseTimeout;
     const auto agents = mWorkers.All();
     for (const auto& it : agents) {
       it->BeginRelease();
@@ -373,7 +373,7 @@
     status.mFreeSlots =
       mDraining ? std::map<std::string, std::int64_t>() : mRequests.FreeSlots();
     for (const auto& it : mWorkers.All()) {
-      if (it->Status().mHeld) {
+      if (it->Status().mUsable) {
         status.mHeldWorkers.push_back(it->Location().mWorker);
       }
     }
@@ -406,7 +406,7 @@
     for (const auto& it : mWorkers.All()) {
       it->SetPreferred(mPeers.IsPreferredHolder(it->Location().mWorker));
       it->SetServiceReserve(ServiceReserveOn(config, it->Location()));
-      held += it->Status().mHeld ? 1 : 0;
+      held += it->Status().mUsable ? 1 : 0;
     }
     mMetrics
       .GetGauge("skylarkhill_workers_held", "Workers that this instance holds.")
@@ -426,13 +426,13 @@
     return reserve;
   }
 
-  void AddWorker(const platform::InstanceInfo& aEntry)
+  void AddWorker(const platform::InstanceInfo& aWorker)
   {
     auto remoteWorker =
-      worker::CreateHttpRemoteWorker(aEntry.mAddress, aEntry.mPort, mClock);
+      worker::CreateHttpRemoteWorker(aWorker.mAddress, aWorker.mPort, mClock);
     const std::uint64_t seed = base::CreateSystemRandom()->Next();
     mWorkers.Add(std::make_shared<WorkerAgent>(
-      WorkerLocation{ { aEntry.mName }, aEntry.mDomain, aEntry.mRack },
+      WorkerLocation{ { aWorker.mName }, aWorker.mDomain, aWorker.mRack },
       MakeAgentOptions(mSettings),
       std::move(remoteWorker),
       mClock,
@@ -494,7 +494,7 @@
   {
     mPeers.OnWorkerPolled(aAgent.Location().mWorker, aReport.mLeaving);
     const WorkerStatus status = aAgent.Status();
-    if (status.mHeld) {
+    if (status.mUsable) {
       mScheduler.OnReport(status);
     }
   }
--- a/src/entry/peer_network.cpp
+++ b/src/entry/peer_network.cpp
@@ -528,7 +528,7 @@
 }
 
 bool
-PeerNetwork::IsEligible(const base::WorkerId& aWorker) const
+PeerNetwork::MayReceiveWork(const base::WorkerId& aWorker) const
 {
   const std::lock_guard lock(mMutex);
   return mView.IsEligible(aWorker, mClock.Now());
--- a/src/entry/record_appender.cpp
+++ b/src/entry/record_appender.cpp
@@ -45,7 +45,7 @@
 }
 
 bool
-RecordAppender::Drain(base::TimePoint aDeadline)
+RecordAppender::WaitUntilEmpty(base::TimePoint aDeadline)
 {
   std::unique_lock lock(mMutex);
   while (!mQueue.empty() || mInProgress > 0) {
--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -63,13 +63,13 @@
 } // namespace
 
 /// One request in progress, driven by the thread that runs it.
-struct RequestService::Session
+struct RequestService::ActiveRequest
 {
-  Session(requests::Request aRequest,
-          const requests::RequestMachineOptions& aOptions,
-          requests::RetryBudget& aBudget,
-          const base::Clock& aClock,
-          std::uint64_t aSeed)
+  ActiveRequest(requests::Request aRequest,
+                const requests::RequestMachineOptions& aOptions,
+                requests::RetryBudget& aBudget,
+                const base::Clock& aClock,
+                std::uint64_t aSeed)
     : mRandom(base::CreateSeededRandom(aSeed))
     , mMachine(std::move(aRequest), aOptions, aBudget, aClock, *mRandom)
   {
@@ -89,7 +89,7 @@
   std::deque<requests::RequestEvent> mEvents;
   std::unique_ptr<base::Random> mRandom;
   requests::RequestMachine mMachine;
-  std::optional<RequestResult> mResult;
+  std::optional<RequestResult> mMachineResult;
   /// Targets of the attempts that count as in flight, by attempt number.
   std::map<std::int64_t, requests::Target> mTargets;
   /// The result returned to the caller; other requests with the same key wait
@@ -161,7 +161,7 @@
   }
   for (const auto& it : mWorkers.All()) {
     const WorkerStatus status = it->Status();
-    if (!status.mHeld || !Serves(*config.mSet, *service, status.mLocation)) {
+    if (!status.mUsable || !Serves(*config.mSet, *service, status.mLocation)) {
       continue;
     }
     Candidate candidate;
@@ -175,7 +175,7 @@
     // The platform's list or a peer may know that the worker is leaving before
     // the worker reports it.
     candidate.mLeaving =
-      status.mLeaving || !mPeers.IsEligible(status.mLocation.mWorker);
+      status.mLeaving || !mPeers.MayReceiveWork(status.mLocation.mWorker);
     const bool hasStaleReport =
       mClock.Now() - status.mReportedAt > kMaxReportAge;
     candidate.mBreakerOpen = !status.mAdmitsCalls || hasStaleReport;
@@ -207,8 +207,8 @@
     const std::lock_guard lock(mForwardMutex);
     forwarded = mForwarder.CountRunning();
   }
-  const std::lock_guard lock(mSessionsMutex);
-  return forwarded + static_cast<std::int64_t>(mSessions.size());
+  const std::lock_guard lock(mActiveRequestsMutex);
+  return forwarded + static_cast<std::int64_t>(mActiveRequests.size());
 }
 
 void
@@ -224,7 +224,7 @@
   std::int64_t slots = 0;
   for (const auto& it : mWorkers.All()) {
     const WorkerStatus status = it->Status();
-    slots += status.mHeld ? status.mSlots : 0;
+    slots += status.mUsable ? status.mSlots : 0;
   }
   for (const auto& it : mPeers.Candidates(aService)) {
     slots += std::max<std::int64_t>(0, it.mFreeSlots);
@@ -250,49 +250,50 @@
     options.mHedgeDelay =
       (aRequest.mDeadline - startedAt) / kHedgeDeadlineDivisor;
   }
-  SessionPtr session;
-  SessionPtr existing;
+  ActiveRequestPtr active;
+  ActiveRequestPtr existing;
   {
-    const std::lock_guard lock(mSessionsMutex);
-    SessionPtr& stored = mSessions[aRequest.mId];
+    const std::lock_guard lock(mActiveRequestsMutex);
+    ActiveRequestPtr& stored = mActiveRequests[aRequest.mId];
     existing = stored;
     if (existing == nullptr) {
-      stored = std::make_shared<Session>(
+      stored = std::make_shared<ActiveRequest>(
         aRequest, options, admission.Budget(), mClock, mSeedSource->Next());
-      session = stored;
+      active = stored;
     }
   }
   if (existing != nullptr) {
     return AwaitResult(existing, aRequest.mDeadline);
   }
-  RequestResult result = RunSession(session, startedAt);
+  RequestResult result = RunActiveRequest(active, startedAt);
   // If an earlier request with the key may have run, refusing this one must not
   // be reported as "not run".
   if (!aRequest.mIdempotent && !aIsFirstSend &&
       result.mOutcome == Outcome::NotRun &&
-      !IsKeyUnused(aRequest.mId, startedAt)) {
+      !IsKnownNotRun(aRequest.mId, startedAt)) {
     result = requests::MakeUnknown(
       MakeError(ErrorKind::OutcomeUnknown,
                 "refused before the key could be looked up: " +
                   std::string(base::NameOf(result.mError.mKind))));
   }
   {
-    const std::lock_guard lock(session->mMutex);
-    session->mFinalResult = result;
-    session->mChanged.notify_all();
+    const std::lock_guard lock(active->mMutex);
+    active->mFinalResult = result;
+    active->mChanged.notify_all();
   }
   {
-    const std::lock_guard lock(mSessionsMutex);
-    mSessions.erase(aRequest.mId);
+    const std::lock_guard lock(mActiveRequestsMutex);
+    mActiveRequests.erase(aRequest.mId);
   }
   RecordResult(aRequest, result, startedAt);
   return result;
 }
 
 RequestResult
-RequestService::RunSession(const SessionPtr& aSession, TimePoint aArrivedAt)
+RequestService::RunActiveRequest(const ActiveRequestPtr& aActive,
+                                 TimePoint aArrivedAt)
 {
-  const requests::Request& request = aSession->mMachine.GetRequest();
+  const requests::Request& request = aActive->mMachine.GetRequest();
   const bool isStanding = request.mDeadline - aArrivedAt > kStandingThreshold;
   ServiceAdmission& admission = AdmissionFor(request.mService);
   const auto admitted =
@@ -301,28 +302,28 @@
     return requests::MakeNotRun(admitted.error());
   }
   const TimePoint admittedAt = mClock.Now();
-  RequestResult result = Drive(aSession);
+  RequestResult result = ProcessEvents(aActive);
   admission.Release(isStanding,
                     mClock.Now() - admittedAt,
                     result.mOutcome == Outcome::Completed);
   const std::lock_guard lock(mForwardMutex);
-  const std::lock_guard sessionLock(aSession->mMutex);
-  for (const auto& it : aSession->mTargets) {
+  const std::lock_guard activeLock(aActive->mMutex);
+  for (const auto& it : aActive->mTargets) {
     mInFlight.End(it.second, request.mId, it.first);
   }
   return result;
 }
 
 RequestResult
-RequestService::AwaitResult(const SessionPtr& aSession,
+RequestService::AwaitResult(const ActiveRequestPtr& aActive,
                             TimePoint aDeadline) const
 {
-  std::unique_lock lock(aSession->mMutex);
-  while (!aSession->mFinalResult && mClock.Now() < aDeadline) {
-    aSession->mChanged.wait_for(lock, kClaimCheckInterval);
+  std::unique_lock lock(aActive->mMutex);
+  while (!aActive->mFinalResult && mClock.Now() < aDeadline) {
+    aActive->mChanged.wait_for(lock, kClaimCheckInterval);
   }
-  return aSession->mFinalResult
-           ? *aSession->mFinalResult
+  return aActive->mFinalResult
+           ? *aActive->mFinalResult
            : requests::MakeUnknown(MakeError(ErrorKind::OutcomeUnknown));
 }
 
@@ -330,14 +331,14 @@
 // says so, or no other instance claimed the key in any record appended before
 // the request arrived.
 bool
-RequestService::IsKeyUnused(const base::RequestId& aKey,
-                            TimePoint aArrivedAt) const
+RequestService::IsKnownNotRun(const base::RequestId& aKey,
+                              TimePoint aArrivedAt) const
 {
   const requests::KeySnapshot key = mState.FindKey(aKey);
   if (key.mState == requests::KeyState::Finished) {
     return key.mOutcome->mOutcome == Outcome::NotRun;
   }
-  const bool isOwnClaim = key.mClaimant == mOptions.mInstance;
+  const bool isOwnClaim = key.mClaimant == mOptions.mClaimant;
   const bool isUnclaimedByOthers =
     key.mState == requests::KeyState::Unknown || isOwnClaim;
   return isUnclaimedByOthers &&
@@ -346,65 +347,65 @@
 }
 
 RequestResult
-RequestService::Drive(const SessionPtr& aSession)
+RequestService::ProcessEvents(const ActiveRequestPtr& aActive)
 {
-  requests::RequestActions actions = aSession->mMachine.Start();
+  requests::RequestActions actions = aActive->mMachine.Start();
   while (true) {
     for (const auto& it : actions) {
-      Perform(aSession, it);
+      Perform(aActive, it);
     }
-    if (aSession->mMachine.IsFinished()) {
+    if (aActive->mMachine.IsFinished()) {
       break;
     }
     std::optional<requests::RequestEvent> event;
     {
-      std::unique_lock lock(aSession->mMutex);
+      std::unique_lock lock(aActive->mMutex);
       const TimePoint now = mClock.Now();
-      const TimePoint due = aSession->mMachine.NextWakeup();
-      if (aSession->mEvents.empty() && due > now) {
-        aSession->mChanged.wait_for(
+      const TimePoint due = aActive->mMachine.NextWakeup();
+      if (aActive->mEvents.empty() && due > now) {
+        aActive->mChanged.wait_for(
           lock, std::min<base::Duration>(std::chrono::seconds(1), due - now));
       }
-      if (!aSession->mEvents.empty()) {
-        event = std::move(aSession->mEvents.front());
-        aSession->mEvents.pop_front();
+      if (!aActive->mEvents.empty()) {
+        event = std::move(aActive->mEvents.front());
+        aActive->mEvents.pop_front();
       }
     }
     if (event) {
-      actions = aSession->mMachine.Handle(*event);
-    } else if (mClock.Now() >= aSession->mMachine.NextWakeup()) {
-      actions = aSession->mMachine.Handle(requests::TimerFired{});
+      actions = aActive->mMachine.Handle(*event);
+    } else if (mClock.Now() >= aActive->mMachine.NextWakeup()) {
+      actions = aActive->mMachine.Handle(requests::TimerFired{});
     } else {
       actions.clear();
     }
   }
-  const auto& dropped = aSession->mMachine.GetDroppedAnswers();
+  const auto& dropped = aActive->mMachine.GetDroppedAnswers();
   mInstruments.mMetrics
     .GetCounter("skylarkhill_answers_dropped_total",
                 "Late, duplicate or mismatched answers.")
     .Add(dropped.mLate + dropped.mDuplicate + dropped.mMismatched);
-  return *aSession->mResult;
+  return *aActive->mMachineResult;
 }
 
 void
-RequestService::Perform(const SessionPtr& aSession,
+RequestService::Perform(const ActiveRequestPtr& aActive,
                         const requests::RequestAction& aAction)
 {
   if (const auto* pick = std::get_if<requests::PickTarget>(&aAction)) {
-    PickTarget(aSession, *pick);
+    PickTarget(aActive, *pick);
   } else if (const auto* send = std::get_if<requests::SendAttempt>(&aAction)) {
-    SendAttempt(aSession, *send);
+    SendAttempt(aActive, *send);
   } else if (std::holds_alternative<requests::AppendIntent>(aAction)) {
     const bool isSubmitted =
-      mThreadPool.TrySubmit([this, aSession] { AppendIntent(aSession); });
+      mThreadPool.TrySubmit([this, aActive] { AppendIntent(aActive); });
     if (!isSubmitted) {
-      aSession->Post(requests::LogUnavailable{});
+      aActive->Post(requests::LogUnavailable{});
     }
   } else if (const auto* outcome =
                std::get_if<requests::AppendOutcome>(&aAction)) {
-    AppendOutcome(aSession->mMachine.GetRequest(), outcome->mResult);
+    AppendOutcome(aActive->mMachine.GetRequest(), outcome->mResult);
   } else {
-    aSession->mResult = std::get<requests::Finish>(aAction).mResult;
+    aActive->mMachineResult = std::get<requests::Finish>(aAction).mResult;
   }
 }
 
@@ -412,10 +413,10 @@
 // requests wait. Later attempts do not wait, because an earlier one may still
 // answer.
 void
-RequestService::PickTarget(const SessionPtr& aSession,
+RequestService::PickTarget(const ActiveRequestPtr& aActive,
                            const requests::PickTarget& aAction)
 {
-  const requests::Request& request = aSession->mMachine.GetRequest();
+  const requests::Request& request = aActive->mMachine.GetRequest();
   while (true) {
     std::vector<Candidate> candidates = HeldWorkerCandidates(request.mService);
     for (auto& it : mPeers.Candidates(request.mService)) {
@@ -428,12 +429,12 @@
         mTargetPicker->Pick(candidates, aAction.mTried, mInFlight, *mRandom);
     }
     if (target) {
-      aSession->Post(requests::TargetOffered{ *target });
+      aActive->Post(requests::TargetOffered{ *target });
       return;
     }
     const bool mayWait = aAction.mTried.empty() && !candidates.empty();
     if (!mayWait || mClock.Now() + kSlotCheckInterval >= request.mDeadline) {
-      aSession->Post(requests::TargetUnavailable{});
+      aActive->Post(requests::TargetUnavailable{});
       return;
     }
     std::this_thread::sleep_for(kSlotCheckInterval);
@@ -441,10 +442,10 @@
 }
 
 void
-RequestService::SendAttempt(const SessionPtr& aSession,
+RequestService::SendAttempt(const ActiveRequestPtr& aActive,
                             const requests::SendAttempt& aAction)
 {
-  const requests::Request& request = aSession->mMachine.GetRequest();
+  const requests::Request& request = aActive->mMachine.GetRequest();
   const bool isPeer = aAction.mTarget.mKind == TargetKind::Peer;
   const auto kind = isPeer ? EventKind::RequestForwarded
                            : (aAction.mAttempt > 1 ? EventKind::RequestRetried
@@ -463,21 +464,21 @@
     const std::lock_guard lock(mForwardMutex);
     mInFlight.Begin(
       aAction.mTarget, request.mId, aAction.mAttempt, mClock.Now());
-    const std::lock_guard sessionLock(aSession->mMutex);
-    aSession->mTargets[aAction.mAttempt] = aAction.mTarget;
+    const std::lock_guard activeLock(aActive->mMutex);
+    aActive->mTargets[aAction.mAttempt] = aAction.mTarget;
   }
   if (isPeer) {
-    ForwardToPeer(aSession, aAction);
+    ForwardToPeer(aActive, aAction);
     return;
   }
   const bool isSubmitted = mThreadPool.TrySubmit(
-    [this, aSession, aAction] { CallWorker(aSession, aAction); });
+    [this, aActive, aAction] { CallWorker(aActive, aAction); });
   if (!isSubmitted) {
     {
       const std::lock_guard lock(mForwardMutex);
-      EndInFlight(aSession, aAction.mAttempt);
+      EndInFlight(aActive, aAction.mAttempt);
     }
-    aSession->Post(requests::AttemptFailed{
+    aActive->Post(requests::AttemptFailed{
       request.mId,
       aAction.mAttempt,
       MakeError(ErrorKind::WorkerUnavailable, "no free thread") });
@@ -485,13 +486,14 @@
 }
 
 void
-RequestService::EndInFlight(const SessionPtr& aSession, std::int64_t aAttempt)
+RequestService::EndInFlight(const ActiveRequestPtr& aActive,
+                            std::int64_t aAttempt)
 {
-  const std::lock_guard lock(aSession->mMutex);
-  const auto it = aSession->mTargets.find(aAttempt);
-  if (it != aSession->mTargets.end()) {
-    mInFlight.End(it->second, aSession->mMachine.GetRequest().mId, aAttempt);
-    aSession->mTargets.erase(it);
+  const std::lock_guard lock(aActive->mMutex);
+  const auto it = aActive->mTargets.find(aAttempt);
+  if (it != aActive->mTargets.end()) {
+    mInFlight.End(it->second, aActive->mMachine.GetRequest().mId, aAttempt);
+    aActive->mTargets.erase(it);
   }
 }
 
@@ -519,10 +521,10 @@
 }
 
 void
-RequestService::CallWorker(const SessionPtr& aSession,
+RequestService::CallWorker(const ActiveRequestPtr& aActive,
                            const requests::SendAttempt& aAction)
 {
-  const requests::Request& request = aSession->mMachine.GetRequest();
+  const requests::Request& request = aActive->mMachine.GetRequest();
   base::Result<std::string> body =
     MakeError(ErrorKind::WorkerUnavailable, "the worker is no longer known");
   if (const auto agent = mWorkers.Find({ aAction.mTarget.mName })) {
@@ -531,22 +533,22 @@
   }
   {
     const std::lock_guard lock(mForwardMutex);
-    EndInFlight(aSession, aAction.mAttempt);
+    EndInFlight(aActive, aAction.mAttempt);
   }
   if (body) {
-    aSession->Post(requests::AttemptAnswered{
+    aActive->Post(requests::AttemptAnswered{
       request.mId, aAction.mAttempt, std::move(body.value()) });
   } else {
-    aSession->Post(requests::AttemptFailed{
+    aActive->Post(requests::AttemptFailed{
       request.mId, aAction.mAttempt, ToAttemptError(body.error()) });
   }
 }
 
 void
-RequestService::ForwardToPeer(const SessionPtr& aSession,
+RequestService::ForwardToPeer(const ActiveRequestPtr& aActive,
                               const requests::SendAttempt& aAction)
 {
-  const requests::Request& request = aSession->mMachine.GetRequest();
+  const requests::Request& request = aActive->mMachine.GetRequest();
   const auto sent = mPeers.Forward(
     { aAction.mTarget.mName }, request, aAction.mAttempt, aAction.mDeadline);
   if (sent) {
@@ -554,24 +556,24 @@
   }
   {
     const std::lock_guard lock(mForwardMutex);
-    EndInFlight(aSession, aAction.mAttempt);
+    EndInFlight(aActive, aAction.mAttempt);
   }
-  aSession->Post(requests::PeerAnswered{
+  aActive->Post(requests::PeerAnswered{
     request.mId, aAction.mAttempt, requests::MakeNotRun(sent.error()) });
 }
 
 void
 RequestService::OnPeerAnswered(const requests::PeerAnswered& aAnswer)
 {
-  SessionPtr session;
+  ActiveRequestPtr active;
   {
-    const std::lock_guard lock(mSessionsMutex);
-    const auto it = mSessions.find(aAnswer.mRequest);
-    if (it != mSessions.end()) {
-      session = it->second;
+    const std::lock_guard lock(mActiveRequestsMutex);
+    const auto it = mActiveRequests.find(aAnswer.mRequest);
+    if (it != mActiveRequests.end()) {
+      active = it->second;
     }
   }
-  if (session == nullptr) {
+  if (active == nullptr) {
     mInstruments.mMetrics
       .GetCounter("skylarkhill_answers_dropped_total",
                   "Late, duplicate or mismatched answers.")
@@ -580,24 +582,24 @@
   }
   {
     const std::lock_guard lock(mForwardMutex);
-    EndInFlight(session, aAnswer.mAttempt);
+    EndInFlight(active, aAnswer.mAttempt);
   }
-  session->Post(aAnswer);
+  active->Post(aAnswer);
 }
 
 void
-RequestService::AppendIntent(const SessionPtr& aSession)
+RequestService::AppendIntent(const ActiveRequestPtr& aActive)
 {
-  const requests::Request& request = aSession->mMachine.GetRequest();
-  const requests::IntentRecord intent{ request.mId, mOptions.mInstance };
+  const requests::Request& request = aActive->mMachine.GetRequest();
+  const requests::IntentRecord intent{ request.mId, mOptions.mClaimant };
   const auto offset =
     mJournal.Submit({ requests::KeyRecord{ intent } }, request.mDeadline);
   const requests::KeySnapshot key = mState.FindKey(request.mId);
   if (key.mState != requests::KeyState::Unknown) {
     if (offset && key.mState == requests::KeyState::Claimed &&
-        key.mClaimant == mOptions.mInstance &&
+        key.mClaimant == mOptions.mClaimant &&
         key.mClaimedAt == offset.value()) {
-      if (!aSession->Post(requests::IntentWon{})) {
+      if (!aActive->Post(requests::IntentWon{})) {
         // The caller already got Unknown at its deadline. Nothing was sent to a
         // worker, so NotRun is recorded for later lookups of the key.
         AppendOutcome(
@@ -606,29 +608,29 @@
       }
       return;
     }
-    WatchClaim(aSession);
+    WatchClaim(aActive);
     return;
   }
   // If the answer was lost, the intent may still take effect; the request
   // machine then ends the request as unknown at its deadline.
   if (!offset && offset.error().mKind != ErrorKind::AnswerLost) {
-    aSession->Post(requests::LogUnavailable{});
+    aActive->Post(requests::LogUnavailable{});
   }
 }
 
 void
-RequestService::WatchClaim(const SessionPtr& aSession)
+RequestService::WatchClaim(const ActiveRequestPtr& aActive)
 {
-  const requests::Request& request = aSession->mMachine.GetRequest();
+  const requests::Request& request = aActive->mMachine.GetRequest();
   while (mClock.Now() < request.mDeadline) {
     const requests::KeySnapshot key = mState.FindKey(request.mId);
     if (key.mState == requests::KeyState::Finished) {
-      aSession->Post(requests::KeyClaimedByOther{
-        requests::ClaimState::Finished, *key.mOutcome });
+      aActive->Post(requests::KeyClaimedByOther{ requests::ClaimState::Finished,
+                                                 *key.mOutcome });
       return;
     }
     if (!mPeers.IsAlive(key.mClaimant)) {
-      aSession->Post(
+      aActive->Post(
         requests::KeyClaimedByOther{ requests::ClaimState::Abandoned, {} });
       return;
     }
@@ -644,7 +646,7 @@
 {
   requests::OutcomeRecord record;
   record.mKey = aRequest.mId;
-  record.mInstance = mOptions.mInstance;
+  record.mInstance = mOptions.mClaimant;
   record.mOutcome = aResult.mOutcome;
   record.mErrorKind = aResult.mError.mKind;
   record.mBodyOmitted = aResult.mBody.size() > kMaxInlineBodyBytes;
--- a/src/entry/worker_agent.cpp
+++ b/src/entry/worker_agent.cpp
@@ -443,10 +443,10 @@
   const base::TimePoint now = mClock.Now();
   WorkerStatus status;
   status.mLocation = mLocation;
-  status.mHeld = mRunner != nullptr && mLedger->HasReport() && !mReleasing &&
-                 mRunner->MaySendCalls(now);
-  status.mAdmitsTasks = status.mHeld && mTaskBreaker.Admits(now);
-  status.mAdmitsCalls = status.mHeld && mCallBreaker.Admits(now);
+  status.mUsable = mRunner != nullptr && mLedger->HasReport() && !mReleasing &&
+                   mRunner->MaySendCalls(now);
+  status.mAdmitsTasks = status.mUsable && mTaskBreaker.Admits(now);
+  status.mAdmitsCalls = status.mUsable && mCallBreaker.Admits(now);
   if (mLedger) {
     status.mCapacity = mLedger->Capacity();
     status.mFree = mLedger->Capacity() - mLedger->Committed() - mServiceReserve;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -46,7 +46,7 @@
   /// An IP address; required.
   Address,
   /// Any text; optional.
-  Path,
+  OptionalText,
 };
 
 /// Calls a method of `aVisitor` for every key. This is the only list of the
@@ -66,9 +66,9 @@
   aVisitor.Text("address", listen.mAddress, TextFormat::Address);
   aVisitor.Number("port", listen.mPort, 1, kMaxPort);
   aVisitor.Number("peer_port", listen.mPeerPort, 1, kMaxPort);
-  aVisitor.Text("certificate", listen.mCertificate, TextFormat::Path);
-  aVisitor.Text("key", listen.mKey, TextFormat::Path);
-  aVisitor.Text("ca", listen.mCa, TextFormat::Path);
+  aVisitor.Text("certificate", listen.mCertificate, TextFormat::OptionalText);
+  aVisitor.Text("key", listen.mKey, TextFormat::OptionalText);
+  aVisitor.Text("ca", listen.mCa, TextFormat::OptionalText);
   aVisitor.Number("max_requests", listen.mMaxRequests, 1, kMaxRequests);
   aVisitor.Number("max_body_bytes", listen.mMaxBodyBytes, 1, kMaxBodyBytes);
   aVisitor.Number("threads", listen.mThreads, 1, kMaxThreads);
@@ -117,8 +117,9 @@
 
   aVisitor.Section("operator");
   aVisitor.Credential("credential", aSettings.mOperator.mCredential);
-  aVisitor.Text(
-    "credential_file", aSettings.mOperator.mCredentialFile, TextFormat::Path);
+  aVisitor.Text("credential_file",
+                aSettings.mOperator.mCredentialFile,
+                TextFormat::OptionalText);
 
   aVisitor.Section("log_output");
   aVisitor.Level("level", aSettings.mLogOutput.mLevel);
@@ -193,7 +194,7 @@
   {
     const toml::node* node = Find(aKey);
     if (node == nullptr) {
-      if (aFormat != TextFormat::Path) {
+      if (aFormat != TextFormat::OptionalText) {
         AddKeyFinding(aKey, "is missing");
       }
       return;
@@ -269,7 +270,7 @@
   void Credential(const std::string& aKey, Secret& aValue)
   {
     std::string text;
-    Text(aKey, text, TextFormat::Path);
+    Text(aKey, text, TextFormat::OptionalText);
     if (Find(aKey) != nullptr && text.size() < kMinCredentialLength) {
       AddKeyFinding(aKey, "must have at least 16 characters");
     }
