Correct comments and messages on requests, leases, publishes and settings

State which limits apply to each service, which run times the queue policy learns, how many rounds an acquisition takes and that only the preset of a profile has an effect. Error messages name the limit or the cause.

--- a/include/skylarkhill/catalog/check.hpp
+++ b/include/skylarkhill/catalog/check.hpp
@@ -44,12 +44,12 @@
 base::Result<CatalogSet>
 ParseSet(std::string_view aText);
 
-/// Like ParseSet, for parsed JSON. InvalidSet.
+/// Like ParseSet, for parsed JSON. Errors: InvalidSet.
 base::Result<CatalogSet>
 ParseSet(const base::JsonValue& aDocument);
 
 /// Reads a document and checks each object alone, but not the relations
-/// between objects. InvalidSet.
+/// between objects. Errors: InvalidSet.
 base::Result<CatalogSet>
 ParseSetWithoutRelationChecks(const base::JsonValue& aDocument);
 
--- a/include/skylarkhill/catalog/object.hpp
+++ b/include/skylarkhill/catalog/object.hpp
@@ -32,21 +32,22 @@
   ThrottleThenEvict,
 };
 
-/// The placement policies that a profile can select.
+/// The placement policies that a profile can name; see Profile.
 enum class PlacementKind
 {
   FirstFit,
   InterferenceAware,
 };
 
-/// The queue policies that a profile can select.
+/// The queue policies that a profile can name; see Profile.
 enum class QueueKind
 {
   Fifo,
   FairMultilevel,
 };
 
-/// The optimization goal of a profile.
+/// What a profile optimizes: the throughput of batch work or the tail latency
+/// of services.
 enum class Preset
 {
   Throughput,
@@ -139,7 +140,8 @@
   std::vector<std::string> mBatchClasses;
 };
 
-/// The scheduling policies of the site.
+/// The scheduling policies of the site. The entry instance selects its policies
+/// by the preset; the other policies are stored but have no effect.
 struct Profile
 {
   std::string mName;
--- a/include/skylarkhill/entry/batch_scheduler.hpp
+++ b/include/skylarkhill/entry/batch_scheduler.hpp
@@ -116,7 +116,9 @@
   std::map<base::TaskId, PendingGrant> mPendingGrants;
   /// When this instance first saw the task of an attempt in the queue.
   std::map<worker::TaskKey, base::TimePoint> mFirstSeenAt;
-  /// When this instance first saw an attempt running.
+  /// When this instance first saw an attempt running. Only for attempts whose
+  /// batch class has an eviction policy of a kind other than `None`; the queue
+  /// policy learns the run times of these alone.
   std::map<worker::TaskKey, base::TimePoint> mRunningSince;
   /// Lost attempts whose end record is being appended.
   std::set<worker::TaskKey> mEndingAttempts;
--- a/include/skylarkhill/entry/config_service.hpp
+++ b/include/skylarkhill/entry/config_service.hpp
@@ -66,7 +66,7 @@
   /// peer's state has been imported.
   bool IsReady() const;
 
-  /// Serializes the state for a peer. NotFound while it is incomplete.
+  /// Serializes the state for a peer. Errors: NotFound while it is incomplete.
   base::Result<std::string> Export() const;
   /// Replaces the state by a peer's state if that is newer; true if it was.
   base::Result<bool> Import(const std::string& aText);
--- a/include/skylarkhill/entry/entry_process.hpp
+++ b/include/skylarkhill/entry/entry_process.hpp
@@ -13,7 +13,7 @@
 {
 public:
   virtual ~EntryProcess() = default;
-  /// Opens the listeners and starts all threads. InvalidSettings,
+  /// Opens the listeners and starts all threads. Errors: InvalidSettings,
   /// ConnectionLost.
   virtual base::Result<void> Start() = 0;
   /// Planned stop: finishes the requests in flight, releases the workers and
--- a/include/skylarkhill/entry/peer_network.hpp
+++ b/include/skylarkhill/entry/peer_network.hpp
@@ -39,6 +39,7 @@
 struct LocalStatus
 {
   std::map<std::string, std::int64_t> mFreeSlots;
+  /// The held workers that this instance can use; see WorkerStatus::mUsable.
   std::vector<base::WorkerId> mHeldWorkers;
 };
 
--- a/include/skylarkhill/entry/record_appender.hpp
+++ b/include/skylarkhill/entry/record_appender.hpp
@@ -14,7 +14,7 @@
 
 namespace skylarkhill::entry {
 
-/// Appends task records to the journal in the background. Records that are
+/// Appends task records to the log in the background. Records that are
 /// queued at the same time share one submission. Thread-safe.
 class RecordAppender
 {
--- a/include/skylarkhill/entry/request_service.hpp
+++ b/include/skylarkhill/entry/request_service.hpp
@@ -51,11 +51,12 @@
 
 struct RequestServiceOptions
 {
-  /// Instance and incarnation, as "name/incarnation"; identifies the claimant
-  /// of a key.
+  /// Instance and incarnation, as "name/incarnation"; identifies this instance
+  /// as the claimant of a key.
   base::InstanceId mClaimant;
   std::uint64_t mIncarnation = 0;
-  /// Standing (long-lived) requests per service, queued and running.
+  /// Maximum number of standing (long-lived) requests of each service on this
+  /// instance, queued and running.
   std::int64_t mStandingLimit = 128;
   std::int64_t mRetryBudgetPercent = 10;
   /// Threads for worker calls and for appends to the log.
@@ -86,7 +87,7 @@
                               bool aIsFirstSend);
 
   /// The outcome of the request with this key, or nothing while it is in
-  /// progress. NotFound.
+  /// progress. NotFound if the log has no request with this key.
   base::Result<std::optional<requests::RequestResult>> Lookup(
     const base::RequestId& aKey) const;
 
@@ -114,7 +115,8 @@
                                            base::TimePoint aArrivedAt);
   requests::RequestResult AwaitResult(const ActiveRequestPtr& aActive,
                                       base::TimePoint aDeadline) const;
-  /// Slots of all held workers plus the free slots of peers; at least 1.
+  /// All slots of the usable held workers, whether or not they serve the
+  /// service, plus the free slots of peers for the service; at least 1.
   std::int64_t ReachableSlots(const std::string& aService) const;
   bool IsKnownNotRun(const base::RequestId& aKey,
                      base::TimePoint aArrivedAt) const;
--- a/include/skylarkhill/entry/service_admission.hpp
+++ b/include/skylarkhill/entry/service_admission.hpp
@@ -32,8 +32,8 @@
                    const base::Clock& aClock);
 
   /// Waits until the request may run. Overloaded, DeadlineExceeded: it must not
-  /// run. `aSlots`: slots that the service can use on this instance and its
-  /// peers.
+  /// run. `aSlots`: capacity for the concurrency limit, which is all slots of
+  /// the usable held workers plus the free slots of peers for the service.
   base::Result<void> Acquire(const requests::Request& aRequest,
                              bool aIsStanding,
                              std::int64_t aSlots);
--- a/include/skylarkhill/entry/task_service.hpp
+++ b/include/skylarkhill/entry/task_service.hpp
@@ -33,8 +33,8 @@
 base::Result<TaskSubmission>
 ParseSubmission(const base::JsonValue& aValue);
 
-/// Makes the specification of the submitted task. NotFound, InvalidArgument,
-/// Infeasible, QuotaExceeded.
+/// Makes the specification of the submitted task. Errors: NotFound,
+/// InvalidArgument, Infeasible, QuotaExceeded.
 base::Result<tasks::TaskSpec>
 MakeTaskSpec(const TaskSubmission& aSubmission,
              const catalog::CatalogSet& aSet);
@@ -57,14 +57,14 @@
                                            base::TimePoint aDeadline);
 
   /// Requests the cancellation and waits until the task has ended, cancelled or
-  /// not, or until `aDeadline`. NotFound, Unauthorized, LogUnavailable,
+  /// not, or until `aDeadline`. Errors: NotFound, Unauthorized, LogUnavailable,
   /// AnswerLost.
   base::Result<tasks::TaskSnapshot> Cancel(const base::TaskId& aTask,
                                            const std::string& aCaller,
                                            bool aIsOperator,
                                            base::TimePoint aDeadline);
 
-  /// NotFound.
+  /// Errors: NotFound if there is no such task.
   base::Result<tasks::TaskSnapshot> Find(const base::TaskId& aTask) const;
 
 private:
--- a/include/skylarkhill/entry/worker_agent.hpp
+++ b/include/skylarkhill/entry/worker_agent.hpp
@@ -39,6 +39,8 @@
 struct WorkerStatus
 {
   WorkerLocation mLocation;
+  /// Held after the quiet period, with a report since the acquisition, and
+  /// neither being released nor leaving.
   bool mUsable = false;
   bool mLeaving = false;
   /// Whether new tasks may be placed on the worker.
@@ -72,7 +74,8 @@
                         const tasks::TaskRecord& aRecord) = 0;
 };
 
-/// Runs the lease and task state machines of one worker and performs their I/O.
+/// Controls one worker from the entry instance: runs the lease and task state
+/// machines of the worker and performs their I/O.
 /// Thread-safe; Step is called by one thread at a time.
 class WorkerAgent
 {
@@ -99,12 +102,12 @@
   /// Performs the actions that are due. Blocks while it sends commands.
   void Step();
 
-  /// Commits capacity for an attempt whose grant is about to be appended.
-  /// NotHolder, NoCapacity, WorkerUnavailable.
+  /// Commits capacity to a planned attempt: one whose grant is about to be
+  /// appended. Errors: NotHolder, NoCapacity, WorkerUnavailable.
   base::Result<void> Plan(const worker::TaskKey& aKey,
                           const base::Resources& aResources);
-  /// Frees the planned capacity: the grant was not appended or another one took
-  /// effect.
+  /// Frees the capacity of a planned attempt whose grant was not appended, or
+  /// was appended after another one that took effect.
   void CancelPlan(const worker::TaskKey& aKey);
   void Evict(const worker::TaskKey& aKey, base::TimePoint aDeadline);
   void Throttle(const worker::TaskKey& aKey, std::int64_t aPercent);
--- a/include/skylarkhill/settings/settings.hpp
+++ b/include/skylarkhill/settings/settings.hpp
@@ -11,7 +11,7 @@
 
 namespace skylarkhill::settings {
 
-/// Minimum severity of the log lines that are written.
+/// Minimum severity of the log lines that the process writes.
 enum class LogLevel
 {
   Debug,
@@ -58,6 +58,7 @@
   std::vector<std::string> mAddresses;
 };
 
+/// The replicated log that all instances of the site append to and read.
 struct LogSettings
 {
   /// Appends per second, for all instances of the site together.
@@ -66,6 +67,8 @@
   std::int64_t mRetentionS = 86'400;
 };
 
+/// The holder leases, by which an entry instance has exclusive control of a
+/// worker.
 struct HolderSettings
 {
   std::int64_t mLeaseMs = 3'000;
@@ -82,7 +85,8 @@
 
 struct RequestSettings
 {
-  /// Maximum number of concurrent standing requests of this instance.
+  /// Maximum number of standing requests of each service on this instance,
+  /// queued and running.
   std::int64_t mStandingLimit = 128;
   /// Retries in percent of first attempts.
   std::int64_t mRetryBudgetPercent = 10;
@@ -104,6 +108,7 @@
   std::string mCredentialFile;
 };
 
+/// The log lines that the process writes.
 struct LogOutputSettings
 {
   LogLevel mLevel = LogLevel::Info;
--- a/src/catalog/config_state.cpp
+++ b/src/catalog/config_state.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+// These texts are part of the exported state and of the metrics.
 constexpr base::NameTable<ApplyResult, 8> kApplyResultNames{ {
   { ApplyResult::Published, "published" },
   { ApplyResult::Conflict, "beaten" },
--- a/src/catalog/config_state_test.cpp
+++ b/src/catalog/config_state_test.cpp
@@ -173,6 +173,7 @@
                    ApplyResult::Published);
     CPPUNIT_ASSERT_EQUAL(platform::Offset(3), writer.RecoveryOffset());
     // Publishes that the snapshot includes must not be reported as conflicts.
+    // This state is incomplete from the start: it lacks the record at -1.
     ConfigState early(-1);
     early.Apply(0, stream[0], 0);
     early.Apply(1, stream[1], 0);
--- a/src/catalog/object.cpp
+++ b/src/catalog/object.cpp
@@ -46,12 +46,14 @@
 constexpr std::int64_t kMaxImportance = 100;
 constexpr std::int64_t kMaxQueueLimit = 1'000'000;
 constexpr std::int64_t kMaxTargetLatencyMs = 600'000;
-// Standing requests are held open for a long time.
+// Standing requests are held open for a long time, up to 7 days here. The entry
+// instance accepts request deadlines of up to one hour only.
 constexpr std::int64_t kMaxDeadlineMs = 7LL * 24 * 3600 * 1000;
 constexpr std::int64_t kMaxAttempts = 10;
 constexpr std::int64_t kMaxRunSeconds = 30LL * 24 * 3600;
 constexpr std::int64_t kMaxEvictions = 100;
-// A worker without interference reports 100.
+// Throttle and eviction thresholds are in percent of the service time without
+// interference, so they must be above 100.
 constexpr std::int64_t kMinSlowdownPercent = 101;
 constexpr std::int64_t kMaxSlowdownPercent = 1'000;
 constexpr std::int64_t kMaxWeight = 1'000;
@@ -282,7 +284,7 @@
   void MergeFindings(std::string_view aKey, ObjectReader aNested)
   {
     for (const auto& it : aNested.CollectProblems()) {
-      AddFinding(aKey, "has a problem: " + it);
+      AddFinding(aKey, "is invalid: " + it);
     }
   }
 
--- a/src/catalog/publish.cpp
+++ b/src/catalog/publish.cpp
@@ -14,8 +14,11 @@
 {
   const Version current = aState.CurrentVersion();
   if (!aState.IsComplete() || aBaseVersion != current) {
-    return base::MakeError(base::ErrorKind::VersionConflict,
-                           "the current version is " + std::to_string(current));
+    return base::MakeError(
+      base::ErrorKind::VersionConflict,
+      "the config state is incomplete, or the base version is "
+      "not the current version " +
+        std::to_string(current));
   }
   const auto target = ApplyDelta(*aState.CurrentSet(), aDelta);
   if (target.has_error()) {
--- a/src/entry/api_handler.cpp
+++ b/src/entry/api_handler.cpp
@@ -191,7 +191,8 @@
   }
   if (deadlineMs <= 0 || deadlineMs > kMaxRequestDeadlineMs) {
     return MakeError(ErrorKind::InvalidArgument,
-                     "deadline_ms must be between 1 and 3600000");
+                     "the deadline ('deadline_ms', by default the service's "
+                     "'default_deadline_ms') must be between 1 and 3600000 ms");
   }
   if (!request.mIdempotent && key.empty()) {
     return MakeError(ErrorKind::InvalidArgument,
--- a/src/entry/batch_scheduler.cpp
+++ b/src/entry/batch_scheduler.cpp
@@ -487,6 +487,8 @@
     running.mTask = it.mTask;
     running.mBatchClass = task->mSpec.mBatchClass;
     running.mMilliProcessors = it.mReserved.mMilliProcessors;
+    // Counted from the first time that this instance saw the attempt running;
+    // checkpoints do not reset it.
     running.mSecondsSinceCheckpoint =
       std::chrono::duration_cast<std::chrono::seconds>(now - since).count();
     running.mRestartCostSeconds = kRestartCostSeconds;
--- a/src/entry/config_service.cpp
+++ b/src/entry/config_service.cpp
@@ -136,7 +136,8 @@
     mSnapshotDueAt = mClock.Now() + mOptions.mSnapshotAge;
   }
   mInstruments.mMetrics
-    .GetGauge("skylarkhill_config_version", "Version of the set in force.")
+    .GetGauge("skylarkhill_config_version",
+              "Version of the current catalog set.")
     .Set(mState.CurrentVersion());
 }
 
@@ -216,8 +217,10 @@
     // Once its base version has been replaced, a record that has not been read
     // yet can no longer take effect, whether or not it was appended.
     if (!outcome && mState.IsComplete() && current > aRecord.mBaseVersion) {
-      return MakeError(ErrorKind::VersionConflict,
-                       "conflicts with version " + std::to_string(current));
+      return MakeError(
+        ErrorKind::VersionConflict,
+        "the publish did not take effect; the config version is " +
+          std::to_string(current));
     }
     const base::TimePoint now = mClock.Now();
     if (outcome || now >= aDeadline || mStopping) {
@@ -238,7 +241,7 @@
     return outcome->mVersion;
   }
   return MakeError(ErrorKind::VersionConflict,
-                   "conflicts with version " +
+                   "the publish did not take effect; the config version is " +
                      std::to_string(outcome->mVersion));
 }
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -409,7 +409,8 @@
       held += it->Status().mUsable ? 1 : 0;
     }
     mMetrics
-      .GetGauge("skylarkhill_workers_held", "Workers that this instance holds.")
+      .GetGauge("skylarkhill_workers_held",
+                "Workers that this instance holds and can use.")
       .Set(held);
   }
 
--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -55,14 +55,15 @@
     result.mBodyOmitted = aRecord.mBodyOmitted;
     return result;
   }
-  const base::Error error = MakeError(aRecord.mErrorKind, "recorded outcome");
+  const base::Error error = MakeError(
+    aRecord.mErrorKind, "recorded outcome of an earlier request with this key");
   return aRecord.mOutcome == Outcome::NotRun ? requests::MakeNotRun(error)
                                              : requests::MakeUnknown(error);
 }
 
 } // namespace
 
-/// One request in progress, driven by the thread that runs it.
+/// One request in progress. The thread that runs it processes its events.
 struct RequestService::ActiveRequest
 {
   ActiveRequest(requests::Request aRequest,
@@ -75,7 +76,8 @@
   {
   }
 
-  /// Queues an event for the driving thread; false if the request has ended.
+  /// Queues an event for the thread that runs the request; false if the request
+  /// has ended.
   bool Post(requests::RequestEvent aEvent)
   {
     const std::lock_guard lock(mMutex);
@@ -89,6 +91,7 @@
   std::deque<requests::RequestEvent> mEvents;
   std::unique_ptr<base::Random> mRandom;
   requests::RequestMachine mMachine;
+  /// The result of the state machine, set when it has finished.
   std::optional<RequestResult> mMachineResult;
   /// Targets of the attempts that count as in flight, by attempt number.
   std::map<std::int64_t, requests::Target> mTargets;
@@ -169,8 +172,8 @@
                           status.mLocation.mWorker.mValue };
     candidate.mFreeSlots =
       std::min(status.mFreeCalls.mSlots, status.mFreeCalls.mConnections);
-    // The free slots are current: the ledger already counts the calls in
-    // flight.
+    // kNoDeadline: the free slots are never out of date, because the ledger
+    // already counts the calls in flight.
     candidate.mReportedAt = base::kNoDeadline;
     // The platform's list or a peer may know that the worker is leaving before
     // the worker reports it.
@@ -481,7 +484,8 @@
     aActive->Post(requests::AttemptFailed{
       request.mId,
       aAction.mAttempt,
-      MakeError(ErrorKind::WorkerUnavailable, "no free thread") });
+      MakeError(ErrorKind::WorkerUnavailable,
+                "all threads for worker calls are busy") });
   }
 }
 
@@ -677,7 +681,7 @@
       if (!mPeers.IsAlive(key.mClaimant)) {
         return std::optional<RequestResult>(requests::MakeUnknown(
           MakeError(ErrorKind::OutcomeUnknown,
-                    "the instance that claimed the key is gone")));
+                    "the instance that claimed the key is no longer live")));
       }
       return std::optional<RequestResult>();
     case requests::KeyState::Unknown:
@@ -721,7 +725,8 @@
             attempt.mOriginIncarnation,
             attempt.mRequest.mId,
             attempt.mAttempt,
-            MakeError(ErrorKind::WorkerUnavailable, "no free thread") });
+            MakeError(ErrorKind::WorkerUnavailable,
+                      "all threads for worker calls are busy") });
       }
       PerformForwardActions(actions);
     }
--- a/src/entry/service_admission.cpp
+++ b/src/entry/service_admission.cpp
@@ -89,7 +89,8 @@
   AdmitQueued();
 }
 
-// The time of a request that was refused or lost does not measure the service.
+// Only completed requests count for the latency estimates; the concurrency
+// limit observes failed ones too.
 void
 ServiceAdmission::RecordServiceTime(base::Duration aServiceTime,
                                     bool aCompleted)
--- a/src/entry/worker_agent.cpp
+++ b/src/entry/worker_agent.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-// Acquiring a worker takes three rounds: set the lease, read the holders,
-// report the acquisition.
+// Limits the rounds of one step. An acquisition takes four: read the holders,
+// set the lease, read the holders again, report the acquisition and renew.
 constexpr int kMaxLeaseRounds = 6;
 /// A call that exceeds its deadline counts as a fault of the worker only if it
 /// was unanswered for this long.
@@ -225,8 +225,8 @@
 WorkerAgent::SendCommand(const holder::Command& aCommand)
 {
   {
-    // The deadline is checked right before sending, because the thread may have
-    // been paused since the command was created.
+    // The holder lease is checked again right before sending, because the
+    // thread may have been paused since the command was created.
     const std::lock_guard lock(mMutex);
     if (!mLease.MaySendCommands(mClock.Now()) ||
         mLease.Token() != aCommand.mHeader.mToken) {
@@ -275,7 +275,8 @@
     return MakeError(ErrorKind::NotHolder);
   }
   if (!mTaskBreaker.Admits(now)) {
-    return MakeError(ErrorKind::WorkerUnavailable, "circuit breaker is open");
+    return MakeError(ErrorKind::WorkerUnavailable,
+                     "the worker's circuit breaker for tasks is open");
   }
   BOOST_OUTCOME_TRYV(mLedger->Plan(aKey, aResources));
   mTaskBreaker.OnPlaced(aKey.mTask, now);
@@ -384,9 +385,10 @@
   }
 }
 
-// A refusal means that the worker is full, and a deadline that is exceeded
-// quickly was set too short by the caller. Counting either would open the
-// breakers of all workers at peak load.
+// A refusal means that the worker is full, a stale command means that the call
+// reached the worker too late, and a deadline that is exceeded quickly was set
+// too short by the caller. Counting these would open the breakers of all
+// workers at peak load.
 bool
 WorkerAgent::IsWorkerFault(ErrorKind aKind, base::TimePoint aSentAt) const
 {
--- a/src/entry/worker_manager.cpp
+++ b/src/entry/worker_manager.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-// The state machines have to be stepped at least every 50 ms.
+// holder::LeaseMachine and holder::TaskRunner must be stepped at least every
+// 50 ms; the rest is for the step itself.
 constexpr base::Duration kStepInterval = std::chrono::milliseconds(40);
 
 } // namespace
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -258,8 +258,10 @@
     for (const auto& it : *list) {
       const auto text = it.value_exact<std::string>();
       if (!text || !IsEndpoint(*text)) {
-        AddFinding(
-          LineOf(it), QualifiedKey(aKey), "must be a list of \"address:port\"");
+        AddFinding(LineOf(it),
+                   QualifiedKey(aKey),
+                   "must be a list of \"address:port\" with IP "
+                   "addresses; an IPv6 address must be in brackets");
       } else {
         aValue.push_back(*text);
       }
@@ -492,7 +494,9 @@
   if (aSettings.mListen.mPort == aSettings.mListen.mPeerPort) {
     aReader.AddFindingAt("listen", "peer_port", "must differ from 'port'");
   }
-  // Each standing request occupies one thread.
+  // Each standing request occupies one thread. The limit applies to each
+  // service, so this check keeps one service from occupying all threads, but
+  // not several services together.
   if (aSettings.mRequests.mStandingLimit >= aSettings.mListen.mThreads) {
     aReader.AddFindingAt(
       "requests", "standing_limit", "must be below 'listen.threads'");
