--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -36,7 +36,7 @@
 constexpr base::Duration kSnapshotInterval = std::chrono::seconds(5);
 constexpr base::Duration kSnapshotTimeout = std::chrono::seconds(10);
 constexpr base::Duration kDrainCheckInterval = milliseconds(20);
-constexpr base::Duration kReleaseTimeout = std::chrono::seconds(10);
+constexpr base::Duration kDrainStepTimeout = std::chrono::seconds(10);
 
 peer::PeerAddress
 ParsePeerAddress(const std::string& aText)
@@ -272,8 +272,8 @@
     mServer->Stop();
     mScheduler.Stop();
     ReleaseWorkers();
-    mRecordAppender.WaitUntilEmpty(mClock.Now() + kReleaseTimeout);
-    mJournal.Drain(mClock.Now() + kReleaseTimeout);
+    mRecordAppender.WaitUntilEmpty(mClock.Now() + kDrainStepTimeout);
+    mJournal.Drain(mClock.Now() + kDrainStepTimeout);
     RecordEvent(EventKind::DrainCompleted, {});
     logging::Write(logging::Level::Info, "drain_completed", {});
     StopAll();
@@ -353,7 +353,7 @@
 
   void ReleaseWorkers()
   {
-    const base::TimePoint deadline = mClock.Now() + kReleaseTimeout;
+    const base::TimePoint deadline = mClock.Now() + kDrainStepTimeout;
     const auto agents = mWorkers.All();
     for (const auto& it : agents) {
       it->BeginRelease();
