--- a/include/skylarkhill/entry/batch_scheduler.hpp
+++ b/include/skylarkhill/entry/batch_scheduler.hpp
@@ -108,6 +108,7 @@
   /// Guards the policies and the members up to mStopping.
   mutable std::mutex mMutex;
   std::condition_variable mChanged;
+  /// Selected by the preset of the catalog's profile; Baseline without one.
   policy::Profile mProfile = policy::Profile::Baseline;
   std::unique_ptr<policy::PlacementPolicy> mPlacement;
   std::unique_ptr<policy::QueuePolicy> mQueue;
--- a/src/catalog/config_state.cpp
+++ b/src/catalog/config_state.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-// These texts are part of the exported state and of the metrics.
+// The exported state and the metrics keep these texts: "beaten" is a conflict,
+// and "verdict" below is an outcome.
 constexpr base::NameTable<ApplyResult, 8> kApplyResultNames{ {
   { ApplyResult::Published, "published" },
   { ApplyResult::Conflict, "beaten" },
--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -484,8 +484,9 @@
     aActive->Post(requests::AttemptFailed{
       request.mId,
       aAction.mAttempt,
-      MakeError(ErrorKind::WorkerUnavailable,
-                "all threads for worker calls are busy") });
+      MakeError(
+        ErrorKind::WorkerUnavailable,
+        "all threads for worker calls are busy (setting 'listen.threads')") });
   }
 }
 
@@ -591,6 +592,7 @@
   active->Post(aAnswer);
 }
 
+// Claims the key of the request by appending an intent record.
 void
 RequestService::AppendIntent(const ActiveRequestPtr& aActive)
 {
@@ -622,6 +624,8 @@
   }
 }
 
+// Waits until the request of another instance that claimed the key has
+// finished, that instance is no longer live, or the deadline has passed.
 void
 RequestService::WatchClaim(const ActiveRequestPtr& aActive)
 {
@@ -726,7 +730,8 @@
             attempt.mRequest.mId,
             attempt.mAttempt,
             MakeError(ErrorKind::WorkerUnavailable,
-                      "all threads for worker calls are busy") });
+                      "all threads for worker calls are busy (setting "
+                      "'listen.threads')") });
       }
       PerformForwardActions(actions);
     }
