--- a/include/skylarkhill/entry/batch_scheduler.hpp
+++ b/include/skylarkhill/entry/batch_scheduler.hpp
@@ -108,6 +108,7 @@
   /// Guards the policies and the members up to mStopping.
   mutable std::mutex mMutex;
   std::condition_variable mChanged;
+  /// Selected by the preset of the catalog's profile; Baseline without one.
   policy::Profile mProfile = policy::Profile::Baseline;
   std::unique_ptr<policy::PlacementPolicy> mPlacement;
   std::unique_ptr<policy::QueuePolicy> mQueue;
@@ -116,7 +117,9 @@
   std::map<base::TaskId, PendingGrant> mPendingGrants;
   /// When this instance first saw the task of an attempt in the queue.
   std::map<worker::AttemptKey, base::TimePoint> mFirstSeenAt;
-  /// When this instance first saw an attempt running.
+  /// When this instance first saw an attempt running. Only for attempts whose
+  /// batch class has an eviction policy of a kind other than `None`; the queue
+  /// policy learns the run times of these alone.
   std::map<worker::AttemptKey, base::TimePoint> mRunningSince;
   /// Lost attempts whose end record is being appended.
   std::set<worker::AttemptKey> mEndingAttempts;
--- a/include/skylarkhill/entry/peer_network.hpp
+++ b/include/skylarkhill/entry/peer_network.hpp
@@ -39,6 +39,7 @@
 struct LocalStatus
 {
   std::map<std::string, std::int64_t> mFreeSlots;
+  /// The held workers that this instance can use; see WorkerStatus::mUsable.
   std::vector<base::WorkerId> mHeldWorkers;
 };
 
@@ -83,7 +84,7 @@
 
   /// The instance list that was last fetched from the platform.
   std::vector<platform::InstanceInfo> ListedInstances() const;
-  bool IsEligible(const base::WorkerId& aWorker) const override;
+  bool MayReceiveWork(const base::WorkerId& aWorker) const override;
   bool IsPreferredHolder(const base::WorkerId& aWorker) const;
   /// Live entry instances of all known failure domains, including this one.
   std::vector<base::InstanceId> LiveEntryInstances() const;
--- a/include/skylarkhill/entry/record_appender.hpp
+++ b/include/skylarkhill/entry/record_appender.hpp
@@ -14,7 +14,7 @@
 
 namespace skylarkhill::entry {
 
-/// Appends task records to the journal in the background. Records that are
+/// Appends task records to the log in the background. Records that are
 /// queued at the same time share one submission. Thread-safe.
 class RecordAppender
 {
@@ -34,7 +34,7 @@
   void Append(tasks::TaskRecord aRecord, Callback aCallback);
   /// Waits until no record is queued or in progress; false if `aDeadline`
   /// passes first.
-  bool Drain(base::TimePoint aDeadline);
+  bool WaitUntilEmpty(base::TimePoint aDeadline);
 
 private:
   struct QueuedRecord
--- a/src/catalog/config_state.cpp
+++ b/src/catalog/config_state.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+// The exported state and the metrics keep these texts: "beaten" is a conflict,
+// and "verdict" below is an outcome.
 constexpr base::NameTable<ApplyResult, 8> kApplyResultNames{ {
   { ApplyResult::Published, "published" },
   { ApplyResult::Conflict, "beaten" },
@@ -98,7 +100,7 @@
   for (const auto& it : *outcomes) {
     BOOST_OUTCOME_TRYV(ParseOutcome(it, state.mOutcomes));
   }
-  auto parsed = ParseUncheckedSet(*set);
+  auto parsed = ParseSetWithoutRelationChecks(*set);
   if (parsed.has_error()) {
     return parsed.error();
   }
--- a/src/catalog/object.cpp
+++ b/src/catalog/object.cpp
@@ -46,14 +46,16 @@
 constexpr std::int64_t kMaxImportance = 100;
 constexpr std::int64_t kMaxQueueLimit = 1'000'000;
 constexpr std::int64_t kMaxTargetLatencyMs = 600'000;
-// Standing requests are held open for a long time.
+// Standing requests are held open for a long time, up to 7 days here. The entry
+// instance accepts request deadlines of up to one hour only.
 constexpr std::int64_t kMaxDeadlineMs = 7LL * 24 * 3600 * 1000;
 constexpr std::int64_t kMaxAttempts = 10;
 constexpr std::int64_t kMaxRunSeconds = 30LL * 24 * 3600;
 constexpr std::int64_t kMaxEvictions = 100;
-// A worker without interference reports 100.
-constexpr std::int64_t kMinPercent = 101;
-constexpr std::int64_t kMaxPercent = 1'000;
+// Throttle and eviction thresholds are in percent of the service time without
+// interference, so they must be above 100.
+constexpr std::int64_t kMinSlowdownPercent = 101;
+constexpr std::int64_t kMaxSlowdownPercent = 1'000;
 constexpr std::int64_t kMaxWeight = 1'000;
 
 constexpr base::Resources kMaxWorkerResources{ kMaxMilliProcessors,
@@ -282,7 +284,7 @@
   void MergeFindings(std::string_view aKey, ObjectReader aNested)
   {
     for (const auto& it : aNested.CollectProblems()) {
-      AddFinding(aKey, "has a problem: " + it);
+      AddFinding(aKey, "is invalid: " + it);
     }
   }
 
@@ -348,12 +350,12 @@
   EvictionPolicy policy;
   policy.mParent = aReader.OptionalName("parent");
   policy.mKind = aReader.OptionalEnum("policy", kEvictionKindNames);
-  policy.mThrottlePercent =
-    aReader.OptionalInt("throttle_percent", kMinPercent, kMaxPercent);
-  policy.mEvictPercent =
-    aReader.OptionalInt("evict_percent", kMinPercent, kMaxPercent);
+  policy.mThrottlePercent = aReader.OptionalInt(
+    "throttle_percent", kMinSlowdownPercent, kMaxSlowdownPercent);
+  policy.mEvictPercent = aReader.OptionalInt(
+    "evict_percent", kMinSlowdownPercent, kMaxSlowdownPercent);
   policy.mHysteresisPercent =
-    aReader.OptionalInt("hysteresis_percent", 0, kMaxPercent);
+    aReader.OptionalInt("hysteresis_percent", 0, kMaxSlowdownPercent);
   if (policy.mParent.empty() && !policy.mKind) {
     aReader.AddFinding("policy", "is missing and there is no 'parent'");
   }
--- a/src/entry/batch_scheduler.cpp
+++ b/src/entry/batch_scheduler.cpp
@@ -135,9 +135,9 @@
   std::vector<policy::WorkerView> views;
   for (const auto& it : mWorkers.All()) {
     const WorkerStatus status = it->Status();
-    const bool isUsable = status.mHeld && status.mAdmitsTasks &&
+    const bool isUsable = status.mUsable && status.mAdmitsTasks &&
                           !status.mLeaving &&
-                          mPeers.IsEligible(status.mLocation.mWorker);
+                          mPeers.MayReceiveWork(status.mLocation.mWorker);
     if (!isUsable) {
       continue;
     }
@@ -456,7 +456,7 @@
                                   const ConfigView& aConfig)
 {
   const WorkerStatus status = aAgent.Status();
-  if (!status.mHeld || status.mTasks.empty()) {
+  if (!status.mUsable || status.mTasks.empty()) {
     return;
   }
   policy::ProtectionInput pressure;
@@ -487,6 +487,8 @@
     running.mTask = it.mTask;
     running.mBatchClass = task->mSpec.mBatchClass;
     running.mMilliProcessors = it.mReserved.mMilliProcessors;
+    // Counted from the first time that this instance saw the attempt running;
+    // checkpoints do not reset it.
     running.mSecondsSinceCheckpoint =
       std::chrono::duration_cast<std::chrono::seconds>(now - since).count();
     running.mRestartCostSeconds = kRestartCostSeconds;
