--- a/include/skylarkhill/entry/batch_scheduler.hpp
+++ b/include/skylarkhill/entry/batch_scheduler.hpp
@@ -60,7 +60,7 @@
   void OnAttemptEnded(WorkerAgent& aAgent, const tasks::EndRecord& aRecord);
 
   /// The attempts that are granted to the worker according to the log.
-  std::vector<holder::GrantedAttempt> GrantsOn(
+  std::vector<holder::GrantedAttempt> LiveAttemptsOn(
     const base::WorkerId& aWorker) const;
 
 private:
@@ -89,7 +89,7 @@
                                  const WorkerLocation& aLocation,
                                  const std::string& aBatchClass) const;
   void ProtectServicesOn(WorkerAgent& aAgent, const ConfigView& aConfig);
-  void EndLostAttempts();
+  void EndAbsentWorkerAttempts();
   void RecordEvent(timeline::EventKind aKind,
                    const base::TaskId& aTask,
                    std::int64_t aAttempt,
--- a/include/skylarkhill/entry/worker_agent.hpp
+++ b/include/skylarkhill/entry/worker_agent.hpp
@@ -105,14 +105,14 @@
   /// Commits capacity to a planned attempt: one whose grant is about to be
   /// appended. Errors: NotHolder, NoCapacity, WorkerUnavailable.
   base::Result<void> CommitGrant(const worker::AttemptKey& aKey,
-                          const base::Resources& aResources);
+                                 const base::Resources& aResources);
   /// Frees the capacity of a planned attempt whose grant was not appended, or
   /// was appended after another one that took effect.
   void CancelGrant(const worker::AttemptKey& aKey);
   void Evict(const worker::AttemptKey& aKey, base::TimePoint aDeadline);
   void Throttle(const worker::AttemptKey& aKey, std::int64_t aPercent);
   /// The end record of this attempt was definitely not appended.
-  void OnRecordDropped(const worker::AttemptKey& aKey);
+  void OnEndRecordNotAppended(const worker::AttemptKey& aKey);
   /// Removes the failures of a quarantined task from the worker's circuit
   /// breaker.
   void RemoveFailures(const base::TaskId& aTask);
--- a/src/entry/batch_scheduler.cpp
+++ b/src/entry/batch_scheduler.cpp
@@ -112,7 +112,7 @@
   SelectPolicies(config);
   GrantQueuedTasks(config);
   ProtectServices(config);
-  EndLostAttempts();
+  EndAbsentWorkerAttempts();
 }
 
 void
@@ -267,7 +267,7 @@
   const base::WorkerId worker = candidates[*chosen].mWorker;
   const auto agent = mWorkers.Find(worker);
   const worker::AttemptKey key{ aTask.mTask, aTask.mNextAttempt };
-  if (agent == nullptr || !agent->Plan(key, aTask.mDeclared)) {
+  if (agent == nullptr || !agent->CommitGrant(key, aTask.mDeclared)) {
     return;
   }
   mPlacement->RecordPlacement(demand, worker, mClock.Now());
@@ -296,7 +296,7 @@
                            task->mLastAttempt == aPending.mAttempt;
   if (!isEffective) {
     if (const auto agent = mWorkers.Find(aPending.mWorker)) {
-      agent->CancelPlan({ aTask, aPending.mAttempt });
+      agent->CancelGrant({ aTask, aPending.mAttempt });
     }
   } else {
     RecordEvent(EventKind::AttemptGranted,
@@ -317,7 +317,7 @@
 }
 
 std::vector<holder::GrantedAttempt>
-BatchScheduler::GrantsOn(const base::WorkerId& aWorker) const
+BatchScheduler::LiveAttemptsOn(const base::WorkerId& aWorker) const
 {
   std::vector<holder::GrantedAttempt> grants;
   for (const auto& it : mState.LiveAttemptsOn(aWorker)) {
@@ -519,7 +519,7 @@
 }
 
 void
-BatchScheduler::EndLostAttempts()
+BatchScheduler::EndAbsentWorkerAttempts()
 {
   for (const auto& worker : mState.WorkersWithLiveAttempts()) {
     // Only workers of this instance's failure domain have an agent.
@@ -530,7 +530,7 @@
     holder::AbsentWorker lost;
     lost.mAbsentSince = *absentSince;
     lost.mLastSeen = mPeers.LastSeen(worker).value_or(*absentSince);
-    lost.mGrants = GrantsOn(worker);
+    lost.mGrants = LiveAttemptsOn(worker);
     const auto ends = holder::EndAbsentWorkerAttempts(
       lost, mOptions.mTaskLease, mOptions.mLossMargin, mClock.Now());
     for (const auto& it : ends) {
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -83,7 +83,8 @@
 {
   journal::JournalServiceOptions options;
   options.mWriterOptions.mWriter = aWriter;
-  options.mWriterOptions.mAppendBudgetPerSecond = aSettings.mLog.mAppendBudgetPerS;
+  options.mWriterOptions.mAppendBudgetPerSecond =
+    aSettings.mLog.mAppendBudgetPerS;
   options.mAppendTimeout = milliseconds(aSettings.mLog.mAppendTimeoutMs);
   return options;
 }
@@ -455,8 +456,9 @@
       }
       last = { position, now + kGrantRefreshInterval };
     }
-    aAgent.SetGrants(
-      mScheduler.GrantsOn(aAgent.Location().mWorker), caughtUpTime, position);
+    aAgent.SetGrants(mScheduler.LiveAttemptsOn(aAgent.Location().mWorker),
+                     caughtUpTime,
+                     position);
   }
 
   void RunSnapshots()
@@ -519,7 +521,7 @@
     mRecordAppender.Append(aRecord, [this, worker, ended](bool aAppended) {
       const auto agent = mWorkers.Find(worker);
       if (!aAppended && ended && agent != nullptr) {
-        agent->OnRecordDropped(*ended);
+        agent->OnEndRecordNotAppended(*ended);
       }
     });
   }
--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -633,13 +633,13 @@
   while (mClock.Now() < request.mDeadline) {
     const requests::KeySnapshot key = mState.FindKey(request.mId);
     if (key.mState == requests::KeyState::Finished) {
-      aActive->Post(requests::KeyClaimedByOther{ requests::OtherClaimState::Finished,
-                                                 *key.mOutcome });
+      aActive->Post(requests::KeyClaimedByOther{
+        requests::OtherClaimState::Finished, *key.mOutcome });
       return;
     }
     if (!mPeers.IsAlive(key.mClaimant)) {
-      aActive->Post(
-        requests::KeyClaimedByOther{ requests::OtherClaimState::Abandoned, {} });
+      aActive->Post(requests::KeyClaimedByOther{
+        requests::OtherClaimState::Abandoned, {} });
       return;
     }
     std::this_thread::sleep_for(kClaimCheckInterval);
--- a/src/entry/worker_agent.cpp
+++ b/src/entry/worker_agent.cpp
@@ -266,8 +266,8 @@
 }
 
 base::Result<void>
-WorkerAgent::Plan(const worker::AttemptKey& aKey,
-                  const base::Resources& aResources)
+WorkerAgent::CommitGrant(const worker::AttemptKey& aKey,
+                         const base::Resources& aResources)
 {
   const std::lock_guard lock(mMutex);
   const base::TimePoint now = mClock.Now();
@@ -284,7 +284,7 @@
 }
 
 void
-WorkerAgent::CancelPlan(const worker::AttemptKey& aKey)
+WorkerAgent::CancelGrant(const worker::AttemptKey& aKey)
 {
   const std::lock_guard lock(mMutex);
   mTaskBreaker.OnInconclusiveEnd(aKey.mTask);
@@ -312,7 +312,7 @@
 }
 
 void
-WorkerAgent::OnRecordDropped(const worker::AttemptKey& aKey)
+WorkerAgent::OnEndRecordNotAppended(const worker::AttemptKey& aKey)
 {
   const std::lock_guard lock(mMutex);
   if (mRunner) {
