--- a/include/skylarkhill/cli/api_client.hpp
+++ b/include/skylarkhill/cli/api_client.hpp
@@ -14,7 +14,7 @@
 /// The address at which an entry instance serves the API.
 struct EntryAddress
 {
-  std::string mHost;
+  std::string mIp;
   std::uint16_t mPort = 0;
 };
 
--- a/include/skylarkhill/http/call_loop.hpp
+++ b/include/skylarkhill/http/call_loop.hpp
@@ -24,10 +24,10 @@
 {
 public:
   virtual ~CallLoop() = default;
-  /// Sends `aRequest` to `aAddress` ("IP:PORT") on a pooled connection. The
+  /// Sends `aRequest` to `aEndpoint` ("IP:PORT") on a pooled connection. The
   /// request may arrive twice, so it must be idempotent. `aHandler` is called
   /// from Wait.
-  virtual void Call(const std::string& aAddress,
+  virtual void Call(const std::string& aEndpoint,
                     const ClientRequest& aRequest,
                     base::TimePoint aDeadline,
                     CallHandler aHandler) = 0;
--- a/include/skylarkhill/peer/address.hpp
+++ b/include/skylarkhill/peer/address.hpp
@@ -11,17 +11,17 @@
 struct PeerAddress
 {
   /// IP address in its canonical text form.
-  std::string mHost;
+  std::string mIp;
   std::uint16_t mPort = 0;
 
   friend bool operator==(const PeerAddress& aLeft, const PeerAddress& aRight)
   {
-    return aLeft.mHost == aRight.mHost && aLeft.mPort == aRight.mPort;
+    return aLeft.mIp == aRight.mIp && aLeft.mPort == aRight.mPort;
   }
   friend bool operator<(const PeerAddress& aLeft, const PeerAddress& aRight)
   {
-    return std::tie(aLeft.mHost, aLeft.mPort) <
-           std::tie(aRight.mHost, aRight.mPort);
+    return std::tie(aLeft.mIp, aLeft.mPort) <
+           std::tie(aRight.mIp, aRight.mPort);
   }
 };
 
--- a/include/skylarkhill/timeline/hybrid_logical_clock.hpp
+++ b/include/skylarkhill/timeline/hybrid_logical_clock.hpp
@@ -27,15 +27,15 @@
 /// The UTC time, since 1970, of the zero point of `aClock`, calculated from the
 /// current time of the system clock.
 base::Duration
-ReadBootTime(const base::Clock& aClock);
+ReadClockEpoch(const base::Clock& aClock);
 
 /// A hybrid logical clock. Thread-safe.
 class HybridLogicalClock
 {
 public:
-  /// `aBootTime` is the UTC time, since 1970, of the zero point of `aClock`. It
-  /// stays fixed, so that steps of the system clock have no effect.
-  HybridLogicalClock(const base::Clock& aClock, base::Duration aBootTime);
+  /// `aClockEpoch` is the UTC time, since 1970, of the zero point of `aClock`.
+  /// It stays fixed, so that steps of the system clock have no effect.
+  HybridLogicalClock(const base::Clock& aClock, base::Duration aClockEpoch);
 
   /// Returns the timestamp of a new event or of an outgoing message. It is
   /// larger than all timestamps returned or observed before.
@@ -49,7 +49,7 @@
   std::int64_t ReadWallMicros() const;
 
   const base::Clock& mClock;
-  const base::Duration mBootTime;
+  const base::Duration mClockEpoch;
   std::mutex mLock;
   HybridTimestamp mLast;
 };
--- a/src/cli/api_client.cpp
+++ b/src/cli/api_client.cpp
@@ -48,11 +48,11 @@
   const std::size_t colon = aText.rfind(':');
   EntryAddress address;
   if (colon != std::string::npos) {
-    address.mHost = aText.substr(0, colon);
+    address.mIp = aText.substr(0, colon);
     const char* end = aText.data() + aText.size();
     const auto parsed =
       std::from_chars(aText.data() + colon + 1, end, address.mPort);
-    if (parsed.ptr == end && address.mPort != 0 && !address.mHost.empty()) {
+    if (parsed.ptr == end && address.mPort != 0 && !address.mIp.empty()) {
       return address;
     }
   }
@@ -89,7 +89,7 @@
 {
   const base::Clock& clock = base::GetBootClock();
   http::ClientOptions options;
-  options.mAddress = aAddress.mHost;
+  options.mAddress = aAddress.mIp;
   options.mPort = aAddress.mPort;
   const auto client = http::CreateClient(options, clock);
   auto response =
--- a/src/cli/check_command.cpp
+++ b/src/cli/check_command.cpp
@@ -36,31 +36,31 @@
     if (!text) {
       return PrintError(aOptions, text.error());
     }
-    const auto reading = catalog::ReadSet(text.value());
-    if (!reading) {
-      return PrintError(aOptions, reading.error());
+    const auto result = catalog::ReadSet(text.value());
+    if (!result) {
+      return PrintError(aOptions, result.error());
     }
-    Print(aOptions["output"].as<std::string>() == "json", reading.value());
-    return reading.value().mFindings.empty() ? ExitCode::Success
-                                             : ExitCode::Failure;
+    Print(aOptions["output"].as<std::string>() == "json", result.value());
+    return result.value().mFindings.empty() ? ExitCode::Success
+                                            : ExitCode::Failure;
   }
 
 private:
-  static void Print(bool aAsJson, const catalog::SetReadResult& aReading)
+  static void Print(bool aAsJson, const catalog::SetReadResult& aResult)
   {
     if (!aAsJson) {
-      std::cout << catalog::JoinFindings(aReading.mFindings);
-      std::cout << (aReading.mFindings.empty() ? "" : "\n")
-                << aReading.mSet.All().size() << " objects, "
-                << aReading.mFindings.size() << " findings\n";
+      std::cout << catalog::JoinFindings(aResult.mFindings);
+      std::cout << (aResult.mFindings.empty() ? "" : "\n")
+                << aResult.mSet.All().size() << " objects, "
+                << aResult.mFindings.size() << " findings\n";
       return;
     }
     base::JsonValue value = base::MakeJsonObject();
     value.addMember("objects") <<=
-      static_cast<std::int64_t>(aReading.mSet.All().size());
+      static_cast<std::int64_t>(aResult.mSet.All().size());
     base::JsonValue& findings = value.addMember("findings");
     findings.setCategory(base::JsonValue::Array);
-    for (const auto& it : aReading.mFindings) {
+    for (const auto& it : aResult.mFindings) {
       base::JsonValue& finding = findings.addMember();
       finding.setCategory(base::JsonValue::Object);
       finding.addMember("object") <<= it.mObject;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -167,7 +167,7 @@
     , mClock(base::GetBootClock())
     , mIncarnation(static_cast<std::uint64_t>(MakeIncarnation()))
     , mWriter(aSettings.mInstance.mName + "/" + std::to_string(mIncarnation))
-    , mHybridClock(mClock, timeline::ReadBootTime(mClock))
+    , mHybridClock(mClock, timeline::ReadClockEpoch(mClock))
     , mTimeline({ aSettings.mInstance.mName }, kMaxTimelineEvents, mHybridClock)
     , mInstruments{ mMetrics, mTimeline, mHybridClock }
     , mLog(platform::CreateHttpLogService(PlatformAddress(),
--- a/src/http/call_loop.cpp
+++ b/src/http/call_loop.cpp
@@ -38,11 +38,11 @@
 class Connection : public cxxtools::Connectable
 {
 public:
-  Connection(cxxtools::SelectorBase& aSelector, std::string aAddress)
-    : mAddress(std::move(aAddress))
+  Connection(cxxtools::SelectorBase& aSelector, std::string aEndpoint)
+    : mEndpoint(std::move(aEndpoint))
     , mClient(aSelector)
   {
-    const auto endpoint = ParseEndpoint(mAddress);
+    const auto endpoint = ParseEndpoint(mEndpoint);
     if (endpoint) {
       mClient.prepareConnect(endpoint.value().mIp, endpoint.value().mPort);
     }
@@ -69,7 +69,7 @@
     }
   }
 
-  const std::string& Address() const { return mAddress; }
+  const std::string& GetEndpoint() const { return mEndpoint; }
   bool IsFinished() const { return mIsFinished; }
   bool IsBroken() const { return mError.has_value() || mMustClose; }
   TimePoint Deadline() const { return mDeadline; }
@@ -131,7 +131,7 @@
     }
   }
 
-  const std::string mAddress;
+  const std::string mEndpoint;
   cxxtools::http::Client mClient;
   cxxtools::http::Request mRequest;
   std::string mBody;
@@ -152,14 +152,14 @@
   {
   }
 
-  void Call(const std::string& aAddress,
+  void Call(const std::string& aEndpoint,
             const ClientRequest& aRequest,
             TimePoint aDeadline,
             CallHandler aHandler) override
   {
-    auto connection = TakeIdle(aAddress);
+    auto connection = TakeIdle(aEndpoint);
     if (connection == nullptr) {
-      connection = std::make_unique<Connection>(mSelector, aAddress);
+      connection = std::make_unique<Connection>(mSelector, aEndpoint);
     }
     connection->StartCall(aRequest, aDeadline, std::move(aHandler));
     mActive.push_back(std::move(connection));
@@ -192,9 +192,9 @@
 private:
   using ConnectionPtr = std::unique_ptr<Connection>;
 
-  ConnectionPtr TakeIdle(const std::string& aAddress)
+  ConnectionPtr TakeIdle(const std::string& aEndpoint)
   {
-    const auto found = mIdle.find(aAddress);
+    const auto found = mIdle.find(aEndpoint);
     if (found == mIdle.end()) {
       return nullptr;
     }
@@ -231,7 +231,7 @@
       it->InvokeHandler();
       if (!it->IsBroken()) {
         it->SetReusableUntil(now + kMaxIdleTime);
-        mIdle[it->Address()].push_back(std::move(it));
+        mIdle[it->GetEndpoint()].push_back(std::move(it));
       }
     }
   }
--- a/src/http/library_request.cpp
+++ b/src/http/library_request.cpp
@@ -10,11 +10,11 @@
   // cxxtools sends query parameters only with GET; for other methods the query
   // stays part of the path.
   const std::size_t end = aRequest.mTarget.size();
-  const std::size_t mark =
+  const std::size_t queryStart =
     aRequest.mMethod == "GET" ? std::min(aRequest.mTarget.find('?'), end) : end;
-  cxxtools::http::Request request(aRequest.mTarget.substr(0, mark));
-  if (mark < aRequest.mTarget.size()) {
-    request.qparams(aRequest.mTarget.substr(mark + 1));
+  cxxtools::http::Request request(aRequest.mTarget.substr(0, queryStart));
+  if (queryStart < aRequest.mTarget.size()) {
+    request.qparams(aRequest.mTarget.substr(queryStart + 1));
   }
   request.method(aRequest.mMethod);
   for (const auto& it : aRequest.mHeaders) {
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -50,7 +50,7 @@
 {
   CPPUNIT_TEST_SUITE(ServerTest);
   CPPUNIT_TEST(ServesSeveralRequestsOnOneConnection);
-  CPPUNIT_TEST(RefusesRequestsOfUnclearLength);
+  CPPUNIT_TEST(RefusesMalformedRequests);
   CPPUNIT_TEST(RefusesALargeBodyBeforeReadingIt);
   CPPUNIT_TEST(RefusesRequestsBeyondTheLimit);
   CPPUNIT_TEST(IdleConnectionsUseNoThread);
@@ -133,7 +133,7 @@
 
   // Guards against request smuggling: bytes after a message of unclear length
   // must not be parsed as the next request.
-  void RefusesRequestsOfUnclearLength()
+  void RefusesMalformedRequests()
   {
     const auto server = Serve();
     const std::string next = "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n";
--- a/src/peer/clock_bound_test.cpp
+++ b/src/peer/clock_bound_test.cpp
@@ -13,7 +13,7 @@
 {
   CPPUNIT_TEST_SUITE(ClockBoundTest);
   CPPUNIT_TEST(NeverConvertsToALaterTime);
-  CPPUNIT_TEST(DiscardsOldComparisons);
+  CPPUNIT_TEST(DiscardsOldDifferences);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -49,7 +49,7 @@
   }
 
   // Guards against the use of an offset measured before the clocks drifted.
-  void DiscardsOldComparisons()
+  void DiscardsOldDifferences()
   {
     ClockBound bound;
     bound.RecordEcho(5, base::FromMicros(1'000'000));
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -73,9 +73,9 @@
   {
     (*this)(aSlots.mService, aSlots.mFreeSlots);
   }
-  void Put(const LeavingNotice& aMark)
+  void Put(const LeavingNotice& aNotice)
   {
-    (*this)(aMark.mName, aMark.mIncarnation, aMark.mRemainingMicros);
+    (*this)(aNotice.mName, aNotice.mIncarnation, aNotice.mRemainingMicros);
   }
   void Put(Outcome aOutcome)
   {
@@ -147,10 +147,10 @@
     Reader reader(aObject);
     reader(aSlots.mService, aSlots.mFreeSlots);
   }
-  static void Get(const msgpack::object& aObject, LeavingNotice& aMark)
+  static void Get(const msgpack::object& aObject, LeavingNotice& aNotice)
   {
     Reader reader(aObject);
-    reader(aMark.mName, aMark.mIncarnation, aMark.mRemainingMicros);
+    reader(aNotice.mName, aNotice.mIncarnation, aNotice.mRemainingMicros);
   }
   static void Get(const msgpack::object& aObject, Outcome& aOutcome)
   {
@@ -224,7 +224,7 @@
              m.mPayload,
              m.mHybridTimestamp);
   } else {
-    aVisitor(m.mSender.mHost,
+    aVisitor(m.mSender.mIp,
              m.mSender.mPort,
              m.mSessionId,
              m.mSentMicros,
--- a/src/peer/nng_socket.cpp
+++ b/src/peer/nng_socket.cpp
@@ -35,13 +35,13 @@
 std::string
 FormatUrl(const PeerAddress& aAddress)
 {
-  const bool isV6 = aAddress.mHost.find(':') != std::string::npos;
-  const std::string host = isV6 ? "[" + aAddress.mHost + "]" : aAddress.mHost;
+  const bool isV6 = aAddress.mIp.find(':') != std::string::npos;
+  const std::string host = isV6 ? "[" + aAddress.mIp + "]" : aAddress.mIp;
   return "tcp://" + host + ":" + std::to_string(aAddress.mPort);
 }
 
 std::string
-GetRemoteHost(nng_pipe aPipe)
+GetRemoteIp(nng_pipe aPipe)
 {
   nng_sockaddr remote{};
   if (nng_pipe_get_addr(aPipe, NNG_OPT_REMADDR, &remote) != 0) {
@@ -83,15 +83,15 @@
 base::Result<void>
 StartDialer(nng_socket aSocket,
             const PeerAddress& aPeer,
-            const std::string& aSourceHost)
+            const std::string& aSourceIp)
 {
   nng_dialer dialer = NNG_DIALER_INITIALIZER;
   BOOST_OUTCOME_TRYV(CheckNng(
     nng_dialer_create(&dialer, aSocket, FormatUrl(aPeer).c_str()), "dialer"));
   nng_sockaddr source{};
-  if (inet_pton(AF_INET, aSourceHost.c_str(), &source.s_in.sa_addr) == 1) {
+  if (inet_pton(AF_INET, aSourceIp.c_str(), &source.s_in.sa_addr) == 1) {
     source.s_in.sa_family = NNG_AF_INET;
-  } else if (inet_pton(AF_INET6, aSourceHost.c_str(), source.s_in6.sa_addr) ==
+  } else if (inet_pton(AF_INET6, aSourceIp.c_str(), source.s_in6.sa_addr) ==
              1) {
     source.s_in6.sa_family = NNG_AF_INET6;
   }
--- a/src/peer/nng_socket.hpp
+++ b/src/peer/nng_socket.hpp
@@ -22,7 +22,7 @@
 
 /// IP address of the remote end of `aPipe`; empty if unknown.
 std::string
-GetRemoteHost(nng_pipe aPipe);
+GetRemoteIp(nng_pipe aPipe);
 
 /// Starts listening; returns the bound port.
 base::Result<std::uint16_t>
@@ -32,12 +32,12 @@
 base::Result<nng_socket>
 OpenPushSocket();
 
-/// Connects `aSocket` from `aSourceHost` to `aPeer` in the background and
+/// Connects `aSocket` from `aSourceIp` to `aPeer` in the background and
 /// reconnects after every failure.
 base::Result<void>
 StartDialer(nng_socket aSocket,
             const PeerAddress& aPeer,
-            const std::string& aSourceHost);
+            const std::string& aSourceIp);
 
 } // namespace skylarkhill::peer
 
--- a/src/peer/nng_transport.cpp
+++ b/src/peer/nng_transport.cpp
@@ -181,7 +181,7 @@
     }
     Frame& frame = decoded.value();
     const std::shared_ptr<PeerLink> link = FindLink(frame.mSender);
-    if (!link || frame.mSender.mHost != GetRemoteHost(aPipe)) {
+    if (!link || frame.mSender.mIp != GetRemoteIp(aPipe)) {
       ++mCounters.mUnauthorized;
       return;
     }
--- a/src/peer/nng_transport_test.cpp
+++ b/src/peer/nng_transport_test.cpp
@@ -88,15 +88,15 @@
 
 struct Node
 {
-  explicit Node(const char* aHost, std::uint16_t aPort = 0)
-    : mHost(aHost)
+  explicit Node(const char* aIp, std::uint16_t aPort = 0)
+    : mIp(aIp)
   {
     Start(aPort);
   }
   void Start(std::uint16_t aPort)
   {
     TransportOptions options;
-    options.mAddress = mHost;
+    options.mAddress = mIp;
     options.mPort = aPort;
     options.mMaxQueuedMessages = 8;
     options.mAckTimeout = milliseconds(400);
@@ -104,7 +104,7 @@
     CPPUNIT_ASSERT(created.has_value());
     mTransport = std::move(created.value());
   }
-  PeerAddress Address() const { return { mHost, mTransport->Port() }; }
+  PeerAddress Address() const { return { mIp, mTransport->Port() }; }
   bool Send(const PeerAddress& aTo, const char* aText, milliseconds aLimit)
   {
     return mTransport->Send(aTo, aText, After(aLimit), AgePolicy::RequireKnown)
@@ -118,7 +118,7 @@
                    sent.error().mKind == ErrorKind::Overloaded);
   }
 
-  std::string mHost;
+  std::string mIp;
   Inbox mInbox;
   std::unique_ptr<Transport> mTransport;
 };
@@ -167,7 +167,7 @@
   void Dial(const PeerAddress& aTo)
   {
     const std::string url =
-      "tcp://" + aTo.mHost + ":" + std::to_string(aTo.mPort);
+      "tcp://" + aTo.mIp + ":" + std::to_string(aTo.mPort);
     nng_socket_set_ms(mPush, NNG_OPT_SENDTIMEO, 2000);
     CPPUNIT_ASSERT_EQUAL(0, nng_dial(mPush, url.c_str(), nullptr, 0));
   }
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -69,7 +69,7 @@
     return MakeError(ErrorKind::WorkerUnavailable,
                      "offset of the peer's clock is not known yet");
   }
-  DropExpired(now);
+  DiscardExpired(now);
   if (mQueue.size() >= mContext.mOptions.mMaxQueuedMessages) {
     ++mContext.mCounters->mQueueFull;
     return MakeError(ErrorKind::Overloaded, "send queue of the peer is full");
@@ -157,7 +157,7 @@
 PeerLink::SendQueued()
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  DropExpired(mContext.mClock->Now());
+  DiscardExpired(mContext.mClock->Now());
   Flush();
 }
 
@@ -177,7 +177,7 @@
 }
 
 void
-PeerLink::DropExpired(base::TimePoint aNow)
+PeerLink::DiscardExpired(base::TimePoint aNow)
 {
   const auto expired = [&](const QueuedMessage& aMessage) {
     return aNow >= aMessage.mDeadline;
--- a/src/peer/peer_link.hpp
+++ b/src/peer/peer_link.hpp
@@ -98,7 +98,7 @@
   static void OnPipe(nng_pipe aPipe, nng_pipe_ev aEvent, void* aSelf);
   /// Sends the first queued message; false if the connection would block.
   bool SendFront(base::TimePoint aNow);
-  void DropExpired(base::TimePoint aNow);
+  void DiscardExpired(base::TimePoint aNow);
   void Flush();
   Frame MakeFrame(const QueuedMessage& aMessage, base::TimePoint aNow) const;
   base::Result<void> Connect();
--- a/src/platform/http_platform_test.cpp
+++ b/src/platform/http_platform_test.cpp
@@ -20,7 +20,7 @@
   CPPUNIT_TEST(DistinguishesLostResponsesFromUnsentAppends);
   CPPUNIT_TEST(OversizedRecordsArePermanentErrors);
   CPPUNIT_TEST(FetchesChangedInstances);
-  CPPUNIT_TEST(RefusesPagesWithGaps);
+  CPPUNIT_TEST(RefusesInvalidResponses);
   CPPUNIT_TEST_SUITE_END();
 
   const base::Clock& mClock = base::GetBootClock();
@@ -130,7 +130,7 @@
     AssertKind(ErrorKind::LogUnavailable, list->Fetch(Deadline()));
   }
 
-  void RefusesPagesWithGaps()
+  void RefusesInvalidResponses()
   {
     CPPUNIT_ASSERT(ParseLogPage(R"({"first_retained":0,"end":3,"records":[
         {"offset":0,"payload":"a"},{"offset":2,"payload":"c"}]})")
--- a/src/testing/load_main.cpp
+++ b/src/testing/load_main.cpp
@@ -115,7 +115,7 @@
     , mEnd(mStart + std::chrono::seconds(aSettings.mSeconds))
   {
     http::ClientOptions client;
-    client.mAddress = aAddress.mHost;
+    client.mAddress = aAddress.mIp;
     client.mPort = aAddress.mPort;
     client.mMaxIdleConnections = static_cast<std::size_t>(aSettings.mThreads);
     mClient = http::CreateClient(client, mClock);
--- a/src/timeline/hybrid_logical_clock.cpp
+++ b/src/timeline/hybrid_logical_clock.cpp
@@ -21,7 +21,7 @@
 }
 
 base::Duration
-ReadBootTime(const base::Clock& aClock)
+ReadClockEpoch(const base::Clock& aClock)
 {
   const auto wall = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<base::Duration>(wall) -
@@ -29,16 +29,16 @@
 }
 
 HybridLogicalClock::HybridLogicalClock(const base::Clock& aClock,
-                                       base::Duration aBootTime)
+                                       base::Duration aClockEpoch)
   : mClock(aClock)
-  , mBootTime(aBootTime)
+  , mClockEpoch(aClockEpoch)
 {
 }
 
 std::int64_t
 HybridLogicalClock::ReadWallMicros() const
 {
-  return base::ToMicros(mClock.Now()) + mBootTime.count();
+  return base::ToMicros(mClock.Now()) + mClockEpoch.count();
 }
 
 HybridTimestamp
