--- a/include/skylarkhill/base/clock.hpp
+++ b/include/skylarkhill/base/clock.hpp
@@ -33,7 +33,7 @@
 {
 public:
   virtual ~Clock() = default;
-  /// The current boot time. Thread-safe.
+  /// The current time of this clock. Thread-safe.
   virtual TimePoint Now() const = 0;
   /// Blocks the calling thread until `aTime`.
   virtual void SleepUntil(TimePoint aTime) const;
--- a/include/skylarkhill/base/error.hpp
+++ b/include/skylarkhill/base/error.hpp
@@ -15,6 +15,7 @@
   InvalidArgument,
   InvalidJson,
   InvalidSettings,
+  /// A configuration set, or a change of one, has findings.
   InvalidSet,
   PayloadTooLarge,
   UnsupportedFraming,
@@ -22,20 +23,30 @@
   NotFound,
   AlreadyExists,
   VersionConflict,
+  /// No worker is large enough for the task.
   Infeasible,
   QuotaExceeded,
   Overloaded,
   NoCapacity,
+  /// The deadline passed before the work started. HTTP clients also return it
+  /// if the response is late; the work may then have run.
   DeadlineExceeded,
+  /// A log append wrote nothing, or data of the platform could not be read.
   LogUnavailable,
+  /// An append whose response was lost or late; the record may be written.
   AnswerLost,
   WorkerUnavailable,
+  /// The worker received the command and rejected it.
   WorkerRefused,
+  /// The connection failed after the request may have been sent.
   ConnectionLost,
+  /// The instance holds no lease that allows it to use a suitable worker.
   NotHolder,
+  /// The worker rejected a command whose time limit or lease has passed.
   StaleCommand,
   Cancelled,
   ShuttingDown,
+  /// The caller cannot tell whether the request has run.
   OutcomeUnknown,
   Internal,
 };
--- a/include/skylarkhill/base/id.hpp
+++ b/include/skylarkhill/base/id.hpp
@@ -35,7 +35,8 @@
 
 /// Identifies a worker in the platform's instance list.
 using WorkerId = Id<struct WorkerTag>;
-/// Identifies an entry instance; a replacement has another id.
+/// Identifies an entry instance. A restart keeps the id and increases the
+/// incarnation; a replacement has another id.
 using InstanceId = Id<struct InstanceTag>;
 /// Identifies a failure domain.
 using DomainId = Id<struct DomainTag>;
--- a/include/skylarkhill/cli/api_client.hpp
+++ b/include/skylarkhill/cli/api_client.hpp
@@ -18,7 +18,8 @@
   std::uint16_t mPort = 0;
 };
 
-/// Parses "IP:PORT". InvalidArgument.
+/// Parses "IP:PORT". InvalidArgument if a part is missing or the port is not
+/// from 1 to 65535.
 base::Result<EntryAddress>
 ParseEntryAddress(const std::string& aText);
 
--- a/include/skylarkhill/http/client.hpp
+++ b/include/skylarkhill/http/client.hpp
@@ -39,9 +39,10 @@
 {
 public:
   virtual ~Client() = default;
-  /// The complete response, whatever its status. WorkerUnavailable or
-  /// InvalidArgument: nothing was sent. ConnectionLost or DeadlineExceeded: the
-  /// server may have received the request.
+  /// The complete response, whatever its status. InvalidArgument (malformed
+  /// request) or WorkerUnavailable (no connection, or the deadline had passed
+  /// before the call): nothing was sent. ConnectionLost or DeadlineExceeded:
+  /// the server may have received the request.
   /// A response on a reused connection has mIsPossiblyResent set.
   virtual base::Result<Response> Call(const ClientRequest& aRequest,
                                       base::TimePoint aDeadline) = 0;
--- a/include/skylarkhill/http/tls_options.hpp
+++ b/include/skylarkhill/http/tls_options.hpp
@@ -8,13 +8,13 @@
 /// TLS configuration; all files are in PEM format.
 struct TlsOptions
 {
-  /// A server uses TLS if this is set; a client presents it to the server.
+  /// A server uses TLS if this is set. A client presents it to the server.
   std::string mCertificateFile;
   /// Empty if the key is in the certificate file.
   std::string mKeyFile;
   /// If set, the peer must present a certificate issued by this authority.
   std::string mCaFile;
-  /// Whether a client uses TLS.
+  /// Whether testing::RawConnection uses TLS; http::Client does not support it.
   bool mUseTls = false;
 };
 
--- a/include/skylarkhill/metrics/registry.hpp
+++ b/include/skylarkhill/metrics/registry.hpp
@@ -38,12 +38,12 @@
   std::atomic<std::int64_t> mValue{ 0 };
 };
 
-/// Count, sum and quantile estimates of all samples of a distribution.
+/// Count, sum, maximum and estimated quantiles of all samples of a
+/// distribution; all 0 while there are no samples.
 struct Summary
 {
   std::int64_t mCount = 0;
   double mSum = 0.0;
-  /// 0 while there are no samples.
   double mMax = 0.0;
   double mMedian = 0.0;
   double mP90 = 0.0;
--- a/include/skylarkhill/peer/codec.hpp
+++ b/include/skylarkhill/peer/codec.hpp
@@ -16,13 +16,13 @@
 /// Longest encoded message in bytes.
 inline constexpr std::size_t kMaxMessageBytes = std::size_t{ 1 } << 20U;
 
-/// Encodes `aMessage`. PayloadTooLarge.
+/// Encodes `aMessage`. PayloadTooLarge if the result exceeds kMaxMessageBytes.
 base::Result<std::string>
 EncodeMessage(const Message& aMessage);
 
 /// Decodes one complete message. InvalidArgument if it is truncated, has
 /// trailing bytes, an unsupported version, an unknown type, or a field of the
-/// wrong type or out of range; PayloadTooLarge.
+/// wrong type or out of range; PayloadTooLarge if it exceeds kMaxMessageBytes.
 base::Result<Message>
 DecodeMessage(std::string_view aBytes);
 
--- a/include/skylarkhill/peer/frame.hpp
+++ b/include/skylarkhill/peer/frame.hpp
@@ -15,7 +15,8 @@
 inline constexpr std::size_t kMaxFrameBytes = (std::size_t{ 1 } << 20U) + 1024;
 
 /// Timestamps of the receiver's frames, echoed by the sender to bound the clock
-/// offset. All zero if the sender has received no frame.
+/// offset. All zero if the sender has received no frame within the last 10 to
+/// 20 s.
 struct FrameEcho
 {
   /// Session of the receiver that the other fields refer to; 0 means none.
@@ -43,11 +44,12 @@
   std::string mPayload;
 };
 
-/// Encodes `aFrame`. PayloadTooLarge.
+/// Encodes `aFrame`. PayloadTooLarge if the result exceeds kMaxFrameBytes.
 base::Result<std::string>
 EncodeFrame(const Frame& aFrame);
 
-/// Decodes one complete frame. InvalidArgument, PayloadTooLarge.
+/// Decodes one complete frame. InvalidArgument if it is malformed,
+/// PayloadTooLarge if it exceeds kMaxFrameBytes.
 base::Result<Frame>
 DecodeFrame(std::string_view aBytes);
 
--- a/include/skylarkhill/peer/message.hpp
+++ b/include/skylarkhill/peer/message.hpp
@@ -28,6 +28,7 @@
   std::int64_t mRemainingMicros = 0;
 };
 
+/// State of the sender, sent to all its peers once per heartbeat interval.
 struct Heartbeat
 {
   base::InstanceId mInstance;
@@ -40,6 +41,8 @@
   std::vector<LeavingNotice> mLeaving;
   std::vector<ServiceSlots> mFreeSlots;
   std::vector<base::WorkerId> mHeldWorkers;
+  /// timeline::HybridTimestamp of the sender, packed into one integer. The same
+  /// in all messages.
   std::uint64_t mHybridTimestamp = 0;
 };
 
--- a/include/skylarkhill/peer/transport.hpp
+++ b/include/skylarkhill/peer/transport.hpp
@@ -51,8 +51,11 @@
   std::int64_t mQueueFull = 0;
   /// Arrived after the deadline.
   std::int64_t mArrivedLate = 0;
-  /// Dropped because their age was unknown and AgePolicy::RequireKnown applied.
+  /// Discarded because their age was unknown and AgePolicy::RequireKnown
+  /// applied.
   std::int64_t mAgeUnknown = 0;
+  /// Received bytes that cannot be decoded, and own messages that cannot be
+  /// encoded.
   std::int64_t mMalformed = 0;
   /// Received from an address that is not in the list of allowed peers.
   std::int64_t mUnauthorized = 0;
@@ -82,10 +85,11 @@
 public:
   virtual ~Transport() = default;
 
-  /// Queues one message. WorkerUnavailable if the offset of the peer's clock is
-  /// not bounded yet, Overloaded if the send queue is full, Unauthorized if the
-  /// peer is not allowed, DeadlineExceeded, PayloadTooLarge, ShuttingDown. On
-  /// an error nothing is sent.
+  /// Queues one message. On an error nothing is sent: WorkerUnavailable if the
+  /// offset of the peer's clock is not bounded and `aAgePolicy` requires it,
+  /// Overloaded if the send queue is full, Unauthorized if the peer is not
+  /// allowed, DeadlineExceeded if `aDeadline` has passed, PayloadTooLarge,
+  /// ShuttingDown.
   virtual base::Result<void> Send(const PeerAddress& aPeer,
                                   std::string aPayload,
                                   base::TimePoint aDeadline,
--- a/include/skylarkhill/platform/instance_list.hpp
+++ b/include/skylarkhill/platform/instance_list.hpp
@@ -13,21 +13,21 @@
 
 namespace skylarkhill::platform {
 
-/// Role of an instance.
+/// Role of a listed process: entry instance or worker.
 enum class InstanceRole
 {
   Entry,
   Worker,
 };
 
-/// State of an instance according to the platform; may be out of date.
+/// State of a listed process according to the platform; may be out of date.
 enum class InstanceState
 {
   Live,
   Leaving,
 };
 
-/// One instance in the platform's list.
+/// One entry instance or worker in the platform's list.
 struct InstanceInfo
 {
   std::string mName;
@@ -35,7 +35,7 @@
   InstanceState mState = InstanceState::Live;
   base::DomainId mDomain;
   std::string mRack;
-  /// IP address of the instance.
+  /// IP address of the process.
   std::string mAddress;
   std::uint16_t mPort = 0;
   /// Port for messages between entry instances; 0 for workers.
@@ -54,13 +54,14 @@
 std::string_view
 NameOf(InstanceState aState);
 
-/// The platform's list of instances, which may be out of date. Thread-safe.
+/// The platform's list of entry instances and workers, which may be out of
+/// date. Thread-safe.
 class InstanceList
 {
 public:
   virtual ~InstanceList() = default;
-  /// Fetches the current list. LogUnavailable if the platform does not return
-  /// it by `aDeadline`.
+  /// Fetches the current list. LogUnavailable (the kind for every failed read
+  /// from the platform) if there is no valid list by `aDeadline`.
   virtual base::Result<std::vector<InstanceInfo>> Fetch(
     base::TimePoint aDeadline) = 0;
 };
--- a/include/skylarkhill/platform/log_service.hpp
+++ b/include/skylarkhill/platform/log_service.hpp
@@ -45,7 +45,8 @@
                                       base::TimePoint aDeadline) = 0;
 
   /// Reads up to `aMaxRecords` records starting at `aFrom`, or at the first
-  /// retained record if `aFrom` is no longer retained. LogUnavailable.
+  /// retained record if `aFrom` is no longer retained. LogUnavailable if the
+  /// records cannot be read by `aDeadline`.
   virtual base::Result<LogPage> Read(std::string_view aStream,
                                      Offset aFrom,
                                      std::int64_t aMaxRecords,
--- a/include/skylarkhill/timeline/event.hpp
+++ b/include/skylarkhill/timeline/event.hpp
@@ -17,13 +17,16 @@
 enum class EventKind
 {
   RequestAccepted,
+  /// The request ended without having run.
   RequestRefused,
   RequestForwarded,
   RequestSent,
   RequestRetried,
   RequestCompleted,
+  /// The request ended with an unknown outcome.
   RequestUnknown,
   ResponseDropped,
+  /// The grant of a task to a worker took effect.
   AttemptGranted,
   AttemptStarted,
   AttemptAdopted,
@@ -31,7 +34,9 @@
   AttemptCheckpointed,
   AttemptEnded,
   HolderAcquired,
+  /// A worker is no longer held because this instance drains.
   HolderReleased,
+  /// A worker is no longer held although this instance does not drain.
   HolderLost,
   TaskAccepted,
   TaskRefused,
@@ -39,10 +44,12 @@
   TaskCancelled,
   TaskCompleted,
   TaskFailed,
+  /// The task failed on several workers and is not retried.
   TaskQuarantined,
   ConfigPublished,
   ConfigRefused,
   ConfigApplied,
+  /// First heartbeat of a peer.
   MemberAppeared,
   MemberSuspected,
   MemberLeaving,
@@ -97,7 +104,7 @@
 base::JsonValue
 FormatEvent(const Event& aEvent);
 
-/// InvalidArgument; the detail lists the invalid fields.
+/// InvalidArgument if fields are invalid; the detail lists them.
 base::Result<Event>
 ParseEvent(const base::JsonValue& aValue);
 
--- a/include/skylarkhill/timeline/timeline.hpp
+++ b/include/skylarkhill/timeline/timeline.hpp
@@ -52,7 +52,8 @@
 std::string
 FormatExport(const TimelineExport& aExport);
 
-/// InvalidJson, InvalidArgument.
+/// Parses the text of an export. InvalidJson if it is not JSON, InvalidArgument
+/// if fields are missing or invalid.
 base::Result<TimelineExport>
 ParseExport(std::string_view aText);
 
