--- a/scenarios/bad_input.lua
+++ b/scenarios/bad_input.lua
@@ -1,6 +1,6 @@
 -- Callers send malformed input. Guards against a wrong or missing error,
 -- against an entry instance that stops serving, and against work that runs
--- although its request was refused.
+-- although its request was refused. Counts runs of requests, not of tasks.
 
 start({ 1 }, { 1 })
 local entry = site.entries[1]
@@ -52,6 +52,6 @@
 raw(entry, string.rep("x", 100000))
 
 expect(call("GET", entry, "/healthz").status == 200, "the entry instance still serves")
-expect(load_of(site.workers[1]) == before, "no refused request has run")
+expect(load_of(site.workers[1]) == before, "no refused request has run (tasks are not counted)")
 expect(request(entry).body.outcome == "completed", "valid requests complete")
 stop_all()
--- a/scenarios/cancel_race.lua
+++ b/scenarios/cancel_race.lua
@@ -36,6 +36,7 @@
   local list = by_task[task] or {}
   expect(#list <= 1, task .. " ran at most once")
   if reported[n] == "completed" then
+    -- The times are in microseconds; 1 % tolerance.
     expect(#list == 1 and (list[1].ended_at - list[1].started_at) >= run_ms[n] * 990,
       task .. " ran to completion")
   else
--- a/scenarios/planned_stop.lua
+++ b/scenarios/planned_stop.lua
@@ -30,7 +30,7 @@
     "request " .. n .. " completes: " .. tostring(answer.error) .. " " .. answer.text)
 end
 local code = native.wait_exit(leaving.name, 40000)
-expect(code == 0, "exit code 0, not " .. tostring(code))
+expect(code == 0, "the leaving entry instance exits with code 0, not " .. tostring(code))
 leaving.stopped = true
 report(string.format("stopped after %.1f s, %d requests completed", now() - started, #calls))
 for n = 1, 4 do expect(runs_of("stop-" .. n) == 1, "key " .. n .. " ran once") end
--- a/scenarios/publish_race.lua
+++ b/scenarios/publish_race.lua
@@ -46,7 +46,8 @@
     -- Both may fail before the log recovers; the version then stays the same.
     for _, it in ipairs(answers) do
       expect(it.status == 200 or it.body.error == "log_unavailable" or
-        it.body.error == "version_conflict", "an expected answer during an outage: " .. it.text)
+        it.body.error == "version_conflict",
+        "the answer during an outage is 200, log_unavailable or version_conflict: " .. it.text)
     end
   else
     expect(winner, "one publish succeeds in round " .. round .. ": " ..
--- a/scenarios/same_key.lua
+++ b/scenarios/same_key.lua
@@ -46,7 +46,7 @@
 end
 report(string.format("%d completed, %d not run, %d unknown, %d connections broken",
   outcomes.completed, outcomes.not_run, outcomes.unknown, outcomes.broken))
-expect(outcomes.completed >= rounds, "most calls complete")
+expect(outcomes.completed >= rounds, "on average at least one call per round completes")
 -- A repeated request gets the recorded outcome and does not run again.
 for round = 1, rounds do
   local answer = request(site.entries[1], { key = "same-" .. round, deadline_ms = 5000 })
--- a/src/cli/entry_command.cpp
+++ b/src/cli/entry_command.cpp
@@ -25,7 +25,7 @@
   std::string_view Name() const override { return "entry"; }
   std::string_view Summary() const override
   {
-    return "run an entry instance until SIGTERM or SIGINT";
+    return "run an entry instance with a settings file until SIGTERM or SIGINT";
   }
   void AddOptions(po::options_description& aOptions,
                   po::positional_options_description&) const override
--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -19,7 +19,8 @@
   std::string_view Name() const override { return "node"; }
   std::string_view Summary() const override
   {
-    return "run an entry instance on the platform until SIGTERM or SIGINT";
+    return "run an entry instance with SKYLARKHILL_SETTINGS until SIGTERM or "
+           "SIGINT";
   }
   void AddOptions(po::options_description& aOptions,
                   po::positional_options_description&) const override
@@ -38,7 +39,7 @@
     const auto level =
       logging::ParseLevel(aOptions["log-level"].as<std::string>());
     if (!level) {
-      std::cerr << "unknown log level\n";
+      std::cerr << "unknown log level; use debug, info, warning or error\n";
       return ExitCode::UsageError;
     }
     const auto settings = adapter::LoadInstanceSettings();
@@ -79,6 +80,7 @@
     while (signalNumber == SIGHUP) {
       sigwait(&signals, &signalNumber);
       if (signalNumber == SIGHUP) {
+        // Only logged: the settings are read at the start.
         logging::Write(logging::Level::Info, "settings_reload_requested", {});
       }
     }
--- a/src/cli/submit_command.cpp
+++ b/src/cli/submit_command.cpp
@@ -32,14 +32,14 @@
     add("idempotent",
         po::value<bool>(),
         "whether the request may run more than once");
-    add("first-send", "state that no request with this key was sent before");
+    add("first-send", "assert that no request with this key was sent before");
     add("deadline-ms",
         po::value<std::int64_t>(),
         "deadline of the request, in milliseconds from now");
     add("team", po::value<std::string>(), "team that owns the task");
     add("caller",
         po::value<std::string>()->default_value(""),
-        "identity that is allowed to cancel the task");
+        "identity that submits the task and may cancel it");
     add("urgent", "start the task before tasks that are not urgent");
     add("milli-processors",
         po::value<std::int64_t>(),
--- a/src/cli/task_commands.cpp
+++ b/src/cli/task_commands.cpp
@@ -26,10 +26,11 @@
       "task", po::value<std::string>()->required(), "id of the task")(
       "caller",
       po::value<std::string>()->default_value(""),
-      "identity that submitted the task")("credential-file",
-                                          po::value<std::string>(),
-                                          "file with the operator credential, "
-                                          "to cancel another caller's task");
+      "identity that submitted the task and may cancel it")(
+      "credential-file",
+      po::value<std::string>(),
+      "file with the operator credential, "
+      "to cancel another caller's task");
     aPositional.add("task", 1);
   }
 
@@ -54,7 +55,7 @@
   std::string_view Name() const override { return "status"; }
   std::string_view Summary() const override
   {
-    return "print a task, a request, or the published configuration";
+    return "print a task, a request, or by default the published configuration";
   }
   void AddOptions(po::options_description& aOptions,
                   po::positional_options_description&) const override
--- a/src/http/call_loop.cpp
+++ b/src/http/call_loop.cpp
@@ -31,7 +31,7 @@
 /// the platform's servers, which is 15 s.
 constexpr base::Duration kMaxIdleTime = std::chrono::seconds(8);
 
-/// Bounds one wait, so that calls past their deadline are noticed.
+/// Longest time that one Wait blocks, even if all deadlines are later.
 constexpr base::Duration kMaxWait = std::chrono::milliseconds(500);
 
 /// One connection; carries at most one call at a time.
@@ -118,7 +118,7 @@
       mResponse.mStatus = static_cast<int>(header.httpReturnCode());
       mResponse.mBody = std::move(mBody);
       mBody.clear();
-      // Matches "close" and "Close".
+      // Searches "lose" to match both "close" and "Close".
       const char* connection = header.getHeader("Connection");
       mMustClose =
         connection != nullptr &&
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -72,10 +72,13 @@
                               TimePoint aDeadline) override
   {
     if (mClock.Now() >= aDeadline) {
-      return MakeError(ErrorKind::WorkerUnavailable, "deadline has passed");
+      return MakeError(ErrorKind::WorkerUnavailable,
+                       "deadline had passed before the call");
     }
     if (!IsWellFormed(aRequest)) {
-      return MakeError(ErrorKind::InvalidArgument, "malformed request");
+      return MakeError(
+        ErrorKind::InvalidArgument,
+        "request has a control character, or a space in its target");
     }
     const bool isPooled = aRequest.mDelivery == Delivery::Idempotent;
     ClientPtr client = isPooled ? TakeIdle() : nullptr;
@@ -170,7 +173,8 @@
                        "response without Content-Length");
     }
     if (std::strtoull(length, nullptr, 10) > mOptions.mMaxBodyBytes) {
-      return MakeError(ErrorKind::ConnectionLost, "response is too large");
+      return MakeError(ErrorKind::ConnectionLost,
+                       "response body exceeds the size limit");
     }
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
@@ -182,7 +186,7 @@
     // in small parts can end after the deadline.
     if (mClock.Now() > aDeadline) {
       return MakeError(ErrorKind::DeadlineExceeded,
-                       "response after the deadline");
+                       "response ended after the deadline");
     }
     const auto& header = aClient.header();
     Response response;
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -131,8 +131,8 @@
     }
   }
 
-  // Guards against request smuggling: bytes after a message of unclear length
-  // must not be parsed as the next request.
+  // Guards against request smuggling: bytes after a message that is malformed
+  // or of unclear length must not be parsed as the next request.
   void RefusesMalformedRequests()
   {
     const auto server = Serve();
--- a/src/http/target.cpp
+++ b/src/http/target.cpp
@@ -63,7 +63,9 @@
     auto name = PercentDecode(pair.substr(0, equals));
     auto value = PercentDecode(pair.substr(std::min(equals + 1, pair.size())));
     if (!name || !value || name->empty()) {
-      return MakeError(ErrorKind::InvalidArgument, "malformed query");
+      return MakeError(
+        ErrorKind::InvalidArgument,
+        "query has a parameter without a name or with a malformed encoding");
     }
     if (FindField(query, *name) != nullptr) {
       return MakeError(ErrorKind::InvalidArgument, "repeated query parameter");
@@ -82,7 +84,8 @@
     return MakeError(ErrorKind::InvalidArgument, "target is not a path");
   }
   if (aPath.find('\0') != std::string_view::npos || !base::IsUtf8(aPath)) {
-    return MakeError(ErrorKind::InvalidArgument, "malformed path");
+    return MakeError(ErrorKind::InvalidArgument,
+                     "path contains a NUL byte or is not UTF-8");
   }
   aRequest.mPath = aPath;
   BOOST_OUTCOME_TRY(query, ParseQuery(aQuery));
--- a/src/peer/clock_bound_test.cpp
+++ b/src/peer/clock_bound_test.cpp
@@ -48,7 +48,7 @@
     }
   }
 
-  // Guards against the use of an offset measured before the clocks drifted.
+  // Guards against the use of differences measured before the clocks drifted.
   void DiscardsOldDifferences()
   {
     ClockBound bound;
--- a/src/peer/nng_transport.cpp
+++ b/src/peer/nng_transport.cpp
@@ -32,7 +32,8 @@
 constexpr base::Duration kMaxRetryDelay{ 5'000 };
 // Bounds the time until a receiving thread notices Stop.
 constexpr nng_duration kReceiveTimeoutMs = 100;
-// Within this time the connections to a receiver that has stopped fill up.
+// Time between the end of receiving and the close of the pull socket; by then
+// flow control has stopped the peers, see Stop.
 constexpr base::Duration kCloseDelay{ 20'000 };
 
 /// One listening pull socket and one push socket per peer. Pair sockets would
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -67,7 +67,7 @@
   const bool known = mClockBound.MinDifference(now).has_value();
   if (aAgePolicy == AgePolicy::RequireKnown && !known) {
     return MakeError(ErrorKind::WorkerUnavailable,
-                     "offset of the peer's clock is not known yet");
+                     "offset of the peer's clock is not bounded yet");
   }
   DiscardExpired(now);
   if (mQueue.size() >= mContext.mOptions.mMaxQueuedMessages) {
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -40,7 +40,8 @@
 }
 
 /// Returns the body of a successful GET response. Every failure is
-/// LogUnavailable, since a GET has no side effects.
+/// LogUnavailable, also for the instance list: a GET has no side effects and
+/// can be retried.
 base::Result<std::string>
 GetBody(http::Client& aClient, std::string aTarget, base::TimePoint aDeadline)
 {
--- a/src/platform/platform_codec.cpp
+++ b/src/platform/platform_codec.cpp
@@ -21,7 +21,7 @@
   return element;
 }
 
-/// The enumerator named `aName`. InvalidArgument.
+/// The enumerator named `aName`. InvalidArgument if there is none.
 template<typename Enum>
 base::Result<Enum>
 FindByName(std::initializer_list<Enum> aValues, const std::string& aName)
--- a/src/timeline/merge.cpp
+++ b/src/timeline/merge.cpp
@@ -69,7 +69,8 @@
   return text + '"';
 }
 
-// Callers choose the ids of requests and tasks, so these may need quotes.
+// Whether an id can be printed without quotes. Callers choose the ids of
+// requests and tasks, so these may contain spaces and quotes.
 bool
 NeedsNoQuotes(std::string_view aText)
 {
