--- a/include/skylarkhill/base/error.hpp
+++ b/include/skylarkhill/base/error.hpp
@@ -15,7 +15,7 @@
   InvalidArgument,
   InvalidJson,
   InvalidSettings,
-  /// A configuration set, or a change of one, has findings.
+  /// A configuration set, or a change to one, is invalid.
   InvalidSet,
   PayloadTooLarge,
   UnsupportedFraming,
@@ -33,7 +33,7 @@
   DeadlineExceeded,
   /// A log append wrote nothing, or data of the platform could not be read.
   LogUnavailable,
-  /// An append whose response was lost or late; the record may be written.
+  /// Whether an append took effect is unknown, e.g. its response was lost.
   AnswerLost,
   WorkerUnavailable,
   /// The worker received the command and rejected it.
