--- a/include/skylarkhill/peer/message.hpp
+++ b/include/skylarkhill/peer/message.hpp
@@ -91,7 +91,7 @@
   std::string mStream;
   std::int64_t mPageIndex = 0;
   bool mIsLast = false;
-  /// Offset up to which the sender has read the stream.
+  /// Reserved; senders leave it at 0.
   std::int64_t mAsOf = 0;
   std::string mPayload;
   std::uint64_t mHybridTimestamp = 0;
