--- a/src/http/call_loop_test.cpp
+++ b/src/http/call_loop_test.cpp
@@ -52,7 +52,7 @@
     auto server = CreateServer({}, mHandler);
     CPPUNIT_ASSERT(server);
     mServer = std::move(server.value());
-    mAddress = "127.0.0.1:" + std::to_string(mServer->Port());
+    mEndpoint = "127.0.0.1:" + std::to_string(mServer->Port());
   }
 
   void CompletesConcurrentCalls()
@@ -63,7 +63,7 @@
     for (int round = 0; round < 2; ++round) {
       for (int n = 0; n < 8; ++n) {
         loop->Call(
-          mAddress,
+          mEndpoint,
           Post("/echo", std::string(20000, static_cast<char>('a' + n))),
           base::GetBootClock().Now() + std::chrono::seconds(5),
           [&](const base::Result<Response>& aResult) {
@@ -84,7 +84,7 @@
     const auto loop = CreateCallLoop(base::GetBootClock());
     const auto start = base::GetBootClock().Now();
     std::optional<base::ErrorKind> kind;
-    loop->Call(mAddress,
+    loop->Call(mEndpoint,
                Post("/slow", ""),
                start + std::chrono::milliseconds(60),
                [&](const base::Result<Response>& aResult) {
@@ -103,7 +103,7 @@
     mServer->Stop();
     bool isRefused = false;
     loop->Call(
-      mAddress,
+      mEndpoint,
       Post("/echo", ""),
       base::GetBootClock().Now() + std::chrono::seconds(2),
       [&](const base::Result<Response>& aResult) { isRefused = !aResult; });
@@ -121,7 +121,7 @@
 
   EchoHandler mHandler;
   std::unique_ptr<Server> mServer;
-  std::string mAddress;
+  std::string mEndpoint;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallLoopTest);
