--- a/include/skylarkhill/timeline/event.hpp
+++ b/include/skylarkhill/timeline/event.hpp
@@ -34,9 +34,9 @@
   AttemptCheckpointed,
   AttemptEnded,
   HolderAcquired,
-  /// A worker is no longer held because this instance drains.
+  /// The instance no longer holds a worker and is draining.
   HolderReleased,
-  /// A worker is no longer held although this instance does not drain.
+  /// The instance no longer holds a worker and is not draining.
   HolderLost,
   TaskAccepted,
   TaskRefused,
@@ -44,7 +44,7 @@
   TaskCancelled,
   TaskCompleted,
   TaskFailed,
-  /// The task failed on several workers and is not retried.
+  /// The failures on several workers are attributed to the task.
   TaskQuarantined,
   ConfigPublished,
   ConfigRefused,
