--- a/include/skylarkhill/cli/api_client.hpp
+++ b/include/skylarkhill/cli/api_client.hpp
@@ -14,11 +14,12 @@
 /// The address at which an entry instance serves the API.
 struct EntryAddress
 {
-  std::string mHost;
+  std::string mIp;
   std::uint16_t mPort = 0;
 };
 
-/// Parses "IP:PORT". InvalidArgument.
+/// Parses "IP:PORT". InvalidArgument if a part is missing or the port is not
+/// from 1 to 65535.
 base::Result<EntryAddress>
 ParseEntryAddress(const std::string& aText);
 
--- a/src/peer/clock_bound_test.cpp
+++ b/src/peer/clock_bound_test.cpp
@@ -13,7 +13,7 @@
 {
   CPPUNIT_TEST_SUITE(ClockBoundTest);
   CPPUNIT_TEST(NeverConvertsToALaterTime);
-  CPPUNIT_TEST(DiscardsOldComparisons);
+  CPPUNIT_TEST(DiscardsOldDifferences);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -48,8 +48,8 @@
     }
   }
 
-  // Guards against the use of an offset measured before the clocks drifted.
-  void DiscardsOldComparisons()
+  // Guards against the use of differences measured before the clocks drifted.
+  void DiscardsOldDifferences()
   {
     ClockBound bound;
     bound.RecordEcho(5, base::FromMicros(1'000'000));
