Rename identifiers of the simulations, fakes and benchmarks

mPreventsRepeatedStarts -> mWaitsForDelayedStarts SetFailAll -> SetFailNewTasks DrawHiddenValues -> DrawRandomValues kRunEnd -> kMaxRunLength CountMissed -> CountUnanswered kMaxQueuedPerRound -> kMaxQueuedTasksPerRound FailWorkers -> FailRandomWorker MeasureGrantRank -> MeasureGrantTurn SkewedClock (holder_simulation.cpp) -> ClockSkew Seconds (bench_run.cpp) -> SecondsSinceStart Arguments::mWorld (explore_main.cpp) -> mSimulation Report (explore_main.cpp) -> PrintViolation BenchSetup::Profile -> BenchSetup::SiteProfile type (bench_run.cpp) -> batchClass mFailAll, aFailAll (fake_worker) -> mFailNewTasks, aFailNewTasks

--- a/include/skylarkhill/testing/bench_run.hpp
+++ b/include/skylarkhill/testing/bench_run.hpp
@@ -19,7 +19,7 @@
   /// evicts.
   EvictYoungest,
   /// The policies of the site's profile.
-  Profile,
+  SiteProfile,
 };
 
 /// The stable name of `aSetup`.
--- a/include/skylarkhill/testing/bench_site.hpp
+++ b/include/skylarkhill/testing/bench_site.hpp
@@ -68,7 +68,7 @@
 
 /// Sets the hidden values of `aSite` and the declared run times at random.
 void
-DrawHiddenValues(BenchSite& aSite, base::Random& aRandom);
+DrawRandomValues(BenchSite& aSite, base::Random& aRandom);
 
 /// A lognormally distributed factor with mean 1.
 double
--- a/include/skylarkhill/testing/fake_worker.hpp
+++ b/include/skylarkhill/testing/fake_worker.hpp
@@ -110,7 +110,7 @@
                                    const worker::ServiceCall& aCall);
 
   /// Every new task fails at its start.
-  void SetFailAll(bool aFailAll);
+  void SetFailNewTasks(bool aFailNewTasks);
   /// Refuses new tasks and requests and marks reports as leaving.
   void SetLeaving(bool aLeaving);
   /// Commands have no effect and fail with DeadlineExceeded.
@@ -214,7 +214,7 @@
   std::int64_t mGuardRefusals = 0;
   std::int64_t mAnswersToLose = 0;
   std::int64_t mAnswersToMismatch = 0;
-  bool mFailAll = false;
+  bool mFailNewTasks = false;
   bool mLeaving = false;
   bool mSilent = false;
   bool mUnreachable = false;
--- a/include/skylarkhill/testing/holder_simulation.hpp
+++ b/include/skylarkhill/testing/holder_simulation.hpp
@@ -30,7 +30,7 @@
   /// A new holder starts nothing while commands of previous holders may arrive.
   bool mHasQuietPeriod = true;
   /// An attempt is given up only when its start can no longer arrive.
-  bool mPreventsRepeatedStarts = true;
+  bool mWaitsForDelayedStarts = true;
   /// The lease is checked again just before a command is sent.
   bool mChecksLeaseBeforeSend = true;
   /// A new holder releases the grants of previous holders that do not run.
--- a/src/holder/holder_random_test.cpp
+++ b/src/holder/holder_random_test.cpp
@@ -108,7 +108,7 @@
   void FindsRepeatedStart()
   {
     Variant variant;
-    variant.mPreventsRepeatedStarts = false;
+    variant.mWaitsForDelayedStarts = false;
     ExpectViolation(variant);
   }
 
--- a/src/testing/bench_main.cpp
+++ b/src/testing/bench_main.cpp
@@ -81,7 +81,7 @@
   }
   for (const auto setup : { BenchSetup::Baseline,
                             BenchSetup::EvictYoungest,
-                            BenchSetup::Profile }) {
+                            BenchSetup::SiteProfile }) {
     testing::BenchSeries series;
     series.mSetup = setup;
     for (const std::uint64_t seed : result.mSeeds) {
--- a/src/testing/bench_run.cpp
+++ b/src/testing/bench_run.cpp
@@ -31,7 +31,7 @@
 constexpr base::NameTable<BenchSetup, 3> kSetupNames{ {
   { BenchSetup::Baseline, "baseline" },
   { BenchSetup::EvictYoungest, "evict_youngest" },
-  { BenchSetup::Profile, "profile" },
+  { BenchSetup::SiteProfile, "profile" },
 } };
 
 constexpr std::int64_t kGiB = std::int64_t{ 1 } << 30;
@@ -48,7 +48,7 @@
 constexpr Duration kOutageDuration = seconds(20);
 constexpr Duration kFailureDetectionDelay = seconds(1);
 /// Queued tasks considered per placement round, as in the entry process.
-constexpr std::size_t kMaxQueuedPerRound = 1000;
+constexpr std::size_t kMaxQueuedTasksPerRound = 1000;
 /// Placement decisions per round.
 constexpr std::size_t kMaxDecisionsPerRound = 40;
 constexpr double kCheckpointIntervalSeconds = 20.0;
@@ -209,8 +209,8 @@
 policy::Profile
 SchedulingProfile(const BenchSite& aSite, BenchSetup aSetup)
 {
-  return aSetup == BenchSetup::Profile ? aSite.mProfile
-                                       : policy::Profile::Baseline;
+  return aSetup == BenchSetup::SiteProfile ? aSite.mProfile
+                                           : policy::Profile::Baseline;
 }
 
 std::unique_ptr<policy::ProtectionPolicy>
@@ -228,7 +228,7 @@
 public:
   BenchRun(BenchSite aSite, BenchSetup aSetup, std::uint64_t aSeed)
     : mSite(std::move(aSite))
-    , mUsesProfile(aSetup == BenchSetup::Profile)
+    , mUsesProfile(aSetup == BenchSetup::SiteProfile)
     , mPlacement(
         policy::CreatePlacementPolicy(SchedulingProfile(mSite, aSetup)))
     , mQueue(policy::CreateQueuePolicy(SchedulingProfile(mSite, aSetup)))
@@ -242,7 +242,7 @@
     , mNoiseRandom(base::CreateSeededRandom(aSeed * 8 + 4))
     , mPickRandom(base::CreateSeededRandom(aSeed * 8 + 5))
   {
-    DrawHiddenValues(mSite, *mSiteRandom);
+    DrawRandomValues(mSite, *mSiteRandom);
     MakeWorkers();
     MakeServiceGroups();
   }
@@ -350,7 +350,7 @@
 
   // --- Service requests ---
 
-  double Seconds(TimePoint aAt) const
+  double SecondsSinceStart(TimePoint aAt) const
   {
     return std::chrono::duration<double>(aAt - mStart).count();
   }
@@ -367,7 +367,7 @@
 
   void ScheduleArrival(TimePoint aFrom)
   {
-    const double load = LoadAt(Seconds(aFrom));
+    const double load = LoadAt(SecondsSinceStart(aFrom));
     double micros = 0.0;
     for (const auto& it : mSite.mServices) {
       micros += static_cast<double>(it.mMeanServiceTime.count());
@@ -387,7 +387,7 @@
       DrawLognormal(*mRequestRandom, 0.5) *
       static_cast<double>(
         mSite.mServices[request.mService].mMeanServiceTime.count());
-    request.mIsAtPeak = LoadAt(Seconds(at)) > 0.9 * kPeakLoad;
+    request.mIsAtPeak = LoadAt(SecondsSinceStart(at)) > 0.9 * kPeakLoad;
     mRequests.push_back(request);
     Schedule(at, EventKind::Arrive, mRequests.size() - 1);
   }
@@ -409,7 +409,7 @@
     entry.mRequest = { std::to_string(aRequest) };
     entry.mDeadline = DeadlineOf(request);
     if (group.mQueue->Offer(entry, mNow).has_error()) {
-      CountMissed(request);
+      CountUnanswered(request);
     }
     Dispatch(request.mDomain, request.mService);
   }
@@ -448,7 +448,7 @@
       StartRequest(std::stoul(entry->mRequest.mValue), *target);
     }
     for (const auto& it : group.mQueue->TakeDropped()) {
-      CountMissed(mRequests[std::stoul(it.mEntry.mRequest.mValue)]);
+      CountUnanswered(mRequests[std::stoul(it.mEntry.mRequest.mValue)]);
     }
   }
 
@@ -527,11 +527,11 @@
     entry.mDeadline = DeadlineOf(request);
     if (!group.mRetryBudget->TryTake(mNow) ||
         group.mQueue->Offer(entry, mNow).has_error()) {
-      CountMissed(request);
+      CountUnanswered(request);
     }
   }
 
-  void CountMissed(const Request& aRequest)
+  void CountUnanswered(const Request& aRequest)
   {
     ++mOffered;
     mOfferedAtPeak += aRequest.mIsAtPeak ? 1 : 0;
@@ -586,7 +586,7 @@
   {
     Schedule(mNow + kTickInterval, EventKind::Tick);
     SubmitTasks();
-    FailWorkers();
+    FailRandomWorker();
     UpdateBreakers();
     for (std::size_t n = 0; n < mWorkers.size(); ++n) {
       RunTasks(n);
@@ -654,26 +654,27 @@
 
   void Submit(std::size_t aBatchClass)
   {
-    const BenchBatchClass& type = mSite.mBatchClasses[aBatchClass];
+    const BenchBatchClass& batchClass = mSite.mBatchClasses[aBatchClass];
     Task task;
     task.mBatchClassIndex = aBatchClass;
     task.mId = { "t" + std::to_string(mTasks.size()) };
     task.mTeam = "team" + std::to_string(mTaskRandom->Below(3));
     task.mIsUrgent = mTaskRandom->Below(50) == 0;
-    task.mRunSeconds = type.mMeanRunSeconds * DrawLognormal(*mTaskRandom, 0.8);
+    task.mRunSeconds =
+      batchClass.mMeanRunSeconds * DrawLognormal(*mTaskRandom, 0.8);
     if (mTaskRandom->Below(100) < 2) {
       task.mRunSeconds *= 10.0;
     }
-    task.mResources = type.mDeclared;
-    task.mProcessors = static_cast<double>(type.mDeclared.mMilliProcessors) /
-                       1000.0 * type.mActualUseRatio *
-                       (0.8 + 0.4 * mTaskRandom->UniformReal());
+    task.mResources = batchClass.mDeclared;
+    task.mProcessors =
+      static_cast<double>(batchClass.mDeclared.mMilliProcessors) / 1000.0 *
+      batchClass.mActualUseRatio * (0.8 + 0.4 * mTaskRandom->UniformReal());
     task.mAcceptedAt = mNow;
     mTasks.push_back(std::move(task));
     mQueued.push_back(mTasks.size() - 1);
   }
 
-  void FailWorkers()
+  void FailRandomWorker()
   {
     const auto perMinute =
       static_cast<std::uint64_t>(std::chrono::minutes(1) / kTickInterval);
@@ -916,19 +917,21 @@
   void PlaceTasks()
   {
     std::vector<policy::QueuedTask> entries;
-    const std::size_t considered = std::min(kMaxQueuedPerRound, mQueued.size());
+    const std::size_t considered =
+      std::min(kMaxQueuedTasksPerRound, mQueued.size());
     entries.reserve(considered);
     for (std::size_t n = 0; n < considered; ++n) {
       const Task& task = mTasks[mQueued[n]];
-      const BenchBatchClass& type = mSite.mBatchClasses[task.mBatchClassIndex];
+      const BenchBatchClass& batchClass =
+        mSite.mBatchClasses[task.mBatchClassIndex];
       entries.push_back({ task.mId,
                           task.mTeam,
-                          type.mName,
+                          batchClass.mName,
                           task.mResources,
                           task.mIsUrgent,
                           static_cast<std::int64_t>(mQueued[n]),
                           static_cast<std::int64_t>(task.mSpentSeconds),
-                          type.mDeclaredRunSeconds });
+                          batchClass.mDeclaredRunSeconds });
     }
     const std::vector<std::size_t> eligible = AvailableWorkers();
     std::vector<policy::WorkerView> views;
@@ -996,7 +999,8 @@
   {
     Task& task = mTasks[aTask];
     if (!task.mHasStarted && task.mRunSeconds <= kMaxShortTaskSeconds) {
-      mShortWaits.push_back(Seconds(mNow) - Seconds(task.mAcceptedAt));
+      mShortWaits.push_back(SecondsSinceStart(mNow) -
+                            SecondsSinceStart(task.mAcceptedAt));
     }
     task.mStartupSecondsLeft =
       std::chrono::duration<double>(kStartDelay).count() +
@@ -1018,7 +1022,8 @@
     for (const std::size_t it : mQueued) {
       const Task& task = mTasks[it];
       if (!task.mHasStarted && task.mRunSeconds <= kMaxShortTaskSeconds) {
-        mShortWaits.push_back(Seconds(mNow) - Seconds(task.mAcceptedAt));
+        mShortWaits.push_back(SecondsSinceStart(mNow) -
+                              SecondsSinceStart(task.mAcceptedAt));
       }
     }
     const auto percent = [](std::int64_t aPart, std::int64_t aWhole) {
--- a/src/testing/bench_site.cpp
+++ b/src/testing/bench_site.cpp
@@ -100,7 +100,7 @@
 }
 
 void
-DrawHiddenValues(BenchSite& aSite, base::Random& aRandom)
+DrawRandomValues(BenchSite& aSite, base::Random& aRandom)
 {
   for (auto& service : aSite.mServices) {
     // One class interferes strongly with the service, one moderately and the
--- a/src/testing/bench_test.cpp
+++ b/src/testing/bench_test.cpp
@@ -20,7 +20,7 @@
   void ThroughputProfileDoesNotReduceBatchWork()
   {
     const BenchMetrics baseline = Run("direccion", BenchSetup::Baseline);
-    const BenchMetrics profile = Run("direccion", BenchSetup::Profile);
+    const BenchMetrics profile = Run("direccion", BenchSetup::SiteProfile);
     CPPUNIT_ASSERT(ValueOf(profile, BenchMetric::BatchWork) >=
                    ValueOf(baseline, BenchMetric::BatchWork));
   }
@@ -30,7 +30,7 @@
   void TailProfileDoesNotIncreaseTailLatency()
   {
     const BenchMetrics baseline = Run("exchange", BenchSetup::Baseline);
-    const BenchMetrics profile = Run("exchange", BenchSetup::Profile);
+    const BenchMetrics profile = Run("exchange", BenchSetup::SiteProfile);
     CPPUNIT_ASSERT(ValueOf(profile, BenchMetric::LatencyP99) <=
                    ValueOf(baseline, BenchMetric::LatencyP99));
     CPPUNIT_ASSERT(ValueOf(profile, BenchMetric::InTimeAtPeak) >=
@@ -40,8 +40,8 @@
   // Guards against results that depend on anything but the seed.
   void SameSeedGivesTheSameMetrics()
   {
-    CPPUNIT_ASSERT(Run("exchange", BenchSetup::Profile) ==
-                   Run("exchange", BenchSetup::Profile));
+    CPPUNIT_ASSERT(Run("exchange", BenchSetup::SiteProfile) ==
+                   Run("exchange", BenchSetup::SiteProfile));
   }
 
 private:
--- a/src/testing/capacity_time.cpp
+++ b/src/testing/capacity_time.cpp
@@ -244,7 +244,7 @@
 
 /// Time to rank the instances that may grant one task.
 double
-MeasureGrantRank(std::int64_t aInstances)
+MeasureGrantTurn(std::int64_t aInstances)
 {
   std::vector<std::string> members;
   for (std::int64_t n = 0; n < aInstances; ++n) {
@@ -267,7 +267,7 @@
                                micros,
                                "live entry instance and queued task",
                                { 7, 70, 161 },
-                               MeasureGrantRank));
+                               MeasureGrantTurn));
 }
 
 catalog::PublishRecord
--- a/src/testing/explore_main.cpp
+++ b/src/testing/explore_main.cpp
@@ -46,7 +46,7 @@
 {
   std::uint64_t mSeeds = 100;
   std::uint64_t mFirstSeed = 1;
-  std::string mWorld = "site";
+  std::string mSimulation = "site";
   std::string mRemovedMechanism;
   bool mLateMessages = false;
   bool mSkipsNotAfterCheck = false;
@@ -72,9 +72,9 @@
 }
 
 bool
-Report(std::uint64_t aSeed,
-       const std::string& aViolation,
-       const std::vector<std::string>& aTrace)
+PrintViolation(std::uint64_t aSeed,
+               const std::string& aViolation,
+               const std::vector<std::string>& aTrace)
 {
   if (aViolation.empty()) {
     return true;
@@ -92,7 +92,7 @@
   SiteSimulationResult sum;
   for (std::uint64_t n = 0; n < aArguments.mSeeds; ++n) {
     const std::uint64_t seed = aArguments.mFirstSeed + n;
-    if (aArguments.mWorld == "holder") {
+    if (aArguments.mSimulation == "holder") {
       HolderSimulationOptions holderOptions;
       holderOptions.mLateMessages = aArguments.mLateMessages;
       holderOptions.mWorkerChecksNotAfter = !aArguments.mSkipsNotAfterCheck;
@@ -100,7 +100,7 @@
       holderOptions.mChecksLeaseBeforeSend = aOptions.mChecksLeaseBeforeSend;
       const HolderSimulationResult run =
         RunHolderSimulation(seed, holderOptions);
-      if (!Report(seed, run.mViolation, run.mTrace)) {
+      if (!PrintViolation(seed, run.mViolation, run.mTrace)) {
         return 1;
       }
       sum.mTasksEnded += run.mTasksEnded;
@@ -108,7 +108,7 @@
       continue;
     }
     const SiteSimulationResult run = RunSiteSimulation(seed, aOptions);
-    if (!Report(seed, run.mViolation, run.mTrace)) {
+    if (!PrintViolation(seed, run.mViolation, run.mTrace)) {
       return 1;
     }
     sum.mTasksEnded += run.mTasksEnded;
@@ -119,9 +119,9 @@
     sum.mSnapshots += run.mSnapshots;
   }
   std::cout << aArguments.mSeeds << " seeds from " << aArguments.mFirstSeed
-            << ", world " << aArguments.mWorld << ": no violation; tasks ended "
-            << sum.mTasksEnded << ", starts " << sum.mStarts
-            << ", requests completed " << sum.mCompletedRequests
+            << ", world " << aArguments.mSimulation
+            << ": no violation; tasks ended " << sum.mTasksEnded << ", starts "
+            << sum.mStarts << ", requests completed " << sum.mCompletedRequests
             << ", keys executed " << sum.mExecutedKeys << ", publish outcomes "
             << sum.mPublishOutcomes << ", snapshots " << sum.mSnapshots << '\n';
   return 0;
@@ -142,7 +142,7 @@
       options::value(&arguments.mFirstSeed)->default_value(1),
       "first seed");
   add("world",
-      options::value(&arguments.mWorld)->default_value("site"),
+      options::value(&arguments.mSimulation)->default_value("site"),
       "simulation to run: site or holder");
   add("remove",
       options::value(&arguments.mRemovedMechanism),
@@ -164,9 +164,9 @@
   }
   SiteSimulationOptions siteOptions;
   const bool isKnownWorld =
-    arguments.mWorld == "site" || arguments.mWorld == "holder";
+    arguments.mSimulation == "site" || arguments.mSimulation == "holder";
   const bool isRemovable = arguments.mRemovedMechanism.empty() ||
-                           arguments.mWorld == "site" ||
+                           arguments.mSimulation == "site" ||
                            arguments.mRemovedMechanism == "verify" ||
                            arguments.mRemovedMechanism == "check_before_send";
   if (!isKnownWorld || !isRemovable ||
--- a/src/testing/fake_worker.cpp
+++ b/src/testing/fake_worker.cpp
@@ -466,7 +466,7 @@
   mExecutions.push_back(
     { key, now, std::nullopt, task.mWorkDone, aStart.mBatchClass });
   mUnstartableKeys.insert(key);
-  if (mFailAll) {
+  if (mFailNewTasks) {
     EndTask(task, TaskPhase::Failed, "the worker fails every task", now);
   }
   mTasks[key] = std::move(task);
@@ -648,10 +648,10 @@
 }
 
 void
-FakeWorker::SetFailAll(bool aFailAll)
+FakeWorker::SetFailNewTasks(bool aFailNewTasks)
 {
   const std::lock_guard lock(mMutex);
-  mFailAll = aFailAll;
+  mFailNewTasks = aFailNewTasks;
 }
 
 void
--- a/src/testing/holder_simulation.cpp
+++ b/src/testing/holder_simulation.cpp
@@ -106,7 +106,7 @@
 };
 
 /// A clock that differs from simulated time in offset and rate.
-struct SkewedClock
+struct ClockSkew
 {
   std::int64_t mOffset = 0;
   double mRate = 1;
@@ -128,7 +128,7 @@
   };
 
   base::WorkerId mId;
-  SkewedClock mClock;
+  ClockSkew mClock;
   base::Resources mCapacity = kCapacity;
   std::vector<worker::HolderLease> mHolders;
   std::map<worker::TaskKey, Task> mTasks;
@@ -223,7 +223,7 @@
 struct Instance
 {
   base::InstanceId mId;
-  SkewedClock mClock;
+  ClockSkew mClock;
   std::int64_t mPausedUntil = 0;
   std::vector<Agent> mAgents;
   TaskLogState mLogState;
@@ -305,7 +305,7 @@
 
   // Clocks are up to 2% fast or slow, so two of them drift apart by up to
   // 240 ms during a lease of 6 s, just below the margin of 250 ms.
-  SkewedClock MakeClock()
+  ClockSkew MakeClock()
   {
     return { RandomBelow(1000 * kSecond),
              1 + double(RandomBelow(40'001) - 20'000) / 1e6 };
@@ -485,7 +485,7 @@
       TaskRunnerOptions options;
       options.mCommandTimeout = milliseconds(300);
       options.mMaxMessageDelay =
-        seconds(mOptions.mPreventsRepeatedStarts ? 1 : -60);
+        seconds(mOptions.mWaitsForDelayedStarts ? 1 : -60);
       agent.mAcquiredAt = now;
       agent.mLedger = std::make_unique<Ledger>();
       agent.mRunner =
@@ -551,7 +551,7 @@
       leaseReport.mHolders = { { agent.mLease->Token(), 0 } };
     }
     agent.mLease->OnReport(aRequest, leaseReport, Now(aInstance));
-    if (!mOptions.mPreventsRepeatedStarts) {
+    if (!mOptions.mWaitsForDelayedStarts) {
       aReport.mNow += 60 * kSecond;
     }
     if (agent.mRunner && agent.mLease->MaySendCommands(Now(aInstance))) {
--- a/src/testing/site_simulation.cpp
+++ b/src/testing/site_simulation.cpp
@@ -35,7 +35,7 @@
 constexpr std::int64_t kMillisecond = 1000;
 constexpr std::int64_t kSecond = 1000 * kMillisecond;
 constexpr std::int64_t kFaultsEnd = 30 * kSecond;
-constexpr std::int64_t kRunEnd = 90 * kSecond;
+constexpr std::int64_t kMaxRunLength = 90 * kSecond;
 constexpr std::int64_t kRetentionMs = 20'000;
 constexpr std::int64_t kMaxOutage = 3 * kSecond;
 constexpr std::int64_t kAppendTimeout = 500 * kMillisecond;
@@ -184,7 +184,8 @@
 
   SiteSimulationResult Run()
   {
-    while (mResult.mViolation.empty() && mTime < kRunEnd && !IsFinished()) {
+    while (mResult.mViolation.empty() && mTime < kMaxRunLength &&
+           !IsFinished()) {
       const Event event = mEvents.top();
       mEvents.pop();
       SetTime(event.mTime);
@@ -1651,9 +1652,9 @@
         RestartWorker(w);
         break;
       case 8:
-        mWorkers[w]->SetFailAll(true);
+        mWorkers[w]->SetFailNewTasks(true);
         Schedule(RandomBelow(2 * kSecond),
-                 [this, w] { mWorkers[w]->SetFailAll(false); });
+                 [this, w] { mWorkers[w]->SetFailNewTasks(false); });
         break;
       case 9:
         StartWorkerShutdown(w);
--- a/src/testing/worker_handler.cpp
+++ b/src/testing/worker_handler.cpp
@@ -263,7 +263,7 @@
     return reader.GetMember(aName) != nullptr;
   };
   if (has("fail_all")) {
-    mWorker.SetFailAll(reader.GetBool("fail_all", false));
+    mWorker.SetFailNewTasks(reader.GetBool("fail_all", false));
   }
   if (has("leaving")) {
     mWorker.SetLeaving(reader.GetBool("leaving", false));
