Reword comments and messages of the simulations, fakes and benchmarks

The comments on the disabled mechanisms, the silent worker, the cut link, the stub worker's checks and the chart's reference now match the code.

--- a/include/skylarkhill/testing/bench_metrics.hpp
+++ b/include/skylarkhill/testing/bench_metrics.hpp
@@ -15,8 +15,8 @@
   LatencyP50,
   LatencyP99,
   LatencyP999,
-  /// Percentage of requests answered by their deadline; a refused request
-  /// counts as late.
+  /// Percentage of requests answered by their deadline; an unanswered
+  /// request counts as late.
   InTime,
   /// The same for requests that arrived while demand was at its peak.
   InTimeAtPeak,
--- a/include/skylarkhill/testing/bench_report.hpp
+++ b/include/skylarkhill/testing/bench_report.hpp
@@ -31,8 +31,8 @@
 std::string
 FormatBenchJson(const BenchResult& aResult);
 
-/// A bar chart of the means per metric and setup, in percent of the baseline's
-/// mean, with a line from minimum to maximum.
+/// A bar chart of the means per metric and setup, with a line from minimum to
+/// maximum, in percent of the mean of the first setup whose mean is not zero.
 std::string
 FormatBenchSvg(const BenchResult& aResult);
 
--- a/include/skylarkhill/testing/bench_site.hpp
+++ b/include/skylarkhill/testing/bench_site.hpp
@@ -51,7 +51,9 @@
   std::size_t mWorkers = 0;
   std::size_t mRackSize = 0;
   std::size_t mDomainCount = 0;
+  /// One-way latency between failure domains.
   base::Duration mDomainLatency{ 0 };
+  /// One-way latency between a client and its entry instance.
   base::Duration mClientLatency = std::chrono::milliseconds(1);
   /// Concurrent service requests per worker.
   std::int64_t mSlots = 8;
--- a/include/skylarkhill/testing/capacity.hpp
+++ b/include/skylarkhill/testing/capacity.hpp
@@ -22,7 +22,9 @@
 std::vector<CostSeries>
 MeasureMemory();
 
-/// Processor time of records, policies, grants, configuration and heartbeats.
+/// Processor time to encode, decode and apply records, to place and order
+/// tasks, to refresh and rank grants, to change the configuration and to encode
+/// and decode heartbeats.
 std::vector<CostSeries>
 MeasureProcessorTime();
 
--- a/include/skylarkhill/testing/fake_instance_list.hpp
+++ b/include/skylarkhill/testing/fake_instance_list.hpp
@@ -24,7 +24,8 @@
     base::TimePoint aDeadline) override;
 
   void SetLag(base::Duration aLag);
-  /// While down, Fetch fails with LogUnavailable.
+  /// While down, Fetch fails with LogUnavailable, the error for any failure of
+  /// the platform.
   void SetDown(bool aDown);
   /// Adds the instance, or replaces the one with the same name.
   void Put(platform::InstanceInfo aInstance);
--- a/include/skylarkhill/testing/fake_worker.hpp
+++ b/include/skylarkhill/testing/fake_worker.hpp
@@ -15,14 +15,15 @@
 
 namespace skylarkhill::testing {
 
-/// Properties of a simulated worker.
+/// Properties of a fake worker.
 struct FakeWorkerConfig
 {
   base::WorkerId mWorker;
   base::Resources mCapacity{ 16'000, std::int64_t{ 60 } << 30, 0 };
   /// Maximum of service requests that run; further ones wait.
   std::int64_t mSlots = 8;
-  /// Maximum of service requests that run or wait; further ones are refused.
+  /// Connections for service requests. Each request that runs or waits uses
+  /// one; further ones are refused.
   std::int64_t mConnections = 64;
   /// Age of the resource usage in a report.
   base::Duration mUsageLag{ 0 };
@@ -105,7 +106,7 @@
                                            base::TimePoint aDeadline) override;
 
   /// Starts a service request and returns its answer and end time, for callers
-  /// that do the waiting.
+  /// that deliver the answer at that time themselves.
   base::Result<AdmittedCall> Admit(const worker::CommandHeader& aHeader,
                                    const worker::ServiceCall& aCall);
 
@@ -134,7 +135,7 @@
 
   /// Every interval in which an attempt ran, in start order.
   std::vector<TaskExecution> Executions();
-  /// Number of executions of each service request attempt.
+  /// Number of times that each service request attempt ran.
   std::map<std::pair<base::RequestId, std::int64_t>, std::int64_t> CallCounts()
     const;
   /// Number of commands that a guard refused.
--- a/include/skylarkhill/testing/site_simulation.hpp
+++ b/include/skylarkhill/testing/site_simulation.hpp
@@ -8,8 +8,8 @@
 
 namespace skylarkhill::testing {
 
-/// Faults to add and mechanisms to disable. A mechanism that is false is
-/// bypassed by changing what the program receives, not the program itself.
+/// Faults to add and mechanisms to disable. A mechanism is disabled in the
+/// simulation; the simulated classes are unchanged.
 struct SiteSimulationOptions
 {
   /// Messages to workers may exceed the maximum message delay.
@@ -23,13 +23,19 @@
   bool mHasQuietPeriod = true;
   /// The lease is checked again just before a command is sent.
   bool mChecksLeaseBeforeSend = true;
-  /// An append counts only once its record was read back from the log.
+  /// A request runs only after its intent record was read back from the log
+  /// and is the one that claimed the key.
   bool mReadsIntentBack = true;
+  /// A task is reported as accepted only after its record was read back.
   bool mReadsAcceptBack = true;
+  /// A publisher is told the outcome that was read back from the log, not just
+  /// that the append succeeded.
   bool mReadsPublishOutcomeBack = true;
   /// Answers with another request's id are dropped.
   bool mMatchesRequestIds = true;
+  /// Instances append snapshots of tasks and keys before their records expire.
   bool mWritesSnapshots = true;
+  /// Instances see in reports that a worker is leaving.
   bool mObservesLeavingWorkers = true;
   /// A new holder releases the grants of previous holders that do not run.
   bool mReleasesInheritedGrants = true;
--- a/include/skylarkhill/testing/standin.hpp
+++ b/include/skylarkhill/testing/standin.hpp
@@ -7,6 +7,8 @@
 
 namespace skylarkhill::testing {
 
+/// Runs a stand-in, a test program that serves a fake over HTTP.
+///
 /// Serves requests until SIGTERM or SIGINT, then calls `aBeforeStop` and stops
 /// gracefully. Prints "listening <port>" when ready. Returns the exit code.
 /// Must be called before any thread is started, since it blocks these signals.
--- a/include/skylarkhill/testing/tcp_relay.hpp
+++ b/include/skylarkhill/testing/tcp_relay.hpp
@@ -17,7 +17,8 @@
 {
   /// Forwards all data after the delay.
   Open,
-  /// Forwards nothing; connections are closed when the mode changes.
+  /// Forwards nothing. Connections that were open meanwhile are closed when
+  /// the mode is no longer Cut.
   Cut,
   /// Forwards nothing until the mode is Open again, and then all data.
   Silent,
--- a/include/skylarkhill/testing/worker_handler.hpp
+++ b/include/skylarkhill/testing/worker_handler.hpp
@@ -7,12 +7,14 @@
 
 namespace skylarkhill::testing {
 
-/// The HTTP interface of a simulated worker: the commands of worker_codec.hpp.
+/// The HTTP interface of a fake worker: the commands of worker_codec.hpp.
 ///
 /// POST /admin injects faults, with any of these members: "fail_all", "leaving"
 /// and "silent" (true or false); "lose_answers" and "mismatch_answers" (number
 /// of affected answers); "interference_service", "interference_class" and
-/// "interference_percent". See the setters of FakeWorker.
+/// "interference_percent". While "silent" is true, commands are received, but
+/// neither executed nor answered; the other members call the setters of
+/// FakeWorker.
 ///
 /// GET /admin returns {"worker", "guard_refusals", "task_runs": [{"task",
 /// "attempt", "runs"}], "call_runs": [{"request", "attempt", "runs"}],
--- a/src/testing/bench_main.cpp
+++ b/src/testing/bench_main.cpp
@@ -35,7 +35,7 @@
   auto add = description.add_options();
   add("help", "print this text");
   add("site", options::value(&settings.mSite), "site: direccion or exchange");
-  add("seeds", options::value(&settings.mSeeds), "number of seeds");
+  add("seeds", options::value(&settings.mSeeds), "number of seeds, at least 1");
   add("first-seed", options::value(&settings.mFirstSeed), "first seed");
   add("output", options::value(&settings.mOutput), "format: text or json");
   add("svg", options::value(&settings.mSvg), "file for an SVG chart");
@@ -99,7 +99,9 @@
   const bool isJson = aSettings.mOutput == "json";
   if (!site || aSettings.mSeeds == 0 ||
       (!isJson && aSettings.mOutput != "text")) {
-    std::cerr << "invalid --site, --seeds or --output; see --help" << std::endl;
+    std::cerr << "--site must be direccion or exchange, --seeds at least 1 and "
+                 "--output text or json"
+              << std::endl;
     return 2;
   }
   const testing::BenchResult result = RunSite(*site, aSettings);
--- a/src/testing/bench_report.cpp
+++ b/src/testing/bench_report.cpp
@@ -88,7 +88,7 @@
   out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"760\" height=\""
       << height << "\" font-family=\"sans-serif\" font-size=\"11\">\n"
       << "<text x=\"8\" y=\"18\">" << aResult.mSite
-      << ": percent of the baseline's mean;";
+      << ": percent of the first nonzero mean;";
   for (std::size_t n = 0; n < aResult.mSeries.size(); ++n) {
     out << " <tspan fill=\"" << colors.at(n) << "\">"
         << NameOf(aResult.mSeries[n].mSetup) << "</tspan>";
--- a/src/testing/bench_run.cpp
+++ b/src/testing/bench_run.cpp
@@ -37,7 +37,7 @@
 constexpr std::int64_t kGiB = std::int64_t{ 1 } << 30;
 constexpr double kProcessors = 16.0;
 constexpr base::Resources kCapacity{ 16'000, 60 * kGiB, 0 };
-// Reserved for the services on each worker.
+// Resources that are reserved for the services on each worker.
 constexpr base::Resources kServiceResources{ 4'000, 12 * kGiB, 0 };
 
 constexpr Duration kTickInterval = milliseconds(200);
@@ -47,7 +47,7 @@
 constexpr Duration kEvictionDelay = seconds(2);
 constexpr Duration kOutageDuration = seconds(20);
 constexpr Duration kFailureDetectionDelay = seconds(1);
-/// Queued tasks considered per placement round, as in the entry process.
+/// Queued tasks considered per placement round, as in BatchScheduler.
 constexpr std::size_t kMaxQueuedTasksPerRound = 1000;
 /// Placement decisions per round.
 constexpr std::size_t kMaxDecisionsPerRound = 40;
--- a/src/testing/capacity_memory.cpp
+++ b/src/testing/capacity_memory.cpp
@@ -76,7 +76,7 @@
   void OnRecord(entry::WorkerAgent&, const tasks::TaskRecord&) override {}
 };
 
-/// Agents of workers that this instance holds.
+/// Worker agents that have acquired their workers.
 struct HeldWorkers
 {
   base::ManualClock mClock;
@@ -100,7 +100,8 @@
                                              mListener));
       mAgents.back()->SetPreferred(true);
     }
-    // More than the sum of takeover delay and quiet period.
+    // Longer than takeover delay plus quiet period, so that all workers are
+    // acquired.
     constexpr int kSeconds = 10;
     for (int n = 0; n < kSeconds; ++n) {
       RunOneSecond(aTasks);
--- a/src/testing/capacity_time.cpp
+++ b/src/testing/capacity_time.cpp
@@ -317,7 +317,8 @@
   change.mIdentity = { "entry-1.1", 2 };
   const std::string payload = catalog::FormatConfigRecord(change);
   return MicrosPerCall(1, [&] {
-    // Copying is cheap, since copies share the objects.
+    // The measured time includes this copy, which is cheap, since copies share
+    // the objects.
     catalog::ConfigState state(first);
     state.Apply(1, payload, 0);
   });
--- a/src/testing/explore_main.cpp
+++ b/src/testing/explore_main.cpp
@@ -71,6 +71,7 @@
   return false;
 }
 
+/// Prints the violation and the trace; true if there is no violation.
 bool
 PrintViolation(std::uint64_t aSeed,
                const std::string& aViolation,
@@ -119,7 +120,7 @@
     sum.mSnapshots += run.mSnapshots;
   }
   std::cout << aArguments.mSeeds << " seeds from " << aArguments.mFirstSeed
-            << ", world " << aArguments.mSimulation
+            << ", simulation " << aArguments.mSimulation
             << ": no violation; tasks ended " << sum.mTasksEnded << ", starts "
             << sum.mStarts << ", requests completed " << sum.mCompletedRequests
             << ", keys executed " << sum.mExecutedKeys << ", publish outcomes "
@@ -146,14 +147,17 @@
       "simulation to run: site or holder");
   add("remove",
       options::value(&arguments.mRemovedMechanism),
-      "mechanism to disable; the holder simulation accepts only verify and "
+      "mechanism to disable: not_after (enables late messages), verify, "
+      "quiet_period, check_before_send, read_intent_back, read_accept_back, "
+      "read_verdict_back, match_answers, snapshots, see_leaving or "
+      "release_inherited; the holder simulation accepts only verify and "
       "check_before_send");
   add("late-messages",
       options::bool_switch(&arguments.mLateMessages),
       "messages may exceed the maximum message delay");
   add("without-guard",
       options::bool_switch(&arguments.mSkipsNotAfterCheck),
-      "workers do not check not_after");
+      "workers do not check not_after; does not enable late messages");
   options::variables_map values;
   options::store(options::parse_command_line(aCount, aValues, description),
                  values);
@@ -171,7 +175,9 @@
                            arguments.mRemovedMechanism == "check_before_send";
   if (!isKnownWorld || !isRemovable ||
       !ApplyArguments(arguments, siteOptions)) {
-    std::cerr << "--world or --remove has an unknown value\n";
+    std::cerr
+      << "--world is unknown, or the simulation does not support the value of "
+         "--remove; see --help\n";
     return 2;
   }
   return Explore(arguments, siteOptions);
--- a/src/testing/fake_log_test.cpp
+++ b/src/testing/fake_log_test.cpp
@@ -64,6 +64,8 @@
     CPPUNIT_ASSERT_EQUAL(platform::Offset{ 2 }, log.EndOffset("s"));
   }
 
+  // Guards against a fake instance list that shows a change too early, or
+  // never.
   void InstanceChangesBecomeVisibleAfterTheLag()
   {
     FakeInstanceList list(mClock);
--- a/src/testing/fake_worker.cpp
+++ b/src/testing/fake_worker.cpp
@@ -256,7 +256,7 @@
   if (admitted.mAnswer.mRequest != aCall.mRequest ||
       admitted.mAnswer.mAttempt != aCall.mAttempt) {
     return MakeError(ErrorKind::ConnectionLost,
-                     "the answer belongs to another request");
+                     "the answer has another request id or attempt number");
   }
   return admitted.mAnswer;
 }
@@ -467,7 +467,7 @@
     { key, now, std::nullopt, task.mWorkDone, aStart.mBatchClass });
   mUnstartableKeys.insert(key);
   if (mFailNewTasks) {
-    EndTask(task, TaskPhase::Failed, "the worker fails every task", now);
+    EndTask(task, TaskPhase::Failed, "the worker fails every new task", now);
   }
   mTasks[key] = std::move(task);
   AdvanceToNow();
--- a/src/testing/holder_simulation.cpp
+++ b/src/testing/holder_simulation.cpp
@@ -105,7 +105,7 @@
   }
 };
 
-/// A clock that differs from simulated time in offset and rate.
+/// Offset and rate of a clock relative to simulated time.
 struct ClockSkew
 {
   std::int64_t mOffset = 0;
@@ -117,7 +117,8 @@
   }
 };
 
-/// A worker that checks nothing but the not_after time of commands.
+/// A worker that checks nothing itself. Simulation::Execute checks the
+/// not_after time of its commands.
 struct MinimalWorker
 {
   struct Task
@@ -551,6 +552,8 @@
       leaseReport.mHolders = { { agent.mLease->Token(), 0 } };
     }
     agent.mLease->OnReport(aRequest, leaseReport, Now(aInstance));
+    // Together with the negative maximum message delay, makes every start seem
+    // too old to arrive, so that the runner gives up attempts too early.
     if (!mOptions.mWaitsForDelayedStarts) {
       aReport.mNow += 60 * kSecond;
     }
@@ -648,7 +651,7 @@
       for (const auto& it : other.mTasks) {
         if (it.first.mTask == aStart.mTask &&
             MinimalWorker::IsRunning(it.second)) {
-          ReportViolation("task runs in two attempts");
+          ReportViolation("attempt overlaps another attempt of its task");
         }
       }
     }
--- a/src/testing/load_main.cpp
+++ b/src/testing/load_main.cpp
@@ -22,8 +22,9 @@
 namespace options = boost::program_options;
 using namespace skylarkhill;
 
-// Limits of a run, so that it ends in bounded time and stays below the process
-// limit of a shared machine.
+// Limits of one run. It ends after kMaxRequests requests even if its duration
+// has not passed. kMaxThreads stays below the process limit of a shared
+// machine.
 constexpr std::int64_t kMaxSeconds = 60;
 constexpr std::int64_t kMaxThreads = 256;
 constexpr std::int64_t kMaxRequests = 500'000;
@@ -62,16 +63,19 @@
 {
   Settings settings;
   options::options_description description(
-    "Load generator for one entry instance or simulated worker");
+    "Load generator for one entry instance or stand-in worker");
   auto add = description.add_options();
   add("help", "print this text");
   add("target", options::value(&settings.mTarget), "IP:PORT");
   add("service", options::value(&settings.mService), "service name");
-  add("worker", "the target is a simulated worker without guards");
-  add("threads", options::value(&settings.mThreads), "concurrent requests");
+  add("worker", "the target is a stand-in worker without guards");
+  add("threads",
+      options::value(&settings.mThreads),
+      "threads; each sends one request at a time");
   add("rate",
       options::value(&settings.mRate),
-      "requests per second; 0: closed loop");
+      "requests per second; a request that would start later than its deadline "
+      "is skipped; 0: closed loop");
   add("seconds", options::value(&settings.mSeconds), "duration");
   add("work-ms", options::value(&settings.mWorkMs), "service time per request");
   add("deadline-ms", options::value(&settings.mDeadlineMs), "deadline");
--- a/src/testing/site_simulation.cpp
+++ b/src/testing/site_simulation.cpp
@@ -302,7 +302,8 @@
     options.mLeaseLength = seconds(2);
     options.mRenewInterval = milliseconds(300);
     options.mClockMargin = milliseconds(100);
-    // Lease length plus message delay: restarted workers list no holders.
+    // A restarted worker no longer knows its holder, so a new holder waits
+    // longer than the lease length plus the message delay.
     options.mQuietPeriod = milliseconds(mOptions.mHasQuietPeriod ? 2500 : 0);
     options.mRequestTimeout = milliseconds(600);
     options.mTakeoverDelay = milliseconds(500);
@@ -716,7 +717,8 @@
     return result;
   }
 
-  /// Retries until the log has the record, which is safe: it stays valid.
+  /// Retries until the record was appended. The retries are safe, since a
+  /// record from the task runner stays valid.
   void SendRecord(const InstanceRef& aRef, const tasks::TaskRecord& aRecord)
   {
     Instance& instance = *aRef.lock();
@@ -1459,8 +1461,8 @@
   void StepPublishes(const InstanceRef& aRef)
   {
     Instance& instance = *aRef.lock();
-    // Often enough that the retained log always holds a snapshot, even if some
-    // are lost.
+    // Snapshots are appended so often that the retained log holds one even if
+    // some appends are lost.
     if (RandomBelow(60) == 0) {
       AppendConfigSnapshot(instance);
     }
@@ -1495,7 +1497,7 @@
       mConfigOracle.FindPublishOutcome(aIdentity.mWriter, aIdentity.mSequence);
     if (!expected || expected->mResult != aReported) {
       ReportViolation(
-        "a publisher received another outcome than the log gives");
+        "a publisher received an outcome that differs from the log");
     }
   }
 
@@ -1515,7 +1517,7 @@
       newest = version;
       const std::string digest = it->mConfig.CurrentSet()->Digest();
       if (mConfigDigests.emplace(version, digest).first->second != digest) {
-        ReportViolation("instances disagree about a configuration version");
+        ReportViolation("two instances differ in one configuration version");
       }
     }
   }
@@ -1667,8 +1669,8 @@
              [this] { InjectRandomFault(); });
   }
 
-  // At least 3 s between outages, so that snapshots are written before the
-  // records that they replace expire.
+  // Starts no outage within 3 s after the previous one, so that snapshots are
+  // written before the records that they replace expire.
   void StartLogOutage()
   {
     if (mTime < mLogDownUntil + 3 * kSecond) {
@@ -1771,7 +1773,7 @@
       }
       if (instance->mConfig.CurrentVersion() !=
           mConfigOracle.CurrentVersion()) {
-        return "configuration of " + instance->mId.mValue;
+        return "configuration is not current at " + instance->mId.mValue;
       }
     }
     return {};
--- a/src/testing/standin_platform_main.cpp
+++ b/src/testing/standin_platform_main.cpp
@@ -34,7 +34,7 @@
 ParseCommandLine(int aCount, char** aArguments)
 {
   Settings settings;
-  options::options_description description("Simulated platform for tests");
+  options::options_description description("Fake platform for tests");
   auto add = description.add_options();
   add("help", "print this text");
   add("listen", options::value(&settings.mServer.mAddress), "IP address");
--- a/src/testing/standin_worker_main.cpp
+++ b/src/testing/standin_worker_main.cpp
@@ -35,7 +35,7 @@
 options::options_description
 DescribeOptions(Settings& aSettings)
 {
-  options::options_description description("Simulated worker for tests");
+  options::options_description description("Fake worker for tests");
   auto add = description.add_options();
   add("help", "print this text");
   add("listen", options::value(&aSettings.mServer.mAddress), "IP address");
