--- a/src/holder/holder_random_test.cpp
+++ b/src/holder/holder_random_test.cpp
@@ -109,7 +109,7 @@
   void FindsMissingStartOnceRule()
   {
     Variant variant;
-    variant.mPreventsRepeatedStarts = false;
+    variant.mWaitsForDelayedStarts = false;
     ExpectViolation(variant);
   }
 
--- a/src/testing/fake_worker.cpp
+++ b/src/testing/fake_worker.cpp
@@ -256,7 +256,7 @@
   if (admitted.mAnswer.mRequest != aCall.mRequest ||
       admitted.mAnswer.mAttempt != aCall.mAttempt) {
     return MakeError(ErrorKind::ConnectionLost,
-                     "the answer belongs to another request");
+                     "the answer has another request id or attempt number");
   }
   return admitted.mAnswer;
 }
@@ -466,8 +466,8 @@
   mExecutions.push_back(
     { key, now, std::nullopt, task.mWorkDone, aStart.mBatchClass });
   mUnstartableKeys.insert(key);
-  if (mFailAll) {
-    EndTask(task, TaskPhase::Failed, "the worker fails every task", now);
+  if (mFailNewTasks) {
+    EndTask(task, TaskPhase::Failed, "the worker fails every new task", now);
   }
   mTasks[key] = std::move(task);
   AdvanceToNow();
@@ -648,10 +648,10 @@
 }
 
 void
-FakeWorker::SetFailAll(bool aFailAll)
+FakeWorker::SetFailNewTasks(bool aFailNewTasks)
 {
   const std::lock_guard lock(mMutex);
-  mFailAll = aFailAll;
+  mFailNewTasks = aFailNewTasks;
 }
 
 void
--- a/src/testing/holder_simulation.cpp
+++ b/src/testing/holder_simulation.cpp
@@ -105,8 +105,8 @@
   }
 };
 
-/// A clock that differs from simulated time in offset and rate.
-struct SkewedClock
+/// Offset and rate of a clock relative to simulated time.
+struct ClockSkew
 {
   std::int64_t mOffset = 0;
   double mRate = 1;
@@ -117,7 +117,8 @@
   }
 };
 
-/// A worker that checks nothing but the not_after time of commands.
+/// A worker that checks nothing itself. Simulation::Execute checks the
+/// not_after time of its commands.
 struct MinimalWorker
 {
   struct Task
@@ -128,7 +129,7 @@
   };
 
   base::WorkerId mId;
-  SkewedClock mClock;
+  ClockSkew mClock;
   base::Resources mCapacity = kCapacity;
   std::vector<worker::HolderLease> mHolders;
   std::map<worker::AttemptKey, Task> mTasks;
@@ -223,7 +224,7 @@
 struct Instance
 {
   base::InstanceId mId;
-  SkewedClock mClock;
+  ClockSkew mClock;
   std::int64_t mPausedUntil = 0;
   std::vector<Agent> mAgents;
   TaskLogState mLogState;
@@ -305,7 +306,7 @@
 
   // Clocks are up to 2% fast or slow, so two of them drift apart by up to
   // 240 ms during a lease of 6 s, just below the margin of 250 ms.
-  SkewedClock MakeClock()
+  ClockSkew MakeClock()
   {
     return { RandomBelow(1000 * kSecond),
              1 + double(RandomBelow(40'001) - 20'000) / 1e6 };
@@ -485,7 +486,7 @@
       TaskRunnerOptions options;
       options.mCommandTimeout = milliseconds(300);
       options.mMaxMessageDelay =
-        seconds(mOptions.mPreventsRepeatedStarts ? 1 : -60);
+        seconds(mOptions.mWaitsForDelayedStarts ? 1 : -60);
       agent.mAcquiredAt = now;
       agent.mLedger = std::make_unique<Ledger>();
       agent.mRunner =
@@ -551,7 +552,9 @@
       leaseReport.mHolders = { { agent.mLease->Token(), 0 } };
     }
     agent.mLease->OnReport(aRequest, leaseReport, Now(aInstance));
-    if (!mOptions.mPreventsRepeatedStarts) {
+    // Together with the negative maximum message delay, makes every start seem
+    // too old to arrive, so that the runner gives up attempts too early.
+    if (!mOptions.mWaitsForDelayedStarts) {
       aReport.mNow += 60 * kSecond;
     }
     if (agent.mRunner && agent.mLease->MaySendCommands(Now(aInstance))) {
@@ -648,7 +651,7 @@
       for (const auto& it : other.mTasks) {
         if (it.first.mTask == aStart.mTask &&
             MinimalWorker::IsRunning(it.second)) {
-          ReportViolation("task runs in two attempts");
+          ReportViolation("attempt overlaps another attempt of its task");
         }
       }
     }
--- a/src/testing/site_simulation.cpp
+++ b/src/testing/site_simulation.cpp
@@ -35,7 +35,7 @@
 constexpr std::int64_t kMillisecond = 1000;
 constexpr std::int64_t kSecond = 1000 * kMillisecond;
 constexpr std::int64_t kFaultsEnd = 30 * kSecond;
-constexpr std::int64_t kRunEnd = 90 * kSecond;
+constexpr std::int64_t kMaxRunLength = 90 * kSecond;
 constexpr std::int64_t kRetentionMs = 20'000;
 constexpr std::int64_t kMaxOutage = 3 * kSecond;
 constexpr std::int64_t kAppendTimeout = 500 * kMillisecond;
@@ -184,7 +184,8 @@
 
   SiteSimulationResult Run()
   {
-    while (mResult.mViolation.empty() && mTime < kRunEnd && !IsFinished()) {
+    while (mResult.mViolation.empty() && mTime < kMaxRunLength &&
+           !IsFinished()) {
       const Event event = mEvents.top();
       mEvents.pop();
       SetTime(event.mTime);
@@ -301,7 +302,8 @@
     options.mLeaseDuration = seconds(2);
     options.mRenewInterval = milliseconds(300);
     options.mClockMargin = milliseconds(100);
-    // Lease length plus message delay: restarted workers list no holders.
+    // A restarted worker no longer knows its holder, so a new holder waits
+    // longer than the lease length plus the message delay.
     options.mQuietPeriod = milliseconds(mOptions.mHasQuietPeriod ? 2500 : 0);
     options.mRequestTimeout = milliseconds(600);
     options.mTakeoverDelay = milliseconds(500);
@@ -715,7 +717,8 @@
     return result;
   }
 
-  /// Retries until the log has the record, which is safe: it stays valid.
+  /// Retries until the record was appended. The retries are safe, since a
+  /// record from the task runner stays valid.
   void SendRecord(const InstanceRef& aRef, const tasks::TaskRecord& aRecord)
   {
     Instance& instance = *aRef.lock();
@@ -1460,8 +1463,8 @@
   void StepPublishes(const InstanceRef& aRef)
   {
     Instance& instance = *aRef.lock();
-    // Often enough that the retained log always holds a snapshot, even if some
-    // are lost.
+    // Snapshots are appended so often that the retained log holds one even if
+    // some appends are lost.
     if (RandomBelow(60) == 0) {
       AppendConfigSnapshot(instance);
     }
@@ -1496,7 +1499,7 @@
       mConfigOracle.FindPublishOutcome(aIdentity.mWriter, aIdentity.mSequence);
     if (!expected || expected->mResult != aReported) {
       ReportViolation(
-        "a publisher received another outcome than the log gives");
+        "a publisher received an outcome that differs from the log");
     }
   }
 
@@ -1516,7 +1519,7 @@
       newest = version;
       const std::string digest = it->mConfig.CurrentSet()->Digest();
       if (mConfigDigests.emplace(version, digest).first->second != digest) {
-        ReportViolation("instances disagree about a configuration version");
+        ReportViolation("two instances differ in one configuration version");
       }
     }
   }
@@ -1653,9 +1656,9 @@
         RestartWorker(w);
         break;
       case 8:
-        mWorkers[w]->SetFailAll(true);
+        mWorkers[w]->SetFailNewTasks(true);
         Schedule(RandomBelow(2 * kSecond),
-                 [this, w] { mWorkers[w]->SetFailAll(false); });
+                 [this, w] { mWorkers[w]->SetFailNewTasks(false); });
         break;
       case 9:
         StartWorkerShutdown(w);
@@ -1668,8 +1671,8 @@
              [this] { InjectRandomFault(); });
   }
 
-  // At least 3 s between outages, so that snapshots are written before the
-  // records that they replace expire.
+  // Starts no outage within 3 s after the previous one, so that snapshots are
+  // written before the records that they replace expire.
   void StartLogOutage()
   {
     if (mTime < mLogDownUntil + 3 * kSecond) {
@@ -1772,7 +1775,7 @@
       }
       if (instance->mConfig.CurrentVersion() !=
           mConfigOracle.CurrentVersion()) {
-        return "configuration of " + instance->mId.mValue;
+        return "configuration is not current at " + instance->mId.mValue;
       }
     }
     return {};
