--- a/src/testing/holder_simulation.cpp
+++ b/src/testing/holder_simulation.cpp
@@ -84,7 +84,8 @@
     return task.mLiveWorker && task.mAttempt == aEnd.mAttempt;
   }
 
-  std::vector<GrantedAttempt> GrantsOn(const base::WorkerId& aWorker) const
+  std::vector<GrantedAttempt> LiveAttemptsOn(
+    const base::WorkerId& aWorker) const
   {
     std::vector<GrantedAttempt> result;
     for (const auto& it : mTasks) {
@@ -429,7 +430,8 @@
         mOptions.mReleasesInheritedGrants ? instance.mNextOffset : 0;
     }
     agent.mRunner->SetGrants(
-      instance.mLogState.GrantsOn(mWorkers[aWorkerIndex].mId), inheritedBefore);
+      instance.mLogState.LiveAttemptsOn(mWorkers[aWorkerIndex].mId),
+      inheritedBefore);
     const RunnerOutput output = agent.mRunner->Step(Now(instance));
     for (const auto& it : output.mRecords) {
       AppendRecord(aRef, it);
--- a/src/testing/site_simulation.cpp
+++ b/src/testing/site_simulation.cpp
@@ -679,7 +679,7 @@
         inheritedBefore =
           mOptions.mReleasesInheritedGrants ? instance.mState.NextOffset() : 0;
       }
-      agent.mRunner->SetGrants(GrantsOn(instance, aWorkerIndex),
+      agent.mRunner->SetGrants(LiveAttemptsOn(instance, aWorkerIndex),
                                inheritedBefore);
     }
     const holder::RunnerOutput output = agent.mRunner->Step(instance.Now());
@@ -697,8 +697,9 @@
     }
   }
 
-  std::vector<holder::GrantedAttempt> GrantsOn(const Instance& aInstance,
-                                               std::size_t aWorkerIndex) const
+  std::vector<holder::GrantedAttempt> LiveAttemptsOn(
+    const Instance& aInstance,
+    std::size_t aWorkerIndex) const
   {
     std::vector<holder::GrantedAttempt> result;
     for (const auto& it :
