--- a/src/entry/config_service.cpp
+++ b/src/entry/config_service.cpp
@@ -136,8 +136,7 @@
     mSnapshotDueAt = mClock.Now() + mOptions.mSnapshotAge;
   }
   mInstruments.mMetrics
-    .GetGauge("skylarkhill_config_version",
-              "Version of the current catalog set.")
+    .GetGauge("skylarkhill_config_version", "Version of the set in force.")
     .Set(mState.CurrentVersion());
 }
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -410,8 +410,7 @@
       held += it->Status().mUsable ? 1 : 0;
     }
     mMetrics
-      .GetGauge("skylarkhill_workers_held",
-                "Workers that this instance holds and can use.")
+      .GetGauge("skylarkhill_workers_held", "Workers that this instance holds.")
       .Set(held);
   }
 
