--- a/include/skylarkhill/http/endpoint.hpp
+++ b/include/skylarkhill/http/endpoint.hpp
@@ -8,7 +8,7 @@
 
 namespace skylarkhill::http {
 
-/// Address of a server.
+/// IP address and port of a server.
 struct Endpoint
 {
   std::string mIp;
