--- a/src/peer/nng_transport_test.cpp
+++ b/src/peer/nng_transport_test.cpp
@@ -26,17 +26,17 @@
 const char* const kHostB = "127.0.0.2";
 
 base::TimePoint
-In(milliseconds aDelay)
+After(milliseconds aDelay)
 {
   return base::GetBootClock().Now() + aDelay;
 }
 
-/// Polls, because real sockets and threads are under test.
+/// Polls `aCondition`, since the tests use real sockets and threads.
 bool
-Eventually(const std::function<bool()>& aCondition,
-           milliseconds aLimit = milliseconds(5000))
+WaitUntil(const std::function<bool()>& aCondition,
+          milliseconds aLimit = milliseconds(5000))
 {
-  const base::TimePoint end = In(aLimit);
+  const base::TimePoint end = After(aLimit);
   while (base::GetBootClock().Now() < end) {
     if (aCondition()) {
       return true;
@@ -46,7 +46,7 @@
   return aCondition();
 }
 
-/// Collects messages; can be made to block like a suspended process.
+/// Collects messages; can block to simulate a suspended process.
 class Inbox : public MessageSink
 {
 public:
@@ -54,7 +54,7 @@
   {
     std::unique_lock<std::mutex> lock(mMutex);
     mWakeup.wait(lock, [this] { return !mBlocked; });
-    if (base::GetBootClock().Now() >= aMessage.mDeadline && !mWasBlocked) {
+    if (base::GetBootClock().Now() >= aMessage.mDeadline && !mHasBeenBlocked) {
       ++mLate;
     }
     mPayloads.push_back(std::move(aMessage.mPayload));
@@ -63,7 +63,7 @@
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     mBlocked = aBlocked;
-    mWasBlocked = mWasBlocked || aBlocked;
+    mHasBeenBlocked = mHasBeenBlocked || aBlocked;
     mWakeup.notify_all();
   }
   std::int64_t Count(const std::string& aPayload) const
@@ -81,57 +81,57 @@
   mutable std::mutex mMutex;
   std::condition_variable mWakeup;
   bool mBlocked = false;
-  bool mWasBlocked = false;
+  bool mHasBeenBlocked = false;
   std::int64_t mLate = 0;
   std::vector<std::string> mPayloads;
 };
 
 struct Node
 {
-  explicit Node(const char* aHost, std::uint16_t aPort = 0)
-    : mHost(aHost)
+  explicit Node(const char* aIp, std::uint16_t aPort = 0)
+    : mIp(aIp)
   {
     Start(aPort);
   }
   void Start(std::uint16_t aPort)
   {
     TransportOptions options;
-    options.mAddress = mHost;
+    options.mAddress = mIp;
     options.mPort = aPort;
-    options.mMaxQueued = 8;
-    options.mSilenceLimit = milliseconds(400);
+    options.mMaxQueuedMessages = 8;
+    options.mAckTimeout = milliseconds(400);
     auto created = CreateNngTransport(options, mInbox, base::GetBootClock());
     CPPUNIT_ASSERT(created.has_value());
     mTransport = std::move(created.value());
   }
-  PeerAddress Address() const { return { mHost, mTransport->Port() }; }
+  PeerAddress Address() const { return { mIp, mTransport->Port() }; }
   bool Send(const PeerAddress& aTo, const char* aText, milliseconds aLimit)
   {
-    return mTransport->Send(aTo, aText, In(aLimit), AgePolicy::MustBeKnown)
+    return mTransport->Send(aTo, aText, After(aLimit), AgePolicy::RequireKnown)
       .has_value();
   }
-  void Beat(const PeerAddress& aTo)
+  void SendHeartbeat(const PeerAddress& aTo)
   {
     const auto sent = mTransport->Send(
-      aTo, "beat", In(milliseconds(300)), AgePolicy::MayBeUnknown);
+      aTo, "beat", After(milliseconds(300)), AgePolicy::AllowUnknown);
     CPPUNIT_ASSERT(sent.has_value() ||
                    sent.error().mKind == ErrorKind::Overloaded);
   }
 
-  std::string mHost;
+  std::string mIp;
   Inbox mInbox;
   std::unique_ptr<Transport> mTransport;
 };
 
-/// Lets both sides learn the other's clock.
+/// Exchanges heartbeats until both sides have bounded the clock offset.
 void
-Meet(Node& aLeft, Node& aRight)
+ExchangeClocks(Node& aLeft, Node& aRight)
 {
   aLeft.mTransport->SetAllowedPeers({ aRight.Address() });
   aRight.mTransport->SetAllowedPeers({ aLeft.Address() });
-  CPPUNIT_ASSERT(Eventually([&] {
-    aLeft.Beat(aRight.Address());
-    aRight.Beat(aLeft.Address());
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    aLeft.SendHeartbeat(aRight.Address());
+    aRight.SendHeartbeat(aLeft.Address());
     const bool sent =
       aLeft.Send(aRight.Address(), "hello", milliseconds(300)) &&
       aRight.Send(aLeft.Address(), "hello", milliseconds(300));
@@ -140,7 +140,8 @@
   }));
 }
 
-/// A peer without a transport: it counts connections and writes its own frames.
+/// A peer on bare nng sockets that counts connections and sends the frames that
+/// the test specifies.
 class RawPeer
 {
 public:
@@ -155,7 +156,7 @@
     int port = 0;
     nng_listener_get_int(listener, NNG_OPT_TCP_BOUND_PORT, &port);
     mFrame.mSender = { kHostA, static_cast<std::uint16_t>(port) };
-    mFrame.mLife = 77;
+    mFrame.mSessionId = 77;
     mFrame.mRemainingMicros = 1'000'000;
   }
   ~RawPeer()
@@ -166,7 +167,7 @@
   void Dial(const PeerAddress& aTo)
   {
     const std::string url =
-      "tcp://" + aTo.mHost + ":" + std::to_string(aTo.mPort);
+      "tcp://" + aTo.mIp + ":" + std::to_string(aTo.mPort);
     nng_socket_set_ms(mPush, NNG_OPT_SENDTIMEO, 2000);
     CPPUNIT_ASSERT_EQUAL(0, nng_dial(mPush, url.c_str(), nullptr, 0));
   }
@@ -204,41 +205,42 @@
 {
   CPPUNIT_TEST_SUITE(NngTransportTest);
   CPPUNIT_TEST(DeliversBothWays);
-  CPPUNIT_TEST(KeepsNothingForAnAbsentPeer);
-  CPPUNIT_TEST(DropsWhatASuspendedPeerReceivesLate);
-  CPPUNIT_TEST(DropsFramesOfUnknownOrOldAge);
-  CPPUNIT_TEST(ReplacesASilentConnection);
+  CPPUNIT_TEST(DiscardsMessagesForAnAbsentPeer);
+  CPPUNIT_TEST(DropsLateMessagesOfASuspendedReceiver);
+  CPPUNIT_TEST(DropsExpiredFramesAndFramesOfUnknownAge);
+  CPPUNIT_TEST(ReplacesAnUnacknowledgedConnection);
   CPPUNIT_TEST(AcceptsOnlyAllowedPeers);
   CPPUNIT_TEST(SurvivesMalformedBytes);
   CPPUNIT_TEST(StopsWhileTrafficIsFlowing);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against a transport that needs an established clock comparison to
-  // establish one, and against source addresses other than the own one.
+  // Guards against a transport that cannot establish the bound of the clock
+  // offset without already having one, and against connections from another
+  // source address than the configured one.
   void DeliversBothWays()
   {
     Node a(kHostA);
     Node b(kHostB);
     a.mTransport->SetAllowedPeers({ b.Address() });
     CPPUNIT_ASSERT(!a.Send(b.Address(), "early", milliseconds(300)));
-    Meet(a, b);
+    ExchangeClocks(a, b);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, b.mInbox.Count("early"));
     for (int n = 0; n < 200; ++n) {
-      b.Beat(a.Address());
-      CPPUNIT_ASSERT(Eventually(
+      b.SendHeartbeat(a.Address());
+      CPPUNIT_ASSERT(WaitUntil(
         [&] { return a.Send(b.Address(), "many", milliseconds(2000)); }));
     }
-    CPPUNIT_ASSERT(Eventually([&] { return b.mInbox.Count("many") == 200; }));
+    CPPUNIT_ASSERT(WaitUntil([&] { return b.mInbox.Count("many") == 200; }));
   }
 
-  // Guards against messages that are kept for a peer while it is away and are
-  // run by its successor.
-  void KeepsNothingForAnAbsentPeer()
+  // Guards against messages that are kept for a disconnected peer and delivered
+  // to the process that replaces it.
+  void DiscardsMessagesForAnAbsentPeer()
   {
     Node a(kHostA);
     Node b(kHostB);
-    Meet(a, b);
+    ExchangeClocks(a, b);
     const PeerAddress address = b.Address();
     b.mTransport.reset();
     for (int n = 0; n < 20; ++n) {
@@ -247,20 +249,21 @@
     }
     std::this_thread::sleep_for(milliseconds(150));
     const TransportCounters away = a.mTransport->GetCounters();
-    CPPUNIT_ASSERT(away.mExpiredUnsent > 0);
+    CPPUNIT_ASSERT(away.mDiscardedUnsent > 0);
     b.Start(address.mPort);
-    Meet(a, b);
+    ExchangeClocks(a, b);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, b.mInbox.Count("stale"));
   }
 
-  // Guards against messages that wait in the buffers of a suspended process.
-  void DropsWhatASuspendedPeerReceivesLate()
+  // Guards against the late delivery of messages that waited in the buffers of
+  // a suspended process.
+  void DropsLateMessagesOfASuspendedReceiver()
   {
     Node a(kHostA);
     Node b(kHostB);
-    Meet(a, b);
+    ExchangeClocks(a, b);
     b.mInbox.Block(true);
-    // Both receiving threads are blocked by these two.
+    // These two messages block both receiving threads.
     a.Send(b.Address(), "blocked", milliseconds(2000));
     a.Send(b.Address(), "blocked", milliseconds(2000));
     std::this_thread::sleep_for(milliseconds(50));
@@ -270,128 +273,130 @@
     std::this_thread::sleep_for(milliseconds(200));
     b.mInbox.Block(false);
     CPPUNIT_ASSERT(
-      Eventually([&] { return b.mTransport->GetCounters().mArrivedLate > 0; }));
+      WaitUntil([&] { return b.mTransport->GetCounters().mArrivedLate > 0; }));
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, b.mInbox.Count("stale"));
   }
 
-  // Guards against a deadline that is taken from the arrival time: a frame that
-  // was held back on its way would get a new one.
-  void DropsFramesOfUnknownOrOldAge()
+  // Guards against a deadline derived from the arrival time, which would extend
+  // the deadline of a frame that was delayed in transit.
+  void DropsExpiredFramesAndFramesOfUnknownAge()
   {
     Node b(kHostB);
     RawPeer raw;
     b.mTransport->SetAllowedPeers({ raw.mFrame.mSender });
     raw.Dial(b.Address());
-    // Another clock: ten seconds ahead of the receiver's.
+    // The clock of the sender is ten seconds ahead of the receiver's.
     const std::int64_t offset = 10'000'000;
     const auto now = [] { return base::ToMicros(base::GetBootClock().Now()); };
     raw.mFrame.mPayload = "unknown";
     raw.mFrame.mSentMicros = now() + offset;
     raw.Send(raw.mFrame);
     CPPUNIT_ASSERT(
-      Eventually([&] { return b.mTransport->GetCounters().mAgeUnknown == 1; }));
-    b.Beat(raw.mFrame.mSender);
-    const Frame beat = raw.Receive();
-    CPPUNIT_ASSERT_EQUAL(raw.mFrame.mLife, beat.mEcho.mLife);
-    raw.mFrame.mEcho = { beat.mLife,
-                         beat.mSentMicros,
-                         now() + offset - beat.mSentMicros };
+      WaitUntil([&] { return b.mTransport->GetCounters().mAgeUnknown == 1; }));
+    b.SendHeartbeat(raw.mFrame.mSender);
+    const Frame heartbeat = raw.Receive();
+    CPPUNIT_ASSERT_EQUAL(raw.mFrame.mSessionId, heartbeat.mEcho.mSessionId);
+    raw.mFrame.mEcho = { heartbeat.mSessionId,
+                         heartbeat.mSentMicros,
+                         now() + offset - heartbeat.mSentMicros };
     raw.mFrame.mPayload = "old";
     raw.mFrame.mSentMicros = now() + offset - 1'100'000;
     raw.Send(raw.mFrame);
     raw.mFrame.mPayload = "fresh";
     raw.mFrame.mSentMicros = now() + offset;
     raw.Send(raw.mFrame);
-    CPPUNIT_ASSERT(Eventually([&] { return b.mInbox.Count("fresh") == 1; }));
+    CPPUNIT_ASSERT(WaitUntil([&] { return b.mInbox.Count("fresh") == 1; }));
     // The other receiving thread may still be busy with the old frame.
-    CPPUNIT_ASSERT(Eventually(
-      [&] { return b.mTransport->GetCounters().mArrivedLate == 1; }));
+    CPPUNIT_ASSERT(
+      WaitUntil([&] { return b.mTransport->GetCounters().mArrivedLate == 1; }));
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, b.mInbox.Count("old"));
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, b.mInbox.Count("unknown"));
   }
 
-  // Guards against a connection that a middlebox has forgotten: the peer's own
-  // frames keep arriving, but it acknowledges nothing.
-  void ReplacesASilentConnection()
+  // Guards against keeping a connection whose state a middlebox has dropped:
+  // the peer's frames still arrive, but it acknowledges nothing.
+  void ReplacesAnUnacknowledgedConnection()
   {
     Node a(kHostA);
     RawPeer raw;
     a.mTransport->SetAllowedPeers({ raw.mFrame.mSender });
     raw.Dial(a.Address());
-    CPPUNIT_ASSERT(Eventually([&] {
+    CPPUNIT_ASSERT(WaitUntil([&] {
       raw.mFrame.mSentMicros += 1000;
-      raw.mFrame.mAnyAge = true;
+      raw.mFrame.mAcceptsUnknownAge = true;
       raw.Send(raw.mFrame);
-      a.Beat(raw.mFrame.mSender);
+      a.SendHeartbeat(raw.mFrame.mSender);
       return raw.CountConnections() >= 2;
     }));
-    CPPUNIT_ASSERT(a.mTransport->GetCounters().mReplaced >= 1);
-    // A connection that is acknowledged stays.
-    const std::int64_t before = a.mTransport->GetCounters().mReplaced;
-    const base::TimePoint end = In(milliseconds(900));
+    CPPUNIT_ASSERT(a.mTransport->GetCounters().mReplacedConnections >= 1);
+    // A connection on which messages are acknowledged is kept.
+    const std::int64_t before =
+      a.mTransport->GetCounters().mReplacedConnections;
+    const base::TimePoint end = After(milliseconds(900));
     while (base::GetBootClock().Now() < end) {
-      a.Beat(raw.mFrame.mSender);
-      const Frame beat = raw.Receive();
+      a.SendHeartbeat(raw.mFrame.mSender);
+      const Frame heartbeat = raw.Receive();
       raw.mFrame.mSentMicros += 1000;
-      raw.mFrame.mEcho = { beat.mLife, beat.mSentMicros, 0 };
+      raw.mFrame.mEcho = { heartbeat.mSessionId, heartbeat.mSentMicros, 0 };
       raw.Send(raw.mFrame);
       std::this_thread::sleep_for(milliseconds(5));
     }
-    CPPUNIT_ASSERT(a.mTransport->GetCounters().mReplaced <= before + 1);
+    CPPUNIT_ASSERT(a.mTransport->GetCounters().mReplacedConnections <=
+                   before + 1);
   }
 
-  // Guards against work from hosts that are not entry instances of the site.
+  // Guards against accepting requests from hosts that are not entry instances.
   void AcceptsOnlyAllowedPeers()
   {
     Node a(kHostA);
     Node b(kHostB);
-    Meet(a, b);
+    ExchangeClocks(a, b);
     b.mTransport->SetAllowedPeers({ { kHostA, 1 } });
     a.Send(b.Address(), "forbidden", milliseconds(300));
     CPPUNIT_ASSERT(
-      Eventually([&] { return b.mTransport->GetCounters().mForbidden > 0; }));
+      WaitUntil([&] { return b.mTransport->GetCounters().mUnauthorized > 0; }));
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, b.mInbox.Count("forbidden"));
     const auto sent = b.mTransport->Send(
-      a.Address(), "x", In(milliseconds(300)), AgePolicy::MayBeUnknown);
+      a.Address(), "x", After(milliseconds(300)), AgePolicy::AllowUnknown);
     CPPUNIT_ASSERT(sent.error().mKind == ErrorKind::Unauthorized);
-    Meet(a, b);
-    // A sender that claims the address of an allowed peer on another host.
+    ExchangeClocks(a, b);
+    // The sender claims the address of an allowed peer on another host.
     RawPeer raw;
     raw.mFrame.mSender = b.Address();
-    raw.mFrame.mAnyAge = true;
+    raw.mFrame.mAcceptsUnknownAge = true;
     raw.mFrame.mPayload = "forged";
-    const std::int64_t before = a.mTransport->GetCounters().mForbidden;
+    const std::int64_t before = a.mTransport->GetCounters().mUnauthorized;
     raw.Dial(a.Address());
     raw.Send(raw.mFrame);
-    CPPUNIT_ASSERT(Eventually(
-      [&] { return a.mTransport->GetCounters().mForbidden > before; }));
+    CPPUNIT_ASSERT(WaitUntil(
+      [&] { return a.mTransport->GetCounters().mUnauthorized > before; }));
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, a.mInbox.Count("forged"));
   }
 
-  // Guards against a receiver that stops serving after bytes it cannot parse.
+  // Guards against a receiver that stops working after malformed bytes.
   void SurvivesMalformedBytes()
   {
     Node a(kHostA);
     Node b(kHostB);
-    Meet(a, b);
+    ExchangeClocks(a, b);
     RawPeer raw;
     raw.Dial(b.Address());
     raw.SendBytes("not a frame");
     CPPUNIT_ASSERT(
-      Eventually([&] { return b.mTransport->GetCounters().mMalformed == 1; }));
-    CPPUNIT_ASSERT(Eventually([&] {
+      WaitUntil([&] { return b.mTransport->GetCounters().mMalformed == 1; }));
+    CPPUNIT_ASSERT(WaitUntil([&] {
       a.Send(b.Address(), "after", milliseconds(300));
       return b.mInbox.Count("after") > 0;
     }));
   }
 
-  // Guards against callbacks after Stop and against a Stop that hangs.
+  // Guards against callbacks after Stop and against a Stop that blocks forever.
   void StopsWhileTrafficIsFlowing()
   {
     for (int round = 0; round < 10; ++round) {
       Node a(kHostA);
       Node b(kHostB);
-      Meet(a, b);
+      ExchangeClocks(a, b);
       std::atomic<bool> done{ false };
       std::thread sender([&] {
         while (!done) {
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -15,26 +15,27 @@
 
 namespace {
 
-// Keeps a frame's times within the range that the receiver accepts.
+// Keeps the remaining time of a frame within the range that the receiver
+// accepts.
 constexpr base::Duration kMaxRemaining = std::chrono::hours(24);
 
 } // namespace
 
 void
-PumpSignal::Raise(bool aStop)
+SenderSignal::Notify(bool aStop)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  mRaised = true;
+  mNotified = true;
   mStopped = mStopped || aStop;
   mWakeup.notify_all();
 }
 
 bool
-PumpSignal::Wait(base::Duration aLimit)
+SenderSignal::Wait(base::Duration aLimit)
 {
   std::unique_lock<std::mutex> lock(mMutex);
-  mWakeup.wait_for(lock, aLimit, [this] { return mRaised; });
-  mRaised = mStopped;
+  mWakeup.wait_for(lock, aLimit, [this] { return mNotified; });
+  mNotified = mStopped;
   return !mStopped;
 }
 
@@ -46,7 +47,7 @@
 
 PeerLink::~PeerLink()
 {
-  mContext.mCounters->mExpiredUnsent +=
+  mContext.mCounters->mDiscardedUnsent +=
     static_cast<std::int64_t>(mQueue.size());
   if (mConnected) {
     nng_close(mSocket);
@@ -64,23 +65,24 @@
     return MakeError(ErrorKind::DeadlineExceeded);
   }
   const bool known = mClockBound.MinDifference(now).has_value();
-  if (aAgePolicy == AgePolicy::MustBeKnown && !known) {
-    return MakeError(ErrorKind::WorkerUnavailable, "peer has not been heard");
+  if (aAgePolicy == AgePolicy::RequireKnown && !known) {
+    return MakeError(ErrorKind::WorkerUnavailable,
+                     "offset of the peer's clock is not bounded yet");
   }
-  DropExpired(now);
-  if (mQueue.size() >= mContext.mOptions.mMaxQueued) {
+  DiscardExpired(now);
+  if (mQueue.size() >= mContext.mOptions.mMaxQueuedMessages) {
     ++mContext.mCounters->mQueueFull;
-    return MakeError(ErrorKind::Overloaded, "queue to the peer is full");
+    return MakeError(ErrorKind::Overloaded, "send queue of the peer is full");
   }
   BOOST_OUTCOME_TRYV(Connect());
-  mQueue.push_back(Pending{ std::move(aPayload), aDeadline, aAgePolicy });
+  mQueue.push_back(QueuedMessage{ std::move(aPayload), aDeadline, aAgePolicy });
   mLastQueuedAt = now;
-  if (!mUnansweredSince) {
-    mUnansweredSince = now;
+  if (!mUnacknowledgedSince) {
+    mUnacknowledgedSince = now;
   }
   Flush();
-  if (!mQueue.empty() && mPipes > 0) {
-    mContext.mSignal->Raise();
+  if (!mQueue.empty() && mOpenPipes > 0) {
+    mContext.mSignal->Notify();
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -92,29 +94,29 @@
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     const base::TimePoint now = mContext.mClock->Now();
-    if (aFrame.mLife != mPeerLife) {
-      mPeerLife = aFrame.mLife;
+    if (aFrame.mSessionId != mPeerSessionId) {
+      mPeerSessionId = aFrame.mSessionId;
       mClockBound = ClockBound();
       mNewestPeerSentMicros = aFrame.mSentMicros - 1;
     }
     mClockBound.RecordArrival(aFrame.mSentMicros, now);
     if (aFrame.mSentMicros > mNewestPeerSentMicros) {
       mNewestPeerSentMicros = aFrame.mSentMicros;
-      // The end of a connection that a peer has replaced because a middlebox
-      // forgot it never reaches this side, so it is closed here.
-      if (mArrivalPipe && mArrivalPipe->id != aPipe.id) {
-        superseded = mArrivalPipe;
+      // If a middlebox has dropped its state of the old connection, the peer's
+      // close never arrives here, so the old connection is closed explicitly.
+      if (mReceivePipe && mReceivePipe->id != aPipe.id) {
+        superseded = mReceivePipe;
       }
-      mArrivalPipe = aPipe;
+      mReceivePipe = aPipe;
     }
-    if (aFrame.mEcho.mLife == mContext.mLife) {
+    if (aFrame.mEcho.mSessionId == mContext.mSessionId) {
       mClockBound.RecordEcho(aFrame.mEcho.mMinDifferenceMicros, now);
       const base::TimePoint seen =
         base::FromMicros(aFrame.mEcho.mNewestSentMicros);
-      if (mUnansweredSince && seen >= *mUnansweredSince) {
-        mUnansweredSince = std::nullopt;
+      if (mUnacknowledgedSince && seen >= *mUnacknowledgedSince) {
+        mUnacknowledgedSince = std::nullopt;
         if (mLastQueuedAt > seen) {
-          mUnansweredSince = mLastQueuedAt;
+          mUnacknowledgedSince = mLastQueuedAt;
         }
       }
     }
@@ -128,34 +130,34 @@
 PeerLink::DeadlineOf(const Frame& aFrame) const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  return mClockBound.ToOwnTime(aFrame.mSentMicros + aFrame.mRemainingMicros,
-                               mContext.mClock->Now());
+  return mClockBound.ToEarliestLocalTime(
+    aFrame.mSentMicros + aFrame.mRemainingMicros, mContext.mClock->Now());
 }
 
 void
-PeerLink::ReplaceIfSilent()
+PeerLink::ReplaceIfUnacknowledged()
 {
   nng_socket old = NNG_SOCKET_INITIALIZER;
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     const base::TimePoint now = mContext.mClock->Now();
-    if (!mConnected || !mUnansweredSince ||
-        now - *mUnansweredSince < mContext.mOptions.mSilenceLimit) {
+    if (!mConnected || !mUnacknowledgedSince ||
+        now - *mUnacknowledgedSince < mContext.mOptions.mAckTimeout) {
       return;
     }
     old = mSocket;
     mConnected = false;
-    mUnansweredSince.reset();
-    ++mContext.mCounters->mReplaced;
+    mUnacknowledgedSince.reset();
+    ++mContext.mCounters->mReplacedConnections;
   }
   nng_close(old);
 }
 
 void
-PeerLink::Pump()
+PeerLink::SendQueued()
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  DropExpired(mContext.mClock->Now());
+  DiscardExpired(mContext.mClock->Now());
   Flush();
 }
 
@@ -163,35 +165,35 @@
 PeerLink::IsCongested() const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  return !mQueue.empty() && mPipes > 0;
+  return !mQueue.empty() && mOpenPipes > 0;
 }
 
 void
 PeerLink::OnPipe(nng_pipe, nng_pipe_ev aEvent, void* aSelf)
 {
   auto* self = static_cast<PeerLink*>(aSelf);
-  self->mPipes += aEvent == NNG_PIPE_EV_ADD_POST ? 1 : -1;
-  self->mContext.mSignal->Raise();
+  self->mOpenPipes += aEvent == NNG_PIPE_EV_ADD_POST ? 1 : -1;
+  self->mContext.mSignal->Notify();
 }
 
 void
-PeerLink::DropExpired(base::TimePoint aNow)
+PeerLink::DiscardExpired(base::TimePoint aNow)
 {
-  const auto expired = [&](const Pending& aPending) {
-    return aNow >= aPending.mDeadline;
+  const auto expired = [&](const QueuedMessage& aMessage) {
+    return aNow >= aMessage.mDeadline;
   };
   const auto rest = std::remove_if(mQueue.begin(), mQueue.end(), expired);
-  mContext.mCounters->mExpiredUnsent += std::distance(rest, mQueue.end());
+  mContext.mCounters->mDiscardedUnsent += std::distance(rest, mQueue.end());
   mQueue.erase(rest, mQueue.end());
 }
 
 void
 PeerLink::Flush()
 {
-  while (!mQueue.empty() && mPipes > 0) {
+  while (!mQueue.empty() && mOpenPipes > 0) {
     const base::TimePoint now = mContext.mClock->Now();
     if (now >= mQueue.front().mDeadline) {
-      ++mContext.mCounters->mExpiredUnsent;
+      ++mContext.mCounters->mDiscardedUnsent;
     } else if (!SendFront(now)) {
       return;
     }
@@ -223,20 +225,21 @@
 }
 
 Frame
-PeerLink::MakeFrame(const Pending& aPending, base::TimePoint aNow) const
+PeerLink::MakeFrame(const QueuedMessage& aMessage, base::TimePoint aNow) const
 {
   Frame frame;
   frame.mSender = mContext.mSelf;
-  frame.mLife = mContext.mLife;
+  frame.mSessionId = mContext.mSessionId;
   frame.mSentMicros = base::ToMicros(aNow);
   frame.mRemainingMicros =
-    std::min(base::Remaining(aNow, aPending.mDeadline), kMaxRemaining).count();
-  frame.mAnyAge = aPending.mAgePolicy == AgePolicy::MayBeUnknown;
+    std::min(base::Remaining(aNow, aMessage.mDeadline), kMaxRemaining).count();
+  frame.mAcceptsUnknownAge = aMessage.mAgePolicy == AgePolicy::AllowUnknown;
   const auto difference = mClockBound.MinDifference(aNow);
   if (difference) {
-    frame.mEcho = FrameEcho{ mPeerLife, mNewestPeerSentMicros, *difference };
+    frame.mEcho =
+      FrameEcho{ mPeerSessionId, mNewestPeerSentMicros, *difference };
   }
-  frame.mPayload = aPending.mPayload;
+  frame.mPayload = aMessage.mPayload;
   return frame;
 }
 
@@ -246,7 +249,7 @@
   if (mConnected) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
-  BOOST_OUTCOME_TRY(socket, OpenPush());
+  BOOST_OUTCOME_TRY(socket, OpenPushSocket());
   mSocket = socket;
   mConnected = true;
   nng_pipe_notify(mSocket, NNG_PIPE_EV_ADD_POST, &PeerLink::OnPipe, this);
--- a/src/peer/peer_link.hpp
+++ b/src/peer/peer_link.hpp
@@ -18,50 +18,51 @@
 
 namespace skylarkhill::peer {
 
-/// The counters of a transport, shared by its links.
+/// Counters of a transport that all its links update.
 struct SharedCounters
 {
   std::atomic<std::int64_t> mSent{ 0 };
   std::atomic<std::int64_t> mDelivered{ 0 };
-  std::atomic<std::int64_t> mExpiredUnsent{ 0 };
+  std::atomic<std::int64_t> mDiscardedUnsent{ 0 };
   std::atomic<std::int64_t> mQueueFull{ 0 };
   std::atomic<std::int64_t> mArrivedLate{ 0 };
   std::atomic<std::int64_t> mAgeUnknown{ 0 };
   std::atomic<std::int64_t> mMalformed{ 0 };
-  std::atomic<std::int64_t> mForbidden{ 0 };
-  std::atomic<std::int64_t> mReplaced{ 0 };
+  std::atomic<std::int64_t> mUnauthorized{ 0 };
+  std::atomic<std::int64_t> mReplacedConnections{ 0 };
 };
 
-/// Wakes the thread that sends queued messages. Thread-safe.
-class PumpSignal
+/// Wakes the thread that sends queued messages and tells it to stop.
+/// Thread-safe.
+class SenderSignal
 {
 public:
-  void Raise(bool aStop = false);
-  /// Waits for Raise, `aLimit` at most; false once stopped.
+  void Notify(bool aStop = false);
+  /// Waits for Notify, at most for `aLimit`; false once stopped.
   bool Wait(base::Duration aLimit);
 
 private:
   std::mutex mMutex;
   std::condition_variable mWakeup;
-  bool mRaised = false;
+  bool mNotified = false;
   bool mStopped = false;
 };
 
-/// What all links of a transport have in common.
+/// State shared by all links of a transport.
 struct LinkContext
 {
   TransportOptions mOptions;
-  /// Address of the own listener.
+  /// Address of this transport's listener.
   PeerAddress mSelf;
-  /// Random number of this transport.
-  std::uint64_t mLife = 0;
+  /// Random identifier of this transport object; not zero.
+  std::uint64_t mSessionId = 0;
   const base::Clock* mClock = nullptr;
   SharedCounters* mCounters = nullptr;
-  PumpSignal* mSignal = nullptr;
+  SenderSignal* mSignal = nullptr;
 };
 
-/// The sending connection to one peer and what is known of the peer's clock.
-/// Thread-safe.
+/// The outgoing connection to one peer, its send queue and the bounds of the
+/// peer's clock. Thread-safe.
 class PeerLink
 {
 public:
@@ -73,31 +74,33 @@
   base::Result<void> Enqueue(std::string aPayload,
                              base::TimePoint aDeadline,
                              AgePolicy aAgePolicy);
-  /// Takes in the envelope of a frame that arrived on `aPipe`.
+  /// Records the header fields of a frame that arrived on `aPipe`.
   void RecordArrival(const Frame& aFrame, nng_pipe aPipe);
-  /// Deadline of a frame on the own clock; nothing if its age is unknown.
+  /// Deadline of a frame on the local clock; nothing if its age is unknown.
   std::optional<base::TimePoint> DeadlineOf(const Frame& aFrame) const;
-  /// Sends what the connection takes now and drops what has expired.
-  void Pump();
-  /// True if messages wait for an established connection.
+  /// Discards expired messages and sends as many others as the connection
+  /// accepts without blocking.
+  void SendQueued();
+  /// True if messages are queued although the connection is established.
   bool IsCongested() const;
-  /// Replaces the connection if the peer has been silent for too long.
-  void ReplaceIfSilent();
+  /// Replaces the connection if the peer has acknowledged nothing for the
+  /// acknowledgement timeout.
+  void ReplaceIfUnacknowledged();
 
 private:
-  struct Pending
+  struct QueuedMessage
   {
     std::string mPayload;
     base::TimePoint mDeadline;
-    AgePolicy mAgePolicy = AgePolicy::MustBeKnown;
+    AgePolicy mAgePolicy = AgePolicy::RequireKnown;
   };
 
   static void OnPipe(nng_pipe aPipe, nng_pipe_ev aEvent, void* aSelf);
-  /// Sends the first message; false if the connection takes none now.
+  /// Sends the first queued message; false if the connection would block.
   bool SendFront(base::TimePoint aNow);
-  void DropExpired(base::TimePoint aNow);
+  void DiscardExpired(base::TimePoint aNow);
   void Flush();
-  Frame MakeFrame(const Pending& aPending, base::TimePoint aNow) const;
+  Frame MakeFrame(const QueuedMessage& aMessage, base::TimePoint aNow) const;
   base::Result<void> Connect();
 
   const LinkContext& mContext;
@@ -105,14 +108,15 @@
   mutable std::mutex mMutex;
   nng_socket mSocket = NNG_SOCKET_INITIALIZER;
   bool mConnected = false;
-  std::atomic<int> mPipes{ 0 };
-  std::deque<Pending> mQueue;
-  /// Start of the current silence: first send that is not acknowledged.
-  std::optional<base::TimePoint> mUnansweredSince;
+  std::atomic<int> mOpenPipes{ 0 };
+  std::deque<QueuedMessage> mQueue;
+  /// Since when queued messages have not been acknowledged; nothing if none is
+  /// unacknowledged.
+  std::optional<base::TimePoint> mUnacknowledgedSince;
   base::TimePoint mLastQueuedAt;
-  std::uint64_t mPeerLife = 0;
+  std::uint64_t mPeerSessionId = 0;
   std::int64_t mNewestPeerSentMicros = 0;
-  std::optional<nng_pipe> mArrivalPipe;
+  std::optional<nng_pipe> mReceivePipe;
   ClockBound mClockBound;
 };
 
--- a/src/testing/capacity_memory.cpp
+++ b/src/testing/capacity_memory.cpp
@@ -16,12 +16,15 @@
 
 using Sizes = std::initializer_list<std::int64_t>;
 
-/// What `aBuild` keeps allocated, for several sizes.
+/// Heap memory held by the result of `aBuild` for each size.
 template<typename Build>
-Series
-MeasureBytes(std::string aName, std::string aPer, Sizes aSizes, Build aBuild)
+CostSeries
+MeasureBytes(std::string aName,
+             std::string aSizeUnit,
+             Sizes aSizes,
+             Build aBuild)
 {
-  Series series{ std::move(aName), "bytes", std::move(aPer), {} };
+  CostSeries series{ std::move(aName), "bytes", std::move(aSizeUnit), {} };
   for (const std::int64_t size : aSizes) {
     const double before = AllocatedBytes();
     const auto state = aBuild(size);
@@ -65,7 +68,7 @@
   return table;
 }
 
-class NoEvents : public entry::WorkerEvents
+class NullWorkerListener : public entry::WorkerListener
 {
 public:
   void OnHolderChange(entry::WorkerAgent&, bool) override {}
@@ -73,17 +76,19 @@
   void OnRecord(entry::WorkerAgent&, const tasks::TaskRecord&) override {}
 };
 
-/// Held workers with their state machines, after they have been acquired.
+/// Worker agents that have acquired their workers.
 struct HeldWorkers
 {
   base::ManualClock mClock;
-  NoEvents mEvents;
+  NullWorkerListener mListener;
   std::vector<std::unique_ptr<entry::WorkerAgent>> mAgents;
 
   HeldWorkers(std::int64_t aWorkers, std::int64_t aTasks)
   {
     for (std::int64_t n = 0; n < aWorkers; ++n) {
-      entry::WorkerPlace place{ { SampleWorkerId(n) }, { "domain" }, "rack" };
+      entry::WorkerLocation place{ { SampleWorkerId(n) },
+                                   { "domain" },
+                                   "rack" };
       entry::WorkerAgentOptions options;
       options.mInstance = { "entry-1" };
       mAgents.push_back(
@@ -92,29 +97,30 @@
                                              CreateSampleWorker(aTasks, mClock),
                                              mClock,
                                              n + 1,
-                                             mEvents));
+                                             mListener));
       mAgents.back()->SetPreferred(true);
     }
-    // Longer than the takeover delay and the quiet period together.
+    // Longer than takeover delay plus quiet period, so that all workers are
+    // acquired.
     constexpr int kSeconds = 10;
     for (int n = 0; n < kSeconds; ++n) {
       RunOneSecond(aTasks);
     }
-    // Workers that are not held keep no ledger, and would look too cheap.
+    // A worker that is not held has no ledger and would be measured too small.
     for (const auto& it : mAgents) {
-      if (!it->MayCommit()) {
+      if (!it->MaySendCommands()) {
         throw std::runtime_error("a sample worker was not acquired");
       }
     }
   }
 
-  /// The steps and grant refreshes of one second, as the entry process does
-  /// them.
+  /// Runs the steps and grant refreshes of one second at the rates of the entry
+  /// process.
   void RunOneSecond(std::int64_t aTasks)
   {
     constexpr int kSteps = 25;
     constexpr int kStepsPerRefresh = 5;
-    const auto grants = SampleGrants(aTasks);
+    const auto grants = SampleGrantedAttempts(aTasks);
     for (int n = 0; n < kSteps; ++n) {
       mClock.Advance(std::chrono::milliseconds(40));
       for (const auto& it : mAgents) {
@@ -136,19 +142,19 @@
   return static_cast<double>(info.uordblks + info.hblkhd);
 }
 
-std::vector<Series>
+std::vector<CostSeries>
 MeasureMemory()
 {
-  std::vector<Series> all;
-  const Sizes many{ 10'000, 20'000, 40'000 };
+  std::vector<CostSeries> all;
+  const Sizes sizes{ 10'000, 20'000, 40'000 };
   all.push_back(
-    MeasureBytes("live_task_memory", "live task", many, BuildLiveTasks));
+    MeasureBytes("live_task_memory", "live task", sizes, BuildLiveTasks));
   all.push_back(
-    MeasureBytes("tombstone_memory", "tombstone", many, BuildTombstones));
-  all.push_back(
-    MeasureBytes("key_memory", "finished key, 100-byte body", many, BuildKeys));
+    MeasureBytes("tombstone_memory", "tombstone", sizes, BuildTombstones));
+  all.push_back(MeasureBytes(
+    "key_memory", "finished key, 100-byte body", sizes, BuildKeys));
   all.push_back(MeasureBytes(
-    "config_object_memory", "config object (team)", many, SampleSet));
+    "config_object_memory", "config object (team)", sizes, SampleCatalogSet));
   for (const std::int64_t tasks : { 0, 7, 14 }) {
     all.push_back(
       MeasureBytes("held_worker_memory_" + std::to_string(tasks),
@@ -159,11 +165,13 @@
                    }));
   }
   for (const std::int64_t tasks : { 0, 7, 14 }) {
-    Series series{ "holder_second_" + std::to_string(tasks),
-                   "us of processor time",
-                   "worker held with " + std::to_string(tasks) +
-                     " tasks and second (25 steps, 5 grant refreshes, polls)",
-                   {} };
+    CostSeries series{
+      "holder_second_" + std::to_string(tasks),
+      "us of processor time",
+      "worker held with " + std::to_string(tasks) +
+        " tasks and second (25 steps, 5 grant refreshes, polls)",
+      {}
+    };
     for (const std::int64_t size : { 20, 50, 100 }) {
       HeldWorkers workers(size, tasks);
       const double micros =
--- a/src/testing/load_main.cpp
+++ b/src/testing/load_main.cpp
@@ -22,8 +22,9 @@
 namespace options = boost::program_options;
 using namespace skylarkhill;
 
-// Bounds of one run: it ends by itself, and its threads stay below the limit
-// of processes on a shared machine.
+// Limits of one run. It ends after kMaxRequests requests even if its duration
+// has not passed. kMaxThreads stays below the process limit of a shared
+// machine.
 constexpr std::int64_t kMaxSeconds = 60;
 constexpr std::int64_t kMaxThreads = 256;
 constexpr std::int64_t kMaxRequests = 500'000;
@@ -33,11 +34,11 @@
 {
   std::string mTarget;
   std::string mService;
-  /// Sends worker calls instead of caller requests.
-  bool mIsWorker = false;
+  /// Sends calls to a worker instead of requests to an entry instance.
+  bool mTargetsWorker = false;
   std::int64_t mThreads = 8;
-  /// Requests a second over all threads; 0: each thread sends the next request
-  /// when the last one was answered.
+  /// Requests per second of all threads together; 0 for a closed loop, in which
+  /// each thread sends a request when its previous one has ended.
   std::int64_t mRate = 0;
   std::int64_t mSeconds = 5;
   std::int64_t mWorkMs = 5;
@@ -45,15 +46,15 @@
   bool mHelp = false;
 };
 
-/// What one thread saw.
-struct Tally
+/// Results of one thread.
+struct ThreadStats
 {
   std::map<std::string, std::int64_t> mOutcomes;
-  /// Milliseconds of completed requests.
+  /// Latencies of completed requests in milliseconds.
   std::vector<double> mLatencies;
   std::int64_t mSent = 0;
-  /// Open loop only: requests that started later than their deadline allows,
-  /// because every thread was waiting. They are not sent.
+  /// Open loop only: requests not sent, because no thread was free before their
+  /// deadline.
   std::int64_t mSkipped = 0;
 };
 
@@ -62,22 +63,27 @@
 {
   Settings settings;
   options::options_description description(
-    "Load generator for one entry instance or worker stand-in");
+    "Load generator for one entry instance or stand-in worker");
   auto add = description.add_options();
   add("help", "print this text");
   add("target", options::value(&settings.mTarget), "IP:PORT");
   add("service", options::value(&settings.mService), "service name");
-  add("worker", "the target is a worker stand-in without guards");
-  add("threads", options::value(&settings.mThreads), "requests at once");
-  add("rate", options::value(&settings.mRate), "requests a second; 0: closed");
+  add("worker", "the target is a stand-in worker without guards");
+  add("threads",
+      options::value(&settings.mThreads),
+      "threads; each sends one request at a time");
+  add("rate",
+      options::value(&settings.mRate),
+      "requests per second; a request that would start later than its deadline "
+      "is skipped; 0: closed loop");
   add("seconds", options::value(&settings.mSeconds), "duration");
-  add("work-ms", options::value(&settings.mWorkMs), "work of one request");
+  add("work-ms", options::value(&settings.mWorkMs), "service time per request");
   add("deadline-ms", options::value(&settings.mDeadlineMs), "deadline");
   options::variables_map values;
   options::store(options::parse_command_line(aCount, aArguments, description),
                  values);
   options::notify(values);
-  settings.mIsWorker = values.count("worker") != 0;
+  settings.mTargetsWorker = values.count("worker") != 0;
   settings.mHelp = values.count("help") != 0;
   if (settings.mHelp) {
     std::cout << description << std::endl;
@@ -86,7 +92,7 @@
 }
 
 base::Result<void>
-Check(const Settings& aSettings)
+ValidateSettings(const Settings& aSettings)
 {
   const bool isValid =
     aSettings.mThreads >= 1 && aSettings.mThreads <= kMaxThreads &&
@@ -95,13 +101,14 @@
     aSettings.mWorkMs >= 0 && aSettings.mDeadlineMs >= 1;
   if (!isValid) {
     return base::MakeError(base::ErrorKind::InvalidArgument,
-                           "1 to 256 threads, 1 to 60 seconds, rate up to "
-                           "50000, positive deadline");
+                           "options out of range: threads 1 to 256, seconds 1 "
+                           "to 60, rate 0 to 50000, work-ms at least 0, "
+                           "deadline-ms at least 1");
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-/// Sends requests until its time is over.
+/// Sends requests for the configured duration.
 class Generator
 {
 public:
@@ -112,46 +119,47 @@
     , mEnd(mStart + std::chrono::seconds(aSettings.mSeconds))
   {
     http::ClientOptions client;
-    client.mAddress = aAddress.mHost;
+    client.mAddress = aAddress.mIp;
     client.mPort = aAddress.mPort;
     client.mMaxIdleConnections = static_cast<std::size_t>(aSettings.mThreads);
     mClient = http::CreateClient(client, mClock);
   }
 
-  std::vector<Tally> Run()
+  std::vector<ThreadStats> Run()
   {
-    std::vector<Tally> tallies(static_cast<std::size_t>(mSettings.mThreads));
+    std::vector<ThreadStats> stats(
+      static_cast<std::size_t>(mSettings.mThreads));
     std::vector<std::thread> threads;
-    threads.reserve(tallies.size());
-    for (auto& it : tallies) {
+    threads.reserve(stats.size());
+    for (auto& it : stats) {
       threads.emplace_back([this, &it] { RunThread(it); });
     }
     for (auto& it : threads) {
       it.join();
     }
-    return tallies;
+    return stats;
   }
 
 private:
-  void RunThread(Tally& aTally)
+  void RunThread(ThreadStats& aStats)
   {
     const auto deadline = std::chrono::milliseconds(mSettings.mDeadlineMs);
     for (;;) {
-      const std::int64_t number = mNext++;
-      const base::TimePoint due = DueTime(number);
+      const std::int64_t number = mNextNumber++;
+      const base::TimePoint due = ScheduledTime(number);
       if (number >= kMaxRequests || std::max(due, mClock.Now()) >= mEnd) {
         return;
       }
       std::this_thread::sleep_for(base::Remaining(mClock.Now(), due));
       if (mSettings.mRate > 0 && mClock.Now() > due + deadline) {
-        ++aTally.mSkipped;
+        ++aStats.mSkipped;
         continue;
       }
-      SendOne(number, aTally);
+      SendOne(number, aStats);
     }
   }
 
-  base::TimePoint DueTime(std::int64_t aNumber) const
+  base::TimePoint ScheduledTime(std::int64_t aNumber) const
   {
     if (mSettings.mRate == 0) {
       return mStart;
@@ -159,47 +167,49 @@
     return mStart + base::Duration(aNumber * 1'000'000 / mSettings.mRate);
   }
 
-  void SendOne(std::int64_t aNumber, Tally& aTally)
+  void SendOne(std::int64_t aNumber, ThreadStats& aStats)
   {
-    // An instance that answers too late is seen as an error, not waited for.
-    constexpr std::chrono::milliseconds kAnswerMargin{ 2000 };
+    // Response time allowed beyond the deadline, after which a request counts
+    // as a client error.
+    constexpr std::chrono::milliseconds kResponseMargin{ 2000 };
     http::ClientRequest request;
     request.mMethod = "POST";
-    request.mTarget = mSettings.mIsWorker ? "/call" : "/v1/requests";
-    request.mBody = mSettings.mIsWorker ? WorkerBody(aNumber) : EntryBody();
+    request.mTarget = mSettings.mTargetsWorker ? "/call" : "/v1/requests";
+    request.mBody =
+      mSettings.mTargetsWorker ? WorkerCallBody(aNumber) : EntryRequestBody();
     request.mDelivery = http::Delivery::Idempotent;
     const base::TimePoint sentAt = mClock.Now();
     const auto response =
       mClient->Call(request,
                     sentAt + std::chrono::milliseconds(mSettings.mDeadlineMs) +
-                      kAnswerMargin);
+                      kResponseMargin);
     const base::Duration latency = mClock.Now() - sentAt;
-    ++aTally.mSent;
+    ++aStats.mSent;
     const std::string outcome =
       response ? OutcomeOf(response.value())
                : "client_" + std::string(base::NameOf(response.error().mKind));
-    ++aTally.mOutcomes[outcome];
+    ++aStats.mOutcomes[outcome];
     if (outcome == "completed") {
-      aTally.mLatencies.push_back(static_cast<double>(latency.count()) / 1e3);
+      aStats.mLatencies.push_back(static_cast<double>(latency.count()) / 1e3);
     }
   }
 
-  std::string WorkBody() const
+  std::string CallBody() const
   {
     return R"({"work_ms":)" + std::to_string(mSettings.mWorkMs) + "}";
   }
 
-  std::string EntryBody() const
+  std::string EntryRequestBody() const
   {
     base::JsonValue value = base::MakeJsonObject();
     value.addMember("service") <<= mSettings.mService;
     value.addMember("idempotent") <<= true;
     value.addMember("deadline_ms") <<= mSettings.mDeadlineMs;
-    value.addMember("body") <<= WorkBody();
+    value.addMember("body") <<= CallBody();
     return base::FormatJson(value);
   }
 
-  std::string WorkerBody(std::int64_t aNumber) const
+  std::string WorkerCallBody(std::int64_t aNumber) const
   {
     worker::CallCommand command;
     command.mHeader.mToken = { { "load" }, 1 };
@@ -208,14 +218,14 @@
     command.mCall.mRequest = { "load-" + std::to_string(aNumber) };
     command.mCall.mAttempt = 1;
     command.mCall.mService = mSettings.mService;
-    command.mCall.mBody = WorkBody();
+    command.mCall.mBody = CallBody();
     command.mCall.mIdempotent = true;
     return worker::FormatCallCommand(command);
   }
 
   std::string OutcomeOf(const http::Response& aResponse) const
   {
-    if (mSettings.mIsWorker) {
+    if (mSettings.mTargetsWorker) {
       return aResponse.mStatus == 200 ? "completed"
                                       : std::to_string(aResponse.mStatus);
     }
@@ -234,24 +244,24 @@
   const base::TimePoint mStart;
   const base::TimePoint mEnd;
   std::unique_ptr<http::Client> mClient;
-  std::atomic<std::int64_t> mNext{ 0 };
+  std::atomic<std::int64_t> mNextNumber{ 0 };
 };
 
 double
-Quantile(const std::vector<double>& aSorted, double aShare)
+Quantile(const std::vector<double>& aSorted, double aFraction)
 {
   if (aSorted.empty()) {
     return 0.0;
   }
   const auto last = static_cast<double>(aSorted.size() - 1);
-  return aSorted[static_cast<std::size_t>(aShare * last)];
+  return aSorted[static_cast<std::size_t>(aFraction * last)];
 }
 
 void
-Print(const Settings& aSettings, const std::vector<Tally>& aTallies)
+PrintSummary(const Settings& aSettings, const std::vector<ThreadStats>& aStats)
 {
-  Tally sum;
-  for (const auto& it : aTallies) {
+  ThreadStats sum;
+  for (const auto& it : aStats) {
     sum.mSent += it.mSent;
     sum.mSkipped += it.mSkipped;
     sum.mLatencies.insert(
@@ -279,14 +289,14 @@
 int
 Run(const Settings& aSettings)
 {
-  const auto valid = Check(aSettings);
+  const auto valid = ValidateSettings(aSettings);
   const auto address = cli::ParseEntryAddress(aSettings.mTarget);
   if (!valid || !address) {
     std::cerr << (valid ? address.error() : valid.error()).mDetail << std::endl;
     return 2;
   }
   Generator generator(aSettings, address.value());
-  Print(aSettings, generator.Run());
+  PrintSummary(aSettings, generator.Run());
   return 0;
 }
 
--- a/src/timeline/causal_clock.cpp
+++ b/src/timeline/hybrid_logical_clock.cpp
@@ -1,4 +1,4 @@
-#include "skylarkhill/timeline/causal_clock.hpp"
+#include "skylarkhill/timeline/hybrid_logical_clock.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -7,41 +7,42 @@
 namespace skylarkhill::timeline {
 
 bool
-operator==(const CausalTime& aLeft, const CausalTime& aRight)
+operator==(const HybridTimestamp& aLeft, const HybridTimestamp& aRight)
 {
   return aLeft.mWallMicros == aRight.mWallMicros &&
          aLeft.mLogical == aRight.mLogical;
 }
 
 bool
-operator<(const CausalTime& aLeft, const CausalTime& aRight)
+operator<(const HybridTimestamp& aLeft, const HybridTimestamp& aRight)
 {
   return std::tie(aLeft.mWallMicros, aLeft.mLogical) <
          std::tie(aRight.mWallMicros, aRight.mLogical);
 }
 
 base::Duration
-ReadBootTime(const base::Clock& aClock)
+ReadClockEpoch(const base::Clock& aClock)
 {
   const auto wall = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<base::Duration>(wall) -
          aClock.Now().time_since_epoch();
 }
 
-CausalClock::CausalClock(const base::Clock& aClock, base::Duration aBootTime)
+HybridLogicalClock::HybridLogicalClock(const base::Clock& aClock,
+                                       base::Duration aClockEpoch)
   : mClock(aClock)
-  , mBootTime(aBootTime)
+  , mClockEpoch(aClockEpoch)
 {
 }
 
 std::int64_t
-CausalClock::ReadWallMicros() const
+HybridLogicalClock::ReadWallMicros() const
 {
-  return base::ToMicros(mClock.Now()) + mBootTime.count();
+  return base::ToMicros(mClock.Now()) + mClockEpoch.count();
 }
 
-CausalTime
-CausalClock::Tick()
+HybridTimestamp
+HybridLogicalClock::Tick()
 {
   const std::int64_t wall = ReadWallMicros();
   const std::lock_guard<std::mutex> guard(mLock);
@@ -53,9 +54,10 @@
   return mLast;
 }
 
-// Tick() returns more than mLast, so the larger of both times is enough.
+// Tick() returns a timestamp larger than mLast, so keeping the maximum is
+// enough.
 void
-CausalClock::Observe(const CausalTime& aRemote)
+HybridLogicalClock::Observe(const HybridTimestamp& aRemote)
 {
   const std::lock_guard<std::mutex> guard(mLock);
   mLast = std::max(mLast, aRemote);
