--- a/src/journal/journal_service_test.cpp
+++ b/src/journal/journal_service_test.cpp
@@ -124,7 +124,7 @@
 
   // Guards against a second request that takes an earlier request's claim of
   // the key for its own and runs the work again, because that claim is the
-  // newest record.
+  // newest record (explorer, site simulation, seed 11).
   void DoesNotAppendAnIntentForAClaimedKey()
   {
     Instance instance(mLog, "a/1");
--- a/src/worker/http_remote_worker.cpp
+++ b/src/worker/http_remote_worker.cpp
@@ -137,7 +137,8 @@
     if (response.mStatus != kStatusOk) {
       base::Error error = ToWorkerError(response);
       // The request may have been sent twice: the second copy was refused, but
-      // the first may have run.
+      // the first may have run
+      // (explorer, site simulation, seed 83).
       return response.mIsPossiblyResent
                ? MakeError(ErrorKind::ConnectionLost, std::move(error.mDetail))
                : error;
