Check the entries of workers where they are decoded

Seen: other operators report readers that end again and again, or stop, after another writer left one odd entry among the workers: nested very deeply, with a number too large, or with a port out of range.

--- a/include/skylarkhill/base/json.hpp
+++ b/include/skylarkhill/base/json.hpp
@@ -44,6 +44,11 @@
   std::string GetString(std::string_view aKey, std::string aDefault);
   std::int64_t GetInt(std::string_view aKey);
   std::int64_t GetInt(std::string_view aKey, std::int64_t aDefault);
+  /// Like GetInt; a value below 0 or above `aMax` is a finding and read as
+  /// `aDefault`.
+  std::int64_t GetIntUpTo(std::string_view aKey,
+                          std::int64_t aMax,
+                          std::int64_t aDefault);
   double GetDouble(std::string_view aKey, double aDefault);
   bool GetBool(std::string_view aKey, bool aDefault);
   std::vector<std::string> GetStrings(std::string_view aKey);
--- a/include/skylarkhill/http/endpoint.hpp
+++ b/include/skylarkhill/http/endpoint.hpp
@@ -15,7 +15,8 @@
   std::uint16_t mPort = 0;
 };
 
-/// Parses "IP:PORT". InvalidArgument unless the port is above 0.
+/// Parses "IP:PORT". InvalidArgument unless the address is one of IPv4 and the
+/// port is from 1 to 65535.
 base::Result<Endpoint>
 ParseEndpoint(const std::string& aText);
 
--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -6,6 +6,7 @@
 #include <cxxtools/utf8codec.h>
 
 #include <algorithm>
+#include <cmath>
 #include <exception>
 #include <initializer_list>
 #include <iterator>
@@ -496,6 +497,19 @@
   return GetMember(aKey) == nullptr ? aDefault : GetInt(aKey);
 }
 
+std::int64_t
+JsonReader::GetIntUpTo(std::string_view aKey,
+                       std::int64_t aMax,
+                       std::int64_t aDefault)
+{
+  const std::int64_t value = GetInt(aKey, aDefault);
+  if (value >= 0 && value <= aMax) {
+    return value;
+  }
+  AddFinding(aKey, "is out of range");
+  return aDefault;
+}
+
 double
 JsonReader::GetDouble(std::string_view aKey, double aDefault)
 {
@@ -507,9 +521,17 @@
     AddFinding(aKey, "must be a number");
     return aDefault;
   }
-  double value = aDefault;
-  member->getValue(value);
-  return value;
+  try {
+    double value = aDefault;
+    member->getValue(value);
+    if (std::isfinite(value)) {
+      return value;
+    }
+  } catch (const std::exception&) {
+    // The finding below covers both cases.
+  }
+  AddFinding(aKey, "is out of range");
+  return aDefault;
 }
 
 bool
--- a/src/dispatch/colocation_model.cpp
+++ b/src/dispatch/colocation_model.cpp
@@ -1,10 +1,9 @@
 #include "colocation_model.hpp"
 
-#include <msgpack.hpp>
+#include "skylarkhill/base/msgpack.hpp"
 
 #include <algorithm>
 #include <cmath>
-#include <exception>
 #include <map>
 #include <tuple>
 #include <utility>
@@ -232,21 +231,14 @@
       }
     }
   }
-  msgpack::sbuffer buf;
-  msgpack::pack(buf, rows);
-  return { buf.data(), buf.size() };
+  return base::PackMsgpack(rows);
 }
 
 base::Result<void>
 ColocationModel::Import(std::string_view aBytes)
 {
-  std::vector<EstimateFields> rows;
-  try {
-    const auto handle = msgpack::unpack(aBytes.data(), aBytes.size());
-    rows = handle.get().as<std::vector<EstimateFields>>();
-  } catch (const std::exception& e) {
-    return base::MakeError(base::ErrorKind::InvalidArgument, e.what());
-  }
+  BOOST_OUTCOME_TRY(rows,
+                    base::UnpackMsgpack<std::vector<EstimateFields>>(aBytes));
   for (const auto& [service, image, mean, variance] : rows) {
     mEstimator.Set(Intern(service), Intern(image), { mean, variance });
   }
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -1,10 +1,8 @@
 #include "skylarkhill/jobs/job_codec.hpp"
 
+#include "skylarkhill/base/msgpack.hpp"
 #include "skylarkhill/base/name_table.hpp"
 
-#include <msgpack.hpp>
-
-#include <exception>
 #include <tuple>
 
 namespace skylarkhill::jobs {
@@ -54,27 +52,6 @@
 using StepProgressFields = std::tuple<int, int, std::vector<TaskFields>>;
 using ProgressFields = std::tuple<int, bool, std::vector<StepProgressFields>>;
 
-template<typename T>
-std::string
-Pack(const T& aFields)
-{
-  msgpack::sbuffer buf;
-  msgpack::pack(buf, aFields);
-  return { buf.data(), buf.size() };
-}
-
-template<typename T>
-base::Result<T>
-Unpack(std::string_view aBytes)
-{
-  try {
-    const auto handle = msgpack::unpack(aBytes.data(), aBytes.size());
-    return handle.get().as<T>();
-  } catch (const std::exception& e) {
-    return MakeError(ErrorKind::InvalidArgument, e.what());
-  }
-}
-
 StepFields
 ToFields(const Step& aStep)
 {
@@ -157,26 +134,27 @@
     steps.push_back(ToFields(it));
   }
   const auto& policy = aSubmission.mPolicy;
-  return Pack(SubmissionFields{ aSubmission.mId,
-                                { policy.mQueue,
-                                  policy.mPool,
-                                  policy.mPriority,
-                                  policy.mMaxFailedRuns,
-                                  policy.mSlackFactor,
-                                  policy.mTargetLatencyMs,
-                                  policy.mNeedsTicket },
-                                aSubmission.mAcceptedMs,
-                                aSubmission.mRequest.mPayload,
-                                steps,
-                                aSubmission.mRequest.mOccurrences,
-                                aSubmission.mRequest.mFirstStartMs,
-                                aSubmission.mRequest.mIntervalMs });
+  return base::PackMsgpack(
+    SubmissionFields{ aSubmission.mId,
+                      { policy.mQueue,
+                        policy.mPool,
+                        policy.mPriority,
+                        policy.mMaxFailedRuns,
+                        policy.mSlackFactor,
+                        policy.mTargetLatencyMs,
+                        policy.mNeedsTicket },
+                      aSubmission.mAcceptedMs,
+                      aSubmission.mRequest.mPayload,
+                      steps,
+                      aSubmission.mRequest.mOccurrences,
+                      aSubmission.mRequest.mFirstStartMs,
+                      aSubmission.mRequest.mIntervalMs });
 }
 
 base::Result<Submission>
 DecodeSubmission(std::string_view aBytes)
 {
-  BOOST_OUTCOME_TRY(fields, Unpack<SubmissionFields>(aBytes));
+  BOOST_OUTCOME_TRY(fields, base::UnpackMsgpack<SubmissionFields>(aBytes));
   Submission submission;
   PolicyFields policy;
   std::vector<StepFields> steps;
@@ -214,15 +192,15 @@
     }
     steps.emplace_back(step.mOccurrence, step.mStep, std::move(tasks));
   }
-  return Pack(ProgressFields{ static_cast<int>(aProgress.mState),
-                              aProgress.mMayHaveStarted,
-                              std::move(steps) });
+  return base::PackMsgpack(ProgressFields{ static_cast<int>(aProgress.mState),
+                                           aProgress.mMayHaveStarted,
+                                           std::move(steps) });
 }
 
 base::Result<JobProgress>
 DecodeProgress(std::string_view aBytes)
 {
-  BOOST_OUTCOME_TRY(fields, Unpack<ProgressFields>(aBytes));
+  BOOST_OUTCOME_TRY(fields, base::UnpackMsgpack<ProgressFields>(aBytes));
   const int state = std::get<0>(fields);
   if (state < 0 || state > static_cast<int>(JobState::Cancelled)) {
     return MakeError(ErrorKind::InvalidArgument, "unknown job state");
--- a/src/jobs/jobs_test.cpp
+++ b/src/jobs/jobs_test.cpp
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(CancelsAJobSubmittedAfterItsCancellation);
   CPPUNIT_TEST(CountsPendingJobsOfAQueue);
   CPPUNIT_TEST(KeepsTheFinalStateDespiteALateCancellation);
+  CPPUNIT_TEST(SkipsRecordsThatAnnounceTooMuch);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -157,6 +158,25 @@
     table.Apply(FormatRecordKey(RecordKind::Cancellation, "a"), "1", 3);
     CPPUNIT_ASSERT(table.StateOf("a") == JobState::Completed);
   }
+
+  // Guards against a record that ends the process: a few bytes that announce
+  // billions of elements, or that are nested very deeply.
+  void SkipsRecordsThatAnnounceTooMuch()
+  {
+    JobTable table;
+    table.Apply(SubmissionKey("a"), EncodeSubmission(MakeSubmission("a")), 1);
+    for (const std::string& odd : { std::string("\xdd\x1f\xff\xff\xff", 5),
+                                    std::string("\xdf\x1f\xff\xff\xff", 5),
+                                    std::string("\xc6\xff\xff\xff\xff", 5),
+                                    std::string(1'000'000, '\x91') }) {
+      table.Apply(SubmissionKey("odd"), odd, 2);
+      table.Apply(FormatRecordKey(RecordKind::Progress, "a"), odd, 3);
+    }
+    CPPUNIT_ASSERT(!table.Contains("odd"));
+    CPPUNIT_ASSERT(table.StateOf("a") == JobState::Pending);
+    table.Apply(SubmissionKey("b"), EncodeSubmission(MakeSubmission("b")), 4);
+    CPPUNIT_ASSERT(table.Contains("b"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobsTest);
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -1,12 +1,10 @@
 #include "skylarkhill/node/leadership.hpp"
 
 #include "skylarkhill/base/hash.hpp"
+#include "skylarkhill/base/msgpack.hpp"
 #include "skylarkhill/logging/logging.hpp"
 
-#include <msgpack.hpp>
-
 #include <algorithm>
-#include <exception>
 #include <tuple>
 #include <utility>
 
@@ -62,24 +60,17 @@
 std::string
 EncodeLeaderRecord(const LeaderRecord& aRecord)
 {
-  msgpack::sbuffer buf;
-  msgpack::pack(
-    buf, Fields{ aRecord.mEpoch, aRecord.mLeaderId, aRecord.mIsResigned });
-  return { buf.data(), buf.size() };
+  return base::PackMsgpack(
+    Fields{ aRecord.mEpoch, aRecord.mLeaderId, aRecord.mIsResigned });
 }
 
 base::Result<LeaderRecord>
 DecodeLeaderRecord(std::string_view aBytes)
 {
-  try {
-    const auto handle = msgpack::unpack(aBytes.data(), aBytes.size());
-    auto fields = handle.get().as<Fields>();
-    return LeaderRecord{ std::get<0>(fields),
-                         std::move(std::get<1>(fields)),
-                         std::get<2>(fields) };
-  } catch (const std::exception& e) {
-    return base::MakeError(base::ErrorKind::InvalidArgument, e.what());
-  }
+  BOOST_OUTCOME_TRY(fields, base::UnpackMsgpack<Fields>(aBytes));
+  return LeaderRecord{ std::get<0>(fields),
+                       std::move(std::get<1>(fields)),
+                       std::get<2>(fields) };
 }
 
 Leadership::Leadership(AsyncLog& aLog,
