--- a/include/skylarkhill/node/log_stream_reader.hpp
+++ b/include/skylarkhill/node/log_stream_reader.hpp
@@ -37,6 +37,14 @@
 
   /// Starts a read unless one is in progress or the pause has not passed.
   void Tick();
+  /// Reads again at the next Tick, without waiting for a record. A read in
+  /// progress is abandoned.
+  void Restart();
+  /// Stops reading. A read in progress is abandoned.
+  void Stop();
+  /// Starts again after Stop, with the newest record of every key.
+  void Resume();
+  bool IsStopped() const { return mIsStopped; }
   /// Pause between the end of a read that delivered records and the next one.
   void SetPause(base::Duration aPause) { mPause = aPause; }
   /// How long the next reads wait for a record.
@@ -59,7 +67,7 @@
   /// When Tick is due; never while a read is in progress.
   base::TimePoint NextTickAt() const
   {
-    return mIsReading ? base::kNoDeadline : mNextReadAt;
+    return mIsReading || mIsStopped ? base::kNoDeadline : mNextReadAt;
   }
   /// Failed reads since the last successful one.
   int ConsecutiveFailures() const { return mConsecutiveFailures; }
@@ -79,6 +87,11 @@
   base::Duration mWait = kReadWait;
   bool mIsLoaded = false;
   bool mIsReading = false;
+  bool mIsStopped = false;
+  /// The next read does not wait for a record.
+  bool mIsRestarted = false;
+  /// Changes when a read in progress is abandoned; its result is dropped.
+  int mGeneration = 0;
   bool mIsReachable = false;
   int mConsecutiveFailures = 0;
   std::atomic<std::int64_t> mNextOffset{ 0 };
--- a/src/node/log_stream_reader.cpp
+++ b/src/node/log_stream_reader.cpp
@@ -28,21 +28,60 @@
 LogStreamReader::Tick()
 {
   const base::TimePoint now = mClock.Now();
-  if (mIsReading || now < mNextReadAt) {
+  if (mIsReading || mIsStopped || now < mNextReadAt) {
     return;
   }
   mIsReading = true;
   if (!mIsLoaded) {
-    mLog.ReadNewest(mStream, [this, now](const ReadResult& aResult) {
-      OnNewest(aResult, now);
-    });
+    mLog.ReadNewest(
+      mStream,
+      [this, now, generation = mGeneration](const ReadResult& aResult) {
+        if (generation == mGeneration) {
+          OnNewest(aResult, now);
+        }
+      });
     return;
   }
   // After a failure, an answer without records must not take longer either.
+  const bool mayWait = mConsecutiveFailures == 0 && !mIsRestarted;
+  mIsRestarted = false;
   mLog.Read(mStream,
             mNextOffset,
-            mConsecutiveFailures > 0 ? base::Duration::zero() : mWait,
-            [this, now](const ReadResult& aResult) { OnRead(aResult, now); });
+            mayWait ? mWait : base::Duration::zero(),
+            [this, now, generation = mGeneration](const ReadResult& aResult) {
+              if (generation == mGeneration) {
+                OnRead(aResult, now);
+              }
+            });
+}
+
+void
+LogStreamReader::Restart()
+{
+  // The snapshot is not asked for twice.
+  if (!mIsLoaded) {
+    return;
+  }
+  ++mGeneration;
+  mIsReading = false;
+  mIsRestarted = true;
+  SkipPause();
+}
+
+void
+LogStreamReader::Stop()
+{
+  ++mGeneration;
+  mIsReading = false;
+  mIsStopped = true;
+  mIsLoaded = false;
+}
+
+void
+LogStreamReader::Resume()
+{
+  mIsStopped = false;
+  mNextReadAt = base::TimePoint{};
 }
 
 void
