--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -2,6 +2,7 @@
 #define SKYLARKHILL_DISPATCH_DISPATCHER_HPP
 
 #include "skylarkhill/base/clock.hpp"
+#include "skylarkhill/cells/cell_load.hpp"
 #include "skylarkhill/dispatch/worker.hpp"
 #include "skylarkhill/jobs/job.hpp"
 #include "skylarkhill/jobs/job_table.hpp"
@@ -39,6 +40,14 @@
 /// Id of a job and its progress that must become durable.
 using DirtyJob = std::pair<std::string, jobs::JobProgress>;
 
+/// A job that waits for its first start.
+struct UnstartedJob
+{
+  std::string mId;
+  /// When the dispatcher got the job.
+  base::TimePoint mAddedAt;
+};
+
 /// Assigns tasks to workers. Not thread-safe; all I/O goes through the CallSink
 /// and all times are passed in.
 class Dispatcher
@@ -59,6 +68,14 @@
                       base::TimePoint aNow) = 0;
   virtual void CancelJob(const std::string& aJobId, base::TimePoint aNow) = 0;
 
+  /// Jobs of which no task can have been started.
+  virtual std::vector<UnstartedJob> ListUnstarted() const = 0;
+  /// Forgets a job. Returns false, and keeps the job, if a task of it may have
+  /// been started.
+  virtual bool ReleaseJob(const std::string& aJobId) = 0;
+  /// Room and demand of the workers of this dispatcher.
+  virtual cells::CellLoad Load(base::TimePoint aNow) const = 0;
+
   /// A poll sent at `aSentAt` was answered.
   virtual void OnReport(const std::string& aWorkerId,
                         const WorkerReport& aReport,
--- a/include/skylarkhill/dispatch/worker.hpp
+++ b/include/skylarkhill/dispatch/worker.hpp
@@ -40,6 +40,8 @@
   /// "IP:PORT".
   std::string mAddress;
   std::string mDomain;
+  /// Rack of the worker, which is one of its labels; empty if it names none.
+  std::string mRack;
   std::vector<std::string> mLabels;
   base::Resources mCapacity;
   bool mIsDraining = false;
--- a/include/skylarkhill/jobs/job.hpp
+++ b/include/skylarkhill/jobs/job.hpp
@@ -131,6 +131,15 @@
   std::vector<TaskProgress> mTasks;
 };
 
+/// A job has left the cell of the journal that has this record.
+struct JobTransfer
+{
+  /// The cell that runs the job.
+  int mTarget = 0;
+  /// The journal of the target has the submission.
+  bool mIsDelivered = false;
+};
+
 /// Durable state of a job, apart from its submission. A job in a final state
 /// has no steps.
 struct JobProgress
--- a/include/skylarkhill/jobs/job_codec.hpp
+++ b/include/skylarkhill/jobs/job_codec.hpp
@@ -21,6 +21,10 @@
   /// Registry entry of a worker, for a leader that starts while the registry is
   /// incomplete.
   Worker,
+  /// Move of a job to another cell, before any start.
+  Transfer,
+  /// Load of the cell, published by its leader.
+  Load,
 };
 
 /// The key of a journal record.
@@ -28,7 +32,7 @@
 {
   RecordKind mKind = RecordKind::Submission;
   /// Job id; the worker id for RecordKind::Worker, a constant for
-  /// RecordKind::Model.
+  /// RecordKind::Model and RecordKind::Load.
   std::string mId;
 };
 
@@ -53,6 +57,13 @@
 base::Result<JobProgress>
 DecodeProgress(std::string_view aBytes);
 
+std::string
+EncodeTransfer(const JobTransfer& aTransfer);
+
+/// InvalidArgument if the bytes are malformed.
+base::Result<JobTransfer>
+DecodeTransfer(std::string_view aBytes);
+
 } // namespace skylarkhill::jobs
 
 #endif // SKYLARKHILL_JOBS_JOB_CODEC_HPP
--- a/include/skylarkhill/jobs/job_table.hpp
+++ b/include/skylarkhill/jobs/job_table.hpp
@@ -22,6 +22,8 @@
   std::optional<Submission> mSubmission;
   bool mIsCancelled = false;
   JobProgress mProgress;
+  /// Set once the job has left the cell of this journal.
+  std::optional<JobTransfer> mTransfer;
   /// Journal offset of the applied progress record; older records are ignored.
   std::int64_t mProgressOffset = -1;
 
@@ -42,17 +44,23 @@
   void Erase(const std::string& aJobId);
 
   std::optional<JobState> StateOf(const std::string& aJobId) const;
+  /// The transfer of a job whose submission has been read, if it has left.
+  std::optional<JobTransfer> TransferOf(const std::string& aJobId) const;
   /// True if the submission of the job has been read.
   bool Contains(const std::string& aJobId) const;
   std::optional<JobEntry> Find(const std::string& aJobId) const;
-  /// Number of jobs of `aQueue` in the state Pending.
+  /// Number of jobs of `aQueue` in the state Pending, without those that the
+  /// journal of another cell has.
   std::size_t CountPending(std::string_view aQueue) const;
   /// Copies of all jobs whose submission has been read.
   std::vector<JobEntry> List() const;
-  /// Ids of the jobs in List that are not in a final state.
+  /// Ids of the jobs in List that are not in a final state and have not left.
   std::vector<std::string> ListOpen() const;
-  /// Ids of jobs in a final state that were accepted before
-  /// `aAcceptedBeforeMs`.
+  /// Ids of jobs that have left and of which the target may lack the submission
+  /// or the cancellation.
+  std::vector<std::string> ListTransfersToRepeat() const;
+  /// Ids of jobs in a final state, or delivered to another cell, that were
+  /// accepted before `aAcceptedBeforeMs`.
   std::vector<std::string> ListFinal(std::int64_t aAcceptedBeforeMs) const;
   /// Number of jobs, including those whose submission has not been read.
   std::size_t Size() const;
--- a/include/skylarkhill/logging/logging.hpp
+++ b/include/skylarkhill/logging/logging.hpp
@@ -36,6 +36,17 @@
   Field(std::string_view aKey, std::int64_t aValue);
 };
 
+/// Adds a field to all lines that the current thread writes during the lifetime
+/// of the object. Objects of one thread are destroyed in reverse order.
+class ContextField
+{
+public:
+  ContextField(std::string_view aKey, std::int64_t aValue);
+  ~ContextField();
+  ContextField(const ContextField&) = delete;
+  ContextField& operator=(const ContextField&) = delete;
+};
+
 /// Configures the process-wide logger, which writes key=value lines to standard
 /// output.
 void
--- /dev/null
+++ b/include/skylarkhill/node/cell.hpp
@@ -0,0 +1,258 @@
+#ifndef SKYLARKHILL_NODE_CELL_HPP
+#define SKYLARKHILL_NODE_CELL_HPP
+
+#include "skylarkhill/base/clock.hpp"
+#include "skylarkhill/cells/cell_load.hpp"
+#include "skylarkhill/cells/cell_map.hpp"
+#include "skylarkhill/dispatch/dispatcher.hpp"
+#include "skylarkhill/dispatch/worker.hpp"
+#include "skylarkhill/jobs/job_codec.hpp"
+#include "skylarkhill/jobs/job_table.hpp"
+#include "skylarkhill/journal/wall_clock.hpp"
+#include "skylarkhill/metrics/registry.hpp"
+#include "skylarkhill/node/job_service.hpp"
+#include "skylarkhill/node/leadership.hpp"
+#include "skylarkhill/node/log_stream_reader.hpp"
+#include "skylarkhill/node/loop_profile.hpp"
+#include "skylarkhill/node/record_decoder.hpp"
+#include "skylarkhill/node/shared_log.hpp"
+#include "skylarkhill/node/worker_client.hpp"
+#include "skylarkhill/node/worker_registry.hpp"
+
+#include <array>
+#include <atomic>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace skylarkhill::node {
+
+/// Loads that the leaders of the cells publish, by cell; empty if unknown.
+using CellLoads = std::vector<std::optional<cells::CellLoad>>;
+
+struct CellOptions
+{
+  int mIndex = 0;
+  int mCellCount = 1;
+  /// Differs between instances and between restarts of one instance.
+  std::string mInstanceId;
+  /// Processors that this process may use; may be a fraction.
+  double mProcessors = 1.0;
+  /// The workers of the cell are in the failure domain of this instance.
+  bool mIsInDomain = true;
+  /// Topic of the journals; the partition is mIndex, like that of mLeader.
+  LogStream mJournal;
+  LogStream mLeader;
+  dispatch::DispatchLimits mLimits;
+  /// See NodeOptions.
+  base::Duration mMaxCancellationDelay = std::chrono::milliseconds(3000);
+  base::Duration mMaxDrainDelay = std::chrono::milliseconds(2000);
+};
+
+/// What the cells of an instance share.
+struct CellServices
+{
+  AsyncLog& mLog;
+  BlockingLog& mBlockingLog;
+  const RecordDecoder& mDecoder;
+  const base::Clock& mClock;
+  const journal::WallClock& mWallClock;
+  LoopProfile& mProfile;
+  metrics::Registry& mMetrics;
+  const WorkerRegistry& mRegistry;
+  CellLoads& mLoads;
+  const cells::CellMap& mMap;
+};
+
+/// One cell as this instance sees it: follows the journal of the cell and,
+/// while the instance leads the cell, dispatches its jobs to its workers. Not
+/// thread-safe: used on the call loop's thread only, except for the job
+/// service.
+class Cell
+{
+public:
+  Cell(CellOptions aOptions,
+       const CellServices& aServices,
+       WorkerClient& aWorkerClient);
+  ~Cell();
+  Cell(const Cell&) = delete;
+  Cell& operator=(const Cell&) = delete;
+
+  /// Runs all work that is due. `aResumedAt` is when this process last resumed
+  /// after a pause; `aOtherCells` is how many other cells this instance leads.
+  void Tick(base::TimePoint aResumedAt, int aOtherCells);
+  /// When to call Tick next if no event arrives before.
+  base::TimePoint NextTickAt() const;
+  /// Gives up the leadership before the process stops.
+  void Resign();
+
+  /// A worker of this cell has been registered or has changed.
+  void OnWorker(const RegisteredWorker& aWorker);
+  /// The registry or the cell has lost the worker.
+  void OnWorkerGone(const std::string& aWorkerId);
+  /// The instance stops following the registry.
+  void ForgetRegistry();
+  /// True if this instance leads the cell, or could claim it soon.
+  bool NeedsRegistry() const;
+
+  JobService& GetJobService() { return mJobService; }
+  std::size_t JobCount() const { return mJobs.Size(); }
+  /// True while this instance leads the cell or prepares to.
+  bool IsLeading() const { return mEpoch != 0; }
+  /// True from the time when the dispatcher knows all open jobs to the end of
+  /// the term.
+  bool IsDispatching() const
+  {
+    return mDispatcher != nullptr && mJobsToAdd.empty();
+  }
+  /// True if the journal has been read recently.
+  bool IsUpToDate() const;
+  /// Newest epoch of the cell.
+  std::int64_t NewestEpoch() const;
+  /// No claim of this instance uses this epoch or a lower one.
+  void SetMinEpoch(std::int64_t aEpoch) { mLeadership.SetMinEpoch(aEpoch); }
+
+private:
+  struct KnownWorker
+  {
+    dispatch::WorkerEntry mEntry;
+    /// Encoded registry record of the worker.
+    std::string mRecord;
+    bool mIsRegistered = true;
+    base::TimePoint mUnregisteredAt;
+  };
+
+  /// A stream that a leader must have read recently.
+  struct RequiredStream
+  {
+    const LogStreamReader& mReader;
+    const std::string_view mName;
+    /// Starts are held back while the last complete read is older.
+    base::Duration mMaxAge;
+    /// Failed reads in a row after which a leader may hand over.
+    int mMinFailedReads = 1;
+    /// When the first failed read was sent since the stream was last known
+    /// completely, while the log answered all renewals.
+    std::optional<base::TimePoint> mFailedReadSentAt;
+  };
+
+  void OnJournalRecord(const LogRecord& aRecord);
+  void OnJobRecord(const jobs::RecordKey& aKey, const LogRecord& aRecord);
+  void OnJournaledWorker(const std::string& aWorkerId,
+                         const std::string& aRecord);
+  void OnLoad(const std::string& aRecord);
+  /// True if a transfer of the job goes into a batch.
+  bool IsLeaving(const std::string& aJobId) const;
+  /// True if the job was submitted to this cell and not transferred to it.
+  bool IsHomeOf(const jobs::Submission& aSubmission) const;
+  base::Duration FollowerJournalPause() const;
+  /// Adds records to the batch for workers that are new to the journal, and
+  /// deletions for workers that left the registry long enough ago.
+  void AddWorkerRecords();
+  void UpdateTerm();
+  /// Tracks reads that fail while the log answers.
+  void UpdateFailedReads();
+  /// True if the log answers, but the stream has not been read for so long that
+  /// cancellations or draining workers may be missing.
+  bool IsOutdated(const RequiredStream& aStream) const;
+  /// Holds back starts while a required stream is outdated.
+  void UpdateStarts();
+  /// Gives up the leadership if a required stream is outdated and reads of it
+  /// fail. Returns true if it does.
+  bool HandOverIfOutdated();
+  /// Time since the journal was last known completely.
+  base::Duration JournalAge() const;
+  /// Resets the state of the last term and fences earlier writers.
+  void PrepareTerm();
+  void EndTerm();
+  /// Makes the log refuse journal appends of earlier leaders.
+  void FenceEarlierWriters();
+  void StartDispatcher();
+  /// Passes open jobs of earlier terms to the dispatcher.
+  void AddOpenJobs();
+  void TickDispatcher(base::TimePoint aNow, base::TimePoint aResumedAt);
+  /// Decides which unstarted jobs move to other cells.
+  void ChooseTransfers(base::TimePoint aNow);
+  /// Copies transferred jobs, and their cancellations, to the journals of their
+  /// targets until these have them.
+  void SendTransfers(base::TimePoint aNow);
+  void OnTransferSent(const std::string& aJobId, const AppendResult& aResult);
+  void Flush();
+  void SendBatch();
+  /// Applies the stored batch to the job table, so that callers see it.
+  void ApplyBatch(std::int64_t aFirstOffset);
+  void AddRecord(jobs::RecordKind aKind,
+                 std::string_view aId,
+                 std::string aValue);
+  void RemoveOldJobs();
+
+  const CellOptions mOptions;
+  AsyncLog& mLog;
+  WorkerClient& mWorkerClient;
+  const RecordDecoder& mDecoder;
+  const base::Clock& mClock;
+  const journal::WallClock& mWallClock;
+  LoopProfile& mProfile;
+  metrics::Registry& mMetrics;
+  const LogStreamReader& mRegistryReader;
+  CellLoads& mLoads;
+  const cells::CellMap& mMap;
+  metrics::Distribution& mFlushSeconds;
+  metrics::Counter& mTransfersCount;
+
+  jobs::JobTable mJobs;
+  LogStreamReader mJournalReader;
+  std::atomic<std::int64_t> mNextJournalOffset{ kJournalNotLoaded };
+  JobService mJobService;
+  Leadership mLeadership;
+  std::map<std::string, KnownWorker> mWorkers;
+  /// Ids of the workers that are recorded in the journal. A leader that starts
+  /// while the registry is incomplete polls these workers as well.
+  std::set<std::string> mJournaledWorkers;
+  /// Ids of registered workers that the journal lacks.
+  std::set<std::string> mWorkersToRecord;
+  base::TimePoint mNextWorkerCheckAt;
+  base::TimePoint mRegistryNeededUntil;
+
+  /// Epoch of the term that this instance leads or prepares; 0: none.
+  std::int64_t mEpoch = 0;
+  bool mAreEarlierWritersFenced = false;
+  base::TimePoint mEarlierWritersFencedAt;
+  bool mIsFlushInFlight = false;
+  base::TimePoint mNextFlushAt;
+  std::int64_t mSequence = 0;
+  /// The batch that is being stored, kept for retries.
+  AppendRequest mBatchRequest;
+  bool mIsBatchPending = false;
+  std::uint64_t mBatchNumber = 0;
+  base::TimePoint mBatchSentAt;
+  std::unique_ptr<dispatch::Dispatcher> mDispatcher;
+  /// Open jobs that the dispatcher of this term does not know yet.
+  std::set<std::string> mJobsToAdd;
+  base::TimePoint mNextCleanupAt;
+  std::array<RequiredStream, 2> mRequiredStreams;
+  std::optional<base::TimePoint> mStartsHeldAt;
+  /// Newest record of the interference estimates in the journal.
+  std::string mModelRecord;
+  base::TimePoint mNextModelAt;
+
+  base::TimePoint mNextTransferCheckAt;
+  base::TimePoint mNextLoadAt;
+  /// Transfers that go into the next batch.
+  std::vector<std::pair<std::string, jobs::JobTransfer>> mTransfersToStore;
+  /// Transfers in the batch that is being stored.
+  std::vector<std::pair<std::string, jobs::JobTransfer>> mTransfersInBatch;
+  /// Ids of jobs that must be copied to their targets.
+  std::set<std::string> mTransfersToSend;
+  /// Transfers whose copy awaits a response.
+  std::set<std::string> mTransfersInFlight;
+  base::TimePoint mNextTransferAt;
+};
+
+} // namespace skylarkhill::node
+
+#endif // SKYLARKHILL_NODE_CELL_HPP
--- a/include/skylarkhill/node/job_service.hpp
+++ b/include/skylarkhill/node/job_service.hpp
@@ -6,14 +6,11 @@
 #include "skylarkhill/jobs/job_table.hpp"
 #include "skylarkhill/journal/wall_clock.hpp"
 #include "skylarkhill/metrics/registry.hpp"
-#include "skylarkhill/node/route_table.hpp"
 #include "skylarkhill/node/shared_log.hpp"
 
 #include <atomic>
 #include <cstdint>
 #include <functional>
-#include <memory>
-#include <mutex>
 #include <string>
 #include <string_view>
 
@@ -38,8 +35,8 @@
 /// Next offset of a journal that has not been loaded yet.
 inline constexpr std::int64_t kJournalNotLoaded = -1;
 
-/// Submits, cancels and queries jobs for the callers of this instance.
-/// Thread-safe.
+/// Submits, cancels and queries the jobs of one cell for the callers of this
+/// instance. Thread-safe.
 class JobService
 {
 public:
@@ -51,9 +48,8 @@
              const journal::WallClock& aWallClock,
              metrics::Registry& aMetrics);
 
-  void SetRoutes(std::shared_ptr<const RouteTable> aRoutes);
-  std::shared_ptr<const RouteTable> Routes() const;
   LogHealth& Health() { return mHealth; }
+  const jobs::JobTable& Jobs() const { return mJobs; }
 
   /// Appends a job to the journal; succeeds if it is already there.
   /// LogUnavailable: not accepted. OutcomeUnknown: the job may still be
@@ -65,7 +61,8 @@
   /// Cancels a job. NotFound: no such job; other errors as for Submit.
   base::Result<void> Cancel(const std::string& aJobId,
                             base::TimePoint aDeadline);
-  /// State of a job; reads the journal if the job is not known yet.
+  /// State of a job; reads the journal if the job is not known yet, or not in a
+  /// final state. Without access to the journal, the last known state.
   /// NotFound: no such job. LogUnavailable: the journal could not be read.
   base::Result<jobs::JobState> StateOf(const std::string& aJobId,
                                        base::TimePoint aDeadline);
@@ -99,8 +96,8 @@
   LogHealth mHealth;
   /// Until then, mJobs is recent enough to be counted.
   std::atomic<std::int64_t> mCountableUntil{ 0 };
-  mutable std::mutex mRoutesLock;
-  std::shared_ptr<const RouteTable> mRoutes;
+  /// Until then, the states in mJobs are recent enough to be shown.
+  std::atomic<std::int64_t> mFreshUntil{ 0 };
 };
 
 } // namespace skylarkhill::node
--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -57,10 +57,20 @@
   void HandOver();
   /// If false, this instance claims no leadership.
   void SetMayClaim(bool aMayClaim) { mMayClaim = aMayClaim; }
+  /// No claim uses this epoch or a lower one.
+  void SetMinEpoch(std::int64_t aEpoch) { mMinEpoch = aEpoch; }
+  /// Additional time that this candidate leaves to others before it claims.
+  void SetClaimDelay(base::Duration aDelay) { mClaimDelay = aDelay; }
+  /// Pause between two reads of a candidate. Takes as much longer to notice a
+  /// lost leader as it exceeds the usual one.
+  void SetFollowerPause(base::Duration aPause);
   /// Stops leading because another instance may have taken over; stays a
   /// candidate.
   void StepDown();
 
+  /// True if the leader is missing and it is this candidate's turn to claim,
+  /// whether or not it may.
+  bool IsClaimDue() const;
   /// True once a claim of this instance is confirmed.
   bool IsLeader() const { return mOwnEpoch.has_value(); }
   /// True while a claim, a renewal or a resignation awaits its response.
@@ -88,7 +98,6 @@
 
 private:
   void OnRecord(const LogRecord& aRecord);
-  bool IsClaimDue(base::TimePoint aNow) const;
   void Append(LeaderRecord aRecord);
   void OnAppended(const LeaderRecord& aRecord,
                   const AppendResult& aResult,
@@ -113,6 +122,9 @@
   bool mIsAppending = false;
   bool mHasResigned = false;
   bool mMayClaim = true;
+  std::int64_t mMinEpoch = 0;
+  base::Duration mClaimDelay{ 0 };
+  base::Duration mFollowerPause;
   base::TimePoint mNextAppendAt;
   base::TimePoint mConfirmedAt;
   base::TimePoint mAnsweredSince = base::kNoDeadline;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -225,6 +225,7 @@
     auto job = std::make_unique<ScheduledJob>();
     job->mSubmission = *aJob.mSubmission;
     job->mState = aJob.mProgress.mState;
+    job->mAddedAt = aNow;
     const auto& policy = job->mSubmission.mPolicy;
     const auto objective =
       static_cast<std::int64_t>(policy.mSlackFactor *
@@ -257,6 +258,33 @@
     RequestTick(aNow);
   }
 
+  std::vector<UnstartedJob> ListUnstarted() const override
+  {
+    std::vector<UnstartedJob> unstarted;
+    for (const auto& [id, job] : mJobs) {
+      if (IsUnstarted(*job)) {
+        unstarted.push_back({ id, job->mAddedAt });
+      }
+    }
+    return unstarted;
+  }
+
+  bool ReleaseJob(const std::string& aJobId) override
+  {
+    const auto found = mJobs.find(aJobId);
+    if (found == mJobs.end() || !IsUnstarted(*found->second)) {
+      return false;
+    }
+    RemoveReadySteps(*found->second);
+    mJobs.erase(found);
+    return true;
+  }
+
+  cells::CellLoad Load(TimePoint aNow) const override
+  {
+    return MeasureLoad(mReadySteps, mWorkers, aNow);
+  }
+
   void OnReport(const std::string& aWorkerId,
                 const WorkerReport& aReport,
                 TimePoint aSentAt,
@@ -703,6 +731,11 @@
         }
       }
     }
+    RemoveReadySteps(aJob);
+  }
+
+  void RemoveReadySteps(const ScheduledJob& aJob)
+  {
     mReadySteps.erase(
       std::remove_if(mReadySteps.begin(),
                      mReadySteps.end(),
@@ -710,6 +743,13 @@
       mReadySteps.end());
   }
 
+  /// True if no leader can have started a task of the job.
+  static bool IsUnstarted(const ScheduledJob& aJob)
+  {
+    return aJob.mState == jobs::JobState::Pending &&
+           !aJob.mIsStartRecordRequested;
+  }
+
   void RemoveEndedJobs()
   {
     for (auto it = mJobs.begin(); it != mJobs.end();) {
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -134,6 +134,7 @@
 {
   jobs::Submission mSubmission;
   jobs::JobState mState = jobs::JobState::Pending;
+  base::TimePoint mAddedAt;
   /// Unix time by which the job should be complete.
   std::int64_t mObjectiveAtMs = 0;
   /// Unix time after which completion has no value.
--- a/src/dispatch/summary.cpp
+++ b/src/dispatch/summary.cpp
@@ -4,11 +4,48 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
 
 #include "colocation_model.hpp"
 
 namespace skylarkhill::dispatch {
 
+cells::CellLoad
+MeasureLoad(const std::vector<StepState*>& aReadySteps,
+            const WorkerMap& aWorkers,
+            base::TimePoint aNow)
+{
+  std::map<std::string, cells::PoolLoad> pools;
+  for (const auto& [id, worker] : aWorkers) {
+    if (!AcceptsStarts(*worker, aNow)) {
+      continue;
+    }
+    const WorkerEntry& entry = worker->mEntry;
+    cells::PoolLoad& pool = pools[entry.mPool];
+    pool.mFree +=
+      entry.mCapacity.mMilliProcessors - worker->mUsed.mMilliProcessors;
+    pool.mFreeForBackfill += std::max<std::int64_t>(
+      0, worker->mUnusedProcessors - worker->mBackfillDemand);
+    pool.mLabels.insert(entry.mLabels.begin(), entry.mLabels.end());
+  }
+  for (const StepState* step : aReadySteps) {
+    const auto pool = pools.find(step->mJob->mSubmission.mPolicy.mPool);
+    if (pool != pools.end()) {
+      (step->mSpec->mIsBackfill ? pool->second.mWaitingBackfill
+                                : pool->second.mWaiting) +=
+        step->mWaitingCount * step->mSpec->mResources.mMilliProcessors;
+    }
+  }
+  cells::CellLoad load;
+  for (auto& [name, pool] : pools) {
+    pool.mPool = name;
+    load.mPools.push_back(std::move(pool));
+  }
+  return load;
+}
+
 void
 LogDispatchSummary(std::size_t aJobCount,
                    const std::vector<StepState*>& aReadySteps,
--- a/src/dispatch/summary.hpp
+++ b/src/dispatch/summary.hpp
@@ -2,6 +2,7 @@
 #define SKYLARKHILL_DISPATCH_SUMMARY_HPP
 
 #include "skylarkhill/base/clock.hpp"
+#include "skylarkhill/cells/cell_load.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -23,6 +24,12 @@
   std::int64_t mCandidates = 0;
 };
 
+/// Returns room and demand of each pool.
+cells::CellLoad
+MeasureLoad(const std::vector<StepState*>& aReadySteps,
+            const WorkerMap& aWorkers,
+            base::TimePoint aNow);
+
 /// Logs the numbers of waiting and running tasks, of tasks below full pace and
 /// of service tasks above their tail latency target.
 void
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -13,12 +13,14 @@
 namespace {
 
 /// First character of the record keys, by kind.
-constexpr base::NameTable<RecordKind, 5> kKeyPrefixes{ {
+constexpr base::NameTable<RecordKind, 7> kKeyPrefixes{ {
   { RecordKind::Submission, "s" },
   { RecordKind::Cancellation, "c" },
   { RecordKind::Progress, "p" },
   { RecordKind::Model, "m" },
   { RecordKind::Worker, "w" },
+  { RecordKind::Transfer, "t" },
+  { RecordKind::Load, "l" },
 } };
 
 using ResourceFields = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
@@ -50,6 +52,7 @@
                                     std::int64_t>;
 using TaskFields = std::tuple<int, bool, std::vector<int>, int, std::string>;
 using StepProgressFields = std::tuple<int, int, std::vector<TaskFields>>;
+using TransferFields = std::tuple<int, bool>;
 using ProgressFields = std::tuple<int, bool, std::vector<StepProgressFields>>;
 
 StepFields
@@ -224,4 +227,21 @@
   return progress;
 }
 
+std::string
+EncodeTransfer(const JobTransfer& aTransfer)
+{
+  return base::PackMsgpack(
+    TransferFields{ aTransfer.mTarget, aTransfer.mIsDelivered });
+}
+
+base::Result<JobTransfer>
+DecodeTransfer(std::string_view aBytes)
+{
+  BOOST_OUTCOME_TRY(fields, base::UnpackMsgpack<TransferFields>(aBytes));
+  if (std::get<0>(fields) < 0) {
+    return MakeError(ErrorKind::InvalidArgument, "negative cell");
+  }
+  return JobTransfer{ std::get<0>(fields), std::get<1>(fields) };
+}
+
 } // namespace skylarkhill::jobs
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -38,9 +38,6 @@
                  base::MakeError(base::ErrorKind::InvalidArgument, "key"));
     return;
   }
-  if (key->mKind == RecordKind::Model || key->mKind == RecordKind::Worker) {
-    return;
-  }
   if (aValue.empty()) {
     if (key->mKind == RecordKind::Submission) {
       Erase(key->mId);
@@ -85,8 +82,23 @@
       job.mProgressOffset = aOffset;
       break;
     }
+    case RecordKind::Transfer: {
+      auto transfer = DecodeTransfer(aValue);
+      if (!transfer) {
+        LogMalformed(aKey, transfer.error());
+        return;
+      }
+      const std::lock_guard lock(shard.mLock);
+      JobEntry& job = shard.mJobs[key->mId];
+      // An older record may be read after a newer one was applied.
+      if (!job.mTransfer || transfer.value().mIsDelivered) {
+        job.mTransfer = transfer.value();
+      }
+      break;
+    }
     case RecordKind::Model:
     case RecordKind::Worker:
+    case RecordKind::Load:
       break;
   }
 }
@@ -111,6 +123,18 @@
   return found->second.State();
 }
 
+std::optional<JobTransfer>
+JobTable::TransferOf(const std::string& aJobId) const
+{
+  const Shard& shard = ShardOf(aJobId);
+  const std::lock_guard lock(shard.mLock);
+  const auto found = shard.mJobs.find(aJobId);
+  if (found == shard.mJobs.end() || !found->second.mSubmission) {
+    return std::nullopt;
+  }
+  return found->second.mTransfer;
+}
+
 bool
 JobTable::Contains(const std::string& aJobId) const
 {
@@ -137,7 +161,8 @@
     const std::lock_guard lock(shard.mLock);
     for (const auto& [id, job] : shard.mJobs) {
       if (job.mSubmission && job.mSubmission->mPolicy.mQueue == aQueue &&
-          job.State() == JobState::Pending) {
+          job.State() == JobState::Pending &&
+          !(job.mTransfer && job.mTransfer->mIsDelivered)) {
         ++n;
       }
     }
@@ -167,7 +192,23 @@
   for (const Shard& shard : mShards) {
     const std::lock_guard lock(shard.mLock);
     for (const auto& [id, job] : shard.mJobs) {
-      if (job.mSubmission && !IsFinal(job.State())) {
+      if (job.mSubmission && !IsFinal(job.State()) && !job.mTransfer) {
+        ids.push_back(id);
+      }
+    }
+  }
+  return ids;
+}
+
+std::vector<std::string>
+JobTable::ListTransfersToRepeat() const
+{
+  std::vector<std::string> ids;
+  for (const Shard& shard : mShards) {
+    const std::lock_guard lock(shard.mLock);
+    for (const auto& [id, job] : shard.mJobs) {
+      if (job.mSubmission && job.mTransfer &&
+          (!job.mTransfer->mIsDelivered || job.mIsCancelled)) {
         ids.push_back(id);
       }
     }
@@ -182,7 +223,9 @@
   for (const Shard& shard : mShards) {
     const std::lock_guard lock(shard.mLock);
     for (const auto& [id, job] : shard.mJobs) {
-      if (job.mSubmission && IsFinal(job.State()) &&
+      const bool isOver =
+        IsFinal(job.State()) || (job.mTransfer && job.mTransfer->mIsDelivered);
+      if (job.mSubmission && isOver &&
           job.mSubmission->mAcceptedMs < aAcceptedBeforeMs) {
         ids.push_back(id);
       }
--- a/src/logging/logging.cpp
+++ b/src/logging/logging.cpp
@@ -4,6 +4,8 @@
 
 #include <easylogging++.h>
 
+#include <vector>
+
 namespace skylarkhill::logging {
 
 namespace {
@@ -50,6 +52,9 @@
   }
 }
 
+/// Fields of the ContextField objects of this thread.
+thread_local std::vector<Field> tContext;
+
 } // namespace
 
 std::string_view
@@ -64,6 +69,16 @@
   return base::FindValue(kLevelNames, aName);
 }
 
+ContextField::ContextField(std::string_view aKey, std::int64_t aValue)
+{
+  tContext.emplace_back(aKey, aValue);
+}
+
+ContextField::~ContextField()
+{
+  tContext.pop_back();
+}
+
 Field::Field(std::string_view aKey, std::string_view aValue)
   : mKey(aKey)
   , mValue(aValue)
@@ -106,6 +121,9 @@
   for (const auto& it : aFields) {
     AppendField(line, it);
   }
+  for (const auto& it : tContext) {
+    AppendField(line, it);
+  }
   return line;
 }
 
--- /dev/null
+++ b/src/node/cell.cpp
@@ -0,0 +1,970 @@
+#include "skylarkhill/node/cell.hpp"
+
+#include "skylarkhill/cells/transfer_policy.hpp"
+#include "skylarkhill/jobs/job_codec.hpp"
+#include "skylarkhill/logging/logging.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace skylarkhill::node {
+
+using base::Duration;
+using base::TimePoint;
+
+namespace {
+
+constexpr std::string_view kWriterName = "leader";
+
+/// Pauses after reads that delivered records, to limit the calls to the log. A
+/// follower reads sooner if a caller asks for a job. With many cells the pause
+/// is kFollowerPausePerCell for each of them, so that the calls of an instance
+/// do not grow with the site.
+constexpr Duration kFollowerJournalPause = std::chrono::milliseconds(400);
+constexpr Duration kFollowerPausePerCell = std::chrono::milliseconds(160);
+/// The same for the leader stream of a cell of another failure domain.
+constexpr Duration kLeaderPausePerCell = std::chrono::milliseconds(240);
+constexpr Duration kLeaderJournalPause = std::chrono::milliseconds(15);
+/// Shorter than that of a follower, so that one lost read of a leader does not
+/// delay cancellations beyond their bound.
+constexpr Duration kLeaderReadWait = std::chrono::milliseconds(500);
+/// Minimum time between two batches of progress records.
+constexpr Duration kFlushInterval = std::chrono::milliseconds(20);
+/// Interval between two records of the interference estimates.
+constexpr Duration kModelInterval = std::chrono::seconds(2);
+constexpr std::string_view kModelId = "images";
+constexpr Duration kFlushTimeout = std::chrono::milliseconds(1200);
+constexpr Duration kFlushRetryPause = std::chrono::milliseconds(150);
+
+/// Maximum age of the last journal read of an instance that reports ready.
+constexpr Duration kMaxReadAge = std::chrono::milliseconds(4000);
+
+/// A leader starts no tasks if its journal or its worker registry is older than
+/// this share of NodeOptions::mMaxCancellationDelay or mMaxDrainDelay. The rest
+/// is for the start call.
+constexpr int kMaxAgePercent = 75;
+/// One lost read takes longer than the maximum age of the registry, but does
+/// not justify a change of the leader.
+constexpr int kMinFailedRegistryReads = 2;
+/// In an outage of the log, the last confirmed renewal was sent at most this
+/// long after the last read of a stream. A later one shows that the log
+/// answers.
+constexpr Duration kMaxRenewalLead =
+  kLeaderReadWait + std::chrono::milliseconds(500);
+
+/// Workers that left the registry are kept while a previous leader may have
+/// extended their leases.
+constexpr Duration kUnregisteredRetention =
+  kLeaderLease + std::chrono::seconds(1);
+
+/// Final jobs are removed this long after their acceptance. Keeps the state for
+/// the required 120 s after the end of jobs that take up to 280 s.
+constexpr std::int64_t kFinalJobRetentionMs = 400'000;
+/// Maximum number of jobs passed to the dispatcher of a new term in one tick.
+constexpr std::size_t kMaxJobsPerTick = 200;
+
+constexpr Duration kCleanupInterval = std::chrono::seconds(20);
+constexpr std::size_t kMaxJobsPerCleanup = 500;
+/// Interval between two searches for workers that left the registry.
+constexpr Duration kWorkerCheckInterval = std::chrono::seconds(1);
+
+/// How long an instance goes on following the registry after its claim was due.
+constexpr Duration kRegistryRetention = std::chrono::seconds(3);
+/// Claim delay of instances in other failure domains than the workers.
+constexpr Duration kOtherDomainDelay = std::chrono::milliseconds(250);
+/// Claim delay for each other cell that the instance leads.
+constexpr Duration kDelayPerLedCell = std::chrono::milliseconds(600);
+
+constexpr Duration kTransferInterval = std::chrono::milliseconds(100);
+constexpr int kMaxTransfersPerRound = 50;
+constexpr std::size_t kMaxTransfersInFlight = 50;
+/// Interval between two load records of a leader.
+constexpr Duration kLoadInterval = std::chrono::milliseconds(500);
+constexpr std::string_view kLoadId = "load";
+
+std::int64_t
+ToMs(Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
+LogStream
+PartitionOf(LogStream aStream, int aCell)
+{
+  aStream.mPartition += aCell;
+  return aStream;
+}
+
+} // namespace
+
+Cell::Cell(CellOptions aOptions,
+           const CellServices& aServices,
+           WorkerClient& aWorkerClient)
+  : mOptions(std::move(aOptions))
+  , mLog(aServices.mLog)
+  , mWorkerClient(aWorkerClient)
+  , mDecoder(aServices.mDecoder)
+  , mClock(aServices.mClock)
+  , mWallClock(aServices.mWallClock)
+  , mProfile(aServices.mProfile)
+  , mMetrics(aServices.mMetrics)
+  , mRegistryReader(aServices.mRegistry.Reader())
+  , mLoads(aServices.mLoads)
+  , mMap(aServices.mMap)
+  , mFlushSeconds(
+      mMetrics.GetDistribution("skylarkhill_flush_seconds",
+                               "Time until progress records are stored."))
+  , mTransfersCount(
+      mMetrics.GetCounter("skylarkhill_jobs_transferred_total",
+                          "Jobs that this leader has moved to other cells."))
+  , mJournalReader(
+      mLog,
+      mClock,
+      PartitionOf(mOptions.mJournal, mOptions.mIndex),
+      { [this](const LogRecord& aRecord) { OnJournalRecord(aRecord); }, {} })
+  , mJobService(mJobs,
+                aServices.mBlockingLog,
+                PartitionOf(mOptions.mJournal, mOptions.mIndex),
+                mNextJournalOffset,
+                mClock,
+                mWallClock,
+                mMetrics)
+  , mLeadership(mLog,
+                mClock,
+                PartitionOf(mOptions.mLeader, mOptions.mIndex),
+                mOptions.mInstanceId,
+                mOptions.mProcessors)
+  , mRequiredStreams{ { { mJournalReader,
+                          "journal",
+                          mOptions.mMaxCancellationDelay * kMaxAgePercent / 100,
+                          1,
+                          {} },
+                        { mRegistryReader,
+                          "workers",
+                          mOptions.mMaxDrainDelay * kMaxAgePercent / 100,
+                          kMinFailedRegistryReads,
+                          {} } } }
+{
+  mJournalReader.SetPause(FollowerJournalPause());
+  if (!mOptions.mIsInDomain) {
+    mLeadership.SetFollowerPause(kLeaderPausePerCell * mOptions.mCellCount);
+  }
+}
+
+Cell::~Cell()
+{
+  mWorkerClient.ClearDispatcher();
+}
+
+void
+Cell::Tick(TimePoint aResumedAt, int aOtherCells)
+{
+  const logging::ContextField context("cell", mOptions.mIndex);
+  const TimePoint now = mClock.Now();
+  {
+    const LoopProfile::Timer timer(mProfile, LoopPhase::Leadership);
+    mLeadership.SetClaimDelay(
+      (mOptions.mIsInDomain ? Duration::zero() : kOtherDomainDelay) +
+      kDelayPerLedCell * aOtherCells);
+    if (mLeadership.IsClaimDue()) {
+      mRegistryNeededUntil = now + kRegistryRetention;
+    }
+    // An instance that cannot read these streams could not dispatch.
+    mLeadership.SetMayClaim(
+      std::all_of(mRequiredStreams.begin(),
+                  mRequiredStreams.end(),
+                  [](const RequiredStream& aStream) {
+                    return aStream.mReader.IsLoaded() &&
+                           aStream.mReader.ConsecutiveFailures() == 0;
+                  }));
+    mLeadership.Tick();
+    UpdateFailedReads();
+    UpdateTerm();
+  }
+  mJournalReader.Tick();
+  mNextJournalOffset =
+    mJournalReader.IsLoaded() ? mJournalReader.NextOffset() : kJournalNotLoaded;
+  if (mJournalReader.ConsecutiveFailures() > 0) {
+    mJobService.Health().SetUnreachable(now);
+  }
+  if (!mJobsToAdd.empty()) {
+    const LoopProfile::Timer timer(mProfile, LoopPhase::Dispatch);
+    AddOpenJobs();
+  } else if (mDispatcher != nullptr) {
+    TickDispatcher(now, aResumedAt);
+  }
+}
+
+void
+Cell::TickDispatcher(TimePoint aNow, TimePoint aResumedAt)
+{
+  const TimePoint confirmedAt = mLeadership.ConfirmedAt();
+  mDispatcher->SetLeaderLease(
+    confirmedAt, confirmedAt >= aResumedAt ? confirmedAt + kLeaderLease : aNow);
+  UpdateStarts();
+  if (aNow >= mDispatcher->NextTickAt()) {
+    const LoopProfile::Timer timer(mProfile, LoopPhase::Dispatch);
+    mDispatcher->Tick(aNow, mWallClock.NowMs());
+    ChooseTransfers(aNow);
+  }
+  const LoopProfile::Timer timer(mProfile, LoopPhase::Flush);
+  Flush();
+  SendTransfers(aNow);
+  RemoveOldJobs();
+}
+
+TimePoint
+Cell::NextTickAt() const
+{
+  TimePoint next =
+    std::min(mJournalReader.NextTickAt(), mLeadership.NextTickAt());
+  if (mDispatcher != nullptr) {
+    next = std::min(next, mDispatcher->NextTickAt());
+    if (!mIsFlushInFlight && (mIsBatchPending || mDispatcher->IsDirty() ||
+                              !mTransfersToStore.empty())) {
+      next = std::min(next, mNextFlushAt);
+    }
+  } else if (mEpoch != 0 && !mAreEarlierWritersFenced && !mIsFlushInFlight) {
+    next = std::min(next, mNextFlushAt);
+  }
+  return next;
+}
+
+void
+Cell::Resign()
+{
+  const logging::ContextField context("cell", mOptions.mIndex);
+  if (mDispatcher != nullptr) {
+    EndTerm();
+  }
+  mLeadership.Resign();
+}
+
+bool
+Cell::NeedsRegistry() const
+{
+  return mEpoch != 0 || mLeadership.IsLeader() ||
+         mClock.Now() < mRegistryNeededUntil;
+}
+
+bool
+Cell::IsUpToDate() const
+{
+  return mJournalReader.IsLoaded() &&
+         mJournalReader.UpToDateAt() + kMaxReadAge > mClock.Now() &&
+         mJournalReader.ConsecutiveFailures() < 2;
+}
+
+std::int64_t
+Cell::NewestEpoch() const
+{
+  const auto& newest = mLeadership.NewestRecord();
+  return newest ? newest->mEpoch : 0;
+}
+
+Duration
+Cell::FollowerJournalPause() const
+{
+  return std::max(kFollowerJournalPause,
+                  kFollowerPausePerCell * mOptions.mCellCount);
+}
+
+void
+Cell::OnWorker(const RegisteredWorker& aWorker)
+{
+  const logging::ContextField context("cell", mOptions.mIndex);
+  const std::string& id = aWorker.mEntry.mId;
+  KnownWorker& worker = mWorkers[id];
+  worker.mEntry = aWorker.mEntry;
+  worker.mRecord = aWorker.mRecord;
+  worker.mIsRegistered = true;
+  if (mJournaledWorkers.count(id) == 0) {
+    mWorkersToRecord.insert(id);
+  }
+  if (mDispatcher != nullptr) {
+    mDispatcher->SetWorker(worker.mEntry, mClock.Now());
+  }
+}
+
+void
+Cell::OnWorkerGone(const std::string& aWorkerId)
+{
+  const logging::ContextField context("cell", mOptions.mIndex);
+  mWorkersToRecord.erase(aWorkerId);
+  const auto found = mWorkers.find(aWorkerId);
+  if (found == mWorkers.end() || !found->second.mIsRegistered) {
+    return;
+  }
+  found->second.mIsRegistered = false;
+  found->second.mUnregisteredAt = mClock.Now();
+  if (mDispatcher != nullptr) {
+    mDispatcher->OnWorkerUnregistered(aWorkerId, mClock.Now());
+  }
+}
+
+void
+Cell::ForgetRegistry()
+{
+  // The journal names the workers that a leader may have used.
+  mWorkersToRecord.clear();
+  for (auto it = mWorkers.begin(); it != mWorkers.end();) {
+    KnownWorker& worker = it->second;
+    if (mJournaledWorkers.count(it->first) == 0) {
+      it = mWorkers.erase(it);
+      continue;
+    }
+    if (worker.mIsRegistered) {
+      worker.mIsRegistered = false;
+      worker.mUnregisteredAt = mClock.Now();
+    }
+    ++it;
+  }
+}
+
+void
+Cell::OnJournalRecord(const LogRecord& aRecord)
+{
+  const LoopProfile::Timer timer(mProfile, LoopPhase::Streams);
+  const logging::ContextField context("cell", mOptions.mIndex);
+  mJobs.Apply(aRecord.mKey, aRecord.mValue, aRecord.mOffset);
+  const auto key = jobs::ParseRecordKey(aRecord.mKey);
+  if (!key) {
+    return;
+  }
+  switch (key->mKind) {
+    case jobs::RecordKind::Model:
+      mModelRecord = aRecord.mValue;
+      break;
+    case jobs::RecordKind::Worker:
+      OnJournaledWorker(key->mId, aRecord.mValue);
+      break;
+    case jobs::RecordKind::Load:
+      OnLoad(aRecord.mValue);
+      break;
+    case jobs::RecordKind::Submission:
+    case jobs::RecordKind::Cancellation:
+    case jobs::RecordKind::Progress:
+    case jobs::RecordKind::Transfer:
+      if (mDispatcher != nullptr && !aRecord.mValue.empty()) {
+        OnJobRecord(*key, aRecord);
+      }
+      break;
+  }
+}
+
+void
+Cell::OnJobRecord(const jobs::RecordKey& aKey, const LogRecord& aRecord)
+{
+  const TimePoint now = mClock.Now();
+  switch (aKey.mKind) {
+    case jobs::RecordKind::Submission: {
+      const auto job = mJobs.Find(aKey.mId);
+      if (job && !job->mTransfer && !IsLeaving(aKey.mId)) {
+        mDispatcher->AddJob(*job, mJobsToAdd.count(aKey.mId) != 0, now);
+      }
+      break;
+    }
+    case jobs::RecordKind::Cancellation:
+      logging::Write(logging::Level::Info,
+                     "job_cancelled_seen",
+                     { { "job", aKey.mId },
+                       { "offset", aRecord.mOffset },
+                       { "max_delay_ms", ToMs(JournalAge()) } });
+      mDispatcher->CancelJob(aKey.mId, now);
+      if (mJobs.TransferOf(aKey.mId)) {
+        mTransfersToSend.insert(aKey.mId);
+      }
+      break;
+    case jobs::RecordKind::Progress:
+    case jobs::RecordKind::Transfer:
+    case jobs::RecordKind::Model:
+    case jobs::RecordKind::Worker:
+    case jobs::RecordKind::Load:
+      break;
+  }
+}
+
+bool
+Cell::IsHomeOf(const jobs::Submission& aSubmission) const
+{
+  return cells::HomeOfJob(mMap, aSubmission.mId, aSubmission.mRequest) ==
+         mOptions.mIndex;
+}
+
+bool
+Cell::IsLeaving(const std::string& aJobId) const
+{
+  const auto isJob = [&](const auto& aEntry) { return aEntry.first == aJobId; };
+  return std::any_of(
+           mTransfersToStore.begin(), mTransfersToStore.end(), isJob) ||
+         std::any_of(mTransfersInBatch.begin(), mTransfersInBatch.end(), isJob);
+}
+
+void
+Cell::OnLoad(const std::string& aRecord)
+{
+  auto load = cells::DecodeCellLoad(aRecord);
+  if (!load) {
+    logging::Write(logging::Level::Warning,
+                   "load_record_skipped",
+                   { { "problem", load.error().mDetail } });
+    return;
+  }
+  mLoads[static_cast<std::size_t>(mOptions.mIndex)] = std::move(load.value());
+}
+
+void
+Cell::OnJournaledWorker(const std::string& aWorkerId,
+                        const std::string& aRecord)
+{
+  const auto known = mWorkers.find(aWorkerId);
+  if (aRecord.empty()) {
+    mJournaledWorkers.erase(aWorkerId);
+    if (known != mWorkers.end() && !known->second.mIsRegistered &&
+        mDispatcher == nullptr) {
+      mWorkers.erase(known);
+    }
+    return;
+  }
+  mJournaledWorkers.insert(aWorkerId);
+  mWorkersToRecord.erase(aWorkerId);
+  if (known != mWorkers.end()) {
+    return;
+  }
+  auto entry = mDecoder.DecodeWorker({ aWorkerId, aRecord, 0 });
+  if (!entry) {
+    return;
+  }
+  KnownWorker& worker = mWorkers[aWorkerId];
+  worker.mEntry = std::move(*entry);
+  worker.mRecord = aRecord;
+  worker.mIsRegistered = false;
+  worker.mUnregisteredAt = mClock.Now();
+}
+
+void
+Cell::AddWorkerRecords()
+{
+  for (const std::string& it : mWorkersToRecord) {
+    AddRecord(jobs::RecordKind::Worker, it, mWorkers.at(it).mRecord);
+    mJournaledWorkers.insert(it);
+  }
+  mWorkersToRecord.clear();
+  const TimePoint now = mClock.Now();
+  if (now < mNextWorkerCheckAt) {
+    return;
+  }
+  mNextWorkerCheckAt = now + kWorkerCheckInterval;
+  for (auto it = mWorkers.begin(); it != mWorkers.end();) {
+    const KnownWorker& worker = it->second;
+    if (worker.mIsRegistered ||
+        worker.mUnregisteredAt + kUnregisteredRetention >= now) {
+      ++it;
+      continue;
+    }
+    if (mJournaledWorkers.erase(it->first) != 0) {
+      AddRecord(jobs::RecordKind::Worker, it->first, "");
+    }
+    it = mWorkers.erase(it);
+  }
+}
+
+void
+Cell::UpdateTerm()
+{
+  if (mDispatcher != nullptr && mDispatcher->IsFenced()) {
+    EndTerm();
+    mLeadership.StepDown();
+    return;
+  }
+  if (mEpoch != 0 && HandOverIfOutdated()) {
+    return;
+  }
+  const std::int64_t epoch = mLeadership.Epoch();
+  if (epoch != mEpoch) {
+    if (mEpoch != 0) {
+      EndTerm();
+    }
+    if (epoch != 0) {
+      PrepareTerm();
+    }
+    return;
+  }
+  if (epoch == 0 || mDispatcher != nullptr) {
+    return;
+  }
+  if (!mAreEarlierWritersFenced) {
+    FenceEarlierWriters();
+    return;
+  }
+  // No previous leader can append after the fence, so a read that was sent
+  // later returns everything that it has stored.
+  const bool isCurrent =
+    mJournalReader.IsLoaded() &&
+    mJournalReader.UpToDateAt() > mEarlierWritersFencedAt &&
+    mRegistryReader.IsLoaded();
+  if (isCurrent) {
+    StartDispatcher();
+  }
+}
+
+void
+Cell::UpdateFailedReads()
+{
+  for (auto& it : mRequiredStreams) {
+    const TimePoint earliest =
+      std::max(it.mReader.UpToDateAt(), mLeadership.AnsweredSince());
+    if (it.mFailedReadSentAt && *it.mFailedReadSentAt <= earliest) {
+      it.mFailedReadSentAt.reset();
+    }
+    const TimePoint sentAt = it.mReader.FailedReadSentAt();
+    if (!it.mFailedReadSentAt && sentAt > earliest) {
+      it.mFailedReadSentAt = sentAt;
+    }
+  }
+}
+
+base::Duration
+Cell::JournalAge() const
+{
+  return mClock.Now() - mJournalReader.UpToDateAt();
+}
+
+bool
+Cell::IsOutdated(const RequiredStream& aStream) const
+{
+  const TimePoint readAt = aStream.mReader.UpToDateAt();
+  return mLeadership.ConfirmedAt() > readAt + kMaxRenewalLead &&
+         mClock.Now() - readAt > aStream.mMaxAge;
+}
+
+void
+Cell::UpdateStarts()
+{
+  const auto outdated = std::find_if(
+    mRequiredStreams.begin(),
+    mRequiredStreams.end(),
+    [this](const RequiredStream& aStream) { return IsOutdated(aStream); });
+  const bool isOutdated = outdated != mRequiredStreams.end();
+  if (isOutdated == mStartsHeldAt.has_value()) {
+    return;
+  }
+  const TimePoint now = mClock.Now();
+  if (isOutdated) {
+    logging::Write(logging::Level::Warning,
+                   "starts_held",
+                   { { "stream", outdated->mName },
+                     { "age_ms", ToMs(now - outdated->mReader.UpToDateAt()) },
+                     { "limit_ms", ToMs(outdated->mMaxAge) },
+                     { "offset", outdated->mReader.NextOffset() } });
+    mStartsHeldAt = now;
+  } else {
+    logging::Write(logging::Level::Info,
+                   "starts_resumed",
+                   { { "held_ms", ToMs(now - *mStartsHeldAt) },
+                     { "journal", mJournalReader.NextOffset() } });
+    mStartsHeldAt.reset();
+  }
+  mDispatcher->SetMayStart(!isOutdated);
+}
+
+bool
+Cell::HandOverIfOutdated()
+{
+  if (mLeadership.IsAppending()) {
+    return false;
+  }
+  // The log must have answered all renewals from before to after the time when
+  // the failed read was sent. Otherwise an outage of the log could be the
+  // cause.
+  const auto unreadable = std::find_if(
+    mRequiredStreams.begin(),
+    mRequiredStreams.end(),
+    [this](const RequiredStream& aStream) {
+      return IsOutdated(aStream) && aStream.mFailedReadSentAt &&
+             *aStream.mFailedReadSentAt <= mLeadership.ConfirmedAt() &&
+             aStream.mReader.ConsecutiveFailures() >= aStream.mMinFailedReads;
+    });
+  if (unreadable == mRequiredStreams.end()) {
+    return false;
+  }
+  logging::Write(
+    logging::Level::Warning,
+    "required_stream_unreadable",
+    { { "epoch", mEpoch },
+      { "stream", unreadable->mName },
+      { "age_ms", ToMs(mClock.Now() - unreadable->mReader.UpToDateAt()) },
+      { "failed_reads", unreadable->mReader.ConsecutiveFailures() } });
+  EndTerm();
+  mLeadership.HandOver();
+  return true;
+}
+
+void
+Cell::PrepareTerm()
+{
+  mEpoch = mLeadership.Epoch();
+  mAreEarlierWritersFenced = false;
+  mIsFlushInFlight = false;
+  mIsBatchPending = false;
+  mSequence = 0;
+  mNextFlushAt = mClock.Now();
+  mJournalReader.SetPause(kLeaderJournalPause);
+  mJournalReader.SetWait(kLeaderReadWait);
+  mJournalReader.SkipPause();
+  FenceEarlierWriters();
+}
+
+void
+Cell::EndTerm()
+{
+  logging::Write(logging::Level::Info, "term_ended", { { "epoch", mEpoch } });
+  mWorkerClient.ClearDispatcher();
+  mDispatcher.reset();
+  mJobsToAdd.clear();
+  mEpoch = 0;
+  mStartsHeldAt.reset();
+  mTransfersToStore.clear();
+  mTransfersInBatch.clear();
+  mTransfersToSend.clear();
+  mTransfersInFlight.clear();
+  mJournalReader.SetPause(FollowerJournalPause());
+  mJournalReader.SetWait(kReadWait);
+}
+
+void
+Cell::FenceEarlierWriters()
+{
+  const TimePoint now = mClock.Now();
+  if (mIsFlushInFlight || now < mNextFlushAt) {
+    return;
+  }
+  mIsFlushInFlight = true;
+  AppendRequest request;
+  request.mStream = PartitionOf(mOptions.mJournal, mOptions.mIndex);
+  request.mStamp = WriterStamp{ std::string(kWriterName), mEpoch, 0 };
+  mLog.Append(request,
+              now + kFlushTimeout,
+              [this, epoch = mEpoch](const AppendResult& aResult) {
+                if (epoch != mEpoch) {
+                  return;
+                }
+                mIsFlushInFlight = false;
+                mNextFlushAt = mClock.Now() + kFlushRetryPause;
+                if (aResult.mOutcome == LogOutcome::Done) {
+                  mAreEarlierWritersFenced = true;
+                  mEarlierWritersFencedAt = mClock.Now();
+                  mNextFlushAt = mEarlierWritersFencedAt;
+                  // A read in progress may wait for a record.
+                  mJournalReader.Restart();
+                } else if (aResult.mOutcome == LogOutcome::Fenced) {
+                  EndTerm();
+                  mLeadership.StepDown();
+                }
+              });
+}
+
+void
+Cell::StartDispatcher()
+{
+  const TimePoint now = mClock.Now();
+  dispatch::Term term;
+  term.mEpoch = mEpoch;
+  // A worker lease may outlast the leader lease a little: worker clocks may run
+  // slow and are read with a delay.
+  term.mPreviousLeasesEndAt =
+    mLeadership.PreviousLeaderLeaseEnd() + std::chrono::milliseconds(700);
+  mDispatcher =
+    dispatch::CreateDispatcher(mOptions.mLimits, term, mWorkerClient, mMetrics);
+  mWorkerClient.SetDispatcher(mEpoch, *mDispatcher);
+  mDispatcher->SetLeaderLease(mLeadership.ConfirmedAt(),
+                              mLeadership.ConfirmedAt() + kLeaderLease);
+  if (!mModelRecord.empty()) {
+    mDispatcher->ImportModel(mModelRecord);
+  }
+  for (const auto& [id, worker] : mWorkers) {
+    mDispatcher->SetWorker(worker.mEntry, now);
+    if (!worker.mIsRegistered) {
+      mDispatcher->OnWorkerUnregistered(id, worker.mUnregisteredAt);
+    }
+  }
+  const auto openJobs = mJobs.ListOpen();
+  logging::Write(logging::Level::Info,
+                 "term_begun",
+                 { { "epoch", mEpoch },
+                   { "open_jobs", static_cast<std::int64_t>(openJobs.size()) },
+                   { "workers", static_cast<std::int64_t>(mWorkers.size()) },
+                   { "journal", mJournalReader.NextOffset() } });
+  mJobsToAdd.insert(openJobs.begin(), openJobs.end());
+  const auto transfers = mJobs.ListTransfersToRepeat();
+  mTransfersToSend.insert(transfers.begin(), transfers.end());
+  mProfile.Reset();
+}
+
+void
+Cell::AddOpenJobs()
+{
+  // The dispatcher stops reported runs of jobs that it does not know, so its
+  // first tick, which polls the workers, comes after the last job.
+  const TimePoint now = mClock.Now();
+  for (std::size_t n = 0; n < kMaxJobsPerTick && !mJobsToAdd.empty(); ++n) {
+    const auto job = mJobs.Find(*mJobsToAdd.begin());
+    if (job) {
+      mDispatcher->AddJob(*job, true, now);
+    }
+    mJobsToAdd.erase(mJobsToAdd.begin());
+  }
+}
+
+void
+Cell::ChooseTransfers(TimePoint aNow)
+{
+  if (mOptions.mCellCount == 1 || aNow < mNextTransferCheckAt) {
+    return;
+  }
+  mNextTransferCheckAt = aNow + kTransferInterval;
+  auto& ownLoad = mLoads[static_cast<std::size_t>(mOptions.mIndex)];
+  ownLoad = mDispatcher->Load(aNow);
+  int n = 0;
+  for (const auto& it : mDispatcher->ListUnstarted()) {
+    const auto job = mJobs.Find(it.mId);
+    if (!job || !job->mSubmission || job->mIsCancelled) {
+      continue;
+    }
+    // A job that arrived by a transfer stays.
+    const jobs::Submission& submission = *job->mSubmission;
+    if (!IsHomeOf(submission)) {
+      continue;
+    }
+    const cells::JobDemand demand = cells::DemandOf(submission);
+    const auto transfer = cells::ChooseTransfer(
+      it.mId, mOptions.mIndex, demand, mLoads, aNow - it.mAddedAt);
+    if (!transfer || !mDispatcher->ReleaseJob(it.mId)) {
+      continue;
+    }
+    logging::Write(logging::Level::Info,
+                   "job_transferred",
+                   { { "job", it.mId },
+                     { "target", transfer->mTarget },
+                     { "reason", cells::NameOf(transfer->mReason) },
+                     { "waited_ms", ToMs(aNow - it.mAddedAt) } });
+    mTransfersCount.Add();
+    cells::Reserve(*mLoads[static_cast<std::size_t>(transfer->mTarget)],
+                   demand);
+    mTransfersToStore.emplace_back(
+      it.mId, jobs::JobTransfer{ transfer->mTarget, false });
+    if (++n == kMaxTransfersPerRound) {
+      return;
+    }
+  }
+}
+
+void
+Cell::SendTransfers(TimePoint aNow)
+{
+  if (aNow < mNextTransferAt) {
+    return;
+  }
+  for (auto it = mTransfersToSend.begin();
+       it != mTransfersToSend.end() &&
+       mTransfersInFlight.size() < kMaxTransfersInFlight;) {
+    const std::string id = *it;
+    if (mTransfersInFlight.count(id) != 0) {
+      // A cancellation follows once the submission was answered.
+      ++it;
+      continue;
+    }
+    it = mTransfersToSend.erase(it);
+    const auto job = mJobs.Find(id);
+    if (!job || !job->mSubmission || !job->mTransfer ||
+        job->mTransfer->mTarget >= mOptions.mCellCount) {
+      continue;
+    }
+    mTransfersInFlight.insert(id);
+    AppendRequest request;
+    request.mStream = PartitionOf(mOptions.mJournal, job->mTransfer->mTarget);
+    request.mRecords.push_back(
+      { jobs::FormatRecordKey(jobs::RecordKind::Submission, id),
+        jobs::EncodeSubmission(*job->mSubmission),
+        0 });
+    if (job->mIsCancelled) {
+      request.mRecords.push_back(
+        { jobs::FormatRecordKey(jobs::RecordKind::Cancellation, id), "1", 0 });
+    }
+    mLog.Append(request,
+                aNow + kFlushTimeout,
+                [this, id, epoch = mEpoch](const AppendResult& aResult) {
+                  if (epoch == mEpoch && mDispatcher != nullptr) {
+                    OnTransferSent(id, aResult);
+                  }
+                });
+  }
+}
+
+void
+Cell::OnTransferSent(const std::string& aJobId, const AppendResult& aResult)
+{
+  mTransfersInFlight.erase(aJobId);
+  const auto transfer = mJobs.TransferOf(aJobId);
+  if (!transfer) {
+    return;
+  }
+  if (aResult.mOutcome != LogOutcome::Done) {
+    // The target ignores a submission that it has already.
+    mTransfersToSend.insert(aJobId);
+    mNextTransferAt = mClock.Now() + kFlushRetryPause;
+    return;
+  }
+  if (!transfer->mIsDelivered) {
+    mTransfersToStore.emplace_back(
+      aJobId, jobs::JobTransfer{ transfer->mTarget, true });
+  }
+}
+
+void
+Cell::AddRecord(jobs::RecordKind aKind,
+                std::string_view aId,
+                std::string aValue)
+{
+  mBatchRequest.mRecords.push_back(
+    { jobs::FormatRecordKey(aKind, aId), std::move(aValue), 0 });
+}
+
+void
+Cell::Flush()
+{
+  const TimePoint now = mClock.Now();
+  if (mIsFlushInFlight || now < mNextFlushAt) {
+    return;
+  }
+  if (mIsBatchPending) {
+    SendBatch();
+    return;
+  }
+  auto [batch, dirty] = mDispatcher->TakeDirty();
+  const bool isLoadDue = mOptions.mCellCount > 1 && now >= mNextLoadAt;
+  if (dirty.empty() && mTransfersToStore.empty() && mWorkersToRecord.empty() &&
+      !isLoadDue) {
+    mDispatcher->OnDurable(batch, now);
+    return;
+  }
+  mBatchNumber = batch;
+  mBatchRequest = AppendRequest{};
+  mBatchRequest.mStream = PartitionOf(mOptions.mJournal, mOptions.mIndex);
+  for (const auto& [id, progress] : dirty) {
+    AddRecord(jobs::RecordKind::Progress, id, jobs::EncodeProgress(progress));
+  }
+  for (const auto& [id, transfer] : mTransfersToStore) {
+    AddRecord(jobs::RecordKind::Transfer, id, jobs::EncodeTransfer(transfer));
+  }
+  mTransfersInBatch = std::move(mTransfersToStore);
+  mTransfersToStore.clear();
+  AddWorkerRecords();
+  if (now >= mNextModelAt) {
+    mNextModelAt = now + kModelInterval;
+    AddRecord(jobs::RecordKind::Model, kModelId, mDispatcher->ExportModel());
+  }
+  if (isLoadDue) {
+    mNextLoadAt = now + kLoadInterval;
+    AddRecord(jobs::RecordKind::Load,
+              kLoadId,
+              cells::EncodeCellLoad(mDispatcher->Load(now)));
+  }
+  mBatchRequest.mStamp =
+    WriterStamp{ std::string(kWriterName), mEpoch, ++mSequence };
+  mBatchSentAt = now;
+  mIsBatchPending = true;
+  SendBatch();
+}
+
+void
+Cell::SendBatch()
+{
+  mIsFlushInFlight = true;
+  mLog.Append(
+    mBatchRequest,
+    mClock.Now() + kFlushTimeout,
+    [this, epoch = mEpoch](const AppendResult& aResult) {
+      if (epoch != mEpoch || mDispatcher == nullptr) {
+        return;
+      }
+      const TimePoint now = mClock.Now();
+      mIsFlushInFlight = false;
+      switch (aResult.mOutcome) {
+        case LogOutcome::Done:
+          mIsBatchPending = false;
+          mNextFlushAt = std::max(now, mBatchSentAt + kFlushInterval);
+          mFlushSeconds.Record(
+            std::chrono::duration<double>(now - mBatchSentAt).count());
+          ApplyBatch(aResult.mOffset);
+          mDispatcher->OnDurable(mBatchNumber, now);
+          for (const auto& [id, transfer] : mTransfersInBatch) {
+            if (!transfer.mIsDelivered) {
+              mTransfersToSend.insert(id);
+            }
+          }
+          mTransfersInBatch.clear();
+          break;
+        case LogOutcome::Fenced:
+        case LogOutcome::OutOfSequence:
+          logging::Write(
+            logging::Level::Warning,
+            "journal_append_refused",
+            { { "epoch", mEpoch }, { "outcome", NameOf(aResult.mOutcome) } });
+          EndTerm();
+          mLeadership.StepDown();
+          break;
+        case LogOutcome::EndMoved:
+        case LogOutcome::Expired:
+        case LogOutcome::Refused:
+        case LogOutcome::Unknown:
+          // The retry has the same sequence number, so the log ignores it if
+          // the batch has been stored.
+          mNextFlushAt = now + kFlushRetryPause;
+          break;
+      }
+    });
+}
+
+void
+Cell::ApplyBatch(std::int64_t aFirstOffset)
+{
+  std::int64_t offset = aFirstOffset;
+  for (const auto& it : mBatchRequest.mRecords) {
+    mJobs.Apply(it.mKey, it.mValue, offset++);
+  }
+}
+
+void
+Cell::RemoveOldJobs()
+{
+  const TimePoint now = mClock.Now();
+  if (now < mNextCleanupAt) {
+    return;
+  }
+  mNextCleanupAt = now + kCleanupInterval;
+  auto oldJobs = mJobs.ListFinal(mWallClock.NowMs() - kFinalJobRetentionMs);
+  if (oldJobs.empty()) {
+    return;
+  }
+  oldJobs.resize(std::min(oldJobs.size(), kMaxJobsPerCleanup));
+  AppendRequest request;
+  request.mStream = PartitionOf(mOptions.mJournal, mOptions.mIndex);
+  for (const auto& id : oldJobs) {
+    for (const auto kind : { jobs::RecordKind::Transfer,
+                             jobs::RecordKind::Progress,
+                             jobs::RecordKind::Cancellation,
+                             jobs::RecordKind::Submission }) {
+      request.mRecords.push_back({ jobs::FormatRecordKey(kind, id), "", 0 });
+    }
+  }
+  mLog.Append(request, now + kFlushTimeout, [](const AppendResult& aResult) {
+    if (aResult.mOutcome != LogOutcome::Done) {
+      logging::Write(logging::Level::Warning,
+                     "cleanup_failed",
+                     { { "outcome", NameOf(aResult.mOutcome) } });
+    }
+  });
+}
+
+} // namespace skylarkhill::node
--- /dev/null
+++ b/src/node/cell_random_test.cpp
@@ -0,0 +1,399 @@
+#include "skylarkhill/base/random.hpp"
+#include "skylarkhill/jobs/job_codec.hpp"
+#include "skylarkhill/node/node.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fake_shared_log_test.hpp"
+#include "fake_worker_client_test.hpp"
+
+namespace skylarkhill::node {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int kDomains = 3;
+constexpr int kWorkersPerDomain = 3;
+constexpr std::int64_t kWorkerMilliProcessors = 8000;
+constexpr int kInstances = 5;
+constexpr milliseconds kStep{ 20 };
+constexpr milliseconds kSeedTime{ 20'000 };
+constexpr milliseconds kRecoveryTime{ 25'000 };
+/// Seeds in a usual run; SKYLARKHILL_CELL_SEEDS overrides it.
+constexpr int kSeeds = 25;
+
+/// "d1w2" is worker 2 of failure domain "d1". Workers of one failure domain
+/// have the label "odd" or "even" of the domain.
+class DomainDecoder : public RecordDecoder
+{
+public:
+  std::shared_ptr<const RouteTable> DecodeRoutes(
+    const LogRecord&) const override
+  {
+    return std::make_shared<RouteTable>(1, std::vector<Route>());
+  }
+
+  std::optional<dispatch::WorkerEntry> DecodeWorker(
+    const LogRecord& aRecord) const override
+  {
+    dispatch::WorkerEntry entry;
+    entry.mId = aRecord.mKey;
+    entry.mPool = "pool";
+    entry.mAddress = aRecord.mKey + ":1";
+    entry.mDomain = aRecord.mKey.substr(0, 2);
+    entry.mRack = entry.mDomain + "rack";
+    entry.mLabels = { entry.mDomain == "d1" ? "odd" : "even", entry.mRack };
+    entry.mCapacity = { kWorkerMilliProcessors, std::int64_t{ 1 } << 36, 0 };
+    return entry;
+  }
+};
+
+/// The clients of the cells of one instance.
+class FakeWorkerClients : public WorkerClients
+{
+public:
+  FakeWorkerClients(FakeWorkers& aWorkers, const base::Clock& aClock)
+    : mWorkers(aWorkers)
+    , mClock(aClock)
+  {
+  }
+
+  WorkerClient& ClientOf(int aCell) override
+  {
+    auto& client = mClients[aCell];
+    if (client == nullptr) {
+      client = std::make_unique<FakeWorkerClient>(mWorkers, mClock);
+    }
+    return *client;
+  }
+
+  void Deliver()
+  {
+    for (const auto& [cell, client] : mClients) {
+      client->Deliver();
+    }
+  }
+
+  std::map<int, std::unique_ptr<FakeWorkerClient>> mClients;
+
+private:
+  FakeWorkers& mWorkers;
+  const base::Clock& mClock;
+};
+
+struct CellInstance
+{
+  CellInstance(FakeLogState& aState,
+               FakeWorkers& aWorkers,
+               const base::Clock& aClock,
+               const NodeOptions& aOptions)
+    : mLog(aState)
+    , mClients(aWorkers, aClock)
+    , mProfile(aClock, mMetrics)
+    , mNode(aOptions,
+            mLog,
+            mLog,
+            mClients,
+            mDecoder,
+            aClock,
+            journal::GetSystemWallClock(),
+            mProfile,
+            mMetrics)
+  {
+    mLog.mClock = &aClock;
+    mLog.mKeepsLostAppends = true;
+  }
+
+  metrics::Registry mMetrics;
+  FakeSharedLog mLog;
+  FakeWorkerClients mClients;
+  DomainDecoder mDecoder;
+  LoopProfile mProfile;
+  Node mNode;
+  base::TimePoint mPausedUntil;
+};
+
+/// A site of several cells with faults that follow from a seed.
+class CellSimulation
+{
+public:
+  explicit CellSimulation(std::uint64_t aSeed)
+    : mRandom(base::CreateSeededRandom(aSeed))
+  {
+    for (int n = 0; n < kDomains * kWorkersPerDomain; ++n) {
+      Store("workers",
+            "d" + std::to_string(n % kDomains) + "w" +
+              std::to_string(n / kDomains),
+            "1");
+    }
+    for (int n = 0; n < kInstances; ++n) {
+      mInstances.push_back(CreateInstance(n));
+    }
+  }
+
+  /// Returns what was wrong, or an empty string.
+  std::string Run()
+  {
+    Advance(milliseconds(6000));
+    const base::TimePoint end = mClock.Now() + kSeedTime;
+    while (mClock.Now() < end && mProblem.empty()) {
+      Disturb();
+      Advance(milliseconds(20 + 20 * mRandom->Below(10)));
+    }
+    for (auto& it : mInstances) {
+      it->mLog.mIsUnreachable = false;
+      it->mLog.mDropsResponses = false;
+      it->mPausedUntil = {};
+      it->mLog.CarryOutLostAppends();
+    }
+    Advance(kRecoveryTime);
+    if (mProblem.empty()) {
+      CheckOutcome();
+    }
+    return mProblem;
+  }
+
+  int TransferCount() const { return mTransferCount; }
+
+private:
+  struct SubmittedJob
+  {
+    jobs::JobRequest mRequest;
+    bool mIsAccepted = false;
+    bool mIsCancelled = false;
+  };
+
+  std::unique_ptr<CellInstance> CreateInstance(int aNumber)
+  {
+    NodeOptions options;
+    options.mInstanceId =
+      "node" + std::to_string(aNumber) + "/" + std::to_string(++mStartCount);
+    options.mDomain = "d" + std::to_string(aNumber % kDomains);
+    options.mCells.mMaxCells = kDomains;
+    options.mCells.mWorkersPerCell = kWorkersPerDomain;
+    options.mStreams = { { "configuration", 0 },
+                         { "workers", 0 },
+                         { "journal", 0 },
+                         { "leaders", 0 },
+                         { "cells", 0 } };
+    return std::make_unique<CellInstance>(mState, mWorkers, mClock, options);
+  }
+
+  CellInstance& AnyInstance()
+  {
+    return *mInstances[mRandom->Below(mInstances.size())];
+  }
+
+  void Disturb()
+  {
+    CellInstance& instance = AnyInstance();
+    switch (mRandom->Below(16)) {
+      case 0:
+        instance.mLog.mIsUnreachable = true;
+        break;
+      case 1:
+      case 2:
+        instance.mLog.mIsUnreachable = false;
+        instance.mLog.CarryOutLostAppends();
+        break;
+      case 3:
+        instance.mLog.mDropsResponses = !instance.mLog.mDropsResponses;
+        break;
+      case 4:
+        instance.mPausedUntil =
+          mClock.Now() + milliseconds(1000 * mRandom->Below(6));
+        break;
+      case 5: {
+        // The appends of a killed process may still be carried out.
+        const std::size_t n = mRandom->Below(mInstances.size());
+        mInstances[n]->mLog.CarryOutLostAppends();
+        mInstances[n].reset();
+        mInstances[n] = CreateInstance(static_cast<int>(n));
+        break;
+      }
+      case 6:
+        Cancel();
+        break;
+      default:
+        Submit();
+        break;
+    }
+  }
+
+  void Submit()
+  {
+    std::string id = "job" + std::to_string(mRandom->Below(40));
+    SubmittedJob& job = mJobs[id];
+    if (job.mRequest.mSteps.empty()) {
+      jobs::Step step;
+      step.mIsService = true;
+      step.mCount = 1 + static_cast<int>(mRandom->Below(2));
+      step.mResources.mMilliProcessors = 500;
+      // Half of the jobs have their home in the first cell, which has no
+      // worker for some of these.
+      step.mPreferredRack = mRandom->Below(2) == 0 ? "d0rack" : "";
+      step.mRequiredLabel = mRandom->Below(4) == 0 ? "odd" : "";
+      job.mRequest.mSteps.push_back(step);
+    }
+    jobs::QueuePolicy policy;
+    policy.mQueue = "queue";
+    policy.mPool = "pool";
+    policy.mMaxFailedRuns = 3;
+    const auto result = AnyInstance().mNode.GetJobRouter().Submit(
+      policy, id, job.mRequest, mClock.Now() + milliseconds(400));
+    job.mIsAccepted = job.mIsAccepted || result;
+    mMayExist.insert(id);
+  }
+
+  void Cancel()
+  {
+    const std::string id = "job" + std::to_string(mRandom->Below(40));
+    const auto result = AnyInstance().mNode.GetJobRouter().Cancel(
+      id, mClock.Now() + milliseconds(400));
+    if (result) {
+      mJobs[id].mIsCancelled = true;
+    } else if (result.error().mKind == base::ErrorKind::OutcomeUnknown) {
+      mMayBeCancelled.insert(id);
+    }
+  }
+
+  void Advance(base::Duration aTime)
+  {
+    const base::TimePoint end = mClock.Now() + aTime;
+    while (mClock.Now() < end && mProblem.empty()) {
+      mClock.Advance(kStep);
+      for (auto& it : mInstances) {
+        if (mClock.Now() >= it->mPausedUntil) {
+          it->mNode.Tick();
+          it->mLog.Deliver();
+          it->mClients.Deliver();
+        }
+      }
+      CheckRuns();
+    }
+  }
+
+  /// No task runs twice, whichever cells its workers belong to.
+  void CheckRuns()
+  {
+    std::set<std::string> running;
+    for (const auto& [id, worker] : mWorkers) {
+      for (const auto& it : worker.mRuns) {
+        const std::string task = dispatch::ToText(it.mTask);
+        if (!running.insert(task).second) {
+          mProblem = task + " runs twice";
+        }
+        if (mMayExist.count(it.mTask.mJobId) == 0) {
+          mProblem = task + " was not submitted";
+        }
+      }
+    }
+  }
+
+  void CheckOutcome()
+  {
+    for (const auto& it : mState.mStreams) {
+      mTransferCount += static_cast<int>(std::count_if(
+        it.second.begin(), it.second.end(), [](const auto& aRecord) {
+          return aRecord.mKey.substr(0, 2) == "t/";
+        }));
+    }
+    std::map<std::string, int> runs;
+    for (const auto& [id, worker] : mWorkers) {
+      for (const auto& it : worker.mRuns) {
+        ++runs[it.mTask.mJobId];
+      }
+    }
+    for (const auto& [id, job] : mJobs) {
+      for (const auto& instance : mInstances) {
+        const auto state = instance->mNode.GetJobRouter().StateOf(
+          id, mClock.Now() + milliseconds(400));
+        const bool isKnown = static_cast<bool>(state);
+        if (job.mIsAccepted && !isKnown) {
+          mProblem = id + " was accepted and is not known";
+          return;
+        }
+        if (job.mIsCancelled && isKnown &&
+            state.value() != jobs::JobState::Cancelled) {
+          mProblem = id + " was cancelled and is not shown so";
+          return;
+        }
+      }
+      const int count =
+        job.mRequest.mSteps.empty() ? 0 : job.mRequest.mSteps[0].mCount;
+      const bool mayBeCancelled =
+        job.mIsCancelled || mMayBeCancelled.count(id) != 0;
+      if (job.mIsAccepted && !mayBeCancelled && runs[id] != count) {
+        mProblem =
+          id + " was accepted and has " + std::to_string(runs[id]) + " runs";
+        return;
+      }
+      if (job.mIsCancelled && runs[id] != 0) {
+        mProblem = id + " was cancelled and runs";
+        return;
+      }
+    }
+  }
+
+  void Store(const std::string& aTopic, std::string aKey, std::string aValue)
+  {
+    auto& records = mState.mStreams[aTopic];
+    const auto offset = static_cast<std::int64_t>(records.size());
+    records.push_back({ std::move(aKey), std::move(aValue), offset });
+  }
+
+  std::unique_ptr<base::Random> mRandom;
+  base::ManualClock mClock;
+  FakeLogState mState;
+  FakeWorkers mWorkers;
+  std::vector<std::unique_ptr<CellInstance>> mInstances;
+  int mStartCount = 0;
+  std::map<std::string, SubmittedJob> mJobs;
+  std::set<std::string> mMayExist;
+  std::set<std::string> mMayBeCancelled;
+  std::string mProblem;
+  int mTransferCount = 0;
+};
+
+} // namespace
+
+/// Many instances and several cells over one log, with lost, late and repeated
+/// appends, pauses, kills, repeated submissions and cancellations.
+class CellRandomTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(CellRandomTest);
+  CPPUNIT_TEST(KeepsEachJobInOneCell);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against tasks that run in two cells, accepted jobs that no cell
+  // runs, cancellations that do not reach the cell of a transferred job, and
+  // repeated submissions that become a second job.
+  void KeepsEachJobInOneCell()
+  {
+    const char* text = std::getenv("SKYLARKHILL_CELL_SEEDS");
+    const int seeds = text != nullptr ? std::atoi(text) : kSeeds;
+    int transfers = 0;
+    for (int seed = 1; seed <= seeds; ++seed) {
+      CellSimulation simulation(static_cast<std::uint64_t>(seed));
+      const std::string problem = simulation.Run();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        "seed " + std::to_string(seed), std::string(), problem);
+      transfers += simulation.TransferCount();
+    }
+    CPPUNIT_ASSERT(transfers > 0);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CellRandomTest);
+
+} // namespace skylarkhill::node
--- a/src/node/fake_shared_log_test.hpp
+++ b/src/node/fake_shared_log_test.hpp
@@ -16,13 +16,24 @@
 
 namespace skylarkhill::node {
 
-/// The contents of an in-memory log.
+/// The contents of an in-memory log. Streams are named by NameOfStream.
 struct FakeLogState
 {
   std::map<std::string, std::vector<LogRecord>> mStreams;
   std::map<std::string, std::int64_t> mEpochs;
+  /// The last stamped append of each stream and its result.
+  std::map<std::string, std::pair<WriterStamp, AppendResult>> mLastStamped;
 };
 
+/// The topic, followed by the partition unless it is 0.
+inline std::string
+NameOfStream(const LogStream& aStream)
+{
+  return aStream.mPartition == 0
+           ? aStream.mTopic
+           : aStream.mTopic + "/" + std::to_string(aStream.mPartition);
+}
+
 /// One instance's access to the in-memory log. Handlers of asynchronous calls
 /// run in Deliver.
 class FakeSharedLog
@@ -40,6 +51,9 @@
   {
     const AppendResult result =
       mIsUnreachable ? AppendResult{} : Apply(aRequest);
+    if (mIsUnreachable && mKeepsLostAppends) {
+      mLostAppends.push_back(aRequest);
+    }
     if (!mIsUnreachable && !mDropsResponses) {
       return result;
     }
@@ -57,7 +71,7 @@
     if (mIsUnreachable || mUnreadableTopics.count(aStream.mTopic) != 0) {
       return result;
     }
-    const auto& records = mState.mStreams[aStream.mTopic];
+    const auto& records = mState.mStreams[NameOfStream(aStream)];
     result.mOutcome = LogOutcome::Done;
     result.mNextOffset = aFrom;
     result.mEnd = static_cast<std::int64_t>(records.size());
@@ -148,6 +162,17 @@
   std::size_t mMaxRecordsPerRead = std::numeric_limits<std::size_t>::max();
   /// Appends take effect, but their responses are lost.
   bool mDropsResponses = false;
+  /// Appends while mIsUnreachable are kept and take effect when
+  /// CarryOutLostAppends is called.
+  bool mKeepsLostAppends = false;
+
+  void CarryOutLostAppends()
+  {
+    for (const auto& it : mLostAppends) {
+      Apply(it);
+    }
+    mLostAppends.clear();
+  }
 
 private:
   /// An asynchronous read of new records that waits.
@@ -162,7 +187,8 @@
 
   AppendResult Apply(const AppendRequest& aRequest)
   {
-    auto& records = mState.mStreams[aRequest.mStream.mTopic];
+    const std::string stream = NameOfStream(aRequest.mStream);
+    auto& records = mState.mStreams[stream];
     AppendResult result;
     result.mEnd = static_cast<std::int64_t>(records.size());
     if (aRequest.mExpectedEnd && *aRequest.mExpectedEnd != result.mEnd) {
@@ -170,12 +196,18 @@
       return result;
     }
     if (aRequest.mStamp) {
-      auto& epoch = mState.mEpochs[aRequest.mStream.mTopic];
+      auto& epoch = mState.mEpochs[stream];
       if (aRequest.mStamp->mEpoch < epoch) {
         result.mOutcome = LogOutcome::Fenced;
         return result;
       }
       epoch = aRequest.mStamp->mEpoch;
+      const auto last = mState.mLastStamped.find(stream);
+      if (last != mState.mLastStamped.end() &&
+          last->second.first.mEpoch == aRequest.mStamp->mEpoch &&
+          last->second.first.mSequence >= aRequest.mStamp->mSequence) {
+        return last->second.second;
+      }
     }
     result.mOutcome = LogOutcome::Done;
     result.mOffset = result.mEnd;
@@ -183,10 +215,14 @@
       it.mOffset = result.mEnd++;
       records.push_back(it);
     }
+    if (aRequest.mStamp) {
+      mState.mLastStamped[stream] = { *aRequest.mStamp, result };
+    }
     return result;
   }
 
   FakeLogState& mState;
+  std::vector<AppendRequest> mLostAppends;
   std::deque<std::function<void()>> mResponses;
   std::vector<PendingRead> mReads;
 };
--- /dev/null
+++ b/src/node/fake_worker_client_test.hpp
@@ -0,0 +1,165 @@
+#ifndef SKYLARKHILL_NODE_FAKE_WORKER_CLIENT_TEST_HPP
+#define SKYLARKHILL_NODE_FAKE_WORKER_CLIENT_TEST_HPP
+
+#include "skylarkhill/base/clock.hpp"
+#include "skylarkhill/node/worker_client.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace skylarkhill::node {
+
+/// The runs and the fencing token of a worker.
+struct FakeWorkerState
+{
+  std::vector<dispatch::ActiveRun> mRuns;
+  std::int64_t mFencingToken = 0;
+};
+
+/// By worker id; shared by all instances.
+using FakeWorkers = std::map<std::string, FakeWorkerState>;
+
+/// One instance's calls to the workers. Results are passed on in Deliver.
+class FakeWorkerClient
+  : public WorkerClient
+  , public WorkerClients
+{
+public:
+  WorkerClient& ClientOf(int) override { return *this; }
+  FakeWorkerClient(FakeWorkers& aWorkers, const base::Clock& aClock)
+    : mWorkers(aWorkers)
+    , mClock(aClock)
+  {
+  }
+
+  void ClearDispatcher() override
+  {
+    mDispatcher = nullptr;
+    mResults.clear();
+  }
+
+  void SetDispatcher(std::int64_t aEpoch,
+                     dispatch::Dispatcher& aDispatcher) override
+  {
+    mEpoch = aEpoch;
+    mDispatcher = &aDispatcher;
+  }
+
+  void Poll(const dispatch::PollCall& aCall) override
+  {
+    if (mUnreachable.count(aCall.mWorkerId) != 0) {
+      mResults.emplace_back([this, aCall] {
+        mDispatcher->OnPollFailed(aCall.mWorkerId, mClock.Now());
+      });
+      return;
+    }
+    if (!CheckFence(aCall.mWorkerId)) {
+      return;
+    }
+    CountLease(aCall.mWorkerId, aCall.mLeaseUntilMs);
+    dispatch::WorkerReport report;
+    report.mClockMs = base::ToMicros(mClock.Now()) / 1000;
+    report.mIncarnationStartMs = 1;
+    report.mActiveRuns = mWorkers[aCall.mWorkerId].mRuns;
+    mResults.emplace_back([this, aCall, report, sentAt = mClock.Now()] {
+      mDispatcher->OnReport(aCall.mWorkerId, report, sentAt, mClock.Now());
+    });
+  }
+
+  void Start(const dispatch::StartCall& aCall) override
+  {
+    if (!CheckFence(aCall.mWorkerId)) {
+      return;
+    }
+    mStarts.push_back(aCall);
+    CountLease(aCall.mWorkerId, aCall.mLeaseUntilMs);
+    mWorkers[aCall.mWorkerId].mRuns.push_back(
+      { aCall.mTask, aCall.mRunNumber, "", 50, 20 });
+    mResults.emplace_back([this, aCall] {
+      mDispatcher->OnStartResult(
+        aCall, dispatch::StartOutcome::Started, mClock.Now());
+    });
+  }
+
+  void Stop(const dispatch::StopCall& aCall) override
+  {
+    if (!CheckFence(aCall.mWorkerId)) {
+      return;
+    }
+    auto& runs = mWorkers[aCall.mWorkerId].mRuns;
+    runs.erase(std::remove_if(runs.begin(),
+                              runs.end(),
+                              [&](const dispatch::ActiveRun& aRun) {
+                                return aRun.mTask == aCall.mTask &&
+                                       aRun.mRunNumber == aCall.mRunNumber;
+                              }),
+               runs.end());
+    mResults.emplace_back([this, aCall] {
+      mDispatcher->OnStopResult(
+        aCall, dispatch::CallOutcome::Accepted, mClock.Now());
+    });
+  }
+
+  void Pace(const dispatch::PaceCall& aCall) override
+  {
+    mResults.emplace_back([this, aCall] {
+      mDispatcher->OnPaceResult(
+        aCall, dispatch::CallOutcome::Accepted, mClock.Now());
+    });
+  }
+
+  void Advise(const dispatch::AdviceCall&) override {}
+
+  void Deliver()
+  {
+    auto results = std::move(mResults);
+    mResults.clear();
+    for (const auto& it : results) {
+      if (mDispatcher != nullptr) {
+        it();
+      }
+    }
+  }
+
+  std::vector<dispatch::StartCall> mStarts;
+  /// Workers whose polls fail.
+  std::set<std::string> mUnreachable;
+  /// Longest requested lease by worker, on the clock of the workers.
+  std::map<std::string, std::int64_t> mLeaseEndsMs;
+
+private:
+  void CountLease(const std::string& aWorkerId, std::int64_t aLeaseEndMs)
+  {
+    auto& end = mLeaseEndsMs[aWorkerId];
+    end = std::max(end, aLeaseEndMs);
+  }
+
+  bool CheckFence(const std::string& aWorkerId)
+  {
+    FakeWorkerState& worker = mWorkers[aWorkerId];
+    if (mEpoch < worker.mFencingToken) {
+      mResults.emplace_back(
+        [this, aWorkerId] { mDispatcher->OnFenced(aWorkerId); });
+      return false;
+    }
+    worker.mFencingToken = mEpoch;
+    return true;
+  }
+
+  FakeWorkers& mWorkers;
+  const base::Clock& mClock;
+  std::int64_t mEpoch = 0;
+  dispatch::Dispatcher* mDispatcher = nullptr;
+  std::deque<std::function<void()>> mResults;
+};
+
+} // namespace skylarkhill::node
+
+#endif // SKYLARKHILL_NODE_FAKE_WORKER_CLIENT_TEST_HPP
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -28,6 +28,8 @@
 constexpr base::Duration kReadTimeout = std::chrono::milliseconds(800);
 /// Callers' requests fail fast for this time after a failed call to the log.
 constexpr base::Duration kUnreachablePeriod = std::chrono::milliseconds(700);
+/// Maximum age of the journal for the state of a job that is not final.
+constexpr base::Duration kMaxStateAge = std::chrono::milliseconds(100);
 /// Maximum age of the journal for a count of pending jobs. A count must include
 /// at least half of the jobs that were accepted five seconds before.
 constexpr base::Duration kMaxCountAge = std::chrono::milliseconds(4000);
@@ -80,20 +82,6 @@
 {
 }
 
-void
-JobService::SetRoutes(std::shared_ptr<const RouteTable> aRoutes)
-{
-  const std::lock_guard lock(mRoutesLock);
-  mRoutes = std::move(aRoutes);
-}
-
-std::shared_ptr<const RouteTable>
-JobService::Routes() const
-{
-  const std::lock_guard lock(mRoutesLock);
-  return mRoutes;
-}
-
 base::Result<void>
 JobService::Submit(const jobs::QueuePolicy& aPolicy,
                    const std::string& aJobId,
@@ -160,8 +148,14 @@
 JobService::StateOf(const std::string& aJobId, TimePoint aDeadline)
 {
   auto state = mJobs.StateOf(aJobId);
-  if (!state) {
-    BOOST_OUTCOME_TRYV(CatchUp(aDeadline));
+  const bool mayHaveChanged =
+    !state ||
+    (!jobs::IsFinal(*state) && base::ToMicros(mClock.Now()) >= mFreshUntil);
+  if (mayHaveChanged) {
+    const auto caughtUp = CatchUp(aDeadline);
+    if (!caughtUp && !state) {
+      return caughtUp.error();
+    }
     state = mJobs.StateOf(aJobId);
   }
   if (!state) {
@@ -255,6 +249,7 @@
     }
     if (isAtEnd) {
       mCountableUntil = base::ToMicros(now + kMaxCountAge);
+      mFreshUntil = base::ToMicros(now + kMaxStateAge);
       return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
     next = result.mNextOffset;
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -88,7 +88,14 @@
             mStream,
             { [this](const LogRecord& aRecord) { OnRecord(aRecord); }, {} })
 {
-  mReader.SetPause(kFollowerPause);
+  SetFollowerPause(kFollowerPause);
+}
+
+void
+Leadership::SetFollowerPause(base::Duration aPause)
+{
+  mFollowerPause = std::max(aPause, kFollowerPause);
+  mReader.SetPause(mFollowerPause);
 }
 
 void
@@ -101,9 +108,9 @@
   }
   if (mOwnEpoch) {
     Append({ *mOwnEpoch, mInstanceId, false });
-  } else if (!mHasResigned && mMayClaim && IsClaimDue(now)) {
-    Append(
-      { (mNewestRecord ? mNewestRecord->mEpoch : 0) + 1, mInstanceId, false });
+  } else if (mMayClaim && IsClaimDue()) {
+    const std::int64_t newest = mNewestRecord ? mNewestRecord->mEpoch : 0;
+    Append({ std::max(newest, mMinEpoch) + 1, mInstanceId, false });
   }
 }
 
@@ -203,19 +210,23 @@
 }
 
 bool
-Leadership::IsClaimDue(TimePoint aNow) const
+Leadership::IsClaimDue() const
 {
-  if (!mReader.IsLoaded() || mReader.ConsecutiveFailures() > 0) {
+  const TimePoint now = mClock.Now();
+  if (mOwnEpoch || mHasResigned || mIsAppending || now < mNextAppendAt ||
+      !mReader.IsLoaded() || mReader.ConsecutiveFailures() > 0) {
     return false;
   }
-  const base::Duration delay = ClaimDelay(
-    mInstanceId, mNewestRecord ? mNewestRecord->mEpoch : 0, mProcessors);
+  const base::Duration delay =
+    mClaimDelay + ClaimDelay(mInstanceId,
+                             mNewestRecord ? mNewestRecord->mEpoch : 0,
+                             mProcessors);
   if (!mNewestRecord || mNewestRecord->mIsResigned) {
-    return aNow >= std::max(mNewestReadAt, mReader.ReachableSince()) + delay;
+    return now >= std::max(mNewestReadAt, mReader.ReachableSince()) + delay;
   }
   // Time in which the stream could not be read does not count as silence.
-  return aNow >= std::max(mNewestReadAt, mReader.ReachableSince()) +
-                   kTakeoverTimeout + delay;
+  return now >= std::max(mNewestReadAt, mReader.ReachableSince()) +
+                  kTakeoverTimeout + (mFollowerPause - kFollowerPause) + delay;
 }
 
 void
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -65,6 +65,7 @@
   CPPUNIT_TEST(AcceptsAJobWhoseRecordIsReadBack);
   CPPUNIT_TEST(ReportsLogUnavailableBeforeTheJournalIsLoaded);
   CPPUNIT_TEST(FindsAJobThatAnotherNodeHasJustAccepted);
+  CPPUNIT_TEST(ShowsTheEndOfAJobWithoutWaitingForTheFollower);
   CPPUNIT_TEST(FindsAJobBeyondTheFirstPartOfTheJournal);
   CPPUNIT_TEST(RefusesACountBeforeTheJournalIsLoaded);
   CPPUNIT_TEST(RefusesACountFromAnOutdatedJournal);
@@ -296,6 +297,30 @@
     CPPUNIT_ASSERT(mJobService.StateOf("b", DefaultDeadline()));
   }
 
+  // Guards against callers that are told of the end of a job only after the
+  // next read of the follower.
+  void ShowsTheEndOfAJobWithoutWaitingForTheFollower()
+  {
+    CPPUNIT_ASSERT(Submit("a"));
+    mClock.Advance(milliseconds(500));
+    jobs::JobProgress progress;
+    progress.mState = jobs::JobState::Completed;
+    AppendRequest request;
+    request.mStream = kJournalStream;
+    request.mRecords.push_back(
+      { jobs::FormatRecordKey(jobs::RecordKind::Progress, "a"),
+        jobs::EncodeProgress(progress),
+        0 });
+    mLog.Append(request, DefaultDeadline());
+    mLog.mIsUnreachable = true;
+    CPPUNIT_ASSERT(mJobService.StateOf("a", DefaultDeadline()).value() ==
+                   jobs::JobState::Pending);
+    mLog.mIsUnreachable = false;
+    mClock.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT(mJobService.StateOf("a", DefaultDeadline()).value() ==
+                   jobs::JobState::Completed);
+  }
+
   // Guards against 410 for an accepted job on an instance that is further
   // behind than one read returns.
   void FindsAJobBeyondTheFirstPartOfTheJournal()
--- a/src/node/overload_test.cpp
+++ b/src/node/overload_test.cpp
@@ -30,7 +30,8 @@
 const NodeStreams kStreams{ { "configuration", 0 },
                             { "workers", 0 },
                             { "journal", 0 },
-                            { "leaders", 0 } };
+                            { "leaders", 0 },
+                            { "cells", 0 } };
 
 constexpr std::int64_t kWorkerMilliProcessors = 16000;
 constexpr int kWorkerCount = 490;
@@ -204,9 +205,12 @@
 
 /// A client whose calls and answers take processor time of the instance. A
 /// response that is read after the deadline of its call counts as missing.
-class CostlyClient : public WorkerClient
+class CostlyClient
+  : public WorkerClient
+  , public WorkerClients
 {
 public:
+  WorkerClient& ClientOf(int) override { return *this; }
   CostlyClient(SimulatedWorkers& aWorkers, base::ManualClock& aClock)
     : mWorkers(aWorkers)
     , mClock(aClock)
