Keep the backlog of a lost leader in its cell

Seen (by reading, then by the test): a new leader has no report of any worker in its first ticks, so its cell seems to lack every pool, and all jobs that have not started move to other cells. Change: no transfer is chosen in the first 700 ms of a term.

--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -75,6 +75,9 @@
 /// Claim delay for each other cell that the instance leads.
 constexpr Duration kDelayPerLedCell = std::chrono::milliseconds(600);
 
+/// Time in which the workers answer the first polls of a term. Before that, a
+/// cell seems to have no room.
+constexpr Duration kFirstReportsTime = std::chrono::milliseconds(700);
 constexpr Duration kTransferInterval = std::chrono::milliseconds(100);
 constexpr int kMaxTransfersPerRound = 50;
 constexpr std::size_t kMaxTransfersInFlight = 50;
@@ -698,6 +701,7 @@
   mJobsToAdd.insert(openJobs.begin(), openJobs.end());
   const auto transfers = mJobs.ListTransfersToRepeat();
   mTransfersToSend.insert(transfers.begin(), transfers.end());
+  mNextTransferCheckAt = now + kFirstReportsTime;
   mProfile.Reset();
 }
 
--- a/src/node/cell_random_test.cpp
+++ b/src/node/cell_random_test.cpp
@@ -162,8 +162,29 @@
     return mProblem;
   }
 
+  /// Jobs come while no cell has a leader. Returns the number of transfers.
+  int TakeOverWithBacklog()
+  {
+    Advance(milliseconds(6000));
+    for (std::size_t n = 0; n < mInstances.size(); ++n) {
+      mInstances[n].reset();
+      mInstances[n] = CreateInstance(static_cast<int>(n));
+    }
+    Advance(milliseconds(1000));
+    for (int n = 0; n < 20; ++n) {
+      Submit();
+    }
+    Advance(kRecoveryTime);
+    CheckOutcome();
+    return mTransferCount;
+  }
+
+  const std::string& Problem() const { return mProblem; }
   int TransferCount() const { return mTransferCount; }
 
+  /// Some jobs prefer a rack or require a label.
+  bool mHasSpecialJobs = true;
+
 private:
   struct SubmittedJob
   {
@@ -240,8 +261,10 @@
       step.mResources.mMilliProcessors = 500;
       // Half of the jobs have their home in the first cell, which has no
       // worker for some of these.
-      step.mPreferredRack = mRandom->Below(2) == 0 ? "d0rack" : "";
-      step.mRequiredLabel = mRandom->Below(4) == 0 ? "odd" : "";
+      if (mHasSpecialJobs) {
+        step.mPreferredRack = mRandom->Below(2) == 0 ? "d0rack" : "";
+        step.mRequiredLabel = mRandom->Below(4) == 0 ? "odd" : "";
+      }
       job.mRequest.mSteps.push_back(step);
     }
     jobs::QueuePolicy policy;
@@ -372,6 +395,7 @@
 {
   CPPUNIT_TEST_SUITE(CellRandomTest);
   CPPUNIT_TEST(KeepsEachJobInOneCell);
+  CPPUNIT_TEST(KeepsTheBacklogOfALostLeader);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -392,6 +416,16 @@
     }
     CPPUNIT_ASSERT(transfers > 0);
   }
+
+  // Guards against a new leader that moves its backlog to other cells because
+  // no worker has answered it yet.
+  void KeepsTheBacklogOfALostLeader()
+  {
+    CellSimulation simulation(1);
+    simulation.mHasSpecialJobs = false;
+    CPPUNIT_ASSERT_EQUAL(0, simulation.TakeOverWithBacklog());
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Problem());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CellRandomTest);
