Bound the pauses between reads of many cells

The pauses end at 1.5 s for journals and 2.4 s for the leader streams of other failure domains. Also mends findings of the linter in the new files.

--- a/src/cells/cell_map.cpp
+++ b/src/cells/cell_map.cpp
@@ -52,10 +52,10 @@
                           const std::vector<int>& aCells) {
     map.mCellsByDomain[aDomain] = aCells;
     for (const auto& [rack, count] : aRacks) {
-      const int cell =
-        *std::min_element(aCells.begin(), aCells.end(), [&](int a, int b) {
-          return sizes[static_cast<std::size_t>(a)] <
-                 sizes[static_cast<std::size_t>(b)];
+      const int cell = *std::min_element(
+        aCells.begin(), aCells.end(), [&](int aLeft, int aRight) {
+          return sizes[static_cast<std::size_t>(aLeft)] <
+                 sizes[static_cast<std::size_t>(aRight)];
         });
       sizes[static_cast<std::size_t>(cell)] += count;
       map.mCellByRack.emplace(rack, cell);
--- a/src/logging/logging.cpp
+++ b/src/logging/logging.cpp
@@ -53,7 +53,7 @@
 }
 
 /// Fields of the ContextField objects of this thread.
-thread_local std::vector<Field> tContext;
+thread_local std::vector<Field> gContext;
 
 } // namespace
 
@@ -71,12 +71,12 @@
 
 ContextField::ContextField(std::string_view aKey, std::int64_t aValue)
 {
-  tContext.emplace_back(aKey, aValue);
+  gContext.emplace_back(aKey, aValue);
 }
 
 ContextField::~ContextField()
 {
-  tContext.pop_back();
+  gContext.pop_back();
 }
 
 Field::Field(std::string_view aKey, std::string_view aValue)
@@ -121,7 +121,7 @@
   for (const auto& it : aFields) {
     AppendField(line, it);
   }
-  for (const auto& it : tContext) {
+  for (const auto& it : gContext) {
     AppendField(line, it);
   }
   return line;
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -22,8 +22,12 @@
 /// do not grow with the site.
 constexpr Duration kFollowerJournalPause = std::chrono::milliseconds(400);
 constexpr Duration kFollowerPausePerCell = std::chrono::milliseconds(160);
-/// The same for the leader stream of a cell of another failure domain.
+/// With the wait of a read, well below kMaxReadAge.
+constexpr Duration kMaxFollowerPause = std::chrono::milliseconds(1500);
+/// The same for the leader stream of a cell of another failure domain. The
+/// upper bound delays the takeover of a cell whose failure domain is lost.
 constexpr Duration kLeaderPausePerCell = std::chrono::milliseconds(240);
+constexpr Duration kMaxLeaderPause = std::chrono::milliseconds(2400);
 constexpr Duration kLeaderJournalPause = std::chrono::milliseconds(15);
 /// Shorter than that of a follower, so that one lost read of a leader does not
 /// delay cancellations beyond their bound.
@@ -150,7 +154,8 @@
 {
   mJournalReader.SetPause(FollowerJournalPause());
   if (!mOptions.mIsInDomain) {
-    mLeadership.SetFollowerPause(kLeaderPausePerCell * mOptions.mCellCount);
+    mLeadership.SetFollowerPause(
+      std::min(kMaxLeaderPause, kLeaderPausePerCell * mOptions.mCellCount));
   }
 }
 
@@ -268,8 +273,9 @@
 Duration
 Cell::FollowerJournalPause() const
 {
-  return std::max(kFollowerJournalPause,
-                  kFollowerPausePerCell * mOptions.mCellCount);
+  return std::clamp(kFollowerPausePerCell * mOptions.mCellCount,
+                    kFollowerJournalPause,
+                    kMaxFollowerPause);
 }
 
 void
--- a/src/node/job_router.cpp
+++ b/src/node/job_router.cpp
@@ -93,15 +93,17 @@
     return *cells->mServices[static_cast<std::size_t>(aCell)];
   };
   JobService& service = serviceOf(location.mCell);
-  const auto state = service.StateOf(aJobId, aDeadline);
+  auto state = service.StateOf(aJobId, aDeadline);
   if (!state) {
     return location.mState;
   }
   const auto transfer = service.Jobs().TransferOf(aJobId);
   if (transfer && transfer->mTarget < cells->mMap.mCount) {
-    const auto moved = serviceOf(transfer->mTarget).StateOf(aJobId, aDeadline);
+    auto moved = serviceOf(transfer->mTarget).StateOf(aJobId, aDeadline);
     // The target may not have the job yet.
-    return moved ? moved : state;
+    if (moved) {
+      return moved;
+    }
   }
   return state;
 }
