Balance lasting jobs between cells, and move jobs when they arrive

Task 2 of a lasting job fails at 36.4 s and is not started again until 46.5 s. Cause: lasting jobs fill the cells by the hash of their ids. Jobs were looked at for a transfer only after the dispatcher had begun to start them, so that 62 of 1,105 moved. Ruled out: a leader short of time (busiest 0.158 of a core). Change: a job is considered when it arrives. Lasting jobs go to the less loaded of two candidates if that has much more room than the home; others move if the home has no room now. Backfill that waits counts as no room. Each home uses only its share of the room of a cell that all homes see. Loads are published every 250 ms and read every 200 ms by leaders.

--- a/include/skylarkhill/cells/transfer_policy.hpp
+++ b/include/skylarkhill/cells/transfer_policy.hpp
@@ -20,6 +20,8 @@
   Incompatible,
   /// The home has no room for the first steps of the job, another cell has.
   NoRoom,
+  /// The job lasts, and another cell has much more room.
+  Balance,
 };
 
 /// The stable name of `aReason`.
@@ -40,6 +42,8 @@
   bool mPrefersRack = false;
   /// The job starts at a given time.
   bool mIsTimed = false;
+  /// A step runs until the job is cancelled.
+  bool mIsService = false;
 };
 
 JobDemand
@@ -61,10 +65,10 @@
                const std::vector<std::optional<CellLoad>>& aLoads,
                base::Duration aWaited);
 
-/// Takes the room for a transferred job off the load of its target, until the
-/// target publishes a new load.
+/// Takes the room for a job off a load, until a new load is known. `aShares` is
+/// the number of cells that use the same room at the same time.
 void
-Reserve(CellLoad& aLoad, const JobDemand& aDemand);
+Reserve(CellLoad& aLoad, const JobDemand& aDemand, int aShares);
 
 } // namespace skylarkhill::cells
 
--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -66,6 +66,7 @@
   virtual void AddJob(const jobs::JobEntry& aJob,
                       bool aIsFromEarlierTerm,
                       base::TimePoint aNow) = 0;
+  virtual bool HasJob(const std::string& aJobId) const = 0;
   virtual void CancelJob(const std::string& aJobId, base::TimePoint aNow) = 0;
 
   /// Jobs of which no task can have been started.
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -4,6 +4,7 @@
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/cells/cell_load.hpp"
 #include "skylarkhill/cells/cell_map.hpp"
+#include "skylarkhill/cells/transfer_policy.hpp"
 #include "skylarkhill/dispatch/dispatcher.hpp"
 #include "skylarkhill/dispatch/worker.hpp"
 #include "skylarkhill/jobs/job_codec.hpp"
@@ -175,6 +176,14 @@
   /// Passes open jobs of earlier terms to the dispatcher.
   void AddOpenJobs();
   void TickDispatcher(base::TimePoint aNow, base::TimePoint aResumedAt);
+  /// Decides whether a new job moves to another cell. Returns true if it does.
+  bool TransferOnArrival(const jobs::JobEntry& aJob, base::TimePoint aNow);
+  std::optional<cells::Transfer> FindTransfer(
+    const jobs::Submission& aSubmission,
+    base::Duration aWaited) const;
+  void StoreTransfer(const jobs::Submission& aSubmission,
+                     const cells::Transfer& aTransfer,
+                     base::Duration aWaited);
   /// Decides which unstarted jobs move to other cells.
   void ChooseTransfers(base::TimePoint aNow);
   /// Copies transferred jobs, and their cancellations, to the journals of their
@@ -240,6 +249,8 @@
   std::string mModelRecord;
   base::TimePoint mNextModelAt;
 
+  /// From when on transfers are chosen in this term.
+  base::TimePoint mTransfersFrom;
   base::TimePoint mNextTransferCheckAt;
   base::TimePoint mNextLoadAt;
   /// Transfers that go into the next batch.
--- a/src/cells/transfer_policy.cpp
+++ b/src/cells/transfer_policy.cpp
@@ -5,21 +5,24 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <utility>
 
 namespace skylarkhill::cells {
 
 namespace {
 
-/// Time in which the home places a job that it has room for.
-constexpr base::Duration kPlacementTime = std::chrono::milliseconds(300);
-/// The same for a job that prefers a rack: elsewhere its tasks take a multiple
-/// of their time.
+/// Time in which the home may place a job that prefers a rack: elsewhere its
+/// tasks take a multiple of their time.
 constexpr base::Duration kPlacementTimeBesideData =
   std::chrono::milliseconds(2000);
 
-constexpr base::NameTable<TransferReason, 2> kReasonNames{ {
+/// A lasting job moves if the target has this many times its demand more room.
+constexpr std::int64_t kMinBalanceDemands = 2;
+
+constexpr base::NameTable<TransferReason, 3> kReasonNames{ {
   { TransferReason::Incompatible, "incompatible" },
   { TransferReason::NoRoom, "no_room" },
+  { TransferReason::Balance, "balance" },
 } };
 
 /// True if the cell has a worker for each step of the job.
@@ -33,15 +36,80 @@
                                           aDemand.mLabels.end());
 }
 
+/// Processors that neither runs nor waiting tasks need.
+std::int64_t
+RoomOf(const PoolLoad& aPool)
+{
+  return aPool.mFree - aPool.mWaiting;
+}
+
 /// True if the cell has room for the first steps of the job besides what waits
-/// there.
+/// there. Backfill that waits shows that the services beside it bear no more,
+/// whatever processors are unused.
 bool
 HasRoom(const CellLoad& aLoad, const JobDemand& aDemand)
 {
   const PoolLoad* pool = FindPool(aLoad, aDemand.mPool);
-  return pool != nullptr &&
-         pool->mFree - pool->mWaiting >= aDemand.mProcessors &&
-         pool->mFreeForBackfill - pool->mWaitingBackfill >= aDemand.mBackfill;
+  if (pool == nullptr) {
+    return false;
+  }
+  const bool hasProcessors =
+    aDemand.mProcessors == 0 || RoomOf(*pool) >= aDemand.mProcessors;
+  const bool hasBackfillRoom =
+    aDemand.mBackfill == 0 || (pool->mWaitingBackfill == 0 &&
+                               pool->mFreeForBackfill >= aDemand.mBackfill);
+  return hasProcessors && hasBackfillRoom;
+}
+
+/// The other cells that can run the job, in an order that differs between jobs,
+/// so that homes that see the same loads do not choose the same cell.
+std::vector<int>
+RankCandidates(const std::string& aJobId,
+               int aHome,
+               const JobDemand& aDemand,
+               const std::vector<std::optional<CellLoad>>& aLoads)
+{
+  std::vector<std::pair<std::uint64_t, int>> ranks;
+  for (int cell = 0; cell < static_cast<int>(aLoads.size()); ++cell) {
+    const auto& load = aLoads[static_cast<std::size_t>(cell)];
+    if (cell != aHome && load && IsCompatible(*load, aDemand)) {
+      ranks.emplace_back(
+        base::StableHash(aJobId, static_cast<std::uint64_t>(cell)), cell);
+    }
+  }
+  std::sort(ranks.begin(), ranks.end());
+  std::vector<int> cells;
+  for (const auto& [rank, cell] : ranks) {
+    cells.push_back(cell);
+  }
+  return cells;
+}
+
+/// The less loaded of the first two candidates, if it has much more room than
+/// the home.
+std::optional<int>
+FindBalance(const CellLoad& aHome,
+            const std::vector<int>& aCandidates,
+            const JobDemand& aDemand,
+            const std::vector<std::optional<CellLoad>>& aLoads)
+{
+  const auto roomOf = [&](const CellLoad& aLoad) {
+    return RoomOf(*FindPool(aLoad, aDemand.mPool));
+  };
+  std::optional<int> target;
+  std::int64_t most =
+    roomOf(aHome) +
+    kMinBalanceDemands * std::max<std::int64_t>(1, aDemand.mProcessors);
+  for (std::size_t n = 0; n < std::min<std::size_t>(2, aCandidates.size());
+       ++n) {
+    const std::int64_t room =
+      roomOf(*aLoads[static_cast<std::size_t>(aCandidates[n])]);
+    if (room >= most) {
+      most = room;
+      target = aCandidates[n];
+    }
+  }
+  return target;
 }
 
 } // namespace
@@ -63,6 +131,7 @@
       demand.mLabels.insert(it.mRequiredLabel);
     }
     demand.mPrefersRack = demand.mPrefersRack || !it.mPreferredRack.empty();
+    demand.mIsService = demand.mIsService || it.mIsService;
     if (it.mDependsOn.empty()) {
       (it.mIsBackfill ? demand.mBackfill : demand.mProcessors) +=
         it.mCount * it.mResources.mMilliProcessors;
@@ -82,47 +151,43 @@
   if (!home) {
     return std::nullopt;
   }
-  const bool isIncompatible = !IsCompatible(*home, aDemand);
-  const base::Duration patience =
-    aDemand.mPrefersRack ? kPlacementTimeBesideData : kPlacementTime;
+  const auto candidates = RankCandidates(aJobId, aHome, aDemand, aLoads);
+  if (!IsCompatible(*home, aDemand)) {
+    return candidates.empty()
+             ? std::optional<Transfer>()
+             : Transfer{ candidates.front(), TransferReason::Incompatible };
+  }
   // A timed job starts nothing now.
-  const bool isOverloaded =
-    aWaited >= patience && !aDemand.mIsTimed && !HasRoom(*home, aDemand);
-  if (!isIncompatible && !isOverloaded) {
+  if (aDemand.mIsTimed) {
     return std::nullopt;
   }
-  // All homes see the same loads, so the hash spreads what they move at the
-  // same time over the cells with room.
-  std::optional<int> target;
-  std::uint64_t best = 0;
-  for (int cell = 0; cell < static_cast<int>(aLoads.size()); ++cell) {
-    const auto& load = aLoads[static_cast<std::size_t>(cell)];
-    if (cell == aHome || !load || !IsCompatible(*load, aDemand) ||
-        (!isIncompatible && !HasRoom(*load, aDemand))) {
-      continue;
-    }
-    const std::uint64_t rank =
-      base::StableHash(aJobId, static_cast<std::uint64_t>(cell));
-    if (!target || rank > best) {
-      target = cell;
-      best = rank;
+  if (aDemand.mIsService) {
+    const auto target = FindBalance(*home, candidates, aDemand, aLoads);
+    if (target) {
+      return Transfer{ *target, TransferReason::Balance };
     }
   }
-  if (!target) {
+  const bool mayMove =
+    !aDemand.mPrefersRack || aWaited >= kPlacementTimeBesideData;
+  if (!mayMove || HasRoom(*home, aDemand)) {
     return std::nullopt;
   }
-  return Transfer{ *target,
-                   isIncompatible ? TransferReason::Incompatible
-                                  : TransferReason::NoRoom };
+  const auto target =
+    std::find_if(candidates.begin(), candidates.end(), [&](int aCell) {
+      return HasRoom(*aLoads[static_cast<std::size_t>(aCell)], aDemand);
+    });
+  return target == candidates.end()
+           ? std::optional<Transfer>()
+           : Transfer{ *target, TransferReason::NoRoom };
 }
 
 void
-Reserve(CellLoad& aLoad, const JobDemand& aDemand)
+Reserve(CellLoad& aLoad, const JobDemand& aDemand, int aShares)
 {
   for (PoolLoad& it : aLoad.mPools) {
     if (it.mPool == aDemand.mPool) {
-      it.mWaiting += aDemand.mProcessors;
-      it.mWaitingBackfill += aDemand.mBackfill;
+      it.mFree -= aShares * aDemand.mProcessors;
+      it.mFreeForBackfill -= aShares * aDemand.mBackfill;
     }
   }
 }
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -258,6 +258,11 @@
     RequestTick(aNow);
   }
 
+  bool HasJob(const std::string& aJobId) const override
+  {
+    return mJobs.count(aJobId) != 0;
+  }
+
   std::vector<UnstartedJob> ListUnstarted() const override
   {
     std::vector<UnstartedJob> unstarted;
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -21,6 +21,9 @@
 /// is kFollowerPausePerCell for each of them, so that the calls of an instance
 /// do not grow with the site.
 constexpr Duration kFollowerJournalPause = std::chrono::milliseconds(400);
+/// The same for the other cells at an instance that leads one.
+constexpr Duration kFollowerJournalPauseOfLeader =
+  std::chrono::milliseconds(200);
 constexpr Duration kFollowerPausePerCell = std::chrono::milliseconds(160);
 /// With the wait of a read, well below kMaxReadAge.
 constexpr Duration kMaxFollowerPause = std::chrono::milliseconds(1500);
@@ -86,7 +89,7 @@
 constexpr int kMaxTransfersPerRound = 50;
 constexpr std::size_t kMaxTransfersInFlight = 50;
 /// Interval between two load records of a leader.
-constexpr Duration kLoadInterval = std::chrono::milliseconds(500);
+constexpr Duration kLoadInterval = std::chrono::milliseconds(250);
 constexpr std::string_view kLoadId = "load";
 
 std::int64_t
@@ -169,6 +172,11 @@
 {
   const logging::ContextField context("cell", mOptions.mIndex);
   const TimePoint now = mClock.Now();
+  if (mEpoch == 0) {
+    // Leaders need the loads of the other cells for transfers.
+    mJournalReader.SetPause(aOtherCells > 0 ? kFollowerJournalPauseOfLeader
+                                            : FollowerJournalPause());
+  }
   {
     const LoopProfile::Timer timer(mProfile, LoopPhase::Leadership);
     mLeadership.SetClaimDelay(
@@ -368,7 +376,8 @@
   switch (aKey.mKind) {
     case jobs::RecordKind::Submission: {
       const auto job = mJobs.Find(aKey.mId);
-      if (job && !job->mTransfer && !IsLeaving(aKey.mId)) {
+      if (job && !job->mTransfer && !IsLeaving(aKey.mId) &&
+          !TransferOnArrival(*job, now)) {
         mDispatcher->AddJob(*job, mJobsToAdd.count(aKey.mId) != 0, now);
       }
       break;
@@ -412,6 +421,10 @@
 void
 Cell::OnLoad(const std::string& aRecord)
 {
+  // The leader knows better than its own record.
+  if (mDispatcher != nullptr) {
+    return;
+  }
   auto load = cells::DecodeCellLoad(aRecord);
   if (!load) {
     logging::Write(logging::Level::Warning,
@@ -707,7 +720,7 @@
   mJobsToAdd.insert(openJobs.begin(), openJobs.end());
   const auto transfers = mJobs.ListTransfersToRepeat();
   mTransfersToSend.insert(transfers.begin(), transfers.end());
-  mNextTransferCheckAt = now + kFirstReportsTime;
+  mTransfersFrom = now + kFirstReportsTime;
   mProfile.Reset();
 }
 
@@ -726,45 +739,83 @@
   }
 }
 
+bool
+Cell::TransferOnArrival(const jobs::JobEntry& aJob, TimePoint aNow)
+{
+  const bool isUnstarted = aJob.State() == jobs::JobState::Pending &&
+                           !aJob.mProgress.mMayHaveStarted &&
+                           mJobsToAdd.count(aJob.mSubmission->mId) == 0;
+  if (mOptions.mCellCount == 1 || aNow < mTransfersFrom || !isUnstarted ||
+      mDispatcher->HasJob(aJob.mSubmission->mId)) {
+    return false;
+  }
+  if (const auto transfer = FindTransfer(*aJob.mSubmission, Duration::zero())) {
+    StoreTransfer(*aJob.mSubmission, *transfer, Duration::zero());
+    return true;
+  }
+  auto& load = mLoads[static_cast<std::size_t>(mOptions.mIndex)];
+  if (load) {
+    cells::Reserve(*load, cells::DemandOf(*aJob.mSubmission), 1);
+  }
+  return false;
+}
+
+std::optional<cells::Transfer>
+Cell::FindTransfer(const jobs::Submission& aSubmission, Duration aWaited) const
+{
+  // A job that arrived by a transfer stays.
+  if (!IsHomeOf(aSubmission)) {
+    return std::nullopt;
+  }
+  return cells::ChooseTransfer(aSubmission.mId,
+                               mOptions.mIndex,
+                               cells::DemandOf(aSubmission),
+                               mLoads,
+                               aWaited);
+}
+
+void
+Cell::StoreTransfer(const jobs::Submission& aSubmission,
+                    const cells::Transfer& aTransfer,
+                    Duration aWaited)
+{
+  logging::Write(logging::Level::Info,
+                 "job_transferred",
+                 { { "job", aSubmission.mId },
+                   { "target", aTransfer.mTarget },
+                   { "reason", cells::NameOf(aTransfer.mReason) },
+                   { "waited_ms", ToMs(aWaited) } });
+  mTransfersCount.Add();
+  // The other homes see the same room.
+  cells::Reserve(*mLoads[static_cast<std::size_t>(aTransfer.mTarget)],
+                 cells::DemandOf(aSubmission),
+                 mOptions.mCellCount - 1);
+  mTransfersToStore.emplace_back(aSubmission.mId,
+                                 jobs::JobTransfer{ aTransfer.mTarget, false });
+}
+
 void
 Cell::ChooseTransfers(TimePoint aNow)
 {
-  if (mOptions.mCellCount == 1 || aNow < mNextTransferCheckAt) {
+  if (mOptions.mCellCount == 1 || aNow < mTransfersFrom ||
+      aNow < mNextTransferCheckAt) {
     return;
   }
   mNextTransferCheckAt = aNow + kTransferInterval;
-  auto& ownLoad = mLoads[static_cast<std::size_t>(mOptions.mIndex)];
-  ownLoad = mDispatcher->Load(aNow);
+  mLoads[static_cast<std::size_t>(mOptions.mIndex)] = mDispatcher->Load(aNow);
   int n = 0;
   for (const auto& it : mDispatcher->ListUnstarted()) {
     const auto job = mJobs.Find(it.mId);
     if (!job || !job->mSubmission || job->mIsCancelled) {
       continue;
     }
-    // A job that arrived by a transfer stays.
-    const jobs::Submission& submission = *job->mSubmission;
-    if (!IsHomeOf(submission)) {
-      continue;
-    }
-    const cells::JobDemand demand = cells::DemandOf(submission);
-    const auto transfer = cells::ChooseTransfer(
-      it.mId, mOptions.mIndex, demand, mLoads, aNow - it.mAddedAt);
-    if (!transfer || !mDispatcher->ReleaseJob(it.mId)) {
-      continue;
-    }
-    logging::Write(logging::Level::Info,
-                   "job_transferred",
-                   { { "job", it.mId },
-                     { "target", transfer->mTarget },
-                     { "reason", cells::NameOf(transfer->mReason) },
-                     { "waited_ms", ToMs(aNow - it.mAddedAt) } });
-    mTransfersCount.Add();
-    cells::Reserve(*mLoads[static_cast<std::size_t>(transfer->mTarget)],
-                   demand);
-    mTransfersToStore.emplace_back(
-      it.mId, jobs::JobTransfer{ transfer->mTarget, false });
-    if (++n == kMaxTransfersPerRound) {
-      return;
+    const Duration waited = aNow - it.mAddedAt;
+    const auto transfer = FindTransfer(*job->mSubmission, waited);
+    if (transfer && mDispatcher->ReleaseJob(it.mId)) {
+      StoreTransfer(*job->mSubmission, *transfer, waited);
+      if (++n == kMaxTransfersPerRound) {
+        return;
+      }
     }
   }
 }
