Let few instances load the registry for the division of the site

By calculation: 301 instances of a site with 3,000 workers start together, and each loads about 2 MB of registry and follows 1 MB a second until the division is known. The log delivers 80 MB a second to all of them. Change: the turns of the instances are spread over 5 s, with a density that rises, so that the first few come early in sites of any size; the others read the division.

--- a/include/skylarkhill/node/cell_map_agreement.hpp
+++ b/include/skylarkhill/node/cell_map_agreement.hpp
@@ -24,6 +24,9 @@
                    const std::string& aInstanceId,
                    cells::CellLimits aLimits);
 
+  /// True once it is the turn of this instance to load the registry for a
+  /// proposal, unless the division is known.
+  bool NeedsRegistry() const;
   /// Reads the division, or proposes one once the number of workers is steady.
   void Tick(const WorkerRegistry& aRegistry);
   /// Set once the division is known.
@@ -46,8 +49,8 @@
   base::TimePoint mSteadySince = base::kNoDeadline;
   /// When the registry was first loaded.
   base::TimePoint mLoadedAt = base::kNoDeadline;
-  /// Differs between instances, so that few propose at the same time.
-  base::Duration mProposalDelay;
+  /// When this instance loads the registry if there is no division by then.
+  base::TimePoint mTurnAt;
   bool mIsProposing = false;
   base::TimePoint mNextProposalAt;
 };
--- a/src/node/cell_map_agreement.cpp
+++ b/src/node/cell_map_agreement.cpp
@@ -4,6 +4,7 @@
 #include "skylarkhill/logging/logging.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -18,15 +19,33 @@
 
 /// Time without a change of the number of workers before a proposal. Workers
 /// register at their start and about every second after that.
-constexpr Duration kSteadyTime = std::chrono::milliseconds(2000);
+constexpr Duration kSteadyTime = std::chrono::milliseconds(1200);
 /// Time after which a proposal is made although the number changes.
 constexpr Duration kMaxSteadyWait = std::chrono::milliseconds(5000);
 /// Time after which a site without workers becomes one cell.
 constexpr Duration kMaxEmptyWait = std::chrono::milliseconds(8000);
-constexpr Duration kMaxJitter = std::chrono::milliseconds(600);
+/// Latest turn of an instance.
+constexpr Duration kMaxTurn = std::chrono::milliseconds(5000);
 constexpr Duration kAppendTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kRetryPause = std::chrono::milliseconds(250);
 
+/// Time until the turn of an instance. All instances of a site start together,
+/// and the registry of a large site is too long for all of them to load. The
+/// density of the turns rises with the time, so that the first few come early
+/// in sites of any size.
+Duration
+TurnOf(const std::string& aInstanceId)
+{
+  constexpr double kScale = 1e6;
+  constexpr double kExponent = 0.25;
+  const double uniform =
+    static_cast<double>(base::StableHash(aInstanceId) %
+                        static_cast<std::uint64_t>(kScale)) /
+    kScale;
+  return Duration(static_cast<Duration::rep>(
+    std::pow(uniform, kExponent) * static_cast<double>(kMaxTurn.count())));
+}
+
 } // namespace
 
 CellMapAgreement::CellMapAgreement(AsyncLog& aLog,
@@ -42,10 +61,14 @@
             aClock,
             mStream,
             { [this](const LogRecord& aRecord) { OnRecord(aRecord); }, {} })
-  , mProposalDelay(static_cast<Duration::rep>(
-      base::StableHash(aInstanceId) %
-      static_cast<std::uint64_t>(kMaxJitter.count())))
+  , mTurnAt(aClock.Now() + TurnOf(aInstanceId))
+{
+}
+
+bool
+CellMapAgreement::NeedsRegistry() const
 {
+  return !mMap && mClock.Now() >= mTurnAt;
 }
 
 void
@@ -75,7 +98,7 @@
     aWorkerCount == 0
       ? mLoadedAt + kMaxEmptyWait
       : std::min(mSteadySince + kSteadyTime, mLoadedAt + kMaxSteadyWait);
-  return now >= dueAt + mProposalDelay && now >= mNextProposalAt;
+  return now >= dueAt && now >= mNextProposalAt;
 }
 
 void
--- a/src/node/fake_shared_log_test.hpp
+++ b/src/node/fake_shared_log_test.hpp
@@ -109,6 +109,7 @@
   void ReadNewest(const LogStream& aStream,
                   std::function<void(ReadResult)> aHandler) override
   {
+    ++mNewestReadCounts[aStream.mTopic];
     ReadResult result = Read(aStream, 0, base::TimePoint{});
     std::map<std::string, LogRecord> newest;
     for (const auto& it : result.mRecords) {
@@ -159,6 +160,8 @@
   bool mRefusesReads = false;
   /// Asynchronous reads of new records by topic.
   std::map<std::string, int> mReadCounts;
+  /// Reads of the newest record of every key by topic.
+  std::map<std::string, int> mNewestReadCounts;
   std::size_t mMaxRecordsPerRead = std::numeric_limits<std::size_t>::max();
   /// Appends take effect, but their responses are lost.
   bool mDropsResponses = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -230,7 +230,7 @@
 Node::UpdateRegistry()
 {
   const bool isNeeded =
-    mCells.empty() ||
+    (mCells.empty() && mAgreement.NeedsRegistry()) ||
     std::any_of(mCells.begin(), mCells.end(), [](const auto& aCell) {
       return aCell->NeedsRegistry();
     });
