Keep the leader of a cell that a worker has left

Seen: CellRandomTest::TakesOverAWorkerThatMovesToAnotherCell. A worker that appears in the failure domain of another cell has seen the fencing token of its former cell. The two leaders fence each other through it again and again, and each fence ends a term: the count of new terms in 15 s was above the bound of 1. Cause: one fenced call ended the term, also if the worker is no longer one of the cell. Change: a leader that is fenced by a worker which the registry does not list for its cell stops calling this worker, gives up its runs after the lease, and goes on leading. A successor of the same cell is still noticed by the other workers and by the leader stream.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -176,6 +176,10 @@
       ++mUnreportedCount;
       ++mUnpolledCount;
     }
+    if (worker->mIsTakenOver) {
+      worker->mIsTakenOver = false;
+      mPollQueue.Schedule(*worker, aNow);
+    }
     const bool wasDraining = worker->mEntry.mIsDraining;
     const bool hasMoved = worker->mEntry.mAddress != aEntry.mAddress;
     const bool mayBecomeEligible =
@@ -346,6 +350,9 @@
     }
     WorkerState& worker = *found->second;
     worker.mIsPollInFlight = false;
+    if (worker.mIsTakenOver) {
+      return;
+    }
     CountAsPolled(worker);
     if (++worker.mFailedPolls == 1) {
       logging::Write(
@@ -360,6 +367,11 @@
 
   void OnFenced(const std::string& aWorkerId) override
   {
+    const auto found = mWorkers.find(aWorkerId);
+    if (found != mWorkers.end() && !found->second->mIsRegistered) {
+      LeaveToOtherCell(*found->second);
+      return;
+    }
     if (!mIsFenced) {
       logging::Write(logging::Level::Warning,
                      "leader_fenced",
@@ -1196,6 +1208,25 @@
     }
   }
 
+  /// A worker that has moved to another cell fences this leader, which keeps
+  /// its other workers. Its runs are given up when the lease has ended; the
+  /// leader of the other cell stops them.
+  void LeaveToOtherCell(WorkerState& aWorker)
+  {
+    if (!aWorker.mIsTakenOver) {
+      logging::Write(
+        logging::Level::Warning,
+        "worker_taken_over",
+        { { "worker", aWorker.mEntry.mId },
+          { "runs", static_cast<std::int64_t>(aWorker.mRuns.size()) } });
+      CountAsPolled(aWorker);
+      aWorker.mIsTakenOver = true;
+      aWorker.mFailedPolls = std::max(1, aWorker.mFailedPolls);
+    }
+    aWorker.mIsPollInFlight = false;
+    mPollQueue.Remove(aWorker);
+  }
+
   void CheckRuns(TimePoint aNow)
   {
     for (auto& [id, worker] : mWorkers) {
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -164,6 +164,9 @@
   base::TimePoint mUnregisteredAt;
   base::TimePoint mLeavesAt = base::kNoDeadline;
 
+  /// The registry lists the worker for another cell, whose leader has fenced
+  /// this one. It is not called any more.
+  bool mIsTakenOver = false;
   /// The worker has answered a poll in this term.
   bool mHasReported = false;
   std::int64_t mIncarnationStartMs = 0;
--- a/src/node/cell_random_test.cpp
+++ b/src/node/cell_random_test.cpp
@@ -49,7 +49,9 @@
     entry.mId = aRecord.mKey;
     entry.mPool = "pool";
     entry.mAddress = aRecord.mKey + ":1";
-    entry.mDomain = aRecord.mKey.substr(0, 2);
+    // A value of two characters is the failure domain that the worker moved to.
+    entry.mDomain =
+      aRecord.mValue.size() == 2 ? aRecord.mValue : aRecord.mKey.substr(0, 2);
     entry.mRack = entry.mDomain + "rack";
     entry.mLabels = { entry.mDomain == "d1" ? "odd" : "even", entry.mRack };
     entry.mCapacity = { kWorkerMilliProcessors, std::int64_t{ 1 } << 36, 0 };
@@ -179,6 +181,28 @@
     return mTransferCount;
   }
 
+  /// A worker with runs of one cell appears in the failure domain of another
+  /// one. Returns how often cells changed their leader since.
+  int MoveWorker()
+  {
+    mHasSpecialJobs = false;
+    Advance(milliseconds(8000));
+    for (int n = 0; n < 20; ++n) {
+      Submit();
+    }
+    Advance(milliseconds(2000));
+    const std::size_t claims = CountClaims();
+    Store("workers", "d0w0", "d1");
+    Advance(milliseconds(15'000));
+    const int changes = static_cast<int>(CountClaims() - claims);
+    for (int n = 0; n < 20; ++n) {
+      Submit();
+    }
+    Advance(kRecoveryTime);
+    CheckOutcome();
+    return changes;
+  }
+
   const std::string& Problem() const { return mProblem; }
   int TransferCount() const { return mTransferCount; }
 
@@ -214,6 +238,21 @@
     return *mInstances[mRandom->Below(mInstances.size())];
   }
 
+  /// Epochs that the cells have had.
+  std::size_t CountClaims() const
+  {
+    std::set<std::pair<std::string, std::int64_t>> claims;
+    for (const auto& [name, records] : mState.mStreams) {
+      if (name.substr(0, 7) == "leaders") {
+        for (const auto& it : records) {
+          const auto record = DecodeLeaderRecord(it.mValue);
+          claims.emplace(name, record ? record.value().mEpoch : 0);
+        }
+      }
+    }
+    return claims.size();
+  }
+
   void Disturb()
   {
     CellInstance& instance = AnyInstance();
@@ -397,6 +436,7 @@
   CPPUNIT_TEST(KeepsEachJobInOneCell);
   CPPUNIT_TEST(KeepsTheBacklogOfALostLeader);
   CPPUNIT_TEST(LoadsTheRegistryInFewInstances);
+  CPPUNIT_TEST(TakesOverAWorkerThatMovesToAnotherCell);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -428,6 +468,15 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Problem());
   }
 
+  // The worker has seen the fencing token of its former cell, which may be
+  // higher. Guards against a leader that the worker fences again and again.
+  void TakesOverAWorkerThatMovesToAnotherCell()
+  {
+    CellSimulation simulation(1);
+    CPPUNIT_ASSERT(simulation.MoveWorker() <= 1);
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Problem());
+  }
+
   // All instances of a large site start at the same time. Guards against all of
   // them loading a registry of thousands of workers, which the log cannot
   // deliver in time.
