--- a/src/cells/transfer_policy.cpp
+++ b/src/cells/transfer_policy.cpp
@@ -79,6 +79,7 @@
   }
   std::sort(ranks.begin(), ranks.end());
   std::vector<int> cells;
+  cells.reserve(ranks.size());
   for (const auto& [rank, cell] : ranks) {
     cells.push_back(cell);
   }
