--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -46,7 +46,7 @@
 for n in $(seq "$services"); do
   image=registry.example/ropewalk/service-$((n % service_images)):2026.12.05
   cat > "$work/job.json" << JSON
-{"spec":"serve 4","phases":[{"count":3,"cpu":200,"mem_mb":64,"estimate_ms":270,"long_running":true,"anti_affinity":1,"image":"$image","target_ms":50}]}
+{"spec":"serve 4","phases":[{"count":3,"cpu":100,"mem_mb":64,"estimate_ms":270,"long_running":true,"anti_affinity":1,"image":"$image","target_ms":50}]}
 JSON
   submit "$(printf 5e%014x "$n")" /serve/
 done
@@ -72,9 +72,13 @@
   sleep 0.5
 done
 note "client GET /batch/$job: $answer"
-batches_done=0
-for n in $(seq "$batches"); do
-  [[ $(request 3 GET "/batch/$(printf ba%014x "$n")") == *completed* ]] && batches_done=$((batches_done + 1))
+for try in $(seq 15); do
+  batches_done=0
+  for n in $(seq "$batches"); do
+    [[ $(request 3 GET "/batch/$(printf ba%014x "$n")") == *completed* ]] && batches_done=$((batches_done + 1))
+  done
+  [ "$batches_done" = "$batches" ] && break
+  sleep 1
 done
 ended=$(grep -c ' ends ba.*done' "$record")
 note "client: $batches_done of $batches batch jobs are shown as completed; $ended of their $((3 * batches)) tasks have ended done"
@@ -84,7 +88,7 @@
   exit 0
 fi
 starts=$(grep -c " starts $job" "$record")
-note "the plain job has had $starts starts in 20 s, on workers with room for it"
+note "the plain job has had $starts starts in more than 30 s, on workers with room for it"
 echo "broken: LOST, the plain job: $answer, $starts starts; $batches_done of $batches batch jobs completed, $ended of $((3 * batches)) tasks done"
 [ -z "${KEEP:-}" ] || cp "$work"/node-*.log "$KEEP"
 exit 1
