Log the answers of the advice service

The logs of the leader did not tell apart - a worker that the leader never asks about again, - a call to the advice service without an answer, - an answer that permits no worker, and - workers that accept no starts. advice_answered has the job, the step, and the numbers of workers that were asked about and permitted; -1 without a usable answer.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -496,6 +496,17 @@
     }
     step->mIsAdviceInFlight = false;
     step->mNextAdviceAt = aNow + kAdvicePause;
+    logging::Write(
+      logging::Level::Info,
+      "advice_answered",
+      { { "job", aCall.mJobId },
+        { "occurrence", aCall.mOccurrence },
+        { "step", aCall.mStep },
+        { "asked", static_cast<std::int64_t>(aCall.mWorkerIds.size()) },
+        { "permitted",
+          aAdvice ? static_cast<std::int64_t>(aAdvice->mPermissions.size())
+                  : -1 },
+        { "valid_ms", aAdvice ? aAdvice->mValidMs : -1 } });
     if (!aAdvice) {
       return;
     }
