Ask for new tickets after a restart of a worker and after a refusal

Cause: OnStartResult forgot the refused ticket but kept the worker in mQueriedWorkers, and RequestAdvice asks again only about workers with a known, expired ticket. Tickets were also used after a restart, although they are valid for one incarnation only.

Ruled out: unanswered calls and answers without permissions (there was no second call), workers that accept no starts.

Fix: tickets and questions are stored with the incarnation of the worker at the time of the question, and count for this incarnation only. A refused ticket, or a call without an answer, removes the question.

With the new tests and the old conditions, DispatcherTest has 38 passed and 2 failed: AsksForNewTicketsOfARestartedWorker (3 starts with an old ticket) and AsksAgainAfterARefusedTicket (the job does not complete). With the fix all pass.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -418,7 +418,7 @@
         DropRefusedRun(*run);
         break;
       case StartOutcome::TicketInvalid:
-        run->mTask->mStep->mTickets.erase(aCall.mWorkerId);
+        ForgetAdvice(*run->mTask->mStep, aCall, aNow);
         DropRefusedRun(*run);
         break;
       case StartOutcome::TooLate:
@@ -508,14 +508,20 @@
                   : -1 },
         { "valid_ms", aAdvice ? aAdvice->mValidMs : -1 } });
     if (!aAdvice) {
+      for (const auto& id : aCall.mWorkerIds) {
+        step->mQueriedIncarnations.erase(id);
+      }
       return;
     }
-    step->mQueriedWorkers.insert(aCall.mWorkerIds.begin(),
-                                 aCall.mWorkerIds.end());
     const TimePoint validUntil =
       aNow + std::chrono::milliseconds(aAdvice->mValidMs) - kTicketMargin;
     for (const auto& it : aAdvice->mPermissions) {
-      step->mTickets[it.mWorkerId] = { it.mTicket, validUntil };
+      const auto asked = step->mQueriedIncarnations.find(it.mWorkerId);
+      if (asked != step->mQueriedIncarnations.end()) {
+        step->mTickets[it.mWorkerId] = { it.mTicket,
+                                         validUntil,
+                                         asked->second };
+      }
     }
     mIsPlacementDue = true;
     RequestTick(aNow);
@@ -1484,7 +1490,8 @@
   }
 
   /// Asks the advice service which of the fitting workers may run the step.
-  /// Workers are asked about again only after their tickets have expired.
+  /// Workers are asked about again only after their tickets have expired or
+  /// were refused, and after a restart, which ends the validity of an answer.
   void RequestAdvice(StepState& aStep, TimePoint aNow)
   {
     if (!aStep.mJob->mSubmission.mPolicy.mNeedsTicket ||
@@ -1504,7 +1511,9 @@
                       worker->mEntry.mCapacity)) {
         continue;
       }
-      const bool wasAsked = aStep.mQueriedWorkers.count(id) != 0;
+      const auto asked = aStep.mQueriedIncarnations.find(id);
+      const bool wasAsked = asked != aStep.mQueriedIncarnations.end() &&
+                            asked->second == worker->mIncarnationStartMs;
       const bool hasExpired =
         aStep.mTickets.count(id) != 0 && !HasTicket(aStep, *worker, aNow);
       usable += HasTicket(aStep, *worker, aNow) ? 1 : 0;
@@ -1518,9 +1527,26 @@
       return;
     }
     aStep.mIsAdviceInFlight = true;
+    for (const auto& id : call.mWorkerIds) {
+      aStep.mQueriedIncarnations[id] = mWorkers.at(id)->mIncarnationStartMs;
+    }
     mSink.Advise(call);
   }
 
+  /// Lets RequestAdvice ask about the worker again after it has refused the
+  /// ticket of `aCall`, unless there is a newer ticket.
+  void ForgetAdvice(StepState& aStep, const StartCall& aCall, TimePoint aNow)
+  {
+    const auto ticket = aStep.mTickets.find(aCall.mWorkerId);
+    if (ticket != aStep.mTickets.end() &&
+        ticket->second.mText != aCall.mTicket) {
+      return;
+    }
+    aStep.mTickets.erase(aCall.mWorkerId);
+    aStep.mQueriedIncarnations.erase(aCall.mWorkerId);
+    aStep.mNextAdviceAt = std::max(aStep.mNextAdviceAt, aNow + kAdvicePause);
+  }
+
   /// Returns true if JobProgress::mMayHaveStarted is durable for the job of the
   /// step. Requests the record once a task of the step can be placed.
   bool EnsureStartRecorded(StepState& aStep, TimePoint aNow)
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -236,6 +236,26 @@
   return aSite.AddLeader(aEpoch, aSite.Now() + std::chrono::seconds(12));
 }
 
+/// Adds a first leader of a site whose workers check tickets. The advice service
+/// permits worker w2 only.
+FakeSite::Leader&
+AddLeaderWithTickets(FakeSite& aSite)
+{
+  auto& leader = aSite.AddLeader(1);
+  leader.mPermittedWorkerIds = { "w2" };
+  leader.mAreTicketsChecked = true;
+  return leader;
+}
+
+/// A job of three tasks in a queue that needs tickets.
+jobs::JobEntry
+MakeJobWithTickets()
+{
+  jobs::JobEntry job = MakeJob("a", { 3 });
+  job.mSubmission->mPolicy.mNeedsTicket = true;
+  return job;
+}
+
 /// Number of workers that `aLeader` has considered for tasks so far.
 std::int64_t
 CandidatesOf(FakeSite::Leader& aLeader)
@@ -295,6 +315,8 @@
   CPPUNIT_TEST(SendsThePaceOfAdoptedBackfill);
   CPPUNIT_TEST(RaisesThePaceOfAdoptedBackfillInSteps);
   CPPUNIT_TEST(StartsOnlyWhereTheAdviceServicePermits);
+  CPPUNIT_TEST(AsksForNewTicketsOfARestartedWorker);
+  CPPUNIT_TEST(AsksAgainAfterARefusedTicket);
   CPPUNIT_TEST(LimitsThePlacementWorkOfABacklog);
   CPPUNIT_TEST(LimitsTheWorkOfPollsInALargeSite);
   CPPUNIT_TEST(LimitsTheWorkOfAcknowledgementsInALargeSite);
@@ -854,6 +876,43 @@
     CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Completed);
   }
 
+  // Otherwise a job whose only permitted worker restarts never runs again.
+  void AsksForNewTicketsOfARestartedWorker()
+  {
+    FakeSite site;
+    site.AddWorker("w1");
+    FakeWorker& permitted = site.AddWorker("w2");
+    site.mRunTime = [](const TaskId&) { return milliseconds(1000); };
+    auto& leader = AddLeaderWithTickets(site);
+    leader.mTicketValidity = milliseconds(10000);
+    leader.GetDispatcher().AddJob(MakeJobWithTickets(), false, site.Now());
+    site.Advance(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, leader.mStarts.size());
+    permitted.Restart();
+    site.Advance(milliseconds(3000));
+    CPPUNIT_ASSERT_EQUAL(0, leader.mRefusedTickets);
+    CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Completed);
+  }
+
+  // Otherwise a worker on which a ticket was used too late is lost to the step.
+  void AsksAgainAfterARefusedTicket()
+  {
+    FakeSite site;
+    site.AddWorker("w2");
+    auto& leader = AddLeaderWithTickets(site);
+    leader.mTicketValidity = milliseconds(400);
+    leader.mAreStartsLost = true;
+    leader.GetDispatcher().AddJob(MakeJobWithTickets(), false, site.Now());
+    site.Advance(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, leader.mStarts.size());
+    // The starts are repeated after the tickets have expired.
+    leader.mAreStartsLost = false;
+    site.Advance(milliseconds(4000));
+    CPPUNIT_ASSERT_EQUAL(3, leader.mRefusedTickets);
+    CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Completed);
+    CPPUNIT_ASSERT(site.mDoubleRuns.empty());
+  }
+
   // Otherwise every event costs the leader one look at each worker for each
   // waiting step, and it does not recover from a backlog. The site has the size
   // and the starts of one of the 23 failure domains of the target (7,900
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -111,7 +111,7 @@
   mStarts.push_back(aCall);
   StartOutcome outcome = StartOutcome::Started;
   base::TimePoint answeredAt = mSite.Now() + kLatency;
-  if (mUnreachableWorkers.count(aCall.mWorkerId) != 0) {
+  if (mAreStartsLost || mUnreachableWorkers.count(aCall.mWorkerId) != 0) {
     outcome = StartOutcome::Unknown;
     answeredAt = mSite.Now() + kCallTimeout;
   } else {
@@ -126,6 +126,9 @@
       outcome = StartOutcome::Fenced;
     } else if (isRunning) {
       outcome = StartOutcome::Started;
+    } else if (mAreTicketsChecked && !IsTicketValid(aCall)) {
+      outcome = StartOutcome::TicketInvalid;
+      ++mRefusedTickets;
     } else if (ended != worker.mHighestEndedRuns.end() &&
                aCall.mRunNumber <= ended->second) {
       outcome = StartOutcome::OldRun;
@@ -197,10 +200,16 @@
 {
   ++mAdviceCalls;
   Advice advice;
-  advice.mValidMs = 3000;
+  advice.mValidMs = mTicketValidity.count();
   for (const auto& id : aCall.mWorkerIds) {
     if (mPermittedWorkerIds.count(id) != 0) {
-      advice.mPermissions.push_back({ id, "ticket-" + id });
+      std::string ticket = "ticket-" + id;
+      if (mAreTicketsChecked) {
+        ticket += "-" + std::to_string(mTickets.size());
+      }
+      mTickets[ticket] = { mSite.Worker(id).mIncarnationStartMs,
+                           mSite.Now() + mTicketValidity };
+      advice.mPermissions.push_back({ id, std::move(ticket) });
     }
   }
   mPendingAnswers.emplace_back(mSite.Now() + kLatency, [this, aCall, advice] {
@@ -208,6 +217,15 @@
   });
 }
 
+bool
+FakeSite::Leader::IsTicketValid(const StartCall& aCall) const
+{
+  const auto found = mTickets.find(aCall.mTicket);
+  return found != mTickets.end() && found->second.mValidUntil > mSite.Now() &&
+         found->second.mIncarnationStartMs ==
+           mSite.Worker(aCall.mWorkerId).mIncarnationStartMs;
+}
+
 void
 FakeSite::Leader::Advance()
 {
--- a/src/dispatch/fake_site_test.hpp
+++ b/src/dispatch/fake_site_test.hpp
@@ -73,6 +73,8 @@
 
     /// Ids of workers that this leader cannot reach.
     std::set<std::string> mUnreachableWorkers;
+    /// If true, start calls do not reach the workers.
+    bool mAreStartsLost = false;
     /// By worker id: additional delay of its poll answers.
     std::map<std::string, base::Duration> mDelays;
     /// If true, the leader lease is renewed at every time step.
@@ -85,12 +87,27 @@
     std::vector<PaceCall> mPaces;
     /// Workers that the advice service permits.
     std::set<std::string> mPermittedWorkerIds;
+    /// Validity of the tickets of the advice service.
+    std::chrono::milliseconds mTicketValidity{ 3000 };
+    /// If true, workers refuse starts with a ticket that has expired or was
+    /// issued for an earlier incarnation.
+    bool mAreTicketsChecked = false;
     int mAdviceCalls = 0;
+    /// Number of starts that were refused for their ticket.
+    int mRefusedTickets = 0;
     std::map<std::string, jobs::JobProgress> mStored;
 
   private:
+    /// What the advice service knows of a ticket.
+    struct IssuedTicket
+    {
+      std::int64_t mIncarnationStartMs = 0;
+      base::TimePoint mValidUntil;
+    };
+
     friend class FakeSite;
     void Advance();
+    bool IsTicketValid(const StartCall& aCall) const;
 
     FakeSite& mSite;
     const std::int64_t mEpoch;
@@ -99,6 +116,8 @@
     std::deque<std::pair<base::TimePoint, std::function<void()>>>
       mPendingAnswers;
     base::TimePoint mConfirmedAt;
+    /// By text.
+    std::map<std::string, IssuedTicket> mTickets;
   };
 
   FakeWorker& AddWorker(const std::string& aId,
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -131,7 +131,8 @@
           base::TimePoint aNow)
 {
   const auto found = aStep.mTickets.find(aWorker.mEntry.mId);
-  return found != aStep.mTickets.end() && found->second.mValidUntil > aNow;
+  return found != aStep.mTickets.end() && found->second.mValidUntil > aNow &&
+         found->second.mIncarnationStartMs == aWorker.mIncarnationStartMs;
 }
 
 double
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -36,7 +36,8 @@
 bool
 AcceptsStarts(const WorkerState& aWorker, base::TimePoint aNow);
 
-/// True if there is a ticket for the step on `aWorker` that is valid at `aNow`.
+/// True if there is a ticket for the step on this incarnation of `aWorker` that
+/// is valid at `aNow`.
 bool
 HasTicket(const StepState& aStep,
           const WorkerState& aWorker,
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -84,6 +84,8 @@
 {
   std::string mText;
   base::TimePoint mValidUntil;
+  /// Incarnation of the worker that the ticket was requested for.
+  std::int64_t mIncarnationStartMs = 0;
 };
 
 struct StepState
@@ -115,8 +117,9 @@
   std::map<const WorkerState*, int> mTasksPerWorker;
   /// By worker id; used only if QueuePolicy::mNeedsTicket.
   std::map<std::string, Ticket> mTickets;
-  /// Workers that the advice service has been asked about, permitted or not.
-  std::set<std::string> mQueriedWorkers;
+  /// Workers that the advice service has been asked about, permitted or not,
+  /// with WorkerState::mIncarnationStartMs at that time.
+  std::map<std::string, std::int64_t> mQueriedIncarnations;
   bool mIsAdviceInFlight = false;
   base::TimePoint mNextAdviceAt;
 };
