Ask about further workers while a task finds none with a ticket

Callers would see a job in a queue that needs tickets stay incomplete although permitted workers are idle.

Cause: RequestAdvice stopped as soon as the tickets covered as many workers as tasks waited. It counted workers without the required label and workers that already run as many tasks of the step as mMaxPerWorker permits, on which no waiting task can be placed.

Fix: the leader asks when a search has found no worker for a waiting task, and only about workers that the label and the limit of the step allow.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1467,12 +1467,16 @@
       return false;
     }
     aStep.mIsUrgent = IsUrgent(aStep);
-    RequestAdvice(aStep, aNow);
     if (!EnsureStartRecorded(aStep, aNow)) {
+      if (!aStep.mJob->mIsStartRecordRequested) {
+        RequestAdvice(aStep, aNow);
+      }
       return true;
     }
     if (aStep.mSpec->mIsGang) {
-      PlaceGang(aStep, aNow);
+      if (!PlaceGang(aStep, aNow)) {
+        RequestAdvice(aStep, aNow);
+      }
       return true;
     }
     for (TaskState& task : aStep.mTasks) {
@@ -1483,15 +1487,17 @@
         return false;
       }
       if (!PlaceRun(task, aNow)) {
+        RequestAdvice(aStep, aNow);
         break;
       }
     }
     return true;
   }
 
-  /// Asks the advice service which of the fitting workers may run the step.
-  /// Workers are asked about again only after their tickets have expired or
-  /// were refused, and after a restart, which ends the validity of an answer.
+  /// Asks the advice service which workers may run the step; called when no
+  /// worker with a ticket can take a waiting task. Workers are asked about
+  /// again only after their tickets have expired or were refused, and after a
+  /// restart, which ends the validity of an answer.
   void RequestAdvice(StepState& aStep, TimePoint aNow)
   {
     if (!aStep.mJob->mSubmission.mPolicy.mNeedsTicket ||
@@ -1502,13 +1508,12 @@
     call.mJobId = aStep.mJob->mSubmission.mId;
     call.mOccurrence = aStep.mOccurrence;
     call.mStep = aStep.mIndex;
-    std::size_t usable = 0;
     mBudget.mSearchWork -= static_cast<std::int64_t>(mWorkers.size());
     for (const auto& [id, worker] : mWorkers) {
-      if (worker->mEntry.mPool != aStep.mJob->mSubmission.mPolicy.mPool ||
-          !AcceptsStarts(*worker, aNow) ||
+      if (!IsCompatible(aStep, *worker, aNow) ||
           !base::Fits(worker->mUsed + ReservedResources(*aStep.mSpec),
-                      worker->mEntry.mCapacity)) {
+                      worker->mEntry.mCapacity) ||
+          IsFull(aStep, *worker)) {
         continue;
       }
       const auto asked = aStep.mQueriedIncarnations.find(id);
@@ -1516,14 +1521,12 @@
                             asked->second == worker->mIncarnationStartMs;
       const bool hasExpired =
         aStep.mTickets.count(id) != 0 && !HasTicket(aStep, *worker, aNow);
-      usable += HasTicket(aStep, *worker, aNow) ? 1 : 0;
       if ((!wasAsked || hasExpired) &&
           call.mWorkerIds.size() < kMaxQueriedWorkers) {
         call.mWorkerIds.push_back(id);
       }
     }
-    if (usable >= static_cast<std::size_t>(aStep.mWaitingCount) ||
-        call.mWorkerIds.empty()) {
+    if (call.mWorkerIds.empty()) {
       return;
     }
     aStep.mIsAdviceInFlight = true;
@@ -1595,20 +1598,21 @@
     return aTask.mLastRun + 1 + (aTask.mMayHaveEarlierRun ? kRunNumberGap : 0);
   }
 
-  /// Places all tasks of a gang, or none of them.
-  void PlaceGang(StepState& aStep, TimePoint aNow)
+  /// Places all tasks of a gang, or none of them. Returns false if workers are
+  /// missing.
+  bool PlaceGang(StepState& aStep, TimePoint aNow)
   {
     int number = 0;
     for (const TaskState& it : aStep.mTasks) {
       if (it.mIsDone || IsStartDeferred(it)) {
-        return;
+        return true;
       }
       number = std::max(number, NextRunNumber(it));
     }
     const bool isRunning =
       std::all_of(aStep.mTasks.begin(), aStep.mTasks.end(), HasLiveRun);
     if (isRunning) {
-      return;
+      return true;
     }
     const bool hasNoRuns =
       std::all_of(aStep.mTasks.begin(),
@@ -1623,7 +1627,7 @@
         }
       }
       RequestTick(aNow);
-      return;
+      return true;
     }
     std::string checkpoint;
     for (const TaskState& it : aStep.mTasks) {
@@ -1640,13 +1644,14 @@
           RemoveRun(*run);
         }
         mIsPlacementDue = wasPlacementDue;
-        return;
+        return false;
       }
       placed.push_back(&AddRun(it, *worker, number, aNow));
     }
     for (RunState* run : placed) {
       SendStart(*run, aNow);
     }
+    return true;
   }
 
   // --- Calls --------------------------------------------------------------
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cstddef>
 #include <map>
+#include <set>
+#include <utility>
 
 #include "fake_site_test.hpp"
 
@@ -236,8 +238,8 @@
   return aSite.AddLeader(aEpoch, aSite.Now() + std::chrono::seconds(12));
 }
 
-/// Adds a first leader of a site whose workers check tickets. The advice service
-/// permits worker w2 only.
+/// Adds a first leader of a site whose workers check tickets. The advice
+/// service permits worker w2 only.
 FakeSite::Leader&
 AddLeaderWithTickets(FakeSite& aSite)
 {
@@ -247,6 +249,20 @@
   return leader;
 }
 
+/// Like AddLeaderWithTickets, for a site of `aWorkers` new workers that the
+/// advice service permits.
+FakeSite::Leader&
+AddLeaderWithTickets(FakeSite& aSite, int aWorkers)
+{
+  std::set<std::string> ids;
+  for (int n = 0; n < aWorkers; ++n) {
+    ids.insert(aSite.AddWorker("w" + std::to_string(n)).mId);
+  }
+  auto& leader = AddLeaderWithTickets(aSite);
+  leader.mPermittedWorkerIds = std::move(ids);
+  return leader;
+}
+
 /// A job of three tasks in a queue that needs tickets.
 jobs::JobEntry
 MakeJobWithTickets()
@@ -317,6 +333,8 @@
   CPPUNIT_TEST(StartsOnlyWhereTheAdviceServicePermits);
   CPPUNIT_TEST(AsksForNewTicketsOfARestartedWorker);
   CPPUNIT_TEST(AsksAgainAfterARefusedTicket);
+  CPPUNIT_TEST(AsksAboutMoreWorkersUntilAllTasksRun);
+  CPPUNIT_TEST(AsksAboutWorkersWithTheRequiredLabel);
   CPPUNIT_TEST(LimitsThePlacementWorkOfABacklog);
   CPPUNIT_TEST(LimitsTheWorkOfPollsInALargeSite);
   CPPUNIT_TEST(LimitsTheWorkOfAcknowledgementsInALargeSite);
@@ -913,6 +931,44 @@
     CPPUNIT_ASSERT(site.mDoubleRuns.empty());
   }
 
+  // Workers with tickets that run as many tasks as the step permits must not
+  // count as usable. Otherwise the other tasks never run.
+  void AsksAboutMoreWorkersUntilAllTasksRun()
+  {
+    constexpr int kWorkers = 100;
+    FakeSite site;
+    site.mRunTime = OneMinuteRunTime;
+    auto& leader = AddLeaderWithTickets(site, kWorkers);
+    jobs::JobEntry job = MakeService("a", kWorkers, "image");
+    job.mSubmission->mPolicy.mNeedsTicket = true;
+    job.mSubmission->mRequest.mSteps.front().mMaxPerWorker = 1;
+    leader.GetDispatcher().AddJob(job, false, site.Now());
+    site.Advance(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(kWorkers),
+                         leader.mStarts.size());
+  }
+
+  // Tickets for workers without the label must not count as usable. Otherwise
+  // the job never runs.
+  void AsksAboutWorkersWithTheRequiredLabel()
+  {
+    constexpr int kWorkers = 100;
+    for (int special = 0; special < kWorkers; special += 10) {
+      FakeSite site;
+      auto& leader = AddLeaderWithTickets(site, kWorkers);
+      const std::string id = "w" + std::to_string(special);
+      WorkerEntry entry = site.Worker(id).Entry();
+      entry.mLabels.emplace_back("special");
+      leader.GetDispatcher().SetWorker(entry, site.Now());
+      jobs::JobEntry job = MakeJobWithTickets();
+      job.mSubmission->mRequest.mSteps.front().mRequiredLabel = "special";
+      leader.GetDispatcher().AddJob(job, false, site.Now());
+      site.Advance(milliseconds(1000));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, leader.mStarts.size());
+      CPPUNIT_ASSERT_EQUAL(1, leader.mAdviceCalls);
+    }
+  }
+
   // Otherwise every event costs the leader one look at each worker for each
   // waiting step, and it does not recover from a backlog. The site has the size
   // and the starts of one of the 23 failure domains of the target (7,900
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -152,6 +152,17 @@
          (label.empty() || HasLabel(aWorker, label));
 }
 
+bool
+IsFull(const StepState& aStep, const WorkerState& aWorker)
+{
+  const int limit = aStep.mSpec->mMaxPerWorker;
+  if (limit <= 0) {
+    return false;
+  }
+  const auto found = aStep.mTasksPerWorker.find(&aWorker);
+  return found != aStep.mTasksPerWorker.end() && found->second >= limit;
+}
+
 bool
 HasRoom(const StepState& aStep,
         const WorkerState& aWorker,
@@ -166,12 +177,8 @@
       !HasTicket(aStep, aWorker, aNow)) {
     return false;
   }
-  if (step.mMaxPerWorker > 0) {
-    const auto found = aStep.mTasksPerWorker.find(&aWorker);
-    if (found != aStep.mTasksPerWorker.end() &&
-        found->second >= step.mMaxPerWorker) {
-      return false;
-    }
+  if (IsFull(aStep, aWorker)) {
+    return false;
   }
   if (step.mIsBackfill) {
     const auto left =
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -55,6 +55,11 @@
              const WorkerState& aWorker,
              base::TimePoint aNow);
 
+/// True if `aWorker` has as many tasks of the step as jobs::Step::mMaxPerWorker
+/// permits.
+bool
+IsFull(const StepState& aStep, const WorkerState& aWorker);
+
 /// True if `aWorker` has the resources for one more task of the step and no
 /// limit of the step excludes it. Requires an up-to-date PlacementIndex, like
 /// the functions below.
