Use tickets that are valid for less than the margin

Callers would see a queue whose tickets are valid for 200 ms or less run nothing.

Cause: a ticket counts as expired kTicketMargin before its end, so such a ticket was expired when it arrived, and was requested again and again.

Fix: the margin is at most half of the validity.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -122,7 +122,8 @@
 /// Maximum number of workers per call to the advice service.
 constexpr std::size_t kMaxQueriedWorkers = 30;
 constexpr Duration kAdvicePause = std::chrono::milliseconds(100);
-/// Tickets are treated as expired this early, because a start takes time.
+/// Tickets are treated as expired this early, because a start takes time. At
+/// most half of their validity is given up.
 constexpr Duration kTicketMargin = std::chrono::milliseconds(200);
 
 /// Run numbers skipped after a failover or an OldRun refusal: an earlier leader
@@ -513,8 +514,9 @@
       }
       return;
     }
+    const Duration validity = std::chrono::milliseconds(aAdvice->mValidMs);
     const TimePoint validUntil =
-      aNow + std::chrono::milliseconds(aAdvice->mValidMs) - kTicketMargin;
+      aNow + std::max(validity - kTicketMargin, validity / 2);
     for (const auto& it : aAdvice->mPermissions) {
       const auto asked = step->mQueriedIncarnations.find(it.mWorkerId);
       if (asked != step->mQueriedIncarnations.end()) {
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -333,6 +333,7 @@
   CPPUNIT_TEST(StartsOnlyWhereTheAdviceServicePermits);
   CPPUNIT_TEST(AsksForNewTicketsOfARestartedWorker);
   CPPUNIT_TEST(AsksAgainAfterARefusedTicket);
+  CPPUNIT_TEST(UsesTicketsOfAShortValidity);
   CPPUNIT_TEST(AsksAboutMoreWorkersUntilAllTasksRun);
   CPPUNIT_TEST(AsksAboutWorkersWithTheRequiredLabel);
   CPPUNIT_TEST(LimitsThePlacementWorkOfABacklog);
@@ -931,6 +932,20 @@
     CPPUNIT_ASSERT(site.mDoubleRuns.empty());
   }
 
+  // Otherwise a queue whose tickets are valid for less than the margin of the
+  // leader runs nothing.
+  void UsesTicketsOfAShortValidity()
+  {
+    FakeSite site;
+    site.AddWorker("w2");
+    auto& leader = AddLeaderWithTickets(site);
+    leader.mTicketValidity = milliseconds(150);
+    leader.GetDispatcher().AddJob(MakeJobWithTickets(), false, site.Now());
+    site.Advance(milliseconds(2000));
+    CPPUNIT_ASSERT_EQUAL(0, leader.mRefusedTickets);
+    CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Completed);
+  }
+
   // Workers with tickets that run as many tasks as the step permits must not
   // count as usable. Otherwise the other tasks never run.
   void AsksAboutMoreWorkersUntilAllTasksRun()
