Keep batches within the limits of the log, and drop what it refuses

Cause: a batch of the leader held one record longer than record_bytes, and the leader repeated the refused append for ever, as it does in an outage. Nothing after it became durable. The limits in the settings were not read.

Evidence: log_append_status status=400 reason=record 268 times at the leader, every 150 ms until the end, in one term, without stream_unreachable and without starts_held, while 36 of 48 processors were unused.

RecordBatch divides a batch into appends within the limits and drops a record that cannot be stored, with a log line and a counter. An append whose content the log refuses (400, 413) is divided until the refused record is alone, which is dropped. Appends of a leader have at most 256 KB, so that they pass a link of 10 Mbit/s well before their timeout.

Without the divisions and the checks LogLimitsTest has three failures: DividesALargeBatch (0 of 100 jobs start), UsesAWorkerWhoseRecordCannotBeStored and DropsOnlyTheRecordThatTheLogRefuses (0 of 1 start). With the fix all pass.

The fake log enforces the limits.

--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -15,6 +15,7 @@
 #include "skylarkhill/node/leadership.hpp"
 #include "skylarkhill/node/log_stream_reader.hpp"
 #include "skylarkhill/node/loop_profile.hpp"
+#include "skylarkhill/node/record_batch.hpp"
 #include "skylarkhill/node/record_decoder.hpp"
 #include "skylarkhill/node/shared_log.hpp"
 #include "skylarkhill/node/worker_client.hpp"
@@ -48,6 +49,7 @@
   /// Topic of the journals; the partition is mIndex, like that of mLeader.
   LogStream mJournal;
   LogStream mLeader;
+  LogLimits mLogLimits;
   dispatch::DispatchLimits mLimits;
   /// See NodeOptions.
   base::Duration mMaxCancellationDelay = std::chrono::milliseconds(3000);
@@ -191,9 +193,11 @@
   void SendTransfers(base::TimePoint aNow);
   void OnTransferSent(const std::string& aJobId, const AppendResult& aResult);
   void Flush();
+  /// Sends the next append of the batch.
   void SendBatch();
-  /// Applies the stored batch to the job table, so that callers see it.
-  void ApplyBatch(std::int64_t aFirstOffset);
+  void OnAppendStored(std::int64_t aFirstOffset);
+  /// All appends of the batch have been stored.
+  void CompleteBatch();
   void AddRecord(jobs::RecordKind aKind,
                  std::string_view aId,
                  std::string aValue);
@@ -233,10 +237,10 @@
   base::TimePoint mEarlierWritersFencedAt;
   bool mIsFlushInFlight = false;
   base::TimePoint mNextFlushAt;
+  /// Sequence number of the last append that was stored in this term.
   std::int64_t mSequence = 0;
-  /// The batch that is being stored, kept for retries.
-  AppendRequest mBatchRequest;
-  bool mIsBatchPending = false;
+  /// The batch that is being stored.
+  RecordBatch mBatch;
   std::uint64_t mBatchNumber = 0;
   base::TimePoint mBatchSentAt;
   std::unique_ptr<dispatch::Dispatcher> mDispatcher;
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -44,6 +44,7 @@
   /// Processors that this process may use; may be a fraction.
   double mProcessors = 1.0;
   NodeStreams mStreams;
+  LogLimits mLogLimits;
   dispatch::DispatchLimits mLimits;
   /// With at most one cell, there is no agreement on the division of the site.
   cells::CellLimits mCells{ 1, 1 };
--- a/include/skylarkhill/node/shared_log.hpp
+++ b/include/skylarkhill/node/shared_log.hpp
@@ -3,6 +3,7 @@
 
 #include "skylarkhill/base/clock.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -27,6 +28,28 @@
   std::int64_t mOffset = 0;
 };
 
+/// Limits of the log on the size of records and appends.
+struct LogLimits
+{
+  /// Maximum SizeOf a record.
+  std::size_t mMaxRecordBytes = std::size_t{ 256 } << 10;
+  /// Maximum size of an append: SizeOf each record and kRecordLengthBytes.
+  std::size_t mMaxAppendBytes = std::size_t{ 2 } << 20;
+};
+
+/// Size of the length field that precedes each record of an append.
+inline constexpr std::size_t kRecordLengthBytes = 4;
+/// The length of a key is stored in one byte.
+inline constexpr std::size_t kMaxKeyBytes = 255;
+
+/// Size of the record in the log.
+std::size_t
+SizeOf(const LogRecord& aRecord);
+
+/// True if the log can store the record.
+bool
+IsStorable(const LogRecord& aRecord, const LogLimits& aLimits);
+
 /// Identifies an append. The log ignores an append that it has already stored
 /// and refuses writers with an outdated epoch.
 struct WriterStamp
@@ -60,6 +83,9 @@
   /// The call is taken to have had no effect: it was refused, answered with an
   /// unexpected status, or not sent.
   Refused,
+  /// The log refuses the content of the append and would do so again. It had no
+  /// effect.
+  Invalid,
   /// No response: the call may have taken effect or may still do so.
   Unknown,
 };
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -41,6 +41,9 @@
 constexpr Duration kModelInterval = std::chrono::seconds(2);
 constexpr std::string_view kModelId = "images";
 constexpr Duration kFlushTimeout = std::chrono::milliseconds(1200);
+/// An append of this size takes a quarter of a second on the slowest links
+/// (10 Mbit/s), well below kFlushTimeout.
+constexpr std::size_t kTargetAppendBytes = std::size_t{ 256 } << 10;
 constexpr Duration kFlushRetryPause = std::chrono::milliseconds(150);
 
 /// Maximum age of the last journal read of an instance that reports ready.
@@ -144,6 +147,7 @@
                 PartitionOf(mOptions.mLeader, mOptions.mIndex),
                 mOptions.mInstanceId,
                 mOptions.mProcessors)
+  , mBatch(mOptions.mLogLimits, kTargetAppendBytes, mMetrics)
   , mRequiredStreams{ { { mJournalReader,
                           "journal",
                           mOptions.mMaxCancellationDelay * kMaxAgePercent / 100,
@@ -236,7 +240,7 @@
     std::min(mJournalReader.NextTickAt(), mLeadership.NextTickAt());
   if (mDispatcher != nullptr) {
     next = std::min(next, mDispatcher->NextTickAt());
-    if (!mIsFlushInFlight && (mIsBatchPending || mDispatcher->IsDirty() ||
+    if (!mIsFlushInFlight && (!mBatch.IsEmpty() || mDispatcher->IsDirty() ||
                               !mTransfersToStore.empty())) {
       next = std::min(next, mNextFlushAt);
     }
@@ -628,7 +632,7 @@
   mEpoch = mLeadership.Epoch();
   mAreEarlierWritersFenced = false;
   mIsFlushInFlight = false;
-  mIsBatchPending = false;
+  mBatch.Clear();
   mSequence = 0;
   mNextFlushAt = mClock.Now();
   mJournalReader.SetPause(kLeaderJournalPause);
@@ -887,8 +891,7 @@
                 std::string_view aId,
                 std::string aValue)
 {
-  mBatchRequest.mRecords.push_back(
-    { jobs::FormatRecordKey(aKind, aId), std::move(aValue), 0 });
+  mBatch.Add({ jobs::FormatRecordKey(aKind, aId), std::move(aValue), 0 });
 }
 
 void
@@ -898,7 +901,7 @@
   if (mIsFlushInFlight || now < mNextFlushAt) {
     return;
   }
-  if (mIsBatchPending) {
+  if (!mBatch.IsEmpty()) {
     SendBatch();
     return;
   }
@@ -910,8 +913,6 @@
     return;
   }
   mBatchNumber = batch;
-  mBatchRequest = AppendRequest{};
-  mBatchRequest.mStream = PartitionOf(mOptions.mJournal, mOptions.mIndex);
   for (const auto& [id, progress] : dirty) {
     AddRecord(jobs::RecordKind::Progress, id, jobs::EncodeProgress(progress));
   }
@@ -931,10 +932,11 @@
               kLoadId,
               cells::EncodeCellLoad(mDispatcher->Load(now)));
   }
-  mBatchRequest.mStamp =
-    WriterStamp{ std::string(kWriterName), mEpoch, ++mSequence };
   mBatchSentAt = now;
-  mIsBatchPending = true;
+  if (mBatch.IsEmpty()) {
+    CompleteBatch();
+    return;
+  }
   SendBatch();
 }
 
@@ -942,58 +944,78 @@
 Cell::SendBatch()
 {
   mIsFlushInFlight = true;
-  mLog.Append(
-    mBatchRequest,
-    mClock.Now() + kFlushTimeout,
-    [this, epoch = mEpoch](const AppendResult& aResult) {
-      if (epoch != mEpoch || mDispatcher == nullptr) {
-        return;
-      }
-      const TimePoint now = mClock.Now();
-      mIsFlushInFlight = false;
-      switch (aResult.mOutcome) {
-        case LogOutcome::Done:
-          mIsBatchPending = false;
-          mNextFlushAt = std::max(now, mBatchSentAt + kFlushInterval);
-          mFlushSeconds.Record(
-            std::chrono::duration<double>(now - mBatchSentAt).count());
-          ApplyBatch(aResult.mOffset);
-          mDispatcher->OnDurable(mBatchNumber, now);
-          for (const auto& [id, transfer] : mTransfersInBatch) {
-            if (!transfer.mIsDelivered) {
-              mTransfersToSend.insert(id);
-            }
-          }
-          mTransfersInBatch.clear();
-          break;
-        case LogOutcome::Fenced:
-        case LogOutcome::OutOfSequence:
-          logging::Write(
-            logging::Level::Warning,
-            "journal_append_refused",
-            { { "epoch", mEpoch }, { "outcome", NameOf(aResult.mOutcome) } });
-          EndTerm();
-          mLeadership.StepDown();
-          break;
-        case LogOutcome::EndMoved:
-        case LogOutcome::Expired:
-        case LogOutcome::Refused:
-        case LogOutcome::Unknown:
-          // The retry has the same sequence number, so the log ignores it if
-          // the batch has been stored.
-          mNextFlushAt = now + kFlushRetryPause;
-          break;
-      }
-    });
+  AppendRequest request;
+  request.mStream = PartitionOf(mOptions.mJournal, mOptions.mIndex);
+  request.mRecords = mBatch.Next();
+  request.mStamp =
+    WriterStamp{ std::string(kWriterName), mEpoch, mSequence + 1 };
+  mLog.Append(request,
+              mClock.Now() + kFlushTimeout,
+              [this, epoch = mEpoch](const AppendResult& aResult) {
+                if (epoch != mEpoch || mDispatcher == nullptr) {
+                  return;
+                }
+                mIsFlushInFlight = false;
+                switch (aResult.mOutcome) {
+                  case LogOutcome::Done:
+                    OnAppendStored(aResult.mOffset);
+                    break;
+                  case LogOutcome::Fenced:
+                  case LogOutcome::OutOfSequence:
+                    logging::Write(logging::Level::Warning,
+                                   "journal_append_refused",
+                                   { { "epoch", mEpoch },
+                                     { "outcome", NameOf(aResult.mOutcome) } });
+                    EndTerm();
+                    mLeadership.StepDown();
+                    break;
+                  case LogOutcome::Invalid:
+                    mBatch.DivideNext();
+                    if (mBatch.IsEmpty()) {
+                      CompleteBatch();
+                    }
+                    break;
+                  case LogOutcome::EndMoved:
+                  case LogOutcome::Expired:
+                  case LogOutcome::Refused:
+                  case LogOutcome::Unknown:
+                    // The retry has the same sequence number, so the log
+                    // ignores it if the append has been stored.
+                    mNextFlushAt = mClock.Now() + kFlushRetryPause;
+                    break;
+                }
+              });
 }
 
 void
-Cell::ApplyBatch(std::int64_t aFirstOffset)
+Cell::OnAppendStored(std::int64_t aFirstOffset)
 {
+  ++mSequence;
+  // Callers see the records at once.
   std::int64_t offset = aFirstOffset;
-  for (const auto& it : mBatchRequest.mRecords) {
+  for (const auto& it : mBatch.Next()) {
     mJobs.Apply(it.mKey, it.mValue, offset++);
   }
+  mBatch.RemoveNext();
+  if (mBatch.IsEmpty()) {
+    CompleteBatch();
+  }
+}
+
+void
+Cell::CompleteBatch()
+{
+  const TimePoint now = mClock.Now();
+  mNextFlushAt = std::max(now, mBatchSentAt + kFlushInterval);
+  mFlushSeconds.Record(
+    std::chrono::duration<double>(now - mBatchSentAt).count());
+  mDispatcher->OnDurable(mBatchNumber, now);
+  for (const auto& [id, transfer] : mTransfersInBatch) {
+    if (!transfer.mIsDelivered) {
+      mTransfersToSend.insert(id);
+    }
+  }
+  mTransfersInBatch.clear();
 }
 
 void
--- a/src/node/fake_shared_log_test.hpp
+++ b/src/node/fake_shared_log_test.hpp
@@ -5,6 +5,7 @@
 #include "skylarkhill/node/shared_log.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <limits>
@@ -21,6 +22,7 @@
 {
   std::map<std::string, std::vector<LogRecord>> mStreams;
   std::map<std::string, std::int64_t> mEpochs;
+  LogLimits mLimits;
   /// The last stamped append of each stream and its result.
   std::map<std::string, std::pair<WriterStamp, AppendResult>> mLastStamped;
 };
@@ -188,8 +190,25 @@
     bool mIsLost = false;
   };
 
+  bool IsWithinLimits(const AppendRequest& aRequest) const
+  {
+    std::size_t bytes = 0;
+    for (const auto& it : aRequest.mRecords) {
+      if (!IsStorable(it, mState.mLimits)) {
+        return false;
+      }
+      bytes += kRecordLengthBytes + SizeOf(it);
+    }
+    return bytes <= mState.mLimits.mMaxAppendBytes;
+  }
+
   AppendResult Apply(const AppendRequest& aRequest)
   {
+    if (!IsWithinLimits(aRequest)) {
+      AppendResult refusal;
+      refusal.mOutcome = LogOutcome::Invalid;
+      return refusal;
+    }
     const std::string stream = NameOfStream(aRequest.mStream);
     auto& records = mState.mStreams[stream];
     AppendResult result;
--- a/src/node/fake_worker_client_test.hpp
+++ b/src/node/fake_worker_client_test.hpp
@@ -20,6 +20,9 @@
 struct FakeWorkerState
 {
   std::vector<dispatch::ActiveRun> mRuns;
+  /// Ended runs that have not been acknowledged.
+  std::deque<dispatch::EndedRun> mEndedRuns;
+  std::int64_t mLastSequence = 0;
   std::int64_t mFencingToken = 0;
 };
 
@@ -64,7 +67,13 @@
       return;
     }
     CountLease(aCall.mWorkerId, aCall.mLeaseUntilMs);
+    auto& ended = mWorkers[aCall.mWorkerId].mEndedRuns;
+    while (!ended.empty() &&
+           ended.front().mSequence <= aCall.mAcknowledgedSequence) {
+      ended.pop_front();
+    }
     dispatch::WorkerReport report;
+    report.mEndedRuns.assign(ended.begin(), ended.end());
     report.mClockMs = base::ToMicros(mClock.Now()) / 1000;
     report.mIncarnationStartMs = 1;
     report.mActiveRuns = mWorkers[aCall.mWorkerId].mRuns;
--- /dev/null
+++ b/src/node/log_limits_test.cpp
@@ -0,0 +1,108 @@
+#include "skylarkhill/node/record_batch.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "node_site_test.hpp"
+
+namespace skylarkhill::node {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+jobs::Step
+MakeStep(int aCount, const std::string& aImage)
+{
+  jobs::Step step;
+  step.mCount = aCount;
+  step.mResources.mMilliProcessors = 100;
+  step.mImage = aImage;
+  return step;
+}
+
+} // namespace
+
+/// Guards against a leader that is stopped by a record or an append that the
+/// log refuses for its size.
+class LogLimitsTest : public NodeSiteFixture
+{
+  CPPUNIT_TEST_SUITE(LogLimitsTest);
+  CPPUNIT_TEST(DividesALargeBatch);
+  CPPUNIT_TEST(UsesAWorkerWhoseRecordCannotBeStored);
+  CPPUNIT_TEST(DropsOnlyTheRecordThatTheLogRefuses);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Otherwise no job makes progress after many have changed at the same time.
+  void DividesALargeBatch()
+  {
+    constexpr int kJobs = 100;
+    mLogLimits.mMaxAppendBytes = 400;
+    mState.mLimits = mLogLimits;
+    Instance& leader = StartLeader(1);
+    for (int n = 0; n < kJobs; ++n) {
+      Submit("job-" + std::to_string(n), { MakeStep(1, "") });
+    }
+    Advance(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ kJobs }, StartedTasks(leader).size());
+    EndRuns();
+    Advance(milliseconds(4000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, mWorkers["w1"].mEndedRuns.size());
+  }
+
+  // The entry of the worker fits into its own stream, but not into the journal,
+  // where its key is longer. Otherwise no job makes progress.
+  void UsesAWorkerWhoseRecordCannotBeStored()
+  {
+    Store("workers", "w2", std::string(mLogLimits.mMaxRecordBytes - 3, 'x'));
+    Instance& leader = StartLeader(1);
+    SubmitService("a");
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, leader.mClient.mStarts.size());
+  }
+
+  // The limits of the log are lower than the instance knows. Otherwise one
+  // record stops the leader.
+  void DropsOnlyTheRecordThatTheLogRefuses()
+  {
+    constexpr std::size_t kMaxRecordBytes = 1000;
+    mState.mLimits.mMaxRecordBytes = kMaxRecordBytes;
+    Store("workers", "w2", std::string(kMaxRecordBytes, 'x'));
+    Instance& leader = StartLeader(1);
+    SubmitService("a");
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, leader.mClient.mStarts.size());
+    CPPUNIT_ASSERT(SizeOfNewest("w/w1") > 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, SizeOfNewest("w/w2"));
+  }
+
+private:
+  /// Size of the newest value of the key in the journal; 0 if there is none.
+  std::size_t SizeOfNewest(const std::string& aKey)
+  {
+    std::size_t bytes = 0;
+    for (const auto& it : mState.mStreams["journal"]) {
+      if (it.mKey == aKey) {
+        bytes = it.mValue.size();
+      }
+    }
+    return bytes;
+  }
+
+  static std::set<std::string> StartedTasks(const Instance& aLeader)
+  {
+    std::set<std::string> tasks;
+    for (const auto& it : aLeader.mClient.mStarts) {
+      tasks.insert(ToText(it.mTask));
+    }
+    return tasks;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LogLimitsTest);
+
+} // namespace skylarkhill::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -176,6 +176,7 @@
     options.mIsInDomain = cells::IsInDomain(mCellMap, cell, mOptions.mDomain);
     options.mJournal = mOptions.mStreams.mJournal;
     options.mLeader = mOptions.mStreams.mLeader;
+    options.mLogLimits = mOptions.mLogLimits;
     options.mLimits = mOptions.mLimits;
     options.mMaxCancellationDelay = mOptions.mMaxCancellationDelay;
     options.mMaxDrainDelay = mOptions.mMaxDrainDelay;
