Reject a job that the log cannot store, without turning others away

Callers would get 503 with Retry-After for a job whose record exceeds record_bytes, again and again, and other callers of the instance 503 for 0.7 s after each try.

Cause: JobService took the refusal of the content for an unreachable log.

Fix: the size of the record is checked before the call; the answer is 400, as for other jobs that can never be accepted. A refusal of the content by the log no longer counts as an outage.

Without the checks RejectsAJobThatCannotBeStored fails; with them it passes.

--- a/include/skylarkhill/node/job_service.hpp
+++ b/include/skylarkhill/node/job_service.hpp
@@ -43,6 +43,7 @@
   JobService(jobs::JobTable& aJobs,
              BlockingLog& aLog,
              LogStream aJournal,
+             const LogLimits& aLogLimits,
              const std::atomic<std::int64_t>& aNextJournalOffset,
              const base::Clock& aClock,
              const journal::WallClock& aWallClock,
@@ -52,8 +53,8 @@
   const jobs::JobTable& Jobs() const { return mJobs; }
 
   /// Appends a job to the journal; succeeds if it is already there.
-  /// LogUnavailable: not accepted. OutcomeUnknown: the job may still be
-  /// accepted.
+  /// InvalidArgument: the log cannot store the job. LogUnavailable: not
+  /// accepted. OutcomeUnknown: the job may still be accepted.
   base::Result<void> Submit(const jobs::QueuePolicy& aPolicy,
                             const std::string& aJobId,
                             jobs::JobRequest aRequest,
@@ -73,8 +74,9 @@
 
 private:
   /// Appends one record and retries on timeouts. `aIsStored` returns true if
-  /// the record has been read from the journal. LogUnavailable: not stored.
-  /// OutcomeUnknown: the record may have been or may still be stored.
+  /// the record has been read from the journal. InvalidArgument: the log cannot
+  /// store the record. LogUnavailable: not stored. OutcomeUnknown: the record
+  /// may have been or may still be stored.
   base::Result<void> Append(std::string aKey,
                             std::string aValue,
                             base::TimePoint aDeadline,
@@ -85,6 +87,7 @@
   jobs::JobTable& mJobs;
   BlockingLog& mLog;
   const LogStream mJournal;
+  const LogLimits mLogLimits;
   const std::atomic<std::int64_t>& mNextJournalOffset;
   const base::Clock& mClock;
   const journal::WallClock& mWallClock;
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -58,6 +58,7 @@
 JobService::JobService(jobs::JobTable& aJobs,
                        BlockingLog& aLog,
                        LogStream aJournal,
+                       const LogLimits& aLogLimits,
                        const std::atomic<std::int64_t>& aNextJournalOffset,
                        const base::Clock& aClock,
                        const journal::WallClock& aWallClock,
@@ -65,6 +66,7 @@
   : mJobs(aJobs)
   , mLog(aLog)
   , mJournal(std::move(aJournal))
+  , mLogLimits(aLogLimits)
   , mNextJournalOffset(aNextJournalOffset)
   , mClock(aClock)
   , mWallClock(aWallClock)
@@ -182,12 +184,19 @@
                    const std::function<bool()>& aIsStored)
 {
   const TimePoint start = mClock.Now();
-  if (mHealth.IsUnreachable(start)) {
-    return MakeError(ErrorKind::LogUnavailable, "the log is unreachable");
-  }
   AppendRequest request;
   request.mStream = mJournal;
   request.mRecords.push_back({ std::move(aKey), std::move(aValue), 0 });
+  if (!IsStorable(request.mRecords.front(), mLogLimits)) {
+    return MakeError(ErrorKind::InvalidArgument,
+                     "a record of " +
+                       std::to_string(SizeOf(request.mRecords.front())) +
+                       " bytes exceeds the limit of " +
+                       std::to_string(mLogLimits.mMaxRecordBytes));
+  }
+  if (mHealth.IsUnreachable(start)) {
+    return MakeError(ErrorKind::LogUnavailable, "the log is unreachable");
+  }
   const TimePoint appendDeadline = aDeadline - kResponseReserve;
   bool mayBeStored = false;
   for (;;) {
@@ -202,6 +211,10 @@
                   result.mOffset);
       return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
+    if (result.mOutcome == LogOutcome::Invalid) {
+      return MakeError(ErrorKind::InvalidArgument,
+                       "the log refused the content of the record");
+    }
     mHealth.SetUnreachable(now);
     mayBeStored = mayBeStored || result.mOutcome == LogOutcome::Unknown;
     if (!mayBeStored) {
--- a/src/node/log_limits_test.cpp
+++ b/src/node/log_limits_test.cpp
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(DividesALargeBatch);
   CPPUNIT_TEST(UsesAWorkerWhoseRecordCannotBeStored);
   CPPUNIT_TEST(DropsOnlyTheRecordThatTheLogRefuses);
+  CPPUNIT_TEST(RejectsAJobThatCannotBeStored);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -80,6 +81,22 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, SizeOfNewest("w/w2"));
   }
 
+  // Otherwise the caller is told to come back, and the instance takes the log
+  // for unreachable and turns other callers away.
+  void RejectsAJobThatCannotBeStored()
+  {
+    JobRouter& router = StartLeader(1).mNode.GetJobRouter();
+    const base::TimePoint deadline = mClock.Now() + milliseconds(1000);
+    jobs::JobRequest request;
+    request.mSteps = { MakeStep(1,
+                                std::string(mLogLimits.mMaxRecordBytes, 'x')) };
+    const auto rejected = router.Submit({}, "large", request, deadline);
+    CPPUNIT_ASSERT(!rejected);
+    CPPUNIT_ASSERT(rejected.error().mKind == base::ErrorKind::InvalidArgument);
+    request.mSteps = { MakeStep(1, "") };
+    CPPUNIT_ASSERT(router.Submit({}, "small", request, deadline));
+  }
+
 private:
   /// Size of the newest value of the key in the journal; 0 if there is none.
   std::size_t SizeOfNewest(const std::string& aKey)
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -466,8 +466,13 @@
   jobs::JobTable mJobs;
   std::atomic<std::int64_t> mNextOffset{ 0 };
   metrics::Registry mMetrics;
-  JobService mJobService{ mJobs,       mLog,   kJournalStream,
-                          mNextOffset, mClock, journal::GetSystemWallClock(),
+  JobService mJobService{ mJobs,
+                          mLog,
+                          kJournalStream,
+                          LogLimits{},
+                          mNextOffset,
+                          mClock,
+                          journal::GetSystemWallClock(),
                           mMetrics };
 };
 
