Limit the record of the interference estimates

The record is dropped since the batches keep to the limits, but then the next leader knows nothing of the images.

Fix: the record holds the pairs that were observed last, as many as fit into record_bytes; the number of the others is logged and counted. A successor keeps this order. The rows are those of earlier versions, so that both read each other's records. A large record is written less often, at 16 KB a second, because all instances read it.

With an unlimited record LogLimitsTest::StoresProgressBesideManyImages fails; with the limit it passes, as does ColocationTest::ExportsTheLatestPairsThatFit.

--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include "skylarkhill/jobs/job_table.hpp"
 #include "skylarkhill/metrics/registry.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -122,8 +123,9 @@
   /// their workers.
   virtual void OnDurable(std::uint64_t aBatch, base::TimePoint aNow) = 0;
 
-  /// Serialises the interference estimates for the next leader.
-  virtual std::string ExportModel() const = 0;
+  /// Serialises the interference estimates for the next leader, at most
+  /// `aMaxBytes` of them.
+  virtual std::string ExportModel(std::size_t aMaxBytes) const = 0;
   /// Loads estimates that ExportModel of an earlier leader returned. Malformed
   /// bytes are logged and ignored.
   virtual void ImportModel(std::string_view aBytes) = 0;
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -201,6 +201,8 @@
   void AddRecord(jobs::RecordKind aKind,
                  std::string_view aId,
                  std::string aValue);
+  /// Adds the interference estimates to the batch.
+  void AddModelRecord(base::TimePoint aNow);
   void RemoveOldJobs();
 
   const CellOptions mOptions;
--- a/src/dispatch/colocation_model.cpp
+++ b/src/dispatch/colocation_model.cpp
@@ -47,6 +47,13 @@
 
 constexpr double kPercent = 100.0;
 
+/// Largest header of a msgpack array or string.
+constexpr std::size_t kMaxMsgpackHeaderBytes = 5;
+/// Size of a serialised estimate without the names: the header of the row,
+/// those of the names, and two numbers.
+constexpr std::size_t kMaxRowOverheadBytes =
+  1 + 2 * kMaxMsgpackHeaderBytes + 2 * (1 + sizeof(double));
+
 /// Serialised estimate: service image, backfill image, mean, variance.
 using EstimateFields = std::tuple<std::string, std::string, double, double>;
 
@@ -215,23 +222,30 @@
   return interference;
 }
 
-std::string
-ColocationModel::Export() const
+ColocationModel::Record
+ColocationModel::Export(std::size_t aMaxBytes) const
 {
+  Record record;
   std::vector<EstimateFields> rows;
-  const int count = static_cast<int>(mImageNames.size());
-  for (int service = 0; service < count; ++service) {
-    for (int image = 0; image < count; ++image) {
-      if (mEstimator.HasEstimate(service, image)) {
-        const PairEstimate estimate = mEstimator.Estimate(service, image);
-        rows.emplace_back(mImageNames[static_cast<std::size_t>(service)],
-                          mImageNames[static_cast<std::size_t>(image)],
-                          estimate.mMean,
-                          estimate.mVariance);
-      }
+  std::size_t bytes = kMaxMsgpackHeaderBytes;
+  for (const auto& it : mEstimator.ListByRecency()) {
+    const auto nameOf = [&](int aImage) -> const std::string& {
+      return mImageNames[static_cast<std::size_t>(aImage)];
+    };
+    const std::string& service = nameOf(it.mServiceImage);
+    const std::string& backfill = nameOf(it.mBackfillImage);
+    const std::size_t rowBytes =
+      kMaxRowOverheadBytes + service.size() + backfill.size();
+    if (bytes + rowBytes > aMaxBytes) {
+      ++record.mOmittedPairs;
+      continue;
     }
+    bytes += rowBytes;
+    rows.emplace_back(
+      service, backfill, it.mEstimate.mMean, it.mEstimate.mVariance);
   }
-  return base::PackMsgpack(rows);
+  record.mBytes = base::PackMsgpack(rows);
+  return record;
 }
 
 base::Result<void>
@@ -239,8 +253,10 @@
 {
   BOOST_OUTCOME_TRY(rows,
                     base::UnpackMsgpack<std::vector<EstimateFields>>(aBytes));
-  for (const auto& [service, image, mean, variance] : rows) {
-    mEstimator.Set(Intern(service), Intern(image), { mean, variance });
+  // The last updated pair comes first.
+  for (auto it = rows.rbegin(); it != rows.rend(); ++it) {
+    const auto& [service, backfill, mean, variance] = *it;
+    mEstimator.Set(Intern(service), Intern(backfill), { mean, variance });
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/src/dispatch/colocation_model.hpp
+++ b/src/dispatch/colocation_model.hpp
@@ -4,6 +4,7 @@
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/base/error.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -56,8 +57,16 @@
   /// `aService` at the target paces, including runs not reported yet.
   Saturation TotalInterference(const RunState& aService) const;
 
-  /// Serialises the estimates.
-  std::string Export() const;
+  /// Serialised estimates.
+  struct Record
+  {
+    std::string mBytes;
+    /// Number of estimates that did not fit.
+    std::size_t mOmittedPairs = 0;
+  };
+  /// Serialises the estimates, at most `aMaxBytes` of them. The pairs that have
+  /// not been observed for longest are omitted first.
+  Record Export(std::size_t aMaxBytes) const;
   /// Loads estimates written by Export. InvalidArgument if the bytes are
   /// malformed.
   base::Result<void> Import(std::string_view aBytes);
--- a/src/dispatch/colocation_test.cpp
+++ b/src/dispatch/colocation_test.cpp
@@ -1,7 +1,11 @@
+#include "skylarkhill/base/msgpack.hpp"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <cmath>
+#include <limits>
 #include <list>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -17,6 +21,11 @@
 
 namespace {
 
+constexpr std::size_t kUnlimited = std::numeric_limits<std::size_t>::max();
+
+/// A row of an exported model.
+using EstimateRow = std::tuple<std::string, std::string, double, double>;
+
 /// Steps, runs and workers for tests without a dispatcher.
 class PlacementFixture
 {
@@ -135,6 +144,7 @@
   CPPUNIT_TEST(MovesBackfillBeforeTheTailViolationLimit);
   CPPUNIT_TEST(MeasuresAViolationFromTheLastHealthyReport);
   CPPUNIT_TEST(ExportsAndImportsEstimates);
+  CPPUNIT_TEST(ExportsTheLatestPairsThatFit);
   CPPUNIT_TEST(AppliesAStricterTailLimitToNonUrgentTasks);
   CPPUNIT_TEST_SUITE_END();
 
@@ -371,7 +381,8 @@
     // Image indexes differ between processes.
     const int interfering = successor.Intern("loud");
     const int sensitive = successor.Intern("sensitive");
-    CPPUNIT_ASSERT(successor.Import(mFixture->mModel.Export()));
+    CPPUNIT_ASSERT(
+      successor.Import(mFixture->mModel.Export(kUnlimited).mBytes));
     CPPUNIT_ASSERT_DOUBLES_EQUAL(
       mFixture->mModel.ExpectedInterference(mSensitive, mInterfering, 0.1),
       successor.ExpectedInterference(sensitive, interfering, 0.1),
@@ -379,6 +390,42 @@
     CPPUNIT_ASSERT(!successor.Import("garbage"));
   }
 
+  // Otherwise a leader that knows many images writes a record that the log
+  // refuses.
+  void ExportsTheLatestPairsThatFit()
+  {
+    constexpr int kImages = 40;
+    constexpr std::size_t kMaxBytes = 4096;
+    std::vector<std::string> names;
+    for (int n = 0; n < kImages; ++n) {
+      names.push_back("registry.example/image-" + std::to_string(n));
+    }
+    ColocationModel model;
+    std::vector<EstimateRow> rows;
+    for (const auto& service : names) {
+      for (const auto& backfill : names) {
+        rows.emplace_back(service, backfill, 2.0, 0.1);
+      }
+    }
+    CPPUNIT_ASSERT(model.Import(base::PackMsgpack(rows)));
+    const auto record = model.Export(kMaxBytes);
+    CPPUNIT_ASSERT(record.mBytes.size() <= kMaxBytes);
+    CPPUNIT_ASSERT(record.mBytes.size() > kMaxBytes / 2);
+    ColocationModel successor;
+    CPPUNIT_ASSERT(successor.Import(record.mBytes));
+    // The first rows are the latest ones.
+    const auto interference = [&](const std::string& aImage) {
+      const int image = successor.Intern(aImage);
+      return successor.ExpectedInterference(image, image, 0.1);
+    };
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.2, interference(names.front()), 1e-9);
+    CPPUNIT_ASSERT(interference(names.back()) < 0.1);
+    CPPUNIT_ASSERT_EQUAL(successor.Export(kMaxBytes).mBytes, record.mBytes);
+    CPPUNIT_ASSERT(record.mOmittedPairs > 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 },
+                         model.Export(kUnlimited).mOmittedPairs);
+  }
+
   // Batch work with time to spare should wait rather than interfere with a
   // service near its target.
   void AppliesAStricterTailLimitToNonUrgentTasks()
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -164,6 +164,9 @@
         "Workers considered for an acknowledgement of ended runs."))
     , mWorkerChecks(aMetrics.GetCounter("skylarkhill_worker_checks_total",
                                         "Workers checked for missing reports."))
+    , mOmittedPairs(aMetrics.GetCounter(
+        "skylarkhill_model_pairs_omitted_total",
+        "Interference estimates that did not fit into a record."))
   {
   }
 
@@ -640,7 +643,19 @@
     }
   }
 
-  std::string ExportModel() const override { return mColocationModel.Export(); }
+  std::string ExportModel(std::size_t aMaxBytes) const override
+  {
+    auto record = mColocationModel.Export(aMaxBytes);
+    if (record.mOmittedPairs > 0) {
+      mOmittedPairs.Add(static_cast<std::int64_t>(record.mOmittedPairs));
+      logging::Write(
+        logging::Level::Info,
+        "model_pairs_omitted",
+        { { "pairs", static_cast<std::int64_t>(record.mOmittedPairs) },
+          { "limit_bytes", static_cast<std::int64_t>(aMaxBytes) } });
+    }
+    return std::move(record.mBytes);
+  }
 
   void ImportModel(std::string_view aBytes) override
   {
@@ -1862,6 +1877,7 @@
   metrics::Counter& mPollCandidates;
   metrics::Counter& mAcknowledgementCandidates;
   metrics::Counter& mWorkerChecks;
+  metrics::Counter& mOmittedPairs;
 
   WorkerMap mWorkers;
   PlacementIndex mPlacementIndex;
--- a/src/dispatch/interference_estimator.cpp
+++ b/src/dispatch/interference_estimator.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
+#include <utility>
 
 namespace skylarkhill::dispatch {
 
@@ -58,7 +60,7 @@
   const auto service = static_cast<std::size_t>(aServiceImage);
   const auto backfill = static_cast<std::size_t>(aBackfillImage);
   return service < mPairs.size() && backfill < mPairs[service].size() &&
-         mPairs[service][backfill].mIsKnown;
+         mPairs[service][backfill].mLastUpdate != 0;
 }
 
 void
@@ -75,7 +77,35 @@
   if (backfill >= row.size()) {
     row.resize(backfill + 1);
   }
-  row[backfill] = { aValue, true };
+  row[backfill] = { aValue, ++mUpdateCount };
+}
+
+std::vector<InterferenceEstimator::KnownPair>
+InterferenceEstimator::ListByRecency() const
+{
+  std::vector<std::pair<std::uint64_t, KnownPair>> known;
+  for (std::size_t service = 0; service < mPairs.size(); ++service) {
+    for (std::size_t backfill = 0; backfill < mPairs[service].size();
+         ++backfill) {
+      const Pair& pair = mPairs[service][backfill];
+      if (pair.mLastUpdate != 0) {
+        known.emplace_back(pair.mLastUpdate,
+                           KnownPair{ static_cast<int>(service),
+                                      static_cast<int>(backfill),
+                                      pair.mEstimate });
+      }
+    }
+  }
+  std::sort(
+    known.begin(), known.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first > aRight.first;
+    });
+  std::vector<KnownPair> pairs;
+  pairs.reserve(known.size());
+  for (const auto& [update, pair] : known) {
+    pairs.push_back(pair);
+  }
+  return pairs;
 }
 
 } // namespace skylarkhill::dispatch
--- a/src/dispatch/interference_estimator.hpp
+++ b/src/dispatch/interference_estimator.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKHILL_DISPATCH_INTERFERENCE_ESTIMATOR_HPP
 #define SKYLARKHILL_DISPATCH_INTERFERENCE_ESTIMATOR_HPP
 
+#include <cstdint>
 #include <vector>
 
 namespace skylarkhill::dispatch {
@@ -50,14 +51,26 @@
   /// Replaces the estimate for a pair.
   void Set(int aServiceImage, int aBackfillImage, const PairEstimate& aValue);
 
+  /// A pair with an estimate.
+  struct KnownPair
+  {
+    int mServiceImage = 0;
+    int mBackfillImage = 0;
+    PairEstimate mEstimate;
+  };
+  /// All pairs with an estimate, the last updated one first.
+  std::vector<KnownPair> ListByRecency() const;
+
 private:
   struct Pair
   {
     PairEstimate mEstimate;
-    bool mIsKnown = false;
+    /// Number of the last update, from 1; 0 if there is no estimate.
+    std::uint64_t mLastUpdate = 0;
   };
 
   std::vector<std::vector<Pair>> mPairs;
+  std::uint64_t mUpdateCount = 0;
 };
 
 } // namespace skylarkhill::dispatch
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -37,8 +37,10 @@
 constexpr Duration kLeaderReadWait = std::chrono::milliseconds(500);
 /// Minimum time between two batches of progress records.
 constexpr Duration kFlushInterval = std::chrono::milliseconds(20);
-/// Interval between two records of the interference estimates.
+/// Minimum interval between two records of the interference estimates. Longer
+/// after a large record, because every instance reads them.
 constexpr Duration kModelInterval = std::chrono::seconds(2);
+constexpr std::size_t kMaxModelBytesPerSecond = std::size_t{ 16 } << 10;
 constexpr std::string_view kModelId = "images";
 constexpr Duration kFlushTimeout = std::chrono::milliseconds(1200);
 /// An append of this size takes a quarter of a second on the slowest links
@@ -895,6 +897,20 @@
   mBatch.Add({ jobs::FormatRecordKey(aKind, aId), std::move(aValue), 0 });
 }
 
+void
+Cell::AddModelRecord(TimePoint aNow)
+{
+  LogRecord record;
+  record.mKey = jobs::FormatRecordKey(jobs::RecordKind::Model, kModelId);
+  const std::size_t limit = mOptions.mLogLimits.mMaxRecordBytes;
+  record.mValue =
+    mDispatcher->ExportModel(limit - std::min(limit, SizeOf(record)));
+  mNextModelAt = aNow + std::max(kModelInterval,
+                                 Duration(std::chrono::seconds(
+                                   SizeOf(record) / kMaxModelBytesPerSecond)));
+  mBatch.Add(std::move(record));
+}
+
 void
 Cell::Flush()
 {
@@ -924,8 +940,7 @@
   mTransfersToStore.clear();
   AddWorkerRecords();
   if (now >= mNextModelAt) {
-    mNextModelAt = now + kModelInterval;
-    AddRecord(jobs::RecordKind::Model, kModelId, mDispatcher->ExportModel());
+    AddModelRecord(now);
   }
   if (isLoadDue) {
     mNextLoadAt = now + kLoadInterval;
--- a/src/node/log_limits_test.cpp
+++ b/src/node/log_limits_test.cpp
@@ -24,6 +24,13 @@
   return step;
 }
 
+std::string
+ImageName(const std::string& aKind, int aNumber)
+{
+  return "registry.example/ropewalk/" + aKind + "-" + std::to_string(aNumber) +
+         ":2026.12.05";
+}
+
 } // namespace
 
 /// Guards against a leader that is stopped by a record or an append that the
@@ -31,6 +38,7 @@
 class LogLimitsTest : public NodeSiteFixture
 {
   CPPUNIT_TEST_SUITE(LogLimitsTest);
+  CPPUNIT_TEST(StoresProgressBesideManyImages);
   CPPUNIT_TEST(DividesALargeBatch);
   CPPUNIT_TEST(UsesAWorkerWhoseRecordCannotBeStored);
   CPPUNIT_TEST(DropsOnlyTheRecordThatTheLogRefuses);
@@ -38,6 +46,32 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // The estimates of all pairs exceed the limit of a record. Otherwise no job
+  // makes progress from then on.
+  void StoresProgressBesideManyImages()
+  {
+    constexpr int kImages = 64;
+    Instance& leader = StartLeader(1);
+    for (int n = 0; n < kImages; ++n) {
+      jobs::Step service = MakeStep(1, ImageName("service", n));
+      service.mIsService = true;
+      service.mTailTargetMs = 50;
+      Submit("service-" + std::to_string(n), { service });
+      jobs::Step backfill = MakeStep(1, ImageName("backfill", n));
+      backfill.mIsBackfill = true;
+      Submit("backfill-" + std::to_string(n), { backfill });
+    }
+    Advance(milliseconds(4000));
+    SubmitService("first");
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT(SizeOfNewest("m/images") >
+                   mLogLimits.mMaxRecordBytes * 3 / 4);
+    SubmitService("second");
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 * kImages + 2 },
+                         StartedTasks(leader).size());
+  }
+
   // Otherwise no job makes progress after many have changed at the same time.
   void DividesALargeBatch()
   {
