Store the progress of jobs with many tasks in ranges

Cause: the progress of all tasks of a job was one record. The log refuses it once it exceeds record_bytes.

Fix: a job with more tasks than a record has room for is stored in ranges of consecutive tasks, each in a record of its own that is written when it has changed. The bits of done tasks take an eighth of a byte each. Any mix of older and newer ranges is a valid state, because ends that are not durable are reported again; all members of a gang are done as soon as one is. The ranges precede the record of the job in a batch and are deleted after its end. Jobs that fit are stored as before; the tasks of a large job that an earlier version has stored in one record are taken over into ranges.

Without ranges LogLimitsTest has two failures: StoresTheProgressOfAJobWithManyTasks (done tasks start again under the next leader) and RestoresAJobWithManyTasksFromOneRecord. With them all pass.

--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -27,6 +27,8 @@
   /// How long a service task colocated with backfill may exceed its tail
   /// latency target.
   base::Duration mMaxTailViolation = std::chrono::milliseconds(4000);
+  /// Maximum number of tasks whose progress is stored in one record.
+  int mMaxTasksPerRecord = 512;
 };
 
 /// Initial state of a leader's term.
--- a/include/skylarkhill/jobs/job.hpp
+++ b/include/skylarkhill/jobs/job.hpp
@@ -131,6 +131,15 @@
   std::vector<TaskProgress> mTasks;
 };
 
+/// Durable state of consecutive tasks of one step, in a record of its own. Used
+/// for jobs with too many tasks for one record.
+struct TaskRange
+{
+  /// Index of the first task.
+  int mFirst = 0;
+  StepProgress mProgress;
+};
+
 /// A job has left the cell of the journal that has this record.
 struct JobTransfer
 {
@@ -148,7 +157,10 @@
   /// Tasks of the job may have been started. Becomes durable before the first
   /// start.
   bool mMayHaveStarted = false;
+  /// Empty for a job whose tasks are stored in ranges.
   std::vector<StepProgress> mSteps;
+  /// Ranges that have changed; not part of the record of the job.
+  std::vector<TaskRange> mChangedRanges;
 };
 
 } // namespace skylarkhill::jobs
--- a/include/skylarkhill/jobs/job_codec.hpp
+++ b/include/skylarkhill/jobs/job_codec.hpp
@@ -16,6 +16,8 @@
   Submission,
   Cancellation,
   Progress,
+  /// Progress of some tasks of a job.
+  TaskRange,
   /// Interference estimates of a leader.
   Model,
   /// Registry entry of a worker, for a leader that starts while the registry is
@@ -34,11 +36,21 @@
   /// Job id; the worker id for RecordKind::Worker, a constant for
   /// RecordKind::Model and RecordKind::Load.
   std::string mId;
+  /// Names the tasks of a RecordKind::TaskRange: "OCCURRENCE.STEP.FIRST". Empty
+  /// for the other kinds.
+  std::string mRange;
 };
 
 std::string
 FormatRecordKey(RecordKind aKind, std::string_view aId);
 
+std::string
+FormatTaskRangeKey(std::string_view aJobId, std::string_view aRange);
+
+/// The value of RecordKey::mRange for `aRange`.
+std::string
+NameOf(const TaskRange& aRange);
+
 /// Returns nothing if the key is malformed.
 std::optional<RecordKey>
 ParseRecordKey(std::string_view aKey);
@@ -57,6 +69,13 @@
 base::Result<JobProgress>
 DecodeProgress(std::string_view aBytes);
 
+std::string
+EncodeTaskRange(const TaskRange& aRange);
+
+/// InvalidArgument if the bytes are malformed.
+base::Result<TaskRange>
+DecodeTaskRange(std::string_view aBytes);
+
 std::string
 EncodeTransfer(const JobTransfer& aTransfer);
 
--- a/include/skylarkhill/jobs/job_table.hpp
+++ b/include/skylarkhill/jobs/job_table.hpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -15,6 +16,16 @@
 
 namespace skylarkhill::jobs {
 
+struct RecordKey;
+
+/// Newest record of a TaskRange.
+struct StoredTaskRange
+{
+  /// Journal offset; older records are ignored.
+  std::int64_t mOffset = -1;
+  std::string mBytes;
+};
+
 /// State of one job, merged from its journal records.
 struct JobEntry
 {
@@ -26,6 +37,8 @@
   std::optional<JobTransfer> mTransfer;
   /// Journal offset of the applied progress record; older records are ignored.
   std::int64_t mProgressOffset = -1;
+  /// By RecordKey::mRange.
+  std::map<std::string, StoredTaskRange> mRanges;
 
   /// The state shown to callers.
   JobState State() const;
@@ -49,6 +62,8 @@
   /// True if the submission of the job has been read.
   bool Contains(const std::string& aJobId) const;
   std::optional<JobEntry> Find(const std::string& aJobId) const;
+  /// The RecordKey::mRange of each TaskRange of the job.
+  std::vector<std::string> ListRanges(const std::string& aJobId) const;
   /// Number of jobs of `aQueue` in the state Pending, without those that the
   /// journal of another cell has.
   std::size_t CountPending(std::string_view aQueue) const;
@@ -74,6 +89,7 @@
 
   static constexpr std::size_t kShards = 16;
 
+  void EraseRange(const RecordKey& aKey);
   Shard& ShardOf(const std::string& aJobId);
   const Shard& ShardOf(const std::string& aJobId) const;
 
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -201,6 +201,12 @@
   void AddRecord(jobs::RecordKind aKind,
                  std::string_view aId,
                  std::string aValue);
+  void AddProgressRecords(const std::string& aJobId,
+                          jobs::JobProgress& aProgress);
+  /// Removes the checkpoints, so that the record of the tasks becomes smaller.
+  void DropCheckpoints(const std::string& aJobId, jobs::StepProgress& aStep);
+  /// Deletions of all records of the job, the submission last.
+  std::vector<LogRecord> DeletionsOf(const std::string& aJobId) const;
   /// Adds the interference estimates to the batch.
   void AddModelRecord(base::TimePoint aNow);
   void RemoveOldJobs();
@@ -218,6 +224,7 @@
   const cells::CellMap& mMap;
   metrics::Distribution& mFlushSeconds;
   metrics::Counter& mTransfersCount;
+  metrics::Counter& mDroppedCheckpoints;
 
   jobs::JobTable mJobs;
   LogStreamReader mJournalReader;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -248,7 +248,7 @@
     job->mIsStartRecordRequested = job->mIsStartRecorded;
     CreateOccurrences(
       *job, mColocationModel, aIsFromEarlierTerm && job->mIsStartRecorded);
-    RestoreProgress(*job, aJob.mProgress);
+    RestoreProgress(*job, aJob, mLimits.mMaxTasksPerRecord);
     ScheduledJob& added = *job;
     mJobs[added.mSubmission.mId] = std::move(job);
     BeginDueOccurrences(added, mUnixMs);
@@ -602,7 +602,7 @@
       if (found != mJobs.end()) {
         found->second->mIsDirty = false;
         found->second->mLastBatch = mBatch;
-        dirty.emplace_back(id, ProgressOf(*found->second));
+        dirty.emplace_back(id, TakeProgress(*found->second));
       }
     }
     mDirty.clear();
@@ -1012,6 +1012,7 @@
     }
     task->mLastRun = std::max(task->mLastRun, aEndedRun.mRunNumber);
     task->mHasEndedRun = true;
+    MarkChanged(*task);
     ScheduledJob& job = *task->mStep->mJob;
     if (IsFinal(job.mState) || task->mIsDone) {
       return false;
@@ -1056,6 +1057,7 @@
     const auto complete = [&](TaskState& aMember) {
       if (!aMember.mIsDone) {
         aMember.mIsDone = true;
+        MarkChanged(aMember);
         ++step.mDoneCount;
         step.mWaitingCount -= aMember.mRuns.empty() ? 1 : 0;
       }
--- a/src/dispatch/job_state.cpp
+++ b/src/dispatch/job_state.cpp
@@ -1,9 +1,106 @@
 #include "job_state.hpp"
 
+#include "skylarkhill/jobs/job_codec.hpp"
+
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace skylarkhill::dispatch {
 
+namespace {
+
+/// Number of tasks of all occurrences.
+std::int64_t
+CountTasks(const ScheduledJob& aJob)
+{
+  std::int64_t n = 0;
+  for (const auto& it : aJob.mSubmission.mRequest.mSteps) {
+    n += it.mCount;
+  }
+  return n * static_cast<std::int64_t>(aJob.mOccurrences.size());
+}
+
+/// Returns the task, or null if the job has none at this position.
+TaskState*
+FindTask(ScheduledJob& aJob, const jobs::StepProgress& aStep, int aIndex)
+{
+  StepState* step = FindStep(aJob, aStep.mOccurrence, aStep.mStep);
+  if (step == nullptr || aIndex < 0 ||
+      aIndex >= static_cast<int>(step->mTasks.size())) {
+    return nullptr;
+  }
+  return &step->mTasks[static_cast<std::size_t>(aIndex)];
+}
+
+void
+SetDone(TaskState& aTask)
+{
+  if (!aTask.mIsDone) {
+    aTask.mIsDone = true;
+    ++aTask.mStep->mDoneCount;
+    --aTask.mStep->mWaitingCount;
+  }
+}
+
+/// Adds stored progress, which may be older than that of the tasks.
+void
+RestoreTasks(ScheduledJob& aJob, const jobs::StepProgress& aProgress)
+{
+  for (const auto& it : aProgress.mTasks) {
+    TaskState* task = FindTask(aJob, aProgress, it.mIndex);
+    if (task == nullptr) {
+      continue;
+    }
+    for (const int run : it.mFailedRuns) {
+      auto& failed = task->mFailedRuns;
+      if (std::find(failed.begin(), failed.end(), run) == failed.end()) {
+        failed.push_back(run);
+      }
+    }
+    task->mLastRun = std::max(task->mLastRun, it.mLastRun);
+    task->mHasEndedRun = true;
+    if (!it.mCheckpoint.empty()) {
+      task->mCheckpoint = it.mCheckpoint;
+    }
+    if (it.mIsDone) {
+      SetDone(*task);
+    }
+  }
+}
+
+/// The members of a gang are done together, but the ranges that say so may not
+/// all have been stored.
+void
+RestoreGang(StepState& aStep)
+{
+  if (aStep.mSpec->mIsGang && aStep.mDoneCount > 0) {
+    std::for_each(aStep.mTasks.begin(), aStep.mTasks.end(), SetDone);
+  }
+}
+
+/// Returns the progress of the tasks from `aFirst` to before `aEnd`.
+jobs::StepProgress
+ProgressOf(const StepState& aStep, int aFirst, int aEnd)
+{
+  jobs::StepProgress progress;
+  progress.mOccurrence = aStep.mOccurrence;
+  progress.mStep = aStep.mIndex;
+  for (int index = aFirst; index < aEnd; ++index) {
+    const TaskState& task = aStep.mTasks[static_cast<std::size_t>(index)];
+    if (task.mIsDone || task.mHasEndedRun) {
+      progress.mTasks.push_back({ index,
+                                  task.mIsDone,
+                                  task.mFailedRuns,
+                                  task.mLastRun,
+                                  task.mIsDone ? "" : task.mCheckpoint });
+    }
+  }
+  return progress;
+}
+
+} // namespace
+
 void
 CreateOccurrences(ScheduledJob& aJob,
                   ColocationModel& aModel,
@@ -50,52 +147,69 @@
 }
 
 void
-RestoreProgress(ScheduledJob& aJob, const jobs::JobProgress& aProgress)
+RestoreProgress(ScheduledJob& aJob,
+                const jobs::JobEntry& aStored,
+                int aMaxTasksPerRecord)
 {
-  for (const auto& entry : aProgress.mSteps) {
-    StepState* step = FindStep(aJob, entry.mOccurrence, entry.mStep);
-    if (step == nullptr) {
-      continue;
+  aJob.mTasksPerRange =
+    CountTasks(aJob) > aMaxTasksPerRecord ? aMaxTasksPerRecord : 0;
+  for (const auto& it : aStored.mProgress.mSteps) {
+    RestoreTasks(aJob, it);
+  }
+  std::vector<const jobs::StoredTaskRange*> ranges;
+  for (const auto& [name, range] : aStored.mRanges) {
+    ranges.push_back(&range);
+  }
+  // Ranges of leaders with another limit may overlap.
+  std::sort(
+    ranges.begin(), ranges.end(), [](const auto* aLeft, const auto* aRight) {
+      return aLeft->mOffset < aRight->mOffset;
+    });
+  for (const auto* it : ranges) {
+    // The job table has logged malformed ranges.
+    const auto range = jobs::DecodeTaskRange(it->mBytes);
+    if (range) {
+      RestoreTasks(aJob, range.value().mProgress);
     }
-    for (const auto& it : entry.mTasks) {
-      if (it.mIndex < 0 || it.mIndex >= static_cast<int>(step->mTasks.size())) {
-        continue;
+  }
+  for (const auto& occurrence : aJob.mOccurrences) {
+    for (StepState& step : occurrence->mSteps) {
+      RestoreGang(step);
+    }
+  }
+  // The next record of the job does not have these tasks any more.
+  for (const auto& step : aStored.mProgress.mSteps) {
+    for (const auto& it : step.mTasks) {
+      const TaskState* task = FindTask(aJob, step, it.mIndex);
+      if (task != nullptr) {
+        MarkChanged(*task);
       }
-      TaskState& task = step->mTasks[static_cast<std::size_t>(it.mIndex)];
-      task.mIsDone = it.mIsDone;
-      task.mFailedRuns = it.mFailedRuns;
-      task.mLastRun = it.mLastRun;
-      task.mHasEndedRun = true;
-      task.mCheckpoint = it.mCheckpoint;
-      step->mDoneCount += it.mIsDone ? 1 : 0;
-      step->mWaitingCount -= it.mIsDone ? 1 : 0;
     }
   }
 }
 
 jobs::JobProgress
-ProgressOf(const ScheduledJob& aJob)
+TakeProgress(ScheduledJob& aJob)
 {
   jobs::JobProgress progress;
   progress.mState = aJob.mState;
   progress.mMayHaveStarted = aJob.mIsStartRecordRequested;
+  const auto changedRanges = std::move(aJob.mChangedRanges);
+  aJob.mChangedRanges.clear();
   if (IsFinal(aJob.mState)) {
     return progress;
   }
+  for (const auto& [occurrence, index, first] : changedRanges) {
+    const StepState& step = *FindStep(aJob, occurrence, index);
+    const int end = std::min(step.mSpec->mCount, first + aJob.mTasksPerRange);
+    progress.mChangedRanges.push_back({ first, ProgressOf(step, first, end) });
+  }
+  if (aJob.mTasksPerRange > 0) {
+    return progress;
+  }
   for (const auto& occurrence : aJob.mOccurrences) {
     for (const StepState& step : occurrence->mSteps) {
-      jobs::StepProgress entry;
-      entry.mOccurrence = step.mOccurrence;
-      entry.mStep = step.mIndex;
-      for (const TaskState& it : step.mTasks) {
-        if (it.mIsDone || it.mHasEndedRun) {
-          entry.mTasks.push_back({ it.mIndex,
-                                   it.mIsDone,
-                                   it.mFailedRuns,
-                                   it.mLastRun,
-                                   it.mIsDone ? "" : it.mCheckpoint });
-        }
-      }
+      jobs::StepProgress entry = ProgressOf(step, 0, step.mSpec->mCount);
       if (!entry.mTasks.empty()) {
         progress.mSteps.push_back(std::move(entry));
       }
@@ -104,6 +218,17 @@
   return progress;
 }
 
+void
+MarkChanged(const TaskState& aTask)
+{
+  const StepState& step = *aTask.mStep;
+  const int size = step.mJob->mTasksPerRange;
+  if (size > 0) {
+    step.mJob->mChangedRanges.emplace(
+      step.mOccurrence, step.mIndex, aTask.mIndex / size * size);
+  }
+}
+
 bool
 BeginDueOccurrences(ScheduledJob& aJob, std::int64_t aUnixMs)
 {
--- a/src/dispatch/job_state.hpp
+++ b/src/dispatch/job_state.hpp
@@ -1,6 +1,8 @@
 #ifndef SKYLARKHILL_DISPATCH_JOB_STATE_HPP
 #define SKYLARKHILL_DISPATCH_JOB_STATE_HPP
 
+#include "skylarkhill/jobs/job_table.hpp"
+
 #include <cstdint>
 
 #include "colocation_model.hpp"
@@ -15,13 +17,22 @@
                   ColocationModel& aModel,
                   bool aMayHaveEarlierRuns);
 
-/// Restores the tasks of `aJob` from its durable progress.
+/// Decides how the progress of `aJob` is stored, and restores its tasks from
+/// `aStored`. A record holds the progress of at most `aMaxTasksPerRecord`
+/// tasks.
 void
-RestoreProgress(ScheduledJob& aJob, const jobs::JobProgress& aProgress);
+RestoreProgress(ScheduledJob& aJob,
+                const jobs::JobEntry& aStored,
+                int aMaxTasksPerRecord);
 
-/// Returns the progress of `aJob` that must become durable.
+/// Returns the progress of `aJob` that must become durable. Changes of ranges
+/// are returned once.
 jobs::JobProgress
-ProgressOf(const ScheduledJob& aJob);
+TakeProgress(ScheduledJob& aJob);
+
+/// The progress of the task must become durable.
+void
+MarkChanged(const TaskState& aTask);
 
 /// Begins the occurrences that are due and returns true if there were any.
 bool
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -148,6 +149,11 @@
   bool mIsStartRecordRequested = false;
   bool mIsStartRecorded = false;
   std::vector<std::unique_ptr<OccurrenceState>> mOccurrences;
+  /// Number of tasks per jobs::TaskRange; 0 if the progress of all tasks is
+  /// stored in one record.
+  int mTasksPerRange = 0;
+  /// Occurrence, step and first task of each range that has changed.
+  std::set<std::tuple<int, int, int>> mChangedRanges;
   bool mIsDirty = false;
   /// The batch that holds the latest progress of the job.
   std::optional<std::uint64_t> mLastBatch;
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -3,7 +3,10 @@
 #include "skylarkhill/base/msgpack.hpp"
 #include "skylarkhill/base/name_table.hpp"
 
+#include <algorithm>
+#include <cstddef>
 #include <tuple>
+#include <utility>
 
 namespace skylarkhill::jobs {
 
@@ -12,11 +15,16 @@
 
 namespace {
 
+constexpr std::size_t kBitsPerByte = 8;
+/// Far above the number of tasks of a step.
+constexpr int kMaxFirstTask = 1 << 24;
+
 /// First character of the record keys, by kind.
-constexpr base::NameTable<RecordKind, 7> kKeyPrefixes{ {
+constexpr base::NameTable<RecordKind, 8> kKeyPrefixes{ {
   { RecordKind::Submission, "s" },
   { RecordKind::Cancellation, "c" },
   { RecordKind::Progress, "p" },
+  { RecordKind::TaskRange, "r" },
   { RecordKind::Model, "m" },
   { RecordKind::Worker, "w" },
   { RecordKind::Transfer, "t" },
@@ -52,6 +60,9 @@
                                     std::int64_t>;
 using TaskFields = std::tuple<int, bool, std::vector<int>, int, std::string>;
 using StepProgressFields = std::tuple<int, int, std::vector<TaskFields>>;
+/// Occurrence, step, first task, bits of the tasks that are done, other tasks.
+using TaskRangeFields =
+  std::tuple<int, int, int, std::string, std::vector<TaskFields>>;
 using TransferFields = std::tuple<int, bool>;
 using ProgressFields = std::tuple<int, bool, std::vector<StepProgressFields>>;
 
@@ -105,6 +116,26 @@
   return step;
 }
 
+TaskFields
+ToFields(const TaskProgress& aTask)
+{
+  return { aTask.mIndex,
+           aTask.mIsDone,
+           aTask.mFailedRuns,
+           aTask.mLastRun,
+           aTask.mCheckpoint };
+}
+
+TaskProgress
+ToTaskProgress(TaskFields aFields)
+{
+  return { std::get<0>(aFields),
+           std::get<1>(aFields),
+           std::move(std::get<2>(aFields)),
+           std::get<3>(aFields),
+           std::move(std::get<4>(aFields)) };
+}
+
 } // namespace
 
 std::string
@@ -116,6 +147,23 @@
   return key;
 }
 
+std::string
+FormatTaskRangeKey(std::string_view aJobId, std::string_view aRange)
+{
+  std::string key = FormatRecordKey(RecordKind::TaskRange, aJobId);
+  key.push_back('/');
+  key.append(aRange);
+  return key;
+}
+
+std::string
+NameOf(const TaskRange& aRange)
+{
+  return std::to_string(aRange.mProgress.mOccurrence) + "." +
+         std::to_string(aRange.mProgress.mStep) + "." +
+         std::to_string(aRange.mFirst);
+}
+
 std::optional<RecordKey>
 ParseRecordKey(std::string_view aKey)
 {
@@ -126,7 +174,17 @@
   if (!kind) {
     return std::nullopt;
   }
-  return RecordKey{ *kind, std::string(aKey.substr(2)) };
+  const std::string_view id = aKey.substr(2);
+  if (*kind != RecordKind::TaskRange) {
+    return RecordKey{ *kind, std::string(id), {} };
+  }
+  const auto slash = id.find('/');
+  if (slash == std::string_view::npos) {
+    return std::nullopt;
+  }
+  return RecordKey{ *kind,
+                    std::string(id.substr(0, slash)),
+                    std::string(id.substr(slash + 1)) };
 }
 
 std::string
@@ -190,8 +248,7 @@
   for (const auto& step : aProgress.mSteps) {
     std::vector<TaskFields> tasks;
     for (const auto& it : step.mTasks) {
-      tasks.emplace_back(
-        it.mIndex, it.mIsDone, it.mFailedRuns, it.mLastRun, it.mCheckpoint);
+      tasks.push_back(ToFields(it));
     }
     steps.emplace_back(step.mOccurrence, step.mStep, std::move(tasks));
   }
@@ -216,17 +273,67 @@
     entry.mOccurrence = std::get<0>(step);
     entry.mStep = std::get<1>(step);
     for (auto& it : std::get<2>(step)) {
-      entry.mTasks.push_back({ std::get<0>(it),
-                               std::get<1>(it),
-                               std::move(std::get<2>(it)),
-                               std::get<3>(it),
-                               std::move(std::get<4>(it)) });
+      entry.mTasks.push_back(ToTaskProgress(std::move(it)));
     }
     progress.mSteps.push_back(std::move(entry));
   }
   return progress;
 }
 
+std::string
+EncodeTaskRange(const TaskRange& aRange)
+{
+  std::string done;
+  std::vector<TaskFields> others;
+  for (const auto& it : aRange.mProgress.mTasks) {
+    if (!it.mIsDone) {
+      others.push_back(ToFields(it));
+      continue;
+    }
+    const auto bit = static_cast<std::size_t>(it.mIndex - aRange.mFirst);
+    done.resize(std::max(done.size(), bit / kBitsPerByte + 1));
+    auto& byte = done[bit / kBitsPerByte];
+    byte = static_cast<char>(static_cast<unsigned char>(byte) |
+                             1U << bit % kBitsPerByte);
+  }
+  return base::PackMsgpack(TaskRangeFields{ aRange.mProgress.mOccurrence,
+                                            aRange.mProgress.mStep,
+                                            aRange.mFirst,
+                                            std::move(done),
+                                            std::move(others) });
+}
+
+base::Result<TaskRange>
+DecodeTaskRange(std::string_view aBytes)
+{
+  BOOST_OUTCOME_TRY(fields, base::UnpackMsgpack<TaskRangeFields>(aBytes));
+  TaskRange range;
+  std::string done;
+  std::vector<TaskFields> others;
+  std::tie(range.mProgress.mOccurrence,
+           range.mProgress.mStep,
+           range.mFirst,
+           done,
+           others) = std::move(fields);
+  if (range.mFirst < 0 || range.mFirst > kMaxFirstTask) {
+    return MakeError(ErrorKind::InvalidArgument, "first task out of range");
+  }
+  auto& tasks = range.mProgress.mTasks;
+  for (std::size_t bit = 0; bit < done.size() * kBitsPerByte; ++bit) {
+    const auto byte = static_cast<unsigned char>(done[bit / kBitsPerByte]);
+    if ((byte >> bit % kBitsPerByte & 1U) != 0) {
+      TaskProgress task;
+      task.mIndex = range.mFirst + static_cast<int>(bit);
+      task.mIsDone = true;
+      tasks.push_back(std::move(task));
+    }
+  }
+  for (auto& it : others) {
+    tasks.push_back(ToTaskProgress(std::move(it)));
+  }
+  return range;
+}
+
 std::string
 EncodeTransfer(const JobTransfer& aTransfer)
 {
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -41,6 +41,8 @@
   if (aValue.empty()) {
     if (key->mKind == RecordKind::Submission) {
       Erase(key->mId);
+    } else if (key->mKind == RecordKind::TaskRange) {
+      EraseRange(*key);
     }
     return;
   }
@@ -82,6 +84,19 @@
       job.mProgressOffset = aOffset;
       break;
     }
+    case RecordKind::TaskRange: {
+      const auto range = DecodeTaskRange(aValue);
+      if (!range) {
+        LogMalformed(aKey, range.error());
+        return;
+      }
+      const std::lock_guard lock(shard.mLock);
+      StoredTaskRange& stored = shard.mJobs[key->mId].mRanges[key->mRange];
+      if (aOffset > stored.mOffset) {
+        stored = { aOffset, std::string(aValue) };
+      }
+      break;
+    }
     case RecordKind::Transfer: {
       auto transfer = DecodeTransfer(aValue);
       if (!transfer) {
@@ -111,6 +126,32 @@
   shard.mJobs.erase(aJobId);
 }
 
+void
+JobTable::EraseRange(const RecordKey& aKey)
+{
+  Shard& shard = ShardOf(aKey.mId);
+  const std::lock_guard lock(shard.mLock);
+  const auto found = shard.mJobs.find(aKey.mId);
+  if (found != shard.mJobs.end()) {
+    found->second.mRanges.erase(aKey.mRange);
+  }
+}
+
+std::vector<std::string>
+JobTable::ListRanges(const std::string& aJobId) const
+{
+  const Shard& shard = ShardOf(aJobId);
+  const std::lock_guard lock(shard.mLock);
+  std::vector<std::string> names;
+  const auto found = shard.mJobs.find(aJobId);
+  if (found != shard.mJobs.end()) {
+    for (const auto& [name, range] : found->second.mRanges) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
 std::optional<JobState>
 JobTable::StateOf(const std::string& aJobId) const
 {
--- a/src/jobs/jobs_test.cpp
+++ b/src/jobs/jobs_test.cpp
@@ -3,6 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
+
 namespace skylarkhill::jobs {
 
 namespace {
@@ -51,6 +53,8 @@
   CPPUNIT_TEST_SUITE(JobsTest);
   CPPUNIT_TEST(RoundTripsASubmission);
   CPPUNIT_TEST(RoundTripsProgress);
+  CPPUNIT_TEST(RoundTripsATaskRange);
+  CPPUNIT_TEST(KeepsTheNewestTaskRange);
   CPPUNIT_TEST(RefusesMalformedRecords);
   CPPUNIT_TEST(IgnoresARepeatedSubmission);
   CPPUNIT_TEST(IgnoresOlderProgress);
@@ -93,8 +97,55 @@
     CPPUNIT_ASSERT_EQUAL(std::string("point"), task.mCheckpoint);
   }
 
+  void RoundTripsATaskRange()
+  {
+    TaskRange before;
+    before.mFirst = 512;
+    before.mProgress.mOccurrence = 2;
+    before.mProgress.mStep = 1;
+    before.mProgress.mTasks = { { 512, true, { 1 }, 2, "" },
+                                { 513, false, { 1, 4 }, 5, "point" },
+                                { 1023, true, {}, 1, "" } };
+    const auto after = DecodeTaskRange(EncodeTaskRange(before));
+    CPPUNIT_ASSERT(after);
+    CPPUNIT_ASSERT_EQUAL(std::string("2.1.512"), NameOf(after.value()));
+    std::map<int, TaskProgress> tasks;
+    for (const auto& it : after.value().mProgress.mTasks) {
+      tasks[it.mIndex] = it;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, tasks.size());
+    CPPUNIT_ASSERT(tasks.at(512).mIsDone && tasks.at(1023).mIsDone);
+    CPPUNIT_ASSERT(!tasks.at(513).mIsDone);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, tasks.at(513).mFailedRuns.size());
+    CPPUNIT_ASSERT_EQUAL(5, tasks.at(513).mLastRun);
+    CPPUNIT_ASSERT_EQUAL(std::string("point"), tasks.at(513).mCheckpoint);
+    const auto key =
+      ParseRecordKey(FormatTaskRangeKey("a", NameOf(after.value())));
+    CPPUNIT_ASSERT(key && key->mKind == RecordKind::TaskRange);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), key->mId);
+    CPPUNIT_ASSERT_EQUAL(std::string("2.1.512"), key->mRange);
+  }
+
+  // The leader applies its own records before it reads its older ones.
+  void KeepsTheNewestTaskRange()
+  {
+    JobTable table;
+    table.Apply(SubmissionKey("a"), EncodeSubmission(MakeSubmission("a")), 1);
+    TaskRange range;
+    const std::string key = FormatTaskRangeKey("a", NameOf(range));
+    range.mProgress.mTasks = { { 0, true, {}, 1, "" } };
+    const std::string newest = EncodeTaskRange(range);
+    table.Apply(key, newest, 7);
+    table.Apply(key, EncodeTaskRange({}), 5);
+    CPPUNIT_ASSERT_EQUAL(newest, table.Find("a")->mRanges.at("0.0.0").mBytes);
+    table.Apply(key, "", 8);
+    CPPUNIT_ASSERT(table.ListRanges("a").empty());
+  }
+
   void RefusesMalformedRecords()
   {
+    CPPUNIT_ASSERT(!DecodeTaskRange(EncodeProgress({})));
+    CPPUNIT_ASSERT(!ParseRecordKey("r/a"));
     CPPUNIT_ASSERT(!DecodeSubmission("garbage"));
     CPPUNIT_ASSERT(!DecodeProgress(""));
     CPPUNIT_ASSERT(!DecodeProgress(EncodeSubmission(MakeSubmission("a"))));
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -5,6 +5,7 @@
 #include "skylarkhill/logging/logging.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace skylarkhill::node {
@@ -37,6 +38,8 @@
 constexpr Duration kLeaderReadWait = std::chrono::milliseconds(500);
 /// Minimum time between two batches of progress records.
 constexpr Duration kFlushInterval = std::chrono::milliseconds(20);
+/// Space in a record for the progress of one task, with its checkpoint.
+constexpr std::size_t kMaxTaskProgressBytes = 512;
 /// Minimum interval between two records of the interference estimates. Longer
 /// after a large record, because every instance reads them.
 constexpr Duration kModelInterval = std::chrono::seconds(2);
@@ -132,6 +135,9 @@
   , mTransfersCount(
       mMetrics.GetCounter("skylarkhill_jobs_transferred_total",
                           "Jobs that this leader has moved to other cells."))
+  , mDroppedCheckpoints(mMetrics.GetCounter(
+      "skylarkhill_checkpoints_dropped_total",
+      "Checkpoints that did not fit into a record of the journal."))
   , mJournalReader(
       mLog,
       mClock,
@@ -368,6 +374,7 @@
     case jobs::RecordKind::Submission:
     case jobs::RecordKind::Cancellation:
     case jobs::RecordKind::Progress:
+    case jobs::RecordKind::TaskRange:
     case jobs::RecordKind::Transfer:
       if (mDispatcher != nullptr && !aRecord.mValue.empty()) {
         OnJobRecord(*key, aRecord);
@@ -401,6 +408,7 @@
       }
       break;
     case jobs::RecordKind::Progress:
+    case jobs::RecordKind::TaskRange:
     case jobs::RecordKind::Transfer:
     case jobs::RecordKind::Model:
     case jobs::RecordKind::Worker:
@@ -703,8 +711,11 @@
   // slow and are read with a delay.
   term.mPreviousLeasesEndAt =
     mLeadership.PreviousLeaderLeaseEnd() + std::chrono::milliseconds(700);
+  dispatch::DispatchLimits limits = mOptions.mLimits;
+  limits.mMaxTasksPerRecord = static_cast<int>(std::max<std::size_t>(
+    1, mOptions.mLogLimits.mMaxRecordBytes / kMaxTaskProgressBytes));
   mDispatcher =
-    dispatch::CreateDispatcher(mOptions.mLimits, term, mWorkerClient, mMetrics);
+    dispatch::CreateDispatcher(limits, term, mWorkerClient, mMetrics);
   mWorkerClient.SetDispatcher(mEpoch, *mDispatcher);
   mDispatcher->SetLeaderLease(mLeadership.ConfirmedAt(),
                               mLeadership.ConfirmedAt() + kLeaderLease);
@@ -897,6 +908,58 @@
   mBatch.Add({ jobs::FormatRecordKey(aKind, aId), std::move(aValue), 0 });
 }
 
+void
+Cell::AddProgressRecords(const std::string& aJobId,
+                         jobs::JobProgress& aProgress)
+{
+  // A leader may see a part of the records only. The ranges come first, because
+  // the previous record of the job may have held their tasks.
+  for (jobs::TaskRange& it : aProgress.mChangedRanges) {
+    LogRecord record{ jobs::FormatTaskRangeKey(aJobId, jobs::NameOf(it)),
+                      jobs::EncodeTaskRange(it),
+                      0 };
+    if (!IsStorable(record, mOptions.mLogLimits)) {
+      DropCheckpoints(aJobId, it.mProgress);
+      record.mValue = jobs::EncodeTaskRange(it);
+    }
+    mBatch.Add(std::move(record));
+  }
+  LogRecord record{ jobs::FormatRecordKey(jobs::RecordKind::Progress, aJobId),
+                    jobs::EncodeProgress(aProgress),
+                    0 };
+  if (!IsStorable(record, mOptions.mLogLimits)) {
+    for (jobs::StepProgress& it : aProgress.mSteps) {
+      DropCheckpoints(aJobId, it);
+    }
+    record.mValue = jobs::EncodeProgress(aProgress);
+  }
+  mBatch.Add(std::move(record));
+  if (jobs::IsFinal(aProgress.mState)) {
+    for (const auto& it : mJobs.ListRanges(aJobId)) {
+      mBatch.Add({ jobs::FormatTaskRangeKey(aJobId, it), "", 0 });
+    }
+  }
+}
+
+void
+Cell::DropCheckpoints(const std::string& aJobId, jobs::StepProgress& aStep)
+{
+  std::int64_t n = 0;
+  for (jobs::TaskProgress& it : aStep.mTasks) {
+    n += it.mCheckpoint.empty() ? 0 : 1;
+    it.mCheckpoint.clear();
+  }
+  mDroppedCheckpoints.Add(n);
+  logging::Write(
+    logging::Level::Warning,
+    "checkpoints_dropped",
+    { { "job", aJobId },
+      { "step", aStep.mStep },
+      { "checkpoints", n },
+      { "limit_bytes",
+        static_cast<std::int64_t>(mOptions.mLogLimits.mMaxRecordBytes) } });
+}
+
 void
 Cell::AddModelRecord(TimePoint aNow)
 {
@@ -930,8 +993,8 @@
     return;
   }
   mBatchNumber = batch;
-  for (const auto& [id, progress] : dirty) {
-    AddRecord(jobs::RecordKind::Progress, id, jobs::EncodeProgress(progress));
+  for (auto& [id, progress] : dirty) {
+    AddProgressRecords(id, progress);
   }
   for (const auto& [id, transfer] : mTransfersToStore) {
     AddRecord(jobs::RecordKind::Transfer, id, jobs::EncodeTransfer(transfer));
@@ -1034,6 +1097,22 @@
   mTransfersInBatch.clear();
 }
 
+std::vector<LogRecord>
+Cell::DeletionsOf(const std::string& aJobId) const
+{
+  std::vector<LogRecord> deletions;
+  for (const auto& it : mJobs.ListRanges(aJobId)) {
+    deletions.push_back({ jobs::FormatTaskRangeKey(aJobId, it), "", 0 });
+  }
+  for (const auto kind : { jobs::RecordKind::Transfer,
+                           jobs::RecordKind::Progress,
+                           jobs::RecordKind::Cancellation,
+                           jobs::RecordKind::Submission }) {
+    deletions.push_back({ jobs::FormatRecordKey(kind, aJobId), "", 0 });
+  }
+  return deletions;
+}
+
 void
 Cell::RemoveOldJobs()
 {
@@ -1049,13 +1128,20 @@
   oldJobs.resize(std::min(oldJobs.size(), kMaxJobsPerCleanup));
   AppendRequest request;
   request.mStream = PartitionOf(mOptions.mJournal, mOptions.mIndex);
+  const std::size_t limit =
+    std::min(kTargetAppendBytes, mOptions.mLogLimits.mMaxAppendBytes);
+  std::size_t bytes = 0;
   for (const auto& id : oldJobs) {
-    for (const auto kind : { jobs::RecordKind::Transfer,
-                             jobs::RecordKind::Progress,
-                             jobs::RecordKind::Cancellation,
-                             jobs::RecordKind::Submission }) {
-      request.mRecords.push_back({ jobs::FormatRecordKey(kind, id), "", 0 });
+    std::vector<LogRecord> deletions = DeletionsOf(id);
+    for (const auto& it : deletions) {
+      bytes += kRecordLengthBytes + SizeOf(it);
+    }
+    // The other jobs follow in the next cleanup.
+    if (bytes > limit && !request.mRecords.empty()) {
+      break;
     }
+    std::move(
+      deletions.begin(), deletions.end(), std::back_inserter(request.mRecords));
   }
   mLog.Append(request, now + kFlushTimeout, [](const AppendResult& aResult) {
     if (aResult.mOutcome != LogOutcome::Done) {
--- a/src/node/log_limits_test.cpp
+++ b/src/node/log_limits_test.cpp
@@ -43,6 +43,8 @@
   CPPUNIT_TEST(UsesAWorkerWhoseRecordCannotBeStored);
   CPPUNIT_TEST(DropsOnlyTheRecordThatTheLogRefuses);
   CPPUNIT_TEST(RejectsAJobThatCannotBeStored);
+  CPPUNIT_TEST(StoresTheProgressOfAJobWithManyTasks);
+  CPPUNIT_TEST(RestoresAJobWithManyTasksFromOneRecord);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -131,6 +133,82 @@
     CPPUNIT_ASSERT(router.Submit({}, "small", request, deadline));
   }
 
+  // The progress of the job does not fit into one record. Otherwise the ends of
+  // its tasks are never acknowledged, or its tasks run again under the next
+  // leader.
+  void StoresTheProgressOfAJobWithManyTasks()
+  {
+    constexpr int kTasks = 1500;
+    mLogLimits.mMaxRecordBytes = 4000;
+    mState.mLimits = mLogLimits;
+    Instance* leader = &StartLeader(1);
+    jobs::Step second = MakeStep(kTasks, "");
+    second.mDependsOn = { 0 };
+    Submit("a", { MakeStep(kTasks, ""), second });
+    std::set<std::string> started;
+    std::size_t starts = 0;
+    std::size_t nextRestart = kTasks / 2;
+    for (int n = 0; started.size() < 2 * kTasks; ++n) {
+      CPPUNIT_ASSERT_MESSAGE("the job makes no progress", n < 400);
+      Advance(milliseconds(200));
+      for (; starts < leader->mClient.mStarts.size(); ++starts) {
+        const std::string task = ToText(leader->mClient.mStarts[starts].mTask);
+        CPPUNIT_ASSERT_MESSAGE(task, started.insert(task).second);
+      }
+      EndRuns();
+      if (started.size() >= nextRestart) {
+        nextRestart += kTasks;
+        // Ends that are not durable are reported to the next leader.
+        mInstances.clear();
+        AddInstances(1);
+        leader = mInstances.front().get();
+        starts = 0;
+      }
+    }
+    Advance(milliseconds(15000));
+    CPPUNIT_ASSERT(StateOf("a") == jobs::JobState::Completed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, mWorkers["w1"].mEndedRuns.size());
+    // The ranges are deleted with the end of the job.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, SizeOfNewest("r/a/0.0.0"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, SizeOfNewest("r/a/0.1.0"));
+  }
+
+  // The record was written by a version without ranges, or with another limit.
+  // Otherwise its done tasks are in no record of the next leader.
+  void RestoresAJobWithManyTasksFromOneRecord()
+  {
+    constexpr int kTasks = 20;
+    jobs::JobProgress progress;
+    progress.mState = jobs::JobState::Running;
+    progress.mMayHaveStarted = true;
+    progress.mSteps.resize(1);
+    for (int n = 0; n < kTasks - 1; ++n) {
+      jobs::TaskProgress task;
+      task.mIndex = n;
+      task.mIsDone = true;
+      progress.mSteps.front().mTasks.push_back(task);
+    }
+    mLogLimits.mMaxRecordBytes = 4000;
+    Submit("a", { MakeStep(kTasks, "") });
+    Store("journal",
+          jobs::FormatRecordKey(jobs::RecordKind::Progress, "a"),
+          jobs::EncodeProgress(progress));
+    Store("workers", "w1", "1");
+    for (int n = 0; n < 2; ++n) {
+      mInstances.clear();
+      AddInstances(1);
+      Advance(milliseconds(20000));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                           StartedTasks(*mInstances.front()).size());
+      CPPUNIT_ASSERT_EQUAL(kTasks - 1,
+                           mWorkers["w1"].mRuns.front().mTask.mIndex);
+      // A failed run changes the record of the job.
+      EndRuns(dispatch::RunOutcome::Failed);
+      Advance(milliseconds(1000));
+      CPPUNIT_ASSERT(SizeOfNewest("r/a/0.0.0") > 0);
+    }
+  }
+
 private:
   /// Size of the newest value of the key in the journal; 0 if there is none.
   std::size_t SizeOfNewest(const std::string& aKey)
@@ -152,6 +230,15 @@
     }
     return tasks;
   }
+
+  jobs::JobState StateOf(const std::string& aId)
+  {
+    jobs::JobTable table;
+    for (const auto& it : mState.mStreams["journal"]) {
+      table.Apply(it.mKey, it.mValue, it.mOffset);
+    }
+    return table.StateOf(aId).value();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogLimitsTest);
