Acknowledge nothing to a worker that may have restarted

Cause: the first poll after the silence carried the acknowledgement of the previous incarnation. The new one numbers its ends from 1, so it forgot ends that no report had listed, and the leader took the runs for lost.

Fix: a poll acknowledges nothing while polls of the worker have failed or its entry names a later start than its reports. Unanswered starts are kept across a restart, because they may have taken effect there; a run that has been started twice with one answer is stopped first, because the other start may be late.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -941,7 +941,21 @@
       "worker_restarted",
       { { "worker", aWorker.mEntry.mId },
         { "runs", static_cast<std::int64_t>(aWorker.mRuns.size()) } });
-    DropAllLostRuns(aWorker, "worker restarted", aNow);
+    const std::vector<RunState*> runs(aWorker.mRuns.begin(),
+                                      aWorker.mRuns.end());
+    for (RunState* it : runs) {
+      if (!it->mIsConfirmed) {
+        // The start may have reached the new incarnation, or still reach it.
+        continue;
+      }
+      if (it->mCallsSent > 1) {
+        // So may an earlier start without an answer, unless it is stopped.
+        it->mIsConfirmed = false;
+        StopRun(*it);
+      } else {
+        DropLostRun(*it, "worker restarted", aNow);
+      }
+    }
     aWorker.mProcessedSequence = 0;
     aWorker.mAcknowledgedSequence = 0;
     aWorker.mPendingAcknowledgements.clear();
@@ -1749,6 +1763,15 @@
     }
   }
 
+  /// True if the worker may have restarted under its id since its last report.
+  /// The new incarnation numbers its ended runs from 1, so an acknowledgement
+  /// for the old one would make it forget runs that no report has listed.
+  static bool MayHaveRestarted(const WorkerState& aWorker)
+  {
+    return aWorker.mFailedPolls > 0 ||
+           aWorker.mEntry.mIncarnationStartMs > aWorker.mIncarnationStartMs;
+  }
+
   void SendPoll(WorkerState& aWorker, TimePoint aNow)
   {
     mPollQueue.Remove(aWorker);
@@ -1760,7 +1783,8 @@
     // tasks elsewhere.
     call.mLeaseUntilMs =
       aWorker.mFailedPolls == 0 ? ExtendLease(aWorker, aNow) : 0;
-    call.mAcknowledgedSequence = aWorker.mAcknowledgedSequence;
+    call.mAcknowledgedSequence =
+      MayHaveRestarted(aWorker) ? 0 : aWorker.mAcknowledgedSequence;
     const bool isColocated = aWorker.mBackfillDemand > 0;
     call.mWaitMs = !aWorker.mHasReported ? 0
                    : isColocated         ? kPollWaitColocatedMs
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -330,6 +330,8 @@
   CPPUNIT_TEST(PausesBackfillBeforeTheTailViolationLimit);
   CPPUNIT_TEST(SendsThePaceOfAdoptedBackfill);
   CPPUNIT_TEST(RaisesThePaceOfAdoptedBackfillInSteps);
+  CPPUNIT_TEST(ReadsTheEndedRunsOfARestartedWorker);
+  CPPUNIT_TEST(StopsRunsWhoseStartMayReachARestartedWorker);
   CPPUNIT_TEST(StartsOnlyWhereTheAdviceServicePermits);
   CPPUNIT_TEST(AsksForNewTicketsOfARestartedWorker);
   CPPUNIT_TEST(AsksAgainAfterARefusedTicket);
@@ -876,6 +878,59 @@
     CPPUNIT_ASSERT_EQUAL(100, second.mPaces.front().mPacePercent);
   }
 
+  // An acknowledgement for the previous incarnation must not remove ended runs
+  // of the new one. Otherwise these tasks run again.
+  void ReadsTheEndedRunsOfARestartedWorker()
+  {
+    constexpr int kTasks = 12;
+    for (milliseconds silence{ 600 }; silence < milliseconds(1800);
+         silence += milliseconds(50)) {
+      FakeSite site;
+      FakeWorker& worker = site.AddWorker("w1");
+      auto& leader = site.AddLeader(1);
+      leader.GetDispatcher().AddJob(
+        MakeJob("a", { kTasks }), false, site.Now());
+      site.Advance(milliseconds(1500));
+      CPPUNIT_ASSERT(worker.mAcknowledgedSequence >= kTasks);
+      site.mRunTime = [](const TaskId&) { return milliseconds(10); };
+      leader.mUnreachableWorkers = { worker.mId };
+      leader.GetDispatcher().AddJob(
+        MakeJob("b", { kTasks }), false, site.Now());
+      site.Advance(silence);
+      worker.Restart();
+      leader.mUnreachableWorkers.clear();
+      site.Advance(milliseconds(4000));
+      CPPUNIT_ASSERT(leader.mStored.at("b").mState ==
+                     jobs::JobState::Completed);
+      for (int n = 0; n < kTasks; ++n) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          std::to_string(silence.count()) + " ms",
+          1,
+          site.mStartCounts["b.0.0." + std::to_string(n)]);
+      }
+    }
+  }
+
+  // One of two starts was answered, and the other may reach the worker after
+  // its restart. Otherwise it may run beside the next run.
+  void StopsRunsWhoseStartMayReachARestartedWorker()
+  {
+    FakeSite site;
+    FakeWorker& worker = site.AddWorker("w1");
+    site.mRunTime = OneMinuteRunTime;
+    auto& leader = site.AddLeader(1);
+    leader.mAreStartsLost = true;
+    leader.GetDispatcher().AddJob(MakeJob("a", { 1 }), false, site.Now());
+    site.Advance(milliseconds(500));
+    leader.mAreStartsLost = false;
+    site.Advance(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, leader.mStarts.size());
+    worker.Restart();
+    site.Advance(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, leader.mStarts.size());
+    CPPUNIT_ASSERT_EQUAL(1, worker.mHighestEndedRuns["a.0.0.0"]);
+  }
+
   void StartsOnlyWhereTheAdviceServicePermits()
   {
     FakeSite site;
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -77,6 +77,8 @@
     worker.mLeaseUntil = std::max(worker.mLeaseUntil,
                                   base::FromMicros(aCall.mLeaseUntilMs * 1000));
   }
+  worker.mAcknowledgedSequence =
+    std::max(worker.mAcknowledgedSequence, aCall.mAcknowledgedSequence);
   for (const auto& it : worker.mEndedRuns) {
     if (it.mSequence <= aCall.mAcknowledgedSequence &&
         it.mOutcome == RunOutcome::Done) {
