Keep runs that a full list of ended runs may omit

Cause: nothing is acknowledged in an outage, and a worker lists only its 500 oldest unacknowledged ends. Later ends are in neither list of the report, and HandleActiveRuns took their runs for lost and started the tasks again. A new leader likewise took first reports for complete.

Evidence: run_lost "not reported by the worker" for runs that the worker lists as done after the outage, with no lease that ended.

Such a report drops no run, and a new leader starts no task of an earlier term while a worker may have omitted ends, or until its lease has ended.

--- a/include/skylarkhill/dispatch/worker.hpp
+++ b/include/skylarkhill/dispatch/worker.hpp
@@ -102,7 +102,10 @@
   /// Unix time at which the answering incarnation started.
   std::int64_t mIncarnationStartMs = 0;
   std::vector<ActiveRun> mActiveRuns;
+  /// The oldest ones that have not been acknowledged.
   std::vector<EndedRun> mEndedRuns;
+  /// The worker may have more ended runs than it has listed.
+  bool mMayOmitEndedRuns = false;
 };
 
 /// Result of a start call.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -332,6 +332,7 @@
     if (!acceptedStarts) {
       mPlacementIndex.OnAvailable(worker);
     }
+    worker.mMayOmitEndedRuns = aReport.mMayOmitEndedRuns;
     const bool mustWait = HandleEndedRuns(worker, aReport, aNow);
     HandleActiveRuns(worker, aReport, aSentAt, aNow);
     mColocationModel.Update(worker, aNow);
@@ -1146,6 +1147,10 @@
         run->mTask->mCheckpoint = it.mCheckpoint;
       }
     }
+    if (aReport.mMayOmitEndedRuns) {
+      // A run that is not listed may be among the omitted ones.
+      return;
+    }
     std::vector<RunState*> missing;
     for (RunState* it : aWorker.mRuns) {
       if (listed.count(it) == 0 && it->mIsConfirmed &&
@@ -1252,12 +1257,25 @@
     // still have the end of a run to report.
     if (mAreReportsMissing &&
         ((mUnreportedCount == 0 && !mWorkers.empty()) ||
-         (mUnpolledCount == 0 && aNow >= mTerm.mPreviousLeasesEndAt))) {
+         (mUnpolledCount == 0 && aNow >= mTerm.mPreviousLeasesEndAt)) &&
+        !MayOmitEndedRuns(aNow)) {
       mAreReportsMissing = false;
       mIsPlacementDue = true;
     }
   }
 
+  /// True if a worker may have ended runs of an earlier leader that it has not
+  /// listed yet. They do not count any more once its lease has ended.
+  bool MayOmitEndedRuns(TimePoint aNow) const
+  {
+    return std::any_of(
+      mWorkers.begin(), mWorkers.end(), [aNow](const auto& aEntry) {
+        const WorkerState& worker = *aEntry.second;
+        return worker.mMayOmitEndedRuns &&
+               (worker.mFailedPolls == 0 || worker.mLeaseEndsAt > aNow);
+      });
+  }
+
   /// A worker that has moved to another cell fences this leader, which keeps
   /// its other workers. Its runs are given up when the lease has ended; the
   /// leader of the other cell stops them.
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -330,6 +330,8 @@
   CPPUNIT_TEST(PausesBackfillBeforeTheTailViolationLimit);
   CPPUNIT_TEST(SendsThePaceOfAdoptedBackfill);
   CPPUNIT_TEST(RaisesThePaceOfAdoptedBackfillInSteps);
+  CPPUNIT_TEST(KeepsRunsThatAFullListOfEndedRunsOmits);
+  CPPUNIT_TEST(WaitsForOmittedEndedRunsOfEarlierLeaders);
   CPPUNIT_TEST(ReadsTheEndedRunsOfARestartedWorker);
   CPPUNIT_TEST(StopsRunsWhoseStartMayReachARestartedWorker);
   CPPUNIT_TEST(StartsOnlyWhereTheAdviceServicePermits);
@@ -878,6 +880,49 @@
     CPPUNIT_ASSERT_EQUAL(100, second.mPaces.front().mPacePercent);
   }
 
+  // While nothing becomes durable, a worker lists only the oldest of its ended
+  // runs. Otherwise the tasks of the others run again and again.
+  void KeepsRunsThatAFullListOfEndedRunsOmits()
+  {
+    constexpr int kTasks = 3000;
+    FakeSite site;
+    site.AddWorker("w1");
+    site.mRunTime = [](const TaskId&) { return milliseconds(50); };
+    auto& leader = site.AddLeader(1);
+    leader.GetDispatcher().AddJob(
+      MakeJob("a", { kTasks }, 100), false, site.Now());
+    site.Advance(milliseconds(500));
+    leader.mCanStore = false;
+    site.Advance(milliseconds(4500));
+    leader.mCanStore = true;
+    site.Advance(milliseconds(15000));
+    CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Completed);
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(kTasks),
+                         leader.mStarts.size());
+  }
+
+  // Otherwise a new leader starts done tasks again that the first report of a
+  // worker does not list.
+  void WaitsForOmittedEndedRunsOfEarlierLeaders()
+  {
+    constexpr int kTasks = 1200;
+    FakeSite site;
+    FakeWorker& worker = site.AddWorker("w1");
+    for (int n = 0; n < kTasks; ++n) {
+      const TaskId task{ "a", 0, 0, n };
+      worker.mEndedRuns.push_back(
+        { worker.mNextSequence++, task, 1, RunOutcome::Done, "" });
+      worker.mHighestEndedRuns[ToText(task)] = 1;
+    }
+    auto& leader = AddSuccessor(site, 2);
+    jobs::JobEntry job = MakeJob("a", { kTasks });
+    job.mProgress.mMayHaveStarted = true;
+    leader.GetDispatcher().AddJob(job, true, site.Now());
+    site.Advance(milliseconds(3000));
+    CPPUNIT_ASSERT(leader.mStarts.empty());
+    CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Completed);
+  }
+
   // An acknowledgement for the previous incarnation must not remove ended runs
   // of the new one. Otherwise these tasks run again.
   void ReadsTheEndedRunsOfARestartedWorker()
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -1,6 +1,7 @@
 #include "fake_site_test.hpp"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace skylarkhill::dispatch {
 
@@ -8,6 +9,7 @@
 
 constexpr auto kTimeStep = std::chrono::milliseconds(5);
 constexpr auto kLatency = std::chrono::milliseconds(2);
+constexpr std::size_t kMaxListedEndedRuns = 500;
 constexpr auto kCallTimeout = std::chrono::milliseconds(600);
 
 std::int64_t
@@ -95,7 +97,12 @@
   WorkerReport report;
   report.mClockMs = ToMs(sentAt);
   report.mIncarnationStartMs = worker.mIncarnationStartMs;
-  report.mEndedRuns = worker.mEndedRuns;
+  const std::size_t listed =
+    std::min(worker.mEndedRuns.size(), kMaxListedEndedRuns);
+  report.mEndedRuns.assign(worker.mEndedRuns.begin(),
+                           worker.mEndedRuns.begin() +
+                             static_cast<std::ptrdiff_t>(listed));
+  report.mMayOmitEndedRuns = listed == kMaxListedEndedRuns;
   for (const auto& it : worker.mRuns) {
     report.mActiveRuns.push_back(
       { it.mTask, it.mNumber, "", 50, worker.mReportedTailLatencyOrUse });
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -189,6 +189,8 @@
   base::TimePoint mNextPollAt;
   int mFailedPolls = 0;
 
+  /// See WorkerReport::mMayOmitEndedRuns, as of the last report.
+  bool mMayOmitEndedRuns = false;
   std::int64_t mProcessedSequence = 0;
   std::int64_t mAcknowledgedSequence = 0;
   std::deque<PendingAcknowledgement> mPendingAcknowledgements;
