--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -64,6 +64,8 @@
   /// removed once it is silent, has no runs and its lease has expired.
   virtual void OnWorkerUnregistered(const std::string& aWorkerId,
                                     base::TimePoint aNow) = 0;
+  /// False once the worker has been removed.
+  virtual bool HasWorker(const std::string& aWorkerId) const = 0;
   /// Adds a job. `aIsFromEarlierTerm` is true if the job may have been accepted
   /// before this term.
   virtual void AddJob(const jobs::JobEntry& aJob,
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -222,6 +222,11 @@
     }
   }
 
+  bool HasWorker(const std::string& aWorkerId) const override
+  {
+    return mWorkers.count(aWorkerId) != 0;
+  }
+
   void AddJob(const jobs::JobEntry& aJob,
               bool aIsFromEarlierTerm,
               TimePoint aNow) override
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -494,8 +494,11 @@
   mNextWorkerCheckAt = now + kWorkerCheckInterval;
   for (auto it = mWorkers.begin(); it != mWorkers.end();) {
     const KnownWorker& worker = it->second;
+    // A worker that the registry lacks may be at work: the next leader must ask
+    // it before it starts the tasks elsewhere.
     if (worker.mIsRegistered ||
-        worker.mUnregisteredAt + kUnregisteredRetention >= now) {
+        worker.mUnregisteredAt + kUnregisteredRetention >= now ||
+        mDispatcher->HasWorker(it->first)) {
       ++it;
       continue;
     }
--- a/src/node/node_dispatch_test.cpp
+++ b/src/node/node_dispatch_test.cpp
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(LeavesTheClaimToInstancesThatLoadedTheRegistry);
   CPPUNIT_TEST(WaitsBetweenReadsThatFailAtTheStartOfATerm);
   CPPUNIT_TEST(RestartsNoTaskOfItsEarlierTermBeforeTheLeaseEnds);
+  CPPUNIT_TEST(KeepsUnregisteredWorkersInTheJournalWhileTheyAnswer);
+  CPPUNIT_TEST(RemovesUnregisteredWorkersFromTheJournalOnceTheyAreSilent);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -240,6 +242,55 @@
                    leader.mClient.mLeaseEndsMs[worker]);
   }
 
+  // The registry lacks the worker while the leader changes twice. Guards
+  // against a second run of its task on another worker, also if the registry
+  // has lacked it for longer than a lease.
+  void KeepsUnregisteredWorkersInTheJournalWhileTheyAnswer()
+  {
+    for (const milliseconds absence :
+         { milliseconds(500), milliseconds(20000) }) {
+      Restart();
+      StartLeader(2);
+      SubmitService("a");
+      Advance(milliseconds(1000));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, CountRuns());
+      Store("workers", "w2", "1");
+      Store("workers", "w1", "");
+      Advance(absence);
+      for (std::size_t n = 1; n <= 2; ++n) {
+        // A change of the journal, with which workers are recorded.
+        SubmitService("other-" + std::to_string(n));
+        Advance(milliseconds(1000));
+        RestartLeader();
+        Advance(milliseconds(20000));
+        CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, CountRuns());
+        CPPUNIT_ASSERT_EQUAL(n, mWorkers["w2"].mRuns.size());
+      }
+    }
+  }
+
+  // Guards against a journal that keeps workers that have left for good.
+  void RemovesUnregisteredWorkersFromTheJournalOnceTheyAreSilent()
+  {
+    Instance& leader = StartLeader(1);
+    SubmitService("a");
+    Advance(milliseconds(1000));
+    Store("workers", "w2", "1");
+    Store("workers", "w1", "");
+    leader.mClient.mUnreachable.insert("w1");
+    Advance(milliseconds(30000));
+    // Changes the journal, with which the deletion is written.
+    SubmitService("b");
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, mWorkers["w2"].mRuns.size());
+    const auto& records = mState.mStreams["journal"];
+    CPPUNIT_ASSERT(
+      std::any_of(records.begin(), records.end(), [](const LogRecord& aRecord) {
+        return aRecord.mKey == "w/w1" && aRecord.mValue.empty();
+      }));
+  }
+
   // The log refuses reads of the journal from the claim on. Guards against a
   // call loop that ticks without a pause and against reads without the pause
   // after a failed one.
--- a/src/node/node_site_test.hpp
+++ b/src/node/node_site_test.hpp
@@ -214,6 +214,20 @@
     }
   }
 
+  /// Replaces the instance that leads, which resigns before it stops.
+  void RestartLeader()
+  {
+    const auto found = std::find_if(
+      mInstances.begin(), mInstances.end(), [](const auto& aInstance) {
+        return aInstance->mNode.IsDispatching();
+      });
+    CPPUNIT_ASSERT(found != mInstances.end());
+    (*found)->mNode.Resign();
+    (*found)->mLog.Deliver();
+    mInstances.erase(found);
+    AddInstances(1);
+  }
+
   std::size_t CountRuns() { return mWorkers["w1"].mRuns.size(); }
 
   int CountLeaders() const
