--- a/src/dispatch/colocation_test.cpp
+++ b/src/dispatch/colocation_test.cpp
@@ -397,6 +397,7 @@
     constexpr int kImages = 40;
     constexpr std::size_t kMaxBytes = 4096;
     std::vector<std::string> names;
+    names.reserve(kImages);
     for (int n = 0; n < kImages; ++n) {
       names.push_back("registry.example/image-" + std::to_string(n));
     }
--- a/src/node/log_limits_test.cpp
+++ b/src/node/log_limits_test.cpp
@@ -139,6 +139,7 @@
   void StoresTheProgressOfAJobWithManyTasks()
   {
     constexpr int kTasks = 1500;
+    constexpr std::size_t kTasksOfBothSteps = 3000;
     mLogLimits.mMaxRecordBytes = 4000;
     mState.mLimits = mLogLimits;
     Instance* leader = &StartLeader(1);
@@ -148,7 +149,7 @@
     std::set<std::string> started;
     std::size_t starts = 0;
     std::size_t nextRestart = kTasks / 2;
-    for (int n = 0; started.size() < 2 * kTasks; ++n) {
+    for (int n = 0; started.size() < kTasksOfBothSteps; ++n) {
       CPPUNIT_ASSERT_MESSAGE("the job makes no progress", n < 400);
       Advance(milliseconds(200));
       for (; starts < leader->mClient.mStarts.size(); ++starts) {
