--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -915,8 +915,9 @@
 Cell::AddProgressRecords(const std::string& aJobId,
                          jobs::JobProgress& aProgress)
 {
-  // A leader may see a part of the records only. The ranges come first, because
-  // the previous record of the job may have held their tasks.
+  // If this leader fails, its successor may find only the first of these
+  // records. The previous record of the job may hold tasks of the ranges, so it
+  // must not be replaced before the ranges are stored.
   for (jobs::TaskRange& it : aProgress.mChangedRanges) {
     LogRecord record{ jobs::FormatTaskRangeKey(aJobId, jobs::NameOf(it)),
                       jobs::EncodeTaskRange(it),
