--- a/src/http/call_loop_test.cpp
+++ b/src/http/call_loop_test.cpp
@@ -258,9 +258,9 @@
   {
     ManualServer server;
     const auto loop = CreateCallLoop(base::GetBootClock());
-    CompleteCall(*loop, server);
+    CompleteCall(*loop, base::GetBootClock(), server);
     server.Close();
-    CompleteCall(*loop, server);
+    CompleteCall(*loop, base::GetBootClock(), server);
   }
 
   // Guards against a reopened socket that is closed because of the events of
@@ -269,8 +269,8 @@
   {
     ManualServer server;
     const auto loop = CreateCallLoop(base::GetBootClock());
-    CompleteCall(*loop, server);
-    const auto result = StartCall(*loop, server);
+    CompleteCall(*loop, base::GetBootClock(), server);
+    const auto result = StartCall(*loop, base::GetBootClock(), server);
     while (!server.HasInput()) {
       loop->Wait(base::GetBootClock().Now());
     }
@@ -278,7 +278,7 @@
     loop->Wait(base::GetBootClock().Now() + std::chrono::milliseconds(5));
     // Unread input makes this a reset.
     server.Close();
-    FinishCall(*loop, server, *result);
+    FinishCall(*loop, base::GetBootClock(), server, *result);
   }
 
   // Guards against reads of the log that never end in time on a busy instance,
@@ -312,7 +312,7 @@
     const auto loop = CreateCallLoop(clock);
     std::array<ManualServer, 3> servers;
     for (ManualServer& it : servers) {
-      CompleteCall(*loop, it);
+      CompleteCall(*loop, clock, it);
     }
     clock.Advance(kMaxIdleTime - std::chrono::milliseconds(1));
     loop->Wait(clock.Now());
@@ -328,7 +328,7 @@
       while (!it.HasInput()) {
         CPPUNIT_ASSERT(base::GetBootClock().Now() < end);
       }
-      CompleteCall(*loop, it);
+      CompleteCall(*loop, clock, it);
     }
   }
 
@@ -370,12 +370,15 @@
 private:
   using SharedResult = std::shared_ptr<std::optional<base::Result<Response>>>;
 
-  static SharedResult StartCall(CallLoop& aLoop, const ManualServer& aServer)
+  /// `aClock` is the clock of the loop.
+  static SharedResult StartCall(CallLoop& aLoop,
+                                const base::Clock& aClock,
+                                const ManualServer& aServer)
   {
     auto result = std::make_shared<SharedResult::element_type>();
     aLoop.Call(aServer.Endpoint(),
                Post("/", ""),
-               base::GetBootClock().Now() + std::chrono::seconds(5),
+               aClock.Now() + std::chrono::seconds(5),
                [result](base::Result<Response> aResult) {
                  *result = std::move(aResult);
                });
@@ -384,19 +387,22 @@
 
   /// Answers the call on a new connection.
   static void FinishCall(CallLoop& aLoop,
+                         const base::Clock& aClock,
                          ManualServer& aServer,
                          const SharedResult::element_type& aResult)
   {
-    aServer.ReceiveRequest(aLoop, base::GetBootClock().Now());
+    aServer.ReceiveRequest(aLoop, aClock.Now());
     aServer.Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
     CompleteAllCalls(aLoop);
     CPPUNIT_ASSERT(aResult.has_value() && aResult->has_value());
   }
 
-  static void CompleteCall(CallLoop& aLoop, ManualServer& aServer)
+  static void CompleteCall(CallLoop& aLoop,
+                           const base::Clock& aClock,
+                           ManualServer& aServer)
   {
-    const auto result = StartCall(aLoop, aServer);
-    FinishCall(aLoop, aServer, *result);
+    const auto result = StartCall(aLoop, aClock, aServer);
+    FinishCall(aLoop, aClock, aServer, *result);
   }
 
   /// The result of a call after one Wait that begins after the deadline, when
