--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -64,6 +64,12 @@
   /// removed once it is silent, has no runs and its lease has expired.
   virtual void OnWorkerUnregistered(const std::string& aWorkerId,
                                     base::TimePoint aNow) = 0;
+  /// If false, the worker is polled, but gets no starts, and its lease is not
+  /// extended: the next leader could not take it into account. True for a new
+  /// worker.
+  virtual void SetMayExtendLease(const std::string& aWorkerId,
+                                 bool aMayExtend,
+                                 base::TimePoint aNow) = 0;
   /// False once the worker has been removed.
   virtual bool HasWorker(const std::string& aWorkerId) const = 0;
   /// Adds a job. `aIsFromEarlierTerm` is true if the job may have been accepted
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -129,6 +129,14 @@
     base::TimePoint mUnregisteredAt;
   };
 
+  /// The newest record of a worker in the journal.
+  struct JournaledWorker
+  {
+    std::int64_t mOffset = -1;
+    /// Address of the worker; empty if the record is a deletion.
+    std::string mAddress;
+  };
+
   /// A stream that a leader must have read recently.
   struct RequiredStream
   {
@@ -145,8 +153,20 @@
 
   void OnJournalRecord(const LogRecord& aRecord);
   void OnJobRecord(const jobs::RecordKey& aKey, const LogRecord& aRecord);
+  /// The journal has a record, or a deletion, of the worker. Called for own
+  /// appends once they are stored, and again when they are read.
   void OnJournaledWorker(const std::string& aWorkerId,
-                         const std::string& aRecord);
+                         const LogRecord& aRecord);
+  /// True if the journal names the worker, perhaps at an earlier address.
+  bool IsJournaled(const std::string& aWorkerId) const;
+  /// True if the journal names the worker and its address, and the batch does
+  /// not delete it.
+  bool IsRecorded(const std::string& aWorkerId,
+                  const KnownWorker& aWorker) const;
+  /// Passes the worker to the dispatcher and requests its record if the journal
+  /// lacks it.
+  void AddToDispatcher(const std::string& aWorkerId,
+                       const KnownWorker& aWorker);
   void OnLoad(const std::string& aRecord);
   /// True if a transfer of the job goes into a batch.
   bool IsLeaving(const std::string& aJobId) const;
@@ -232,11 +252,13 @@
   JobService mJobService;
   Leadership mLeadership;
   std::map<std::string, KnownWorker> mWorkers;
-  /// Ids of the workers that are recorded in the journal. A leader that starts
-  /// while the registry is incomplete polls these workers as well.
-  std::set<std::string> mJournaledWorkers;
-  /// Ids of registered workers that the journal lacks.
+  /// By worker id. A leader that starts while the registry is incomplete polls
+  /// these workers as well.
+  std::map<std::string, JournaledWorker> mJournaledWorkers;
+  /// Ids of workers of the dispatcher whose records go into the next batch.
   std::set<std::string> mWorkersToRecord;
+  /// Ids of workers whose deletions are in the batch.
+  std::set<std::string> mWorkerDeletions;
   base::TimePoint mNextWorkerCheckAt;
   base::TimePoint mRegistryNeededUntil;
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -222,6 +222,24 @@
     }
   }
 
+  void SetMayExtendLease(const std::string& aWorkerId,
+                         bool aMayExtend,
+                         TimePoint aNow) override
+  {
+    const auto found = mWorkers.find(aWorkerId);
+    if (found == mWorkers.end() ||
+        found->second->mMayExtendLease == aMayExtend) {
+      return;
+    }
+    WorkerState& worker = *found->second;
+    worker.mMayExtendLease = aMayExtend;
+    if (aMayExtend) {
+      mPlacementIndex.OnAvailable(worker);
+      mIsPlacementDue = true;
+      RequestTick(aNow);
+    }
+  }
+
   bool HasWorker(const std::string& aWorkerId) const override
   {
     return mWorkers.count(aWorkerId) != 0;
@@ -1729,7 +1747,7 @@
   /// call sent at `aNow`; 0 if the lease cannot be extended.
   std::int64_t ExtendLease(WorkerState& aWorker, TimePoint aNow)
   {
-    if (!aWorker.mHasReported) {
+    if (!aWorker.mHasReported || !aWorker.mMayExtendLease) {
       return 0;
     }
     const TimePoint until =
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -121,7 +121,8 @@
 AcceptsStarts(const WorkerState& aWorker, base::TimePoint aNow)
 {
   return aWorker.mHasReported && aWorker.mIsRegistered &&
-         !aWorker.mEntry.mIsDraining && aWorker.mNoStartsUntil <= aNow &&
+         aWorker.mMayExtendLease && !aWorker.mEntry.mIsDraining &&
+         aWorker.mNoStartsUntil <= aNow &&
          aWorker.mLastReportAt + kMaxReportAge > aNow;
 }
 
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -171,6 +171,8 @@
   WorkerEntry mEntry;
   bool mIsRegistered = true;
   base::TimePoint mUnregisteredAt;
+  /// See Dispatcher::SetMayExtendLease.
+  bool mMayExtendLease = true;
   base::TimePoint mLeavesAt = base::kNoDeadline;
 
   /// The registry lists the worker for another cell, whose leader has fenced
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -249,8 +249,9 @@
     std::min(mJournalReader.NextTickAt(), mLeadership.NextTickAt());
   if (mDispatcher != nullptr) {
     next = std::min(next, mDispatcher->NextTickAt());
-    if (!mIsFlushInFlight && (!mBatch.IsEmpty() || mDispatcher->IsDirty() ||
-                              !mTransfersToStore.empty())) {
+    if (!mIsFlushInFlight &&
+        (!mBatch.IsEmpty() || mDispatcher->IsDirty() ||
+         !mTransfersToStore.empty() || !mWorkersToRecord.empty())) {
       next = std::min(next, mNextFlushAt);
     }
   } else if (mEpoch != 0 && !mAreEarlierWritersFenced && !mIsFlushInFlight) {
@@ -308,19 +309,43 @@
   worker.mEntry = aWorker.mEntry;
   worker.mRecord = aWorker.mRecord;
   worker.mIsRegistered = true;
-  if (mJournaledWorkers.count(id) == 0) {
-    mWorkersToRecord.insert(id);
-  }
   if (mDispatcher != nullptr) {
-    mDispatcher->SetWorker(worker.mEntry, mClock.Now());
+    AddToDispatcher(id, worker);
+  }
+}
+
+bool
+Cell::IsJournaled(const std::string& aWorkerId) const
+{
+  const auto found = mJournaledWorkers.find(aWorkerId);
+  return found != mJournaledWorkers.end() && !found->second.mAddress.empty();
+}
+
+bool
+Cell::IsRecorded(const std::string& aWorkerId, const KnownWorker& aWorker) const
+{
+  const auto found = mJournaledWorkers.find(aWorkerId);
+  return found != mJournaledWorkers.end() &&
+         found->second.mAddress == aWorker.mEntry.mAddress &&
+         mWorkerDeletions.count(aWorkerId) == 0;
+}
+
+void
+Cell::AddToDispatcher(const std::string& aWorkerId, const KnownWorker& aWorker)
+{
+  const TimePoint now = mClock.Now();
+  const bool isRecorded = IsRecorded(aWorkerId, aWorker);
+  if (!isRecorded) {
+    mWorkersToRecord.insert(aWorkerId);
   }
+  mDispatcher->SetWorker(aWorker.mEntry, now);
+  mDispatcher->SetMayExtendLease(aWorkerId, isRecorded, now);
 }
 
 void
 Cell::OnWorkerGone(const std::string& aWorkerId)
 {
   const logging::ContextField context("cell", mOptions.mIndex);
-  mWorkersToRecord.erase(aWorkerId);
   const auto found = mWorkers.find(aWorkerId);
   if (found == mWorkers.end() || !found->second.mIsRegistered) {
     return;
@@ -336,10 +361,9 @@
 Cell::ForgetRegistry()
 {
   // The journal names the workers that a leader may have used.
-  mWorkersToRecord.clear();
   for (auto it = mWorkers.begin(); it != mWorkers.end();) {
     KnownWorker& worker = it->second;
-    if (mJournaledWorkers.count(it->first) == 0) {
+    if (!IsJournaled(it->first)) {
       it = mWorkers.erase(it);
       continue;
     }
@@ -366,7 +390,12 @@
       mModelRecord = aRecord.mValue;
       break;
     case jobs::RecordKind::Worker:
-      OnJournaledWorker(key->mId, aRecord.mValue);
+      OnJournaledWorker(key->mId, aRecord);
+      // The reader delivers nothing older, against which the offset guards.
+      if (!IsJournaled(key->mId) &&
+          mJournaledWorkers[key->mId].mOffset == aRecord.mOffset) {
+        mJournaledWorkers.erase(key->mId);
+      }
       break;
     case jobs::RecordKind::Load:
       OnLoad(aRecord.mValue);
@@ -451,30 +480,42 @@
 }
 
 void
-Cell::OnJournaledWorker(const std::string& aWorkerId,
-                        const std::string& aRecord)
+Cell::OnJournaledWorker(const std::string& aWorkerId, const LogRecord& aRecord)
 {
+  JournaledWorker& journaled = mJournaledWorkers[aWorkerId];
+  // Own records are applied when they are stored, before the reader delivers
+  // them and what precedes them.
+  if (aRecord.mOffset <= journaled.mOffset) {
+    return;
+  }
+  journaled.mOffset = aRecord.mOffset;
+  journaled.mAddress.clear();
   const auto known = mWorkers.find(aWorkerId);
-  if (aRecord.empty()) {
-    mJournaledWorkers.erase(aWorkerId);
-    if (known != mWorkers.end() && !known->second.mIsRegistered &&
-        mDispatcher == nullptr) {
+  if (aRecord.mValue.empty()) {
+    const bool isUsed =
+      mDispatcher != nullptr && mDispatcher->HasWorker(aWorkerId);
+    if (known != mWorkers.end() && !known->second.mIsRegistered && !isUsed) {
       mWorkers.erase(known);
     }
     return;
   }
-  mJournaledWorkers.insert(aWorkerId);
-  mWorkersToRecord.erase(aWorkerId);
-  if (known != mWorkers.end()) {
+  auto entry = mDecoder.DecodeWorker({ aWorkerId, aRecord.mValue, 0 });
+  if (!entry) {
     return;
   }
-  auto entry = mDecoder.DecodeWorker({ aWorkerId, aRecord, 0 });
-  if (!entry) {
+  journaled.mAddress = entry->mAddress;
+  if (mDispatcher != nullptr && known != mWorkers.end()) {
+    mDispatcher->SetMayExtendLease(
+      aWorkerId, IsRecorded(aWorkerId, known->second), mClock.Now());
+  }
+  // The registry knows better, and so does a leader.
+  if (known != mWorkers.end() &&
+      (known->second.mIsRegistered || mDispatcher != nullptr)) {
     return;
   }
   KnownWorker& worker = mWorkers[aWorkerId];
   worker.mEntry = std::move(*entry);
-  worker.mRecord = aRecord;
+  worker.mRecord = aRecord.mValue;
   worker.mIsRegistered = false;
   worker.mUnregisteredAt = mClock.Now();
 }
@@ -483,8 +524,10 @@
 Cell::AddWorkerRecords()
 {
   for (const std::string& it : mWorkersToRecord) {
-    AddRecord(jobs::RecordKind::Worker, it, mWorkers.at(it).mRecord);
-    mJournaledWorkers.insert(it);
+    const KnownWorker& worker = mWorkers.at(it);
+    if (!IsRecorded(it, worker)) {
+      AddRecord(jobs::RecordKind::Worker, it, worker.mRecord);
+    }
   }
   mWorkersToRecord.clear();
   const TimePoint now = mClock.Now();
@@ -502,10 +545,20 @@
       ++it;
       continue;
     }
-    if (mJournaledWorkers.erase(it->first) != 0) {
-      AddRecord(jobs::RecordKind::Worker, it->first, "");
+    if (!IsJournaled(it->first)) {
+      it = mWorkers.erase(it);
+      continue;
     }
-    it = mWorkers.erase(it);
+    logging::Write(
+      logging::Level::Info,
+      "worker_deleted",
+      { { "worker", it->first },
+        { "unregistered_ms", ToMs(now - worker.mUnregisteredAt) } });
+    // The worker is forgotten once the deletion is stored, unless it returns to
+    // the registry before.
+    AddRecord(jobs::RecordKind::Worker, it->first, "");
+    mWorkerDeletions.insert(it->first);
+    ++it;
   }
 }
 
@@ -662,6 +715,8 @@
   mWorkerClient.ClearDispatcher();
   mDispatcher.reset();
   mJobsToAdd.clear();
+  mWorkersToRecord.clear();
+  mWorkerDeletions.clear();
   mEpoch = 0;
   mStartsHeldAt.reset();
   mTransfersToStore.clear();
@@ -726,7 +781,7 @@
     mDispatcher->ImportModel(mModelRecord);
   }
   for (const auto& [id, worker] : mWorkers) {
-    mDispatcher->SetWorker(worker.mEntry, now);
+    AddToDispatcher(id, worker);
     if (!worker.mIsRegistered) {
       mDispatcher->OnWorkerUnregistered(id, worker.mUnregisteredAt);
     }
@@ -737,6 +792,8 @@
                  { { "epoch", mEpoch },
                    { "open_jobs", static_cast<std::int64_t>(openJobs.size()) },
                    { "workers", static_cast<std::int64_t>(mWorkers.size()) },
+                   { "workers_to_record",
+                     static_cast<std::int64_t>(mWorkersToRecord.size()) },
                    { "journal", mJournalReader.NextOffset() } });
   mJobsToAdd.insert(openJobs.begin(), openJobs.end());
   const auto transfers = mJobs.ListTransfersToRepeat();
@@ -1077,7 +1134,12 @@
   // Callers see the records at once.
   std::int64_t offset = aFirstOffset;
   for (const auto& it : mBatch.Next()) {
-    mJobs.Apply(it.mKey, it.mValue, offset++);
+    mJobs.Apply(it.mKey, it.mValue, offset);
+    const auto key = jobs::ParseRecordKey(it.mKey);
+    if (key && key->mKind == jobs::RecordKind::Worker) {
+      OnJournaledWorker(key->mId, { it.mKey, it.mValue, offset });
+    }
+    ++offset;
   }
   mBatch.RemoveNext();
   if (mBatch.IsEmpty()) {
@@ -1093,6 +1155,7 @@
   mFlushSeconds.Record(
     std::chrono::duration<double>(now - mBatchSentAt).count());
   mDispatcher->OnDurable(mBatchNumber, now);
+  mWorkerDeletions.clear();
   for (const auto& [id, transfer] : mTransfersInBatch) {
     if (!transfer.mIsDelivered) {
       mTransfersToSend.insert(id);
--- a/src/node/fake_worker_client_test.hpp
+++ b/src/node/fake_worker_client_test.hpp
@@ -24,6 +24,8 @@
   std::deque<dispatch::EndedRun> mEndedRuns;
   std::int64_t mLastSequence = 0;
   std::int64_t mFencingToken = 0;
+  /// Longest lease that an instance has requested, on the clock of the worker.
+  std::int64_t mLeaseEndMs = 0;
 };
 
 /// By worker id; shared by all instances.
@@ -148,6 +150,8 @@
   {
     auto& end = mLeaseEndsMs[aWorkerId];
     end = std::max(end, aLeaseEndMs);
+    auto& workerEnd = mWorkers[aWorkerId].mLeaseEndMs;
+    workerEnd = std::max(workerEnd, aLeaseEndMs);
   }
 
   bool CheckFence(const std::string& aWorkerId)
--- /dev/null
+++ b/src/node/worker_records_test.cpp
@@ -0,0 +1,371 @@
+#include "skylarkhill/base/random.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <string>
+
+#include "node_site_test.hpp"
+
+namespace skylarkhill::node {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Longer than all leases of an earlier leader.
+constexpr milliseconds kLeasesTime{ 20'000 };
+/// Seeds in a usual run; SKYLARKHILL_WORKER_SEEDS overrides it.
+constexpr int kSeeds = 60;
+constexpr milliseconds kStep{ 20 };
+constexpr milliseconds kSeedTime{ 40'000 };
+/// Mean time between two disruptions.
+constexpr int kStepsPerDisruption = 15;
+constexpr int kInstances = 3;
+constexpr int kWorkers = 5;
+
+} // namespace
+
+/// A leader must find every worker that may have runs of an earlier leader,
+/// whatever became of the worker's entry in the registry.
+class WorkerRecordsTest : public NodeSiteFixture
+{
+  CPPUNIT_TEST_SUITE(WorkerRecordsTest);
+  CPPUNIT_TEST(StartsNothingOnAWorkerBeforeItsRecordIsStored);
+  CPPUNIT_TEST(ExtendsNoLeaseOfAWorkerBeforeItsRecordIsStored);
+  CPPUNIT_TEST(RecordsAWorkerAgainAfterItsBatchWasGivenUp);
+  CPPUNIT_TEST(RecordsAWorkerThatLeftTheRegistryBeforeItsBatch);
+  CPPUNIT_TEST(RecordsAWorkerAgainAtItsNewAddress);
+  CPPUNIT_TEST(RecordsAWorkerThatReturnsBeforeItsDeletionIsStored);
+  CPPUNIT_TEST(StartsNothingOnAWorkerThatCannotBeRecorded);
+  CPPUNIT_TEST(RunsEveryTaskOnceWhileTheRegistryLosesWorkers);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // The leader is killed before the log stores the record of a new worker,
+  // which leaves the registry as well. Guards against a second run of the task
+  // that the worker would have got.
+  void StartsNothingOnAWorkerBeforeItsRecordIsStored()
+  {
+    Instance& leader = StartLeader(2);
+    SubmitSpread("a", 2);
+    Advance(milliseconds(1000));
+    leader.mLog.mUnwritableTopics.insert("journal");
+    Store("workers", "w2", "1");
+    Advance(milliseconds(1000));
+    Store("workers", "w2", "");
+    KillLeader();
+    Store("workers", "w3", "1");
+    Advance(kLeasesTime);
+    CheckRuns(2);
+  }
+
+  // A leader may find runs of an earlier leader on a worker that only the
+  // registry names. Guards against leases of which its successor knows nothing.
+  void ExtendsNoLeaseOfAWorkerBeforeItsRecordIsStored()
+  {
+    Instance& leader = StartLeader(1);
+    leader.mLog.mUnwritableTopics.insert("journal");
+    Store("workers", "w2", "1");
+    Advance(milliseconds(2000));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, mWorkers["w2"].mLeaseEndMs);
+    leader.mLog.mUnwritableTopics.clear();
+    Advance(milliseconds(2000));
+    CPPUNIT_ASSERT(mWorkers["w2"].mLeaseEndMs > 0);
+  }
+
+  // The term ends while the batch with the record is sent, and the same
+  // instance leads again. Guards against taking the worker for recorded.
+  void RecordsAWorkerAgainAfterItsBatchWasGivenUp()
+  {
+    Instance& leader = StartLeader(1);
+    SubmitSpread("a", 2);
+    Advance(milliseconds(1000));
+    leader.mLog.mUnwritableTopics.insert("journal");
+    Store("workers", "w2", "1");
+    Advance(milliseconds(300));
+    leader.mLog.mUnreadableTopics.insert("journal");
+    Advance(milliseconds(4000));
+    CPPUNIT_ASSERT(!leader.mNode.IsDispatching());
+    leader.mLog.mUnreadableTopics.clear();
+    leader.mLog.mUnwritableTopics.clear();
+    Advance(kLeasesTime);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w2"].mRuns.size());
+    Store("workers", "w2", "");
+    Store("workers", "w3", "1");
+    Advance(milliseconds(500));
+    RestartLeader();
+    Advance(kLeasesTime);
+    CheckRuns(2);
+  }
+
+  // The worker leaves the registry while the log does not answer, and the
+  // leader goes on. Guards against a worker with runs that is never recorded.
+  void RecordsAWorkerThatLeftTheRegistryBeforeItsBatch()
+  {
+    Instance& leader = StartLeader(2);
+    SubmitSpread("a", 2);
+    Advance(milliseconds(1000));
+    leader.mLog.mUnwritableTopics.insert("journal");
+    // A batch without the worker is in progress when the worker appears.
+    SubmitSpread("b", 1);
+    Advance(milliseconds(300));
+    Store("workers", "w2", "1");
+    Advance(milliseconds(600));
+    Store("workers", "w2", "");
+    Advance(milliseconds(600));
+    leader.mLog.mUnwritableTopics.clear();
+    Advance(milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), NewestRecord("w2"));
+    RestartLeader();
+    Store("workers", "w3", "1");
+    Advance(kLeasesTime);
+    CheckRuns(3);
+  }
+
+  // Guards against a successor that calls the worker at an address at which it
+  // is no longer.
+  void RecordsAWorkerAgainAtItsNewAddress()
+  {
+    StartLeader(1);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), NewestRecord("w1"));
+    Store("workers", "w1", std::string(kMoved));
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::string(kMoved), NewestRecord("w1"));
+  }
+
+  // The deletion of a silent worker gets no response. Guards against a worker
+  // that is used again and missing in the journal.
+  void RecordsAWorkerThatReturnsBeforeItsDeletionIsStored()
+  {
+    Instance& leader = StartLeader(1);
+    SubmitSpread("a", 2);
+    Store("workers", "w2", "1");
+    Advance(milliseconds(1000));
+    Store("workers", "w2", "");
+    leader.mClient.mUnreachable.insert("w2");
+    mWorkers["w2"].mRuns.clear();
+    Advance(milliseconds(30000));
+    leader.mLog.mUnwritableTopics.insert("journal");
+    // Changes the journal, with which the deletion is written.
+    SubmitSpread("b", 1);
+    Advance(milliseconds(1500));
+    leader.mClient.mUnreachable.clear();
+    Store("workers", "w2", "1");
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, mWorkers["w2"].mRuns.size());
+    leader.mLog.mUnwritableTopics.clear();
+    Advance(milliseconds(3000));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), NewestRecord("w2"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w2"].mRuns.size());
+  }
+
+  // The entry of the worker fits into its own stream, but not into the journal.
+  // Guards against runs on a worker of which the next leader knows nothing.
+  void StartsNothingOnAWorkerThatCannotBeRecorded()
+  {
+    StartLeader(1);
+    Store("workers", "w2", std::string(mLogLimits.mMaxRecordBytes - 3, 'x'));
+    SubmitSpread("a", 2);
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w1"].mRuns.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, mWorkers["w2"].mRuns.size());
+    // A smaller entry ends this.
+    Store("workers", "w2", "1");
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w2"].mRuns.size());
+  }
+
+  // Workers leave the registry and return, instances are killed and restarted,
+  // and appends are lost, at random times. Guards against two runs of a task at
+  // the same time, and against tasks that are never started again.
+  void RunsEveryTaskOnceWhileTheRegistryLosesWorkers()
+  {
+    const char* seeds = std::getenv("SKYLARKHILL_WORKER_SEEDS");
+    const int count = seeds != nullptr ? std::atoi(seeds) : kSeeds;
+    for (int seed = 1; seed <= count; ++seed) {
+      RunSeed(seed);
+    }
+  }
+
+private:
+  /// Stores a job with lasting tasks, of which a worker takes one.
+  void SubmitSpread(const std::string& aId, int aTasks)
+  {
+    jobs::Step step;
+    step.mIsService = true;
+    step.mCount = aTasks;
+    step.mMaxPerWorker = 1;
+    step.mResources.mMilliProcessors = 1000;
+    Submit(aId, { step });
+  }
+
+  /// Ends the process that leads, without a resignation, and starts another.
+  void KillLeader()
+  {
+    const auto found = std::find_if(
+      mInstances.begin(), mInstances.end(), [](const auto& aInstance) {
+        return aInstance->mNode.IsDispatching();
+      });
+    CPPUNIT_ASSERT(found != mInstances.end());
+    mInstances.erase(found);
+    AddInstances(1);
+  }
+
+  std::string NewestRecord(const std::string& aWorkerId)
+  {
+    std::string newest;
+    for (const auto& it : mState.mStreams["journal"]) {
+      if (it.mKey == "w/" + aWorkerId) {
+        newest = it.mValue;
+      }
+    }
+    return newest;
+  }
+
+  std::map<std::string, int> CountRunsByTask() const
+  {
+    std::map<std::string, int> runs;
+    for (const auto& [id, worker] : mWorkers) {
+      for (const auto& it : worker.mRuns) {
+        ++runs[ToText(it.mTask)];
+      }
+    }
+    return runs;
+  }
+
+  /// Checks that `aTasks` tasks run, each of them once.
+  void CheckRuns(std::size_t aTasks) const
+  {
+    const auto runs = CountRunsByTask();
+    CPPUNIT_ASSERT_EQUAL(aTasks, runs.size());
+    for (const auto& [task, count] : runs) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(task, 1, count);
+    }
+  }
+
+  /// Ends the runs of workers whose lease has ended.
+  void ExpireLeases()
+  {
+    const std::int64_t now = base::ToMicros(mClock.Now()) / 1000;
+    for (auto& [id, worker] : mWorkers) {
+      if (worker.mLeaseEndMs >= now) {
+        continue;
+      }
+      for (const auto& it : worker.mRuns) {
+        worker.mEndedRuns.push_back({ ++worker.mLastSequence,
+                                      it.mTask,
+                                      it.mRunNumber,
+                                      dispatch::RunOutcome::LeaseExpired,
+                                      "" });
+      }
+      worker.mRuns.clear();
+    }
+  }
+
+  void AdvanceAndCheck(base::Duration aTime, const std::string& aSeed)
+  {
+    const base::TimePoint end = mClock.Now() + aTime;
+    while (mClock.Now() < end) {
+      Advance(kStep);
+      ExpireLeases();
+      for (const auto& [task, count] : CountRunsByTask()) {
+        std::string message = aSeed;
+        message.append(": runs of task ").append(task);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(message, 1, count);
+      }
+    }
+  }
+
+  void RunSeed(int aSeed)
+  {
+    const std::string name = "seed " + std::to_string(aSeed);
+    auto random = base::CreateSeededRandom(static_cast<std::uint64_t>(aSeed));
+    const auto draw = [&](int aBound) {
+      return static_cast<int>(
+        random->Below(static_cast<std::uint64_t>(aBound)));
+    };
+    Restart();
+    AddInstances(kInstances);
+    std::map<std::string, bool> registered;
+    const auto setRegistered = [&](int aWorker, bool aIsRegistered) {
+      const std::string id = "w" + std::to_string(aWorker);
+      if (registered[id] != aIsRegistered) {
+        registered[id] = aIsRegistered;
+        Store("workers", id, aIsRegistered ? "1" : "");
+      }
+    };
+    setRegistered(0, true);
+    setRegistered(1, true);
+    SubmitSpread("a", 3);
+    SubmitSpread("b", 2);
+    const base::TimePoint end = mClock.Now() + kSeedTime;
+    while (mClock.Now() < end) {
+      AdvanceAndCheck(kStep * (1 + draw(2 * kStepsPerDisruption)), name);
+      Instance& instance =
+        *mInstances[static_cast<std::size_t>(draw(kInstances))];
+      switch (draw(8)) {
+        case 0:
+        case 1:
+          setRegistered(draw(kWorkers), draw(2) == 0);
+          break;
+        case 2:
+          for (int n = 0; n < kWorkers; ++n) {
+            setRegistered(n, draw(2) == 0);
+          }
+          break;
+        case 3:
+          if (CountLeaders() == 1) {
+            if (draw(2) == 0) {
+              RestartLeader();
+            } else {
+              KillLeader();
+            }
+          }
+          break;
+        case 4:
+          instance.mLog.mUnwritableTopics.insert("journal");
+          break;
+        case 5: {
+          const std::string id = "w" + std::to_string(draw(kWorkers));
+          for (auto& it : mInstances) {
+            it->mClient.mUnreachable.insert(id);
+          }
+          break;
+        }
+        case 6:
+          for (auto& it : mInstances) {
+            it->mLog.mUnwritableTopics.clear();
+            it->mLog.mUnreadableTopics.clear();
+            it->mClient.mUnreachable.clear();
+          }
+          break;
+        default:
+          if (draw(2) == 0) {
+            instance.mLog.mUnreadableTopics.insert("journal");
+          } else {
+            instance.mClient.mUnreachable.insert(
+              "w" + std::to_string(draw(kWorkers)));
+          }
+          break;
+      }
+    }
+    for (auto& it : mInstances) {
+      it->mLog.mUnwritableTopics.clear();
+      it->mLog.mUnreadableTopics.clear();
+      it->mClient.mUnreachable.clear();
+    }
+    for (int n = 0; n < kWorkers; ++n) {
+      setRegistered(n, true);
+    }
+    AdvanceAndCheck(2 * kLeasesTime, name);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      name + ": tasks that run", std::size_t{ 5 }, CountRunsByTask().size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WorkerRecordsTest);
+
+} // namespace skylarkhill::node
