Store when the lease of a silent worker ends

Cause: a new leader starts no task of an earlier term before every worker has reported or the longest lease of its predecessor has ended, 9.7 s from the hand-over. It did not know that the predecessor had stopped to extend the leases of the silent workers, and each further change began the wait anew. Starts that were repeated to a silent worker extended its lease as well.

The fix: a leader stores the remaining time of the lease of a worker that has been silent for 1.5 s, or is silent when the leader resigns, and extends the lease no more before the record is deleted. The next leader waits for this worker until then.

Without the fix StartsTasksOfADeadWorkerOnceItsLeaseHasEnded and ExtendsNoLeaseBeforeItsPromiseIsDeleted fail.

Related paths: starts that are sent again to a silent worker; removal of a worker that has never answered the leader.

--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -51,6 +51,14 @@
   base::TimePoint mAddedAt;
 };
 
+/// A worker that does not answer polls.
+struct SilentWorker
+{
+  std::string mId;
+  /// Latest time at which a lease of the worker ends.
+  base::TimePoint mLeaseEndsAt;
+};
+
 /// Assigns tasks to workers. Not thread-safe; all I/O goes through the CallSink
 /// and all times are passed in.
 class Dispatcher
@@ -70,6 +78,17 @@
   virtual void SetMayExtendLease(const std::string& aWorkerId,
                                  bool aMayExtend,
                                  base::TimePoint aNow) = 0;
+  /// No lease of the worker that an earlier leader has granted ends later. By
+  /// default, Term::mPreviousLeasesEndAt holds for it.
+  virtual void SetEarlierLeaseEnd(const std::string& aWorkerId,
+                                  base::TimePoint aEndsAt) = 0;
+  /// Workers whose polls have failed, if they have been silent since
+  /// `aSilentSince` or for the whole term.
+  virtual std::vector<SilentWorker> ListSilent(
+    base::TimePoint aSilentSince) const = 0;
+  /// True if the last poll of the worker has failed. False if the worker has
+  /// been removed.
+  virtual bool IsSilent(const std::string& aWorkerId) const = 0;
   /// False once the worker has been removed.
   virtual bool HasWorker(const std::string& aWorkerId) const = 0;
   /// Adds a job. `aIsFromEarlierTerm` is true if the job may have been accepted
--- a/include/skylarkhill/jobs/job_codec.hpp
+++ b/include/skylarkhill/jobs/job_codec.hpp
@@ -27,14 +27,16 @@
   Transfer,
   /// Load of the cell, published by its leader.
   Load,
+  /// End of the lease of a worker that does not answer the leader.
+  WorkerLease,
 };
 
 /// The key of a journal record.
 struct RecordKey
 {
   RecordKind mKind = RecordKind::Submission;
-  /// Job id; the worker id for RecordKind::Worker, a constant for
-  /// RecordKind::Model and RecordKind::Load.
+  /// Job id; the worker id for RecordKind::Worker and RecordKind::WorkerLease,
+  /// a constant for RecordKind::Model and RecordKind::Load.
   std::string mId;
   /// Names the tasks of a RecordKind::TaskRange: "OCCURRENCE.STEP.FIRST". Empty
   /// for the other kinds.
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -135,6 +135,12 @@
     std::int64_t mOffset = -1;
     /// Address of the worker; empty if the record is a deletion.
     std::string mAddress;
+    /// Offset of the newest WorkerLeaseRecord or its deletion.
+    std::int64_t mLeaseOffset = -1;
+    /// Epoch of the leader that promised not to extend the lease; 0 if there is
+    /// no such promise.
+    std::int64_t mLeaseEpoch = 0;
+    base::TimePoint mLeaseEndsAt;
   };
 
   /// A stream that a leader must have read recently.
@@ -157,6 +163,16 @@
   /// appends once they are stored, and again when they are read.
   void OnJournaledWorker(const std::string& aWorkerId,
                          const LogRecord& aRecord);
+  /// Like OnJournaledWorker, for a WorkerLeaseRecord or its deletion.
+  void OnWorkerLease(const std::string& aWorkerId, const LogRecord& aRecord);
+  /// Applies a record about a worker. Returns false if it is another record.
+  bool ApplyWorkerRecord(const jobs::RecordKey& aKey, const LogRecord& aRecord);
+  /// Forgets a worker of which the journal has only deletions, the last of them
+  /// at the offset that was read.
+  void RemoveJournaledWorker(const std::string& aWorkerId,
+                             std::int64_t aReadOffset);
+  /// Tells the dispatcher whether it may extend the lease of the worker.
+  void UpdateLease(const std::string& aWorkerId);
   /// True if the journal names the worker, perhaps at an earlier address.
   bool IsJournaled(const std::string& aWorkerId) const;
   /// True if the journal names the worker and its address, and the batch does
@@ -176,6 +192,9 @@
   /// Adds records to the batch for workers that are new to the journal, and
   /// deletions for workers that left the registry long enough ago.
   void AddWorkerRecords();
+  /// Promises to leave the leases of the workers alone that have been silent
+  /// since `aSilentSince`, and ends this for those that answer again.
+  void AddLeaseRecords(base::TimePoint aSilentSince);
   void UpdateTerm();
   /// Tracks reads that fail while the log answers.
   void UpdateFailedReads();
@@ -259,6 +278,10 @@
   std::set<std::string> mWorkersToRecord;
   /// Ids of workers whose deletions are in the batch.
   std::set<std::string> mWorkerDeletions;
+  /// Ids of workers for which the journal may have a WorkerLeaseRecord of this
+  /// term.
+  std::set<std::string> mUnextendedWorkers;
+  base::TimePoint mNextLeaseCheckAt;
   base::TimePoint mNextWorkerCheckAt;
   base::TimePoint mRegistryNeededUntil;
 
--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -89,6 +89,8 @@
   {
     return mPreviousLeaderLeaseEnd;
   }
+  /// Epoch of the leader before the own term; 0 if it is not known.
+  std::int64_t PreviousEpoch() const { return mPreviousEpoch; }
   base::TimePoint NextTickAt() const;
   /// The newest record of the stream; empty if there is none.
   const std::optional<LeaderRecord>& NewestRecord() const
@@ -106,6 +108,7 @@
   /// leader.
   void EndOwnTerm();
   void BecomeLeader(std::int64_t aEpoch, base::TimePoint aClaimedAt);
+  void SetNewestRecord(const LeaderRecord& aRecord);
 
   AsyncLog& mLog;
   const base::Clock& mClock;
@@ -118,6 +121,8 @@
   /// When the last claim of this instance was sent.
   base::TimePoint mClaimSentAt;
   std::optional<std::int64_t> mOwnEpoch;
+  /// Epoch of the newest record before that of mNewestRecord.
+  std::int64_t mPreviousEpoch = 0;
   std::int64_t mStreamEnd = 0;
   bool mIsAppending = false;
   bool mHasResigned = false;
--- /dev/null
+++ b/include/skylarkhill/node/worker_lease_record.hpp
@@ -0,0 +1,33 @@
+#ifndef SKYLARKHILL_NODE_WORKER_LEASE_RECORD_HPP
+#define SKYLARKHILL_NODE_WORKER_LEASE_RECORD_HPP
+
+#include "skylarkhill/base/error.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace skylarkhill::node {
+
+/// Promise of a leader to extend the lease of a worker no more until it has
+/// deleted this record.
+struct WorkerLeaseRecord
+{
+  /// Epoch of the leader. The record says nothing about leases that leaders of
+  /// later epochs grant.
+  std::int64_t mEpoch = 0;
+  /// Upper bound of the time until the end of the lease, as of the write of the
+  /// record. The clocks of instances have no common epoch.
+  std::int64_t mRemainingMs = 0;
+};
+
+std::string
+EncodeWorkerLease(const WorkerLeaseRecord& aRecord);
+
+/// InvalidArgument if the bytes are not those of EncodeWorkerLease.
+base::Result<WorkerLeaseRecord>
+DecodeWorkerLease(std::string_view aBytes);
+
+} // namespace skylarkhill::node
+
+#endif // SKYLARKHILL_NODE_WORKER_LEASE_RECORD_HPP
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -176,6 +176,7 @@
     if (worker == nullptr) {
       worker = std::make_unique<WorkerState>();
       worker->mEntry.mId = aEntry.mId;
+      worker->mEarlierLeaseEndsAt = mTerm.mPreviousLeasesEndAt;
       mPollQueue.Schedule(*worker, aNow);
       ++mUnreportedCount;
       ++mUnpolledCount;
@@ -240,6 +241,40 @@
     }
   }
 
+  void SetEarlierLeaseEnd(const std::string& aWorkerId,
+                          TimePoint aEndsAt) override
+  {
+    const auto found = mWorkers.find(aWorkerId);
+    if (found != mWorkers.end()) {
+      found->second->mEarlierLeaseEndsAt =
+        std::min(aEndsAt, mTerm.mPreviousLeasesEndAt);
+    }
+  }
+
+  std::vector<SilentWorker> ListSilent(TimePoint aSilentSince) const override
+  {
+    std::vector<SilentWorker> silent;
+    for (const auto& [id, worker] : mWorkers) {
+      // The leader of another cell may extend the lease of a worker that it has
+      // taken over.
+      if (worker->mFailedPolls == 0 || worker->mIsTakenOver) {
+        continue;
+      }
+      if (!worker->mHasReported) {
+        silent.push_back({ id, worker->mEarlierLeaseEndsAt });
+      } else if (worker->mLastReportAt <= aSilentSince) {
+        silent.push_back({ id, worker->mLeaseEndsAt });
+      }
+    }
+    return silent;
+  }
+
+  bool IsSilent(const std::string& aWorkerId) const override
+  {
+    const auto found = mWorkers.find(aWorkerId);
+    return found != mWorkers.end() && found->second->mFailedPolls > 0;
+  }
+
   bool HasWorker(const std::string& aWorkerId) const override
   {
     return mWorkers.count(aWorkerId) != 0;
@@ -587,7 +622,7 @@
         mWork = DispatchWork{};
       }
     }
-    UpdateMissingReports(aNow);
+    UpdateMissingReports(isFullTick, aNow);
     if (isFullTick) {
       CheckWorkers(aNow);
     }
@@ -1256,7 +1291,7 @@
           worker.mUnregisteredAt + kUnregisteredGrace < aNow && isSilent &&
           worker.mRuns.empty() && worker.mLeaseEndsAt < aNow &&
           !worker.mIsPollInFlight &&
-          (worker.mHasReported || aNow >= mTerm.mPreviousLeasesEndAt)) {
+          (worker.mHasReported || aNow >= worker.mEarlierLeaseEndsAt)) {
         mPlacementIndex.Remove(worker);
         mPollQueue.Remove(worker);
         CountAsPolled(worker);
@@ -1274,19 +1309,34 @@
     mUnpolledCount -= aWorker.mHasReported || aWorker.mFailedPolls > 0 ? 0 : 1;
   }
 
-  void UpdateMissingReports(TimePoint aNow)
+  /// `aChecksLeases` is false in ticks that may be frequent.
+  void UpdateMissingReports(bool aChecksLeases, TimePoint aNow)
   {
     // No run outlives the leases of earlier leaders, but a reachable worker may
     // still have the end of a run to report.
     if (mAreReportsMissing &&
         ((mUnreportedCount == 0 && !mWorkers.empty()) ||
-         (mUnpolledCount == 0 && aNow >= mTerm.mPreviousLeasesEndAt)) &&
+         (aChecksLeases && mUnpolledCount == 0 && HaveLeasesEnded(aNow))) &&
         !MayOmitEndedRuns(aNow)) {
       mAreReportsMissing = false;
       mIsPlacementDue = true;
     }
   }
 
+  /// True if the leases that earlier leaders have granted to workers without a
+  /// report have ended.
+  bool HaveLeasesEnded(TimePoint aNow) const
+  {
+    if (mWorkers.empty()) {
+      return aNow >= mTerm.mPreviousLeasesEndAt;
+    }
+    return std::all_of(
+      mWorkers.begin(), mWorkers.end(), [aNow](const auto& aEntry) {
+        const WorkerState& worker = *aEntry.second;
+        return worker.mHasReported || aNow >= worker.mEarlierLeaseEndsAt;
+      });
+  }
+
   /// True if a worker may have ended runs of an earlier leader that it has not
   /// listed yet. They do not count any more once its lease has ended.
   bool MayOmitEndedRuns(TimePoint aNow) const
@@ -1848,6 +1898,11 @@
       if (!mMayStart && aRun.mCallsSent < kMaxStartCalls) {
         return;
       }
+      if (!worker.mMayExtendLease) {
+        // The start would need a lease.
+        aRun.mNextCallAt = aNow + kResendPause;
+        return;
+      }
       if (--mBudget.mRepeatedStarts < 0) {
         RequestTick(aNow);
         return;
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -184,6 +184,8 @@
   std::int64_t mClockMs = 0;
   base::TimePoint mClockReadAt;
   base::TimePoint mLastReportAt;
+  /// Upper bound of the leases that earlier leaders have granted.
+  base::TimePoint mEarlierLeaseEndsAt;
   /// All runs on the worker stop by this time unless a call extends the lease.
   base::TimePoint mLeaseEndsAt;
 
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -20,7 +20,7 @@
 constexpr int kMaxFirstTask = 1 << 24;
 
 /// First character of the record keys, by kind.
-constexpr base::NameTable<RecordKind, 8> kKeyPrefixes{ {
+constexpr base::NameTable<RecordKind, 9> kKeyPrefixes{ {
   { RecordKind::Submission, "s" },
   { RecordKind::Cancellation, "c" },
   { RecordKind::Progress, "p" },
@@ -29,6 +29,7 @@
   { RecordKind::Worker, "w" },
   { RecordKind::Transfer, "t" },
   { RecordKind::Load, "l" },
+  { RecordKind::WorkerLease, "e" },
 } };
 
 using ResourceFields = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -114,6 +114,7 @@
     case RecordKind::Model:
     case RecordKind::Worker:
     case RecordKind::Load:
+    case RecordKind::WorkerLease:
       break;
   }
 }
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -3,6 +3,7 @@
 #include "skylarkhill/cells/transfer_policy.hpp"
 #include "skylarkhill/jobs/job_codec.hpp"
 #include "skylarkhill/logging/logging.hpp"
+#include "skylarkhill/node/worker_lease_record.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -83,6 +84,15 @@
 /// Interval between two searches for workers that left the registry.
 constexpr Duration kWorkerCheckInterval = std::chrono::seconds(1);
 
+/// Interval between two searches for workers that fell silent or answer again.
+constexpr Duration kLeaseCheckInterval = std::chrono::milliseconds(200);
+/// A worker that has been silent for this long gets a WorkerLeaseRecord. Longer
+/// than a few lost polls, because a worker that returns in an outage of the log
+/// gets no lease before the record is deleted.
+constexpr Duration kMinSilence = std::chrono::milliseconds(1500);
+/// Divisor for times on the clocks of other instances, which may run slow.
+constexpr int kMinClockPercent = 98;
+
 /// How long an instance goes on following the registry after its claim was due.
 constexpr Duration kRegistryRetention = std::chrono::seconds(3);
 /// Claim delay of instances in other failure domains than the workers.
@@ -265,6 +275,16 @@
 {
   const logging::ContextField context("cell", mOptions.mIndex);
   if (mDispatcher != nullptr) {
+    // Saves the successor the wait for the longest possible lease. Records of
+    // the term are repeated, because an instance that has just started counts
+    // the remaining times from its first read.
+    if (!mIsFlushInFlight && mBatch.IsEmpty()) {
+      mUnextendedWorkers.clear();
+      AddLeaseRecords(mClock.Now());
+      if (!mBatch.IsEmpty()) {
+        SendBatch();
+      }
+    }
     EndTerm();
   }
   mLeadership.Resign();
@@ -330,16 +350,26 @@
          mWorkerDeletions.count(aWorkerId) == 0;
 }
 
+void
+Cell::UpdateLease(const std::string& aWorkerId)
+{
+  const auto known = mWorkers.find(aWorkerId);
+  if (mDispatcher != nullptr && known != mWorkers.end()) {
+    mDispatcher->SetMayExtendLease(aWorkerId,
+                                   IsRecorded(aWorkerId, known->second) &&
+                                     mUnextendedWorkers.count(aWorkerId) == 0,
+                                   mClock.Now());
+  }
+}
+
 void
 Cell::AddToDispatcher(const std::string& aWorkerId, const KnownWorker& aWorker)
 {
-  const TimePoint now = mClock.Now();
-  const bool isRecorded = IsRecorded(aWorkerId, aWorker);
-  if (!isRecorded) {
+  if (!IsRecorded(aWorkerId, aWorker)) {
     mWorkersToRecord.insert(aWorkerId);
   }
-  mDispatcher->SetWorker(aWorker.mEntry, now);
-  mDispatcher->SetMayExtendLease(aWorkerId, isRecorded, now);
+  mDispatcher->SetWorker(aWorker.mEntry, mClock.Now());
+  UpdateLease(aWorkerId);
 }
 
 void
@@ -390,12 +420,9 @@
       mModelRecord = aRecord.mValue;
       break;
     case jobs::RecordKind::Worker:
-      OnJournaledWorker(key->mId, aRecord);
-      // The reader delivers nothing older, against which the offset guards.
-      if (!IsJournaled(key->mId) &&
-          mJournaledWorkers[key->mId].mOffset == aRecord.mOffset) {
-        mJournaledWorkers.erase(key->mId);
-      }
+    case jobs::RecordKind::WorkerLease:
+      ApplyWorkerRecord(*key, aRecord);
+      RemoveJournaledWorker(key->mId, aRecord.mOffset);
       break;
     case jobs::RecordKind::Load:
       OnLoad(aRecord.mValue);
@@ -441,6 +468,7 @@
     case jobs::RecordKind::Transfer:
     case jobs::RecordKind::Model:
     case jobs::RecordKind::Worker:
+    case jobs::RecordKind::WorkerLease:
     case jobs::RecordKind::Load:
       break;
   }
@@ -504,10 +532,7 @@
     return;
   }
   journaled.mAddress = entry->mAddress;
-  if (mDispatcher != nullptr && known != mWorkers.end()) {
-    mDispatcher->SetMayExtendLease(
-      aWorkerId, IsRecorded(aWorkerId, known->second), mClock.Now());
-  }
+  UpdateLease(aWorkerId);
   // The registry knows better, and so does a leader.
   if (known != mWorkers.end() &&
       (known->second.mIsRegistered || mDispatcher != nullptr)) {
@@ -520,6 +545,89 @@
   worker.mUnregisteredAt = mClock.Now();
 }
 
+void
+Cell::OnWorkerLease(const std::string& aWorkerId, const LogRecord& aRecord)
+{
+  JournaledWorker& journaled = mJournaledWorkers[aWorkerId];
+  if (aRecord.mOffset <= journaled.mLeaseOffset) {
+    return;
+  }
+  journaled.mLeaseOffset = aRecord.mOffset;
+  journaled.mLeaseEpoch = 0;
+  if (aRecord.mValue.empty()) {
+    mUnextendedWorkers.erase(aWorkerId);
+    UpdateLease(aWorkerId);
+    return;
+  }
+  const auto record = DecodeWorkerLease(aRecord.mValue);
+  if (!record) {
+    logging::Write(
+      logging::Level::Warning,
+      "worker_lease_record_skipped",
+      { { "worker", aWorkerId }, { "problem", record.error().mDetail } });
+    return;
+  }
+  journaled.mLeaseEpoch = record.value().mEpoch;
+  journaled.mLeaseEndsAt =
+    mClock.Now() + std::chrono::milliseconds(record.value().mRemainingMs) *
+                     100 / kMinClockPercent;
+}
+
+bool
+Cell::ApplyWorkerRecord(const jobs::RecordKey& aKey, const LogRecord& aRecord)
+{
+  if (aKey.mKind == jobs::RecordKind::Worker) {
+    OnJournaledWorker(aKey.mId, aRecord);
+    return true;
+  }
+  if (aKey.mKind == jobs::RecordKind::WorkerLease) {
+    OnWorkerLease(aKey.mId, aRecord);
+    return true;
+  }
+  return false;
+}
+
+void
+Cell::RemoveJournaledWorker(const std::string& aWorkerId,
+                            std::int64_t aReadOffset)
+{
+  const auto found = mJournaledWorkers.find(aWorkerId);
+  if (found == mJournaledWorkers.end()) {
+    return;
+  }
+  // The reader delivers nothing older, against which the offsets guard.
+  const JournaledWorker& journaled = found->second;
+  if (journaled.mAddress.empty() && journaled.mLeaseEpoch == 0 &&
+      std::max(journaled.mOffset, journaled.mLeaseOffset) == aReadOffset) {
+    mJournaledWorkers.erase(found);
+  }
+}
+
+void
+Cell::AddLeaseRecords(TimePoint aSilentSince)
+{
+  const TimePoint now = mClock.Now();
+  for (const auto& it : mUnextendedWorkers) {
+    if (!mDispatcher->IsSilent(it)) {
+      AddRecord(jobs::RecordKind::WorkerLease, it, "");
+    }
+  }
+  for (const auto& it : mDispatcher->ListSilent(aSilentSince)) {
+    if (!IsJournaled(it.mId) || !mUnextendedWorkers.insert(it.mId).second) {
+      continue;
+    }
+    UpdateLease(it.mId);
+    const std::int64_t remaining =
+      std::max<std::int64_t>(0, ToMs(it.mLeaseEndsAt - now)) + 1;
+    logging::Write(logging::Level::Info,
+                   "worker_lease_recorded",
+                   { { "worker", it.mId }, { "remaining_ms", remaining } });
+    AddRecord(jobs::RecordKind::WorkerLease,
+              it.mId,
+              EncodeWorkerLease({ mEpoch, remaining }));
+  }
+}
+
 void
 Cell::AddWorkerRecords()
 {
@@ -557,6 +665,7 @@
     // The worker is forgotten once the deletion is stored, unless it returns to
     // the registry before.
     AddRecord(jobs::RecordKind::Worker, it->first, "");
+    AddRecord(jobs::RecordKind::WorkerLease, it->first, "");
     mWorkerDeletions.insert(it->first);
     ++it;
   }
@@ -717,6 +826,7 @@
   mJobsToAdd.clear();
   mWorkersToRecord.clear();
   mWorkerDeletions.clear();
+  mUnextendedWorkers.clear();
   mEpoch = 0;
   mStartsHeldAt.reset();
   mTransfersToStore.clear();
@@ -782,6 +892,12 @@
   }
   for (const auto& [id, worker] : mWorkers) {
     AddToDispatcher(id, worker);
+    const auto journaled = mJournaledWorkers.find(id);
+    if (journaled != mJournaledWorkers.end() &&
+        journaled->second.mLeaseEpoch != 0 &&
+        journaled->second.mLeaseEpoch == mLeadership.PreviousEpoch()) {
+      mDispatcher->SetEarlierLeaseEnd(id, journaled->second.mLeaseEndsAt);
+    }
     if (!worker.mIsRegistered) {
       mDispatcher->OnWorkerUnregistered(id, worker.mUnregisteredAt);
     }
@@ -1046,10 +1162,14 @@
     SendBatch();
     return;
   }
+  if (now >= mNextLeaseCheckAt) {
+    mNextLeaseCheckAt = now + kLeaseCheckInterval;
+    AddLeaseRecords(now - kMinSilence);
+  }
   auto [batch, dirty] = mDispatcher->TakeDirty();
   const bool isLoadDue = mOptions.mCellCount > 1 && now >= mNextLoadAt;
   if (dirty.empty() && mTransfersToStore.empty() && mWorkersToRecord.empty() &&
-      !isLoadDue) {
+      !isLoadDue && mBatch.IsEmpty()) {
     mDispatcher->OnDurable(batch, now);
     return;
   }
@@ -1136,8 +1256,8 @@
   for (const auto& it : mBatch.Next()) {
     mJobs.Apply(it.mKey, it.mValue, offset);
     const auto key = jobs::ParseRecordKey(it.mKey);
-    if (key && key->mKind == jobs::RecordKind::Worker) {
-      OnJournaledWorker(key->mId, { it.mKey, it.mValue, offset });
+    if (key) {
+      ApplyWorkerRecord(*key, { it.mKey, it.mValue, offset });
     }
     ++offset;
   }
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -191,7 +191,7 @@
                      { "holder", leaderRecord.mLeaderId },
                      { "offset", aRecord.mOffset } });
   }
-  mNewestRecord = leaderRecord;
+  SetNewestRecord(leaderRecord);
   mNewestReadAt = mClock.Now();
   if (mOwnEpoch && (!isOwn || leaderRecord.mEpoch != *mOwnEpoch)) {
     StepDown();
@@ -290,12 +290,21 @@
   mOwnEpoch.reset();
 }
 
+void
+Leadership::SetNewestRecord(const LeaderRecord& aRecord)
+{
+  if (mNewestRecord && aRecord.mEpoch > mNewestRecord->mEpoch) {
+    mPreviousEpoch = mNewestRecord->mEpoch;
+  }
+  mNewestRecord = aRecord;
+}
+
 void
 Leadership::BecomeLeader(std::int64_t aEpoch, TimePoint aClaimedAt)
 {
   mOwnEpoch = aEpoch;
   mConfirmedAt = aClaimedAt;
-  mNewestRecord = LeaderRecord{ aEpoch, mInstanceId, false };
+  SetNewestRecord({ aEpoch, mInstanceId, false });
   mNewestReadAt = mClock.Now();
   mNextAppendAt = mNewestReadAt + kRenewInterval;
   logging::Write(
--- a/src/node/worker_records_test.cpp
+++ b/src/node/worker_records_test.cpp
@@ -1,4 +1,5 @@
 #include "skylarkhill/base/random.hpp"
+#include "skylarkhill/node/worker_lease_record.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -40,6 +41,9 @@
   CPPUNIT_TEST(RecordsAWorkerAgainAtItsNewAddress);
   CPPUNIT_TEST(RecordsAWorkerThatReturnsBeforeItsDeletionIsStored);
   CPPUNIT_TEST(StartsNothingOnAWorkerThatCannotBeRecorded);
+  CPPUNIT_TEST(StartsTasksOfADeadWorkerOnceItsLeaseHasEnded);
+  CPPUNIT_TEST(ExtendsNoLeaseBeforeItsPromiseIsDeleted);
+  CPPUNIT_TEST(IgnoresPromisesOfEarlierLeaders);
   CPPUNIT_TEST(RunsEveryTaskOnceWhileTheRegistryLosesWorkers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -178,6 +182,91 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w2"].mRuns.size());
   }
 
+  // A worker dies, and the leader restarts once or twice. Guards against a
+  // successor that waits for the longest lease that any worker may have, and
+  // against a wait that begins anew with each change of the leader.
+  void StartsTasksOfADeadWorkerOnceItsLeaseHasEnded()
+  {
+    // The lease, measured on a slow clock, and the time until a leader is
+    // replaced.
+    constexpr milliseconds kLimit{ 6600 + 1000 };
+    constexpr milliseconds kGap{ 1000 };
+    for (int restarts = 1; restarts <= 2; ++restarts) {
+      Restart();
+      StartLeader(2);
+      Store("workers", "w2", "1");
+      SubmitSpread("a", 2);
+      Advance(milliseconds(1000));
+      Store("workers", "w3", "1");
+      Advance(milliseconds(1000));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w2"].mRuns.size());
+      const base::TimePoint diedAt = mClock.Now();
+      mWorkers["w2"].mRuns.clear();
+      const auto die = [&] {
+        for (auto& it : mInstances) {
+          it->mClient.mUnreachable.insert("w2");
+        }
+      };
+      die();
+      Advance(milliseconds(4000));
+      for (int n = 0; n < restarts; ++n) {
+        RestartLeader();
+        die();
+        Advance(kGap);
+      }
+      Advance(diedAt + kLimit - mClock.Now());
+      CheckRuns(2);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w3"].mRuns.size());
+    }
+  }
+
+  // A silent worker returns while the log does not answer. Guards against a
+  // lease that outlasts the time that the next leader waits for.
+  void ExtendsNoLeaseBeforeItsPromiseIsDeleted()
+  {
+    Instance& leader = StartLeader(1);
+    Advance(milliseconds(1000));
+    leader.mClient.mUnreachable.insert("w1");
+    Advance(milliseconds(3000));
+    leader.mLog.mUnwritableTopics.insert("journal");
+    const std::int64_t leaseEnd = mWorkers["w1"].mLeaseEndMs;
+    leader.mClient.mUnreachable.clear();
+    Advance(milliseconds(2000));
+    CPPUNIT_ASSERT_EQUAL(leaseEnd, mWorkers["w1"].mLeaseEndMs);
+    leader.mLog.mUnwritableTopics.clear();
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT(mWorkers["w1"].mLeaseEndMs > leaseEnd);
+  }
+
+  // The promise comes from the leader before the previous one, which has
+  // extended the lease without deleting it, as a version without such records
+  // does. Guards against a second run beside the first one.
+  void IgnoresPromisesOfEarlierLeaders()
+  {
+    StartLeader(2);
+    SubmitSpread("a", 1);
+    Advance(milliseconds(1000));
+    const std::int64_t epoch = NewestEpoch();
+    RestartLeader();
+    Advance(milliseconds(3000));
+    CPPUNIT_ASSERT(NewestEpoch() > epoch);
+    Store("journal", "e/w1", EncodeWorkerLease({ epoch, 1 }));
+    Store("workers", "w2", "1");
+    Advance(milliseconds(1000));
+    for (auto& it : mInstances) {
+      it->mClient.mUnreachable.insert("w1");
+    }
+    RestartLeader();
+    mInstances.back()->mClient.mUnreachable.insert("w1");
+    const base::TimePoint end = mClock.Now() + kLeasesTime;
+    while (mWorkers["w2"].mRuns.empty() && mClock.Now() < end) {
+      Advance(kStep);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w2"].mRuns.size());
+    CPPUNIT_ASSERT(base::ToMicros(mClock.Now()) / 1000 >
+                   mWorkers["w1"].mLeaseEndMs);
+  }
+
   // Workers leave the registry and return, instances are killed and restarted,
   // and appends are lost, at random times. Guards against two runs of a task at
   // the same time, and against tasks that are never started again.
