Create the occurrences of a job when they are due

Cause: the tasks of all occurrences were created when the leader got the job.

Jobs that are stored in ranges free completed occurrences once their progress is durable, and have about 2,000 tasks in memory at most.

Evidence: LimitsTheMemoryOfJobsWithManyOccurrences fails without the change.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -304,12 +304,12 @@
                             kZeroValueFactor * static_cast<double>(objective));
     job->mIsStartRecorded = aJob.mProgress.mMayHaveStarted;
     job->mIsStartRecordRequested = job->mIsStartRecorded;
-    CreateOccurrences(
-      *job, mColocationModel, aIsFromEarlierTerm && job->mIsStartRecorded);
-    RestoreProgress(*job, aJob, mLimits.mMaxTasksPerRecord);
+    job->mMayHaveEarlierRuns = aIsFromEarlierTerm && job->mIsStartRecorded;
+    RestoreProgress(*job, mColocationModel, aJob, mLimits.mMaxTasksPerRecord);
     ScheduledJob& added = *job;
     mJobs[added.mSubmission.mId] = std::move(job);
-    BeginDueOccurrences(added, mUnixMs);
+    ReleaseOccurrences(added);
+    BeginDueOccurrences(added, mColocationModel, mUnixMs);
     UpdateReadySteps(added);
     RequestTick(aNow);
   }
@@ -737,6 +737,12 @@
     if (found == mJobs.end()) {
       return nullptr;
     }
+    // The clock of the leader that has begun the occurrence may be ahead.
+    if (!IsFinal(found->second->mState) &&
+        BeginOccurrencesUpTo(
+          *found->second, mColocationModel, aTask.mOccurrence)) {
+      UpdateReadySteps(*found->second);
+    }
     StepState* step = FindStep(*found->second, aTask.mOccurrence, aTask.mStep);
     if (step == nullptr || aTask.mIndex < 0 ||
         aTask.mIndex >= static_cast<int>(step->mTasks.size())) {
@@ -776,14 +782,15 @@
     if (IsFinal(aJob.mState)) {
       return;
     }
-    bool isComplete = true;
+    bool isComplete =
+      static_cast<int>(aJob.mOccurrences.size()) == CountOccurrences(aJob);
     for (auto& occurrence : aJob.mOccurrences) {
       for (StepState& step : occurrence->mSteps) {
         const bool isStepDone =
           step.mDoneCount == static_cast<int>(step.mTasks.size()) &&
           !step.mSpec->mIsService;
         isComplete = isComplete && isStepDone;
-        if (isStepDone || step.mIsReady || !occurrence->mIsBegun) {
+        if (isStepDone || step.mIsReady) {
           continue;
         }
         const auto& dependencies = step.mSpec->mDependsOn;
@@ -807,7 +814,13 @@
   void BeginOccurrences()
   {
     for (auto& [id, job] : mJobs) {
-      if (BeginDueOccurrences(*job, mUnixMs)) {
+      if (IsFinal(job->mState)) {
+        continue;
+      }
+      if (IsDurable(*job)) {
+        ReleaseOccurrences(*job);
+      }
+      if (BeginDueOccurrences(*job, mColocationModel, mUnixMs)) {
         UpdateReadySteps(*job);
       }
     }
@@ -860,15 +873,20 @@
            !aJob.mIsStartRecordRequested;
   }
 
+  /// True if the log has all changes of the job's progress.
+  bool IsDurable(const ScheduledJob& aJob) const
+  {
+    return !aJob.mIsDirty &&
+           (!aJob.mLastBatch || *aJob.mLastBatch < mDurableBatch);
+  }
+
   void RemoveEndedJobs()
   {
     for (auto it = mJobs.begin(); it != mJobs.end();) {
       ScheduledJob& job = *it->second;
       // If a job were removed before its end is durable, a repeated submission
       // would be treated as a new job.
-      const bool isDurable =
-        !job.mIsDirty && (!job.mLastBatch || *job.mLastBatch < mDurableBatch);
-      if (IsFinal(job.mState) && isDurable && !HasRuns(job)) {
+      if (IsFinal(job.mState) && IsDurable(job) && !HasRuns(job)) {
         it = mJobs.erase(it);
       } else {
         ++it;
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdlib>
+#include <malloc.h>
 #include <map>
 #include <set>
 #include <utility>
@@ -346,6 +347,7 @@
   CPPUNIT_TEST(LimitsTheWorkOfAcknowledgementsInALargeSite);
   CPPUNIT_TEST(LimitsThePlacementWorkOfBackfillInAnIdleSite);
   CPPUNIT_TEST(LimitsTheWorkOfATakeoverInALargeSite);
+  CPPUNIT_TEST(LimitsTheMemoryOfJobsWithManyOccurrences);
   CPPUNIT_TEST(PollsAllWorkersAtTheLimitOfPolls);
   CPPUNIT_TEST(RequestsATickForADelayedPlacementRound);
   CPPUNIT_TEST(PlacesAnUrgentJobDespiteABacklogWithoutDelay);
@@ -456,6 +458,28 @@
     CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Failed);
   }
 
+  // Otherwise accepted jobs take the leader, and each successor, over the
+  // memory of an instance.
+  void LimitsTheMemoryOfJobsWithManyOccurrences()
+  {
+    constexpr int kJobs = 160;
+    constexpr std::size_t kMaxBytes = std::size_t{ 256 } << 20;
+    FakeSite site;
+    site.AddWorker("w1");
+    auto& leader = site.AddLeader(1);
+    const auto allocated = [] {
+      const auto info = mallinfo2();
+      return info.uordblks + info.hblkhd;
+    };
+    const std::size_t before = allocated();
+    for (int n = 0; n < kJobs; ++n) {
+      jobs::JobEntry job = MakeJob("job-" + std::to_string(n), { 8, 8 });
+      job.mSubmission->mRequest.mOccurrences = 720;
+      leader.GetDispatcher().AddJob(job, false, site.Now());
+    }
+    CPPUNIT_ASSERT(allocated() - before < kMaxBytes);
+  }
+
   void RestartsAServiceTaskAfterFailures()
   {
     FakeSite site;
--- a/src/dispatch/job_state.cpp
+++ b/src/dispatch/job_state.cpp
@@ -3,6 +3,7 @@
 #include "skylarkhill/jobs/job_codec.hpp"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 #include <vector>
 
@@ -10,15 +11,81 @@
 
 namespace {
 
+/// Maximum number of tasks of one job in memory, if the job has more than one
+/// occurrence.
+constexpr int kMaxTasksInMemory = 2000;
+
+/// Number of tasks of one occurrence.
+int
+CountTasksPerOccurrence(const ScheduledJob& aJob)
+{
+  int n = 0;
+  for (const auto& it : aJob.mSubmission.mRequest.mSteps) {
+    n += it.mCount;
+  }
+  return n;
+}
+
 /// Number of tasks of all occurrences.
 std::int64_t
 CountTasks(const ScheduledJob& aJob)
 {
-  std::int64_t n = 0;
-  for (const auto& it : aJob.mSubmission.mRequest.mSteps) {
-    n += it.mCount;
+  return std::int64_t{ CountTasksPerOccurrence(aJob) } * CountOccurrences(aJob);
+}
+
+/// Creates the next occurrence with its steps and tasks.
+void
+AddOccurrence(ScheduledJob& aJob, ColocationModel& aModel)
+{
+  const auto& request = aJob.mSubmission.mRequest;
+  auto occurrence = std::make_unique<OccurrenceState>();
+  occurrence->mSteps.resize(request.mSteps.size());
+  for (std::size_t index = 0; index < request.mSteps.size(); ++index) {
+    StepState& step = occurrence->mSteps[index];
+    step.mJob = &aJob;
+    step.mSpec = &request.mSteps[index];
+    step.mOccurrence = static_cast<int>(aJob.mOccurrences.size());
+    step.mIndex = static_cast<int>(index);
+    step.mImage = aModel.Intern(step.mSpec->mImage);
+    step.mTasks.resize(static_cast<std::size_t>(step.mSpec->mCount));
+    step.mWaitingCount = step.mSpec->mCount;
+    int position = 0;
+    for (TaskState& task : step.mTasks) {
+      task.mStep = &step;
+      task.mIndex = position++;
+      task.mMayHaveEarlierRun = aJob.mMayHaveEarlierRuns;
+      task.mLastRun = 0;
+    }
+  }
+  // Steps depend only on steps with lower indexes.
+  for (std::size_t index = occurrence->mSteps.size(); index-- > 0;) {
+    StepState& step = occurrence->mSteps[index];
+    step.mCriticalPathMs += step.mSpec->mEstimateMs;
+    for (const int it : step.mSpec->mDependsOn) {
+      auto& dependency = occurrence->mSteps[static_cast<std::size_t>(it)];
+      dependency.mCriticalPathMs =
+        std::max(dependency.mCriticalPathMs, step.mCriticalPathMs);
+    }
   }
-  return n * static_cast<std::int64_t>(aJob.mOccurrences.size());
+  aJob.mOccurrences.push_back(std::move(occurrence));
+  ++aJob.mUnreleasedCount;
+}
+
+/// True if all tasks are done and have no runs.
+bool
+IsComplete(const OccurrenceState& aOccurrence)
+{
+  return std::all_of(aOccurrence.mSteps.begin(),
+                     aOccurrence.mSteps.end(),
+                     [](const StepState& aStep) {
+                       return aStep.mDoneCount ==
+                                static_cast<int>(aStep.mTasks.size()) &&
+                              std::all_of(aStep.mTasks.begin(),
+                                          aStep.mTasks.end(),
+                                          [](const TaskState& aTask) {
+                                            return aTask.mRuns.empty();
+                                          });
+                     });
 }
 
 /// Returns the task, or null if the job has none at this position.
@@ -101,59 +168,16 @@
 
 } // namespace
 
-void
-CreateOccurrences(ScheduledJob& aJob,
-                  ColocationModel& aModel,
-                  bool aMayHaveEarlierRuns)
-{
-  const auto& request = aJob.mSubmission.mRequest;
-  const int count = std::max(1, request.mOccurrences);
-  for (int n = 0; n < count; ++n) {
-    auto occurrence = std::make_unique<OccurrenceState>();
-    occurrence->mNumber = n;
-    occurrence->mStartAtMs = request.mOccurrences > 0
-                               ? request.mFirstStartMs + n * request.mIntervalMs
-                               : 0;
-    occurrence->mSteps.resize(request.mSteps.size());
-    for (std::size_t index = 0; index < request.mSteps.size(); ++index) {
-      StepState& step = occurrence->mSteps[index];
-      step.mJob = &aJob;
-      step.mSpec = &request.mSteps[index];
-      step.mOccurrence = n;
-      step.mIndex = static_cast<int>(index);
-      step.mImage = aModel.Intern(step.mSpec->mImage);
-      step.mTasks.resize(static_cast<std::size_t>(step.mSpec->mCount));
-      step.mWaitingCount = step.mSpec->mCount;
-      int position = 0;
-      for (TaskState& task : step.mTasks) {
-        task.mStep = &step;
-        task.mIndex = position++;
-        task.mMayHaveEarlierRun = aMayHaveEarlierRuns;
-        task.mLastRun = 0;
-      }
-    }
-    // Steps depend only on steps with lower indexes.
-    for (std::size_t index = occurrence->mSteps.size(); index-- > 0;) {
-      StepState& step = occurrence->mSteps[index];
-      step.mCriticalPathMs += step.mSpec->mEstimateMs;
-      for (const int it : step.mSpec->mDependsOn) {
-        auto& dependency = occurrence->mSteps[static_cast<std::size_t>(it)];
-        dependency.mCriticalPathMs =
-          std::max(dependency.mCriticalPathMs, step.mCriticalPathMs);
-      }
-    }
-    aJob.mOccurrences.push_back(std::move(occurrence));
-  }
-}
-
 void
 RestoreProgress(ScheduledJob& aJob,
+                ColocationModel& aModel,
                 const jobs::JobEntry& aStored,
                 int aMaxTasksPerRecord)
 {
   aJob.mTasksPerRange =
     CountTasks(aJob) > aMaxTasksPerRecord ? aMaxTasksPerRecord : 0;
   for (const auto& it : aStored.mProgress.mSteps) {
+    BeginOccurrencesUpTo(aJob, aModel, it.mOccurrence);
     RestoreTasks(aJob, it);
   }
   std::vector<const jobs::StoredTaskRange*> ranges;
@@ -169,6 +193,7 @@
     // The job table has logged malformed ranges.
     const auto range = jobs::DecodeTaskRange(it->mBytes);
     if (range) {
+      BeginOccurrencesUpTo(aJob, aModel, range.value().mProgress.mOccurrence);
       RestoreTasks(aJob, range.value().mProgress);
     }
   }
@@ -229,15 +254,73 @@
   }
 }
 
+int
+CountOccurrences(const ScheduledJob& aJob)
+{
+  return std::max(1, aJob.mSubmission.mRequest.mOccurrences);
+}
+
 bool
-BeginDueOccurrences(ScheduledJob& aJob, std::int64_t aUnixMs)
+BeginDueOccurrences(ScheduledJob& aJob,
+                    ColocationModel& aModel,
+                    std::int64_t aUnixMs)
 {
+  const auto& request = aJob.mSubmission.mRequest;
   bool hasChanged = false;
-  for (auto& it : aJob.mOccurrences) {
-    if (!it->mIsBegun && it->mStartAtMs <= aUnixMs) {
-      it->mIsBegun = true;
+  for (auto n = static_cast<int>(aJob.mOccurrences.size());
+       n < CountOccurrences(aJob);
+       ++n) {
+    const std::int64_t dueAtMs =
+      request.mOccurrences > 0 ? request.mFirstStartMs + n * request.mIntervalMs
+                               : 0;
+    // Only jobs with ranges release occurrences.
+    const bool isFull =
+      aJob.mTasksPerRange > 0 && aJob.mUnreleasedCount > 0 &&
+      (aJob.mUnreleasedCount + 1) * CountTasksPerOccurrence(aJob) >
+        kMaxTasksInMemory;
+    if (dueAtMs > aUnixMs || isFull) {
+      break;
+    }
+    AddOccurrence(aJob, aModel);
+    hasChanged = true;
+  }
+  return hasChanged;
+}
+
+bool
+BeginOccurrencesUpTo(ScheduledJob& aJob,
+                     ColocationModel& aModel,
+                     int aOccurrence)
+{
+  const int end = std::min(aOccurrence + 1, CountOccurrences(aJob));
+  bool hasChanged = false;
+  while (static_cast<int>(aJob.mOccurrences.size()) < end) {
+    AddOccurrence(aJob, aModel);
+    hasChanged = true;
+  }
+  return hasChanged;
+}
+
+bool
+ReleaseOccurrences(ScheduledJob& aJob)
+{
+  // Without ranges, each record of the job holds the progress of all tasks.
+  if (aJob.mTasksPerRange == 0 || !aJob.mChangedRanges.empty()) {
+    return false;
+  }
+  auto& occurrences = aJob.mOccurrences;
+  bool hasChanged = false;
+  for (std::size_t n = aJob.mFirstUnreleased; n < occurrences.size(); ++n) {
+    auto& steps = occurrences[n]->mSteps;
+    if (!steps.empty() && IsComplete(*occurrences[n])) {
+      steps.clear();
+      steps.shrink_to_fit();
+      --aJob.mUnreleasedCount;
       hasChanged = true;
     }
+    if (steps.empty() && n == aJob.mFirstUnreleased) {
+      ++aJob.mFirstUnreleased;
+    }
   }
   return hasChanged;
 }
--- a/src/dispatch/job_state.hpp
+++ b/src/dispatch/job_state.hpp
@@ -10,18 +10,35 @@
 
 namespace skylarkhill::dispatch {
 
-/// Creates the occurrences, steps and tasks of `aJob`. `aMayHaveEarlierRuns` is
-/// true if an earlier leader may have started tasks.
-void
-CreateOccurrences(ScheduledJob& aJob,
-                  ColocationModel& aModel,
-                  bool aMayHaveEarlierRuns);
+/// Number of occurrences of the job, begun or not.
+int
+CountOccurrences(const ScheduledJob& aJob);
+
+/// Begins the occurrences that are due, as far as the job may have more tasks
+/// in memory. Returns true if there were any.
+bool
+BeginDueOccurrences(ScheduledJob& aJob,
+                    ColocationModel& aModel,
+                    std::int64_t aUnixMs);
+
+/// Begins the occurrences up to `aOccurrence`, which an earlier leader has
+/// begun. Returns true if there were any.
+bool
+BeginOccurrencesUpTo(ScheduledJob& aJob,
+                     ColocationModel& aModel,
+                     int aOccurrence);
+
+/// Frees the tasks of completed occurrences. The progress of the job must be
+/// durable. Returns true if there were any.
+bool
+ReleaseOccurrences(ScheduledJob& aJob);
 
 /// Decides how the progress of `aJob` is stored, and restores its tasks from
 /// `aStored`. A record holds the progress of at most `aMaxTasksPerRecord`
 /// tasks.
 void
 RestoreProgress(ScheduledJob& aJob,
+                ColocationModel& aModel,
                 const jobs::JobEntry& aStored,
                 int aMaxTasksPerRecord);
 
@@ -34,11 +51,8 @@
 void
 MarkChanged(const TaskState& aTask);
 
-/// Begins the occurrences that are due and returns true if there were any.
-bool
-BeginDueOccurrences(ScheduledJob& aJob, std::int64_t aUnixMs);
-
-/// Returns the step, or null if the job has none at this position.
+/// Returns the step, or null if the job has none at this position, or if its
+/// occurrence has not begun or has been released.
 StepState*
 FindStep(ScheduledJob& aJob, int aOccurrence, int aStep);
 
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -127,10 +127,7 @@
 
 struct OccurrenceState
 {
-  int mNumber = 0;
-  /// Unix time from which the occurrence may run.
-  std::int64_t mStartAtMs = 0;
-  bool mIsBegun = false;
+  /// Empty once all tasks are done and their progress no longer changes.
   std::vector<StepState> mSteps;
 };
 
@@ -148,7 +145,14 @@
   /// reported to it.
   bool mIsStartRecordRequested = false;
   bool mIsStartRecorded = false;
+  /// The occurrences that have begun.
   std::vector<std::unique_ptr<OccurrenceState>> mOccurrences;
+  /// An earlier leader may have started tasks.
+  bool mMayHaveEarlierRuns = false;
+  /// Index before which all occurrences have been released.
+  std::size_t mFirstUnreleased = 0;
+  /// Occurrences that have not been released.
+  int mUnreleasedCount = 0;
   /// Number of tasks per jobs::TaskRange; 0 if the progress of all tasks is
   /// stored in one record.
   int mTasksPerRange = 0;
--- a/src/node/log_limits_test.cpp
+++ b/src/node/log_limits_test.cpp
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(DropsOnlyTheRecordThatTheLogRefuses);
   CPPUNIT_TEST(RejectsAJobThatCannotBeStored);
   CPPUNIT_TEST(StoresTheProgressOfAJobWithManyTasks);
+  CPPUNIT_TEST(RunsEveryTaskOfManyOccurrencesOnce);
   CPPUNIT_TEST(RestoresAJobWithManyTasksFromOneRecord);
   CPPUNIT_TEST_SUITE_END();
 
@@ -176,6 +177,49 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, SizeOfNewest("r/a/0.1.0"));
   }
 
+  // Occurrences begin while the leader changes. Otherwise tasks of an
+  // occurrence that a leader has begun, or released, run again or never.
+  void RunsEveryTaskOfManyOccurrencesOnce()
+  {
+    constexpr int kOccurrences = 200;
+    constexpr std::size_t kTasks = std::size_t{ kOccurrences } * 16;
+    mLogLimits.mMaxRecordBytes = 4000;
+    mState.mLimits = mLogLimits;
+    Instance* leader = &StartLeader(1);
+    jobs::Step second = MakeStep(8, "");
+    second.mDependsOn = { 0 };
+    jobs::Submission submission = MakeSubmission("a");
+    submission.mRequest.mSteps = { MakeStep(8, ""), second };
+    submission.mRequest.mOccurrences = kOccurrences;
+    submission.mRequest.mIntervalMs = 1;
+    Store("journal",
+          jobs::FormatRecordKey(jobs::RecordKind::Submission, "a"),
+          jobs::EncodeSubmission(submission));
+    std::set<std::string> started;
+    std::size_t starts = 0;
+    std::size_t nextRestart = kTasks / 3;
+    for (int n = 0; started.size() < kTasks; ++n) {
+      CPPUNIT_ASSERT_MESSAGE("the job makes no progress", n < 800);
+      Advance(milliseconds(200));
+      for (; starts < leader->mClient.mStarts.size(); ++starts) {
+        const std::string task = ToText(leader->mClient.mStarts[starts].mTask);
+        CPPUNIT_ASSERT_MESSAGE(task, started.insert(task).second);
+      }
+      if (started.size() >= nextRestart) {
+        nextRestart += kTasks / 3;
+        // The next leader finds active runs, and ends that are not durable.
+        mInstances.clear();
+        AddInstances(1);
+        leader = mInstances.front().get();
+        starts = 0;
+      }
+      EndRuns();
+    }
+    Advance(milliseconds(15000));
+    CPPUNIT_ASSERT(StateOf("a") == jobs::JobState::Completed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, mWorkers["w1"].mEndedRuns.size());
+  }
+
   // The record was written by a version without ranges, or with another limit.
   // Otherwise its done tasks are in no record of the next leader.
   void RestoresAJobWithManyTasksFromOneRecord()
