--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -137,8 +137,7 @@
     std::string mAddress;
     /// Offset of the newest WorkerLeaseRecord or its deletion.
     std::int64_t mLeaseOffset = -1;
-    /// Epoch of the leader that promised not to extend the lease; 0 if there is
-    /// no such promise.
+    /// WorkerLeaseRecord::mEpoch; 0 if there is no such record.
     std::int64_t mLeaseEpoch = 0;
     base::TimePoint mLeaseEndsAt;
   };
@@ -165,8 +164,8 @@
                          const LogRecord& aRecord);
   /// Like OnJournaledWorker, for a WorkerLeaseRecord or its deletion.
   void OnWorkerLease(const std::string& aWorkerId, const LogRecord& aRecord);
-  /// Applies a record about a worker. Returns false if it is another record.
-  bool ApplyWorkerRecord(const jobs::RecordKey& aKey, const LogRecord& aRecord);
+  /// Applies the record if it is about a worker.
+  void ApplyWorkerRecord(const jobs::RecordKey& aKey, const LogRecord& aRecord);
   /// Forgets a worker of which the journal has only deletions, the last of them
   /// at the offset that was read.
   void RemoveJournaledWorker(const std::string& aWorkerId,
@@ -192,8 +191,9 @@
   /// Adds records to the batch for workers that are new to the journal, and
   /// deletions for workers that left the registry long enough ago.
   void AddWorkerRecords();
-  /// Promises to leave the leases of the workers alone that have been silent
-  /// since `aSilentSince`, and ends this for those that answer again.
+  /// Stops extending the leases of workers that have been silent since
+  /// `aSilentSince` and adds their records to the batch. Adds deletions for
+  /// those that answer again, whose leases are extended once these are stored.
   void AddLeaseRecords(base::TimePoint aSilentSince);
   void UpdateTerm();
   /// Tracks reads that fail while the log answers.
@@ -279,7 +279,7 @@
   /// Ids of workers whose deletions are in the batch.
   std::set<std::string> mWorkerDeletions;
   /// Ids of workers for which the journal may have a WorkerLeaseRecord of this
-  /// term.
+  /// term, so that their leases must not be extended.
   std::set<std::string> mUnextendedWorkers;
   base::TimePoint mNextLeaseCheckAt;
   base::TimePoint mNextWorkerCheckAt;
--- a/include/skylarkhill/node/worker_lease_record.hpp
+++ b/include/skylarkhill/node/worker_lease_record.hpp
@@ -9,8 +9,8 @@
 
 namespace skylarkhill::node {
 
-/// Promise of a leader to extend the lease of a worker no more until it has
-/// deleted this record.
+/// End of the lease of a worker that does not answer its leader. The leader
+/// does not extend the lease again before it has deleted the record.
 struct WorkerLeaseRecord
 {
   /// Epoch of the leader. The record says nothing about leases that leaders of
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -90,7 +90,7 @@
 /// than a few lost polls, because a worker that returns in an outage of the log
 /// gets no lease before the record is deleted.
 constexpr Duration kMinSilence = std::chrono::milliseconds(1500);
-/// Divisor for times on the clocks of other instances, which may run slow.
+/// Rate of the slowest clock of an instance, in percent.
 constexpr int kMinClockPercent = 98;
 
 /// How long an instance goes on following the registry after its claim was due.
@@ -573,18 +573,14 @@
                      100 / kMinClockPercent;
 }
 
-bool
+void
 Cell::ApplyWorkerRecord(const jobs::RecordKey& aKey, const LogRecord& aRecord)
 {
   if (aKey.mKind == jobs::RecordKind::Worker) {
     OnJournaledWorker(aKey.mId, aRecord);
-    return true;
-  }
-  if (aKey.mKind == jobs::RecordKind::WorkerLease) {
+  } else if (aKey.mKind == jobs::RecordKind::WorkerLease) {
     OnWorkerLease(aKey.mId, aRecord);
-    return true;
   }
-  return false;
 }
 
 void
--- a/src/node/worker_records_test.cpp
+++ b/src/node/worker_records_test.cpp
@@ -42,8 +42,8 @@
   CPPUNIT_TEST(RecordsAWorkerThatReturnsBeforeItsDeletionIsStored);
   CPPUNIT_TEST(StartsNothingOnAWorkerThatCannotBeRecorded);
   CPPUNIT_TEST(StartsTasksOfADeadWorkerOnceItsLeaseHasEnded);
-  CPPUNIT_TEST(ExtendsNoLeaseBeforeItsPromiseIsDeleted);
-  CPPUNIT_TEST(IgnoresPromisesOfEarlierLeaders);
+  CPPUNIT_TEST(ExtendsNoLeaseBeforeItsRecordIsDeleted);
+  CPPUNIT_TEST(IgnoresLeaseRecordsOfEarlierLeaders);
   CPPUNIT_TEST(RunsEveryTaskOnceWhileTheRegistryLosesWorkers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -222,7 +222,7 @@
 
   // A silent worker returns while the log does not answer. Guards against a
   // lease that outlasts the time that the next leader waits for.
-  void ExtendsNoLeaseBeforeItsPromiseIsDeleted()
+  void ExtendsNoLeaseBeforeItsRecordIsDeleted()
   {
     Instance& leader = StartLeader(1);
     Advance(milliseconds(1000));
@@ -238,10 +238,10 @@
     CPPUNIT_ASSERT(mWorkers["w1"].mLeaseEndMs > leaseEnd);
   }
 
-  // The promise comes from the leader before the previous one, which has
+  // The record comes from the leader before the previous one, which has
   // extended the lease without deleting it, as a version without such records
   // does. Guards against a second run beside the first one.
-  void IgnoresPromisesOfEarlierLeaders()
+  void IgnoresLeaseRecordsOfEarlierLeaders()
   {
     StartLeader(2);
     SubmitSpread("a", 1);
