Tell which answers are those to a second copy of a request

Cause: cxxtools::http::Client sends a request again when a connection in use is closed, and neither the program nor its log could tell. The blocking client marked every answer on a pooled connection; the loop of calls marked none.

Change: the loop counts how often a request was sent, a watcher of the blocking client sees that its connection was replaced, and both mark exactly these answers. The blocking client looks whether a pooled connection is still open before it uses it, so that a connection that was closed meanwhile is replaced before anything is sent. The outcome of an append and of a start says whether its answer is marked.

--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -118,7 +118,7 @@
   /// The worker refused a call because it has seen a higher fencing token.
   virtual void OnFenced(const std::string& aWorkerId) = 0;
   virtual void OnStartResult(const StartCall& aCall,
-                             StartOutcome aOutcome,
+                             const StartResult& aResult,
                              base::TimePoint aNow) = 0;
   virtual void OnStopResult(const StopCall& aCall,
                             CallOutcome aOutcome,
--- a/include/skylarkhill/dispatch/worker.hpp
+++ b/include/skylarkhill/dispatch/worker.hpp
@@ -136,6 +136,14 @@
 std::string_view
 NameOf(StartOutcome aOutcome);
 
+struct StartResult
+{
+  StartOutcome mOutcome = StartOutcome::Unknown;
+  /// The call was sent again because its connection was closed, and mOutcome is
+  /// the answer to the second copy.
+  bool mIsPossiblyResent = false;
+};
+
 /// Result of a stop or pace call.
 enum class CallOutcome
 {
--- a/include/skylarkhill/http/call_loop.hpp
+++ b/include/skylarkhill/http/call_loop.hpp
@@ -25,8 +25,8 @@
 public:
   virtual ~CallLoop() = default;
   /// Sends `aRequest` to `aEndpoint` ("IP:PORT") on a pooled connection. The
-  /// request may arrive twice, so it must be idempotent. `aHandler` is called
-  /// from Wait.
+  /// request may arrive twice, so it must be idempotent; the response then has
+  /// mIsPossiblyResent set. `aHandler` is called from Wait.
   virtual void Call(const std::string& aEndpoint,
                     const ClientRequest& aRequest,
                     base::TimePoint aDeadline,
--- a/include/skylarkhill/http/client.hpp
+++ b/include/skylarkhill/http/client.hpp
@@ -43,7 +43,8 @@
   /// request) or WorkerUnavailable (no connection, or the deadline had passed
   /// before the call): nothing was sent. ConnectionLost or DeadlineExceeded:
   /// the server may have received the request.
-  /// A response on a reused connection has mIsPossiblyResent set.
+  /// A response has mIsPossiblyResent set if a pooled connection was closed and
+  /// the request sent again.
   virtual base::Result<Response> Call(const ClientRequest& aRequest,
                                       base::TimePoint aDeadline) = 0;
 };
--- a/include/skylarkhill/node/shared_log.hpp
+++ b/include/skylarkhill/node/shared_log.hpp
@@ -97,6 +97,11 @@
 struct AppendResult
 {
   LogOutcome mOutcome = LogOutcome::Unknown;
+  /// The call was sent again because its connection was closed, and the answer
+  /// is that to the second copy.
+  bool mIsPossiblyResent = false;
+  /// Status code of the answer, or 0 without one. For log lines only.
+  int mStatus = 0;
   /// Offset of the first appended record.
   std::int64_t mOffset = 0;
   /// End of the stream; 0 if the response does not contain it.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -444,11 +444,11 @@
   }
 
   void OnStartResult(const StartCall& aCall,
-                     StartOutcome aOutcome,
+                     const StartResult& aResult,
                      TimePoint aNow) override
   {
     RunState* run = FindRun(aCall.mTask, aCall.mRunNumber, aCall.mWorkerId);
-    if (aOutcome == StartOutcome::Fenced) {
+    if (aResult.mOutcome == StartOutcome::Fenced) {
       OnFenced(aCall.mWorkerId);
     }
     if (run == nullptr) {
@@ -456,16 +456,19 @@
     }
     run->mIsCallInFlight = false;
     run->mNextCallAt = aNow + kResendPause;
-    if (aOutcome != StartOutcome::Started) {
+    if (aResult.mOutcome != StartOutcome::Started) {
       logging::Write(logging::Level::Info,
                      "start_not_accepted",
                      { { "task", ToText(aCall.mTask) },
                        { "run", aCall.mRunNumber },
                        { "worker", aCall.mWorkerId },
-                       { "outcome", NameOf(aOutcome) } });
+                       { "outcome", NameOf(aResult.mOutcome) },
+                       { "call", run->mCallsSent },
+                       { "resent", aResult.mIsPossiblyResent ? "yes" : "no" },
+                       { "confirmed", run->mIsConfirmed ? "yes" : "no" } });
     }
     WorkerState& worker = *run->mWorker;
-    switch (aOutcome) {
+    switch (aResult.mOutcome) {
       case StartOutcome::Started:
         ConfirmRun(*run, aNow);
         run->mNextCallAt = aNow;
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -126,7 +126,7 @@
   {
     for (; mFailedStarts < mSink.mStarts.size(); ++mFailedStarts) {
       mDispatcher->OnStartResult(
-        mSink.mStarts[mFailedStarts], StartOutcome::Unknown, mClock.Now());
+        mSink.mStarts[mFailedStarts], { StartOutcome::Unknown }, mClock.Now());
     }
   }
 
@@ -531,12 +531,12 @@
     tick(milliseconds(10));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, sink.mStarts.size());
     dispatcher->OnStartResult(
-      sink.mStarts.back(), StartOutcome::Unknown, clock.Now());
+      sink.mStarts.back(), { StartOutcome::Unknown }, clock.Now());
     tick(milliseconds(300));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, sink.mStarts.size());
     dispatcher->CancelJob("a", clock.Now());
     dispatcher->OnStartResult(
-      sink.mStarts.back(), StartOutcome::NoRoom, clock.Now());
+      sink.mStarts.back(), { StartOutcome::NoRoom }, clock.Now());
     tick(milliseconds(300));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, sink.mStops.size());
     CPPUNIT_ASSERT_EQUAL(sink.mStarts.back().mRunNumber,
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -132,7 +132,7 @@
     answeredAt = mSite.Now() + kLatency;
   }
   mPendingAnswers.emplace_back(answeredAt, [this, aCall, outcome] {
-    mDispatcher->OnStartResult(aCall, outcome, mSite.Now());
+    mDispatcher->OnStartResult(aCall, { outcome }, mSite.Now());
   });
 }
 
--- a/src/http/call_loop.cpp
+++ b/src/http/call_loop.cpp
@@ -63,6 +63,7 @@
     cxxtools::connect(
       mClient.bodyAvailable, *this, &Connection::ReadAvailableBody);
     cxxtools::connect(mClient.replyFinished, *this, &Connection::OnFinished);
+    cxxtools::connect(mClient.requestSent, *this, &Connection::OnSent);
   }
 
   void StartCall(const ClientRequest& aRequest,
@@ -75,6 +76,7 @@
     mHandler = std::move(aHandler);
     mIsFinished = false;
     mError.reset();
+    mSentCopies = 0;
     try {
       mClient.beginExecute(mRequest);
     } catch (const std::exception& e) {
@@ -130,6 +132,8 @@
     }
   }
 
+  void OnSent(cxxtools::http::Client&) { ++mSentCopies; }
+
   void OnFinished(cxxtools::http::Client& aClient)
   {
     Finish();
@@ -139,6 +143,9 @@
       mResponse = Response{};
       mResponse.mStatus = static_cast<int>(header.httpReturnCode());
       mResponse.mBody = std::move(mBody);
+      // The library sends the request again if the connection is closed before
+      // the response.
+      mResponse.mIsPossiblyResent = mSentCopies > 1;
       mBody.clear();
       // Searches "lose" to match both "close" and "Close".
       const char* connection = header.getHeader("Connection");
@@ -163,6 +170,8 @@
   TimePoint mDeadline;
   TimePoint mReusableUntil;
   std::optional<base::Error> mError;
+  /// How often the request has been sent completely.
+  int mSentCopies = 0;
   bool mIsFinished = false;
   bool mMustClose = false;
 };
--- a/src/http/call_loop_test.cpp
+++ b/src/http/call_loop_test.cpp
@@ -20,6 +20,9 @@
 /// An idle connection is closed after this time.
 constexpr base::Duration kMaxIdleTime = std::chrono::seconds(8);
 
+constexpr std::string_view kOkResponse =
+  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
 /// A server whose test decides when each response is written.
 class ManualServer
 {
@@ -52,6 +55,13 @@
     CPPUNIT_ASSERT(mConnection->ReadHead(10'000, WriteDeadline()));
   }
 
+  /// Reads a request without a body from the connection of the last one, which
+  /// the loop has sent.
+  void ReadNextRequest()
+  {
+    CPPUNIT_ASSERT(mConnection->ReadHead(10'000, WriteDeadline()));
+  }
+
   bool HasInput() const { return mConnection->IsReadable(); }
   void Close() { mConnection.reset(); }
 
@@ -127,6 +137,7 @@
   CPPUNIT_TEST(ReceivesALongResponseInOneTurn);
   CPPUNIT_TEST(ReplacesAPooledConnectionThatTheServerHasClosed);
   CPPUNIT_TEST(ReplacesAPooledConnectionThatTheServerResets);
+  CPPUNIT_TEST(MarksTheResponseToASecondCopy);
   CPPUNIT_TEST(ClosesIdleConnectionsOfUnusedEndpoints);
   CPPUNIT_TEST(ClosesTheIdleConnectionsOfABurst);
   CPPUNIT_TEST_SUITE_END();
@@ -281,6 +292,40 @@
     FinishCall(*loop, base::GetBootClock(), server, *result);
   }
 
+  // Guards against taking the response to the second copy of a request for the
+  // response to the first one, which the server may have carried out.
+  void MarksTheResponseToASecondCopy()
+  {
+    const base::Clock& clock = base::GetBootClock();
+    for (const bool isReset : { false, true }) {
+      for (const bool isWriteHandled : { false, true }) {
+        ManualServer server;
+        const auto loop = CreateCallLoop(clock);
+        const auto first = CompleteCall(*loop, clock, server);
+        CPPUNIT_ASSERT(!first.mIsPossiblyResent);
+        const auto result = StartCall(*loop, clock, server);
+        if (isWriteHandled) {
+          loop->Wait(clock.Now() + std::chrono::milliseconds(5));
+        }
+        if (isReset) {
+          // Unread input makes the end a reset.
+          while (!server.HasInput()) {
+          }
+        } else {
+          server.ReadNextRequest();
+        }
+        server.Close();
+        const auto second = FinishCall(*loop, clock, server, *result);
+        CPPUNIT_ASSERT(second.mIsPossiblyResent);
+        const auto next = StartCall(*loop, clock, server);
+        server.ReadNextRequest();
+        server.Write(kOkResponse);
+        CompleteAllCalls(*loop);
+        CPPUNIT_ASSERT(!(*next)->value().mIsPossiblyResent);
+      }
+    }
+  }
+
   // Guards against reads of the log that never end in time on a busy instance,
   // because each turn of the loop receives only a small part of a response.
   void ReceivesALongResponseInOneTurn()
@@ -386,23 +431,24 @@
   }
 
   /// Answers the call on a new connection.
-  static void FinishCall(CallLoop& aLoop,
-                         const base::Clock& aClock,
-                         ManualServer& aServer,
-                         const SharedResult::element_type& aResult)
+  static Response FinishCall(CallLoop& aLoop,
+                             const base::Clock& aClock,
+                             ManualServer& aServer,
+                             const SharedResult::element_type& aResult)
   {
     aServer.ReceiveRequest(aLoop, aClock.Now());
-    aServer.Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    aServer.Write(kOkResponse);
     CompleteAllCalls(aLoop);
     CPPUNIT_ASSERT(aResult.has_value() && aResult->has_value());
+    return aResult->value();
   }
 
-  static void CompleteCall(CallLoop& aLoop,
-                           const base::Clock& aClock,
-                           ManualServer& aServer)
+  static Response CompleteCall(CallLoop& aLoop,
+                               const base::Clock& aClock,
+                               ManualServer& aServer)
   {
     const auto result = StartCall(aLoop, aClock, aServer);
-    FinishCall(aLoop, aClock, aServer, *result);
+    return FinishCall(aLoop, aClock, aServer, *result);
   }
 
   /// The result of a call after one Wait that begins after the deadline, when
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <utility>
 
+#include "connection_watcher.hpp"
 #include "library_request.hpp"
 
 namespace skylarkhill::http {
@@ -81,14 +82,15 @@
         "request has a control character, or a space in its target");
     }
     const bool isPooled = aRequest.mDelivery == Delivery::Idempotent;
-    ClientPtr client = isPooled ? TakeIdle() : nullptr;
-    const bool isReused = client != nullptr;
-    if (client == nullptr) {
-      client = CreateUnconnectedClient();
+    ConnectionPtr connection = isPooled ? TakeIdle() : nullptr;
+    const bool isReused = connection != nullptr;
+    if (connection == nullptr) {
+      connection = CreateUnconnectedClient();
     }
-    auto response = Execute(*client, aRequest, aDeadline);
+    connection->mWatcher.Reset();
+    auto response = Execute(connection->mClient, aRequest, aDeadline);
     if (isReused && response) {
-      response.value().mIsPossiblyResent = true;
+      response.value().mIsPossiblyResent = connection->mWatcher.WasReplaced();
     }
     // The library may have sent the request on the pooled connection before the
     // connection attempt that failed.
@@ -98,51 +100,57 @@
                            std::move(response.error().mDetail));
     }
     if (response && isPooled) {
-      ReturnIdle(std::move(client));
+      ReturnIdle(std::move(connection));
     }
     return response;
   }
 
 private:
-  using ClientPtr = std::unique_ptr<cxxtools::http::Client>;
-  struct IdleConnection
+  struct Connection
   {
-    ClientPtr mClient;
+    /// Outlives the client, which refers to it.
+    ConnectionWatcher mWatcher;
+    cxxtools::http::Client mClient{ mWatcher };
     TimePoint mReusableUntil;
   };
+  using ConnectionPtr = std::unique_ptr<Connection>;
 
   // cxxtools::http::Client resends a request if its connection turns out to be
   // closed, even a POST that the server has received. It does so on a reused
   // connection and after connect(), but not if execute() itself opens the
   // connection. A request that must not arrive twice therefore gets a new
   // client that is not connected yet.
-  ClientPtr CreateUnconnectedClient() const
+  ConnectionPtr CreateUnconnectedClient() const
   {
-    auto client = std::make_unique<cxxtools::http::Client>();
-    client->prepareConnect(mOptions.mAddress, mOptions.mPort);
-    return client;
+    auto connection = std::make_unique<Connection>();
+    connection->mClient.prepareConnect(mOptions.mAddress, mOptions.mPort);
+    return connection;
   }
 
-  ClientPtr TakeIdle()
+  ConnectionPtr TakeIdle()
   {
     const std::lock_guard lock(mMutex);
     const TimePoint now = mClock.Now();
-    while (!mIdle.empty() && mIdle.front().mReusableUntil <= now) {
+    while (!mIdle.empty() && mIdle.front()->mReusableUntil <= now) {
       mIdle.pop_front();
     }
-    if (mIdle.empty()) {
-      return nullptr;
+    while (!mIdle.empty()) {
+      ConnectionPtr connection = std::move(mIdle.back());
+      mIdle.pop_back();
+      // A request that is sent to a closed connection would be sent again, and
+      // its response would not prove that it had no effect.
+      if (connection->mWatcher.IsOpenAndQuiet()) {
+        return connection;
+      }
     }
-    ClientPtr client = std::move(mIdle.back().mClient);
-    mIdle.pop_back();
-    return client;
+    return nullptr;
   }
 
-  void ReturnIdle(ClientPtr aClient)
+  void ReturnIdle(ConnectionPtr aConnection)
   {
     const std::lock_guard lock(mMutex);
-    mIdle.push_back(
-      { std::move(aClient), mClock.Now() + mOptions.mMaxIdleTime });
+    aConnection->mReusableUntil = mClock.Now() + mOptions.mMaxIdleTime;
+    mIdle.push_back(std::move(aConnection));
     if (mIdle.size() > mOptions.mMaxIdleConnections) {
       mIdle.pop_front();
     }
@@ -218,7 +226,7 @@
   const ClientOptions mOptions;
   const base::Clock& mClock;
   std::mutex mMutex;
-  std::deque<IdleConnection> mIdle;
+  std::deque<ConnectionPtr> mIdle;
 };
 
 } // namespace
--- a/src/http/client_test.cpp
+++ b/src/http/client_test.cpp
@@ -118,6 +118,7 @@
   CPPUNIT_TEST(SendsOnceDespiteABrokenPooledConnection);
   CPPUNIT_TEST(SendsOnceIfTheServerDoesNotRespond);
   CPPUNIT_TEST(IdempotentCallsReplaceAClosedPooledConnection);
+  CPPUNIT_TEST(ReplacesAClosedPooledConnectionBeforeSending);
   CPPUNIT_TEST(PooledConnectionsExpire);
   CPPUNIT_TEST(DistinguishesUnsentFromSentRequests);
   CPPUNIT_TEST(IncompleteResponsesAreErrors);
@@ -210,11 +211,38 @@
     CPPUNIT_ASSERT(first && !first.value().mIsPossiblyResent);
     const auto second = Send(*client, Delivery::Idempotent);
     CPPUNIT_ASSERT(second && second.value().mIsPossiblyResent);
-    CPPUNIT_ASSERT(Send(*client, Delivery::Idempotent));
+    // Guards against late answers to callers, because every error response on a
+    // connection in use is taken for that to a second copy.
+    const auto third = Send(*client, Delivery::Idempotent);
+    CPPUNIT_ASSERT(third && !third.value().mIsPossiblyResent);
     CPPUNIT_ASSERT_EQUAL(4, server.Requests());
     CPPUNIT_ASSERT_EQUAL(2, server.Connections());
   }
 
+  // Guards against a request that is sent to a connection which the server has
+  // closed, and then again, so that its response proves nothing.
+  void ReplacesAClosedPooledConnectionBeforeSending()
+  {
+    std::atomic<bool> isClosed{ false };
+    CountingServer server([&](Connection& aConnection, int aRequest) {
+      const bool isWritten = SendResponse(aConnection, kOk);
+      if (aRequest == 1) {
+        aConnection.EndWriting();
+        isClosed = true;
+      }
+      return isWritten;
+    });
+    const auto client = MakeClient(server);
+    CPPUNIT_ASSERT(Send(*client, Delivery::Idempotent));
+    while (!isClosed) {
+      std::this_thread::yield();
+    }
+    const auto second = Send(*client, Delivery::Idempotent);
+    CPPUNIT_ASSERT(second && !second.value().mIsPossiblyResent);
+    CPPUNIT_ASSERT_EQUAL(2, server.Requests());
+    CPPUNIT_ASSERT_EQUAL(2, server.Connections());
+  }
+
   void PooledConnectionsExpire()
   {
     CountingServer server([](Connection& aConnection, int) {
--- a/src/node/fake_worker_client_test.hpp
+++ b/src/node/fake_worker_client_test.hpp
@@ -95,7 +95,7 @@
       { aCall.mTask, aCall.mRunNumber, "", 50, 20 });
     mResults.emplace_back([this, aCall] {
       mDispatcher->OnStartResult(
-        aCall, dispatch::StartOutcome::Started, mClock.Now());
+        aCall, { dispatch::StartOutcome::Started }, mClock.Now());
     });
   }
 
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -199,10 +199,19 @@
   }
   const TimePoint appendDeadline = aDeadline - kResponseReserve;
   bool mayBeStored = false;
-  for (;;) {
+  for (int attempt = 1;; ++attempt) {
     const AppendResult result = mLog.Append(
       request, std::min(appendDeadline, mClock.Now() + kAppendAttemptTimeout));
     const TimePoint now = mClock.Now();
+    if (result.mOutcome != LogOutcome::Done) {
+      logging::Write(logging::Level::Info,
+                     "append_not_confirmed",
+                     { { "record", request.mRecords.front().mKey },
+                       { "attempt", attempt },
+                       { "outcome", NameOf(result.mOutcome) },
+                       { "status", result.mStatus },
+                       { "resent", result.mIsPossiblyResent ? "yes" : "no" } });
+    }
     if (result.mOutcome == LogOutcome::Done) {
       mHealth.SetReachable(now);
       mAppendSeconds.Record(std::chrono::duration<double>(now - start).count());
--- a/src/node/overload_test.cpp
+++ b/src/node/overload_test.cpp
@@ -297,7 +297,7 @@
               mLateAnswers += aIsAnswered ? 0 : 1;
               mDispatcher->OnStartResult(
                 aCall,
-                aIsAnswered ? outcome : dispatch::StartOutcome::Unknown,
+                { aIsAnswered ? outcome : dispatch::StartOutcome::Unknown },
                 mClock.Now());
             });
   }
