Count both copies of a start that the HTTP client has sent twice

Callers saw: a task ran on two workers at the same time (TWICE).

The worker had started the run on the first copy and refused the second one. The dispatcher counted one call, took the run for refused, and forgot it without a stop.

Change: the copy counts as a call without an answer, so that the run is stopped before the task starts elsewhere, whatever the reason of the refusal.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -456,6 +456,10 @@
     }
     run->mIsCallInFlight = false;
     run->mNextCallAt = aNow + kResendPause;
+    if (aResult.mIsPossiblyResent) {
+      // The first copy is a call without an answer.
+      ++run->mCallsSent;
+    }
     if (aResult.mOutcome != StartOutcome::Started) {
       logging::Write(logging::Level::Info,
                      "start_not_accepted",
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -86,29 +86,34 @@
   std::vector<StopCall> mStops;
 };
 
-/// A leader whose starts get no answer, with one run per worker.
+/// A leader whose starts get no answer, with at most one run per worker.
 class UnansweredStarts
 {
 public:
   explicit UnansweredStarts(int aCount)
+    : UnansweredStarts(aCount, aCount)
   {
-    for (int n = 0; n < aCount; ++n) {
+  }
+
+  UnansweredStarts(int aWorkers, int aTasks)
+  {
+    for (int n = 0; n < aWorkers; ++n) {
       const FakeWorker worker("w" + std::to_string(n), 16000);
       mDispatcher->SetWorker(worker.Entry(), mClock.Now());
     }
     Tick(milliseconds(10));
     Tick(milliseconds(10));
-    for (int n = 0; n < aCount; ++n) {
+    for (int n = 0; n < aWorkers; ++n) {
       mDispatcher->OnReport(
         "w" + std::to_string(n), { 1, 1, {}, {} }, mClock.Now(), mClock.Now());
     }
-    jobs::JobEntry job = MakeJob("a", { aCount });
+    jobs::JobEntry job = MakeJob("a", { aTasks });
     job.mSubmission->mRequest.mSteps.front().mMaxPerWorker = 1;
     mDispatcher->AddJob(job, false, mClock.Now());
     for (int n = 0; n < 10; ++n) {
       Tick(milliseconds(10));
     }
-    CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(aCount),
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(aTasks),
                          mSink.mStarts.size());
   }
 
@@ -313,6 +318,7 @@
   CPPUNIT_TEST(RestartsAServiceTaskAfterFailures);
   CPPUNIT_TEST(StopsTheRunsOfACancelledJob);
   CPPUNIT_TEST(StopsACancelledRunWhoseRepeatedStartIsRefused);
+  CPPUNIT_TEST(StopsARunIfTheSecondCopyOfItsStartIsRefused);
   CPPUNIT_TEST(NeverExceedsTheCapacityOfAWorker);
   CPPUNIT_TEST(RestartsTasksOfASilentWorkerAfterItsLease);
   CPPUNIT_TEST(RestartsTasksAtOnceAfterAWorkerRestart);
@@ -507,6 +513,36 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, leader.mStarts.size());
   }
 
+  // Guards against a task that runs twice: the worker has carried out the first
+  // copy of a start, and the answer is the refusal of the second one.
+  void StopsARunIfTheSecondCopyOfItsStartIsRefused()
+  {
+    for (const StartOutcome it : { StartOutcome::NoRoom,
+                                   StartOutcome::TooLate,
+                                   StartOutcome::TicketInvalid,
+                                   StartOutcome::Unhealthy,
+                                   StartOutcome::Rejected }) {
+      UnansweredStarts site(2, 1);
+      const StartCall start = site.mSink.mStarts.back();
+      site.mDispatcher->OnStartResult(start, { it, true }, site.mClock.Now());
+      site.Tick(milliseconds(300));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.mSink.mStarts.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.mSink.mStops.size());
+      // The worker has never had the run.
+      site.mDispatcher->OnStopResult(
+        site.mSink.mStops.back(), CallOutcome::Accepted, site.mClock.Now());
+      site.Tick(milliseconds(10));
+      site.mDispatcher->OnReport(start.mWorkerId,
+                                 { 400, 1, {}, {} },
+                                 site.mClock.Now(),
+                                 site.mClock.Now());
+      site.Tick(milliseconds(10));
+      site.Tick(milliseconds(10));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, site.mSink.mStarts.size());
+      CPPUNIT_ASSERT(site.mSink.mStarts.back().mRunNumber > start.mRunNumber);
+    }
+  }
+
   // An unanswered start can still take effect after a repeated one was refused.
   // Guards against forgetting the run, which would start after the
   // cancellation.
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -36,6 +36,8 @@
   base::TimePoint mConfirmedAt;
   bool mIsStopping = false;
   bool mIsCallInFlight = false;
+  /// Calls for this run that the worker may have received, with the copies that
+  /// the HTTP client has sent.
   int mCallsSent = 0;
   base::TimePoint mNextCallAt;
   int mProgressPercent = 0;
