Keep a run that its worker has reported when a start is refused

Found while looking for the same cause elsewhere; seen in a test only.

Cause: a run whose first start got no answer was confirmed by a report. The refusal of the repeated start then removed it, because only unconfirmed runs were stopped, and the task started on another worker beside it.

Evidence: on the code before this change KeepsAReportedRunWhoseRepeatedStartIsRefused fails with "Expected: 2, Actual: 3" starts.

Change: a refusal says nothing about a run that the worker has. Its end is in the reports.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -969,12 +969,16 @@
   }
 
   /// Removes a run that the worker has refused to start, or stops it if an
-  /// earlier start may still take effect.
+  /// earlier start may still take effect. Keeps a run that the worker has.
   void DropRefusedRun(RunState& aRun)
   {
+    if (aRun.mIsConfirmed) {
+      // An earlier start took effect; reports tell how the run ends.
+      return;
+    }
     aRun.mTask->mAvoidedWorkerId = aRun.mWorker->mEntry.mId;
     // An earlier start of the same run may be unanswered and still arrive.
-    if (aRun.mCallsSent > 1 && !aRun.mIsConfirmed) {
+    if (aRun.mCallsSent > 1) {
       StopRun(aRun);
       return;
     }
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -319,6 +319,7 @@
   CPPUNIT_TEST(StopsTheRunsOfACancelledJob);
   CPPUNIT_TEST(StopsACancelledRunWhoseRepeatedStartIsRefused);
   CPPUNIT_TEST(StopsARunIfTheSecondCopyOfItsStartIsRefused);
+  CPPUNIT_TEST(KeepsAReportedRunWhoseRepeatedStartIsRefused);
   CPPUNIT_TEST(NeverExceedsTheCapacityOfAWorker);
   CPPUNIT_TEST(RestartsTasksOfASilentWorkerAfterItsLease);
   CPPUNIT_TEST(RestartsTasksAtOnceAfterAWorkerRestart);
@@ -543,6 +544,35 @@
     }
   }
 
+  // Guards against a task that runs twice: the worker has reported the run of
+  // an unanswered start, and a refusal of the repeated start ended it here.
+  void KeepsAReportedRunWhoseRepeatedStartIsRefused()
+  {
+    for (const StartOutcome it : { StartOutcome::NoRoom,
+                                   StartOutcome::TooLate,
+                                   StartOutcome::TicketInvalid,
+                                   StartOutcome::Unhealthy,
+                                   StartOutcome::Rejected }) {
+      UnansweredStarts site(2, 1);
+      const StartCall start = site.mSink.mStarts.back();
+      site.FailStarts();
+      site.Tick(milliseconds(300));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, site.mSink.mStarts.size());
+      const ActiveRun run{ start.mTask, start.mRunNumber, "", 10, -1 };
+      site.mDispatcher->OnReport(start.mWorkerId,
+                                 { 400, 1, { run }, {} },
+                                 site.mClock.Now(),
+                                 site.mClock.Now());
+      site.mDispatcher->OnStartResult(
+        site.mSink.mStarts.back(), { it }, site.mClock.Now());
+      for (int n = 0; n < 10; ++n) {
+        site.Tick(milliseconds(100));
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, site.mSink.mStarts.size());
+      CPPUNIT_ASSERT(site.mSink.mStops.empty());
+    }
+  }
+
   // An unanswered start can still take effect after a repeated one was refused.
   // Guards against forgetting the run, which would start after the
   // cancellation.
