Take only the documented statuses for refusals

Cause: any status that the adapter did not know (500, 502, 504, 408) counted as a refusal, that is as a proof that an append was not stored or that a run was not started.

Change: other statuses have an unknown outcome.

--- a/include/skylarkhill/dispatch/worker.hpp
+++ b/include/skylarkhill/dispatch/worker.hpp
@@ -121,14 +121,14 @@
   Fenced,
   /// The ticket of the advice service is missing or has expired.
   TicketInvalid,
-  /// The worker is unhealthy or refused the call with an unexpected status; the
-  /// run is taken as not started.
+  /// The worker is unhealthy and has not started the run.
   Unhealthy,
   /// The worker refused the call as malformed or for an unknown reason.
   Rejected,
   /// The address belongs to another incarnation, which did not start the run.
   OtherIncarnation,
-  /// No answer; the run may still start until the deadline of the call.
+  /// No answer or an unexpected status; the run may still start until the
+  /// deadline of the call.
   Unknown,
 };
 
--- a/include/skylarkhill/node/shared_log.hpp
+++ b/include/skylarkhill/node/shared_log.hpp
@@ -80,14 +80,13 @@
   OutOfSequence,
   /// The requested records have been deleted.
   Expired,
-  /// The call is taken to have had no effect: it was refused, answered with an
-  /// unexpected status, or not sent.
+  /// The call had no effect: it was refused or not sent.
   Refused,
   /// The log refuses the content of the append and would do so again. It had no
   /// effect.
   Invalid,
-  /// No response, or a refusal of a second copy of the call: the call may have
-  /// taken effect or may still do so.
+  /// No response, an unexpected status, or a refusal of a second copy of the
+  /// call: the call may have taken effect or may still do so.
   Unknown,
 };
 
