Refuse a job only if no attempt of it can have been stored

Found while looking for the same cause elsewhere; seen in tests only.

Evidence: on the code before this change ReportsAnUnknownOutcomeIfALaterAttemptIsInvalid, AcceptsARefusedJobThatTheJournalHas and ConfirmsARefusedCancellationThatTheJournalHas fail.

Change: the table is asked before each refusal, an invalid append after an unanswered one ends as unknown, and only Refused counts as a refusal.

--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -133,7 +133,7 @@
     Append(jobs::FormatRecordKey(jobs::RecordKind::Cancellation, aJobId),
            "1",
            aDeadline,
-           [] { return false; });
+           [&] { return mJobs.StateOf(aJobId) == jobs::JobState::Cancelled; });
   if (stored) {
     mCancelled.Add();
   }
@@ -220,12 +220,20 @@
                   result.mOffset);
       return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
+    // An earlier request of the caller may have stored the record elsewhere.
+    if (aIsStored()) {
+      return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
     if (result.mOutcome == LogOutcome::Invalid) {
-      return MakeError(ErrorKind::InvalidArgument,
-                       "the log refused the content of the record");
+      // A further attempt would be refused, too.
+      return mayBeStored
+               ? MakeError(ErrorKind::OutcomeUnknown,
+                           "an append attempt got no response")
+               : MakeError(ErrorKind::InvalidArgument,
+                           "the log refused the content of the record");
     }
     mHealth.SetUnreachable(now);
-    mayBeStored = mayBeStored || result.mOutcome == LogOutcome::Unknown;
+    mayBeStored = mayBeStored || result.mOutcome != LogOutcome::Refused;
     if (!mayBeStored) {
       // No attempt can have been stored, so fail without further retries.
       return MakeError(ErrorKind::LogUnavailable, "the log refused the append");
