Repeat no start on a draining worker

Cause: an unanswered start was repeated although the worker had begun to drain.

Evidence: on the code before this change RepeatsNoStartOnADrainingWorker fails with "Expected: 1, Actual: 2" starts.

Change: the run is stopped instead, because the first start may still take effect, and the task starts elsewhere.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1922,6 +1922,11 @@
       if (aRun.mIsCallInFlight || aRun.mNextCallAt > aNow) {
         return;
       }
+      if (worker.mEntry.mIsDraining) {
+        // The worker may still start the run, which would end with it.
+        StopRun(aRun);
+        return;
+      }
       // A held start stays due, so it must not request the next tick. After the
       // last call, SendStart stops the run.
       if (!mMayStart && aRun.mCallsSent < kMaxStartCalls) {
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -320,6 +320,7 @@
   CPPUNIT_TEST(StopsACancelledRunWhoseRepeatedStartIsRefused);
   CPPUNIT_TEST(StopsARunIfTheSecondCopyOfItsStartIsRefused);
   CPPUNIT_TEST(KeepsAReportedRunWhoseRepeatedStartIsRefused);
+  CPPUNIT_TEST(RepeatsNoStartOnADrainingWorker);
   CPPUNIT_TEST(NeverExceedsTheCapacityOfAWorker);
   CPPUNIT_TEST(RestartsTasksOfASilentWorkerAfterItsLease);
   CPPUNIT_TEST(RestartsTasksAtOnceAfterAWorkerRestart);
@@ -573,6 +574,22 @@
     }
   }
 
+  // Guards against a task that starts on a draining worker, because its
+  // unanswered start is repeated there.
+  void RepeatsNoStartOnADrainingWorker()
+  {
+    UnansweredStarts site(2, 1);
+    const StartCall start = site.mSink.mStarts.back();
+    site.FailStarts();
+    FakeWorker worker(start.mWorkerId, 16000);
+    worker.mIsDraining = true;
+    site.mDispatcher->SetWorker(worker.Entry(), site.mClock.Now());
+    site.Tick(milliseconds(300));
+    site.Tick(milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.mSink.mStarts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.mSink.mStops.size());
+  }
+
   // An unanswered start can still take effect after a repeated one was refused.
   // Guards against forgetting the run, which would start after the
   // cancellation.
