Stop runs with an open start when their worker restarts

Cause: the restart of a worker closes its connections, so that the HTTP client sends a start that is under way again, to the new incarnation. If the report of the new incarnation came first, a run that the old one had reported was dropped as lost, and the copy started it beside the next run. A copy of a poll may also grant the new incarnation a lease that the leader did not count.

Evidence: on the code before this change StopsARunWithAnOpenStartIfItsWorkerRestarts fails with "Expected: 1, Actual: 2" starts. The lease was found by reading.

Change: a run with a call under way or without an answer is stopped, and a restarted worker counts as having the longest lease. A worker that answers for another incarnation has left, so its run is dropped at once also after a copy (MovesARunAtOnceIfItsWorkerHasLeft): stops would be refused there.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -492,17 +492,23 @@
         DropRefusedRun(*run);
         break;
       case StartOutcome::TooLate:
-      case StartOutcome::OtherIncarnation:
         DropRefusedRun(*run);
         break;
+      case StartOutcome::OtherIncarnation:
+        // The incarnation has ended, and its runs with it.
+        run->mTask->mAvoidedWorkerId = aCall.mWorkerId;
+        RemoveRun(*run);
+        break;
       case StartOutcome::Unhealthy:
       case StartOutcome::Rejected:
         worker.mNoStartsUntil = aNow + kUnhealthyPause;
         ChangeFailureScore(worker, 0.5, aNow);
         DropRefusedRun(*run);
         break;
-      case StartOutcome::Fenced:
       case StartOutcome::Unknown:
+        run->mHasUnansweredStart = true;
+        break;
+      case StartOutcome::Fenced:
         break;
     }
     RequestTick(aNow);
@@ -1036,7 +1042,8 @@
         // The start may have reached the new incarnation, or still reach it.
         continue;
       }
-      if (it->mCallsSent > 1) {
+      if (it->mCallsSent > 1 || it->mIsCallInFlight ||
+          it->mHasUnansweredStart) {
         // So may an earlier start without an answer, unless it is stopped.
         it->mIsConfirmed = false;
         StopRun(*it);
@@ -1047,7 +1054,9 @@
     aWorker.mProcessedSequence = 0;
     aWorker.mAcknowledgedSequence = 0;
     aWorker.mPendingAcknowledgements.clear();
-    aWorker.mLeaseEndsAt = aNow;
+    // A copy of a call to the former incarnation may have granted a lease.
+    aWorker.mLeaseEndsAt =
+      std::max(aWorker.mLeaseEndsAt, aNow + MaxLeaseDuration());
   }
 
   // --- Reports ------------------------------------------------------------
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -321,6 +321,8 @@
   CPPUNIT_TEST(StopsARunIfTheSecondCopyOfItsStartIsRefused);
   CPPUNIT_TEST(KeepsAReportedRunWhoseRepeatedStartIsRefused);
   CPPUNIT_TEST(RepeatsNoStartOnADrainingWorker);
+  CPPUNIT_TEST(StopsARunWithAnOpenStartIfItsWorkerRestarts);
+  CPPUNIT_TEST(MovesARunAtOnceIfItsWorkerHasLeft);
   CPPUNIT_TEST(NeverExceedsTheCapacityOfAWorker);
   CPPUNIT_TEST(RestartsTasksOfASilentWorkerAfterItsLease);
   CPPUNIT_TEST(RestartsTasksAtOnceAfterAWorkerRestart);
@@ -590,6 +592,48 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.mSink.mStops.size());
   }
 
+  // Guards against a task that runs twice: the connection of a start is closed
+  // by the restart of the worker, and the new incarnation gets the second copy
+  // after its first report.
+  void StopsARunWithAnOpenStartIfItsWorkerRestarts()
+  {
+    for (const bool isAnswered : { false, true }) {
+      UnansweredStarts site(2, 1);
+      const StartCall start = site.mSink.mStarts.back();
+      const ActiveRun run{ start.mTask, start.mRunNumber, "", 10, -1 };
+      site.mDispatcher->OnReport(start.mWorkerId,
+                                 { 100, 1, { run }, {} },
+                                 site.mClock.Now(),
+                                 site.mClock.Now());
+      if (isAnswered) {
+        site.FailStarts();
+      }
+      site.mDispatcher->OnReport(start.mWorkerId,
+                                 { 1, 2, {}, {} },
+                                 site.mClock.Now(),
+                                 site.mClock.Now());
+      site.FailStarts();
+      site.Tick(milliseconds(300));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.mSink.mStarts.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.mSink.mStops.size());
+    }
+  }
+
+  // Guards against a task that waits for the lease of a worker that has left,
+  // because a stop at its address is refused again and again.
+  void MovesARunAtOnceIfItsWorkerHasLeft()
+  {
+    UnansweredStarts site(2, 1);
+    const StartCall start = site.mSink.mStarts.back();
+    site.mDispatcher->OnStartResult(
+      start, { StartOutcome::OtherIncarnation, true }, site.mClock.Now());
+    site.Tick(milliseconds(10));
+    site.Tick(milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, site.mSink.mStarts.size());
+    CPPUNIT_ASSERT(site.mSink.mStarts.back().mWorkerId != start.mWorkerId);
+    CPPUNIT_ASSERT(site.mSink.mStops.empty());
+  }
+
   // An unanswered start can still take effect after a repeated one was refused.
   // Guards against forgetting the run, which would start after the
   // cancellation.
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -39,6 +39,8 @@
   /// Calls for this run that the worker may have received, with the copies that
   /// the HTTP client has sent.
   int mCallsSent = 0;
+  /// A start call had no answer. The HTTP client may have sent it twice.
+  bool mHasUnansweredStart = false;
   base::TimePoint mNextCallAt;
   int mProgressPercent = 0;
   base::TimePoint mProgressAt;
