Report a failed send on a connection in use as a lost connection

Cause: the loop of calls reported WorkerUnavailable (nothing was sent) for every exception while a request is begun, also on a connection in use, on which a part may be out. The blocking client reports ConnectionLost in this case.

Evidence: by reading. It was not reproduced: with a reset connection and no descriptors left the library throws nothing, and the call ends at its deadline. So there is no test.

--- a/src/http/call_loop.cpp
+++ b/src/http/call_loop.cpp
@@ -80,9 +80,13 @@
     try {
       mClient.beginExecute(mRequest);
     } catch (const std::exception& e) {
-      mError = MakeError(ErrorKind::WorkerUnavailable, e.what());
+      // A part of the request may have been sent on a connection in use.
+      mError = MakeError(mWasUsed ? ErrorKind::ConnectionLost
+                                  : ErrorKind::WorkerUnavailable,
+                         e.what());
       Finish();
     }
+    mWasUsed = true;
   }
 
   const std::string& GetEndpoint() const { return mEndpoint; }
@@ -172,6 +176,8 @@
   std::optional<base::Error> mError;
   /// How often the request has been sent completely.
   int mSentCopies = 0;
+  /// The connection has carried a call before the current one.
+  bool mWasUsed = false;
   bool mIsFinished = false;
   bool mMustClose = false;
 };
