Add a soak of real instances under random faults

The platform's instance had no test that runs it as separate processes. The soak starts instances on loopback beside stand-ins of the log and of the workers, with relays between them, and checks what callers and workers see: refused jobs that run, tasks that run twice, out of order or unasked, accepted jobs that are lost, processes that end by themselves. Faults come in two overlapping series: answers that are lost after the request was carried out and copies that are refused, late and unexpected answers, refusals, crashes and missing registrations of workers, SIGTERM, SIGKILL and pauses of instances, cut, silent and slow links.

--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -5,9 +5,9 @@
 set(test_sources ${core_sources})
 set(testing_sources ${core_sources})
 list(FILTER test_sources INCLUDE REGEX "_test\\.cpp$")
-list(FILTER testing_sources INCLUDE REGEX "/src/testing/")
+list(FILTER testing_sources INCLUDE REGEX "/(src|platform)/testing/")
 list(FILTER testing_sources EXCLUDE REGEX "(_test|_main)\\.cpp$")
-list(FILTER core_sources EXCLUDE REGEX "_test\\.cpp$|/src/testing/|_main\\.cpp$")
+list(FILTER core_sources EXCLUDE REGEX "_test\\.cpp$|/(src|platform)/testing/|_main\\.cpp$")
 
 # easylogging++ ships its implementation as one source file.
 add_library(easyloggingpp STATIC /usr/include/easylogging++.cc)
