Repeat starts that a restarted worker may have accepted

Cause: the leader does not notice so short a restart and sends starts to the new incarnation, which accepts them. The first report of that incarnation, which was made before, arrives after the answers. It tells of the restart, and all accepted runs were taken for lost with the old incarnation.

On the code before this change KeepsARunThatARestartedWorkerHasAccepted fails with "Expected: 1, Actual: 2".

Change: a run that was accepted after the last report of the old incarnation may be on either one. It is no longer confirmed, so that its start is repeated with the same number, which starts it at most once.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1047,6 +1047,12 @@
         // So may an earlier start without an answer, unless it is stopped.
         it->mIsConfirmed = false;
         StopRun(*it);
+      } else if (it->mConfirmedAt > aWorker.mLastReportAt) {
+        // Either incarnation may have accepted the start. Repeated with the
+        // same number, it does not start the run a second time.
+        it->mIsConfirmed = false;
+        it->mNextCallAt = aNow;
+        mRunsToCall.insert(it);
       } else {
         DropLostRun(*it, "worker restarted", aNow);
       }
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -322,6 +322,7 @@
   CPPUNIT_TEST(KeepsAReportedRunWhoseRepeatedStartIsRefused);
   CPPUNIT_TEST(RepeatsNoStartOnADrainingWorker);
   CPPUNIT_TEST(StopsARunWithAnOpenStartIfItsWorkerRestarts);
+  CPPUNIT_TEST(KeepsARunThatARestartedWorkerHasAccepted);
   CPPUNIT_TEST(MovesARunAtOnceIfItsWorkerHasLeft);
   CPPUNIT_TEST(NeverExceedsTheCapacityOfAWorker);
   CPPUNIT_TEST(RestartsTasksOfASilentWorkerAfterItsLease);
@@ -619,6 +620,27 @@
     }
   }
 
+  // Guards against a task that runs twice: a worker has restarted unnoticed and
+  // accepted a start, and the report of the new incarnation, which was made
+  // before, arrives after that.
+  void KeepsARunThatARestartedWorkerHasAccepted()
+  {
+    UnansweredStarts site(2, 1);
+    const StartCall start = site.mSink.mStarts.back();
+    const base::TimePoint pollSentAt = site.mClock.Now();
+    site.Tick(milliseconds(10));
+    site.mDispatcher->OnStartResult(
+      start, { StartOutcome::Started }, site.mClock.Now());
+    site.mDispatcher->OnReport(
+      start.mWorkerId, { 1, 2, {}, {} }, pollSentAt, site.mClock.Now());
+    for (int n = 0; n < 10; ++n) {
+      site.Tick(milliseconds(100));
+    }
+    for (const auto& it : site.mSink.mStarts) {
+      CPPUNIT_ASSERT_EQUAL(start.mRunNumber, it.mRunNumber);
+    }
+  }
+
   // Guards against a task that waits for the lease of a worker that has left,
   // because a stop at its address is refused again and again.
   void MovesARunAtOnceIfItsWorkerHasLeft()
