Log what a new leader waits for, and how stops and cancellations end

New lines: reports_missing, reports_complete, worker_dropped, worker_lease_record_deleted, stop_not_accepted, stream_loaded, job_cancelled with outcome=not_found; job_ended tells the number of runs that are stopped. No decision changes.

--- a/include/skylarkhill/dispatch/worker.hpp
+++ b/include/skylarkhill/dispatch/worker.hpp
@@ -155,6 +155,10 @@
   Unknown,
 };
 
+/// The stable name of `aOutcome`.
+std::string_view
+NameOf(CallOutcome aOutcome);
+
 /// Asks a worker for its active and ended runs and extends its lease.
 struct PollCall
 {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -522,6 +522,15 @@
       OnFenced(aCall.mWorkerId);
     }
     RunState* run = FindRun(aCall.mTask, aCall.mRunNumber, aCall.mWorkerId);
+    if (aOutcome != CallOutcome::Accepted) {
+      logging::Write(logging::Level::Info,
+                     "stop_not_accepted",
+                     { { "task", ToText(aCall.mTask) },
+                       { "run", aCall.mRunNumber },
+                       { "worker", aCall.mWorkerId },
+                       { "outcome", NameOf(aOutcome) },
+                       { "known", run != nullptr ? "yes" : "no" } });
+    }
     if (run == nullptr) {
       return;
     }
@@ -633,6 +642,9 @@
         LogDispatchSummary(mJobs.size(), mReadySteps, mWorkers);
         LogDispatchWork(mWork, mWorkers, aNow);
         mWork = DispatchWork{};
+        if (mAreReportsMissing) {
+          LogMissingReports(mWorkers, aNow);
+        }
       }
     }
     UpdateMissingReports(isFullTick, aNow);
@@ -845,12 +857,24 @@
       return;
     }
     aJob.mState = aState;
+    std::int64_t runs = 0;
+    for (auto& occurrence : aJob.mOccurrences) {
+      for (StepState& step : occurrence->mSteps) {
+        for (TaskState& task : step.mTasks) {
+          for (RunState& it : task.mRuns) {
+            StopRun(it);
+            ++runs;
+          }
+        }
+      }
+    }
     logging::Write(
       logging::Level::Info,
       "job_ended",
       { { "job", aJob.mSubmission.mId },
         { "queue", aJob.mSubmission.mPolicy.mQueue },
         { "state", jobs::NameOf(aState) },
+        { "runs", runs },
         { "age_ms", mUnixMs - aJob.mSubmission.mAcceptedMs },
         { "objective_ms", aJob.mObjectiveAtMs - aJob.mSubmission.mAcceptedMs },
         { "late_ms", mUnixMs - aJob.mObjectiveAtMs } });
@@ -858,15 +882,6 @@
     if (aState != jobs::JobState::Cancelled) {
       MarkDirty(aJob);
     }
-    for (auto& occurrence : aJob.mOccurrences) {
-      for (StepState& step : occurrence->mSteps) {
-        for (TaskState& task : step.mTasks) {
-          for (RunState& it : task.mRuns) {
-            StopRun(it);
-          }
-        }
-      }
-    }
     RemoveReadySteps(aJob);
   }
 
@@ -1336,6 +1351,12 @@
           worker.mRuns.empty() && worker.mLeaseEndsAt < aNow &&
           !worker.mIsPollInFlight &&
           (worker.mHasReported || aNow >= worker.mEarlierLeaseEndsAt)) {
+        logging::Write(
+          logging::Level::Info,
+          "worker_dropped",
+          { { "worker", worker.mEntry.mId },
+            { "unregistered_ms", ToMs(aNow - worker.mUnregisteredAt) },
+            { "reported", worker.mHasReported ? "yes" : "no" } });
         mPlacementIndex.Remove(worker);
         mPollQueue.Remove(worker);
         CountAsPolled(worker);
@@ -1364,6 +1385,11 @@
         !MayOmitEndedRuns(aNow)) {
       mAreReportsMissing = false;
       mIsPlacementDue = true;
+      logging::Write(
+        logging::Level::Info,
+        "reports_complete",
+        { { "workers", static_cast<std::int64_t>(mWorkers.size()) },
+          { "unreported", mUnreportedCount } });
     }
   }
 
--- a/src/dispatch/summary.cpp
+++ b/src/dispatch/summary.cpp
@@ -138,4 +138,30 @@
           .count() } });
 }
 
+void
+LogMissingReports(const WorkerMap& aWorkers, base::TimePoint aNow)
+{
+  std::int64_t unreported = 0;
+  std::string id;
+  base::TimePoint endsAt;
+  for (const auto& [workerId, worker] : aWorkers) {
+    if (worker->mHasReported) {
+      continue;
+    }
+    ++unreported;
+    if (id.empty() || worker->mEarlierLeaseEndsAt > endsAt) {
+      id = workerId;
+      endsAt = worker->mEarlierLeaseEndsAt;
+    }
+  }
+  logging::Write(logging::Level::Info,
+                 "reports_missing",
+                 { { "unreported", unreported },
+                   { "worker", id },
+                   { "lease_remaining_ms",
+                     std::chrono::duration_cast<std::chrono::milliseconds>(
+                       endsAt - std::min(endsAt, aNow))
+                       .count() } });
+}
+
 } // namespace skylarkhill::dispatch
--- a/src/dispatch/summary.hpp
+++ b/src/dispatch/summary.hpp
@@ -44,6 +44,11 @@
                 const WorkerMap& aWorkers,
                 base::TimePoint aNow);
 
+/// Logs the worker without a report whose lease from an earlier leader ends
+/// last: tasks of earlier terms wait for it.
+void
+LogMissingReports(const WorkerMap& aWorkers, base::TimePoint aNow);
+
 } // namespace skylarkhill::dispatch
 
 #endif // SKYLARKHILL_DISPATCH_SUMMARY_HPP
--- a/src/dispatch/worker.cpp
+++ b/src/dispatch/worker.cpp
@@ -28,6 +28,13 @@
   { StartOutcome::Unknown, "unknown" },
 } };
 
+constexpr base::NameTable<CallOutcome, 4> kCallOutcomeNames{ {
+  { CallOutcome::Accepted, "accepted" },
+  { CallOutcome::Fenced, "fenced" },
+  { CallOutcome::Refused, "refused" },
+  { CallOutcome::Unknown, "unknown" },
+} };
+
 } // namespace
 
 std::string
@@ -49,4 +56,10 @@
   return base::FindName(kStartOutcomeNames, aOutcome);
 }
 
+std::string_view
+NameOf(CallOutcome aOutcome)
+{
+  return base::FindName(kCallOutcomeNames, aOutcome);
+}
+
 } // namespace skylarkhill::dispatch
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -605,6 +605,11 @@
   const TimePoint now = mClock.Now();
   for (const auto& it : mUnextendedWorkers) {
     if (!mDispatcher->IsSilent(it)) {
+      logging::Write(
+        logging::Level::Info,
+        "worker_lease_record_deleted",
+        { { "worker", it },
+          { "dispatched", mDispatcher->HasWorker(it) ? "yes" : "no" } });
       AddRecord(jobs::RecordKind::WorkerLease, it, "");
     }
   }
--- a/src/node/job_router.cpp
+++ b/src/node/job_router.cpp
@@ -72,10 +72,18 @@
   if (cells == nullptr) {
     return MakeUnknownCellsError();
   }
-  BOOST_OUTCOME_TRY(location, Find(*cells, aJobId, aDeadline));
-  const logging::ContextField context("cell", location.mCell);
-  return cells->mServices[static_cast<std::size_t>(location.mCell)]->Cancel(
-    aJobId, aDeadline);
+  const auto location = Find(*cells, aJobId, aDeadline);
+  if (!location) {
+    logging::Write(logging::Level::Info,
+                   "job_cancelled",
+                   { { "job", aJobId },
+                     { "outcome", base::NameOf(location.error().mKind) } });
+    return location.error();
+  }
+  const int cell = location.value().mCell;
+  const logging::ContextField context("cell", cell);
+  return cells->mServices[static_cast<std::size_t>(cell)]->Cancel(aJobId,
+                                                                  aDeadline);
 }
 
 base::Result<jobs::JobState>
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -129,6 +129,7 @@
       return MakeError(ErrorKind::NotFound, "no such job");
     }
   }
+  const std::int64_t journal = mNextJournalOffset;
   auto stored =
     Append(jobs::FormatRecordKey(jobs::RecordKind::Cancellation, aJobId),
            "1",
@@ -140,6 +141,7 @@
   logging::Write(logging::Level::Info,
                  "job_cancelled",
                  { { "job", aJobId },
+                   { "journal", journal },
                    { "outcome",
                      stored ? std::string_view("stored")
                             : base::NameOf(stored.error().mKind) } });
--- a/src/node/log_stream_reader.cpp
+++ b/src/node/log_stream_reader.cpp
@@ -102,6 +102,12 @@
   }
   mIsLoaded = true;
   mNextOffset = aResult.mNextOffset;
+  logging::Write(
+    logging::Level::Info,
+    "stream_loaded",
+    { { "stream", mStream.mTopic },
+      { "records", static_cast<std::int64_t>(aResult.mRecords.size()) },
+      { "next", aResult.mNextOffset } });
   if (mHandlers.mOnSnapshot) {
     mHandlers.mOnSnapshot(aResult.mRecords);
   } else {
