Keep what is known of the lease of a dead worker over changes of the leader

Cause: a new leader holds each task that may have an earlier run, on all workers, until no worker can have a lease that it does not know of. A leader that began in this time took the longest lease that its predecessor may have granted, 9.7 s. The records of the leader before the previous one did not count either, so that a leader in office for less than a second made its successor wait as long.

Once the lease has ended, the record says so, because an instance that has just started counts the remaining time from its first read. Leader records tell since which epoch all leaders have kept this rule; versions without the field read them as before, and records from before such a leader do not count.

Failed on the code before: WorkerRecordsTest:: StartsTasksAtOnceIfTheLeaseOfADroppedWorkerHasEnded, StartsTasksAtOnceAfterLeadersInSeries, KnowsTheEndOfALeaseAfterAKilledLeader (0 of 2 tasks run). IgnoresLeaseRecordsBeforeALeaderThatDoesNotKeepThem and ExtendsNoLeaseBeforeTheRecordOfAnEarlierLeaderIsDeleted guard against a second run and pass on both; IgnoresLeaseRecordsOfEarlierLeaders is unchanged.

--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -86,9 +86,9 @@
   /// `aSilentSince` or for the whole term.
   virtual std::vector<SilentWorker> ListSilent(
     base::TimePoint aSilentSince) const = 0;
-  /// True if the last poll of the worker has failed. False if the worker has
+  /// True if the worker has answered its last poll. False if the worker has
   /// been removed.
-  virtual bool IsSilent(const std::string& aWorkerId) const = 0;
+  virtual bool Answers(const std::string& aWorkerId) const = 0;
   /// False once the worker has been removed.
   virtual bool HasWorker(const std::string& aWorkerId) const = 0;
   /// Adds a job. `aIsFromEarlierTerm` is true if the job may have been accepted
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -140,6 +140,8 @@
     /// WorkerLeaseRecord::mEpoch; 0 if there is no such record.
     std::int64_t mLeaseEpoch = 0;
     base::TimePoint mLeaseEndsAt;
+    /// The record says that the lease has ended.
+    bool mHasLeaseEnded = false;
   };
 
   /// A stream that a leader must have read recently.
@@ -178,6 +180,9 @@
   /// not delete it.
   bool IsRecorded(const std::string& aWorkerId,
                   const KnownWorker& aWorker) const;
+  /// The newest WorkerLeaseRecord of the worker if it holds for the leases that
+  /// earlier leaders have granted; otherwise null.
+  const JournaledWorker* FindValidLease(const std::string& aWorkerId) const;
   /// Passes the worker to the dispatcher and requests its record if the journal
   /// lacks it.
   void AddToDispatcher(const std::string& aWorkerId,
@@ -195,6 +200,10 @@
   /// `aSilentSince` and adds their records to the batch. Adds deletions for
   /// those that answer again, whose leases are extended once these are stored.
   void AddLeaseRecords(base::TimePoint aSilentSince);
+  void AddLeaseRecord(const std::string& aWorkerId, base::TimePoint aEndsAt);
+  /// Adds the present remaining times of all leases that are not extended to
+  /// the batch.
+  void RepeatLeaseRecords();
   void UpdateTerm();
   /// Tracks reads that fail while the log answers.
   void UpdateFailedReads();
@@ -278,8 +287,8 @@
   std::set<std::string> mWorkersToRecord;
   /// Ids of workers whose deletions are in the batch.
   std::set<std::string> mWorkerDeletions;
-  /// Ids of workers for which the journal may have a WorkerLeaseRecord of this
-  /// term, so that their leases must not be extended.
+  /// Ids of workers for which the journal may have a WorkerLeaseRecord, of this
+  /// term or an earlier one, so that their leases must not be extended.
   std::set<std::string> mUnextendedWorkers;
   base::TimePoint mNextLeaseCheckAt;
   base::TimePoint mNextWorkerCheckAt;
--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -22,6 +22,9 @@
   std::string mLeaderId;
   /// The leader gives up the leadership.
   bool mIsResigned = false;
+  /// Lowest epoch from which on every leader has kept the rule of
+  /// WorkerLeaseRecord; 0 if the version of this leader does not know it.
+  std::int64_t mLeaseRecordsSince = 0;
 };
 
 std::string
@@ -89,8 +92,9 @@
   {
     return mPreviousLeaderLeaseEnd;
   }
-  /// Epoch of the leader before the own term; 0 if it is not known.
-  std::int64_t PreviousEpoch() const { return mPreviousEpoch; }
+  /// True if no leader has extended a lease whose WorkerLeaseRecord of the
+  /// given epoch is still stored.
+  bool IsLeaseRecordValid(std::int64_t aEpoch) const;
   base::TimePoint NextTickAt() const;
   /// The newest record of the stream; empty if there is none.
   const std::optional<LeaderRecord>& NewestRecord() const
@@ -100,6 +104,8 @@
 
 private:
   void OnRecord(const LogRecord& aRecord);
+  /// The record of the own term, or of a claim.
+  LeaderRecord MakeRecord(std::int64_t aEpoch, bool aIsResigned) const;
   void Append(LeaderRecord aRecord);
   void OnAppended(const LeaderRecord& aRecord,
                   const AppendResult& aResult,
@@ -107,7 +113,7 @@
   /// Ends the own term, whose leases count from then on as those of a previous
   /// leader.
   void EndOwnTerm();
-  void BecomeLeader(std::int64_t aEpoch, base::TimePoint aClaimedAt);
+  void BecomeLeader(const LeaderRecord& aRecord, base::TimePoint aClaimedAt);
   void SetNewestRecord(const LeaderRecord& aRecord);
 
   AsyncLog& mLog;
--- a/include/skylarkhill/node/worker_lease_record.hpp
+++ b/include/skylarkhill/node/worker_lease_record.hpp
@@ -9,15 +9,15 @@
 
 namespace skylarkhill::node {
 
-/// End of the lease of a worker that does not answer its leader. The leader
-/// does not extend the lease again before it has deleted the record.
+/// End of the lease of a worker that does not answer its leader. No leader
+/// extends the lease before it has deleted the record, so the record holds for
+/// all later leaders that know this rule.
 struct WorkerLeaseRecord
 {
-  /// Epoch of the leader. The record says nothing about leases that leaders of
-  /// later epochs grant.
+  /// Epoch of the leader.
   std::int64_t mEpoch = 0;
   /// Upper bound of the time until the end of the lease, as of the write of the
-  /// record. The clocks of instances have no common epoch.
+  /// record; 0 once it has ended. The clocks of instances have no common epoch.
   std::int64_t mRemainingMs = 0;
 };
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -269,10 +269,11 @@
     return silent;
   }
 
-  bool IsSilent(const std::string& aWorkerId) const override
+  bool Answers(const std::string& aWorkerId) const override
   {
     const auto found = mWorkers.find(aWorkerId);
-    return found != mWorkers.end() && found->second->mFailedPolls > 0;
+    return found != mWorkers.end() && found->second->mHasReported &&
+           found->second->mFailedPolls == 0;
   }
 
   bool HasWorker(const std::string& aWorkerId) const override
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -279,8 +279,8 @@
     // the term are repeated, because an instance that has just started counts
     // the remaining times from its first read.
     if (!mIsFlushInFlight && mBatch.IsEmpty()) {
-      mUnextendedWorkers.clear();
       AddLeaseRecords(mClock.Now());
+      RepeatLeaseRecords();
       if (!mBatch.IsEmpty()) {
         SendBatch();
       }
@@ -369,9 +369,22 @@
     mWorkersToRecord.insert(aWorkerId);
   }
   mDispatcher->SetWorker(aWorker.mEntry, mClock.Now());
+  if (const JournaledWorker* lease = FindValidLease(aWorkerId)) {
+    mDispatcher->SetEarlierLeaseEnd(aWorkerId, lease->mLeaseEndsAt);
+  }
   UpdateLease(aWorkerId);
 }
 
+const Cell::JournaledWorker*
+Cell::FindValidLease(const std::string& aWorkerId) const
+{
+  const auto found = mJournaledWorkers.find(aWorkerId);
+  return found != mJournaledWorkers.end() &&
+             mLeadership.IsLeaseRecordValid(found->second.mLeaseEpoch)
+           ? &found->second
+           : nullptr;
+}
+
 void
 Cell::OnWorkerGone(const std::string& aWorkerId)
 {
@@ -568,9 +581,14 @@
     return;
   }
   journaled.mLeaseEpoch = record.value().mEpoch;
+  journaled.mHasLeaseEnded = record.value().mRemainingMs == 0;
   journaled.mLeaseEndsAt =
     mClock.Now() + std::chrono::milliseconds(record.value().mRemainingMs) *
                      100 / kMinClockPercent;
+  if (mDispatcher != nullptr) {
+    mUnextendedWorkers.insert(aWorkerId);
+    UpdateLease(aWorkerId);
+  }
 }
 
 void
@@ -604,28 +622,54 @@
 {
   const TimePoint now = mClock.Now();
   for (const auto& it : mUnextendedWorkers) {
-    if (!mDispatcher->IsSilent(it)) {
-      logging::Write(
-        logging::Level::Info,
-        "worker_lease_record_deleted",
-        { { "worker", it },
-          { "dispatched", mDispatcher->HasWorker(it) ? "yes" : "no" } });
+    // The record of a worker that the dispatcher has removed still tells the
+    // next leader that the lease has ended.
+    if (mWorkers.count(it) == 0 || mDispatcher->Answers(it)) {
+      logging::Write(logging::Level::Info,
+                     "worker_lease_record_deleted",
+                     { { "worker", it } });
       AddRecord(jobs::RecordKind::WorkerLease, it, "");
+      continue;
+    }
+    // A leader that has just started counts the remaining time from its first
+    // read.
+    const JournaledWorker* lease = FindValidLease(it);
+    if (lease != nullptr && !lease->mHasLeaseEnded &&
+        lease->mLeaseEndsAt <= now) {
+      AddLeaseRecord(it, now);
     }
   }
   for (const auto& it : mDispatcher->ListSilent(aSilentSince)) {
-    if (!IsJournaled(it.mId) || !mUnextendedWorkers.insert(it.mId).second) {
-      continue;
+    if (IsJournaled(it.mId) && FindValidLease(it.mId) == nullptr) {
+      mUnextendedWorkers.insert(it.mId);
+      UpdateLease(it.mId);
+      AddLeaseRecord(it.mId, it.mLeaseEndsAt);
+    }
+  }
+}
+
+void
+Cell::AddLeaseRecord(const std::string& aWorkerId, TimePoint aEndsAt)
+{
+  const TimePoint now = mClock.Now();
+  const std::int64_t remaining = aEndsAt <= now ? 0 : ToMs(aEndsAt - now) + 1;
+  logging::Write(logging::Level::Info,
+                 "worker_lease_recorded",
+                 { { "worker", aWorkerId }, { "remaining_ms", remaining } });
+  AddRecord(jobs::RecordKind::WorkerLease,
+            aWorkerId,
+            EncodeWorkerLease({ mEpoch, remaining }));
+}
+
+void
+Cell::RepeatLeaseRecords()
+{
+  for (const auto& it : mUnextendedWorkers) {
+    const JournaledWorker* lease = FindValidLease(it);
+    if (lease != nullptr && lease->mLeaseEndsAt > mClock.Now() &&
+        mWorkers.count(it) != 0 && !mDispatcher->Answers(it)) {
+      AddLeaseRecord(it, lease->mLeaseEndsAt);
     }
-    UpdateLease(it.mId);
-    const std::int64_t remaining =
-      std::max<std::int64_t>(0, ToMs(it.mLeaseEndsAt - now)) + 1;
-    logging::Write(logging::Level::Info,
-                   "worker_lease_recorded",
-                   { { "worker", it.mId }, { "remaining_ms", remaining } });
-    AddRecord(jobs::RecordKind::WorkerLease,
-              it.mId,
-              EncodeWorkerLease({ mEpoch, remaining }));
   }
 }
 
@@ -891,27 +935,28 @@
   if (!mModelRecord.empty()) {
     mDispatcher->ImportModel(mModelRecord);
   }
+  for (const auto& [id, journaled] : mJournaledWorkers) {
+    if (journaled.mLeaseEpoch != 0) {
+      mUnextendedWorkers.insert(id);
+    }
+  }
   for (const auto& [id, worker] : mWorkers) {
     AddToDispatcher(id, worker);
-    const auto journaled = mJournaledWorkers.find(id);
-    if (journaled != mJournaledWorkers.end() &&
-        journaled->second.mLeaseEpoch != 0 &&
-        journaled->second.mLeaseEpoch == mLeadership.PreviousEpoch()) {
-      mDispatcher->SetEarlierLeaseEnd(id, journaled->second.mLeaseEndsAt);
-    }
     if (!worker.mIsRegistered) {
       mDispatcher->OnWorkerUnregistered(id, worker.mUnregisteredAt);
     }
   }
   const auto openJobs = mJobs.ListOpen();
-  logging::Write(logging::Level::Info,
-                 "term_begun",
-                 { { "epoch", mEpoch },
-                   { "open_jobs", static_cast<std::int64_t>(openJobs.size()) },
-                   { "workers", static_cast<std::int64_t>(mWorkers.size()) },
-                   { "workers_to_record",
-                     static_cast<std::int64_t>(mWorkersToRecord.size()) },
-                   { "journal", mJournalReader.NextOffset() } });
+  logging::Write(
+    logging::Level::Info,
+    "term_begun",
+    { { "epoch", mEpoch },
+      { "open_jobs", static_cast<std::int64_t>(openJobs.size()) },
+      { "workers", static_cast<std::int64_t>(mWorkers.size()) },
+      { "workers_to_record",
+        static_cast<std::int64_t>(mWorkersToRecord.size()) },
+      { "lease_records", static_cast<std::int64_t>(mUnextendedWorkers.size()) },
+      { "journal", mJournalReader.NextOffset() } });
   mJobsToAdd.insert(openJobs.begin(), openJobs.end());
   const auto transfers = mJobs.ListTransfersToRepeat();
   mTransfersToSend.insert(transfers.begin(), transfers.end());
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -34,7 +34,8 @@
 constexpr base::Duration kFollowerPause = std::chrono::milliseconds(300);
 constexpr base::Duration kAppendTimeout = std::chrono::milliseconds(1500);
 
-using Fields = std::tuple<std::int64_t, std::string, bool>;
+/// Versions without the last field ignore it, and their records lack it.
+using Fields = std::tuple<std::int64_t, std::string, bool, std::int64_t>;
 
 /// Time that a candidate waits before it claims. Instances with fewer
 /// processors wait longer, because a slow leader slows down all callers.
@@ -60,8 +61,10 @@
 std::string
 EncodeLeaderRecord(const LeaderRecord& aRecord)
 {
-  return base::PackMsgpack(
-    Fields{ aRecord.mEpoch, aRecord.mLeaderId, aRecord.mIsResigned });
+  return base::PackMsgpack(Fields{ aRecord.mEpoch,
+                                   aRecord.mLeaderId,
+                                   aRecord.mIsResigned,
+                                   aRecord.mLeaseRecordsSince });
 }
 
 base::Result<LeaderRecord>
@@ -70,7 +73,8 @@
   BOOST_OUTCOME_TRY(fields, base::UnpackMsgpack<Fields>(aBytes));
   return LeaderRecord{ std::get<0>(fields),
                        std::move(std::get<1>(fields)),
-                       std::get<2>(fields) };
+                       std::get<2>(fields),
+                       std::get<3>(fields) };
 }
 
 Leadership::Leadership(AsyncLog& aLog,
@@ -107,10 +111,10 @@
     return;
   }
   if (mOwnEpoch) {
-    Append({ *mOwnEpoch, mInstanceId, false });
+    Append(MakeRecord(*mOwnEpoch, false));
   } else if (mMayClaim && IsClaimDue()) {
     const std::int64_t newest = mNewestRecord ? mNewestRecord->mEpoch : 0;
-    Append({ std::max(newest, mMinEpoch) + 1, mInstanceId, false });
+    Append(MakeRecord(std::max(newest, mMinEpoch) + 1, false));
   }
 }
 
@@ -125,7 +129,7 @@
   mOwnEpoch.reset();
   logging::Write(
     logging::Level::Info, "leadership_resigned", { { "epoch", epoch } });
-  Append({ epoch, mInstanceId, true });
+  Append(MakeRecord(epoch, true));
 }
 
 void
@@ -138,7 +142,7 @@
   EndOwnTerm();
   logging::Write(
     logging::Level::Warning, "leadership_handed_over", { { "epoch", epoch } });
-  Append({ epoch, mInstanceId, true });
+  Append(MakeRecord(epoch, true));
 }
 
 void
@@ -205,7 +209,7 @@
   // A claim whose response was lost may have been stored.
   if (isOwn && isNewTerm && !mOwnEpoch && !leaderRecord.mIsResigned &&
       !mHasResigned) {
-    BecomeLeader(leaderRecord.mEpoch, mClaimSentAt);
+    BecomeLeader(leaderRecord, mClaimSentAt);
   }
 }
 
@@ -229,6 +233,27 @@
                   kTakeoverTimeout + (mFollowerPause - kFollowerPause) + delay;
 }
 
+bool
+Leadership::IsLeaseRecordValid(std::int64_t aEpoch) const
+{
+  if (!mNewestRecord || aEpoch == 0) {
+    return false;
+  }
+  // The previous leader keeps its own records, whatever its version.
+  return aEpoch == mPreviousEpoch ||
+         (mNewestRecord->mLeaseRecordsSince != 0 &&
+          aEpoch >= mNewestRecord->mLeaseRecordsSince);
+}
+
+LeaderRecord
+Leadership::MakeRecord(std::int64_t aEpoch, bool aIsResigned) const
+{
+  // A claim is stored only directly after the newest record.
+  const std::int64_t since =
+    mNewestRecord ? mNewestRecord->mLeaseRecordsSince : 0;
+  return { aEpoch, mInstanceId, aIsResigned, since != 0 ? since : aEpoch };
+}
+
 void
 Leadership::Append(LeaderRecord aRecord)
 {
@@ -276,7 +301,7 @@
     return;
   }
   if (!mHasResigned) {
-    BecomeLeader(aRecord.mEpoch, aSentAt);
+    BecomeLeader(aRecord, aSentAt);
   }
 }
 
@@ -300,15 +325,16 @@
 }
 
 void
-Leadership::BecomeLeader(std::int64_t aEpoch, TimePoint aClaimedAt)
+Leadership::BecomeLeader(const LeaderRecord& aRecord, TimePoint aClaimedAt)
 {
-  mOwnEpoch = aEpoch;
+  mOwnEpoch = aRecord.mEpoch;
   mConfirmedAt = aClaimedAt;
-  SetNewestRecord({ aEpoch, mInstanceId, false });
+  SetNewestRecord(aRecord);
   mNewestReadAt = mClock.Now();
   mNextAppendAt = mNewestReadAt + kRenewInterval;
-  logging::Write(
-    logging::Level::Info, "leadership_claimed", { { "epoch", aEpoch } });
+  logging::Write(logging::Level::Info,
+                 "leadership_claimed",
+                 { { "epoch", aRecord.mEpoch } });
 }
 
 } // namespace skylarkhill::node
--- a/src/node/node_site_test.hpp
+++ b/src/node/node_site_test.hpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -103,6 +104,7 @@
       options.mLogLimits = mLogLimits;
       mInstances.push_back(
         std::make_unique<Instance>(mState, mWorkers, mClock, options));
+      mInstances.back()->mClient.mUnreachable = mUnreachable;
     }
   }
 
@@ -110,6 +112,7 @@
   void Restart()
   {
     mInstances.clear();
+    mUnreachable.clear();
     mState = {};
     mWorkers.clear();
   }
@@ -182,6 +185,15 @@
           jobs::EncodeSubmission(submission));
   }
 
+  /// No instance reaches the worker from now on.
+  void Disconnect(const std::string& aWorkerId)
+  {
+    mUnreachable.insert(aWorkerId);
+    for (auto& it : mInstances) {
+      it->mClient.mUnreachable.insert(aWorkerId);
+    }
+  }
+
   /// Ends all runs of the workers.
   void EndRuns(dispatch::RunOutcome aOutcome = dispatch::RunOutcome::Done)
   {
@@ -252,6 +264,8 @@
   base::ManualClock mClock;
   FakeLogState mState;
   FakeWorkers mWorkers;
+  /// Workers whose polls fail at all instances that are added.
+  std::set<std::string> mUnreachable;
   std::vector<std::unique_ptr<Instance>> mInstances;
   /// Includes instances that have been removed.
   int mInstanceCount = 0;
--- a/src/node/worker_records_test.cpp
+++ b/src/node/worker_records_test.cpp
@@ -1,3 +1,4 @@
+#include "skylarkhill/base/msgpack.hpp"
 #include "skylarkhill/base/random.hpp"
 #include "skylarkhill/node/worker_lease_record.hpp"
 
@@ -7,6 +8,7 @@
 #include <cstdlib>
 #include <map>
 #include <string>
+#include <tuple>
 
 #include "node_site_test.hpp"
 
@@ -18,6 +20,12 @@
 
 /// Longer than all leases of an earlier leader.
 constexpr milliseconds kLeasesTime{ 20'000 };
+/// Time until a dead worker has left the dispatcher: its lease, on a slow
+/// clock, has ended.
+constexpr milliseconds kDropTime{ 7600 };
+/// Time until the next leader has polled all workers, of which some do not
+/// answer, and has started the tasks.
+constexpr milliseconds kTakeoverTime{ 2000 };
 /// Seeds in a usual run; SKYLARKHILL_WORKER_SEEDS overrides it.
 constexpr int kSeeds = 60;
 constexpr milliseconds kStep{ 20 };
@@ -44,6 +52,12 @@
   CPPUNIT_TEST(StartsTasksOfADeadWorkerOnceItsLeaseHasEnded);
   CPPUNIT_TEST(ExtendsNoLeaseBeforeItsRecordIsDeleted);
   CPPUNIT_TEST(IgnoresLeaseRecordsOfEarlierLeaders);
+  CPPUNIT_TEST(IgnoresLeaseRecordsBeforeALeaderThatDoesNotKeepThem);
+  CPPUNIT_TEST(StartsTasksAtOnceIfTheLeaseOfADroppedWorkerHasEnded);
+  CPPUNIT_TEST(StartsTasksAtOnceAfterLeadersInSeries);
+  CPPUNIT_TEST(KnowsTheEndOfALeaseAfterAKilledLeader);
+  CPPUNIT_TEST(ExtendsNoLeaseBeforeTheRecordOfAnEarlierLeaderIsDeleted);
+  CPPUNIT_TEST(ReadsLeaderRecordsOfOtherVersions);
   CPPUNIT_TEST(RunsEveryTaskOnceWhileTheRegistryLosesWorkers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -267,6 +281,118 @@
                    mWorkers["w1"].mLeaseEndMs);
   }
 
+  // Like the test above, with a leader of a version without such records in
+  // between, which extends the lease and leaves the record in the journal.
+  // Guards against a second run beside the first one during an upgrade.
+  void IgnoresLeaseRecordsBeforeALeaderThatDoesNotKeepThem()
+  {
+    StartLeader(2);
+    SubmitSpread("a", 1);
+    Advance(milliseconds(1000));
+    const std::int64_t epoch = NewestEpoch();
+    mInstances.clear();
+    Store("journal", "e/w1", EncodeWorkerLease({ epoch, 0 }));
+    StoreFormerLeader(epoch + 1);
+    const base::TimePoint takenOverAt = mClock.Now();
+    Store("workers", "w2", "1");
+    AddInstances(1);
+    mInstances.back()->mClient.mUnreachable.insert("w1");
+    while (mWorkers["w2"].mRuns.empty() &&
+           mClock.Now() < takenOverAt + kLeasesTime) {
+      Advance(kStep);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w2"].mRuns.size());
+    CPPUNIT_ASSERT(mClock.Now() >= takenOverAt + kLeaderLease);
+  }
+
+  // A worker dies and leaves the registry, its lease ends, and the leader
+  // restarts. Guards against a successor that starts no task on any worker
+  // before the longest lease that the dropped worker may have (LOST).
+  void StartsTasksAtOnceIfTheLeaseOfADroppedWorkerHasEnded()
+  {
+    StartBesideADroppedWorker();
+    RestartLeader();
+    EndRuns();
+    Advance(kTakeoverTime);
+    CheckRuns(2);
+  }
+
+  // The same with leaders that lead for less than a second, some of which have
+  // just started themselves. Guards against a wait that begins anew because a
+  // leader in between had no time to store what it knew (LOST).
+  void StartsTasksAtOnceAfterLeadersInSeries()
+  {
+    for (int leaders = 2; leaders <= 4; ++leaders) {
+      Restart();
+      StartBesideADroppedWorker();
+      for (int n = 1; n < leaders; ++n) {
+        RestartLeader();
+        AdvanceToLeader();
+        Advance(milliseconds(40));
+      }
+      RestartLeader();
+      EndRuns();
+      Advance(kTakeoverTime);
+      CheckRuns(2);
+    }
+  }
+
+  // The leader is killed after the lease of a dead worker has ended. Guards
+  // against a successor that has just started and counts the remaining time
+  // from its first read (LOST).
+  void KnowsTheEndOfALeaseAfterAKilledLeader()
+  {
+    StartBesideADroppedWorker();
+    KillLeader();
+    // Leaves an instance that has just started.
+    mInstances.erase(mInstances.begin(), mInstances.end() - 1);
+    EndRuns();
+    AdvanceToLeader();
+    Advance(kTakeoverTime);
+    CheckRuns(2);
+  }
+
+  // The worker is silent for one leader and returns to the next one while the
+  // log does not answer. Guards against a lease that outlasts the time that a
+  // third leader waits for.
+  void ExtendsNoLeaseBeforeTheRecordOfAnEarlierLeaderIsDeleted()
+  {
+    Instance& leader = StartLeader(1);
+    Advance(milliseconds(1000));
+    leader.mClient.mUnreachable.insert("w1");
+    Advance(milliseconds(3000));
+    RestartLeader();
+    mInstances.back()->mClient.mUnreachable.insert("w1");
+    AdvanceToLeader();
+    Instance& next = *mInstances.back();
+    next.mLog.mUnwritableTopics.insert("journal");
+    const std::int64_t leaseEnd = mWorkers["w1"].mLeaseEndMs;
+    next.mClient.mUnreachable.clear();
+    Advance(milliseconds(2000));
+    CPPUNIT_ASSERT_EQUAL(leaseEnd, mWorkers["w1"].mLeaseEndMs);
+    next.mLog.mUnwritableTopics.clear();
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT(mWorkers["w1"].mLeaseEndMs > leaseEnd);
+  }
+
+  // Guards against instances of two versions that take each other's records for
+  // malformed during an upgrade, so that each claims the leadership.
+  void ReadsLeaderRecordsOfOtherVersions()
+  {
+    using FormerFields = std::tuple<std::int64_t, std::string, bool>;
+    const auto former =
+      DecodeLeaderRecord(base::PackMsgpack(FormerFields{ 7, "former", true }));
+    CPPUNIT_ASSERT(former);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 7 }, former.value().mEpoch);
+    CPPUNIT_ASSERT_EQUAL(std::string("former"), former.value().mLeaderId);
+    CPPUNIT_ASSERT(former.value().mIsResigned);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, former.value().mLeaseRecordsSince);
+    const auto read = base::UnpackMsgpack<FormerFields>(
+      EncodeLeaderRecord({ 8, "present", true, 5 }));
+    CPPUNIT_ASSERT(read);
+    CPPUNIT_ASSERT(read.value() == FormerFields(8, "present", true));
+  }
+
   // Workers leave the registry and return, instances are killed and restarted,
   // and appends are lost, at random times. Guards against two runs of a task at
   // the same time, and against tasks that are never started again.
@@ -303,6 +429,45 @@
     AddInstances(1);
   }
 
+  /// Two workers run a task each, a third one has died and left the registry,
+  /// and its lease has ended.
+  void StartBesideADroppedWorker()
+  {
+    StartLeader(2);
+    Store("workers", "w2", "1");
+    SubmitSpread("a", 2);
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w2"].mRuns.size());
+    Store("workers", "w3", "1");
+    Advance(milliseconds(1000));
+    Disconnect("w2");
+    mWorkers["w2"].mRuns.clear();
+    Store("workers", "w2", "");
+    Advance(kDropTime);
+    CheckRuns(2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w3"].mRuns.size());
+    // The journal still names the worker.
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), NewestRecord("w2"));
+  }
+
+  /// Advances until an instance leads.
+  void AdvanceToLeader()
+  {
+    const base::TimePoint end = mClock.Now() + kLeasesTime;
+    while (CountLeaders() == 0 && mClock.Now() < end) {
+      Advance(kStep);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
+  }
+
+  /// Stores the record of a leader of a version without WorkerLeaseRecords.
+  void StoreFormerLeader(std::int64_t aEpoch)
+  {
+    Store("leaders",
+          "leader",
+          base::PackMsgpack(std::make_tuple(aEpoch, std::string("old"), true)));
+  }
+
   std::string NewestRecord(const std::string& aWorkerId)
   {
     std::string newest;
