Store the last records of a term before the resignation

What callers could see: after a planned restart of the leader, lasting tasks wait 9.7 s for a worker that had died shortly before (LOST), or the site has no leader for 2.2 s.

Both depend on the moment of the signal, and become likelier the slower the log is.

Change: Resign stops the calls to workers and then, step by step as the log answers, stores the batch, the ends of the leases and the resignation, for 0.5 s at most.

Failed on the code before: WorkerRecordsTest::StoresLeaseEndsBesideAnAppendInFlight (1 of 3 tasks runs 7.6 s after the death), ResignsBesideARenewalInFlight. The fixture's RestartLeader lets the process go on until it no longer leads, as the program does; no assertion changes.

--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -90,7 +90,8 @@
   void Tick(base::TimePoint aResumedAt, int aOtherCells);
   /// When to call Tick next if no event arrives before.
   base::TimePoint NextTickAt() const;
-  /// Gives up the leadership before the process stops.
+  /// Gives up the leadership before the process stops. Stops to call workers at
+  /// once; Tick stores the last records of the term and then the resignation.
   void Resign();
 
   /// A worker of this cell has been registered or has changed.
@@ -204,6 +205,8 @@
   /// Adds the present remaining times of all leases that are not extended to
   /// the batch.
   void RepeatLeaseRecords();
+  /// Next step of Resign, once the append in flight has been answered.
+  void ContinueResignation();
   void UpdateTerm();
   /// Tracks reads that fail while the log answers.
   void UpdateFailedReads();
@@ -290,6 +293,10 @@
   /// Ids of workers for which the journal may have a WorkerLeaseRecord, of this
   /// term or an earlier one, so that their leases must not be extended.
   std::set<std::string> mUnextendedWorkers;
+  /// When the leadership is given up at the latest; empty: no resignation is in
+  /// progress.
+  std::optional<base::TimePoint> mResignBy;
+  bool mHasAddedLastLeaseRecords = false;
   base::TimePoint mNextLeaseCheckAt;
   base::TimePoint mNextWorkerCheckAt;
   base::TimePoint mRegistryNeededUntil;
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -84,6 +84,11 @@
 /// Interval between two searches for workers that left the registry.
 constexpr Duration kWorkerCheckInterval = std::chrono::seconds(1);
 
+/// Longest time that a resignation waits until the log has stored the last
+/// records of the term. A successor takes over sooner without a resignation
+/// than if it has to wait for leases that no record limits.
+constexpr Duration kMaxResignationDelay = std::chrono::milliseconds(500);
+
 /// Interval between two searches for workers that fell silent or answer again.
 constexpr Duration kLeaseCheckInterval = std::chrono::milliseconds(200);
 /// A worker that has been silent for this long gets a WorkerLeaseRecord. Longer
@@ -226,7 +231,9 @@
   if (mJournalReader.ConsecutiveFailures() > 0) {
     mJobService.Health().SetUnreachable(now);
   }
-  if (!mJobsToAdd.empty()) {
+  if (mResignBy) {
+    ContinueResignation();
+  } else if (!mJobsToAdd.empty()) {
     const LoopProfile::Timer timer(mProfile, LoopPhase::Dispatch);
     AddOpenJobs();
   } else if (mDispatcher != nullptr) {
@@ -274,17 +281,49 @@
 Cell::Resign()
 {
   const logging::ContextField context("cell", mOptions.mIndex);
-  if (mDispatcher != nullptr) {
-    // Saves the successor the wait for the longest possible lease. Records of
-    // the term are repeated, because an instance that has just started counts
-    // the remaining times from its first read.
-    if (!mIsFlushInFlight && mBatch.IsEmpty()) {
-      AddLeaseRecords(mClock.Now());
+  mResignBy = mClock.Now() + kMaxResignationDelay;
+  mHasAddedLastLeaseRecords = false;
+  mWorkerClient.ClearDispatcher();
+  ContinueResignation();
+}
+
+void
+Cell::ContinueResignation()
+{
+  const TimePoint now = mClock.Now();
+  if (now < *mResignBy && mDispatcher != nullptr) {
+    if (mIsFlushInFlight) {
+      return;
+    }
+    if (mBatch.IsEmpty() && !mHasAddedLastLeaseRecords) {
+      // Saves the successor the wait for the longest possible lease. Records of
+      // the term are repeated, because an instance that has just started counts
+      // the remaining times from its first read.
+      mHasAddedLastLeaseRecords = true;
+      AddLeaseRecords(now);
       RepeatLeaseRecords();
       if (!mBatch.IsEmpty()) {
         SendBatch();
+        return;
       }
     }
+    if (!mBatch.IsEmpty()) {
+      if (now >= mNextFlushAt) {
+        SendBatch();
+      }
+      return;
+    }
+  }
+  // A resignation that overtakes a renewal is refused by the log.
+  if (now < *mResignBy && mLeadership.IsAppending()) {
+    return;
+  }
+  mResignBy.reset();
+  if (mDispatcher != nullptr) {
+    logging::Write(
+      logging::Level::Info,
+      "term_records_stored",
+      { { "epoch", mEpoch }, { "complete", mBatch.IsEmpty() ? "yes" : "no" } });
     EndTerm();
   }
   mLeadership.Resign();
--- a/src/node/fake_shared_log_test.hpp
+++ b/src/node/fake_shared_log_test.hpp
@@ -127,6 +127,9 @@
 
   void Deliver()
   {
+    if (mHoldsResponses) {
+      return;
+    }
     auto responses = std::move(mResponses);
     mResponses.clear();
     for (const auto& it : responses) {
@@ -170,6 +173,8 @@
   std::size_t mMaxRecordsPerRead = std::numeric_limits<std::size_t>::max();
   /// Appends take effect, but their responses are lost.
   bool mDropsResponses = false;
+  /// Appends take effect, but all responses wait until this is false.
+  bool mHoldsResponses = false;
   /// Appends without effect are kept, and take effect when CarryOutLostAppends
   /// is called.
   bool mKeepsLostAppends = false;
--- a/src/node/node_site_test.hpp
+++ b/src/node/node_site_test.hpp
@@ -21,6 +21,8 @@
 
 inline constexpr std::string_view kDraining = "draining";
 inline constexpr std::string_view kMoved = "moved";
+/// How long a leader that restarts waits for responses that the log holds back.
+inline constexpr base::Duration kHeldTime = std::chrono::milliseconds(100);
 
 /// Decodes every record to a large worker whose id is the key. It drains if the
 /// value is kDraining, and has another address if it is kMoved.
@@ -241,7 +243,21 @@
         return aInstance->mNode.IsDispatching();
       });
     CPPUNIT_ASSERT(found != mInstances.end());
-    (*found)->mNode.Resign();
+    Node& node = (*found)->mNode;
+    node.Resign();
+    if ((*found)->mLog.mHoldsResponses) {
+      Advance(kHeldTime);
+      (*found)->mLog.mHoldsResponses = false;
+    }
+    // The process goes on until its resignation is stored. Most appends are
+    // answered at once.
+    for (int n = 0; n < 4 && node.IsDispatching(); ++n) {
+      (*found)->mLog.Deliver();
+      node.Tick();
+    }
+    while (node.IsDispatching()) {
+      Advance(std::chrono::milliseconds(20));
+    }
     (*found)->mLog.Deliver();
     mInstances.erase(found);
     AddInstances(1);
--- a/src/node/worker_records_test.cpp
+++ b/src/node/worker_records_test.cpp
@@ -57,6 +57,8 @@
   CPPUNIT_TEST(StartsTasksAtOnceAfterLeadersInSeries);
   CPPUNIT_TEST(KnowsTheEndOfALeaseAfterAKilledLeader);
   CPPUNIT_TEST(ExtendsNoLeaseBeforeTheRecordOfAnEarlierLeaderIsDeleted);
+  CPPUNIT_TEST(StoresLeaseEndsBesideAnAppendInFlight);
+  CPPUNIT_TEST(ResignsBesideARenewalInFlight);
   CPPUNIT_TEST(ReadsLeaderRecordsOfOtherVersions);
   CPPUNIT_TEST(RunsEveryTaskOnceWhileTheRegistryLosesWorkers);
   CPPUNIT_TEST_SUITE_END();
@@ -375,6 +377,50 @@
     CPPUNIT_ASSERT(mWorkers["w1"].mLeaseEndMs > leaseEnd);
   }
 
+  // A worker dies, and the leader resigns before its records of this are due,
+  // while an append of its journal awaits the response. Guards against a
+  // successor that waits for the longest lease of the worker (LOST).
+  void StoresLeaseEndsBesideAnAppendInFlight()
+  {
+    constexpr milliseconds kLimit{ 6600 + 1000 };
+    Instance& leader = StartLeader(2);
+    Store("workers", "w2", "1");
+    SubmitSpread("a", 2);
+    Advance(milliseconds(1000));
+    Store("workers", "w3", "1");
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w2"].mRuns.size());
+    const base::TimePoint diedAt = mClock.Now();
+    Disconnect("w2");
+    mWorkers["w2"].mRuns.clear();
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT(NewestRecord("e/w2").empty());
+    SubmitSpread("b", 1);
+    Advance(kStep);
+    leader.mLog.mHoldsResponses = true;
+    const std::size_t records = mState.mStreams["journal"].size();
+    Advance(milliseconds(100));
+    CPPUNIT_ASSERT(mState.mStreams["journal"].size() > records);
+    RestartLeader();
+    Advance(diedAt + kLimit - mClock.Now());
+    CheckRuns(3);
+  }
+
+  // Guards against a resignation that the log refuses because a renewal was
+  // stored before it, so that the site has no leader for two seconds.
+  void ResignsBesideARenewalInFlight()
+  {
+    Instance& leader = StartLeader(2);
+    leader.mLog.mHoldsResponses = true;
+    // Longer than the interval between two renewals.
+    Advance(milliseconds(1000));
+    RestartLeader();
+    const auto record =
+      DecodeLeaderRecord(mState.mStreams["leaders"].back().mValue);
+    CPPUNIT_ASSERT(record);
+    CPPUNIT_ASSERT(record.value().mIsResigned);
+  }
+
   // Guards against instances of two versions that take each other's records for
   // malformed during an upgrade, so that each claims the leadership.
   void ReadsLeaderRecordsOfOtherVersions()
