--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -160,6 +160,9 @@
   };
 
   void OnJournalRecord(const LogRecord& aRecord);
+  /// Applies the newest record of every key. Records of workers that are known
+  /// and missing there have been deleted.
+  void OnJournalSnapshot(const std::vector<LogRecord>& aRecords);
   void OnJobRecord(const jobs::RecordKey& aKey, const LogRecord& aRecord);
   /// The journal has a record, or a deletion, of the worker. Called for own
   /// appends once they are stored, and again when they are read.
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -157,7 +157,10 @@
       mLog,
       mClock,
       PartitionOf(mOptions.mJournal, mOptions.mIndex),
-      { [this](const LogRecord& aRecord) { OnJournalRecord(aRecord); }, {} })
+      { [this](const LogRecord& aRecord) { OnJournalRecord(aRecord); },
+        [this](const std::vector<LogRecord>& aRecords) {
+          OnJournalSnapshot(aRecords);
+        } })
   , mJobService(mJobs,
                 aServices.mBlockingLog,
                 PartitionOf(mOptions.mJournal, mOptions.mIndex),
@@ -457,6 +460,32 @@
   }
 }
 
+void
+Cell::OnJournalSnapshot(const std::vector<LogRecord>& aRecords)
+{
+  std::set<std::string> keys;
+  for (const auto& it : aRecords) {
+    keys.insert(it.mKey);
+    OnJournalRecord(it);
+  }
+  // Own records that were stored after the beginning of the snapshot have
+  // higher offsets than this.
+  const std::int64_t offset = mJournalReader.NextOffset() - 1;
+  std::vector<std::string> ids;
+  for (const auto& [id, journaled] : mJournaledWorkers) {
+    ids.push_back(id);
+  }
+  for (const auto& id : ids) {
+    for (const auto kind :
+         { jobs::RecordKind::Worker, jobs::RecordKind::WorkerLease }) {
+      const std::string key = jobs::FormatRecordKey(kind, id);
+      if (keys.count(key) == 0) {
+        OnJournalRecord({ key, "", offset });
+      }
+    }
+  }
+}
+
 void
 Cell::OnJournalRecord(const LogRecord& aRecord)
 {
--- a/src/node/fake_shared_log_test.hpp
+++ b/src/node/fake_shared_log_test.hpp
@@ -23,6 +23,9 @@
   std::map<std::string, std::vector<LogRecord>> mStreams;
   std::map<std::string, std::int64_t> mEpochs;
   LogLimits mLimits;
+  /// By stream; older records have expired, and only the newest record of each
+  /// key that has a value is left of them.
+  std::map<std::string, std::int64_t> mFirstOffsets;
   /// The last stamped append of each stream and its result.
   std::map<std::string, std::pair<WriterStamp, AppendResult>> mLastStamped;
 };
@@ -69,9 +72,21 @@
   ReadResult Read(const LogStream& aStream,
                   std::int64_t aFrom,
                   base::TimePoint) override
+  {
+    const auto first = mState.mFirstOffsets.find(NameOfStream(aStream));
+    if (IsReadable(aStream) && first != mState.mFirstOffsets.end() &&
+        aFrom < first->second) {
+      ReadResult result;
+      result.mOutcome = LogOutcome::Expired;
+      return result;
+    }
+    return ReadAll(aStream, aFrom);
+  }
+
+  ReadResult ReadAll(const LogStream& aStream, std::int64_t aFrom)
   {
     ReadResult result;
-    if (mIsUnreachable || mUnreadableTopics.count(aStream.mTopic) != 0) {
+    if (!IsReadable(aStream)) {
       return result;
     }
     const auto& records = mState.mStreams[NameOfStream(aStream)];
@@ -113,10 +128,15 @@
                   std::function<void(ReadResult)> aHandler) override
   {
     ++mNewestReadCounts[aStream.mTopic];
-    ReadResult result = Read(aStream, 0, base::TimePoint{});
+    ReadResult result = ReadAll(aStream, 0);
+    const auto first = mState.mFirstOffsets.find(NameOfStream(aStream));
     std::map<std::string, LogRecord> newest;
     for (const auto& it : result.mRecords) {
       newest[it.mKey] = it;
+      if (it.mValue.empty() && first != mState.mFirstOffsets.end() &&
+          it.mOffset < first->second) {
+        newest.erase(it.mKey);
+      }
     }
     result.mRecords.clear();
     for (const auto& [key, record] : newest) {
@@ -188,6 +208,11 @@
   }
 
 private:
+  bool IsReadable(const LogStream& aStream) const
+  {
+    return !mIsUnreachable && mUnreadableTopics.count(aStream.mTopic) == 0;
+  }
+
   /// An asynchronous read of new records that waits.
   struct PendingRead
   {
--- a/src/node/fake_worker_client_test.hpp
+++ b/src/node/fake_worker_client_test.hpp
@@ -48,6 +48,7 @@
   {
     mDispatcher = nullptr;
     mResults.clear();
+    mLateResults.clear();
   }
 
   void SetDispatcher(std::int64_t aEpoch,
@@ -60,7 +61,7 @@
   void Poll(const dispatch::PollCall& aCall) override
   {
     if (mUnreachable.count(aCall.mWorkerId) != 0) {
-      mResults.emplace_back([this, aCall] {
+      AddPollResult(aCall, kPollSlack, [this, aCall] {
         mDispatcher->OnPollFailed(aCall.mWorkerId, mClock.Now());
       });
       return;
@@ -74,14 +75,19 @@
            ended.front().mSequence <= aCall.mAcknowledgedSequence) {
       ended.pop_front();
     }
-    dispatch::WorkerReport report;
-    report.mEndedRuns.assign(ended.begin(), ended.end());
-    report.mClockMs = base::ToMicros(mClock.Now()) / 1000;
-    report.mIncarnationStartMs = 1;
-    report.mActiveRuns = mWorkers[aCall.mWorkerId].mRuns;
-    mResults.emplace_back([this, aCall, report, sentAt = mClock.Now()] {
-      mDispatcher->OnReport(aCall.mWorkerId, report, sentAt, mClock.Now());
-    });
+    AddPollResult(aCall,
+                  base::Duration::zero(),
+                  [this,
+                   aCall,
+                   report = MakeReport(aCall.mWorkerId),
+                   sentAt = mClock.Now()] {
+                    // A poll that waits is answered with what runs then.
+                    mDispatcher->OnReport(
+                      aCall.mWorkerId,
+                      mPollsWait ? MakeReport(aCall.mWorkerId) : report,
+                      sentAt,
+                      mClock.Now());
+                  });
   }
 
   void Start(const dispatch::StartCall& aCall) override
@@ -132,6 +138,14 @@
   {
     auto results = std::move(mResults);
     mResults.clear();
+    for (auto it = mLateResults.begin(); it != mLateResults.end();) {
+      if (it->first > mClock.Now()) {
+        ++it;
+        continue;
+      }
+      results.push_back(std::move(it->second));
+      it = mLateResults.erase(it);
+    }
     for (const auto& it : results) {
       if (mDispatcher != nullptr) {
         it();
@@ -140,12 +154,40 @@
   }
 
   std::vector<dispatch::StartCall> mStarts;
+  /// If set, a poll is answered after its wait, and one that fails times out.
+  bool mPollsWait = false;
+  static constexpr base::Duration kPollSlack = std::chrono::milliseconds(600);
   /// Workers whose polls fail.
   std::set<std::string> mUnreachable;
   /// Longest requested lease by worker, on the clock of the workers.
   std::map<std::string, std::int64_t> mLeaseEndsMs;
 
 private:
+  dispatch::WorkerReport MakeReport(const std::string& aWorkerId)
+  {
+    const FakeWorkerState& worker = mWorkers[aWorkerId];
+    dispatch::WorkerReport report;
+    report.mEndedRuns.assign(worker.mEndedRuns.begin(),
+                             worker.mEndedRuns.end());
+    report.mClockMs = base::ToMicros(mClock.Now()) / 1000;
+    report.mIncarnationStartMs = 1;
+    report.mActiveRuns = worker.mRuns;
+    return report;
+  }
+
+  void AddPollResult(const dispatch::PollCall& aCall,
+                     base::Duration aSlack,
+                     std::function<void()> aResult)
+  {
+    if (mPollsWait) {
+      mLateResults.emplace_back(
+        mClock.Now() + std::chrono::milliseconds(aCall.mWaitMs) + aSlack,
+        std::move(aResult));
+    } else {
+      mResults.push_back(std::move(aResult));
+    }
+  }
+
   void CountLease(const std::string& aWorkerId, std::int64_t aLeaseEndMs)
   {
     auto& end = mLeaseEndsMs[aWorkerId];
@@ -171,6 +213,8 @@
   std::int64_t mEpoch = 0;
   dispatch::Dispatcher* mDispatcher = nullptr;
   std::deque<std::function<void()>> mResults;
+  /// Results that are passed on at a later time.
+  std::vector<std::pair<base::TimePoint, std::function<void()>>> mLateResults;
 };
 
 } // namespace skylarkhill::node
--- a/src/node/worker_records_test.cpp
+++ b/src/node/worker_records_test.cpp
@@ -59,6 +59,10 @@
   CPPUNIT_TEST(ExtendsNoLeaseBeforeTheRecordOfAnEarlierLeaderIsDeleted);
   CPPUNIT_TEST(StoresLeaseEndsBesideAnAppendInFlight);
   CPPUNIT_TEST(ResignsBesideARenewalInFlight);
+  CPPUNIT_TEST(IgnoresLeaseRecordsDeletedWhileTheJournalExpired);
+  CPPUNIT_TEST(
+    IgnoresLeaseRecordsThatTheNextLeaderDeletedWhileTheJournalExpired);
+  CPPUNIT_TEST(RecordsAWorkerDeletedWhileTheJournalExpired);
   CPPUNIT_TEST(ReadsLeaderRecordsOfOtherVersions);
   CPPUNIT_TEST(RunsEveryTaskOnceWhileTheRegistryLosesWorkers);
   CPPUNIT_TEST_SUITE_END();
@@ -394,7 +398,7 @@
     Disconnect("w2");
     mWorkers["w2"].mRuns.clear();
     Advance(milliseconds(1000));
-    CPPUNIT_ASSERT(NewestRecord("e/w2").empty());
+    CPPUNIT_ASSERT(NewestValue("e/w2").empty());
     SubmitSpread("b", 1);
     Advance(kStep);
     leader.mLog.mHoldsResponses = true;
@@ -421,6 +425,201 @@
     CPPUNIT_ASSERT(record.value().mIsResigned);
   }
 
+  // A follower reads a lease record and is cut off from the journal. The leader
+  // deletes the record and extends the lease, and the deletion expires with the
+  // journal. Guards against a second run in the term of the follower.
+  void IgnoresLeaseRecordsDeletedWhileTheJournalExpired()
+  {
+    CheckLeaseRecordOfAnExpiredJournal(false);
+  }
+
+  // The same if the next leader deletes the record and extends the lease.
+  void IgnoresLeaseRecordsThatTheNextLeaderDeletedWhileTheJournalExpired()
+  {
+    CheckLeaseRecordOfAnExpiredJournal(true);
+  }
+
+  // A follower reads the record of a worker and is cut off from the journal.
+  // The worker is deleted, the deletion expires with the journal, and the
+  // worker returns. Guards against leases that the journal does not tell of.
+  void RecordsAWorkerDeletedWhileTheJournalExpired()
+  {
+    Instance& leader = StartLeader(2);
+    Store("workers", "w2", "1");
+    Advance(milliseconds(2000));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), NewestRecord("w2"));
+    Instance& follower =
+      &leader == mInstances[0].get() ? *mInstances[1] : *mInstances[0];
+    follower.mLog.mUnreadableTopics.insert("journal");
+    Disconnect("w2");
+    Store("workers", "w2", "");
+    Advance(milliseconds(15'000));
+    // Changes the journal, with which the deletion is written.
+    SubmitSpread("a", 1);
+    Advance(milliseconds(2000));
+    CPPUNIT_ASSERT(NewestRecord("w2").empty());
+    ExpireJournal();
+    follower.mLog.mUnreadableTopics.clear();
+    Advance(milliseconds(2000));
+    EraseOthers(follower);
+    follower.mClient.mUnreachable.clear();
+    Store("workers", "w2", "1");
+    AdvanceToLeader();
+    Advance(milliseconds(2000));
+    CPPUNIT_ASSERT(mWorkers["w2"].mLeaseEndMs >
+                   base::ToMicros(mClock.Now()) / 1000);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), NewestRecord("w2"));
+  }
+
+  // A worker is silent for one leader and answers the next one. Guards against
+  // runs that lapse because the extension waits for the end of a long poll.
+  void ExtendsALeaseAsSoonAsItsRecordIsDeleted()
+  {
+    constexpr milliseconds kLimit{ 500 };
+    Instance& leader = StartLeader(2);
+    SubmitSpread("a", 1);
+    Advance(milliseconds(1000));
+    for (auto& it : mInstances) {
+      it->mClient.mPollsWait = true;
+    }
+    leader.mClient.mUnreachable.insert("w1");
+    Advance(milliseconds(4000));
+    RestartLeader();
+    mInstances.back()->mClient.mPollsWait = true;
+    AdvanceToLeader();
+    const std::int64_t leaseEnd = mWorkers["w1"].mLeaseEndMs;
+    const base::TimePoint begunAt = mClock.Now();
+    while (mWorkers["w1"].mLeaseEndMs == leaseEnd &&
+           mClock.Now() < begunAt + kLeasesTime) {
+      Advance(kStep);
+    }
+    const auto waited =
+      std::chrono::duration_cast<milliseconds>(mClock.Now() - begunAt);
+    CPPUNIT_ASSERT_MESSAGE("ms: " + std::to_string(waited.count()),
+                           waited <= kLimit);
+  }
+
+  // A worker is cut off from one leader and answers the next one, 0.7 s before
+  // its lease ends. Guards against runs that lapse because the lease is not
+  // extended in time.
+  void KeepsTheRunsOfAWorkerThatAnswersTheNextLeader()
+  {
+    Instance& leader = StartLeader(2);
+    SubmitSpread("a", 1);
+    Advance(milliseconds(1000));
+    for (auto& it : mInstances) {
+      it->mClient.mPollsWait = true;
+    }
+    leader.mClient.mUnreachable.insert("w1");
+    Advance(milliseconds(3000));
+    const std::int64_t leaseEnd = mWorkers["w1"].mLeaseEndMs;
+    while (base::ToMicros(mClock.Now()) / 1000 < leaseEnd - 700) {
+      Advance(kStep);
+    }
+    CPPUNIT_ASSERT_EQUAL(leaseEnd, mWorkers["w1"].mLeaseEndMs);
+    RestartLeader();
+    mInstances.back()->mClient.mPollsWait = true;
+    AdvanceAndCheck(milliseconds(3000), "runs");
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, mWorkers["w1"].mLastSequence);
+    CheckRuns(1);
+  }
+
+  // A worker dies, and the leader resigns while its last poll of the worker
+  // awaits the timeout. Guards against a successor that waits for the longest
+  // lease of the worker (LOST).
+  void StoresLeaseEndsOfWorkersWithAPollInFlight()
+  {
+    constexpr milliseconds kLimit{ 6600 + 1000 };
+    StartLeader(2);
+    Store("workers", "w2", "1");
+    SubmitSpread("a", 2);
+    Advance(milliseconds(1000));
+    Store("workers", "w3", "1");
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w2"].mRuns.size());
+    for (auto& it : mInstances) {
+      it->mClient.mPollsWait = true;
+    }
+    const base::TimePoint diedAt = mClock.Now();
+    Disconnect("w2");
+    mWorkers["w2"].mRuns.clear();
+    Advance(milliseconds(500));
+    RestartLeader();
+    Advance(diedAt + kLimit - mClock.Now());
+    CheckRuns(2);
+  }
+
+  // Guards against a loop that spins without a pause until the log answers.
+  void WaitsForTheLogInAResignation()
+  {
+    Instance& leader = StartLeader(2);
+    SubmitSpread("a", 1);
+    Advance(milliseconds(1000));
+    SubmitSpread("b", 1);
+    Advance(kStep);
+    leader.mLog.mHoldsResponses = true;
+    Advance(milliseconds(100));
+    leader.mNode.Resign();
+    int spins = 0;
+    for (int n = 0; n < 10; ++n) {
+      mClock.Advance(kStep);
+      leader.mNode.Tick();
+      spins += leader.mNode.NextTickAt() <= mClock.Now() ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(leader.mNode.IsDispatching());
+    CPPUNIT_ASSERT_EQUAL(0, spins);
+  }
+
+  // Guards against a claim that is stored after the signal and leaves the site
+  // without a leader until it times out.
+  void ResignsAfterAClaimInFlight()
+  {
+    Store("workers", "w1", "1");
+    AddInstances(1);
+    while (mState.mStreams["leaders"].empty()) {
+      mClock.Advance(kStep);
+      mInstances[0]->mNode.Tick();
+      if (mState.mStreams["leaders"].empty()) {
+        mInstances[0]->mLog.Deliver();
+      }
+    }
+    mInstances[0]->mNode.Resign();
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT(!mInstances[0]->mNode.IsDispatching());
+    const auto& leaders = mState.mStreams["leaders"];
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, leaders.size());
+    CPPUNIT_ASSERT(
+      DecodeLeaderRecord(leaders.back().mValue).value().mIsResigned);
+  }
+
+  // A renewal is answered 0.6 s after the signal. Guards against a resignation
+  // that the log refuses and that is not repeated.
+  void ResignsAfterASlowRenewal()
+  {
+    Instance& leader = StartLeader(1);
+    leader.mLog.mHoldsResponses = true;
+    Advance(milliseconds(1000));
+    leader.mNode.Resign();
+    Advance(milliseconds(600));
+    leader.mLog.mHoldsResponses = false;
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT(!leader.mNode.IsDispatching());
+    CPPUNIT_ASSERT(DecodeLeaderRecord(mState.mStreams["leaders"].back().mValue)
+                     .value()
+                     .mIsResigned);
+  }
+
+  // Guards against a leader that extends a lease beside the record of a version
+  // that can read it, so that the next leader of this version relies on it.
+  void ExtendsNoLeaseBesideARecordThatCannotBeRead()
+  {
+    Store("journal", "e/w1", "x");
+    StartLeader(1);
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT(mWorkers["w1"].mLeaseEndMs > 0);
+    CPPUNIT_ASSERT(NewestValue("e/w1").empty());
+  }
+
   // Guards against instances of two versions that take each other's records for
   // malformed during an upgrade, so that each claims the leadership.
   void ReadsLeaderRecordsOfOtherVersions()
@@ -506,6 +705,66 @@
     CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
   }
 
+  /// Leaves only the newest record of each key that has a value.
+  void ExpireJournal()
+  {
+    mState.mFirstOffsets["journal"] =
+      static_cast<std::int64_t>(mState.mStreams["journal"].size());
+  }
+
+  /// A follower misses the deletion of a lease record, by the leader that wrote
+  /// it or by the next one, and leads when the lease has been extended.
+  void CheckLeaseRecordOfAnExpiredJournal(bool aHasNextLeader)
+  {
+    Instance* leader = &StartLeader(2);
+    SubmitSpread("a", 1);
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w1"].mRuns.size());
+    Instance& follower =
+      leader == mInstances[0].get() ? *mInstances[1] : *mInstances[0];
+    leader->mClient.mUnreachable.insert("w1");
+    Advance(milliseconds(3000));
+    follower.mLog.mUnreadableTopics.insert("journal");
+    if (aHasNextLeader) {
+      RestartLeader();
+      AdvanceToLeader();
+      leader = mInstances.back().get();
+      CPPUNIT_ASSERT(leader->mNode.IsDispatching());
+    }
+    const std::int64_t leaseEnd = mWorkers["w1"].mLeaseEndMs;
+    leader->mClient.mUnreachable.clear();
+    Advance(milliseconds(2000));
+    CPPUNIT_ASSERT(NewestValue("e/w1").empty());
+    CPPUNIT_ASSERT(mWorkers["w1"].mLeaseEndMs > leaseEnd);
+    ExpireJournal();
+    follower.mLog.mUnreadableTopics.clear();
+    Store("workers", "w2", "1");
+    Advance(milliseconds(2000));
+    follower.mClient.mUnreachable.insert("w1");
+    EraseOthers(follower);
+    const base::TimePoint end = mClock.Now() + kLeasesTime;
+    while (mWorkers["w2"].mRuns.empty() && mClock.Now() < end) {
+      Advance(kStep);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w2"].mRuns.size());
+    const std::int64_t startedMs = base::ToMicros(mClock.Now()) / 1000;
+    CPPUNIT_ASSERT_MESSAGE(
+      "ms before the end of the lease: " +
+        std::to_string(mWorkers["w1"].mLeaseEndMs - startedMs),
+      startedMs > mWorkers["w1"].mLeaseEndMs);
+  }
+
+  /// Ends all processes but one, without a resignation.
+  void EraseOthers(const Instance& aInstance)
+  {
+    mInstances.erase(std::remove_if(mInstances.begin(),
+                                    mInstances.end(),
+                                    [&](const auto& aOther) {
+                                      return aOther.get() != &aInstance;
+                                    }),
+                     mInstances.end());
+  }
+
   /// Stores the record of a leader of a version without WorkerLeaseRecords.
   void StoreFormerLeader(std::int64_t aEpoch)
   {
@@ -515,10 +774,15 @@
   }
 
   std::string NewestRecord(const std::string& aWorkerId)
+  {
+    return NewestValue("w/" + aWorkerId);
+  }
+
+  std::string NewestValue(const std::string& aKey)
   {
     std::string newest;
     for (const auto& it : mState.mStreams["journal"]) {
-      if (it.mKey == "w/" + aWorkerId) {
+      if (it.mKey == aKey) {
         newest = it.mValue;
       }
     }
