Extend the lease of a returned worker without waiting for a long poll

The lease is extended by the first poll after the deletion of its record. The poll before that waited for up to 700 ms at the worker, so that the extension came 760 ms after the beginning of the term.

Polls of workers whose leases must not be extended yet wait for 100 ms.

Failed on the code before: WorkerRecordsTest::ExtendsALeaseAsSoonAsItsRecordIsDeleted, KeepsTheRunsOfAWorkerThatAnswersTheNextLeader.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -38,6 +38,9 @@
 /// Long-poll wait of other workers. Backfill placed during such a poll is
 /// monitored from the next poll on.
 constexpr int kPollWaitMs = 700;
+/// Long-poll wait of workers whose leases must not be extended yet: the first
+/// extension goes out with the next poll.
+constexpr int kPollWaitUnextendedMs = 100;
 /// Pause before the next poll while reported ended runs are not durable yet.
 constexpr Duration kDurabilityPollPause = std::chrono::milliseconds(250);
 constexpr Duration kPollPause = std::chrono::milliseconds(15);
@@ -1948,9 +1951,10 @@
     call.mAcknowledgedSequence =
       MayHaveRestarted(aWorker) ? 0 : aWorker.mAcknowledgedSequence;
     const bool isColocated = aWorker.mBackfillDemand > 0;
-    call.mWaitMs = !aWorker.mHasReported ? 0
-                   : isColocated         ? kPollWaitColocatedMs
-                                         : kPollWaitMs;
+    call.mWaitMs = !aWorker.mHasReported      ? 0
+                   : !aWorker.mMayExtendLease ? kPollWaitUnextendedMs
+                   : isColocated              ? kPollWaitColocatedMs
+                                              : kPollWaitMs;
     mSink.Poll(call);
   }
 
--- a/src/node/worker_records_test.cpp
+++ b/src/node/worker_records_test.cpp
@@ -63,6 +63,8 @@
   CPPUNIT_TEST(
     IgnoresLeaseRecordsThatTheNextLeaderDeletedWhileTheJournalExpired);
   CPPUNIT_TEST(RecordsAWorkerDeletedWhileTheJournalExpired);
+  CPPUNIT_TEST(ExtendsALeaseAsSoonAsItsRecordIsDeleted);
+  CPPUNIT_TEST(KeepsTheRunsOfAWorkerThatAnswersTheNextLeader);
   CPPUNIT_TEST(ReadsLeaderRecordsOfOtherVersions);
   CPPUNIT_TEST(RunsEveryTaskOnceWhileTheRegistryLosesWorkers);
   CPPUNIT_TEST_SUITE_END();
