Repeat a resignation that the log has refused

While the resignation waited for the log, the call loop did not pause, because the due time of the dispatcher counted, which is not run any more. term_records_stored said complete=yes if the last records had not been added in time.

Failed on the code before: WorkerRecordsTest::ResignsAfterASlowRenewal, WaitsForTheLogInAResignation. ResignsAfterAClaimInFlight passed and guards the order beside it.

--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -53,7 +53,8 @@
 
   /// Starts the reads, claims and renewals that are due.
   void Tick();
-  /// Gives up the leadership, if held, and never claims it again.
+  /// Gives up the leadership, if held, and never claims it again. Tick repeats
+  /// the resignation until it is stored or another instance leads.
   void Resign();
   /// Gives up the leadership, but stays a candidate. No effect while an append
   /// is in progress.
@@ -127,6 +128,8 @@
   /// When the last claim of this instance was sent.
   base::TimePoint mClaimSentAt;
   std::optional<std::int64_t> mOwnEpoch;
+  /// Epoch of the own term whose resignation is not known to be stored.
+  std::optional<std::int64_t> mResignedEpoch;
   /// Epoch of the newest record before that of mNewestRecord.
   std::int64_t mPreviousEpoch = 0;
   std::int64_t mStreamEnd = 0;
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -267,7 +267,12 @@
 {
   TimePoint next =
     std::min(mJournalReader.NextTickAt(), mLeadership.NextTickAt());
-  if (mDispatcher != nullptr) {
+  if (mResignBy) {
+    next = std::min(next, *mResignBy);
+    if (!mIsFlushInFlight && !mBatch.IsEmpty()) {
+      next = std::min(next, mNextFlushAt);
+    }
+  } else if (mDispatcher != nullptr) {
     next = std::min(next, mDispatcher->NextTickAt());
     if (!mIsFlushInFlight &&
         (!mBatch.IsEmpty() || mDispatcher->IsDirty() ||
@@ -323,10 +328,11 @@
   }
   mResignBy.reset();
   if (mDispatcher != nullptr) {
+    const bool isComplete = mHasAddedLastLeaseRecords && mBatch.IsEmpty();
     logging::Write(
       logging::Level::Info,
       "term_records_stored",
-      { { "epoch", mEpoch }, { "complete", mBatch.IsEmpty() ? "yes" : "no" } });
+      { { "epoch", mEpoch }, { "complete", isComplete ? "yes" : "no" } });
     EndTerm();
   }
   mLeadership.Resign();
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -112,6 +112,8 @@
   }
   if (mOwnEpoch) {
     Append(MakeRecord(*mOwnEpoch, false));
+  } else if (mResignedEpoch) {
+    Append(MakeRecord(*mResignedEpoch, true));
   } else if (mMayClaim && IsClaimDue()) {
     const std::int64_t newest = mNewestRecord ? mNewestRecord->mEpoch : 0;
     Append(MakeRecord(std::max(newest, mMinEpoch) + 1, false));
@@ -125,11 +127,15 @@
   if (!mOwnEpoch) {
     return;
   }
-  const std::int64_t epoch = *mOwnEpoch;
+  mResignedEpoch = mOwnEpoch;
   mOwnEpoch.reset();
-  logging::Write(
-    logging::Level::Info, "leadership_resigned", { { "epoch", epoch } });
-  Append(MakeRecord(epoch, true));
+  logging::Write(logging::Level::Info,
+                 "leadership_resigned",
+                 { { "epoch", *mResignedEpoch } });
+  mNextAppendAt = mClock.Now();
+  if (!mIsAppending) {
+    Append(MakeRecord(*mResignedEpoch, true));
+  }
 }
 
 void
@@ -161,7 +167,7 @@
 Leadership::NextTickAt() const
 {
   TimePoint next = mReader.NextTickAt();
-  if (mOwnEpoch && !mIsAppending) {
+  if ((mOwnEpoch || mResignedEpoch) && !mIsAppending) {
     next = std::min(next, mNextAppendAt);
   }
   return next;
@@ -197,6 +203,9 @@
   }
   SetNewestRecord(leaderRecord);
   mNewestReadAt = mClock.Now();
+  if (mResignedEpoch && (isNewTerm || leaderRecord.mIsResigned)) {
+    mResignedEpoch.reset();
+  }
   if (mOwnEpoch && (!isOwn || leaderRecord.mEpoch != *mOwnEpoch)) {
     StepDown();
   }
@@ -292,8 +301,9 @@
   }
   mStreamEnd = aResult.mEnd;
   mAnsweredSince = std::min(mAnsweredSince, now);
-  mNextAppendAt = now + kRenewInterval;
+  mNextAppendAt = mResignedEpoch ? now : now + kRenewInterval;
   if (aRecord.mIsResigned) {
+    mResignedEpoch.reset();
     return;
   }
   if (mOwnEpoch) {
--- a/src/node/worker_records_test.cpp
+++ b/src/node/worker_records_test.cpp
@@ -65,6 +65,9 @@
   CPPUNIT_TEST(RecordsAWorkerDeletedWhileTheJournalExpired);
   CPPUNIT_TEST(ExtendsALeaseAsSoonAsItsRecordIsDeleted);
   CPPUNIT_TEST(KeepsTheRunsOfAWorkerThatAnswersTheNextLeader);
+  CPPUNIT_TEST(WaitsForTheLogInAResignation);
+  CPPUNIT_TEST(ResignsAfterAClaimInFlight);
+  CPPUNIT_TEST(ResignsAfterASlowRenewal);
   CPPUNIT_TEST(ReadsLeaderRecordsOfOtherVersions);
   CPPUNIT_TEST(RunsEveryTaskOnceWhileTheRegistryLosesWorkers);
   CPPUNIT_TEST_SUITE_END();
