--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -138,7 +138,8 @@
     std::string mAddress;
     /// Offset of the newest WorkerLeaseRecord or its deletion.
     std::int64_t mLeaseOffset = -1;
-    /// WorkerLeaseRecord::mEpoch; 0 if there is no such record.
+    /// WorkerLeaseRecord::mEpoch; 0 if there is no such record,
+    /// kUnreadableEpoch if it cannot be read.
     std::int64_t mLeaseEpoch = 0;
     base::TimePoint mLeaseEndsAt;
     /// The record says that the lease has ended.
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -95,6 +95,8 @@
 /// than a few lost polls, because a worker that returns in an outage of the log
 /// gets no lease before the record is deleted.
 constexpr Duration kMinSilence = std::chrono::milliseconds(1500);
+/// JournaledWorker::mLeaseEpoch of a record that cannot be read.
+constexpr std::int64_t kUnreadableEpoch = -1;
 /// Rate of the slowest clock of an instance, in percent.
 constexpr int kMinClockPercent = 98;
 
@@ -652,13 +654,14 @@
       logging::Level::Warning,
       "worker_lease_record_skipped",
       { { "worker", aWorkerId }, { "problem", record.error().mDetail } });
-    return;
+    journaled.mLeaseEpoch = kUnreadableEpoch;
+  } else {
+    journaled.mLeaseEpoch = record.value().mEpoch;
+    journaled.mHasLeaseEnded = record.value().mRemainingMs == 0;
+    journaled.mLeaseEndsAt =
+      mClock.Now() + std::chrono::milliseconds(record.value().mRemainingMs) *
+                       100 / kMinClockPercent;
   }
-  journaled.mLeaseEpoch = record.value().mEpoch;
-  journaled.mHasLeaseEnded = record.value().mRemainingMs == 0;
-  journaled.mLeaseEndsAt =
-    mClock.Now() + std::chrono::milliseconds(record.value().mRemainingMs) *
-                     100 / kMinClockPercent;
   if (mDispatcher != nullptr) {
     mUnextendedWorkers.insert(aWorkerId);
     UpdateLease(aWorkerId);
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -245,7 +245,7 @@
 bool
 Leadership::IsLeaseRecordValid(std::int64_t aEpoch) const
 {
-  if (!mNewestRecord || aEpoch == 0) {
+  if (!mNewestRecord || aEpoch <= 0) {
     return false;
   }
   // The previous leader keeps its own records, whatever its version.
--- a/src/node/worker_records_test.cpp
+++ b/src/node/worker_records_test.cpp
@@ -68,6 +68,7 @@
   CPPUNIT_TEST(WaitsForTheLogInAResignation);
   CPPUNIT_TEST(ResignsAfterAClaimInFlight);
   CPPUNIT_TEST(ResignsAfterASlowRenewal);
+  CPPUNIT_TEST(ExtendsNoLeaseBesideARecordThatCannotBeRead);
   CPPUNIT_TEST(ReadsLeaderRecordsOfOtherVersions);
   CPPUNIT_TEST(RunsEveryTaskOnceWhileTheRegistryLosesWorkers);
   CPPUNIT_TEST_SUITE_END();
