Test cancellations while instances, the log and workers fail

Nothing covered the whole path from a caller's cancellation to the end of the runs with faults in between. CancellationRandomTest plays three instances and five workers: callers submit lasting jobs, cancel them, repeat both after unknown outcomes and send accepted submissions again.

--- /dev/null
+++ b/src/node/cancellation_random_test.cpp
@@ -0,0 +1,522 @@
+#include "skylarkhill/base/random.hpp"
+#include "skylarkhill/node/node.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lossy_site_test.hpp"
+
+namespace skylarkhill::node {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Seeds in a usual run; SKYLARKHILL_CANCELLATION_SEEDS overrides it, and
+/// SKYLARKHILL_CANCELLATION_FIRST_SEED the first one.
+constexpr int kSeeds = 40;
+constexpr int kInstances = 3;
+constexpr int kWorkers = 5;
+constexpr int kFirstJobs = 8;
+constexpr milliseconds kStep{ 20 };
+constexpr milliseconds kSeedTime{ 20'000 };
+/// Time after the last disruption until tasks of cancelled jobs have stopped:
+/// until the instances count as undisturbed, and the bounds of a cancellation
+/// and of a stop.
+constexpr milliseconds kStoppedTime{ 3000 + 3000 + 200 };
+/// Longer than the leases of earlier leaders.
+constexpr milliseconds kRecoveryTime{ 25'000 };
+constexpr milliseconds kCallerTimeout{ 1500 };
+
+int
+NumberFromEnvironment(const char* aName, int aDefault)
+{
+  const char* text = std::getenv(aName);
+  return text != nullptr ? std::atoi(text) : aDefault;
+}
+
+/// Callers submit and cancel jobs with lasting tasks while instances, the log
+/// and workers fail at times that follow from the seed.
+class CancellationSimulation
+{
+public:
+  explicit CancellationSimulation(int aSeed)
+    : mName("seed " + std::to_string(aSeed))
+    , mRandom(base::CreateSeededRandom(static_cast<std::uint64_t>(aSeed)))
+    , mNetwork(mClock, static_cast<std::uint64_t>(aSeed))
+  {
+    mLog.mMaxKeysPerPage = 1 + Draw(12);
+    for (int n = 0; n < kWorkers; ++n) {
+      mWorkers.emplace(WorkerName(n), LossyWorker(mClock));
+      SetRegistered(n, true);
+    }
+    AddInstances(kInstances);
+  }
+
+  void Run()
+  {
+    Advance(milliseconds(4000));
+    for (int n = 0; n < kFirstJobs; ++n) {
+      AddJob();
+    }
+    const base::TimePoint end = mClock.Now() + kSeedTime;
+    while (mClock.Now() < end) {
+      Advance(kStep * (1 + Draw(25)));
+      if (Draw(3) == 0) {
+        Disrupt();
+      } else {
+        ActAsCaller();
+      }
+    }
+    EndDisruptions();
+    while (!AreCallersAnswered()) {
+      RetryCalls();
+      Advance(kStep * 5);
+    }
+    switch (Draw(3)) {
+      case 0:
+        CancelAndCrash();
+        break;
+      case 1:
+        CancelAmidFaults();
+        break;
+      default:
+        break;
+    }
+    EndDisruptions();
+    Advance(kStoppedTime);
+    CheckNoCancelledRuns();
+    const base::TimePoint recoveredAt = mClock.Now() + kRecoveryTime;
+    while (mClock.Now() < recoveredAt) {
+      Advance(kStep);
+      CheckNoCancelledRuns();
+    }
+    CheckOpenJobsRun();
+  }
+
+  int mCancelled = 0;
+  int mCrashes = 0;
+
+private:
+  struct Job
+  {
+    std::string mId;
+    bool mIsAccepted = false;
+    bool mIsCancelling = false;
+    bool mIsCancelled = false;
+  };
+
+  int Draw(int aBound)
+  {
+    return static_cast<int>(mRandom->Below(static_cast<std::uint64_t>(aBound)));
+  }
+
+  static std::string WorkerName(int aNumber)
+  {
+    return "w" + std::to_string(aNumber);
+  }
+
+  void Store(const std::string& aTopic, std::string aKey, std::string aValue)
+  {
+    auto& records = mLog.mLog.mStreams[aTopic];
+    const auto offset = static_cast<std::int64_t>(records.size());
+    records.push_back({ std::move(aKey), std::move(aValue), offset });
+  }
+
+  void SetRegistered(int aWorker, bool aIsRegistered)
+  {
+    if (mRegistered[aWorker] != aIsRegistered) {
+      mRegistered[aWorker] = aIsRegistered;
+      Store("workers", WorkerName(aWorker), aIsRegistered ? "1" : "");
+    }
+  }
+
+  void AddInstances(int aCount)
+  {
+    for (int n = 0; n < aCount; ++n) {
+      mInstances.push_back(std::make_unique<LossyInstance>(
+        mLog,
+        mWorkers,
+        mNetwork,
+        mClock,
+        MakeOptions("node" + std::to_string(mInstanceCount++)),
+        [this](base::TimePoint aUntil) { Advance(aUntil - mClock.Now()); }));
+    }
+  }
+
+  void Advance(base::Duration aTime)
+  {
+    const base::TimePoint end = mClock.Now() + aTime;
+    while (mClock.Now() < end) {
+      mClock.Advance(kStep);
+      mNetwork.RunDue();
+      for (auto& it : mInstances) {
+        if (!it->mRecipient.IsPaused()) {
+          it->mNode.Tick();
+        }
+      }
+      for (auto& [id, worker] : mWorkers) {
+        worker.ExpireLease();
+      }
+      if (mInstances.size() < kInstances && mClock.Now() >= mInstancesBackAt) {
+        AddInstances(kInstances - static_cast<int>(mInstances.size()));
+      }
+    }
+  }
+
+  /// Null if no instance answers callers.
+  LossyInstance* ChooseInstance()
+  {
+    if (mInstances.empty()) {
+      return nullptr;
+    }
+    LossyInstance* chosen = mInstances[static_cast<std::size_t>(Draw(
+                                         static_cast<int>(mInstances.size())))]
+                              .get();
+    return chosen->mRecipient.IsPaused() ? nullptr : chosen;
+  }
+
+  void AddJob()
+  {
+    mJobs.push_back({ "job" + std::to_string(mJobs.size()) });
+    Submit(mJobs.back());
+  }
+
+  void Submit(Job& aJob)
+  {
+    LossyInstance* instance = ChooseInstance();
+    if (instance == nullptr) {
+      return;
+    }
+    jobs::QueuePolicy policy;
+    policy.mPool = "pool";
+    policy.mMaxFailedRuns = 3;
+    jobs::JobRequest request;
+    request.mSteps.resize(1);
+    request.mSteps[0].mIsService = true;
+    request.mSteps[0].mCount = 2;
+    request.mSteps[0].mMaxPerWorker = 1;
+    request.mSteps[0].mResources.mMilliProcessors = 100;
+    const auto result = instance->mNode.GetJobRouter().Submit(
+      policy, aJob.mId, request, mClock.Now() + kCallerTimeout);
+    aJob.mIsAccepted = aJob.mIsAccepted || result;
+  }
+
+  /// Returns true once the cancellation is acknowledged.
+  bool Cancel(Job& aJob)
+  {
+    aJob.mIsCancelling = true;
+    LossyInstance* instance = ChooseInstance();
+    if (instance == nullptr) {
+      return false;
+    }
+    const auto result = instance->mNode.GetJobRouter().Cancel(
+      aJob.mId, mClock.Now() + kCallerTimeout);
+    CPPUNIT_ASSERT_MESSAGE(mName + ": accepted " + aJob.mId + " is not found",
+                           result ||
+                             result.error().mKind != base::ErrorKind::NotFound);
+    if (result && !aJob.mIsCancelled) {
+      aJob.mIsCancelled = true;
+      ++mCancelled;
+    }
+    return aJob.mIsCancelled;
+  }
+
+  Job& ChooseJob()
+  {
+    return mJobs[static_cast<std::size_t>(
+      Draw(static_cast<int>(mJobs.size())))];
+  }
+
+  void ActAsCaller()
+  {
+    Job& job = ChooseJob();
+    switch (Draw(6)) {
+      case 0:
+        if (mJobs.size() < 25) {
+          AddJob();
+        }
+        break;
+      case 1:
+        // Accepted submissions may arrive again.
+        Submit(job);
+        break;
+      case 2:
+        if (job.mIsAccepted && Cancel(job) && Draw(2) == 0) {
+          Disrupt();
+        }
+        break;
+      case 3:
+        for (auto& [id, worker] : mWorkers) {
+          if (Draw(4) == 0) {
+            worker.FailRuns();
+          }
+        }
+        break;
+      default:
+        RetryCalls();
+        break;
+    }
+  }
+
+  void RetryCalls()
+  {
+    for (std::size_t n = 0; n < mJobs.size(); ++n) {
+      if (!mJobs[n].mIsAccepted) {
+        Submit(mJobs[n]);
+      } else if (mJobs[n].mIsCancelling && !mJobs[n].mIsCancelled) {
+        Cancel(mJobs[n]);
+      }
+    }
+  }
+
+  bool AreCallersAnswered() const
+  {
+    return std::all_of(mJobs.begin(), mJobs.end(), [](const Job& aJob) {
+      return aJob.mIsAccepted && (!aJob.mIsCancelling || aJob.mIsCancelled);
+    });
+  }
+
+  /// Null if all jobs are cancelled.
+  Job* FindOpenJob()
+  {
+    const auto found =
+      std::find_if(mJobs.begin(), mJobs.end(), [](const Job& aJob) {
+        return !aJob.mIsCancelled;
+      });
+    return found != mJobs.end() ? &*found : nullptr;
+  }
+
+  /// All instances end right after an acknowledgement.
+  void CancelAndCrash()
+  {
+    Job* job = FindOpenJob();
+    if (job != nullptr && Cancel(*job)) {
+      CrashAll();
+    }
+  }
+
+  /// The instances go on, but their calls are lost, late or reordered.
+  void CancelAmidFaults()
+  {
+    const int cancelled = mCancelled;
+    for (int n = 0; n < 40 && mCancelled < cancelled + 3; ++n) {
+      mNetwork.mFaultPercent = 20 + Draw(40);
+      mNetwork.mMaxDelayMs = 20 + Draw(500);
+      Job* job = FindOpenJob();
+      if (job == nullptr) {
+        break;
+      }
+      Cancel(*job);
+      Advance(kStep * (1 + Draw(25)));
+    }
+    EndFaults();
+    while (!AreCallersAnswered()) {
+      RetryCalls();
+      Advance(kStep * 5);
+    }
+  }
+
+  void CrashAll()
+  {
+    ++mCrashes;
+    mInstances.clear();
+    mInstancesBackAt = mClock.Now() + kStep * Draw(60);
+  }
+
+  std::size_t LeaderIndex()
+  {
+    for (std::size_t n = 0; n < mInstances.size(); ++n) {
+      if (mInstances[n]->mNode.IsDispatching()) {
+        return n;
+      }
+    }
+    return static_cast<std::size_t>(Draw(static_cast<int>(mInstances.size())));
+  }
+
+  void ExpireRecords()
+  {
+    for (const auto& [stream, records] : mLog.mLog.mStreams) {
+      const auto end = static_cast<int>(records.size());
+      auto& first = mLog.mFirst[stream];
+      first = std::max<std::int64_t>(first, end - Draw(std::min(end, 40) + 1));
+    }
+  }
+
+  void Disrupt()
+  {
+    const int kind = Draw(13);
+    if (kind >= 10) {
+      EndFaults();
+      return;
+    }
+    if (mInstances.empty()) {
+      return;
+    }
+    const auto leader = static_cast<std::ptrdiff_t>(LeaderIndex());
+    LossyInstance& instance = *mInstances[static_cast<std::size_t>(
+      Draw(static_cast<int>(mInstances.size())))];
+    switch (kind) {
+      case 0:
+        CrashAll();
+        break;
+      case 1:
+        mInstances.erase(mInstances.begin() + leader);
+        mInstancesBackAt = mClock.Now() + kStep * Draw(60);
+        break;
+      case 2:
+        mInstances[static_cast<std::size_t>(leader)]->mNode.Resign();
+        Advance(kStep * Draw(10));
+        if (static_cast<std::size_t>(leader) < mInstances.size()) {
+          mInstances.erase(mInstances.begin() + leader);
+        }
+        break;
+      case 3:
+        mInstances[static_cast<std::size_t>(leader)]->mLog.mIsCut = true;
+        break;
+      case 4:
+        instance.mLog.mIsCut = true;
+        break;
+      case 5:
+        mInstances[static_cast<std::size_t>(leader)]->mRecipient.Pause(
+          mClock.Now() + kStep * Draw(250));
+        break;
+      case 6:
+        mNetwork.mFaultPercent = Draw(50);
+        mNetwork.mMaxDelayMs = 20 + Draw(500);
+        break;
+      case 7:
+        ExpireRecords();
+        break;
+      case 8: {
+        const int worker = Draw(kWorkers);
+        if (Draw(2) == 0) {
+          mWorkers.at(WorkerName(worker)).Restart();
+        } else {
+          SetRegistered(worker, Draw(2) == 0);
+        }
+        break;
+      }
+      default:
+        for (auto& it : mInstances) {
+          if (Draw(2) == 0) {
+            it->mClient.mCutWorkers.insert(WorkerName(Draw(kWorkers)));
+          }
+        }
+        break;
+    }
+  }
+
+  void EndFaults()
+  {
+    mNetwork.mFaultPercent = 0;
+    mNetwork.mMaxDelayMs = 60;
+    for (auto& it : mInstances) {
+      it->mLog.mIsCut = false;
+      it->mClient.mCutWorkers.clear();
+    }
+  }
+
+  void EndDisruptions()
+  {
+    EndFaults();
+    for (auto& it : mInstances) {
+      it->mRecipient.Pause(base::TimePoint{});
+    }
+    for (int n = 0; n < kWorkers; ++n) {
+      SetRegistered(n, true);
+    }
+    if (mInstances.size() < kInstances) {
+      AddInstances(kInstances - static_cast<int>(mInstances.size()));
+    }
+  }
+
+  bool IsCancelled(const std::string& aJobId) const
+  {
+    return std::any_of(mJobs.begin(), mJobs.end(), [&](const Job& aJob) {
+      return aJob.mId == aJobId && aJob.mIsCancelled;
+    });
+  }
+
+  void CheckNoCancelledRuns() const
+  {
+    for (const auto& [id, worker] : mWorkers) {
+      for (const auto& it : worker.Runs()) {
+        CPPUNIT_ASSERT_MESSAGE(mName + ": " + ToText(it.mTask) +
+                                 " of a cancelled job runs on " + id,
+                               !IsCancelled(it.mTask.mJobId));
+      }
+    }
+  }
+
+  void CheckOpenJobsRun() const
+  {
+    std::map<std::string, int> runs;
+    for (const auto& [id, worker] : mWorkers) {
+      for (const auto& it : worker.Runs()) {
+        ++runs[it.mTask.mJobId];
+      }
+    }
+    for (const Job& it : mJobs) {
+      if (!it.mIsCancelled) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          mName + ": runs of " + it.mId, 2, runs[it.mId]);
+      }
+    }
+  }
+
+  const std::string mName;
+  std::unique_ptr<base::Random> mRandom;
+  base::ManualClock mClock;
+  LossyNetwork mNetwork;
+  LossyLogState mLog;
+  LossyWorkers mWorkers;
+  std::map<int, bool> mRegistered;
+  std::vector<std::unique_ptr<LossyInstance>> mInstances;
+  base::TimePoint mInstancesBackAt;
+  std::vector<Job> mJobs;
+  /// Includes instances that have been removed.
+  int mInstanceCount = 0;
+};
+
+} // namespace
+
+class CancellationRandomTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(CancellationRandomTest);
+  CPPUNIT_TEST(StopsCancelledJobsWhileInstancesAndTheLogFail);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against tasks that run on, or start, after the cancellation of their
+  // job was acknowledged, and against telling a caller that an accepted job
+  // does not exist.
+  void StopsCancelledJobsWhileInstancesAndTheLogFail()
+  {
+    const int first =
+      NumberFromEnvironment("SKYLARKHILL_CANCELLATION_FIRST_SEED", 1);
+    const int count =
+      NumberFromEnvironment("SKYLARKHILL_CANCELLATION_SEEDS", kSeeds);
+    int cancelled = 0;
+    int crashes = 0;
+    for (int seed = first; seed < first + count; ++seed) {
+      CancellationSimulation simulation(seed);
+      simulation.Run();
+      cancelled += simulation.mCancelled;
+      crashes += simulation.mCrashes;
+    }
+    CPPUNIT_ASSERT(cancelled >= count);
+    CPPUNIT_ASSERT(crashes >= count / 2);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CancellationRandomTest);
+
+} // namespace skylarkhill::node
