Count the lease of a leader from the first copy of its claim

A claim is stored, its answer is lost, and so is the read that would show it. The candidate sends the claim again, which is refused because the stream has moved on, and then reads the first copy. It took the time of the second copy for that of the claim, so its leader lease began up to 1.75 s (the time limit of an append and the pause after it) after the record was stored. Other instances count the lease from their read of the record and 0.7 s more, so such a leader, cut off from the log, could extend the lease of a worker beyond the time that its successor waits for.

The time of a claim is now that of its first copy. A leader whose claim is read back late has a shorter lease until its first renewal.

Before: NodeTest::CountsItsLeaseFromTheFirstCopyOfItsClaim fails with "ConfirmedAt() <= storedAt".

--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -118,7 +118,9 @@
   LogStreamReader mReader;
   std::optional<LeaderRecord> mNewestRecord;
   base::TimePoint mNewestReadAt;
-  /// When the last claim of this instance was sent.
+  /// Epoch of the last claim of this instance; 0 if there is none.
+  std::int64_t mClaimedEpoch = 0;
+  /// When the first copy of that claim was sent.
   base::TimePoint mClaimSentAt;
   std::optional<std::int64_t> mOwnEpoch;
   /// Epoch of the newest record before that of mNewestRecord.
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -234,7 +234,9 @@
 {
   mIsAppending = true;
   const TimePoint now = mClock.Now();
-  if (!mOwnEpoch) {
+  // A later copy does not delay the lease: the first one may have been stored.
+  if (!mOwnEpoch && aRecord.mEpoch != mClaimedEpoch) {
+    mClaimedEpoch = aRecord.mEpoch;
     mClaimSentAt = now;
   }
   mStreamEnd = std::max(mStreamEnd, mReader.NextOffset());
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(ReplacesAResignedLeaderAtOnce);
   CPPUNIT_TEST(CountsTheFullLeaseOfAResignedLeader);
   CPPUNIT_TEST(CountsTheLeasesOfItsOwnEarlierTerm);
+  CPPUNIT_TEST(CountsItsLeaseFromTheFirstCopyOfItsClaim);
   CPPUNIT_TEST(PrefersTheInstanceWithTheMostProcessors);
   CPPUNIT_TEST(MatchesTheLongestPrefix);
   CPPUNIT_TEST(AcceptsAJobOnceItIsStored);
@@ -174,6 +175,29 @@
     CPPUNIT_ASSERT(leadership.PreviousLeaderLeaseEnd() >= leaseEnd);
   }
 
+  // A claim is stored without an answer, and is sent again before it is read.
+  // Guards against a leader lease that begins after the claim was stored and
+  // outlasts the time that a successor waits for.
+  void CountsItsLeaseFromTheFirstCopyOfItsClaim()
+  {
+    AddCandidates(1);
+    Candidate& candidate = *mCandidates.front();
+    candidate.mLog.mClock = &mClock;
+    candidate.mLog.mDropsResponses = true;
+    Advance(milliseconds(100));
+    candidate.mLog.mUnreadableTopics.insert(kLeaderStream.mTopic);
+    const auto& records = mState.mStreams[kLeaderStream.mTopic];
+    while (records.empty()) {
+      Advance(milliseconds(20));
+    }
+    const base::TimePoint storedAt = mClock.Now();
+    Advance(milliseconds(2500));
+    candidate.mLog.mUnreadableTopics.clear();
+    Advance(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, candidate.mLeadership.Epoch());
+    CPPUNIT_ASSERT(candidate.mLeadership.ConfirmedAt() <= storedAt);
+  }
+
   // A leader with little processor time slows down all callers.
   void PrefersTheInstanceWithTheMostProcessors()
   {
