Soak: change the leader in series beside dead workers, check lasting tasks

After the faults of before it lets workers die N times, some of them for good, and sends SIGTERM and SIGKILL to the leading instances in a series 5 to 9 s later, the last time at the end of the fault time.

--- a/src/testing/soak_main.cpp
+++ b/src/testing/soak_main.cpp
@@ -74,6 +74,9 @@
   add("fault-seconds",
       options::value(&aArguments.mFaultSeconds),
       "how long faults are injected");
+  add("leader-series",
+      options::value(&aArguments.mSoak.mLeaderSeries),
+      "how often workers die and the leader changes in a series after that");
   add("instances", options::value(&aArguments.mSoak.mInstances), "instances");
   add("workers", options::value(&aArguments.mSoak.mWorkers), "workers");
   add("callers", options::value(&aArguments.mSoak.mCallers), "callers");
