Bound the leases after a resignation by the longest one from then on

The bound that a resignation carries was the end of the leases as the leader knows them. A worker that restarts under its id, unseen by the leader, executes a delayed copy of a call with a clock that starts anew and counts the lease from then on, and the leader of another cell may extend the lease of a worker that it has taken over. The bound is now at least the longest lease from the resignation on, and there is none while another cell has a worker. A copy that is executed later than that is not covered.

--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -89,8 +89,9 @@
   /// True if the worker has answered its last poll. False if the worker has
   /// been removed.
   virtual bool Answers(const std::string& aWorkerId) const = 0;
-  /// Latest time at which a lease of any worker ends.
-  virtual base::TimePoint LeasesEndAt() const = 0;
+  /// Latest time at which a lease of any worker ends if none is extended after
+  /// `aNow`; kNoDeadline if another leader may extend one.
+  virtual base::TimePoint LeasesEndAt(base::TimePoint aNow) const = 0;
   /// False once the worker has been removed.
   virtual bool HasWorker(const std::string& aWorkerId) const = 0;
   /// Adds a job. `aIsFromEarlierTerm` is true if the job may have been accepted
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -279,15 +279,20 @@
            found->second->mFailedPolls == 0;
   }
 
-  TimePoint LeasesEndAt() const override
+  TimePoint LeasesEndAt(TimePoint aNow) const override
   {
-    TimePoint end;
+    // A worker that restarts unnoticed counts a lease from the call that it
+    // receives, because its clock starts anew.
+    TimePoint end = aNow + MaxLeaseDuration();
     for (const auto& [id, worker] : mWorkers) {
+      if (worker->mIsTakenOver) {
+        return base::kNoDeadline;
+      }
       end = std::max(end,
                      worker->mHasReported ? worker->mLeaseEndsAt
                                           : worker->mEarlierLeaseEndsAt);
     }
-    return mWorkers.empty() ? mTerm.mPreviousLeasesEndAt : end;
+    return mWorkers.empty() ? std::max(end, mTerm.mPreviousLeasesEndAt) : end;
   }
 
   bool HasWorker(const std::string& aWorkerId) const override
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -336,7 +336,7 @@
       logging::Level::Info,
       "term_records_stored",
       { { "epoch", mEpoch }, { "complete", isComplete ? "yes" : "no" } });
-    leasesEndAt = mDispatcher->LeasesEndAt();
+    leasesEndAt = mDispatcher->LeasesEndAt(now);
     EndTerm();
   }
   mLeadership.Resign(leasesEndAt);
