Repeat no resignation behind a leader record that cannot be read

Such a record may be that of a later term. A resignation that follows it would be the newest record of the stream, and an instance that reads only this one would take the epoch for free.

--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -196,6 +196,9 @@
       logging::Level::Warning,
       "leader_record_skipped",
       { { "offset", aRecord.mOffset }, { "problem", record.error().mDetail } });
+    // The record may be that of a later term, which must not be followed by a
+    // resignation of the own one.
+    mResignedEpoch.reset();
     return;
   }
   const LeaderRecord& leaderRecord = record.value();
