Do not lead an ended term again by a renewal in flight

A leader that steps down while a renewal awaits its response took the success for that of a claim and led the same term again.

Failed on the code before: NodeTest::LeadsNoEndedTermAgainByARenewalInFlight.

--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -345,11 +345,13 @@
     mResignedEpoch.reset();
     return;
   }
-  if (mOwnEpoch) {
+  if (mOwnEpoch == aRecord.mEpoch) {
     mConfirmedAt = aSentAt;
     return;
   }
-  if (!mHasResigned) {
+  // A renewal of a term that has ended since is no claim.
+  const bool isClaim = !mNewestRecord || aRecord.mEpoch > mNewestRecord->mEpoch;
+  if (isClaim && !mHasResigned) {
     BecomeLeader(aRecord, aSentAt);
   }
 }
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(CountsTheFullLeaseOfAResignedLeader);
   CPPUNIT_TEST(CountsTheLeasesOfItsOwnEarlierTerm);
   CPPUNIT_TEST(CountsItsLeaseFromTheFirstCopyOfItsClaim);
+  CPPUNIT_TEST(LeadsNoEndedTermAgainByARenewalInFlight);
   CPPUNIT_TEST(PrefersTheInstanceWithTheMostProcessors);
   CPPUNIT_TEST(MatchesTheLongestPrefix);
   CPPUNIT_TEST(AcceptsAJobOnceItIsStored);
@@ -198,6 +199,24 @@
     CPPUNIT_ASSERT(candidate.mLeadership.ConfirmedAt() <= storedAt);
   }
 
+  // A leader steps down while a renewal awaits its response. Guards against a
+  // leader that leads the same term again, in which the log refuses its
+  // journal.
+  void LeadsNoEndedTermAgainByARenewalInFlight()
+  {
+    AddCandidates(1);
+    Candidate& candidate = *mCandidates.front();
+    Advance(milliseconds(2000));
+    candidate.mLog.mHoldsResponses = true;
+    Advance(milliseconds(1000));
+    candidate.mLeadership.StepDown();
+    candidate.mLog.mHoldsResponses = false;
+    Advance(milliseconds(100));
+    CPPUNIT_ASSERT(!candidate.mLeadership.IsLeader());
+    Advance(milliseconds(6000));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 2 }, candidate.mLeadership.Epoch());
+  }
+
   // A leader with little processor time slows down all callers.
   void PrefersTheInstanceWithTheMostProcessors()
   {
