--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -90,7 +90,7 @@
   void Tick(base::TimePoint aResumedAt, int aOtherCells);
   /// When to call Tick next if no event arrives before.
   base::TimePoint NextTickAt() const;
-  /// Gives up the leadership before the process stops. Stops to call workers at
+  /// Gives up the leadership before the process stops. Stops calling workers at
   /// once; Tick stores the last records of the term and then the resignation.
   void Resign();
 
--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -42,6 +42,9 @@
 /// last confirmed record. A successor waits this long for workers that it
 /// cannot reach.
 inline constexpr base::Duration kLeaderLease = std::chrono::seconds(9);
+/// Rate of the slowest clock of an instance, in percent. Remaining times that
+/// another instance has stored are stretched by it.
+inline constexpr int kMinClockPercent = 98;
 
 /// Leader election by conditional appends to a stream that only leaders and
 /// candidates write to. Instances with more processors claim earlier.
@@ -94,7 +97,7 @@
   base::TimePoint AnsweredSince() const { return mAnsweredSince; }
   /// Latest time at which a worker lease ends that a leader of a previous term
   /// has granted, this instance included. Also the end of the leader lease of
-  /// that term, unless a resignation tells an earlier one.
+  /// that term, unless a resignation states an earlier one.
   base::TimePoint PreviousLeasesEnd() const
   {
     return std::max(mEarlierLeasesEnd, mNewestLeasesEnd);
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -97,8 +97,6 @@
 constexpr Duration kMinSilence = std::chrono::milliseconds(1500);
 /// JournaledWorker::mLeaseEpoch of a record that cannot be read.
 constexpr std::int64_t kUnreadableEpoch = -1;
-/// Rate of the slowest clock of an instance, in percent.
-constexpr int kMinClockPercent = 98;
 
 /// How long an instance goes on following the registry after its claim was due.
 constexpr Duration kRegistryRetention = std::chrono::seconds(3);
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -42,8 +42,6 @@
 /// A worker lease may outlast the leader lease a little: worker clocks may run
 /// slow and are read with a delay.
 constexpr base::Duration kWorkerLeaseExcess = std::chrono::milliseconds(700);
-/// Rate of the slowest clock of an instance, in percent.
-constexpr int kMinClockPercent = 98;
 
 /// Time that a candidate waits before it claims. Instances with fewer
 /// processors wait longer, because a slow leader slows down all callers.
