Count the longest lease that a restarted worker may have been granted

A worker that starts again under its id takes calls that were meant for its former incarnation.

After a restart the leader now counts the longest lease from the report that shows the restart. The test workers have clocks of their own and shorten leases that are too long, as the platform's workers do.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1095,9 +1095,10 @@
     aWorker.mProcessedSequence = 0;
     aWorker.mAcknowledgedSequence = 0;
     aWorker.mPendingAcknowledgements.clear();
-    // A copy of a call to the former incarnation may have granted a lease.
-    aWorker.mLeaseEndsAt =
-      std::max(aWorker.mLeaseEndsAt, aNow + MaxLeaseDuration());
+    // A call to the former incarnation may have granted a lease. If the clock of
+    // the new one is behind, it is the longest that the worker accepts.
+    aWorker.mLeaseEndsAt = std::max(
+      aWorker.mLeaseEndsAt, aNow + LongestDuration(mLimits.mMaxLease));
   }
 
   // --- Reports ------------------------------------------------------------
@@ -1873,8 +1874,14 @@
   /// Upper bound of the duration of a full lease on this instance's clock.
   Duration MaxLeaseDuration() const
   {
-    return ScaleToSlowestClock(std::min(kLease, mLimits.mMaxLease)) +
-           kLeaseMargin;
+    return LongestDuration(std::min(kLease, mLimits.mMaxLease));
+  }
+
+  /// Upper bound, on this instance's clock, of the duration of a lease of
+  /// `aTime` on the worker's clock.
+  static Duration LongestDuration(Duration aTime)
+  {
+    return ScaleToSlowestClock(aTime) + kLeaseMargin;
   }
 
   static Duration ScaleToSlowestClock(Duration aTime)
@@ -1897,7 +1904,7 @@
     }
     const Duration length = until - aNow;
     aWorker.mLeaseEndsAt = std::max(
-      aWorker.mLeaseEndsAt, aNow + ScaleToSlowestClock(length) + kLeaseMargin);
+      aWorker.mLeaseEndsAt, aNow + LongestDuration(length));
     return aWorker.mClockMs + ToMs(aNow - aWorker.mClockReadAt) + ToMs(length);
   }
 
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -327,6 +327,7 @@
   CPPUNIT_TEST(NeverExceedsTheCapacityOfAWorker);
   CPPUNIT_TEST(RestartsTasksOfASilentWorkerAfterItsLease);
   CPPUNIT_TEST(RestartsTasksAtOnceAfterAWorkerRestart);
+  CPPUNIT_TEST(CountsTheLongestLeaseOfARestartedWorker);
   CPPUNIT_TEST(WaitsForWorkersThatHaveNotAnsweredANewLeader);
   CPPUNIT_TEST(KeepsAnAdoptedRunForAFullLease);
   CPPUNIT_TEST(KeepsRunsWhileLeadershipIsUnconfirmed);
@@ -741,6 +742,30 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, worker.mRuns.size());
   }
 
+  // A worker restarts, gets a poll that was meant for the former incarnation,
+  // whose clock was ahead, and is cut off. Guards against a task that runs
+  // twice, because the lease of that poll is the longest that workers accept
+  // (TWICE).
+  void CountsTheLongestLeaseOfARestartedWorker()
+  {
+    FakeSite site;
+    site.mMaxLease = milliseconds(10000);
+    site.mRunTime = [](const TaskId&) { return milliseconds(30000); };
+    auto& worker = site.AddWorker("w1");
+    auto& leader = site.AddLeader(1);
+    leader.GetDispatcher().AddJob(MakeJob("a", { 1 }), false, site.Now());
+    site.Advance(milliseconds(1000));
+    worker.Restart(-milliseconds(20000));
+    site.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, worker.mRuns.size());
+    site.AddWorker("w2");
+    leader.GetDispatcher().SetWorker(site.Worker("w2").Entry(), site.Now());
+    leader.mUnreachableWorkers.insert("w1");
+    site.Advance(milliseconds(20000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, site.mDoubleRuns.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.Worker("w2").mRuns.size());
+  }
+
   // After a long outage of the log, a new leader takes over when all earlier
   // leases have ended. A task whose success a worker has yet to report must not
   // run again.
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -40,10 +40,12 @@
 }
 
 void
-FakeWorker::Restart()
+FakeWorker::Restart(base::Duration aClockStep)
 {
   ++mIncarnationStartMs;
+  mClockOffset += aClockStep;
   mFencingToken = 0;
+  mLeaseUntil = {};
   mRuns.clear();
   mEndedRuns.clear();
   mNextSequence = 1;
@@ -51,11 +53,29 @@
   mHighestEndedRuns.clear();
 }
 
+void
+FakeWorker::ExtendLease(std::int64_t aUntilMs,
+                        base::Duration aMaxLease,
+                        base::TimePoint aNow)
+{
+  const base::TimePoint until =
+    base::FromMicros(aUntilMs * 1000) - mClockOffset;
+  mLeaseUntil = std::max(mLeaseUntil, std::min(until, aNow + aMaxLease));
+}
+
+std::int64_t
+FakeWorker::ClockMs(base::TimePoint aNow) const
+{
+  return ToMs(aNow + mClockOffset);
+}
+
 FakeSite::Leader::Leader(FakeSite& aSite, const Term& aTerm)
   : mSite(aSite)
   , mEpoch(aTerm.mEpoch)
-  , mDispatcher(CreateDispatcher({}, aTerm, *this, mMetrics))
 {
+  DispatchLimits limits;
+  limits.mMaxLease = aSite.mMaxLease;
+  mDispatcher = CreateDispatcher(limits, aTerm, *this, mMetrics);
 }
 
 void
@@ -75,8 +95,7 @@
   }
   worker.mFencingToken = mEpoch;
   if (aCall.mLeaseUntilMs > 0) {
-    worker.mLeaseUntil = std::max(worker.mLeaseUntil,
-                                  base::FromMicros(aCall.mLeaseUntilMs * 1000));
+    worker.ExtendLease(aCall.mLeaseUntilMs, mSite.mMaxLease, sentAt);
   }
   worker.mAcknowledgedSequence =
     std::max(worker.mAcknowledgedSequence, aCall.mAcknowledgedSequence);
@@ -94,7 +113,7 @@
                                          }),
                           worker.mEndedRuns.end());
   WorkerReport report;
-  report.mClockMs = ToMs(sentAt);
+  report.mClockMs = worker.ClockMs(sentAt);
   report.mIncarnationStartMs = worker.mIncarnationStartMs;
   const std::size_t listed =
     std::min(worker.mEndedRuns.size(), mSite.mMaxListedEndedRuns);
@@ -159,12 +178,11 @@
       aCall.mRunNumber <= ended->second) {
     return StartOutcome::OldRun;
   }
-  if (base::FromMicros(aCall.mLeaseUntilMs * 1000) <= mSite.Now()) {
+  if (aCall.mLeaseUntilMs <= worker.ClockMs(mSite.Now())) {
     return StartOutcome::TooLate;
   }
   worker.mFencingToken = mEpoch;
-  worker.mLeaseUntil =
-    std::max(worker.mLeaseUntil, base::FromMicros(aCall.mLeaseUntilMs * 1000));
+  worker.ExtendLease(aCall.mLeaseUntilMs, mSite.mMaxLease, mSite.Now());
   mSite.RecordStart(worker, aCall.mTask);
   const base::Duration time = mSite.mRunTime ? mSite.mRunTime(aCall.mTask)
                                              : std::chrono::milliseconds(300);
--- a/src/dispatch/fake_site_test.hpp
+++ b/src/dispatch/fake_site_test.hpp
@@ -34,13 +34,22 @@
   FakeWorker(std::string aId, std::int64_t aMilliProcessors);
 
   WorkerEntry Entry() const;
-  /// Begins a new incarnation under the same id. All runs are lost.
-  void Restart();
+  /// Begins a new incarnation under the same id, whose clock is ahead of the
+  /// former one by `aClockStep`. All runs are lost.
+  void Restart(base::Duration aClockStep = base::Duration::zero());
+  /// Extends the lease until a time of this worker's clock, at most for
+  /// `aMaxLease`.
+  void ExtendLease(std::int64_t aUntilMs,
+                   base::Duration aMaxLease,
+                   base::TimePoint aNow);
+  std::int64_t ClockMs(base::TimePoint aNow) const;
 
   std::string mId;
   std::int64_t mMilliProcessors = 0;
   std::int64_t mIncarnationStartMs = 1;
   std::int64_t mFencingToken = 0;
+  /// Time by which the clock of the worker is ahead of that of the site.
+  base::Duration mClockOffset{ 0 };
   base::TimePoint mLeaseUntil;
   std::vector<Run> mRuns;
   std::vector<EndedRun> mEndedRuns;
@@ -147,6 +156,8 @@
 
   /// Run time of a task; 300 ms if unset.
   std::function<base::Duration(const TaskId&)> mRunTime;
+  /// Longest lease that a worker accepts. Leaders that are added later know it.
+  base::Duration mMaxLease = DispatchLimits{}.mMaxLease;
   /// Number of ended runs that a worker lists in one report.
   std::size_t mMaxListedEndedRuns = 500;
   /// Decides whether a run fails; no run fails if unset.
