Send calls once, on connections that a caller has marked

The HTTP client of cxxtools sends a request again on a new connection if the one in use turns out to be closed. A call that is meant for one process must not do so, because another process may have accepted the new connection.

CallLoop::CallMarked uses only pooled connections that have stayed open since a handler marked them, and ends the call when the connection is closed. The selector tells the connection that its socket was opened again, and keeps the end of the input from the library during such a call. A handler may call on the connection of its response, which is pooled before the handler is called.

CallLoopTest: SendsAMarkedCallOnce, UsesOnlyConnectionsThatStayedOpenSinceTheirMark, CallsOnTheConnectionOfAResponse, new with the interface.

--- a/include/skylarkhill/http/call_loop.hpp
+++ b/include/skylarkhill/http/call_loop.hpp
@@ -7,6 +7,7 @@
 #include "skylarkhill/http/message.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -31,6 +32,19 @@
                     const ClientRequest& aRequest,
                     base::TimePoint aDeadline,
                     CallHandler aHandler) = 0;
+  /// Sends `aRequest` once, on a pooled connection with the mark `aMark` that
+  /// has stayed open since it was marked, so that only the process that has
+  /// accepted the connection can receive it. Returns false, and calls no
+  /// handler, if there is no such connection. The result is ConnectionLost if
+  /// the connection is closed meanwhile.
+  virtual bool CallMarked(const std::string& aEndpoint,
+                          std::int64_t aMark,
+                          const ClientRequest& aRequest,
+                          base::TimePoint aDeadline,
+                          CallHandler aHandler) = 0;
+  /// Called by a handler: marks the connection of its response, which is pooled
+  /// already.
+  virtual void MarkConnection(std::int64_t aMark) = 0;
   /// Handles input until `aDeadline`, a call of Wake, or the first completed
   /// call, whichever comes first. May return earlier.
   virtual void Wait(base::TimePoint aDeadline) = 0;
--- a/src/http/call_loop.cpp
+++ b/src/http/call_loop.cpp
@@ -43,17 +43,28 @@
 /// Bounds the time spent on a response without end.
 constexpr int kMaxLateReads = 256;
 
+/// Number of times that a request may be sent.
+enum class Copies
+{
+  /// Again on a new connection if the one in use is closed.
+  Any,
+  One,
+};
+
 /// One connection; carries at most one call at a time.
-class Connection : public cxxtools::Connectable
+class Connection
+  : public cxxtools::Connectable
+  , public SocketObserver
 {
 public:
   /// Each finished call is appended to `aFinished`, which must outlive the
   /// connection.
-  Connection(cxxtools::SelectorBase& aSelector,
+  Connection(SocketSelector& aSelector,
              std::string aEndpoint,
              std::vector<Connection*>& aFinished)
     : mEndpoint(std::move(aEndpoint))
     , mFinished(aFinished)
+    , mSelector(aSelector)
     , mClient(aSelector)
   {
     const auto endpoint = ParseEndpoint(mEndpoint);
@@ -67,10 +78,12 @@
   }
 
   void StartCall(const ClientRequest& aRequest,
+                 Copies aCopies,
                  TimePoint aDeadline,
                  CallHandler aHandler)
   {
     mRequest = ToLibraryRequest(aRequest);
+    mCopies = aCopies;
     mBody.clear();
     mDeadline = aDeadline;
     mHandler = std::move(aHandler);
@@ -86,6 +99,10 @@
                          e.what());
       Finish();
     }
+    if (!mWasUsed) {
+      // The library adds its socket with the first call.
+      mSelector.ObserveNewest(*this);
+    }
     mWasUsed = true;
   }
 
@@ -95,6 +112,8 @@
   TimePoint Deadline() const { return mDeadline; }
   TimePoint ReusableUntil() const { return mReusableUntil; }
   void SetReusableUntil(TimePoint aTime) { mReusableUntil = aTime; }
+  const std::optional<std::int64_t>& Mark() const { return mMark; }
+  void SetMark(std::int64_t aMark) { mMark = aMark; }
 
   void Expire()
   {
@@ -103,15 +122,27 @@
     Finish();
   }
 
-  void InvokeHandler()
+  void OnReopened() override
+  {
+    mMark.reset();
+    LoseSingleCopy();
+  }
+
+  bool MustNotReopen() const override
+  {
+    return mCopies == Copies::One && mHandler != nullptr;
+  }
+
+  void OnClosedByPeer() override { LoseSingleCopy(); }
+
+  CallHandler TakeHandler() { return std::exchange(mHandler, nullptr); }
+
+  base::Result<Response> TakeResult()
   {
-    const CallHandler handler = std::move(mHandler);
-    mHandler = nullptr;
     if (mError) {
-      handler(*mError);
-      return;
+      return *mError;
     }
-    handler(std::move(mResponse));
+    return std::move(mResponse);
   }
 
 private:
@@ -136,6 +167,16 @@
     }
   }
 
+  /// Ends a call whose request must not be sent again.
+  void LoseSingleCopy()
+  {
+    if (MustNotReopen() && !mIsFinished) {
+      mError = MakeError(ErrorKind::ConnectionLost,
+                         "the connection was closed before the response");
+      Finish();
+    }
+  }
+
   void OnSent(cxxtools::http::Client&) { ++mSentCopies; }
 
   void OnFinished(cxxtools::http::Client& aClient)
@@ -166,6 +207,7 @@
 
   const std::string mEndpoint;
   std::vector<Connection*>& mFinished;
+  SocketSelector& mSelector;
   cxxtools::http::Client mClient;
   cxxtools::http::Request mRequest;
   std::string mBody;
@@ -173,6 +215,9 @@
   CallHandler mHandler;
   TimePoint mDeadline;
   TimePoint mReusableUntil;
+  Copies mCopies = Copies::Any;
+  /// See CallLoop::MarkConnection; empty since the socket was opened again.
+  std::optional<std::int64_t> mMark;
   std::optional<base::Error> mError;
   /// How often the request has been sent completely.
   int mSentCopies = 0;
@@ -200,9 +245,36 @@
       connection =
         std::make_unique<Connection>(mSelector, aEndpoint, mFinished);
     }
-    connection->StartCall(aRequest, aDeadline, std::move(aHandler));
-    const ActiveKey key(aDeadline, connection.get());
-    mActive.emplace(key, std::move(connection));
+    StartCall(std::move(connection),
+              aRequest,
+              Copies::Any,
+              aDeadline,
+              std::move(aHandler));
+  }
+
+  bool CallMarked(const std::string& aEndpoint,
+                  std::int64_t aMark,
+                  const ClientRequest& aRequest,
+                  TimePoint aDeadline,
+                  CallHandler aHandler) override
+  {
+    auto connection = TakeMarked(aEndpoint, aMark);
+    if (connection == nullptr) {
+      return false;
+    }
+    StartCall(std::move(connection),
+              aRequest,
+              Copies::One,
+              aDeadline,
+              std::move(aHandler));
+    return true;
+  }
+
+  void MarkConnection(std::int64_t aMark) override
+  {
+    if (mHandled != nullptr) {
+      mHandled->SetMark(aMark);
+    }
   }
 
   void Wait(TimePoint aDeadline) override
@@ -232,22 +304,54 @@
   /// Ordered by ReusableUntil.
   using IdleQueue = std::list<ConnectionPtr>;
 
+  void StartCall(ConnectionPtr aConnection,
+                 const ClientRequest& aRequest,
+                 Copies aCopies,
+                 TimePoint aDeadline,
+                 CallHandler aHandler)
+  {
+    Connection& connection = *aConnection;
+    mActive.emplace(ActiveKey(aDeadline, &connection), std::move(aConnection));
+    connection.StartCall(aRequest, aCopies, aDeadline, std::move(aHandler));
+  }
+
   /// Returns null if no connection to the endpoint can be reused.
   ConnectionPtr TakeIdle(const std::string& aEndpoint)
+  {
+    return TakeIdleIf(aEndpoint, [](const Connection&) { return true; });
+  }
+
+  /// Returns null if there is no open connection with the mark.
+  ConnectionPtr TakeMarked(const std::string& aEndpoint, std::int64_t aMark)
+  {
+    return TakeIdleIf(aEndpoint, [&](const Connection& aConnection) {
+      return aConnection.Mark() == aMark &&
+             mSelector.IsOpenAndQuiet(aConnection);
+    });
+  }
+
+  template<typename Condition>
+  ConnectionPtr TakeIdleIf(const std::string& aEndpoint,
+                           const Condition& aCondition)
   {
     const auto found = mIdleByEndpoint.find(aEndpoint);
     if (found == mIdleByEndpoint.end()) {
       return nullptr;
     }
+    const TimePoint now = mClock.Now();
+    auto& idle = found->second;
     // The last one has been idle for the shortest time.
-    const auto last = found->second.back();
-    if ((*last)->ReusableUntil() <= mClock.Now()) {
+    const auto last = std::find_if(
+      idle.rbegin(), idle.rend(), [&](const IdleQueue::iterator& aEntry) {
+        return (*aEntry)->ReusableUntil() > now && aCondition(**aEntry);
+      });
+    if (last == idle.rend()) {
       return nullptr;
     }
-    ConnectionPtr connection = std::move(*last);
-    mIdle.erase(last);
-    found->second.pop_back();
-    if (found->second.empty()) {
+    ConnectionPtr connection = std::move(**last);
+    mIdle.erase(*last);
+    idle.erase(std::prev(last.base()));
+    if (idle.empty()) {
       mIdleByEndpoint.erase(found);
     }
     return connection;
@@ -335,12 +439,17 @@
       mActive.erase(found);
     }
     mFinished.clear();
-    // A handler may start calls and thereby change the list of active ones.
+    // A handler may start calls and thereby change the list of active ones,
+    // also on its own connection.
     for (auto& it : finished) {
-      it->InvokeHandler();
+      const CallHandler handler = it->TakeHandler();
+      base::Result<Response> result = it->TakeResult();
       if (!it->IsBroken()) {
+        mHandled = it.get();
         AddIdle(std::move(it), now);
       }
+      handler(std::move(result));
+      mHandled = nullptr;
     }
   }
 
@@ -349,6 +458,8 @@
   /// Connections whose call has finished and whose handler is still to be
   /// called.
   std::vector<Connection*> mFinished;
+  /// The connection whose handler is being called; null if it is not pooled.
+  Connection* mHandled = nullptr;
   std::map<ActiveKey, ConnectionPtr> mActive;
   IdleQueue mIdle;
   /// The connections in mIdle, in the same order. No entry is empty.
--- a/src/http/call_loop_test.cpp
+++ b/src/http/call_loop_test.cpp
@@ -20,6 +20,8 @@
 /// An idle connection is closed after this time.
 constexpr base::Duration kMaxIdleTime = std::chrono::seconds(8);
 
+constexpr std::int64_t kMark = 7;
+
 constexpr std::string_view kOkResponse =
   "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
@@ -70,7 +72,6 @@
     CPPUNIT_ASSERT(mConnection->Write(aText, WriteDeadline()));
   }
 
-private:
   bool HasPendingConnection()
   {
     try {
@@ -80,6 +81,7 @@
     }
   }
 
+private:
   static base::TimePoint WriteDeadline()
   {
     return base::GetBootClock().Now() + std::chrono::seconds(5);
@@ -138,6 +140,9 @@
   CPPUNIT_TEST(ReplacesAPooledConnectionThatTheServerHasClosed);
   CPPUNIT_TEST(ReplacesAPooledConnectionThatTheServerResets);
   CPPUNIT_TEST(MarksTheResponseToASecondCopy);
+  CPPUNIT_TEST(SendsAMarkedCallOnce);
+  CPPUNIT_TEST(UsesOnlyConnectionsThatStayedOpenSinceTheirMark);
+  CPPUNIT_TEST(CallsOnTheConnectionOfAResponse);
   CPPUNIT_TEST(ClosesIdleConnectionsOfUnusedEndpoints);
   CPPUNIT_TEST(ClosesTheIdleConnectionsOfABurst);
   CPPUNIT_TEST_SUITE_END();
@@ -326,6 +331,99 @@
     }
   }
 
+  // Guards against a marked call that the library sends again on a new
+  // connection, which another process may have accepted.
+  void SendsAMarkedCallOnce()
+  {
+    const base::Clock& clock = base::GetBootClock();
+    for (const bool isReset : { false, true }) {
+      for (const bool isWriteHandled : { false, true }) {
+        ManualServer server;
+        const auto loop = CreateCallLoop(clock);
+        CompleteCall(*loop, clock, server, kMark);
+        const auto result = StartMarkedCall(*loop, clock, server);
+        if (isWriteHandled) {
+          loop->Wait(clock.Now() + std::chrono::milliseconds(5));
+        }
+        if (isReset) {
+          // Unread input makes the end a reset.
+          while (!server.HasInput()) {
+          }
+        } else {
+          server.ReadNextRequest();
+        }
+        server.Close();
+        CompleteAllCalls(*loop);
+        CPPUNIT_ASSERT(result->has_value() && !result->value());
+        CPPUNIT_ASSERT((*result)->error().mKind ==
+                       base::ErrorKind::ConnectionLost);
+        loop->Wait(clock.Now() + std::chrono::milliseconds(20));
+        CPPUNIT_ASSERT(!server.HasPendingConnection());
+      }
+    }
+  }
+
+  // Guards against a marked call on a connection that has been opened again
+  // since it was marked, or that the peer has closed.
+  void UsesOnlyConnectionsThatStayedOpenSinceTheirMark()
+  {
+    const base::Clock& clock = base::GetBootClock();
+    ManualServer server;
+    const auto loop = CreateCallLoop(clock);
+    CPPUNIT_ASSERT(StartMarkedCall(*loop, clock, server) == nullptr);
+    CompleteCall(*loop, clock, server);
+    CPPUNIT_ASSERT(StartMarkedCall(*loop, clock, server) == nullptr);
+    const auto marked = StartCall(*loop, clock, server, kMark + 1);
+    server.ReadNextRequest();
+    server.Write(kOkResponse);
+    CompleteAllCalls(*loop);
+    CPPUNIT_ASSERT(StartMarkedCall(*loop, clock, server) == nullptr);
+    const auto remarked = StartCall(*loop, clock, server, kMark);
+    server.ReadNextRequest();
+    server.Write(kOkResponse);
+    CompleteAllCalls(*loop);
+    const auto resent = StartCall(*loop, clock, server);
+    server.ReadNextRequest();
+    server.Close();
+    FinishCall(*loop, clock, server, *resent);
+    CPPUNIT_ASSERT(StartMarkedCall(*loop, clock, server) == nullptr);
+    const auto again = StartCall(*loop, clock, server, kMark);
+    server.ReadNextRequest();
+    server.Write(kOkResponse);
+    CompleteAllCalls(*loop);
+    server.Close();
+    CPPUNIT_ASSERT(StartMarkedCall(*loop, clock, server) == nullptr);
+  }
+
+  // A handler marks the connection of its response and calls on it. Guards
+  // against a caller that needs a connection of a certain process and never
+  // finds one.
+  void CallsOnTheConnectionOfAResponse()
+  {
+    const base::Clock& clock = base::GetBootClock();
+    ManualServer server;
+    const auto loop = CreateCallLoop(clock);
+    SharedResult second;
+    loop->Call(server.Endpoint(),
+               Post("/", ""),
+               clock.Now() + std::chrono::seconds(5),
+               [&](const base::Result<Response>& aResult) {
+                 CPPUNIT_ASSERT(aResult);
+                 loop->MarkConnection(kMark);
+                 second = StartMarkedCall(*loop, clock, server);
+               });
+    server.ReceiveRequest(*loop, clock.Now());
+    server.Write(kOkResponse);
+    while (second == nullptr) {
+      loop->Wait(clock.Now() + std::chrono::milliseconds(100));
+    }
+    loop->Wait(clock.Now());
+    server.ReadNextRequest();
+    server.Write(kOkResponse);
+    CompleteAllCalls(*loop);
+    CPPUNIT_ASSERT(second->has_value() && second->value());
+  }
+
   // Guards against reads of the log that never end in time on a busy instance,
   // because each turn of the loop receives only a small part of a response.
   void ReceivesALongResponseInOneTurn()
@@ -415,21 +513,43 @@
 private:
   using SharedResult = std::shared_ptr<std::optional<base::Result<Response>>>;
 
-  /// `aClock` is the clock of the loop.
+  /// `aClock` is the clock of the loop. Marks the connection of the response if
+  /// `aMark` is set.
   static SharedResult StartCall(CallLoop& aLoop,
                                 const base::Clock& aClock,
-                                const ManualServer& aServer)
+                                const ManualServer& aServer,
+                                std::optional<std::int64_t> aMark = {})
   {
     auto result = std::make_shared<SharedResult::element_type>();
     aLoop.Call(aServer.Endpoint(),
                Post("/", ""),
                aClock.Now() + std::chrono::seconds(5),
-               [result](base::Result<Response> aResult) {
+               [&aLoop, result, aMark](base::Result<Response> aResult) {
                  *result = std::move(aResult);
+                 if (aMark) {
+                   aLoop.MarkConnection(*aMark);
+                 }
                });
     return result;
   }
 
+  /// Null if there is no connection with the mark kMark.
+  static SharedResult StartMarkedCall(CallLoop& aLoop,
+                                      const base::Clock& aClock,
+                                      const ManualServer& aServer)
+  {
+    auto result = std::make_shared<SharedResult::element_type>();
+    const bool isSent =
+      aLoop.CallMarked(aServer.Endpoint(),
+                       kMark,
+                       Post("/", ""),
+                       aClock.Now() + std::chrono::seconds(5),
+                       [result](base::Result<Response> aResult) {
+                         *result = std::move(aResult);
+                       });
+    return isSent ? result : nullptr;
+  }
+
   /// Answers the call on a new connection.
   static Response FinishCall(CallLoop& aLoop,
                              const base::Clock& aClock,
@@ -445,9 +565,10 @@
 
   static Response CompleteCall(CallLoop& aLoop,
                                const base::Clock& aClock,
-                               ManualServer& aServer)
+                               ManualServer& aServer,
+                               std::optional<std::int64_t> aMark = {})
   {
-    const auto result = StartCall(aLoop, aClock, aServer);
+    const auto result = StartCall(aLoop, aClock, aServer, aMark);
     return FinishCall(aLoop, aClock, aServer, *result);
   }
 
--- a/src/http/socket_selector.cpp
+++ b/src/http/socket_selector.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <system_error>
 #include <unistd.h>
 #include <vector>
@@ -41,19 +42,53 @@
     left <= 0 ? 0 : ms, 0, std::numeric_limits<int>::max()));
 }
 
+enum class SocketInput
+{
+  None,
+  Available,
+  /// The peer has closed the connection, and all input has been read.
+  Closed,
+};
+
+SocketInput
+PeekInput(int aDescriptor)
+{
+  char byte = 0;
+  const auto n =
+    recv(aDescriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  if (n > 0) {
+    return SocketInput::Available;
+  }
+  const bool isOpen = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK ||
+                                errno == EINTR || errno == ENOTCONN);
+  return isOpen ? SocketInput::None : SocketInput::Closed;
+}
+
+void
+NotifyReopened(SocketObserver* aObserver)
+{
+  if (aObserver != nullptr) {
+    aObserver->OnReopened();
+  }
+}
+
 } // namespace
 
 void
 SocketSelector::Visitor::onReinit(cxxtools::Selectable& aDevice)
 {
   mWasReopened = true;
+  NotifyReopened(mObserver);
   cxxtools::Selector::onReinit(aDevice);
 }
 
 void
 SocketSelector::Visitor::onChanged(cxxtools::Selectable& aDevice)
 {
-  mWasReopened = mWasReopened || !aDevice.enabled();
+  if (!aDevice.enabled()) {
+    mWasReopened = true;
+    NotifyReopened(mObserver);
+  }
   cxxtools::Selector::onChanged(aDevice);
 }
 
@@ -86,9 +121,28 @@
   if (registration.mSocket != nullptr) {
     Register(mRegistrations[&aDevice] = registration);
     mDue.insert(&aDevice);
+    mNewest = &aDevice;
   }
 }
 
+void
+SocketSelector::ObserveNewest(SocketObserver& aObserver)
+{
+  const auto found = mRegistrations.find(mNewest);
+  if (found != mRegistrations.end() && found->second.mObserver == nullptr) {
+    found->second.mObserver = &aObserver;
+    mObserved[&aObserver] = found->second.mSocket;
+  }
+}
+
+bool
+SocketSelector::IsOpenAndQuiet(const SocketObserver& aObserver) const
+{
+  const auto found = mObserved.find(&aObserver);
+  return found != mObserved.end() && found->second->enabled() &&
+         PeekInput(found->second->getFd()) == SocketInput::None;
+}
+
 void
 SocketSelector::onRemove(cxxtools::Selectable& aDevice)
 {
@@ -99,7 +153,9 @@
   const auto found = mRegistrations.find(&aDevice);
   if (found != mRegistrations.end()) {
     Unregister(found->second);
+    mObserved.erase(found->second.mObserver);
     mRegistrations.erase(found);
+    mNewest = mNewest == &aDevice ? nullptr : mNewest;
   }
   mDue.erase(&aDevice);
 }
@@ -111,6 +167,7 @@
   const auto found = mRegistrations.find(&aDevice);
   if (found != mRegistrations.end()) {
     Unregister(found->second);
+    NotifyReopened(found->second.mObserver);
   }
   onChanged(aDevice);
 }
@@ -124,6 +181,7 @@
   }
   if (!aDevice.enabled()) {
     Unregister(found->second);
+    NotifyReopened(found->second.mObserver);
     mDue.erase(&aDevice);
     return;
   }
@@ -209,6 +267,9 @@
       continue;
     }
     ++mVisitedSockets;
+    if (ReportClosedByPeer(mRegistrations[it])) {
+      continue;
+    }
     try {
       const bool hadInput = Visit(*it);
       hasHandledInput = hasHandledInput || hadInput;
@@ -226,12 +287,26 @@
   return hasHandledInput;
 }
 
+bool
+SocketSelector::ReportClosedByPeer(const Registration& aRegistration)
+{
+  SocketObserver* observer = aRegistration.mObserver;
+  if (observer == nullptr || !observer->MustNotReopen() ||
+      aRegistration.mDescriptor < 0 ||
+      PeekInput(aRegistration.mDescriptor) != SocketInput::Closed) {
+    return false;
+  }
+  observer->OnClosedByPeer();
+  return true;
+}
+
 bool
 SocketSelector::Visit(cxxtools::Selectable& aDevice)
 {
   // Selectable::wait would close a socket that its handler has reopened after a
   // reset by the peer.
   mVisitor.mWasReopened = false;
+  mVisitor.mObserver = mRegistrations[&aDevice].mObserver;
   mVisited = &aDevice;
   bool hadEvent = false;
   std::exception_ptr problem;
@@ -243,6 +318,7 @@
   }
   aDevice.setSelector(this);
   mVisited = nullptr;
+  mVisitor.mObserver = nullptr;
   if (mVisitor.mWasReopened) {
     onReinit(aDevice);
   }
--- a/src/http/socket_selector.hpp
+++ b/src/http/socket_selector.hpp
@@ -10,6 +10,21 @@
 
 namespace skylarkhill::http {
 
+/// Learns what becomes of a socket. Must not destroy it when called.
+class SocketObserver
+{
+public:
+  virtual ~SocketObserver() = default;
+  /// The socket was closed, or opened again.
+  virtual void OnReopened() = 0;
+  /// True if the owner of the socket must not learn that the peer has closed
+  /// it, because it would open it again.
+  virtual bool MustNotReopen() const = 0;
+  /// Called instead: the peer has closed the socket, and nothing is left to
+  /// read.
+  virtual void OnClosedByPeer() = 0;
+};
+
 /// A selector for TCP sockets on epoll. In contrast to cxxtools::Selector, a
 /// wait does not visit the sockets without activity. Handlers must not destroy
 /// the socket that they are called for.
@@ -20,6 +35,12 @@
   SocketSelector();
   ~SocketSelector() override;
 
+  /// Reports on the socket that was added last, unless it is observed already.
+  /// `aObserver` must outlive it.
+  void ObserveNewest(SocketObserver& aObserver);
+  /// True if the socket of `aObserver` is open and has nothing to read, not
+  /// even the end of the input.
+  bool IsOpenAndQuiet(const SocketObserver& aObserver) const;
   /// Number of sockets visited since the start.
   std::uint64_t VisitedSockets() const { return mVisitedSockets; }
 
@@ -37,6 +58,8 @@
   {
   public:
     bool mWasReopened = false;
+    /// Observes the visited socket; may be null.
+    SocketObserver* mObserver = nullptr;
 
   protected:
     void onReinit(cxxtools::Selectable& aDevice) override;
@@ -48,6 +71,7 @@
     cxxtools::net::TcpSocket* mSocket = nullptr;
     /// The registered descriptor, or -1.
     int mDescriptor = -1;
+    SocketObserver* mObserver = nullptr;
   };
 
   void Register(Registration& aRegistration);
@@ -55,6 +79,8 @@
   /// Returns true if events arrived or Wake was called.
   bool CollectEvents(int aTimeoutMs);
   bool VisitDueSockets();
+  /// Calls SocketObserver::OnClosedByPeer and returns true if it is due.
+  static bool ReportClosedByPeer(const Registration& aRegistration);
   /// Returns true if the socket had an event.
   bool Visit(cxxtools::Selectable& aDevice);
 
@@ -64,6 +90,9 @@
   int mEpoll = -1;
   int mWakeEvent = -1;
   std::unordered_map<cxxtools::Selectable*, Registration> mRegistrations;
+  cxxtools::Selectable* mNewest = nullptr;
+  std::unordered_map<const SocketObserver*, cxxtools::net::TcpSocket*>
+    mObserved;
   /// Sockets that may have input or whose state has changed.
   std::unordered_set<cxxtools::Selectable*> mDue;
   std::uint64_t mVisitedSockets = 0;
