Bind starts, leases and acknowledgements to a connection of the incarnation

The header that names the expected worker cannot tell its incarnations apart, so that the new one carried out calls for the former one: starts and polls with a lease by another clock, which is then the longest that the worker accepts, and acknowledgements for the numbers of other ended runs.

A connection belongs to the process that has accepted it. A start that was not sent says so (not_sent) and need not be stopped.

--- a/include/skylarkhill/dispatch/worker.hpp
+++ b/include/skylarkhill/dispatch/worker.hpp
@@ -4,6 +4,7 @@
 #include "skylarkhill/base/resources.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -127,6 +128,8 @@
   Rejected,
   /// The address belongs to another incarnation, which did not start the run.
   OtherIncarnation,
+  /// The worker was not reached before the call was sent.
+  NotSent,
   /// No answer or an unexpected status; the run may still start until the
   /// deadline of the call.
   Unknown,
@@ -164,6 +167,10 @@
 {
   std::string mWorkerId;
   std::string mAddress;
+  /// WorkerReport::mIncarnationStartMs of the incarnation that the lease and
+  /// the acknowledgement are meant for. No other one receives them. Empty if
+  /// there are none.
+  std::optional<std::int64_t> mIncarnationStartMs;
   /// End of the lease on the worker's clock; 0 leaves the lease unchanged.
   std::int64_t mLeaseUntilMs = 0;
   /// The worker drops ended runs up to this sequence number.
@@ -177,6 +184,9 @@
 {
   std::string mWorkerId;
   std::string mAddress;
+  /// The incarnation that the call is meant for, see PollCall. No other one
+  /// receives it.
+  std::int64_t mIncarnationStartMs = 0;
   TaskId mTask;
   int mRunNumber = 0;
   std::string mPayload;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -515,10 +515,13 @@
         DropRefusedRun(*run);
         break;
       case StartOutcome::OtherIncarnation:
-        // The incarnation has ended, and its runs with it.
+        // The incarnation has ended, and its runs with it. The next report
+        // tells which one has the address.
+        worker.mNoStartsUntil = aNow + kNoRoomPause;
         run->mTask->mAvoidedWorkerId = aCall.mWorkerId;
         RemoveRun(*run);
         break;
+      case StartOutcome::NotSent:
       case StartOutcome::Unhealthy:
       case StartOutcome::Rejected:
         worker.mNoStartsUntil = aNow + kUnhealthyPause;
@@ -1095,10 +1098,10 @@
     aWorker.mProcessedSequence = 0;
     aWorker.mAcknowledgedSequence = 0;
     aWorker.mPendingAcknowledgements.clear();
-    // A call to the former incarnation may have granted a lease. If the clock of
-    // the new one is behind, it is the longest that the worker accepts.
-    aWorker.mLeaseEndsAt = std::max(
-      aWorker.mLeaseEndsAt, aNow + LongestDuration(mLimits.mMaxLease));
+    // A call to the former incarnation may have granted a lease. If the clock
+    // of the new one is behind, it is the longest that the worker accepts.
+    aWorker.mLeaseEndsAt =
+      std::max(aWorker.mLeaseEndsAt, aNow + LongestDuration(mLimits.mMaxLease));
   }
 
   // --- Reports ------------------------------------------------------------
@@ -1903,8 +1906,8 @@
       return 0;
     }
     const Duration length = until - aNow;
-    aWorker.mLeaseEndsAt = std::max(
-      aWorker.mLeaseEndsAt, aNow + LongestDuration(length));
+    aWorker.mLeaseEndsAt =
+      std::max(aWorker.mLeaseEndsAt, aNow + LongestDuration(length));
     return aWorker.mClockMs + ToMs(aNow - aWorker.mClockReadAt) + ToMs(length);
   }
 
@@ -1973,6 +1976,10 @@
       aWorker.mFailedPolls == 0 ? ExtendLease(aWorker, aNow) : 0;
     call.mAcknowledgedSequence =
       MayHaveRestarted(aWorker) ? 0 : aWorker.mAcknowledgedSequence;
+    if (aWorker.mHasReported &&
+        (call.mLeaseUntilMs > 0 || call.mAcknowledgedSequence > 0)) {
+      call.mIncarnationStartMs = aWorker.mIncarnationStartMs;
+    }
     const bool isColocated = aWorker.mBackfillDemand > 0;
     call.mWaitMs = !aWorker.mHasReported      ? 0
                    : !aWorker.mMayExtendLease ? kPollWaitUnextendedMs
@@ -2052,6 +2059,7 @@
     StartCall call;
     call.mWorkerId = aRun.mWorker->mEntry.mId;
     call.mAddress = aRun.mWorker->mEntry.mAddress;
+    call.mIncarnationStartMs = aRun.mWorker->mIncarnationStartMs;
     call.mTask = IdOf(task);
     call.mRunNumber = aRun.mNumber;
     call.mPayload = task.mStep->mJob->mSubmission.mRequest.mPayload;
--- a/src/dispatch/worker.cpp
+++ b/src/dispatch/worker.cpp
@@ -15,7 +15,7 @@
   { RunOutcome::GangIncomplete, "gang_incomplete" },
 } };
 
-constexpr base::NameTable<StartOutcome, 10> kStartOutcomeNames{ {
+constexpr base::NameTable<StartOutcome, 11> kStartOutcomeNames{ {
   { StartOutcome::Started, "started" },
   { StartOutcome::NoRoom, "no_room" },
   { StartOutcome::OldRun, "old_run" },
@@ -25,6 +25,7 @@
   { StartOutcome::Unhealthy, "unhealthy" },
   { StartOutcome::Rejected, "rejected" },
   { StartOutcome::OtherIncarnation, "other_incarnation" },
+  { StartOutcome::NotSent, "not_sent" },
   { StartOutcome::Unknown, "unknown" },
 } };
 
