--- a/include/skylarkhill/testing/tcp_relay.hpp
+++ b/include/skylarkhill/testing/tcp_relay.hpp
@@ -41,6 +41,9 @@
   TcpRelay& operator=(const TcpRelay&) = delete;
 
   void SetMode(LinkMode aMode, base::Duration aDelay);
+  /// Closes all connections, as the end of the process at the target does, and
+  /// returns once they are closed. Data that was not forwarded is lost.
+  void CloseConnections();
 
 private:
   struct Connection;
@@ -49,12 +52,14 @@
   void Accept();
   void Forward(Connection& aConnection);
   void CloseAfterCut();
+  void CloseIfRequested();
 
   const RelayEndpoint mTarget;
   int mListener = -1;
   std::atomic<LinkMode> mMode{ LinkMode::Open };
   std::atomic<std::int64_t> mDelayMicros{ 0 };
   std::atomic<bool> mStop{ false };
+  std::atomic<bool> mMustClose{ false };
   bool mWasCut = false;
   std::list<Connection> mConnections;
   std::thread mThread;
--- a/src/testing/tcp_relay.cpp
+++ b/src/testing/tcp_relay.cpp
@@ -96,6 +96,15 @@
   mMode = aMode;
 }
 
+void
+TcpRelay::CloseConnections()
+{
+  mMustClose = true;
+  while (mMustClose) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
 void
 TcpRelay::Run()
 {
@@ -109,6 +118,7 @@
     }
     poll(descriptors.data(), descriptors.size(), kPollIntervalMs);
     CloseAfterCut();
+    CloseIfRequested();
     Accept();
     for (auto it = mConnections.begin(); it != mConnections.end();) {
       Forward(*it);
@@ -134,6 +144,20 @@
   mWasCut = isCut;
 }
 
+void
+TcpRelay::CloseIfRequested()
+{
+  if (!mMustClose) {
+    return;
+  }
+  for (auto& it : mConnections) {
+    close(it.mToTarget.mInput);
+    close(it.mToTarget.mOutput);
+  }
+  mConnections.clear();
+  mMustClose = false;
+}
+
 void
 TcpRelay::Accept()
 {
