Log calls that go out twice and ended runs that were never listed

The logs could not tell whether a worker has forgotten an ended run before the leader read it, or has never had the run, and not whether a call that is bound to a connection went out a second time. marked_call_sent_twice and ended_runs_missing do. The latter also is a counter, with a test.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -154,6 +154,9 @@
     , mStops(aMetrics.GetCounter("skylarkhill_stops_total", "Stops ordered."))
     , mLostRuns(aMetrics.GetCounter("skylarkhill_runs_lost_total",
                                     "Runs that disappeared with a worker."))
+    , mMissingEndedRuns(aMetrics.GetCounter(
+        "skylarkhill_ended_runs_missing_total",
+        "Ended runs that workers have forgotten before the leader read them."))
     , mStalledRuns(
         aMetrics.GetCounter("skylarkhill_runs_stalled_total",
                             "Runs taken for stuck and started elsewhere."))
@@ -1095,6 +1098,7 @@
         DropLostRun(*it, "worker restarted", aNow);
       }
     }
+    aWorker.mHasRestarted = true;
     aWorker.mProcessedSequence = 0;
     aWorker.mAcknowledgedSequence = 0;
     aWorker.mPendingAcknowledgements.clear();
@@ -1117,6 +1121,7 @@
     std::int64_t highest = aWorker.mProcessedSequence;
     for (const auto& it : aReport.mEndedRuns) {
       if (it.mSequence > aWorker.mProcessedSequence) {
+        LogMissingEndedRuns(aWorker, highest, it.mSequence);
         mustBecomeDurable =
           HandleEndedRun(aWorker, it, aNow) || mustBecomeDurable;
         highest = std::max(highest, it.mSequence);
@@ -1135,6 +1140,23 @@
     return !aWorker.mPendingAcknowledgements.empty();
   }
 
+  /// Logs the ended runs between two numbers that follow each other in reports:
+  /// the worker has forgotten them before this leader has read them.
+  void LogMissingEndedRuns(const WorkerState& aWorker,
+                           std::int64_t aPrevious,
+                           std::int64_t aNext)
+  {
+    const bool isPreviousKnown = aPrevious > 0 || aWorker.mHasRestarted;
+    if (isPreviousKnown && aNext > aPrevious + 1) {
+      mMissingEndedRuns.Add(aNext - aPrevious - 1);
+      logging::Write(logging::Level::Warning,
+                     "ended_runs_missing",
+                     { { "worker", aWorker.mEntry.mId },
+                       { "first", aPrevious + 1 },
+                       { "last", aNext - 1 } });
+    }
+  }
+
   /// Acknowledges the ended runs of the worker that durable batches cover.
   void Acknowledge(WorkerState& aWorker, TimePoint aNow)
   {
@@ -2124,6 +2146,7 @@
   metrics::Counter& mStarts;
   metrics::Counter& mStops;
   metrics::Counter& mLostRuns;
+  metrics::Counter& mMissingEndedRuns;
   metrics::Counter& mStalledRuns;
   metrics::Counter& mCandidates;
   metrics::Counter& mPollCandidates;
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -351,6 +351,7 @@
   CPPUNIT_TEST(KeepsRunsThatAFullListOfEndedRunsOmits);
   CPPUNIT_TEST(WaitsForOmittedEndedRunsOfEarlierLeaders);
   CPPUNIT_TEST(ReadsTheEndedRunsOfARestartedWorker);
+  CPPUNIT_TEST(CountsEndedRunsThatNoReportHasListed);
   CPPUNIT_TEST(StopsRunsWhoseStartMayReachARestartedWorker);
   CPPUNIT_TEST(StartsOnlyWhereTheAdviceServicePermits);
   CPPUNIT_TEST(AsksForNewTicketsOfARestartedWorker);
@@ -1183,6 +1184,28 @@
     }
   }
 
+  // Guards against a worker that forgets ended runs before the leader has read
+  // them, and nobody notices.
+  void CountsEndedRunsThatNoReportHasListed()
+  {
+    UnansweredStarts site(1, 0);
+    const auto report = [&](std::int64_t aIncarnation,
+                            std::int64_t aSequence) {
+      const EndedRun ended{ aSequence, { "b" }, 1, RunOutcome::Done, "" };
+      site.mDispatcher->OnReport("w0",
+                                 { 400, aIncarnation, {}, { ended } },
+                                 site.mClock.Now(),
+                                 site.mClock.Now());
+      return site.mMetrics.GetCounter("skylarkhill_ended_runs_missing_total", "")
+        .Value();
+    };
+    // An earlier leader may have acknowledged the first ones.
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, report(1, 5));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, report(1, 6));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, report(1, 8));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 3 }, report(2, 3));
+  }
+
   // One of two starts was answered, and the other may reach the worker after
   // its restart. Otherwise it may run beside the next run.
   void StopsRunsWhoseStartMayReachARestartedWorker()
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -205,6 +205,9 @@
 
   /// See WorkerReport::mMayOmitEndedRuns, as of the last report.
   bool mMayOmitEndedRuns = false;
+  /// The incarnation has begun in this term, so that no other leader has
+  /// acknowledged its first ended runs.
+  bool mHasRestarted = false;
   std::int64_t mProcessedSequence = 0;
   std::int64_t mAcknowledgedSequence = 0;
   std::deque<PendingAcknowledgement> mPendingAcknowledgements;
--- a/src/http/call_loop.cpp
+++ b/src/http/call_loop.cpp
@@ -177,7 +177,16 @@
     }
   }
 
-  void OnSent(cxxtools::http::Client&) { ++mSentCopies; }
+  void OnSent(cxxtools::http::Client&)
+  {
+    ++mSentCopies;
+    if (mCopies == Copies::One && mSentCopies > 1) {
+      logging::Write(
+        logging::Level::Warning,
+        "marked_call_sent_twice",
+        { { "endpoint", mEndpoint }, { "target", mRequest.url() } });
+    }
+  }
 
   void OnFinished(cxxtools::http::Client& aClient)
   {
