--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -1189,14 +1189,14 @@
   void CountsEndedRunsThatNoReportHasListed()
   {
     UnansweredStarts site(1, 0);
-    const auto report = [&](std::int64_t aIncarnation,
-                            std::int64_t aSequence) {
+    const auto report = [&](std::int64_t aIncarnation, std::int64_t aSequence) {
       const EndedRun ended{ aSequence, { "b" }, 1, RunOutcome::Done, "" };
       site.mDispatcher->OnReport("w0",
                                  { 400, aIncarnation, {}, { ended } },
                                  site.mClock.Now(),
                                  site.mClock.Now());
-      return site.mMetrics.GetCounter("skylarkhill_ended_runs_missing_total", "")
+      return site.mMetrics
+        .GetCounter("skylarkhill_ended_runs_missing_total", "")
         .Value();
     };
     // An earlier leader may have acknowledged the first ones.
