Observe a socket that the HTTP library adds again after a reset

A call that only one incarnation may receive went out a second time, on a new connection that the next incarnation had accepted.

The selector forgot the observer of a socket when the library added the socket again, which it does with the next call after the peer has reset the idle connection. From then on the call loop did not learn that the socket was opened again: a marked call was repeated by the library, its response was taken for that of the former incarnation, and the connection kept the mark, so that starts, leases and acknowledgements for the former incarnation reached the new one.

The selector now keeps the observer until the connection is destroyed. CallLoopTest::SendsAMarkedCallOnceOnAReopenedConnection failed on the code before: the second copy was pending at the server.

--- a/src/http/call_loop.cpp
+++ b/src/http/call_loop.cpp
@@ -77,6 +77,12 @@
     cxxtools::connect(mClient.requestSent, *this, &Connection::OnSent);
   }
 
+  ~Connection() override { mSelector.Forget(*this); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+  Connection(Connection&&) = delete;
+  Connection& operator=(Connection&&) = delete;
+
   void StartCall(const ClientRequest& aRequest,
                  Copies aCopies,
                  TimePoint aDeadline,
--- a/src/http/call_loop_test.cpp
+++ b/src/http/call_loop_test.cpp
@@ -10,6 +10,7 @@
 #include <iterator>
 #include <optional>
 #include <string_view>
+#include <sys/socket.h>
 #include <thread>
 
 namespace skylarkhill::http {
@@ -67,6 +68,19 @@
   bool HasInput() const { return mConnection->IsReadable(); }
   void Close() { mConnection.reset(); }
 
+  /// Ends the connection with a reset.
+  void Reset()
+  {
+    const linger linger{ 1, 0 };
+    CPPUNIT_ASSERT_EQUAL(0,
+                         setsockopt(mConnection->Descriptor(),
+                                    SOL_SOCKET,
+                                    SO_LINGER,
+                                    &linger,
+                                    sizeof(linger)));
+    mConnection.reset();
+  }
+
   void Write(std::string_view aText)
   {
     CPPUNIT_ASSERT(mConnection->Write(aText, WriteDeadline()));
@@ -141,6 +155,7 @@
   CPPUNIT_TEST(ReplacesAPooledConnectionThatTheServerResets);
   CPPUNIT_TEST(MarksTheResponseToASecondCopy);
   CPPUNIT_TEST(SendsAMarkedCallOnce);
+  CPPUNIT_TEST(SendsAMarkedCallOnceOnAReopenedConnection);
   CPPUNIT_TEST(UsesOnlyConnectionsThatStayedOpenSinceTheirMark);
   CPPUNIT_TEST(CallsOnTheConnectionOfAResponse);
   CPPUNIT_TEST(ClosesIdleConnectionsOfUnusedEndpoints);
@@ -363,6 +378,34 @@
     }
   }
 
+  // A pooled connection is closed by the peer, opened again for the next call,
+  // and marked. Guards against a marked call that is sent again unnoticed when
+  // this connection is closed, too.
+  void SendsAMarkedCallOnceOnAReopenedConnection()
+  {
+    const base::Clock& clock = base::GetBootClock();
+    for (const bool isReset : { false, true }) {
+      ManualServer server;
+      const auto loop = CreateCallLoop(clock);
+      CompleteCall(*loop, clock, server, kMark);
+      isReset ? server.Reset() : server.Close();
+      loop->Wait(clock.Now() + std::chrono::milliseconds(20));
+      CompleteCall(*loop, clock, server, kMark);
+      const auto result = StartMarkedCall(*loop, clock, server);
+      CPPUNIT_ASSERT(result != nullptr);
+      server.ReadNextRequest();
+      server.Close();
+      const auto end = clock.Now() + std::chrono::seconds(2);
+      while (!result->has_value() && clock.Now() < end) {
+        loop->Wait(clock.Now() + std::chrono::milliseconds(20));
+      }
+      CPPUNIT_ASSERT(!server.HasPendingConnection());
+      CPPUNIT_ASSERT(result->has_value() && !result->value());
+      CPPUNIT_ASSERT((*result)->error().mKind ==
+                     base::ErrorKind::ConnectionLost);
+    }
+  }
+
   // Guards against a marked call on a connection that has been opened again
   // since it was marked, or that the peer has closed.
   void UsesOnlyConnectionsThatStayedOpenSinceTheirMark()
--- a/src/http/socket_selector.cpp
+++ b/src/http/socket_selector.cpp
@@ -116,10 +116,14 @@
   if (&aDevice == mVisited) {
     return;
   }
-  Registration registration;
-  registration.mSocket = dynamic_cast<cxxtools::net::TcpSocket*>(&aDevice);
-  if (registration.mSocket != nullptr) {
-    Register(mRegistrations[&aDevice] = registration);
+  auto* socket = dynamic_cast<cxxtools::net::TcpSocket*>(&aDevice);
+  if (socket != nullptr) {
+    // The HTTP library adds a socket again that was closed by a reset, so the
+    // observer must be kept.
+    Registration& registration = mRegistrations[&aDevice];
+    Unregister(registration);
+    registration.mSocket = socket;
+    Register(registration);
     mDue.insert(&aDevice);
     mNewest = &aDevice;
   }
@@ -135,6 +139,20 @@
   }
 }
 
+void
+SocketSelector::Forget(const SocketObserver& aObserver)
+{
+  const auto observed = mObserved.find(&aObserver);
+  if (observed == mObserved.end()) {
+    return;
+  }
+  const auto registered = mRegistrations.find(observed->second);
+  if (registered != mRegistrations.end()) {
+    registered->second.mObserver = nullptr;
+  }
+  mObserved.erase(observed);
+}
+
 bool
 SocketSelector::IsOpenAndQuiet(const SocketObserver& aObserver) const
 {
--- a/src/http/socket_selector.hpp
+++ b/src/http/socket_selector.hpp
@@ -35,9 +35,11 @@
   SocketSelector();
   ~SocketSelector() override;
 
-  /// Reports on the socket that was added last, unless it is observed already.
-  /// `aObserver` must outlive it.
+  /// Reports on the socket that was added last, unless it is observed already,
+  /// until Forget is called.
   void ObserveNewest(SocketObserver& aObserver);
+  /// Must be called before `aObserver` is destroyed.
+  void Forget(const SocketObserver& aObserver);
   /// True if the socket of `aObserver` is open and has nothing to read, not
   /// even the end of the input.
   bool IsOpenAndQuiet(const SocketObserver& aObserver) const;
