Let an answer to a start decide over one copy of it only

The task starts elsewhere beside the first run, or after it has ended as done.

The dispatcher now counts the copies of the start of each run that were sent and have no answer. Every outcome that denies the last copy goes through DropRefusedRun, which removes the run only if no other copy is open and stops it otherwise. A run whose start was never sent still moves at once. That the address belongs to another worker (status 421) is an outcome of its own: no copy can reach the former worker there, so that the run moves at once as before.

Failed before: StopsARunWhoseStartMayHaveReachedTheNextIncarnation, and NotSent and OtherIncarnation in StopsARunIfTheSecondCopyOfItsStartIsRefused and KeepsAReportedRunWhoseRepeatedStartIsRefused. MovesARunAtOnceIfItsWorkerHasLeft means the status 421, so it uses the new outcome; its assertions are unchanged.

--- a/include/skylarkhill/dispatch/worker.hpp
+++ b/include/skylarkhill/dispatch/worker.hpp
@@ -126,7 +126,10 @@
   Unhealthy,
   /// The worker refused the call as malformed or for an unknown reason.
   Rejected,
-  /// The address belongs to another incarnation, which did not start the run.
+  /// The address belongs to another worker, which did not start the run.
+  OtherWorker,
+  /// The worker has restarted under its id. The call was not sent to the new
+  /// incarnation.
   OtherIncarnation,
   /// The worker was not reached before the call was sent.
   NotSent,
@@ -141,9 +144,10 @@
 
 struct StartResult
 {
+  /// Tells of the last copy of the call only.
   StartOutcome mOutcome = StartOutcome::Unknown;
-  /// The call was sent again because its connection was closed, and mOutcome is
-  /// the answer to the second copy.
+  /// The call was to be sent again because its connection was closed. The first
+  /// copy has no answer.
   bool mIsPossiblyResent = false;
 };
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -480,8 +480,11 @@
     run->mIsCallInFlight = false;
     run->mNextCallAt = aNow + kResendPause;
     if (aResult.mIsPossiblyResent) {
-      // The first copy is a call without an answer.
-      ++run->mCallsSent;
+      ++run->mStartCalls;
+      ++run->mOpenStarts;
+    }
+    if (aResult.mOutcome != StartOutcome::Unknown && run->mOpenStarts > 0) {
+      --run->mOpenStarts;
     }
     if (aResult.mOutcome != StartOutcome::Started) {
       logging::Write(logging::Level::Info,
@@ -490,7 +493,8 @@
                        { "run", aCall.mRunNumber },
                        { "worker", aCall.mWorkerId },
                        { "outcome", NameOf(aResult.mOutcome) },
-                       { "call", run->mCallsSent },
+                       { "call", run->mStartCalls },
+                       { "open", run->mOpenStarts },
                        { "resent", aResult.mIsPossiblyResent ? "yes" : "no" },
                        { "confirmed", run->mIsConfirmed ? "yes" : "no" } });
     }
@@ -517,13 +521,18 @@
       case StartOutcome::TooLate:
         DropRefusedRun(*run);
         break;
-      case StartOutcome::OtherIncarnation:
-        // The incarnation has ended, and its runs with it. The next report
-        // tells which one has the address.
+      case StartOutcome::OtherWorker:
+        // The worker has left, and its runs with it. No copy of the start can
+        // reach it any more.
         worker.mNoStartsUntil = aNow + kNoRoomPause;
         run->mTask->mAvoidedWorkerId = aCall.mWorkerId;
         RemoveRun(*run);
         break;
+      case StartOutcome::OtherIncarnation:
+        // The next report tells of the new incarnation.
+        worker.mNoStartsUntil = aNow + kNoRoomPause;
+        DropRefusedRun(*run);
+        break;
       case StartOutcome::NotSent:
       case StartOutcome::Unhealthy:
       case StartOutcome::Rejected:
@@ -532,8 +541,6 @@
         DropRefusedRun(*run);
         break;
       case StartOutcome::Unknown:
-        run->mHasUnansweredStart = true;
-        break;
       case StartOutcome::Fenced:
         break;
     }
@@ -1015,8 +1022,9 @@
     }
   }
 
-  /// Removes a run that the worker has refused to start, or stops it if an
-  /// earlier start may still take effect. Keeps a run that the worker has.
+  /// Removes a run whose last start was refused or not sent, or stops it if
+  /// another copy of the start may still take effect. Keeps a run that the
+  /// worker has.
   void DropRefusedRun(RunState& aRun)
   {
     if (aRun.mIsConfirmed) {
@@ -1024,8 +1032,7 @@
       return;
     }
     aRun.mTask->mAvoidedWorkerId = aRun.mWorker->mEntry.mId;
-    // An earlier start of the same run may be unanswered and still arrive.
-    if (aRun.mCallsSent > 1) {
+    if (aRun.mOpenStarts > 0) {
       StopRun(aRun);
       return;
     }
@@ -1083,9 +1090,8 @@
         // The start may have reached the new incarnation, or still reach it.
         continue;
       }
-      if (it->mCallsSent > 1 || it->mIsCallInFlight ||
-          it->mHasUnansweredStart) {
-        // So may an earlier start without an answer, unless it is stopped.
+      if (it->mOpenStarts > 0) {
+        // So may a start without an answer, unless it is stopped.
         it->mIsConfirmed = false;
         StopRun(*it);
       } else if (it->mConfirmedAt > aWorker.mLastReportAt) {
@@ -1349,7 +1355,7 @@
     }
     const bool isDuplicate = HasLiveRun(*aTask);
     RunState& run = AddRun(*aTask, aWorker, aRun.mRunNumber, aNow);
-    run.mCallsSent = 1;
+    run.mStartCalls = 1;
     if (run.mTask->mStep->mSpec->mIsBackfill) {
       run.mTargetPace = EstimatePace(run, aRun);
       run.mPace = run.mTargetPace == kFullPace ? kUnknownPace : run.mTargetPace;
@@ -1959,7 +1965,6 @@
         return;
       }
       it->mIsCallInFlight = true;
-      ++it->mCallsSent;
       SendStop(*it->mWorker, IdOf(*it->mTask), it->mNumber);
     }
   }
@@ -2042,7 +2047,7 @@
       }
       // A held start stays due, so it must not request the next tick. After the
       // last call, SendStart stops the run.
-      if (!mMayStart && aRun.mCallsSent < kMaxStartCalls) {
+      if (!mMayStart && aRun.mStartCalls < kMaxStartCalls) {
         return;
       }
       if (!worker.mMayExtendLease) {
@@ -2077,7 +2082,7 @@
   /// start call.
   void SendStart(RunState& aRun, TimePoint aNow)
   {
-    if (aRun.mCallsSent >= kMaxStartCalls) {
+    if (aRun.mStartCalls >= kMaxStartCalls) {
       ChangeFailureScore(*aRun.mWorker, 0.5, aNow);
       aRun.mTask->mAvoidedWorkerId = aRun.mWorker->mEntry.mId;
       StopRun(aRun);
@@ -2085,15 +2090,16 @@
     }
     // Extending the lease for a repeated start would delay the restart of the
     // task elsewhere if the worker is silent. Otherwise polls extend it.
-    const std::int64_t lease = aRun.mCallsSent == 0
+    const std::int64_t lease = aRun.mStartCalls == 0
                                  ? ExtendLease(*aRun.mWorker, aNow)
                                  : CurrentLease(*aRun.mWorker, aNow);
     if (lease == 0) {
       return;
     }
-    mBudget.mStarts -= aRun.mCallsSent == 0 ? 1 : 0;
+    mBudget.mStarts -= aRun.mStartCalls == 0 ? 1 : 0;
     aRun.mIsCallInFlight = true;
-    ++aRun.mCallsSent;
+    ++aRun.mStartCalls;
+    ++aRun.mOpenStarts;
     mStarts.Add();
     ++mWork.mStarts;
     const TaskState& task = *aRun.mTask;
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -325,6 +325,8 @@
   CPPUNIT_TEST(KeepsAReportedRunWhoseRepeatedStartIsRefused);
   CPPUNIT_TEST(RepeatsNoStartOnADrainingWorker);
   CPPUNIT_TEST(StopsARunWithAnOpenStartIfItsWorkerRestarts);
+  CPPUNIT_TEST(StopsARunWhoseStartMayHaveReachedTheNextIncarnation);
+  CPPUNIT_TEST(MovesARunAtOnceIfNoCopyOfItsStartWasSent);
   CPPUNIT_TEST(KeepsARunThatARestartedWorkerHasAccepted);
   CPPUNIT_TEST(MovesARunAtOnceIfItsWorkerHasLeft);
   CPPUNIT_TEST(NeverExceedsTheCapacityOfAWorker);
@@ -371,6 +373,7 @@
   CPPUNIT_TEST(RunsNoTaskTwiceUnderRandomPartitionsAndFailovers);
   CPPUNIT_TEST(RunsEveryTaskOnceUnderRandomRestartsAndOutages);
   CPPUNIT_TEST(RunsEveryTaskOnceUnderRandomRestartsBeforeCuts);
+  CPPUNIT_TEST(RunsEveryTaskOnceWhileStartsReachTheNextIncarnation);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -533,7 +536,9 @@
                                    StartOutcome::TooLate,
                                    StartOutcome::TicketInvalid,
                                    StartOutcome::Unhealthy,
-                                   StartOutcome::Rejected }) {
+                                   StartOutcome::Rejected,
+                                   StartOutcome::NotSent,
+                                   StartOutcome::OtherIncarnation }) {
       UnansweredStarts site(2, 1);
       const StartCall start = site.mSink.mStarts.back();
       site.mDispatcher->OnStartResult(start, { it, true }, site.mClock.Now());
@@ -563,7 +568,9 @@
                                    StartOutcome::TooLate,
                                    StartOutcome::TicketInvalid,
                                    StartOutcome::Unhealthy,
-                                   StartOutcome::Rejected }) {
+                                   StartOutcome::Rejected,
+                                   StartOutcome::NotSent,
+                                   StartOutcome::OtherIncarnation }) {
       UnansweredStarts site(2, 1);
       const StartCall start = site.mSink.mStarts.back();
       site.FailStarts();
@@ -627,6 +634,56 @@
     }
   }
 
+  // Guards against a task that runs twice: the next incarnation of the worker
+  // carries out a start that gets no answer, and the repeated start, which is
+  // not sent to it, is taken for the fate of the run.
+  void StopsARunWhoseStartMayHaveReachedTheNextIncarnation()
+  {
+    UnansweredStarts site(2, 1);
+    const StartCall start = site.mSink.mStarts.back();
+    site.FailStarts();
+    site.Tick(milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, site.mSink.mStarts.size());
+    site.mDispatcher->OnStartResult(site.mSink.mStarts.back(),
+                                    { StartOutcome::OtherIncarnation },
+                                    site.mClock.Now());
+    site.Tick(milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, site.mSink.mStarts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.mSink.mStops.size());
+    // The new incarnation has ended the run before the stop.
+    site.mDispatcher->OnStopResult(
+      site.mSink.mStops.back(), CallOutcome::Accepted, site.mClock.Now());
+    const EndedRun done{
+      1, start.mTask, start.mRunNumber, RunOutcome::Done, ""
+    };
+    site.Tick(milliseconds(10));
+    site.mDispatcher->OnReport(start.mWorkerId,
+                               { 400, 2, {}, { done } },
+                               site.mClock.Now(),
+                               site.mClock.Now());
+    for (int n = 0; n < 10; ++n) {
+      site.Tick(milliseconds(300));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, site.mSink.mStarts.size());
+  }
+
+  // Guards against a task that waits for a stop although no copy of its start
+  // has left the leader.
+  void MovesARunAtOnceIfNoCopyOfItsStartWasSent()
+  {
+    for (const StartOutcome it :
+         { StartOutcome::NotSent, StartOutcome::OtherIncarnation }) {
+      UnansweredStarts site(2, 1);
+      const StartCall start = site.mSink.mStarts.back();
+      site.mDispatcher->OnStartResult(start, { it }, site.mClock.Now());
+      site.Tick(milliseconds(10));
+      site.Tick(milliseconds(10));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, site.mSink.mStarts.size());
+      CPPUNIT_ASSERT(site.mSink.mStarts.back().mWorkerId != start.mWorkerId);
+      CPPUNIT_ASSERT(site.mSink.mStops.empty());
+    }
+  }
+
   // Guards against a task that runs twice: a worker has restarted unnoticed and
   // accepted a start, and the report of the new incarnation, which was made
   // before, arrives after that.
@@ -655,7 +712,7 @@
     UnansweredStarts site(2, 1);
     const StartCall start = site.mSink.mStarts.back();
     site.mDispatcher->OnStartResult(
-      start, { StartOutcome::OtherIncarnation, true }, site.mClock.Now());
+      start, { StartOutcome::OtherWorker, true }, site.mClock.Now());
     site.Tick(milliseconds(10));
     site.Tick(milliseconds(10));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, site.mSink.mStarts.size());
@@ -1564,6 +1621,16 @@
     }
   }
 
+  // Guards against tasks that run twice, or never, if workers restart in series
+  // and carry out some of the starts that were meant for their former
+  // incarnation, without an answer.
+  void RunsEveryTaskOnceWhileStartsReachTheNextIncarnation()
+  {
+    for (int seed = 1; seed <= CountSeeds(); ++seed) {
+      RunMisdirectedStarts(static_cast<std::uint64_t>(seed));
+    }
+  }
+
 private:
   static int CountSeeds()
   {
@@ -1572,6 +1639,63 @@
     return text != nullptr ? std::atoi(text) : kSeeds;
   }
 
+  static void RunMisdirectedStarts(std::uint64_t aSeed)
+  {
+    constexpr int kWorkers = 8;
+    constexpr int kRounds = 20;
+    FakeSite site;
+    site.mAreCallsBound = true;
+    // No run counts as stalled.
+    site.mReportedPercent = 0;
+    const auto random = base::CreateSeededRandom(aSeed);
+    for (int n = 0; n < kWorkers; ++n) {
+      site.AddWorker("w" + std::to_string(n), 6000);
+    }
+    site.mRunTime = [&](const TaskId&) {
+      return milliseconds(20 + random->Below(3000));
+    };
+    auto& leader = site.AddLeader(1);
+    leader.mIsMisdirected = [&](const StartCall&) {
+      return random->Below(3) == 0;
+    };
+    std::vector<std::string> ids;
+    for (int n = 0; n < kRounds; ++n) {
+      for (int k = 0; k < 3; ++k) {
+        ids.push_back("j" + std::to_string(ids.size()));
+        jobs::JobEntry job = MakeJob(ids.back(), { 6, 3 }, 500);
+        for (jobs::Step& it : job.mSubmission->mRequest.mSteps) {
+          it.mEstimateMs = 60000;
+        }
+        leader.GetDispatcher().AddJob(job, false, site.Now());
+      }
+      // The polls under way get late answers, as if the workers died silently.
+      std::vector<std::string> restarted;
+      for (int k = 0; k < kWorkers; ++k) {
+        if (random->Below(5) != 0) {
+          restarted.push_back("w" + std::to_string(k));
+          leader.mDelays[restarted.back()] = milliseconds(1300);
+        }
+      }
+      site.Advance(milliseconds(random->Below(700)));
+      for (const auto& id : restarted) {
+        const auto step = static_cast<int>(random->Below(40000)) - 20000;
+        site.Worker(id).Restart(milliseconds(step));
+      }
+      leader.mDelays.clear();
+      site.Advance(milliseconds(random->Below(2500)));
+    }
+    site.Advance(milliseconds(90000));
+    const std::string seed = "seed " + std::to_string(aSeed) + ": ";
+    CPPUNIT_ASSERT_MESSAGE(seed + (site.mDoubleRuns.empty()
+                                     ? std::string()
+                                     : site.mDoubleRuns.front()),
+                           site.mDoubleRuns.empty());
+    for (const auto& id : ids) {
+      CPPUNIT_ASSERT_MESSAGE(
+        seed + id, leader.mStored[id].mState == jobs::JobState::Completed);
+    }
+  }
+
   static void RunRandomCuts(std::uint64_t aSeed)
   {
     constexpr int kWorkers = 6;
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -152,6 +152,12 @@
     mLateStarts.push_back({ aCall,
                             mSite.Worker(aCall.mWorkerId).mIncarnationStartMs,
                             mSite.Now() + delay });
+  } else if (IsMisdirected(aCall)) {
+    CarryOut(aCall);
+  } else if (mSite.IsOtherIncarnation(mSite.Worker(aCall.mWorkerId),
+                                      aCall.mIncarnationStartMs)) {
+    outcome = StartOutcome::OtherIncarnation;
+    answeredAt = mSite.Now() + kLatency;
   } else {
     outcome = CarryOut(aCall);
     answeredAt = mSite.Now() + kLatency;
@@ -161,13 +167,19 @@
   });
 }
 
+bool
+FakeSite::Leader::IsMisdirected(const StartCall& aCall) const
+{
+  const FakeWorker& worker = mSite.Worker(aCall.mWorkerId);
+  return mIsMisdirected &&
+         mSite.IsOtherIncarnation(worker, aCall.mIncarnationStartMs) &&
+         mIsMisdirected(aCall);
+}
+
 StartOutcome
 FakeSite::Leader::CarryOut(const StartCall& aCall)
 {
   FakeWorker& worker = mSite.Worker(aCall.mWorkerId);
-  if (mSite.IsOtherIncarnation(worker, aCall.mIncarnationStartMs)) {
-    return StartOutcome::OtherIncarnation;
-  }
   const bool isRunning = std::any_of(
     worker.mRuns.begin(), worker.mRuns.end(), [&](const auto& aEntry) {
       return aEntry.mTask == aCall.mTask && aEntry.mNumber == aCall.mRunNumber;
--- a/src/dispatch/fake_site_test.hpp
+++ b/src/dispatch/fake_site_test.hpp
@@ -88,6 +88,9 @@
     /// Decides how long after its call a start is carried out; it is then not
     /// answered. At once and with an answer if unset or zero.
     std::function<base::Duration(const StartCall&)> mStartDelay;
+    /// Decides whether a start that is bound to a former incarnation is carried
+    /// out by the present one and gets no answer. It is refused if unset.
+    std::function<bool(const StartCall&)> mIsMisdirected;
     /// By worker id: additional delay of its poll answers.
     std::map<std::string, base::Duration> mDelays;
     /// If true, the leader lease is renewed at every time step.
@@ -131,6 +134,8 @@
     bool IsTicketValid(const StartCall& aCall) const;
     /// Starts the run on the worker, or decides why not.
     StartOutcome CarryOut(const StartCall& aCall);
+    /// True if the worker carries the start out for a former incarnation.
+    bool IsMisdirected(const StartCall& aCall) const;
 
     FakeSite& mSite;
     const std::int64_t mEpoch;
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -36,11 +36,11 @@
   base::TimePoint mConfirmedAt;
   bool mIsStopping = false;
   bool mIsCallInFlight = false;
-  /// Calls for this run that the worker may have received, with the copies that
-  /// the HTTP client has sent.
-  int mCallsSent = 0;
-  /// A start call had no answer. The HTTP client may have sent it twice.
-  bool mHasUnansweredStart = false;
+  /// Start calls, with the copies that were sent again.
+  int mStartCalls = 0;
+  /// Copies of the start that were sent and have no answer. A worker that
+  /// restarts may still carry them out, even if it had the run before.
+  int mOpenStarts = 0;
   base::TimePoint mNextCallAt;
   int mProgressPercent = 0;
   base::TimePoint mProgressAt;
--- a/src/dispatch/worker.cpp
+++ b/src/dispatch/worker.cpp
@@ -15,7 +15,7 @@
   { RunOutcome::GangIncomplete, "gang_incomplete" },
 } };
 
-constexpr base::NameTable<StartOutcome, 11> kStartOutcomeNames{ {
+constexpr base::NameTable<StartOutcome, 12> kStartOutcomeNames{ {
   { StartOutcome::Started, "started" },
   { StartOutcome::NoRoom, "no_room" },
   { StartOutcome::OldRun, "old_run" },
@@ -24,6 +24,7 @@
   { StartOutcome::TicketInvalid, "ticket_invalid" },
   { StartOutcome::Unhealthy, "unhealthy" },
   { StartOutcome::Rejected, "rejected" },
+  { StartOutcome::OtherWorker, "other_worker" },
   { StartOutcome::OtherIncarnation, "other_incarnation" },
   { StartOutcome::NotSent, "not_sent" },
   { StartOutcome::Unknown, "unknown" },
