Stop a run again at once if its worker restarts

A run with an open start is stopped before its task starts elsewhere. If the report that shows the restart of the worker follows the answer to the stop, which either incarnation may have given, the stop was repeated only after a second. It is now repeated at once. DispatcherTest::StopsARunAgainAtOnceIfItsWorkerRestarts fails without the change.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1091,9 +1091,11 @@
         continue;
       }
       if (it->mOpenStarts > 0) {
-        // So may a start without an answer, unless it is stopped.
+        // So may a start without an answer, unless it is stopped. The former
+        // incarnation may have accepted an earlier stop.
         it->mIsConfirmed = false;
         StopRun(*it);
+        it->mNextCallAt = aNow;
       } else if (it->mConfirmedAt > aWorker.mLastReportAt) {
         // Either incarnation may have accepted the start. Repeated with the
         // same number, it does not start the run a second time.
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -326,6 +326,7 @@
   CPPUNIT_TEST(RepeatsNoStartOnADrainingWorker);
   CPPUNIT_TEST(StopsARunWithAnOpenStartIfItsWorkerRestarts);
   CPPUNIT_TEST(StopsARunWhoseStartMayHaveReachedTheNextIncarnation);
+  CPPUNIT_TEST(StopsARunAgainAtOnceIfItsWorkerRestarts);
   CPPUNIT_TEST(MovesARunAtOnceIfNoCopyOfItsStartWasSent);
   CPPUNIT_TEST(KeepsARunThatARestartedWorkerHasAccepted);
   CPPUNIT_TEST(MovesARunAtOnceIfItsWorkerHasLeft);
@@ -667,6 +668,31 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, site.mSink.mStarts.size());
   }
 
+  // The stop may have been accepted by the former incarnation. Guards against a
+  // task that waits for a second until the new one is told.
+  void StopsARunAgainAtOnceIfItsWorkerRestarts()
+  {
+    UnansweredStarts site(2, 1);
+    const StartCall start = site.mSink.mStarts.back();
+    site.mDispatcher->OnStartResult(
+      start, { StartOutcome::OtherIncarnation, true }, site.mClock.Now());
+    site.Tick(milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.mSink.mStops.size());
+    for (std::size_t stops = 1; stops <= 2; ++stops) {
+      site.mDispatcher->OnStopResult(
+        site.mSink.mStops.back(), CallOutcome::Accepted, site.mClock.Now());
+      site.Tick(milliseconds(10));
+      site.mDispatcher->OnReport(start.mWorkerId,
+                                 { 400, 2, {}, {} },
+                                 site.mClock.Now(),
+                                 site.mClock.Now());
+      site.Tick(milliseconds(10));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, site.mSink.mStops.size());
+    }
+    site.Tick(milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, site.mSink.mStarts.size());
+  }
+
   // Guards against a task that waits for a stop although no copy of its start
   // has left the leader.
   void MovesARunAtOnceIfNoCopyOfItsStartWasSent()
