Mark and observe a connection only while its socket stays open

A reset that arrives right behind a response closes the socket before the handler of the response marks the connection. The library opens it again for the next unmarked call, to whatever process listens then, and the mark stayed. MarkConnection now looks whether the socket is open, and the selector reports a socket that is added again as reopened (CallLoopTest::MarksNoConnectionThatIsClosedAfterTheResponse).

If the write of a request fails, the library removes the socket and adds it again before the start of the call returns. The selector then forgot the observer, so that a marked call went out on a new connection. It keeps observers until Forget (SocketSelectorTest::ObservesASocketThatIsOpenedAgainOutsideAVisit).

--- a/src/http/call_loop.cpp
+++ b/src/http/call_loop.cpp
@@ -291,7 +291,8 @@
 
   void MarkConnection(std::int64_t aMark) override
   {
-    if (mHandled != nullptr) {
+    // The peer may have closed the connection since the response.
+    if (mHandled != nullptr && mSelector.IsOpenAndQuiet(*mHandled)) {
       mHandled->SetMark(aMark);
     }
   }
--- a/src/http/call_loop_test.cpp
+++ b/src/http/call_loop_test.cpp
@@ -157,6 +157,7 @@
   CPPUNIT_TEST(SendsAMarkedCallOnce);
   CPPUNIT_TEST(SendsAMarkedCallOnceOnAReopenedConnection);
   CPPUNIT_TEST(UsesOnlyConnectionsThatStayedOpenSinceTheirMark);
+  CPPUNIT_TEST(MarksNoConnectionThatIsClosedAfterTheResponse);
   CPPUNIT_TEST(CallsOnTheConnectionOfAResponse);
   CPPUNIT_TEST(ClosesIdleConnectionsOfUnusedEndpoints);
   CPPUNIT_TEST(ClosesTheIdleConnectionsOfABurst);
@@ -388,7 +389,11 @@
       ManualServer server;
       const auto loop = CreateCallLoop(clock);
       CompleteCall(*loop, clock, server, kMark);
-      isReset ? server.Reset() : server.Close();
+      if (isReset) {
+        server.Reset();
+      } else {
+        server.Close();
+      }
       loop->Wait(clock.Now() + std::chrono::milliseconds(20));
       CompleteCall(*loop, clock, server, kMark);
       const auto result = StartMarkedCall(*loop, clock, server);
@@ -438,6 +443,30 @@
     CPPUNIT_ASSERT(StartMarkedCall(*loop, clock, server) == nullptr);
   }
 
+  // The peer closes the connection right after a response, and the handler of
+  // the response marks it. Guards against a mark that stays when the connection
+  // is opened again for another call, which another process may accept.
+  void MarksNoConnectionThatIsClosedAfterTheResponse()
+  {
+    const base::Clock& clock = base::GetBootClock();
+    for (const bool isReset : { false, true }) {
+      ManualServer server;
+      const auto loop = CreateCallLoop(clock);
+      const auto first = StartCall(*loop, clock, server, kMark);
+      server.ReceiveRequest(*loop, clock.Now());
+      server.Write(kOkResponse);
+      if (isReset) {
+        server.Reset();
+      } else {
+        server.Close();
+      }
+      CompleteAllCalls(*loop);
+      CPPUNIT_ASSERT(first->has_value());
+      CompleteCall(*loop, clock, server);
+      CPPUNIT_ASSERT(StartMarkedCall(*loop, clock, server) == nullptr);
+    }
+  }
+
   // A handler marks the connection of its response and calls on it. Guards
   // against a caller that needs a connection of a certain process and never
   // finds one.
--- a/src/http/socket_selector.cpp
+++ b/src/http/socket_selector.cpp
@@ -118,11 +118,15 @@
   }
   auto* socket = dynamic_cast<cxxtools::net::TcpSocket*>(&aDevice);
   if (socket != nullptr) {
-    // The HTTP library adds a socket again that was closed by a reset, so the
-    // observer must be kept.
+    // The HTTP library adds a socket again to open it again.
     Registration& registration = mRegistrations[&aDevice];
     Unregister(registration);
     registration.mSocket = socket;
+    const auto observer = mObservers.find(&aDevice);
+    if (observer != mObservers.end()) {
+      registration.mObserver = observer->second;
+      NotifyReopened(registration.mObserver);
+    }
     Register(registration);
     mDue.insert(&aDevice);
     mNewest = &aDevice;
@@ -136,6 +140,7 @@
   if (found != mRegistrations.end() && found->second.mObserver == nullptr) {
     found->second.mObserver = &aObserver;
     mObserved[&aObserver] = found->second.mSocket;
+    mObservers[mNewest] = &aObserver;
   }
 }
 
@@ -150,6 +155,7 @@
   if (registered != mRegistrations.end()) {
     registered->second.mObserver = nullptr;
   }
+  mObservers.erase(observed->second);
   mObserved.erase(observed);
 }
 
@@ -179,8 +185,8 @@
   // The device may be in its destructor, so its socket is not used here.
   const auto found = mRegistrations.find(&aDevice);
   if (found != mRegistrations.end()) {
+    // The observer is kept until Forget, because the socket may be added again.
     Unregister(found->second);
-    mObserved.erase(found->second.mObserver);
     mRegistrations.erase(found);
     mNewest = mNewest == &aDevice ? nullptr : mNewest;
   }
--- a/src/http/socket_selector.hpp
+++ b/src/http/socket_selector.hpp
@@ -99,6 +99,8 @@
   cxxtools::Selectable* mNewest = nullptr;
   std::unordered_map<const SocketObserver*, cxxtools::net::TcpSocket*>
     mObserved;
+  /// The reverse of mObserved; also holds sockets that were removed.
+  std::unordered_map<cxxtools::Selectable*, SocketObserver*> mObservers;
   /// Sockets that may have input or whose state has changed.
   std::unordered_set<cxxtools::Selectable*> mDue;
   std::uint64_t mVisitedSockets = 0;
--- a/src/http/socket_selector_test.cpp
+++ b/src/http/socket_selector_test.cpp
@@ -164,6 +164,7 @@
   CPPUNIT_TEST(ForgetsDestroyedSockets);
   CPPUNIT_TEST(VisitsAllSocketsIfOneFails);
   CPPUNIT_TEST(ClosesASocketThatMustNotBeReopened);
+  CPPUNIT_TEST(ObservesASocketThatIsOpenedAgainOutsideAVisit);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -241,6 +242,23 @@
     }
     CPPUNIT_ASSERT(!reopened.mSocket.enabled());
   }
+
+  // The HTTP library connects again if the write of a request fails, before the
+  // start of the call returns. Guards against a request that goes out on a new
+  // connection, because the selector has forgotten the observer.
+  void ObservesASocketThatIsOpenedAgainOutsideAVisit()
+  {
+    SocketSelector selector;
+    cxxtools::net::TcpServer listener;
+    const std::uint16_t port = Listen(listener);
+    ReopenedSocket reopened(selector, port);
+    reopened.mSocket.close();
+    reopened.mSocket.setSelector(&selector);
+    reopened.mSocket.beginConnect("127.0.0.1", port);
+    CPPUNIT_ASSERT(reopened.mWasReopened);
+    selector.Close(reopened);
+    CPPUNIT_ASSERT(!reopened.mSocket.enabled());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SocketSelectorTest);
