Do not avoid a worker whose answer was read too late

If the leader reads the answer to the poll for a connection after the deadline of the start, the start was reported as not sent, which counts as a failure of the worker: it got no start for 1.5 s, after one pause of the leader on each worker with such a poll.

This is an outcome of its own now, without that pause.

--- a/include/skylarkhill/dispatch/worker.hpp
+++ b/include/skylarkhill/dispatch/worker.hpp
@@ -131,6 +131,9 @@
   /// The worker has restarted under its id. The call was not sent to the new
   /// incarnation.
   OtherIncarnation,
+  /// The worker can be reached, but the deadline of the call passed before it
+  /// was sent.
+  DeadlinePassed,
   /// The worker was not reached before the call was sent.
   NotSent,
   /// No answer or an unexpected status; the run may still start until the
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -519,6 +519,7 @@
         DropRefusedRun(*run);
         break;
       case StartOutcome::TooLate:
+      case StartOutcome::DeadlinePassed:
         DropRefusedRun(*run);
         break;
       case StartOutcome::OtherWorker:
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -538,6 +538,7 @@
                                    StartOutcome::TicketInvalid,
                                    StartOutcome::Unhealthy,
                                    StartOutcome::Rejected,
+                                   StartOutcome::DeadlinePassed,
                                    StartOutcome::NotSent,
                                    StartOutcome::OtherIncarnation }) {
       UnansweredStarts site(2, 1);
@@ -570,6 +571,7 @@
                                    StartOutcome::TicketInvalid,
                                    StartOutcome::Unhealthy,
                                    StartOutcome::Rejected,
+                                   StartOutcome::DeadlinePassed,
                                    StartOutcome::NotSent,
                                    StartOutcome::OtherIncarnation }) {
       UnansweredStarts site(2, 1);
--- a/src/dispatch/worker.cpp
+++ b/src/dispatch/worker.cpp
@@ -15,7 +15,7 @@
   { RunOutcome::GangIncomplete, "gang_incomplete" },
 } };
 
-constexpr base::NameTable<StartOutcome, 12> kStartOutcomeNames{ {
+constexpr base::NameTable<StartOutcome, 13> kStartOutcomeNames{ {
   { StartOutcome::Started, "started" },
   { StartOutcome::NoRoom, "no_room" },
   { StartOutcome::OldRun, "old_run" },
@@ -26,6 +26,7 @@
   { StartOutcome::Rejected, "rejected" },
   { StartOutcome::OtherWorker, "other_worker" },
   { StartOutcome::OtherIncarnation, "other_incarnation" },
+  { StartOutcome::DeadlinePassed, "deadline_passed" },
   { StartOutcome::NotSent, "not_sent" },
   { StartOutcome::Unknown, "unknown" },
 } };
