Count a start that either incarnation may have accepted as open

A start was accepted, and then a report of the next incarnation, made before, arrives: the run is repeated there with its number. If the repeated start was refused or not sent, the run was removed although the next incarnation may have it. DispatcherTest::StopsARunThatARestartedWorkerMayHaveAccepted failed before for seven outcomes, one after the other.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1099,8 +1099,10 @@
         it->mNextCallAt = aNow;
       } else if (it->mConfirmedAt > aWorker.mLastReportAt) {
         // Either incarnation may have accepted the start. Repeated with the
-        // same number, it does not start the run a second time.
+        // same number, it does not start the run a second time. If the repeated
+        // one is refused, the first one is still open.
         it->mIsConfirmed = false;
+        ++it->mOpenStarts;
         it->mNextCallAt = aNow;
         mRunsToCall.insert(it);
       } else {
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -329,6 +329,7 @@
   CPPUNIT_TEST(StopsARunAgainAtOnceIfItsWorkerRestarts);
   CPPUNIT_TEST(MovesARunAtOnceIfNoCopyOfItsStartWasSent);
   CPPUNIT_TEST(KeepsARunThatARestartedWorkerHasAccepted);
+  CPPUNIT_TEST(StopsARunThatARestartedWorkerMayHaveAccepted);
   CPPUNIT_TEST(MovesARunAtOnceIfItsWorkerHasLeft);
   CPPUNIT_TEST(NeverExceedsTheCapacityOfAWorker);
   CPPUNIT_TEST(RestartsTasksOfASilentWorkerAfterItsLease);
@@ -712,6 +713,33 @@
     }
   }
 
+  // The report of the next incarnation arrives before the answer of the former
+  // one to a stop. Guards against a task that runs twice, because this answer
+  // is taken for one of the next incarnation, which can still get a start.
+  void RepeatsAStopThatAFormerIncarnationMayHaveAnswered()
+  {
+    UnansweredStarts site(2, 1);
+    const StartCall start = site.mSink.mStarts.back();
+    site.mDispatcher->OnStartResult(
+      start, { StartOutcome::OtherIncarnation, true }, site.mClock.Now());
+    site.Tick(milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.mSink.mStops.size());
+    const auto report = [&] {
+      site.mDispatcher->OnReport(start.mWorkerId,
+                                 { 400, 2, {}, {} },
+                                 site.mClock.Now(),
+                                 site.mClock.Now());
+    };
+    report();
+    site.mDispatcher->OnStopResult(
+      site.mSink.mStops.back(), CallOutcome::Accepted, site.mClock.Now());
+    site.Tick(milliseconds(20));
+    report();
+    site.Tick(milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.mSink.mStarts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, site.mSink.mStops.size());
+  }
+
   // Guards against a task that runs twice: a worker has restarted unnoticed and
   // accepted a start, and the report of the new incarnation, which was made
   // before, arrives after that.
@@ -733,6 +761,40 @@
     }
   }
 
+  // As before, and the repeated start is refused or not sent. Guards against a
+  // task that runs twice, because this answer is taken for the fate of the run
+  // that the first call has started.
+  void StopsARunThatARestartedWorkerMayHaveAccepted()
+  {
+    for (const StartOutcome it : { StartOutcome::NoRoom,
+                                   StartOutcome::TooLate,
+                                   StartOutcome::TicketInvalid,
+                                   StartOutcome::Unhealthy,
+                                   StartOutcome::Rejected,
+                                   StartOutcome::NotSent,
+                                   StartOutcome::OtherIncarnation }) {
+      UnansweredStarts site(2, 1);
+      const StartCall start = site.mSink.mStarts.back();
+      const base::TimePoint pollSentAt = site.mClock.Now();
+      site.Tick(milliseconds(10));
+      site.mDispatcher->OnStartResult(
+        start, { StartOutcome::Started }, site.mClock.Now());
+      site.mDispatcher->OnReport(
+        start.mWorkerId, { 1, 2, {}, {} }, pollSentAt, site.mClock.Now());
+      for (int n = 0; n < 10 && site.mSink.mStarts.size() < 2; ++n) {
+        site.Tick(milliseconds(100));
+      }
+      CPPUNIT_ASSERT_EQUAL(start.mRunNumber,
+                           site.mSink.mStarts.back().mRunNumber);
+      site.mDispatcher->OnStartResult(
+        site.mSink.mStarts.back(), { it }, site.mClock.Now());
+      site.Tick(milliseconds(10));
+      site.Tick(milliseconds(10));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, site.mSink.mStarts.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.mSink.mStops.size());
+    }
+  }
+
   // Guards against a task that waits for the lease of a worker that has left,
   // because a stop at its address is refused again and again.
   void MovesARunAtOnceIfItsWorkerHasLeft()
@@ -1651,7 +1713,7 @@
 
   // Guards against tasks that run twice, or never, if workers restart in series
   // and carry out some of the starts that were meant for their former
-  // incarnation, without an answer.
+  // incarnation, with or without an answer.
   void RunsEveryTaskOnceWhileStartsReachTheNextIncarnation()
   {
     for (int seed = 1; seed <= CountSeeds(); ++seed) {
@@ -1686,6 +1748,7 @@
     leader.mIsMisdirected = [&](const StartCall&) {
       return random->Below(3) == 0;
     };
+    leader.mIsMisdirectedAnswered = [&] { return random->Below(2) == 0; };
     std::vector<std::string> ids;
     for (int n = 0; n < kRounds; ++n) {
       for (int k = 0; k < 3; ++k) {
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -153,7 +153,11 @@
                             mSite.Worker(aCall.mWorkerId).mIncarnationStartMs,
                             mSite.Now() + delay });
   } else if (IsMisdirected(aCall)) {
-    CarryOut(aCall);
+    const StartOutcome result = CarryOut(aCall);
+    if (mIsMisdirectedAnswered && mIsMisdirectedAnswered()) {
+      outcome = result;
+      answeredAt = mSite.Now() + kLatency;
+    }
   } else if (mSite.IsOtherIncarnation(mSite.Worker(aCall.mWorkerId),
                                       aCall.mIncarnationStartMs)) {
     outcome = StartOutcome::OtherIncarnation;
--- a/src/dispatch/fake_site_test.hpp
+++ b/src/dispatch/fake_site_test.hpp
@@ -89,8 +89,10 @@
     /// answered. At once and with an answer if unset or zero.
     std::function<base::Duration(const StartCall&)> mStartDelay;
     /// Decides whether a start that is bound to a former incarnation is carried
-    /// out by the present one and gets no answer. It is refused if unset.
+    /// out by the present one. It is refused if unset.
     std::function<bool(const StartCall&)> mIsMisdirected;
+    /// Decides whether such a start is answered; it is not if unset.
+    std::function<bool()> mIsMisdirectedAnswered;
     /// By worker id: additional delay of its poll answers.
     std::map<std::string, base::Duration> mDelays;
     /// If true, the leader lease is renewed at every time step.
