Confirm a stop only by the incarnation that it was sent to

If a report shows that the worker has restarted while a stop is in flight, the answer may be that of the former incarnation; it was taken for one of the new one, which can still carry out an open start. The stop is now repeated at once. DispatcherTest::RepeatsAStopThatAFormerIncarnationMayHaveAnswered failed before.

--- a/include/skylarkhill/dispatch/worker.hpp
+++ b/include/skylarkhill/dispatch/worker.hpp
@@ -235,6 +235,9 @@
   std::string mAddress;
   TaskId mTask;
   int mRunNumber = 0;
+  /// The incarnation that was known when the call was sent. Any one may receive
+  /// it.
+  std::int64_t mIncarnationStartMs = 0;
 };
 
 /// Sets the speed of a run.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -570,7 +570,11 @@
     }
     run->mIsCallInFlight = false;
     run->mNextCallAt = aNow + kResendPause;
-    if (aOutcome == CallOutcome::Accepted) {
+    if (aOutcome == CallOutcome::Accepted &&
+        aCall.mIncarnationStartMs != run->mWorker->mIncarnationStartMs) {
+      // A former incarnation may have answered.
+      run->mNextCallAt = aNow;
+    } else if (aOutcome == CallOutcome::Accepted) {
       // The worker now refuses a delayed start of this run, and its next report
       // shows whether the run is active.
       ConfirmRun(*run, aNow);
@@ -2128,8 +2132,11 @@
   {
     mStops.Add();
     ++mWork.mStops;
-    mSink.Stop(
-      { aWorker.mEntry.mId, aWorker.mEntry.mAddress, aTask, aRunNumber });
+    mSink.Stop({ aWorker.mEntry.mId,
+                 aWorker.mEntry.mAddress,
+                 aTask,
+                 aRunNumber,
+                 aWorker.mIncarnationStartMs });
   }
 
   void RequestTick(TimePoint aNow)
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -328,6 +328,7 @@
   CPPUNIT_TEST(StopsARunWhoseStartMayHaveReachedTheNextIncarnation);
   CPPUNIT_TEST(StopsARunAgainAtOnceIfItsWorkerRestarts);
   CPPUNIT_TEST(MovesARunAtOnceIfNoCopyOfItsStartWasSent);
+  CPPUNIT_TEST(RepeatsAStopThatAFormerIncarnationMayHaveAnswered);
   CPPUNIT_TEST(KeepsARunThatARestartedWorkerHasAccepted);
   CPPUNIT_TEST(StopsARunThatARestartedWorkerMayHaveAccepted);
   CPPUNIT_TEST(MovesARunAtOnceIfItsWorkerHasLeft);
