Let a request that no peer could run wait for a slot until its deadline

A heartbeat tells the free slots of a peer, and an instance subtracts the attempts that it has forwarded since it arrived. A heartbeat that was made before such an attempt reached the peer and arrives after it was sent shows slots that are taken, and the peer refuses. The refusal counted towards max_attempts, excluded the peer from the request, and a later attempt did not wait for a slot: with one peer, one refusal ended the request.

An attempt that is refused for lack of capacity no longer counts towards max_attempts, and its target stays eligible once it has reported its free slots after the refusal, so that it is asked at most once a heartbeat. While no attempt may have run, the request waits for a slot as the first attempt does, provided that a target is left that lacks nothing but a slot. Other refusals exclude the target and count as before.

RefusedTargetIsPickedAfterItsNextReport and WaitsOnlyForTargetsThatLackNothingElse guard the new functions.

--- a/include/skylarkhill/requests/request_machine.hpp
+++ b/include/skylarkhill/requests/request_machine.hpp
@@ -8,6 +8,7 @@
 #include "skylarkhill/requests/retry_budget.hpp"
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <variant>
@@ -17,7 +18,8 @@
 
 struct RequestMachineOptions
 {
-  /// Maximum number of attempts, hedges included.
+  /// Maximum number of attempts, hedges included; attempts that were refused
+  /// for lack of capacity do not count.
   std::int64_t mMaxAttempts = 3;
   /// Time after which an unanswered idempotent request is hedged, a high
   /// latency quantile of the service; zero disables hedging.
@@ -113,6 +115,12 @@
 struct PickTarget
 {
   std::set<Target> mTried;
+  /// Times at which targets refused an attempt for lack of capacity. A target
+  /// is not picked again before it has reported its free slots later than that.
+  std::map<Target, base::TimePoint> mRefusedAt;
+  /// True if no attempt may have run, so that the pick may wait for a free
+  /// slot until the deadline.
+  bool mMayWait = false;
 };
 
 /// Append the intent and read it back.
@@ -248,6 +256,8 @@
   bool mTargetPending = false;
   std::vector<Attempt> mAttempts;
   std::set<Target> mTried;
+  std::map<Target, base::TimePoint> mRefusedAt;
+  std::int64_t mCapacityRefusals = 0;
   base::TimePoint mHedgeAt = base::kNoDeadline;
   base::Error mLastError;
   DroppedAnswers mDropped;
--- a/include/skylarkhill/requests/target_picker.hpp
+++ b/include/skylarkhill/requests/target_picker.hpp
@@ -7,6 +7,7 @@
 #include "skylarkhill/requests/request.hpp"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -51,6 +52,17 @@
            const std::set<Target>& aTried,
            const InFlightTable& aInFlight);
 
+/// True if a candidate that is not in `aTried` lacks nothing but a free slot.
+bool
+MayGetFreeSlot(const std::vector<Candidate>& aCandidates,
+               const std::set<Target>& aTried);
+
+/// Sets the free slots of each target in `aRefusedAt` to 0 unless it has
+/// reported them after the refusal.
+void
+ApplyRefusals(const std::map<Target, base::TimePoint>& aRefusedAt,
+              std::vector<Candidate>& aCandidates);
+
 /// Simple variant for comparison: uniformly random among all eligible targets.
 std::unique_ptr<TargetPicker>
 CreateRandomTargetPicker();
--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -412,9 +412,9 @@
   }
 }
 
-// The first attempt waits for a free slot; the admission queue limits how many
-// requests wait. Later attempts do not wait, because an earlier one may still
-// answer.
+// While no attempt may have run, the request waits for a free slot; the
+// admission queue limits how many requests wait. Otherwise it does not wait,
+// because an earlier attempt may still answer.
 void
 RequestService::PickTarget(const ActiveRequestPtr& aActive,
                            const requests::PickTarget& aAction)
@@ -425,6 +425,7 @@
     for (auto& it : mPeers.Candidates(request.mService)) {
       candidates.push_back(std::move(it));
     }
+    requests::ApplyRefusals(aAction.mRefusedAt, candidates);
     std::optional<requests::Target> target;
     {
       const std::lock_guard lock(mForwardMutex);
@@ -435,7 +436,11 @@
       aActive->Post(requests::TargetOffered{ *target });
       return;
     }
-    const bool mayWait = aAction.mTried.empty() && !candidates.empty();
+    const bool hasTarget =
+      aAction.mTried.empty()
+        ? !candidates.empty()
+        : requests::MayGetFreeSlot(candidates, aAction.mTried);
+    const bool mayWait = aAction.mMayWait && hasTarget;
     if (!mayWait || mClock.Now() + kSlotCheckInterval >= request.mDeadline) {
       aActive->Post(requests::TargetUnavailable{});
       return;
--- a/src/requests/request_machine.cpp
+++ b/src/requests/request_machine.cpp
@@ -284,7 +284,7 @@
 RequestMachine::CanSendAgain() const
 {
   const auto sent = static_cast<std::int64_t>(mAttempts.size());
-  if (mCancelled || sent >= mOptions.mMaxAttempts) {
+  if (mCancelled || sent - mCapacityRefusals >= mOptions.mMaxAttempts) {
     return false;
   }
   if (mRequest.mIdempotent) {
@@ -324,6 +324,12 @@
   const bool expected = aAttempt.mState == AttemptState::InFlight;
   aAttempt.mState = AttemptState::Ended;
   aAttempt.mMayHaveRun = aMayHaveRun;
+  if (!aMayHaveRun && aError.mKind == ErrorKind::NoCapacity) {
+    // The target works and only its reported free slots were out of date.
+    mTried.erase(aAttempt.mTarget);
+    mRefusedAt[aAttempt.mTarget] = mClock.Now();
+    ++mCapacityRefusals;
+  }
   if (expected) {
     mLastError = aError;
   }
@@ -378,7 +384,7 @@
 RequestMachine::AskForTarget(RequestActions& aActions)
 {
   mTargetPending = true;
-  aActions.push_back(PickTarget{ mTried });
+  aActions.push_back(PickTarget{ mTried, mRefusedAt, !MayHaveRun() });
 }
 
 void
--- a/src/requests/target_picker.cpp
+++ b/src/requests/target_picker.cpp
@@ -126,6 +126,29 @@
   return EstimateFreeSlots(aCandidate, aInFlight) > 0;
 }
 
+bool
+MayGetFreeSlot(const std::vector<Candidate>& aCandidates,
+               const std::set<Target>& aTried)
+{
+  return std::any_of(
+    aCandidates.begin(), aCandidates.end(), [&](const Candidate& aCandidate) {
+      return !aCandidate.mLeaving && !aCandidate.mBreakerOpen &&
+             aTried.count(aCandidate.mTarget) == 0;
+    });
+}
+
+void
+ApplyRefusals(const std::map<Target, base::TimePoint>& aRefusedAt,
+              std::vector<Candidate>& aCandidates)
+{
+  for (Candidate& it : aCandidates) {
+    const auto refused = aRefusedAt.find(it.mTarget);
+    if (refused != aRefusedAt.end() && it.mReportedAt <= refused->second) {
+      it.mFreeSlots = 0;
+    }
+  }
+}
+
 std::unique_ptr<TargetPicker>
 CreateRandomTargetPicker()
 {
--- a/src/requests/target_picker_test.cpp
+++ b/src/requests/target_picker_test.cpp
@@ -36,6 +36,8 @@
   CPPUNIT_TEST_SUITE(TargetPickerTest);
   CPPUNIT_TEST(PicksOnlyEligibleTargets);
   CPPUNIT_TEST(PrefersHeldWorkers);
+  CPPUNIT_TEST(RefusedTargetIsPickedAfterItsNextReport);
+  CPPUNIT_TEST(WaitsOnlyForTargetsThatLackNothingElse);
   CPPUNIT_TEST(CountsAttemptsMissingFromTheReport);
   CPPUNIT_TEST(PrefersFreeAndFastTargets);
   CPPUNIT_TEST(SpreadsABurstBetweenReports);
@@ -77,6 +79,37 @@
     CPPUNIT_ASSERT_EQUAL(std::string("peer"), other->mName);
   }
 
+  // Guards against sending attempts in a loop to a peer whose last report shows
+  // free slots that it no longer has.
+  void RefusedTargetIsPickedAfterItsNextReport()
+  {
+    Candidate peer = MakeCandidate(TargetKind::Peer, "peer", 3);
+    const std::map<Target, base::TimePoint> refusedAt{ { peer.mTarget,
+                                                         peer.mReportedAt } };
+    std::vector<Candidate> candidates{ peer };
+    ApplyRefusals(refusedAt, candidates);
+    CPPUNIT_ASSERT(!mTwoChoices->Pick(candidates, {}, mInFlight, *mRandom));
+    peer.mReportedAt += base::Duration(1);
+    candidates = { peer };
+    ApplyRefusals(refusedAt, candidates);
+    CPPUNIT_ASSERT(mTwoChoices->Pick(candidates, {}, mInFlight, *mRandom));
+  }
+
+  // Guards against a request that waits until its deadline although no target
+  // is left that could run it.
+  void WaitsOnlyForTargetsThatLackNothingElse()
+  {
+    Candidate leaving = Worker("leaving", 9);
+    leaving.mLeaving = true;
+    Candidate broken = Worker("broken", 9);
+    broken.mBreakerOpen = true;
+    const std::set<Target> tried{ { TargetKind::HeldWorker, "tried" } };
+    std::vector<Candidate> candidates{ leaving, broken, Worker("tried", 9) };
+    CPPUNIT_ASSERT(!MayGetFreeSlot(candidates, tried));
+    candidates.push_back(Worker("full", 0));
+    CPPUNIT_ASSERT(MayGetFreeSlot(candidates, tried));
+  }
+
   // Guards against sending more attempts to a target than it has free slots.
   void CountsAttemptsMissingFromTheReport()
   {
