Close a replaced connection of a peer only once it is quiet

In all 5 hung processes the main thread was in nng_close of the pull socket, and the reaper thread of nng waited in the destruction of a pipe. While an instance is paused its peers replace their connections to it. When it continues, it reads frames from the old and the new connections and closed the pipe of an old one as soon as a newer frame arrived on another one. nng 1.5.2 does not survive this if the pipe is just receiving: its only reaper thread can block, and with it every later close of a socket. The reaper blocks long before the stop; any close of a socket to a peer would block as well (not seen).

The close is needed for connections whose state a middlebox has dropped. The new class ReceivePipes keeps the replaced connections of a peer, and the sending thread closes one when no frame has arrived on it for the acknowledgement timeout. With the rule before, ReplacedPipeIsKeptWhileItReceives of ReceivePipesTest fails.

--- a/src/peer/nng_transport.cpp
+++ b/src/peer/nng_transport.cpp
@@ -213,7 +213,8 @@
     return mLinks;
   }
 
-  /// Sends queued messages and replaces unacknowledged connections until Stop.
+  /// Sends queued messages, replaces unacknowledged connections and closes
+  /// unused ones until Stop.
   void SendLoop()
   {
     const base::Duration idleDelay =
@@ -226,6 +227,7 @@
       for (const auto& it : GetLinks()) {
         it.second->SendQueued();
         it.second->ReplaceIfUnacknowledged();
+        it.second->CloseUnusedPipes();
         congested = congested || it.second->IsCongested();
       }
       const bool progressed = mCounters.mSent != sent;
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -42,6 +42,7 @@
 PeerLink::PeerLink(const LinkContext& aContext, PeerAddress aPeer)
   : mContext(aContext)
   , mPeer(std::move(aPeer))
+  , mReceivePipes(aContext.mOptions.mAckTimeout)
 {
 }
 
@@ -90,39 +91,45 @@
 void
 PeerLink::RecordArrival(const Frame& aFrame, nng_pipe aPipe)
 {
-  std::optional<nng_pipe> superseded;
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    const base::TimePoint now = mContext.mClock->Now();
-    if (aFrame.mSessionId != mPeerSessionId) {
-      mPeerSessionId = aFrame.mSessionId;
-      mClockBound = ClockBound();
-      mNewestPeerSentMicros = aFrame.mSentMicros - 1;
-    }
-    mClockBound.RecordArrival(aFrame.mSentMicros, now);
-    if (aFrame.mSentMicros > mNewestPeerSentMicros) {
-      mNewestPeerSentMicros = aFrame.mSentMicros;
-      // If a middlebox has dropped its state of the old connection, the peer's
-      // close never arrives here, so the old connection is closed explicitly.
-      if (mReceivePipe && mReceivePipe->id != aPipe.id) {
-        superseded = mReceivePipe;
-      }
-      mReceivePipe = aPipe;
-    }
-    if (aFrame.mEcho.mSessionId == mContext.mSessionId) {
-      mClockBound.RecordEcho(aFrame.mEcho.mMinDifferenceMicros, now);
-      const base::TimePoint seen =
-        base::FromMicros(aFrame.mEcho.mNewestSentMicros);
-      if (mUnacknowledgedSince && seen >= *mUnacknowledgedSince) {
-        mUnacknowledgedSince = std::nullopt;
-        if (mLastQueuedAt > seen) {
-          mUnacknowledgedSince = mLastQueuedAt;
-        }
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const base::TimePoint now = mContext.mClock->Now();
+  if (aFrame.mSessionId != mPeerSessionId) {
+    mPeerSessionId = aFrame.mSessionId;
+    mClockBound = ClockBound();
+    mNewestPeerSentMicros = aFrame.mSentMicros - 1;
+  }
+  mClockBound.RecordArrival(aFrame.mSentMicros, now);
+  const bool isNewest = aFrame.mSentMicros > mNewestPeerSentMicros;
+  mNewestPeerSentMicros = std::max(mNewestPeerSentMicros, aFrame.mSentMicros);
+  mReceivePipes.RecordFrame(aPipe.id, isNewest, now);
+  if (aFrame.mEcho.mSessionId == mContext.mSessionId) {
+    mClockBound.RecordEcho(aFrame.mEcho.mMinDifferenceMicros, now);
+    const base::TimePoint seen =
+      base::FromMicros(aFrame.mEcho.mNewestSentMicros);
+    if (mUnacknowledgedSince && seen >= *mUnacknowledgedSince) {
+      mUnacknowledgedSince = std::nullopt;
+      if (mLastQueuedAt > seen) {
+        mUnacknowledgedSince = mLastQueuedAt;
       }
     }
   }
-  if (superseded) {
-    nng_pipe_close(*superseded);
+}
+
+// If a middlebox has dropped its state of a replaced connection, the peer's
+// close never arrives here. nng 1.5.2 can block for ever in the reaping of a
+// pipe that is closed while it receives, and with it every close of a socket.
+void
+PeerLink::CloseUnusedPipes()
+{
+  std::vector<ReceivePipes::PipeId> unused;
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    unused = mReceivePipes.TakeUnused(mContext.mClock->Now());
+  }
+  for (const auto it : unused) {
+    nng_pipe pipe = NNG_PIPE_INITIALIZER;
+    pipe.id = it;
+    nng_pipe_close(pipe);
   }
 }
 
--- a/src/peer/peer_link.hpp
+++ b/src/peer/peer_link.hpp
@@ -4,6 +4,7 @@
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/peer/clock_bound.hpp"
 #include "skylarkhill/peer/frame.hpp"
+#include "skylarkhill/peer/receive_pipes.hpp"
 #include "skylarkhill/peer/transport.hpp"
 
 #include <nng/nng.h>
@@ -86,6 +87,8 @@
   /// Replaces the connection if the peer has acknowledged nothing for the
   /// acknowledgement timeout.
   void ReplaceIfUnacknowledged();
+  /// Closes the connections that the peer has replaced and no longer uses.
+  void CloseUnusedPipes();
 
 private:
   struct QueuedMessage
@@ -116,7 +119,7 @@
   base::TimePoint mLastQueuedAt;
   std::uint64_t mPeerSessionId = 0;
   std::int64_t mNewestPeerSentMicros = 0;
-  std::optional<nng_pipe> mReceivePipe;
+  ReceivePipes mReceivePipes;
   ClockBound mClockBound;
 };
 
