Restart workers unseen amid resets in the soak

The soak closed all connections of a worker when it crashed, so no call hung on a connection of the former incarnation, and it reset none.

--- a/include/skylarkhill/testing/tcp_relay.hpp
+++ b/include/skylarkhill/testing/tcp_relay.hpp
@@ -5,8 +5,10 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -24,6 +26,20 @@
   Silent,
 };
 
+/// What becomes of one open connection. In all cases but None, data that was
+/// not forwarded is lost.
+enum class ConnectionFault
+{
+  None,
+  Close,
+  Reset,
+  /// The target is gone without a word: the client's connection stays open, and
+  /// what it sends is lost.
+  Silence,
+  /// The same, until the client sends something, which resets the connection.
+  SilenceUntilData,
+};
+
 struct RelayEndpoint
 {
   std::string mAddress;
@@ -41,9 +57,9 @@
   TcpRelay& operator=(const TcpRelay&) = delete;
 
   void SetMode(LinkMode aMode, base::Duration aDelay);
-  /// Closes all connections, as the end of the process at the target does, and
-  /// returns once they are closed. Data that was not forwarded is lost.
-  void CloseConnections();
+  /// Injects into each open connection the fault that `aChoose` returns, and
+  /// returns once that is done. `aChoose` is not called after that.
+  void DisturbConnections(const std::function<ConnectionFault()>& aChoose);
 
 private:
   struct Connection;
@@ -51,15 +67,20 @@
   void Run();
   void Accept();
   void Forward(Connection& aConnection);
+  static void DiscardInput(Connection& aConnection);
+  void RemoveClosed();
   void CloseAfterCut();
-  void CloseIfRequested();
+  void DisturbIfRequested();
 
   const RelayEndpoint mTarget;
   int mListener = -1;
   std::atomic<LinkMode> mMode{ LinkMode::Open };
   std::atomic<std::int64_t> mDelayMicros{ 0 };
   std::atomic<bool> mStop{ false };
-  std::atomic<bool> mMustClose{ false };
+  /// Set while DisturbConnections waits.
+  std::atomic<const std::function<ConnectionFault()>*> mChoose{ nullptr };
+  /// Held by one call of DisturbConnections at a time.
+  std::mutex mDisturbLock;
   bool mWasCut = false;
   std::list<Connection> mConnections;
   std::thread mThread;
--- a/src/testing/soak_main.cpp
+++ b/src/testing/soak_main.cpp
@@ -77,6 +77,9 @@
   add("leader-series",
       options::value(&aArguments.mSoak.mLeaderSeries),
       "how often workers die and the leader changes in a series after that");
+  add("restarts",
+      options::value(&aArguments.mSoak.mHasRestarts),
+      "0: no restarts of many workers at once");
   add("instances", options::value(&aArguments.mSoak.mInstances), "instances");
   add("workers", options::value(&aArguments.mSoak.mWorkers), "workers");
   add("callers", options::value(&aArguments.mSoak.mCallers), "callers");
--- a/src/testing/tcp_relay.cpp
+++ b/src/testing/tcp_relay.cpp
@@ -36,6 +36,14 @@
   return socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
 }
 
+/// Makes a later close of the socket a reset.
+void
+PrepareReset(int aSocket)
+{
+  const linger noLinger{ 1, 0 };
+  setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &noLinger, sizeof noLinger);
+}
+
 } // namespace
 
 struct TcpRelay::Connection
@@ -59,6 +67,19 @@
   Flow mToTarget;
   Flow mFromTarget;
   bool mClosed = false;
+  /// None, Silence or SilenceUntilData. If not None, the connection to the
+  /// target is closed.
+  ConnectionFault mSilence = ConnectionFault::None;
+
+  void Silence(ConnectionFault aFault)
+  {
+    if (mSilence == ConnectionFault::None) {
+      close(mToTarget.mOutput);
+      mToTarget.mOutput = -1;
+      mFromTarget.mInput = -1;
+    }
+    mSilence = aFault;
+  }
 };
 
 TcpRelay::TcpRelay(const RelayEndpoint& aListen, const RelayEndpoint& aTarget)
@@ -97,10 +118,11 @@
 }
 
 void
-TcpRelay::CloseConnections()
+TcpRelay::DisturbConnections(const std::function<ConnectionFault()>& aChoose)
 {
-  mMustClose = true;
-  while (mMustClose) {
+  const std::lock_guard lock(mDisturbLock);
+  mChoose = &aChoose;
+  while (mChoose != nullptr) {
     std::this_thread::sleep_for(std::chrono::milliseconds(1));
   }
 }
@@ -118,17 +140,25 @@
     }
     poll(descriptors.data(), descriptors.size(), kPollIntervalMs);
     CloseAfterCut();
-    CloseIfRequested();
+    DisturbIfRequested();
     Accept();
-    for (auto it = mConnections.begin(); it != mConnections.end();) {
-      Forward(*it);
-      if (it->mClosed) {
-        close(it->mToTarget.mInput);
-        close(it->mToTarget.mOutput);
-        it = mConnections.erase(it);
-      } else {
-        ++it;
-      }
+    for (auto& it : mConnections) {
+      Forward(it);
+    }
+    RemoveClosed();
+  }
+}
+
+void
+TcpRelay::RemoveClosed()
+{
+  for (auto it = mConnections.begin(); it != mConnections.end();) {
+    if (it->mClosed) {
+      close(it->mToTarget.mInput);
+      close(it->mToTarget.mOutput);
+      it = mConnections.erase(it);
+    } else {
+      ++it;
     }
   }
 }
@@ -145,17 +175,48 @@
 }
 
 void
-TcpRelay::CloseIfRequested()
+TcpRelay::DisturbIfRequested()
 {
-  if (!mMustClose) {
+  const auto* choose = mChoose.load();
+  if (choose == nullptr) {
     return;
   }
   for (auto& it : mConnections) {
-    close(it.mToTarget.mInput);
-    close(it.mToTarget.mOutput);
+    const ConnectionFault fault = (*choose)();
+    switch (fault) {
+      case ConnectionFault::None:
+        break;
+      case ConnectionFault::Reset:
+        PrepareReset(it.mToTarget.mInput);
+        PrepareReset(it.mToTarget.mOutput);
+        it.mClosed = true;
+        break;
+      case ConnectionFault::Close:
+        it.mClosed = true;
+        break;
+      case ConnectionFault::Silence:
+      case ConnectionFault::SilenceUntilData:
+        it.Silence(fault);
+        break;
+    }
   }
-  mConnections.clear();
-  mMustClose = false;
+  RemoveClosed();
+  mChoose = nullptr;
+}
+
+/// Receives what the client of a silent connection sends, or its end.
+void
+TcpRelay::DiscardInput(Connection& aConnection)
+{
+  std::array<char, kReadSize> buf{};
+  const int client = aConnection.mToTarget.mInput;
+  const ssize_t n = recv(client, buf.data(), buf.size(), 0);
+  if (n > 0 && aConnection.mSilence == ConnectionFault::SilenceUntilData) {
+    PrepareReset(client);
+    aConnection.mClosed = true;
+  }
+  const bool hasNone = n < 0 && (errno == EAGAIN || errno == EINTR);
+  aConnection.mClosed = aConnection.mClosed || (n <= 0 && !hasNone);
 }
 
 void
@@ -192,6 +253,10 @@
   if (aConnection.mClosed || mMode != LinkMode::Open) {
     return;
   }
+  if (aConnection.mSilence != ConnectionFault::None) {
+    DiscardInput(aConnection);
+    return;
+  }
   const base::TimePoint now = base::GetBootClock().Now();
   for (auto* flow : { &aConnection.mToTarget, &aConnection.mFromTarget }) {
     std::array<char, kReadSize> buf{};
