--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
 #include <cstdlib>
 #include <malloc.h>
@@ -148,6 +149,14 @@
   std::size_t mFailedStarts = 0;
 };
 
+/// Outcomes that deny the last copy of a start.
+constexpr std::array kDenials{
+  StartOutcome::NoRoom,        StartOutcome::TooLate,
+  StartOutcome::TicketInvalid, StartOutcome::Unhealthy,
+  StartOutcome::Rejected,      StartOutcome::DeadlinePassed,
+  StartOutcome::NotSent,       StartOutcome::OtherIncarnation,
+};
+
 /// Workers and starts per second of the target.
 constexpr int kTargetWorkers = 7900;
 constexpr int kTargetStarts = 470;
@@ -535,14 +544,7 @@
   // copy of a start, and the answer is the refusal of the second one.
   void StopsARunIfTheSecondCopyOfItsStartIsRefused()
   {
-    for (const StartOutcome it : { StartOutcome::NoRoom,
-                                   StartOutcome::TooLate,
-                                   StartOutcome::TicketInvalid,
-                                   StartOutcome::Unhealthy,
-                                   StartOutcome::Rejected,
-                                   StartOutcome::DeadlinePassed,
-                                   StartOutcome::NotSent,
-                                   StartOutcome::OtherIncarnation }) {
+    for (const StartOutcome it : kDenials) {
       UnansweredStarts site(2, 1);
       const StartCall start = site.mSink.mStarts.back();
       site.mDispatcher->OnStartResult(start, { it, true }, site.mClock.Now());
@@ -568,14 +570,7 @@
   // an unanswered start, and a refusal of the repeated start ended it here.
   void KeepsAReportedRunWhoseRepeatedStartIsRefused()
   {
-    for (const StartOutcome it : { StartOutcome::NoRoom,
-                                   StartOutcome::TooLate,
-                                   StartOutcome::TicketInvalid,
-                                   StartOutcome::Unhealthy,
-                                   StartOutcome::Rejected,
-                                   StartOutcome::DeadlinePassed,
-                                   StartOutcome::NotSent,
-                                   StartOutcome::OtherIncarnation }) {
+    for (const StartOutcome it : kDenials) {
       UnansweredStarts site(2, 1);
       const StartCall start = site.mSink.mStarts.back();
       site.FailStarts();
@@ -767,13 +762,7 @@
   // that the first call has started.
   void StopsARunThatARestartedWorkerMayHaveAccepted()
   {
-    for (const StartOutcome it : { StartOutcome::NoRoom,
-                                   StartOutcome::TooLate,
-                                   StartOutcome::TicketInvalid,
-                                   StartOutcome::Unhealthy,
-                                   StartOutcome::Rejected,
-                                   StartOutcome::NotSent,
-                                   StartOutcome::OtherIncarnation }) {
+    for (const StartOutcome it : kDenials) {
       UnansweredStarts site(2, 1);
       const StartCall start = site.mSink.mStarts.back();
       const base::TimePoint pollSentAt = site.mClock.Now();
