--- a/include/skylarkhill/cells/cell_load.hpp
+++ b/include/skylarkhill/cells/cell_load.hpp
@@ -4,6 +4,7 @@
 #include "skylarkhill/base/error.hpp"
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -24,8 +25,18 @@
   std::int64_t mWaitingBackfill = 0;
   /// Labels of the workers that accept starts.
   std::set<std::string> mLabels;
+  /// Number of workers that accept starts, by the processors on them that
+  /// lasting tasks leave, rounded down to a multiple of kLastingRoomUnit. Other
+  /// tasks end soon, and lasting ones are placed first. Empty if the load was
+  /// published by a version without it.
+  std::map<std::int64_t, int> mLastingRooms;
+  /// Lasting tasks that wait and for which no worker has been searched yet.
+  int mNewLastingTasks = 0;
 };
 
+/// Thousandths of a processor.
+constexpr std::int64_t kLastingRoomUnit = 250;
+
 /// What the leader of a cell publishes about it.
 struct CellLoad
 {
--- a/include/skylarkhill/cells/transfer_policy.hpp
+++ b/include/skylarkhill/cells/transfer_policy.hpp
@@ -65,6 +65,38 @@
                const std::vector<std::optional<CellLoad>>& aLoads,
                base::Duration aWaited);
 
+/// Lasting tasks without a place in their cell.
+struct LoanDemand
+{
+  std::string mPool;
+  /// The label that the tasks require; empty for any worker.
+  std::string mLabel;
+  /// Thousandths of a processor of one task.
+  std::int64_t mProcessors = 0;
+  int mCount = 0;
+};
+
+/// A cell that may run some of the tasks.
+struct LoanTarget
+{
+  int mTarget = 0;
+  /// Number of the tasks, at least 1.
+  int mCount = 0;
+};
+
+/// Decides whether tasks that have waited for `aWaited` are lent, and where to.
+/// `aLender` is the cell that has them; `aExcluded` may not run them, if any.
+std::optional<LoanTarget>
+ChooseLoan(const LoanDemand& aDemand,
+           int aLender,
+           std::optional<int> aExcluded,
+           const std::vector<std::optional<CellLoad>>& aLoads,
+           base::Duration aWaited);
+
+/// Takes the room for the tasks of a loan off a load, like the function below.
+void
+Reserve(CellLoad& aLoad, const LoanDemand& aDemand, int aShares);
+
 /// Takes the room for a job off a load, until a new load is known. `aShares` is
 /// the number of cells that use the same room at the same time.
 void
--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -51,6 +51,22 @@
   base::TimePoint mAddedAt;
 };
 
+/// Lasting tasks of one step for which no worker has room.
+struct UnplacedTasks
+{
+  std::string mJobId;
+  int mOccurrence = 0;
+  int mStep = 0;
+  std::string mPool;
+  /// The label that a worker must have; empty for any worker.
+  std::string mLabel;
+  /// Thousandths of a processor that one task requests.
+  std::int64_t mProcessors = 0;
+  /// Number of the tasks.
+  int mCount = 0;
+  base::TimePoint mNoRoomSince;
+};
+
 /// A worker that does not answer polls.
 struct SilentWorker
 {
@@ -94,8 +110,9 @@
   virtual base::TimePoint LeasesEndAt(base::TimePoint aNow) const = 0;
   /// False once the worker has been removed.
   virtual bool HasWorker(const std::string& aWorkerId) const = 0;
-  /// Adds a job. `aIsFromEarlierTerm` is true if the job may have been accepted
-  /// before this term.
+  /// Adds a job, or the borrowed tasks of a job of another cell. Of a job that
+  /// is known, adds borrowed tasks that are new. `aIsFromEarlierTerm` is true
+  /// if the job may have been accepted before this term.
   virtual void AddJob(const jobs::JobEntry& aJob,
                       bool aIsFromEarlierTerm,
                       base::TimePoint aNow) = 0;
@@ -107,6 +124,14 @@
   /// Forgets a job. Returns false, and keeps the job, if a task of it may have
   /// been started.
   virtual bool ReleaseJob(const std::string& aJobId) = 0;
+  /// Lasting tasks that have found no worker since `aSince` and that no worker
+  /// can have. Borrowed tasks are not among them.
+  virtual std::vector<UnplacedTasks> ListUnplaced(
+    base::TimePoint aSince) const = 0;
+  /// Leaves up to `aMaxCount` of the tasks to another cell and returns them.
+  /// Starts none of them again.
+  virtual jobs::StepProgress LendTasks(const UnplacedTasks& aTasks,
+                                       int aMaxCount) = 0;
   /// Room and demand of the workers of this dispatcher.
   virtual cells::CellLoad Load(base::TimePoint aNow) const = 0;
 
--- a/include/skylarkhill/jobs/job.hpp
+++ b/include/skylarkhill/jobs/job.hpp
@@ -149,6 +149,25 @@
   bool mIsDelivered = false;
 };
 
+/// Lasting tasks that have left the cell of a job for another one, for good.
+struct TaskLoan
+{
+  /// The cell that runs the tasks.
+  int mTarget = 0;
+  /// The journal of the target has the tasks.
+  bool mIsDelivered = false;
+  /// The tasks with their last run numbers and checkpoints.
+  std::vector<StepProgress> mSteps;
+};
+
+/// Tasks that a cell runs for the cell of their job.
+struct BorrowedTasks
+{
+  Submission mSubmission;
+  /// As in TaskLoan.
+  std::vector<StepProgress> mSteps;
+};
+
 /// Durable state of a job, apart from its submission. A job in a final state
 /// has no steps.
 struct JobProgress
--- a/include/skylarkhill/jobs/job_codec.hpp
+++ b/include/skylarkhill/jobs/job_codec.hpp
@@ -29,6 +29,10 @@
   Load,
   /// End of the lease of a worker that does not answer the leader.
   WorkerLease,
+  /// Tasks of a job that another cell runs.
+  Loan,
+  /// Tasks of a job of another cell.
+  Borrowed,
 };
 
 /// The key of a journal record.
@@ -38,9 +42,11 @@
   /// Job id; the worker id for RecordKind::Worker and RecordKind::WorkerLease,
   /// a constant for RecordKind::Model and RecordKind::Load.
   std::string mId;
-  /// Names the tasks of a RecordKind::TaskRange: "OCCURRENCE.STEP.FIRST". Empty
-  /// for the other kinds.
-  std::string mRange;
+  /// Tells apart the records of one kind of a job, empty for kinds with one
+  /// record: "OCCURRENCE.STEP.FIRST" of a RecordKind::TaskRange, "NUMBER" of a
+  /// RecordKind::Loan, "CELL.NUMBER" of a RecordKind::Borrowed, where CELL has
+  /// the job.
+  std::string mPart;
 };
 
 std::string
@@ -49,7 +55,13 @@
 std::string
 FormatTaskRangeKey(std::string_view aJobId, std::string_view aRange);
 
-/// The value of RecordKey::mRange for `aRange`.
+/// The key of a record with RecordKey::mPart.
+std::string
+FormatPartKey(RecordKind aKind,
+              std::string_view aJobId,
+              std::string_view aPart);
+
+/// The value of RecordKey::mPart for `aRange`.
 std::string
 NameOf(const TaskRange& aRange);
 
@@ -85,6 +97,20 @@
 base::Result<JobTransfer>
 DecodeTransfer(std::string_view aBytes);
 
+std::string
+EncodeLoan(const TaskLoan& aLoan);
+
+/// InvalidArgument if the bytes are malformed.
+base::Result<TaskLoan>
+DecodeLoan(std::string_view aBytes);
+
+std::string
+EncodeBorrowedTasks(const BorrowedTasks& aTasks);
+
+/// InvalidArgument if the bytes are malformed.
+base::Result<BorrowedTasks>
+DecodeBorrowedTasks(std::string_view aBytes);
+
 } // namespace skylarkhill::jobs
 
 #endif // SKYLARKHILL_JOBS_JOB_CODEC_HPP
--- a/include/skylarkhill/jobs/job_table.hpp
+++ b/include/skylarkhill/jobs/job_table.hpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace skylarkhill::jobs {
@@ -37,11 +38,21 @@
   std::optional<JobTransfer> mTransfer;
   /// Journal offset of the applied progress record; older records are ignored.
   std::int64_t mProgressOffset = -1;
-  /// By RecordKey::mRange.
+  /// By RecordKey::mPart.
   std::map<std::string, StoredTaskRange> mRanges;
+  /// Tasks of the job that other cells run, by RecordKey::mPart.
+  std::map<std::string, TaskLoan> mLoans;
+  /// Tasks that this cell runs for the cell of the job, by RecordKey::mPart.
+  /// The submission is theirs, not mSubmission: the job itself is elsewhere.
+  std::map<std::string, BorrowedTasks> mBorrowed;
 
   /// The state shown to callers.
   JobState State() const;
+  /// The cell runs only borrowed tasks of the job.
+  bool IsBorrowed() const;
+  /// The submission of the job or of tasks that the cell has borrowed; null if
+  /// neither has been read.
+  const Submission* KnownSubmission() const;
 };
 
 /// All jobs in the journal. Thread-safe; sharded by job id with one lock per
@@ -62,20 +73,29 @@
   /// True if the submission of the job has been read.
   bool Contains(const std::string& aJobId) const;
   std::optional<JobEntry> Find(const std::string& aJobId) const;
-  /// The RecordKey::mRange of each TaskRange of the job.
+  /// The RecordKey::mPart of each TaskRange of the job.
   std::vector<std::string> ListRanges(const std::string& aJobId) const;
+  /// The RecordKey::mPart of each TaskLoan of the job.
+  std::vector<std::string> ListLoans(const std::string& aJobId) const;
+  /// The loan, if its record has been read.
+  std::optional<TaskLoan> LoanOf(const std::string& aJobId,
+                                 const std::string& aPart) const;
   /// Number of jobs of `aQueue` in the state Pending, without those that the
   /// journal of another cell has.
   std::size_t CountPending(std::string_view aQueue) const;
   /// Copies of all jobs whose submission has been read.
   std::vector<JobEntry> List() const;
-  /// Ids of the jobs in List that are not in a final state and have not left.
+  /// Ids of the jobs in List that are not in a final state and have not left,
+  /// and of those with borrowed tasks that have not been cancelled.
   std::vector<std::string> ListOpen() const;
+  /// Job id and RecordKey::mPart of the loans of which the target may lack the
+  /// tasks or the end of the job.
+  std::vector<std::pair<std::string, std::string>> ListLoansToRepeat() const;
   /// Ids of jobs that have left and of which the target may lack the submission
   /// or the cancellation.
   std::vector<std::string> ListTransfersToRepeat() const;
   /// Ids of jobs in a final state, or delivered to another cell, that were
-  /// accepted before `aAcceptedBeforeMs`.
+  /// accepted before `aAcceptedBeforeMs`. Includes jobs with borrowed tasks.
   std::vector<std::string> ListFinal(std::int64_t aAcceptedBeforeMs) const;
   /// Number of jobs, including those whose submission has not been read.
   std::size_t Size() const;
@@ -89,7 +109,7 @@
 
   static constexpr std::size_t kShards = 16;
 
-  void EraseRange(const RecordKey& aKey);
+  void ErasePart(const RecordKey& aKey);
   Shard& ShardOf(const std::string& aJobId);
   const Shard& ShardOf(const std::string& aJobId) const;
 
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -29,6 +29,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace skylarkhill::node {
@@ -121,6 +122,9 @@
   void SetMinEpoch(std::int64_t aEpoch) { mLeadership.SetMinEpoch(aEpoch); }
 
 private:
+  /// Job id and RecordKey::mPart of a loan.
+  using LoanId = std::pair<std::string, std::string>;
+
   struct KnownWorker
   {
     dispatch::WorkerEntry mEntry;
@@ -247,6 +251,20 @@
   /// targets until these have them.
   void SendTransfers(base::TimePoint aNow);
   void OnTransferSent(const std::string& aJobId, const AppendResult& aResult);
+  /// Decides which waiting tasks of started jobs other cells run.
+  void ChooseLoans(base::TimePoint aNow);
+  /// True if a loan of the job is about to be stored.
+  bool IsLending(const std::string& aJobId) const;
+  /// Lends tasks of the step to the cell of `aTarget`.
+  void StoreLoan(const jobs::JobEntry& aJob,
+                 const dispatch::UnplacedTasks& aTasks,
+                 const cells::LoanTarget& aTarget);
+  /// Passes the end of the job on to the cells that run tasks of it.
+  void EndLoans(const std::string& aJobId);
+  /// Copies lent tasks, and the ends of their jobs, to the journals of their
+  /// targets until these have them.
+  void SendLoans(base::TimePoint aNow);
+  void OnLoanSent(const LoanId& aId, const AppendResult& aResult);
   void Flush();
   /// Sends the next append of the batch.
   void SendBatch();
@@ -279,6 +297,7 @@
   const cells::CellMap& mMap;
   metrics::Distribution& mFlushSeconds;
   metrics::Counter& mTransfersCount;
+  metrics::Counter& mLentTasksCount;
   metrics::Counter& mDroppedCheckpoints;
 
   jobs::JobTable mJobs;
@@ -340,6 +359,16 @@
   /// Transfers whose copy awaits a response.
   std::set<std::string> mTransfersInFlight;
   base::TimePoint mNextTransferAt;
+
+  base::TimePoint mNextLoansAt;
+  /// Loans that go into the next batch.
+  std::vector<std::pair<LoanId, jobs::TaskLoan>> mLoansToStore;
+  /// Loans in the batch that is being stored.
+  std::vector<std::pair<LoanId, jobs::TaskLoan>> mLoansInBatch;
+  /// Loans that must be copied to their targets.
+  std::set<LoanId> mLoansToSend;
+  /// Loans whose copy awaits a response.
+  std::set<LoanId> mLoansInFlight;
 };
 
 } // namespace skylarkhill::node
--- a/src/cells/cell_load.cpp
+++ b/src/cells/cell_load.cpp
@@ -15,7 +15,9 @@
                               std::int64_t,
                               std::int64_t,
                               std::int64_t,
-                              std::set<std::string>>;
+                              std::set<std::string>,
+                              std::map<std::int64_t, int>,
+                              int>;
 
 } // namespace
 
@@ -39,7 +41,9 @@
                       it.mWaiting,
                       it.mFreeForBackfill,
                       it.mWaitingBackfill,
-                      it.mLabels);
+                      it.mLabels,
+                      it.mLastingRooms,
+                      it.mNewLastingTasks);
   }
   return base::PackMsgpack(rows);
 }
@@ -55,7 +59,9 @@
                             std::get<2>(it),
                             std::get<3>(it),
                             std::get<4>(it),
-                            std::move(std::get<5>(it)) });
+                            std::move(std::get<5>(it)),
+                            std::move(std::get<6>(it)),
+                            std::get<7>(it) });
   }
   return load;
 }
--- a/src/cells/cells_test.cpp
+++ b/src/cells/cells_test.cpp
@@ -1,3 +1,4 @@
+#include "skylarkhill/base/msgpack.hpp"
 #include "skylarkhill/cells/cell_map.hpp"
 #include "skylarkhill/cells/transfer_policy.hpp"
 
@@ -6,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace skylarkhill::cells {
@@ -71,7 +73,20 @@
          std::int64_t aWaiting,
          const std::set<std::string>& aLabels = { "a" })
 {
-  return { { { "pool", aFree, aWaiting, 0, 0, aLabels } } };
+  return { { { "pool", aFree, aWaiting, 0, 0, aLabels, {}, 0 } } };
+}
+
+/// One cell for each entry, which is its PoolLoad::mLastingRooms.
+std::vector<std::optional<CellLoad>>
+LoadsWithRooms(const std::vector<std::map<std::int64_t, int>>& aRooms)
+{
+  std::vector<std::optional<CellLoad>> loads;
+  for (const auto& it : aRooms) {
+    CellLoad load = MakeLoad(0, 0);
+    load.mPools[0].mLastingRooms = it;
+    loads.emplace_back(std::move(load));
+  }
+  return loads;
 }
 
 } // namespace
@@ -97,6 +112,10 @@
   CPPUNIT_TEST(SpreadsLastingJobsEvenly);
   CPPUNIT_TEST(MovesBackfillAwayFromBackfillThatWaits);
   CPPUNIT_TEST(UsesOnlyAShareOfTheRoomThatAllHomesSee);
+  CPPUNIT_TEST(LendsLastingTasksToTheCellThatCanRunThem);
+  CPPUNIT_TEST(KeepsLastingTasksWhileOtherTasksMayEnd);
+  CPPUNIT_TEST(LendsNoTasksToACellThatFillsUp);
+  CPPUNIT_TEST(ReadsLoadsOfVersionsWithoutLoans);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -352,6 +371,66 @@
     }
     CPPUNIT_ASSERT_EQUAL(16, moved);
   }
+
+  // The free processors of one cell are spread over workers too small for a
+  // task. Guards against a loan that does not help (LOST).
+  void LendsLastingTasksToTheCellThatCanRunThem()
+  {
+    const LoanDemand demand{ "pool", "", 3000, 10 };
+    const auto loads =
+      LoadsWithRooms({ {}, { { 2000, 90 } }, { { 6000, 2 } } });
+    const auto target = ChooseLoan(demand, 0, {}, loads, {});
+    CPPUNIT_ASSERT(target);
+    CPPUNIT_ASSERT_EQUAL(2, target->mTarget);
+    CPPUNIT_ASSERT_EQUAL(2, target->mCount);
+    CPPUNIT_ASSERT(!ChooseLoan(demand, 0, 2, loads, {}));
+    CPPUNIT_ASSERT(!ChooseLoan({ "pool", "b", 3000, 10 }, 0, {}, loads, {}));
+  }
+
+  // Guards against loans that a worker of the own cell would have saved.
+  void KeepsLastingTasksWhileOtherTasksMayEnd()
+  {
+    const LoanDemand demand{ "pool", "", 3000, 1 };
+    const auto loads = LoadsWithRooms({ { { 4000, 1 } }, { { 9000, 9 } } });
+    CPPUNIT_ASSERT(!ChooseLoan(demand, 0, {}, loads, {}));
+    CPPUNIT_ASSERT(
+      ChooseLoan(demand, 0, {}, loads, std::chrono::milliseconds(5000)));
+  }
+
+  // Guards against lenders that overload a cell before it publishes its next
+  // load.
+  void LendsNoTasksToACellThatFillsUp()
+  {
+    const LoanDemand demand{ "pool", "", 3000, 4 };
+    auto loads = LoadsWithRooms({ {}, { { 6000, 8 } }, {} });
+    int lent = 0;
+    while (const auto target = ChooseLoan(demand, 0, {}, loads, {})) {
+      lent += target->mCount;
+      Reserve(*loads[1], { "pool", "", 3000, target->mCount }, 2);
+    }
+    CPPUNIT_ASSERT(lent > 0 && lent <= 8);
+  }
+
+  // Guards against leaders that skip each other's loads during a rollout.
+  void ReadsLoadsOfVersionsWithoutLoans()
+  {
+    using FormerFields = std::tuple<std::string,
+                                    std::int64_t,
+                                    std::int64_t,
+                                    std::int64_t,
+                                    std::int64_t,
+                                    std::set<std::string>>;
+    const std::vector<FormerFields> former{ { "pool", 5, 4, 3, 2, { "a" } } };
+    const auto load = DecodeCellLoad(base::PackMsgpack(former));
+    CPPUNIT_ASSERT(load);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 5 }, load.value().mPools.at(0).mFree);
+    CPPUNIT_ASSERT(load.value().mPools.at(0).mLastingRooms.empty());
+    const auto loads = LoadsWithRooms({ { { 6000, 8 } } });
+    const auto read =
+      base::UnpackMsgpack<std::vector<FormerFields>>(EncodeCellLoad(*loads[0]));
+    CPPUNIT_ASSERT(read);
+    CPPUNIT_ASSERT_EQUAL(std::string("pool"), std::get<0>(read.value().at(0)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CellsTest);
--- a/src/cells/transfer_policy.cpp
+++ b/src/cells/transfer_policy.cpp
@@ -19,6 +19,13 @@
 /// A lasting job moves if the target has this many times its demand more room.
 constexpr std::int64_t kMinBalanceDemands = 2;
 
+/// A cell borrows at most one task for this many that it has room for: other
+/// cells lend to it at the same time, and its own tasks may need the room.
+constexpr std::int64_t kRoomPerBorrowedTask = 2;
+/// Tasks that wait for longer are lent even if other tasks of their cell may
+/// end and leave a worker to them.
+constexpr base::Duration kMaxPlacementTime = std::chrono::milliseconds(2000);
+
 constexpr base::NameTable<TransferReason, 3> kReasonNames{ {
   { TransferReason::Incompatible, "incompatible" },
   { TransferReason::NoRoom, "no_room" },
@@ -43,6 +50,18 @@
   return aPool.mFree - aPool.mWaiting;
 }
 
+/// Number of lasting tasks that the workers of the pool have room for, besides
+/// those that will be placed next.
+std::int64_t
+CountLastingTasks(const PoolLoad& aPool, std::int64_t aProcessors)
+{
+  std::int64_t n = -aPool.mNewLastingTasks;
+  for (const auto& [room, workers] : aPool.mLastingRooms) {
+    n += room / std::max<std::int64_t>(1, aProcessors) * workers;
+  }
+  return n;
+}
+
 /// True if the cell has room for the first steps of the job besides what waits
 /// there. Backfill that waits shows that the services beside it bear no more,
 /// whatever processors are unused.
@@ -182,6 +201,48 @@
            : Transfer{ *target, TransferReason::NoRoom };
 }
 
+std::optional<LoanTarget>
+ChooseLoan(const LoanDemand& aDemand,
+           int aLender,
+           std::optional<int> aExcluded,
+           const std::vector<std::optional<CellLoad>>& aLoads,
+           base::Duration aWaited)
+{
+  const auto roomOf = [&](int aCell) -> std::int64_t {
+    const auto& load = aLoads[static_cast<std::size_t>(aCell)];
+    const PoolLoad* pool = load ? FindPool(*load, aDemand.mPool) : nullptr;
+    const bool isCompatible =
+      pool != nullptr &&
+      (aDemand.mLabel.empty() || pool->mLabels.count(aDemand.mLabel) != 0);
+    return isCompatible ? CountLastingTasks(*pool, aDemand.mProcessors) : 0;
+  };
+  if (roomOf(aLender) > 0 && aWaited < kMaxPlacementTime) {
+    return std::nullopt;
+  }
+  std::optional<int> target;
+  std::int64_t most = 0;
+  for (int cell = 0; cell < static_cast<int>(aLoads.size()); ++cell) {
+    if (cell != aLender && cell != aExcluded && roomOf(cell) > most) {
+      most = roomOf(cell);
+      target = cell;
+    }
+  }
+  const std::int64_t n =
+    std::min<std::int64_t>(aDemand.mCount, most / kRoomPerBorrowedTask);
+  return n > 0 ? std::optional<LoanTarget>({ *target, static_cast<int>(n) })
+               : std::nullopt;
+}
+
+void
+Reserve(CellLoad& aLoad, const LoanDemand& aDemand, int aShares)
+{
+  for (PoolLoad& it : aLoad.mPools) {
+    if (it.mPool == aDemand.mPool) {
+      it.mNewLastingTasks += aShares * aDemand.mCount;
+    }
+  }
+}
+
 void
 Reserve(CellLoad& aLoad, const JobDemand& aDemand, int aShares)
 {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -307,12 +307,18 @@
               bool aIsFromEarlierTerm,
               TimePoint aNow) override
   {
-    if (!aJob.mSubmission || IsFinal(aJob.State()) ||
-        mJobs.count(aJob.mSubmission->mId) != 0) {
+    const jobs::Submission* submission = aJob.KnownSubmission();
+    if (submission == nullptr || IsFinal(aJob.State())) {
+      return;
+    }
+    const auto known = mJobs.find(submission->mId);
+    if (known != mJobs.end()) {
+      BorrowTasks(*known->second, aJob, aNow);
       return;
     }
     auto job = std::make_unique<ScheduledJob>();
-    job->mSubmission = *aJob.mSubmission;
+    job->mSubmission = *submission;
+    job->mIsBorrowed = aJob.IsBorrowed();
     job->mState = aJob.mProgress.mState;
     job->mAddedAt = aNow;
     const auto& policy = job->mSubmission.mPolicy;
@@ -374,6 +380,68 @@
     return true;
   }
 
+  std::vector<UnplacedTasks> ListUnplaced(TimePoint aSince) const override
+  {
+    std::vector<UnplacedTasks> unplaced;
+    for (const StepState* step : mReadySteps) {
+      if (!step->mNoRoomSince || *step->mNoRoomSince > aSince ||
+          !MayLend(*step)) {
+        continue;
+      }
+      const auto n =
+        std::count_if(step->mTasks.begin(),
+                      step->mTasks.end(),
+                      [this](const TaskState& aTask) { return IsFree(aTask); });
+      if (n > 0) {
+        unplaced.push_back({ step->mJob->mSubmission.mId,
+                             step->mOccurrence,
+                             step->mIndex,
+                             step->mJob->mSubmission.mPolicy.mPool,
+                             step->mSpec->mRequiredLabel,
+                             step->mSpec->mResources.mMilliProcessors,
+                             static_cast<int>(n),
+                             *step->mNoRoomSince });
+      }
+    }
+    return unplaced;
+  }
+
+  jobs::StepProgress LendTasks(const UnplacedTasks& aTasks,
+                               int aMaxCount) override
+  {
+    jobs::StepProgress lent;
+    lent.mOccurrence = aTasks.mOccurrence;
+    lent.mStep = aTasks.mStep;
+    const auto found = mJobs.find(aTasks.mJobId);
+    StepState* step =
+      found == mJobs.end()
+        ? nullptr
+        : FindStep(*found->second, aTasks.mOccurrence, aTasks.mStep);
+    if (step == nullptr || !MayLend(*step)) {
+      return lent;
+    }
+    for (TaskState& task : step->mTasks) {
+      if (!IsFree(task)) {
+        continue;
+      }
+      if (static_cast<int>(lent.mTasks.size()) == aMaxCount) {
+        break;
+      }
+      lent.mTasks.push_back({ task.mIndex,
+                              false,
+                              task.mFailedRuns,
+                              NextRunNumber(task) - 1,
+                              task.mCheckpoint });
+      SetElsewhere(task);
+      MarkChanged(task);
+    }
+    if (step->mWaitingCount == 0) {
+      step->mNoRoomSince.reset();
+    }
+    MarkDirty(*step->mJob);
+    return lent;
+  }
+
   cells::CellLoad Load(TimePoint aNow) const override
   {
     return MeasureLoad(mReadySteps, mWorkers, aNow);
@@ -857,12 +925,15 @@
           continue;
         }
         const auto& dependencies = step.mSpec->mDependsOn;
-        step.mIsReady = std::all_of(
-          dependencies.begin(), dependencies.end(), [&](int aDependency) {
-            const auto& other =
-              occurrence->mSteps[static_cast<std::size_t>(aDependency)];
-            return other.mDoneCount == static_cast<int>(other.mTasks.size());
-          });
+        // The lender has checked the dependencies of borrowed tasks.
+        step.mIsReady =
+          aJob.mIsBorrowed ||
+          std::all_of(
+            dependencies.begin(), dependencies.end(), [&](int aDependency) {
+              const auto& other =
+                occurrence->mSteps[static_cast<std::size_t>(aDependency)];
+              return other.mDoneCount == static_cast<int>(other.mTasks.size());
+            });
         if (step.mIsReady) {
           mReadySteps.push_back(&step);
           RequestPlacement(step);
@@ -936,7 +1007,40 @@
   static bool IsUnstarted(const ScheduledJob& aJob)
   {
     return aJob.mState == jobs::JobState::Pending &&
-           !aJob.mIsStartRecordRequested;
+           !aJob.mIsStartRecordRequested && !aJob.mIsBorrowed;
+  }
+
+  /// True if waiting tasks of the step may run in another cell.
+  static bool MayLend(const StepState& aStep)
+  {
+    const ScheduledJob& job = *aStep.mJob;
+    return aStep.mSpec->mIsService && !aStep.mSpec->mIsGang &&
+           aStep.mWaitingCount > 0 && !job.mIsBorrowed &&
+           job.mIsStartRecorded && job.mSubmission.mRequest.mOccurrences == 0;
+  }
+
+  /// True if the task waits here and no worker can have it.
+  bool IsFree(const TaskState& aTask) const
+  {
+    return !aTask.mIsDone && !aTask.mIsElsewhere && aTask.mRuns.empty() &&
+           !IsStartDeferred(aTask);
+  }
+
+  void BorrowTasks(ScheduledJob& aJob,
+                   const jobs::JobEntry& aStored,
+                   TimePoint aNow)
+  {
+    if (!aJob.mIsBorrowed || IsFinal(aJob.mState) ||
+        AddBorrowedTasks(aJob, mColocationModel, aStored) == 0) {
+      return;
+    }
+    UpdateReadySteps(aJob);
+    for (const auto& occurrence : aJob.mOccurrences) {
+      for (const StepState& step : occurrence->mSteps) {
+        RequestPlacement(step);
+      }
+    }
+    RequestTick(aNow);
   }
 
   /// True if the log has all changes of the job's progress.
@@ -1208,7 +1312,7 @@
     task->mHasEndedRun = true;
     MarkChanged(*task);
     ScheduledJob& job = *task->mStep->mJob;
-    if (IsFinal(job.mState) || task->mIsDone) {
+    if (IsFinal(job.mState) || task->mIsDone || task->mIsElsewhere) {
       return false;
     }
     if (!aEndedRun.mCheckpoint.empty()) {
@@ -1350,6 +1454,7 @@
                      TimePoint aNow)
   {
     const bool isWanted = aTask != nullptr && !aTask->mIsDone &&
+                          !aTask->mIsElsewhere &&
                           !IsFinal(aTask->mStep->mJob->mState);
     if (!isWanted) {
       logging::Write(logging::Level::Info,
@@ -1538,8 +1643,9 @@
     if (step.mSpec->mIsService) {
       const int unavailable = static_cast<int>(std::count_if(
         step.mTasks.begin(), step.mTasks.end(), [](const TaskState& aTask) {
-          return !HasLiveRun(aTask) ||
-                 aTask.mRuns.front().mProgressPercent < 100;
+          return !aTask.mIsElsewhere &&
+                 (!HasLiveRun(aTask) ||
+                  aTask.mRuns.front().mProgressPercent < 100);
         }));
       const bool leavesSoon =
         aRun.mWorker->mLeavesAt < aNow + std::chrono::milliseconds(1500);
@@ -1736,17 +1842,21 @@
       return true;
     }
     for (TaskState& task : aStep.mTasks) {
-      if (task.mIsDone || !task.mRuns.empty() || IsStartDeferred(task)) {
+      if (!IsFree(task)) {
         continue;
       }
       if (mBudget.IsExhausted()) {
         return false;
       }
       if (!PlaceRun(task, aNow)) {
+        if (!aStep.mNoRoomSince) {
+          aStep.mNoRoomSince = aNow;
+        }
         RequestAdvice(aStep, aNow);
-        break;
+        return true;
       }
     }
+    aStep.mNoRoomSince.reset();
     return true;
   }
 
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -55,6 +55,34 @@
   return aJob;
 }
 
+/// Lends the lasting tasks for which the leader finds no worker. Returns them
+/// as the borrower reads them.
+jobs::BorrowedTasks
+Lend(FakeSite& aSite, FakeSite::Leader& aLeader, const jobs::JobEntry& aJob)
+{
+  jobs::BorrowedTasks lent{ *aJob.mSubmission, {} };
+  for (const auto& it :
+       aLeader.GetDispatcher().ListUnplaced(aSite.Now() - milliseconds(500))) {
+    lent.mSteps.push_back(aLeader.GetDispatcher().LendTasks(it, it.mCount));
+  }
+  return lent;
+}
+
+/// The job as the borrower of the tasks at the indexes reads it. Each task is
+/// lent by itself.
+jobs::JobEntry
+Borrowed(const jobs::JobEntry& aJob, const std::vector<int>& aIndexes)
+{
+  jobs::JobEntry entry;
+  for (const int it : aIndexes) {
+    jobs::StepProgress step;
+    step.mTasks.push_back({ it, false, {}, 4, "point" });
+    entry.mBorrowed["1." + std::to_string(it)] = { *aJob.mSubmission,
+                                                   { step } };
+  }
+  return entry;
+}
+
 base::Duration
 OneMinuteRunTime(const TaskId&)
 {
@@ -351,6 +379,10 @@
   CPPUNIT_TEST(KeepsRunsWhileLeadershipIsUnconfirmed);
   CPPUNIT_TEST(StopsSchedulingOnceFenced);
   CPPUNIT_TEST(WaitsForReportsBeforeStartingInheritedTasks);
+  CPPUNIT_TEST(StartsNoLentTaskAgain);
+  CPPUNIT_TEST(LendsOnlyTasksThatNoWorkerCanHave);
+  CPPUNIT_TEST(StartsOnlyTheBorrowedTasksOfAJob);
+  CPPUNIT_TEST(WaitsForReportsBeforeStartingTasksBorrowedLater);
   CPPUNIT_TEST(StartsNewJobsAfterATakeoverWithoutWaiting);
   CPPUNIT_TEST(PlacesOnTimeJobsBeforeLateJobs);
   CPPUNIT_TEST(StartsATaskBehindManyThatDoNotFit);
@@ -953,6 +985,123 @@
     CPPUNIT_ASSERT(second.mStored.at("a").mState == jobs::JobState::Completed);
   }
 
+  // Another cell runs the lent task. Guards against a second run by the leader
+  // that has lent it, by its successor, and by one of a version without loans,
+  // which reads the progress of the job only.
+  void StartsNoLentTaskAgain()
+  {
+    FakeSite site;
+    site.mRunTime = OneMinuteRunTime;
+    site.AddWorker("w1", 4000);
+    auto& leader = site.AddLeader(1);
+    const jobs::JobEntry job = MakeService("a", 3, "x");
+    leader.GetDispatcher().AddJob(job, false, site.Now());
+    site.Advance(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, leader.mStarts.size());
+    const jobs::BorrowedTasks lent = Lend(site, leader, job);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, lent.mSteps.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, lent.mSteps[0].mTasks.size());
+    site.AddWorker("w2", 4000);
+    leader.GetDispatcher().SetWorker(site.Worker("w2").Entry(), site.Now());
+    site.Advance(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, leader.mStarts.size());
+    jobs::JobEntry stored = Stored(leader, job);
+    site.Kill(leader);
+    const jobs::JobEntry former = stored;
+    stored.mLoans["1"] = { 1, true, lent.mSteps };
+    std::int64_t epoch = 1;
+    for (const auto& it : { stored, former }) {
+      auto& successor = AddSuccessor(site, ++epoch);
+      successor.GetDispatcher().AddJob(it, true, site.Now());
+      site.Advance(milliseconds(15'000));
+      CPPUNIT_ASSERT(successor.mStarts.empty());
+      CPPUNIT_ASSERT(successor.mStored.count("a") == 0 ||
+                     !jobs::IsFinal(successor.mStored.at("a").mState));
+      site.Kill(successor);
+    }
+  }
+
+  // The worker with the run is silent. Guards against a loan of a task that may
+  // still run.
+  void LendsOnlyTasksThatNoWorkerCanHave()
+  {
+    FakeSite site;
+    site.mRunTime = OneMinuteRunTime;
+    site.AddWorker("w1", 2000);
+    auto& leader = site.AddLeader(1);
+    const jobs::JobEntry job = MakeService("a", 1, "x");
+    leader.GetDispatcher().AddJob(job, false, site.Now());
+    site.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.Worker("w1").mRuns.size());
+    leader.mUnreachableWorkers.insert("w1");
+    site.Advance(milliseconds(5000));
+    CPPUNIT_ASSERT(!site.Worker("w1").mRuns.empty());
+    CPPUNIT_ASSERT(Lend(site, leader, job).mSteps.empty());
+    site.Advance(milliseconds(5000));
+    CPPUNIT_ASSERT(site.Worker("w1").mRuns.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         Lend(site, leader, job).mSteps.size());
+  }
+
+  // Guards against a borrower that runs the tasks that the lender has kept, or
+  // uses a run number again.
+  void StartsOnlyTheBorrowedTasksOfAJob()
+  {
+    FakeSite site;
+    site.mRunTime = OneMinuteRunTime;
+    site.AddWorker("w1");
+    auto& leader = site.AddLeader(1);
+    const jobs::JobEntry job = MakeService("a", 4, "x");
+    leader.GetDispatcher().AddJob(Borrowed(job, { 2 }), false, site.Now());
+    site.Advance(milliseconds(1000));
+    leader.GetDispatcher().AddJob(Borrowed(job, { 1, 2 }), false, site.Now());
+    site.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, leader.mStarts.size());
+    CPPUNIT_ASSERT_EQUAL(2, leader.mStarts[0].mTask.mIndex);
+    CPPUNIT_ASSERT(leader.mStarts[0].mRunNumber > 4);
+    CPPUNIT_ASSERT_EQUAL(std::string("point"), leader.mStarts[0].mCheckpoint);
+    CPPUNIT_ASSERT_EQUAL(1, leader.mStarts[1].mTask.mIndex);
+    CPPUNIT_ASSERT(leader.GetDispatcher().ListUnstarted().empty());
+    leader.GetDispatcher().CancelJob("a", site.Now());
+    site.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT(site.Worker("w1").mRuns.empty());
+  }
+
+  // An earlier leader of the borrower may have read the second loan and started
+  // its task without a record, because the start of the job is recorded. Guards
+  // against a second run of that task.
+  void WaitsForReportsBeforeStartingTasksBorrowedLater()
+  {
+    FakeSite site;
+    site.mRunTime = OneMinuteRunTime;
+    site.AddWorker("w1", 4000);
+    const jobs::JobEntry job = MakeService("a", 2, "x");
+    jobs::JobEntry stored = Borrowed(job, { 0 });
+    auto& first = site.AddLeader(1);
+    first.GetDispatcher().AddJob(stored, false, site.Now());
+    site.Advance(milliseconds(300));
+    stored.mProgress = first.mStored.at("a");
+    CPPUNIT_ASSERT(stored.mProgress.mMayHaveStarted);
+    const jobs::JobEntry both = Borrowed(job, { 0, 1 });
+    first.GetDispatcher().AddJob(both, false, site.Now());
+    site.Advance(milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, site.Worker("w1").mRuns.size());
+    site.Kill(first);
+    site.AddWorker("w2", 4000);
+    auto& second = AddSuccessor(site, 2);
+    second.mUnreachableWorkers.insert("w1");
+    second.GetDispatcher().AddJob(stored, true, site.Now());
+    site.Advance(milliseconds(200));
+    stored.mBorrowed = both.mBorrowed;
+    second.GetDispatcher().AddJob(stored, false, site.Now());
+    site.Advance(milliseconds(4800));
+    CPPUNIT_ASSERT(!site.Worker("w1").mRuns.empty());
+    CPPUNIT_ASSERT(second.mStarts.empty());
+    site.Advance(milliseconds(8500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, second.mStarts.size());
+    CPPUNIT_ASSERT(site.mDoubleRuns.empty());
+  }
+
   // A task must not run again while its worker has not answered the new leader,
   // even if the worker is no longer in the registry.
   void WaitsForWorkersThatHaveNotAnsweredANewLeader()
--- a/src/dispatch/job_state.cpp
+++ b/src/dispatch/job_state.cpp
@@ -48,13 +48,14 @@
     step.mIndex = static_cast<int>(index);
     step.mImage = aModel.Intern(step.mSpec->mImage);
     step.mTasks.resize(static_cast<std::size_t>(step.mSpec->mCount));
-    step.mWaitingCount = step.mSpec->mCount;
+    step.mWaitingCount = aJob.mIsBorrowed ? 0 : step.mSpec->mCount;
     int position = 0;
     for (TaskState& task : step.mTasks) {
       task.mStep = &step;
       task.mIndex = position++;
       task.mMayHaveEarlierRun = aJob.mMayHaveEarlierRuns;
       task.mLastRun = 0;
+      task.mIsElsewhere = aJob.mIsBorrowed;
     }
   }
   // Steps depend only on steps with lower indexes.
@@ -130,7 +131,8 @@
     if (!it.mCheckpoint.empty()) {
       task->mCheckpoint = it.mCheckpoint;
     }
-    if (it.mIsDone) {
+    // Lent tasks are stored as done.
+    if (it.mIsDone && !task->mIsElsewhere) {
       SetDone(*task);
     }
   }
@@ -146,6 +148,25 @@
   }
 }
 
+/// Marks the tasks that the job has lent to other cells.
+void
+RestoreLoans(ScheduledJob& aJob,
+             ColocationModel& aModel,
+             const jobs::JobEntry& aStored)
+{
+  for (const auto& [part, loan] : aStored.mLoans) {
+    for (const auto& step : loan.mSteps) {
+      BeginOccurrencesUpTo(aJob, aModel, step.mOccurrence);
+      for (const auto& it : step.mTasks) {
+        TaskState* task = FindTask(aJob, step, it.mIndex);
+        if (task != nullptr) {
+          SetElsewhere(*task);
+        }
+      }
+    }
+  }
+}
+
 /// Returns the progress of the tasks from `aFirst` to before `aEnd`.
 jobs::StepProgress
 ProgressOf(const StepState& aStep, int aFirst, int aEnd)
@@ -155,9 +176,11 @@
   progress.mStep = aStep.mIndex;
   for (int index = aFirst; index < aEnd; ++index) {
     const TaskState& task = aStep.mTasks[static_cast<std::size_t>(index)];
-    if (task.mIsDone || task.mHasEndedRun) {
+    // Versions without loans start no task that is stored as done.
+    const bool isLent = task.mIsElsewhere && !aStep.mJob->mIsBorrowed;
+    if (task.mIsDone || isLent || task.mHasEndedRun) {
       progress.mTasks.push_back({ index,
-                                  task.mIsDone,
+                                  task.mIsDone || isLent,
                                   task.mFailedRuns,
                                   task.mLastRun,
                                   task.mIsDone ? "" : task.mCheckpoint });
@@ -176,6 +199,11 @@
 {
   aJob.mTasksPerRange =
     CountTasks(aJob) > aMaxTasksPerRecord ? aMaxTasksPerRecord : 0;
+  if (aJob.mIsBorrowed) {
+    AddBorrowedTasks(aJob, aModel, aStored);
+  } else {
+    RestoreLoans(aJob, aModel, aStored);
+  }
   for (const auto& it : aStored.mProgress.mSteps) {
     BeginOccurrencesUpTo(aJob, aModel, it.mOccurrence);
     RestoreTasks(aJob, it);
@@ -213,6 +241,43 @@
   }
 }
 
+int
+AddBorrowedTasks(ScheduledJob& aJob,
+                 ColocationModel& aModel,
+                 const jobs::JobEntry& aStored)
+{
+  int n = 0;
+  for (const auto& [part, borrowed] : aStored.mBorrowed) {
+    for (const auto& step : borrowed.mSteps) {
+      BeginOccurrencesUpTo(aJob, aModel, step.mOccurrence);
+      for (const auto& it : step.mTasks) {
+        TaskState* task = FindTask(aJob, step, it.mIndex);
+        if (task == nullptr || !task->mIsElsewhere) {
+          continue;
+        }
+        task->mIsElsewhere = false;
+        ++task->mStep->mWaitingCount;
+        task->mLastRun = std::max(task->mLastRun, it.mLastRun);
+        task->mCheckpoint = it.mCheckpoint;
+        // Once the start of the job is recorded, an earlier leader may have
+        // started a task as soon as it had read the loan.
+        task->mMayHaveEarlierRun = aJob.mIsStartRecorded;
+        ++n;
+      }
+    }
+  }
+  return n;
+}
+
+void
+SetElsewhere(TaskState& aTask)
+{
+  if (!aTask.mIsElsewhere && !aTask.mIsDone) {
+    aTask.mIsElsewhere = true;
+    --aTask.mStep->mWaitingCount;
+  }
+}
+
 jobs::JobProgress
 TakeProgress(ScheduledJob& aJob)
 {
--- a/src/dispatch/job_state.hpp
+++ b/src/dispatch/job_state.hpp
@@ -42,6 +42,17 @@
                 const jobs::JobEntry& aStored,
                 int aMaxTasksPerRecord);
 
+/// Adds the borrowed tasks of `aStored` that the job does not have yet. Returns
+/// their number.
+int
+AddBorrowedTasks(ScheduledJob& aJob,
+                 ColocationModel& aModel,
+                 const jobs::JobEntry& aStored);
+
+/// Gives the task, which must have no runs, to another cell.
+void
+SetElsewhere(TaskState& aTask);
+
 /// Returns the progress of `aJob` that must become durable. Changes of ranges
 /// are returned once.
 jobs::JobProgress
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -82,6 +82,8 @@
   /// An earlier leader may have started the task on a worker that has not
   /// reported yet.
   bool mMayHaveEarlierRun = false;
+  /// Another cell runs the task. It has no runs here.
+  bool mIsElsewhere = false;
 };
 
 /// Ticket of the advice service to run a step on a worker.
@@ -103,8 +105,10 @@
   int mImage = 0;
   std::vector<TaskState> mTasks;
   int mDoneCount = 0;
-  /// Tasks that are neither done nor assigned to a worker.
+  /// Tasks of this cell that are neither done nor assigned to a worker.
   int mWaitingCount = 0;
+  /// Since when placement has found no worker for a waiting task.
+  std::optional<base::TimePoint> mNoRoomSince;
   /// Services only: saturation without interference; empty before the first
   /// report.
   std::optional<double> mBaseline;
@@ -140,6 +144,8 @@
   jobs::Submission mSubmission;
   jobs::JobState mState = jobs::JobState::Pending;
   base::TimePoint mAddedAt;
+  /// The job is in another cell, which has lent some of its tasks to this one.
+  bool mIsBorrowed = false;
   /// Unix time by which the job should be complete.
   std::int64_t mObjectiveAtMs = 0;
   /// Unix time after which completion has no value.
--- a/src/dispatch/summary.cpp
+++ b/src/dispatch/summary.cpp
@@ -29,6 +29,14 @@
     pool.mFreeForBackfill += std::max<std::int64_t>(
       0, worker->mUnusedProcessors - worker->mBackfillDemand);
     pool.mLabels.insert(entry.mLabels.begin(), entry.mLabels.end());
+    std::int64_t room = entry.mCapacity.mMilliProcessors;
+    for (const RunState* it : worker->mServiceRuns) {
+      room -= it->mTask->mStep->mSpec->mResources.mMilliProcessors;
+    }
+    room -= room % cells::kLastingRoomUnit;
+    if (room > 0) {
+      ++pool.mLastingRooms[room];
+    }
   }
   for (const StepState* step : aReadySteps) {
     const auto pool = pools.find(step->mJob->mSubmission.mPolicy.mPool);
@@ -36,6 +44,9 @@
       (step->mSpec->mIsBackfill ? pool->second.mWaitingBackfill
                                 : pool->second.mWaiting) +=
         step->mWaitingCount * step->mSpec->mResources.mMilliProcessors;
+      if (step->mSpec->mIsService && !step->mNoRoomSince) {
+        pool->second.mNewLastingTasks += step->mWaitingCount;
+      }
     }
   }
   cells::CellLoad load;
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -20,7 +20,7 @@
 constexpr int kMaxFirstTask = 1 << 24;
 
 /// First character of the record keys, by kind.
-constexpr base::NameTable<RecordKind, 9> kKeyPrefixes{ {
+constexpr base::NameTable<RecordKind, 11> kKeyPrefixes{ {
   { RecordKind::Submission, "s" },
   { RecordKind::Cancellation, "c" },
   { RecordKind::Progress, "p" },
@@ -30,6 +30,8 @@
   { RecordKind::Transfer, "t" },
   { RecordKind::Load, "l" },
   { RecordKind::WorkerLease, "e" },
+  { RecordKind::Loan, "o" },
+  { RecordKind::Borrowed, "b" },
 } };
 
 using ResourceFields = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
@@ -65,6 +67,9 @@
 using TaskRangeFields =
   std::tuple<int, int, int, std::string, std::vector<TaskFields>>;
 using TransferFields = std::tuple<int, bool>;
+using LoanFields = std::tuple<int, bool, std::vector<StepProgressFields>>;
+/// The encoded submission and the tasks.
+using BorrowedFields = std::tuple<std::string, std::vector<StepProgressFields>>;
 using ProgressFields = std::tuple<int, bool, std::vector<StepProgressFields>>;
 
 StepFields
@@ -137,6 +142,43 @@
            std::move(std::get<4>(aFields)) };
 }
 
+std::vector<StepProgressFields>
+ToFields(const std::vector<StepProgress>& aSteps)
+{
+  std::vector<StepProgressFields> steps;
+  for (const auto& step : aSteps) {
+    std::vector<TaskFields> tasks;
+    for (const auto& it : step.mTasks) {
+      tasks.push_back(ToFields(it));
+    }
+    steps.emplace_back(step.mOccurrence, step.mStep, std::move(tasks));
+  }
+  return steps;
+}
+
+std::vector<StepProgress>
+ToSteps(std::vector<StepProgressFields> aFields)
+{
+  std::vector<StepProgress> steps;
+  for (auto& step : aFields) {
+    StepProgress entry;
+    entry.mOccurrence = std::get<0>(step);
+    entry.mStep = std::get<1>(step);
+    for (auto& it : std::get<2>(step)) {
+      entry.mTasks.push_back(ToTaskProgress(std::move(it)));
+    }
+    steps.push_back(std::move(entry));
+  }
+  return steps;
+}
+
+bool
+HasPart(RecordKind aKind)
+{
+  return aKind == RecordKind::TaskRange || aKind == RecordKind::Loan ||
+         aKind == RecordKind::Borrowed;
+}
+
 } // namespace
 
 std::string
@@ -151,9 +193,15 @@
 std::string
 FormatTaskRangeKey(std::string_view aJobId, std::string_view aRange)
 {
-  std::string key = FormatRecordKey(RecordKind::TaskRange, aJobId);
+  return FormatPartKey(RecordKind::TaskRange, aJobId, aRange);
+}
+
+std::string
+FormatPartKey(RecordKind aKind, std::string_view aJobId, std::string_view aPart)
+{
+  std::string key = FormatRecordKey(aKind, aJobId);
   key.push_back('/');
-  key.append(aRange);
+  key.append(aPart);
   return key;
 }
 
@@ -176,7 +224,7 @@
     return std::nullopt;
   }
   const std::string_view id = aKey.substr(2);
-  if (*kind != RecordKind::TaskRange) {
+  if (!HasPart(*kind)) {
     return RecordKey{ *kind, std::string(id), {} };
   }
   const auto slash = id.find('/');
@@ -245,17 +293,9 @@
 std::string
 EncodeProgress(const JobProgress& aProgress)
 {
-  std::vector<StepProgressFields> steps;
-  for (const auto& step : aProgress.mSteps) {
-    std::vector<TaskFields> tasks;
-    for (const auto& it : step.mTasks) {
-      tasks.push_back(ToFields(it));
-    }
-    steps.emplace_back(step.mOccurrence, step.mStep, std::move(tasks));
-  }
   return base::PackMsgpack(ProgressFields{ static_cast<int>(aProgress.mState),
                                            aProgress.mMayHaveStarted,
-                                           std::move(steps) });
+                                           ToFields(aProgress.mSteps) });
 }
 
 base::Result<JobProgress>
@@ -269,15 +309,7 @@
   JobProgress progress;
   progress.mState = static_cast<JobState>(state);
   progress.mMayHaveStarted = std::get<1>(fields);
-  for (auto& step : std::get<2>(fields)) {
-    StepProgress entry;
-    entry.mOccurrence = std::get<0>(step);
-    entry.mStep = std::get<1>(step);
-    for (auto& it : std::get<2>(step)) {
-      entry.mTasks.push_back(ToTaskProgress(std::move(it)));
-    }
-    progress.mSteps.push_back(std::move(entry));
-  }
+  progress.mSteps = ToSteps(std::move(std::get<2>(fields)));
   return progress;
 }
 
@@ -352,4 +384,39 @@
   return JobTransfer{ std::get<0>(fields), std::get<1>(fields) };
 }
 
+std::string
+EncodeLoan(const TaskLoan& aLoan)
+{
+  return base::PackMsgpack(
+    LoanFields{ aLoan.mTarget, aLoan.mIsDelivered, ToFields(aLoan.mSteps) });
+}
+
+base::Result<TaskLoan>
+DecodeLoan(std::string_view aBytes)
+{
+  BOOST_OUTCOME_TRY(fields, base::UnpackMsgpack<LoanFields>(aBytes));
+  if (std::get<0>(fields) < 0) {
+    return MakeError(ErrorKind::InvalidArgument, "negative cell");
+  }
+  return TaskLoan{ std::get<0>(fields),
+                   std::get<1>(fields),
+                   ToSteps(std::move(std::get<2>(fields))) };
+}
+
+std::string
+EncodeBorrowedTasks(const BorrowedTasks& aTasks)
+{
+  return base::PackMsgpack(BorrowedFields{ EncodeSubmission(aTasks.mSubmission),
+                                           ToFields(aTasks.mSteps) });
+}
+
+base::Result<BorrowedTasks>
+DecodeBorrowedTasks(std::string_view aBytes)
+{
+  BOOST_OUTCOME_TRY(fields, base::UnpackMsgpack<BorrowedFields>(aBytes));
+  BOOST_OUTCOME_TRY(submission, DecodeSubmission(std::get<0>(fields)));
+  return BorrowedTasks{ std::move(submission),
+                        ToSteps(std::move(std::get<1>(fields))) };
+}
+
 } // namespace skylarkhill::jobs
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -27,6 +27,21 @@
   return mIsCancelled ? JobState::Cancelled : mProgress.mState;
 }
 
+bool
+JobEntry::IsBorrowed() const
+{
+  return !mBorrowed.empty() && (!mSubmission || mTransfer);
+}
+
+const Submission*
+JobEntry::KnownSubmission() const
+{
+  if (mSubmission) {
+    return &*mSubmission;
+  }
+  return mBorrowed.empty() ? nullptr : &mBorrowed.begin()->second.mSubmission;
+}
+
 void
 JobTable::Apply(std::string_view aKey,
                 std::string_view aValue,
@@ -41,8 +56,8 @@
   if (aValue.empty()) {
     if (key->mKind == RecordKind::Submission) {
       Erase(key->mId);
-    } else if (key->mKind == RecordKind::TaskRange) {
-      EraseRange(*key);
+    } else if (!key->mPart.empty()) {
+      ErasePart(*key);
     }
     return;
   }
@@ -91,7 +106,7 @@
         return;
       }
       const std::lock_guard lock(shard.mLock);
-      StoredTaskRange& stored = shard.mJobs[key->mId].mRanges[key->mRange];
+      StoredTaskRange& stored = shard.mJobs[key->mId].mRanges[key->mPart];
       if (aOffset > stored.mOffset) {
         stored = { aOffset, std::string(aValue) };
       }
@@ -111,6 +126,32 @@
       }
       break;
     }
+    case RecordKind::Loan: {
+      auto loan = DecodeLoan(aValue);
+      if (!loan) {
+        LogMalformed(aKey, loan.error());
+        return;
+      }
+      const std::lock_guard lock(shard.mLock);
+      auto& loans = shard.mJobs[key->mId].mLoans;
+      // An older record may be read after a newer one was applied.
+      if (loans.count(key->mPart) == 0 || loan.value().mIsDelivered) {
+        loans[key->mPart] = std::move(loan.value());
+      }
+      break;
+    }
+    case RecordKind::Borrowed: {
+      auto tasks = DecodeBorrowedTasks(aValue);
+      if (!tasks) {
+        LogMalformed(aKey, tasks.error());
+        return;
+      }
+      const std::lock_guard lock(shard.mLock);
+      // All copies are equal.
+      shard.mJobs[key->mId].mBorrowed.emplace(key->mPart,
+                                              std::move(tasks.value()));
+      break;
+    }
     case RecordKind::Model:
     case RecordKind::Worker:
     case RecordKind::Load:
@@ -128,14 +169,36 @@
 }
 
 void
-JobTable::EraseRange(const RecordKey& aKey)
+JobTable::ErasePart(const RecordKey& aKey)
 {
   Shard& shard = ShardOf(aKey.mId);
   const std::lock_guard lock(shard.mLock);
   const auto found = shard.mJobs.find(aKey.mId);
+  if (found == shard.mJobs.end()) {
+    return;
+  }
+  if (aKey.mKind == RecordKind::TaskRange) {
+    found->second.mRanges.erase(aKey.mPart);
+  } else if (aKey.mKind == RecordKind::Loan) {
+    found->second.mLoans.erase(aKey.mPart);
+  } else if (aKey.mKind == RecordKind::Borrowed) {
+    found->second.mBorrowed.erase(aKey.mPart);
+  }
+}
+
+std::vector<std::string>
+JobTable::ListLoans(const std::string& aJobId) const
+{
+  const Shard& shard = ShardOf(aJobId);
+  const std::lock_guard lock(shard.mLock);
+  std::vector<std::string> parts;
+  const auto found = shard.mJobs.find(aJobId);
   if (found != shard.mJobs.end()) {
-    found->second.mRanges.erase(aKey.mRange);
+    for (const auto& [part, loan] : found->second.mLoans) {
+      parts.push_back(part);
+    }
   }
+  return parts;
 }
 
 std::vector<std::string>
@@ -234,7 +297,9 @@
   for (const Shard& shard : mShards) {
     const std::lock_guard lock(shard.mLock);
     for (const auto& [id, job] : shard.mJobs) {
-      if (job.mSubmission && !IsFinal(job.State()) && !job.mTransfer) {
+      const bool isHere =
+        (job.mSubmission && !job.mTransfer) || job.IsBorrowed();
+      if (isHere && !IsFinal(job.State())) {
         ids.push_back(id);
       }
     }
@@ -242,6 +307,37 @@
   return ids;
 }
 
+std::optional<TaskLoan>
+JobTable::LoanOf(const std::string& aJobId, const std::string& aPart) const
+{
+  const Shard& shard = ShardOf(aJobId);
+  const std::lock_guard lock(shard.mLock);
+  const auto found = shard.mJobs.find(aJobId);
+  if (found == shard.mJobs.end()) {
+    return std::nullopt;
+  }
+  const auto loan = found->second.mLoans.find(aPart);
+  return loan == found->second.mLoans.end() ? std::optional<TaskLoan>()
+                                            : loan->second;
+}
+
+std::vector<std::pair<std::string, std::string>>
+JobTable::ListLoansToRepeat() const
+{
+  std::vector<std::pair<std::string, std::string>> loans;
+  for (const Shard& shard : mShards) {
+    const std::lock_guard lock(shard.mLock);
+    for (const auto& [id, job] : shard.mJobs) {
+      for (const auto& [part, loan] : job.mLoans) {
+        if (!loan.mIsDelivered || IsFinal(job.State())) {
+          loans.emplace_back(id, part);
+        }
+      }
+    }
+  }
+  return loans;
+}
+
 std::vector<std::string>
 JobTable::ListTransfersToRepeat() const
 {
@@ -267,8 +363,9 @@
     for (const auto& [id, job] : shard.mJobs) {
       const bool isOver =
         IsFinal(job.State()) || (job.mTransfer && job.mTransfer->mIsDelivered);
-      if (job.mSubmission && isOver &&
-          job.mSubmission->mAcceptedMs < aAcceptedBeforeMs) {
+      const Submission* submission = job.KnownSubmission();
+      if (submission != nullptr && isOver &&
+          submission->mAcceptedMs < aAcceptedBeforeMs) {
         ids.push_back(id);
       }
     }
--- a/src/jobs/jobs_test.cpp
+++ b/src/jobs/jobs_test.cpp
@@ -55,6 +55,9 @@
   CPPUNIT_TEST(RoundTripsProgress);
   CPPUNIT_TEST(RoundTripsATaskRange);
   CPPUNIT_TEST(KeepsTheNewestTaskRange);
+  CPPUNIT_TEST(RoundTripsALoan);
+  CPPUNIT_TEST(HidesBorrowedTasksFromCallers);
+  CPPUNIT_TEST(KeepsALoanUntilTheBorrowerHasTheEndOfTheJob);
   CPPUNIT_TEST(RefusesMalformedRecords);
   CPPUNIT_TEST(IgnoresARepeatedSubmission);
   CPPUNIT_TEST(IgnoresOlderProgress);
@@ -123,7 +126,7 @@
       ParseRecordKey(FormatTaskRangeKey("a", NameOf(after.value())));
     CPPUNIT_ASSERT(key && key->mKind == RecordKind::TaskRange);
     CPPUNIT_ASSERT_EQUAL(std::string("a"), key->mId);
-    CPPUNIT_ASSERT_EQUAL(std::string("2.1.512"), key->mRange);
+    CPPUNIT_ASSERT_EQUAL(std::string("2.1.512"), key->mPart);
   }
 
   // The leader applies its own records before it reads its older ones.
@@ -142,8 +145,73 @@
     CPPUNIT_ASSERT(table.ListRanges("a").empty());
   }
 
+  void RoundTripsALoan()
+  {
+    StepProgress step;
+    step.mStep = 1;
+    step.mTasks = { { 3, false, {}, 5, "point" } };
+    const auto loan = DecodeLoan(EncodeLoan({ 2, true, { step } }));
+    CPPUNIT_ASSERT(loan);
+    CPPUNIT_ASSERT_EQUAL(2, loan.value().mTarget);
+    CPPUNIT_ASSERT(loan.value().mIsDelivered);
+    const auto tasks = DecodeBorrowedTasks(
+      EncodeBorrowedTasks({ MakeSubmission("a"), loan.value().mSteps }));
+    CPPUNIT_ASSERT(tasks);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), tasks.value().mSubmission.mId);
+    const StepProgress& copy = tasks.value().mSteps.at(0);
+    CPPUNIT_ASSERT_EQUAL(1, copy.mStep);
+    CPPUNIT_ASSERT_EQUAL(3, copy.mTasks.at(0).mIndex);
+    CPPUNIT_ASSERT_EQUAL(5, copy.mTasks.at(0).mLastRun);
+    CPPUNIT_ASSERT_EQUAL(std::string("point"), copy.mTasks.at(0).mCheckpoint);
+    const auto key =
+      ParseRecordKey(FormatPartKey(RecordKind::Borrowed, "a", "2.1"));
+    CPPUNIT_ASSERT(key && key->mKind == RecordKind::Borrowed);
+    CPPUNIT_ASSERT_EQUAL(std::string("2.1"), key->mPart);
+  }
+
+  // Guards against a borrower that callers and repeated submissions take for
+  // the cell of the job.
+  void HidesBorrowedTasksFromCallers()
+  {
+    JobTable table;
+    const std::string key = FormatPartKey(RecordKind::Borrowed, "a", "2.1");
+    table.Apply(key, EncodeBorrowedTasks({ MakeSubmission("a"), {} }), 1);
+    CPPUNIT_ASSERT(!table.Contains("a"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, table.CountPending("q"));
+    CPPUNIT_ASSERT(table.List().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, table.ListOpen().size());
+    CPPUNIT_ASSERT(table.Find("a")->IsBorrowed());
+    table.Apply(FormatRecordKey(RecordKind::Cancellation, "a"), "1", 2);
+    CPPUNIT_ASSERT(table.ListOpen().empty());
+    CPPUNIT_ASSERT_EQUAL(
+      std::size_t{ 1 },
+      table.ListFinal(MakeSubmission("a").mAcceptedMs + 1).size());
+  }
+
+  // Guards against a new leader that leaves a copy, or a cancellation, to its
+  // predecessor, which may not have sent it.
+  void KeepsALoanUntilTheBorrowerHasTheEndOfTheJob()
+  {
+    JobTable table;
+    table.Apply(SubmissionKey("a"), EncodeSubmission(MakeSubmission("a")), 1);
+    const std::string key = FormatPartKey(RecordKind::Loan, "a", "1");
+    table.Apply(key, EncodeLoan({ 2, false, {} }), 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, table.ListLoansToRepeat().size());
+    table.Apply(key, EncodeLoan({ 2, true, {} }), 3);
+    // The leader applies its own records before it reads its older ones.
+    table.Apply(key, EncodeLoan({ 2, false, {} }), 2);
+    CPPUNIT_ASSERT(table.ListLoansToRepeat().empty());
+    table.Apply(FormatRecordKey(RecordKind::Cancellation, "a"), "1", 4);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, table.ListLoansToRepeat().size());
+    table.Apply(key, "", 5);
+    CPPUNIT_ASSERT(table.ListLoans("a").empty());
+  }
+
   void RefusesMalformedRecords()
   {
+    CPPUNIT_ASSERT(!DecodeLoan(EncodeLoan({ -1, false, {} })));
+    CPPUNIT_ASSERT(!DecodeBorrowedTasks(EncodeLoan({ 1, false, {} })));
+    CPPUNIT_ASSERT(!ParseRecordKey("b/a"));
     CPPUNIT_ASSERT(!DecodeTaskRange(EncodeProgress({})));
     CPPUNIT_ASSERT(!ParseRecordKey("r/a"));
     CPPUNIT_ASSERT(!DecodeSubmission("garbage"));
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -6,6 +6,7 @@
 #include "skylarkhill/node/worker_lease_record.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <iterator>
 #include <utility>
 
@@ -41,6 +42,9 @@
 constexpr Duration kFlushInterval = std::chrono::milliseconds(20);
 /// Space in a record for the progress of one task, with its checkpoint.
 constexpr std::size_t kMaxTaskProgressBytes = 512;
+/// Room for RecordKey::mPart of a loan in the key of its copy, and for run
+/// numbers.
+constexpr std::size_t kMaxLoanPartBytes = 1024;
 /// Minimum interval between two records of the interference estimates. Longer
 /// after a large record, because every instance reads them.
 constexpr Duration kModelInterval = std::chrono::seconds(2);
@@ -110,6 +114,12 @@
 constexpr Duration kFirstReportsTime = std::chrono::milliseconds(700);
 constexpr Duration kTransferInterval = std::chrono::milliseconds(100);
 constexpr int kMaxTransfersPerRound = 50;
+/// Time in which the cell may find a worker for a lasting task before it is
+/// lent.
+constexpr Duration kMinTimeBeforeLoan = std::chrono::milliseconds(500);
+constexpr int kMaxTasksPerLoan = 64;
+constexpr int kMaxLoansPerRound = 50;
+constexpr std::size_t kMaxLoansInFlight = 50;
 constexpr std::size_t kMaxTransfersInFlight = 50;
 /// Interval between two load records of a leader.
 constexpr Duration kLoadInterval = std::chrono::milliseconds(250);
@@ -150,6 +160,8 @@
   , mTransfersCount(
       mMetrics.GetCounter("skylarkhill_jobs_transferred_total",
                           "Jobs that this leader has moved to other cells."))
+  , mLentTasksCount(mMetrics.GetCounter("skylarkhill_tasks_lent_total",
+                                        "Lasting tasks left to other cells."))
   , mDroppedCheckpoints(mMetrics.GetCounter(
       "skylarkhill_checkpoints_dropped_total",
       "Checkpoints that did not fit into a record of the journal."))
@@ -254,11 +266,19 @@
   if (aNow >= mDispatcher->NextTickAt()) {
     const LoopProfile::Timer timer(mProfile, LoopPhase::Dispatch);
     mDispatcher->Tick(aNow, mWallClock.NowMs());
-    ChooseTransfers(aNow);
+    if (mOptions.mCellCount > 1 && aNow >= mTransfersFrom &&
+        aNow >= mNextTransferCheckAt) {
+      mNextTransferCheckAt = aNow + kTransferInterval;
+      mLoads[static_cast<std::size_t>(mOptions.mIndex)] =
+        mDispatcher->Load(aNow);
+      ChooseTransfers(aNow);
+      ChooseLoans(aNow);
+    }
   }
   const LoopProfile::Timer timer(mProfile, LoopPhase::Flush);
   Flush();
   SendTransfers(aNow);
+  SendLoans(aNow);
   RemoveOldJobs();
 }
 
@@ -276,7 +296,8 @@
     next = std::min(next, mDispatcher->NextTickAt());
     if (!mIsFlushInFlight &&
         (!mBatch.IsEmpty() || mDispatcher->IsDirty() ||
-         !mTransfersToStore.empty() || !mWorkersToRecord.empty())) {
+         !mTransfersToStore.empty() || !mLoansToStore.empty() ||
+         !mWorkersToRecord.empty())) {
       next = std::min(next, mNextFlushAt);
     }
   } else if (mEpoch != 0 && !mAreEarlierWritersFenced && !mIsFlushInFlight) {
@@ -521,6 +542,8 @@
     case jobs::RecordKind::Progress:
     case jobs::RecordKind::TaskRange:
     case jobs::RecordKind::Transfer:
+    case jobs::RecordKind::Loan:
+    case jobs::RecordKind::Borrowed:
       if (mDispatcher != nullptr && !aRecord.mValue.empty()) {
         OnJobRecord(*key, aRecord);
       }
@@ -551,10 +574,25 @@
       if (mJobs.TransferOf(aKey.mId)) {
         mTransfersToSend.insert(aKey.mId);
       }
+      EndLoans(aKey.mId);
+      break;
+    case jobs::RecordKind::Borrowed: {
+      const auto job = mJobs.Find(aKey.mId);
+      if (job && job->IsBorrowed()) {
+        logging::Write(logging::Level::Info,
+                       "tasks_borrowed",
+                       { { "job", aKey.mId },
+                         { "loan", aKey.mPart },
+                         { "state", jobs::NameOf(job->State()) },
+                         { "offset", aRecord.mOffset } });
+        mDispatcher->AddJob(*job, mJobsToAdd.count(aKey.mId) != 0, now);
+      }
       break;
+    }
     case jobs::RecordKind::Progress:
     case jobs::RecordKind::TaskRange:
     case jobs::RecordKind::Transfer:
+    case jobs::RecordKind::Loan:
     case jobs::RecordKind::Model:
     case jobs::RecordKind::Worker:
     case jobs::RecordKind::WorkerLease:
@@ -955,6 +993,10 @@
   mTransfersInBatch.clear();
   mTransfersToSend.clear();
   mTransfersInFlight.clear();
+  mLoansToStore.clear();
+  mLoansInBatch.clear();
+  mLoansToSend.clear();
+  mLoansInFlight.clear();
   mJournalReader.SetPause(FollowerJournalPause());
   mJournalReader.SetWait(kReadWait);
 }
@@ -1034,7 +1076,10 @@
   mJobsToAdd.insert(openJobs.begin(), openJobs.end());
   const auto transfers = mJobs.ListTransfersToRepeat();
   mTransfersToSend.insert(transfers.begin(), transfers.end());
+  const auto loans = mJobs.ListLoansToRepeat();
+  mLoansToSend.insert(loans.begin(), loans.end());
   mTransfersFrom = now + kFirstReportsTime;
+  mNextLoansAt = mTransfersFrom;
   mProfile.Reset();
 }
 
@@ -1111,12 +1156,6 @@
 void
 Cell::ChooseTransfers(TimePoint aNow)
 {
-  if (mOptions.mCellCount == 1 || aNow < mTransfersFrom ||
-      aNow < mNextTransferCheckAt) {
-    return;
-  }
-  mNextTransferCheckAt = aNow + kTransferInterval;
-  mLoads[static_cast<std::size_t>(mOptions.mIndex)] = mDispatcher->Load(aNow);
   int n = 0;
   for (const auto& it : mDispatcher->ListUnstarted()) {
     const auto job = mJobs.Find(it.mId);
@@ -1196,6 +1235,180 @@
   }
 }
 
+void
+Cell::ChooseLoans(TimePoint aNow)
+{
+  if (aNow < mNextLoansAt) {
+    return;
+  }
+  mNextLoansAt = aNow + kLoadInterval;
+  int n = 0;
+  for (const auto& it : mDispatcher->ListUnplaced(aNow - kMinTimeBeforeLoan)) {
+    cells::LoanDemand demand{
+      it.mPool, it.mLabel, it.mProcessors, std::min(it.mCount, kMaxTasksPerLoan)
+    };
+    const Duration waited = aNow - it.mNoRoomSince;
+    auto target =
+      cells::ChooseLoan(demand, mOptions.mIndex, {}, mLoads, waited);
+    if (!target) {
+      continue;
+    }
+    const auto job = mJobs.Find(it.mJobId);
+    // The number of the next loan follows from the stored ones.
+    if (!job || !job->mSubmission || job->mIsCancelled ||
+        IsLending(it.mJobId)) {
+      continue;
+    }
+    // The journal of the home of a transferred job has other records of it.
+    const int home =
+      cells::HomeOfJob(mMap, it.mJobId, job->mSubmission->mRequest);
+    if (target->mTarget == home) {
+      target = cells::ChooseLoan(demand, mOptions.mIndex, home, mLoads, waited);
+    }
+    if (!target) {
+      continue;
+    }
+    demand.mCount = target->mCount;
+    // The other lenders see the same room.
+    cells::Reserve(*mLoads[static_cast<std::size_t>(target->mTarget)],
+                   demand,
+                   mOptions.mCellCount - 1);
+    StoreLoan(*job, it, *target);
+    if (++n == kMaxLoansPerRound) {
+      return;
+    }
+  }
+}
+
+bool
+Cell::IsLending(const std::string& aJobId) const
+{
+  const auto isJob = [&](const auto& aEntry) {
+    return aEntry.first.first == aJobId;
+  };
+  return std::any_of(mLoansToStore.begin(), mLoansToStore.end(), isJob) ||
+         std::any_of(mLoansInBatch.begin(), mLoansInBatch.end(), isJob);
+}
+
+void
+Cell::StoreLoan(const jobs::JobEntry& aJob,
+                const dispatch::UnplacedTasks& aTasks,
+                const cells::LoanTarget& aTarget)
+{
+  const std::string& id = aTasks.mJobId;
+  const auto isStorable = [&](const jobs::StepProgress& aStep) {
+    const LogRecord record{
+      jobs::FormatRecordKey(jobs::RecordKind::Borrowed, id),
+      jobs::EncodeBorrowedTasks({ *aJob.mSubmission, { aStep } }),
+      0
+    };
+    return SizeOf(record) + kMaxLoanPartBytes <=
+           mOptions.mLogLimits.mMaxRecordBytes;
+  };
+  // Tasks that have been released must not be lost with a record that the log
+  // cannot store.
+  jobs::StepProgress placeholder;
+  placeholder.mTasks.resize(static_cast<std::size_t>(aTarget.mCount));
+  if (!isStorable(placeholder)) {
+    return;
+  }
+  jobs::StepProgress step = mDispatcher->LendTasks(aTasks, aTarget.mCount);
+  if (step.mTasks.empty()) {
+    return;
+  }
+  if (!isStorable(step)) {
+    DropCheckpoints(id, step);
+  }
+  int number = 1;
+  for (const auto& [part, loan] : aJob.mLoans) {
+    number = std::max(number, std::atoi(part.c_str()) + 1);
+  }
+  const auto n = static_cast<std::int64_t>(step.mTasks.size());
+  logging::Write(logging::Level::Info,
+                 "tasks_lent",
+                 { { "job", id },
+                   { "step", step.mStep },
+                   { "loan", number },
+                   { "tasks", n },
+                   { "of", aTasks.mCount },
+                   { "target", aTarget.mTarget },
+                   { "waited_ms", ToMs(mClock.Now() - aTasks.mNoRoomSince) } });
+  mLentTasksCount.Add(n);
+  mLoansToStore.push_back({ { id, std::to_string(number) },
+                            { aTarget.mTarget, false, { std::move(step) } } });
+}
+
+void
+Cell::EndLoans(const std::string& aJobId)
+{
+  for (const auto& it : mJobs.ListLoans(aJobId)) {
+    mLoansToSend.emplace(aJobId, it);
+  }
+}
+
+void
+Cell::SendLoans(TimePoint aNow)
+{
+  if (aNow < mNextTransferAt) {
+    return;
+  }
+  for (auto it = mLoansToSend.begin();
+       it != mLoansToSend.end() && mLoansInFlight.size() < kMaxLoansInFlight;) {
+    const LoanId id = *it;
+    if (mLoansInFlight.count(id) != 0) {
+      // The end of the job follows once the copy was answered.
+      ++it;
+      continue;
+    }
+    it = mLoansToSend.erase(it);
+    const auto job = mJobs.Find(id.first);
+    const auto loan = mJobs.LoanOf(id.first, id.second);
+    if (!job || !job->mSubmission || !loan ||
+        loan->mTarget >= mOptions.mCellCount) {
+      continue;
+    }
+    mLoansInFlight.insert(id);
+    AppendRequest request;
+    request.mStream = PartitionOf(mOptions.mJournal, loan->mTarget);
+    request.mRecords.push_back(
+      { jobs::FormatPartKey(jobs::RecordKind::Borrowed,
+                            id.first,
+                            std::to_string(mOptions.mIndex) + "." + id.second),
+        jobs::EncodeBorrowedTasks({ *job->mSubmission, loan->mSteps }),
+        0 });
+    if (jobs::IsFinal(job->State())) {
+      request.mRecords.push_back(
+        { jobs::FormatRecordKey(jobs::RecordKind::Cancellation, id.first),
+          "1",
+          0 });
+    }
+    mLog.Append(request,
+                aNow + kFlushTimeout,
+                [this, id, epoch = mEpoch](const AppendResult& aResult) {
+                  if (epoch == mEpoch && mDispatcher != nullptr) {
+                    OnLoanSent(id, aResult);
+                  }
+                });
+  }
+}
+
+void
+Cell::OnLoanSent(const LoanId& aId, const AppendResult& aResult)
+{
+  mLoansInFlight.erase(aId);
+  if (aResult.mOutcome != LogOutcome::Done) {
+    // All copies are equal, so that a repeated one changes nothing.
+    mLoansToSend.insert(aId);
+    mNextTransferAt = mClock.Now() + kFlushRetryPause;
+    return;
+  }
+  auto loan = mJobs.LoanOf(aId.first, aId.second);
+  if (loan && !loan->mIsDelivered) {
+    loan->mIsDelivered = true;
+    mLoansToStore.emplace_back(aId, std::move(*loan));
+  }
+}
+
 void
 Cell::AddRecord(jobs::RecordKind aKind,
                 std::string_view aId,
@@ -1288,12 +1501,22 @@
   }
   auto [batch, dirty] = mDispatcher->TakeDirty();
   const bool isLoadDue = mOptions.mCellCount > 1 && now >= mNextLoadAt;
-  if (dirty.empty() && mTransfersToStore.empty() && mWorkersToRecord.empty() &&
-      !isLoadDue && mBatch.IsEmpty()) {
+  if (dirty.empty() && mTransfersToStore.empty() && mLoansToStore.empty() &&
+      mWorkersToRecord.empty() && !isLoadDue && mBatch.IsEmpty()) {
     mDispatcher->OnDurable(batch, now);
     return;
   }
   mBatchNumber = batch;
+  // The progress of a job marks lent tasks as done, so it must not be stored
+  // without the loan.
+  for (const auto& [id, loan] : mLoansToStore) {
+    mBatch.Add(
+      { jobs::FormatPartKey(jobs::RecordKind::Loan, id.first, id.second),
+        jobs::EncodeLoan(loan),
+        0 });
+  }
+  mLoansInBatch = std::move(mLoansToStore);
+  mLoansToStore.clear();
   for (auto& [id, progress] : dirty) {
     AddProgressRecords(id, progress);
   }
@@ -1378,6 +1601,12 @@
     const auto key = jobs::ParseRecordKey(it.mKey);
     if (key) {
       ApplyWorkerRecord(*key, { it.mKey, it.mValue, offset });
+      const auto state = key->mKind == jobs::RecordKind::Progress
+                           ? mJobs.StateOf(key->mId)
+                           : std::nullopt;
+      if (state && jobs::IsFinal(*state)) {
+        EndLoans(key->mId);
+      }
     }
     ++offset;
   }
@@ -1402,6 +1631,12 @@
     }
   }
   mTransfersInBatch.clear();
+  for (const auto& [id, loan] : mLoansInBatch) {
+    if (!loan.mIsDelivered) {
+      mLoansToSend.insert(id);
+    }
+  }
+  mLoansInBatch.clear();
 }
 
 std::vector<LogRecord>
@@ -1411,6 +1646,19 @@
   for (const auto& it : mJobs.ListRanges(aJobId)) {
     deletions.push_back({ jobs::FormatTaskRangeKey(aJobId, it), "", 0 });
   }
+  const auto job = mJobs.Find(aJobId);
+  if (job) {
+    for (const auto& [part, loan] : job->mLoans) {
+      deletions.push_back(
+        { jobs::FormatPartKey(jobs::RecordKind::Loan, aJobId, part), "", 0 });
+    }
+    for (const auto& [part, tasks] : job->mBorrowed) {
+      deletions.push_back(
+        { jobs::FormatPartKey(jobs::RecordKind::Borrowed, aJobId, part),
+          "",
+          0 });
+    }
+  }
   for (const auto kind : { jobs::RecordKind::Transfer,
                            jobs::RecordKind::Progress,
                            jobs::RecordKind::Cancellation,
--- a/src/node/cell_random_test.cpp
+++ b/src/node/cell_random_test.cpp
@@ -30,6 +30,8 @@
 constexpr milliseconds kRecoveryTime{ 25'000 };
 /// Seeds in a usual run; SKYLARKHILL_CELL_SEEDS overrides it.
 constexpr int kSeeds = 25;
+/// Time in which a lasting task without a run must start again.
+constexpr milliseconds kMaxTimeWithoutRun{ 9000 };
 
 /// "d1w2" is worker 2 of failure domain "d1". Workers of one failure domain
 /// have the label "odd" or "even" of the domain.
@@ -153,6 +155,7 @@
     }
     for (auto& it : mInstances) {
       it->mLog.mIsUnreachable = false;
+      it->mLog.mUnwritableStreams.clear();
       it->mLog.mDropsResponses = false;
       it->mPausedUntil = {};
       it->mLog.CarryOutLostAppends();
@@ -203,11 +206,46 @@
     return changes;
   }
 
+  /// Most workers of a cell with started jobs leave. Then the jobs are
+  /// cancelled, while the cells that have borrowed tasks have other leaders.
+  void ShrinkCell()
+  {
+    mHasSpecialJobs = false;
+    mHasLargeJobs = true;
+    Advance(milliseconds(8000));
+    for (int n = 0; n < 30; ++n) {
+      Submit();
+    }
+    Advance(milliseconds(3000));
+    RemoveWorker("d0w0");
+    RemoveWorker("d0w1");
+    Advance(kMaxTimeWithoutRun);
+    CheckOutcome();
+    if (!mProblem.empty()) {
+      return;
+    }
+    for (std::size_t n = 0; n < mInstances.size(); ++n) {
+      mInstances[n].reset();
+      mInstances[n] = CreateInstance(static_cast<int>(n));
+    }
+    Advance(milliseconds(2000));
+    for (int n = 0; n < 200; ++n) {
+      Cancel();
+    }
+    Advance(kRecoveryTime);
+    CheckOutcome();
+  }
+
   const std::string& Problem() const { return mProblem; }
   int TransferCount() const { return mTransferCount; }
+  int LoanCount() const { return mLoanCount; }
 
   /// Some jobs prefer a rack or require a label.
   bool mHasSpecialJobs = true;
+  /// Few jobs of tasks that need a quarter of a worker each.
+  bool mHasLargeJobs = false;
+  /// Workers of the first failure domain crash, are cut off and return.
+  bool mLosesWorkers = false;
 
 private:
   struct SubmittedJob
@@ -253,8 +291,54 @@
     return claims.size();
   }
 
+  /// The worker is cut off and leaves the registry. It runs what it has until
+  /// its lease ends.
+  void RemoveWorker(const std::string& aId)
+  {
+    Store("workers", aId, "");
+    mWorkers[aId].mIsCutOff = true;
+  }
+
+  void DisturbWorker()
+  {
+    const std::string id =
+      "d0w" + std::to_string(mRandom->Below(kWorkersPerDomain - 1));
+    FakeWorkerState& worker = mWorkers[id];
+    if (worker.mIsCutOff) {
+      worker.mIsCutOff = false;
+      Store("workers", id, "1");
+      return;
+    }
+    RemoveWorker(id);
+    if (mRandom->Below(2) == 0) {
+      worker.mRuns.clear();
+    }
+  }
+
+  void EndLeases()
+  {
+    const std::int64_t now = base::ToMicros(mClock.Now()) / 1000;
+    for (auto& [id, worker] : mWorkers) {
+      if (worker.mIsCutOff && worker.mLeaseEndMs <= now) {
+        worker.mRuns.clear();
+      }
+    }
+  }
+
   void Disturb()
   {
+    if (mLosesWorkers && mRandom->Below(8) == 0) {
+      DisturbWorker();
+    }
+    if (mLosesWorkers && mRandom->Below(6) == 0) {
+      // The cell that loses workers cannot store its loans.
+      for (auto& it : mInstances) {
+        it->mLog.mUnwritableStreams.clear();
+        if (mRandom->Below(2) == 0) {
+          it->mLog.mUnwritableStreams.insert("journal");
+        }
+      }
+    }
     CellInstance& instance = AnyInstance();
     switch (mRandom->Below(16)) {
       case 0:
@@ -291,13 +375,17 @@
 
   void Submit()
   {
-    std::string id = "job" + std::to_string(mRandom->Below(40));
+    std::string id = RandomJobId();
     SubmittedJob& job = mJobs[id];
     if (job.mRequest.mSteps.empty()) {
       jobs::Step step;
       step.mIsService = true;
       step.mCount = 1 + static_cast<int>(mRandom->Below(2));
       step.mResources.mMilliProcessors = 500;
+      if (mHasLargeJobs) {
+        step.mCount = 4;
+        step.mResources.mMilliProcessors = kWorkerMilliProcessors / 4;
+      }
       // Half of the jobs have their home in the first cell, which has no
       // worker for some of these.
       if (mHasSpecialJobs) {
@@ -316,9 +404,15 @@
     mMayExist.insert(id);
   }
 
+  /// The large jobs fill half of the site.
+  std::string RandomJobId()
+  {
+    return "job" + std::to_string(mRandom->Below(mHasLargeJobs ? 5 : 40));
+  }
+
   void Cancel()
   {
-    const std::string id = "job" + std::to_string(mRandom->Below(40));
+    const std::string id = RandomJobId();
     const auto result = AnyInstance().mNode.GetJobRouter().Cancel(
       id, mClock.Now() + milliseconds(400));
     if (result) {
@@ -340,6 +434,7 @@
           it->mClients.Deliver();
         }
       }
+      EndLeases();
       CheckRuns();
     }
   }
@@ -363,12 +458,8 @@
 
   void CheckOutcome()
   {
-    for (const auto& it : mState.mStreams) {
-      mTransferCount += static_cast<int>(std::count_if(
-        it.second.begin(), it.second.end(), [](const auto& aRecord) {
-          return aRecord.mKey.substr(0, 2) == "t/";
-        }));
-    }
+    mTransferCount = CountRecords("t/");
+    mLoanCount = CountRecords("b/");
     std::map<std::string, int> runs;
     for (const auto& [id, worker] : mWorkers) {
       for (const auto& it : worker.mRuns) {
@@ -406,6 +497,18 @@
     }
   }
 
+  int CountRecords(const std::string& aPrefix) const
+  {
+    int n = 0;
+    for (const auto& it : mState.mStreams) {
+      n += static_cast<int>(std::count_if(
+        it.second.begin(), it.second.end(), [&](const auto& aRecord) {
+          return aRecord.mKey.substr(0, aPrefix.size()) == aPrefix;
+        }));
+    }
+    return n;
+  }
+
   void Store(const std::string& aTopic, std::string aKey, std::string aValue)
   {
     auto& records = mState.mStreams[aTopic];
@@ -424,6 +527,7 @@
   std::set<std::string> mMayBeCancelled;
   std::string mProblem;
   int mTransferCount = 0;
+  int mLoanCount = 0;
 };
 
 } // namespace
@@ -434,6 +538,8 @@
 {
   CPPUNIT_TEST_SUITE(CellRandomTest);
   CPPUNIT_TEST(KeepsEachJobInOneCell);
+  CPPUNIT_TEST(RunsTasksOfACellThatHasBecomeTooSmall);
+  CPPUNIT_TEST(RunsLentTasksOnceWhileWorkersComeAndGo);
   CPPUNIT_TEST(KeepsTheBacklogOfALostLeader);
   CPPUNIT_TEST(LoadsTheRegistryInFewInstances);
   CPPUNIT_TEST(TakesOverAWorkerThatMovesToAnotherCell);
@@ -458,6 +564,38 @@
     CPPUNIT_ASSERT(transfers > 0);
   }
 
+  // The workers of a cell leave after its lasting jobs have started. Guards
+  // against tasks that do not run although other cells have room (LOST), and
+  // against tasks in other cells that outlast the cancellation of their job.
+  void RunsTasksOfACellThatHasBecomeTooSmall()
+  {
+    CellSimulation simulation(1);
+    simulation.ShrinkCell();
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Problem());
+    CPPUNIT_ASSERT(simulation.LoanCount() > 0);
+  }
+
+  // Workers of one cell crash, are cut off and return, beside the failures of
+  // the test above. Guards against a task that runs in the cell of its job and
+  // in the one that has borrowed it.
+  void RunsLentTasksOnceWhileWorkersComeAndGo()
+  {
+    const char* text = std::getenv("SKYLARKHILL_CELL_SEEDS");
+    const int seeds = text != nullptr ? std::atoi(text) : kSeeds;
+    int loans = 0;
+    for (int seed = 1; seed <= seeds; ++seed) {
+      CellSimulation simulation(static_cast<std::uint64_t>(seed));
+      simulation.mHasSpecialJobs = false;
+      simulation.mHasLargeJobs = true;
+      simulation.mLosesWorkers = true;
+      const std::string problem = simulation.Run();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        "seed " + std::to_string(seed), std::string(), problem);
+      loans += simulation.LoanCount();
+    }
+    CPPUNIT_ASSERT(loans > 0);
+  }
+
   // Guards against a new leader that moves its backlog to other cells because
   // no worker has answered it yet.
   void KeepsTheBacklogOfALostLeader()
--- a/src/node/fake_shared_log_test.hpp
+++ b/src/node/fake_shared_log_test.hpp
@@ -55,7 +55,8 @@
                       base::TimePoint aDeadline) override
   {
     const bool isLost =
-      mIsUnreachable || mUnwritableTopics.count(aRequest.mStream.mTopic) != 0;
+      mIsUnreachable || mUnwritableTopics.count(aRequest.mStream.mTopic) != 0 ||
+      mUnwritableStreams.count(NameOfStream(aRequest.mStream)) != 0;
     const AppendResult result = isLost ? AppendResult{} : Apply(aRequest);
     if (isLost && mKeepsLostAppends) {
       mLostAppends.push_back(aRequest);
@@ -184,6 +185,8 @@
   std::set<std::string> mUnreadableTopics;
   /// Topics whose appends get no response and take no effect.
   std::set<std::string> mUnwritableTopics;
+  /// The same for single partitions, by NameOfStream.
+  std::set<std::string> mUnwritableStreams;
   /// Reads that would be lost fail at once.
   bool mRefusesReads = false;
   /// Asynchronous reads of new records by topic.
--- a/src/node/fake_worker_client_test.hpp
+++ b/src/node/fake_worker_client_test.hpp
@@ -26,6 +26,8 @@
   std::int64_t mFencingToken = 0;
   /// Longest lease that an instance has requested, on the clock of the worker.
   std::int64_t mLeaseEndMs = 0;
+  /// No call reaches the worker.
+  bool mIsCutOff = false;
 };
 
 /// By worker id; shared by all instances.
@@ -60,7 +62,8 @@
 
   void Poll(const dispatch::PollCall& aCall) override
   {
-    if (mUnreachable.count(aCall.mWorkerId) != 0) {
+    if (mUnreachable.count(aCall.mWorkerId) != 0 ||
+        mWorkers[aCall.mWorkerId].mIsCutOff) {
       AddPollResult(aCall, kPollSlack, [this, aCall] {
         mDispatcher->OnPollFailed(aCall.mWorkerId, mClock.Now());
       });
@@ -92,6 +95,13 @@
 
   void Start(const dispatch::StartCall& aCall) override
   {
+    if (mWorkers[aCall.mWorkerId].mIsCutOff) {
+      mResults.emplace_back([this, aCall] {
+        mDispatcher->OnStartResult(
+          aCall, { dispatch::StartOutcome::Unknown }, mClock.Now());
+      });
+      return;
+    }
     if (!CheckFence(aCall.mWorkerId)) {
       return;
     }
@@ -107,6 +117,13 @@
 
   void Stop(const dispatch::StopCall& aCall) override
   {
+    if (mWorkers[aCall.mWorkerId].mIsCutOff) {
+      mResults.emplace_back([this, aCall] {
+        mDispatcher->OnStopResult(
+          aCall, dispatch::CallOutcome::Unknown, mClock.Now());
+      });
+      return;
+    }
     if (!CheckFence(aCall.mWorkerId)) {
       return;
     }
