--- a/include/skylarkhill/cells/cell_load.hpp
+++ b/include/skylarkhill/cells/cell_load.hpp
@@ -32,6 +32,8 @@
   std::map<std::int64_t, int> mLastingRooms;
   /// Lasting tasks that wait and for which no worker has been searched yet.
   int mNewLastingTasks = 0;
+  /// The load takes the records of the journal before this offset into account.
+  std::int64_t mJournalOffset = 0;
 };
 
 /// Thousandths of a processor.
--- a/include/skylarkhill/cells/transfer_policy.hpp
+++ b/include/skylarkhill/cells/transfer_policy.hpp
@@ -85,11 +85,12 @@
 };
 
 /// Decides whether tasks that have waited for `aWaited` are lent, and where to.
-/// `aLender` is the cell that has them; `aExcluded` may not run them, if any.
+/// `aLender` is the cell that has them; those in `aExcluded` may not run them.
 std::optional<LoanTarget>
-ChooseLoan(const LoanDemand& aDemand,
+ChooseLoan(const std::string& aJobId,
+           const LoanDemand& aDemand,
            int aLender,
-           std::optional<int> aExcluded,
+           const std::set<int>& aExcluded,
            const std::vector<std::optional<CellLoad>>& aLoads,
            base::Duration aWaited);
 
--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -65,6 +65,8 @@
   /// Number of the tasks.
   int mCount = 0;
   base::TimePoint mNoRoomSince;
+  /// No task of the job can have been started, so that the whole job may move.
+  bool mIsUnstarted = false;
 };
 
 /// A worker that does not answer polls.
@@ -125,11 +127,11 @@
   /// been started.
   virtual bool ReleaseJob(const std::string& aJobId) = 0;
   /// Lasting tasks that have found no worker since `aSince` and that no worker
-  /// can have. Borrowed tasks are not among them.
+  /// can have.
   virtual std::vector<UnplacedTasks> ListUnplaced(
     base::TimePoint aSince) const = 0;
   /// Leaves up to `aMaxCount` of the tasks to another cell and returns them.
-  /// Starts none of them again.
+  /// Starts none of them again. The job counts as started from then on.
   virtual jobs::StepProgress LendTasks(const UnplacedTasks& aTasks,
                                        int aMaxCount) = 0;
   /// Room and demand of the workers of this dispatcher.
--- a/include/skylarkhill/jobs/job.hpp
+++ b/include/skylarkhill/jobs/job.hpp
@@ -149,7 +149,7 @@
   bool mIsDelivered = false;
 };
 
-/// Lasting tasks that have left the cell of a job for another one, for good.
+/// Lasting tasks that have left a cell for another one, for good.
 struct TaskLoan
 {
   /// The cell that runs the tasks.
@@ -158,14 +158,17 @@
   bool mIsDelivered = false;
   /// The tasks with their last run numbers and checkpoints.
   std::vector<StepProgress> mSteps;
+  /// Cells that have had one of the tasks. They do not get them again.
+  std::vector<int> mFormerCells;
 };
 
-/// Tasks that a cell runs for the cell of their job.
+/// Tasks that a cell runs instead of the cell that has lent them.
 struct BorrowedTasks
 {
   Submission mSubmission;
   /// As in TaskLoan.
   std::vector<StepProgress> mSteps;
+  std::vector<int> mFormerCells;
 };
 
 /// Durable state of a job, apart from its submission. A job in a final state
--- a/include/skylarkhill/jobs/job_table.hpp
+++ b/include/skylarkhill/jobs/job_table.hpp
@@ -43,7 +43,8 @@
   /// Tasks of the job that other cells run, by RecordKey::mPart.
   std::map<std::string, TaskLoan> mLoans;
   /// Tasks that this cell runs for the cell of the job, by RecordKey::mPart.
-  /// The submission is theirs, not mSubmission: the job itself is elsewhere.
+  /// The job itself is elsewhere: mSubmission is empty unless the job was
+  /// transferred from here.
   std::map<std::string, BorrowedTasks> mBorrowed;
 
   /// The state shown to callers.
@@ -95,7 +96,8 @@
   /// or the cancellation.
   std::vector<std::string> ListTransfersToRepeat() const;
   /// Ids of jobs in a final state, or delivered to another cell, that were
-  /// accepted before `aAcceptedBeforeMs`. Includes jobs with borrowed tasks.
+  /// accepted before `aAcceptedBeforeMs`. Includes jobs with borrowed tasks,
+  /// but only in a final state.
   std::vector<std::string> ListFinal(std::int64_t aAcceptedBeforeMs) const;
   /// Number of jobs, including those whose submission has not been read.
   std::size_t Size() const;
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -125,6 +125,16 @@
   /// Job id and RecordKey::mPart of a loan.
   using LoanId = std::pair<std::string, std::string>;
 
+  /// A loan that the published load of its target may not contain.
+  struct PendingLoan
+  {
+    int mTarget = 0;
+    std::string mPool;
+    int mCount = 0;
+    /// Offset of the copy in the journal of the target, once it is stored.
+    std::optional<std::int64_t> mOffset;
+  };
+
   struct KnownWorker
   {
     dispatch::WorkerEntry mEntry;
@@ -255,12 +265,20 @@
   void ChooseLoans(base::TimePoint aNow);
   /// True if a loan of the job is about to be stored.
   bool IsLending(const std::string& aJobId) const;
-  /// Lends tasks of the step to the cell of `aTarget`.
-  void StoreLoan(const jobs::JobEntry& aJob,
+  /// Lends tasks of the step to the cell of `aTarget`. Returns false if the log
+  /// could not store the loan.
+  bool StoreLoan(const jobs::JobEntry& aJob,
                  const dispatch::UnplacedTasks& aTasks,
-                 const cells::LoanTarget& aTarget);
+                 const cells::LoanTarget& aTarget,
+                 const std::set<int>& aFormerCells);
+  /// The loads of the cells, with the lent tasks that they do not contain yet.
+  CellLoads LoadsWithPendingLoans();
+  /// Cells that must not borrow tasks of the job from this one.
+  std::set<int> FormerCellsOf(const jobs::JobEntry& aJob) const;
   /// Passes the end of the job on to the cells that run tasks of it.
   void EndLoans(const std::string& aJobId);
+  /// True if a borrower may lack tasks of the job, or its end.
+  bool HasLoansToSend(const std::string& aJobId) const;
   /// Copies lent tasks, and the ends of their jobs, to the journals of their
   /// targets until these have them.
   void SendLoans(base::TimePoint aNow);
@@ -361,6 +379,8 @@
   base::TimePoint mNextTransferAt;
 
   base::TimePoint mNextLoansAt;
+  base::TimePoint mNextLoanCopyAt;
+  base::TimePoint mNextUnplacedLogAt;
   /// Loans that go into the next batch.
   std::vector<std::pair<LoanId, jobs::TaskLoan>> mLoansToStore;
   /// Loans in the batch that is being stored.
@@ -369,6 +389,9 @@
   std::set<LoanId> mLoansToSend;
   /// Loans whose copy awaits a response.
   std::set<LoanId> mLoansInFlight;
+  std::map<LoanId, PendingLoan> mPendingLoans;
+  /// Ids of jobs whose end this leader has passed on.
+  std::set<std::string> mEndedLoans;
 };
 
 } // namespace skylarkhill::node
--- a/src/cells/cell_load.cpp
+++ b/src/cells/cell_load.cpp
@@ -17,7 +17,8 @@
                               std::int64_t,
                               std::set<std::string>,
                               std::map<std::int64_t, int>,
-                              int>;
+                              int,
+                              std::int64_t>;
 
 } // namespace
 
@@ -43,7 +44,8 @@
                       it.mWaitingBackfill,
                       it.mLabels,
                       it.mLastingRooms,
-                      it.mNewLastingTasks);
+                      it.mNewLastingTasks,
+                      it.mJournalOffset);
   }
   return base::PackMsgpack(rows);
 }
@@ -61,7 +63,8 @@
                             std::get<4>(it),
                             std::move(std::get<5>(it)),
                             std::move(std::get<6>(it)),
-                            std::get<7>(it) });
+                            std::get<7>(it),
+                            std::get<8>(it) });
   }
   return load;
 }
--- a/src/cells/cells_test.cpp
+++ b/src/cells/cells_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -73,7 +74,7 @@
          std::int64_t aWaiting,
          const std::set<std::string>& aLabels = { "a" })
 {
-  return { { { "pool", aFree, aWaiting, 0, 0, aLabels, {}, 0 } } };
+  return { { { "pool", aFree, aWaiting, 0, 0, aLabels, {}, 0, 0 } } };
 }
 
 /// One cell for each entry, which is its PoolLoad::mLastingRooms.
@@ -115,6 +116,8 @@
   CPPUNIT_TEST(LendsLastingTasksToTheCellThatCanRunThem);
   CPPUNIT_TEST(KeepsLastingTasksWhileOtherTasksMayEnd);
   CPPUNIT_TEST(LendsNoTasksToACellThatFillsUp);
+  CPPUNIT_TEST(LendsToACellWithRoomForOneTask);
+  CPPUNIT_TEST(DividesLoansAmongCells);
   CPPUNIT_TEST(ReadsLoadsOfVersionsWithoutLoans);
   CPPUNIT_TEST_SUITE_END();
 
@@ -379,12 +382,13 @@
     const LoanDemand demand{ "pool", "", 3000, 10 };
     const auto loads =
       LoadsWithRooms({ {}, { { 2000, 90 } }, { { 6000, 2 } } });
-    const auto target = ChooseLoan(demand, 0, {}, loads, {});
+    const auto target = ChooseLoan("job", demand, 0, {}, loads, {});
     CPPUNIT_ASSERT(target);
     CPPUNIT_ASSERT_EQUAL(2, target->mTarget);
     CPPUNIT_ASSERT_EQUAL(2, target->mCount);
-    CPPUNIT_ASSERT(!ChooseLoan(demand, 0, 2, loads, {}));
-    CPPUNIT_ASSERT(!ChooseLoan({ "pool", "b", 3000, 10 }, 0, {}, loads, {}));
+    CPPUNIT_ASSERT(!ChooseLoan("job", demand, 0, { 2 }, loads, {}));
+    CPPUNIT_ASSERT(
+      !ChooseLoan("job", { "pool", "b", 3000, 10 }, 0, {}, loads, {}));
   }
 
   // Guards against loans that a worker of the own cell would have saved.
@@ -392,9 +396,9 @@
   {
     const LoanDemand demand{ "pool", "", 3000, 1 };
     const auto loads = LoadsWithRooms({ { { 4000, 1 } }, { { 9000, 9 } } });
-    CPPUNIT_ASSERT(!ChooseLoan(demand, 0, {}, loads, {}));
+    CPPUNIT_ASSERT(!ChooseLoan("job", demand, 0, {}, loads, {}));
     CPPUNIT_ASSERT(
-      ChooseLoan(demand, 0, {}, loads, std::chrono::milliseconds(5000)));
+      ChooseLoan("job", demand, 0, {}, loads, std::chrono::milliseconds(5000)));
   }
 
   // Guards against lenders that overload a cell before it publishes its next
@@ -404,13 +408,49 @@
     const LoanDemand demand{ "pool", "", 3000, 4 };
     auto loads = LoadsWithRooms({ {}, { { 6000, 8 } }, {} });
     int lent = 0;
-    while (const auto target = ChooseLoan(demand, 0, {}, loads, {})) {
+    while (const auto target = ChooseLoan("job", demand, 0, {}, loads, {})) {
       lent += target->mCount;
       Reserve(*loads[1], { "pool", "", 3000, target->mCount }, 2);
     }
     CPPUNIT_ASSERT(lent > 0 && lent <= 8);
   }
 
+  // Guards against a task that waits although many cells have room for one.
+  void LendsToACellWithRoomForOneTask()
+  {
+    std::vector<std::map<std::int64_t, int>> rooms(24, { { 3000, 1 } });
+    rooms[0].clear();
+    CPPUNIT_ASSERT(ChooseLoan(
+      "job", { "pool", "", 3000, 1 }, 0, {}, LoadsWithRooms(rooms), {}));
+  }
+
+  // Four cells lend at once, each from the same loads. Guards against more
+  // loans to one cell than it has room for.
+  void DividesLoansAmongCells()
+  {
+    constexpr int kLenders = 4;
+    constexpr int kJobsPerLender = 8;
+    std::vector<std::map<std::int64_t, int>> rooms(24, { { 3000, 10 } });
+    std::fill(
+      rooms.begin(), rooms.begin() + kLenders, std::map<std::int64_t, int>());
+    rooms[9] = { { 3000, 12 } };
+    std::map<int, int> borrowed;
+    for (int lender = 0; lender < kLenders; ++lender) {
+      auto loads = LoadsWithRooms(rooms);
+      for (int n = 0; n < kJobsPerLender; ++n) {
+        const LoanDemand demand{ "pool", "", 3000, 1 };
+        const std::string id = std::to_string(lender) + "-" + std::to_string(n);
+        const auto target = ChooseLoan(id, demand, lender, {}, loads, {});
+        CPPUNIT_ASSERT(target);
+        ++borrowed[target->mTarget];
+        Reserve(*loads[static_cast<std::size_t>(target->mTarget)], demand, 23);
+      }
+    }
+    for (const auto& [cell, count] : borrowed) {
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(cell), count <= 10);
+    }
+  }
+
   // Guards against leaders that skip each other's loads during a rollout.
   void ReadsLoadsOfVersionsWithoutLoans()
   {
--- a/src/cells/transfer_policy.cpp
+++ b/src/cells/transfer_policy.cpp
@@ -19,8 +19,9 @@
 /// A lasting job moves if the target has this many times its demand more room.
 constexpr std::int64_t kMinBalanceDemands = 2;
 
-/// A cell borrows at most one task for this many that it has room for: other
-/// cells lend to it at the same time, and its own tasks may need the room.
+/// A cell borrows one task, or at most one for this many that it has room for:
+/// other cells lend to it at the same time, and its own tasks may need the
+/// room.
 constexpr std::int64_t kRoomPerBorrowedTask = 2;
 /// Tasks that wait for longer are lent even if other tasks of their cell may
 /// end and leave a worker to them.
@@ -202,9 +203,10 @@
 }
 
 std::optional<LoanTarget>
-ChooseLoan(const LoanDemand& aDemand,
+ChooseLoan(const std::string& aJobId,
+           const LoanDemand& aDemand,
            int aLender,
-           std::optional<int> aExcluded,
+           const std::set<int>& aExcluded,
            const std::vector<std::optional<CellLoad>>& aLoads,
            base::Duration aWaited)
 {
@@ -219,18 +221,42 @@
   if (roomOf(aLender) > 0 && aWaited < kMaxPlacementTime) {
     return std::nullopt;
   }
-  std::optional<int> target;
-  std::int64_t most = 0;
+  struct Candidate
+  {
+    std::uint64_t mRank = 0;
+    int mCell = 0;
+    std::int64_t mRoom = 0;
+  };
+  std::vector<Candidate> candidates;
   for (int cell = 0; cell < static_cast<int>(aLoads.size()); ++cell) {
-    if (cell != aLender && cell != aExcluded && roomOf(cell) > most) {
-      most = roomOf(cell);
-      target = cell;
+    const bool mayBorrow = cell != aLender && aExcluded.count(cell) == 0;
+    const std::int64_t room = mayBorrow ? roomOf(cell) : 0;
+    if (room > 0) {
+      candidates.push_back(
+        { base::StableHash(aJobId, static_cast<std::uint64_t>(cell)),
+          cell,
+          room });
     }
   }
-  const std::int64_t n =
-    std::min<std::int64_t>(aDemand.mCount, most / kRoomPerBorrowedTask);
-  return n > 0 ? std::optional<LoanTarget>({ *target, static_cast<int>(n) })
-               : std::nullopt;
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  // Lenders that see the same loads must not all choose the same cell.
+  const std::size_t n = std::min<std::size_t>(2, candidates.size());
+  std::partial_sort(candidates.begin(),
+                    candidates.begin() + static_cast<std::ptrdiff_t>(n),
+                    candidates.end(),
+                    [](const Candidate& aLeft, const Candidate& aRight) {
+                      return aLeft.mRank < aRight.mRank;
+                    });
+  const Candidate& best = n == 2 && candidates[1].mRoom > candidates[0].mRoom
+                            ? candidates[1]
+                            : candidates[0];
+  const std::int64_t most =
+    (best.mRoom + kRoomPerBorrowedTask - 1) / kRoomPerBorrowedTask;
+  return LoanTarget{
+    best.mCell, static_cast<int>(std::min<std::int64_t>(aDemand.mCount, most))
+  };
 }
 
 void
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -331,7 +331,9 @@
     job->mZeroValueAtMs = job->mSubmission.mAcceptedMs +
                           static_cast<std::int64_t>(
                             kZeroValueFactor * static_cast<double>(objective));
-    job->mIsStartRecorded = aJob.mProgress.mMayHaveStarted;
+    // A loan is stored before the progress, which says so, too.
+    job->mIsStartRecorded =
+      aJob.mProgress.mMayHaveStarted || !aJob.mLoans.empty();
     job->mIsStartRecordRequested = job->mIsStartRecorded;
     job->mMayHaveEarlierRuns = aIsFromEarlierTerm && job->mIsStartRecorded;
     RestoreProgress(*job, mColocationModel, aJob, mLimits.mMaxTasksPerRecord);
@@ -400,7 +402,8 @@
                              step->mSpec->mRequiredLabel,
                              step->mSpec->mResources.mMilliProcessors,
                              static_cast<int>(n),
-                             *step->mNoRoomSince });
+                             *step->mNoRoomSince,
+                             IsUnstarted(*step->mJob) });
       }
     }
     return unplaced;
@@ -432,13 +435,16 @@
                               task.mFailedRuns,
                               NextRunNumber(task) - 1,
                               task.mCheckpoint });
-      SetElsewhere(task);
+      SetLent(task);
       MarkChanged(task);
     }
     if (step->mWaitingCount == 0) {
       step->mNoRoomSince.reset();
     }
-    MarkDirty(*step->mJob);
+    if (!lent.mTasks.empty()) {
+      RequestStartRecord(*step->mJob);
+      MarkDirty(*step->mJob);
+    }
     return lent;
   }
 
@@ -1015,8 +1021,8 @@
   {
     const ScheduledJob& job = *aStep.mJob;
     return aStep.mSpec->mIsService && !aStep.mSpec->mIsGang &&
-           aStep.mWaitingCount > 0 && !job.mIsBorrowed &&
-           job.mIsStartRecorded && job.mSubmission.mRequest.mOccurrences == 0;
+           aStep.mWaitingCount > 0 &&
+           job.mSubmission.mRequest.mOccurrences == 0;
   }
 
   /// True if the task waits here and no worker can have it.
@@ -1831,6 +1837,7 @@
     aStep.mIsUrgent = IsUrgent(aStep);
     if (!EnsureStartRecorded(aStep, aNow)) {
       if (!aStep.mJob->mIsStartRecordRequested) {
+        SetNoRoom(aStep, aNow);
         RequestAdvice(aStep, aNow);
       }
       return true;
@@ -1849,9 +1856,7 @@
         return false;
       }
       if (!PlaceRun(task, aNow)) {
-        if (!aStep.mNoRoomSince) {
-          aStep.mNoRoomSince = aNow;
-        }
+        SetNoRoom(aStep, aNow);
         RequestAdvice(aStep, aNow);
         return true;
       }
@@ -1860,6 +1865,13 @@
     return true;
   }
 
+  static void SetNoRoom(StepState& aStep, TimePoint aNow)
+  {
+    if (!aStep.mNoRoomSince) {
+      aStep.mNoRoomSince = aNow;
+    }
+  }
+
   /// Asks the advice service which workers may run the step; called when no
   /// worker with a ticket can take a waiting task. Workers are asked about
   /// again only after their tickets have expired or were refused, and after a
@@ -1923,13 +1935,20 @@
     ScheduledJob& job = *aStep.mJob;
     if (!job.mIsStartRecordRequested &&
         FindWorker(aStep.mTasks.front(), aNow) != nullptr) {
-      job.mIsStartRecordRequested = true;
-      mRequestedStartRecords.push_back(job.mSubmission.mId);
+      RequestStartRecord(job);
       MarkDirty(job);
     }
     return job.mIsStartRecorded;
   }
 
+  void RequestStartRecord(ScheduledJob& aJob)
+  {
+    if (!aJob.mIsStartRecordRequested) {
+      aJob.mIsStartRecordRequested = true;
+      mRequestedStartRecords.push_back(aJob.mSubmission.mId);
+    }
+  }
+
   /// True while a run started by an earlier leader may be active on a worker
   /// that has not reported yet.
   bool IsStartDeferred(const TaskState& aTask) const
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -60,7 +60,7 @@
 jobs::BorrowedTasks
 Lend(FakeSite& aSite, FakeSite::Leader& aLeader, const jobs::JobEntry& aJob)
 {
-  jobs::BorrowedTasks lent{ *aJob.mSubmission, {} };
+  jobs::BorrowedTasks lent{ *aJob.mSubmission, {}, {} };
   for (const auto& it :
        aLeader.GetDispatcher().ListUnplaced(aSite.Now() - milliseconds(500))) {
     lent.mSteps.push_back(aLeader.GetDispatcher().LendTasks(it, it.mCount));
@@ -78,7 +78,8 @@
     jobs::StepProgress step;
     step.mTasks.push_back({ it, false, {}, 4, "point" });
     entry.mBorrowed["1." + std::to_string(it)] = { *aJob.mSubmission,
-                                                   { step } };
+                                                   { step },
+                                                   { 1 } };
   }
   return entry;
 }
@@ -382,6 +383,9 @@
   CPPUNIT_TEST(StartsNoLentTaskAgain);
   CPPUNIT_TEST(LendsOnlyTasksThatNoWorkerCanHave);
   CPPUNIT_TEST(StartsOnlyTheBorrowedTasksOfAJob);
+  CPPUNIT_TEST(StartsNoBorrowedTaskThatItHasLentOn);
+  CPPUNIT_TEST(CountsNoUnplaceableTasksAsNew);
+  CPPUNIT_TEST(LendsTasksOfAnUnstartedJob);
   CPPUNIT_TEST(WaitsForReportsBeforeStartingTasksBorrowedLater);
   CPPUNIT_TEST(StartsNewJobsAfterATakeoverWithoutWaiting);
   CPPUNIT_TEST(PlacesOnTimeJobsBeforeLateJobs);
@@ -1008,7 +1012,7 @@
     jobs::JobEntry stored = Stored(leader, job);
     site.Kill(leader);
     const jobs::JobEntry former = stored;
-    stored.mLoans["1"] = { 1, true, lent.mSteps };
+    stored.mLoans["1"] = { 1, true, lent.mSteps, {} };
     std::int64_t epoch = 1;
     for (const auto& it : { stored, former }) {
       auto& successor = AddSuccessor(site, ++epoch);
@@ -1067,6 +1071,85 @@
     CPPUNIT_ASSERT(site.Worker("w1").mRuns.empty());
   }
 
+  // A borrower without room lends a task on, and reads its own loan and a late
+  // copy of the first one. Guards against a second run beside that of the next
+  // borrower.
+  void StartsNoBorrowedTaskThatItHasLentOn()
+  {
+    FakeSite site;
+    site.mRunTime = OneMinuteRunTime;
+    site.AddWorker("w1", 1000);
+    auto& leader = site.AddLeader(1);
+    const jobs::JobEntry job = MakeService("a", 4, "x");
+    jobs::JobEntry borrowed = Borrowed(job, { 2 });
+    leader.GetDispatcher().AddJob(borrowed, false, site.Now());
+    site.Advance(milliseconds(1500));
+    const jobs::BorrowedTasks lent = Lend(site, leader, job);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, lent.mSteps.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, lent.mSteps[0].mTasks.size());
+    const jobs::TaskProgress& task = lent.mSteps[0].mTasks[0];
+    CPPUNIT_ASSERT_EQUAL(2, task.mIndex);
+    CPPUNIT_ASSERT(task.mLastRun >= 4);
+    CPPUNIT_ASSERT_EQUAL(std::string("point"), task.mCheckpoint);
+    leader.GetDispatcher().AddJob(borrowed, false, site.Now());
+    site.AddWorker("w2");
+    leader.GetDispatcher().SetWorker(site.Worker("w2").Entry(), site.Now());
+    site.Advance(milliseconds(1500));
+    CPPUNIT_ASSERT(leader.mStarts.empty());
+    site.Kill(leader);
+    borrowed.mLoans["1"] = { 2, true, lent.mSteps, {} };
+    auto& successor = AddSuccessor(site, 2);
+    successor.GetDispatcher().AddJob(borrowed, true, site.Now());
+    site.Advance(milliseconds(15'000));
+    CPPUNIT_ASSERT(successor.mStarts.empty());
+  }
+
+  // No worker can have a lasting job, which is never started. Guards against a
+  // load that says for ever that these tasks will use the room (LOST).
+  void CountsNoUnplaceableTasksAsNew()
+  {
+    FakeSite site;
+    site.AddWorker("w1", 4000);
+    auto& leader = site.AddLeader(1);
+    jobs::JobEntry job = MakeService("a", 8, "x");
+    job.mSubmission->mRequest.mSteps.front().mResources.mMilliProcessors = 5000;
+    leader.GetDispatcher().AddJob(job, false, site.Now());
+    site.Advance(milliseconds(2000));
+    CPPUNIT_ASSERT(leader.mStarts.empty());
+    const auto load = leader.GetDispatcher().Load(site.Now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         load.mPools.at(0).mLastingRooms.size());
+    CPPUNIT_ASSERT_EQUAL(0, load.mPools.at(0).mNewLastingTasks);
+  }
+
+  // A job waits without a start, and no cell has room for all of it. Guards
+  // against tasks that no cell gets (LOST), and against a transfer of the whole
+  // job beside the loan, by this leader or by one that has only read the loan.
+  void LendsTasksOfAnUnstartedJob()
+  {
+    FakeSite site;
+    site.mRunTime = OneMinuteRunTime;
+    site.AddWorker("w1", 1000);
+    auto& leader = site.AddLeader(1);
+    jobs::JobEntry job = MakeService("a", 2, "x");
+    leader.GetDispatcher().AddJob(job, false, site.Now());
+    site.Advance(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         leader.GetDispatcher().ListUnstarted().size());
+    const jobs::BorrowedTasks lent = Lend(site, leader, job);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, lent.mSteps.size());
+    CPPUNIT_ASSERT(leader.GetDispatcher().ListUnstarted().empty());
+    CPPUNIT_ASSERT(!leader.GetDispatcher().ReleaseJob("a"));
+    site.Advance(milliseconds(500));
+    CPPUNIT_ASSERT(leader.mStored.at("a").mMayHaveStarted);
+    site.Kill(leader);
+    job.mLoans["1"] = { 1, false, lent.mSteps, {} };
+    auto& successor = AddSuccessor(site, 2);
+    successor.GetDispatcher().AddJob(job, true, site.Now());
+    CPPUNIT_ASSERT(successor.GetDispatcher().ListUnstarted().empty());
+    CPPUNIT_ASSERT(!successor.GetDispatcher().ReleaseJob("a"));
+  }
+
   // An earlier leader of the borrower may have read the second loan and started
   // its task without a record, because the start of the job is recorded. Guards
   // against a second run of that task.
--- a/src/dispatch/job_state.cpp
+++ b/src/dispatch/job_state.cpp
@@ -160,7 +160,7 @@
       for (const auto& it : step.mTasks) {
         TaskState* task = FindTask(aJob, step, it.mIndex);
         if (task != nullptr) {
-          SetElsewhere(*task);
+          SetLent(*task);
         }
       }
     }
@@ -177,10 +177,9 @@
   for (int index = aFirst; index < aEnd; ++index) {
     const TaskState& task = aStep.mTasks[static_cast<std::size_t>(index)];
     // Versions without loans start no task that is stored as done.
-    const bool isLent = task.mIsElsewhere && !aStep.mJob->mIsBorrowed;
-    if (task.mIsDone || isLent || task.mHasEndedRun) {
+    if (task.mIsDone || task.mIsLent || task.mHasEndedRun) {
       progress.mTasks.push_back({ index,
-                                  task.mIsDone || isLent,
+                                  task.mIsDone || task.mIsLent,
                                   task.mFailedRuns,
                                   task.mLastRun,
                                   task.mIsDone ? "" : task.mCheckpoint });
@@ -201,9 +200,8 @@
     CountTasks(aJob) > aMaxTasksPerRecord ? aMaxTasksPerRecord : 0;
   if (aJob.mIsBorrowed) {
     AddBorrowedTasks(aJob, aModel, aStored);
-  } else {
-    RestoreLoans(aJob, aModel, aStored);
   }
+  RestoreLoans(aJob, aModel, aStored);
   for (const auto& it : aStored.mProgress.mSteps) {
     BeginOccurrencesUpTo(aJob, aModel, it.mOccurrence);
     RestoreTasks(aJob, it);
@@ -252,7 +250,7 @@
       BeginOccurrencesUpTo(aJob, aModel, step.mOccurrence);
       for (const auto& it : step.mTasks) {
         TaskState* task = FindTask(aJob, step, it.mIndex);
-        if (task == nullptr || !task->mIsElsewhere) {
+        if (task == nullptr || !task->mIsElsewhere || task->mIsLent) {
           continue;
         }
         task->mIsElsewhere = false;
@@ -270,10 +268,11 @@
 }
 
 void
-SetElsewhere(TaskState& aTask)
+SetLent(TaskState& aTask)
 {
   if (!aTask.mIsElsewhere && !aTask.mIsDone) {
     aTask.mIsElsewhere = true;
+    aTask.mIsLent = true;
     --aTask.mStep->mWaitingCount;
   }
 }
--- a/src/dispatch/job_state.hpp
+++ b/src/dispatch/job_state.hpp
@@ -49,9 +49,9 @@
                  ColocationModel& aModel,
                  const jobs::JobEntry& aStored);
 
-/// Gives the task, which must have no runs, to another cell.
+/// Leaves the task, which must have no runs, to another cell.
 void
-SetElsewhere(TaskState& aTask);
+SetLent(TaskState& aTask);
 
 /// Returns the progress of `aJob` that must become durable. Changes of ranges
 /// are returned once.
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -84,6 +84,8 @@
   bool mMayHaveEarlierRun = false;
   /// Another cell runs the task. It has no runs here.
   bool mIsElsewhere = false;
+  /// This cell has lent the task, for good.
+  bool mIsLent = false;
 };
 
 /// Ticket of the advice service to run a step on a worker.
@@ -144,7 +146,7 @@
   jobs::Submission mSubmission;
   jobs::JobState mState = jobs::JobState::Pending;
   base::TimePoint mAddedAt;
-  /// The job is in another cell, which has lent some of its tasks to this one.
+  /// The job is in another cell. This one has borrowed some of its tasks.
   bool mIsBorrowed = false;
   /// Unix time by which the job should be complete.
   std::int64_t mObjectiveAtMs = 0;
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -67,9 +67,11 @@
 using TaskRangeFields =
   std::tuple<int, int, int, std::string, std::vector<TaskFields>>;
 using TransferFields = std::tuple<int, bool>;
-using LoanFields = std::tuple<int, bool, std::vector<StepProgressFields>>;
-/// The encoded submission and the tasks.
-using BorrowedFields = std::tuple<std::string, std::vector<StepProgressFields>>;
+using LoanFields =
+  std::tuple<int, bool, std::vector<StepProgressFields>, std::vector<int>>;
+/// The encoded submission, the tasks and their former cells.
+using BorrowedFields =
+  std::tuple<std::string, std::vector<StepProgressFields>, std::vector<int>>;
 using ProgressFields = std::tuple<int, bool, std::vector<StepProgressFields>>;
 
 StepFields
@@ -387,8 +389,10 @@
 std::string
 EncodeLoan(const TaskLoan& aLoan)
 {
-  return base::PackMsgpack(
-    LoanFields{ aLoan.mTarget, aLoan.mIsDelivered, ToFields(aLoan.mSteps) });
+  return base::PackMsgpack(LoanFields{ aLoan.mTarget,
+                                       aLoan.mIsDelivered,
+                                       ToFields(aLoan.mSteps),
+                                       aLoan.mFormerCells });
 }
 
 base::Result<TaskLoan>
@@ -400,14 +404,16 @@
   }
   return TaskLoan{ std::get<0>(fields),
                    std::get<1>(fields),
-                   ToSteps(std::move(std::get<2>(fields))) };
+                   ToSteps(std::move(std::get<2>(fields))),
+                   std::move(std::get<3>(fields)) };
 }
 
 std::string
 EncodeBorrowedTasks(const BorrowedTasks& aTasks)
 {
   return base::PackMsgpack(BorrowedFields{ EncodeSubmission(aTasks.mSubmission),
-                                           ToFields(aTasks.mSteps) });
+                                           ToFields(aTasks.mSteps),
+                                           aTasks.mFormerCells });
 }
 
 base::Result<BorrowedTasks>
@@ -416,7 +422,8 @@
   BOOST_OUTCOME_TRY(fields, base::UnpackMsgpack<BorrowedFields>(aBytes));
   BOOST_OUTCOME_TRY(submission, DecodeSubmission(std::get<0>(fields)));
   return BorrowedTasks{ std::move(submission),
-                        ToSteps(std::move(std::get<1>(fields))) };
+                        ToSteps(std::move(std::get<1>(fields))),
+                        std::move(std::get<2>(fields)) };
 }
 
 } // namespace skylarkhill::jobs
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -362,7 +362,8 @@
     const std::lock_guard lock(shard.mLock);
     for (const auto& [id, job] : shard.mJobs) {
       const bool isOver =
-        IsFinal(job.State()) || (job.mTransfer && job.mTransfer->mIsDelivered);
+        IsFinal(job.State()) ||
+        (job.mTransfer && job.mTransfer->mIsDelivered && !job.IsBorrowed());
       const Submission* submission = job.KnownSubmission();
       if (submission != nullptr && isOver &&
           submission->mAcceptedMs < aAcceptedBeforeMs) {
--- a/src/jobs/jobs_test.cpp
+++ b/src/jobs/jobs_test.cpp
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(KeepsTheNewestTaskRange);
   CPPUNIT_TEST(RoundTripsALoan);
   CPPUNIT_TEST(HidesBorrowedTasksFromCallers);
+  CPPUNIT_TEST(KeepsBorrowedTasksOfATransferredJob);
   CPPUNIT_TEST(KeepsALoanUntilTheBorrowerHasTheEndOfTheJob);
   CPPUNIT_TEST(RefusesMalformedRecords);
   CPPUNIT_TEST(IgnoresARepeatedSubmission);
@@ -150,14 +151,15 @@
     StepProgress step;
     step.mStep = 1;
     step.mTasks = { { 3, false, {}, 5, "point" } };
-    const auto loan = DecodeLoan(EncodeLoan({ 2, true, { step } }));
+    const auto loan = DecodeLoan(EncodeLoan({ 2, true, { step }, { 0, 1 } }));
     CPPUNIT_ASSERT(loan);
     CPPUNIT_ASSERT_EQUAL(2, loan.value().mTarget);
     CPPUNIT_ASSERT(loan.value().mIsDelivered);
-    const auto tasks = DecodeBorrowedTasks(
-      EncodeBorrowedTasks({ MakeSubmission("a"), loan.value().mSteps }));
+    const auto tasks = DecodeBorrowedTasks(EncodeBorrowedTasks(
+      { MakeSubmission("a"), loan.value().mSteps, loan.value().mFormerCells }));
     CPPUNIT_ASSERT(tasks);
     CPPUNIT_ASSERT_EQUAL(std::string("a"), tasks.value().mSubmission.mId);
+    CPPUNIT_ASSERT(tasks.value().mFormerCells == std::vector<int>({ 0, 1 }));
     const StepProgress& copy = tasks.value().mSteps.at(0);
     CPPUNIT_ASSERT_EQUAL(1, copy.mStep);
     CPPUNIT_ASSERT_EQUAL(3, copy.mTasks.at(0).mIndex);
@@ -175,7 +177,7 @@
   {
     JobTable table;
     const std::string key = FormatPartKey(RecordKind::Borrowed, "a", "2.1");
-    table.Apply(key, EncodeBorrowedTasks({ MakeSubmission("a"), {} }), 1);
+    table.Apply(key, EncodeBorrowedTasks({ MakeSubmission("a"), {}, {} }), 1);
     CPPUNIT_ASSERT(!table.Contains("a"));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, table.CountPending("q"));
     CPPUNIT_ASSERT(table.List().empty());
@@ -188,6 +190,29 @@
       table.ListFinal(MakeSubmission("a").mAcceptedMs + 1).size());
   }
 
+  // The home of a transferred job runs some of its tasks. Guards against a
+  // cleanup of their records while they run, and against a start of the others.
+  void KeepsBorrowedTasksOfATransferredJob()
+  {
+    JobTable table;
+    const Submission submission = MakeSubmission("a");
+    table.Apply(SubmissionKey("a"), EncodeSubmission(submission), 1);
+    table.Apply(FormatRecordKey(RecordKind::Transfer, "a"),
+                EncodeTransfer({ 1, true }),
+                2);
+    const std::int64_t later = submission.mAcceptedMs + 1;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, table.ListFinal(later).size());
+    CPPUNIT_ASSERT(table.ListOpen().empty());
+    const std::string key = FormatPartKey(RecordKind::Borrowed, "a", "1.1");
+    table.Apply(key, EncodeBorrowedTasks({ submission, {}, {} }), 3);
+    CPPUNIT_ASSERT(table.ListFinal(later).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, table.ListOpen().size());
+    CPPUNIT_ASSERT(table.Find("a")->IsBorrowed());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, table.CountPending("q"));
+    table.Apply(FormatRecordKey(RecordKind::Cancellation, "a"), "1", 4);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, table.ListFinal(later).size());
+  }
+
   // Guards against a new leader that leaves a copy, or a cancellation, to its
   // predecessor, which may not have sent it.
   void KeepsALoanUntilTheBorrowerHasTheEndOfTheJob()
@@ -195,11 +220,11 @@
     JobTable table;
     table.Apply(SubmissionKey("a"), EncodeSubmission(MakeSubmission("a")), 1);
     const std::string key = FormatPartKey(RecordKind::Loan, "a", "1");
-    table.Apply(key, EncodeLoan({ 2, false, {} }), 2);
+    table.Apply(key, EncodeLoan({ 2, false, {}, {} }), 2);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, table.ListLoansToRepeat().size());
-    table.Apply(key, EncodeLoan({ 2, true, {} }), 3);
+    table.Apply(key, EncodeLoan({ 2, true, {}, {} }), 3);
     // The leader applies its own records before it reads its older ones.
-    table.Apply(key, EncodeLoan({ 2, false, {} }), 2);
+    table.Apply(key, EncodeLoan({ 2, false, {}, {} }), 2);
     CPPUNIT_ASSERT(table.ListLoansToRepeat().empty());
     table.Apply(FormatRecordKey(RecordKind::Cancellation, "a"), "1", 4);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, table.ListLoansToRepeat().size());
@@ -209,8 +234,8 @@
 
   void RefusesMalformedRecords()
   {
-    CPPUNIT_ASSERT(!DecodeLoan(EncodeLoan({ -1, false, {} })));
-    CPPUNIT_ASSERT(!DecodeBorrowedTasks(EncodeLoan({ 1, false, {} })));
+    CPPUNIT_ASSERT(!DecodeLoan(EncodeLoan({ -1, false, {}, {} })));
+    CPPUNIT_ASSERT(!DecodeBorrowedTasks(EncodeLoan({ 1, false, {}, {} })));
     CPPUNIT_ASSERT(!ParseRecordKey("b/a"));
     CPPUNIT_ASSERT(!DecodeTaskRange(EncodeProgress({})));
     CPPUNIT_ASSERT(!ParseRecordKey("r/a"));
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace skylarkhill::node {
@@ -117,9 +118,13 @@
 /// Time in which the cell may find a worker for a lasting task before it is
 /// lent.
 constexpr Duration kMinTimeBeforeLoan = std::chrono::milliseconds(500);
+/// The same for tasks of an unstarted job, which may move as a whole.
+constexpr Duration kMinTimeBeforeFirstLoan = std::chrono::milliseconds(2000);
 constexpr int kMaxTasksPerLoan = 64;
 constexpr int kMaxLoansPerRound = 50;
 constexpr std::size_t kMaxLoansInFlight = 50;
+/// Pause between two log lines about lasting tasks that no cell has room for.
+constexpr Duration kUnplacedLogInterval = std::chrono::seconds(2);
 constexpr std::size_t kMaxTransfersInFlight = 50;
 /// Interval between two load records of a leader.
 constexpr Duration kLoadInterval = std::chrono::milliseconds(250);
@@ -997,6 +1002,8 @@
   mLoansInBatch.clear();
   mLoansToSend.clear();
   mLoansInFlight.clear();
+  mPendingLoans.clear();
+  mEndedLoans.clear();
   mJournalReader.SetPause(FollowerJournalPause());
   mJournalReader.SetWait(kReadWait);
 }
@@ -1238,46 +1245,101 @@
 void
 Cell::ChooseLoans(TimePoint aNow)
 {
-  if (aNow < mNextLoansAt) {
+  // A cancellation that this leader has not read would reach the borrower late.
+  if (aNow < mNextLoansAt || mStartsHeldAt) {
     return;
   }
   mNextLoansAt = aNow + kLoadInterval;
+  const auto unplaced = mDispatcher->ListUnplaced(aNow - kMinTimeBeforeLoan);
+  if (unplaced.empty()) {
+    return;
+  }
+  CellLoads loads = LoadsWithPendingLoans();
   int n = 0;
-  for (const auto& it : mDispatcher->ListUnplaced(aNow - kMinTimeBeforeLoan)) {
+  int left = 0;
+  std::int64_t smallest = std::numeric_limits<std::int64_t>::max();
+  for (const auto& it : unplaced) {
     cells::LoanDemand demand{
       it.mPool, it.mLabel, it.mProcessors, std::min(it.mCount, kMaxTasksPerLoan)
     };
     const Duration waited = aNow - it.mNoRoomSince;
-    auto target =
-      cells::ChooseLoan(demand, mOptions.mIndex, {}, mLoads, waited);
-    if (!target) {
-      continue;
-    }
-    const auto job = mJobs.Find(it.mJobId);
+    // Before that, an unstarted job may move as a whole.
+    const bool mayLend = !it.mIsUnstarted || waited >= kMinTimeBeforeFirstLoan;
+    auto target = mayLend
+                    ? cells::ChooseLoan(
+                        it.mJobId, demand, mOptions.mIndex, {}, loads, waited)
+                    : std::nullopt;
+    const auto job = target ? mJobs.Find(it.mJobId) : std::nullopt;
     // The number of the next loan follows from the stored ones.
-    if (!job || !job->mSubmission || job->mIsCancelled ||
+    if (!job || job->KnownSubmission() == nullptr || job->mIsCancelled ||
         IsLending(it.mJobId)) {
+      left += it.mCount;
+      smallest = std::min(smallest, it.mProcessors);
       continue;
     }
-    // The journal of the home of a transferred job has other records of it.
-    const int home =
-      cells::HomeOfJob(mMap, it.mJobId, job->mSubmission->mRequest);
-    if (target->mTarget == home) {
-      target = cells::ChooseLoan(demand, mOptions.mIndex, home, mLoads, waited);
+    const std::set<int> formerCells = FormerCellsOf(*job);
+    if (formerCells.count(target->mTarget) != 0) {
+      target = cells::ChooseLoan(
+        it.mJobId, demand, mOptions.mIndex, formerCells, loads, waited);
     }
     if (!target) {
+      left += it.mCount;
+      smallest = std::min(smallest, it.mProcessors);
+      continue;
+    }
+    if (!StoreLoan(*job, it, *target, formerCells)) {
       continue;
     }
     demand.mCount = target->mCount;
     // The other lenders see the same room.
-    cells::Reserve(*mLoads[static_cast<std::size_t>(target->mTarget)],
+    cells::Reserve(*loads[static_cast<std::size_t>(target->mTarget)],
                    demand,
                    mOptions.mCellCount - 1);
-    StoreLoan(*job, it, *target);
     if (++n == kMaxLoansPerRound) {
       return;
     }
   }
+  if (left > 0 && aNow >= mNextUnplacedLogAt) {
+    mNextUnplacedLogAt = aNow + kUnplacedLogInterval;
+    logging::Write(logging::Level::Info,
+                   "lasting_tasks_unplaced",
+                   { { "tasks", left }, { "smallest_processors", smallest } });
+  }
+}
+
+CellLoads
+Cell::LoadsWithPendingLoans()
+{
+  CellLoads loads = mLoads;
+  for (auto it = mPendingLoans.begin(); it != mPendingLoans.end();) {
+    auto& load = loads[static_cast<std::size_t>(it->second.mTarget)];
+    cells::PoolLoad* pool = nullptr;
+    if (load) {
+      for (cells::PoolLoad& entry : load->mPools) {
+        pool = entry.mPool == it->second.mPool ? &entry : pool;
+      }
+    }
+    if (pool != nullptr && it->second.mOffset &&
+        pool->mJournalOffset > *it->second.mOffset) {
+      it = mPendingLoans.erase(it);
+      continue;
+    }
+    if (pool != nullptr) {
+      pool->mNewLastingTasks += it->second.mCount;
+    }
+    ++it;
+  }
+  return loads;
+}
+
+std::set<int>
+Cell::FormerCellsOf(const jobs::JobEntry& aJob) const
+{
+  std::set<int> cells{ mOptions.mIndex };
+  for (const auto& [part, borrowed] : aJob.mBorrowed) {
+    cells.insert(borrowed.mFormerCells.begin(), borrowed.mFormerCells.end());
+  }
+  return cells;
 }
 
 bool
@@ -1290,16 +1352,17 @@
          std::any_of(mLoansInBatch.begin(), mLoansInBatch.end(), isJob);
 }
 
-void
+bool
 Cell::StoreLoan(const jobs::JobEntry& aJob,
                 const dispatch::UnplacedTasks& aTasks,
-                const cells::LoanTarget& aTarget)
+                const cells::LoanTarget& aTarget,
+                const std::set<int>& aFormerCells)
 {
   const std::string& id = aTasks.mJobId;
   const auto isStorable = [&](const jobs::StepProgress& aStep) {
     const LogRecord record{
       jobs::FormatRecordKey(jobs::RecordKind::Borrowed, id),
-      jobs::EncodeBorrowedTasks({ *aJob.mSubmission, { aStep } }),
+      jobs::EncodeBorrowedTasks({ *aJob.KnownSubmission(), { aStep }, {} }),
       0
     };
     return SizeOf(record) + kMaxLoanPartBytes <=
@@ -1310,11 +1373,11 @@
   jobs::StepProgress placeholder;
   placeholder.mTasks.resize(static_cast<std::size_t>(aTarget.mCount));
   if (!isStorable(placeholder)) {
-    return;
+    return false;
   }
   jobs::StepProgress step = mDispatcher->LendTasks(aTasks, aTarget.mCount);
   if (step.mTasks.empty()) {
-    return;
+    return false;
   }
   if (!isStorable(step)) {
     DropCheckpoints(id, step);
@@ -1334,22 +1397,45 @@
                    { "target", aTarget.mTarget },
                    { "waited_ms", ToMs(mClock.Now() - aTasks.mNoRoomSince) } });
   mLentTasksCount.Add(n);
-  mLoansToStore.push_back({ { id, std::to_string(number) },
-                            { aTarget.mTarget, false, { std::move(step) } } });
+  const LoanId loanId{ id, std::to_string(number) };
+  mPendingLoans[loanId] = {
+    aTarget.mTarget, aTasks.mPool, static_cast<int>(n), {}
+  };
+  mLoansToStore.push_back({ loanId,
+                            { aTarget.mTarget,
+                              false,
+                              { std::move(step) },
+                              { aFormerCells.begin(), aFormerCells.end() } } });
+  return true;
 }
 
 void
 Cell::EndLoans(const std::string& aJobId)
 {
-  for (const auto& it : mJobs.ListLoans(aJobId)) {
+  const auto loans = mJobs.ListLoans(aJobId);
+  // Two cells may lend tasks of the same job to each other.
+  if (loans.empty() || !mEndedLoans.insert(aJobId).second) {
+    return;
+  }
+  for (const auto& it : loans) {
     mLoansToSend.emplace(aJobId, it);
   }
 }
 
+bool
+Cell::HasLoansToSend(const std::string& aJobId) const
+{
+  const auto isIn = [&](const std::set<LoanId>& aLoans) {
+    const auto first = aLoans.lower_bound({ aJobId, "" });
+    return first != aLoans.end() && first->first == aJobId;
+  };
+  return IsLending(aJobId) || isIn(mLoansToSend) || isIn(mLoansInFlight);
+}
+
 void
 Cell::SendLoans(TimePoint aNow)
 {
-  if (aNow < mNextTransferAt) {
+  if (aNow < mNextLoanCopyAt) {
     return;
   }
   for (auto it = mLoansToSend.begin();
@@ -1363,7 +1449,8 @@
     it = mLoansToSend.erase(it);
     const auto job = mJobs.Find(id.first);
     const auto loan = mJobs.LoanOf(id.first, id.second);
-    if (!job || !job->mSubmission || !loan ||
+    const jobs::Submission* submission = job ? job->KnownSubmission() : nullptr;
+    if (submission == nullptr || !loan ||
         loan->mTarget >= mOptions.mCellCount) {
       continue;
     }
@@ -1374,7 +1461,8 @@
       { jobs::FormatPartKey(jobs::RecordKind::Borrowed,
                             id.first,
                             std::to_string(mOptions.mIndex) + "." + id.second),
-        jobs::EncodeBorrowedTasks({ *job->mSubmission, loan->mSteps }),
+        jobs::EncodeBorrowedTasks(
+          { *submission, loan->mSteps, loan->mFormerCells }),
         0 });
     if (jobs::IsFinal(job->State())) {
       request.mRecords.push_back(
@@ -1399,9 +1487,13 @@
   if (aResult.mOutcome != LogOutcome::Done) {
     // All copies are equal, so that a repeated one changes nothing.
     mLoansToSend.insert(aId);
-    mNextTransferAt = mClock.Now() + kFlushRetryPause;
+    mNextLoanCopyAt = mClock.Now() + kFlushRetryPause;
     return;
   }
+  const auto pending = mPendingLoans.find(aId);
+  if (pending != mPendingLoans.end()) {
+    pending->second.mOffset = aResult.mOffset;
+  }
   auto loan = mJobs.LoanOf(aId.first, aId.second);
   if (loan && !loan->mIsDelivered) {
     loan->mIsDelivered = true;
@@ -1531,9 +1623,11 @@
   }
   if (isLoadDue) {
     mNextLoadAt = now + kLoadInterval;
-    AddRecord(jobs::RecordKind::Load,
-              kLoadId,
-              cells::EncodeCellLoad(mDispatcher->Load(now)));
+    cells::CellLoad load = mDispatcher->Load(now);
+    for (cells::PoolLoad& it : load.mPools) {
+      it.mJournalOffset = mJournalReader.NextOffset();
+    }
+    AddRecord(jobs::RecordKind::Load, kLoadId, cells::EncodeCellLoad(load));
   }
   mBatchSentAt = now;
   if (mBatch.IsEmpty()) {
@@ -1677,6 +1771,13 @@
   }
   mNextCleanupAt = now + kCleanupInterval;
   auto oldJobs = mJobs.ListFinal(mWallClock.NowMs() - kFinalJobRetentionMs);
+  // Otherwise nobody would tell the borrowers that the jobs have ended.
+  oldJobs.erase(std::remove_if(oldJobs.begin(),
+                               oldJobs.end(),
+                               [this](const std::string& aId) {
+                                 return HasLoansToSend(aId);
+                               }),
+                oldJobs.end());
   if (oldJobs.empty()) {
     return;
   }
--- a/src/node/cell_random_test.cpp
+++ b/src/node/cell_random_test.cpp
@@ -5,11 +5,13 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "fake_shared_log_test.hpp"
@@ -30,6 +32,7 @@
 constexpr milliseconds kRecoveryTime{ 25'000 };
 /// Seeds in a usual run; SKYLARKHILL_CELL_SEEDS overrides it.
 constexpr int kSeeds = 25;
+constexpr int kLoanSeeds = 60;
 /// Time in which a lasting task without a run must start again.
 constexpr milliseconds kMaxTimeWithoutRun{ 9000 };
 
@@ -94,13 +97,32 @@
   const base::Clock& mClock;
 };
 
+/// Unix time that advances with the clock of the simulation.
+class SimulatedWallClock : public journal::WallClock
+{
+public:
+  explicit SimulatedWallClock(const base::Clock& aClock)
+    : mClock(aClock)
+  {
+  }
+
+  std::int64_t NowMs() const override
+  {
+    return 1'700'000'000'000 + base::ToMicros(mClock.Now()) / 1000;
+  }
+
+private:
+  const base::Clock& mClock;
+};
+
 struct CellInstance
 {
   CellInstance(FakeLogState& aState,
                FakeWorkers& aWorkers,
                const base::Clock& aClock,
                const NodeOptions& aOptions)
-    : mLog(aState)
+    : mWallClock(aClock)
+    , mLog(aState)
     , mClients(aWorkers, aClock)
     , mProfile(aClock, mMetrics)
     , mNode(aOptions,
@@ -109,7 +131,7 @@
             mClients,
             mDecoder,
             aClock,
-            journal::GetSystemWallClock(),
+            mWallClock,
             mProfile,
             mMetrics)
   {
@@ -118,6 +140,7 @@
   }
 
   metrics::Registry mMetrics;
+  SimulatedWallClock mWallClock;
   FakeSharedLog mLog;
   FakeWorkerClients mClients;
   DomainDecoder mDecoder;
@@ -207,19 +230,10 @@
   }
 
   /// Most workers of a cell with started jobs leave. Then the jobs are
-  /// cancelled, while the cells that have borrowed tasks have other leaders.
+  /// cancelled, one of them while no cell has a leader.
   void ShrinkCell()
   {
-    mHasSpecialJobs = false;
-    mHasLargeJobs = true;
-    Advance(milliseconds(8000));
-    for (int n = 0; n < 30; ++n) {
-      Submit();
-    }
-    Advance(milliseconds(3000));
-    RemoveWorker("d0w0");
-    RemoveWorker("d0w1");
-    Advance(kMaxTimeWithoutRun);
+    StartLoans();
     CheckOutcome();
     if (!mProblem.empty()) {
       return;
@@ -228,10 +242,64 @@
       mInstances[n].reset();
       mInstances[n] = CreateInstance(static_cast<int>(n));
     }
-    Advance(milliseconds(2000));
+    Advance(milliseconds(1000));
+    Cancel();
+    // The cells have leaders again.
+    Advance(milliseconds(6000));
+    for (int n = 0; n < 200; ++n) {
+      Cancel();
+    }
+    Advance(kRecoveryTime);
+    CheckOutcome();
+  }
+
+  /// Tasks of old jobs are lent. The jobs are cancelled while their cell cannot
+  /// write the journals of the borrowers.
+  void CancelOldJobs()
+  {
+    StartLoans();
+    Advance(std::chrono::seconds(420));
+    for (std::size_t n = 0; n < mInstances.size(); n += kDomains) {
+      mInstances[n]->mLog.mUnwritableStreams = { "journal/1", "journal/2" };
+    }
     for (int n = 0; n < 200; ++n) {
       Cancel();
     }
+    // Longer than the interval between two removals of old jobs.
+    Advance(std::chrono::seconds(25));
+    for (auto& it : mInstances) {
+      it->mLog.mUnwritableStreams.clear();
+    }
+    Advance(kRecoveryTime);
+    mLoanCount = CountRecords("b/");
+    // The journals may have forgotten the jobs.
+    for (const auto& [id, worker] : mWorkers) {
+      for (const auto& it : worker.mRuns) {
+        if (mJobs[it.mTask.mJobId].mIsCancelled) {
+          mProblem = dispatch::ToText(it.mTask) + " was cancelled and runs";
+        }
+      }
+    }
+  }
+
+  /// Like StartLoans, with lasting jobs in each cell for which no worker is
+  /// large enough.
+  void ShrinkCellBesideUnplaceableJobs()
+  {
+    Advance(milliseconds(8000));
+    for (int n = 0; n < 12; ++n) {
+      jobs::Step step;
+      step.mIsService = true;
+      step.mCount = 100;
+      step.mResources.mMilliProcessors = kWorkerMilliProcessors + 1000;
+      jobs::JobRequest request;
+      request.mSteps.push_back(step);
+      const std::string id = "unplaceable" + std::to_string(n);
+      const auto result = AnyInstance().mNode.GetJobRouter().Submit(
+        MakePolicy(), id, request, mClock.Now() + milliseconds(400));
+      mMayExist.insert(id);
+    }
+    StartLoans();
     Advance(kRecoveryTime);
     CheckOutcome();
   }
@@ -244,7 +312,7 @@
   bool mHasSpecialJobs = true;
   /// Few jobs of tasks that need a quarter of a worker each.
   bool mHasLargeJobs = false;
-  /// Workers of the first failure domain crash, are cut off and return.
+  /// Workers of two failure domains crash, are cut off and return.
   bool mLosesWorkers = false;
 
 private:
@@ -255,6 +323,30 @@
     bool mIsCancelled = false;
   };
 
+  /// Most workers of a cell with started jobs leave.
+  void StartLoans()
+  {
+    mHasSpecialJobs = false;
+    mHasLargeJobs = true;
+    Advance(milliseconds(8000));
+    for (int n = 0; n < 30; ++n) {
+      Submit();
+    }
+    Advance(milliseconds(3000));
+    RemoveWorker("d0w0");
+    RemoveWorker("d0w1");
+    Advance(kMaxTimeWithoutRun);
+  }
+
+  static jobs::QueuePolicy MakePolicy()
+  {
+    jobs::QueuePolicy policy;
+    policy.mQueue = "queue";
+    policy.mPool = "pool";
+    policy.mMaxFailedRuns = 3;
+    return policy;
+  }
+
   std::unique_ptr<CellInstance> CreateInstance(int aNumber)
   {
     NodeOptions options;
@@ -301,8 +393,8 @@
 
   void DisturbWorker()
   {
-    const std::string id =
-      "d0w" + std::to_string(mRandom->Below(kWorkersPerDomain - 1));
+    constexpr std::array<std::string_view, 3> kIds{ "d0w0", "d0w1", "d1w0" };
+    const std::string id(kIds.at(mRandom->Below(kIds.size())));
     FakeWorkerState& worker = mWorkers[id];
     if (worker.mIsCutOff) {
       worker.mIsCutOff = false;
@@ -394,20 +486,16 @@
       }
       job.mRequest.mSteps.push_back(step);
     }
-    jobs::QueuePolicy policy;
-    policy.mQueue = "queue";
-    policy.mPool = "pool";
-    policy.mMaxFailedRuns = 3;
     const auto result = AnyInstance().mNode.GetJobRouter().Submit(
-      policy, id, job.mRequest, mClock.Now() + milliseconds(400));
+      MakePolicy(), id, job.mRequest, mClock.Now() + milliseconds(400));
     job.mIsAccepted = job.mIsAccepted || result;
     mMayExist.insert(id);
   }
 
-  /// The large jobs fill half of the site.
+  /// The large jobs request less than half of the site.
   std::string RandomJobId()
   {
-    return "job" + std::to_string(mRandom->Below(mHasLargeJobs ? 5 : 40));
+    return "job" + std::to_string(mRandom->Below(mHasLargeJobs ? 4 : 40));
   }
 
   void Cancel()
@@ -540,6 +628,8 @@
   CPPUNIT_TEST(KeepsEachJobInOneCell);
   CPPUNIT_TEST(RunsTasksOfACellThatHasBecomeTooSmall);
   CPPUNIT_TEST(RunsLentTasksOnceWhileWorkersComeAndGo);
+  CPPUNIT_TEST(PassesOnTheCancellationOfAnOldJob);
+  CPPUNIT_TEST(LendsBesideUnplaceableJobs);
   CPPUNIT_TEST(KeepsTheBacklogOfALostLeader);
   CPPUNIT_TEST(LoadsTheRegistryInFewInstances);
   CPPUNIT_TEST(TakesOverAWorkerThatMovesToAnotherCell);
@@ -575,13 +665,13 @@
     CPPUNIT_ASSERT(simulation.LoanCount() > 0);
   }
 
-  // Workers of one cell crash, are cut off and return, beside the failures of
-  // the test above. Guards against a task that runs in the cell of its job and
-  // in the one that has borrowed it.
+  // Workers of two cells crash, are cut off and return, beside the failures of
+  // the test above, so that borrowed tasks are lent on. Guards against a task
+  // that runs in the cell of its job and in the one that has borrowed it.
   void RunsLentTasksOnceWhileWorkersComeAndGo()
   {
     const char* text = std::getenv("SKYLARKHILL_CELL_SEEDS");
-    const int seeds = text != nullptr ? std::atoi(text) : kSeeds;
+    const int seeds = text != nullptr ? std::atoi(text) : kLoanSeeds;
     int loans = 0;
     for (int seed = 1; seed <= seeds; ++seed) {
       CellSimulation simulation(static_cast<std::uint64_t>(seed));
@@ -596,6 +686,25 @@
     CPPUNIT_ASSERT(loans > 0);
   }
 
+  // Guards against a lender that removes a final job from its journal before
+  // the borrowers have its cancellation, so that its tasks run on (UNASKED).
+  void PassesOnTheCancellationOfAnOldJob()
+  {
+    CellSimulation simulation(1);
+    simulation.CancelOldJobs();
+    CPPUNIT_ASSERT(simulation.LoanCount() > 0);
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Problem());
+  }
+
+  // Guards against jobs that no worker can have and that end all loans (LOST).
+  void LendsBesideUnplaceableJobs()
+  {
+    CellSimulation simulation(1);
+    simulation.ShrinkCellBesideUnplaceableJobs();
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Problem());
+    CPPUNIT_ASSERT(simulation.LoanCount() > 0);
+  }
+
   // Guards against a new leader that moves its backlog to other cells because
   // no worker has answered it yet.
   void KeepsTheBacklogOfALostLeader()
