--- a/include/skylarkhill/jobs/job.hpp
+++ b/include/skylarkhill/jobs/job.hpp
@@ -149,6 +149,28 @@
   bool mIsDelivered = false;
 };
 
+/// Lasting tasks that have left a cell for another one, for good.
+struct TaskLoan
+{
+  /// The cell that runs the tasks.
+  int mTarget = 0;
+  /// The journal of the target has the tasks.
+  bool mIsDelivered = false;
+  /// The tasks with their last run numbers and checkpoints.
+  std::vector<StepProgress> mSteps;
+  /// Cells that have had one of the tasks. They do not get them again.
+  std::vector<int> mFormerCells;
+};
+
+/// Tasks that a cell runs instead of the cell that has lent them.
+struct BorrowedTasks
+{
+  Submission mSubmission;
+  /// As in TaskLoan.
+  std::vector<StepProgress> mSteps;
+  std::vector<int> mFormerCells;
+};
+
 /// Durable state of a job, apart from its submission. A job in a final state
 /// has no steps.
 struct JobProgress
--- a/src/cells/cell_load.cpp
+++ b/src/cells/cell_load.cpp
@@ -15,7 +15,10 @@
                               std::int64_t,
                               std::int64_t,
                               std::int64_t,
-                              std::set<std::string>>;
+                              std::set<std::string>,
+                              std::map<std::int64_t, int>,
+                              int,
+                              std::int64_t>;
 
 } // namespace
 
@@ -39,7 +42,10 @@
                       it.mWaiting,
                       it.mFreeForBackfill,
                       it.mWaitingBackfill,
-                      it.mLabels);
+                      it.mLabels,
+                      it.mLastingRooms,
+                      it.mNewLastingTasks,
+                      it.mJournalOffset);
   }
   return base::PackMsgpack(rows);
 }
@@ -55,7 +61,10 @@
                             std::get<2>(it),
                             std::get<3>(it),
                             std::get<4>(it),
-                            std::move(std::get<5>(it)) });
+                            std::move(std::get<5>(it)),
+                            std::move(std::get<6>(it)),
+                            std::get<7>(it),
+                            std::get<8>(it) });
   }
   return load;
 }
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -6,7 +6,9 @@
 #include "skylarkhill/node/worker_lease_record.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace skylarkhill::node {
@@ -41,6 +43,9 @@
 constexpr Duration kFlushInterval = std::chrono::milliseconds(20);
 /// Space in a record for the progress of one task, with its checkpoint.
 constexpr std::size_t kMaxTaskProgressBytes = 512;
+/// Room for RecordKey::mPart of a loan in the key of its copy, and for run
+/// numbers.
+constexpr std::size_t kMaxLoanPartBytes = 1024;
 /// Minimum interval between two records of the interference estimates. Longer
 /// after a large record, because every instance reads them.
 constexpr Duration kModelInterval = std::chrono::seconds(2);
@@ -110,6 +115,16 @@
 constexpr Duration kFirstReportsTime = std::chrono::milliseconds(700);
 constexpr Duration kTransferInterval = std::chrono::milliseconds(100);
 constexpr int kMaxTransfersPerRound = 50;
+/// Time in which the cell may find a worker for a lasting task before it is
+/// lent.
+constexpr Duration kMinTimeBeforeLoan = std::chrono::milliseconds(500);
+/// The same for tasks of an unstarted job, which may move as a whole.
+constexpr Duration kMinTimeBeforeFirstLoan = std::chrono::milliseconds(2000);
+constexpr int kMaxTasksPerLoan = 64;
+constexpr int kMaxLoansPerRound = 50;
+constexpr std::size_t kMaxLoansInFlight = 50;
+/// Pause between two log lines about lasting tasks that no cell has room for.
+constexpr Duration kUnplacedLogInterval = std::chrono::seconds(2);
 constexpr std::size_t kMaxTransfersInFlight = 50;
 /// Interval between two load records of a leader.
 constexpr Duration kLoadInterval = std::chrono::milliseconds(250);
@@ -150,6 +165,8 @@
   , mTransfersCount(
       mMetrics.GetCounter("skylarkhill_jobs_transferred_total",
                           "Jobs that this leader has moved to other cells."))
+  , mLentTasksCount(mMetrics.GetCounter("skylarkhill_tasks_lent_total",
+                                        "Lasting tasks left to other cells."))
   , mDroppedCheckpoints(mMetrics.GetCounter(
       "skylarkhill_checkpoints_dropped_total",
       "Checkpoints that did not fit into a record of the journal."))
@@ -254,11 +271,19 @@
   if (aNow >= mDispatcher->NextTickAt()) {
     const LoopProfile::Timer timer(mProfile, LoopPhase::Dispatch);
     mDispatcher->Tick(aNow, mWallClock.NowMs());
-    ChooseTransfers(aNow);
+    if (mOptions.mCellCount > 1 && aNow >= mTransfersFrom &&
+        aNow >= mNextTransferCheckAt) {
+      mNextTransferCheckAt = aNow + kTransferInterval;
+      mLoads[static_cast<std::size_t>(mOptions.mIndex)] =
+        mDispatcher->Load(aNow);
+      ChooseTransfers(aNow);
+      ChooseLoans(aNow);
+    }
   }
   const LoopProfile::Timer timer(mProfile, LoopPhase::Flush);
   Flush();
   SendTransfers(aNow);
+  SendLoans(aNow);
   RemoveOldJobs();
 }
 
@@ -276,7 +301,8 @@
     next = std::min(next, mDispatcher->NextTickAt());
     if (!mIsFlushInFlight &&
         (!mBatch.IsEmpty() || mDispatcher->IsDirty() ||
-         !mTransfersToStore.empty() || !mWorkersToRecord.empty())) {
+         !mTransfersToStore.empty() || !mLoansToStore.empty() ||
+         !mWorkersToRecord.empty())) {
       next = std::min(next, mNextFlushAt);
     }
   } else if (mEpoch != 0 && !mAreEarlierWritersFenced && !mIsFlushInFlight) {
@@ -521,6 +547,8 @@
     case jobs::RecordKind::Progress:
     case jobs::RecordKind::TaskRange:
     case jobs::RecordKind::Transfer:
+    case jobs::RecordKind::Loan:
+    case jobs::RecordKind::Borrowed:
       if (mDispatcher != nullptr && !aRecord.mValue.empty()) {
         OnJobRecord(*key, aRecord);
       }
@@ -551,10 +579,25 @@
       if (mJobs.TransferOf(aKey.mId)) {
         mTransfersToSend.insert(aKey.mId);
       }
+      EndLoans(aKey.mId);
       break;
+    case jobs::RecordKind::Borrowed: {
+      const auto job = mJobs.Find(aKey.mId);
+      if (job && job->IsBorrowed()) {
+        logging::Write(logging::Level::Info,
+                       "tasks_borrowed",
+                       { { "job", aKey.mId },
+                         { "loan", aKey.mPart },
+                         { "state", jobs::NameOf(job->State()) },
+                         { "offset", aRecord.mOffset } });
+        mDispatcher->AddJob(*job, mJobsToAdd.count(aKey.mId) != 0, now);
+      }
+      break;
+    }
     case jobs::RecordKind::Progress:
     case jobs::RecordKind::TaskRange:
     case jobs::RecordKind::Transfer:
+    case jobs::RecordKind::Loan:
     case jobs::RecordKind::Model:
     case jobs::RecordKind::Worker:
     case jobs::RecordKind::WorkerLease:
@@ -955,6 +998,12 @@
   mTransfersInBatch.clear();
   mTransfersToSend.clear();
   mTransfersInFlight.clear();
+  mLoansToStore.clear();
+  mLoansInBatch.clear();
+  mLoansToSend.clear();
+  mLoansInFlight.clear();
+  mPendingLoans.clear();
+  mEndedLoans.clear();
   mJournalReader.SetPause(FollowerJournalPause());
   mJournalReader.SetWait(kReadWait);
 }
@@ -1034,7 +1083,10 @@
   mJobsToAdd.insert(openJobs.begin(), openJobs.end());
   const auto transfers = mJobs.ListTransfersToRepeat();
   mTransfersToSend.insert(transfers.begin(), transfers.end());
+  const auto loans = mJobs.ListLoansToRepeat();
+  mLoansToSend.insert(loans.begin(), loans.end());
   mTransfersFrom = now + kFirstReportsTime;
+  mNextLoansAt = mTransfersFrom;
   mProfile.Reset();
 }
 
@@ -1111,12 +1163,6 @@
 void
 Cell::ChooseTransfers(TimePoint aNow)
 {
-  if (mOptions.mCellCount == 1 || aNow < mTransfersFrom ||
-      aNow < mNextTransferCheckAt) {
-    return;
-  }
-  mNextTransferCheckAt = aNow + kTransferInterval;
-  mLoads[static_cast<std::size_t>(mOptions.mIndex)] = mDispatcher->Load(aNow);
   int n = 0;
   for (const auto& it : mDispatcher->ListUnstarted()) {
     const auto job = mJobs.Find(it.mId);
@@ -1196,6 +1242,265 @@
   }
 }
 
+void
+Cell::ChooseLoans(TimePoint aNow)
+{
+  // A cancellation that this leader has not read would reach the borrower late.
+  if (aNow < mNextLoansAt || mStartsHeldAt) {
+    return;
+  }
+  mNextLoansAt = aNow + kLoadInterval;
+  const auto unplaced = mDispatcher->ListUnplaced(aNow - kMinTimeBeforeLoan);
+  if (unplaced.empty()) {
+    return;
+  }
+  CellLoads loads = LoadsWithPendingLoans();
+  int n = 0;
+  int left = 0;
+  std::int64_t smallest = std::numeric_limits<std::int64_t>::max();
+  for (const auto& it : unplaced) {
+    cells::LoanDemand demand{
+      it.mPool, it.mLabel, it.mProcessors, std::min(it.mCount, kMaxTasksPerLoan)
+    };
+    const Duration waited = aNow - it.mNoRoomSince;
+    // Before that, an unstarted job may move as a whole.
+    const bool mayLend = !it.mIsUnstarted || waited >= kMinTimeBeforeFirstLoan;
+    auto target = mayLend
+                    ? cells::ChooseLoan(
+                        it.mJobId, demand, mOptions.mIndex, {}, loads, waited)
+                    : std::nullopt;
+    const auto job = target ? mJobs.Find(it.mJobId) : std::nullopt;
+    // The number of the next loan follows from the stored ones.
+    if (!job || job->KnownSubmission() == nullptr || job->mIsCancelled ||
+        IsLending(it.mJobId)) {
+      left += it.mCount;
+      smallest = std::min(smallest, it.mProcessors);
+      continue;
+    }
+    const std::set<int> formerCells = FormerCellsOf(*job);
+    if (formerCells.count(target->mTarget) != 0) {
+      target = cells::ChooseLoan(
+        it.mJobId, demand, mOptions.mIndex, formerCells, loads, waited);
+    }
+    if (!target) {
+      left += it.mCount;
+      smallest = std::min(smallest, it.mProcessors);
+      continue;
+    }
+    if (!StoreLoan(*job, it, *target, formerCells)) {
+      continue;
+    }
+    demand.mCount = target->mCount;
+    // The other lenders see the same room.
+    cells::Reserve(*loads[static_cast<std::size_t>(target->mTarget)],
+                   demand,
+                   mOptions.mCellCount - 1);
+    if (++n == kMaxLoansPerRound) {
+      return;
+    }
+  }
+  if (left > 0 && aNow >= mNextUnplacedLogAt) {
+    mNextUnplacedLogAt = aNow + kUnplacedLogInterval;
+    logging::Write(logging::Level::Info,
+                   "lasting_tasks_unplaced",
+                   { { "tasks", left }, { "smallest_processors", smallest } });
+  }
+}
+
+CellLoads
+Cell::LoadsWithPendingLoans()
+{
+  CellLoads loads = mLoads;
+  for (auto it = mPendingLoans.begin(); it != mPendingLoans.end();) {
+    auto& load = loads[static_cast<std::size_t>(it->second.mTarget)];
+    cells::PoolLoad* pool = nullptr;
+    if (load) {
+      for (cells::PoolLoad& entry : load->mPools) {
+        pool = entry.mPool == it->second.mPool ? &entry : pool;
+      }
+    }
+    if (pool != nullptr && it->second.mOffset &&
+        pool->mJournalOffset > *it->second.mOffset) {
+      it = mPendingLoans.erase(it);
+      continue;
+    }
+    if (pool != nullptr) {
+      pool->mNewLastingTasks += it->second.mCount;
+    }
+    ++it;
+  }
+  return loads;
+}
+
+std::set<int>
+Cell::FormerCellsOf(const jobs::JobEntry& aJob) const
+{
+  std::set<int> cells{ mOptions.mIndex };
+  for (const auto& [part, borrowed] : aJob.mBorrowed) {
+    cells.insert(borrowed.mFormerCells.begin(), borrowed.mFormerCells.end());
+  }
+  return cells;
+}
+
+bool
+Cell::IsLending(const std::string& aJobId) const
+{
+  const auto isJob = [&](const auto& aEntry) {
+    return aEntry.first.first == aJobId;
+  };
+  return std::any_of(mLoansToStore.begin(), mLoansToStore.end(), isJob) ||
+         std::any_of(mLoansInBatch.begin(), mLoansInBatch.end(), isJob);
+}
+
+bool
+Cell::StoreLoan(const jobs::JobEntry& aJob,
+                const dispatch::UnplacedTasks& aTasks,
+                const cells::LoanTarget& aTarget,
+                const std::set<int>& aFormerCells)
+{
+  const std::string& id = aTasks.mJobId;
+  const auto isStorable = [&](const jobs::StepProgress& aStep) {
+    const LogRecord record{
+      jobs::FormatRecordKey(jobs::RecordKind::Borrowed, id),
+      jobs::EncodeBorrowedTasks({ *aJob.KnownSubmission(), { aStep }, {} }),
+      0
+    };
+    return SizeOf(record) + kMaxLoanPartBytes <=
+           mOptions.mLogLimits.mMaxRecordBytes;
+  };
+  // Tasks that have been released must not be lost with a record that the log
+  // cannot store.
+  jobs::StepProgress placeholder;
+  placeholder.mTasks.resize(static_cast<std::size_t>(aTarget.mCount));
+  if (!isStorable(placeholder)) {
+    return false;
+  }
+  jobs::StepProgress step = mDispatcher->LendTasks(aTasks, aTarget.mCount);
+  if (step.mTasks.empty()) {
+    return false;
+  }
+  if (!isStorable(step)) {
+    DropCheckpoints(id, step);
+  }
+  int number = 1;
+  for (const auto& [part, loan] : aJob.mLoans) {
+    number = std::max(number, std::atoi(part.c_str()) + 1);
+  }
+  const auto n = static_cast<std::int64_t>(step.mTasks.size());
+  logging::Write(logging::Level::Info,
+                 "tasks_lent",
+                 { { "job", id },
+                   { "step", step.mStep },
+                   { "loan", number },
+                   { "tasks", n },
+                   { "of", aTasks.mCount },
+                   { "target", aTarget.mTarget },
+                   { "waited_ms", ToMs(mClock.Now() - aTasks.mNoRoomSince) } });
+  mLentTasksCount.Add(n);
+  const LoanId loanId{ id, std::to_string(number) };
+  mPendingLoans[loanId] = {
+    aTarget.mTarget, aTasks.mPool, static_cast<int>(n), {}
+  };
+  mLoansToStore.push_back({ loanId,
+                            { aTarget.mTarget,
+                              false,
+                              { std::move(step) },
+                              { aFormerCells.begin(), aFormerCells.end() } } });
+  return true;
+}
+
+void
+Cell::EndLoans(const std::string& aJobId)
+{
+  const auto loans = mJobs.ListLoans(aJobId);
+  // Two cells may lend tasks of the same job to each other.
+  if (loans.empty() || !mEndedLoans.insert(aJobId).second) {
+    return;
+  }
+  for (const auto& it : loans) {
+    mLoansToSend.emplace(aJobId, it);
+  }
+}
+
+bool
+Cell::HasLoansToSend(const std::string& aJobId) const
+{
+  const auto isIn = [&](const std::set<LoanId>& aLoans) {
+    const auto first = aLoans.lower_bound({ aJobId, "" });
+    return first != aLoans.end() && first->first == aJobId;
+  };
+  return IsLending(aJobId) || isIn(mLoansToSend) || isIn(mLoansInFlight);
+}
+
+void
+Cell::SendLoans(TimePoint aNow)
+{
+  if (aNow < mNextLoanCopyAt) {
+    return;
+  }
+  for (auto it = mLoansToSend.begin();
+       it != mLoansToSend.end() && mLoansInFlight.size() < kMaxLoansInFlight;) {
+    const LoanId id = *it;
+    if (mLoansInFlight.count(id) != 0) {
+      // The end of the job follows once the copy was answered.
+      ++it;
+      continue;
+    }
+    it = mLoansToSend.erase(it);
+    const auto job = mJobs.Find(id.first);
+    const auto loan = mJobs.LoanOf(id.first, id.second);
+    const jobs::Submission* submission = job ? job->KnownSubmission() : nullptr;
+    if (submission == nullptr || !loan ||
+        loan->mTarget >= mOptions.mCellCount) {
+      continue;
+    }
+    mLoansInFlight.insert(id);
+    AppendRequest request;
+    request.mStream = PartitionOf(mOptions.mJournal, loan->mTarget);
+    request.mRecords.push_back(
+      { jobs::FormatPartKey(jobs::RecordKind::Borrowed,
+                            id.first,
+                            std::to_string(mOptions.mIndex) + "." + id.second),
+        jobs::EncodeBorrowedTasks(
+          { *submission, loan->mSteps, loan->mFormerCells }),
+        0 });
+    if (jobs::IsFinal(job->State())) {
+      request.mRecords.push_back(
+        { jobs::FormatRecordKey(jobs::RecordKind::Cancellation, id.first),
+          "1",
+          0 });
+    }
+    mLog.Append(request,
+                aNow + kFlushTimeout,
+                [this, id, epoch = mEpoch](const AppendResult& aResult) {
+                  if (epoch == mEpoch && mDispatcher != nullptr) {
+                    OnLoanSent(id, aResult);
+                  }
+                });
+  }
+}
+
+void
+Cell::OnLoanSent(const LoanId& aId, const AppendResult& aResult)
+{
+  mLoansInFlight.erase(aId);
+  if (aResult.mOutcome != LogOutcome::Done) {
+    // All copies are equal, so that a repeated one changes nothing.
+    mLoansToSend.insert(aId);
+    mNextLoanCopyAt = mClock.Now() + kFlushRetryPause;
+    return;
+  }
+  const auto pending = mPendingLoans.find(aId);
+  if (pending != mPendingLoans.end()) {
+    pending->second.mOffset = aResult.mOffset;
+  }
+  auto loan = mJobs.LoanOf(aId.first, aId.second);
+  if (loan && !loan->mIsDelivered) {
+    loan->mIsDelivered = true;
+    mLoansToStore.emplace_back(aId, std::move(*loan));
+  }
+}
+
 void
 Cell::AddRecord(jobs::RecordKind aKind,
                 std::string_view aId,
@@ -1288,12 +1593,22 @@
   }
   auto [batch, dirty] = mDispatcher->TakeDirty();
   const bool isLoadDue = mOptions.mCellCount > 1 && now >= mNextLoadAt;
-  if (dirty.empty() && mTransfersToStore.empty() && mWorkersToRecord.empty() &&
-      !isLoadDue && mBatch.IsEmpty()) {
+  if (dirty.empty() && mTransfersToStore.empty() && mLoansToStore.empty() &&
+      mWorkersToRecord.empty() && !isLoadDue && mBatch.IsEmpty()) {
     mDispatcher->OnDurable(batch, now);
     return;
   }
   mBatchNumber = batch;
+  // The progress of a job marks lent tasks as done, so it must not be stored
+  // without the loan.
+  for (const auto& [id, loan] : mLoansToStore) {
+    mBatch.Add(
+      { jobs::FormatPartKey(jobs::RecordKind::Loan, id.first, id.second),
+        jobs::EncodeLoan(loan),
+        0 });
+  }
+  mLoansInBatch = std::move(mLoansToStore);
+  mLoansToStore.clear();
   for (auto& [id, progress] : dirty) {
     AddProgressRecords(id, progress);
   }
@@ -1308,9 +1623,11 @@
   }
   if (isLoadDue) {
     mNextLoadAt = now + kLoadInterval;
-    AddRecord(jobs::RecordKind::Load,
-              kLoadId,
-              cells::EncodeCellLoad(mDispatcher->Load(now)));
+    cells::CellLoad load = mDispatcher->Load(now);
+    for (cells::PoolLoad& it : load.mPools) {
+      it.mJournalOffset = mJournalReader.NextOffset();
+    }
+    AddRecord(jobs::RecordKind::Load, kLoadId, cells::EncodeCellLoad(load));
   }
   mBatchSentAt = now;
   if (mBatch.IsEmpty()) {
@@ -1378,6 +1695,12 @@
     const auto key = jobs::ParseRecordKey(it.mKey);
     if (key) {
       ApplyWorkerRecord(*key, { it.mKey, it.mValue, offset });
+      const auto state = key->mKind == jobs::RecordKind::Progress
+                           ? mJobs.StateOf(key->mId)
+                           : std::nullopt;
+      if (state && jobs::IsFinal(*state)) {
+        EndLoans(key->mId);
+      }
     }
     ++offset;
   }
@@ -1402,6 +1725,12 @@
     }
   }
   mTransfersInBatch.clear();
+  for (const auto& [id, loan] : mLoansInBatch) {
+    if (!loan.mIsDelivered) {
+      mLoansToSend.insert(id);
+    }
+  }
+  mLoansInBatch.clear();
 }
 
 std::vector<LogRecord>
@@ -1411,6 +1740,19 @@
   for (const auto& it : mJobs.ListRanges(aJobId)) {
     deletions.push_back({ jobs::FormatTaskRangeKey(aJobId, it), "", 0 });
   }
+  const auto job = mJobs.Find(aJobId);
+  if (job) {
+    for (const auto& [part, loan] : job->mLoans) {
+      deletions.push_back(
+        { jobs::FormatPartKey(jobs::RecordKind::Loan, aJobId, part), "", 0 });
+    }
+    for (const auto& [part, tasks] : job->mBorrowed) {
+      deletions.push_back(
+        { jobs::FormatPartKey(jobs::RecordKind::Borrowed, aJobId, part),
+          "",
+          0 });
+    }
+  }
   for (const auto kind : { jobs::RecordKind::Transfer,
                            jobs::RecordKind::Progress,
                            jobs::RecordKind::Cancellation,
@@ -1429,6 +1771,13 @@
   }
   mNextCleanupAt = now + kCleanupInterval;
   auto oldJobs = mJobs.ListFinal(mWallClock.NowMs() - kFinalJobRetentionMs);
+  // Otherwise nobody would tell the borrowers that the jobs have ended.
+  oldJobs.erase(std::remove_if(oldJobs.begin(),
+                               oldJobs.end(),
+                               [this](const std::string& aId) {
+                                 return HasLoansToSend(aId);
+                               }),
+                oldJobs.end());
   if (oldJobs.empty()) {
     return;
   }
