CancellationRandomTest: crash all instances after an acknowledgement

The leader may be cut from the log, the next instances start amid such faults and may crash as well.

--- a/src/node/cancellation_random_test.cpp
+++ b/src/node/cancellation_random_test.cpp
@@ -22,11 +22,13 @@
 /// Seeds in a usual run; SKYLARKHILL_CANCELLATION_SEEDS overrides it, and
 /// SKYLARKHILL_CANCELLATION_FIRST_SEED the first one.
 constexpr int kSeeds = 40;
+constexpr int kCrashSeeds = 60;
 constexpr int kInstances = 3;
 constexpr int kWorkers = 5;
 constexpr int kFirstJobs = 8;
 constexpr milliseconds kStep{ 20 };
 constexpr milliseconds kSeedTime{ 20'000 };
+constexpr milliseconds kShortSeedTime{ 6'000 };
 /// Time after the last disruption until tasks of cancelled jobs have stopped:
 /// until the instances count as undisturbed, and the bounds of a cancellation
 /// and of a stop.
@@ -35,6 +37,16 @@
 constexpr milliseconds kRecoveryTime{ 25'000 };
 constexpr milliseconds kCallerTimeout{ 1500 };
 
+/// How a simulated day ends.
+enum class DayEnd
+{
+  /// One of several ways, by the seed.
+  Drawn,
+  /// All instances end at most 400 ms after an acknowledgement, while calls are
+  /// lost and late.
+  CrashAmidFaults,
+};
+
 int
 NumberFromEnvironment(const char* aName, int aDefault)
 {
@@ -60,13 +72,14 @@
     AddInstances(kInstances);
   }
 
-  void Run()
+  void Run(DayEnd aEnd)
   {
     Advance(milliseconds(4000));
     for (int n = 0; n < kFirstJobs; ++n) {
       AddJob();
     }
-    const base::TimePoint end = mClock.Now() + kSeedTime;
+    const base::TimePoint end =
+      mClock.Now() + (aEnd == DayEnd::Drawn ? kSeedTime : kShortSeedTime);
     while (mClock.Now() < end) {
       Advance(kStep * (1 + Draw(25)));
       if (Draw(3) == 0) {
@@ -76,19 +89,13 @@
       }
     }
     EndDisruptions();
-    while (!AreCallersAnswered()) {
-      RetryCalls();
-      Advance(kStep * 5);
-    }
-    switch (Draw(3)) {
-      case 0:
-        CancelAndCrash();
-        break;
-      case 1:
-        CancelAmidFaults();
-        break;
-      default:
-        break;
+    AwaitAnswers();
+    if (aEnd == DayEnd::Drawn) {
+      EndDay();
+    } else {
+      // Tasks that disruptions have ended start again.
+      Advance(kStep * Draw(150));
+      CancelAndCrashAmidFaults();
     }
     EndDisruptions();
     Advance(kStoppedTime);
@@ -103,6 +110,8 @@
 
   int mCancelled = 0;
   int mCrashes = 0;
+  /// Crashes amid faults at which a task of the cancelled job was running.
+  int mCrashesBesideRuns = 0;
 
 private:
   struct Job
@@ -151,11 +160,11 @@
     }
   }
 
-  void Advance(base::Duration aTime)
+  void Advance(base::Duration aTime, milliseconds aStep = kStep)
   {
     const base::TimePoint end = mClock.Now() + aTime;
     while (mClock.Now() < end) {
-      mClock.Advance(kStep);
+      mClock.Advance(aStep);
       mNetwork.RunDue();
       for (auto& it : mInstances) {
         if (!it->mRecipient.IsPaused()) {
@@ -284,6 +293,14 @@
     });
   }
 
+  void AwaitAnswers()
+  {
+    while (!AreCallersAnswered()) {
+      RetryCalls();
+      Advance(kStep * 5);
+    }
+  }
+
   /// Null if all jobs are cancelled.
   Job* FindOpenJob()
   {
@@ -294,6 +311,20 @@
     return found != mJobs.end() ? &*found : nullptr;
   }
 
+  void EndDay()
+  {
+    switch (Draw(3)) {
+      case 0:
+        CancelAndCrash();
+        break;
+      case 1:
+        CancelAmidFaults();
+        break;
+      default:
+        break;
+    }
+  }
+
   /// All instances end right after an acknowledgement.
   void CancelAndCrash()
   {
@@ -318,12 +349,80 @@
       Advance(kStep * (1 + Draw(25)));
     }
     EndFaults();
-    while (!AreCallersAnswered()) {
-      RetryCalls();
-      Advance(kStep * 5);
+    AwaitAnswers();
+  }
+
+  void StartFaults()
+  {
+    mNetwork.mFaultPercent = Draw(60);
+    mNetwork.mMaxDelayMs = 20 + Draw(600);
+  }
+
+  void CutLogOf(std::size_t aInstance)
+  {
+    if (aInstance < mInstances.size()) {
+      mInstances[aInstance]->mLog.mIsCut = true;
     }
   }
 
+  bool HasRuns(const Job& aJob) const
+  {
+    return std::any_of(
+      mWorkers.begin(), mWorkers.end(), [&](const auto& aEntry) {
+        const auto& runs = aEntry.second.Runs();
+        return std::any_of(runs.begin(), runs.end(), [&](const auto& aRun) {
+          return aRun.mTask.mJobId == aJob.mId;
+        });
+      });
+  }
+
+  /// All instances end 5 to 400 ms after an acknowledgement, and the next ones
+  /// start, and may end again, amid the same faults. Polls, starts and appends
+  /// of the former ones are still in flight.
+  void CancelAndCrashAmidFaults()
+  {
+    Job* job = FindOpenJob();
+    if (job == nullptr) {
+      return;
+    }
+    StartFaults();
+    if (Draw(2) == 0) {
+      // The leader does not read the cancellation.
+      CutLogOf(LeaderIndex());
+    }
+    for (int n = 0; n < 40 && !job->mIsCancelled; ++n) {
+      if (Draw(4) == 0) {
+        Submit(*job);
+      }
+      if (!Cancel(*job)) {
+        Advance(kStep * (1 + Draw(10)));
+      }
+    }
+    if (Draw(2) == 0) {
+      Disrupt();
+    }
+    Advance(milliseconds(5 * (1 + Draw(80))), milliseconds(5));
+    mCrashesBesideRuns += job->mIsCancelled && HasRuns(*job) ? 1 : 0;
+    if (Draw(2) == 0) {
+      ExpireRecords();
+    }
+    if (Draw(3) == 0) {
+      // The next leader knows the worker by the journal only.
+      SetRegistered(Draw(kWorkers), false);
+    }
+    CrashAll();
+    for (int n = Draw(3); n > 0; --n) {
+      Advance(kStep * Draw(200));
+      CrashAll();
+    }
+    Advance(kStep * Draw(100));
+    StartFaults();
+    CutLogOf(static_cast<std::size_t>(Draw(2 * kInstances)));
+    Advance(kStep * Draw(150));
+    EndDisruptions();
+    AwaitAnswers();
+  }
+
   void CrashAll()
   {
     ++mCrashes;
@@ -492,6 +591,7 @@
 {
   CPPUNIT_TEST_SUITE(CancellationRandomTest);
   CPPUNIT_TEST(StopsCancelledJobsWhileInstancesAndTheLogFail);
+  CPPUNIT_TEST(StopsACancelledJobIfAllInstancesCrashAfterTheAcknowledgement);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -508,13 +608,31 @@
     int crashes = 0;
     for (int seed = first; seed < first + count; ++seed) {
       CancellationSimulation simulation(seed);
-      simulation.Run();
+      simulation.Run(DayEnd::Drawn);
       cancelled += simulation.mCancelled;
       crashes += simulation.mCrashes;
     }
     CPPUNIT_ASSERT(cancelled >= count);
     CPPUNIT_ASSERT(crashes >= count / 2);
   }
+
+  // Guards against a run of a cancelled job that goes on because all instances
+  // crash in the moment after the acknowledgement, while the log and the
+  // workers lose and delay calls.
+  void StopsACancelledJobIfAllInstancesCrashAfterTheAcknowledgement()
+  {
+    const int first =
+      NumberFromEnvironment("SKYLARKHILL_CANCELLATION_FIRST_SEED", 1);
+    const int count =
+      NumberFromEnvironment("SKYLARKHILL_CANCELLATION_SEEDS", kCrashSeeds);
+    int crashes = 0;
+    for (int seed = first; seed < first + count; ++seed) {
+      CancellationSimulation simulation(seed);
+      simulation.Run(DayEnd::CrashAmidFaults);
+      crashes += simulation.mCrashesBesideRuns;
+    }
+    CPPUNIT_ASSERT(crashes >= count / 4);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CancellationRandomTest);
