Leaders tell the ends of leases in a hand-over, and from the first failed poll on

Cause: a new leader waits 9.7 s from the last record of its predecessor for a worker without a record of the end of its lease.

Change: a hand-over stores the bound of all leases, as a resignation does, and the instance uses it in its own next term. A leader without a dispatcher passes on the bound of the earlier terms.

StoresLeaseEndsBesideAnAppendInFlight: the worker dies while the append is in flight, because its record would be stored before. The bound and the checks are the same; it passes on the code before.

Tests that fail on the code before: StoresLeaseEndsBeforeALeaderIsKilled, TellsLeaseEndsWhenItHandsOver, KnowsLeaseEndsOfItsTermAfterAHandOver, TellsLeaseEndsInATermWithoutADispatcher.

--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -82,10 +82,8 @@
   /// default, Term::mPreviousLeasesEndAt holds for it.
   virtual void SetEarlierLeaseEnd(const std::string& aWorkerId,
                                   base::TimePoint aEndsAt) = 0;
-  /// Workers whose polls have failed, if they have been silent since
-  /// `aSilentSince` or for the whole term.
-  virtual std::vector<SilentWorker> ListSilent(
-    base::TimePoint aSilentSince) const = 0;
+  /// Workers whose last poll has failed.
+  virtual std::vector<SilentWorker> ListSilent() const = 0;
   /// True if the worker has answered its last poll. False if the worker has
   /// been removed.
   virtual bool Answers(const std::string& aWorkerId) const = 0;
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -201,16 +201,19 @@
   /// Adds records to the batch for workers that are new to the journal, and
   /// deletions for workers that left the registry long enough ago.
   void AddWorkerRecords();
-  /// Stops extending the leases of workers that have been silent since
-  /// `aSilentSince` and adds their records to the batch. Adds deletions for
-  /// those that answer again, whose leases are extended once these are stored.
-  void AddLeaseRecords(base::TimePoint aSilentSince);
+  /// Stops extending the leases of workers whose last poll has failed and adds
+  /// their records to the batch. Adds deletions for those that answer again,
+  /// whose leases are extended once these are stored.
+  void AddLeaseRecords();
   void AddLeaseRecord(const std::string& aWorkerId, base::TimePoint aEndsAt);
   /// Adds the present remaining times of all leases that are not extended to
   /// the batch.
   void RepeatLeaseRecords();
   /// Next step of Resign, once the append in flight has been answered.
   void ContinueResignation();
+  /// Latest time at which a lease ends that this leader or an earlier one has
+  /// granted, if it grants no more; kNoDeadline if that is not known.
+  base::TimePoint LeasesEndAt() const;
   void UpdateTerm();
   /// Tracks reads that fail while the log answers.
   void UpdateFailedReads();
--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -65,8 +65,8 @@
   /// lease ends after `aLeasesEndAt`; kNoDeadline if that is not known.
   void Resign(base::TimePoint aLeasesEndAt = base::kNoDeadline);
   /// Gives up the leadership, but stays a candidate. No effect while an append
-  /// is in progress.
-  void HandOver();
+  /// is in progress. `aLeasesEndAt` as in Resign.
+  void HandOver(base::TimePoint aLeasesEndAt = base::kNoDeadline);
   /// If false, this instance claims no leadership.
   void SetMayClaim(bool aMayClaim) { mMayClaim = aMayClaim; }
   /// No claim uses this epoch or a lower one.
@@ -123,8 +123,8 @@
   /// Updates the ends of leases for a record of another instance, read now.
   void CountLeases(const LeaderRecord& aRecord);
   /// Ends the own term, whose leases count from then on as those of a previous
-  /// leader.
-  void EndOwnTerm();
+  /// leader. `aLeasesEndAt` as in Resign.
+  void EndOwnTerm(base::TimePoint aLeasesEndAt);
   void BecomeLeader(const LeaderRecord& aRecord, base::TimePoint aClaimedAt);
   void SetNewestRecord(const LeaderRecord& aRecord);
 
@@ -159,7 +159,7 @@
   base::TimePoint mEarlierLeasesEnd;
   /// The same for the term of mNewestRecord, if another instance led it.
   base::TimePoint mNewestLeasesEnd;
-  /// Argument of Resign.
+  /// Argument of the last Resign or HandOver.
   base::TimePoint mLeasesEndAt = base::kNoDeadline;
 };
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -257,7 +257,7 @@
     }
   }
 
-  std::vector<SilentWorker> ListSilent(TimePoint aSilentSince) const override
+  std::vector<SilentWorker> ListSilent() const override
   {
     std::vector<SilentWorker> silent;
     for (const auto& [id, worker] : mWorkers) {
@@ -266,11 +266,9 @@
       if (worker->mFailedPolls == 0 || worker->mIsTakenOver) {
         continue;
       }
-      if (!worker->mHasReported) {
-        silent.push_back({ id, worker->mEarlierLeaseEndsAt });
-      } else if (worker->mLastReportAt <= aSilentSince) {
-        silent.push_back({ id, worker->mLeaseEndsAt });
-      }
+      silent.push_back({ id,
+                         worker->mHasReported ? worker->mLeaseEndsAt
+                                              : worker->mEarlierLeaseEndsAt });
     }
     return silent;
   }
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -90,11 +90,7 @@
 constexpr Duration kMaxResignationDelay = std::chrono::milliseconds(500);
 
 /// Interval between two searches for workers that fell silent or answer again.
-constexpr Duration kLeaseCheckInterval = std::chrono::milliseconds(200);
-/// A worker that has been silent for this long gets a WorkerLeaseRecord. Longer
-/// than a few lost polls, because a worker that returns in an outage of the log
-/// gets no lease before the record is deleted.
-constexpr Duration kMinSilence = std::chrono::milliseconds(1500);
+constexpr Duration kLeaseCheckInterval = std::chrono::milliseconds(100);
 /// JournaledWorker::mLeaseEpoch of a record that cannot be read.
 constexpr std::int64_t kUnreadableEpoch = -1;
 
@@ -308,7 +304,7 @@
       // the term are repeated, because an instance that has just started counts
       // the remaining times from its first read.
       mHasAddedLastLeaseRecords = true;
-      AddLeaseRecords(now);
+      AddLeaseRecords();
       RepeatLeaseRecords();
       if (!mBatch.IsEmpty()) {
         SendBatch();
@@ -327,19 +323,26 @@
     return;
   }
   mResignBy.reset();
-  TimePoint leasesEndAt = base::kNoDeadline;
+  const TimePoint leasesEndAt = LeasesEndAt();
   if (mDispatcher != nullptr) {
     const bool isComplete = mHasAddedLastLeaseRecords && mBatch.IsEmpty();
     logging::Write(
       logging::Level::Info,
       "term_records_stored",
       { { "epoch", mEpoch }, { "complete", isComplete ? "yes" : "no" } });
-    leasesEndAt = mDispatcher->LeasesEndAt(now);
     EndTerm();
   }
   mLeadership.Resign(leasesEndAt);
 }
 
+TimePoint
+Cell::LeasesEndAt() const
+{
+  // A leader without a dispatcher has granted no lease in its term.
+  return mDispatcher != nullptr ? mDispatcher->LeasesEndAt(mClock.Now())
+                                : mLeadership.PreviousLeasesEnd();
+}
+
 bool
 Cell::NeedsRegistry() const
 {
@@ -695,7 +698,7 @@
 }
 
 void
-Cell::AddLeaseRecords(TimePoint aSilentSince)
+Cell::AddLeaseRecords()
 {
   const TimePoint now = mClock.Now();
   for (const auto& it : mUnextendedWorkers) {
@@ -716,7 +719,7 @@
       AddLeaseRecord(it, now);
     }
   }
-  for (const auto& it : mDispatcher->ListSilent(aSilentSince)) {
+  for (const auto& it : mDispatcher->ListSilent()) {
     if (IsJournaled(it.mId) && FindValidLease(it.mId) == nullptr) {
       mUnextendedWorkers.insert(it.mId);
       UpdateLease(it.mId);
@@ -919,8 +922,9 @@
       { "stream", unreadable->mName },
       { "age_ms", ToMs(mClock.Now() - unreadable->mReader.UpToDateAt()) },
       { "failed_reads", unreadable->mReader.ConsecutiveFailures() } });
+  const TimePoint leasesEndAt = LeasesEndAt();
   EndTerm();
-  mLeadership.HandOver();
+  mLeadership.HandOver(leasesEndAt);
   return true;
 }
 
@@ -1284,7 +1288,7 @@
   }
   if (now >= mNextLeaseCheckAt) {
     mNextLeaseCheckAt = now + kLeaseCheckInterval;
-    AddLeaseRecords(now - kMinSilence);
+    AddLeaseRecords();
   }
   auto [batch, dirty] = mDispatcher->TakeDirty();
   const bool isLoadDue = mOptions.mCellCount > 1 && now >= mNextLoadAt;
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -148,13 +148,14 @@
 }
 
 void
-Leadership::HandOver()
+Leadership::HandOver(base::TimePoint aLeasesEndAt)
 {
   if (!mOwnEpoch || mIsAppending) {
     return;
   }
   const std::int64_t epoch = *mOwnEpoch;
-  EndOwnTerm();
+  mLeasesEndAt = aLeasesEndAt;
+  EndOwnTerm(aLeasesEndAt);
   logging::Write(
     logging::Level::Warning, "leadership_handed_over", { { "epoch", epoch } });
   Append(MakeRecord(epoch, true));
@@ -167,7 +168,7 @@
     logging::Write(
       logging::Level::Warning, "leadership_lost", { { "epoch", *mOwnEpoch } });
   }
-  EndOwnTerm();
+  EndOwnTerm(base::kNoDeadline);
   mNextAppendAt = mClock.Now() + kRetryPause;
   mReader.SkipPause();
 }
@@ -355,11 +356,12 @@
 }
 
 void
-Leadership::EndOwnTerm()
+Leadership::EndOwnTerm(base::TimePoint aLeasesEndAt)
 {
   if (mOwnEpoch) {
     mEarlierLeasesEnd = std::max(
-      mEarlierLeasesEnd, mConfirmedAt + kLeaderLease + kWorkerLeaseExcess);
+      mEarlierLeasesEnd,
+      std::min(aLeasesEndAt, mConfirmedAt + kLeaderLease + kWorkerLeaseExcess));
   }
   mOwnEpoch.reset();
 }
--- a/src/node/worker_records_test.cpp
+++ b/src/node/worker_records_test.cpp
@@ -26,6 +26,9 @@
 /// Time until the next leader has polled all workers, of which some do not
 /// answer, and has started the tasks.
 constexpr milliseconds kTakeoverTime{ 2000 };
+/// Longest time that a lasting task may be without a run: its lease of 6 s and
+/// 3 s more.
+constexpr milliseconds kMaxTimeWithoutRun{ 9000 };
 /// Seeds in a usual run; SKYLARKHILL_WORKER_SEEDS overrides it.
 constexpr int kSeeds = 60;
 constexpr milliseconds kStep{ 20 };
@@ -66,6 +69,10 @@
   CPPUNIT_TEST(ExtendsALeaseAsSoonAsItsRecordIsDeleted);
   CPPUNIT_TEST(KeepsTheRunsOfAWorkerThatAnswersTheNextLeader);
   CPPUNIT_TEST(StoresLeaseEndsOfWorkersWithAPollInFlight);
+  CPPUNIT_TEST(StoresLeaseEndsBeforeALeaderIsKilled);
+  CPPUNIT_TEST(TellsLeaseEndsWhenItHandsOver);
+  CPPUNIT_TEST(KnowsLeaseEndsOfItsTermAfterAHandOver);
+  CPPUNIT_TEST(TellsLeaseEndsInATermWithoutADispatcher);
   CPPUNIT_TEST(WaitsForTheLogInAResignation);
   CPPUNIT_TEST(ResignsAfterAClaimInFlight);
   CPPUNIT_TEST(ResignsAfterASlowRenewal);
@@ -401,17 +408,17 @@
     Store("workers", "w3", "1");
     Advance(milliseconds(1000));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w2"].mRuns.size());
-    const base::TimePoint diedAt = mClock.Now();
-    Disconnect("w2");
-    mWorkers["w2"].mRuns.clear();
-    Advance(milliseconds(1000));
-    CPPUNIT_ASSERT(NewestValue("e/w2").empty());
     SubmitSpread("b", 1);
     Advance(kStep);
     leader.mLog.mHoldsResponses = true;
     const std::size_t records = mState.mStreams["journal"].size();
     Advance(milliseconds(100));
     CPPUNIT_ASSERT(mState.mStreams["journal"].size() > records);
+    const base::TimePoint diedAt = mClock.Now();
+    Disconnect("w2");
+    mWorkers["w2"].mRuns.clear();
+    Advance(milliseconds(500));
+    CPPUNIT_ASSERT(NewestValue("e/w2").empty());
     RestartLeader();
     Advance(diedAt + kLimit - mClock.Now());
     CheckRuns(3);
@@ -556,6 +563,61 @@
     CheckRuns(2);
   }
 
+  // A worker dies, and the leader is killed soon after. Guards against a
+  // successor that waits for the longest lease of the worker (LOST).
+  void StoresLeaseEndsBeforeALeaderIsKilled()
+  {
+    for (const milliseconds gap : { milliseconds(200), milliseconds(1000) }) {
+      Restart();
+      StartBesideASpareWorker(2);
+      const base::TimePoint diedAt = mClock.Now();
+      Disconnect("w2");
+      mWorkers["w2"].mRuns.clear();
+      Advance(gap);
+      KillLeader();
+      Advance(diedAt + kMaxTimeWithoutRun - mClock.Now());
+      CheckRuns(2);
+    }
+  }
+
+  // The leader hands over because it cannot read the journal, and a worker dies
+  // while nobody leads. Guards against a successor that waits for the longest
+  // lease that a leader could have granted (LOST).
+  void TellsLeaseEndsWhenItHandsOver() { CheckHandOver(2); }
+
+  // The same with one instance, which leads again.
+  void KnowsLeaseEndsOfItsTermAfterAHandOver() { CheckHandOver(1); }
+
+  // A worker dies when its leader has resigned, and the next leader resigns
+  // before it has granted a lease. Guards against a third leader that counts
+  // the longest lease from that resignation (LOST).
+  void TellsLeaseEndsInATermWithoutADispatcher()
+  {
+    StartBesideASpareWorker(2);
+    RestartLeader();
+    const base::TimePoint diedAt = mClock.Now();
+    Disconnect("w2");
+    mWorkers["w2"].mRuns.clear();
+    const std::int64_t epoch = NewestEpoch();
+    const base::TimePoint end = mClock.Now() + kLeasesTime;
+    while (NewestEpoch() == epoch && mClock.Now() < end) {
+      Advance(kStep);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, CountLeaders());
+    for (auto& it : mInstances) {
+      it->mNode.Resign();
+    }
+    Advance(milliseconds(100));
+    const LeaderRecord record =
+      DecodeLeaderRecord(mState.mStreams["leaders"].back().mValue).value();
+    CPPUNIT_ASSERT(record.mIsResigned);
+    CPPUNIT_ASSERT_EQUAL(epoch + 1, record.mEpoch);
+    mInstances.clear();
+    AddInstances(2);
+    Advance(diedAt + kMaxTimeWithoutRun - mClock.Now());
+    CheckRuns(2);
+  }
+
   // Guards against a loop that spins without a pause until the log answers.
   void WaitsForTheLogInAResignation()
   {
@@ -681,6 +743,42 @@
     AddInstances(1);
   }
 
+  /// Two workers run a task each, and a third one has room.
+  void StartBesideASpareWorker(int aInstances)
+  {
+    StartLeader(aInstances);
+    Store("workers", "w2", "1");
+    SubmitSpread("a", 2);
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w2"].mRuns.size());
+    Store("workers", "w3", "1");
+    Advance(milliseconds(1000));
+  }
+
+  /// A leader hands over, a worker dies, and an instance leads again.
+  void CheckHandOver(int aInstances)
+  {
+    StartBesideASpareWorker(aInstances);
+    const auto found = std::find_if(
+      mInstances.begin(), mInstances.end(), [](const auto& aInstance) {
+        return aInstance->mNode.IsDispatching();
+      });
+    Instance& leader = **found;
+    leader.mLog.mUnreadableTopics.insert("journal");
+    const base::TimePoint end = mClock.Now() + kLeasesTime;
+    while (leader.mNode.IsDispatching() && mClock.Now() < end) {
+      Advance(kStep);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, CountLeaders());
+    const base::TimePoint diedAt = mClock.Now();
+    Disconnect("w2");
+    mWorkers["w2"].mRuns.clear();
+    leader.mLog.mUnreadableTopics.clear();
+    Advance(diedAt + kMaxTimeWithoutRun - mClock.Now());
+    CheckRuns(2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w3"].mRuns.size());
+  }
+
   /// Two workers run a task each, a third one has died and left the registry,
   /// and its lease has ended.
   void StartBesideADroppedWorker()
