--- a/src/node/worker_records_test.cpp
+++ b/src/node/worker_records_test.cpp
@@ -580,24 +580,25 @@
     }
   }
 
-  // The leader hands over because it cannot read the journal, and a worker dies
-  // while nobody leads. Guards against a successor that waits for the longest
-  // lease that a leader could have granted (LOST).
+  // The leader hands over because it cannot read the journal, and a worker is
+  // cut off while nobody leads. Guards against a successor that waits for the
+  // longest lease that a leader could have granted (LOST), and against one that
+  // does not wait for the lease of the worker (TWICE).
   void TellsLeaseEndsWhenItHandsOver() { CheckHandOver(2); }
 
   // The same with one instance, which leads again.
   void KnowsLeaseEndsOfItsTermAfterAHandOver() { CheckHandOver(1); }
 
-  // A worker dies when its leader has resigned, and the next leader resigns
-  // before it has granted a lease. Guards against a third leader that counts
-  // the longest lease from that resignation (LOST).
+  // A worker is cut off when its leader has resigned, and the next leader
+  // resigns before it has granted a lease. Guards against a third leader that
+  // counts the longest lease from that resignation (LOST), and against one that
+  // does not wait for the lease of the worker (TWICE).
   void TellsLeaseEndsInATermWithoutADispatcher()
   {
     StartBesideASpareWorker(2);
     RestartLeader();
-    const base::TimePoint diedAt = mClock.Now();
+    const base::TimePoint cutAt = mClock.Now();
     Disconnect("w2");
-    mWorkers["w2"].mRuns.clear();
     const std::int64_t epoch = NewestEpoch();
     const base::TimePoint end = mClock.Now() + kLeasesTime;
     while (NewestEpoch() == epoch && mClock.Now() < end) {
@@ -614,7 +615,7 @@
     CPPUNIT_ASSERT_EQUAL(epoch + 1, record.mEpoch);
     mInstances.clear();
     AddInstances(2);
-    Advance(diedAt + kMaxTimeWithoutRun - mClock.Now());
+    AdvanceAndCheck(cutAt + kMaxTimeWithoutRun - mClock.Now(), "resigned");
     CheckRuns(2);
   }
 
@@ -755,7 +756,8 @@
     Advance(milliseconds(1000));
   }
 
-  /// A leader hands over, a worker dies, and an instance leads again.
+  /// A leader hands over, a worker is cut off, and an instance leads again. The
+  /// run of the worker goes on until its lease ends.
   void CheckHandOver(int aInstances)
   {
     StartBesideASpareWorker(aInstances);
@@ -770,11 +772,10 @@
       Advance(kStep);
     }
     CPPUNIT_ASSERT_EQUAL(0, CountLeaders());
-    const base::TimePoint diedAt = mClock.Now();
+    const base::TimePoint cutAt = mClock.Now();
     Disconnect("w2");
-    mWorkers["w2"].mRuns.clear();
     leader.mLog.mUnreadableTopics.clear();
-    Advance(diedAt + kMaxTimeWithoutRun - mClock.Now());
+    AdvanceAndCheck(cutAt + kMaxTimeWithoutRun - mClock.Now(), "hand-over");
     CheckRuns(2);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w3"].mRuns.size());
   }
