Loans and hand-overs: keep what others still need to know

- The home of a transferred job removes its old records with an append that may be carried out late, and with them a loan stored meanwhile.
Old jobs are not lent to their home: LendsNoTasksToTheHomeOfAnOldJob.
- That home removed a cancellation before the cell of the job had it: PassesOnTheCancellationOfAnOldTransferredJob.
- A borrower removed a cancellation that a late copy of the loan has to find: RunsNoLateCopyOfACancelledLoan.
It keeps it for 60 s.
- An instance that leads again after a hand-over used an earlier bound of the leases than it had stored: KeepsTheBoundOfItsHandOver.

These four tests failed before. A job whose tasks were lent before its start was shown as pending for good; it is shown as running (LendsTasksOfAnUnstartedJob).

--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -280,8 +280,10 @@
   std::set<int> FormerCellsOf(const jobs::JobEntry& aJob) const;
   /// Passes the end of the job on to the cells that run tasks of it.
   void EndLoans(const std::string& aJobId);
-  /// True if a borrower may lack tasks of the job, or its end.
-  bool HasLoansToSend(const std::string& aJobId) const;
+  /// True if another cell may lack the job, tasks of it, or its end.
+  bool HasCopiesToSend(const std::string& aJobId) const;
+  /// True if the records of a final job may be deleted.
+  bool IsRemovable(const std::string& aJobId, base::TimePoint aNow);
   /// Copies lent tasks, and the ends of their jobs, to the journals of their
   /// targets until these have them.
   void SendLoans(base::TimePoint aNow);
@@ -395,6 +397,9 @@
   std::map<LoanId, PendingLoan> mPendingLoans;
   /// Ids of jobs whose end this leader has passed on.
   std::set<std::string> mEndedLoans;
+  /// By job id: when the records of borrowed tasks of a final job may be
+  /// deleted.
+  std::map<std::string, base::TimePoint> mBorrowedRemovableAt;
 };
 
 } // namespace skylarkhill::node
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -440,8 +440,13 @@
       step->mNoRoomSince.reset();
     }
     if (!lent.mTasks.empty()) {
-      RequestStartRecord(*step->mJob);
-      MarkDirty(*step->mJob);
+      ScheduledJob& job = *step->mJob;
+      RequestStartRecord(job);
+      // The borrower does not tell when it starts the tasks.
+      if (job.mState == jobs::JobState::Pending) {
+        job.mState = jobs::JobState::Running;
+      }
+      MarkDirty(job);
     }
     return lent;
   }
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -1142,6 +1142,7 @@
     CPPUNIT_ASSERT(!leader.GetDispatcher().ReleaseJob("a"));
     site.Advance(milliseconds(500));
     CPPUNIT_ASSERT(leader.mStored.at("a").mMayHaveStarted);
+    CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Running);
     site.Kill(leader);
     job.mLoans["1"] = { 1, false, lent.mSteps, {} };
     auto& successor = AddSuccessor(site, 2);
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -81,6 +81,8 @@
 /// Final jobs are removed this long after their acceptance. Keeps the state for
 /// the required 120 s after the end of jobs that take up to 280 s.
 constexpr std::int64_t kFinalJobRetentionMs = 400'000;
+/// Appends without an answer are carried out within less than this.
+constexpr Duration kMaxLateAppend = std::chrono::seconds(60);
 /// Maximum number of jobs passed to the dispatcher of a new term in one tick.
 constexpr std::size_t kMaxJobsPerTick = 200;
 
@@ -1008,6 +1010,7 @@
   mLoansInFlight.clear();
   mPendingLoans.clear();
   mEndedLoans.clear();
+  mBorrowedRemovableAt.clear();
   mJournalReader.SetPause(FollowerJournalPause());
   mJournalReader.SetWait(kReadWait);
 }
@@ -1343,6 +1346,13 @@
   for (const auto& [part, borrowed] : aJob.mBorrowed) {
     cells.insert(borrowed.mFormerCells.begin(), borrowed.mFormerCells.end());
   }
+  // The home of a transferred job removes its records, and a removal that is
+  // carried out late would take those of a loan with it.
+  const jobs::Submission& submission = *aJob.KnownSubmission();
+  if (submission.mAcceptedMs <
+      mWallClock.NowMs() - kFinalJobRetentionMs + ToMs(kMaxLateAppend)) {
+    cells.insert(cells::HomeOfJob(mMap, submission.mId, submission.mRequest));
+  }
   return cells;
 }
 
@@ -1427,13 +1437,15 @@
 }
 
 bool
-Cell::HasLoansToSend(const std::string& aJobId) const
+Cell::HasCopiesToSend(const std::string& aJobId) const
 {
   const auto isIn = [&](const std::set<LoanId>& aLoans) {
     const auto first = aLoans.lower_bound({ aJobId, "" });
     return first != aLoans.end() && first->first == aJobId;
   };
-  return IsLending(aJobId) || isIn(mLoansToSend) || isIn(mLoansInFlight);
+  return IsLending(aJobId) || isIn(mLoansToSend) || isIn(mLoansInFlight) ||
+         mTransfersToSend.count(aJobId) != 0 ||
+         mTransfersInFlight.count(aJobId) != 0;
 }
 
 void
@@ -1737,6 +1749,23 @@
   mLoansInBatch.clear();
 }
 
+bool
+Cell::IsRemovable(const std::string& aJobId, TimePoint aNow)
+{
+  // Otherwise nobody would tell the other cells that the job has ended.
+  if (HasCopiesToSend(aJobId)) {
+    return false;
+  }
+  const auto job = mJobs.Find(aJobId);
+  if (!job || job->mBorrowed.empty()) {
+    return true;
+  }
+  // A late copy of the loan must find the cancellation.
+  const TimePoint removableAt =
+    mBorrowedRemovableAt.emplace(aJobId, aNow + kMaxLateAppend).first->second;
+  return aNow >= removableAt;
+}
+
 std::vector<LogRecord>
 Cell::DeletionsOf(const std::string& aJobId) const
 {
@@ -1775,11 +1804,10 @@
   }
   mNextCleanupAt = now + kCleanupInterval;
   auto oldJobs = mJobs.ListFinal(mWallClock.NowMs() - kFinalJobRetentionMs);
-  // Otherwise nobody would tell the borrowers that the jobs have ended.
   oldJobs.erase(std::remove_if(oldJobs.begin(),
                                oldJobs.end(),
-                               [this](const std::string& aId) {
-                                 return HasLoansToSend(aId);
+                               [this, now](const std::string& aId) {
+                                 return !IsRemovable(aId, now);
                                }),
                 oldJobs.end());
   if (oldJobs.empty()) {
--- a/src/node/cell_random_test.cpp
+++ b/src/node/cell_random_test.cpp
@@ -33,6 +33,8 @@
 /// Seeds in a usual run; SKYLARKHILL_CELL_SEEDS overrides it.
 constexpr int kSeeds = 25;
 constexpr int kLoanSeeds = 60;
+/// Longer than the retention of final jobs.
+constexpr std::int64_t kOldJobAgeMs = 500'000;
 /// Time in which a lasting task without a run must start again.
 constexpr milliseconds kMaxTimeWithoutRun{ 9000 };
 
@@ -304,6 +306,85 @@
     CheckOutcome();
   }
 
+  /// An old job of two tasks, of cell 1, one of which its home, cell 0, has
+  /// borrowed, is cancelled at the home while that cannot write the journal of
+  /// cell 1. Returns the number of its runs after that.
+  int CancelOldTransferredJob()
+  {
+    const jobs::Submission job = OldJob(2);
+    StoreOldJob(job);
+    Store("journal/1",
+          jobs::FormatPartKey(jobs::RecordKind::Loan, job.mId, "1"),
+          jobs::EncodeLoan({ 0, true, { TaskOf(1) }, { 1 } }));
+    Store("journal",
+          jobs::FormatPartKey(jobs::RecordKind::Borrowed, job.mId, "1.1"),
+          jobs::EncodeBorrowedTasks({ job, { TaskOf(1) }, { 1 } }));
+    Advance(kRecoveryTime);
+    CPPUNIT_ASSERT_EQUAL(2, CountRuns(job.mId));
+    for (std::size_t n = 0; n < mInstances.size(); n += kDomains) {
+      mInstances[n]->mLog.mUnwritableStreams = { "journal/1" };
+    }
+    Store("journal",
+          jobs::FormatRecordKey(jobs::RecordKind::Cancellation, job.mId),
+          "1");
+    // Longer than the interval between two removals of old jobs.
+    Advance(kRecoveryTime);
+    for (auto& it : mInstances) {
+      it->mLog.mUnwritableStreams.clear();
+    }
+    Advance(kRecoveryTime);
+    return CountRuns(job.mId);
+  }
+
+  /// A cancelled loan of an old job is stored a second time. Returns the number
+  /// of runs of the job after that.
+  int RepeatCancelledLoan()
+  {
+    const jobs::Submission job = OldJob(1);
+    const std::string key =
+      jobs::FormatPartKey(jobs::RecordKind::Borrowed, job.mId, "0.1");
+    const std::string value =
+      jobs::EncodeBorrowedTasks({ job, { TaskOf(0) }, { 0 } });
+    Store("journal/1", key, value);
+    Advance(milliseconds(8000));
+    CPPUNIT_ASSERT_EQUAL(1, CountRuns(job.mId));
+    Store("journal/1",
+          jobs::FormatRecordKey(jobs::RecordKind::Cancellation, job.mId),
+          "1");
+    Advance(kRecoveryTime);
+    Store("journal/1", key, value);
+    Advance(kRecoveryTime);
+    return CountRuns(job.mId);
+  }
+
+  /// A transferred old job is in a cell without room. Returns the cells that
+  /// borrow its tasks.
+  std::set<int> LendOldJob()
+  {
+    Advance(milliseconds(8000));
+    RemoveWorker("d1w0");
+    RemoveWorker("d1w1");
+    const auto map =
+      cells::DecodeCellMap(mState.mStreams["cells"].back().mValue);
+    jobs::Submission job = OldJob(40);
+    for (int n = 0; cells::HomeOfJob(map.value(), job.mId, job.mRequest) != 0;
+         ++n) {
+      job = OldJob(40, "old" + std::to_string(n));
+    }
+    StoreOldJob(job);
+    Advance(kRecoveryTime);
+    std::set<int> cells;
+    for (int n = 0; n < kDomains; ++n) {
+      const auto& records = mState.mStreams[JournalOf(n)];
+      if (std::any_of(records.begin(), records.end(), [](const auto& aRecord) {
+            return aRecord.mKey.substr(0, 2) == "b/";
+          })) {
+        cells.insert(n);
+      }
+    }
+    return cells;
+  }
+
   const std::string& Problem() const { return mProblem; }
   int TransferCount() const { return mTransferCount; }
   int LoanCount() const { return mLoanCount; }
@@ -323,6 +404,60 @@
     bool mIsCancelled = false;
   };
 
+  static std::string JournalOf(int aCell)
+  {
+    return aCell == 0 ? "journal" : "journal/" + std::to_string(aCell);
+  }
+
+  /// The first task of the only step has index 0.
+  static jobs::StepProgress TaskOf(int aIndex)
+  {
+    jobs::StepProgress step;
+    step.mTasks.push_back({ aIndex, false, {}, 0, "" });
+    return step;
+  }
+
+  /// A job of cell 0 that was accepted before the retention of final jobs.
+  jobs::Submission OldJob(int aTasks, const std::string& aId = "old")
+  {
+    jobs::Step step;
+    step.mIsService = true;
+    step.mCount = aTasks;
+    step.mResources.mMilliProcessors = 500;
+    jobs::Submission submission;
+    submission.mId = aId;
+    submission.mPolicy = MakePolicy();
+    submission.mRequest.mSteps.push_back(step);
+    submission.mAcceptedMs = SimulatedWallClock(mClock).NowMs() - kOldJobAgeMs;
+    mMayExist.insert(submission.mId);
+    return submission;
+  }
+
+  /// Stores a job that cell 0 has transferred to cell 1.
+  void StoreOldJob(const jobs::Submission& aJob)
+  {
+    const std::string key =
+      jobs::FormatRecordKey(jobs::RecordKind::Submission, aJob.mId);
+    // The leader of cell 0 has not transferred the job itself.
+    Store("journal",
+          jobs::FormatRecordKey(jobs::RecordKind::Transfer, aJob.mId),
+          jobs::EncodeTransfer({ 1, true }));
+    Store("journal", key, jobs::EncodeSubmission(aJob));
+    Store("journal/1", key, jobs::EncodeSubmission(aJob));
+  }
+
+  int CountRuns(const std::string& aJobId) const
+  {
+    int n = 0;
+    for (const auto& [id, worker] : mWorkers) {
+      n += static_cast<int>(std::count_if(
+        worker.mRuns.begin(), worker.mRuns.end(), [&](const auto& aRun) {
+          return aRun.mTask.mJobId == aJobId;
+        }));
+    }
+    return n;
+  }
+
   /// Most workers of a cell with started jobs leave.
   void StartLoans()
   {
@@ -629,6 +764,9 @@
   CPPUNIT_TEST(RunsTasksOfACellThatHasBecomeTooSmall);
   CPPUNIT_TEST(RunsLentTasksOnceWhileWorkersComeAndGo);
   CPPUNIT_TEST(PassesOnTheCancellationOfAnOldJob);
+  CPPUNIT_TEST(PassesOnTheCancellationOfAnOldTransferredJob);
+  CPPUNIT_TEST(RunsNoLateCopyOfACancelledLoan);
+  CPPUNIT_TEST(LendsNoTasksToTheHomeOfAnOldJob);
   CPPUNIT_TEST(LendsBesideUnplaceableJobs);
   CPPUNIT_TEST(KeepsTheBacklogOfALostLeader);
   CPPUNIT_TEST(LoadsTheRegistryInFewInstances);
@@ -696,6 +834,34 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Problem());
   }
 
+  // The home of the job has borrowed a task of it and gets the cancellation.
+  // Guards against a home that removes the job before the cell of the job has
+  // the cancellation, so that its tasks run on (UNASKED).
+  void PassesOnTheCancellationOfAnOldTransferredJob()
+  {
+    CellSimulation simulation(1);
+    CPPUNIT_ASSERT_EQUAL(0, simulation.CancelOldTransferredJob());
+  }
+
+  // An append without an answer is carried out after the cancellation. Guards
+  // against a borrower that has removed the cancellation by then (UNASKED).
+  void RunsNoLateCopyOfACancelledLoan()
+  {
+    CellSimulation simulation(1);
+    CPPUNIT_ASSERT_EQUAL(0, simulation.RepeatCancelledLoan());
+  }
+
+  // The home removes the records of a job that was transferred long ago. Guards
+  // against a loan that is removed with them (LOST).
+  void LendsNoTasksToTheHomeOfAnOldJob()
+  {
+    CellSimulation simulation(1);
+    const std::set<int> borrowers = simulation.LendOldJob();
+    CPPUNIT_ASSERT_EQUAL(std::string(), simulation.Problem());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, borrowers.count(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, borrowers.count(2));
+  }
+
   // Guards against jobs that no worker can have and that end all loans (LOST).
   void LendsBesideUnplaceableJobs()
   {
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -359,9 +359,13 @@
 Leadership::EndOwnTerm(base::TimePoint aLeasesEndAt)
 {
   if (mOwnEpoch) {
-    mEarlierLeasesEnd = std::max(
-      mEarlierLeasesEnd,
-      std::min(aLeasesEndAt, mConfirmedAt + kLeaderLease + kWorkerLeaseExcess));
+    // A bound that is known may be later than the usual one: a worker that has
+    // restarted counts the longest lease that it accepts.
+    mEarlierLeasesEnd =
+      std::max(mEarlierLeasesEnd,
+               aLeasesEndAt != base::kNoDeadline
+                 ? aLeasesEndAt
+                 : mConfirmedAt + kLeaderLease + kWorkerLeaseExcess);
   }
   mOwnEpoch.reset();
 }
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(CountsTheFullLeaseOfAResignedLeader);
   CPPUNIT_TEST(CountsTheLeasesOfItsOwnEarlierTerm);
   CPPUNIT_TEST(CountsItsLeaseFromTheFirstCopyOfItsClaim);
+  CPPUNIT_TEST(KeepsTheBoundOfItsHandOver);
   CPPUNIT_TEST(LeadsNoEndedTermAgainByARenewalInFlight);
   CPPUNIT_TEST(PrefersTheInstanceWithTheMostProcessors);
   CPPUNIT_TEST(MatchesTheLongestPrefix);
@@ -199,6 +200,22 @@
     CPPUNIT_ASSERT(candidate.mLeadership.ConfirmedAt() <= storedAt);
   }
 
+  // A worker that has restarted may have a longer lease than others. Guards
+  // against an instance that leads again before the bound that its own
+  // hand-over has stored (TWICE).
+  void KeepsTheBoundOfItsHandOver()
+  {
+    AddCandidates(1);
+    Candidate& candidate = *mCandidates.front();
+    Advance(milliseconds(2000));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, candidate.mLeadership.Epoch());
+    const base::TimePoint bound = mClock.Now() + milliseconds(12'000);
+    candidate.mLeadership.HandOver(bound);
+    Advance(milliseconds(2000));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 2 }, candidate.mLeadership.Epoch());
+    CPPUNIT_ASSERT(candidate.mLeadership.PreviousLeasesEnd() >= bound);
+  }
+
   // A leader steps down while a renewal awaits its response. Guards against a
   // leader that leads the same term again, in which the log refuses its
   // journal.
