--- a/include/skylarkhill/jobs/job_codec.hpp
+++ b/include/skylarkhill/jobs/job_codec.hpp
@@ -29,9 +29,9 @@
   Load,
   /// End of the lease of a worker that does not answer the leader.
   WorkerLease,
-  /// Tasks of a job that another cell runs.
+  /// Tasks that another cell runs.
   Loan,
-  /// Tasks of a job of another cell.
+  /// Tasks of a RecordKind::Loan, in the journal of the cell that runs them.
   Borrowed,
 };
 
@@ -45,7 +45,7 @@
   /// Tells apart the records of one kind of a job, empty for kinds with one
   /// record: "OCCURRENCE.STEP.FIRST" of a RecordKind::TaskRange, "NUMBER" of a
   /// RecordKind::Loan, "CELL.NUMBER" of a RecordKind::Borrowed, where CELL has
-  /// the job.
+  /// lent the tasks.
   std::string mPart;
 };
 
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -264,12 +264,12 @@
   /// targets until these have them.
   void SendTransfers(base::TimePoint aNow);
   void OnTransferSent(const std::string& aJobId, const AppendResult& aResult);
-  /// Decides which waiting tasks of started jobs other cells run.
+  /// Decides which waiting lasting tasks other cells run.
   void ChooseLoans(base::TimePoint aNow);
   /// True if a loan of the job is about to be stored.
   bool IsLending(const std::string& aJobId) const;
-  /// Lends tasks of the step to the cell of `aTarget`. Returns false if the log
-  /// could not store the loan.
+  /// Lends tasks of the step to the cell of `aTarget`. Returns false if none
+  /// waits any more or the log could not store the loan.
   bool StoreLoan(const jobs::JobEntry& aJob,
                  const dispatch::UnplacedTasks& aTasks,
                  const cells::LoanTarget& aTarget,
