Store a cancellation in the journals of all cells before it is acknowledged

A call that fails gives 504 and the line cancellation_incomplete. Sites of one cell make no further call.

--- a/include/skylarkhill/jobs/job_table.hpp
+++ b/include/skylarkhill/jobs/job_table.hpp
@@ -81,6 +81,9 @@
   /// The loan, if its record has been read.
   std::optional<TaskLoan> LoanOf(const std::string& aJobId,
                                  const std::string& aPart) const;
+  /// The cells that the job has moved to or that have borrowed tasks of it, by
+  /// the records that have been read. A cell may be listed more than once.
+  std::vector<int> ListOtherCells(const std::string& aJobId) const;
   /// Number of jobs of `aQueue` in the state Pending, without those that the
   /// journal of another cell has.
   std::size_t CountPending(std::string_view aQueue) const;
--- a/include/skylarkhill/node/job_router.hpp
+++ b/include/skylarkhill/node/job_router.hpp
@@ -52,6 +52,12 @@
   };
 
   std::shared_ptr<const Cells> GetCells() const;
+  /// Stores the cancellation, which the first cell has, in the journals of all
+  /// other cells that may run tasks of the job. Errors as for JobService.
+  static base::Result<void> CancelInOtherCells(const Cells& aCells,
+                                               const std::string& aJobId,
+                                               int aFirstCell,
+                                               base::TimePoint aDeadline);
   /// Looks for the job in what this instance knows.
   static std::optional<Location> FindKnown(const Cells& aCells,
                                            const std::string& aJobId);
--- a/include/skylarkhill/node/job_service.hpp
+++ b/include/skylarkhill/node/job_service.hpp
@@ -62,6 +62,13 @@
   /// Cancels a job. NotFound: no such job; other errors as for Submit.
   base::Result<void> Cancel(const std::string& aJobId,
                             base::TimePoint aDeadline);
+  /// Appends the cancellation of a job that this cell may not know yet. Errors
+  /// as for Submit.
+  base::Result<void> StoreCancellation(const std::string& aJobId,
+                                       base::TimePoint aDeadline);
+  /// Reads and applies the journal records up to the current end.
+  /// LogUnavailable: the journal could not be read.
+  base::Result<void> CatchUp(base::TimePoint aDeadline);
   /// State of a job; reads the journal if the job is not known yet, or not in a
   /// final state. Without access to the journal, the last known state.
   /// NotFound: no such job. LogUnavailable: the journal could not be read.
@@ -81,8 +88,6 @@
                             std::string aValue,
                             base::TimePoint aDeadline,
                             const std::function<bool()>& aIsStored);
-  /// Reads and applies the journal records up to the current end.
-  base::Result<void> CatchUp(base::TimePoint aDeadline);
 
   jobs::JobTable& mJobs;
   BlockingLog& mLog;
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -201,6 +201,25 @@
   return parts;
 }
 
+std::vector<int>
+JobTable::ListOtherCells(const std::string& aJobId) const
+{
+  const Shard& shard = ShardOf(aJobId);
+  const std::lock_guard lock(shard.mLock);
+  std::vector<int> cells;
+  const auto found = shard.mJobs.find(aJobId);
+  if (found == shard.mJobs.end()) {
+    return cells;
+  }
+  if (found->second.mTransfer) {
+    cells.push_back(found->second.mTransfer->mTarget);
+  }
+  for (const auto& [part, loan] : found->second.mLoans) {
+    cells.push_back(loan.mTarget);
+  }
+  return cells;
+}
+
 std::vector<std::string>
 JobTable::ListRanges(const std::string& aJobId) const
 {
--- a/src/node/job_router.cpp
+++ b/src/node/job_router.cpp
@@ -2,6 +2,7 @@
 
 #include "skylarkhill/logging/logging.hpp"
 
+#include <set>
 #include <utility>
 
 namespace skylarkhill::node {
@@ -81,9 +82,57 @@
     return location.error();
   }
   const int cell = location.value().mCell;
-  const logging::ContextField context("cell", cell);
-  return cells->mServices[static_cast<std::size_t>(cell)]->Cancel(aJobId,
-                                                                  aDeadline);
+  {
+    const logging::ContextField context("cell", cell);
+    BOOST_OUTCOME_TRYV(cells->mServices[static_cast<std::size_t>(cell)]->Cancel(
+      aJobId, aDeadline));
+  }
+  if (cells->mMap.mCount == 1) {
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+  auto isComplete = CancelInOtherCells(*cells, aJobId, cell, aDeadline);
+  if (!isComplete) {
+    logging::Write(logging::Level::Info,
+                   "cancellation_incomplete",
+                   { { "job", aJobId },
+                     { "error", base::NameOf(isComplete.error().mKind) },
+                     { "detail", isComplete.error().mDetail } });
+    // The first cell has the cancellation, and its leader passes it on.
+    return MakeError(ErrorKind::OutcomeUnknown, isComplete.error().mDetail);
+  }
+  return isComplete;
+}
+
+base::Result<void>
+JobRouter::CancelInOtherCells(const Cells& aCells,
+                              const std::string& aJobId,
+                              int aFirstCell,
+                              base::TimePoint aDeadline)
+{
+  std::set<int> visited{ aFirstCell };
+  std::vector<int> toRead{ aFirstCell };
+  while (!toRead.empty()) {
+    const int cell = toRead.back();
+    toRead.pop_back();
+    JobService& service = *aCells.mServices[static_cast<std::size_t>(cell)];
+    {
+      const logging::ContextField context("cell", cell);
+      // Only now all moves and loans that precede the cancellation are known.
+      // The leader adds the cancellation to copies that follow from later ones.
+      BOOST_OUTCOME_TRYV(service.CatchUp(aDeadline));
+    }
+    for (const int it : service.Jobs().ListOtherCells(aJobId)) {
+      if (it >= aCells.mMap.mCount || !visited.insert(it).second) {
+        continue;
+      }
+      const logging::ContextField context("cell", it);
+      BOOST_OUTCOME_TRYV(
+        aCells.mServices[static_cast<std::size_t>(it)]->StoreCancellation(
+          aJobId, aDeadline));
+      toRead.push_back(it);
+    }
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 base::Result<jobs::JobState>
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -129,15 +129,22 @@
       return MakeError(ErrorKind::NotFound, "no such job");
     }
   }
+  auto stored = StoreCancellation(aJobId, aDeadline);
+  if (stored) {
+    mCancelled.Add();
+  }
+  return stored;
+}
+
+base::Result<void>
+JobService::StoreCancellation(const std::string& aJobId, TimePoint aDeadline)
+{
   const std::int64_t journal = mNextJournalOffset;
   auto stored =
     Append(jobs::FormatRecordKey(jobs::RecordKind::Cancellation, aJobId),
            "1",
            aDeadline,
            [&] { return mJobs.StateOf(aJobId) == jobs::JobState::Cancelled; });
-  if (stored) {
-    mCancelled.Add();
-  }
   logging::Write(logging::Level::Info,
                  "job_cancelled",
                  { { "job", aJobId },
