--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -260,6 +260,10 @@
                      base::Duration aWaited);
   /// Decides which unstarted jobs move to other cells.
   void ChooseTransfers(base::TimePoint aNow);
+  /// True if the journal has been read up to the offset. A copy that follows
+  /// from a record before it then includes each cancellation that was stored by
+  /// an instance that could not know of the record.
+  bool HasRead(std::int64_t aOffset) const;
   /// Copies transferred jobs, and their cancellations, to the journals of their
   /// targets until these have them.
   void SendTransfers(base::TimePoint aNow);
@@ -358,6 +362,8 @@
   /// The batch that is being stored.
   RecordBatch mBatch;
   std::uint64_t mBatchNumber = 0;
+  /// Next offset after the records of the batch that have been stored.
+  std::int64_t mBatchEnd = 0;
   base::TimePoint mBatchSentAt;
   std::unique_ptr<dispatch::Dispatcher> mDispatcher;
   /// Open jobs that the dispatcher of this term does not know yet.
@@ -377,8 +383,9 @@
   std::vector<std::pair<std::string, jobs::JobTransfer>> mTransfersToStore;
   /// Transfers in the batch that is being stored.
   std::vector<std::pair<std::string, jobs::JobTransfer>> mTransfersInBatch;
-  /// Ids of jobs that must be copied to their targets.
-  std::set<std::string> mTransfersToSend;
+  /// By id of a job that must be copied to its target: the offset up to which
+  /// this leader must have read its journal before.
+  std::map<std::string, std::int64_t> mTransfersToSend;
   /// Transfers whose copy awaits a response.
   std::set<std::string> mTransfersInFlight;
   base::TimePoint mNextTransferAt;
@@ -390,8 +397,8 @@
   std::vector<std::pair<LoanId, jobs::TaskLoan>> mLoansToStore;
   /// Loans in the batch that is being stored.
   std::vector<std::pair<LoanId, jobs::TaskLoan>> mLoansInBatch;
-  /// Loans that must be copied to their targets.
-  std::set<LoanId> mLoansToSend;
+  /// Loans that must be copied to their targets, like mTransfersToSend.
+  std::map<LoanId, std::int64_t> mLoansToSend;
   /// Loans whose copy awaits a response.
   std::set<LoanId> mLoansInFlight;
   std::map<LoanId, PendingLoan> mPendingLoans;
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -582,7 +582,7 @@
                        { "max_delay_ms", ToMs(JournalAge()) } });
       mDispatcher->CancelJob(aKey.mId, now);
       if (mJobs.TransferOf(aKey.mId)) {
-        mTransfersToSend.insert(aKey.mId);
+        mTransfersToSend.emplace(aKey.mId, 0);
       }
       EndLoans(aKey.mId);
       break;
@@ -1088,10 +1088,12 @@
       { "lease_records", static_cast<std::int64_t>(mUnextendedWorkers.size()) },
       { "journal", mJournalReader.NextOffset() } });
   mJobsToAdd.insert(openJobs.begin(), openJobs.end());
-  const auto transfers = mJobs.ListTransfersToRepeat();
-  mTransfersToSend.insert(transfers.begin(), transfers.end());
-  const auto loans = mJobs.ListLoansToRepeat();
-  mLoansToSend.insert(loans.begin(), loans.end());
+  for (const auto& it : mJobs.ListTransfersToRepeat()) {
+    mTransfersToSend.emplace(it, 0);
+  }
+  for (const auto& it : mJobs.ListLoansToRepeat()) {
+    mLoansToSend.emplace(it, 0);
+  }
   mTransfersFrom = now + kFirstReportsTime;
   mNextLoansAt = mTransfersFrom;
   mProfile.Reset();
@@ -1187,6 +1189,12 @@
   }
 }
 
+bool
+Cell::HasRead(std::int64_t aOffset) const
+{
+  return mJournalReader.IsLoaded() && mJournalReader.NextOffset() >= aOffset;
+}
+
 void
 Cell::SendTransfers(TimePoint aNow)
 {
@@ -1196,9 +1204,9 @@
   for (auto it = mTransfersToSend.begin();
        it != mTransfersToSend.end() &&
        mTransfersInFlight.size() < kMaxTransfersInFlight;) {
-    const std::string id = *it;
-    if (mTransfersInFlight.count(id) != 0) {
-      // A cancellation follows once the submission was answered.
+    const std::string id = it->first;
+    // A cancellation follows once the submission was answered.
+    if (mTransfersInFlight.count(id) != 0 || !HasRead(it->second)) {
       ++it;
       continue;
     }
@@ -1239,7 +1247,7 @@
   }
   if (aResult.mOutcome != LogOutcome::Done) {
     // The target ignores a submission that it has already.
-    mTransfersToSend.insert(aJobId);
+    mTransfersToSend.emplace(aJobId, 0);
     mNextTransferAt = mClock.Now() + kFlushRetryPause;
     return;
   }
@@ -1432,18 +1440,19 @@
     return;
   }
   for (const auto& it : loans) {
-    mLoansToSend.emplace(aJobId, it);
+    mLoansToSend.emplace(LoanId{ aJobId, it }, 0);
   }
 }
 
 bool
 Cell::HasCopiesToSend(const std::string& aJobId) const
 {
-  const auto isIn = [&](const std::set<LoanId>& aLoans) {
-    const auto first = aLoans.lower_bound({ aJobId, "" });
-    return first != aLoans.end() && first->first == aJobId;
-  };
-  return IsLending(aJobId) || isIn(mLoansToSend) || isIn(mLoansInFlight) ||
+  const LoanId first{ aJobId, "" };
+  const auto toSend = mLoansToSend.lower_bound(first);
+  const auto inFlight = mLoansInFlight.lower_bound(first);
+  return IsLending(aJobId) ||
+         (toSend != mLoansToSend.end() && toSend->first.first == aJobId) ||
+         (inFlight != mLoansInFlight.end() && inFlight->first == aJobId) ||
          mTransfersToSend.count(aJobId) != 0 ||
          mTransfersInFlight.count(aJobId) != 0;
 }
@@ -1456,9 +1465,9 @@
   }
   for (auto it = mLoansToSend.begin();
        it != mLoansToSend.end() && mLoansInFlight.size() < kMaxLoansInFlight;) {
-    const LoanId id = *it;
-    if (mLoansInFlight.count(id) != 0) {
-      // The end of the job follows once the copy was answered.
+    const LoanId id = it->first;
+    // The end of the job follows once the copy was answered.
+    if (mLoansInFlight.count(id) != 0 || !HasRead(it->second)) {
       ++it;
       continue;
     }
@@ -1502,7 +1511,7 @@
   mLoansInFlight.erase(aId);
   if (aResult.mOutcome != LogOutcome::Done) {
     // All copies are equal, so that a repeated one changes nothing.
-    mLoansToSend.insert(aId);
+    mLoansToSend.emplace(aId, 0);
     mNextLoanCopyAt = mClock.Now() + kFlushRetryPause;
     return;
   }
@@ -1720,6 +1729,7 @@
     }
     ++offset;
   }
+  mBatchEnd = offset;
   mBatch.RemoveNext();
   if (mBatch.IsEmpty()) {
     CompleteBatch();
@@ -1737,13 +1747,13 @@
   mWorkerDeletions.clear();
   for (const auto& [id, transfer] : mTransfersInBatch) {
     if (!transfer.mIsDelivered) {
-      mTransfersToSend.insert(id);
+      mTransfersToSend.emplace(id, mBatchEnd);
     }
   }
   mTransfersInBatch.clear();
   for (const auto& [id, loan] : mLoansInBatch) {
     if (!loan.mIsDelivered) {
-      mLoansToSend.insert(id);
+      mLoansToSend.emplace(id, mBatchEnd);
     }
   }
   mLoansInBatch.clear();
--- a/src/node/cell_random_test.cpp
+++ b/src/node/cell_random_test.cpp
@@ -385,6 +385,39 @@
     return cells;
   }
 
+  /// A job is cancelled when the leader of its home has decided to move it and
+  /// has not stored that yet. The leader then cannot read its journal for a
+  /// while. Returns the number of runs of the job meanwhile and after that.
+  std::vector<int> CancelBeforeMove()
+  {
+    Advance(milliseconds(8000));
+    jobs::Step step;
+    step.mIsService = true;
+    step.mResources.mMilliProcessors = 500;
+    // The rack is that of cell 0, the label that of cell 1.
+    step.mPreferredRack = "d0rack";
+    step.mRequiredLabel = "odd";
+    jobs::JobRequest request;
+    request.mSteps.push_back(step);
+    const std::string id = "moved";
+    mMayExist.insert(id);
+    CellInstance& leader = LeaderOf(0);
+    JobRouter& router = OtherThan(leader).mNode.GetJobRouter();
+    CPPUNIT_ASSERT(router.Submit(
+      MakePolicy(), id, request, mClock.Now() + milliseconds(400)));
+    Advance(kStep);
+    CPPUNIT_ASSERT_EQUAL(0, CountRecords("t/"));
+    CPPUNIT_ASSERT(router.Cancel(id, mClock.Now() + milliseconds(400)));
+    leader.mLog.mUnreadableStreams = { "journal" };
+    Advance(milliseconds(600));
+    std::vector<int> runs{ CountRuns(id) };
+    leader.mLog.mUnreadableStreams.clear();
+    Advance(kRecoveryTime);
+    mTransferCount = CountRecords("t/");
+    runs.push_back(CountRuns(id));
+    return runs;
+  }
+
   const std::string& Problem() const { return mProblem; }
   int TransferCount() const { return mTransferCount; }
   int LoanCount() const { return mLoanCount; }
@@ -503,6 +536,23 @@
     return *mInstances[mRandom->Below(mInstances.size())];
   }
 
+  CellInstance& LeaderOf(int aCell)
+  {
+    const auto found = std::find_if(
+      mInstances.begin(), mInstances.end(), [&](const auto& aInstance) {
+        const auto led = aInstance->mNode.LedCells();
+        return std::find(led.begin(), led.end(), aCell) != led.end();
+      });
+    CPPUNIT_ASSERT(found != mInstances.end());
+    return **found;
+  }
+
+  CellInstance& OtherThan(const CellInstance& aInstance)
+  {
+    return mInstances.front().get() != &aInstance ? *mInstances.front()
+                                                  : *mInstances.back();
+  }
+
   /// Epochs that the cells have had.
   std::size_t CountClaims() const
   {
@@ -767,6 +817,7 @@
   CPPUNIT_TEST(PassesOnTheCancellationOfAnOldTransferredJob);
   CPPUNIT_TEST(RunsNoLateCopyOfACancelledLoan);
   CPPUNIT_TEST(LendsNoTasksToTheHomeOfAnOldJob);
+  CPPUNIT_TEST(CopiesNoCancelledJobThatItsHomeTakesForOpen);
   CPPUNIT_TEST(LendsBesideUnplaceableJobs);
   CPPUNIT_TEST(KeepsTheBacklogOfALostLeader);
   CPPUNIT_TEST(LoadsTheRegistryInFewInstances);
@@ -862,6 +913,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, borrowers.count(2));
   }
 
+  // The instance that stores the cancellation cannot know of the move. Guards
+  // against a home that copies the job before it has read the cancellation, so
+  // that another cell starts it (UNASKED).
+  void CopiesNoCancelledJobThatItsHomeTakesForOpen()
+  {
+    CellSimulation simulation(1);
+    const std::vector<int> runs = simulation.CancelBeforeMove();
+    CPPUNIT_ASSERT(simulation.TransferCount() > 0);
+    CPPUNIT_ASSERT_EQUAL(0, runs[0]);
+    CPPUNIT_ASSERT_EQUAL(0, runs[1]);
+  }
+
   // Guards against jobs that no worker can have and that end all loans (LOST).
   void LendsBesideUnplaceableJobs()
   {
--- a/src/node/fake_shared_log_test.hpp
+++ b/src/node/fake_shared_log_test.hpp
@@ -183,6 +183,8 @@
   bool mIsUnreachable = false;
   /// Topics whose reads get no response; appends to them take effect.
   std::set<std::string> mUnreadableTopics;
+  /// The same for single partitions, by NameOfStream.
+  std::set<std::string> mUnreadableStreams;
   /// Topics whose appends get no response and take no effect.
   std::set<std::string> mUnwritableTopics;
   /// The same for single partitions, by NameOfStream.
@@ -213,7 +215,8 @@
 private:
   bool IsReadable(const LogStream& aStream) const
   {
-    return !mIsUnreachable && mUnreadableTopics.count(aStream.mTopic) == 0;
+    return !mIsUnreachable && mUnreadableTopics.count(aStream.mTopic) == 0 &&
+           mUnreadableStreams.count(NameOfStream(aStream)) == 0;
   }
 
   /// An asynchronous read of new records that waits.
