--- a/src/node/cancellation_random_test.cpp
+++ b/src/node/cancellation_random_test.cpp
@@ -47,13 +47,6 @@
   CrashAmidFaults,
 };
 
-int
-NumberFromEnvironment(const char* aName, int aDefault)
-{
-  const char* text = std::getenv(aName);
-  return text != nullptr ? std::atoi(text) : aDefault;
-}
-
 /// Callers submit and cancel jobs with lasting tasks while instances, the log
 /// and workers fail at times that follow from the seed.
 class CancellationSimulation
--- a/src/node/cell_random_test.cpp
+++ b/src/node/cell_random_test.cpp
@@ -14,6 +14,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cell_site_test.hpp"
 #include "fake_shared_log_test.hpp"
 #include "fake_worker_client_test.hpp"
 
@@ -23,9 +24,6 @@
 
 namespace {
 
-constexpr int kDomains = 3;
-constexpr int kWorkersPerDomain = 3;
-constexpr std::int64_t kWorkerMilliProcessors = 8000;
 constexpr int kInstances = 5;
 constexpr milliseconds kStep{ 20 };
 constexpr milliseconds kSeedTime{ 20'000 };
@@ -38,34 +36,6 @@
 /// Time in which a lasting task without a run must start again.
 constexpr milliseconds kMaxTimeWithoutRun{ 9000 };
 
-/// "d1w2" is worker 2 of failure domain "d1". Workers of one failure domain
-/// have the label "odd" or "even" of the domain.
-class DomainDecoder : public RecordDecoder
-{
-public:
-  std::shared_ptr<const RouteTable> DecodeRoutes(
-    const LogRecord&) const override
-  {
-    return std::make_shared<RouteTable>(1, std::vector<Route>());
-  }
-
-  std::optional<dispatch::WorkerEntry> DecodeWorker(
-    const LogRecord& aRecord) const override
-  {
-    dispatch::WorkerEntry entry;
-    entry.mId = aRecord.mKey;
-    entry.mPool = "pool";
-    entry.mAddress = aRecord.mKey + ":1";
-    // A value of two characters is the failure domain that the worker moved to.
-    entry.mDomain =
-      aRecord.mValue.size() == 2 ? aRecord.mValue : aRecord.mKey.substr(0, 2);
-    entry.mRack = entry.mDomain + "rack";
-    entry.mLabels = { entry.mDomain == "d1" ? "odd" : "even", entry.mRack };
-    entry.mCapacity = { kWorkerMilliProcessors, std::int64_t{ 1 } << 36, 0 };
-    return entry;
-  }
-};
-
 /// The clients of the cells of one instance.
 class FakeWorkerClients : public WorkerClients
 {
@@ -99,24 +69,6 @@
   const base::Clock& mClock;
 };
 
-/// Unix time that advances with the clock of the simulation.
-class SimulatedWallClock : public journal::WallClock
-{
-public:
-  explicit SimulatedWallClock(const base::Clock& aClock)
-    : mClock(aClock)
-  {
-  }
-
-  std::int64_t NowMs() const override
-  {
-    return 1'700'000'000'000 + base::ToMicros(mClock.Now()) / 1000;
-  }
-
-private:
-  const base::Clock& mClock;
-};
-
 struct CellInstance
 {
   CellInstance(FakeLogState& aState,
@@ -404,11 +356,6 @@
     bool mIsCancelled = false;
   };
 
-  static std::string JournalOf(int aCell)
-  {
-    return aCell == 0 ? "journal" : "journal/" + std::to_string(aCell);
-  }
-
   /// The first task of the only step has index 0.
   static jobs::StepProgress TaskOf(int aIndex)
   {
@@ -473,29 +420,15 @@
     Advance(kMaxTimeWithoutRun);
   }
 
-  static jobs::QueuePolicy MakePolicy()
-  {
-    jobs::QueuePolicy policy;
-    policy.mQueue = "queue";
-    policy.mPool = "pool";
-    policy.mMaxFailedRuns = 3;
-    return policy;
-  }
-
   std::unique_ptr<CellInstance> CreateInstance(int aNumber)
   {
-    NodeOptions options;
-    options.mInstanceId =
-      "node" + std::to_string(aNumber) + "/" + std::to_string(++mStartCount);
-    options.mDomain = "d" + std::to_string(aNumber % kDomains);
-    options.mCells.mMaxCells = kDomains;
-    options.mCells.mWorkersPerCell = kWorkersPerDomain;
-    options.mStreams = { { "configuration", 0 },
-                         { "workers", 0 },
-                         { "journal", 0 },
-                         { "leaders", 0 },
-                         { "cells", 0 } };
-    return std::make_unique<CellInstance>(mState, mWorkers, mClock, options);
+    return std::make_unique<CellInstance>(
+      mState,
+      mWorkers,
+      mClock,
+      MakeCellOptions("node" + std::to_string(aNumber) + "/" +
+                        std::to_string(++mStartCount),
+                      aNumber));
   }
 
   CellInstance& AnyInstance()
@@ -900,6 +833,7 @@
     base::ManualClock clock;
     std::vector<std::unique_ptr<CellInstance>> instances;
     constexpr int kSiteInstances = 100;
+    instances.reserve(kSiteInstances);
     for (int n = 0; n < kDomains * kWorkersPerDomain; ++n) {
       state.mStreams["workers"].push_back(
         { "d" + std::to_string(n % kDomains) + "w" + std::to_string(n),
@@ -907,18 +841,8 @@
           n });
     }
     for (int n = 0; n < kSiteInstances; ++n) {
-      NodeOptions options;
-      options.mInstanceId = "node" + std::to_string(n);
-      options.mDomain = "d" + std::to_string(n % kDomains);
-      options.mCells.mMaxCells = kDomains;
-      options.mCells.mWorkersPerCell = kWorkersPerDomain;
-      options.mStreams = { { "configuration", 0 },
-                           { "workers", 0 },
-                           { "journal", 0 },
-                           { "leaders", 0 },
-                           { "cells", 0 } };
-      instances.push_back(
-        std::make_unique<CellInstance>(state, workers, clock, options));
+      instances.push_back(std::make_unique<CellInstance>(
+        state, workers, clock, MakeCellOptions("node" + std::to_string(n), n)));
     }
     const base::TimePoint end = clock.Now() + milliseconds(8000);
     while (clock.Now() < end) {
--- a/src/node/lossy_site_test.hpp
+++ b/src/node/lossy_site_test.hpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <cstdlib>
 #include <functional>
 #include <map>
 #include <memory>
@@ -22,6 +23,13 @@
 
 namespace skylarkhill::node {
 
+inline int
+NumberFromEnvironment(const char* aName, int aDefault)
+{
+  const char* text = std::getenv(aName);
+  return text != nullptr ? std::atoi(text) : aDefault;
+}
+
 /// What becomes of a call.
 enum class CallFate
 {
@@ -78,7 +86,12 @@
 
   CallFate FateOf(const std::string& aKey) const
   {
-    if (Draw(100, "fate " + aKey) >= mFaultPercent) {
+    return FateOf(aKey, mFaultPercent);
+  }
+
+  CallFate FateOf(const std::string& aKey, int aFaultPercent) const
+  {
+    if (Draw(100, "fate " + aKey) >= aFaultPercent) {
       return CallFate::Served;
     }
     constexpr int kFates = 4;
@@ -184,9 +197,13 @@
                       base::TimePoint aDeadline) override
   {
     const std::string key = "blocking append " + KeyOf(aRequest);
-    switch (FateOf(key)) {
-      case CallFate::Served:
-        return Apply(mState, aRequest);
+    WaitIfDelayed(key);
+    switch (FateOfAppend(aRequest, key)) {
+      case CallFate::Served: {
+        const AppendResult result = Apply(mState, aRequest);
+        WaitIfDelayed("back " + key);
+        return result;
+      }
       case CallFate::Refused:
         return MakeRefusal();
       case CallFate::CallLost:
@@ -207,9 +224,13 @@
                   base::TimePoint aDeadline) override
   {
     const std::string key = "blocking read " + std::to_string(aFrom);
-    switch (FateOf(key)) {
-      case CallFate::Served:
-        return ReadFrom(aStream, aFrom);
+    WaitIfDelayed(key);
+    switch (FateOfRead(aStream, key)) {
+      case CallFate::Served: {
+        ReadResult result = ReadFrom(aStream, aFrom);
+        WaitIfDelayed("back " + key);
+        return result;
+      }
       case CallFate::Refused: {
         ReadResult refusal;
         refusal.mOutcome = LogOutcome::Refused;
@@ -230,7 +251,7 @@
   {
     const std::string key = "append " + KeyOf(aRequest);
     const base::Duration untilDeadline = aDeadline - mNetwork.Now();
-    const CallFate fate = FateOf(key);
+    const CallFate fate = FateOfAppend(aRequest, key);
     switch (fate) {
       case CallFate::Served: {
         const base::Duration there = mNetwork.DelayOf(key);
@@ -265,7 +286,7 @@
             std::function<void(ReadResult)> aHandler) override
   {
     const std::string key = "read " + NameOfStream(aStream);
-    const CallFate fate = FateOf(key);
+    const CallFate fate = FateOfRead(aStream, key);
     if (fate == CallFate::Served) {
       ServeRead(aStream, aFrom, mNetwork.Now() + aWait, std::move(aHandler));
       return;
@@ -287,6 +308,15 @@
 
   /// No call reaches the log.
   bool mIsCut = false;
+  /// Streams whose reads get no answer, by NameOfStream.
+  std::set<std::string> mUnreadableStreams;
+  /// What becomes of the appends to single streams, by NameOfStream.
+  std::map<std::string, CallFate> mAppendFates;
+  /// Share of the calls of this instance that are not served; none: that of the
+  /// network.
+  std::optional<int> mFaultPercent;
+  /// Blocking calls take time, in which the site goes on.
+  bool mDelaysBlockingCalls = false;
 
 private:
   static constexpr base::Duration kReadSlack = std::chrono::milliseconds(900);
@@ -294,7 +324,38 @@
 
   CallFate FateOf(const std::string& aKey) const
   {
-    return mIsCut ? CallFate::CallLost : mNetwork.FateOf(aKey);
+    if (mIsCut) {
+      return CallFate::CallLost;
+    }
+    return mFaultPercent ? mNetwork.FateOf(aKey, *mFaultPercent)
+                         : mNetwork.FateOf(aKey);
+  }
+
+  CallFate FateOfRead(const LogStream& aStream, const std::string& aKey) const
+  {
+    return mUnreadableStreams.count(NameOfStream(aStream)) != 0
+             ? CallFate::CallLost
+             : FateOf(aKey);
+  }
+
+  CallFate FateOfAppend(const AppendRequest& aRequest,
+                        const std::string& aKey) const
+  {
+    const auto found = mAppendFates.find(NameOfStream(aRequest.mStream));
+    return found != mAppendFates.end() && !mIsCut ? found->second
+                                                  : FateOf(aKey);
+  }
+
+  /// One direction of a blocking call.
+  void WaitIfDelayed(const std::string& aKey)
+  {
+    if (!mDelaysBlockingCalls) {
+      return;
+    }
+    mRunUntil(mNetwork.Now() + mNetwork.DelayOf(aKey));
+    while (mRecipient.IsPaused()) {
+      mRunUntil(mNetwork.Now() + std::chrono::milliseconds(20));
+    }
   }
 
   static std::string KeyOf(const AppendRequest& aRequest)
@@ -344,6 +405,12 @@
                  base::TimePoint aWaitEnd,
                  std::function<void(ReadResult)> aHandler)
   {
+    if (mUnreadableStreams.count(NameOfStream(aStream)) != 0) {
+      mRecipient.After(
+        aWaitEnd + kReadSlack - mNetwork.Now(),
+        [handler = std::move(aHandler)] { handler(ReadResult{}); });
+      return;
+    }
     ReadResult result = mIsCut ? ReadResult{} : ReadFrom(aStream, aFrom);
     if (result.mOutcome == LogOutcome::Done && result.mRecords.empty() &&
         mNetwork.Now() < aWaitEnd) {
@@ -365,7 +432,7 @@
                 std::function<void(ReadResult)> aHandler)
   {
     const std::string key = "page " + NameOfStream(aStream) + aAfterKey;
-    const CallFate fate = FateOf(key);
+    const CallFate fate = FateOfRead(aStream, key);
     if (fate != CallFate::Served) {
       const bool isRefused = fate == CallFate::Refused;
       mRecipient.After(isRefused ? mNetwork.DelayOf(key) : kPageTimeout,
@@ -638,6 +705,9 @@
 
   void Start(const dispatch::StartCall& aCall) override
   {
+    if (mOnStart) {
+      mOnStart(aCall);
+    }
     const std::string key = "start " + aCall.mWorkerId + ToText(aCall.mTask);
     const auto outcome = std::make_shared<dispatch::StartOutcome>();
     Send(
@@ -721,6 +791,8 @@
 
   /// Workers that no call of this instance reaches.
   std::set<std::string> mCutWorkers;
+  /// Called when a start is sent.
+  std::function<void(const dispatch::StartCall&)> mOnStart;
 
 private:
   static constexpr base::Duration kCallTimeout = std::chrono::milliseconds(600);
