Tests of the review of cancellations over cells

FakeSharedLog: an asynchronous read of expired records returned no response if reads wait; it returns Expired now, as the store does.

--- a/src/node/cell_random_test.cpp
+++ b/src/node/cell_random_test.cpp
@@ -181,6 +181,7 @@
     for (auto& it : mInstances) {
       it->mLog.mIsUnreachable = false;
       it->mLog.mUnwritableStreams.clear();
+      it->mLog.mUnreadableStreams.clear();
       it->mLog.mDropsResponses = false;
       it->mPausedUntil = {};
       it->mLog.CarryOutLostAppends();
@@ -418,6 +419,66 @@
     return runs;
   }
 
+  /// Like CancelBeforeMove, but each read of the leader of the target returns
+  /// one record, and it cannot read its journal from `aSteps` steps after the
+  /// copy on. Returns the number of runs of the job meanwhile.
+  int DivideCopyOfCancelledJob(int aSteps)
+  {
+    Advance(milliseconds(8000));
+    jobs::Step step;
+    step.mIsService = true;
+    step.mResources.mMilliProcessors = 500;
+    // The rack is that of cell 0, the label that of cell 1.
+    step.mPreferredRack = "d0rack";
+    step.mRequiredLabel = "odd";
+    jobs::JobRequest request;
+    request.mSteps.push_back(step);
+    const std::string id = "moved";
+    mMayExist.insert(id);
+    CellInstance& target = LeaderOf(1);
+    JobRouter& router = OtherThan(LeaderOf(0)).mNode.GetJobRouter();
+    CPPUNIT_ASSERT(router.Submit(
+      MakePolicy(), id, request, mClock.Now() + milliseconds(400)));
+    Advance(kStep);
+    CPPUNIT_ASSERT_EQUAL(0, CountRecords("t/"));
+    CPPUNIT_ASSERT(router.Cancel(id, mClock.Now() + milliseconds(400)));
+    target.mLog.mMaxRecordsPerRead = 1;
+    const auto isCopied = [&] {
+      const auto& records = mState.mStreams[JournalOf(1)];
+      return std::any_of(records.begin(), records.end(), [&](const auto& it) {
+        return it.mKey ==
+               jobs::FormatRecordKey(jobs::RecordKind::Cancellation, id);
+      });
+    };
+    for (int n = 0; n < 100 && !isCopied(); ++n) {
+      Advance(kStep);
+    }
+    CPPUNIT_ASSERT(isCopied());
+    Advance(kStep * aSteps);
+    target.mLog.mUnreadableStreams = { JournalOf(1) };
+    Advance(milliseconds(1500));
+    return CountRuns(id);
+  }
+
+  /// A cancelled old job of cell 1, which was transferred from cell 0, is
+  /// copied a second time. Returns the number of runs of the job after that.
+  int RepeatCancelledTransfer()
+  {
+    const jobs::Submission job = OldJob(1);
+    StoreOldJob(job);
+    Advance(milliseconds(8000));
+    CPPUNIT_ASSERT_EQUAL(1, CountRuns(job.mId));
+    CPPUNIT_ASSERT(AnyInstance().mNode.GetJobRouter().Cancel(
+      job.mId, mClock.Now() + milliseconds(400)));
+    Advance(kRecoveryTime);
+    CPPUNIT_ASSERT_EQUAL(0, CountRuns(job.mId));
+    Store("journal/1",
+          jobs::FormatRecordKey(jobs::RecordKind::Submission, job.mId),
+          jobs::EncodeSubmission(job));
+    Advance(milliseconds(8000));
+    return CountRuns(job.mId);
+  }
+
   const std::string& Problem() const { return mProblem; }
   int TransferCount() const { return mTransferCount; }
   int LoanCount() const { return mLoanCount; }
@@ -428,6 +489,9 @@
   bool mHasLargeJobs = false;
   /// Workers of two failure domains crash, are cut off and return.
   bool mLosesWorkers = false;
+  /// Instances cannot read single partitions or find them expired, and more
+  /// jobs are cancelled.
+  bool mCutsPartitions = false;
 
 private:
   struct SubmittedJob
@@ -644,13 +708,39 @@
       case 6:
         Cancel();
         break;
+      case 7:
+        if (mCutsPartitions) {
+          instance.mLog.mUnreadableStreams.clear();
+          const std::string journal =
+            JournalOf(static_cast<int>(mRandom->Below(kDomains)));
+          if (mRandom->Below(2) == 0) {
+            instance.mLog.mUnreadableStreams.insert(journal);
+          } else {
+            // Instances that are behind have to load it again.
+            mState.mFirstOffsets[journal] =
+              static_cast<std::int64_t>(mState.mStreams[journal].size());
+          }
+          break;
+        }
+        Submit();
+        break;
+      case 8:
+      case 9:
+        if (!mCutsPartitions) {
+          Submit();
+        } else if (mRandom->Below(2) == 0) {
+          Cancel();
+        } else {
+          SubmitAndCancel();
+        }
+        break;
       default:
         Submit();
         break;
     }
   }
 
-  void Submit()
+  std::string Submit()
   {
     std::string id = RandomJobId();
     SubmittedJob& job = mJobs[id];
@@ -675,6 +765,24 @@
       MakePolicy(), id, job.mRequest, mClock.Now() + milliseconds(400));
     job.mIsAccepted = job.mIsAccepted || result;
     mMayExist.insert(id);
+    return id;
+  }
+
+  /// The home cannot read its journal after the submission.
+  void SubmitAndCancel()
+  {
+    const std::string id = Submit();
+    Advance(kStep);
+    for (auto& it : mInstances) {
+      it->mLog.mUnreadableStreams = { "journal" };
+    }
+    CellInstance& instance = AnyInstance();
+    instance.mLog.mUnreadableStreams.clear();
+    Cancel(instance, id);
+    Advance(milliseconds(100));
+    for (auto& it : mInstances) {
+      it->mLog.mUnreadableStreams.clear();
+    }
   }
 
   /// The large jobs request less than half of the site.
@@ -686,12 +794,17 @@
   void Cancel()
   {
     const std::string id = RandomJobId();
-    const auto result = AnyInstance().mNode.GetJobRouter().Cancel(
-      id, mClock.Now() + milliseconds(400));
+    Cancel(AnyInstance(), id);
+  }
+
+  void Cancel(CellInstance& aInstance, const std::string& aId)
+  {
+    const auto result = aInstance.mNode.GetJobRouter().Cancel(
+      aId, mClock.Now() + milliseconds(400));
     if (result) {
-      mJobs[id].mIsCancelled = true;
+      mJobs[aId].mIsCancelled = true;
     } else if (result.error().mKind == base::ErrorKind::OutcomeUnknown) {
-      mMayBeCancelled.insert(id);
+      mMayBeCancelled.insert(aId);
     }
   }
 
@@ -727,6 +840,63 @@
         }
       }
     }
+    CheckCancellations();
+  }
+
+  /// The records of a job that the journal of one cell has.
+  struct StoredParts
+  {
+    bool mHasSubmission = false;
+    bool mHasTransfer = false;
+    bool mIsBorrowed = false;
+    bool mIsCancelled = false;
+  };
+
+  /// Each journal with an acknowledged cancellation of a job that its cell may
+  /// run has the cancellation.
+  void CheckCancellations()
+  {
+    for (const auto& [name, records] : mState.mStreams) {
+      if (name.substr(0, 7) != "journal") {
+        continue;
+      }
+      auto& stored = mStoredParts[name];
+      for (std::size_t& n = mCheckedRecords[name]; n < records.size(); ++n) {
+        const auto key = jobs::ParseRecordKey(records[n].mKey);
+        if (!key || records[n].mValue.empty()) {
+          continue;
+        }
+        StoredParts& parts = stored[key->mId];
+        switch (key->mKind) {
+          case jobs::RecordKind::Submission:
+            parts.mHasSubmission = true;
+            break;
+          case jobs::RecordKind::Transfer:
+            parts.mHasTransfer = true;
+            break;
+          case jobs::RecordKind::Borrowed:
+            parts.mIsBorrowed = true;
+            break;
+          case jobs::RecordKind::Cancellation:
+            parts.mIsCancelled = true;
+            break;
+          default:
+            break;
+        }
+      }
+      for (const auto& [id, job] : mJobs) {
+        const auto found = stored.find(id);
+        if (!job.mIsCancelled || found == stored.end()) {
+          continue;
+        }
+        const StoredParts& parts = found->second;
+        const bool mayRun =
+          parts.mIsBorrowed || (parts.mHasSubmission && !parts.mHasTransfer);
+        if (mayRun && !parts.mIsCancelled) {
+          mProblem = id + " was cancelled, and " + name + " does not say so";
+        }
+      }
+    }
   }
 
   void CheckOutcome()
@@ -801,6 +971,9 @@
   std::string mProblem;
   int mTransferCount = 0;
   int mLoanCount = 0;
+  /// By stream and job.
+  std::map<std::string, std::map<std::string, StoredParts>> mStoredParts;
+  std::map<std::string, std::size_t> mCheckedRecords;
 };
 
 } // namespace
@@ -818,6 +991,9 @@
   CPPUNIT_TEST(RunsNoLateCopyOfACancelledLoan);
   CPPUNIT_TEST(LendsNoTasksToTheHomeOfAnOldJob);
   CPPUNIT_TEST(CopiesNoCancelledJobThatItsHomeTakesForOpen);
+  CPPUNIT_TEST(StoresACancellationWhereverTheJobMayRun);
+  CPPUNIT_TEST(StartsNoCancelledJobWhoseCopyIsReadInParts);
+  CPPUNIT_TEST(RunsNoLateCopyOfACancelledTransfer);
   CPPUNIT_TEST(LendsBesideUnplaceableJobs);
   CPPUNIT_TEST(KeepsTheBacklogOfALostLeader);
   CPPUNIT_TEST(LoadsTheRegistryInFewInstances);
@@ -925,6 +1101,51 @@
     CPPUNIT_ASSERT_EQUAL(0, runs[1]);
   }
 
+  // Jobs move and are lent while leaders, single partitions and workers fail.
+  // Guards against a cell that may run a job and whose journal lacks its
+  // acknowledged cancellation (UNASKED).
+  void StoresACancellationWhereverTheJobMayRun()
+  {
+    const char* text = std::getenv("SKYLARKHILL_CELL_SEEDS");
+    const int seeds = text != nullptr ? std::atoi(text) : kLoanSeeds;
+    int loans = 0;
+    int transfers = 0;
+    for (int seed = 1; seed <= seeds; ++seed) {
+      CellSimulation simulation(static_cast<std::uint64_t>(seed));
+      simulation.mHasLargeJobs = seed % 2 == 0;
+      simulation.mLosesWorkers = true;
+      simulation.mCutsPartitions = true;
+      const std::string problem = simulation.Run();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        "seed " + std::to_string(seed), std::string(), problem);
+      loans += simulation.LoanCount();
+      transfers += simulation.TransferCount();
+    }
+    CPPUNIT_ASSERT(loans > 0);
+    CPPUNIT_ASSERT(transfers > 0);
+  }
+
+  // The copy of a job and its cancellation are one append, and two reads return
+  // them. Guards against a target that starts the job between these, longer
+  // after the acknowledgement than its own journal may be old (UNASKED).
+  void StartsNoCancelledJobWhoseCopyIsReadInParts()
+  {
+    for (int steps = 0; steps < 12; ++steps) {
+      CellSimulation simulation(1);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("steps " + std::to_string(steps),
+                                   0,
+                                   simulation.DivideCopyOfCancelledJob(steps));
+    }
+  }
+
+  // An append without an answer is carried out after the cancellation. Guards
+  // against a target that has removed the cancellation by then (UNASKED).
+  void RunsNoLateCopyOfACancelledTransfer()
+  {
+    CellSimulation simulation(1);
+    CPPUNIT_ASSERT_EQUAL(0, simulation.RepeatCancelledTransfer());
+  }
+
   // Guards against jobs that no worker can have and that end all loans (LOST).
   void LendsBesideUnplaceableJobs()
   {
--- a/src/node/fake_shared_log_test.hpp
+++ b/src/node/fake_shared_log_test.hpp
@@ -160,12 +160,14 @@
     mReads.clear();
     for (auto& it : reads) {
       const ReadResult result = Read(it.mStream, it.mFrom, base::TimePoint{});
-      it.mIsLost = it.mIsLost || result.mOutcome != LogOutcome::Done;
+      const bool isExpired = result.mOutcome == LogOutcome::Expired;
+      it.mIsLost =
+        it.mIsLost || (result.mOutcome != LogOutcome::Done && !isExpired);
       const base::TimePoint end =
         it.mIsLost ? it.mWaitEnd + kReadSlack : it.mWaitEnd;
       const bool isRefused = it.mIsLost && mRefusesReads;
       if (mClock->Now() < end && !isRefused &&
-          (it.mIsLost || result.mRecords.empty())) {
+          (it.mIsLost || (result.mRecords.empty() && !isExpired))) {
         mReads.push_back(std::move(it));
       } else {
         it.mHandler(it.mIsLost ? ReadResult{} : result);
--- a/src/node/job_router_test.cpp
+++ b/src/node/job_router_test.cpp
@@ -36,6 +36,9 @@
     if (mOnAppend) {
       mOnAppend(NameOfStream(aRequest.mStream));
     }
+    mHasShortAppend =
+      mHasShortAppend ||
+      (mClock != nullptr && aDeadline - mClock->Now() < milliseconds(100));
     return mLog.Append(aRequest, aDeadline);
   }
 
@@ -46,6 +49,11 @@
     if (mUnreadable == NameOfStream(aStream)) {
       return {};
     }
+    if (mReadsToLose > 0) {
+      --mReadsToLose;
+      mLog.mOnNoResponse(aDeadline);
+      return {};
+    }
     return static_cast<BlockingLog&>(mLog).Read(aStream, aFrom, aDeadline);
   }
 
@@ -53,6 +61,12 @@
   std::function<void(const std::string&)> mOnAppend;
   /// Name of a stream whose reads fail.
   std::string mUnreadable;
+  /// Number of next reads without a response.
+  int mReadsToLose = 0;
+
+  const base::Clock* mClock = nullptr;
+  /// An append had less time than the log usually takes.
+  bool mHasShortAppend = false;
 
 private:
   FakeSharedLog& mLog;
@@ -94,6 +108,8 @@
   CPPUNIT_TEST(AcknowledgesNoCancellationThatACellLacks);
   CPPUNIT_TEST(AcknowledgesNoCancellationIfLoansMayBeMissing);
   CPPUNIT_TEST(StoresACancellationOnceOnASiteOfOneCell);
+  CPPUNIT_TEST(CallsNoFurtherCellWithoutTimeForIt);
+  CPPUNIT_TEST(TakesCancellationsAfterALostRead);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -176,6 +192,32 @@
     CPPUNIT_ASSERT_EQUAL(1, CountCancellations(0));
   }
 
+  // The first append takes almost all of the time. Guards against a call to the
+  // second cell that cannot be answered in time, after which this instance
+  // refuses the jobs of that cell.
+  void CallsNoFurtherCellWithoutTimeForIt()
+  {
+    StoreMove();
+    mCallerLog.mClock = &mClock;
+    mCallerLog.mOnAppend = [this](const std::string& aStream) {
+      if (aStream == "journal") {
+        mClock.Advance(kCallerTimeout - milliseconds(200));
+      }
+    };
+    const auto result = Cancel();
+    CPPUNIT_ASSERT(!mCallerLog.mHasShortAppend);
+    CPPUNIT_ASSERT(IsOutcomeUnknown(result));
+  }
+
+  // Guards against a cancellation that is answered with an error although there
+  // is time to read the journal again.
+  void TakesCancellationsAfterALostRead()
+  {
+    Read(0);
+    mCallerLog.mReadsToLose = 1;
+    CPPUNIT_ASSERT(Cancel());
+  }
+
 private:
   static constexpr const char* kJob = "job";
 
