Copy a cancellation in front of the job or the tasks that it ends

What callers saw: the leader of a second cell may start a task of a job whose cancellation was acknowledged long before (UNASKED). Cause: a copy of a moved job or of lent tasks had its cancellation behind it in the same append. A read returns 64 KB; if one ended between the two and the next one was lost, the job was started. Change: the cancellation comes first in the append. Loans have the same change without a test of their own.

--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -131,7 +131,8 @@
     int mTarget = 0;
     std::string mPool;
     int mCount = 0;
-    /// Offset of the copy in the journal of the target, once it is stored.
+    /// Offset of the copy, with its cancellation if there is one, in the
+    /// journal of the target, once it is stored.
     std::optional<std::int64_t> mOffset;
   };
 
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -1219,14 +1219,15 @@
     mTransfersInFlight.insert(id);
     AppendRequest request;
     request.mStream = PartitionOf(mOptions.mJournal, job->mTransfer->mTarget);
-    request.mRecords.push_back(
-      { jobs::FormatRecordKey(jobs::RecordKind::Submission, id),
-        jobs::EncodeSubmission(*job->mSubmission),
-        0 });
+    // A read may return only the first of the records.
     if (job->mIsCancelled) {
       request.mRecords.push_back(
         { jobs::FormatRecordKey(jobs::RecordKind::Cancellation, id), "1", 0 });
     }
+    request.mRecords.push_back(
+      { jobs::FormatRecordKey(jobs::RecordKind::Submission, id),
+        jobs::EncodeSubmission(*job->mSubmission),
+        0 });
     mLog.Append(request,
                 aNow + kFlushTimeout,
                 [this, id, epoch = mEpoch](const AppendResult& aResult) {
@@ -1482,6 +1483,13 @@
     mLoansInFlight.insert(id);
     AppendRequest request;
     request.mStream = PartitionOf(mOptions.mJournal, loan->mTarget);
+    // As in SendTransfers.
+    if (jobs::IsFinal(job->State())) {
+      request.mRecords.push_back(
+        { jobs::FormatRecordKey(jobs::RecordKind::Cancellation, id.first),
+          "1",
+          0 });
+    }
     request.mRecords.push_back(
       { jobs::FormatPartKey(jobs::RecordKind::Borrowed,
                             id.first,
@@ -1489,12 +1497,6 @@
         jobs::EncodeBorrowedTasks(
           { *submission, loan->mSteps, loan->mFormerCells }),
         0 });
-    if (jobs::IsFinal(job->State())) {
-      request.mRecords.push_back(
-        { jobs::FormatRecordKey(jobs::RecordKind::Cancellation, id.first),
-          "1",
-          0 });
-    }
     mLog.Append(request,
                 aNow + kFlushTimeout,
                 [this, id, epoch = mEpoch](const AppendResult& aResult) {
