Keep the cancellation of a moved job while its copy may be carried out late

What callers saw: a task of a cancelled job starts long after its end (UNASKED), if the job was 400 s old. Cause: only borrowers kept the records of a final job for the time in which an append without an answer may be carried out. The target of a move deleted the submission and the cancellation at once; a late copy then brought the job back. Change: the records of every job that another cell has copied to this one stay for that time.

--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -405,9 +405,9 @@
   std::map<LoanId, PendingLoan> mPendingLoans;
   /// Ids of jobs whose end this leader has passed on.
   std::set<std::string> mEndedLoans;
-  /// By job id: when the records of borrowed tasks of a final job may be
-  /// deleted.
-  std::map<std::string, base::TimePoint> mBorrowedRemovableAt;
+  /// By job id: when the records of a final job that other cells have copied to
+  /// this one may be deleted.
+  std::map<std::string, base::TimePoint> mCopiesRemovableAt;
 };
 
 } // namespace skylarkhill::node
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -1010,7 +1010,7 @@
   mLoansInFlight.clear();
   mPendingLoans.clear();
   mEndedLoans.clear();
-  mBorrowedRemovableAt.clear();
+  mCopiesRemovableAt.clear();
   mJournalReader.SetPause(FollowerJournalPause());
   mJournalReader.SetWait(kReadWait);
 }
@@ -1261,7 +1261,7 @@
 void
 Cell::ChooseLoans(TimePoint aNow)
 {
-  // A cancellation that this leader has not read would reach the borrower late.
+  // The copy would wait until this leader has read its journal.
   if (aNow < mNextLoansAt || mStartsHeldAt) {
     return;
   }
@@ -1769,12 +1769,14 @@
     return false;
   }
   const auto job = mJobs.Find(aJobId);
-  if (!job || job->mBorrowed.empty()) {
+  const jobs::Submission* submission = job ? job->KnownSubmission() : nullptr;
+  if (submission == nullptr ||
+      (job->mBorrowed.empty() && IsHomeOf(*submission))) {
     return true;
   }
-  // A late copy of the loan must find the cancellation.
+  // A late copy of the job or of the loan must find the cancellation.
   const TimePoint removableAt =
-    mBorrowedRemovableAt.emplace(aJobId, aNow + kMaxLateAppend).first->second;
+    mCopiesRemovableAt.emplace(aJobId, aNow + kMaxLateAppend).first->second;
   return aNow >= removableAt;
 }
 
