Repeat the read of a cancellation, and send no call that has no time

What callers saw: 504 for a cancellation after one lost read although there was time for another one, and 503 for other jobs of a cell for 700 ms after a call that an instance had sent with almost no time left. Cause: reads were not repeated like appends, and calls of a few milliseconds counted as failures of the log. Change: the read before the acknowledgement is repeated until the time of the caller is used up; no first append and no such read is sent with less than 100 ms. cancellation_incomplete names the cell. Evidence: JobRouterTest::TakesCancellationsAfterALostRead and CallsNoFurtherCellWithoutTimeForIt, found by the review, failed before. The second one looked at the time of an append after its hook had let the time pass, so that the first append counted as short; it looks before the hook now, and fails with the former code by the append to the second cell.

--- a/include/skylarkhill/node/job_router.hpp
+++ b/include/skylarkhill/node/job_router.hpp
@@ -53,7 +53,7 @@
 
   std::shared_ptr<const Cells> GetCells() const;
   /// Stores the cancellation, which the first cell has, in the journals of all
-  /// other cells that may run tasks of the job. Errors as for JobService.
+  /// other cells that may run tasks of the job. OutcomeUnknown: not in all.
   static base::Result<void> CancelInOtherCells(const Cells& aCells,
                                                const std::string& aJobId,
                                                int aFirstCell,
--- a/include/skylarkhill/node/job_service.hpp
+++ b/include/skylarkhill/node/job_service.hpp
@@ -66,9 +66,9 @@
   /// as for Submit.
   base::Result<void> StoreCancellation(const std::string& aJobId,
                                        base::TimePoint aDeadline);
-  /// Reads and applies the journal records up to the current end.
-  /// LogUnavailable: the journal could not be read.
-  base::Result<void> CatchUp(base::TimePoint aDeadline);
+  /// Reads and applies the journal records up to the current end; repeats reads
+  /// that fail. LogUnavailable: the journal could not be read in time.
+  base::Result<void> ReadToEnd(base::TimePoint aDeadline);
   /// State of a job; reads the journal if the job is not known yet, or not in a
   /// final state. Without access to the journal, the last known state.
   /// NotFound: no such job. LogUnavailable: the journal could not be read.
@@ -88,6 +88,11 @@
                             std::string aValue,
                             base::TimePoint aDeadline,
                             const std::function<bool()>& aIsStored);
+  /// Reads and applies the journal records up to the current end.
+  /// LogUnavailable: the journal could not be read.
+  base::Result<void> CatchUp(base::TimePoint aDeadline);
+  /// Like CatchUp, also if the log seems to be unreachable.
+  base::Result<void> ReadOnce(base::TimePoint aDeadline);
 
   jobs::JobTable& mJobs;
   BlockingLog& mLog;
--- a/src/node/job_router.cpp
+++ b/src/node/job_router.cpp
@@ -18,6 +18,21 @@
   return MakeError(ErrorKind::LogUnavailable, "the cells are not known yet");
 }
 
+/// The first cell has the cancellation, and its leader passes it on.
+base::Error
+MakeIncompleteError(const std::string& aJobId,
+                    int aCell,
+                    const base::Error& aCause)
+{
+  const logging::ContextField context("cell", aCell);
+  logging::Write(logging::Level::Info,
+                 "cancellation_incomplete",
+                 { { "job", aJobId },
+                   { "error", base::NameOf(aCause.mKind) },
+                   { "detail", aCause.mDetail } });
+  return MakeError(ErrorKind::OutcomeUnknown, aCause.mDetail);
+}
+
 } // namespace
 
 void
@@ -90,17 +105,7 @@
   if (cells->mMap.mCount == 1) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
-  auto isComplete = CancelInOtherCells(*cells, aJobId, cell, aDeadline);
-  if (!isComplete) {
-    logging::Write(logging::Level::Info,
-                   "cancellation_incomplete",
-                   { { "job", aJobId },
-                     { "error", base::NameOf(isComplete.error().mKind) },
-                     { "detail", isComplete.error().mDetail } });
-    // The first cell has the cancellation, and its leader passes it on.
-    return MakeError(ErrorKind::OutcomeUnknown, isComplete.error().mDetail);
-  }
-  return isComplete;
+  return CancelInOtherCells(*cells, aJobId, cell, aDeadline);
 }
 
 base::Result<void>
@@ -115,20 +120,23 @@
     const int cell = toRead.back();
     toRead.pop_back();
     JobService& service = *aCells.mServices[static_cast<std::size_t>(cell)];
-    {
-      const logging::ContextField context("cell", cell);
-      // Only now all moves and loans that precede the cancellation are known.
-      // The leader adds the cancellation to copies that follow from later ones.
-      BOOST_OUTCOME_TRYV(service.CatchUp(aDeadline));
+    // Only then all moves and loans that precede the cancellation are known.
+    // The leader adds the cancellation to copies that follow from later ones.
+    const auto isRead = service.ReadToEnd(aDeadline);
+    if (!isRead) {
+      return MakeIncompleteError(aJobId, cell, isRead.error());
     }
     for (const int it : service.Jobs().ListOtherCells(aJobId)) {
       if (it >= aCells.mMap.mCount || !visited.insert(it).second) {
         continue;
       }
       const logging::ContextField context("cell", it);
-      BOOST_OUTCOME_TRYV(
+      const auto isStored =
         aCells.mServices[static_cast<std::size_t>(it)]->StoreCancellation(
-          aJobId, aDeadline));
+          aJobId, aDeadline);
+      if (!isStored) {
+        return MakeIncompleteError(aJobId, it, isStored.error());
+      }
       toRead.push_back(it);
     }
   }
@@ -196,7 +204,7 @@
     }
     left = location;
   }
-  // A cancellation stored at the home is passed on by the leader there.
+  // The cell that the job moves to may not have it yet.
   return left;
 }
 
--- a/src/node/job_router_test.cpp
+++ b/src/node/job_router_test.cpp
@@ -33,12 +33,12 @@
   AppendResult Append(const AppendRequest& aRequest,
                       base::TimePoint aDeadline) override
   {
-    if (mOnAppend) {
-      mOnAppend(NameOfStream(aRequest.mStream));
-    }
     mHasShortAppend =
       mHasShortAppend ||
       (mClock != nullptr && aDeadline - mClock->Now() < milliseconds(100));
+    if (mOnAppend) {
+      mOnAppend(NameOfStream(aRequest.mStream));
+    }
     return mLog.Append(aRequest, aDeadline);
   }
 
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -17,12 +17,12 @@
 /// Timeout of one append attempt; a log under load responds within half of it.
 /// A retry has the same key and value, so a duplicate has no effect.
 constexpr base::Duration kAppendAttemptTimeout = std::chrono::milliseconds(500);
-/// No attempt is made if less time is left; several times the usual response
-/// time.
-constexpr base::Duration kMinAppendAttemptTime = std::chrono::milliseconds(100);
+/// No append, and no read before an acknowledgement, is sent if less time is
+/// left; several times the usual response time.
+constexpr base::Duration kMinAttemptTime = std::chrono::milliseconds(100);
 /// Pause before a retry. Without it, a log that refuses calls immediately would
 /// be called in a tight loop.
-constexpr base::Duration kAppendRetryPause = std::chrono::milliseconds(100);
+constexpr base::Duration kRetryPause = std::chrono::milliseconds(100);
 /// Time reserved for the response to the caller.
 constexpr base::Duration kResponseReserve = std::chrono::milliseconds(150);
 constexpr base::Duration kReadTimeout = std::chrono::milliseconds(800);
@@ -207,6 +207,11 @@
     return MakeError(ErrorKind::LogUnavailable, "the log is unreachable");
   }
   const TimePoint appendDeadline = aDeadline - kResponseReserve;
+  if (start + kMinAttemptTime > appendDeadline) {
+    // A call without enough time would count as a failure of the log.
+    return MakeError(ErrorKind::LogUnavailable,
+                     "no time is left to store the record");
+  }
   bool mayBeStored = false;
   for (int attempt = 1;; ++attempt) {
     const AppendResult result = mLog.Append(
@@ -247,11 +252,11 @@
       // No attempt can have been stored, so fail without further retries.
       return MakeError(ErrorKind::LogUnavailable, "the log refused the append");
     }
-    if (now + kAppendRetryPause + kMinAppendAttemptTime > appendDeadline) {
+    if (now + kRetryPause + kMinAttemptTime > appendDeadline) {
       return MakeError(ErrorKind::OutcomeUnknown,
                        "an append attempt got no response");
     }
-    mClock.SleepUntil(now + kAppendRetryPause);
+    mClock.SleepUntil(now + kRetryPause);
     // An earlier attempt may have stored the record although its response was
     // lost.
     if (aIsStored()) {
@@ -263,10 +268,38 @@
 base::Result<void>
 JobService::CatchUp(TimePoint aDeadline)
 {
-  const TimePoint now = mClock.Now();
-  if (mHealth.IsUnreachable(now)) {
+  if (mHealth.IsUnreachable(mClock.Now())) {
     return MakeError(ErrorKind::LogUnavailable, "the log is unreachable");
   }
+  return ReadOnce(aDeadline);
+}
+
+base::Result<void>
+JobService::ReadToEnd(TimePoint aDeadline)
+{
+  if (mHealth.IsUnreachable(mClock.Now())) {
+    return MakeError(ErrorKind::LogUnavailable, "the log is unreachable");
+  }
+  const TimePoint readDeadline = aDeadline - kResponseReserve;
+  for (;;) {
+    // A call without enough time would count as a failure of the log.
+    if (mClock.Now() + kMinAttemptTime > readDeadline) {
+      return MakeError(ErrorKind::LogUnavailable,
+                       "no time is left to read the journal");
+    }
+    auto isRead = ReadOnce(readDeadline);
+    const TimePoint next = mClock.Now() + kRetryPause;
+    if (isRead || next + kMinAttemptTime > readDeadline) {
+      return isRead;
+    }
+    mClock.SleepUntil(next);
+  }
+}
+
+base::Result<void>
+JobService::ReadOnce(TimePoint aDeadline)
+{
+  const TimePoint now = mClock.Now();
   std::int64_t next = mNextJournalOffset;
   if (next == kJournalNotLoaded) {
     return MakeError(ErrorKind::LogUnavailable, "the journal is not loaded");
