Leadership: claim without needless waits after a resignation

Callers saw lasting tasks without a run for 9,003 to 9,020 ms (LOST, limit 9 s) when several leaders got SIGTERM one after another: each change took 0.3 to 0.8 s.

Cause: a candidate that had just read a record paused for 300 ms before it read the leader stream again, which is all of the pause if a leader resigns right after its claim. Nothing told the loop when a claim is due, so that it came up to 100 ms late. The claim delay after a silent leader (250 ms at 0.25 processors, and up to 200 ms by a hash) held after a resignation, too, which all candidates see at the same moment. A candidate whose claim was refused paused for 250 ms, also if the winner had resigned meanwhile.

Evidence: with the code before, ReplacesLeadersThatResignRightAfterTheirClaims fails (three changes take more than 1 s) and WakesWhenItsClaimIsDue fails (no claim is due when the loop wakes). With the shorter delays and the pause after a refused claim, PrefersTheMostProcessorsAfterAResignation fails; without the pause and without the condition on the read position, ClaimsOnceBeforeItHasReadWhoLeads fails with 91 claims in vain instead of 1. FollowsALeaderWithOneReadARenewal and ClaimsInVainOnceAChangeOfTheLeaderAtMost pass with both codes; they guard the calls.

Change: no pause in the failure domain of the cell (a read waits longer than the interval of renewals, so that the number of reads stays), the time of the claim is among those for which the loop wakes, half of the claim delay after a resignation, and after a refused claim the next one waits for a read up to the end that the log has told instead of for a time. A refused claim has a log line.

--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -73,8 +73,8 @@
   void SetMinEpoch(std::int64_t aEpoch) { mMinEpoch = aEpoch; }
   /// Additional time that this candidate leaves to others before it claims.
   void SetClaimDelay(base::Duration aDelay) { mClaimDelay = aDelay; }
-  /// Pause between two reads of a candidate. Takes as much longer to notice a
-  /// lost leader as it exceeds the usual one.
+  /// Pause after a read that delivered records; none by default. A candidate
+  /// sees a resignation up to this much later.
   void SetFollowerPause(base::Duration aPause);
   /// Stops leading because another instance may have taken over; stays a
   /// candidate.
@@ -113,6 +113,9 @@
   }
 
 private:
+  /// When this candidate's turn to claim comes if no other record is read;
+  /// kNoDeadline if this instance is no candidate now.
+  base::TimePoint ClaimDueAt() const;
   void OnRecord(const LogRecord& aRecord);
   /// The record of the own term, or of a claim.
   LeaderRecord MakeRecord(std::int64_t aEpoch, bool aIsResigned) const;
@@ -146,12 +149,15 @@
   /// Epoch of the newest record before that of mNewestRecord.
   std::int64_t mPreviousEpoch = 0;
   std::int64_t mStreamEnd = 0;
+  /// End of the stream when the log refused the last lost claim. The next one
+  /// comes after a read up to there.
+  std::int64_t mLostClaimEnd = 0;
   bool mIsAppending = false;
   bool mHasResigned = false;
   bool mMayClaim = true;
   std::int64_t mMinEpoch = 0;
   base::Duration mClaimDelay{ 0 };
-  base::Duration mFollowerPause;
+  base::Duration mFollowerPause{ 0 };
   base::TimePoint mNextAppendAt;
   base::TimePoint mConfirmedAt;
   base::TimePoint mAnsweredSince = base::kNoDeadline;
--- a/src/node/fake_shared_log_test.hpp
+++ b/src/node/fake_shared_log_test.hpp
@@ -193,6 +193,8 @@
   std::map<std::string, int> mReadCounts;
   /// Reads of the newest record of every key by topic.
   std::map<std::string, int> mNewestReadCounts;
+  /// Conditional appends that were refused because the stream has grown.
+  int mRefusedAppends = 0;
   std::size_t mMaxRecordsPerRead = std::numeric_limits<std::size_t>::max();
   /// Appends take effect, but their responses are lost.
   bool mDropsResponses = false;
@@ -250,6 +252,7 @@
     AppendResult result;
     result.mEnd = static_cast<std::int64_t>(records.size());
     if (aRequest.mExpectedEnd && *aRequest.mExpectedEnd != result.mEnd) {
+      ++mRefusedAppends;
       result.mOutcome = LogOutcome::EndMoved;
       return result;
     }
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -29,9 +29,13 @@
 constexpr double kMinProcessorsWithoutDelay = 0.5;
 /// Additional claim delay of an instance with almost no processor time.
 constexpr base::Duration kMaxSlowInstanceDelay = std::chrono::milliseconds(500);
-/// Pause after a lost claim, a failed append or a loss of the leadership.
+/// Pause after a failed append or a loss of the leadership.
 constexpr base::Duration kRetryPause = std::chrono::milliseconds(250);
-constexpr base::Duration kFollowerPause = std::chrono::milliseconds(300);
+/// Longest pause of a candidate that kTakeoverTimeout allows for.
+constexpr base::Duration kAllowedPause = std::chrono::milliseconds(300);
+/// Share of the claim delay after a resignation, which all candidates see at
+/// the same moment.
+constexpr int kResignedDelayPercent = 50;
 constexpr base::Duration kAppendTimeout = std::chrono::milliseconds(1500);
 
 /// Versions without the last two fields ignore them, and their records lack
@@ -47,19 +51,22 @@
 /// processors wait longer, because a slow leader slows down all callers.
 base::Duration
 ClaimDelay(const std::string& aInstanceId,
-           std::int64_t aEpoch,
+           const std::optional<LeaderRecord>& aNewest,
            double aProcessors)
 {
+  const std::int64_t epoch = aNewest ? aNewest->mEpoch : 0;
   const auto hash =
-    base::StableHash(aInstanceId, static_cast<std::uint64_t>(aEpoch));
+    base::StableHash(aInstanceId, static_cast<std::uint64_t>(epoch));
   const double shortfall =
     std::clamp(1.0 - aProcessors / kMinProcessorsWithoutDelay, 0.0, 1.0);
   const auto slowInstanceDelay =
     base::Duration(static_cast<base::Duration::rep>(
       shortfall * static_cast<double>(kMaxSlowInstanceDelay.count())));
-  return slowInstanceDelay +
-         base::Duration(static_cast<base::Duration::rep>(
-           hash % static_cast<std::uint64_t>(kMaxClaimJitter.count())));
+  const auto jitter = base::Duration(static_cast<base::Duration::rep>(
+    hash % static_cast<std::uint64_t>(kMaxClaimJitter.count())));
+  const bool isResigned = aNewest && aNewest->mIsResigned;
+  return (slowInstanceDelay + jitter) *
+         (isResigned ? kResignedDelayPercent : 100) / 100;
 }
 
 } // namespace
@@ -100,14 +107,13 @@
             mStream,
             { [this](const LogRecord& aRecord) { OnRecord(aRecord); }, {} })
 {
-  SetFollowerPause(kFollowerPause);
 }
 
 void
 Leadership::SetFollowerPause(base::Duration aPause)
 {
-  mFollowerPause = std::max(aPause, kFollowerPause);
-  mReader.SetPause(mFollowerPause);
+  mFollowerPause = aPause;
+  mReader.SetPause(aPause);
 }
 
 void
@@ -180,7 +186,9 @@
   if ((mOwnEpoch || mResignedEpoch) && !mIsAppending) {
     next = std::min(next, mNextAppendAt);
   }
-  return next;
+  // A claim that is due waits for its other conditions.
+  const TimePoint claimDueAt = ClaimDueAt();
+  return claimDueAt > mClock.Now() ? std::min(next, claimDueAt) : next;
 }
 
 void
@@ -239,21 +247,26 @@
 bool
 Leadership::IsClaimDue() const
 {
-  const TimePoint now = mClock.Now();
-  if (mOwnEpoch || mHasResigned || mIsAppending || now < mNextAppendAt ||
-      !mReader.IsLoaded() || mReader.ConsecutiveFailures() > 0) {
-    return false;
+  return mClock.Now() >= ClaimDueAt();
+}
+
+base::TimePoint
+Leadership::ClaimDueAt() const
+{
+  if (mOwnEpoch || mHasResigned || mIsAppending || !mReader.IsLoaded() ||
+      mReader.ConsecutiveFailures() > 0 ||
+      mReader.NextOffset() < mLostClaimEnd) {
+    return base::kNoDeadline;
   }
-  const base::Duration delay =
-    mClaimDelay + ClaimDelay(mInstanceId,
-                             mNewestRecord ? mNewestRecord->mEpoch : 0,
-                             mProcessors);
-  if (!mNewestRecord || mNewestRecord->mIsResigned) {
-    return now >= std::max(mNewestReadAt, mReader.ReachableSince()) + delay;
+  base::Duration delay =
+    mClaimDelay + ClaimDelay(mInstanceId, mNewestRecord, mProcessors);
+  if (mNewestRecord && !mNewestRecord->mIsResigned) {
+    delay += kTakeoverTimeout +
+             std::max(base::Duration::zero(), mFollowerPause - kAllowedPause);
   }
   // Time in which the stream could not be read does not count as silence.
-  return now >= std::max(mNewestReadAt, mReader.ReachableSince()) +
-                  kTakeoverTimeout + (mFollowerPause - kFollowerPause) + delay;
+  return std::max(mNextAppendAt,
+                  std::max(mNewestReadAt, mReader.ReachableSince()) + delay);
 }
 
 bool
@@ -334,6 +347,19 @@
     // without a response was stored.
     mAnsweredSince = base::kNoDeadline;
     mNextAppendAt = now + kRetryPause;
+    const bool isLostClaim = aResult.mOutcome == LogOutcome::EndMoved &&
+                             !mOwnEpoch && !mResignedEpoch &&
+                             aResult.mEnd > mStreamEnd;
+    if (isLostClaim) {
+      logging::Write(logging::Level::Info,
+                     "leadership_claim_refused",
+                     { { "epoch", aRecord.mEpoch }, { "end", aResult.mEnd } });
+      // Nothing was stored, and the records that moved the end decide when the
+      // next claim is due. A pause would leave it to instances with fewer
+      // processors if the winner resigns at once.
+      mLostClaimEnd = aResult.mEnd;
+      mNextAppendAt = now;
+    }
     mReader.SkipPause();
     return;
   }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -99,8 +99,8 @@
 TimePoint
 Node::NextTickAt() const
 {
-  // The wait is bounded, because none of the values below tells when a claim
-  // becomes due.
+  // The wait is bounded, because not all that becomes due is among the values
+  // below.
   TimePoint next = std::min({ mClock.Now() + kMaxTickInterval,
                               mConfigurationReader.NextTickAt(),
                               mRegistry.NextTickAt() });
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -5,6 +5,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <memory>
+
 #include "fake_shared_log_test.hpp"
 
 namespace skylarkhill::node {
@@ -54,6 +57,12 @@
   CPPUNIT_TEST(KeepsTheLeaderDuringALogOutage);
   CPPUNIT_TEST(KeepsTheLeaderWhenResponsesAreLost);
   CPPUNIT_TEST(ReplacesAResignedLeaderAtOnce);
+  CPPUNIT_TEST(ReplacesLeadersThatResignRightAfterTheirClaims);
+  CPPUNIT_TEST(WakesWhenItsClaimIsDue);
+  CPPUNIT_TEST(ClaimsInVainOnceAChangeOfTheLeaderAtMost);
+  CPPUNIT_TEST(ClaimsOnceBeforeItHasReadWhoLeads);
+  CPPUNIT_TEST(PrefersTheMostProcessorsAfterAResignation);
+  CPPUNIT_TEST(FollowsALeaderWithOneReadARenewal);
   CPPUNIT_TEST(CountsTheFullLeaseOfAResignedLeader);
   CPPUNIT_TEST(CountsTheLeasesOfItsOwnEarlierTerm);
   CPPUNIT_TEST(CountsItsLeaseFromTheFirstCopyOfItsClaim);
@@ -142,6 +151,124 @@
     CPPUNIT_ASSERT(!firstLeader.mLeadership.IsLeader());
   }
 
+  // Several leaders are stopped one after another, each of them right after its
+  // claim. Guards against lasting tasks that nobody starts again in time (LOST)
+  // because each change takes several hundred milliseconds.
+  void ReplacesLeadersThatResignRightAfterTheirClaims()
+  {
+    constexpr int kChanges = 3;
+    constexpr milliseconds kMaxTimeOfChanges(1000);
+    AddCandidatesWithWaitingReads(5);
+    Advance(milliseconds(3000));
+    const base::TimePoint start = mClock.Now();
+    for (int n = 0; n < kChanges; ++n) {
+      Leader().mLeadership.Resign();
+      AdvanceToNextLeader();
+    }
+    CPPUNIT_ASSERT(mClock.Now() - start <= kMaxTimeOfChanges);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 + kChanges },
+                         Leader().mLeadership.Epoch());
+  }
+
+  // Guards against a loop that sleeps on while a claim is due.
+  void WakesWhenItsClaimIsDue()
+  {
+    AddCandidatesWithWaitingReads(2);
+    Advance(milliseconds(3000));
+    Candidate& firstLeader = Leader();
+    Leadership& next = OtherThan(firstLeader).mLeadership;
+    firstLeader.mLeadership.Resign();
+    AdvanceToReadOfResignation(next);
+    next.Tick();
+    const base::TimePoint wakesAt = next.NextTickAt();
+    CPPUNIT_ASSERT(wakesAt > mClock.Now());
+    CPPUNIT_ASSERT(wakesAt < mClock.Now() + milliseconds(1000));
+    mClock.SleepUntil(wakesAt - milliseconds(1));
+    CPPUNIT_ASSERT(!next.IsClaimDue());
+    mClock.SleepUntil(wakesAt);
+    CPPUNIT_ASSERT(next.IsClaimDue());
+    // A claim that is due but not allowed must not keep the loop busy.
+    CPPUNIT_ASSERT(next.NextTickAt() > mClock.Now());
+  }
+
+  // Guards against candidates that claim again and again before they have read
+  // who leads.
+  void ClaimsInVainOnceAChangeOfTheLeaderAtMost()
+  {
+    constexpr int kCandidates = 12;
+    AddCandidatesWithWaitingReads(kCandidates);
+    Advance(milliseconds(3000));
+    for (int n = 0; n + 1 < kCandidates; ++n) {
+      for (auto& it : mCandidates) {
+        it->mLog.mRefusedAppends = 0;
+      }
+      Leader().mLeadership.Resign();
+      AdvanceToNextLeader();
+      Advance(milliseconds(500));
+      CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
+      for (const auto& it : mCandidates) {
+        CPPUNIT_ASSERT(it->mLog.mRefusedAppends <= 1);
+      }
+    }
+  }
+
+  // The reads of a candidate get no response while another one claims. Guards
+  // against claims that the log refuses again and again.
+  void ClaimsOnceBeforeItHasReadWhoLeads()
+  {
+    AddCandidatesWithWaitingReads(2);
+    Advance(milliseconds(3000));
+    Candidate& firstLeader = Leader();
+    Candidate& slow = OtherThan(firstLeader);
+    mCandidates.push_back(
+      std::make_unique<Candidate>(mState, mClock, "strong", 0.5));
+    mCandidates.back()->mLog.mClock = &mClock;
+    Advance(milliseconds(1000));
+    firstLeader.mLeadership.Resign();
+    AdvanceToReadOfResignation(slow.mLeadership);
+    slow.mLog.mUnreadableTopics.insert(kLeaderStream.mTopic);
+    Advance(milliseconds(2000));
+    CPPUNIT_ASSERT(mCandidates.back()->mLeadership.IsLeader());
+    CPPUNIT_ASSERT_EQUAL(1, slow.mLog.mRefusedAppends);
+  }
+
+  // Guards against a small instance that leads although a larger one exists.
+  void PrefersTheMostProcessorsAfterAResignation()
+  {
+    AddCandidatesWithWaitingReads(4);
+    Advance(milliseconds(3000));
+    for (const char* id : { "strong1", "strong2", "strong3" }) {
+      mCandidates.push_back(
+        std::make_unique<Candidate>(mState, mClock, id, 0.5));
+      mCandidates.back()->mLog.mClock = &mClock;
+    }
+    Advance(milliseconds(1000));
+    for (int n = 0; n < 3; ++n) {
+      Leader().mLeadership.Resign();
+      AdvanceToNextLeader();
+      const auto strong = std::find_if(
+        mCandidates.end() - 3, mCandidates.end(), [](const auto& aIt) {
+          return aIt->mLeadership.IsLeader();
+        });
+      CPPUNIT_ASSERT(strong != mCandidates.end());
+    }
+  }
+
+  // Calls to the log are priced. Guards against followers that read more often
+  // than the leader renews its leadership.
+  void FollowsALeaderWithOneReadARenewal()
+  {
+    constexpr int kRenewals = 10;
+    constexpr milliseconds kRenewInterval(800);
+    AddCandidatesWithWaitingReads(2);
+    Advance(milliseconds(3000));
+    Candidate& follower = OtherThan(Leader());
+    follower.mLog.mReadCounts.clear();
+    Advance(kRenewals * kRenewInterval);
+    CPPUNIT_ASSERT(follower.mLog.mReadCounts[kLeaderStream.mTopic] <=
+                   kRenewals + 1);
+  }
+
   // Guards against double runs: the previous leader lease counts in full for a
   // new leader that has only read the resignation.
   void CountsTheFullLeaseOfAResignedLeader()
@@ -475,6 +602,32 @@
     }
   }
 
+  void AddCandidatesWithWaitingReads(int aCount)
+  {
+    AddCandidates(aCount);
+    for (auto& it : mCandidates) {
+      it->mLog.mClock = &mClock;
+    }
+  }
+
+  void AdvanceToNextLeader()
+  {
+    const base::TimePoint end = mClock.Now() + milliseconds(5000);
+    while (CountLeaders() == 0 && mClock.Now() < end) {
+      Advance(milliseconds(20));
+    }
+    CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
+  }
+
+  void AdvanceToReadOfResignation(const Leadership& aCandidate)
+  {
+    const base::TimePoint end = mClock.Now() + milliseconds(1000);
+    while (!aCandidate.NewestRecord()->mIsResigned && mClock.Now() < end) {
+      Advance(milliseconds(20));
+    }
+    CPPUNIT_ASSERT(aCandidate.NewestRecord()->mIsResigned);
+  }
+
   void Advance(milliseconds aTime)
   {
     const base::TimePoint end = mClock.Now() + aTime;
@@ -507,6 +660,12 @@
     return *mCandidates.front();
   }
 
+  Candidate& OtherThan(const Candidate& aCandidate)
+  {
+    return mCandidates.front().get() == &aCandidate ? *mCandidates.back()
+                                                    : *mCandidates.front();
+  }
+
   base::Result<void> Submit(const std::string& aId)
   {
     jobs::QueuePolicy policy;
