Tests: one definition of an instance behind a lossy network

Cause: CancellationCellsRandomTest repeated the constructor and the members of LossyInstance with other worker clients and another decoder. Change: BasicLossyInstance is a template of both; the wall clock may be given.

--- a/src/node/cancellation_cells_random_test.cpp
+++ b/src/node/cancellation_cells_random_test.cpp
@@ -83,32 +83,9 @@
 };
 
 /// An instance of a site of several cells.
-struct LossyCellInstance
+struct LossyCellInstance : BasicLossyInstance<LossyCellClients, DomainDecoder>
 {
-  LossyCellInstance(LossyLogState& aLog,
-                    LossyWorkers& aWorkers,
-                    LossyNetwork& aNetwork,
-                    const base::Clock& aClock,
-                    const NodeOptions& aOptions,
-                    std::function<void(base::TimePoint)> aRunUntil)
-    : mName(aOptions.mInstanceId)
-    , mWallClock(aClock)
-    , mRecipient(aNetwork)
-    , mLog(aLog, aNetwork, mRecipient, std::move(aRunUntil))
-    , mClients(aWorkers, aNetwork, mRecipient)
-    , mProfile(aClock, mMetrics)
-    , mNode(aOptions,
-            mLog,
-            mLog,
-            mClients,
-            mDecoder,
-            aClock,
-            mWallClock,
-            mProfile,
-            mMetrics)
-  {
-    mLog.mDelaysBlockingCalls = true;
-  }
+  using BasicLossyInstance::BasicLossyInstance;
 
   bool Leads(int aCell) const
   {
@@ -116,15 +93,7 @@
     return std::find(cells.begin(), cells.end(), aCell) != cells.end();
   }
 
-  const std::string mName;
-  metrics::Registry mMetrics;
-  SimulatedWallClock mWallClock;
-  Recipient mRecipient;
-  LossyLog mLog;
-  LossyCellClients mClients;
-  DomainDecoder mDecoder;
-  LoopProfile mProfile;
-  Node mNode;
+  std::string mName;
   /// When the faults of its calls to the log end.
   base::TimePoint mFaultsEndAt;
   bool mDelaysCalls = false;
@@ -316,15 +285,19 @@
     for (std::size_t n = 0; n < mInstances.size(); ++n) {
       if (mInstances[n] == nullptr && mClock.Now() >= mBackAt[n]) {
         const auto number = static_cast<int>(n);
+        const NodeOptions options = MakeOptionsOf(number);
         mInstances[n] = std::make_unique<LossyCellInstance>(
           mLog,
           mWorkers,
           mNetwork,
           mClock,
-          MakeOptionsOf(number),
-          [this](base::TimePoint aUntil) { Advance(aUntil - mClock.Now()); });
+          options,
+          [this](base::TimePoint aUntil) { Advance(aUntil - mClock.Now()); },
+          mWallClock);
         LossyCellInstance& instance = *mInstances[n];
-        instance.mClients.mOnStart =
+        instance.mName = options.mInstanceId;
+        instance.mLog.mDelaysBlockingCalls = true;
+        instance.mClient.mOnStart =
           [this, &instance](const dispatch::StartCall& aCall) {
             CheckStart(instance, aCall);
           };
@@ -1085,6 +1058,7 @@
   Coverage& mCoverage;
   std::unique_ptr<base::Random> mRandom;
   base::ManualClock mClock;
+  SimulatedWallClock mWallClock{ mClock };
   LossyNetwork mNetwork;
   LossyLogState mLog;
   LossyWorkers mWorkers;
--- a/src/node/lossy_site_test.hpp
+++ b/src/node/lossy_site_test.hpp
@@ -872,14 +872,17 @@
 };
 
 /// An instance whose calls go through a LossyNetwork.
-struct LossyInstance
+template<typename TClients, typename TDecoder>
+struct BasicLossyInstance
 {
-  LossyInstance(LossyLogState& aLog,
-                LossyWorkers& aWorkers,
-                LossyNetwork& aNetwork,
-                const base::Clock& aClock,
-                const NodeOptions& aOptions,
-                std::function<void(base::TimePoint)> aRunUntil)
+  BasicLossyInstance(
+    LossyLogState& aLog,
+    LossyWorkers& aWorkers,
+    LossyNetwork& aNetwork,
+    const base::Clock& aClock,
+    const NodeOptions& aOptions,
+    std::function<void(base::TimePoint)> aRunUntil,
+    const journal::WallClock& aWallClock = journal::GetSystemWallClock())
     : mRecipient(aNetwork)
     , mLog(aLog, aNetwork, mRecipient, std::move(aRunUntil))
     , mClient(aWorkers, aNetwork, mRecipient)
@@ -890,7 +893,7 @@
             mClient,
             mDecoder,
             aClock,
-            journal::GetSystemWallClock(),
+            aWallClock,
             mProfile,
             mMetrics)
   {
@@ -899,12 +902,14 @@
   metrics::Registry mMetrics;
   Recipient mRecipient;
   LossyLog mLog;
-  LossyWorkerClient mClient;
-  FakeDecoder mDecoder;
+  TClients mClient;
+  TDecoder mDecoder;
   LoopProfile mProfile;
   Node mNode;
 };
 
+using LossyInstance = BasicLossyInstance<LossyWorkerClient, FakeDecoder>;
+
 } // namespace skylarkhill::node
 
 #endif // SKYLARKHILL_NODE_LOSSY_SITE_TEST_HPP
