--- a/src/node/cell_random_test.cpp
+++ b/src/node/cell_random_test.cpp
@@ -397,10 +397,11 @@
     target.mLog.mMaxRecordsPerRead = 1;
     const auto isCopied = [&] {
       const auto& records = mState.mStreams[JournalOf(1)];
-      return std::any_of(records.begin(), records.end(), [&](const auto& it) {
-        return it.mKey ==
-               jobs::FormatRecordKey(jobs::RecordKind::Cancellation, id);
-      });
+      return std::any_of(
+        records.begin(), records.end(), [&](const auto& aRecord) {
+          return aRecord.mKey ==
+                 jobs::FormatRecordKey(jobs::RecordKind::Cancellation, id);
+        });
     };
     for (int n = 0; n < 100 && !isCopied(); ++n) {
       Advance(kStep);
@@ -826,7 +827,8 @@
         const bool mayRun =
           parts.mIsBorrowed || (parts.mHasSubmission && !parts.mHasTransfer);
         if (mayRun && !parts.mIsCancelled) {
-          mProblem = id + " was cancelled, and " + name + " does not say so";
+          mProblem = id;
+          mProblem += " was cancelled, but not in " + name;
         }
       }
     }
