Tell of runs that go on although the leader stops them

So the hypotheses "a leader extends leases and does not get to the stop", "a stop does not reach the run" and "the leader took the job for open" cannot be told apart.

The new line stop_overdue, once a run, has the number of stop calls and of accepted ones; the counter is skylarkhill_stops_overdue_total. It is written if the worker reports the run for 2 s, so silent workers cause none.

No decision changes.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -48,6 +48,9 @@
 
 /// Pause before an unanswered start or stop is sent again.
 constexpr Duration kResendPause = std::chrono::milliseconds(250);
+/// A run that its worker reports for longer after it was to be stopped has
+/// missed its stop. Must cover two stop calls without an answer.
+constexpr Duration kMaxStopTime = std::chrono::milliseconds(2000);
 /// Number of unanswered starts after which the run is stopped.
 constexpr int kMaxStartCalls = 4;
 constexpr Duration kNoRoomPause = std::chrono::milliseconds(300);
@@ -154,6 +157,10 @@
     , mStops(aMetrics.GetCounter("skylarkhill_stops_total", "Stops ordered."))
     , mLostRuns(aMetrics.GetCounter("skylarkhill_runs_lost_total",
                                     "Runs that disappeared with a worker."))
+    , mOverdueStops(
+        aMetrics.GetCounter("skylarkhill_stops_overdue_total",
+                            "Runs that workers have reported for too long "
+                            "after they were to be stopped."))
     , mMissingEndedRuns(aMetrics.GetCounter(
         "skylarkhill_ended_runs_missing_total",
         "Ended runs that workers have forgotten before the leader read them."))
@@ -647,6 +654,7 @@
     }
     run->mIsCallInFlight = false;
     run->mNextCallAt = aNow + kResendPause;
+    run->mAcceptedStops += aOutcome == CallOutcome::Accepted ? 1 : 0;
     if (aOutcome == CallOutcome::Accepted &&
         aCall.mIncarnationStartMs != run->mWorker->mIncarnationStartMs) {
       // A former incarnation may have answered.
@@ -1430,6 +1438,7 @@
       }
       listed.insert(run);
       ConfirmRun(*run, aNow);
+      CheckStopping(*run, aNow);
       if (it.mProgressPercent != run->mProgressPercent) {
         run->mProgressPercent = it.mProgressPercent;
         run->mProgressAt = aNow;
@@ -1455,6 +1464,32 @@
     }
   }
 
+  /// Logs, once, a reported run that goes on although it is to be stopped.
+  void CheckStopping(RunState& aRun, TimePoint aNow)
+  {
+    if (!aRun.mIsStopping || aRun.mIsStopOverdue) {
+      return;
+    }
+    if (!aRun.mReportedStoppingAt) {
+      aRun.mReportedStoppingAt = aNow;
+      return;
+    }
+    const Duration time = aNow - *aRun.mReportedStoppingAt;
+    if (time <= kMaxStopTime) {
+      return;
+    }
+    aRun.mIsStopOverdue = true;
+    mOverdueStops.Add();
+    logging::Write(logging::Level::Warning,
+                   "stop_overdue",
+                   { { "task", ToText(IdOf(*aRun.mTask)) },
+                     { "run", aRun.mNumber },
+                     { "worker", aRun.mWorker->mEntry.mId },
+                     { "reported_ms", ToMs(time) },
+                     { "calls", aRun.mStopCalls },
+                     { "accepted", aRun.mAcceptedStops } });
+  }
+
   /// Takes over a reported run that this leader has not started. Stops it and
   /// returns null if it is not wanted.
   RunState* AdoptRun(WorkerState& aWorker,
@@ -2106,6 +2141,7 @@
         return;
       }
       it->mIsCallInFlight = true;
+      ++it->mStopCalls;
       SendStop(*it->mWorker, IdOf(*it->mTask), it->mNumber);
     }
   }
@@ -2296,6 +2332,7 @@
   metrics::Counter& mStarts;
   metrics::Counter& mStops;
   metrics::Counter& mLostRuns;
+  metrics::Counter& mOverdueStops;
   metrics::Counter& mMissingEndedRuns;
   metrics::Counter& mStalledRuns;
   metrics::Counter& mCandidates;
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <malloc.h>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -358,6 +359,7 @@
   CPPUNIT_TEST(CountsFailuresReportedOutOfOrder);
   CPPUNIT_TEST(RestartsAServiceTaskAfterFailures);
   CPPUNIT_TEST(StopsTheRunsOfACancelledJob);
+  CPPUNIT_TEST(CountsRunsThatGoOnWhenTheyAreToBeStopped);
   CPPUNIT_TEST(StopsACancelledRunWhoseRepeatedStartIsRefused);
   CPPUNIT_TEST(StopsARunIfTheSecondCopyOfItsStartIsRefused);
   CPPUNIT_TEST(KeepsAReportedRunWhoseRepeatedStartIsRefused);
@@ -576,6 +578,48 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, leader.mStarts.size());
   }
 
+  // Guards against a run that goes on although it is to be stopped, while
+  // nobody notices: no stop was sent, no stop was answered, or the worker has
+  // accepted one.
+  void CountsRunsThatGoOnWhenTheyAreToBeStopped()
+  {
+    // Without an outcome, a start in flight holds up the stop.
+    const std::array<std::optional<CallOutcome>, 3> outcomes{
+      std::nullopt, CallOutcome::Unknown, CallOutcome::Accepted
+    };
+    for (const auto& outcome : outcomes) {
+      UnansweredStarts site(1, 1);
+      if (outcome) {
+        site.FailStarts();
+      }
+      const StartCall start = site.mSink.mStarts.back();
+      const auto report = [&] {
+        const ActiveRun run{ start.mTask, start.mRunNumber, "", 10, -1 };
+        site.mDispatcher->OnReport(
+          "w0", { 400, 1, { run }, {} }, site.mClock.Now(), site.mClock.Now());
+        return site.mMetrics.GetCounter("skylarkhill_stops_overdue_total", "")
+          .Value();
+      };
+      report();
+      site.mDispatcher->CancelJob("a", site.mClock.Now());
+      std::size_t answered = 0;
+      for (int n = 0; n < 20; ++n) {
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, report());
+        site.Tick(milliseconds(100));
+        for (; answered < site.mSink.mStops.size(); ++answered) {
+          site.mDispatcher->OnStopResult(
+            site.mSink.mStops[answered], *outcome, site.mClock.Now());
+        }
+      }
+      // Each run counts once.
+      for (int n = 0; n < 20; ++n) {
+        site.Tick(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, report());
+      }
+      CPPUNIT_ASSERT_EQUAL(outcome.has_value(), !site.mSink.mStops.empty());
+    }
+  }
+
   // Guards against a task that runs twice: the worker has carried out the first
   // copy of a start, and the answer is the refusal of the second one.
   void StopsARunIfTheSecondCopyOfItsStartIsRefused()
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -35,6 +35,12 @@
   bool mIsConfirmed = false;
   base::TimePoint mConfirmedAt;
   bool mIsStopping = false;
+  /// When the worker first reported the run although it was to be stopped.
+  std::optional<base::TimePoint> mReportedStoppingAt;
+  /// Stop calls, and those of them that the worker has accepted.
+  int mStopCalls = 0;
+  int mAcceptedStops = 0;
+  bool mIsStopOverdue = false;
   bool mIsCallInFlight = false;
   /// Start calls, with the copies that were sent again.
   int mStartCalls = 0;
