Add a failing test: a stop that finds no connection to its worker

DispatcherTest::StopsARunWhoseWorkerTakesNoNewConnections fails: 2 s after the cancellation of its job the run still goes on ("cancelled after 2000 ms", the first of 20 phases).

--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -6,11 +6,13 @@
 #include <array>
 #include <cstddef>
 #include <cstdlib>
+#include <functional>
 #include <malloc.h>
 #include <map>
 #include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "fake_site_test.hpp"
 
@@ -179,6 +181,97 @@
   std::size_t mFailedStarts = 0;
 };
 
+/// The worker of an UnansweredStarts whose task has been started. It takes no
+/// new connections, so that only one call at a time reaches it.
+class WorkerWithOneConnection
+{
+public:
+  explicit WorkerWithOneConnection(UnansweredStarts& aSite)
+    : mSite(aSite)
+    , mStart(aSite.mSink.mStarts.back())
+  {
+    mSite.mDispatcher->OnStartResult(
+      mStart, { StartOutcome::Started }, mSite.mClock.Now());
+    Report();
+    mPolls = mSite.mSink.mPolls.size();
+  }
+
+  void Advance(milliseconds aTime)
+  {
+    constexpr milliseconds kStep{ 5 };
+    for (milliseconds passed{ 0 }; passed < aTime; passed += kStep) {
+      const auto due = std::exchange(mRefusals, {});
+      for (const auto& it : due) {
+        it();
+      }
+      if (mIsStopCarriedOut && !mIsStopped) {
+        mIsStopped = true;
+        mSite.mDispatcher->OnStopResult(
+          mSite.mSink.mStops.back(), CallOutcome::Accepted, Now());
+      }
+      if (mPollEndsAt && *mPollEndsAt <= Now()) {
+        mPollEndsAt.reset();
+        Report();
+      }
+      mSite.Tick(kStep);
+      ReceiveStops();
+      ReceivePolls();
+    }
+  }
+
+  bool IsStopped() const { return mIsStopped; }
+
+private:
+  base::TimePoint Now() const { return mSite.mClock.Now(); }
+
+  void Report()
+  {
+    WorkerReport report{ base::ToMicros(Now()) / 1000, 1, {}, {} };
+    if (!mIsStopped) {
+      report.mActiveRuns.push_back(
+        { mStart.mTask, mStart.mRunNumber, "", 10, -1 });
+    }
+    mSite.mDispatcher->OnReport("w0", report, Now(), Now());
+  }
+
+  void ReceiveStops()
+  {
+    const auto& stops = mSite.mSink.mStops;
+    for (; mStops < stops.size(); ++mStops) {
+      if (!mPollEndsAt && !mIsStopCarriedOut) {
+        mIsStopCarriedOut = true;
+        continue;
+      }
+      mRefusals.push_back([this, stop = stops[mStops]] {
+        mSite.mDispatcher->OnStopResult(stop, CallOutcome::Unknown, Now());
+      });
+    }
+  }
+
+  void ReceivePolls()
+  {
+    const auto& polls = mSite.mSink.mPolls;
+    for (; mPolls < polls.size(); ++mPolls) {
+      if (mIsStopCarriedOut && !mIsStopped) {
+        mRefusals.push_back(
+          [this] { mSite.mDispatcher->OnPollFailed("w0", Now()); });
+        continue;
+      }
+      mPollEndsAt = Now() + milliseconds(polls[mPolls].mWaitMs);
+    }
+  }
+
+  UnansweredStarts& mSite;
+  const StartCall mStart;
+  /// Calls received.
+  std::size_t mPolls = 0;
+  std::size_t mStops = 0;
+  std::optional<base::TimePoint> mPollEndsAt;
+  std::vector<std::function<void()>> mRefusals;
+  bool mIsStopCarriedOut = false;
+  bool mIsStopped = false;
+};
+
 /// Outcomes that deny the last copy of a start.
 constexpr std::array kDenials{
   StartOutcome::NoRoom,        StartOutcome::TooLate,
@@ -359,6 +452,7 @@
   CPPUNIT_TEST(CountsFailuresReportedOutOfOrder);
   CPPUNIT_TEST(RestartsAServiceTaskAfterFailures);
   CPPUNIT_TEST(StopsTheRunsOfACancelledJob);
+  CPPUNIT_TEST(StopsARunWhoseWorkerTakesNoNewConnections);
   CPPUNIT_TEST(CountsRunsThatGoOnWhenTheyAreToBeStopped);
   CPPUNIT_TEST(StopsACancelledRunWhoseRepeatedStartIsRefused);
   CPPUNIT_TEST(StopsARunIfTheSecondCopyOfItsStartIsRefused);
@@ -578,6 +672,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, leader.mStarts.size());
   }
 
+  // Guards against a run of a cancelled job that goes on because its worker
+  // refuses new connections: each poll extends the lease on the only one, and
+  // the stops come due while a poll is using it.
+  void StopsARunWhoseWorkerTakesNoNewConnections()
+  {
+    for (int phase = 0; phase < 800; phase += 40) {
+      UnansweredStarts site(1, 1);
+      WorkerWithOneConnection worker(site);
+      worker.Advance(milliseconds(2000 + phase));
+      site.mDispatcher->CancelJob("a", site.mClock.Now());
+      worker.Advance(milliseconds(2000));
+      CPPUNIT_ASSERT_MESSAGE("cancelled after " + std::to_string(2000 + phase) +
+                               " ms",
+                             worker.IsStopped());
+    }
+  }
+
   // Guards against a run that goes on although it is to be stopped, while
   // nobody notices: no stop was sent, no stop was answered, or the worker has
   // accepted one.
