Stop a run on the connection on which its worker is polled

Cause: a poll uses the connection to the worker for up to 700 ms and leaves it idle for 15 ms. A failed stop comes due again 250 ms later, nearly always during a poll, and then needs a new connection. A worker that refuses new connections and serves the old one (a cut that refuses them, a worker at its limit of connections) thus gets polls, whose leases keep the run, and no stop. Stops of unwanted runs were not affected: they go out with each report, when the connection of the poll is idle.

Change: a report of a run whose last stop has failed makes the stop due at once, before the next poll.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -655,6 +655,7 @@
     run->mIsCallInFlight = false;
     run->mNextCallAt = aNow + kResendPause;
     run->mAcceptedStops += aOutcome == CallOutcome::Accepted ? 1 : 0;
+    run->mHasStopFailed = aOutcome != CallOutcome::Accepted;
     if (aOutcome == CallOutcome::Accepted &&
         aCall.mIncarnationStartMs != run->mWorker->mIncarnationStartMs) {
       // A former incarnation may have answered.
@@ -1464,10 +1465,20 @@
     }
   }
 
-  /// Logs, once, a reported run that goes on although it is to be stopped.
+  /// Repeats a failed stop of a reported run. Logs, once, a run that goes on
+  /// although it is to be stopped.
   void CheckStopping(RunState& aRun, TimePoint aNow)
   {
-    if (!aRun.mIsStopping || aRun.mIsStopOverdue) {
+    if (!aRun.mIsStopping) {
+      return;
+    }
+    if (aRun.mHasStopFailed) {
+      // The connection of the poll is idle until the next one. During a poll, a
+      // stop needs a new connection, which the worker may refuse while polls
+      // extend its lease.
+      aRun.mNextCallAt = std::min(aRun.mNextCallAt, aNow);
+    }
+    if (aRun.mIsStopOverdue) {
       return;
     }
     if (!aRun.mReportedStoppingAt) {
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -40,6 +40,8 @@
   /// Stop calls, and those of them that the worker has accepted.
   int mStopCalls = 0;
   int mAcceptedStops = 0;
+  /// The last stop call has ended without being accepted.
+  bool mHasStopFailed = false;
   bool mIsStopOverdue = false;
   bool mIsCallInFlight = false;
   /// Start calls, with the copies that were sent again.
