--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -6,10 +6,13 @@
 #include <array>
 #include <cstddef>
 #include <cstdlib>
+#include <functional>
 #include <malloc.h>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "fake_site_test.hpp"
 
@@ -178,6 +181,97 @@
   std::size_t mFailedStarts = 0;
 };
 
+/// The worker of an UnansweredStarts whose task has been started. It takes no
+/// new connections, so that only one call at a time reaches it.
+class WorkerWithOneConnection
+{
+public:
+  explicit WorkerWithOneConnection(UnansweredStarts& aSite)
+    : mSite(aSite)
+    , mStart(aSite.mSink.mStarts.back())
+  {
+    mSite.mDispatcher->OnStartResult(
+      mStart, { StartOutcome::Started }, mSite.mClock.Now());
+    Report();
+    mPolls = mSite.mSink.mPolls.size();
+  }
+
+  void Advance(milliseconds aTime)
+  {
+    constexpr milliseconds kStep{ 5 };
+    for (milliseconds passed{ 0 }; passed < aTime; passed += kStep) {
+      const auto due = std::exchange(mRefusals, {});
+      for (const auto& it : due) {
+        it();
+      }
+      if (mIsStopCarriedOut && !mIsStopped) {
+        mIsStopped = true;
+        mSite.mDispatcher->OnStopResult(
+          mSite.mSink.mStops.back(), CallOutcome::Accepted, Now());
+      }
+      if (mPollEndsAt && *mPollEndsAt <= Now()) {
+        mPollEndsAt.reset();
+        Report();
+      }
+      mSite.Tick(kStep);
+      ReceiveStops();
+      ReceivePolls();
+    }
+  }
+
+  bool IsStopped() const { return mIsStopped; }
+
+private:
+  base::TimePoint Now() const { return mSite.mClock.Now(); }
+
+  void Report()
+  {
+    WorkerReport report{ base::ToMicros(Now()) / 1000, 1, {}, {} };
+    if (!mIsStopped) {
+      report.mActiveRuns.push_back(
+        { mStart.mTask, mStart.mRunNumber, "", 10, -1 });
+    }
+    mSite.mDispatcher->OnReport("w0", report, Now(), Now());
+  }
+
+  void ReceiveStops()
+  {
+    const auto& stops = mSite.mSink.mStops;
+    for (; mStops < stops.size(); ++mStops) {
+      if (!mPollEndsAt && !mIsStopCarriedOut) {
+        mIsStopCarriedOut = true;
+        continue;
+      }
+      mRefusals.push_back([this, stop = stops[mStops]] {
+        mSite.mDispatcher->OnStopResult(stop, CallOutcome::Unknown, Now());
+      });
+    }
+  }
+
+  void ReceivePolls()
+  {
+    const auto& polls = mSite.mSink.mPolls;
+    for (; mPolls < polls.size(); ++mPolls) {
+      if (mIsStopCarriedOut && !mIsStopped) {
+        mRefusals.push_back(
+          [this] { mSite.mDispatcher->OnPollFailed("w0", Now()); });
+        continue;
+      }
+      mPollEndsAt = Now() + milliseconds(polls[mPolls].mWaitMs);
+    }
+  }
+
+  UnansweredStarts& mSite;
+  const StartCall mStart;
+  /// Calls received.
+  std::size_t mPolls = 0;
+  std::size_t mStops = 0;
+  std::optional<base::TimePoint> mPollEndsAt;
+  std::vector<std::function<void()>> mRefusals;
+  bool mIsStopCarriedOut = false;
+  bool mIsStopped = false;
+};
+
 /// Outcomes that deny the last copy of a start.
 constexpr std::array kDenials{
   StartOutcome::NoRoom,        StartOutcome::TooLate,
@@ -358,6 +452,8 @@
   CPPUNIT_TEST(CountsFailuresReportedOutOfOrder);
   CPPUNIT_TEST(RestartsAServiceTaskAfterFailures);
   CPPUNIT_TEST(StopsTheRunsOfACancelledJob);
+  CPPUNIT_TEST(StopsARunWhoseWorkerTakesNoNewConnections);
+  CPPUNIT_TEST(CountsRunsThatGoOnWhenTheyAreToBeStopped);
   CPPUNIT_TEST(StopsACancelledRunWhoseRepeatedStartIsRefused);
   CPPUNIT_TEST(StopsARunIfTheSecondCopyOfItsStartIsRefused);
   CPPUNIT_TEST(KeepsAReportedRunWhoseRepeatedStartIsRefused);
@@ -576,6 +672,65 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, leader.mStarts.size());
   }
 
+  // Guards against a run of a cancelled job that goes on because its worker
+  // refuses new connections: each poll extends the lease on the only one, and
+  // the stops come due while a poll is using it.
+  void StopsARunWhoseWorkerTakesNoNewConnections()
+  {
+    for (int phase = 0; phase < 800; phase += 40) {
+      UnansweredStarts site(1, 1);
+      WorkerWithOneConnection worker(site);
+      worker.Advance(milliseconds(2000 + phase));
+      site.mDispatcher->CancelJob("a", site.mClock.Now());
+      worker.Advance(milliseconds(2000));
+      CPPUNIT_ASSERT_MESSAGE("cancelled after " + std::to_string(2000 + phase) +
+                               " ms",
+                             worker.IsStopped());
+    }
+  }
+
+  // Guards against a run that goes on although it is to be stopped, while
+  // nobody notices: no stop was sent, no stop was answered, or the worker has
+  // accepted one.
+  void CountsRunsThatGoOnWhenTheyAreToBeStopped()
+  {
+    // Without an outcome, a start in flight holds up the stop.
+    const std::array<std::optional<CallOutcome>, 3> outcomes{
+      std::nullopt, CallOutcome::Unknown, CallOutcome::Accepted
+    };
+    for (const auto& outcome : outcomes) {
+      UnansweredStarts site(1, 1);
+      if (outcome) {
+        site.FailStarts();
+      }
+      const StartCall start = site.mSink.mStarts.back();
+      const auto report = [&] {
+        const ActiveRun run{ start.mTask, start.mRunNumber, "", 10, -1 };
+        site.mDispatcher->OnReport(
+          "w0", { 400, 1, { run }, {} }, site.mClock.Now(), site.mClock.Now());
+        return site.mMetrics.GetCounter("skylarkhill_stops_overdue_total", "")
+          .Value();
+      };
+      report();
+      site.mDispatcher->CancelJob("a", site.mClock.Now());
+      std::size_t answered = 0;
+      for (int n = 0; n < 20; ++n) {
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, report());
+        site.Tick(milliseconds(100));
+        for (; answered < site.mSink.mStops.size(); ++answered) {
+          site.mDispatcher->OnStopResult(
+            site.mSink.mStops[answered], *outcome, site.mClock.Now());
+        }
+      }
+      // Each run counts once.
+      for (int n = 0; n < 20; ++n) {
+        site.Tick(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, report());
+      }
+      CPPUNIT_ASSERT_EQUAL(outcome.has_value(), !site.mSink.mStops.empty());
+    }
+  }
+
   // Guards against a task that runs twice: the worker has carried out the first
   // copy of a start, and the answer is the refusal of the second one.
   void StopsARunIfTheSecondCopyOfItsStartIsRefused()
