Repeat a stop without an answer with the next report

What callers saw: a run of a cancelled job goes on while its leader polls the worker and extends its lease (UNASKED). A worker that drops new connections, instead of refusing them, leaves the stop without an answer for 600 ms; the report comes meanwhile, the next poll takes the connection 15 ms later, and both keep in step for some answer times. Change: a report of a run whose stop has had no answer for 100 ms sends it again, on the connection that is idle then. Refused stops keep their pause.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -48,6 +48,8 @@
 
 /// Pause before an unanswered start or stop is sent again.
 constexpr Duration kResendPause = std::chrono::milliseconds(250);
+/// A stop that has no answer by then may be waiting for a connection.
+constexpr Duration kUsualStopTime = std::chrono::milliseconds(100);
 /// A run that its worker reports for longer after it was to be stopped has
 /// missed its stop. Must cover two stop calls without an answer.
 constexpr Duration kMaxStopTime = std::chrono::milliseconds(2000);
@@ -655,7 +657,7 @@
     run->mIsCallInFlight = false;
     run->mNextCallAt = aNow + kResendPause;
     run->mAcceptedStops += aOutcome == CallOutcome::Accepted ? 1 : 0;
-    run->mHasStopFailed = aOutcome != CallOutcome::Accepted;
+    run->mHasStopFailed = aOutcome == CallOutcome::Unknown;
     if (aOutcome == CallOutcome::Accepted &&
         aCall.mIncarnationStartMs != run->mWorker->mIncarnationStartMs) {
       // A former incarnation may have answered.
@@ -1465,18 +1467,21 @@
     }
   }
 
-  /// Repeats a failed stop of a reported run. Logs, once, a run that goes on
-  /// although it is to be stopped.
+  /// Repeats a stop of a reported run that has failed or has no answer. Logs,
+  /// once, a run that goes on although it is to be stopped.
   void CheckStopping(RunState& aRun, TimePoint aNow)
   {
     if (!aRun.mIsStopping) {
       return;
     }
+    // The connection of the poll is idle until the next one. During a poll, a
+    // stop needs a new connection, which the worker may refuse, or leave
+    // without an answer, while polls extend its lease.
     if (aRun.mHasStopFailed) {
-      // The connection of the poll is idle until the next one. During a poll, a
-      // stop needs a new connection, which the worker may refuse while polls
-      // extend its lease.
       aRun.mNextCallAt = std::min(aRun.mNextCallAt, aNow);
+    } else if (aRun.mIsCallInFlight && aRun.mStopCalls > 0 &&
+               aRun.mStopSentAt + kUsualStopTime <= aNow) {
+      SendRunStop(aRun, aNow);
     }
     if (aRun.mIsStopOverdue) {
       return;
@@ -2151,12 +2156,18 @@
         RequestTick(aNow);
         return;
       }
-      it->mIsCallInFlight = true;
-      ++it->mStopCalls;
-      SendStop(*it->mWorker, IdOf(*it->mTask), it->mNumber);
+      SendRunStop(*it, aNow);
     }
   }
 
+  void SendRunStop(RunState& aRun, TimePoint aNow)
+  {
+    aRun.mIsCallInFlight = true;
+    aRun.mStopSentAt = aNow;
+    ++aRun.mStopCalls;
+    SendStop(*aRun.mWorker, IdOf(*aRun.mTask), aRun.mNumber);
+  }
+
   void SendPolls(TimePoint aNow)
   {
     for (WorkerState* worker = mPollQueue.First(); worker != nullptr;
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -272,6 +272,165 @@
   bool mIsStopped = false;
 };
 
+/// The worker of an UnansweredStarts with one job more than `aMoreJobs` has
+/// names. It takes no new connections: a call that comes while another one uses
+/// the connection ends without an answer after `aRefusalTime`.
+class CrowdedConnection
+{
+public:
+  CrowdedConnection(UnansweredStarts& aSite,
+                    const std::vector<std::string>& aMoreJobs,
+                    milliseconds aRefusalTime,
+                    milliseconds aAnswerTime)
+    : mSite(aSite)
+    , mRefusalTime(aRefusalTime)
+    , mAnswerTime(aAnswerTime)
+  {
+    for (const auto& it : aMoreJobs) {
+      mSite.mDispatcher->AddJob(MakeJob(it, { 1 }), false, Now());
+    }
+    for (int n = 0; n < 20; ++n) {
+      mSite.Tick(milliseconds(10));
+    }
+    CPPUNIT_ASSERT_EQUAL(aMoreJobs.size() + 1, mSite.mSink.mStarts.size());
+    for (const auto& it : mSite.mSink.mStarts) {
+      mSite.mDispatcher->OnStartResult(it, { StartOutcome::Started }, Now());
+      mRuns.push_back({ it.mTask, it.mRunNumber, {}, {} });
+    }
+    Report();
+    mPolls = mSite.mSink.mPolls.size();
+  }
+
+  /// Adds a run that no job knows and whose stop is accepted and takes `aTime`.
+  void AddUnwantedRun(milliseconds aTime)
+  {
+    mRuns.push_back({ { "unknown", 0, 0, 0 }, 1, {}, {} });
+    mRuns.back().mStopTime = aTime;
+  }
+
+  void Advance(milliseconds aTime)
+  {
+    constexpr milliseconds kStep{ 5 };
+    for (milliseconds passed{ 0 }; passed < aTime; passed += kStep) {
+      const auto due = std::exchange(mEvents, {});
+      for (const auto& [at, event] : due) {
+        if (at <= Now()) {
+          event();
+        } else {
+          mEvents.emplace_back(at, event);
+        }
+      }
+      EndRuns();
+      mSite.Tick(kStep);
+      ReceiveStops();
+      ReceivePolls();
+    }
+  }
+
+  /// Returns the time until no run is left, or `aLimit`.
+  milliseconds TimeUntilStopped(milliseconds aLimit)
+  {
+    constexpr milliseconds kStep{ 5 };
+    milliseconds time{ 0 };
+    for (; !mRuns.empty() && time < aLimit; time += kStep) {
+      Advance(kStep);
+    }
+    return time;
+  }
+
+private:
+  struct Run
+  {
+    TaskId mTask;
+    int mNumber = 0;
+    milliseconds mStopTime{ 0 };
+    std::optional<base::TimePoint> mEndsAt;
+  };
+
+  base::TimePoint Now() const { return mSite.mClock.Now(); }
+
+  void Report()
+  {
+    WorkerReport report{ base::ToMicros(Now()) / 1000, 1, {}, {} };
+    for (const auto& it : mRuns) {
+      report.mActiveRuns.push_back({ it.mTask, it.mNumber, "", 10, -1 });
+    }
+    mSite.mDispatcher->OnReport("w0", report, Now(), Now());
+  }
+
+  /// A poll ends early if a run ends.
+  void EndRuns()
+  {
+    const auto ended =
+      std::remove_if(mRuns.begin(), mRuns.end(), [this](const Run& aRun) {
+        return aRun.mEndsAt && *aRun.mEndsAt <= Now();
+      });
+    const bool hasEnded = ended != mRuns.end();
+    mRuns.erase(ended, mRuns.end());
+    if (mPollEndsAt && (hasEnded || *mPollEndsAt <= Now())) {
+      mPollEndsAt.reset();
+      mEvents.emplace_back(Now() + mAnswerTime, [this] {
+        mIsBusy = false;
+        Report();
+      });
+    }
+  }
+
+  void ReceiveStops()
+  {
+    // The result of a call may cause the next one.
+    for (; mStops < mSite.mSink.mStops.size(); ++mStops) {
+      const StopCall stop = mSite.mSink.mStops[mStops];
+      const bool isRefused = std::exchange(mIsBusy, true);
+      mEvents.emplace_back(Now() + (isRefused ? mRefusalTime : mAnswerTime),
+                           [this, stop, isRefused] {
+                             if (!isRefused) {
+                               mIsBusy = false;
+                               Stop(stop);
+                             }
+                             mSite.mDispatcher->OnStopResult(
+                               stop,
+                               isRefused ? CallOutcome::Unknown
+                                         : CallOutcome::Accepted,
+                               Now());
+                           });
+    }
+  }
+
+  void Stop(const StopCall& aStop)
+  {
+    for (auto& it : mRuns) {
+      if (it.mTask == aStop.mTask && !it.mEndsAt) {
+        it.mEndsAt = Now() + it.mStopTime;
+      }
+    }
+  }
+
+  void ReceivePolls()
+  {
+    for (; mPolls < mSite.mSink.mPolls.size(); ++mPolls) {
+      if (std::exchange(mIsBusy, true)) {
+        mEvents.emplace_back(Now() + mRefusalTime, [this] {
+          mSite.mDispatcher->OnPollFailed("w0", Now());
+        });
+        continue;
+      }
+      mPollEndsAt = Now() + milliseconds(mSite.mSink.mPolls[mPolls].mWaitMs);
+    }
+  }
+
+  UnansweredStarts& mSite;
+  const milliseconds mRefusalTime;
+  const milliseconds mAnswerTime;
+  std::vector<Run> mRuns;
+  /// Calls received.
+  std::size_t mPolls = 0;
+  std::size_t mStops = 0;
+  std::vector<std::pair<base::TimePoint, std::function<void()>>> mEvents;
+  std::optional<base::TimePoint> mPollEndsAt;
+  bool mIsBusy = false;
+};
+
 /// Outcomes that deny the last copy of a start.
 constexpr std::array kDenials{
   StartOutcome::NoRoom,        StartOutcome::TooLate,
@@ -453,6 +612,9 @@
   CPPUNIT_TEST(RestartsAServiceTaskAfterFailures);
   CPPUNIT_TEST(StopsTheRunsOfACancelledJob);
   CPPUNIT_TEST(StopsARunWhoseWorkerTakesNoNewConnections);
+  CPPUNIT_TEST(StopsARunWhoseWorkerDropsNewConnections);
+  CPPUNIT_TEST(StopsSeveralRunsOfAWorkerWithOneConnection);
+  CPPUNIT_TEST(StopsARunBesideAnUnwantedOneOnOneConnection);
   CPPUNIT_TEST(CountsRunsThatGoOnWhenTheyAreToBeStopped);
   CPPUNIT_TEST(StopsACancelledRunWhoseRepeatedStartIsRefused);
   CPPUNIT_TEST(StopsARunIfTheSecondCopyOfItsStartIsRefused);
@@ -689,6 +851,70 @@
     }
   }
 
+  // Guards against a run of a cancelled job that goes on because its worker
+  // drops new connections: the stop is still waiting for one whenever a poll
+  // leaves the only connection idle.
+  void StopsARunWhoseWorkerDropsNewConnections()
+  {
+    std::string late;
+    for (int answerMs = 10; answerMs <= 200; answerMs += 10) {
+      milliseconds longest{ 0 };
+      for (int phase = 0; phase < 1000; phase += 50) {
+        UnansweredStarts site(1, 1);
+        CrowdedConnection worker(
+          site, {}, milliseconds(600), milliseconds(answerMs));
+        worker.Advance(milliseconds(2000 + phase));
+        site.mDispatcher->CancelJob("a", site.mClock.Now());
+        longest =
+          std::max(longest, worker.TimeUntilStopped(milliseconds(15000)));
+      }
+      if (longest > milliseconds(5000)) {
+        late += " " + std::to_string(answerMs) + ":" +
+                std::to_string(longest.count());
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      "answer time and longest time to the stop, ms", std::string(), late);
+  }
+
+  // Guards against runs that go on because the stops of the other runs of their
+  // worker use its only connection.
+  void StopsSeveralRunsOfAWorkerWithOneConnection()
+  {
+    for (int phase = 0; phase < 800; phase += 40) {
+      UnansweredStarts site(1, 1);
+      CrowdedConnection worker(
+        site, { "b", "c", "d" }, milliseconds(5), milliseconds(20));
+      worker.Advance(milliseconds(2000 + phase));
+      for (const char* id : { "a", "b", "c", "d" }) {
+        site.mDispatcher->CancelJob(id, site.mClock.Now());
+      }
+      const milliseconds time = worker.TimeUntilStopped(milliseconds(15000));
+      CPPUNIT_ASSERT_MESSAGE("phase " + std::to_string(phase) +
+                               ": stopped after " +
+                               std::to_string(time.count()) + " ms",
+                             time <= milliseconds(5000));
+    }
+  }
+
+  // Guards against a run that goes on because each report repeats the stop of
+  // an unwanted run, which uses the only connection to the worker first.
+  void StopsARunBesideAnUnwantedOneOnOneConnection()
+  {
+    for (int phase = 0; phase < 800; phase += 40) {
+      UnansweredStarts site(1, 1);
+      CrowdedConnection worker(site, {}, milliseconds(5), milliseconds(5));
+      worker.AddUnwantedRun(milliseconds(4000));
+      worker.Advance(milliseconds(500 + phase));
+      site.mDispatcher->CancelJob("a", site.mClock.Now());
+      const milliseconds time = worker.TimeUntilStopped(milliseconds(15000));
+      CPPUNIT_ASSERT_MESSAGE("phase " + std::to_string(phase) +
+                               ": stopped after " +
+                               std::to_string(time.count()) + " ms",
+                             time <= milliseconds(5000));
+    }
+  }
+
   // Guards against a run that goes on although it is to be stopped, while
   // nobody notices: no stop was sent, no stop was answered, or the worker has
   // accepted one.
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -39,8 +39,9 @@
   std::optional<base::TimePoint> mReportedStoppingAt;
   /// Stop calls, and those of them that the worker has accepted.
   int mStopCalls = 0;
+  base::TimePoint mStopSentAt;
   int mAcceptedStops = 0;
-  /// The last stop call has ended without being accepted.
+  /// The last stop call has ended without an answer.
   bool mHasStopFailed = false;
   bool mIsStopOverdue = false;
   bool mIsCallInFlight = false;
