Leadership: keep the delay by processors after a resignation

Change: only the delay by a hash is halved after a resignation. The line leadership_claim_refused is written for claims only.

--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -153,6 +153,8 @@
   /// comes after a read up to there.
   std::int64_t mLostClaimEnd = 0;
   bool mIsAppending = false;
+  /// The append in flight, or the last one, is a claim.
+  bool mIsClaiming = false;
   bool mHasResigned = false;
   bool mMayClaim = true;
   std::int64_t mMinEpoch = 0;
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -24,6 +24,9 @@
 /// Upper bound of the pseudo-random part of a claim delay, which keeps
 /// candidates from claiming at the same time.
 constexpr base::Duration kMaxClaimJitter = std::chrono::milliseconds(200);
+/// The same after a resignation, which candidates of one failure domain read at
+/// the same moment.
+constexpr base::Duration kMaxResignedJitter = std::chrono::milliseconds(100);
 /// Instances with at least this many processors claim without an additional
 /// delay.
 constexpr double kMinProcessorsWithoutDelay = 0.5;
@@ -33,9 +36,6 @@
 constexpr base::Duration kRetryPause = std::chrono::milliseconds(250);
 /// Longest pause of a candidate that kTakeoverTimeout allows for.
 constexpr base::Duration kAllowedPause = std::chrono::milliseconds(300);
-/// Share of the claim delay after a resignation, which all candidates see at
-/// the same moment.
-constexpr int kResignedDelayPercent = 50;
 constexpr base::Duration kAppendTimeout = std::chrono::milliseconds(1500);
 
 /// Versions without the last two fields ignore them, and their records lack
@@ -55,6 +55,8 @@
            double aProcessors)
 {
   const std::int64_t epoch = aNewest ? aNewest->mEpoch : 0;
+  const base::Duration maxJitter =
+    aNewest && aNewest->mIsResigned ? kMaxResignedJitter : kMaxClaimJitter;
   const auto hash =
     base::StableHash(aInstanceId, static_cast<std::uint64_t>(epoch));
   const double shortfall =
@@ -62,11 +64,9 @@
   const auto slowInstanceDelay =
     base::Duration(static_cast<base::Duration::rep>(
       shortfall * static_cast<double>(kMaxSlowInstanceDelay.count())));
-  const auto jitter = base::Duration(static_cast<base::Duration::rep>(
-    hash % static_cast<std::uint64_t>(kMaxClaimJitter.count())));
-  const bool isResigned = aNewest && aNewest->mIsResigned;
-  return (slowInstanceDelay + jitter) *
-         (isResigned ? kResignedDelayPercent : 100) / 100;
+  return slowInstanceDelay +
+         base::Duration(static_cast<base::Duration::rep>(
+           hash % static_cast<std::uint64_t>(maxJitter.count())));
 }
 
 } // namespace
@@ -316,6 +316,7 @@
 Leadership::Append(LeaderRecord aRecord)
 {
   mIsAppending = true;
+  mIsClaiming = !mOwnEpoch && !aRecord.mIsResigned;
   const TimePoint now = mClock.Now();
   // A later copy does not delay the lease: the first one may have been stored.
   if (!mOwnEpoch && aRecord.mEpoch != mClaimedEpoch) {
@@ -347,8 +348,8 @@
     // without a response was stored.
     mAnsweredSince = base::kNoDeadline;
     mNextAppendAt = now + kRetryPause;
-    const bool isLostClaim = aResult.mOutcome == LogOutcome::EndMoved &&
-                             !mOwnEpoch && !mResignedEpoch &&
+    const bool isLostClaim = mIsClaiming && !mOwnEpoch &&
+                             aResult.mOutcome == LogOutcome::EndMoved &&
                              aResult.mEnd > mStreamEnd;
     if (isLostClaim) {
       logging::Write(logging::Level::Info,
