--- a/src/node/cell_random_test.cpp
+++ b/src/node/cell_random_test.cpp
@@ -343,24 +343,8 @@
   /// while. Returns the number of runs of the job meanwhile and after that.
   std::vector<int> CancelBeforeMove()
   {
-    Advance(milliseconds(8000));
-    jobs::Step step;
-    step.mIsService = true;
-    step.mResources.mMilliProcessors = 500;
-    // The rack is that of cell 0, the label that of cell 1.
-    step.mPreferredRack = "d0rack";
-    step.mRequiredLabel = "odd";
-    jobs::JobRequest request;
-    request.mSteps.push_back(step);
-    const std::string id = "moved";
-    mMayExist.insert(id);
+    const std::string id = CancelJobThatIsToMove();
     CellInstance& leader = LeaderOf(0);
-    JobRouter& router = OtherThan(leader).mNode.GetJobRouter();
-    CPPUNIT_ASSERT(router.Submit(
-      MakePolicy(), id, request, mClock.Now() + milliseconds(400)));
-    Advance(kStep);
-    CPPUNIT_ASSERT_EQUAL(0, CountRecords("t/"));
-    CPPUNIT_ASSERT(router.Cancel(id, mClock.Now() + milliseconds(400)));
     leader.mLog.mUnreadableStreams = { "journal" };
     Advance(milliseconds(600));
     std::vector<int> runs{ CountRuns(id) };
@@ -376,24 +360,8 @@
   /// copy on. Returns the number of runs of the job meanwhile.
   int DivideCopyOfCancelledJob(int aSteps)
   {
-    Advance(milliseconds(8000));
-    jobs::Step step;
-    step.mIsService = true;
-    step.mResources.mMilliProcessors = 500;
-    // The rack is that of cell 0, the label that of cell 1.
-    step.mPreferredRack = "d0rack";
-    step.mRequiredLabel = "odd";
-    jobs::JobRequest request;
-    request.mSteps.push_back(step);
-    const std::string id = "moved";
-    mMayExist.insert(id);
+    const std::string id = CancelJobThatIsToMove();
     CellInstance& target = LeaderOf(1);
-    JobRouter& router = OtherThan(LeaderOf(0)).mNode.GetJobRouter();
-    CPPUNIT_ASSERT(router.Submit(
-      MakePolicy(), id, request, mClock.Now() + milliseconds(400)));
-    Advance(kStep);
-    CPPUNIT_ASSERT_EQUAL(0, CountRecords("t/"));
-    CPPUNIT_ASSERT(router.Cancel(id, mClock.Now() + milliseconds(400)));
     target.mLog.mMaxRecordsPerRead = 1;
     const auto isCopied = [&] {
       const auto& records = mState.mStreams[JournalOf(1)];
@@ -534,6 +502,31 @@
     return *mInstances[mRandom->Below(mInstances.size())];
   }
 
+  /// Submits a job of cell 0 that only cell 1 can run, and cancels it when the
+  /// leader of cell 0 has decided to move it and has not stored that yet.
+  /// Returns its id.
+  std::string CancelJobThatIsToMove()
+  {
+    Advance(milliseconds(8000));
+    jobs::Step step;
+    step.mIsService = true;
+    step.mResources.mMilliProcessors = 500;
+    // The rack is that of cell 0, the label that of cell 1.
+    step.mPreferredRack = "d0rack";
+    step.mRequiredLabel = "odd";
+    jobs::JobRequest request;
+    request.mSteps.push_back(step);
+    std::string id = "moved";
+    mMayExist.insert(id);
+    JobRouter& router = OtherThan(LeaderOf(0)).mNode.GetJobRouter();
+    CPPUNIT_ASSERT(router.Submit(
+      MakePolicy(), id, request, mClock.Now() + milliseconds(400)));
+    Advance(kStep);
+    CPPUNIT_ASSERT_EQUAL(0, CountRecords("t/"));
+    CPPUNIT_ASSERT(router.Cancel(id, mClock.Now() + milliseconds(400)));
+    return id;
+  }
+
   CellInstance& LeaderOf(int aCell)
   {
     const auto found = std::find_if(
