--- a/include/skylarkhill/node/shared_log.hpp
+++ b/include/skylarkhill/node/shared_log.hpp
@@ -111,6 +111,10 @@
 struct ReadResult
 {
   LogOutcome mOutcome = LogOutcome::Unknown;
+  /// The log refused the call because all instances together make too many.
+  bool mIsRateLimited = false;
+  /// Status code of the answer, or 0 without one. For log lines only.
+  int mStatus = 0;
   std::vector<LogRecord> mRecords;
   /// Offset at which the next read continues.
   std::int64_t mNextOffset = 0;
