Instance directory: instances announce themselves in a stream of the log

Cause: every instance reads every stream of every cell, because none knows which other instances there are. With 301 instances this exceeds the rate of reads that all instances of a site share.

Change: InstanceDirectory appends the own entry and reads the newest entries once in an interval (5 s by default), each shorter by up to a quarter, chosen by a hash of name and call count. The mean is therefore 0.875 of the interval. The pause after a failure doubles from 250 ms up to the interval and is shorter by up to half. An instance is gone after 2.5 intervals without a new record. The time between two successful reads counts only if it is at most 1.5 intervals, so an outage or a late answer removes nobody, while a log that refuses some of the reads does not keep those that are gone. After ten intervals the record is deleted, at most four with a read, by the instance that a hash of the key and the age of the silence selects; the turn passes on if it can't write. The offset of an old record is kept in memory until the stream no longer has it, because the next read would otherwise take the record for a new instance. Malformed entries are logged once for each record.

InstanceEntry gets an operator==, and Version now rises instead of changing.

--- a/include/skylarkhill/node/instance_directory.hpp
+++ b/include/skylarkhill/node/instance_directory.hpp
@@ -6,8 +6,8 @@
 #include "skylarkhill/node/shared_log.hpp"
 
 #include <cstdint>
-#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,10 +26,14 @@
   double mProcessors = 1.0;
 };
 
+bool
+operator==(const InstanceEntry& aLeft, const InstanceEntry& aRight);
+
 std::string
 EncodeInstanceEntry(const InstanceEntry& aEntry);
 
-/// InvalidArgument if the bytes are not those of EncodeInstanceEntry.
+/// InvalidArgument if the bytes are malformed, the name is empty, a text is too
+/// long or the processors are not a plausible number.
 base::Result<InstanceEntry>
 DecodeInstanceEntry(std::string_view aBytes);
 
@@ -46,19 +50,22 @@
 
   /// Starts the calls that are due.
   void Tick();
-  /// When to call Tick next; never while a call is in progress.
+  /// When to call Tick next. A call in progress is not due; kNoDeadline if both
+  /// an announcement and a read are in progress.
   base::TimePoint NextTickAt() const;
-  /// Time between two announcements, and between two reads.
+  /// Longest time between two announcements, and between two reads, that
+  /// succeed; the shortest is three quarters of it. At least 250 ms.
   void SetInterval(base::Duration aInterval);
-  /// Reads again at the next Tick.
+  /// Reads again at the next Tick, or once the read in progress has ended. Does
+  /// not shorten the pause after a failed read.
   void Refresh();
 
   /// True once the stream has been read.
   bool IsLoaded() const { return mIsLoaded; }
-  /// Changes whenever Instances changes.
+  /// Rises whenever Instances changes.
   std::int64_t Version() const { return mVersion; }
-  /// The instances that have announced themselves recently, this one included,
-  /// by name.
+  /// The instances that have announced themselves recently, by name. Always
+  /// contains this one. Changes only with a read.
   const std::map<std::string, InstanceEntry>& Instances() const
   {
     return mInstances;
@@ -69,19 +76,34 @@
   struct Announcement
   {
     std::int64_t mOffset = -1;
-    /// When this instance first read the record.
+    /// mReadableTime when this instance first read the record.
     base::TimePoint mSeenAt;
-    InstanceEntry mEntry;
+    /// False if the last read did not return the record.
+    bool mIsInStream = true;
+    /// Empty if the record is malformed or its instance long gone.
+    std::optional<InstanceEntry> mEntry;
   };
 
   void Announce();
+  void OnAnnounced(const AppendResult& aResult, base::TimePoint aSentAt);
   void Read();
-  void OnRead(const ReadResult& aResult);
+  void OnRead(const ReadResult& aResult, base::TimePoint aSentAt);
+  void OnRecord(const LogRecord& aRecord);
+  /// Time without a new record, as far as the stream could be read.
+  base::Duration SilenceOf(const Announcement& aAnnouncement) const;
   /// Recomputes mInstances.
   void UpdateInstances();
-  /// aPause, longer or shorter by up to a quarter, so that the instances do not
-  /// call at the same time.
-  base::Duration Spread(base::Duration aPause);
+  /// Drops the announcements of instances that are long gone and deletes some
+  /// of their records.
+  void RemoveOldAnnouncements();
+  /// True if it is this instance's turn to delete the record.
+  bool MayDelete(const std::string& aKey, base::Duration aSilence) const;
+  void Delete(std::vector<LogRecord> aDeletions);
+  /// aPause, shorter by up to aShare of it, so that the instances do not call
+  /// at the same time.
+  base::Duration Spread(base::Duration aPause, double aShare);
+  /// Pause after the aFailures-th failure in succession.
+  base::Duration RetryPause(std::int64_t aFailures);
 
   AsyncLog& mLog;
   const base::Clock& mClock;
@@ -91,10 +113,20 @@
   bool mIsLoaded = false;
   bool mIsAnnouncing = false;
   bool mIsReading = false;
+  bool mIsDeleting = false;
+  bool mIsRefreshWanted = false;
   base::TimePoint mNextAnnouncementAt;
   base::TimePoint mNextReadAt;
+  /// Consecutive failures.
+  std::int64_t mFailedAnnouncements = 0;
+  std::int64_t mFailedReads = 0;
+  /// When the last successful read was answered.
+  base::TimePoint mLastReadAt;
+  /// A clock that stands still while the stream can't be read.
+  base::TimePoint mReadableTime;
   std::uint64_t mCallCount = 0;
   std::int64_t mVersion = 0;
+  /// By key, without the own one.
   std::map<std::string, Announcement> mAnnouncements;
   std::map<std::string, InstanceEntry> mInstances;
 };
