Instance directory: an outage of writes removes nobody

Cause: silence counted as long as reads succeeded. If the log answers reads and refuses all writes, nobody can announce itself, and each instance takes itself for the only one. Each instance would then follow all cells, which overloads the reads as well.

Change: silence counts only while the own announcements are stored, that is up to 1.25 intervals after the last one. After a longer pause the silence of those that are not gone begins anew with the first stored announcement, because others may announce themselves up to an interval later. An instance that alone can't write therefore keeps its list and still adds new instances.

OutageRemovesNobody now also checks the lists during the outages.

Measured: OutageOfWritesRemovesNobody fails without the change (11 of 12 entries) and passes with it. The suite has 19 passed, 0 failed. Three trial changes to the new code make the new test fail; for one of them the longest pauses of the test were put in another order, so that an outage follows while the record of a gone instance is still in the stream.

--- a/include/skylarkhill/node/instance_directory.hpp
+++ b/include/skylarkhill/node/instance_directory.hpp
@@ -89,8 +89,11 @@
   void Read();
   void OnRead(const ReadResult& aResult, base::TimePoint aSentAt);
   void OnRecord(const LogRecord& aRecord);
-  /// Time without a new record, as far as the stream could be read.
+  /// Time without a new record, as far as the stream could be read and written.
   base::Duration SilenceOf(const Announcement& aAnnouncement) const;
+  /// Counts the silence of the instances that are not gone from now on, because
+  /// the others may announce themselves up to an interval later than this one.
+  void RestartSilences();
   /// Recomputes mInstances.
   void UpdateInstances();
   /// Drops the announcements of instances that are long gone and deletes some
@@ -122,7 +125,9 @@
   std::int64_t mFailedReads = 0;
   /// When the last successful read was answered.
   base::TimePoint mLastReadAt;
-  /// A clock that stands still while the stream can't be read.
+  /// When the last own announcement was stored.
+  base::TimePoint mStoredAt;
+  /// A clock that stands still while the stream can't be read or written.
   base::TimePoint mReadableTime;
   std::uint64_t mCallCount = 0;
   std::int64_t mVersion = 0;
--- a/src/node/instance_directory.cpp
+++ b/src/node/instance_directory.cpp
@@ -59,6 +59,14 @@
   return aInterval * 3 / 2;
 }
 
+/// Time since the last own announcement was stored after which silence of
+/// others does not count: they may not be able to write either.
+constexpr Duration
+MaxOwnSilence(Duration aInterval)
+{
+  return aInterval * 5 / 4;
+}
+
 constexpr std::size_t kMaxDeletionsPerRead = 4;
 
 base::Error
@@ -206,6 +214,11 @@
                      { "failed_appends", mFailedAnnouncements } });
   }
   mFailedAnnouncements = 0;
+  const TimePoint now = mClock.Now();
+  if (now - mStoredAt > MaxOwnSilence(mInterval)) {
+    RestartSilences();
+  }
+  mStoredAt = now;
   mNextAnnouncementAt = aSentAt + Spread(mInterval, kIntervalSpread);
 }
 
@@ -243,7 +256,8 @@
   mFailedReads = 0;
   mNextReadAt =
     mIsRefreshWanted ? now : aSentAt + Spread(mInterval, kIntervalSpread);
-  if (mIsLoaded && now - mLastReadAt <= MaxCountedGap(mInterval)) {
+  if (mIsLoaded && now - mLastReadAt <= MaxCountedGap(mInterval) &&
+      now - mStoredAt <= MaxOwnSilence(mInterval)) {
     mReadableTime += now - mLastReadAt;
   }
   mIsLoaded = true;
@@ -292,6 +306,16 @@
   return mReadableTime - aAnnouncement.mSeenAt;
 }
 
+void
+InstanceDirectory::RestartSilences()
+{
+  for (auto& [key, announcement] : mAnnouncements) {
+    if (SilenceOf(announcement) < GoneAfter(mInterval)) {
+      announcement.mSeenAt = mReadableTime;
+    }
+  }
+}
+
 void
 InstanceDirectory::UpdateInstances()
 {
--- a/src/node/instance_directory_test.cpp
+++ b/src/node/instance_directory_test.cpp
@@ -164,6 +164,7 @@
   CPPUNIT_TEST(StoppedInstanceReturnsAfterRestart);
   CPPUNIT_TEST(CountsSilenceWhileSomeReadsFail);
   CPPUNIT_TEST(OutageRemovesNobody);
+  CPPUNIT_TEST(OutageOfWritesRemovesNobody);
   CPPUNIT_TEST(LateAnswerRemovesNobody);
   CPPUNIT_TEST(ManyInstancesStartTogether);
   CPPUNIT_TEST(PausesGrowWhileTheLogIsDown);
@@ -298,21 +299,39 @@
                               90000,
                               600000 }) {
       SetUnreachable(true);
-      RunFor(milliseconds(millis));
+      AssertInstancesFor(milliseconds(millis), kInstances);
       SetUnreachable(false);
-      for (base::Duration it{ 0 }; it < 6 * kInterval; it += kStep) {
-        RunFor(kStep);
-        for (const auto& [name, member] : mMembers) {
-          CPPUNIT_ASSERT_EQUAL_MESSAGE(name + " after an outage of " +
-                                         std::to_string(millis) + " ms",
-                                       kInstances,
-                                       member->mDirectory.Instances().size());
-        }
-      }
+      AssertInstancesFor(6 * kInterval, kInstances);
     }
     CPPUNIT_ASSERT_EQUAL(version, DirectoryOf("i0").Version());
   }
 
+  // Guards against a log that answers reads and refuses all writes, on which
+  // each instance takes itself for the only one and follows all cells.
+  void OutageOfWritesRemovesNobody()
+  {
+    constexpr std::size_t kInstances = 12;
+    for (std::size_t n = 0; n < kInstances; ++n) {
+      Start("i" + std::to_string(n));
+      RunFor(milliseconds(370));
+    }
+    Start("gone");
+    RunFor(3 * kInterval);
+    Stop("gone");
+    RunFor(6 * kInterval);
+    CPPUNIT_ASSERT_EQUAL(kInstances, DirectoryOf("i0").Instances().size());
+    for (const int millis :
+         { 25000, 1000, 4900, 6300, 9900, 13000, 17000, 90000 }) {
+      SetUnwritable(true);
+      AssertInstancesFor(milliseconds(millis), kInstances);
+      SetUnwritable(false);
+      AssertInstancesFor(6 * kInterval, kInstances);
+    }
+    Stop("i1");
+    RunFor(6 * kInterval);
+    CPPUNIT_ASSERT_EQUAL(kInstances - 1, DirectoryOf("i0").Instances().size());
+  }
+
   // Guards against an answer that is handled late, as on an instance that was
   // suspended, and counts as silence of all others.
   void LateAnswerRemovesNobody()
@@ -681,6 +700,33 @@
     }
   }
 
+  void SetUnwritable(bool aIsUnwritable)
+  {
+    for (const auto& [name, member] : mMembers) {
+      auto& topics = member->mLog.mInner.mUnwritableTopics;
+      topics.clear();
+      if (aIsUnwritable) {
+        topics.insert(kStream.mTopic);
+      }
+    }
+  }
+
+  /// Runs for `aTime`, in which each list must have `aCount` entries.
+  void AssertInstancesFor(base::Duration aTime, std::size_t aCount)
+  {
+    const base::TimePoint start = mClock.Now();
+    while (mClock.Now() < start + aTime) {
+      RunFor(kStep);
+      for (const auto& [name, member] : mMembers) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          name + " after " + std::to_string((mClock.Now() - start).count()) +
+            " of " + std::to_string(aTime.count()) + " us",
+          aCount,
+          member->mDirectory.Instances().size());
+      }
+    }
+  }
+
   /// Stores a record of another writer.
   void Put(const std::string& aKey, const std::string& aValue)
   {
