Tests of cell questions: an instance that answers again, no leftover clients

Cause: a trial without the removal of a mark passed the test that guards it, because both instances had failed at the same time for the same cell.

Change: the test asks about another cell at its end. The fixture drops its client after each test, because the runner does not delete its tests.

--- a/src/peer/cell_query_test.cpp
+++ b/src/peer/cell_query_test.cpp
@@ -227,7 +227,6 @@
   OneConnectionFollower& operator=(const OneConnectionFollower&) = delete;
 
   std::string Address() const { return LoopbackAddress(mPort); }
-  bool IsAnswered() const { return mIsAnswered; }
   bool IsClosed() const { return mIsClosed; }
 
 private:
@@ -247,7 +246,6 @@
                           deadline)) {
       return;
     }
-    mIsAnswered = true;
     // The rest of the request is read as well, so the end comes last.
     while (true) {
       const auto byte = connection.ReadBody(1, deadline);
@@ -260,7 +258,6 @@
 
   std::uint16_t mPort = 0;
   cxxtools::net::TcpServer mListener;
-  std::atomic<bool> mIsAnswered{ false };
   std::atomic<bool> mIsClosed{ false };
   std::thread mThread;
 };
@@ -348,6 +345,8 @@
   {
     mClient = CreateCellQueryClient(mFollowers, mClock, mMetrics);
   }
+  /// The runner does not delete its tests.
+  void tearDown() override { mClient.reset(); }
 
   // Guards against a question or an answer that is changed on its way.
   void AnswersAllQuestions()
@@ -463,7 +462,8 @@
     // The second one fails, and the first one answers.
     CPPUNIT_ASSERT(FindJob());
     CPPUNIT_ASSERT_EQUAL(2, second.mQueries.mCalls.load());
-    CPPUNIT_ASSERT(FindJob());
+    // The second one has not failed for this cell.
+    CPPUNIT_ASSERT(mClient->FindJob(kCell + 1, kJob, Deadline()));
     CPPUNIT_ASSERT_EQUAL(2, second.mQueries.mCalls.load());
     CPPUNIT_ASSERT_EQUAL(3, first.mQueries.mCalls.load());
   }
