--- a/src/node/cell_random_test.cpp
+++ b/src/node/cell_random_test.cpp
@@ -36,39 +36,6 @@
 /// Time in which a lasting task without a run must start again.
 constexpr milliseconds kMaxTimeWithoutRun{ 9000 };
 
-/// The clients of the cells of one instance.
-class FakeWorkerClients : public WorkerClients
-{
-public:
-  FakeWorkerClients(FakeWorkers& aWorkers, const base::Clock& aClock)
-    : mWorkers(aWorkers)
-    , mClock(aClock)
-  {
-  }
-
-  WorkerClient& ClientOf(int aCell) override
-  {
-    auto& client = mClients[aCell];
-    if (client == nullptr) {
-      client = std::make_unique<FakeWorkerClient>(mWorkers, mClock);
-    }
-    return *client;
-  }
-
-  void Deliver()
-  {
-    for (const auto& [cell, client] : mClients) {
-      client->Deliver();
-    }
-  }
-
-  std::map<int, std::unique_ptr<FakeWorkerClient>> mClients;
-
-private:
-  FakeWorkers& mWorkers;
-  const base::Clock& mClock;
-};
-
 struct CellInstance
 {
   CellInstance(FakeLogState& aState,
--- a/src/node/fake_worker_client_test.hpp
+++ b/src/node/fake_worker_client_test.hpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <utility>
@@ -234,6 +235,39 @@
   std::vector<std::pair<base::TimePoint, std::function<void()>>> mLateResults;
 };
 
+/// The clients of the cells of one instance.
+class FakeWorkerClients : public WorkerClients
+{
+public:
+  FakeWorkerClients(FakeWorkers& aWorkers, const base::Clock& aClock)
+    : mWorkers(aWorkers)
+    , mClock(aClock)
+  {
+  }
+
+  WorkerClient& ClientOf(int aCell) override
+  {
+    auto& client = mClients[aCell];
+    if (client == nullptr) {
+      client = std::make_unique<FakeWorkerClient>(mWorkers, mClock);
+    }
+    return *client;
+  }
+
+  void Deliver()
+  {
+    for (const auto& [cell, client] : mClients) {
+      client->Deliver();
+    }
+  }
+
+  std::map<int, std::unique_ptr<FakeWorkerClient>> mClients;
+
+private:
+  FakeWorkers& mWorkers;
+  const base::Clock& mClock;
+};
+
 } // namespace skylarkhill::node
 
 #endif // SKYLARKHILL_NODE_FAKE_WORKER_CLIENT_TEST_HPP
