--- a/src/node/fake_shared_log_test.hpp
+++ b/src/node/fake_shared_log_test.hpp
@@ -15,6 +15,8 @@
 #include <utility>
 #include <vector>
 
+#include "fake_log_rates_test.hpp"
+
 namespace skylarkhill::node {
 
 /// The contents of an in-memory log. Streams are named by NameOfStream.
@@ -28,6 +30,8 @@
   std::map<std::string, std::int64_t> mFirstOffsets;
   /// The last stamped append of each stream and its result.
   std::map<std::string, std::pair<WriterStamp, AppendResult>> mLastStamped;
+  /// If set, the rates of calls that the log answers.
+  FakeLogRates* mRates = nullptr;
 };
 
 /// The topic, followed by the partition unless it is 0.
@@ -54,6 +58,11 @@
   AppendResult Append(const AppendRequest& aRequest,
                       base::TimePoint aDeadline) override
   {
+    if (IsRefused(FakeLogCall::Append, aRequest.mStream)) {
+      AppendResult refusal;
+      refusal.mOutcome = LogOutcome::Refused;
+      return refusal;
+    }
     const bool isLost =
       mIsUnreachable || mUnwritableTopics.count(aRequest.mStream.mTopic) != 0 ||
       mUnwritableStreams.count(NameOfStream(aRequest.mStream)) != 0;
@@ -73,6 +82,13 @@
   ReadResult Read(const LogStream& aStream,
                   std::int64_t aFrom,
                   base::TimePoint) override
+  {
+    return IsRefused(FakeLogCall::Read, aStream) ? ReadResult{}
+                                                 : Answer(aStream, aFrom);
+  }
+
+  /// The answer to a read that the log does not refuse.
+  ReadResult Answer(const LogStream& aStream, std::int64_t aFrom)
   {
     const auto first = mState.mFirstOffsets.find(NameOfStream(aStream));
     if (IsReadable(aStream) && first != mState.mFirstOffsets.end() &&
@@ -117,11 +133,16 @@
             std::function<void(ReadResult)> aHandler) override
   {
     ++mReadCounts[aStream.mTopic];
-    if (mClock != nullptr) {
-      mReads.push_back({ aStream, aFrom, mClock->Now() + aWait, aHandler });
+    const bool isRefused = IsRefused(FakeLogCall::Read, aStream);
+    if (mClock != nullptr && !isRefused) {
+      mReads.push_back({ aStream,
+                         aFrom,
+                         mClock->Now() + aWait,
+                         aHandler,
+                         NameOfStream(aStream) });
       return;
     }
-    const ReadResult result = Read(aStream, aFrom, base::TimePoint{});
+    const ReadResult result = isRefused ? ReadResult{} : Answer(aStream, aFrom);
     mResponses.emplace_back([aHandler, result] { aHandler(result); });
   }
 
@@ -143,36 +164,47 @@
     for (const auto& [key, record] : newest) {
       result.mRecords.push_back(record);
     }
+    if (IsPageRefused(aStream, result.mRecords.size())) {
+      result = {};
+    }
     mResponses.emplace_back([aHandler, result] { aHandler(result); });
   }
 
-  void Deliver()
+  /// Returns true if it has called a handler.
+  bool Deliver()
   {
     if (mHoldsResponses) {
-      return;
+      return false;
     }
     auto responses = std::move(mResponses);
     mResponses.clear();
     for (const auto& it : responses) {
       it();
     }
+    bool hasDelivered = !responses.empty();
     auto reads = std::move(mReads);
     mReads.clear();
     for (auto& it : reads) {
-      const ReadResult result = Read(it.mStream, it.mFrom, base::TimePoint{});
+      if (IsWaiting(it)) {
+        mReads.push_back(std::move(it));
+        continue;
+      }
+      const ReadResult result = Answer(it.mStream, it.mFrom);
       const bool isExpired = result.mOutcome == LogOutcome::Expired;
       it.mIsLost =
         it.mIsLost || (result.mOutcome != LogOutcome::Done && !isExpired);
       const base::TimePoint end =
         it.mIsLost ? it.mWaitEnd + kReadSlack : it.mWaitEnd;
-      const bool isRefused = it.mIsLost && mRefusesReads;
+      const bool isRefused = it.mIsLost && (mRefusesReads || IsDown());
       if (mClock->Now() < end && !isRefused &&
           (it.mIsLost || (result.mRecords.empty() && !isExpired))) {
         mReads.push_back(std::move(it));
       } else {
         it.mHandler(it.mIsLost ? ReadResult{} : result);
+        hasDelivered = true;
       }
     }
+    return hasDelivered;
   }
 
   /// If set, reads wait for a record, and reads without a response fail
@@ -217,10 +249,38 @@
   }
 
 private:
+  bool IsDown() const
+  {
+    return mState.mRates != nullptr && mState.mRates->mIsDown;
+  }
+
+  /// Counts the call. True if the log refuses it for its rate.
+  bool IsRefused(FakeLogCall aCall, const LogStream& aStream)
+  {
+    return mState.mRates != nullptr && !mIsUnreachable &&
+           !mState.mRates->Take(aCall, aStream.mTopic);
+  }
+
+  /// Counts the calls for the pages of so many records. True if the log refuses
+  /// one of them for its rate.
+  bool IsPageRefused(const LogStream& aStream, std::size_t aRecords)
+  {
+    bool isRefused = IsRefused(FakeLogCall::ReadNewest, aStream);
+    if (mState.mRates != nullptr) {
+      const std::size_t page = mState.mRates->mRecordsPerPage;
+      for (std::size_t n = page; n < aRecords && !isRefused; n += page) {
+        isRefused = IsRefused(FakeLogCall::ReadNewest, aStream);
+      }
+    }
+    return isRefused;
+  }
+
   bool IsReadable(const LogStream& aStream) const
   {
-    return !mIsUnreachable && mUnreadableTopics.count(aStream.mTopic) == 0 &&
-           mUnreadableStreams.count(NameOfStream(aStream)) == 0;
+    return !mIsUnreachable && !IsDown() &&
+           mUnreadableTopics.count(aStream.mTopic) == 0 &&
+           (mUnreadableStreams.empty() ||
+            mUnreadableStreams.count(NameOfStream(aStream)) == 0);
   }
 
   /// An asynchronous read of new records that waits.
@@ -230,9 +290,24 @@
     std::int64_t mFrom = 0;
     base::TimePoint mWaitEnd;
     std::function<void(ReadResult)> mHandler;
+    /// NameOfStream of mStream.
+    std::string mName;
     bool mIsLost = false;
   };
 
+  /// True if nothing answers or ends the read yet. Cheaper than Answer, because
+  /// a large site has thousands of waiting reads.
+  bool IsWaiting(const PendingRead& aRead) const
+  {
+    if (aRead.mIsLost || mClock->Now() >= aRead.mWaitEnd ||
+        !IsReadable(aRead.mStream) || mState.mFirstOffsets.count(aRead.mName)) {
+      return false;
+    }
+    const auto found = mState.mStreams.find(aRead.mName);
+    return found == mState.mStreams.end() ||
+           static_cast<std::int64_t>(found->second.size()) <= aRead.mFrom;
+  }
+
   bool IsWithinLimits(const AppendRequest& aRequest) const
   {
     std::size_t bytes = 0;
