An instance follows as many cells as the log's rates bear

What callers saw: on a site of 301 instances nothing was served, no configuration came into force and accepted tasks did not run (CONFIG, LOST).

The reads of the good state grow with instances times cells, beyond the rate that the log answers for all instances together, and fixed retries kept the rate exhausted.

Change: the list of instances, the budget of calls and a common ranking decide which instances follow a cell; the others ask one of them. All candidates of a cell loaded the list of workers at the same moment; they now claim by rank.

Evidence: LogRateTest, 301 instances with 2,000 reads and 600 writes a second, 0 of 5 tests passed before and 5 after.

--- a/include/skylarkhill/jobs/job_table.hpp
+++ b/include/skylarkhill/jobs/job_table.hpp
@@ -67,6 +67,8 @@
              std::string_view aValue,
              std::int64_t aOffset);
   void Erase(const std::string& aJobId);
+  /// Forgets all jobs.
+  void Clear();
 
   std::optional<JobState> StateOf(const std::string& aJobId) const;
   /// The transfer of a job whose submission has been read, if it has left.
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -13,6 +13,7 @@
 #include "skylarkhill/metrics/registry.hpp"
 #include "skylarkhill/node/job_service.hpp"
 #include "skylarkhill/node/leadership.hpp"
+#include "skylarkhill/node/log_budget.hpp"
 #include "skylarkhill/node/log_stream_reader.hpp"
 #include "skylarkhill/node/loop_profile.hpp"
 #include "skylarkhill/node/record_batch.hpp"
@@ -34,6 +35,9 @@
 
 namespace skylarkhill::node {
 
+/// Maximum age of the last read of an instance that reports ready.
+inline constexpr base::Duration kMaxReadAge = std::chrono::milliseconds(4000);
+
 /// Loads that the leaders of the cells publish, by cell; empty if unknown.
 using CellLoads = std::vector<std::optional<cells::CellLoad>>;
 
@@ -89,6 +93,14 @@
   /// Runs all work that is due. `aResumedAt` is when this process last resumed
   /// after a pause; `aOtherCells` is how many other cells this instance leads.
   void Tick(base::TimePoint aResumedAt, int aOtherCells);
+  /// Sets how often the cell calls the log.
+  void SetBudget(const LogBudget& aBudget);
+  /// If false, this instance reads the streams of the cell only while it leads
+  /// a cell. Takes effect at the next Tick.
+  void SetFollower(bool aIsFollower) { mIsFollower = aIsFollower; }
+  /// Number of followers that claim the cell before this instance.
+  void SetRank(int aRank) { mRank = aRank; }
+  bool IsFollower() const { return mIsFollower; }
   /// When to call Tick next if no event arrives before.
   base::TimePoint NextTickAt() const;
   /// Gives up the leadership before the process stops. Stops calling workers at
@@ -175,6 +187,9 @@
     std::optional<base::TimePoint> mFailedReadSentAt;
   };
 
+  /// Starts or stops reading the streams of the cell.
+  void UpdateFollowing(int aOtherCells);
+  void SetRetryPauses(base::Duration aPause);
   void OnJournalRecord(const LogRecord& aRecord);
   /// Applies the newest record of every key. Records of workers that are known
   /// and missing there have been deleted.
@@ -212,7 +227,6 @@
   bool IsLeaving(const std::string& aJobId) const;
   /// True if the job was submitted to this cell and not transferred to it.
   bool IsHomeOf(const jobs::Submission& aSubmission) const;
-  base::Duration FollowerJournalPause() const;
   /// Adds records to the batch for workers that are new to the journal, and
   /// deletions for workers that left the registry long enough ago.
   void AddWorkerRecords();
@@ -328,6 +342,9 @@
   metrics::Counter& mLentTasksCount;
   metrics::Counter& mDroppedCheckpoints;
 
+  LogBudget mBudget;
+  bool mIsFollower = true;
+  int mRank = 0;
   jobs::JobTable mJobs;
   LogStreamReader mJournalReader;
   std::atomic<std::int64_t> mNextJournalOffset{ kJournalNotLoaded };
--- a/include/skylarkhill/node/instance_directory.hpp
+++ b/include/skylarkhill/node/instance_directory.hpp
@@ -62,6 +62,8 @@
 
   /// True once the stream has been read.
   bool IsLoaded() const { return mIsLoaded; }
+  /// When the last successful read was sent.
+  base::TimePoint ReadSentAt() const { return mReadSentAt; }
   /// Rises whenever Instances changes.
   std::int64_t Version() const { return mVersion; }
   /// The instances that have announced themselves recently, by name. Always
@@ -125,6 +127,8 @@
   std::int64_t mFailedReads = 0;
   /// When the last successful read was answered.
   base::TimePoint mLastReadAt;
+  /// When that read was sent.
+  base::TimePoint mReadSentAt;
   /// When the last own announcement was stored.
   base::TimePoint mStoredAt;
   /// A clock that stands still while the stream can't be read or written.
--- a/include/skylarkhill/node/job_service.hpp
+++ b/include/skylarkhill/node/job_service.hpp
@@ -50,6 +50,16 @@
              metrics::Registry& aMetrics);
 
   LogHealth& Health() { return mHealth; }
+  /// False while this instance does not follow the journal: jobs can be
+  /// submitted, but nothing is known about them.
+  bool IsFollowed() const { return mIsFollowed; }
+  void SetFollowed(bool aIsFollowed) { mIsFollowed = aIsFollowed; }
+  /// Age up to which a state in the journal counts as fresh.
+  void SetMaxStateAge(base::Duration aAge)
+  {
+    mMaxStateAgeMicros =
+      std::chrono::duration_cast<std::chrono::microseconds>(aAge).count();
+  }
   const jobs::JobTable& Jobs() const { return mJobs; }
 
   /// Appends a job to the journal; succeeds if it is already there.
@@ -62,6 +72,9 @@
   /// Cancels a job. NotFound: no such job; other errors as for Submit.
   base::Result<void> Cancel(const std::string& aJobId,
                             base::TimePoint aDeadline);
+  /// Like Cancel, for a job that is known to be in the journal.
+  base::Result<void> CancelKnown(const std::string& aJobId,
+                                 base::TimePoint aDeadline);
   /// Appends the cancellation of a job that this cell may not know yet. Errors
   /// as for Submit.
   base::Result<void> StoreCancellation(const std::string& aJobId,
@@ -107,6 +120,8 @@
   metrics::Counter& mCancelled;
   metrics::Distribution& mAppendSeconds;
   LogHealth mHealth;
+  std::atomic<bool> mIsFollowed{ true };
+  std::atomic<std::int64_t> mMaxStateAgeMicros{ 100'000 };
   /// Until then, mJobs is recent enough to be counted.
   std::atomic<std::int64_t> mCountableUntil{ 0 };
   /// Until then, the states in mJobs are recent enough to be shown.
--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -76,6 +76,13 @@
   /// Pause after a read that delivered records; none by default. A candidate
   /// sees a resignation up to this much later.
   void SetFollowerPause(base::Duration aPause);
+  /// Pause after a failed read of the stream.
+  void SetRetryPause(base::Duration aPause) { mReader.SetRetryPause(aPause); }
+  /// See LogStreamReader.
+  void SetRetrySeed(std::uint64_t aSeed) { mReader.SetRetrySeed(aSeed); }
+  /// An instance that does not follow the stream reads no records and claims no
+  /// leadership. Must not be stopped while this instance leads.
+  void SetFollowing(bool aIsFollowing);
   /// Stops leading because another instance may have taken over; stays a
   /// candidate.
   void StepDown();
--- a/include/skylarkhill/node/log_budget.hpp
+++ b/include/skylarkhill/node/log_budget.hpp
@@ -33,6 +33,9 @@
   base::Duration mLeaderJournalPause{ 0 };
   /// The same for the leader stream of a cell of another failure domain.
   base::Duration mLeaderStreamPause{ 0 };
+  /// Additional claim delay of a candidate for each follower that ranks before
+  /// it.
+  base::Duration mClaimDelayPerRank{ 0 };
   /// Pause after a failed read.
   base::Duration mRetryPause{ 0 };
   /// Minimum time between two batches of progress records of a leader.
--- a/include/skylarkhill/node/log_stream_reader.hpp
+++ b/include/skylarkhill/node/log_stream_reader.hpp
@@ -84,6 +84,8 @@
   {
     return mIsReading || mIsStopped ? base::kNoDeadline : mNextReadAt;
   }
+  /// True if the last read was refused because of the log's rate.
+  bool IsRateLimited() const { return mRateLimitedInARow > 0; }
   /// Failed reads since the last successful one.
   int ConsecutiveFailures() const { return mConsecutiveFailures; }
 
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -8,7 +8,10 @@
 #include "skylarkhill/metrics/registry.hpp"
 #include "skylarkhill/node/cell.hpp"
 #include "skylarkhill/node/cell_map_agreement.hpp"
+#include "skylarkhill/node/follower_table.hpp"
+#include "skylarkhill/node/instance_directory.hpp"
 #include "skylarkhill/node/job_router.hpp"
+#include "skylarkhill/node/log_budget.hpp"
 #include "skylarkhill/node/log_stream_reader.hpp"
 #include "skylarkhill/node/loop_profile.hpp"
 #include "skylarkhill/node/record_decoder.hpp"
@@ -19,6 +22,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +37,9 @@
   LogStream mJournal;
   LogStream mLeader;
   LogStream mCellMap;
+  /// Entries of the instances; without a topic, every instance follows all
+  /// cells.
+  LogStream mInstances{};
 };
 
 struct NodeOptions
@@ -45,6 +52,11 @@
   double mProcessors = 1.0;
   NodeStreams mStreams;
   LogLimits mLogLimits;
+  LogRates mLogRates;
+  /// Name of this instance, which stays the same after a restart, and where it
+  /// answers CellQueries.
+  std::string mName;
+  std::string mQueryAddress;
   dispatch::DispatchLimits mLimits;
   /// With at most one cell, there is no agreement on the division of the site.
   cells::CellLimits mCells{ 1, 1 };
@@ -80,6 +92,8 @@
   void Resign();
 
   JobRouter& GetJobRouter() { return mJobRouter; }
+  /// The other instances that follow each cell. Thread-safe.
+  const CellFollowers& Followers() const { return mFollowers; }
   /// True if this instance can serve callers. Thread-safe.
   bool IsReady() const { return mIsReady; }
   /// True if a dispatcher of this instance knows all open jobs of its cell.
@@ -98,6 +112,11 @@
   void UpdateRegistry();
   void UpdateMetrics(base::TimePoint aNow);
   void UpdateReadiness();
+  /// Decides which cells this instance follows and how often it calls the log,
+  /// if the instances of the site have changed.
+  void UpdateFollowers();
+  void FollowCells(const std::map<std::string, InstanceEntry>& aInstances);
+  bool IsUpToDate(const Cell& aCell) const;
 
   const NodeOptions mOptions;
   AsyncLog& mLog;
@@ -110,6 +129,7 @@
   metrics::Registry& mMetrics;
   metrics::Gauge& mLeading;
   metrics::Gauge& mJobCount;
+  metrics::Gauge& mPlannedReads;
 
   LogStreamReader mConfigurationReader;
   WorkerRegistry mRegistry;
@@ -119,6 +139,13 @@
   std::vector<std::unique_ptr<Cell>> mCells;
   /// Cells of the registered workers by id.
   std::map<std::string, int> mCellByWorker;
+  std::optional<InstanceDirectory> mDirectory;
+  /// InstanceDirectory::Version for which the followers were chosen.
+  std::int64_t mDirectoryVersion = -1;
+  base::TimePoint mCellsCreatedAt;
+  /// When all cells are followed although the instances are not known.
+  base::TimePoint mFollowAllAt = base::kNoDeadline;
+  FollowerTable mFollowers;
   JobRouter mJobRouter;
   std::atomic<bool> mIsReady{ false };
   base::TimePoint mLastTickAt;
--- a/include/skylarkhill/node/worker_registry.hpp
+++ b/include/skylarkhill/node/worker_registry.hpp
@@ -48,6 +48,8 @@
   void SetFollowing(bool aIsFollowing);
   void Tick() { mReader.Tick(); }
   base::TimePoint NextTickAt() const { return mReader.NextTickAt(); }
+  /// See LogStreamReader.
+  void SetRetrySeed(std::uint64_t aSeed) { mReader.SetRetrySeed(aSeed); }
   const LogStreamReader& Reader() const { return mReader; }
   /// By id.
   const std::map<std::string, RegisteredWorker>& Workers() const
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -160,6 +160,15 @@
   }
 }
 
+void
+JobTable::Clear()
+{
+  for (Shard& it : mShards) {
+    const std::lock_guard lock(it.mLock);
+    it.mJobs.clear();
+  }
+}
+
 void
 JobTable::Erase(const std::string& aJobId)
 {
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -1,5 +1,6 @@
 #include "skylarkhill/node/cell.hpp"
 
+#include "skylarkhill/base/hash.hpp"
 #include "skylarkhill/cells/transfer_policy.hpp"
 #include "skylarkhill/jobs/job_codec.hpp"
 #include "skylarkhill/logging/logging.hpp"
@@ -20,27 +21,9 @@
 
 constexpr std::string_view kWriterName = "leader";
 
-/// Pauses after reads that delivered records, to limit the calls to the log. A
-/// follower reads sooner if a caller asks for a job. With many cells the pause
-/// is kFollowerPausePerCell for each of them, so that the calls of an instance
-/// do not grow with the site.
-constexpr Duration kFollowerJournalPause = std::chrono::milliseconds(400);
-/// The same for the other cells at an instance that leads one.
-constexpr Duration kFollowerJournalPauseOfLeader =
-  std::chrono::milliseconds(200);
-constexpr Duration kFollowerPausePerCell = std::chrono::milliseconds(160);
-/// With the wait of a read, well below kMaxReadAge.
-constexpr Duration kMaxFollowerPause = std::chrono::milliseconds(1500);
-/// The same for the leader stream of a cell of another failure domain. The
-/// upper bound delays the takeover of a cell whose failure domain is lost.
-constexpr Duration kLeaderPausePerCell = std::chrono::milliseconds(240);
-constexpr Duration kMaxLeaderPause = std::chrono::milliseconds(2400);
-constexpr Duration kLeaderJournalPause = std::chrono::milliseconds(15);
 /// Shorter than that of a follower, so that one lost read of a leader does not
 /// delay cancellations beyond their bound.
 constexpr Duration kLeaderReadWait = std::chrono::milliseconds(500);
-/// Minimum time between two batches of progress records.
-constexpr Duration kFlushInterval = std::chrono::milliseconds(20);
 /// Space in a record for the progress of one task, with its checkpoint.
 constexpr std::size_t kMaxTaskProgressBytes = 512;
 /// Room for RecordKey::mPart of a loan in the key of its copy, and for run
@@ -57,9 +40,6 @@
 constexpr std::size_t kTargetAppendBytes = std::size_t{ 256 } << 10;
 constexpr Duration kFlushRetryPause = std::chrono::milliseconds(150);
 
-/// Maximum age of the last journal read of an instance that reports ready.
-constexpr Duration kMaxReadAge = std::chrono::milliseconds(4000);
-
 /// A leader starts no tasks if its journal or its worker registry is older than
 /// this share of NodeOptions::mMaxCancellationDelay or mMaxDrainDelay. The rest
 /// is for the start call.
@@ -96,6 +76,9 @@
 /// than if it has to wait for leases that no record limits.
 constexpr Duration kMaxResignationDelay = std::chrono::milliseconds(500);
 
+/// Pause after a failed read of a stream of the cell that this instance leads.
+constexpr Duration kLeaderRetryPause = std::chrono::milliseconds(200);
+
 /// Interval between two searches for workers that fell silent or answer again.
 constexpr Duration kLeaseCheckInterval = std::chrono::milliseconds(100);
 /// JournaledWorker::mLeaseEpoch of a record that cannot be read.
@@ -201,11 +184,10 @@
                           kMinFailedRegistryReads,
                           {} } } }
 {
-  mJournalReader.SetPause(FollowerJournalPause());
-  if (!mOptions.mIsInDomain) {
-    mLeadership.SetFollowerPause(
-      std::min(kMaxLeaderPause, kLeaderPausePerCell * mOptions.mCellCount));
-  }
+  const std::uint64_t seed = base::StableHash(mOptions.mInstanceId);
+  mJournalReader.SetRetrySeed(seed);
+  mLeadership.SetRetrySeed(seed);
+  SetBudget(PlanLogCalls({}, { 1, mOptions.mCellCount }));
 }
 
 Cell::~Cell()
@@ -218,16 +200,17 @@
 {
   const logging::ContextField context("cell", mOptions.mIndex);
   const TimePoint now = mClock.Now();
+  UpdateFollowing(aOtherCells);
   if (mEpoch == 0) {
     // Leaders need the loads of the other cells for transfers.
-    mJournalReader.SetPause(aOtherCells > 0 ? kFollowerJournalPauseOfLeader
-                                            : FollowerJournalPause());
+    mJournalReader.SetPause(aOtherCells > 0 ? mBudget.mOtherLeaderJournalPause
+                                            : mBudget.mFollowerJournalPause);
   }
   {
     const LoopProfile::Timer timer(mProfile, LoopPhase::Leadership);
     mLeadership.SetClaimDelay(
       (mOptions.mIsInDomain ? Duration::zero() : kOtherDomainDelay) +
-      kDelayPerLedCell * aOtherCells);
+      kDelayPerLedCell * aOtherCells + mBudget.mClaimDelayPerRank * mRank);
     if (mLeadership.IsClaimDue()) {
       mRegistryNeededUntil = now + kRegistryRetention;
     }
@@ -246,7 +229,9 @@
   mJournalReader.Tick();
   mNextJournalOffset =
     mJournalReader.IsLoaded() ? mJournalReader.NextOffset() : kJournalNotLoaded;
-  if (mJournalReader.ConsecutiveFailures() > 0) {
+  // The log stores records although it refuses reads because of their rate.
+  if (mJobService.IsFollowed() && mJournalReader.ConsecutiveFailures() > 0 &&
+      !mJournalReader.IsRateLimited()) {
     mJobService.Health().SetUnreachable(now);
   }
   if (mResignBy) {
@@ -285,6 +270,61 @@
   RemoveOldJobs();
 }
 
+void
+Cell::SetBudget(const LogBudget& aBudget)
+{
+  mBudget = aBudget;
+  if (!mOptions.mIsInDomain) {
+    mLeadership.SetFollowerPause(mBudget.mLeaderStreamPause);
+  }
+  mJobService.SetMaxStateAge(mBudget.mMaxStateAge);
+  if (mEpoch == 0) {
+    SetRetryPauses(mBudget.mRetryPause);
+  } else {
+    mJournalReader.SetPause(mBudget.mLeaderJournalPause);
+  }
+}
+
+void
+Cell::SetRetryPauses(Duration aPause)
+{
+  mJournalReader.SetRetryPause(aPause);
+  mLeadership.SetRetryPause(aPause);
+}
+
+void
+Cell::UpdateFollowing(int aOtherCells)
+{
+  // A leader needs the loads of all cells, and their epochs: a worker may come
+  // from any of them and obeys only rising ones.
+  const bool isFollowing = mIsFollower || aOtherCells > 0 || mEpoch != 0 ||
+                           mLeadership.IsLeader() ||
+                           mLeadership.IsAppending() || mResignBy.has_value();
+  if (isFollowing == mJobService.IsFollowed()) {
+    return;
+  }
+  if (isFollowing || mJournalReader.IsLoaded()) {
+    logging::Write(logging::Level::Info,
+                   "cell_following_changed",
+                   { { "following", isFollowing ? "yes" : "no" },
+                     { "other_cells_led", aOtherCells } });
+  }
+  mLeadership.SetFollowing(isFollowing);
+  if (isFollowing) {
+    // What was read before may have been deleted since.
+    mJobs.Clear();
+    mJournalReader.Resume();
+  } else {
+    mJournalReader.Stop();
+    mNextJournalOffset = kJournalNotLoaded;
+    mLoads[static_cast<std::size_t>(mOptions.mIndex)].reset();
+  }
+  mJobService.SetFollowed(isFollowing);
+  if (!isFollowing) {
+    mJobs.Clear();
+  }
+}
+
 TimePoint
 Cell::NextTickAt() const
 {
@@ -393,14 +433,6 @@
   return newest ? newest->mEpoch : 0;
 }
 
-Duration
-Cell::FollowerJournalPause() const
-{
-  return std::clamp(kFollowerPausePerCell * mOptions.mCellCount,
-                    kFollowerJournalPause,
-                    kMaxFollowerPause);
-}
-
 void
 Cell::OnWorker(const RegisteredWorker& aWorker)
 {
@@ -982,7 +1014,8 @@
   mBatch.Clear();
   mSequence = 0;
   mNextFlushAt = mClock.Now();
-  mJournalReader.SetPause(kLeaderJournalPause);
+  mJournalReader.SetPause(mBudget.mLeaderJournalPause);
+  SetRetryPauses(kLeaderRetryPause);
   mJournalReader.SetWait(kLeaderReadWait);
   mJournalReader.SkipPause();
   FenceEarlierWriters();
@@ -1011,8 +1044,9 @@
   mPendingLoans.clear();
   mEndedLoans.clear();
   mCopiesRemovableAt.clear();
-  mJournalReader.SetPause(FollowerJournalPause());
+  mJournalReader.SetPause(mBudget.mFollowerJournalPause);
   mJournalReader.SetWait(kReadWait);
+  SetRetryPauses(mBudget.mRetryPause);
 }
 
 void
@@ -1742,7 +1776,7 @@
 Cell::CompleteBatch()
 {
   const TimePoint now = mClock.Now();
-  mNextFlushAt = std::max(now, mBatchSentAt + kFlushInterval);
+  mNextFlushAt = std::max(now, mBatchSentAt + mBudget.mFlushInterval);
   mFlushSeconds.Record(
     std::chrono::duration<double>(now - mBatchSentAt).count());
   mDispatcher->OnDurable(mBatchNumber, now);
--- a/src/node/cell_map_agreement.cpp
+++ b/src/node/cell_map_agreement.cpp
@@ -63,6 +63,7 @@
             { [this](const LogRecord& aRecord) { OnRecord(aRecord); }, {} })
   , mTurnAt(aClock.Now() + TurnOf(aInstanceId))
 {
+  mReader.SetRetrySeed(base::StableHash(aInstanceId));
 }
 
 bool
--- a/src/node/fake_log_rates_test.hpp
+++ b/src/node/fake_log_rates_test.hpp
@@ -53,6 +53,14 @@
   bool mIsDown = false;
   /// A read of the newest records costs a call for each page.
   std::size_t mRecordsPerPage = 500;
+  /// The same by topic, instead of mRecordsPerPage.
+  std::map<std::string, std::size_t> mRecordsPerPageOf;
+
+  std::size_t RecordsPerPageOf(const std::string& aTopic) const
+  {
+    const auto found = mRecordsPerPageOf.find(aTopic);
+    return found != mRecordsPerPageOf.end() ? found->second : mRecordsPerPage;
+  }
   std::map<std::pair<FakeLogCall, std::string>, FakeLogCallCounts> mCounts;
 
 private:
--- a/src/node/fake_shared_log_test.hpp
+++ b/src/node/fake_shared_log_test.hpp
@@ -267,7 +267,7 @@
   {
     bool isRefused = IsRefused(FakeLogCall::ReadNewest, aStream);
     if (mState.mRates != nullptr) {
-      const std::size_t page = mState.mRates->mRecordsPerPage;
+      const std::size_t page = mState.mRates->RecordsPerPageOf(aStream.mTopic);
       for (std::size_t n = page; n < aRecords && !isRefused; n += page) {
         isRefused = IsRefused(FakeLogCall::ReadNewest, aStream);
       }
--- a/src/node/instance_directory.cpp
+++ b/src/node/instance_directory.cpp
@@ -262,6 +262,7 @@
   }
   mIsLoaded = true;
   mLastReadAt = now;
+  mReadSentAt = aSentAt;
   for (auto& [key, announcement] : mAnnouncements) {
     announcement.mIsInStream = false;
   }
--- a/src/node/job_router.cpp
+++ b/src/node/job_router.cpp
@@ -2,6 +2,7 @@
 
 #include "skylarkhill/logging/logging.hpp"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -12,12 +13,23 @@
 
 namespace {
 
+/// Entries of JobLocations; a job is usually asked for within a minute.
+constexpr std::size_t kMaxLocations = 20'000;
+
 base::Error
 MakeUnknownCellsError()
 {
   return MakeError(ErrorKind::LogUnavailable, "the cells are not known yet");
 }
 
+base::Error
+MakeUnfollowedError(int aCell)
+{
+  return MakeError(ErrorKind::LogUnavailable,
+                   "cell " + std::to_string(aCell) +
+                     " is not followed by this instance");
+}
+
 /// The first cell has the cancellation, and its leader passes it on.
 base::Error
 MakeIncompleteError(const std::string& aJobId,
@@ -35,6 +47,29 @@
 
 } // namespace
 
+void
+JobLocations::Remember(const std::string& aJobId, int aCell)
+{
+  const std::lock_guard lock(mLock);
+  if (!mCells.insert_or_assign(aJobId, aCell).second) {
+    return;
+  }
+  mOrder.push_back(aJobId);
+  if (mOrder.size() > kMaxLocations) {
+    mCells.erase(mOrder.front());
+    mOrder.pop_front();
+  }
+}
+
+std::optional<int>
+JobLocations::Find(const std::string& aJobId) const
+{
+  const std::lock_guard lock(mLock);
+  const auto found = mCells.find(aJobId);
+  return found != mCells.end() ? std::optional<int>(found->second)
+                               : std::nullopt;
+}
+
 void
 JobRouter::SetRoutes(std::shared_ptr<const RouteTable> aRoutes)
 {
@@ -77,8 +112,11 @@
   }
   const int home = cells::HomeOfJob(cells->mMap, aJobId, aRequest);
   const logging::ContextField context("cell", home);
-  return cells->mServices[static_cast<std::size_t>(home)]->Submit(
-    aPolicy, aJobId, std::move(aRequest), aDeadline);
+  JobService& service = *cells->mServices[static_cast<std::size_t>(home)];
+  if (!service.IsFollowed()) {
+    mLocations.Remember(aJobId, home);
+  }
+  return service.Submit(aPolicy, aJobId, std::move(aRequest), aDeadline);
 }
 
 base::Result<void>
@@ -99,8 +137,10 @@
   const int cell = location.value().mCell;
   {
     const logging::ContextField context("cell", cell);
-    BOOST_OUTCOME_TRYV(cells->mServices[static_cast<std::size_t>(cell)]->Cancel(
-      aJobId, aDeadline));
+    JobService& service = *cells->mServices[static_cast<std::size_t>(cell)];
+    BOOST_OUTCOME_TRYV(service.IsFollowed()
+                         ? service.Cancel(aJobId, aDeadline)
+                         : service.CancelKnown(aJobId, aDeadline));
   }
   if (cells->mMap.mCount == 1) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -119,15 +159,14 @@
   while (!toRead.empty()) {
     const int cell = toRead.back();
     toRead.pop_back();
-    JobService& service = *aCells.mServices[static_cast<std::size_t>(cell)];
     // Only then all moves and loans that precede the cancellation are known.
     // The leader adds the cancellation to copies that follow from later ones.
-    const auto isRead = service.ReadToEnd(aDeadline);
-    if (!isRead) {
-      return MakeIncompleteError(aJobId, cell, isRead.error());
+    const auto others = ListCellsOf(aCells, cell, aJobId, aDeadline);
+    if (!others) {
+      return MakeIncompleteError(aJobId, cell, others.error());
     }
-    for (const int it : service.Jobs().ListOtherCells(aJobId)) {
-      if (it >= aCells.mMap.mCount || !visited.insert(it).second) {
+    for (const int it : others.value()) {
+      if (it < 0 || it >= aCells.mMap.mCount || !visited.insert(it).second) {
         continue;
       }
       const logging::ContextField context("cell", it);
@@ -154,23 +193,19 @@
   if (jobs::IsFinal(location.mState)) {
     return location.mState;
   }
-  const auto serviceOf = [&](int aCell) -> JobService& {
-    return *cells->mServices[static_cast<std::size_t>(aCell)];
-  };
-  JobService& service = serviceOf(location.mCell);
-  auto state = service.StateOf(aJobId, aDeadline);
-  if (!state) {
+  const auto view = ViewJob(*cells, location.mCell, aJobId, aDeadline);
+  if (!view) {
     return location.mState;
   }
-  const auto transfer = service.Jobs().TransferOf(aJobId);
-  if (transfer && transfer->mTarget < cells->mMap.mCount) {
-    auto moved = serviceOf(transfer->mTarget).StateOf(aJobId, aDeadline);
+  const auto target = view.value().mTarget;
+  if (target && *target >= 0 && *target < cells->mMap.mCount) {
+    const auto moved = ViewJob(*cells, *target, aJobId, aDeadline);
     // The target may not have the job yet.
     if (moved) {
-      return moved;
+      return moved.value().mState;
     }
   }
-  return state;
+  return view.value().mState;
 }
 
 base::Result<std::size_t>
@@ -181,18 +216,129 @@
     return MakeUnknownCellsError();
   }
   std::size_t sum = 0;
-  for (JobService* it : cells->mServices) {
-    BOOST_OUTCOME_TRY(n, it->CountPending(aQueue, aDeadline));
+  for (int cell = 0; cell < cells->mMap.mCount; ++cell) {
+    JobService* const service = FindFollowed(*cells, cell);
+    if (service == nullptr && mQueries == nullptr) {
+      return MakeUnfollowedError(cell);
+    }
+    BOOST_OUTCOME_TRY(n,
+                      service != nullptr
+                        ? service->CountPending(aQueue, aDeadline)
+                        : mQueries->CountPending(cell, aQueue, aDeadline));
     sum += n;
   }
   return sum;
 }
 
+base::Result<JobView>
+JobRouter::FindJob(int aCell,
+                   const std::string& aJobId,
+                   base::TimePoint aDeadline)
+{
+  const auto cells = GetCells();
+  JobService* const service =
+    cells != nullptr ? FindFollowed(*cells, aCell) : nullptr;
+  if (service == nullptr) {
+    return MakeUnfollowedError(aCell);
+  }
+  return ViewFollowedJob(*service, aJobId, aDeadline);
+}
+
+base::Result<std::vector<int>>
+JobRouter::ListOtherCells(int aCell,
+                          const std::string& aJobId,
+                          base::TimePoint aDeadline)
+{
+  const auto cells = GetCells();
+  JobService* const service =
+    cells != nullptr ? FindFollowed(*cells, aCell) : nullptr;
+  if (service == nullptr) {
+    return MakeUnfollowedError(aCell);
+  }
+  BOOST_OUTCOME_TRYV(service->ReadToEnd(aDeadline));
+  return service->Jobs().ListOtherCells(aJobId);
+}
+
+base::Result<std::size_t>
+JobRouter::CountPending(int aCell,
+                        std::string_view aQueue,
+                        base::TimePoint aDeadline)
+{
+  const auto cells = GetCells();
+  JobService* const service =
+    cells != nullptr ? FindFollowed(*cells, aCell) : nullptr;
+  if (service == nullptr) {
+    return MakeUnfollowedError(aCell);
+  }
+  return service->CountPending(aQueue, aDeadline);
+}
+
+JobService*
+JobRouter::FindFollowed(const Cells& aCells, int aCell)
+{
+  if (aCell < 0 || aCell >= aCells.mMap.mCount) {
+    return nullptr;
+  }
+  JobService* const service = aCells.mServices[static_cast<std::size_t>(aCell)];
+  return service->IsFollowed() ? service : nullptr;
+}
+
+base::Result<JobView>
+JobRouter::ViewJob(const Cells& aCells,
+                   int aCell,
+                   const std::string& aJobId,
+                   base::TimePoint aDeadline)
+{
+  if (JobService* const service = FindFollowed(aCells, aCell)) {
+    return ViewFollowedJob(*service, aJobId, aDeadline);
+  }
+  if (mQueries == nullptr) {
+    return MakeUnfollowedError(aCell);
+  }
+  auto view = mQueries->FindJob(aCell, aJobId, aDeadline);
+  if (view) {
+    mLocations.Remember(aJobId, aCell);
+  }
+  return view;
+}
+
+base::Result<JobView>
+JobRouter::ViewFollowedJob(JobService& aService,
+                           const std::string& aJobId,
+                           base::TimePoint aDeadline)
+{
+  BOOST_OUTCOME_TRY(state, aService.StateOf(aJobId, aDeadline));
+  JobView view{ state, {} };
+  if (const auto transfer = aService.Jobs().TransferOf(aJobId)) {
+    view.mTarget = transfer->mTarget;
+  }
+  return view;
+}
+
+base::Result<std::vector<int>>
+JobRouter::ListCellsOf(const Cells& aCells,
+                       int aCell,
+                       const std::string& aJobId,
+                       base::TimePoint aDeadline)
+{
+  if (JobService* const service = FindFollowed(aCells, aCell)) {
+    BOOST_OUTCOME_TRYV(service->ReadToEnd(aDeadline));
+    return service->Jobs().ListOtherCells(aJobId);
+  }
+  if (mQueries == nullptr) {
+    return MakeUnfollowedError(aCell);
+  }
+  return mQueries->ListOtherCells(aCell, aJobId, aDeadline);
+}
+
 std::optional<JobRouter::Location>
 JobRouter::FindKnown(const Cells& aCells, const std::string& aJobId)
 {
   std::optional<Location> left;
   for (std::size_t n = 0; n < aCells.mServices.size(); ++n) {
+    if (!aCells.mServices[n]->IsFollowed()) {
+      continue;
+    }
     const jobs::JobTable& jobs = aCells.mServices[n]->Jobs();
     const auto state = jobs.StateOf(aJobId);
     if (!state) {
@@ -216,9 +362,17 @@
   if (auto known = FindKnown(aCells, aJobId)) {
     return *known;
   }
+  // The cells that are not followed come last, and that of an earlier answer
+  // before the others.
+  std::vector<int> toAsk;
   std::optional<base::Error> error;
-  for (JobService* it : aCells.mServices) {
-    const auto state = it->StateOf(aJobId, aDeadline);
+  for (int cell = 0; cell < aCells.mMap.mCount; ++cell) {
+    JobService* const service = FindFollowed(aCells, cell);
+    if (service == nullptr) {
+      toAsk.push_back(cell);
+      continue;
+    }
+    const auto state = service->StateOf(aJobId, aDeadline);
     if (state) {
       break;
     }
@@ -229,6 +383,19 @@
   if (auto known = FindKnown(aCells, aJobId)) {
     return *known;
   }
+  const auto remembered = mLocations.Find(aJobId);
+  std::stable_partition(toAsk.begin(), toAsk.end(), [&](int aCell) {
+    return remembered && *remembered == aCell;
+  });
+  for (const int it : toAsk) {
+    const auto view = ViewJob(aCells, it, aJobId, aDeadline);
+    if (view) {
+      return Location{ it, view.value().mState };
+    }
+    if (view.error().mKind != ErrorKind::NotFound) {
+      error = view.error();
+    }
+  }
   // The job may be in the journal that could not be read.
   return error ? *error : MakeError(ErrorKind::NotFound, "no such job");
 }
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -28,8 +28,6 @@
 constexpr base::Duration kReadTimeout = std::chrono::milliseconds(800);
 /// Callers' requests fail fast for this time after a failed call to the log.
 constexpr base::Duration kUnreachablePeriod = std::chrono::milliseconds(700);
-/// Maximum age of the journal for the state of a job that is not final.
-constexpr base::Duration kMaxStateAge = std::chrono::milliseconds(100);
 /// Maximum age of the journal for a count of pending jobs. A count must include
 /// at least half of the jobs that were accepted five seconds before.
 constexpr base::Duration kMaxCountAge = std::chrono::milliseconds(4000);
@@ -129,6 +127,12 @@
       return MakeError(ErrorKind::NotFound, "no such job");
     }
   }
+  return CancelKnown(aJobId, aDeadline);
+}
+
+base::Result<void>
+JobService::CancelKnown(const std::string& aJobId, TimePoint aDeadline)
+{
   auto stored = StoreCancellation(aJobId, aDeadline);
   if (stored) {
     mCancelled.Add();
@@ -229,9 +233,11 @@
     if (result.mOutcome == LogOutcome::Done) {
       mHealth.SetReachable(now);
       mAppendSeconds.Record(std::chrono::duration<double>(now - start).count());
-      mJobs.Apply(request.mRecords.front().mKey,
-                  request.mRecords.front().mValue,
-                  result.mOffset);
+      if (mIsFollowed) {
+        mJobs.Apply(request.mRecords.front().mKey,
+                    request.mRecords.front().mValue,
+                    result.mOffset);
+      }
       return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
     // An earlier request of the caller may have stored the record elsewhere.
@@ -321,7 +327,7 @@
     }
     if (isAtEnd) {
       mCountableUntil = base::ToMicros(now + kMaxCountAge);
-      mFreshUntil = base::ToMicros(now + kMaxStateAge);
+      mFreshUntil = base::ToMicros(now) + mMaxStateAgeMicros;
       return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
     next = result.mNextOffset;
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -116,6 +116,19 @@
   mReader.SetPause(aPause);
 }
 
+void
+Leadership::SetFollowing(bool aIsFollowing)
+{
+  if (aIsFollowing == !mReader.IsStopped()) {
+    return;
+  }
+  if (aIsFollowing) {
+    mReader.Resume();
+  } else {
+    mReader.Stop();
+  }
+}
+
 void
 Leadership::Tick()
 {
--- a/src/node/log_rate_test.cpp
+++ b/src/node/log_rate_test.cpp
@@ -32,6 +32,9 @@
 constexpr int kWorkersPerCell = 4;
 /// The registry has as many pages as one of 3,000 workers in the log.
 constexpr std::size_t kRecordsPerPage = 10;
+constexpr const char* kInstanceTopic = "instances";
+/// An entry of the list of instances is small.
+constexpr std::size_t kInstancesPerPage = 500;
 constexpr double kReadsPerSecond = 2000.0;
 constexpr double kWritesPerSecond = 600.0;
 
@@ -94,6 +97,10 @@
     MakeCellOptions("node" + std::to_string(aNumber), aNumber);
   options.mCells.mMaxCells = kCells;
   options.mCells.mWorkersPerCell = kWorkersPerCell;
+  options.mStreams.mInstances.mTopic = kInstanceTopic;
+  options.mName = options.mInstanceId;
+  options.mQueryAddress = options.mInstanceId + ":1";
+  options.mLogRates = { kReadsPerSecond, kWritesPerSecond };
   return options;
 }
 
@@ -163,6 +170,7 @@
   void setUp() override
   {
     mRates.mRecordsPerPage = kRecordsPerPage;
+    mRates.mRecordsPerPageOf[kInstanceTopic] = kInstancesPerPage;
     mState.mRates = &mRates;
     Store("configuration", "configuration", "1");
     for (int n = 0; n < kCells * kWorkersPerCell; ++n) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,6 +1,8 @@
 #include "skylarkhill/node/node.hpp"
 
+#include "skylarkhill/base/hash.hpp"
 #include "skylarkhill/logging/logging.hpp"
+#include "skylarkhill/node/follower_ranking.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -21,6 +23,8 @@
 /// Pause between two summary lines of the call loop in the log.
 constexpr Duration kSummaryInterval = std::chrono::seconds(2);
 constexpr Duration kCountInterval = std::chrono::seconds(20);
+/// Time in which the list of instances is usually read.
+constexpr Duration kMaxDirectoryWait = std::chrono::seconds(5);
 
 } // namespace
 
@@ -45,6 +49,9 @@
   , mLeading(aMetrics.GetGauge("skylarkhill_leading",
                                "Cells that this node dispatches tasks of."))
   , mJobCount(aMetrics.GetGauge("skylarkhill_jobs", "Jobs known here."))
+  , mPlannedReads(aMetrics.GetGauge(
+      "skylarkhill_log_planned_reads_per_second",
+      "Reads of the log by all instances, without those for callers."))
   , mConfigurationReader(
       aLog,
       aClock,
@@ -62,6 +69,18 @@
                mOptions.mInstanceId,
                mOptions.mCells)
 {
+  if (!mOptions.mStreams.mInstances.mTopic.empty()) {
+    mDirectory.emplace(aLog,
+                       aClock,
+                       mOptions.mStreams.mInstances,
+                       InstanceEntry{ mOptions.mName,
+                                      mOptions.mDomain,
+                                      mOptions.mQueryAddress,
+                                      mOptions.mProcessors });
+  }
+  const std::uint64_t seed = base::StableHash(mOptions.mInstanceId);
+  mConfigurationReader.SetRetrySeed(seed);
+  mRegistry.SetRetrySeed(seed);
   mLastTickAt = aClock.Now();
   if (mOptions.mCells.mMaxCells <= 1) {
     CreateCells({});
@@ -84,6 +103,10 @@
   mLastTickAt = now;
   mProfile.CountTurn(now - std::min(now, mTickDueAt));
   UpdateMetrics(now);
+  if (mDirectory) {
+    mDirectory->Tick();
+    UpdateFollowers();
+  }
   TickCells(now);
   if (mCells.empty()) {
     TickAgreement();
@@ -107,6 +130,9 @@
   if (mCells.empty()) {
     next = std::min(next, mAgreement.NextTickAt());
   }
+  if (mDirectory) {
+    next = std::min(next, mDirectory->NextTickAt());
+  }
   for (const auto& it : mCells) {
     next = std::min(next, it->NextTickAt());
   }
@@ -185,6 +211,16 @@
     jobServices.push_back(&mCells.back()->GetJobService());
   }
   mJobRouter.SetCells(mCellMap, std::move(jobServices));
+  if (mDirectory) {
+    mDirectoryVersion = -1;
+    mCellsCreatedAt = mClock.Now();
+    mFollowAllAt = mCellsCreatedAt + kMaxDirectoryWait;
+    for (const auto& it : mCells) {
+      it->SetFollower(false);
+    }
+    // Instances that started together have announced themselves since.
+    mDirectory->Refresh();
+  }
   for (const auto& [id, worker] : mRegistry.Workers()) {
     OnWorker(worker);
   }
@@ -218,6 +254,73 @@
   }
 }
 
+void
+Node::UpdateFollowers()
+{
+  if (mCells.empty()) {
+    return;
+  }
+  // Until then, instances that started with this one may be missing.
+  if (!mDirectory->IsLoaded() || mDirectory->ReadSentAt() < mCellsCreatedAt) {
+    if (mClock.Now() >= mFollowAllAt) {
+      mFollowAllAt = base::kNoDeadline;
+      logging::Write(logging::Level::Warning, "instances_unknown", {});
+      for (const auto& it : mCells) {
+        it->SetFollower(true);
+      }
+    }
+    return;
+  }
+  if (mDirectory->Version() != mDirectoryVersion) {
+    mDirectoryVersion = mDirectory->Version();
+    FollowCells(mDirectory->Instances());
+  }
+}
+
+void
+Node::FollowCells(const std::map<std::string, InstanceEntry>& aInstances)
+{
+  const LogBudget budget =
+    PlanLogCalls(mOptions.mLogRates,
+                 { static_cast<int>(aInstances.size()), mCellMap.mCount });
+  mDirectory->SetInterval(budget.mAnnouncementInterval);
+  const auto limit = static_cast<std::size_t>(budget.mFollowersPerCell);
+  std::vector<std::vector<InstanceEntry>> followers;
+  int followed = 0;
+  for (std::size_t cell = 0; cell < mCells.size(); ++cell) {
+    const auto ranked =
+      RankFollowers(mCellMap, static_cast<int>(cell), aInstances);
+    const auto rank = static_cast<std::size_t>(
+      std::find(ranked.begin(), ranked.end(), mOptions.mName) - ranked.begin());
+    // An instance near the limit does not start and stop all the time.
+    const bool isFollower =
+      rank < limit || (mCells[cell]->IsFollower() && rank < limit + limit / 4);
+    mCells[cell]->SetFollower(isFollower);
+    mCells[cell]->SetRank(static_cast<int>(rank));
+    mCells[cell]->SetBudget(budget);
+    followed += isFollower ? 1 : 0;
+    followers.emplace_back();
+    for (std::size_t n = 0; n < std::min(limit, ranked.size()); ++n) {
+      if (ranked[n] != mOptions.mName) {
+        followers.back().push_back(aInstances.at(ranked[n]));
+      }
+    }
+  }
+  mFollowers.Set(mOptions.mName, mOptions.mDomain, std::move(followers));
+  mPlannedReads.Set(static_cast<std::int64_t>(budget.mPlannedReadsPerSecond));
+  logging::Write(
+    logging::Level::Info,
+    "log_calls_planned",
+    { { "instances", static_cast<std::int64_t>(aInstances.size()) },
+      { "cells", mCellMap.mCount },
+      { "followers_per_cell", budget.mFollowersPerCell },
+      { "followed", followed },
+      { "planned_reads_per_s",
+        static_cast<std::int64_t>(budget.mPlannedReadsPerSecond) },
+      { "max_reads_per_s",
+        static_cast<std::int64_t>(mOptions.mLogRates.mReadsPerSecond) } });
+}
+
 void
 Node::TickAgreement()
 {
@@ -286,12 +389,24 @@
   mJobCount.Set(static_cast<std::int64_t>(n));
 }
 
+bool
+Node::IsUpToDate(const Cell& aCell) const
+{
+  if (aCell.IsFollower()) {
+    return aCell.IsUpToDate();
+  }
+  // Jobs of the other cells can be submitted while the log answers.
+  return mDirectory && mDirectory->IsLoaded() &&
+         mConfigurationReader.ConsecutiveFailures() < 2 &&
+         mConfigurationReader.UpToDateAt() + kMaxReadAge > mClock.Now();
+}
+
 void
 Node::UpdateReadiness()
 {
   const auto upToDate =
-    std::count_if(mCells.begin(), mCells.end(), [](const auto& aCell) {
-      return aCell->IsUpToDate();
+    std::count_if(mCells.begin(), mCells.end(), [this](const auto& aCell) {
+      return IsUpToDate(*aCell);
     });
   // The callers of a cell whose partition of the log is down are refused.
   const bool isReady = upToDate > 0 &&
