--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -97,7 +97,7 @@
   void SetBudget(const LogBudget& aBudget);
   /// If false, this instance reads the streams of the cell only while it leads
   /// a cell. Takes effect at the next Tick.
-  void SetFollower(bool aIsFollower) { mIsFollower = aIsFollower; }
+  void SetFollower(bool aIsFollower);
   /// Number of followers that claim the cell before this instance.
   void SetRank(int aRank) { mRank = aRank; }
   bool IsFollower() const { return mIsFollower; }
@@ -189,7 +189,8 @@
 
   /// Starts or stops reading the streams of the cell.
   void UpdateFollowing(int aOtherCells);
-  void SetRetryPauses(base::Duration aPause);
+  void UpdateLeaderStreamPause();
+  void SetRetryPauses(base::Duration aPause, base::Duration aMaxRateLimitPause);
   void OnJournalRecord(const LogRecord& aRecord);
   /// Applies the newest record of every key. Records of workers that are known
   /// and missing there have been deleted.
--- a/include/skylarkhill/node/instance_directory.hpp
+++ b/include/skylarkhill/node/instance_directory.hpp
@@ -62,6 +62,8 @@
 
   /// True once the stream has been read.
   bool IsLoaded() const { return mIsLoaded; }
+  /// True if the last read was refused because of the log's rate.
+  bool IsRateLimited() const { return mIsRateLimited; }
   /// When the last successful read was sent.
   base::TimePoint ReadSentAt() const { return mReadSentAt; }
   /// Rises whenever Instances changes.
@@ -120,6 +122,9 @@
   bool mIsReading = false;
   bool mIsDeleting = false;
   bool mIsRefreshWanted = false;
+  /// No read has succeeded since the start or the last Refresh.
+  bool mIsReadAwaited = true;
+  bool mIsRateLimited = false;
   base::TimePoint mNextAnnouncementAt;
   base::TimePoint mNextReadAt;
   /// Consecutive failures.
--- a/include/skylarkhill/node/job_router.hpp
+++ b/include/skylarkhill/node/job_router.hpp
@@ -83,10 +83,12 @@
   {
     int mCell = 0;
     jobs::JobState mState = jobs::JobState::Pending;
+    /// The job as another instance has just shown it.
+    std::optional<JobView> mView;
   };
 
   std::shared_ptr<const Cells> GetCells() const;
-  /// The service of a cell that this instance follows; otherwise null.
+  /// The service of a cell whose jobs this instance knows; otherwise null.
   static JobService* FindFollowed(const Cells& aCells, int aCell);
   /// The job in a cell, asked for elsewhere if this instance does not follow
   /// the cell.
@@ -94,9 +96,6 @@
                                 int aCell,
                                 const std::string& aJobId,
                                 base::TimePoint aDeadline);
-  static base::Result<JobView> ViewFollowedJob(JobService& aService,
-                                               const std::string& aJobId,
-                                               base::TimePoint aDeadline);
   /// Like CellQueries::ListOtherCells, for any cell.
   base::Result<std::vector<int>> ListCellsOf(const Cells& aCells,
                                              int aCell,
--- a/include/skylarkhill/node/job_service.hpp
+++ b/include/skylarkhill/node/job_service.hpp
@@ -6,6 +6,7 @@
 #include "skylarkhill/jobs/job_table.hpp"
 #include "skylarkhill/journal/wall_clock.hpp"
 #include "skylarkhill/metrics/registry.hpp"
+#include "skylarkhill/node/cell_queries.hpp"
 #include "skylarkhill/node/shared_log.hpp"
 
 #include <atomic>
@@ -13,6 +14,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace skylarkhill::node {
 
@@ -53,7 +55,14 @@
   /// False while this instance does not follow the journal: jobs can be
   /// submitted, but nothing is known about them.
   bool IsFollowed() const { return mIsFollowed; }
-  void SetFollowed(bool aIsFollowed) { mIsFollowed = aIsFollowed; }
+  /// To be called before the jobs are cleared, so that no answer is taken from
+  /// a table that lacks what the journal has.
+  void SetFollowed(bool aIsFollowed);
+  /// True if the jobs of the journal are known.
+  bool IsLoaded() const
+  {
+    return mIsFollowed && mNextJournalOffset != kJournalNotLoaded;
+  }
   /// Age up to which a state in the journal counts as fresh.
   void SetMaxStateAge(base::Duration aAge)
   {
@@ -87,6 +96,13 @@
   /// NotFound: no such job. LogUnavailable: the journal could not be read.
   base::Result<jobs::JobState> StateOf(const std::string& aJobId,
                                        base::TimePoint aDeadline);
+  /// Like StateOf, with the cell that the job has moved to.
+  base::Result<JobView> View(const std::string& aJobId,
+                             base::TimePoint aDeadline);
+  /// Reads the journal like ReadToEnd; the cells that the job has moved to or
+  /// that have borrowed tasks of it.
+  base::Result<std::vector<int>> ListOtherCells(const std::string& aJobId,
+                                                base::TimePoint aDeadline);
   /// Number of jobs of `aQueue` in the state Pending; reads the journal if it
   /// has not been read recently. LogUnavailable: the journal could not be read.
   base::Result<std::size_t> CountPending(std::string_view aQueue,
@@ -104,6 +120,9 @@
   /// Reads and applies the journal records up to the current end.
   /// LogUnavailable: the journal could not be read.
   base::Result<void> CatchUp(base::TimePoint aDeadline);
+  /// LogUnavailable if the instance has started or stopped following the
+  /// journal since mGeneration had the value: the jobs may have been cleared.
+  base::Result<void> CheckGeneration(std::uint64_t aGeneration) const;
   /// Like CatchUp, also if the log seems to be unreachable.
   base::Result<void> ReadOnce(base::TimePoint aDeadline);
 
@@ -121,6 +140,7 @@
   metrics::Distribution& mAppendSeconds;
   LogHealth mHealth;
   std::atomic<bool> mIsFollowed{ true };
+  std::atomic<std::uint64_t> mGeneration{ 0 };
   std::atomic<std::int64_t> mMaxStateAgeMicros{ 100'000 };
   /// Until then, mJobs is recent enough to be counted.
   std::atomic<std::int64_t> mCountableUntil{ 0 };
--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -79,6 +79,10 @@
   /// Pause after a failed read of the stream.
   void SetRetryPause(base::Duration aPause) { mReader.SetRetryPause(aPause); }
   /// See LogStreamReader.
+  void SetMaxRateLimitPause(base::Duration aPause)
+  {
+    mReader.SetMaxRateLimitPause(aPause);
+  }
   void SetRetrySeed(std::uint64_t aSeed) { mReader.SetRetrySeed(aSeed); }
   /// An instance that does not follow the stream reads no records and claims no
   /// leadership. Must not be stopped while this instance leads.
--- a/include/skylarkhill/node/log_stream_reader.hpp
+++ b/include/skylarkhill/node/log_stream_reader.hpp
@@ -22,6 +22,9 @@
 /// of its rate.
 inline constexpr base::Duration kMaxRateLimitPause =
   std::chrono::milliseconds(1600);
+/// The same for streams of which few are read and on which promises depend.
+inline constexpr base::Duration kMaxUrgentRateLimitPause =
+  std::chrono::milliseconds(400);
 
 /// Callbacks of a LogStreamReader.
 struct LogStreamHandlers
@@ -59,6 +62,11 @@
   /// the log refuses because of its rate, up to kMaxRateLimitPause or `aPause`
   /// if that is longer; up to half of the pause is added to it.
   void SetRetryPause(base::Duration aPause) { mRetryPause = aPause; }
+  /// kMaxRateLimitPause by default.
+  void SetMaxRateLimitPause(base::Duration aPause)
+  {
+    mMaxRateLimitPause = aPause;
+  }
   /// Seed of the spread of these pauses; must differ by instance. Unless it is
   /// 0, up to a quarter is added to the pause after other failures.
   void SetRetrySeed(std::uint64_t aSeed) { mRetrySeed = aSeed; }
@@ -106,6 +114,7 @@
   base::Duration mPause{ 0 };
   base::Duration mWait = kReadWait;
   base::Duration mRetryPause = kReadRetryPause;
+  base::Duration mMaxRateLimitPause = kMaxRateLimitPause;
   std::uint64_t mRetrySeed = 0;
   bool mIsLoaded = false;
   bool mIsReading = false;
--- a/include/skylarkhill/node/worker_registry.hpp
+++ b/include/skylarkhill/node/worker_registry.hpp
@@ -49,6 +49,10 @@
   void Tick() { mReader.Tick(); }
   base::TimePoint NextTickAt() const { return mReader.NextTickAt(); }
   /// See LogStreamReader.
+  void SetMaxRateLimitPause(base::Duration aPause)
+  {
+    mReader.SetMaxRateLimitPause(aPause);
+  }
   void SetRetrySeed(std::uint64_t aSeed) { mReader.SetRetrySeed(aSeed); }
   const LogStreamReader& Reader() const { return mReader; }
   /// By id.
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -274,22 +274,38 @@
 Cell::SetBudget(const LogBudget& aBudget)
 {
   mBudget = aBudget;
-  if (!mOptions.mIsInDomain) {
-    mLeadership.SetFollowerPause(mBudget.mLeaderStreamPause);
-  }
+  UpdateLeaderStreamPause();
   mJobService.SetMaxStateAge(mBudget.mMaxStateAge);
   if (mEpoch == 0) {
-    SetRetryPauses(mBudget.mRetryPause);
+    SetRetryPauses(mBudget.mRetryPause, kMaxRateLimitPause);
   } else {
     mJournalReader.SetPause(mBudget.mLeaderJournalPause);
   }
 }
 
 void
-Cell::SetRetryPauses(Duration aPause)
+Cell::SetFollower(bool aIsFollower)
+{
+  mIsFollower = aIsFollower;
+  UpdateLeaderStreamPause();
+}
+
+void
+Cell::UpdateLeaderStreamPause()
+{
+  // Candidates of the failure domain of the cell see a resignation at once.
+  mLeadership.SetFollowerPause(mOptions.mIsInDomain && mIsFollower
+                                 ? Duration::zero()
+                                 : mBudget.mLeaderStreamPause);
+}
+
+void
+Cell::SetRetryPauses(Duration aPause, Duration aMaxRateLimitPause)
 {
   mJournalReader.SetRetryPause(aPause);
+  mJournalReader.SetMaxRateLimitPause(aMaxRateLimitPause);
   mLeadership.SetRetryPause(aPause);
+  mLeadership.SetMaxRateLimitPause(aMaxRateLimitPause);
 }
 
 void
@@ -309,20 +325,17 @@
                    { { "following", isFollowing ? "yes" : "no" },
                      { "other_cells_led", aOtherCells } });
   }
+  mJobService.SetFollowed(isFollowing);
   mLeadership.SetFollowing(isFollowing);
+  // What was read before may be deleted before this instance follows again.
+  mJobs.Clear();
   if (isFollowing) {
-    // What was read before may have been deleted since.
-    mJobs.Clear();
     mJournalReader.Resume();
   } else {
     mJournalReader.Stop();
     mNextJournalOffset = kJournalNotLoaded;
     mLoads[static_cast<std::size_t>(mOptions.mIndex)].reset();
   }
-  mJobService.SetFollowed(isFollowing);
-  if (!isFollowing) {
-    mJobs.Clear();
-  }
 }
 
 TimePoint
@@ -987,7 +1000,9 @@
     [this](const RequiredStream& aStream) {
       return IsOutdated(aStream) && aStream.mFailedReadSentAt &&
              *aStream.mFailedReadSentAt <= mLeadership.ConfirmedAt() &&
-             aStream.mReader.ConsecutiveFailures() >= aStream.mMinFailedReads;
+             aStream.mReader.ConsecutiveFailures() >= aStream.mMinFailedReads &&
+             // The successor would read no more, and would load all streams.
+             !aStream.mReader.IsRateLimited();
     });
   if (unreadable == mRequiredStreams.end()) {
     return false;
@@ -1015,7 +1030,7 @@
   mSequence = 0;
   mNextFlushAt = mClock.Now();
   mJournalReader.SetPause(mBudget.mLeaderJournalPause);
-  SetRetryPauses(kLeaderRetryPause);
+  SetRetryPauses(kLeaderRetryPause, kMaxUrgentRateLimitPause);
   mJournalReader.SetWait(kLeaderReadWait);
   mJournalReader.SkipPause();
   FenceEarlierWriters();
@@ -1046,7 +1061,7 @@
   mCopiesRemovableAt.clear();
   mJournalReader.SetPause(mBudget.mFollowerJournalPause);
   mJournalReader.SetWait(kReadWait);
-  SetRetryPauses(mBudget.mRetryPause);
+  SetRetryPauses(mBudget.mRetryPause, kMaxRateLimitPause);
 }
 
 void
--- a/src/node/instance_directory.cpp
+++ b/src/node/instance_directory.cpp
@@ -30,6 +30,9 @@
 /// Pause after the first failure; doubled after each further one, up to the
 /// interval.
 constexpr Duration kRetryPause = std::chrono::milliseconds(250);
+/// Longest pause between failed reads while one is awaited, unless the log's
+/// rate is exhausted: an instance that has started follows no cell before.
+constexpr Duration kMaxAwaitedPause = std::chrono::seconds(1);
 /// Failures after which the pause no longer doubles.
 constexpr std::int64_t kMaxDoublings = 16;
 /// Part of a pause by which it may be shorter.
@@ -170,6 +173,7 @@
 void
 InstanceDirectory::Refresh()
 {
+  mIsReadAwaited = true;
   if (mIsReading) {
     mIsRefreshWanted = true;
   } else if (mFailedReads == 0) {
@@ -237,6 +241,7 @@
 {
   mIsReading = false;
   const TimePoint now = mClock.Now();
+  mIsRateLimited = aResult.mIsRateLimited;
   if (aResult.mOutcome != LogOutcome::Done) {
     if (++mFailedReads == 1) {
       logging::Write(logging::Level::Warning,
@@ -244,7 +249,10 @@
                      { { "stream", mStream.mTopic },
                        { "outcome", NameOf(aResult.mOutcome) } });
     }
-    mNextReadAt = now + RetryPause(mFailedReads);
+    const Duration pause = RetryPause(mFailedReads);
+    mNextReadAt = now + (mIsReadAwaited && !mIsRateLimited
+                           ? std::min(pause, kMaxAwaitedPause)
+                           : pause);
     return;
   }
   if (mFailedReads > 0) {
@@ -261,6 +269,7 @@
     mReadableTime += now - mLastReadAt;
   }
   mIsLoaded = true;
+  mIsReadAwaited = false;
   mLastReadAt = now;
   mReadSentAt = aSentAt;
   for (auto& [key, announcement] : mAnnouncements) {
--- a/src/node/job_router.cpp
+++ b/src/node/job_router.cpp
@@ -3,6 +3,7 @@
 #include "skylarkhill/logging/logging.hpp"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 #include <utility>
 
@@ -113,7 +114,7 @@
   const int home = cells::HomeOfJob(cells->mMap, aJobId, aRequest);
   const logging::ContextField context("cell", home);
   JobService& service = *cells->mServices[static_cast<std::size_t>(home)];
-  if (!service.IsFollowed()) {
+  if (!service.IsLoaded()) {
     mLocations.Remember(aJobId, home);
   }
   return service.Submit(aPolicy, aJobId, std::move(aRequest), aDeadline);
@@ -138,7 +139,7 @@
   {
     const logging::ContextField context("cell", cell);
     JobService& service = *cells->mServices[static_cast<std::size_t>(cell)];
-    BOOST_OUTCOME_TRYV(service.IsFollowed()
+    BOOST_OUTCOME_TRYV(service.IsLoaded()
                          ? service.Cancel(aJobId, aDeadline)
                          : service.CancelKnown(aJobId, aDeadline));
   }
@@ -193,11 +194,15 @@
   if (jobs::IsFinal(location.mState)) {
     return location.mState;
   }
-  const auto view = ViewJob(*cells, location.mCell, aJobId, aDeadline);
+  std::optional<JobView> view = location.mView;
   if (!view) {
-    return location.mState;
+    const auto current = ViewJob(*cells, location.mCell, aJobId, aDeadline);
+    if (!current) {
+      return location.mState;
+    }
+    view = current.value();
   }
-  const auto target = view.value().mTarget;
+  const auto target = view->mTarget;
   if (target && *target >= 0 && *target < cells->mMap.mCount) {
     const auto moved = ViewJob(*cells, *target, aJobId, aDeadline);
     // The target may not have the job yet.
@@ -205,7 +210,7 @@
       return moved.value().mState;
     }
   }
-  return view.value().mState;
+  return view->mState;
 }
 
 base::Result<std::size_t>
@@ -241,7 +246,7 @@
   if (service == nullptr) {
     return MakeUnfollowedError(aCell);
   }
-  return ViewFollowedJob(*service, aJobId, aDeadline);
+  return service->View(aJobId, aDeadline);
 }
 
 base::Result<std::vector<int>>
@@ -255,8 +260,7 @@
   if (service == nullptr) {
     return MakeUnfollowedError(aCell);
   }
-  BOOST_OUTCOME_TRYV(service->ReadToEnd(aDeadline));
-  return service->Jobs().ListOtherCells(aJobId);
+  return service->ListOtherCells(aJobId, aDeadline);
 }
 
 base::Result<std::size_t>
@@ -280,7 +284,7 @@
     return nullptr;
   }
   JobService* const service = aCells.mServices[static_cast<std::size_t>(aCell)];
-  return service->IsFollowed() ? service : nullptr;
+  return service->IsLoaded() ? service : nullptr;
 }
 
 base::Result<JobView>
@@ -290,7 +294,7 @@
                    base::TimePoint aDeadline)
 {
   if (JobService* const service = FindFollowed(aCells, aCell)) {
-    return ViewFollowedJob(*service, aJobId, aDeadline);
+    return service->View(aJobId, aDeadline);
   }
   if (mQueries == nullptr) {
     return MakeUnfollowedError(aCell);
@@ -302,19 +306,6 @@
   return view;
 }
 
-base::Result<JobView>
-JobRouter::ViewFollowedJob(JobService& aService,
-                           const std::string& aJobId,
-                           base::TimePoint aDeadline)
-{
-  BOOST_OUTCOME_TRY(state, aService.StateOf(aJobId, aDeadline));
-  JobView view{ state, {} };
-  if (const auto transfer = aService.Jobs().TransferOf(aJobId)) {
-    view.mTarget = transfer->mTarget;
-  }
-  return view;
-}
-
 base::Result<std::vector<int>>
 JobRouter::ListCellsOf(const Cells& aCells,
                        int aCell,
@@ -322,8 +313,7 @@
                        base::TimePoint aDeadline)
 {
   if (JobService* const service = FindFollowed(aCells, aCell)) {
-    BOOST_OUTCOME_TRYV(service->ReadToEnd(aDeadline));
-    return service->Jobs().ListOtherCells(aJobId);
+    return service->ListOtherCells(aJobId, aDeadline);
   }
   if (mQueries == nullptr) {
     return MakeUnfollowedError(aCell);
@@ -344,7 +334,7 @@
     if (!state) {
       continue;
     }
-    const Location location{ static_cast<int>(n), *state };
+    const Location location{ static_cast<int>(n), *state, {} };
     if (!jobs.TransferOf(aJobId)) {
       return location;
     }
@@ -362,38 +352,34 @@
   if (auto known = FindKnown(aCells, aJobId)) {
     return *known;
   }
-  // The cells that are not followed come last, and that of an earlier answer
-  // before the others.
-  std::vector<int> toAsk;
   std::optional<base::Error> error;
-  for (int cell = 0; cell < aCells.mMap.mCount; ++cell) {
-    JobService* const service = FindFollowed(aCells, cell);
-    if (service == nullptr) {
-      toAsk.push_back(cell);
-      continue;
-    }
-    const auto state = service->StateOf(aJobId, aDeadline);
-    if (state) {
-      break;
+  const auto ask = [&](int aCell) -> std::optional<Location> {
+    const auto view = ViewJob(aCells, aCell, aJobId, aDeadline);
+    if (view) {
+      return Location{ aCell, view.value().mState, view.value() };
     }
-    if (state.error().mKind != ErrorKind::NotFound) {
-      error = state.error();
+    if (view.error().mKind != ErrorKind::NotFound) {
+      error = view.error();
     }
-  }
-  if (auto known = FindKnown(aCells, aJobId)) {
-    return *known;
-  }
+    return std::nullopt;
+  };
+  const auto isFollowed = [&](int aCell) {
+    return FindFollowed(aCells, aCell) != nullptr;
+  };
+  std::vector<int> toAsk(static_cast<std::size_t>(aCells.mMap.mCount));
+  std::iota(toAsk.begin(), toAsk.end(), 0);
   const auto remembered = mLocations.Find(aJobId);
-  std::stable_partition(toAsk.begin(), toAsk.end(), [&](int aCell) {
-    return remembered && *remembered == aCell;
+  std::stable_sort(toAsk.begin(), toAsk.end(), [&](int aLeft, int aRight) {
+    const auto keyOf = [&](int aCell) {
+      return std::make_pair(remembered != aCell, !isFollowed(aCell));
+    };
+    return keyOf(aLeft) < keyOf(aRight);
   });
   for (const int it : toAsk) {
-    const auto view = ViewJob(aCells, it, aJobId, aDeadline);
-    if (view) {
-      return Location{ it, view.value().mState };
-    }
-    if (view.error().mKind != ErrorKind::NotFound) {
-      error = view.error();
+    if (const auto location = ask(it)) {
+      // The cell that the job has moved to may be known by now.
+      const auto known = FindKnown(aCells, aJobId);
+      return known ? *known : *location;
     }
   }
   // The job may be in the journal that could not be read.
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -82,6 +82,23 @@
 {
 }
 
+void
+JobService::SetFollowed(bool aIsFollowed)
+{
+  ++mGeneration;
+  mIsFollowed = aIsFollowed;
+}
+
+base::Result<void>
+JobService::CheckGeneration(std::uint64_t aGeneration) const
+{
+  if (aGeneration != mGeneration || !mIsFollowed) {
+    return MakeError(ErrorKind::LogUnavailable,
+                     "the instance has stopped following the journal");
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 base::Result<void>
 JobService::Submit(const jobs::QueuePolicy& aPolicy,
                    const std::string& aJobId,
@@ -121,9 +138,11 @@
 base::Result<void>
 JobService::Cancel(const std::string& aJobId, TimePoint aDeadline)
 {
+  const std::uint64_t generation = mGeneration;
   if (!mJobs.Contains(aJobId)) {
     BOOST_OUTCOME_TRYV(CatchUp(aDeadline));
     if (!mJobs.Contains(aJobId)) {
+      BOOST_OUTCOME_TRYV(CheckGeneration(generation));
       return MakeError(ErrorKind::NotFound, "no such job");
     }
   }
@@ -162,6 +181,7 @@
 base::Result<jobs::JobState>
 JobService::StateOf(const std::string& aJobId, TimePoint aDeadline)
 {
+  const std::uint64_t generation = mGeneration;
   auto state = mJobs.StateOf(aJobId);
   const bool mayHaveChanged =
     !state ||
@@ -173,21 +193,48 @@
     }
     state = mJobs.StateOf(aJobId);
   }
+  BOOST_OUTCOME_TRYV(CheckGeneration(generation));
   if (!state) {
     return MakeError(ErrorKind::NotFound, "no such job");
   }
   return *state;
 }
 
+base::Result<JobView>
+JobService::View(const std::string& aJobId, TimePoint aDeadline)
+{
+  const std::uint64_t generation = mGeneration;
+  BOOST_OUTCOME_TRY(state, StateOf(aJobId, aDeadline));
+  JobView view{ state, {} };
+  if (const auto transfer = mJobs.TransferOf(aJobId)) {
+    view.mTarget = transfer->mTarget;
+  }
+  BOOST_OUTCOME_TRYV(CheckGeneration(generation));
+  return view;
+}
+
+base::Result<std::vector<int>>
+JobService::ListOtherCells(const std::string& aJobId, TimePoint aDeadline)
+{
+  const std::uint64_t generation = mGeneration;
+  BOOST_OUTCOME_TRYV(ReadToEnd(aDeadline));
+  auto cells = mJobs.ListOtherCells(aJobId);
+  BOOST_OUTCOME_TRYV(CheckGeneration(generation));
+  return cells;
+}
+
 base::Result<std::size_t>
 JobService::CountPending(std::string_view aQueue, TimePoint aDeadline)
 {
+  const std::uint64_t generation = mGeneration;
   // While an expired journal is loaded again, records may be missing.
   const bool isLoaded = mNextJournalOffset != kJournalNotLoaded;
   if (!isLoaded || base::ToMicros(mClock.Now()) >= mCountableUntil) {
     BOOST_OUTCOME_TRYV(CatchUp(aDeadline));
   }
-  return mJobs.CountPending(aQueue);
+  const std::size_t n = mJobs.CountPending(aQueue);
+  BOOST_OUTCOME_TRYV(CheckGeneration(generation));
+  return n;
 }
 
 base::Result<void>
@@ -317,7 +364,10 @@
     const bool isAtEnd = result.mNextOffset >= result.mEnd;
     if (result.mOutcome != LogOutcome::Done ||
         (!isAtEnd && result.mRecords.empty())) {
-      mHealth.SetUnreachable(mClock.Now());
+      // The log stores records although it refuses reads because of their rate.
+      if (!result.mIsRateLimited) {
+        mHealth.SetUnreachable(mClock.Now());
+      }
       return MakeError(ErrorKind::LogUnavailable,
                        "the journal could not be read");
     }
--- a/src/node/log_budget.cpp
+++ b/src/node/log_budget.cpp
@@ -104,9 +104,10 @@
     std::min(kMaxLeaderStreamPause,
              kLeaderStreamPausePerCell * std::max(1, aSize.mCells));
   // Half of the followers are in the failure domain of the cell.
-  const double readsPerFollower =
-    PerSecond(budget.mFollowerJournalPause) +
+  const double readsPerLeaderStream =
     (kRenewalsPerSecond + PerSecond(budget.mLeaderStreamPause)) / 2.0;
+  const double readsPerFollower =
+    PerSecond(budget.mFollowerJournalPause) + readsPerLeaderStream;
   const double followers = reads <= 0.0
                              ? instances
                              : std::max(kMinFollowersPerCell,
--- a/src/node/log_stream_reader.cpp
+++ b/src/node/log_stream_reader.cpp
@@ -173,10 +173,10 @@
                            : mRetryPause + Spread(mRetryPause / 4);
   }
   base::Duration pause = mRetryPause;
-  for (int n = 1; n < mRateLimitedInARow && pause < kMaxRateLimitPause; ++n) {
+  for (int n = 1; n < mRateLimitedInARow && pause < mMaxRateLimitPause; ++n) {
     pause *= 2;
   }
-  pause = std::max(mRetryPause, std::min(pause, kMaxRateLimitPause));
+  pause = std::max(mRetryPause, std::min(pause, mMaxRateLimitPause));
   return pause + Spread(pause / 2);
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -25,6 +25,9 @@
 constexpr Duration kCountInterval = std::chrono::seconds(20);
 /// Time in which the list of instances is usually read.
 constexpr Duration kMaxDirectoryWait = std::chrono::seconds(5);
+/// Longest pause after a failed read of the configuration, which must be in
+/// force soon after the log answers again.
+constexpr Duration kMaxConfigurationPause = std::chrono::milliseconds(800);
 
 } // namespace
 
@@ -81,6 +84,8 @@
   const std::uint64_t seed = base::StableHash(mOptions.mInstanceId);
   mConfigurationReader.SetRetrySeed(seed);
   mRegistry.SetRetrySeed(seed);
+  mRegistry.SetMaxRateLimitPause(kMaxUrgentRateLimitPause);
+  mConfigurationReader.SetMaxRateLimitPause(kMaxConfigurationPause);
   mLastTickAt = aClock.Now();
   if (mOptions.mCells.mMaxCells <= 1) {
     CreateCells({});
@@ -262,7 +267,8 @@
   }
   // Until then, instances that started with this one may be missing.
   if (!mDirectory->IsLoaded() || mDirectory->ReadSentAt() < mCellsCreatedAt) {
-    if (mClock.Now() >= mFollowAllAt) {
+    // At its rate, the log would not bear it.
+    if (mClock.Now() >= mFollowAllAt && !mDirectory->IsRateLimited()) {
       mFollowAllAt = base::kNoDeadline;
       logging::Write(logging::Level::Warning, "instances_unknown", {});
       for (const auto& it : mCells) {
@@ -284,6 +290,8 @@
     PlanLogCalls(mOptions.mLogRates,
                  { static_cast<int>(aInstances.size()), mCellMap.mCount });
   mDirectory->SetInterval(budget.mAnnouncementInterval);
+  mConfigurationReader.SetRetryPause(
+    std::min(budget.mRetryPause, kMaxConfigurationPause));
   const auto limit = static_cast<std::size_t>(budget.mFollowersPerCell);
   std::vector<std::vector<InstanceEntry>> followers;
   int followed = 0;
@@ -396,7 +404,7 @@
     return aCell.IsUpToDate();
   }
   // Jobs of the other cells can be submitted while the log answers.
-  return mDirectory && mDirectory->IsLoaded() &&
+  return mDirectory && mDirectoryVersion >= 0 &&
          mConfigurationReader.ConsecutiveFailures() < 2 &&
          mConfigurationReader.UpToDateAt() + kMaxReadAge > mClock.Now();
 }
--- a/src/node/unfollowed_cell_test.cpp
+++ b/src/node/unfollowed_cell_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -23,6 +24,39 @@
 constexpr const char* kJob = "0123456789abcdef";
 constexpr const char* kQueue = "queue";
 
+/// Runs a hook after each read.
+class HookedLog : public BlockingLog
+{
+public:
+  explicit HookedLog(FakeSharedLog& aLog)
+    : mLog(aLog)
+  {
+  }
+
+  AppendResult Append(const AppendRequest& aRequest,
+                      base::TimePoint aDeadline) override
+  {
+    return mLog.Append(aRequest, aDeadline);
+  }
+
+  ReadResult Read(const LogStream& aStream,
+                  std::int64_t aFrom,
+                  base::TimePoint aDeadline) override
+  {
+    ReadResult result =
+      static_cast<BlockingLog&>(mLog).Read(aStream, aFrom, aDeadline);
+    if (mOnRead) {
+      mOnRead();
+    }
+    return result;
+  }
+
+  std::function<void()> mOnRead;
+
+private:
+  FakeSharedLog& mLog;
+};
+
 /// The part of an instance that serves callers.
 struct Router
 {
@@ -124,6 +158,7 @@
   CPPUNIT_TEST(TakesNoUnreachableFollowerForAMissingJob);
   CPPUNIT_TEST(CountsPendingJobsOfAllCells);
   CPPUNIT_TEST(AsksForARememberedJobOnce);
+  CPPUNIT_TEST(AnswersNothingFromATableThatIsCleared);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -224,6 +259,39 @@
     CPPUNIT_ASSERT(mQueries.mQuestions <= 2);
   }
 
+  // The follower stops following while it reads a journal. Guards against 410
+  // for an accepted job (LOST), a count that lacks jobs (MIXED), and a
+  // cancellation that misses the cells that run the job (UNASKED).
+  void AnswersNothingFromATableThatIsCleared()
+  {
+    const int home = Submit();
+    StoreLoan(home, (home + 1) % kCells);
+    mFollowerLog.mOnRead = [this, home] {
+      const auto n = static_cast<std::size_t>(home);
+      mFollower.mServices[n]->SetFollowed(false);
+      mFollower.mTables[n]->Clear();
+      mFollower.mServices[n]->SetFollowed(true);
+      mFollower.mTables[n]->Clear();
+    };
+    JobRouter& follower = mFollower.mRouter;
+    const auto isUnavailable = [](const auto& aResult) {
+      return !aResult && aResult.error().mKind == ErrorKind::LogUnavailable;
+    };
+    CPPUNIT_ASSERT(isUnavailable(follower.FindJob(home, kJob, Deadline())));
+    CPPUNIT_ASSERT(
+      isUnavailable(follower.ListOtherCells(home, kJob, Deadline())));
+    mClock.Advance(milliseconds(5000));
+    CPPUNIT_ASSERT(
+      isUnavailable(follower.CountPending(home, kQueue, Deadline())));
+    const auto state = follower.StateOf(kJob, Deadline());
+    CPPUNIT_ASSERT(state || isUnavailable(state));
+    const auto cancelled = follower.Cancel(kJob, Deadline());
+    CPPUNIT_ASSERT(!cancelled);
+    CPPUNIT_ASSERT(cancelled.error().mKind != ErrorKind::NotFound);
+    mFollowerLog.mOnRead = {};
+    CPPUNIT_ASSERT(follower.FindJob(home, kJob, Deadline()));
+  }
+
 private:
   base::TimePoint Deadline() const { return mClock.Now() + kCallerTimeout; }
 
@@ -307,7 +375,8 @@
   metrics::Registry mMetrics;
   FakeLogState mState;
   FakeSharedLog mLog{ mState };
-  Router mFollower{ mLog, mClock, mMetrics, true };
+  HookedLog mFollowerLog{ mLog };
+  Router mFollower{ mFollowerLog, mClock, mMetrics, true };
   Router mAsker{ mLog, mClock, mMetrics, false };
   OneFollower mQueries{ mFollower.mRouter };
 };
