--- a/src/node/cell_random_test.cpp
+++ b/src/node/cell_random_test.cpp
@@ -14,6 +14,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cell_instance_test.hpp"
 #include "cell_site_test.hpp"
 #include "fake_shared_log_test.hpp"
 #include "fake_worker_client_test.hpp"
@@ -36,40 +37,6 @@
 /// Time in which a lasting task without a run must start again.
 constexpr milliseconds kMaxTimeWithoutRun{ 9000 };
 
-struct CellInstance
-{
-  CellInstance(FakeLogState& aState,
-               FakeWorkers& aWorkers,
-               const base::Clock& aClock,
-               const NodeOptions& aOptions)
-    : mWallClock(aClock)
-    , mLog(aState)
-    , mClients(aWorkers, aClock)
-    , mProfile(aClock, mMetrics)
-    , mNode(aOptions,
-            mLog,
-            mLog,
-            mClients,
-            mDecoder,
-            aClock,
-            mWallClock,
-            mProfile,
-            mMetrics)
-  {
-    mLog.mClock = &aClock;
-    mLog.mKeepsLostAppends = true;
-  }
-
-  metrics::Registry mMetrics;
-  SimulatedWallClock mWallClock;
-  FakeSharedLog mLog;
-  FakeWorkerClients mClients;
-  DomainDecoder mDecoder;
-  LoopProfile mProfile;
-  Node mNode;
-  base::TimePoint mPausedUntil;
-};
-
 /// A site of several cells with faults that follow from a seed.
 class CellSimulation
 {
