--- a/src/node/follower_random_test.cpp
+++ b/src/node/follower_random_test.cpp
@@ -746,6 +746,7 @@
         continue;
       }
       std::vector<std::vector<std::string>> followers;
+      followers.reserve(kDomains);
       for (int cell = 0; cell < kDomains; ++cell) {
         followers.push_back(it.mInstance->mNode.Followers().FollowersOf(cell));
       }
