JobRouter: order of the cells that are asked is computed once

Another thread may change which cells are followed while the order is sorted. Found by reading; the order is the same. UnfollowedCellTest, JobRouterTest and FollowerRandomTest pass.

--- a/include/skylarkhill/node/job_router.hpp
+++ b/include/skylarkhill/node/job_router.hpp
@@ -90,6 +90,7 @@
   std::shared_ptr<const Cells> GetCells() const;
   /// The service of a cell whose jobs this instance knows; otherwise null.
   static JobService* FindFollowed(const Cells& aCells, int aCell);
+  JobService* FindFollowed(int aCell) const;
   /// The job in a cell, asked for elsewhere if this instance does not follow
   /// the cell.
   base::Result<JobView> ViewJob(const Cells& aCells,
--- a/src/node/job_router.cpp
+++ b/src/node/job_router.cpp
@@ -3,8 +3,8 @@
 #include "skylarkhill/logging/logging.hpp"
 
 #include <algorithm>
-#include <numeric>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace skylarkhill::node {
@@ -240,9 +240,7 @@
                    const std::string& aJobId,
                    base::TimePoint aDeadline)
 {
-  const auto cells = GetCells();
-  JobService* const service =
-    cells != nullptr ? FindFollowed(*cells, aCell) : nullptr;
+  JobService* const service = FindFollowed(aCell);
   if (service == nullptr) {
     return MakeUnfollowedError(aCell);
   }
@@ -254,9 +252,7 @@
                           const std::string& aJobId,
                           base::TimePoint aDeadline)
 {
-  const auto cells = GetCells();
-  JobService* const service =
-    cells != nullptr ? FindFollowed(*cells, aCell) : nullptr;
+  JobService* const service = FindFollowed(aCell);
   if (service == nullptr) {
     return MakeUnfollowedError(aCell);
   }
@@ -268,15 +264,20 @@
                         std::string_view aQueue,
                         base::TimePoint aDeadline)
 {
-  const auto cells = GetCells();
-  JobService* const service =
-    cells != nullptr ? FindFollowed(*cells, aCell) : nullptr;
+  JobService* const service = FindFollowed(aCell);
   if (service == nullptr) {
     return MakeUnfollowedError(aCell);
   }
   return service->CountPending(aQueue, aDeadline);
 }
 
+JobService*
+JobRouter::FindFollowed(int aCell) const
+{
+  const auto cells = GetCells();
+  return cells != nullptr ? FindFollowed(*cells, aCell) : nullptr;
+}
+
 JobService*
 JobRouter::FindFollowed(const Cells& aCells, int aCell)
 {
@@ -363,20 +364,17 @@
     }
     return std::nullopt;
   };
-  const auto isFollowed = [&](int aCell) {
-    return FindFollowed(aCells, aCell) != nullptr;
-  };
-  std::vector<int> toAsk(static_cast<std::size_t>(aCells.mMap.mCount));
-  std::iota(toAsk.begin(), toAsk.end(), 0);
+  // The cell of an earlier answer comes first, then those that are followed.
   const auto remembered = mLocations.Find(aJobId);
-  std::stable_sort(toAsk.begin(), toAsk.end(), [&](int aLeft, int aRight) {
-    const auto keyOf = [&](int aCell) {
-      return std::make_pair(remembered != aCell, !isFollowed(aCell));
-    };
-    return keyOf(aLeft) < keyOf(aRight);
-  });
-  for (const int it : toAsk) {
-    if (const auto location = ask(it)) {
+  std::vector<std::tuple<bool, bool, int>> toAsk;
+  toAsk.reserve(static_cast<std::size_t>(aCells.mMap.mCount));
+  for (int cell = 0; cell < aCells.mMap.mCount; ++cell) {
+    toAsk.emplace_back(
+      remembered != cell, FindFollowed(aCells, cell) == nullptr, cell);
+  }
+  std::sort(toAsk.begin(), toAsk.end());
+  for (const auto& [isOther, isElsewhere, cell] : toAsk) {
+    if (const auto location = ask(cell)) {
       // The cell that the job has moved to may be known by now.
       const auto known = FindKnown(aCells, aJobId);
       return known ? *known : *location;
