--- a/review/standins-2/standin.py
+++ b/review/standins-2/standin.py
@@ -149,6 +149,13 @@
             self.part(topic, 0).records.append(content)
             self.lock.notify_all()
 
+    def compact(self):
+        """Forgets the history; the newest record of each key stays."""
+        with self.lock:
+            for it in self.partitions.values():
+                it.first = len(it.records)
+        self.record("store: forgets its history")
+
     def newest(self, topic, part=0):
         newest = {}
         with self.lock:
@@ -230,6 +237,7 @@
         start = int(query["from"])
         until = time.monotonic() + int(query.get("wait_ms", 0)) / 1000.0
         limit = int(query.get("max_kb", 1024)) * 1024
+        expired = None
         with self.lock:
             part = self.part(query["topic"], query["part"])
             while len(part.records) <= start:
@@ -237,6 +245,8 @@
                 if left <= 0 or self.down:
                     break
                 self.lock.wait(left)
+            if start < part.first:
+                expired = part.first
             end = len(part.records)
             out = [end.to_bytes(8, "big"), part.first.to_bytes(8, "big")]
             size = 0
@@ -246,6 +256,9 @@
                     break
                 out.append(len(content).to_bytes(4, "big"))
                 out.append(content)
+        if expired is not None:
+            call.reply_json(410, {"first": expired})
+            return
         call.reply(200, b"".join(out), "application/octet-stream")
 
     def list_newest(self, call, query):
@@ -485,7 +498,7 @@
 
 def free_address(port):
     """A loopback address on which the port is free."""
-    while True:
+    for _ in range(100):
         address = "127.%d.%d.%d" % tuple(random.randrange(2, 254) for _ in range(3))
         with socket.socket() as it:
             try:
@@ -493,6 +506,7 @@
                 return address
             except OSError:
                 pass
+    raise RuntimeError("port %d is in use on all addresses" % port)
 
 
 class Instance:
@@ -620,8 +634,9 @@
                    on_event=on_event)
             for n in range(minions)
         ]
+        self.links = [StoreLink(self.store) for _ in range(instances)]
         self.instances = [
-            Instance(self.store, record, "edge-kochi-%d" % (n + 1), self.folder)
+            Instance(self.links[n], record, "edge-kochi-%d" % (n + 1), self.folder)
             for n in range(instances)
         ]
 
@@ -654,6 +669,8 @@
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record("TROUBLE=%d" % trouble)
+    # So that the instances are ended, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         held = case(record, trouble)
     except Exception as error:  # the case could not run
