--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -164,6 +164,9 @@
   /// may be sent until `aUntil`, and no lease is extended beyond it.
   virtual void SetLeaderLease(base::TimePoint aConfirmedAt,
                               base::TimePoint aUntil) = 0;
+  /// When a lease ends that keeps tasks waiting until the leadership has been
+  /// confirmed after its end; kNoDeadline if there is none. Updated by Tick.
+  virtual base::TimePoint ConfirmationNeededAt() const = 0;
   /// If false, Tick places and starts no tasks; stops and polls go on.
   virtual void SetMayStart(bool aMayStart) = 0;
   /// Sends all calls that are due. `aUnixMs` is the Unix time.
--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -67,6 +67,10 @@
   /// Gives up the leadership, but stays a candidate. No effect while an append
   /// is in progress. `aLeasesEndAt` as in Resign.
   void HandOver(base::TimePoint aLeasesEndAt = base::kNoDeadline);
+  /// Renews the leadership as soon as `aTime` has passed, instead of at the end
+  /// of the usual interval, unless it was confirmed after that time.
+  /// kNoDeadline for no such time. Holds for the own term only.
+  void RenewAfter(base::TimePoint aTime) { mRenewAfter = aTime; }
   /// If false, this instance claims no leadership.
   void SetMayClaim(bool aMayClaim) { mMayClaim = aMayClaim; }
   /// No claim uses this epoch or a lower one.
@@ -124,6 +128,8 @@
   }
 
 private:
+  /// When the next record of the own term is due.
+  base::TimePoint RenewalDueAt() const;
   /// When this candidate's turn to claim comes if no other record is read;
   /// kNoDeadline if this instance is no candidate now.
   base::TimePoint ClaimDueAt() const;
@@ -173,6 +179,7 @@
   base::Duration mFollowerPause{ 0 };
   base::TimePoint mNextAppendAt;
   base::TimePoint mConfirmedAt;
+  base::TimePoint mRenewAfter = base::kNoDeadline;
   base::TimePoint mAnsweredSince = base::kNoDeadline;
   /// When the leases of the terms before that of mNewestRecord end.
   base::TimePoint mEarlierLeasesEnd;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -745,6 +745,11 @@
     mLeaderLeaseEndsAt = aUntil;
   }
 
+  TimePoint ConfirmationNeededAt() const override
+  {
+    return mConfirmationNeededAt;
+  }
+
   void SetMayStart(bool aMayStart) override { mMayStart = aMayStart; }
 
   void Tick(TimePoint aNow, std::int64_t aUnixMs) override
@@ -776,6 +781,7 @@
     UpdateMissingReports(isFullTick, aNow);
     if (isFullTick) {
       CheckWorkers(aNow);
+      mConfirmationNeededAt = FindNeededConfirmation();
     }
     if (aNow >= mLeaderLeaseEndsAt) {
       return;
@@ -1575,9 +1581,10 @@
       }
       if (!worker.mIsRegistered &&
           worker.mUnregisteredAt + kUnregisteredGrace < aNow && isSilent &&
-          worker.mRuns.empty() && worker.mLeaseEndsAt < aNow &&
+          worker.mRuns.empty() &&
+          worker.mLeaseEndsAt < mLeaderLeaseConfirmedAt &&
           !worker.mIsPollInFlight &&
-          (worker.mHasReported || aNow >= worker.mEarlierLeaseEndsAt)) {
+          (worker.mHasReported || HasEarlierLeaseEnded(worker))) {
         logging::Write(
           logging::Level::Info,
           "worker_dropped",
@@ -1608,8 +1615,8 @@
     // still have the end of a run to report.
     if (mAreReportsMissing &&
         ((mUnreportedCount == 0 && !mWorkers.empty()) ||
-         (aChecksLeases && mUnpolledCount == 0 && HaveLeasesEnded(aNow))) &&
-        !MayOmitEndedRuns(aNow)) {
+         (aChecksLeases && mUnpolledCount == 0 && HaveLeasesEnded())) &&
+        !MayOmitEndedRuns()) {
       mAreReportsMissing = false;
       mIsPlacementDue = true;
       logging::Write(
@@ -1620,32 +1627,62 @@
     }
   }
 
+  /// True if no lease of the worker that another leader has granted can last. A
+  /// successor unknown to this instance may have extended it, unless the
+  /// leadership was confirmed after its end.
+  bool HasEarlierLeaseEnded(const WorkerState& aWorker) const
+  {
+    return aWorker.mEarlierLeaseEndsAt <= mLeaderLeaseConfirmedAt;
+  }
+
   /// True if the leases that earlier leaders have granted to workers without a
   /// report have ended.
-  bool HaveLeasesEnded(TimePoint aNow) const
+  bool HaveLeasesEnded() const
   {
     if (mWorkers.empty()) {
-      return aNow >= mTerm.mPreviousLeasesEndAt;
+      return mTerm.mPreviousLeasesEndAt <= mLeaderLeaseConfirmedAt;
     }
     return std::all_of(
-      mWorkers.begin(), mWorkers.end(), [aNow](const auto& aEntry) {
+      mWorkers.begin(), mWorkers.end(), [this](const auto& aEntry) {
         const WorkerState& worker = *aEntry.second;
-        return worker.mHasReported || aNow >= worker.mEarlierLeaseEndsAt;
+        return worker.mHasReported || HasEarlierLeaseEnded(worker);
       });
   }
 
   /// True if a worker may have ended runs of an earlier leader that it has not
   /// listed yet. They do not count any more once its lease has ended.
-  bool MayOmitEndedRuns(TimePoint aNow) const
+  bool MayOmitEndedRuns() const
   {
     return std::any_of(
-      mWorkers.begin(), mWorkers.end(), [aNow](const auto& aEntry) {
+      mWorkers.begin(), mWorkers.end(), [this](const auto& aEntry) {
         const WorkerState& worker = *aEntry.second;
         return worker.mMayOmitEndedRuns &&
-               (worker.mFailedPolls == 0 || worker.mLeaseEndsAt > aNow);
+               (worker.mFailedPolls == 0 ||
+                worker.mLeaseEndsAt > mLeaderLeaseConfirmedAt);
       });
   }
 
+  /// When the next lease ends of which the end must be followed by a
+  /// confirmation of the leadership; kNoDeadline if there is none.
+  TimePoint FindNeededConfirmation() const
+  {
+    TimePoint next = base::kNoDeadline;
+    TimePoint lastEarlierEnd =
+      mWorkers.empty() ? mTerm.mPreviousLeasesEndAt : TimePoint{};
+    for (const auto& [id, worker] : mWorkers) {
+      if (worker->mFailedPolls > 0 && !worker->mRuns.empty() &&
+          worker->mLeaseEndsAt >= mLeaderLeaseConfirmedAt) {
+        next = std::min(next, worker->mLeaseEndsAt);
+      }
+      if (!worker->mHasReported) {
+        lastEarlierEnd = std::max(lastEarlierEnd, worker->mEarlierLeaseEndsAt);
+      }
+    }
+    const bool isWaiting =
+      mAreReportsMissing && lastEarlierEnd > mLeaderLeaseConfirmedAt;
+    return isWaiting ? std::min(next, lastEarlierEnd) : next;
+  }
+
   /// A worker that has moved to another cell fences this leader, which keeps
   /// its other workers. Its runs are given up when the lease has ended; the
   /// leader of the other cell stops them.
@@ -2386,6 +2423,7 @@
   std::int64_t mUnixMs = 0;
   TimePoint mLeaderLeaseConfirmedAt;
   TimePoint mLeaderLeaseEndsAt;
+  TimePoint mConfirmationNeededAt = base::kNoDeadline;
   TimePoint mNextTickAt;
   TimePoint mNextSummaryAt;
   DispatchWork mWork;
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -636,6 +636,8 @@
   CPPUNIT_TEST(WaitsForWorkersThatHaveNotAnsweredANewLeader);
   CPPUNIT_TEST(KeepsAnAdoptedRunForAFullLease);
   CPPUNIT_TEST(KeepsRunsWhileLeadershipIsUnconfirmed);
+  CPPUNIT_TEST(WaitsForConfirmationAfterTheLeasesOfEarlierLeaders);
+  CPPUNIT_TEST(KeepsUnregisteredWorkersWhileLeadershipIsUnconfirmed);
   CPPUNIT_TEST(StopsSchedulingOnceFenced);
   CPPUNIT_TEST(WaitsForReportsBeforeStartingInheritedTasks);
   CPPUNIT_TEST(StartsNoLentTaskAgain);
@@ -1631,6 +1633,19 @@
     CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
   }
 
+  // A leader that is cut off from the log must not take the end of the leases
+  // of earlier leaders for the end of runs that its successor has adopted.
+  void WaitsForConfirmationAfterTheLeasesOfEarlierLeaders()
+  {
+    RunLeaderThatIsCutOff(true);
+  }
+
+  // The same for a worker that such a leader has lost from its registry.
+  void KeepsUnregisteredWorkersWhileLeadershipIsUnconfirmed()
+  {
+    RunLeaderThatIsCutOff(false);
+  }
+
   void StopsSchedulingOnceFenced()
   {
     FakeSite site;
@@ -2391,6 +2406,32 @@
     }
   }
 
+  /// The second of three leaders cannot reach the worker of a lasting task, and
+  /// loses the log while the third one extends the lease of that worker.
+  static void RunLeaderThatIsCutOff(bool aIsRegistered)
+  {
+    FakeSite site;
+    site.AddWorker("w1", 4000);
+    site.mRunTime = OneMinuteRunTime;
+    const jobs::JobEntry stored =
+      RunUntilKilled(site, MakeService("a", 1, "x"), milliseconds(300));
+    site.AddWorker("w2", 4000);
+    auto& second = AddSuccessor(site, 2);
+    second.mUnreachableWorkers.insert("w1");
+    if (!aIsRegistered) {
+      second.GetDispatcher().OnWorkerUnregistered("w1", site.Now());
+    }
+    second.GetDispatcher().AddJob(stored, true, site.Now());
+    site.Advance(milliseconds(4000));
+    second.mIsConfirmed = false;
+    auto& third = AddSuccessor(site, 3);
+    third.mUnreachableWorkers.insert("w2");
+    third.GetDispatcher().AddJob(stored, true, site.Now());
+    site.Advance(milliseconds(11500));
+    CPPUNIT_ASSERT(site.mDoubleRuns.empty());
+    CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
+  }
+
   static void RunRandomCuts(std::uint64_t aSeed)
   {
     constexpr int kWorkers = 6;
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -254,6 +254,7 @@
   if (aNow >= mDispatcher->NextTickAt()) {
     const LoopProfile::Timer timer(mProfile, LoopPhase::Dispatch);
     mDispatcher->Tick(aNow, mWallClock.NowMs());
+    mLeadership.RenewAfter(mDispatcher->ConfirmationNeededAt());
     if (mOptions.mCellCount > 1 && aNow >= mTransfersFrom &&
         aNow >= mNextTransferCheckAt) {
       mNextTransferCheckAt = aNow + kTransferInterval;
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -18,6 +18,8 @@
 
 /// Interval between two records of a leader.
 constexpr base::Duration kRenewInterval = std::chrono::milliseconds(800);
+/// The same if renewals are requested early.
+constexpr base::Duration kMinRenewInterval = std::chrono::milliseconds(100);
 /// Time without a renewal after which candidates claim: allows for two late or
 /// lost renewals.
 constexpr base::Duration kTakeoverTimeout = std::chrono::milliseconds(2200);
@@ -134,7 +136,7 @@
 {
   mReader.Tick();
   const TimePoint now = mClock.Now();
-  if (mIsAppending || now < mNextAppendAt) {
+  if (mIsAppending || now < RenewalDueAt()) {
     return;
   }
   if (mOwnEpoch) {
@@ -197,7 +199,7 @@
 {
   TimePoint next = mReader.NextTickAt();
   if ((mOwnEpoch || mResignedEpoch) && !mIsAppending) {
-    next = std::min(next, mNextAppendAt);
+    next = std::min(next, RenewalDueAt());
   }
   // A claim that is due waits for its other conditions.
   const TimePoint claimDueAt = ClaimDueAt();
@@ -257,6 +259,19 @@
   }
 }
 
+base::TimePoint
+Leadership::RenewalDueAt() const
+{
+  // A pause after a failed renewal is kept.
+  const bool isRequested = mOwnEpoch && mAnsweredSince != base::kNoDeadline &&
+                           mRenewAfter != base::kNoDeadline &&
+                           mRenewAfter >= mConfirmedAt;
+  return isRequested
+           ? std::min(mNextAppendAt,
+                      std::max(mRenewAfter, mConfirmedAt + kMinRenewInterval))
+           : mNextAppendAt;
+}
+
 bool
 Leadership::IsClaimDue() const
 {
@@ -424,6 +439,7 @@
 {
   mOwnEpoch = aRecord.mEpoch;
   mConfirmedAt = aClaimedAt;
+  mRenewAfter = base::kNoDeadline;
   SetNewestRecord(aRecord);
   mNewestReadAt = mClock.Now();
   mNextAppendAt = mNewestReadAt + kRenewInterval;
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(KeepsTheLeaderDuringALogOutage);
   CPPUNIT_TEST(KeepsTheLeaderWhenResponsesAreLost);
   CPPUNIT_TEST(ReplacesAResignedLeaderAtOnce);
+  CPPUNIT_TEST(RenewsRightAfterARequestedTime);
   CPPUNIT_TEST(ReplacesLeadersThatResignRightAfterTheirClaims);
   CPPUNIT_TEST(WakesWhenItsClaimIsDue);
   CPPUNIT_TEST(ClaimsInVainOnceAChangeOfTheLeaderAtMost);
@@ -140,6 +141,25 @@
     CPPUNIT_ASSERT(firstLeader.mLeadership.IsLeader());
   }
 
+  // Guards against tasks that wait for the next usual renewal after the end of
+  // a lease, and against renewals at every tick.
+  void RenewsRightAfterARequestedTime()
+  {
+    AddCandidates(1);
+    Advance(milliseconds(2000));
+    Leadership& leadership = Leader().mLeadership;
+    for (int n = 0; n < 8; ++n) {
+      const base::TimePoint time = mClock.Now() + milliseconds(100 * n);
+      leadership.RenewAfter(time);
+      Advance(milliseconds(100 * n + 160));
+      CPPUNIT_ASSERT(leadership.ConfirmedAt() >= time);
+      const base::TimePoint confirmedAt = leadership.ConfirmedAt();
+      leadership.RenewAfter(time);
+      Advance(milliseconds(300));
+      CPPUNIT_ASSERT(leadership.ConfirmedAt() == confirmedAt);
+    }
+  }
+
   void ReplacesAResignedLeaderAtOnce()
   {
     AddCandidates(3);
--- a/src/node/worker_records_test.cpp
+++ b/src/node/worker_records_test.cpp
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(RecordsAWorkerThatReturnsBeforeItsDeletionIsStored);
   CPPUNIT_TEST(StartsNothingOnAWorkerThatCannotBeRecorded);
   CPPUNIT_TEST(StartsTasksOfADeadWorkerOnceItsLeaseHasEnded);
+  CPPUNIT_TEST(StartsTasksOfASilentWorkerRightAfterItsLease);
   CPPUNIT_TEST(ExtendsNoLeaseBeforeItsRecordIsDeleted);
   CPPUNIT_TEST(IgnoresLeaseRecordsOfEarlierLeaders);
   CPPUNIT_TEST(IgnoresLeaseRecordsBeforeALeaderThatDoesNotKeepThem);
@@ -254,6 +255,30 @@
     }
   }
 
+  // The end of a lease counts only once the leadership is confirmed after it.
+  // Guards against tasks that wait for the next usual renewal of the leader.
+  void StartsTasksOfASilentWorkerRightAfterItsLease()
+  {
+    // The lease, measured on a slow clock, one renewal and two ticks.
+    constexpr milliseconds kLimit{ 6600 + 300 };
+    for (int offset = 0; offset < 800; offset += 100) {
+      Restart();
+      StartLeader(2);
+      Store("workers", "w2", "1");
+      SubmitSpread("a", 2);
+      Advance(milliseconds(1000));
+      Store("workers", "w3", "1");
+      Advance(milliseconds(1000 + offset));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w2"].mRuns.size());
+      mWorkers["w2"].mRuns.clear();
+      for (auto& it : mInstances) {
+        it->mClient.mUnreachable.insert("w2");
+      }
+      Advance(kLimit);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w3"].mRuns.size());
+    }
+  }
+
   // A silent worker returns while the log does not answer. Guards against a
   // lease that outlasts the time that the next leader waits for.
   void ExtendsNoLeaseBeforeItsRecordIsDeleted()
