--- a/include/skylarkhill/jobs/job.hpp
+++ b/include/skylarkhill/jobs/job.hpp
@@ -183,6 +183,8 @@
   std::vector<StepProgress> mSteps;
   /// Ranges that have changed; not part of the record of the job.
   std::vector<TaskRange> mChangedRanges;
+  /// Unix time at which a final state was stored; 0 if unknown.
+  std::int64_t mEndedMs = 0;
 };
 
 } // namespace skylarkhill::jobs
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -59,6 +59,7 @@
   /// See NodeOptions.
   base::Duration mMaxCancellationDelay = std::chrono::milliseconds(3000);
   base::Duration mMaxDrainDelay = std::chrono::milliseconds(2000);
+  base::Duration mFinalJobRetention = std::chrono::seconds(120);
 };
 
 /// What the cells of an instance share.
@@ -304,6 +305,10 @@
   bool HasCopiesToSend(const std::string& aJobId) const;
   /// True if the records of a final job may be deleted.
   bool IsRemovable(const std::string& aJobId, base::TimePoint aNow);
+  /// True if callers need not be told the state of a final job any more.
+  bool HasRetentionPassed(const std::string& aJobId,
+                          const jobs::JobEntry& aJob,
+                          base::TimePoint aNow);
   /// Copies lent tasks, and the ends of their jobs, to the journals of their
   /// targets until these have them.
   void SendLoans(base::TimePoint aNow);
@@ -426,6 +431,9 @@
   /// By job id: when the records of a final job that other cells have copied to
   /// this one may be deleted.
   std::map<std::string, base::TimePoint> mCopiesRemovableAt;
+  /// By job id: when this instance first took a final job for old, whose time
+  /// of the end is unknown.
+  std::map<std::string, base::TimePoint> mUntimedEndsSeenAt;
 };
 
 } // namespace skylarkhill::node
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -66,6 +66,8 @@
   /// Time after a worker's entry shows that it drains from which no task may be
   /// started there.
   base::Duration mMaxDrainDelay = std::chrono::milliseconds(2000);
+  /// How long callers may ask for the state of a job after its end.
+  base::Duration mFinalJobRetention = std::chrono::seconds(120);
 };
 
 /// The part of an entry instance that follows the log and dispatches the tasks
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -72,7 +72,9 @@
 /// The encoded submission, the tasks and their former cells.
 using BorrowedFields =
   std::tuple<std::string, std::vector<StepProgressFields>, std::vector<int>>;
-using ProgressFields = std::tuple<int, bool, std::vector<StepProgressFields>>;
+/// The last field is missing in records of versions without it.
+using ProgressFields =
+  std::tuple<int, bool, std::vector<StepProgressFields>, std::int64_t>;
 
 StepFields
 ToFields(const Step& aStep)
@@ -297,7 +299,8 @@
 {
   return base::PackMsgpack(ProgressFields{ static_cast<int>(aProgress.mState),
                                            aProgress.mMayHaveStarted,
-                                           ToFields(aProgress.mSteps) });
+                                           ToFields(aProgress.mSteps),
+                                           aProgress.mEndedMs });
 }
 
 base::Result<JobProgress>
@@ -312,6 +315,7 @@
   progress.mState = static_cast<JobState>(state);
   progress.mMayHaveStarted = std::get<1>(fields);
   progress.mSteps = ToSteps(std::move(std::get<2>(fields)));
+  progress.mEndedMs = std::get<3>(fields);
   return progress;
 }
 
--- a/src/jobs/jobs_test.cpp
+++ b/src/jobs/jobs_test.cpp
@@ -1,9 +1,12 @@
+#include "skylarkhill/base/msgpack.hpp"
 #include "skylarkhill/jobs/job_codec.hpp"
 #include "skylarkhill/jobs/job_table.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <map>
+#include <tuple>
+#include <vector>
 
 namespace skylarkhill::jobs {
 
@@ -53,6 +56,7 @@
   CPPUNIT_TEST_SUITE(JobsTest);
   CPPUNIT_TEST(RoundTripsASubmission);
   CPPUNIT_TEST(RoundTripsProgress);
+  CPPUNIT_TEST(ReadsProgressOfOtherVersions);
   CPPUNIT_TEST(RoundTripsATaskRange);
   CPPUNIT_TEST(KeepsTheNewestTaskRange);
   CPPUNIT_TEST(RoundTripsALoan);
@@ -91,16 +95,35 @@
     JobProgress before;
     before.mState = JobState::Running;
     before.mMayHaveStarted = true;
+    before.mEndedMs = 1'700'000'000'000;
     before.mSteps.push_back({ 2, 1, { { 3, false, { 1, 4 }, 5, "point" } } });
     const auto after = DecodeProgress(EncodeProgress(before));
     CPPUNIT_ASSERT(after);
     CPPUNIT_ASSERT(after.value().mMayHaveStarted);
+    CPPUNIT_ASSERT_EQUAL(before.mEndedMs, after.value().mEndedMs);
     const TaskProgress& task = after.value().mSteps.front().mTasks.front();
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, task.mFailedRuns.size());
     CPPUNIT_ASSERT_EQUAL(5, task.mLastRun);
     CPPUNIT_ASSERT_EQUAL(std::string("point"), task.mCheckpoint);
   }
 
+  // Guards against a leader that cannot read the end of a job that a version
+  // with fewer or more fields has stored.
+  void ReadsProgressOfOtherVersions()
+  {
+    const auto decode = [](const auto& aFields) {
+      return DecodeProgress(base::PackMsgpack(aFields)).value();
+    };
+    const std::vector<int> steps;
+    const int state = static_cast<int>(JobState::Completed);
+    const JobProgress older = decode(std::tuple(state, true, steps));
+    CPPUNIT_ASSERT(older.mState == JobState::Completed);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, older.mEndedMs);
+    const JobProgress newer =
+      decode(std::tuple(state, true, steps, std::int64_t{ 7 }, "more"));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 7 }, newer.mEndedMs);
+  }
+
   void RoundTripsATaskRange()
   {
     TaskRange before;
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -58,9 +58,11 @@
 constexpr Duration kUnregisteredRetention =
   kLeaderLease + std::chrono::seconds(1);
 
-/// Final jobs are removed this long after their acceptance. Keeps the state for
-/// the required 120 s after the end of jobs that take up to 280 s.
-constexpr std::int64_t kFinalJobRetentionMs = 400'000;
+/// Final jobs, and the records of delivered jobs in their former cell, are
+/// removed at the earliest this long after the acceptance.
+constexpr std::int64_t kMinJobAgeMs = 400'000;
+/// Differences between the clocks of instances, and jumps of them.
+constexpr Duration kMaxClockDifference = std::chrono::seconds(10);
 /// Appends without an answer are carried out within less than this.
 constexpr Duration kMaxLateAppend = std::chrono::seconds(60);
 /// Maximum number of jobs passed to the dispatcher of a new term in one tick.
@@ -329,6 +331,7 @@
   mLeadership.SetFollowing(isFollowing);
   // What was read before may be deleted before this instance follows again.
   mJobs.Clear();
+  mUntimedEndsSeenAt.clear();
   if (isFollowing) {
     mJournalReader.Resume();
   } else {
@@ -1408,7 +1411,7 @@
   // carried out late would take those of a loan with it.
   const jobs::Submission& submission = *aJob.KnownSubmission();
   if (submission.mAcceptedMs <
-      mWallClock.NowMs() - kFinalJobRetentionMs + ToMs(kMaxLateAppend)) {
+      mWallClock.NowMs() - kMinJobAgeMs + ToMs(kMaxLateAppend)) {
     cells.insert(cells::HomeOfJob(mMap, submission.mId, submission.mRequest));
   }
   return cells;
@@ -1589,6 +1592,9 @@
 Cell::AddProgressRecords(const std::string& aJobId,
                          jobs::JobProgress& aProgress)
 {
+  if (jobs::IsFinal(aProgress.mState)) {
+    aProgress.mEndedMs = mWallClock.NowMs();
+  }
   // If this leader fails, its successor may find only the first of these
   // records. The previous record of the job may hold tasks of the ranges, so it
   // must not be replaced before the ranges are stored.
@@ -1818,6 +1824,10 @@
     return false;
   }
   const auto job = mJobs.Find(aJobId);
+  if (job && jobs::IsFinal(job->State()) &&
+      !HasRetentionPassed(aJobId, *job, aNow)) {
+    return false;
+  }
   const jobs::Submission* submission = job ? job->KnownSubmission() : nullptr;
   if (submission == nullptr ||
       (job->mBorrowed.empty() && IsHomeOf(*submission))) {
@@ -1829,6 +1839,24 @@
   return aNow >= removableAt;
 }
 
+bool
+Cell::HasRetentionPassed(const std::string& aJobId,
+                         const jobs::JobEntry& aJob,
+                         TimePoint aNow)
+{
+  // A late append of the submission must find the records.
+  const Duration retention =
+    std::max(mOptions.mFinalJobRetention + kMaxClockDifference, kMaxLateAppend);
+  const std::int64_t nowMs = mWallClock.NowMs();
+  const std::int64_t endedMs = aJob.mProgress.mEndedMs;
+  if (endedMs > 0 && endedMs <= nowMs + ToMs(kMaxClockDifference)) {
+    return nowMs - endedMs >= ToMs(retention);
+  }
+  const TimePoint seenAt =
+    mUntimedEndsSeenAt.emplace(aJobId, aNow).first->second;
+  return aNow - seenAt >= retention;
+}
+
 std::vector<LogRecord>
 Cell::DeletionsOf(const std::string& aJobId) const
 {
@@ -1866,7 +1894,13 @@
     return;
   }
   mNextCleanupAt = now + kCleanupInterval;
-  auto oldJobs = mJobs.ListFinal(mWallClock.NowMs() - kFinalJobRetentionMs);
+  auto oldJobs = mJobs.ListFinal(mWallClock.NowMs() - kMinJobAgeMs);
+  std::sort(oldJobs.begin(), oldJobs.end());
+  for (auto it = mUntimedEndsSeenAt.begin(); it != mUntimedEndsSeenAt.end();) {
+    it = std::binary_search(oldJobs.begin(), oldJobs.end(), it->first)
+           ? std::next(it)
+           : mUntimedEndsSeenAt.erase(it);
+  }
   oldJobs.erase(std::remove_if(oldJobs.begin(),
                                oldJobs.end(),
                                [this, now](const std::string& aId) {
