--- a/include/skylarkhill/jobs/job_table.hpp
+++ b/include/skylarkhill/jobs/job_table.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -17,6 +18,7 @@
 
 namespace skylarkhill::jobs {
 
+enum class RecordKind;
 struct RecordKey;
 
 /// Newest record of a TaskRange.
@@ -62,11 +64,19 @@
 {
 public:
   /// Applies one record. Records of a job may arrive in any order and more than
-  /// once. Malformed records are logged and skipped.
+  /// once; those that ApplyNext or Retain has passed are ignored. Malformed
+  /// records are logged and skipped.
   void Apply(std::string_view aKey,
              std::string_view aValue,
              std::int64_t aOffset);
-  void Erase(const std::string& aJobId);
+  /// Like Apply, for the reader of the journal, which passes each record in the
+  /// order of the offsets.
+  void ApplyNext(std::string_view aKey,
+                 std::string_view aValue,
+                 std::int64_t aOffset);
+  /// The journal has been loaded again: of the records below `aEnd`, only those
+  /// of `aKeys` are left. To be called once these were applied.
+  void Retain(const std::set<std::string>& aKeys, std::int64_t aEnd);
   /// Forgets all jobs.
   void Clear();
 
@@ -108,15 +118,35 @@
   std::size_t Size() const;
 
 private:
+  /// Journal offset of the newest applied record of a job, by kind and
+  /// RecordKey::mPart.
+  using RecordOffsets =
+    std::map<std::pair<RecordKind, std::string>, std::int64_t>;
+
   struct Shard
   {
     mutable std::mutex mLock;
     std::unordered_map<std::string, JobEntry> mJobs;
+    /// By job id, for each of mJobs.
+    std::unordered_map<std::string, RecordOffsets> mOffsets;
+    /// Records with lower offsets have been applied, unless they were deleted.
+    std::int64_t mReadEnd = 0;
   };
 
   static constexpr std::size_t kShards = 16;
 
-  void ErasePart(const RecordKey& aKey);
+  /// The job of a record that is about to be applied, or null if the record is
+  /// outdated.
+  static JobEntry* Touch(Shard& aShard,
+                         const RecordKey& aKey,
+                         std::int64_t aOffset);
+  /// Forgets the records of the job for which `aIsGone`, called with kind, part
+  /// and offset, returns true, and the job if none is left.
+  template<typename Predicate>
+  static void Forget(Shard& aShard,
+                     const std::string& aJobId,
+                     Predicate aIsGone);
+  void ApplyDeletion(const RecordKey& aKey, std::int64_t aOffset);
   Shard& ShardOf(const std::string& aJobId);
   const Shard& ShardOf(const std::string& aJobId) const;
 
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -192,8 +192,10 @@
   void UpdateLeaderStreamPause();
   void SetRetryPauses(base::Duration aPause, base::Duration aMaxRateLimitPause);
   void OnJournalRecord(const LogRecord& aRecord);
-  /// Applies the newest record of every key. Records of workers that are known
-  /// and missing there have been deleted.
+  /// Does what follows from a record that was applied to the jobs.
+  void HandleJournalRecord(const LogRecord& aRecord);
+  /// Applies the newest record of every key. Records of jobs and workers that
+  /// are known and missing there have been deleted.
   void OnJournalSnapshot(const std::vector<LogRecord>& aRecords);
   void OnJobRecord(const jobs::RecordKey& aKey, const LogRecord& aRecord);
   /// The journal has a record, or a deletion, of the worker. Called for own
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -4,6 +4,8 @@
 #include "skylarkhill/jobs/job_codec.hpp"
 #include "skylarkhill/logging/logging.hpp"
 
+#include <algorithm>
+
 namespace skylarkhill::jobs {
 
 namespace {
@@ -16,6 +18,40 @@
                  { { "key", aKey }, { "problem", aError.mDetail } });
 }
 
+void
+EraseRecord(JobEntry& aJob, RecordKind aKind, const std::string& aPart)
+{
+  switch (aKind) {
+    case RecordKind::Submission:
+      aJob.mSubmission.reset();
+      break;
+    case RecordKind::Cancellation:
+      aJob.mIsCancelled = false;
+      break;
+    case RecordKind::Progress:
+      aJob.mProgress = {};
+      aJob.mProgressOffset = -1;
+      break;
+    case RecordKind::TaskRange:
+      aJob.mRanges.erase(aPart);
+      break;
+    case RecordKind::Transfer:
+      aJob.mTransfer.reset();
+      break;
+    case RecordKind::Loan:
+      aJob.mLoans.erase(aPart);
+      break;
+    case RecordKind::Borrowed:
+      aJob.mBorrowed.erase(aPart);
+      break;
+    case RecordKind::Model:
+    case RecordKind::Worker:
+    case RecordKind::Load:
+    case RecordKind::WorkerLease:
+      break;
+  }
+}
+
 } // namespace
 
 JobState
@@ -54,11 +90,7 @@
     return;
   }
   if (aValue.empty()) {
-    if (key->mKind == RecordKind::Submission) {
-      Erase(key->mId);
-    } else if (!key->mPart.empty()) {
-      ErasePart(*key);
-    }
+    ApplyDeletion(*key, aOffset);
     return;
   }
   Shard& shard = ShardOf(key->mId);
@@ -70,18 +102,20 @@
         return;
       }
       const std::lock_guard lock(shard.mLock);
-      JobEntry& job = shard.mJobs[key->mId];
+      JobEntry* job = Touch(shard, *key, aOffset);
       // A repeated submission is ignored.
-      if (job.mSubmission) {
+      if (job == nullptr || job->mSubmission) {
         return;
       }
-      job.mSubmission = std::move(submission.value());
+      job->mSubmission = std::move(submission.value());
       break;
     }
     case RecordKind::Cancellation: {
       const std::lock_guard lock(shard.mLock);
-      JobEntry& job = shard.mJobs[key->mId];
-      job.mIsCancelled = true;
+      JobEntry* job = Touch(shard, *key, aOffset);
+      if (job != nullptr) {
+        job->mIsCancelled = true;
+      }
       break;
     }
     case RecordKind::Progress: {
@@ -91,12 +125,12 @@
         return;
       }
       const std::lock_guard lock(shard.mLock);
-      JobEntry& job = shard.mJobs[key->mId];
-      if (aOffset <= job.mProgressOffset) {
+      JobEntry* job = Touch(shard, *key, aOffset);
+      if (job == nullptr || aOffset <= job->mProgressOffset) {
         return;
       }
-      job.mProgress = std::move(progress.value());
-      job.mProgressOffset = aOffset;
+      job->mProgress = std::move(progress.value());
+      job->mProgressOffset = aOffset;
       break;
     }
     case RecordKind::TaskRange: {
@@ -106,7 +140,11 @@
         return;
       }
       const std::lock_guard lock(shard.mLock);
-      StoredTaskRange& stored = shard.mJobs[key->mId].mRanges[key->mPart];
+      JobEntry* job = Touch(shard, *key, aOffset);
+      if (job == nullptr) {
+        return;
+      }
+      StoredTaskRange& stored = job->mRanges[key->mPart];
       if (aOffset > stored.mOffset) {
         stored = { aOffset, std::string(aValue) };
       }
@@ -119,10 +157,11 @@
         return;
       }
       const std::lock_guard lock(shard.mLock);
-      JobEntry& job = shard.mJobs[key->mId];
+      JobEntry* job = Touch(shard, *key, aOffset);
       // An older record may be read after a newer one was applied.
-      if (!job.mTransfer || transfer.value().mIsDelivered) {
-        job.mTransfer = transfer.value();
+      if (job != nullptr &&
+          (!job->mTransfer || transfer.value().mIsDelivered)) {
+        job->mTransfer = transfer.value();
       }
       break;
     }
@@ -133,10 +172,11 @@
         return;
       }
       const std::lock_guard lock(shard.mLock);
-      auto& loans = shard.mJobs[key->mId].mLoans;
+      JobEntry* job = Touch(shard, *key, aOffset);
       // An older record may be read after a newer one was applied.
-      if (loans.count(key->mPart) == 0 || loan.value().mIsDelivered) {
-        loans[key->mPart] = std::move(loan.value());
+      if (job != nullptr &&
+          (job->mLoans.count(key->mPart) == 0 || loan.value().mIsDelivered)) {
+        job->mLoans[key->mPart] = std::move(loan.value());
       }
       break;
     }
@@ -147,9 +187,11 @@
         return;
       }
       const std::lock_guard lock(shard.mLock);
-      // All copies are equal.
-      shard.mJobs[key->mId].mBorrowed.emplace(key->mPart,
-                                              std::move(tasks.value()));
+      JobEntry* job = Touch(shard, *key, aOffset);
+      if (job != nullptr) {
+        // All copies are equal.
+        job->mBorrowed.emplace(key->mPart, std::move(tasks.value()));
+      }
       break;
     }
     case RecordKind::Model:
@@ -160,39 +202,112 @@
   }
 }
 
+void
+JobTable::ApplyNext(std::string_view aKey,
+                    std::string_view aValue,
+                    std::int64_t aOffset)
+{
+  const auto key = ParseRecordKey(aKey);
+  if (key) {
+    // First, so that no other thread applies an older record after a deletion.
+    Shard& shard = ShardOf(key->mId);
+    const std::lock_guard lock(shard.mLock);
+    shard.mReadEnd = std::max(shard.mReadEnd, aOffset);
+  }
+  Apply(aKey, aValue, aOffset);
+}
+
+void
+JobTable::Retain(const std::set<std::string>& aKeys, std::int64_t aEnd)
+{
+  for (Shard& shard : mShards) {
+    const std::lock_guard lock(shard.mLock);
+    shard.mReadEnd = std::max(shard.mReadEnd, aEnd);
+    std::vector<std::string> ids;
+    for (const auto& [id, offsets] : shard.mOffsets) {
+      ids.push_back(id);
+    }
+    for (const auto& id : ids) {
+      Forget(
+        shard,
+        id,
+        [&](RecordKind aKind, const std::string& aPart, std::int64_t aOffset) {
+          return aOffset < aEnd &&
+                 aKeys.count(aPart.empty()
+                               ? FormatRecordKey(aKind, id)
+                               : FormatPartKey(aKind, id, aPart)) == 0;
+        });
+    }
+  }
+}
+
 void
 JobTable::Clear()
 {
   for (Shard& it : mShards) {
     const std::lock_guard lock(it.mLock);
     it.mJobs.clear();
+    it.mOffsets.clear();
+    it.mReadEnd = 0;
   }
 }
 
-void
-JobTable::Erase(const std::string& aJobId)
+JobEntry*
+JobTable::Touch(Shard& aShard, const RecordKey& aKey, std::int64_t aOffset)
 {
-  Shard& shard = ShardOf(aJobId);
-  const std::lock_guard lock(shard.mLock);
-  shard.mJobs.erase(aJobId);
+  if (aOffset < aShard.mReadEnd) {
+    return nullptr;
+  }
+  std::int64_t& offset = aShard.mOffsets[aKey.mId]
+                           .try_emplace({ aKey.mKind, aKey.mPart }, aOffset)
+                           .first->second;
+  offset = std::max(offset, aOffset);
+  return &aShard.mJobs[aKey.mId];
 }
 
+template<typename Predicate>
 void
-JobTable::ErasePart(const RecordKey& aKey)
+JobTable::Forget(Shard& aShard, const std::string& aJobId, Predicate aIsGone)
 {
-  Shard& shard = ShardOf(aKey.mId);
-  const std::lock_guard lock(shard.mLock);
-  const auto found = shard.mJobs.find(aKey.mId);
-  if (found == shard.mJobs.end()) {
+  const auto found = aShard.mOffsets.find(aJobId);
+  if (found == aShard.mOffsets.end()) {
     return;
   }
-  if (aKey.mKind == RecordKind::TaskRange) {
-    found->second.mRanges.erase(aKey.mPart);
-  } else if (aKey.mKind == RecordKind::Loan) {
-    found->second.mLoans.erase(aKey.mPart);
-  } else if (aKey.mKind == RecordKind::Borrowed) {
-    found->second.mBorrowed.erase(aKey.mPart);
+  RecordOffsets& offsets = found->second;
+  JobEntry& job = aShard.mJobs[aJobId];
+  for (auto it = offsets.begin(); it != offsets.end();) {
+    const auto& [kind, part] = it->first;
+    if (!aIsGone(kind, part, it->second)) {
+      ++it;
+      continue;
+    }
+    EraseRecord(job, kind, part);
+    it = offsets.erase(it);
   }
+  if (offsets.empty()) {
+    aShard.mOffsets.erase(found);
+    aShard.mJobs.erase(aJobId);
+  }
+}
+
+void
+JobTable::ApplyDeletion(const RecordKey& aKey, std::int64_t aOffset)
+{
+  // The deletion of a submission is the last one of its job.
+  const bool isJob = aKey.mKind == RecordKind::Submission;
+  if (!isJob && aKey.mPart.empty()) {
+    return;
+  }
+  Shard& shard = ShardOf(aKey.mId);
+  const std::lock_guard lock(shard.mLock);
+  Forget(
+    shard,
+    aKey.mId,
+    [&](RecordKind aKind, const std::string& aPart, std::int64_t aApplied) {
+      const bool isMeant =
+        isJob || (aKind == aKey.mKind && aPart == aKey.mPart);
+      return isMeant && aApplied <= aOffset;
+    });
 }
 
 std::vector<std::string>
--- a/src/jobs/jobs_test.cpp
+++ b/src/jobs/jobs_test.cpp
@@ -4,6 +4,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <map>
+#include <set>
+#include <string>
 
 namespace skylarkhill::jobs {
 
@@ -66,6 +68,12 @@
   CPPUNIT_TEST(CountsPendingJobsOfAQueue);
   CPPUNIT_TEST(KeepsTheFinalStateDespiteALateCancellation);
   CPPUNIT_TEST(SkipsRecordsThatAnnounceTooMuch);
+  CPPUNIT_TEST(ForgetsEachKindOfRecordThatTheJournalLacks);
+  CPPUNIT_TEST(KeepsRecordsThatAreNewerThanTheLoadedJournal);
+  CPPUNIT_TEST(KeepsAJobWhoseOlderCopyWasDeleted);
+  CPPUNIT_TEST(IgnoresRecordsBeforeADeletionThatWasRead);
+  CPPUNIT_TEST(IgnoresRecordsBeforeTheLoadedJournal);
+  CPPUNIT_TEST(AppliesRecordsAfterItWasCleared);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -321,6 +329,135 @@
     table.Apply(SubmissionKey("b"), EncodeSubmission(MakeSubmission("b")), 4);
     CPPUNIT_ASSERT(table.Contains("b"));
   }
+
+  // Guards against a job that is taken for cancelled, done, moved or lent by a
+  // record that was deleted before the journal was loaded again.
+  void ForgetsEachKindOfRecordThatTheJournalLacks()
+  {
+    JobTable table;
+    const std::map<std::string, std::string> records = RecordsOfAJob();
+    std::int64_t offset = 0;
+    std::set<std::string> keys;
+    for (const auto& [key, value] : records) {
+      table.Apply(key, value, offset++);
+      keys.insert(key);
+    }
+    table.Retain(keys, offset);
+    const auto all = table.Find("a");
+    CPPUNIT_ASSERT(all && all->mSubmission && all->mIsCancelled);
+    CPPUNIT_ASSERT(all->mProgress.mState == JobState::Running);
+    CPPUNIT_ASSERT(all->mTransfer && all->mRanges.size() == 1);
+    CPPUNIT_ASSERT(all->mLoans.size() == 1 && all->mBorrowed.size() == 1);
+    table.Retain({ SubmissionKey("a") }, offset);
+    const auto left = table.Find("a");
+    CPPUNIT_ASSERT(left && left->mSubmission && !left->mIsCancelled);
+    CPPUNIT_ASSERT(left->mProgress.mState == JobState::Pending);
+    CPPUNIT_ASSERT(!left->mTransfer && left->mRanges.empty());
+    CPPUNIT_ASSERT(left->mLoans.empty() && left->mBorrowed.empty());
+    table.Retain({}, offset);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, table.Size());
+  }
+
+  // An own append is stored between the first page of the journal and the last
+  // one. Guards against an accepted job that is not found.
+  void KeepsRecordsThatAreNewerThanTheLoadedJournal()
+  {
+    JobTable table;
+    const std::string value = EncodeSubmission(MakeSubmission("a"));
+    table.Apply(SubmissionKey("a"), value, 9);
+    table.Apply(SubmissionKey("b"), value, 10);
+    // A copy of a job that the table knows.
+    table.Apply(SubmissionKey("c"), value, 2);
+    table.Apply(SubmissionKey("c"), value, 11);
+    table.Retain({}, 10);
+    CPPUNIT_ASSERT(!table.Contains("a"));
+    CPPUNIT_ASSERT(table.Contains("b"));
+    CPPUNIT_ASSERT(table.Contains("c"));
+  }
+
+  // A job is removed, submitted again and stored by this instance, which has
+  // not read the removal. Guards against an accepted job that is not found, and
+  // against one that keeps the end of the removed one.
+  void KeepsAJobWhoseOlderCopyWasDeleted()
+  {
+    JobTable table;
+    const std::string value = EncodeSubmission(MakeSubmission("a"));
+    table.ApplyNext(SubmissionKey("a"), value, 1);
+    table.ApplyNext(FormatRecordKey(RecordKind::Progress, "a"),
+                    ProgressValue(JobState::Completed),
+                    2);
+    table.Apply(SubmissionKey("a"), value, 4);
+    table.ApplyNext(SubmissionKey("a"), "", 3);
+    CPPUNIT_ASSERT(table.StateOf("a") == JobState::Pending);
+    table.ApplyNext(SubmissionKey("a"), value, 4);
+    CPPUNIT_ASSERT(table.StateOf("a") == JobState::Pending);
+  }
+
+  // A thread that answers a caller applies what it has read after the reader of
+  // the journal. Guards against a removed job that comes back for good.
+  void IgnoresRecordsBeforeADeletionThatWasRead()
+  {
+    JobTable table;
+    const std::string value = EncodeSubmission(MakeSubmission("a"));
+    table.ApplyNext(SubmissionKey("a"), value, 1);
+    table.ApplyNext(SubmissionKey("a"), "", 2);
+    for (const auto& [key, bytes] : RecordsOfAJob()) {
+      table.Apply(key, bytes, 1);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, table.Size());
+    table.Apply(SubmissionKey("a"), value, 3);
+    CPPUNIT_ASSERT(table.Contains("a"));
+    // A late deletion is older than the job, too.
+    table.Apply(SubmissionKey("a"), "", 2);
+    CPPUNIT_ASSERT(table.Contains("a"));
+  }
+
+  // The same, if the deletion expired before it was read.
+  void IgnoresRecordsBeforeTheLoadedJournal()
+  {
+    JobTable table;
+    table.Retain({}, 5);
+    for (const auto& [key, bytes] : RecordsOfAJob()) {
+      table.Apply(key, bytes, 4);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, table.Size());
+    for (const auto& [key, bytes] : RecordsOfAJob()) {
+      table.Apply(key, bytes, 5);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, table.Size());
+  }
+
+  // An instance that follows a cell again applies records that it had before.
+  // Guards against accepted jobs that are not found.
+  void AppliesRecordsAfterItWasCleared()
+  {
+    JobTable table;
+    const std::string value = EncodeSubmission(MakeSubmission("a"));
+    table.ApplyNext(SubmissionKey("a"), value, 1);
+    table.ApplyNext(SubmissionKey("a"), value, 2);
+    table.Clear();
+    table.Apply(SubmissionKey("a"), value, 1);
+    CPPUNIT_ASSERT(table.Contains("a"));
+  }
+
+private:
+  /// A record of each kind, of the job "a", by key.
+  static std::map<std::string, std::string> RecordsOfAJob()
+  {
+    TaskLoan loan;
+    BorrowedTasks borrowed;
+    borrowed.mSubmission = MakeSubmission("a");
+    return { { SubmissionKey("a"), EncodeSubmission(MakeSubmission("a")) },
+             { FormatRecordKey(RecordKind::Cancellation, "a"), "1" },
+             { FormatRecordKey(RecordKind::Progress, "a"),
+               ProgressValue(JobState::Running) },
+             { FormatRecordKey(RecordKind::Transfer, "a"),
+               EncodeTransfer({ 1, false }) },
+             { FormatTaskRangeKey("a", "0.0.0"), EncodeTaskRange({}) },
+             { FormatPartKey(RecordKind::Loan, "a", "1"), EncodeLoan(loan) },
+             { FormatPartKey(RecordKind::Borrowed, "a", "1.1"),
+               EncodeBorrowedTasks(borrowed) } };
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobsTest);
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -547,11 +547,17 @@
 void
 Cell::OnJournalSnapshot(const std::vector<LogRecord>& aRecords)
 {
+  const LoopProfile::Timer timer(mProfile, LoopPhase::Streams);
+  const logging::ContextField context("cell", mOptions.mIndex);
   std::set<std::string> keys;
   for (const auto& it : aRecords) {
-    keys.insert(it.mKey);
-    OnJournalRecord(it);
+    if (!it.mValue.empty()) {
+      keys.insert(it.mKey);
+    }
+    mJobs.Apply(it.mKey, it.mValue, it.mOffset);
+    HandleJournalRecord(it);
   }
+  mJobs.Retain(keys, mJournalReader.NextOffset());
   // Own records that were stored after the beginning of the snapshot have
   // higher offsets than this.
   const std::int64_t offset = mJournalReader.NextOffset() - 1;
@@ -564,7 +570,7 @@
          { jobs::RecordKind::Worker, jobs::RecordKind::WorkerLease }) {
       const std::string key = jobs::FormatRecordKey(kind, id);
       if (keys.count(key) == 0) {
-        OnJournalRecord({ key, "", offset });
+        HandleJournalRecord({ key, "", offset });
       }
     }
   }
@@ -575,7 +581,13 @@
 {
   const LoopProfile::Timer timer(mProfile, LoopPhase::Streams);
   const logging::ContextField context("cell", mOptions.mIndex);
-  mJobs.Apply(aRecord.mKey, aRecord.mValue, aRecord.mOffset);
+  mJobs.ApplyNext(aRecord.mKey, aRecord.mValue, aRecord.mOffset);
+  HandleJournalRecord(aRecord);
+}
+
+void
+Cell::HandleJournalRecord(const LogRecord& aRecord)
+{
   const auto key = jobs::ParseRecordKey(aRecord.mKey);
   if (!key) {
     return;
