Cancellations: 410 for an unknown job only once its cancellation is stored

Callers saw: a caller leaves while its submission is being stored and cancels the job at another instance, which answers 410 at once.

Cause: JobService::Cancel and JobRouter::Cancel answered 410 from a read of the journals and stored nothing. The submission was under way at another instance, or was carried out late by the log.

Change: the cancellation of a job that no cell has is stored in the journals of all cells, since the home follows from the content of the request; then the answer is 410, or 2xx if the job has been read meanwhile.

--- a/include/skylarkhill/node/job_router.hpp
+++ b/include/skylarkhill/node/job_router.hpp
@@ -53,6 +53,7 @@
                             const std::string& aJobId,
                             jobs::JobRequest aRequest,
                             base::TimePoint aDeadline);
+  /// NotFound: no cell has the job, and each has its cancellation.
   base::Result<void> Cancel(const std::string& aJobId,
                             base::TimePoint aDeadline);
   base::Result<jobs::JobState> StateOf(const std::string& aJobId,
@@ -102,6 +103,12 @@
                                              int aCell,
                                              const std::string& aJobId,
                                              base::TimePoint aDeadline);
+  /// Stores the cancellation of a job that no cell has in the journals of all
+  /// cells. NotFound: it is stored there; other errors as for
+  /// JobService::Submit.
+  base::Result<void> CancelUnknown(const Cells& aCells,
+                                   const std::string& aJobId,
+                                   base::TimePoint aDeadline);
   /// Stores the cancellation, which the first cell has, in the journals of all
   /// other cells that may run tasks of the job. OutcomeUnknown: not in all.
   base::Result<void> CancelInOtherCells(const Cells& aCells,
--- a/include/skylarkhill/node/job_service.hpp
+++ b/include/skylarkhill/node/job_service.hpp
@@ -78,7 +78,8 @@
                             const std::string& aJobId,
                             jobs::JobRequest aRequest,
                             base::TimePoint aDeadline);
-  /// Cancels a job. NotFound: no such job; other errors as for Submit.
+  /// Cancels a job. NotFound: the cancellation is stored, but the journal has
+  /// no such job; other errors as for Submit.
   base::Result<void> Cancel(const std::string& aJobId,
                             base::TimePoint aDeadline);
   /// Like Cancel, for a job that is known to be in the journal.
--- a/src/node/job_router.cpp
+++ b/src/node/job_router.cpp
@@ -133,15 +133,22 @@
                    "job_cancelled",
                    { { "job", aJobId },
                      { "outcome", base::NameOf(location.error().mKind) } });
+    if (location.error().mKind == ErrorKind::NotFound) {
+      return CancelUnknown(*cells, aJobId, aDeadline);
+    }
     return location.error();
   }
   const int cell = location.value().mCell;
   {
     const logging::ContextField context("cell", cell);
     JobService& service = *cells->mServices[static_cast<std::size_t>(cell)];
-    BOOST_OUTCOME_TRYV(service.IsLoaded()
-                         ? service.Cancel(aJobId, aDeadline)
-                         : service.CancelKnown(aJobId, aDeadline));
+    const auto isStored = service.IsLoaded()
+                            ? service.Cancel(aJobId, aDeadline)
+                            : service.CancelKnown(aJobId, aDeadline);
+    if (!isStored && isStored.error().mKind == ErrorKind::NotFound) {
+      return CancelUnknown(*cells, aJobId, aDeadline);
+    }
+    BOOST_OUTCOME_TRYV(isStored);
   }
   if (cells->mMap.mCount == 1) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -149,6 +156,29 @@
   return CancelInOtherCells(*cells, aJobId, cell, aDeadline);
 }
 
+base::Result<void>
+JobRouter::CancelUnknown(const Cells& aCells,
+                         const std::string& aJobId,
+                         base::TimePoint aDeadline)
+{
+  // The submission may be under way at another instance, or be carried out late
+  // by the log. Its home follows from its content.
+  for (int cell = 0; cell < aCells.mMap.mCount; ++cell) {
+    const logging::ContextField context("cell", cell);
+    const auto isStored =
+      aCells.mServices[static_cast<std::size_t>(cell)]->StoreCancellation(
+        aJobId, aDeadline);
+    if (!isStored) {
+      return cell == 0 ? isStored.error()
+                       : MakeIncompleteError(aJobId, cell, isStored.error());
+    }
+  }
+  if (FindKnown(aCells, aJobId)) {
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+  return MakeError(ErrorKind::NotFound, "no such job");
+}
+
 base::Result<void>
 JobRouter::CancelInOtherCells(const Cells& aCells,
                               const std::string& aJobId,
--- a/src/node/job_router_test.cpp
+++ b/src/node/job_router_test.cpp
@@ -110,6 +110,9 @@
   CPPUNIT_TEST(StoresACancellationOnceOnASiteOfOneCell);
   CPPUNIT_TEST(CallsNoFurtherCellWithoutTimeForIt);
   CPPUNIT_TEST(TakesCancellationsAfterALostRead);
+  CPPUNIT_TEST(StoresTheCancellationOfAnUnknownJobInAllCells);
+  CPPUNIT_TEST(ReportsNoUnknownJobIfACellLacksTheCancellation);
+  CPPUNIT_TEST(CancelsAJobThatIsStoredDuringItsCancellation);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -218,6 +221,54 @@
     CPPUNIT_ASSERT(Cancel());
   }
 
+  // The submission is under way at another instance, and its home follows from
+  // its content. Guards against a job that runs for good after its cancellation
+  // was answered with 410 (UNASKED).
+  void StoresTheCancellationOfAnUnknownJobInAllCells()
+  {
+    mState.mStreams.clear();
+    CPPUNIT_ASSERT(IsNotFound(Cancel()));
+    for (int cell = 0; cell < kCells; ++cell) {
+      CPPUNIT_ASSERT_EQUAL(1, CountCancellations(cell));
+      Store(
+        cell, jobs::FormatRecordKey(jobs::RecordKind::Submission, kJob), Job());
+      Read(cell);
+      const jobs::JobTable& jobs =
+        mReplicas[static_cast<std::size_t>(cell)]->mJobs;
+      CPPUNIT_ASSERT(jobs.StateOf(kJob) == jobs::JobState::Cancelled);
+      CPPUNIT_ASSERT(jobs.ListOpen().empty());
+    }
+  }
+
+  // Guards against status 410 while one of the cells that may get the job lacks
+  // the cancellation (UNASKED).
+  void ReportsNoUnknownJobIfACellLacksTheCancellation()
+  {
+    mState.mStreams.clear();
+    mLog.mUnwritableStreams = { "journal/2" };
+    CPPUNIT_ASSERT(IsOutcomeUnknown(Cancel()));
+    mLog.mUnwritableStreams.clear();
+    mClock.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT(IsNotFound(Cancel()));
+    CPPUNIT_ASSERT_EQUAL(1, CountCancellations(2));
+  }
+
+  // The submission is stored after the journals have been read. Guards against
+  // a cell that gets the job without its cancellation (UNASKED).
+  void CancelsAJobThatIsStoredDuringItsCancellation()
+  {
+    mState.mStreams.clear();
+    mCallerLog.mOnAppend = [this](const std::string& aStream) {
+      if (aStream == "journal") {
+        Store(
+          2, jobs::FormatRecordKey(jobs::RecordKind::Submission, kJob), Job());
+        Read(2);
+      }
+    };
+    CPPUNIT_ASSERT(Cancel());
+    CPPUNIT_ASSERT_EQUAL(1, CountCancellations(2));
+  }
+
 private:
   static constexpr const char* kJob = "job";
 
@@ -289,6 +340,11 @@
     return !aResult && aResult.error().mKind == base::ErrorKind::OutcomeUnknown;
   }
 
+  static bool IsNotFound(const base::Result<void>& aResult)
+  {
+    return !aResult && aResult.error().mKind == base::ErrorKind::NotFound;
+  }
+
   int CountCancellations(int aCell)
   {
     const auto& records = mState.mStreams[NameOfStream({ "journal", aCell })];
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -138,15 +138,16 @@
 base::Result<void>
 JobService::Cancel(const std::string& aJobId, TimePoint aDeadline)
 {
-  const std::uint64_t generation = mGeneration;
   if (!mJobs.Contains(aJobId)) {
     BOOST_OUTCOME_TRYV(CatchUp(aDeadline));
-    if (!mJobs.Contains(aJobId)) {
-      BOOST_OUTCOME_TRYV(CheckGeneration(generation));
-      return MakeError(ErrorKind::NotFound, "no such job");
-    }
   }
-  return CancelKnown(aJobId, aDeadline);
+  // The submission may be under way at another instance, or be carried out late
+  // by the log.
+  BOOST_OUTCOME_TRYV(CancelKnown(aJobId, aDeadline));
+  if (!mJobs.Contains(aJobId)) {
+    return MakeError(ErrorKind::NotFound, "no such job");
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 base::Result<void>
