--- a/include/skylarkhill/jobs/job_codec.hpp
+++ b/include/skylarkhill/jobs/job_codec.hpp
@@ -4,6 +4,7 @@
 #include "skylarkhill/base/error.hpp"
 #include "skylarkhill/jobs/job.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -76,6 +77,15 @@
 base::Result<Submission>
 DecodeSubmission(std::string_view aBytes);
 
+/// `aUnixMs` is the time at which the record is written.
+std::string
+EncodeCancellation(std::int64_t aUnixMs);
+
+/// Unix time in ms, or 0 if the value tells none. Any value that is not empty
+/// is a cancellation.
+std::int64_t
+DecodeCancellationMs(std::string_view aBytes);
+
 std::string
 EncodeProgress(const JobProgress& aProgress);
 
--- a/include/skylarkhill/jobs/job_table.hpp
+++ b/include/skylarkhill/jobs/job_table.hpp
@@ -33,6 +33,8 @@
   /// Empty until the submission record has been read.
   std::optional<Submission> mSubmission;
   bool mIsCancelled = false;
+  /// Unix time of the newest cancellation, 0 if its record tells none.
+  std::int64_t mCancelledMs = 0;
   JobProgress mProgress;
   /// Set once the job has left the cell of this journal.
   std::optional<JobTransfer> mTransfer;
@@ -54,6 +56,8 @@
   /// The submission of the job or of tasks that the cell has borrowed; null if
   /// neither has been read.
   const Submission* KnownSubmission() const;
+  /// False if nothing but a cancellation or progress has been read.
+  bool IsKnown() const;
 };
 
 /// All jobs in the journal. Thread-safe; sharded by job id with one lock per
@@ -104,6 +108,10 @@
   /// accepted before `aAcceptedBeforeMs`. Includes jobs with borrowed tasks,
   /// but only in a final state.
   std::vector<std::string> ListFinal(std::int64_t aAcceptedBeforeMs) const;
+  /// Ids of cancelled jobs of which nothing else is known, with
+  /// JobEntry::mCancelledMs.
+  std::vector<std::pair<std::string, std::int64_t>> ListLoneCancellations()
+    const;
   /// Number of jobs, including those whose submission has not been read.
   std::size_t Size() const;
 
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -325,6 +325,9 @@
   std::vector<LogRecord> DeletionsOf(const std::string& aJobId) const;
   /// Adds the interference estimates to the batch.
   void AddModelRecord(base::TimePoint aNow);
+  /// Ids of jobs of which the journal has nothing but a cancellation that no
+  /// submission can follow any more.
+  std::vector<std::string> ListOldCancellations(base::TimePoint aNow);
   void RemoveOldJobs();
 
   const CellOptions mOptions;
@@ -426,6 +429,9 @@
   /// By job id: when the records of a final job that other cells have copied to
   /// this one may be deleted.
   std::map<std::string, base::TimePoint> mCopiesRemovableAt;
+  /// Cancellations without a submission whose record tells no time, and when
+  /// this leader first listed them.
+  std::map<std::string, base::TimePoint> mUntimedCancellations;
 };
 
 } // namespace skylarkhill::node
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -4,6 +4,8 @@
 #include "skylarkhill/jobs/job_codec.hpp"
 #include "skylarkhill/logging/logging.hpp"
 
+#include <algorithm>
+
 namespace skylarkhill::jobs {
 
 namespace {
@@ -42,6 +44,12 @@
   return mBorrowed.empty() ? nullptr : &mBorrowed.begin()->second.mSubmission;
 }
 
+bool
+JobEntry::IsKnown() const
+{
+  return KnownSubmission() != nullptr || mTransfer || !mLoans.empty();
+}
+
 void
 JobTable::Apply(std::string_view aKey,
                 std::string_view aValue,
@@ -82,6 +90,8 @@
       const std::lock_guard lock(shard.mLock);
       JobEntry& job = shard.mJobs[key->mId];
       job.mIsCancelled = true;
+      job.mCancelledMs =
+        std::max(job.mCancelledMs, DecodeCancellationMs(aValue));
       break;
     }
     case RecordKind::Progress: {
@@ -402,6 +412,21 @@
   return ids;
 }
 
+std::vector<std::pair<std::string, std::int64_t>>
+JobTable::ListLoneCancellations() const
+{
+  std::vector<std::pair<std::string, std::int64_t>> cancellations;
+  for (const Shard& shard : mShards) {
+    const std::lock_guard lock(shard.mLock);
+    for (const auto& [id, job] : shard.mJobs) {
+      if (job.mIsCancelled && !job.IsKnown()) {
+        cancellations.emplace_back(id, job.mCancelledMs);
+      }
+    }
+  }
+  return cancellations;
+}
+
 std::size_t
 JobTable::Size() const
 {
--- a/src/jobs/jobs_test.cpp
+++ b/src/jobs/jobs_test.cpp
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(IgnoresARepeatedSubmission);
   CPPUNIT_TEST(IgnoresOlderProgress);
   CPPUNIT_TEST(CancelsAJobSubmittedAfterItsCancellation);
+  CPPUNIT_TEST(ListsCancellationsOfUnknownJobs);
   CPPUNIT_TEST(CountsPendingJobsOfAQueue);
   CPPUNIT_TEST(KeepsTheFinalStateDespiteALateCancellation);
   CPPUNIT_TEST(SkipsRecordsThatAnnounceTooMuch);
@@ -279,6 +280,32 @@
     CPPUNIT_ASSERT(table.StateOf("a") == JobState::Cancelled);
   }
 
+  // Guards against removing a cancellation that belongs to a job or to borrowed
+  // tasks, and against taking the value of a former version for a time.
+  void ListsCancellationsOfUnknownJobs()
+  {
+    JobTable table;
+    const auto cancel = [&](const char* aId, const std::string& aValue) {
+      table.Apply(FormatRecordKey(RecordKind::Cancellation, aId), aValue, 1);
+    };
+    cancel("a", EncodeCancellation(1'700'000'000'000));
+    const std::pair<std::string, std::int64_t> expected{ "a",
+                                                         1'700'000'000'000 };
+    CPPUNIT_ASSERT(table.ListLoneCancellations() == std::vector{ expected });
+    table.Apply(SubmissionKey("a"), EncodeSubmission(MakeSubmission("a")), 2);
+    table.Apply(FormatPartKey(RecordKind::Borrowed, "b", "1.1"),
+                EncodeBorrowedTasks({ MakeSubmission("b"), {}, {} }),
+                3);
+    cancel("b", EncodeCancellation(5));
+    CPPUNIT_ASSERT(table.ListLoneCancellations().empty());
+    for (const char* it : { "1", "x", "12x", "-5" }) {
+      cancel("c", it);
+      CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, DecodeCancellationMs(it));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 },
+                         table.ListLoneCancellations().at(0).second);
+  }
+
   void CountsPendingJobsOfAQueue()
   {
     JobTable table;
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -63,6 +63,11 @@
 constexpr std::int64_t kFinalJobRetentionMs = 400'000;
 /// Appends without an answer are carried out within less than this.
 constexpr Duration kMaxLateAppend = std::chrono::seconds(60);
+/// Cancellations without a submission are kept for this time. A submission that
+/// was under way may come until the longest deadline of a caller (60 s) and
+/// kMaxLateAppend have passed.
+constexpr Duration kLoneCancellationRetention =
+  kMaxLateAppend + std::chrono::seconds(120);
 /// Maximum number of jobs passed to the dispatcher of a new term in one tick.
 constexpr std::size_t kMaxJobsPerTick = 200;
 
@@ -1059,6 +1064,7 @@
   mPendingLoans.clear();
   mEndedLoans.clear();
   mCopiesRemovableAt.clear();
+  mUntimedCancellations.clear();
   mJournalReader.SetPause(mBudget.mFollowerJournalPause);
   mJournalReader.SetWait(kReadWait);
   SetRetryPauses(mBudget.mRetryPause, kMaxRateLimitPause);
@@ -1271,7 +1277,9 @@
     // A read may return only the first of the records.
     if (job->mIsCancelled) {
       request.mRecords.push_back(
-        { jobs::FormatRecordKey(jobs::RecordKind::Cancellation, id), "1", 0 });
+        { jobs::FormatRecordKey(jobs::RecordKind::Cancellation, id),
+          jobs::EncodeCancellation(mWallClock.NowMs()),
+          0 });
     }
     request.mRecords.push_back(
       { jobs::FormatRecordKey(jobs::RecordKind::Submission, id),
@@ -1536,7 +1544,7 @@
     if (jobs::IsFinal(job->State())) {
       request.mRecords.push_back(
         { jobs::FormatRecordKey(jobs::RecordKind::Cancellation, id.first),
-          "1",
+          jobs::EncodeCancellation(mWallClock.NowMs()),
           0 });
     }
     request.mRecords.push_back(
@@ -1858,6 +1866,34 @@
   return deletions;
 }
 
+std::vector<std::string>
+Cell::ListOldCancellations(TimePoint aNow)
+{
+  // The submission may be among the records that have not been read.
+  if (mStartsHeldAt) {
+    return {};
+  }
+  std::vector<std::string> ids;
+  std::map<std::string, TimePoint> untimed;
+  const std::int64_t oldMs =
+    mWallClock.NowMs() - ToMs(kLoneCancellationRetention);
+  for (const auto& [id, cancelledMs] : mJobs.ListLoneCancellations()) {
+    bool isOld = cancelledMs < oldMs;
+    if (cancelledMs == 0) {
+      const auto seen = mUntimedCancellations.find(id);
+      const TimePoint seenAt =
+        seen != mUntimedCancellations.end() ? seen->second : aNow;
+      untimed.emplace(id, seenAt);
+      isOld = aNow - seenAt > kLoneCancellationRetention;
+    }
+    if (isOld) {
+      ids.push_back(id);
+    }
+  }
+  mUntimedCancellations = std::move(untimed);
+  return ids;
+}
+
 void
 Cell::RemoveOldJobs()
 {
@@ -1873,6 +1909,8 @@
                                  return !IsRemovable(aId, now);
                                }),
                 oldJobs.end());
+  const auto cancellations = ListOldCancellations(now);
+  oldJobs.insert(oldJobs.end(), cancellations.begin(), cancellations.end());
   if (oldJobs.empty()) {
     return;
   }
--- a/src/node/cell_random_test.cpp
+++ b/src/node/cell_random_test.cpp
@@ -365,6 +365,39 @@
     return CountRecords("t/") == 0 ? "" : "the job has moved";
   }
 
+  /// Cancels a job of which no cell knows, and another one as instances of a
+  /// former version do. Returns the number of cells that still have each
+  /// cancellation, after a time in which the submission may come and after a
+  /// time in which all are removed.
+  std::pair<int, int> CountLoneCancellations()
+  {
+    Advance(milliseconds(8000));
+    CPPUNIT_ASSERT(IsUnknownAfterCancellation("new"));
+    for (int cell = 0; cell < kDomains; ++cell) {
+      Store(JournalOf(cell),
+            jobs::FormatRecordKey(jobs::RecordKind::Cancellation, "untimed"),
+            "1");
+    }
+    const auto count = [&] {
+      int n = 0;
+      for (int cell = 0; cell < kDomains; ++cell) {
+        for (const char* it : { "c/new", "c/untimed" }) {
+          const auto& records = mState.mStreams[JournalOf(cell)];
+          const auto newest = std::find_if(
+            records.rbegin(), records.rend(), [&](const auto& aRecord) {
+              return aRecord.mKey == it;
+            });
+          n += newest != records.rend() && !newest->mValue.empty() ? 1 : 0;
+        }
+      }
+      return n;
+    };
+    Advance(std::chrono::seconds(175));
+    const int kept = count();
+    Advance(std::chrono::seconds(60));
+    return { kept, count() };
+  }
+
   const std::string& Problem() const { return mProblem; }
   int TransferCount() const { return mTransferCount; }
   int LoanCount() const { return mLoanCount; }
@@ -896,6 +929,7 @@
   CPPUNIT_TEST(StartsNoCancelledJobWhoseCopyIsReadInParts);
   CPPUNIT_TEST(RunsNoLateCopyOfACancelledTransfer);
   CPPUNIT_TEST(StartsNoJobThatIsStoredAfterItsCancellation);
+  CPPUNIT_TEST(RemovesCancellationsThatNoSubmissionFollows);
   CPPUNIT_TEST(LendsBesideUnplaceableJobs);
   CPPUNIT_TEST(KeepsTheBacklogOfALostLeader);
   CPPUNIT_TEST(LoadsTheRegistryInFewInstances);
@@ -1056,6 +1090,16 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), simulation.SubmitAfterCancellation());
   }
 
+  // Guards against journals that grow with each cancellation of an unknown job,
+  // and against the removal of one while its submission may come (UNASKED).
+  void RemovesCancellationsThatNoSubmissionFollows()
+  {
+    CellSimulation simulation(1);
+    const auto [kept, left] = simulation.CountLoneCancellations();
+    CPPUNIT_ASSERT_EQUAL(2 * kDomains, kept);
+    CPPUNIT_ASSERT_EQUAL(0, left);
+  }
+
   // Guards against jobs that no worker can have and that end all loans (LOST).
   void LendsBesideUnplaceableJobs()
   {
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -166,7 +166,7 @@
   const std::int64_t journal = mNextJournalOffset;
   auto stored =
     Append(jobs::FormatRecordKey(jobs::RecordKind::Cancellation, aJobId),
-           "1",
+           jobs::EncodeCancellation(mWallClock.NowMs()),
            aDeadline,
            [&] { return mJobs.StateOf(aJobId) == jobs::JobState::Cancelled; });
   logging::Write(logging::Level::Info,
