--- a/include/skylarkhill/node/cell_queries.hpp
+++ b/include/skylarkhill/node/cell_queries.hpp
@@ -33,7 +33,8 @@
                                         const std::string& aJobId,
                                         base::TimePoint aDeadline) = 0;
   /// The cells that the job has moved to or that have borrowed tasks of it, by
-  /// all records that were stored before the call.
+  /// all records that were stored before the call. NotFound: the cell has
+  /// neither the job nor tasks of it; a former version lists no cells.
   virtual base::Result<std::vector<int>> ListOtherCells(
     int aCell,
     const std::string& aJobId,
--- a/include/skylarkhill/node/job_service.hpp
+++ b/include/skylarkhill/node/job_service.hpp
@@ -101,7 +101,8 @@
   base::Result<JobView> View(const std::string& aJobId,
                              base::TimePoint aDeadline);
   /// Reads the journal like ReadToEnd; the cells that the job has moved to or
-  /// that have borrowed tasks of it.
+  /// that have borrowed tasks of it. NotFound: the journal has neither the job
+  /// nor tasks of it.
   base::Result<std::vector<int>> ListOtherCells(const std::string& aJobId,
                                                 base::TimePoint aDeadline);
   /// Number of jobs of `aQueue` in the state Pending; reads the journal if it
--- a/src/node/job_router.cpp
+++ b/src/node/job_router.cpp
@@ -193,6 +193,14 @@
     // Only then all moves and loans that precede the cancellation are known.
     // The leader adds the cancellation to copies that follow from later ones.
     const auto others = ListCellsOf(aCells, cell, aJobId, aDeadline);
+    if (!others && others.error().mKind == ErrorKind::NotFound) {
+      if (cell != aFirstCell) {
+        // The copy follows the cancellation.
+        continue;
+      }
+      // The job was found in a table that was behind its journal.
+      return CancelUnknown(aCells, aJobId, aDeadline);
+    }
     if (!others) {
       return MakeIncompleteError(aJobId, cell, others.error());
     }
--- a/src/node/job_router_test.cpp
+++ b/src/node/job_router_test.cpp
@@ -113,6 +113,7 @@
   CPPUNIT_TEST(StoresTheCancellationOfAnUnknownJobInAllCells);
   CPPUNIT_TEST(ReportsNoUnknownJobIfACellLacksTheCancellation);
   CPPUNIT_TEST(CancelsAJobThatIsStoredDuringItsCancellation);
+  CPPUNIT_TEST(CancelsAMovedJobThatItsFormerCellHasForgotten);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -269,6 +270,23 @@
     CPPUNIT_ASSERT_EQUAL(1, CountCancellations(2));
   }
 
+  // The job has moved to cell 1, and cell 0 has removed its records since this
+  // instance has read them. Guards against an acknowledgement that rests on an
+  // old table while cell 1 runs the job (UNASKED).
+  void CancelsAMovedJobThatItsFormerCellHasForgotten()
+  {
+    Read(0);
+    StoreMove();
+    const std::string key =
+      jobs::FormatRecordKey(jobs::RecordKind::Submission, kJob);
+    Store(1, key, Job());
+    Store(0, jobs::FormatRecordKey(jobs::RecordKind::Transfer, kJob), "");
+    Store(0, key, "");
+    const auto result = Cancel();
+    CPPUNIT_ASSERT(result || IsNotFound(result));
+    CPPUNIT_ASSERT_EQUAL(1, CountCancellations(1));
+  }
+
 private:
   static constexpr const char* kJob = "job";
 
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -220,7 +220,11 @@
   const std::uint64_t generation = mGeneration;
   BOOST_OUTCOME_TRYV(ReadToEnd(aDeadline));
   auto cells = mJobs.ListOtherCells(aJobId);
+  const auto job = mJobs.Find(aJobId);
   BOOST_OUTCOME_TRYV(CheckGeneration(generation));
+  if (!job || !job->IsKnown()) {
+    return MakeError(ErrorKind::NotFound, "no such job");
+  }
   return cells;
 }
 
