--- a/src/node/follower_random_test.cpp
+++ b/src/node/follower_random_test.cpp
@@ -262,11 +262,18 @@
     jobs::JobRequest mRequest;
     std::optional<base::TimePoint> mAcceptedAt;
     std::optional<base::TimePoint> mCancelledAt;
+    /// When a cancellation was answered with NotFound; the job is cancelled if
+    /// it is accepted later.
+    std::optional<base::TimePoint> mUnknownAt;
     bool mMayBeCancelled = false;
     /// Its records are removed once it is completed.
     bool mIsOld = false;
 
     bool IsService() const { return mRequest.mSteps[0].mIsService; }
+    std::optional<base::TimePoint> AcknowledgedAt() const
+    {
+      return mCancelledAt ? mCancelledAt : mUnknownAt;
+    }
   };
 
   int Draw(int aBound)
@@ -573,6 +580,10 @@
       job->second.mMayBeCancelled =
         job->second.mMayBeCancelled ||
         result.error().mKind == ErrorKind::OutcomeUnknown;
+      if (result.error().mKind == ErrorKind::NotFound &&
+          !job->second.mUnknownAt) {
+        job->second.mUnknownAt = mClock.Now();
+      }
     } else if (!job->second.mCancelledAt) {
       job->second.mCancelledAt = mClock.Now();
     }
@@ -712,7 +723,7 @@
         if (mDoneTasks.count(task) != 0) {
           SetProblem(task + " starts after it was done");
         }
-        const auto cancelledAt = job->second.mCancelledAt;
+        const auto cancelledAt = job->second.AcknowledgedAt();
         if (cancelledAt && !IsDisturbed(aInstance) &&
             mClock.Now() > *cancelledAt + kMaxCancellationDelay) {
           const auto age = std::chrono::duration_cast<milliseconds>(
@@ -790,8 +801,8 @@
     }
     for (const auto& [id, job] : mJobs) {
       const int count = job.mRequest.mSteps[0].mCount;
-      const bool mayBeCancelled = job.mCancelledAt || job.mMayBeCancelled;
-      if (job.mCancelledAt && runs[id] != 0) {
+      const bool mayBeCancelled = job.AcknowledgedAt() || job.mMayBeCancelled;
+      if (job.AcknowledgedAt() && runs[id] != 0) {
         SetProblem(id + " was cancelled and runs");
       }
       if ((job.mAcceptedAt || job.mIsOld) && !mayBeCancelled &&
@@ -843,15 +854,16 @@
                  std::string(base::NameOf(state.error().mKind)));
       return;
     }
-    const bool mayBeCancelled = aJob.mCancelledAt || aJob.mMayBeCancelled;
+    const bool wasCancelled = aJob.AcknowledgedAt().has_value();
+    const bool mayBeCancelled = wasCancelled || aJob.mMayBeCancelled;
     const auto lastState =
       aJob.IsService() ? jobs::JobState::Running : jobs::JobState::Completed;
     const bool isCancelled = state.value() == jobs::JobState::Cancelled;
     const bool isLast = state.value() == lastState;
     // A batch job may be done before its cancellation.
-    const bool mayBeLast = !aJob.mCancelledAt || !aJob.IsService();
+    const bool mayBeLast = !wasCancelled || !aJob.IsService();
     if (!(isCancelled && mayBeCancelled) && !(isLast && mayBeLast)) {
-      SetProblem(aJobId + (aJob.mCancelledAt ? ", cancelled," : "") +
+      SetProblem(aJobId + (wasCancelled ? ", cancelled," : "") +
                  " is shown as " + std::string(jobs::NameOf(state.value())) +
                  " by " + aInstance.mName);
     }
