--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -332,6 +332,9 @@
   std::vector<LogRecord> DeletionsOf(const std::string& aJobId) const;
   /// Adds the interference estimates to the batch.
   void AddModelRecord(base::TimePoint aNow);
+  /// Ids of jobs of which the journal has nothing but a cancellation that no
+  /// submission can follow any more.
+  std::vector<std::string> ListOldCancellations(base::TimePoint aNow);
   void RemoveOldJobs();
 
   const CellOptions mOptions;
@@ -436,6 +439,9 @@
   /// By job id: when this instance first took a final job for old, whose time
   /// of the end is unknown.
   std::map<std::string, base::TimePoint> mUntimedEndsSeenAt;
+  /// Cancellations without a submission whose record tells no time, and when
+  /// this leader first listed them.
+  std::map<std::string, base::TimePoint> mUntimedCancellations;
 };
 
 } // namespace skylarkhill::node
--- a/include/skylarkhill/node/job_service.hpp
+++ b/include/skylarkhill/node/job_service.hpp
@@ -78,7 +78,8 @@
                             const std::string& aJobId,
                             jobs::JobRequest aRequest,
                             base::TimePoint aDeadline);
-  /// Cancels a job. NotFound: no such job; other errors as for Submit.
+  /// Cancels a job. NotFound: the cancellation is stored, but the journal has
+  /// no such job; other errors as for Submit.
   base::Result<void> Cancel(const std::string& aJobId,
                             base::TimePoint aDeadline);
   /// Like Cancel, for a job that is known to be in the journal.
@@ -100,7 +101,8 @@
   base::Result<JobView> View(const std::string& aJobId,
                              base::TimePoint aDeadline);
   /// Reads the journal like ReadToEnd; the cells that the job has moved to or
-  /// that have borrowed tasks of it.
+  /// that have borrowed tasks of it. NotFound: the journal has neither the job
+  /// nor tasks of it.
   base::Result<std::vector<int>> ListOtherCells(const std::string& aJobId,
                                                 base::TimePoint aDeadline);
   /// Number of jobs of `aQueue` in the state Pending; reads the journal if it
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -27,6 +27,7 @@
       break;
     case RecordKind::Cancellation:
       aJob.mIsCancelled = false;
+      aJob.mCancelledMs = 0;
       break;
     case RecordKind::Progress:
       aJob.mProgress = {};
@@ -78,6 +79,12 @@
   return mBorrowed.empty() ? nullptr : &mBorrowed.begin()->second.mSubmission;
 }
 
+bool
+JobEntry::IsKnown() const
+{
+  return KnownSubmission() != nullptr || mTransfer || !mLoans.empty();
+}
+
 void
 JobTable::Apply(std::string_view aKey,
                 std::string_view aValue,
@@ -115,6 +122,8 @@
       JobEntry* job = Touch(shard, *key, aOffset);
       if (job != nullptr) {
         job->mIsCancelled = true;
+        job->mCancelledMs =
+          std::max(job->mCancelledMs, DecodeCancellationMs(aValue));
       }
       break;
     }
@@ -517,6 +526,21 @@
   return ids;
 }
 
+std::vector<std::pair<std::string, std::int64_t>>
+JobTable::ListLoneCancellations() const
+{
+  std::vector<std::pair<std::string, std::int64_t>> cancellations;
+  for (const Shard& shard : mShards) {
+    const std::lock_guard lock(shard.mLock);
+    for (const auto& [id, job] : shard.mJobs) {
+      if (job.mIsCancelled && !job.IsKnown()) {
+        cancellations.emplace_back(id, job.mCancelledMs);
+      }
+    }
+  }
+  return cancellations;
+}
+
 std::size_t
 JobTable::Size() const
 {
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -138,15 +138,16 @@
 base::Result<void>
 JobService::Cancel(const std::string& aJobId, TimePoint aDeadline)
 {
-  const std::uint64_t generation = mGeneration;
   if (!mJobs.Contains(aJobId)) {
     BOOST_OUTCOME_TRYV(CatchUp(aDeadline));
-    if (!mJobs.Contains(aJobId)) {
-      BOOST_OUTCOME_TRYV(CheckGeneration(generation));
-      return MakeError(ErrorKind::NotFound, "no such job");
-    }
   }
-  return CancelKnown(aJobId, aDeadline);
+  // The submission may be under way at another instance, or be carried out late
+  // by the log.
+  BOOST_OUTCOME_TRYV(CancelKnown(aJobId, aDeadline));
+  if (!mJobs.Contains(aJobId)) {
+    return MakeError(ErrorKind::NotFound, "no such job");
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 base::Result<void>
@@ -165,7 +166,7 @@
   const std::int64_t journal = mNextJournalOffset;
   auto stored =
     Append(jobs::FormatRecordKey(jobs::RecordKind::Cancellation, aJobId),
-           "1",
+           jobs::EncodeCancellation(mWallClock.NowMs()),
            aDeadline,
            [&] { return mJobs.StateOf(aJobId) == jobs::JobState::Cancelled; });
   logging::Write(logging::Level::Info,
@@ -219,7 +220,11 @@
   const std::uint64_t generation = mGeneration;
   BOOST_OUTCOME_TRYV(ReadToEnd(aDeadline));
   auto cells = mJobs.ListOtherCells(aJobId);
+  const auto job = mJobs.Find(aJobId);
   BOOST_OUTCOME_TRYV(CheckGeneration(generation));
+  if (!job || !job->IsKnown()) {
+    return MakeError(ErrorKind::NotFound, "no such job");
+  }
   return cells;
 }
 
