--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -778,7 +778,7 @@
         }
       }
     }
-    UpdateMissingReports(isFullTick, aNow);
+    UpdateMissingReports(isFullTick);
     if (isFullTick) {
       CheckWorkers(aNow);
       mConfirmationNeededAt = FindNeededConfirmation();
@@ -1609,7 +1609,7 @@
   }
 
   /// `aChecksLeases` is false in ticks that may be frequent.
-  void UpdateMissingReports(bool aChecksLeases, TimePoint aNow)
+  void UpdateMissingReports(bool aChecksLeases)
   {
     // No run outlives the leases of earlier leaders, but a reachable worker may
     // still have the end of a run to report.
