Starts without an answer are stopped in later incarnations (TWICE)

Cause: the number of copies of a start without an answer was kept in the run and removed with it. ResetIncarnation looks only at runs that are left, and an answer that comes after the end of the run was ignored.

The next incarnation of the worker gets a stop for each, within the budget of stops, until it accepts; so does any later one, and a worker that was dropped and returns. Late answers lower the number of copies. A reported run that is adopted takes its copies back. The stand-in site can hand a late start to the incarnation that lives then.

ForgetsAStartThatIsAnsweredAfterItsRun guards the new interface.

Remains: a copy that is carried out between the restart and the stop.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "job_state.hpp"
+#include "open_starts.hpp"
 #include "pacing.hpp"
 #include "placement.hpp"
 #include "placement_index.hpp"
@@ -55,6 +56,9 @@
 constexpr Duration kMaxStopTime = std::chrono::milliseconds(2000);
 /// Number of unanswered starts after which the run is stopped.
 constexpr int kMaxStartCalls = 4;
+/// A start without an answer is not carried out later than this after it was
+/// sent.
+constexpr Duration kMaxLateStart = std::chrono::seconds(60);
 constexpr Duration kNoRoomPause = std::chrono::milliseconds(300);
 constexpr Duration kUnhealthyPause = std::chrono::milliseconds(1500);
 
@@ -166,6 +170,9 @@
     , mMissingEndedRuns(aMetrics.GetCounter(
         "skylarkhill_ended_runs_missing_total",
         "Ended runs that workers have forgotten before the leader read them."))
+    , mDroppedOpenStarts(aMetrics.GetCounter(
+        "skylarkhill_open_starts_dropped_total",
+        "Removed runs whose unanswered starts were forgotten too early."))
     , mStalledRuns(
         aMetrics.GetCounter("skylarkhill_runs_stalled_total",
                             "Runs taken for stuck and started elsewhere."))
@@ -491,6 +498,9 @@
         std::max(worker.mLeaseEndsAt, aNow + MaxLeaseDuration());
       mIsPlacementDue = true;
     }
+    if (worker.mIncarnationStartMs != aReport.mIncarnationStartMs) {
+      mWorkersWithOpenStarts.insert(aWorkerId);
+    }
     worker.mHasReported = true;
     worker.mIncarnationStartMs = aReport.mIncarnationStartMs;
     worker.mClockMs = aReport.mClockMs;
@@ -561,6 +571,10 @@
       OnFenced(aCall.mWorkerId);
     }
     if (run == nullptr) {
+      const int answered = aResult.mOutcome != StartOutcome::Unknown ? 1 : 0;
+      const int resent = aResult.mIsPossiblyResent ? 1 : 0;
+      mOpenStarts.ChangeCopies(
+        aCall.mWorkerId, aCall.mTask, aCall.mRunNumber, resent - answered);
       return;
     }
     run->mIsCallInFlight = false;
@@ -598,34 +612,33 @@
         break;
       case StartOutcome::NoRoom:
         worker.mNoStartsUntil = aNow + kNoRoomPause;
-        DropRefusedRun(*run);
+        DropRefusedRun(*run, aNow);
         break;
       case StartOutcome::TicketInvalid:
         ForgetAdvice(*run->mTask->mStep, aCall, aNow);
-        DropRefusedRun(*run);
+        DropRefusedRun(*run, aNow);
         break;
       case StartOutcome::TooLate:
       case StartOutcome::DeadlinePassed:
-        DropRefusedRun(*run);
+        DropRefusedRun(*run, aNow);
         break;
       case StartOutcome::OtherWorker:
-        // The worker has left, and its runs with it. No copy of the start can
-        // reach it any more.
+        // The worker has left, and its runs with it.
         worker.mNoStartsUntil = aNow + kNoRoomPause;
         run->mTask->mAvoidedWorkerId = aCall.mWorkerId;
-        RemoveRun(*run);
+        RemoveRun(*run, aNow);
         break;
       case StartOutcome::OtherIncarnation:
         // The next report tells of the new incarnation.
         worker.mNoStartsUntil = aNow + kNoRoomPause;
-        DropRefusedRun(*run);
+        DropRefusedRun(*run, aNow);
         break;
       case StartOutcome::NotSent:
       case StartOutcome::Unhealthy:
       case StartOutcome::Rejected:
         worker.mNoStartsUntil = aNow + kUnhealthyPause;
         ChangeFailureScore(worker, 0.5, aNow);
-        DropRefusedRun(*run);
+        DropRefusedRun(*run, aNow);
         break;
       case StartOutcome::Unknown:
       case StartOutcome::Fenced:
@@ -651,6 +664,7 @@
                        { "outcome", NameOf(aOutcome) },
                        { "known", run != nullptr ? "yes" : "no" } });
     }
+    OnOpenStartStopped(aCall, aOutcome, aNow);
     if (run == nullptr) {
       return;
     }
@@ -768,6 +782,7 @@
       mPlacementIndex.ForgetFailures();
       BeginOccurrences();
       RemoveEndedJobs();
+      mOpenStarts.RemoveExpired(aNow);
       if (aNow >= mNextSummaryAt) {
         mNextSummaryAt = aNow + kSummaryInterval;
         LogDispatchSummary(mJobs.size(), mReadySteps, mWorkers);
@@ -797,6 +812,7 @@
       CheckRuns(aNow);
     }
     SendStops(aNow);
+    SendStopsOfOpenStarts(aNow);
     SendPolls(aNow);
     SendRunCalls(aNow);
     // A run is placed only when its start can be sent, so that the choice of
@@ -1121,8 +1137,35 @@
     return run;
   }
 
-  void RemoveRun(RunState& aRun)
+  /// Keeps what is known of copies of the start without an answer: the next
+  /// incarnations of the worker would carry them out.
+  void KeepOpenStarts(const RunState& aRun, TimePoint aNow)
+  {
+    const TimePoint openUntil = aRun.mStartSentAt + kMaxLateStart;
+    if (aRun.mOpenStarts == 0 || openUntil <= aNow) {
+      return;
+    }
+    OpenStart start;
+    start.mWorkerId = aRun.mWorker->mEntry.mId;
+    start.mTask = IdOf(*aRun.mTask);
+    start.mRunNumber = aRun.mNumber;
+    start.mCopies = aRun.mOpenStarts;
+    start.mOpenUntil = openUntil;
+    start.mRefusedBy = aRun.mWorker->mIncarnationStartMs;
+    const std::size_t dropped = mOpenStarts.Add(std::move(start));
+    if (dropped > 0) {
+      mDroppedOpenStarts.Add(static_cast<std::int64_t>(dropped));
+      logging::Write(
+        logging::Level::Warning,
+        "open_starts_dropped",
+        { { "runs", static_cast<std::int64_t>(dropped) },
+          { "limit", static_cast<std::int64_t>(OpenStarts::kMaxCount) } });
+    }
+  }
+
+  void RemoveRun(RunState& aRun, TimePoint aNow)
   {
+    KeepOpenStarts(aRun, aNow);
     TaskState& task = *aRun.mTask;
     WorkerState& worker = *aRun.mWorker;
     const jobs::Step& step = *task.mStep->mSpec;
@@ -1160,7 +1203,7 @@
   /// Removes a run whose last start was refused or not sent, or stops it if
   /// another copy of the start may still take effect. Keeps a run that the
   /// worker has.
-  void DropRefusedRun(RunState& aRun)
+  void DropRefusedRun(RunState& aRun, TimePoint aNow)
   {
     if (aRun.mIsConfirmed) {
       // An earlier start took effect; reports tell how the run ends.
@@ -1171,7 +1214,7 @@
       StopRun(aRun);
       return;
     }
-    RemoveRun(aRun);
+    RemoveRun(aRun, aNow);
   }
 
   void StopRun(RunState& aRun)
@@ -1199,7 +1242,7 @@
     if (!aRun.mIsStopping) {
       task.mAvoidedWorkerId = aRun.mWorker->mEntry.mId;
     }
-    RemoveRun(aRun);
+    RemoveRun(aRun, aNow);
   }
 
   void DropAllLostRuns(WorkerState& aWorker,
@@ -1332,7 +1375,7 @@
       FindRun(aEndedRun.mTask, aEndedRun.mRunNumber, aWorker.mEntry.mId);
     const bool wasStopping = run != nullptr && run->mIsStopping;
     if (run != nullptr) {
-      RemoveRun(*run);
+      RemoveRun(*run, aNow);
     }
     task->mLastRun = std::max(task->mLastRun, aEndedRun.mRunNumber);
     task->mHasEndedRun = true;
@@ -1536,6 +1579,7 @@
     const bool isDuplicate = HasLiveRun(*aTask);
     RunState& run = AddRun(*aTask, aWorker, aRun.mRunNumber, aNow);
     run.mStartCalls = 1;
+    TakeOpenStarts(run);
     if (run.mTask->mStep->mSpec->mIsBackfill) {
       run.mTargetPace = EstimatePace(run, aRun);
       run.mPace = run.mTargetPace == kFullPace ? kUnknownPace : run.mTargetPace;
@@ -1547,6 +1591,17 @@
     return &run;
   }
 
+  /// Counts the copies that were kept when the run was removed.
+  void TakeOpenStarts(RunState& aRun)
+  {
+    const auto kept = mOpenStarts.Take(
+      aRun.mWorker->mEntry.mId, IdOf(*aRun.mTask), aRun.mNumber);
+    if (kept) {
+      aRun.mOpenStarts = kept->mCopies;
+      aRun.mStartSentAt = kept->mOpenUntil - kMaxLateStart;
+    }
+  }
+
   /// Estimates the pace that an earlier leader has set from the processor use.
   /// Resetting all runs to full pace would violate the targets of colocated
   /// services.
@@ -2117,7 +2172,7 @@
         // This frees nothing that was in use before the round.
         const bool wasPlacementDue = mIsPlacementDue;
         for (RunState* run : placed) {
-          RemoveRun(*run);
+          RemoveRun(*run, aNow);
         }
         mIsPlacementDue = wasPlacementDue;
         return false;
@@ -2197,6 +2252,64 @@
     }
   }
 
+  /// Sends stops for removed runs whose starts the present incarnation of a
+  /// worker would carry out.
+  void SendStopsOfOpenStarts(TimePoint aNow)
+  {
+    for (auto it = mWorkersWithOpenStarts.begin();
+         it != mWorkersWithOpenStarts.end();) {
+      const auto found = mWorkers.find(*it);
+      // The next report of a worker that has been dropped or taken over
+      // inserts it again.
+      const bool isPolled =
+        found != mWorkers.end() && !found->second->mIsTakenOver;
+      if (isPolled && found->second->mFailedPolls > 0) {
+        ++it;
+        continue;
+      }
+      bool isDone = true;
+      if (isPolled) {
+        for (OpenStart* start : mOpenStarts.ListOf(*it)) {
+          if (start->mRefusedBy == found->second->mIncarnationStartMs ||
+              start->mOpenUntil <= aNow) {
+            continue;
+          }
+          isDone = false;
+          if (start->mIsStopInFlight || start->mNextStopAt > aNow) {
+            continue;
+          }
+          if (--mBudget.mStops < 0) {
+            RequestTick(aNow);
+            return;
+          }
+          start->mIsStopInFlight = true;
+          SendStop(*found->second, start->mTask, start->mRunNumber);
+        }
+      }
+      it = isDone ? mWorkersWithOpenStarts.erase(it) : std::next(it);
+    }
+  }
+
+  void OnOpenStartStopped(const StopCall& aCall,
+                          CallOutcome aOutcome,
+                          TimePoint aNow)
+  {
+    OpenStart* start =
+      mOpenStarts.Find(aCall.mWorkerId, aCall.mTask, aCall.mRunNumber);
+    if (start == nullptr) {
+      return;
+    }
+    start->mIsStopInFlight = false;
+    if (aOutcome == CallOutcome::Accepted) {
+      // A later incarnation than this one gets a stop of its own.
+      start->mRefusedBy = aCall.mIncarnationStartMs;
+      start->mNextStopAt = aNow;
+    } else {
+      start->mNextStopAt = aNow + kResendPause;
+    }
+    RequestTick(aNow);
+  }
+
   void SendRunStop(RunState& aRun, TimePoint aNow)
   {
     aRun.mIsCallInFlight = true;
@@ -2336,6 +2449,7 @@
     aRun.mIsCallInFlight = true;
     ++aRun.mStartCalls;
     ++aRun.mOpenStarts;
+    aRun.mStartSentAt = aNow;
     mStarts.Add();
     ++mWork.mStarts;
     const TaskState& task = *aRun.mTask;
@@ -2393,6 +2507,7 @@
   metrics::Counter& mLostRuns;
   metrics::Counter& mOverdueStops;
   metrics::Counter& mMissingEndedRuns;
+  metrics::Counter& mDroppedOpenStarts;
   metrics::Counter& mStalledRuns;
   metrics::Counter& mCandidates;
   metrics::Counter& mPollCandidates;
@@ -2408,6 +2523,9 @@
   std::vector<StepState*> mReadySteps;
   /// Runs that are unconfirmed, or that need a stop or pace call.
   std::set<RunState*> mRunsToCall;
+  OpenStarts mOpenStarts;
+  /// Workers that have to stop runs of mOpenStarts.
+  std::set<std::string> mWorkersWithOpenStarts;
   std::vector<std::string> mDirty;
   /// Ids of jobs whose start record goes into the next batch.
   std::vector<std::string> mRequestedStartRecords;
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -633,6 +633,10 @@
   CPPUNIT_TEST(GivesUpAStartWithoutAnAnswerInTime);
   CPPUNIT_TEST(RestartsTasksAtOnceAfterAWorkerRestart);
   CPPUNIT_TEST(CountsTheLongestLeaseOfARestartedWorker);
+  CPPUNIT_TEST(StopsAStartThatOutlivesItsRunInTheNextIncarnation);
+  CPPUNIT_TEST(StopsAStartThatOutlivesItsRunInAFurtherIncarnation);
+  CPPUNIT_TEST(StopsAStartThatOutlivesItsRunOnAWorkerThatWasDropped);
+  CPPUNIT_TEST(ForgetsAStartThatIsAnsweredAfterItsRun);
   CPPUNIT_TEST(WaitsForWorkersThatHaveNotAnsweredANewLeader);
   CPPUNIT_TEST(KeepsAnAdoptedRunForAFullLease);
   CPPUNIT_TEST(KeepsRunsWhileLeadershipIsUnconfirmed);
@@ -1350,6 +1354,68 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.Worker("w2").mRuns.size());
   }
 
+  // The first start of a task gets no answer, the repeated one is carried out,
+  // and the run ends done. The worker restarts and then gets the first start.
+  // Guards against a second run of a task that is done (TWICE).
+  void StopsAStartThatOutlivesItsRunInTheNextIncarnation()
+  {
+    FakeSite site;
+    auto& leader = RunWithALateStart(site);
+    site.Worker("w1").Restart(-milliseconds(20000));
+    site.Advance(milliseconds(10000));
+    CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
+    CPPUNIT_ASSERT(site.mDoubleRuns.empty());
+    CPPUNIT_ASSERT(!leader.GetDispatcher().HasJob("a"));
+  }
+
+  // As above, but the worker restarts once more. Guards against a stop that
+  // only the first of the next incarnations gets (TWICE).
+  void StopsAStartThatOutlivesItsRunInAFurtherIncarnation()
+  {
+    FakeSite site;
+    RunWithALateStart(site);
+    for (int n = 0; n < 2; ++n) {
+      site.Worker("w1").Restart(-milliseconds(20000));
+      site.Advance(milliseconds(1000));
+    }
+    site.Advance(milliseconds(10000));
+    CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
+    CPPUNIT_ASSERT(site.mDoubleRuns.empty());
+  }
+
+  // As above, but the worker is silent until it has been removed, and returns.
+  // Guards against a start that is forgotten with its worker (TWICE).
+  void StopsAStartThatOutlivesItsRunOnAWorkerThatWasDropped()
+  {
+    FakeSite site;
+    auto& leader = RunWithALateStart(site, milliseconds(20000));
+    leader.mUnreachableWorkers.insert("w1");
+    leader.GetDispatcher().OnWorkerUnregistered("w1", site.Now());
+    site.Advance(milliseconds(9000));
+    CPPUNIT_ASSERT(!leader.GetDispatcher().HasWorker("w1"));
+    site.Worker("w1").Restart(-milliseconds(20000));
+    leader.mUnreachableWorkers.clear();
+    leader.GetDispatcher().SetWorker(site.Worker("w1").Entry(), site.Now());
+    site.Advance(milliseconds(20000));
+    CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
+    CPPUNIT_ASSERT(site.mDoubleRuns.empty());
+  }
+
+  // The answer to a start comes after the end of its run. Guards against stops
+  // of starts that cannot be carried out any more.
+  void ForgetsAStartThatIsAnsweredAfterItsRun()
+  {
+    FakeSite site;
+    auto& leader = RunWithALateStart(site);
+    const StartCall start = leader.mStarts.front();
+    leader.GetDispatcher().OnStartResult(
+      start, { StartOutcome::OldRun }, site.Now());
+    const std::int64_t stops = CountStops(leader);
+    site.Worker("w1").Restart();
+    site.Advance(milliseconds(2000));
+    CPPUNIT_ASSERT_EQUAL(stops, CountStops(leader));
+  }
+
   // After a long outage of the log, a new leader takes over when all earlier
   // leases have ended. A task whose success a worker has yet to report must not
   // run again.
@@ -2348,6 +2414,33 @@
     return text != nullptr ? std::atoi(text) : kSeeds;
   }
 
+  static std::int64_t CountStops(FakeSite::Leader& aLeader)
+  {
+    return aLeader.GetMetrics()
+      .GetCounter("skylarkhill_stops_total", "")
+      .Value();
+  }
+
+  /// Runs a job of one task, of which the first start gets no answer and is
+  /// carried out after `aDelay` by the incarnation that lives then.
+  static FakeSite::Leader& RunWithALateStart(
+    FakeSite& aSite,
+    milliseconds aDelay = milliseconds(8000))
+  {
+    aSite.AddWorker("w1");
+    auto& leader = aSite.AddLeader(1);
+    leader.mDoLateStartsOutliveWorkers = true;
+    leader.mStartDelay = [&leader, aDelay](const StartCall&) -> base::Duration {
+      return leader.mStarts.size() == 1 ? aDelay : milliseconds(0);
+    };
+    aSite.Advance(milliseconds(1000));
+    leader.GetDispatcher().AddJob(MakeJob("a", { 1 }), false, aSite.Now());
+    aSite.Advance(milliseconds(4000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, leader.mStarts.size());
+    CPPUNIT_ASSERT(leader.mStored.at("a").mState == jobs::JobState::Completed);
+    return leader;
+  }
+
   static void RunMisdirectedStarts(std::uint64_t aSeed)
   {
     constexpr int kWorkers = 8;
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -306,7 +306,8 @@
   mLateStarts.clear();
   for (auto& it : starts) {
     const auto& worker = mSite.Worker(it.mCall.mWorkerId);
-    if (it.mIncarnationStartMs != worker.mIncarnationStartMs) {
+    if (!mDoLateStartsOutliveWorkers &&
+        it.mIncarnationStartMs != worker.mIncarnationStartMs) {
       // The worker held the call and has lost it.
       continue;
     }
--- a/src/dispatch/fake_site_test.hpp
+++ b/src/dispatch/fake_site_test.hpp
@@ -88,6 +88,8 @@
     /// Decides how long after its call a start is carried out; it is then not
     /// answered. At once and with an answer if unset or zero.
     std::function<base::Duration(const StartCall&)> mStartDelay;
+    /// If true, a late start reaches the incarnation that lives at its time.
+    bool mDoLateStartsOutliveWorkers = false;
     /// Decides whether a start that is bound to a former incarnation is carried
     /// out by the present one. It is refused if unset.
     std::function<bool(const StartCall&)> mIsMisdirected;
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -50,6 +50,8 @@
   /// Copies of the start that were sent and have no answer. A worker that
   /// restarts may still carry them out, even if it had the run before.
   int mOpenStarts = 0;
+  /// When the last start call was sent.
+  base::TimePoint mStartSentAt;
   base::TimePoint mNextCallAt;
   int mProgressPercent = 0;
   base::TimePoint mProgressAt;
