--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -60,6 +60,7 @@
   base::Duration mMaxCancellationDelay = std::chrono::milliseconds(3000);
   base::Duration mMaxDrainDelay = std::chrono::milliseconds(2000);
   base::Duration mFinalJobRetention = std::chrono::seconds(120);
+  base::Duration mMaxCountAge = std::chrono::milliseconds(4000);
 };
 
 /// What the cells of an instance share.
--- a/include/skylarkhill/node/job_service.hpp
+++ b/include/skylarkhill/node/job_service.hpp
@@ -69,6 +69,12 @@
     mMaxStateAgeMicros =
       std::chrono::duration_cast<std::chrono::microseconds>(aAge).count();
   }
+  /// Maximum age of the journal for a count of pending jobs.
+  void SetMaxCountAge(base::Duration aAge)
+  {
+    mMaxCountAgeMicros =
+      std::chrono::duration_cast<std::chrono::microseconds>(aAge).count();
+  }
   const jobs::JobTable& Jobs() const { return mJobs; }
 
   /// Appends a job to the journal; succeeds if it is already there.
@@ -144,6 +150,7 @@
   std::atomic<bool> mIsFollowed{ true };
   std::atomic<std::uint64_t> mGeneration{ 0 };
   std::atomic<std::int64_t> mMaxStateAgeMicros{ 100'000 };
+  std::atomic<std::int64_t> mMaxCountAgeMicros{ 4'000'000 };
   /// Until then, mJobs is recent enough to be counted.
   std::atomic<std::int64_t> mCountableUntil{ 0 };
   /// Until then, the states in mJobs are recent enough to be shown.
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -68,6 +68,8 @@
   base::Duration mMaxDrainDelay = std::chrono::milliseconds(2000);
   /// How long callers may ask for the state of a job after its end.
   base::Duration mFinalJobRetention = std::chrono::seconds(120);
+  /// Maximum age of the journal for a count of pending jobs.
+  base::Duration mMaxCountAge = std::chrono::milliseconds(4000);
 };
 
 /// The part of an entry instance that follows the log and dispatches the tasks
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -194,6 +194,7 @@
   const std::uint64_t seed = base::StableHash(mOptions.mInstanceId);
   mJournalReader.SetRetrySeed(seed);
   mLeadership.SetRetrySeed(seed);
+  mJobService.SetMaxCountAge(mOptions.mMaxCountAge);
   SetBudget(PlanLogCalls({}, { 1, mOptions.mCellCount }));
 }
 
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -28,9 +28,6 @@
 constexpr base::Duration kReadTimeout = std::chrono::milliseconds(800);
 /// Callers' requests fail fast for this time after a failed call to the log.
 constexpr base::Duration kUnreachablePeriod = std::chrono::milliseconds(700);
-/// Maximum age of the journal for a count of pending jobs. A count must include
-/// at least half of the jobs that were accepted five seconds before.
-constexpr base::Duration kMaxCountAge = std::chrono::milliseconds(4000);
 
 } // namespace
 
@@ -381,7 +378,7 @@
       mJobs.Apply(it.mKey, it.mValue, it.mOffset);
     }
     if (isAtEnd) {
-      mCountableUntil = base::ToMicros(now + kMaxCountAge);
+      mCountableUntil = base::ToMicros(now) + mMaxCountAgeMicros;
       mFreshUntil = base::ToMicros(now) + mMaxStateAgeMicros;
       return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -212,6 +212,7 @@
     options.mMaxCancellationDelay = mOptions.mMaxCancellationDelay;
     options.mMaxDrainDelay = mOptions.mMaxDrainDelay;
     options.mFinalJobRetention = mOptions.mFinalJobRetention;
+    options.mMaxCountAge = mOptions.mMaxCountAge;
     mCells.push_back(std::make_unique<Cell>(
       std::move(options), services, mWorkerClients.ClientOf(cell)));
     jobServices.push_back(&mCells.back()->GetJobService());
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -82,6 +82,7 @@
   CPPUNIT_TEST(FindsAJobBeyondTheFirstPartOfTheJournal);
   CPPUNIT_TEST(RefusesACountBeforeTheJournalIsLoaded);
   CPPUNIT_TEST(RefusesACountFromAnOutdatedJournal);
+  CPPUNIT_TEST(CountsRecentJobsOnASiteThatShowsThemSooner);
   CPPUNIT_TEST(CountsWithoutAReadIfTheJournalIsRecent);
   CPPUNIT_TEST_SUITE_END();
 
@@ -574,6 +575,18 @@
     AssertCount(2);
   }
 
+  // Guards against a count that misses most jobs on a site with a lower bound
+  // for the time until a job is counted.
+  void CountsRecentJobsOnASiteThatShowsThemSooner()
+  {
+    mJobService.SetMaxCountAge(milliseconds(2500));
+    StoreSubmission("a");
+    AssertCount(1);
+    StoreSubmission("b");
+    mClock.Advance(milliseconds(2500));
+    AssertCount(2);
+  }
+
   // Guards against a read of the log for each count.
   void CountsWithoutAReadIfTheJournalIsRecent()
   {
