--- a/src/dispatch/colocation_model.cpp
+++ b/src/dispatch/colocation_model.cpp
@@ -210,11 +210,13 @@
 }
 
 Saturation
-ColocationModel::TotalInterference(const RunState& aService) const
+ColocationModel::TotalInterference(const RunState& aService,
+                                   bool aCountsPacedStarts) const
 {
   Saturation interference = 0.0;
   for (const RunState* it : aService.mWorker->mRuns) {
-    if (it->mTask->mStep->mSpec->mIsBackfill && !it->mIsStopping) {
+    if (it->mTask->mStep->mSpec->mIsBackfill && !it->mIsStopping &&
+        (aCountsPacedStarts || !it->mIsPacedFromStart)) {
       interference +=
         InterferenceBetween(aService, *it) * it->mTargetPace / kPercent;
     }
--- a/src/dispatch/colocation_model.hpp
+++ b/src/dispatch/colocation_model.hpp
@@ -54,8 +54,10 @@
                                  const RunState& aBackfill) const;
 
   /// Returns the expected interference of all backfill on the worker of
-  /// `aService` at the target paces, including runs not reported yet.
-  Saturation TotalInterference(const RunState& aService) const;
+  /// `aService` at the target paces, including runs not reported yet. Leaves
+  /// out RunState::mIsPacedFromStart unless `aCountsPacedStarts`.
+  Saturation TotalInterference(const RunState& aService,
+                               bool aCountsPacedStarts) const;
 
   /// Serialised estimates.
   struct Record
--- a/src/dispatch/colocation_test.cpp
+++ b/src/dispatch/colocation_test.cpp
@@ -97,6 +97,15 @@
     return index.Choose(aTask, mModel, mNow);
   }
 
+  PlacementIndex::PacedChoice ChoosePaced(const TaskState& aTask) const
+  {
+    PlacementIndex index;
+    for (const auto& it : mWorkers) {
+      index.Update(*it.second);
+    }
+    return index.ChoosePaced(aTask, mModel, mNow);
+  }
+
   base::TimePoint mNow = base::FromMicros(100'000'000);
   ColocationModel mModel;
   WorkerMap mWorkers;
@@ -146,6 +155,9 @@
   CPPUNIT_TEST(ExportsAndImportsEstimates);
   CPPUNIT_TEST(ExportsTheLatestPairsThatFit);
   CPPUNIT_TEST(AppliesAStricterTailLimitToNonUrgentTasks);
+  CPPUNIT_TEST(StartsBackfillBelowFullPaceWithinTheTailLimit);
+  CPPUNIT_TEST(StartsOneRunBelowFullPaceAtATime);
+  CPPUNIT_TEST(StartsBelowFullPaceYieldToOtherBackfill);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -449,6 +461,79 @@
     CPPUNIT_ASSERT(placedWithTime < placedUrgently);
   }
 
+  // Otherwise overdue backfill brings services above their targets, or holds
+  // memory without any progress.
+  void StartsBackfillBelowFullPaceWithinTheTailLimit()
+  {
+    TrainModel();
+    int paced = 0;
+    int refused = 0;
+    for (int tail = 30; tail < 80; ++tail) {
+      mFixture->mWorkers.clear();
+      WorkerState& worker = mFixture->AddWorker("w");
+      RunState& service = mFixture->Run(
+        mFixture->AddTask(ServiceStep(), mSensitive), worker, tail);
+      service.mTask->mStep->mBaseline = SaturationOf(tail / 100.0);
+      TaskState& task = mFixture->AddTask(BackfillStep(), mInterfering);
+      if (mFixture->Choose(task) != nullptr) {
+        continue;
+      }
+      const auto choice = mFixture->ChoosePaced(task);
+      if (choice.mWorker == nullptr) {
+        ++refused;
+        continue;
+      }
+      ++paced;
+      CPPUNIT_ASSERT(choice.mPace >= 10 && choice.mPace < 100);
+      CPPUNIT_ASSERT(
+        BaselineOf(service) +
+          mFixture->mModel.CautiousInterference(mSensitive, mInterfering, 0.1) *
+            choice.mPace / 100.0 <=
+        SaturationOf(0.7));
+    }
+    CPPUNIT_ASSERT(paced > 0);
+    CPPUNIT_ASSERT(refused > 0);
+  }
+
+  // Otherwise the runs on one worker get too little to end.
+  void StartsOneRunBelowFullPaceAtATime()
+  {
+    TrainModel();
+    WorkerState& worker = mFixture->AddWorker("w");
+    RunState& service =
+      mFixture->Run(mFixture->AddTask(ServiceStep(), mTolerant), worker, 45);
+    service.mTask->mStep->mBaseline = SaturationOf(0.45);
+    TaskState& first = mFixture->AddTask(BackfillStep(), mInterfering);
+    TaskState& second = mFixture->AddTask(BackfillStep(), mInterfering);
+    CPPUNIT_ASSERT_EQUAL(&worker, mFixture->ChoosePaced(first).mWorker);
+    RunState& run = mFixture->Run(first, worker, -1);
+    run.mTargetPace = 50;
+    run.mIsPacedFromStart = true;
+    CPPUNIT_ASSERT(mFixture->ChoosePaced(second).mWorker == nullptr);
+    run.mTargetPace = 100;
+    CPPUNIT_ASSERT_EQUAL(&worker, mFixture->ChoosePaced(second).mWorker);
+  }
+
+  // Otherwise overdue work takes the place of jobs that can be in time.
+  void StartsBelowFullPaceYieldToOtherBackfill()
+  {
+    TrainModel();
+    WorkerState& worker = mFixture->AddWorker("w");
+    RunState& service =
+      mFixture->Run(mFixture->AddTask(ServiceStep(), mSensitive), worker, 45);
+    service.mTask->mStep->mBaseline = 0.3;
+    RunState& paced = mFixture->Run(
+      mFixture->AddTask(BackfillStep(), mInterfering), worker, 1600);
+    paced.mIsPacedFromStart = true;
+    TaskState& task = mFixture->AddTask(BackfillStep(), mInterfering);
+    CPPUNIT_ASSERT_EQUAL(&worker, mFixture->Choose(task));
+    RunState& run = mFixture->Run(task, worker, 1600);
+    AdjustPace(
+      worker, mFixture->mModel, std::chrono::seconds(4), mFixture->mNow);
+    CPPUNIT_ASSERT_EQUAL(100, run.mTargetPace);
+    CPPUNIT_ASSERT(paced.mTargetPace < 100);
+  }
+
 private:
   /// Returns the tail latency in ms of a service task at `aSaturation`.
   static std::int64_t TailAt(Saturation aSaturation)
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -72,6 +72,9 @@
 /// if it saves its progress or has completed less than kMaxRestartPercent.
 constexpr Duration kThrottledGrace = std::chrono::milliseconds(700);
 constexpr int kMaxRestartPercent = 15;
+/// A backfill step that has found no worker for longer may start tasks below
+/// full pace.
+constexpr Duration kMaxBackfillWait = std::chrono::milliseconds(2000);
 constexpr int kUnknownPace = -1;
 constexpr int kFullPace = 100;
 /// Above this estimate a run is taken to be at full pace, because the reported
@@ -88,6 +91,9 @@
 /// Completion has no value after this multiple of the objective.
 constexpr double kZeroValueFactor = 3.0;
 
+/// Highest lateness, see LatenessOf.
+constexpr int kNoValue = 2;
+
 /// Pause between two summary lines in the log.
 constexpr Duration kSummaryInterval = std::chrono::seconds(2);
 
@@ -589,6 +595,9 @@
       case StartOutcome::Started:
         ConfirmRun(*run, aNow);
         run->mNextCallAt = aNow;
+        if (run->mPace != run->mTargetPace) {
+          RequestTick(aNow);
+        }
         break;
       case StartOutcome::OldRun:
         // The worker reports the end of the run, or the run never starts.
@@ -796,6 +805,9 @@
     // A run is placed only when its start can be sent, so that the choice of
     // the worker is never outdated.
     if (mMayStart) {
+      if (isFullTick) {
+        PlaceOverdue(aNow);
+      }
       PlaceAll(aNow);
     }
   }
@@ -1096,6 +1108,7 @@
     }
     aTask.mRuns.emplace_back();
     RunState& run = aTask.mRuns.back();
+    ++aTask.mStep->mJob->mRunCount;
     run.mTask = &aTask;
     run.mWorker = &aWorker;
     run.mNumber = aRunNumber;
@@ -1132,6 +1145,7 @@
     mIsPlacementDue = true;
     task.mRuns.remove_if(
       [&](const RunState& aEntry) { return &aEntry == &aRun; });
+    --task.mStep->mJob->mRunCount;
     if (task.mRuns.empty() && !task.mIsDone) {
       ++task.mStep->mWaitingCount;
     }
@@ -1685,9 +1699,13 @@
     }
   }
 
-  /// True if a throttled backfill run would lose little work by a move.
+  /// True if a throttled backfill run would lose little work by a move. A run
+  /// that has started below full pace found no better worker.
   static bool IsWorthMoving(const RunState& aRun, TimePoint aNow)
   {
+    if (aRun.mIsPacedFromStart) {
+      return false;
+    }
     const bool isCheap = aRun.mTask->mStep->mSpec->mSavesProgress ||
                          aRun.mProgressPercent < kMaxRestartPercent;
     return isCheap && aRun.mIsConfirmed &&
@@ -1792,7 +1810,8 @@
            (aJob.mZeroValueAtMs < mUnixMs ? 1 : 0);
   }
 
-  /// True if the tasks of `aLeft` are placed before those of `aRight`.
+  /// True if the tasks of `aLeft` are placed before those of `aRight`. Jobs
+  /// whose completion has no value share what is left.
   bool HasPrecedence(const StepState& aLeft, const StepState& aRight) const
   {
     if (aLeft.mSpec->mIsService != aRight.mSpec->mIsService) {
@@ -1802,6 +1821,11 @@
     const ScheduledJob& right = *aRight.mJob;
     const int leftLateness = LatenessOf(left);
     const int rightLateness = LatenessOf(right);
+    if (leftLateness == kNoValue && rightLateness == kNoValue &&
+        !aLeft.mSpec->mIsService &&
+        (left.mRunCount == 0) != (right.mRunCount == 0)) {
+      return left.mRunCount == 0;
+    }
     return std::tie(leftLateness,
                     left.mSubmission.mPolicy.mPriority,
                     left.mObjectiveAtMs,
@@ -1919,6 +1943,83 @@
     return true;
   }
 
+  /// Starts one task below full pace for each late job without runs of which a
+  /// backfill step has found no worker for kMaxBackfillWait, oldest jobs first.
+  /// Precedence favours jobs that can be in time, so that late ones might wait
+  /// for as long as there are such jobs. Those that can be in time wait for a
+  /// worker at full pace.
+  void PlaceOverdue(TimePoint aNow)
+  {
+    std::vector<StepState*> overdue;
+    std::copy_if(mReadySteps.begin(),
+                 mReadySteps.end(),
+                 std::back_inserter(overdue),
+                 [this, aNow](const StepState* aStep) {
+                   return aStep->mSpec->mIsBackfill && !aStep->mSpec->mIsGang &&
+                          aStep->mWaitingCount > 0 && aStep->mNoRoomSince &&
+                          aNow - *aStep->mNoRoomSince > kMaxBackfillWait &&
+                          LatenessOf(*aStep->mJob) > 0 &&
+                          aStep->mJob->mRunCount == 0;
+                 });
+    std::stable_sort(overdue.begin(),
+                     overdue.end(),
+                     [](const StepState* aLeft, const StepState* aRight) {
+                       return aLeft->mJob->mObjectiveAtMs <
+                              aRight->mJob->mObjectiveAtMs;
+                     });
+    for (StepState* step : overdue) {
+      if (step->mJob->mRunCount > 0) {
+        continue;
+      }
+      const auto task =
+        std::find_if(step->mTasks.begin(),
+                     step->mTasks.end(),
+                     [this](const TaskState& aTask) { return IsFree(aTask); });
+      if (mBudget.IsExhausted()) {
+        return;
+      }
+      if (task != step->mTasks.end()) {
+        PlacePacedRun(*task, aNow);
+      }
+    }
+  }
+
+  void PlacePacedRun(TaskState& aTask, TimePoint aNow)
+  {
+    const std::int64_t before = mPlacementIndex.ConsideredCount();
+    const auto choice =
+      mPlacementIndex.ChoosePaced(aTask, mColocationModel, aNow);
+    CountSearch(mPlacementIndex.ConsideredCount() - before);
+    if (choice.mWorker == nullptr) {
+      return;
+    }
+    ScheduledJob& job = *aTask.mStep->mJob;
+    if (!job.mIsStartRecorded) {
+      RequestStartRecord(job);
+      MarkDirty(job);
+      return;
+    }
+    RunState& run = AddRun(aTask, *choice.mWorker, NextRunNumber(aTask), aNow);
+    run.mTargetPace = choice.mPace;
+    run.mIsPacedFromStart = true;
+    logging::Write(
+      logging::Level::Info,
+      "paced_start",
+      { { "task", ToText(IdOf(aTask)) },
+        { "run", run.mNumber },
+        { "worker", choice.mWorker->mEntry.mId },
+        { "percent", choice.mPace },
+        { "waited_ms", ToMs(aNow - *aTask.mStep->mNoRoomSince) } });
+    SendStart(run, aNow);
+  }
+
+  void CountSearch(std::int64_t aCandidates)
+  {
+    mBudget.mSearchWork -= aCandidates + kSearchOverhead;
+    mWork.mCandidates += aCandidates;
+    mCandidates.Add(aCandidates);
+  }
+
   static void SetNoRoom(StepState& aStep, TimePoint aNow)
   {
     if (!aStep.mNoRoomSince) {
@@ -2024,10 +2125,7 @@
   {
     const std::int64_t before = mPlacementIndex.ConsideredCount();
     WorkerState* worker = mPlacementIndex.Choose(aTask, mColocationModel, aNow);
-    const std::int64_t candidates = mPlacementIndex.ConsideredCount() - before;
-    mBudget.mSearchWork -= candidates + kSearchOverhead;
-    mWork.mCandidates += candidates;
-    mCandidates.Add(candidates);
+    CountSearch(mPlacementIndex.ConsideredCount() - before);
     mHasUnplacedTasks = mHasUnplacedTasks || worker == nullptr;
     return worker;
   }
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -654,6 +654,8 @@
   CPPUNIT_TEST(StopsUnansweredRunsWhileStartsAreHeld);
   CPPUNIT_TEST(MovesServiceTasksOffADrainingWorker);
   CPPUNIT_TEST(PausesBackfillBeforeTheTailViolationLimit);
+  CPPUNIT_TEST(StartsOverdueBackfillBelowFullPace);
+  CPPUNIT_TEST(PlacesJobsWithoutValueAndWithoutRunsFirst);
   CPPUNIT_TEST(SendsThePaceOfAdoptedBackfill);
   CPPUNIT_TEST(RaisesThePaceOfAdoptedBackfillInSteps);
   CPPUNIT_TEST(KeepsRunsThatAFullListOfEndedRunsOmits);
@@ -1823,6 +1825,59 @@
       }));
   }
 
+  // Otherwise backfill waits for as long as its interference at full pace
+  // exceeds the limit of each worker, although pacing could bound it.
+  void StartsOverdueBackfillBelowFullPace()
+  {
+    FakeSite site;
+    FakeWorker& worker = site.AddWorker("w1");
+    site.mRunTime = OneMinuteRunTime;
+    worker.mReportedTailLatencyOrUse = 25;
+    auto& leader = site.AddLeader(1);
+    leader.GetDispatcher().AddJob(MakeService("s", 1, "x"), false, site.Now());
+    site.Advance(milliseconds(2000));
+    jobs::JobEntry late = MakeBackfill("b", 1, "y");
+    late.mSubmission->mAcceptedMs -= 60000;
+    leader.GetDispatcher().AddJob(late, false, site.Now());
+    site.Advance(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, worker.mRuns.size());
+    site.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, worker.mRuns.size());
+    CPPUNIT_ASSERT(!leader.mPaces.empty());
+    CPPUNIT_ASSERT(leader.mPaces.front().mPacePercent >= 10);
+    CPPUNIT_ASSERT(leader.mPaces.front().mPacePercent < 100);
+    // Above the limit of pacing, but no violation: a move would end in the same
+    // wait.
+    worker.mReportedTailLatencyOrUse = 44;
+    site.Advance(milliseconds(2500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, leader.mStarts.size());
+    CPPUNIT_ASSERT(leader.mPaces.back().mPacePercent < 50);
+  }
+
+  // Otherwise jobs without value wait one after the other, for as long as the
+  // oldest of them have tasks left.
+  void PlacesJobsWithoutValueAndWithoutRunsFirst()
+  {
+    FakeSite site;
+    FakeWorker& worker = site.AddWorker("w1");
+    site.mRunTime = [](const TaskId& aTask) {
+      return aTask.mJobId == "a" ? milliseconds(500 + 50 * (aTask.mIndex % 8))
+                                 : milliseconds(60000);
+    };
+    auto& leader = site.AddLeader(1);
+    for (const auto& [id, age] : std::vector<std::pair<std::string, int>>{
+           { "a", 90000 }, { "b", 60000 } }) {
+      jobs::JobEntry job = MakeJob(id, { id == "a" ? 40 : 1 }, 2000);
+      job.mSubmission->mAcceptedMs -= age;
+      leader.GetDispatcher().AddJob(job, false, site.Now());
+    }
+    site.Advance(milliseconds(1300));
+    CPPUNIT_ASSERT(std::any_of(
+      worker.mRuns.begin(), worker.mRuns.end(), [](const auto& aRun) {
+        return aRun.mTask.mJobId == "b";
+      }));
+  }
+
   // After a failover, paused backfill must not resume at full pace at once, and
   // must not stay paused for ever.
   void RaisesThePaceOfAdoptedBackfillInSteps()
--- a/src/dispatch/pacing.cpp
+++ b/src/dispatch/pacing.cpp
@@ -12,6 +12,9 @@
 /// to 1 allows for imprecise reports.
 constexpr TailRatio kMaxTailRatioForPacing = 0.85;
 
+/// The same for runs that have started below full pace; the limit of placement.
+constexpr TailRatio kMaxTailRatioForPacedStart = 0.7;
+
 /// Above this tail ratio a violation is assumed and its duration counted,
 /// because reported values are imprecise.
 constexpr TailRatio kViolationTailRatio = 0.9;
@@ -39,12 +42,15 @@
 }
 
 /// Lowers the paces of `aBackfill` until `aService` is expected to stay below
-/// kMaxTailRatioForPacing, starting with the run that has the highest
-/// interference per processor share.
+/// `aLimit`, starting with the run that has the highest interference per
+/// processor share. If `aPacedOnly`, leaves runs that have started at full pace
+/// as they are.
 void
 LimitPaces(const ColocationModel& aModel,
            const RunState& aService,
            const std::vector<RunState*>& aBackfill,
+           TailRatio aLimit,
+           bool aPacedOnly,
            std::map<const RunState*, double>& aPaces)
 {
   struct Entry
@@ -54,12 +60,12 @@
     Saturation mInterferencePerShare = 0.0;
   };
   std::vector<Entry> entries;
-  Saturation excess =
-    BaselineOf(aService) - SaturationOf(kMaxTailRatioForPacing);
+  Saturation excess = BaselineOf(aService) - SaturationOf(aLimit);
   for (const RunState* it : aBackfill) {
     const Saturation interference = aModel.InterferenceBetween(aService, *it);
     excess += interference * aPaces[it] / kFullPace;
-    if (interference > kNegligibleInterference) {
+    if (interference > kNegligibleInterference &&
+        (!aPacedOnly || it->mIsPacedFromStart)) {
       entries.push_back(
         { it, interference, interference / BackfillShareOf(*it) });
     }
@@ -123,8 +129,12 @@
   for (const RunState* it : backfill) {
     paces[it] = mustPause ? 0.0 : kFullPace;
   }
+  // Runs that have started below full pace use only what the others leave.
+  for (const RunState* it : services) {
+    LimitPaces(aModel, *it, backfill, kMaxTailRatioForPacedStart, true, paces);
+  }
   for (const RunState* it : services) {
-    LimitPaces(aModel, *it, backfill, paces);
+    LimitPaces(aModel, *it, backfill, kMaxTailRatioForPacing, false, paces);
   }
   bool hasChanged = false;
   for (RunState* it : backfill) {
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -42,6 +42,8 @@
 constexpr TailRatio kMaxTailRatioForPlacement = 0.7;
 constexpr TailRatio kMaxTailRatioForUrgentPlacement = 0.8;
 
+constexpr double kFullPace = 100.0; // percent
+
 bool
 HasLabel(const WorkerState& aWorker, const std::string& aLabel)
 {
@@ -210,15 +212,39 @@
   const TailRatio limit = aStep.mIsUrgent ? kMaxTailRatioForUrgentPlacement
                                           : kMaxTailRatioForPlacement;
   const auto& runs = aWorker.mServiceRuns;
+  // Pacing holds down runs that have started below full pace first.
   return std::any_of(runs.begin(), runs.end(), [&](const RunState* aRun) {
     const Saturation interference = aModel.CautiousInterference(
       aRun->mTask->mStep->mImage, aStep.mImage, share);
     return interference > kMinSignificantInterference &&
-           BaselineOf(*aRun) + aModel.TotalInterference(*aRun) + interference >
+           BaselineOf(*aRun) + aModel.TotalInterference(*aRun, false) +
+               interference >
              SaturationOf(limit);
   });
 }
 
+int
+HarmlessPace(const StepState& aStep,
+             const WorkerState& aWorker,
+             const ColocationModel& aModel,
+             bool aCountsPacedStarts)
+{
+  const double share =
+    ShareOf(aStep.mSpec->mResources.mMilliProcessors, aWorker);
+  double pace = kFullPace;
+  for (const RunState* it : aWorker.mServiceRuns) {
+    const Saturation interference = aModel.CautiousInterference(
+      it->mTask->mStep->mImage, aStep.mImage, share);
+    if (interference > kMinSignificantInterference) {
+      const Saturation left = SaturationOf(kMaxTailRatioForPlacement) -
+                              BaselineOf(*it) -
+                              aModel.TotalInterference(*it, aCountsPacedStarts);
+      pace = std::min(pace, kFullPace * left / interference);
+    }
+  }
+  return static_cast<int>(std::max(0.0, pace));
+}
+
 double
 PlacementCost(const TaskState& aTask,
               const WorkerState& aWorker,
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -19,6 +19,13 @@
 /// thousandths of a processor.
 inline constexpr double kNoServiceCost = 4000.0;
 
+/// A backfill task starts below full pace only where at least this pace, in
+/// percent, is left for it and its like.
+inline constexpr int kMinStartPace = 10;
+/// Upper bound of the runs on a worker that are held below full pace since
+/// their starts.
+inline constexpr int kMaxPacedStarts = 1;
+
 /// Returns the decayed failure score of `aWorker` at `aNow`.
 double
 FailureScore(const WorkerState& aWorker, base::TimePoint aNow);
@@ -79,6 +86,15 @@
                         const WorkerState& aWorker,
                         const ColocationModel& aModel);
 
+/// Returns the highest pace, in percent, at which one more task of the backfill
+/// step would bring no service task on `aWorker` above the maximum tail ratio;
+/// beside runs that have started below full pace, or without them.
+int
+HarmlessPace(const StepState& aStep,
+             const WorkerState& aWorker,
+             const ColocationModel& aModel,
+             bool aCountsPacedStarts);
+
 /// Cost of placing `aTask` on `aWorker`; lower is better. At least the
 /// processors that remain free, or, for backfill, the negative number of unused
 /// processors, in thousandths, plus kNoServiceCost if it applies.
--- a/src/dispatch/placement_index.cpp
+++ b/src/dispatch/placement_index.cpp
@@ -10,6 +10,35 @@
 
 namespace skylarkhill::dispatch {
 
+namespace {
+
+/// Placement cost of each percent below full pace, in thousandths of a
+/// processor.
+constexpr double kPaceCost = 200.0;
+/// Placement cost of each run that is held below full pace since its start.
+constexpr double kPacedStartCost = 20000.0;
+constexpr int kFullPace = 100;
+
+std::int64_t
+CountPacedStarts(const WorkerState& aWorker)
+{
+  return std::count_if(
+    aWorker.mRuns.begin(), aWorker.mRuns.end(), [](const RunState* aRun) {
+      return aRun->mIsPacedFromStart && aRun->mTargetPace < kFullPace;
+    });
+}
+
+/// Other steps may find workers that limits of the step of `aTask` exclude.
+bool
+IsLimitedByDemandOnly(const TaskState& aTask)
+{
+  const StepState& step = *aTask.mStep;
+  return step.mSpec->mMaxPerWorker == 0 && aTask.mRuns.empty() &&
+         !step.mJob->mSubmission.mPolicy.mNeedsTicket;
+}
+
+} // namespace
+
 bool
 PlacementIndex::IsBefore::operator()(const Rank& aLeft,
                                      const Rank& aRight) const
@@ -177,6 +206,7 @@
 {
   for (auto& [name, pool] : mPools) {
     pool.mFailedDemands.Clear();
+    pool.mFailedPacedDemands.Clear();
     pool.mAvailable.clear();
   }
 }
@@ -233,11 +263,7 @@
     }
   }
   mConsideredCount += search.Count();
-  // Other steps may find workers that limits of this one exclude.
-  const bool isLimitedByDemandOnly =
-    step.mSpec->mMaxPerWorker == 0 && aTask.mRuns.empty() &&
-    !step.mJob->mSubmission.mPolicy.mNeedsTicket;
-  if (search.Best() == nullptr && isLimitedByDemandOnly) {
+  if (search.Best() == nullptr && IsLimitedByDemandOnly(aTask)) {
     FailedDemands::Demand demand{ search.FailedDemand(),
                                   pool.mAvailable.size(),
                                   search.DependsOnImage() };
@@ -252,4 +278,52 @@
   return search.Best();
 }
 
+PlacementIndex::PacedChoice
+PlacementIndex::ChoosePaced(const TaskState& aTask,
+                            const ColocationModel& aModel,
+                            base::TimePoint aNow)
+{
+  const StepState& step = *aTask.mStep;
+  const auto found = mPools.find(step.mJob->mSubmission.mPolicy.mPool);
+  if (found == mPools.end()) {
+    return {};
+  }
+  Pool& pool = found->second;
+  if (pool.mFailedPacedDemands.Find(step)) {
+    return {};
+  }
+  const double minLeft = MinProcessorsForBackfill(
+    std::min(step.mSpec->mResources.mMilliProcessors, pool.mMinCapacity));
+  PacedChoice best;
+  double bestCost = 0.0;
+  for (const Rank& it : pool.mWithServices) {
+    if (static_cast<double>(-it.mValue) < minLeft) {
+      break;
+    }
+    ++mConsideredCount;
+    WorkerState& worker = *it.mWorker;
+    if (!IsCompatible(step, worker, aNow) || !HasRoom(step, worker, aNow) ||
+        RunsOn(aTask, worker)) {
+      continue;
+    }
+    const std::int64_t others = CountPacedStarts(worker);
+    if (others >= kMaxPacedStarts ||
+        HarmlessPace(step, worker, aModel, false) < kMinStartPace) {
+      continue;
+    }
+    const int pace = HarmlessPace(step, worker, aModel, true);
+    const double cost = PlacementCost(aTask, worker, aModel, aNow) +
+                        kPaceCost * (kFullPace - pace) +
+                        kPacedStartCost * static_cast<double>(others);
+    if (best.mWorker == nullptr || cost < bestCost) {
+      best = { &worker, pace };
+      bestCost = cost;
+    }
+  }
+  if (best.mWorker == nullptr && IsLimitedByDemandOnly(aTask)) {
+    pool.mFailedPacedDemands.Add(step, { step.mSpec->mResources, 0, true });
+  }
+  return best;
+}
+
 } // namespace skylarkhill::dispatch
--- a/src/dispatch/placement_index.hpp
+++ b/src/dispatch/placement_index.hpp
@@ -40,6 +40,20 @@
                       const ColocationModel& aModel,
                       base::TimePoint aNow);
 
+  struct PacedChoice
+  {
+    WorkerState* mWorker = nullptr;
+    /// In percent of full speed.
+    int mPace = 0;
+  };
+
+  /// Returns the best worker with service tasks on which `aTask` can start
+  /// below full pace, see kMinStartPace and kMaxPacedStarts. A search without
+  /// result is not repeated before the next ForgetFailures.
+  PacedChoice ChoosePaced(const TaskState& aTask,
+                          const ColocationModel& aModel,
+                          base::TimePoint aNow);
+
   /// Number of workers considered so far, over all choices.
   std::int64_t ConsideredCount() const { return mConsideredCount; }
 
@@ -72,6 +86,8 @@
     /// Lower bound of the processors of a worker.
     std::int64_t mMinCapacity = 0;
     FailedDemands mFailedDemands;
+    /// The same for ChoosePaced.
+    FailedDemands mFailedPacedDemands;
     /// Workers that have become available since the last ForgetFailures.
     std::vector<WorkerState*> mAvailable;
   };
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -59,6 +59,8 @@
   /// Pace that the worker should apply, in percent of full speed.
   int mTargetPace = 100;
   bool mIsPaceInFlight = false;
+  /// Backfill that has waited for too long and was placed below full pace.
+  bool mIsPacedFromStart = false;
   /// Since when the target pace has been below one half.
   std::optional<base::TimePoint> mThrottledSince;
   /// A service task on the same worker has exceeded its tail latency target for
@@ -118,7 +120,8 @@
   int mDoneCount = 0;
   /// Tasks of this cell that are neither done nor assigned to a worker.
   int mWaitingCount = 0;
-  /// Since when placement has found no worker for a waiting task.
+  /// Since when placement has found no worker for a waiting task. A start below
+  /// full pace does not end this, so that a move from its worker is short.
   std::optional<base::TimePoint> mNoRoomSince;
   /// Services only: saturation without interference; empty before the first
   /// report.
@@ -170,6 +173,8 @@
   std::vector<std::unique_ptr<OccurrenceState>> mOccurrences;
   /// An earlier leader may have started tasks.
   bool mMayHaveEarlierRuns = false;
+  /// Runs in this cell.
+  int mRunCount = 0;
   /// Index before which all occurrences have been released.
   std::size_t mFirstUnreleased = 0;
   /// Occurrences that have not been released.
