Cancellation of an unknown job reaches the cells behind one that fails

Found by a review, by reading: the cancellation was stored cell by cell until one failed, so that the home of a submission under way could lack it although the caller had tried (504), and tasks that it lends to a cell with the cancellation never start. Now each cell gets a share of the time, and the answer is 503 or 504 as before if one lacks the record.

Test: StoresTheCancellationInTheCellsBehindOneThatFails failed before (expected 1, actual 0); JobRouterTest 12 passed.

--- a/include/skylarkhill/node/job_service.hpp
+++ b/include/skylarkhill/node/job_service.hpp
@@ -58,6 +58,8 @@
   /// To be called before the jobs are cleared, so that no answer is taken from
   /// a table that lacks what the journal has.
   void SetFollowed(bool aIsFollowed);
+  /// Present time of the clock of the deadlines.
+  base::TimePoint Now() const { return mClock.Now(); }
   /// True if the jobs of the journal are known.
   bool IsLoaded() const
   {
--- a/src/node/job_router.cpp
+++ b/src/node/job_router.cpp
@@ -17,6 +17,10 @@
 /// Entries of JobLocations; a job is usually asked for within a minute.
 constexpr std::size_t kMaxLocations = 20'000;
 
+/// Time for the cancellation of an unknown job in one cell, if the caller waits
+/// that long: one attempt to store it.
+constexpr base::Duration kMinTimePerCell = std::chrono::milliseconds(650);
+
 base::Error
 MakeUnknownCellsError()
 {
@@ -162,17 +166,33 @@
                          base::TimePoint aDeadline)
 {
   // The submission may be under way at another instance, or be carried out late
-  // by the log. Its home follows from its content.
+  // by the log. Its home follows from its content, so that a cell that fails
+  // must not keep the cancellation from the others.
+  std::optional<base::Error> error;
+  bool isStoredInPart = false;
   for (int cell = 0; cell < aCells.mMap.mCount; ++cell) {
     const logging::ContextField context("cell", cell);
+    JobService& service = *aCells.mServices[static_cast<std::size_t>(cell)];
+    const base::TimePoint now = service.Now();
+    const base::Duration share = std::max(
+      kMinTimePerCell, (aDeadline - now) / (aCells.mMap.mCount - cell));
     const auto isStored =
-      aCells.mServices[static_cast<std::size_t>(cell)]->StoreCancellation(
-        aJobId, aDeadline);
-    if (!isStored) {
-      return cell == 0 ? isStored.error()
-                       : MakeIncompleteError(aJobId, cell, isStored.error());
+      service.StoreCancellation(aJobId, std::min(aDeadline, now + share));
+    if (isStored) {
+      isStoredInPart = true;
+    } else if (!error) {
+      error = isStored.error();
     }
   }
+  if (error) {
+    logging::Write(logging::Level::Info,
+                   "cancellation_incomplete",
+                   { { "job", aJobId },
+                     { "error", base::NameOf(error->mKind) },
+                     { "detail", error->mDetail } });
+    return isStoredInPart ? MakeError(ErrorKind::OutcomeUnknown, error->mDetail)
+                          : *error;
+  }
   if (FindKnown(aCells, aJobId)) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
--- a/src/node/job_router_test.cpp
+++ b/src/node/job_router_test.cpp
@@ -112,6 +112,7 @@
   CPPUNIT_TEST(TakesCancellationsAfterALostRead);
   CPPUNIT_TEST(StoresTheCancellationOfAnUnknownJobInAllCells);
   CPPUNIT_TEST(ReportsNoUnknownJobIfACellLacksTheCancellation);
+  CPPUNIT_TEST(StoresTheCancellationInTheCellsBehindOneThatFails);
   CPPUNIT_TEST(CancelsAJobThatIsStoredDuringItsCancellation);
   CPPUNIT_TEST(CancelsAMovedJobThatItsFormerCellHasForgotten);
   CPPUNIT_TEST_SUITE_END();
@@ -254,6 +255,19 @@
     CPPUNIT_ASSERT_EQUAL(1, CountCancellations(2));
   }
 
+  // A cell cannot store the cancellation of a job whose submission is under
+  // way. Guards against cells behind it that run the job without the
+  // cancellation.
+  void StoresTheCancellationInTheCellsBehindOneThatFails()
+  {
+    mState.mStreams.clear();
+    mLog.mUnwritableStreams = { "journal" };
+    CPPUNIT_ASSERT(IsOutcomeUnknown(Cancel()));
+    CPPUNIT_ASSERT_EQUAL(0, CountCancellations(0));
+    CPPUNIT_ASSERT_EQUAL(1, CountCancellations(1));
+    CPPUNIT_ASSERT_EQUAL(1, CountCancellations(2));
+  }
+
   // The submission is stored after the journals have been read. Guards against
   // a cell that gets the job without its cancellation (UNASKED).
   void CancelsAJobThatIsStoredDuringItsCancellation()
