Removal of a lone cancellation deletes nothing but the cancellation

Found by a review, by reading: the removal also deleted the submission, so that each table forgot a copy of lent tasks that arrived between the decision and the append. Cancellations come first in a cleanup, so that many final jobs do not keep them.

--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -1957,19 +1957,26 @@
                                  return !IsRemovable(aId, now);
                                }),
                 oldJobs.end());
-  const auto cancellations = ListOldCancellations(now);
-  oldJobs.insert(oldJobs.end(), cancellations.begin(), cancellations.end());
-  if (oldJobs.empty()) {
+  // Only the cancellation: a copy of the job, or of tasks of it, that arrives
+  // meanwhile must not be deleted with it.
+  std::vector<std::vector<LogRecord>> deletionsByJob;
+  for (const auto& id : ListOldCancellations(now)) {
+    deletionsByJob.push_back(
+      { { jobs::FormatRecordKey(jobs::RecordKind::Cancellation, id), "", 0 } });
+  }
+  for (const auto& id : oldJobs) {
+    deletionsByJob.push_back(DeletionsOf(id));
+  }
+  if (deletionsByJob.empty()) {
     return;
   }
-  oldJobs.resize(std::min(oldJobs.size(), kMaxJobsPerCleanup));
+  deletionsByJob.resize(std::min(deletionsByJob.size(), kMaxJobsPerCleanup));
   AppendRequest request;
   request.mStream = PartitionOf(mOptions.mJournal, mOptions.mIndex);
   const std::size_t limit =
     std::min(kTargetAppendBytes, mOptions.mLogLimits.mMaxAppendBytes);
   std::size_t bytes = 0;
-  for (const auto& id : oldJobs) {
-    std::vector<LogRecord> deletions = DeletionsOf(id);
+  for (auto& deletions : deletionsByJob) {
     for (const auto& it : deletions) {
       bytes += kRecordLengthBytes + SizeOf(it);
     }
