Open starts from before a restart are stopped in the present incarnation (TWICE)

Found by a review, by reading: a run that was removed while its worker was silent, or for which a former incarnation had answered, counted its open copies as refused by an incarnation that had never had the run. That one would carry them out.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -607,6 +607,11 @@
     WorkerState& worker = *run->mWorker;
     switch (aResult.mOutcome) {
       case StartOutcome::Started:
+        if (aCall.mIncarnationStartMs != worker.mIncarnationStartMs) {
+          // A former incarnation may have answered, with which the run is lost.
+          run->mNextCallAt = aNow;
+          break;
+        }
         ConfirmRun(*run, aNow);
         run->mNextCallAt = aNow;
         if (run->mPace != run->mTargetPace) {
@@ -688,6 +693,7 @@
     } else if (aOutcome == CallOutcome::Accepted) {
       // The worker now refuses a delayed start of this run, and its next report
       // shows whether the run is active.
+      run->mMayReachLaterIncarnation = false;
       ConfirmRun(*run, aNow);
       run->mNextCallAt = aNow + std::chrono::seconds(1);
       mPollQueue.Advance(*run->mWorker, aNow);
@@ -1164,7 +1170,11 @@
     start.mRunNumber = aRun.mNumber;
     start.mCopies = aRun.mOpenStarts;
     start.mOpenUntil = openUntil;
-    start.mRefusedBy = aRun.mWorker->mIncarnationStartMs;
+    if (aRun.mMayReachLaterIncarnation) {
+      mWorkersWithOpenStarts.insert(start.mWorkerId);
+    } else {
+      start.mRefusedBy = aRun.mWorker->mIncarnationStartMs;
+    }
     const std::size_t dropped = mOpenStarts.Add(std::move(start));
     if (dropped > 0) {
       mDroppedOpenStarts.Add(static_cast<std::int64_t>(dropped));
@@ -1278,6 +1288,8 @@
     const std::vector<RunState*> runs(aWorker.mRuns.begin(),
                                       aWorker.mRuns.end());
     for (RunState* it : runs) {
+      it->mMayReachLaterIncarnation =
+        it->mMayReachLaterIncarnation || it->mOpenStarts > 0;
       if (!it->mIsConfirmed) {
         // The start may have reached the new incarnation, or still reach it.
         continue;
@@ -1294,6 +1306,7 @@
         // one is refused, the first one is still open.
         it->mIsConfirmed = false;
         ++it->mOpenStarts;
+        it->mMayReachLaterIncarnation = true;
         it->mNextCallAt = aNow;
         mRunsToCall.insert(it);
       } else {
@@ -1389,6 +1402,7 @@
       FindRun(aEndedRun.mTask, aEndedRun.mRunNumber, aWorker.mEntry.mId);
     const bool wasStopping = run != nullptr && run->mIsStopping;
     if (run != nullptr) {
+      run->mMayReachLaterIncarnation = false;
       RemoveRun(*run, aNow);
     }
     task->mLastRun = std::max(task->mLastRun, aEndedRun.mRunNumber);
@@ -1503,6 +1517,7 @@
         continue;
       }
       listed.insert(run);
+      run->mMayReachLaterIncarnation = false;
       ConfirmRun(*run, aNow);
       CheckStopping(*run, aNow);
       if (it.mProgressPercent != run->mProgressPercent) {
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -162,6 +162,15 @@
     mDispatcher->OnDurable(mDispatcher->TakeDirty().first, mClock.Now());
   }
 
+  /// A report of the incarnation without any runs.
+  void Report(const std::string& aWorkerId, std::int64_t aIncarnationStartMs)
+  {
+    mDispatcher->OnReport(aWorkerId,
+                          { 1, aIncarnationStartMs, {}, {} },
+                          mClock.Now(),
+                          mClock.Now());
+  }
+
   /// Ends all start calls since the last FailStarts without a response.
   void FailStarts()
   {
@@ -637,6 +646,8 @@
   CPPUNIT_TEST(StopsAStartThatOutlivesItsRunInAFurtherIncarnation);
   CPPUNIT_TEST(StopsAStartThatOutlivesItsRunOnAWorkerThatWasDropped);
   CPPUNIT_TEST(ForgetsAStartThatIsAnsweredAfterItsRun);
+  CPPUNIT_TEST(StopsAnOpenStartOnceARestartedWorkerIsBack);
+  CPPUNIT_TEST(RepeatsAStartThatAFormerIncarnationHasAccepted);
   CPPUNIT_TEST(WaitsForWorkersThatHaveNotAnsweredANewLeader);
   CPPUNIT_TEST(KeepsAnAdoptedRunForAFullLease);
   CPPUNIT_TEST(KeepsRunsWhileLeadershipIsUnconfirmed);
@@ -2469,6 +2480,48 @@
     return text != nullptr ? std::atoi(text) : kSeeds;
   }
 
+  // A worker restarts while a start has no answer, and is then silent until its
+  // lease has ended. Guards against a start that it carries out once it is back
+  // (TWICE).
+  void StopsAnOpenStartOnceARestartedWorkerIsBack()
+  {
+    UnansweredStarts site(1);
+    site.FailStarts();
+    site.Report("w0", 2);
+    for (int n = 0; n < 120; ++n) {
+      site.mDispatcher->OnPollFailed("w0", site.mClock.Now());
+      site.Tick(milliseconds(100));
+    }
+    CPPUNIT_ASSERT(site.mSink.mStops.empty());
+    site.Report("w0", 2);
+    site.Tick(milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.mSink.mStops.size());
+    CPPUNIT_ASSERT_EQUAL(site.mSink.mStarts.front().mRunNumber,
+                         site.mSink.mStops.front().mRunNumber);
+  }
+
+  // A start is accepted by an incarnation that has restarted since. Guards
+  // against taking the run for known to the present one, so that an earlier
+  // copy of the start is forgotten (TWICE).
+  void RepeatsAStartThatAFormerIncarnationHasAccepted()
+  {
+    UnansweredStarts site(1);
+    site.FailStarts();
+    site.Tick(milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, site.mSink.mStarts.size());
+    const StartCall call = site.mSink.mStarts.back();
+    site.Report("w0", 2);
+    site.mDispatcher->OnStartResult(
+      call, { StartOutcome::Started }, site.mClock.Now());
+    for (int n = 0; n < 20; ++n) {
+      site.Tick(milliseconds(50));
+      site.Report("w0", 2);
+    }
+    for (const StartCall& it : site.mSink.mStarts) {
+      CPPUNIT_ASSERT_EQUAL(call.mRunNumber, it.mRunNumber);
+    }
+  }
+
   static std::int64_t CountStops(FakeSite::Leader& aLeader)
   {
     return aLeader.GetMetrics()
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -50,6 +50,9 @@
   /// Copies of the start that were sent and have no answer. A worker that
   /// restarts may still carry them out, even if it had the run before.
   int mOpenStarts = 0;
+  /// Open copies are from before a restart of the worker, and the present
+  /// incarnation is not known to refuse them.
+  bool mMayReachLaterIncarnation = false;
   /// When the last start call was sent.
   base::TimePoint mStartSentAt;
   base::TimePoint mNextCallAt;
