Dispatch summary: tasks held back by missing reports, longest wait of backfill

The summary of a leader did not tell tasks that wait for reports of earlier runs from tasks without room, nor how long work that fills has waited.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -800,7 +800,8 @@
       mOpenStarts.RemoveExpired(aNow);
       if (aNow >= mNextSummaryAt) {
         mNextSummaryAt = aNow + kSummaryInterval;
-        LogDispatchSummary(mJobs.size(), mReadySteps, mWorkers);
+        LogDispatchSummary(
+          mJobs.size(), mReadySteps, mWorkers, mAreReportsMissing, aNow);
         LogDispatchWork(mWork, mWorkers, aNow);
         mWork = DispatchWork{};
         if (mAreReportsMissing) {
--- a/src/dispatch/summary.cpp
+++ b/src/dispatch/summary.cpp
@@ -60,13 +60,28 @@
 void
 LogDispatchSummary(std::size_t aJobCount,
                    const std::vector<StepState*>& aReadySteps,
-                   const WorkerMap& aWorkers)
+                   const WorkerMap& aWorkers,
+                   bool aAreReportsMissing,
+                   base::TimePoint aNow)
 {
   std::int64_t waiting = 0;
   std::int64_t waitingBackfill = 0;
+  std::int64_t deferred = 0;
+  base::Duration longestWait{ 0 };
   for (const StepState* step : aReadySteps) {
     (step->mSpec->mIsBackfill ? waitingBackfill : waiting) +=
       step->mWaitingCount;
+    if (aAreReportsMissing) {
+      deferred += std::count_if(
+        step->mTasks.begin(), step->mTasks.end(), [](const TaskState& aTask) {
+          return aTask.mMayHaveEarlierRun && aTask.mRuns.empty() &&
+                 !aTask.mIsDone && !aTask.mIsElsewhere;
+        });
+    }
+    if (step->mSpec->mIsBackfill && step->mNoRoomSince) {
+      longestWait =
+        std::max(longestWait, base::Duration(aNow - *step->mNoRoomSince));
+    }
   }
   std::int64_t running = 0;
   std::int64_t backfill = 0;
@@ -96,22 +111,27 @@
       used += isBackfill ? std::max<std::int64_t>(0, it->mTailLatencyOrUse) : 0;
     }
   }
-  logging::Write(logging::Level::Info,
-                 "dispatch_summary",
-                 { { "jobs", static_cast<std::int64_t>(aJobCount) },
-                   { "waiting", waiting },
-                   { "waiting_backfill", waitingBackfill },
-                   { "running", running },
-                   { "running_backfill", backfill },
-                   { "backfill_demand", demand },
-                   { "backfill_used", used },
-                   { "leftover", leftover },
-                   { "reserved", reserved },
-                   { "capacity", capacity },
-                   { "paced", paced },
-                   { "services", services },
-                   { "harmed", aboveTarget },
-                   { "starting", starting } });
+  logging::Write(
+    logging::Level::Info,
+    "dispatch_summary",
+    { { "jobs", static_cast<std::int64_t>(aJobCount) },
+      { "waiting", waiting },
+      { "waiting_backfill", waitingBackfill },
+      { "deferred", deferred },
+      { "longest_backfill_wait_ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(longestWait)
+          .count() },
+      { "running", running },
+      { "running_backfill", backfill },
+      { "backfill_demand", demand },
+      { "backfill_used", used },
+      { "leftover", leftover },
+      { "reserved", reserved },
+      { "capacity", capacity },
+      { "paced", paced },
+      { "services", services },
+      { "harmed", aboveTarget },
+      { "starting", starting } });
 }
 
 void
--- a/src/dispatch/summary.hpp
+++ b/src/dispatch/summary.hpp
@@ -31,11 +31,14 @@
             base::TimePoint aNow);
 
 /// Logs the numbers of waiting and running tasks, of tasks below full pace and
-/// of service tasks above their tail latency target.
+/// of service tasks above their tail latency target, and how long backfill has
+/// waited. `aAreReportsMissing`: tasks with earlier runs are held back.
 void
 LogDispatchSummary(std::size_t aJobCount,
                    const std::vector<StepState*>& aReadySteps,
-                   const WorkerMap& aWorkers);
+                   const WorkerMap& aWorkers,
+                   bool aAreReportsMissing,
+                   base::TimePoint aNow);
 
 /// Logs the work since the last summary and the age of the oldest report of a
 /// registered worker.
