A worker of another cell keeps its lease until the runs on it have ended (TWICE)

Callers would see a task run twice, or again after it was done. Cause: a worker that is listed for another cell is fenced for its former leader, which gives up its runs once its own lease has ended. The leader of the new cell stopped these runs, but extended the lease of the worker with each poll, and acknowledged ends of which the former leader never heard. Now it extends nothing and acknowledges nothing until the lease that the former leader may have granted has ended.

Found by reading, as the row "runs on a worker that another cell has taken over" of docs/lease-ends.md.

Tests: TakeoverTest::ExtendsNoLeaseOfRunsOfAnotherCell and AcknowledgesNoEndOfAnotherCellDuringItsLease failed before (two runs; end acknowledged during the lease) and pass now.

--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -31,6 +31,16 @@
   int mMaxTasksPerRecord = 512;
 };
 
+/// The jobs of a cell of a site with several cells.
+class JobDirectory
+{
+public:
+  virtual ~JobDirectory() = default;
+
+  /// True if a leader of the cell may have started tasks of the job.
+  virtual bool MayHaveRun(const std::string& aJobId) const = 0;
+};
+
 /// Initial state of a leader's term.
 struct Term
 {
@@ -38,6 +48,8 @@
   std::int64_t mEpoch = 1;
   /// Worker leases that earlier leaders granted end by this time.
   base::TimePoint mPreviousLeasesEndAt;
+  /// Null if the site has one cell. Must outlive the dispatcher.
+  const JobDirectory* mJobs = nullptr;
 };
 
 /// Id of a job and its progress that must become durable.
--- a/include/skylarkhill/jobs/job_table.hpp
+++ b/include/skylarkhill/jobs/job_table.hpp
@@ -90,6 +90,8 @@
   /// True if the submission of the job has been read.
   bool Contains(const std::string& aJobId) const;
   std::optional<JobEntry> Find(const std::string& aJobId) const;
+  /// False if no leader of the cell can have started a task of the job.
+  bool MayHaveRun(const std::string& aJobId) const;
   /// The RecordKey::mPart of each TaskRange of the job.
   std::vector<std::string> ListRanges(const std::string& aJobId) const;
   /// The RecordKey::mPart of each TaskLoan of the job.
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -78,6 +78,25 @@
   const cells::CellMap& mMap;
 };
 
+/// The jobs that the journal of a cell has.
+class JournalJobs : public dispatch::JobDirectory
+{
+public:
+  /// `aJobs` must outlive this object.
+  explicit JournalJobs(const jobs::JobTable& aJobs)
+    : mJobs(aJobs)
+  {
+  }
+
+  bool MayHaveRun(const std::string& aJobId) const override
+  {
+    return mJobs.MayHaveRun(aJobId);
+  }
+
+private:
+  const jobs::JobTable& mJobs;
+};
+
 /// One cell as this instance sees it: follows the journal of the cell and,
 /// while the instance leads the cell, dispatches its jobs to its workers. Not
 /// thread-safe: used on the call loop's thread only, except for the job
@@ -358,6 +377,7 @@
   bool mIsFollower = true;
   int mRank = 0;
   jobs::JobTable mJobs;
+  const JournalJobs mJournalJobs{ mJobs };
   LogStreamReader mJournalReader;
   std::atomic<std::int64_t> mNextJournalOffset{ kJournalNotLoaded };
   JobService mJobService;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -516,6 +516,7 @@
       mPlacementIndex.OnAvailable(worker);
     }
     worker.mMayOmitEndedRuns = aReport.mMayOmitEndedRuns;
+    CheckForeignRuns(worker, aReport, aNow);
     const bool mustWait = HandleEndedRuns(worker, aReport, aNow);
     HandleActiveRuns(worker, aReport, aSentAt, aNow);
     mColocationModel.Update(worker, aNow);
@@ -1319,6 +1320,7 @@
     aWorker.mAcknowledgedSequence = 0;
     aWorker.mPendingAcknowledgements.clear();
     aWorker.mLeaseUntilMs = 0;
+    aWorker.mForeignLeaseEndsAt = TimePoint{};
     // A call to the former incarnation may have granted a lease. If the clock
     // of the new one is behind, it is the longest that the worker accepts.
     aWorker.mLeaseEndsAt =
@@ -1327,6 +1329,51 @@
 
   // --- Reports ------------------------------------------------------------
 
+  /// True if only another cell can have started the task.
+  bool IsForeign(const TaskId& aTask)
+  {
+    if (mJobs.count(aTask.mJobId) == 0) {
+      return !mTerm.mJobs->MayHaveRun(aTask.mJobId);
+    }
+    const TaskState* task = FindTask(aTask);
+    return task != nullptr && task->mIsElsewhere && !task->mIsLent;
+  }
+
+  /// Lets the lease end that the leader of another cell has granted to its runs
+  /// on the worker. Until then, that leader counts on the runs, and on hearing
+  /// how they end.
+  void CheckForeignRuns(WorkerState& aWorker,
+                        const WorkerReport& aReport,
+                        TimePoint aNow)
+  {
+    if (mTerm.mJobs == nullptr || aNow < aWorker.mForeignLeaseEndsAt) {
+      return;
+    }
+    const auto isActive = [this](const ActiveRun& aRun) {
+      return IsForeign(aRun.mTask);
+    };
+    const auto counts = [&](const EndedRun& aRun) {
+      return aRun.mSequence > aWorker.mProcessedSequence &&
+             (aRun.mOutcome == RunOutcome::Done ||
+              aRun.mOutcome == RunOutcome::Failed) &&
+             IsForeign(aRun.mTask);
+    };
+    const auto& active = aReport.mActiveRuns;
+    const auto& ended = aReport.mEndedRuns;
+    if (std::none_of(active.begin(), active.end(), isActive) &&
+        std::none_of(ended.begin(), ended.end(), counts)) {
+      return;
+    }
+    aWorker.mForeignLeaseEndsAt =
+      std::max(aWorker.mLeaseEndsAt, aNow + MaxLeaseDuration());
+    logging::Write(logging::Level::Warning,
+                   "foreign_runs_found",
+                   { { "worker", aWorker.mEntry.mId },
+                     { "active", static_cast<std::int64_t>(active.size()) },
+                     { "ended", static_cast<std::int64_t>(ended.size()) },
+                     { "wait_ms", ToMs(aWorker.mForeignLeaseEndsAt - aNow) } });
+  }
+
   /// Handles newly reported ended runs. Returns true while ended runs of the
   /// worker must become durable before they may be acknowledged.
   bool HandleEndedRuns(WorkerState& aWorker,
@@ -2324,7 +2371,8 @@
   /// call sent at `aNow`; 0 if the lease cannot be extended.
   std::int64_t ExtendLease(WorkerState& aWorker, TimePoint aNow)
   {
-    if (!aWorker.mHasReported || !aWorker.mMayExtendLease) {
+    if (!aWorker.mHasReported || !aWorker.mMayExtendLease ||
+        aNow < aWorker.mForeignLeaseEndsAt) {
       return 0;
     }
     const TimePoint until =
@@ -2480,7 +2528,9 @@
     call.mLeaseUntilMs =
       aWorker.mFailedPolls == 0 ? ExtendLease(aWorker, aNow) : 0;
     call.mAcknowledgedSequence =
-      MayHaveRestarted(aWorker) ? 0 : aWorker.mAcknowledgedSequence;
+      MayHaveRestarted(aWorker) || aNow < aWorker.mForeignLeaseEndsAt
+        ? 0
+        : aWorker.mAcknowledgedSequence;
     if (aWorker.mHasReported &&
         (call.mLeaseUntilMs > 0 || call.mAcknowledgedSequence > 0)) {
       call.mIncarnationStartMs = aWorker.mIncarnationStartMs;
--- a/src/dispatch/fake_site_test.cpp
+++ b/src/dispatch/fake_site_test.cpp
@@ -225,7 +225,7 @@
 {
   CallOutcome outcome = CallOutcome::Accepted;
   base::TimePoint answeredAt = mSite.Now() + kLatency;
-  if (mUnreachableWorkers.count(aCall.mWorkerId) != 0) {
+  if (mAreStopsLost || mUnreachableWorkers.count(aCall.mWorkerId) != 0) {
     outcome = CallOutcome::Unknown;
     answeredAt = mSite.Now() + kCallTimeout;
   } else {
@@ -351,8 +351,16 @@
 FakeSite::Leader&
 FakeSite::AddLeader(std::int64_t aEpoch, base::TimePoint aPreviousLeasesEndAt)
 {
-  mLeaders.push_back(
-    std::make_unique<Leader>(*this, Term{ aEpoch, aPreviousLeasesEndAt }));
+  Term term;
+  term.mEpoch = aEpoch;
+  term.mPreviousLeasesEndAt = aPreviousLeasesEndAt;
+  return AddLeader(term);
+}
+
+FakeSite::Leader&
+FakeSite::AddLeader(const Term& aTerm)
+{
+  mLeaders.push_back(std::make_unique<Leader>(*this, aTerm));
   for (const auto& [id, worker] : mWorkers) {
     mLeaders.back()->GetDispatcher().SetWorker(worker->Entry(), Now());
   }
--- a/src/dispatch/fake_site_test.hpp
+++ b/src/dispatch/fake_site_test.hpp
@@ -85,6 +85,8 @@
     std::set<std::string> mUnreachableWorkers;
     /// If true, start calls do not reach the workers.
     bool mAreStartsLost = false;
+    /// If true, stop calls do not reach the workers.
+    bool mAreStopsLost = false;
     /// Decides how long after its call a start is carried out; it is then not
     /// answered. At once and with an answer if unset or zero.
     std::function<base::Duration(const StartCall&)> mStartDelay;
@@ -158,6 +160,7 @@
   FakeWorker& Worker(const std::string& aId) { return *mWorkers.at(aId); }
   Leader& AddLeader(std::int64_t aEpoch,
                     base::TimePoint aPreviousLeasesEndAt = {});
+  Leader& AddLeader(const Term& aTerm);
   /// Removes `aLeader` as a crash would.
   void Kill(Leader& aLeader);
   void Advance(std::chrono::milliseconds aTime);
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -225,6 +225,8 @@
   base::TimePoint mLeaseEndsAt;
   /// End of the lease that was asked for last, on the worker's clock.
   std::int64_t mLeaseUntilMs = 0;
+  /// The worker has had runs of another cell, whose lease may last until then.
+  base::TimePoint mForeignLeaseEndsAt;
 
   bool mIsPollInFlight = false;
   base::TimePoint mNextPollAt;
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -410,6 +410,20 @@
   return found->second;
 }
 
+bool
+JobTable::MayHaveRun(const std::string& aJobId) const
+{
+  const Shard& shard = ShardOf(aJobId);
+  const std::lock_guard lock(shard.mLock);
+  const auto found = shard.mJobs.find(aJobId);
+  if (found == shard.mJobs.end()) {
+    return false;
+  }
+  const JobEntry& job = found->second;
+  return (job.mSubmission && !job.mTransfer) || !job.mBorrowed.empty() ||
+         !job.mLoans.empty();
+}
+
 std::size_t
 JobTable::CountPending(std::string_view aQueue) const
 {
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -1126,6 +1126,7 @@
   dispatch::Term term;
   term.mEpoch = mEpoch;
   term.mPreviousLeasesEndAt = mLeadership.PreviousLeasesEnd();
+  term.mJobs = mOptions.mCellCount > 1 ? &mJournalJobs : nullptr;
   dispatch::DispatchLimits limits = mOptions.mLimits;
   limits.mMaxTasksPerRecord = static_cast<int>(std::max<std::size_t>(
     1, mOptions.mLogLimits.mMaxRecordBytes / kMaxTaskProgressBytes));
