A leader cut off from the log uses no worker that restarts meanwhile (TWICE)

Callers would see a task run twice. Cause: a leader that is cut off from the log acts for 9 s more and relies on the fencing token of its successor, which a worker forgets when it restarts. It could start a task on the new incarnation, with a lease of its own, while the successor counted on the lease of the former one, which ends up to 0.8 s sooner. Now an incarnation that a leader first hears of later than 2 s after its last confirmed record gets no lease and no start until a renewal rules out that another instance had claimed by then: no instance claims sooner than 2.2 s after the last record that it has read. With confirmed renewals nothing waits.

Found by reading, as the row "a silent worker that restarts under its id within 9 s of a failover" of docs/lease-ends.md.

Tests: TakeoverTest::StartsNothingOnARestartedWorkerIfASuccessorMayHaveClaimed failed before with two runs; StartsTasksOnARestartedWorkerOnceConfirmed tells the end of the wait.

--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -19,6 +19,10 @@
 
 namespace skylarkhill::dispatch {
 
+/// No other instance claims the leadership sooner after a confirmed record.
+inline constexpr base::Duration kMinTakeoverTime =
+  std::chrono::milliseconds(2000);
+
 /// Limits from the settings file.
 struct DispatchLimits
 {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -504,8 +504,20 @@
         std::max(worker.mLeaseEndsAt, aNow + MaxLeaseDuration());
       mIsPlacementDue = true;
     }
-    if (worker.mIncarnationStartMs != aReport.mIncarnationStartMs) {
+    if (!worker.mHasReported ||
+        worker.mIncarnationStartMs != aReport.mIncarnationStartMs) {
       mWorkersWithOpenStarts.insert(aWorkerId);
+      // A successor may have polled the former incarnation. Its fencing token
+      // is lost with that, so this one would obey both leaders.
+      worker.mUncertainSince.reset();
+      if (mLeaderLeaseConfirmedAt + kMinTakeoverTime < aNow) {
+        worker.mUncertainSince = aNow;
+        logging::Write(
+          logging::Level::Warning,
+          "worker_held",
+          { { "worker", aWorkerId },
+            { "confirmed_ms", ToMs(aNow - mLeaderLeaseConfirmedAt) } });
+      }
     }
     worker.mHasReported = true;
     worker.mIncarnationStartMs = aReport.mIncarnationStartMs;
@@ -1705,6 +1717,13 @@
       WorkerState& worker = *it->second;
       const bool isSilent = worker.mLastReportAt + kPollRetryPause < aNow &&
                             worker.mFailedPolls > 0;
+      if (worker.mUncertainSince &&
+          *worker.mUncertainSince <=
+            mLeaderLeaseConfirmedAt + kMinTakeoverTime) {
+        worker.mUncertainSince.reset();
+        mPlacementIndex.OnAvailable(worker);
+        mIsPlacementDue = true;
+      }
       // A successor unknown to this instance may have extended the lease, so
       // the leadership must have been confirmed after the end of the lease.
       if (isSilent && worker.mLeaseEndsAt < mLeaderLeaseConfirmedAt &&
@@ -2372,7 +2391,7 @@
   std::int64_t ExtendLease(WorkerState& aWorker, TimePoint aNow)
   {
     if (!aWorker.mHasReported || !aWorker.mMayExtendLease ||
-        aNow < aWorker.mForeignLeaseEndsAt) {
+        aNow < aWorker.mForeignLeaseEndsAt || aWorker.mUncertainSince) {
       return 0;
     }
     const TimePoint until =
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -125,7 +125,7 @@
   return aWorker.mHasReported && aWorker.mIsRegistered &&
          aWorker.mMayExtendLease && !aWorker.mEntry.mIsDraining &&
          aWorker.mNoStartsUntil <= aNow &&
-         aWorker.mForeignLeaseEndsAt <= aNow &&
+         aWorker.mForeignLeaseEndsAt <= aNow && !aWorker.mUncertainSince &&
          aWorker.mLastReportAt + kMaxReportAge > aNow;
 }
 
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -216,6 +216,9 @@
   /// The worker has answered a poll in this term.
   bool mHasReported = false;
   std::int64_t mIncarnationStartMs = 0;
+  /// When this incarnation was first heard of, if a successor may have claimed
+  /// the leadership before; until that is ruled out.
+  std::optional<base::TimePoint> mUncertainSince;
   std::int64_t mClockMs = 0;
   base::TimePoint mClockReadAt;
   base::TimePoint mLastReportAt;
--- a/src/dispatch/takeover_test.cpp
+++ b/src/dispatch/takeover_test.cpp
@@ -15,6 +15,9 @@
 /// Longest lease that a leader asks for, with its margins.
 constexpr milliseconds kLongestLease{ 6600 };
 
+/// Time from the last confirmed record of a leader to the claim of another one.
+constexpr milliseconds kTimeUntilClaim{ 2300 };
+
 /// Knows the jobs of the names.
 class FakeDirectory : public JobDirectory
 {
@@ -83,6 +86,8 @@
   CPPUNIT_TEST(ExtendsNoLeaseOfRunsOfAnotherCell);
   CPPUNIT_TEST(AcknowledgesNoEndOfAnotherCellDuringItsLease);
   CPPUNIT_TEST(UsesAWorkerOfAnotherCellAfterItsLease);
+  CPPUNIT_TEST(StartsNothingOnARestartedWorkerIfASuccessorMayHaveClaimed);
+  CPPUNIT_TEST(StartsTasksOnARestartedWorkerOnceConfirmed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -133,6 +138,58 @@
     moved.mSite.Advance(kLongestLease + milliseconds(500));
     CPPUNIT_ASSERT_EQUAL(1, moved.mSite.mStartCounts["b.0.0.0"]);
   }
+
+  // A leader is cut off from the log, and its successor finds a task on a
+  // worker that restarts right after that and that only the former leader can
+  // reach then. Guards against a second run of the task: the successor counts
+  // on the lease of the former incarnation (TWICE).
+  void StartsNothingOnARestartedWorkerIfASuccessorMayHaveClaimed()
+  {
+    FakeSite site;
+    site.mRunTime = [](const TaskId&) { return std::chrono::minutes(1); };
+    site.AddWorker("w1", 4000);
+    auto& former = site.AddLeader(1);
+    jobs::JobEntry job = MakeJob("a", { 1 });
+    job.mSubmission->mRequest.mSteps.front().mIsService = true;
+    former.GetDispatcher().AddJob(job, false, site.Now());
+    site.Advance(milliseconds(300));
+    former.mIsConfirmed = false;
+    site.Advance(kTimeUntilClaim);
+    former.mUnreachableWorkers = { "w1", "w2" };
+    site.AddWorker("w2", 4000);
+    job.mProgress = former.mStored.at("a");
+    auto& next = site.AddLeader(2, site.Now() + std::chrono::seconds(12));
+    next.GetDispatcher().AddJob(job, true, site.Now());
+    site.Advance(milliseconds(20));
+    next.mUnreachableWorkers = { "w1" };
+    site.Worker("w1").Restart();
+    former.mUnreachableWorkers = { "w2" };
+    site.Advance(milliseconds(12'000));
+    CPPUNIT_ASSERT(site.mDoubleRuns.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.Worker("w2").mRuns.size());
+  }
+
+  // Guards against a restarted worker that stays without tasks after an outage
+  // of the log.
+  void StartsTasksOnARestartedWorkerOnceConfirmed()
+  {
+    FakeSite site;
+    site.mRunTime = [](const TaskId&) { return std::chrono::minutes(1); };
+    site.AddWorker("w1", 4000);
+    auto& leader = site.AddLeader(1);
+    jobs::JobEntry job = MakeJob("a", { 1 });
+    job.mSubmission->mRequest.mSteps.front().mIsService = true;
+    leader.GetDispatcher().AddJob(job, false, site.Now());
+    site.Advance(milliseconds(300));
+    leader.mIsConfirmed = false;
+    site.Advance(kTimeUntilClaim);
+    site.Worker("w1").Restart();
+    site.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts.at("a.0.0.0"));
+    leader.mIsConfirmed = true;
+    site.Advance(milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(2, site.mStartCounts.at("a.0.0.0"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TakeoverTest);
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -2,6 +2,7 @@
 
 #include "skylarkhill/base/hash.hpp"
 #include "skylarkhill/base/msgpack.hpp"
+#include "skylarkhill/dispatch/dispatcher.hpp"
 #include "skylarkhill/logging/logging.hpp"
 
 #include <algorithm>
@@ -23,6 +24,7 @@
 /// Time without a renewal after which candidates claim: allows for two late or
 /// lost renewals.
 constexpr base::Duration kTakeoverTimeout = std::chrono::milliseconds(2200);
+static_assert(kTakeoverTimeout > dispatch::kMinTakeoverTime);
 /// Upper bound of the pseudo-random part of a claim delay, which keeps
 /// candidates from claiming at the same time.
 constexpr base::Duration kMaxClaimJitter = std::chrono::milliseconds(200);
