Cancellations go on after an unknown outcome (UNASKED)

Callers would see a job run for good although they had cancelled it. Cause: a cancellation of a job that no cell knew was stored in some of the journals only when one of them failed; the caller got 504, and nobody stored it in the others if the caller did not ask again, while the submission could be under way there. The same held for the cancellation of a known job whose append had no answer. An error of the first cell no longer hides that a later one may have the cancellation: the answer is 504 then, not 503.

Found by reading, as an open point of docs/cancellations.md. What remains: the list is lost with the instance.

Tests: JobRouterTest::GoesOnStoringTheCancellationOfAnUnknownJob and GoesOnStoringACancellationWithoutAnAnswer failed before (no record in the cell that had failed); GivesUpACancellationThatNoCellTakes bounds the attempts.

--- a/include/skylarkhill/node/job_router.hpp
+++ b/include/skylarkhill/node/job_router.hpp
@@ -4,6 +4,7 @@
 #include "skylarkhill/cells/cell_map.hpp"
 #include "skylarkhill/node/cell_queries.hpp"
 #include "skylarkhill/node/job_service.hpp"
+#include "skylarkhill/node/pending_cancellations.hpp"
 #include "skylarkhill/node/route_table.hpp"
 
 #include <deque>
@@ -43,6 +44,13 @@
   /// outlive the calls.
   void SetQueries(CellQueries& aQueries) { mQueries = &aQueries; }
 
+  /// Goes on storing cancellations whose outcome callers are told to be
+  /// unknown; must outlive the calls.
+  void SetPendingCancellations(PendingCancellations& aPending)
+  {
+    mPendingCancellations = &aPending;
+  }
+
   void SetRoutes(std::shared_ptr<const RouteTable> aRoutes);
   std::shared_ptr<const RouteTable> Routes() const;
 
@@ -124,7 +132,12 @@
                               const std::string& aJobId,
                               base::TimePoint aDeadline);
 
+  /// The cells may lack the cancellation, of which the caller is not sure.
+  void ContinueCancellation(const std::string& aJobId,
+                            const std::vector<int>& aCells);
+
   CellQueries* mQueries = nullptr;
+  PendingCancellations* mPendingCancellations = nullptr;
   JobLocations mLocations;
   mutable std::mutex mLock;
   std::shared_ptr<const RouteTable> mRoutes;
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -14,6 +14,7 @@
 #include "skylarkhill/node/log_budget.hpp"
 #include "skylarkhill/node/log_stream_reader.hpp"
 #include "skylarkhill/node/loop_profile.hpp"
+#include "skylarkhill/node/pending_cancellations.hpp"
 #include "skylarkhill/node/record_decoder.hpp"
 #include "skylarkhill/node/shared_log.hpp"
 #include "skylarkhill/node/worker_client.hpp"
@@ -150,6 +151,7 @@
   /// When all cells are followed although the instances are not known.
   base::TimePoint mFollowAllAt = base::kNoDeadline;
   FollowerTable mFollowers;
+  PendingCancellations mPendingCancellations;
   JobRouter mJobRouter;
   std::atomic<bool> mIsReady{ false };
   base::TimePoint mLastTickAt;
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -4,6 +4,7 @@
 #include "skylarkhill/cells/transfer_policy.hpp"
 #include "skylarkhill/jobs/job_codec.hpp"
 #include "skylarkhill/logging/logging.hpp"
+#include "skylarkhill/node/pending_cancellations.hpp"
 #include "skylarkhill/node/worker_lease_record.hpp"
 
 #include <algorithm>
@@ -63,13 +64,6 @@
 constexpr std::int64_t kMinJobAgeMs = 400'000;
 /// Differences between the clocks of instances, and jumps of them.
 constexpr Duration kMaxClockDifference = std::chrono::seconds(10);
-/// Appends without an answer are carried out within less than this.
-constexpr Duration kMaxLateAppend = std::chrono::seconds(60);
-/// Cancellations without a submission are kept for this time. A submission that
-/// was under way may come until the longest deadline of a caller (60 s) and
-/// kMaxLateAppend have passed.
-constexpr Duration kLoneCancellationRetention =
-  kMaxLateAppend + std::chrono::seconds(120);
 /// Maximum number of jobs passed to the dispatcher of a new term in one tick.
 constexpr std::size_t kMaxJobsPerTick = 200;
 
--- a/src/node/job_router.cpp
+++ b/src/node/job_router.cpp
@@ -152,6 +152,10 @@
     if (!isStored && isStored.error().mKind == ErrorKind::NotFound) {
       return CancelUnknown(*cells, aJobId, aDeadline);
     }
+    if (!isStored && isStored.error().mKind == ErrorKind::OutcomeUnknown) {
+      // The leader of the cell passes it on.
+      ContinueCancellation(aJobId, { cell });
+    }
     BOOST_OUTCOME_TRYV(isStored);
   }
   if (cells->mMap.mCount == 1) {
@@ -169,7 +173,8 @@
   // by the log. Its home follows from its content, so that a cell that fails
   // must not keep the cancellation from the others.
   std::optional<base::Error> error;
-  bool isStoredInPart = false;
+  bool mayBeStored = false;
+  std::vector<int> missing;
   for (int cell = 0; cell < aCells.mMap.mCount; ++cell) {
     const logging::ContextField context("cell", cell);
     JobService& service = *aCells.mServices[static_cast<std::size_t>(cell)];
@@ -178,10 +183,11 @@
       kMinTimePerCell, (aDeadline - now) / (aCells.mMap.mCount - cell));
     const auto isStored =
       service.StoreCancellation(aJobId, std::min(aDeadline, now + share));
-    if (isStored) {
-      isStoredInPart = true;
-    } else if (!error) {
-      error = isStored.error();
+    mayBeStored = mayBeStored || isStored ||
+                  isStored.error().mKind == ErrorKind::OutcomeUnknown;
+    if (!isStored) {
+      missing.push_back(cell);
+      error = error ? error : isStored.error();
     }
   }
   if (error) {
@@ -190,8 +196,11 @@
                    { { "job", aJobId },
                      { "error", base::NameOf(error->mKind) },
                      { "detail", error->mDetail } });
-    return isStoredInPart ? MakeError(ErrorKind::OutcomeUnknown, error->mDetail)
-                          : *error;
+    if (!mayBeStored) {
+      return *error;
+    }
+    ContinueCancellation(aJobId, missing);
+    return MakeError(ErrorKind::OutcomeUnknown, error->mDetail);
   }
   if (FindKnown(aCells, aJobId)) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -199,6 +208,15 @@
   return MakeError(ErrorKind::NotFound, "no such job");
 }
 
+void
+JobRouter::ContinueCancellation(const std::string& aJobId,
+                                const std::vector<int>& aCells)
+{
+  if (mPendingCancellations != nullptr) {
+    mPendingCancellations->Add(aJobId, aCells);
+  }
+}
+
 base::Result<void>
 JobRouter::CancelInOtherCells(const Cells& aCells,
                               const std::string& aJobId,
--- a/src/node/job_router_test.cpp
+++ b/src/node/job_router_test.cpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fake_shared_log_test.hpp"
@@ -115,6 +116,9 @@
   CPPUNIT_TEST(StoresTheCancellationInTheCellsBehindOneThatFails);
   CPPUNIT_TEST(CancelsAJobThatIsStoredDuringItsCancellation);
   CPPUNIT_TEST(CancelsAMovedJobThatItsFormerCellHasForgotten);
+  CPPUNIT_TEST(GoesOnStoringTheCancellationOfAnUnknownJob);
+  CPPUNIT_TEST(GoesOnStoringACancellationWithoutAnAnswer);
+  CPPUNIT_TEST(GivesUpACancellationThatNoCellTakes);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -123,6 +127,7 @@
     mLog.mOnNoResponse = [this](base::TimePoint aDeadline) {
       mClock.Advance(aDeadline - mClock.Now());
     };
+    mRouter.SetPendingCancellations(mPending);
     Start(kCells);
     Store(0, jobs::FormatRecordKey(jobs::RecordKind::Submission, kJob), Job());
   }
@@ -301,9 +306,61 @@
     CPPUNIT_ASSERT_EQUAL(1, CountCancellations(1));
   }
 
+  // A cell cannot store the cancellation of a job whose submission is under
+  // way, and the caller does not ask again. Guards against a job that runs for
+  // good there although other cells have its cancellation (UNASKED).
+  void GoesOnStoringTheCancellationOfAnUnknownJob()
+  {
+    mState.mStreams.clear();
+    mLog.mUnwritableStreams = { "journal/2" };
+    CPPUNIT_ASSERT(IsOutcomeUnknown(Cancel()));
+    TickPending(milliseconds(3000));
+    CPPUNIT_ASSERT_EQUAL(0, CountCancellations(2));
+    mLog.mUnwritableStreams.clear();
+    TickPending(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(1, CountCancellations(2));
+    CPPUNIT_ASSERT_EQUAL(1, CountCancellations(1));
+  }
+
+  // The same for a job that is known, whose cell does not answer.
+  void GoesOnStoringACancellationWithoutAnAnswer()
+  {
+    Read(0);
+    mLog.mUnwritableStreams = { "journal" };
+    CPPUNIT_ASSERT(IsOutcomeUnknown(Cancel()));
+    mLog.mUnwritableStreams.clear();
+    TickPending(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(1, CountCancellations(0));
+    CPPUNIT_ASSERT_EQUAL(0, CountCancellations(1));
+  }
+
+  // Guards against appends that are repeated for good.
+  void GivesUpACancellationThatNoCellTakes()
+  {
+    mState.mStreams.clear();
+    mLog.mUnwritableStreams = { "journal/2" };
+    CPPUNIT_ASSERT(IsOutcomeUnknown(Cancel()));
+    TickPending(kLoneCancellationRetention + milliseconds(1000));
+    CPPUNIT_ASSERT(mPending.NextTickAt() == base::kNoDeadline);
+  }
+
 private:
   static constexpr const char* kJob = "job";
 
+  /// Lets the call loop run for `aTime`.
+  void TickPending(base::Duration aTime)
+  {
+    // The waits of the loop's own appends do not block it.
+    const auto onNoResponse = std::exchange(mLog.mOnNoResponse, {});
+    const base::TimePoint end = mClock.Now() + aTime;
+    while (mClock.Now() < end) {
+      mPending.Tick();
+      mLog.Deliver();
+      mClock.Advance(milliseconds(100));
+    }
+    mLog.mOnNoResponse = onNoResponse;
+  }
+
   void Start(int aCells)
   {
     mReplicas.clear();
@@ -394,6 +451,11 @@
   FakeSharedLog mLog{ mState };
   ObservedLog mCallerLog{ mLog };
   std::vector<std::unique_ptr<Replica>> mReplicas;
+  PendingCancellations mPending{ mLog,
+                                 mClock,
+                                 journal::GetSystemWallClock(),
+                                 { "journal", 0 },
+                                 mMetrics };
   JobRouter mRouter;
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -71,7 +71,13 @@
                mOptions.mStreams.mCellMap,
                mOptions.mInstanceId,
                mOptions.mCells)
+  , mPendingCancellations(aLog,
+                          aClock,
+                          aWallClock,
+                          mOptions.mStreams.mJournal,
+                          aMetrics)
 {
+  mJobRouter.SetPendingCancellations(mPendingCancellations);
   if (!mOptions.mStreams.mInstances.mTopic.empty()) {
     mDirectory.emplace(aLog,
                        aClock,
@@ -113,6 +119,7 @@
     UpdateFollowers();
   }
   TickCells(now);
+  mPendingCancellations.Tick();
   if (mCells.empty()) {
     TickAgreement();
   }
@@ -131,7 +138,8 @@
   // below.
   TimePoint next = std::min({ mClock.Now() + kMaxTickInterval,
                               mConfigurationReader.NextTickAt(),
-                              mRegistry.NextTickAt() });
+                              mRegistry.NextTickAt(),
+                              mPendingCancellations.NextTickAt() });
   if (mCells.empty()) {
     next = std::min(next, mAgreement.NextTickAt());
   }
