--- a/include/skylarkhill/jobs/job_codec.hpp
+++ b/include/skylarkhill/jobs/job_codec.hpp
@@ -77,15 +77,11 @@
 base::Result<Submission>
 DecodeSubmission(std::string_view aBytes);
 
-/// `aUnixMs` is the time at which the record is written.
+/// `aUnixMs` is the time at which the record is written, for versions that
+/// remove old ones by it. Any value that is not empty is a cancellation.
 std::string
 EncodeCancellation(std::int64_t aUnixMs);
 
-/// Unix time in ms, or 0 if the value tells none. Any value that is not empty
-/// is a cancellation.
-std::int64_t
-DecodeCancellationMs(std::string_view aBytes);
-
 std::string
 EncodeProgress(const JobProgress& aProgress);
 
--- a/include/skylarkhill/jobs/job_table.hpp
+++ b/include/skylarkhill/jobs/job_table.hpp
@@ -35,8 +35,6 @@
   /// Empty until the submission record has been read.
   std::optional<Submission> mSubmission;
   bool mIsCancelled = false;
-  /// Unix time of the newest cancellation, 0 if its record tells none.
-  std::int64_t mCancelledMs = 0;
   JobProgress mProgress;
   /// Set once the job has left the cell of this journal.
   std::optional<JobTransfer> mTransfer;
@@ -120,10 +118,8 @@
   /// accepted before `aAcceptedBeforeMs`. Includes jobs with borrowed tasks,
   /// but only in a final state.
   std::vector<std::string> ListFinal(std::int64_t aAcceptedBeforeMs) const;
-  /// Ids of cancelled jobs of which nothing else is known, with
-  /// JobEntry::mCancelledMs.
-  std::vector<std::pair<std::string, std::int64_t>> ListLoneCancellations()
-    const;
+  /// Ids of cancelled jobs of which nothing else is known.
+  std::vector<std::string> ListLoneCancellations() const;
   /// Number of jobs, including those whose submission has not been read.
   std::size_t Size() const;
 
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -354,7 +354,9 @@
   void AddModelRecord(base::TimePoint aNow);
   /// Ids of jobs of which the journal has nothing but a cancellation that no
   /// submission can follow any more.
-  std::vector<std::string> ListOldCancellations(base::TimePoint aNow);
+  std::vector<std::string> ListOldCancellations(base::TimePoint aNow) const;
+  /// Notes when each cancellation without a submission was first seen.
+  void UpdateLoneCancellations(base::TimePoint aNow);
   void RemoveOldJobs();
 
   const CellOptions mOptions;
@@ -460,9 +462,10 @@
   /// By job id: when this instance first took a final job for old, whose time
   /// of the end is unknown.
   std::map<std::string, base::TimePoint> mUntimedEndsSeenAt;
-  /// Cancellations without a submission whose record tells no time, and when
-  /// this leader first listed them.
-  std::map<std::string, base::TimePoint> mUntimedCancellations;
+  /// Cancellations without a submission, and when this instance first listed
+  /// them, by a clock of its own: those of other instances may differ.
+  std::map<std::string, base::TimePoint> mLoneCancellationsSeenAt;
+  base::TimePoint mNextCancellationCheckAt;
 };
 
 } // namespace skylarkhill::node
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -4,7 +4,6 @@
 #include "skylarkhill/base/name_table.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <cstddef>
 #include <system_error>
 #include <tuple>
@@ -20,8 +19,6 @@
 constexpr std::size_t kBitsPerByte = 8;
 /// Far above the number of tasks of a step.
 constexpr int kMaxFirstTask = 1 << 24;
-/// Value of the cancellations of former versions, which tell no time.
-constexpr std::int64_t kUntimedCancellation = 1;
 
 /// First character of the record keys, by kind.
 constexpr base::NameTable<RecordKind, 11> kKeyPrefixes{ {
@@ -304,18 +301,6 @@
   return std::to_string(aUnixMs);
 }
 
-std::int64_t
-DecodeCancellationMs(std::string_view aBytes)
-{
-  std::int64_t ms = 0;
-  const char* end = aBytes.data() + aBytes.size();
-  const auto result = std::from_chars(aBytes.data(), end, ms);
-  return result.ec == std::errc() && result.ptr == end &&
-             ms > kUntimedCancellation
-           ? ms
-           : 0;
-}
-
 std::string
 EncodeProgress(const JobProgress& aProgress)
 {
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -27,7 +27,6 @@
       break;
     case RecordKind::Cancellation:
       aJob.mIsCancelled = false;
-      aJob.mCancelledMs = 0;
       break;
     case RecordKind::Progress:
       aJob.mProgress = {};
@@ -122,8 +121,6 @@
       JobEntry* job = Touch(shard, *key, aOffset);
       if (job != nullptr) {
         job->mIsCancelled = true;
-        job->mCancelledMs =
-          std::max(job->mCancelledMs, DecodeCancellationMs(aValue));
       }
       break;
     }
@@ -540,15 +537,15 @@
   return ids;
 }
 
-std::vector<std::pair<std::string, std::int64_t>>
+std::vector<std::string>
 JobTable::ListLoneCancellations() const
 {
-  std::vector<std::pair<std::string, std::int64_t>> cancellations;
+  std::vector<std::string> cancellations;
   for (const Shard& shard : mShards) {
     const std::lock_guard lock(shard.mLock);
     for (const auto& [id, job] : shard.mJobs) {
       if (job.mIsCancelled && !job.IsKnown()) {
-        cancellations.emplace_back(id, job.mCancelledMs);
+        cancellations.push_back(id);
       }
     }
   }
--- a/src/jobs/jobs_test.cpp
+++ b/src/jobs/jobs_test.cpp
@@ -312,7 +312,7 @@
   }
 
   // Guards against removing a cancellation that belongs to a job or to borrowed
-  // tasks, and against taking the value of a former version for a time.
+  // tasks, and against overlooking one by its value.
   void ListsCancellationsOfUnknownJobs()
   {
     JobTable table;
@@ -320,9 +320,8 @@
       table.Apply(FormatRecordKey(RecordKind::Cancellation, aId), aValue, 1);
     };
     cancel("a", EncodeCancellation(1'700'000'000'000));
-    const std::pair<std::string, std::int64_t> expected{ "a",
-                                                         1'700'000'000'000 };
-    CPPUNIT_ASSERT(table.ListLoneCancellations() == std::vector{ expected });
+    CPPUNIT_ASSERT(table.ListLoneCancellations() ==
+                   std::vector<std::string>{ "a" });
     table.Apply(SubmissionKey("a"), EncodeSubmission(MakeSubmission("a")), 2);
     table.Apply(FormatPartKey(RecordKind::Borrowed, "b", "1.1"),
                 EncodeBorrowedTasks({ MakeSubmission("b"), {}, {} }),
@@ -330,11 +329,13 @@
     cancel("b", EncodeCancellation(5));
     CPPUNIT_ASSERT(table.ListLoneCancellations().empty());
     for (const char* it : { "1", "x", "12x", "-5" }) {
-      cancel("c", it);
-      CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, DecodeCancellationMs(it));
+      const std::string id = std::string("c") + it;
+      cancel(id.c_str(), it);
+      const auto listed = table.ListLoneCancellations();
+      CPPUNIT_ASSERT(std::count(listed.begin(), listed.end(), id) == 1);
     }
-    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 },
-                         table.ListLoneCancellations().at(0).second);
+    CPPUNIT_ASSERT_EQUAL(std::string("1700000000000"),
+                         EncodeCancellation(1'700'000'000'000));
   }
 
   void CountsPendingJobsOfAQueue()
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -229,6 +229,7 @@
     UpdateTerm();
   }
   mJournalReader.Tick();
+  UpdateLoneCancellations(now);
   mNextJournalOffset =
     mJournalReader.IsLoaded() ? mJournalReader.NextOffset() : kJournalNotLoaded;
   // The log stores records although it refuses reads because of their rate.
@@ -333,6 +334,7 @@
   // What was read before may be deleted before this instance follows again.
   mJobs.Clear();
   mUntimedEndsSeenAt.clear();
+  mLoneCancellationsSeenAt.clear();
   if (isFollowing) {
     mJournalReader.Resume();
   } else {
@@ -1075,7 +1077,6 @@
   mPendingLoans.clear();
   mEndedLoans.clear();
   mCopiesRemovableAt.clear();
-  mUntimedCancellations.clear();
   mJournalReader.SetPause(mBudget.mFollowerJournalPause);
   mJournalReader.SetWait(kReadWait);
   SetRetryPauses(mBudget.mRetryPause, kMaxRateLimitPause);
@@ -1903,31 +1904,38 @@
   return deletions;
 }
 
+void
+Cell::UpdateLoneCancellations(TimePoint aNow)
+{
+  if (aNow < mNextCancellationCheckAt) {
+    return;
+  }
+  mNextCancellationCheckAt = aNow + kCleanupInterval;
+  std::map<std::string, TimePoint> seenAt;
+  for (auto& id : mJobs.ListLoneCancellations()) {
+    const auto known = mLoneCancellationsSeenAt.find(id);
+    const TimePoint at =
+      known != mLoneCancellationsSeenAt.end() ? known->second : aNow;
+    seenAt.emplace(std::move(id), at);
+  }
+  mLoneCancellationsSeenAt = std::move(seenAt);
+}
+
 std::vector<std::string>
-Cell::ListOldCancellations(TimePoint aNow)
+Cell::ListOldCancellations(TimePoint aNow) const
 {
   // The submission may be among the records that have not been read.
   if (mStartsHeldAt) {
     return {};
   }
   std::vector<std::string> ids;
-  std::map<std::string, TimePoint> untimed;
-  const std::int64_t oldMs =
-    mWallClock.NowMs() - ToMs(kLoneCancellationRetention);
-  for (const auto& [id, cancelledMs] : mJobs.ListLoneCancellations()) {
-    bool isOld = cancelledMs < oldMs;
-    if (cancelledMs == 0) {
-      const auto seen = mUntimedCancellations.find(id);
-      const TimePoint seenAt =
-        seen != mUntimedCancellations.end() ? seen->second : aNow;
-      untimed.emplace(id, seenAt);
-      isOld = aNow - seenAt > kLoneCancellationRetention;
-    }
-    if (isOld) {
+  for (const auto& [id, seenAt] : mLoneCancellationsSeenAt) {
+    const auto job = mJobs.Find(id);
+    if (aNow - seenAt > kLoneCancellationRetention && job &&
+        job->mIsCancelled && !job->IsKnown()) {
       ids.push_back(id);
     }
   }
-  mUntimedCancellations = std::move(untimed);
   return ids;
 }
 
--- a/src/node/cell_site_test.hpp
+++ b/src/node/cell_site_test.hpp
@@ -58,9 +58,12 @@
 
   std::int64_t NowMs() const override
   {
-    return 1'700'000'000'000 + base::ToMicros(mClock.Now()) / 1000;
+    return 1'700'000'000'000 + base::ToMicros(mClock.Now()) / 1000 + mAheadMs;
   }
 
+  /// Error of the clock.
+  std::int64_t mAheadMs = 0;
+
 private:
   const base::Clock& mClock;
 };
