--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -357,6 +357,9 @@
   std::vector<std::string> ListOldCancellations(base::TimePoint aNow) const;
   /// Notes when each cancellation without a submission was first seen.
   void UpdateLoneCancellations(base::TimePoint aNow);
+  /// Removes the cancellations that no submission can follow any more, unless
+  /// the journal has records that this leader has not read.
+  void RemoveOldCancellations(base::TimePoint aNow);
   void RemoveOldJobs();
 
   const CellOptions mOptions;
@@ -466,6 +469,7 @@
   /// them, by a clock of its own: those of other instances may differ.
   std::map<std::string, base::TimePoint> mLoneCancellationsSeenAt;
   base::TimePoint mNextCancellationCheckAt;
+  base::TimePoint mNextCancellationRemovalAt;
 };
 
 } // namespace skylarkhill::node
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -69,6 +69,9 @@
 
 constexpr Duration kCleanupInterval = std::chrono::seconds(20);
 constexpr std::size_t kMaxJobsPerCleanup = 500;
+/// Pause between two attempts to remove old cancellations: records that arrive
+/// meanwhile make the log refuse one.
+constexpr Duration kCancellationRemovalPause = std::chrono::milliseconds(500);
 /// Interval between two searches for workers that left the registry.
 constexpr Duration kWorkerCheckInterval = std::chrono::seconds(1);
 
@@ -271,6 +274,7 @@
   Flush();
   SendTransfers(aNow);
   SendLoans(aNow);
+  RemoveOldCancellations(aNow);
   RemoveOldJobs();
 }
 
@@ -1939,6 +1943,40 @@
   return ids;
 }
 
+void
+Cell::RemoveOldCancellations(TimePoint aNow)
+{
+  // An append under way would move the end of the journal.
+  if (aNow < mNextCancellationRemovalAt || mIsFlushInFlight) {
+    return;
+  }
+  const auto ids = ListOldCancellations(aNow);
+  if (ids.empty()) {
+    mNextCancellationRemovalAt = aNow + kCleanupInterval;
+    return;
+  }
+  mNextCancellationRemovalAt = aNow + kCancellationRemovalPause;
+  AppendRequest request;
+  request.mStream = PartitionOf(mOptions.mJournal, mOptions.mIndex);
+  // A copy of the job, or of tasks of it, that has been stored since the last
+  // read needs the cancellation.
+  request.mExpectedEnd = mJournalReader.NextOffset();
+  for (const auto& id : ids) {
+    if (request.mRecords.size() < kMaxJobsPerCleanup) {
+      request.mRecords.push_back(
+        { jobs::FormatRecordKey(jobs::RecordKind::Cancellation, id), "", 0 });
+    }
+  }
+  mLog.Append(request, aNow + kFlushTimeout, [](const AppendResult& aResult) {
+    if (aResult.mOutcome != LogOutcome::Done &&
+        aResult.mOutcome != LogOutcome::EndMoved) {
+      logging::Write(logging::Level::Warning,
+                     "cleanup_failed",
+                     { { "outcome", NameOf(aResult.mOutcome) } });
+    }
+  });
+}
+
 void
 Cell::RemoveOldJobs()
 {
@@ -1960,26 +1998,17 @@
                                  return !IsRemovable(aId, now);
                                }),
                 oldJobs.end());
-  // Only the cancellation: a copy of the job, or of tasks of it, that arrives
-  // meanwhile must not be deleted with it.
-  std::vector<std::vector<LogRecord>> deletionsByJob;
-  for (const auto& id : ListOldCancellations(now)) {
-    deletionsByJob.push_back(
-      { { jobs::FormatRecordKey(jobs::RecordKind::Cancellation, id), "", 0 } });
-  }
-  for (const auto& id : oldJobs) {
-    deletionsByJob.push_back(DeletionsOf(id));
-  }
-  if (deletionsByJob.empty()) {
+  if (oldJobs.empty()) {
     return;
   }
-  deletionsByJob.resize(std::min(deletionsByJob.size(), kMaxJobsPerCleanup));
+  oldJobs.resize(std::min(oldJobs.size(), kMaxJobsPerCleanup));
   AppendRequest request;
   request.mStream = PartitionOf(mOptions.mJournal, mOptions.mIndex);
   const std::size_t limit =
     std::min(kTargetAppendBytes, mOptions.mLogLimits.mMaxAppendBytes);
   std::size_t bytes = 0;
-  for (auto& deletions : deletionsByJob) {
+  for (const auto& id : oldJobs) {
+    std::vector<LogRecord> deletions = DeletionsOf(id);
     for (const auto& it : deletions) {
       bytes += kRecordLengthBytes + SizeOf(it);
     }
--- a/src/node/fake_shared_log_test.hpp
+++ b/src/node/fake_shared_log_test.hpp
@@ -58,6 +58,9 @@
   AppendResult Append(const AppendRequest& aRequest,
                       base::TimePoint aDeadline) override
   {
+    if (mOnAppend) {
+      mOnAppend(aRequest);
+    }
     if (IsRefused(FakeLogCall::Append, aRequest.mStream)) {
       AppendResult refusal;
       refusal.mOutcome = LogOutcome::Refused;
@@ -211,6 +214,8 @@
   /// kReadSlack after their wait. Otherwise both end at once.
   const base::Clock* mClock = nullptr;
   static constexpr base::Duration kReadSlack = std::chrono::milliseconds(900);
+  /// Called before each append.
+  std::function<void(const AppendRequest&)> mOnAppend;
   /// Called with the deadline of each append without a response, instead of
   /// waiting until then.
   std::function<void(base::TimePoint)> mOnNoResponse;
--- a/src/node/lone_cancellation_test.cpp
+++ b/src/node/lone_cancellation_test.cpp
@@ -20,16 +20,21 @@
 
 constexpr milliseconds kStep{ 20 };
 constexpr std::int64_t kFiveMinutesMs = 300'000;
+/// Longer than a cancellation without a submission is kept.
+constexpr seconds kLongTime{ 240 };
 constexpr const char* kCancellation = "c/a";
 
 } // namespace
 
-/// How long the cancellation of a job that no cell knows is kept.
+/// How long the cancellation of a job that no cell knows is kept, and what is
+/// removed with it.
 class LoneCancellationTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(LoneCancellationTest);
   CPPUNIT_TEST(OutlastsTheSubmissionIfClocksDiffer);
   CPPUNIT_TEST(IsRemovedAlthoughLeadersChange);
+  CPPUNIT_TEST(StaysWithACopyThatComesDuringItsRemoval);
+  CPPUNIT_TEST(RemovesNothingButTheCancellation);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -79,6 +84,49 @@
     CPPUNIT_ASSERT(!IsStored());
   }
 
+  // A late copy of tasks of the job is stored with its cancellation while the
+  // leader removes the earlier one. Guards against the removal of both, after
+  // which the tasks run (UNASKED).
+  void StaysWithACopyThatComesDuringItsRemoval()
+  {
+    CancelUnknown(*mInstances.at(0));
+    bool hasCome = false;
+    for (const auto& it : mInstances) {
+      it->mLog.mOnAppend = [this, &hasCome](const AppendRequest& aRequest) {
+        if (!hasCome && IsRemoval(aRequest)) {
+          hasCome = true;
+          Store(JournalOf(0), kCancellation, "2");
+          StoreBorrowedTasks();
+        }
+      };
+    }
+    Advance(kLongTime);
+    CPPUNIT_ASSERT(hasCome);
+    CPPUNIT_ASSERT(IsStored());
+    CPPUNIT_ASSERT(mWorkers.at("d0w0").mRuns.empty());
+  }
+
+  // A job with the id of a removed cancellation is submitted while that is
+  // removed. Guards against the removal of an accepted job (LOST).
+  void RemovesNothingButTheCancellation()
+  {
+    CancelUnknown(*mInstances.at(0));
+    bool hasCome = false;
+    for (const auto& it : mInstances) {
+      it->mLog.mOnAppend = [this, &hasCome](const AppendRequest& aRequest) {
+        if (!hasCome && IsRemoval(aRequest)) {
+          hasCome = true;
+          StoreSubmission();
+        }
+      };
+    }
+    Advance(kLongTime);
+    CPPUNIT_ASSERT(hasCome);
+    for (const auto& it : mInstances) {
+      CPPUNIT_ASSERT(it->mNode.GetJobRouter().StateOf("a", Deadline()));
+    }
+  }
+
 private:
   void StartInstance()
   {
@@ -118,6 +166,15 @@
     return newest != records.rend() && !newest->mValue.empty();
   }
 
+  static bool IsRemoval(const AppendRequest& aRequest)
+  {
+    const auto& records = aRequest.mRecords;
+    return std::any_of(
+      records.begin(), records.end(), [](const LogRecord& aRecord) {
+        return aRecord.mKey == kCancellation && aRecord.mValue.empty();
+      });
+  }
+
   jobs::Submission MakeSubmission() const
   {
     jobs::Step step;
@@ -138,6 +195,15 @@
           jobs::EncodeSubmission(MakeSubmission()));
   }
 
+  void StoreBorrowedTasks()
+  {
+    jobs::StepProgress step;
+    step.mTasks.push_back({ 0, false, {}, 0, "" });
+    Store(JournalOf(0),
+          jobs::FormatPartKey(jobs::RecordKind::Borrowed, "a", "1.1"),
+          jobs::EncodeBorrowedTasks({ MakeSubmission(), { step }, { 1 } }));
+  }
+
   base::TimePoint Deadline() const { return mClock.Now() + milliseconds(400); }
 
   void Advance(base::Duration aTime)
