Requested renewals are part of the budget of log calls

Each renewal ends the read of every follower in the failure domain of the cell, so that at 101 instances and 5 cells leaders that renew as often as they may exceed the 2,000 reads a second that the log answers.

Test: LogBudgetTest::PlansFewerRequestedRenewalsThanTheLogAnswers failed before (at 101 instances).

--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -80,6 +80,11 @@
   /// Pause after a read that delivered records; none by default. A candidate
   /// sees a resignation up to this much later.
   void SetFollowerPause(base::Duration aPause);
+  /// Minimum time between two renewals that RenewAfter requests.
+  void SetMinRenewInterval(base::Duration aInterval)
+  {
+    mMinRenewInterval = aInterval;
+  }
   /// Pause after a failed read of the stream.
   void SetRetryPause(base::Duration aPause) { mReader.SetRetryPause(aPause); }
   /// See LogStreamReader.
@@ -177,6 +182,7 @@
   std::int64_t mMinEpoch = 0;
   base::Duration mClaimDelay{ 0 };
   base::Duration mFollowerPause{ 0 };
+  base::Duration mMinRenewInterval{ 0 };
   base::TimePoint mNextAppendAt;
   base::TimePoint mConfirmedAt;
   base::TimePoint mRenewAfter = base::kNoDeadline;
--- a/include/skylarkhill/node/log_budget.hpp
+++ b/include/skylarkhill/node/log_budget.hpp
@@ -40,6 +40,8 @@
   base::Duration mRetryPause{ 0 };
   /// Minimum time between two batches of progress records of a leader.
   base::Duration mFlushInterval{ 0 };
+  /// Minimum time between two renewals of a leadership that are requested.
+  base::Duration mMinRenewInterval{ 0 };
   /// Age up to which a state in a journal counts as fresh.
   base::Duration mMaxStateAge{ 0 };
   /// Time between two announcements of an instance.
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -283,6 +283,7 @@
 {
   mBudget = aBudget;
   UpdateLeaderStreamPause();
+  mLeadership.SetMinRenewInterval(mBudget.mMinRenewInterval);
   mJobService.SetMaxStateAge(mBudget.mMaxStateAge);
   if (mEpoch == 0) {
     SetRetryPauses(mBudget.mRetryPause, kMaxRateLimitPause);
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -19,8 +19,6 @@
 
 /// Interval between two records of a leader.
 constexpr base::Duration kRenewInterval = std::chrono::milliseconds(800);
-/// The same if renewals are requested early.
-constexpr base::Duration kMinRenewInterval = std::chrono::milliseconds(100);
 /// Time without a renewal after which candidates claim: allows for two late or
 /// lost renewals.
 constexpr base::Duration kTakeoverTimeout = std::chrono::milliseconds(2200);
@@ -270,7 +268,7 @@
                            mRenewAfter >= mConfirmedAt;
   return isRequested
            ? std::min(mNextAppendAt,
-                      std::max(mRenewAfter, mConfirmedAt + kMinRenewInterval))
+                      std::max(mRenewAfter, mConfirmedAt + mMinRenewInterval))
            : mNextAppendAt;
 }
 
--- a/src/node/log_budget.cpp
+++ b/src/node/log_budget.cpp
@@ -22,6 +22,9 @@
 constexpr double kFlushShare = 0.4;
 /// Of the reads and of the writes.
 constexpr double kAnnouncementShare = 0.05;
+/// The same, for renewals of all leaderships that are requested: only for a
+/// short time, at the expense of what is left for bursts.
+constexpr double kRequestedRenewalShare = 0.2;
 /// Calls of an instance in an announcement interval, which it shortens by up to
 /// a quarter.
 constexpr double kCallsPerAnnouncement = 1.15;
@@ -47,6 +50,9 @@
 constexpr Duration kMaxLeaderPause = std::chrono::milliseconds(400);
 constexpr Duration kMinFlushInterval = std::chrono::milliseconds(20);
 constexpr Duration kMaxFlushInterval = std::chrono::milliseconds(400);
+constexpr Duration kMinRenewInterval = std::chrono::milliseconds(100);
+/// That of renewals without a request.
+constexpr Duration kMaxRenewInterval = std::chrono::milliseconds(800);
 constexpr Duration kMinRetryPause = std::chrono::milliseconds(200);
 constexpr Duration kMaxRetryPause = std::chrono::milliseconds(1500);
 constexpr Duration kMinStateAge = std::chrono::milliseconds(100);
@@ -130,6 +136,15 @@
                                       aRates.mWritesPerSecond * kFlushShare,
                                       kMinFlushInterval,
                                       kMaxFlushInterval);
+  budget.mMinRenewInterval =
+    std::max(IntervalFor(followed / 2.0,
+                         reads * kRequestedRenewalShare,
+                         kMinRenewInterval,
+                         kMaxRenewInterval),
+             IntervalFor(cells,
+                         aRates.mWritesPerSecond * kRequestedRenewalShare,
+                         kMinRenewInterval,
+                         kMaxRenewInterval));
   budget.mMaxStateAge =
     IntervalFor(followed, reads * kCallerShare, kMinStateAge, kMaxStateAge);
   budget.mRetryPause = IntervalFor(2.0 * (followed + otherLed) + instances,
--- a/src/node/log_budget_test.cpp
+++ b/src/node/log_budget_test.cpp
@@ -65,6 +65,7 @@
   CPPUNIT_TEST_SUITE(LogBudgetTest);
   CPPUNIT_TEST(PlansFewerReadsThanTheLogAnswers);
   CPPUNIT_TEST(PlansFewerBatchesThanTheLogStores);
+  CPPUNIT_TEST(PlansFewerRequestedRenewalsThanTheLogAnswers);
   CPPUNIT_TEST(FollowsAllCellsOnSitesFarBelowTheRate);
   CPPUNIT_TEST(LimitsNothingWithoutKnownRates);
   CPPUNIT_TEST(RanksFollowersOfAllFailureDomains);
@@ -102,6 +103,33 @@
     CPPUNIT_ASSERT(batches < kRates.mWritesPerSecond / 2);
   }
 
+  // The workers of all cells fall silent in turn, and each leader renews as
+  // often as it may. Guards against renewals that exceed the log's rates: each
+  // ends the read of every follower in the failure domain of the cell.
+  void PlansFewerRequestedRenewalsThanTheLogAnswers()
+  {
+    for (const SiteSize size : { SiteSize{ 31, 1 },
+                                 SiteSize{ 101, 5 },
+                                 SiteSize{ 301, 15 },
+                                 SiteSize{ 500, 24 } }) {
+      const LogBudget budget = PlanLogCalls(kRates, size);
+      const double renewals =
+        size.mCells /
+        std::chrono::duration<double>(budget.mMinRenewInterval).count();
+      const double usual = 1.25 * size.mCells;
+      const double reads =
+        budget.mPlannedReadsPerSecond +
+        std::max(0.0, renewals - usual) * budget.mFollowersPerCell / 2.0;
+      const double batches =
+        size.mCells /
+        std::chrono::duration<double>(budget.mFlushInterval).count();
+      const std::string text = std::to_string(size.mInstances);
+      CPPUNIT_ASSERT_MESSAGE(text, reads < kRates.mReadsPerSecond);
+      CPPUNIT_ASSERT_MESSAGE(
+        text, batches + renewals < 0.6 * kRates.mWritesPerSecond);
+    }
+  }
+
   // Guards against answers that need a second instance, and slower leaders, on
   // sites that the log serves without limits.
   void FollowsAllCellsOnSitesFarBelowTheRate()
@@ -119,6 +147,7 @@
       CPPUNIT_ASSERT_EQUAL(it.mSize.mInstances, budget.mFollowersPerCell);
       CPPUNIT_ASSERT(budget.mLeaderJournalPause == milliseconds(15));
       CPPUNIT_ASSERT(budget.mFlushInterval == milliseconds(20));
+      CPPUNIT_ASSERT(budget.mMinRenewInterval == milliseconds(100));
       CPPUNIT_ASSERT(budget.mRetryPause == milliseconds(200));
       CPPUNIT_ASSERT(budget.mOtherLeaderJournalPause == milliseconds(200));
       CPPUNIT_ASSERT(budget.mFollowerJournalPause ==
