Late backfill jobs share workers after 8 s, so that their wait has a bound (LOST)

Callers would see a late job of work that fills wait without anything running while most of the room is free. Now a job that has waited for 8 s may share a worker with others of that kind: an equal part of what the services leave, at least 5% of full pace. A worker gets one such start in 0.6 s and none while a pace call is open. Pacing lowers these runs in proportion, so that each makes progress, and they count like one run when other backfill is placed, so that it finds the same room as before.

Two tests kept mBackfillDemand by hand, which PlacementIndex::Update computes now.

--- a/src/dispatch/colocation_test.cpp
+++ b/src/dispatch/colocation_test.cpp
@@ -80,9 +80,7 @@
     run.mTailLatencyOrUse = aTailLatencyOrUse;
     aWorker.mRuns.insert(&run);
     const jobs::Step& step = *aTask.mStep->mSpec;
-    if (step.mIsBackfill) {
-      aWorker.mBackfillDemand += step.mResources.mMilliProcessors;
-    } else {
+    if (!step.mIsBackfill) {
       aWorker.mUsed += step.mResources;
     }
     return run;
@@ -97,13 +95,14 @@
     return index.Choose(aTask, mModel, mNow);
   }
 
-  PlacementIndex::PacedChoice ChoosePaced(const TaskState& aTask) const
+  PlacementIndex::PacedChoice ChoosePaced(const TaskState& aTask,
+                                          bool aMayShare = false) const
   {
     PlacementIndex index;
     for (const auto& it : mWorkers) {
       index.Update(*it.second);
     }
-    return index.ChoosePaced(aTask, mModel, mNow);
+    return index.ChoosePaced(aTask, mModel, aMayShare, mNow);
   }
 
   base::TimePoint mNow = base::FromMicros(100'000'000);
@@ -157,7 +156,9 @@
   CPPUNIT_TEST(AppliesAStricterTailLimitToNonUrgentTasks);
   CPPUNIT_TEST(StartsBackfillBelowFullPaceWithinTheTailLimit);
   CPPUNIT_TEST(StartsOneRunBelowFullPaceAtATime);
+  CPPUNIT_TEST(SharesAWorkerAmongStartsThatHaveWaitedForLonger);
   CPPUNIT_TEST(StartsBelowFullPaceYieldToOtherBackfill);
+  CPPUNIT_TEST(LowersStartsBelowFullPaceInProportion);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -514,6 +515,31 @@
     CPPUNIT_ASSERT_EQUAL(&worker, mFixture->ChoosePaced(second).mWorker);
   }
 
+  // Otherwise jobs wait for as long as there are more of them than workers
+  // (LOST).
+  void SharesAWorkerAmongStartsThatHaveWaitedForLonger()
+  {
+    TrainModel();
+    WorkerState& worker = mFixture->AddWorker("w");
+    RunState& service =
+      mFixture->Run(mFixture->AddTask(ServiceStep(), mSensitive), worker, 55);
+    service.mTask->mStep->mBaseline = SaturationOf(0.55);
+    TaskState& first = mFixture->AddTask(BackfillStep(), mInterfering);
+    const int left = mFixture->ChoosePaced(first, true).mPace;
+    CPPUNIT_ASSERT(left >= 10 && left < 100);
+    RunState& run = mFixture->Run(first, worker, -1);
+    run.mIsPacedFromStart = true;
+    run.mTargetPace = left;
+    TaskState& second = mFixture->AddTask(BackfillStep(), mInterfering);
+    // The first run is still at full pace.
+    CPPUNIT_ASSERT(mFixture->ChoosePaced(second, true).mWorker == nullptr);
+    run.mPace = left;
+    CPPUNIT_ASSERT(mFixture->ChoosePaced(second, false).mWorker == nullptr);
+    CPPUNIT_ASSERT_EQUAL(left / 2, mFixture->ChoosePaced(second, true).mPace);
+    worker.mPacedStartAt = mFixture->mNow - milliseconds(100);
+    CPPUNIT_ASSERT(mFixture->ChoosePaced(second, true).mWorker == nullptr);
+  }
+
   // Otherwise overdue work takes the place of jobs that can be in time.
   void StartsBelowFullPaceYieldToOtherBackfill()
   {
@@ -534,6 +560,27 @@
     CPPUNIT_ASSERT(paced.mTargetPace < 100);
   }
 
+  // Otherwise one of the runs that share a worker stands still, holding memory.
+  void LowersStartsBelowFullPaceInProportion()
+  {
+    TrainModel();
+    WorkerState& worker = mFixture->AddWorker("w");
+    RunState& service =
+      mFixture->Run(mFixture->AddTask(ServiceStep(), mSensitive), worker, 55);
+    service.mTask->mStep->mBaseline = SaturationOf(0.55);
+    std::vector<RunState*> runs;
+    for (int n = 0; n < 3; ++n) {
+      runs.push_back(&mFixture->Run(
+        mFixture->AddTask(BackfillStep(), mInterfering), worker, 1600));
+      runs.back()->mIsPacedFromStart = true;
+    }
+    AdjustPace(
+      worker, mFixture->mModel, std::chrono::seconds(4), mFixture->mNow);
+    for (const RunState* it : runs) {
+      CPPUNIT_ASSERT(it->mTargetPace > 0 && it->mTargetPace < 50);
+    }
+  }
+
 private:
   /// Returns the tail latency in ms of a service task at `aSaturation`.
   static std::int64_t TailAt(Saturation aSaturation)
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -79,6 +79,8 @@
 /// A backfill step that has found no worker for longer may start tasks below
 /// full pace.
 constexpr Duration kMaxBackfillWait = std::chrono::milliseconds(2000);
+/// The same for starts beside others of that kind, which then get less.
+constexpr Duration kMaxBackfillWaitAlone = std::chrono::milliseconds(8000);
 constexpr int kUnknownPace = -1;
 constexpr int kFullPace = 100;
 /// Above this estimate a run is taken to be at full pace, because the reported
@@ -533,10 +535,15 @@
     HandleActiveRuns(worker, aReport, aSentAt, aNow);
     mColocationModel.Update(worker, aNow);
     AdjustPace(worker, mColocationModel, mLimits.mMaxTailViolation, aNow);
+    bool hasPacedStarts = false;
     for (RunState* it : worker.mRuns) {
       if (it->mPace != it->mTargetPace) {
         mRunsToCall.insert(it);
       }
+      hasPacedStarts = hasPacedStarts || it->mIsPacedFromStart;
+    }
+    if (hasPacedStarts) {
+      mPlacementIndex.Update(worker);
     }
     mPollQueue.Schedule(worker,
                         aNow + (mustWait ? kDurabilityPollPause : kPollPause));
@@ -1162,9 +1169,6 @@
     aWorker.mRuns.insert(&run);
     mRunsToCall.insert(&run);
     aWorker.mUsed += ReservedResources(step);
-    if (step.mIsBackfill) {
-      aWorker.mBackfillDemand += step.mResources.mMilliProcessors;
-    }
     mPlacementIndex.Update(aWorker);
     ++aTask.mStep->mTasksPerWorker[&aWorker];
     return run;
@@ -1209,9 +1213,6 @@
     worker.mRuns.erase(&aRun);
     mRunsToCall.erase(&aRun);
     worker.mUsed -= ReservedResources(step);
-    if (step.mIsBackfill) {
-      worker.mBackfillDemand -= step.mResources.mMilliProcessors;
-    }
     --task.mStep->mTasksPerWorker[&worker];
     mPlacementIndex.Update(worker);
     mPlacementIndex.OnAvailable(worker);
@@ -2161,8 +2162,10 @@
   void PlacePacedRun(TaskState& aTask, TimePoint aNow)
   {
     const std::int64_t before = mPlacementIndex.ConsideredCount();
+    const bool mayShare =
+      aNow - *aTask.mStep->mNoRoomSince > kMaxBackfillWaitAlone;
     const auto choice =
-      mPlacementIndex.ChoosePaced(aTask, mColocationModel, aNow);
+      mPlacementIndex.ChoosePaced(aTask, mColocationModel, mayShare, aNow);
     CountSearch(mPlacementIndex.ConsideredCount() - before);
     if (choice.mWorker == nullptr) {
       return;
@@ -2176,6 +2179,8 @@
     RunState& run = AddRun(aTask, *choice.mWorker, NextRunNumber(aTask), aNow);
     run.mTargetPace = choice.mPace;
     run.mIsPacedFromStart = true;
+    choice.mWorker->mPacedStartAt = aNow;
+    mPlacementIndex.Update(*choice.mWorker);
     logging::Write(
       logging::Level::Info,
       "paced_start",
@@ -2183,6 +2188,7 @@
         { "run", run.mNumber },
         { "worker", choice.mWorker->mEntry.mId },
         { "percent", choice.mPace },
+        { "shared", mayShare ? "yes" : "no" },
         { "waited_ms", ToMs(aNow - *aTask.mStep->mNoRoomSince) } });
     SendStart(run, aNow);
   }
@@ -2554,7 +2560,7 @@
         (call.mLeaseUntilMs > 0 || call.mAcknowledgedSequence > 0)) {
       call.mIncarnationStartMs = aWorker.mIncarnationStartMs;
     }
-    const bool isColocated = aWorker.mBackfillDemand > 0;
+    const bool isColocated = aWorker.mHasBackfill;
     call.mWaitMs = !aWorker.mHasReported      ? 0
                    : !aWorker.mMayExtendLease ? kPollWaitUnextendedMs
                    : isColocated              ? kPollWaitColocatedMs
--- a/src/dispatch/pacing.cpp
+++ b/src/dispatch/pacing.cpp
@@ -44,7 +44,8 @@
 /// Lowers the paces of `aBackfill` until `aService` is expected to stay below
 /// `aLimit`, starting with the run that has the highest interference per
 /// processor share. If `aPacedOnly`, leaves runs that have started at full pace
-/// as they are.
+/// as they are and lowers the others in proportion, so that each of them makes
+/// progress.
 void
 LimitPaces(const ColocationModel& aModel,
            const RunState& aService,
@@ -70,6 +71,18 @@
         { it, interference, interference / BackfillShareOf(*it) });
     }
   }
+  if (aPacedOnly) {
+    Saturation total = 0.0;
+    for (const Entry& it : entries) {
+      total += it.mInterference * aPaces[it.mRun] / kFullPace;
+    }
+    const double kept =
+      excess > 0.0 && total > 0.0 ? std::max(0.0, 1.0 - excess / total) : 1.0;
+    for (const Entry& it : entries) {
+      aPaces[it.mRun] *= kept;
+    }
+    return;
+  }
   std::sort(entries.begin(),
             entries.end(),
             [](const Entry& aLeft, const Entry& aRight) {
@@ -140,8 +153,12 @@
   for (RunState* it : backfill) {
     int pace = static_cast<int>(paces[it]);
     pace = std::min(pace, it->mTargetPace + kMaxRaisePerChange);
+    // A small raise matters to a run that is held at a low pace for long.
+    const int minRaise = it->mIsPacedFromStart
+                           ? std::min(kMaxRaisePerChange, it->mTargetPace) / 2
+                           : kMaxRaisePerChange / 2;
     if (pace < it->mTargetPace || pace == kFullPace ||
-        pace > it->mTargetPace + kMaxRaisePerChange / 2) {
+        pace > it->mTargetPace + minRaise) {
       hasChanged = hasChanged || pace != it->mTargetPace;
       it->mTargetPace = pace;
     }
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -22,9 +22,9 @@
 /// A backfill task starts below full pace only where at least this pace, in
 /// percent, is left for it and its like.
 inline constexpr int kMinStartPace = 10;
-/// Upper bound of the runs on a worker that are held below full pace since
-/// their starts.
-inline constexpr int kMaxPacedStarts = 1;
+/// The same beside runs that have started so, with which it shares what is
+/// left.
+inline constexpr int kMinSharedPace = 5;
 
 /// Returns the decayed failure score of `aWorker` at `aNow`.
 double
--- a/src/dispatch/placement_index.cpp
+++ b/src/dispatch/placement_index.cpp
@@ -18,6 +18,9 @@
 /// Placement cost of each run that is held below full pace since its start.
 constexpr double kPacedStartCost = 20000.0;
 constexpr int kFullPace = 100;
+/// Minimum time between two starts below full pace on a worker.
+constexpr base::Duration kMinPacedStartInterval =
+  std::chrono::milliseconds(600);
 
 std::int64_t
 CountPacedStarts(const WorkerState& aWorker)
@@ -28,6 +31,17 @@
     });
 }
 
+/// True if a run on the worker that is to be held below full pace may still be
+/// at a higher one.
+bool
+IsPaceCallOpen(const WorkerState& aWorker)
+{
+  return std::any_of(
+    aWorker.mRuns.begin(), aWorker.mRuns.end(), [](const RunState* aRun) {
+      return aRun->mIsPacedFromStart && aRun->mTargetPace < aRun->mPace;
+    });
+}
+
 /// Other steps may find workers that limits of the step of `aTask` exclude.
 bool
 IsLimitedByDemandOnly(const TaskState& aTask)
@@ -144,6 +158,22 @@
     aWorker.mRuns.end(),
     std::back_inserter(aWorker.mServiceRuns),
     [](const RunState* aRun) { return aRun->mTask->mStep->mSpec->mIsService; });
+  aWorker.mBackfillDemand = 0;
+  aWorker.mHasBackfill = false;
+  std::int64_t paced = 0;
+  for (const RunState* it : aWorker.mRuns) {
+    const jobs::Step& step = *it->mTask->mStep->mSpec;
+    if (!step.mIsBackfill) {
+      continue;
+    }
+    aWorker.mHasBackfill = true;
+    if (it->mIsPacedFromStart && it->mTargetPace < kFullPace) {
+      paced = std::max(paced, step.mResources.mMilliProcessors);
+    } else {
+      aWorker.mBackfillDemand += step.mResources.mMilliProcessors;
+    }
+  }
+  aWorker.mBackfillDemand += paced;
   Ranks ranks;
   ranks.mPool = aWorker.mEntry.mPool;
   const std::size_t hash = std::hash<std::string>()(aWorker.mEntry.mId);
@@ -207,6 +237,7 @@
   for (auto& [name, pool] : mPools) {
     pool.mFailedDemands.Clear();
     pool.mFailedPacedDemands.Clear();
+    pool.mFailedSharedDemands.Clear();
     pool.mAvailable.clear();
   }
 }
@@ -281,6 +312,7 @@
 PlacementIndex::PacedChoice
 PlacementIndex::ChoosePaced(const TaskState& aTask,
                             const ColocationModel& aModel,
+                            bool aMayShare,
                             base::TimePoint aNow)
 {
   const StepState& step = *aTask.mStep;
@@ -289,7 +321,9 @@
     return {};
   }
   Pool& pool = found->second;
-  if (pool.mFailedPacedDemands.Find(step)) {
+  FailedDemands& failedDemands =
+    aMayShare ? pool.mFailedSharedDemands : pool.mFailedPacedDemands;
+  if (failedDemands.Find(step)) {
     return {};
   }
   const double minLeft = MinProcessorsForBackfill(
@@ -306,12 +340,19 @@
         RunsOn(aTask, worker)) {
       continue;
     }
-    const std::int64_t others = CountPacedStarts(worker);
-    if (others >= kMaxPacedStarts ||
-        HarmlessPace(step, worker, aModel, false) < kMinStartPace) {
+    const auto others = static_cast<int>(CountPacedStarts(worker));
+    // Each start runs at full pace until its pace call is answered, and the
+    // next report shows what it does to the services.
+    if ((others > 0 && !aMayShare) || IsPaceCallOpen(worker) ||
+        worker.mPacedStartAt + kMinPacedStartInterval > aNow) {
+      continue;
+    }
+    const int left = HarmlessPace(step, worker, aModel, false);
+    const int pace = others == 0 ? HarmlessPace(step, worker, aModel, true)
+                                 : left / (others + 1);
+    if (others == 0 ? left < kMinStartPace : pace < kMinSharedPace) {
       continue;
     }
-    const int pace = HarmlessPace(step, worker, aModel, true);
     const double cost = PlacementCost(aTask, worker, aModel, aNow) +
                         kPaceCost * (kFullPace - pace) +
                         kPacedStartCost * static_cast<double>(others);
@@ -321,7 +362,7 @@
     }
   }
   if (best.mWorker == nullptr && IsLimitedByDemandOnly(aTask)) {
-    pool.mFailedPacedDemands.Add(step, { step.mSpec->mResources, 0, true });
+    failedDemands.Add(step, { step.mSpec->mResources, 0, true });
   }
   return best;
 }
--- a/src/dispatch/placement_index.hpp
+++ b/src/dispatch/placement_index.hpp
@@ -48,10 +48,12 @@
   };
 
   /// Returns the best worker with service tasks on which `aTask` can start
-  /// below full pace, see kMinStartPace and kMaxPacedStarts. A search without
-  /// result is not repeated before the next ForgetFailures.
+  /// below full pace, see kMinStartPace; with `aMayShare` also beside runs that
+  /// have started so, see kMinSharedPace. A search without result is not
+  /// repeated before the next ForgetFailures.
   PacedChoice ChoosePaced(const TaskState& aTask,
                           const ColocationModel& aModel,
+                          bool aMayShare,
                           base::TimePoint aNow);
 
   /// Number of workers considered so far, over all choices.
@@ -86,8 +88,9 @@
     /// Lower bound of the processors of a worker.
     std::int64_t mMinCapacity = 0;
     FailedDemands mFailedDemands;
-    /// The same for ChoosePaced.
+    /// The same for ChoosePaced, without and with sharing.
     FailedDemands mFailedPacedDemands;
+    FailedDemands mFailedSharedDemands;
     /// Workers that have become available since the last ForgetFailures.
     std::vector<WorkerState*> mAvailable;
   };
--- a/src/dispatch/placement_index_test.cpp
+++ b/src/dispatch/placement_index_test.cpp
@@ -86,8 +86,6 @@
     const jobs::Step& step = *run.mTask->mStep->mSpec;
     worker.mRuns.erase(&run);
     worker.mUsed -= ReservedResources(step);
-    worker.mBackfillDemand -=
-      step.mIsBackfill ? step.mResources.mMilliProcessors : 0;
     --run.mTask->mStep->mTasksPerWorker[&worker];
     run.mTask->mRuns.clear();
     mIndex.Update(worker);
@@ -127,8 +125,6 @@
     run.mWorker = &aWorker;
     aWorker.mRuns.insert(&run);
     aWorker.mUsed += ReservedResources(step);
-    aWorker.mBackfillDemand +=
-      step.mIsBackfill ? step.mResources.mMilliProcessors : 0;
     ++aTask.mStep->mTasksPerWorker[&aWorker];
     mPlaced.push_back(&run);
     mIndex.Update(aWorker);
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -246,8 +246,14 @@
 
   std::set<RunState*> mRuns;
   base::Resources mUsed;
-  /// Processors, in thousandths, that the backfill tasks request.
+  /// Processors, in thousandths, that the backfill tasks request, as of the
+  /// last PlacementIndex::Update. Those that have started below full pace use
+  /// only what the others leave, and count like one of them.
   std::int64_t mBackfillDemand = 0;
+  /// The worker has backfill runs, as of the last PlacementIndex::Update.
+  bool mHasBackfill = false;
+  /// When the last run below full pace was started.
+  base::TimePoint mPacedStartAt;
   /// The service runs among mRuns, as of the last PlacementIndex::Update.
   std::vector<const RunState*> mServiceRuns;
   /// EstimateUnusedProcessors as of the last PlacementIndex::Update.
