A worker with a run that is not wanted gets no start before it has ended

After a change of the leader, runs of jobs that have ended meanwhile are stopped. On a worker that does not guard its capacity such a start would exceed it (LIMIT).

Test: TakeoverTest::KeepsTheRoomOfARunThatItStops failed before.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1568,6 +1568,7 @@
                         TimePoint aNow)
   {
     std::set<const RunState*> listed;
+    aWorker.mHasUnwantedRuns = false;
     for (const auto& it : aReport.mActiveRuns) {
       TaskState* task = FindTask(it.mTask);
       RunState* run = FindRun(it.mTask, it.mRunNumber, aWorker.mEntry.mId);
@@ -1575,6 +1576,7 @@
         run = AdoptRun(aWorker, task, it, aNow);
       }
       if (run == nullptr) {
+        aWorker.mHasUnwantedRuns = true;
         continue;
       }
       listed.insert(run);
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -126,6 +126,7 @@
          aWorker.mMayExtendLease && !aWorker.mEntry.mIsDraining &&
          aWorker.mNoStartsUntil <= aNow &&
          aWorker.mForeignLeaseEndsAt <= aNow && !aWorker.mUncertainSince &&
+         !aWorker.mHasUnwantedRuns &&
          aWorker.mLastReportAt + kMaxReportAge > aNow;
 }
 
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -246,6 +246,9 @@
 
   std::set<RunState*> mRuns;
   base::Resources mUsed;
+  /// The last report lists runs that are to be stopped and are not among mRuns,
+  /// so that mUsed lacks their resources.
+  bool mHasUnwantedRuns = false;
   /// Processors, in thousandths, that the backfill tasks request, as of the
   /// last PlacementIndex::Update. Those that have started below full pace use
   /// only what the others leave, and count like one of them.
--- a/src/dispatch/takeover_test.cpp
+++ b/src/dispatch/takeover_test.cpp
@@ -88,6 +88,7 @@
   CPPUNIT_TEST(UsesAWorkerOfAnotherCellAfterItsLease);
   CPPUNIT_TEST(StartsNothingOnARestartedWorkerIfASuccessorMayHaveClaimed);
   CPPUNIT_TEST(StartsTasksOnARestartedWorkerOnceConfirmed);
+  CPPUNIT_TEST(KeepsTheRoomOfARunThatItStops);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -190,6 +191,28 @@
     site.Advance(milliseconds(200));
     CPPUNIT_ASSERT_EQUAL(2, site.mStartCounts.at("a.0.0.0"));
   }
+
+  // A new leader finds a run whose job has ended and stops it. Guards against
+  // starts that the worker refuses for lack of room, or that exceed its
+  // capacity (LIMIT), while the run lasts.
+  void KeepsTheRoomOfARunThatItStops()
+  {
+    FakeSite site;
+    site.mRunTime = [](const TaskId&) { return std::chrono::minutes(1); };
+    FakeWorker& worker = site.AddWorker("w1", 4000);
+    worker.mRuns.push_back(
+      { { "ended", 0, 0, 0 }, 1, site.Now() + std::chrono::minutes(1), false });
+    worker.mLeaseUntil = site.Now() + std::chrono::seconds(6);
+    auto& leader = site.AddLeader(2);
+    leader.mAreStopsLost = true;
+    leader.GetDispatcher().AddJob(MakeJob("a", { 1 }, 4000), false, site.Now());
+    site.Advance(milliseconds(700));
+    CPPUNIT_ASSERT(leader.mStarts.empty());
+    leader.mAreStopsLost = false;
+    site.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts["a.0.0.0"]);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, worker.mRuns.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TakeoverTest);
