A leader that resigns hands over which waiting tasks have no run (LOST)

Callers would see lasting tasks without a run while workers have room, over leaders that restart in series. Cause: a successor holds back each task that may have an earlier run until all workers have reported. Now it stores these tasks with its last records, and its resignation names the record; a successor starts them on workers that have reported. A leader without a dispatcher passes the name on. After a crash nothing changes.

TakeoverTest, two methods, the second of which fails if open starts are not left out.

--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "skylarkhill/base/clock.hpp"
 #include "skylarkhill/cells/cell_load.hpp"
 #include "skylarkhill/dispatch/worker.hpp"
+#include "skylarkhill/jobs/idle_tasks.hpp"
 #include "skylarkhill/jobs/job.hpp"
 #include "skylarkhill/jobs/job_table.hpp"
 #include "skylarkhill/metrics/registry.hpp"
@@ -54,6 +55,8 @@
   base::TimePoint mPreviousLeasesEndAt;
   /// Null if the site has one cell. Must outlive the dispatcher.
   const JobDirectory* mJobs = nullptr;
+  /// Tasks of earlier terms that have no run.
+  std::vector<jobs::IdleStep> mIdleSteps;
 };
 
 /// Id of a job and its progress that must become durable.
@@ -148,6 +151,9 @@
   /// Starts none of them again. The job counts as started from then on.
   virtual jobs::StepProgress LendTasks(const UnplacedTasks& aTasks,
                                        int aMaxCount) = 0;
+  /// Waiting tasks of started jobs that cannot have a run, also not by a start
+  /// without an answer. Lasting tasks come first.
+  virtual std::vector<jobs::IdleStep> ListIdle() const = 0;
   /// Room and demand of the workers of this dispatcher.
   virtual cells::CellLoad Load(base::TimePoint aNow) const = 0;
 
--- a/include/skylarkhill/jobs/job_codec.hpp
+++ b/include/skylarkhill/jobs/job_codec.hpp
@@ -34,6 +34,8 @@
   Loan,
   /// Tasks of a RecordKind::Loan, in the journal of the cell that runs them.
   Borrowed,
+  /// IdleTasks of the leader that has resigned last.
+  Idle,
 };
 
 /// The key of a journal record.
@@ -41,7 +43,7 @@
 {
   RecordKind mKind = RecordKind::Submission;
   /// Job id; the worker id for RecordKind::Worker and RecordKind::WorkerLease,
-  /// a constant for RecordKind::Model and RecordKind::Load.
+  /// a constant for RecordKind::Model, RecordKind::Load and RecordKind::Idle.
   std::string mId;
   /// Tells apart the records of one kind of a job, empty for kinds with one
   /// record: "OCCURRENCE.STEP.FIRST" of a RecordKind::TaskRange, "NUMBER" of a
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -262,6 +262,10 @@
   /// Adds the present remaining times of all leases that are not extended to
   /// the batch.
   void RepeatLeaseRecords();
+  /// Adds the waiting tasks that have no run.
+  void AddIdleRecord();
+  /// Those of the former leader, if it has resigned and nobody has led since.
+  std::vector<jobs::IdleStep> ReadIdleRecord() const;
   /// Next step of Resign, once the append in flight has been answered.
   void ContinueResignation();
   /// Latest time at which a lease ends that this leader or an earlier one has
@@ -401,7 +405,7 @@
   /// When the leadership is given up at the latest; empty: no resignation is in
   /// progress.
   std::optional<base::TimePoint> mResignBy;
-  bool mHasAddedLastLeaseRecords = false;
+  bool mHasAddedLastRecords = false;
   base::TimePoint mNextLeaseCheckAt;
   base::TimePoint mNextWorkerCheckAt;
   base::TimePoint mRegistryNeededUntil;
@@ -428,6 +432,8 @@
   std::optional<base::TimePoint> mStartsHeldAt;
   /// Newest record of the interference estimates in the journal.
   std::string mModelRecord;
+  /// Newest record of the idle tasks in the journal.
+  std::string mIdleRecord;
   base::TimePoint mNextModelAt;
 
   /// From when on transfers are chosen in this term.
--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -29,6 +29,17 @@
   /// Of a resignation: upper bound of the time until the end of all worker
   /// leases that this leader or earlier ones have granted; 0: not known.
   std::int64_t mLeasesRemainingMs = 0;
+  /// Of a resignation: epoch of the jobs::IdleTasks that hold; 0: none.
+  std::int64_t mIdleTasksEpoch = 0;
+};
+
+/// What a leader that resigns tells its successor.
+struct LeaderHandOver
+{
+  /// No worker lease ends later; kNoDeadline if that is not known.
+  base::TimePoint mLeasesEndAt = base::kNoDeadline;
+  /// See LeaderRecord::mIdleTasksEpoch.
+  std::int64_t mIdleTasksEpoch = 0;
 };
 
 std::string
@@ -61,12 +72,11 @@
   /// Starts the reads, claims and renewals that are due.
   void Tick();
   /// Gives up the leadership, if held, and never claims it again. Tick repeats
-  /// the resignation until it is stored or another instance leads. No worker
-  /// lease ends after `aLeasesEndAt`; kNoDeadline if that is not known.
-  void Resign(base::TimePoint aLeasesEndAt = base::kNoDeadline);
+  /// the resignation until it is stored or another instance leads.
+  void Resign(const LeaderHandOver& aHandOver = {});
   /// Gives up the leadership, but stays a candidate. No effect while an append
-  /// is in progress. `aLeasesEndAt` as in Resign.
-  void HandOver(base::TimePoint aLeasesEndAt = base::kNoDeadline);
+  /// is in progress.
+  void HandOver(const LeaderHandOver& aHandOver = {});
   /// Renews the leadership as soon as `aTime` has passed, instead of at the end
   /// of the usual interval, unless it was confirmed after that time.
   /// kNoDeadline for no such time. Holds for the own term only.
@@ -122,6 +132,12 @@
   {
     return std::max(mEarlierLeasesEnd, mNewestLeasesEnd);
   }
+  /// Epoch of the jobs::IdleTasks that hold at the beginning of the term of the
+  /// newest record; 0: none.
+  std::int64_t InheritedIdleTasksEpoch() const
+  {
+    return mInheritedIdleTasksEpoch;
+  }
   /// True if no leader has extended a lease whose WorkerLeaseRecord of the
   /// given epoch is still stored.
   bool IsLeaseRecordValid(std::int64_t aEpoch) const;
@@ -148,7 +164,7 @@
   /// Updates the ends of leases for a record of another instance, read now.
   void CountLeases(const LeaderRecord& aRecord);
   /// Ends the own term, whose leases count from then on as those of a previous
-  /// leader. `aLeasesEndAt` as in Resign.
+  /// leader. `aLeasesEndAt` as in LeaderHandOver.
   void EndOwnTerm(base::TimePoint aLeasesEndAt);
   void BecomeLeader(const LeaderRecord& aRecord, base::TimePoint aClaimedAt);
   void SetNewestRecord(const LeaderRecord& aRecord);
@@ -170,6 +186,7 @@
   std::optional<std::int64_t> mResignedEpoch;
   /// Epoch of the newest record before that of mNewestRecord.
   std::int64_t mPreviousEpoch = 0;
+  std::int64_t mInheritedIdleTasksEpoch = 0;
   std::int64_t mStreamEnd = 0;
   /// End of the stream when the log refused the last lost claim. The next one
   /// comes after a read up to there.
@@ -192,7 +209,7 @@
   /// The same for the term of mNewestRecord, if another instance led it.
   base::TimePoint mNewestLeasesEnd;
   /// Argument of the last Resign or HandOver.
-  base::TimePoint mLeasesEndAt = base::kNoDeadline;
+  LeaderHandOver mHandOver;
 };
 
 } // namespace skylarkhill::node
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -198,6 +198,9 @@
         "skylarkhill_model_pairs_omitted_total",
         "Interference estimates that did not fit into a record."))
   {
+    for (const auto& it : mTerm.mIdleSteps) {
+      mIdleSteps.emplace(it.mJobId, &it);
+    }
   }
 
   void SetWorker(const WorkerEntry& aEntry, TimePoint aNow) override
@@ -359,6 +362,7 @@
     job->mIsStartRecordRequested = job->mIsStartRecorded;
     job->mMayHaveEarlierRuns = aIsFromEarlierTerm && job->mIsStartRecorded;
     RestoreProgress(*job, mColocationModel, aJob, mLimits.mMaxTasksPerRecord);
+    RestoreIdle(*job);
     ScheduledJob& added = *job;
     mJobs[added.mSubmission.mId] = std::move(job);
     ReleaseOccurrences(added);
@@ -475,6 +479,32 @@
     return lent;
   }
 
+  std::vector<jobs::IdleStep> ListIdle() const override
+  {
+    const auto openTasks = mOpenStarts.ListTasks();
+    std::vector<jobs::IdleStep> steps;
+    for (const bool isService : { true, false }) {
+      for (const StepState* step : mReadySteps) {
+        if (step->mSpec->mIsService != isService || step->mWaitingCount == 0 ||
+            !step->mJob->mIsStartRecordRequested) {
+          continue;
+        }
+        jobs::IdleStep idle{
+          step->mJob->mSubmission.mId, step->mOccurrence, step->mIndex, {}
+        };
+        for (const TaskState& it : step->mTasks) {
+          if (IsFree(it) && openTasks.count(ToText(IdOf(it))) == 0) {
+            idle.mTasks.push_back({ it.mIndex, NextRunNumber(it) - 1 });
+          }
+        }
+        if (!idle.mTasks.empty()) {
+          steps.push_back(std::move(idle));
+        }
+      }
+    }
+    return steps;
+  }
+
   cells::CellLoad Load(TimePoint aNow) const override
   {
     return MeasureLoad(mReadySteps, mWorkers, aNow);
@@ -1107,6 +1137,27 @@
            !IsStartDeferred(aTask);
   }
 
+  /// The tasks that the former leader knew to have no run need not wait for the
+  /// reports of the workers.
+  void RestoreIdle(ScheduledJob& aJob)
+  {
+    const auto [first, last] = mIdleSteps.equal_range(aJob.mSubmission.mId);
+    for (auto idle = first; idle != last; ++idle) {
+      const jobs::IdleStep& stored = *idle->second;
+      BeginOccurrencesUpTo(aJob, mColocationModel, stored.mOccurrence);
+      StepState* step = FindStep(aJob, stored.mOccurrence, stored.mStep);
+      for (const jobs::IdleTask& it : stored.mTasks) {
+        if (step == nullptr || it.mIndex < 0 ||
+            it.mIndex >= static_cast<int>(step->mTasks.size())) {
+          continue;
+        }
+        TaskState& task = step->mTasks[static_cast<std::size_t>(it.mIndex)];
+        task.mMayHaveEarlierRun = false;
+        task.mLastRun = std::max(task.mLastRun, it.mLastRun);
+      }
+    }
+  }
+
   void BorrowTasks(ScheduledJob& aJob,
                    const jobs::JobEntry& aStored,
                    TimePoint aNow)
@@ -2711,6 +2762,8 @@
   PollQueue mPollQueue;
   ColocationModel mColocationModel;
   std::unordered_map<std::string, std::unique_ptr<ScheduledJob>> mJobs;
+  /// Term::mIdleSteps by job id.
+  std::unordered_multimap<std::string, const jobs::IdleStep*> mIdleSteps;
   std::vector<StepState*> mReadySteps;
   /// Runs that are unconfirmed, or that need a stop or pace call.
   std::set<RunState*> mRunsToCall;
--- a/src/dispatch/open_starts.cpp
+++ b/src/dispatch/open_starts.cpp
@@ -69,6 +69,16 @@
   return starts;
 }
 
+std::set<std::string>
+OpenStarts::ListTasks() const
+{
+  std::set<std::string> tasks;
+  for (const auto& [number, start] : mEntries) {
+    tasks.insert(ToText(start.mTask));
+  }
+  return tasks;
+}
+
 void
 OpenStarts::RemoveExpired(base::TimePoint aNow)
 {
--- a/src/dispatch/takeover_test.cpp
+++ b/src/dispatch/takeover_test.cpp
@@ -89,6 +89,8 @@
   CPPUNIT_TEST(StartsNothingOnARestartedWorkerIfASuccessorMayHaveClaimed);
   CPPUNIT_TEST(StartsTasksOnARestartedWorkerOnceConfirmed);
   CPPUNIT_TEST(KeepsTheRoomOfARunThatItStops);
+  CPPUNIT_TEST(ListsIdleTasksWithTheirLastRuns);
+  CPPUNIT_TEST(ListsNoTaskIdleWhoseStartMayCome);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -213,6 +215,70 @@
     CPPUNIT_ASSERT_EQUAL(1, site.mStartCounts["a.0.0.0"]);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, worker.mRuns.size());
   }
+
+  // Guards against a successor that starts a task that runs, or with a run
+  // number that was used before (TWICE).
+  void ListsIdleTasksWithTheirLastRuns()
+  {
+    FakeSite site;
+    site.mRunTime = [](const TaskId&) { return std::chrono::minutes(1); };
+    site.AddWorker("w1", 4000);
+    auto& leader = site.AddLeader(1);
+    jobs::JobEntry job = MakeJob("a", { 3 }, 2000);
+    job.mSubmission->mRequest.mSteps.front().mIsService = true;
+    leader.GetDispatcher().AddJob(job, false, site.Now());
+    site.Advance(milliseconds(300));
+    const auto idle = leader.GetDispatcher().ListIdle();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, idle.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, idle.front().mTasks.size());
+    const int index = idle.front().mTasks.front().mIndex;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 },
+                         site.mStartCounts.count(ToText({ "a", 0, 0, index })));
+    job.mProgress = leader.mStored.at("a");
+    site.Kill(leader);
+    Term term;
+    term.mEpoch = 2;
+    term.mPreviousLeasesEndAt = site.Now() + std::chrono::seconds(12);
+    term.mIdleSteps = { { "a", 0, 0, { { index, 7 } } } };
+    auto& next = site.AddLeader(term);
+    next.mUnreachableWorkers = { "w1" };
+    site.AddWorker("w2", 4000);
+    next.GetDispatcher().SetWorker(site.Worker("w2").Entry(), site.Now());
+    next.GetDispatcher().AddJob(job, true, site.Now());
+    site.Advance(milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, next.mStarts.size());
+    CPPUNIT_ASSERT_EQUAL(index, next.mStarts.front().mTask.mIndex);
+    CPPUNIT_ASSERT_EQUAL(8, next.mStarts.front().mRunNumber);
+    CPPUNIT_ASSERT(site.mDoubleRuns.empty());
+  }
+
+  // The first start of a task gets no answer and may come late, the run of the
+  // second one fails, and no worker has room. Guards against a successor that
+  // starts the task before the fencing token refuses the late start (TWICE).
+  void ListsNoTaskIdleWhoseStartMayCome()
+  {
+    FakeSite site;
+    site.mRunTime = [](const TaskId&) { return milliseconds(800); };
+    site.mDecideFailure = [](const TaskId&, int) { return true; };
+    site.AddWorker("w1", 4000);
+    auto& leader = site.AddLeader(1);
+    leader.mStartDelay = [&](const StartCall&) -> base::Duration {
+      return leader.mStarts.size() == 1 ? std::chrono::seconds(20)
+                                        : std::chrono::seconds(0);
+    };
+    jobs::JobEntry job = MakeJob("a", { 1 }, 2000);
+    job.mSubmission->mRequest.mSteps.front().mIsService = true;
+    leader.GetDispatcher().AddJob(job, false, site.Now());
+    site.Advance(milliseconds(1300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, leader.mStarts.size());
+    WorkerEntry draining = site.Worker("w1").Entry();
+    draining.mIsDraining = true;
+    draining.mRemainingMs = 60'000;
+    leader.GetDispatcher().SetWorker(draining, site.Now());
+    site.Advance(milliseconds(1500));
+    CPPUNIT_ASSERT(site.Worker("w1").mRuns.empty());
+    CPPUNIT_ASSERT(leader.GetDispatcher().ListIdle().empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TakeoverTest);
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -21,7 +21,7 @@
 constexpr int kMaxFirstTask = 1 << 24;
 
 /// First character of the record keys, by kind.
-constexpr base::NameTable<RecordKind, 11> kKeyPrefixes{ {
+constexpr base::NameTable<RecordKind, 12> kKeyPrefixes{ {
   { RecordKind::Submission, "s" },
   { RecordKind::Cancellation, "c" },
   { RecordKind::Progress, "p" },
@@ -33,6 +33,7 @@
   { RecordKind::WorkerLease, "e" },
   { RecordKind::Loan, "o" },
   { RecordKind::Borrowed, "b" },
+  { RecordKind::Idle, "h" },
 } };
 
 using ResourceFields = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -48,6 +48,7 @@
     case RecordKind::Worker:
     case RecordKind::Load:
     case RecordKind::WorkerLease:
+    case RecordKind::Idle:
       break;
   }
 }
@@ -204,6 +205,7 @@
     case RecordKind::Worker:
     case RecordKind::Load:
     case RecordKind::WorkerLease:
+    case RecordKind::Idle:
       break;
   }
 }
--- a/src/jobs/jobs_test.cpp
+++ b/src/jobs/jobs_test.cpp
@@ -1,4 +1,5 @@
 #include "skylarkhill/base/msgpack.hpp"
+#include "skylarkhill/jobs/idle_tasks.hpp"
 #include "skylarkhill/jobs/job_codec.hpp"
 #include "skylarkhill/jobs/job_table.hpp"
 
@@ -69,6 +70,7 @@
   CPPUNIT_TEST(IgnoresARepeatedSubmission);
   CPPUNIT_TEST(IgnoresOlderProgress);
   CPPUNIT_TEST(CancelsAJobSubmittedAfterItsCancellation);
+  CPPUNIT_TEST(EncodesAsManyIdleStepsAsFit);
   CPPUNIT_TEST(ListsCancellationsOfUnknownJobs);
   CPPUNIT_TEST(CountsPendingJobsOfAQueue);
   CPPUNIT_TEST(KeepsTheFinalStateDespiteALateCancellation);
@@ -311,6 +313,33 @@
     CPPUNIT_ASSERT(table.StateOf("a") == JobState::Cancelled);
   }
 
+  // Guards against a hand-over that the log refuses for its size, or that loses
+  // the tasks that come first.
+  void EncodesAsManyIdleStepsAsFit()
+  {
+    constexpr std::size_t kLimit = 2000;
+    IdleTasks idle;
+    idle.mEpoch = 7;
+    for (int n = 0; n < 100; ++n) {
+      idle.mSteps.push_back(
+        { "job" + std::to_string(n), n, 1, { { 0, 70'000 }, { n, 3 } } });
+    }
+    const std::string bytes = EncodeIdleTasks(idle, kLimit);
+    CPPUNIT_ASSERT(bytes.size() <= kLimit);
+    CPPUNIT_ASSERT(bytes.size() > kLimit / 4);
+    const auto decoded = DecodeIdleTasks(bytes);
+    CPPUNIT_ASSERT(decoded);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 7 }, decoded.value().mEpoch);
+    const auto& steps = decoded.value().mSteps;
+    CPPUNIT_ASSERT(steps.size() > 10 && steps.size() < 100);
+    CPPUNIT_ASSERT_EQUAL(std::string("job9"), steps[9].mJobId);
+    CPPUNIT_ASSERT_EQUAL(9, steps[9].mOccurrence);
+    CPPUNIT_ASSERT_EQUAL(1, steps[9].mStep);
+    CPPUNIT_ASSERT_EQUAL(9, steps[9].mTasks.at(1).mIndex);
+    CPPUNIT_ASSERT_EQUAL(70'000, steps[9].mTasks.at(0).mLastRun);
+    CPPUNIT_ASSERT(!DecodeIdleTasks("garbage"));
+  }
+
   // Guards against removing a cancellation that belongs to a job or to borrowed
   // tasks, and against overlooking one by its value.
   void ListsCancellationsOfUnknownJobs()
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -114,6 +114,10 @@
 /// Interval between two load records of a leader.
 constexpr Duration kLoadInterval = std::chrono::milliseconds(250);
 constexpr std::string_view kLoadId = "load";
+/// Every follower reads the record.
+constexpr std::size_t kMaxIdleRecordBytes = std::size_t{ 64 } << 10;
+constexpr std::string_view kIdleId = "idle";
+constexpr std::size_t kMaxIdleKeyBytes = 16;
 
 std::int64_t
 ToMs(Duration aTime)
@@ -378,7 +382,7 @@
 {
   const logging::ContextField context("cell", mOptions.mIndex);
   mResignBy = mClock.Now() + kMaxResignationDelay;
-  mHasAddedLastLeaseRecords = false;
+  mHasAddedLastRecords = false;
   mWorkerClient.ClearDispatcher();
   ContinueResignation();
 }
@@ -391,13 +395,14 @@
     if (mIsFlushInFlight) {
       return;
     }
-    if (mBatch.IsEmpty() && !mHasAddedLastLeaseRecords) {
+    if (mBatch.IsEmpty() && !mHasAddedLastRecords) {
       // Saves the successor the wait for the longest possible lease. Records of
       // the term are repeated, because an instance that has just started counts
       // the remaining times from its first read.
-      mHasAddedLastLeaseRecords = true;
+      mHasAddedLastRecords = true;
       AddLeaseRecords();
       RepeatLeaseRecords();
+      AddIdleRecord();
       if (!mBatch.IsEmpty()) {
         SendBatch();
         return;
@@ -415,16 +420,19 @@
     return;
   }
   mResignBy.reset();
-  const TimePoint leasesEndAt = LeasesEndAt();
+  // A leader without a dispatcher has started nothing in its term.
+  LeaderHandOver handOver{ LeasesEndAt(),
+                           mLeadership.InheritedIdleTasksEpoch() };
   if (mDispatcher != nullptr) {
-    const bool isComplete = mHasAddedLastLeaseRecords && mBatch.IsEmpty();
+    const bool isComplete = mHasAddedLastRecords && mBatch.IsEmpty();
+    handOver.mIdleTasksEpoch = isComplete ? mEpoch : 0;
     logging::Write(
       logging::Level::Info,
       "term_records_stored",
       { { "epoch", mEpoch }, { "complete", isComplete ? "yes" : "no" } });
     EndTerm();
   }
-  mLeadership.Resign(leasesEndAt);
+  mLeadership.Resign(handOver);
 }
 
 TimePoint
@@ -607,6 +615,9 @@
     case jobs::RecordKind::Model:
       mModelRecord = aRecord.mValue;
       break;
+    case jobs::RecordKind::Idle:
+      mIdleRecord = aRecord.mValue;
+      break;
     case jobs::RecordKind::Worker:
     case jobs::RecordKind::WorkerLease:
       ApplyWorkerRecord(*key, aRecord);
@@ -675,6 +686,7 @@
     case jobs::RecordKind::Worker:
     case jobs::RecordKind::WorkerLease:
     case jobs::RecordKind::Load:
+    case jobs::RecordKind::Idle:
       break;
   }
 }
@@ -866,6 +878,35 @@
   }
 }
 
+void
+Cell::AddIdleRecord()
+{
+  const jobs::IdleTasks idle{ mEpoch, mDispatcher->ListIdle() };
+  const std::size_t limit =
+    std::min(kMaxIdleRecordBytes,
+             mOptions.mLogLimits.mMaxRecordBytes - kMaxIdleKeyBytes);
+  AddRecord(
+    jobs::RecordKind::Idle, kIdleId, jobs::EncodeIdleTasks(idle, limit));
+}
+
+std::vector<jobs::IdleStep>
+Cell::ReadIdleRecord() const
+{
+  const std::int64_t epoch = mLeadership.InheritedIdleTasksEpoch();
+  if (epoch == 0 || mIdleRecord.empty()) {
+    return {};
+  }
+  auto idle = jobs::DecodeIdleTasks(mIdleRecord);
+  if (!idle) {
+    logging::Write(logging::Level::Warning,
+                   "idle_record_skipped",
+                   { { "problem", idle.error().mDetail } });
+    return {};
+  }
+  return idle.value().mEpoch == epoch ? std::move(idle.value().mSteps)
+                                      : std::vector<jobs::IdleStep>();
+}
+
 void
 Cell::AddWorkerRecords()
 {
@@ -1037,9 +1078,12 @@
       { "stream", unreadable->mName },
       { "age_ms", ToMs(mClock.Now() - unreadable->mReader.UpToDateAt()) },
       { "failed_reads", unreadable->mReader.ConsecutiveFailures() } });
-  const TimePoint leasesEndAt = LeasesEndAt();
+  const LeaderHandOver handOver{ LeasesEndAt(),
+                                 mDispatcher == nullptr
+                                   ? mLeadership.InheritedIdleTasksEpoch()
+                                   : 0 };
   EndTerm();
-  mLeadership.HandOver(leasesEndAt);
+  mLeadership.HandOver(handOver);
   return true;
 }
 
@@ -1127,6 +1171,11 @@
   term.mEpoch = mEpoch;
   term.mPreviousLeasesEndAt = mLeadership.PreviousLeasesEnd();
   term.mJobs = mOptions.mCellCount > 1 ? &mJournalJobs : nullptr;
+  term.mIdleSteps = ReadIdleRecord();
+  std::int64_t idleTasks = 0;
+  for (const auto& it : term.mIdleSteps) {
+    idleTasks += static_cast<std::int64_t>(it.mTasks.size());
+  }
   dispatch::DispatchLimits limits = mOptions.mLimits;
   limits.mMaxTasksPerRecord = static_cast<int>(std::max<std::size_t>(
     1, mOptions.mLogLimits.mMaxRecordBytes / kMaxTaskProgressBytes));
@@ -1159,6 +1208,7 @@
       { "workers_to_record",
         static_cast<std::int64_t>(mWorkersToRecord.size()) },
       { "lease_records", static_cast<std::int64_t>(mUnextendedWorkers.size()) },
+      { "idle_tasks", idleTasks },
       { "journal", mJournalReader.NextOffset() } });
   mJobsToAdd.insert(openJobs.begin(), openJobs.end());
   for (const auto& it : mJobs.ListTransfersToRepeat()) {
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -40,10 +40,14 @@
 constexpr base::Duration kAllowedPause = std::chrono::milliseconds(300);
 constexpr base::Duration kAppendTimeout = std::chrono::milliseconds(1500);
 
-/// Versions without the last two fields ignore them, and their records lack
+/// Versions without the last three fields ignore them, and their records lack
 /// them.
-using Fields =
-  std::tuple<std::int64_t, std::string, bool, std::int64_t, std::int64_t>;
+using Fields = std::tuple<std::int64_t,
+                          std::string,
+                          bool,
+                          std::int64_t,
+                          std::int64_t,
+                          std::int64_t>;
 
 /// A worker lease may outlast the leader lease a little: worker clocks may run
 /// slow and are read with a delay.
@@ -80,18 +84,17 @@
                                    aRecord.mLeaderId,
                                    aRecord.mIsResigned,
                                    aRecord.mLeaseRecordsSince,
-                                   aRecord.mLeasesRemainingMs });
+                                   aRecord.mLeasesRemainingMs,
+                                   aRecord.mIdleTasksEpoch });
 }
 
 base::Result<LeaderRecord>
 DecodeLeaderRecord(std::string_view aBytes)
 {
   BOOST_OUTCOME_TRY(fields, base::UnpackMsgpack<Fields>(aBytes));
-  return LeaderRecord{ std::get<0>(fields),
-                       std::move(std::get<1>(fields)),
-                       std::get<2>(fields),
-                       std::get<3>(fields),
-                       std::get<4>(fields) };
+  return LeaderRecord{ std::get<0>(fields), std::move(std::get<1>(fields)),
+                       std::get<2>(fields), std::get<3>(fields),
+                       std::get<4>(fields), std::get<5>(fields) };
 }
 
 Leadership::Leadership(AsyncLog& aLog,
@@ -150,9 +153,9 @@
 }
 
 void
-Leadership::Resign(base::TimePoint aLeasesEndAt)
+Leadership::Resign(const LeaderHandOver& aHandOver)
 {
-  mLeasesEndAt = aLeasesEndAt;
+  mHandOver = aHandOver;
   mHasResigned = true;
   if (!mOwnEpoch) {
     return;
@@ -169,14 +172,14 @@
 }
 
 void
-Leadership::HandOver(base::TimePoint aLeasesEndAt)
+Leadership::HandOver(const LeaderHandOver& aHandOver)
 {
   if (!mOwnEpoch || mIsAppending) {
     return;
   }
   const std::int64_t epoch = *mOwnEpoch;
-  mLeasesEndAt = aLeasesEndAt;
-  EndOwnTerm(aLeasesEndAt);
+  mHandOver = aHandOver;
+  EndOwnTerm(aHandOver.mLeasesEndAt);
   logging::Write(
     logging::Level::Warning, "leadership_handed_over", { { "epoch", epoch } });
   Append(MakeRecord(epoch, true));
@@ -330,10 +333,13 @@
   LeaderRecord record{
     aEpoch, mInstanceId, aIsResigned, since != 0 ? since : aEpoch
   };
-  if (aIsResigned && mLeasesEndAt != base::kNoDeadline) {
+  if (aIsResigned) {
+    record.mIdleTasksEpoch = mHandOver.mIdleTasksEpoch;
+  }
+  if (aIsResigned && mHandOver.mLeasesEndAt != base::kNoDeadline) {
     const auto remaining =
-      std::chrono::duration_cast<std::chrono::milliseconds>(mLeasesEndAt -
-                                                            mClock.Now());
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+        mHandOver.mLeasesEndAt - mClock.Now());
     record.mLeasesRemainingMs =
       std::max<std::int64_t>(0, remaining.count()) + 1;
   }
@@ -430,6 +436,8 @@
 {
   if (mNewestRecord && aRecord.mEpoch > mNewestRecord->mEpoch) {
     mPreviousEpoch = mNewestRecord->mEpoch;
+    mInheritedIdleTasksEpoch =
+      mNewestRecord->mIsResigned ? mNewestRecord->mIdleTasksEpoch : 0;
   }
   mNewestRecord = aRecord;
 }
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -358,7 +358,7 @@
     Advance(milliseconds(2000));
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, candidate.mLeadership.Epoch());
     const base::TimePoint bound = mClock.Now() + milliseconds(12'000);
-    candidate.mLeadership.HandOver(bound);
+    candidate.mLeadership.HandOver({ bound });
     Advance(milliseconds(2000));
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 2 }, candidate.mLeadership.Epoch());
     CPPUNIT_ASSERT(candidate.mLeadership.PreviousLeasesEnd() >= bound);
