Instances load the streams of the cells of their own failure domain first

Now the cells of the own failure domain come first.

Test: CellRandomTest::LoadsTheJournalOfTheOwnFailureDomainFirst failed before.

--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -142,6 +142,8 @@
   cells::CellMap mCellMap;
   CellLoads mLoads;
   std::vector<std::unique_ptr<Cell>> mCells;
+  /// The cells, those of the own failure domain first.
+  std::vector<int> mTickOrder;
   /// Cells of the registered workers by id.
   std::map<std::string, int> mCellByWorker;
   std::optional<InstanceDirectory> mDirectory;
--- a/src/node/cell_random_test.cpp
+++ b/src/node/cell_random_test.cpp
@@ -933,6 +933,7 @@
   CPPUNIT_TEST(LendsBesideUnplaceableJobs);
   CPPUNIT_TEST(KeepsTheBacklogOfALostLeader);
   CPPUNIT_TEST(LoadsTheRegistryInFewInstances);
+  CPPUNIT_TEST(LoadsTheJournalOfTheOwnFailureDomainFirst);
   CPPUNIT_TEST(TakesOverAWorkerThatMovesToAnotherCell);
   CPPUNIT_TEST_SUITE_END();
 
@@ -1100,6 +1101,41 @@
     CPPUNIT_ASSERT_EQUAL(0, left);
   }
 
+  // An instance loads one journal at a time, which takes seconds on a slow
+  // link. Guards against a failure domain whose instances restart in turn and
+  // cannot lead its cell until they have loaded those of all others.
+  void LoadsTheJournalOfTheOwnFailureDomainFirst()
+  {
+    base::ManualClock clock;
+    FakeLogState state;
+    FakeWorkers workers;
+    for (int n = 0; n < kDomains * kWorkersPerDomain; ++n) {
+      state.mStreams["workers"].push_back(
+        { "d" + std::to_string(n % kDomains) + "w" + std::to_string(n),
+          "1",
+          n });
+    }
+    for (int domain = 0; domain < kDomains; ++domain) {
+      CellInstance instance(
+        state,
+        workers,
+        clock,
+        MakeCellOptions("node" + std::to_string(domain), domain));
+      for (int n = 0; n < 400; ++n) {
+        clock.Advance(kStep);
+        instance.mNode.Tick();
+        instance.mLog.Deliver();
+      }
+      const auto& reads = instance.mLog.mNewestReads;
+      const auto first =
+        std::find_if(reads.begin(), reads.end(), [](const std::string& aName) {
+          return aName.rfind("journal", 0) == 0;
+        });
+      CPPUNIT_ASSERT(first != reads.end());
+      CPPUNIT_ASSERT_EQUAL(JournalOf(domain), *first);
+    }
+  }
+
   // Guards against jobs that no worker can have and that end all loans (LOST).
   void LendsBesideUnplaceableJobs()
   {
--- a/src/node/fake_shared_log_test.hpp
+++ b/src/node/fake_shared_log_test.hpp
@@ -153,6 +153,7 @@
                   std::function<void(ReadResult)> aHandler) override
   {
     ++mNewestReadCounts[aStream.mTopic];
+    mNewestReads.push_back(NameOfStream(aStream));
     ReadResult result = ReadAll(aStream, 0);
     const auto first = mState.mFirstOffsets.find(NameOfStream(aStream));
     std::map<std::string, LogRecord> newest;
@@ -232,7 +233,9 @@
   bool mRefusesReads = false;
   /// Asynchronous reads of new records by topic.
   std::map<std::string, int> mReadCounts;
-  /// Reads of the newest record of every key by topic.
+  /// The streams of all reads of the newest record of every key.
+  std::vector<std::string> mNewestReads;
+  /// Number of these reads by topic.
   std::map<std::string, int> mNewestReadCounts;
   /// Conditional appends that were refused because the stream has grown.
   int mRefusedAppends = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -224,7 +224,14 @@
     mCells.push_back(std::make_unique<Cell>(
       std::move(options), services, mWorkerClients.ClientOf(cell)));
     jobServices.push_back(&mCells.back()->GetJobService());
+    mTickOrder.push_back(cell);
   }
+  // The streams are loaded one after the other, in the order in which they are
+  // asked for, and this instance is a candidate for these cells first.
+  std::stable_partition(
+    mTickOrder.begin(), mTickOrder.end(), [this](int aCell) {
+      return cells::IsInDomain(mCellMap, aCell, mOptions.mDomain);
+    });
   mJobRouter.SetCells(mCellMap, std::move(jobServices));
   if (mDirectory) {
     mDirectoryVersion = -1;
@@ -253,12 +260,13 @@
     led += it->IsLeading() ? 1 : 0;
     newestEpoch = std::max(newestEpoch, it->NewestEpoch());
   }
-  for (const auto& it : mCells) {
+  for (const int it : mTickOrder) {
+    Cell& cell = *mCells[static_cast<std::size_t>(it)];
     // A worker may move between cells, and it obeys only rising epochs.
-    it->SetMinEpoch(it->NewestEpoch() < newestEpoch ? newestEpoch : 0);
-    const bool isLed = it->IsLeading();
-    it->Tick(mResumedAt, led - (isLed ? 1 : 0));
-    led += (it->IsLeading() ? 1 : 0) - (isLed ? 1 : 0);
+    cell.SetMinEpoch(cell.NewestEpoch() < newestEpoch ? newestEpoch : 0);
+    const bool isLed = cell.IsLeading();
+    cell.Tick(mResumedAt, led - (isLed ? 1 : 0));
+    led += (cell.IsLeading() ? 1 : 0) - (isLed ? 1 : 0);
   }
   mLeading.Set(led);
   if (aNow >= mNextSummaryAt) {
