Inherited tasks that wait may be lent as soon as the room of the cell is known (LOST)

A new leader waited 0.7 s before it lent lasting tasks, and 0.5 s from when it first found no worker for one. Now the hand-over tells how long a step has waited, and loans and transfers begin once the reports are complete, at the latest after 0.7 s as before.

Test: TakeoverTest::LendsIdleTasksOnceTheRoomIsKnown fails without the waiting time.

--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -153,7 +153,7 @@
                                        int aMaxCount) = 0;
   /// Waiting tasks of started jobs that cannot have a run, also not by a start
   /// without an answer. Lasting tasks come first.
-  virtual std::vector<jobs::IdleStep> ListIdle() const = 0;
+  virtual std::vector<jobs::IdleStep> ListIdle(base::TimePoint aNow) const = 0;
   /// Room and demand of the workers of this dispatcher.
   virtual cells::CellLoad Load(base::TimePoint aNow) const = 0;
 
@@ -212,6 +212,10 @@
   /// bytes are logged and ignored.
   virtual void ImportModel(std::string_view aBytes) = 0;
 
+  /// True once no worker can have a run of an earlier term that it has not
+  /// reported, so that the room of the workers is known.
+  virtual bool AreReportsComplete() const = 0;
+
   /// True once a worker has refused the fencing token of this term.
   virtual bool IsFenced() const = 0;
 };
--- a/include/skylarkhill/jobs/idle_tasks.hpp
+++ b/include/skylarkhill/jobs/idle_tasks.hpp
@@ -25,6 +25,8 @@
   std::string mJobId;
   int mOccurrence = 0;
   int mStep = 0;
+  /// How long no worker has had room for the tasks.
+  std::int64_t mWaitedMs = 0;
   std::vector<IdleTask> mTasks;
 };
 
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -307,6 +307,8 @@
   /// from a record before it then includes each cancellation that was stored by
   /// an instance that could not know of the record.
   bool HasRead(std::int64_t aOffset) const;
+  /// Before the first reports of a term, a cell seems to have no room.
+  bool IsRoomKnown(base::TimePoint aNow) const;
   /// Copies transferred jobs, and their cancellations, to the journals of their
   /// targets until these have them.
   void SendTransfers(base::TimePoint aNow);
@@ -436,8 +438,8 @@
   std::string mIdleRecord;
   base::TimePoint mNextModelAt;
 
-  /// From when on transfers are chosen in this term.
-  base::TimePoint mTransfersFrom;
+  /// Until when workers may take to answer the first polls of this term.
+  base::TimePoint mFirstReportsUntil;
   base::TimePoint mNextTransferCheckAt;
   base::TimePoint mNextLoadAt;
   /// Transfers that go into the next batch.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -362,7 +362,7 @@
     job->mIsStartRecordRequested = job->mIsStartRecorded;
     job->mMayHaveEarlierRuns = aIsFromEarlierTerm && job->mIsStartRecorded;
     RestoreProgress(*job, mColocationModel, aJob, mLimits.mMaxTasksPerRecord);
-    RestoreIdle(*job);
+    RestoreIdle(*job, aNow);
     ScheduledJob& added = *job;
     mJobs[added.mSubmission.mId] = std::move(job);
     ReleaseOccurrences(added);
@@ -479,7 +479,7 @@
     return lent;
   }
 
-  std::vector<jobs::IdleStep> ListIdle() const override
+  std::vector<jobs::IdleStep> ListIdle(TimePoint aNow) const override
   {
     const auto openTasks = mOpenStarts.ListTasks();
     std::vector<jobs::IdleStep> steps;
@@ -489,9 +489,13 @@
             !step->mJob->mIsStartRecordRequested) {
           continue;
         }
-        jobs::IdleStep idle{
-          step->mJob->mSubmission.mId, step->mOccurrence, step->mIndex, {}
-        };
+        jobs::IdleStep idle{ step->mJob->mSubmission.mId,
+                             step->mOccurrence,
+                             step->mIndex,
+                             step->mNoRoomSince
+                               ? ToMs(aNow - *step->mNoRoomSince)
+                               : 0,
+                             {} };
         for (const TaskState& it : step->mTasks) {
           if (IsFree(it) && openTasks.count(ToText(IdOf(it))) == 0) {
             idle.mTasks.push_back({ it.mIndex, NextRunNumber(it) - 1 });
@@ -968,6 +972,8 @@
     }
   }
 
+  bool AreReportsComplete() const override { return !mAreReportsMissing; }
+
   bool IsFenced() const override { return mIsFenced; }
 
 private:
@@ -1138,14 +1144,18 @@
   }
 
   /// The tasks that the former leader knew to have no run need not wait for the
-  /// reports of the workers.
-  void RestoreIdle(ScheduledJob& aJob)
+  /// reports of the workers. Lasting ones may be lent as soon as the room of
+  /// the workers is known.
+  void RestoreIdle(ScheduledJob& aJob, TimePoint aNow)
   {
     const auto [first, last] = mIdleSteps.equal_range(aJob.mSubmission.mId);
     for (auto idle = first; idle != last; ++idle) {
       const jobs::IdleStep& stored = *idle->second;
       BeginOccurrencesUpTo(aJob, mColocationModel, stored.mOccurrence);
       StepState* step = FindStep(aJob, stored.mOccurrence, stored.mStep);
+      if (step != nullptr && step->mSpec->mIsService && stored.mWaitedMs > 0) {
+        step->mNoRoomSince = aNow - std::chrono::milliseconds(stored.mWaitedMs);
+      }
       for (const jobs::IdleTask& it : stored.mTasks) {
         if (step == nullptr || it.mIndex < 0 ||
             it.mIndex >= static_cast<int>(step->mTasks.size())) {
--- a/src/dispatch/takeover_test.cpp
+++ b/src/dispatch/takeover_test.cpp
@@ -91,6 +91,7 @@
   CPPUNIT_TEST(KeepsTheRoomOfARunThatItStops);
   CPPUNIT_TEST(ListsIdleTasksWithTheirLastRuns);
   CPPUNIT_TEST(ListsNoTaskIdleWhoseStartMayCome);
+  CPPUNIT_TEST(LendsIdleTasksOnceTheRoomIsKnown);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -228,7 +229,7 @@
     job.mSubmission->mRequest.mSteps.front().mIsService = true;
     leader.GetDispatcher().AddJob(job, false, site.Now());
     site.Advance(milliseconds(300));
-    const auto idle = leader.GetDispatcher().ListIdle();
+    const auto idle = leader.GetDispatcher().ListIdle(site.Now());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, idle.size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, idle.front().mTasks.size());
     const int index = idle.front().mTasks.front().mIndex;
@@ -239,7 +240,7 @@
     Term term;
     term.mEpoch = 2;
     term.mPreviousLeasesEndAt = site.Now() + std::chrono::seconds(12);
-    term.mIdleSteps = { { "a", 0, 0, { { index, 7 } } } };
+    term.mIdleSteps = { { "a", 0, 0, 0, { { index, 7 } } } };
     auto& next = site.AddLeader(term);
     next.mUnreachableWorkers = { "w1" };
     site.AddWorker("w2", 4000);
@@ -277,7 +278,33 @@
     leader.GetDispatcher().SetWorker(draining, site.Now());
     site.Advance(milliseconds(1500));
     CPPUNIT_ASSERT(site.Worker("w1").mRuns.empty());
-    CPPUNIT_ASSERT(leader.GetDispatcher().ListIdle().empty());
+    CPPUNIT_ASSERT(leader.GetDispatcher().ListIdle(site.Now()).empty());
+  }
+
+  // Leaders change in series while lasting tasks wait for a worker. Guards
+  // against tasks that each leader keeps for a while before another cell may
+  // run them (LOST).
+  void LendsIdleTasksOnceTheRoomIsKnown()
+  {
+    FakeSite site;
+    site.AddWorker("w1", 4000);
+    Term term;
+    term.mEpoch = 2;
+    term.mIdleSteps = { { "a", 0, 0, 5000, { { 0, 1 } } } };
+    auto& leader = site.AddLeader(term);
+    jobs::JobEntry job = MakeJob("a", { 1 }, 5000);
+    job.mSubmission->mRequest.mSteps.front().mIsService = true;
+    job.mProgress.mMayHaveStarted = true;
+    leader.GetDispatcher().AddJob(job, true, site.Now());
+    CPPUNIT_ASSERT(!leader.GetDispatcher().AreReportsComplete());
+    site.Advance(milliseconds(100));
+    CPPUNIT_ASSERT(leader.GetDispatcher().AreReportsComplete());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         leader.GetDispatcher()
+                           .ListUnplaced(site.Now() - milliseconds(500))
+                           .size());
+    CPPUNIT_ASSERT(
+      leader.GetDispatcher().ListIdle(site.Now()).at(0).mWaitedMs >= 5000);
   }
 };
 
--- a/src/jobs/jobs_test.cpp
+++ b/src/jobs/jobs_test.cpp
@@ -321,8 +321,11 @@
     IdleTasks idle;
     idle.mEpoch = 7;
     for (int n = 0; n < 100; ++n) {
-      idle.mSteps.push_back(
-        { "job" + std::to_string(n), n, 1, { { 0, 70'000 }, { n, 3 } } });
+      idle.mSteps.push_back({ "job" + std::to_string(n),
+                              n,
+                              1,
+                              5000 + n,
+                              { { 0, 70'000 }, { n, 3 } } });
     }
     const std::string bytes = EncodeIdleTasks(idle, kLimit);
     CPPUNIT_ASSERT(bytes.size() <= kLimit);
@@ -335,6 +338,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("job9"), steps[9].mJobId);
     CPPUNIT_ASSERT_EQUAL(9, steps[9].mOccurrence);
     CPPUNIT_ASSERT_EQUAL(1, steps[9].mStep);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 5009 }, steps[9].mWaitedMs);
     CPPUNIT_ASSERT_EQUAL(9, steps[9].mTasks.at(1).mIndex);
     CPPUNIT_ASSERT_EQUAL(70'000, steps[9].mTasks.at(0).mLastRun);
     CPPUNIT_ASSERT(!DecodeIdleTasks("garbage"));
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -265,7 +265,7 @@
     const LoopProfile::Timer timer(mProfile, LoopPhase::Dispatch);
     mDispatcher->Tick(aNow, mWallClock.NowMs());
     mLeadership.RenewAfter(mDispatcher->ConfirmationNeededAt());
-    if (mOptions.mCellCount > 1 && aNow >= mTransfersFrom &&
+    if (mOptions.mCellCount > 1 && IsRoomKnown(aNow) &&
         aNow >= mNextTransferCheckAt) {
       mNextTransferCheckAt = aNow + kTransferInterval;
       mLoads[static_cast<std::size_t>(mOptions.mIndex)] =
@@ -881,7 +881,7 @@
 void
 Cell::AddIdleRecord()
 {
-  const jobs::IdleTasks idle{ mEpoch, mDispatcher->ListIdle() };
+  const jobs::IdleTasks idle{ mEpoch, mDispatcher->ListIdle(mClock.Now()) };
   const std::size_t limit =
     std::min(kMaxIdleRecordBytes,
              mOptions.mLogLimits.mMaxRecordBytes - kMaxIdleKeyBytes);
@@ -1217,8 +1217,8 @@
   for (const auto& it : mJobs.ListLoansToRepeat()) {
     mLoansToSend.emplace(it, 0);
   }
-  mTransfersFrom = now + kFirstReportsTime;
-  mNextLoansAt = mTransfersFrom;
+  mFirstReportsUntil = now + kFirstReportsTime;
+  mNextLoansAt = now;
   mProfile.Reset();
 }
 
@@ -1243,7 +1243,7 @@
   const bool isUnstarted = aJob.State() == jobs::JobState::Pending &&
                            !aJob.mProgress.mMayHaveStarted &&
                            mJobsToAdd.count(aJob.mSubmission->mId) == 0;
-  if (mOptions.mCellCount == 1 || aNow < mTransfersFrom || !isUnstarted ||
+  if (mOptions.mCellCount == 1 || !IsRoomKnown(aNow) || !isUnstarted ||
       mDispatcher->HasJob(aJob.mSubmission->mId)) {
     return false;
   }
@@ -1312,6 +1312,12 @@
   }
 }
 
+bool
+Cell::IsRoomKnown(TimePoint aNow) const
+{
+  return mDispatcher->AreReportsComplete() || aNow >= mFirstReportsUntil;
+}
+
 bool
 Cell::HasRead(std::int64_t aOffset) const
 {
