--- a/src/holder/task_runner_test.cpp
+++ b/src/holder/task_runner_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(DrainKeepsTasksRunning);
   CPPUNIT_TEST(ExpiredTaskLeaseEndsTheAttempt);
   CPPUNIT_TEST(AttemptsOfAbsentWorkerEndAfterTheTaskLease);
+  CPPUNIT_TEST(AttemptsOfAbsentWorkerLastWhileAHolderRenewsThem);
   CPPUNIT_TEST(ExpiredHolderSendsNothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -285,6 +286,34 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), count(36));
   }
 
+  // The list has lost a worker whose holder is cut off from the log and from
+  // its peers, but not from the worker. Guards against a peer that ends the
+  // attempt while the holder renews its lease, so that the task is granted a
+  // second time (TWICE).
+  void AttemptsOfAbsentWorkerLastWhileAHolderRenewsThem()
+  {
+    constexpr seconds kLossMargin{ 2 };
+    Run();
+    const base::TimePoint cutAt = mNow;
+    const AbsentWorker absent{ cutAt, cutAt, { Grant() } };
+    for (int n = 0; n < 60; ++n) {
+      mNow += seconds(1);
+      const RunnerOutput output = Poll();
+      for (const auto& it : output.mCommands) {
+        if (const auto* renewal = std::get_if<RenewTasks>(&it.mBody)) {
+          mReport.mTasks.front().mLeaseExpiresAt = renewal->mLeaseExpiresAt;
+          mRunner->OnResult(it.mNumber, CommandOutcome::Ok);
+        }
+      }
+      const bool isRunning =
+        mReport.mTasks.front().mLeaseExpiresAt > base::ToMicros(mNow);
+      CPPUNIT_ASSERT(
+        !isRunning ||
+        EndAbsentWorkerAttempts(absent, mOptions.mTaskLease, kLossMargin, mNow)
+          .empty());
+    }
+  }
+
   void ExpiredHolderSendsNothing()
   {
     Run();
