--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -407,6 +407,8 @@
   /// When the leadership is given up at the latest; empty: no resignation is in
   /// progress.
   std::optional<base::TimePoint> mResignBy;
+  /// Resign was called: this instance claims the cell no more.
+  bool mIsStopping = false;
   bool mHasAddedLastRecords = false;
   base::TimePoint mNextLeaseCheckAt;
   base::TimePoint mNextWorkerCheckAt;
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -156,6 +156,8 @@
   PendingCancellations mPendingCancellations;
   JobRouter mJobRouter;
   std::atomic<bool> mIsReady{ false };
+  /// Resign was called.
+  bool mIsStopping = false;
   base::TimePoint mLastTickAt;
   /// NextTickAt at the end of the last Tick.
   base::TimePoint mTickDueAt = base::kNoDeadline;
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -220,11 +220,12 @@
     mLeadership.SetClaimDelay(
       (mOptions.mIsInDomain ? Duration::zero() : kOtherDomainDelay) +
       kDelayPerLedCell * aOtherCells + mBudget.mClaimDelayPerRank * mRank);
-    if (mLeadership.IsClaimDue()) {
+    if (!mIsStopping && mLeadership.IsClaimDue()) {
       mRegistryNeededUntil = now + kRegistryRetention;
     }
     // An instance that cannot read these streams could not dispatch.
     mLeadership.SetMayClaim(
+      !mIsStopping &&
       std::all_of(mRequiredStreams.begin(),
                   mRequiredStreams.end(),
                   [](const RequiredStream& aStream) {
@@ -381,6 +382,7 @@
 Cell::Resign()
 {
   const logging::ContextField context("cell", mOptions.mIndex);
+  mIsStopping = true;
   mResignBy = mClock.Now() + kMaxResignationDelay;
   mHasAddedLastRecords = false;
   mWorkerClient.ClearDispatcher();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -155,6 +155,7 @@
 void
 Node::Resign()
 {
+  mIsStopping = true;
   for (const auto& it : mCells) {
     it->Resign();
   }
@@ -246,6 +247,9 @@
   for (const auto& [id, worker] : mRegistry.Workers()) {
     OnWorker(worker);
   }
+  if (mIsStopping) {
+    Resign();
+  }
 }
 
 void
