A claim that is stored after SIGTERM is resigned at once (LOST)

Cause: a claim whose answer comes after Leadership::Resign was stored, but nobody acted on it, so that the others waited for a silent leader. Change: such a claim is resigned at once. The instance has granted nothing in that term, so the ends of leases and the idle tasks that it has found hold. Test: ReplacesACandidateThatStopsDuringItsClaim.

--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -166,6 +166,8 @@
   /// Ends the own term, whose leases count from then on as those of a previous
   /// leader. `aLeasesEndAt` as in LeaderHandOver.
   void EndOwnTerm(base::TimePoint aLeasesEndAt);
+  /// Becomes the leader, or resigns at once if the process is to stop.
+  void OnClaimStored(const LeaderRecord& aRecord, base::TimePoint aClaimedAt);
   void BecomeLeader(const LeaderRecord& aRecord, base::TimePoint aClaimedAt);
   void SetNewestRecord(const LeaderRecord& aRecord);
 
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -256,9 +256,8 @@
     StepDown();
   }
   // A claim whose response was lost may have been stored.
-  if (isOwn && isNewTerm && !mOwnEpoch && !leaderRecord.mIsResigned &&
-      !mHasResigned) {
-    BecomeLeader(leaderRecord, mClaimSentAt);
+  if (isOwn && isNewTerm && !mOwnEpoch && !leaderRecord.mIsResigned) {
+    OnClaimStored(leaderRecord, mClaimSentAt);
   }
 }
 
@@ -411,11 +410,29 @@
   }
   // A renewal of a term that has ended since is no claim.
   const bool isClaim = !mNewestRecord || aRecord.mEpoch > mNewestRecord->mEpoch;
-  if (isClaim && !mHasResigned) {
-    BecomeLeader(aRecord, aSentAt);
+  if (isClaim) {
+    OnClaimStored(aRecord, aSentAt);
   }
 }
 
+void
+Leadership::OnClaimStored(const LeaderRecord& aRecord, TimePoint aClaimedAt)
+{
+  if (!mHasResigned) {
+    BecomeLeader(aRecord, aClaimedAt);
+    return;
+  }
+  // The others would take this instance for the leader until it has been silent
+  // for long. It has granted nothing, so what it has found still holds.
+  logging::Write(logging::Level::Info,
+                 "leadership_resigned",
+                 { { "epoch", aRecord.mEpoch } });
+  SetNewestRecord(aRecord);
+  mHandOver = { PreviousLeasesEnd(), mInheritedIdleTasksEpoch };
+  mResignedEpoch = aRecord.mEpoch;
+  mNextAppendAt = mClock.Now();
+}
+
 void
 Leadership::EndOwnTerm(base::TimePoint aLeasesEndAt)
 {
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(ReplacesAResignedLeaderAtOnce);
   CPPUNIT_TEST(RenewsRightAfterARequestedTime);
   CPPUNIT_TEST(ReplacesLeadersThatResignRightAfterTheirClaims);
+  CPPUNIT_TEST(ReplacesACandidateThatStopsDuringItsClaim);
   CPPUNIT_TEST(WakesWhenItsClaimIsDue);
   CPPUNIT_TEST(ClaimsInVainOnceAChangeOfTheLeaderAtMost);
   CPPUNIT_TEST(ClaimsOnceBeforeItHasReadWhoLeads);
@@ -110,6 +111,40 @@
     CPPUNIT_ASSERT(!firstLeader.mLeadership.IsLeader());
   }
 
+  // A candidate gets SIGTERM while its claim awaits the response. Guards
+  // against a stored claim that nobody acts on, which the others take for a
+  // leader for seconds.
+  void ReplacesACandidateThatStopsDuringItsClaim()
+  {
+    AddCandidates(3);
+    Advance(milliseconds(2000));
+    Candidate& leader = Leader();
+    leader.mLeadership.Resign({ mClock.Now() + milliseconds(3000), 1 });
+    Candidate* claimant = nullptr;
+    for (int n = 0; n < 200 && claimant == nullptr; ++n) {
+      mClock.Advance(milliseconds(20));
+      for (auto& it : mCandidates) {
+        it->mLeadership.Tick();
+        if (it.get() != &leader && it->mLeadership.IsAppending()) {
+          claimant = it.get();
+          break;
+        }
+        it->mLog.Deliver();
+      }
+    }
+    CPPUNIT_ASSERT(claimant != nullptr);
+    claimant->mLeadership.Resign();
+    Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
+    Leadership& successor = Leader().mLeadership;
+    CPPUNIT_ASSERT(!claimant->mLeadership.IsLeader());
+    // What the first leader has told still holds.
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 },
+                         successor.InheritedIdleTasksEpoch());
+    CPPUNIT_ASSERT(successor.PreviousLeasesEnd() <
+                   mClock.Now() + milliseconds(3500));
+  }
+
   // Guards against a change of leader after every log outage.
   void KeepsTheLeaderDuringALogOutage()
   {
