A resignation names its successors, which claim without the usual delays (LOST)

Cause: after a resignation all candidates wait for the delays by processors, by failure domain and by led cells, and for a hash. On an instance with 0.12 processors that is 380 ms and more. The record of a resignation names up to three processes in order; the n-th claims (n - 1) * 100 ms after it has read it, the others wait for at least 300 ms. The list of instances tells which process an instance is, unless it starts or stops; leader streams tell who has left. A term that begins and a SIGTERM read the list once more. A named instance loads the registry at once. Older versions ignore both fields and are not named. Tests: StartsTasksSoonAfterEachOfFiveChanges and others of SuccessorTest, and of NodeTest from LetsANamedCandidateClaimAtOnce to ReadsLeaderRecordsOfOtherVersions.

--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -19,6 +19,7 @@
 #include "skylarkhill/node/record_batch.hpp"
 #include "skylarkhill/node/record_decoder.hpp"
 #include "skylarkhill/node/shared_log.hpp"
+#include "skylarkhill/node/successor_ranking.hpp"
 #include "skylarkhill/node/worker_client.hpp"
 #include "skylarkhill/node/worker_registry.hpp"
 
@@ -38,6 +39,10 @@
 /// Maximum age of the last read of an instance that reports ready.
 inline constexpr base::Duration kMaxReadAge = std::chrono::milliseconds(4000);
 
+/// Time after a resignation in which other leaders may resign, as in planned
+/// work on the instances of a site.
+inline constexpr base::Duration kSeriesTime = std::chrono::seconds(10);
+
 /// Loads that the leaders of the cells publish, by cell; empty if unknown.
 using CellLoads = std::vector<std::optional<cells::CellLoad>>;
 
@@ -76,6 +81,7 @@
   const WorkerRegistry& mRegistry;
   CellLoads& mLoads;
   const cells::CellMap& mMap;
+  const SuccessorSource& mSuccessors;
 };
 
 /// The jobs that the journal of a cell has.
@@ -151,6 +157,14 @@
   bool IsUpToDate() const;
   /// Newest epoch of the cell.
   std::int64_t NewestEpoch() const;
+  /// Id of the instance that leads the cell, as far as this one has read; empty
+  /// if there is none.
+  std::string LeaderId() const;
+  /// See Leadership.
+  bool HasLeft(const std::string& aInstanceId) const
+  {
+    return mLeadership.HasLeft(aInstanceId);
+  }
   /// No claim of this instance uses this epoch or a lower one.
   void SetMinEpoch(std::int64_t aEpoch) { mLeadership.SetMinEpoch(aEpoch); }
 
@@ -211,6 +225,7 @@
   /// Starts or stops reading the streams of the cell.
   void UpdateFollowing(int aOtherCells);
   void UpdateLeaderStreamPause();
+  void KeepRegistry(base::TimePoint aUntil);
   void SetRetryPauses(base::Duration aPause, base::Duration aMaxRateLimitPause);
   void OnJournalRecord(const LogRecord& aRecord);
   /// Does what follows from a record that was applied to the jobs.
@@ -379,6 +394,7 @@
   const LogStreamReader& mRegistryReader;
   CellLoads& mLoads;
   const cells::CellMap& mMap;
+  const SuccessorSource& mSuccessors;
   metrics::Distribution& mFlushSeconds;
   metrics::Counter& mTransfersCount;
   metrics::Counter& mLentTasksCount;
--- a/include/skylarkhill/node/instance_directory.hpp
+++ b/include/skylarkhill/node/instance_directory.hpp
@@ -24,6 +24,9 @@
   std::string mAddress;
   /// Processors that the instance may use; may be a fraction.
   double mProcessors = 1.0;
+  /// Differs between restarts of the instance. Empty while it starts or stops,
+  /// so that it should not lead, and if its version does not tell.
+  std::string mInstanceId{};
 };
 
 bool
@@ -56,6 +59,9 @@
   /// Longest time between two announcements, and between two reads, that
   /// succeed; the shortest is three quarters of it. At least 250 ms.
   void SetInterval(base::Duration aInterval);
+  /// Changes the own entry and announces it at the next Tick, or once the
+  /// announcement in progress has ended.
+  void SetInstanceId(std::string aInstanceId);
   /// Reads again at the next Tick, or once the read in progress has ended. Does
   /// not shorten the pause after a failed read.
   void Refresh();
@@ -115,10 +121,12 @@
   AsyncLog& mLog;
   const base::Clock& mClock;
   const LogStream mStream;
-  const InstanceEntry mOwnEntry;
+  InstanceEntry mOwnEntry;
   base::Duration mInterval;
   bool mIsLoaded = false;
   bool mIsAnnouncing = false;
+  /// The own entry has changed since the last announcement was sent.
+  bool mHasEntryChanged = false;
   bool mIsReading = false;
   bool mIsDeleting = false;
   bool mIsRefreshWanted = false;
--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -8,9 +8,11 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace skylarkhill::node {
 
@@ -31,6 +33,9 @@
   std::int64_t mLeasesRemainingMs = 0;
   /// Of a resignation: epoch of the jobs::IdleTasks that hold; 0: none.
   std::int64_t mIdleTasksEpoch = 0;
+  /// Of a resignation: ids of the instances that should claim next, in this
+  /// order.
+  std::vector<std::string> mSuccessors{};
 };
 
 /// What a leader that resigns tells its successor.
@@ -38,8 +43,9 @@
 {
   /// No worker lease ends later; kNoDeadline if that is not known.
   base::TimePoint mLeasesEndAt = base::kNoDeadline;
-  /// See LeaderRecord::mIdleTasksEpoch.
+  /// See LeaderRecord.
   std::int64_t mIdleTasksEpoch = 0;
+  std::vector<std::string> mSuccessors{};
 };
 
 std::string
@@ -86,7 +92,12 @@
   /// No claim uses this epoch or a lower one.
   void SetMinEpoch(std::int64_t aEpoch) { mMinEpoch = aEpoch; }
   /// Additional time that this candidate leaves to others before it claims.
-  void SetClaimDelay(base::Duration aDelay) { mClaimDelay = aDelay; }
+  /// `aNamedDelay` holds instead if a resignation names this instance.
+  void SetClaimDelay(base::Duration aDelay, base::Duration aNamedDelay = {})
+  {
+    mClaimDelay = aDelay;
+    mNamedClaimDelay = aNamedDelay;
+  }
   /// Pause after a read that delivered records; none by default. A candidate
   /// sees a resignation up to this much later.
   void SetFollowerPause(base::Duration aPause);
@@ -113,6 +124,8 @@
   /// True if the leader is missing and it is this candidate's turn to claim,
   /// whether or not it may.
   bool IsClaimDue() const;
+  /// True if the newest record is a resignation that names this instance.
+  bool IsNamed() const;
   /// True once a claim of this instance is confirmed.
   bool IsLeader() const { return mOwnEpoch.has_value(); }
   /// True while a claim, a renewal or a resignation awaits its response.
@@ -142,6 +155,9 @@
   /// given epoch is still stored.
   bool IsLeaseRecordValid(std::int64_t aEpoch) const;
   base::TimePoint NextTickAt() const;
+  /// True if the instance has resigned, or was silent until another one took
+  /// over, and has not claimed since.
+  bool HasLeft(const std::string& aInstanceId) const;
   /// The newest record of the stream; empty if there is none.
   const std::optional<LeaderRecord>& NewestRecord() const
   {
@@ -155,6 +171,8 @@
   /// kNoDeadline if this instance is no candidate now.
   base::TimePoint ClaimDueAt() const;
   void OnRecord(const LogRecord& aRecord);
+  /// Time that this candidate leaves to others after the newest record.
+  base::Duration ClaimDelay() const;
   /// The record of the own term, or of a claim.
   LeaderRecord MakeRecord(std::int64_t aEpoch, bool aIsResigned) const;
   void Append(LeaderRecord aRecord);
@@ -170,6 +188,7 @@
   void OnClaimStored(const LeaderRecord& aRecord, base::TimePoint aClaimedAt);
   void BecomeLeader(const LeaderRecord& aRecord, base::TimePoint aClaimedAt);
   void SetNewestRecord(const LeaderRecord& aRecord);
+  void SetHasLeft(const std::string& aInstanceId, bool aHasLeft);
 
   AsyncLog& mLog;
   const base::Clock& mClock;
@@ -200,6 +219,7 @@
   bool mMayClaim = true;
   std::int64_t mMinEpoch = 0;
   base::Duration mClaimDelay{ 0 };
+  base::Duration mNamedClaimDelay{ 0 };
   base::Duration mFollowerPause{ 0 };
   base::Duration mMinRenewInterval{ 0 };
   base::TimePoint mNextAppendAt;
@@ -212,6 +232,8 @@
   base::TimePoint mNewestLeasesEnd;
   /// Argument of the last Resign or HandOver.
   LeaderHandOver mHandOver;
+  /// Ids of the last leaders that HasLeft holds for, the newest at the back.
+  std::deque<std::string> mFormerLeaders;
 };
 
 } // namespace skylarkhill::node
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -17,10 +17,12 @@
 #include "skylarkhill/node/pending_cancellations.hpp"
 #include "skylarkhill/node/record_decoder.hpp"
 #include "skylarkhill/node/shared_log.hpp"
+#include "skylarkhill/node/successor_ranking.hpp"
 #include "skylarkhill/node/worker_client.hpp"
 #include "skylarkhill/node/worker_registry.hpp"
 
 #include <atomic>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
@@ -76,7 +78,9 @@
 /// The part of an entry instance that follows the log and dispatches the tasks
 /// of the cells that the instance leads. Not thread-safe: used on the call
 /// loop's thread only, except for the functions marked as thread-safe.
-class Node : private WorkerListener
+class Node
+  : private WorkerListener
+  , private SuccessorSource
 {
 public:
   Node(NodeOptions aOptions,
@@ -109,6 +113,10 @@
 private:
   void OnWorker(const RegisteredWorker& aWorker) override;
   void OnWorkerGone(const std::string& aWorkerId) override;
+  std::vector<std::string> SuccessorsOf(int aCell) const override;
+  /// Ids of the processes that should lead the cell after `aLeaderId`.
+  std::vector<std::string> SuccessorsOf(int aCell,
+                                        const std::string& aLeaderId) const;
   void OnConfiguration(const LogRecord& aRecord);
   void CreateCells(const cells::CellMap& aMap);
   void TickCells(base::TimePoint aNow);
@@ -150,6 +158,8 @@
   /// InstanceDirectory::Version for which the followers were chosen.
   std::int64_t mDirectoryVersion = -1;
   base::TimePoint mCellsCreatedAt;
+  /// LogBudget::mFollowersPerCell of that version.
+  std::size_t mFollowersPerCell = 0;
   /// When all cells are followed although the instances are not known.
   base::TimePoint mFollowAllAt = base::kNoDeadline;
   FollowerTable mFollowers;
@@ -158,6 +168,8 @@
   std::atomic<bool> mIsReady{ false };
   /// Resign was called.
   bool mIsStopping = false;
+  /// The list of instances tells that this one may lead.
+  bool mIsAnnouncedAsReady = false;
   base::TimePoint mLastTickAt;
   /// NextTickAt at the end of the last Tick.
   base::TimePoint mTickDueAt = base::kNoDeadline;
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -90,6 +90,9 @@
 
 /// How long an instance goes on following the registry after its claim was due.
 constexpr Duration kRegistryRetention = std::chrono::seconds(3);
+/// Claim delay for each other cell that the instance leads if a resignation
+/// names it, which names others first.
+constexpr Duration kNamedDelayPerLedCell = std::chrono::milliseconds(100);
 /// Claim delay of instances in other failure domains than the workers.
 constexpr Duration kOtherDomainDelay = std::chrono::milliseconds(250);
 /// Claim delay for each other cell that the instance leads.
@@ -148,6 +151,7 @@
   , mRegistryReader(aServices.mRegistry.Reader())
   , mLoads(aServices.mLoads)
   , mMap(aServices.mMap)
+  , mSuccessors(aServices.mSuccessors)
   , mFlushSeconds(
       mMetrics.GetDistribution("skylarkhill_flush_seconds",
                                "Time until progress records are stored."))
@@ -219,9 +223,12 @@
     const LoopProfile::Timer timer(mProfile, LoopPhase::Leadership);
     mLeadership.SetClaimDelay(
       (mOptions.mIsInDomain ? Duration::zero() : kOtherDomainDelay) +
-      kDelayPerLedCell * aOtherCells + mBudget.mClaimDelayPerRank * mRank);
-    if (!mIsStopping && mLeadership.IsClaimDue()) {
-      mRegistryNeededUntil = now + kRegistryRetention;
+        kDelayPerLedCell * aOtherCells + mBudget.mClaimDelayPerRank * mRank,
+      kNamedDelayPerLedCell * aOtherCells);
+    if (!mIsStopping && mLeadership.IsNamed()) {
+      KeepRegistry(now + kSeriesTime);
+    } else if (!mIsStopping && mLeadership.IsClaimDue()) {
+      KeepRegistry(now + kRegistryRetention);
     }
     // An instance that cannot read these streams could not dispatch.
     mLeadership.SetMayClaim(
@@ -424,7 +431,8 @@
   mResignBy.reset();
   // A leader without a dispatcher has started nothing in its term.
   LeaderHandOver handOver{ LeasesEndAt(),
-                           mLeadership.InheritedIdleTasksEpoch() };
+                           mLeadership.InheritedIdleTasksEpoch(),
+                           mSuccessors.SuccessorsOf(mOptions.mIndex) };
   if (mDispatcher != nullptr) {
     const bool isComplete = mHasAddedLastRecords && mBatch.IsEmpty();
     handOver.mIdleTasksEpoch = isComplete ? mEpoch : 0;
@@ -467,6 +475,19 @@
   return newest ? newest->mEpoch : 0;
 }
 
+std::string
+Cell::LeaderId() const
+{
+  const auto& newest = mLeadership.NewestRecord();
+  return newest && !newest->mIsResigned ? newest->mLeaderId : std::string();
+}
+
+void
+Cell::KeepRegistry(TimePoint aUntil)
+{
+  mRegistryNeededUntil = std::max(mRegistryNeededUntil, aUntil);
+}
+
 void
 Cell::OnWorker(const RegisteredWorker& aWorker)
 {
@@ -1083,7 +1104,8 @@
   const LeaderHandOver handOver{ LeasesEndAt(),
                                  mDispatcher == nullptr
                                    ? mLeadership.InheritedIdleTasksEpoch()
-                                   : 0 };
+                                   : 0,
+                                 mSuccessors.SuccessorsOf(mOptions.mIndex) };
   EndTerm();
   mLeadership.HandOver(handOver);
   return true;
--- a/src/node/instance_directory.cpp
+++ b/src/node/instance_directory.cpp
@@ -19,9 +19,10 @@
 namespace {
 
 /// Later versions may append fields, which this one ignores.
-using Fields = std::tuple<std::string, std::string, std::string, double>;
+using Fields =
+  std::tuple<std::string, std::string, std::string, double, std::string>;
 
-/// Maximum bytes of a domain or address; that of a name is the key's.
+/// Maximum bytes of a domain, address or id; that of a name is the key's.
 constexpr std::size_t kMaxTextBytes = 255;
 constexpr double kMaxProcessors = 4096.0;
 
@@ -96,14 +97,18 @@
 {
   return aLeft.mName == aRight.mName && aLeft.mDomain == aRight.mDomain &&
          aLeft.mAddress == aRight.mAddress &&
-         aLeft.mProcessors == aRight.mProcessors;
+         aLeft.mProcessors == aRight.mProcessors &&
+         aLeft.mInstanceId == aRight.mInstanceId;
 }
 
 std::string
 EncodeInstanceEntry(const InstanceEntry& aEntry)
 {
-  return base::PackMsgpack(Fields{
-    aEntry.mName, aEntry.mDomain, aEntry.mAddress, aEntry.mProcessors });
+  return base::PackMsgpack(Fields{ aEntry.mName,
+                                   aEntry.mDomain,
+                                   aEntry.mAddress,
+                                   aEntry.mProcessors,
+                                   aEntry.mInstanceId });
 }
 
 base::Result<InstanceEntry>
@@ -113,14 +118,17 @@
   InstanceEntry entry{ std::move(std::get<0>(fields)),
                        std::move(std::get<1>(fields)),
                        std::move(std::get<2>(fields)),
-                       std::get<3>(fields) };
+                       std::get<3>(fields),
+                       std::move(std::get<4>(fields)) };
   if (entry.mName.empty()) {
     return Malformed("empty name of an instance");
   }
   if (entry.mName.size() > kMaxKeyBytes ||
       entry.mDomain.size() > kMaxTextBytes ||
-      entry.mAddress.size() > kMaxTextBytes) {
-    return Malformed("name, domain or address of an instance above 255 bytes");
+      entry.mAddress.size() > kMaxTextBytes ||
+      entry.mInstanceId.size() > kMaxTextBytes) {
+    return Malformed(
+      "name, domain, address or id of an instance above 255 bytes");
   }
   if (!std::isfinite(entry.mProcessors) || entry.mProcessors < 0.0 ||
       entry.mProcessors > kMaxProcessors) {
@@ -170,6 +178,16 @@
   mNextReadAt = std::min(mNextReadAt, latest);
 }
 
+void
+InstanceDirectory::SetInstanceId(std::string aInstanceId)
+{
+  mOwnEntry.mInstanceId = std::move(aInstanceId);
+  mHasEntryChanged = true;
+  if (!mIsAnnouncing && mFailedAnnouncements == 0) {
+    mNextAnnouncementAt = TimePoint{};
+  }
+}
+
 void
 InstanceDirectory::Refresh()
 {
@@ -185,6 +203,7 @@
 InstanceDirectory::Announce()
 {
   mIsAnnouncing = true;
+  mHasEntryChanged = false;
   const TimePoint now = mClock.Now();
   AppendRequest request;
   request.mStream = mStream;
@@ -223,7 +242,8 @@
     RestartSilences();
   }
   mStoredAt = now;
-  mNextAnnouncementAt = aSentAt + Spread(mInterval, kIntervalSpread);
+  mNextAnnouncementAt =
+    mHasEntryChanged ? now : aSentAt + Spread(mInterval, kIntervalSpread);
 }
 
 void
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -6,6 +6,7 @@
 #include "skylarkhill/logging/logging.hpp"
 
 #include <algorithm>
+#include <cstddef>
 #include <tuple>
 #include <utility>
 
@@ -34,45 +35,66 @@
 constexpr double kMinProcessorsWithoutDelay = 0.5;
 /// Additional claim delay of an instance with almost no processor time.
 constexpr base::Duration kMaxSlowInstanceDelay = std::chrono::milliseconds(500);
+/// Time in which an instance that a resignation names claims and the others
+/// read its claim.
+constexpr base::Duration kSuccessorTime = std::chrono::milliseconds(100);
+/// Names of a resignation that other candidates wait for, at most.
+constexpr std::ptrdiff_t kMaxTurns = 5;
+/// Former leaders that are remembered.
+constexpr std::size_t kMaxFormerLeaders = 64;
 /// Pause after a failed append or a loss of the leadership.
 constexpr base::Duration kRetryPause = std::chrono::milliseconds(250);
 /// Longest pause of a candidate that kTakeoverTimeout allows for.
 constexpr base::Duration kAllowedPause = std::chrono::milliseconds(300);
 constexpr base::Duration kAppendTimeout = std::chrono::milliseconds(1500);
 
-/// Versions without the last three fields ignore them, and their records lack
+/// Versions without the last four fields ignore them, and their records lack
 /// them.
 using Fields = std::tuple<std::int64_t,
                           std::string,
                           bool,
                           std::int64_t,
                           std::int64_t,
-                          std::int64_t>;
+                          std::int64_t,
+                          std::vector<std::string>>;
 
 /// A worker lease may outlast the leader lease a little: worker clocks may run
 /// slow and are read with a delay.
 constexpr base::Duration kWorkerLeaseExcess = std::chrono::milliseconds(700);
 
-/// Time that a candidate waits before it claims. Instances with fewer
-/// processors wait longer, because a slow leader slows down all callers.
+/// Pseudo-random part of a claim delay.
 base::Duration
-ClaimDelay(const std::string& aInstanceId,
-           const std::optional<LeaderRecord>& aNewest,
-           double aProcessors)
+ClaimJitter(const std::string& aInstanceId,
+            const std::optional<LeaderRecord>& aNewest)
 {
   const std::int64_t epoch = aNewest ? aNewest->mEpoch : 0;
   const base::Duration maxJitter =
     aNewest && aNewest->mIsResigned ? kMaxResignedJitter : kMaxClaimJitter;
   const auto hash =
     base::StableHash(aInstanceId, static_cast<std::uint64_t>(epoch));
+  return base::Duration(static_cast<base::Duration::rep>(
+    hash % static_cast<std::uint64_t>(maxJitter.count())));
+}
+
+/// Part of a claim delay of instances with few processors, because a slow
+/// leader slows down all callers.
+base::Duration
+SlowInstanceDelay(double aProcessors)
+{
   const double shortfall =
     std::clamp(1.0 - aProcessors / kMinProcessorsWithoutDelay, 0.0, 1.0);
-  const auto slowInstanceDelay =
-    base::Duration(static_cast<base::Duration::rep>(
-      shortfall * static_cast<double>(kMaxSlowInstanceDelay.count())));
-  return slowInstanceDelay +
-         base::Duration(static_cast<base::Duration::rep>(
-           hash % static_cast<std::uint64_t>(maxJitter.count())));
+  return base::Duration(static_cast<base::Duration::rep>(
+    shortfall * static_cast<double>(kMaxSlowInstanceDelay.count())));
+}
+
+std::string
+Join(const std::vector<std::string>& aNames)
+{
+  std::string text;
+  for (const auto& it : aNames) {
+    text += (text.empty() ? "" : ",") + it;
+  }
+  return text;
 }
 
 } // namespace
@@ -85,16 +107,20 @@
                                    aRecord.mIsResigned,
                                    aRecord.mLeaseRecordsSince,
                                    aRecord.mLeasesRemainingMs,
-                                   aRecord.mIdleTasksEpoch });
+                                   aRecord.mIdleTasksEpoch,
+                                   aRecord.mSuccessors });
 }
 
 base::Result<LeaderRecord>
 DecodeLeaderRecord(std::string_view aBytes)
 {
   BOOST_OUTCOME_TRY(fields, base::UnpackMsgpack<Fields>(aBytes));
-  return LeaderRecord{ std::get<0>(fields), std::move(std::get<1>(fields)),
-                       std::get<2>(fields), std::get<3>(fields),
-                       std::get<4>(fields), std::get<5>(fields) };
+  return LeaderRecord{
+    std::get<0>(fields),           std::move(std::get<1>(fields)),
+    std::get<2>(fields),           std::get<3>(fields),
+    std::get<4>(fields),           std::get<5>(fields),
+    std::move(std::get<6>(fields))
+  };
 }
 
 Leadership::Leadership(AsyncLog& aLog,
@@ -164,7 +190,8 @@
   mOwnEpoch.reset();
   logging::Write(logging::Level::Info,
                  "leadership_resigned",
-                 { { "epoch", *mResignedEpoch } });
+                 { { "epoch", *mResignedEpoch },
+                   { "successors", Join(aHandOver.mSuccessors) } });
   mNextAppendAt = mClock.Now();
   if (!mIsAppending) {
     Append(MakeRecord(*mResignedEpoch, true));
@@ -288,8 +315,7 @@
       mReader.NextOffset() < mLostClaimEnd) {
     return base::kNoDeadline;
   }
-  base::Duration delay =
-    mClaimDelay + ClaimDelay(mInstanceId, mNewestRecord, mProcessors);
+  base::Duration delay = ClaimDelay();
   if (mNewestRecord && !mNewestRecord->mIsResigned) {
     delay += kTakeoverTimeout +
              std::max(base::Duration::zero(), mFollowerPause - kAllowedPause);
@@ -299,6 +325,43 @@
                   std::max(mNewestReadAt, mReader.ReachableSince()) + delay);
 }
 
+base::Duration
+Leadership::ClaimDelay() const
+{
+  const base::Duration jitter = ClaimJitter(mInstanceId, mNewestRecord);
+  const base::Duration usual =
+    mClaimDelay + SlowInstanceDelay(mProcessors) + jitter;
+  if (!mNewestRecord || !mNewestRecord->mIsResigned) {
+    return usual;
+  }
+  const auto& successors = mNewestRecord->mSuccessors;
+  const auto found =
+    std::find(successors.begin(), successors.end(), mInstanceId);
+  const base::Duration turn =
+    kSuccessorTime *
+    std::min<std::ptrdiff_t>(found - successors.begin(), kMaxTurns);
+  return found != successors.end() ? turn + mNamedClaimDelay
+                                   : std::max(usual, turn + jitter);
+}
+
+bool
+Leadership::IsNamed() const
+{
+  if (!mNewestRecord || !mNewestRecord->mIsResigned) {
+    return false;
+  }
+  const auto& successors = mNewestRecord->mSuccessors;
+  return std::find(successors.begin(), successors.end(), mInstanceId) !=
+         successors.end();
+}
+
+bool
+Leadership::HasLeft(const std::string& aInstanceId) const
+{
+  return std::find(mFormerLeaders.begin(), mFormerLeaders.end(), aInstanceId) !=
+         mFormerLeaders.end();
+}
+
 bool
 Leadership::IsLeaseRecordValid(std::int64_t aEpoch) const
 {
@@ -334,6 +397,7 @@
   };
   if (aIsResigned) {
     record.mIdleTasksEpoch = mHandOver.mIdleTasksEpoch;
+    record.mSuccessors = mHandOver.mSuccessors;
   }
   if (aIsResigned && mHandOver.mLeasesEndAt != base::kNoDeadline) {
     const auto remaining =
@@ -426,9 +490,11 @@
   // for long. It has granted nothing, so what it has found still holds.
   logging::Write(logging::Level::Info,
                  "leadership_resigned",
-                 { { "epoch", aRecord.mEpoch } });
+                 { { "epoch", aRecord.mEpoch },
+                   { "successors", Join(mHandOver.mSuccessors) } });
   SetNewestRecord(aRecord);
-  mHandOver = { PreviousLeasesEnd(), mInheritedIdleTasksEpoch };
+  mHandOver.mLeasesEndAt = PreviousLeasesEnd();
+  mHandOver.mIdleTasksEpoch = mInheritedIdleTasksEpoch;
   mResignedEpoch = aRecord.mEpoch;
   mNextAppendAt = mClock.Now();
 }
@@ -448,9 +514,27 @@
   mOwnEpoch.reset();
 }
 
+void
+Leadership::SetHasLeft(const std::string& aInstanceId, bool aHasLeft)
+{
+  mFormerLeaders.erase(
+    std::remove(mFormerLeaders.begin(), mFormerLeaders.end(), aInstanceId),
+    mFormerLeaders.end());
+  if (aHasLeft) {
+    mFormerLeaders.push_back(aInstanceId);
+  }
+  if (mFormerLeaders.size() > kMaxFormerLeaders) {
+    mFormerLeaders.pop_front();
+  }
+}
+
 void
 Leadership::SetNewestRecord(const LeaderRecord& aRecord)
 {
+  if (mNewestRecord && mNewestRecord->mLeaderId != aRecord.mLeaderId) {
+    SetHasLeft(mNewestRecord->mLeaderId, true);
+  }
+  SetHasLeft(aRecord.mLeaderId, aRecord.mIsResigned);
   if (mNewestRecord && aRecord.mEpoch > mNewestRecord->mEpoch) {
     mPreviousEpoch = mNewestRecord->mEpoch;
     mInheritedIdleTasksEpoch =
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -156,6 +156,11 @@
 Node::Resign()
 {
   mIsStopping = true;
+  if (mDirectory) {
+    // Others stop naming this instance, and it learns who else has stopped.
+    mDirectory->SetInstanceId({});
+    mDirectory->Refresh();
+  }
   for (const auto& it : mCells) {
     it->Resign();
   }
@@ -205,7 +210,7 @@
   mLoads.resize(static_cast<std::size_t>(mCellMap.mCount));
   const CellServices services{ mLog,       mBlockingLog, mDecoder, mClock,
                                mWallClock, mProfile,     mMetrics, mRegistry,
-                               mLoads,     mCellMap };
+                               mLoads,     mCellMap,     *this };
   std::vector<JobService*> jobServices;
   for (int cell = 0; cell < mCellMap.mCount; ++cell) {
     CellOptions options;
@@ -271,6 +276,10 @@
     const bool isLed = cell.IsLeading();
     cell.Tick(mResumedAt, led - (isLed ? 1 : 0));
     led += (cell.IsLeading() ? 1 : 0) - (isLed ? 1 : 0);
+    if (mDirectory && cell.IsLeading() && !isLed) {
+      // A leader that resigns soon names instances that are up.
+      mDirectory->Refresh();
+    }
   }
   mLeading.Set(led);
   if (aNow >= mNextSummaryAt) {
@@ -315,6 +324,7 @@
   mConfigurationReader.SetRetryPause(
     std::min(budget.mRetryPause, kMaxConfigurationPause));
   const auto limit = static_cast<std::size_t>(budget.mFollowersPerCell);
+  mFollowersPerCell = limit;
   std::vector<std::vector<InstanceEntry>> followers;
   int followed = 0;
   for (std::size_t cell = 0; cell < mCells.size(); ++cell) {
@@ -351,6 +361,44 @@
         static_cast<std::int64_t>(mOptions.mLogRates.mReadsPerSecond) } });
 }
 
+std::vector<std::string>
+Node::SuccessorsOf(int aCell) const
+{
+  return SuccessorsOf(aCell, mOptions.mInstanceId);
+}
+
+std::vector<std::string>
+Node::SuccessorsOf(int aCell, const std::string& aLeaderId) const
+{
+  if (!mDirectory || mDirectoryVersion < 0) {
+    return {};
+  }
+  const auto& instances = mDirectory->Instances();
+  auto ranked = RankFollowers(mCellMap, aCell, instances);
+  ranked.resize(std::min(ranked.size(), mFollowersPerCell));
+  std::vector<SuccessorCandidate> candidates;
+  for (const auto& name : ranked) {
+    const InstanceEntry& entry = instances.at(name);
+    const bool hasLeft =
+      std::any_of(mCells.begin(), mCells.end(), [&](const auto& aOther) {
+        return aOther->HasLeft(entry.mInstanceId);
+      });
+    // Instances that start or stop, and older versions, do not tell their ids.
+    if (entry.mInstanceId == aLeaderId || entry.mInstanceId.empty() ||
+        hasLeft) {
+      continue;
+    }
+    const auto ledCells =
+      std::count_if(mCells.begin(), mCells.end(), [&](const auto& aOther) {
+        return aOther->LeaderId() == entry.mInstanceId;
+      });
+    candidates.push_back({ entry,
+                           cells::IsInDomain(mCellMap, aCell, entry.mDomain),
+                           static_cast<int>(ledCells) });
+  }
+  return RankSuccessors(std::move(candidates));
+}
+
 void
 Node::TickAgreement()
 {
@@ -448,6 +496,10 @@
                    { { "ready", isReady ? "yes" : "no" } });
     mIsReady = isReady;
   }
+  if (isReady && mDirectory && !mIsAnnouncedAsReady && !mIsStopping) {
+    mIsAnnouncedAsReady = true;
+    mDirectory->SetInstanceId(mOptions.mInstanceId);
+  }
 }
 
 } // namespace skylarkhill::node
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -1,3 +1,4 @@
+#include "skylarkhill/base/msgpack.hpp"
 #include "skylarkhill/jobs/job_codec.hpp"
 #include "skylarkhill/node/job_service.hpp"
 #include "skylarkhill/node/leadership.hpp"
@@ -7,6 +8,8 @@
 
 #include <algorithm>
 #include <memory>
+#include <string>
+#include <tuple>
 
 #include "fake_shared_log_test.hpp"
 
@@ -26,15 +29,20 @@
             const base::Clock& aClock,
             const std::string& aName,
             double aProcessors = 0.25)
-    : mLog(aState)
+    : mName(aName)
+    , mLog(aState)
     , mLeadership(mLog, aClock, kLeaderStream, aName, aProcessors)
   {
   }
 
+  const std::string mName;
   FakeSharedLog mLog;
   Leadership mLeadership;
 };
 
+/// Time in which a candidate reads a resignation and claims.
+constexpr milliseconds kNamedClaimTime{ 100 };
+
 Route
 MakeRoute(const std::string& aHost,
           const std::string& aPrefix,
@@ -60,6 +68,12 @@
   CPPUNIT_TEST(RenewsRightAfterARequestedTime);
   CPPUNIT_TEST(ReplacesLeadersThatResignRightAfterTheirClaims);
   CPPUNIT_TEST(ReplacesACandidateThatStopsDuringItsClaim);
+  CPPUNIT_TEST(LetsANamedCandidateClaimAtOnce);
+  CPPUNIT_TEST(LetsTheNextNamedCandidateClaimIfTheFirstIsDead);
+  CPPUNIT_TEST(LetsTheOthersClaimIfNoNamedCandidateDoes);
+  CPPUNIT_TEST(NamesASuccessorIfItStopsDuringItsClaim);
+  CPPUNIT_TEST(KnowsWhoHasLeft);
+  CPPUNIT_TEST(ReadsLeaderRecordsOfOtherVersions);
   CPPUNIT_TEST(WakesWhenItsClaimIsDue);
   CPPUNIT_TEST(ClaimsInVainOnceAChangeOfTheLeaderAtMost);
   CPPUNIT_TEST(ClaimsOnceBeforeItHasReadWhoLeads);
@@ -226,6 +240,128 @@
                          Leader().mLeadership.Epoch());
   }
 
+  // Small instances are named one after the other. Guards against changes of
+  // several hundred milliseconds (LOST), and against claims that collide.
+  void LetsANamedCandidateClaimAtOnce()
+  {
+    AddSmallCandidatesWithWaitingReads(6);
+    Advance(milliseconds(4000));
+    for (int n = 0; n < 5; ++n) {
+      Candidate& leader = Leader();
+      Candidate& next = OtherThan(leader);
+      leader.mLeadership.Resign({ base::kNoDeadline, 0, { next.mName } });
+      Remove(leader);
+      Advance(kNamedClaimTime);
+      CPPUNIT_ASSERT(next.mLeadership.IsLeader());
+      for (const auto& it : mCandidates) {
+        CPPUNIT_ASSERT_EQUAL(0, it->mLog.mRefusedAppends);
+      }
+      Advance(milliseconds(1000));
+      CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
+    }
+  }
+
+  // Guards against a change that waits for a named instance that is dead as
+  // long as for a leader that is silent.
+  void LetsTheNextNamedCandidateClaimIfTheFirstIsDead()
+  {
+    AddSmallCandidatesWithWaitingReads(6);
+    Advance(milliseconds(4000));
+    Candidate& leader = Leader();
+    Candidate& next = OtherThan(leader);
+    leader.mLeadership.Resign({ base::kNoDeadline, 0, { "dead", next.mName } });
+    Remove(leader);
+    Advance(kNamedClaimTime);
+    CPPUNIT_ASSERT_EQUAL(0, CountLeaders());
+    Advance(milliseconds(100));
+    CPPUNIT_ASSERT(next.mLeadership.IsLeader());
+  }
+
+  // Guards against a cell that nobody leads if all named instances are dead.
+  void LetsTheOthersClaimIfNoNamedCandidateDoes()
+  {
+    constexpr milliseconds kMaxTime(600);
+    AddSmallCandidatesWithWaitingReads(4);
+    Advance(milliseconds(4000));
+    Candidate& leader = Leader();
+    leader.mLeadership.Resign({ base::kNoDeadline, 0, { "x", "y", "z" } });
+    Remove(leader);
+    Advance(kMaxTime);
+    CPPUNIT_ASSERT_EQUAL(1, CountLeaders());
+  }
+
+  // Guards against a change that takes hundreds of milliseconds because a
+  // claim was under way when its sender had to stop.
+  void NamesASuccessorIfItStopsDuringItsClaim()
+  {
+    AddSmallCandidatesWithWaitingReads(3);
+    Candidate& claimant = *mCandidates.front();
+    Candidate& next = *mCandidates.back();
+    while (!claimant.mLeadership.IsAppending()) {
+      mClock.Advance(milliseconds(20));
+      claimant.mLeadership.Tick();
+      if (!claimant.mLeadership.IsAppending()) {
+        claimant.mLog.Deliver();
+      }
+    }
+    claimant.mLeadership.Resign({ base::kNoDeadline, 0, { next.mName } });
+    Advance(kNamedClaimTime);
+    CPPUNIT_ASSERT(next.mLeadership.IsLeader());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 2 }, next.mLeadership.Epoch());
+  }
+
+  // Guards against a resignation that names an instance that has just stopped
+  // or was killed.
+  void KnowsWhoHasLeft()
+  {
+    AddSmallCandidatesWithWaitingReads(3);
+    Advance(milliseconds(4000));
+    Candidate& first = Leader();
+    const std::string firstName = first.mName;
+    for (const auto& it : mCandidates) {
+      CPPUNIT_ASSERT(!it->mLeadership.HasLeft(firstName));
+    }
+    Remove(first);
+    Advance(milliseconds(5000));
+    Candidate& second = Leader();
+    const std::string secondName = second.mName;
+    CPPUNIT_ASSERT(second.mLeadership.HasLeft(firstName));
+    CPPUNIT_ASSERT(!second.mLeadership.HasLeft(secondName));
+    second.mLeadership.HandOver();
+    AdvanceToNextLeader();
+    for (const auto& it : mCandidates) {
+      CPPUNIT_ASSERT(it->mLeadership.HasLeft(firstName));
+      CPPUNIT_ASSERT_EQUAL(!second.mLeadership.IsLeader(),
+                           it->mLeadership.HasLeft(secondName));
+    }
+  }
+
+  // Guards against instances of two versions that cannot read each other's
+  // leader records.
+  void ReadsLeaderRecordsOfOtherVersions()
+  {
+    using OldFields = std::tuple<std::int64_t,
+                                 std::string,
+                                 bool,
+                                 std::int64_t,
+                                 std::int64_t,
+                                 std::int64_t>;
+    const auto old = DecodeLeaderRecord(
+      base::PackMsgpack(OldFields{ 7, "a", true, 3, 20, 6 }));
+    CPPUNIT_ASSERT(old);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 6 }, old.value().mIdleTasksEpoch);
+    CPPUNIT_ASSERT(old.value().mSuccessors.empty());
+    const auto fields = base::UnpackMsgpack<OldFields>(
+      EncodeLeaderRecord({ 7, "a", true, 3, 20, 6, { "b", "c" } }));
+    CPPUNIT_ASSERT(fields);
+    CPPUNIT_ASSERT(std::get<2>(fields.value()));
+    const auto own = DecodeLeaderRecord(
+      EncodeLeaderRecord({ 7, "a", true, 3, 20, 6, { "b", "c" } }));
+    CPPUNIT_ASSERT(own);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, own.value().mSuccessors.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), own.value().mSuccessors.back());
+  }
+
   // Guards against a loop that sleeps on while a claim is due.
   void WakesWhenItsClaimIsDue()
   {
@@ -670,6 +806,25 @@
     }
   }
 
+  /// Candidates with the longest claim delay.
+  void AddSmallCandidatesWithWaitingReads(int aCount)
+  {
+    for (int n = 0; n < aCount; ++n) {
+      mCandidates.push_back(std::make_unique<Candidate>(
+        mState, mClock, "node" + std::to_string(n), 0.12));
+      mCandidates.back()->mLog.mClock = &mClock;
+    }
+  }
+
+  void Remove(const Candidate& aCandidate)
+  {
+    mCandidates.erase(
+      std::remove_if(mCandidates.begin(),
+                     mCandidates.end(),
+                     [&](const auto& aIt) { return aIt.get() == &aCandidate; }),
+      mCandidates.end());
+  }
+
   void AddCandidatesWithWaitingReads(int aCount)
   {
     AddCandidates(aCount);
--- a/src/node/successor_test.cpp
+++ b/src/node/successor_test.cpp
@@ -34,7 +34,13 @@
 class SuccessorTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(SuccessorTest);
+  CPPUNIT_TEST(StartsTasksSoonAfterEachOfFiveChanges);
+  CPPUNIT_TEST(StartsTasksSoonAfterALeaderThatResignsAtOnce);
+  CPPUNIT_TEST(ReplacesALeaderWhoseFirstSuccessorIsDead);
+  CPPUNIT_TEST(NamesNoInstanceThatStopsWithoutLeading);
   CPPUNIT_TEST(LeadsNoCellThatIsCreatedAfterTheResignation);
+  CPPUNIT_TEST(RanksInstancesThatLeadNothingFirst);
+  CPPUNIT_TEST(ReadsInstanceEntriesOfOtherVersions);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -45,6 +51,57 @@
     }
   }
 
+  // Leaders get SIGTERM in series, and stay away. Guards against tasks that
+  // wait for hundreds of milliseconds at each change (LOST).
+  void StartsTasksSoonAfterEachOfFiveChanges()
+  {
+    StartSite();
+    for (int n = 0; n < kChanges; ++n) {
+      AssertStartsAfterResignation("a" + std::to_string(n));
+      Advance(kTermTime);
+    }
+  }
+
+  // A leader gets SIGTERM right after its claim. Guards against a next change
+  // that takes longer because that leader names nobody (LOST).
+  void StartsTasksSoonAfterALeaderThatResignsAtOnce()
+  {
+    StartSite();
+    StopLeader();
+    AdvanceToClaim();
+    AssertStartsAfterResignation("a");
+  }
+
+  // The instance that would lead next has just been killed. Guards against a
+  // change that waits for it as long as for a leader that is silent (LOST).
+  void ReplacesALeaderWhoseFirstSuccessorIsDead()
+  {
+    constexpr milliseconds kMaxTime(400);
+    const std::string next = NextLeader();
+    StartSite();
+    CPPUNIT_ASSERT(next != Leader().mName);
+    Remove(next);
+    StopLeader();
+    const base::TimePoint stoppedAt = mClock.Now();
+    AdvanceToClaim();
+    CPPUNIT_ASSERT(mClock.Now() - stoppedAt <= kMaxTime);
+  }
+
+  // Instances stop two at a time, the leader among them each time. Guards
+  // against changes that wait for instances that stopped without leading.
+  void NamesNoInstanceThatStopsWithoutLeading()
+  {
+    StartSite();
+    for (int n = 0; n < 3; ++n) {
+      const std::string other = mInstances.front()->mName != Leader().mName
+                                  ? mInstances.front()->mName
+                                  : mInstances.back()->mName;
+      Stop(other);
+      AssertStartsAfterResignation("a" + std::to_string(n));
+      Advance(kTermTime);
+    }
+  }
+
   // An instance gets SIGTERM before the division of the site is known. Guards
   // against a leader that stops while the others take it for alive (LOST).
   void LeadsNoCellThatIsCreatedAfterTheResignation()
@@ -56,6 +113,38 @@
     CPPUNIT_ASSERT(mState.mStreams["leaders"].empty());
   }
 
+  // Guards against one instance that leads all cells, and against small
+  // leaders, or leaders behind a cut, although there are better ones.
+  void RanksInstancesThatLeadNothingFirst()
+  {
+    const auto make = [](const char* aId, double aProcessors) {
+      return InstanceEntry{ aId, "d", "", aProcessors, aId };
+    };
+    const auto ranked = RankSuccessors({ { make("leads", 0.5), true, 1 },
+                                         { make("far", 0.5), false, 0 },
+                                         { make("small1", 0.12), true, 0 },
+                                         { make("small2", 0.12), true, 0 },
+                                         { make("large", 0.5), true, 0 } });
+    const std::vector<std::string> expected{ "large", "small1", "small2" };
+    CPPUNIT_ASSERT(ranked == expected);
+    CPPUNIT_ASSERT(RankSuccessors({}).empty());
+  }
+
+  // Guards against instances of two versions that do not know each other.
+  void ReadsInstanceEntriesOfOtherVersions()
+  {
+    using OldFields = std::tuple<std::string, std::string, std::string, double>;
+    const auto old =
+      DecodeInstanceEntry(base::PackMsgpack(OldFields{ "a", "d", "a:1", 0.5 }));
+    CPPUNIT_ASSERT(old);
+    CPPUNIT_ASSERT(old.value().mInstanceId.empty());
+    const std::string bytes =
+      EncodeInstanceEntry({ "a", "d", "a:1", 0.5, "a/1" });
+    CPPUNIT_ASSERT(base::UnpackMsgpack<OldFields>(bytes));
+    CPPUNIT_ASSERT_EQUAL(std::string("a/1"),
+                         DecodeInstanceEntry(bytes).value().mInstanceId);
+  }
+
 private:
   struct NamedInstance
   {
