Instances that may lead next prepare while leaders resign in series (LOST)

Cause: the first change to a small instance waits until that has loaded the list of workers (0.3 s and more); candidates of other failure domains read the leader stream with pauses of 0.72 s; the list of instances is up to 5 s old, so that instances are named that stopped before. Change: for 10 s after a resignation in any cell, each instance ranks the candidates of each cell as the leader does. The best three follow the registry and read the leader stream without pauses, and all read the list of instances once a second. Only where all instances follow all cells. Test: LoadsTheWorkersBeforeItIsNamed.

--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -160,7 +160,14 @@
   /// Id of the instance that leads the cell, as far as this one has read; empty
   /// if there is none.
   std::string LeaderId() const;
+  /// The instance may lead soon: until then it follows the registry and reads
+  /// the leader stream without pauses.
+  void PrepareToLead(base::TimePoint aUntil);
   /// See Leadership.
+  std::optional<base::TimePoint> ResignationSeenAt() const
+  {
+    return mLeadership.ResignationSeenAt();
+  }
   bool HasLeft(const std::string& aInstanceId) const
   {
     return mLeadership.HasLeft(aInstanceId);
@@ -429,6 +436,8 @@
   base::TimePoint mNextLeaseCheckAt;
   base::TimePoint mNextWorkerCheckAt;
   base::TimePoint mRegistryNeededUntil;
+  /// Argument of the last PrepareToLead.
+  base::TimePoint mPreparedUntil;
 
   /// Epoch of the term that this instance leads or prepares; 0: none.
   std::int64_t mEpoch = 0;
--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -124,6 +124,12 @@
   /// True if the leader is missing and it is this candidate's turn to claim,
   /// whether or not it may.
   bool IsClaimDue() const;
+  /// When this instance last read the resignation of another one; empty if it
+  /// has read none.
+  std::optional<base::TimePoint> ResignationSeenAt() const
+  {
+    return mResignationSeenAt;
+  }
   /// True if the newest record is a resignation that names this instance.
   bool IsNamed() const;
   /// True once a claim of this instance is confirmed.
@@ -198,6 +204,7 @@
   LogStreamReader mReader;
   std::optional<LeaderRecord> mNewestRecord;
   base::TimePoint mNewestReadAt;
+  std::optional<base::TimePoint> mResignationSeenAt;
   /// Epoch of the last claim of this instance; 0 if there is none.
   std::int64_t mClaimedEpoch = 0;
   /// When the first copy of that claim was sent.
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -117,6 +117,8 @@
   /// Ids of the processes that should lead the cell after `aLeaderId`.
   std::vector<std::string> SuccessorsOf(int aCell,
                                         const std::string& aLeaderId) const;
+  /// Follows the registry while leaders resign and this instance may be next.
+  void PrepareToLead(base::TimePoint aNow);
   void OnConfiguration(const LogRecord& aRecord);
   void CreateCells(const cells::CellMap& aMap);
   void TickCells(base::TimePoint aNow);
@@ -160,6 +162,7 @@
   base::TimePoint mCellsCreatedAt;
   /// LogBudget::mFollowersPerCell of that version.
   std::size_t mFollowersPerCell = 0;
+  base::TimePoint mNextPreparationAt;
   /// When all cells are followed although the instances are not known.
   base::TimePoint mFollowAllAt = base::kNoDeadline;
   FollowerTable mFollowers;
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -214,6 +214,7 @@
   const logging::ContextField context("cell", mOptions.mIndex);
   const TimePoint now = mClock.Now();
   UpdateFollowing(aOtherCells);
+  UpdateLeaderStreamPause();
   if (mEpoch == 0) {
     // Leaders need the loads of the other cells for transfers.
     mJournalReader.SetPause(aOtherCells > 0 ? mBudget.mOtherLeaderJournalPause
@@ -315,9 +316,10 @@
 Cell::UpdateLeaderStreamPause()
 {
   // Candidates of the failure domain of the cell see a resignation at once.
-  mLeadership.SetFollowerPause(mOptions.mIsInDomain && mIsFollower
-                                 ? Duration::zero()
-                                 : mBudget.mLeaderStreamPause);
+  const bool isCandidate =
+    (mOptions.mIsInDomain && mIsFollower) || mClock.Now() < mPreparedUntil;
+  mLeadership.SetFollowerPause(isCandidate ? Duration::zero()
+                                           : mBudget.mLeaderStreamPause);
 }
 
 void
@@ -482,6 +484,13 @@
   return newest && !newest->mIsResigned ? newest->mLeaderId : std::string();
 }
 
+void
+Cell::PrepareToLead(TimePoint aUntil)
+{
+  mPreparedUntil = aUntil;
+  KeepRegistry(aUntil);
+}
+
 void
 Cell::KeepRegistry(TimePoint aUntil)
 {
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -275,6 +275,9 @@
   }
   if (!isOwn) {
     CountLeases(leaderRecord);
+    if (leaderRecord.mIsResigned) {
+      mResignationSeenAt = mNewestReadAt;
+    }
   }
   if (mResignedEpoch && (isNewTerm || leaderRecord.mIsResigned)) {
     mResignedEpoch.reset();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -23,6 +23,11 @@
 /// Pause between two summary lines of the call loop in the log.
 constexpr Duration kSummaryInterval = std::chrono::seconds(2);
 constexpr Duration kCountInterval = std::chrono::seconds(20);
+/// Interval between two searches for cells that this instance may lead soon.
+constexpr Duration kPreparationInterval = std::chrono::milliseconds(500);
+/// Interval at which the list of instances is read while leaders resign, so
+/// that instances that are up are named and prepare.
+constexpr Duration kSeriesReadInterval = std::chrono::seconds(1);
 /// Time in which the list of instances is usually read.
 constexpr Duration kMaxDirectoryWait = std::chrono::seconds(5);
 /// Longest pause after a failed read of the configuration, which must be in
@@ -119,6 +124,7 @@
     UpdateFollowers();
   }
   TickCells(now);
+  PrepareToLead(now);
   mPendingCancellations.Tick();
   if (mCells.empty()) {
     TickAgreement();
@@ -399,6 +405,33 @@
   return RankSuccessors(std::move(candidates));
 }
 
+void
+Node::PrepareToLead(TimePoint aNow)
+{
+  // Many instances would load a long list at the rate of the log.
+  if (!mDirectory || mIsStopping || aNow < mNextPreparationAt ||
+      mFollowersPerCell < mDirectory->Instances().size()) {
+    return;
+  }
+  mNextPreparationAt = aNow + kPreparationInterval;
+  const bool isInSeries =
+    std::any_of(mCells.begin(), mCells.end(), [aNow](const auto& aCell) {
+      const auto seenAt = aCell->ResignationSeenAt();
+      return seenAt && aNow - *seenAt < kSeriesTime;
+    });
+  for (std::size_t n = 0; isInSeries && n < mCells.size(); ++n) {
+    const auto successors =
+      SuccessorsOf(static_cast<int>(n), mCells[n]->LeaderId());
+    if (std::find(successors.begin(), successors.end(), mOptions.mInstanceId) !=
+        successors.end()) {
+      mCells[n]->PrepareToLead(aNow + kSeriesTime);
+    }
+  }
+  if (isInSeries && aNow - mDirectory->ReadSentAt() > kSeriesReadInterval) {
+    mDirectory->Refresh();
+  }
+}
+
 void
 Node::TickAgreement()
 {
--- a/src/node/successor_test.cpp
+++ b/src/node/successor_test.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(StartsTasksSoonAfterALeaderThatResignsAtOnce);
   CPPUNIT_TEST(ReplacesALeaderWhoseFirstSuccessorIsDead);
   CPPUNIT_TEST(NamesNoInstanceThatStopsWithoutLeading);
+  CPPUNIT_TEST(LoadsTheWorkersBeforeItIsNamed);
   CPPUNIT_TEST(LeadsNoCellThatIsCreatedAfterTheResignation);
   CPPUNIT_TEST(RanksInstancesThatLeadNothingFirst);
   CPPUNIT_TEST(ReadsInstanceEntriesOfOtherVersions);
@@ -102,6 +103,26 @@
     }
   }
 
+  // Guards against a change that waits until a small instance has loaded the
+  // list of workers (LOST).
+  void LoadsTheWorkersBeforeItIsNamed()
+  {
+    StartSite();
+    for (auto& it : mInstances) {
+      it->mInstance->mLog.mNewestReadCounts.clear();
+    }
+    StopLeader();
+    AdvanceToClaim();
+    Advance(seconds(2));
+    const std::string leader = Leader().mName;
+    const auto prepared = std::count_if(
+      mInstances.begin(), mInstances.end(), [&](const auto& aEntry) {
+        return aEntry->mName != leader &&
+               aEntry->mInstance->mLog.mNewestReadCounts["workers"] > 0;
+      });
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{ 3 }, prepared);
+  }
+
   // An instance gets SIGTERM before the division of the site is known. Guards
   // against a leader that stops while the others take it for alive (LOST).
   void LeadsNoCellThatIsCreatedAfterTheResignation()
