--- a/include/skylarkhill/node/job_service.hpp
+++ b/include/skylarkhill/node/job_service.hpp
@@ -119,14 +119,15 @@
                                          base::TimePoint aDeadline);
 
 private:
-  /// Appends one record and retries on timeouts. `aIsStored` returns true if
-  /// the record has been read from the journal. InvalidArgument: the log cannot
-  /// store the record. LogUnavailable: not stored. OutcomeUnknown: the record
-  /// may have been or may still be stored.
-  base::Result<void> Append(std::string aKey,
-                            std::string aValue,
-                            base::TimePoint aDeadline,
-                            const std::function<bool()>& aIsStored);
+  /// Appends one record, retries on timeouts and returns its offset, or -1 if
+  /// no append was answered. `aIsStored` returns true if the record has been
+  /// read from the journal. InvalidArgument: the log cannot store the record.
+  /// LogUnavailable: not stored. OutcomeUnknown: the record may have been or
+  /// may still be stored.
+  base::Result<std::int64_t> Append(std::string aKey,
+                                    std::string aValue,
+                                    base::TimePoint aDeadline,
+                                    const std::function<bool()>& aIsStored);
   /// Reads and applies the journal records up to the current end.
   /// LogUnavailable: the journal could not be read.
   base::Result<void> CatchUp(base::TimePoint aDeadline);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -529,6 +529,7 @@
     worker.mIsPollInFlight = false;
     CountAsPolled(worker);
     mUnreportedCount -= worker.mHasReported ? 0 : 1;
+    LogRegainedWorker(worker, aReport, aNow);
     worker.mFailedPolls = 0;
     if (worker.mHasReported &&
         worker.mIncarnationStartMs != aReport.mIncarnationStartMs) {
@@ -1101,6 +1102,7 @@
         { "queue", aJob.mSubmission.mPolicy.mQueue },
         { "state", jobs::NameOf(aState) },
         { "runs", runs },
+        { "unreported", mUnreportedCount },
         { "age_ms", mUnixMs - aJob.mSubmission.mAcceptedMs },
         { "objective_ms", aJob.mObjectiveAtMs - aJob.mSubmission.mAcceptedMs },
         { "late_ms", mUnixMs - aJob.mObjectiveAtMs } });
@@ -1403,6 +1405,25 @@
 
   // --- Reports ------------------------------------------------------------
 
+  static void LogRegainedWorker(const WorkerState& aWorker,
+                                const WorkerReport& aReport,
+                                TimePoint aNow)
+  {
+    if (aWorker.mFailedPolls == 0) {
+      return;
+    }
+    logging::Write(
+      logging::Level::Info,
+      "worker_regained",
+      { { "worker", aWorker.mEntry.mId },
+        { "failed_polls", aWorker.mFailedPolls },
+        { "silent_ms",
+          aWorker.mHasReported ? ToMs(aNow - aWorker.mLastReportAt) : -1 },
+        { "runs", static_cast<std::int64_t>(aWorker.mRuns.size()) },
+        { "reported_runs",
+          static_cast<std::int64_t>(aReport.mActiveRuns.size()) } });
+  }
+
   /// True if only another cell can have started the task.
   bool IsForeign(const TaskId& aTask)
   {
@@ -1719,12 +1740,14 @@
                           !aTask->mIsElsewhere &&
                           !IsFinal(aTask->mStep->mJob->mState);
     if (!isWanted) {
+      const bool mayStop = aNow < mLeaderLeaseEndsAt;
       logging::Write(logging::Level::Info,
                      "unwanted_run",
                      { { "task", ToText(aRun.mTask) },
                        { "run", aRun.mRunNumber },
-                       { "worker", aWorker.mEntry.mId } });
-      if (aNow < mLeaderLeaseEndsAt) {
+                       { "worker", aWorker.mEntry.mId },
+                       { "stop", mayStop ? "sent" : "held" } });
+      if (mayStop) {
         SendStop(aWorker, aRun.mTask, aRun.mRunNumber);
       }
       return nullptr;
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -26,6 +26,8 @@
 /// Time reserved for the response to the caller.
 constexpr base::Duration kResponseReserve = std::chrono::milliseconds(150);
 constexpr base::Duration kReadTimeout = std::chrono::milliseconds(800);
+/// Offset of a record whose append got no answer.
+constexpr std::int64_t kUnknownOffset = -1;
 /// Callers' requests fail fast for this time after a failed call to the log.
 constexpr base::Duration kUnreachablePeriod = std::chrono::milliseconds(700);
 
@@ -110,7 +112,7 @@
   submission.mPolicy = aPolicy;
   submission.mAcceptedMs = mWallClock.NowMs();
   submission.mRequest = std::move(aRequest);
-  auto stored =
+  const auto stored =
     Append(jobs::FormatRecordKey(jobs::RecordKind::Submission, aJobId),
            jobs::EncodeSubmission(submission),
            aDeadline,
@@ -129,7 +131,8 @@
                    { "outcome",
                      stored ? std::string_view("accepted")
                             : base::NameOf(stored.error().mKind) } });
-  return stored;
+  BOOST_OUTCOME_TRYV(stored);
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 base::Result<void>
@@ -161,7 +164,7 @@
 JobService::StoreCancellation(const std::string& aJobId, TimePoint aDeadline)
 {
   const std::int64_t journal = mNextJournalOffset;
-  auto stored =
+  const auto stored =
     Append(jobs::FormatRecordKey(jobs::RecordKind::Cancellation, aJobId),
            jobs::EncodeCancellation(mWallClock.NowMs()),
            aDeadline,
@@ -170,10 +173,12 @@
                  "job_cancelled",
                  { { "job", aJobId },
                    { "journal", journal },
+                   { "offset", stored ? stored.value() : kUnknownOffset },
                    { "outcome",
                      stored ? std::string_view("stored")
                             : base::NameOf(stored.error().mKind) } });
-  return stored;
+  BOOST_OUTCOME_TRYV(stored);
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 base::Result<jobs::JobState>
@@ -239,7 +244,7 @@
   return n;
 }
 
-base::Result<void>
+base::Result<std::int64_t>
 JobService::Append(std::string aKey,
                    std::string aValue,
                    TimePoint aDeadline,
@@ -287,11 +292,11 @@
                     request.mRecords.front().mValue,
                     result.mOffset);
       }
-      return BOOST_OUTCOME_V2_NAMESPACE::success();
+      return result.mOffset;
     }
     // An earlier request of the caller may have stored the record elsewhere.
     if (aIsStored()) {
-      return BOOST_OUTCOME_V2_NAMESPACE::success();
+      return kUnknownOffset;
     }
     if (result.mOutcome == LogOutcome::Invalid) {
       // A further attempt would be refused, too.
@@ -315,7 +320,7 @@
     // An earlier attempt may have stored the record although its response was
     // lost.
     if (aIsStored()) {
-      return BOOST_OUTCOME_V2_NAMESPACE::success();
+      return kUnknownOffset;
     }
   }
 }
