The end of an absence counts once a later list confirms it

Callers of skylarkhill entry would see a task run twice. Cause: an instance ends the attempts of a worker that the list has lost after a task lease and a margin, counted from one list without it. While it cannot read the list, the absence goes on counting, although the worker may be listed again: entries are missing for a moment after an outage of the store. Now a list that was asked for after the wait has to lack the worker, too. docs/lease-ends.md, "An absence that is not read again".

Test: TaskRunnerTest::AttemptsOfAbsentWorkerLastWhileTheListCannotBeRead. The two tests beside it pass the time of the list where they passed the present time, and ask for the same.

--- a/include/skylarkhill/entry/peer_network.hpp
+++ b/include/skylarkhill/entry/peer_network.hpp
@@ -91,6 +91,8 @@
   std::optional<base::TimePoint> AbsentSince(
     const base::WorkerId& aWorker) const;
   std::optional<base::TimePoint> LastSeen(const base::WorkerId& aWorker) const;
+  /// When the platform's newest list was asked for.
+  base::TimePoint ListReadAt() const;
 
 private:
   void OnMessage(peer::ReceivedMessage aMessage) override;
@@ -133,6 +135,7 @@
   std::condition_variable mChanged;
   membership::View mView;
   std::vector<platform::InstanceInfo> mListedInstances;
+  base::TimePoint mListReadAt;
   /// When the last heartbeat of each peer was received.
   std::map<base::InstanceId, base::TimePoint> mLastHeartbeatAt;
   /// Peers whose appearance has been recorded in the timeline.
--- a/include/skylarkhill/holder/absent_worker.hpp
+++ b/include/skylarkhill/holder/absent_worker.hpp
@@ -19,18 +19,20 @@
   base::TimePoint mLastSeen;
   /// The attempts on the worker that have a grant record and no end record.
   std::vector<GrantedAttempt> mGrants;
+  /// When the newest list was asked for, which lacks the worker.
+  base::TimePoint mListReadAt;
 };
 
 /// Returns Lost end records for all attempts in `aWorker.mGrants`, or nothing
 /// before `aLongestTaskLease` and `aMargin` have passed since both the start of
-/// the absence and `mLastSeen`. Called only by instances in the worker's
-/// failure domain: to instances outside, workers of a partitioned domain look
-/// absent although they run.
+/// the absence and `mLastSeen`, or unless a list that was asked for after that
+/// lacks the worker, too. Called only by instances in the worker's failure
+/// domain: to instances outside, workers of a partitioned domain look absent
+/// although they run.
 std::vector<tasks::EndRecord>
 EndAbsentWorkerAttempts(const AbsentWorker& aWorker,
                         base::Duration aLongestTaskLease,
-                        base::Duration aMargin,
-                        base::TimePoint aNow);
+                        base::Duration aMargin);
 
 } // namespace skylarkhill::holder
 
--- a/src/entry/batch_scheduler.cpp
+++ b/src/entry/batch_scheduler.cpp
@@ -522,6 +522,8 @@
 BatchScheduler::EndAbsentWorkerAttempts()
 {
   for (const auto& worker : mState.WorkersWithLiveAttempts()) {
+    // Before the absence, which a list that arrives meanwhile may end.
+    const base::TimePoint listReadAt = mPeers.ListReadAt();
     // Only workers of this instance's failure domain have an agent.
     const auto absentSince = mPeers.AbsentSince(worker);
     if (!absentSince || mWorkers.Find(worker) == nullptr) {
@@ -531,8 +533,9 @@
     lost.mAbsentSince = *absentSince;
     lost.mLastSeen = mPeers.LastSeen(worker).value_or(*absentSince);
     lost.mGrants = LiveAttemptsOn(worker);
+    lost.mListReadAt = listReadAt;
     const auto ends = holder::EndAbsentWorkerAttempts(
-      lost, mOptions.mTaskLease, mOptions.mLossMargin, mClock.Now());
+      lost, mOptions.mTaskLease, mOptions.mLossMargin);
     for (const auto& it : ends) {
       const worker::AttemptKey key{ it.mTask, it.mAttempt };
       {
--- a/src/entry/peer_network.cpp
+++ b/src/entry/peer_network.cpp
@@ -161,7 +161,8 @@
 void
 PeerNetwork::FetchInstanceList()
 {
-  auto list = mInstanceList.Fetch(mClock.Now() + mOptions.mListTimeout);
+  const base::TimePoint sentAt = mClock.Now();
+  auto list = mInstanceList.Fetch(sentAt + mOptions.mListTimeout);
   if (!list) {
     mInstruments.mMetrics
       .GetCounter("skylarkhill_list_failures_total",
@@ -172,6 +173,7 @@
   {
     const std::lock_guard lock(mMutex);
     mListedInstances = std::move(list.value());
+    mListReadAt = sentAt;
     mView.OnList(mListedInstances, mClock.Now());
     mView.Prune(mClock.Now());
   }
@@ -563,6 +565,13 @@
   return mView.AbsentSince(aWorker);
 }
 
+base::TimePoint
+PeerNetwork::ListReadAt() const
+{
+  const std::lock_guard lock(mMutex);
+  return mListReadAt;
+}
+
 std::optional<base::TimePoint>
 PeerNetwork::LastSeen(const base::WorkerId& aWorker) const
 {
--- a/src/holder/absent_worker.cpp
+++ b/src/holder/absent_worker.cpp
@@ -7,12 +7,12 @@
 std::vector<tasks::EndRecord>
 EndAbsentWorkerAttempts(const AbsentWorker& aWorker,
                         base::Duration aLongestTaskLease,
-                        base::Duration aMargin,
-                        base::TimePoint aNow)
+                        base::Duration aMargin)
 {
   const base::TimePoint since =
     std::max(aWorker.mAbsentSince, aWorker.mLastSeen);
-  if (aNow < since + aLongestTaskLease + aMargin) {
+  // The worker may have returned to the list since an earlier one was read.
+  if (aWorker.mListReadAt < since + aLongestTaskLease + aMargin) {
     return {};
   }
   std::vector<tasks::EndRecord> ends;
--- a/src/holder/task_runner_test.cpp
+++ b/src/holder/task_runner_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(DrainKeepsTasksRunning);
   CPPUNIT_TEST(ExpiredTaskLeaseEndsTheAttempt);
   CPPUNIT_TEST(AttemptsOfAbsentWorkerEndAfterTheTaskLease);
+  CPPUNIT_TEST(AttemptsOfAbsentWorkerLastWhileTheListCannotBeRead);
   CPPUNIT_TEST(AttemptsOfAbsentWorkerLastWhileAHolderRenewsThem);
   CPPUNIT_TEST(ExpiredHolderSendsNothing);
   CPPUNIT_TEST_SUITE_END();
@@ -276,16 +277,29 @@
   // unreachable.
   void AttemptsOfAbsentWorkerEndAfterTheTaskLease()
   {
-    AbsentWorker absent{ mNow, mNow + seconds(5), { Grant() } };
+    AbsentWorker absent{ mNow, mNow + seconds(5), { Grant() }, mNow };
     const auto count = [&](int aSeconds) {
-      return EndAbsentWorkerAttempts(
-               absent, seconds(30), seconds(1), mNow + seconds(aSeconds))
-        .size();
+      absent.mListReadAt = mNow + seconds(aSeconds);
+      return EndAbsentWorkerAttempts(absent, seconds(30), seconds(1)).size();
     };
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), count(35));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), count(36));
   }
 
+  // Guards against a second run of tasks of a worker that one list lacked for a
+  // moment, because the instance that ends them cannot read the list again.
+  void AttemptsOfAbsentWorkerLastWhileTheListCannotBeRead()
+  {
+    AbsentWorker absent{ mNow, mNow, { Grant() }, mNow + seconds(2) };
+    mNow += seconds(60);
+    CPPUNIT_ASSERT(
+      EndAbsentWorkerAttempts(absent, seconds(30), seconds(1)).empty());
+    absent.mListReadAt = mNow;
+    CPPUNIT_ASSERT_EQUAL(
+      std::size_t(1),
+      EndAbsentWorkerAttempts(absent, seconds(30), seconds(1)).size());
+  }
+
   // The list has lost a worker whose holder is cut off from the log and from
   // its peers, but not from the worker. Guards against a peer that ends the
   // attempt while the holder renews its lease, so that the task is granted a
@@ -295,7 +309,7 @@
     constexpr seconds kLossMargin{ 2 };
     Run();
     const base::TimePoint cutAt = mNow;
-    const AbsentWorker absent{ cutAt, cutAt, { Grant() } };
+    AbsentWorker absent{ cutAt, cutAt, { Grant() }, cutAt };
     for (int n = 0; n < 60; ++n) {
       mNow += seconds(1);
       const RunnerOutput output = Poll();
@@ -307,10 +321,10 @@
       }
       const bool isRunning =
         mReport.mTasks.front().mLeaseExpiresAt > base::ToMicros(mNow);
-      CPPUNIT_ASSERT(
-        !isRunning ||
-        EndAbsentWorkerAttempts(absent, mOptions.mTaskLease, kLossMargin, mNow)
-          .empty());
+      absent.mListReadAt = mNow;
+      CPPUNIT_ASSERT(!isRunning || EndAbsentWorkerAttempts(
+                                     absent, mOptions.mTaskLease, kLossMargin)
+                                     .empty());
     }
   }
 
