Tests of successors: instances are ready, and only claims after a change count

The instances of SuccessorTest had read no configuration, so that nobody was named, and a name was read after its instance had been removed (segmentation fault). LetsANamedCandidateClaimAtOnce counted the refused claims of the first election, before any resignation, as well.

--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -247,6 +247,10 @@
     AddSmallCandidatesWithWaitingReads(6);
     Advance(milliseconds(4000));
     for (int n = 0; n < 5; ++n) {
+      // Those of the first election do not count.
+      for (auto& it : mCandidates) {
+        it->mLog.mRefusedAppends = 0;
+      }
       Candidate& leader = Leader();
       Candidate& next = OtherThan(leader);
       leader.mLeadership.Resign({ base::kNoDeadline, 0, { next.mName } });
--- a/src/node/successor_test.cpp
+++ b/src/node/successor_test.cpp
@@ -50,6 +50,8 @@
     for (const char* it : { "d0w0", "d0w1" }) {
       Store("workers", it, "1");
     }
+    // Instances are ready once they have read a configuration.
+    Store("configuration", "routes", "1");
   }
 
   // Leaders get SIGTERM in series, and stay away. Guards against tasks that
@@ -234,7 +236,8 @@
     while (!leader.mInstance->mNode.LedCells().empty()) {
       Advance(kStep);
     }
-    Remove(leader.mName);
+    const std::string name = leader.mName;
+    Remove(name);
   }
 
   /// The instance, which leads nothing, stops as planned.
