A new leader does not wait for workers that owe nothing

Cause: a successor starts no task that may have an earlier run until the first polls of workers that have left have failed and their leases have ended, also if a former leader knew that they had no run, no open start and no end to report, or had already waited for them and given them up.

Change: e/ID gets two fields: that the worker owes nothing, and its incarnation. Dispatcher::FindIdleIncarnation has the condition, and SetIdleIncarnation tells a new leader of it, which then waits neither for the poll nor for the lease, unless the registry lists another incarnation. Versions without the fields ignore them. FakeWorkerClient knows incarnations, refuses starts for another one, and may carry out calls without an answer; a repeated start no longer counts as a second run there, as on a real worker.

--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -119,6 +119,23 @@
   /// default, Term::mPreviousLeasesEndAt holds for it.
   virtual void SetEarlierLeaseEnd(const std::string& aWorkerId,
                                   base::TimePoint aEndsAt) = 0;
+  /// An earlier leader knew that this incarnation of the worker owes nothing,
+  /// see FindIdleIncarnation, and no leader has started anything on the worker
+  /// since; empty if that is not known. AreReportsComplete does not wait for
+  /// the worker unless the registry lists another incarnation. No effect once
+  /// the worker has reported.
+  virtual void SetIdleIncarnation(
+    const std::string& aWorkerId,
+    std::optional<std::int64_t> aIncarnationStartMs,
+    base::TimePoint aNow) = 0;
+  /// The incarnation of the worker that owes nothing: no task of this cell runs
+  /// on it, no start without an answer may still be carried out, and all ends
+  /// that it has listed are durable. Also one that this leader has given up: it
+  /// is silent, its lease has ended, and its tasks are started elsewhere. Empty
+  /// if that is not known.
+  virtual std::optional<std::int64_t> FindIdleIncarnation(
+    const std::string& aWorkerId,
+    base::TimePoint aNow) const = 0;
   /// Workers whose last poll has failed.
   virtual std::vector<SilentWorker> ListSilent() const = 0;
   /// True if the worker has answered its last poll. False if the worker has
--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -220,6 +220,8 @@
     base::TimePoint mLeaseEndsAt;
     /// The record says that the lease has ended.
     bool mHasLeaseEnded = false;
+    /// See WorkerLeaseRecord.
+    std::optional<std::int64_t> mIdleIncarnationStartMs;
   };
 
   /// A stream that a leader must have read recently.
@@ -288,6 +290,12 @@
   /// whose leases are extended once these are stored.
   void AddLeaseRecords();
   void AddLeaseRecord(const std::string& aWorkerId, base::TimePoint aEndsAt);
+  /// Tells the dispatcher what the valid lease record says of the worker.
+  void ApplyLeaseRecord(const std::string& aWorkerId);
+  /// See Dispatcher::FindIdleIncarnation. Of a worker that the dispatcher has
+  /// removed, what the valid lease record says.
+  std::optional<std::int64_t> FindIdleIncarnation(
+    const std::string& aWorkerId) const;
   /// Adds the present remaining times of all leases that are not extended to
   /// the batch.
   void RepeatLeaseRecords();
--- a/include/skylarkhill/node/worker_lease_record.hpp
+++ b/include/skylarkhill/node/worker_lease_record.hpp
@@ -4,6 +4,7 @@
 #include "skylarkhill/base/error.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -19,6 +20,9 @@
   /// Upper bound of the time until the end of the lease, as of the write of the
   /// record; 0 once it has ended. The clocks of instances have no common epoch.
   std::int64_t mRemainingMs = 0;
+  /// WorkerReport::mIncarnationStartMs of the incarnation that owes nothing,
+  /// see Dispatcher::FindIdleIncarnation; empty if none is known to.
+  std::optional<std::int64_t> mIdleIncarnationStartMs;
 };
 
 std::string
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <map>
 #include <unordered_map>
 
 #include "job_state.hpp"
@@ -207,6 +208,7 @@
   {
     auto& worker = mWorkers[aEntry.mId];
     if (worker == nullptr) {
+      mGivenUpIncarnations.erase(aEntry.mId);
       worker = std::make_unique<WorkerState>();
       worker->mEntry.mId = aEntry.mId;
       worker->mEarlierLeaseEndsAt = mTerm.mPreviousLeasesEndAt;
@@ -234,6 +236,12 @@
     if (hasMoved) {
       mPollQueue.Advance(*worker, aNow);
     }
+    if (worker->mIdleIncarnationStartMs &&
+        *worker->mIdleIncarnationStartMs != aEntry.mIncarnationStartMs) {
+      // A call that was meant for the former incarnation may have reached this
+      // one.
+      ChangeIdleIncarnation(*worker, std::nullopt);
+    }
     if (aEntry.mIsDraining && !wasDraining) {
       worker->mLeavesAt = aNow + std::chrono::milliseconds(aEntry.mRemainingMs);
       logging::Write(
@@ -284,6 +292,48 @@
     }
   }
 
+  void SetIdleIncarnation(const std::string& aWorkerId,
+                          std::optional<std::int64_t> aIncarnationStartMs,
+                          TimePoint aNow) override
+  {
+    const auto found = mWorkers.find(aWorkerId);
+    if (found == mWorkers.end() || found->second->mHasReported) {
+      return;
+    }
+    WorkerState& worker = *found->second;
+    const bool isReplaced =
+      worker.mIsRegistered && aIncarnationStartMs &&
+      *aIncarnationStartMs != worker.mEntry.mIncarnationStartMs;
+    ChangeIdleIncarnation(worker,
+                          isReplaced ? std::nullopt : aIncarnationStartMs);
+    RequestTick(aNow);
+  }
+
+  std::optional<std::int64_t> FindIdleIncarnation(const std::string& aWorkerId,
+                                                  TimePoint aNow) const override
+  {
+    if (mOpenStarts.HasAnyOf(aWorkerId) || aNow < mOpenStartsUnknownUntil) {
+      return std::nullopt;
+    }
+    const auto found = mWorkers.find(aWorkerId);
+    if (found == mWorkers.end()) {
+      const auto dropped = mGivenUpIncarnations.find(aWorkerId);
+      return dropped != mGivenUpIncarnations.end() && !mAreReportsMissing
+               ? std::optional(dropped->second)
+               : std::nullopt;
+    }
+    const WorkerState& worker = *found->second;
+    if (!worker.mHasReported && worker.mIdleIncarnationStartMs) {
+      return worker.mIdleIncarnationStartMs;
+    }
+    const bool isGivenUp = IsGivenUp(worker) && !mAreReportsMissing;
+    const bool isIdle = (worker.mIsKnownIdle || isGivenUp) &&
+                        worker.mRuns.empty() &&
+                        worker.mPendingAcknowledgements.empty() &&
+                        !worker.mIsTakenOver && !worker.mUncertainSince;
+    return isIdle ? std::optional(IncarnationOf(worker)) : std::nullopt;
+  }
+
   std::vector<SilentWorker> ListSilent() const override
   {
     std::vector<SilentWorker> silent;
@@ -528,7 +578,7 @@
     const bool acceptedStarts = AcceptsStarts(worker, aNow);
     worker.mIsPollInFlight = false;
     CountAsPolled(worker);
-    mUnreportedCount -= worker.mHasReported ? 0 : 1;
+    mUnreportedCount -= IsAwaited(worker) ? 1 : 0;
     LogRegainedWorker(worker, aReport, aNow);
     worker.mFailedPolls = 0;
     if (worker.mHasReported &&
@@ -568,6 +618,8 @@
     CheckForeignRuns(worker, aReport, aNow);
     const bool mustWait = HandleEndedRuns(worker, aReport, aNow);
     HandleActiveRuns(worker, aReport, aSentAt, aNow);
+    worker.mIsKnownIdle = aReport.mActiveRuns.empty() &&
+                          !aReport.mMayOmitEndedRuns && worker.mRuns.empty();
     mColocationModel.Update(worker, aNow);
     AdjustPace(worker, mColocationModel, mLimits.mMaxTailViolation, aNow);
     bool hasPacedStarts = false;
@@ -1230,6 +1282,7 @@
     aTask.mLastRun = std::max(aTask.mLastRun, aRunNumber);
     const jobs::Step& step = *aTask.mStep->mSpec;
     aWorker.mRuns.insert(&run);
+    aWorker.mIsKnownIdle = false;
     mRunsToCall.insert(&run);
     aWorker.mUsed += ReservedResources(step);
     mPlacementIndex.Update(aWorker);
@@ -1259,6 +1312,7 @@
     const std::size_t dropped = mOpenStarts.Add(std::move(start));
     if (dropped > 0) {
       mDroppedOpenStarts.Add(static_cast<std::int64_t>(dropped));
+      mOpenStartsUnknownUntil = aNow + kMaxLateStart;
       logging::Write(
         logging::Level::Warning,
         "open_starts_dropped",
@@ -1829,10 +1883,14 @@
           { { "worker", worker.mEntry.mId },
             { "unregistered_ms", ToMs(aNow - worker.mUnregisteredAt) },
             { "reported", worker.mHasReported ? "yes" : "no" } });
+        if (worker.mPendingAcknowledgements.empty() && !worker.mIsTakenOver &&
+            !worker.mUncertainSince) {
+          mGivenUpIncarnations.emplace(it->first, IncarnationOf(worker));
+        }
         mPlacementIndex.Remove(worker);
         mPollQueue.Remove(worker);
         CountAsPolled(worker);
-        mUnreportedCount -= worker.mHasReported ? 0 : 1;
+        mUnreportedCount -= IsAwaited(worker) ? 1 : 0;
         it = mWorkers.erase(it);
         continue;
       }
@@ -1843,7 +1901,17 @@
   /// Must precede a change of WorkerState::mHasReported or mFailedPolls.
   void CountAsPolled(const WorkerState& aWorker)
   {
-    mUnpolledCount -= aWorker.mHasReported || aWorker.mFailedPolls > 0 ? 0 : 1;
+    mUnpolledCount -= IsAwaited(aWorker) && aWorker.mFailedPolls == 0 ? 1 : 0;
+  }
+
+  void ChangeIdleIncarnation(WorkerState& aWorker,
+                             std::optional<std::int64_t> aIncarnationStartMs)
+  {
+    const int before = IsAwaited(aWorker) ? 1 : 0;
+    aWorker.mIdleIncarnationStartMs = aIncarnationStartMs;
+    const int change = (IsAwaited(aWorker) ? 1 : 0) - before;
+    mUnreportedCount += change;
+    mUnpolledCount += aWorker.mFailedPolls == 0 ? change : 0;
   }
 
   /// `aChecksLeases` is false in ticks that may be frequent.
@@ -1861,10 +1929,20 @@
         logging::Level::Info,
         "reports_complete",
         { { "workers", static_cast<std::int64_t>(mWorkers.size()) },
-          { "unreported", mUnreportedCount } });
+          { "unreported", mUnreportedCount },
+          { "idle", CountIdle() } });
     }
   }
 
+  /// Number of workers without a report that are not awaited.
+  std::int64_t CountIdle() const
+  {
+    return std::count_if(
+      mWorkers.begin(), mWorkers.end(), [](const auto& aEntry) {
+        return !aEntry.second->mHasReported && !IsAwaited(*aEntry.second);
+      });
+  }
+
   /// True if no lease of the worker that another leader has granted can last. A
   /// successor unknown to this instance may have extended it, unless the
   /// leadership was confirmed after its end.
@@ -1873,6 +1951,22 @@
     return aWorker.mEarlierLeaseEndsAt <= mLeaderLeaseConfirmedAt;
   }
 
+  /// True if the worker is silent and cannot run anything any more.
+  bool IsGivenUp(const WorkerState& aWorker) const
+  {
+    return aWorker.mFailedPolls > 0 &&
+           aWorker.mLeaseEndsAt < mLeaderLeaseConfirmedAt &&
+           (aWorker.mHasReported || HasEarlierLeaseEnded(aWorker));
+  }
+
+  /// The last known incarnation.
+  static std::int64_t IncarnationOf(const WorkerState& aWorker)
+  {
+    return aWorker.mHasReported ? aWorker.mIncarnationStartMs
+                                : aWorker.mIdleIncarnationStartMs.value_or(
+                                    aWorker.mEntry.mIncarnationStartMs);
+  }
+
   /// True if the leases that earlier leaders have granted to workers without a
   /// report have ended.
   bool HaveLeasesEnded() const
@@ -1883,7 +1977,7 @@
     return std::all_of(
       mWorkers.begin(), mWorkers.end(), [this](const auto& aEntry) {
         const WorkerState& worker = *aEntry.second;
-        return worker.mHasReported || HasEarlierLeaseEnded(worker);
+        return !IsAwaited(worker) || HasEarlierLeaseEnded(worker);
       });
   }
 
@@ -1912,7 +2006,7 @@
           worker->mLeaseEndsAt >= mLeaderLeaseConfirmedAt) {
         next = std::min(next, worker->mLeaseEndsAt);
       }
-      if (!worker->mHasReported) {
+      if (IsAwaited(*worker)) {
         lastEarlierEnd = std::max(lastEarlierEnd, worker->mEarlierLeaseEndsAt);
       }
     }
@@ -1932,6 +2026,7 @@
         "worker_taken_over",
         { { "worker", aWorker.mEntry.mId },
           { "runs", static_cast<std::int64_t>(aWorker.mRuns.size()) } });
+      ChangeIdleIncarnation(aWorker, std::nullopt);
       CountAsPolled(aWorker);
       aWorker.mIsTakenOver = true;
       aWorker.mFailedPolls = std::max(1, aWorker.mFailedPolls);
@@ -2791,6 +2886,9 @@
   metrics::Counter& mOmittedPairs;
 
   WorkerMap mWorkers;
+  /// By worker id: the last incarnations of workers that were dropped without
+  /// an end to store.
+  std::map<std::string, std::int64_t> mGivenUpIncarnations;
   PlacementIndex mPlacementIndex;
   PollQueue mPollQueue;
   ColocationModel mColocationModel;
@@ -2801,6 +2899,8 @@
   /// Runs that are unconfirmed, or that need a stop or pace call.
   std::set<RunState*> mRunsToCall;
   OpenStarts mOpenStarts;
+  /// The entries that mOpenStarts has dropped may matter until then.
+  TimePoint mOpenStartsUnknownUntil;
   /// Workers that have to stop runs of mOpenStarts.
   std::set<std::string> mWorkersWithOpenStarts;
   std::vector<std::string> mDirty;
@@ -2837,7 +2937,7 @@
   TimePoint mNextPlacementAt;
   /// Workers may have runs of earlier leaders that they have not reported yet.
   bool mAreReportsMissing = true;
-  /// Workers that have not reported in this term.
+  /// Workers that have not reported in this term and are awaited.
   int mUnreportedCount = 0;
   /// Workers among these for which no poll has failed either.
   int mUnpolledCount = 0;
--- a/src/dispatch/open_starts.hpp
+++ b/src/dispatch/open_starts.hpp
@@ -57,6 +57,10 @@
                   int aRunNumber);
   /// The entries of the worker. Valid until the next change.
   std::vector<OpenStart*> ListOf(const std::string& aWorkerId);
+  bool HasAnyOf(const std::string& aWorkerId) const
+  {
+    return mNumbersByWorker.count(aWorkerId) != 0;
+  }
   /// The tasks of all entries, by ToText.
   std::set<std::string> ListTasks() const;
   /// Removes the oldest entries while their time has passed.
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -235,6 +235,12 @@
   base::TimePoint mNextPollAt;
   int mFailedPolls = 0;
 
+  /// The last report has listed all ended runs and no active one, and nothing
+  /// has been placed on the worker since.
+  bool mIsKnownIdle = false;
+  /// See Dispatcher::SetIdleIncarnation; empty once another incarnation was
+  /// listed.
+  std::optional<std::int64_t> mIdleIncarnationStartMs;
   /// See WorkerReport::mMayOmitEndedRuns, as of the last report.
   bool mMayOmitEndedRuns = false;
   /// The incarnation has begun in this term, so that no other leader has
@@ -278,6 +284,14 @@
   std::optional<base::TimePoint> mTailViolatedSince;
 };
 
+/// True if the worker may have a run, or the end of one, of an earlier leader
+/// to report.
+inline bool
+IsAwaited(const WorkerState& aWorker)
+{
+  return !aWorker.mHasReported && !aWorker.mIdleIncarnationStartMs;
+}
+
 } // namespace skylarkhill::dispatch
 
 #endif // SKYLARKHILL_DISPATCH_STATE_HPP
--- a/src/dispatch/summary.cpp
+++ b/src/dispatch/summary.cpp
@@ -176,7 +176,7 @@
   std::string id;
   base::TimePoint endsAt;
   for (const auto& [workerId, worker] : aWorkers) {
-    if (worker->mHasReported) {
+    if (!IsAwaited(*worker)) {
       continue;
     }
     ++unreported;
--- a/src/dispatch/takeover_test.cpp
+++ b/src/dispatch/takeover_test.cpp
@@ -1,6 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -92,9 +94,183 @@
   CPPUNIT_TEST(ListsIdleTasksWithTheirLastRuns);
   CPPUNIT_TEST(ListsNoTaskIdleWhoseStartMayCome);
   CPPUNIT_TEST(LendsIdleTasksOnceTheRoomIsKnown);
+  CPPUNIT_TEST(TellsThatAWorkerWithARunOwesSomething);
+  CPPUNIT_TEST(TellsThatAWorkerWithAnEndThatIsNotStoredOwesSomething);
+  CPPUNIT_TEST(TellsThatAWorkerWithALateStartOwesSomething);
+  CPPUNIT_TEST(TellsThatAWorkerWithOmittedEndsOwesSomething);
+  CPPUNIT_TEST(TellsThatAWorkerWithALostStartOwesSomething);
+  CPPUNIT_TEST(TellsThatALeaderHasGivenUpAWorker);
+  CPPUNIT_TEST(WaitsForNoWorkerThatOwesNothing);
+  CPPUNIT_TEST(WaitsForAnotherIncarnationOfAnIdleWorker);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Guards against a successor that does not wait for the run (TWICE).
+  void TellsThatAWorkerWithARunOwesSomething()
+  {
+    FakeSite site;
+    site.AddWorker("w1", 4000);
+    Dispatcher& dispatcher = site.AddLeader(1).GetDispatcher();
+    CPPUNIT_ASSERT(!dispatcher.FindIdleIncarnation("w1", site.Now()));
+    site.Advance(milliseconds(100));
+    CPPUNIT_ASSERT(dispatcher.FindIdleIncarnation("w1", site.Now()) ==
+                   std::optional<std::int64_t>(1));
+    dispatcher.AddJob(MakeJob("a", { 1 }), false, site.Now());
+    site.Advance(milliseconds(100));
+    CPPUNIT_ASSERT(!dispatcher.FindIdleIncarnation("w1", site.Now()));
+    site.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT(dispatcher.FindIdleIncarnation("w1", site.Now()));
+  }
+
+  // Guards against a successor that starts a task that has succeeded, because
+  // the end was not stored and it does not ask the worker (TWICE).
+  void TellsThatAWorkerWithAnEndThatIsNotStoredOwesSomething()
+  {
+    FakeSite site;
+    site.AddWorker("w1", 4000);
+    FakeSite::Leader& leader = site.AddLeader(1);
+    Dispatcher& dispatcher = leader.GetDispatcher();
+    dispatcher.AddJob(MakeJob("a", { 1 }), false, site.Now());
+    site.Advance(milliseconds(200));
+    leader.mCanStore = false;
+    site.Advance(milliseconds(1500));
+    CPPUNIT_ASSERT(site.Worker("w1").mRuns.empty());
+    CPPUNIT_ASSERT(!dispatcher.FindIdleIncarnation("w1", site.Now()));
+    leader.mCanStore = true;
+    site.Advance(milliseconds(20));
+    CPPUNIT_ASSERT(dispatcher.FindIdleIncarnation("w1", site.Now()));
+  }
+
+  // The run is stopped before its start is carried out. Guards against a
+  // successor that does not wait for the next incarnation, which would carry it
+  // out (TWICE).
+  void TellsThatAWorkerWithALateStartOwesSomething()
+  {
+    FakeSite site;
+    site.AddWorker("w1", 4000);
+    FakeSite::Leader& leader = site.AddLeader(1);
+    leader.mStartDelay = [](const StartCall&) { return milliseconds(20'000); };
+    Dispatcher& dispatcher = leader.GetDispatcher();
+    dispatcher.AddJob(MakeJob("a", { 1 }), false, site.Now());
+    site.Advance(milliseconds(1000));
+    dispatcher.CancelJob("a", site.Now());
+    site.Advance(milliseconds(5000));
+    CPPUNIT_ASSERT(!dispatcher.HasJob("a"));
+    CPPUNIT_ASSERT(!dispatcher.FindIdleIncarnation("w1", site.Now()));
+    site.Advance(milliseconds(61'000));
+    CPPUNIT_ASSERT(dispatcher.FindIdleIncarnation("w1", site.Now()));
+  }
+
+  // Guards against a successor that does not hear of the ends that the worker
+  // has not listed yet.
+  void TellsThatAWorkerWithOmittedEndsOwesSomething()
+  {
+    FakeSite site;
+    site.AddWorker("w1", 4000);
+    site.mMaxListedEndedRuns = 0;
+    Dispatcher& dispatcher = site.AddLeader(1).GetDispatcher();
+    site.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT(!dispatcher.FindIdleIncarnation("w1", site.Now()));
+    site.mMaxListedEndedRuns = 500;
+    site.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT(dispatcher.FindIdleIncarnation("w1", site.Now()));
+  }
+
+  // The worker has carried out a start without an answer, and its lease has
+  // ended since. Guards against a successor that does not wait for the next
+  // incarnation, which a copy of the start may reach (TWICE).
+  void TellsThatAWorkerWithALostStartOwesSomething()
+  {
+    FakeSite site;
+    site.AddWorker("w1", 4000);
+    FakeSite::Leader& leader = site.AddLeader(1);
+    leader.mStartDelay = [](const StartCall&) { return milliseconds(20); };
+    Dispatcher& dispatcher = leader.GetDispatcher();
+    dispatcher.AddJob(MakeJob("a", { 1 }), false, site.Now());
+    while (site.mStartCounts.empty()) {
+      site.Advance(milliseconds(5));
+    }
+    leader.mUnreachableWorkers.insert("w1");
+    site.Advance(kLongestLease + milliseconds(3000));
+    CPPUNIT_ASSERT(site.Worker("w1").mRuns.empty());
+    CPPUNIT_ASSERT(!dispatcher.FindIdleIncarnation("w1", site.Now()));
+  }
+
+  // A worker falls silent with a run. Guards against leaders that each wait for
+  // its first poll although one of them has given up the run (LOST), and
+  // against one that does not wait for the end of its lease (TWICE).
+  void TellsThatALeaderHasGivenUpAWorker()
+  {
+    FakeSite site;
+    site.mRunTime = [](const TaskId&) { return std::chrono::minutes(1); };
+    site.AddWorker("w1", 4000);
+    FakeSite::Leader& leader = site.AddLeader(1);
+    Dispatcher& dispatcher = leader.GetDispatcher();
+    dispatcher.AddJob(MakeJob("a", { 1 }), false, site.Now());
+    site.Advance(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, site.Worker("w1").mRuns.size());
+    leader.mUnreachableWorkers.insert("w1");
+    while (!site.Worker("w1").mRuns.empty()) {
+      CPPUNIT_ASSERT(!dispatcher.FindIdleIncarnation("w1", site.Now()));
+      site.Advance(milliseconds(50));
+    }
+    site.Advance(milliseconds(2000));
+    CPPUNIT_ASSERT(dispatcher.FindIdleIncarnation("w1", site.Now()));
+    // The next leader waits for the end of the earlier lease itself.
+    FakeSite::Leader& next =
+      site.AddLeader(2, site.Now() + std::chrono::seconds(5));
+    next.mUnreachableWorkers.insert("w1");
+    site.Advance(milliseconds(3000));
+    CPPUNIT_ASSERT(!next.GetDispatcher().FindIdleIncarnation("w1", site.Now()));
+    site.Advance(milliseconds(3000));
+    CPPUNIT_ASSERT(next.GetDispatcher().FindIdleIncarnation("w1", site.Now()));
+  }
+
+  // Guards against tasks that wait for the first poll of a worker that has left
+  // and for the end of its lease (LOST).
+  void WaitsForNoWorkerThatOwesNothing()
+  {
+    FakeSite site;
+    site.AddWorker("w1", 4000);
+    site.AddWorker("w2", 4000);
+    FakeSite::Leader& leader =
+      site.AddLeader(1, site.Now() + std::chrono::seconds(60));
+    leader.mUnreachableWorkers.insert("w2");
+    Dispatcher& dispatcher = leader.GetDispatcher();
+    dispatcher.OnWorkerUnregistered("w2", site.Now());
+    dispatcher.SetIdleIncarnation("w2", 1, site.Now());
+    site.Advance(milliseconds(50));
+    CPPUNIT_ASSERT(dispatcher.AreReportsComplete());
+    // What an earlier leader knew still holds.
+    CPPUNIT_ASSERT(dispatcher.FindIdleIncarnation("w2", site.Now()));
+  }
+
+  // Guards against a leader that does not wait for an incarnation that may have
+  // carried out a call for the former one (TWICE).
+  void WaitsForAnotherIncarnationOfAnIdleWorker()
+  {
+    FakeSite site;
+    site.AddWorker("w1", 4000);
+    FakeWorker& worker = site.AddWorker("w2", 4000);
+    FakeSite::Leader& leader =
+      site.AddLeader(1, site.Now() + std::chrono::seconds(60));
+    leader.mUnreachableWorkers = { "w1", "w2" };
+    Dispatcher& dispatcher = leader.GetDispatcher();
+    dispatcher.OnWorkerUnregistered("w2", site.Now());
+    dispatcher.SetIdleIncarnation("w2", 1, site.Now());
+    worker.Restart();
+    dispatcher.SetWorker(worker.Entry(), site.Now());
+    CPPUNIT_ASSERT(!dispatcher.FindIdleIncarnation("w2", site.Now()));
+    dispatcher.SetIdleIncarnation("w2", 1, site.Now());
+    CPPUNIT_ASSERT(!dispatcher.FindIdleIncarnation("w2", site.Now()));
+    leader.mUnreachableWorkers = { "w2" };
+    site.Advance(milliseconds(3000));
+    CPPUNIT_ASSERT(!dispatcher.AreReportsComplete());
+    leader.mUnreachableWorkers.clear();
+    site.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT(dispatcher.AreReportsComplete());
+  }
+
   // A worker moves to another cell, whose leader cannot stop the run that it
   // finds there. Guards against a second run of the task by the former leader
   // while the lease of the first one is extended (TWICE).
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -547,10 +547,33 @@
     mWorkersToRecord.insert(aWorkerId);
   }
   mDispatcher->SetWorker(aWorker.mEntry, mClock.Now());
+  if (!aWorker.mIsRegistered) {
+    mDispatcher->OnWorkerUnregistered(aWorkerId, aWorker.mUnregisteredAt);
+  }
+  ApplyLeaseRecord(aWorkerId);
+  UpdateLease(aWorkerId);
+}
+
+void
+Cell::ApplyLeaseRecord(const std::string& aWorkerId)
+{
   if (const JournaledWorker* lease = FindValidLease(aWorkerId)) {
     mDispatcher->SetEarlierLeaseEnd(aWorkerId, lease->mLeaseEndsAt);
+    mDispatcher->SetIdleIncarnation(
+      aWorkerId, lease->mIdleIncarnationStartMs, mClock.Now());
   }
-  UpdateLease(aWorkerId);
+}
+
+std::optional<std::int64_t>
+Cell::FindIdleIncarnation(const std::string& aWorkerId) const
+{
+  const auto incarnation =
+    mDispatcher->FindIdleIncarnation(aWorkerId, mClock.Now());
+  if (incarnation || mDispatcher->HasWorker(aWorkerId)) {
+    return incarnation;
+  }
+  const JournaledWorker* lease = FindValidLease(aWorkerId);
+  return lease != nullptr ? lease->mIdleIncarnationStartMs : std::nullopt;
 }
 
 const Cell::JournaledWorker*
@@ -804,6 +827,7 @@
   }
   journaled.mLeaseOffset = aRecord.mOffset;
   journaled.mLeaseEpoch = 0;
+  journaled.mIdleIncarnationStartMs.reset();
   if (aRecord.mValue.empty()) {
     mUnextendedWorkers.erase(aWorkerId);
     UpdateLease(aWorkerId);
@@ -819,6 +843,7 @@
   } else {
     journaled.mLeaseEpoch = record.value().mEpoch;
     journaled.mHasLeaseEnded = record.value().mRemainingMs == 0;
+    journaled.mIdleIncarnationStartMs = record.value().mIdleIncarnationStartMs;
     journaled.mLeaseEndsAt =
       mClock.Now() + std::chrono::milliseconds(record.value().mRemainingMs) *
                        100 / kMinClockPercent;
@@ -869,12 +894,17 @@
       AddRecord(jobs::RecordKind::WorkerLease, it, "");
       continue;
     }
+    const JournaledWorker* lease = FindValidLease(it);
+    if (lease == nullptr) {
+      continue;
+    }
     // A leader that has just started counts the remaining time from its first
     // read.
-    const JournaledWorker* lease = FindValidLease(it);
-    if (lease != nullptr && !lease->mHasLeaseEnded &&
-        lease->mLeaseEndsAt <= now) {
-      AddLeaseRecord(it, now);
+    const bool hasJustEnded =
+      !lease->mHasLeaseEnded && lease->mLeaseEndsAt <= now;
+    if (hasJustEnded ||
+        lease->mIdleIncarnationStartMs != FindIdleIncarnation(it)) {
+      AddLeaseRecord(it, lease->mLeaseEndsAt);
     }
   }
   for (const auto& it : mDispatcher->ListSilent()) {
@@ -891,12 +921,15 @@
 {
   const TimePoint now = mClock.Now();
   const std::int64_t remaining = aEndsAt <= now ? 0 : ToMs(aEndsAt - now) + 1;
+  const auto idleIncarnation = FindIdleIncarnation(aWorkerId);
   logging::Write(logging::Level::Info,
                  "worker_lease_recorded",
-                 { { "worker", aWorkerId }, { "remaining_ms", remaining } });
+                 { { "worker", aWorkerId },
+                   { "remaining_ms", remaining },
+                   { "idle", idleIncarnation ? "yes" : "no" } });
   AddRecord(jobs::RecordKind::WorkerLease,
             aWorkerId,
-            EncodeWorkerLease({ mEpoch, remaining }));
+            EncodeWorkerLease({ mEpoch, remaining, idleIncarnation }));
 }
 
 void
@@ -1228,9 +1261,6 @@
   }
   for (const auto& [id, worker] : mWorkers) {
     AddToDispatcher(id, worker);
-    if (!worker.mIsRegistered) {
-      mDispatcher->OnWorkerUnregistered(id, worker.mUnregisteredAt);
-    }
   }
   const auto openJobs = mJobs.ListOpen();
   logging::Write(
--- a/src/node/cell_random_test.cpp
+++ b/src/node/cell_random_test.cpp
@@ -1,6 +1,7 @@
 #include "skylarkhill/base/random.hpp"
 #include "skylarkhill/jobs/job_codec.hpp"
 #include "skylarkhill/node/node.hpp"
+#include "skylarkhill/node/worker_lease_record.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -401,6 +402,21 @@
   const std::string& Problem() const { return mProblem; }
   int TransferCount() const { return mTransferCount; }
   int LoanCount() const { return mLoanCount; }
+  /// Lease records that say that a worker owes nothing.
+  int IdleRecordCount() const
+  {
+    int n = 0;
+    for (int cell = 0; cell < kDomains; ++cell) {
+      const auto found = mState.mStreams.find(JournalOf(cell));
+      for (const auto& it : found->second) {
+        if (it.mKey.substr(0, 2) == "e/" && !it.mValue.empty()) {
+          const auto record = DecodeWorkerLease(it.mValue);
+          n += record && record.value().mIdleIncarnationStartMs ? 1 : 0;
+        }
+      }
+    }
+    return n;
+  }
 
   /// Some jobs prefer a rack or require a label.
   bool mHasSpecialJobs = true;
@@ -408,6 +424,9 @@
   bool mHasLargeJobs = false;
   /// Workers of two failure domains crash, are cut off and return.
   bool mLosesWorkers = false;
+  /// Workers return without a run, get starts that they do not answer, and
+  /// leave again, before their cell changes its leader.
+  bool mHasIdleWorkers = false;
   /// Instances cannot read single partitions or find them expired, and more
   /// jobs are cancelled.
   bool mCutsPartitions = false;
@@ -588,6 +607,62 @@
     }
   }
 
+  /// A worker that is present leaves, with its runs or after they have ended.
+  /// One that has left returns, perhaps as another incarnation, and may leave
+  /// again after a start that it has not answered.
+  void DisturbIdleWorker()
+  {
+    constexpr std::array<std::string_view, 3> kIds{ "d0w0", "d0w1", "d1w0" };
+    const std::string id(kIds.at(mRandom->Below(kIds.size())));
+    FakeWorkerState& worker = mWorkers[id];
+    if (worker.mIsCutOff) {
+      worker.mIsCutOff = false;
+      if (worker.mIncarnationStartMs < 9 && mRandom->Below(2) == 0) {
+        const std::int64_t incarnation = worker.mIncarnationStartMs + 1;
+        worker = {};
+        worker.mIncarnationStartMs = incarnation;
+      }
+      Store("workers", id, std::to_string(worker.mIncarnationStartMs));
+      Advance(milliseconds(20 * mRandom->Below(40)));
+    }
+    if (mRandom->Below(2) == 0) {
+      mCutOffByStart = id;
+      worker.mLosesAnswers = mRandom->Below(4) == 0;
+      for (int n = 0; n < 4; ++n) {
+        Submit();
+      }
+      Advance(milliseconds(20 * mRandom->Below(30)));
+      worker.mLosesAnswers = false;
+      mCutOffByStart.clear();
+    }
+    if (mRandom->Below(3) != 0) {
+      RemoveWorker(id);
+      Advance(milliseconds(20 * mRandom->Below(30)));
+    }
+    if (mRandom->Below(2) == 0) {
+      RestartLeaderOf(id[1] - '0');
+    }
+  }
+
+  /// The leader of the cell, if there is one, resigns and stops, or is killed.
+  void RestartLeaderOf(int aCell)
+  {
+    for (std::size_t n = 0; n < mInstances.size(); ++n) {
+      const auto led = mInstances[n]->mNode.LedCells();
+      if (std::find(led.begin(), led.end(), aCell) == led.end()) {
+        continue;
+      }
+      if (mRandom->Below(2) == 0) {
+        mInstances[n]->mNode.Resign();
+        Advance(milliseconds(300));
+      }
+      mInstances[n]->mLog.CarryOutLostAppends();
+      mInstances[n].reset();
+      mInstances[n] = CreateInstance(static_cast<int>(n));
+      return;
+    }
+  }
+
   void EndLeases()
   {
     const std::int64_t now = base::ToMicros(mClock.Now()) / 1000;
@@ -603,6 +678,9 @@
     if (mLosesWorkers && mRandom->Below(8) == 0) {
       DisturbWorker();
     }
+    if (mHasIdleWorkers && mRandom->Below(4) == 0) {
+      DisturbIdleWorker();
+    }
     if (mLosesWorkers && mRandom->Below(6) == 0) {
       // The cell that loses workers cannot store its loans.
       for (auto& it : mInstances) {
@@ -748,7 +826,11 @@
       mClock.Advance(kStep);
       for (auto& it : mInstances) {
         if (mClock.Now() >= it->mPausedUntil) {
+          const std::size_t runs = CountRunsOfCutOffByStart();
           it->mNode.Tick();
+          if (CountRunsOfCutOffByStart() > runs) {
+            mWorkers[mCutOffByStart].mIsCutOff = true;
+          }
           it->mLog.Deliver();
           it->mClients.Deliver();
         }
@@ -758,6 +840,11 @@
     }
   }
 
+  std::size_t CountRunsOfCutOffByStart()
+  {
+    return mCutOffByStart.empty() ? 0 : mWorkers[mCutOffByStart].mRuns.size();
+  }
+
   /// No task runs twice, whichever cells its workers belong to.
   void CheckRuns()
   {
@@ -900,6 +987,8 @@
   std::vector<std::unique_ptr<CellInstance>> mInstances;
   int mStartCount = 0;
   std::map<std::string, SubmittedJob> mJobs;
+  /// The next start on this worker cuts it off; empty for none.
+  std::string mCutOffByStart;
   std::set<std::string> mMayExist;
   std::set<std::string> mMayBeCancelled;
   std::string mProblem;
@@ -920,6 +1009,7 @@
   CPPUNIT_TEST(KeepsEachJobInOneCell);
   CPPUNIT_TEST(RunsTasksOfACellThatHasBecomeTooSmall);
   CPPUNIT_TEST(RunsLentTasksOnceWhileWorkersComeAndGo);
+  CPPUNIT_TEST(RunsTasksOnceWhileIdleWorkersLeave);
   CPPUNIT_TEST(PassesOnTheCancellationOfAnOldJob);
   CPPUNIT_TEST(PassesOnTheCancellationOfAnOldTransferredJob);
   CPPUNIT_TEST(RunsNoLateCopyOfACancelledLoan);
@@ -988,6 +1078,25 @@
     CPPUNIT_ASSERT(loans > 0);
   }
 
+  // Workers without runs get starts that they do not answer, leave, return and
+  // restart, while leaders change. Guards against a leader that does not wait
+  // for a worker that may run a task (TWICE).
+  void RunsTasksOnceWhileIdleWorkersLeave()
+  {
+    const char* text = std::getenv("SKYLARKHILL_CELL_SEEDS");
+    const int seeds = text != nullptr ? std::atoi(text) : kLoanSeeds;
+    int idle = 0;
+    for (int seed = 1; seed <= seeds; ++seed) {
+      CellSimulation simulation(static_cast<std::uint64_t>(seed));
+      simulation.mHasIdleWorkers = true;
+      const std::string problem = simulation.Run();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        "seed " + std::to_string(seed), std::string(), problem);
+      idle += simulation.IdleRecordCount();
+    }
+    CPPUNIT_ASSERT(idle > 0);
+  }
+
   // Guards against a lender that removes a final job from its journal before
   // the borrowers have its cancellation, so that its tasks run on (UNASKED).
   void PassesOnTheCancellationOfAnOldJob()
--- a/src/node/cell_site_test.hpp
+++ b/src/node/cell_site_test.hpp
@@ -40,6 +40,9 @@
     // A value of two characters is the failure domain that the worker moved to.
     entry.mDomain =
       aRecord.mValue.size() == 2 ? aRecord.mValue : aRecord.mKey.substr(0, 2);
+    // Any other value is the incarnation.
+    entry.mIncarnationStartMs =
+      aRecord.mValue.size() == 1 ? aRecord.mValue.front() - '0' : 0;
     entry.mRack = entry.mDomain + "rack";
     entry.mLabels = { entry.mDomain == "d1" ? "odd" : "even", entry.mRack };
     entry.mCapacity = { kWorkerMilliProcessors, std::int64_t{ 1 } << 36, 0 };
--- a/src/node/fake_worker_client_test.hpp
+++ b/src/node/fake_worker_client_test.hpp
@@ -27,8 +27,12 @@
   std::int64_t mFencingToken = 0;
   /// Longest lease that an instance has requested, on the clock of the worker.
   std::int64_t mLeaseEndMs = 0;
+  /// WorkerReport::mIncarnationStartMs.
+  std::int64_t mIncarnationStartMs = 1;
   /// No call reaches the worker.
   bool mIsCutOff = false;
+  /// Calls are carried out and not answered.
+  bool mLosesAnswers = false;
 };
 
 /// By worker id; shared by all instances.
@@ -73,11 +77,21 @@
     if (!CheckFence(aCall.mWorkerId)) {
       return;
     }
-    CountLease(aCall.mWorkerId, aCall.mLeaseUntilMs);
-    auto& ended = mWorkers[aCall.mWorkerId].mEndedRuns;
-    while (!ended.empty() &&
-           ended.front().mSequence <= aCall.mAcknowledgedSequence) {
-      ended.pop_front();
+    FakeWorkerState& worker = mWorkers[aCall.mWorkerId];
+    if (aCall.mIncarnationStartMs.value_or(worker.mIncarnationStartMs) ==
+        worker.mIncarnationStartMs) {
+      CountLease(aCall.mWorkerId, aCall.mLeaseUntilMs);
+      auto& ended = worker.mEndedRuns;
+      while (!ended.empty() &&
+             ended.front().mSequence <= aCall.mAcknowledgedSequence) {
+        ended.pop_front();
+      }
+    }
+    if (worker.mLosesAnswers) {
+      AddPollResult(aCall, kPollSlack, [this, aCall] {
+        mDispatcher->OnPollFailed(aCall.mWorkerId, mClock.Now());
+      });
+      return;
     }
     AddPollResult(aCall,
                   base::Duration::zero(),
@@ -106,13 +120,17 @@
     if (!CheckFence(aCall.mWorkerId)) {
       return;
     }
-    mStarts.push_back(aCall);
-    CountLease(aCall.mWorkerId, aCall.mLeaseUntilMs);
-    mWorkers[aCall.mWorkerId].mRuns.push_back(
-      { aCall.mTask, aCall.mRunNumber, "", 50, 20 });
-    mResults.emplace_back([this, aCall] {
-      mDispatcher->OnStartResult(
-        aCall, { dispatch::StartOutcome::Started }, mClock.Now());
+    FakeWorkerState& worker = mWorkers[aCall.mWorkerId];
+    auto outcome = dispatch::StartOutcome::OtherIncarnation;
+    if (aCall.mIncarnationStartMs == worker.mIncarnationStartMs) {
+      mStarts.push_back(aCall);
+      CountLease(aCall.mWorkerId, aCall.mLeaseUntilMs);
+      AddRun(worker, aCall);
+      outcome = worker.mLosesAnswers ? dispatch::StartOutcome::Unknown
+                                     : dispatch::StartOutcome::Started;
+    }
+    mResults.emplace_back([this, aCall, outcome] {
+      mDispatcher->OnStartResult(aCall, { outcome }, mClock.Now());
     });
   }
 
@@ -136,9 +154,11 @@
                                        aRun.mRunNumber == aCall.mRunNumber;
                               }),
                runs.end());
-    mResults.emplace_back([this, aCall] {
-      mDispatcher->OnStopResult(
-        aCall, dispatch::CallOutcome::Accepted, mClock.Now());
+    const auto outcome = mWorkers[aCall.mWorkerId].mLosesAnswers
+                           ? dispatch::CallOutcome::Unknown
+                           : dispatch::CallOutcome::Accepted;
+    mResults.emplace_back([this, aCall, outcome] {
+      mDispatcher->OnStopResult(aCall, outcome, mClock.Now());
     });
   }
 
@@ -188,7 +208,7 @@
     report.mEndedRuns.assign(worker.mEndedRuns.begin(),
                              worker.mEndedRuns.end());
     report.mClockMs = base::ToMicros(mClock.Now()) / 1000;
-    report.mIncarnationStartMs = 1;
+    report.mIncarnationStartMs = worker.mIncarnationStartMs;
     report.mActiveRuns = worker.mRuns;
     return report;
   }
@@ -206,6 +226,18 @@
     }
   }
 
+  /// A repeated start does not start the run a second time.
+  static void AddRun(FakeWorkerState& aWorker, const dispatch::StartCall& aCall)
+  {
+    const auto isSame = [&](const dispatch::ActiveRun& aRun) {
+      return aRun.mTask == aCall.mTask && aRun.mRunNumber == aCall.mRunNumber;
+    };
+    auto& runs = aWorker.mRuns;
+    if (std::none_of(runs.begin(), runs.end(), isSame)) {
+      runs.push_back({ aCall.mTask, aCall.mRunNumber, "", 50, 20 });
+    }
+  }
+
   void CountLease(const std::string& aWorkerId, std::int64_t aLeaseEndMs)
   {
     auto& end = mLeaseEndsMs[aWorkerId];
--- a/src/node/worker_lease_record.cpp
+++ b/src/node/worker_lease_record.cpp
@@ -8,14 +8,22 @@
 
 namespace {
 
-using Fields = std::tuple<std::int64_t, std::int64_t>;
+/// The third field is 1 if the incarnation in the last one owes nothing.
+/// Versions without the last two fields ignore them, and their records lack
+/// them.
+using Fields =
+  std::tuple<std::int64_t, std::int64_t, std::int64_t, std::int64_t>;
 
 } // namespace
 
 std::string
 EncodeWorkerLease(const WorkerLeaseRecord& aRecord)
 {
-  return base::PackMsgpack(Fields{ aRecord.mEpoch, aRecord.mRemainingMs });
+  return base::PackMsgpack(
+    Fields{ aRecord.mEpoch,
+            aRecord.mRemainingMs,
+            aRecord.mIdleIncarnationStartMs.has_value() ? 1 : 0,
+            aRecord.mIdleIncarnationStartMs.value_or(0) });
 }
 
 base::Result<WorkerLeaseRecord>
@@ -26,7 +34,13 @@
     return base::MakeError(base::ErrorKind::InvalidArgument,
                            "negative remaining time of a lease");
   }
-  return WorkerLeaseRecord{ std::get<0>(fields), std::get<1>(fields) };
+  WorkerLeaseRecord record;
+  record.mEpoch = std::get<0>(fields);
+  record.mRemainingMs = std::get<1>(fields);
+  if (std::get<2>(fields) == 1) {
+    record.mIdleIncarnationStartMs = std::get<3>(fields);
+  }
+  return record;
 }
 
 } // namespace skylarkhill::node
--- a/src/node/worker_records_test.cpp
+++ b/src/node/worker_records_test.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 
@@ -79,6 +80,9 @@
   CPPUNIT_TEST(ResignsAfterASlowRenewal);
   CPPUNIT_TEST(ExtendsNoLeaseBesideARecordThatCannotBeRead);
   CPPUNIT_TEST(ReadsLeaderRecordsOfOtherVersions);
+  CPPUNIT_TEST(StartsTasksAtOnceBesideAWorkerThatHasLeft);
+  CPPUNIT_TEST(TrustsNoIdleWorkerOfALeaderThatDoesNotKeepRecords);
+  CPPUNIT_TEST(ReadsLeaseRecordsOfOtherVersions);
   CPPUNIT_TEST(RunsEveryTaskOnceWhileTheRegistryLosesWorkers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -309,7 +313,7 @@
     RestartLeader();
     Advance(milliseconds(3000));
     CPPUNIT_ASSERT(NewestEpoch() > epoch);
-    Store("journal", "e/w1", EncodeWorkerLease({ epoch, 1 }));
+    Store("journal", "e/w1", EncodeWorkerLease({ epoch, 1, {} }));
     Store("workers", "w2", "1");
     Advance(milliseconds(1000));
     for (auto& it : mInstances) {
@@ -336,7 +340,7 @@
     Advance(milliseconds(1000));
     const std::int64_t epoch = NewestEpoch();
     mInstances.clear();
-    Store("journal", "e/w1", EncodeWorkerLease({ epoch, 0 }));
+    Store("journal", "e/w1", EncodeWorkerLease({ epoch, 0, {} }));
     StoreFormerLeader(epoch + 1);
     const base::TimePoint takenOverAt = mClock.Now();
     Store("workers", "w2", "1");
@@ -733,6 +737,88 @@
     CPPUNIT_ASSERT(read.value() == FormerFields(8, "present", true));
   }
 
+  // A worker without runs leaves, and leaders follow each other before its
+  // first poll can have failed. Guards against a successor that waits for this
+  // poll or for the end of the lease before it starts other tasks (LOST).
+  void StartsTasksAtOnceBesideAWorkerThatHasLeft()
+  {
+    // Less than a poll that fails takes.
+    constexpr milliseconds kLimit{ 400 };
+    for (int leaders = 1; leaders <= 3; ++leaders) {
+      for (const bool isKilled : { false, true }) {
+        Restart();
+        StartBesideAWorkerThatHasLeft();
+        for (int n = 1; n < leaders; ++n) {
+          RestartLeader();
+          SetPollsWait();
+          AdvanceToLeader();
+          Advance(milliseconds(100));
+        }
+        if (isKilled) {
+          KillLeader();
+        } else {
+          RestartLeader();
+        }
+        SetPollsWait();
+        EndRuns();
+        AdvanceToLeader();
+        Advance(kLimit);
+        CheckRuns(1);
+      }
+    }
+  }
+
+  // The record says that the worker owes nothing, but a leader of a version
+  // without such records has started a task there since. Guards against a
+  // second run beside the first one during an upgrade (TWICE).
+  void TrustsNoIdleWorkerOfALeaderThatDoesNotKeepRecords()
+  {
+    StartLeader(2);
+    SubmitSpread("a", 1);
+    Advance(milliseconds(1000));
+    const std::int64_t epoch = NewestEpoch();
+    mInstances.clear();
+    Store("journal", "e/w1", EncodeWorkerLease({ epoch, 0, 1 }));
+    Store("workers", "w1", "");
+    StoreFormerLeader(epoch + 1);
+    const base::TimePoint takenOverAt = mClock.Now();
+    Store("workers", "w2", "1");
+    AddInstances(1);
+    mInstances.back()->mClient.mUnreachable.insert("w1");
+    while (mWorkers["w2"].mRuns.empty() &&
+           mClock.Now() < takenOverAt + kLeasesTime) {
+      Advance(kStep);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mWorkers["w2"].mRuns.size());
+    CPPUNIT_ASSERT(mClock.Now() >= takenOverAt + kLeaderLease);
+  }
+
+  // Guards against instances of two versions that take each other's records for
+  // malformed during an upgrade, or a field that is missing for a fact.
+  void ReadsLeaseRecordsOfOtherVersions()
+  {
+    using FormerFields = std::tuple<std::int64_t, std::int64_t>;
+    const auto former =
+      DecodeWorkerLease(base::PackMsgpack(FormerFields{ 7, 300 }));
+    CPPUNIT_ASSERT(former);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 7 }, former.value().mEpoch);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 300 }, former.value().mRemainingMs);
+    CPPUNIT_ASSERT(!former.value().mIdleIncarnationStartMs);
+    const auto read =
+      base::UnpackMsgpack<FormerFields>(EncodeWorkerLease({ 8, 200, 5 }));
+    CPPUNIT_ASSERT(read);
+    CPPUNIT_ASSERT(read.value() == FormerFields(8, 200));
+    const auto present = DecodeWorkerLease(EncodeWorkerLease({ 8, 200, 5 }));
+    CPPUNIT_ASSERT(present);
+    CPPUNIT_ASSERT(present.value().mIdleIncarnationStartMs ==
+                   std::optional<std::int64_t>(5));
+    // Another value than 1 is that of a later version.
+    const auto later = DecodeWorkerLease(base::PackMsgpack(
+      std::make_tuple(std::int64_t{ 8 }, std::int64_t{ 200 }, 2, 5)));
+    CPPUNIT_ASSERT(later);
+    CPPUNIT_ASSERT(!later.value().mIdleIncarnationStartMs);
+  }
+
   // Workers leave the registry and return, instances are killed and restarted,
   // and appends are lost, at random times. Guards against two runs of a task at
   // the same time, and against tasks that are never started again.
@@ -769,6 +855,30 @@
     AddInstances(1);
   }
 
+  /// One worker runs a task, and another one without a run has left. The lease
+  /// of that one has not ended.
+  void StartBesideAWorkerThatHasLeft()
+  {
+    StartLeader(2);
+    SubmitSpread("a", 1);
+    Advance(milliseconds(1000));
+    Store("workers", "w2", std::string(kDraining));
+    Advance(milliseconds(1000));
+    Disconnect("w2");
+    Store("workers", "w2", "");
+    Advance(milliseconds(1000));
+    CheckRuns(1);
+    CPPUNIT_ASSERT(!NewestValue("e/w2").empty());
+  }
+
+  /// Polls take their time from now on, also those that fail.
+  void SetPollsWait()
+  {
+    for (auto& it : mInstances) {
+      it->mClient.mPollsWait = true;
+    }
+  }
+
   /// Two workers run a task each, and a third one has room.
   void StartBesideASpareWorker(int aInstances)
   {
