The time since which a worker is missing counts from its silence

No run is lost by that, because a worker is dropped only once its lease has ended and the leadership was confirmed after that.

Change: without a listing that this instance has followed, the time counts from the first lease record of the present silence that the instance has read, and without such a record from the first listing.

Test: WorkerRecordsTest::KeepsAWorkerThatTheFirstListingOfALeaderLacks, with a time from before the silence: "equality assertion failed, Expected: 1, Actual: " (the record of the worker).

--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -203,7 +203,10 @@
     /// Encoded registry record of the worker.
     std::string mRecord;
     bool mIsRegistered = true;
-    base::TimePoint mUnregisteredAt;
+    /// Since when the worker is missing from the registry, as far as this
+    /// instance knows; empty if it has read no listing since it last began to
+    /// follow the registry.
+    std::optional<base::TimePoint> mUnregisteredAt;
   };
 
   /// The newest record of a worker in the journal.
@@ -218,6 +221,9 @@
     /// kUnreadableEpoch if it cannot be read.
     std::int64_t mLeaseEpoch = 0;
     base::TimePoint mLeaseEndsAt;
+    /// When this instance has read the first of the records that follow each
+    /// other without a deletion: no leader has heard the worker since.
+    base::TimePoint mSilentSince;
     /// The record says that the lease has ended.
     bool mHasLeaseEnded = false;
     /// See WorkerLeaseRecord.
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -548,7 +548,8 @@
   }
   mDispatcher->SetWorker(aWorker.mEntry, mClock.Now());
   if (!aWorker.mIsRegistered) {
-    mDispatcher->OnWorkerUnregistered(aWorkerId, aWorker.mUnregisteredAt);
+    mDispatcher->OnWorkerUnregistered(
+      aWorkerId, aWorker.mUnregisteredAt.value_or(mClock.Now()));
   }
   ApplyLeaseRecord(aWorkerId);
   UpdateLease(aWorkerId);
@@ -611,10 +612,9 @@
       it = mWorkers.erase(it);
       continue;
     }
-    if (worker.mIsRegistered) {
-      worker.mIsRegistered = false;
-      worker.mUnregisteredAt = mClock.Now();
-    }
+    // It may be listed until this instance follows the registry again.
+    worker.mIsRegistered = false;
+    worker.mUnregisteredAt.reset();
     ++it;
   }
 }
@@ -815,7 +815,7 @@
   worker.mEntry = std::move(*entry);
   worker.mRecord = aRecord.mValue;
   worker.mIsRegistered = false;
-  worker.mUnregisteredAt = mClock.Now();
+  worker.mUnregisteredAt.reset();
 }
 
 void
@@ -826,6 +826,9 @@
     return;
   }
   journaled.mLeaseOffset = aRecord.mOffset;
+  if (journaled.mLeaseEpoch == 0) {
+    journaled.mSilentSince = mClock.Now();
+  }
   journaled.mLeaseEpoch = 0;
   journaled.mIdleIncarnationStartMs.reset();
   if (aRecord.mValue.empty()) {
@@ -989,11 +992,14 @@
   }
   mNextWorkerCheckAt = now + kWorkerCheckInterval;
   for (auto it = mWorkers.begin(); it != mWorkers.end();) {
-    const KnownWorker& worker = it->second;
+    KnownWorker& worker = it->second;
+    if (!worker.mIsRegistered && !worker.mUnregisteredAt) {
+      worker.mUnregisteredAt = now;
+    }
     // A worker that the registry lacks may be at work: the next leader must ask
     // it before it starts the tasks elsewhere.
     if (worker.mIsRegistered ||
-        worker.mUnregisteredAt + kUnregisteredRetention >= now ||
+        *worker.mUnregisteredAt + kUnregisteredRetention >= now ||
         mDispatcher->HasWorker(it->first)) {
       ++it;
       continue;
@@ -1006,7 +1012,7 @@
       logging::Level::Info,
       "worker_deleted",
       { { "worker", it->first },
-        { "unregistered_ms", ToMs(now - worker.mUnregisteredAt) } });
+        { "unregistered_ms", ToMs(now - *worker.mUnregisteredAt) } });
     // The worker is forgotten once the deletion is stored, unless it returns to
     // the registry before.
     AddRecord(jobs::RecordKind::Worker, it->first, "");
@@ -1259,7 +1265,13 @@
       mUnextendedWorkers.insert(id);
     }
   }
-  for (const auto& [id, worker] : mWorkers) {
+  for (auto& [id, worker] : mWorkers) {
+    if (!worker.mIsRegistered && !worker.mUnregisteredAt) {
+      // Nobody tells when the registry last listed it. It has not been used
+      // since it fell silent.
+      const JournaledWorker* lease = FindValidLease(id);
+      worker.mUnregisteredAt = lease != nullptr ? lease->mSilentSince : now;
+    }
     AddToDispatcher(id, worker);
   }
   const auto openJobs = mJobs.ListOpen();
--- a/src/node/worker_records_test.cpp
+++ b/src/node/worker_records_test.cpp
@@ -83,6 +83,7 @@
   CPPUNIT_TEST(StartsTasksAtOnceBesideAWorkerThatHasLeft);
   CPPUNIT_TEST(TrustsNoIdleWorkerOfALeaderThatDoesNotKeepRecords);
   CPPUNIT_TEST(ReadsLeaseRecordsOfOtherVersions);
+  CPPUNIT_TEST(KeepsAWorkerThatTheFirstListingOfALeaderLacks);
   CPPUNIT_TEST(RunsEveryTaskOnceWhileTheRegistryLosesWorkers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -819,6 +820,33 @@
     CPPUNIT_ASSERT(!later.value().mIdleIncarnationStartMs);
   }
 
+  // An instance that has run for long begins to lead, and the registry does not
+  // list a worker that fell silent a lease before. Guards against a leader that
+  // takes the worker for missing since it has read the journal itself, and at
+  // once removes it from there, so that the next one does not ask it.
+  void KeepsAWorkerThatTheFirstListingOfALeaderLacks()
+  {
+    StartLeader(2);
+    Store("workers", "w2", "1");
+    Advance(milliseconds(30'000));
+    Disconnect("w2");
+    Advance(kDropTime);
+    Store("workers", "w2", "");
+    RestartLeader();
+    // Leaves the instance that has run for long.
+    mInstances.pop_back();
+    AdvanceToLeader();
+    Advance(milliseconds(1100));
+    // Changes the journal, with which a deletion would be written.
+    SubmitSpread("b", 1);
+    Advance(milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), NewestRecord("w2"));
+    Advance(milliseconds(3000));
+    SubmitSpread("c", 1);
+    Advance(milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::string(), NewestRecord("w2"));
+  }
+
   // Workers leave the registry and return, instances are killed and restarted,
   // and appends are lost, at random times. Guards against two runs of a task at
   // the same time, and against tasks that are never started again.
