--- a/include/skylarkhill/cells/transfer_policy.hpp
+++ b/include/skylarkhill/cells/transfer_policy.hpp
@@ -74,6 +74,8 @@
   /// Thousandths of a processor of one task.
   std::int64_t mProcessors = 0;
   int mCount = 0;
+  /// The lender has a worker for a task, but for tasks that end.
+  bool mMayGetRoom = false;
 };
 
 /// A cell that may run some of the tasks.
--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -86,6 +86,9 @@
   base::TimePoint mNoRoomSince;
   /// No task of the job can have been started, so that the whole job may move.
   bool mIsUnstarted = false;
+  /// Lasting tasks leave room for one of the tasks on a worker, but for tasks
+  /// that end.
+  bool mMayGetRoom = false;
 };
 
 /// A worker that does not answer polls.
@@ -163,7 +166,8 @@
   /// Lasting tasks that have found no worker since `aSince` and that no worker
   /// can have.
   virtual std::vector<UnplacedTasks> ListUnplaced(
-    base::TimePoint aSince) const = 0;
+    base::TimePoint aSince,
+    base::TimePoint aNow) const = 0;
   /// Leaves up to `aMaxCount` of the tasks to another cell and returns them.
   /// Starts none of them again. The job counts as started from then on.
   virtual jobs::StepProgress LendTasks(const UnplacedTasks& aTasks,
--- a/src/cells/transfer_policy.cpp
+++ b/src/cells/transfer_policy.cpp
@@ -218,7 +218,9 @@
       (aDemand.mLabel.empty() || pool->mLabels.count(aDemand.mLabel) != 0);
     return isCompatible ? CountLastingTasks(*pool, aDemand.mProcessors) : 0;
   };
-  if (roomOf(aLender) > 0 && aWaited < kMaxPlacementTime) {
+  // The load of the lender leaves out the room that the tasks wait for.
+  if ((aDemand.mMayGetRoom || roomOf(aLender) > 0) &&
+      aWaited < kMaxPlacementTime) {
     return std::nullopt;
   }
   struct Candidate
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "job_state.hpp"
+#include "lasting_rooms.hpp"
 #include "open_starts.hpp"
 #include "pacing.hpp"
 #include "placement.hpp"
@@ -458,9 +459,11 @@
     return true;
   }
 
-  std::vector<UnplacedTasks> ListUnplaced(TimePoint aSince) const override
+  std::vector<UnplacedTasks> ListUnplaced(TimePoint aSince,
+                                          TimePoint aNow) const override
   {
     std::vector<UnplacedTasks> unplaced;
+    std::vector<LastingRoom> rooms;
     for (const StepState* step : mReadySteps) {
       if (!step->mNoRoomSince || *step->mNoRoomSince > aSince ||
           !MayLend(*step)) {
@@ -471,6 +474,9 @@
                       step->mTasks.end(),
                       [this](const TaskState& aTask) { return IsFree(aTask); });
       if (n > 0) {
+        if (unplaced.empty()) {
+          rooms = ListLastingRooms(mWorkers, aNow);
+        }
         unplaced.push_back({ step->mJob->mSubmission.mId,
                              step->mOccurrence,
                              step->mIndex,
@@ -479,7 +485,8 @@
                              step->mSpec->mResources.mMilliProcessors,
                              static_cast<int>(n),
                              *step->mNoRoomSince,
-                             IsUnstarted(*step->mJob) });
+                             IsUnstarted(*step->mJob),
+                             HasLastingRoom(rooms, *step, aNow) });
       }
     }
     return unplaced;
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -64,8 +64,8 @@
 Lend(FakeSite& aSite, FakeSite::Leader& aLeader, const jobs::JobEntry& aJob)
 {
   jobs::BorrowedTasks lent{ *aJob.mSubmission, {}, {} };
-  for (const auto& it :
-       aLeader.GetDispatcher().ListUnplaced(aSite.Now() - milliseconds(500))) {
+  for (const auto& it : aLeader.GetDispatcher().ListUnplaced(
+         aSite.Now() - milliseconds(500), aSite.Now())) {
     lent.mSteps.push_back(aLeader.GetDispatcher().LendTasks(it, it.mCount));
   }
   return lent;
--- a/src/dispatch/summary.cpp
+++ b/src/dispatch/summary.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "colocation_model.hpp"
+#include "lasting_rooms.hpp"
 
 namespace skylarkhill::dispatch {
 
@@ -29,13 +30,14 @@
     pool.mFreeForBackfill += std::max<std::int64_t>(
       0, worker->mUnusedProcessors - worker->mBackfillDemand);
     pool.mLabels.insert(entry.mLabels.begin(), entry.mLabels.end());
-    std::int64_t room = entry.mCapacity.mMilliProcessors;
-    for (const RunState* it : worker->mServiceRuns) {
-      room -= it->mTask->mStep->mSpec->mResources.mMilliProcessors;
-    }
+  }
+  auto rooms = ListLastingRooms(aWorkers, aNow);
+  TakeWaitingTasks(rooms, aReadySteps, aNow);
+  for (const LastingRoom& it : rooms) {
+    std::int64_t room = it.mLeft.mMilliProcessors;
     room -= room % cells::kLastingRoomUnit;
     if (room > 0) {
-      ++pool.mLastingRooms[room];
+      ++pools[it.mWorker->mEntry.mPool].mLastingRooms[room];
     }
   }
   for (const StepState* step : aReadySteps) {
--- a/src/dispatch/takeover_test.cpp
+++ b/src/dispatch/takeover_test.cpp
@@ -475,10 +475,11 @@
     CPPUNIT_ASSERT(!leader.GetDispatcher().AreReportsComplete());
     site.Advance(milliseconds(100));
     CPPUNIT_ASSERT(leader.GetDispatcher().AreReportsComplete());
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
-                         leader.GetDispatcher()
-                           .ListUnplaced(site.Now() - milliseconds(500))
-                           .size());
+    CPPUNIT_ASSERT_EQUAL(
+      std::size_t{ 1 },
+      leader.GetDispatcher()
+        .ListUnplaced(site.Now() - milliseconds(500), site.Now())
+        .size());
     CPPUNIT_ASSERT(
       leader.GetDispatcher().ListIdle(site.Now()).at(0).mWaitedMs >= 5000);
   }
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -1473,7 +1473,8 @@
     return;
   }
   mNextLoansAt = aNow + kLoadInterval;
-  const auto unplaced = mDispatcher->ListUnplaced(aNow - kMinTimeBeforeLoan);
+  const auto unplaced =
+    mDispatcher->ListUnplaced(aNow - kMinTimeBeforeLoan, aNow);
   if (unplaced.empty()) {
     return;
   }
@@ -1482,9 +1483,11 @@
   int left = 0;
   std::int64_t smallest = std::numeric_limits<std::int64_t>::max();
   for (const auto& it : unplaced) {
-    cells::LoanDemand demand{
-      it.mPool, it.mLabel, it.mProcessors, std::min(it.mCount, kMaxTasksPerLoan)
-    };
+    cells::LoanDemand demand{ it.mPool,
+                              it.mLabel,
+                              it.mProcessors,
+                              std::min(it.mCount, kMaxTasksPerLoan),
+                              it.mMayGetRoom };
     const Duration waited = aNow - it.mNoRoomSince;
     // Before that, an unstarted job may move as a whole.
     const bool mayLend = !it.mIsUnstarted || waited >= kMinTimeBeforeFirstLoan;
