A new leader waits for workers that are listed, and a cell offers what is free now (LOST)

A listed worker whose record says that it owes nothing was not waited for, so that a new leader could decide on loans and transfers before any worker of its cell had answered, and could miss an incarnation that the list does not tell yet. A load withheld the room of a worker for a task that waits there although a smaller task of another cell could use at once what is free.

Now only workers that the registry does not list are not waited for, a worker that is listed with a later incarnation than the one that has reported, or that was taken over, gets no such record, and a load offers the larger of what waiting tasks leave and what is free.

Tests: TakeoverTest::WaitsForAListedWorkerThatOwedNothing, LastingRoomsTest::OffersWhatIsFreeBesideAWaitingTask. NodeTest: the candidates of LetsNamedCandidatesClaimBeforeLargeOnes had the same ids, so that two were named.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -237,12 +237,9 @@
     if (hasMoved) {
       mPollQueue.Advance(*worker, aNow);
     }
-    if (worker->mIdleIncarnationStartMs &&
-        *worker->mIdleIncarnationStartMs != aEntry.mIncarnationStartMs) {
-      // A call that was meant for the former incarnation may have reached this
-      // one.
-      ChangeIdleIncarnation(*worker, std::nullopt);
-    }
+    // The worker may be up, and be another incarnation than the registry tells,
+    // which lags behind: a call for the former one may have reached it.
+    ChangeIdleIncarnation(*worker, std::nullopt);
     if (aEntry.mIsDraining && !wasDraining) {
       worker->mLeavesAt = aNow + std::chrono::milliseconds(aEntry.mRemainingMs);
       logging::Write(
@@ -302,11 +299,8 @@
       return;
     }
     WorkerState& worker = *found->second;
-    const bool isReplaced =
-      worker.mIsRegistered && aIncarnationStartMs &&
-      *aIncarnationStartMs != worker.mEntry.mIncarnationStartMs;
-    ChangeIdleIncarnation(worker,
-                          isReplaced ? std::nullopt : aIncarnationStartMs);
+    ChangeIdleIncarnation(
+      worker, worker.mIsRegistered ? std::nullopt : aIncarnationStartMs);
     RequestTick(aNow);
   }
 
@@ -328,10 +322,11 @@
       return worker.mIdleIncarnationStartMs;
     }
     const bool isGivenUp = IsGivenUp(worker) && !mAreReportsMissing;
-    const bool isIdle = (worker.mIsKnownIdle || isGivenUp) &&
-                        worker.mRuns.empty() &&
-                        worker.mPendingAcknowledgements.empty() &&
-                        !worker.mIsTakenOver && !worker.mUncertainSince;
+    const bool isIdle =
+      (worker.mIsKnownIdle || isGivenUp) && worker.mRuns.empty() &&
+      worker.mPendingAcknowledgements.empty() && !worker.mIsTakenOver &&
+      !worker.mUncertainSince &&
+      worker.mEntry.mIncarnationStartMs <= IncarnationOf(worker);
     return isIdle ? std::optional(IncarnationOf(worker)) : std::nullopt;
   }
 
@@ -2036,6 +2031,7 @@
       ChangeIdleIncarnation(aWorker, std::nullopt);
       CountAsPolled(aWorker);
       aWorker.mIsTakenOver = true;
+      aWorker.mIsKnownIdle = false;
       aWorker.mFailedPolls = std::max(1, aWorker.mFailedPolls);
     }
     aWorker.mIsPollInFlight = false;
--- a/src/dispatch/lasting_rooms_test.cpp
+++ b/src/dispatch/lasting_rooms_test.cpp
@@ -74,6 +74,7 @@
   CPPUNIT_TEST(BorrowsNoMoreThanBatchTasksLeaveRoomFor);
   CPPUNIT_TEST(TakesTheRoomOfOneWorkerForEachWaitingTask);
   CPPUNIT_TEST(TakesNoRoomForTasksThatNoWorkerCanHave);
+  CPPUNIT_TEST(OffersWhatIsFreeBesideAWaitingTask);
   CPPUNIT_TEST(KeepsATaskThatWaitsForABatchTaskForAWhile);
   CPPUNIT_TEST_SUITE_END();
 
@@ -147,6 +148,27 @@
       kWorkers, rooms.at((kTasksPerWorker - 1) * kTaskMilliProcessors));
   }
 
+  // A task waits for the end of a batch task on the only worker that is large
+  // enough. Guards against a smaller task of another cell that waits although
+  // the worker could run it at once (LOST).
+  void OffersWhatIsFreeBesideAWaitingTask()
+  {
+    FakeSite site;
+    site.mRunTime = [](const TaskId&) { return kRunTime; };
+    site.AddWorker("w0", 4000);
+    auto& leader = site.AddLeader(1);
+    leader.GetDispatcher().AddJob(
+      MakeJob("batch", { 1 }, 2000), false, site.Now());
+    site.Advance(milliseconds(1000));
+    leader.GetDispatcher().AddJob(
+      MakeLasting("large", 1, 4000), false, site.Now());
+    site.Advance(milliseconds(1000));
+    const auto load = leader.GetDispatcher().Load(site.Now());
+    const auto& rooms = load.mPools.at(0).mLastingRooms;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, rooms.size());
+    CPPUNIT_ASSERT_EQUAL(1, rooms.at(2000));
+  }
+
   // Guards against loans that the end of a batch task would have saved.
   void KeepsATaskThatWaitsForABatchTaskForAWhile()
   {
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -238,8 +238,7 @@
   /// The last report has listed all ended runs and no active one, and nothing
   /// has been placed on the worker since.
   bool mIsKnownIdle = false;
-  /// See Dispatcher::SetIdleIncarnation; empty once another incarnation was
-  /// listed.
+  /// See Dispatcher::SetIdleIncarnation; empty while the worker is listed.
   std::optional<std::int64_t> mIdleIncarnationStartMs;
   /// See WorkerReport::mMayOmitEndedRuns, as of the last report.
   bool mMayOmitEndedRuns = false;
--- a/src/dispatch/summary.cpp
+++ b/src/dispatch/summary.cpp
@@ -34,7 +34,11 @@
   auto rooms = ListLastingRooms(aWorkers, aNow);
   TakeWaitingTasks(rooms, aReadySteps, aNow);
   for (const LastingRoom& it : rooms) {
-    std::int64_t room = it.mLeft.mMilliProcessors;
+    // What is free now does not suffice for the tasks that wait here.
+    base::Resources free = it.mWorker->mEntry.mCapacity;
+    free -= it.mWorker->mUsed;
+    std::int64_t room =
+      std::max(it.mLeft.mMilliProcessors, free.mMilliProcessors);
     room -= room % cells::kLastingRoomUnit;
     if (room > 0) {
       ++pools[it.mWorker->mEntry.mPool].mLastingRooms[room];
--- a/src/dispatch/takeover_test.cpp
+++ b/src/dispatch/takeover_test.cpp
@@ -101,6 +101,7 @@
   CPPUNIT_TEST(TellsThatAWorkerWithALostStartOwesSomething);
   CPPUNIT_TEST(TellsThatALeaderHasGivenUpAWorker);
   CPPUNIT_TEST(WaitsForNoWorkerThatOwesNothing);
+  CPPUNIT_TEST(WaitsForAListedWorkerThatOwedNothing);
   CPPUNIT_TEST(WaitsForAnotherIncarnationOfAnIdleWorker);
   CPPUNIT_TEST_SUITE_END();
 
@@ -245,6 +246,25 @@
     CPPUNIT_ASSERT(dispatcher.FindIdleIncarnation("w2", site.Now()));
   }
 
+  // Guards against loans and transfers that are decided before the workers of
+  // the cell have answered (LOST), and against an incarnation that the registry
+  // does not tell yet (TWICE).
+  void WaitsForAListedWorkerThatOwedNothing()
+  {
+    FakeSite site;
+    site.AddWorker("w1", 4000);
+    site.AddWorker("w2", 4000);
+    FakeSite::Leader& leader =
+      site.AddLeader(1, site.Now() + std::chrono::seconds(60));
+    leader.mUnreachableWorkers.insert("w2");
+    leader.GetDispatcher().SetIdleIncarnation("w2", 1, site.Now());
+    site.Advance(milliseconds(50));
+    CPPUNIT_ASSERT(!leader.GetDispatcher().AreReportsComplete());
+    leader.mUnreachableWorkers.clear();
+    site.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT(leader.GetDispatcher().AreReportsComplete());
+  }
+
   // Guards against a leader that does not wait for an incarnation that may have
   // carried out a call for the former one (TWICE).
   void WaitsForAnotherIncarnationOfAnIdleWorker()
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -321,12 +321,12 @@
   // collide with those of the named ones.
   void LetsNamedCandidatesClaimBeforeLargeOnes()
   {
-    AddSmallCandidatesWithWaitingReads(2);
     AddCandidatesWithWaitingReads(4);
+    AddSmallCandidatesWithWaitingReads(2);
     Advance(milliseconds(4000));
     ForgetRefusedAppends();
     Candidate& leader = Leader();
-    Candidate& next = *mCandidates.front();
+    Candidate& next = *mCandidates.back();
     leader.mLeadership.Resign(
       { base::kNoDeadline, 0, { "x", "y", next.mName } });
     Remove(leader);
@@ -880,7 +880,7 @@
   {
     for (int n = 0; n < aCount; ++n) {
       mCandidates.push_back(std::make_unique<Candidate>(
-        mState, mClock, "node" + std::to_string(n), 0.12));
+        mState, mClock, "node" + std::to_string(mCandidates.size()), 0.12));
       mCandidates.back()->mLog.mClock = &mClock;
     }
   }
