A named instance that leads other cells yields to the others that are named only (LOST)

Cause: it waited 250 ms for each cell that it led.

Test: NodeTest::ClaimsAtOnceIfNobodyElseIsNamed; the delay for led cells, 1,200 ms there, does not count.

--- a/include/skylarkhill/node/leadership.hpp
+++ b/include/skylarkhill/node/leadership.hpp
@@ -92,11 +92,12 @@
   /// No claim uses this epoch or a lower one.
   void SetMinEpoch(std::int64_t aEpoch) { mMinEpoch = aEpoch; }
   /// Additional time that this candidate leaves to others before it claims.
-  /// `aNamedDelay` holds instead if a resignation names this instance.
-  void SetClaimDelay(base::Duration aDelay, base::Duration aNamedDelay = {})
+  /// If a resignation names this instance, the delay does not count, but with
+  /// `aYields` the others that it names claim first.
+  void SetClaimDelay(base::Duration aDelay, bool aYields = false)
   {
     mClaimDelay = aDelay;
-    mNamedClaimDelay = aNamedDelay;
+    mYieldsToNamed = aYields;
   }
   /// Pause after a read that delivered records; none by default. A candidate
   /// sees a resignation up to this much later.
@@ -235,7 +236,7 @@
   bool mMayClaim = true;
   std::int64_t mMinEpoch = 0;
   base::Duration mClaimDelay{ 0 };
-  base::Duration mNamedClaimDelay{ 0 };
+  bool mYieldsToNamed = false;
   base::Duration mFollowerPause{ 0 };
   base::Duration mMinRenewInterval{ 0 };
   base::TimePoint mNextAppendAt;
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -90,9 +90,6 @@
 
 /// How long an instance goes on following the registry after its claim was due.
 constexpr Duration kRegistryRetention = std::chrono::seconds(3);
-/// Claim delay for each other cell that the instance leads or claims if a
-/// resignation names it: the others that are named claim before it.
-constexpr Duration kNamedDelayPerLedCell = std::chrono::milliseconds(250);
 /// Claim delay of instances in other failure domains than the workers.
 constexpr Duration kOtherDomainDelay = std::chrono::milliseconds(250);
 /// Claim delay for each other cell that the instance leads or claims.
@@ -226,7 +223,7 @@
       (mOptions.mIsInDomain ? Duration::zero() : kOtherDomainDelay) +
         kDelayPerLedCell * (aOtherCells + aOtherClaims) +
         mBudget.mClaimDelayPerRank * mRank,
-      kNamedDelayPerLedCell * (aOtherCells + aOtherClaims));
+      aOtherCells + aOtherClaims > 0);
     if (!mIsStopping && mLeadership.IsNamed()) {
       KeepRegistry(now + kSeriesTime);
     } else if (!mIsStopping && mLeadership.IsClaimDue()) {
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -347,8 +347,14 @@
   const auto found =
     std::find(successors.begin(), successors.end(), mInstanceId);
   const base::Duration turn = kSuccessorTime * (found - successors.begin());
-  return found != successors.end() ? turn + mNamedClaimDelay
-                                   : std::max(usual, turn + jitter);
+  if (found == successors.end()) {
+    return std::max(usual, turn + jitter);
+  }
+  const base::Duration lastTurn =
+    kSuccessorTime * static_cast<std::int64_t>(successors.size() - 1);
+  // Between the last named one and all others.
+  return mYieldsToNamed && turn < lastTurn ? lastTurn + kSuccessorTime / 2
+                                           : turn;
 }
 
 bool
--- a/src/node/node_test.cpp
+++ b/src/node/node_test.cpp
@@ -74,6 +74,7 @@
   CPPUNIT_TEST(NamesASuccessorIfItStopsDuringItsClaim);
   CPPUNIT_TEST(LetsNamedCandidatesClaimBeforeLargeOnes);
   CPPUNIT_TEST(ClaimsAfterTheOtherNamedOnesIfItLeadsAnotherCell);
+  CPPUNIT_TEST(ClaimsAtOnceIfNobodyElseIsNamed);
   CPPUNIT_TEST(KnowsWhoHasLeft);
   CPPUNIT_TEST(NamesAnInstanceAgainThatWasReplacedLongAgo);
   CPPUNIT_TEST(ReadsLeaderRecordsOfOtherVersions);
@@ -353,7 +354,7 @@
         names.push_back(it->mName);
       }
     }
-    named.front()->mLeadership.SetClaimDelay({}, milliseconds(250));
+    named.front()->mLeadership.SetClaimDelay({}, true);
     leader.mLeadership.Resign({ base::kNoDeadline, 0, names });
     Remove(leader);
     Advance(milliseconds(1000));
@@ -363,6 +364,21 @@
     }
   }
 
+  // At the end of a series one instance is up. Guards against a change of
+  // several hundred milliseconds because it leads other cells (LOST).
+  void ClaimsAtOnceIfNobodyElseIsNamed()
+  {
+    AddSmallCandidatesWithWaitingReads(4);
+    Advance(milliseconds(4000));
+    Candidate& leader = Leader();
+    Candidate& next = OtherThan(leader);
+    next.mLeadership.SetClaimDelay(milliseconds(1200), true);
+    leader.mLeadership.Resign({ base::kNoDeadline, 0, { next.mName } });
+    Remove(leader);
+    Advance(kNamedClaimTime);
+    CPPUNIT_ASSERT(next.mLeadership.IsLeader());
+  }
+
   // An instance was cut off and replaced. Guards against resignations that name
   // it never again.
   void NamesAnInstanceAgainThatWasReplacedLongAgo()
