--- a/include/skylarkhill/cells/cell_load.hpp
+++ b/include/skylarkhill/cells/cell_load.hpp
@@ -27,9 +27,9 @@
   std::set<std::string> mLabels;
   /// Number of workers that accept starts, by the processors on them that
   /// lasting tasks leave, rounded down to a multiple of kLastingRoomUnit.
-  /// Waiting ones for which a worker has been searched count where they fit.
-  /// Other tasks end soon, and lasting ones are placed first. Empty if the load
-  /// was published by a version without it.
+  /// Waiting ones for which a worker has been searched count where they fit,
+  /// but what is free now is left. Other tasks end soon, and lasting ones are
+  /// placed first. Empty if the load was published by a version without it.
   std::map<std::int64_t, int> mLastingRooms;
   /// Lasting tasks that wait and for which no worker has been searched yet.
   int mNewLastingTasks = 0;
--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -125,8 +125,8 @@
   /// An earlier leader knew that this incarnation of the worker owes nothing,
   /// see FindIdleIncarnation, and no leader has started anything on the worker
   /// since; empty if that is not known. AreReportsComplete does not wait for
-  /// the worker unless the registry lists another incarnation. No effect once
-  /// the worker has reported.
+  /// the worker unless the registry lists it. No effect once the worker has
+  /// reported.
   virtual void SetIdleIncarnation(
     const std::string& aWorkerId,
     std::optional<std::int64_t> aIncarnationStartMs,
