--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -2824,7 +2824,7 @@
     ++aRun.mOpenStarts;
     aRun.mStartSentAt = aNow;
     mStarts.Add();
-    ++mWork.mStarts;
+    CountStart(aRun);
     const TaskState& task = *aRun.mTask;
     StartCall call;
     call.mWorkerId = aRun.mWorker->mEntry.mId;
@@ -2842,6 +2842,21 @@
     mSink.Start(call);
   }
 
+  void CountStart(const RunState& aRun)
+  {
+    ++mWork.mStarts;
+    if (aRun.mStartCalls > 1) {
+      return;
+    }
+    const TaskState& task = *aRun.mTask;
+    const jobs::Step& step = *task.mStep->mSpec;
+    mWork.mBackfillStarts += step.mIsBackfill ? 1 : 0;
+    if (step.mIsService) {
+      ++mWork.mLastingStarts;
+      mWork.mLastingRestarts += aRun.mNumber > 1 ? 1 : 0;
+    }
+  }
+
   void SendStop(const WorkerState& aWorker, const TaskId& aTask, int aRunNumber)
   {
     mStops.Add();
--- a/src/dispatch/summary.cpp
+++ b/src/dispatch/summary.cpp
@@ -13,6 +13,74 @@
 
 namespace skylarkhill::dispatch {
 
+namespace {
+
+/// Lasting tasks without a run.
+struct LastingWait
+{
+  std::int64_t mTasks = 0;
+  base::Duration mLongest{ 0 };
+  /// Thousandths of a processor that one of the tasks requests that have waited
+  /// longest.
+  std::int64_t mProcessors = 0;
+};
+
+LastingWait
+MeasureLastingWait(const std::vector<StepState*>& aReadySteps,
+                   base::TimePoint aNow)
+{
+  LastingWait wait;
+  for (const StepState* step : aReadySteps) {
+    if (!step->mSpec->mIsService) {
+      continue;
+    }
+    wait.mTasks += step->mWaitingCount;
+    if (step->mWaitingCount > 0 && step->mNoRoomSince &&
+        aNow - *step->mNoRoomSince > wait.mLongest) {
+      wait.mLongest = aNow - *step->mNoRoomSince;
+      wait.mProcessors = step->mSpec->mResources.mMilliProcessors;
+    }
+  }
+  return wait;
+}
+
+/// Processors of the workers that accept starts, in thousandths.
+struct AcceptingWorkers
+{
+  std::int64_t mWorkers = 0;
+  std::int64_t mCapacity = 0;
+  std::int64_t mReserved = 0;
+  /// The most that is free on one of them.
+  std::int64_t mLargestFree = 0;
+};
+
+AcceptingWorkers
+MeasureAcceptingWorkers(const WorkerMap& aWorkers, base::TimePoint aNow)
+{
+  AcceptingWorkers accepting;
+  for (const auto& [id, worker] : aWorkers) {
+    if (!AcceptsStarts(*worker, aNow)) {
+      continue;
+    }
+    const std::int64_t capacity = worker->mEntry.mCapacity.mMilliProcessors;
+    const std::int64_t reserved = worker->mUsed.mMilliProcessors;
+    ++accepting.mWorkers;
+    accepting.mCapacity += capacity;
+    accepting.mReserved += reserved;
+    accepting.mLargestFree =
+      std::max(accepting.mLargestFree, capacity - reserved);
+  }
+  return accepting;
+}
+
+std::int64_t
+ToMs(base::Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
+} // namespace
+
 cells::CellLoad
 MeasureLoad(const std::vector<StepState*>& aReadySteps,
             const WorkerMap& aWorkers,
@@ -117,27 +185,33 @@
       used += isBackfill ? std::max<std::int64_t>(0, it->mTailLatencyOrUse) : 0;
     }
   }
-  logging::Write(
-    logging::Level::Info,
-    "dispatch_summary",
-    { { "jobs", static_cast<std::int64_t>(aJobCount) },
-      { "waiting", waiting },
-      { "waiting_backfill", waitingBackfill },
-      { "deferred", deferred },
-      { "longest_backfill_wait_ms",
-        std::chrono::duration_cast<std::chrono::milliseconds>(longestWait)
-          .count() },
-      { "running", running },
-      { "running_backfill", backfill },
-      { "backfill_demand", demand },
-      { "backfill_used", used },
-      { "leftover", leftover },
-      { "reserved", reserved },
-      { "capacity", capacity },
-      { "paced", paced },
-      { "services", services },
-      { "harmed", aboveTarget },
-      { "starting", starting } });
+  const LastingWait lasting = MeasureLastingWait(aReadySteps, aNow);
+  const AcceptingWorkers accepting = MeasureAcceptingWorkers(aWorkers, aNow);
+  logging::Write(logging::Level::Info,
+                 "dispatch_summary",
+                 { { "jobs", static_cast<std::int64_t>(aJobCount) },
+                   { "waiting", waiting },
+                   { "waiting_backfill", waitingBackfill },
+                   { "deferred", deferred },
+                   { "longest_backfill_wait_ms", ToMs(longestWait) },
+                   { "waiting_lasting", lasting.mTasks },
+                   { "longest_lasting_wait_ms", ToMs(lasting.mLongest) },
+                   { "longest_waiting_processors", lasting.mProcessors },
+                   { "running", running },
+                   { "running_backfill", backfill },
+                   { "backfill_demand", demand },
+                   { "backfill_used", used },
+                   { "leftover", leftover },
+                   { "reserved", reserved },
+                   { "capacity", capacity },
+                   { "accepting", accepting.mWorkers },
+                   { "accepting_capacity", accepting.mCapacity },
+                   { "accepting_reserved", accepting.mReserved },
+                   { "largest_free", accepting.mLargestFree },
+                   { "paced", paced },
+                   { "services", services },
+                   { "harmed", aboveTarget },
+                   { "starting", starting } });
 }
 
 void
@@ -159,20 +233,20 @@
     silent += worker->mFailedPolls > 0 ? 1 : 0;
     oldest = std::max(oldest, base::Duration(aNow - worker->mLastReportAt));
   }
-  logging::Write(
-    logging::Level::Info,
-    "dispatch_work",
-    { { "reports", aWork.mReports },
-      { "starts", aWork.mStarts },
-      { "stops", aWork.mStops },
-      { "placement_rounds", aWork.mPlacementRounds },
-      { "candidates", aWork.mCandidates },
-      { "workers", static_cast<std::int64_t>(aWorkers.size()) },
-      { "unreported", unreported },
-      { "silent", silent },
-      { "oldest_report_ms",
-        std::chrono::duration_cast<std::chrono::milliseconds>(oldest)
-          .count() } });
+  logging::Write(logging::Level::Info,
+                 "dispatch_work",
+                 { { "reports", aWork.mReports },
+                   { "starts", aWork.mStarts },
+                   { "lasting_starts", aWork.mLastingStarts },
+                   { "lasting_restarts", aWork.mLastingRestarts },
+                   { "backfill_starts", aWork.mBackfillStarts },
+                   { "stops", aWork.mStops },
+                   { "placement_rounds", aWork.mPlacementRounds },
+                   { "candidates", aWork.mCandidates },
+                   { "workers", static_cast<std::int64_t>(aWorkers.size()) },
+                   { "unreported", unreported },
+                   { "silent", silent },
+                   { "oldest_report_ms", ToMs(oldest) } });
 }
 
 void
@@ -191,14 +265,12 @@
       endsAt = worker->mEarlierLeaseEndsAt;
     }
   }
-  logging::Write(logging::Level::Info,
-                 "reports_missing",
-                 { { "unreported", unreported },
-                   { "worker", id },
-                   { "lease_remaining_ms",
-                     std::chrono::duration_cast<std::chrono::milliseconds>(
-                       endsAt - std::min(endsAt, aNow))
-                       .count() } });
+  logging::Write(
+    logging::Level::Info,
+    "reports_missing",
+    { { "unreported", unreported },
+      { "worker", id },
+      { "lease_remaining_ms", ToMs(endsAt - std::min(endsAt, aNow)) } });
 }
 
 } // namespace skylarkhill::dispatch
--- a/src/dispatch/summary.hpp
+++ b/src/dispatch/summary.hpp
@@ -18,6 +18,12 @@
 {
   std::int64_t mReports = 0;
   std::int64_t mStarts = 0;
+  /// First starts of runs of lasting tasks, and those among them of tasks that
+  /// have had a run before.
+  std::int64_t mLastingStarts = 0;
+  std::int64_t mLastingRestarts = 0;
+  /// First starts of backfill runs.
+  std::int64_t mBackfillStarts = 0;
   std::int64_t mStops = 0;
   std::int64_t mPlacementRounds = 0;
   /// Workers that were considered for a task, over all tasks.
@@ -31,8 +37,9 @@
             base::TimePoint aNow);
 
 /// Logs the numbers of waiting and running tasks, of tasks below full pace and
-/// of service tasks above their tail latency target, and how long backfill has
-/// waited. `aAreReportsMissing`: tasks with earlier runs are held back.
+/// of service tasks above their tail latency target, how long backfill and
+/// lasting tasks have waited, and what is left on workers that accept starts.
+/// `aAreReportsMissing`: tasks with earlier runs are held back.
 void
 LogDispatchSummary(std::size_t aJobCount,
                    const std::vector<StepState*>& aReadySteps,
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -132,6 +132,38 @@
   return aStream;
 }
 
+/// Lasting tasks that no worker and no other cell has room for.
+struct UnplacedSummary
+{
+  void Add(const dispatch::UnplacedTasks& aTasks, Duration aWaited)
+  {
+    mTasks += aTasks.mCount;
+    mMayGetRoom += aTasks.mMayGetRoom ? aTasks.mCount : 0;
+    mSmallest = std::min(mSmallest, aTasks.mProcessors);
+    mLargest = std::max(mLargest, aTasks.mProcessors);
+    mLongestWait = std::max(mLongestWait, aWaited);
+  }
+
+  int mTasks = 0;
+  /// See dispatch::UnplacedTasks.
+  int mMayGetRoom = 0;
+  /// The least and the most that one of the tasks requests, in thousandths of a
+  /// processor.
+  std::int64_t mSmallest = std::numeric_limits<std::int64_t>::max();
+  std::int64_t mLargest = 0;
+  Duration mLongestWait{ 0 };
+};
+
+std::string
+JoinIndexes(const jobs::StepProgress& aStep)
+{
+  std::string text;
+  for (const auto& it : aStep.mTasks) {
+    text += (text.empty() ? "" : ",") + std::to_string(it.mIndex);
+  }
+  return text;
+}
+
 } // namespace
 
 Cell::Cell(CellOptions aOptions,
@@ -1477,8 +1509,7 @@
   }
   CellLoads loads = LoadsWithPendingLoans();
   int n = 0;
-  int left = 0;
-  std::int64_t smallest = std::numeric_limits<std::int64_t>::max();
+  UnplacedSummary left;
   for (const auto& it : unplaced) {
     cells::LoanDemand demand{ it.mPool,
                               it.mLabel,
@@ -1496,8 +1527,7 @@
     // The number of the next loan follows from the stored ones.
     if (!job || job->KnownSubmission() == nullptr || job->mIsCancelled ||
         IsLending(it.mJobId)) {
-      left += it.mCount;
-      smallest = std::min(smallest, it.mProcessors);
+      left.Add(it, waited);
       continue;
     }
     const std::set<int> formerCells = FormerCellsOf(*job);
@@ -1506,8 +1536,7 @@
         it.mJobId, demand, mOptions.mIndex, formerCells, loads, waited);
     }
     if (!target) {
-      left += it.mCount;
-      smallest = std::min(smallest, it.mProcessors);
+      left.Add(it, waited);
       continue;
     }
     if (!StoreLoan(*job, it, *target, formerCells)) {
@@ -1522,11 +1551,15 @@
       return;
     }
   }
-  if (left > 0 && aNow >= mNextUnplacedLogAt) {
+  if (left.mTasks > 0 && aNow >= mNextUnplacedLogAt) {
     mNextUnplacedLogAt = aNow + kUnplacedLogInterval;
     logging::Write(logging::Level::Info,
                    "lasting_tasks_unplaced",
-                   { { "tasks", left }, { "smallest_processors", smallest } });
+                   { { "tasks", left.mTasks },
+                     { "smallest_processors", left.mSmallest },
+                     { "largest_processors", left.mLargest },
+                     { "may_get_room", left.mMayGetRoom },
+                     { "longest_wait_ms", ToMs(left.mLongestWait) } });
   }
 }
 
@@ -1624,6 +1657,8 @@
                    { "loan", number },
                    { "tasks", n },
                    { "of", aTasks.mCount },
+                   { "indexes", JoinIndexes(step) },
+                   { "processors", aTasks.mProcessors },
                    { "target", aTarget.mTarget },
                    { "waited_ms", ToMs(mClock.Now() - aTasks.mNoRoomSince) } });
   mLentTasksCount.Add(n);
