--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1339,6 +1339,7 @@
     task.mRuns.remove_if(
       [&](const RunState& aEntry) { return &aEntry == &aRun; });
     --task.mStep->mJob->mRunCount;
+    task.mRunEndedAt = aNow;
     if (task.mRuns.empty() && !task.mIsDone) {
       ++task.mStep->mWaitingCount;
     }
@@ -2169,8 +2170,9 @@
            (aJob.mZeroValueAtMs < mUnixMs ? 1 : 0);
   }
 
-  /// True if the tasks of `aLeft` are placed before those of `aRight`. Jobs
-  /// whose completion has no value share what is left.
+  /// True if the tasks of `aLeft` are placed before those of `aRight`: lasting
+  /// ones first, and among these, the ones that have waited longest. Jobs whose
+  /// completion has no value share what is left.
   bool HasPrecedence(const StepState& aLeft, const StepState& aRight) const
   {
     if (aLeft.mSpec->mIsService != aRight.mSpec->mIsService) {
@@ -2178,10 +2180,22 @@
     }
     const ScheduledJob& left = *aLeft.mJob;
     const ScheduledJob& right = *aRight.mJob;
+    if (aLeft.mSpec->mIsService) {
+      // A lasting job has no end, so that its objective tells only its age.
+      return std::tie(left.mSubmission.mPolicy.mPriority,
+                      aLeft.mWaitsSince,
+                      left.mObjectiveAtMs,
+                      left.mSubmission.mId,
+                      aLeft.mIndex) <
+             std::tie(right.mSubmission.mPolicy.mPriority,
+                      aRight.mWaitsSince,
+                      right.mObjectiveAtMs,
+                      right.mSubmission.mId,
+                      aRight.mIndex);
+    }
     const int leftLateness = LatenessOf(left);
     const int rightLateness = LatenessOf(right);
     if (leftLateness == kNoValue && rightLateness == kNoValue &&
-        !aLeft.mSpec->mIsService &&
         (left.mRunCount == 0) != (right.mRunCount == 0)) {
       return left.mRunCount == 0;
     }
@@ -2231,18 +2245,7 @@
     }
     mIsPlacementDue = false;
     mIsRoundIncomplete = false;
-    std::vector<StepState*> waiting;
-    std::copy_if(
-      mReadySteps.begin(),
-      mReadySteps.end(),
-      std::back_inserter(waiting),
-      [](const StepState* aStep) { return aStep->mWaitingCount > 0; });
-    std::sort(waiting.begin(),
-              waiting.end(),
-              [this](const StepState* aLeft, const StepState* aRight) {
-                return HasPrecedence(*aLeft, *aRight);
-              });
-    for (StepState* step : waiting) {
+    for (StepState* step : ListWaiting()) {
       const bool isRepeated = step->mPlacementRound == mRound;
       if (isRepeated && mBudget.mRepeatedSearchWork <= 0) {
         continue;
@@ -2264,6 +2267,27 @@
     mNextPlacementAt = mHasUnplacedTasks ? aNow + kPlacementInterval : aNow;
   }
 
+  /// The steps with waiting tasks in the order of their placement.
+  std::vector<StepState*> ListWaiting() const
+  {
+    std::vector<StepState*> waiting;
+    std::copy_if(
+      mReadySteps.begin(),
+      mReadySteps.end(),
+      std::back_inserter(waiting),
+      [](const StepState* aStep) { return aStep->mWaitingCount > 0; });
+    for (StepState* step : waiting) {
+      step->mWaitsSince =
+        step->mSpec->mIsService ? WaitsSince(*step) : base::kNoDeadline;
+    }
+    std::sort(waiting.begin(),
+              waiting.end(),
+              [this](const StepState* aLeft, const StepState* aRight) {
+                return HasPrecedence(*aLeft, *aRight);
+              });
+    return waiting;
+  }
+
   /// Places the waiting tasks of the step as far as workers have room. Returns
   /// false if the budget of the tick does not suffice.
   bool PlaceStep(StepState& aStep, TimePoint aNow)
@@ -2285,14 +2309,11 @@
       }
       return true;
     }
-    for (TaskState& task : aStep.mTasks) {
-      if (!IsFree(task)) {
-        continue;
-      }
+    for (TaskState* task : ListFree(aStep)) {
       if (mBudget.IsExhausted()) {
         return false;
       }
-      if (!PlaceRun(task, aNow)) {
+      if (!PlaceRun(*task, aNow)) {
         SetNoRoom(aStep, aNow);
         RequestAdvice(aStep, aNow);
         return true;
@@ -2302,6 +2323,26 @@
     return true;
   }
 
+  /// The tasks of the step that can be placed. Lasting ones that lose their
+  /// runs again and again must not stand before the others.
+  std::vector<TaskState*> ListFree(StepState& aStep) const
+  {
+    std::vector<TaskState*> tasks;
+    for (TaskState& it : aStep.mTasks) {
+      if (IsFree(it)) {
+        tasks.push_back(&it);
+      }
+    }
+    if (aStep.mSpec->mIsService) {
+      std::stable_sort(tasks.begin(),
+                       tasks.end(),
+                       [](const TaskState* aLeft, const TaskState* aRight) {
+                         return aLeft->mRunEndedAt < aRight->mRunEndedAt;
+                       });
+    }
+    return tasks;
+  }
+
   /// Starts one task below full pace for each late job without runs of which a
   /// backfill step has found no worker for kMaxBackfillWait, oldest jobs first.
   /// Precedence favours jobs that can be in time, so that late ones might wait
--- a/src/dispatch/lasting_rooms.cpp
+++ b/src/dispatch/lasting_rooms.cpp
@@ -45,8 +45,29 @@
          aStep.mNoRoomSince && aStep.mWaitingCount > 0;
 }
 
+bool
+HasNoRun(const TaskState& aTask)
+{
+  return !aTask.mIsDone && !aTask.mIsElsewhere && aTask.mRuns.empty();
+}
+
 } // namespace
 
+base::TimePoint
+WaitsSince(const StepState& aStep)
+{
+  base::TimePoint since = base::kNoDeadline;
+  if (!IsWaiting(aStep)) {
+    return since;
+  }
+  for (const TaskState& it : aStep.mTasks) {
+    if (HasNoRun(it)) {
+      since = std::min(since, std::max(*aStep.mNoRoomSince, it.mRunEndedAt));
+    }
+  }
+  return since;
+}
+
 std::vector<LastingRoom>
 ListLastingRooms(const WorkerMap& aWorkers, base::TimePoint aNow)
 {
--- a/src/dispatch/lasting_rooms.hpp
+++ b/src/dispatch/lasting_rooms.hpp
@@ -37,6 +37,11 @@
                  const std::vector<StepState*>& aReadySteps,
                  base::TimePoint aNow);
 
+/// Since when the task of the step that waits longest has had no run although
+/// workers were searched; kNoDeadline if none waits.
+base::TimePoint
+WaitsSince(const StepState& aStep);
+
 } // namespace skylarkhill::dispatch
 
 #endif // SKYLARKHILL_DISPATCH_LASTING_ROOMS_HPP
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -91,6 +91,8 @@
   int mLastRun = 0;
   /// At least one run has ended.
   bool mHasEndedRun = false;
+  /// When a run of the task was last removed in this term.
+  base::TimePoint mRunEndedAt;
   std::string mCheckpoint;
   std::list<RunState> mRuns;
   /// Worker of the last unsuccessful run; other workers are preferred.
@@ -128,6 +130,8 @@
   /// Since when placement has found no worker for a waiting task. A start below
   /// full pace does not end this, so that a move from its worker is short.
   std::optional<base::TimePoint> mNoRoomSince;
+  /// Lasting tasks only: WaitsSince as of the last placement round.
+  base::TimePoint mWaitsSince = base::kNoDeadline;
   /// Services only: saturation without interference; empty before the first
   /// report.
   std::optional<double> mBaseline;
--- a/src/dispatch/summary.cpp
+++ b/src/dispatch/summary.cpp
@@ -35,9 +35,9 @@
       continue;
     }
     wait.mTasks += step->mWaitingCount;
-    if (step->mWaitingCount > 0 && step->mNoRoomSince &&
-        aNow - *step->mNoRoomSince > wait.mLongest) {
-      wait.mLongest = aNow - *step->mNoRoomSince;
+    const base::TimePoint since = WaitsSince(*step);
+    if (since != base::kNoDeadline && aNow - since > wait.mLongest) {
+      wait.mLongest = aNow - since;
       wait.mProcessors = step->mSpec->mResources.mMilliProcessors;
     }
   }
