--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -39,10 +39,6 @@
 /// Maximum age of the last read of an instance that reports ready.
 inline constexpr base::Duration kMaxReadAge = std::chrono::milliseconds(4000);
 
-/// Time after a resignation in which other leaders may resign, as in planned
-/// work on the instances of a site.
-inline constexpr base::Duration kSeriesTime = std::chrono::seconds(10);
-
 /// Loads that the leaders of the cells publish, by cell; empty if unknown.
 using CellLoads = std::vector<std::optional<cells::CellLoad>>;
 
--- a/include/skylarkhill/node/instance_directory.hpp
+++ b/include/skylarkhill/node/instance_directory.hpp
@@ -27,6 +27,9 @@
   /// Differs between restarts of the instance. Empty while it starts or stops,
   /// so that it should not lead, and if its version does not tell.
   std::string mInstanceId{};
+  /// When the process started, in milliseconds of Unix time; 0 if its version
+  /// does not tell.
+  std::int64_t mStartedMs = 0;
 };
 
 bool
--- a/src/node/instance_directory.cpp
+++ b/src/node/instance_directory.cpp
@@ -18,9 +18,14 @@
 
 namespace {
 
-/// Later versions may append fields, which this one ignores.
-using Fields =
-  std::tuple<std::string, std::string, std::string, double, std::string>;
+/// Later versions may append fields, which this one ignores. The entries of
+/// former ones lack the last two.
+using Fields = std::tuple<std::string,
+                          std::string,
+                          std::string,
+                          double,
+                          std::string,
+                          std::int64_t>;
 
 /// Maximum bytes of a domain, address or id; that of a name is the key's.
 constexpr std::size_t kMaxTextBytes = 255;
@@ -98,7 +103,8 @@
   return aLeft.mName == aRight.mName && aLeft.mDomain == aRight.mDomain &&
          aLeft.mAddress == aRight.mAddress &&
          aLeft.mProcessors == aRight.mProcessors &&
-         aLeft.mInstanceId == aRight.mInstanceId;
+         aLeft.mInstanceId == aRight.mInstanceId &&
+         aLeft.mStartedMs == aRight.mStartedMs;
 }
 
 std::string
@@ -108,18 +114,19 @@
                                    aEntry.mDomain,
                                    aEntry.mAddress,
                                    aEntry.mProcessors,
-                                   aEntry.mInstanceId });
+                                   aEntry.mInstanceId,
+                                   aEntry.mStartedMs });
 }
 
 base::Result<InstanceEntry>
 DecodeInstanceEntry(std::string_view aBytes)
 {
   BOOST_OUTCOME_TRY(fields, base::UnpackMsgpack<Fields>(aBytes));
-  InstanceEntry entry{ std::move(std::get<0>(fields)),
-                       std::move(std::get<1>(fields)),
-                       std::move(std::get<2>(fields)),
-                       std::get<3>(fields),
-                       std::move(std::get<4>(fields)) };
+  InstanceEntry entry{
+    std::move(std::get<0>(fields)), std::move(std::get<1>(fields)),
+    std::move(std::get<2>(fields)), std::get<3>(fields),
+    std::move(std::get<4>(fields)), std::get<5>(fields)
+  };
   if (entry.mName.empty()) {
     return Malformed("empty name of an instance");
   }
--- a/src/node/instance_directory_test.cpp
+++ b/src/node/instance_directory_test.cpp
@@ -473,15 +473,18 @@
                                    double,
                                    std::string,
                                    std::int64_t,
+                                   std::int64_t,
                                    std::vector<std::string>>;
     InstanceEntry entry = MakeEntry("b");
     entry.mInstanceId = "b/1";
+    entry.mStartedMs = 17;
     Put("b",
         base::PackMsgpack(LaterFields{ entry.mName,
                                        entry.mDomain,
                                        entry.mAddress,
                                        entry.mProcessors,
                                        entry.mInstanceId,
+                                       entry.mStartedMs,
                                        7,
                                        { "x", "y" } }));
     Start("a");
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -90,7 +90,9 @@
                        InstanceEntry{ mOptions.mName,
                                       mOptions.mDomain,
                                       mOptions.mQueryAddress,
-                                      mOptions.mProcessors });
+                                      mOptions.mProcessors,
+                                      {},
+                                      aWallClock.NowMs() });
   }
   const std::uint64_t seed = base::StableHash(mOptions.mInstanceId);
   mConfigurationReader.SetRetrySeed(seed);
@@ -384,6 +386,7 @@
     return {};
   }
   const auto& instances = mDirectory->Instances();
+  const auto restarted = RestartedInSeries(instances, mWallClock.NowMs());
   auto ranked = RankFollowers(mCellMap, aCell, instances);
   ranked.resize(std::min(ranked.size(), mFollowersPerCell));
   std::vector<SuccessorCandidate> candidates;
@@ -404,7 +407,8 @@
     }
     candidates.push_back({ entry,
                            cells::IsInDomain(mCellMap, aCell, entry.mDomain),
-                           static_cast<int>(ledCells) });
+                           static_cast<int>(ledCells),
+                           restarted.count(name) > 0 });
   }
   return RankSuccessors(std::move(candidates));
 }
