A leader that knows of no successor leads on until its process ends (LOST)

With a successor, without the list or without the leadership it resigns at once, as before.

SuccessorTest::LeadsOnWhileNobodyElseMay and LeadsOnAfterAllStopWithinASecond fail with ShouldLeadOn switched off and pass with it; ResignsOnceAnotherInstanceMayLead fails if the leader ignores successors. For ClaimsNothingWhileItLeadsOn no change was found that makes it fail: the end of the term and the resignation each prevent the claim.

--- a/include/skylarkhill/node/cell.hpp
+++ b/include/skylarkhill/node/cell.hpp
@@ -129,7 +129,9 @@
   base::TimePoint NextTickAt() const;
   /// Gives up the leadership before the process stops. Stops calling workers at
   /// once; Tick stores the last records of the term and then the resignation.
-  void Resign();
+  /// All this waits while no other instance may lead, until `aLeadUntil` at
+  /// most.
+  void Resign(base::TimePoint aLeadUntil = {});
 
   /// A worker of this cell has been registered or has changed.
   void OnWorker(const RegisteredWorker& aWorker);
@@ -305,7 +307,10 @@
   void AddIdleRecord();
   /// Those of the former leader, if it has resigned and nobody has led since.
   std::vector<jobs::IdleStep> ReadIdleRecord() const;
-  /// Next step of Resign, once the append in flight has been answered.
+  /// True if this leader is to stop and knows that nobody would lead then.
+  bool ShouldLeadOn() const;
+  void BeginResignation();
+  /// Next step of the resignation, once the append in flight has been answered.
   void ContinueResignation();
   /// Latest time at which a lease ends that this leader or an earlier one has
   /// granted, if it grants no more; kNoDeadline if that is not known.
@@ -449,6 +454,10 @@
   std::optional<base::TimePoint> mResignBy;
   /// Resign was called: this instance claims the cell no more.
   bool mIsStopping = false;
+  /// Argument of Resign.
+  base::TimePoint mLeadUntil;
+  /// Empty: the resignation is not postponed.
+  std::optional<base::TimePoint> mNextSuccessorCheckAt;
   bool mHasAddedLastRecords = false;
   base::TimePoint mNextLeaseCheckAt;
   base::TimePoint mNextWorkerCheckAt;
--- a/include/skylarkhill/node/node.hpp
+++ b/include/skylarkhill/node/node.hpp
@@ -97,8 +97,10 @@
   void Tick();
   /// When to call Tick next if no event arrives before.
   base::TimePoint NextTickAt() const;
-  /// Gives up the leadership before the process stops.
-  void Resign();
+  /// Gives up the leadership before the process stops: at once if another
+  /// instance may lead or it is not known which ones there are, otherwise when
+  /// one may, or at `aLeadUntil`.
+  void Resign(base::TimePoint aLeadUntil = {});
 
   JobRouter& GetJobRouter() { return mJobRouter; }
   /// The other instances that follow each cell. Thread-safe.
@@ -114,9 +116,12 @@
   void OnWorker(const RegisteredWorker& aWorker) override;
   void OnWorkerGone(const std::string& aWorkerId) override;
   std::vector<std::string> SuccessorsOf(int aCell) const override;
+  bool AreInstancesKnown() const override;
   /// Ids of the processes that should lead the cell after `aLeaderId`.
   std::vector<std::string> SuccessorsOf(int aCell,
                                         const std::string& aLeaderId) const;
+  /// Reads the list of instances while this one waits for a successor.
+  void FindSuccessors(base::TimePoint aNow);
   /// Follows the registry while leaders resign and this instance may be next.
   void PrepareToLead(base::TimePoint aNow);
   void OnConfiguration(const LogRecord& aRecord);
@@ -171,6 +176,8 @@
   std::atomic<bool> mIsReady{ false };
   /// Resign was called.
   bool mIsStopping = false;
+  /// Argument of Resign.
+  base::TimePoint mLeadUntil;
   /// The list of instances tells that this one may lead.
   bool mIsAnnouncedAsReady = false;
   base::TimePoint mLastTickAt;
--- a/include/skylarkhill/node/successor_ranking.hpp
+++ b/include/skylarkhill/node/successor_ranking.hpp
@@ -36,6 +36,9 @@
   /// Ids of the processes that should claim the cell, in this order; empty if
   /// none is known.
   virtual std::vector<std::string> SuccessorsOf(int aCell) const = 0;
+  /// True if the instances of the site are known, so that nobody can lead if
+  /// SuccessorsOf is empty.
+  virtual bool AreInstancesKnown() const = 0;
 };
 
 /// Names of the instances that have started in the current series of restarts;
--- a/src/node/cell.cpp
+++ b/src/node/cell.cpp
@@ -80,6 +80,9 @@
 /// than if it has to wait for leases that no record limits.
 constexpr Duration kMaxResignationDelay = std::chrono::milliseconds(500);
 
+/// Interval at which a leader that is to stop looks for a successor.
+constexpr Duration kSuccessorCheckInterval = std::chrono::milliseconds(50);
+
 /// Pause after a failed read of a stream of the cell that this instance leads.
 constexpr Duration kLeaderRetryPause = std::chrono::milliseconds(200);
 
@@ -283,6 +286,13 @@
       !mJournalReader.IsRateLimited()) {
     mJobService.Health().SetUnreachable(now);
   }
+  if (mNextSuccessorCheckAt && now >= *mNextSuccessorCheckAt) {
+    mNextSuccessorCheckAt = now + kSuccessorCheckInterval;
+    if (!ShouldLeadOn()) {
+      BeginResignation();
+      return;
+    }
+  }
   if (mResignBy) {
     ContinueResignation();
   } else if (!mJobsToAdd.empty()) {
@@ -398,6 +408,9 @@
 {
   TimePoint next =
     std::min(mJournalReader.NextTickAt(), mLeadership.NextTickAt());
+  if (mNextSuccessorCheckAt) {
+    next = std::min(next, *mNextSuccessorCheckAt);
+  }
   if (mResignBy) {
     next = std::min(next, *mResignBy);
     if (!mIsFlushInFlight && !mBatch.IsEmpty()) {
@@ -418,10 +431,37 @@
 }
 
 void
-Cell::Resign()
+Cell::Resign(TimePoint aLeadUntil)
 {
   const logging::ContextField context("cell", mOptions.mIndex);
   mIsStopping = true;
+  mLeadUntil = aLeadUntil;
+  if (!ShouldLeadOn()) {
+    BeginResignation();
+    return;
+  }
+  mNextSuccessorCheckAt = mClock.Now() + kSuccessorCheckInterval;
+  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aLeadUntil - mClock.Now());
+  logging::Write(logging::Level::Info,
+                 "resignation_postponed",
+                 { { "epoch", mLeadership.Epoch() },
+                   { "remaining_ms", remaining.count() } });
+}
+
+bool
+Cell::ShouldLeadOn() const
+{
+  // Nobody would lead after the resignation.
+  return mClock.Now() < mLeadUntil && mLeadership.IsLeader() &&
+         mSuccessors.AreInstancesKnown() &&
+         mSuccessors.SuccessorsOf(mOptions.mIndex).empty();
+}
+
+void
+Cell::BeginResignation()
+{
+  mNextSuccessorCheckAt.reset();
   mResignBy = mClock.Now() + kMaxResignationDelay;
   mHasAddedLastRecords = false;
   mWorkerClient.ClearDispatcher();
--- a/src/node/leaders_in_series_test.cpp
+++ b/src/node/leaders_in_series_test.cpp
@@ -178,11 +178,14 @@
   void StopLeader()
   {
     CellInstance& leader = Leader();
-    leader.mNode.Resign();
+    // Without a list of the instances, it does not wait for a successor.
+    const base::TimePoint stoppedAt = mClock.Now();
+    leader.mNode.Resign(stoppedAt + seconds(2));
     // Until the resignation is stored.
     do {
       Advance(kStep);
     } while (!leader.mNode.LedCells().empty());
+    CPPUNIT_ASSERT(mClock.Now() - stoppedAt < seconds(1));
     Replace(leader);
   }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -26,7 +26,8 @@
 /// Interval between two searches for cells that this instance may lead soon.
 constexpr Duration kPreparationInterval = std::chrono::milliseconds(500);
 /// Interval at which the list of instances is read while leaders resign, so
-/// that instances that are up are named and prepare.
+/// that instances that are up are named and prepare, and while one that leads
+/// waits for a successor.
 constexpr Duration kSeriesReadInterval = std::chrono::seconds(1);
 /// Time in which the list of instances is usually read.
 constexpr Duration kMaxDirectoryWait = std::chrono::seconds(5);
@@ -126,6 +127,7 @@
     UpdateFollowers();
   }
   TickCells(now);
+  FindSuccessors(now);
   PrepareToLead(now);
   mPendingCancellations.Tick();
   if (mCells.empty()) {
@@ -161,16 +163,17 @@
 }
 
 void
-Node::Resign()
+Node::Resign(TimePoint aLeadUntil)
 {
   mIsStopping = true;
+  mLeadUntil = aLeadUntil;
   if (mDirectory) {
     // Others stop naming this instance, and it learns who else has stopped.
     mDirectory->SetInstanceId({});
     mDirectory->Refresh();
   }
   for (const auto& it : mCells) {
-    it->Resign();
+    it->Resign(aLeadUntil);
   }
 }
 
@@ -261,7 +264,7 @@
     OnWorker(worker);
   }
   if (mIsStopping) {
-    Resign();
+    Resign(mLeadUntil);
   }
 }
 
@@ -382,7 +385,7 @@
 std::vector<std::string>
 Node::SuccessorsOf(int aCell, const std::string& aLeaderId) const
 {
-  if (!mDirectory || mDirectoryVersion < 0) {
+  if (!AreInstancesKnown()) {
     return {};
   }
   const auto& instances = mDirectory->Instances();
@@ -413,6 +416,23 @@
   return RankSuccessors(std::move(candidates));
 }
 
+bool
+Node::AreInstancesKnown() const
+{
+  return mDirectory && mDirectoryVersion >= 0;
+}
+
+void
+Node::FindSuccessors(TimePoint aNow)
+{
+  if (mDirectory && mIsStopping && aNow < mLeadUntil &&
+      !mDirectory->IsReading() &&
+      aNow - mDirectory->ReadSentAt() > kSeriesReadInterval &&
+      !LedCells().empty()) {
+    mDirectory->Refresh();
+  }
+}
+
 void
 Node::PrepareToLead(TimePoint aNow)
 {
--- a/src/node/successor_test.cpp
+++ b/src/node/successor_test.cpp
@@ -34,6 +34,8 @@
 /// Large instances of sites with two sizes.
 constexpr double kOtherProcessors = 0.25;
 constexpr int kRolledSites = 10;
+/// Longest time that a leader leads on after SIGTERM.
+constexpr milliseconds kLastTermTime{ 2200 };
 /// Times of a restart of all instances in turn: between two stops, and from a
 /// stop to the start of the same instance.
 constexpr milliseconds kStopInterval{ 500 };
@@ -57,6 +59,10 @@
   CPPUNIT_TEST(TellsNoRestartsByWrongClocks);
   CPPUNIT_TEST(ReadsInstanceEntriesOfOtherVersions);
   CPPUNIT_TEST(ChangesTheLeaderOnceAfterTheFirstRestart);
+  CPPUNIT_TEST(LeadsOnWhileNobodyElseMay);
+  CPPUNIT_TEST(LeadsOnAfterAllStopWithinASecond);
+  CPPUNIT_TEST(ResignsOnceAnotherInstanceMayLead);
+  CPPUNIT_TEST(ClaimsNothingWhileItLeadsOn);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -265,6 +271,84 @@
     }
   }
 
+  // All instances get SIGTERM within a second. Guards against a site without a
+  // leader while the process of the last one is still up (LOST).
+  void LeadsOnWhileNobodyElseMay()
+  {
+    StartSite();
+    const base::TimePoint leadUntil = StopAll();
+    Submit("a");
+    Advance(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(1, CountRuns("a"));
+    Advance(leadUntil - mClock.Now() - kStep);
+    CPPUNIT_ASSERT(HasLeader());
+    CPPUNIT_ASSERT(!NewestLeaderRecord().mIsResigned);
+    Advance(kMaxChangeTime);
+    CPPUNIT_ASSERT(!HasLeader());
+    const LeaderRecord record = NewestLeaderRecord();
+    CPPUNIT_ASSERT(record.mIsResigned);
+    CPPUNIT_ASSERT(record.mSuccessors.empty());
+    // The leases are stated, as in any resignation.
+    CPPUNIT_ASSERT(record.mLeasesRemainingMs > 0);
+  }
+
+  // The same, the leader of each moment first. Guards against a last leader
+  // that does not know that the others stop (LOST).
+  void LeadsOnAfterAllStopWithinASecond()
+  {
+    StartSite();
+    std::set<std::string> stopped;
+    while (stopped.size() < mInstances.size()) {
+      const std::string name = HasLeader() && stopped.count(Leader().mName) == 0
+                                 ? Leader().mName
+                                 : FirstOther(stopped);
+      stopped.insert(name);
+      Find(name).mInstance->mNode.Resign(mClock.Now() + kLastTermTime);
+      Advance(milliseconds(120));
+    }
+    CPPUNIT_ASSERT(HasLeader());
+    Submit("a");
+    Advance(kMaxChangeTime);
+    CPPUNIT_ASSERT_EQUAL(1, CountRuns("a"));
+  }
+
+  // Guards against a leader that keeps its cells until its process ends
+  // although another instance could go on for longer.
+  void ResignsOnceAnotherInstanceMayLead()
+  {
+    StartSite();
+    const base::TimePoint leadUntil = StopAll();
+    const std::string last = Leader().mName;
+    Start("new");
+    while (mClock.Now() < leadUntil &&
+           (!HasLeader() || Leader().mName == last)) {
+      Advance(kStep);
+    }
+    CPPUNIT_ASSERT(mClock.Now() < leadUntil);
+    CPPUNIT_ASSERT_EQUAL(std::string("new"), Leader().mName);
+    Submit("a");
+    Advance(kMaxChangeTime);
+    CPPUNIT_ASSERT_EQUAL(1, CountRuns("a"));
+  }
+
+  // Guards against a leader that claims again after SIGTERM, shortly before
+  // its process ends (LOST).
+  void ClaimsNothingWhileItLeadsOn()
+  {
+    StartSite();
+    const base::TimePoint leadUntil = StopAll();
+    LeaderRecord record = NewestLeaderRecord();
+    ++record.mEpoch;
+    record.mSuccessors = { record.mLeaderId };
+    record.mLeaderId = "other";
+    record.mIsResigned = true;
+    Store("leaders", "leader", EncodeLeaderRecord(record));
+    const std::size_t n = mState.mStreams["leaders"].size();
+    Advance(leadUntil - mClock.Now() + seconds(5));
+    CPPUNIT_ASSERT(!HasLeader());
+    CPPUNIT_ASSERT_EQUAL(n, mState.mStreams["leaders"].size());
+  }
+
 private:
   using Names = std::set<std::string>;
 
@@ -384,6 +468,17 @@
     return **found;
   }
 
+  /// An instance that is not in `aNames`.
+  std::string FirstOther(const std::set<std::string>& aNames) const
+  {
+    for (const auto& it : mInstances) {
+      if (aNames.count(it->mName) == 0) {
+        return it->mName;
+      }
+    }
+    return {};
+  }
+
   bool HasLeader() const
   {
     return std::any_of(
@@ -396,7 +491,7 @@
   void StopLeader()
   {
     NamedInstance& leader = Leader();
-    leader.mInstance->mNode.Resign();
+    leader.mInstance->mNode.Resign(mClock.Now() + kLastTermTime);
     while (!leader.mInstance->mNode.LedCells().empty()) {
       Advance(kStep);
     }
@@ -404,6 +499,32 @@
     Remove(name);
   }
 
+  LeaderRecord NewestLeaderRecord()
+  {
+    const auto& records = mState.mStreams["leaders"];
+    CPPUNIT_ASSERT(!records.empty());
+    const auto record = DecodeLeaderRecord(records.back().mValue);
+    CPPUNIT_ASSERT(record);
+    return record.value();
+  }
+
+  /// All instances get SIGTERM, the leader last. Returns until when it may
+  /// lead.
+  base::TimePoint StopAll()
+  {
+    const std::string leader = Leader().mName;
+    for (const auto& it : mInstances) {
+      if (it->mName != leader) {
+        it->mInstance->mNode.Resign(mClock.Now() + kLastTermTime);
+      }
+    }
+    // The leader reads the list.
+    Advance(seconds(6));
+    const base::TimePoint leadUntil = mClock.Now() + kLastTermTime;
+    Find(leader).mInstance->mNode.Resign(leadUntil);
+    return leadUntil;
+  }
+
   /// The instance, which leads nothing, stops as planned.
   void Stop(const std::string& aName)
   {
