--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -944,7 +944,6 @@
     // the worker is never outdated.
     if (mMayStart) {
       if (isFullTick) {
-        KeepRooms(mWorkers, ListWaiting(), aNow);
         PlaceOverdue(aNow);
       }
       PlaceAll(aNow);
@@ -1289,10 +1288,6 @@
     mRunsToCall.insert(&run);
     aWorker.mUsed += ReservedResources(step);
     mPlacementIndex.Update(aWorker);
-    if (aWorker.mKeptFor == aTask.mStep) {
-      ReleaseRoom(aWorker);
-      mPlacementIndex.OnAvailable(aWorker);
-    }
     ++aTask.mStep->mTasksPerWorker[&aWorker];
     return run;
   }
--- a/src/dispatch/lasting_rooms.hpp
+++ b/src/dispatch/lasting_rooms.hpp
@@ -19,10 +19,6 @@
   base::Resources mLeft;
 };
 
-/// The resources of the worker less those of its lasting tasks.
-base::Resources
-LeftByLastingTasks(const WorkerState& aWorker);
-
 /// Returns the rooms of the workers that accept starts.
 std::vector<LastingRoom>
 ListLastingRooms(const WorkerMap& aWorkers, base::TimePoint aNow);
@@ -46,21 +42,6 @@
 base::TimePoint
 WaitsSince(const StepState& aStep);
 
-/// Keeps workers for lasting tasks that have waited for long: on each, the
-/// resources of one task of a step, which other steps leave free from then on.
-/// Otherwise smaller tasks would take each part of the room that becomes free.
-/// `aWaiting` are the steps with waiting tasks in the order of their placement.
-/// Replaces what earlier calls have kept, but a worker that is still needed for
-/// the same step stays.
-void
-KeepRooms(const WorkerMap& aWorkers,
-          const std::vector<StepState*>& aWaiting,
-          base::TimePoint aNow);
-
-/// Ends what KeepRooms has decided for the worker.
-void
-ReleaseRoom(WorkerState& aWorker);
-
 } // namespace skylarkhill::dispatch
 
 #endif // SKYLARKHILL_DISPATCH_LASTING_ROOMS_HPP
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -84,23 +84,6 @@
            : static_cast<double>(others) / static_cast<double>(runs.size());
 }
 
-/// What `aWorker` keeps free from tasks of the step. Resources that the step
-/// does not reserve are left out.
-base::Resources
-KeptFrom(const StepState& aStep, const WorkerState& aWorker)
-{
-  if (aWorker.mKeptFor == nullptr || aWorker.mKeptFor == &aStep) {
-    return {};
-  }
-  const base::Resources reserved = ReservedResources(*aStep.mSpec);
-  base::Resources kept = aWorker.mKept;
-  kept.mMilliProcessors =
-    reserved.mMilliProcessors > 0 ? kept.mMilliProcessors : 0;
-  kept.mMemoryBytes = reserved.mMemoryBytes > 0 ? kept.mMemoryBytes : 0;
-  kept.mAccelerators = reserved.mAccelerators > 0 ? kept.mAccelerators : 0;
-  return kept;
-}
-
 } // namespace
 
 double
@@ -191,8 +174,7 @@
         base::TimePoint aNow)
 {
   const jobs::Step& step = *aStep.mSpec;
-  if (!base::Fits(aWorker.mUsed + ReservedResources(step) +
-                    KeptFrom(aStep, aWorker),
+  if (!base::Fits(aWorker.mUsed + ReservedResources(step),
                   aWorker.mEntry.mCapacity)) {
     return false;
   }
--- a/src/dispatch/placement_index.cpp
+++ b/src/dispatch/placement_index.cpp
@@ -42,14 +42,13 @@
     });
 }
 
-/// Other steps may find workers that limits of the step of `aTask` exclude, or
-/// fail to find those that are kept for it.
+/// Other steps may find workers that limits of the step of `aTask` exclude.
 bool
 IsLimitedByDemandOnly(const TaskState& aTask)
 {
   const StepState& step = *aTask.mStep;
   return step.mSpec->mMaxPerWorker == 0 && aTask.mRuns.empty() &&
-         !step.mHasKeptRoom && !step.mJob->mSubmission.mPolicy.mNeedsTicket;
+         !step.mJob->mSubmission.mPolicy.mNeedsTicket;
 }
 
 } // namespace
@@ -272,8 +271,7 @@
   Pool& pool = found->second;
   Search search(aTask, aModel, aNow);
   const std::int64_t requested = step.mSpec->mResources.mMilliProcessors;
-  const auto failed =
-    step.mHasKeptRoom ? std::nullopt : pool.mFailedDemands.Find(step);
+  const auto failed = pool.mFailedDemands.Find(step);
   if (failed) {
     for (std::size_t n = failed->mPosition; n < pool.mAvailable.size(); ++n) {
       const auto ranks = mRanks.find(pool.mAvailable[n]);
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -127,8 +127,6 @@
   int mDoneCount = 0;
   /// Tasks of this cell that are neither done nor assigned to a worker.
   int mWaitingCount = 0;
-  /// Workers are kept for waiting tasks of the step, see KeepRooms.
-  bool mHasKeptRoom = false;
   /// Since when placement has found no worker for a waiting task. A start below
   /// full pace does not end this, so that a move from its worker is short.
   std::optional<base::TimePoint> mNoRoomSince;
@@ -264,11 +262,6 @@
   /// last PlacementIndex::Update. Those that have started below full pace use
   /// only what the others leave, and count like one of them.
   std::int64_t mBackfillDemand = 0;
-  /// The step that the worker is kept for, see KeepRooms; null if there is
-  /// none. Only compared, because the step may have been removed since.
-  const StepState* mKeptFor = nullptr;
-  /// What other steps leave free on the worker; none if it is not kept.
-  base::Resources mKept;
   /// The worker has backfill runs, as of the last PlacementIndex::Update.
   bool mHasBackfill = false;
   /// When the last run below full pace was started.
--- a/src/dispatch/summary.cpp
+++ b/src/dispatch/summary.cpp
@@ -73,23 +73,6 @@
   return accepting;
 }
 
-/// Processors of a room that lasting tasks of other cells may have, in
-/// thousandths, once TakeWaitingTasks has been applied to it.
-std::int64_t
-OfferedProcessors(const LastingRoom& aRoom)
-{
-  const WorkerState& worker = *aRoom.mWorker;
-  const std::int64_t kept = worker.mKept.mMilliProcessors;
-  // The task that it is kept for may be larger than what is left.
-  const std::int64_t left =
-    std::min(aRoom.mLeft.mMilliProcessors,
-             LeftByLastingTasks(worker).mMilliProcessors - kept);
-  // What is free now does not suffice for the tasks that wait here.
-  const std::int64_t free = worker.mEntry.mCapacity.mMilliProcessors -
-                            worker.mUsed.mMilliProcessors - kept;
-  return std::max(left, free);
-}
-
 std::int64_t
 ToMs(base::Duration aTime)
 {
@@ -119,10 +102,14 @@
   auto rooms = ListLastingRooms(aWorkers, aNow);
   TakeWaitingTasks(rooms, aReadySteps, aNow);
   for (const LastingRoom& it : rooms) {
-    const std::int64_t room = OfferedProcessors(it);
+    // What is free now does not suffice for the tasks that wait here.
+    base::Resources free = it.mWorker->mEntry.mCapacity;
+    free -= it.mWorker->mUsed;
+    std::int64_t room =
+      std::max(it.mLeft.mMilliProcessors, free.mMilliProcessors);
+    room -= room % cells::kLastingRoomUnit;
     if (room > 0) {
-      ++pools[it.mWorker->mEntry.mPool]
-          .mLastingRooms[room - room % cells::kLastingRoomUnit];
+      ++pools[it.mWorker->mEntry.mPool].mLastingRooms[room];
     }
   }
   for (const StepState* step : aReadySteps) {
