Lasting tasks of the oldest jobs come first, not those that have waited longest

A task that is lent begins a new wait in the other cell, behind all tasks there, because a loan does not tell the wait. The age of the job is the same in all cells and for all leaders.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -2171,7 +2171,7 @@
   }
 
   /// True if the tasks of `aLeft` are placed before those of `aRight`: lasting
-  /// ones first, and among these, the ones that have waited longest. Jobs whose
+  /// ones first, and among these, those of the oldest jobs. Jobs whose
   /// completion has no value share what is left.
   bool HasPrecedence(const StepState& aLeft, const StepState& aRight) const
   {
@@ -2181,14 +2181,13 @@
     const ScheduledJob& left = *aLeft.mJob;
     const ScheduledJob& right = *aRight.mJob;
     if (aLeft.mSpec->mIsService) {
-      // A lasting job has no end, so that its objective tells only its age.
+      // A lasting job has no end, so that lateness tells only its age. The age
+      // is the same in all cells, also for tasks that were lent.
       return std::tie(left.mSubmission.mPolicy.mPriority,
-                      aLeft.mWaitsSince,
                       left.mObjectiveAtMs,
                       left.mSubmission.mId,
                       aLeft.mIndex) <
              std::tie(right.mSubmission.mPolicy.mPriority,
-                      aRight.mWaitsSince,
                       right.mObjectiveAtMs,
                       right.mSubmission.mId,
                       aRight.mIndex);
@@ -2276,10 +2275,6 @@
       mReadySteps.end(),
       std::back_inserter(waiting),
       [](const StepState* aStep) { return aStep->mWaitingCount > 0; });
-    for (StepState* step : waiting) {
-      step->mWaitsSince =
-        step->mSpec->mIsService ? WaitsSince(*step) : base::kNoDeadline;
-    }
     std::sort(waiting.begin(),
               waiting.end(),
               [this](const StepState* aLeft, const StepState* aRight) {
--- a/src/dispatch/lasting_order_test.cpp
+++ b/src/dispatch/lasting_order_test.cpp
@@ -32,7 +32,7 @@
 class LastingOrderTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(LastingOrderTest);
-  CPPUNIT_TEST(StartsATaskThatHasWaitedBeforeThoseOfNewJobs);
+  CPPUNIT_TEST(StartsATaskOfAnOldJobBeforeThoseOfNewJobs);
   CPPUNIT_TEST(StartsTheTaskOfHigherPriorityFirst);
   CPPUNIT_TEST(StartsTheTasksOfAJobInTurn);
   CPPUNIT_TEST_SUITE_END();
@@ -41,7 +41,7 @@
   // The job of the task was accepted a minute ago, which makes it late for
   // good. Guards against tasks that have lost their runs and wait behind all
   // jobs that have just come (LOST).
-  void StartsATaskThatHasWaitedBeforeThoseOfNewJobs()
+  void StartsATaskOfAnOldJobBeforeThoseOfNewJobs()
   {
     jobs::JobEntry old = MakeLasting("old", 1, kWorkerMilliProcessors);
     old.mSubmission->mAcceptedMs -= 60'000;
@@ -51,7 +51,7 @@
     CheckOrder(old, recent, "old");
   }
 
-  // Guards against an order of waits that puts priorities behind.
+  // Guards against an order of ages that puts priorities behind.
   void StartsTheTaskOfHigherPriorityFirst()
   {
     jobs::JobEntry low = MakeLasting("low", 1, kWorkerMilliProcessors);
--- a/src/dispatch/state.hpp
+++ b/src/dispatch/state.hpp
@@ -130,8 +130,6 @@
   /// Since when placement has found no worker for a waiting task. A start below
   /// full pace does not end this, so that a move from its worker is short.
   std::optional<base::TimePoint> mNoRoomSince;
-  /// Lasting tasks only: WaitsSince as of the last placement round.
-  base::TimePoint mWaitsSince = base::kNoDeadline;
   /// Services only: saturation without interference; empty before the first
   /// report.
   std::optional<double> mBaseline;
