Tasks of the oldest jobs are lent first (LOST)

A leader offered its waiting tasks to other cells in the order in which it got to know the steps, which is arbitrary after a change of the leader. It uses the order of placement now. LastingOrderTest::LendsTasksOfTheOldestJobFirst fails with the former order.

--- a/include/skylarkhill/dispatch/dispatcher.hpp
+++ b/include/skylarkhill/dispatch/dispatcher.hpp
@@ -164,7 +164,7 @@
   /// been started.
   virtual bool ReleaseJob(const std::string& aJobId) = 0;
   /// Lasting tasks that have found no worker since `aSince` and that no worker
-  /// can have.
+  /// can have, in the order in which other cells should borrow them.
   virtual std::vector<UnplacedTasks> ListUnplaced(
     base::TimePoint aSince,
     base::TimePoint aNow) const = 0;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -459,7 +459,7 @@
   {
     std::vector<UnplacedTasks> unplaced;
     std::vector<LastingRoom> rooms;
-    for (const StepState* step : mReadySteps) {
+    for (const StepState* step : ListWaiting()) {
       if (!step->mNoRoomSince || *step->mNoRoomSince > aSince ||
           !MayLend(*step)) {
         continue;
--- a/src/dispatch/lasting_order_test.cpp
+++ b/src/dispatch/lasting_order_test.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(StartsATaskOfAnOldJobBeforeThoseOfNewJobs);
   CPPUNIT_TEST(StartsTheTaskOfHigherPriorityFirst);
   CPPUNIT_TEST(StartsTheTasksOfAJobInTurn);
+  CPPUNIT_TEST(LendsTasksOfTheOldestJobFirst);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -79,6 +80,27 @@
     }
   }
 
+  // The leader gets to know the jobs in any order. Guards against tasks of old
+  // jobs that wait while those of younger ones are lent (LOST).
+  void LendsTasksOfTheOldestJobFirst()
+  {
+    FakeSite site;
+    auto& leader = site.AddLeader(1);
+    for (const int minutes : { 1, 3, 2 }) {
+      jobs::JobEntry job =
+        MakeLasting(std::to_string(minutes), 1, kWorkerMilliProcessors);
+      job.mSubmission->mAcceptedMs -= minutes * 60'000;
+      leader.GetDispatcher().AddJob(job, false, site.Now());
+    }
+    site.Advance(milliseconds(1000));
+    std::string order;
+    for (const auto& it : leader.GetDispatcher().ListUnplaced(
+           site.Now() - milliseconds(500), site.Now())) {
+      order += it.mJobId;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("321"), order);
+  }
+
 private:
   /// Adds both jobs, the first one earlier, while another task has the only
   /// worker, and asserts that the job `aFirst` gets it.
