--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -2304,23 +2304,45 @@
       }
       return true;
     }
-    for (TaskState* task : ListFree(aStep)) {
-      if (mBudget.IsExhausted()) {
-        return false;
+    if (aStep.mSpec->mIsService) {
+      for (TaskState* task : ListFreeByWait(aStep)) {
+        if (const auto isDone = PlaceNext(*task, aNow)) {
+          return *isDone;
+        }
       }
-      if (!PlaceRun(*task, aNow)) {
-        SetNoRoom(aStep, aNow);
-        RequestAdvice(aStep, aNow);
-        return true;
+    } else {
+      for (TaskState& task : aStep.mTasks) {
+        if (!IsFree(task)) {
+          continue;
+        }
+        if (const auto isDone = PlaceNext(task, aNow)) {
+          return *isDone;
+        }
       }
     }
     aStep.mNoRoomSince.reset();
     return true;
   }
 
-  /// The tasks of the step that can be placed. Lasting ones that lose their
-  /// runs again and again must not stand before the others.
-  std::vector<TaskState*> ListFree(StepState& aStep) const
+  /// Places the task. Returns the result of PlaceStep if no other task of the
+  /// step is to be placed.
+  std::optional<bool> PlaceNext(TaskState& aTask, TimePoint aNow)
+  {
+    if (mBudget.IsExhausted()) {
+      return false;
+    }
+    if (!PlaceRun(aTask, aNow)) {
+      SetNoRoom(*aTask.mStep, aNow);
+      RequestAdvice(*aTask.mStep, aNow);
+      return true;
+    }
+    return std::nullopt;
+  }
+
+  /// The tasks of the step that can be placed, those first that have been
+  /// without a run for the longest time. Otherwise, tasks that lose their runs
+  /// again and again would stand before the others.
+  std::vector<TaskState*> ListFreeByWait(StepState& aStep) const
   {
     std::vector<TaskState*> tasks;
     for (TaskState& it : aStep.mTasks) {
@@ -2328,13 +2350,11 @@
         tasks.push_back(&it);
       }
     }
-    if (aStep.mSpec->mIsService) {
-      std::stable_sort(tasks.begin(),
-                       tasks.end(),
-                       [](const TaskState* aLeft, const TaskState* aRight) {
-                         return aLeft->mRunEndedAt < aRight->mRunEndedAt;
-                       });
-    }
+    std::stable_sort(tasks.begin(),
+                     tasks.end(),
+                     [](const TaskState* aLeft, const TaskState* aRight) {
+                       return aLeft->mRunEndedAt < aRight->mRunEndedAt;
+                     });
     return tasks;
   }
 
