--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -1,3 +1,4 @@
+#include "skylarkhill/cells/cell_map.hpp"
 #include "skylarkhill/cli/command.hpp"
 #include "skylarkhill/logging/logging.hpp"
 
@@ -30,8 +31,11 @@
                            "port that serves metrics, or 0 for none")(
       "log-level",
       po::value<std::string>()->default_value("info"),
-      "debug, info, warning or error")("check-settings",
-                                       "check the settings and exit");
+      "debug, info, warning or error")(
+      "workers-per-cell",
+      po::value<int>()->default_value(cells::CellLimits{}.mWorkersPerCell),
+      "workers that one leader is meant for, at least 1")(
+      "check-settings", "check the settings and exit");
   }
 
   ExitCode Run(const po::variables_map& aOptions) const override
@@ -42,7 +46,12 @@
       std::cerr << "unknown log level; use debug, info, warning or error\n";
       return ExitCode::UsageError;
     }
-    const auto settings = adapter::LoadInstanceSettings();
+    const int workersPerCell = aOptions["workers-per-cell"].as<int>();
+    if (workersPerCell < 1) {
+      std::cerr << "--workers-per-cell must be at least 1\n";
+      return ExitCode::UsageError;
+    }
+    auto settings = adapter::LoadInstanceSettings();
     if (!settings) {
       std::cerr << settings.error().mDetail << "\n";
       return ExitCode::Failure;
@@ -51,6 +60,7 @@
       std::cout << "the settings are valid\n";
       return ExitCode::Success;
     }
+    settings.value().mWorkersPerCell = workersPerCell;
     logging::ConfigureLogging(*level);
     return Serve(settings.value(),
                  aOptions["metrics-port"].as<std::uint16_t>());
