The soak runs several cells and failure domains

Its site had one cell and one domain, so that transfers, loans, leaders of several cells and cuts between domains did not run in real time. Instances of each domain reach the log and the workers at addresses of their own, with one relay per pair of domains; leaders of all cells are stopped, domains cut off and all instances killed at once. With one cell and one domain nothing new is drawn.

--- a/include/skylarkhill/testing/tcp_relay.hpp
+++ b/include/skylarkhill/testing/tcp_relay.hpp
@@ -11,6 +11,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace skylarkhill::testing {
 
@@ -46,12 +47,21 @@
   std::uint16_t mPort = 0;
 };
 
-/// A TCP proxy that injects link faults between a client and `aTarget`.
+/// Connections to `mListen` are forwarded to `mTarget`.
+struct RelayRoute
+{
+  RelayEndpoint mListen;
+  RelayEndpoint mTarget;
+};
+
+/// A TCP proxy that injects link faults between clients and targets.
 class TcpRelay
 {
 public:
   /// Throws std::runtime_error if it cannot listen on `aListen`.
   TcpRelay(const RelayEndpoint& aListen, const RelayEndpoint& aTarget);
+  /// The same with several routes, which have their faults in common.
+  explicit TcpRelay(const std::vector<RelayRoute>& aRoutes);
   ~TcpRelay();
   TcpRelay(const TcpRelay&) = delete;
   TcpRelay& operator=(const TcpRelay&) = delete;
@@ -64,16 +74,23 @@
 private:
   struct Connection;
 
+  struct Listener
+  {
+    int mSocket = -1;
+    RelayEndpoint mTarget;
+  };
+
+  void Listen(const RelayRoute& aRoute);
+  void CloseListeners();
   void Run();
-  void Accept();
+  void Accept(const Listener& aListener);
   void Forward(Connection& aConnection);
   static void DiscardInput(Connection& aConnection);
   void RemoveClosed();
   void CloseAfterCut();
   void DisturbIfRequested();
 
-  const RelayEndpoint mTarget;
-  int mListener = -1;
+  std::vector<Listener> mListeners;
   std::atomic<LinkMode> mMode{ LinkMode::Open };
   std::atomic<std::int64_t> mDelayMicros{ 0 };
   std::atomic<bool> mStop{ false };
--- a/src/testing/soak_main.cpp
+++ b/src/testing/soak_main.cpp
@@ -39,8 +39,8 @@
   std::cout << "seed " << aSeed << ": " << counts.mJobs << " jobs, "
             << counts.mAccepted << " accepted, " << counts.mRefused
             << " refused, " << counts.mCancelled << " cancelled, "
-            << counts.mStarts << " starts, " << report.mFindings.size()
-            << " findings" << std::endl;
+            << counts.mStarts << " starts, " << report.mCells << " cells, "
+            << report.mFindings.size() << " findings" << std::endl;
   if (report.mFindings.empty()) {
     std::filesystem::remove_all(soak.mDirectory);
     return true;
@@ -83,6 +83,12 @@
   add("instances", options::value(&aArguments.mSoak.mInstances), "instances");
   add("workers", options::value(&aArguments.mSoak.mWorkers), "workers");
   add("callers", options::value(&aArguments.mSoak.mCallers), "callers");
+  add("domains",
+      options::value(&aArguments.mSoak.mDomains),
+      "failure domains, at most 5");
+  add("workers-per-cell",
+      options::value(&aArguments.mSoak.mWorkersPerCell),
+      "workers that one leader is meant for; 0: the site is one cell");
   options::variables_map values;
   options::store(options::parse_command_line(aCount, aWords, description),
                  values);
--- a/src/testing/tcp_relay.cpp
+++ b/src/testing/tcp_relay.cpp
@@ -83,18 +83,19 @@
 };
 
 TcpRelay::TcpRelay(const RelayEndpoint& aListen, const RelayEndpoint& aTarget)
-  : mTarget(aTarget)
-  , mListener(MakeSocket())
+  : TcpRelay(std::vector<RelayRoute>{ { aListen, aTarget } })
 {
-  const int on = 1;
-  setsockopt(mListener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  const sockaddr_in address = MakeAddress(aListen);
-  if (bind(mListener,
-           reinterpret_cast<const sockaddr*>(&address),
-           sizeof address) != 0 ||
-      listen(mListener, SOMAXCONN) != 0) {
-    close(mListener);
-    throw std::runtime_error("relay cannot listen on " + aListen.mAddress);
+}
+
+TcpRelay::TcpRelay(const std::vector<RelayRoute>& aRoutes)
+{
+  try {
+    for (const auto& it : aRoutes) {
+      Listen(it);
+    }
+  } catch (...) {
+    CloseListeners();
+    throw;
   }
   mThread = std::thread([this] { Run(); });
 }
@@ -107,7 +108,33 @@
     close(it.mToTarget.mInput);
     close(it.mToTarget.mOutput);
   }
-  close(mListener);
+  CloseListeners();
+}
+
+void
+TcpRelay::Listen(const RelayRoute& aRoute)
+{
+  const int listener = MakeSocket();
+  const int on = 1;
+  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  const sockaddr_in address = MakeAddress(aRoute.mListen);
+  if (bind(listener,
+           reinterpret_cast<const sockaddr*>(&address),
+           sizeof address) != 0 ||
+      listen(listener, SOMAXCONN) != 0) {
+    close(listener);
+    throw std::runtime_error("relay cannot listen on " +
+                             aRoute.mListen.mAddress);
+  }
+  mListeners.push_back({ listener, aRoute.mTarget });
+}
+
+void
+TcpRelay::CloseListeners()
+{
+  for (const auto& it : mListeners) {
+    close(it.mSocket);
+  }
 }
 
 void
@@ -131,7 +158,10 @@
 TcpRelay::Run()
 {
   while (!mStop) {
-    std::vector<pollfd> descriptors{ { mListener, POLLIN, 0 } };
+    std::vector<pollfd> descriptors;
+    for (const auto& it : mListeners) {
+      descriptors.push_back({ it.mSocket, POLLIN, 0 });
+    }
     if (mMode == LinkMode::Open) {
       for (const auto& it : mConnections) {
         descriptors.push_back({ it.mToTarget.mInput, POLLIN, 0 });
@@ -141,7 +171,9 @@
     poll(descriptors.data(), descriptors.size(), kPollIntervalMs);
     CloseAfterCut();
     DisturbIfRequested();
-    Accept();
+    for (const auto& it : mListeners) {
+      Accept(it);
+    }
     for (auto& it : mConnections) {
       Forward(it);
     }
@@ -220,16 +252,16 @@
 }
 
 void
-TcpRelay::Accept()
+TcpRelay::Accept(const Listener& aListener)
 {
   for (;;) {
-    const int client =
-      accept4(mListener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    const int client = accept4(
+      aListener.mSocket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (client < 0) {
       return;
     }
     const int target = MakeSocket();
-    const sockaddr_in address = MakeAddress(mTarget);
+    const sockaddr_in address = MakeAddress(aListener.mTarget);
     if (connect(target,
                 reinterpret_cast<const sockaddr*>(&address),
                 sizeof address) != 0 &&
