--- a/src/testing/soak_main.cpp
+++ b/src/testing/soak_main.cpp
@@ -77,6 +77,9 @@
   add("leader-series",
       options::value(&aArguments.mSoak.mLeaderSeries),
       "how often workers die and the leader changes in a series after that");
+  add("fill",
+      options::value(&aArguments.mSoak.mFill),
+      "part of the processors that lasting jobs use, in percent");
   add("restarts",
       options::value(&aArguments.mSoak.mHasRestarts),
       "0: no restarts of many workers at once");
