--- a/src/dispatch/lasting_order_test.cpp
+++ b/src/dispatch/lasting_order_test.cpp
@@ -89,7 +89,7 @@
     for (const int minutes : { 1, 3, 2 }) {
       jobs::JobEntry job =
         MakeLasting(std::to_string(minutes), 1, kWorkerMilliProcessors);
-      job.mSubmission->mAcceptedMs -= minutes * 60'000;
+      job.mSubmission->mAcceptedMs -= minutes * std::int64_t{ 60'000 };
       leader.GetDispatcher().AddJob(job, false, site.Now());
     }
     site.Advance(milliseconds(1000));
