--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -459,7 +459,7 @@
   {
     std::vector<UnplacedTasks> unplaced;
     std::vector<LastingRoom> rooms;
-    for (const StepState* step : mReadySteps) {
+    for (const StepState* step : ListWaiting()) {
       if (!step->mNoRoomSince || *step->mNoRoomSince > aSince ||
           !MayLend(*step)) {
         continue;
@@ -944,7 +944,6 @@
     // the worker is never outdated.
     if (mMayStart) {
       if (isFullTick) {
-        KeepRooms(mWorkers, ListWaiting(), aNow);
         PlaceOverdue(aNow);
       }
       PlaceAll(aNow);
@@ -1289,10 +1288,6 @@
     mRunsToCall.insert(&run);
     aWorker.mUsed += ReservedResources(step);
     mPlacementIndex.Update(aWorker);
-    if (aWorker.mKeptFor == aTask.mStep) {
-      ReleaseRoom(aWorker);
-      mPlacementIndex.OnAvailable(aWorker);
-    }
     ++aTask.mStep->mTasksPerWorker[&aWorker];
     return run;
   }
@@ -2176,7 +2171,7 @@
   }
 
   /// True if the tasks of `aLeft` are placed before those of `aRight`: lasting
-  /// ones first, and among these, the ones that have waited longest. Jobs whose
+  /// ones first, and among these, those of the oldest jobs. Jobs whose
   /// completion has no value share what is left.
   bool HasPrecedence(const StepState& aLeft, const StepState& aRight) const
   {
@@ -2186,14 +2181,13 @@
     const ScheduledJob& left = *aLeft.mJob;
     const ScheduledJob& right = *aRight.mJob;
     if (aLeft.mSpec->mIsService) {
-      // A lasting job has no end, so that its objective tells only its age.
+      // A lasting job has no end, so that lateness tells only its age. The age
+      // is the same in all cells, also for tasks that were lent.
       return std::tie(left.mSubmission.mPolicy.mPriority,
-                      aLeft.mWaitsSince,
                       left.mObjectiveAtMs,
                       left.mSubmission.mId,
                       aLeft.mIndex) <
              std::tie(right.mSubmission.mPolicy.mPriority,
-                      aRight.mWaitsSince,
                       right.mObjectiveAtMs,
                       right.mSubmission.mId,
                       aRight.mIndex);
@@ -2281,10 +2275,6 @@
       mReadySteps.end(),
       std::back_inserter(waiting),
       [](const StepState* aStep) { return aStep->mWaitingCount > 0; });
-    for (StepState* step : waiting) {
-      step->mWaitsSince =
-        step->mSpec->mIsService ? WaitsSince(*step) : base::kNoDeadline;
-    }
     std::sort(waiting.begin(),
               waiting.end(),
               [this](const StepState* aLeft, const StepState* aRight) {
@@ -2314,23 +2304,45 @@
       }
       return true;
     }
-    for (TaskState* task : ListFree(aStep)) {
-      if (mBudget.IsExhausted()) {
-        return false;
+    if (aStep.mSpec->mIsService) {
+      for (TaskState* task : ListFreeByWait(aStep)) {
+        if (const auto isDone = PlaceNext(*task, aNow)) {
+          return *isDone;
+        }
       }
-      if (!PlaceRun(*task, aNow)) {
-        SetNoRoom(aStep, aNow);
-        RequestAdvice(aStep, aNow);
-        return true;
+    } else {
+      for (TaskState& task : aStep.mTasks) {
+        if (!IsFree(task)) {
+          continue;
+        }
+        if (const auto isDone = PlaceNext(task, aNow)) {
+          return *isDone;
+        }
       }
     }
     aStep.mNoRoomSince.reset();
     return true;
   }
 
-  /// The tasks of the step that can be placed. Lasting ones that lose their
-  /// runs again and again must not stand before the others.
-  std::vector<TaskState*> ListFree(StepState& aStep) const
+  /// Places the task. Returns the result of PlaceStep if no other task of the
+  /// step is to be placed.
+  std::optional<bool> PlaceNext(TaskState& aTask, TimePoint aNow)
+  {
+    if (mBudget.IsExhausted()) {
+      return false;
+    }
+    if (!PlaceRun(aTask, aNow)) {
+      SetNoRoom(*aTask.mStep, aNow);
+      RequestAdvice(*aTask.mStep, aNow);
+      return true;
+    }
+    return std::nullopt;
+  }
+
+  /// The tasks of the step that can be placed, those first that have been
+  /// without a run for the longest time. Otherwise, tasks that lose their runs
+  /// again and again would stand before the others.
+  std::vector<TaskState*> ListFreeByWait(StepState& aStep) const
   {
     std::vector<TaskState*> tasks;
     for (TaskState& it : aStep.mTasks) {
@@ -2338,13 +2350,11 @@
         tasks.push_back(&it);
       }
     }
-    if (aStep.mSpec->mIsService) {
-      std::stable_sort(tasks.begin(),
-                       tasks.end(),
-                       [](const TaskState* aLeft, const TaskState* aRight) {
-                         return aLeft->mRunEndedAt < aRight->mRunEndedAt;
-                       });
-    }
+    std::stable_sort(tasks.begin(),
+                     tasks.end(),
+                     [](const TaskState* aLeft, const TaskState* aRight) {
+                       return aLeft->mRunEndedAt < aRight->mRunEndedAt;
+                     });
     return tasks;
   }
 
--- a/src/testing/soak_main.cpp
+++ b/src/testing/soak_main.cpp
@@ -39,8 +39,8 @@
   std::cout << "seed " << aSeed << ": " << counts.mJobs << " jobs, "
             << counts.mAccepted << " accepted, " << counts.mRefused
             << " refused, " << counts.mCancelled << " cancelled, "
-            << counts.mStarts << " starts, " << report.mFindings.size()
-            << " findings" << std::endl;
+            << counts.mStarts << " starts, " << report.mCells << " cells, "
+            << report.mFindings.size() << " findings" << std::endl;
   if (report.mFindings.empty()) {
     std::filesystem::remove_all(soak.mDirectory);
     return true;
@@ -77,12 +77,21 @@
   add("leader-series",
       options::value(&aArguments.mSoak.mLeaderSeries),
       "how often workers die and the leader changes in a series after that");
+  add("fill",
+      options::value(&aArguments.mSoak.mFill),
+      "part of the processors that lasting jobs use, in percent");
   add("restarts",
       options::value(&aArguments.mSoak.mHasRestarts),
       "0: no restarts of many workers at once");
   add("instances", options::value(&aArguments.mSoak.mInstances), "instances");
   add("workers", options::value(&aArguments.mSoak.mWorkers), "workers");
   add("callers", options::value(&aArguments.mSoak.mCallers), "callers");
+  add("domains",
+      options::value(&aArguments.mSoak.mDomains),
+      "failure domains, at most 5");
+  add("workers-per-cell",
+      options::value(&aArguments.mSoak.mWorkersPerCell),
+      "workers that one leader is meant for; 0: the site is one cell");
   options::variables_map values;
   options::store(options::parse_command_line(aCount, aWords, description),
                  values);
